--- /dev/null
+++ b/crates/tidewall-drill/src/door.rs
@@ -0,0 +1,187 @@
+//! The door: id texts become small indices here, and what the decisions call for becomes lines.
+use base64::{engine::general_purpose::STANDARD, Engine};
+use slab::Slab;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+use tidewall::host::{Host, Time};
+
+/// A fixed hash of an id text (FNV-1a), the same at every gateway.
+pub fn hash(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+pub fn bytes(text: &str) -> Result<Vec<u8>, String> {
+    let text = if text == "-" { "" } else { text };
+    STANDARD.decode(text).map_err(|e| format!("field payload: {e}"))
+}
+
+/// Looked up by text, never walked, so the map's order decides nothing.
+#[derive(Default)]
+struct Ids {
+    texts: Slab<String>,
+    places: HashMap<String, usize>,
+}
+
+impl Ids {
+    fn index(&mut self, text: &str) -> usize {
+        if let Some(place) = self.places.get(text) {
+            return *place;
+        }
+        let place = self.texts.insert(text.to_string());
+        self.places.insert(text.to_string(), place);
+        place
+    }
+
+    fn forget(&mut self, place: usize) {
+        if let Some(text) = self.texts.try_remove(place) {
+            self.places.remove(&text);
+        }
+    }
+}
+
+pub struct Door {
+    id: String,
+    pub out: String,
+    pub types: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    workers: Ids,
+    functions: Ids,
+    events: Vec<String>,
+    places: HashMap<String, usize>,
+}
+
+impl Door {
+    pub fn new(id: &str, settings: &BTreeMap<String, String>) -> Door {
+        let named =
+            |list: &str| (0..).map_while(|i| settings.get(&format!("{list}.{i}.name")).cloned()).collect();
+        let plain =
+            |key: &str| settings.get(key).map_or(Vec::new(), |v| v.split(',').map(str::to_string).collect());
+        Door {
+            id: id.to_string(),
+            out: String::new(),
+            types: named("classes"),
+            tenants: named("tenants"),
+            zones: plain("zones"),
+            kinds: plain("kinds"),
+            workers: Ids::default(),
+            functions: Ids::default(),
+            events: Vec::new(),
+            places: HashMap::new(),
+        }
+    }
+
+    pub fn worker(&mut self, text: &str) -> usize {
+        self.workers.index(text)
+    }
+
+    pub fn function(&mut self, text: &str) -> usize {
+        self.functions.index(text)
+    }
+
+    pub fn known_function(&self, text: &str) -> Option<usize> {
+        self.functions.places.get(text).copied()
+    }
+
+    pub fn open(&mut self, place: usize, text: &str) {
+        if self.events.len() <= place {
+            self.events.resize(place + 1, String::new());
+        }
+        self.events[place].clear();
+        self.events[place].push_str(text);
+        self.places.insert(text.to_string(), place);
+    }
+
+    pub fn event(&self, text: &str) -> Option<usize> {
+        self.places.get(text).copied()
+    }
+
+    fn line(&mut self, name: &str, rest: std::fmt::Arguments) {
+        // Writing to a String cannot fail.
+        let _ = writeln!(self.out, "{name} gateway-id={}{rest}", self.id);
+    }
+}
+
+/// Tenths of a millisecond as the wire's milliseconds.
+struct Ms(Time);
+
+impl std::fmt::Display for Ms {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{}.{}", self.0 / 10, self.0 % 10)
+    }
+}
+
+impl Host for Door {
+    fn launch(&mut self, evt: usize, wk: usize, time_out: Time) {
+        let (id, host) = (self.events[evt].clone(), self.workers.texts[wk].clone());
+        self.line("TRY", format_args!(" msg-id={id} try-for-ms={} host={host}", Ms(time_out)));
+    }
+
+    fn cancel(&mut self, evt: usize, launch: usize) {
+        let id = self.events[evt].clone();
+        self.line("ABANDON", format_args!(" msg-id={id} shot={launch}"));
+    }
+
+    fn defer(&mut self, evt: usize, come_back: Time) {
+        let id = self.events[evt].clone();
+        self.line("REFUSE", format_args!(" msg-id={id} backoff-ms={}", Ms(come_back)));
+    }
+
+    fn dead_letter(&mut self, evt: usize) {
+        let id = self.events[evt].clone();
+        self.line("ABORT", format_args!(" msg-id={id}"));
+    }
+
+    fn release(&mut self, evt: usize) {
+        self.places.remove(&self.events[evt]);
+    }
+
+    fn timer(&mut self, wait: Time, token: u64) {
+        self.line("SCHEDULE", format_args!(" in-ms={} ctx={token}", Ms(wait)));
+    }
+
+    fn probe(&mut self, wk: usize) {
+        let host = self.workers.texts[wk].clone();
+        self.line("ASK_LOAD", format_args!(" host={host}"));
+    }
+
+    fn hang_up(&mut self, wk: usize) {
+        let host = self.workers.texts[wk].clone();
+        self.line("HANG_UP", format_args!(" host={host}"));
+    }
+
+    fn hold(&mut self, img: usize, wk: usize, copies: u32) {
+        let (key, host) = (self.functions.texts[img].clone(), self.workers.texts[wk].clone());
+        self.line("START_COPY", format_args!(" target-fn={key} host={host} count={copies}"));
+    }
+
+    fn unload(&mut self, img: usize, wk: usize) {
+        let (key, host) = (self.functions.texts[img].clone(), self.workers.texts[wk].clone());
+        self.line("EVICT", format_args!(" target-fn={key} host={host}"));
+    }
+
+    fn forget(&mut self, img: usize) {
+        self.functions.forget(img);
+    }
+
+    fn follow(&mut self, on: bool) {
+        self.line("FOLLOW", format_args!(" enable={}", u8::from(on)));
+    }
+
+    fn look_up(&mut self) {
+        self.line("LOOKUP", format_args!(""));
+    }
+
+    fn tell(&mut self, peer: Option<u32>, bytes: &[u8]) {
+        let payload = if bytes.is_empty() { "-".to_string() } else { STANDARD.encode(bytes) };
+        match peer {
+            Some(peer) => self.line("ANNOUNCE", format_args!(" addressee={peer} payload={payload}")),
+            None => self.line("ANNOUNCE", format_args!(" addressee=* payload={payload}")),
+        }
+    }
+
+    fn note(&mut self, text: &str) {
+        self.line("SAY_LOG", format_args!(" note-text={}", text.replace('\n', " ")));
+    }
+}
--- /dev/null
+++ b/src/chance.rs
@@ -0,0 +1,21 @@
+//! Chance: a multiply-with-carry generator (lag 1, 32-bit words), started from the instance's seed.
+
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        // Neither 0 nor the multiplier's own fixed point may be the start; mixing keeps near seeds apart.
+        let mixed = (seed ^ (seed >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        Chance((mixed >> 2) | 1)
+    }
+
+    pub fn draw(&mut self) -> u32 {
+        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
+        self.0 as u32
+    }
+
+    /// A number from 0 up to, not including, `n`.
+    pub fn below(&mut self, n: u32) -> u32 {
+        ((u64::from(self.draw()) * u64::from(n)) >> 32) as u32
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,1134 @@
+//! All decisions of the router, one instance for each gateway. How it is called: `new` with the host, the
+//! clock, a seed and the settings; then `clock` before each thing that happens, and one method for each of
+//! those: `list`, `list_failed`, `arrive` (after `next_place` named the event's place), `begun`, `ended`,
+//! `lapsed`, `timer`, `probed`, `held`, `told`. It acts by calling the `Host` of `src/host.rs` and knows no
+//! wire. Workers, functions and events come as small indices. The mechanism is that of docs/design.md; what
+//! departs from it is marked "Departure" here and explained there.
+use crate::chance::Chance;
+use crate::host::{Arrival, Host, Listed, Outcome, Standing, Time};
+use slab::Slab;
+use std::collections::{BTreeMap, VecDeque};
+
+const MS: Time = 10;
+const SECOND: Time = 10_000;
+
+pub type Settings = BTreeMap<String, String>;
+
+/// How often held events are looked at again and launches checked: well under any target time met, and
+/// coarse enough to cost little CPU.
+const SWEEP: Time = 10 * MS;
+
+/// What may be done again once a launch may have run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Repeat {
+    Redeliverable,
+    Keyed(Group, Time),
+    AtMostOnce,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+struct EventType {
+    target: Time,
+    benefit: f64,
+    repeat: Repeat,
+    /// Smoothed own warm latency and hint of cost, in tenths of a millisecond.
+    run: f64,
+    hint: f64,
+}
+
+struct Tenant {
+    quota: f64,
+    rate: Rate,
+}
+
+/// Events over the last two seconds (R of the page), in steps of a tenth of a second.
+#[derive(Clone, Default)]
+struct Rate {
+    steps: [u32; 20],
+    at: Time,
+    sum: u32,
+}
+
+impl Rate {
+    const STEP: Time = SECOND / 10;
+
+    fn turn(&mut self, now: Time) {
+        let (step, len) = (now / Rate::STEP, self.steps.len() as Time);
+        for s in self.at + 1..=step.min(self.at + len) {
+            self.sum -= std::mem::take(&mut self.steps[(s % len) as usize]);
+        }
+        self.at = self.at.max(step);
+    }
+
+    fn add(&mut self, now: Time, n: u32) {
+        self.turn(now);
+        self.steps[(self.at % self.steps.len() as Time) as usize] += n;
+        self.sum += n;
+    }
+
+    /// A second; right after a start the time that there was counts, so that a restarted gateway sees its
+    /// rate at once (half a second at the least, or the first few events would look like a flood).
+    fn per_second(&mut self, now: Time, started: Time) -> f64 {
+        self.turn(now);
+        let seen = (now - started).clamp(SECOND / 2, 2 * SECOND);
+        f64::from(self.sum) * SECOND as f64 / seen as f64
+    }
+}
+
+#[derive(Default)]
+struct Worker {
+    listed: Listed,
+    in_flight: u32,
+    /// The in-flight bound that the page leaves open, for the worker as a whole; learned.
+    bound: f64,
+    /// Smoothed warm latency over the target time.
+    strain: f64,
+    cut_at: Time,
+    /// Failures in a row, and how long it is left out for them.
+    failures: u32,
+    out_until: Time,
+    out_span: Time,
+    answered: Time,
+    trial: bool,
+    /// Mean work launched at it over the last two seconds, and the launches that a cold start's budget counts.
+    sent: Rate,
+    budget: VecDeque<(Time, f64)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Copies {
+    Unknown,
+    Ordered(Time),
+    Standing,
+}
+
+/// A function's copies on one worker. A function has a seat for every worker, in the shared order.
+#[derive(Clone, Copy, Debug)]
+struct Seat {
+    wk: usize,
+    copies: Copies,
+    flight: u32,
+    pending: u32,
+    /// Last sign that the copy's idle time began anew.
+    renewed: Time,
+    barred_until: Time,
+}
+
+#[derive(Default)]
+struct Function {
+    hash: u64,
+    live: bool,
+    typ: usize,
+    lanes: u32,
+    /// Smoothed own warm latency (0: none yet) and load time.
+    run: f64,
+    load: f64,
+    n: usize,
+    turn: usize,
+    rate: Rate,
+    last: Time,
+    grown: Time,
+    events: u32,
+    seats: Vec<Seat>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Out,
+    /// Cancelled by us or late beyond patience: counted against its worker already.
+    Overdue,
+    Cancelled,
+    ProvenNotRun,
+    MayHaveRun,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Launch {
+    wk: usize,
+    at: Time,
+    state: State,
+}
+
+/// More launches than this an event never gets, whatever the settings allow.
+const MOST_LAUNCHES: usize = 8;
+
+struct Evt {
+    arrival: Arrival,
+    came: Time,
+    over: bool,
+    streaming: bool,
+    waiting: bool,
+    /// Launches that followed a failure; the move after a miss is not one.
+    further: u32,
+    launches: [Launch; MOST_LAUNCHES],
+    count: usize,
+}
+
+impl Evt {
+    fn sent(&self) -> &[Launch] {
+        &self.launches[..self.count]
+    }
+
+    fn out(&self) -> usize {
+        self.sent().iter().filter(|l| is_out(l.state)).count()
+    }
+
+    fn proven_not_run(&self) -> bool {
+        self.sent().iter().all(|l| l.state == State::ProvenNotRun)
+    }
+}
+
+fn is_out(state: State) -> bool {
+    matches!(state, State::Out | State::Overdue | State::Cancelled)
+}
+
+pub struct Choice<H> {
+    pub host: H,
+    now: Time,
+    started: Time,
+    chance: Chance,
+    types: Vec<EventType>,
+    tenants: Vec<Tenant>,
+    workers: Vec<Option<Worker>>,
+    functions: Vec<Function>,
+    events: Slab<Evt>,
+    waiting: VecDeque<usize>,
+    orders: VecDeque<Time>,
+    arrivals: VecDeque<Time>,
+    arrived: Rate,
+    strained: Rate,
+    listen: bool,
+    rules: Rules,
+}
+
+/// Figures of the settings that are needed on the way of every event.
+#[derive(Debug, Default)]
+struct Rules {
+    tick: Time,
+    launches: usize,
+    duplicates: bool,
+    /// Whether copies come by order, and whether an event at a worker without one only misses.
+    orders: bool,
+    misses: bool,
+    cancel: bool,
+    keep: Time,
+    load_window: Time,
+    load_free: f64,
+    load_share: f64,
+    cold_from: f64,
+    cold: Time,
+    tip: f64,
+    tip_for: Time,
+    siblings: f64,
+    over_share: f64,
+    come_back: Time,
+    most_benefit: f64,
+}
+
+fn number(settings: &Settings, key: &str, otherwise: f64) -> Result<f64, String> {
+    let Some(text) = settings.get(key) else {
+        return Ok(otherwise);
+    };
+    let value = text.parse().map_err(|_| format!("{key}: '{text}' is not a number"))?;
+    if (0.0..1e12).contains(&value) {
+        return Ok(value);
+    }
+    Err(format!("{key}: '{text}' is out of range"))
+}
+
+fn is(settings: &Settings, key: &str, value: &str) -> bool {
+    settings.get(key).is_some_and(|v| v == value)
+}
+
+/// Milliseconds of the settings, rounded down: spans there are limits.
+fn span(settings: &Settings, key: &str, otherwise: f64) -> Result<Time, String> {
+    Ok((number(settings, key, otherwise)? * MS as f64).floor() as Time)
+}
+
+impl<H: Host> Choice<H> {
+    pub fn new(host: H, now: Time, seed: u64, s: &Settings) -> Result<Choice<H>, String> {
+        let mut types = Vec::new();
+        for i in 0..number(s, "classes.count", 0.0)? as usize {
+            let key = |name: &str| format!("classes.{i}.{name}");
+            let window = span(s, &key("window-ms"), 0.0)?;
+            let group = match s.get(&key("group")).map(String::as_str) {
+                Some("all") => Group::All,
+                Some("zone") => Group::Zone,
+                _ => Group::Cell,
+            };
+            let repeat = match s.get(&key("semantics")).map(String::as_str) {
+                Some("read_like") => Repeat::Redeliverable,
+                Some("idempotency_key") => Repeat::Keyed(group, window),
+                _ => Repeat::AtMostOnce,
+            };
+            let target = span(s, &key("aim-ms"), 1000.0)?.max(1);
+            let benefit = number(s, &key("worth"), 1.0)?;
+            // The page's start: a tenth of the target time.
+            types.push(EventType { target, benefit, repeat, run: target as f64 / 10.0, hint: 0.0 });
+        }
+        let mut tenants = Vec::new();
+        for i in 0..number(s, "tenants.count", 0.0)? as usize {
+            let quota = number(s, &format!("tenants.{i}.quota-per-s"), 1e9)?;
+            tenants.push(Tenant { quota, rate: Rate::default() });
+        }
+        let rules = Rules {
+            tick: (number(s, "tick-ms", 1.0)? * MS as f64).ceil() as Time,
+            launches: (number(s, "allowed.max-attempts", 1.0)? as usize).min(MOST_LAUNCHES),
+            duplicates: is(s, "allowed.may-duplicate", "true"),
+            orders: is(s, "extra.orders", "true"),
+            misses: is(s, "extra.if-cold", "miss"),
+            cancel: is(s, "allowed.cancel", "true"),
+            keep: span(s, "extra.stays-loaded-ms", 8000.0)?,
+            load_window: span(s, "extra.load-window-ms", 0.0)?,
+            load_free: number(s, "extra.free-loads", 0.0)?,
+            load_share: number(s, "extra.load-share", 0.0)?,
+            cold_from: number(s, "rules.cold-from", 0.1)?,
+            cold: span(s, "rules.cold-ms", 20_000.0)?,
+            tip: number(s, "rules.tip-multiple", 2.0)?,
+            tip_for: span(s, "rules.overload-for-ms", 1000.0)?,
+            siblings: number(s, "siblings", 1.0)?.max(1.0),
+            over_share: number(s, "over-share-worth", 1.0)?,
+            come_back: if is(s, "allowed.retry-after", "true") {
+                span(s, "allowed.max-retry-after-ms", 0.0)?
+            } else {
+                0
+            },
+            most_benefit: types.iter().fold(0.0, |m, t| t.benefit.max(m)),
+        };
+        let listen = is(s, "discovery", "on_request");
+        let mut choice = Choice {
+            host,
+            now,
+            started: now,
+            chance: Chance::new(seed),
+            types,
+            tenants,
+            workers: Vec::new(),
+            functions: Vec::new(),
+            events: Slab::new(),
+            waiting: VecDeque::new(),
+            orders: VecDeque::new(),
+            arrivals: VecDeque::new(),
+            arrived: Rate::default(),
+            strained: Rate::default(),
+            listen,
+            rules,
+        };
+        if listen {
+            choice.host.follow(true);
+        }
+        choice.host.timer(SWEEP, 0);
+        Ok(choice)
+    }
+
+    pub fn clock(&mut self, now: Time) {
+        self.now = self.now.max(now);
+    }
+
+    // ---- the list of workers
+
+    pub fn list(&mut self, entries: &[(usize, Listed)], whole: bool) {
+        if whole {
+            for wk in 0..self.workers.len() {
+                if self.workers[wk].is_some() && !entries.iter().any(|e| e.0 == wk) {
+                    self.leave(wk, Standing::Gone);
+                }
+            }
+        }
+        for &(wk, listed) in entries {
+            if self.workers.len() <= wk {
+                self.workers.resize_with(wk + 1, || None);
+            }
+            let known = self.workers[wk].as_ref().map(|w| (w.listed.since, w.listed.standing));
+            if let (Some((since, _)), Standing::Draining | Standing::Gone) = (known, listed.standing) {
+                self.leave(wk, listed.standing);
+                if let Some(w) = &mut self.workers[wk] {
+                    w.listed.since = since.max(listed.since);
+                }
+                continue;
+            }
+            // Known and neither restarted nor back from the dead: its copies and what was learned of it hold.
+            if known.is_some_and(|k| k.0 >= listed.since && k.1 == Standing::On) {
+                continue;
+            }
+            let in_flight = self.workers[wk].as_ref().map_or(0, |w| w.in_flight);
+            let (bound, answered) = (BOUND_START, self.now);
+            self.workers[wk] = Some(Worker { listed, in_flight, bound, answered, ..Worker::default() });
+            for f in 0..self.functions.len() {
+                if self.functions[f].live && listed.standing == Standing::On {
+                    self.seat(f, wk);
+                }
+            }
+        }
+    }
+
+    /// A worker that drains or is gone gets nothing more from the moment that this gateway hears of it.
+    fn leave(&mut self, wk: usize, standing: Standing) {
+        if let Some(w) = &mut self.workers[wk] {
+            w.listed.standing = standing;
+        }
+        for f in &mut self.functions {
+            for s in f.seats.iter_mut().filter(|s| s.wk == wk) {
+                s.copies = Copies::Unknown;
+            }
+        }
+    }
+
+    pub fn list_failed(&mut self) {
+        // A subscription may have broken: asking anew is always allowed, at the next timer of its own.
+        self.host.timer(SECOND, 1);
+    }
+
+    /// The worker's place in the function's shared order: rendezvous hashing of the two id texts, so every
+    /// gateway finds the same order whatever it learned first.
+    fn seat(&mut self, f: usize, wk: usize) {
+        let f = &mut self.functions[f];
+        let Some(w) = &self.workers[wk] else { return };
+        if let Some(s) = f.seats.iter_mut().find(|s| s.wk == wk) {
+            // It started anew: empty.
+            *s = Seat { copies: Copies::Unknown, renewed: 0, barred_until: 0, ..*s };
+            return;
+        }
+        let (hash, workers) = (f.hash, &self.workers);
+        let weight = |h: u64| {
+            let x = (h ^ hash.rotate_left(32)).wrapping_mul(0x9fb2_1c65_1e98_df25);
+            let x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+            (x ^ (x >> 29), h)
+        };
+        let own = weight(w.listed.hash);
+        let at =
+            f.seats.partition_point(|s| workers[s.wk].as_ref().is_some_and(|o| weight(o.listed.hash) > own));
+        let copies = Copies::Unknown;
+        f.seats.insert(at, Seat { wk, copies, flight: 0, pending: 0, renewed: 0, barred_until: 0 });
+    }
+
+    // ---- events
+
+    /// The place that the next event will have.
+    pub fn next_place(&self) -> usize {
+        self.events.vacant_key()
+    }
+
+    pub fn arrive(&mut self, arrival: Arrival) {
+        let (now, f) = (self.now, arrival.function);
+        let none = Launch { wk: 0, at: 0, state: State::ProvenNotRun };
+        let e = self.events.insert(Evt {
+            arrival,
+            came: now,
+            over: false,
+            streaming: false,
+            waiting: false,
+            further: 0,
+            launches: [none; MOST_LAUNCHES],
+            count: 0,
+        });
+        if self.rules.load_window > 0 {
+            self.arrivals.push_back(now);
+        }
+        self.arrived.add(now, 1);
+        if let Some(t) = arrival.tenant {
+            self.tenants[t].rate.add(now, 1);
+        }
+        let typ = &mut self.types[arrival.typ];
+        if arrival.hint > 0 {
+            typ.hint = smooth(typ.hint, arrival.hint as f64);
+        }
+        self.know(&arrival);
+        let function = &mut self.functions[f];
+        function.last = now;
+        function.events += 1;
+        function.rate.add(now, 1);
+        self.scale(f, false);
+        // A try that ends before the next sweep could answer it is answered now: nothing would be in time.
+        if now + SWEEP + 2 * self.rules.tick >= arrival.gives_up {
+            return self.give_up(e);
+        }
+        self.place(e);
+    }
+
+    fn know(&mut self, arrival: &Arrival) {
+        let f = arrival.function;
+        if self.functions.len() <= f {
+            self.functions.resize_with(f + 1, Function::default);
+        }
+        if self.functions[f].live {
+            return;
+        }
+        // Starting the rotation by chance keeps gateways from marching in step.
+        let (hash, turn) = (arrival.function_hash, self.chance.below(64) as usize);
+        let (lanes, load) = (arrival.lanes.max(1), arrival.load_hint as f64);
+        let typ = arrival.typ;
+        self.functions[f] = Function { hash, live: true, typ, lanes, load, turn, ..Function::default() };
+        for wk in 0..self.workers.len() {
+            if self.workers[wk].as_ref().is_some_and(|w| w.listed.standing == Standing::On) {
+                self.seat(f, wk);
+            }
+        }
+    }
+
+    /// The page's bounds of one copy, in events a second: (low, up).
+    fn bounds(&self, f: usize) -> (f64, f64) {
+        let (function, second) = (&self.functions[f], SECOND as f64);
+        let typ = &self.types[function.typ];
+        let target = typ.target as f64 / second;
+        let run = if function.run > 0.0 { function.run / second } else { target / 10.0 };
+        let (run, lanes) = (run.clamp(1e-4, target / 2.0), f64::from(function.lanes));
+        let low = (1.0 / (target - run)).ceil() * lanes;
+        // The floor gives 0, or less than the lower bound, where a run takes over a second: then the lower
+        // bound holds for both, and the band is empty.
+        (low, ((1.0 / run).floor() * lanes).max(low))
+    }
+
+    /// The page's count of copies: above Rmax grow for the excess, inside the alpha band stay, below it give
+    /// up one at a check, never the last while events come.
+    fn scale(&mut self, f: usize, check: bool) {
+        const ALPHA: f64 = 0.8; // the page's
+        let (low, up) = self.bounds(f);
+        let usable = self.usable(f).count();
+        let (now, started, keep) = (self.now, self.started, self.rules.keep);
+        let function = &mut self.functions[f];
+        let rate = function.rate.per_second(now, started);
+        let n = function.n as f64;
+        if rate > n * up {
+            // On hosts that add no copies by themselves a worker may have to hold several (16 at most).
+            function.n = ((rate / up).ceil() as usize).min(usable.max(1) * 4);
+            function.grown = now;
+        } else if check && rate < ALPHA * n * low + (1.0 - ALPHA) * n * up && function.n > 1 {
+            function.n -= 1;
+        } else if check && function.n == 1 && now > function.last + keep {
+            function.n = 0;
+        }
+        self.order(f);
+    }
+
+    /// Seats on workers that may be used, in the shared order.
+    fn usable(&self, f: usize) -> impl Iterator<Item = usize> + '_ {
+        let seats = &self.functions[f].seats;
+        (0..seats.len()).filter(|s| self.trusted(seats[*s].wk))
+    }
+
+    fn trusted(&self, wk: usize) -> bool {
+        let Some(w) = &self.workers[wk] else { return false };
+        w.listed.standing == Standing::On && w.out_until <= self.now
+    }
+
+    /// Hold orders: the first n are to have their copies, and copies in use are renewed.
+    fn order(&mut self, f: usize) {
+        let n = self.functions[f].n;
+        let usable = self.usable(f).count();
+        let (mut seen, mut s) = (0, 0);
+        while s < self.functions[f].seats.len() && seen < n.min(usable) {
+            let seat = self.functions[f].seats[s];
+            if self.trusted(seat.wk) {
+                let copies = (n - seen).div_ceil(usable);
+                seen += 1;
+                // Half the keep-alive: one renewal lost still leaves time for another. Use renews by itself.
+                let stale = self.now > seat.renewed + self.rules.keep / 2;
+                if seat.pending == 0 && (seat.copies == Copies::Unknown || stale) {
+                    self.hold(f, s, copies as u32, seat.copies == Copies::Unknown);
+                }
+            }
+            s += 1;
+        }
+    }
+
+    /// Every order to load passes here: drains, the ration, and one order at a time for a seat.
+    fn hold(&mut self, f: usize, s: usize, copies: u32, needed: bool) -> bool {
+        let (now, seat) = (self.now, self.functions[f].seats[s]);
+        let on = self.workers[seat.wk].as_ref().is_some_and(|w| w.listed.standing == Standing::On);
+        if !self.rules.orders || !on || seat.pending > 0 || seat.barred_until > now {
+            return false;
+        }
+        let window = self.rules.load_window;
+        if window > 0 {
+            // Orders as old as the window still count, events must be younger: the safe way for both.
+            while self.orders.front().is_some_and(|t| t + window + 1 < now) {
+                self.orders.pop_front();
+            }
+            while self.arrivals.front().is_some_and(|t| t + window <= now + 1) {
+                self.arrivals.pop_front();
+            }
+            // Orders of a life before a restart may still count, so the free ones come only after a window.
+            let free = if now > self.started + window { self.rules.load_free } else { 0.0 };
+            let ration = free + self.rules.load_share * self.arrivals.len() as f64;
+            // Renewals leave half the ration to copies that are missing.
+            let ration = if needed { ration } else { ration / 2.0 };
+            if (self.orders.len() + 1) as f64 > ration {
+                return false;
+            }
+            self.orders.push_back(now);
+        }
+        let seat = &mut self.functions[f].seats[s];
+        seat.pending += 1;
+        if seat.copies == Copies::Unknown {
+            seat.copies = Copies::Ordered(now);
+        }
+        seat.renewed = now;
+        let wk = seat.wk;
+        self.host.hold(f, wk, copies.clamp(1, 16));
+        true
+    }
+
+    /// Finds the event a worker, or lets it wait here for a copy, or gives it up at once.
+    fn place(&mut self, e: usize) {
+        let (arrival, came, out) = (self.events[e].arrival, self.events[e].came, self.events[e].out());
+        let (f, now) = (arrival.function, self.now);
+        let worth = self.worth(&arrival);
+        if let Some(s) = self.choose(f, e, worth) {
+            return self.launch(e, s);
+        }
+        if out > 0 {
+            return;
+        }
+        let function = &self.functions[f];
+        let stands = |s: usize| function.seats[s].copies == Copies::Standing;
+        let crowded = self.usable(f).take(function.n.max(1)).any(stands);
+        // Departure: a crowd that no copy has room for counts as excess at once, not after two seconds; one
+        // copy more for each span of a load. Guards against bursts and functions that turn hot. It could buy
+        // a needless copy where one slow event fills the lanes.
+        if crowded && now > function.grown + (function.load as Time).max(SECOND / 2) {
+            let usable = self.usable(f).count();
+            let function = &mut self.functions[f];
+            function.n = (function.n + 1).min(usable);
+            function.grown = now;
+            self.order(f);
+        }
+        // With copies that have no room it waits a quarter of the target time at most; then it is given up.
+        if crowded && now > came + self.types[arrival.typ].target / 4 {
+            self.strained.add(now, 1);
+            return self.give_up(e);
+        }
+        if !std::mem::replace(&mut self.events[e].waiting, true) {
+            self.waiting.push_back(e);
+        }
+    }
+
+    /// Benefit of an event from 0 to 1, against the most that any type brings; less beyond a tenant's share.
+    fn worth(&mut self, arrival: &Arrival) -> f64 {
+        let mut worth = self.types[arrival.typ].benefit / self.rules.most_benefit.max(1e-9);
+        if let Some(t) = arrival.tenant {
+            let rate = self.tenants[t].rate.per_second(self.now, self.started);
+            if rate * self.rules.siblings > self.tenants[t].quota {
+                worth *= self.rules.over_share;
+            }
+        }
+        worth
+    }
+
+    /// Rotates over the first n: the next one whose copy stands, with lanes and worker below their bounds.
+    fn choose(&mut self, f: usize, e: usize, worth: f64) -> Option<usize> {
+        let n = self.functions[f].n.max(1);
+        let usable = self.usable(f).count();
+        let turn = self.functions[f].turn;
+        let lanes = self.functions[f].lanes;
+        let (mut first, mut beyond) = (None::<(usize, usize)>, None);
+        let mut least = None::<(usize, f64)>;
+        let heads = n.min(usable).max(1);
+        let mut place = 0;
+        for s in 0..self.functions[f].seats.len() {
+            let seat = self.functions[f].seats[s];
+            if !self.trusted(seat.wk) {
+                continue;
+            }
+            let (at, ready) = (place, seat.copies == Copies::Standing || !self.rules.misses);
+            place += 1;
+            if !ready || !self.may_launch(e, seat.wk) {
+                continue;
+            }
+            let Some(w) = &self.workers[seat.wk] else { continue };
+            let own = lanes * n.saturating_sub(at).div_ceil(usable).max(1) as u32;
+            let load = f64::from(w.in_flight) / w.bound;
+            if seat.flight < own && load < 1.0 {
+                // How far round from the turn it stands.
+                let round = (at + heads - turn % heads) % heads;
+                if at >= heads {
+                    beyond = beyond.or(Some(s));
+                } else if first.is_none_or(|b| round < b.1) {
+                    first = Some((s, round));
+                }
+            }
+            // Departure: with all of the first n above their bounds, the event of most benefit may still go
+            // to the least crowded; the others sooner find no room.
+            let crowd = load.max(f64::from(seat.flight) / f64::from(own) / 2.0);
+            if at < heads && crowd < 0.7 + 0.8 * worth && least.is_none_or(|l| crowd < l.1) {
+                least = Some((s, crowd));
+            }
+        }
+        if let Some((s, round)) = first {
+            self.functions[f].turn = turn % heads + round + 1;
+            return Some(s);
+        }
+        // Departure: copies known to stand beyond the first n are used before the first n are overfilled.
+        beyond.or(least.map(|l| l.0))
+    }
+
+    /// The rules for one more launch of this event at this worker; every launch passes here.
+    fn may_launch(&self, e: usize, wk: usize) -> bool {
+        let evt = &self.events[e];
+        let Some(w) = &self.workers[wk] else { return false };
+        if evt.over || evt.streaming || w.listed.standing != Standing::On {
+            return false;
+        }
+        if evt.count >= self.rules.launches || self.now + self.rules.tick >= evt.arrival.gives_up {
+            return false;
+        }
+        if evt.out() > 0 && !self.rules.duplicates {
+            return false;
+        }
+        // Not again to a worker that has it or has failed it; after a miss it may go back.
+        if evt.sent().iter().any(|l| l.wk == wk && l.state != State::ProvenNotRun) {
+            return false;
+        }
+        let unproven = || evt.sent().iter().filter(|l| l.state != State::ProvenNotRun);
+        let allowed = match self.types[evt.arrival.typ].repeat {
+            Repeat::Redeliverable => true,
+            Repeat::AtMostOnce => evt.proven_not_run(),
+            Repeat::Keyed(group, window) => unproven().all(|l| {
+                let Some(o) = &self.workers[l.wk] else {
+                    return false;
+                };
+                let near = match group {
+                    Group::All => true,
+                    Group::Zone => o.listed.zone == w.listed.zone,
+                    Group::Cell => o.listed.cell == w.listed.cell,
+                };
+                near && self.now + self.rules.tick < l.at + window
+            }),
+        };
+        allowed && self.cold_room(wk, evt.arrival.typ)
+    }
+
+    /// The budget of a cold worker. What it can take is told nowhere: this gateway's own share of it is what
+    /// it sends to a warm worker, at the fraction that the worker is warm by now at the least. The fall
+    /// comes at `tip` times that; 0.4 of it leaves room for small machines, busy days and uneven gateways.
+    fn cold_room(&self, wk: usize, typ: usize) -> bool {
+        const SHARE: f64 = 0.4;
+        let Some(w) = &self.workers[wk] else { return false };
+        let Some(part) = self.cold_part(w) else {
+            return true;
+        };
+        let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
+        let (mut count, mut sent) = (0.0, 0.0);
+        for o in self.workers.iter().flatten().filter(warm) {
+            count += 1.0;
+            sent += f64::from(o.sent.sum) / 2.0;
+        }
+        let weight = self.types[typ].run;
+        let window = self.rules.tip_for;
+        let used: f64 = w.budget.iter().filter(|b| b.0 + window >= self.now).map(|b| b.1).sum();
+        let room =
+            SHARE * self.rules.tip * part * sent / f64::max(count, 1.0) * window as f64 / SECOND as f64;
+        // One launch a window is always safe.
+        used == 0.0 || used + weight <= room
+    }
+
+    /// How warm a worker is at the least, None when it is warm.
+    fn cold_part(&self, w: &Worker) -> Option<f64> {
+        let age = self.now.saturating_sub(w.listed.since);
+        if w.listed.since == 0 || age >= self.rules.cold {
+            return None;
+        }
+        Some(self.rules.cold_from + (1.0 - self.rules.cold_from) * age as f64 / self.rules.cold as f64)
+    }
+
+    fn launch(&mut self, e: usize, s: usize) {
+        let (now, window) = (self.now, self.rules.tip_for);
+        let evt = &mut self.events[e];
+        let function = &mut self.functions[evt.arrival.function];
+        let seat = &mut function.seats[s];
+        let weight = self.types[evt.arrival.typ].run;
+        let Some(w) = &mut self.workers[seat.wk] else {
+            return;
+        };
+        evt.launches[evt.count] = Launch { wk: seat.wk, at: now, state: State::Out };
+        evt.count += 1;
+        evt.waiting = false;
+        seat.flight += 1;
+        w.in_flight += 1;
+        w.sent.add(now, weight as u32);
+        if w.listed.since > 0 {
+            while w.budget.front().is_some_and(|b| b.0 + window < now) {
+                w.budget.pop_front();
+            }
+            w.budget.push_back((now, weight));
+        }
+        self.host.launch(e, seat.wk, 0);
+    }
+
+    /// A final answer of our own, at once: a deferral where that is harmless, else a dead letter.
+    fn give_up(&mut self, e: usize) {
+        let evt = &mut self.events[e];
+        if evt.over || evt.streaming {
+            return;
+        }
+        let harmless = match self.types[evt.arrival.typ].repeat {
+            Repeat::Redeliverable | Repeat::Keyed(Group::All, _) => true,
+            Repeat::Keyed(..) | Repeat::AtMostOnce => evt.proven_not_run(),
+        };
+        if harmless {
+            // Spread over half to all of a quarter of the target time, so that those deferred together do
+            // not come back together.
+            let wait = (self.types[evt.arrival.typ].target / 4).min(self.rules.come_back) as u32;
+            let wait = wait / 2 + self.chance.below(wait / 2 + 1);
+            self.host.defer(e, Time::from(wait));
+        } else {
+            self.host.dead_letter(e);
+        }
+        self.conclude(e);
+    }
+
+    /// The event has its final answer: what is still out is called off.
+    fn conclude(&mut self, e: usize) {
+        let evt = &mut self.events[e];
+        if !std::mem::replace(&mut evt.over, true) {
+            let f = evt.arrival.function;
+            self.functions[f].events -= 1;
+        }
+        let evt = &mut self.events[e];
+        evt.waiting = false;
+        for i in 0..evt.count {
+            if matches!(evt.launches[i].state, State::Out | State::Overdue)
+                && self.rules.cancel
+                && !evt.streaming
+            {
+                evt.launches[i].state = State::Cancelled;
+                self.host.cancel(e, i);
+            }
+        }
+        self.release(e);
+    }
+
+    fn release(&mut self, e: usize) {
+        if self.events[e].over && self.events[e].out() == 0 {
+            self.events.remove(e);
+            self.host.release(e);
+        }
+    }
+
+    pub fn begun(&mut self, e: usize, launch: usize) {
+        let Some(evt) = self.events.get_mut(e) else { return };
+        evt.streaming = true;
+        for i in 0..evt.count {
+            if i != launch
+                && matches!(evt.launches[i].state, State::Out | State::Overdue)
+                && self.rules.cancel
+            {
+                evt.launches[i].state = State::Cancelled;
+                self.host.cancel(e, i);
+            }
+        }
+    }
+
+    pub fn lapsed(&mut self, e: usize) {
+        if self.events.get(e).is_some_and(|evt| !evt.over) {
+            self.conclude(e);
+        }
+    }
+
+    pub fn ended(
+        &mut self,
+        e: usize,
+        launch: usize,
+        (outcome, took): (Outcome, Time),
+        over: bool,
+        note: u32,
+    ) {
+        let Some(evt) = self.events.get_mut(e) else { return };
+        if launch >= evt.count || !is_out(evt.launches[launch].state) {
+            return;
+        }
+        let Launch { wk, at, state } = evt.launches[launch];
+        let proven = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Miss);
+        evt.launches[launch].state = if proven { State::ProvenNotRun } else { State::MayHaveRun };
+        let arrival = evt.arrival;
+        let (f, now) = (arrival.function, self.now);
+        if let Some(w) = &mut self.workers[wk] {
+            w.in_flight = w.in_flight.saturating_sub(1);
+        }
+        let s = self.functions[f].seats.iter().position(|s| s.wk == wk);
+        if let Some(s) = s {
+            let seat = &mut self.functions[f].seats[s];
+            seat.flight = seat.flight.saturating_sub(1);
+        }
+        match outcome {
+            Outcome::Ok => self.answered(wk, s, &arrival, at, took, note & 7),
+            Outcome::Miss => {
+                if let Some(s) = s {
+                    // The page: reissue the order to that worker, and try another of the first n.
+                    let seat = &mut self.functions[f].seats[s];
+                    if seat.copies == Copies::Standing {
+                        seat.copies = Copies::Unknown;
+                    }
+                    self.hold(f, s, 1, true);
+                }
+            }
+            Outcome::Full => self.strained.add(now, 1),
+            Outcome::Error | Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
+                if state == State::Out {
+                    self.failed(wk);
+                }
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
+        if outcome == Outcome::Full {
+            self.cut(wk);
+        }
+        let evt = &self.events[e];
+        if over || evt.over {
+            return self.conclude(e);
+        }
+        if evt.out() > 0 {
+            return;
+        }
+        let again = match outcome {
+            Outcome::Miss => true,
+            // The users' way: up to two further launches, none while this gateway sees overload.
+            _ => evt.further < 2 && !self.overloaded(),
+        };
+        let evt = &mut self.events[e];
+        if outcome != Outcome::Miss {
+            evt.further += 1;
+        }
+        if again && self.may_go_on(e) {
+            self.place(e);
+        } else {
+            self.give_up(e);
+        }
+    }
+
+    /// Whether any worker could still be sent this event, now or once it has room.
+    fn may_go_on(&self, e: usize) -> bool {
+        let evt = &self.events[e];
+        let repeat = self.types[evt.arrival.typ].repeat;
+        evt.count < self.rules.launches && (repeat != Repeat::AtMostOnce || evt.proven_not_run())
+    }
+
+    /// What a good answer teaches. `warm` is 1 where a copy stood, 0 where that is not told.
+    fn answered(&mut self, wk: usize, s: Option<usize>, arrival: &Arrival, at: Time, took: Time, warm: u32) {
+        let (now, f) = (self.now, arrival.function);
+        let typ = &mut self.types[arrival.typ];
+        let (target, function) = (typ.target as f64, &mut self.functions[f]);
+        if let Some(s) = s {
+            let seat = &mut function.seats[s];
+            seat.copies = Copies::Standing;
+            seat.renewed = now;
+        }
+        if warm > 1 {
+            return;
+        }
+        function.run = if function.run > 0.0 { smooth(function.run, took as f64) } else { took as f64 };
+        typ.run = smooth(typ.run, took as f64);
+        let usual = typ.run;
+        let late = took > patience(usual, typ, arrival);
+        let Some(w) = &mut self.workers[wk] else { return };
+        w.answered = now;
+        w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
+        // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
+        // used, and is cut when latencies near the target time (0.6 leaves time for one more try).
+        if w.strain > 0.6 {
+            self.cut(wk);
+        } else if f64::from(w.in_flight + 1) > w.bound / 2.0 {
+            w.bound = (w.bound + 1.0 / w.bound).min(BOUND_MOST);
+        }
+        if late {
+            self.failed(wk);
+        } else if let Some(w) = &mut self.workers[wk] {
+            // Only an answer to something sent since it was left out restores trust.
+            if at >= w.out_until {
+                (w.failures, w.out_span, w.trial) = (0, 0, false);
+            }
+        }
+    }
+
+    /// Too much is in flight at this worker: a fifth less, once in a quarter second (a round of answers).
+    fn cut(&mut self, wk: usize) {
+        let now = self.now;
+        let Some(w) = &mut self.workers[wk] else { return };
+        if now > w.cut_at + SECOND / 4 {
+            w.bound = (w.bound.min(f64::from(w.in_flight + 1)) * 0.8).max(1.0);
+            w.cut_at = now;
+        }
+    }
+
+    /// The users' way: a worker is judged by failures in a row. Late answers count, so that slow, hanging,
+    /// silent and refusing workers are one symptom. After three it is left out, each time twice as long; it
+    /// comes back on trial. Never more than a third of the workers: beyond that the trouble is not theirs.
+    fn failed(&mut self, wk: usize) {
+        const IN_A_ROW: u32 = 3; // chance makes two late answers in a row common, three rare
+        let now = self.now;
+        let all = self.workers.iter().flatten().filter(|w| w.listed.standing == Standing::On);
+        let (count, out) = all.fold((0, 0), |(c, o), w| (c + 1, o + usize::from(w.out_until > now)));
+        let Some(w) = &mut self.workers[wk] else { return };
+        w.failures += 1;
+        if w.out_until > now || (w.failures < IN_A_ROW && !w.trial) || (out + 1) * 3 > count {
+            return;
+        }
+        w.out_span = (w.out_span * 2).clamp(SECOND, 8 * SECOND);
+        w.out_until = now + w.out_span;
+        w.trial = true;
+    }
+
+    fn overloaded(&mut self) -> bool {
+        let now = self.now;
+        self.arrived.turn(now);
+        self.strained.turn(now);
+        // A tenth of the events without room: more than chance, less than a jam.
+        self.strained.sum * 10 > self.arrived.sum.max(20)
+    }
+
+    pub fn reported(&mut self, _wk: usize, _report: &[(&str, f64)]) {}
+
+    pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, took: Time, copies: u32) {
+        let now = self.now;
+        let Some(function) = self.functions.get_mut(f) else {
+            return;
+        };
+        let Some(s) = function.seats.iter().position(|s| s.wk == wk) else {
+            return;
+        };
+        let seat = &mut function.seats[s];
+        seat.pending = seat.pending.saturating_sub(1);
+        let fresh = matches!(seat.copies, Copies::Ordered(_));
+        if copies > 0 {
+            seat.copies = Copies::Standing;
+        } else if seat.copies != Copies::Standing || outcome != Outcome::TimedOut {
+            seat.copies = Copies::Unknown;
+        }
+        match outcome {
+            Outcome::Ok => {
+                if fresh && took > 20 * MS {
+                    function.load = smooth(function.load, took as f64);
+                }
+            }
+            // No room or a failed load: the same order at once would fail again.
+            _ => seat.barred_until = now + SECOND / 2,
+        }
+        if matches!(outcome, Outcome::Reset | Outcome::NoConnection | Outcome::TimedOut) {
+            self.failed(wk);
+        }
+        if copies > 0 {
+            self.look_again(Some(f));
+        }
+    }
+
+    pub fn probed(&mut self, _wk: usize, _outcome: Outcome, _took: Time) {}
+
+    /// Peers have nothing to tell: every gateway acts alone.
+    pub fn told(&mut self, _peer: u32, _bytes: &[u8]) {}
+
+    // ---- time
+
+    pub fn timer(&mut self, token: u64) {
+        if token == 1 {
+            if self.listen {
+                self.host.follow(true);
+            }
+            return;
+        }
+        self.host.timer(SWEEP, 0);
+        for e in 0..self.events.capacity() {
+            if self.events.contains(e) {
+                self.check(e);
+            }
+        }
+        self.look_again(None);
+        // Counts are checked once a second, the functions spread over the sweeps of it.
+        let slots = (SECOND / SWEEP) as usize;
+        let slot = (self.now / SWEEP) as usize % slots;
+        for f in (slot..self.functions.len()).step_by(slots) {
+            if self.functions[f].live {
+                self.scale(f, true);
+                self.forget(f);
+            }
+        }
+    }
+
+    /// Events that wait here, oldest first, are tried again.
+    fn look_again(&mut self, only: Option<usize>) {
+        for _ in 0..self.waiting.len() {
+            let Some(e) = self.waiting.pop_front() else { return };
+            let Some(evt) = self.events.get_mut(e).filter(|evt| evt.waiting) else {
+                continue;
+            };
+            if only.is_some_and(|f| f != evt.arrival.function) {
+                self.waiting.push_back(e);
+                continue;
+            }
+            evt.waiting = false;
+            self.order(self.events[e].arrival.function);
+            self.place(e);
+        }
+    }
+
+    /// One event in hand: its own time of giving up, and launches that are overdue.
+    fn check(&mut self, e: usize) {
+        let now = self.now;
+        let evt = &self.events[e];
+        if evt.over || evt.streaming {
+            return;
+        }
+        // The last sweep before the client gives up is the last chance for an answer of our own.
+        if now + SWEEP + 2 * self.rules.tick >= evt.arrival.gives_up {
+            return self.give_up(e);
+        }
+        let typ = &self.types[evt.arrival.typ];
+        let patience = patience(typ.run, typ, &evt.arrival);
+        let arrival = evt.arrival;
+        for i in 0..self.events[e].count {
+            let Launch { wk, at, state } = self.events[e].launches[i];
+            if state != State::Out || now <= at + patience {
+                continue;
+            }
+            self.events[e].launches[i].state = State::Overdue;
+            self.failed(wk);
+            // A further launch goes out beside the late one where that is allowed.
+            let worth = self.worth(&arrival);
+            if self.rules.duplicates && self.events[e].further < 2 && !self.overloaded() {
+                if let Some(s) = self.choose(arrival.function, e, worth) {
+                    self.events[e].further += 1;
+                    self.launch(e, s);
+                }
+            }
+        }
+    }
+
+    /// State stays bounded: a function that nothing asks for is forgotten when its copies have lapsed.
+    fn forget(&mut self, f: usize) {
+        let (now, keep) = (self.now, self.rules.keep);
+        let function = &mut self.functions[f];
+        let idle = function.events == 0 && function.seats.iter().all(|s| s.flight == 0 && s.pending == 0);
+        if idle && function.n == 0 && now > function.last + 2 * keep {
+            function.live = false;
+            function.seats.clear();
+            self.host.forget(f);
+        }
+    }
+}
+
+/// Where the learned bound starts and where it stops growing: a few times what two cores run at once, and
+/// far above what any worker's queue was seen to take.
+const BOUND_START: f64 = 8.0;
+const BOUND_MOST: f64 = 64.0;
+
+/// Smoothing over about eight values: steady against chance, quick against change.
+fn smooth(old: f64, new: f64) -> f64 {
+    old + (new - old) / 8.0
+}
+
+/// How long a launch may take before it is late: three times the usual for an event of this cost, but early
+/// enough for another try within the target time.
+fn patience(usual: f64, typ: &EventType, arrival: &Arrival) -> Time {
+    let cost = if typ.hint > 0.0 { (arrival.hint as f64 / typ.hint).max(1.0) } else { 1.0 };
+    let target = typ.target as f64;
+    (3.0 * usual * cost).clamp(target / 4.0, (target - usual).max(target / 2.0)) as Time
+}
+
+#[cfg(test)]
+mod tests;
