--- a/crates/tidewall-drill/src/main.rs
+++ b/crates/tidewall-drill/src/main.rs
@@ -162,6 +162,7 @@
     }
     let number = fields.gateway()?;
     if name == "KILLED" {
+        // What it called for earlier in this batch goes with it.
         all.remove(&number);
         return Ok(());
     }
@@ -306,8 +307,8 @@
         } else {
             more.clear();
             let (first, event) = (count, line.clone());
-            if event.starts_with("VIEW ") {
-                let fields = Fields::read(&event[5..]).map_err(at)?;
+            if let Some(rest) = event.strip_prefix("VIEW ") {
+                let fields = Fields::read(rest).map_err(at)?;
                 for _ in 0..fields.parsed("members-list", Some(0u32)).map_err(at)? {
                     if !read(&mut line, &mut count)? || !line.starts_with("M ") {
                         return Err(format!("line {count}: field members-list: an entry is missing"));
@@ -315,14 +316,6 @@
                     more.push(line.clone());
                 }
             }
-            let gone = event.starts_with("KILLED ");
-            if gone {
-                // What it called for earlier in this batch still goes out, before it is forgotten.
-                let number = Fields::read(&event[7..]).and_then(|f| f.gateway());
-                if let Some(gateway) = number.ok().and_then(|n| all.get(&n)) {
-                    reply.push_str(&gateway.host.out);
-                }
-            }
             let fault = guarded(&mut all, now, &event, &more).map_err(|e| format!("line {first}: {e}"))?;
             reply.push_str(fault.as_deref().unwrap_or(""));
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -102,20 +102,24 @@
     budget: VecDeque<(Time, f64)>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Copies {
+    #[default]
     Unknown,
     Ordered(Time),
     Standing,
 }
 
 /// A function's copies on one worker. A function has a seat for every worker, in the shared order.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Seat {
     wk: usize,
     copies: Copies,
     flight: u32,
     pending: u32,
+    asked: bool,
+    /// Turned an event away as full: not again before this.
+    shut_until: Time,
     /// Last sign that the copy's idle time began anew.
     renewed: Time,
     barred_until: Time,
@@ -393,7 +397,7 @@
         let Some(w) = &self.workers[wk] else { return };
         if let Some(s) = f.seats.iter_mut().find(|s| s.wk == wk) {
             // It started anew: empty.
-            *s = Seat { copies: Copies::Unknown, renewed: 0, barred_until: 0, ..*s };
+            *s = Seat { wk, flight: s.flight, pending: s.pending, ..Seat::default() };
             return;
         }
         let (hash, workers) = (f.hash, &self.workers);
@@ -405,8 +409,7 @@
         let own = weight(w.listed.hash);
         let at =
             f.seats.partition_point(|s| workers[s.wk].as_ref().is_some_and(|o| weight(o.listed.hash) > own));
-        let copies = Copies::Unknown;
-        f.seats.insert(at, Seat { wk, copies, flight: 0, pending: 0, renewed: 0, barred_until: 0 });
+        f.seats.insert(at, Seat { wk, ..Seat::default() });
     }
 
     // ---- events
@@ -471,6 +474,21 @@
                 self.seat(f, wk);
             }
         }
+        self.ask(f);
+    }
+
+    /// Departure: a function that this gateway does not know may stand anywhere (after a restart of the gateway,
+    /// at its start, or by orders of its siblings). Asking costs what a probe costs and nothing of the
+    /// ration, so every worker is asked once; copies found are used until the first n stand.
+    fn ask(&mut self, f: usize) {
+        if !self.rules.orders {
+            return;
+        }
+        for s in 0..self.functions[f].seats.len() {
+            let seat = &mut self.functions[f].seats[s];
+            seat.asked = true;
+            self.host.hold(f, seat.wk, 0);
+        }
     }
 
     /// The page's bounds of one copy, in events a second: (low, up).
@@ -591,14 +609,20 @@
         let stands = |s: usize| function.seats[s].copies == Copies::Standing;
         let crowded = self.usable(f).take(function.n.max(1)).any(stands);
         // Departure: a crowd that no copy has room for counts as excess at once, not after two seconds; one
-        // copy more for each span of a load. Guards against bursts and functions that turn hot. It could buy
+        // copy more for each span of a load, if the next worker has room. Guards against bursts and functions that turn hot. It could buy
         // a needless copy where one slow event fills the lanes.
         if crowded && now > function.grown + (function.load as Time).max(SECOND / 2) {
-            let usable = self.usable(f).count();
-            let function = &mut self.functions[f];
-            function.n = (function.n + 1).min(usable);
-            function.grown = now;
-            self.order(f);
+            let even = self.even_bound();
+            let next = self
+                .usable(f)
+                .nth(function.n.max(1))
+                .and_then(|s| self.workers[function.seats[s].wk].as_ref());
+            if next.is_some_and(|w| f64::from(w.in_flight) < even.min(w.bound)) {
+                let function = &mut self.functions[f];
+                function.n += 1;
+                function.grown = now;
+                self.order(f);
+            }
         }
         // With copies that have no room it waits a quarter of the target time at most; then it is given up.
         if crowded && now > came + self.types[arrival.typ].target / 4 {
@@ -631,6 +655,7 @@
         let (mut first, mut beyond) = (None::<(usize, usize)>, None);
         let mut least = None::<(usize, f64)>;
         let heads = n.min(usable).max(1);
+        let even = self.even_bound();
         let mut place = 0;
         for s in 0..self.functions[f].seats.len() {
             let seat = self.functions[f].seats[s];
@@ -639,13 +664,13 @@
             }
             let (at, ready) = (place, seat.copies == Copies::Standing || !self.rules.misses);
             place += 1;
-            if !ready || !self.may_launch(e, seat.wk) {
+            if !ready || seat.shut_until > self.now || !self.may_launch(e, seat.wk) {
                 continue;
             }
             let Some(w) = &self.workers[seat.wk] else { continue };
             let own = lanes * n.saturating_sub(at).div_ceil(usable).max(1) as u32;
             let load = f64::from(w.in_flight) / w.bound;
-            if seat.flight < own && load < 1.0 {
+            if seat.flight < own && load < 1.0 && f64::from(w.in_flight) < even {
                 // How far round from the turn it stands.
                 let round = (at + heads - turn % heads) % heads;
                 if at >= heads {
@@ -669,6 +694,15 @@
         beyond.or(least.map(|l| l.0))
     }
 
+    /// Departure: the in-flight bound that the page leaves open also covers all functions of a worker together:
+    /// a quarter more than the mean of the workers (and one, so that small numbers do not bind). Lanes alone
+    /// let the homes of hot functions jam while other workers idle.
+    fn even_bound(&self) -> f64 {
+        let on = self.workers.iter().flatten().filter(|w| w.listed.standing == Standing::On);
+        let (count, sum) = on.fold((0u32, 0), |(c, s), w| (c + 1, s + w.in_flight));
+        1.25 * f64::from(sum) / f64::from(count.max(1)) + 1.0
+    }
+
     /// The rules for one more launch of this event at this worker; every launch passes here.
     fn may_launch(&self, e: usize, wk: usize) -> bool {
         let evt = &self.events[e];
@@ -869,7 +903,15 @@
                     self.hold(f, s, 1, true);
                 }
             }
-            Outcome::Full => self.strained.add(now, 1),
+            Outcome::Full => {
+                self.strained.add(now, 1);
+                if let Some(s) = s {
+                    // Neither the queue nor the memory of a full worker frees faster than events end.
+                    let usual = self.types[arrival.typ].run as Time;
+                    self.functions[f].seats[s].shut_until = now + usual / 2;
+                }
+                self.cut(wk);
+            }
             Outcome::Error | Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
                 if state == State::Out {
                     self.failed(wk);
@@ -877,9 +919,6 @@
             }
             Outcome::Cancelled | Outcome::Moot => {}
         }
-        if outcome == Outcome::Full {
-            self.cut(wk);
-        }
         let evt = &self.events[e];
         if over || evt.over {
             return self.conclude(e);
@@ -994,6 +1033,16 @@
             return;
         };
         let seat = &mut function.seats[s];
+        // An ask is answered at once, and only where nothing else is known does its answer count.
+        if std::mem::take(&mut seat.asked) {
+            if outcome == Outcome::Ok && copies > 0 {
+                seat.copies = Copies::Standing;
+            }
+            if !function.seats.iter().any(|s| s.asked) || copies > 0 {
+                self.look_again(Some(f));
+            }
+            return;
+        }
         seat.pending = seat.pending.saturating_sub(1);
         let fresh = matches!(seat.copies, Copies::Ordered(_));
         if copies > 0 {
