--- a/src/choice.rs
+++ b/src/choice.rs
@@ -537,6 +537,11 @@
         w.listed.standing == Standing::On && w.out_until <= self.now
     }
 
+    /// A copy stands as far as is known: a sign of it is younger than the told least keep-alive.
+    fn stands(&self, seat: &Seat) -> bool {
+        seat.copies == Copies::Standing && (seat.flight > 0 || self.now < seat.renewed + self.rules.keep)
+    }
+
     /// Hold orders: the first n are to have their copies, and copies in use are renewed.
     fn order(&mut self, f: usize) {
         let n = self.functions[f].n;
@@ -606,12 +611,14 @@
             return;
         }
         let function = &self.functions[f];
-        let stands = |s: usize| function.seats[s].copies == Copies::Standing;
-        let crowded = self.usable(f).take(function.n.max(1)).any(stands);
-        // Departure: a crowd that no copy has room for counts as excess at once, not after two seconds; one
-        // copy more for each span of a load, if the next worker has room. Guards against bursts and functions that turn hot. It could buy
+        let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
+        // Departure: a crowd that no copy has room for counts as excess at once, not after two seconds; once an
+        // event has waited for a run's time; one copy more for each span of a load, if the next worker has room. Guards against bursts and functions that turn hot. It could buy
         // a needless copy where one slow event fills the lanes.
-        if crowded && now > function.grown + (function.load as Time).max(SECOND / 2) {
+        if crowded
+            && now > came + function.run as Time
+            && now > function.grown + (function.load as Time).max(SECOND / 2)
+        {
             let even = self.even_bound();
             let next = self
                 .usable(f)
@@ -662,7 +669,7 @@
             if !self.trusted(seat.wk) {
                 continue;
             }
-            let (at, ready) = (place, seat.copies == Copies::Standing || !self.rules.misses);
+            let (at, ready) = (place, self.stands(&seat) || !self.rules.misses);
             place += 1;
             if !ready || seat.shut_until > self.now || !self.may_launch(e, seat.wk) {
                 continue;
@@ -1036,7 +1043,7 @@
         // An ask is answered at once, and only where nothing else is known does its answer count.
         if std::mem::take(&mut seat.asked) {
             if outcome == Outcome::Ok && copies > 0 {
-                seat.copies = Copies::Standing;
+                (seat.copies, seat.renewed) = (Copies::Standing, now);
             }
             if !function.seats.iter().any(|s| s.asked) || copies > 0 {
                 self.look_again(Some(f));
