--- a/src/choice.rs
+++ b/src/choice.rs
@@ -208,6 +208,7 @@
     arrivals: VecDeque<Time>,
     arrived: Rate,
     strained: Rate,
+    lost: Rate,
     listen: bool,
     rules: Rules,
 }
@@ -322,6 +323,7 @@
             arrivals: VecDeque::new(),
             arrived: Rate::default(),
             strained: Rate::default(),
+            lost: Rate::default(),
             listen,
             rules,
         };
@@ -436,6 +438,7 @@
             self.arrivals.push_back(now);
         }
         self.arrived.add(now, 1);
+        self.lost.turn(now);
         if let Some(t) = arrival.tenant {
             self.tenants[t].rate.add(now, 1);
         }
@@ -677,7 +680,7 @@
             let Some(w) = &self.workers[seat.wk] else { continue };
             let own = lanes * n.saturating_sub(at).div_ceil(usable).max(1) as u32;
             let load = f64::from(w.in_flight) / w.bound;
-            if seat.flight < own && load < 1.0 && f64::from(w.in_flight) < even {
+            if seat.flight <= own && load < 1.0 && f64::from(w.in_flight) < even {
                 // How far round from the turn it stands.
                 let round = (at + heads - turn % heads) % heads;
                 if at >= heads {
@@ -902,12 +905,17 @@
             Outcome::Ok => self.answered(wk, s, &arrival, at, took, note & 7),
             Outcome::Miss => {
                 if let Some(s) = s {
-                    // The page: reissue the order to that worker, and try another of the first n.
+                    // The page: reissue the order to that worker, and try another of the first n. A worker
+                    // beyond the first n was only used because a copy was thought to stand there.
+                    let head = self.usable(f).take(self.functions[f].n.max(1)).any(|h| h == s);
                     let seat = &mut self.functions[f].seats[s];
                     if seat.copies == Copies::Standing {
                         seat.copies = Copies::Unknown;
+                        self.lost.add(now, 1);
+                    }
+                    if head {
+                        self.hold(f, s, 1, true);
                     }
-                    self.hold(f, s, 1, true);
                 }
             }
             Outcome::Full => {
@@ -1021,6 +1029,13 @@
         w.trial = true;
     }
 
+    /// Misses where copies should stand: they were pushed out, so memory is short (or copies went void). One
+    /// copy more would push out another; it would only harm where the misses have some other cause and a
+    /// function turns hot meanwhile, and then the page's own rule still grows.
+    fn short_of_memory(&self) -> bool {
+        self.lost.sum * 20 > self.arrived.sum
+    }
+
     fn overloaded(&mut self) -> bool {
         let now = self.now;
         self.arrived.turn(now);
