--- a/src/choice.rs
+++ b/src/choice.rs
@@ -556,7 +556,8 @@
                 let copies = (n - seen).div_ceil(usable);
                 seen += 1;
                 // Half the keep-alive: one renewal lost still leaves time for another. Use renews by itself.
-                let stale = self.now > seat.renewed + self.rules.keep / 2;
+                let half = self.rules.keep / 2;
+                let stale = self.now > seat.renewed + half && self.now < self.functions[f].last + half;
                 if seat.pending == 0 && (seat.copies == Copies::Unknown || stale) {
                     self.hold(f, s, copies as u32, seat.copies == Copies::Unknown);
                 }
@@ -618,10 +619,8 @@
         // Departure: a crowd that no copy has room for counts as excess at once, not after two seconds; once an
         // event has waited for a run's time; one copy more for each span of a load, if the next worker has room. Guards against bursts and functions that turn hot. It could buy
         // a needless copy where one slow event fills the lanes.
-        if crowded
-            && now > came + function.run as Time
-            && now > function.grown + (function.load as Time).max(SECOND / 2)
-        {
+        let (waited, spaced) = (came + function.run as Time, (function.load as Time).max(SECOND / 2));
+        if crowded && now > waited && now > function.grown + spaced && !self.short_of_memory() {
             let even = self.even_bound();
             let next = self
                 .usable(f)
