--- a/src/choice.rs
+++ b/src/choice.rs
@@ -634,7 +634,7 @@
             }
         }
         // With copies that have no room it waits a quarter of the target time at most; then it is given up.
-        if crowded && now > came + self.types[arrival.typ].target / 4 {
+        if crowded && now > came + self.types[arrival.typ].target / 8 {
             self.strained.add(now, 1);
             return self.give_up(e);
         }
@@ -709,7 +709,7 @@
     fn even_bound(&self) -> f64 {
         let on = self.workers.iter().flatten().filter(|w| w.listed.standing == Standing::On);
         let (count, sum) = on.fold((0u32, 0), |(c, s), w| (c + 1, s + w.in_flight));
-        1.25 * f64::from(sum) / f64::from(count.max(1)) + 1.0
+        0.75 * f64::from(sum) / f64::from(count.max(1)) + 1.0
     }
 
     /// The rules for one more launch of this event at this worker; every launch passes here.
