--- a/src/choice.rs
+++ b/src/choice.rs
@@ -691,7 +691,7 @@
             // Departure: with all of the first n above their bounds, the event of most benefit may still go
             // to the least crowded; the others sooner find no room.
             let crowd = load.max(f64::from(seat.flight) / f64::from(own) / 2.0);
-            if at < heads && crowd < 0.7 + 0.8 * worth && least.is_none_or(|l| crowd < l.1) {
+            if at < heads && crowd < 0.6 + 0.5 * worth && least.is_none_or(|l| crowd < l.1) {
                 least = Some((s, crowd));
             }
         }
@@ -985,7 +985,7 @@
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
         // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
         // used, and is cut when latencies near the target time (0.6 leaves time for one more try).
-        if w.strain > 0.6 {
+        if w.strain > 0.45 {
             self.cut(wk);
         } else if f64::from(w.in_flight + 1) > w.bound / 2.0 {
             w.bound = (w.bound + 1.0 / w.bound).min(BOUND_MOST);
