--- a/crates/tidewall-drill/src/main.rs
+++ b/crates/tidewall-drill/src/main.rs
@@ -139,7 +139,7 @@
         let seed = fields.parsed("entropy", None)?;
         let door = Door::new(fields.text("gateway-id")?, &settings);
         let gateway =
-            Choice::new(door, now, seed, &settings).map_err(|e| format!("field profile-data: {e}"))?;
+            Choice::new(door, now, seed, settings).map_err(|e| format!("field profile-data: {e}"))?;
         all.insert(fields.gateway()?, gateway);
         return Ok(());
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -95,7 +95,6 @@
     failures: u32,
     out_until: Time,
     out_span: Time,
-    answered: Time,
     trial: bool,
     /// Mean work launched at it over the last two seconds, and the launches that a cold start's budget counts.
     sent: Rate,
@@ -106,7 +105,7 @@
 enum Copies {
     #[default]
     Unknown,
-    Ordered(Time),
+    Ordered,
     Standing,
 }
 
@@ -143,17 +142,18 @@
     seats: Vec<Seat>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum State {
     Out,
     /// Cancelled by us or late beyond patience: counted against its worker already.
     Overdue,
     Cancelled,
+    #[default]
     ProvenNotRun,
     MayHaveRun,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Launch {
     wk: usize,
     at: Time,
@@ -163,6 +163,7 @@
 /// More launches than this an event never gets, whatever the settings allow.
 const MOST_LAUNCHES: usize = 8;
 
+#[derive(Default)]
 struct Evt {
     arrival: Arrival,
     came: Time,
@@ -198,6 +199,7 @@
     now: Time,
     started: Time,
     chance: Chance,
+    settings: Settings,
     types: Vec<EventType>,
     tenants: Vec<Tenant>,
     workers: Vec<Option<Worker>>,
@@ -209,131 +211,82 @@
     arrived: Rate,
     strained: Rate,
     lost: Rate,
-    listen: bool,
-    rules: Rules,
-}
-
-/// Figures of the settings that are needed on the way of every event.
-#[derive(Debug, Default)]
-struct Rules {
-    tick: Time,
-    launches: usize,
-    duplicates: bool,
-    /// Whether copies come by order, and whether an event at a worker without one only misses.
-    orders: bool,
-    misses: bool,
-    cancel: bool,
-    keep: Time,
-    load_window: Time,
-    load_free: f64,
-    load_share: f64,
-    cold_from: f64,
-    cold: Time,
-    tip: f64,
-    tip_for: Time,
-    siblings: f64,
-    over_share: f64,
-    come_back: Time,
-    most_benefit: f64,
-}
-
-fn number(settings: &Settings, key: &str, otherwise: f64) -> Result<f64, String> {
-    let Some(text) = settings.get(key) else {
-        return Ok(otherwise);
-    };
-    let value = text.parse().map_err(|_| format!("{key}: '{text}' is not a number"))?;
-    if (0.0..1e12).contains(&value) {
-        return Ok(value);
-    }
-    Err(format!("{key}: '{text}' is out of range"))
-}
-
-fn is(settings: &Settings, key: &str, value: &str) -> bool {
-    settings.get(key).is_some_and(|v| v == value)
-}
-
-/// Milliseconds of the settings, rounded down: spans there are limits.
-fn span(settings: &Settings, key: &str, otherwise: f64) -> Result<Time, String> {
-    Ok((number(settings, key, otherwise)? * MS as f64).floor() as Time)
 }
 
 impl<H: Host> Choice<H> {
-    pub fn new(host: H, now: Time, seed: u64, s: &Settings) -> Result<Choice<H>, String> {
-        let mut types = Vec::new();
-        for i in 0..number(s, "classes.count", 0.0)? as usize {
-            let key = |name: &str| format!("classes.{i}.{name}");
-            let window = span(s, &key("window-ms"), 0.0)?;
-            let group = match s.get(&key("group")).map(String::as_str) {
-                Some("all") => Group::All,
-                Some("zone") => Group::Zone,
-                _ => Group::Cell,
-            };
-            let repeat = match s.get(&key("semantics")).map(String::as_str) {
-                Some("read_like") => Repeat::Redeliverable,
-                Some("idempotency_key") => Repeat::Keyed(group, window),
-                _ => Repeat::AtMostOnce,
-            };
-            let target = span(s, &key("aim-ms"), 1000.0)?.max(1);
-            let benefit = number(s, &key("worth"), 1.0)?;
-            // The page's start: a tenth of the target time.
-            types.push(EventType { target, benefit, repeat, run: target as f64 / 10.0, hint: 0.0 });
-        }
-        let mut tenants = Vec::new();
-        for i in 0..number(s, "tenants.count", 0.0)? as usize {
-            let quota = number(s, &format!("tenants.{i}.quota-per-s"), 1e9)?;
-            tenants.push(Tenant { quota, rate: Rate::default() });
-        }
-        let rules = Rules {
-            tick: (number(s, "tick-ms", 1.0)? * MS as f64).ceil() as Time,
-            launches: (number(s, "allowed.max-attempts", 1.0)? as usize).min(MOST_LAUNCHES),
-            duplicates: is(s, "allowed.may-duplicate", "true"),
-            orders: is(s, "extra.orders", "true"),
-            misses: is(s, "extra.if-cold", "miss"),
-            cancel: is(s, "allowed.cancel", "true"),
-            keep: span(s, "extra.stays-loaded-ms", 8000.0)?,
-            load_window: span(s, "extra.load-window-ms", 0.0)?,
-            load_free: number(s, "extra.free-loads", 0.0)?,
-            load_share: number(s, "extra.load-share", 0.0)?,
-            cold_from: number(s, "rules.cold-from", 0.1)?,
-            cold: span(s, "rules.cold-ms", 20_000.0)?,
-            tip: number(s, "rules.tip-multiple", 2.0)?,
-            tip_for: span(s, "rules.overload-for-ms", 1000.0)?,
-            siblings: number(s, "siblings", 1.0)?.max(1.0),
-            over_share: number(s, "over-share-worth", 1.0)?,
-            come_back: if is(s, "allowed.retry-after", "true") {
-                span(s, "allowed.max-retry-after-ms", 0.0)?
-            } else {
-                0
-            },
-            most_benefit: types.iter().fold(0.0, |m, t| t.benefit.max(m)),
-        };
-        let listen = is(s, "discovery", "on_request");
+    pub fn new(host: H, now: Time, seed: u64, settings: Settings) -> Result<Choice<H>, String> {
+        for (key, value) in settings.iter().filter(|s| s.0.ends_with("-ms")) {
+            for part in value.split(',') {
+                let good = part.parse().is_ok_and(|v: f64| (0.0..1e12).contains(&v));
+                good.then_some(()).ok_or_else(|| format!("{key}: '{part}' is not a time"))?;
+            }
+        }
+        let (chance, events) = (Chance::new(seed), Slab::new());
+        let (arrived, strained, lost) = (Rate::default(), Rate::default(), Rate::default());
+        let (workers, functions, types, tenants) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let (waiting, orders, arrivals) = (VecDeque::new(), VecDeque::new(), VecDeque::new());
         let mut choice = Choice {
             host,
             now,
             started: now,
-            chance: Chance::new(seed),
+            chance,
+            settings,
             types,
             tenants,
-            workers: Vec::new(),
-            functions: Vec::new(),
-            events: Slab::new(),
-            waiting: VecDeque::new(),
-            orders: VecDeque::new(),
-            arrivals: VecDeque::new(),
-            arrived: Rate::default(),
-            strained: Rate::default(),
-            lost: Rate::default(),
-            listen,
-            rules,
+            workers,
+            functions,
+            events,
+            waiting,
+            orders,
+            arrivals,
+            arrived,
+            strained,
+            lost,
         };
-        if listen {
+        for i in 0..choice.number("classes.count") as usize {
+            let key = |name: &str| format!("classes.{i}.{name}");
+            let window = choice.span(&key("window-ms"));
+            let repeat = match choice.text(&key("semantics")) {
+                "read_like" => Repeat::Redeliverable,
+                "idempotency_key" => match choice.text(&key("group")) {
+                    "all" => Repeat::Keyed(Group::All, window),
+                    "zone" => Repeat::Keyed(Group::Zone, window),
+                    _ => Repeat::Keyed(Group::Cell, window),
+                },
+                _ => Repeat::AtMostOnce,
+            };
+            let (target, benefit) = (choice.span(&key("aim-ms")).max(1), choice.number(&key("worth")));
+            // The page's start: a tenth of the target time.
+            choice.types.push(EventType { target, benefit, repeat, run: target as f64 / 10.0, hint: 0.0 });
+        }
+        for i in 0..choice.number("tenants.count") as usize {
+            let quota = choice.number(&format!("tenants.{i}.quota-per-s"));
+            choice.tenants.push(Tenant { quota, rate: Rate::default() });
+        }
+        if choice.is("discovery", "on_request") {
             choice.host.follow(true);
         }
         choice.host.timer(SWEEP, 0);
         Ok(choice)
     }
 
+    fn text(&self, key: &str) -> &str {
+        self.settings.get(key).map_or("", String::as_str)
+    }
+
+    fn is(&self, key: &str, value: &str) -> bool {
+        self.text(key) == value
+    }
+
+    fn number(&self, key: &str) -> f64 {
+        self.text(key).parse().unwrap_or(0.0)
+    }
+
+    /// Milliseconds of the settings, rounded down: spans there are limits.
+    fn span(&self, key: &str) -> Time {
+        (self.number(key) * MS as f64).floor() as Time
+    }
+
     pub fn clock(&mut self, now: Time) {
         self.now = self.now.max(now);
     }
@@ -365,8 +318,7 @@
                 continue;
             }
             let in_flight = self.workers[wk].as_ref().map_or(0, |w| w.in_flight);
-            let (bound, answered) = (BOUND_START, self.now);
-            self.workers[wk] = Some(Worker { listed, in_flight, bound, answered, ..Worker::default() });
+            self.workers[wk] = Some(Worker { listed, in_flight, bound: BOUND_START, ..Worker::default() });
             for f in 0..self.functions.len() {
                 if self.functions[f].live && listed.standing == Standing::On {
                     self.seat(f, wk);
@@ -423,18 +375,8 @@
 
     pub fn arrive(&mut self, arrival: Arrival) {
         let (now, f) = (self.now, arrival.function);
-        let none = Launch { wk: 0, at: 0, state: State::ProvenNotRun };
-        let e = self.events.insert(Evt {
-            arrival,
-            came: now,
-            over: false,
-            streaming: false,
-            waiting: false,
-            further: 0,
-            launches: [none; MOST_LAUNCHES],
-            count: 0,
-        });
-        if self.rules.load_window > 0 {
+        let e = self.events.insert(Evt { arrival, came: now, ..Evt::default() });
+        if self.span("extra.load-window-ms") > 0 {
             self.arrivals.push_back(now);
         }
         self.arrived.add(now, 1);
@@ -453,7 +395,7 @@
         function.rate.add(now, 1);
         self.scale(f, false);
         // A try that ends before the next sweep could answer it is answered now: nothing would be in time.
-        if now + SWEEP + 2 * self.rules.tick >= arrival.gives_up {
+        if now + SWEEP + 2 * self.span("tick-ms") >= arrival.gives_up {
             return self.give_up(e);
         }
         self.place(e);
@@ -470,8 +412,8 @@
         // Starting the rotation by chance keeps gateways from marching in step.
         let (hash, turn) = (arrival.function_hash, self.chance.below(64) as usize);
         let (lanes, load) = (arrival.lanes.max(1), arrival.load_hint as f64);
-        let typ = arrival.typ;
-        self.functions[f] = Function { hash, live: true, typ, lanes, load, turn, ..Function::default() };
+        self.functions[f] =
+            Function { hash, live: true, typ: arrival.typ, lanes, load, turn, ..Function::default() };
         for wk in 0..self.workers.len() {
             if self.workers[wk].as_ref().is_some_and(|w| w.listed.standing == Standing::On) {
                 self.seat(f, wk);
@@ -484,7 +426,7 @@
     /// at its start, or by orders of its siblings). Asking costs what a probe costs and nothing of the
     /// ration, so every worker is asked once; copies found are used until the first n stand.
     fn ask(&mut self, f: usize) {
-        if !self.rules.orders {
+        if !self.is("extra.orders", "true") {
             return;
         }
         for s in 0..self.functions[f].seats.len() {
@@ -513,7 +455,7 @@
         const ALPHA: f64 = 0.8; // the page's
         let (low, up) = self.bounds(f);
         let usable = self.usable(f).count();
-        let (now, started, keep) = (self.now, self.started, self.rules.keep);
+        let (now, started, keep) = (self.now, self.started, self.span("extra.stays-loaded-ms"));
         let function = &mut self.functions[f];
         let rate = function.rate.per_second(now, started);
         let n = function.n as f64;
@@ -542,7 +484,8 @@
 
     /// A copy stands as far as is known: a sign of it is younger than the told least keep-alive.
     fn stands(&self, seat: &Seat) -> bool {
-        seat.copies == Copies::Standing && (seat.flight > 0 || self.now < seat.renewed + self.rules.keep)
+        seat.copies == Copies::Standing
+            && (seat.flight > 0 || self.now < seat.renewed + self.span("extra.stays-loaded-ms"))
     }
 
     /// Hold orders: the first n are to have their copies, and copies in use are renewed.
@@ -556,7 +499,7 @@
                 let copies = (n - seen).div_ceil(usable);
                 seen += 1;
                 // Half the keep-alive: one renewal lost still leaves time for another. Use renews by itself.
-                let half = self.rules.keep / 2;
+                let half = self.span("extra.stays-loaded-ms") / 2;
                 let stale = self.now > seat.renewed + half && self.now < self.functions[f].last + half;
                 if seat.pending == 0 && (seat.copies == Copies::Unknown || stale) {
                     self.hold(f, s, copies as u32, seat.copies == Copies::Unknown);
@@ -570,10 +513,10 @@
     fn hold(&mut self, f: usize, s: usize, copies: u32, needed: bool) -> bool {
         let (now, seat) = (self.now, self.functions[f].seats[s]);
         let on = self.workers[seat.wk].as_ref().is_some_and(|w| w.listed.standing == Standing::On);
-        if !self.rules.orders || !on || seat.pending > 0 || seat.barred_until > now {
+        if !self.is("extra.orders", "true") || !on || seat.pending > 0 || seat.barred_until > now {
             return false;
         }
-        let window = self.rules.load_window;
+        let window = self.span("extra.load-window-ms");
         if window > 0 {
             // Orders as old as the window still count, events must be younger: the safe way for both.
             while self.orders.front().is_some_and(|t| t + window + 1 < now) {
@@ -583,8 +526,8 @@
                 self.arrivals.pop_front();
             }
             // Orders of a life before a restart may still count, so the free ones come only after a window.
-            let free = if now > self.started + window { self.rules.load_free } else { 0.0 };
-            let ration = free + self.rules.load_share * self.arrivals.len() as f64;
+            let free = if now > self.started + window { self.number("extra.free-loads") } else { 0.0 };
+            let ration = free + self.number("extra.load-share") * self.arrivals.len() as f64;
             // Renewals leave half the ration to copies that are missing.
             let ration = if needed { ration } else { ration / 2.0 };
             if (self.orders.len() + 1) as f64 > ration {
@@ -595,7 +538,7 @@
         let seat = &mut self.functions[f].seats[s];
         seat.pending += 1;
         if seat.copies == Copies::Unknown {
-            seat.copies = Copies::Ordered(now);
+            seat.copies = Copies::Ordered;
         }
         seat.renewed = now;
         let wk = seat.wk;
@@ -645,11 +588,12 @@
 
     /// Benefit of an event from 0 to 1, against the most that any type brings; less beyond a tenant's share.
     fn worth(&mut self, arrival: &Arrival) -> f64 {
-        let mut worth = self.types[arrival.typ].benefit / self.rules.most_benefit.max(1e-9);
+        let most = self.types.iter().fold(0.0, |m, t| t.benefit.max(m));
+        let mut worth = self.types[arrival.typ].benefit / most.max(1e-9);
         if let Some(t) = arrival.tenant {
             let rate = self.tenants[t].rate.per_second(self.now, self.started);
-            if rate * self.rules.siblings > self.tenants[t].quota {
-                worth *= self.rules.over_share;
+            if rate * self.number("siblings").max(1.0) > self.tenants[t].quota {
+                worth *= self.number("over-share-worth");
             }
         }
         worth
@@ -671,7 +615,7 @@
             if !self.trusted(seat.wk) {
                 continue;
             }
-            let (at, ready) = (place, self.stands(&seat) || !self.rules.misses);
+            let (at, ready) = (place, self.stands(&seat) || !self.is("extra.if-cold", "miss"));
             place += 1;
             if !ready || seat.shut_until > self.now || !self.may_launch(e, seat.wk) {
                 continue;
@@ -719,10 +663,12 @@
         if evt.over || evt.streaming || w.listed.standing != Standing::On {
             return false;
         }
-        if evt.count >= self.rules.launches || self.now + self.rules.tick >= evt.arrival.gives_up {
+        if evt.count >= (self.number("allowed.max-attempts") as usize).min(MOST_LAUNCHES)
+            || self.now + self.span("tick-ms") >= evt.arrival.gives_up
+        {
             return false;
         }
-        if evt.out() > 0 && !self.rules.duplicates {
+        if evt.out() > 0 && !self.is("allowed.may-duplicate", "true") {
             return false;
         }
         // Not again to a worker that has it or has failed it; after a miss it may go back.
@@ -742,7 +688,7 @@
                     Group::Zone => o.listed.zone == w.listed.zone,
                     Group::Cell => o.listed.cell == w.listed.cell,
                 };
-                near && self.now + self.rules.tick < l.at + window
+                near && self.now + self.span("tick-ms") < l.at + window
             }),
         };
         allowed && self.cold_room(wk, evt.arrival.typ)
@@ -764,10 +710,11 @@
             sent += f64::from(o.sent.sum) / 2.0;
         }
         let weight = self.types[typ].run;
-        let window = self.rules.tip_for;
+        let window = self.span("rules.overload-for-ms");
         let used: f64 = w.budget.iter().filter(|b| b.0 + window >= self.now).map(|b| b.1).sum();
-        let room =
-            SHARE * self.rules.tip * part * sent / f64::max(count, 1.0) * window as f64 / SECOND as f64;
+        let room = SHARE * self.number("rules.tip-multiple") * part * sent / f64::max(count, 1.0)
+            * window as f64
+            / SECOND as f64;
         // One launch a window is always safe.
         used == 0.0 || used + weight <= room
     }
@@ -775,14 +722,17 @@
     /// How warm a worker is at the least, None when it is warm.
     fn cold_part(&self, w: &Worker) -> Option<f64> {
         let age = self.now.saturating_sub(w.listed.since);
-        if w.listed.since == 0 || age >= self.rules.cold {
+        if w.listed.since == 0 || age >= self.span("rules.cold-ms") {
             return None;
         }
-        Some(self.rules.cold_from + (1.0 - self.rules.cold_from) * age as f64 / self.rules.cold as f64)
+        Some(
+            self.number("rules.cold-from")
+                + (1.0 - self.number("rules.cold-from")) * age as f64 / self.span("rules.cold-ms") as f64,
+        )
     }
 
     fn launch(&mut self, e: usize, s: usize) {
-        let (now, window) = (self.now, self.rules.tip_for);
+        let (now, window) = (self.now, self.span("rules.overload-for-ms"));
         let evt = &mut self.events[e];
         let function = &mut self.functions[evt.arrival.function];
         let seat = &mut function.seats[s];
@@ -818,7 +768,10 @@
         if harmless {
             // Spread over half to all of a quarter of the target time, so that those deferred together do
             // not come back together.
-            let wait = (self.types[evt.arrival.typ].target / 4).min(self.rules.come_back) as u32;
+            let target = self.types[evt.arrival.typ].target;
+            let told = self.is("allowed.retry-after", "true");
+            let longest = if told { self.span("allowed.max-retry-after-ms") } else { 0 };
+            let wait = (target / 4).min(longest) as u32;
             let wait = wait / 2 + self.chance.below(wait / 2 + 1);
             self.host.defer(e, Time::from(wait));
         } else {
@@ -836,14 +789,8 @@
         }
         let evt = &mut self.events[e];
         evt.waiting = false;
-        for i in 0..evt.count {
-            if matches!(evt.launches[i].state, State::Out | State::Overdue)
-                && self.rules.cancel
-                && !evt.streaming
-            {
-                evt.launches[i].state = State::Cancelled;
-                self.host.cancel(e, i);
-            }
+        if !evt.streaming {
+            self.call_off(e, MOST_LAUNCHES);
         }
         self.release(e);
     }
@@ -858,12 +805,15 @@
     pub fn begun(&mut self, e: usize, launch: usize) {
         let Some(evt) = self.events.get_mut(e) else { return };
         evt.streaming = true;
-        for i in 0..evt.count {
-            if i != launch
-                && matches!(evt.launches[i].state, State::Out | State::Overdue)
-                && self.rules.cancel
-            {
-                evt.launches[i].state = State::Cancelled;
+        self.call_off(e, launch);
+    }
+
+    /// Calls off what is still out, but for one launch.
+    fn call_off(&mut self, e: usize, but: usize) {
+        for i in 0..self.events[e].count {
+            let state = self.events[e].launches[i].state;
+            if i != but && matches!(state, State::Out | State::Overdue) && self.is("allowed.cancel", "true") {
+                self.events[e].launches[i].state = State::Cancelled;
                 self.host.cancel(e, i);
             }
         }
@@ -875,14 +825,8 @@
         }
     }
 
-    pub fn ended(
-        &mut self,
-        e: usize,
-        launch: usize,
-        (outcome, took): (Outcome, Time),
-        over: bool,
-        note: u32,
-    ) {
+    pub fn ended(&mut self, e: usize, launch: usize, how: (Outcome, Time), over: bool, note: u32) {
+        let (outcome, took) = how;
         let Some(evt) = self.events.get_mut(e) else { return };
         if launch >= evt.count || !is_out(evt.launches[launch].state) {
             return;
@@ -960,7 +904,8 @@
     fn may_go_on(&self, e: usize) -> bool {
         let evt = &self.events[e];
         let repeat = self.types[evt.arrival.typ].repeat;
-        evt.count < self.rules.launches && (repeat != Repeat::AtMostOnce || evt.proven_not_run())
+        evt.count < (self.number("allowed.max-attempts") as usize).min(MOST_LAUNCHES)
+            && (repeat != Repeat::AtMostOnce || evt.proven_not_run())
     }
 
     /// What a good answer teaches. `warm` is 1 where a copy stood, 0 where that is not told.
@@ -981,7 +926,6 @@
         let usual = typ.run;
         let late = took > patience(usual, typ, arrival);
         let Some(w) = &mut self.workers[wk] else { return };
-        w.answered = now;
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
         // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
         // used, and is cut when latencies near the target time (0.6 leaves time for one more try).
@@ -1065,7 +1009,7 @@
             return;
         }
         seat.pending = seat.pending.saturating_sub(1);
-        let fresh = matches!(seat.copies, Copies::Ordered(_));
+        let fresh = seat.copies == Copies::Ordered;
         if copies > 0 {
             seat.copies = Copies::Standing;
         } else if seat.copies != Copies::Standing || outcome != Outcome::TimedOut {
@@ -1097,7 +1041,7 @@
 
     pub fn timer(&mut self, token: u64) {
         if token == 1 {
-            if self.listen {
+            if self.is("discovery", "on_request") {
                 self.host.follow(true);
             }
             return;
@@ -1145,7 +1089,7 @@
             return;
         }
         // The last sweep before the client gives up is the last chance for an answer of our own.
-        if now + SWEEP + 2 * self.rules.tick >= evt.arrival.gives_up {
+        if now + SWEEP + 2 * self.span("tick-ms") >= evt.arrival.gives_up {
             return self.give_up(e);
         }
         let typ = &self.types[evt.arrival.typ];
@@ -1160,7 +1104,7 @@
             self.failed(wk);
             // A further launch goes out beside the late one where that is allowed.
             let worth = self.worth(&arrival);
-            if self.rules.duplicates && self.events[e].further < 2 && !self.overloaded() {
+            if self.is("allowed.may-duplicate", "true") && self.events[e].further < 2 && !self.overloaded() {
                 if let Some(s) = self.choose(arrival.function, e, worth) {
                     self.events[e].further += 1;
                     self.launch(e, s);
@@ -1171,7 +1115,7 @@
 
     /// State stays bounded: a function that nothing asks for is forgotten when its copies have lapsed.
     fn forget(&mut self, f: usize) {
-        let (now, keep) = (self.now, self.rules.keep);
+        let (now, keep) = (self.now, self.span("extra.stays-loaded-ms"));
         let function = &mut self.functions[f];
         let idle = function.events == 0 && function.seats.iter().all(|s| s.flight == 0 && s.pending == 0);
         if idle && function.n == 0 && now > function.last + 2 * keep {
