--- a/src/choice.rs
+++ b/src/choice.rs
@@ -202,7 +202,7 @@
     settings: Settings,
     types: Vec<EventType>,
     tenants: Vec<Tenant>,
-    workers: Vec<Option<Worker>>,
+    workers: Vec<Worker>,
     functions: Vec<Function>,
     events: Slab<Evt>,
     waiting: VecDeque<usize>,
@@ -294,48 +294,32 @@
     // ---- the list of workers
 
     pub fn list(&mut self, entries: &[(usize, Listed)], whole: bool) {
-        if whole {
-            for wk in 0..self.workers.len() {
-                if self.workers[wk].is_some() && !entries.iter().any(|e| e.0 == wk) {
-                    self.leave(wk, Standing::Gone);
-                }
+        for wk in 0..self.workers.len() {
+            if whole && !entries.iter().any(|e| e.0 == wk) {
+                self.leave(wk, Standing::Gone);
             }
         }
         for &(wk, listed) in entries {
             if self.workers.len() <= wk {
-                self.workers.resize_with(wk + 1, || None);
+                self.workers.resize_with(wk + 1, Worker::default);
             }
-            let known = self.workers[wk].as_ref().map(|w| (w.listed.since, w.listed.standing));
-            if let (Some((since, _)), Standing::Draining | Standing::Gone) = (known, listed.standing) {
+            let known = self.workers[wk].listed;
+            if listed.standing != Standing::On {
                 self.leave(wk, listed.standing);
-                if let Some(w) = &mut self.workers[wk] {
-                    w.listed.since = since.max(listed.since);
-                }
-                continue;
-            }
-            // Known and neither restarted nor back from the dead: its copies and what was learned of it hold.
-            if known.is_some_and(|k| k.0 >= listed.since && k.1 == Standing::On) {
-                continue;
-            }
-            let in_flight = self.workers[wk].as_ref().map_or(0, |w| w.in_flight);
-            self.workers[wk] = Some(Worker { listed, in_flight, bound: BOUND_START, ..Worker::default() });
-            for f in 0..self.functions.len() {
-                if self.functions[f].live && listed.standing == Standing::On {
-                    self.seat(f, wk);
-                }
+            } else if known.standing != Standing::On || known.since < listed.since {
+                // New, restarted or back from the dead: nothing that was learned of it holds, and it is empty.
+                let in_flight = self.workers[wk].in_flight;
+                self.workers[wk] = Worker { listed, in_flight, bound: BOUND_START, ..Worker::default() };
+                (0..self.functions.len()).for_each(|f| self.seat(f, wk));
             }
         }
     }
 
     /// A worker that drains or is gone gets nothing more from the moment that this gateway hears of it.
     fn leave(&mut self, wk: usize, standing: Standing) {
-        if let Some(w) = &mut self.workers[wk] {
-            w.listed.standing = standing;
-        }
-        for f in &mut self.functions {
-            for s in f.seats.iter_mut().filter(|s| s.wk == wk) {
-                s.copies = Copies::Unknown;
-            }
+        self.workers[wk].listed.standing = standing;
+        for s in self.functions.iter_mut().flat_map(|f| &mut f.seats).filter(|s| s.wk == wk) {
+            s.copies = Copies::Unknown;
         }
     }
 
@@ -348,7 +332,9 @@
     /// gateway finds the same order whatever it learned first.
     fn seat(&mut self, f: usize, wk: usize) {
         let f = &mut self.functions[f];
-        let Some(w) = &self.workers[wk] else { return };
+        if !f.live {
+            return;
+        }
         if let Some(s) = f.seats.iter_mut().find(|s| s.wk == wk) {
             // It started anew: empty.
             *s = Seat { wk, flight: s.flight, pending: s.pending, ..Seat::default() };
@@ -360,12 +346,15 @@
             let x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
             (x ^ (x >> 29), h)
         };
-        let own = weight(w.listed.hash);
-        let at =
-            f.seats.partition_point(|s| workers[s.wk].as_ref().is_some_and(|o| weight(o.listed.hash) > own));
+        let own = weight(workers[wk].listed.hash);
+        let at = f.seats.partition_point(|s| weight(workers[s.wk].listed.hash) > own);
         f.seats.insert(at, Seat { wk, ..Seat::default() });
     }
 
+    fn seat_of(&self, f: usize, wk: usize) -> Option<usize> {
+        self.functions.get(f)?.seats.iter().position(|s| s.wk == wk)
+    }
+
     // ---- events
 
     /// The place that the next event will have.
@@ -414,11 +403,7 @@
         let (lanes, load) = (arrival.lanes.max(1), arrival.load_hint as f64);
         self.functions[f] =
             Function { hash, live: true, typ: arrival.typ, lanes, load, turn, ..Function::default() };
-        for wk in 0..self.workers.len() {
-            if self.workers[wk].as_ref().is_some_and(|w| w.listed.standing == Standing::On) {
-                self.seat(f, wk);
-            }
-        }
+        (0..self.workers.len()).for_each(|wk| self.seat(f, wk));
         self.ask(f);
     }
 
@@ -430,9 +415,11 @@
             return;
         }
         for s in 0..self.functions[f].seats.len() {
-            let seat = &mut self.functions[f].seats[s];
-            seat.asked = true;
-            self.host.hold(f, seat.wk, 0);
+            let wk = self.functions[f].seats[s].wk;
+            if self.trusted(wk) {
+                self.functions[f].seats[s].asked = true;
+                self.host.hold(f, wk, 0);
+            }
         }
     }
 
@@ -478,8 +465,7 @@
     }
 
     fn trusted(&self, wk: usize) -> bool {
-        let Some(w) = &self.workers[wk] else { return false };
-        w.listed.standing == Standing::On && w.out_until <= self.now
+        self.workers[wk].listed.standing == Standing::On && self.workers[wk].out_until <= self.now
     }
 
     /// A copy stands as far as is known: a sign of it is younger than the told least keep-alive.
@@ -512,7 +498,7 @@
     /// Every order to load passes here: drains, the ration, and one order at a time for a seat.
     fn hold(&mut self, f: usize, s: usize, copies: u32, needed: bool) -> bool {
         let (now, seat) = (self.now, self.functions[f].seats[s]);
-        let on = self.workers[seat.wk].as_ref().is_some_and(|w| w.listed.standing == Standing::On);
+        let on = self.workers[seat.wk].listed.standing == Standing::On;
         if !self.is("extra.orders", "true") || !on || seat.pending > 0 || seat.barred_until > now {
             return false;
         }
@@ -565,10 +551,7 @@
         let (waited, spaced) = (came + function.run as Time, (function.load as Time).max(SECOND / 2));
         if crowded && now > waited && now > function.grown + spaced && !self.short_of_memory() {
             let even = self.even_bound();
-            let next = self
-                .usable(f)
-                .nth(function.n.max(1))
-                .and_then(|s| self.workers[function.seats[s].wk].as_ref());
+            let next = self.usable(f).nth(function.n.max(1)).map(|s| &self.workers[function.seats[s].wk]);
             if next.is_some_and(|w| f64::from(w.in_flight) < even.min(w.bound)) {
                 let function = &mut self.functions[f];
                 function.n += 1;
@@ -620,7 +603,7 @@
             if !ready || seat.shut_until > self.now || !self.may_launch(e, seat.wk) {
                 continue;
             }
-            let Some(w) = &self.workers[seat.wk] else { continue };
+            let w = &self.workers[seat.wk];
             let own = lanes * n.saturating_sub(at).div_ceil(usable).max(1) as u32;
             let load = f64::from(w.in_flight) / w.bound;
             if seat.flight <= own && load < 1.0 && f64::from(w.in_flight) < even {
@@ -651,7 +634,7 @@
     /// a quarter more than the mean of the workers (and one, so that small numbers do not bind). Lanes alone
     /// let the homes of hot functions jam while other workers idle.
     fn even_bound(&self) -> f64 {
-        let on = self.workers.iter().flatten().filter(|w| w.listed.standing == Standing::On);
+        let on = self.workers.iter().filter(|w| w.listed.standing == Standing::On);
         let (count, sum) = on.fold((0u32, 0), |(c, s), w| (c + 1, s + w.in_flight));
         0.75 * f64::from(sum) / f64::from(count.max(1)) + 1.0
     }
@@ -659,7 +642,7 @@
     /// The rules for one more launch of this event at this worker; every launch passes here.
     fn may_launch(&self, e: usize, wk: usize) -> bool {
         let evt = &self.events[e];
-        let Some(w) = &self.workers[wk] else { return false };
+        let w = &self.workers[wk];
         if evt.over || evt.streaming || w.listed.standing != Standing::On {
             return false;
         }
@@ -680,9 +663,7 @@
             Repeat::Redeliverable => true,
             Repeat::AtMostOnce => evt.proven_not_run(),
             Repeat::Keyed(group, window) => unproven().all(|l| {
-                let Some(o) = &self.workers[l.wk] else {
-                    return false;
-                };
+                let o = &self.workers[l.wk];
                 let near = match group {
                     Group::All => true,
                     Group::Zone => o.listed.zone == w.listed.zone,
@@ -699,13 +680,11 @@
     /// comes at `tip` times that; 0.4 of it leaves room for small machines, busy days and uneven gateways.
     fn cold_room(&self, wk: usize, typ: usize) -> bool {
         const SHARE: f64 = 0.4;
-        let Some(w) = &self.workers[wk] else { return false };
-        let Some(part) = self.cold_part(w) else {
-            return true;
-        };
+        let w = &self.workers[wk];
+        let Some(part) = self.cold_part(w) else { return true };
         let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
         let (mut count, mut sent) = (0.0, 0.0);
-        for o in self.workers.iter().flatten().filter(warm) {
+        for o in self.workers.iter().filter(warm) {
             count += 1.0;
             sent += f64::from(o.sent.sum) / 2.0;
         }
@@ -737,9 +716,7 @@
         let function = &mut self.functions[evt.arrival.function];
         let seat = &mut function.seats[s];
         let weight = self.types[evt.arrival.typ].run;
-        let Some(w) = &mut self.workers[seat.wk] else {
-            return;
-        };
+        let w = &mut self.workers[seat.wk];
         evt.launches[evt.count] = Launch { wk: seat.wk, at: now, state: State::Out };
         evt.count += 1;
         evt.waiting = false;
@@ -836,38 +813,28 @@
         evt.launches[launch].state = if proven { State::ProvenNotRun } else { State::MayHaveRun };
         let arrival = evt.arrival;
         let (f, now) = (arrival.function, self.now);
-        if let Some(w) = &mut self.workers[wk] {
-            w.in_flight = w.in_flight.saturating_sub(1);
-        }
-        let s = self.functions[f].seats.iter().position(|s| s.wk == wk);
-        if let Some(s) = s {
-            let seat = &mut self.functions[f].seats[s];
-            seat.flight = seat.flight.saturating_sub(1);
-        }
+        self.workers[wk].in_flight -= 1;
+        let s = self.seat_of(f, wk).expect("a launch that is out keeps its function's seat");
+        self.functions[f].seats[s].flight -= 1;
         match outcome {
             Outcome::Ok => self.answered(wk, s, &arrival, at, took, note & 7),
             Outcome::Miss => {
-                if let Some(s) = s {
-                    // The page: reissue the order to that worker, and try another of the first n. A worker
-                    // beyond the first n was only used because a copy was thought to stand there.
-                    let head = self.usable(f).take(self.functions[f].n.max(1)).any(|h| h == s);
-                    let seat = &mut self.functions[f].seats[s];
-                    if seat.copies == Copies::Standing {
-                        seat.copies = Copies::Unknown;
-                        self.lost.add(now, 1);
-                    }
-                    if head {
-                        self.hold(f, s, 1, true);
-                    }
+                // The page: reissue the order to that worker, and try another of the first n. A worker beyond
+                // the first n was only used because a copy was thought to stand there.
+                let head = self.usable(f).take(self.functions[f].n.max(1)).any(|h| h == s);
+                let seat = &mut self.functions[f].seats[s];
+                if seat.copies == Copies::Standing {
+                    seat.copies = Copies::Unknown;
+                    self.lost.add(now, 1);
+                }
+                if head {
+                    self.hold(f, s, 1, true);
                 }
             }
             Outcome::Full => {
                 self.strained.add(now, 1);
-                if let Some(s) = s {
-                    // Neither the queue nor the memory of a full worker frees faster than events end.
-                    let usual = self.types[arrival.typ].run as Time;
-                    self.functions[f].seats[s].shut_until = now + usual / 2;
-                }
+                // Neither the queue nor the memory of a full worker frees faster than events end.
+                self.functions[f].seats[s].shut_until = now + self.types[arrival.typ].run as Time / 2;
                 self.cut(wk);
             }
             Outcome::Error | Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
@@ -909,15 +876,11 @@
     }
 
     /// What a good answer teaches. `warm` is 1 where a copy stood, 0 where that is not told.
-    fn answered(&mut self, wk: usize, s: Option<usize>, arrival: &Arrival, at: Time, took: Time, warm: u32) {
+    fn answered(&mut self, wk: usize, s: usize, arrival: &Arrival, at: Time, took: Time, warm: u32) {
         let (now, f) = (self.now, arrival.function);
         let typ = &mut self.types[arrival.typ];
         let (target, function) = (typ.target as f64, &mut self.functions[f]);
-        if let Some(s) = s {
-            let seat = &mut function.seats[s];
-            seat.copies = Copies::Standing;
-            seat.renewed = now;
-        }
+        (function.seats[s].copies, function.seats[s].renewed) = (Copies::Standing, now);
         if warm > 1 {
             return;
         }
@@ -925,7 +888,7 @@
         typ.run = smooth(typ.run, took as f64);
         let usual = typ.run;
         let late = took > patience(usual, typ, arrival);
-        let Some(w) = &mut self.workers[wk] else { return };
+        let w = &mut self.workers[wk];
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
         // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
         // used, and is cut when latencies near the target time (0.6 leaves time for one more try).
@@ -936,18 +899,17 @@
         }
         if late {
             self.failed(wk);
-        } else if let Some(w) = &mut self.workers[wk] {
+        } else if at >= self.workers[wk].out_until {
             // Only an answer to something sent since it was left out restores trust.
-            if at >= w.out_until {
-                (w.failures, w.out_span, w.trial) = (0, 0, false);
-            }
+            let w = &mut self.workers[wk];
+            (w.failures, w.out_span, w.trial) = (0, 0, false);
         }
     }
 
     /// Too much is in flight at this worker: a fifth less, once in a quarter second (a round of answers).
     fn cut(&mut self, wk: usize) {
         let now = self.now;
-        let Some(w) = &mut self.workers[wk] else { return };
+        let w = &mut self.workers[wk];
         if now > w.cut_at + SECOND / 4 {
             w.bound = (w.bound.min(f64::from(w.in_flight + 1)) * 0.8).max(1.0);
             w.cut_at = now;
@@ -960,9 +922,9 @@
     fn failed(&mut self, wk: usize) {
         const IN_A_ROW: u32 = 3; // chance makes two late answers in a row common, three rare
         let now = self.now;
-        let all = self.workers.iter().flatten().filter(|w| w.listed.standing == Standing::On);
+        let all = self.workers.iter().filter(|w| w.listed.standing == Standing::On);
         let (count, out) = all.fold((0, 0), |(c, o), w| (c + 1, o + usize::from(w.out_until > now)));
-        let Some(w) = &mut self.workers[wk] else { return };
+        let w = &mut self.workers[wk];
         w.failures += 1;
         if w.out_until > now || (w.failures < IN_A_ROW && !w.trial) || (out + 1) * 3 > count {
             return;
@@ -991,12 +953,8 @@
 
     pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, took: Time, copies: u32) {
         let now = self.now;
-        let Some(function) = self.functions.get_mut(f) else {
-            return;
-        };
-        let Some(s) = function.seats.iter().position(|s| s.wk == wk) else {
-            return;
-        };
+        let Some(s) = self.seat_of(f, wk) else { return };
+        let function = &mut self.functions[f];
         let seat = &mut function.seats[s];
         // An ask is answered at once, and only where nothing else is known does its answer count.
         if std::mem::take(&mut seat.asked) {
--- a/src/host.rs
+++ b/src/host.rs
@@ -20,9 +20,9 @@
 /// What the list says of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
-    #[default]
     On,
     Draining,
+    #[default]
     Gone,
 }
 
