Storms of repeats: turn away hopeless tries, hold back over-share events, count R without deferrals

Told from a plain burst by first tries staying level. Incident on ortak: clients left at about half the target time and came again. Also guards against late repeats after a crash. Could harm events lighter than their hint says.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -73,6 +73,14 @@
         self.sum += n;
     }
 
+    fn take_back(&mut self, then: Time) {
+        let (step, len) = (then / Rate::STEP, self.steps.len() as Time);
+        let n = &mut self.steps[(step % len) as usize];
+        if step + len > self.at && *n > 0 {
+            (*n, self.sum) = (*n - 1, self.sum - 1);
+        }
+    }
+
     /// A second; right after a start the time that there was counts, so that a restarted gateway sees its
     /// rate at once (half a second at the least, or the first few events would look like a flood).
     fn per_second(&mut self, now: Time, started: Time) -> f64 {
@@ -370,9 +378,6 @@
         }
         self.arrived.add(now, 1);
         self.lost.turn(now);
-        if let Some(t) = arrival.tenant {
-            self.tenants[t].rate.add(now, 1);
-        }
         let typ = &mut self.types[arrival.typ];
         if arrival.hint > 0 {
             typ.hint = smooth(typ.hint, arrival.hint as f64);
@@ -383,8 +388,12 @@
         function.events += 1;
         function.rate.add(now, 1);
         self.scale(f, false);
-        // A try that ends before the next sweep could answer it is answered now: nothing would be in time.
-        if now + SWEEP + 2 * self.span("tick-ms") >= arrival.gives_up {
+        // A try that ends before the next sweep could answer it, or before half its usual run is over, is
+        // answered now: its launch would be wasted work. Guards against storms of late repeats, whatever
+        // makes clients repeat; it could turn away an event that is far lighter than it looks.
+        let soonest =
+            (usual(&self.types[arrival.typ], &arrival) as Time / 2).max(SWEEP + 2 * self.span("tick-ms"));
+        if now + soonest >= arrival.gives_up {
             return self.give_up(e);
         }
         self.place(e);
@@ -606,7 +615,7 @@
             let w = &self.workers[seat.wk];
             let own = lanes * n.saturating_sub(at).div_ceil(usable).max(1) as u32;
             let load = f64::from(w.in_flight) / w.bound;
-            if seat.flight <= own && load < 1.0 && f64::from(w.in_flight) < even {
+            if seat.flight <= own && load < 0.5 + 0.5 * worth && f64::from(w.in_flight) < even {
                 // How far round from the turn it stands.
                 let round = (at + heads - turn % heads) % heads;
                 if at >= heads {
@@ -729,6 +738,10 @@
             }
             w.budget.push_back((now, weight));
         }
+        // A tenant's share is used by what is launched for it; a storm of repeats alone does not use it up.
+        if let Some(t) = evt.arrival.tenant.filter(|_| evt.count == 1) {
+            self.tenants[t].rate.add(now, 1);
+        }
         self.host.launch(e, seat.wk, 0);
     }
 
@@ -742,6 +755,11 @@
             Repeat::Redeliverable | Repeat::Keyed(Group::All, _) => true,
             Repeat::Keyed(..) | Repeat::AtMostOnce => evt.proven_not_run(),
         };
+        // Departure: R is of events taken on. One deferred unlaunched comes again as another, and retries would
+        // swell R so that failures buy copies (the page's own objection).
+        if evt.count == 0 {
+            self.functions[evt.arrival.function].rate.take_back(evt.came);
+        }
         if harmless {
             // Spread over half to all of a quarter of the target time, so that those deferred together do
             // not come back together.
@@ -886,8 +904,7 @@
         }
         function.run = if function.run > 0.0 { smooth(function.run, took as f64) } else { took as f64 };
         typ.run = smooth(typ.run, took as f64);
-        let usual = typ.run;
-        let late = took > patience(usual, typ, arrival);
+        let late = took > patience(typ, arrival);
         let w = &mut self.workers[wk];
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
         // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
@@ -1051,7 +1068,7 @@
             return self.give_up(e);
         }
         let typ = &self.types[evt.arrival.typ];
-        let patience = patience(typ.run, typ, &evt.arrival);
+        let patience = patience(typ, &evt.arrival);
         let arrival = evt.arrival;
         for i in 0..self.events[e].count {
             let Launch { wk, at, state } = self.events[e].launches[i];
@@ -1094,12 +1111,16 @@
     old + (new - old) / 8.0
 }
 
+/// The usual warm latency of an event of this cost, where costs are hinted.
+fn usual(typ: &EventType, arrival: &Arrival) -> f64 {
+    typ.run * if typ.hint > 0.0 && arrival.hint > 0 { arrival.hint as f64 / typ.hint } else { 1.0 }
+}
+
 /// How long a launch may take before it is late: three times the usual for an event of this cost, but early
 /// enough for another try within the target time.
-fn patience(usual: f64, typ: &EventType, arrival: &Arrival) -> Time {
-    let cost = if typ.hint > 0.0 { (arrival.hint as f64 / typ.hint).max(1.0) } else { 1.0 };
+fn patience(typ: &EventType, arrival: &Arrival) -> Time {
     let target = typ.target as f64;
-    (3.0 * usual * cost).clamp(target / 4.0, (target - usual).max(target / 2.0)) as Time
+    (3.0 * usual(typ, arrival).max(typ.run)).clamp(target / 4.0, (target - typ.run).max(target / 2.0)) as Time
 }
 
 #[cfg(test)]
