--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug)]
 struct EventType {
     target: Time,
+    /// The target time as clients show it: less where they leave before the told times.
+    felt: f64,
     benefit: f64,
     repeat: Repeat,
     /// Smoothed own warm latency and hint of cost, in tenths of a millisecond.
@@ -265,7 +267,8 @@
             };
             let (target, benefit) = (choice.span(&key("aim-ms")).max(1), choice.number(&key("worth")));
             // The page's start: a tenth of the target time.
-            choice.types.push(EventType { target, benefit, repeat, run: target as f64 / 10.0, hint: 0.0 });
+            let (felt, run) = (target as f64, target as f64 / 10.0);
+            choice.types.push(EventType { target, felt, benefit, repeat, run, hint: 0.0 });
         }
         for i in 0..choice.number("tenants.count") as usize {
             let quota = choice.number(&format!("tenants.{i}.quota-per-s"));
@@ -569,7 +572,7 @@
             }
         }
         // With copies that have no room it waits a quarter of the target time at most; then it is given up.
-        if crowded && now > came + self.types[arrival.typ].target / 8 {
+        if crowded && now > came + self.types[arrival.typ].felt as Time / 8 {
             self.strained.add(now, 1);
             return self.give_up(e);
         }
@@ -747,6 +750,7 @@
 
     /// A final answer of our own, at once: a deferral where that is harmless, else a dead letter.
     fn give_up(&mut self, e: usize) {
+        let overloaded = self.overloaded();
         let evt = &mut self.events[e];
         if evt.over || evt.streaming {
             return;
@@ -755,9 +759,9 @@
             Repeat::Redeliverable | Repeat::Keyed(Group::All, _) => true,
             Repeat::Keyed(..) | Repeat::AtMostOnce => evt.proven_not_run(),
         };
-        // Departure: R is of events taken on. One deferred unlaunched comes again as another, and retries would
+        // Departure: in overload R is of events taken on. One deferred unlaunched comes again as another, and retries would
         // swell R so that failures buy copies (the page's own objection).
-        if evt.count == 0 {
+        if evt.count == 0 && overloaded {
             self.functions[evt.arrival.function].rate.take_back(evt.came);
         }
         if harmless {
@@ -815,9 +819,15 @@
     }
 
     pub fn lapsed(&mut self, e: usize) {
-        if self.events.get(e).is_some_and(|evt| !evt.over) {
-            self.conclude(e);
+        let Some(evt) = self.events.get(e).filter(|evt| !evt.over) else { return };
+        // Clients that leave early, unannounced, want their answers before that: latencies are judged by it.
+        // One leaving moves it eight times as far as an answer moves it back, so a few in a hundred do not
+        // matter. Where they leave for a reason of their own, it only makes the bounds tighter.
+        let (age, typ) = ((self.now - evt.came) as f64, &mut self.types[evt.arrival.typ]);
+        if self.now + SWEEP < evt.arrival.gives_up && age < typ.felt {
+            typ.felt = smooth(typ.felt, age);
         }
+        self.conclude(e);
     }
 
     pub fn ended(&mut self, e: usize, launch: usize, how: (Outcome, Time), over: bool, note: u32) {
@@ -897,7 +907,8 @@
     fn answered(&mut self, wk: usize, s: usize, arrival: &Arrival, at: Time, took: Time, warm: u32) {
         let (now, f) = (self.now, arrival.function);
         let typ = &mut self.types[arrival.typ];
-        let (target, function) = (typ.target as f64, &mut self.functions[f]);
+        let (target, function) = (typ.felt, &mut self.functions[f]);
+        typ.felt += (typ.target as f64 - typ.felt) / 64.0;
         (function.seats[s].copies, function.seats[s].renewed) = (Copies::Standing, now);
         if warm > 1 {
             return;
@@ -1119,7 +1130,7 @@
 /// How long a launch may take before it is late: three times the usual for an event of this cost, but early
 /// enough for another try within the target time.
 fn patience(typ: &EventType, arrival: &Arrival) -> Time {
-    let target = typ.target as f64;
+    let target = typ.felt;
     (3.0 * usual(typ, arrival).max(typ.run)).clamp(target / 4.0, (target - typ.run).max(target / 2.0)) as Time
 }
 
