--- a/src/choice.rs
+++ b/src/choice.rs
@@ -936,10 +936,11 @@
 
     /// Too much is in flight at this worker: a fifth less, once in a quarter second (a round of answers).
     fn cut(&mut self, wk: usize) {
-        let now = self.now;
+        // Four in flight from all gateways together keep any worker busy, however slow it has become.
+        let (now, least) = (self.now, (4.0 / self.number("siblings").max(1.0)).max(1.0));
         let w = &mut self.workers[wk];
         if now > w.cut_at + SECOND / 4 {
-            w.bound = (w.bound.min(f64::from(w.in_flight + 1)) * 0.8).max(1.0);
+            w.bound = (w.bound.min(f64::from(w.in_flight + 1)) * 0.8).max(least);
             w.cut_at = now;
         }
     }
