An event that is expected late counts with its late worth when room is short

Expected time: smoothed latency over smoothed hint of handled events, times the event's own hint. Where hints are wrong it defers heavy events first; it acts only where the bounds are reached.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,6 +39,7 @@
     /// The target time as clients show it: less where they leave before the told times.
     felt: f64,
     benefit: f64,
+    late: f64,
     repeat: Repeat,
     /// Smoothed own warm latency and hint of cost, in tenths of a millisecond.
     run: f64,
@@ -267,8 +268,8 @@
             };
             let (target, benefit) = (choice.span(&key("aim-ms")).max(1), choice.number(&key("worth")));
             // The page's start: a tenth of the target time.
-            let (felt, run) = (target as f64, target as f64 / 10.0);
-            choice.types.push(EventType { target, felt, benefit, repeat, run, hint: 0.0 });
+            let (felt, run, late) = (target as f64, target as f64 / 10.0, choice.number(&key("late-worth")));
+            choice.types.push(EventType { target, felt, benefit, late, repeat, run, hint: 0.0 });
         }
         for i in 0..choice.number("tenants.count") as usize {
             let quota = choice.number(&format!("tenants.{i}.quota-per-s"));
@@ -381,10 +382,6 @@
         }
         self.arrived.add(now, 1);
         self.lost.turn(now);
-        let typ = &mut self.types[arrival.typ];
-        if arrival.hint > 0 {
-            typ.hint = smooth(typ.hint, arrival.hint as f64);
-        }
         self.know(&arrival);
         let function = &mut self.functions[f];
         function.last = now;
@@ -585,6 +582,11 @@
     fn worth(&mut self, arrival: &Arrival) -> f64 {
         let most = self.types.iter().fold(0.0, |m, t| t.benefit.max(m));
         let mut worth = self.types[arrival.typ].benefit / most.max(1e-9);
+        // One that will hardly be answered within its target time brings what a late answer does.
+        let typ = &self.types[arrival.typ];
+        if usual(typ, arrival) > typ.felt {
+            worth *= typ.late;
+        }
         if let Some(t) = arrival.tenant {
             let rate = self.tenants[t].rate.per_second(self.now, self.started);
             if rate * self.number("siblings").max(1.0) > self.tenants[t].quota {
@@ -915,6 +917,7 @@
         }
         function.run = if function.run > 0.0 { smooth(function.run, took as f64) } else { took as f64 };
         typ.run = smooth(typ.run, took as f64);
+        typ.hint = smooth(typ.hint, arrival.hint as f64);
         let late = took > patience(typ, arrival);
         let w = &mut self.workers[wk];
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
