--- a/src/choice.rs
+++ b/src/choice.rs
@@ -107,6 +107,8 @@
     out_until: Time,
     out_span: Time,
     trial: bool,
+    /// Errors in a row for each event type, and until when it gets none of that type.
+    errors: Vec<(u32, Time)>,
     /// Mean work launched at it over the last two seconds, and the launches that a cold start's budget counts.
     sent: Rate,
     budget: VecDeque<(Time, f64)>,
@@ -470,7 +472,13 @@
     /// Seats on workers that may be used, in the shared order.
     fn usable(&self, f: usize) -> impl Iterator<Item = usize> + '_ {
         let seats = &self.functions[f].seats;
-        (0..seats.len()).filter(|s| self.trusted(seats[*s].wk))
+        (0..seats.len()).filter(move |s| self.fit(f, seats[*s].wk))
+    }
+
+    /// Trusted as a worker, and for this function's event type.
+    fn fit(&self, f: usize, wk: usize) -> bool {
+        let of_type = self.workers[wk].errors.get(self.functions[f].typ);
+        self.trusted(wk) && of_type.is_none_or(|e| e.1 <= self.now)
     }
 
     fn trusted(&self, wk: usize) -> bool {
@@ -490,7 +498,7 @@
         let (mut seen, mut s) = (0, 0);
         while s < self.functions[f].seats.len() && seen < n.min(usable) {
             let seat = self.functions[f].seats[s];
-            if self.trusted(seat.wk) {
+            if self.fit(f, seat.wk) {
                 let copies = (n - seen).div_ceil(usable);
                 seen += 1;
                 // Half the keep-alive: one renewal lost still leaves time for another. Use renews by itself.
@@ -609,7 +617,7 @@
         let mut place = 0;
         for s in 0..self.functions[f].seats.len() {
             let seat = self.functions[f].seats[s];
-            if !self.trusted(seat.wk) {
+            if !self.fit(f, seat.wk) {
                 continue;
             }
             let (at, ready) = (place, self.stands(&seat) || !self.is("extra.if-cold", "miss"));
@@ -867,7 +875,8 @@
                 self.functions[f].seats[s].shut_until = now + self.types[arrival.typ].run as Time / 2;
                 self.cut(wk);
             }
-            Outcome::Error | Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
+            Outcome::Error => self.erred(wk, arrival.typ),
+            Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
                 if state == State::Out {
                     self.failed(wk);
                 }
@@ -920,6 +929,9 @@
         typ.hint = smooth(typ.hint, arrival.hint as f64);
         let late = took > patience(typ, arrival);
         let w = &mut self.workers[wk];
+        if let Some(errors) = w.errors.get_mut(arrival.typ) {
+            errors.0 = 0;
+        }
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
         // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
         // used, and is cut when latencies near the target time (0.6 leaves time for one more try).
@@ -973,6 +985,21 @@
         self.lost.sum * 20 > self.arrived.sum
     }
 
+    /// The same way for one event type: a worker may answer one type with errors and do the rest well, so that
+    /// its failures are never in a row. Two, since errors are not a matter of load; half the workers at most.
+    fn erred(&mut self, wk: usize, typ: usize) {
+        let (now, types) = (self.now, self.types.len());
+        let bad = self.workers.iter().filter(|w| w.errors.get(typ).is_some_and(|e| e.1 > now)).count();
+        let count = self.workers.iter().filter(|w| w.listed.standing == Standing::On).count();
+        let w = &mut self.workers[wk];
+        w.errors.resize(types, (0, 0));
+        let (errors, until) = &mut w.errors[typ];
+        *errors += 1;
+        if *errors >= 2 && (bad + 1) * 2 <= count {
+            *until = now + (SECOND << (*errors - 2).min(3));
+        }
+    }
+
     fn overloaded(&mut self) -> bool {
         let now = self.now;
         self.arrived.turn(now);
