--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 //! departs from it is marked "Departure" here and explained there.
 use crate::chance::Chance;
 use crate::host::{Arrival, Host, Listed, Outcome, Standing, Time};
+use crate::state::*;
 use slab::Slab;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -18,194 +19,11 @@
 /// coarse enough to cost little CPU.
 const SWEEP: Time = 10 * MS;
 
-/// What may be done again once a launch may have run.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Repeat {
-    Redeliverable,
-    Keyed(Group, Time),
-    AtMostOnce,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Group {
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Clone, Debug)]
-struct EventType {
-    target: Time,
-    /// The target time as clients show it: less where they leave before the told times.
-    felt: f64,
-    benefit: f64,
-    late: f64,
-    repeat: Repeat,
-    /// Smoothed own warm latency and hint of cost, in tenths of a millisecond.
-    run: f64,
-    hint: f64,
-}
-
-struct Tenant {
-    quota: f64,
-    rate: Rate,
-}
-
-/// Events over the last two seconds (R of the page), in steps of a tenth of a second.
-#[derive(Clone, Default)]
-struct Rate {
-    steps: [u32; 20],
-    at: Time,
-    sum: u32,
-}
-
-impl Rate {
-    const STEP: Time = SECOND / 10;
-
-    fn turn(&mut self, now: Time) {
-        let (step, len) = (now / Rate::STEP, self.steps.len() as Time);
-        for s in self.at + 1..=step.min(self.at + len) {
-            self.sum -= std::mem::take(&mut self.steps[(s % len) as usize]);
-        }
-        self.at = self.at.max(step);
-    }
-
-    fn add(&mut self, now: Time, n: u32) {
-        self.turn(now);
-        self.steps[(self.at % self.steps.len() as Time) as usize] += n;
-        self.sum += n;
-    }
-
-    fn take_back(&mut self, then: Time) {
-        let (step, len) = (then / Rate::STEP, self.steps.len() as Time);
-        let n = &mut self.steps[(step % len) as usize];
-        if step + len > self.at && *n > 0 {
-            (*n, self.sum) = (*n - 1, self.sum - 1);
-        }
-    }
-
-    /// A second; right after a start the time that there was counts, so that a restarted gateway sees its
-    /// rate at once (half a second at the least, or the first few events would look like a flood).
-    fn per_second(&mut self, now: Time, started: Time) -> f64 {
-        self.turn(now);
-        let seen = (now - started).clamp(SECOND / 2, 2 * SECOND);
-        f64::from(self.sum) * SECOND as f64 / seen as f64
-    }
-}
-
-#[derive(Default)]
-struct Worker {
-    listed: Listed,
-    in_flight: u32,
-    /// The in-flight bound that the page leaves open, for the worker as a whole; learned.
-    bound: f64,
-    /// Smoothed warm latency over the target time.
-    strain: f64,
-    cut_at: Time,
-    /// Failures in a row, and how long it is left out for them.
-    failures: u32,
-    out_until: Time,
-    out_span: Time,
-    trial: bool,
-    /// Errors in a row for each event type, and until when it gets none of that type.
-    errors: Vec<(u32, Time)>,
-    /// Mean work launched at it over the last two seconds, and the launches that a cold start's budget counts.
-    sent: Rate,
-    budget: VecDeque<(Time, f64)>,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum Copies {
-    #[default]
-    Unknown,
-    Ordered,
-    Standing,
-}
-
-/// A function's copies on one worker. A function has a seat for every worker, in the shared order.
-#[derive(Clone, Copy, Debug, Default)]
-struct Seat {
-    wk: usize,
-    copies: Copies,
-    flight: u32,
-    pending: u32,
-    asked: bool,
-    /// Turned an event away as full: not again before this.
-    shut_until: Time,
-    /// Last sign that the copy's idle time began anew.
-    renewed: Time,
-    barred_until: Time,
-}
-
-#[derive(Default)]
-struct Function {
-    hash: u64,
-    live: bool,
-    typ: usize,
-    lanes: u32,
-    /// Smoothed own warm latency (0: none yet) and load time.
-    run: f64,
-    load: f64,
-    n: usize,
-    turn: usize,
-    rate: Rate,
-    last: Time,
-    grown: Time,
-    events: u32,
-    seats: Vec<Seat>,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum State {
-    Out,
-    /// Cancelled by us or late beyond patience: counted against its worker already.
-    Overdue,
-    Cancelled,
-    #[default]
-    ProvenNotRun,
-    MayHaveRun,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Launch {
-    wk: usize,
-    at: Time,
-    state: State,
-}
+/// A step of the counts that slide over twenty of them: the page's two seconds for R.
+pub const RATE_STEP: Time = SECOND / 10;
 
 /// More launches than this an event never gets, whatever the settings allow.
-const MOST_LAUNCHES: usize = 8;
-
-#[derive(Default)]
-struct Evt {
-    arrival: Arrival,
-    came: Time,
-    over: bool,
-    streaming: bool,
-    waiting: bool,
-    /// Launches that followed a failure; the move after a miss is not one.
-    further: u32,
-    launches: [Launch; MOST_LAUNCHES],
-    count: usize,
-}
-
-impl Evt {
-    fn sent(&self) -> &[Launch] {
-        &self.launches[..self.count]
-    }
-
-    fn out(&self) -> usize {
-        self.sent().iter().filter(|l| is_out(l.state)).count()
-    }
-
-    fn proven_not_run(&self) -> bool {
-        self.sent().iter().all(|l| l.state == State::ProvenNotRun)
-    }
-}
-
-fn is_out(state: State) -> bool {
-    matches!(state, State::Out | State::Overdue | State::Cancelled)
-}
+pub const MOST_LAUNCHES: usize = 8;
 
 pub struct Choice<H> {
     pub host: H,
@@ -223,7 +41,6 @@
     arrivals: VecDeque<Time>,
     arrived: Rate,
     strained: Rate,
-    lost: Rate,
 }
 
 impl<H: Host> Choice<H> {
@@ -235,7 +52,7 @@
             }
         }
         let (chance, events) = (Chance::new(seed), Slab::new());
-        let (arrived, strained, lost) = (Rate::default(), Rate::default(), Rate::default());
+        let (arrived, strained) = (Rate::default(), Rate::default());
         let (workers, functions, types, tenants) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         let (waiting, orders, arrivals) = (VecDeque::new(), VecDeque::new(), VecDeque::new());
         let mut choice = Choice {
@@ -254,7 +71,6 @@
             arrivals,
             arrived,
             strained,
-            lost,
         };
         for i in 0..choice.number("classes.count") as usize {
             let key = |name: &str| format!("classes.{i}.{name}");
@@ -321,7 +137,7 @@
             if listed.standing != Standing::On {
                 self.leave(wk, listed.standing);
             } else if known.standing != Standing::On || known.since < listed.since {
-                // New, restarted or back from the dead: nothing that was learned of it holds, and it is empty.
+                // New, restarted or back from the dead: nothing that was learned of it holds; it is empty.
                 let in_flight = self.workers[wk].in_flight;
                 self.workers[wk] = Worker { listed, in_flight, bound: BOUND_START, ..Worker::default() };
                 (0..self.functions.len()).for_each(|f| self.seat(f, wk));
@@ -383,7 +199,6 @@
             self.arrivals.push_back(now);
         }
         self.arrived.add(now, 1);
-        self.lost.turn(now);
         self.know(&arrival);
         let function = &mut self.functions[f];
         function.last = now;
@@ -411,15 +226,14 @@
         }
         // Starting the rotation by chance keeps gateways from marching in step.
         let (hash, turn) = (arrival.function_hash, self.chance.below(64) as usize);
-        let (lanes, load) = (arrival.lanes.max(1), arrival.load_hint as f64);
-        self.functions[f] =
-            Function { hash, live: true, typ: arrival.typ, lanes, load, turn, ..Function::default() };
+        let (typ, lanes) = (arrival.typ, arrival.lanes.max(1));
+        self.functions[f] = Function { hash, live: true, typ, lanes, turn, ..Function::default() };
         (0..self.workers.len()).for_each(|wk| self.seat(f, wk));
         self.ask(f);
     }
 
-    /// Departure: a function that this gateway does not know may stand anywhere (after a restart of the gateway,
-    /// at its start, or by orders of its siblings). Asking costs what a probe costs and nothing of the
+    /// Departure: a function unknown to this gateway may stand anywhere (after a restart of the gateway, at
+    /// its start, or by orders of its siblings). Asking costs what a probe costs and nothing of the
     /// ration, so every worker is asked once; copies found are used until the first n stand.
     fn ask(&mut self, f: usize) {
         if !self.is("extra.orders", "true") {
@@ -455,12 +269,11 @@
         let usable = self.usable(f).count();
         let (now, started, keep) = (self.now, self.started, self.span("extra.stays-loaded-ms"));
         let function = &mut self.functions[f];
-        let rate = function.rate.per_second(now, started);
+        let rate = per_second(function.rate.seen(now, started));
         let n = function.n as f64;
         if rate > n * up {
             // On hosts that add no copies by themselves a worker may have to hold several (16 at most).
             function.n = ((rate / up).ceil() as usize).min(usable.max(1) * 4);
-            function.grown = now;
         } else if check && rate < ALPHA * n * low + (1.0 - ALPHA) * n * up && function.n > 1 {
             function.n -= 1;
         } else if check && function.n == 1 && now > function.last + keep {
@@ -562,20 +375,6 @@
         }
         let function = &self.functions[f];
         let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
-        // Departure: a crowd that no copy has room for counts as excess at once, not after two seconds; once an
-        // event has waited for a run's time; one copy more for each span of a load, if the next worker has room. Guards against bursts and functions that turn hot. It could buy
-        // a needless copy where one slow event fills the lanes.
-        let (waited, spaced) = (came + function.run as Time, (function.load as Time).max(SECOND / 2));
-        if crowded && now > waited && now > function.grown + spaced && !self.short_of_memory() {
-            let even = self.even_bound();
-            let next = self.usable(f).nth(function.n.max(1)).map(|s| &self.workers[function.seats[s].wk]);
-            if next.is_some_and(|w| f64::from(w.in_flight) < even.min(w.bound)) {
-                let function = &mut self.functions[f];
-                function.n += 1;
-                function.grown = now;
-                self.order(f);
-            }
-        }
         // With copies that have no room it waits a quarter of the target time at most; then it is given up.
         if crowded && now > came + self.types[arrival.typ].felt as Time / 8 {
             self.strained.add(now, 1);
@@ -596,7 +395,7 @@
             worth *= typ.late;
         }
         if let Some(t) = arrival.tenant {
-            let rate = self.tenants[t].rate.per_second(self.now, self.started);
+            let rate = per_second(self.tenants[t].rate.seen(self.now, self.started));
             if rate * self.number("siblings").max(1.0) > self.tenants[t].quota {
                 worth *= self.number("over-share-worth");
             }
@@ -652,9 +451,9 @@
         beyond.or(least.map(|l| l.0))
     }
 
-    /// Departure: the in-flight bound that the page leaves open also covers all functions of a worker together:
-    /// a quarter more than the mean of the workers (and one, so that small numbers do not bind). Lanes alone
-    /// let the homes of hot functions jam while other workers idle.
+    /// Departure: the in-flight bound that the page leaves open also covers all functions of a worker
+    /// together: three quarters of the workers' mean (tried: 1.25, 1, 0.75; evener was better) and one, so
+    /// that small numbers do not bind. Lanes alone let the homes of hot functions jam while others idle.
     fn even_bound(&self) -> f64 {
         let on = self.workers.iter().filter(|w| w.listed.standing == Standing::On);
         let (count, sum) = on.fold((0u32, 0), |(c, s), w| (c + 1, s + w.in_flight));
@@ -665,19 +464,11 @@
     fn may_launch(&self, e: usize, wk: usize) -> bool {
         let evt = &self.events[e];
         let w = &self.workers[wk];
-        if evt.over || evt.streaming || w.listed.standing != Standing::On {
-            return false;
-        }
-        if evt.count >= (self.number("allowed.max-attempts") as usize).min(MOST_LAUNCHES)
-            || self.now + self.span("tick-ms") >= evt.arrival.gives_up
-        {
-            return false;
-        }
-        if evt.out() > 0 && !self.is("allowed.may-duplicate", "true") {
-            return false;
-        }
+        let open = !evt.over && !evt.streaming && self.now + self.span("tick-ms") < evt.arrival.gives_up;
+        let alone = evt.out() == 0 || self.is("allowed.may-duplicate", "true");
         // Not again to a worker that has it or has failed it; after a miss it may go back.
-        if evt.sent().iter().any(|l| l.wk == wk && l.state != State::ProvenNotRun) {
+        let again = evt.sent().iter().any(|l| l.wk == wk && l.state != State::ProvenNotRun);
+        if !open || !alone || again || w.listed.standing != Standing::On || self.launches_left(e) == 0 {
             return false;
         }
         let unproven = || evt.sent().iter().filter(|l| l.state != State::ProvenNotRun);
@@ -705,31 +496,21 @@
         let w = &self.workers[wk];
         let Some(part) = self.cold_part(w) else { return true };
         let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
-        let (mut count, mut sent) = (0.0, 0.0);
-        for o in self.workers.iter().filter(warm) {
-            count += 1.0;
-            sent += f64::from(o.sent.sum) / 2.0;
-        }
-        let weight = self.types[typ].run;
-        let window = self.span("rules.overload-for-ms");
+        let sent: Vec<f64> = self.workers.iter().filter(warm).map(|o| f64::from(o.sent.sum) / 2.0).collect();
+        let mean = sent.iter().sum::<f64>() / f64::max(sent.len() as f64, 1.0);
+        let (weight, window) = (self.types[typ].run, self.span("rules.overload-for-ms"));
         let used: f64 = w.budget.iter().filter(|b| b.0 + window >= self.now).map(|b| b.1).sum();
-        let room = SHARE * self.number("rules.tip-multiple") * part * sent / f64::max(count, 1.0)
-            * window as f64
-            / SECOND as f64;
+        let share = SHARE * self.number("rules.tip-multiple") * part;
+        let room = share * mean * window as f64 / SECOND as f64;
         // One launch a window is always safe.
         used == 0.0 || used + weight <= room
     }
 
     /// How warm a worker is at the least, None when it is warm.
     fn cold_part(&self, w: &Worker) -> Option<f64> {
-        let age = self.now.saturating_sub(w.listed.since);
-        if w.listed.since == 0 || age >= self.span("rules.cold-ms") {
-            return None;
-        }
-        Some(
-            self.number("rules.cold-from")
-                + (1.0 - self.number("rules.cold-from")) * age as f64 / self.span("rules.cold-ms") as f64,
-        )
+        let (age, cold) = (self.now.saturating_sub(w.listed.since), self.span("rules.cold-ms"));
+        let from = self.number("rules.cold-from");
+        (w.listed.since > 0 && age < cold).then(|| from + (1.0 - from) * age as f64 / cold as f64)
     }
 
     fn launch(&mut self, e: usize, s: usize) {
@@ -769,8 +550,8 @@
             Repeat::Redeliverable | Repeat::Keyed(Group::All, _) => true,
             Repeat::Keyed(..) | Repeat::AtMostOnce => evt.proven_not_run(),
         };
-        // Departure: in overload R is of events taken on. One deferred unlaunched comes again as another, and retries would
-        // swell R so that failures buy copies (the page's own objection).
+        // Departure: in overload R is of events taken on. One deferred unlaunched comes again as another,
+        // and retries would swell R so that failures buy copies (the page's own objection).
         if evt.count == 0 && overloaded {
             self.functions[evt.arrival.function].rate.take_back(evt.came);
         }
@@ -863,7 +644,6 @@
                 let seat = &mut self.functions[f].seats[s];
                 if seat.copies == Copies::Standing {
                     seat.copies = Copies::Unknown;
-                    self.lost.add(now, 1);
                 }
                 if head {
                     self.hold(f, s, 1, true);
@@ -896,22 +676,18 @@
             _ => evt.further < 2 && !self.overloaded(),
         };
         let evt = &mut self.events[e];
-        if outcome != Outcome::Miss {
-            evt.further += 1;
-        }
-        if again && self.may_go_on(e) {
+        evt.further += u32::from(outcome != Outcome::Miss);
+        let lost = self.types[arrival.typ].repeat == Repeat::AtMostOnce && !evt.proven_not_run();
+        if again && !lost && self.launches_left(e) > 0 {
             self.place(e);
         } else {
             self.give_up(e);
         }
     }
 
-    /// Whether any worker could still be sent this event, now or once it has room.
-    fn may_go_on(&self, e: usize) -> bool {
-        let evt = &self.events[e];
-        let repeat = self.types[evt.arrival.typ].repeat;
-        evt.count < (self.number("allowed.max-attempts") as usize).min(MOST_LAUNCHES)
-            && (repeat != Repeat::AtMostOnce || evt.proven_not_run())
+    fn launches_left(&self, e: usize) -> usize {
+        let most = self.number("allowed.max-attempts") as usize;
+        most.min(MOST_LAUNCHES).saturating_sub(self.events[e].count)
     }
 
     /// What a good answer teaches. `warm` is 1 where a copy stood, 0 where that is not told.
@@ -945,7 +721,7 @@
         } else if at >= self.workers[wk].out_until {
             // Only an answer to something sent since it was left out restores trust.
             let w = &mut self.workers[wk];
-            (w.failures, w.out_span, w.trial) = (0, 0, false);
+            (w.failures, w.out_span) = (0, 0);
         }
     }
 
@@ -970,23 +746,15 @@
         let (count, out) = all.fold((0, 0), |(c, o), w| (c + 1, o + usize::from(w.out_until > now)));
         let w = &mut self.workers[wk];
         w.failures += 1;
-        if w.out_until > now || (w.failures < IN_A_ROW && !w.trial) || (out + 1) * 3 > count {
+        if w.out_until > now || (w.failures < IN_A_ROW && w.out_span == 0) || (out + 1) * 3 > count {
             return;
         }
         w.out_span = (w.out_span * 2).clamp(SECOND, 8 * SECOND);
         w.out_until = now + w.out_span;
-        w.trial = true;
     }
 
-    /// Misses where copies should stand: they were pushed out, so memory is short (or copies went void). One
-    /// copy more would push out another; it would only harm where the misses have some other cause and a
-    /// function turns hot meanwhile, and then the page's own rule still grows.
-    fn short_of_memory(&self) -> bool {
-        self.lost.sum * 20 > self.arrived.sum
-    }
-
-    /// The same way for one event type: a worker may answer one type with errors and do the rest well, so that
-    /// its failures are never in a row. Two, since errors are not a matter of load; half the workers at most.
+    /// The same way for one event type: a worker may answer one type with errors and do the rest well, so
+    /// that its failures are never in a row. Two, since errors are not a matter of load; half the workers at most.
     fn erred(&mut self, wk: usize, typ: usize) {
         let (now, types) = (self.now, self.types.len());
         let bad = self.workers.iter().filter(|w| w.errors.get(typ).is_some_and(|e| e.1 > now)).count();
@@ -1010,7 +778,7 @@
 
     pub fn reported(&mut self, _wk: usize, _report: &[(&str, f64)]) {}
 
-    pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, took: Time, copies: u32) {
+    pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, _took: Time, copies: u32) {
         let now = self.now;
         let Some(s) = self.seat_of(f, wk) else { return };
         let function = &mut self.functions[f];
@@ -1026,20 +794,14 @@
             return;
         }
         seat.pending = seat.pending.saturating_sub(1);
-        let fresh = seat.copies == Copies::Ordered;
         if copies > 0 {
             seat.copies = Copies::Standing;
         } else if seat.copies != Copies::Standing || outcome != Outcome::TimedOut {
             seat.copies = Copies::Unknown;
         }
-        match outcome {
-            Outcome::Ok => {
-                if fresh && took > 20 * MS {
-                    function.load = smooth(function.load, took as f64);
-                }
-            }
+        if outcome != Outcome::Ok {
             // No room or a failed load: the same order at once would fail again.
-            _ => seat.barred_until = now + SECOND / 2,
+            seat.barred_until = now + SECOND / 2;
         }
         if matches!(outcome, Outcome::Reset | Outcome::NoConnection | Outcome::TimedOut) {
             self.failed(wk);
@@ -1148,6 +910,12 @@
 const BOUND_START: f64 = 8.0;
 const BOUND_MOST: f64 = 64.0;
 
+/// Right after a start the time that there was counts, so that a restarted gateway sees its rates at once;
+/// half a second at the least, or the first few events would look like a flood.
+fn per_second((count, over): (f64, Time)) -> f64 {
+    count * SECOND as f64 / over.max(SECOND / 2) as f64
+}
+
 /// Smoothing over about eight values: steady against chance, quick against change.
 fn smooth(old: f64, new: f64) -> f64 {
     old + (new - old) / 8.0
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -1,1 +1,395 @@
+//! Each test builds the state it needs and events one function.
+mod help;
+use super::*;
+use help::*;
+use test_case::test_case;
 
+#[test_case(0.0, 1, 2.0, 10.0; "starts at a tenth of the target time")]
+#[test_case(2500.0, 4, 8.0, 16.0; "a quarter second on four lanes")]
+#[test_case(9000.0, 2, 4.0, 4.0; "at most half the target time")]
+fn bounds_follow_the_page(run: f64, lanes: u32, low: f64, up: f64) {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, 0, 1);
+    (gw.functions[0].run, gw.functions[0].lanes) = (run, lanes);
+    assert_eq!(gw.bounds(0), (low, up));
+}
+
+#[test]
+fn a_floor_of_nothing_gives_way_to_the_lower_bound() {
+    let mut gw = gateway(2, &[("classes.0.aim-ms", "5000")]);
+    stand(&mut gw, 0, 1);
+    gw.functions[0].run = 24_000.0;
+    assert_eq!(gw.bounds(0), (2.0, 2.0));
+}
+
+// A quarter second on two lanes: 4 to 8 a second for each copy, the band of n copies ends at 4.8 n.
+#[test_case(2, 34, false => 3; "above Rmax grows for the excess")]
+#[test_case(2, 20, true => 2; "inside the band stays")]
+#[test_case(3, 20, true => 2; "below the band gives up one at a check")]
+#[test_case(3, 20, false => 3; "gives up at checks only")]
+#[test_case(1, 1, true => 1; "never the last while events come")]
+fn the_count_follows_the_band(n: usize, events: u32, check: bool) -> usize {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 0, n);
+    gw.functions[0].run = 2500.0;
+    gw.functions[0].last = NOW;
+    gw.functions[0].rate.add(NOW, events);
+    gw.scale(0, check);
+    gw.functions[0].n
+}
+
+#[test_case(7999, 1; "within the keep-alive")]
+#[test_case(8001, 0; "after it")]
+fn the_last_copy_lapses_by_the_keep_alive(ms: Time, left: usize) {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, 0, 1);
+    gw.functions[0].last = NOW;
+    gw.clock(NOW + ms * MS);
+    gw.scale(0, true);
+    assert_eq!(gw.functions[0].n, left);
+}
+
+#[test]
+fn the_order_is_shared_whatever_was_learned_first() {
+    let (mut a, mut b) = (gateway(5, &[]), gateway(0, &[]));
+    a.know(&arrival(0));
+    b.know(&arrival(0));
+    b.list(&[4, 0, 3, 1, 2].map(listed), true);
+    let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
+    assert_eq!(order(&a), order(&b));
+}
+
+#[test]
+fn events_rotate_over_the_first_n() {
+    let mut gw = gateway(5, &[]);
+    stand(&mut gw, 0, 3);
+    let _ = [(); 3].map(|()| arrive(&mut gw, 0));
+    let mut used = launches(&gw);
+    used.sort();
+    let mut first = [at(&gw, 0, 0), at(&gw, 0, 1), at(&gw, 0, 2)];
+    first.sort();
+    assert_eq!(used, first);
+}
+
+#[test_case(2, 0, true; "lanes taken")]
+#[test_case(3, 0, false; "lanes exceeded")]
+#[test_case(0, 20, false; "worker over its bound for all functions")]
+fn the_rotation_moves_on_over_a_bound(flight: u32, in_flight: u32, stays: bool) {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 0, 2);
+    let home = at(&gw, 0, 0);
+    gw.functions[0].seats[0].flight = flight;
+    gw.workers[home].in_flight = in_flight;
+    arrive(&mut gw, 0);
+    assert_eq!(launches(&gw) == [home], stays);
+}
+
+// ortak's first days: hot functions' homes jammed while copies elsewhere stood idle.
+#[test]
+fn a_copy_beyond_the_first_n_is_used_before_the_first_n_are_overfilled() {
+    let mut gw = gateway(3, &[]);
+    stand(&mut gw, 0, 2);
+    gw.functions[0].n = 1;
+    gw.functions[0].seats[0].flight = 3;
+    arrive(&mut gw, 0);
+    assert_eq!(launches(&gw), [at(&gw, 0, 1)]);
+}
+
+// lamphun's start: no copy was known and the ration of orders was still empty.
+#[test]
+fn an_unknown_function_is_asked_for_and_used_where_it_stands() {
+    let mut gw = gateway(3, &[("extra.load-window-ms", "10000")]);
+    arrive(&mut gw, 0);
+    assert_eq!((gw.host.0.len(), holds(&gw)), (3, 0));
+    let far = at(&gw, 0, 2);
+    gw.held(0, far, Outcome::Ok, 10, 1);
+    assert_eq!(launches(&gw), [far]);
+}
+
+#[test_case(10, 0, 2; "a share of the events of the window")]
+#[test_case(10, 20, 4; "and the free ones once the window is past")]
+#[test_case(4, 0, 0; "rounded down")]
+fn orders_are_rationed(events: usize, ran_s: Time, orders: usize) {
+    let ration = [("extra.load-window-ms", "10000"), ("extra.free-loads", "2"), ("extra.load-share", "0.2")];
+    let mut gw = gateway(8, &ration);
+    stand(&mut gw, 0, 0);
+    gw.started = NOW - ran_s * SECOND;
+    gw.arrivals.extend(vec![NOW; events]);
+    let given = (0..8).filter(|s| gw.hold(0, *s, 1, true)).count();
+    assert_eq!((given, holds(&gw)), (orders, orders));
+}
+
+#[test_case(9_999, false; "still in the window")]
+#[test_case(10_001, true; "out of it")]
+fn old_orders_leave_the_ration(ms: Time, given: bool) {
+    let ration = [("extra.load-window-ms", "10000"), ("extra.load-share", "1")];
+    let mut gw = gateway(2, &ration);
+    stand(&mut gw, 0, 0);
+    gw.orders.push_back(NOW);
+    gw.clock(NOW + ms * MS);
+    gw.arrivals.push_back(gw.now);
+    assert_eq!(gw.hold(0, 0, 1, true), given);
+}
+
+#[test_case(Standing::Draining)]
+#[test_case(Standing::Gone)]
+fn nothing_goes_to_a_worker_that_leaves(standing: Standing) {
+    let mut gw = gateway(1, &[]);
+    stand(&mut gw, 0, 1);
+    gw.list(&[(0, Listed { standing, ..listed(0).1 })], false);
+    arrive(&mut gw, 0);
+    assert!(!gw.hold(0, 0, 1, true));
+    assert!(launches(&gw).is_empty() && holds(&gw) == 0);
+}
+
+#[test_case(0, true; "one a window is safe")]
+#[test_case(1, false; "no more while nothing is known of warm workers")]
+fn a_cold_worker_is_spared_after_a_restart_of_the_gateway(sent: usize, room: bool) {
+    let mut gw = gateway(2, &[]);
+    gw.workers[0].listed.since = NOW - 1;
+    gw.workers[0].budget.extend(vec![(NOW, 1000.0); sent]);
+    assert_eq!(gw.cold_room(0, 0), room);
+}
+
+// A tenth of what is launched at a warm worker in a second: 10 of 1000 each over the two seconds counted.
+#[test_case(0.0, 1, true; "two fit at a fifth of the capacity")]
+#[test_case(0.0, 2, false; "three do not")]
+#[test_case(0.5, 3, true; "four at six tenths")]
+fn a_cold_worker_gets_its_part(age: f64, sent: usize, room: bool) {
+    let mut gw = gateway(3, &[]);
+    gw.workers[0].listed.since = NOW - (age * 100_000.0) as Time - 1;
+    gw.workers[0].budget.extend(vec![(NOW, 1000.0); sent]);
+    (1..3).for_each(|wk| gw.workers[wk].sent.add(NOW, 20_000));
+    assert_eq!(gw.cold_room(0, 0), room);
+}
+
+#[test_case(0, Outcome::Error, true; "redeliverable goes on after an error")]
+#[test_case(2, Outcome::Error, false; "at most once does not")]
+#[test_case(2, Outcome::Reset, false; "nor after a reset")]
+#[test_case(2, Outcome::TimedOut, false; "nor after a time out")]
+#[test_case(2, Outcome::Full, true; "it does where it was proven not to run")]
+#[test_case(2, Outcome::NoConnection, true; "as without a connection")]
+#[test_case(2, Outcome::Miss, true; "and after a miss")]
+fn no_effect_twice(typ: usize, outcome: Outcome, again: bool) {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, typ, 2);
+    let e = arrive(&mut gw, typ);
+    gw.ended(e, 0, (outcome, 100), false, 0);
+    assert_eq!(launches(&gw).len() == 2, again);
+    assert_eq!(gw.host.0.contains(&Call::DeadLetter(e)), !again);
+}
+
+#[test_case(1, 0, true; "same zone in time")]
+#[test_case(0, 0, false; "another zone")]
+#[test_case(1, 499, false; "too late to be safe")]
+fn keyed_events_stay_in_their_group_and_window(same: usize, ms: Time, allowed: bool) {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 1, 4);
+    let e = arrive(&mut gw, 1);
+    let first = launches(&gw)[0];
+    gw.clock(NOW + ms * MS);
+    let other = (0..4).find(|wk| *wk != first && (wk % 2 == first % 2) == (same == 1)).unwrap();
+    assert_eq!(gw.may_launch(e, other), allowed);
+}
+
+#[test_case("true", true)]
+#[test_case("false", false)]
+fn no_two_out_where_that_is_barred(setting: &str, allowed: bool) {
+    let mut gw = gateway(2, &[("allowed.may-duplicate", setting)]);
+    stand(&mut gw, 0, 2);
+    let e = arrive(&mut gw, 0);
+    let other = 1 - launches(&gw)[0];
+    assert_eq!(gw.may_launch(e, other), allowed);
+}
+
+#[test_case(0, true; "redeliverable is deferred")]
+#[test_case(2, false; "at most once may have run")]
+fn an_event_is_answered_before_its_own_time_of_giving_up(typ: usize, deferred: bool) {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, typ, 1);
+    let e = arrive(&mut gw, typ);
+    gw.clock(NOW + 20_000 - SWEEP - 2 * MS);
+    gw.timer(0);
+    assert!(gw.host.0.contains(&Call::Cancel(e, 0)));
+    assert_eq!(matches!(gw.host.0[1], Call::Defer(..)), deferred);
+}
+
+// ortak big-2: tries that came with a few milliseconds left were never answered.
+#[test_case(119, true; "before the next sweep")]
+#[test_case(499, true; "before half its usual run")]
+#[test_case(501, false; "in time")]
+fn a_try_too_late_to_end_is_answered_at_once(left: Time, given_up: bool) {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, 0, 1);
+    gw.arrive(Arrival { gives_up: NOW + left, ..arrival(0) });
+    assert_eq!(launches(&gw).is_empty(), given_up);
+}
+
+#[test_case(0, 1; "of the first n: ordered anew")]
+#[test_case(2, 0; "beyond: not loaded again, which would push out others")]
+fn after_a_miss_the_order_is_reissued(place: usize, orders: usize) {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 0, 3);
+    gw.functions[0].n = 2;
+    (0..3).filter(|s| *s != place).for_each(|s| gw.functions[0].seats[s].flight = 3);
+    let e = arrive(&mut gw, 0);
+    (0..3).for_each(|s| gw.functions[0].seats[s].flight = u32::from(s == place));
+    gw.ended(e, 0, (Outcome::Miss, 10), false, 0);
+    assert_eq!((holds(&gw), launches(&gw).len()), (orders, 2));
+}
+
+#[test_case(2, false; "two in a row are chance")]
+#[test_case(3, true; "three are not")]
+fn failures_in_a_row_leave_a_worker_out(failures: usize, out: bool) {
+    let mut gw = gateway(4, &[]);
+    (0..failures).for_each(|_| gw.failed(0));
+    assert_eq!(gw.trusted(0), !out);
+}
+
+#[test]
+fn a_third_of_the_workers_at_most_is_left_out() {
+    let mut gw = gateway(6, &[]);
+    (0..6).for_each(|wk| (0..3).for_each(|_| gw.failed(wk)));
+    assert_eq!((0..6).filter(|wk| !gw.trusted(*wk)).count(), 2);
+}
+
+#[test_case(8000, 3, true; "late answers are failures")]
+#[test_case(500, 0, false; "good ones end the row")]
+fn slow_answers_are_judged(took: Time, failures: u32, out: bool) {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 0, 1);
+    let home = at(&gw, 0, 0);
+    gw.workers[home].failures = 2;
+    gw.answered(home, 0, &arrival(0), NOW, took, 1);
+    assert_eq!((gw.workers[home].failures, !gw.trusted(home)), (failures, out));
+}
+
+// ortak's release incident: five workers answered one type with errors and the rest well.
+#[test]
+fn errors_of_one_type_leave_a_worker_out_for_that_type() {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 0, 1);
+    stand(&mut gw, 1, 1);
+    (0..2).for_each(|_| gw.erred(3, 1));
+    assert_eq!((gw.fit(0, 3), gw.fit(1, 3), gw.trusted(3)), (true, false, true));
+}
+
+#[test]
+fn a_full_seat_is_shut_for_a_while_and_the_worker_gets_less() {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, 0, 1);
+    let (e, home) = (arrive(&mut gw, 0), at(&gw, 0, 0));
+    gw.ended(e, 0, (Outcome::Full, 10), false, 0);
+    assert!(gw.functions[0].seats[0].shut_until > NOW && gw.workers[home].bound < BOUND_START);
+    assert_eq!(launches(&gw).len(), 1);
+}
+
+#[test_case(1, 4.0; "a lone gateway keeps four in flight")]
+#[test_case(8, 1.0; "one of many keeps one")]
+fn the_learned_bound_has_a_floor_for_all_gateways_together(siblings: usize, floor: f64) {
+    let siblings = siblings.to_string();
+    let mut gw = gateway(1, &[("siblings", &siblings)]);
+    for i in 0..20 {
+        gw.clock(NOW + i * SECOND);
+        gw.cut(0);
+    }
+    assert_eq!(gw.workers[0].bound, floor);
+}
+
+// ortak's first incident: clients left at half the target time, unannounced.
+#[test]
+fn clients_that_leave_early_shorten_what_is_aimed_at() {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, 0, 1);
+    let e = arrive(&mut gw, 0);
+    gw.clock(NOW + 2000);
+    gw.lapsed(e);
+    assert_eq!((gw.types[0].felt, gw.types[0].target), (9000.0, 10_000));
+    assert_eq!(gw.host.0.last(), Some(&Call::Cancel(e, 0)));
+}
+
+// remote's first incident: a storm of repeats doubled the loads.
+#[test_case(10, 0; "in overload a deferred event leaves R")]
+#[test_case(0, 1; "else it stays")]
+fn deferred_events_leave_the_rate_in_overload(strained: u32, left: u32) {
+    let mut gw = gateway(0, &[]);
+    let e = arrive(&mut gw, 0);
+    gw.strained.add(NOW, strained);
+    gw.give_up(e);
+    assert_eq!(gw.functions[0].rate.sum, left);
+}
+
+#[test_case(0, 0, 0, 0.5; "by the benefit of the type")]
+#[test_case(1, 0, 0, 1.0; "the most is one")]
+#[test_case(1, 21, 0, 0.1; "beyond the tenant's share")]
+#[test_case(1, 0, 12_000, 0.1; "expected to be late")]
+fn benefit_is_what_can_be_earned(typ: usize, launched: u32, hint: Time, worth: f64) {
+    let mut gw = gateway(1, &[]);
+    gw.tenants[0].rate.add(NOW, launched);
+    gw.types[typ].hint = 1000.0;
+    let event = Arrival { tenant: Some(0), hint, ..arrival(typ) };
+    assert!((gw.worth(&event) - worth).abs() < 1e-9);
+}
+
+#[test_case(1, 1; "an event of less benefit finds no room")]
+#[test_case(10, 0; "one of most benefit still does")]
+fn room_beyond_the_bounds_goes_by_benefit(tenths: u32, none: usize) {
+    let mut gw = gateway(1, &[]);
+    stand(&mut gw, 0, 1);
+    let e = arrive(&mut gw, 0);
+    (gw.workers[0].in_flight, gw.workers[0].bound) = (8, 8.0);
+    let waits = Evt { arrival: arrival(0), ..Evt::default() };
+    let other = gw.events.insert(waits);
+    assert_ne!(e, other);
+    assert_eq!(usize::from(gw.choose(0, other, f64::from(tenths) / 10.0).is_none()), none);
+}
+
+#[test_case(1250, true; "an eighth of the target time and more")]
+#[test_case(1000, false; "less")]
+fn without_room_an_event_is_given_up_early(waited: Time, given_up: bool) {
+    let mut gw = gateway(1, &[]);
+    stand(&mut gw, 0, 1);
+    (gw.workers[0].in_flight, gw.workers[0].bound) = (40, 8.0);
+    let e = arrive(&mut gw, 0);
+    gw.clock(NOW + waited + 1);
+    gw.look_again(None);
+    assert_eq!(
+        gw.host.0.iter().any(|c| matches!(c, Call::Defer(at, wait) if *at == e && *wait <= 1000)),
+        given_up
+    );
+}
+
+#[test_case(SECOND, 2; "a late launch gets another beside it")]
+#[test_case(100, 1; "not before it is late")]
+fn a_late_launch_is_followed_by_another(after: Time, count: usize) {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 0, 2);
+    arrive(&mut gw, 0);
+    gw.clock(NOW + after);
+    gw.timer(0);
+    assert_eq!(launches(&gw).len(), count);
+}
+
+#[test]
+fn a_restarted_worker_is_empty_and_cold() {
+    let mut gw = gateway(1, &[]);
+    stand(&mut gw, 0, 1);
+    gw.list(&[(0, Listed { since: NOW, ..listed(0).1 })], false);
+    assert_eq!(gw.functions[0].seats[0].copies, Copies::Unknown);
+    assert!(gw.cold_part(&gw.workers[0]).is_some_and(|part| part < 0.21));
+}
+
+#[test]
+fn functions_that_nothing_asks_for_are_forgotten() {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, 0, 0);
+    gw.clock(NOW + 17 * SECOND);
+    gw.forget(0);
+    assert_eq!((gw.host.0.last(), gw.functions[0].seats.len()), (Some(&Call::Forget(0)), 0));
+}
+
+#[test]
+fn a_setting_that_is_no_time_is_named() {
+    let made = Choice::new(Calls::default(), 0, 1, settings(&[("rules.cold-ms", "soon")]));
+    assert_eq!(made.err().as_deref(), Some("rules.cold-ms: 'soon' is not a time"));
+}
--- /dev/null
+++ b/src/choice/tests/help.rs
@@ -0,0 +1,118 @@
+//! Builds gateways in a given state and records what they do.
+use super::super::*;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    Launch(usize, usize),
+    Cancel(usize, usize),
+    Defer(usize, Time),
+    DeadLetter(usize),
+    Hold(usize, usize, u32),
+    Forget(usize),
+    Follow,
+}
+
+#[derive(Default)]
+pub struct Calls(pub Vec<Call>);
+
+impl Host for Calls {
+    fn launch(&mut self, evt: usize, wk: usize, _time_out: Time) {
+        self.0.push(Call::Launch(evt, wk));
+    }
+    fn cancel(&mut self, evt: usize, launch: usize) {
+        self.0.push(Call::Cancel(evt, launch));
+    }
+    fn defer(&mut self, evt: usize, come_back: Time) {
+        self.0.push(Call::Defer(evt, come_back));
+    }
+    fn dead_letter(&mut self, evt: usize) {
+        self.0.push(Call::DeadLetter(evt));
+    }
+    fn release(&mut self, _evt: usize) {}
+    fn timer(&mut self, _wait: Time, _token: u64) {}
+    fn probe(&mut self, _wk: usize) {}
+    fn hang_up(&mut self, _wk: usize) {}
+    fn hold(&mut self, img: usize, wk: usize, copies: u32) {
+        self.0.push(Call::Hold(img, wk, copies));
+    }
+    fn unload(&mut self, _img: usize, _wk: usize) {}
+    fn forget(&mut self, img: usize) {
+        self.0.push(Call::Forget(img));
+    }
+    fn follow(&mut self, _on: bool) {
+        self.0.push(Call::Follow);
+    }
+    fn look_up(&mut self) {}
+    fn tell(&mut self, _peer: Option<u32>, _bytes: &[u8]) {}
+    fn note(&mut self, _text: &str) {}
+}
+
+pub type Gateway = Choice<Calls>;
+
+pub const NOW: Time = 1_000_000;
+
+/// Three event types, one of each kind, that want an answer in a second; `more` adds to the settings.
+pub fn settings(more: &[(&str, &str)]) -> Settings {
+    let base = "tick-ms=1 classes.count=3 classes.0.aim-ms=1000 classes.0.worth=2 classes.0.late-worth=0.1 \
+        classes.0.semantics=read_like classes.1.aim-ms=1000 classes.1.worth=4 classes.1.late-worth=0.1 \
+        classes.1.semantics=idempotency_key classes.1.group=zone classes.1.window-ms=500 classes.2.aim-ms=1000 \
+        classes.2.worth=4 classes.2.late-worth=0.1 classes.2.semantics=non_idempotent allowed.max-attempts=3 \
+        allowed.may-duplicate=true allowed.cancel=true allowed.retry-after=true allowed.max-retry-after-ms=100 \
+        extra.orders=true extra.if-cold=miss extra.stays-loaded-ms=8000 siblings=2 over-share-worth=0.1 \
+        rules.cold-from=0.2 rules.cold-ms=10000 rules.tip-multiple=2.5 rules.overload-for-ms=1000 \
+        tenants.count=1 tenants.0.quota-per-s=20";
+    let pairs = base.split_whitespace().map(|p| p.split_once('=').unwrap()).chain(more.iter().copied());
+    pairs.map(|(k, v)| (k.to_string(), v.to_string())).collect()
+}
+
+pub fn listed(wk: usize) -> (usize, Listed) {
+    let hash = (wk as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (wk, Listed { hash, zone: (wk % 2) as u32, standing: Standing::On, rating: 1.0, ..Listed::default() })
+}
+
+/// A gateway that has run for long and knows `workers` warm workers.
+pub fn gateway(workers: usize, more: &[(&str, &str)]) -> Gateway {
+    let mut gw = Choice::new(Calls::default(), 0, 7, settings(more)).unwrap();
+    gw.clock(NOW);
+    gw.list(&(0..workers).map(listed).collect::<Vec<_>>(), true);
+    gw
+}
+
+pub fn arrival(typ: usize) -> Arrival {
+    Arrival { typ, function: typ, function_hash: 99, lanes: 2, gives_up: NOW + 20_000, ..Arrival::default() }
+}
+
+/// A function of this type that is known, with copies standing on the first `n` workers of its order.
+pub fn stand(gw: &mut Gateway, typ: usize, n: usize) {
+    gw.know(&arrival(typ));
+    let now = gw.now;
+    gw.functions[typ].n = n;
+    gw.functions[typ].turn = 0;
+    for seat in &mut gw.functions[typ].seats {
+        seat.asked = false;
+    }
+    for seat in &mut gw.functions[typ].seats[..n] {
+        (seat.copies, seat.renewed) = (Copies::Standing, now);
+    }
+    gw.host.0.clear();
+}
+
+/// The event that arrives now, with what was called for.
+pub fn arrive(gw: &mut Gateway, typ: usize) -> usize {
+    let place = gw.next_place();
+    gw.arrive(arrival(typ));
+    place
+}
+
+pub fn launches(gw: &Gateway) -> Vec<usize> {
+    gw.host.0.iter().filter_map(|c| if let Call::Launch(_, wk) = c { Some(*wk) } else { None }).collect()
+}
+
+pub fn holds(gw: &Gateway) -> usize {
+    gw.host.0.iter().filter(|c| matches!(c, Call::Hold(_, _, n) if *n > 0)).count()
+}
+
+/// The worker at a place of the function's shared order.
+pub fn at(gw: &Gateway, f: usize, place: usize) -> usize {
+    gw.functions[f].seats[place].wk
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod chance;
 pub mod choice;
 pub mod host;
+mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,183 @@
+//! What is remembered of workers, functions and events. It decides nothing; all decisions are in `choice`.
+use crate::choice::{MOST_LAUNCHES, RATE_STEP};
+use crate::host::{Arrival, Listed, Time};
+use std::collections::VecDeque;
+
+/// What may be done again once a launch may have run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    Redeliverable,
+    Keyed(Group, Time),
+    AtMostOnce,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct EventType {
+    pub target: Time,
+    /// The target time as clients show it: less where they leave before the told times.
+    pub felt: f64,
+    pub benefit: f64,
+    pub late: f64,
+    pub repeat: Repeat,
+    /// Smoothed own warm latency and hint of cost, in tenths of a millisecond.
+    pub run: f64,
+    pub hint: f64,
+}
+
+pub struct Tenant {
+    pub quota: f64,
+    pub rate: Rate,
+}
+
+/// A count that slides over twenty steps.
+#[derive(Clone, Default)]
+pub struct Rate {
+    pub steps: [u32; 20],
+    pub at: Time,
+    pub sum: u32,
+}
+
+impl Rate {
+    pub fn turn(&mut self, now: Time) {
+        let (step, len) = (now / RATE_STEP, self.steps.len() as Time);
+        for s in self.at + 1..=step.min(self.at + len) {
+            self.sum -= std::mem::take(&mut self.steps[(s % len) as usize]);
+        }
+        self.at = self.at.max(step);
+    }
+
+    pub fn add(&mut self, now: Time, n: u32) {
+        self.turn(now);
+        self.steps[(self.at % self.steps.len() as Time) as usize] += n;
+        self.sum += n;
+    }
+
+    pub fn take_back(&mut self, then: Time) {
+        let (step, len) = (then / RATE_STEP, self.steps.len() as Time);
+        let n = &mut self.steps[(step % len) as usize];
+        if step + len > self.at && *n > 0 {
+            (*n, self.sum) = (*n - 1, self.sum - 1);
+        }
+    }
+
+    /// How many there were, and over which part of the span since `started` they were counted.
+    pub fn seen(&mut self, now: Time, started: Time) -> (f64, Time) {
+        self.turn(now);
+        (f64::from(self.sum), (now - started).min(RATE_STEP * self.steps.len() as Time))
+    }
+}
+
+#[derive(Default)]
+pub struct Worker {
+    pub listed: Listed,
+    pub in_flight: u32,
+    /// The in-flight bound that the page leaves open, for the worker as a whole; learned.
+    pub bound: f64,
+    /// Smoothed warm latency over the target time.
+    pub strain: f64,
+    pub cut_at: Time,
+    /// Failures in a row, and how long it is left out for them.
+    pub failures: u32,
+    pub out_until: Time,
+    pub out_span: Time,
+    /// Errors in a row for each event type, and until when it gets none of that type.
+    pub errors: Vec<(u32, Time)>,
+    /// Mean work launched at it of late, and the launches that a cold start's budget counts.
+    pub sent: Rate,
+    pub budget: VecDeque<(Time, f64)>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Copies {
+    #[default]
+    Unknown,
+    Ordered,
+    Standing,
+}
+
+/// A function's copies on one worker. A function has a seat for every worker, in the shared order.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seat {
+    pub wk: usize,
+    pub copies: Copies,
+    pub flight: u32,
+    pub pending: u32,
+    pub asked: bool,
+    /// Turned an event away as full: not again before this.
+    pub shut_until: Time,
+    /// Last sign that the copy's idle time began anew.
+    pub renewed: Time,
+    pub barred_until: Time,
+}
+
+#[derive(Default)]
+pub struct Function {
+    pub hash: u64,
+    pub live: bool,
+    pub typ: usize,
+    pub lanes: u32,
+    /// Smoothed own warm latency; 0 where there is none yet.
+    pub run: f64,
+    pub n: usize,
+    pub turn: usize,
+    pub rate: Rate,
+    pub last: Time,
+    pub events: u32,
+    pub seats: Vec<Seat>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum State {
+    Out,
+    /// Cancelled by us or late beyond patience: counted against its worker already.
+    Overdue,
+    Cancelled,
+    #[default]
+    ProvenNotRun,
+    MayHaveRun,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Launch {
+    pub wk: usize,
+    pub at: Time,
+    pub state: State,
+}
+
+#[derive(Default)]
+pub struct Evt {
+    pub arrival: Arrival,
+    pub came: Time,
+    pub over: bool,
+    pub streaming: bool,
+    pub waiting: bool,
+    /// Launches that followed a failure; the move after a miss is not one.
+    pub further: u32,
+    pub launches: [Launch; MOST_LAUNCHES],
+    pub count: usize,
+}
+
+impl Evt {
+    pub fn sent(&self) -> &[Launch] {
+        &self.launches[..self.count]
+    }
+
+    pub fn out(&self) -> usize {
+        self.sent().iter().filter(|l| is_out(l.state)).count()
+    }
+
+    pub fn proven_not_run(&self) -> bool {
+        self.sent().iter().all(|l| l.state == State::ProvenNotRun)
+    }
+}
+
+pub fn is_out(state: State) -> bool {
+    matches!(state, State::Out | State::Overdue | State::Cancelled)
+}
