--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,10 @@
     arrivals: VecDeque<Time>,
     arrived: Rate,
     strained: Rate,
+    loading: u32,
+    load: f64,
+    load_bound: f64,
+    load_cut: Time,
 }
 
 impl<H: Host> Choice<H> {
@@ -71,6 +75,10 @@
             arrivals,
             arrived,
             strained,
+            loading: 0,
+            load: 0.0,
+            load_bound: BOUND_START,
+            load_cut: 0,
         };
         for i in 0..choice.number("classes.count") as usize {
             let key = |name: &str| format!("classes.{i}.{name}");
@@ -226,8 +234,8 @@
         }
         // Starting the rotation by chance keeps gateways from marching in step.
         let (hash, turn) = (arrival.function_hash, self.chance.below(64) as usize);
-        let (typ, lanes) = (arrival.typ, arrival.lanes.max(1));
-        self.functions[f] = Function { hash, live: true, typ, lanes, turn, ..Function::default() };
+        let (typ, lanes, load) = (arrival.typ, arrival.lanes.max(1), arrival.load_hint as f64);
+        self.functions[f] = Function { hash, live: true, typ, lanes, load, turn, ..Function::default() };
         (0..self.workers.len()).for_each(|wk| self.seat(f, wk));
         self.ask(f);
     }
@@ -332,6 +340,9 @@
         if !self.is("extra.orders", "true") || !on || seat.pending > 0 || seat.barred_until > now {
             return false;
         }
+        if needed && f64::from(self.loading) >= self.load_bound {
+            return false;
+        }
         let window = self.span("extra.load-window-ms");
         if window > 0 {
             // Orders as old as the window still count, events must be younger: the safe way for both.
@@ -353,6 +364,7 @@
         }
         let seat = &mut self.functions[f].seats[s];
         seat.pending += 1;
+        self.loading += 1;
         if seat.copies == Copies::Unknown {
             seat.copies = Copies::Ordered;
         }
@@ -778,7 +790,7 @@
 
     pub fn reported(&mut self, _wk: usize, _report: &[(&str, f64)]) {}
 
-    pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, _took: Time, copies: u32) {
+    pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, took: Time, copies: u32) {
         let now = self.now;
         let Some(s) = self.seat_of(f, wk) else { return };
         let function = &mut self.functions[f];
@@ -793,7 +805,11 @@
             }
             return;
         }
-        seat.pending = seat.pending.saturating_sub(1);
+        if seat.pending > 0 {
+            seat.pending -= 1;
+            self.loading -= 1;
+        }
+        let usual_load = function.load;
         if copies > 0 {
             seat.copies = Copies::Standing;
         } else if seat.copies != Copies::Standing || outcome != Outcome::TimedOut {
@@ -803,6 +819,7 @@
             // No room or a failed load: the same order at once would fail again.
             seat.barred_until = now + SECOND / 2;
         }
+        self.loaded(outcome, took, usual_load);
         if matches!(outcome, Outcome::Reset | Outcome::NoConnection | Outcome::TimedOut) {
             self.failed(wk);
         }
@@ -811,6 +828,26 @@
         }
     }
 
+    /// Learning how many loads the shared store takes at once, as workers' bounds are learned: loads that take
+    /// twice their usual time or fail show that it is crowded. Guards against our own orders pushing it over.
+    fn loaded(&mut self, outcome: Outcome, took: Time, told: f64) {
+        if outcome == Outcome::Ok && took < 20 * MS {
+            return; // it stood
+        }
+        let usual = if told > 0.0 { told } else { self.load };
+        if outcome != Outcome::Ok || (usual > 0.0 && took as f64 > 2.0 * usual) {
+            if self.now > self.load_cut + SECOND / 2 {
+                self.load_bound = (self.load_bound.min(f64::from(self.loading + 1)) * 0.7).max(2.0);
+                self.load_cut = self.now;
+            }
+        } else {
+            self.load_bound = (self.load_bound + 1.0 / self.load_bound).min(BOUND_MOST);
+        }
+        if outcome == Outcome::Ok {
+            self.load = if self.load > 0.0 { smooth(self.load, took as f64) } else { took as f64 };
+        }
+    }
+
     pub fn probed(&mut self, _wk: usize, _outcome: Outcome, _took: Time) {}
 
     /// Peers have nothing to tell: every gateway acts alone.
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,6 +125,8 @@
     pub lanes: u32,
     /// Smoothed own warm latency; 0 where there is none yet.
     pub run: f64,
+    /// The usual time of a load, where it is told.
+    pub load: f64,
     pub n: usize,
     pub turn: usize,
     pub rate: Rate,
