--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,7 @@
     strained: Rate,
     loading: u32,
     load: f64,
+    load_strain: f64,
     load_bound: f64,
     load_cut: Time,
 }
@@ -77,6 +78,7 @@
             strained,
             loading: 0,
             load: 0.0,
+            load_strain: 1.0,
             load_bound: BOUND_START,
             load_cut: 0,
         };
@@ -834,17 +836,15 @@
         if outcome == Outcome::Ok && took < 20 * MS {
             return; // it stood
         }
-        let usual = if told > 0.0 { told } else { self.load };
-        if outcome != Outcome::Ok || (usual > 0.0 && took as f64 > 2.0 * usual) {
-            if self.now > self.load_cut + SECOND / 2 {
-                self.load_bound = (self.load_bound.min(f64::from(self.loading + 1)) * 0.7).max(2.0);
-                self.load_cut = self.now;
-            }
-        } else {
+        let (took, failed) = (took as f64, outcome != Outcome::Ok);
+        self.load = if self.load > 0.0 { self.load + (took - self.load) / 64.0 } else { took };
+        let ratio = took / if told > 0.0 { told } else { self.load };
+        self.load_strain = smooth(self.load_strain, if failed { 2.0 } else { ratio });
+        if self.load_strain < if self.overloaded() { 1.1 } else { 1.5 } {
             self.load_bound = (self.load_bound + 1.0 / self.load_bound).min(BOUND_MOST);
-        }
-        if outcome == Outcome::Ok {
-            self.load = if self.load > 0.0 { smooth(self.load, took as f64) } else { took as f64 };
+        } else if self.now > self.load_cut + SECOND / 2 {
+            self.load_bound = (self.load_bound.min(f64::from(self.loading + 1)) * 0.7).max(2.0);
+            self.load_cut = self.now;
         }
     }
 
