--- a/src/choice.rs
+++ b/src/choice.rs
@@ -390,7 +390,9 @@
         let function = &self.functions[f];
         let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
         // With copies that have no room it waits a quarter of the target time at most; then it is given up.
-        if crowded && now > came + self.types[arrival.typ].felt as Time / 8 {
+        if crowded
+            && now > came + self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 }
+        {
             self.strained.add(now, 1);
             return self.give_up(e);
         }
