--- a/src/choice.rs
+++ b/src/choice.rs
@@ -508,7 +508,7 @@
     /// it sends to a warm worker, at the fraction that the worker is warm by now at the least. The fall
     /// comes at `tip` times that; 0.4 of it leaves room for small machines, busy days and uneven gateways.
     fn cold_room(&self, wk: usize, typ: usize) -> bool {
-        const SHARE: f64 = 0.4;
+        const SHARE: f64 = 0.6;
         let w = &self.workers[wk];
         let Some(part) = self.cold_part(w) else { return true };
         let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
