--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -159,10 +159,11 @@
     assert_eq!(gw.cold_room(0, 0), room);
 }
 
-// A tenth of what is launched at a warm worker in a second: 10 of 1000 each over the two seconds counted.
-#[test_case(0.0, 1, true; "two fit at a fifth of the capacity")]
-#[test_case(0.0, 2, false; "three do not")]
-#[test_case(0.5, 3, true; "four at six tenths")]
+// Warm workers get 10 of 1000 a second; 0.6 of the fall multiple of 2.5 times the part of that which is warm.
+#[test_case(0.0, 2, true; "three fit at a fifth of the capacity")]
+#[test_case(0.0, 3, false; "four do not")]
+#[test_case(0.5, 8, true; "nine at six tenths")]
+#[test_case(0.5, 9, false; "ten do not")]
 fn a_cold_worker_gets_its_part(age: f64, sent: usize, room: bool) {
     let mut gw = gateway(3, &[]);
     gw.workers[0].listed.since = NOW - (age * 100_000.0) as Time - 1;
