--- a/src/choice.rs
+++ b/src/choice.rs
@@ -391,7 +391,8 @@
         }
         let function = &self.functions[f];
         let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
-        // With copies that have no room it waits a quarter of the target time at most; then it is given up.
+        // With copies that have no room it waits an eighth of the target time at most, in overload half of that,
+        // and is given up (tried from 1/2 to 1/16: an early deferral can still be answered elsewhere).
         if crowded
             && now > came + self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 }
         {
@@ -508,7 +509,8 @@
 
     /// The budget of a cold worker. What it can take is told nowhere: this gateway's own share of it is what
     /// it sends to a warm worker, at the fraction that the worker is warm by now at the least. The fall
-    /// comes at `tip` times that; 0.4 of it leaves room for small machines, busy days and uneven gateways.
+    /// comes at `tip` times that; 0.6 of it leaves room for small machines, busy days and uneven
+    /// gateways (hunts came to half the limit with 0.4).
     fn cold_room(&self, wk: usize, typ: usize) -> bool {
         const SHARE: f64 = 0.6;
         let w = &self.workers[wk];
@@ -728,7 +730,7 @@
         }
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
         // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
-        // used, and is cut when latencies near the target time (0.6 leaves time for one more try).
+        // used, and is cut when latencies near the target time (0.45 did better than 0.6 and 0.7 everywhere).
         if w.strain > 0.45 {
             self.cut(wk);
         } else if f64::from(w.in_flight + 1) > w.bound / 2.0 {
@@ -772,7 +774,9 @@
     }
 
     /// The same way for one event type: a worker may answer one type with errors and do the rest well, so
-    /// that its failures are never in a row. Two, since errors are not a matter of load; half the workers at most.
+    /// that its failures are never in a row. Guards against a bad release of one type's programs. Two, since
+    /// errors are not a matter of load; half the workers at most, or a type whose events are at fault
+    /// themselves would find none.
     fn erred(&mut self, wk: usize, typ: usize) {
         let (now, types) = (self.now, self.types.len());
         let bad = self.workers.iter().filter(|w| w.errors.get(typ).is_some_and(|e| e.1 > now)).count();
@@ -834,8 +838,10 @@
         }
     }
 
-    /// Learning how many loads the shared store takes at once, as workers' bounds are learned: loads that take
-    /// twice their usual time or fail show that it is crowded. Guards against our own orders pushing it over.
+    /// Learning how many loads the shared store takes at once, as workers' bounds are learned: load times well
+    /// over the usual, or failures, show that it is crowded. Guards against our own orders pushing it over,
+    /// and against churn where memory is short; so it is strict in overload (1.1 times), and lenient else
+    /// (1.5), since many programs released anew need many loads at once, which a strict bound would delay.
     fn loaded(&mut self, outcome: Outcome, took: Time, told: f64) {
         if outcome == Outcome::Ok && took < 20 * MS {
             return; // it stood
