--- a/src/choice.rs
+++ b/src/choice.rs
@@ -391,8 +391,8 @@
         }
         let function = &self.functions[f];
         let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
-        // With copies that have no room it waits an eighth of the target time at most, in overload half of that,
-        // and is given up (tried from 1/2 to 1/16: an early deferral can still be answered elsewhere).
+        // With copies that have no room it waits an eighth of the target time at most, in overload half of
+        // that, and is given up (tried from 1/2 to 1/16: an early deferral can still be answered elsewhere).
         if crowded
             && now > came + self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 }
         {
@@ -838,8 +838,8 @@
         }
     }
 
-    /// Learning how many loads the shared store takes at once, as workers' bounds are learned: load times well
-    /// over the usual, or failures, show that it is crowded. Guards against our own orders pushing it over,
+    /// Learning how many loads the shared store takes at once, as workers' bounds are learned: load times
+    /// well over the usual, or failures, show that it is crowded. Guards against our own orders pushing it over,
     /// and against churn where memory is short; so it is strict in overload (1.1 times), and lenient else
     /// (1.5), since many programs released anew need many loads at once, which a strict bound would delay.
     fn loaded(&mut self, outcome: Outcome, took: Time, told: f64) {
