--- a/src/choice.rs
+++ b/src/choice.rs
@@ -576,12 +576,12 @@
             self.functions[evt.arrival.function].rate.take_back(evt.came);
         }
         if harmless {
-            // Spread over half to all of a quarter of the target time, so that those deferred together do
-            // not come back together.
+            // Spread over half to all of a tenth of the target time, so that those deferred together do not
+            // come back together, and come in time (a quarter, and the longest allowed, did worse).
             let target = self.types[evt.arrival.typ].target;
             let told = self.is("allowed.retry-after", "true");
             let longest = if told { self.span("allowed.max-retry-after-ms") } else { 0 };
-            let wait = (target / 4).min(longest) as u32;
+            let wait = (target / 10).min(longest) as u32;
             let wait = wait / 2 + self.chance.below(wait / 2 + 1);
             self.host.defer(e, Time::from(wait));
         } else {
@@ -839,9 +839,9 @@
     }
 
     /// Learning how many loads the shared store takes at once, as workers' bounds are learned: load times
-    /// well over the usual, or failures, show that it is crowded. Guards against our own orders pushing it over,
-    /// and against churn where memory is short; so it is strict in overload (1.1 times), and lenient else
-    /// (1.5), since many programs released anew need many loads at once, which a strict bound would delay.
+    /// well over the usual, or failures, show that it is crowded. Guards against our own orders pushing it
+    /// over, and against churn where memory is short; so it is strict in overload (1.1 times), and lenient
+    /// else (1.5): many programs released anew need many loads at once, which a strict bound would delay.
     fn loaded(&mut self, outcome: Outcome, took: Time, told: f64) {
         if outcome == Outcome::Ok && took < 20 * MS {
             return; // it stood
