Overdue orders to load count against their worker, not against the store

Could harm a worker whose loads are all long; it is then left out for seconds only, three failures in a row.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -368,6 +368,7 @@
         }
         let seat = &mut self.functions[f].seats[s];
         seat.pending += 1;
+        (seat.ordered, seat.overdue) = (now, false);
         self.loading += 1;
         if seat.copies == Copies::Unknown {
             seat.copies = Copies::Ordered;
@@ -817,7 +818,7 @@
         }
         if seat.pending > 0 {
             seat.pending -= 1;
-            self.loading -= 1;
+            self.loading -= u32::from(!std::mem::take(&mut seat.overdue));
         }
         let usual_load = function.load;
         if copies > 0 {
@@ -884,6 +885,7 @@
         let slot = (self.now / SWEEP) as usize % slots;
         for f in (slot..self.functions.len()).step_by(slots) {
             if self.functions[f].live {
+                self.overdue(f);
                 self.scale(f, true);
                 self.forget(f);
             }
@@ -939,6 +941,25 @@
         }
     }
 
+    /// Orders that take four times the usual load time (a second at the least) are a failure of their worker
+    /// and no longer count against the store: a silent worker answers them only after the order's own time-out,
+    /// and a few of them would stop all loads elsewhere. Guards against silent, hanging and jammed workers;
+    /// where the whole store stands still, the limit of loads falls by failures as before.
+    fn overdue(&mut self, f: usize) {
+        let function = &self.functions[f];
+        let usual = if function.load > 0.0 { function.load } else { self.load };
+        let longest = ((4.0 * usual) as Time).max(SECOND);
+        for s in 0..self.functions[f].seats.len() {
+            let seat = &mut self.functions[f].seats[s];
+            if seat.pending > 0 && !seat.overdue && self.now > seat.ordered + longest {
+                (seat.overdue, seat.copies) = (true, Copies::Unknown);
+                let wk = seat.wk;
+                self.loading -= 1;
+                self.failed(wk);
+            }
+        }
+    }
+
     /// State stays bounded: a function that nothing asks for is forgotten when its copies have lapsed.
     fn forget(&mut self, f: usize) {
         let (now, keep) = (self.now, self.span("extra.stays-loaded-ms"));
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -320,6 +320,21 @@
     assert!(!gw.hold(0, 0, 1, true));
 }
 
+// lamphun's drawn day of released handlers: orders at a silent worker held all places for loads for ten seconds.
+#[test_case(999, 1, 0; "still in time")]
+#[test_case(1001, 0, 1; "overdue")]
+fn an_order_without_answer_does_not_hold_up_the_others(ms: Time, loading: u32, failures: u32) {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 0, 0);
+    let wk = at(&gw, 0, 0);
+    assert!(gw.hold(0, 0, 1, true));
+    gw.clock(NOW + ms * MS);
+    gw.overdue(0);
+    assert_eq!((gw.loading, gw.workers[wk].failures), (loading, failures));
+    gw.held(0, wk, Outcome::TimedOut, 0, 0);
+    assert_eq!(gw.loading, 0);
+}
+
 // ortak's first incident: clients left at half the target time, unannounced.
 #[test]
 fn clients_that_leave_early_shorten_what_is_aimed_at() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,6 +109,9 @@
     pub copies: Copies,
     pub flight: u32,
     pub pending: u32,
+    pub ordered: Time,
+    /// The pending order takes too long and no longer counts as a load.
+    pub overdue: bool,
     pub asked: bool,
     /// Turned an event away as full: not again before this.
     pub shut_until: Time,
