--- a/src/choice.rs
+++ b/src/choice.rs
@@ -941,8 +941,8 @@
         }
     }
 
-    /// Orders that take four times the usual load time (a second at the least) are a failure of their worker
-    /// and no longer count against the store: a silent worker answers them only after the order's own time-out,
+    /// An order that takes four times the usual load time (a second at the least) is a failure of its worker
+    /// and no longer counts against the store: a silent worker answers only after the order's own time-out,
     /// and a few of them would stop all loads elsewhere. Guards against silent, hanging and jammed workers;
     /// where the whole store stands still, the limit of loads falls by failures as before.
     fn overdue(&mut self, f: usize) {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -320,7 +320,7 @@
     assert!(!gw.hold(0, 0, 1, true));
 }
 
-// lamphun's drawn day of released handlers: orders at a silent worker held all places for loads for ten seconds.
+// lamphun's drawn day of released handlers: orders at a silent worker held all places for loads.
 #[test_case(999, 1, 0; "still in time")]
 #[test_case(1001, 0, 1; "overdue")]
 fn an_order_without_answer_does_not_hold_up_the_others(ms: Time, loading: u32, failures: u32) {
