No worker is left out for failures while the gateway sees overload

Cause: in overload good workers answer late three times in a row, a third of them was left out, and the rest took their load.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -759,15 +759,20 @@
 
     /// The users' way: a worker is judged by failures in a row. Late answers count, so that slow, hanging,
     /// silent and refusing workers are one symptom. After three it is left out, each time twice as long; it
-    /// comes back on trial. Never more than a third of the workers: beyond that the trouble is not theirs.
+    /// comes back on trial. Never more than a third of the workers, and none while the gateway sees overload:
+    /// then lateness is not theirs, and leaving workers out makes it worse.
     fn failed(&mut self, wk: usize) {
         const IN_A_ROW: u32 = 3; // chance makes two late answers in a row common, three rare
-        let now = self.now;
+        let (now, overloaded) = (self.now, self.overloaded());
         let all = self.workers.iter().filter(|w| w.listed.standing == Standing::On);
         let (count, out) = all.fold((0, 0), |(c, o), w| (c + 1, o + usize::from(w.out_until > now)));
         let w = &mut self.workers[wk];
-        w.failures += 1;
-        if w.out_until > now || (w.failures < IN_A_ROW && w.out_span == 0) || (out + 1) * 3 > count {
+        w.failures += u32::from(!overloaded);
+        if overloaded
+            || w.out_until > now
+            || (w.failures < IN_A_ROW && w.out_span == 0)
+            || (out + 1) * 3 > count
+        {
             return;
         }
         w.out_span = (w.out_span * 2).clamp(SECOND, 8 * SECOND);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -255,6 +255,15 @@
     assert_eq!(gw.trusted(0), !out);
 }
 
+// Overloaded days: late answers left out a third of workers that were only busy.
+#[test]
+fn in_overload_nobody_is_judged() {
+    let mut gw = gateway(4, &[]);
+    gw.strained.add(NOW, 10);
+    (0..3).for_each(|_| gw.failed(0));
+    assert_eq!((gw.workers[0].failures, gw.trusted(0)), (0, true));
+}
+
 #[test]
 fn a_third_of_the_workers_at_most_is_left_out() {
     let mut gw = gateway(6, &[]);
