--- a/src/choice.rs
+++ b/src/choice.rs
@@ -131,8 +131,6 @@
         self.now = self.now.max(now);
     }
 
-    // ---- the list of workers
-
     pub fn list(&mut self, entries: &[(usize, Listed)], whole: bool) {
         for wk in 0..self.workers.len() {
             if whole && !entries.iter().any(|e| e.0 == wk) {
@@ -195,8 +193,6 @@
         self.functions.get(f)?.seats.iter().position(|s| s.wk == wk)
     }
 
-    // ---- events
-
     /// The place that the next event will have.
     pub fn next_place(&self) -> usize {
         self.events.vacant_key()
@@ -869,8 +865,6 @@
     /// Peers have nothing to tell: every gateway acts alone.
     pub fn told(&mut self, _peer: u32, _bytes: &[u8]) {}
 
-    // ---- time
-
     pub fn timer(&mut self, token: u64) {
         if token == 1 {
             if self.is("discovery", "on_request") {
