A cold worker's budget is shared by all gateways, however many

Now: each gateway's share of a cold worker comes from work that warm workers did in the last two seconds, rounded by luck drawn at each start. Also guards against a burst of launches right after a gateway's restart. It could starve a cold worker where no warm one is left.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -147,7 +147,9 @@
             } else if known.standing != Standing::On || known.since < listed.since {
                 // New, restarted or back from the dead: nothing that was learned of it holds; it is empty.
                 let in_flight = self.workers[wk].in_flight;
-                self.workers[wk] = Worker { listed, in_flight, bound: BOUND_START, ..Worker::default() };
+                let luck = f64::from(self.chance.below(1000) + 1) / 1000.0;
+                self.workers[wk] =
+                    Worker { listed, in_flight, luck, bound: BOUND_START, ..Worker::default() };
                 (0..self.functions.len()).for_each(|f| self.seat(f, wk));
             }
         }
@@ -505,22 +507,24 @@
     }
 
     /// The budget of a cold worker. What it can take is told nowhere: this gateway's own share of it is what
-    /// it sends to a warm worker, at the fraction that the worker is warm by now at the least. The fall
-    /// comes at `tip` times that; 0.6 of it leaves room for small machines, busy days and uneven
-    /// gateways (hunts came to half the limit with 0.4).
+    /// warm workers do for it (not what it sends: in overload most of that is turned away), at the fraction
+    /// that the worker is warm by now at the least. The fall comes at `tip` times that; 0.6 of it leaves room
+    /// for small machines, busy days and uneven gateways. Among hundreds of gateways a share is far less than
+    /// one launch a window: each rounds it up or down by its luck, drawn once for a start, so that all
+    /// together launch what is due. One that just started knows no rates and launches none.
     fn cold_room(&self, wk: usize, typ: usize) -> bool {
         const SHARE: f64 = 0.6;
         let w = &self.workers[wk];
         let Some(part) = self.cold_part(w) else { return true };
         let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
-        let sent: Vec<f64> = self.workers.iter().filter(warm).map(|o| f64::from(o.sent.sum) / 2.0).collect();
-        let mean = sent.iter().sum::<f64>() / f64::max(sent.len() as f64, 1.0);
+        let sum =
+            |(n, work): (f64, f64), o: &Worker| (n + 1.0, work + f64::from(o.done.recent(self.now)) / 2.0);
+        let (count, work) = self.workers.iter().filter(warm).fold((0.0, 0.0), sum);
         let (weight, window) = (self.types[typ].run, self.span("rules.overload-for-ms"));
         let used: f64 = w.budget.iter().filter(|b| b.0 + window >= self.now).map(|b| b.1).sum();
         let share = SHARE * self.number("rules.tip-multiple") * part;
-        let room = share * mean * window as f64 / SECOND as f64;
-        // One launch a window is always safe.
-        used == 0.0 || used + weight <= room
+        let room = share * work / f64::max(count, 1.0) * window as f64 / SECOND as f64;
+        used + w.luck * weight <= room
     }
 
     /// How warm a worker is at the least, None when it is warm.
@@ -542,7 +546,6 @@
         evt.waiting = false;
         seat.flight += 1;
         w.in_flight += 1;
-        w.sent.add(now, weight as u32);
         if w.listed.since > 0 {
             while w.budget.front().is_some_and(|b| b.0 + window < now) {
                 w.budget.pop_front();
@@ -722,6 +725,7 @@
         typ.hint = smooth(typ.hint, arrival.hint as f64);
         let late = took > patience(typ, arrival);
         let w = &mut self.workers[wk];
+        w.done.add(now, typ.run as u32);
         if let Some(errors) = w.errors.get_mut(arrival.typ) {
             errors.0 = 0;
         }
@@ -862,7 +866,6 @@
 
     pub fn probed(&mut self, _wk: usize, _outcome: Outcome, _took: Time) {}
 
-    /// Peers have nothing to tell: every gateway acts alone.
     pub fn told(&mut self, _peer: u32, _bytes: &[u8]) {}
 
     pub fn timer(&mut self, token: u64) {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -150,13 +150,26 @@
     assert!(launches(&gw).is_empty() && holds(&gw) == 0);
 }
 
-#[test_case(0, true; "one a window is safe")]
-#[test_case(1, false; "no more while nothing is known of warm workers")]
-fn a_cold_worker_is_spared_after_a_restart_of_the_gateway(sent: usize, room: bool) {
-    let mut gw = gateway(2, &[]);
-    gw.workers[0].listed.since = NOW - 1;
-    gw.workers[0].budget.extend(vec![(NOW, 1000.0); sent]);
-    assert_eq!(gw.cold_room(0, 0), room);
+// The grown deployments: one launch a window at each of hundreds of gateways pushed cold workers over.
+#[test_case(300, 20_000, 10, 40; "hundreds send a part of one each")]
+#[test_case(300, 0, 0, 0; "those that know no rates send none")]
+fn all_gateways_together_spare_a_cold_worker(gateways: u64, sent: u32, least: usize, most: usize) {
+    let starts = (0..gateways).filter(|seed| {
+        let mut gw = Choice::new(Calls::default(), 0, *seed, settings(&[])).unwrap();
+        gw.clock(NOW);
+        gw.list(&[(0, Listed { since: NOW - 1, ..listed(0).1 }), listed(1)], true);
+        gw.workers[1].done.add(NOW, sent / 60);
+        gw.cold_room(0, 0)
+    });
+    assert!((least..=most).contains(&starts.count()));
+}
+
+#[test_case(1, true; "in the last two seconds")]
+#[test_case(3, false; "long ago: read without an addition since, it counted for ever")]
+fn work_done_counts_while_it_is_recent(seconds: Time, counts: bool) {
+    let mut gw = gateway(1, &[]);
+    gw.workers[0].done.add(NOW, 1000);
+    assert_eq!(gw.workers[0].done.recent(NOW + seconds * SECOND) > 0, counts);
 }
 
 // Warm workers get 10 of 1000 a second; 0.6 of the fall multiple of 2.5 times the part of that which is warm.
@@ -167,8 +180,9 @@
 fn a_cold_worker_gets_its_part(age: f64, sent: usize, room: bool) {
     let mut gw = gateway(3, &[]);
     gw.workers[0].listed.since = NOW - (age * 100_000.0) as Time - 1;
+    gw.workers[0].luck = 1.0;
     gw.workers[0].budget.extend(vec![(NOW, 1000.0); sent]);
-    (1..3).for_each(|wk| gw.workers[wk].sent.add(NOW, 20_000));
+    (1..3).for_each(|wk| gw.workers[wk].done.add(NOW, 20_000));
     assert_eq!(gw.cold_room(0, 0), room);
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,13 @@
         self.sum += n;
     }
 
+    /// The sum by now, where nothing was added for a while.
+    pub fn recent(&self, now: Time) -> u32 {
+        let (step, len) = (now / RATE_STEP, self.steps.len() as Time);
+        let gone = (self.at + 1..=step.min(self.at + len)).map(|s| self.steps[(s % len) as usize]);
+        self.sum - gone.sum::<u32>()
+    }
+
     pub fn take_back(&mut self, then: Time) {
         let (step, len) = (then / RATE_STEP, self.steps.len() as Time);
         let n = &mut self.steps[(step % len) as usize];
@@ -89,9 +96,11 @@
     pub out_span: Time,
     /// Errors in a row for each event type, and until when it gets none of that type.
     pub errors: Vec<(u32, Time)>,
-    /// Mean work launched at it of late, and the launches that a cold start's budget counts.
-    pub sent: Rate,
+    /// Mean work that it did of late, and the launches that a cold start's budget counts.
+    pub done: Rate,
     pub budget: VecDeque<(Time, f64)>,
+    /// Where between 0 and 1 this gateway rounds its share of a cold worker up.
+    pub luck: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
