Among many gateways: copies presumed, company counted into R, workers looked at

Cause, on the three grown deployments at full size: each gateway sees a function once in ten seconds, so own R and own events in flight say nothing. Changed, with 8 siblings and more: what is not known at the first n is presumed to stand until a miss says otherwise; R counts siblings' events by the company that own events met (Little's law, kept for each copy and summed over the first n, since n times one copy's company fed on itself); the next two of the rotation are probed, it moves on from the fuller one, a worker that leaves a probe unanswered for 20 ms is passed over, full workers add instances while few copies are missed, and events expected late are turned away by benefit; workers without room are passed over 4 s. Should also hold for gateways' restarts and hanging or jammed workers; where probes wait in line, busy workers look silent.

--- a/src/chance.rs
+++ b/src/chance.rs
@@ -19,3 +19,10 @@
         ((u64::from(self.draw()) * u64::from(n)) >> 32) as u32
     }
 }
+
+/// A fixed mixture of two hashes, the same everywhere.
+pub fn mix(a: u64, b: u64) -> u64 {
+    let x = (a ^ b.rotate_left(32)).wrapping_mul(0x9fb2_1c65_1e98_df25);
+    let x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    x ^ (x >> 29)
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,17 +4,16 @@
 //! `lapsed`, `timer`, `probed`, `held`, `told`. It acts by calling the `Host` of `src/host.rs` and knows no
 //! wire. Workers, functions and events come as small indices. The mechanism is that of docs/design.md; what
 //! departs from it is marked "Departure" here and explained there.
-use crate::chance::Chance;
+use crate::chance::{mix, Chance};
 use crate::host::{Arrival, Host, Listed, Outcome, Standing, Time};
+use crate::settings::{times_are_good, Named, Settings};
 use crate::state::*;
 use slab::Slab;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 const MS: Time = 10;
 const SECOND: Time = 10_000;
 
-pub type Settings = BTreeMap<String, String>;
-
 /// How often held events are looked at again and launches checked: well under any target time met, and
 /// coarse enough to cost little CPU.
 const SWEEP: Time = 10 * MS;
@@ -41,92 +40,74 @@
     arrivals: VecDeque<Time>,
     arrived: Rate,
     strained: Rate,
-    loading: u32,
-    load: f64,
-    load_strain: f64,
-    load_bound: f64,
-    load_cut: Time,
+    missed: f64,
+    /// Standard cores that a unit of rating stands for, as busy workers' answers show.
+    pace: f64,
+    told: Told,
 }
 
 impl<H: Host> Choice<H> {
     pub fn new(host: H, now: Time, seed: u64, settings: Settings) -> Result<Choice<H>, String> {
-        for (key, value) in settings.iter().filter(|s| s.0.ends_with("-ms")) {
-            for part in value.split(',') {
-                let good = part.parse().is_ok_and(|v: f64| (0.0..1e12).contains(&v));
-                good.then_some(()).ok_or_else(|| format!("{key}: '{part}' is not a time"))?;
-            }
-        }
-        let (chance, events) = (Chance::new(seed), Slab::new());
-        let (arrived, strained) = (Rate::default(), Rate::default());
-        let (workers, functions, types, tenants) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        let (waiting, orders, arrivals) = (VecDeque::new(), VecDeque::new(), VecDeque::new());
+        times_are_good(&settings)?;
         let mut choice = Choice {
             host,
             now,
             started: now,
-            chance,
+            chance: Chance::new(seed),
             settings,
-            types,
-            tenants,
-            workers,
-            functions,
-            events,
-            waiting,
-            orders,
-            arrivals,
-            arrived,
-            strained,
-            loading: 0,
-            load: 0.0,
-            load_strain: 1.0,
-            load_bound: BOUND_START,
-            load_cut: 0,
+            told: Told::default(),
+            types: Vec::new(),
+            tenants: Vec::new(),
+            workers: Vec::new(),
+            functions: Vec::new(),
+            events: Slab::new(),
+            waiting: VecDeque::new(),
+            orders: VecDeque::new(),
+            arrivals: VecDeque::new(),
+            arrived: Rate::default(),
+            strained: Rate::default(),
+            missed: 0.0,
+            pace: 1.0,
         };
-        for i in 0..choice.number("classes.count") as usize {
+        for i in 0..choice.settings.number("classes.count") as usize {
             let key = |name: &str| format!("classes.{i}.{name}");
-            let window = choice.span(&key("window-ms"));
-            let repeat = match choice.text(&key("semantics")) {
-                "read_like" => Repeat::Redeliverable,
-                "idempotency_key" => match choice.text(&key("group")) {
-                    "all" => Repeat::Keyed(Group::All, window),
-                    "zone" => Repeat::Keyed(Group::Zone, window),
-                    _ => Repeat::Keyed(Group::Cell, window),
-                },
-                _ => Repeat::AtMostOnce,
-            };
-            let (target, benefit) = (choice.span(&key("aim-ms")).max(1), choice.number(&key("worth")));
+            let repeat = choice.settings.repeat(i);
+            let (target, benefit) =
+                (choice.settings.span(&key("aim-ms")).max(1), choice.settings.number(&key("worth")));
             // The page's start: a tenth of the target time.
-            let (felt, run, late) = (target as f64, target as f64 / 10.0, choice.number(&key("late-worth")));
+            let (felt, run, late) =
+                (target as f64, target as f64 / 10.0, choice.settings.number(&key("late-worth")));
             choice.types.push(EventType { target, felt, benefit, late, repeat, run, hint: 0.0 });
         }
-        for i in 0..choice.number("tenants.count") as usize {
-            let quota = choice.number(&format!("tenants.{i}.quota-per-s"));
+        for i in 0..choice.settings.number("tenants.count") as usize {
+            let quota = choice.settings.number(&format!("tenants.{i}.quota-per-s"));
             choice.tenants.push(Tenant { quota, rate: Rate::default() });
         }
-        if choice.is("discovery", "on_request") {
+        let (keep, siblings) =
+            (choice.settings.span("extra.stays-loaded-ms"), choice.settings.number("siblings").max(1.0));
+        let many = siblings >= 8.0;
+        let told =
+            choice.settings.is("allowed.probes", "true") && !choice.settings.is("reporting.how", "none");
+        choice.told = Told {
+            siblings,
+            many,
+            looks: many && told,
+            // Siblings renew copies too: with S gateways a silence of S keep-alives here is one of a
+            // keep-alive at the copy; a minute at most, as popularity moves on.
+            keep: if many { (keep * siblings as Time).min(60 * SECOND).max(keep) } else { keep },
+            tick: choice.settings.span("tick-ms"),
+            orders: choice.settings.is("extra.orders", "true"),
+            on_miss: choice.settings.is("extra.if-cold", "miss"),
+            twice: choice.settings.is("allowed.may-duplicate", "true"),
+            most: (choice.settings.number("allowed.max-attempts") as usize).min(MOST_LAUNCHES),
+        };
+        if choice.settings.is("discovery", "on_request") {
             choice.host.follow(true);
         }
         choice.host.timer(SWEEP, 0);
         Ok(choice)
     }
 
-    fn text(&self, key: &str) -> &str {
-        self.settings.get(key).map_or("", String::as_str)
-    }
-
-    fn is(&self, key: &str, value: &str) -> bool {
-        self.text(key) == value
-    }
-
-    fn number(&self, key: &str) -> f64 {
-        self.text(key).parse().unwrap_or(0.0)
-    }
-
-    /// Milliseconds of the settings, rounded down: spans there are limits.
-    fn span(&self, key: &str) -> Time {
-        (self.number(key) * MS as f64).floor() as Time
-    }
-
     pub fn clock(&mut self, now: Time) {
         self.now = self.now.max(now);
     }
@@ -163,8 +144,8 @@
         }
     }
 
+    /// A subscription may have broken: asking anew is always allowed, at the next timer of its own.
     pub fn list_failed(&mut self) {
-        // A subscription may have broken: asking anew is always allowed, at the next timer of its own.
         self.host.timer(SECOND, 1);
     }
 
@@ -177,15 +158,11 @@
         }
         if let Some(s) = f.seats.iter_mut().find(|s| s.wk == wk) {
             // It started anew: empty.
-            *s = Seat { wk, flight: s.flight, pending: s.pending, ..Seat::default() };
+            *s = Seat { wk, flight: s.flight, pending: s.pending, copies: Copies::Absent, ..Seat::default() };
             return;
         }
         let (hash, workers) = (f.hash, &self.workers);
-        let weight = |h: u64| {
-            let x = (h ^ hash.rotate_left(32)).wrapping_mul(0x9fb2_1c65_1e98_df25);
-            let x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
-            (x ^ (x >> 29), h)
-        };
+        let weight = |h: u64| (mix(h, hash), h);
         let own = weight(workers[wk].listed.hash);
         let at = f.seats.partition_point(|s| weight(workers[s.wk].listed.hash) > own);
         f.seats.insert(at, Seat { wk, ..Seat::default() });
@@ -203,7 +180,7 @@
     pub fn arrive(&mut self, arrival: Arrival) {
         let (now, f) = (self.now, arrival.function);
         let e = self.events.insert(Evt { arrival, came: now, ..Evt::default() });
-        if self.span("extra.load-window-ms") > 0 {
+        if self.settings.span("extra.load-window-ms") > 0 {
             self.arrivals.push_back(now);
         }
         self.arrived.add(now, 1);
@@ -216,8 +193,7 @@
         // A try that ends before the next sweep could answer it, or before half its usual run is over, is
         // answered now: its launch would be wasted work. Guards against storms of late repeats, whatever
         // makes clients repeat; it could turn away an event that is far lighter than it looks.
-        let soonest =
-            (usual(&self.types[arrival.typ], &arrival) as Time / 2).max(SWEEP + 2 * self.span("tick-ms"));
+        let soonest = (usual(&self.types[arrival.typ], &arrival) as Time / 2).max(SWEEP + 2 * self.told.tick);
         if now + soonest >= arrival.gives_up {
             return self.give_up(e);
         }
@@ -234,25 +210,24 @@
         }
         // Starting the rotation by chance keeps gateways from marching in step.
         let (hash, turn) = (arrival.function_hash, self.chance.below(64) as usize);
-        let (typ, lanes, load) = (arrival.typ, arrival.lanes.max(1), arrival.load_hint as f64);
-        self.functions[f] = Function { hash, live: true, typ, lanes, load, turn, ..Function::default() };
+        let (typ, lanes) = (arrival.typ, arrival.lanes.max(1));
+        self.functions[f] = Function { hash, live: true, typ, lanes, turn, ..Function::default() };
         (0..self.workers.len()).for_each(|wk| self.seat(f, wk));
         self.ask(f);
     }
 
     /// Departure: a function unknown to this gateway may stand anywhere (after a restart of the gateway, at
-    /// its start, or by orders of its siblings). Asking costs what a probe costs and nothing of the ration,
-    /// so the first twelve of its order are asked once: siblings' copies stand at the head of the shared
-    /// order, and in large fleets asking everyone costs more than it finds (tried: all, 12, 8). Copies found
-    /// are used until the first n stand.
+    /// its start, or by orders of siblings). Asking costs nothing of the ration, so the first twelve of its
+    /// order are asked once (tried: all, 12, 8), and copies found are used until the first n stand. Among
+    /// many gateways copies are presumed instead: each sees a function rarely, and asks cost more than
+    /// events.
     fn ask(&mut self, f: usize) {
-        if !self.is("extra.orders", "true") {
+        if !self.told.orders || self.told.many {
             return;
         }
         for s in 0..self.functions[f].seats.len().min(12) {
             let wk = self.functions[f].seats[s].wk;
             if self.trusted(wk) {
-                self.functions[f].seats[s].asked = true;
                 self.host.hold(f, wk, 0);
             }
         }
@@ -277,15 +252,25 @@
         const ALPHA: f64 = 0.8; // the page's
         let (low, up) = self.bounds(f);
         let usable = self.usable(f).count();
-        let (now, started, keep) = (self.now, self.started, self.span("extra.stays-loaded-ms"));
+        let (now, started, keep, many) = (self.now, self.started, self.told.keep, self.told.many);
+        let heads = self.usable(f).take(self.functions[f].n);
+        let crowd: f64 = heads.map(|s| self.functions[f].seats[s].crowd).sum();
         let function = &mut self.functions[f];
-        let rate = per_second(function.rate.seen(now, started));
+        let mut rate = per_second(function.rate.seen(now, started));
+        if many && function.run > 0.0 {
+            // Departure: R of all gateways, by Little's law from the company that own events met at the first
+            // n; one less, which may be chance.
+            rate = rate.max((crowd - 1.0) * SECOND as f64 / function.run);
+        }
+        // With few own events a check counts only where an answer has come since the last release.
+        let check =
+            check && (!many || function.news && now > function.crowded + keep || now > function.last + keep);
         let n = function.n as f64;
         if rate > n * up {
             // On hosts that add no copies by themselves a worker may have to hold several (16 at most).
             function.n = ((rate / up).ceil() as usize).min(usable.max(1) * 4);
         } else if check && rate < ALPHA * n * low + (1.0 - ALPHA) * n * up && function.n > 1 {
-            function.n -= 1;
+            (function.n, function.news) = (function.n - 1, false);
         } else if check && function.n == 1 && now > function.last + keep {
             function.n = 0;
         }
@@ -295,43 +280,44 @@
     /// Seats on workers that may be used, in the shared order.
     fn usable(&self, f: usize) -> impl Iterator<Item = usize> + '_ {
         let seats = &self.functions[f].seats;
-        (0..seats.len()).filter(move |s| self.fit(f, seats[*s].wk))
+        (0..seats.len()).filter(move |s| self.open(&seats[*s]))
     }
 
-    /// Trusted as a worker, and for this function's event type.
-    fn fit(&self, f: usize, wk: usize) -> bool {
-        let of_type = self.workers[wk].errors.get(self.functions[f].typ);
-        self.trusted(wk) && of_type.is_none_or(|e| e.1 <= self.now)
+    /// Departure: among many gateways a worker without room for a copy is passed over for a while, and the
+    /// next of the order takes its place; each event would miss there once more.
+    fn open(&self, seat: &Seat) -> bool {
+        self.trusted(seat.wk)
+            && !(self.told.many && seat.barred_until > self.now && seat.copies == Copies::Absent)
     }
 
     fn trusted(&self, wk: usize) -> bool {
         self.workers[wk].listed.standing == Standing::On && self.workers[wk].out_until <= self.now
     }
 
-    /// A copy stands as far as is known: a sign of it is younger than the told least keep-alive.
+    /// A copy stands as far as is known: a sign of it is young enough.
     fn stands(&self, seat: &Seat) -> bool {
-        seat.copies == Copies::Standing
-            && (seat.flight > 0 || self.now < seat.renewed + self.span("extra.stays-loaded-ms"))
+        seat.copies == Copies::Standing && (seat.flight > 0 || self.now < seat.renewed + self.told.keep)
     }
 
     /// Hold orders: the first n are to have their copies, and copies in use are renewed.
     fn order(&mut self, f: usize) {
         let n = self.functions[f].n;
-        let usable = self.usable(f).count();
-        let (mut seen, mut s) = (0, 0);
-        while s < self.functions[f].seats.len() && seen < n.min(usable) {
+        let (heads, many, half) = (self.usable(f).take(n).count(), self.told.many, self.told.keep / 2);
+        let mut place = 0;
+        for s in 0..self.functions[f].seats.len() {
             let seat = self.functions[f].seats[s];
-            if self.fit(f, seat.wk) {
-                let copies = (n - seen).div_ceil(usable);
-                seen += 1;
-                // Half the keep-alive: one renewal lost still leaves time for another. Use renews by itself.
-                let half = self.span("extra.stays-loaded-ms") / 2;
-                let stale = self.now > seat.renewed + half && self.now < self.functions[f].last + half;
-                if seat.pending == 0 && (seat.copies == Copies::Unknown || stale) {
-                    self.hold(f, s, copies as u32, seat.copies == Copies::Unknown);
-                }
+            if place == heads || !self.open(&seat) {
+                continue;
+            }
+            let copies = (n - place).div_ceil(heads);
+            place += 1;
+            // Half the keep-alive: one renewal lost still leaves time for another. Use renews by itself.
+            let aged = self.now > seat.renewed + half && self.now < self.functions[f].last + half;
+            let unknown = seat.copies == Copies::Unknown && (place > 1 || !many);
+            let missing = unknown || seat.copies == Copies::Absent;
+            if seat.pending == 0 && (missing || aged && seat.copies == Copies::Standing) {
+                self.hold(f, s, copies as u32, missing);
             }
-            s += 1;
         }
     }
 
@@ -339,13 +325,10 @@
     fn hold(&mut self, f: usize, s: usize, copies: u32, needed: bool) -> bool {
         let (now, seat) = (self.now, self.functions[f].seats[s]);
         let on = self.workers[seat.wk].listed.standing == Standing::On;
-        if !self.is("extra.orders", "true") || !on || seat.pending > 0 || seat.barred_until > now {
-            return false;
-        }
-        if needed && f64::from(self.loading) >= self.load_bound {
+        if !self.told.orders || !on || seat.pending > 0 || seat.barred_until > now {
             return false;
         }
-        let window = self.span("extra.load-window-ms");
+        let window = self.settings.span("extra.load-window-ms");
         if window > 0 {
             // Orders as old as the window still count, events must be younger: the safe way for both.
             while self.orders.front().is_some_and(|t| t + window + 1 < now) {
@@ -355,8 +338,9 @@
                 self.arrivals.pop_front();
             }
             // Orders of a life before a restart may still count, so the free ones come only after a window.
-            let free = if now > self.started + window { self.number("extra.free-loads") } else { 0.0 };
-            let ration = free + self.number("extra.load-share") * self.arrivals.len() as f64;
+            let free =
+                if now > self.started + window { self.settings.number("extra.free-loads") } else { 0.0 };
+            let ration = free + self.settings.number("extra.load-share") * self.arrivals.len() as f64;
             // Renewals leave half the ration to copies that are missing.
             let ration = if needed { ration } else { ration / 2.0 };
             if (self.orders.len() + 1) as f64 > ration {
@@ -366,9 +350,7 @@
         }
         let seat = &mut self.functions[f].seats[s];
         seat.pending += 1;
-        (seat.ordered, seat.overdue) = (now, false);
-        self.loading += 1;
-        if seat.copies == Copies::Unknown {
+        if seat.copies != Copies::Standing {
             seat.copies = Copies::Ordered;
         }
         seat.renewed = now;
@@ -382,27 +364,87 @@
         let (arrival, came, out) = (self.events[e].arrival, self.events[e].came, self.events[e].out());
         let (f, now) = (arrival.function, self.now);
         let worth = self.worth(&arrival);
-        if let Some(s) = self.choose(f, e, worth) {
-            return self.launch(e, s);
+        if let Some((first, second, turn)) = self.choose(f, e, worth) {
+            if let Some(s) = self.look(f, e, first, second) {
+                self.functions[f].turn = turn;
+                return self.launch(e, s);
+            }
+            return self.wait(e);
         }
         if out > 0 {
             return;
         }
         let function = &self.functions[f];
         let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
+        let longest = self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 };
         // With copies that have no room it waits an eighth of the target time at most, in overload half of
         // that, and is given up (tried from 1/2 to 1/16: an early deferral can still be answered elsewhere).
-        if crowded
-            && now > came + self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 }
-        {
+        if crowded && now > came + longest {
             self.strained.add(now, 1);
             return self.give_up(e);
         }
+        self.wait(e);
+    }
+
+    fn wait(&mut self, e: usize) {
         if !std::mem::replace(&mut self.events[e].waiting, true) {
             self.waiting.push_back(e);
         }
     }
 
+    /// Departure: among many gateways own events in flight do not show how full a worker is, so the next two
+    /// of the rotation are probed, and it moves on where the next is clearly fuller. An answer holds for a
+    /// fifth of a second (reports are no newer); one that takes over 20 ms counts as full: silent and jammed
+    /// workers cost an event no more than that.
+    fn look(&mut self, f: usize, e: usize, first: usize, second: Option<usize>) -> Option<usize> {
+        if !self.told.looks {
+            return Some(first);
+        }
+        let mut wait = false;
+        for s in [Some(first), second].into_iter().flatten() {
+            let (now, wk) = (self.now, self.functions[f].seats[s].wk);
+            let w = &mut self.workers[wk];
+            if now < w.seen_at + LOOK_HOLDS {
+                continue;
+            }
+            if w.probe_at <= w.seen_at {
+                w.probe_at = now;
+                self.host.probe(wk);
+            }
+            wait |= now < self.workers[wk].probe_at + LOOK;
+        }
+        if wait {
+            let wk = |s: usize| self.functions[f].seats[s].wk;
+            self.events[e].looks = [wk(first), wk(second.unwrap_or(first))];
+            return None;
+        }
+        let load = |s: usize| self.expected(self.functions[f].typ, self.functions[f].seats[s].wk);
+        let on = second.filter(|s| load(first) > 1.5 * load(*s) + 0.1).unwrap_or(first);
+        // Departure: the bounds go by a copy alone; where the workers of the first n are full, R exceeds what
+        // they can do, and instances are added: up to three for an event, which waits a moment for those that
+        // stand already. Not while copies are missed: memory is short, and a load would push out another.
+        let (now, full) = (self.now, load(on) > FULL);
+        let evt = &mut self.events[e];
+        if full && evt.grown < 3 && self.missed < 0.1 {
+            (evt.grown, evt.grown_at) = (evt.grown + 1, now);
+            (self.functions[f].crowded, self.functions[f].n) = (now, self.functions[f].n + 1);
+            self.order(f);
+            return None;
+        }
+        (!full || now >= evt.grown_at + LOOK).then_some(on)
+    }
+
+    /// What a worker was seen to have in flight, as a part of an event's target time.
+    fn expected(&self, typ: usize, wk: usize) -> f64 {
+        let (w, typ) = (&self.workers[wk], &self.types[typ]);
+        let work = if typ.hint > 0.0 { typ.hint } else { typ.target as f64 / 10.0 };
+        if w.probe_at > w.seen_at && self.now >= w.probe_at + LOOK {
+            return 1e6;
+        }
+        let fresh = self.now < w.seen_at + LOOK_HOLDS;
+        f64::from(u8::from(fresh)) * w.seen * work / (self.pace * typ.felt)
+    }
+
     /// Benefit of an event from 0 to 1, against the most that any type brings; less beyond a tenant's share.
     fn worth(&mut self, arrival: &Arrival) -> f64 {
         let most = self.types.iter().fold(0.0, |m, t| t.benefit.max(m));
@@ -414,59 +456,71 @@
         }
         if let Some(t) = arrival.tenant {
             let rate = per_second(self.tenants[t].rate.seen(self.now, self.started));
-            if rate * self.number("siblings").max(1.0) > self.tenants[t].quota {
-                worth *= self.number("over-share-worth");
+            if rate * self.told.siblings > self.tenants[t].quota {
+                worth *= self.settings.number("over-share-worth");
             }
         }
         worth
     }
 
-    /// Rotates over the first n: the next one whose copy stands, with lanes and worker below their bounds.
-    fn choose(&mut self, f: usize, e: usize, worth: f64) -> Option<usize> {
-        let n = self.functions[f].n.max(1);
-        let usable = self.usable(f).count();
-        let turn = self.functions[f].turn;
-        let lanes = self.functions[f].lanes;
-        let (mut first, mut beyond) = (None::<(usize, usize)>, None);
-        let mut least = None::<(usize, f64)>;
-        let heads = n.min(usable).max(1);
-        let even = self.even_bound();
-        let mut place = 0;
+    /// Rotates over the first n: the next one whose copy stands, with lanes and worker below their bounds,
+    /// the one after it, and the turn that follows.
+    fn choose(&mut self, f: usize, e: usize, worth: f64) -> Option<(usize, Option<usize>, usize)> {
+        let Function { n, turn, lanes, typ, .. } = self.functions[f];
+        let n = n.max(1);
+        let heads = self.usable(f).take(n).count().max(1);
+        let (mut first, mut second) = (None::<(usize, usize)>, None::<(usize, usize)>);
+        let (mut beyond, mut least, mut place) = (None, None::<(usize, f64)>, 0);
+        let many = self.told.many;
+        let even = if many { f64::MAX } else { self.even_bound() };
         for s in 0..self.functions[f].seats.len() {
             let seat = self.functions[f].seats[s];
-            if !self.fit(f, seat.wk) {
+            if !self.open(&seat) {
                 continue;
             }
-            let (at, ready) = (place, self.stands(&seat) || !self.is("extra.if-cold", "miss"));
+            // Departure: among many gateways a copy of which nothing is known is presumed to stand, siblings
+            // use it; a miss costs a round trip, and then the page's order goes out.
+            let unknown = seat.copies == Copies::Unknown && self.events[e].count == 0;
+            let presumed = many && unknown && (place < heads || self.missed < 0.1);
+            let ready = presumed || self.stands(&seat) || !self.told.on_miss;
+            let at = place;
             place += 1;
+            if at >= heads.max(2) && first.is_some() {
+                break;
+            }
             if !ready || seat.shut_until > self.now || !self.may_launch(e, seat.wk) {
                 continue;
             }
             let w = &self.workers[seat.wk];
-            let own = lanes * n.saturating_sub(at).div_ceil(usable).max(1) as u32;
-            let load = f64::from(w.in_flight) / w.bound;
-            if seat.flight < own && load < 0.5 + 0.5 * worth && f64::from(w.in_flight) < even {
+            let own = lanes * if heads < n { n.saturating_sub(at).div_ceil(heads).max(1) as u32 } else { 1 };
+            let seen = if many { self.expected(typ, seat.wk) } else { 0.0 };
+            let load = if many { 0.0 } else { f64::from(w.in_flight) / w.bound };
+            let below = load < 0.5 + 0.5 * worth && f64::from(w.in_flight) < even;
+            if below && seen <= FULL && seat.flight < own {
                 // How far round from the turn it stands.
                 let round = (at + heads - turn % heads) % heads;
-                if at >= heads {
+                if at == 1 && heads == 1 && first.is_some() {
+                    second = Some((s, 1));
+                } else if at >= heads {
                     beyond = beyond.or(Some(s));
                 } else if first.is_none_or(|b| round < b.1) {
-                    first = Some((s, round));
+                    (first, second) = (Some((s, round)), first);
+                } else if second.is_none_or(|b| round < b.1) {
+                    second = Some((s, round));
                 }
             }
             // Departure: with all of the first n above their bounds, the event of most benefit may still go
             // to the least crowded; the others sooner find no room.
-            let crowd = load.max(f64::from(seat.flight) / f64::from(own) / 2.0);
+            let crowd = load.max(seen).max(f64::from(seat.flight) / f64::from(own) / 2.0);
             if at < heads && crowd < 0.6 + 0.5 * worth && least.is_none_or(|l| crowd < l.1) {
                 least = Some((s, crowd));
             }
         }
         if let Some((s, round)) = first {
-            self.functions[f].turn = turn % heads + round + 1;
-            return Some(s);
+            return Some((s, second.map(|b| b.0), turn % heads + round + 1));
         }
         // Departure: copies known to stand beyond the first n are used before the first n are overfilled.
-        beyond.or(least.map(|l| l.0))
+        beyond.or(least.map(|l| l.0)).map(|s| (s, None, turn))
     }
 
     /// Departure: the in-flight bound that the page leaves open also covers all functions of a worker
@@ -482,8 +536,8 @@
     fn may_launch(&self, e: usize, wk: usize) -> bool {
         let evt = &self.events[e];
         let w = &self.workers[wk];
-        let open = !evt.over && !evt.streaming && self.now + self.span("tick-ms") < evt.arrival.gives_up;
-        let alone = evt.out() == 0 || self.is("allowed.may-duplicate", "true");
+        let open = !evt.over && !evt.streaming && self.now + self.told.tick < evt.arrival.gives_up;
+        let alone = evt.out() == 0 || self.told.twice;
         // Not again to a worker that has it or has failed it; after a miss it may go back.
         let again = evt.sent().iter().any(|l| l.wk == wk && l.state != State::ProvenNotRun);
         if !open || !alone || again || w.listed.standing != Standing::On || self.launches_left(e) == 0 {
@@ -500,7 +554,7 @@
                     Group::Zone => o.listed.zone == w.listed.zone,
                     Group::Cell => o.listed.cell == w.listed.cell,
                 };
-                near && self.now + self.span("tick-ms") < l.at + window
+                near && self.now + self.told.tick < l.at + window
             }),
         };
         allowed && self.cold_room(wk, evt.arrival.typ)
@@ -517,31 +571,31 @@
         let w = &self.workers[wk];
         let Some(part) = self.cold_part(w) else { return true };
         let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
-        let sum =
-            |(n, work): (f64, f64), o: &Worker| (n + 1.0, work + f64::from(o.done.recent(self.now)) / 2.0);
-        let (count, work) = self.workers.iter().filter(warm).fold((0.0, 0.0), sum);
-        let (weight, window) = (self.types[typ].run, self.span("rules.overload-for-ms"));
+        let done = self.workers.iter().filter(warm).map(|o| f64::from(o.done.recent(self.now)) / 2.0);
+        let (count, work) = done.fold((0.0, 0.0), |(n, sum), w| (n + 1.0, sum + w));
+        let (weight, window) = (self.types[typ].run, self.settings.span("rules.overload-for-ms"));
         let used: f64 = w.budget.iter().filter(|b| b.0 + window >= self.now).map(|b| b.1).sum();
-        let share = SHARE * self.number("rules.tip-multiple") * part;
+        let share = SHARE * self.settings.number("rules.tip-multiple") * part;
         let room = share * work / f64::max(count, 1.0) * window as f64 / SECOND as f64;
         used + w.luck * weight <= room
     }
 
     /// How warm a worker is at the least, None when it is warm.
     fn cold_part(&self, w: &Worker) -> Option<f64> {
-        let (age, cold) = (self.now.saturating_sub(w.listed.since), self.span("rules.cold-ms"));
-        let from = self.number("rules.cold-from");
+        let (age, cold) = (self.now.saturating_sub(w.listed.since), self.settings.span("rules.cold-ms"));
+        let from = self.settings.number("rules.cold-from");
         (w.listed.since > 0 && age < cold).then(|| from + (1.0 - from) * age as f64 / cold as f64)
     }
 
     fn launch(&mut self, e: usize, s: usize) {
-        let (now, window) = (self.now, self.span("rules.overload-for-ms"));
+        let (now, window) = (self.now, self.settings.span("rules.overload-for-ms"));
         let evt = &mut self.events[e];
         let function = &mut self.functions[evt.arrival.function];
         let seat = &mut function.seats[s];
         let weight = self.types[evt.arrival.typ].run;
         let w = &mut self.workers[seat.wk];
-        evt.launches[evt.count] = Launch { wk: seat.wk, at: now, state: State::Out };
+        let seen = if now < w.seen_at + LOOK_HOLDS { w.seen } else { 0.0 };
+        evt.launches[evt.count] = Launch { wk: seat.wk, at: now, seen, state: State::Out };
         evt.count += 1;
         evt.waiting = false;
         seat.flight += 1;
@@ -561,7 +615,6 @@
 
     /// A final answer of our own, at once: a deferral where that is harmless, else a dead letter.
     fn give_up(&mut self, e: usize) {
-        let overloaded = self.overloaded();
         let evt = &mut self.events[e];
         if evt.over || evt.streaming {
             return;
@@ -570,17 +623,12 @@
             Repeat::Redeliverable | Repeat::Keyed(Group::All, _) => true,
             Repeat::Keyed(..) | Repeat::AtMostOnce => evt.proven_not_run(),
         };
-        // Departure: in overload R is of events taken on. One deferred unlaunched comes again as another,
-        // and retries would swell R so that failures buy copies (the page's own objection).
-        if evt.count == 0 && overloaded {
-            self.functions[evt.arrival.function].rate.take_back(evt.came);
-        }
         if harmless {
             // Spread over half to all of a tenth of the target time, so that those deferred together do not
             // come back together, and come in time (a quarter, and the longest allowed, did worse).
             let target = self.types[evt.arrival.typ].target;
-            let told = self.is("allowed.retry-after", "true");
-            let longest = if told { self.span("allowed.max-retry-after-ms") } else { 0 };
+            let told = self.settings.is("allowed.retry-after", "true");
+            let longest = if told { self.settings.span("allowed.max-retry-after-ms") } else { 0 };
             let wait = (target / 10).min(longest) as u32;
             let wait = wait / 2 + self.chance.below(wait / 2 + 1);
             self.host.defer(e, Time::from(wait));
@@ -593,20 +641,12 @@
     /// The event has its final answer: what is still out is called off.
     fn conclude(&mut self, e: usize) {
         let evt = &mut self.events[e];
-        if !std::mem::replace(&mut evt.over, true) {
-            let f = evt.arrival.function;
-            self.functions[f].events -= 1;
-        }
-        let evt = &mut self.events[e];
-        evt.waiting = false;
+        self.functions[evt.arrival.function].events -= u32::from(!evt.over);
+        (evt.over, evt.waiting) = (true, false);
         if !evt.streaming {
             self.call_off(e, MOST_LAUNCHES);
         }
-        self.release(e);
-    }
-
-    fn release(&mut self, e: usize) {
-        if self.events[e].over && self.events[e].out() == 0 {
+        if self.events[e].out() == 0 {
             self.events.remove(e);
             self.host.release(e);
         }
@@ -622,7 +662,10 @@
     fn call_off(&mut self, e: usize, but: usize) {
         for i in 0..self.events[e].count {
             let state = self.events[e].launches[i].state;
-            if i != but && matches!(state, State::Out | State::Overdue) && self.is("allowed.cancel", "true") {
+            if i != but
+                && matches!(state, State::Out | State::Overdue)
+                && self.settings.is("allowed.cancel", "true")
+            {
                 self.events[e].launches[i].state = State::Cancelled;
                 self.host.cancel(e, i);
             }
@@ -647,7 +690,7 @@
         if launch >= evt.count || !is_out(evt.launches[launch].state) {
             return;
         }
-        let Launch { wk, at, state } = evt.launches[launch];
+        let Launch { wk, at, state, seen } = evt.launches[launch];
         let proven = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Miss);
         evt.launches[launch].state = if proven { State::ProvenNotRun } else { State::MayHaveRun };
         let arrival = evt.arrival;
@@ -655,6 +698,18 @@
         self.workers[wk].in_flight -= 1;
         let s = self.seat_of(f, wk).expect("a launch that is out keeps its function's seat");
         self.functions[f].seats[s].flight -= 1;
+        if matches!(outcome, Outcome::Ok | Outcome::Full) {
+            let function = &mut self.functions[f];
+            let (seat, company) = (&mut function.seats[s], f64::from(note >> 3));
+            seat.crowd += (company - seat.crowd) / 2.0;
+            function.news = true;
+        }
+        self.missed += (f64::from(u8::from(outcome == Outcome::Miss)) - self.missed) / 32.0;
+        let alone = arrival.hint as f64;
+        if outcome == Outcome::Ok && seen > 0.0 && alone > 0.0 {
+            let pace = (seen * alone / took as f64).min(8.0);
+            self.pace += (pace - self.pace) / if pace > self.pace { 16.0 } else { 32.0 };
+        }
         match outcome {
             Outcome::Ok => self.answered(wk, s, &arrival, at, took, note & 7),
             Outcome::Miss => {
@@ -662,8 +717,8 @@
                 // the first n was only used because a copy was thought to stand there.
                 let head = self.usable(f).take(self.functions[f].n.max(1)).any(|h| h == s);
                 let seat = &mut self.functions[f].seats[s];
-                if seat.copies == Copies::Standing {
-                    seat.copies = Copies::Unknown;
+                if seat.copies != Copies::Ordered {
+                    seat.copies = Copies::Absent;
                 }
                 if head {
                     self.hold(f, s, 1, true);
@@ -675,13 +730,12 @@
                 self.functions[f].seats[s].shut_until = now + self.types[arrival.typ].run as Time / 2;
                 self.cut(wk);
             }
-            Outcome::Error => self.erred(wk, arrival.typ),
             Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
                 if state == State::Out {
                     self.failed(wk);
                 }
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Error | Outcome::Cancelled | Outcome::Moot => {}
         }
         let evt = &self.events[e];
         if over || evt.over {
@@ -706,8 +760,7 @@
     }
 
     fn launches_left(&self, e: usize) -> usize {
-        let most = self.number("allowed.max-attempts") as usize;
-        most.min(MOST_LAUNCHES).saturating_sub(self.events[e].count)
+        self.told.most.saturating_sub(self.events[e].count)
     }
 
     /// What a good answer teaches. `warm` is 1 where a copy stood, 0 where that is not told.
@@ -726,9 +779,6 @@
         let late = took > patience(typ, arrival);
         let w = &mut self.workers[wk];
         w.done.add(now, typ.run as u32);
-        if let Some(errors) = w.errors.get_mut(arrival.typ) {
-            errors.0 = 0;
-        }
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
         // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
         // used, and is cut when latencies near the target time (0.45 did better than 0.6 and 0.7 everywhere).
@@ -749,7 +799,7 @@
     /// Too much is in flight at this worker: a fifth less, once in a quarter second (a round of answers).
     fn cut(&mut self, wk: usize) {
         // Four in flight from all gateways together keep any worker busy, however slow it has become.
-        let (now, least) = (self.now, (4.0 / self.number("siblings").max(1.0)).max(1.0));
+        let (now, least) = (self.now, (4.0 / self.told.siblings).max(1.0));
         let w = &mut self.workers[wk];
         if now > w.cut_at + SECOND / 4 {
             w.bound = (w.bound.min(f64::from(w.in_flight + 1)) * 0.8).max(least);
@@ -768,109 +818,68 @@
         let (count, out) = all.fold((0, 0), |(c, o), w| (c + 1, o + usize::from(w.out_until > now)));
         let w = &mut self.workers[wk];
         w.failures += u32::from(!overloaded);
-        if overloaded
-            || w.out_until > now
-            || (w.failures < IN_A_ROW && w.out_span == 0)
-            || (out + 1) * 3 > count
-        {
-            return;
+        let chance = w.failures < IN_A_ROW && w.out_span == 0;
+        if !overloaded && !chance && w.out_until <= now && (out + 1) * 3 <= count {
+            w.out_span = (w.out_span * 2).clamp(SECOND, 8 * SECOND);
+            w.out_until = now + w.out_span;
         }
-        w.out_span = (w.out_span * 2).clamp(SECOND, 8 * SECOND);
-        w.out_until = now + w.out_span;
     }
 
-    /// The same way for one event type: a worker may answer one type with errors and do the rest well, so
-    /// that its failures are never in a row. Guards against a bad release of one type's programs. Two, since
-    /// errors are not a matter of load; half the workers at most, or a type whose events are at fault
-    /// themselves would find none.
-    fn erred(&mut self, wk: usize, typ: usize) {
-        let (now, types) = (self.now, self.types.len());
-        let bad = self.workers.iter().filter(|w| w.errors.get(typ).is_some_and(|e| e.1 > now)).count();
-        let count = self.workers.iter().filter(|w| w.listed.standing == Standing::On).count();
-        let w = &mut self.workers[wk];
-        w.errors.resize(types, (0, 0));
-        let (errors, until) = &mut w.errors[typ];
-        *errors += 1;
-        if *errors >= 2 && (bad + 1) * 2 <= count {
-            *until = now + (SECOND << (*errors - 2).min(3));
-        }
+    /// A tenth of the events found no room: more than chance, less than a jam.
+    fn overloaded(&self) -> bool {
+        self.strained.recent(self.now) * 10 > self.arrived.recent(self.now).max(20)
     }
 
-    fn overloaded(&mut self) -> bool {
-        let now = self.now;
-        self.arrived.turn(now);
-        self.strained.turn(now);
-        // A tenth of the events without room: more than chance, less than a jam.
-        self.strained.sum * 10 > self.arrived.sum.max(20)
+    /// A load report: events in flight and the part of its cores that is busy, 0 where they are not told.
+    pub fn reported(&mut self, wk: usize, in_flight: f64, busy: f64) {
+        let w = &mut self.workers[wk];
+        // Busy cores alone say little near one; by queueing theory so many are there.
+        let waits = busy / (1.05 - busy.min(1.0));
+        w.seen = if in_flight > 0.0 { in_flight / w.listed.rating.max(0.1) } else { waits };
+        w.seen_at = self.now;
     }
 
-    pub fn reported(&mut self, _wk: usize, _report: &[(&str, f64)]) {}
-
-    pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, took: Time, copies: u32) {
-        let now = self.now;
+    pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, copies: u32) {
+        let (now, many) = (self.now, self.told.many);
         let Some(s) = self.seat_of(f, wk) else { return };
         let function = &mut self.functions[f];
         let seat = &mut function.seats[s];
-        // An ask is answered at once, and only where nothing else is known does its answer count.
-        if std::mem::take(&mut seat.asked) {
-            if outcome == Outcome::Ok && copies > 0 {
-                (seat.copies, seat.renewed) = (Copies::Standing, now);
-            }
-            if !function.seats.iter().any(|s| s.asked) || copies > 0 {
-                self.look_again(Some(f));
-            }
-            return;
+        if outcome == Outcome::Ok && copies == 0 {
+            return; // the answer to an ask that found none
         }
-        if seat.pending > 0 {
-            seat.pending -= 1;
-            self.loading -= u32::from(!std::mem::take(&mut seat.overdue));
-        }
-        let usual_load = function.load;
+        seat.pending = seat.pending.saturating_sub(1);
         if copies > 0 {
-            seat.copies = Copies::Standing;
+            (seat.copies, seat.renewed) = (Copies::Standing, now);
         } else if seat.copies != Copies::Standing || outcome != Outcome::TimedOut {
-            seat.copies = Copies::Unknown;
+            seat.copies = Copies::Absent;
         }
         if outcome != Outcome::Ok {
             // No room or a failed load: the same order at once would fail again.
-            seat.barred_until = now + SECOND / 2;
+            seat.barred_until = now + if many { 4 * SECOND } else { SECOND / 2 };
         }
-        self.loaded(outcome, took, usual_load);
         if matches!(outcome, Outcome::Reset | Outcome::NoConnection | Outcome::TimedOut) {
             self.failed(wk);
         }
         if copies > 0 {
-            self.look_again(Some(f));
+            self.look_again(|evt| evt.arrival.function == f);
         }
     }
 
-    /// Learning how many loads the shared store takes at once, as workers' bounds are learned: load times
-    /// well over the usual, or failures, show that it is crowded. Guards against our own orders pushing it
-    /// over, and against churn where memory is short; so it is strict in overload (1.1 times), and lenient
-    /// else (1.5): many programs released anew need many loads at once, which a strict bound would delay.
-    fn loaded(&mut self, outcome: Outcome, took: Time, told: f64) {
-        if outcome == Outcome::Ok && took < 20 * MS {
-            return; // it stood
-        }
-        let (took, failed) = (took as f64, outcome != Outcome::Ok);
-        self.load = if self.load > 0.0 { self.load + (took - self.load) / 64.0 } else { took };
-        let ratio = took / if told > 0.0 { told } else { self.load };
-        self.load_strain = smooth(self.load_strain, if failed { 2.0 } else { ratio });
-        if self.load_strain < if self.overloaded() { 1.1 } else { 1.5 } {
-            self.load_bound = (self.load_bound + 1.0 / self.load_bound).min(BOUND_MOST);
-        } else if self.now > self.load_cut + SECOND / 2 {
-            self.load_bound = (self.load_bound.min(f64::from(self.loading + 1)) * 0.7).max(2.0);
-            self.load_cut = self.now;
+    pub fn probed(&mut self, wk: usize, outcome: Outcome) {
+        let w = &mut self.workers[wk];
+        (w.seen_at, w.probe_at) = (self.now, 0);
+        if outcome != Outcome::Ok {
+            w.seen = 1e6;
+            self.failed(wk);
         }
+        self.look_again(|evt| evt.looks.contains(&wk));
     }
 
-    pub fn probed(&mut self, _wk: usize, _outcome: Outcome, _took: Time) {}
-
     pub fn told(&mut self, _peer: u32, _bytes: &[u8]) {}
 
     pub fn timer(&mut self, token: u64) {
         if token == 1 {
-            if self.is("discovery", "on_request") {
+            if self.settings.is("discovery", "on_request") {
                 self.host.follow(true);
             }
             return;
@@ -881,13 +890,12 @@
                 self.check(e);
             }
         }
-        self.look_again(None);
+        self.look_again(|_| true);
         // Counts are checked once a second, the functions spread over the sweeps of it.
         let slots = (SECOND / SWEEP) as usize;
         let slot = (self.now / SWEEP) as usize % slots;
         for f in (slot..self.functions.len()).step_by(slots) {
             if self.functions[f].live {
-                self.overdue(f);
                 self.scale(f, true);
                 self.forget(f);
             }
@@ -895,13 +903,11 @@
     }
 
     /// Events that wait here, oldest first, are tried again.
-    fn look_again(&mut self, only: Option<usize>) {
+    fn look_again(&mut self, which: impl Fn(&Evt) -> bool) {
         for _ in 0..self.waiting.len() {
             let Some(e) = self.waiting.pop_front() else { return };
-            let Some(evt) = self.events.get_mut(e).filter(|evt| evt.waiting) else {
-                continue;
-            };
-            if only.is_some_and(|f| f != evt.arrival.function) {
+            let Some(evt) = self.events.get_mut(e).filter(|evt| evt.waiting) else { continue };
+            if !which(evt) {
                 self.waiting.push_back(e);
                 continue;
             }
@@ -919,14 +925,14 @@
             return;
         }
         // The last sweep before the client gives up is the last chance for an answer of our own.
-        if now + SWEEP + 2 * self.span("tick-ms") >= evt.arrival.gives_up {
+        if now + SWEEP + 2 * self.told.tick >= evt.arrival.gives_up {
             return self.give_up(e);
         }
         let typ = &self.types[evt.arrival.typ];
         let patience = patience(typ, &evt.arrival);
         let arrival = evt.arrival;
         for i in 0..self.events[e].count {
-            let Launch { wk, at, state } = self.events[e].launches[i];
+            let Launch { wk, at, state, .. } = self.events[e].launches[i];
             if state != State::Out || now <= at + patience {
                 continue;
             }
@@ -934,8 +940,8 @@
             self.failed(wk);
             // A further launch goes out beside the late one where that is allowed.
             let worth = self.worth(&arrival);
-            if self.is("allowed.may-duplicate", "true") && self.events[e].further < 2 && !self.overloaded() {
-                if let Some(s) = self.choose(arrival.function, e, worth) {
+            if self.told.twice && self.events[e].further < 2 && !self.overloaded() {
+                if let Some((s, ..)) = self.choose(arrival.function, e, worth) {
                     self.events[e].further += 1;
                     self.launch(e, s);
                 }
@@ -943,28 +949,9 @@
         }
     }
 
-    /// An order that takes four times the usual load time (a second at the least) is a failure of its worker
-    /// and no longer counts against the store: a silent worker answers only after the order's own time-out,
-    /// and a few of them would stop all loads elsewhere. Guards against silent, hanging and jammed workers;
-    /// where the whole store stands still, the limit of loads falls by failures as before.
-    fn overdue(&mut self, f: usize) {
-        let function = &self.functions[f];
-        let usual = if function.load > 0.0 { function.load } else { self.load };
-        let longest = ((4.0 * usual) as Time).max(SECOND);
-        for s in 0..self.functions[f].seats.len() {
-            let seat = &mut self.functions[f].seats[s];
-            if seat.pending > 0 && !seat.overdue && self.now > seat.ordered + longest {
-                (seat.overdue, seat.copies) = (true, Copies::Unknown);
-                let wk = seat.wk;
-                self.loading -= 1;
-                self.failed(wk);
-            }
-        }
-    }
-
     /// State stays bounded: a function that nothing asks for is forgotten when its copies have lapsed.
     fn forget(&mut self, f: usize) {
-        let (now, keep) = (self.now, self.span("extra.stays-loaded-ms"));
+        let (now, keep) = (self.now, self.told.keep);
         let function = &mut self.functions[f];
         let idle = function.events == 0 && function.seats.iter().all(|s| s.flight == 0 && s.pending == 0);
         if idle && function.n == 0 && now > function.last + 2 * keep {
@@ -980,6 +967,14 @@
 const BOUND_START: f64 = 8.0;
 const BOUND_MOST: f64 = 64.0;
 
+/// How long a probe's answer is waited for, several round trips between zones, and how long it holds.
+const LOOK: Time = 20 * MS;
+const LOOK_HOLDS: Time = 200 * MS;
+
+/// A worker that would take half an event's target time to get to it is full (tried on reports: the rest is
+/// its own run).
+const FULL: f64 = 0.5;
+
 /// Right after a start the time that there was counts, so that a restarted gateway sees its rates at once;
 /// half a second at the least, or the first few events would look like a flood.
 fn per_second((count, over): (f64, Time)) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,22 @@
 use crate::host::{Arrival, Listed, Time};
 use std::collections::VecDeque;
 
+/// Settings that every event asks for, read once: looking them up by name took most of the time at full size.
+#[derive(Default)]
+pub struct Told {
+    pub siblings: f64,
+    /// Departures for large fleets act with more gateways than this one's own rate and own events in flight
+    /// can speak for (the limit lies well between the fleets seen, of 3 and of 20 and more).
+    pub many: bool,
+    pub looks: bool,
+    pub keep: Time,
+    pub tick: Time,
+    pub orders: bool,
+    pub on_miss: bool,
+    pub twice: bool,
+    pub most: usize,
+}
+
 /// What may be done again once a launch may have run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Repeat {
@@ -66,14 +82,6 @@
         self.sum - gone.sum::<u32>()
     }
 
-    pub fn take_back(&mut self, then: Time) {
-        let (step, len) = (then / RATE_STEP, self.steps.len() as Time);
-        let n = &mut self.steps[(step % len) as usize];
-        if step + len > self.at && *n > 0 {
-            (*n, self.sum) = (*n - 1, self.sum - 1);
-        }
-    }
-
     /// How many there were, and over which part of the span since `started` they were counted.
     pub fn seen(&mut self, now: Time, started: Time) -> (f64, Time) {
         self.turn(now);
@@ -90,12 +98,14 @@
     /// Smoothed warm latency over the target time.
     pub strain: f64,
     pub cut_at: Time,
+    /// How full its last report showed it, when that came, and when a probe without answer went out.
+    pub seen: f64,
+    pub seen_at: Time,
+    pub probe_at: Time,
     /// Failures in a row, and how long it is left out for them.
     pub failures: u32,
     pub out_until: Time,
     pub out_span: Time,
-    /// Errors in a row for each event type, and until when it gets none of that type.
-    pub errors: Vec<(u32, Time)>,
     /// Mean work that it did of late, and the launches that a cold start's budget counts.
     pub done: Rate,
     pub budget: VecDeque<(Time, f64)>,
@@ -107,6 +117,7 @@
 pub enum Copies {
     #[default]
     Unknown,
+    Absent,
     Ordered,
     Standing,
 }
@@ -118,10 +129,8 @@
     pub copies: Copies,
     pub flight: u32,
     pub pending: u32,
-    pub ordered: Time,
-    /// The pending order takes too long and no longer counts as a load.
-    pub overdue: bool,
-    pub asked: bool,
+    /// Company that own events met there, smoothed.
+    pub crowd: f64,
     /// Turned an event away as full: not again before this.
     pub shut_until: Time,
     /// Last sign that the copy's idle time began anew.
@@ -137,8 +146,9 @@
     pub lanes: u32,
     /// Smoothed own warm latency; 0 where there is none yet.
     pub run: f64,
-    /// The usual time of a load, where it is told.
-    pub load: f64,
+    /// An answer came since the last release of a copy.
+    pub news: bool,
+    pub crowded: Time,
     pub n: usize,
     pub turn: usize,
     pub rate: Rate,
@@ -162,6 +172,8 @@
 pub struct Launch {
     pub wk: usize,
     pub at: Time,
+    /// How full the worker was seen to be.
+    pub seen: f64,
     pub state: State,
 }
 
@@ -172,6 +184,11 @@
     pub over: bool,
     pub streaming: bool,
     pub waiting: bool,
+    /// The workers whose probes it waits for.
+    pub looks: [usize; 2],
+    /// Instances added for it, and when last.
+    pub grown: u32,
+    pub grown_at: Time,
     /// Launches that followed a failure; the move after a miss is not one.
     pub further: u32,
     pub launches: [Launch; MOST_LAUNCHES],
