Own late answers count beside reports; looking for copies stays near the head

Now a worker's own answers of the last two seconds count beside its report, and copies are looked for at the first sixteen beyond the first n. A worker turned away as full counted as full for all functions: no difference. Turning away a fifth of the target time sooner: overload better, the rest worse, no difference in all; both dropped.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -96,7 +96,7 @@
             // keep-alive at the copy; a minute at most, as popularity moves on.
             keep: if many { (keep * siblings as Time).min(60 * SECOND).max(keep) } else { keep },
             tick: choice.settings.span("tick-ms"),
-            orders: choice.settings.is("extra.orders", "true"),
+            cold: (choice.settings.span("rules.cold-ms"), choice.settings.number("rules.cold-from")),
             on_miss: choice.settings.is("extra.if-cold", "miss"),
             twice: choice.settings.is("allowed.may-duplicate", "true"),
             most: (choice.settings.number("allowed.max-attempts") as usize).min(MOST_LAUNCHES),
@@ -222,7 +222,7 @@
     /// many gateways copies are presumed instead: each sees a function rarely, and asks cost more than
     /// events.
     fn ask(&mut self, f: usize) {
-        if !self.told.orders || self.told.many {
+        if !self.settings.is("extra.orders", "true") || self.told.many {
             return;
         }
         for s in 0..self.functions[f].seats.len().min(12) {
@@ -325,7 +325,7 @@
     fn hold(&mut self, f: usize, s: usize, copies: u32, needed: bool) -> bool {
         let (now, seat) = (self.now, self.functions[f].seats[s]);
         let on = self.workers[seat.wk].listed.standing == Standing::On;
-        if !self.told.orders || !on || seat.pending > 0 || seat.barred_until > now {
+        if !self.settings.is("extra.orders", "true") || !on || seat.pending > 0 || seat.barred_until > now {
             return false;
         }
         let window = self.settings.span("extra.load-window-ms");
@@ -369,24 +369,20 @@
                 self.functions[f].turn = turn;
                 return self.launch(e, s);
             }
-            return self.wait(e);
-        }
-        if out > 0 {
+        } else if out > 0 {
             return;
+        } else {
+            let function = &self.functions[f];
+            let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
+            // With copies that have no room it waits an eighth of the target time at most, in overload half
+            // of that, and is given up (tried from 1/2 to 1/16: an early deferral can still be answered
+            // elsewhere).
+            let longest = self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 };
+            if crowded && now > came + longest {
+                self.strained.add(now, 1);
+                return self.give_up(e);
+            }
         }
-        let function = &self.functions[f];
-        let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
-        let longest = self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 };
-        // With copies that have no room it waits an eighth of the target time at most, in overload half of
-        // that, and is given up (tried from 1/2 to 1/16: an early deferral can still be answered elsewhere).
-        if crowded && now > came + longest {
-            self.strained.add(now, 1);
-            return self.give_up(e);
-        }
-        self.wait(e);
-    }
-
-    fn wait(&mut self, e: usize) {
         if !std::mem::replace(&mut self.events[e].waiting, true) {
             self.waiting.push_back(e);
         }
@@ -442,7 +438,8 @@
             return 1e6;
         }
         let fresh = self.now < w.seen_at + LOOK_HOLDS;
-        f64::from(u8::from(fresh)) * w.seen * work / (self.pace * typ.felt)
+        let lately = if w.done.recent(self.now) > 0 { w.strain } else { 0.0 };
+        lately.max(f64::from(u8::from(fresh)) * w.seen * work / (self.pace * typ.felt))
     }
 
     /// Benefit of an event from 0 to 1, against the most that any type brings; less beyond a tenant's share.
@@ -485,7 +482,8 @@
             let ready = presumed || self.stands(&seat) || !self.told.on_miss;
             let at = place;
             place += 1;
-            if at >= heads.max(2) && first.is_some() {
+            // Copies beyond the first n stand near the head; looking further cost more CPU than it found.
+            if at >= heads.max(2) && (first.is_some() || beyond.is_some()) || at >= heads + 16 {
                 break;
             }
             if !ready || seat.shut_until > self.now || !self.may_launch(e, seat.wk) {
@@ -582,8 +580,8 @@
 
     /// How warm a worker is at the least, None when it is warm.
     fn cold_part(&self, w: &Worker) -> Option<f64> {
-        let (age, cold) = (self.now.saturating_sub(w.listed.since), self.settings.span("rules.cold-ms"));
-        let from = self.settings.number("rules.cold-from");
+        let age = self.now.saturating_sub(w.listed.since);
+        let (cold, from) = self.told.cold;
         (w.listed.since > 0 && age < cold).then(|| from + (1.0 - from) * age as f64 / cold as f64)
     }
 
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -160,6 +160,19 @@
     assert_eq!(gw.functions[0].n, n);
 }
 
+// lamphun's first incident at size: reports of busy cores did not show lines of events, own answers did.
+#[test_case(NOW, 1; "own answers of late count")]
+#[test_case(NOW - 3 * SECOND, 0; "old ones do not")]
+fn workers_whose_answers_took_long_are_moved_on_from(answered: Time, place: usize) {
+    let mut gw = gateway(4, &[("siblings", "300")]);
+    stand(&mut gw, 0, 2);
+    let home = at(&gw, 0, 0);
+    gw.workers[home].done.add(answered, 1000);
+    gw.workers[home].strain = 0.9;
+    arrive(&mut gw, 0);
+    assert_eq!(launches(&gw), [at(&gw, 0, place)]);
+}
+
 // Silent and hanging workers: each of hundreds of gateways lost an event to them before it could judge.
 #[test]
 fn a_worker_that_leaves_a_probe_unanswered_is_passed_over() {
