Company counts double while few copies are missed; full seats are no longer shut

Company now counts double while under a tenth of the launches miss; it could load needlessly where memory is about to run short.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -259,8 +259,10 @@
         let mut rate = per_second(function.rate.seen(now, started));
         if many && function.run > 0.0 {
             // Departure: R of all gateways, by Little's law from the company that own events met at the first
-            // n; one less, which may be chance.
-            rate = rate.max((crowd - 1.0) * SECOND as f64 / function.run);
+            // n; one less, which may be chance. Counted double while few copies are missed (tried: 1, 1.5, 2,
+            // 3): events wait for lanes long before all are taken, and there is memory for more.
+            let spare = if self.missed < 0.1 { 2.0 } else { 1.0 };
+            rate = rate.max((spare * crowd - 1.0) * SECOND as f64 / function.run);
         }
         // With few own events a check counts only where an answer has come since the last release.
         let check =
@@ -486,7 +488,7 @@
             if at >= heads.max(2) && (first.is_some() || beyond.is_some()) || at >= heads + 16 {
                 break;
             }
-            if !ready || seat.shut_until > self.now || !self.may_launch(e, seat.wk) {
+            if !ready || !self.may_launch(e, seat.wk) {
                 continue;
             }
             let w = &self.workers[seat.wk];
@@ -724,8 +726,6 @@
             }
             Outcome::Full => {
                 self.strained.add(now, 1);
-                // Neither the queue nor the memory of a full worker frees faster than events end.
-                self.functions[f].seats[s].shut_until = now + self.types[arrival.typ].run as Time / 2;
                 self.cut(wk);
             }
             Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,8 +132,6 @@
     pub pending: u32,
     /// Company that own events met there, smoothed.
     pub crowd: f64,
-    /// Turned an event away as full: not again before this.
-    pub shut_until: Time,
     /// Last sign that the copy's idle time began anew.
     pub renewed: Time,
     pub barred_until: Time,
