--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,9 +1,9 @@
 //! All decisions of the router, one instance for each gateway. How it is called: `new` with the host, the
 //! clock, a seed and the settings; then `clock` before each thing that happens, and one method for each of
 //! those: `list`, `list_failed`, `arrive` (after `next_place` named the event's place), `begun`, `ended`,
-//! `lapsed`, `timer`, `probed`, `held`, `told`. It acts by calling the `Host` of `src/host.rs` and knows no
-//! wire. Workers, functions and events come as small indices. The mechanism is that of docs/design.md; what
-//! departs from it is marked "Departure" here and explained there.
+//! `lapsed`, `timer`, `reported`, `probed`, `held`, `told`. It acts by calling the `Host` of `src/host.rs`
+//! and knows no wire. Workers, functions and events come as small indices. The mechanism is that of
+//! docs/design.md; what departs from it is marked "Departure" here and explained there.
 use crate::chance::{mix, Chance};
 use crate::host::{Arrival, Host, Listed, Outcome, Standing, Time};
 use crate::settings::{times_are_good, Named, Settings};
@@ -87,7 +87,7 @@
         }
         let (keep, siblings) =
             (choice.settings.span("extra.stays-loaded-ms"), choice.settings.number("siblings").max(1.0));
-        let many = siblings >= 8.0;
+        let many = siblings >= 8.0; // well between the fleets seen, of 3 and of 20 and more
         let told =
             choice.settings.is("allowed.probes", "true") && !choice.settings.is("reporting.how", "none");
         choice.told = Told {
@@ -397,7 +397,7 @@
     /// workers cost an event no more than that.
     fn look(&mut self, f: usize, e: usize, first: usize, second: Option<usize>) -> Option<usize> {
         if !self.told.looks || self.doubt > DOUBT {
-            self.doubt *= 0.99;
+            self.doubt *= 0.99; // halved in seventy events, then reports are tried again
             return Some(first);
         }
         let (now, typ, mut wait) = (self.now, self.functions[f].typ, false);
@@ -829,7 +829,7 @@
     /// A load report: events in flight and the part of its cores that is busy, 0 where they are not told.
     pub fn reported(&mut self, wk: usize, in_flight: f64, busy: f64) {
         let w = &mut self.workers[wk];
-        // Busy cores alone say little near one; by queueing theory so many are there.
+        // Busy cores alone say little near one; queueing theory has so many there (1.05: reports are noisy).
         let waits = busy / (1.05 - busy.min(1.0));
         w.seen = if in_flight > 0.0 { in_flight / w.listed.rating.max(0.1) } else { waits };
         w.seen_at = self.now;
