tidewall-net: sockets, deadlines and time behind one trait, on mio and in memory

Need: the gateway program must run the same code on real sockets and on a scripted network. Change: the Net and App traits, a hierarchical timer wheel for tenths of a millisecond, bounded buffers with back-pressure, one implementation on mio and one in memory with a clock of its own.

--- /dev/null
+++ b/crates/tidewall-net/src/lib.rs
@@ -0,0 +1,101 @@
+//! Sockets, buffers, deadlines and time behind one trait. Protocol code is an `App`: it is called for each
+//! thing that happens and acts through `Net`. `mio` carries it on real sockets, `memory` on a scripted
+//! network with a clock of its own, so that a failure found there is one of the shipped code.
+pub mod buffer;
+pub mod memory;
+pub mod mio;
+pub mod wheel;
+
+use std::io;
+use std::net::SocketAddr;
+
+/// A time or a span in whole tenths of a millisecond.
+pub type Time = u64;
+
+pub use wheel::Deadline;
+
+/// A connection. Its place is reused; the count in its upper half tells users of that place apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Conn(pub u64);
+
+impl Conn {
+    pub fn new(place: usize, count: u32) -> Conn {
+        Conn(place as u64 | u64::from(count) << 32)
+    }
+
+    pub fn place(self) -> usize {
+        (self.0 & 0xffff_ffff) as usize
+    }
+
+    pub fn count(self) -> u32 {
+        (self.0 >> 32) as u32
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listener(pub usize);
+
+/// A datagram socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Port(pub usize);
+
+/// Why a connection is over without our having closed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Never established: nobody listens there, or no descriptor was left. Nothing was sent.
+    Refused,
+    /// Never established within its time. Nothing was sent.
+    TimedOut,
+    /// Broke while it stood.
+    Reset,
+    /// The other end closed it.
+    Ended,
+}
+
+pub trait Net {
+    fn now(&self) -> Time;
+    /// How long the process has stood still in all (stopped, starved, or busy in one call): what happened in
+    /// such a time says nothing about others.
+    fn stood(&self) -> Time;
+    /// Fails where the address is taken or no descriptor is left.
+    fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)>;
+    fn unlisten(&mut self, listener: Listener);
+    /// Never fails at once: `App::connected` or `App::closed` follows.
+    fn connect(&mut self, to: SocketAddr, within: Time) -> Conn;
+    /// Takes the bytes whole, or none of them where the buffer's bound would be passed: then `App::drained`
+    /// follows when it is empty again. False also where the connection is gone.
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool;
+    /// Bytes taken that have not left this process.
+    fn unsent(&self, conn: Conn) -> usize;
+    /// Stops or resumes reading, so that the peer is held back by its own buffers.
+    fn pause(&mut self, conn: Conn, on: bool);
+    /// Closes when all that was taken has left. Nothing more is heard of the connection.
+    fn close(&mut self, conn: Conn);
+    /// Closes at once by a reset; what has not left is lost. Nothing more is heard of the connection.
+    fn reset(&mut self, conn: Conn);
+    fn bind(&mut self, at: SocketAddr) -> io::Result<(Port, SocketAddr)>;
+    /// Datagrams may be lost, without a word.
+    fn send(&mut self, port: Port, to: SocketAddr, bytes: &[u8]);
+    /// `App::due` follows with this token, not before that time.
+    fn set(&mut self, at: Time, token: u64) -> Deadline;
+    /// A deadline that is over is passed by.
+    fn clear(&mut self, deadline: Deadline);
+    fn stop(&mut self);
+}
+
+/// What can happen. After `Net::close` or `Net::reset` nothing more happens to that connection.
+pub trait App {
+    type Net: Net;
+
+    fn net(&mut self) -> &mut Self::Net;
+    fn accepted(&mut self, listener: Listener, conn: Conn, from: SocketAddr);
+    fn connected(&mut self, conn: Conn);
+    /// Gives back how many of the bytes it has used; the rest comes again with what follows. Using none of a
+    /// full buffer (`buffer::READ_MOST`) ends the connection.
+    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize;
+    fn drained(&mut self, conn: Conn);
+    fn closed(&mut self, conn: Conn, why: Why);
+    fn datagram(&mut self, _port: Port, _from: SocketAddr, _bytes: &[u8]) {}
+    fn due(&mut self, token: u64);
+    fn signal(&mut self, _signal: i32) {}
+}
--- /dev/null
+++ b/crates/tidewall-net/src/memory.rs
@@ -0,0 +1,459 @@
+//! The trait in memory: one world of nodes with a clock of its own. Everything that happens is ordered by
+//! time and then by the order of its cause, so a run is the same every time. Bytes may be handed over in
+//! pieces of any size; nodes can stand still, die, or stop reading.
+use crate::buffer::{Buffer, READ_MOST, WRITE_MOST};
+use crate::wheel::{Deadline, Wheel};
+use crate::{App, Conn, Listener, Net, Port, Time, Why};
+use slab::Slab;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What is on its way. It is private: apps see one method for each.
+enum Way {
+    Knock { end: usize, count: u32, to: SocketAddr },
+    Opened { end: usize, count: u32 },
+    Late { end: usize, count: u32 },
+    Bytes { end: usize, count: u32 },
+    Over { end: usize, count: u32, why: Why },
+    Datagram { to: SocketAddr, from: SocketAddr, bytes: Vec<u8> },
+}
+
+struct End {
+    node: usize,
+    count: u32,
+    from: SocketAddr,
+    /// The other end, once accepted.
+    other: Option<(usize, u32)>,
+    open: bool,
+    /// Sent by the other end and not yet read here, then what the app has not used.
+    inbox: Buffer,
+    read: Buffer,
+    /// Taken from the app and not yet at the other end.
+    write: Buffer,
+    paused: bool,
+    owed: bool,
+    closing: bool,
+}
+
+#[derive(Default)]
+struct Node {
+    wheel: Wheel,
+    dead: bool,
+    still: Option<Time>,
+    stood: Time,
+    backlog: VecDeque<Way>,
+}
+
+pub struct World {
+    now: Time,
+    order: u64,
+    ways: BTreeMap<(Time, u64), Way>,
+    ends: Slab<End>,
+    count: u32,
+    listeners: Vec<Option<(usize, SocketAddr)>>,
+    ports: Vec<(usize, SocketAddr)>,
+    nodes: Vec<Node>,
+    /// How long anything takes to get across.
+    pub delay: Time,
+    /// Bytes are handed over in pieces of this many; 0 for all that there are.
+    pub piece: usize,
+    next_port: u16,
+}
+
+/// One node's hand on the world.
+#[derive(Clone)]
+pub struct Memory {
+    world: Rc<RefCell<World>>,
+    node: usize,
+}
+
+pub fn world() -> Rc<RefCell<World>> {
+    Rc::new(RefCell::new(World {
+        now: 1,
+        order: 0,
+        ways: BTreeMap::new(),
+        ends: Slab::new(),
+        count: 0,
+        listeners: Vec::new(),
+        ports: Vec::new(),
+        nodes: Vec::new(),
+        delay: 2,
+        piece: 0,
+        next_port: 20_000,
+    }))
+}
+
+impl World {
+    fn send(&mut self, wait: Time, way: Way) {
+        self.order += 1;
+        self.ways.insert((self.now + wait, self.order), way);
+    }
+
+    fn end(&mut self, conn: Conn) -> Option<&mut End> {
+        self.ends.get_mut(conn.place()).filter(|e| e.count == conn.count())
+    }
+
+    fn add(&mut self, node: usize, from: SocketAddr, other: Option<(usize, u32)>) -> Conn {
+        self.count += 1;
+        let place = self.ends.insert(End {
+            node,
+            count: self.count,
+            from,
+            other,
+            open: other.is_some(),
+            inbox: Buffer::default(),
+            read: Buffer::default(),
+            write: Buffer::default(),
+            paused: false,
+            owed: false,
+            closing: false,
+        });
+        Conn::new(place, self.count)
+    }
+
+    /// The end is gone; the other one hears of it after a while.
+    fn drop_end(&mut self, conn: Conn, why: Why) {
+        if self.end(conn).is_some() {
+            let end = self.ends.remove(conn.place());
+            if let Some((other, count)) = end.other {
+                let delay = self.delay;
+                self.send(delay, Way::Over { end: other, count, why });
+            }
+        }
+    }
+
+    /// Moves what was written towards the other end, as far as that one takes it.
+    fn push(&mut self, conn: Conn) {
+        let Some(end) = self.end(conn) else { return };
+        let Some((other, count)) = end.other.filter(|_| end.open && !end.write.is_empty()) else { return };
+        let bytes = end.write.data().to_vec();
+        let delay = self.delay;
+        let Some(to) = self.ends.get_mut(other).filter(|e| e.count == count) else { return };
+        let room = READ_MOST.saturating_sub(to.inbox.len());
+        let taken = bytes.len().min(room);
+        to.inbox.push(&bytes[..taken]);
+        if taken > 0 {
+            self.send(delay, Way::Bytes { end: other, count });
+        }
+        if let Some(end) = self.end(conn) {
+            end.write.used(taken);
+        }
+    }
+}
+
+impl Memory {
+    pub fn join(world: &Rc<RefCell<World>>) -> Memory {
+        let mut w = world.borrow_mut();
+        w.nodes.push(Node::default());
+        Memory { world: world.clone(), node: w.nodes.len() - 1 }
+    }
+
+    /// All its connections break and it hears of nothing any more.
+    pub fn kill(&self) {
+        let mut w = self.world.borrow_mut();
+        w.nodes[self.node].dead = true;
+        let node = self.node;
+        w.listeners.iter_mut().filter(|l| l.is_some_and(|l| l.0 == node)).for_each(|l| *l = None);
+        let gone: Vec<Conn> =
+            w.ends.iter().filter(|e| e.1.node == node).map(|e| Conn::new(e.0, e.1.count)).collect();
+        gone.into_iter().for_each(|conn| w.drop_end(conn, Why::Reset));
+    }
+
+    /// It stands still: what happens meanwhile is found all at once when it goes on.
+    pub fn still(&self, on: bool) {
+        let mut w = self.world.borrow_mut();
+        let now = w.now;
+        let node = &mut w.nodes[self.node];
+        if on {
+            node.still = Some(now);
+        } else if let Some(since) = node.still.take() {
+            node.stood += now - since;
+            let backlog = std::mem::take(&mut node.backlog);
+            backlog.into_iter().for_each(|way| w.send(0, way));
+        }
+    }
+
+    /// Breaks a connection of this node, for both ends.
+    pub fn cut(&self, conn: Conn) {
+        let mut w = self.world.borrow_mut();
+        let count = conn.count();
+        w.send(0, Way::Over { end: conn.place(), count, why: Why::Reset });
+        let other = w.end(conn).and_then(|e| e.other);
+        if let Some((end, count)) = other {
+            w.send(0, Way::Over { end, count, why: Why::Reset });
+        }
+    }
+}
+
+impl Net for Memory {
+    fn now(&self) -> Time {
+        self.world.borrow().now
+    }
+
+    fn stood(&self) -> Time {
+        self.world.borrow().nodes[self.node].stood
+    }
+
+    fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)> {
+        let mut w = self.world.borrow_mut();
+        let mut at = at;
+        if at.port() == 0 {
+            w.next_port += 1;
+            at.set_port(w.next_port);
+        }
+        if w.listeners.iter().flatten().any(|l| l.1 == at) {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let node = self.node;
+        w.listeners.push(Some((node, at)));
+        Ok((Listener(w.listeners.len() - 1), at))
+    }
+
+    fn unlisten(&mut self, listener: Listener) {
+        self.world.borrow_mut().listeners[listener.0] = None;
+    }
+
+    fn connect(&mut self, to: SocketAddr, within: Time) -> Conn {
+        let mut w = self.world.borrow_mut();
+        let conn = w.add(self.node, to, None);
+        let (end, count, delay) = (conn.place(), conn.count(), w.delay);
+        w.send(delay, Way::Knock { end, count, to });
+        w.send(within, Way::Late { end, count });
+        conn
+    }
+
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool {
+        let mut w = self.world.borrow_mut();
+        let Some(end) = w.end(conn).filter(|e| !e.closing) else { return false };
+        if end.write.len() + bytes.len() > WRITE_MOST {
+            end.owed = true;
+            return false;
+        }
+        end.write.push(bytes);
+        w.push(conn);
+        true
+    }
+
+    fn unsent(&self, conn: Conn) -> usize {
+        self.world.borrow_mut().end(conn).map_or(0, |e| e.write.len())
+    }
+
+    fn pause(&mut self, conn: Conn, on: bool) {
+        let mut w = self.world.borrow_mut();
+        let Some(end) = w.end(conn) else { return };
+        end.paused = on;
+        let (end, count) = (conn.place(), conn.count());
+        w.send(0, Way::Bytes { end, count });
+    }
+
+    fn close(&mut self, conn: Conn) {
+        let mut w = self.world.borrow_mut();
+        let Some(end) = w.end(conn) else { return };
+        end.closing = true;
+        if end.write.is_empty() || end.other.is_none() {
+            w.drop_end(conn, Why::Ended);
+        }
+    }
+
+    fn reset(&mut self, conn: Conn) {
+        self.world.borrow_mut().drop_end(conn, Why::Reset);
+    }
+
+    fn bind(&mut self, at: SocketAddr) -> io::Result<(Port, SocketAddr)> {
+        let mut w = self.world.borrow_mut();
+        let mut at = at;
+        if at.port() == 0 {
+            w.next_port += 1;
+            at.set_port(w.next_port);
+        }
+        let node = self.node;
+        w.ports.push((node, at));
+        Ok((Port(w.ports.len() - 1), at))
+    }
+
+    fn send(&mut self, port: Port, to: SocketAddr, bytes: &[u8]) {
+        let mut w = self.world.borrow_mut();
+        let (from, delay) = (w.ports[port.0].1, w.delay);
+        w.send(delay, Way::Datagram { to, from, bytes: bytes.to_vec() });
+    }
+
+    fn set(&mut self, at: Time, token: u64) -> Deadline {
+        let mut w = self.world.borrow_mut();
+        let at = at.max(w.now);
+        w.nodes[self.node].wheel.insert(at, token)
+    }
+
+    fn clear(&mut self, deadline: Deadline) {
+        self.world.borrow_mut().nodes[self.node].wheel.cancel(deadline);
+    }
+
+    fn stop(&mut self) {
+        self.world.borrow_mut().nodes[self.node].dead = true;
+    }
+}
+
+pub type Apps<'a, 'b> = &'a mut [&'b mut dyn App<Net = Memory>];
+
+/// Lets one thing happen, if any happens by `until`; apps stand in the order in which their nets joined.
+pub fn step(world: &Rc<RefCell<World>>, apps: Apps, until: Time) -> bool {
+    let mut w = world.borrow_mut();
+    let way = w.ways.first_key_value().map(|e| e.0 .0);
+    let live = |n: &Node| !n.dead && n.still.is_none();
+    let due = w.nodes.iter().enumerate().filter(|n| live(n.1)).filter_map(|n| Some((n.1.wheel.next()?, n.0)));
+    let due = due.min();
+    // Bytes go before timers of the same moment, as on sockets.
+    if way.is_some_and(|at| at <= until && due.is_none_or(|d| at <= d.0)) {
+        let ((at, _), way) = w.ways.pop_first().expect("it was there");
+        w.now = w.now.max(at);
+        drop(w);
+        happen(world, apps, way);
+        return true;
+    }
+    if let Some((at, node)) = due.filter(|d| d.0 <= until) {
+        w.now = w.now.max(at);
+        let now = w.now;
+        let token = w.nodes[node].wheel.pop(now);
+        drop(w);
+        if let Some(token) = token {
+            apps[node].due(token);
+        }
+        return true;
+    }
+    w.now = w.now.max(until);
+    false
+}
+
+/// Runs all that happens by `until`.
+pub fn run(world: &Rc<RefCell<World>>, apps: Apps, until: Time) {
+    while step(world, apps, until) {}
+}
+
+fn happen(world: &Rc<RefCell<World>>, apps: Apps, way: Way) {
+    let mut w = world.borrow_mut();
+    let node = match &way {
+        Way::Knock { to, .. } => w.listeners.iter().flatten().find(|l| l.1 == *to).map(|l| l.0),
+        Way::Datagram { to, .. } => w.ports.iter().find(|p| p.1 == *to).map(|p| p.0),
+        Way::Opened { end, count }
+        | Way::Late { end, count }
+        | Way::Bytes { end, count }
+        | Way::Over { end, count, .. } => w.ends.get(*end).filter(|e| e.count == *count).map(|e| e.node),
+    };
+    if let Some(node) = node {
+        if w.nodes[node].dead {
+            return;
+        }
+        // The system answers a knock even where the process stands still; the rest waits.
+        if w.nodes[node].still.is_some() && !matches!(way, Way::Late { .. }) {
+            w.nodes[node].backlog.push_back(way);
+            return;
+        }
+    }
+    let delay = w.delay;
+    match way {
+        Way::Knock { end, count, to } => {
+            let place = w.listeners.iter().position(|l| l.is_some_and(|l| l.1 == to));
+            let (Some(node), Some(place)) = (node, place) else {
+                return w.send(delay, Way::Over { end, count, why: Why::Refused });
+            };
+            if w.ends.get(end).is_none_or(|e| e.count != count) {
+                return;
+            }
+            let from = w.ends[end].from;
+            let conn = w.add(node, from, Some((end, count)));
+            w.ends[end].other = Some((conn.place(), conn.count()));
+            w.send(delay, Way::Opened { end, count });
+            drop(w);
+            apps[node].accepted(Listener(place), conn, from);
+        }
+        Way::Opened { end, count } => {
+            let Some(node) = node else { return };
+            w.ends[end].open = true;
+            drop(w);
+            let conn = Conn::new(end, count);
+            apps[node].connected(conn);
+            world.borrow_mut().push(conn);
+        }
+        Way::Late { end, count } => {
+            let Some(node) = node.filter(|_| !w.ends[end].open) else { return };
+            let conn = Conn::new(end, count);
+            w.drop_end(conn, Why::Ended);
+            drop(w);
+            apps[node].closed(conn, Why::TimedOut);
+        }
+        Way::Bytes { end, count } => {
+            let Some(node) = node else { return };
+            drop(w);
+            bytes(world, apps, node, Conn::new(end, count));
+        }
+        Way::Over { end, count, why } => {
+            let Some(node) = node else { return };
+            let conn = Conn::new(end, count);
+            drop(w);
+            if why == Why::Ended {
+                // What was sent before the end is read first.
+                while bytes(world, apps, node, conn) {}
+            }
+            let mut w = world.borrow_mut();
+            if w.end(conn).is_none() {
+                return;
+            }
+            w.ends.remove(end);
+            drop(w);
+            apps[node].closed(conn, why);
+        }
+        Way::Datagram { from, to, bytes } => {
+            let port = w.ports.iter().position(|p| p.1 == to);
+            drop(w);
+            if let (Some(node), Some(port)) = (node, port) {
+                apps[node].datagram(Port(port), from, &bytes);
+            }
+        }
+    }
+}
+
+/// Hands one piece over. True while there is more.
+fn bytes(world: &Rc<RefCell<World>>, apps: Apps, node: usize, conn: Conn) -> bool {
+    let mut w = world.borrow_mut();
+    let piece = if w.piece == 0 { usize::MAX } else { w.piece };
+    let Some(end) = w.end(conn).filter(|e| !e.paused && !e.closing) else { return false };
+    let n = end.inbox.len().min(piece);
+    if n == 0 {
+        return false;
+    }
+    let part = end.inbox.data()[..n].to_vec();
+    end.inbox.used(n);
+    end.read.push(&part);
+    let more = !end.inbox.is_empty();
+    let mut read = std::mem::take(&mut end.read);
+    let other = end.other;
+    drop(w);
+    let used = apps[node].bytes(conn, read.data());
+    read.used(used);
+    let mut w = world.borrow_mut();
+    let full = read.len() >= READ_MOST;
+    if let Some(end) = w.end(conn) {
+        end.read = read;
+    }
+    if more {
+        w.send(0, Way::Bytes { end: conn.place(), count: conn.count() });
+    }
+    if full {
+        w.send(0, Way::Over { end: conn.place(), count: conn.count(), why: Why::Reset });
+    }
+    // The other end's waiting bytes have room now.
+    let Some((place, count)) = other else { return more };
+    let from = Conn::new(place, count);
+    w.push(from);
+    let Some(end) = w.end(from).filter(|e| e.write.is_empty()) else { return more };
+    let (owed, closing, at) = (std::mem::take(&mut end.owed), end.closing, end.node);
+    if closing {
+        w.drop_end(from, Why::Ended);
+    } else if owed && !w.nodes[at].dead {
+        drop(w);
+        apps[at].drained(from);
+    }
+    more
+}
--- /dev/null
+++ b/crates/tidewall-net/src/mio.rs
@@ -0,0 +1,566 @@
+//! The trait on real sockets: one thread, readiness by mio. What is written in a wake-up leaves at its end in
+//! one piece for each connection.
+use crate::buffer::{Buffer, READ_MOST, WRITE_MOST};
+use crate::wheel::{Deadline, Wheel};
+use crate::{App, Conn, Listener, Net, Port, Time, Why};
+use mio::net::{TcpListener, TcpStream, UdpSocket};
+use mio::{Events, Interest, Poll, Token};
+use signal_hook_mio::v1_0::Signals;
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
+use std::time::{Duration, Instant};
+
+const SIGNALS: usize = usize::MAX - 1;
+
+/// Read from one connection in one wake-up, so that a busy one cannot keep the others waiting.
+const CHUNK: usize = 64 << 10;
+
+/// Accepted by one listener in one wake-up, for the same reason.
+const ACCEPTS: usize = 64;
+
+/// With no descriptor left, accepting pauses this long instead of spinning.
+const ACCEPT_PAUSE: Time = 1_000;
+
+/// A wake-up that comes this much later than asked, or lasts this long, is a standstill of ours: well above
+/// what scheduling costs on a busy machine, well below any time by which a worker is judged.
+const STANDSTILL: Time = 1_000;
+
+/// After a standstill this many rounds of reading go before the timers, or answers that lie in the sockets
+/// would be counted as missing.
+const CATCH_UP: usize = 16;
+
+enum Slot {
+    Listener(TcpListener),
+    Stream(Box<Stream>),
+    Port(UdpSocket),
+}
+
+struct Stream {
+    socket: TcpStream,
+    count: u32,
+    /// The deadline of an attempt to connect.
+    opening: Option<Deadline>,
+    read: Buffer,
+    write: Buffer,
+    readable: bool,
+    paused: bool,
+    hot: bool,
+    dirty: bool,
+    /// A write was turned away: `drained` is owed.
+    owed: bool,
+    closing: bool,
+}
+
+pub struct Mio {
+    poll: Poll,
+    events: Option<Events>,
+    slots: Slab<Slot>,
+    count: u32,
+    wheel: Wheel,
+    /// Own deadlines: attempts to connect (the connection) and listeners that pause (with the top bit set).
+    own: Wheel,
+    hot: VecDeque<Conn>,
+    dirty: Vec<Conn>,
+    over: VecDeque<(Conn, Why)>,
+    /// Attempts that failed at once: they have no place, only a number.
+    started: Instant,
+    now: Time,
+    asked: Time,
+    stood: Time,
+    signals: Option<Signals>,
+    stopped: bool,
+    chunk: Box<[u8]>,
+}
+
+const PAUSED_LISTENER: u64 = 1 << 63;
+
+impl Mio {
+    pub fn new() -> io::Result<Mio> {
+        Ok(Mio {
+            poll: Poll::new()?,
+            events: Some(Events::with_capacity(1024)),
+            slots: Slab::new(),
+            count: 0,
+            wheel: Wheel::default(),
+            own: Wheel::default(),
+            hot: VecDeque::new(),
+            dirty: Vec::new(),
+            over: VecDeque::new(),
+            started: Instant::now(),
+            now: 1,
+            asked: Time::MAX,
+            stood: 0,
+            signals: None,
+            stopped: false,
+            chunk: vec![0; CHUNK].into(),
+        })
+    }
+
+    /// These signals come as `App::signal` from now on.
+    pub fn signals(&mut self, which: &[i32]) -> io::Result<()> {
+        let mut signals = Signals::new(which)?;
+        self.poll.registry().register(&mut signals, Token(SIGNALS), Interest::READABLE)?;
+        self.signals = Some(signals);
+        Ok(())
+    }
+
+    pub fn stopped(&self) -> bool {
+        self.stopped
+    }
+
+    /// Whole tenths that have passed, rounded down, from 1 on: 0 means "long ago" to the decisions.
+    fn look(&mut self) {
+        self.now = self.now.max((self.started.elapsed().as_micros() / 100) as Time + 1);
+    }
+
+    fn stream(&mut self, conn: Conn) -> Option<&mut Stream> {
+        match self.slots.get_mut(conn.place()) {
+            Some(Slot::Stream(s)) if s.count == conn.count() => Some(s),
+            _ => None,
+        }
+    }
+
+    fn add(&mut self, socket: TcpStream, opening: Option<Time>) -> io::Result<Conn> {
+        self.count = self.count.wrapping_add(1) & 0x7fff_ffff;
+        let entry = self.slots.vacant_entry();
+        let conn = Conn::new(entry.key(), self.count);
+        let mut stream = Stream {
+            socket,
+            count: self.count,
+            opening: None,
+            read: Buffer::default(),
+            write: Buffer::default(),
+            readable: false,
+            paused: false,
+            hot: false,
+            dirty: false,
+            owed: false,
+            closing: false,
+        };
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream.socket, Token(entry.key()), interest)?;
+        stream.opening = opening.map(|at| self.own.insert(at, conn.0));
+        entry.insert(Slot::Stream(Box::new(stream)));
+        Ok(conn)
+    }
+
+    fn remove(&mut self, conn: Conn) {
+        if let Some(s) = self.stream(conn) {
+            let opening = s.opening.take();
+            if let Some(d) = opening {
+                self.own.cancel(d);
+            }
+            if let Slot::Stream(mut s) = self.slots.remove(conn.place()) {
+                // The socket closes by being dropped, whatever the registry says.
+                let _ = self.poll.registry().deregister(&mut s.socket);
+            }
+        }
+    }
+
+    fn warm(&mut self, conn: Conn) {
+        if let Some(s) = self.stream(conn) {
+            if !std::mem::replace(&mut s.hot, true) {
+                self.hot.push_back(conn);
+            }
+        }
+    }
+
+    fn soil(&mut self, conn: Conn) {
+        if let Some(s) = self.stream(conn) {
+            if !std::mem::replace(&mut s.dirty, true) {
+                self.dirty.push(conn);
+            }
+        }
+    }
+
+    /// Writes what the socket takes. False where the connection broke.
+    fn flush(&mut self, conn: Conn) -> bool {
+        let Some(s) = self.stream(conn) else { return true };
+        if s.opening.is_some() {
+            return true;
+        }
+        while !s.write.is_empty() {
+            match s.socket.write(s.write.data()) {
+                Ok(0) => return false,
+                Ok(n) => s.write.used(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+}
+
+impl Net for Mio {
+    fn now(&self) -> Time {
+        self.now
+    }
+
+    fn stood(&self) -> Time {
+        self.stood
+    }
+
+    fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)> {
+        let mut socket = TcpListener::bind(at)?;
+        let at = socket.local_addr()?;
+        let entry = self.slots.vacant_entry();
+        self.poll.registry().register(&mut socket, Token(entry.key()), Interest::READABLE)?;
+        let listener = Listener(entry.key());
+        entry.insert(Slot::Listener(socket));
+        Ok((listener, at))
+    }
+
+    fn unlisten(&mut self, listener: Listener) {
+        if matches!(self.slots.get(listener.0), Some(Slot::Listener(_))) {
+            if let Slot::Listener(mut socket) = self.slots.remove(listener.0) {
+                let _ = self.poll.registry().deregister(&mut socket);
+            }
+        }
+    }
+
+    fn connect(&mut self, to: SocketAddr, within: Time) -> Conn {
+        let at = self.now + within;
+        let added = TcpStream::connect(to).and_then(|socket| {
+            // Small frames must not wait for one another.
+            let _ = socket.set_nodelay(true);
+            self.add(socket, Some(at))
+        });
+        added.unwrap_or_else(|_| {
+            // No descriptor or no route: told in the next wake-up, like every other failure.
+            self.count = self.count.wrapping_add(1) & 0x7fff_ffff;
+            let conn = Conn::new(0xffff_fffe, self.count);
+            self.over.push_back((conn, Why::Refused));
+            conn
+        })
+    }
+
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool {
+        let Some(s) = self.stream(conn) else { return false };
+        if s.closing {
+            return false;
+        }
+        if s.write.len() + bytes.len() > WRITE_MOST {
+            s.owed = true;
+            return false;
+        }
+        s.write.push(bytes);
+        self.soil(conn);
+        true
+    }
+
+    fn unsent(&self, conn: Conn) -> usize {
+        match self.slots.get(conn.place()) {
+            Some(Slot::Stream(s)) if s.count == conn.count() => s.write.len(),
+            _ => 0,
+        }
+    }
+
+    fn pause(&mut self, conn: Conn, on: bool) {
+        if let Some(s) = self.stream(conn) {
+            s.paused = on;
+            self.warm(conn);
+        }
+    }
+
+    fn close(&mut self, conn: Conn) {
+        if let Some(s) = self.stream(conn) {
+            s.closing = true;
+            self.soil(conn);
+        }
+        self.over.retain(|o| o.0 != conn);
+    }
+
+    fn reset(&mut self, conn: Conn) {
+        if let Some(s) = self.stream(conn) {
+            let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+            // SAFETY: the descriptor is open and the option's value is a linger of its size.
+            unsafe {
+                libc::setsockopt(
+                    s.socket.as_raw_fd(),
+                    libc::SOL_SOCKET,
+                    libc::SO_LINGER,
+                    std::ptr::from_ref(&linger).cast(),
+                    std::mem::size_of::<libc::linger>() as libc::socklen_t,
+                );
+            }
+        }
+        self.remove(conn);
+        self.over.retain(|o| o.0 != conn);
+    }
+
+    fn bind(&mut self, at: SocketAddr) -> io::Result<(Port, SocketAddr)> {
+        let mut socket = UdpSocket::bind(at)?;
+        let at = socket.local_addr()?;
+        let entry = self.slots.vacant_entry();
+        self.poll.registry().register(&mut socket, Token(entry.key()), Interest::READABLE)?;
+        let port = Port(entry.key());
+        entry.insert(Slot::Port(socket));
+        Ok((port, at))
+    }
+
+    fn send(&mut self, port: Port, to: SocketAddr, bytes: &[u8]) {
+        if let Some(Slot::Port(socket)) = self.slots.get(port.0) {
+            let _ = socket.send_to(bytes, to);
+        }
+    }
+
+    fn set(&mut self, at: Time, token: u64) -> Deadline {
+        self.wheel.insert(at, token)
+    }
+
+    fn clear(&mut self, deadline: Deadline) {
+        self.wheel.cancel(deadline);
+    }
+
+    fn stop(&mut self) {
+        self.stopped = true;
+    }
+}
+
+/// Runs until the app stops its net; what it wrote last is sent as far as the sockets take it.
+pub fn run<A: App<Net = Mio>>(app: &mut A) -> io::Result<()> {
+    while !app.net().stopped {
+        turn(app)?;
+    }
+    flush(app);
+    Ok(())
+}
+
+/// One wake-up: sockets first, timers after them, then what was written leaves.
+pub fn turn<A: App<Net = Mio>>(app: &mut A) -> io::Result<()> {
+    let net = app.net();
+    let began = net.now;
+    net.look();
+    // The last wake-up's own work counts too.
+    let busy = net.now - began;
+    let busy = if busy > STANDSTILL && net.asked != Time::MAX { busy } else { 0 };
+    let due = [net.wheel.next(), net.own.next()].into_iter().flatten().min();
+    let idle = net.hot.is_empty() && net.over.is_empty();
+    net.asked = due.unwrap_or(Time::MAX - 1);
+    let wait = match due {
+        _ if !idle => Some(Duration::ZERO),
+        Some(at) => Some(Duration::from_micros(at.saturating_sub(net.now) * 100)),
+        None => None,
+    };
+    let slept = net.now;
+    poll_once(app, wait)?;
+    let net = app.net();
+    net.look();
+    let due = net.asked.max(slept);
+    let late = if wait.is_some() { net.now.saturating_sub(due) } else { 0 };
+    let late = if late > STANDSTILL { late } else { 0 };
+    net.stood += busy.max(late);
+    hot(app);
+    if late > 0 || busy > 0 {
+        for _ in 0..CATCH_UP {
+            poll_once(app, Some(Duration::ZERO))?;
+            if app.net().hot.is_empty() {
+                break;
+            }
+            hot(app);
+        }
+    }
+    while let Some((conn, why)) = app.net().over.pop_front() {
+        app.closed(conn, why);
+    }
+    let now = app.net().now;
+    while let Some(token) = app.net().own.pop(now) {
+        if token & PAUSED_LISTENER != 0 {
+            accept(app, (token & !PAUSED_LISTENER) as usize);
+        } else {
+            let conn = Conn(token);
+            app.net().remove(conn);
+            app.closed(conn, Why::TimedOut);
+        }
+    }
+    while let Some(token) = app.net().wheel.pop(now) {
+        app.due(token);
+        if app.net().stopped {
+            break;
+        }
+    }
+    flush(app);
+    Ok(())
+}
+
+/// Takes over what became ready.
+fn poll_once<A: App<Net = Mio>>(app: &mut A, wait: Option<Duration>) -> io::Result<()> {
+    let net = app.net();
+    let mut events = net.events.take().expect("polls do not nest");
+    if let Err(e) = net.poll.poll(&mut events, wait) {
+        if e.kind() != io::ErrorKind::Interrupted {
+            return Err(e);
+        }
+        events.clear();
+    }
+    net.look();
+    for event in events.iter() {
+        let place = event.token().0;
+        if place == SIGNALS {
+            let pending: Vec<i32> = app.net().signals.iter_mut().flat_map(|s| s.pending()).collect();
+            pending.into_iter().for_each(|signal| app.signal(signal));
+            continue;
+        }
+        match app.net().slots.get_mut(place) {
+            None => {}
+            Some(Slot::Listener(_)) => accept(app, place),
+            Some(Slot::Port(_)) => datagrams(app, place),
+            Some(Slot::Stream(s)) => {
+                let conn = Conn::new(place, s.count);
+                // Errors and hang-ups show up in the read.
+                s.readable |= event.is_readable() || event.is_read_closed() || event.is_error();
+                if event.is_writable() || event.is_error() {
+                    writable(app, conn);
+                }
+                app.net().warm(conn);
+            }
+        }
+    }
+    app.net().events = Some(events);
+    Ok(())
+}
+
+fn writable<A: App<Net = Mio>>(app: &mut A, conn: Conn) {
+    let net = app.net();
+    let Some(s) = net.stream(conn) else { return };
+    if s.opening.is_some() {
+        if let Ok(Some(_)) | Err(_) = s.socket.take_error() {
+            net.remove(conn);
+            return app.closed(conn, Why::Refused);
+        }
+        if s.socket.peer_addr().is_err() {
+            return; // not yet
+        }
+        if let Some(d) = s.opening.take() {
+            net.own.cancel(d);
+        }
+        app.connected(conn);
+    }
+    app.net().soil(conn);
+}
+
+fn accept<A: App<Net = Mio>>(app: &mut A, place: usize) {
+    for round in 0.. {
+        let net = app.net();
+        let Some(Slot::Listener(listener)) = net.slots.get(place) else { return };
+        match listener.accept() {
+            Ok((socket, from)) => {
+                let _ = socket.set_nodelay(true);
+                if let Ok(conn) = net.add(socket, None) {
+                    app.accepted(Listener(place), conn, from);
+                }
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+            Err(e) if matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE)) => {
+                let at = net.now + ACCEPT_PAUSE;
+                net.own.insert(at, place as u64 | PAUSED_LISTENER);
+                return;
+            }
+            // The peer left before it was accepted.
+            Err(_) => {}
+        }
+        if round == ACCEPTS {
+            let at = app.net().now;
+            app.net().own.insert(at, place as u64 | PAUSED_LISTENER);
+            return;
+        }
+    }
+}
+
+fn datagrams<A: App<Net = Mio>>(app: &mut A, place: usize) {
+    let mut bytes = [0; 2048];
+    for _ in 0..ACCEPTS {
+        let Some(Slot::Port(socket)) = app.net().slots.get(place) else { return };
+        match socket.recv_from(&mut bytes) {
+            Ok((n, from)) => app.datagram(Port(place), from, &bytes[..n]),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+            Err(_) => {}
+        }
+    }
+}
+
+/// Reads once from each connection that may have something.
+fn hot<A: App<Net = Mio>>(app: &mut A) {
+    for _ in 0..app.net().hot.len() {
+        let Some(conn) = app.net().hot.pop_front() else { return };
+        read(app, conn);
+    }
+}
+
+fn read<A: App<Net = Mio>>(app: &mut A, conn: Conn) {
+    let net = app.net();
+    let mut chunk = std::mem::take(&mut net.chunk);
+    let mut gone = None;
+    if let Some(s) = net.stream(conn) {
+        s.hot = false;
+        if s.closing || s.paused || s.opening.is_some() {
+            net.chunk = chunk;
+            return;
+        }
+        if s.readable {
+            match s.socket.read(&mut chunk) {
+                Ok(0) => gone = Some(Why::Ended),
+                Ok(n) => {
+                    s.read.push(&chunk[..n]);
+                    net.warm(conn);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => s.readable = false,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => net.warm(conn),
+                Err(_) => gone = Some(Why::Reset),
+            }
+        }
+    }
+    net.chunk = chunk;
+    // The buffer is out of the net while the app reads it, so that the app may act meanwhile.
+    if let Some(s) = net.stream(conn).filter(|s| !s.read.is_empty()) {
+        let mut buffer = std::mem::take(&mut s.read);
+        let used = app.bytes(conn, buffer.data());
+        buffer.used(used);
+        let full = buffer.len() >= READ_MOST;
+        if let Some(s) = app.net().stream(conn) {
+            s.read = buffer;
+            if full {
+                gone = Some(Why::Reset);
+            }
+        }
+    }
+    if let (Some(why), Some(s)) = (gone, app.net().stream(conn)) {
+        let closing = s.closing;
+        app.net().remove(conn);
+        if !closing {
+            app.closed(conn, why);
+        }
+    }
+}
+
+fn flush<A: App<Net = Mio>>(app: &mut A) {
+    // What `drained` writes goes out in the same wake-up; twice at most, so that nobody holds the loop.
+    for _ in 0..2 {
+        let mut dirty = std::mem::take(&mut app.net().dirty);
+        for conn in dirty.drain(..) {
+            let net = app.net();
+            if let Some(s) = net.stream(conn) {
+                s.dirty = false;
+            }
+            let good = net.flush(conn);
+            let Some(s) = net.stream(conn) else { continue };
+            let (closing, empty) = (s.closing, s.write.is_empty());
+            if !good || closing && empty {
+                net.remove(conn);
+                if !closing {
+                    app.closed(conn, Why::Reset);
+                }
+            } else if empty && std::mem::take(&mut s.owed) {
+                app.drained(conn);
+            }
+        }
+        if app.net().dirty.is_empty() {
+            app.net().dirty = dirty;
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidewall-net/tests/nets.rs
@@ -0,0 +1,161 @@
+//! The same small app on both nets: what one sends arrives whole, bounded, and ends once.
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use test_case::test_case;
+use tidewall_net::buffer::WRITE_MOST;
+use tidewall_net::memory::{self, Memory};
+use tidewall_net::{mio::Mio, App, Conn, Listener, Net, Port, Why};
+
+#[derive(Default)]
+struct Seen {
+    got: Vec<u8>,
+    sent: usize,
+    turned_away: bool,
+    drained: bool,
+    over: Vec<Why>,
+    connected: usize,
+    datagrams: Vec<Vec<u8>>,
+    due: Vec<u64>,
+}
+
+struct Peer<N> {
+    net: N,
+    seen: Rc<RefCell<Seen>>,
+    echo: bool,
+    send: usize,
+    stop_at: usize,
+}
+
+impl<N: Net> App for Peer<N> {
+    type Net = N;
+    fn net(&mut self) -> &mut N {
+        &mut self.net
+    }
+    fn accepted(&mut self, _: Listener, _: Conn, _: SocketAddr) {}
+    fn connected(&mut self, conn: Conn) {
+        self.seen.borrow_mut().connected += 1;
+        let piece = [7u8; 4096];
+        while self.seen.borrow().sent < self.send {
+            if !self.net.write(conn, &piece) {
+                self.seen.borrow_mut().turned_away = true;
+                assert!(self.net.unsent(conn) + piece.len() > WRITE_MOST);
+                break;
+            }
+            self.seen.borrow_mut().sent += piece.len();
+        }
+    }
+    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        self.seen.borrow_mut().got.extend_from_slice(bytes);
+        if self.echo {
+            self.net.write(conn, bytes);
+        }
+        if self.stop_at > 0 && self.seen.borrow().got.len() >= self.stop_at {
+            self.net.stop();
+        }
+        bytes.len()
+    }
+    fn drained(&mut self, _: Conn) {
+        self.seen.borrow_mut().drained = true;
+    }
+    fn closed(&mut self, _: Conn, why: Why) {
+        self.seen.borrow_mut().over.push(why);
+        if self.stop_at > 0 {
+            self.net.stop();
+        }
+    }
+    fn datagram(&mut self, _: Port, _: SocketAddr, bytes: &[u8]) {
+        self.seen.borrow_mut().datagrams.push(bytes.to_vec());
+    }
+    fn due(&mut self, token: u64) {
+        self.seen.borrow_mut().due.push(token);
+        self.net.stop();
+    }
+}
+
+fn peer<N: Net>(net: N, echo: bool, send: usize, stop_at: usize) -> (Peer<N>, Rc<RefCell<Seen>>) {
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    (Peer { net, seen: seen.clone(), echo, send, stop_at }, seen)
+}
+
+fn local() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+#[test_case(1, 12_288 ; "one byte at a time")]
+#[test_case(0, 12_288 ; "whole")]
+#[test_case(0, 8 << 20 ; "more than a buffer holds")]
+fn in_memory_bytes_arrive_in_order_and_bounded(piece: usize, size: usize) {
+    let world = memory::world();
+    world.borrow_mut().piece = piece;
+    let (mut a, _) = peer(Memory::join(&world), true, 0, 0);
+    let (mut b, seen) = peer(Memory::join(&world), false, size, 0);
+    let (_, at) = a.net.listen(local()).unwrap();
+    b.net.connect(at, 1000);
+    memory::run(&world, &mut [&mut a, &mut b], 100_000);
+    let seen = seen.borrow();
+    assert_eq!(seen.got.len(), seen.sent);
+    assert_eq!((seen.turned_away, seen.drained), (size > WRITE_MOST, size > WRITE_MOST));
+}
+
+#[test]
+fn in_memory_a_killed_node_resets_and_a_missing_one_refuses() {
+    let world = memory::world();
+    let (mut a, _) = peer(Memory::join(&world), true, 0, 0);
+    let (mut b, seen) = peer(Memory::join(&world), false, 4096, 0);
+    let (_, at) = a.net.listen(local()).unwrap();
+    b.net.connect(at, 1000);
+    memory::run(&world, &mut [&mut a, &mut b], 100);
+    a.net.kill();
+    b.net.connect(at, 1000);
+    memory::run(&world, &mut [&mut a, &mut b], 2_000);
+    assert_eq!(seen.borrow().over, [Why::Reset, Why::Refused]);
+}
+
+#[test]
+fn in_memory_a_standstill_is_counted_and_its_bytes_come_after() {
+    let world = memory::world();
+    let (mut a, got) = peer(Memory::join(&world), false, 0, 0);
+    let (mut b, _) = peer(Memory::join(&world), false, 4096, 0);
+    let (_, at) = a.net.listen(local()).unwrap();
+    a.net.still(true);
+    b.net.connect(at, 50_000);
+    memory::run(&world, &mut [&mut a, &mut b], 10_001);
+    assert!(got.borrow().got.is_empty());
+    a.net.still(false);
+    memory::run(&world, &mut [&mut a, &mut b], 11_000);
+    assert_eq!((got.borrow().got.len(), a.net.stood()), (4096, 10_000));
+}
+
+#[test]
+fn on_sockets_bytes_come_back_whole() {
+    let (tell, told) = std::sync::mpsc::channel();
+    let echo = std::thread::spawn(move || {
+        let (mut a, _) = peer(Mio::new().unwrap(), true, 0, usize::MAX);
+        tell.send(a.net.listen(local()).unwrap().1).unwrap();
+        tidewall_net::mio::run(&mut a).unwrap();
+    });
+    let (mut b, seen) = peer(Mio::new().unwrap(), false, 8 << 20, WRITE_MOST / 2);
+    b.net.connect(told.recv().unwrap(), 10_000);
+    tidewall_net::mio::run(&mut b).unwrap();
+    drop(b);
+    echo.join().unwrap();
+    let seen = seen.borrow();
+    assert!(seen.turned_away && seen.got.len() >= WRITE_MOST / 2 && seen.got.iter().all(|b| *b == 7));
+}
+
+#[test]
+fn on_sockets_a_missing_peer_refuses_and_datagrams_and_deadlines_come() {
+    let (mut a, seen) = peer(Mio::new().unwrap(), false, 0, 0);
+    let (port, at) = a.net.bind(local()).unwrap();
+    a.net.send(port, at, b"to myself");
+    let (listener, gone) = a.net.listen(local()).unwrap();
+    a.net.unlisten(listener);
+    a.net.connect(gone, 10_000);
+    let now = a.net.now();
+    a.net.set(now + 500, 5);
+    tidewall_net::mio::run(&mut a).unwrap();
+    let seen = seen.borrow();
+    assert_eq!((&seen.over[..], &seen.due[..]), (&[Why::Refused][..], &[5][..]));
+    assert_eq!(seen.datagrams, [b"to myself"]);
+}
