tidewall-wire and tidewall-config: the native frames and checked settings

Need: gateway, workers, roster and depot need frames to speak, and settings that are refused with file, line and field. Measured: 15 and 18 tests, each kind of malformed frame and setting names its field.

--- /dev/null
+++ b/crates/tidewall-config/tests/settings.rs
@@ -0,0 +1,60 @@
+//! Good settings reach the decisions' map; bad ones are refused in one line with place and field.
+use test_case::test_case;
+use tidewall_config::{plain, script, settings};
+
+const GOOD: &str = include_str!("../../../deploy/examples/small-site.txtpb");
+
+#[test]
+fn the_plain_map_holds_what_the_decisions_read() {
+    let s = settings("site", GOOD).unwrap();
+    let map = plain(&s, 0);
+    let told = [
+        ("siblings", "1"),
+        ("classes.count", "3"),
+        ("classes.1.semantics", "idempotency_key"),
+        ("classes.1.group", "zone"),
+        ("classes.1.window-ms", "4000"),
+        ("classes.2.semantics", "non_idempotent"),
+        ("allowed.max-attempts", "3"),
+        ("allowed.may-duplicate", "false"),
+        ("extra.if-cold", "miss"),
+        ("extra.load-share", "0.2"),
+        ("rules.tip-multiple", "3"),
+        ("reporting.how", "answers"),
+        ("reporting.names", "rif,busy"),
+        ("discovery", "pushed"),
+    ];
+    for (key, value) in told {
+        assert_eq!(map.get(key).map(String::as_str), Some(value), "{key}");
+    }
+    assert_eq!(s.section("limits").span("connect_time_out_ms"), 2500);
+}
+
+/// The line numbers are those of the shipped example with one thing replaced.
+#[test_case("name: \"book\"", "nam: \"book\"", "site:21:3:", "nam" ; "an unknown field")]
+#[test_case("benefit: 3", "benefit: x", "site:24:12:", "expected" ; "a word for a number")]
+#[test_case("benefit: 3", "benefit: -1", "site:24:3: event_type[1].benefit", "within" ; "out of range")]
+#[test_case("window_ms: 4000", "window_ms: 0", "site:27:3: event_type[1].window_ms", "window" ; "keyed without a window")]
+#[test_case("max_age_ms: 5000", "max_age_ms: 500", "site:32:3: event_type[2].max_age_ms", "under target" ; "times that cannot hold together")]
+#[test_case("zone: \"pantry\"\n  last", "zone: \"attic\"\n  last", "site:6:3: gateway[0].zone", "'attic'" ; "a zone that is none")]
+#[test_case("127.0.0.1:7400", "10.0.0.1:7400", "site:5:3: gateway[0].address", "loopback" ; "not on loopback")]
+#[test_case("127.0.0.1:7401", "127.0.0.1:7400", "site:10:10: roster.address", "taken" ; "an address twice")]
+#[test_case("name: \"book\"", "name: \"print\"", "site:30:3: event_type[2].name", "twice" ; "a name twice")]
+#[test_case("kind: \"box\" cores", "kind: \"tub\" cores", "site:42:", "'tub'" ; "a kind that is none")]
+#[test_case("most: 24", "most: 2", "site:46:", "under capacity" ; "a depot that cannot be")]
+#[test_case("roster {", "roster [", "site:10:", "expected" ; "broken brackets")]
+fn bad_settings_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
+    assert!(GOOD.contains(good));
+    let told = settings("site", &GOOD.replacen(good, bad, 1)).unwrap_err();
+    assert!(told.starts_with(place) && told.contains(what) && !told.contains('\n'), "{told}");
+}
+
+#[test_case("fault { trouble: WORKER_KILL }", "s:1:1: fault[0].lasts_ms" ; "no time")]
+#[test_case("fault { trouble: BURST lasts_ms: 5 }", "s:1:1: fault[0].factor" ; "no size")]
+#[test_case("fault { trouble: DEPOT_STALL lasts_ms: 5 kind: \"box\" }", "s:1:42: fault[0].kind" ; "a kind where none fits")]
+#[test_case("fault { trouble: EARTHQUAKE }", "s:1:18:" ; "an unknown trouble")]
+#[test_case("fault { lasts_ms: 5 }", "s:1:1: fault[0].trouble" ; "none named")]
+fn bad_scripts_name_their_place(text: &str, place: &str) {
+    let told = script("s", text).unwrap_err();
+    assert!(told.starts_with(place), "{told}");
+}
--- /dev/null
+++ b/crates/tidewall-wire/tests/frames.rs
@@ -0,0 +1,83 @@
+//! What was written is read again; what is malformed names its field.
+use test_case::test_case;
+use tidewall_wire::{error, frame, greeted, hello, kind, Entries, Field, Fields, Frame, FRAME_MOST};
+
+fn body(write: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
+    let mut out = Vec::new();
+    write(&mut out);
+    let (body, used) = frame(&out).unwrap().unwrap();
+    assert_eq!(used, out.len());
+    body.to_vec()
+}
+
+#[test]
+fn each_kind_of_value_comes_back() {
+    let mut list = Entries::default();
+    list.add(|e| e.text(Field::Name, "w1").real(Field::Memory, 0.5));
+    list.add(|e| e.text(Field::Name, "w2").flag(Field::On, true));
+    let body = body(|out| {
+        let f = Frame::new(out, kind::EVENT).whole(Field::Id, u64::MAX).text(Field::Type, "check");
+        f.bytes(Field::Payload, &[1, 2]).flag(Field::Resent, true).entries(&list).end();
+    });
+    let fields = Fields::read(&body).unwrap();
+    assert_eq!(fields.kind(), Ok(kind::EVENT));
+    assert_eq!(fields.whole(Field::Id), Ok(u64::MAX));
+    assert_eq!(fields.text(Field::Type), Ok("check"));
+    assert_eq!(fields.bytes(Field::Payload), Ok(&[1, 2][..]));
+    assert_eq!((fields.flag(Field::Resent), fields.flag(Field::On)), (Ok(true), Ok(false)));
+    let mut names = Vec::new();
+    let each = |e: &Fields<'_>| {
+        names.push((e.text(Field::Name)?.to_string(), e.flag(Field::On)?));
+        Ok(())
+    };
+    fields.entries(each).unwrap();
+    assert_eq!(names, [("w1".to_string(), false), ("w2".to_string(), true)]);
+}
+
+#[test]
+fn unknown_fields_are_skipped_whatever_they_hold() {
+    // {0: 10, 99: [1, {"a": h'00'}], 5: 3}
+    let body = [0xa3, 0, 10, 0x18, 99, 0x82, 1, 0xa1, 0x61, b'a', 0x41, 0, 5, 3];
+    let fields = Fields::read(&body).unwrap();
+    assert_eq!(fields.whole(Field::Id), Ok(3));
+}
+
+#[test_case(&[0xa1, 0, 0x61, b'x'], "field kind is no whole number" ; "text for a number")]
+#[test_case(&[0xa2, 0, 1, 0, 1], "field kind: stands twice" ; "a field twice")]
+#[test_case(&[0xa1, 5, 1], "field kind is missing" ; "no kind")]
+#[test_case(&[0x81, 1], "field kind: the frame is no map" ; "no map")]
+#[test_case(&[0xa1, 0, 10, 7], "bytes follow" ; "bytes behind it")]
+#[test_case(&[0xa1, 6, 0x65, b'x'], "field type" ; "cut short")]
+#[test_case(&[0xa1, 16, 0x62, 0xff, 0xfe], "field payload" ; "text that is no text")]
+#[test_case(&[0xbf, 0, 1, 0xff], "unknown length" ; "a map without length")]
+#[test_case(&[0xa1, 0, 0xf6], "field kind: a value of type null" ; "null")]
+fn a_malformed_frame_names_its_field(body: &[u8], says: &str) {
+    let told = Fields::read(body).and_then(|f| f.kind()).unwrap_err();
+    assert!(told.contains(says), "{told}");
+}
+
+#[test]
+fn a_frame_of_four_gib_is_refused_by_its_length_alone() {
+    assert!(frame(&[0xff; 4]).unwrap_err().contains(&FRAME_MOST.to_string()));
+    assert_eq!(frame(&[0, 0, 0]).unwrap(), None);
+    assert_eq!(frame(&[0, 0, 0, 2, 7]).unwrap(), None);
+}
+
+#[test_case(1 => Ok("client".to_string()) ; "ours")]
+#[test_case(2 => Err("field version: 2 is not spoken here, 1 is".to_string()) ; "another version")]
+fn a_hello_tells_role_and_version(version: u64) -> Result<String, String> {
+    let body = body(|out| {
+        let f = Frame::new(out, kind::HELLO).whole(Field::Version, version);
+        f.text(Field::Role, "client").end();
+    });
+    greeted(&Fields::read(&body).unwrap()).map(str::to_string)
+}
+
+#[test]
+fn only_a_hello_greets() {
+    let no = body(|out| error(out, "x"));
+    assert!(greeted(&Fields::read(&no).unwrap()).unwrap_err().contains("first frame"));
+    let yes = body(|out| hello(out, "worker", "w1", 3));
+    let fields = Fields::read(&yes).unwrap();
+    assert_eq!((greeted(&fields), fields.text(Field::Name)), (Ok("worker"), Ok("w1")));
+}
