--- a/crates/tidewall-drill/src/door.rs
+++ b/crates/tidewall-drill/src/door.rs
@@ -1,44 +1,15 @@
 //! The door: id texts become small indices here, and what the decisions call for becomes lines.
 use base64::{engine::general_purpose::STANDARD, Engine};
-use slab::Slab;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use tidewall::host::{Host, Time};
-
-/// A fixed hash of an id text (FNV-1a), the same at every gateway.
-pub fn hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
+use tidewall::ids::Ids;
 
 pub fn bytes(text: &str) -> Result<Vec<u8>, String> {
     let text = if text == "-" { "" } else { text };
     STANDARD.decode(text).map_err(|e| format!("field payload: {e}"))
 }
 
-/// Looked up by text, never walked, so the map's order decides nothing.
-#[derive(Default)]
-struct Ids {
-    texts: Slab<String>,
-    places: HashMap<String, usize>,
-}
-
-impl Ids {
-    fn index(&mut self, text: &str) -> usize {
-        if let Some(place) = self.places.get(text) {
-            return *place;
-        }
-        let place = self.texts.insert(text.to_string());
-        self.places.insert(text.to_string(), place);
-        place
-    }
-
-    fn forget(&mut self, place: usize) {
-        if let Some(text) = self.texts.try_remove(place) {
-            self.places.remove(&text);
-        }
-    }
-}
-
 pub struct Door {
     id: String,
     pub out: String,
@@ -81,7 +52,7 @@
     }
 
     pub fn known_function(&self, text: &str) -> Option<usize> {
-        self.functions.places.get(text).copied()
+        self.functions.known(text)
     }
 
     pub fn open(&mut self, place: usize, text: &str) {
@@ -114,7 +85,7 @@
 
 impl Host for Door {
     fn launch(&mut self, evt: usize, wk: usize, time_out: Time) {
-        let (id, host) = (self.events[evt].clone(), self.workers.texts[wk].clone());
+        let (id, host) = (self.events[evt].clone(), self.workers.text(wk).to_string());
         self.line("TRY", format_args!(" msg-id={id} try-for-ms={} host={host}", Ms(time_out)));
     }
 
@@ -142,22 +113,22 @@
     }
 
     fn probe(&mut self, wk: usize) {
-        let host = self.workers.texts[wk].clone();
+        let host = self.workers.text(wk).to_string();
         self.line("ASK_LOAD", format_args!(" host={host}"));
     }
 
     fn hang_up(&mut self, wk: usize) {
-        let host = self.workers.texts[wk].clone();
+        let host = self.workers.text(wk).to_string();
         self.line("HANG_UP", format_args!(" host={host}"));
     }
 
     fn hold(&mut self, img: usize, wk: usize, copies: u32) {
-        let (key, host) = (self.functions.texts[img].clone(), self.workers.texts[wk].clone());
+        let (key, host) = (self.functions.text(img).to_string(), self.workers.text(wk).to_string());
         self.line("START_COPY", format_args!(" target-fn={key} host={host} count={copies}"));
     }
 
     fn unload(&mut self, img: usize, wk: usize) {
-        let (key, host) = (self.functions.texts[img].clone(), self.workers.texts[wk].clone());
+        let (key, host) = (self.functions.text(img).to_string(), self.workers.text(wk).to_string());
         self.line("EVICT", format_args!(" target-fn={key} host={host}"));
     }
 
--- a/crates/tidewall-drill/src/main.rs
+++ b/crates/tidewall-drill/src/main.rs
@@ -8,6 +8,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use tidewall::choice::Choice;
 use tidewall::host::{Arrival, Listed, Outcome, Standing, Time};
+use tidewall::ids::hash;
 
 type Gateways = BTreeMap<u64, Choice<Door>>;
 
@@ -108,7 +109,7 @@
         v => return Err(format!("field state: '{v}' is no state")),
     };
     let entry = Listed {
-        hash: door::hash(host),
+        hash: hash(host),
         zone: door
             .zones
             .iter()
@@ -206,7 +207,7 @@
                     .ok_or_else(|| format!("field qos: '{typ}' is unknown"))?,
                 tenant: tenant.and_then(|t| gw.host.tenants.iter().position(|n| n == t)),
                 function: gw.host.function(key),
-                function_hash: door::hash(key),
+                function_hash: hash(key),
                 lanes: fields.parsed("at-once", Some(1))?,
                 memory: fields.number("size-mb", Some(0.0))?,
                 gives_up: fields.time("valid-until-ms", None)?,
--- /dev/null
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -0,0 +1,659 @@
+//! Carries out what the decisions call for: the `Host` on sockets. Launches, orders and probes ride as streams
+//! on a few connections to each worker. What is known at once (no room, no time left, called off) is kept in
+//! `known` until the decisions' call is over, since they may not be called from within it.
+use crate::door::{Incoming, Ticket, Word};
+use crate::list::Entry;
+use crate::{OF_CHOICE, OF_GREETING, OF_OUT};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use tidewall::choice::MOST_LAUNCHES;
+use tidewall::host::{Arrival, Host, Listed, Outcome, Standing};
+use tidewall::ids::{hash, Ids};
+use tidewall::settings::{Named, Settings};
+use tidewall_net::{Conn, Deadline, Net, Port, Time};
+use tidewall_wire::{kind, Field, Frame};
+use tracing::info;
+
+/// Limits of the sockets' side, from the settings.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub most_held: usize,
+    pub connect_time_out: Time,
+    pub streams: usize,
+    pub connections: usize,
+    pub keep_alive: Time,
+    pub probe_time_out: Time,
+    pub order_time_out: Time,
+    pub silent: Time,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Task {
+    Launch { evt: usize, launch: usize },
+    Hold { img: usize },
+    Probe,
+}
+
+/// Something asked of a worker that has one answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Out {
+    pub task: Task,
+    pub wk: usize,
+    pub link: usize,
+    /// Tells the users of a slab's place apart on the wire.
+    pub count: u32,
+    pub copies: u32,
+    /// Written to its connection: from here on it may have run.
+    pub sent: bool,
+    /// The decisions have their outcome; only the worker's own end is still awaited.
+    pub over: bool,
+    pub at: Time,
+    pub stood: Time,
+    deadline: Option<Deadline>,
+}
+
+#[derive(Default)]
+pub struct Held {
+    pub open: bool,
+    pub ticket: Ticket,
+    pub id: u64,
+    pub begun: Option<usize>,
+    came: Time,
+    arrival: Arrival,
+    mark: Vec<u8>,
+    payload: Vec<u8>,
+    outs: [usize; MOST_LAUNCHES],
+    count: usize,
+}
+
+pub struct Wk {
+    at: Option<SocketAddr>,
+    listed: Listed,
+    zone: String,
+    machine: String,
+    life: u64,
+    pub links: Vec<usize>,
+}
+
+pub struct Link {
+    pub wk: usize,
+    conn: Conn,
+    pub greeted: bool,
+    /// Launches on it, sent or waiting.
+    streams: usize,
+    pub waiting: Vec<usize>,
+    pub sent: Vec<usize>,
+    /// When something last came or went.
+    used: Time,
+    heard: Time,
+    /// Until then the worker must have told its name.
+    greeting: Option<Deadline>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub taken: u64,
+    pub handled: u64,
+    pub deferred: u64,
+    pub dead_lettered: u64,
+    pub lapsed: u64,
+    pub turned_away: u64,
+    pub malformed: u64,
+    pub launches: u64,
+    pub orders: u64,
+    pub probes: u64,
+    pub connections: u64,
+}
+
+pub struct Carrier<N: Net> {
+    pub net: N,
+    setup: Setup,
+    pub types: Vec<String>,
+    pub tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    pub workers: Ids,
+    pub wks: Vec<Wk>,
+    pub functions: Ids,
+    /// By function: what an order to load tells of it.
+    images: Vec<(u32, f64, Time)>,
+    pub events: Vec<Held>,
+    pub held: usize,
+    pub outs: Slab<Out>,
+    turn: u32,
+    pub links: Slab<Link>,
+    pub opened: Vec<(Conn, usize)>,
+    pub known: VecDeque<(usize, u32, Outcome)>,
+    pub given: VecDeque<(Ticket, Word, Time)>,
+    pub roster: Option<Conn>,
+    pub follows: bool,
+    pub port: Option<Port>,
+    pub peers: Vec<Option<SocketAddr>>,
+    pub me: usize,
+    pub counts: Counts,
+    frame: Vec<u8>,
+}
+
+impl<N: Net> Carrier<N> {
+    pub fn new(net: N, settings: &Settings, setup: Setup) -> Carrier<N> {
+        let named =
+            |list: &str| (0..).map_while(|i| settings.get(&format!("{list}.{i}.name")).cloned()).collect();
+        let plain = |key: &str| settings.text(key).split(',').map(str::to_string).collect();
+        Carrier {
+            net,
+            setup,
+            types: named("classes"),
+            tenants: named("tenants"),
+            zones: plain("zones"),
+            kinds: plain("kinds"),
+            workers: Ids::default(),
+            wks: Vec::new(),
+            functions: Ids::default(),
+            images: Vec::new(),
+            events: Vec::new(),
+            held: 0,
+            outs: Slab::new(),
+            turn: 0,
+            links: Slab::new(),
+            opened: Vec::new(),
+            known: VecDeque::new(),
+            given: VecDeque::new(),
+            roster: None,
+            // Where changes come unasked the roster is still told that we are there.
+            follows: settings.is("discovery", "pushed"),
+            port: None,
+            peers: Vec::new(),
+            me: 0,
+            counts: Counts::default(),
+            frame: Vec::new(),
+        }
+    }
+
+    /// The event's place is in use from now on; its buffers are those of the place's last user.
+    pub fn open(&mut self, place: usize, event: &Incoming, arrival: &Arrival) {
+        if self.events.len() <= place {
+            self.events.resize_with(place + 1, Held::default);
+        }
+        let img = arrival.function;
+        if self.images.len() <= img {
+            self.images.resize(img + 1, (1, 0.0, 0));
+        }
+        self.images[img] = (arrival.lanes, arrival.memory, arrival.load_hint);
+        let held = &mut self.events[place];
+        (held.open, held.ticket, held.id, held.begun) = (true, event.ticket, event.id, None);
+        (held.came, held.arrival, held.count) = (self.net.now(), *arrival, 0);
+        held.mark.clear();
+        held.mark.extend_from_slice(event.mark);
+        held.payload.clear();
+        held.payload.extend_from_slice(event.payload);
+        self.held += 1;
+        self.counts.taken += 1;
+    }
+
+    /// The one place where an event's answer is used up: whoever gets the ticket gives the answer, and nobody
+    /// gets it twice. With a ticket, only where the place still belongs to it.
+    pub fn close(&mut self, place: usize, ticket: Option<Ticket>) -> Option<(Ticket, Time)> {
+        let now = self.net.now();
+        let held = self.events.get_mut(place)?;
+        if !held.open || ticket.is_some_and(|t| t != held.ticket) {
+            return None;
+        }
+        held.open = false;
+        self.held -= 1;
+        Some((held.ticket, now - held.came))
+    }
+
+    fn own_answer(&mut self, evt: usize, word: Word, come_back: Time) {
+        if let Some((ticket, took)) = self.close(evt, None) {
+            match word {
+                Word::Deferred => self.counts.deferred += 1,
+                _ => self.counts.dead_lettered += 1,
+            }
+            tracing::debug!(event = self.events[evt].id, word = word.text(), took, "answered");
+            self.given.push_back((ticket, word, come_back));
+        }
+    }
+
+    /// Where the worker stands in the decisions' terms. A start that is known already keeps its time, or each
+    /// telling would look like another start.
+    pub fn listed(&mut self, entry: &Entry) -> (usize, Listed) {
+        let now = self.net.now();
+        let place =
+            |list: &[String], name: &str| list.iter().position(|z| z == name).map_or(u32::MAX, |z| z as u32);
+        let (zone, kind) = (place(&self.zones, &entry.zone), place(&self.kinds, &entry.machine));
+        let wk = self.workers.index(&entry.name);
+        if self.wks.len() <= wk {
+            let new = || Wk {
+                at: None,
+                listed: Listed::default(),
+                zone: String::new(),
+                machine: String::new(),
+                life: 0,
+                links: Vec::new(),
+            };
+            self.wks.resize_with(wk + 1, new);
+        }
+        let w = &mut self.wks[wk];
+        let restarted = entry.life > w.life || w.at.is_none();
+        let since = match (restarted, entry.age) {
+            (false, _) => w.listed.since,
+            (true, 0) => 0,
+            // 0 would mean long ago. A start before our own clock began is as old as that.
+            (true, age) => now.saturating_sub(age).max(1),
+        };
+        w.life = w.life.max(entry.life);
+        w.at = Some(entry.at);
+        w.listed = Listed {
+            hash: hash(&entry.name),
+            zone,
+            kind,
+            cell: entry.cell,
+            standing: entry.standing,
+            rating: entry.rating,
+            since,
+        };
+        w.zone.clone_from(&entry.zone);
+        w.machine.clone_from(&entry.machine);
+        (wk, w.listed)
+    }
+
+    /// A whole list: whoever is not in it is gone.
+    pub fn only(&mut self, entries: &[(usize, Listed)]) {
+        for (wk, w) in self.wks.iter_mut().enumerate() {
+            if !entries.iter().any(|e| e.0 == wk) {
+                w.listed.standing = Standing::Gone;
+            }
+        }
+    }
+
+    pub fn known_life(&self, wk: usize) -> Option<u64> {
+        Some(self.wks[wk].life)
+    }
+
+    pub fn restarted(&mut self, wk: usize, life: u64, age: Time) -> Option<Listed> {
+        let now = self.net.now();
+        let w = &mut self.wks[wk];
+        w.life = life;
+        w.listed.since = now.saturating_sub(age).max(1);
+        // One that the roster calls gone stays so until the roster says otherwise.
+        (w.listed.standing == Standing::On).then_some(w.listed)
+    }
+
+    pub fn drains(&mut self, wk: usize) -> Option<Listed> {
+        let w = &mut self.wks[wk];
+        if w.listed.standing != Standing::On {
+            return None;
+        }
+        w.listed.standing = Standing::Draining;
+        Some(w.listed)
+    }
+
+    pub fn entries(&self) -> Vec<Entry> {
+        let now = self.net.now();
+        let entry = |(wk, w): (usize, &Wk)| {
+            let since = w.listed.since;
+            Some(Entry {
+                name: self.workers.text(wk).to_string(),
+                at: w.at?,
+                zone: w.zone.clone(),
+                machine: w.machine.clone(),
+                cell: w.listed.cell,
+                standing: w.listed.standing,
+                rating: w.listed.rating,
+                life: w.life,
+                age: if since == 0 { 0 } else { (now - since).max(1) },
+            })
+        };
+        let gone = |w: &Wk| w.listed.standing == Standing::Gone;
+        self.wks.iter().enumerate().filter(|w| !gone(w.1)).filter_map(entry).collect()
+    }
+
+    /// The out that a worker's answer names, if it belongs to this connection and still is the same one.
+    pub fn key(&self, id: u64, link: usize) -> Result<Option<usize>, String> {
+        let (key, count) = ((id & 0xffff_ffff) as usize, (id >> 32) as u32);
+        match self.outs.get(key) {
+            Some(out) if out.count == count && out.link != link => {
+                Err(format!("field id: {id} was sent on another connection"))
+            }
+            Some(out) if out.count == count => Ok(Some(key)),
+            _ => Ok(None),
+        }
+    }
+
+    fn wire_id(&self, key: usize) -> u64 {
+        key as u64 | u64::from(self.outs[key].count) << 32
+    }
+
+    /// The decisions get this out's outcome now.
+    pub fn finish(&mut self, key: usize) {
+        self.no_deadline(key);
+        self.outs[key].over = true;
+    }
+
+    pub fn no_deadline(&mut self, key: usize) {
+        if let Some(d) = self.outs[key].deadline.take() {
+            self.net.clear(d);
+        }
+    }
+
+    /// Nothing more is awaited for it.
+    pub fn free(&mut self, key: usize) {
+        self.no_deadline(key);
+        let out = self.outs.remove(key);
+        if let Some(link) = self.links.get_mut(out.link) {
+            let list = if out.sent { &mut link.sent } else { &mut link.waiting };
+            if let Some(at) = list.iter().position(|k| *k == key) {
+                list.swap_remove(at);
+                link.streams -= usize::from(matches!(out.task, Task::Launch { .. }));
+            }
+        }
+    }
+
+    /// Frees an out that ended before it was sent.
+    pub fn unsent_over(&mut self, key: usize) {
+        if self.outs.get(key).is_some_and(|o| o.over && !o.sent) {
+            self.free(key);
+        }
+    }
+
+    /// An out whose deadline is due.
+    pub fn late(&mut self, key: usize) -> Option<usize> {
+        let out = self.outs.get_mut(key).filter(|o| !o.over)?;
+        out.deadline = None;
+        Some(key)
+    }
+
+    /// The worker has told its name: what waited is sent.
+    pub fn greeted(&mut self, link: usize) {
+        let now = self.net.now();
+        let l = &mut self.links[link];
+        (l.greeted, l.used, l.heard) = (true, now, now);
+        if let Some(d) = l.greeting.take() {
+            self.net.clear(d);
+        }
+        for key in std::mem::take(&mut l.waiting) {
+            self.links[link].sent.push(key);
+            self.send(key);
+        }
+    }
+
+    pub fn no_greeting(&mut self, link: &Link) {
+        if let Some(d) = link.greeting {
+            self.net.clear(d);
+        }
+    }
+
+    pub fn ungreeted(&self, link: usize) -> Option<Conn> {
+        self.links.get(link).filter(|l| !l.greeted).map(|l| l.conn)
+    }
+
+    /// Links to close: idle ones, those to workers that are gone, and those on which only given-up launches
+    /// are left and nothing was heard for long.
+    pub fn idle(&mut self, now: Time) -> Vec<(usize, Conn)> {
+        let (keep, silent) = (self.setup.keep_alive, self.setup.silent);
+        let mut idle = Vec::new();
+        for (key, l) in &self.links {
+            let nothing = l.waiting.is_empty() && l.sent.is_empty();
+            let gone = self.wks[l.wk].listed.standing == Standing::Gone;
+            let given_up = l.waiting.is_empty() && l.sent.iter().all(|k| self.outs[*k].over);
+            let quiet = now > l.used + silent && now > l.heard + silent;
+            if nothing && (now > l.used + keep || gone && quiet) || !nothing && given_up && quiet {
+                idle.push((key, l.conn));
+            }
+        }
+        idle
+    }
+
+    /// Puts an out on a connection of its worker: one with a free stream, one that is being made, or a new one.
+    fn ride(&mut self, key: usize) {
+        let out = self.outs[key];
+        let launch = matches!(out.task, Task::Launch { .. });
+        let room = |l: &Link| !launch || l.streams < self.setup.streams;
+        let links = self.wks[out.wk].links.iter().copied();
+        let ready = links.clone().find(|l| self.links[*l].greeted && room(&self.links[*l]));
+        let link = ready.or_else(|| links.clone().find(|l| room(&self.links[*l])));
+        let link = match (link, self.wks[out.wk].at) {
+            (Some(link), _) => link,
+            (None, Some(at)) if self.wks[out.wk].links.len() < self.setup.connections => {
+                let conn = self.net.connect(at, self.setup.connect_time_out);
+                self.counts.connections += 1;
+                let now = self.net.now();
+                let link = self.links.insert(Link {
+                    wk: out.wk,
+                    conn,
+                    greeted: false,
+                    streams: 0,
+                    waiting: Vec::new(),
+                    sent: Vec::new(),
+                    used: now,
+                    heard: now,
+                    greeting: None,
+                });
+                let until = now + self.setup.connect_time_out;
+                self.links[link].greeting = Some(self.net.set(until, OF_GREETING | link as u64));
+                self.wks[out.wk].links.push(link);
+                self.opened.push((conn, link));
+                link
+            }
+            // All streams of all connections are taken.
+            _ => {
+                self.outs[key].link = usize::MAX;
+                return self.at_once(key, Outcome::Full);
+            }
+        };
+        self.outs[key].link = link;
+        let l = &mut self.links[link];
+        l.streams += usize::from(launch);
+        if l.greeted {
+            l.sent.push(key);
+            self.send(key);
+        } else {
+            l.waiting.push(key);
+        }
+    }
+
+    /// The outcome is known already; it is told when the decisions' call is over.
+    fn at_once(&mut self, key: usize, outcome: Outcome) {
+        let count = self.outs[key].count;
+        self.known.push_back((key, count, outcome));
+    }
+
+    fn send(&mut self, key: usize) {
+        let out = self.outs[key];
+        let (id, now) = (self.wire_id(key), self.net.now());
+        self.frame.clear();
+        match out.task {
+            Task::Launch { evt, launch } => {
+                let e = &self.events[evt];
+                let a = &e.arrival;
+                let f = Frame::new(&mut self.frame, kind::LAUNCH).whole(Field::Id, id);
+                let f = f.whole(Field::Event, e.id).whole(Field::Launch, launch as u64);
+                let f = f.text(Field::Type, &self.types[a.typ]);
+                let f = f.text(Field::Function, self.functions.text(a.function));
+                let f = f.whole(Field::Lanes, u64::from(a.lanes)).real(Field::Memory, a.memory);
+                let f = f.whole(Field::Left, a.gives_up.saturating_sub(now)).whole(Field::Hint, a.hint);
+                let f = f.bytes(Field::Mark, &e.mark).flag(Field::Resent, a.resent);
+                f.bytes(Field::Payload, &e.payload).end();
+            }
+            Task::Hold { img } => {
+                let (lanes, memory, load_hint) = self.images.get(img).copied().unwrap_or((1, 0.0, 0));
+                let f = Frame::new(&mut self.frame, kind::HOLD).whole(Field::Id, id);
+                let f = f.text(Field::Function, self.functions.text(img));
+                let f = f.whole(Field::Copies, u64::from(out.copies)).whole(Field::Lanes, u64::from(lanes));
+                f.real(Field::Memory, memory).whole(Field::LoadHint, load_hint).end();
+            }
+            Task::Probe => Frame::new(&mut self.frame, kind::PROBE).whole(Field::Id, id).end(),
+        }
+        let link = &mut self.links[out.link];
+        if self.net.write(link.conn, &self.frame) {
+            link.used = now;
+            self.outs[key].sent = true;
+        } else {
+            // A worker that accepts and never reads: its buffer is full, so nothing of this has left.
+            let link = &mut self.links[out.link];
+            link.sent.retain(|k| *k != key);
+            link.streams -= usize::from(matches!(out.task, Task::Launch { .. }));
+            self.outs[key].link = usize::MAX;
+            self.at_once(key, Outcome::Full);
+        }
+    }
+
+    fn out(&mut self, task: Task, wk: usize, copies: u32, until: Time) -> usize {
+        self.turn = self.turn.wrapping_add(1);
+        let (at, stood) = (self.net.now(), self.net.stood());
+        let out = Out {
+            task,
+            wk,
+            link: usize::MAX,
+            count: self.turn,
+            copies,
+            sent: false,
+            over: false,
+            at,
+            stood,
+            deadline: None,
+        };
+        let key = self.outs.insert(out);
+        self.outs[key].deadline = Some(self.net.set(until, OF_OUT | key as u64));
+        key
+    }
+
+    pub fn heard(&mut self, link: usize) {
+        let now = self.net.now();
+        if let Some(l) = self.links.get_mut(link) {
+            l.heard = now;
+        }
+    }
+}
+
+impl<N: Net> Host for Carrier<N> {
+    fn launch(&mut self, evt: usize, wk: usize, time_out: Time) {
+        let now = self.net.now();
+        let held = &self.events[evt];
+        let (launch, gives_up, open) = (held.count, held.arrival.gives_up, held.open);
+        let until = if time_out == 0 { gives_up } else { gives_up.min(now + time_out) };
+        let key = self.out(Task::Launch { evt, launch }, wk, 0, until);
+        let held = &mut self.events[evt];
+        held.outs[launch] = key;
+        held.count += 1;
+        self.counts.launches += 1;
+        if !open || now >= gives_up {
+            return self.at_once(key, Outcome::Moot);
+        }
+        self.ride(key);
+    }
+
+    fn cancel(&mut self, evt: usize, launch: usize) {
+        let key = self.events[evt].outs[launch];
+        let Some(out) = self.outs.get(key).filter(|o| o.task == Task::Launch { evt, launch } && !o.over)
+        else {
+            return;
+        };
+        if !out.sent {
+            return self.at_once(key, Outcome::Moot);
+        }
+        let (id, link) = (self.wire_id(key), out.link);
+        self.frame.clear();
+        Frame::new(&mut self.frame, kind::CANCEL).whole(Field::Id, id).end();
+        if let Some(conn) = self.links.get(link).map(|l| l.conn) {
+            self.net.write(conn, &self.frame);
+        }
+        self.at_once(key, Outcome::Cancelled);
+    }
+
+    fn defer(&mut self, evt: usize, come_back: Time) {
+        self.own_answer(evt, Word::Deferred, come_back);
+    }
+
+    fn dead_letter(&mut self, evt: usize) {
+        self.own_answer(evt, Word::DeadLettered, 0);
+    }
+
+    fn release(&mut self, evt: usize) {
+        let held = &mut self.events[evt];
+        // A place that held a large payload gives its memory back.
+        const KEPT: usize = 1024; // a usual event's payload
+        held.payload.clear();
+        held.payload.shrink_to(KEPT);
+        assert!(!held.open, "an event was released without an answer");
+    }
+
+    fn timer(&mut self, wait: Time, token: u64) {
+        let now = self.net.now();
+        self.net.set(now + wait, OF_CHOICE | token);
+    }
+
+    fn probe(&mut self, wk: usize) {
+        self.counts.probes += 1;
+        let until = self.net.now() + self.setup.probe_time_out;
+        let key = self.out(Task::Probe, wk, 0, until);
+        self.ride(key);
+    }
+
+    fn hang_up(&mut self, wk: usize) {
+        for i in 0..self.wks[wk].links.len() {
+            let link = &mut self.links[self.wks[wk].links[i]];
+            if link.waiting.is_empty() && link.sent.is_empty() {
+                // The next look at the links closes it.
+                link.used = 0;
+            }
+        }
+    }
+
+    fn hold(&mut self, img: usize, wk: usize, copies: u32) {
+        self.counts.orders += u64::from(copies > 0);
+        let until = self.net.now() + self.setup.order_time_out;
+        let key = self.out(Task::Hold { img }, wk, copies, until);
+        self.ride(key);
+    }
+
+    fn unload(&mut self, img: usize, wk: usize) {
+        let ready = self.wks[wk].links.iter().copied().find(|l| self.links[*l].greeted);
+        if let Some(link) = ready {
+            self.frame.clear();
+            let f = Frame::new(&mut self.frame, kind::UNLOAD);
+            f.text(Field::Function, self.functions.text(img)).end();
+            let conn = self.links[link].conn;
+            self.net.write(conn, &self.frame);
+        }
+    }
+
+    fn forget(&mut self, img: usize) {
+        self.functions.forget(img);
+    }
+
+    fn follow(&mut self, on: bool) {
+        self.follows = on;
+        if let Some(conn) = self.roster {
+            self.frame.clear();
+            Frame::new(&mut self.frame, kind::FOLLOW).flag(Field::On, on).end();
+            self.net.write(conn, &self.frame);
+        }
+    }
+
+    fn look_up(&mut self) {
+        if let Some(conn) = self.roster {
+            self.frame.clear();
+            Frame::new(&mut self.frame, kind::LOOK_UP).end();
+            self.net.write(conn, &self.frame);
+        }
+    }
+
+    fn tell(&mut self, peer: Option<u32>, bytes: &[u8]) {
+        let Some(port) = self.port else { return };
+        self.frame.clear();
+        let f = Frame::new(&mut self.frame, kind::PEER).whole(Field::Id, self.me as u64);
+        f.bytes(Field::Payload, bytes).end();
+        for (i, at) in self.peers.iter().enumerate() {
+            let wanted = i != self.me && peer.is_none_or(|p| p as usize == i);
+            if let Some(at) = at.filter(|_| wanted) {
+                self.net.send(port, at, &self.frame);
+            }
+        }
+    }
+
+    fn note(&mut self, text: &str) {
+        info!(text, "note");
+    }
+}
--- /dev/null
+++ b/crates/tidewall-gateway/src/door.rs
@@ -0,0 +1,71 @@
+//! The seam between the gateway and the protocols by which events come. Whatever the protocol, an event comes
+//! as `Incoming` and its one answer leaves by `Door::answered`.
+use crate::Core;
+use tidewall_net::{Conn, Net, Time};
+
+/// Names an event to the door that it came by: the key is that door's own.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ticket {
+    pub door: usize,
+    pub key: u64,
+}
+
+/// The three words of a final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Handled,
+    Deferred,
+    DeadLettered,
+}
+
+impl Word {
+    pub fn text(self) -> &'static str {
+        match self {
+            Word::Handled => "handled",
+            Word::Deferred => "deferred",
+            Word::DeadLettered => "dead-lettered",
+        }
+    }
+}
+
+pub struct Answer<'a> {
+    pub word: Word,
+    /// With deferred: when to come back; 0 where that is not told.
+    pub come_back: Time,
+    pub reason: &'a str,
+    pub payload: &'a [u8],
+    /// How long the gateway held it.
+    pub took: Time,
+}
+
+/// An event as it comes, its fields still where the protocol's bytes lie.
+pub struct Incoming<'a> {
+    pub ticket: Ticket,
+    /// The client's own name for it, for logs and workers.
+    pub id: u64,
+    pub typ: usize,
+    pub tenant: Option<usize>,
+    pub function: &'a str,
+    pub lanes: u32,
+    pub memory: f64,
+    pub hint: Time,
+    pub load_hint: Time,
+    /// How long until the client gives up.
+    pub left: Time,
+    pub resent: bool,
+    pub mark: &'a [u8],
+    pub payload: &'a [u8],
+}
+
+/// One protocol. It reads its clients' bytes and tells `Core` which events come and which clients leave.
+pub trait Door<N: Net> {
+    fn accepted(&mut self, core: &mut Core<N>, conn: Conn);
+    /// Gives back how many bytes it has used.
+    fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize;
+    fn drained(&mut self, core: &mut Core<N>, conn: Conn);
+    fn closed(&mut self, core: &mut Core<N>, conn: Conn);
+    /// The answer has begun; more follows.
+    fn begun(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]);
+    /// The one final answer. Each ticket gets it once, and none after `Core::left`.
+    fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer);
+}
--- /dev/null
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -0,0 +1,693 @@
+//! The running gateway. `Gateway` is an app of `tidewall-net`: it hears what happens on connections and
+//! deadlines, tells the decisions, and settles what they called for. `carrier` implements the decisions'
+//! `Host`, `native` is the door that speaks the native frames, `list` keeps the last list of workers. It
+//! decides nothing.
+pub mod carrier;
+pub mod door;
+pub mod list;
+pub mod native;
+
+use carrier::{Carrier, Counts, Out, Setup, Task};
+use door::{Answer, Door, Incoming, Ticket, Word};
+use list::{Entry, Shelf};
+use std::net::SocketAddr;
+use tidewall::choice::Choice;
+use tidewall::host::{Arrival, Listed, Outcome, Standing};
+use tidewall::ids;
+use tidewall::settings::Settings;
+use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
+use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
+use tracing::{debug, error, info, warn};
+
+/// What a deadline's token stands for; the rest of it is the kind's own.
+pub(crate) const OF_CHOICE: u64 = 1 << 56;
+pub(crate) const OF_OUT: u64 = 2 << 56;
+const OF_ROSTER: u64 = 3 << 56;
+const OF_LINKS: u64 = 4 << 56;
+const OF_SHELF: u64 = 5 << 56;
+const OF_COUNTS: u64 = 6 << 56;
+pub(crate) const OF_GREETING: u64 = 7 << 56;
+const OF_WHAT: u64 = 0xff << 56;
+
+/// How often links are looked at for being idle or silent: a tenth of a second is fine against times of
+/// seconds and costs nothing.
+const LINKS: Time = 1_000;
+
+/// A changed list is written this much later, so that many changes at once are one write.
+const SHELF: Time = 2_000;
+
+/// Counts are logged this often.
+const COUNTS: Time = 600_000;
+
+/// Whom a connection belongs to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Owner {
+    Nobody,
+    Door(usize),
+    Link(usize),
+    Roster,
+}
+
+/// Events on their way, as the doors see it: they tell what comes and who leaves.
+pub struct Core<N: Net> {
+    choice: Choice<Carrier<N>>,
+    draining: bool,
+    most_held: usize,
+}
+
+impl<N: Net> Core<N> {
+    pub fn net(&mut self) -> &mut N {
+        &mut self.choice.host.net
+    }
+
+    pub fn types(&self) -> &[String] {
+        &self.choice.host.types
+    }
+
+    pub fn tenants(&self) -> &[String] {
+        &self.choice.host.tenants
+    }
+
+    pub fn counts(&mut self) -> &mut Counts {
+        &mut self.choice.host.counts
+    }
+
+    /// Takes an event, which gets its one answer from now on, or turns it away with a word why. The place that
+    /// it gives back names the event to `left`.
+    pub fn take(&mut self, event: &Incoming) -> Result<usize, &'static str> {
+        let host = &mut self.choice.host;
+        if self.draining || host.held >= self.most_held {
+            host.counts.turned_away += 1;
+            return Err(if self.draining { "draining" } else { "most-held" });
+        }
+        let now = host.net.now();
+        let function = host.functions.index(event.function);
+        let arrival = Arrival {
+            typ: event.typ,
+            tenant: event.tenant,
+            function,
+            function_hash: ids::hash(event.function),
+            lanes: event.lanes.max(1),
+            memory: event.memory,
+            gives_up: now + event.left,
+            hint: event.hint,
+            load_hint: event.load_hint,
+            resent: event.resent,
+        };
+        let place = self.choice.next_place();
+        self.choice.host.open(place, event, &arrival);
+        debug!(event = event.id, place, function = event.function, left = event.left, "taken");
+        self.choice.clock(now);
+        self.choice.arrive(arrival);
+        Ok(place)
+    }
+
+    /// The client does not wait for this event any more.
+    pub fn left(&mut self, place: usize, ticket: Ticket) {
+        let now = self.net().now();
+        let host = &mut self.choice.host;
+        if host.close(place, Some(ticket)).is_some() {
+            host.counts.lapsed += 1;
+            debug!(event = host.events[place].id, place, "lapsed");
+            self.choice.clock(now);
+            self.choice.lapsed(place);
+        }
+    }
+}
+
+pub struct Gateway<N: Net> {
+    core: Core<N>,
+    doors: Vec<Box<dyn Door<N>>>,
+    owners: Vec<(u32, Owner)>,
+    listeners: Vec<Listener>,
+    me: u64,
+    roster: Roster,
+    shelf: Box<dyn Shelf>,
+    unsaved: bool,
+    port: Option<Port>,
+    name: String,
+}
+
+struct Roster {
+    at: SocketAddr,
+    conn: Option<Conn>,
+    greeted: bool,
+    retry: Time,
+}
+
+/// What a gateway is told at start, besides its settings.
+pub struct Start {
+    pub name: String,
+    pub me: usize,
+    pub seed: u64,
+    pub settings: Settings,
+    pub roster: SocketAddr,
+    pub roster_retry: Time,
+    pub peers: Vec<Option<SocketAddr>>,
+    pub setup: Setup,
+}
+
+impl<N: Net> Gateway<N> {
+    pub fn new(mut net: N, start: Start, shelf: Box<dyn Shelf>) -> Result<Gateway<N>, String> {
+        let now = net.now();
+        let port = match start.peers.get(start.me).copied().flatten() {
+            None => None,
+            Some(at) => Some(net.bind(at).map_err(|e| format!("{at}: datagrams: {e}"))?.0),
+        };
+        let most_held = start.setup.most_held;
+        net.set(now + LINKS, OF_LINKS);
+        net.set(now + COUNTS, OF_COUNTS);
+        let mut carrier = Carrier::new(net, &start.settings, start.setup);
+        (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.me);
+        let choice = Choice::new(carrier, now, start.seed, start.settings)?;
+        let roster = Roster { at: start.roster, conn: None, greeted: false, retry: start.roster_retry };
+        let mut gateway = Gateway {
+            core: Core { choice, draining: false, most_held },
+            doors: Vec::new(),
+            owners: Vec::new(),
+            listeners: Vec::new(),
+            me: start.me as u64,
+            roster,
+            shelf,
+            unsaved: false,
+            port,
+            name: start.name,
+        };
+        gateway.last_list();
+        gateway.ask_roster();
+        Ok(gateway)
+    }
+
+    /// Opens a door; fails with a line that names the address.
+    pub fn open(&mut self, at: SocketAddr, door: Box<dyn Door<N>>) -> Result<SocketAddr, String> {
+        let (listener, at) = self.core.net().listen(at).map_err(|e| format!("{at}: {e}"))?;
+        self.listeners.push(listener);
+        self.doors.push(door);
+        info!(gateway = self.name, %at, "listens");
+        Ok(at)
+    }
+
+    pub fn counts(&self) -> &Counts {
+        &self.core.choice.host.counts
+    }
+
+    pub fn held(&self) -> usize {
+        self.core.choice.host.held
+    }
+
+    /// Connections to workers that stand or are being made.
+    pub fn links(&self) -> usize {
+        self.core.choice.host.links.len()
+    }
+
+    /// Takes no new events; when what is held has its answers the net is stopped. The second time it stops at
+    /// once.
+    pub fn drain(&mut self) {
+        if std::mem::replace(&mut self.core.draining, true) {
+            warn!(held = self.held(), "ends at once");
+            return self.core.net().stop();
+        }
+        info!(held = self.held(), "drains");
+        for listener in std::mem::take(&mut self.listeners) {
+            self.core.net().unlisten(listener);
+        }
+        self.rest();
+    }
+
+    fn rest(&mut self) {
+        if self.core.draining && self.held() == 0 {
+            info!(counts = ?self.counts(), "drained");
+            self.save_list();
+            self.core.net().stop();
+        }
+    }
+
+    fn own(&mut self, conn: Conn, owner: Owner) {
+        if self.owners.len() <= conn.place() {
+            self.owners.resize(conn.place() + 1, (0, Owner::Nobody));
+        }
+        self.owners[conn.place()] = (conn.count(), owner);
+    }
+
+    fn owner(&self, conn: Conn) -> Owner {
+        let owner = self.owners.get(conn.place()).filter(|o| o.0 == conn.count());
+        owner.map_or(Owner::Nobody, |o| o.1)
+    }
+
+    /// Hands over what the decisions' last calls left behind: outcomes that were known at once, the
+    /// gateway's own answers, and connections that were asked for.
+    fn settle(&mut self) {
+        loop {
+            let host = &mut self.core.choice.host;
+            if let Some((conn, link)) = host.opened.pop() {
+                self.own(conn, Owner::Link(link));
+            } else if let Some((key, count, outcome)) = host.known.pop_front() {
+                // Its place may belong to another by now.
+                if host.outs.get(key).is_some_and(|o| o.count == count) {
+                    self.done(key, outcome, 0);
+                    self.core.choice.host.unsent_over(key);
+                }
+            } else if let Some((ticket, word, come_back)) = host.given.pop_front() {
+                let answer = Answer { word, come_back, reason: "", payload: &[], took: 0 };
+                let net = &mut host.net;
+                self.doors[ticket.door].answered(net, ticket, &answer);
+            } else {
+                break;
+            }
+        }
+        self.rest();
+    }
+
+    /// One launch, order or probe is over.
+    fn done(&mut self, key: usize, outcome: Outcome, count: u32) {
+        let host = &mut self.core.choice.host;
+        let Some(out) = host.outs.get_mut(key).filter(|o| !o.over) else { return };
+        let Out { task, wk, at, stood, .. } = *out;
+        let now = host.net.now();
+        // What passed while this process stood still is no evidence about a worker.
+        let took = (now - at).saturating_sub(host.net.stood() - stood);
+        host.finish(key);
+        self.core.choice.clock(now);
+        match task {
+            Task::Launch { evt, launch } => {
+                let over = !self.core.choice.host.events[evt].open;
+                debug!(event = self.core.choice.host.events[evt].id, launch, ?outcome, took, "ended");
+                self.core.choice.ended(evt, launch, (outcome, took), over, count);
+            }
+            Task::Hold { img } => self.core.choice.held(img, wk, outcome, count),
+            Task::Probe => self.core.choice.probed(wk, outcome),
+        }
+    }
+
+    /// Frames of a worker.
+    fn worker_frame(&mut self, link: usize, fields: &Fields) -> Result<(), String> {
+        let host = &mut self.core.choice.host;
+        let now = host.net.now();
+        if !host.links[link].greeted {
+            let role = wire::greeted(fields)?;
+            let (name, wk) = (fields.text(Field::Name)?, host.links[link].wk);
+            if role != "worker" || name != host.workers.text(wk) {
+                // Another one has come to live at this address: nothing was sent, so nothing has run.
+                return Err(format!("field name: {role} {name} answers for {}", host.workers.text(wk)));
+            }
+            let (life, age) = (fields.whole(Field::Life)?, fields.upto(Field::Age, u64::MAX >> 8, 0)?);
+            let known = host.known_life(wk);
+            if known.is_some_and(|k| life > k) {
+                // It restarted before the roster told.
+                if let Some(entry) = host.restarted(wk, life, age) {
+                    self.core.choice.clock(now);
+                    self.core.choice.list(&[(wk, entry)], false);
+                }
+            }
+            self.core.choice.host.greeted(link);
+            return Ok(());
+        }
+        let wk = host.links[link].wk;
+        match fields.kind()? {
+            kind::BEGUN => {
+                let Some(key) = host.key(fields.whole(Field::Id)?, link)? else { return Ok(()) };
+                let Task::Launch { evt, launch } = host.outs[key].task else { return Ok(()) };
+                if host.outs[key].over || !host.events[evt].open || host.events[evt].begun.is_some() {
+                    return Ok(());
+                }
+                host.events[evt].begun = Some(launch);
+                host.no_deadline(key);
+                let ticket = host.events[evt].ticket;
+                let net = &mut host.net;
+                self.doors[ticket.door].begun(net, ticket, fields.bytes(Field::Payload)?);
+                self.core.choice.clock(now);
+                self.core.choice.begun(evt, launch);
+            }
+            kind::END => {
+                let outcome = outcome(fields)?;
+                let copy = fields.upto(Field::Copy, 4, 0)? as u32;
+                let company = fields.upto(Field::Company, 30, 0)? as u32;
+                let payload = fields.bytes(Field::Payload)?;
+                self.report(wk, fields)?;
+                let host = &mut self.core.choice.host;
+                let Some(key) = host.key(fields.whole(Field::Id)?, link)? else { return Ok(()) };
+                if let Task::Launch { evt, .. } = host.outs[key].task {
+                    if !host.outs[key].over && outcome == Outcome::Ok {
+                        // The first good answer is the client's at once.
+                        self.answer(evt, Word::Handled, payload);
+                    }
+                    self.done(key, outcome, copy | company << 3);
+                    self.core.choice.host.free(key);
+                }
+            }
+            kind::HELD => {
+                let (outcome, copies) = (outcome(fields)?, fields.upto(Field::Copies, 1 << 16, 0)?);
+                let Some(key) = host.key(fields.whole(Field::Id)?, link)? else { return Ok(()) };
+                if matches!(host.outs[key].task, Task::Hold { .. }) {
+                    self.done(key, outcome, copies as u32);
+                    self.core.choice.host.free(key);
+                }
+            }
+            kind::PROBED => {
+                self.report(wk, fields)?;
+                let host = &mut self.core.choice.host;
+                let Some(key) = host.key(fields.whole(Field::Id)?, link)? else { return Ok(()) };
+                if matches!(host.outs[key].task, Task::Probe) {
+                    self.done(key, Outcome::Ok, 0);
+                    self.core.choice.host.free(key);
+                }
+            }
+            kind::DRAINS => {
+                if let Some(entry) = host.drains(wk) {
+                    self.core.choice.clock(now);
+                    self.core.choice.list(&[(wk, entry)], false);
+                    self.unsaved();
+                }
+            }
+            kind::ERROR => {
+                warn!(worker = host.workers.text(wk), reason = fields.text(Field::Reason)?, "told")
+            }
+            other => return Err(format!("field kind: {other} is not for a gateway")),
+        }
+        Ok(())
+    }
+
+    fn report(&mut self, wk: usize, fields: &Fields) -> Result<(), String> {
+        if fields.has(Field::InFlight) || fields.has(Field::Busy) {
+            let (flight, busy) = (fields.real(Field::InFlight, 0.0)?, fields.real(Field::Busy, 0.0)?);
+            let now = self.core.net().now();
+            self.core.choice.clock(now);
+            self.core.choice.reported(wk, flight, busy);
+        }
+        Ok(())
+    }
+
+    /// An answer that is not the decisions' own: handled, or the break of an answer that had begun.
+    fn answer(&mut self, evt: usize, word: Word, payload: &[u8]) {
+        let host = &mut self.core.choice.host;
+        let Some((ticket, took)) = host.close(evt, None) else { return };
+        match word {
+            Word::Handled => host.counts.handled += 1,
+            _ => host.counts.dead_lettered += 1,
+        }
+        debug!(event = host.events[evt].id, word = word.text(), "answered");
+        let answer = Answer { word, come_back: 0, reason: "", payload, took };
+        self.doors[ticket.door].answered(&mut host.net, ticket, &answer);
+    }
+
+    fn link_over(&mut self, link: usize, why: Why) {
+        let host = &mut self.core.choice.host;
+        let gone = host.links.remove(link);
+        let wk = gone.wk;
+        host.wks[wk].links.retain(|l| *l != link);
+        host.no_greeting(&gone);
+        // The place may serve another connection before the last of these is over.
+        gone.waiting.iter().chain(&gone.sent).for_each(|key| host.outs[*key].link = usize::MAX);
+        if !gone.greeted {
+            debug!(worker = host.workers.text(wk), ?why, waiting = gone.waiting.len(), "no connection");
+        }
+        for key in gone.waiting {
+            // Never sent: proven not run.
+            self.done(key, Outcome::NoConnection, 0);
+            self.core.choice.host.free(key);
+        }
+        for key in gone.sent {
+            let out = self.core.choice.host.outs[key];
+            if let (Task::Launch { evt, launch }, false) = (out.task, out.over) {
+                if self.core.choice.host.events[evt].begun == Some(launch) {
+                    self.answer(evt, Word::DeadLettered, &[]);
+                }
+            }
+            self.done(key, Outcome::Reset, 0);
+            self.core.choice.host.free(key);
+        }
+    }
+
+    fn roster_frame(&mut self, fields: &Fields) -> Result<(), String> {
+        if !self.roster.greeted {
+            if wire::greeted(fields)? != "roster" {
+                return Err("field role: no roster answers there".to_string());
+            }
+            self.roster.greeted = true;
+            return Ok(());
+        }
+        match fields.kind()? {
+            kind::ROSTER => {
+                let whole = match fields.text(Field::Scope)? {
+                    "whole" => true,
+                    "patch" => false,
+                    other => return Err(format!("field scope: '{other}' is no scope")),
+                };
+                let host = &mut self.core.choice.host;
+                let now = host.net.now();
+                let mut entries: Vec<(usize, Listed)> = Vec::new();
+                fields.entries(|e| {
+                    let entry = host.listed(&list::entry(e)?);
+                    entries.push(entry);
+                    Ok(())
+                })?;
+                self.core.choice.clock(now);
+                self.core.choice.list(&entries, whole);
+                if whole {
+                    self.core.choice.host.only(&entries);
+                }
+                self.unsaved();
+            }
+            kind::ERROR => warn!(reason = fields.text(Field::Reason)?, "the roster told"),
+            other => return Err(format!("field kind: {other} is not for a gateway")),
+        }
+        Ok(())
+    }
+
+    fn ask_roster(&mut self) {
+        let (at, within) = (self.roster.at, self.roster.retry);
+        let conn = self.core.net().connect(at, within);
+        self.own(conn, Owner::Roster);
+        (self.roster.conn, self.roster.greeted) = (Some(conn), false);
+    }
+
+    /// The last list holds; the decisions hear that news may be missing, and it is asked for anew.
+    fn roster_over(&mut self, why: Why) {
+        warn!(?why, at = %self.roster.at, "no roster");
+        self.roster.conn = None;
+        self.core.choice.host.roster = None;
+        let now = self.core.net().now();
+        let retry = self.roster.retry;
+        self.core.net().set(now + retry, OF_ROSTER);
+        self.core.choice.clock(now);
+        self.core.choice.list_failed();
+    }
+
+    fn unsaved(&mut self) {
+        if !std::mem::replace(&mut self.unsaved, true) {
+            let now = self.core.net().now();
+            self.core.net().set(now + SHELF, OF_SHELF);
+        }
+    }
+
+    fn save_list(&mut self) {
+        if std::mem::take(&mut self.unsaved) {
+            let entries = self.core.choice.host.entries();
+            if let Err(e) = self.shelf.write(&list::encode(&entries)) {
+                warn!(error = %e, "the last list was not kept");
+            }
+        }
+    }
+
+    fn last_list(&mut self) {
+        let entries = match self.shelf.read() {
+            Ok(None) => Vec::new(),
+            Ok(Some((bytes, age))) => list::decode(&bytes, age).unwrap_or_else(|e| {
+                warn!(error = e, "the last list is not used");
+                Vec::new()
+            }),
+            Err(e) => {
+                warn!(error = %e, "the last list cannot be read");
+                Vec::new()
+            }
+        };
+        let host = &mut self.core.choice.host;
+        let listed: Vec<_> = entries.iter().map(|e: &Entry| host.listed(e)).collect();
+        info!(workers = listed.len(), "last list");
+        self.core.choice.list(&listed, true);
+    }
+
+    /// Reads frames and hands each on; a malformed one ends the connection with a word why.
+    fn frames(&mut self, conn: Conn, bytes: &[u8], owner: Owner) -> usize {
+        let mut used = 0;
+        while self.owner(conn) == owner {
+            let told = match wire::frame(&bytes[used..]) {
+                Ok(None) => break,
+                Ok(Some((body, len))) => {
+                    used += len;
+                    Fields::read(body).and_then(|fields| match owner {
+                        Owner::Link(link) => self.worker_frame(link, &fields),
+                        _ => self.roster_frame(&fields),
+                    })
+                }
+                Err(e) => Err(e),
+            };
+            if let Err(reason) = told {
+                warn!(reason, ?owner, "malformed frame");
+                let host = &mut self.core.choice.host;
+                host.counts.malformed += 1;
+                let mut out = Vec::new();
+                wire::error(&mut out, &reason);
+                host.net.write(conn, &out);
+                host.net.close(conn);
+                self.own(conn, Owner::Nobody);
+                match owner {
+                    Owner::Link(link) => self.link_over(link, Why::Reset),
+                    _ => self.roster_over(Why::Reset),
+                }
+                return bytes.len();
+            }
+            self.settle();
+        }
+        used
+    }
+}
+
+fn outcome(fields: &Fields) -> Result<Outcome, String> {
+    Ok(match fields.text(Field::Outcome)? {
+        "ok" => Outcome::Ok,
+        "error" => Outcome::Error,
+        "full" => Outcome::Full,
+        "miss" => Outcome::Miss,
+        "cancelled" => Outcome::Cancelled,
+        other => return Err(format!("field outcome: '{other}' is no outcome")),
+    })
+}
+
+impl<N: Net> App for Gateway<N> {
+    type Net = N;
+
+    fn net(&mut self) -> &mut N {
+        self.core.net()
+    }
+
+    fn accepted(&mut self, listener: Listener, conn: Conn, _from: SocketAddr) {
+        if let Some(door) = self.listeners.iter().position(|l| *l == listener) {
+            self.own(conn, Owner::Door(door));
+            self.doors[door].accepted(&mut self.core, conn);
+        }
+    }
+
+    fn connected(&mut self, conn: Conn) {
+        let (me, name) = (self.me, self.name.clone());
+        let mut out = Vec::new();
+        wire::hello(&mut out, "gateway", &name, me);
+        let host = &mut self.core.choice.host;
+        if self.roster.conn == Some(conn) {
+            host.roster = Some(conn);
+            if host.follows {
+                Frame::new(&mut out, kind::FOLLOW).flag(Field::On, true).end();
+            }
+        }
+        host.net.write(conn, &out);
+    }
+
+    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let used = match self.owner(conn) {
+            Owner::Nobody => bytes.len(),
+            Owner::Door(door) => self.doors[door].bytes(&mut self.core, conn, bytes),
+            owner => {
+                if let Owner::Link(link) = owner {
+                    self.core.choice.host.heard(link);
+                }
+                self.frames(conn, bytes, owner)
+            }
+        };
+        self.settle();
+        used
+    }
+
+    fn drained(&mut self, conn: Conn) {
+        if let Owner::Door(door) = self.owner(conn) {
+            self.doors[door].drained(&mut self.core, conn);
+        }
+    }
+
+    fn closed(&mut self, conn: Conn, why: Why) {
+        match self.owner(conn) {
+            Owner::Nobody => {}
+            Owner::Door(door) => self.doors[door].closed(&mut self.core, conn),
+            Owner::Link(link) => self.link_over(link, why),
+            Owner::Roster => self.roster_over(why),
+        }
+        self.own(conn, Owner::Nobody);
+        self.settle();
+    }
+
+    fn datagram(&mut self, port: Port, _from: SocketAddr, bytes: &[u8]) {
+        if self.port != Some(port) {
+            return;
+        }
+        let Ok(Some((body, _))) = wire::frame(bytes) else { return };
+        let told = Fields::read(body).and_then(|f| {
+            let peer = f.upto(Field::Id, u64::from(u32::MAX), 0)?;
+            Ok((f.kind()? == kind::PEER, peer as u32, f.bytes(Field::Payload)?))
+        });
+        match told {
+            Ok((true, peer, payload)) => {
+                let now = self.core.net().now();
+                self.core.choice.clock(now);
+                self.core.choice.told(peer, payload);
+                self.settle();
+            }
+            _ => self.core.choice.host.counts.malformed += 1,
+        }
+    }
+
+    fn due(&mut self, token: u64) {
+        let now = self.core.net().now();
+        match token & OF_WHAT {
+            OF_CHOICE => {
+                self.core.choice.clock(now);
+                self.core.choice.timer(token & !OF_WHAT);
+            }
+            OF_OUT => {
+                if let Some(key) = self.core.choice.host.late((token & !OF_WHAT) as usize) {
+                    let sent = self.core.choice.host.outs[key].sent;
+                    // What still waited for a connection is proven not run.
+                    self.done(key, if sent { Outcome::TimedOut } else { Outcome::NoConnection }, 0);
+                    self.core.choice.host.unsent_over(key);
+                }
+            }
+            OF_ROSTER => self.ask_roster(),
+            OF_GREETING => {
+                // It accepts and says nothing, as a hung process does: no connection in time.
+                let link = (token & !OF_WHAT) as usize;
+                if let Some(conn) = self.core.choice.host.ungreeted(link) {
+                    self.core.net().reset(conn);
+                    self.own(conn, Owner::Nobody);
+                    self.link_over(link, Why::TimedOut);
+                }
+            }
+            OF_LINKS => {
+                self.core.net().set(now + LINKS, OF_LINKS);
+                for (link, conn) in self.core.choice.host.idle(now) {
+                    self.core.net().close(conn);
+                    self.own(conn, Owner::Nobody);
+                    self.link_over(link, Why::Ended);
+                }
+            }
+            OF_SHELF => self.save_list(),
+            OF_COUNTS => {
+                self.core.net().set(now + COUNTS, OF_COUNTS);
+                info!(counts = ?self.counts(), held = self.held(), "counts");
+            }
+            _ => error!(token, "a deadline of nobody"),
+        }
+        self.settle();
+    }
+
+    fn signal(&mut self, _signal: i32) {
+        self.drain();
+    }
+}
+
+/// Where an entry's standing is told by a word.
+pub(crate) fn standing(word: &str) -> Result<Standing, String> {
+    Ok(match word {
+        "on" => Standing::On,
+        "draining" => Standing::Draining,
+        "gone" => Standing::Gone,
+        other => return Err(format!("field standing: '{other}' is no standing")),
+    })
+}
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -57,6 +57,9 @@
     /// How long the process has stood still in all (stopped, starved, or busy in one call): what happened in
     /// such a time says nothing about others.
     fn stood(&self) -> Time;
+    /// How long bytes that are read now may have lain unread while this process did something else or stood
+    /// still: a time left that they tell has shrunk by as much.
+    fn waited(&self) -> Time;
     /// Fails where the address is taken or no descriptor is left.
     fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)>;
     fn unlisten(&mut self, listener: Listener);
@@ -73,6 +76,8 @@
     fn close(&mut self, conn: Conn);
     /// Closes at once by a reset; what has not left is lost. Nothing more is heard of the connection.
     fn reset(&mut self, conn: Conn);
+    /// Breaks it like `reset`, but as if it had broken by itself: `App::closed` follows.
+    fn fail(&mut self, conn: Conn);
     fn bind(&mut self, at: SocketAddr) -> io::Result<(Port, SocketAddr)>;
     /// Datagrams may be lost, without a word.
     fn send(&mut self, port: Port, to: SocketAddr, bytes: &[u8]);
--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -44,6 +44,8 @@
     dead: bool,
     still: Option<Time>,
     stood: Time,
+    /// When it last went on, and after how long.
+    thawed: (Time, Time),
     backlog: VecDeque<Way>,
 }
 
@@ -171,6 +173,7 @@
             node.still = Some(now);
         } else if let Some(since) = node.still.take() {
             node.stood += now - since;
+            node.thawed = (now, now - since);
             let backlog = std::mem::take(&mut node.backlog);
             backlog.into_iter().for_each(|way| w.send(0, way));
         }
@@ -197,6 +200,16 @@
         self.world.borrow().nodes[self.node].stood
     }
 
+    fn waited(&self) -> Time {
+        let w = self.world.borrow();
+        let (at, long) = w.nodes[self.node].thawed;
+        if at == w.now {
+            long
+        } else {
+            0
+        }
+    }
+
     fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)> {
         let mut w = self.world.borrow_mut();
         let mut at = at;
@@ -262,6 +275,10 @@
         self.world.borrow_mut().drop_end(conn, Why::Reset);
     }
 
+    fn fail(&mut self, conn: Conn) {
+        self.cut(conn);
+    }
+
     fn bind(&mut self, at: SocketAddr) -> io::Result<(Port, SocketAddr)> {
         let mut w = self.world.borrow_mut();
         let mut at = at;
--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -36,6 +36,8 @@
     Listener(TcpListener),
     Stream(Box<Stream>),
     Port(UdpSocket),
+    /// An attempt to connect that failed at once, by its count.
+    Never(u32),
 }
 
 struct Stream {
@@ -52,6 +54,25 @@
     /// A write was turned away: `drained` is owed.
     owed: bool,
     closing: bool,
+    /// Broken by us, and that is still to be told.
+    failed: bool,
+}
+
+impl Stream {
+    /// Closing it sends a reset and drops what has not left.
+    fn linger_none(&self) {
+        let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+        // SAFETY: the descriptor is open and the option's value is a linger of its size.
+        unsafe {
+            libc::setsockopt(
+                self.socket.as_raw_fd(),
+                libc::SOL_SOCKET,
+                libc::SO_LINGER,
+                std::ptr::from_ref(&linger).cast(),
+                std::mem::size_of::<libc::linger>() as libc::socklen_t,
+            );
+        }
+    }
 }
 
 pub struct Mio {
@@ -65,11 +86,12 @@
     hot: VecDeque<Conn>,
     dirty: Vec<Conn>,
     over: VecDeque<(Conn, Why)>,
-    /// Attempts that failed at once: they have no place, only a number.
     started: Instant,
     now: Time,
     asked: Time,
+    slept: Time,
     stood: Time,
+    waited: Time,
     signals: Option<Signals>,
     stopped: bool,
     chunk: Box<[u8]>,
@@ -92,7 +114,9 @@
             started: Instant::now(),
             now: 1,
             asked: Time::MAX,
+            slept: 1,
             stood: 0,
+            waited: 0,
             signals: None,
             stopped: false,
             chunk: vec![0; CHUNK].into(),
@@ -139,6 +163,7 @@
             dirty: false,
             owed: false,
             closing: false,
+            failed: false,
         };
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream.socket, Token(entry.key()), interest)?;
@@ -160,6 +185,14 @@
         }
     }
 
+    /// Forgets an attempt that failed at once.
+    fn never(&mut self, conn: Conn) {
+        if matches!(self.slots.get(conn.place()), Some(Slot::Never(c)) if *c == conn.count()) {
+            self.slots.remove(conn.place());
+            self.over.retain(|o| o.0 != conn);
+        }
+    }
+
     fn warm(&mut self, conn: Conn) {
         if let Some(s) = self.stream(conn) {
             if !std::mem::replace(&mut s.hot, true) {
@@ -204,6 +237,10 @@
         self.stood
     }
 
+    fn waited(&self) -> Time {
+        self.waited
+    }
+
     fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)> {
         let mut socket = TcpListener::bind(at)?;
         let at = socket.local_addr()?;
@@ -232,7 +269,7 @@
         added.unwrap_or_else(|_| {
             // No descriptor or no route: told in the next wake-up, like every other failure.
             self.count = self.count.wrapping_add(1) & 0x7fff_ffff;
-            let conn = Conn::new(0xffff_fffe, self.count);
+            let conn = Conn::new(self.slots.insert(Slot::Never(self.count)), self.count);
             self.over.push_back((conn, Why::Refused));
             conn
         })
@@ -271,25 +308,27 @@
             s.closing = true;
             self.soil(conn);
         }
-        self.over.retain(|o| o.0 != conn);
+        self.never(conn);
+    }
+
+    fn fail(&mut self, conn: Conn) {
+        if let Some(s) = self.stream(conn) {
+            // Its place is kept until that is told, so that no other connection is taken for it.
+            s.closing = true;
+            let unsent = s.write.len();
+            s.write.used(unsent);
+            s.linger_none();
+            s.failed = true;
+            self.over.push_back((conn, Why::Reset));
+        }
     }
 
     fn reset(&mut self, conn: Conn) {
         if let Some(s) = self.stream(conn) {
-            let linger = libc::linger { l_onoff: 1, l_linger: 0 };
-            // SAFETY: the descriptor is open and the option's value is a linger of its size.
-            unsafe {
-                libc::setsockopt(
-                    s.socket.as_raw_fd(),
-                    libc::SOL_SOCKET,
-                    libc::SO_LINGER,
-                    std::ptr::from_ref(&linger).cast(),
-                    std::mem::size_of::<libc::linger>() as libc::socklen_t,
-                );
-            }
+            s.linger_none();
         }
         self.remove(conn);
-        self.over.retain(|o| o.0 != conn);
+        self.never(conn);
     }
 
     fn bind(&mut self, at: SocketAddr) -> io::Result<(Port, SocketAddr)> {
@@ -335,6 +374,9 @@
     let net = app.net();
     let began = net.now;
     net.look();
+    // What comes now may have come at any time during the last wake-up's work, or during the ones before it
+    // where sockets were not read empty since.
+    net.waited = net.now - began + if net.hot.is_empty() { 0 } else { net.waited };
     // The last wake-up's own work counts too.
     let busy = net.now - began;
     let busy = if busy > STANDSTILL && net.asked != Time::MAX { busy } else { 0 };
@@ -346,13 +388,9 @@
         Some(at) => Some(Duration::from_micros(at.saturating_sub(net.now) * 100)),
         None => None,
     };
-    let slept = net.now;
-    poll_once(app, wait)?;
+    net.slept = net.now;
+    let late = poll_once(app, wait)?;
     let net = app.net();
-    net.look();
-    let due = net.asked.max(slept);
-    let late = if wait.is_some() { net.now.saturating_sub(due) } else { 0 };
-    let late = if late > STANDSTILL { late } else { 0 };
     net.stood += busy.max(late);
     hot(app);
     if late > 0 || busy > 0 {
@@ -365,6 +403,8 @@
         }
     }
     while let Some((conn, why)) = app.net().over.pop_front() {
+        app.net().never(conn);
+        app.net().remove(conn);
         app.closed(conn, why);
     }
     let now = app.net().now;
@@ -387,8 +427,8 @@
     Ok(())
 }
 
-/// Takes over what became ready.
-fn poll_once<A: App<Net = Mio>>(app: &mut A, wait: Option<Duration>) -> io::Result<()> {
+/// Takes over what became ready. Gives back how long this process stood still meanwhile.
+fn poll_once<A: App<Net = Mio>>(app: &mut A, wait: Option<Duration>) -> io::Result<Time> {
     let net = app.net();
     let mut events = net.events.take().expect("polls do not nest");
     if let Err(e) = net.poll.poll(&mut events, wait) {
@@ -398,6 +438,13 @@
         events.clear();
     }
     net.look();
+    let due = net.asked.max(net.slept);
+    let late = if wait.is_some() { net.now.saturating_sub(due) } else { 0 };
+    let late = if late > STANDSTILL { late } else { 0 };
+    if late > 0 {
+        net.waited += net.now - net.slept;
+        net.slept = net.now;
+    }
     for event in events.iter() {
         let place = event.token().0;
         if place == SIGNALS {
@@ -406,7 +453,7 @@
             continue;
         }
         match app.net().slots.get_mut(place) {
-            None => {}
+            None | Some(Slot::Never(_)) => {}
             Some(Slot::Listener(_)) => accept(app, place),
             Some(Slot::Port(_)) => datagrams(app, place),
             Some(Slot::Stream(s)) => {
@@ -421,7 +468,7 @@
         }
     }
     app.net().events = Some(events);
-    Ok(())
+    Ok(late)
 }
 
 fn writable<A: App<Net = Mio>>(app: &mut A, conn: Conn) {
@@ -549,11 +596,16 @@
             let good = net.flush(conn);
             let Some(s) = net.stream(conn) else { continue };
             let (closing, empty) = (s.closing, s.write.is_empty());
-            if !good || closing && empty {
+            if !good && !closing {
+                // What the peer sent before it broke is read first; the read then meets the end.
+                let unsent = s.write.len();
+                s.write.used(unsent);
+                s.readable = true;
+                net.warm(conn);
+            } else if s.failed {
+                // Told by its own entry.
+            } else if !good || closing && empty {
                 net.remove(conn);
-                if !closing {
-                    app.closed(conn, Why::Reset);
-                }
             } else if empty && std::mem::take(&mut s.owed) {
                 app.drained(conn);
             }
--- a/crates/tidewall-wire/src/lib.rs
+++ b/crates/tidewall-wire/src/lib.rs
@@ -91,6 +91,12 @@
     32 Place "place",
     33 Launch "launch",
     34 Event "event",
+    35 Zone "zone",
+    36 Machine "machine",
+    37 Cell "cell",
+    38 Standing "standing",
+    39 Rating "rating",
+    40 Age "age",
 }
 
 /// A value as it stands in the frame.
