--- /dev/null
+++ b/crates/tidewall-audit/tests/rules.rs
@@ -0,0 +1,112 @@
+//! Planted violations of each rule are caught; the same records without them pass.
+mod help;
+
+use help::*;
+use test_case::test_case;
+use tidewall_audit::rows::{Kind, Row};
+
+/// Which rule's breaches the record shows, with how many.
+fn broken(rows: &[Row]) -> Vec<(usize, usize)> {
+    let mut audit = audit();
+    rows.iter().for_each(|r| audit.row(r));
+    audit.end(1_000_000);
+    let verdicts = audit.verdicts.iter().enumerate();
+    verdicts.filter(|v| !v.1.breaches.is_empty()).map(|v| (v.0 + 1, v.1.breaches.len())).collect()
+}
+
+#[test_case(&[asked(0, 7, 0), row(100, Kind::Answered, 7)], &[] ; "answered once")]
+#[test_case(&[asked(0, 7, 0)], &[(1, 1)] ; "planted: never answered")]
+#[test_case(&[asked(0, 7, 0), row(30_500, Kind::GaveUp, 7)], &[(1, 1)] ; "planted: not in its time")]
+#[test_case(&[asked(0, 7, 0), row(9, Kind::Answered, 7), row(10, Kind::Answered, 7)], &[(1, 1)] ; "planted: answered twice")]
+#[test_case(&[asked(0, 7, 0), row(30_501, Kind::Answered, 7)], &[(1, 1)] ; "planted: answered too late")]
+#[test_case(&[row(9, Kind::Answered, 7)], &[(1, 1)] ; "planted: answered and never asked")]
+#[test_case(&[asked(0, 7, 0), row(9, Kind::Broke, 7)], &[(1, 1)] ; "planted: dropped with its connection")]
+#[test_case(&[asked(0, 7, 0), row(5, Kind::Killed, 0), row(9, Kind::Broke, 7)], &[] ; "a kill excuses what was held")]
+#[test_case(&[asked(0, 7, 0), row(9, Kind::Left, 7), row(20, Kind::Answered, 7)], &[] ; "an answer may cross a leaving")]
+#[test_case(&[asked(0, 7, 0), row(9, Kind::Left, 7), row(900, Kind::Answered, 7)], &[(1, 1)] ; "planted: answered long after it left")]
+#[test_case(&[asked(0, 7, 0), row(9, Kind::TurnedAway, 7)], &[] ; "not taken")]
+fn one_final_answer(rows: &[Row], told: &[(usize, usize)]) {
+    assert_eq!(broken(rows), told);
+}
+
+fn again(typ: usize, first: Row, wk: usize, t: u64) -> Vec<Row> {
+    let launch = at(10, Kind::Launched, 7, 0);
+    vec![
+        asked(0, 7, typ),
+        launch,
+        first,
+        at(t, Kind::Launched, 7, wk),
+        at(t + 1, Kind::Ended, 7, wk),
+        row(t + 2, Kind::Answered, 7),
+    ]
+}
+
+#[test_case(again(0, at(20, Kind::Cut, 7, 0), 2, 90), &[] ; "redeliverable goes anywhere")]
+#[test_case(again(2, proven(20, 7, 0), 2, 90), &[] ; "at-most-once after a proof")]
+#[test_case(again(2, at(20, Kind::Cut, 7, 0), 1, 90), &[(2, 1)] ; "planted: at-most-once after a reset")]
+#[test_case(again(1, at(20, Kind::Cut, 7, 0), 1, 90), &[] ; "keyed within its zone")]
+#[test_case(again(1, at(20, Kind::Cut, 7, 0), 2, 90), &[(2, 1)] ; "planted: keyed beyond its zone")]
+#[test_case(again(3, at(20, Kind::Cut, 7, 0), 2, 20_000), &[(2, 1)] ; "planted: keyed beyond its window")]
+#[test_case(again(0, at(20_000, Kind::Ran, 7, 0), 1, 21_000), &[(2, 1)] ; "planted: two out at a time")]
+#[test_case(vec![asked(0, 7, 2), Row { typ: 2, ..at(1, Kind::Ran, 7, 0) }, Row { typ: 2, ..at(2, Kind::Ran, 8, 1) }, row(3, Kind::Answered, 7)], &[(2, 1)] ; "planted: at-most-once ran twice")]
+#[test_case(vec![asked(0, 7, 2), at(1, Kind::Launched, 7, 0), at(2, Kind::Ended, 7, 0), deferred(3, 7)], &[(2, 1)] ; "planted: deferred after it may have run")]
+#[test_case(vec![asked(0, 7, 2), at(1, Kind::Launched, 7, 0), proven(2, 7, 0), deferred(3, 7)], &[] ; "deferred after a proof")]
+#[test_case(vec![asked(0, 7, 3), at(1, Kind::Launched, 7, 0), at(2, Kind::Ended, 7, 0), deferred(3, 7)], &[] ; "keyed among all may be deferred")]
+fn no_effect_twice(rows: Vec<Row>, told: &[(usize, usize)]) {
+    assert_eq!(broken(&rows), told);
+}
+
+#[test_case(20_000, true, &[] ; "within the grace")]
+#[test_case(20_002, true, &[(3, 1)] ; "planted: an event after the grace")]
+#[test_case(20_002, false, &[(3, 1)] ; "planted: an order after the grace")]
+fn drains_kept(t: u64, event: bool, told: &[(usize, usize)]) {
+    let mut rows = vec![Row { on: false, ..at(0, Kind::Told, 0, 1) }, asked(1, 7, 0)];
+    if event {
+        rows.push(at(t, Kind::Launched, 7, 1));
+    } else {
+        rows.push(Row { copies: 1, ..at(t, Kind::Ordered, 0, 1) });
+    }
+    rows.push(row(t, Kind::Answered, 7));
+    assert_eq!(broken(&rows), told);
+}
+
+/// A worker that starts with a fifth of two cores can be sent 2.5 times 0.4 cores for 1.5 s: 15,000 tenths.
+#[test_case(0, 14_000.0, &[] ; "below its fall")]
+#[test_case(0, 16_000.0, &[(4, 1)] ; "planted: too much at once")]
+#[test_case(90_000, 40_000.0, &[] ; "nearly warm it takes more")]
+#[test_case(100_000, 99_000.0, &[] ; "warm it is not judged")]
+fn no_cold_worker_pushed_over(t: u64, work: f64, told: &[(usize, usize)]) {
+    let started = Row { capacity: 2.0, from: 0.2, left: 100_000, ..at(0, Kind::Started, 0, 1) };
+    let launched = Row { work, ..at(t, Kind::Launched, 7, 1) };
+    assert_eq!(broken(&[started, asked(t, 7, 0), launched, row(t, Kind::Answered, 7)]), told);
+}
+
+#[test]
+fn a_worker_that_fell_is_a_breach_whatever_the_sums_say() {
+    assert_eq!(broken(&[at(5, Kind::Fell, 0, 1)]), [(4, 1)]);
+}
+
+/// One free order and half an order for each event within ten seconds.
+#[test_case(2, 0, 2, &[] ; "within the ration")]
+#[test_case(2, 0, 3, &[(5, 1)] ; "planted: one too many")]
+#[test_case(2, 150_000, 2, &[(5, 1)] ; "planted: its events are too long ago")]
+fn orders_rationed(events: u64, wait: u64, orders: u64, told: &[(usize, usize)]) {
+    let mut rows = Vec::new();
+    for evt in 0..events {
+        rows.extend([asked(evt, evt + 1, 0), row(evt, Kind::Answered, evt + 1)]);
+    }
+    for i in 0..orders {
+        rows.push(Row { copies: 1, ..at(10 + wait + i, Kind::Ordered, 0, 0) });
+    }
+    assert_eq!(broken(&rows), told);
+}
+
+#[test]
+fn cases_count_what_put_a_rule_to_the_test() {
+    let mut audit = audit();
+    for row in again(1, at(20, Kind::Cut, 7, 0), 1, 90) {
+        audit.row(&row);
+    }
+    let cases: Vec<u64> = audit.verdicts.iter().map(|v| v.cases).collect();
+    assert_eq!(cases, [1, 1, 0, 0, 0]);
+}
