--- a/crates/tidewall-audit/tests/rules.rs
+++ b/crates/tidewall-audit/tests/rules.rs
@@ -48,7 +48,7 @@
 #[test_case(again(1, at(20, Kind::Cut, 7, 0), 2, 90), &[(2, 1)] ; "planted: keyed beyond its zone")]
 #[test_case(again(3, at(20, Kind::Cut, 7, 0), 2, 20_000), &[(2, 1)] ; "planted: keyed beyond its window")]
 #[test_case(again(0, at(20_000, Kind::Ran, 7, 0), 1, 21_000), &[(2, 1)] ; "planted: two out at a time")]
-#[test_case(vec![asked(0, 7, 2), Row { typ: 2, ..at(1, Kind::Ran, 7, 0) }, Row { typ: 2, ..at(2, Kind::Ran, 8, 1) }, row(3, Kind::Answered, 7)], &[(2, 1)] ; "planted: at-most-once ran twice")]
+#[test_case(vec![asked(0, 7, 2), Row { typ: 2, ..Row { typ: 2, ..at(1, Kind::Ran, 7, 0) } }, Row { typ: 2, ..at(2, Kind::Ran, 8, 1) }, row(3, Kind::Answered, 7)], &[(2, 1)] ; "planted: at-most-once ran twice")]
 #[test_case(vec![asked(0, 7, 2), at(1, Kind::Launched, 7, 0), at(2, Kind::Ended, 7, 0), deferred(3, 7)], &[(2, 1)] ; "planted: deferred after it may have run")]
 #[test_case(vec![asked(0, 7, 2), at(1, Kind::Launched, 7, 0), proven(2, 7, 0), deferred(3, 7)], &[] ; "deferred after a proof")]
 #[test_case(vec![asked(0, 7, 3), at(1, Kind::Launched, 7, 0), at(2, Kind::Ended, 7, 0), deferred(3, 7)], &[] ; "keyed among all may be deferred")]
