--- /dev/null
+++ b/crates/tidewall-cli/src/day.rs
@@ -0,0 +1,314 @@
+//! `day`: a scripted bad day on loopback. Gateways are processes of their own, which can be killed and stopped;
+//! the stand-ins run here and record what crosses their ends of the sockets; the audit reads that record.
+use crate::{input, Failure};
+use clap::Args;
+use comfy_table::{presets, Table};
+use std::fs::File;
+use std::io::{BufRead, BufReader, BufWriter, Write};
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use tidewall_audit::{Audit, RULES};
+use tidewall_config::Section;
+use tidewall_net::mio::{self, Mio};
+use tidewall_standins::{Fleet, Gateways, Plan, Results};
+use tracing::{info, warn};
+
+#[derive(Args)]
+pub struct Day {
+    /// Settings with a fleet; a built-in day of three halls where left out. Ports of 0 are chosen.
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// The faults; a built-in bad day where left out.
+    #[arg(long, value_name = "FILE")]
+    script: Option<PathBuf>,
+    #[arg(long, value_name = "N", default_value_t = 1)]
+    seed: u64,
+    /// How long clients send.
+    #[arg(long, value_name = "N")]
+    seconds: Option<f64>,
+    /// The figures as JSON lines, besides the table.
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+    /// Where record, settings and the gateways' logs are kept; otherwise they go when the day ends well.
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+}
+
+const SETTINGS: &str = include_str!("../../../deploy/examples/day.txtpb");
+const SCRIPT: &str = include_str!("../../../deploy/examples/bad-day.txtpb");
+
+/// A gateway that is told to stop has its max age to answer what it holds; then it is ended.
+const STOPS: Duration = Duration::from_secs(8);
+
+struct Processes {
+    config: PathBuf,
+    folder: PathBuf,
+    names: Vec<String>,
+    seed: u64,
+    children: Vec<Option<Child>>,
+    lives: u64,
+}
+
+impl Processes {
+    fn signal(&self, gw: usize, signal: i32) {
+        if let Some(child) = &self.children[gw] {
+            // SAFETY: the process is our child and has not been waited for, so its id is its own.
+            unsafe { libc::kill(child.id() as i32, signal) };
+        }
+    }
+
+    /// Stops all; gives back how many did not end well.
+    fn stop(&mut self) -> usize {
+        (0..self.children.len()).for_each(|gw| self.signal(gw, libc::SIGTERM));
+        let until = Instant::now() + STOPS;
+        let mut bad = 0;
+        for child in self.children.iter_mut().filter_map(Option::take) {
+            let mut child = child;
+            let status = loop {
+                match child.try_wait() {
+                    Ok(Some(status)) => break Some(status),
+                    _ if Instant::now() > until => {
+                        let _ = child.kill();
+                        let _ = child.wait();
+                        break None;
+                    }
+                    _ => std::thread::sleep(Duration::from_millis(10)),
+                }
+            };
+            bad += usize::from(!status.is_some_and(|s| s.success()));
+        }
+        bad
+    }
+}
+
+impl Gateways for Processes {
+    fn kill(&mut self, gw: usize) {
+        if let Some(mut child) = self.children[gw].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn start(&mut self, gw: usize) {
+        self.lives += 1;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", self.names[gw])));
+        let own = std::env::current_exe().expect("a program knows its own file");
+        let child = Command::new(own)
+            .args(["serve", "--gateway", &self.names[gw], "--config"])
+            .arg(&self.config)
+            .args(["--seed", &(self.seed * 1000 + self.lives).to_string()])
+            .current_dir(&self.folder)
+            .stdin(Stdio::null())
+            .stderr(log.map_or(Stdio::null(), Stdio::from))
+            .spawn();
+        match child {
+            Ok(child) => self.children[gw] = Some(child),
+            Err(e) => warn!(gateway = self.names[gw], error = %e, "not started"),
+        }
+    }
+
+    fn still(&mut self, gw: usize, on: bool) {
+        self.signal(gw, if on { libc::SIGSTOP } else { libc::SIGCONT });
+    }
+}
+
+/// The fleet keeps the processes while it plays; the day needs them afterwards.
+struct Shared(std::rc::Rc<std::cell::RefCell<Processes>>);
+
+impl Gateways for Shared {
+    fn kill(&mut self, gw: usize) {
+        self.0.borrow_mut().kill(gw);
+    }
+
+    fn start(&mut self, gw: usize) {
+        self.0.borrow_mut().start(gw);
+    }
+
+    fn still(&mut self, gw: usize, on: bool) {
+        self.0.borrow_mut().still(gw, on);
+    }
+}
+
+/// Ports of 0 become ports that are free now.
+fn ports(text: &str) -> std::io::Result<String> {
+    let zeros = text.matches("127.0.0.1:0\"").count();
+    let held: Vec<TcpListener> =
+        (0..zeros).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+    let mut text = text.to_string();
+    for listener in &held {
+        text = text.replacen("127.0.0.1:0\"", &format!("{}\"", listener.local_addr()?), 1);
+    }
+    Ok(text)
+}
+
+fn read(path: &Option<PathBuf>, built_in: (&str, &str)) -> Result<(String, String), Failure> {
+    match path {
+        None => Ok((built_in.0.to_string(), built_in.1.to_string())),
+        Some(path) => {
+            let file = path.display().to_string();
+            let text = std::fs::read_to_string(path).map_err(|e| input(format!("{file}: {e}")))?;
+            Ok((file, text))
+        }
+    }
+}
+
+pub fn day(args: &Day) -> Result<(), Failure> {
+    let failed = |e: std::io::Error| Failure::Run(e.to_string());
+    let (file, text) = read(&args.config, ("built-in day", SETTINGS))?;
+    let text = ports(&text).map_err(failed)?;
+    let settings = tidewall_config::settings(&file, &text).map_err(input)?;
+    if !settings.has("fleet") {
+        return Err(input(format!("{file}:1:1: fleet: there is none in these settings")));
+    }
+    let (file, script) = read(&args.script, ("built-in bad day", SCRIPT))?;
+    let script = tidewall_config::script(&file, &script).map_err(input)?;
+    let seconds = args.seconds.unwrap_or(script.number("seconds"));
+    if !(1.0..=3600.0).contains(&seconds) {
+        return Err(input(format!("--seconds: {seconds} is not within 1 to 3600")));
+    }
+    let temporary = tempfile::tempdir().map_err(failed)?;
+    let folder = args.keep.clone().unwrap_or_else(|| temporary.path().to_path_buf());
+    std::fs::create_dir_all(&folder).map_err(|e| input(format!("{}: {e}", folder.display())))?;
+    let folder = folder.canonicalize().map_err(failed)?;
+    let played = play(args, &settings, &text, &script, seconds, &folder);
+    if played.is_err() && args.keep.is_none() {
+        eprintln!("record, settings and logs are kept in {}", temporary.keep().display());
+    }
+    played
+}
+
+fn play(
+    args: &Day,
+    settings: &Section,
+    text: &str,
+    script: &Section,
+    seconds: f64,
+    folder: &Path,
+) -> Result<(), Failure> {
+    let failed = |e: std::io::Error| Failure::Run(e.to_string());
+    let (config, record) = (folder.join("settings.txtpb"), folder.join("record.jsonl"));
+    std::fs::write(&config, text).map_err(failed)?;
+    let names: Vec<String> = settings.sections("gateway").iter().map(|g| g.text("name")).collect();
+    let children = names.iter().map(|_| None).collect();
+    let processes = Processes {
+        config,
+        folder: folder.to_path_buf(),
+        names: names.clone(),
+        seed: args.seed,
+        children,
+        lives: 0,
+    };
+    let processes = std::rc::Rc::new(std::cell::RefCell::new(processes));
+    let mut net = Mio::new().map_err(failed)?;
+    net.signals(&[libc::SIGINT, libc::SIGTERM]).map_err(failed)?;
+    let plan = Plan {
+        seed: args.seed,
+        seconds,
+        clients: true,
+        record: Box::new(BufWriter::new(File::create(&record).map_err(failed)?)),
+        gateways: Box::new(Shared(processes.clone())),
+    };
+    let mut fleet = Fleet::new(net, settings, Some(script), plan).map_err(input)?;
+    (0..names.len()).for_each(|gw| processes.borrow_mut().start(gw));
+    info!(seconds, seed = args.seed, "the day begins");
+    let ran = mio::run(&mut fleet).map_err(failed);
+    let bad = processes.borrow_mut().stop();
+    ran?;
+    fleet.flush();
+    let lines = BufReader::new(File::open(&record).map_err(failed)?).lines().map_while(Result::ok);
+    let audit = tidewall_audit::check(lines).map_err(Failure::Run)?;
+    let (results, loads) = (fleet.results().clone(), fleet.loads());
+    table(&results, loads, &audit);
+    if let Some(path) = &args.report {
+        report(path, args.seed, seconds, &results, loads, &audit).map_err(failed)?;
+    }
+    if audit.breaches() > 0 {
+        return Err(Failure::Run(format!("{} breaches of the rules", audit.breaches())));
+    }
+    if bad > 0 {
+        return Err(Failure::Run(format!("{bad} gateways did not end well")));
+    }
+    Ok(())
+}
+
+/// What the table and the report tell, in one order.
+fn figures(r: &Results, loads: (u64, u64, u64)) -> Vec<(&'static str, f64)> {
+    let latency = |q: f64| r.latency.value_at_quantile(q) as f64 / 10.0;
+    vec![
+        ("events", r.events as f64),
+        ("tries", r.tries as f64),
+        ("handled", r.handled as f64),
+        ("deferred", r.deferred as f64),
+        ("dead-lettered", r.dead_lettered as f64),
+        ("lapsed", r.lapsed as f64),
+        ("turned away", r.turned_away as f64),
+        ("lost with a killed gateway", r.broken as f64),
+        ("gateway unreachable", r.unreachable as f64),
+        ("service", (r.service() * 10_000.0).round() / 10_000.0),
+        ("latency p50, ms", latency(0.5)),
+        ("latency p99, ms", latency(0.99)),
+        ("latency p99.9, ms", latency(0.999)),
+        ("loads", loads.0 as f64),
+        ("misses", loads.1 as f64),
+        ("repeats dropped by halls", loads.2 as f64),
+    ]
+}
+
+/// A rule that nothing put to the test was not kept, it was not asked.
+fn verdict(cases: u64, breaches: usize) -> &'static str {
+    match (cases, breaches) {
+        (_, 1..) => "BROKEN",
+        (0, _) => "not put to the test",
+        _ => "kept",
+    }
+}
+
+fn table(results: &Results, loads: (u64, u64, u64), audit: &Audit) {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_BORDERS_ONLY_CONDENSED);
+    for (name, value) in figures(results, loads) {
+        table.add_row([name.to_string(), value.to_string()]);
+    }
+    println!("{table}");
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_BORDERS_ONLY_CONDENSED);
+    table.set_header(["rule", "cases", "breaches", "verdict"]);
+    for (i, v) in audit.verdicts.iter().enumerate() {
+        let (cases, breaches) = (v.cases, v.breaches.len());
+        let name = format!("{} {}", i + 1, RULES[i]);
+        table.add_row([name, cases.to_string(), breaches.to_string(), verdict(cases, breaches).to_string()]);
+    }
+    println!("{table}");
+    // A handful shows what is wrong; the record holds them all.
+    for breach in audit.verdicts.iter().flat_map(|v| v.breaches.iter().take(5)) {
+        println!("{breach}");
+    }
+}
+
+fn report(
+    path: &Path,
+    seed: u64,
+    seconds: f64,
+    results: &Results,
+    loads: (u64, u64, u64),
+    audit: &Audit,
+) -> std::io::Result<()> {
+    let mut out = BufWriter::new(File::create(path)?);
+    let mut line = |value: serde_json::Value| writeln!(out, "{value}");
+    line(serde_json::json!({ "day": { "seed": seed, "seconds": seconds } }))?;
+    for (name, value) in figures(results, loads) {
+        line(serde_json::json!({ "figure": name, "value": value }))?;
+    }
+    for (i, v) in audit.verdicts.iter().enumerate() {
+        let verdict = verdict(v.cases, v.breaches.len());
+        line(serde_json::json!({
+            "rule": i + 1, "says": RULES[i], "cases": v.cases, "breaches": v.breaches, "verdict": verdict,
+        }))?;
+    }
+    out.flush()
+}
--- /dev/null
+++ b/crates/tidewall-cli/src/main.rs
@@ -0,0 +1,103 @@
+//! `tidewall`: the command line. Exit codes: 0 well, 1 a rule or a run failed, 2 bad input.
+mod day;
+mod send;
+mod serve;
+
+use clap::{Args, Parser, Subcommand};
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tidewall_config::Section;
+
+#[derive(Parser)]
+#[command(version, about = "A gateway that runs events on workers which load their programs on demand")]
+struct Cli {
+    #[command(flatten)]
+    logs: Logs,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Args)]
+struct Logs {
+    /// Logs as JSON lines instead of text.
+    #[arg(long, global = true)]
+    log_json: bool,
+    /// What is logged: error, warn, info, debug or trace, or a filter such as tidewall_gateway=debug.
+    #[arg(long, global = true, default_value = "info", value_name = "LEVEL")]
+    log: String,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs one gateway until it is told to stop (SIGTERM: what is held gets its answers first).
+    Serve(serve::Serve),
+    /// Checks settings and says nothing where they are good.
+    Check {
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Runs the settings' whole stand-in fleet on loopback: workers, depot and roster, and clients if wanted.
+    Standins(serve::Standins),
+    /// Sends one event and prints its answer.
+    Send(send::Send),
+    /// Plays a bad day: gateways as processes, stand-ins, faults; then checks the five rules from what went
+    /// over the sockets.
+    Day(day::Day),
+}
+
+/// What ends a command before its end.
+pub enum Failure {
+    /// A rule or a run.
+    Run(String),
+    /// What was given to us.
+    Input(String),
+}
+
+fn input(text: String) -> Failure {
+    Failure::Input(text)
+}
+
+/// Reads and checks settings.
+pub fn settings(path: &Path) -> Result<(String, Section), Failure> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| input(format!("{file}: {e}")))?;
+    let settings = tidewall_config::settings(&file, &text).map_err(input)?;
+    Ok((text, settings))
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let filter = match tracing_subscriber::EnvFilter::try_new(&cli.logs.log) {
+        Ok(filter) => filter,
+        Err(e) => {
+            eprintln!("--log: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let ansi = std::io::stderr().is_terminal();
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(ansi);
+    if cli.logs.log_json {
+        logs.json().flatten_event(true).init();
+    } else {
+        logs.init();
+    }
+    let done = match cli.command {
+        Command::Serve(args) => serve::serve(&args),
+        Command::Check { config } => settings(&config).map(|_| ()),
+        Command::Standins(args) => serve::standins(&args),
+        Command::Send(args) => send::send(&args),
+        Command::Day(args) => day::day(&args),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Run(text)) => {
+            eprintln!("{text}");
+            ExitCode::from(1)
+        }
+        Err(Failure::Input(text)) => {
+            eprintln!("{text}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidewall-cli/src/serve.rs
@@ -0,0 +1,119 @@
+//! `serve` and `standins`: processes that run until they are told to stop.
+use crate::{input, settings, Failure};
+use clap::Args;
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tidewall_config::{plain, Section};
+use tidewall_gateway::carrier::Setup;
+use tidewall_gateway::list::{FileShelf, NoShelf, Shelf};
+use tidewall_gateway::native::Native;
+use tidewall_gateway::{Gateway, Start};
+use tidewall_net::mio::{self, Mio};
+use tidewall_standins::{Fleet, NoGateways, Plan};
+use tracing::info;
+
+#[derive(Args)]
+pub struct Serve {
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// Which gateway of the settings this is; the first one where it is left out.
+    #[arg(long, value_name = "NAME")]
+    gateway: Option<String>,
+    /// Start of its random numbers, instead of the settings' own.
+    #[arg(long, value_name = "N")]
+    seed: Option<u64>,
+}
+
+#[derive(Args)]
+pub struct Standins {
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// With the settings' clients, which send events to the gateways.
+    #[arg(long)]
+    clients: bool,
+    /// Where what crosses the sockets is recorded, for the audit.
+    #[arg(long, value_name = "FILE")]
+    record: Option<PathBuf>,
+}
+
+/// SIGINT and SIGTERM.
+const SIGNALS: [i32; 2] = [libc::SIGINT, libc::SIGTERM];
+
+pub fn setup(s: &Section) -> Setup {
+    let (limits, loading) = (s.section("limits"), s.section("loading"));
+    Setup {
+        most_held: limits.whole("most_held") as usize,
+        connect_time_out: limits.span("connect_time_out_ms"),
+        streams: limits.whole("streams") as usize,
+        connections: limits.whole("connections") as usize,
+        keep_alive: limits.span("keep_alive_ms"),
+        probe_time_out: limits.span("probe_time_out_ms"),
+        order_time_out: loading.span("order_time_out_ms"),
+        silent: limits.span("silent_ms"),
+    }
+}
+
+pub fn start(s: &Section, me: usize, seed: u64) -> Start {
+    let gateways = s.sections("gateway");
+    Start {
+        name: gateways[me].text("name"),
+        me,
+        seed,
+        settings: plain(s, me),
+        roster: s.section("roster").text("address").parse().expect("checked"),
+        roster_retry: s.section("roster").span("retry_ms"),
+        peers: gateways.iter().map(|g| g.text("peer_address").parse().ok()).collect(),
+        setup: setup(s),
+    }
+}
+
+pub fn serve(args: &Serve) -> Result<(), Failure> {
+    let (_, s) = settings(&args.config)?;
+    let gateways = s.sections("gateway");
+    let me = match &args.gateway {
+        None => 0,
+        Some(name) => {
+            let found = gateways.iter().position(|g| g.text("name") == *name);
+            found.ok_or_else(|| input(format!("--gateway: '{name}' is no gateway of these settings")))?
+        }
+    };
+    let own = &gateways[me];
+    let seed = args.seed.or_else(|| Some(own.whole("seed")).filter(|s| *s > 0)).unwrap_or_else(|| {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        now.map_or(1, |d| d.as_nanos() as u64)
+    });
+    let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
+    net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
+    let shelf: Box<dyn Shelf> = match own.text("last_list").as_str() {
+        "" => Box::new(NoShelf),
+        path => Box::new(FileShelf(path.into())),
+    };
+    info!(gateway = own.text("name"), seed, "starts");
+    let mut gateway = Gateway::new(net, start(&s, me, seed), shelf).map_err(input)?;
+    let at = own.text("address").parse().expect("checked");
+    gateway.open(at, Box::new(Native::new(0, &own.text("name")))).map_err(input)?;
+    mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))
+}
+
+pub fn standins(args: &Standins) -> Result<(), Failure> {
+    let (_, s) = settings(&args.config)?;
+    if !s.has("fleet") {
+        return Err(input(format!("{}:1:1: fleet: there is none in these settings", args.config.display())));
+    }
+    let record: Box<dyn std::io::Write> = match &args.record {
+        None => Box::new(std::io::sink()),
+        Some(path) => {
+            let file = std::fs::File::create(path).map_err(|e| input(format!("{}: {e}", path.display())))?;
+            Box::new(std::io::BufWriter::new(file))
+        }
+    };
+    let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
+    net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
+    let seed = s.section("fleet").whole("seed");
+    let plan = Plan { seed, seconds: 0.0, clients: args.clients, record, gateways: Box::new(NoGateways) };
+    let mut fleet = Fleet::new(net, &s, None, plan).map_err(input)?;
+    info!(roster = %fleet.roster_at(), "the stand-in fleet is up");
+    mio::run(&mut fleet).map_err(|e| Failure::Run(e.to_string()))?;
+    fleet.flush();
+    Ok(())
+}
--- /dev/null
+++ b/crates/tidewall-standins/src/clients.rs
@@ -0,0 +1,418 @@
+//! Stand-in clients behind a plain front layer: open-loop arrivals drawn by the seed whatever comes of them,
+//! their own patience, retries where those are harmless, and a front that keeps sending to a dead gateway.
+use crate::workers::mark;
+use crate::{of, Ground, Owner};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1, LogNormal};
+use slab::Slab;
+use std::net::SocketAddr;
+use tidewall_audit::rows::{Kind, Row, TRIES};
+use tidewall_config::Section;
+use tidewall_net::{Conn, Deadline, Net, Time};
+use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
+
+/// What clients saw.
+#[derive(Clone, Debug)]
+pub struct Results {
+    pub events: u64,
+    pub tries: u64,
+    pub handled: u64,
+    pub deferred: u64,
+    pub dead_lettered: u64,
+    pub lapsed: u64,
+    pub turned_away: u64,
+    pub broken: u64,
+    pub unreachable: u64,
+    /// Answers of the last word each event got, by type: handled within the target time, later, asked.
+    pub good: Vec<u64>,
+    pub late: Vec<u64>,
+    pub asked: Vec<u64>,
+    pub benefit: Vec<f64>,
+    /// From the first try's due time to the answer that handled it, in tenths of a millisecond.
+    pub latency: Histogram<u64>,
+}
+
+impl Results {
+    /// Benefit answered within the target time over the benefit asked for.
+    pub fn service(&self) -> f64 {
+        let sum =
+            |counts: &[u64]| -> f64 { counts.iter().zip(&self.benefit).map(|(n, b)| *n as f64 * b).sum() };
+        sum(&self.good) / sum(&self.asked).max(1e-9)
+    }
+}
+
+struct Typ {
+    name: String,
+    target: Time,
+    age: Time,
+    benefit: f64,
+    redelivery: String,
+    all: bool,
+}
+
+struct Event {
+    number: u64,
+    program: usize,
+    work: f64,
+    due: Time,
+    tries: u64,
+    tenant: usize,
+    /// Where its present try is.
+    at: Option<(usize, usize)>,
+    sent: bool,
+    deadline: Option<Deadline>,
+    leaves: Option<Deadline>,
+}
+
+struct Gateway {
+    name: String,
+    at: SocketAddr,
+    conns: Vec<(Option<Conn>, bool)>,
+    turn: usize,
+    /// Since when no connection stands.
+    down: Option<Time>,
+}
+
+pub struct Clients {
+    types: Vec<Typ>,
+    tenants: Vec<String>,
+    gateways: Vec<Gateway>,
+    rate: f64,
+    retries: u64,
+    wait: Time,
+    patience: f64,
+    front: Time,
+    payload: usize,
+    /// Draws arrivals only, so that they are the same whatever happens to them.
+    arrivals: ChaCha8Rng,
+    events: Slab<Event>,
+    count: u64,
+    /// Arrivals wait for the gateways to be up, so many rounds at most.
+    rounds: u32,
+    pub until: Time,
+    pub burst: f64,
+    pub heavy: f64,
+    /// One in so many leaves early.
+    pub impatient: u32,
+    pub results: Results,
+}
+
+/// A connection is tried again after this long.
+const AGAIN: Time = 1_000;
+
+/// The part of clients that leave early, after a third of their patience.
+const IMPATIENT: u32 = 100;
+
+impl Clients {
+    pub fn new<N: Net>(g: &mut Ground<N>, settings: &Section, fleet: &Section, seed: u64) -> Clients {
+        let c = fleet.section("clients");
+        let types: Vec<Typ> = settings
+            .sections("event_type")
+            .iter()
+            .map(|t| Typ {
+                name: t.text("name"),
+                target: t.span("target_time_ms"),
+                age: t.span("max_age_ms"),
+                benefit: t.number("benefit"),
+                redelivery: t.choice("redelivery"),
+                all: t.choice("group") == "ALL",
+            })
+            .collect();
+        let gateway = |s: &Section| Gateway {
+            name: s.text("name"),
+            at: s.text("address").parse().expect("checked"),
+            conns: vec![(None, false); c.whole("connections") as usize],
+            turn: 0,
+            down: Some(g.net.now()),
+        };
+        let zeros = vec![0; types.len()];
+        Clients {
+            tenants: settings.sections("tenant").iter().map(|t| t.text("name")).collect(),
+            gateways: settings.sections("gateway").iter().map(gateway).collect(),
+            rate: c.number("rate"),
+            retries: c.whole("retries"),
+            wait: c.span("wait_ms"),
+            patience: c.number("patience"),
+            front: c.span("front_ms"),
+            payload: c.whole("payload") as usize,
+            arrivals: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed_0a11),
+            events: Slab::new(),
+            count: 0,
+            rounds: 100,
+            until: Time::MAX,
+            burst: 1.0,
+            heavy: 1.0,
+            impatient: IMPATIENT,
+            results: Results {
+                events: 0,
+                tries: 0,
+                handled: 0,
+                deferred: 0,
+                dead_lettered: 0,
+                lapsed: 0,
+                turned_away: 0,
+                broken: 0,
+                unreachable: 0,
+                good: zeros.clone(),
+                late: zeros.clone(),
+                asked: zeros,
+                benefit: types.iter().map(|t| t.benefit).collect(),
+                // Up to an hour with three digits.
+                latency: Histogram::new_with_bounds(1, 36_000_000, 3).expect("the bounds are good"),
+            },
+            types,
+        }
+    }
+
+    pub fn gateways(&self) -> usize {
+        self.gateways.len()
+    }
+
+    pub fn start<N: Net>(&mut self, g: &mut Ground<N>) {
+        for gw in 0..self.gateways.len() {
+            (0..self.gateways[gw].conns.len()).for_each(|n| self.connect(g, gw, n));
+        }
+        // Connections come first; then the open-loop arrivals.
+        let now = g.net.now();
+        g.net.set(now + 2 * AGAIN, of::NEXT);
+    }
+
+    pub fn connect<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        let conn = g.net.connect(self.gateways[gw].at, AGAIN);
+        g.own(conn, Owner::Client { gw, n });
+        self.gateways[gw].conns[n] = (Some(conn), false);
+    }
+
+    pub fn connected<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        g.out.clear();
+        wire::hello(&mut g.out, "client", &format!("{}-{n}", self.gateways[gw].name), 1);
+        if let Some(conn) = self.gateways[gw].conns[n].0 {
+            g.net.write(conn, &g.out);
+        }
+    }
+
+    pub fn closed<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        let now = g.net.now();
+        let gateway = &mut self.gateways[gw];
+        gateway.conns[n] = (None, false);
+        if gateway.down.is_none() && gateway.conns.iter().all(|c| !c.1) {
+            gateway.down = Some(now);
+        }
+        g.net.set(now + AGAIN, of::CONNECT | (gw as u64) << 32 | n as u64);
+        let out: Vec<usize> =
+            self.events.iter().filter(|e| e.1.at == Some((gw, n)) && e.1.sent).map(|e| e.0).collect();
+        for key in out {
+            let evt = self.id(key);
+            g.row(Row { k: Kind::Broke, evt, gw, ..Row::default() });
+            self.results.broken += 1;
+            // Only where a repeat does no harm: nobody knows what became of it.
+            let typ = &self.types[g.programs[self.events[key].program].typ];
+            let harmless = typ.redelivery == "REDELIVERABLE" || typ.redelivery == "KEYED" && typ.all;
+            self.over(g, key, harmless, 0);
+        }
+    }
+
+    fn id(&self, key: usize) -> u64 {
+        let e = &self.events[key];
+        e.number * TRIES + e.tries - 1
+    }
+
+    /// The next arrival, and the one after it.
+    pub fn next<N: Net>(&mut self, g: &mut Ground<N>) {
+        let now = g.net.now();
+        if now >= self.until {
+            return;
+        }
+        if self.rounds > 0 {
+            self.rounds -= 1;
+            if self.gateways.iter().all(|gw| gw.conns.iter().any(|c| c.1)) {
+                self.rounds = 0;
+            }
+            g.net.set(now + AGAIN, of::NEXT);
+            return;
+        }
+        let gap: f64 = Exp1.sample(&mut self.arrivals);
+        let rate = self.rate * self.burst;
+        g.net.set(now + (gap / rate * 10_000.0).round().max(1.0) as Time, of::NEXT);
+        let draw: f64 = self.arrivals.random();
+        let program = g.programs.partition_point(|p| p.upto < draw).min(g.programs.len() - 1);
+        // Work spreads by a third round its mean, as of programs whose input varies.
+        let spread: f64 = LogNormal::new(-0.05, 0.32).expect("good").sample(&mut self.arrivals);
+        let tenant =
+            if self.tenants.is_empty() { 0 } else { self.arrivals.random_range(0..self.tenants.len()) };
+        self.count += 1;
+        let event = Event {
+            number: self.count,
+            program,
+            work: g.programs[program].work * spread * self.heavy,
+            due: now,
+            tries: 0,
+            tenant,
+            at: None,
+            sent: false,
+            deadline: None,
+            leaves: None,
+        };
+        let key = self.events.insert(event);
+        self.results.events += 1;
+        self.results.asked[g.programs[program].typ] += 1;
+        self.again(g, key);
+    }
+
+    /// One try.
+    pub fn again<N: Net>(&mut self, g: &mut Ground<N>, key: usize) {
+        let now = g.net.now();
+        let typ = g.programs[self.events[key].program].typ;
+        let ends = self.events[key].due + self.types[typ].age;
+        let left = ((self.types[typ].age as f64 * self.patience) as Time).min(ends.saturating_sub(now));
+        if left == 0 {
+            self.events.remove(key);
+            return;
+        }
+        self.events[key].tries += 1;
+        self.results.tries += 1;
+        // The front spreads evenly; it leaves out a gateway only when that has been down for a while.
+        let open = |gw: &Gateway, front: Time| gw.down.is_none_or(|since| now < since + front);
+        let fit: Vec<usize> =
+            (0..self.gateways.len()).filter(|gw| open(&self.gateways[*gw], self.front)).collect();
+        let gw = if fit.is_empty() { 0 } else { fit[g.chance.random_range(0..fit.len())] };
+        let gateway = &mut self.gateways[gw];
+        gateway.turn += 1;
+        let ready: Vec<usize> = (0..gateway.conns.len()).filter(|n| gateway.conns[*n].1).collect();
+        if ready.is_empty() {
+            self.results.unreachable += 1;
+            return self.over(g, key, true, 0);
+        }
+        let n = ready[gateway.turn % ready.len()];
+        let conn = gateway.conns[n].0.expect("it is ready");
+        let (evt, program) = (self.id(key), &g.programs[self.events[key].program]);
+        let e = &mut self.events[key];
+        let mut payload = vec![0; self.payload.max(4)];
+        payload[..4].copy_from_slice(&(e.work.ceil() as u32).to_be_bytes());
+        g.out.clear();
+        let f = Frame::new(&mut g.out, kind::EVENT).whole(Field::Id, evt);
+        let f = f.text(Field::Type, &self.types[typ].name).text(Field::Function, &program.name);
+        let f = f.text(Field::Tenant, self.tenants.get(e.tenant).map_or("", String::as_str));
+        let f = f.whole(Field::Lanes, u64::from(program.lanes)).real(Field::Memory, program.memory);
+        let f =
+            f.whole(Field::Hint, program.work as u64).whole(Field::LoadHint, program.fetch + program.start);
+        let f = f.whole(Field::Left, left).bytes(Field::Mark, &mark(evt).to_be_bytes());
+        f.flag(Field::Resent, e.tries > 1).bytes(Field::Payload, &payload).end();
+        (e.at, e.sent) = (Some((gw, n)), true);
+        e.deadline = Some(g.net.set(now + left + tidewall_audit::GRACE, of::LATE | key as u64));
+        if g.chance.random_ratio(1, self.impatient) {
+            e.leaves = Some(g.net.set(now + left / 3, of::LEAVE | key as u64));
+        }
+        // On record before it is on the wire, or its launch might seem to come first.
+        g.row(Row { k: Kind::Asked, evt, gw, typ, left, ..Row::default() });
+        if !g.net.write(conn, &g.out) {
+            g.row(Row { k: Kind::TurnedAway, evt, gw, ..Row::default() });
+            self.over(g, key, true, 0);
+        }
+    }
+
+    /// The present try is over; another follows where that is harmless and something is left.
+    fn over<N: Net>(&mut self, g: &mut Ground<N>, key: usize, again: bool, come_back: Time) {
+        let now = g.net.now();
+        let e = &mut self.events[key];
+        (e.at, e.sent) = (None, false);
+        for d in [e.deadline.take(), e.leaves.take()].into_iter().flatten() {
+            g.net.clear(d);
+        }
+        let typ = &self.types[g.programs[e.program].typ];
+        let wait = self.wait.max(come_back);
+        if again && e.tries <= self.retries && now + wait < e.due + typ.age && now < self.until.max(e.due) {
+            g.net.set(now + wait, of::RETRY | key as u64);
+        } else {
+            self.events.remove(key);
+        }
+    }
+
+    pub fn frame<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        gw: usize,
+        n: usize,
+        fields: &Fields,
+    ) -> Result<(), String> {
+        match fields.kind()? {
+            kind::HELLO => {
+                wire::greeted(fields)?;
+                self.gateways[gw].conns[n].1 = true;
+                self.gateways[gw].down = None;
+                Ok(())
+            }
+            kind::ANSWER => self.answer(g, gw, fields),
+            kind::BEGUN => Ok(()),
+            kind::ERROR => Err(format!("the gateway told: {}", fields.text(Field::Reason)?)),
+            other => Err(format!("field kind: {other} is not for a client")),
+        }
+    }
+
+    fn answer<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, fields: &Fields) -> Result<(), String> {
+        let (evt, word) = (fields.whole(Field::Id)?, fields.text(Field::Word)?);
+        let come_back = fields.upto(Field::ComeBack, 1 << 30, 0)?;
+        let deferred = word == "deferred";
+        let kind = if word == "turned-away" { Kind::TurnedAway } else { Kind::Answered };
+        g.row(Row { k: kind, evt, gw, deferred, ..Row::default() });
+        let found = self.events.iter().find(|e| e.1.sent && e.1.number * TRIES + e.1.tries - 1 == evt);
+        let Some(key) = found.map(|e| e.0) else { return Ok(()) };
+        let typ = g.programs[self.events[key].program].typ;
+        match word {
+            "handled" => {
+                let took = g.net.now() - self.events[key].due;
+                self.results.handled += 1;
+                self.results.latency.saturating_record(took.max(1));
+                let list = if took <= self.types[typ].target {
+                    &mut self.results.good
+                } else {
+                    &mut self.results.late
+                };
+                list[typ] += 1;
+                self.over(g, key, false, 0);
+            }
+            "deferred" => {
+                self.results.deferred += 1;
+                self.over(g, key, true, come_back);
+            }
+            "dead-lettered" => {
+                self.results.dead_lettered += 1;
+                let again = self.types[typ].redelivery == "REDELIVERABLE";
+                self.over(g, key, again, 0);
+            }
+            "turned-away" => {
+                self.results.turned_away += 1;
+                self.over(g, key, true, come_back);
+            }
+            other => return Err(format!("field word: '{other}' is no answer")),
+        }
+        Ok(())
+    }
+
+    /// Its time passed, and the grace with it.
+    pub fn late<N: Net>(&mut self, g: &mut Ground<N>, key: usize) {
+        let (evt, gw) = (self.id(key), self.events[key].at.map_or(0, |a| a.0));
+        g.row(Row { k: Kind::GaveUp, evt, gw, ..Row::default() });
+        self.results.lapsed += 1;
+        self.events[key].deadline = None;
+        let again = self.types[g.programs[self.events[key].program].typ].redelivery == "REDELIVERABLE";
+        self.over(g, key, again, 0);
+    }
+
+    /// It leaves early and says so.
+    pub fn leave<N: Net>(&mut self, g: &mut Ground<N>, key: usize) {
+        let evt = self.id(key);
+        let Some((gw, n)) = self.events[key].at else { return };
+        self.events[key].leaves = None;
+        g.row(Row { k: Kind::Left, evt, gw, ..Row::default() });
+        g.out.clear();
+        Frame::new(&mut g.out, kind::LEAVE).whole(Field::Id, evt).end();
+        if let Some(conn) = self.gateways[gw].conns[n].0 {
+            g.net.write(conn, &g.out);
+        }
+        self.results.lapsed += 1;
+        self.over(g, key, false, 0);
+    }
+}
--- /dev/null
+++ b/crates/tidewall-standins/src/faults.rs
@@ -0,0 +1,180 @@
+//! Plays a script: each fault begins at its time, hits workers or gateways drawn by the seed, and ends.
+use crate::workers::At;
+use crate::{of, Fleet, Gateways, Ground};
+use rand::seq::IndexedRandom;
+use tidewall_audit::rows::{Kind, Row};
+use tidewall_config::Section;
+use tidewall_net::{Net, Time};
+use tracing::info;
+
+struct Fault {
+    trouble: String,
+    lasts: Time,
+    count: usize,
+    machine: String,
+    factor: f64,
+    /// Whom it hit.
+    hit: Vec<usize>,
+}
+
+pub struct Faults {
+    list: Vec<Fault>,
+    pub gateways: Box<dyn Gateways>,
+    /// Gateways that are down or stand still: they are not hit again meanwhile.
+    busy: Vec<usize>,
+}
+
+impl Faults {
+    pub(crate) fn new<N: Net>(
+        g: &mut Ground<N>,
+        script: Option<&Section>,
+        seconds: f64,
+        gateways: Box<dyn Gateways>,
+    ) -> Faults {
+        let now = g.net.now();
+        let mut list = Vec::new();
+        for f in script.map(|s| s.sections("fault")).unwrap_or_default() {
+            let at = now + (f.number("at") * seconds * 10_000.0) as Time;
+            g.net.set(at, of::FAULT | list.len() as u64);
+            list.push(Fault {
+                trouble: f.choice("trouble"),
+                lasts: f.span("lasts_ms"),
+                count: f.whole("count") as usize,
+                machine: f.text("kind"),
+                factor: f.number("factor"),
+                hit: Vec::new(),
+            });
+        }
+        Faults { list, gateways, busy: Vec::new() }
+    }
+}
+
+impl<N: Net> Fleet<N> {
+    /// Workers that are well, of the kind that the fault is for.
+    fn fit(&self, machine: &str) -> Vec<usize> {
+        let well =
+            |w: &crate::workers::Worker| w.up && !w.draining && w.hung == 0 && w.silent == 0 && w.slow == 1.0;
+        let list = self.workers.list.iter().enumerate();
+        list.filter(|w| well(w.1) && (machine.is_empty() || w.1.machine == machine)).map(|w| w.0).collect()
+    }
+
+    pub(crate) fn fault(&mut self, i: usize) {
+        let now = self.ground.net.now();
+        let Fault { trouble, lasts, count, machine, factor, .. } = &self.faults.list[i];
+        let (trouble, lasts, count, factor) = (trouble.clone(), *lasts, *count, *factor);
+        let until = now + lasts;
+        let g = &mut self.ground;
+        let mut hit = Vec::new();
+        if trouble.starts_with("WORKER_") {
+            let fit = self.fit(machine);
+            hit = fit.choose_multiple(&mut self.ground.chance, count).copied().collect();
+        } else if trouble.starts_with("GATEWAY_") {
+            let busy = &self.faults.busy;
+            let all = self.clients.gateways();
+            let fit: Vec<usize> = (0..all).filter(|gw| !busy.contains(gw)).collect();
+            hit = fit.choose_multiple(&mut g.chance, count).copied().collect();
+        }
+        info!(trouble, ?hit, lasts_ms = lasts / 10, "fault");
+        for wk in hit.iter().copied().filter(|_| trouble.starts_with("WORKER_")) {
+            let (g, life, since) =
+                (&mut self.ground, self.workers.list[wk].life, self.workers.list[wk].since);
+            match trouble.as_str() {
+                "WORKER_KILL" => {
+                    self.workers.kill(g, wk);
+                    self.roster.news(g, wk, At::Gone, life, since, None);
+                }
+                "WORKER_HANG" => {
+                    self.workers.hang(g, wk, until);
+                    if lasts > self.roster.silent_notice {
+                        let wait = Some(self.roster.silent_notice);
+                        self.roster.news(g, wk, At::Gone, life, since, wait);
+                    }
+                }
+                "WORKER_SILENT" => self.workers.list[wk].silent = until,
+                "WORKER_SLOW" => self.workers.list[wk].slow = factor,
+                "WORKER_RESET" => self.workers.torn(g, wk),
+                _ => {
+                    self.workers.drain(g, wk);
+                    self.roster.news(g, wk, At::Draining, life, since, None);
+                }
+            }
+        }
+        let g = &mut self.ground;
+        for gw in hit.iter().copied().filter(|_| trouble.starts_with("GATEWAY_")) {
+            self.faults.busy.push(gw);
+            if trouble == "GATEWAY_KILL" {
+                g.row(Row { k: Kind::Killed, gw, ..Row::default() });
+                self.faults.gateways.kill(gw);
+            } else {
+                self.faults.gateways.still(gw, true);
+            }
+        }
+        match trouble.as_str() {
+            "DEPOT_STALL" => self.depot.stalled = until,
+            "DEPOT_SLOW" => self.depot.slow = factor,
+            "BURST" => self.clients.burst = factor,
+            "HEAVY" => self.clients.heavy = factor,
+            "REPORTS_LATE" => self.workers.list.iter_mut().for_each(|w| w.late_reports = true),
+            "ROSTER_SILENT" => self.roster.silent = until,
+            "ROSTER_GONE" => self.roster.gone(g),
+            "COPIES_VOID" => self.workers.void(),
+            _ => {}
+        }
+        self.faults.list[i].hit = hit;
+        if lasts > 0 {
+            self.ground.net.set(until, of::OVER | i as u64);
+        }
+    }
+
+    pub(crate) fn fault_over(&mut self, i: usize, _: usize) {
+        let fault = &mut self.faults.list[i];
+        let (trouble, hit) = (fault.trouble.clone(), std::mem::take(&mut fault.hit));
+        info!(trouble, ?hit, "fault over");
+        let g = &mut self.ground;
+        for which in hit {
+            match trouble.as_str() {
+                "GATEWAY_KILL" => {
+                    g.row(Row { k: Kind::Up, gw: which, ..Row::default() });
+                    self.faults.busy.retain(|gw| *gw != which);
+                    self.faults.gateways.start(which);
+                }
+                "GATEWAY_STILL" => {
+                    self.faults.busy.retain(|gw| *gw != which);
+                    self.faults.gateways.still(which, false);
+                }
+                "WORKER_HANG" => {
+                    self.workers.go(g, which);
+                    self.roster.unsay(which);
+                    let w = &self.workers.list[which];
+                    let (life, since) = (w.life, w.since);
+                    self.roster.news(g, which, At::On, life, since, None);
+                }
+                "WORKER_SILENT" => self.workers.list[which].silent = 0,
+                "WORKER_SLOW" => self.workers.list[which].slow = 1.0,
+                "WORKER_KILL" | "WORKER_DRAIN" => {
+                    if trouble == "WORKER_DRAIN" {
+                        self.workers.kill(g, which);
+                    }
+                    // One that fell over stays down.
+                    if !self.workers.list[which].fallen && self.workers.start(g, which) {
+                        let w = &self.workers.list[which];
+                        let (life, since) = (w.life, w.since);
+                        self.roster.news(g, which, At::On, life, since, None);
+                    }
+                }
+                _ => {}
+            }
+        }
+        match trouble.as_str() {
+            "DEPOT_SLOW" => self.depot.slow = 1.0,
+            "BURST" => self.clients.burst = 1.0,
+            "HEAVY" => self.clients.heavy = 1.0,
+            "REPORTS_LATE" => self.workers.list.iter_mut().for_each(|w| w.late_reports = false),
+            "ROSTER_SILENT" => {
+                g.net.set(g.net.now(), of::TELL);
+            }
+            "ROSTER_GONE" => self.roster.back(g),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidewall-standins/src/lib.rs
@@ -0,0 +1,353 @@
+//! A stand-in fleet: workers, depot, roster and clients as one app of `tidewall-net`, with faults from a
+//! script. What crosses their ends of the sockets is recorded for `tidewall-audit`. They know nothing of a
+//! gateway's inside.
+mod clients;
+mod depot;
+mod faults;
+mod roster;
+mod workers;
+
+pub use clients::Results;
+
+use clients::Clients;
+use depot::Depot;
+use faults::Faults;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use roster::Roster;
+use std::io::Write;
+use std::net::SocketAddr;
+use tidewall_audit::rows::{Group, Row, Rules, Type};
+use tidewall_config::Section;
+use tidewall_net::{App, Conn, Listener, Net, Time, Why};
+use tidewall_wire::{self as wire, Fields};
+use tracing::warn;
+use workers::Workers;
+
+/// Whom a connection belongs to; workers and gateways by index.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Owner {
+    Nobody,
+    Worker(usize),
+    /// A worker's own connection to the depot.
+    Fetcher(usize),
+    Depot,
+    Roster,
+    Client {
+        gw: usize,
+        n: usize,
+    },
+}
+
+/// What a deadline's token stands for, in its top byte.
+pub(crate) mod of {
+    pub const RUN: u64 = 1 << 56;
+    pub const START: u64 = 2 << 56;
+    pub const IDLE: u64 = 3 << 56;
+    pub const FETCHED: u64 = 4 << 56;
+    pub const TELL: u64 = 5 << 56;
+    pub const NEXT: u64 = 6 << 56;
+    pub const LATE: u64 = 7 << 56;
+    pub const RETRY: u64 = 8 << 56;
+    pub const CONNECT: u64 = 9 << 56;
+    pub const FAULT: u64 = 10 << 56;
+    pub const OVER: u64 = 11 << 56;
+    pub const END: u64 = 12 << 56;
+    pub const LEAVE: u64 = 13 << 56;
+    pub const WHAT: u64 = 0xff << 56;
+}
+
+/// A program of the fleet.
+pub(crate) struct Program {
+    pub name: String,
+    pub typ: usize,
+    pub work: f64,
+    pub memory: f64,
+    pub lanes: u32,
+    pub fetch: Time,
+    pub start: Time,
+    /// Its part of all events, summed up to here.
+    pub upto: f64,
+}
+
+/// What all parts use.
+pub(crate) struct Ground<N: Net> {
+    pub net: N,
+    owners: Vec<(u32, Owner)>,
+    record: Box<dyn Write>,
+    pub chance: ChaCha8Rng,
+    pub programs: Vec<Program>,
+    /// Name, address, zone, machine and rating of each worker, as the roster tells them.
+    pub listed: Vec<(String, SocketAddr, usize, String, f64)>,
+    pub out: Vec<u8>,
+}
+
+impl<N: Net> Ground<N> {
+    pub fn own(&mut self, conn: Conn, owner: Owner) {
+        if self.owners.len() <= conn.place() {
+            self.owners.resize(conn.place() + 1, (0, Owner::Nobody));
+        }
+        self.owners[conn.place()] = (conn.count(), owner);
+    }
+
+    fn owner(&self, conn: Conn) -> Owner {
+        let owner = self.owners.get(conn.place()).filter(|o| o.0 == conn.count());
+        owner.map_or(Owner::Nobody, |o| o.1)
+    }
+
+    pub fn row(&mut self, row: Row) {
+        let row = Row { t: self.net.now(), ..row };
+        self.line(&row);
+    }
+
+    fn line(&mut self, value: &impl serde::Serialize) {
+        // A record that cannot be written would make every verdict empty: that ends the run.
+        serde_json::to_writer(&mut self.record, value).expect("the record can be written");
+        self.record.write_all(b"\n").expect("the record can be written");
+    }
+}
+
+/// Who runs the gateways' processes.
+pub trait Gateways {
+    fn kill(&mut self, gw: usize);
+    fn start(&mut self, gw: usize);
+    fn still(&mut self, gw: usize, on: bool);
+}
+
+/// Gateways that somebody else runs.
+pub struct NoGateways;
+
+impl Gateways for NoGateways {
+    fn kill(&mut self, _gw: usize) {}
+    fn start(&mut self, _gw: usize) {}
+    fn still(&mut self, _gw: usize, _on: bool) {}
+}
+
+pub struct Fleet<N: Net> {
+    ground: Ground<N>,
+    workers: Workers,
+    depot: Depot,
+    roster: Roster,
+    clients: Clients,
+    faults: Faults,
+}
+
+/// How a fleet is run, besides its settings.
+pub struct Plan {
+    pub seed: u64,
+    /// How long clients send; 0 for ever.
+    pub seconds: f64,
+    /// Whether there are clients at all.
+    pub clients: bool,
+    pub record: Box<dyn Write>,
+    pub gateways: Box<dyn Gateways>,
+}
+
+/// Later than the last event's max age by this, the day ends.
+const AFTERMATH: Time = 5_000;
+
+impl<N: Net> Fleet<N> {
+    /// Opens all listeners; the line of an error names the address.
+    pub fn new(net: N, settings: &Section, script: Option<&Section>, plan: Plan) -> Result<Fleet<N>, String> {
+        let fleet = settings.section("fleet");
+        let mut ground = Ground {
+            net,
+            owners: Vec::new(),
+            record: plan.record,
+            chance: ChaCha8Rng::seed_from_u64(plan.seed),
+            programs: programs(settings, &fleet),
+            listed: Vec::new(),
+            out: Vec::new(),
+        };
+        let depot = Depot::new(&mut ground, &fleet.section("depot"))?;
+        let workers = Workers::new(&mut ground, settings, &fleet, depot.at)?;
+        ground.line(&rules(settings, &workers));
+        let roster = Roster::new(&mut ground, settings, &fleet, &workers)?;
+        let clients = Clients::new(&mut ground, settings, &fleet, plan.seed);
+        let faults = Faults::new(&mut ground, script, plan.seconds, plan.gateways);
+        let mut fleet = Fleet { ground, workers, depot, roster, clients, faults };
+        let now = fleet.ground.net.now();
+        if plan.clients {
+            fleet.clients.start(&mut fleet.ground);
+        }
+        if plan.seconds > 0.0 {
+            let until = now + (plan.seconds * 10_000.0) as Time;
+            fleet.clients.until = until;
+            let age = settings.sections("event_type").iter().map(|t| t.span("max_age_ms")).max();
+            fleet.ground.net.set(until + age.unwrap_or(0) + AFTERMATH, of::END);
+        }
+        Ok(fleet)
+    }
+
+    pub fn results(&self) -> &Results {
+        &self.clients.results
+    }
+
+    /// Loads that were begun, copies that were missed, and events that a hall's workers dropped as repeats.
+    pub fn loads(&self) -> (u64, u64, u64) {
+        (self.workers.loads, self.workers.misses, self.workers.dropped)
+    }
+
+    pub fn roster_at(&self) -> SocketAddr {
+        self.roster.at
+    }
+
+    pub fn flush(&mut self) {
+        self.ground.record.flush().expect("the record can be written");
+    }
+
+    fn frame(&mut self, conn: Conn, owner: Owner, fields: &Fields) -> Result<(), String> {
+        let ground = &mut self.ground;
+        match owner {
+            Owner::Nobody => Ok(()),
+            Owner::Worker(wk) => self.workers.frame(ground, wk, conn, fields),
+            Owner::Fetcher(wk) => self.workers.fetched(ground, wk, fields),
+            Owner::Depot => self.depot.frame(ground, conn, fields),
+            Owner::Roster => self.roster.frame(ground, conn, fields),
+            Owner::Client { gw, n } => self.clients.frame(ground, gw, n, fields),
+        }
+    }
+}
+
+/// The programs with their shares summed up, popular ones first within each group (Zipf's law).
+fn programs(settings: &Section, fleet: &Section) -> Vec<Program> {
+    let types: Vec<String> = settings.sections("event_type").iter().map(|t| t.text("name")).collect();
+    let groups = fleet.sections("programs");
+    let all: f64 = groups.iter().map(|p| p.number("share")).sum();
+    let (mut list, mut upto) = (Vec::new(), 0.0);
+    for p in &groups {
+        let weight = |i: u64| 1.0 / ((i + 1) as f64).powf(p.number("skew"));
+        let sum: f64 = (0..p.whole("count")).map(weight).sum();
+        for i in 0..p.whole("count") {
+            upto += p.number("share") / all * weight(i) / sum;
+            list.push(Program {
+                name: format!("{}{i}", p.text("name")),
+                typ: types.iter().position(|t| *t == p.text("event_type")).unwrap_or(0),
+                work: p.number("work_ms") * 10.0,
+                memory: p.number("memory_mb"),
+                lanes: p.whole("lanes") as u32,
+                fetch: p.span("fetch_ms"),
+                start: p.span("start_ms"),
+                upto,
+            });
+        }
+    }
+    list
+}
+
+fn rules(settings: &Section, workers: &Workers) -> Rules {
+    let typ = |t: &Section| match (t.choice("redelivery").as_str(), t.choice("group").as_str()) {
+        ("REDELIVERABLE", _) => Type::Redeliverable,
+        ("KEYED", "ALL") => Type::Keyed(Group::All, t.span("window_ms")),
+        ("KEYED", "CELL") => Type::Keyed(Group::Cell, t.span("window_ms")),
+        ("KEYED", _) => Type::Keyed(Group::Zone, t.span("window_ms")),
+        _ => Type::AtMostOnce,
+    };
+    let (rules, loading) = (settings.section("rules"), settings.section("loading"));
+    Rules {
+        types: settings.sections("event_type").iter().map(typ).collect(),
+        zones: workers.list.iter().map(|w| w.zone).collect(),
+        cells: (0..workers.list.len()).collect(),
+        two_at_once: settings.section("limits").flag("two_at_once"),
+        drain_grace: rules.span("drain_grace_ms"),
+        fall_multiple: rules.number("fall_multiple"),
+        fall: rules.span("fall_ms"),
+        load_window: loading.span("window_ms"),
+        load_free: loading.number("free"),
+        load_share: loading.number("share"),
+    }
+}
+
+impl<N: Net> App for Fleet<N> {
+    type Net = N;
+
+    fn net(&mut self) -> &mut N {
+        &mut self.ground.net
+    }
+
+    fn accepted(&mut self, listener: Listener, conn: Conn, _from: SocketAddr) {
+        let ground = &mut self.ground;
+        if self.depot.listener == listener {
+            ground.own(conn, Owner::Depot);
+        } else if self.roster.listener == Some(listener) {
+            self.roster.accepted(ground, conn);
+        } else if let Some(wk) = self.workers.list.iter().position(|w| w.listener == Some(listener)) {
+            self.workers.accepted(ground, wk, conn);
+        }
+    }
+
+    fn connected(&mut self, conn: Conn) {
+        match self.ground.owner(conn) {
+            Owner::Client { gw, n } => self.clients.connected(&mut self.ground, gw, n),
+            Owner::Fetcher(wk) => self.workers.depot_there(&mut self.ground, wk),
+            _ => {}
+        }
+    }
+
+    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let mut used = 0;
+        loop {
+            let owner = self.ground.owner(conn);
+            let told = match wire::frame(&bytes[used..]) {
+                Ok(None) => return used,
+                Ok(Some((body, len))) => {
+                    used += len;
+                    Fields::read(body).and_then(|fields| self.frame(conn, owner, &fields))
+                }
+                Err(e) => Err(e),
+            };
+            for wk in std::mem::take(&mut self.workers.fell) {
+                let (life, since) = (self.workers.list[wk].life, self.workers.list[wk].since);
+                self.roster.news(&mut self.ground, wk, workers::At::Gone, life, since, None);
+            }
+            if let Err(reason) = told {
+                warn!(reason, ?owner, "malformed frame");
+                let mut out = Vec::new();
+                wire::error(&mut out, &reason);
+                self.ground.net.write(conn, &out);
+                self.ground.net.fail(conn);
+                return bytes.len();
+            }
+        }
+    }
+
+    fn drained(&mut self, _conn: Conn) {}
+
+    fn closed(&mut self, conn: Conn, _why: Why) {
+        let owner = self.ground.owner(conn);
+        self.ground.own(conn, Owner::Nobody);
+        let ground = &mut self.ground;
+        match owner {
+            Owner::Nobody | Owner::Depot => {}
+            Owner::Worker(wk) => self.workers.gateway_gone(ground, wk, conn),
+            Owner::Fetcher(wk) => self.workers.depot_gone(ground, wk),
+            Owner::Roster => self.roster.closed(conn),
+            Owner::Client { gw, n } => self.clients.closed(ground, gw, n),
+        }
+    }
+
+    fn due(&mut self, token: u64) {
+        let rest = token & !of::WHAT;
+        let (high, low) = ((rest >> 32) as usize, (rest & 0xffff_ffff) as usize);
+        let ground = &mut self.ground;
+        match token & of::WHAT {
+            of::RUN => self.workers.ran(ground, high, low),
+            of::START => self.workers.loaded(ground, high, low),
+            of::IDLE => self.workers.idle(ground),
+            of::FETCHED => self.depot.done(ground, low),
+            of::TELL => self.roster.tell(ground, &self.workers),
+            of::NEXT => self.clients.next(ground),
+            of::LATE => self.clients.late(ground, low),
+            of::RETRY => self.clients.again(ground, low),
+            of::LEAVE => self.clients.leave(ground, low),
+            of::CONNECT => self.clients.connect(ground, high, low),
+            of::FAULT => self.fault(low),
+            of::OVER => self.fault_over(low, high),
+            _ => ground.net.stop(),
+        }
+    }
+
+    fn signal(&mut self, _signal: i32) {
+        self.ground.net.stop();
+    }
+}
