Nothing is sent to a client that has given up; standstills are on record

Cause: a gateway that was stopped answered events whose clients had given up meanwhile, and the audit blamed it for events that fell due while it stood still. Change: such answers are counted as overdue and not sent; the record tells when a gateway stood still.

--- a/crates/tidewall-audit/src/rows.rs
+++ b/crates/tidewall-audit/src/rows.rs
@@ -49,6 +49,9 @@
     /// A gateway's process was killed; it is up again.
     Killed,
     Up,
+    /// A gateway's process is stopped; it goes on.
+    Still,
+    Going,
     /// A launch reached a worker; it ended there (with a proof that it has not run, or without); its connection
     /// is gone; its effect happened.
     Launched,
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -67,6 +67,12 @@
     count: usize,
 }
 
+impl Held {
+    pub fn gives_up(&self) -> Time {
+        self.arrival.gives_up
+    }
+}
+
 pub struct Wk {
     at: Option<SocketAddr>,
     listed: Listed,
@@ -99,6 +105,8 @@
     pub dead_lettered: u64,
     pub lapsed: u64,
     pub turned_away: u64,
+    /// Answers that were not sent, since their client had given up: after a standstill of this process.
+    pub overdue: u64,
     pub malformed: u64,
     pub launches: u64,
     pub orders: u64,
@@ -125,7 +133,9 @@
     pub links: Slab<Link>,
     pub opened: Vec<(Conn, usize)>,
     pub known: VecDeque<(usize, u32, Outcome)>,
-    pub given: VecDeque<(Ticket, Word, Time)>,
+    pub given: VecDeque<(Ticket, Word, Time, Time)>,
+    /// Tickets of events whose clients have given up.
+    pub gone: VecDeque<Ticket>,
     pub roster: Option<Conn>,
     pub follows: bool,
     pub port: Option<Port>,
@@ -159,6 +169,7 @@
             opened: Vec::new(),
             known: VecDeque::new(),
             given: VecDeque::new(),
+            gone: VecDeque::new(),
             roster: None,
             // Where changes come unasked the roster is still told that we are there.
             follows: settings.is("discovery", "pushed"),
@@ -206,12 +217,18 @@
 
     fn own_answer(&mut self, evt: usize, word: Word, come_back: Time) {
         if let Some((ticket, took)) = self.close(evt, None) {
+            if self.net.now() > self.events[evt].arrival.gives_up {
+                // Nothing is sent to a client that has given up.
+                self.counts.overdue += 1;
+                self.gone.push_back(ticket);
+                return;
+            }
             match word {
                 Word::Deferred => self.counts.deferred += 1,
                 _ => self.counts.dead_lettered += 1,
             }
             tracing::debug!(event = self.events[evt].id, word = word.text(), took, "answered");
-            self.given.push_back((ticket, word, come_back));
+            self.given.push_back((ticket, word, come_back, took));
         }
     }
 
--- a/crates/tidewall-gateway/src/door.rs
+++ b/crates/tidewall-gateway/src/door.rs
@@ -68,4 +68,6 @@
     fn begun(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]);
     /// The one final answer. Each ticket gets it once, and none after `Core::left`.
     fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer);
+    /// Instead of an answer: the client's time has passed, and nothing may be sent for it.
+    fn given_up(&mut self, ticket: Ticket);
 }
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -247,10 +247,11 @@
                     self.done(key, outcome, 0);
                     self.core.choice.host.unsent_over(key);
                 }
-            } else if let Some((ticket, word, come_back)) = host.given.pop_front() {
-                let answer = Answer { word, come_back, reason: "", payload: &[], took: 0 };
-                let net = &mut host.net;
-                self.doors[ticket.door].answered(net, ticket, &answer);
+            } else if let Some((ticket, word, come_back, took)) = host.given.pop_front() {
+                let answer = Answer { word, come_back, reason: "", payload: &[], took };
+                self.doors[ticket.door].answered(&mut host.net, ticket, &answer);
+            } else if let Some(ticket) = host.gone.pop_front() {
+                self.doors[ticket.door].given_up(ticket);
             } else {
                 break;
             }
@@ -381,6 +382,11 @@
     fn answer(&mut self, evt: usize, word: Word, payload: &[u8]) {
         let host = &mut self.core.choice.host;
         let Some((ticket, took)) = host.close(evt, None) else { return };
+        let past = host.net.now() > host.events[evt].gives_up() && host.events[evt].begun.is_none();
+        if past {
+            host.counts.overdue += 1;
+            return self.doors[ticket.door].given_up(ticket);
+        }
         match word {
             Word::Handled => host.counts.handled += 1,
             _ => host.counts.dead_lettered += 1,
--- a/crates/tidewall-gateway/src/native.rs
+++ b/crates/tidewall-gateway/src/native.rs
@@ -224,6 +224,12 @@
         net.write(known.conn, &self.out);
     }
 
+    fn given_up(&mut self, ticket: Ticket) {
+        if let Some(key) = self.key(ticket) {
+            self.remove(key);
+        }
+    }
+
     fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
         // It left in the same wake-up.
         let Some(key) = self.key(ticket) else { return };
--- a/crates/tidewall-standins/src/faults.rs
+++ b/crates/tidewall-standins/src/faults.rs
@@ -106,6 +106,7 @@
                 g.row(Row { k: Kind::Killed, gw, ..Row::default() });
                 self.faults.gateways.kill(gw);
             } else {
+                g.row(Row { k: Kind::Still, gw, ..Row::default() });
                 self.faults.gateways.still(gw, true);
             }
         }
@@ -141,6 +142,7 @@
                 "GATEWAY_STILL" => {
                     self.faults.busy.retain(|gw| *gw != which);
                     self.faults.gateways.still(which, false);
+                    g.row(Row { k: Kind::Going, gw: which, ..Row::default() });
                 }
                 "WORKER_HANG" => {
                     self.workers.go(g, which);
