An event whose time may have passed unread is turned away, not answered

Cause: after a standstill the gateway cannot know whether a client that waits in the socket has given up; an answer came too late for some, silence wronged others. Change: such an event is not taken, and that is said.

--- a/crates/tidewall-gateway/src/native.rs
+++ b/crates/tidewall-gateway/src/native.rs
@@ -154,21 +154,32 @@
             payload: fields.bytes(Field::Payload)?,
         };
         fields.whole(Field::Left)?;
+        if event.left == 0 {
+            // Its time may have passed before it was read. An answer might come too late and silence might be
+            // wrong: it is not taken, and that is said.
+            core.counts().turned_away += 1;
+            self.turn_away(core, conn, id, "late");
+            return Ok(());
+        }
         let key = self.add(conn, id);
         let ticket = self.ticket(key, self.known[key as usize].count);
         match core.take(&Incoming { ticket, ..event }) {
             Ok(place) => self.known[key as usize].place = place,
             Err(reason) => {
                 self.remove(key);
-                self.out.clear();
-                let frame = Frame::new(&mut self.out, kind::ANSWER).whole(Field::Id, id);
-                frame.text(Field::Word, "turned-away").text(Field::Reason, reason).end();
-                core.net().write(conn, &self.out);
+                self.turn_away(core, conn, id, reason);
             }
         }
         Ok(())
     }
 
+    fn turn_away<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, id: u64, reason: &str) {
+        self.out.clear();
+        let frame = Frame::new(&mut self.out, kind::ANSWER).whole(Field::Id, id);
+        frame.text(Field::Word, "turned-away").text(Field::Reason, reason).end();
+        core.net().write(conn, &self.out);
+    }
+
     /// All events of a connection that is gone are lapsed.
     fn gone<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
         while let Some(key) = self.client(conn).first {
