--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -195,6 +195,11 @@
         self.core.choice.host.held
     }
 
+    /// Launches, orders and probes of which a worker's end is still awaited.
+    pub fn outstanding(&self) -> usize {
+        self.core.choice.host.outs.len()
+    }
+
     /// Connections to workers that stand or are being made.
     pub fn links(&self) -> usize {
         self.core.choice.host.links.len()
