--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -1,5 +1,6 @@
 //! `day`: a scripted bad day on loopback. Gateways are processes of their own, which can be killed and stopped;
 //! the stand-ins run here and record what crosses their ends of the sockets; the audit reads that record.
+use crate::from::replay;
 use crate::{input, Failure};
 use clap::Args;
 use comfy_table::{presets, Table};
@@ -23,6 +24,9 @@
     /// The faults; a built-in bad day where left out.
     #[arg(long, value_name = "FILE")]
     script: Option<PathBuf>,
+    /// A day file of the bench (JSON): its kinds of trouble are played at our fleet's size.
+    #[arg(long, value_name = "FILE", conflicts_with = "script")]
+    from: Option<PathBuf>,
     #[arg(long, value_name = "N", default_value_t = 1)]
     seed: u64,
     /// How long clients send.
@@ -157,17 +161,52 @@
     }
 }
 
+/// Events a second that keep all cores of the fleet busy.
+fn capacity(settings: &Section) -> f64 {
+    let fleet = settings.section("fleet");
+    let cores = |w: &Section| w.number("count") * w.number("cores") * w.number("speed");
+    let cores: f64 = fleet.sections("workers").iter().map(cores).sum();
+    let programs = fleet.sections("programs");
+    let share: f64 = programs.iter().map(|p| p.number("share")).sum();
+    let work: f64 = programs.iter().map(|p| p.number("share") / share * p.number("work_ms")).sum();
+    cores * 1000.0 / work.max(1e-9)
+}
+
+/// The settings' text with another rate of its clients.
+fn with_rate(text: &str, rate: f64) -> Option<String> {
+    let from = text.find("clients {")?;
+    let from = from + text[from..].find("rate:")? + "rate:".len();
+    let end = from + text[from..].trim_start().find(char::is_whitespace)? + 1;
+    Some(format!("{} {rate}{}", &text[..from], &text[end..]))
+}
+
 pub fn day(args: &Day) -> Result<(), Failure> {
     let failed = |e: std::io::Error| Failure::Run(e.to_string());
     let (file, text) = read(&args.config, ("built-in day", SETTINGS))?;
-    let text = ports(&text).map_err(failed)?;
-    let settings = tidewall_config::settings(&file, &text).map_err(input)?;
+    let mut text = ports(&text).map_err(failed)?;
+    let mut settings = tidewall_config::settings(&file, &text).map_err(input)?;
     if !settings.has("fleet") {
         return Err(input(format!("{file}:1:1: fleet: there is none in these settings")));
     }
-    let (file, script) = read(&args.script, ("built-in bad day", SCRIPT))?;
-    let script = tidewall_config::script(&file, &script).map_err(input)?;
-    let seconds = args.seconds.unwrap_or(script.number("seconds"));
+    let (script_file, mut script_text) = read(&args.script, ("built-in bad day", SCRIPT))?;
+    let mut seconds = None;
+    if let Some(path) = &args.from {
+        let name = path.display().to_string();
+        let day = std::fs::read_to_string(path).map_err(|e| input(format!("{name}: {e}")))?;
+        let workers: u64 =
+            settings.section("fleet").sections("workers").iter().map(|w| w.whole("count")).sum();
+        let gateways = settings.sections("gateway").len();
+        let told = replay(&day, workers as usize, gateways).map_err(|e| input(format!("{name}: {e}")))?;
+        let rate = (capacity(&settings) * told.load).round();
+        println!("{workers} workers and {gateways} gateways, {rate} events a second (load {:.2})", told.load);
+        told.says.iter().for_each(|line| println!("{line}"));
+        (script_text, seconds) = (told.script, Some(told.seconds));
+        text = with_rate(&text, rate)
+            .ok_or_else(|| input(format!("{file}: fleet.clients.rate: must be told")))?;
+        settings = tidewall_config::settings(&file, &text).map_err(input)?;
+    }
+    let script = tidewall_config::script(&script_file, &script_text).map_err(input)?;
+    let seconds = args.seconds.or(seconds).unwrap_or(script.number("seconds"));
     if !(1.0..=3600.0).contains(&seconds) {
         return Err(input(format!("--seconds: {seconds} is not within 1 to 3600")));
     }
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `tidewall`: the command line. Exit codes: 0 well, 1 a rule or a run failed, 2 bad input.
 mod day;
+mod from;
 mod send;
 mod serve;
 
