AMQP 0-9-1 codec, broker and door; measurements of the gateway

Need: warehouse terminals speak AMQP; the running gateway's cost had to be known. Change: tidewall-amqp (codec, connections, channels, exchanges with a topic trie, queues, confirms, dead letters) as a machine without I/O, its door with logins off the loop, marks of message-ids and a pure module that decides who is held back; settings for it; tidewall-measure.

--- /dev/null
+++ b/crates/tidewall-amqp-door/src/lib.rs
@@ -0,0 +1,442 @@
+//! The gateway's door for AMQP 0-9-1. It carries bytes between connections and `tidewall_amqp::server`, turns
+//! publishes to the trigger exchange into events, and their answers back. Whom to hold back is decided in
+//! `hold_back`, what a repeated message-id means is remembered in `marks`.
+pub mod hold_back;
+pub mod logins;
+pub mod marks;
+
+use hold_back::{HoldBack, Reins, Seen};
+use logins::Logins;
+use marks::{Known, Mark, Marks};
+use slab::Slab;
+use tidewall_amqp::codec::Value;
+use tidewall_amqp::server::{Limits, Outside, Server, Trigger, Word};
+use tidewall_config::Section;
+use tidewall_gateway::door::{Answer, Door, Incoming, Ticket};
+use tidewall_gateway::{door, Core};
+use tidewall_net::{Conn, Net, Time};
+use tracing::{info, warn};
+
+/// How often logins, heartbeats, expirations and the reins are looked at: a hundredth of a second delays nobody who
+/// logs in, and costs little.
+const LOOK: Time = 100;
+
+/// Deliveries stop while so much waits unsent for a connection: half of the write buffer's bound.
+const UNSENT: usize = tidewall_net::buffer::WRITE_MOST / 2;
+
+struct User {
+    name: String,
+    hash: String,
+    tenant: Option<usize>,
+}
+
+struct Function {
+    name: String,
+    lanes: u32,
+    memory: f64,
+    hint: Time,
+    load_hint: Time,
+}
+
+struct Typ {
+    name: String,
+    age: Time,
+    window: Time,
+}
+
+/// An event in hand: who waits for its answer.
+struct Taken {
+    count: u32,
+    waiting: Vec<u64>,
+    mark: Option<Mark>,
+    typ: usize,
+}
+
+/// What the server's calls need besides the gateway.
+struct Side {
+    me: usize,
+    users: Vec<User>,
+    types: Vec<Typ>,
+    functions: Vec<Function>,
+    headers: bool,
+    logins: Logins,
+    refused: Vec<(usize, u64)>,
+    marks: Marks,
+    taken: Slab<Taken>,
+    count: u32,
+    /// By key of a connection: its link.
+    links: Vec<u64>,
+}
+
+pub struct Amqp {
+    server: Server,
+    side: Side,
+    hold: HoldBack,
+    /// By place of a connection: which one, and its key at the server.
+    conns: Vec<Option<(u64, usize)>>,
+    exceptions: u64,
+    ticked: Time,
+    seen: Vec<Seen>,
+}
+
+/// The gateway's side while the decisions may be called.
+struct Full<'a, N: Net> {
+    core: &'a mut Core<N>,
+    side: &'a mut Side,
+}
+
+/// Its net alone: while an answer is on its way out no event can come in.
+struct Wires<'a, N: Net>(&'a mut N);
+
+fn room<N: Net>(net: &N, link: u64) -> bool {
+    net.unsent(Conn(link)) < UNSENT
+}
+
+fn write<N: Net>(net: &mut N, link: u64, bytes: &[u8]) {
+    if !net.write(Conn(link), bytes) {
+        // One that reads nothing until its buffer is full has lost its deliveries, not its neighbours.
+        net.fail(Conn(link));
+    }
+}
+
+impl<N: Net> Outside for Wires<'_, N> {
+    fn write(&mut self, link: u64, bytes: &[u8]) {
+        write(self.0, link, bytes);
+    }
+    fn room(&self, link: u64) -> bool {
+        room(self.0, link)
+    }
+    fn close(&mut self, link: u64) {
+        self.0.close(Conn(link));
+    }
+    fn check(&mut self, _: usize, _: &str, _: &[u8]) {}
+    fn take(&mut self, _: u64, _: &Trigger) -> Result<(), (Word, &'static str)> {
+        Err((Word::Deferred, "busy"))
+    }
+}
+
+impl<N: Net> Outside for Full<'_, N> {
+    fn write(&mut self, link: u64, bytes: &[u8]) {
+        write(self.core.net(), link, bytes);
+    }
+
+    fn room(&self, link: u64) -> bool {
+        room(self.core.net_ref(), link)
+    }
+
+    fn close(&mut self, link: u64) {
+        self.core.net().close(Conn(link));
+    }
+
+    fn check(&mut self, conn: usize, user: &str, password: &[u8]) {
+        let hash = self.side.users.iter().find(|u| u.name == user).map(|u| u.hash.clone());
+        let link = self.side.links[conn];
+        if !self.side.logins.check(conn, link, hash, password) {
+            self.side.refused.push((conn, link));
+        }
+    }
+
+    fn take(&mut self, ticket: u64, t: &Trigger) -> Result<(), (Word, &'static str)> {
+        let side = &mut *self.side;
+        let now = self.core.net().now();
+        // Nothing was launched, so trying again is harmless whatever the type.
+        let (typ, function) =
+            t.key.split_once('.').ok_or((Word::Deferred, "the routing key is no TYPE.FUNCTION"))?;
+        let typ =
+            side.types.iter().position(|k| k.name == typ).ok_or((Word::Deferred, "unknown event type"))?;
+        if function.is_empty() {
+            return Err((Word::Deferred, "the routing key names no function"));
+        }
+        let age = side.types[typ].age;
+        let left = match t.properties.expiration {
+            "" => age,
+            // The server has checked that it is a number.
+            text => text.parse::<u64>().map_or(age, |ms| ms.saturating_mul(10).min(age)),
+        };
+        let left = left.saturating_sub(self.core.net().waited());
+        if left == 0 {
+            return Err((Word::Deferred, "expired"));
+        }
+        let mark = (!t.properties.message_id.is_empty()).then(|| (typ, t.properties.message_id.into()));
+        match mark.as_ref().and_then(|m| side.marks.find(now, m)) {
+            Some(Known::InHand(key)) => {
+                side.taken[*key].waiting.push(ticket);
+                return Ok(());
+            }
+            Some(Known::Answered(word, _)) => return Err((*word, "repeat")),
+            None => {}
+        }
+        let user = side.users.iter().find(|u| u.name == t.user);
+        let known = side.functions.iter().find(|f| match f.name.strip_suffix('*') {
+            Some(start) => function.starts_with(start),
+            None => f.name == function,
+        });
+        let number = |name: &str| {
+            let headers = t.properties.headers.filter(|_| side.headers);
+            match headers.and_then(|h| h.get(name)) {
+                Some(Value::Whole(v)) if v >= 0 => Some(v as f64),
+                Some(Value::Unsigned(v)) => Some(v as f64),
+                Some(Value::Real(v)) if v.is_finite() && v >= 0.0 => Some(v),
+                _ => None,
+            }
+        };
+        // Times are told in milliseconds; an hour is the most that any setting allows.
+        let span = |name: &str| number(name).map(|ms| (ms.min(3.6e6) * 10.0) as Time);
+        side.count = side.count.wrapping_add(1);
+        let key =
+            side.taken.insert(Taken { count: side.count, waiting: vec![ticket], mark: mark.clone(), typ });
+        let event = Incoming {
+            ticket: Ticket { door: side.me, key: key as u64 | u64::from(side.count) << 32 },
+            id: ticket,
+            typ,
+            tenant: user.and_then(|u| u.tenant),
+            function,
+            lanes: number("x-lanes").map_or(known.map_or(1, |f| f.lanes), |v| v.clamp(1.0, 1000.0) as u32),
+            memory: number("x-memory-mb").unwrap_or(known.map_or(0.0, |f| f.memory)),
+            hint: span("x-hint-ms").unwrap_or(known.map_or(0, |f| f.hint)),
+            load_hint: span("x-load-hint-ms").unwrap_or(known.map_or(0, |f| f.load_hint)),
+            left,
+            resent: t.redelivered,
+            mark: t.properties.message_id.as_bytes(),
+            payload: t.body,
+        };
+        // Clients' ids for logs come from the message, where it has a number for one.
+        let event = Incoming { id: t.properties.correlation_id.parse().unwrap_or(ticket), ..event };
+        if let Some(mark) = &mark {
+            side.marks.take(mark.clone(), key);
+        }
+        match self.core.take(&event) {
+            Ok(_) => Ok(()),
+            Err(reason) => {
+                self.side.taken.remove(key);
+                if let Some(mark) = mark {
+                    self.side.marks.end(now, mark, Word::Deferred, &[], 0);
+                }
+                Err((Word::Deferred, reason))
+            }
+        }
+    }
+}
+
+/// Carries the reins out.
+struct Hands<'a, N: Net> {
+    core: &'a mut Core<N>,
+    server: &'a mut Server,
+    side: &'a mut Side,
+}
+
+impl<N: Net> Reins for Hands<'_, N> {
+    fn pause(&mut self, conn: usize, on: bool) {
+        let link = self.side.links[conn];
+        self.core.net().pause(Conn(link), on);
+    }
+
+    fn block(&mut self, conn: usize, on: bool, reason: &'static str) {
+        let mut full = Full { core: self.core, side: self.side };
+        self.server.block(&mut full, conn, on, reason);
+    }
+}
+
+impl Amqp {
+    /// `me` is the door's place in its gateway.
+    pub fn new(me: usize, settings: &Section) -> Amqp {
+        let a = settings.section("amqp");
+        let tenants: Vec<String> = settings.sections("tenant").iter().map(|t| t.text("name")).collect();
+        let mut vhosts = a.texts("vhost");
+        if vhosts.is_empty() {
+            vhosts.push("/".to_string());
+        }
+        let queued_most = (a.number("queued_mb") * 1e6) as usize;
+        let limits = Limits {
+            frame_max: a.whole("frame_max") as u32,
+            channel_max: a.whole("channel_max") as u16,
+            heartbeat: a.whole("heartbeat_s") as u16,
+            body_max: a.whole("body_max"),
+            handshake: a.span("handshake_ms"),
+            queued_most,
+            trigger: a.text("trigger_exchange"),
+            dead_letters: a.text("dead_letter_exchange"),
+            vhosts,
+        };
+        let user = |u: &Section| User {
+            name: u.text("name"),
+            hash: u.text("password_hash"),
+            tenant: tenants.iter().position(|t| *t == u.text("tenant")),
+        };
+        let function = |f: &Section| Function {
+            name: f.text("name"),
+            lanes: f.whole("lanes") as u32,
+            memory: f.number("memory_mb"),
+            hint: f.span("hint_ms"),
+            load_hint: f.span("load_hint_ms"),
+        };
+        let typ = |t: &Section| Typ {
+            name: t.text("name"),
+            age: t.span("max_age_ms"),
+            // Answers to types without a window are remembered as long as a client may still ask.
+            window: if t.span("window_ms") > 0 { t.span("window_ms") } else { t.span("max_age_ms") },
+        };
+        let side = Side {
+            me,
+            users: a.sections("user").iter().map(user).collect(),
+            types: settings.sections("event_type").iter().map(typ).collect(),
+            functions: a.sections("function").iter().map(function).collect(),
+            headers: a.flag("headers"),
+            logins: Logins::new(a.whole("logins") as usize),
+            refused: Vec::new(),
+            marks: Marks::default(),
+            taken: Slab::new(),
+            count: 0,
+            links: Vec::new(),
+        };
+        let hold = HoldBack::new(a.whole("in_hand") as usize, queued_most);
+        let server = Server::new(limits);
+        Amqp { server, side, hold, conns: Vec::new(), exceptions: 0, ticked: 0, seen: Vec::new() }
+    }
+
+    fn key(&self, conn: Conn) -> Option<usize> {
+        self.conns.get(conn.place()).copied().flatten().filter(|c| c.0 == conn.0).map(|c| c.1)
+    }
+
+    fn log(&mut self) {
+        if self.server.exceptions > self.exceptions {
+            self.exceptions = self.server.exceptions;
+            warn!(exception = self.server.last_exception, count = self.exceptions, "amqp");
+        }
+    }
+
+    /// All who wait for an event get its answer.
+    fn tell<N: Net>(
+        &mut self,
+        net: &mut N,
+        ticket: Ticket,
+        word: Word,
+        come_back: Time,
+        reason: &str,
+        payload: &[u8],
+    ) {
+        let (key, count) = ((ticket.key & 0xffff_ffff) as usize, (ticket.key >> 32) as u32);
+        if self.side.taken.get(key).is_none_or(|t| t.count != count) {
+            return;
+        }
+        let taken = self.side.taken.remove(key);
+        let now = net.now();
+        self.server.clock(now);
+        if let Some(mark) = taken.mark {
+            let window = self.side.types[taken.typ].window;
+            self.side.marks.end(now, mark, word, payload, window);
+        }
+        for waiting in taken.waiting {
+            self.server.answered(&mut Wires(net), waiting, word, come_back, reason, payload);
+        }
+        self.server.settle(&mut Wires(net));
+    }
+}
+
+impl<N: Net> Door<N> for Amqp {
+    fn opened(&mut self, core: &mut Core<N>) {
+        core.wake(self.side.me, LOOK);
+    }
+
+    fn accepted(&mut self, core: &mut Core<N>, conn: Conn) {
+        self.server.clock(core.net().now());
+        let key = self.server.accepted(conn.0);
+        if self.conns.len() <= conn.place() {
+            self.conns.resize(conn.place() + 1, None);
+        }
+        self.conns[conn.place()] = Some((conn.0, key));
+        if self.side.links.len() <= key {
+            self.side.links.resize(key + 1, 0);
+        }
+        self.side.links[key] = conn.0;
+        self.hold.gone(key);
+    }
+
+    fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
+        let Some(key) = self.key(conn) else { return bytes.len() };
+        self.server.clock(core.net().now());
+        let used = self.server.bytes(&mut Full { core, side: &mut self.side }, key, bytes);
+        let debts = self.server.debts(key);
+        let mut hands = Hands { core, server: &mut self.server, side: &mut self.side };
+        self.hold.read(&mut hands, key, debts);
+        self.log();
+        used
+    }
+
+    fn drained(&mut self, core: &mut Core<N>, conn: Conn) {
+        if let Some(key) = self.key(conn) {
+            self.server.clock(core.net().now());
+            self.server.drained(&mut Full { core, side: &mut self.side }, key);
+        }
+    }
+
+    /// What it published goes on: a terminal that comes back asks with the same message-id.
+    fn closed(&mut self, core: &mut Core<N>, conn: Conn) {
+        if let Some(key) = self.key(conn) {
+            self.conns[conn.place()] = None;
+            self.server.clock(core.net().now());
+            self.server.gone(key);
+            self.hold.gone(key);
+            self.server.settle(&mut Full { core, side: &mut self.side });
+        }
+    }
+
+    fn begun(&mut self, _net: &mut N, _ticket: Ticket, _payload: &[u8]) {}
+
+    fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
+        let word = match answer.word {
+            door::Word::Handled => Word::Handled,
+            door::Word::Deferred => Word::Deferred,
+            door::Word::DeadLettered => Word::DeadLettered,
+        };
+        self.tell(net, ticket, word, answer.come_back, answer.reason, answer.payload);
+    }
+
+    fn given_up(&mut self, ticket: Ticket) {
+        // Its time passed while this process stood still: nobody is told, and the mark is free for another try.
+        let (key, count) = ((ticket.key & 0xffff_ffff) as usize, (ticket.key >> 32) as u32);
+        if self.side.taken.get(key).is_some_and(|t| t.count == count) {
+            let taken = self.side.taken.remove(key);
+            if let Some(mark) = taken.mark {
+                self.side.marks.end(0, mark, Word::Deferred, &[], 0);
+            }
+            taken.waiting.iter().for_each(|w| self.server.forget(*w));
+        }
+    }
+
+    fn due(&mut self, core: &mut Core<N>) {
+        core.wake(self.side.me, LOOK);
+        let now = core.net().now();
+        self.server.clock(now);
+        let mut full = Full { core, side: &mut self.side };
+        while let Some((conn, link, good)) = full.side.logins.done() {
+            self.server.checked(&mut full, conn, link, good);
+        }
+        for (conn, link) in std::mem::take(&mut full.side.refused) {
+            self.server.checked(&mut full, conn, link, false);
+        }
+        // Heartbeats and expirations are counted in tenths of a second at the finest.
+        if now >= self.ticked + 10 * LOOK {
+            self.ticked = now;
+            self.server.tick(&mut full);
+            if core.draining() {
+                info!(
+                    connections = self.server.connections(),
+                    waiting = self.server.waiting(),
+                    "amqp drains"
+                );
+            }
+        }
+        self.seen.clear();
+        for (_, key) in self.conns.iter().flatten() {
+            let tenant =
+                self.server.user(*key).and_then(|u| self.side.users.iter().position(|k| k.name == u));
+            let tenant = tenant.and_then(|u| self.side.users[u].tenant).map_or(0, |t| t + 1);
+            self.seen.push(Seen { conn: *key, tenant, debts: self.server.debts(*key) });
+        }
+        let (queued, held) = (self.server.queued(), core.held());
+        let mut hands = Hands { core, server: &mut self.server, side: &mut self.side };
+        self.hold.look(&mut hands, &self.seen, queued, held);
+        self.log();
+    }
+}
--- /dev/null
+++ b/crates/tidewall-amqp/benches/codec.rs
@@ -0,0 +1,79 @@
+//! The codec's pace for a publish of usual size, and the topic trie against trying every binding.
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion, Throughput};
+use std::hint::black_box;
+use tidewall_amqp::codec::{content, frame, header, write_properties, Out, Properties};
+use tidewall_amqp::topic::{matches, Topics};
+
+fn publish(out: &mut Vec<u8>, properties: &mut Vec<u8>, body: &[u8]) {
+    let m = Out::method(out, 1, 60, 40).short(0).short_str("tidewall.events").short_str("record.book3");
+    m.bit(false).bit(false).end();
+    let p = Properties {
+        message_id: "4711-0815",
+        correlation_id: "1234567",
+        reply_to: "amq.rabbitmq.reply-to",
+        expiration: "2000",
+        ..Properties::default()
+    };
+    properties.clear();
+    write_properties(properties, &p);
+    content(out, 1, properties, body, 131_072);
+}
+
+fn codec(c: &mut Criterion) {
+    let mut group = c.benchmark_group("publish");
+    for size in [200usize, 1024, 16_384] {
+        let body = vec![7; size];
+        let (mut out, mut properties) = (Vec::new(), Vec::new());
+        publish(&mut out, &mut properties, &body);
+        group.throughput(Throughput::Bytes(out.len() as u64));
+        group.bench_with_input(BenchmarkId::new("write", size), &size, |b, _| {
+            b.iter(|| {
+                out.clear();
+                publish(&mut out, &mut properties, &body);
+                black_box(out.len())
+            });
+        });
+        out.clear();
+        publish(&mut out, &mut properties, &body);
+        group.bench_with_input(BenchmarkId::new("read", size), &size, |b, _| {
+            b.iter(|| {
+                let mut at = 0;
+                while let Ok(Some((f, used))) = frame(&out[at..], 131_072) {
+                    if f.kind == 2 {
+                        black_box(header(f.payload).unwrap());
+                    }
+                    at += used;
+                }
+                black_box(at)
+            });
+        });
+    }
+    group.finish();
+    let mut group = c.benchmark_group("topics");
+    for size in [10usize, 1_000, 100_000] {
+        let patterns: Vec<String> = (0..size)
+            .map(|i| match i % 3 {
+                0 => format!("hall{}.*.stock", i % 97),
+                1 => format!("hall{}.{}.#", i % 97, i),
+                _ => format!("*.{i}.stock"),
+            })
+            .collect();
+        let mut topics = Topics::default();
+        patterns.iter().enumerate().for_each(|(i, p)| topics.bind(p, i));
+        let mut found = Vec::new();
+        group.bench_with_input(BenchmarkId::new("trie", size), &size, |b, _| {
+            b.iter(|| {
+                found.clear();
+                topics.find(black_box("hall5.8.stock"), &mut found);
+                black_box(found.len())
+            });
+        });
+        group.bench_with_input(BenchmarkId::new("every", size), &size, |b, _| {
+            b.iter(|| black_box(patterns.iter().filter(|p| matches(p, black_box("hall5.8.stock"))).count()));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, codec);
+criterion_main!(benches);
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -42,6 +42,8 @@
     Standins(serve::Standins),
     /// Sends one event and prints its answer.
     Send(send::Send),
+    /// Reads a password from standard input and prints the hash that the settings of AMQP users hold.
+    HashPassword,
     /// Plays a bad day: gateways as processes, stand-ins, faults; then checks the five rules from what went
     /// over the sockets.
     Day(day::Day),
@@ -69,6 +71,11 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    // A panic of the decisions must not go on with half a state, nor end without its text.
+    std::panic::set_hook(Box::new(|info| {
+        eprintln!("panic: {}", info.to_string().replace('\n', " "));
+        std::process::exit(1);
+    }));
     let filter = match tracing_subscriber::EnvFilter::try_new(&cli.logs.log) {
         Ok(filter) => filter,
         Err(e) => {
@@ -88,6 +95,7 @@
         Command::Check { config } => settings(&config).map(|_| ()),
         Command::Standins(args) => serve::standins(&args),
         Command::Send(args) => send::send(&args),
+        Command::HashPassword => serve::hash_password(),
         Command::Day(args) => day::day(&args),
     };
     match done {
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -1,8 +1,11 @@
 //! `serve` and `standins`: processes that run until they are told to stop.
 use crate::{input, settings, Failure};
+use argon2::password_hash::{rand_core::OsRng, PasswordHasher, SaltString};
+use argon2::Argon2;
 use clap::Args;
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
+use tidewall_amqp_door::Amqp;
 use tidewall_config::{plain, Section};
 use tidewall_gateway::carrier::Setup;
 use tidewall_gateway::list::{FileShelf, NoShelf, Shelf};
@@ -92,9 +95,27 @@
     let mut gateway = Gateway::new(net, start(&s, me, seed), shelf).map_err(input)?;
     let at = own.text("address").parse().expect("checked");
     gateway.open(at, Box::new(Native::new(0, &own.text("name")))).map_err(input)?;
+    if own.has("amqp_address") {
+        let at = own.text("amqp_address").parse().expect("checked");
+        gateway.open(at, Box::new(Amqp::new(1, &s))).map_err(input)?;
+    }
     mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))
 }
 
+/// Reads a password from standard input and prints its hash for the settings.
+pub fn hash_password() -> Result<(), Failure> {
+    let mut password = String::new();
+    std::io::stdin().read_line(&mut password).map_err(|e| input(e.to_string()))?;
+    let password = password.trim_end_matches(['\n', '\r']);
+    if password.is_empty() {
+        return Err(input("standard input: a password is missing".to_string()));
+    }
+    let salt = SaltString::generate(&mut OsRng);
+    let hash = Argon2::default().hash_password(password.as_bytes(), &salt);
+    println!("{}", hash.map_err(|e| Failure::Run(e.to_string()))?);
+    Ok(())
+}
+
 pub fn standins(args: &Standins) -> Result<(), Failure> {
     let (_, s) = settings(&args.config)?;
     if !s.has("fleet") {
--- a/crates/tidewall-config/src/check.rs
+++ b/crates/tidewall-config/src/check.rs
@@ -63,6 +63,18 @@
     ("Clients", "patience", 1e-9, 1.0),
     ("Clients", "front_ms", 0.0, 60_000.0),
     ("Clients", "payload", 0.0, 1e6),
+    ("Amqp", "heartbeat_s", 0.0, 3_600.0),
+    ("Amqp", "frame_max", 4_096.0, 1_048_576.0),
+    ("Amqp", "channel_max", 1.0, 65_535.0),
+    ("Amqp", "body_max", 1.0, 100_000_000.0),
+    ("Amqp", "handshake_ms", 10.0, 600_000.0),
+    ("Amqp", "queued_mb", 1.0, 100_000.0),
+    ("Amqp", "in_hand", 1.0, 1e6),
+    ("Amqp", "logins", 1.0, 100_000.0),
+    ("AmqpFunction", "lanes", 1.0, 1_000.0),
+    ("AmqpFunction", "memory_mb", 0.0, MOST),
+    ("AmqpFunction", "hint_ms", 0.0, 3.6e6),
+    ("AmqpFunction", "load_hint_ms", 0.0, 3.6e6),
     ("Script", "seconds", 1.0, 3_600.0),
     ("Fault", "at", 0.0, 1.0),
     ("Fault", "lasts_ms", 0.0, 3.6e6),
@@ -173,6 +185,15 @@
         address(g, "peer_address", &mut peers)?;
     }
     address(&s.section("roster"), "address", &mut addresses)?;
+    for g in gateways.iter().filter(|g| g.has("amqp_address")) {
+        address(g, "amqp_address", &mut addresses)?;
+        if !s.has("amqp") {
+            return fault(g.at("amqp_address"), "there is no amqp section in these settings");
+        }
+    }
+    if s.has("amqp") {
+        amqp(&s.section("amqp"), &names(&s.sections("tenant"))?)?;
+    }
     let tick = s.number("tick_ms");
     for t in s.sections("event_type") {
         let (target, age) = (t.number("target_time_ms"), t.number("max_age_ms"));
@@ -206,6 +227,37 @@
     Ok(())
 }
 
+fn amqp(a: &Section, tenants: &[String]) -> Result<(), Fault> {
+    let users = a.sections("user");
+    if users.is_empty() {
+        return fault(a.at("user"), "at least one is needed");
+    }
+    names(&users)?;
+    for u in &users {
+        if !u.text("password_hash").starts_with("$argon2") {
+            return fault(u.at("password_hash"), "it is no hash of argon2 (see tidewall hash-password)");
+        }
+        if u.has("tenant") {
+            refers(u, "tenant", "tenant", tenants)?;
+        }
+    }
+    for f in a.sections("function") {
+        if f.text("name").trim_end_matches('*').contains('*') || f.text("name").is_empty() {
+            return fault(
+                f.at("name"),
+                format!("'{}' is no name, nor the start of one and '*'", f.text("name")),
+            );
+        }
+    }
+    if a.text("trigger_exchange").is_empty() {
+        return fault(a.at("trigger_exchange"), "it needs a name");
+    }
+    if a.text("trigger_exchange") == a.text("dead_letter_exchange") {
+        return fault(a.at("dead_letter_exchange"), "dead letters would be events again");
+    }
+    Ok(())
+}
+
 fn fleet(f: &Section, zones: &[String], kinds: &[String], types: &[String]) -> Result<(), Fault> {
     let (workers, programs) = (f.sections("workers"), f.sections("programs"));
     names(&workers)?;
--- a/crates/tidewall-config/tests/settings.rs
+++ b/crates/tidewall-config/tests/settings.rs
@@ -42,6 +42,9 @@
 #[test_case("name: \"book\"", "name: \"print\"", "site:30:3: event_type[2].name", "twice" ; "a name twice")]
 #[test_case("kind: \"box\" cores", "kind: \"tub\" cores", "site:42:", "'tub'" ; "a kind that is none")]
 #[test_case("most: 24", "most: 2", "site:46:", "under capacity" ; "a depot that cannot be")]
+#[test_case("zone: \"pantry\"\n  last", "zone: \"pantry\" amqp_address: \"127.0.0.1:7402\"\n  last", "site:6:18: gateway[0].amqp_address", "no amqp" ; "a door without its section")]
+#[test_case("rules {", "amqp { user { name: \"u\" password_hash: \"secret\" } }\nrules {", "site:38:25: amqp.user[0].password_hash", "no hash" ; "a password in the open")]
+#[test_case("rules {", "amqp { }\nrules {", "site:38:1: amqp.user", "at least one" ; "nobody may log in")]
 #[test_case("roster {", "roster [", "site:10:", "expected" ; "broken brackets")]
 fn bad_settings_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
     assert!(GOOD.contains(good));
--- a/crates/tidewall-gateway/src/door.rs
+++ b/crates/tidewall-gateway/src/door.rs
@@ -59,6 +59,10 @@
 
 /// One protocol. It reads its clients' bytes and tells `Core` which events come and which clients leave.
 pub trait Door<N: Net> {
+    /// It has its listener; a door that needs deadlines asks for its first one here.
+    fn opened(&mut self, _core: &mut Core<N>) {}
+    /// A deadline of `Core::wake` is due.
+    fn due(&mut self, _core: &mut Core<N>) {}
     fn accepted(&mut self, core: &mut Core<N>, conn: Conn);
     /// Gives back how many bytes it has used.
     fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize;
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 const OF_SHELF: u64 = 5 << 56;
 const OF_COUNTS: u64 = 6 << 56;
 pub(crate) const OF_GREETING: u64 = 7 << 56;
+const OF_DOOR: u64 = 8 << 56;
 const OF_WHAT: u64 = 0xff << 56;
 
 /// How often links are looked at for being idle or silent: a tenth of a second is fine against times of
@@ -60,6 +61,10 @@
         &mut self.choice.host.net
     }
 
+    pub fn net_ref(&self) -> &N {
+        &self.choice.host.net
+    }
+
     pub fn types(&self) -> &[String] {
         &self.choice.host.types
     }
@@ -102,6 +107,21 @@
         Ok(place)
     }
 
+    /// `Door::due` follows for the door at this place.
+    pub fn wake(&mut self, door: usize, wait: Time) {
+        let at = self.net().now() + wait;
+        self.net().set(at, OF_DOOR | door as u64);
+    }
+
+    /// Events in hand, and how many there may be.
+    pub fn held(&self) -> (usize, usize) {
+        (self.choice.host.held, self.most_held)
+    }
+
+    pub fn draining(&self) -> bool {
+        self.draining
+    }
+
     /// The client does not wait for this event any more.
     pub fn left(&mut self, place: usize, ticket: Ticket) {
         let now = self.net().now();
@@ -183,6 +203,8 @@
         let (listener, at) = self.core.net().listen(at).map_err(|e| format!("{at}: {e}"))?;
         self.listeners.push(listener);
         self.doors.push(door);
+        let last = self.doors.len() - 1;
+        self.doors[last].opened(&mut self.core);
         info!(gateway = self.name, %at, "listens");
         Ok(at)
     }
@@ -678,6 +700,11 @@
                     self.link_over(link, Why::Ended);
                 }
             }
+            OF_DOOR => {
+                if let Some(door) = self.doors.get_mut((token & !OF_WHAT) as usize) {
+                    door.due(&mut self.core);
+                }
+            }
             OF_SHELF => self.save_list(),
             OF_COUNTS => {
                 self.core.net().set(now + COUNTS, OF_COUNTS);
--- /dev/null
+++ b/crates/tidewall-measure/src/forward.rs
@@ -0,0 +1,53 @@
+//! The bare forwarder: for each client one connection to the far end, bytes copied both ways, on the same net.
+use std::net::SocketAddr;
+use tidewall_net::mio::{self, Mio};
+use tidewall_net::{App, Conn, Listener, Net, Why};
+
+struct Forward {
+    net: Mio,
+    to: SocketAddr,
+    /// By place of a connection: its other side.
+    pairs: Vec<Option<Conn>>,
+}
+
+impl Forward {
+    fn pair(&mut self, a: Conn, b: Conn) {
+        let most = a.place().max(b.place()) + 1;
+        if self.pairs.len() < most {
+            self.pairs.resize(most, None);
+        }
+        (self.pairs[a.place()], self.pairs[b.place()]) = (Some(b), Some(a));
+    }
+}
+
+impl App for Forward {
+    type Net = Mio;
+    fn net(&mut self) -> &mut Mio {
+        &mut self.net
+    }
+    fn accepted(&mut self, _: Listener, conn: Conn, _: SocketAddr) {
+        let far = self.net.connect(self.to, 10_000);
+        self.pair(conn, far);
+    }
+    fn connected(&mut self, _: Conn) {}
+    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        if let Some(other) = self.pairs[conn.place()] {
+            self.net.write(other, bytes);
+        }
+        bytes.len()
+    }
+    fn drained(&mut self, _: Conn) {}
+    fn closed(&mut self, conn: Conn, _: Why) {
+        if let Some(other) = self.pairs[conn.place()].take() {
+            self.net.close(other);
+        }
+    }
+    fn due(&mut self, _: u64) {}
+}
+
+pub fn run(at: &str, to: &str) {
+    let mut net = Mio::new().expect("polling works");
+    net.listen(at.parse().expect("an address")).expect("it is free");
+    mio::run(&mut Forward { net, to: to.parse().expect("an address"), pairs: Vec::new() })
+        .expect("polling works");
+}
--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -131,6 +131,12 @@
         Ok(())
     }
 
+    /// After a stop, `run` may be called again.
+    pub fn go_on(&mut self) {
+        self.stopped = false;
+        self.look();
+    }
+
     pub fn stopped(&self) -> bool {
         self.stopped
     }
