--- a/crates/tidewall-amqp-door/src/lib.rs
+++ b/crates/tidewall-amqp-door/src/lib.rs
@@ -139,13 +139,12 @@
     fn take(&mut self, ticket: u64, t: &Trigger) -> Result<(), (Word, &'static str)> {
         let side = &mut *self.side;
         let now = self.core.net().now();
-        // Nothing was launched, so trying again is harmless whatever the type.
         let (typ, function) =
-            t.key.split_once('.').ok_or((Word::Deferred, "the routing key is no TYPE.FUNCTION"))?;
+            t.key.split_once('.').ok_or((Word::TurnedAway, "the routing key is no TYPE.FUNCTION"))?;
         let typ =
-            side.types.iter().position(|k| k.name == typ).ok_or((Word::Deferred, "unknown event type"))?;
+            side.types.iter().position(|k| k.name == typ).ok_or((Word::TurnedAway, "unknown event type"))?;
         if function.is_empty() {
-            return Err((Word::Deferred, "the routing key names no function"));
+            return Err((Word::TurnedAway, "the routing key names no function"));
         }
         let age = side.types[typ].age;
         let left = match t.properties.expiration {
@@ -155,7 +154,7 @@
         };
         let left = left.saturating_sub(self.core.net().waited());
         if left == 0 {
-            return Err((Word::Deferred, "expired"));
+            return Err((Word::TurnedAway, "expired"));
         }
         let mark = (!t.properties.message_id.is_empty()).then(|| (typ, t.properties.message_id.into()));
         match mark.as_ref().and_then(|m| side.marks.find(now, m)) {
@@ -212,7 +211,7 @@
                 if let Some(mark) = mark {
                     self.side.marks.end(now, mark, Word::Deferred, &[], 0);
                 }
-                Err((Word::Deferred, reason))
+                Err((Word::TurnedAway, reason))
             }
         }
     }
--- a/crates/tidewall-amqp/src/server.rs
+++ b/crates/tidewall-amqp/src/server.rs
@@ -35,6 +35,8 @@
     Handled,
     Deferred,
     DeadLettered,
+    /// It was not taken.
+    TurnedAway,
 }
 
 impl Word {
@@ -43,6 +45,7 @@
             Word::Handled => "handled",
             Word::Deferred => "deferred",
             Word::DeadLettered => "dead-lettered",
+            Word::TurnedAway => "turned-away",
         }
     }
 }
@@ -1174,9 +1177,10 @@
             let text = match (word, come_back) {
                 (Word::Deferred, 0) => format!("deferred {reason}"),
                 (Word::Deferred, t) => format!("deferred come-back-ms={} {reason}", t.div_ceil(10)),
-                _ => format!("dead-lettered {reason}"),
+                _ => format!("{} {reason}", word.text()),
             };
-            let code = if word == Word::Deferred { code::RESOURCE_ERROR } else { code::INTERNAL_ERROR };
+            let dead = word == Word::DeadLettered;
+            let code = if dead { code::INTERNAL_ERROR } else { code::RESOURCE_ERROR };
             self.give_back(o, w.conn, w.channel, (code, text.trim_end()), &w.message);
         }
         if w.seq > 0 {
--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -32,6 +32,9 @@
     /// How long clients send.
     #[arg(long, value_name = "N")]
     seconds: Option<f64>,
+    /// The door by which clients come.
+    #[arg(long, value_enum, default_value_t = Way::Native)]
+    door: Way,
     /// The figures as JSON lines, besides the table.
     #[arg(long, value_name = "FILE")]
     report: Option<PathBuf>,
@@ -40,6 +43,12 @@
     keep: Option<PathBuf>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, clap::ValueEnum)]
+enum Way {
+    Native,
+    Amqp,
+}
+
 const SETTINGS: &str = include_str!("../../../deploy/examples/day.txtpb");
 const SCRIPT: &str = include_str!("../../../deploy/examples/bad-day.txtpb");
 
@@ -188,6 +197,10 @@
     if !settings.has("fleet") {
         return Err(input(format!("{file}:1:1: fleet: there is none in these settings")));
     }
+    let without = settings.sections("gateway").into_iter().find(|g| !g.has("amqp_address"));
+    if let Some(g) = without.filter(|_| args.door == Way::Amqp) {
+        return Err(input(format!("{file}: {}: is needed for --door amqp", g.at("amqp_address"))));
+    }
     let (script_file, mut script_text) = read(&args.script, ("built-in bad day", SCRIPT))?;
     let mut seconds = None;
     if let Some(path) = &args.from {
@@ -249,6 +262,7 @@
         seed: args.seed,
         seconds,
         clients: true,
+        amqp: args.door == Way::Amqp,
         record: Box::new(BufWriter::new(File::create(&record).map_err(failed)?)),
         gateways: Box::new(Shared(processes.clone())),
     };
@@ -266,6 +280,12 @@
     if let Some(path) = &args.report {
         report(path, args.seed, seconds, &results, loads, &audit).map_err(failed)?;
     }
+    if results.confirms_wrong > 0 {
+        return Err(Failure::Run(format!(
+            "{} confirms did not say what their answers said",
+            results.confirms_wrong
+        )));
+    }
     if audit.breaches() > 0 {
         return Err(Failure::Run(format!("{} breaches of the rules", audit.breaches())));
     }
@@ -288,6 +308,7 @@
         ("turned away", r.turned_away as f64),
         ("lost with a killed gateway", r.broken as f64),
         ("gateway unreachable", r.unreachable as f64),
+        ("confirms", r.confirms as f64),
         ("service", (r.service() * 10_000.0).round() / 10_000.0),
         ("latency p50, ms", latency(0.5)),
         ("latency p99, ms", latency(0.99)),
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -131,7 +131,14 @@
     let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
     net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
     let seed = s.section("fleet").whole("seed");
-    let plan = Plan { seed, seconds: 0.0, clients: args.clients, record, gateways: Box::new(NoGateways) };
+    let plan = Plan {
+        seed,
+        seconds: 0.0,
+        clients: args.clients,
+        amqp: false,
+        record,
+        gateways: Box::new(NoGateways),
+    };
     let mut fleet = Fleet::new(net, &s, None, plan).map_err(input)?;
     info!(roster = %fleet.roster_at(), "the stand-in fleet is up");
     mio::run(&mut fleet).map_err(|e| Failure::Run(e.to_string()))?;
--- a/crates/tidewall-standins/src/clients.rs
+++ b/crates/tidewall-standins/src/clients.rs
@@ -1,5 +1,6 @@
 //! Stand-in clients behind a plain front layer: open-loop arrivals drawn by the seed whatever comes of them,
 //! their own patience, retries where those are harmless, and a front that keeps sending to a dead gateway.
+use crate::terminal::{Heard, Terminal};
 use crate::workers::mark;
 use crate::{of, Ground, Owner};
 use hdrhistogram::Histogram;
@@ -7,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1, LogNormal};
 use slab::Slab;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tidewall_audit::rows::{Kind, Row, TRIES};
 use tidewall_config::Section;
@@ -30,6 +32,9 @@
     pub late: Vec<u64>,
     pub asked: Vec<u64>,
     pub benefit: Vec<f64>,
+    /// Confirms that did not say what the answer said, or came for none.
+    pub confirms_wrong: u64,
+    pub confirms: u64,
     /// From the first try's due time to the answer that handled it, in tenths of a millisecond.
     pub latency: Histogram<u64>,
 }
@@ -66,8 +71,29 @@
     leaves: Option<Deadline>,
 }
 
+/// What one terminal told, kept until its bytes are read.
+#[derive(Default)]
+struct Told {
+    ready: bool,
+    answers: Vec<(u64, String, u64)>,
+    confirms: Vec<(u64, bool)>,
+}
+
+impl Heard for Told {
+    fn ready(&mut self) {
+        self.ready = true;
+    }
+    fn answer(&mut self, evt: u64, word: &str, come_back: u64) {
+        self.answers.push((evt, word.to_string(), come_back));
+    }
+    fn confirmed(&mut self, evt: u64, good: bool) {
+        self.confirms.push((evt, good));
+    }
+}
+
 struct Gateway {
     name: String,
+    terminals: Vec<Terminal>,
     at: SocketAddr,
     conns: Vec<(Option<Conn>, bool)>,
     turn: usize,
@@ -91,6 +117,9 @@
     count: u64,
     /// Arrivals wait for the gateways to be up, so many rounds at most.
     rounds: u32,
+    /// They publish over AMQP; an event's last word by its try, until its confirm comes.
+    pub amqp: bool,
+    words: BTreeMap<u64, bool>,
     pub until: Time,
     pub burst: f64,
     pub heavy: f64,
@@ -106,7 +135,13 @@
 const IMPATIENT: u32 = 100;
 
 impl Clients {
-    pub fn new<N: Net>(g: &mut Ground<N>, settings: &Section, fleet: &Section, seed: u64) -> Clients {
+    pub fn new<N: Net>(
+        g: &mut Ground<N>,
+        settings: &Section,
+        fleet: &Section,
+        seed: u64,
+        amqp: bool,
+    ) -> Clients {
         let c = fleet.section("clients");
         let types: Vec<Typ> = settings
             .sections("event_type")
@@ -122,7 +157,8 @@
             .collect();
         let gateway = |s: &Section| Gateway {
             name: s.text("name"),
-            at: s.text("address").parse().expect("checked"),
+            terminals: (0..c.whole("connections")).map(|_| Terminal::default()).collect(),
+            at: s.text(if amqp { "amqp_address" } else { "address" }).parse().expect("checked"),
             conns: vec![(None, false); c.whole("connections") as usize],
             turn: 0,
             down: Some(g.net.now()),
@@ -141,6 +177,8 @@
             events: Slab::new(),
             count: 0,
             rounds: 100,
+            amqp,
+            words: BTreeMap::new(),
             until: Time::MAX,
             burst: 1.0,
             heavy: 1.0,
@@ -155,6 +193,8 @@
                 turned_away: 0,
                 broken: 0,
                 unreachable: 0,
+                confirms_wrong: 0,
+                confirms: 0,
                 good: zeros.clone(),
                 late: zeros.clone(),
                 asked: zeros,
@@ -187,6 +227,13 @@
 
     pub fn connected<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
         g.out.clear();
+        if self.amqp {
+            self.gateways[gw].terminals[n].connected(&mut g.out);
+            if let Some(conn) = self.gateways[gw].conns[n].0 {
+                g.net.write(conn, &g.out);
+            }
+            return;
+        }
         wire::hello(&mut g.out, "client", &format!("{}-{n}", self.gateways[gw].name), 1);
         if let Some(conn) = self.gateways[gw].conns[n].0 {
             g.net.write(conn, &g.out);
@@ -292,17 +339,25 @@
         let mut payload = vec![0; self.payload.max(4)];
         payload[..4].copy_from_slice(&(e.work.ceil() as u32).to_be_bytes());
         g.out.clear();
-        let f = Frame::new(&mut g.out, kind::EVENT).whole(Field::Id, evt);
-        let f = f.text(Field::Type, &self.types[typ].name).text(Field::Function, &program.name);
-        let f = f.text(Field::Tenant, self.tenants.get(e.tenant).map_or("", String::as_str));
-        let f = f.whole(Field::Lanes, u64::from(program.lanes)).real(Field::Memory, program.memory);
-        let f =
-            f.whole(Field::Hint, program.work as u64).whole(Field::LoadHint, program.fetch + program.start);
-        let f = f.whole(Field::Left, left).bytes(Field::Mark, &mark(evt).to_be_bytes());
-        f.flag(Field::Resent, e.tries > 1).bytes(Field::Payload, &payload).end();
+        if self.amqp {
+            let key = format!("{}.{}", self.types[typ].name, program.name);
+            let (left, resent) = (left / 10, e.tries > 1);
+            self.gateways[gw].terminals[n].publish(&mut g.out, evt, &key, left, mark(evt), resent, &payload);
+        } else {
+            let f = Frame::new(&mut g.out, kind::EVENT).whole(Field::Id, evt);
+            let f = f.text(Field::Type, &self.types[typ].name).text(Field::Function, &program.name);
+            let f = f.text(Field::Tenant, self.tenants.get(e.tenant).map_or("", String::as_str));
+            let f = f.whole(Field::Lanes, u64::from(program.lanes)).real(Field::Memory, program.memory);
+            let f = f
+                .whole(Field::Hint, program.work as u64)
+                .whole(Field::LoadHint, program.fetch + program.start);
+            let f = f.whole(Field::Left, left).bytes(Field::Mark, &mark(evt).to_be_bytes());
+            f.flag(Field::Resent, e.tries > 1).bytes(Field::Payload, &payload).end();
+        }
         (e.at, e.sent) = (Some((gw, n)), true);
         e.deadline = Some(g.net.set(now + left + tidewall_audit::GRACE, of::LATE | key as u64));
-        if g.chance.random_ratio(1, self.impatient) {
+        // AMQP knows no leaving.
+        if g.chance.random_ratio(1, self.impatient) && !self.amqp {
             e.leaves = Some(g.net.set(now + left / 3, of::LEAVE | key as u64));
         }
         // On record before it is on the wire, or its launch might seem to come first.
@@ -344,16 +399,59 @@
                 self.gateways[gw].down = None;
                 Ok(())
             }
-            kind::ANSWER => self.answer(g, gw, fields),
+            kind::ANSWER => {
+                let (evt, word) = (fields.whole(Field::Id)?, fields.text(Field::Word)?);
+                let come_back = fields.upto(Field::ComeBack, 1 << 30, 0)?;
+                self.answer(g, gw, evt, word, come_back)
+            }
             kind::BEGUN => Ok(()),
             kind::ERROR => Err(format!("the gateway told: {}", fields.text(Field::Reason)?)),
             other => Err(format!("field kind: {other} is not for a client")),
         }
     }
 
-    fn answer<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, fields: &Fields) -> Result<(), String> {
-        let (evt, word) = (fields.whole(Field::Id)?, fields.text(Field::Word)?);
-        let come_back = fields.upto(Field::ComeBack, 1 << 30, 0)?;
+    /// Bytes of a terminal's connection.
+    pub fn terminal<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        gw: usize,
+        n: usize,
+        bytes: &[u8],
+    ) -> Result<usize, String> {
+        let (mut told, mut out, mut used) = (Told::default(), Vec::new(), 0);
+        loop {
+            let one = self.gateways[gw].terminals[n].frame(&bytes[used..], &mut out, &mut told)?;
+            if one == 0 {
+                break;
+            }
+            used += one;
+        }
+        if let Some(conn) = self.gateways[gw].conns[n].0.filter(|_| !out.is_empty()) {
+            g.net.write(conn, &out);
+        }
+        if told.ready {
+            self.gateways[gw].conns[n].1 = true;
+            self.gateways[gw].down = None;
+        }
+        for (evt, word, come_back) in told.answers {
+            self.words.insert(evt, word == "handled");
+            self.answer(g, gw, evt, &word, come_back)?;
+        }
+        for (evt, good) in told.confirms {
+            self.results.confirms += 1;
+            self.results.confirms_wrong += u64::from(self.words.remove(&evt) != Some(good));
+        }
+        Ok(used)
+    }
+
+    fn answer<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        gw: usize,
+        evt: u64,
+        word: &str,
+        come_back: Time,
+    ) -> Result<(), String> {
         let deferred = word == "deferred";
         let kind = if word == "turned-away" { Kind::TurnedAway } else { Kind::Answered };
         g.row(Row { k: kind, evt, gw, deferred, ..Row::default() });
--- a/crates/tidewall-standins/src/lib.rs
+++ b/crates/tidewall-standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod depot;
 mod faults;
 mod roster;
+mod terminal;
 mod workers;
 
 pub use clients::Results;
@@ -139,6 +140,8 @@
     pub seconds: f64,
     /// Whether there are clients at all.
     pub clients: bool,
+    /// Whether they come by AMQP.
+    pub amqp: bool,
     pub record: Box<dyn Write>,
     pub gateways: Box<dyn Gateways>,
 }
@@ -163,7 +166,7 @@
         let workers = Workers::new(&mut ground, settings, &fleet, depot.at)?;
         ground.line(&rules(settings, &workers));
         let roster = Roster::new(&mut ground, settings, &fleet, &workers)?;
-        let clients = Clients::new(&mut ground, settings, &fleet, plan.seed);
+        let clients = Clients::new(&mut ground, settings, &fleet, plan.seed, plan.amqp);
         let faults = Faults::new(&mut ground, script, plan.seconds, plan.gateways);
         let mut fleet = Fleet { ground, workers, depot, roster, clients, faults };
         let now = fleet.ground.net.now();
@@ -286,6 +289,15 @@
 
     fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
+        if let Owner::Client { gw, n } = self.ground.owner(conn) {
+            if self.clients.amqp {
+                return self.clients.terminal(&mut self.ground, gw, n, bytes).unwrap_or_else(|reason| {
+                    warn!(reason, gw, n, "a terminal's connection ends");
+                    self.ground.net.fail(conn);
+                    bytes.len()
+                });
+            }
+        }
         loop {
             let owner = self.ground.owner(conn);
             let told = match wire::frame(&bytes[used..]) {
--- /dev/null
+++ b/crates/tidewall-standins/src/terminal.rs
@@ -0,0 +1,141 @@
+//! A stand-in terminal's end of AMQP 0-9-1: it logs in, opens one channel with confirms and direct replies, and
+//! publishes. What it gets is told by `Heard`; it knows nothing of events.
+use std::collections::BTreeMap;
+use tidewall_amqp::codec::{self, Args, Out, Properties, TableOut, Value};
+
+/// What a terminal hears.
+pub trait Heard {
+    fn ready(&mut self);
+    fn answer(&mut self, evt: u64, word: &str, come_back: u64);
+    fn confirmed(&mut self, evt: u64, good: bool);
+}
+
+#[derive(Default)]
+pub struct Terminal {
+    /// What the content that follows belongs to: a delivery, or something to pass over.
+    delivery: bool,
+    head: Option<u64>,
+    got: u64,
+    published: u64,
+    /// Publishes without a confirm, by their number.
+    out: BTreeMap<u64, u64>,
+}
+
+const DIRECT: &str = "amq.rabbitmq.reply-to";
+
+impl Terminal {
+    pub fn connected(&mut self, out: &mut Vec<u8>) {
+        *self = Terminal::default();
+        out.extend_from_slice(&codec::PROTOCOL);
+    }
+
+    /// Reads one frame at the start of the bytes; 0 while it is not whole.
+    pub fn frame(
+        &mut self,
+        bytes: &[u8],
+        out: &mut Vec<u8>,
+        heard: &mut impl Heard,
+    ) -> Result<usize, String> {
+        let bad = |f: tidewall_amqp::Fault| format!("{} {}", f.code, f.text);
+        let Some((frame, used)) = codec::frame(bytes, 1 << 20).map_err(bad)? else { return Ok(0) };
+        match frame.kind {
+            codec::METHOD => self.method(frame.payload, out, heard).map_err(bad)?,
+            codec::HEADER => {
+                let (_, size, p, _) = codec::header(frame.payload).map_err(bad)?;
+                (self.head, self.got) = (Some(size), 0);
+                if self.delivery {
+                    let come_back = match p.headers.and_then(|h| h.get("x-come-back-ms")) {
+                        Some(Value::Whole(ms)) => ms.max(0) as u64 * 10,
+                        _ => 0,
+                    };
+                    let evt = p.correlation_id.parse().map_err(|_| "an answer without its correlation-id")?;
+                    heard.answer(evt, p.typ, come_back);
+                }
+            }
+            codec::BODY => self.got += frame.payload.len() as u64,
+            _ => codec::heartbeat(out),
+        }
+        Ok(used)
+    }
+
+    fn method(
+        &mut self,
+        payload: &[u8],
+        out: &mut Vec<u8>,
+        heard: &mut impl Heard,
+    ) -> Result<(), tidewall_amqp::Fault> {
+        let mut a = Args::new(payload);
+        match (a.short()?, a.short()?) {
+            (10, 10) => {
+                let mut can = TableOut::default();
+                can.flag("connection.blocked", true);
+                let mut about = TableOut::default();
+                about.table("capabilities", &can.0);
+                let m = Out::method(out, 0, 10, 11).long_str(&about.0).short_str("PLAIN");
+                m.long_str(b"\0terminal\0terminal").short_str("en_US").end();
+            }
+            (10, 30) => {
+                let (channels, frame, heartbeat) = (a.short()?, a.long()?, a.short()?);
+                Out::method(out, 0, 10, 31).short(channels).long(frame).short(heartbeat).end();
+                Out::method(out, 0, 10, 40).short_str("/").short_str("").bit(false).end();
+            }
+            (10, 41) => Out::method(out, 1, 20, 10).short_str("").end(),
+            (20, 11) => {
+                Out::method(out, 1, 85, 10).bit(false).end();
+                let m = Out::method(out, 1, 60, 20).short(0).short_str(DIRECT).short_str("answers");
+                m.bit(false).bit(true).bit(false).bit(false).long_str(b"").end();
+            }
+            (60, 21) => heard.ready(),
+            (60, 60) => self.delivery = true,
+            (60, 50) => self.delivery = false,
+            (60, kind @ (80 | 120)) => {
+                let (seq, multiple) = (a.long_long()?, a.bit()?);
+                let from = if multiple { 0 } else { seq };
+                let done: Vec<u64> = self.out.range(from..=seq).map(|e| *e.0).collect();
+                for seq in done {
+                    if let Some(evt) = self.out.remove(&seq) {
+                        heard.confirmed(evt, kind == 80);
+                    }
+                }
+            }
+            (10, 50) | (20, 40) => {
+                let (code, text) = (a.short()?, a.short_str()?.to_string());
+                return Err(tidewall_amqp::Fault::new(code, text));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// One event, as a publish to the trigger exchange.
+    #[allow(clippy::too_many_arguments)] // the fields of the publish
+    pub fn publish(
+        &mut self,
+        out: &mut Vec<u8>,
+        evt: u64,
+        key: &str,
+        left_ms: u64,
+        mark: u64,
+        resent: bool,
+        body: &[u8],
+    ) {
+        self.published += 1;
+        self.out.insert(self.published, evt);
+        let m = Out::method(out, 1, 60, 40).short(0).short_str("tidewall.events").short_str(key);
+        m.bit(false).bit(false).end();
+        let mut headers = TableOut::default();
+        headers.flag("x-redelivered", resent);
+        let (id, correlation, expiration) = (mark.to_string(), evt.to_string(), left_ms.to_string());
+        let p = Properties {
+            headers: Some(codec::Table(&headers.0)),
+            message_id: &id,
+            correlation_id: &correlation,
+            reply_to: DIRECT,
+            expiration: &expiration,
+            ..Properties::default()
+        };
+        let mut properties = Vec::new();
+        codec::write_properties(&mut properties, &p);
+        codec::content(out, 1, &properties, body, 131_072);
+    }
+}
