A published AMQP client passes against the door; arrivals keep their rate

Need: interop had to be shown, and the stand-in clients sent fewer events than their rate, since each arrival was set from a late wake-up.

--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -151,11 +151,17 @@
         }
     }
     fn connected(&mut self, conn: Conn) {
+        if self.role == "raw" {
+            return;
+        }
         let mut out = Vec::new();
         wire::hello(&mut out, self.role, &self.name, self.life);
         self.net.write(conn, &out);
     }
     fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        if self.role == "raw" {
+            return bytes.len();
+        }
         let mut used = 0;
         while let Some((body, len)) = wire::frame(&bytes[used..]).unwrap() {
             used += len;
--- /dev/null
+++ b/crates/tidewall-interop/src/lib.rs
@@ -0,0 +1,1 @@
+//! Holds no code of its own: see `tests/`.
--- /dev/null
+++ b/crates/tidewall-interop/tests/amqprs.rs
@@ -0,0 +1,172 @@
+//! The published client library `amqprs` against the AMQP door, a gateway and a stand-in fleet on real sockets.
+use amqprs::channel::{
+    BasicAckArguments, BasicConsumeArguments, BasicPublishArguments, ConfirmSelectArguments,
+    ExchangeDeclareArguments, QueueBindArguments, QueueDeclareArguments, QueueDeleteArguments,
+};
+use amqprs::connection::{Connection, OpenConnectionArguments};
+use amqprs::consumer::AsyncConsumer;
+use amqprs::{BasicProperties, Deliver};
+use argon2::password_hash::{PasswordHasher, SaltString};
+use argon2::{Algorithm, Argon2, Params, Version};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+use tidewall_amqp_door::Amqp;
+use tidewall_gateway::carrier::Setup;
+use tidewall_gateway::list::NoShelf;
+use tidewall_gateway::{Gateway, Start};
+use tidewall_net::mio::{self, Mio};
+use tidewall_standins::{Fleet, NoGateways, Plan};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::time::timeout;
+
+const SOON: Duration = Duration::from_secs(20);
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A gateway with its door, and two stand-in workers; they end with the test's process.
+fn site() -> SocketAddr {
+    let cheap = Argon2::new(Algorithm::Argon2id, Version::V0x13, Params::new(8, 1, 1, None).unwrap());
+    let salt = SaltString::encode_b64(b"0123456789abcdef").unwrap();
+    let hash = cheap.hash_password(b"secret", &salt).unwrap().to_string();
+    let (door, roster) = (free(), free());
+    let text = format!(
+        r#"gateway {{ name: "g" address: "{}" amqp_address: "{door}" zone: "z" }}
+        roster {{ address: "{roster}" }}
+        zone: "z"
+        kind {{ name: "k" }}
+        event_type {{ name: "check" redelivery: REDELIVERABLE }}
+        loading {{ window_ms: 0 }}
+        amqp {{ user {{ name: "terminal" password_hash: "{hash}" }} heartbeat_s: 1 }}
+        fleet {{
+          workers {{ name: "w" count: 2 zone: "z" kind: "k" }}
+          programs {{ name: "p" event_type: "check" fetch_ms: 50 start_ms: 10 memory_mb: 10 }}
+        }}"#,
+        free()
+    );
+    std::thread::spawn(move || {
+        let s = tidewall_config::settings("test", &text).unwrap();
+        let plan = Plan {
+            seed: 1,
+            seconds: 0.0,
+            clients: false,
+            amqp: false,
+            record: Box::new(std::io::sink()),
+            gateways: Box::new(NoGateways),
+        };
+        let mut fleet = Fleet::new(Mio::new().unwrap(), &s, None, plan).unwrap();
+        std::thread::spawn(move || {
+            let s = tidewall_config::settings("test", &text).unwrap();
+            let setup = Setup {
+                most_held: 1000,
+                connect_time_out: 2_500,
+                streams: 32,
+                connections: 4,
+                keep_alive: 300_000,
+                probe_time_out: 5_000,
+                order_time_out: 80_000,
+                silent: 10_000,
+            };
+            let start = Start {
+                name: "g".to_string(),
+                me: 0,
+                seed: 7,
+                settings: tidewall_config::plain(&s, 0),
+                roster,
+                roster_retry: 1_000,
+                peers: vec![None],
+                setup,
+            };
+            let mut gateway = Gateway::new(Mio::new().unwrap(), start, Box::new(NoShelf)).unwrap();
+            gateway.open(door, Box::new(Amqp::new(0, &s))).unwrap();
+            mio::run(&mut gateway).unwrap();
+        });
+        mio::run(&mut fleet).unwrap();
+    });
+    for _ in 0..200 {
+        if std::net::TcpStream::connect(door).is_ok() {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    door
+}
+
+async fn connect(at: SocketAddr, password: &str) -> Result<Connection, amqprs::error::Error> {
+    Connection::open(&OpenConnectionArguments::new("127.0.0.1", at.port(), "terminal", password)).await
+}
+
+/// Hands each delivery on: tag, correlation-id, type, body.
+struct Hand(UnboundedSender<(u64, String, String, String)>);
+
+#[async_trait::async_trait]
+impl AsyncConsumer for Hand {
+    async fn consume(&mut self, _: &amqprs::channel::Channel, d: Deliver, p: BasicProperties, body: Vec<u8>) {
+        let text = |t: Option<&String>| t.cloned().unwrap_or_default();
+        let told = (
+            d.delivery_tag(),
+            text(p.correlation_id()),
+            text(p.message_type()),
+            String::from_utf8_lossy(&body).into(),
+        );
+        let _ = self.0.send(told);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_published_client_declares_publishes_consumes_and_closes() {
+    let door = site();
+    assert!(connect(door, "wrong").await.is_err(), "a wrong password is refused");
+    let connection = connect(door, "secret").await.unwrap();
+    let channel = connection.open_channel(None).await.unwrap();
+    channel.confirm_select(ConfirmSelectArguments::default()).await.unwrap();
+
+    // Plain queues: declare, bind to a topic exchange, publish, consume, ack.
+    channel.exchange_declare(ExchangeDeclareArguments::new("t", "topic")).await.unwrap();
+    let (queue, _, _) = channel.queue_declare(QueueDeclareArguments::new("q")).await.unwrap().unwrap();
+    channel.queue_bind(QueueBindArguments::new(&queue, "t", "stock.#")).await.unwrap();
+    let (tell, mut told) = unbounded_channel();
+    channel.basic_consume(Hand(tell), BasicConsumeArguments::new("q", "c")).await.unwrap();
+    for i in 0..3 {
+        let to = BasicPublishArguments::new("t", "stock.hall.1");
+        channel.basic_publish(BasicProperties::default(), format!("m{i}").into_bytes(), to).await.unwrap();
+    }
+    for i in 0..3 {
+        let (tag, _, _, body) = timeout(SOON, told.recv()).await.unwrap().unwrap();
+        assert_eq!(body, format!("m{i}"));
+        channel.basic_ack(BasicAckArguments::new(tag, false)).await.unwrap();
+    }
+
+    // Triggers, answered to a queue of our own. The first may be deferred while the gateway learns its workers.
+    channel.queue_declare(QueueDeclareArguments::new("answers")).await.unwrap();
+    let (tell, mut told) = unbounded_channel();
+    channel
+        .basic_consume(Hand(tell), BasicConsumeArguments::new("answers", "a").auto_ack(true).finish())
+        .await
+        .unwrap();
+    let mut handled = 0;
+    for i in 0..30 {
+        let mut p = BasicProperties::default();
+        p.with_correlation_id(&i.to_string()).with_reply_to("answers").with_message_id(&format!("id{i}"));
+        p.with_expiration("1000");
+        let to = BasicPublishArguments::new("tidewall.events", "check.p0");
+        // The stand-ins read the work from the body: five milliseconds.
+        channel.basic_publish(p, 50u32.to_be_bytes().to_vec(), to).await.unwrap();
+        let (_, correlation, word, _) = timeout(SOON, told.recv()).await.unwrap().unwrap();
+        assert_eq!(correlation, i.to_string());
+        handled += usize::from(word == "handled");
+        if handled == 10 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(handled, 10);
+
+    // Heartbeats keep an idle connection open: three intervals pass.
+    tokio::time::sleep(Duration::from_millis(3_200)).await;
+    assert!(connection.is_open());
+    channel.queue_delete(QueueDeleteArguments::new("q")).await.unwrap();
+    channel.close().await.unwrap();
+    connection.close().await.unwrap();
+}
--- a/crates/tidewall-measure/src/main.rs
+++ b/crates/tidewall-measure/src/main.rs
@@ -3,6 +3,7 @@
 //! `cargo build --release`:  target/release/tidewall-measure
 mod forward;
 mod peers;
+mod terminals;
 
 use hdrhistogram::Histogram;
 use peers::{Echo, Load};
@@ -218,8 +219,10 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    if args.get(1).is_some_and(|a| a == "forward") {
-        return forward::run(&args[2], &args[3]);
+    match args.get(1).map(String::as_str) {
+        Some("forward") => return forward::run(&args[2], &args[3]),
+        Some("amqp") => return amqp(),
+        _ => {}
     }
     println!("{SECONDS} s each, 8 connections, 200 bytes of payload, times in ms, CPU in us an event");
     println!(
@@ -250,6 +253,74 @@
     memory();
 }
 
+/// A gateway with both doors.
+fn both_doors(far: &Far) -> (Process, SocketAddr, SocketAddr, std::path::PathBuf) {
+    use argon2::password_hash::{PasswordHasher, SaltString};
+    let cheap = argon2::Params::new(8, 1, 1, None).expect("they are good");
+    let cheap = argon2::Argon2::new(argon2::Algorithm::Argon2id, argon2::Version::V0x13, cheap);
+    let salt = SaltString::encode_b64(b"0123456789abcdef").expect("it is long enough");
+    let hash = cheap.hash_password(b"terminal", &salt).expect("it hashes").to_string();
+    let (at, door) = (free(), free());
+    let text = settings(at, far.roster, 1000)
+        .replace("seed: 7", &format!("seed: 7 amqp_address: \"{door}\""))
+        + &format!(
+            "amqp {{ user {{ name: \"terminal\" password_hash: \"{hash}\" }} in_hand: 100000 \
+            function {{ name: \"f*\" lanes: 1000 }} }}\n"
+        );
+    let path = std::env::temp_dir().join(format!("tidewall-measure-{}.txtpb", at.port()));
+    std::fs::write(&path, text).expect("the temporary folder can be written");
+    let process = Process::start(&["serve", "--log", "error", "--config", path.to_str().expect("text")]);
+    std::thread::sleep(Duration::from_millis(400));
+    (process, at, door, path)
+}
+
+/// Publishes of 1 KiB with confirms, beside native events through the same gateway.
+fn amqp() {
+    println!(
+        "{SECONDS} s each, 8 connections, bodies of 1024 bytes, confirms, times in ms, CPU in us an event"
+    );
+    println!(
+        "{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
+        "", "a second", "handled", "p50", "p99", "p99.9", "CPU"
+    );
+    for (rate, window) in [(950.0, 0), (5000.0, 0), (10_000.0, 0), (20_000.0, 0), (0.0, 64), (0.0, 512)] {
+        println!(
+            "{}",
+            if rate > 0.0 { format!("at {rate} a second") } else { format!("{window} out at a time") }
+        );
+        let far = Far::start(12, true);
+        let (process, at, door, path) = both_doors(&far);
+        line("native", &measure(at, Some(&process), rate, window));
+        let mut load = terminals::Terminals::new(door, 8, rate, window).expect("sockets are to be had");
+        load.until(1.5);
+        mio::run(&mut load).expect("polling works");
+        load.begin();
+        let (cpu, began) = (process.cpu(), Instant::now());
+        load.until(SECONDS as f64);
+        mio::run(&mut load).expect("polling works");
+        let (spent, cpu) = (began.elapsed().as_secs_f64(), process.cpu() - cpu);
+        let m = Measured {
+            rate: load.sent as f64 / spent,
+            answered: load.handled as f64 / load.sent.max(1) as f64,
+            cpu: cpu / load.handled.max(1) as f64 * 1e6,
+            latency: load.latency,
+        };
+        line("amqp", &m);
+        drop(process);
+        let _ = std::fs::remove_file(path);
+    }
+    let far = Far::start(1, true);
+    let (process, _, door, path) = both_doors(&far);
+    let empty = process.memory();
+    let mut load = terminals::Terminals::new(door, 10_000, 1.0, 0).expect("sockets are to be had");
+    load.until(12.0);
+    mio::run(&mut load).expect("polling works");
+    let each = (process.memory() - empty) / 10_000.0;
+    println!("10000 idle connections: {each:.0} bytes each");
+    drop(process);
+    let _ = std::fs::remove_file(path);
+}
+
 fn memory() {
     let far = Far::start(12, false);
     let (process, at, path) = gateway(&far, 3_600_000);
--- a/crates/tidewall-standins/src/clients.rs
+++ b/crates/tidewall-standins/src/clients.rs
@@ -117,6 +117,8 @@
     count: u64,
     /// Arrivals wait for the gateways to be up, so many rounds at most.
     rounds: u32,
+    /// When the next arrival is due, in tenths with their fractions: a late wake-up must not thin the load out.
+    due: f64,
     /// They publish over AMQP; an event's last word by its try, until its confirm comes.
     pub amqp: bool,
     words: BTreeMap<u64, bool>,
@@ -177,6 +179,7 @@
             events: Slab::new(),
             count: 0,
             rounds: 100,
+            due: 0.0,
             amqp,
             words: BTreeMap::new(),
             until: Time::MAX,
@@ -280,9 +283,18 @@
             g.net.set(now + AGAIN, of::NEXT);
             return;
         }
-        let gap: f64 = Exp1.sample(&mut self.arrivals);
-        let rate = self.rate * self.burst;
-        g.net.set(now + (gap / rate * 10_000.0).round().max(1.0) as Time, of::NEXT);
+        if self.due == 0.0 {
+            self.due = now as f64;
+        }
+        while self.due <= now as f64 {
+            self.arrival(g, self.due as Time);
+            let gap: f64 = Exp1.sample(&mut self.arrivals);
+            self.due += gap / (self.rate * self.burst) * 10_000.0;
+        }
+        g.net.set((self.due.ceil() as Time).max(now + 1), of::NEXT);
+    }
+
+    fn arrival<N: Net>(&mut self, g: &mut Ground<N>, due: Time) {
         let draw: f64 = self.arrivals.random();
         let program = g.programs.partition_point(|p| p.upto < draw).min(g.programs.len() - 1);
         // Work spreads by a third round its mean, as of programs whose input varies.
@@ -294,7 +306,7 @@
             number: self.count,
             program,
             work: g.programs[program].work * spread * self.heavy,
-            due: now,
+            due,
             tries: 0,
             tenant,
             at: None,
--- a/crates/tidewall-standins/src/lib.rs
+++ b/crates/tidewall-standins/src/lib.rs
@@ -5,7 +5,7 @@
 mod depot;
 mod faults;
 mod roster;
-mod terminal;
+pub mod terminal;
 mod workers;
 
 pub use clients::Results;
