--- a/crates/tidewall-measure/src/main.rs
+++ b/crates/tidewall-measure/src/main.rs
@@ -242,7 +242,7 @@
         "{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
         "", "a second", "handled", "p50", "p99", "p99.9", "CPU"
     );
-    for (rate, window) in [(950.0, 0), (5000.0, 0), (20_000.0, 0), (0.0, 64), (0.0, 512)] {
+    for (rate, window) in rows.iter().copied() {
         println!(
             "{}",
             if rate > 0.0 { format!("at {rate} a second") } else { format!("{window} out at a time") }
