--- a/crates/tidewall-amqp-door/tests/triggers.rs
+++ b/crates/tidewall-amqp-door/tests/triggers.rs
@@ -273,7 +273,7 @@
     let mut y = yard(&[Does::Answers], 2, "");
     let mut whole = Vec::new();
     Terminal::default().publish(&mut whole, 7, "issue.f", 1_500, 70, false, b"body");
-    for cut in (0..whole.len()).step_by(7) {
+    for cut in 0..whole.len() {
         let conn = y.desks[0].conn.unwrap();
         y.desks[0].net.write(conn, &whole[..cut]);
         y.pass(20);
@@ -308,7 +308,7 @@
     assert_eq!(launches, 1);
 }
 
-/// A hundred logins at once wait on their own thread; events of those who are in are answered meanwhile.
+/// A thousand logins at once wait on their own thread; events of those who are in are answered meanwhile.
 #[test]
 fn a_storm_of_logins_does_not_stop_events() {
     let mut y = yard(&[Does::Answers], 1, "logins: 20");
@@ -317,7 +317,7 @@
     let mut out = tidewall_amqp::codec::PROTOCOL.to_vec();
     let m = tidewall_amqp::codec::Out::method(&mut out, 0, 10, 11);
     m.long_str(b"").short_str("PLAIN").long_str(b"\0nobody\0x").short_str("en_US").end();
-    for _ in 0..100 {
+    for _ in 0..1_000 {
         let conn = net.connect(at(DOOR), 10_000);
         net.write(conn, &out);
     }
--- a/crates/tidewall-amqp/tests/fuzz.rs
+++ b/crates/tidewall-amqp/tests/fuzz.rs
@@ -7,9 +7,12 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use tidewall_amqp::codec::{Properties, PROTOCOL};
 
+/// With TIDEWALL_FUZZ=N so many times the cases, from another seed: for long runs outside CI.
 fn runner(cases: u32) -> TestRunner {
+    let times = std::env::var("TIDEWALL_FUZZ").ok().and_then(|n| n.parse::<u32>().ok());
+    let (cases, seed) = (cases * times.unwrap_or(1), if times.is_some() { 11 } else { 9 });
     let config = Config { cases, failure_persistence: None, ..Config::default() };
-    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]))
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]))
 }
 
 /// A life of a connection, as bytes.
