--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -62,6 +62,8 @@
     pub id: u64,
     pub begun: Option<usize>,
     came: Time,
+    /// When its client gives up.
+    until: Time,
     arrival: Arrival,
     mark: Vec<u8>,
     payload: Vec<u8>,
@@ -70,8 +72,8 @@
 }
 
 impl Held {
-    pub fn gives_up(&self) -> Time {
-        self.arrival.gives_up
+    pub fn until(&self) -> Time {
+        self.until
     }
 }
 
@@ -195,7 +197,8 @@
         self.images[img] = (arrival.lanes, arrival.memory, arrival.load_hint);
         let held = &mut self.events[place];
         (held.open, held.ticket, held.id, held.begun) = (true, event.ticket, event.id, None);
-        (held.came, held.arrival, held.count) = (self.net.now(), *arrival, 0);
+        let now = self.net.now();
+        (held.came, held.until, held.arrival, held.count) = (now, now + event.left, *arrival, 0);
         held.mark.clear();
         held.mark.extend_from_slice(event.mark);
         held.payload.clear();
@@ -219,7 +222,7 @@
 
     fn own_answer(&mut self, evt: usize, word: Word, come_back: Time) {
         if let Some((ticket, took)) = self.close(evt, None) {
-            if self.net.now() > self.events[evt].arrival.gives_up {
+            if self.net.now() > self.events[evt].until {
                 // Nothing is sent to a client that has given up.
                 self.counts.overdue += 1;
                 self.gone.push_back(ticket);
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -94,7 +94,10 @@
             function_hash: ids::hash(event.function),
             lanes: event.lanes.max(1),
             memory: event.memory,
-            gives_up: now + event.left,
+            // A deadline of ours may be met late by our own lag: told to the decisions as if the client gave up so
+            // much earlier, or an answer that is just in time for them would come too late for it.
+            // Twice the worst of late, as the next may be worse.
+            gives_up: now + event.left - (2 * host.net.lag()).min(event.left / 4),
             hint: event.hint,
             load_hint: event.load_hint,
             resent: event.resent,
@@ -409,7 +412,7 @@
     fn answer(&mut self, evt: usize, word: Word, payload: &[u8]) {
         let host = &mut self.core.choice.host;
         let Some((ticket, took)) = host.close(evt, None) else { return };
-        let past = host.net.now() > host.events[evt].gives_up() && host.events[evt].begun.is_none();
+        let past = host.net.now() > host.events[evt].until() && host.events[evt].begun.is_none();
         if past {
             host.counts.overdue += 1;
             return self.doors[ticket.door].given_up(ticket);
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -60,6 +60,9 @@
     /// How long bytes that are read now may have lain unread while this process did something else or stood
     /// still: a time left that they tell has shrunk by as much.
     fn waited(&self) -> Time;
+    /// The longest that a wake-up took or came late in the last seconds, standstills left out: a deadline may be
+    /// met as much later than it was set for.
+    fn lag(&self) -> Time;
     /// Fails where the address is taken or no descriptor is left.
     fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)>;
     fn unlisten(&mut self, listener: Listener);
--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -210,6 +210,10 @@
         }
     }
 
+    fn lag(&self) -> Time {
+        0
+    }
+
     fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)> {
         let mut w = self.world.borrow_mut();
         let mut at = at;
--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -49,6 +49,9 @@
     write: Buffer,
     readable: bool,
     paused: bool,
+    /// Since when, and how long what still lies in the socket may have lain there for it.
+    paused_from: Time,
+    stale: Time,
     hot: bool,
     dirty: bool,
     /// A write was turned away: `drained` is owed.
@@ -92,6 +95,11 @@
     slept: Time,
     stood: Time,
     waited: Time,
+    /// Of the connection that is being read.
+    stale: Time,
+    /// The worst lag of this second and of the one before, and when this one began.
+    lags: [Time; 2],
+    lags_from: Time,
     signals: Option<Signals>,
     stopped: bool,
     chunk: Box<[u8]>,
@@ -117,6 +125,9 @@
             slept: 1,
             stood: 0,
             waited: 0,
+            stale: 0,
+            lags: [0; 2],
+            lags_from: 0,
             signals: None,
             stopped: false,
             chunk: vec![0; CHUNK].into(),
@@ -146,6 +157,18 @@
         self.now = self.now.max((self.started.elapsed().as_micros() / 100) as Time + 1);
     }
 
+    /// Takes a lag into account.
+    fn lagged(&mut self, lag: Time) {
+        const SECOND: Time = 10_000;
+        if self.now >= self.lags_from + SECOND {
+            self.lags = [0, if self.now >= self.lags_from + 2 * SECOND { 0 } else { self.lags[0] }];
+            self.lags_from = self.now;
+        }
+        if lag <= STANDSTILL {
+            self.lags[0] = self.lags[0].max(lag);
+        }
+    }
+
     fn stream(&mut self, conn: Conn) -> Option<&mut Stream> {
         match self.slots.get_mut(conn.place()) {
             Some(Slot::Stream(s)) if s.count == conn.count() => Some(s),
@@ -165,6 +188,8 @@
             write: Buffer::default(),
             readable: false,
             paused: false,
+            paused_from: 0,
+            stale: 0,
             hot: false,
             dirty: false,
             owed: false,
@@ -244,7 +269,11 @@
     }
 
     fn waited(&self) -> Time {
-        self.waited
+        self.waited + self.stale
+    }
+
+    fn lag(&self) -> Time {
+        self.lags[0].max(self.lags[1])
     }
 
     fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)> {
@@ -303,7 +332,13 @@
     }
 
     fn pause(&mut self, conn: Conn, on: bool) {
+        let now = self.now;
         if let Some(s) = self.stream(conn) {
+            if on && !s.paused {
+                s.paused_from = now;
+            } else if !on && s.paused {
+                s.stale += now - s.paused_from;
+            }
             s.paused = on;
             self.warm(conn);
         }
@@ -385,6 +420,7 @@
     net.waited = net.now - began + if net.hot.is_empty() { 0 } else { net.waited };
     // The last wake-up's own work counts too.
     let busy = net.now - began;
+    net.lagged(busy);
     let busy = if busy > STANDSTILL && net.asked != Time::MAX { busy } else { 0 };
     let due = [net.wheel.next(), net.own.next()].into_iter().flatten().min();
     let idle = net.hot.is_empty() && net.over.is_empty();
@@ -446,6 +482,7 @@
     net.look();
     let due = net.asked.max(net.slept);
     let late = if wait.is_some() { net.now.saturating_sub(due) } else { 0 };
+    net.lagged(late);
     let late = if late > STANDSTILL { late } else { 0 };
     if late > 0 {
         net.waited += net.now - net.slept;
@@ -561,7 +598,7 @@
                     s.read.push(&chunk[..n]);
                     net.warm(conn);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => s.readable = false,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => (s.readable, s.stale) = (false, 0),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => net.warm(conn),
                 Err(_) => gone = Some(Why::Reset),
             }
@@ -571,7 +608,10 @@
     // The buffer is out of the net while the app reads it, so that the app may act meanwhile.
     if let Some(s) = net.stream(conn).filter(|s| !s.read.is_empty()) {
         let mut buffer = std::mem::take(&mut s.read);
+        let stale = s.stale;
+        app.net().stale = stale;
         let used = app.bytes(conn, buffer.data());
+        app.net().stale = 0;
         buffer.used(used);
         let full = buffer.len() >= READ_MOST;
         if let Some(s) = app.net().stream(conn) {
