A publish whose client gave up is nacked, not acked with the others

Change: a forgotten trigger keeps its number out until it is nacked at the next settle; the terminals take a nack without an answer as that.

--- a/crates/tidewall-amqp/src/server.rs
+++ b/crates/tidewall-amqp/src/server.rs
@@ -163,6 +163,8 @@
     counts: u64,
     /// Queues that may have something for a consumer.
     stirred: Vec<(usize, usize)>,
+    /// Publishes whose clients have given up: a nack is due.
+    refused: Vec<(usize, u64, u16, u64, u64)>,
     /// Channels with confirms to send.
     confirms: Vec<(usize, u16)>,
     out: Vec<u8>,
@@ -185,6 +187,7 @@
             waiting: Slab::new(),
             counts: 0,
             stirred: Vec::new(),
+            refused: Vec::new(),
             confirms: Vec::new(),
             out: Vec::new(),
             now: 0,
@@ -237,17 +240,15 @@
         self.peers.get(conn).filter(|p| p.state == State::Running).map(|p| p.user.as_str())
     }
 
-    /// Nobody is told of this trigger any more; its confirm is refused with the rest of its channel's.
+    /// Nobody is told of this trigger any more: its client has given up. Its confirm is a nack at the next settle;
+    /// without one a later ack of many would speak for it.
     pub fn forget(&mut self, ticket: u64) {
         if let Some(w) = self.waiting.try_remove(ticket as usize) {
-            let mut channel = self.peers.get_mut(w.conn).filter(|p| p.link == w.link);
-            if let Some(p) = &mut channel {
+            if let Some(p) = self.peers.get_mut(w.conn).filter(|p| p.link == w.link) {
                 p.debts -= 1;
             }
-            if let Some(c) =
-                channel.and_then(|p| p.channels.get_mut(&w.channel)).filter(|c| c.count == w.count)
-            {
-                c.out.remove(&w.seq);
+            if w.seq > 0 {
+                self.refused.push((w.conn, w.link, w.channel, w.count, w.seq));
             }
         }
     }
@@ -1100,6 +1101,9 @@
     }
 
     fn flush_confirms<O: Outside>(&mut self, o: &mut O) {
+        for (conn, link, ch, count, seq) in std::mem::take(&mut self.refused) {
+            self.confirm(conn, link, ch, count, seq, false, o);
+        }
         for (conn, ch) in std::mem::take(&mut self.confirms) {
             let Some(c) = self.peers.get_mut(conn).and_then(|p| p.channels.get_mut(&ch)) else { continue };
             let done = std::mem::take(&mut c.done);
--- a/crates/tidewall-amqp/tests/rules.rs
+++ b/crates/tidewall-amqp/tests/rules.rs
@@ -552,6 +552,21 @@
     assert_eq!((s.server.unroutable, s.server.debts(conn)), (2, 0));
 }
 
+/// Its client has given up: it is nacked, and no ack of many speaks for it.
+#[test]
+fn a_forgotten_trigger_is_not_acked_with_the_others() {
+    let mut s = site();
+    let conn = confirming(&mut s, 1);
+    ["m1", "m2"].into_iter().for_each(|id| trigger(&mut s, conn, id));
+    let tickets: Vec<u64> = s.world.taken.iter().map(|t| t.0).collect();
+    s.server.forget(tickets[0]);
+    s.answer(tickets[1], Word::Handled);
+    let told = s.got(1);
+    assert_eq!(methods(&told), [(60, 60), (60, 120), (60, 80)]);
+    let nacked = told.iter().find(|t| t.is(60, 120)).unwrap();
+    assert_eq!((Args::new(&nacked.args).long_long(), s.server.debts(conn)), (Ok(1), 0));
+}
+
 #[test]
 fn an_answer_whose_reply_queue_is_gone_is_counted() {
     let mut s = site();
--- a/crates/tidewall-standins/src/clients.rs
+++ b/crates/tidewall-standins/src/clients.rs
@@ -453,7 +453,9 @@
         }
         for (evt, good) in told.confirms {
             self.results.confirms += 1;
-            self.results.confirms_wrong += u64::from(self.words.remove(&evt) != Some(good));
+            // A nack without an answer is one whose time had passed.
+            let handled = self.words.remove(&evt) == Some(true);
+            self.results.confirms_wrong += u64::from(handled != good);
         }
         Ok(used)
     }
