Terminals that behave badly, and keyed effects counted over all tries

Need: the AMQP door's faults of terminals (cuts at any byte, closed channels, one message-id twice, wrong clocks, readers that stop, storms of logins, hoarding consumers) were caused in single tests only, and the audit judged effects of keyed events by launches of one try.

--- a/crates/tidewall-audit/src/lib.rs
+++ b/crates/tidewall-audit/src/lib.rs
@@ -52,7 +52,8 @@
     down: BTreeMap<usize, Time>,
     /// When a gateway's process was stopped last, and when it went on.
     still: BTreeMap<usize, (Time, Time)>,
-    ran: BTreeMap<u64, u32>,
+    /// By event: where and when it ran.
+    ran: BTreeMap<u64, Vec<(usize, Time)>>,
     told: BTreeMap<(usize, usize), Time>,
     cold: BTreeMap<usize, Cold>,
     orders: BTreeMap<usize, VecDeque<Time>>,
@@ -157,13 +158,20 @@
                 }
             }
             Kind::Ran => {
-                let typ = row.typ;
+                let (typ, wk) = (self.rules.types[row.typ], row.wk);
                 // All tries of a client for one event count together.
-                let times = self.ran.entry(row.evt / rows::TRIES).or_insert(0);
-                *times += 1;
-                let times = *times;
-                if times > 1 && self.rules.types[typ] == Type::AtMostOnce {
-                    self.breach(2, t, format!("at-most-once event {} ran {times} times", row.evt));
+                let ran = self.ran.entry(row.evt / rows::TRIES).or_default();
+                ran.push((wk, t));
+                let (last, before) = ran.split_last().expect("one was just added");
+                let again = match typ {
+                    Type::Redeliverable => false,
+                    Type::AtMostOnce => !before.is_empty(),
+                    Type::Keyed(group, window) => {
+                        before.iter().any(|b| near(&self.rules, group, b.0, wk) && last.1 < b.1 + window)
+                    }
+                };
+                if again {
+                    self.breach(2, t, format!("event {} had its effect again at worker {wk}", row.evt));
                 }
             }
             Kind::Told => {
@@ -210,6 +218,11 @@
 
     fn asked(&mut self, row: &Row) {
         self.verdicts[0].cases += 1;
+        // Another try of an event that may have run: its repeat puts the second rule to the test.
+        let first = row.evt / rows::TRIES * rows::TRIES;
+        let mut others = self.events.range(first..first + rows::TRIES);
+        let launched = others.any(|e| *e.0 != row.evt && !e.1.launches.is_empty());
+        self.verdicts[1].cases += u64::from(launched && self.rules.types[row.typ] != Type::Redeliverable);
         let event = Event { gateway: row.gw, typ: row.typ, until: row.t + row.left, ..Event::default() };
         self.events.insert(row.evt, event);
         self.taken.entry(row.gw).or_default().push_back(row.t);
@@ -271,12 +284,7 @@
                 Type::Redeliverable => true,
                 Type::AtMostOnce => false,
                 Type::Keyed(group, window) => {
-                    let near = match group {
-                        Group::All => true,
-                        Group::Zone => self.rules.zones[l.wk] == self.rules.zones[wk],
-                        Group::Cell => self.rules.cells[l.wk] == self.rules.cells[wk],
-                    };
-                    near && t <= l.at + window + GRACE
+                    near(&self.rules, group, l.wk, wk) && t <= l.at + window + GRACE
                 }
             };
             if !good {
@@ -367,6 +375,14 @@
     }
 }
 
+fn near(rules: &Rules, group: Group, a: usize, b: usize) -> bool {
+    match group {
+        Group::All => true,
+        Group::Zone => rules.zones[a] == rules.zones[b],
+        Group::Cell => rules.cells[a] == rules.cells[b],
+    }
+}
+
 /// Checks a whole record: the rules in its first line, then the rows.
 pub fn check(lines: impl Iterator<Item = String>) -> Result<Audit, String> {
     let mut audit = None;
--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -219,6 +219,11 @@
         settings = tidewall_config::settings(&file, &text).map_err(input)?;
     }
     let script = tidewall_config::script(&script_file, &script_text).map_err(input)?;
+    let faults = script.sections("fault");
+    let terminals = faults.iter().find(|f| f.choice("trouble").starts_with("TERMINAL_"));
+    if let Some(f) = terminals.filter(|_| args.door != Way::Amqp) {
+        return Err(input(format!("{script_file}: {}: needs --door amqp", f.at("trouble"))));
+    }
     let seconds = args.seconds.or(seconds).unwrap_or(script.number("seconds"));
     if !(1.0..=3600.0).contains(&seconds) {
         return Err(input(format!("--seconds: {seconds} is not within 1 to 3600")));
@@ -312,6 +317,9 @@
         ("lost with a killed gateway", r.broken as f64),
         ("gateway unreachable", r.unreachable as f64),
         ("confirms", r.confirms as f64),
+        ("let go by terminals", r.let_go as f64),
+        ("published twice", r.twins as f64),
+        ("further logins", r.guests as f64),
         ("service", (r.service() * 10_000.0).round() / 10_000.0),
         ("latency p50, ms", latency(0.5)),
         ("latency p99, ms", latency(0.99)),
--- a/crates/tidewall-config/src/check.rs
+++ b/crates/tidewall-config/src/check.rs
@@ -287,7 +287,8 @@
             return fault(f.at("trouble"), "it must be named");
         }
         let trouble = f.choice("trouble");
-        let at_once = matches!(trouble.as_str(), "WORKER_RESET" | "COPIES_VOID");
+        let at_once =
+            matches!(trouble.as_str(), "WORKER_RESET" | "COPIES_VOID" | "TERMINAL_CUT" | "TERMINAL_CHANNEL");
         if !at_once && f.number("lasts_ms") <= 0.0 {
             return fault(f.at("lasts_ms"), format!("{trouble} needs a time above 0"));
         }
--- a/crates/tidewall-standins/src/clients.rs
+++ b/crates/tidewall-standins/src/clients.rs
@@ -36,6 +36,11 @@
     /// Confirms that did not say what the answer said, or came for none.
     pub confirms_wrong: u64,
     pub confirms: u64,
+    /// Events that their terminals let go, publishes by a second terminal, guests that were let in or not.
+    pub let_go: u64,
+    pub twins: u64,
+    pub guests: u64,
+    pub guests_refused: u64,
     /// From the first try's due time to the answer that handled it, in tenths of a millisecond.
     pub latency: Histogram<u64>,
 }
@@ -70,6 +75,11 @@
     sent: bool,
     deadline: Option<Deadline>,
     leaves: Option<Deadline>,
+    /// A terminal asks this gateway again, as long as its process is certainly the same one.
+    stick: Option<(usize, u64)>,
+    stuck: bool,
+    /// The same publish by another terminal: it is not asked again and does not count.
+    twin: bool,
 }
 
 /// What one terminal told, kept until its bytes are read.
@@ -100,6 +110,16 @@
     turn: usize,
     /// Since when no connection stands.
     down: Option<Time>,
+    /// Connections that broke without our doing: its process may be another since.
+    broken: u64,
+    /// Connections that we broke.
+    cut: Vec<bool>,
+}
+
+/// A connection that belongs to no client: a terminal that logs in and asks for nothing.
+struct Guest {
+    conn: Conn,
+    terminal: Terminal,
 }
 
 pub struct Clients {
@@ -126,6 +146,10 @@
     pub until: Time,
     pub burst: f64,
     pub heavy: f64,
+    /// Terminals publish twice; their clocks are wrong by this factor.
+    pub twice: bool,
+    pub skew: f64,
+    guests: Slab<Guest>,
     /// One in so many leaves early.
     pub impatient: u32,
     pub results: Results,
@@ -165,6 +189,8 @@
             conns: vec![(None, false); c.whole("connections") as usize],
             turn: 0,
             down: Some(g.net.now()),
+            broken: 0,
+            cut: vec![false; c.whole("connections") as usize],
         };
         let zeros = vec![0; types.len()];
         Clients {
@@ -186,6 +212,9 @@
             until: Time::MAX,
             burst: 1.0,
             heavy: 1.0,
+            twice: false,
+            skew: 1.0,
+            guests: Slab::new(),
             impatient: IMPATIENT,
             results: Results {
                 events: 0,
@@ -199,6 +228,10 @@
                 unreachable: 0,
                 confirms_wrong: 0,
                 confirms: 0,
+                let_go: 0,
+                twins: 0,
+                guests: 0,
+                guests_refused: 0,
                 good: zeros.clone(),
                 late: zeros.clone(),
                 asked: zeros,
@@ -249,10 +282,15 @@
         let now = g.net.now();
         let gateway = &mut self.gateways[gw];
         gateway.conns[n] = (None, false);
+        let cut = std::mem::take(&mut gateway.cut[n]);
+        gateway.broken += u64::from(!cut);
         if gateway.down.is_none() && gateway.conns.iter().all(|c| !c.1) {
             gateway.down = Some(now);
         }
         g.net.set(now + AGAIN, of::CONNECT | (gw as u64) << 32 | n as u64);
+        if cut {
+            return self.let_go(g, gw, n);
+        }
         let out: Vec<usize> =
             self.events.iter().filter(|e| e.1.at == Some((gw, n)) && e.1.sent).map(|e| e.0).collect();
         for key in out {
@@ -260,12 +298,118 @@
             g.row(Row { k: Kind::Broke, evt, gw, ..Row::default() });
             self.results.broken += 1;
             // Only where a repeat does no harm: nobody knows what became of it.
-            let typ = &self.types[g.programs[self.events[key].program].typ];
-            let harmless = typ.redelivery == "REDELIVERABLE" || typ.redelivery == "KEYED" && typ.all;
+            let harmless = self.harmless(g.programs[self.events[key].program].typ);
             self.over(g, key, harmless, 0);
         }
     }
 
+    /// A terminal does not wait any longer on this channel, by its own doing; it asks again with the same message-id.
+    fn let_go<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        let out: Vec<usize> =
+            self.events.iter().filter(|e| e.1.at == Some((gw, n)) && e.1.sent).map(|e| e.0).collect();
+        for key in out {
+            let evt = self.id(key);
+            g.row(Row { k: Kind::Left, evt, gw, ..Row::default() });
+            self.results.let_go += 1;
+            (self.events[key].stick, self.events[key].stuck) = (Some((gw, self.gateways[gw].broken)), true);
+            self.over(g, key, true, 0);
+        }
+    }
+
+    /// Breaks a terminal's connection at some byte of a publish.
+    pub fn cut<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        let Some(conn) = self.gateways[gw].conns[n].0.filter(|_| self.gateways[gw].conns[n].1) else {
+            return;
+        };
+        g.out.clear();
+        let program = &g.programs[0];
+        let key = format!("{}.{}", self.types[program.typ].name, program.name);
+        self.gateways[gw].terminals[n].publish(&mut g.out, u64::MAX, &key, 1, u64::MAX, false, &[0; 64]);
+        let part = g.chance.random_range(0..g.out.len());
+        g.net.write(conn, &g.out[..part]);
+        self.gateways[gw].cut[n] = true;
+        g.net.fail(conn);
+    }
+
+    /// Closes a terminal's channel, whatever is on its way on it.
+    pub fn close_channel<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        let Some(conn) = self.gateways[gw].conns[n].0.filter(|_| self.gateways[gw].conns[n].1) else {
+            return;
+        };
+        g.out.clear();
+        self.gateways[gw].terminals[n].close_channel(&mut g.out);
+        g.net.write(conn, &g.out);
+        self.gateways[gw].conns[n].1 = false;
+        self.let_go(g, gw, n);
+    }
+
+    /// A terminal reads nothing from now on.
+    pub fn slow<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        let Some(conn) = self.gateways[gw].conns[n].0.filter(|_| self.gateways[gw].conns[n].1) else {
+            return;
+        };
+        g.net.pause(conn, true);
+        self.gateways[gw].conns[n].1 = false;
+        self.let_go(g, gw, n);
+    }
+
+    /// It has read nothing for long enough and breaks its connection.
+    pub fn slow_over<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        if let Some(conn) = self.gateways[gw].conns[n].0 {
+            self.gateways[gw].cut[n] = true;
+            g.net.fail(conn);
+        }
+    }
+
+    /// Terminals, as (gateway, place).
+    pub fn lines(&self) -> Vec<(usize, usize)> {
+        let each = |gw: usize| (0..self.gateways[gw].conns.len()).map(move |n| (gw, n));
+        (0..self.gateways.len()).flat_map(each).filter(|(gw, n)| self.gateways[*gw].conns[*n].1).collect()
+    }
+
+    /// So many further terminals log in at once.
+    pub fn guests<N: Net>(&mut self, g: &mut Ground<N>, count: usize, hoard: u64) {
+        for i in 0..count {
+            let conn = g.net.connect(self.gateways[i % self.gateways.len()].at, 100 * AGAIN);
+            let key = self.guests.insert(Guest { conn, terminal: Terminal::hoarder(hoard) });
+            g.own(conn, Owner::Guest(key));
+        }
+    }
+
+    pub fn guests_go<N: Net>(&mut self, g: &mut Ground<N>) {
+        for guest in std::mem::take(&mut self.guests) {
+            g.own(guest.1.conn, Owner::Nobody);
+            g.net.reset(guest.1.conn);
+        }
+    }
+
+    pub fn guest_there<N: Net>(&mut self, g: &mut Ground<N>, key: usize) {
+        g.out.clear();
+        self.guests[key].terminal.connected(&mut g.out);
+        g.net.write(self.guests[key].conn, &g.out);
+    }
+
+    pub fn guest_gone(&mut self, key: usize) {
+        self.results.guests_refused += 1;
+        self.guests.remove(key);
+    }
+
+    pub fn guest<N: Net>(&mut self, g: &mut Ground<N>, key: usize, bytes: &[u8]) -> Result<usize, String> {
+        let (mut told, mut out, mut used) = (Told::default(), Vec::new(), 0);
+        loop {
+            let one = self.guests[key].terminal.frame(&bytes[used..], &mut out, &mut told)?;
+            if one == 0 {
+                break;
+            }
+            used += one;
+        }
+        self.results.guests += u64::from(told.ready);
+        if !out.is_empty() {
+            g.net.write(self.guests[key].conn, &out);
+        }
+        Ok(used)
+    }
+
     fn id(&self, key: usize) -> u64 {
         let e = &self.events[key];
         e.number * TRIES + e.tries - 1
@@ -315,6 +459,9 @@
             sent: false,
             deadline: None,
             leaves: None,
+            stick: None,
+            stuck: false,
+            twin: false,
         };
         let key = self.events.insert(event);
         self.results.events += 1;
@@ -328,7 +475,13 @@
         let typ = g.programs[self.events[key].program].typ;
         let ends = self.events[key].due + self.types[typ].age;
         let left = ((self.types[typ].age as f64 * self.patience) as Time).min(ends.saturating_sub(now));
-        if left == 0 {
+        // A wrong clock tells another time, which both ends go by.
+        let left = ((left as f64 * self.skew) as Time).min(self.types[typ].age);
+        // An event that its terminal let go may be asked again where the first asking is known, or where that is
+        // harmless.
+        let stick = self.events[key].stick.take().filter(|s| self.gateways[s.0].broken == s.1);
+        let unknown = self.events[key].stuck && stick.is_none() && !self.harmless(typ);
+        if left < 10 || unknown {
             self.events.remove(key);
             return;
         }
@@ -339,14 +492,17 @@
         let fit: Vec<usize> =
             (0..self.gateways.len()).filter(|gw| open(&self.gateways[*gw], self.front)).collect();
         let gw = if fit.is_empty() { 0 } else { fit[g.chance.random_range(0..fit.len())] };
+        let gw = stick.map_or(gw, |s| s.0);
         let gateway = &mut self.gateways[gw];
         gateway.turn += 1;
         let ready: Vec<usize> = (0..gateway.conns.len()).filter(|n| gateway.conns[*n].1).collect();
         if ready.is_empty() {
             self.results.unreachable += 1;
+            self.events[key].stick = stick;
             return self.over(g, key, true, 0);
         }
         let n = ready[gateway.turn % ready.len()];
+        let other = ready[(gateway.turn + 1) % ready.len()];
         let conn = gateway.conns[n].0.expect("it is ready");
         let (evt, program) = (self.id(key), &g.programs[self.events[key].program]);
         let e = &mut self.events[key];
@@ -378,8 +534,48 @@
         g.row(Row { k: Kind::Asked, evt, gw, typ, left, ..Row::default() });
         if !g.net.write(conn, &g.out) {
             g.row(Row { k: Kind::TurnedAway, evt, gw, ..Row::default() });
-            self.over(g, key, true, 0);
+            return self.over(g, key, true, 0);
+        }
+        if self.twice && self.amqp && other != n {
+            self.twin(g, key, (gw, other), left, &payload);
+        }
+    }
+
+    /// The same publish by another terminal of the gateway, with the same message-id.
+    fn twin<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        of: usize,
+        (gw, n): (usize, usize),
+        left: Time,
+        payload: &[u8],
+    ) {
+        let now = g.net.now();
+        let e = &self.events[of];
+        if e.tries >= TRIES || self.events.iter().any(|t| t.1.twin && t.1.number == e.number) {
+            return;
         }
+        let (typ, program) = (g.programs[e.program].typ, &g.programs[e.program]);
+        let at = Some((gw, n));
+        let twin = Event { tries: TRIES, at, sent: true, deadline: None, leaves: None, twin: true, ..*e };
+        let key = self.events.insert(twin);
+        let evt = self.id(key);
+        g.out.clear();
+        let name = format!("{}.{}", self.types[typ].name, program.name);
+        self.gateways[gw].terminals[n].publish(&mut g.out, evt, &name, left / 10, mark(evt), false, payload);
+        let late = g.net.set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
+        self.events[key].deadline = Some(late);
+        self.results.twins += 1;
+        g.row(Row { k: Kind::Asked, evt, gw, typ, left, ..Row::default() });
+        if let Some(conn) = self.gateways[gw].conns[n].0 {
+            g.net.write(conn, &g.out);
+        }
+    }
+
+    /// Whether a repeat does no harm.
+    fn harmless(&self, typ: usize) -> bool {
+        let typ = &self.types[typ];
+        typ.redelivery == "REDELIVERABLE" || typ.redelivery == "KEYED" && typ.all
     }
 
     /// The present try is over; another follows where that is harmless and something is left.
@@ -392,7 +588,12 @@
         }
         let typ = &self.types[g.programs[e.program].typ];
         let wait = self.wait.max(come_back);
-        if again && e.tries <= self.retries && now + wait < e.due + typ.age && now < self.until.max(e.due) {
+        if again
+            && !e.twin
+            && e.tries <= self.retries
+            && now + wait < e.due + typ.age
+            && now < self.until.max(e.due)
+        {
             g.net.set(now + wait, of::RETRY | key as u64);
         } else {
             self.events.remove(key);
@@ -475,6 +676,7 @@
         let Some(key) = found.map(|e| e.0) else { return Ok(()) };
         let typ = g.programs[self.events[key].program].typ;
         match word {
+            "handled" | "deferred" | "dead-lettered" if self.events[key].twin => self.over(g, key, false, 0),
             "handled" => {
                 let took = g.net.now() - self.events[key].due;
                 self.results.handled += 1;
@@ -509,7 +711,7 @@
     pub fn late<N: Net>(&mut self, g: &mut Ground<N>, key: usize) {
         let (evt, gw) = (self.id(key), self.events[key].at.map_or(0, |a| a.0));
         g.row(Row { k: Kind::GaveUp, evt, gw, ..Row::default() });
-        self.results.lapsed += 1;
+        self.results.lapsed += u64::from(!self.events[key].twin);
         self.events[key].deadline = None;
         let again = self.types[g.programs[self.events[key].program].typ].redelivery == "REDELIVERABLE";
         self.over(g, key, again, 0);
--- a/crates/tidewall-standins/src/faults.rs
+++ b/crates/tidewall-standins/src/faults.rs
@@ -110,6 +110,10 @@
                 self.faults.gateways.still(gw, true);
             }
         }
+        if trouble.starts_with("TERMINAL_") {
+            self.terminals(&trouble, count, factor, &mut hit);
+        }
+        let g = &mut self.ground;
         match trouble.as_str() {
             "DEPOT_STALL" => self.depot.stalled = until,
             "DEPOT_SLOW" => self.depot.slow = factor,
@@ -127,6 +131,31 @@
         }
     }
 
+    /// Troubles of terminals; `hit` are those that it takes to end one.
+    fn terminals(&mut self, trouble: &str, count: usize, factor: f64, hit: &mut Vec<usize>) {
+        let g = &mut self.ground;
+        let lines = self.clients.lines();
+        let drawn: Vec<(usize, usize)> = lines.choose_multiple(&mut g.chance, count).copied().collect();
+        for (gw, n) in drawn {
+            match trouble {
+                "TERMINAL_CUT" => self.clients.cut(g, gw, n),
+                "TERMINAL_CHANNEL" => self.clients.close_channel(g, gw, n),
+                "TERMINAL_SLOW" => {
+                    self.clients.slow(g, gw, n);
+                    hit.push(gw << 32 | n);
+                }
+                _ => {}
+            }
+        }
+        match trouble {
+            "TERMINAL_TWICE" => self.clients.twice = true,
+            "TERMINAL_SKEW" => self.clients.skew = factor,
+            "TERMINAL_LOGINS" => self.clients.guests(g, count, 0),
+            "TERMINAL_HOARDS" => self.clients.guests(g, count, factor as u64),
+            _ => {}
+        }
+    }
+
     pub(crate) fn fault_over(&mut self, i: usize, _: usize) {
         let fault = &mut self.faults.list[i];
         let (trouble, hit) = (fault.trouble.clone(), std::mem::take(&mut fault.hit));
@@ -151,6 +180,7 @@
                     let (life, since) = (w.life, w.since);
                     self.roster.news(g, which, At::On, life, since, None);
                 }
+                "TERMINAL_SLOW" => self.clients.slow_over(g, which >> 32, which & 0xffff_ffff),
                 "WORKER_SILENT" => self.workers.list[which].silent = 0,
                 "WORKER_SLOW" => self.workers.list[which].slow = 1.0,
                 "WORKER_KILL" | "WORKER_DRAIN" => {
@@ -169,6 +199,9 @@
         }
         match trouble.as_str() {
             "DEPOT_SLOW" => self.depot.slow = 1.0,
+            "TERMINAL_TWICE" => self.clients.twice = false,
+            "TERMINAL_SKEW" => self.clients.skew = 1.0,
+            "TERMINAL_LOGINS" | "TERMINAL_HOARDS" => self.clients.guests_go(g),
             "BURST" => self.clients.burst = 1.0,
             "HEAVY" => self.clients.heavy = 1.0,
             "REPORTS_LATE" => self.workers.list.iter_mut().for_each(|w| w.late_reports = false),
--- a/crates/tidewall-standins/src/lib.rs
+++ b/crates/tidewall-standins/src/lib.rs
@@ -38,6 +38,7 @@
         gw: usize,
         n: usize,
     },
+    Guest(usize),
 }
 
 /// What a deadline's token stands for, in its top byte.
@@ -208,6 +209,7 @@
             Owner::Depot => self.depot.frame(ground, conn, fields),
             Owner::Roster => self.roster.frame(ground, conn, fields),
             Owner::Client { gw, n } => self.clients.frame(ground, gw, n, fields),
+            Owner::Guest(_) => Ok(()),
         }
     }
 }
@@ -282,6 +284,7 @@
     fn connected(&mut self, conn: Conn) {
         match self.ground.owner(conn) {
             Owner::Client { gw, n } => self.clients.connected(&mut self.ground, gw, n),
+            Owner::Guest(key) => self.clients.guest_there(&mut self.ground, key),
             Owner::Fetcher(wk) => self.workers.depot_there(&mut self.ground, wk),
             _ => {}
         }
@@ -298,6 +301,13 @@
                 });
             }
         }
+        if let Owner::Guest(key) = self.ground.owner(conn) {
+            return self.clients.guest(&mut self.ground, key, bytes).unwrap_or_else(|reason| {
+                warn!(reason, "a guest's connection ends");
+                self.ground.net.fail(conn);
+                bytes.len()
+            });
+        }
         loop {
             let owner = self.ground.owner(conn);
             let told = match wire::frame(&bytes[used..]) {
@@ -335,6 +345,7 @@
             Owner::Fetcher(wk) => self.workers.depot_gone(ground, wk),
             Owner::Roster => self.roster.closed(conn),
             Owner::Client { gw, n } => self.clients.closed(ground, gw, n),
+            Owner::Guest(key) => self.clients.guest_gone(key),
         }
     }
 
--- a/crates/tidewall-standins/src/terminal.rs
+++ b/crates/tidewall-standins/src/terminal.rs
@@ -19,16 +19,37 @@
     published: u64,
     /// Publishes without a confirm, by their number.
     out: BTreeMap<u64, u64>,
+    /// Its channel is being closed: what still comes on it is passed over.
+    closing: bool,
+    /// It consumes a queue of so many messages of its own and never acks.
+    hoard: u64,
 }
 
 const DIRECT: &str = "amq.rabbitmq.reply-to";
 
 impl Terminal {
     pub fn connected(&mut self, out: &mut Vec<u8>) {
-        *self = Terminal::default();
+        *self = Terminal { hoard: self.hoard, ..Terminal::default() };
         out.extend_from_slice(&codec::PROTOCOL);
     }
 
+    /// It publishes no events; it consumes a queue of so many messages of its own.
+    pub fn hoarder(hoard: u64) -> Terminal {
+        Terminal { hoard, ..Terminal::default() }
+    }
+
+    /// Closes the channel; it is opened again when that is done.
+    pub fn close_channel(&mut self, out: &mut Vec<u8>) {
+        self.closing = true;
+        Out::method(out, 1, 20, 40).short(200).short_str("done").short(0).short(0).end();
+    }
+
+    /// A queue of its own, its messages, and a consumer that never acks.
+    fn hoards(&mut self, out: &mut Vec<u8>) {
+        let m = Out::method(out, 1, 50, 10).short(0).short_str("");
+        m.bit(false).bit(false).bit(true).bit(true).bit(false).long_str(b"").end();
+    }
+
     /// Reads one frame at the start of the bytes; 0 while it is not whole.
     pub fn frame(
         &mut self,
@@ -43,7 +64,7 @@
             codec::HEADER => {
                 let (_, size, p, _) = codec::header(frame.payload).map_err(bad)?;
                 (self.head, self.got) = (Some(size), 0);
-                if self.delivery {
+                if self.delivery && !self.closing && self.hoard == 0 {
                     let come_back = match p.headers.and_then(|h| h.get("x-come-back-ms")) {
                         Some(Value::Whole(ms)) => ms.max(0) as u64 * 10,
                         _ => 0,
@@ -85,7 +106,27 @@
                 let m = Out::method(out, 1, 60, 20).short(0).short_str(DIRECT).short_str("answers");
                 m.bit(false).bit(true).bit(false).bit(false).long_str(b"").end();
             }
+            (60, 21) if self.hoard > 0 && !self.delivery => self.hoards(out),
             (60, 21) => heard.ready(),
+            (20, 41) => {
+                *self = Terminal { hoard: self.hoard, ..Terminal::default() };
+                Out::method(out, 1, 20, 10).short_str("").end();
+            }
+            (50, 11) => {
+                let queue = a.short_str()?.to_string();
+                for _ in 0..self.hoard {
+                    let m = Out::method(out, 1, 60, 40).short(0).short_str("").short_str(&queue);
+                    m.bit(false).bit(false).end();
+                    let mut properties = Vec::new();
+                    codec::write_properties(&mut properties, &Properties::default());
+                    codec::content(out, 1, &properties, b"kept", 131_072);
+                }
+                // Its own consume-ok says ready once deliveries are on.
+                self.delivery = true;
+                let m = Out::method(out, 1, 60, 20).short(0).short_str(&queue).short_str("hoard");
+                m.bit(false).bit(false).bit(false).bit(false).long_str(b"").end();
+            }
+            _ if self.closing => {}
             (60, 60) => self.delivery = true,
             (60, 50) => self.delivery = false,
             (60, kind @ (80 | 120)) => {
