--- a/crates/tidewall-audit/src/lib.rs
+++ b/crates/tidewall-audit/src/lib.rs
@@ -54,6 +54,10 @@
     still: BTreeMap<usize, (Time, Time)>,
     /// By event: where and when it ran.
     ran: BTreeMap<u64, Vec<(usize, Time)>>,
+    /// When no client could reach a gateway.
+    away: BTreeMap<usize, Vec<(Time, Time)>>,
+    /// Events that fell due meanwhile.
+    pub excused: u64,
     told: BTreeMap<(usize, usize), Time>,
     cold: BTreeMap<usize, Cold>,
     orders: BTreeMap<usize, VecDeque<Time>>,
@@ -80,6 +84,8 @@
             down: BTreeMap::new(),
             still: BTreeMap::new(),
             ran: BTreeMap::new(),
+            away: BTreeMap::new(),
+            excused: 0,
             told: BTreeMap::new(),
             cold: BTreeMap::new(),
             orders: BTreeMap::new(),
@@ -104,6 +110,16 @@
                     taken.pop_back();
                 }
             }
+            Kind::AskedAgain => {
+                let waits = self.events.get(&row.evt).is_some_and(|e| !e.over);
+                self.verdicts[0].cases += u64::from(waits);
+            }
+            Kind::Away => self.away.entry(row.gw).or_default().push((t, Time::MAX)),
+            Kind::Back => {
+                if let Some(last) = self.away.get_mut(&row.gw).and_then(|a| a.last_mut()) {
+                    last.1 = t;
+                }
+            }
             Kind::Left => {
                 if let Some(e) = self.events.get_mut(&row.evt) {
                     (e.over, e.left) = (true, Some(t));
@@ -113,7 +129,9 @@
                 let Some(e) = self.events.get_mut(&row.evt).filter(|e| !e.over) else { return };
                 e.over = true;
                 let (gw, until) = (e.gateway, e.until);
-                if !self.excused(gw, until) {
+                if self.excused(gw, until) {
+                    self.excused += 1;
+                } else {
                     self.breach(
                         1,
                         t,
@@ -137,7 +155,9 @@
             Kind::Up => {
                 self.down.remove(&row.gw);
                 // A new life has been told nothing yet.
-                self.told.retain(|k, _| k.0 != row.gw);
+                if !self.rules.pair {
+                    self.told.retain(|k, _| k.0 != row.gw);
+                }
             }
             Kind::Still => {
                 self.still.insert(row.gw, (t, Time::MAX));
@@ -207,6 +227,12 @@
 
     /// A gateway that is not running owes no answer: it was killed, or stood still when the time came.
     fn excused(&self, gw: usize, until: Time) -> bool {
+        if self.rules.pair {
+            let none = (Time::MAX, 0);
+            return self.away.get(&gw).into_iter().flatten().chain([&none]).any(|a| {
+                until >= a.0 && until <= a.1.saturating_add(GRACE)
+            });
+        }
         let stood = self.still.get(&gw).is_some_and(|s| until >= s.0 && until <= s.1.saturating_add(GRACE));
         self.down.contains_key(&gw) || stood
     }
--- a/crates/tidewall-audit/src/rows.rs
+++ b/crates/tidewall-audit/src/rows.rs
@@ -29,6 +29,9 @@
     pub load_window: u64,
     pub load_free: f64,
     pub load_share: f64,
+    /// The gateway is a pair behind one address: a kill excuses nothing but what fell due while no client could reach it.
+    #[serde(default)]
+    pub pair: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -40,6 +43,11 @@
     Answered,
     /// An event was not taken.
     TurnedAway,
+    /// A client asked again for the same event, after its connection broke.
+    AskedAgain,
+    /// No client's connection to a gateway stands any more; one does again.
+    Away,
+    Back,
     /// The client said that it leaves before its time.
     Left,
     /// The client's time passed without an answer.
--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -270,6 +270,8 @@
         amqp: args.door == Way::Amqp,
         record: Box::new(BufWriter::new(File::create(&record).map_err(failed)?)),
         gateways: Box::new(Shared(processes.clone())),
+        fences: true,
+        forgets: false,
     };
     let mut fleet = Fleet::new(net, settings, Some(script), plan).map_err(input)?;
     (0..names.len()).for_each(|gw| processes.borrow_mut().start(gw));
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod from;
 mod send;
 mod serve;
+mod sim;
 
 use clap::{Args, Parser, Subcommand};
 use std::io::IsTerminal;
@@ -47,6 +48,8 @@
     /// Plays a bad day: gateways as processes, stand-ins, faults; then checks the five rules from what went
     /// over the sockets.
     Day(day::Day),
+    /// Plays a pair of gateways on a virtual clock, one run for each seed, with drawn faults; checks the five rules.
+    Sim(sim::Sim),
 }
 
 /// What ends a command before its end.
@@ -97,6 +100,7 @@
         Command::Send(args) => send::send(&args),
         Command::HashPassword => serve::hash_password(),
         Command::Day(args) => day::day(&args),
+        Command::Sim(args) => sim::sim(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -6,13 +6,14 @@
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tidewall_amqp_door::Amqp;
-use tidewall_config::{plain, Section};
-use tidewall_gateway::carrier::Setup;
 use tidewall_gateway::list::{FileShelf, NoShelf, Shelf};
 use tidewall_gateway::native::Native;
-use tidewall_gateway::{Gateway, Start};
+use tidewall_gateway::pair::Ended;
+use tidewall_gateway::start::{keys, peering, start};
+use tidewall_gateway::Gateway;
 use tidewall_net::mio::{self, Mio};
 use tidewall_standins::{Fleet, NoGateways, Plan};
+use tidewall_vrrp::packet::Keys;
 use tracing::info;
 
 #[derive(Args)]
@@ -42,34 +43,6 @@
 /// SIGINT and SIGTERM.
 const SIGNALS: [i32; 2] = [libc::SIGINT, libc::SIGTERM];
 
-pub fn setup(s: &Section) -> Setup {
-    let (limits, loading) = (s.section("limits"), s.section("loading"));
-    Setup {
-        most_held: limits.whole("most_held") as usize,
-        connect_time_out: limits.span("connect_time_out_ms"),
-        streams: limits.whole("streams") as usize,
-        connections: limits.whole("connections") as usize,
-        keep_alive: limits.span("keep_alive_ms"),
-        probe_time_out: limits.span("probe_time_out_ms"),
-        order_time_out: loading.span("order_time_out_ms"),
-        silent: limits.span("silent_ms"),
-    }
-}
-
-pub fn start(s: &Section, me: usize, seed: u64) -> Start {
-    let gateways = s.sections("gateway");
-    Start {
-        name: gateways[me].text("name"),
-        me,
-        seed,
-        settings: plain(s, me),
-        roster: s.section("roster").text("address").parse().expect("checked"),
-        roster_retry: s.section("roster").span("retry_ms"),
-        peers: gateways.iter().map(|g| g.text("peer_address").parse().ok()).collect(),
-        setup: setup(s),
-    }
-}
-
 pub fn serve(args: &Serve) -> Result<(), Failure> {
     let (_, s) = settings(&args.config)?;
     let gateways = s.sections("gateway");
@@ -85,21 +58,48 @@
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         now.map_or(1, |d| d.as_nanos() as u64)
     });
-    let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
-    net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
-    let shelf: Box<dyn Shelf> = match own.text("last_list").as_str() {
-        "" => Box::new(NoShelf),
-        path => Box::new(FileShelf(path.into())),
-    };
     info!(gateway = own.text("name"), seed, "starts");
-    let mut gateway = Gateway::new(net, start(&s, me, seed), shelf).map_err(input)?;
-    let at = own.text("address").parse().expect("checked");
-    gateway.open(at, Box::new(Native::new(0, &own.text("name")))).map_err(input)?;
-    if own.has("amqp_address") {
-        let at = own.text("amqp_address").parse().expect("checked");
-        gateway.open(at, Box::new(Amqp::new(1, &s))).map_err(input)?;
+    // A member of a pair that is superseded starts anew, as a new life that knows nothing.
+    loop {
+        let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
+        net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
+        let shelf: Box<dyn Shelf> = match own.text("last_list").as_str() {
+            "" => Box::new(NoShelf),
+            path => Box::new(FileShelf(path.into())),
+        };
+        let mut start = start(&s, me, seed);
+        if s.has("pair") {
+            let file = PathBuf::from(s.section("pair").text("key_file"));
+            let first = read_keys(&file).map_err(input)?;
+            let last = std::cell::RefCell::new(first);
+            // A file that cannot be read, or is being written, leaves the keys as they are.
+            let keys = move || {
+                if let Ok(keys) = read_keys(&file) {
+                    *last.borrow_mut() = keys;
+                }
+                last.borrow().clone()
+            };
+            let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64);
+            start.pair = Some(peering(&s, life, Box::new(keys)));
+        }
+        let mut gateway = Gateway::new(net, start, shelf).map_err(input)?;
+        let at = own.text("address").parse().expect("checked");
+        gateway.open(at, Box::new(Native::new(0, &own.text("name")))).map_err(input)?;
+        if own.has("amqp_address") {
+            let at = own.text("amqp_address").parse().expect("checked");
+            gateway.open(at, Box::new(Amqp::new(1, &s))).map_err(input)?;
+        }
+        mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))?;
+        if gateway.ended() == Ended::Drained {
+            return Ok(());
+        }
     }
-    mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))
+}
+
+fn read_keys(file: &std::path::Path) -> Result<Keys, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    keys(&name, &text)
 }
 
 /// Reads a password from standard input and prints its hash for the settings.
@@ -138,6 +138,8 @@
         amqp: false,
         record,
         gateways: Box::new(NoGateways),
+        fences: true,
+        forgets: false,
     };
     let mut fleet = Fleet::new(net, &s, None, plan).map_err(input)?;
     info!(roster = %fleet.roster_at(), "the stand-in fleet is up");
--- /dev/null
+++ b/crates/tidewall-cli/src/sim.rs
@@ -0,0 +1,124 @@
+//! `sim`: seeded runs of a pair on a virtual clock, one thread for each core.
+use crate::{input, Failure};
+use clap::{Args, ValueEnum};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+use tidewall_sim::pair::{run, Plant, Report, Setup};
+
+#[derive(Args)]
+pub struct Sim {
+    /// A..B, B not among them, or one seed.
+    #[arg(long, default_value = "0..200", value_name = "A..B")]
+    seeds: String,
+    /// How long clients send, in virtual seconds, 2 to 600.
+    #[arg(long, default_value_t = 5.0, value_name = "N")]
+    seconds: f64,
+    /// Events a second, 1 to 10,000.
+    #[arg(long, default_value_t = 120.0, value_name = "N")]
+    rate: f64,
+    /// Leaves a guard out, to show that the audit notices.
+    #[arg(long, value_enum, default_value_t = Left::Nothing)]
+    plant: Left,
+    /// Each run in a line.
+    #[arg(long)]
+    each: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, ValueEnum)]
+enum Left {
+    Nothing,
+    NoFences,
+    NoCopies,
+    Forgets,
+}
+
+fn seeds(text: &str) -> Result<std::ops::Range<u64>, Failure> {
+    let bad = || input(format!("--seeds: '{text}' is neither a seed nor A..B"));
+    match text.split_once("..") {
+        Some((a, b)) => {
+            let (a, b) = (a.parse().map_err(|_| bad())?, b.parse().map_err(|_| bad())?);
+            if a < b { Ok(a..b) } else { Err(bad()) }
+        }
+        None => text.parse().map(|a: u64| a..a + 1).map_err(|_| bad()),
+    }
+}
+
+pub fn sim(args: &Sim) -> Result<(), Failure> {
+    let seeds = seeds(&args.seeds)?;
+    if !(2.0..=600.0).contains(&args.seconds) {
+        return Err(input(format!("--seconds: {} is not within 2 to 600", args.seconds)));
+    }
+    if !(1.0..=10_000.0).contains(&args.rate) {
+        return Err(input(format!("--rate: {} is not within 1 to 10000", args.rate)));
+    }
+    let plant = match args.plant {
+        Left::Nothing => Plant::Nothing,
+        Left::NoFences => Plant::NoFences,
+        Left::NoCopies => Plant::NoCopies,
+        Left::Forgets => Plant::Forgets,
+    };
+    let began = Instant::now();
+    let (next, reports) = (AtomicU64::new(seeds.start), Mutex::new(Vec::<Report>::new()));
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    std::thread::scope(|scope| {
+        for _ in 0..cores {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= seeds.end {
+                    return;
+                }
+                let report =
+                    run(Setup { plant, seconds: args.seconds, rate: args.rate, ..Setup::new(seed) });
+                reports.lock().expect("no thread panics while it holds this").push(report);
+            });
+        }
+    });
+    let mut reports = reports.into_inner().expect("all threads are done");
+    reports.sort_by_key(|r| r.seed);
+    for r in reports.iter().filter(|r| args.each || !r.breaches.is_empty()) {
+        println!(
+            "seed {}: {} events, {} handled, {} asked again, {} takeovers, {} excused, {} breaches, digest {:016x}",
+            r.seed, r.events, r.handled, r.asked_again, r.takeovers, r.excused, r.breaches.len(), r.digest
+        );
+        r.breaches.iter().take(3).for_each(|b| println!("    {b}"));
+        if !r.breaches.is_empty() {
+            r.troubles.iter().for_each(|t| println!("    {:.1} ms: {:?}", t.0 as f64 / 10.0, t.1));
+        }
+    }
+    let sum = |f: fn(&Report) -> u64| reports.iter().map(f).sum::<u64>();
+    let failed = reports.iter().filter(|r| !r.breaches.is_empty()).count();
+    let cases: Vec<u64> = (0..5).map(|i| reports.iter().map(|r| r.cases[i]).sum()).collect();
+    println!(
+        "{} runs in {:.1} s: {} events, {} handled, {} asked again, {} takeovers, {} launches refused, {} excused, \
+         {} steps",
+        reports.len(),
+        began.elapsed().as_secs_f64(),
+        sum(|r| r.events),
+        sum(|r| r.handled),
+        sum(|r| r.asked_again),
+        sum(|r| r.takeovers),
+        sum(|r| r.refused),
+        sum(|r| r.excused),
+        sum(|r| r.steps)
+    );
+    let service = reports.iter().map(|r| r.service).sum::<f64>() / reports.len().max(1) as f64;
+    println!("cases of rules 1 to 5: {cases:?}; mean service {service:.4}");
+    let mut pauses: Vec<u64> = reports.iter().flat_map(|r| r.pauses.iter().copied()).collect();
+    pauses.sort_unstable();
+    if let Some(last) = pauses.last() {
+        let at = |q: f64| pauses[((pauses.len() - 1) as f64 * q) as usize] as f64 / 10.0;
+        println!(
+            "{} pauses, ms: median {}, p90 {}, p99 {}, worst {}",
+            pauses.len(),
+            at(0.5),
+            at(0.9),
+            at(0.99),
+            *last as f64 / 10.0
+        );
+    }
+    if failed > 0 {
+        return Err(Failure::Run(format!("{failed} runs broke a rule")));
+    }
+    Ok(())
+}
--- a/crates/tidewall-config/src/check.rs
+++ b/crates/tidewall-config/src/check.rs
@@ -75,6 +75,9 @@
     ("AmqpFunction", "memory_mb", 0.0, MOST),
     ("AmqpFunction", "hint_ms", 0.0, 3.6e6),
     ("AmqpFunction", "load_hint_ms", 0.0, 3.6e6),
+    ("Pair", "vrid", 1.0, 255.0),
+    ("Pair", "interval_cs", 1.0, 4_095.0),
+    ("PairMember", "priority", 1.0, 254.0),
     ("Script", "seconds", 1.0, 3_600.0),
     ("Fault", "at", 0.0, 1.0),
     ("Fault", "lasts_ms", 0.0, 3.6e6),
@@ -194,6 +197,9 @@
     if s.has("amqp") {
         amqp(&s.section("amqp"), &names(&s.sections("tenant"))?)?;
     }
+    if s.has("pair") {
+        pair(&s.section("pair"), gateways.len(), &mut addresses)?;
+    }
     let tick = s.number("tick_ms");
     for t in s.sections("event_type") {
         let (target, age) = (t.number("target_time_ms"), t.number("max_age_ms"));
@@ -227,6 +233,33 @@
     Ok(())
 }
 
+fn pair(p: &Section, gateways: usize, addresses: &mut Vec<SocketAddr>) -> Result<(), Fault> {
+    if gateways != 1 {
+        return fault(p.at("own"), format!("a pair is one gateway, and there are {gateways}"));
+    }
+    let members = [p.section("own"), p.section("peer")];
+    names(&members)?;
+    let mut datagrams = Vec::new();
+    for m in &members {
+        address(m, "vrrp_address", &mut datagrams)?;
+        address(m, "link_address", addresses)?;
+    }
+    if datagrams[0].ip() == datagrams[1].ip() {
+        return fault(members[1].at("vrrp_address"), "members are told apart by their IP addresses");
+    }
+    if p.text("key_file").is_empty() {
+        return fault(p.at("key_file"), "it is needed");
+    }
+    let voters = p.texts("voter");
+    if voters.len() < 3 || voters.len().is_multiple_of(2) {
+        return fault(p.at("voter"), format!("{} are told; an odd number from 3 on is needed", voters.len()));
+    }
+    if let Some(i) = (1..voters.len()).find(|i| voters[..*i].contains(&voters[*i])) {
+        return fault(format!("pair.voter[{i}]"), format!("'{}' stands twice", voters[i]));
+    }
+    Ok(())
+}
+
 fn amqp(a: &Section, tenants: &[String]) -> Result<(), Fault> {
     let users = a.sections("user");
     if users.is_empty() {
--- a/crates/tidewall-config/src/lib.rs
+++ b/crates/tidewall-config/src/lib.rs
@@ -107,6 +107,37 @@
     }
 }
 
+/// What both members of a pair must have in common, a line each: path and value.
+pub fn agree(s: &Section) -> Vec<String> {
+    let mut lines = Vec::new();
+    each(&s.message, "", &mut lines);
+    let own = |l: &String| {
+        let path = l.split(' ').next().unwrap_or("");
+        path.starts_with("pair.own") || path.starts_with("pair.peer") || path.ends_with("].seed")
+            || path.ends_with("].last_list") || path == "pair.key_file" || path.starts_with("fleet")
+    };
+    lines.retain(|l| !own(l));
+    lines
+}
+
+fn each(message: &DynamicMessage, path: &str, lines: &mut Vec<String>) {
+    for (field, value) in message.fields() {
+        let at = if path.is_empty() { field.name().to_string() } else { format!("{path}.{}", field.name()) };
+        match value {
+            Value::Message(m) => each(m, &at, lines),
+            Value::List(list) => {
+                for (i, v) in list.iter().enumerate() {
+                    match v {
+                        Value::Message(m) => each(m, &format!("{at}[{i}]"), lines),
+                        v => lines.push(format!("{at}[{i}] = {v}")),
+                    }
+                }
+            }
+            v => lines.push(format!("{at} = {v}")),
+        }
+    }
+}
+
 /// Settings of a site, from a file's text. The error is one line.
 pub fn settings(file: &str, text: &str) -> Result<Section, String> {
     read(file, text, "tidewall.Settings", check::settings)
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -3,6 +3,7 @@
 //! `known` until the decisions' call is over, since they may not be called from within it.
 use crate::door::{Incoming, Ticket, Word};
 use crate::list::Entry;
+use crate::pair::copying::Copying;
 use crate::{OF_CHOICE, OF_GREETING, OF_OUT};
 use slab::Slab;
 use std::collections::VecDeque;
@@ -33,6 +34,8 @@
     Launch { evt: usize, launch: usize },
     Hold { img: usize },
     Probe,
+    /// A pair's question to a worker; `voter` is none for one that only hears of a claim.
+    Vote { voter: Option<usize>, ballot: u64, accepting: bool },
 }
 
 /// Something asked of a worker that has one answer.
@@ -69,12 +72,40 @@
     payload: Vec<u8>,
     outs: [usize; MOST_LAUNCHES],
     count: usize,
+    /// Launches that may have run.
+    pub unproven: u32,
+    /// Others that asked for the same event, each with the time when it gives up.
+    pub more: Vec<(Ticket, Time)>,
+    /// Where its launches went, and what their ends prove.
+    sent_to: [usize; MOST_LAUNCHES],
+    pub ends: [Option<bool>; MOST_LAUNCHES],
 }
 
 impl Held {
     pub fn until(&self) -> Time {
         self.until
     }
+
+    pub fn arrival(&self) -> &Arrival {
+        &self.arrival
+    }
+
+    pub fn mark(&self) -> &[u8] {
+        &self.mark
+    }
+
+    pub fn payload(&self) -> &[u8] {
+        &self.payload
+    }
+}
+
+/// An answer of the decisions' own.
+pub struct Given {
+    pub evt: usize,
+    pub ticket: Ticket,
+    pub word: Word,
+    pub come_back: Time,
+    pub took: Time,
 }
 
 pub struct Wk {
@@ -86,6 +117,12 @@
     pub links: Vec<usize>,
 }
 
+impl Wk {
+    pub fn standing(&self) -> Standing {
+        self.listed.standing
+    }
+}
+
 pub struct Link {
     pub wk: usize,
     conn: Conn,
@@ -137,7 +174,7 @@
     pub links: Slab<Link>,
     pub opened: Vec<(Conn, usize)>,
     pub known: VecDeque<(usize, u32, Outcome)>,
-    pub given: VecDeque<(Ticket, Word, Time, Time)>,
+    pub given: VecDeque<Given>,
     /// Tickets of events whose clients have given up.
     pub gone: VecDeque<Ticket>,
     pub roster: Option<Conn>,
@@ -146,7 +183,9 @@
     pub peers: Vec<Option<SocketAddr>>,
     pub me: usize,
     pub counts: Counts,
-    frame: Vec<u8>,
+    /// One of a pair: what goes to the other member, and what waits for it.
+    pub copy: Option<Box<Copying>>,
+    pub(crate) frame: Vec<u8>,
 }
 
 impl<N: Net> Carrier<N> {
@@ -181,6 +220,7 @@
             peers: Vec::new(),
             me: 0,
             counts: Counts::default(),
+            copy: None,
             frame: Vec::new(),
         }
     }
@@ -199,12 +239,15 @@
         (held.open, held.ticket, held.id, held.begun) = (true, event.ticket, event.id, None);
         let now = self.net.now();
         (held.came, held.until, held.arrival, held.count) = (now, now + event.left, *arrival, 0);
+        held.unproven = 0;
+        held.more.clear();
         held.mark.clear();
         held.mark.extend_from_slice(event.mark);
         held.payload.clear();
         held.payload.extend_from_slice(event.payload);
         self.held += 1;
         self.counts.taken += 1;
+        self.copy_taken(place);
     }
 
     /// The one place where an event's answer is used up: whoever gets the ticket gives the answer, and nobody
@@ -222,7 +265,7 @@
 
     fn own_answer(&mut self, evt: usize, word: Word, come_back: Time) {
         if let Some((ticket, took)) = self.close(evt, None) {
-            if self.net.now() > self.events[evt].until {
+            if self.copy.is_none() && self.net.now() > self.events[evt].until {
                 // Nothing is sent to a client that has given up.
                 self.counts.overdue += 1;
                 self.gone.push_back(ticket);
@@ -233,7 +276,7 @@
                 _ => self.counts.dead_lettered += 1,
             }
             tracing::debug!(event = self.events[evt].id, word = word.text(), took, "answered");
-            self.given.push_back((ticket, word, come_back, took));
+            self.given.push_back(Given { evt, ticket, word, come_back, took });
         }
     }
 
@@ -289,6 +332,17 @@
         }
     }
 
+    /// Whether anything is known of where it answers.
+    pub fn reachable(&self, wk: usize) -> bool {
+        self.wks.get(wk).is_some_and(|w| w.at.is_some())
+    }
+
+    /// An event's launches as they stand: number, worker, and whether its end proves that it has not run.
+    pub fn launches_of(&self, place: usize) -> Vec<(usize, usize, Option<bool>)> {
+        let held = &self.events[place];
+        (0..held.count).map(|i| (i, held.sent_to[i], held.ends[i])).collect()
+    }
+
     pub fn known_life(&self, wk: usize) -> Option<u64> {
         Some(self.wks[wk].life)
     }
@@ -444,7 +498,7 @@
     }
 
     /// Puts an out on a connection of its worker: one with a free stream, one that is being made, or a new one.
-    fn ride(&mut self, key: usize) {
+    pub(crate) fn ride(&mut self, key: usize) {
         let out = self.outs[key];
         let launch = matches!(out.task, Task::Launch { .. });
         let room = |l: &Link| !launch || l.streams < self.setup.streams;
@@ -489,7 +543,7 @@
     }
 
     /// The outcome is known already; it is told when the decisions' call is over.
-    fn at_once(&mut self, key: usize, outcome: Outcome) {
+    pub(crate) fn at_once(&mut self, key: usize, outcome: Outcome) {
         let count = self.outs[key].count;
         self.known.push_back((key, count, outcome));
     }
@@ -497,6 +551,7 @@
     fn send(&mut self, key: usize) {
         let out = self.outs[key];
         let (id, now) = (self.wire_id(key), self.net.now());
+        let epoch = self.copy.as_ref().map_or(0, |c| c.epoch);
         self.frame.clear();
         match out.task {
             Task::Launch { evt, launch } => {
@@ -509,6 +564,7 @@
                 let f = f.whole(Field::Lanes, u64::from(a.lanes)).real(Field::Memory, a.memory);
                 let f = f.whole(Field::Left, a.gives_up.saturating_sub(now)).whole(Field::Hint, a.hint);
                 let f = f.bytes(Field::Mark, &e.mark).flag(Field::Resent, a.resent);
+                let f = if epoch > 0 { f.whole(Field::Epoch, epoch) } else { f };
                 f.bytes(Field::Payload, &e.payload).end();
             }
             Task::Hold { img } => {
@@ -516,9 +572,11 @@
                 let f = Frame::new(&mut self.frame, kind::HOLD).whole(Field::Id, id);
                 let f = f.text(Field::Function, self.functions.text(img));
                 let f = f.whole(Field::Copies, u64::from(out.copies)).whole(Field::Lanes, u64::from(lanes));
-                f.real(Field::Memory, memory).whole(Field::LoadHint, load_hint).end();
+                let f = f.real(Field::Memory, memory).whole(Field::LoadHint, load_hint);
+                if epoch > 0 { f.whole(Field::Epoch, epoch) } else { f }.end();
             }
             Task::Probe => Frame::new(&mut self.frame, kind::PROBE).whole(Field::Id, id).end(),
+            Task::Vote { ballot, accepting, .. } => self.vote(id, ballot, accepting),
         }
         let link = &mut self.links[out.link];
         if self.net.write(link.conn, &self.frame) {
@@ -531,7 +589,7 @@
         }
     }
 
-    fn out(&mut self, task: Task, wk: usize, copies: u32, until: Time) -> usize {
+    pub(crate) fn out(&mut self, task: Task, wk: usize, copies: u32, until: Time) -> usize {
         self.turn = self.turn.wrapping_add(1);
         let (at, stood) = (self.net.now(), self.net.stood());
         let out = Out {
@@ -569,11 +627,15 @@
         let key = self.out(Task::Launch { evt, launch }, wk, 0, until);
         let held = &mut self.events[evt];
         held.outs[launch] = key;
+        (held.sent_to[launch], held.ends[launch]) = (wk, None);
         held.count += 1;
         self.counts.launches += 1;
         if !open || now >= gives_up {
             return self.at_once(key, Outcome::Moot);
         }
+        if self.copy.is_some() {
+            return self.copy_launched(evt, launch, key);
+        }
         self.ride(key);
     }
 
@@ -635,9 +697,13 @@
     }
 
     fn hold(&mut self, img: usize, wk: usize, copies: u32) {
-        self.counts.orders += u64::from(copies > 0);
+        let refused = !self.may_order(copies);
+        self.counts.orders += u64::from(copies > 0 && !refused);
         let until = self.net.now() + self.setup.order_time_out;
         let key = self.out(Task::Hold { img }, wk, copies, until);
+        if refused {
+            return self.at_once(key, Outcome::Full);
+        }
         self.ride(key);
     }
 
--- a/crates/tidewall-gateway/src/door.rs
+++ b/crates/tidewall-gateway/src/door.rs
@@ -18,7 +18,19 @@
     DeadLettered,
 }
 
+/// Nobody waits for the answer.
+pub const NOBODY: Ticket = Ticket { door: usize::MAX, key: 0 };
+
 impl Word {
+    pub fn read(text: &str) -> Result<Word, String> {
+        Ok(match text {
+            "handled" => Word::Handled,
+            "deferred" => Word::Deferred,
+            "dead-lettered" => Word::DeadLettered,
+            other => return Err(format!("field word: '{other}' is no answer")),
+        })
+    }
+
     pub fn text(self) -> &'static str {
         match self {
             Word::Handled => "handled",
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -6,10 +6,13 @@
 pub mod door;
 pub mod list;
 pub mod native;
+pub mod pair;
+pub mod start;
 
-use carrier::{Carrier, Counts, Out, Setup, Task};
-use door::{Answer, Door, Incoming, Ticket, Word};
+use carrier::{Carrier, Counts, Given, Out, Setup, Task};
+use door::{Door, Incoming, Ticket, Word, NOBODY};
 use list::{Entry, Shelf};
+use pair::{Ended, Pair, Peering};
 use std::net::SocketAddr;
 use tidewall::choice::Choice;
 use tidewall::host::{Arrival, Listed, Outcome, Standing};
@@ -28,6 +31,8 @@
 const OF_COUNTS: u64 = 6 << 56;
 pub(crate) const OF_GREETING: u64 = 7 << 56;
 const OF_DOOR: u64 = 8 << 56;
+const OF_PAIR: u64 = 9 << 56;
+const OF_VRRP: u64 = 10 << 56;
 const OF_WHAT: u64 = 0xff << 56;
 
 /// How often links are looked at for being idle or silent: a tenth of a second is fine against times of
@@ -47,13 +52,20 @@
     Door(usize),
     Link(usize),
     Roster,
+    /// The link to the other member of a pair, and a connection that may become it.
+    Peer,
+    Guest,
 }
 
 /// Events on their way, as the doors see it: they tell what comes and who leaves.
 pub struct Core<N: Net> {
     choice: Choice<Carrier<N>>,
     draining: bool,
+    /// Another member of the pair serves.
+    standby: bool,
     most_held: usize,
+    /// Asked for again while the other member has them: its place, who asks, until when.
+    there: std::collections::VecDeque<(usize, Ticket, Time)>,
 }
 
 impl<N: Net> Core<N> {
@@ -80,11 +92,19 @@
     /// Takes an event, which gets its one answer from now on, or turns it away with a word why. The place that
     /// it gives back names the event to `left`.
     pub fn take(&mut self, event: &Incoming) -> Result<usize, &'static str> {
+        if let Some(place) = self.again(event) {
+            return Ok(place);
+        }
         let host = &mut self.choice.host;
-        if self.draining || host.held >= self.most_held {
+        if self.draining || self.standby || host.held >= self.most_held {
             host.counts.turned_away += 1;
-            return Err(if self.draining { "draining" } else { "most-held" });
+            return Err(if self.draining || self.standby { "draining" } else { "most-held" });
         }
+        Ok(self.begin(event))
+    }
+
+    fn begin(&mut self, event: &Incoming) -> usize {
+        let host = &mut self.choice.host;
         let now = host.net.now();
         let function = host.functions.index(event.function);
         let arrival = Arrival {
@@ -107,7 +127,7 @@
         debug!(event = event.id, place, function = event.function, left = event.left, "taken");
         self.choice.clock(now);
         self.choice.arrive(arrival);
-        Ok(place)
+        place
     }
 
     /// `Door::due` follows for the door at this place.
@@ -129,26 +149,43 @@
     pub fn left(&mut self, place: usize, ticket: Ticket) {
         let now = self.net().now();
         let host = &mut self.choice.host;
+        if host.one_less(place, ticket) {
+            return;
+        }
         if host.close(place, Some(ticket)).is_some() {
             host.counts.lapsed += 1;
+            host.copy_lapsed(place);
             debug!(event = host.events[place].id, place, "lapsed");
             self.choice.clock(now);
             self.choice.lapsed(place);
         }
     }
+
+    /// The client's connection broke. One of a pair goes on with what can be asked for again.
+    pub fn broke(&mut self, place: usize, ticket: Ticket) {
+        let host = &mut self.choice.host;
+        let held = host.events.get_mut(place).filter(|h| h.open && h.ticket == ticket);
+        match held.filter(|h| host.copy.is_some() && !h.mark().is_empty()) {
+            Some(held) => held.ticket = NOBODY,
+            None => self.left(place, ticket),
+        }
+    }
 }
 
 pub struct Gateway<N: Net> {
     core: Core<N>,
     doors: Vec<Box<dyn Door<N>>>,
     owners: Vec<(u32, Owner)>,
-    listeners: Vec<Listener>,
+    listeners: Vec<Option<Listener>>,
+    addresses: Vec<SocketAddr>,
     me: u64,
     roster: Roster,
     shelf: Box<dyn Shelf>,
     unsaved: bool,
     port: Option<Port>,
     name: String,
+    pair: Option<Box<Pair>>,
+    ended: Ended,
 }
 
 struct Roster {
@@ -168,6 +205,7 @@
     pub roster_retry: Time,
     pub peers: Vec<Option<SocketAddr>>,
     pub setup: Setup,
+    pub pair: Option<Peering>,
 }
 
 impl<N: Net> Gateway<N> {
@@ -185,31 +223,65 @@
         let choice = Choice::new(carrier, now, start.seed, start.settings)?;
         let roster = Roster { at: start.roster, conn: None, greeted: false, retry: start.roster_retry };
         let mut gateway = Gateway {
-            core: Core { choice, draining: false, most_held },
+            core: Core {
+                choice,
+                draining: false,
+                standby: start.pair.is_some(),
+                most_held,
+                there: Default::default(),
+            },
             doors: Vec::new(),
             owners: Vec::new(),
             listeners: Vec::new(),
+            addresses: Vec::new(),
             me: start.me as u64,
             roster,
             shelf,
             unsaved: false,
             port,
             name: start.name,
+            pair: None,
+            ended: Ended::Drained,
         };
         gateway.last_list();
         gateway.ask_roster();
+        if let Some(peering) = start.pair {
+            gateway.pair_up(peering)?;
+        }
         Ok(gateway)
     }
 
     /// Opens a door; fails with a line that names the address.
     pub fn open(&mut self, at: SocketAddr, door: Box<dyn Door<N>>) -> Result<SocketAddr, String> {
-        let (listener, at) = self.core.net().listen(at).map_err(|e| format!("{at}: {e}"))?;
-        self.listeners.push(listener);
         self.doors.push(door);
+        self.addresses.push(at);
+        self.listeners.push(None);
         let last = self.doors.len() - 1;
+        // One of a pair listens when it serves.
+        if self.pair.is_none() {
+            self.listen(last).map_err(|e| format!("{at}: {e}"))?;
+        }
         self.doors[last].opened(&mut self.core);
+        Ok(self.addresses[last])
+    }
+
+    fn listen(&mut self, door: usize) -> std::io::Result<()> {
+        let (listener, at) = self.core.net().listen(self.addresses[door])?;
+        (self.listeners[door], self.addresses[door]) = (Some(listener), at);
         info!(gateway = self.name, %at, "listens");
-        Ok(at)
+        Ok(())
+    }
+
+    /// Listens no more; what is connected stays.
+    fn unlisten(&mut self) {
+        for listener in self.listeners.iter_mut().filter_map(Option::take) {
+            self.core.choice.host.net.unlisten(listener);
+        }
+    }
+
+    /// Why the net was stopped.
+    pub fn ended(&self) -> Ended {
+        self.ended
     }
 
     pub fn counts(&self) -> &Counts {
@@ -233,14 +305,15 @@
     /// Takes no new events; when what is held has its answers the net is stopped. The second time it stops at
     /// once.
     pub fn drain(&mut self) {
+        if self.leave() {
+            return;
+        }
         if std::mem::replace(&mut self.core.draining, true) {
             warn!(held = self.held(), "ends at once");
             return self.core.net().stop();
         }
         info!(held = self.held(), "drains");
-        for listener in std::mem::take(&mut self.listeners) {
-            self.core.net().unlisten(listener);
-        }
+        self.unlisten();
         self.rest();
     }
 
@@ -277,10 +350,11 @@
                     self.done(key, outcome, 0);
                     self.core.choice.host.unsent_over(key);
                 }
-            } else if let Some((ticket, word, come_back, took)) = host.given.pop_front() {
-                let answer = Answer { word, come_back, reason: "", payload: &[], took };
-                self.doors[ticket.door].answered(&mut host.net, ticket, &answer);
-            } else if let Some(ticket) = host.gone.pop_front() {
+            } else if let Some(given) = host.given.pop_front() {
+                self.conclude(&given, &[]);
+            } else if self.settle_pair() {
+                // One more thing was done.
+            } else if let Some(ticket) = self.core.choice.host.gone.pop_front() {
                 self.doors[ticket.door].given_up(ticket);
             } else {
                 break;
@@ -303,10 +377,12 @@
             Task::Launch { evt, launch } => {
                 let over = !self.core.choice.host.events[evt].open;
                 debug!(event = self.core.choice.host.events[evt].id, launch, ?outcome, took, "ended");
+                self.core.choice.host.copy_over(evt, launch, outcome);
                 self.core.choice.ended(evt, launch, (outcome, took), over, count);
             }
             Task::Hold { img } => self.core.choice.held(img, wk, outcome, count),
             Task::Probe => self.core.choice.probed(wk, outcome),
+            Task::Vote { voter, ballot, accepting } => self.no_vote(voter, (ballot, accepting)),
         }
     }
 
@@ -345,12 +421,14 @@
                 host.no_deadline(key);
                 let ticket = host.events[evt].ticket;
                 let net = &mut host.net;
-                self.doors[ticket.door].begun(net, ticket, fields.bytes(Field::Payload)?);
+                if let Some(door) = self.doors.get_mut(ticket.door) {
+                    door.begun(net, ticket, fields.bytes(Field::Payload)?);
+                }
                 self.core.choice.clock(now);
                 self.core.choice.begun(evt, launch);
             }
             kind::END => {
-                let outcome = outcome(fields)?;
+                let outcome = self.outcome(fields)?;
                 let copy = fields.upto(Field::Copy, 4, 0)? as u32;
                 let company = fields.upto(Field::Company, 30, 0)? as u32;
                 let payload = fields.bytes(Field::Payload)?;
@@ -367,7 +445,8 @@
                 }
             }
             kind::HELD => {
-                let (outcome, copies) = (outcome(fields)?, fields.upto(Field::Copies, 1 << 16, 0)?);
+                let (outcome, copies) = (self.outcome(fields)?, fields.upto(Field::Copies, 1 << 16, 0)?);
+                let host = &mut self.core.choice.host;
                 let Some(key) = host.key(fields.whole(Field::Id)?, link)? else { return Ok(()) };
                 if matches!(host.outs[key].task, Task::Hold { .. }) {
                     self.done(key, outcome, copies as u32);
@@ -383,6 +462,7 @@
                     self.core.choice.host.free(key);
                 }
             }
+            kind::PROMISED => self.promised(link, wk, fields)?,
             kind::DRAINS => {
                 if let Some(entry) = host.drains(wk) {
                     self.core.choice.clock(now);
@@ -398,6 +478,22 @@
         Ok(())
     }
 
+    fn outcome(&mut self, fields: &Fields) -> Result<Outcome, String> {
+        Ok(match fields.text(Field::Outcome)? {
+            "ok" => Outcome::Ok,
+            "error" => Outcome::Error,
+            "full" => Outcome::Full,
+            "miss" => Outcome::Miss,
+            "cancelled" => Outcome::Cancelled,
+            "fenced" => {
+                // Refused like a full one; that another serves is looked into.
+                self.fenced();
+                Outcome::Full
+            }
+            other => return Err(format!("field outcome: '{other}' is no outcome")),
+        })
+    }
+
     fn report(&mut self, wk: usize, fields: &Fields) -> Result<(), String> {
         if fields.has(Field::InFlight) || fields.has(Field::Busy) {
             let (flight, busy) = (fields.real(Field::InFlight, 0.0)?, fields.real(Field::Busy, 0.0)?);
@@ -413,7 +509,7 @@
         let host = &mut self.core.choice.host;
         let Some((ticket, took)) = host.close(evt, None) else { return };
         let past = host.net.now() > host.events[evt].until() && host.events[evt].begun.is_none();
-        if past {
+        if past && host.copy.is_none() {
             host.counts.overdue += 1;
             return self.doors[ticket.door].given_up(ticket);
         }
@@ -422,8 +518,7 @@
             _ => host.counts.dead_lettered += 1,
         }
         debug!(event = host.events[evt].id, word = word.text(), "answered");
-        let answer = Answer { word, come_back: 0, reason: "", payload, took };
-        self.doors[ticket.door].answered(&mut host.net, ticket, &answer);
+        self.conclude(&Given { evt, ticket, word, come_back: 0, took }, payload);
     }
 
     fn link_over(&mut self, link: usize, why: Why) {
@@ -553,6 +648,8 @@
                     used += len;
                     Fields::read(body).and_then(|fields| match owner {
                         Owner::Link(link) => self.worker_frame(link, &fields),
+                        Owner::Peer => self.peer_frame(&fields),
+                        Owner::Guest => self.guest_frame(conn, &fields),
                         _ => self.roster_frame(&fields),
                     })
                 }
@@ -569,6 +666,8 @@
                 self.own(conn, Owner::Nobody);
                 match owner {
                     Owner::Link(link) => self.link_over(link, Why::Reset),
+                    Owner::Peer => self.peer_over(),
+                    Owner::Guest => {}
                     _ => self.roster_over(Why::Reset),
                 }
                 return bytes.len();
@@ -579,16 +678,6 @@
     }
 }
 
-fn outcome(fields: &Fields) -> Result<Outcome, String> {
-    Ok(match fields.text(Field::Outcome)? {
-        "ok" => Outcome::Ok,
-        "error" => Outcome::Error,
-        "full" => Outcome::Full,
-        "miss" => Outcome::Miss,
-        "cancelled" => Outcome::Cancelled,
-        other => return Err(format!("field outcome: '{other}' is no outcome")),
-    })
-}
 
 impl<N: Net> App for Gateway<N> {
     type Net = N;
@@ -598,16 +687,24 @@
     }
 
     fn accepted(&mut self, listener: Listener, conn: Conn, _from: SocketAddr) {
-        if let Some(door) = self.listeners.iter().position(|l| *l == listener) {
+        if let Some(door) = self.listeners.iter().position(|l| *l == Some(listener)) {
             self.own(conn, Owner::Door(door));
             self.doors[door].accepted(&mut self.core, conn);
+        } else if self.pair.as_ref().is_some_and(|p| p.listener() == Some(listener)) {
+            self.own(conn, Owner::Guest);
         }
     }
 
     fn connected(&mut self, conn: Conn) {
+        if self.owner(conn) == Owner::Guest {
+            return self.link_made(conn);
+        }
         let (me, name) = (self.me, self.name.clone());
         let mut out = Vec::new();
-        wire::hello(&mut out, "gateway", &name, me);
+        let member = self.pair.as_ref().map_or(0, |p| p.member() + 1);
+        let f = Frame::new(&mut out, kind::HELLO).whole(Field::Version, wire::VERSION);
+        let f = f.text(Field::Role, "gateway").text(Field::Name, &name).whole(Field::Life, me);
+        if member > 0 { f.whole(Field::Member, member as u64) } else { f }.end();
         let host = &mut self.core.choice.host;
         if self.roster.conn == Some(conn) {
             host.roster = Some(conn);
@@ -626,7 +723,11 @@
                 if let Owner::Link(link) = owner {
                     self.core.choice.host.heard(link);
                 }
-                self.frames(conn, bytes, owner)
+                let used = self.frames(conn, bytes, owner);
+                if owner == Owner::Peer {
+                    self.record();
+                }
+                used
             }
         };
         self.settle();
@@ -645,12 +746,18 @@
             Owner::Door(door) => self.doors[door].closed(&mut self.core, conn),
             Owner::Link(link) => self.link_over(link, why),
             Owner::Roster => self.roster_over(why),
+            Owner::Peer => self.peer_over(),
+            Owner::Guest => self.guest_over(conn),
         }
         self.own(conn, Owner::Nobody);
         self.settle();
     }
 
-    fn datagram(&mut self, port: Port, _from: SocketAddr, bytes: &[u8]) {
+    fn datagram(&mut self, port: Port, from: SocketAddr, bytes: &[u8]) {
+        if self.pair.as_ref().is_some_and(|p| p.port() == Some(port)) {
+            self.advertised(from, bytes);
+            return self.settle();
+        }
         if self.port != Some(port) {
             return;
         }
@@ -709,6 +816,8 @@
                 }
             }
             OF_SHELF => self.save_list(),
+            OF_PAIR => self.pair_tick(),
+            OF_VRRP => self.vrrp_due(),
             OF_COUNTS => {
                 self.core.net().set(now + COUNTS, OF_COUNTS);
                 info!(counts = ?self.counts(), held = self.held(), "counts");
--- a/crates/tidewall-gateway/src/native.rs
+++ b/crates/tidewall-gateway/src/native.rs
@@ -108,7 +108,11 @@
             }
             self.client(conn).greeted = true;
             self.out.clear();
-            wire::hello(&mut self.out, "gateway", &self.name, self.me as u64);
+            let epoch = core.epoch();
+            let f = Frame::new(&mut self.out, kind::HELLO).whole(Field::Version, wire::VERSION);
+            let f = f.text(Field::Role, "gateway").text(Field::Name, &self.name);
+            let f = f.whole(Field::Life, self.me as u64);
+            if epoch > 0 { f.whole(Field::Epoch, epoch) } else { f }.end();
             core.net().write(conn, &self.out);
             return Ok(());
         }
@@ -184,7 +188,7 @@
     fn gone<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
         while let Some(key) = self.client(conn).first {
             let known = self.remove(key);
-            core.left(known.place, self.ticket(key, known.count));
+            core.broke(known.place, self.ticket(key, known.count));
         }
         *self.client(conn) = Client::default();
     }
--- /dev/null
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -0,0 +1,326 @@
+//! What goes to the other member of a pair, on the carrier's side: events taken, launches, their ends, answers and load
+//! orders, in the order in which they happen; and what waits until the other member has recorded them. It decides nothing.
+use crate::carrier::{Carrier, Given, Held};
+use crate::door::{Ticket, Word, NOBODY};
+use std::collections::VecDeque;
+use tidewall::host::Outcome;
+use tidewall_net::{Conn, Net, Time};
+use tidewall_pair::fate::Kind;
+use tidewall_pair::known::{Known, Place};
+use tidewall_pair::promise::Claim;
+use tidewall_pair::ration::Ration;
+use tidewall_wire::{kind, Field, Frame};
+
+/// An answer on its way to whoever asked.
+#[derive(Default)]
+pub struct Due {
+    /// With the times when they give up.
+    pub tickets: Vec<(Ticket, Time)>,
+    pub word: Option<Word>,
+    pub come_back: Time,
+    pub took: Time,
+    pub payload: Vec<u8>,
+}
+
+/// What waits until all that was told before is recorded.
+pub enum Later {
+    Ride { key: usize, count: u32 },
+    Answer(Due),
+}
+
+pub struct Copying {
+    pub member: usize,
+    /// Under which launches and orders are sent; 0 while we do not serve and hold nothing.
+    pub epoch: u64,
+    pub conn: Option<Conn>,
+    /// The other member follows what happens.
+    pub on: bool,
+    pub waits: bool,
+    /// Updates up to now, those that are recorded, and those before this link.
+    pub seq: u64,
+    pub acked: u64,
+    pub base: u64,
+    back: VecDeque<(u64, Later)>,
+    /// The link took no more: the other member is too slow.
+    pub broken: bool,
+    pub known: Known,
+    pub ration: Ration,
+    kinds: Vec<Kind>,
+    two_at_once: bool,
+    /// How long an answer is given again, by type.
+    keeps: Vec<Time>,
+    /// What voters are asked to accept.
+    pub claim: Claim,
+    pub unheard: VecDeque<(usize, (u64, bool))>,
+    /// A worker refused our epoch.
+    pub fenced: bool,
+    pub replays: VecDeque<Due>,
+    /// Places of events that were asked for again.
+    pub joined: Vec<usize>,
+    spare: Vec<Due>,
+    copies: bool,
+    buf: Vec<u8>,
+}
+
+impl Copying {
+    pub fn new(member: usize, kinds: Vec<Kind>, two_at_once: bool, keeps: Vec<Time>, ration: Ration, copies: bool) -> Copying {
+        Copying {
+            member,
+            epoch: 0,
+            conn: None,
+            on: false,
+            // Until the voters say that nobody else knows.
+            waits: true,
+            seq: 0,
+            acked: 0,
+            base: 0,
+            back: VecDeque::new(),
+            broken: false,
+            known: Known::default(),
+            ration,
+            kinds,
+            two_at_once,
+            keeps,
+            claim: Claim::default(),
+            unheard: VecDeque::new(),
+            fenced: false,
+            replays: VecDeque::new(),
+            joined: Vec::new(),
+            spare: Vec::new(),
+            copies,
+            buf: Vec::new(),
+        }
+    }
+
+    pub fn kind(&self, typ: usize) -> Kind {
+        self.kinds[typ]
+    }
+
+    pub fn two_at_once(&self) -> bool {
+        self.two_at_once
+    }
+
+    pub fn keep(&self, typ: usize) -> Time {
+        self.keeps[typ]
+    }
+
+    /// One update, numbered; written where the other member follows.
+    pub fn tell<N: Net>(&mut self, net: &mut N, kind: u64, fill: impl FnOnce(Frame)) {
+        self.seq += 1;
+        let Some(conn) = self.conn.filter(|_| self.on) else { return };
+        if !self.copies && matches!(kind, kind::TAKEN | kind::LAUNCHED | kind::OVER | kind::ANSWERED) {
+            self.acked += 1;
+            self.base += 1;
+            return;
+        }
+        self.buf.clear();
+        fill(Frame::new(&mut self.buf, kind));
+        if !net.write(conn, &self.buf) {
+            (self.broken, self.on) = (true, false);
+        }
+    }
+
+    /// Something else that the other member is told.
+    pub fn say<N: Net>(&mut self, net: &mut N, kind: u64, fill: impl FnOnce(Frame)) {
+        let Some(conn) = self.conn else { return };
+        self.buf.clear();
+        fill(Frame::new(&mut self.buf, kind));
+        self.broken |= !net.write(conn, &self.buf);
+    }
+
+    /// What waits no longer.
+    pub fn ready(&mut self) -> Option<Later> {
+        let first = self.back.front()?.0;
+        if self.waits && first > self.acked {
+            return None;
+        }
+        self.back.pop_front().map(|b| b.1)
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.back.len()
+    }
+
+    pub fn due(&mut self) -> Due {
+        self.spare.pop().unwrap_or_default()
+    }
+
+    /// Its buffers serve the next one.
+    pub fn done(&mut self, mut due: Due) {
+        const SPARE: usize = 256; // more than wait for one round trip at usual rates
+        due.tickets.clear();
+        due.payload.clear();
+        if self.spare.len() < SPARE {
+            self.spare.push(due);
+        }
+    }
+}
+
+/// What the other member needs to go on with an event.
+#[allow(clippy::too_many_arguments)] // the parts of the carrier that it reads
+pub fn taken(
+    f: Frame,
+    place: usize,
+    held: &Held,
+    types: &[String],
+    tenants: &[String],
+    function: &str,
+    now: Time,
+) {
+    let a = held.arrival();
+    let f = f.whole(Field::Place, place as u64).whole(Field::Id, held.id);
+    let f = f.text(Field::Type, &types[a.typ]).text(Field::Function, function);
+    let f = match a.tenant {
+        Some(tenant) => f.text(Field::Tenant, &tenants[tenant]),
+        None => f,
+    };
+    let f = f.whole(Field::Lanes, u64::from(a.lanes)).real(Field::Memory, a.memory);
+    let f = f.whole(Field::Hint, a.hint).whole(Field::LoadHint, a.load_hint);
+    let f = f.whole(Field::Left, held.until().saturating_sub(now));
+    f.bytes(Field::Mark, held.mark()).bytes(Field::Payload, held.payload()).end();
+}
+
+impl<N: Net> Carrier<N> {
+    pub(crate) fn copy_taken(&mut self, place: usize) {
+        let Some(copy) = &mut self.copy else { return };
+        let (now, held) = (self.net.now(), &self.events[place]);
+        let a = held.arrival();
+        copy.ration.took(now);
+        copy.known.hold(a.typ, held.mark(), Place::Here(place));
+        let function = self.functions.text(a.function);
+        copy.tell(&mut self.net, kind::TAKEN, |f| {
+            taken(f, place, held, &self.types, &self.tenants, function, now)
+        });
+    }
+
+    /// Recorded before it is sent, where a repeat might do harm or two at once are barred.
+    pub(crate) fn copy_launched(&mut self, evt: usize, launch: usize, key: usize) {
+        let Some(copy) = &mut self.copy else { return };
+        let held = &mut self.events[evt];
+        held.unproven += 1;
+        let name = self.workers.text(self.outs[key].wk);
+        copy.tell(&mut self.net, kind::LAUNCHED, |f| {
+            let f = f.whole(Field::Place, evt as u64).whole(Field::Launch, launch as u64);
+            f.text(Field::Name, name).end();
+        });
+        let must = copy.kind(held.arrival().typ) != Kind::Redeliverable || !copy.two_at_once;
+        if copy.waits && must {
+            copy.back.push_back((copy.seq, Later::Ride { key, count: self.outs[key].count }));
+        } else {
+            self.ride(key);
+        }
+    }
+
+    pub(crate) fn copy_over(&mut self, evt: usize, launch: usize, outcome: Outcome) {
+        let Some(copy) = &mut self.copy else { return };
+        let proven =
+            matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Miss);
+        let held = &mut self.events[evt];
+        held.ends[launch] = Some(proven);
+        held.unproven -= u32::from(proven && held.unproven > 0);
+        if held.open {
+            copy.tell(&mut self.net, kind::OVER, |f| {
+                let f = f.whole(Field::Place, evt as u64).whole(Field::Launch, launch as u64);
+                f.flag(Field::On, proven).end();
+            });
+        }
+    }
+
+    /// The event has its answer. Given back where it may go at once; else it waits to be recorded.
+    pub(crate) fn copy_answered(&mut self, given: &Given, payload: &[u8]) -> Option<Due> {
+        let now = self.net.now();
+        let copy = self.copy.as_mut()?;
+        let held = &mut self.events[given.evt];
+        let typ = held.arrival().typ;
+        remember(copy, now, typ, held.mark(), given.word, payload);
+        let (place, mark, types) = (given.evt as u64, held.mark(), &self.types);
+        copy.tell(&mut self.net, kind::ANSWERED, |f| {
+            let f = f.whole(Field::Place, place).text(Field::Type, &types[typ]);
+            let f = f.bytes(Field::Mark, mark).text(Field::Word, given.word.text());
+            f.bytes(Field::Payload, payload).end();
+        });
+        let mut due = copy.due();
+        due.tickets.append(&mut held.more);
+        if given.ticket != NOBODY {
+            due.tickets.push((given.ticket, held.until()));
+        }
+        (due.word, due.come_back, due.took) = (Some(given.word), given.come_back, given.took);
+        due.payload.extend_from_slice(payload);
+        if copy.waits && copy.kind(typ) != Kind::Redeliverable {
+            copy.back.push_back((copy.seq, Later::Answer(due)));
+            return None;
+        }
+        Some(due)
+    }
+
+    /// Its client said that it leaves. What may have run is not run again for whoever asks later.
+    pub(crate) fn copy_lapsed(&mut self, place: usize) {
+        let now = self.net.now();
+        let Some(copy) = &mut self.copy else { return };
+        let held = &self.events[place];
+        let typ = held.arrival().typ;
+        if held.unproven > 0 && copy.kind(typ) != Kind::Redeliverable {
+            remember(copy, now, typ, held.mark(), Word::DeadLettered, &[]);
+        } else {
+            copy.known.remove(typ, held.mark());
+        }
+        copy.tell(&mut self.net, kind::GONE, |f| f.whole(Field::Place, place as u64).end());
+    }
+
+    /// Whether an order to load is within the ration of both lives; it is counted and told.
+    pub(crate) fn may_order(&mut self, copies: u32) -> bool {
+        let now = self.net.now();
+        let Some(copy) = &mut self.copy else { return true };
+        if copies == 0 {
+            return true;
+        }
+        if copy.epoch == 0 || !copy.ration.room(now) {
+            return false;
+        }
+        copy.ration.ordered(now);
+        copy.tell(&mut self.net, kind::ORDERED, |f| f.whole(Field::Age, 0).end());
+        true
+    }
+
+    /// Takes one of several that wait for the same event off; false where it is the only one.
+    pub(crate) fn one_less(&mut self, place: usize, ticket: Ticket) -> bool {
+        let Some(held) = self.events.get_mut(place).filter(|h| h.open) else { return false };
+        if let Some(at) = held.more.iter().position(|m| m.0 == ticket) {
+            held.more.swap_remove(at);
+            return true;
+        }
+        let others = held.ticket == ticket && !held.more.is_empty();
+        if others {
+            held.ticket = NOBODY;
+        }
+        others
+    }
+
+    /// The question that a vote's out stands for.
+    pub(crate) fn vote(&mut self, id: u64, ballot: u64, accepting: bool) {
+        let Some(copy) = &self.copy else { return };
+        let c = copy.claim;
+        if accepting {
+            let f = Frame::new(&mut self.frame, kind::ACCEPT).whole(Field::Id, id);
+            let f = f.whole(Field::Ballot, ballot).whole(Field::Epoch, c.epoch);
+            let f = f.whole(Field::Member, c.member as u64 + 1).whole(Field::Floor, c.floor);
+            f.whole(Field::SyncA, c.sync[0]).whole(Field::SyncB, c.sync[1]).end();
+        } else {
+            Frame::new(&mut self.frame, kind::PREPARE).whole(Field::Id, id).whole(Field::Ballot, ballot).end();
+        }
+    }
+}
+
+/// A deferral is not remembered, as it invites the next try.
+pub fn remember(copy: &mut Copying, now: Time, typ: usize, mark: &[u8], word: Word, payload: &[u8]) {
+    if word == Word::Deferred {
+        copy.known.remove(typ, mark);
+    } else {
+        let until = now + copy.keep(typ);
+        copy.known.answered(now, typ, mark, word as u8, payload, until);
+    }
+}
+
+pub fn word(number: u8) -> Word {
+    [Word::Handled, Word::Deferred, Word::DeadLettered][usize::from(number).min(2)]
+}
--- /dev/null
+++ b/crates/tidewall-gateway/src/start.rs
@@ -0,0 +1,104 @@
+//! What the settings tell a gateway at start.
+use crate::carrier::Setup;
+use crate::pair::Peering;
+use crate::Start;
+use tidewall_config::{agree, plain, Section};
+use tidewall_pair::fate::Kind;
+use tidewall_vrrp::packet::Keys;
+
+pub fn setup(s: &Section) -> Setup {
+    let (limits, loading) = (s.section("limits"), s.section("loading"));
+    Setup {
+        most_held: limits.whole("most_held") as usize,
+        connect_time_out: limits.span("connect_time_out_ms"),
+        streams: limits.whole("streams") as usize,
+        connections: limits.whole("connections") as usize,
+        keep_alive: limits.span("keep_alive_ms"),
+        probe_time_out: limits.span("probe_time_out_ms"),
+        order_time_out: loading.span("order_time_out_ms"),
+        silent: limits.span("silent_ms"),
+    }
+}
+
+pub fn start(s: &Section, me: usize, seed: u64) -> Start {
+    let gateways = s.sections("gateway");
+    Start {
+        name: gateways[me].text("name"),
+        me,
+        seed,
+        settings: plain(s, me),
+        roster: s.section("roster").text("address").parse().expect("checked"),
+        roster_retry: s.section("roster").span("retry_ms"),
+        peers: gateways.iter().map(|g| g.text("peer_address").parse().ok()).collect(),
+        setup: setup(s),
+        pair: None,
+    }
+}
+
+/// This machine's part of the pair.
+pub fn peering(s: &Section, life: u64, keys: Box<dyn Fn() -> Keys>) -> Peering {
+    let (pair, loading, limits) = (s.section("pair"), s.section("loading"), s.section("limits"));
+    let (own, peer) = (pair.section("own"), pair.section("peer"));
+    let at = |s: &Section, field: &str| s.text(field).parse().expect("checked");
+    let types = s.sections("event_type");
+    let kind = |t: &Section| match t.choice("redelivery").as_str() {
+        "REDELIVERABLE" => Kind::Redeliverable,
+        "KEYED" => Kind::Keyed { all: t.choice("group") == "ALL", window: t.span("window_ms") },
+        _ => Kind::AtMostOnce,
+    };
+    let keep = |t: &Section| match t.choice("redelivery").as_str() {
+        "KEYED" => t.span("window_ms").max(t.span("max_age_ms")),
+        _ => t.span("max_age_ms"),
+    };
+    Peering {
+        name: own.text("name"),
+        peer_name: peer.text("name"),
+        life,
+        vrid: pair.whole("vrid") as u8,
+        priority: own.whole("priority") as u8,
+        interval: pair.whole("interval_cs") as u16,
+        preempt: pair.flag("preempt"),
+        vrrp: at(&own, "vrrp_address"),
+        peer_vrrp: at(&peer, "vrrp_address"),
+        link: at(&own, "link_address"),
+        peer_link: at(&peer, "link_address"),
+        shared: s.sections("gateway")[0].text("address").parse().expect("checked"),
+        keys,
+        voters: pair.texts("voter"),
+        kinds: types.iter().map(kind).collect(),
+        keeps: types.iter().map(keep).collect(),
+        two_at_once: limits.flag("two_at_once"),
+        ration: (loading.span("window_ms"), loading.number("free"), loading.number("share")),
+        agree: agree(s),
+        copies: true,
+    }
+}
+
+/// Keys from a file's text: a line each, a number and hexadecimal digits; lines that begin with # are passed over.
+pub fn keys(file: &str, text: &str) -> Result<Keys, String> {
+    let mut keys = Keys::default();
+    for (i, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let bad = |what: &str| format!("{file}:{}:1: {what}", i + 1);
+        let (id, hex) = line.split_once(' ').ok_or_else(|| bad("a number and a key are needed"))?;
+        let id = id.parse::<u8>().map_err(|_| bad("the number is not within 0 to 255"))?;
+        let hex = hex.trim();
+        // Shorter ones could be tried out.
+        if hex.len() < 32 || hex.len() % 2 == 1 || !hex.is_ascii() {
+            return Err(bad("a key has an even number of at least 32 hexadecimal digits"));
+        }
+        let octet = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16);
+        let key: Result<Vec<u8>, _> = (0..hex.len()).step_by(2).map(octet).collect();
+        if keys.0.iter().any(|k| k.0 == id) {
+            return Err(bad("the number stands twice"));
+        }
+        keys.0.push((id, key.map_err(|_| bad("a key has hexadecimal digits only"))?));
+    }
+    if keys.0.is_empty() {
+        return Err(format!("{file}:1:1: there is no key"));
+    }
+    Ok(keys)
+}
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -269,6 +269,7 @@
         roster_retry: 5_000,
         peers: vec![None],
         setup,
+        pair: None,
     };
     let mut gateway = Gateway::new(hand.clone(), start, shelf).unwrap();
     gateway.open(at(GATEWAY), Box::new(Native::new(0, "g0"))).unwrap();
--- a/crates/tidewall-interop/tests/amqprs.rs
+++ b/crates/tidewall-interop/tests/amqprs.rs
@@ -54,6 +54,8 @@
             amqp: false,
             record: Box::new(std::io::sink()),
             gateways: Box::new(NoGateways),
+            fences: true,
+            forgets: false,
         };
         let mut fleet = Fleet::new(Mio::new().unwrap(), &s, None, plan).unwrap();
         std::thread::spawn(move || {
@@ -77,6 +79,7 @@
                 roster_retry: 1_000,
                 peers: vec![None],
                 setup,
+                pair: None,
             };
             let mut gateway = Gateway::new(Mio::new().unwrap(), start, Box::new(NoShelf)).unwrap();
             gateway.open(door, Box::new(Amqp::new(0, &s))).unwrap();
--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -1,12 +1,17 @@
 //! The trait in memory: one world of nodes with a clock of its own. Everything that happens is ordered by
 //! time and then by the order of its cause, so a run is the same every time. Bytes may be handed over in
-//! pieces of any size; nodes can stand still, die, or stop reading.
+//! pieces of any size; nodes can stand still, die and start again, and have clocks of their own rate. What goes
+//! from one node to another goes by a `Path`, which may be slow, uneven, lossy or cut, each way for itself.
 use crate::buffer::{Buffer, READ_MOST, WRITE_MOST};
 use crate::wheel::{Deadline, Wheel};
 use crate::{App, Conn, Listener, Net, Port, Time, Why};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHasher;
 use slab::Slab;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::Hasher;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,11 +21,27 @@
     Knock { end: usize, count: u32, to: SocketAddr },
     Opened { end: usize, count: u32 },
     Late { end: usize, count: u32 },
-    Bytes { end: usize, count: u32 },
+    Bytes { end: usize, count: u32, bytes: Vec<u8> },
     Over { end: usize, count: u32, why: Why },
     Datagram { to: SocketAddr, from: SocketAddr, bytes: Vec<u8> },
 }
 
+/// What befalls what goes from one node to another. Streams lose nothing for good: what is lost or cut comes later.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Path {
+    /// How long it takes, and how much longer at most by chance; datagrams may so overtake each other.
+    pub delay: Time,
+    pub jitter: Time,
+    /// Of a thousand.
+    pub lost: u32,
+    pub twice: u32,
+    /// Nothing gets across until it is mended.
+    pub cut: bool,
+}
+
+/// A lost segment of a stream is sent again after this: TCP's least retransmission time on common systems.
+const AGAIN: Time = 2_000;
+
 struct End {
     node: usize,
     count: u32,
@@ -31,8 +52,13 @@
     /// Sent by the other end and not yet read here, then what the app has not used.
     inbox: Buffer,
     read: Buffer,
+    /// Bytes on their way here, and when the last of them comes: a stream keeps its order.
+    flying: usize,
+    last: Time,
     /// Taken from the app and not yet at the other end.
     write: Buffer,
+    /// Where it was accepted.
+    at: Option<SocketAddr>,
     paused: bool,
     owed: bool,
     closing: bool,
@@ -47,6 +73,26 @@
     /// When it last went on, and after how long.
     thawed: (Time, Time),
     backlog: VecDeque<Way>,
+    /// Its clock runs faster by so many millionths.
+    ppm: i64,
+}
+
+impl Node {
+    fn local(&self, at: Time) -> Time {
+        (at as i128 + at as i128 * self.ppm as i128 / 1_000_000) as Time
+    }
+
+    /// When its clock shows that time.
+    fn global(&self, local: Time) -> Time {
+        if self.ppm == 0 {
+            return local;
+        }
+        let mut at = (local as i128 * 1_000_000 / (1_000_000 + self.ppm as i128)) as Time;
+        while self.local(at) < local {
+            at += 1;
+        }
+        at
+    }
 }
 
 pub struct World {
@@ -56,8 +102,17 @@
     ends: Slab<End>,
     count: u32,
     listeners: Vec<Option<(usize, SocketAddr)>>,
-    ports: Vec<(usize, SocketAddr)>,
+    ports: Vec<Option<(usize, SocketAddr)>>,
     nodes: Vec<Node>,
+    paths: BTreeMap<(usize, usize), Path>,
+    /// What waits for a cut to be mended, in order.
+    stalled: Vec<((usize, usize), Way)>,
+    chance: ChaCha8Rng,
+    /// All that happened, so that two runs can be told to be the same.
+    digest: FxHasher,
+    pub steps: u64,
+    /// Addresses that whoever listens there last takes from the former one, as a virtual router's address moves.
+    pub moves: Vec<SocketAddr>,
     /// How long anything takes to get across.
     pub delay: Time,
     /// Bytes are handed over in pieces of this many; 0 for all that there are.
@@ -82,6 +137,12 @@
         listeners: Vec::new(),
         ports: Vec::new(),
         nodes: Vec::new(),
+        paths: BTreeMap::new(),
+        stalled: Vec::new(),
+        chance: ChaCha8Rng::seed_from_u64(0),
+        digest: FxHasher::default(),
+        steps: 0,
+        moves: Vec::new(),
         delay: 2,
         piece: 0,
         next_port: 20_000,
@@ -94,6 +155,78 @@
         self.ways.insert((self.now + wait, self.order), way);
     }
 
+    /// A drawn network; the paths' chances come from this seed.
+    pub fn seed(&mut self, seed: u64) {
+        self.chance = ChaCha8Rng::seed_from_u64(seed);
+    }
+
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    pub fn digest(&self) -> u64 {
+        self.digest.finish()
+    }
+
+    /// Sets what befalls what goes from one node to the other; a cut that is mended lets through what waited.
+    pub fn path(&mut self, from: &Memory, to: &Memory, path: Path) {
+        let key = (from.node, to.node);
+        self.paths.insert(key, path);
+        if !path.cut {
+            let (go, stay) = std::mem::take(&mut self.stalled).into_iter().partition(|s| s.0 == key);
+            self.stalled = stay;
+            let go: Vec<_> = go;
+            go.into_iter().for_each(|(_, way)| self.across(key, way));
+        }
+    }
+
+    /// Sends from one node to another, by their path.
+    fn across(&mut self, key: (usize, usize), way: Way) {
+        let same = Path { delay: self.delay, ..Path::default() };
+        let path = self.paths.get(&key).copied().unwrap_or(same);
+        let datagram = matches!(way, Way::Datagram { .. });
+        if path.cut {
+            if !datagram {
+                self.stalled.push((key, way));
+            }
+            return;
+        }
+        let mut wait = path.delay;
+        if path.jitter > 0 {
+            wait += self.chance.random_range(0..=path.jitter);
+        }
+        let lost = path.lost > 0 && self.chance.random_ratio(path.lost.min(1000), 1000);
+        let twice = path.twice > 0 && self.chance.random_ratio(path.twice.min(1000), 1000);
+        match way {
+            Way::Datagram { .. } if lost => {}
+            Way::Datagram { to, from, bytes } => {
+                if twice {
+                    self.send(wait, Way::Datagram { to, from, bytes: bytes.clone() });
+                    wait += path.delay;
+                }
+                self.send(wait, Way::Datagram { to, from, bytes });
+            }
+            way => {
+                wait += if lost { AGAIN } else { 0 };
+                let end = match &way {
+                    Way::Bytes { end, count, .. }
+                    | Way::Opened { end, count }
+                    | Way::Over { end, count, .. } => Conn::new(*end, *count),
+                    _ => Conn(u64::MAX),
+                };
+                let at = self.now + wait;
+                let wait = match self.end(end) {
+                    Some(e) => {
+                        e.last = e.last.max(at);
+                        e.last - self.now
+                    }
+                    None => wait,
+                };
+                self.send(wait, way);
+            }
+        }
+    }
+
     fn end(&mut self, conn: Conn) -> Option<&mut End> {
         self.ends.get_mut(conn.place()).filter(|e| e.count == conn.count())
     }
@@ -108,7 +241,10 @@
             open: other.is_some(),
             inbox: Buffer::default(),
             read: Buffer::default(),
+            flying: 0,
+            last: 0,
             write: Buffer::default(),
+            at: None,
             paused: false,
             owed: false,
             closing: false,
@@ -116,29 +252,53 @@
         Conn::new(place, self.count)
     }
 
+    /// The address leaves its former owner: what its clients send from now on is answered by a reset, and so is what
+    /// the former owner sends them.
+    fn moved(&mut self, to: usize, at: SocketAddr) {
+        let former = |l: &Option<(usize, SocketAddr)>| l.is_some_and(|l| l.1 == at && l.0 != to);
+        self.listeners.iter_mut().filter(|l| former(l)).for_each(|l| *l = None);
+        let ends = self.ends.iter().filter(|e| e.1.at == Some(at) && e.1.node != to);
+        let gone: Vec<(usize, u32, Option<(usize, u32)>)> =
+            ends.map(|e| (e.0, e.1.count, e.1.other)).collect();
+        for (end, count, other) in gone {
+            let delay = self.delay;
+            self.send(delay, Way::Over { end, count, why: Why::Reset });
+            if let Some((end, count)) = other {
+                self.send(delay, Way::Over { end, count, why: Why::Reset });
+            }
+        }
+    }
+
     /// The end is gone; the other one hears of it after a while.
     fn drop_end(&mut self, conn: Conn, why: Why) {
         if self.end(conn).is_some() {
             let end = self.ends.remove(conn.place());
             if let Some((other, count)) = end.other {
-                let delay = self.delay;
-                self.send(delay, Way::Over { end: other, count, why });
+                self.over(end.node, (other, count), why);
             }
         }
     }
 
+    /// Tells an end that the other one, at that node, is gone.
+    fn over(&mut self, from: usize, (end, count): (usize, u32), why: Why) {
+        if let Some(node) = self.ends.get(end).filter(|e| e.count == count).map(|e| e.node) {
+            self.across((from, node), Way::Over { end, count, why });
+        }
+    }
+
     /// Moves what was written towards the other end, as far as that one takes it.
     fn push(&mut self, conn: Conn) {
         let Some(end) = self.end(conn) else { return };
         let Some((other, count)) = end.other.filter(|_| end.open && !end.write.is_empty()) else { return };
-        let bytes = end.write.data().to_vec();
-        let delay = self.delay;
+        let from = end.node;
+        let mut bytes = end.write.data().to_vec();
         let Some(to) = self.ends.get_mut(other).filter(|e| e.count == count) else { return };
-        let room = READ_MOST.saturating_sub(to.inbox.len());
-        let taken = bytes.len().min(room);
-        to.inbox.push(&bytes[..taken]);
+        let room = READ_MOST.saturating_sub(to.inbox.len() + to.flying);
+        bytes.truncate(room);
+        let (taken, node) = (bytes.len(), to.node);
+        to.flying += taken;
         if taken > 0 {
-            self.send(delay, Way::Bytes { end: other, count });
+            self.across((from, node), Way::Bytes { end: other, count, bytes });
         }
         if let Some(end) = self.end(conn) {
             end.write.used(taken);
@@ -159,11 +319,28 @@
         w.nodes[self.node].dead = true;
         let node = self.node;
         w.listeners.iter_mut().filter(|l| l.is_some_and(|l| l.0 == node)).for_each(|l| *l = None);
+        w.ports.iter_mut().filter(|p| p.is_some_and(|p| p.0 == node)).for_each(|p| *p = None);
         let gone: Vec<Conn> =
             w.ends.iter().filter(|e| e.1.node == node).map(|e| Conn::new(e.0, e.1.count)).collect();
         gone.into_iter().for_each(|conn| w.drop_end(conn, Why::Reset));
     }
 
+    pub fn dead(&self) -> bool {
+        self.world.borrow().nodes[self.node].dead
+    }
+
+    /// A dead node's place serves another life, which knows nothing of the former one.
+    pub fn restart(&self) {
+        let mut w = self.world.borrow_mut();
+        let ppm = w.nodes[self.node].ppm;
+        w.nodes[self.node] = Node { ppm, ..Node::default() };
+    }
+
+    /// Its clock runs faster by so many millionths.
+    pub fn clock(&self, ppm: i64) {
+        self.world.borrow_mut().nodes[self.node].ppm = ppm;
+    }
+
     /// It stands still: what happens meanwhile is found all at once when it goes on.
     pub fn still(&self, on: bool) {
         let mut w = self.world.borrow_mut();
@@ -184,16 +361,17 @@
         let mut w = self.world.borrow_mut();
         let count = conn.count();
         w.send(0, Way::Over { end: conn.place(), count, why: Why::Reset });
-        let other = w.end(conn).and_then(|e| e.other);
-        if let Some((end, count)) = other {
-            w.send(0, Way::Over { end, count, why: Why::Reset });
+        let other = w.end(conn).and_then(|e| Some((e.node, e.other?)));
+        if let Some((from, other)) = other {
+            w.over(from, other, Why::Reset);
         }
     }
 }
 
 impl Net for Memory {
     fn now(&self) -> Time {
-        self.world.borrow().now
+        let w = self.world.borrow();
+        w.nodes[self.node].local(w.now)
     }
 
     fn stood(&self) -> Time {
@@ -221,6 +399,9 @@
             w.next_port += 1;
             at.set_port(w.next_port);
         }
+        if w.moves.contains(&at) {
+            w.moved(self.node, at);
+        }
         if w.listeners.iter().flatten().any(|l| l.1 == at) {
             return Err(io::ErrorKind::AddrInUse.into());
         }
@@ -237,7 +418,12 @@
         let mut w = self.world.borrow_mut();
         let conn = w.add(self.node, to, None);
         let (end, count, delay) = (conn.place(), conn.count(), w.delay);
-        w.send(delay, Way::Knock { end, count, to });
+        let node = w.listeners.iter().flatten().find(|l| l.1 == to).map(|l| l.0);
+        let knock = Way::Knock { end, count, to };
+        match node {
+            Some(node) => w.across((self.node, node), knock),
+            None => w.send(delay, knock),
+        }
         w.send(within, Way::Late { end, count });
         conn
     }
@@ -263,7 +449,7 @@
         let Some(end) = w.end(conn) else { return };
         end.paused = on;
         let (end, count) = (conn.place(), conn.count());
-        w.send(0, Way::Bytes { end, count });
+        w.send(0, Way::Bytes { end, count, bytes: Vec::new() });
     }
 
     fn close(&mut self, conn: Conn) {
@@ -291,20 +477,25 @@
             at.set_port(w.next_port);
         }
         let node = self.node;
-        w.ports.push((node, at));
+        if w.ports.iter().flatten().any(|p| p.1 == at) {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        w.ports.push(Some((node, at)));
         Ok((Port(w.ports.len() - 1), at))
     }
 
     fn send(&mut self, port: Port, to: SocketAddr, bytes: &[u8]) {
         let mut w = self.world.borrow_mut();
-        let (from, delay) = (w.ports[port.0].1, w.delay);
-        w.send(delay, Way::Datagram { to, from, bytes: bytes.to_vec() });
+        let Some((_, from)) = w.ports[port.0] else { return };
+        let Some(node) = w.ports.iter().flatten().find(|p| p.1 == to).map(|p| p.0) else { return };
+        w.across((self.node, node), Way::Datagram { to, from, bytes: bytes.to_vec() });
     }
 
     fn set(&mut self, at: Time, token: u64) -> Deadline {
         let mut w = self.world.borrow_mut();
-        let at = at.max(w.now);
-        w.nodes[self.node].wheel.insert(at, token)
+        let node = self.node;
+        let at = at.max(w.nodes[node].local(w.now));
+        w.nodes[node].wheel.insert(at, token)
     }
 
     fn clear(&mut self, deadline: Deadline) {
@@ -323,20 +514,25 @@
     let mut w = world.borrow_mut();
     let way = w.ways.first_key_value().map(|e| e.0 .0);
     let live = |n: &Node| !n.dead && n.still.is_none();
-    let due = w.nodes.iter().enumerate().filter(|n| live(n.1)).filter_map(|n| Some((n.1.wheel.next()?, n.0)));
+    let due = w.nodes.iter().enumerate().filter(|n| live(n.1));
+    let due = due.filter_map(|n| Some((n.1.global(n.1.wheel.next()?), n.0)));
     let due = due.min();
     // Bytes go before timers of the same moment, as on sockets.
     if way.is_some_and(|at| at <= until && due.is_none_or(|d| at <= d.0)) {
         let ((at, _), way) = w.ways.pop_first().expect("it was there");
         w.now = w.now.max(at);
+        w.steps += 1;
         drop(w);
         happen(world, apps, way);
         return true;
     }
     if let Some((at, node)) = due.filter(|d| d.0 <= until) {
         w.now = w.now.max(at);
-        let now = w.now;
+        w.steps += 1;
+        let now = w.nodes[node].local(w.now);
         let token = w.nodes[node].wheel.pop(now);
+        w.digest.write_u64(at);
+        w.digest.write_u64(token.unwrap_or(0) ^ (node as u64) << 48);
         drop(w);
         if let Some(token) = token {
             apps[node].due(token);
@@ -356,10 +552,10 @@
     let mut w = world.borrow_mut();
     let node = match &way {
         Way::Knock { to, .. } => w.listeners.iter().flatten().find(|l| l.1 == *to).map(|l| l.0),
-        Way::Datagram { to, .. } => w.ports.iter().find(|p| p.1 == *to).map(|p| p.0),
+        Way::Datagram { to, .. } => w.ports.iter().flatten().find(|p| p.1 == *to).map(|p| p.0),
         Way::Opened { end, count }
         | Way::Late { end, count }
-        | Way::Bytes { end, count }
+        | Way::Bytes { end, count, .. }
         | Way::Over { end, count, .. } => w.ends.get(*end).filter(|e| e.count == *count).map(|e| e.node),
     };
     if let Some(node) = node {
@@ -372,6 +568,21 @@
             return;
         }
     }
+    let at = w.now;
+    w.digest.write_u64(at);
+    match &way {
+        Way::Bytes { end, bytes, .. } => {
+            w.digest.write_usize(*end);
+            w.digest.write(bytes);
+        }
+        Way::Datagram { bytes, .. } => w.digest.write(bytes),
+        Way::Knock { end, .. }
+        | Way::Opened { end, .. }
+        | Way::Late { end, .. }
+        | Way::Over { end, .. } => {
+            w.digest.write_usize(*end);
+        }
+    }
     let delay = w.delay;
     match way {
         Way::Knock { end, count, to } => {
@@ -384,8 +595,12 @@
             }
             let from = w.ends[end].from;
             let conn = w.add(node, from, Some((end, count)));
+            if let Some(e) = w.end(conn) {
+                e.at = Some(to);
+            }
             w.ends[end].other = Some((conn.place(), conn.count()));
-            w.send(delay, Way::Opened { end, count });
+            let knocked = w.ends[end].node;
+            w.across((node, knocked), Way::Opened { end, count });
             drop(w);
             apps[node].accepted(Listener(place), conn, from);
         }
@@ -404,8 +619,12 @@
             drop(w);
             apps[node].closed(conn, Why::TimedOut);
         }
-        Way::Bytes { end, count } => {
+        Way::Bytes { end, count, bytes: came } => {
             let Some(node) = node else { return };
+            if let Some(e) = w.end(Conn::new(end, count)) {
+                e.flying -= came.len();
+                e.inbox.push(&came);
+            }
             drop(w);
             bytes(world, apps, node, Conn::new(end, count));
         }
@@ -426,7 +645,7 @@
             apps[node].closed(conn, why);
         }
         Way::Datagram { from, to, bytes } => {
-            let port = w.ports.iter().position(|p| p.1 == to);
+            let port = w.ports.iter().position(|p| p.is_some_and(|p| p.1 == to));
             drop(w);
             if let (Some(node), Some(port)) = (node, port) {
                 apps[node].datagram(Port(port), from, &bytes);
@@ -459,7 +678,7 @@
         end.read = read;
     }
     if more {
-        w.send(0, Way::Bytes { end: conn.place(), count: conn.count() });
+        w.send(0, Way::Bytes { end: conn.place(), count: conn.count(), bytes: Vec::new() });
     }
     if full {
         w.send(0, Way::Over { end: conn.place(), count: conn.count(), why: Why::Reset });
--- /dev/null
+++ b/crates/tidewall-pair/src/fate.rs
@@ -0,0 +1,67 @@
+//! What a new master does with an event that the old one had in hand, by its kind, the time that is left, and what is
+//! proven of its launches.
+use crate::Time;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Redeliverable,
+    /// A repeat is dropped everywhere (`all`) or within a group only, for the window.
+    Keyed {
+        all: bool,
+        window: Time,
+    },
+    AtMostOnce,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Sent, and no end is known.
+    Out,
+    ProvenNotRun,
+    MayHaveRun,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Launch {
+    pub wk: usize,
+    pub at: Time,
+    pub state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It is taken as if it came anew.
+    Continue,
+    /// A launch may still be out, and two at once are barred: until its worker is fenced.
+    Await,
+    DeadLetter,
+    /// Nothing has run: whoever asks again may begin anew, or come back later.
+    Forget,
+}
+
+/// Less than this is left: no launch would come back in time. Twice the least lag that a busy machine shows.
+pub const LEAST: Time = 100;
+
+/// `fenced` tells whether nothing of the old master's is out at a worker any more.
+pub fn fate(
+    kind: Kind,
+    two_at_once: bool,
+    (now, until): (Time, Time),
+    launches: &[Launch],
+    fenced: impl Fn(usize) -> bool,
+) -> Fate {
+    let unproven = || launches.iter().filter(|l| l.state != State::ProvenNotRun);
+    let clean = unproven().next().is_none();
+    let out = unproven().any(|l| l.state == State::Out && !fenced(l.wk));
+    let late = now + LEAST >= until;
+    match kind {
+        _ if clean && late => Fate::Forget,
+        _ if clean => Fate::Continue,
+        _ if late => Fate::DeadLetter,
+        Kind::AtMostOnce => Fate::DeadLetter,
+        Kind::Keyed { all: false, .. } => Fate::DeadLetter,
+        Kind::Keyed { window, .. } if unproven().any(|l| now + LEAST >= l.at + window) => Fate::DeadLetter,
+        _ if out && !two_at_once => Fate::Await,
+        _ => Fate::Continue,
+    }
+}
--- /dev/null
+++ b/crates/tidewall-pair/src/known.rs
@@ -0,0 +1,105 @@
+//! What became of the events of a pair, by type and mark: in hand here, in hand at the other member, or answered. Bounded
+//! by count and by time. Entries live in a slab; the map is only looked up.
+use crate::Time;
+use rustc_hash::FxHashMap;
+use slab::Slab;
+use std::collections::VecDeque;
+
+/// Answers that are kept at most: at a thousand events a second, a minute's worth.
+pub const MOST: usize = 65_536;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Place {
+    Here(usize),
+    There(usize),
+    /// The word's number and the payload.
+    Answered(u8, Box<[u8]>),
+}
+
+pub struct Entry {
+    pub typ: usize,
+    pub mark: Box<[u8]>,
+    pub place: Place,
+    pub until: Time,
+    count: u64,
+}
+
+#[derive(Default)]
+pub struct Known {
+    keys: FxHashMap<(usize, Box<[u8]>), usize>,
+    entries: Slab<Entry>,
+    /// When answers end, oldest first.
+    ends: VecDeque<(Time, usize, u64)>,
+    count: u64,
+}
+
+impl Known {
+    pub fn find(&mut self, now: Time, typ: usize, mark: &[u8]) -> Option<&Place> {
+        self.forget(now);
+        let key = *self.keys.get(&(typ, mark.into()))?;
+        Some(&self.entries[key].place)
+    }
+
+    /// In hand, here or there.
+    pub fn hold(&mut self, typ: usize, mark: &[u8], place: Place) {
+        if !mark.is_empty() {
+            self.put(typ, mark, place, Time::MAX);
+        }
+    }
+
+    fn put(&mut self, typ: usize, mark: &[u8], place: Place, until: Time) -> usize {
+        self.count += 1;
+        let entry = Entry { typ, mark: mark.into(), place, until, count: self.count };
+        match self.keys.get(&(typ, mark.into())) {
+            Some(key) => {
+                self.entries[*key] = entry;
+                *key
+            }
+            None => {
+                let key = self.entries.insert(entry);
+                self.keys.insert((typ, mark.into()), key);
+                key
+            }
+        }
+    }
+
+    /// Its answer is given again until then.
+    pub fn answered(&mut self, now: Time, typ: usize, mark: &[u8], word: u8, payload: &[u8], until: Time) {
+        if mark.is_empty() {
+            return;
+        }
+        let key = self.put(typ, mark, Place::Answered(word, payload.into()), until);
+        self.ends.push_back((until, key, self.count));
+        self.forget(now);
+    }
+
+    /// It may be asked anew.
+    pub fn remove(&mut self, typ: usize, mark: &[u8]) {
+        if let Some(key) = self.keys.remove(&(typ, mark.into())) {
+            self.entries.remove(key);
+        }
+    }
+
+    fn forget(&mut self, now: Time) {
+        while self.ends.front().is_some_and(|e| e.0 <= now) || self.ends.len() > MOST {
+            let Some((_, key, count)) = self.ends.pop_front() else { return };
+            if self.entries.get(key).is_some_and(|e| e.count == count) {
+                let entry = self.entries.remove(key);
+                self.keys.remove(&(entry.typ, entry.mark));
+            }
+        }
+    }
+
+    /// The next entry from this place on, in the order of places.
+    pub fn next(&self, from: usize) -> Option<(usize, &Entry)> {
+        (from..self.entries.capacity()).find_map(|key| Some((key, self.entries.get(key)?)))
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/tidewall-pair/src/ration.rs
@@ -0,0 +1,50 @@
+//! The ration of load orders over both lives: what the old master ordered and took within the window counts for the new
+//! one as well, or each takeover would bring a fresh ration. The decisions keep their own; this one only refuses.
+use crate::Time;
+use std::collections::VecDeque;
+
+pub struct Ration {
+    window: Time,
+    free: f64,
+    share: f64,
+    orders: VecDeque<Time>,
+    taken: VecDeque<Time>,
+}
+
+impl Ration {
+    /// A window of 0 rations nothing.
+    pub fn new(window: Time, free: f64, share: f64) -> Ration {
+        Ration { window, free, share, orders: VecDeque::new(), taken: VecDeque::new() }
+    }
+
+    fn forget(&mut self, now: Time) {
+        let window = self.window;
+        let old = |at: Option<&Time>| at.is_some_and(|at| at + window <= now);
+        while old(self.taken.front()) {
+            self.taken.pop_front();
+        }
+        while old(self.orders.front()) {
+            self.orders.pop_front();
+        }
+    }
+
+    pub fn took(&mut self, now: Time) {
+        if self.window > 0 {
+            self.forget(now);
+            self.taken.push_back(now);
+        }
+    }
+
+    pub fn ordered(&mut self, now: Time) {
+        if self.window > 0 {
+            self.forget(now);
+            self.orders.push_back(now);
+        }
+    }
+
+    /// Whether one more order is within the ration.
+    pub fn room(&mut self, now: Time) -> bool {
+        self.forget(now);
+        self.window == 0 || (self.orders.len() + 1) as f64 <= self.free + self.share * self.taken.len() as f64
+    }
+}
--- a/crates/tidewall-standins/src/clients.rs
+++ b/crates/tidewall-standins/src/clients.rs
@@ -36,6 +36,8 @@
     /// Confirms that did not say what the answer said, or came for none.
     pub confirms_wrong: u64,
     pub confirms: u64,
+    /// Events that were asked for again after their connection broke.
+    pub asked_again: u64,
     /// Events that their terminals let go, publishes by a second terminal, guests that were let in or not.
     pub let_go: u64,
     pub twins: u64,
@@ -74,12 +76,16 @@
     at: Option<(usize, usize)>,
     sent: bool,
     deadline: Option<Deadline>,
+    /// When this try's client gives up.
+    ends: Time,
     leaves: Option<Deadline>,
     /// A terminal asks this gateway again, as long as its process is certainly the same one.
     stick: Option<(usize, u64)>,
     stuck: bool,
     /// The same publish by another terminal: it is not asked again and does not count.
     twin: bool,
+    /// This try was sent; of a pair, it is sent again when a connection stands again.
+    asked: bool,
 }
 
 /// What one terminal told, kept until its bytes are read.
@@ -144,6 +150,11 @@
     pub amqp: bool,
     words: BTreeMap<u64, bool>,
     pub until: Time,
+    /// The gateway is a pair behind one address: what is out is asked for again, and older epochs are not heard.
+    pair: bool,
+    epoch: u64,
+    /// Pauses between the last connection's end and the next one's beginning.
+    pub pauses: Vec<Time>,
     pub burst: f64,
     pub heavy: f64,
     /// Terminals publish twice; their clocks are wrong by this factor.
@@ -158,6 +169,9 @@
 /// A connection is tried again after this long.
 const AGAIN: Time = 1_000;
 
+/// One of a pair's address is tried again after this long: a takeover should cost little more than it takes.
+const SOON: Time = 50;
+
 /// The part of clients that leave early, after a third of their patience.
 const IMPATIENT: u32 = 100;
 
@@ -210,6 +224,9 @@
             amqp,
             words: BTreeMap::new(),
             until: Time::MAX,
+            pair: settings.has("pair"),
+            epoch: 0,
+            pauses: Vec::new(),
             burst: 1.0,
             heavy: 1.0,
             twice: false,
@@ -228,6 +245,7 @@
                 unreachable: 0,
                 confirms_wrong: 0,
                 confirms: 0,
+                asked_again: 0,
                 let_go: 0,
                 twins: 0,
                 guests: 0,
@@ -258,7 +276,7 @@
     }
 
     pub fn connect<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
-        let conn = g.net.connect(self.gateways[gw].at, AGAIN);
+        let conn = g.net.connect(self.gateways[gw].at, if self.pair { AGAIN / 2 } else { AGAIN });
         g.own(conn, Owner::Client { gw, n });
         self.gateways[gw].conns[n] = (Some(conn), false);
     }
@@ -286,11 +304,19 @@
         gateway.broken += u64::from(!cut);
         if gateway.down.is_none() && gateway.conns.iter().all(|c| !c.1) {
             gateway.down = Some(now);
+            if self.pair {
+                g.row(Row { k: Kind::Away, gw, ..Row::default() });
+            }
         }
-        g.net.set(now + AGAIN, of::CONNECT | (gw as u64) << 32 | n as u64);
+        let again = if self.pair { SOON } else { AGAIN };
+        g.net.set(now + again, of::CONNECT | (gw as u64) << 32 | n as u64);
         if cut {
             return self.let_go(g, gw, n);
         }
+        if self.pair {
+            self.events.iter_mut().filter(|e| e.1.at == Some((gw, n))).for_each(|e| e.1.sent = false);
+            return;
+        }
         let out: Vec<usize> =
             self.events.iter().filter(|e| e.1.at == Some((gw, n)) && e.1.sent).map(|e| e.0).collect();
         for key in out {
@@ -415,6 +441,19 @@
         e.number * TRIES + e.tries - 1
     }
 
+    /// What is out is asked for again, by the same id and mark.
+    fn ask_again<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        let now = g.net.now();
+        let out: Vec<usize> =
+            self.events.iter().filter(|e| !e.1.sent && e.1.deadline.is_some()).map(|e| e.0).collect();
+        for key in out {
+            let left = self.events[key].ends.saturating_sub(now);
+            if left > 0 {
+                self.ask(g, key, (gw, n), left);
+            }
+        }
+    }
+
     /// The next arrival, and the one after it.
     pub fn next<N: Net>(&mut self, g: &mut Ground<N>) {
         let now = g.net.now();
@@ -458,10 +497,12 @@
             at: None,
             sent: false,
             deadline: None,
+            ends: 0,
             leaves: None,
             stick: None,
             stuck: false,
             twin: false,
+            asked: false,
         };
         let key = self.events.insert(event);
         self.results.events += 1;
@@ -496,6 +537,14 @@
         let gateway = &mut self.gateways[gw];
         gateway.turn += 1;
         let ready: Vec<usize> = (0..gateway.conns.len()).filter(|n| gateway.conns[*n].1).collect();
+        if ready.is_empty() && self.pair {
+            // It waits for a connection, as long as its client does.
+            let e = &mut self.events[key];
+            (e.ends, e.asked, e.sent, e.at) = (now + left, false, false, Some((gw, usize::MAX)));
+            let late = g.net.set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
+            self.events[key].deadline = Some(late);
+            return;
+        }
         if ready.is_empty() {
             self.results.unreachable += 1;
             self.events[key].stick = stick;
@@ -503,8 +552,24 @@
         }
         let n = ready[gateway.turn % ready.len()];
         let other = ready[(gateway.turn + 1) % ready.len()];
-        let conn = gateway.conns[n].0.expect("it is ready");
+        let ends = now + left;
+        (self.events[key].ends, self.events[key].asked) = (ends, false);
+        self.events[key].deadline = Some(g.net.set(ends + tidewall_audit::GRACE, of::LATE | key as u64));
+        // AMQP knows no leaving.
+        if g.chance.random_ratio(1, self.impatient) && !self.amqp && !self.pair {
+            self.events[key].leaves = Some(g.net.set(now + left / 3, of::LEAVE | key as u64));
+        }
+        self.ask(g, key, (gw, n), left);
+        if self.twice && self.amqp && other != n && self.events.get(key).is_some_and(|e| e.sent) {
+            self.twin(g, key, (gw, other), left);
+        }
+    }
+
+    /// Sends one try on a connection, whose client gives up after `left`.
+    fn ask<N: Net>(&mut self, g: &mut Ground<N>, key: usize, (gw, n): (usize, usize), left: Time) {
+        let Some(conn) = self.gateways[gw].conns[n].0 else { return };
         let (evt, program) = (self.id(key), &g.programs[self.events[key].program]);
+        let typ = program.typ;
         let e = &mut self.events[key];
         let mut payload = vec![0; self.payload.max(4)];
         payload[..4].copy_from_slice(&(e.work.ceil() as u32).to_be_bytes());
@@ -522,22 +587,21 @@
                 .whole(Field::Hint, program.work as u64)
                 .whole(Field::LoadHint, program.fetch + program.start);
             let f = f.whole(Field::Left, left).bytes(Field::Mark, &mark(evt).to_be_bytes());
-            f.flag(Field::Resent, e.tries > 1).bytes(Field::Payload, &payload).end();
+            f.flag(Field::Resent, e.tries > 1 || e.asked).bytes(Field::Payload, &payload).end();
         }
         (e.at, e.sent) = (Some((gw, n)), true);
-        e.deadline = Some(g.net.set(now + left + tidewall_audit::GRACE, of::LATE | key as u64));
-        // AMQP knows no leaving.
-        if g.chance.random_ratio(1, self.impatient) && !self.amqp {
-            e.leaves = Some(g.net.set(now + left / 3, of::LEAVE | key as u64));
-        }
+        let again = std::mem::replace(&mut e.asked, true);
         // On record before it is on the wire, or its launch might seem to come first.
-        g.row(Row { k: Kind::Asked, evt, gw, typ, left, ..Row::default() });
+        let k = if again { Kind::AskedAgain } else { Kind::Asked };
+        g.row(Row { k, evt, gw, typ, left, ..Row::default() });
+        self.results.asked_again += u64::from(again);
         if !g.net.write(conn, &g.out) {
+            if self.pair {
+                self.events[key].sent = false;
+                return;
+            }
             g.row(Row { k: Kind::TurnedAway, evt, gw, ..Row::default() });
-            return self.over(g, key, true, 0);
-        }
-        if self.twice && self.amqp && other != n {
-            self.twin(g, key, (gw, other), left, &payload);
+            self.over(g, key, true, 0);
         }
     }
 
@@ -548,7 +612,6 @@
         of: usize,
         (gw, n): (usize, usize),
         left: Time,
-        payload: &[u8],
     ) {
         let now = g.net.now();
         let e = &self.events[of];
@@ -556,13 +619,15 @@
             return;
         }
         let (typ, program) = (g.programs[e.program].typ, &g.programs[e.program]);
+        let mut payload = vec![0; self.payload.max(4)];
+        payload[..4].copy_from_slice(&(e.work.ceil() as u32).to_be_bytes());
         let at = Some((gw, n));
         let twin = Event { tries: TRIES, at, sent: true, deadline: None, leaves: None, twin: true, ..*e };
         let key = self.events.insert(twin);
         let evt = self.id(key);
         g.out.clear();
         let name = format!("{}.{}", self.types[typ].name, program.name);
-        self.gateways[gw].terminals[n].publish(&mut g.out, evt, &name, left / 10, mark(evt), false, payload);
+        self.gateways[gw].terminals[n].publish(&mut g.out, evt, &name, left / 10, mark(evt), false, &payload);
         let late = g.net.set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
         self.events[key].deadline = Some(late);
         self.results.twins += 1;
@@ -610,13 +675,29 @@
         match fields.kind()? {
             kind::HELLO => {
                 wire::greeted(fields)?;
+                let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
+                if epoch < self.epoch {
+                    return Err(format!("field epoch: {epoch} is older than {}", self.epoch));
+                }
+                self.epoch = epoch;
                 self.gateways[gw].conns[n].1 = true;
-                self.gateways[gw].down = None;
+                let since = self.gateways[gw].down.take();
+                if let Some(since) = since.filter(|_| self.pair) {
+                    self.pauses.push(g.net.now() - since);
+                    g.row(Row { k: Kind::Back, gw, ..Row::default() });
+                }
+                if self.pair {
+                    self.ask_again(g, gw, n);
+                }
                 Ok(())
             }
             kind::ANSWER => {
                 let (evt, word) = (fields.whole(Field::Id)?, fields.text(Field::Word)?);
                 let come_back = fields.upto(Field::ComeBack, 1 << 30, 0)?;
+                if self.pair && word == "turned-away" && fields.word(Field::Reason)? == "draining" {
+                    // Another one serves: it is asked there.
+                    return Err("another member serves".to_string());
+                }
                 self.answer(g, gw, evt, word, come_back)
             }
             kind::BEGUN => Ok(()),
@@ -710,6 +791,11 @@
     /// Its time passed, and the grace with it.
     pub fn late<N: Net>(&mut self, g: &mut Ground<N>, key: usize) {
         let (evt, gw) = (self.id(key), self.events[key].at.map_or(0, |a| a.0));
+        if self.pair && !self.events[key].asked {
+            self.results.unreachable += 1;
+            self.events[key].deadline = None;
+            return self.over(g, key, true, 0);
+        }
         g.row(Row { k: Kind::GaveUp, evt, gw, ..Row::default() });
         self.results.lapsed += u64::from(!self.events[key].twin);
         self.events[key].deadline = None;
--- a/crates/tidewall-standins/src/lib.rs
+++ b/crates/tidewall-standins/src/lib.rs
@@ -145,6 +145,10 @@
     pub amqp: bool,
     pub record: Box<dyn Write>,
     pub gateways: Box<dyn Gateways>,
+    /// Whether workers look at a pair's epochs; not only where the audit is to notice.
+    pub fences: bool,
+    /// Voters that forget what they promised: as above.
+    pub forgets: bool,
 }
 
 /// Later than the last event's max age by this, the day ends.
@@ -165,6 +169,8 @@
         };
         let depot = Depot::new(&mut ground, &fleet.section("depot"))?;
         let workers = Workers::new(&mut ground, settings, &fleet, depot.at)?;
+        let mut workers = workers;
+        (workers.fences, workers.forgets) = (plan.fences, plan.forgets);
         ground.line(&rules(settings, &workers));
         let roster = Roster::new(&mut ground, settings, &fleet, &workers)?;
         let clients = Clients::new(&mut ground, settings, &fleet, plan.seed, plan.amqp);
@@ -192,6 +198,16 @@
         (self.workers.loads, self.workers.misses, self.workers.dropped)
     }
 
+    /// How long clients found nobody at a pair's address, each time.
+    pub fn pauses(&self) -> &[Time] {
+        &self.clients.pauses
+    }
+
+    /// Launches of a pair's member that were refused as it no longer serves.
+    pub fn refused(&self) -> u64 {
+        self.workers.refused
+    }
+
     pub fn roster_at(&self) -> SocketAddr {
         self.roster.at
     }
@@ -260,6 +276,7 @@
         load_window: loading.span("window_ms"),
         load_free: loading.number("free"),
         load_share: loading.number("share"),
+        pair: settings.has("pair"),
     }
 }
 
--- a/crates/tidewall-standins/src/workers.rs
+++ b/crates/tidewall-standins/src/workers.rs
@@ -7,6 +7,7 @@
 use tidewall_audit::rows::{Kind, Row, TRIES};
 use tidewall_config::Section;
 use tidewall_net::{Conn, Deadline, Listener, Net, Time};
+use tidewall_pair::promise::{Claim, Promise};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 
 /// Where a worker stands.
@@ -67,6 +68,10 @@
     pub slow: f64,
     pub late_reports: bool,
     gateways: Vec<(Conn, usize)>,
+    /// Which member of a pair a connection is of, from 1 on.
+    members: Vec<(Conn, usize)>,
+    /// What it keeps for a pair, across its own restarts.
+    promise: Promise,
     depot: Option<Conn>,
     depot_up: bool,
     runs: Slab<Run>,
@@ -97,6 +102,11 @@
     pub dropped: u64,
     /// Workers that fell over since this was last asked.
     pub fell: Vec<usize>,
+    /// Whether epochs are looked at: turned off only to show that the audit notices.
+    pub fences: bool,
+    pub forgets: bool,
+    /// Launches of a member that no longer serves.
+    pub refused: u64,
 }
 
 /// How often idle copies and old marks are looked at.
@@ -146,6 +156,8 @@
                     slow: 1.0,
                     late_reports: false,
                     gateways: Vec::new(),
+                    members: Vec::new(),
+                    promise: Promise::default(),
                     depot: None,
                     depot_up: false,
                     runs: Slab::new(),
@@ -176,6 +188,9 @@
             misses: 0,
             dropped: 0,
             fell: Vec::new(),
+            fences: true,
+            forgets: false,
+            refused: 0,
         })
     }
 
@@ -201,6 +216,10 @@
             kind::HELLO => {
                 wire::greeted(fields)?;
                 gw.1 = fields.whole(Field::Life)? as usize;
+                let member = fields.upto(Field::Member, 2, 0)? as usize;
+                if member > 0 {
+                    w.members.push((conn, member));
+                }
                 let age = if w.since > 0 { (g.net.now() - w.since).max(1) } else { 0 };
                 g.out.clear();
                 let f = Frame::new(&mut g.out, kind::HELLO).whole(Field::Version, wire::VERSION);
@@ -212,6 +231,7 @@
             _ => gw.1,
         };
         match fields.kind()? {
+            kind::PREPARE | kind::ACCEPT => self.vote(g, wk, conn, fields),
             kind::LAUNCH => self.launch(g, wk, conn, gw, fields),
             kind::CANCEL => {
                 let id = fields.whole(Field::Id)?;
@@ -229,6 +249,10 @@
             kind::HOLD => {
                 let (id, copies) = (fields.whole(Field::Id)?, fields.upto(Field::Copies, 16, 0)?);
                 let name = fields.text(Field::Function)?;
+                if !self.may(wk, conn, fields)? {
+                    self.held(g, wk, conn, id, "fenced", 0);
+                    return Ok(());
+                }
                 g.row(Row { k: Kind::Ordered, gw, wk, copies, ..Row::default() });
                 let program = g.programs.iter().position(|p| p.name == name);
                 match program {
@@ -263,6 +287,61 @@
         }
     }
 
+    /// Whether this came from a member of a pair that may still send.
+    fn may(&self, wk: usize, conn: Conn, fields: &Fields) -> Result<bool, String> {
+        let w = &self.list[wk];
+        let member = w.members.iter().find(|m| m.0 == conn).map(|m| m.1);
+        let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
+        Ok(!self.fences || member.is_none_or(|m| w.promise.may(m - 1, epoch)))
+    }
+
+    /// A pair's question: what was promised and accepted here.
+    fn vote<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        wk: usize,
+        conn: Conn,
+        fields: &Fields,
+    ) -> Result<(), String> {
+        let (id, ballot) = (fields.whole(Field::Id)?, fields.whole(Field::Ballot)?);
+        let whole = |field| fields.upto(field, u64::MAX, 0);
+        if self.forgets {
+            self.list[wk].promise = Promise::default();
+        }
+        let promise = &mut self.list[wk].promise;
+        let good = if fields.kind()? == kind::PREPARE {
+            promise.prepare(ballot)
+        } else {
+            promise.accept(Claim {
+                epoch: whole(Field::Epoch)?,
+                member: fields.upto(Field::Member, 2, 1)?.max(1) as usize - 1,
+                sync: [whole(Field::SyncA)?, whole(Field::SyncB)?],
+                floor: whole(Field::Floor)?,
+            })
+        };
+        let p = *promise;
+        if good && self.fences {
+            // Whoever no longer serves has nothing out here any more.
+            let w = &self.list[wk];
+            let ends: Vec<Conn> = w.members.iter().filter(|m| p.ends(m.1 - 1)).map(|m| m.0).collect();
+            for old in ends {
+                self.gateway_gone(g, wk, old);
+                g.own(old, Owner::Nobody);
+                g.net.reset(old);
+            }
+        }
+        if g.net.now() < self.list[wk].silent {
+            return Ok(());
+        }
+        g.out.clear();
+        let f = Frame::new(&mut g.out, kind::PROMISED).whole(Field::Id, id).flag(Field::On, good);
+        let f = f.whole(Field::Ballot, p.promised).whole(Field::Epoch, p.accepted.epoch);
+        let f = f.whole(Field::Member, p.accepted.member as u64 + 1).whole(Field::Floor, p.accepted.floor);
+        f.whole(Field::SyncA, p.accepted.sync[0]).whole(Field::SyncB, p.accepted.sync[1]).end();
+        g.net.write(conn, &g.out);
+        Ok(())
+    }
+
     fn told<'a>(&self, f: Frame<'a>, flight: f64, busy: f64) -> Frame<'a> {
         let f = if self.in_flight { f.real(Field::InFlight, flight) } else { f };
         if self.busy {
@@ -316,6 +395,15 @@
         let work = told.unwrap_or(g.programs[program].work);
         let mark = mark.first_chunk::<8>().map_or(0, |b| u64::from_be_bytes(*b));
         let typ = g.programs[program].typ;
+        if !self.may(wk, conn, fields)? {
+            // It reached nobody who would run it.
+            self.refused += 1;
+            g.out.clear();
+            let f = Frame::new(&mut g.out, kind::END).whole(Field::Id, id);
+            f.text(Field::Outcome, "fenced").end();
+            g.net.write(conn, &g.out);
+            return Ok(());
+        }
         g.row(Row { k: Kind::Launched, gw, wk, evt, typ, work, ..Row::default() });
         self.push(g, wk, work);
         if !self.list[wk].up {
@@ -633,6 +721,7 @@
     pub fn gateway_gone<N: Net>(&mut self, g: &mut Ground<N>, wk: usize, conn: Conn) {
         let w = &mut self.list[wk];
         w.gateways.retain(|c| c.0 != conn);
+        w.members.retain(|c| c.0 != conn);
         let out: Vec<u64> = w.runs.iter().filter(|r| r.1.conn == conn).map(|r| r.1.evt).collect();
         out.into_iter().for_each(|evt| g.row(Row { k: Kind::Cut, wk, evt, ..Row::default() }));
     }
@@ -697,6 +786,7 @@
 
     /// Breaks its connections in the middle of a frame.
     pub fn torn<N: Net>(&mut self, g: &mut Ground<N>, wk: usize) {
+        self.list[wk].members.clear();
         for (conn, _) in std::mem::take(&mut self.list[wk].gateways) {
             let out: Vec<u64> =
                 self.list[wk].runs.iter().filter(|r| r.1.conn == conn).map(|r| r.1.evt).collect();
--- a/crates/tidewall-wire/src/lib.rs
+++ b/crates/tidewall-wire/src/lib.rs
@@ -33,6 +33,22 @@
     pub const FETCH: u64 = 40;
     pub const FETCHED: u64 = 41;
     pub const PEER: u64 = 50;
+    pub const PING: u64 = 60;
+    pub const COPY: u64 = 61;
+    pub const TAKEN: u64 = 62;
+    pub const LAUNCHED: u64 = 63;
+    pub const OVER: u64 = 64;
+    pub const ANSWERED: u64 = 65;
+    pub const GONE: u64 = 66;
+    pub const ORDERED: u64 = 67;
+    pub const COPIED: u64 = 68;
+    pub const RECORDED: u64 = 69;
+    pub const YIELD: u64 = 70;
+    pub const YIELDED: u64 = 71;
+    pub const STATUS: u64 = 72;
+    pub const PREPARE: u64 = 80;
+    pub const ACCEPT: u64 = 81;
+    pub const PROMISED: u64 = 82;
 }
 
 macro_rules! fields {
@@ -97,6 +113,13 @@
     38 Standing "standing",
     39 Rating "rating",
     40 Age "age",
+    41 Epoch "epoch",
+    42 Floor "floor",
+    43 Seq "seq",
+    44 Ballot "ballot",
+    45 Member "member",
+    46 SyncA "sync-a",
+    47 SyncB "sync-b",
 }
 
 /// A value as it stands in the frame.
