--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -40,13 +40,15 @@
     pub seq: u64,
     pub acked: u64,
     pub base: u64,
+    /// Updates that went over this link.
+    pub sent: u64,
     back: VecDeque<(u64, Later)>,
     /// The link took no more: the other member is too slow.
     pub broken: bool,
     pub known: Known,
     pub ration: Ration,
     kinds: Vec<Kind>,
-    two_at_once: bool,
+    pub two_at_once: bool,
     /// How long an answer is given again, by type.
     keeps: Vec<Time>,
     /// What voters are asked to accept.
@@ -57,6 +59,10 @@
     pub replays: VecDeque<Due>,
     /// Places of events that were asked for again.
     pub joined: Vec<usize>,
+    /// Until then, what is asked for again may have been in hand of a life that is over and told nobody.
+    pub forgot: Time,
+    /// Nothing of former lives is out at any worker.
+    pub fenced_all: bool,
     spare: Vec<Due>,
     copies: bool,
     buf: Vec<u8>,
@@ -74,6 +80,7 @@
             seq: 0,
             acked: 0,
             base: 0,
+            sent: 0,
             back: VecDeque::new(),
             broken: false,
             known: Known::default(),
@@ -86,6 +93,8 @@
             fenced: false,
             replays: VecDeque::new(),
             joined: Vec::new(),
+            forgot: 0,
+            fenced_all: false,
             spare: Vec::new(),
             copies,
             buf: Vec::new(),
@@ -96,10 +105,6 @@
         self.kinds[typ]
     }
 
-    pub fn two_at_once(&self) -> bool {
-        self.two_at_once
-    }
-
     pub fn keep(&self, typ: usize) -> Time {
         self.keeps[typ]
     }
@@ -113,6 +118,7 @@
             self.base += 1;
             return;
         }
+        self.sent += 1;
         self.buf.clear();
         fill(Frame::new(&mut self.buf, kind));
         if !net.write(conn, &self.buf) {
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -10,7 +10,7 @@
 use tidewall::host::Standing;
 use tidewall_net::{Conn, Deadline, Listener, Net, Port, Time};
 use tidewall_pair::claim::Ask;
-use tidewall_pair::fate::{self, fate, Fate, Kind};
+use tidewall_pair::fate::{self, fate, unknown, Fate, Kind};
 use tidewall_pair::known::Place;
 use tidewall_pair::promise::{Claim, Promise};
 use tidewall_pair::ration::Ration;
@@ -158,6 +158,9 @@
 const KEYS: u64 = 40;
 const FENCE: u64 = 4;
 
+/// Whoever asks for what may still be out somewhere is to come back after this: a few round trips to the workers.
+const UNFENCED: Time = 500;
+
 /// Bad advertisements are logged this often at most.
 const BAD: Time = 10_000;
 
@@ -282,8 +285,11 @@
         }
     }
 
-    fn open(&mut self, claim: Claim, adopt: bool) {
-        info!(epoch = claim.epoch, adopt, "serves");
+    fn open(&mut self, claim: Claim, adopt: bool, forgot: bool) {
+        info!(epoch = claim.epoch, adopt, forgot, "serves");
+        let now = self.gw.core.net().now();
+        let longest = self.parts.at.keeps.iter().max().copied().unwrap_or(0);
+        self.copy().forgot = if forgot { now + longest } else { 0 };
         self.copy().epoch = claim.epoch;
         self.gw.core.standby = false;
         self.parts.fenced.clear();
@@ -320,12 +326,13 @@
         self.parts.began = copy.seq;
     }
 
-    fn copy(&mut self) {
+    fn copy(&mut self, new: bool) {
         let host = &mut self.gw.core.choice.host;
         let Some(copy) = &mut host.copy else { return };
-        (copy.on, copy.base, copy.acked) = (true, copy.seq, copy.seq);
-        copy.tell(&mut host.net, kind::COPY, |f| f.end());
-        self.parts.cursor = Cursor::Events(0);
+        (copy.on, copy.base, copy.acked) = (true, copy.seq - copy.sent, copy.seq);
+        copy.tell(&mut host.net, kind::COPY, |f| f.flag(Field::On, new).end());
+        self.parts.cursor = if new { Cursor::Off } else { Cursor::Events(0) };
+        self.parts.began = copy.seq;
         self.gw.pump(self.parts);
     }
 
@@ -360,8 +367,23 @@
     pub(crate) fn again(&mut self, event: &Incoming) -> Option<usize> {
         let host = &mut self.choice.host;
         let now = host.net.now();
-        let copy = host.copy.as_mut().filter(|_| !event.mark.is_empty())?;
+        let copy = host.copy.as_mut()?;
         let until = now + event.left;
+        if event.resent && now < copy.forgot && copy.known.find(now, event.typ, event.mark).is_none() {
+            let kind = copy.kind(event.typ);
+            if let Some(later) = unknown(kind, copy.two_at_once, copy.fenced_all) {
+                let word = if later { Word::Deferred } else { Word::DeadLettered };
+                remember(copy, now, event.typ, event.mark, word, &[]);
+                let mut due = copy.due();
+                due.tickets.push((event.ticket, until));
+                (due.word, due.come_back) = (Some(word), UNFENCED);
+                copy.replays.push_back(due);
+                return Some(usize::MAX);
+            }
+        }
+        if event.mark.is_empty() {
+            return None;
+        }
         match copy.known.find(now, event.typ, event.mark)? {
             Place::Here(place) => {
                 let place = *place;
@@ -535,7 +557,10 @@
                     seat.joined(act);
                 }
             }
-            if act.parts.adopting && act.parts.theirs.iter().any(Option::is_some) {
+            act.gw.all_fenced(act.parts);
+            let awaits = act.parts.adopting && act.parts.theirs.iter().any(Option::is_some);
+            let forgot = now < act.copy().forgot && !act.copy().fenced_all;
+            if seat.state().serves() && (awaits || forgot) {
                 if act.parts.ticks % FENCE == 0 {
                     let claim = act.copy().claim;
                     act.spread(claim);
@@ -653,7 +678,7 @@
             pair.seat.bar(bar);
         }
         if let Some(copy) = &mut self.core.choice.host.copy {
-            copy.conn = Some(conn);
+            (copy.conn, copy.sent) = (Some(conn), 0);
         }
         info!(name, life, serves, "the other member is there");
         self.with_seat(|seat, now, act| seat.peer_up(now, act, life, serves, epoch));
@@ -740,7 +765,9 @@
         match fields.kind()? {
             kind::COPY => {
                 parts.theirs.clear();
-                copy.known = Default::default();
+                if !fields.flag(Field::On)? {
+                    copy.known.reset();
+                }
             }
             kind::TAKEN => {
                 let typ = typ(&host.types)?;
@@ -885,7 +912,7 @@
                 let gone = host.wks.get(wk).is_none_or(|w| w.standing() == Standing::Gone);
                 gone || parts.fenced.get(wk).copied().unwrap_or(false)
             };
-            let (kind, two) = (copy.kind(kept.typ), copy.two_at_once());
+            let (kind, two) = (copy.kind(kept.typ), copy.two_at_once);
             let fate = fate(kind, two, (now, kept.until), &kept.launches, fenced);
             if fate == Fate::Await {
                 left = true;
@@ -908,6 +935,17 @@
         parts.adopting = left;
     }
 
+    /// Whether nothing of former lives is out at any worker.
+    fn all_fenced(&mut self, parts: &Parts) {
+        let host = &mut self.core.choice.host;
+        let fenced = |wk: usize| parts.fenced.get(wk).copied().unwrap_or(false);
+        let mut wks = host.wks.iter().enumerate();
+        let all = wks.all(|(wk, w)| w.standing() == Standing::Gone || fenced(wk));
+        if let Some(copy) = &mut host.copy {
+            copy.fenced_all = all;
+        }
+    }
+
     fn go_on(&mut self, kept: Kept) {
         let now = self.core.net().now();
         let place = self.core.begin(&Incoming {
@@ -1100,7 +1138,7 @@
     /// Clients that are still connected are to find the other member.
     fn hang_up(&mut self) {
         if let Some(copy) = &mut self.core.choice.host.copy {
-            copy.epoch = 0;
+            (copy.epoch, copy.on) = (0, false);
         }
         for place in 0..self.owners.len() {
             let (count, owner) = self.owners[place];
--- a/crates/tidewall-pair/src/claim.rs
+++ b/crates/tidewall-pair/src/claim.rs
@@ -44,6 +44,9 @@
     pub fences: bool,
 }
 
+/// So often a claim that was outbid is begun anew at once.
+const OUTBID: u32 = 3;
+
 pub struct Claim {
     me: usize,
     life: u64,
@@ -53,8 +56,12 @@
     ballot: u64,
     /// The highest ballot that was heard of.
     seen: u64,
+    /// How often this claim was begun anew, as a higher ballot was heard of.
+    tries: u32,
     /// Lives of the other member up to this one are over.
     pub over: u64,
+    /// The claim under way follows lives that are all over: what they had in hand is known to nobody.
+    pub forgot: bool,
 }
 
 impl Claim {
@@ -67,7 +74,9 @@
             claim: None,
             ballot: 0,
             seen: 0,
+            tries: 0,
             over: 0,
+            forgot: false,
         }
     }
 
@@ -85,6 +94,11 @@
 
     /// Begins anew, whatever was under way.
     pub fn begin(&mut self, ask: &mut impl Ask, wish: Wish) {
+        self.tries = 0;
+        self.ask(ask, wish);
+    }
+
+    fn ask(&mut self, ask: &mut impl Ask, wish: Wish) {
         // The next ballot above all heard of that is ours.
         self.ballot = (self.seen.max(self.ballot) / 2 + 1) * 2 + self.me as u64;
         (self.wish, self.claim) = (Some(wish), None);
@@ -127,6 +141,12 @@
         let good = self.answers.iter().filter(|a| matches!(a, Answer::Good(_))).count();
         let open = self.answers.iter().filter(|a| **a == Answer::Awaited).count();
         if good + open < self.majority() {
+            // A member that just started knows no ballots; one that is outbid again and again lets the other one have it.
+            if let Some(wish) = self.wish.filter(|_| self.seen > self.ballot && self.tries < OUTBID) {
+                self.tries += 1;
+                self.ask(ask, wish);
+                return None;
+            }
             self.stop();
             return Some(Outcome::NoMajority);
         }
@@ -147,6 +167,7 @@
             self.stop();
             return Some(outcome);
         }
+        self.forgot = told.is_some_and(|t| t.sync[self.me] != self.life);
         let mut sync = [0; 2];
         sync[self.me] = self.life;
         sync[1 - self.me] = wish.with.unwrap_or(0);
--- a/crates/tidewall-pair/src/fate.rs
+++ b/crates/tidewall-pair/src/fate.rs
@@ -42,6 +42,16 @@
 /// Less than this is left: no launch would come back in time. Twice the least lag that a busy machine shows.
 pub const LEAST: Time = 100;
 
+/// An event that is asked for again while nobody knows what became of it: the lives that had it are over. True: it is to
+/// come back later; false: it is dead-lettered, as it may have run; none: it may begin anew. `fenced`: nothing of those lives is out any more.
+pub fn unknown(kind: Kind, two_at_once: bool, fenced: bool) -> Option<bool> {
+    match kind {
+        Kind::AtMostOnce | Kind::Keyed { all: false, .. } => Some(false),
+        _ if !two_at_once && !fenced => Some(true),
+        _ => None,
+    }
+}
+
 /// `fenced` tells whether nothing of the old master's is out at a worker any more.
 pub fn fate(
     kind: Kind,
--- a/crates/tidewall-pair/src/known.rs
+++ b/crates/tidewall-pair/src/known.rs
@@ -95,6 +95,18 @@
         (from..self.entries.capacity()).find_map(|key| Some((key, self.entries.get(key)?)))
     }
 
+    /// What the other member told is void; what is in hand here stays.
+    pub fn reset(&mut self) {
+        for key in 0..self.entries.capacity() {
+            let void = self.entries.get(key).is_some_and(|e| !matches!(e.place, Place::Here(_)));
+            if void {
+                let entry = self.entries.remove(key);
+                self.keys.remove(&(entry.typ, entry.mark));
+            }
+        }
+        self.ends.clear();
+    }
+
     pub fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/tidewall-pair/src/seat.rs
+++ b/crates/tidewall-pair/src/seat.rs
@@ -9,16 +9,17 @@
 pub trait Act: Ask {
     /// Takes part in VRRP or not; where it stops as the active one it says so (priority 0).
     fn vrrp(&mut self, on: bool);
-    /// Serves from now on. `adopt`: what the other member had in hand is ours.
-    fn open(&mut self, claim: Asked, adopt: bool);
+    /// Serves from now on. `adopt`: what the other member had in hand is ours. `forgot`: what others had in hand before is
+    /// known to nobody.
+    fn open(&mut self, claim: Asked, adopt: bool, forgot: bool);
     /// The claim under which it serves is another now; `adopt` as above.
     fn renewed(&mut self, claim: Asked, adopt: bool);
     /// Takes no new events; what it holds goes on.
     fn retire(&mut self);
     /// Nothing waits for the other member (`false`), or launches and answers do.
     fn waits(&mut self, on: bool);
-    /// All that there is to know goes to the other member.
-    fn copy(&mut self);
+    /// All that there is to know goes to the other member; `new`: it knows all up to now, only what is new is told.
+    fn copy(&mut self, new: bool);
     /// Asks the other member to retire, or says that we have.
     fn ask_yield(&mut self);
     fn yielded(&mut self);
@@ -248,8 +249,11 @@
         if serves && self.state.serves() && epoch > self.granted.epoch {
             return self.over(now, act, "the other member serves under a newer epoch");
         }
+        if serves && self.state == State::Retiring {
+            return self.over(now, act, "the other member went on without us");
+        }
         if self.state == State::Solo {
-            act.copy();
+            act.copy(false);
         }
     }
 
@@ -400,13 +404,14 @@
         if handed {
             self.go(now, State::Paired);
             act.waits(true);
-            act.open(claim, false);
+            act.open(claim, false, false);
+            act.copy(true);
         } else {
             self.go(now, State::Solo);
             act.waits(false);
-            act.open(claim, true);
+            act.open(claim, true, self.claim.forgot);
             if self.peer.up {
-                act.copy();
+                act.copy(false);
             }
         }
     }
@@ -420,7 +425,7 @@
                 act.renewed(claim, adopt);
                 act.waits(false);
                 if self.peer.up {
-                    act.copy();
+                    act.copy(false);
                 }
             }
             State::Joining => {
--- a/crates/tidewall-standins/src/workers.rs
+++ b/crates/tidewall-standins/src/workers.rs
@@ -70,6 +70,8 @@
     gateways: Vec<(Conn, usize)>,
     /// Which member of a pair a connection is of, from 1 on.
     members: Vec<(Conn, usize)>,
+    /// Runs whose ends it kept to itself.
+    swallowed: Vec<(Conn, u64)>,
     /// What it keeps for a pair, across its own restarts.
     promise: Promise,
     depot: Option<Conn>,
@@ -95,6 +97,8 @@
     busy: bool,
     with_answers: bool,
     windows: Vec<Time>,
+    /// Types whose marks are known in all halls: kept with the first one.
+    alls: Vec<bool>,
     /// Marks that a hall's workers know, with the time of the first run.
     marks: Vec<BTreeMap<u64, Time>>,
     pub loads: u64,
@@ -157,6 +161,7 @@
                     late_reports: false,
                     gateways: Vec::new(),
                     members: Vec::new(),
+                    swallowed: Vec::new(),
                     promise: Promise::default(),
                     depot: None,
                     depot_up: false,
@@ -183,6 +188,7 @@
             busy: reports.flag("busy"),
             with_answers: reports.flag("with_answers"),
             windows: settings.sections("event_type").iter().map(|t| t.span("window_ms")).collect(),
+            alls: settings.sections("event_type").iter().map(|t| t.choice("group") == "ALL").collect(),
             marks: vec![BTreeMap::new(); zones.len()],
             loads: 0,
             misses: 0,
@@ -428,7 +434,8 @@
         let (none, full) = (c.standing + c.loading == 0, w.waiting >= w.queue);
         let key = w.runs.insert(run);
         let window = self.windows[typ];
-        let known = self.marks[w.zone].get(&mark).copied();
+        let hall = if self.alls[typ] { 0 } else { w.zone };
+        let known = self.marks[hall].get(&mark).copied();
         if w.draining || full {
             self.end(g, wk, key, "full", 0);
         } else if mark > 0 && known.is_some_and(|first| now < first + window) {
@@ -479,6 +486,16 @@
                 return;
             }
             let Some(key) = c.waiting.pop_front() else { return };
+            let typ = g.programs[program].typ;
+            let (mark, hall) = (w.runs[key].mark, if self.alls[typ] { 0 } else { w.zone });
+            let first = self.marks[hall].get(&mark).copied().filter(|_| mark > 0);
+            if first.is_some_and(|first| now < first + self.windows[typ]) {
+                // The same came twice and both waited: the first of them ran.
+                w.waiting -= 1;
+                self.dropped += 1;
+                self.end(g, wk, key, "ok", 1);
+                continue;
+            }
             c.running += 1;
             w.busy += 1;
             w.waiting -= 1;
@@ -488,7 +505,7 @@
             run.running = true;
             run.deadline = Some(g.net.set(now + takes, of::RUN | (wk as u64) << 32 | key as u64));
             if run.mark > 0 {
-                self.marks[w.zone].insert(run.mark, now);
+                self.marks[hall].insert(run.mark, now);
             }
         }
     }
@@ -520,6 +537,10 @@
         let w = &mut self.list[wk];
         let run = w.runs.remove(key);
         let here = w.gateways.iter().any(|c| c.0 == run.conn);
+        if here && now < w.silent {
+            // For its gateway it is out until the connection is gone.
+            w.swallowed.push((run.conn, run.evt));
+        }
         if !here || now < w.silent {
             return;
         }
@@ -722,7 +743,9 @@
         let w = &mut self.list[wk];
         w.gateways.retain(|c| c.0 != conn);
         w.members.retain(|c| c.0 != conn);
-        let out: Vec<u64> = w.runs.iter().filter(|r| r.1.conn == conn).map(|r| r.1.evt).collect();
+        let mut out: Vec<u64> = w.runs.iter().filter(|r| r.1.conn == conn).map(|r| r.1.evt).collect();
+        out.extend(w.swallowed.iter().filter(|s| s.0 == conn).map(|s| s.1));
+        w.swallowed.retain(|s| s.0 != conn);
         out.into_iter().for_each(|evt| g.row(Row { k: Kind::Cut, wk, evt, ..Row::default() }));
     }
 
@@ -748,7 +771,8 @@
             }
             // What was running had no effect yet: its mark is worth nothing.
             if run.mark > 0 && run.running {
-                self.marks[w.zone].remove(&run.mark);
+                let hall = if self.alls[g.programs[run.program].typ] { 0 } else { w.zone };
+                self.marks[hall].remove(&run.mark);
             }
         }
         w.runs.clear();
