--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 use tidewall::host::{Arrival, Listed, Outcome, Standing};
 use tidewall::ids;
 use tidewall::settings::Settings;
+use tidewall_pair::fate::margin;
 use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 use tracing::{debug, error, info, warn};
@@ -106,6 +107,7 @@
     fn begin(&mut self, event: &Incoming) -> usize {
         let host = &mut self.choice.host;
         let now = host.net.now();
+        let margin = host.copy.as_ref().map_or(0, |c| margin(c.kind(event.typ), event.left, c.silence));
         let function = host.functions.index(event.function);
         let arrival = Arrival {
             typ: event.typ,
@@ -117,7 +119,7 @@
             // A deadline of ours may be met late by our own lag: told to the decisions as if the client gave up so
             // much earlier, or an answer that is just in time for them would come too late for it.
             // Twice the worst of late, as the next may be worse.
-            gives_up: now + event.left - (2 * host.net.lag()).min(event.left / 4),
+            gives_up: now + event.left - (2 * host.net.lag()).min(event.left / 4) - margin,
             hint: event.hint,
             load_hint: event.load_hint,
             resent: event.resent,
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -42,7 +42,8 @@
     pub base: u64,
     /// Updates that went over this link.
     pub sent: u64,
-    back: VecDeque<(u64, Later)>,
+    /// With the time since when each waits.
+    back: VecDeque<(u64, Time, Later)>,
     /// The link took no more: the other member is too slow.
     pub broken: bool,
     pub known: Known,
@@ -59,6 +60,8 @@
     pub replays: VecDeque<Due>,
     /// Places of events that were asked for again.
     pub joined: Vec<usize>,
+    /// How long the link may be silent.
+    pub silence: Time,
     /// Until then, what is asked for again may have been in hand of a life that is over and told nobody.
     pub forgot: Time,
     /// Nothing of former lives is out at any worker.
@@ -93,6 +96,7 @@
             fenced: false,
             replays: VecDeque::new(),
             joined: Vec::new(),
+            silence: 0,
             forgot: 0,
             fenced_all: false,
             spare: Vec::new(),
@@ -140,7 +144,12 @@
         if self.waits && first > self.acked {
             return None;
         }
-        self.back.pop_front().map(|b| b.1)
+        self.back.pop_front().map(|b| b.2)
+    }
+
+    /// Something has waited longer than the link may be silent: the other member is there, and of no use.
+    pub fn slow(&self, now: Time) -> bool {
+        self.waits && self.on && self.back.front().is_some_and(|b| now > b.1 + self.silence)
     }
 
     pub fn waiting(&self) -> usize {
@@ -211,7 +220,8 @@
         });
         let must = copy.kind(held.arrival().typ) != Kind::Redeliverable || !copy.two_at_once;
         if copy.waits && must {
-            copy.back.push_back((copy.seq, Later::Ride { key, count: self.outs[key].count }));
+            let now = self.net.now();
+            copy.back.push_back((copy.seq, now, Later::Ride { key, count: self.outs[key].count }));
         } else {
             self.ride(key);
         }
@@ -253,7 +263,7 @@
         (due.word, due.come_back, due.took) = (Some(given.word), given.come_back, given.took);
         due.payload.extend_from_slice(payload);
         if copy.waits && copy.kind(typ) != Kind::Redeliverable {
-            copy.back.push_back((copy.seq, Later::Answer(due)));
+            copy.back.push_back((copy.seq, now, Later::Answer(due)));
             return None;
         }
         Some(due)
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -431,7 +431,8 @@
         let listener = net.listen(at.link).map_err(|e| format!("{}: {e}", at.link))?.0;
         net.set(now + interval / TICKS, OF_PAIR);
         let ration = Ration::new(at.ration.0, at.ration.1, at.ration.2);
-        let copy = Copying::new(me, at.kinds.clone(), at.two_at_once, at.keeps.clone(), ration, at.copies);
+        let mut copy = Copying::new(me, at.kinds.clone(), at.two_at_once, at.keeps.clone(), ration, at.copies);
+        copy.silence = (SILENT + 1) * interval;
         self.core.choice.host.copy = Some(Box::new(copy));
         let stood = self.core.net().stood();
         let parts = Parts {
@@ -484,6 +485,11 @@
         self.pair = Some(pair);
     }
 
+    /// Under which it serves; 0 where it never did.
+    pub fn epoch(&self) -> u64 {
+        self.core.epoch()
+    }
+
     /// Launches and answers that wait for the other member's record.
     pub fn waiting(&self) -> usize {
         self.core.choice.host.copy.as_ref().map_or(0, |c| c.waiting())
@@ -525,8 +531,9 @@
         let (peer, epoch) = (parts.at.peer_link, pair.seat.epoch());
         let copy = self.core.choice.host.copy.as_mut().expect("a pair copies");
         match copy.conn {
-            Some(conn) if silent => {
-                warn!("the other member is silent");
+            Some(conn) if silent || copy.slow(now) => {
+                warn!(silent, "the other member is silent or too slow");
+                pair.seat.slow(now);
                 self.core.choice.host.net.reset(conn);
                 self.own(conn, Owner::Nobody);
                 self.peer_over();
@@ -977,7 +984,9 @@
         let host = &mut self.core.choice.host;
         let now = host.net.now();
         let Some(copy) = &mut host.copy else { return };
-        let over = |t: &(Ticket, Time)| now + 2 * fate::LEAST >= t.1;
+        // It is looked at once a tick.
+        let tick = Time::from(parts.at.interval) * CENTISECOND / TICKS;
+        let over = |t: &(Ticket, Time)| now + tick + 2 * fate::LEAST >= t.1;
         let mut late = Vec::new();
         let events = &mut host.events;
         copy.joined.retain(|place| {
--- a/crates/tidewall-pair/src/fate.rs
+++ b/crates/tidewall-pair/src/fate.rs
@@ -42,6 +42,16 @@
 /// Less than this is left: no launch would come back in time. Twice the least lag that a busy machine shows.
 pub const LEAST: Time = 100;
 
+/// How much earlier than its client gives up an event of a pair is to be over: an answer may wait until the voters know that
+/// the other member is gone, which takes the link's silence and a claim. Where a repeat does no harm nothing waits.
+pub fn margin(kind: Kind, left: Time, silence: Time) -> Time {
+    match kind {
+        Kind::Redeliverable => 0,
+        // The silence, one tick, and a claim's two round trips to the workers.
+        _ => (silence + 10 * LEAST).min(left / 4),
+    }
+}
+
 /// An event that is asked for again while nobody knows what became of it: the lives that had it are over. True: it is to
 /// come back later; false: it is dead-lettered, as it may have run; none: it may begin anew. `fenced`: nothing of those lives is out any more.
 pub fn unknown(kind: Kind, two_at_once: bool, fenced: bool) -> Option<bool> {
--- a/crates/tidewall-pair/src/seat.rs
+++ b/crates/tidewall-pair/src/seat.rs
@@ -89,6 +89,11 @@
     active: bool,
     damp: Damp,
     held_off: Time,
+    /// A link that was too slow is not relied on again before that.
+    slow: Damp,
+    slow_off: Time,
+    /// A copy is owed to the other member.
+    owed: bool,
     again: Time,
     /// Whether the seat that is being claimed was handed over.
     handed: bool,
@@ -127,6 +132,9 @@
             // From half a second, RFC 9568's usual advertisement interval being one, to half a minute.
             damp: Damp::new(5 * interval, 300 * interval),
             held_off: now,
+            slow: Damp::new(10 * interval, 300 * interval),
+            slow_off: 0,
+            owed: false,
             again: 0,
             handed: false,
             heir: false,
@@ -204,6 +212,10 @@
                 (self.vrrp, self.active) = (false, false);
                 act.vrrp(false);
             }
+            State::Solo if self.owed && self.peer.up && now >= self.slow_off => {
+                self.owed = false;
+                act.copy(false);
+            }
             State::Asking if now > self.since + YIELD * self.interval => self.bounce(now, act),
             State::Parting if now > self.since + PARTING * self.interval => {
                 self.over(now, act, "neither the other member nor a majority of voters can be reached")
@@ -253,10 +265,22 @@
             return self.over(now, act, "the other member went on without us");
         }
         if self.state == State::Solo {
+            self.owe(now, act);
+        }
+    }
+
+    fn owe(&mut self, now: Time, act: &mut impl Act) {
+        self.owed = now < self.slow_off;
+        if !self.owed {
             act.copy(false);
         }
     }
 
+    /// The link is about to be broken, as what waits for the other member waits too long.
+    pub fn slow(&mut self, now: Time) {
+        self.slow_off = self.slow.again(now);
+    }
+
     /// What the other one tells again and again.
     pub fn peer_told(&mut self, now: Time, act: &mut impl Act, serves: bool, counts_us: bool, epoch: u64) {
         (self.peer.serves, self.peer.counts_us) = (serves, counts_us);
@@ -411,7 +435,7 @@
             act.waits(false);
             act.open(claim, true, self.claim.forgot);
             if self.peer.up {
-                act.copy(false);
+                self.owe(now, act);
             }
         }
     }
@@ -425,7 +449,7 @@
                 act.renewed(claim, adopt);
                 act.waits(false);
                 if self.peer.up {
-                    act.copy(false);
+                    self.owe(now, act);
                 }
             }
             State::Joining => {
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -6,6 +6,7 @@
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use tidewall_audit::rows::{Kind, Row};
 use tidewall_audit::Audit;
 use tidewall_config::Section;
 use tidewall_gateway::list::NoShelf;
@@ -198,6 +199,8 @@
     /// Ends of troubles.
     ends: Vec<(Time, End)>,
     next: usize,
+    /// The member that served stands still, and no other serves yet.
+    stood: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -281,6 +284,7 @@
             troubles,
             ends: Vec::new(),
             next: 0,
+            stood: false,
         }
     }
 
@@ -328,6 +332,10 @@
             Trouble::KillBoth { back } => (0..2).for_each(|m| self.kill(m, Some(back))),
             Trouble::Pause { member, lasts } => {
                 if !self.hands[member].dead() {
+                    if self.serves(member) {
+                        self.row(Kind::Still);
+                        self.stood = true;
+                    }
                     self.hands[member].still(true);
                     self.ends.push((now + lasts, End::Go(member)));
                 }
@@ -403,6 +411,11 @@
                 End::Cut => self.paths(None, Path { cut: true, ..Run::usual() }),
             }
         }
+        // Somebody serves again.
+        if self.stood && (0..2).any(|m| self.serves(m) && !self.still(m) && self.newest(m)) {
+            self.stood = false;
+            self.row(Kind::Going);
+        }
         for m in 0..2 {
             let serves = self.serves(m);
             self.takeovers += u64::from(serves && !self.served[m]);
@@ -425,6 +438,23 @@
         }
     }
 
+    /// No other serves under a newer epoch.
+    fn newest(&self, m: usize) -> bool {
+        !self.serves(1 - m) || self.members[m].epoch() > self.members[1 - m].epoch()
+    }
+
+    fn still(&self, m: usize) -> bool {
+        self.ends.iter().any(|e| matches!(e.1, End::Go(of) if of == m))
+    }
+
+    /// The record's knowledge of a standstill, as of a kill, comes from whoever causes it.
+    fn row(&self, k: Kind) {
+        let row = Row { t: self.now(), k, ..Row::default() };
+        let mut record = self.record.0.borrow_mut();
+        serde_json::to_writer(&mut *record, &row).expect("a row is JSON");
+        record.push(b'\n');
+    }
+
     fn killed_for_good(&self, m: usize) -> bool {
         // A killed process has not ended itself.
         self.members[m].ended() == Ended::Drained && self.leaves[m].is_none()
@@ -503,7 +533,8 @@
                     let path = Path {
                         delay: chance.random_range(2..100),
                         jitter: chance.random_range(0..100),
-                        lost: chance.random_range(0..20),
+                        // What is lost on a stream comes a fifth of a second later: after clients gave up, whoever sends it.
+                        lost: 0,
                         twice: 0,
                         cut: false,
                     };
