--- a/crates/tidewall-cli/src/sim.rs
+++ b/crates/tidewall-cli/src/sim.rs
@@ -20,6 +20,9 @@
     /// Leaves a guard out, to show that the audit notices.
     #[arg(long, value_enum, default_value_t = Left::Nothing)]
     plant: Left,
+    /// Where the record of a single seed goes, a JSON line each.
+    #[arg(long, value_name = "FILE")]
+    record: Option<std::path::PathBuf>,
     /// Each run in a line.
     #[arg(long)]
     each: bool,
@@ -58,6 +61,10 @@
         Left::NoCopies => Plant::NoCopies,
         Left::Forgets => Plant::Forgets,
     };
+    if args.record.is_some() && seeds.end != seeds.start + 1 {
+        return Err(input("--record: a single seed is needed".to_string()));
+    }
+    let keep = args.record.is_some();
     let began = Instant::now();
     let (next, reports) = (AtomicU64::new(seeds.start), Mutex::new(Vec::<Report>::new()));
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
@@ -69,13 +76,17 @@
                     return;
                 }
                 let report =
-                    run(Setup { plant, seconds: args.seconds, rate: args.rate, ..Setup::new(seed) });
+                    run(Setup { plant, seconds: args.seconds, rate: args.rate, keep, ..Setup::new(seed) });
                 reports.lock().expect("no thread panics while it holds this").push(report);
             });
         }
     });
     let mut reports = reports.into_inner().expect("all threads are done");
     reports.sort_by_key(|r| r.seed);
+    if let Some(path) = &args.record {
+        let name = path.display();
+        std::fs::write(path, &reports[0].record).map_err(|e| input(format!("{name}: {e}")))?;
+    }
     for r in reports.iter().filter(|r| args.each || !r.breaches.is_empty()) {
         println!(
             "seed {}: {} events, {} handled, {} asked again, {} takeovers, {} excused, {} breaches, digest {:016x}",
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -218,7 +218,7 @@
             let f = f.whole(Field::Place, evt as u64).whole(Field::Launch, launch as u64);
             f.text(Field::Name, name).end();
         });
-        let must = copy.kind(held.arrival().typ) != Kind::Redeliverable || !copy.two_at_once;
+        let must = !copy.kind(held.arrival().typ).harmless() || !copy.two_at_once;
         if copy.waits && must {
             let now = self.net.now();
             copy.back.push_back((copy.seq, now, Later::Ride { key, count: self.outs[key].count }));
@@ -262,7 +262,7 @@
         }
         (due.word, due.come_back, due.took) = (Some(given.word), given.come_back, given.took);
         due.payload.extend_from_slice(payload);
-        if copy.waits && copy.kind(typ) != Kind::Redeliverable {
+        if copy.waits && !copy.kind(typ).harmless() {
             copy.back.push_back((copy.seq, now, Later::Answer(due)));
             return None;
         }
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -103,6 +103,7 @@
     dialing: Option<Conn>,
     heard: Time,
     stood: Time,
+    vrrp_stood: Time,
     theirs: Vec<Option<Kept>>,
     /// We continue what the other one had: those that still await a fence.
     adopting: bool,
@@ -449,6 +450,7 @@
             dialing: None,
             heard: now,
             stood,
+            vrrp_stood: stood,
             theirs: Vec::new(),
             adopting: false,
             got: 0,
@@ -589,7 +591,15 @@
         self.with_seat(|_, _, act| {
             act.parts.timer = None;
             let net = &mut act.gw.core.choice.host.net;
-            act.parts.vrrp(net, |router, vrrp| router.due(vrrp));
+            // What was not heard while we stood still says nothing of the other one.
+            let stood = net.stood() > std::mem::replace(&mut act.parts.vrrp_stood, net.stood());
+            act.parts.vrrp(net, |router, vrrp| {
+                if stood && router.state() == tidewall_vrrp::State::Backup {
+                    tidewall_vrrp::Act::wake(vrrp, 0, router.down());
+                } else {
+                    router.due(vrrp);
+                }
+            });
         });
     }
 
--- a/crates/tidewall-pair/src/claim.rs
+++ b/crates/tidewall-pair/src/claim.rs
@@ -167,7 +167,8 @@
             self.stop();
             return Some(outcome);
         }
-        self.forgot = told.is_some_and(|t| t.sync[self.me] != self.life);
+        // It stays so, or a claim of our own that few accepted would look as if this life knew all.
+        self.forgot |= told.is_some_and(|t| t.sync[self.me] != self.life);
         let mut sync = [0; 2];
         sync[self.me] = self.life;
         sync[1 - self.me] = wish.with.unwrap_or(0);
--- a/crates/tidewall-pair/src/fate.rs
+++ b/crates/tidewall-pair/src/fate.rs
@@ -13,6 +13,13 @@
     AtMostOnce,
 }
 
+impl Kind {
+    /// A repeat does no harm anywhere: its answers need not wait for the other member's record.
+    pub fn harmless(self) -> bool {
+        matches!(self, Kind::Redeliverable | Kind::Keyed { all: true, .. })
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
     /// Sent, and no end is known.
@@ -46,7 +53,7 @@
 /// the other member is gone, which takes the link's silence and a claim. Where a repeat does no harm nothing waits.
 pub fn margin(kind: Kind, left: Time, silence: Time) -> Time {
     match kind {
-        Kind::Redeliverable => 0,
+        kind if kind.harmless() => 0,
         // The silence, one tick, and a claim's two round trips to the workers.
         _ => (silence + 10 * LEAST).min(left / 4),
     }
--- a/crates/tidewall-pair/src/seat.rs
+++ b/crates/tidewall-pair/src/seat.rs
@@ -200,6 +200,11 @@
         link && now >= self.held_off && !self.leaving && !self.barred
     }
 
+    /// Nobody serves, though we are the ones that clients reach: an asker that thought better of it, or is gone.
+    fn alone(&self, now: Time) -> bool {
+        !self.peer.up || !self.peer.serves && now > self.since + YIELD * self.interval
+    }
+
     /// At least twice in an interval.
     pub fn tick(&mut self, now: Time, act: &mut impl Act) {
         match self.state {
@@ -224,9 +229,10 @@
                 let wish = Wish { with: None, fences: true, ..self.wish(Purpose::GoOn) };
                 self.claim.begin(act, wish);
             }
-            State::Retiring if self.active && !self.peer.up && !self.claim.busy() && now >= self.again => {
+            State::Retiring if self.active && self.alone(now) && !self.claim.busy() && now >= self.again => {
                 self.take_over(now, act)
             }
+            State::Standby if self.active && self.alone(now) && !self.leaving => self.take_over(now, act),
             _ => {}
         }
     }
@@ -247,9 +253,9 @@
     /// VRRP: they are not. Whoever serves goes on until it is asked to retire.
     pub fn inactive(&mut self, now: Time) {
         self.active = false;
-        if matches!(self.state, State::Asking | State::Claiming) {
+        // Whoever was handed the seat claims it, or nobody would serve.
+        if matches!(self.state, State::Asking | State::Claiming) && !self.handed {
             self.claim.stop();
-            self.handed = false;
             self.go(now, State::Standby);
         }
     }
@@ -284,6 +290,8 @@
     /// What the other one tells again and again.
     pub fn peer_told(&mut self, now: Time, act: &mut impl Act, serves: bool, counts_us: bool, epoch: u64) {
         (self.peer.serves, self.peer.counts_us) = (serves, counts_us);
+        // What there is to know was told us by one that serves.
+        self.claim.forgot &= !counts_us;
         if serves && self.state.serves() && epoch > self.granted.epoch {
             self.over(now, act, "the other member serves under a newer epoch");
         }
@@ -319,7 +327,8 @@
 
     /// The other member has retired; all that it took is in its copy here.
     pub fn peer_yielded(&mut self, now: Time, act: &mut impl Act) {
-        if self.state == State::Asking {
+        // Even where we do not want it any more: nobody else does.
+        if matches!(self.state, State::Asking | State::Standby) {
             self.handed = true;
             self.take_over(now, act);
         }
@@ -433,7 +442,8 @@
         } else {
             self.go(now, State::Solo);
             act.waits(false);
-            act.open(claim, true, self.claim.forgot);
+            let forgot = std::mem::take(&mut self.claim.forgot);
+            act.open(claim, true, forgot);
             if self.peer.up {
                 self.owe(now, act);
             }
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -67,11 +67,21 @@
     pub troubles: Option<Vec<(Time, Trouble)>>,
     /// The same for troubles of the fleet, as a script.
     pub script: Option<String>,
+    /// Whether the report holds the record.
+    pub keep: bool,
 }
 
 impl Setup {
     pub fn new(seed: u64) -> Setup {
-        Setup { seed, plant: Plant::Nothing, seconds: 5.0, rate: 120.0, troubles: None, script: None }
+        Setup {
+            seed,
+            plant: Plant::Nothing,
+            seconds: 5.0,
+            rate: 120.0,
+            troubles: None,
+            script: None,
+            keep: false,
+        }
     }
 }
 
@@ -93,6 +103,8 @@
     pub cases: [u64; 5],
     pub breaches: Vec<String>,
     pub troubles: Vec<(Time, Trouble)>,
+    /// What the stand-ins' ends recorded, a JSON line each.
+    pub record: Vec<u8>,
 }
 
 const SETTINGS: &str = r#"
@@ -498,6 +510,7 @@
                 .flat_map(|(i, v)| v.breaches.iter().map(move |b| format!("rule {}: {b}", i + 1)))
                 .collect(),
             troubles: self.troubles,
+            record: if self.setup.keep { bytes } else { Vec::new() },
         }
     }
 }
--- a/crates/tidewall-standins/src/workers.rs
+++ b/crates/tidewall-standins/src/workers.rs
@@ -812,8 +812,10 @@
     pub fn torn<N: Net>(&mut self, g: &mut Ground<N>, wk: usize) {
         self.list[wk].members.clear();
         for (conn, _) in std::mem::take(&mut self.list[wk].gateways) {
-            let out: Vec<u64> =
-                self.list[wk].runs.iter().filter(|r| r.1.conn == conn).map(|r| r.1.evt).collect();
+            let w = &mut self.list[wk];
+            let mut out: Vec<u64> = w.runs.iter().filter(|r| r.1.conn == conn).map(|r| r.1.evt).collect();
+            out.extend(w.swallowed.iter().filter(|s| s.0 == conn).map(|s| s.1));
+            w.swallowed.retain(|s| s.0 != conn);
             out.into_iter().for_each(|evt| g.row(Row { k: Kind::Cut, wk, evt, ..Row::default() }));
             // The head of a frame of a hundred bytes, and two of them.
             g.net.write(conn, &[0, 0, 0, 100, 0xb8, 2]);
