--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -35,6 +35,9 @@
     /// The door by which clients come.
     #[arg(long, value_enum, default_value_t = Way::Native)]
     door: Way,
+    /// Two gateways behind one address, which take over from each other; a built-in bad day of a pair.
+    #[arg(long, conflicts_with = "from")]
+    pair: bool,
     /// The figures as JSON lines, besides the table.
     #[arg(long, value_name = "FILE")]
     report: Option<PathBuf>,
@@ -50,13 +53,17 @@
 }
 
 const SETTINGS: &str = include_str!("../../../deploy/examples/day.txtpb");
+const PAIR: &str = include_str!("../../../deploy/examples/pair-a.txtpb");
+const PAIR_SCRIPT: &str = include_str!("../../../deploy/examples/bad-pair-day.txtpb");
 const SCRIPT: &str = include_str!("../../../deploy/examples/bad-day.txtpb");
 
 /// A gateway that is told to stop has its max age to answer what it holds; then it is ended.
 const STOPS: Duration = Duration::from_secs(8);
 
 struct Processes {
-    config: PathBuf,
+    /// One for each process.
+    configs: Vec<PathBuf>,
+    pair: bool,
     folder: PathBuf,
     names: Vec<String>,
     seed: u64,
@@ -109,11 +116,11 @@
         let log = File::options()
             .create(true)
             .append(true)
-            .open(self.folder.join(format!("{}.log", self.names[gw])));
+            .open(self.folder.join(format!("{}-{gw}.log", self.names[gw])));
         let own = std::env::current_exe().expect("a program knows its own file");
         let child = Command::new(own)
             .args(["serve", "--gateway", &self.names[gw], "--config"])
-            .arg(&self.config)
+            .arg(&self.configs[gw])
             .args(["--seed", &(self.seed * 1000 + self.lives).to_string()])
             .current_dir(&self.folder)
             .stdin(Stdio::null())
@@ -145,16 +152,25 @@
     fn still(&mut self, gw: usize, on: bool) {
         self.0.borrow_mut().still(gw, on);
     }
+
+    fn members(&self) -> Option<usize> {
+        let processes = self.0.borrow();
+        processes.pair.then_some(processes.names.len())
+    }
 }
 
 /// Ports of 0 become ports that are free now.
 fn ports(text: &str) -> std::io::Result<String> {
-    let zeros = text.matches("127.0.0.1:0\"").count();
-    let held: Vec<TcpListener> =
-        (0..zeros).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
     let mut text = text.to_string();
-    for listener in &held {
-        text = text.replacen("127.0.0.1:0\"", &format!("{}\"", listener.local_addr()?), 1);
+    // Held until all are chosen, so that none is chosen twice.
+    let mut held = Vec::new();
+    for host in ["127.0.0.1", "127.0.0.2", "127.0.0.3"] {
+        let zero = format!("{host}:0\"");
+        while text.contains(&zero) {
+            let listener = TcpListener::bind((host, 0))?;
+            text = text.replacen(&zero, &format!("{}\"", listener.local_addr()?), 1);
+            held.push(listener);
+        }
     }
     Ok(text)
 }
@@ -170,6 +186,23 @@
     }
 }
 
+/// The example's ports are chosen anew, and its keys lie in the day's own folder.
+fn zeroed(text: &str) -> String {
+    let mut out = String::new();
+    for part in text.split_inclusive('"') {
+        match part.strip_suffix('"').and_then(|p| p.parse::<std::net::SocketAddr>().ok()) {
+            Some(at) => out += &format!("{}:0\"", at.ip()),
+            None => out += part,
+        }
+    }
+    out.replace("deploy/examples/pair.keys", "pair.keys")
+}
+
+/// The other member's settings.
+fn swapped(text: &str) -> String {
+    text.replace("  own {", "  \0 {").replace("  peer {", "  own {").replace("  \0 {", "  peer {")
+}
+
 /// Events a second that keep all cores of the fleet busy.
 fn capacity(settings: &Section) -> f64 {
     let fleet = settings.section("fleet");
@@ -191,7 +224,9 @@
 
 pub fn day(args: &Day) -> Result<(), Failure> {
     let failed = |e: std::io::Error| Failure::Run(e.to_string());
-    let (file, text) = read(&args.config, ("built-in day", SETTINGS))?;
+    let built_in = if args.pair { ("built-in pair", PAIR) } else { ("built-in day", SETTINGS) };
+    let (file, text) = read(&args.config, built_in)?;
+    let text = if args.pair && args.config.is_none() { zeroed(&text) } else { text };
     let mut text = ports(&text).map_err(failed)?;
     let mut settings = tidewall_config::settings(&file, &text).map_err(input)?;
     if !settings.has("fleet") {
@@ -201,7 +236,11 @@
     if let Some(g) = without.filter(|_| args.door == Way::Amqp) {
         return Err(input(format!("{file}: {}: is needed for --door amqp", g.at("amqp_address"))));
     }
-    let (script_file, mut script_text) = read(&args.script, ("built-in bad day", SCRIPT))?;
+    let script = if args.pair { ("built-in bad day of a pair", PAIR_SCRIPT) } else { ("built-in bad day", SCRIPT) };
+    let (script_file, mut script_text) = read(&args.script, script)?;
+    if args.pair != settings.has("pair") {
+        return Err(input(format!("{file}: pair: --pair and a pair section go together")));
+    }
     let mut seconds = None;
     if let Some(path) = &args.from {
         let name = path.display().to_string();
@@ -250,10 +289,18 @@
     let failed = |e: std::io::Error| Failure::Run(e.to_string());
     let (config, record) = (folder.join("settings.txtpb"), folder.join("record.jsonl"));
     std::fs::write(&config, text).map_err(failed)?;
-    let names: Vec<String> = settings.sections("gateway").iter().map(|g| g.text("name")).collect();
+    let mut names: Vec<String> = settings.sections("gateway").iter().map(|g| g.text("name")).collect();
+    let mut configs = vec![config.clone(); names.len()];
+    if args.pair {
+        names.push(names[0].clone());
+        configs.push(folder.join("peer.txtpb"));
+        std::fs::write(&configs[1], swapped(text)).map_err(failed)?;
+        std::fs::write(folder.join("pair.keys"), format!("1 {:064x}\n", args.seed)).map_err(failed)?;
+    }
     let children = names.iter().map(|_| None).collect();
     let processes = Processes {
-        config,
+        configs,
+        pair: args.pair,
         folder: folder.to_path_buf(),
         names: names.clone(),
         seed: args.seed,
@@ -284,6 +331,9 @@
     let audit = tidewall_audit::check(lines).map_err(Failure::Run)?;
     let (results, loads) = (fleet.results().clone(), fleet.loads());
     table(&results, loads, &audit);
+    if args.pair {
+        pauses(fleet.pauses(), &results, &audit);
+    }
     if let Some(path) = &args.report {
         report(path, args.seed, seconds, &results, loads, &audit).map_err(failed)?;
     }
@@ -302,6 +352,23 @@
     Ok(())
 }
 
+/// How long clients of a pair found nobody.
+fn pauses(list: &[u64], results: &Results, audit: &Audit) {
+    // The first one is the start's.
+    let mut list = list.get(1..).unwrap_or(&[]).to_vec();
+    list.sort_unstable();
+    let at = |q: f64| list.get(((list.len().max(1) - 1) as f64 * q) as usize).map_or(0.0, |p| *p as f64 / 10.0);
+    println!(
+        "{} pauses, ms: median {}, p99 {}, worst {}; {} events asked again, {} fell due while nobody could be reached",
+        list.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0),
+        results.asked_again,
+        audit.excused
+    );
+}
+
 /// What the table and the report tell, in one order.
 fn figures(r: &Results, loads: (u64, u64, u64)) -> Vec<(String, f64)> {
     let latency = |q: f64| r.latency.value_at_quantile(q) as f64 / 10.0;
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod send;
 mod serve;
 mod sim;
+mod status;
 
 use clap::{Args, Parser, Subcommand};
 use std::io::IsTerminal;
@@ -48,6 +49,8 @@
     /// Plays a bad day: gateways as processes, stand-ins, faults; then checks the five rules from what went
     /// over the sockets.
     Day(day::Day),
+    /// How both members of a pair stand.
+    Status(status::Status),
     /// Plays a pair of gateways on a virtual clock, one run for each seed, with drawn faults; checks the five rules.
     Sim(sim::Sim),
 }
@@ -100,6 +103,7 @@
         Command::Send(args) => send::send(&args),
         Command::HashPassword => serve::hash_password(),
         Command::Day(args) => day::day(&args),
+        Command::Status(args) => status::status(&args),
         Command::Sim(args) => sim::sim(&args),
     };
     match done {
--- a/crates/tidewall-standins/src/faults.rs
+++ b/crates/tidewall-standins/src/faults.rs
@@ -70,7 +70,7 @@
             hit = fit.choose_multiple(&mut self.ground.chance, count).copied().collect();
         } else if trouble.starts_with("GATEWAY_") {
             let busy = &self.faults.busy;
-            let all = self.clients.gateways();
+            let all = self.faults.gateways.members().unwrap_or(self.clients.gateways());
             let fit: Vec<usize> = (0..all).filter(|gw| !busy.contains(gw)).collect();
             hit = fit.choose_multiple(&mut g.chance, count).copied().collect();
         }
@@ -103,7 +103,8 @@
         for gw in hit.iter().copied().filter(|_| trouble.starts_with("GATEWAY_")) {
             self.faults.busy.push(gw);
             if trouble == "GATEWAY_KILL" {
-                g.row(Row { k: Kind::Killed, gw, ..Row::default() });
+                let pair = self.faults.gateways.members().is_some();
+                g.row(Row { k: Kind::Killed, gw: if pair { 0 } else { gw }, ..Row::default() });
                 self.faults.gateways.kill(gw);
             } else {
                 g.row(Row { k: Kind::Still, gw, ..Row::default() });
@@ -164,7 +165,8 @@
         for which in hit {
             match trouble.as_str() {
                 "GATEWAY_KILL" => {
-                    g.row(Row { k: Kind::Up, gw: which, ..Row::default() });
+                    let pair = self.faults.gateways.members().is_some();
+                    g.row(Row { k: Kind::Up, gw: if pair { 0 } else { which }, ..Row::default() });
                     self.faults.busy.retain(|gw| *gw != which);
                     self.faults.gateways.start(which);
                 }
--- a/crates/tidewall-standins/src/lib.rs
+++ b/crates/tidewall-standins/src/lib.rs
@@ -114,6 +114,10 @@
     fn kill(&mut self, gw: usize);
     fn start(&mut self, gw: usize);
     fn still(&mut self, gw: usize, on: bool);
+    /// How many processes there are, where a pair serves one address; none where each gateway is one.
+    fn members(&self) -> Option<usize> {
+        None
+    }
 }
 
 /// Gateways that somebody else runs.
