--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -353,7 +353,9 @@
 
     fn again(&mut self, why: &'static str) {
         warn!(why, "starts anew");
-        self.gw.ended = Ended::Again;
+        if !self.parts.leaving {
+            self.gw.ended = Ended::Again;
+        }
         self.gw.core.net().stop();
     }
 
@@ -547,9 +549,10 @@
                 self.peer_over();
             }
             Some(_) => {
-                let counted = pair.seat.state() == State::Paired;
+                let counted =
+                    if pair.seat.state() == State::Paired { pair.seat.granted.sync[1 - member] } else { 0 };
                 copy.say(&mut self.core.choice.host.net, kind::PING, |f| {
-                    f.flag(Field::On, counts).flag(Field::Standing, counted).whole(Field::Epoch, epoch).end()
+                    f.flag(Field::On, counts).whole(Field::SyncA, counted).whole(Field::Epoch, epoch).end()
                 });
             }
             None if member == 1 && retry => {
@@ -585,9 +588,7 @@
             act.gw.pump(act.parts);
             act.gw.impatient(act.parts);
         });
-        let solo = self.pair.as_ref().is_some_and(|p| p.parts.leaving && p.seat.state() == State::Solo);
-        if solo && !self.core.draining {
-            // Nobody is there to take over: it ends as one gateway would.
+        if self.pair.as_ref().is_some_and(|p| p.seat.ends_alone(now)) && !self.core.draining {
             self.core.draining = true;
             self.unlisten();
         }
@@ -743,7 +744,8 @@
         pair.parts.heard = now;
         match fields.kind()? {
             kind::PING => {
-                let (serves, counts) = (fields.flag(Field::On)?, fields.flag(Field::Standing)?);
+                let counted = fields.upto(Field::SyncA, u64::MAX, 0)?;
+                let (serves, counts) = (fields.flag(Field::On)?, counted == pair.parts.at.life);
                 let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
                 self.with_seat(|seat, now, act| seat.peer_told(now, act, serves, counts, epoch));
             }
--- a/crates/tidewall-measure/src/main.rs
+++ b/crates/tidewall-measure/src/main.rs
@@ -2,6 +2,7 @@
 //! that copies the same bytes and a client that talks straight to the worker. Run it from the root after
 //! `cargo build --release`:  target/release/tidewall-measure
 mod forward;
+mod pair;
 mod peers;
 mod terminals;
 
@@ -123,7 +124,11 @@
 
 /// `rate` 0: as fast as answers come, with `window` out at a time.
 fn measure(to: SocketAddr, process: Option<&Process>, rate: f64, window: usize) -> Measured {
-    let mut load = Load::new(to, rate, window).expect("sockets are to be had");
+    let load = Load::new(to, rate, window).expect("sockets are to be had");
+    measured(load, process)
+}
+
+fn measured(mut load: Load, process: Option<&Process>) -> Measured {
     load.until(1.0);
     mio::run(&mut load).expect("polling works");
     load.begin();
@@ -223,6 +228,7 @@
         Some("forward") => return forward::run(&args[2], &args[3]),
         Some("amqp") => return amqp(),
         Some("idle") => return idle(),
+        Some("pair") => return pair::run(),
         Some("busiest") => return table(&[(0.0, 64), (0.0, 512)]),
         _ => {}
     }
--- a/crates/tidewall-measure/src/peers.rs
+++ b/crates/tidewall-measure/src/peers.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 use tidewall_net::mio::Mio;
 use tidewall_net::{App, Conn, Listener, Net, Why};
+use tidewall_pair::promise::{Claim, Promise};
 use tidewall_wire::{self as wire, kind, Entries, Field, Fields, Frame};
 
 pub struct Echo {
@@ -17,6 +18,8 @@
     workers: Vec<(Listener, SocketAddr)>,
     roster_listener: Listener,
     names: HashMap<Conn, usize>,
+    /// What each worker keeps for a pair.
+    promises: Vec<Promise>,
     answers: bool,
     stop: Arc<AtomicBool>,
     out: Vec<u8>,
@@ -30,6 +33,7 @@
         let workers = (0..workers).map(|_| net.listen(any)).collect::<Result<Vec<_>, _>>()?;
         net.set(0, 0);
         let worker = workers[0].1;
+        let promises = vec![Promise::default(); workers.len()];
         Ok(Echo {
             net,
             roster,
@@ -37,6 +41,7 @@
             workers,
             roster_listener,
             names: HashMap::new(),
+            promises,
             answers,
             stop,
             out: Vec::new(),
@@ -65,6 +70,24 @@
                 }
                 Frame::new(&mut self.out, kind::ROSTER).text(Field::Scope, "whole").entries(&list).end();
             }
+            (k @ (kind::PREPARE | kind::ACCEPT), Some(wk)) => {
+                let whole = |field| fields.upto(field, u64::MAX, 0);
+                let (promise, ballot) = (&mut self.promises[wk], fields.whole(Field::Ballot)?);
+                let good = if k == kind::PREPARE {
+                    promise.prepare(ballot)
+                } else {
+                    let sync = [whole(Field::SyncA)?, whole(Field::SyncB)?];
+                    let member = whole(Field::Member)?.max(1) as usize - 1;
+                    let (epoch, floor) = (whole(Field::Epoch)?, whole(Field::Floor)?);
+                    promise.accept(Claim { epoch, member, sync, floor })
+                };
+                let p = *promise;
+                let f = Frame::new(&mut self.out, kind::PROMISED).whole(Field::Id, fields.whole(Field::Id)?);
+                let f = f.flag(Field::On, good).whole(Field::Ballot, p.promised);
+                let f = f.whole(Field::Epoch, p.accepted.epoch).whole(Field::Floor, p.accepted.floor);
+                let f = f.whole(Field::Member, p.accepted.member as u64 + 1);
+                f.whole(Field::SyncA, p.accepted.sync[0]).whole(Field::SyncB, p.accepted.sync[1]).end();
+            }
             (kind::LAUNCH, _) if self.answers => {
                 let f = Frame::new(&mut self.out, kind::END).whole(Field::Id, fields.whole(Field::Id)?);
                 let f = f.text(Field::Outcome, "ok").whole(Field::Copy, 1).whole(Field::Company, 0);
@@ -122,6 +145,9 @@
     rate: f64,
     window: usize,
     pub functions: u64,
+    /// The events' type, and whether they have marks.
+    pub typ: &'static str,
+    pub marks: bool,
     pub sent: u64,
     pub handled: u64,
     next: u64,
@@ -148,6 +174,8 @@
             rate,
             window,
             functions: 4,
+            typ: "t",
+            marks: false,
             sent: 0,
             handled: 0,
             next: 0,
@@ -182,7 +210,9 @@
         let id = self.next;
         self.due[id as usize % RING] = due;
         self.out.clear();
-        let f = Frame::new(&mut self.out, kind::EVENT).whole(Field::Id, id).text(Field::Type, "t");
+        let f = Frame::new(&mut self.out, kind::EVENT).whole(Field::Id, id).text(Field::Type, self.typ);
+        let mark = id.to_be_bytes();
+        let f = if self.marks { f.bytes(Field::Mark, &mark) } else { f };
         let f = f.text(Field::Function, &format!("f{}", id % self.functions)).whole(Field::Lanes, 1000);
         f.whole(Field::Left, 36_000_000).bytes(Field::Payload, &[7; 200]).end();
         let conn = self.conns[id as usize % self.conns.len()];
--- a/crates/tidewall-pair/src/known.rs
+++ b/crates/tidewall-pair/src/known.rs
@@ -1,9 +1,11 @@
 //! What became of the events of a pair, by type and mark: in hand here, in hand at the other member, or answered. Bounded
-//! by count and by time. Entries live in a slab; the map is only looked up.
+//! by count and by time. Entries live in a slab; the table finds their places and holds no marks of its own.
 use crate::Time;
-use rustc_hash::FxHashMap;
+use hashbrown::HashTable;
+use rustc_hash::FxHasher;
 use slab::Slab;
 use std::collections::VecDeque;
+use std::hash::Hasher;
 
 /// Answers that are kept at most: at a thousand events a second, a minute's worth.
 pub const MOST: usize = 65_536;
@@ -26,20 +28,42 @@
 
 #[derive(Default)]
 pub struct Known {
-    keys: FxHashMap<(usize, Box<[u8]>), usize>,
+    keys: HashTable<usize>,
     entries: Slab<Entry>,
     /// When answers end, oldest first.
     ends: VecDeque<(Time, usize, u64)>,
     count: u64,
 }
 
+fn hash(typ: usize, mark: &[u8]) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write_usize(typ);
+    hasher.write(mark);
+    hasher.finish()
+}
+
 impl Known {
+    fn key(&self, typ: usize, mark: &[u8]) -> Option<usize> {
+        let same = |key: &usize| {
+            let entry = &self.entries[*key];
+            entry.typ == typ && *entry.mark == *mark
+        };
+        self.keys.find(hash(typ, mark), same).copied()
+    }
+
     pub fn find(&mut self, now: Time, typ: usize, mark: &[u8]) -> Option<&Place> {
         self.forget(now);
-        let key = *self.keys.get(&(typ, mark.into()))?;
+        let key = self.key(typ, mark)?;
         Some(&self.entries[key].place)
     }
 
+    fn drop_key(&mut self, key: usize) {
+        let entry = self.entries.remove(key);
+        if let Ok(found) = self.keys.find_entry(hash(entry.typ, &entry.mark), |k| *k == key) {
+            found.remove();
+        }
+    }
+
     /// In hand, here or there.
     pub fn hold(&mut self, typ: usize, mark: &[u8], place: Place) {
         if !mark.is_empty() {
@@ -49,18 +73,16 @@
 
     fn put(&mut self, typ: usize, mark: &[u8], place: Place, until: Time) -> usize {
         self.count += 1;
-        let entry = Entry { typ, mark: mark.into(), place, until, count: self.count };
-        match self.keys.get(&(typ, mark.into())) {
-            Some(key) => {
-                self.entries[*key] = entry;
-                *key
-            }
-            None => {
-                let key = self.entries.insert(entry);
-                self.keys.insert((typ, mark.into()), key);
-                key
-            }
+        let count = self.count;
+        if let Some(key) = self.key(typ, mark) {
+            let entry = &mut self.entries[key];
+            (entry.place, entry.until, entry.count) = (place, until, count);
+            return key;
         }
+        let key = self.entries.insert(Entry { typ, mark: mark.into(), place, until, count });
+        let entries = &self.entries;
+        self.keys.insert_unique(hash(typ, mark), key, |k| hash(entries[*k].typ, &entries[*k].mark));
+        key
     }
 
     /// Its answer is given again until then.
@@ -75,8 +97,8 @@
 
     /// It may be asked anew.
     pub fn remove(&mut self, typ: usize, mark: &[u8]) {
-        if let Some(key) = self.keys.remove(&(typ, mark.into())) {
-            self.entries.remove(key);
+        if let Some(key) = self.key(typ, mark) {
+            self.drop_key(key);
         }
     }
 
@@ -84,8 +106,7 @@
         while self.ends.front().is_some_and(|e| e.0 <= now) || self.ends.len() > MOST {
             let Some((_, key, count)) = self.ends.pop_front() else { return };
             if self.entries.get(key).is_some_and(|e| e.count == count) {
-                let entry = self.entries.remove(key);
-                self.keys.remove(&(entry.typ, entry.mark));
+                self.drop_key(key);
             }
         }
     }
@@ -100,8 +121,7 @@
         for key in 0..self.entries.capacity() {
             let void = self.entries.get(key).is_some_and(|e| !matches!(e.place, Place::Here(_)));
             if void {
-                let entry = self.entries.remove(key);
-                self.keys.remove(&(entry.typ, entry.mark));
+                self.drop_key(key);
             }
         }
         self.ends.clear();
--- a/crates/tidewall-pair/src/seat.rs
+++ b/crates/tidewall-pair/src/seat.rs
@@ -100,6 +100,7 @@
     /// The other member retired in our favour, and has events in hand that we do not continue.
     heir: bool,
     leaving: bool,
+    left_at: Time,
     /// Settings disagree and we are the one to keep off.
     barred: bool,
 }
@@ -139,6 +140,7 @@
             handed: false,
             heir: false,
             leaving: false,
+            left_at: 0,
             barred: false,
         }
     }
@@ -362,7 +364,7 @@
 
     /// Told to go: the other one takes over where it can. False where nobody can: it ends as one gateway would.
     pub fn leave(&mut self, now: Time, act: &mut impl Act) -> bool {
-        self.leaving = true;
+        (self.leaving, self.left_at) = (true, now);
         (self.vrrp, self.active) = (false, false);
         act.vrrp(false);
         match self.state {
@@ -377,6 +379,12 @@
         }
     }
 
+    /// Told to go, and nobody takes over: it ends as one gateway would.
+    pub fn ends_alone(&self, now: Time) -> bool {
+        let asked_for = now <= self.left_at + YIELD * self.interval;
+        self.leaving && (self.state == State::Solo || self.state == State::Paired && !asked_for)
+    }
+
     /// Settings disagree with the other member's, and we are the one to keep off.
     pub fn bar(&mut self, on: bool) {
         self.barred = on;
--- a/crates/tidewall-pair/tests/decisions.rs
+++ b/crates/tidewall-pair/tests/decisions.rs
@@ -201,6 +201,15 @@
     assert_eq!(seat.state(), Sits::Standby);
 }
 
+#[test]
+fn one_that_is_to_go_and_finds_no_heir_ends_alone() {
+    let mut voters = [Promise::default(); 3];
+    let (mut seat, mut host) = paired(&mut voters);
+    assert!(seat.leave(100, &mut host));
+    assert!(!seat.ends_alone(10_100));
+    assert!(seat.ends_alone(10_101));
+}
+
 #[test]
 fn a_retired_one_takes_back_what_nobody_claimed() {
     let mut voters = [Promise::default(); 3];
