--- a/crates/tidewall-cli/src/sim.rs
+++ b/crates/tidewall-cli/src/sim.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::Instant;
-use tidewall_sim::pair::{run, Plant, Report, Setup};
+use tidewall_sim::pair::{run, Plant, Report, Setup, Sort};
 
 #[derive(Args)]
 pub struct Sim {
@@ -20,6 +20,9 @@
     /// Leaves a guard out, to show that the audit notices.
     #[arg(long, value_enum, default_value_t = Left::Nothing)]
     plant: Left,
+    /// One trouble of this kind in each run, and none of the workers'.
+    #[arg(long, value_enum)]
+    only: Option<Only>,
     /// Where the record of a single seed goes, a JSON line each.
     #[arg(long, value_name = "FILE")]
     record: Option<std::path::PathBuf>,
@@ -36,6 +39,19 @@
     Forgets,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, ValueEnum)]
+enum Only {
+    Kill,
+    KillBoth,
+    Pause,
+    Cut,
+    Slow,
+    Outside,
+    Leave,
+    Flap,
+    Forged,
+}
+
 fn seeds(text: &str) -> Result<std::ops::Range<u64>, Failure> {
     let bad = || input(format!("--seeds: '{text}' is neither a seed nor A..B"));
     match text.split_once("..") {
@@ -69,6 +85,17 @@
         return Err(input("--record: a single seed is needed".to_string()));
     }
     let keep = args.record.is_some();
+    let only = args.only.map(|only| match only {
+        Only::Kill => Sort::Kill,
+        Only::KillBoth => Sort::KillBoth,
+        Only::Pause => Sort::Pause,
+        Only::Cut => Sort::Cut,
+        Only::Slow => Sort::Slow,
+        Only::Outside => Sort::Outside,
+        Only::Leave => Sort::Leave,
+        Only::Flap => Sort::Flap,
+        Only::Forged => Sort::Forged,
+    });
     let began = Instant::now();
     let (next, reports) = (AtomicU64::new(seeds.start), Mutex::new(Vec::<Report>::new()));
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
@@ -79,8 +106,14 @@
                 if seed >= seeds.end {
                     return;
                 }
-                let report =
-                    run(Setup { plant, seconds: args.seconds, rate: args.rate, keep, ..Setup::new(seed) });
+                let report = run(Setup {
+                    plant,
+                    seconds: args.seconds,
+                    rate: args.rate,
+                    keep,
+                    only,
+                    ..Setup::new(seed)
+                });
                 reports.lock().expect("no thread panics while it holds this").push(report);
             });
         }
--- a/crates/tidewall-config/tests/settings.rs
+++ b/crates/tidewall-config/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Good settings reach the decisions' map; bad ones are refused in one line with place and field.
 use test_case::test_case;
-use tidewall_config::{plain, script, settings};
+use tidewall_config::{agree, plain, script, settings};
 
 const GOOD: &str = include_str!("../../../deploy/examples/small-site.txtpb");
 
@@ -30,6 +30,31 @@
     assert_eq!(s.section("limits").span("connect_time_out_ms"), 2500);
 }
 
+const PAIR: &str = include_str!("../../../deploy/examples/pair-a.txtpb");
+const OTHER: &str = include_str!("../../../deploy/examples/pair-b.txtpb");
+
+#[test]
+fn both_files_of_a_pair_agree_but_for_who_is_who() {
+    let (a, b) = (settings("a", PAIR).unwrap(), settings("b", OTHER).unwrap());
+    assert_eq!(agree(&a), agree(&b));
+    assert!(agree(&a).contains(&"limits.max_launches = 3".to_string()));
+    assert_ne!(a.section("pair").section("own").text("name"), b.section("pair").section("own").text("name"));
+}
+
+#[test_case("\"e0\", \"e1\"]", "\"e0\"]", "pair.voter", "odd number" ; "an even number of voters")]
+#[test_case("\"e0\", \"e1\"]", "\"e0\", \"n0\"]", "pair.voter[4]", "twice" ; "a voter twice")]
+#[test_case("127.0.0.3:7603", "127.0.0.2:7605", "pair.peer.vrrp_address", "told apart" ; "one IP for both")]
+#[test_case("127.0.0.3:7604", "127.0.0.1:7600", "pair.peer.link_address", "taken" ; "an address twice")]
+#[test_case("name: \"b\" priority", "name: \"a\" priority", "pair.peer.name", "twice" ; "a name twice")]
+#[test_case("priority: 200", "priority: 255", "pair.own.priority", "within" ; "the owner's priority")]
+#[test_case("interval_cs: 10", "interval_cs: 0", "pair.interval_cs", "within" ; "no interval")]
+#[test_case("key_file: \"deploy/examples/pair.keys\"", "", "pair.key_file", "needed" ; "no keys")]
+fn bad_pairs_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
+    assert!(PAIR.contains(good));
+    let told = settings("site", &PAIR.replacen(good, bad, 1)).unwrap_err();
+    assert!(told.contains(place) && told.contains(what) && !told.contains('\n'), "{told}");
+}
+
 /// The line numbers are those of the shipped example with one thing replaced.
 #[test_case("name: \"book\"", "nam: \"book\"", "site:21:3:", "nam" ; "an unknown field")]
 #[test_case("benefit: 3", "benefit: x", "site:24:12:", "expected" ; "a word for a number")]
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -35,6 +35,8 @@
     pub conn: Option<Conn>,
     /// The other member follows what happens.
     pub on: bool,
+    /// It may not know of an event that it hears the answer of: a copy is under way.
+    pub unsure: bool,
     pub waits: bool,
     /// Updates up to now, those that are recorded, and those before this link.
     pub seq: u64,
@@ -85,6 +87,7 @@
             epoch: 0,
             conn: None,
             on: false,
+            unsure: false,
             // Until the voters say that nobody else knows.
             waits: true,
             seq: 0,
@@ -196,8 +199,11 @@
         Some(tenant) => f.text(Field::Tenant, &tenants[tenant]),
         None => f,
     };
-    let f = f.whole(Field::Lanes, u64::from(a.lanes)).real(Field::Memory, a.memory);
-    let f = f.whole(Field::Hint, a.hint).whole(Field::LoadHint, a.load_hint);
+    // What is as it is where it is left out is left out.
+    let f = if a.lanes != 1 { f.whole(Field::Lanes, u64::from(a.lanes)) } else { f };
+    let f = if a.memory != 0.0 { f.real(Field::Memory, a.memory) } else { f };
+    let f = if a.hint > 0 { f.whole(Field::Hint, a.hint) } else { f };
+    let f = if a.load_hint > 0 { f.whole(Field::LoadHint, a.load_hint) } else { f };
     let f = f.whole(Field::Left, held.until().saturating_sub(now));
     f.bytes(Field::Mark, held.mark()).bytes(Field::Payload, held.payload()).end();
 }
@@ -256,9 +262,10 @@
         let typ = held.arrival().typ;
         remember(copy, now, typ, held.mark(), given.word, payload);
         let (place, mark, types) = (given.evt as u64, held.mark(), &self.types);
+        let unsure = copy.unsure;
         copy.tell(&mut self.net, kind::ANSWERED, |f| {
-            let f = f.whole(Field::Place, place).text(Field::Type, &types[typ]);
-            let f = f.bytes(Field::Mark, mark).text(Field::Word, given.word.text());
+            let f = f.whole(Field::Place, place).text(Field::Word, given.word.text());
+            let f = if unsure { f.text(Field::Type, &types[typ]).bytes(Field::Mark, mark) } else { f };
             f.bytes(Field::Payload, payload).end();
         });
         let mut due = copy.due();
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -331,6 +331,7 @@
         let host = &mut self.gw.core.choice.host;
         let Some(copy) = &mut host.copy else { return };
         (copy.on, copy.base, copy.acked) = (true, copy.seq - copy.sent, copy.seq);
+        copy.unsure = !new;
         copy.tell(&mut host.net, kind::COPY, |f| f.flag(Field::On, new).end());
         self.parts.cursor = if new { Cursor::Off } else { Cursor::Events(0) };
         self.parts.began = copy.seq;
@@ -495,6 +496,11 @@
         self.core.epoch()
     }
 
+    /// The first setting that the other member has otherwise.
+    pub fn disagrees(&self) -> Option<&str> {
+        self.pair.as_ref()?.parts.disagrees.as_deref()
+    }
+
     /// Advertisements that were ignored as malformed, forged or replayed.
     pub fn bad_advertisements(&self) -> u64 {
         self.pair.as_ref().map_or(0, |p| p.parts.bad)
@@ -840,11 +846,14 @@
                 }
             }
             kind::ANSWERED => {
-                let typ = typ(&host.types)?;
                 let word = Word::read(fields.text(Field::Word)?)?;
                 let payload = fields.bytes(Field::Payload)?;
-                remember(copy, now, typ, fields.bytes(Field::Mark)?, word, payload);
                 let kept = parts.theirs.get_mut(place).and_then(Option::take);
+                match (&kept, fields.has(Field::Type)) {
+                    (Some(kept), false) => remember(copy, now, kept.typ, &kept.mark, word, payload),
+                    (None, false) => {}
+                    _ => remember(copy, now, typ(&host.types)?, fields.bytes(Field::Mark)?, word, payload),
+                }
                 if let Some(kept) = kept.filter(|k| !k.tickets.is_empty()) {
                     let mut due = copy.due();
                     due.tickets = kept.tickets;
@@ -914,6 +923,7 @@
                     let Some((key, entry)) = copy.known.next(from) else {
                         copy.tell(&mut host.net, kind::COPIED, |f| f.end());
                         parts.cursor = Cursor::Told(copy.seq);
+                        copy.unsure = false;
                         return;
                     };
                     parts.cursor = Cursor::Answers(key + 1);
--- /dev/null
+++ b/crates/tidewall-gateway/tests/keys.rs
@@ -0,0 +1,24 @@
+//! Keys of advertisements, from a file's text.
+use test_case::test_case;
+use tidewall_gateway::start::keys;
+
+const KEY: &str = "000102030405060708090a0b0c0d0e0f";
+
+#[test]
+fn the_first_signs_and_all_are_taken() {
+    let text = format!("# new first\n2 {}\n\n1 {KEY}\n", KEY.replace('0', "f"));
+    let keys = keys("k", &text).unwrap();
+    assert_eq!(keys.0.iter().map(|k| k.0).collect::<Vec<_>>(), [2, 1]);
+    assert_eq!(keys.0[1].1[..4], [0, 1, 2, 3]);
+}
+
+#[test_case("", "k:1:1: there is no key" ; "empty")]
+#[test_case("\n1", "k:2:1: a number and a key" ; "no key")]
+#[test_case("256 000102030405060708090a0b0c0d0e0f", "k:1:1: the number" ; "a number too high")]
+#[test_case("1 0001", "k:1:1: a key has an even number of at least 32" ; "too short")]
+#[test_case("1 000102030405060708090a0b0c0d0e0g", "k:1:1: a key has hexadecimal" ; "no digit")]
+#[test_case("1 000102030405060708090a0b0c0d0e0f\n1 000102030405060708090a0b0c0d0e0f", "k:2:1: the number stands twice" ; "twice")]
+fn bad_keys_name_their_line(text: &str, told: &str) {
+    let error = keys("k", text).err().expect("it is refused");
+    assert!(error.starts_with(told), "{error}");
+}
--- a/crates/tidewall-measure/src/main.rs
+++ b/crates/tidewall-measure/src/main.rs
@@ -228,7 +228,7 @@
         Some("forward") => return forward::run(&args[2], &args[3]),
         Some("amqp") => return amqp(),
         Some("idle") => return idle(),
-        Some("pair") => return pair::run(),
+        Some("pair") => return pair::run(args.get(2).is_some_and(|a| a == "quick")),
         Some("busiest") => return table(&[(0.0, 64), (0.0, 512)]),
         _ => {}
     }
--- a/crates/tidewall-measure/src/pair.rs
+++ b/crates/tidewall-measure/src/pair.rs
@@ -114,13 +114,15 @@
     load
 }
 
-pub fn run() {
+/// `quick`: at-most-once events at the highest rate only.
+pub fn run(quick: bool) {
     println!("a pair beside a single gateway; 200 bytes of payload, marks, times in ms, CPU of the master in us an event");
     println!(
         "{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
         "", "a second", "handled", "p50", "p99", "p99.9", "CPU"
     );
-    for (rate, window) in [(5_000.0, 0), (0.0, 64)] {
+    let rows = [(5_000.0, 0), (0.0, 64)];
+    for (rate, window) in rows.into_iter().skip(usize::from(quick)) {
         println!(
             "{}",
             if rate > 0.0 { format!("at {rate} a second") } else { format!("{window} out at a time") }
@@ -131,13 +133,14 @@
         std::fs::write(&path, settings(single, far.roster, 1_000, false, "")).expect("it can");
         let process = Process::start(&["serve", "--log", "error", "--config", path.to_str().expect("text")]);
         std::thread::sleep(Duration::from_millis(400));
-        line("single, t", &measured(load(single, rate, window, "t"), Some(&process)));
+        if !quick {
+            line("single, t", &measured(load(single, rate, window, "t"), Some(&process)));
+        }
         line("single, o", &measured(load(single, rate, window, "o"), Some(&process)));
         drop(process);
         let _ = std::fs::remove_file(path);
-        for (name, two, typ) in
-            [("pair, t, two", true, "t"), ("pair, t", false, "t"), ("pair, o", false, "o")]
-        {
+        let pairs = [("pair, t, two", true, "t"), ("pair, t", false, "t"), ("pair, o", false, "o")];
+        for (name, two, typ) in pairs.into_iter().skip(if quick { 2 } else { 0 }) {
             let mut pair = Pair::new(&far, 1_000, two);
             (0..2).for_each(|m| pair.start(m));
             pair.until(0, "paired");
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -55,6 +55,20 @@
     Forged { member: usize },
 }
 
+/// A kind of trouble, to draw that kind alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sort {
+    Kill,
+    KillBoth,
+    Pause,
+    Cut,
+    Slow,
+    Outside,
+    Leave,
+    Flap,
+    Forged,
+}
+
 /// How a run goes.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -67,6 +81,10 @@
     pub troubles: Option<Vec<(Time, Trouble)>>,
     /// The same for troubles of the fleet, as a script.
     pub script: Option<String>,
+    /// One trouble of this kind is drawn, and none of the fleet's.
+    pub only: Option<Sort>,
+    /// Member b's settings are not those of member a.
+    pub disagree: bool,
     /// Whether the report holds the record.
     pub keep: bool,
 }
@@ -80,6 +98,8 @@
             rate: 120.0,
             troubles: None,
             script: None,
+            only: None,
+            disagree: false,
             keep: false,
         }
     }
@@ -236,6 +256,10 @@
     let keys = || Keys(vec![(1, KEY.to_vec())]);
     let mut pair = peering(&s, life, Box::new(keys));
     pair.copies = setup.plant != Plant::NoCopies;
+    if setup.disagree && me == 1 {
+        let line = pair.agree.iter_mut().find(|l| l.starts_with("limits.max_launches"));
+        *line.expect("it is set") = "limits.max_launches = 4".to_string();
+    }
     start.pair = Some(pair);
     let mut gateway = Gateway::new(net.clone(), start, Box::new(NoShelf)).expect("its addresses are free");
     let shared = SHARED.parse().expect("it is an address");
@@ -259,10 +283,11 @@
         let record = Shared::default();
         let s = settings(0, setup.rate);
         let span = (setup.seconds * 10_000.0) as Time;
-        let troubles = setup.troubles.clone().unwrap_or_else(|| draw(&mut chance, span));
+        let troubles = setup.troubles.clone().unwrap_or_else(|| draw(&mut chance, span, setup.only));
         let script = match (&setup.script, &setup.troubles) {
             (Some(text), _) => text.clone(),
             (None, Some(_)) => String::new(),
+            _ if setup.only.is_some() => String::new(),
             (None, None) => draw_script(&mut chance),
         };
         let script = tidewall_config::script("run", &script).expect("the run's script is good");
@@ -519,19 +544,23 @@
 }
 
 /// One to five troubles between the start-up and the last third.
-fn draw(chance: &mut ChaCha8Rng, span: Time) -> Vec<(Time, Trouble)> {
-    let count = chance.random_range(1..=5);
+fn draw(chance: &mut ChaCha8Rng, span: Time, only: Option<Sort>) -> Vec<(Time, Trouble)> {
+    let count = if only.is_some() { 1 } else { chance.random_range(1..=5) };
     let mut list: Vec<(Time, Trouble)> = (0..count)
         .map(|_| {
             let at = chance.random_range(12_000..span * 3 / 4);
             let member = chance.random_range(0..2);
             let lasts = chance.random_range(500..15_000);
-            let trouble = match chance.random_range(0..12) {
-                0..=2 => Trouble::Kill { member, back: chance.random_ratio(3, 4).then_some(lasts) },
-                3 => Trouble::KillBoth { back: lasts },
-                4 | 5 => Trouble::Pause { member, lasts },
-                6 => Trouble::Cut { from: chance.random_ratio(1, 2).then_some(member), lasts },
-                7 => {
+            let sorts = [Sort::Kill, Sort::Kill, Sort::Kill, Sort::KillBoth, Sort::Pause, Sort::Pause];
+            let more = [Sort::Cut, Sort::Slow, Sort::Outside, Sort::Leave, Sort::Flap, Sort::Forged];
+            let drawn = chance.random_range(0..12);
+            let sort = *sorts.iter().chain(&more).nth(drawn).expect("there are twelve");
+            let trouble = match only.unwrap_or(sort) {
+                Sort::Kill => Trouble::Kill { member, back: chance.random_ratio(3, 4).then_some(lasts) },
+                Sort::KillBoth => Trouble::KillBoth { back: lasts },
+                Sort::Pause => Trouble::Pause { member, lasts },
+                Sort::Cut => Trouble::Cut { from: chance.random_ratio(1, 2).then_some(member), lasts },
+                Sort::Slow => {
                     let path = Path {
                         delay: chance.random_range(2..600),
                         jitter: chance.random_range(0..600),
@@ -541,7 +570,7 @@
                     };
                     Trouble::Slow { path, lasts }
                 }
-                8 => {
+                Sort::Outside => {
                     let path = Path {
                         delay: chance.random_range(2..100),
                         jitter: chance.random_range(0..100),
@@ -552,9 +581,9 @@
                     };
                     Trouble::Outside { path, lasts }
                 }
-                9 => Trouble::Leave { member, back: lasts },
-                10 => Trouble::Flap { times: chance.random_range(2..6), every: 2_500 },
-                _ => Trouble::Forged { member },
+                Sort::Leave => Trouble::Leave { member, back: lasts },
+                Sort::Flap => Trouble::Flap { times: chance.random_range(2..6), every: 2_500 },
+                Sort::Forged => Trouble::Forged { member },
             };
             (at, trouble)
         })
--- a/crates/tidewall-sim/tests/pair.rs
+++ b/crates/tidewall-sim/tests/pair.rs
@@ -97,6 +97,19 @@
     assert_eq!((report.breaches.len(), report.takeovers), (0, 1));
 }
 
+#[test]
+fn where_settings_disagree_one_member_keeps_off() {
+    let setup = Setup { disagree: true, troubles: Some(Vec::new()), ..Setup::new(3) };
+    let mut run = tidewall_sim::pair::Run::new(setup);
+    run.until(20_000);
+    assert!(run.serves(0) && !run.serves(1));
+    let told = run.member(1).disagrees().expect("it says which");
+    assert_eq!(told, "limits.max_launches = 4");
+    run.kill(0, None);
+    run.until(40_000);
+    assert!(!run.serves(1));
+}
+
 #[test]
 fn a_backup_that_was_down_for_a_minute_follows_again_while_events_flow() {
     let mut run = troubled(5, vec![Trouble::Kill { member: 1, back: Some(600_000) }], 64.0);
