--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -529,7 +529,8 @@
             takeovers: self.takeovers,
             refused: self.fleet.refused(),
             service: results.service(),
-            pauses: self.fleet.pauses().to_vec(),
+            // The first one is the start's.
+            pauses: self.fleet.pauses().get(1..).unwrap_or(&[]).to_vec(),
             cases: std::array::from_fn(|i| audit.verdicts[i].cases),
             breaches: audit
                 .verdicts
--- a/crates/tidewall-standins/src/clients.rs
+++ b/crates/tidewall-standins/src/clients.rs
@@ -441,6 +441,19 @@
         e.number * TRIES + e.tries - 1
     }
 
+    /// The connection may be asked on.
+    fn ready<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
+        self.gateways[gw].conns[n].1 = true;
+        let since = self.gateways[gw].down.take();
+        if let Some(since) = since.filter(|_| self.pair) {
+            self.pauses.push(g.net.now() - since);
+            g.row(Row { k: Kind::Back, gw, ..Row::default() });
+        }
+        if self.pair {
+            self.ask_again(g, gw, n);
+        }
+    }
+
     /// What is out is asked for again, by the same id and mark.
     fn ask_again<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
         let now = g.net.now();
@@ -576,7 +589,7 @@
         g.out.clear();
         if self.amqp {
             let key = format!("{}.{}", self.types[typ].name, program.name);
-            let (left, resent) = (left / 10, e.tries > 1);
+            let (left, resent) = (left / 10, e.tries > 1 || e.asked);
             self.gateways[gw].terminals[n].publish(&mut g.out, evt, &key, left, mark(evt), resent, &payload);
         } else {
             let f = Frame::new(&mut g.out, kind::EVENT).whole(Field::Id, evt);
@@ -674,15 +687,7 @@
                     return Err(format!("field epoch: {epoch} is older than {}", self.epoch));
                 }
                 self.epoch = epoch;
-                self.gateways[gw].conns[n].1 = true;
-                let since = self.gateways[gw].down.take();
-                if let Some(since) = since.filter(|_| self.pair) {
-                    self.pauses.push(g.net.now() - since);
-                    g.row(Row { k: Kind::Back, gw, ..Row::default() });
-                }
-                if self.pair {
-                    self.ask_again(g, gw, n);
-                }
+                self.ready(g, gw, n);
                 Ok(())
             }
             kind::ANSWER => {
@@ -720,8 +725,7 @@
             g.net.write(conn, &out);
         }
         if told.ready {
-            self.gateways[gw].conns[n].1 = true;
-            self.gateways[gw].down = None;
+            self.ready(g, gw, n);
         }
         for (evt, word, come_back) in told.answers {
             self.words.insert(evt, word == "handled");
