--- a/crates/tidewall-cli/src/sim.rs
+++ b/crates/tidewall-cli/src/sim.rs
@@ -1,10 +1,11 @@
 //! `sim`: seeded runs of a pair on a virtual clock, one thread for each core.
 use crate::{input, Failure};
 use clap::{Args, ValueEnum};
+use comfy_table::{presets, Table};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::Instant;
-use tidewall_sim::pair::{run, shrink, Plant, Report, Setup, Sort};
+use tidewall_sim::pair::{run, shrink, stand, Plant, Report, Setup, Sort, STANDS};
 use tidewall_sim::site;
 
 #[derive(Args)]
@@ -24,6 +25,9 @@
     /// Three gateways beside each other instead of a pair.
     #[arg(long, conflicts_with_all = ["plant", "only", "shrink"])]
     site: bool,
+    /// Which states of both members were met together, by how many runs, and which never.
+    #[arg(long, conflicts_with = "site")]
+    cover: bool,
     /// Leaves troubles out of a single seed that breaks a rule, as long as it still does, and prints what is left.
     #[arg(long)]
     shrink: bool,
@@ -74,6 +78,20 @@
     }
 }
 
+fn cover(reports: &[Report]) {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_BORDERS_ONLY_CONDENSED);
+    let names = (0..STANDS).map(stand);
+    table.set_header(std::iter::once("a, b").chain(names.clone()));
+    let mut never = Vec::new();
+    for a in 0..STANDS {
+        let runs = |b: usize| reports.iter().filter(|r| r.met[a][b]).count();
+        never.extend((0..STANDS).filter(|b| runs(*b) == 0).map(|b| format!("{}/{}", stand(a), stand(b))));
+        table.add_row(std::iter::once(stand(a).to_string()).chain((0..STANDS).map(|b| runs(b).to_string())));
+    }
+    println!("{table}\nnever met together (member a/member b): {}", never.join(" "));
+}
+
 pub fn sim(args: &Sim) -> Result<(), Failure> {
     let seeds = seeds(&args.seeds)?;
     if !(2.0..=600.0).contains(&args.seconds) {
@@ -174,6 +192,9 @@
     );
     let service = reports.iter().map(|r| r.service).sum::<f64>() / reports.len().max(1) as f64;
     println!("cases of rules 1 to 5: {cases:?}; mean service {service:.4}");
+    if args.cover {
+        cover(&reports);
+    }
     let mut pauses: Vec<u64> = reports.iter().flat_map(|r| r.pauses.iter().copied()).collect();
     pauses.sort_unstable();
     if let Some(last) = pauses.last() {
--- a/crates/tidewall-pair/src/seat.rs
+++ b/crates/tidewall-pair/src/seat.rs
@@ -48,6 +48,18 @@
 }
 
 impl State {
+    pub const ALL: [State; 9] = [
+        State::Standby,
+        State::Asking,
+        State::Claiming,
+        State::Solo,
+        State::Joining,
+        State::Paired,
+        State::Parting,
+        State::Retiring,
+        State::Over,
+    ];
+
     pub fn text(self) -> &'static str {
         match self {
             State::Standby => "standby",
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -16,9 +16,20 @@
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
 use tidewall_net::{App, Conn, Listener, Net, Time, Why};
+use tidewall_pair::seat::State;
 use tidewall_standins::{Fleet, NoGateways, Plan};
 use tidewall_vrrp::packet::{self, Keys};
 
+/// How a member may stand: the seat's states, or dead.
+pub const STANDS: usize = State::ALL.len() + 1;
+
+/// Which states of both members were met together.
+pub type Met = [[bool; STANDS]; STANDS];
+
+pub fn stand(at: usize) -> &'static str {
+    State::ALL.get(at).map_or("dead", |s| s.text())
+}
+
 /// What is left out on purpose, to show that the audit notices.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Plant {
@@ -124,6 +135,7 @@
     pub breaches: Vec<String>,
     pub troubles: Vec<(Time, Trouble)>,
     pub script: String,
+    pub met: Met,
     /// What the stand-ins' ends recorded, a JSON line each.
     pub record: Vec<u8>,
 }
@@ -236,6 +248,7 @@
     next: usize,
     /// The member that served stands still, and no other serves yet.
     stood: bool,
+    met: Met,
 }
 
 #[derive(Clone, Copy)]
@@ -327,6 +340,7 @@
             ends: Vec::new(),
             next: 0,
             stood: false,
+            met: Met::default(),
         }
     }
 
@@ -456,6 +470,11 @@
             self.stood = false;
             self.row(Kind::Going);
         }
+        let [a, b] = [0, 1].map(|m: usize| {
+            let state = self.members[m].state().filter(|_| !self.hands[m].dead());
+            state.map_or(STANDS - 1, |s| State::ALL.iter().position(|o| *o == s).unwrap_or(0))
+        });
+        self.met[a][b] = true;
         for m in 0..2 {
             let serves = self.serves(m);
             self.takeovers += u64::from(serves && !self.served[m]);
@@ -540,6 +559,7 @@
                 .collect(),
             troubles: self.troubles,
             script: self.script,
+            met: self.met,
             record: if self.setup.keep { bytes } else { Vec::new() },
         }
     }
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -240,6 +240,7 @@
         breaches: broken,
         troubles: Vec::new(),
         script: text,
+        met: Default::default(),
         record: if keep { bytes } else { Vec::new() },
     }
 }
