--- a/crates/tidewall-amqp-door/src/logins.rs
+++ b/crates/tidewall-amqp-door/src/logins.rs
@@ -1,6 +1,11 @@
 //! Passwords are checked on a thread of their own: argon2 is slow on purpose, and a storm of logins must not stop
-//! events. The thread ends with its door.
+//! events. What was found good is known again by a keyed digest, so that terminals that all come back at once (after a
+//! takeover, say) wait for one check, not for one each. The thread ends with its door.
+use argon2::password_hash::rand_core::{OsRng, RngCore};
 use argon2::{Argon2, PasswordHash, PasswordVerifier};
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use std::collections::BTreeSet;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TryRecvError};
 use std::thread;
 
@@ -21,16 +26,58 @@
 const NOBODY: &str =
     "$argon2id$v=19$m=19456,t=2,p=1$AAAAAAAAAAAAAAAAAAAAAA$AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA";
 
+/// Good logins that are known again: more than a site has users. Beyond, all are forgotten and checked anew.
+const KNOWN: usize = 1_024;
+
+/// Digests of good logins under a key that only this process has: no password, nor anything that is worth something elsewhere, is
+/// kept. A changed hash is another login.
+struct Good {
+    key: [u8; 32],
+    digests: BTreeSet<[u8; 32]>,
+}
+
+impl Good {
+    fn new() -> Good {
+        let mut key = [0; 32];
+        OsRng.fill_bytes(&mut key);
+        Good { key, digests: BTreeSet::new() }
+    }
+
+    fn digest(&self, hash: &str, password: &[u8]) -> [u8; 32] {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.key).expect("any length is good");
+        // Told with its length, or another split of the two would have the same digest.
+        mac.update(&(hash.len() as u64).to_be_bytes());
+        mac.update(hash.as_bytes());
+        mac.update(password);
+        mac.finalize().into_bytes().into()
+    }
+
+    /// An unknown user, and a wrong password, always cost a whole check.
+    fn check(&mut self, hash: Option<&str>, password: &[u8]) -> bool {
+        let digest = hash.map(|hash| self.digest(hash, password));
+        if digest.is_some_and(|d| self.digests.contains(&d)) {
+            return true;
+        }
+        let good = PasswordHash::new(hash.unwrap_or(NOBODY))
+            .is_ok_and(|hash| Argon2::default().verify_password(password, &hash).is_ok());
+        let Some(digest) = digest.filter(|_| good) else { return false };
+        if self.digests.len() >= KNOWN {
+            self.digests.clear();
+        }
+        self.digests.insert(digest);
+        true
+    }
+}
+
 impl Logins {
     pub fn new(most: usize) -> Logins {
         let (ask, asked) = sync_channel::<Ask>(most);
         let (tell, told) = sync_channel(most);
         thread::spawn(move || {
+            let mut known = Good::new();
             for a in asked {
-                let hash = a.hash.as_deref().unwrap_or(NOBODY);
-                let good = PasswordHash::new(hash)
-                    .is_ok_and(|hash| Argon2::default().verify_password(&a.password, &hash).is_ok());
-                if tell.send((a.conn, a.link, good && a.hash.is_some())).is_err() {
+                let good = known.check(a.hash.as_deref(), &a.password);
+                if tell.send((a.conn, a.link, good)).is_err() {
                     return;
                 }
             }
@@ -55,3 +102,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use argon2::password_hash::{PasswordHasher, SaltString};
+
+    fn hash(password: &[u8], salt: &[u8]) -> String {
+        let salt = SaltString::encode_b64(salt).unwrap();
+        let cheap = argon2::Params::new(8, 1, 1, None).unwrap();
+        let cheap = Argon2::new(argon2::Algorithm::Argon2id, argon2::Version::V0x13, cheap);
+        cheap.hash_password(password, &salt).unwrap().to_string()
+    }
+
+    #[test]
+    fn only_what_was_found_good_is_known_again() {
+        let (mut good, a) = (Good::new(), hash(b"secret", b"0123456789abcdef"));
+        assert!(!good.check(Some(&a), b"wrong") && !good.check(None, b"secret"));
+        assert!(good.digests.is_empty());
+        assert!(good.check(Some(&a), b"secret") && good.check(Some(&a), b"secret"));
+        assert_eq!(good.digests.len(), 1);
+        assert!(!good.check(Some(&a), b"wrong") && !good.check(None, b"secret"));
+        // The user's hash was changed.
+        let b = hash(b"other", b"0123456789abcdef");
+        assert!(!good.check(Some(&b), b"secret"));
+    }
+
+    #[test]
+    fn no_more_than_the_bound_is_known() {
+        let mut good = Good::new();
+        good.digests = (0..KNOWN as u64).map(|i| [i.to_be_bytes(); 4].concat().try_into().unwrap()).collect();
+        assert!(good.check(Some(&hash(b"secret", b"0123456789abcdef")), b"secret"));
+        assert_eq!(good.digests.len(), 1);
+    }
+}
