Orders to load wait for the other member's record, and no event counts twice for the ration

Cause: a new master did not know of orders sent just before a cut, and counted the events that it went on with again.

--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -713,7 +713,7 @@
         if refused {
             return self.at_once(key, Outcome::Full);
         }
-        self.ride(key);
+        self.order_recorded(key, copies);
     }
 
     fn unload(&mut self, img: usize, wk: usize) {
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -311,6 +311,17 @@
         true
     }
 
+    /// An order waits for the other member's record, or its ration might not count it.
+    pub(crate) fn order_recorded(&mut self, key: usize, copies: u32) {
+        let now = self.net.now();
+        match &mut self.copy {
+            Some(copy) if copy.waits && copies > 0 => {
+                copy.back.push_back((copy.seq, now, Later::Ride { key, count: self.outs[key].count }));
+            }
+            _ => self.ride(key),
+        }
+    }
+
     /// Takes one of several that wait for the same event off; false where it is the only one.
     pub(crate) fn one_less(&mut self, place: usize, ticket: Ticket) -> bool {
         let Some(held) = self.events.get_mut(place).filter(|h| h.open) else { return false };
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -1003,6 +1003,7 @@
             mark: &kept.mark,
             payload: &kept.payload,
         });
+        copy_of(&mut self.core).ration.took_before();
         if !kept.tickets.is_empty() {
             let host = &mut self.core.choice.host;
             host.events[place].more.extend(kept.tickets);
--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -344,7 +344,8 @@
         let now = w.now;
         let node = &mut w.nodes[self.node];
         if on {
-            node.still = Some(now);
+            // One that stands still already goes on standing.
+            node.still.get_or_insert(now);
         } else if let Some(since) = node.still.take() {
             node.stood += now - since;
             node.thawed = (now, now - since);
--- a/crates/tidewall-pair/src/ration.rs
+++ b/crates/tidewall-pair/src/ration.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// What was counted last had been counted before: an event that the other member took and we go on with.
+    pub fn took_before(&mut self) {
+        self.taken.pop_back();
+    }
+
     pub fn ordered(&mut self, now: Time) {
         if self.window > 0 {
             self.forget(now);
--- a/crates/tidewall-pair/tests/decisions.rs
+++ b/crates/tidewall-pair/tests/decisions.rs
@@ -64,6 +64,9 @@
     assert!(!ration.room(10));
     (0..2).for_each(|_| ration.took(10));
     assert!(ration.room(10));
+    // One that is gone on with was counted when it was taken.
+    ration.took(10);
+    ration.took_before();
     ration.ordered(10);
     assert!(!ration.room(20));
     // The first order is out of the window, and then what was taken too.
