Seeds are played by one pool, and plants and kinds of trouble are named once

Need: the command and two test files each had the thread pool, and the command a second copy of the enumerations of plants and troubles.

--- a/crates/tidewall-cli/src/sim.rs
+++ b/crates/tidewall-cli/src/sim.rs
@@ -1,12 +1,10 @@
 //! `sim`: seeded runs of a pair on a virtual clock, one thread for each core.
 use crate::{input, Failure};
-use clap::{Args, ValueEnum};
+use clap::Args;
 use comfy_table::{presets, Table};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 use std::time::Instant;
 use tidewall_sim::pair::{run, shrink, stand, Plant, Report, Setup, Sort, STANDS};
-use tidewall_sim::site;
+use tidewall_sim::{all, site};
 
 #[derive(Args)]
 pub struct Sim {
@@ -20,8 +18,8 @@
     #[arg(long, default_value_t = 120.0, value_name = "N")]
     rate: f64,
     /// Leaves a guard out, to show that the audit notices.
-    #[arg(long, value_enum, default_value_t = Left::Nothing)]
-    plant: Left,
+    #[arg(long, value_enum, default_value_t = Plant::Nothing)]
+    plant: Plant,
     /// Three gateways beside each other instead of a pair.
     #[arg(long, conflicts_with_all = ["plant", "only", "shrink"])]
     site: bool,
@@ -33,7 +31,7 @@
     shrink: bool,
     /// One trouble of this kind in each run, and none of the workers'.
     #[arg(long, value_enum)]
-    only: Option<Only>,
+    only: Option<Sort>,
     /// Where the record of a single seed goes, a JSON line each.
     #[arg(long, value_name = "FILE")]
     record: Option<std::path::PathBuf>,
@@ -42,27 +40,6 @@
     each: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, ValueEnum)]
-enum Left {
-    Nothing,
-    NoFences,
-    NoCopies,
-    Forgets,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, ValueEnum)]
-enum Only {
-    Kill,
-    KillBoth,
-    Pause,
-    Cut,
-    Slow,
-    Outside,
-    Leave,
-    Flap,
-    Forged,
-}
-
 fn seeds(text: &str) -> Result<std::ops::Range<u64>, Failure> {
     let bad = || input(format!("--seeds: '{text}' is neither a seed nor A..B"));
     match text.split_once("..") {
@@ -100,12 +77,6 @@
     if !(1.0..=10_000.0).contains(&args.rate) {
         return Err(input(format!("--rate: {} is not within 1 to 10000", args.rate)));
     }
-    let plant = match args.plant {
-        Left::Nothing => Plant::Nothing,
-        Left::NoFences => Plant::NoFences,
-        Left::NoCopies => Plant::NoCopies,
-        Left::Forgets => Plant::Forgets,
-    };
     if args.shrink && seeds.end != seeds.start + 1 {
         return Err(input("--shrink: a single seed is needed".to_string()));
     }
@@ -115,7 +86,7 @@
     let keep = args.record.is_some();
     if args.shrink {
         let (seconds, rate) = (args.seconds, args.rate);
-        let setup = Setup { plant, seconds, rate, ..Setup::new(seeds.start) };
+        let setup = Setup { plant: args.plant, seconds, rate, ..Setup::new(seeds.start) };
         return match shrink(&setup) {
             None => Err(Failure::Run(format!("seed {} breaks no rule", seeds.start))),
             Some(left) => {
@@ -126,39 +97,12 @@
             }
         };
     }
-    let only = args.only.map(|only| match only {
-        Only::Kill => Sort::Kill,
-        Only::KillBoth => Sort::KillBoth,
-        Only::Pause => Sort::Pause,
-        Only::Cut => Sort::Cut,
-        Only::Slow => Sort::Slow,
-        Only::Outside => Sort::Outside,
-        Only::Leave => Sort::Leave,
-        Only::Flap => Sort::Flap,
-        Only::Forged => Sort::Forged,
-    });
     let began = Instant::now();
-    let (next, reports) = (AtomicU64::new(seeds.start), Mutex::new(Vec::<Report>::new()));
-    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
-    std::thread::scope(|scope| {
-        for _ in 0..cores {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= seeds.end {
-                    return;
-                }
-                let (seconds, rate) = (args.seconds, args.rate);
-                let report = if args.site {
-                    site::run(seed, seconds, rate, None, keep)
-                } else {
-                    run(Setup { plant, seconds, rate, keep, only, ..Setup::new(seed) })
-                };
-                reports.lock().expect("no thread panics while it holds this").push(report);
-            });
-        }
+    let (seconds, rate, plant, only) = (args.seconds, args.rate, args.plant, args.only);
+    let reports = all(seeds, |seed| match args.site {
+        true => site::run(seed, seconds, rate, None, keep),
+        false => run(Setup { plant, seconds, rate, keep, only, ..Setup::new(seed) }),
     });
-    let mut reports = reports.into_inner().expect("all threads are done");
-    reports.sort_by_key(|r| r.seed);
     if let Some(path) = &args.record {
         let name = path.display();
         std::fs::write(path, &reports[0].record).map_err(|e| input(format!("{name}: {e}")))?;
--- a/crates/tidewall-sim/src/lib.rs
+++ b/crates/tidewall-sim/src/lib.rs
@@ -2,3 +2,29 @@
 //! with a stand-in fleet, `site` three gateways beside each other, troubled as drawn. The same seed gives the same run, step for step.
 pub mod pair;
 pub mod site;
+
+use pair::Report;
+use std::ops::Range;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// One run for each seed, a thread for each core; the reports in the order of their seeds.
+pub fn all(seeds: Range<u64>, run: impl Fn(u64) -> Report + Sync) -> Vec<Report> {
+    let (next, reports) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    std::thread::scope(|scope| {
+        for _ in 0..cores {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= seeds.end {
+                    return;
+                }
+                let report = run(seed);
+                reports.lock().expect("no thread panics while it holds this").push(report);
+            });
+        }
+    });
+    let mut reports: Vec<Report> = reports.into_inner().expect("all threads are done");
+    reports.sort_by_key(|r| r.seed);
+    reports
+}
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -31,7 +31,7 @@
 }
 
 /// What is left out on purpose, to show that the audit notices.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
 pub enum Plant {
     #[default]
     Nothing,
@@ -67,7 +67,7 @@
 }
 
 /// A kind of trouble, to draw that kind alone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum Sort {
     Kill,
     KillBoth,
--- a/crates/tidewall-sim/tests/pair.rs
+++ b/crates/tidewall-sim/tests/pair.rs
@@ -2,11 +2,10 @@
 mod help;
 
 use help::*;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 use test_case::test_case;
 use tidewall_net::memory::Path;
 use tidewall_net::Time;
+use tidewall_sim::all;
 use tidewall_sim::pair::{run, shrink, Plant, Report, Setup, Trouble};
 
 const MS: Time = 10;
@@ -142,23 +141,8 @@
 
 /// Runs that broke a rule, of these seeds.
 fn failing(seeds: std::ops::Range<u64>, plant: Plant) -> Vec<Report> {
-    let (next, found) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
-    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
-    std::thread::scope(|scope| {
-        for _ in 0..cores {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= seeds.end {
-                    return;
-                }
-                let report = run(Setup { plant, ..Setup::new(seed) });
-                if !report.breaches.is_empty() {
-                    found.lock().unwrap().push(report);
-                }
-            });
-        }
-    });
-    found.into_inner().unwrap()
+    let reports = all(seeds, |seed| run(Setup { plant, ..Setup::new(seed) }));
+    reports.into_iter().filter(|r| !r.breaches.is_empty()).collect()
 }
 
 #[test]
--- a/crates/tidewall-sim/tests/site.rs
+++ b/crates/tidewall-sim/tests/site.rs
@@ -1,29 +1,14 @@
 //! Three gateways beside each other on the virtual clock: fixed seeds, the same run for the same seed, and those that once broke
 //! a rule.
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 use test_case::test_case;
+use tidewall_sim::all;
 use tidewall_sim::site::run;
 
 #[test]
 fn a_hundred_fixed_seeds_break_no_rule() {
-    let (next, found) = (AtomicU64::new(0), Mutex::new(Vec::new()));
-    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
-    std::thread::scope(|scope| {
-        for _ in 0..cores {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= 100 {
-                    return;
-                }
-                let report = run(seed, 5.0, 120.0, None, false);
-                if !report.breaches.is_empty() {
-                    found.lock().unwrap().push((seed, report.breaches));
-                }
-            });
-        }
-    });
-    assert_eq!(found.into_inner().unwrap(), Vec::new());
+    let reports = all(0..100, |seed| run(seed, 5.0, 120.0, None, false));
+    let broken: Vec<_> = reports.into_iter().filter(|r| !r.breaches.is_empty()).collect();
+    assert!(broken.is_empty(), "{:?}", broken.iter().map(|r| (r.seed, &r.breaches)).collect::<Vec<_>>());
 }
 
 #[test]
