Module: an event without any hope of a copy is answered early, with a time to come back

Ruled out: events that wait for an order that is out, or for probes (20 ms, three times at most) are not kept without reason. Answering in the same moment was not done: answers to asks come within a round trip.

Change: without a copy and without an order out an event waits as long as one whose copies have no room, an eighth of the target time (a sixteenth in overload); such events do not count as strain. A time that may be told is a tenth of a millisecond at the least.

Tests that failed before: what_has_no_hope_is_not_kept_for_its_deadline, a_deferral_that_may_tell_a_time_tells_one (first case).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -381,8 +381,9 @@
             // of that, and is given up (tried from 1/2 to 1/16: an early deferral can still be answered
             // elsewhere).
             let longest = self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 };
-            if crowded && now > came + longest {
-                self.strained.add(now, 1);
+            let loading = function.seats.iter().any(|s| s.pending > 0);
+            if (crowded || !loading) && now > came + longest {
+                self.strained.add(now, u32::from(crowded));
                 return self.give_up(e);
             }
         }
@@ -630,7 +631,8 @@
             let told = self.settings.is("allowed.retry-after", "true");
             let longest = if told { self.settings.span("allowed.max-retry-after-ms") } else { 0 };
             let wait = (target / 10).min(longest) as u32;
-            let wait = wait / 2 + self.chance.below(wait / 2 + 1);
+            // Where a time may be told it is never none, which would read as "at once" or as untold.
+            let wait = (wait / 2 + self.chance.below(wait / 2 + 1)).max(u32::from(longest > 0));
             self.host.defer(e, Time::from(wait));
         } else {
             self.host.dead_letter(e);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -524,3 +524,32 @@
     let made = Choice::new(Calls::default(), 0, 1, settings(&[("rules.cold-ms", "soon")]));
     assert_eq!(made.err().as_deref(), Some("rules.cold-ms: 'soon' is not a time"));
 }
+
+// Hardening: with the ration spent and no order out an event lay here until the last sweep before its client gave up.
+#[test_case(false, true; "no copy and no order out: no hope")]
+#[test_case(true, false; "a load is under way: it may wait for that")]
+fn what_has_no_hope_is_not_kept_for_its_deadline(loading: bool, given_up: bool) {
+    let mut gw = gateway(2, &[("extra.load-window-ms", "10000")]);
+    stand(&mut gw, 0, 1);
+    gw.functions[0].seats[0].copies = Copies::Absent;
+    gw.functions[0].seats[0].pending = u32::from(loading);
+    let e = arrive(&mut gw, 0);
+    assert!(launches(&gw).is_empty() && holds(&gw) == 0);
+    gw.clock(NOW + 1250 + 1);
+    gw.timer(0);
+    let told = gw.host.0.iter().any(|c| matches!(c, Call::Defer(at, back) if *at == e && *back > 0));
+    assert_eq!(told, given_up);
+}
+
+#[test_case("1", "500"; "of the shortest target time")]
+#[test_case("1000", "0.2"; "with the shortest longest time")]
+fn a_deferral_that_may_tell_a_time_tells_one(target: &str, longest: &str) {
+    let more = [("classes.0.aim-ms", target), ("allowed.max-retry-after-ms", longest)];
+    for seed in 0..20 {
+        let mut gw = Choice::new(Calls::default(), 0, seed, settings(&more)).unwrap();
+        let e = gw.next_place();
+        gw.arrive(Arrival { gives_up: 1, ..arrival(0) });
+        assert!(matches!(gw.host.0.last(), Some(Call::Defer(at, back)) if *at == e && *back > 0));
+    }
+}
+
--- a/src/choice/tests/help.rs
+++ b/src/choice/tests/help.rs
@@ -11,6 +11,7 @@
     Probe(usize),
     Forget(usize),
     Follow,
+    Timer(Time, u64),
 }
 
 #[derive(Default)]
@@ -30,7 +31,12 @@
         self.0.push(Call::DeadLetter(evt));
     }
     fn release(&mut self, _evt: usize) {}
-    fn timer(&mut self, _wait: Time, _token: u64) {}
+    fn timer(&mut self, wait: Time, token: u64) {
+        // That of the sweep comes all the time and is no matter of tests.
+        if token > 0 {
+            self.0.push(Call::Timer(wait, token));
+        }
+    }
     fn probe(&mut self, wk: usize) {
         self.0.push(Call::Probe(wk));
     }
@@ -94,6 +100,7 @@
     let now = gw.now;
     gw.functions[typ].n = n;
     gw.functions[typ].turn = 0;
+    gw.functions[typ].seats.iter_mut().for_each(|s| s.asks = 0);
     for seat in &mut gw.functions[typ].seats[..n] {
         (seat.copies, seat.renewed) = (Copies::Standing, now);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -131,7 +131,9 @@
     pub wk: usize,
     pub copies: Copies,
     pub flight: u32,
+    /// Orders that await their end, and asks that do.
     pub pending: u32,
+    pub asks: u32,
     /// Company that own events met there, smoothed.
     pub crowd: f64,
     /// Last sign that the copy's idle time began anew.
