Module: each end of an order or ask counts once; repeats no longer line up

Seen: held() could not tell an ask's end from an order's. An order that ended ok with no copy left its seat pending for ever: never ordered again, its function never forgotten. An ask that failed used up an order that was still out, so that a second one could go. And forget() gave an index away while asks were out, whose answers would then tell of the index's next user.

Ruled out: renewals at half the keep-alive (they ride on arrivals of their function and are put off by its use), counts of a second (spread by index), probes (asked by events).

Change: seats count asks beside orders, asks' ends first; a seat without an order out takes no end off. Spans are drawn between three and five quarters.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -149,7 +149,14 @@
 
     /// A subscription may have broken: asking anew is always allowed, at the next timer of its own.
     pub fn list_failed(&mut self) {
-        self.host.timer(SECOND, 1);
+        let wait = self.spread(SECOND);
+        self.host.timer(wait, 1);
+    }
+
+    /// Three quarters to five quarters of a span. Guards against whatever strikes many functions or gateways
+    /// at one moment: what they try again must not meet again, and again, a span later.
+    fn spread(&mut self, span: Time) -> Time {
+        span * 3 / 4 + Time::from(self.chance.below((span / 2) as u32 + 1))
     }
 
     /// The worker's place in the function's shared order: rendezvous hashing of the two id texts, so every
@@ -161,7 +168,8 @@
         }
         if let Some(s) = f.seats.iter_mut().find(|s| s.wk == wk) {
             // It started anew: empty.
-            *s = Seat { wk, flight: s.flight, pending: s.pending, copies: Copies::Absent, ..Seat::default() };
+            let Seat { flight, pending, asks, .. } = *s;
+            *s = Seat { wk, flight, pending, asks, copies: Copies::Absent, ..Seat::default() };
             return;
         }
         let (hash, workers) = (f.hash, &self.workers);
@@ -238,6 +246,7 @@
     /// The page's bounds of one copy, in events a second: (low, up).
     fn bounds(&self, f: usize) -> (f64, f64) {
         let (function, second) = (&self.functions[f], SECOND as f64);
+                self.functions[f].seats[s].asks += 1;
         let typ = &self.types[function.typ];
         let target = typ.target as f64 / second;
         let run = if function.run > 0.0 { function.run / second } else { target / 10.0 };
@@ -818,8 +827,10 @@
         w.failures += u32::from(!overloaded);
         let chance = w.failures < 3 && w.out_span == 0; // two late answers in a row are common, three rare
         if !overloaded && !chance && w.out_until <= now && (out + 1) * 3 <= count {
-            w.out_span = (w.out_span * 2).clamp(SECOND, 8 * SECOND);
-            w.out_until = now + w.out_span;
+            let span = (w.out_span * 2).clamp(SECOND, 8 * SECOND);
+            // The trial comes at its own time, or all gateways would try a worker that is still bad together.
+            let until = now + self.spread(span);
+            (self.workers[wk].out_span, self.workers[wk].out_until) = (span, until);
         }
     }
 
@@ -840,20 +851,24 @@
     pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, copies: u32) {
         let (now, many) = (self.now, self.told.many);
         let Some(s) = self.seat_of(f, wk) else { return };
-        let function = &mut self.functions[f];
-        let seat = &mut function.seats[s];
-        if outcome == Outcome::Ok && copies == 0 {
-            return; // the answer to an ask that found none
+        // No room or a failed load: the same order at once would fail again.
+        let barred = now + self.spread(if many { 4 * SECOND } else { SECOND / 2 });
+        let seat = &mut self.functions[f].seats[s];
+        // An end does not say whether it is an ask's or an order's; asks go first and are answered at once.
+        // Each end counts once, so neither stays out for good, whatever a worker says.
+        let ask = seat.asks > 0;
+        *(if ask { &mut seat.asks } else { &mut seat.pending }) -= u32::from(ask || seat.pending > 0);
+        if ask && outcome == Outcome::Ok && copies == 0 {
+            return;
         }
-        seat.pending = seat.pending.saturating_sub(1);
+        let stood = seat.copies == Copies::Standing && matches!(outcome, Outcome::TimedOut | Outcome::Ok);
         if copies > 0 {
             (seat.copies, seat.renewed) = (Copies::Standing, now);
-        } else if seat.copies != Copies::Standing || outcome != Outcome::TimedOut {
+        } else if !stood && !(ask && seat.pending > 0) {
             seat.copies = Copies::Absent;
         }
-        if outcome != Outcome::Ok {
-            // No room or a failed load: the same order at once would fail again.
-            seat.barred_until = now + if many { 4 * SECOND } else { SECOND / 2 };
+        if copies == 0 {
+            seat.barred_until = barred;
         }
         if matches!(outcome, Outcome::Reset | Outcome::NoConnection | Outcome::TimedOut) {
             self.failed(wk);
@@ -889,13 +904,16 @@
             }
         }
         self.look_again(|_| true);
-        // Counts are checked once a second, the functions spread over the sweeps of it.
-        let slots = (SECOND / SWEEP) as usize;
-        let slot = (self.now / SWEEP) as usize % slots;
-        for f in (slot..self.functions.len()).step_by(slots) {
-            if self.functions[f].live {
-                self.scale(f, true);
-                self.forget(f);
+        // Counts are checked once a second, the functions spread over the sweeps of it; a sweep that comes
+        // late does those of the sweeps that it missed.
+        let (slots, sweep) = (SECOND / SWEEP, self.now / SWEEP);
+        let from = std::mem::replace(&mut self.checked, sweep).max(sweep.saturating_sub(slots));
+        for slot in from + 1..=sweep {
+            for f in ((slot % slots) as usize..self.functions.len()).step_by(slots as usize) {
+                if self.functions[f].live {
+                    self.scale(f, true);
+                    self.forget(f);
+                }
             }
         }
     }
@@ -951,7 +969,9 @@
     fn forget(&mut self, f: usize) {
         let (now, keep) = (self.now, self.told.keep);
         let function = &mut self.functions[f];
-        let idle = function.events == 0 && function.seats.iter().all(|s| s.flight == 0 && s.pending == 0);
+        // An answer that is still to come would be taken for one about the index's next user.
+        let still = |s: &Seat| s.flight == 0 && s.pending == 0 && s.asks == 0;
+        let idle = function.events == 0 && function.seats.iter().all(still);
         if idle && function.n == 0 && now > function.last + 2 * keep {
             function.live = false;
             function.seats.clear();
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -553,3 +553,70 @@
     }
 }
 
+// An order that ended well with nothing left its seat pending for good; an ask's end used an order's up.
+#[test_case(0, 1, &[(Outcome::Ok, 0)], 0, 0; "an order that ends with no copy")]
+#[test_case(1, 1, &[(Outcome::TimedOut, 0)], 0, 1; "an ask's end leaves the order out")]
+#[test_case(1, 1, &[(Outcome::Ok, 0), (Outcome::Full, 0)], 0, 0; "both ends")]
+#[test_case(1, 1, &[(Outcome::Ok, 1), (Outcome::Ok, 0)], 0, 0; "in the other order")]
+fn each_end_is_counted_once(asks: u32, orders: u32, ends: &[(Outcome, u32)], asks_left: u32, left: u32) {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, 0, 0);
+    (gw.functions[0].seats[0].asks, gw.functions[0].seats[0].pending) = (asks, orders);
+    let wk = at(&gw, 0, 0);
+    ends.iter().for_each(|(outcome, copies)| gw.held(0, wk, *outcome, *copies));
+    assert_eq!((gw.functions[0].seats[0].asks, gw.functions[0].seats[0].pending), (asks_left, left));
+}
+
+#[test]
+fn a_function_is_not_forgotten_while_an_ask_is_out() {
+    let mut gw = gateway(2, &[]);
+    gw.know(&arrival(0));
+    gw.clock(NOW + 60 * SECOND);
+    gw.forget(0);
+    assert!(gw.functions[0].live, "its index would name another when the answer comes");
+}
+
+// After one depot stall 200 functions were ordered again in one sweep, at each of the gateways; so were trials and lists.
+#[test_case(1; "one gateway")]
+#[test_case(20; "many gateways")]
+fn repeats_do_not_line_up(gateways: u64) {
+    let mut at = Vec::new();
+    for seed in 0..gateways {
+        let siblings = gateways.to_string();
+        let more = settings(&[("siblings", &siblings)]);
+        let mut gw = Choice::new(Calls::default(), 0, seed, more).unwrap();
+        gw.clock(NOW);
+        gw.list(&[listed(0), listed(1), listed(2)], true);
+        (0..200).for_each(|f| gw.know(&Arrival { function: f, ..arrival(0) }));
+        for f in 0..200 {
+            gw.held(f, 0, Outcome::Full, 0);
+            gw.held(f, 0, Outcome::Full, 0);
+            at.push(gw.functions[f].seats.iter().find(|s| s.wk == 0).unwrap().barred_until / SWEEP);
+        }
+    }
+    at.sort_unstable();
+    let most = at.chunk_by(|a, b| a == b).map(<[_]>::len).max().unwrap();
+    assert!(most * 10 < at.len(), "{most} of {} orders fall in one sweep", at.len());
+}
+
+#[test]
+fn trials_and_lists_do_not_line_up() {
+    let gateways = (0..50).map(|seed| {
+        let mut gw = Choice::new(Calls::default(), 0, seed, settings(&[])).unwrap();
+        gw.clock(NOW);
+        gw.list(&(0..4).map(listed).collect::<Vec<_>>(), true);
+        (0..3).for_each(|_| gw.failed(0));
+        gw.list_failed();
+        let asked =
+            gw.host.0.iter().rev().find_map(|c| if let Call::Timer(t, 1) = c { Some(*t) } else { None });
+        (gw.workers[0].out_until / SWEEP, asked.unwrap() / SWEEP)
+    });
+    let (mut trials, mut lists): (Vec<_>, Vec<_>) = gateways.unzip();
+    for at in [&mut trials, &mut lists] {
+        at.sort_unstable();
+        let most = at.chunk_by(|a, b| a == b).map(<[_]>::len).max().unwrap();
+        assert!(most <= 10, "{most} of 50 gateways in one sweep");
+        assert!(at[49] - at[0] >= 20, "spread over a fifth of a second at the least");
+    }
+}
+
