--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,6 +38,8 @@
     waiting: VecDeque<usize>,
     orders: VecDeque<Time>,
     arrivals: VecDeque<Time>,
+    /// The sweep up to which counts were checked.
+    checked: Time,
     arrived: Rate,
     strained: Rate,
     missed: f64,
@@ -65,6 +67,7 @@
             waiting: VecDeque::new(),
             orders: VecDeque::new(),
             arrivals: VecDeque::new(),
+            checked: now / SWEEP,
             arrived: Rate::default(),
             strained: Rate::default(),
             missed: 0.0,
@@ -190,7 +193,12 @@
     pub fn arrive(&mut self, arrival: Arrival) {
         let (now, f) = (self.now, arrival.function);
         let e = self.events.insert(Evt { arrival, came: now, ..Evt::default() });
-        if self.settings.span("extra.load-window-ms") > 0 {
+        let window = self.settings.span("extra.load-window-ms");
+        if window > 0 {
+            // Here too: it may be hours to the next order.
+            while self.arrivals.front().is_some_and(|t| t + window <= now + 1) {
+                self.arrivals.pop_front();
+            }
             self.arrivals.push_back(now);
         }
         self.arrived.add(now, 1);
@@ -238,6 +246,7 @@
         for s in 0..self.functions[f].seats.len().min(12) {
             let wk = self.functions[f].seats[s].wk;
             if self.trusted(wk) {
+                self.functions[f].seats[s].asks += 1;
                 self.host.hold(f, wk, 0);
             }
         }
@@ -246,11 +255,11 @@
     /// The page's bounds of one copy, in events a second: (low, up).
     fn bounds(&self, f: usize) -> (f64, f64) {
         let (function, second) = (&self.functions[f], SECOND as f64);
-                self.functions[f].seats[s].asks += 1;
         let typ = &self.types[function.typ];
         let target = typ.target as f64 / second;
         let run = if function.run > 0.0 { function.run / second } else { target / 10.0 };
-        let (run, lanes) = (run.clamp(1e-4, target / 2.0), f64::from(function.lanes));
+        // A run is a tenth of a millisecond at the least, the clock's step, and so may the target time be.
+        let (run, lanes) = (run.max(1e-4).min(target / 2.0), f64::from(function.lanes));
         let low = (1.0 / (target - run)).ceil() * lanes;
         // The floor gives 0, or less than the lower bound, where a run takes over a second: then the lower
         // bound holds for both, and the band is empty.
@@ -388,7 +397,7 @@
             let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
             // With copies that have no room it waits an eighth of the target time at most, in overload half
             // of that, and is given up (tried from 1/2 to 1/16: an early deferral can still be answered
-            // elsewhere).
+            // elsewhere). The same without any copy and any order out: it would wait for its deadline.
             let longest = self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 };
             let loading = function.seats.iter().any(|s| s.pending > 0);
             if (crowded || !loading) && now > came + longest {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -553,6 +553,29 @@
     }
 }
 
+#[test]
+fn the_shortest_target_time_is_no_panic() {
+    let gw = &mut gateway(2, &[("classes.0.aim-ms", "0.1")]);
+    stand(gw, 0, 1);
+    assert!(gw.bounds(0).1 > 0.0);
+}
+
+// The slot of functions to check came from the clock alone: sweeps 20 ms apart passed over every second one for good.
+#[test_case(10 * MS; "as set")]
+#[test_case(20 * MS; "twice as far apart")]
+#[test_case(130 * MS; "uneven and far apart")]
+#[test_case(5 * SECOND; "after standstills")]
+fn every_function_is_checked_however_late_sweeps_come(apart: Time) {
+    let mut gw = gateway(1, &[]);
+    (0..150).for_each(|f| gw.know(&Arrival { function: f, ..arrival(0) }));
+    gw.functions.iter_mut().flat_map(|f| &mut f.seats).for_each(|s| s.asks = 0);
+    for sweep in 0..3 + 32 * SECOND / apart {
+        gw.clock(NOW + sweep * apart);
+        gw.timer(0);
+    }
+    assert_eq!(gw.functions.iter().filter(|f| f.live).count(), 0, "all idle ones are forgotten");
+}
+
 // An order that ended well with nothing left its seat pending for good; an ask's end used an order's up.
 #[test_case(0, 1, &[(Outcome::Ok, 0)], 0, 0; "an order that ends with no copy")]
 #[test_case(1, 1, &[(Outcome::TimedOut, 0)], 0, 1; "an ask's end leaves the order out")]
@@ -576,6 +599,17 @@
     assert!(gw.functions[0].live, "its index would name another when the answer comes");
 }
 
+// One time for each event taken was kept until the next order, which may be hours away or never come.
+#[test]
+fn times_of_arrivals_stay_bounded_without_orders() {
+    let mut gw = gateway(1, &[("extra.load-window-ms", "1000"), ("extra.orders", "false")]);
+    for i in 0..10_000 {
+        gw.clock(NOW + i * 10 * MS);
+        gw.arrive(Arrival { gives_up: 1, ..arrival(0) });
+    }
+    assert!(gw.arrivals.len() <= 102, "{}", gw.arrivals.len());
+}
+
 // After one depot stall 200 functions were ordered again in one sweep, at each of the gateways; so were trials and lists.
 #[test_case(1; "one gateway")]
 #[test_case(20; "many gateways")]
@@ -620,3 +654,22 @@
     }
 }
 
+// The count that matters is the total: misses are not counted among the two further launches.
+#[test_case(Outcome::Miss; "misses")]
+#[test_case(Outcome::Full; "full")]
+#[test_case(Outcome::Error; "errors")]
+#[test_case(Outcome::Reset; "resets")]
+fn launches_of_one_event_are_bounded_whatever_the_ends(outcome: Outcome) {
+    for most in ["1", "3", "8", "50"] {
+        let mut gw = gateway(12, &[("allowed.max-attempts", most)]);
+        stand(&mut gw, 0, 12);
+        let e = arrive(&mut gw, 0);
+        for launch in 0..60 {
+            (0..12).for_each(|s| gw.functions[0].seats[s].copies = Copies::Standing);
+            gw.ended(e, launch, (outcome, 10), false, 0);
+        }
+        let bound = most.parse::<usize>().unwrap().min(MOST_LAUNCHES);
+        assert!(launches(&gw).len() <= bound);
+        assert!(holds(&gw) <= launches(&gw).len(), "an order for each miss at the most");
+    }
+}
