Net: datagrams beyond 64 in a wake-up are read, and a flood of connections does not hold the loop

Seen on real sockets: readiness is told once, and reading stopped at 64 datagrams; the other 136 of 200 lay there until another one came (mio.rs datagrams), so advertisements behind a flood of forged ones came late. accept() put what was beyond its bound on a timer that was due in the same wake-up: 120 of 120 connections in one, the bound of 64 had no effect (mio.rs accept, turn).

Ruled out: streams (they stay on the list of hot ones until read empty), signals (drained whole).

Change: both go on in the next wake-up, a tenth of a millisecond later. Tests that failed before: datagrams_beyond_those_of_one_wake_up_are_read_too, a_flood_of_connections_does_not_hold_the_loop (120 before, at most 65 after).

--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -84,7 +84,8 @@
     slots: Slab<Slot>,
     count: u32,
     wheel: Wheel,
-    /// Own deadlines: attempts to connect (the connection) and listeners that pause (with the top bit set).
+    /// Own deadlines: attempts to connect (the connection), and listeners and ports that are to go on (with the top bit
+    /// set).
     own: Wheel,
     hot: VecDeque<Conn>,
     dirty: Vec<Conn>,
@@ -105,7 +106,7 @@
     chunk: Box<[u8]>,
 }
 
-const PAUSED_LISTENER: u64 = 1 << 63;
+const GO_ON: u64 = 1 << 63;
 
 impl Mio {
     pub fn new() -> io::Result<Mio> {
@@ -451,8 +452,12 @@
     }
     let now = app.net().now;
     while let Some(token) = app.net().own.pop(now) {
-        if token & PAUSED_LISTENER != 0 {
-            accept(app, (token & !PAUSED_LISTENER) as usize);
+        let place = (token & !GO_ON) as usize;
+        if token & GO_ON != 0 {
+            match app.net().slots.get(place) {
+                Some(Slot::Port(_)) => datagrams(app, place),
+                _ => accept(app, place),
+            }
         } else {
             let conn = Conn(token);
             app.net().remove(conn);
@@ -547,20 +552,25 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
             Err(e) if matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE)) => {
                 let at = net.now + ACCEPT_PAUSE;
-                net.own.insert(at, place as u64 | PAUSED_LISTENER);
+                net.own.insert(at, place as u64 | GO_ON);
                 return;
             }
             // The peer left before it was accepted.
             Err(_) => {}
         }
         if round == ACCEPTS {
-            let at = app.net().now;
-            app.net().own.insert(at, place as u64 | PAUSED_LISTENER);
-            return;
+            return rest(app.net(), place);
         }
     }
 }
 
+/// There may be more, of which no readiness will tell again: it is looked for in the next wake-up, not in this one, or a
+/// flood would hold the loop.
+fn rest(net: &mut Mio, place: usize) {
+    let at = net.now + 1;
+    net.own.insert(at, place as u64 | GO_ON);
+}
+
 fn datagrams<A: App<Net = Mio>>(app: &mut A, place: usize) {
     let mut bytes = [0; 2048];
     for _ in 0..ACCEPTS {
@@ -571,6 +581,7 @@
             Err(_) => {}
         }
     }
+    rest(app.net(), place);
 }
 
 /// Reads once from each connection that may have something.
--- a/crates/tidewall-net/tests/nets.rs
+++ b/crates/tidewall-net/tests/nets.rs
@@ -15,6 +15,7 @@
     drained: bool,
     over: Vec<Why>,
     connected: usize,
+    accepted: usize,
     datagrams: Vec<Vec<u8>>,
     due: Vec<u64>,
 }
@@ -32,7 +33,9 @@
     fn net(&mut self) -> &mut N {
         &mut self.net
     }
-    fn accepted(&mut self, _: Listener, _: Conn, _: SocketAddr) {}
+    fn accepted(&mut self, _: Listener, _: Conn, _: SocketAddr) {
+        self.seen.borrow_mut().accepted += 1;
+    }
     fn connected(&mut self, conn: Conn) {
         self.seen.borrow_mut().connected += 1;
         let piece = [7u8; 4096];
@@ -159,3 +162,37 @@
     assert_eq!((&seen.over[..], &seen.due[..]), (&[Why::Refused][..], &[5][..]));
     assert_eq!(seen.datagrams, [b"to myself"]);
 }
+
+/// Readiness is told once for all that lies there: reading stopped at 64 datagrams, and the others waited for the next one to come.
+#[test]
+fn datagrams_beyond_those_of_one_wake_up_are_read_too() {
+    let (mut peer, seen) = peer(Mio::new().unwrap(), false, 0, 0);
+    let (_, at) = peer.net.bind(local()).unwrap();
+    let from = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    (0..200u8).for_each(|i| assert_eq!(from.send_to(&[i], at).unwrap(), 1));
+    for _ in 0..20 {
+        let soon = peer.net.now() + 50;
+        let d = peer.net.set(soon, 9);
+        tidewall_net::mio::turn(&mut peer).unwrap();
+        peer.net.clear(d);
+    }
+    assert_eq!(seen.borrow().datagrams.len(), 200);
+}
+
+/// What was accepted beyond the bound of a wake-up came in the same one: a flood held the loop until it ended.
+#[test]
+fn a_flood_of_connections_does_not_hold_the_loop() {
+    let (mut peer, seen) = peer(Mio::new().unwrap(), false, 0, 0);
+    let (_, at) = peer.net.listen(local()).unwrap();
+    let flood: Vec<_> = (0..120).map(|_| std::net::TcpStream::connect(at).unwrap()).collect();
+    let mut turns = 0;
+    while seen.borrow().accepted < flood.len() {
+        let (before, soon) = (seen.borrow().accepted, peer.net.now() + 50);
+        let d = peer.net.set(soon, 9);
+        tidewall_net::mio::turn(&mut peer).unwrap();
+        peer.net.clear(d);
+        assert!(seen.borrow().accepted - before <= 65, "{} in one wake-up", seen.borrow().accepted - before);
+        turns += 1;
+        assert!(turns < 100);
+    }
+}
