AMQP door: repeats are answered in their own time, and are not run again after a standstill

Seen, each by a test in tests/triggers.rs or marks.rs that failed before: 1. An event whose time passed in a standstill gave its message-id free, though it may have run: the next try ran it again, at-most-once and keyed ones too (lib.rs given_up; 2 launches, 1 after). It is remembered as dead-lettered for its window; redeliverable ones begin anew. 2. A repeat with less time than the event that it joined was answered after its client gave up (lib.rs take; no answer at 400 ms). It is told in time that nothing is promised. 3. At the bound of 65,536 remembered ids the oldest was forgotten inside its window (at 950 a second after 69 s, where a max age is longer), and its repeat would have run again. None is forgotten before its time; at the bound (262,144) a new id is turned away before it is taken (most-remembered). Answers' payloads were remembered with them and never used: 65,536 times up to a frame's size. They are not kept any more. 4. The native door's rule for publishes that may have lain unread past their time holds here too (door::left; 'late').

Ruled out: tickets of connections that are gone (their places are kept until the answer); a time to come back of 0 (rounded up to a millisecond, test added).

--- a/crates/tidewall-amqp-door/src/lib.rs
+++ b/crates/tidewall-amqp-door/src/lib.rs
@@ -42,12 +42,15 @@
     name: String,
     age: Time,
     window: Time,
+    /// It may run again without harm, wherever it ran.
+    again: bool,
 }
 
 /// An event in hand: who waits for its answer.
 struct Taken {
     count: u32,
-    waiting: Vec<u64>,
+    /// The one that it was taken from, then repeats that joined it.
+    waiting: Vec<(u64, Time)>,
     mark: Option<Mark>,
     typ: usize,
 }
@@ -63,6 +66,8 @@
     refused: Vec<(usize, u64)>,
     marks: Marks,
     taken: Slab<Taken>,
+    /// Those that repeats wait for.
+    joined: Vec<usize>,
     count: u32,
     /// By key of a connection: its link.
     links: Vec<u64>,
@@ -152,19 +157,26 @@
             // The server has checked that it is a number.
             text => text.parse::<u64>().map_or(age, |ms| ms.saturating_mul(10).min(age)),
         };
-        let left = left.saturating_sub(self.core.net().waited());
-        if left == 0 {
-            return Err((Word::TurnedAway, "expired"));
-        }
+        // Its time may have passed before it was read: an answer might come too late, and silence might be wrong.
+        let waited = self.core.net().waited();
+        let left = door::left(left, waited)
+            .ok_or((Word::TurnedAway, if waited < left { "late" } else { "expired" }))?;
         let mark = (!t.properties.message_id.is_empty()).then(|| (typ, t.properties.message_id.into()));
         match mark.as_ref().and_then(|m| side.marks.find(now, m)) {
             Some(Known::InHand(key)) => {
-                side.taken[*key].waiting.push(ticket);
+                let key = *key;
+                side.taken[key].waiting.push((ticket, now + left));
+                if !side.joined.contains(&key) {
+                    side.joined.push(key);
+                }
                 return Ok(());
             }
-            Some(Known::Answered(word, _)) => return Err((*word, "repeat")),
+            Some(Known::Answered(word)) => return Err((*word, "repeat")),
             None => {}
         }
+        if mark.is_some() && !side.marks.room() {
+            return Err((Word::TurnedAway, "most-remembered"));
+        }
         let user = side.users.iter().find(|u| u.name == t.user);
         let known = side.functions.iter().find(|f| match f.name.strip_suffix('*') {
             Some(start) => function.starts_with(start),
@@ -182,8 +194,12 @@
         // Times are told in milliseconds; an hour is the most that any setting allows.
         let span = |name: &str| number(name).map(|ms| (ms.min(3.6e6) * 10.0) as Time);
         side.count = side.count.wrapping_add(1);
-        let key =
-            side.taken.insert(Taken { count: side.count, waiting: vec![ticket], mark: mark.clone(), typ });
+        let key = side.taken.insert(Taken {
+            count: side.count,
+            waiting: vec![(ticket, now + left)],
+            mark: mark.clone(),
+            typ,
+        });
         let event = Incoming {
             ticket: Ticket { door: side.me, key: key as u64 | u64::from(side.count) << 32 },
             id: ticket,
@@ -209,7 +225,7 @@
             Err(reason) => {
                 self.side.taken.remove(key);
                 if let Some(mark) = mark {
-                    self.side.marks.end(now, mark, Word::Deferred, &[], 0);
+                    self.side.marks.end(now, mark, Word::Deferred, 0);
                 }
                 Err((Word::TurnedAway, reason))
             }
@@ -274,6 +290,7 @@
             age: t.span("max_age_ms"),
             // Answers to types without a window are remembered as long as a client may still ask.
             window: if t.span("window_ms") > 0 { t.span("window_ms") } else { t.span("max_age_ms") },
+            again: t.choice("redelivery") == "REDELIVERABLE",
         };
         let side = Side {
             me,
@@ -285,6 +302,7 @@
             refused: Vec::new(),
             marks: Marks::default(),
             taken: Slab::new(),
+            joined: Vec::new(),
             count: 0,
             links: Vec::new(),
         };
@@ -293,6 +311,32 @@
         Amqp { server, side, hold, conns: Vec::new(), exceptions: 0, ticked: 0, seen: Vec::new() }
     }
 
+    /// Repeats that joined an event and whose own time is nearly over get their answer: nothing is promised, whatever
+    /// becomes of the event.
+    fn impatient<N: Net>(&mut self, core: &mut Core<N>) {
+        let now = core.net().now();
+        // This look and the next.
+        let over = |w: &(u64, Time)| now + 2 * LOOK >= w.1;
+        let side = &mut self.side;
+        let mut late = Vec::new();
+        let taken = &mut side.taken;
+        side.joined.retain(|key| {
+            let Some(t) = taken.get_mut(*key).filter(|t| t.waiting.len() > 1) else { return false };
+            late.extend(t.waiting[1..].iter().filter(|w| over(w)).map(|w| w.0));
+            let first = t.waiting[0].0;
+            t.waiting.retain(|w| w.0 == first || !over(w));
+            t.waiting.len() > 1
+        });
+        if late.is_empty() {
+            return;
+        }
+        for ticket in late {
+            let (word, none) = (Word::DeadLettered, 0);
+            self.server.answered(&mut Wires(core.net()), ticket, word, none, "in-hand", &[]);
+        }
+        self.server.settle(&mut Wires(core.net()));
+    }
+
     fn key(&self, conn: Conn) -> Option<usize> {
         self.conns.get(conn.place()).copied().flatten().filter(|c| c.0 == conn.0).map(|c| c.1)
     }
@@ -323,9 +367,14 @@
         self.server.clock(now);
         if let Some(mark) = taken.mark {
             let window = self.side.types[taken.typ].window;
-            self.side.marks.end(now, mark, word, payload, window);
+            self.side.marks.end(now, mark, word, window);
         }
-        for waiting in taken.waiting {
+        for (waiting, until) in taken.waiting {
+            if now > until {
+                // One that joined, and whose time passed in a standstill.
+                self.server.forget(waiting);
+                continue;
+            }
             self.server.answered(&mut Wires(net), waiting, word, come_back, reason, payload);
         }
         self.server.settle(&mut Wires(net));
@@ -391,15 +440,18 @@
         self.tell(net, ticket, word, answer.come_back, answer.reason, answer.payload);
     }
 
-    fn given_up(&mut self, ticket: Ticket) {
-        // Its time passed while this process stood still: nobody is told, and the mark is free for another try.
+    fn given_up(&mut self, now: Time, ticket: Ticket) {
+        // Its time passed while this process stood still: nobody is told. It may have run: the mark is free for another try
+        // only where that does no harm, and a repeat is told that nothing is promised.
         let (key, count) = ((ticket.key & 0xffff_ffff) as usize, (ticket.key >> 32) as u32);
         if self.side.taken.get(key).is_some_and(|t| t.count == count) {
             let taken = self.side.taken.remove(key);
             if let Some(mark) = taken.mark {
-                self.side.marks.end(0, mark, Word::Deferred, &[], 0);
+                let typ = &self.side.types[taken.typ];
+                let word = if typ.again { Word::Deferred } else { Word::DeadLettered };
+                self.side.marks.end(now, mark, word, typ.window);
             }
-            taken.waiting.iter().for_each(|w| self.server.forget(*w));
+            taken.waiting.iter().for_each(|w| self.server.forget(w.0));
         }
     }
 
@@ -407,6 +459,7 @@
         core.wake(self.side.me, LOOK);
         let now = core.net().now();
         self.server.clock(now);
+        self.impatient(core);
         let mut full = Full { core, side: &mut self.side };
         while let Some((conn, link, good)) = full.side.logins.done() {
             self.server.checked(&mut full, conn, link, good);
--- a/crates/tidewall-amqp-door/src/marks.rs
+++ b/crates/tidewall-amqp-door/src/marks.rs
@@ -4,8 +4,8 @@
 use tidewall_amqp::server::Word;
 use tidewall_net::Time;
 
-/// Answers that are remembered at most: at a thousand events a second, a minute's worth.
-const MOST: usize = 65_536;
+/// Marks that are remembered at most: at a thousand events a second, four minutes' worth, and some 40 MB.
+const MOST: usize = 262_144;
 
 pub type Mark = (usize, Box<str>);
 
@@ -13,7 +13,7 @@
 pub enum Known {
     /// In hand under this key.
     InHand(usize),
-    Answered(Word, Box<[u8]>),
+    Answered(Word),
 }
 
 /// Looked up, never walked.
@@ -36,19 +36,24 @@
     }
 
     /// Its answer holds for a window; a deferral holds for no time, as it invites the next try.
-    pub fn end(&mut self, now: Time, mark: Mark, word: Word, payload: &[u8], window: Time) {
+    pub fn end(&mut self, now: Time, mark: Mark, word: Word, window: Time) {
         if word == Word::Deferred || window == 0 {
             self.known.remove(&mark);
             return;
         }
         self.count += 1;
-        self.known.insert(mark.clone(), (self.count, Known::Answered(word, payload.into())));
+        self.known.insert(mark.clone(), (self.count, Known::Answered(word)));
         self.ends.push_back((now + window, self.count, mark));
         self.forget(now);
     }
 
+    /// Whether one more may be taken: none is forgotten before its time, or its repeat would run again.
+    pub fn room(&self) -> bool {
+        self.known.len() < MOST
+    }
+
     fn forget(&mut self, now: Time) {
-        while self.ends.front().is_some_and(|e| e.0 <= now) || self.ends.len() > MOST {
+        while self.ends.front().is_some_and(|e| e.0 <= now) {
             let Some((_, count, mark)) = self.ends.pop_front() else { return };
             if self.known.get(&mark).is_some_and(|k| k.0 == count) {
                 self.known.remove(&mark);
@@ -78,8 +83,8 @@
         let mut marks = Marks::default();
         marks.take(mark("m"), 7);
         assert_eq!(marks.find(0, &mark("m")), Some(&Known::InHand(7)));
-        marks.end(100, mark("m"), Word::Handled, b"r", 40_000);
-        assert_eq!(marks.find(40_099, &mark("m")), Some(&Known::Answered(Word::Handled, b"r"[..].into())));
+        marks.end(100, mark("m"), Word::Handled, 40_000);
+        assert_eq!(marks.find(40_099, &mark("m")), Some(&Known::Answered(Word::Handled)));
         assert_eq!(marks.find(40_100, &mark("m")), None);
         assert!(marks.is_empty());
     }
@@ -88,24 +93,27 @@
     fn a_deferral_is_not_remembered() {
         let mut marks = Marks::default();
         marks.take(mark("m"), 7);
-        marks.end(100, mark("m"), Word::Deferred, b"", 40_000);
+        marks.end(100, mark("m"), Word::Deferred, 40_000);
         assert_eq!(marks.find(100, &mark("m")), None);
     }
 
     #[test]
     fn an_event_taken_again_is_not_forgotten_with_its_former_answer() {
         let mut marks = Marks::default();
-        marks.end(0, mark("m"), Word::Handled, b"", 100);
+        marks.end(0, mark("m"), Word::Handled, 100);
         marks.take(mark("m"), 8);
         assert_eq!(marks.find(1_000, &mark("m")), Some(&Known::InHand(8)));
     }
 
+    /// The oldest was forgotten at the bound, inside its window: its repeat would have run again.
     #[test]
-    fn no_more_than_the_bound_is_remembered() {
+    fn at_the_bound_nothing_is_forgotten_before_its_time_and_no_more_is_taken() {
         let mut marks = Marks::default();
-        for i in 0..MOST + 100 {
-            marks.end(0, mark(&i.to_string()), Word::Handled, b"", 1 << 40);
+        for i in 0..MOST {
+            assert!(marks.room());
+            marks.end(0, mark(&i.to_string()), Word::Handled, 1_000);
         }
-        assert_eq!(marks.len(), MOST);
+        assert!(!marks.room() && marks.find(999, &mark("0")).is_some());
+        assert!(marks.find(1_000, &mark("0")).is_none() && marks.room());
     }
 }
--- a/crates/tidewall-amqp-door/tests/triggers.rs
+++ b/crates/tidewall-amqp-door/tests/triggers.rs
@@ -19,7 +19,7 @@
 #[derive(Default)]
 struct Told {
     ready: bool,
-    answers: Vec<(u64, String)>,
+    answers: Vec<(u64, String, u64)>,
     confirms: Vec<(u64, bool)>,
 }
 
@@ -27,8 +27,8 @@
     fn ready(&mut self) {
         self.ready = true;
     }
-    fn answer(&mut self, evt: u64, word: &str, _: u64) {
-        self.answers.push((evt, word.to_string()));
+    fn answer(&mut self, evt: u64, word: &str, come_back: u64) {
+        self.answers.push((evt, word.to_string(), come_back));
     }
     fn confirmed(&mut self, evt: u64, good: bool) {
         self.confirms.push((evt, good));
@@ -342,3 +342,57 @@
     assert!((0..40).all(|evt| y.words(0, evt).len() == 1));
     assert_eq!(y.confirms(0).len(), 40);
 }
+
+/// A repeat joins the event in hand, which may end after the repeat's own time.
+#[test]
+fn a_repeat_with_less_time_is_answered_in_its_own_time() {
+    let mut y = yard(&[Does::After(12_000)], 1, "");
+    y.publish(0, 7, "issue.f", 1_900, 70);
+    y.pass(1_000);
+    y.publish(0, 8, "issue.f", 400, 70);
+    y.pass(4_000);
+    assert_eq!(y.words(0, 8), ["dead-lettered"], "its client gives up now");
+    y.pass(20_000);
+    assert_eq!((y.words(0, 7).len(), y.words(0, 8).len(), y.launches()), (1, 1, 1));
+}
+
+/// The memory of a message-id was given up with the answer that came too late: the next try ran it again.
+#[test_case("issue", 1, "dead-lettered"; "at most once is not run again")]
+#[test_case("record", 1, "dead-lettered"; "keyed neither: nobody knows where it ran")]
+#[test_case("check", 2, "handled"; "redeliverable is")]
+fn an_event_whose_time_passed_in_a_standstill_is_remembered(typ: &str, launches: usize, word: &str) {
+    let mut y = yard(&[Does::After(3_000)], 1, "");
+    y.publish(0, 7, &format!("{typ}.f"), 1_500, 70);
+    y.pass(100);
+    y.site.hand.still(true);
+    y.pass(18_000);
+    y.site.hand.still(false);
+    y.pass(1_000);
+    assert!(y.words(0, 7).is_empty(), "its client had given up");
+    y.publish(0, 8, &format!("{typ}.f"), 1_500, 70);
+    y.pass(10_000);
+    assert_eq!((y.launches(), y.words(0, 8)), (launches, vec![word]));
+}
+
+/// The native door does not take what may have lain unread for more than a quarter of its time; this one did.
+#[test]
+fn a_publish_that_may_have_waited_past_its_time_is_not_taken() {
+    let mut y = yard(&[Does::Answers], 1, "");
+    y.site.hand.still(true);
+    y.publish(0, 7, "check.f", 500, 70);
+    y.publish(0, 8, "check.f", 1_900, 80);
+    y.pass(4_000);
+    y.site.hand.still(false);
+    y.pass(10_000);
+    assert_eq!((y.words(0, 7), y.words(0, 8)), (vec!["turned-away"], vec!["handled"]));
+}
+
+/// What a deferral tells is at least a millisecond, the unit of the door, and never none.
+#[test]
+fn a_deferral_says_when_to_come_back() {
+    let mut y = yard(&[Does::Nothing], 1, "");
+    y.publish(0, 7, "check.f", 700, 70);
+    y.pass(10_000);
+    assert_eq!(y.words(0, 7), ["deferred"]);
+    assert!(y.desks[0].told.answers.iter().any(|a| a.0 == 7 && a.2 > 0), "{:?}", y.desks[0].told.answers);
+}
--- a/crates/tidewall-gateway/src/door.rs
+++ b/crates/tidewall-gateway/src/door.rs
@@ -93,5 +93,5 @@
     /// The one final answer. Each ticket gets it once, and none after `Core::left`.
     fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer);
     /// Instead of an answer: the client's time has passed, and nothing may be sent for it.
-    fn given_up(&mut self, ticket: Ticket);
+    fn given_up(&mut self, now: Time, ticket: Ticket);
 }
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -392,7 +392,8 @@
             } else if self.settle_pair() {
                 // One more thing was done.
             } else if let Some(ticket) = self.core.choice.host.gone.pop_front() {
-                self.doors[ticket.door].given_up(ticket);
+                let now = self.core.net().now();
+                self.doors[ticket.door].given_up(now, ticket);
             } else {
                 break;
             }
@@ -570,7 +571,8 @@
         let past = host.net.now() > host.events[evt].until() && host.events[evt].begun.is_none();
         if past && host.copy.is_none() {
             host.counts.overdue += 1;
-            return self.doors[ticket.door].given_up(ticket);
+            let now = host.net.now();
+            return self.doors[ticket.door].given_up(now, ticket);
         }
         match word {
             Word::Handled => host.counts.handled += 1,
--- a/crates/tidewall-gateway/src/native.rs
+++ b/crates/tidewall-gateway/src/native.rs
@@ -239,7 +239,7 @@
         net.write(known.conn, &self.out);
     }
 
-    fn given_up(&mut self, ticket: Ticket) {
+    fn given_up(&mut self, _now: Time, ticket: Ticket) {
         if let Some(key) = self.key(ticket) {
             self.remove(key);
         }
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -1113,7 +1113,7 @@
         for (ticket, until) in due.tickets.iter().filter(|t| t.0 != NOBODY) {
             if now > *until {
                 host.counts.overdue += 1;
-                self.doors[ticket.door].given_up(*ticket);
+                self.doors[ticket.door].given_up(now, *ticket);
                 continue;
             }
             let (come_back, took) = (due.come_back, due.took);
