Disk on a thread of its own and synchronised; lives never share a number; logins outlive a panic

The last list was renamed without a sync of the file or its folder: a power cut could leave neither list. Two lists of one stem (g0.list, g0.last) wrote beside themselves to the same g0.new. A list that a full disk refused was not written until the next change. (list.rs FileShelf::write.) Now: whole name and .new, both synced, on a thread that tries again every two seconds; at the end it is waited for, five seconds at most. 2. serve: a superseded member started anew at once and without end, two lives within one millisecond, or across a clock set back, had the same number and so the same ballots (claim.rs), and a signal between two lives was lost. Now: a number above the last one, a wait (tidewall_pair::damp), and the signal ends it. Now a panic is a failed login. Ruled out: a door that reads no answers (five are out at a bound of two, none lost), a door that goes first. 4. A pair's memory of answers forgot the oldest at 65,536, inside its window, as the AMQP door's did: the same mend (most-remembered).

--- a/crates/tidewall-amqp-door/src/logins.rs
+++ b/crates/tidewall-amqp-door/src/logins.rs
@@ -6,6 +6,7 @@
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
 use std::collections::BTreeSet;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TryRecvError};
 use std::thread;
 
@@ -71,12 +72,18 @@
 
 impl Logins {
     pub fn new(most: usize) -> Logins {
+        let mut known = Good::new();
+        Logins::by(most, move |hash, password| known.check(hash, password))
+    }
+
+    /// A check that panics is a login that failed: the next ones are checked all the same, and nobody waits for it.
+    fn by(most: usize, mut check: impl FnMut(Option<&str>, &[u8]) -> bool + Send + 'static) -> Logins {
         let (ask, asked) = sync_channel::<Ask>(most);
         let (tell, told) = sync_channel(most);
         thread::spawn(move || {
-            let mut known = Good::new();
             for a in asked {
-                let good = known.check(a.hash.as_deref(), &a.password);
+                let good = catch_unwind(AssertUnwindSafe(|| check(a.hash.as_deref(), &a.password)));
+                let good = good.unwrap_or(false);
                 if tell.send((a.conn, a.link, good)).is_err() {
                     return;
                 }
@@ -128,6 +135,44 @@
         assert!(!good.check(Some(&b), b"secret"));
     }
 
+    fn ends(logins: &mut Logins, count: usize) -> Vec<(usize, bool)> {
+        let mut ends = Vec::new();
+        for _ in 0..5_000 {
+            ends.extend(logins.done().map(|(conn, _, good)| (conn, good)));
+            if ends.len() == count {
+                break;
+            }
+            thread::sleep(std::time::Duration::from_millis(1));
+        }
+        ends
+    }
+
+    /// The thread ended with the first check that panicked: its connection waited, and all later logins were refused for good.
+    #[test]
+    fn a_check_that_panics_is_a_login_that_failed() {
+        let mut logins = Logins::by(4, |_, password| password != b"panic" || panic!("planted"));
+        for (conn, password) in [b"good!", b"panic", b"again"].into_iter().enumerate() {
+            assert!(logins.check(conn, 7, None, password));
+        }
+        assert_eq!(ends(&mut logins, 3), [(0, true), (1, false), (2, true)]);
+        assert_eq!(logins.pending, 0);
+    }
+
+    /// The door that does not read its answers stops the thread, not itself; one that goes ends it.
+    #[test]
+    fn answers_that_nobody_reads_lose_no_login() {
+        let mut logins = Logins::by(2, |_, _| true);
+        let mut asked = 0;
+        for _ in 0..2_000 {
+            asked += usize::from(logins.check(asked, 7, None, b""));
+            thread::sleep(std::time::Duration::from_micros(50));
+        }
+        // Two that wait, two answers, and one in the hand of the thread.
+        assert_eq!((asked, logins.pending), (5, 5));
+        assert_eq!(ends(&mut logins, 5).len(), 5);
+        assert!(logins.check(9, 7, None, b""));
+    }
+
     #[test]
     fn no_more_than_the_bound_is_known() {
         let mut good = Good::new();
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -4,14 +4,18 @@
 use argon2::Argon2;
 use clap::Args;
 use std::path::PathBuf;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tidewall_amqp_door::Amqp;
-use tidewall_gateway::list::{FileShelf, NoShelf, Shelf};
+use tidewall_gateway::list::{Beside, FileShelf, NoShelf, Shelf};
 use tidewall_gateway::native::Native;
 use tidewall_gateway::pair::Ended;
 use tidewall_gateway::start::{keys, peering, start};
 use tidewall_gateway::Gateway;
 use tidewall_net::mio::{self, Mio};
+use tidewall_pair::claim::next;
+use tidewall_pair::damp::Damp;
 use tidewall_standins::{Fleet, NoGateways, Plan};
 use tidewall_vrrp::packet::Keys;
 use tracing::info;
@@ -59,13 +63,21 @@
         now.map_or(1, |d| d.as_nanos() as u64)
     });
     info!(gateway = own.text("name"), seed, "starts");
+    // Told to go between two lives, when no net listens for it.
+    let told = Arc::new(AtomicBool::new(false));
+    for signal in SIGNALS {
+        signal_hook::flag::register(signal, told.clone()).map_err(|e| Failure::Run(e.to_string()))?;
+    }
+    // A member that is superseded again and again (a tenth of a second at first, ten at most) does not spin.
+    let (began, mut damp) = (Instant::now(), Damp::new(1_000, 100_000));
+    let mut life = 0;
     // A member of a pair that is superseded starts anew, as a new life that knows nothing.
     loop {
         let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
         net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
         let shelf: Box<dyn Shelf> = match own.text("last_list").as_str() {
             "" => Box::new(NoShelf),
-            path => Box::new(FileShelf(path.into())),
+            path => Box::new(Beside::new(FileShelf(path.into()))),
         };
         let mut start = start(&s, me, seed);
         if s.has("pair") {
@@ -79,7 +91,8 @@
                 }
                 last.borrow().clone()
             };
-            let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64);
+            life =
+                next(life, SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64));
             start.pair = Some(peering(&s, life, Box::new(keys)));
         }
         let mut gateway = Gateway::new(net, start, shelf).map_err(input)?;
@@ -93,6 +106,14 @@
         if gateway.ended() == Ended::Drained {
             return Ok(());
         }
+        drop(gateway);
+        let until = damp.again((began.elapsed().as_micros() / 100) as u64);
+        while ((began.elapsed().as_micros() / 100) as u64) < until {
+            if told.load(Ordering::Relaxed) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
     }
 }
 
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -102,9 +102,14 @@
             return Ok(place);
         }
         let host = &mut self.choice.host;
-        if self.draining || self.standby || host.held >= self.most_held {
+        let full = host.copy.as_ref().is_some_and(|c| !c.known.room());
+        if self.draining || self.standby || host.held >= self.most_held || full {
             host.counts.turned_away += 1;
-            return Err(if self.draining || self.standby { "draining" } else { "most-held" });
+            return Err(match (self.draining || self.standby, full) {
+                (true, _) => "draining",
+                (_, true) => "most-remembered",
+                _ => "most-held",
+            });
         }
         Ok(self.begin(event))
     }
@@ -686,6 +691,10 @@
             let entries = self.core.choice.host.entries();
             if let Err(e) = self.shelf.write(&list::encode(&entries)) {
                 warn!(error = %e, "the last list was not kept");
+                // A disk that was full may have room by then.
+                self.unsaved = true;
+                let again = self.core.net().now() + 10 * SHELF;
+                self.core.net().set(again, OF_SHELF);
             }
         }
     }
--- a/crates/tidewall-gateway/src/list.rs
+++ b/crates/tidewall-gateway/src/list.rs
@@ -4,10 +4,13 @@
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
+use std::thread;
 use std::time::{Duration, SystemTime};
 use tidewall::host::{Standing, Time};
 use tidewall::ids;
 use tidewall_wire::{frame, kind, Entries, Field, Fields, Frame};
+use tracing::warn;
 
 /// One worker as the roster tells it.
 #[derive(Clone, Debug, PartialEq)]
@@ -95,7 +98,7 @@
 pub trait Shelf {
     /// What was written last, and how long ago.
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>>;
-    /// Whole or not at all, whenever the process is killed.
+    /// Whole or not at all, whenever the process is killed or the power is cut.
     fn write(&mut self, bytes: &[u8]) -> io::Result<()>;
 }
 
@@ -112,9 +115,78 @@
     }
 }
 
-/// A file, written beside and renamed: a kill in the middle leaves the one before.
+/// A file, written beside, synchronised and renamed: a stop in the middle leaves the one before.
 pub struct FileShelf(pub PathBuf);
 
+/// A shelf that writes on a thread of its own: a disk may take seconds, and events may not wait for it. What it could not write
+/// it tries again until something newer comes.
+pub struct Beside {
+    shelf: Option<Box<dyn Shelf + Send>>,
+    ask: Option<SyncSender<Vec<u8>>>,
+    ended: Option<Receiver<()>>,
+}
+
+/// Lists that wait for a disk that takes none, at most; further ones come again with the next change.
+const WAITING: usize = 16;
+
+/// A write that failed is tried again after this: room comes back by somebody's hand.
+const AGAIN: Duration = Duration::from_secs(2);
+
+/// At the end a disk is waited for so long: well above what a healthy one takes, and nobody waits for an answer any more.
+const END: Duration = Duration::from_secs(5);
+
+impl Beside {
+    pub fn new(shelf: impl Shelf + Send + 'static) -> Beside {
+        Beside { shelf: Some(Box::new(shelf)), ask: None, ended: None }
+    }
+
+    fn start(&mut self) -> io::Result<()> {
+        let Some(mut shelf) = self.shelf.take() else { return Ok(()) };
+        let (ask, asked) = sync_channel::<Vec<u8>>(WAITING);
+        let (end, ended) = sync_channel(0);
+        thread::Builder::new().spawn(move || {
+            // Dropped with the thread, which tells its end.
+            let _end = end;
+            while let Ok(mut bytes) = asked.recv() {
+                loop {
+                    bytes = asked.try_iter().last().unwrap_or(bytes);
+                    let Err(e) = shelf.write(&bytes) else { break };
+                    warn!(error = %e, "the last list was not kept");
+                    match asked.recv_timeout(AGAIN) {
+                        Ok(newer) => bytes = newer,
+                        Err(RecvTimeoutError::Timeout) => {}
+                        Err(RecvTimeoutError::Disconnected) => return,
+                    }
+                }
+            }
+        })?;
+        (self.ask, self.ended) = (Some(ask), Some(ended));
+        Ok(())
+    }
+}
+
+impl Shelf for Beside {
+    fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
+        self.shelf.as_mut().map_or(Ok(None), |s| s.read())
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.start()?;
+        let ask = self.ask.as_ref().ok_or(io::ErrorKind::BrokenPipe)?;
+        ask.try_send(bytes.to_vec()).map_err(|_| io::ErrorKind::WouldBlock.into())
+    }
+}
+
+impl Drop for Beside {
+    /// What was handed over is written, where the disk takes it.
+    fn drop(&mut self) {
+        self.ask = None;
+        if let Some(ended) = self.ended.take() {
+            let _ = ended.recv_timeout(END);
+        }
+    }
+}
+
 impl Shelf for FileShelf {
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
         match fs::read(&self.0) {
@@ -130,10 +202,16 @@
     }
 
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let beside = self.0.with_extension("new");
+        // The whole name and more, or two lists that differ in what follows the point would share it.
+        let mut beside = self.0.clone().into_os_string();
+        beside.push(".new");
         let mut file = fs::File::create(&beside)?;
         file.write_all(bytes)?;
+        // Without it a power cut may leave the new name with nothing behind it.
+        file.sync_all()?;
         drop(file);
-        fs::rename(&beside, &self.0)
+        fs::rename(&beside, &self.0)?;
+        let folder = self.0.parent().filter(|f| !f.as_os_str().is_empty());
+        fs::File::open(folder.unwrap_or(std::path::Path::new(".")))?.sync_all()
     }
 }
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -3,9 +3,12 @@
 mod help;
 
 use help::*;
+use std::io;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::{Duration, Instant};
 use test_case::test_case;
 use tidewall::host::Standing;
-use tidewall_gateway::list::{write, NoShelf};
+use tidewall_gateway::list::{write, Beside, FileShelf, NoShelf, Shelf};
 use tidewall_net::Time;
 use tidewall_wire::{kind, Entries, Field, Frame};
 
@@ -185,3 +188,62 @@
     // All ask at once when it goes; not so from then on.
     assert!(at.len() > 100 && most <= 10, "{most} of 20 gateways in one millisecond, {} in all", at.len());
 }
+
+/// A disk that says what it wrote, fails at first, and takes its time.
+struct Disk {
+    fails: usize,
+    takes: Duration,
+    wrote: Sender<Vec<u8>>,
+}
+
+fn disk(fails: usize, takes: u64) -> (Disk, Receiver<Vec<u8>>) {
+    let (wrote, told) = channel();
+    (Disk { fails, takes: Duration::from_millis(takes), wrote }, told)
+}
+
+impl Shelf for Disk {
+    fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
+        Ok(None)
+    }
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        std::thread::sleep(self.takes);
+        if self.fails > 0 {
+            self.fails -= 1;
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.wrote.send(bytes.to_vec()).map_err(|_| io::ErrorKind::BrokenPipe.into())
+    }
+}
+
+/// A write that took seconds held the gateway, and events in hand passed their times meanwhile.
+#[test]
+fn a_slow_disk_holds_nobody_up_and_has_the_last_list_at_the_end() {
+    let (slow, told) = disk(0, 300);
+    let mut shelf = Beside::new(slow);
+    let began = Instant::now();
+    (0..5u8).for_each(|i| shelf.write(&[i]).unwrap());
+    assert!(began.elapsed() < Duration::from_millis(250));
+    drop(shelf);
+    assert_eq!(told.iter().last(), Some(vec![4]));
+}
+
+/// A list that a full disk did not take was not written when room came back, until the next change.
+#[test]
+fn a_disk_that_was_full_gets_the_list_when_it_has_room() {
+    let (full, told) = disk(1, 0);
+    let mut shelf = Beside::new(full);
+    shelf.write(b"list").unwrap();
+    assert_eq!(told.recv_timeout(Duration::from_secs(10)).unwrap(), b"list");
+}
+
+/// Both wrote beside themselves to the same file, and took each other's list.
+#[test]
+fn lists_of_one_stem_do_not_share_a_file() {
+    let folder = tempfile::tempdir().unwrap();
+    let at = |name: &str| folder.path().join(name);
+    std::fs::create_dir(at("g0.new")).unwrap();
+    for name in ["g0.list", "g0.last"] {
+        FileShelf(at(name)).write(name.as_bytes()).unwrap();
+        assert_eq!(FileShelf(at(name)).read().unwrap().unwrap().0, name.as_bytes());
+    }
+}
--- a/crates/tidewall-pair/src/claim.rs
+++ b/crates/tidewall-pair/src/claim.rs
@@ -52,6 +52,12 @@
     epoch >> OWN
 }
 
+/// A life's number: the clock's milliseconds, but above that of the life before in this process. Two lives within one
+/// millisecond, or across a clock that was set back, would use the same ballots.
+pub fn next(last: u64, clock: u64) -> u64 {
+    clock.max(last + 1)
+}
+
 /// So often a claim that was outbid is begun anew at once.
 const OUTBID: u32 = 3;
 
--- a/crates/tidewall-pair/src/known.rs
+++ b/crates/tidewall-pair/src/known.rs
@@ -7,8 +7,8 @@
 use std::collections::VecDeque;
 use std::hash::Hasher;
 
-/// Answers that are kept at most: at a thousand events a second, a minute's worth.
-pub const MOST: usize = 65_536;
+/// Answers that are kept at most: at a thousand events a second, four minutes' worth.
+pub const MOST: usize = 262_144;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -102,8 +102,13 @@
         }
     }
 
+    /// Whether one more event may be taken: no answer is forgotten before its time, or its repeat would run again.
+    pub fn room(&self) -> bool {
+        self.ends.len() < MOST
+    }
+
     fn forget(&mut self, now: Time) {
-        while self.ends.front().is_some_and(|e| e.0 <= now) || self.ends.len() > MOST {
+        while self.ends.front().is_some_and(|e| e.0 <= now) {
             let Some((_, key, count)) = self.ends.pop_front() else { return };
             if self.entries.get(key).is_some_and(|e| e.count == count) {
                 self.drop_key(key);
