--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -75,6 +75,8 @@
     backlog: VecDeque<Way>,
     /// Its clock runs faster by so many millionths.
     ppm: i64,
+    /// No descriptor is left: it connects to nobody, and accepts nobody until it has some again.
+    bare: bool,
 }
 
 impl Node {
@@ -338,6 +340,11 @@
         self.world.borrow_mut().nodes[self.node].ppm = ppm;
     }
 
+    /// It has no descriptor left, or has some again.
+    pub fn bare(&self, on: bool) {
+        self.world.borrow_mut().nodes[self.node].bare = on;
+    }
+
     /// It stands still: what happens meanwhile is found all at once when it goes on.
     pub fn still(&self, on: bool) {
         let mut w = self.world.borrow_mut();
@@ -416,6 +423,10 @@
         let mut w = self.world.borrow_mut();
         let conn = w.add(self.node, to, None);
         let (end, count, delay) = (conn.place(), conn.count(), w.delay);
+        if w.nodes[self.node].bare {
+            w.send(0, Way::Over { end, count, why: Why::Refused });
+            return conn;
+        }
         let node = w.listeners.iter().flatten().find(|l| l.1 == to).map(|l| l.0);
         let knock = Way::Knock { end, count, to };
         match node {
@@ -581,6 +592,10 @@
     let delay = w.delay;
     match way {
         Way::Knock { end, count, to } => {
+            if node.is_some_and(|n| w.nodes[n].bare) {
+                // Accepting pauses, as on sockets.
+                return w.send(1_000, Way::Knock { end, count, to });
+            }
             let place = w.listeners.iter().position(|l| l.is_some_and(|l| l.1 == to));
             let (Some(node), Some(place)) = (node, place) else {
                 return w.send(delay, Way::Over { end, count, why: Why::Refused });
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tidewall_config::Section;
 use tidewall_gateway::list::Shelf;
@@ -14,8 +15,9 @@
 use tidewall_gateway::start::start;
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
-use tidewall_net::Time;
+use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
 use tidewall_standins::{Fleet, Gateways, Plan};
+use tidewall_wire as wire;
 
 const SETTINGS: &str = r#"
 gateway { name: "g0" address: "127.0.0.1:700" zone: "north" }
@@ -98,11 +100,14 @@
 struct Platter {
     bytes: Option<Vec<u8>>,
     full: bool,
+    /// How long ago it was written, by a clock that jumped.
+    age: Option<Time>,
 }
 
 impl Shelf for Disk {
     fn read(&mut self) -> std::io::Result<Option<(Vec<u8>, Time)>> {
-        Ok(self.0.borrow().bytes.clone().map(|b| (b, 1_000)))
+        let platter = self.0.borrow();
+        Ok(platter.bytes.clone().map(|b| (b, platter.age.unwrap_or(1_000))))
     }
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         let mut platter = self.0.borrow_mut();
@@ -114,19 +119,162 @@
     }
 }
 
+/// What a script of the fleet's troubles cannot say. Each strikes the gateway that is told, for so long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hurt {
+    /// Nothing crosses between it and clients, workers and roster, either way.
+    Cut,
+    /// It has no descriptor left.
+    Bare,
+    /// Foreign, hostile and truncated bytes come to its door, in odd pieces.
+    Junk,
+    /// It is killed; its disk was full before, or is found torn, or its clock has jumped by an hour.
+    KillFull,
+    KillTorn,
+    KillAhead,
+    KillBack,
+    /// It is killed, and the record does not say so.
+    KillUntold,
+}
+
+/// What is left out on purpose, to show that the audit notices: rule 2, 3, 4, 5. Rule 1: `Hurt::KillUntold`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Plant {
+    #[default]
+    Nothing,
+    /// The gateways take every event for redeliverable.
+    Repeats,
+    /// They hear neither the roster, once they know the workers, nor a worker that says that it drains.
+    Deaf,
+    /// They take every worker for warm.
+    Warm,
+    /// They order as they like.
+    Orders,
+}
+
+/// How a run goes.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub seed: u64,
+    /// Virtual seconds, and events a second.
+    pub seconds: f64,
+    pub rate: f64,
+    /// Drawn from the seed where left out.
+    pub script: Option<String>,
+    /// When, whom, how long.
+    pub hurts: Vec<(Time, Hurt, usize, Time)>,
+    pub plant: Plant,
+    /// Whether the report holds the record.
+    pub keep: bool,
+}
+
+/// A gateway that may be deaf.
+struct Hearing {
+    gateway: Gateway<Memory>,
+    deaf: bool,
+    lists: usize,
+}
+
+impl App for Hearing {
+    type Net = Memory;
+    fn net(&mut self) -> &mut Memory {
+        self.gateway.net()
+    }
+    fn accepted(&mut self, listener: Listener, conn: Conn, from: SocketAddr) {
+        self.gateway.accepted(listener, conn, from);
+    }
+    fn connected(&mut self, conn: Conn) {
+        self.gateway.connected(conn);
+    }
+    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        if !self.deaf {
+            return self.gateway.bytes(conn, bytes);
+        }
+        let mut used = 0;
+        while let Ok(Some((body, len))) = wire::frame(&bytes[used..]) {
+            let kind = wire::Fields::read(body).and_then(|f| f.kind()).unwrap_or(0);
+            self.lists += usize::from(kind == wire::kind::ROSTER);
+            if kind != wire::kind::DRAINS && (kind != wire::kind::ROSTER || self.lists == 1) {
+                self.gateway.bytes(conn, &bytes[used..used + len]);
+            }
+            used += len;
+        }
+        used
+    }
+    fn drained(&mut self, conn: Conn) {
+        self.gateway.drained(conn);
+    }
+    fn closed(&mut self, conn: Conn, why: Why) {
+        self.gateway.closed(conn, why);
+    }
+    fn datagram(&mut self, port: Port, from: SocketAddr, bytes: &[u8]) {
+        self.gateway.datagram(port, from, bytes);
+    }
+    fn due(&mut self, token: u64) {
+        self.gateway.due(token);
+    }
+}
+
+/// Somebody who does not speak the protocol, or stops in its middle.
+struct Stranger {
+    net: Memory,
+    chance: ChaCha8Rng,
+}
+
+impl App for Stranger {
+    type Net = Memory;
+    fn net(&mut self) -> &mut Memory {
+        &mut self.net
+    }
+    fn accepted(&mut self, _: Listener, _: Conn, _: SocketAddr) {}
+    fn connected(&mut self, conn: Conn) {
+        let mut out = Vec::new();
+        if self.chance.random_ratio(2, 3) {
+            wire::hello(&mut out, "client", "stranger", 0);
+            let f = wire::Frame::new(&mut out, wire::kind::EVENT).whole(wire::Field::Id, 1);
+            f.text(wire::Field::Type, "check").text(wire::Field::Function, "stock-1").end();
+            let cut = self.chance.random_range(0..=out.len());
+            out.truncate(cut);
+        }
+        if self.chance.random_ratio(2, 3) {
+            let junk = self.chance.random_range(0..200);
+            out.extend((0..junk).map(|_| self.chance.random::<u8>()));
+        }
+        self.net.write(conn, &out);
+        if self.chance.random_ratio(1, 2) {
+            self.net.reset(conn);
+        }
+    }
+    fn bytes(&mut self, _: Conn, bytes: &[u8]) -> usize {
+        bytes.len()
+    }
+    fn drained(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, _: Why) {}
+    fn due(&mut self, _: u64) {}
+}
+
 fn settings(rate: f64) -> Section {
     let text = SETTINGS.replace("RATE", &rate.to_string());
     tidewall_config::settings("run", &text).expect("the run's settings are good")
 }
 
-fn gateway(s: &Section, net: &Memory, me: usize, seed: u64, disk: &Disk) -> Gateway<Memory> {
-    let start = start(s, me, seed);
+fn gateway(s: &Section, net: &Memory, me: usize, seed: u64, disk: &Disk, plant: Plant) -> Hearing {
+    let mut start = start(s, me, seed);
     let name = start.name.clone();
+    let mut put = |key: &str, value: &str| {
+        *start.settings.get_mut(key).expect("it is a setting") = value.to_string();
+    };
+    match plant {
+        Plant::Repeats => (0..3).for_each(|i| put(&format!("classes.{i}.semantics"), "read_like")),
+        Plant::Warm => put("rules.cold-ms", "0"),
+        Plant::Orders => put("extra.load-share", "5"),
+        Plant::Nothing | Plant::Deaf => {}
+    }
     let mut gateway =
         Gateway::new(net.clone(), start, Box::new(disk.clone())).expect("its addresses are free");
     let at = s.sections("gateway")[me].text("address").parse().expect("checked");
     gateway.open(at, Box::new(Native::new(0, &name))).expect("its address is free");
-    gateway
+    Hearing { gateway, deaf: plant == Plant::Deaf, lists: 0 }
 }
 
 /// The run looks at the gateways this often.
@@ -134,16 +282,24 @@
 
 /// Events a second and virtual seconds, seed, and the script if it is not to be drawn.
 pub fn run(seed: u64, seconds: f64, rate: f64, script: Option<String>, keep: bool) -> Report {
+    play(&Setup { seed, seconds, rate, script, hurts: Vec::new(), plant: Plant::Nothing, keep })
+}
+
+pub fn play(setup: &Setup) -> Report {
+    let Setup { seed, seconds, rate, plant, keep, .. } = *setup;
     let world: Rc<RefCell<World>> = memory::world();
     world.borrow_mut().seed(seed);
     let mut chance = ChaCha8Rng::seed_from_u64(seed ^ 0x517e);
     let hands: Vec<Memory> = (0..3).map(|_| Memory::join(&world)).collect();
     let fleet_hand = Memory::join(&world);
+    let stranger_chance = ChaCha8Rng::seed_from_u64(seed ^ 0x57a6);
+    let mut stranger = Stranger { net: Memory::join(&world), chance: stranger_chance };
     let uneven = chance.random_ratio(1, 3);
+    let mut path = Path { delay: world.borrow().delay, ..Path::default() };
     for hand in &hands {
         hand.clock(chance.random_range(-200..=200));
         if uneven {
-            let path = Path { delay: chance.random_range(2..40), jitter: 20, ..Path::default() };
+            path = Path { delay: chance.random_range(2..40), jitter: 20, ..Path::default() };
             world.borrow_mut().path(hand, &fleet_hand, path);
             world.borrow_mut().path(&fleet_hand, hand, path);
         }
@@ -151,7 +307,7 @@
     if chance.random_ratio(1, 4) {
         world.borrow_mut().piece = chance.random_range(1..50);
     }
-    let text = script.unwrap_or_else(|| draw(&mut chance));
+    let text = setup.script.clone().unwrap_or_else(|| draw(&mut chance));
     let s = settings(rate);
     let parsed = tidewall_config::script("run", &text).expect("the run's script is good");
     let (record, orders) = (Shared::default(), Orders::default());
@@ -168,16 +324,23 @@
     let mut fleet = Fleet::new(fleet_hand.clone(), &s, Some(&parsed), plan).expect("its addresses are free");
     let disks: Vec<Disk> = (0..3).map(|_| Disk::default()).collect();
     let mut lives = 0;
-    let mut gateways: Vec<Gateway<Memory>> =
-        (0..3).map(|me| gateway(&s, &hands[me], me, seed * 1_000 + me as u64, &disks[me])).collect();
+    let mut gateways: Vec<Hearing> =
+        (0..3).map(|me| gateway(&s, &hands[me], me, seed * 1_000 + me as u64, &disks[me], plant)).collect();
     // The longest max age, then the fleet's aftermath and one more for what is left over.
     let end = (seconds * 10_000.0) as Time + 35_000 + 10_000;
     let mut broken = Vec::new();
+    // Hurts that begin and end, in the order of their times.
+    let mut due: Vec<(Time, bool, Hurt, usize)> = Vec::new();
+    for (at, hurt, gw, lasts) in setup.hurts.iter().copied() {
+        due.extend([(at, true, hurt, gw), (at + lasts, false, hurt, gw)]);
+    }
+    due.sort_by_key(|d| std::cmp::Reverse(d.0));
     while world.borrow().now() < end {
         let until = world.borrow().now() + LOOK;
+        let until = due.last().map_or(until, |d| until.min(d.0.max(world.borrow().now())));
         loop {
             let [a, b, c] = gateways.as_mut_slice() else { unreachable!("there are three") };
-            if !memory::step(&world, &mut [a, b, c, &mut fleet], until) {
+            if !memory::step(&world, &mut [a, b, c, &mut fleet, &mut stranger], until) {
                 break;
             }
             while let Some(order) = orders.0.borrow_mut().pop_front() {
@@ -196,13 +359,52 @@
                         lives += 1;
                         hands[gw].restart();
                         let seed = seed * 1_000 + 10 * lives + gw as u64;
-                        gateways[gw] = gateway(&s, &hands[gw], gw, seed, &disks[gw]);
+                        gateways[gw] = gateway(&s, &hands[gw], gw, seed, &disks[gw], plant);
                     }
                     Order::Still(gw, on) => hands[gw].still(on),
                 }
             }
         }
-        for (gw, g) in gateways.iter().enumerate() {
+        while let Some((_, begins, hurt, gw)) = due.pop_if(|d| d.0 <= world.borrow().now()) {
+            match hurt {
+                Hurt::Cut => {
+                    let cut = Path { cut: begins, ..path };
+                    world.borrow_mut().path(&hands[gw], &fleet_hand, cut);
+                    world.borrow_mut().path(&fleet_hand, &hands[gw], cut);
+                }
+                Hurt::Bare => hands[gw].bare(begins),
+                Hurt::Junk if begins => {
+                    let at = s.sections("gateway")[gw].text("address").parse().expect("checked");
+                    for _ in 0..20 {
+                        stranger.net.connect(at, 10_000);
+                    }
+                }
+                Hurt::Junk => {}
+                _ if begins => {
+                    if hurt != Hurt::KillUntold {
+                        fleet.killed(gw, true);
+                    }
+                    hands[gw].kill();
+                    let mut platter = disks[gw].0.borrow_mut();
+                    match hurt {
+                        Hurt::KillFull => (platter.full, platter.bytes) = (true, None),
+                        Hurt::KillTorn => platter.bytes.iter_mut().for_each(|b| b.truncate(b.len() / 2)),
+                        Hurt::KillAhead => platter.age = Some(36_000_000),
+                        _ => platter.age = Some(0),
+                    }
+                }
+                _ => {
+                    lives += 1;
+                    if hurt != Hurt::KillUntold {
+                        fleet.killed(gw, false);
+                    }
+                    hands[gw].restart();
+                    let seed = seed * 1_000 + 10 * lives + gw as u64;
+                    gateways[gw] = gateway(&s, &hands[gw], gw, seed, &disks[gw], plant);
+                }
+            }
+        }
+        for (gw, Hearing { gateway: g, .. }) in gateways.iter().enumerate() {
             let c = g.counts();
             let over = c.handled + c.deferred + c.dead_lettered + c.lapsed + c.overdue;
             // Every event is in hand or over, and over once.
@@ -211,7 +413,7 @@
             }
         }
     }
-    for (gw, g) in gateways.iter().enumerate().filter(|g| !hands[g.0].dead()) {
+    for (gw, Hearing { gateway: g, .. }) in gateways.iter().enumerate().filter(|g| !hands[g.0].dead()) {
         if g.held() > 0 {
             broken.push(format!("gateway {gw}: {} events are held for ever", g.held()));
         }
--- a/crates/tidewall-standins/src/faults.rs
+++ b/crates/tidewall-standins/src/faults.rs
@@ -58,6 +58,12 @@
         list.filter(|w| well(w.1) && (machine.is_empty() || w.1.machine == machine)).map(|w| w.0).collect()
     }
 
+    /// Somebody else killed a gateway, or started it again.
+    pub fn killed(&mut self, gw: usize, killed: bool) {
+        let k = if killed { Kind::Killed } else { Kind::Up };
+        self.ground.row(Row { k, gw, ..Row::default() });
+    }
+
     pub(crate) fn fault(&mut self, i: usize) {
         let now = self.ground.net.now();
         let Fault { trouble, lasts, count, machine, factor, .. } = &self.faults.list[i];
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -592,10 +592,16 @@
         let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
         let done = self.workers.iter().filter(warm).map(|o| f64::from(o.done.recent(self.now)) / 2.0);
         let (count, work) = done.fold((0.0, 0.0), |(n, sum), w| (n + 1.0, sum + w));
+        // Warm machines that are larger say too much of what this one can take.
+        let large =
+            self.workers.iter().filter(warm).map(|o| o.listed.rating).sum::<f64>() / f64::max(count, 1.0);
+        let size = if large > 0.0 { (w.listed.rating / large).min(1.0) } else { 1.0 };
         let (weight, window) = (self.types[typ].run, self.settings.span("rules.overload-for-ms"));
-        let used: f64 = w.budget.iter().filter(|b| b.0 + window >= self.now).map(|b| b.1).sum();
+        // At what each type is known to cost by now: events that turn out dear count as dear from then on.
+        let sent = w.budget.iter().filter(|b| b.0 + window >= self.now);
+        let used: f64 = sent.map(|b| self.types[b.1].run).sum();
         let share = SHARE * self.settings.number("rules.tip-multiple") * part;
-        let room = share * work / f64::max(count, 1.0) * window as f64 / SECOND as f64;
+        let room = share * size * work / f64::max(count, 1.0) * window as f64 / SECOND as f64;
         used + w.luck * weight <= room
     }
 
@@ -611,7 +617,6 @@
         let evt = &mut self.events[e];
         let function = &mut self.functions[evt.arrival.function];
         let seat = &mut function.seats[s];
-        let weight = self.types[evt.arrival.typ].run;
         let w = &mut self.workers[seat.wk];
         let seen = if now < w.seen_at + LOOK_HOLDS { w.seen } else { -1.0 };
         evt.launches[evt.count] = Launch { wk: seat.wk, at: now, seen, state: State::Out };
@@ -623,7 +628,7 @@
             while w.budget.front().is_some_and(|b| b.0 + window < now) {
                 w.budget.pop_front();
             }
-            w.budget.push_back((now, weight));
+            w.budget.push_back((now, evt.arrival.typ));
         }
         // A tenant's share is used by what is launched for it; a storm of repeats alone does not use it up.
         if let Some(t) = evt.arrival.tenant.filter(|_| evt.count == 1) {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -302,7 +302,7 @@
     let mut gw = gateway(3, &[]);
     gw.workers[0].listed.since = NOW - (age * 100_000.0) as Time - 1;
     gw.workers[0].luck = 1.0;
-    gw.workers[0].budget.extend(vec![(NOW, 1000.0); sent]);
+    gw.workers[0].budget.extend(vec![(NOW, 0); sent]);
     (1..3).for_each(|wk| gw.workers[wk].done.add(NOW, 20_000));
     assert_eq!(gw.cold_room(0, 0), room);
 }
@@ -654,6 +654,19 @@
     }
 }
 
+// Three gateways pushed cold workers over when events turned dear, and small ones beside large warm ones.
+#[test_case(100.0, 1.0, true; "as dear as they seemed")]
+#[test_case(4000.0, 1.0, false; "those sent count as dear as they turned out")]
+#[test_case(100.0, 0.1, false; "a machine a tenth of the warm ones' size")]
+fn a_cold_budget_goes_by_present_costs_and_size(run: f64, rating: f64, room: bool) {
+    let mut gw = gateway(3, &[]);
+    (gw.workers[0].listed.since, gw.workers[0].listed.rating, gw.workers[0].luck) = (NOW - 1, rating, 1.0);
+    gw.workers[0].budget.extend(vec![(NOW, 0); 6]);
+    gw.types[0].run = run;
+    (1..3).for_each(|wk| gw.workers[wk].done.add(NOW, 8_000));
+    assert_eq!(gw.cold_room(0, 0), room);
+}
+
 // The count that matters is the total: misses are not counted among the two further launches.
 #[test_case(Outcome::Miss; "misses")]
 #[test_case(Outcome::Full; "full")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,7 +111,7 @@
     pub out_span: Time,
     /// Mean work that it did of late, and the launches that a cold start's budget counts.
     pub done: Rate,
-    pub budget: VecDeque<(Time, f64)>,
+    pub budget: VecDeque<(Time, usize)>,
     /// Where between 0 and 1 this gateway rounds its share of a cold worker up.
     pub luck: f64,
 }
