--- a/crates/tidewall-amqp-door/src/logins.rs
+++ b/crates/tidewall-amqp-door/src/logins.rs
@@ -5,10 +5,18 @@
 use argon2::{Argon2, PasswordHash, PasswordVerifier};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
+#[cfg(shuttle)]
+use shuttle::{
+    sync::mpsc::{sync_channel, Receiver, SyncSender, TryRecvError},
+    thread,
+};
 use std::collections::BTreeSet;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TryRecvError};
-use std::thread;
+#[cfg(not(shuttle))]
+use std::{
+    sync::mpsc::{sync_channel, Receiver, SyncSender, TryRecvError},
+    thread,
+};
 
 struct Ask {
     conn: usize,
@@ -110,7 +118,63 @@
     }
 }
 
-#[cfg(test)]
+/// Orderings of the door's thread and the checking one, each run another: the shipped code on shuttle's primitives.
+#[cfg(all(test, shuttle))]
+mod orderings {
+    use super::*;
+
+    const RUNS: usize = 20_000;
+
+    /// Each login that was taken ends once, with its own answer, however the two run; none stays pending.
+    fn ends_once(most: usize, swap: bool) {
+        let mut logins = Logins::by(most, move |_, password| (password == b"good") != swap);
+        let (mut asked, mut ended) = (Vec::new(), Vec::new());
+        for conn in 0..6 {
+            let password: &[u8] = if conn % 2 == 0 { b"good" } else { b"bad" };
+            if logins.check(conn, 7, None, password) {
+                asked.push((conn, 7, conn % 2 == 0));
+            }
+            ended.extend(logins.done());
+            thread::yield_now();
+        }
+        while logins.pending > 0 {
+            ended.extend(logins.done());
+            thread::yield_now();
+        }
+        assert_eq!(ended, asked);
+        assert!(asked.len() >= most && logins.done().is_none());
+    }
+
+    #[test]
+    fn each_login_ends_once() {
+        shuttle::check_random(|| ends_once(1, false), RUNS);
+        shuttle::check_pct(|| ends_once(2, false), RUNS, 3);
+    }
+
+    #[test]
+    #[should_panic(expected = "assertion")]
+    fn a_planted_wrong_answer_is_seen() {
+        shuttle::check_random(|| ends_once(2, true), 10);
+    }
+
+    /// The door goes first, with logins waiting and answers unread: the thread ends, or shuttle tells of a deadlock.
+    #[test]
+    fn a_door_that_goes_first_leaves_no_thread_behind() {
+        let goes = |read: usize| {
+            let mut logins = Logins::by(1, |_, _| true);
+            for conn in 0..4 {
+                logins.check(conn, 7, None, b"");
+            }
+            for _ in 0..read {
+                logins.done();
+            }
+        };
+        shuttle::check_random(move || goes(0), RUNS);
+        shuttle::check_random(move || goes(2), RUNS);
+    }
+}
+
+#[cfg(all(test, not(shuttle)))]
 mod tests {
     use super::*;
     use argon2::password_hash::{PasswordHasher, SaltString};
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -62,6 +62,33 @@
     s.all_answered(11..111);
 }
 
+/// A list that was kept is an hour old by a clock that has jumped. Ruled out: a start before the gateway's own clock began is as
+/// old as that, so its workers are cold from then on.
+struct Kept(Time);
+
+impl Shelf for Kept {
+    fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
+        let young = tidewall_gateway::list::Entry { age: 5_000, ..entry(0) };
+        Ok(Some((tidewall_gateway::list::encode(&[young]), self.0)))
+    }
+    fn write(&mut self, _: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test_case(5_000; "the clock is right")]
+#[test_case(36_000_000; "it has jumped by an hour")]
+fn a_worker_that_says_that_it_is_young_is_cold(passed: Time) {
+    let mut s = site_with(&[Does::Answers], setup(), Box::new(Kept(passed)));
+    s.roster.net.kill();
+    s.workers[0].age = 10_000;
+    s.ask(1..101, "check", 20_000);
+    s.pass(300);
+    assert!(s.launches() <= 2, "{} launches at once on a cold worker", s.launches());
+    s.pass(25_000);
+    s.all_answered(1..101);
+}
+
 fn drained(s: &mut Site) {
     for e in &mut s.roster.entries {
         e.standing = Standing::Draining;
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -52,6 +52,8 @@
     pub role: &'static str,
     pub name: String,
     pub life: u64,
+    /// How long ago it says that it started; 0 where it does not.
+    pub age: Time,
     pub does: Does,
     pub got: Vec<Got>,
     pub over: Vec<Why>,
@@ -127,6 +129,7 @@
                 f.text(Field::Role, self.role)
                     .text(Field::Name, &self.name)
                     .whole(Field::Life, self.life)
+                    .whole(Field::Age, self.age)
                     .end();
                 self.net.write(conn, &out);
             }
@@ -273,6 +276,7 @@
         role,
         name,
         life: 1,
+        age: 0,
         does,
         got: Vec::new(),
         over: Vec::new(),
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -368,6 +368,7 @@
         while let Some((_, begins, hurt, gw)) = due.pop_if(|d| d.0 <= world.borrow().now()) {
             match hurt {
                 Hurt::Cut => {
+                    fleet.apart(gw, begins);
                     let cut = Path { cut: begins, ..path };
                     world.borrow_mut().path(&hands[gw], &fleet_hand, cut);
                     world.borrow_mut().path(&fleet_hand, &hands[gw], cut);
--- a/crates/tidewall-standins/src/faults.rs
+++ b/crates/tidewall-standins/src/faults.rs
@@ -64,6 +64,12 @@
         self.ground.row(Row { k, gw, ..Row::default() });
     }
 
+    /// Nothing gets to or from a gateway, or again: to its clients it stands still.
+    pub fn apart(&mut self, gw: usize, apart: bool) {
+        let k = if apart { Kind::Still } else { Kind::Going };
+        self.ground.row(Row { k, gw, ..Row::default() });
+    }
+
     pub(crate) fn fault(&mut self, i: usize) {
         let now = self.ground.net.now();
         let Fault { trouble, lasts, count, machine, factor, .. } = &self.faults.list[i];
