--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -9,7 +9,7 @@
 use test_case::test_case;
 use tidewall::host::Standing;
 use tidewall_gateway::list::{write, Beside, FileShelf, NoShelf, Shelf};
-use tidewall_net::Time;
+use tidewall_net::{Net, Time};
 use tidewall_wire::{kind, Entries, Field, Frame};
 
 fn bare(kind: u64) -> Vec<u8> {
