--- a/crates/tidewall-sim/tests/table.rs
+++ b/crates/tidewall-sim/tests/table.rs
@@ -1,8 +1,6 @@
 //! The table of faults against stages: each cell strikes a site of three gateways with its stand-in fleet (or a pair) at
 //! moments when an event is at that stage, and the audit checks the rules from what crossed the sockets. The moments come from
 //! a run of the same seed without the fault, which is the same up to there.
-mod help;
-
 use std::sync::OnceLock;
 use test_case::{test_case, test_matrix};
 use tidewall_audit::rows::{Kind, Row};
