Pair: an event that is answered as it is taken is recorded before its place is used again

The decisions' own answers were queued and recorded for the other member when their call was over, by the event's place. Where an event is given up as it is taken (too little time left), the next one of the same read, or of the same adoption, already has that place: the answer was recorded under the wrong mark, the right mark stood for another event for ever, and whoever asked for it again waited for ever. carrier.rs own_answer, pair/mod.rs go_on, copying.rs copy_answered. Ruled out: the voters and the seat (the same with one member), the place's count (slab places have none here), impatient(). Change: the answer is recorded as it is given; those who wait for an adopted event are handed over as it is taken, not after it.

--- a/crates/tidewall-audit/src/lib.rs
+++ b/crates/tidewall-audit/src/lib.rs
@@ -205,6 +205,11 @@
                     });
                 }
             }
+            Kind::Lost => {
+                let (began, until) = self.still.get(&row.gw).copied().unwrap_or((Time::MAX, 0));
+                let unread = |at: Time| until == Time::MAX && at >= began;
+                self.told.retain(|k, at| k.0 != row.gw || !(row.on || k.1 == row.wk) || !unread(*at));
+            }
             Kind::Started => {
                 let cold = Cold {
                     since: t,
--- a/crates/tidewall-audit/src/rows.rs
+++ b/crates/tidewall-audit/src/rows.rs
@@ -68,6 +68,9 @@
     Ran,
     /// The roster told a gateway where a worker stands.
     Told,
+    /// The roster's connection to a gateway broke (`on`), or a worker's: a gateway that stands still has not read what was told
+    /// on it meanwhile, and never will.
+    Lost,
     /// A worker started cold: it can do `capacity` (tenths of work in a tenth), `from` of it at first and all
     /// of it after `left`. It fell over.
     Started,
--- a/crates/tidewall-audit/tests/rules.rs
+++ b/crates/tidewall-audit/tests/rules.rs
@@ -90,6 +90,20 @@
     assert_eq!(broken(&rows), told);
 }
 
+/// What was told to a gateway that stood still was never read where the connection broke meanwhile.
+#[test_case(true, false, &[] ; "by the worker")]
+#[test_case(true, true, &[] ; "by the roster")]
+#[test_case(false, true, &[(3, 1)] ; "planted: it was read")]
+fn drains_that_were_never_read(still: bool, roster: bool, told: &[(usize, usize)]) {
+    let mut rows = Vec::new();
+    rows.extend(still.then(|| row(0, Kind::Still, 0)));
+    rows.push(Row { on: false, ..at(10, Kind::Told, 0, 1) });
+    rows.push(Row { on: roster, ..at(20, Kind::Lost, 0, 1) });
+    rows.extend(still.then(|| row(30, Kind::Going, 0)));
+    rows.extend([asked(30_000, 7, 0), at(30_010, Kind::Launched, 7, 1), row(30_020, Kind::Answered, 7)]);
+    assert_eq!(broken(&rows), told);
+}
+
 /// A worker that starts with a fifth of two cores can be sent 2.5 times 0.4 cores for 1.5 s: 15,000 tenths.
 #[test_case(0, 14_000.0, &[] ; "below its fall")]
 #[test_case(0, 16_000.0, &[(4, 1)] ; "planted: too much at once")]
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -191,6 +191,8 @@
     pub opened: Vec<(Conn, usize)>,
     /// Workers that left or started anew: what waits for them was decided by what they were before.
     pub withdrawn: Vec<usize>,
+    /// Who waits for the event that is taken next.
+    pub heirs: Vec<(Ticket, Time)>,
     grace: Time,
     /// When the last client of all that were ever taken gives up.
     pub last_until: Time,
@@ -232,6 +234,7 @@
             links: Slab::new(),
             opened: Vec::new(),
             withdrawn: Vec::new(),
+            heirs: Vec::new(),
             grace: settings.span("rules.drain-grace-ms"),
             last_until: 0,
             known: VecDeque::new(),
@@ -266,6 +269,7 @@
         self.last_until = self.last_until.max(held.until);
         held.unproven = 0;
         held.more.clear();
+        held.more.append(&mut self.heirs);
         held.mark.clear();
         held.mark.extend_from_slice(event.mark);
         held.payload.clear();
@@ -301,7 +305,16 @@
                 _ => self.counts.dead_lettered += 1,
             }
             tracing::debug!(event = self.events[evt].id, word = word.text(), took, "answered");
-            self.given.push_back(Given { evt, ticket, word, come_back, took });
+            let given = Given { evt, ticket, word, come_back, took };
+            if self.copy.is_some() {
+                // At once: its place may serve another event before this call of the decisions is over.
+                let due = self.copy_answered(&given, &[]);
+                if let (Some(copy), Some(due)) = (&mut self.copy, due) {
+                    copy.replays.push_back(due);
+                }
+                return;
+            }
+            self.given.push_back(given);
         }
     }
 
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -467,6 +467,7 @@
             let known = host.known_life(wk);
             if known.is_some_and(|k| life > k) {
                 // It restarted before the roster told.
+                debug!(worker = name, life, age, "started anew");
                 if let Some(entry) = host.restarted(wk, life, age) {
                     self.core.choice.clock(now);
                     self.core.choice.list(&[(wk, entry)], false);
@@ -537,6 +538,7 @@
             }
             kind::PROMISED => self.promised(link, wk, fields)?,
             kind::DRAINS => {
+                debug!(worker = host.workers.text(wk), "drains");
                 if let Some(entry) = host.drains(wk) {
                     self.core.choice.clock(now);
                     self.core.choice.list(&[(wk, entry)], false);
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -989,6 +989,8 @@
 
     fn go_on(&mut self, kept: Kept) {
         let now = self.core.net().now();
+        let asked = !kept.tickets.is_empty();
+        self.core.choice.host.heirs = kept.tickets;
         let place = self.core.begin(&Incoming {
             ticket: NOBODY,
             id: kept.id,
@@ -1005,12 +1007,9 @@
             payload: &kept.payload,
         });
         copy_of(&mut self.core).ration.took_before();
-        if !kept.tickets.is_empty() {
-            let host = &mut self.core.choice.host;
-            host.events[place].more.extend(kept.tickets);
-            if let Some(copy) = &mut host.copy {
-                copy.joined.push(place);
-            }
+        if asked {
+            // Where it has its answer already this is passed by.
+            copy_of(&mut self.core).joined.push(place);
         }
     }
 
--- a/crates/tidewall-sim/tests/pair.rs
+++ b/crates/tidewall-sim/tests/pair.rs
@@ -177,3 +177,11 @@
         assert_eq!(report.breaches, Vec::<String>::new(), "at step {}", part * 180 + at * 3);
     }
 }
+
+/// An adopted event that was answered as it was taken left its place to the next one before it was recorded: its mark stood for
+/// that one from then on, and whoever asked for it again waited for ever.
+#[test]
+fn an_adopted_event_that_ends_at_once_is_not_taken_for_the_next() {
+    let report = run(Setup::new(23238));
+    assert_eq!(report.breaches, Vec::<String>::new());
+}
--- a/crates/tidewall-standins/src/roster.rs
+++ b/crates/tidewall-standins/src/roster.rs
@@ -173,6 +173,9 @@
         if let Some(listener) = self.listener.take() {
             g.net.unlisten(listener);
         }
+        for (_, gw) in &self.followers {
+            g.row(Row { k: Kind::Lost, gw: *gw, on: true, ..Row::default() });
+        }
         for (conn, _) in std::mem::take(&mut self.greeted) {
             g.own(conn, Owner::Nobody);
             g.net.reset(conn);
