Module at any size, and launches of all layers counted at the workers

Need: figures tuned to one deployment, and repeats that each layer counts for itself. Tests: a random drive of the module over target times of 1 ms to an hour, 1 to 1,000 siblings, keep-alives of 0.1 s to an hour, with and without a ration, with ends of all kinds in any order (90 runs of 1,500 steps): one answer for each event, launches and orders within bounds, nothing left over, no panic.

--- a/crates/tidewall-sim/tests/table.rs
+++ b/crates/tidewall-sim/tests/table.rs
@@ -3,7 +3,7 @@
 //! a run of the same seed without the fault, which is the same up to there.
 use std::sync::OnceLock;
 use test_case::{test_case, test_matrix};
-use tidewall_audit::rows::{Kind, Row};
+use tidewall_audit::rows::{Kind, Row, TRIES};
 use tidewall_net::memory::Path;
 use tidewall_net::Time;
 use tidewall_sim::pair::{self, Trouble};
@@ -197,6 +197,33 @@
     assert_eq!(play(&cold(8)).breaches, Vec::<String>::new());
 }
 
+/// Second tries of all layers together, from what reached the workers: each try of a client (two repeats at most) has three
+/// launches at most, whatever missed, broke or was full; a pair's new master begins anew with what it continues. Loads that
+/// workers were told are rationed by the audit's rule 5.
+#[test_case(false; "a site: a client's three tries of three launches")]
+#[test_case(true; "a pair: two tries, each once more for a takeover")]
+fn launches_stay_within_the_product_of_all_layers(pair: bool) {
+    let (mut most_try, mut most_event) = (0, 0);
+    for seed in 500..530 {
+        let report = match pair {
+            false => play(&Setup { seed, script: None, keep: true, ..setup() }),
+            true => pair::run(pair::Setup { keep: true, ..pair::Setup::new(seed) }),
+        };
+        assert_eq!(report.breaches, Vec::<String>::new());
+        let text = String::from_utf8(report.record).unwrap();
+        let rows = text.lines().skip(1).map(|l| serde_json::from_str::<Row>(l).unwrap());
+        let mut launched: Vec<u64> = rows.filter(|r| r.k == Kind::Launched).map(|r| r.evt).collect();
+        launched.sort_unstable();
+        let most = |same: fn(&u64, &u64) -> bool| launched.chunk_by(same).map(<[_]>::len).max().unwrap_or(0);
+        let (per_try, per_event) = (most(|a, b| a == b), most(|a, b| a / TRIES == b / TRIES));
+        let lives = 1 + report.takeovers as usize * usize::from(pair);
+        assert!(per_try <= 3 * lives && per_event <= 9 * lives, "seed {seed}: {per_try}, {per_event}");
+        (most_try, most_event) = (most_try.max(per_try), most_event.max(per_event));
+    }
+    println!("at most {most_try} launches of a try, {most_event} of an event");
+    assert!(most_try > 1 && most_event >= most_try, "the runs put the bound to the test");
+}
+
 /// Open until order times outlive a kill (the journal's matter): the former life's orders still count, its events have left
 /// the window, and the new life knows neither; it gives one or two orders more than both may. It keeps the free ones back for
 /// a window; keeping all back would leave a restarted gateway without loads for as long. The bench counts by instance.
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -686,3 +686,155 @@
         assert!(holds(&gw) <= launches(&gw).len(), "an order for each miss at the most");
     }
 }
+
+// Figures that suit one deployment: whatever the settings' sizes and however things end, in any order, the module keeps its
+// word: one answer for each event in time, launches and orders within their bounds, nothing left over, no panic.
+#[test_case("1", "100"; "target time of a millisecond")]
+#[test_case("20", "1000"; "of twenty")]
+#[test_case("1000", "8000"; "as seen")]
+#[test_case("10000", "100"; "long, with copies that lapse at once")]
+#[test_case("3600000", "3600000"; "an hour")]
+fn it_keeps_its_word_at_any_size(target: &str, keep: &str) {
+    for (seed, siblings) in [1, 3, 7, 8, 30, 1000].into_iter().enumerate() {
+        for (miss, ration) in [("miss", "0"), ("miss", "1000"), ("load", "1000")] {
+            let siblings = siblings.to_string();
+            let more = [
+                ("classes.0.aim-ms", target),
+                ("classes.1.aim-ms", target),
+                ("classes.2.aim-ms", target),
+                ("extra.stays-loaded-ms", keep),
+                ("siblings", &siblings),
+                ("extra.if-cold", miss),
+                ("extra.load-window-ms", ration),
+                ("extra.free-loads", "2"),
+                ("extra.load-share", "0.2"),
+                ("allowed.probes", "true"),
+                ("reporting.how", "probe"),
+                ("reporting.names", "rif,busy"),
+            ];
+            roam(settings(&more), seed as u64, if ration == "0" { 0 } else { 1000 * MS });
+        }
+    }
+}
+
+fn roam(settings: Settings, seed: u64, window: Time) {
+    const ENDS: [Outcome; 9] = [
+        Outcome::Ok,
+        Outcome::Ok,
+        Outcome::Error,
+        Outcome::Full,
+        Outcome::TimedOut,
+        Outcome::NoConnection,
+        Outcome::Reset,
+        Outcome::Moot,
+        Outcome::Miss,
+    ];
+    let target = settings.span("classes.0.aim-ms");
+    let mut gw = Choice::new(Calls::default(), 0, seed, settings).unwrap();
+    let (mut chance, mut now) = (Chance::new(seed ^ 77), 0);
+    let (mut seen, mut taken) = (0, VecDeque::new());
+    // By place: gives up, launches out, launched so far, whether answered. Orders and asks, and probes, that are out.
+    let mut events: Vec<(Time, Vec<(usize, usize)>, usize, bool)> = Vec::new();
+    let (mut loads, mut probes, mut orders) = (Vec::new(), Vec::new(), VecDeque::new());
+    for step in 0..1_500u32 {
+        now += Time::from(chance.below((target / 4).clamp(20, 2_000) as u32));
+        gw.clock(now);
+        let stops = step > 1_200;
+        match chance.below(8) {
+            0 if !stops => {
+                let wk = chance.below(6) as usize;
+                let standing = [Standing::On, Standing::On, Standing::Draining, Standing::Gone]
+                    [chance.below(4) as usize];
+                let since = if chance.below(2) == 0 { 0 } else { now.max(1) };
+                gw.list(&[(wk, Listed { standing, since, ..listed(wk).1 })], false);
+            }
+            1 | 2 if !stops => {
+                let (place, f) = (gw.next_place(), chance.below(9) as usize);
+                let left = 1 + Time::from(chance.below((4 * target).min(4_000_000) as u32));
+                events.resize(events.len().max(place + 1), (0, Vec::new(), 0, true));
+                assert!(events[place].3 && events[place].1.is_empty(), "its place was free");
+                events[place] = (now + left, Vec::new(), 0, false);
+                taken.push_back(now);
+                gw.arrive(Arrival {
+                    typ: f % 3,
+                    function: f,
+                    function_hash: f as u64,
+                    gives_up: now + left,
+                    ..arrival(0)
+                });
+            }
+            3 | 4 => {
+                let out = (0..events.len()).filter(|e| !events[*e].1.is_empty()).collect::<Vec<_>>();
+                if !out.is_empty() {
+                    let e = out[chance.below(out.len() as u32) as usize];
+                    let (launch, _) = events[e].1.remove(0);
+                    let how = ENDS[chance.below(9) as usize];
+                    let over = events[e].3 || how == Outcome::Ok;
+                    events[e].3 |= over;
+                    gw.ended(e, launch, (how, 1 + Time::from(chance.below(500))), over, chance.below(256));
+                }
+            }
+            5 if !loads.is_empty() => {
+                let (f, wk) = loads.swap_remove(chance.below(loads.len() as u32) as usize);
+                gw.held(f, wk, ENDS[chance.below(7) as usize], chance.below(2));
+            }
+            6 if !probes.is_empty() => {
+                let wk = probes.swap_remove(0);
+                gw.reported(wk, f64::from(chance.below(9)), 0.5);
+                gw.probed(wk, ENDS[chance.below(7) as usize]);
+            }
+            _ => gw.timer(0),
+        }
+        if step % 3 == 0 {
+            gw.timer(0);
+        }
+        for call in gw.host.0.drain(..) {
+            seen += 1;
+            match call {
+                Call::Launch(e, wk) => {
+                    assert!(!events[e].3 && events[e].2 < MOST_LAUNCHES && now < events[e].0);
+                    let launch = events[e].2;
+                    events[e].1.push((launch, wk));
+                    events[e].2 += 1;
+                }
+                Call::Cancel(e, launch) => assert!(events[e].1.iter().any(|l| l.0 == launch)),
+                Call::Defer(e, back) => assert!(!std::mem::replace(&mut events[e].3, true) && back > 0),
+                Call::DeadLetter(e) => assert!(!std::mem::replace(&mut events[e].3, true)),
+                Call::Hold(f, wk, copies) => {
+                    loads.push((f, wk));
+                    if copies > 0 && window > 0 {
+                        orders.push_back(now);
+                        while orders.front().is_some_and(|t| t + window < now) {
+                            orders.pop_front();
+                        }
+                        while taken.front().is_some_and(|t| t + window < now) {
+                            taken.pop_front();
+                        }
+                        assert!(orders.len() as f64 <= 2.0 + 0.2 * taken.len() as f64);
+                    }
+                }
+                Call::Probe(wk) => probes.push(wk),
+                Call::Forget(_) | Call::Follow | Call::Timer(..) => {}
+            }
+        }
+    }
+    // Time passes, and all that is out is ended.
+    for _ in 0..3 {
+        gw.clock(events.iter().map(|e| e.0).max().unwrap_or(now).max(now));
+        gw.timer(0);
+        for call in gw.host.0.drain(..) {
+            match call {
+                Call::Defer(e, _) | Call::DeadLetter(e) => events[e].3 = true,
+                Call::Launch(e, _) => panic!("event {e} was launched after its time"),
+                _ => {}
+            }
+        }
+        for e in 0..events.len() {
+            for (launch, _) in std::mem::take(&mut events[e].1) {
+                gw.ended(e, launch, (Outcome::Reset, 1), events[e].3, 0);
+            }
+        }
+    }
+    assert!(seen > 0 && gw.events.is_empty(), "{} events are left over", gw.events.len());
+    assert!(gw.workers.iter().all(|w| w.in_flight == 0));
+}
