Module: seats of workers that are gone for good go

Ruled out: places of workers (some 400 bytes each, not walked for an event). Change: the check of a function drops idle seats of workers that are gone; one that comes back is empty, as before. Test that failed before: seats_of_workers_that_are_gone_for_good_go.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -137,7 +137,9 @@
                 let luck = f64::from(self.chance.below(1000) + 1) / 1000.0;
                 self.workers[wk] =
                     Worker { listed, in_flight, luck, bound: BOUND_START, ..Worker::default() };
-                (0..self.functions.len()).for_each(|f| self.seat(f, wk));
+                // One that was here before comes back empty; of a new one nothing is known.
+                let copies = if known.hash != 0 { Copies::Absent } else { Copies::Unknown };
+                (0..self.functions.len()).for_each(|f| self.seat(f, wk, copies));
             }
         }
     }
@@ -164,7 +166,7 @@
 
     /// The worker's place in the function's shared order: rendezvous hashing of the two id texts, so every
     /// gateway finds the same order whatever it learned first.
-    fn seat(&mut self, f: usize, wk: usize) {
+    fn seat(&mut self, f: usize, wk: usize, copies: Copies) {
         let f = &mut self.functions[f];
         if !f.live {
             return;
@@ -179,7 +181,7 @@
         let weight = |h: u64| (mix(h, hash), h);
         let own = weight(workers[wk].listed.hash);
         let at = f.seats.partition_point(|s| weight(workers[s.wk].listed.hash) > own);
-        f.seats.insert(at, Seat { wk, ..Seat::default() });
+        f.seats.insert(at, Seat { wk, copies, ..Seat::default() });
     }
 
     fn seat_of(&self, f: usize, wk: usize) -> Option<usize> {
@@ -230,7 +232,11 @@
         let (hash, turn) = (arrival.function_hash, self.chance.below(64) as usize);
         let (typ, lanes) = (arrival.typ, arrival.lanes.max(1));
         self.functions[f] = Function { hash, live: true, typ, lanes, turn, ..Function::default() };
-        (0..self.workers.len()).for_each(|wk| self.seat(f, wk));
+        for wk in 0..self.workers.len() {
+            if self.workers[wk].listed.standing != Standing::Gone {
+                self.seat(f, wk, Copies::Unknown);
+            }
+        }
         self.ask(f);
     }
 
@@ -982,7 +988,10 @@
     /// State stays bounded: a function that nothing asks for is forgotten when its copies have lapsed.
     fn forget(&mut self, f: usize) {
         let (now, keep) = (self.now, self.told.keep);
-        let function = &mut self.functions[f];
+        let (function, workers) = (&mut self.functions[f], &self.workers);
+        // Guards against machines that are replaced again and again: each would leave a seat to look past.
+        let gone = |wk: usize| workers[wk].listed.standing == Standing::Gone;
+        function.seats.retain(|s| !gone(s.wk) || s.flight + s.pending + s.asks > 0);
         // An answer that is still to come would be taken for one about the index's next user.
         let still = |s: &Seat| s.flight == 0 && s.pending == 0 && s.asks == 0;
         let idle = function.events == 0 && function.seats.iter().all(still);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -667,6 +667,27 @@
     assert_eq!(gw.cold_room(0, 0), room);
 }
 
+// A year of workers that are replaced each day left each function thousands of seats to look through.
+#[test_case(0, 2; "idle ones go")]
+#[test_case(1, 3; "not while something is out there")]
+fn seats_of_workers_that_are_gone_for_good_go(flight: u32, left: usize) {
+    let mut gw = gateway(3, &[]);
+    stand(&mut gw, 0, 0);
+    gw.functions[0].seats.iter_mut().find(|s| s.wk == 1).unwrap().flight = flight;
+    gw.functions[0].last = NOW; // or all of it would be forgotten
+    gw.list(&[(1, Listed { standing: Standing::Gone, ..listed(1).1 })], false);
+    gw.clock(NOW + 2 * SECOND);
+    gw.timer(0);
+    assert_eq!(gw.functions[0].seats.len(), left);
+    // Back, it has its place in the order again, and is empty.
+    gw.list(&[listed(1)], false);
+    let mut all = gateway(3, &[]);
+    stand(&mut all, 0, 0);
+    let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
+    assert_eq!(order(&gw), order(&all));
+    assert_eq!(gw.functions[0].seats.iter().find(|s| s.wk == 1).unwrap().copies, Copies::Absent);
+}
+
 // The count that matters is the total: misses are not counted among the two further launches.
 #[test_case(Outcome::Miss; "misses")]
 #[test_case(Outcome::Full; "full")]
