Damaged files and advertisements at every byte; a second retirement waits for its last bytes too

A member of a pair that retires a second time had the bound of the first: reset while something is held.

--- a/crates/tidewall-config/tests/settings.rs
+++ b/crates/tidewall-config/tests/settings.rs
@@ -86,3 +86,22 @@
     let told = script("s", text).unwrap_err();
     assert!(told.starts_with(place), "{told}");
 }
+
+/// Truncated, damaged and foreign settings and scripts are refused in one line that names the place, or are good; none panics.
+#[test_case(GOOD; "a small site")]
+#[test_case(include_str!("../../../deploy/examples/pair-a.txtpb"); "a pair")]
+#[test_case(include_str!("../../../deploy/examples/bad-terminals.txtpb"); "a script")]
+fn damaged_files_are_refused_in_one_line(text: &str) {
+    let judge = |text: &str| {
+        for told in [settings("f", text).err(), script("f", text).err()].into_iter().flatten() {
+            let place = told.split(':').skip(1).take(2).all(|n| n.parse::<u32>().is_ok());
+            assert!(told.starts_with("f:") && place && !told.contains('\n'), "{told:?}");
+        }
+    };
+    for at in (0..text.len()).step_by(11).filter(|at| text.is_char_boundary(*at)) {
+        judge(&text[..at]);
+        for odd in ["\0", "}", "{", "-1e308", "\u{fffd}", "\""] {
+            judge(&format!("{}{odd}{}", &text[..at], &text[at..]));
+        }
+    }
+}
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -198,7 +198,7 @@
     name: String,
     pair: Option<Box<Pair>>,
     ended: Ended,
-    /// When nothing was held any more of what is to be drained.
+    /// Since when nothing is held, once that is asked for.
     empty: Option<Time>,
 }
 
@@ -347,6 +347,9 @@
     }
 
     fn rest(&mut self) {
+        if self.held() > 0 {
+            self.empty = None;
+        }
         if self.core.draining && self.held() == 0 && !self.unread() {
             info!(counts = ?self.counts(), "drained");
             self.save_list();
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -327,3 +327,25 @@
         assert_eq!(FileShelf(at(name)).read().unwrap().unwrap().0, name.as_bytes());
     }
 }
+
+/// A kept list, or a key file, that is cut, damaged or foreign is not used; a line says why.
+#[test]
+fn damaged_files_are_not_used() {
+    let whole = tidewall_gateway::list::encode(&[entry(0), entry(1)]);
+    for at in 0..whole.len() {
+        let mut flipped = whole.clone();
+        flipped[at] ^= 0x41;
+        assert!(tidewall_gateway::list::decode(&whole[..at], 0).is_err());
+        assert!(tidewall_gateway::list::decode(&flipped, 0).is_err(), "byte {at}");
+    }
+    let keys = "# keys\n1 00112233445566778899aabbccddeeff\n";
+    assert!(tidewall_gateway::start::keys("f", keys).is_ok());
+    for at in 0..keys.len() {
+        for odd in ["x", "é", "\n", "\0"] {
+            let text = format!("{}{odd}{}", &keys[..at], &keys[at..]);
+            if let Err(told) = tidewall_gateway::start::keys("f", &text) {
+                assert!(told.starts_with("f:") && !told.contains('\n'), "{told}");
+            }
+        }
+    }
+}
--- a/crates/tidewall-vrrp/tests/transitions.rs
+++ b/crates/tidewall-vrrp/tests/transitions.rs
@@ -221,3 +221,12 @@
     }
     assert_eq!([both[0].1.active, both[1].1.active], [false, true]);
 }
+
+#[test]
+fn a_packet_cut_at_any_byte_is_refused() {
+    let whole = packet(1);
+    for at in 0..whole.len() {
+        let got = read(&whole[..at], ip(5), &[ip(100)], &keys(1), &mut Guard::default());
+        assert!(got.is_err(), "cut at {at}");
+    }
+}
