--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -738,6 +738,15 @@
     }
 }
 
+/// An event as the outside has it: when it gives up, its launches that are out, how many there were, whether it has its answer.
+#[derive(Clone, Default)]
+struct Asked {
+    gives_up: Time,
+    out: VecDeque<usize>,
+    launched: usize,
+    over: bool,
+}
+
 fn roam(settings: Settings, seed: u64, window: Time) {
     const ENDS: [Outcome; 9] = [
         Outcome::Ok,
@@ -754,8 +763,8 @@
     let mut gw = Choice::new(Calls::default(), 0, seed, settings).unwrap();
     let (mut chance, mut now) = (Chance::new(seed ^ 77), 0);
     let (mut seen, mut taken) = (0, VecDeque::new());
-    // By place: gives up, launches out, launched so far, whether answered. Orders and asks, and probes, that are out.
-    let mut events: Vec<(Time, Vec<(usize, usize)>, usize, bool)> = Vec::new();
+    // By place. Orders and asks, and probes, that are out.
+    let mut events: Vec<Asked> = Vec::new();
     let (mut loads, mut probes, mut orders) = (Vec::new(), Vec::new(), VecDeque::new());
     for step in 0..1_500u32 {
         now += Time::from(chance.below((target / 4).clamp(20, 2_000) as u32));
@@ -772,9 +781,9 @@
             1 | 2 if !stops => {
                 let (place, f) = (gw.next_place(), chance.below(9) as usize);
                 let left = 1 + Time::from(chance.below((4 * target).min(4_000_000) as u32));
-                events.resize(events.len().max(place + 1), (0, Vec::new(), 0, true));
-                assert!(events[place].3 && events[place].1.is_empty(), "its place was free");
-                events[place] = (now + left, Vec::new(), 0, false);
+                events.resize(events.len().max(place + 1), Asked { over: true, ..Asked::default() });
+                assert!(events[place].over && events[place].out.is_empty(), "its place was free");
+                events[place] = Asked { gives_up: now + left, ..Asked::default() };
                 taken.push_back(now);
                 gw.arrive(Arrival {
                     typ: f % 3,
@@ -785,13 +794,13 @@
                 });
             }
             3 | 4 => {
-                let out = (0..events.len()).filter(|e| !events[*e].1.is_empty()).collect::<Vec<_>>();
+                let out = (0..events.len()).filter(|e| !events[*e].out.is_empty()).collect::<Vec<_>>();
                 if !out.is_empty() {
                     let e = out[chance.below(out.len() as u32) as usize];
-                    let (launch, _) = events[e].1.remove(0);
+                    let launch = events[e].out.pop_front().unwrap();
                     let how = ENDS[chance.below(9) as usize];
-                    let over = events[e].3 || how == Outcome::Ok;
-                    events[e].3 |= over;
+                    let over = events[e].over || how == Outcome::Ok;
+                    events[e].over |= over;
                     gw.ended(e, launch, (how, 1 + Time::from(chance.below(500))), over, chance.below(256));
                 }
             }
@@ -812,15 +821,15 @@
         for call in gw.host.0.drain(..) {
             seen += 1;
             match call {
-                Call::Launch(e, wk) => {
-                    assert!(!events[e].3 && events[e].2 < MOST_LAUNCHES && now < events[e].0);
-                    let launch = events[e].2;
-                    events[e].1.push((launch, wk));
-                    events[e].2 += 1;
+                Call::Launch(e, _) => {
+                    let evt = &mut events[e];
+                    assert!(!evt.over && evt.launched < MOST_LAUNCHES && now < evt.gives_up);
+                    evt.out.push_back(evt.launched);
+                    evt.launched += 1;
                 }
-                Call::Cancel(e, launch) => assert!(events[e].1.iter().any(|l| l.0 == launch)),
-                Call::Defer(e, back) => assert!(!std::mem::replace(&mut events[e].3, true) && back > 0),
-                Call::DeadLetter(e) => assert!(!std::mem::replace(&mut events[e].3, true)),
+                Call::Cancel(e, launch) => assert!(events[e].out.contains(&launch)),
+                Call::Defer(e, back) => assert!(!std::mem::replace(&mut events[e].over, true) && back > 0),
+                Call::DeadLetter(e) => assert!(!std::mem::replace(&mut events[e].over, true)),
                 Call::Hold(f, wk, copies) => {
                     loads.push((f, wk));
                     if copies > 0 && window > 0 {
@@ -841,18 +850,18 @@
     }
     // Time passes, and all that is out is ended.
     for _ in 0..3 {
-        gw.clock(events.iter().map(|e| e.0).max().unwrap_or(now).max(now));
+        gw.clock(events.iter().map(|e| e.gives_up).max().unwrap_or(now).max(now));
         gw.timer(0);
         for call in gw.host.0.drain(..) {
             match call {
-                Call::Defer(e, _) | Call::DeadLetter(e) => events[e].3 = true,
+                Call::Defer(e, _) | Call::DeadLetter(e) => events[e].over = true,
                 Call::Launch(e, _) => panic!("event {e} was launched after its time"),
                 _ => {}
             }
         }
-        for e in 0..events.len() {
-            for (launch, _) in std::mem::take(&mut events[e].1) {
-                gw.ended(e, launch, (Outcome::Reset, 1), events[e].3, 0);
+        for (e, evt) in events.iter_mut().enumerate() {
+            for launch in std::mem::take(&mut evt.out) {
+                gw.ended(e, launch, (Outcome::Reset, 1), evt.over, 0);
             }
         }
     }
