AMQP: dead letters that come round are dropped, they held the gateway for ever

Seen by reading: a queue with x-message-ttl 0 whose dead-letter exchange leads back to it, itself or by way of others: settle() expired and published the same message without end, and no event of anybody was answered any more. With a time to live above 0 each round made x-death longer, without bound (server.rs dead_letter, settle). Ruled out: rejections (a consumer's own pace), the trigger exchange (no queue). Change: as RabbitMQ documents it, a message that would die in a queue where it died since its last rejection is dropped; the latest death comes first, so a rejection that a publisher made up does not help.

--- a/crates/tidewall-amqp/src/server.rs
+++ b/crates/tidewall-amqp/src/server.rs
@@ -898,6 +898,9 @@
     ) {
         let known = self.brokers[vhost].queues.get(queue).filter(|q| &*q.name == name);
         if let Some(exchange) = known.and_then(|q| q.dead_letters.clone()) {
+            if reason != "rejected" && comes_round(&message, name) {
+                return;
+            }
             let message = died(&message, name, reason, self.now);
             self.publish(vhost, &exchange, message);
         }
@@ -1366,6 +1369,24 @@
     }
 }
 
+/// Whether it has died in this queue since it was last rejected, if ever: it would go round for ever. The latest comes first,
+/// so what a publisher made up lies behind.
+fn comes_round(message: &Message, queue: &str) -> bool {
+    let properties = codec::properties(&mut Args::new(&message.properties)).unwrap_or_default();
+    let Some(Value::Array(deaths)) = properties.headers.and_then(|h| h.get("x-death")) else { return false };
+    let mut args = Args::new(deaths);
+    while args.left() > 0 {
+        let (Ok(b'F'), Ok(entry)) = (args.octet(), args.table()) else { return false };
+        if matches!(entry.get("reason"), Some(Value::Text(b"rejected"))) {
+            return false;
+        }
+        if matches!(entry.get("queue"), Some(Value::Text(name)) if name == queue.as_bytes()) {
+            return true;
+        }
+    }
+    false
+}
+
 /// The message as its dead letter: with one more entry in `x-death`, in front of those that it had.
 fn died(message: &Message, queue: &str, reason: &str, now: Time) -> Message {
     let mut entry = TableOut::default();
--- a/crates/tidewall-amqp/tests/rules.rs
+++ b/crates/tidewall-amqp/tests/rules.rs
@@ -638,3 +638,45 @@
     s.publish(plain, "", "q", &p, &[7; 700]);
     assert_eq!(s.got(2)[0].reason().0, 506);
 }
+
+/// A queue whose dead letters come back to it, at once or by way of another one, held the loop for ever; with a time to live of a
+/// millisecond and more each round made the message larger. As RabbitMQ has it, a message that comes round without having
+/// been rejected is dropped.
+#[test_case(0, false, false; "to itself at once")]
+#[test_case(0, true, false; "by way of another at once")]
+#[test_case(1, false, false; "to itself after a millisecond")]
+#[test_case(0, true, true; "with a rejection that its publisher made up")]
+fn dead_letters_that_come_round_end(ttl: i64, other: bool, made_up: bool) {
+    let mut s = site();
+    let conn = s.channel(1);
+    for (name, next) in [("q", if other { "p" } else { "q" }), ("p", "q")] {
+        let mut table = TableOut::default();
+        table.text("x-dead-letter-exchange", &format!("to-{next}"));
+        table.whole("x-message-ttl", ttl);
+        let exchange = format!("to-{name}");
+        s.send(
+            conn,
+            &method(1, 40, 10, |m| {
+                m.short(0).short_str(&exchange).short_str("fanout").octet(0).long_str(b"")
+            }),
+        );
+        s.declare(conn, name, &table.0);
+        s.send(
+            conn,
+            &method(1, 50, 20, |m| {
+                m.short(0).short_str(name).short_str(&exchange).short_str("").bit(false).long_str(b"")
+            }),
+        );
+    }
+    let (mut entry, mut headers) = (TableOut::default(), TableOut::default());
+    entry.text("reason", "rejected");
+    let deaths = [&[b'F'][..], &(entry.0.len() as u32).to_be_bytes(), &entry.0].concat();
+    headers.array("x-death", &deaths);
+    let headers = made_up.then_some(Table(&headers.0));
+    s.publish(conn, "", "q", &Properties { headers, ..Properties::default() }, b"x");
+    for _ in 0..50 {
+        s.now += 1_000;
+        s.tick();
+    }
+    assert_eq!(s.server.queued(), 0, "it was dropped");
+}
