--- a/crates/tidewall-amqp-door/src/lib.rs
+++ b/crates/tidewall-amqp-door/src/lib.rs
@@ -68,6 +68,8 @@
     taken: Slab<Taken>,
     /// Those that repeats wait for.
     joined: Vec<usize>,
+    /// Repeats that are owed their own answer: their event's is not to be had in time.
+    late: Vec<u64>,
     count: u32,
     /// By key of a connection: its link.
     links: Vec<u64>,
@@ -303,6 +305,7 @@
             marks: Marks::default(),
             taken: Slab::new(),
             joined: Vec::new(),
+            late: Vec::new(),
             count: 0,
             links: Vec::new(),
         };
@@ -317,10 +320,8 @@
         let now = core.net().now();
         // This look and the next.
         let over = |w: &(u64, Time)| now + 2 * LOOK >= w.1;
-        let side = &mut self.side;
-        let mut late = Vec::new();
-        let taken = &mut side.taken;
-        side.joined.retain(|key| {
+        let Side { taken, joined, late, .. } = &mut self.side;
+        joined.retain(|key| {
             let Some(t) = taken.get_mut(*key).filter(|t| t.waiting.len() > 1) else { return false };
             late.extend(t.waiting[1..].iter().filter(|w| over(w)).map(|w| w.0));
             let first = t.waiting[0].0;
@@ -330,7 +331,7 @@
         if late.is_empty() {
             return;
         }
-        for ticket in late {
+        for ticket in std::mem::take(late) {
             let (word, none) = (Word::DeadLettered, 0);
             self.server.answered(&mut Wires(core.net()), ticket, word, none, "in-hand", &[]);
         }
@@ -451,7 +452,14 @@
                 let word = if typ.again { Word::Deferred } else { Word::DeadLettered };
                 self.side.marks.end(now, mark, word, typ.window);
             }
-            taken.waiting.iter().for_each(|w| self.server.forget(w.0));
+            for (ticket, until) in taken.waiting {
+                // A repeat may have more time than the event that it joined.
+                if now < until {
+                    self.side.late.push(ticket);
+                } else {
+                    self.server.forget(ticket);
+                }
+            }
         }
     }
 
--- a/crates/tidewall-amqp-door/tests/triggers.rs
+++ b/crates/tidewall-amqp-door/tests/triggers.rs
@@ -374,6 +374,23 @@
     assert_eq!((y.launches(), y.words(0, 8)), (launches, vec![word]));
 }
 
+/// A repeat with more time than the event that it joined was forgotten with it.
+#[test]
+fn a_repeat_whose_event_passed_its_time_in_a_standstill_is_answered() {
+    let mut y = yard(&[Does::After(12_000)], 1, "");
+    y.publish(0, 7, "issue.f", 1_000, 70);
+    y.pass(3_000);
+    y.publish(0, 8, "issue.f", 1_900, 70);
+    y.pass(100);
+    y.site.hand.still(true);
+    y.pass(12_000);
+    y.site.hand.still(false);
+    y.pass(1_000);
+    assert_eq!((y.words(0, 7).len(), y.words(0, 8)), (0, vec!["dead-lettered"]));
+    y.pass(20_000);
+    assert_eq!((y.words(0, 8).len(), y.launches()), (1, 1));
+}
+
 /// The native door does not take what may have lain unread for more than a quarter of its time; this one did.
 #[test]
 fn a_publish_that_may_have_waited_past_its_time_is_not_taken() {
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -350,10 +350,11 @@
         // A list that was made before the roster noticed does not bring back one that said that it drains.
         w.drains &= entry.standing == Standing::On && entry.life <= w.life;
         let standing = if w.drains { Standing::Draining } else { entry.standing };
-        if standing != Standing::On && w.listed.standing == Standing::On {
+        let leaves = standing != Standing::On && w.listed.standing == Standing::On;
+        if leaves {
             w.left = now;
         }
-        if standing != Standing::On || restarted {
+        if leaves || restarted {
             self.withdrawn.push(wk);
         }
         w.life = w.life.max(entry.life);
@@ -379,9 +380,9 @@
             if !entries.iter().any(|e| e.0 == wk) && w.listed.standing != Standing::Gone {
                 if w.listed.standing == Standing::On {
                     w.left = now;
+                    self.withdrawn.push(wk);
                 }
                 (w.listed.standing, w.drains) = (Standing::Gone, false);
-                self.withdrawn.push(wk);
             }
         }
     }
--- a/crates/tidewall-sim/tests/table.rs
+++ b/crates/tidewall-sim/tests/table.rs
@@ -81,6 +81,15 @@
     text.lines().skip(1).map(|l| serde_json::from_str(l).unwrap()).collect()
 }
 
+/// The digest of the run that is not struck.
+fn plain(base: &str) -> u64 {
+    static BOTH: OnceLock<[u64; 2]> = OnceLock::new();
+    let both = BOTH.get_or_init(|| {
+        ["", RESTART].map(|script| play(&Setup { script: Some(script.to_string()), ..setup() }).digest)
+    });
+    both[usize::from(!base.is_empty())]
+}
+
 /// Moments of the stage, and the gateway that it concerns.
 fn moments(stage: Stage) -> Vec<(Time, usize)> {
     static PLAIN: OnceLock<Vec<Row>> = OnceLock::new();
@@ -132,6 +141,8 @@
         Fault::RosterGone => {
             line("ROSTER_GONE AT lasts_ms: 1500") + &line("WORKER_DRAIN AT lasts_ms: 1000 count: 2")
         }
+        // Connections are to be made anew meanwhile.
+        Fault::NoDescriptors => line("WORKER_RESET AT count: 6"),
         Fault::DepotStalls => line("DEPOT_STALL AT lasts_ms: 1500"),
         _ => base.to_string(),
     };
@@ -160,8 +171,15 @@
 fn cell(fault: Fault, stage: Stage) {
     let base = if stage == Stage::Restarting { RESTART } else { "" };
     for (at, gw) in moments(stage) {
-        let struck = play(&strike(fault, at, gw, base));
+        let setup = strike(fault, at, gw, base);
+        // A script is held against the run without it, what it cannot say against the same script alone.
+        let unstruck = match setup.hurts.is_empty() {
+            true => plain(base),
+            false => play(&Setup { hurts: Vec::new(), ..setup.clone() }).digest,
+        };
+        let struck = play(&setup);
         assert_eq!(struck.breaches, Vec::<String>::new(), "{fault:?} at {at}, gateway {gw}");
+        assert_ne!(struck.digest, unstruck, "{fault:?} changes nothing at {at}: the cell tests nothing");
         assert!(struck.cases[0] > 300 && struck.handled > 100, "{struck:?}");
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -198,9 +198,7 @@
         let window = self.settings.span("extra.load-window-ms");
         if window > 0 {
             // Here too: it may be hours to the next order.
-            while self.arrivals.front().is_some_and(|t| t + window <= now + 1) {
-                self.arrivals.pop_front();
-            }
+            self.forget_arrivals(window);
             self.arrivals.push_back(now);
         }
         self.arrived.add(now, 1);
@@ -349,6 +347,12 @@
         }
     }
 
+    fn forget_arrivals(&mut self, window: Time) {
+        while self.arrivals.front().is_some_and(|t| t + window <= self.now + 1) {
+            self.arrivals.pop_front();
+        }
+    }
+
     /// Every order to load passes here: drains, the ration, and one order at a time for a seat.
     fn hold(&mut self, f: usize, s: usize, copies: u32, needed: bool) -> bool {
         let (now, seat) = (self.now, self.functions[f].seats[s]);
@@ -362,9 +366,7 @@
             while self.orders.front().is_some_and(|t| t + window + 1 < now) {
                 self.orders.pop_front();
             }
-            while self.arrivals.front().is_some_and(|t| t + window <= now + 1) {
-                self.arrivals.pop_front();
-            }
+            self.forget_arrivals(window);
             // Orders of a life before a restart may still count, so the free ones come only after a window.
             let free =
                 if now > self.started + window { self.settings.number("extra.free-loads") } else { 0.0 };
@@ -405,8 +407,7 @@
             // of that, and is given up (tried from 1/2 to 1/16: an early deferral can still be answered
             // elsewhere). The same without any copy and any order out: it would wait for its deadline.
             let longest = self.types[arrival.typ].felt as Time / if self.overloaded() { 16 } else { 8 };
-            let loading = function.seats.iter().any(|s| s.pending > 0);
-            if (crowded || !loading) && now > came + longest {
+            if now > came + longest && (crowded || function.seats.iter().all(|s| s.pending == 0)) {
                 self.strained.add(now, u32::from(crowded));
                 return self.give_up(e);
             }
@@ -596,12 +597,11 @@
         let w = &self.workers[wk];
         let Some(part) = self.cold_part(w) else { return true };
         let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
-        let done = self.workers.iter().filter(warm).map(|o| f64::from(o.done.recent(self.now)) / 2.0);
-        let (count, work) = done.fold((0.0, 0.0), |(n, sum), w| (n + 1.0, sum + w));
+        let done = self.workers.iter().filter(warm).map(|o| (o.done.recent(self.now), o.listed.rating));
+        let (count, work, ratings) =
+            done.fold((0.0, 0.0, 0.0), |(n, sum, r), o| (n + 1.0, sum + f64::from(o.0) / 2.0, r + o.1));
         // Warm machines that are larger say too much of what this one can take.
-        let large =
-            self.workers.iter().filter(warm).map(|o| o.listed.rating).sum::<f64>() / f64::max(count, 1.0);
-        let size = if large > 0.0 { (w.listed.rating / large).min(1.0) } else { 1.0 };
+        let size = if ratings > 0.0 { (w.listed.rating * count / ratings).min(1.0) } else { 1.0 };
         let (weight, window) = (self.types[typ].run, self.settings.span("rules.overload-for-ms"));
         // At what each type is known to cost by now: events that turn out dear count as dear from then on.
         let sent = w.budget.iter().filter(|b| b.0 + window >= self.now);
