--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `tidewall`: the command line. Exit codes: 0 well, 1 a rule or a run failed, 2 bad input.
 mod day;
 mod from;
+mod platform;
 mod send;
 mod serve;
 mod sim;
@@ -35,6 +36,8 @@
 enum Command {
     /// Runs one gateway until it is told to stop (SIGTERM: what is held gets its answers first).
     Serve(serve::Serve),
+    /// Runs one gateway on the platform, as the file that ROUTER_CONFIG names tells it.
+    Platform,
     /// Checks settings and says nothing where they are good.
     Check {
         #[arg(long, value_name = "FILE")]
@@ -98,6 +101,7 @@
     }
     let done = match cli.command {
         Command::Serve(args) => serve::serve(&args),
+        Command::Platform => platform::platform(),
         Command::Check { config } => settings(&config).map(|_| ()),
         Command::Standins(args) => serve::standins(&args),
         Command::Send(args) => send::send(&args),
--- /dev/null
+++ b/crates/tidewall-cli/src/platform.rs
@@ -0,0 +1,87 @@
+//! `platform`: one gateway as the platform starts it.
+use crate::{input, Failure};
+use std::path::PathBuf;
+use std::rc::Rc;
+use tidewall::settings::Named;
+use tidewall_gateway::carrier::Setup;
+use tidewall_gateway::list::{Entry, NoShelf};
+use tidewall_gateway::way::Told;
+use tidewall_gateway::{Gateway, Start};
+use tidewall_net::mio::{self, Mio};
+use tidewall_platform::budget::share;
+use tidewall_platform::config;
+use tidewall_platform_door::board::{take, Board};
+use tidewall_platform_door::lines::Lines;
+use tidewall_platform_door::Platform;
+use tracing::info;
+
+/// SIGHUP is a new configuration, the others are the end.
+const SIGNALS: [i32; 3] = [libc::SIGHUP, libc::SIGINT, libc::SIGTERM];
+
+/// After the signal to stop the front still sends for 0.6 s at most; what comes later than 0.7 s is lost.
+const LINGER: u64 = 8_000;
+
+/// A connection on which everything was given up and nothing is heard ends after this: several round trips and pauses.
+const SILENT: u64 = 30_000;
+
+struct First(Vec<(Vec<Entry>, bool)>);
+
+impl Told for First {
+    fn list(&mut self, entries: &[Entry], whole: bool) {
+        self.0.push((entries.to_vec(), whole));
+    }
+
+    fn said(&mut self, _reason: &str) {}
+}
+
+pub fn platform() -> Result<(), Failure> {
+    let path = std::env::var_os("ROUTER_CONFIG").map(PathBuf::from);
+    let path = path.ok_or_else(|| input("ROUTER_CONFIG: not set".to_string()))?;
+    let named = move |e: String| format!("{}: {e}", path.display());
+    let file = PathBuf::from(std::env::var_os("ROUTER_CONFIG").unwrap_or_default());
+    let text = std::fs::read(&file).map_err(|e| input(named(e.to_string())))?;
+    let config = config::read(&text).map_err(|e| input(named(e)))?;
+    let mut first = First(Vec::new());
+    let rev = take(&config.known, 0, &mut first).map_err(|e| input(named(format!("field known: {e}"))))?;
+    let workers = first.0.iter().map(|l| l.0.len()).max().unwrap_or(0);
+    let budget = share(config.sockets as usize, workers);
+    let s = &config.settings;
+    let setup = Setup {
+        most_held: s.number("allowed.most-held") as usize,
+        connect_time_out: s.span("allowed.connect-timeout-ms"),
+        streams: s.number("allowed.streams-per-conn") as usize,
+        connections: budget.a_worker,
+        keep_alive: s.span("allowed.keepalive-ms"),
+        probe_time_out: s.span("allowed.connect-timeout-ms"),
+        order_time_out: s.span("extra.order-timeout-ms"),
+        silent: SILENT,
+    };
+    let types = s.number("classes.count") as usize;
+    let keyed = (0..types).map(|i| s.is(&format!("classes.{i}.semantics"), "idempotency_key")).collect();
+    let again = move || {
+        let text = std::fs::read(&file).map_err(|e| e.to_string())?;
+        config::board(&text)
+    };
+    let board = Board::new(config.board, rev, config.seed, Box::new(again));
+    let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
+    net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
+    let start = Start {
+        name: config.name.clone(),
+        me: config.me,
+        seed: config.seed,
+        settings: config.settings,
+        roster: config.board,
+        roster_retry: setup.connect_time_out,
+        // The decisions tell siblings nothing.
+        peers: Vec::new(),
+        setup,
+        pair: None,
+    };
+    let mut gateway =
+        Gateway::with(net, start, Box::new(NoShelf), Rc::new(Lines), Box::new(board)).map_err(input)?;
+    gateway.linger(LINGER);
+    first.0.iter().for_each(|(entries, whole)| gateway.list(entries, *whole));
+    gateway.open(config.listen, Box::new(Platform::new(0, budget.clients, keyed))).map_err(input)?;
+    info!(gateway = config.name, ?budget, "serves");
+    mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))
+}
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -3,11 +3,14 @@
 //! `known` until the decisions' call is over, since they may not be called from within it.
 use crate::door::{Incoming, Ticket, Word};
 use crate::list::Entry;
+use crate::native_way::NativeWay;
 use crate::pair::copying::Copying;
+use crate::way::{Launched, Name, Order, Way};
 use crate::{OF_CHOICE, OF_GREETING, OF_OUT};
 use slab::Slab;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tidewall::choice::MOST_LAUNCHES;
 use tidewall::host::{Arrival, Host, Listed, Outcome, Standing};
 use tidewall::ids::{hash, Ids};
@@ -52,6 +55,8 @@
 pub struct Out {
     pub task: Task,
     pub wk: usize,
+    /// Of a launch: its event's id.
+    pub event: u64,
     pub link: usize,
     /// Its place in its link's list of what waits or of what was sent.
     slot: usize,
@@ -64,9 +69,17 @@
     pub over: bool,
     pub at: Time,
     pub stood: Time,
+    /// When it is given up here.
+    until: Time,
     deadline: Option<Deadline>,
 }
 
+impl Out {
+    fn is_launch_of(&self, event: u64) -> bool {
+        self.event == event && matches!(self.task, Task::Launch { .. })
+    }
+}
+
 #[derive(Default)]
 pub struct Held {
     pub open: bool,
@@ -147,6 +160,8 @@
     streams: usize,
     pub waiting: Vec<usize>,
     pub sent: Vec<usize>,
+    /// Events whose launches on it were given up: an answer may still be on its way.
+    given_up: VecDeque<u64>,
     /// When something last came or went.
     used: Time,
     heard: Time,
@@ -209,8 +224,14 @@
     /// One of a pair: what goes to the other member, and what waits for it.
     pub copy: Option<Box<Copying>>,
     pub(crate) frame: Vec<u8>,
+    pub way: Rc<dyn Way>,
+    pub most_come_back: Time,
 }
 
+/// So many given-up events of a connection are remembered: far more than a connection's streams, and an answer that crosses
+/// comes within a round trip.
+const GIVEN_UP: usize = 128;
+
 impl<N: Net> Carrier<N> {
     pub fn new(net: N, settings: &Settings, setup: Setup) -> Carrier<N> {
         let named =
@@ -249,6 +270,8 @@
             counts: Counts::default(),
             copy: None,
             frame: Vec::new(),
+            way: Rc::new(NativeWay),
+            most_come_back: settings.span("allowed.max-retry-after-ms"),
         }
     }
 
@@ -473,7 +496,14 @@
     }
 
     /// The out that a worker's answer names, if it belongs to this connection and still is the same one.
-    pub fn key(&self, id: u64, link: usize) -> Result<Option<usize>, String> {
+    pub fn key(&self, name: Name, link: usize) -> Result<Option<usize>, String> {
+        let id = match name {
+            Name::Own(id) => id,
+            Name::Event(event) => {
+                let sent = &self.links[link].sent;
+                return Ok(sent.iter().copied().find(|k| self.outs[*k].is_launch_of(event)));
+            }
+        };
         let (key, count) = ((id & 0xffff_ffff) as usize, (id >> 32) as u32);
         match self.outs.get(key) {
             Some(out) if out.count == count && out.link != link => {
@@ -529,10 +559,30 @@
         self.outs[key].link = usize::MAX;
     }
 
-    /// Frees an out that ended before it was sent.
+    /// Frees an out that ended before it was sent, or of which the worker says nothing more.
     pub fn unsent_over(&mut self, key: usize) {
-        if self.outs.get(key).is_some_and(|o| o.over && !o.sent) {
-            self.free(key);
+        let Some(out) = self.outs.get(key).filter(|o| o.over) else { return };
+        if out.sent && self.way.ends_given_up() {
+            return;
+        }
+        let (sent, event, link) = (out.sent, out.event, out.link);
+        if let Some(l) = self.links.get_mut(link).filter(|_| sent) {
+            if l.given_up.len() == GIVEN_UP {
+                l.given_up.pop_front();
+            }
+            l.given_up.push_back(event);
+        }
+        self.free(key);
+    }
+
+    /// Tells the worker that nobody waits for this launch, where it would not hear it by the launch's own time.
+    pub fn give_up(&mut self, key: usize) {
+        let out = self.outs[key];
+        if out.sent && !self.way.ends_given_up() && matches!(out.task, Task::Launch { .. }) {
+            self.frame.clear();
+            let id = self.wire_id(key);
+            self.way.cancel(&mut self.frame, id, out.event);
+            self.put(out.link);
         }
     }
 
@@ -588,7 +638,14 @@
     pub(crate) fn ride(&mut self, key: usize) {
         let out = self.outs[key];
         let launch = matches!(out.task, Task::Launch { .. });
-        let room = |l: &Link| !launch || l.streams < self.setup.streams;
+        // An id twice on one connection: the ends of the two could not be told apart.
+        let twice = |l: &Link| {
+            let all = l.sent.iter().chain(&l.waiting);
+            self.way.by_event()
+                && (l.given_up.contains(&out.event)
+                    || all.into_iter().any(|k| self.outs[*k].is_launch_of(out.event)))
+        };
+        let room = |l: &Link| !launch || l.streams < self.setup.streams && !twice(l);
         let links = self.wks[out.wk].links.iter().copied();
         let ready = links.clone().find(|l| self.links[*l].greeted && room(&self.links[*l]));
         let link = ready.or_else(|| links.clone().find(|l| room(&self.links[*l])));
@@ -607,12 +664,15 @@
                     streams: 0,
                     waiting: Vec::new(),
                     sent: Vec::new(),
+                    given_up: VecDeque::new(),
                     used: now,
                     heard: now,
                     greeting: None,
                 });
-                let until = now + self.setup.connect_time_out;
-                self.links[link].greeting = Some(self.net.set(until, OF_GREETING | link as u64));
+                if self.way.greets() {
+                    let until = now + self.setup.connect_time_out;
+                    self.links[link].greeting = Some(self.net.set(until, OF_GREETING | link as u64));
+                }
                 self.wks[out.wk].links.push(link);
                 self.opened.push((conn, link));
                 link
@@ -646,25 +706,31 @@
             Task::Launch { evt, launch } => {
                 let e = &self.events[evt];
                 let a = &e.arrival;
-                let f = Frame::new(&mut self.frame, kind::LAUNCH).whole(Field::Id, id);
-                let f = f.whole(Field::Event, e.id).whole(Field::Launch, launch as u64);
-                let f = f.text(Field::Type, &self.types[a.typ]);
-                let f = f.text(Field::Function, self.functions.text(a.function));
-                let f = f.whole(Field::Lanes, u64::from(a.lanes)).real(Field::Memory, a.memory);
-                let f = f.whole(Field::Left, a.gives_up.saturating_sub(now)).whole(Field::Hint, a.hint);
-                let f = f.bytes(Field::Mark, &e.mark).flag(Field::Resent, a.resent);
-                let f = if epoch > 0 { f.whole(Field::Epoch, epoch) } else { f };
-                f.bytes(Field::Payload, &e.payload).end();
+                let left = a.gives_up.saturating_sub(now);
+                let launched = Launched {
+                    event: e.id,
+                    launch: launch as u64,
+                    typ: &self.types[a.typ],
+                    function: self.functions.text(a.function),
+                    lanes: a.lanes,
+                    memory: a.memory,
+                    waits: out.until.saturating_sub(now).min(left),
+                    left,
+                    hint: a.hint,
+                    mark: &e.mark,
+                    resent: a.resent,
+                    epoch,
+                    payload: &e.payload,
+                };
+                self.way.launch(&mut self.frame, id, &launched);
             }
             Task::Hold { img } => {
                 let (lanes, memory, load_hint) = self.images.get(img).copied().unwrap_or((1, 0.0, 0));
-                let f = Frame::new(&mut self.frame, kind::HOLD).whole(Field::Id, id);
-                let f = f.text(Field::Function, self.functions.text(img));
-                let f = f.whole(Field::Copies, u64::from(out.copies)).whole(Field::Lanes, u64::from(lanes));
-                let f = f.real(Field::Memory, memory).whole(Field::LoadHint, load_hint);
-                if epoch > 0 { f.whole(Field::Epoch, epoch) } else { f }.end();
+                let function = self.functions.text(img);
+                let order = Order { function, copies: out.copies, lanes, memory, load_hint, epoch };
+                self.way.hold(&mut self.frame, id, &order);
             }
-            Task::Probe => Frame::new(&mut self.frame, kind::PROBE).whole(Field::Id, id).end(),
+            Task::Probe => self.way.probe(&mut self.frame, id),
             Task::Vote { ballot, accepting, .. } => self.vote(id, ballot, accepting),
         }
         if self.put(out.link) {
@@ -684,9 +750,15 @@
     pub(crate) fn out(&mut self, task: Task, wk: usize, copies: u32, until: Time) -> usize {
         self.turn = self.turn.wrapping_add(1);
         let (at, stood) = (self.net.now(), self.net.stood());
+        let event = match task {
+            Task::Launch { evt, .. } => self.events[evt].id,
+            _ => 0,
+        };
         let out = Out {
             task,
             wk,
+            event,
+            until,
             link: usize::MAX,
             slot: 0,
             count: self.turn,
@@ -740,9 +812,9 @@
         if !out.sent {
             return self.at_once(key, Outcome::Moot);
         }
-        let (id, link) = (self.wire_id(key), out.link);
+        let (id, link, event) = (self.wire_id(key), out.link, out.event);
         self.frame.clear();
-        Frame::new(&mut self.frame, kind::CANCEL).whole(Field::Id, id).end();
+        self.way.cancel(&mut self.frame, id, event);
         self.put(link);
         self.at_once(key, Outcome::Cancelled);
     }
@@ -801,8 +873,7 @@
         let ready = self.wks[wk].links.iter().copied().find(|l| self.links[*l].greeted);
         if let Some(link) = ready {
             self.frame.clear();
-            let f = Frame::new(&mut self.frame, kind::UNLOAD);
-            f.text(Field::Function, self.functions.text(img)).end();
+            self.way.unload(&mut self.frame, self.functions.text(img));
             self.put(link);
         }
     }
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -6,24 +6,29 @@
 pub mod door;
 pub mod list;
 pub mod native;
+pub mod native_way;
 pub mod pair;
 pub mod retry;
 pub mod start;
+pub mod way;
 
 use carrier::{Carrier, Counts, Given, Out, Setup, Task};
 use door::{Door, Incoming, Ticket, Word, NOBODY};
 use list::{Entry, Shelf};
+use native_way::{NativeWay, Roster};
 use pair::{Ended, Pair, Peering};
 use retry::Retry;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tidewall::choice::Choice;
 use tidewall::host::{Arrival, Listed, Outcome, Standing};
 use tidewall::ids;
 use tidewall::settings::Settings;
-use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
+use tidewall_net::{App, Conn, Deadline, Listener, Net, Port, Time, Why};
 use tidewall_pair::fate::margin;
-use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
+use tidewall_wire::{self as wire, kind, Field, Fields};
 use tracing::{debug, error, info, warn};
+use way::{Feed, Heard, Me, Name, Told, Way};
 
 /// What a deadline's token stands for; the rest of it is the kind's own.
 pub(crate) const OF_CHOICE: u64 = 1 << 56;
@@ -36,6 +41,8 @@
 const OF_DOOR: u64 = 8 << 56;
 const OF_PAIR: u64 = 9 << 56;
 const OF_VRRP: u64 = 10 << 56;
+const OF_SILENT: u64 = 11 << 56;
+const OF_LEAVE: u64 = 12 << 56;
 const OF_WHAT: u64 = 0xff << 56;
 
 /// How often links are looked at for being idle or silent: a tenth of a second is fine against times of
@@ -67,6 +74,8 @@
 pub struct Core<N: Net> {
     choice: Choice<Carrier<N>>,
     draining: bool,
+    /// Told to stop; what comes is still taken for a while.
+    leaving: bool,
     /// Another member of the pair serves.
     standby: bool,
     most_held: usize,
@@ -153,6 +162,16 @@
         (self.choice.host.held, self.most_held)
     }
 
+    /// Whether this gateway is on its way out, taking or not.
+    pub fn leaving(&self) -> bool {
+        self.leaving || self.draining
+    }
+
+    /// The longest time to come back that clients go by; 0 where they are told none.
+    pub fn most_come_back(&self) -> Time {
+        self.choice.host.most_come_back
+    }
+
     pub fn draining(&self) -> bool {
         self.draining
     }
@@ -191,7 +210,9 @@
     listeners: Vec<Option<Listener>>,
     addresses: Vec<SocketAddr>,
     me: u64,
-    roster: Roster,
+    roster: Source,
+    /// Between the signal to stop and the end of taking: what a front still sends is taken.
+    linger: Time,
     shelf: Box<dyn Shelf>,
     unsaved: bool,
     port: Option<Port>,
@@ -202,13 +223,14 @@
     empty: Option<Time>,
 }
 
-struct Roster {
-    at: SocketAddr,
+/// Where the list comes from, and the connection to it.
+struct Source {
+    feed: Box<dyn Feed>,
     conn: Option<Conn>,
-    greeted: bool,
     within: Time,
-    retry: Retry,
     attempts: u64,
+    /// Something is asked of it that it owes an answer to by then.
+    silence: Option<Deadline>,
 }
 
 /// What a gateway is told at start, besides its settings.
@@ -225,7 +247,19 @@
 }
 
 impl<N: Net> Gateway<N> {
-    pub fn new(mut net: N, start: Start, shelf: Box<dyn Shelf>) -> Result<Gateway<N>, String> {
+    pub fn new(net: N, start: Start, shelf: Box<dyn Shelf>) -> Result<Gateway<N>, String> {
+        let feed = Roster::new(start.roster, Retry::new(start.seed, start.roster_retry));
+        Gateway::with(net, start, shelf, Rc::new(NativeWay), Box::new(feed))
+    }
+
+    /// With workers and a list that speak other protocols than the native one.
+    pub fn with(
+        mut net: N,
+        start: Start,
+        shelf: Box<dyn Shelf>,
+        way: Rc<dyn Way>,
+        feed: Box<dyn Feed>,
+    ) -> Result<Gateway<N>, String> {
         let now = net.now();
         let port = match start.peers.get(start.me).copied().flatten() {
             None => None,
@@ -236,19 +270,14 @@
         net.set(now + COUNTS, OF_COUNTS);
         let mut carrier = Carrier::new(net, &start.settings, start.setup);
         (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.me);
+        carrier.way = way;
         let choice = Choice::new(carrier, now, start.seed, start.settings)?;
-        let roster = Roster {
-            at: start.roster,
-            conn: None,
-            greeted: false,
-            within: start.roster_retry,
-            retry: Retry::new(start.seed, start.roster_retry),
-            attempts: 0,
-        };
+        let roster = Source { feed, conn: None, within: start.roster_retry, attempts: 0, silence: None };
         let mut gateway = Gateway {
             core: Core {
                 choice,
                 draining: false,
+                leaving: false,
                 standby: start.pair.is_some(),
                 most_held,
                 there: Default::default(),
@@ -259,6 +288,7 @@
             addresses: Vec::new(),
             me: start.me as u64,
             roster,
+            linger: 0,
             shelf,
             unsaved: false,
             port,
@@ -455,125 +485,6 @@
         }
     }
 
-    /// Frames of a worker.
-    fn worker_frame(&mut self, link: usize, fields: &Fields) -> Result<(), String> {
-        let host = &mut self.core.choice.host;
-        let now = host.net.now();
-        if !host.links[link].greeted {
-            let role = wire::greeted(fields)?;
-            let (name, wk) = (fields.text(Field::Name)?, host.links[link].wk);
-            if role != "worker" || name != host.workers.text(wk) {
-                // Another one has come to live at this address: nothing was sent, so nothing has run.
-                return Err(format!("field name: {role} {name} answers for {}", host.workers.text(wk)));
-            }
-            let (life, age) = (fields.whole(Field::Life)?, fields.upto(Field::Age, u64::MAX >> 8, 0)?);
-            let known = host.known_life(wk);
-            if known.is_some_and(|k| life > k) {
-                // It restarted before the roster told.
-                debug!(worker = name, life, age, "started anew");
-                if let Some(entry) = host.restarted(wk, life, age) {
-                    self.core.choice.clock(now);
-                    self.core.choice.list(&[(wk, entry)], false);
-                }
-                while let Some(wk) = self.core.choice.host.withdrawn.pop() {
-                    self.take_back(wk);
-                }
-            }
-            self.core.choice.host.greeted(link);
-            return Ok(());
-        }
-        let wk = host.links[link].wk;
-        match fields.kind()? {
-            kind::BEGUN => {
-                let Some(key) = host.key(fields.whole(Field::Id)?, link)? else { return Ok(()) };
-                let Task::Launch { evt, launch } = host.outs[key].task else { return Ok(()) };
-                if host.outs[key].over || !host.events[evt].open || host.events[evt].begun.is_some() {
-                    return Ok(());
-                }
-                host.events[evt].begun = Some(launch);
-                let ticket = host.events[evt].ticket;
-                let net = &mut host.net;
-                if let Some(door) = self.doors.get_mut(ticket.door) {
-                    door.begun(net, ticket, fields.bytes(Field::Payload)?);
-                }
-                self.core.choice.clock(now);
-                self.core.choice.begun(evt, launch);
-            }
-            kind::END => {
-                let outcome = outcome(fields)?;
-                let copy = fields.upto(Field::Copy, 4, 0)? as u32;
-                let company = fields.upto(Field::Company, 30, 0)? as u32;
-                let payload = fields.bytes(Field::Payload)?;
-                let key = host.key(fields.whole(Field::Id)?, link)?;
-                self.report(wk, fields)?;
-                self.refused(fields)?;
-                let host = &mut self.core.choice.host;
-                let Some(key) = key else { return Ok(()) };
-                if let Task::Launch { evt, .. } = host.outs[key].task {
-                    if !host.outs[key].over && outcome == Outcome::Ok {
-                        // The first good answer is the client's at once.
-                        self.answer(evt, Word::Handled, payload);
-                    }
-                    self.done(key, outcome, copy | company << 3);
-                    self.core.choice.host.free(key);
-                }
-            }
-            kind::HELD => {
-                let (outcome, copies) = (outcome(fields)?, fields.upto(Field::Copies, 1 << 16, 0)?);
-                let key = host.key(fields.whole(Field::Id)?, link)?;
-                self.refused(fields)?;
-                let host = &mut self.core.choice.host;
-                let Some(key) = key else { return Ok(()) };
-                if matches!(host.outs[key].task, Task::Hold { .. }) {
-                    self.done(key, outcome, copies as u32);
-                    self.core.choice.host.free(key);
-                }
-            }
-            kind::PROBED => {
-                let key = host.key(fields.whole(Field::Id)?, link)?;
-                self.report(wk, fields)?;
-                let host = &mut self.core.choice.host;
-                let Some(key) = key else { return Ok(()) };
-                if matches!(host.outs[key].task, Task::Probe) {
-                    self.done(key, Outcome::Ok, 0);
-                    self.core.choice.host.free(key);
-                }
-            }
-            kind::PROMISED => self.promised(link, wk, fields)?,
-            kind::DRAINS => {
-                debug!(worker = host.workers.text(wk), "drains");
-                if let Some(entry) = host.drains(wk) {
-                    self.core.choice.clock(now);
-                    self.core.choice.list(&[(wk, entry)], false);
-                    self.unsaved();
-                }
-            }
-            kind::ERROR => {
-                warn!(worker = host.workers.text(wk), reason = fields.text(Field::Reason)?, "told")
-            }
-            other => return Err(format!("field kind: {other} is not for a gateway")),
-        }
-        Ok(())
-    }
-
-    /// Refused as another member serves: that is looked into.
-    fn refused(&mut self, fields: &Fields) -> Result<(), String> {
-        if fields.text(Field::Outcome)? == "fenced" {
-            self.fenced();
-        }
-        Ok(())
-    }
-
-    fn report(&mut self, wk: usize, fields: &Fields) -> Result<(), String> {
-        if fields.has(Field::InFlight) || fields.has(Field::Busy) {
-            let (flight, busy) = (fields.real(Field::InFlight, 0.0)?, fields.real(Field::Busy, 0.0)?);
-            let now = self.core.net().now();
-            self.core.choice.clock(now);
-            self.core.choice.reported(wk, flight, busy);
-        }
-        Ok(())
-    }
-
     /// An answer that is not the decisions' own: handled, or the break of an answer that had begun.
     fn answer(&mut self, evt: usize, word: Word, payload: &[u8]) {
         let host = &mut self.core.choice.host;
@@ -627,58 +538,76 @@
         }
     }
 
-    fn roster_frame(&mut self, fields: &Fields) -> Result<(), String> {
-        if !self.roster.greeted {
-            if wire::greeted(fields)? != "roster" {
-                return Err("field role: no roster answers there".to_string());
+    /// One message of a worker; none while it is not whole.
+    fn heard(&mut self, link: usize, bytes: &[u8]) -> Result<Option<usize>, String> {
+        let way = self.core.choice.host.way.clone();
+        way.read(bytes, &mut Ears { gw: self, link })
+    }
+
+    /// One message of the list's source. What it asks next leaves with it.
+    fn list_told(&mut self, conn: Conn, bytes: &[u8]) -> Result<Option<usize>, String> {
+        let mut news = News::default();
+        let read = self.roster.feed.read(bytes, &mut news)?;
+        news.lists.iter().for_each(|(entries, whole)| self.list(entries, *whole));
+        if read.is_some() {
+            let mut out = Vec::new();
+            if !self.roster.feed.next(&mut out) {
+                self.core.net().close(conn);
+                self.own(conn, Owner::Nobody);
+                self.quiet();
+                self.ask_roster();
+            } else if !out.is_empty() {
+                self.core.net().write(conn, &out);
+                self.listen_for();
             }
-            self.roster.greeted = true;
-            return Ok(());
         }
-        match fields.kind()? {
-            kind::ROSTER => {
-                let whole = match fields.text(Field::Scope)? {
-                    "whole" => true,
-                    "patch" => false,
-                    other => return Err(format!("field scope: '{other}' is no scope")),
-                };
-                // All of it is read before any of it is taken over.
-                let mut told: Vec<Entry> = Vec::new();
-                fields.entries(|e| {
-                    told.push(list::entry(e)?);
-                    Ok(())
-                })?;
-                let host = &mut self.core.choice.host;
-                let now = host.net.now();
-                let entries: Vec<(usize, Listed)> = told.iter().map(|e| host.listed(e)).collect();
-                self.core.choice.clock(now);
-                self.core.choice.list(&entries, whole);
-                if whole {
-                    self.core.choice.host.only(&entries);
-                }
-                self.unsaved();
-            }
-            kind::ERROR => warn!(reason = fields.text(Field::Reason)?, "the roster told"),
-            other => return Err(format!("field kind: {other} is not for a gateway")),
+        Ok(read)
+    }
+
+    /// Takes a list over, or changes of one.
+    pub fn list(&mut self, entries: &[Entry], whole: bool) {
+        let host = &mut self.core.choice.host;
+        let now = host.net.now();
+        let entries: Vec<(usize, Listed)> = entries.iter().map(|e| host.listed(e)).collect();
+        self.core.choice.clock(now);
+        self.core.choice.list(&entries, whole);
+        if whole {
+            self.core.choice.host.only(&entries);
+        }
+        self.unsaved();
+    }
+
+    /// The source of the list owes an answer from now on.
+    fn listen_for(&mut self) {
+        self.quiet();
+        if let Some(patience) = self.roster.feed.patience() {
+            let at = self.core.net().now() + patience;
+            self.roster.silence = Some(self.core.net().set(at, OF_SILENT));
+        }
+    }
+
+    fn quiet(&mut self) {
+        if let Some(d) = self.roster.silence.take() {
+            self.core.net().clear(d);
         }
-        Ok(())
     }
 
     fn ask_roster(&mut self) {
-        let (at, within) = (self.roster.at, self.roster.within);
+        let (at, within) = (self.roster.feed.at(), self.roster.within);
         self.roster.attempts += 1;
         let conn = self.core.net().connect(at, within);
         self.own(conn, Owner::Roster);
-        (self.roster.conn, self.roster.greeted) = (Some(conn), false);
+        self.roster.conn = Some(conn);
     }
 
     /// The last list holds; the decisions hear that news may be missing, and it is asked for anew.
     fn roster_over(&mut self, why: Why) {
-        warn!(?why, at = %self.roster.at, "no roster");
+        warn!(?why, at = %self.roster.feed.at(), "no roster");
         self.roster.conn = None;
+        self.quiet();
         self.core.choice.host.roster = None;
         let now = self.core.net().now();
-        let wait = self.roster.retry.wait();
+        let wait = self.roster.feed.retry();
         self.core.net().set(now + wait, OF_ROSTER);
         self.core.choice.clock(now);
         self.core.choice.list_failed();
@@ -722,44 +651,210 @@
         self.core.choice.list(&listed, true);
     }
 
-    /// Reads frames and hands each on; a malformed one ends the connection with a word why.
+    /// Reads messages and hands each on; a malformed one ends the connection with a word why.
     fn frames(&mut self, conn: Conn, bytes: &[u8], owner: Owner) -> usize {
         let mut used = 0;
         while self.owner(conn) == owner {
-            let told = match wire::frame(&bytes[used..]) {
-                Ok(None) => break,
-                Ok(Some((body, len))) => {
-                    used += len;
-                    Fields::read(body).and_then(|fields| match owner {
-                        Owner::Link(link) => self.worker_frame(link, &fields),
-                        Owner::Peer => self.peer_frame(&fields),
-                        Owner::Guest => self.guest_frame(conn, &fields),
-                        _ => self.roster_frame(&fields),
-                    })
-                }
-                Err(e) => Err(e),
+            let rest = &bytes[used..];
+            let told = match owner {
+                Owner::Link(link) => self.heard(link, rest),
+                Owner::Roster => self.list_told(conn, rest),
+                _ => wire::frame(rest).and_then(|frame| {
+                    let Some((body, len)) = frame else { return Ok(None) };
+                    let fields = Fields::read(body)?;
+                    match owner {
+                        Owner::Peer => self.peer_frame(&fields)?,
+                        _ => self.guest_frame(conn, &fields)?,
+                    }
+                    Ok(Some(len))
+                }),
             };
-            if let Err(reason) = told {
-                warn!(reason, ?owner, "malformed frame");
-                let host = &mut self.core.choice.host;
-                host.counts.malformed += 1;
-                let mut out = Vec::new();
-                wire::error(&mut out, &reason);
-                host.net.write(conn, &out);
-                host.net.close(conn);
-                self.own(conn, Owner::Nobody);
-                match owner {
-                    Owner::Link(link) => self.link_over(link, Why::Reset),
-                    Owner::Peer => self.peer_over(),
-                    Owner::Guest => {}
-                    _ => self.roster_over(Why::Reset),
+            match told {
+                Ok(None) => break,
+                Ok(Some(len)) => used += len,
+                Err(reason) => {
+                    warn!(reason, ?owner, "malformed frame");
+                    let mut out = Vec::new();
+                    match owner {
+                        Owner::Link(_) => self.core.choice.host.way.complain(&mut out, &reason),
+                        Owner::Roster => self.roster.feed.complain(&mut out, &reason),
+                        _ => wire::error(&mut out, &reason),
+                    }
+                    let host = &mut self.core.choice.host;
+                    host.counts.malformed += 1;
+                    host.net.write(conn, &out);
+                    host.net.close(conn);
+                    self.own(conn, Owner::Nobody);
+                    match owner {
+                        Owner::Link(link) => self.link_over(link, Why::Reset),
+                        Owner::Peer => self.peer_over(),
+                        Owner::Guest => {}
+                        _ => self.roster_over(Why::Reset),
+                    }
+                    return bytes.len();
                 }
-                return bytes.len();
             }
             self.settle();
         }
         used
     }
+
+    /// Goes on taking what comes for so long after the first signal to stop, as a front notices late.
+    pub fn linger(&mut self, span: Time) {
+        self.linger = span;
+    }
+}
+
+#[derive(Default)]
+struct News {
+    lists: Vec<(Vec<Entry>, bool)>,
+}
+
+impl Told for News {
+    fn list(&mut self, entries: &[Entry], whole: bool) {
+        self.lists.push((entries.to_vec(), whole));
+    }
+
+    fn said(&mut self, reason: &str) {
+        warn!(reason, "the roster told");
+    }
+}
+
+/// What a worker says on one of its connections, as the gateway hears it.
+struct Ears<'a, N: Net> {
+    gw: &'a mut Gateway<N>,
+    link: usize,
+}
+
+impl<N: Net> Ears<'_, N> {
+    fn host(&mut self) -> &mut Carrier<N> {
+        &mut self.gw.core.choice.host
+    }
+
+    fn wk(&self) -> usize {
+        self.gw.core.choice.host.links[self.link].wk
+    }
+}
+
+impl<N: Net> Heard for Ears<'_, N> {
+    fn known(&self) -> bool {
+        self.gw.core.choice.host.links[self.link].greeted
+    }
+
+    fn greeted(&mut self, role: &str, name: &str, life: u64, age: Time) -> Result<(), String> {
+        let wk = self.wk();
+        let host = self.host();
+        let now = host.net.now();
+        if role != "worker" || name != host.workers.text(wk) {
+            // Another one has come to live at this address: nothing was sent, so nothing has run.
+            return Err(format!("field name: {role} {name} answers for {}", host.workers.text(wk)));
+        }
+        let known = host.known_life(wk);
+        if known.is_some_and(|k| life > k) {
+            // It restarted before the roster told.
+            debug!(worker = name, life, age, "started anew");
+            if let Some(entry) = host.restarted(wk, life, age) {
+                self.gw.core.choice.clock(now);
+                self.gw.core.choice.list(&[(wk, entry)], false);
+            }
+            while let Some(wk) = self.host().withdrawn.pop() {
+                self.gw.take_back(wk);
+            }
+        }
+        let link = self.link;
+        self.host().greeted(link);
+        Ok(())
+    }
+
+    fn begun(&mut self, name: Name, payload: &[u8]) -> Result<(), String> {
+        let link = self.link;
+        let host = self.host();
+        let now = host.net.now();
+        let Some(key) = host.key(name, link)? else { return Ok(()) };
+        let Task::Launch { evt, launch } = host.outs[key].task else { return Ok(()) };
+        if host.outs[key].over || !host.events[evt].open || host.events[evt].begun.is_some() {
+            return Ok(());
+        }
+        host.events[evt].begun = Some(launch);
+        let ticket = host.events[evt].ticket;
+        let gw = &mut *self.gw;
+        if let Some(door) = gw.doors.get_mut(ticket.door) {
+            door.begun(&mut gw.core.choice.host.net, ticket, payload);
+        }
+        gw.core.choice.clock(now);
+        gw.core.choice.begun(evt, launch);
+        Ok(())
+    }
+
+    fn ended(&mut self, name: Name, outcome: Outcome, note: u32, payload: &[u8]) -> Result<(), String> {
+        let link = self.link;
+        let host = self.host();
+        let Some(key) = host.key(name, link)? else { return Ok(()) };
+        if let Task::Launch { evt, .. } = host.outs[key].task {
+            if !host.outs[key].over && outcome == Outcome::Ok {
+                // The first good answer is the client's at once.
+                self.gw.answer(evt, Word::Handled, payload);
+            }
+            self.gw.done(key, outcome, note);
+            self.host().free(key);
+        }
+        Ok(())
+    }
+
+    fn held(&mut self, name: Name, outcome: Outcome, copies: u32) -> Result<(), String> {
+        let link = self.link;
+        let host = self.host();
+        let Some(key) = host.key(name, link)? else { return Ok(()) };
+        if matches!(host.outs[key].task, Task::Hold { .. }) {
+            self.gw.done(key, outcome, copies);
+            self.host().free(key);
+        }
+        Ok(())
+    }
+
+    fn probed(&mut self, name: Name, well: bool) -> Result<(), String> {
+        let link = self.link;
+        let host = self.host();
+        let Some(key) = host.key(name, link)? else { return Ok(()) };
+        if matches!(host.outs[key].task, Task::Probe) {
+            self.gw.done(key, if well { Outcome::Ok } else { Outcome::Error }, 0);
+            self.host().free(key);
+        }
+        Ok(())
+    }
+
+    fn reported(&mut self, in_flight: f64, busy: f64) {
+        let wk = self.wk();
+        let now = self.host().net.now();
+        self.gw.core.choice.clock(now);
+        self.gw.core.choice.reported(wk, in_flight, busy);
+    }
+
+    fn promised(&mut self, fields: &Fields) -> Result<(), String> {
+        let wk = self.wk();
+        self.gw.promised(self.link, wk, fields)
+    }
+
+    fn fenced(&mut self) {
+        self.gw.fenced();
+    }
+
+    fn drains(&mut self) {
+        let wk = self.wk();
+        let host = self.host();
+        let now = host.net.now();
+        debug!(worker = host.workers.text(wk), "drains");
+        if let Some(entry) = host.drains(wk) {
+            self.gw.core.choice.clock(now);
+            self.gw.core.choice.list(&[(wk, entry)], false);
+            self.gw.unsaved();
+        }
+    }
+
+    fn said(&mut self, reason: &str) {
+        let wk = self.wk();
+        warn!(worker = self.host().workers.text(wk), reason, "told");
+    }
 }
 
 impl<N: Net> App for Gateway<N> {
@@ -782,22 +877,28 @@
         if self.owner(conn) == Owner::Guest {
             return self.link_made(conn);
         }
-        let (me, name) = (self.me, self.name.clone());
         let mut out = Vec::new();
-        let member = self.pair.as_ref().map_or(0, |p| p.member() + 1);
-        let f = Frame::new(&mut out, kind::HELLO).whole(Field::Version, wire::VERSION);
-        let f = f.text(Field::Role, "gateway").text(Field::Name, &name).whole(Field::Life, me);
-        if member > 0 { f.whole(Field::Member, member as u64) } else { f }.end();
+        let member = self.pair.as_ref().map_or(0, |p| p.member() as u64 + 1);
+        let me = Me { name: &self.name, number: self.me, member };
         let host = &mut self.core.choice.host;
         if self.roster.conn == Some(conn) {
-            host.roster = Some(conn);
-            if host.follows {
-                Frame::new(&mut out, kind::FOLLOW).flag(Field::On, true).end();
+            if self.roster.feed.native() {
+                host.roster = Some(conn);
+            }
+            self.roster.feed.connected(&mut out, &me, host.follows);
+            host.net.write(conn, &out);
+            self.listen_for();
+        } else if let Owner::Link(link) = self.owner(conn) {
+            let host = &mut self.core.choice.host;
+            host.way.hello(&mut out, &me);
+            if !out.is_empty() {
+                host.net.write(conn, &out);
+                host.links[link].written += out.len();
+            }
+            if !host.way.greets() {
+                host.greeted(link);
+                self.settle();
             }
-        }
-        host.net.write(conn, &out);
-        if let Owner::Link(link) = self.owner(conn) {
-            self.core.choice.host.links[link].written += out.len();
         }
     }
 
@@ -874,12 +975,24 @@
                 if let Some(key) = self.core.choice.host.late((token & !OF_WHAT) as usize) {
                     let Out { sent, task, .. } = self.core.choice.host.outs[key];
                     self.broke_off(task);
+                    self.core.choice.host.give_up(key);
                     // What still waited for a connection is proven not run.
                     self.done(key, if sent { Outcome::TimedOut } else { Outcome::NoConnection }, 0);
                     self.core.choice.host.unsent_over(key);
                 }
             }
-            OF_ROSTER => self.ask_roster(),
+            OF_ROSTER if self.roster.conn.is_none() => self.ask_roster(),
+            // It was asked meanwhile.
+            OF_ROSTER => {}
+            OF_SILENT => {
+                self.roster.silence = None;
+                if let Some(conn) = self.roster.conn {
+                    self.core.net().reset(conn);
+                    self.own(conn, Owner::Nobody);
+                    self.roster_over(Why::TimedOut);
+                }
+            }
+            OF_LEAVE => self.drain(),
             OF_GREETING => {
                 // It accepts and says nothing, as a hung process does: no connection in time.
                 let link = (token & !OF_WHAT) as usize;
@@ -915,22 +1028,32 @@
         self.settle();
     }
 
-    fn signal(&mut self, _signal: i32) {
+    fn signal(&mut self, signal: i32) {
+        if signal == HANG_UP {
+            if self.roster.feed.reload() {
+                info!(at = %self.roster.feed.at(), "the list comes from elsewhere now");
+                if let Some(conn) = self.roster.conn.take() {
+                    self.core.net().reset(conn);
+                    self.own(conn, Owner::Nobody);
+                }
+                self.quiet();
+                self.ask_roster();
+            }
+            return;
+        }
+        if self.linger > 0 && !self.core.leaving() {
+            self.core.leaving = true;
+            info!(held = self.held(), "told to stop");
+            let at = self.core.net().now() + self.linger;
+            self.core.net().set(at, OF_LEAVE);
+            return;
+        }
         self.drain();
     }
 }
 
-fn outcome(fields: &Fields) -> Result<Outcome, String> {
-    Ok(match fields.text(Field::Outcome)? {
-        "ok" => Outcome::Ok,
-        "error" => Outcome::Error,
-        // One that refuses as another member serves counts as full.
-        "full" | "fenced" => Outcome::Full,
-        "miss" => Outcome::Miss,
-        "cancelled" => Outcome::Cancelled,
-        other => return Err(format!("field outcome: '{other}' is no outcome")),
-    })
-}
+/// The number of SIGHUP (POSIX: 1 on every system of today).
+const HANG_UP: i32 = 1;
 
 /// Where an entry's standing is told by a word.
 pub(crate) fn standing(word: &str) -> Result<Standing, String> {
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::carrier::{Given, Task};
 use crate::door::{Answer, Incoming, Ticket, Word, NOBODY};
+use crate::way::Name;
 use crate::{Core, Gateway, Owner, OF_PAIR, OF_VRRP};
 use copying::{remember, taken, word, Copying, Due, Later};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -1059,7 +1060,7 @@
 
     pub(crate) fn promised(&mut self, link: usize, wk: usize, fields: &Fields) -> Result<(), String> {
         let host = &mut self.core.choice.host;
-        let Some(key) = host.key(fields.whole(Field::Id)?, link)? else { return Ok(()) };
+        let Some(key) = host.key(Name::Own(fields.whole(Field::Id)?), link)? else { return Ok(()) };
         let Task::Vote { voter, ballot, accepting } = host.outs[key].task else { return Ok(()) };
         let over = host.outs[key].over;
         let good = fields.flag(Field::On)?;
--- /dev/null
+++ b/crates/tidewall-platform-door/src/board.rs
@@ -0,0 +1,145 @@
+//! The notice board at the gateway's seam.
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tidewall::host::{Standing, Time};
+use tidewall_gateway::list::Entry;
+use tidewall_gateway::way::{Feed, Me, Told};
+use tidewall_platform::board;
+use tracing::warn;
+
+/// How long a poll may wait, in milliseconds: what the board would have told counts as told 2 s after the end of the wait that
+/// was asked for, so a short wait keeps a silent board from making the list stale, at one poll a second.
+const LINGER_MS: u64 = 1_000;
+
+/// Silent for so much longer than that: it hangs. Half of the 2 s that are left by then, for the next attempt.
+const MARGIN: Time = 7_000;
+
+/// After a break it is asked again at once; after further ones each wait is twice as long, half a second at the most.
+const WAIT: Time = 200;
+const WAIT_MOST: Time = 5_000;
+
+pub struct Board {
+    at: SocketAddr,
+    host: String,
+    /// The last event that was taken whole.
+    rev: u64,
+    goes_on: bool,
+    breaks: u32,
+    chance: ChaCha8Rng,
+    /// Reads the board's address again.
+    again: Box<dyn FnMut() -> Result<SocketAddr, String>>,
+}
+
+impl Board {
+    pub fn new(
+        at: SocketAddr,
+        rev: u64,
+        seed: u64,
+        again: Box<dyn FnMut() -> Result<SocketAddr, String>>,
+    ) -> Board {
+        let chance = ChaCha8Rng::seed_from_u64(seed);
+        Board { at, host: at.to_string(), rev, goes_on: true, breaks: 0, chance, again }
+    }
+
+    fn ask(&self, out: &mut Vec<u8>) {
+        board::ask(out, &self.host, self.rev, LINGER_MS);
+    }
+}
+
+/// Unix time in milliseconds.
+fn unix() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// One host as the gateway's list has it. One that is removed may be told without an address.
+fn entry(host: &board::Host, now: u64) -> Result<Entry, String> {
+    let standing = match host.state {
+        "up" => Standing::On,
+        "draining" => Standing::Draining,
+        _ => Standing::Gone,
+    };
+    let nowhere = || SocketAddr::from(([0, 0, 0, 0], 0));
+    let at = match host.at.parse() {
+        Ok(at) => at,
+        Err(_) if standing == Standing::Gone => nowhere(),
+        Err(_) => return Err(format!("field servers.addr: '{}'", tidewall_platform::shown(host.at))),
+    };
+    Ok(Entry {
+        name: host.id.to_string(),
+        at,
+        zone: host.zone.to_string(),
+        machine: host.kind.to_string(),
+        cell: host.cell.min(u64::from(u32::MAX)) as u32,
+        standing,
+        rating: host.weight,
+        life: host.started,
+        // A start is never so young that it counts as one of long ago.
+        age: if host.started == 0 { 0 } else { (now.saturating_sub(host.started) * 10).max(1) },
+    })
+}
+
+/// Takes events over, all of an answer or nothing. Gives back the number of the last one.
+pub fn take(json: &board::Json, last: u64, told: &mut dyn Told) -> Result<u64, String> {
+    let (now, mut lists) = (unix(), Vec::new());
+    let rev = board::notices(json, last, &mut |hosts, full| {
+        lists.push((hosts.iter().map(|h| entry(h, now)).collect::<Result<Vec<_>, _>>(), full));
+    })?;
+    let mut good = Vec::new();
+    for (entries, full) in lists {
+        good.push((entries?, full));
+    }
+    for (entries, full) in good {
+        told.list(&entries, full);
+    }
+    Ok(rev)
+}
+
+impl Feed for Board {
+    fn at(&self) -> SocketAddr {
+        self.at
+    }
+
+    fn connected(&mut self, out: &mut Vec<u8>, _me: &Me, _follows: bool) {
+        self.ask(out);
+    }
+
+    fn read(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
+        let Some((len, goes_on, body)) = board::read(bytes)? else { return Ok(None) };
+        self.rev = take(&board::json(&body)?, self.rev, told)?;
+        (self.goes_on, self.breaks) = (goes_on, 0);
+        Ok(Some(len))
+    }
+
+    fn next(&mut self, out: &mut Vec<u8>) -> bool {
+        if self.goes_on {
+            self.ask(out);
+        }
+        self.goes_on
+    }
+
+    fn patience(&self) -> Option<Time> {
+        Some(LINGER_MS * 10 + MARGIN)
+    }
+
+    fn retry(&mut self) -> Time {
+        let wait = if self.breaks == 0 { 1 } else { (WAIT << self.breaks.min(8)).min(WAIT_MOST) };
+        self.breaks += 1;
+        wait * 3 / 4 + self.chance.random_range(0..=wait / 2)
+    }
+
+    fn reload(&mut self) -> bool {
+        match (self.again)() {
+            Ok(at) => {
+                let other = at != self.at;
+                (self.at, self.host, self.breaks) = (at, at.to_string(), 0);
+                other
+            }
+            Err(reason) => {
+                warn!(reason, "the configuration was not taken over");
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidewall-platform-door/src/lib.rs
@@ -0,0 +1,406 @@
+//! The platform at the gateway's seams: its clients come by a `Door`, its hosts are a `Way`, its notice board a `Feed`.
+//! Everything that is over is the gateway's to say; here stand what a client is owed on its connection and how long one that
+//! says nothing may stay.
+pub mod board;
+pub mod lines;
+
+use rustc_hash::FxHashMap;
+use slab::Slab;
+use tidewall_gateway::door::{left, Answer, Door, Incoming, Ticket, Word};
+use tidewall_gateway::Core;
+use tidewall_net::{Conn, Net, Time};
+use tidewall_platform::client::{self, Call, Commands};
+use tracing::{debug, warn};
+
+const NONE: u32 = u32::MAX;
+
+/// Open on one connection at once, as the page has it.
+const OPEN_MOST: u32 = 32;
+
+/// A connection that has sent no whole command is closed this long after it came: well within the 3 s in which it is owed a
+/// word, and long enough for a slow first command.
+const SILENT: Time = 20_000;
+
+/// One with nothing open is closed when it has been quiet for so long; the page's clients close theirs after 4 s.
+const IDLE: Time = 60_000;
+
+/// How often connections are looked at: a tenth of the shortest of these times.
+const LOOK: Time = 2_000;
+
+/// A connection that got its error is left open for so long, unread, so that the error is read before the end.
+const LAST: Time = 3_000;
+
+/// A client's call. Those of one connection are chained, so that its end costs no search.
+struct Known {
+    conn: Conn,
+    tag: u64,
+    trace: u64,
+    /// The gateway's place, once it is taken.
+    place: usize,
+    before: u32,
+    after: u32,
+    /// Tells the users of a key apart.
+    count: u32,
+}
+
+#[derive(Default)]
+struct Client {
+    conn: Option<Conn>,
+    first: Option<u32>,
+    open: u32,
+    /// The highest tag so far: one at or below it was used before.
+    highest: u64,
+    /// When it came, and when it last said something whole.
+    came: Time,
+    used: Time,
+    /// It has sent a whole command.
+    spoke: bool,
+    /// It got an error and is about to be closed.
+    ending: Option<Time>,
+}
+
+pub struct Platform {
+    /// Which door of the gateway this is.
+    me: usize,
+    /// Connections at most.
+    most: usize,
+    /// Types whose events carry a mark.
+    keyed: Vec<bool>,
+    clients: Vec<Client>,
+    count_of_clients: usize,
+    known: Slab<Known>,
+    count: u32,
+    /// Looked up, never walked.
+    tags: FxHashMap<(Conn, u64), u32>,
+    traces: FxHashMap<u64, u32>,
+    out: Vec<u8>,
+    fields: String,
+    complained: u64,
+}
+
+impl Platform {
+    pub fn new(me: usize, most: usize, keyed: Vec<bool>) -> Platform {
+        Platform {
+            me,
+            most,
+            keyed,
+            clients: Vec::new(),
+            count_of_clients: 0,
+            known: Slab::new(),
+            count: 0,
+            tags: FxHashMap::default(),
+            traces: FxHashMap::default(),
+            out: Vec::new(),
+            fields: String::new(),
+            complained: 0,
+        }
+    }
+
+    fn client(&mut self, conn: Conn) -> &mut Client {
+        if self.clients.len() <= conn.place() {
+            self.clients.resize_with(conn.place() + 1, Client::default);
+        }
+        &mut self.clients[conn.place()]
+    }
+
+    fn add(&mut self, conn: Conn, tag: u64, trace: u64) -> u32 {
+        let first = self.client(conn).first;
+        let after = first.unwrap_or(NONE);
+        self.count = self.count.wrapping_add(1);
+        let known = Known { conn, tag, trace, place: usize::MAX, before: NONE, after, count: self.count };
+        let key = self.known.insert(known) as u32;
+        if let Some(first) = first {
+            self.known[first as usize].before = key;
+        }
+        let client = self.client(conn);
+        client.first = Some(key);
+        client.open += 1;
+        self.tags.insert((conn, tag), key);
+        self.traces.insert(trace, key);
+        key
+    }
+
+    fn ticket(&self, key: u32) -> Ticket {
+        let count = self.known[key as usize].count;
+        Ticket { door: self.me, key: u64::from(key) | u64::from(count) << 32 }
+    }
+
+    /// The key of a ticket whose call has not left meanwhile.
+    fn key(&self, ticket: Ticket) -> Option<u32> {
+        let (key, count) = (ticket.key as u32, (ticket.key >> 32) as u32);
+        self.known.get(key as usize).filter(|k| k.count == count).map(|_| key)
+    }
+
+    fn remove(&mut self, key: u32) -> Known {
+        let known = self.known.remove(key as usize);
+        self.tags.remove(&(known.conn, known.tag));
+        self.traces.remove(&known.trace);
+        if known.before == NONE {
+            self.client(known.conn).first = (known.after != NONE).then_some(known.after);
+        } else {
+            self.known[known.before as usize].after = known.after;
+        }
+        if known.after != NONE {
+            self.known[known.after as usize].before = known.before;
+        }
+        self.client(known.conn).open -= 1;
+        known
+    }
+
+    /// Answers a call that was not taken.
+    fn turn_away<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, tag: u64, word: Word) {
+        let come_back = core.most_come_back();
+        self.write(core.net(), conn, tag, word, come_back, &[]);
+    }
+
+    fn write<N: Net>(&mut self, net: &mut N, conn: Conn, tag: u64, word: Word, come_back: Time, body: &[u8]) {
+        use std::fmt::Write;
+        self.out.clear();
+        self.fields.clear();
+        let word = match word {
+            Word::Handled => "OK",
+            Word::Deferred => "BUSY",
+            Word::DeadLettered => "FAILED",
+        };
+        if word == "BUSY" && come_back > 0 {
+            // Whole milliseconds, never sooner than was said.
+            let _ = write!(self.fields, "pause={}", come_back.div_ceil(10));
+        }
+        client::answer(&mut self.out, tag, word, &self.fields, body);
+        if !net.write(conn, &self.out) {
+            // A client that reads nothing until its buffer is full has lost its answers, not its neighbours.
+            net.fail(conn);
+        }
+    }
+
+    /// All calls of a connection that is gone are lapsed.
+    fn gone<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
+        while let Some(key) = self.client(conn).first {
+            let ticket = self.ticket(key);
+            let known = self.remove(key);
+            core.left(known.place, ticket);
+        }
+    }
+
+    fn forget(&mut self, conn: Conn) {
+        if self.client(conn).conn == Some(conn) {
+            *self.client(conn) = Client::default();
+            self.count_of_clients -= 1;
+        }
+    }
+
+    fn complain(&mut self, reason: &str, what: &str) {
+        self.complained += 1;
+        // Bad clients come by the thousand: the first, and then one in so many.
+        const ONE_IN: u64 = 1000;
+        if self.complained % ONE_IN == 1 {
+            warn!(reason, what, so_far = self.complained, "malformed");
+        } else {
+            debug!(reason, what, "malformed");
+        }
+    }
+
+    /// An error that belongs to no call: the connection ends behind it.
+    fn fail<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, reason: &str) {
+        self.complain(reason, "connection");
+        core.counts().malformed += 1;
+        self.gone(core, conn);
+        self.out.clear();
+        client::error(&mut self.out, reason);
+        let net = core.net();
+        net.write(conn, &self.out);
+        // What it still sends is not read: it is held back by its own buffers until the end.
+        net.pause(conn, true);
+        let until = net.now() + LAST;
+        self.client(conn).ending = Some(until);
+    }
+
+    fn shut<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
+        self.gone(core, conn);
+        self.forget(conn);
+        core.net().close(conn);
+    }
+
+    /// One more came than there are places: the oldest that said nothing goes, or the one that has been idle for longest.
+    fn make_room<N: Net>(&mut self, core: &mut Core<N>) {
+        let idle = self.clients.iter().filter(|c| c.conn.is_some() && c.first.is_none());
+        let oldest = idle.min_by_key(|c| (c.spoke && c.ending.is_none(), c.used));
+        if let Some(conn) = oldest.and_then(|c| c.conn) {
+            self.shut(core, conn);
+        }
+    }
+}
+
+/// A client's commands, as they are read.
+struct Ear<'a, N: Net> {
+    door: &'a mut Platform,
+    core: &'a mut Core<N>,
+    conn: Conn,
+    /// The connection is of no further use.
+    broken: Option<&'static str>,
+}
+
+impl<N: Net> Commands for Ear<'_, N> {
+    fn call(&mut self, tag: u64, call: Result<Call, String>) {
+        let (conn, now) = (self.conn, self.core.net().now());
+        let client = self.door.client(conn);
+        (client.spoke, client.used) = (true, now);
+        if tag <= client.highest {
+            // Which of the two an answer would be for could not be told.
+            self.broken = Some("tag: used before");
+            return;
+        }
+        client.highest = tag;
+        let open = client.open;
+        let told = call.and_then(|call| {
+            let typ = self.core.types().iter().position(|t| t == call.typ);
+            let typ = typ.ok_or_else(|| format!("event type: '{}'", tidewall_platform::shown(call.typ)))?;
+            let tenants = self.core.tenants();
+            let tenant = tenants.iter().position(|t| Some(t.as_str()) == call.tenant);
+            if tenant.is_none() && (call.tenant.is_some() || !tenants.is_empty()) {
+                return Err("field customer: unknown".to_string());
+            }
+            if self.door.keyed[typ] && call.nonce.is_empty() {
+                return Err("field nonce: missing".to_string());
+            }
+            if self.door.traces.contains_key(&call.trace) {
+                return Err("field trace: in hand already".to_string());
+            }
+            Ok((call, typ, tenant))
+        });
+        let (call, typ, tenant) = match told {
+            Ok(told) => told,
+            Err(reason) => {
+                self.door.complain(&reason, "call");
+                self.core.counts().malformed += 1;
+                return self.door.turn_away(self.core, conn, tag, Word::DeadLettered);
+            }
+        };
+        let tenths = |ms: f64| (ms * 10.0) as Time;
+        let waited = self.core.net().waited();
+        let event = Incoming {
+            ticket: Ticket::default(),
+            id: call.trace,
+            typ,
+            tenant,
+            function: call.function,
+            lanes: call.lanes as u32,
+            memory: call.memory,
+            hint: tenths(call.hint),
+            load_hint: tenths(call.load),
+            // Shorter by what it may have waited for us to read it.
+            left: left(tenths(call.patience), waited).unwrap_or(0),
+            resent: call.resent,
+            mark: call.nonce.as_bytes(),
+            payload: call.body,
+        };
+        if open >= OPEN_MOST || event.left == 0 {
+            self.core.counts().turned_away += 1;
+            return self.door.turn_away(self.core, conn, tag, Word::Deferred);
+        }
+        let key = self.door.add(conn, tag, call.trace);
+        let ticket = self.door.ticket(key);
+        match self.core.take(&Incoming { ticket, ..event }) {
+            Ok(place) => self.door.known[key as usize].place = place,
+            Err(_) => {
+                self.door.remove(key);
+                self.door.turn_away(self.core, conn, tag, Word::Deferred);
+            }
+        }
+    }
+
+    fn cancel(&mut self, tag: u64) {
+        let now = self.core.net().now();
+        let client = self.door.client(self.conn);
+        (client.spoke, client.used) = (true, now);
+        // The answer may have crossed it.
+        if let Some(key) = self.door.tags.get(&(self.conn, tag)).copied() {
+            let ticket = self.door.ticket(key);
+            let known = self.door.remove(key);
+            self.core.left(known.place, ticket);
+        }
+    }
+
+    fn check(&mut self, tag: u64) {
+        let now = self.core.net().now();
+        let client = self.door.client(self.conn);
+        (client.spoke, client.used) = (true, now);
+        let word = if self.core.leaving() { "DOWN" } else { "UP" };
+        self.door.out.clear();
+        client::answer(&mut self.door.out, tag, word, "", &[]);
+        self.core.net().write(self.conn, &self.door.out);
+    }
+}
+
+impl<N: Net> Door<N> for Platform {
+    fn opened(&mut self, core: &mut Core<N>) {
+        core.wake(self.me, LOOK);
+    }
+
+    fn due(&mut self, core: &mut Core<N>) {
+        core.wake(self.me, LOOK);
+        let now = core.net().now();
+        for place in 0..self.clients.len() {
+            let c = &self.clients[place];
+            let Some(conn) = c.conn else { continue };
+            let over = match c.ending {
+                Some(until) => now >= until,
+                None if !c.spoke => now >= c.came + SILENT,
+                None => c.first.is_none() && now >= c.used + IDLE,
+            };
+            if over {
+                self.shut(core, conn);
+            }
+        }
+    }
+
+    fn accepted(&mut self, core: &mut Core<N>, conn: Conn) {
+        let now = core.net().now();
+        *self.client(conn) = Client { conn: Some(conn), came: now, used: now, ..Client::default() };
+        self.count_of_clients += 1;
+        if self.count_of_clients > self.most {
+            self.make_room(core);
+        }
+    }
+
+    fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
+        let mut used = 0;
+        while self.client(conn).conn == Some(conn) && self.client(conn).ending.is_none() {
+            let mut ear = Ear { door: self, core, conn, broken: None };
+            let read = client::read(&bytes[used..], &mut ear);
+            let broken = ear.broken;
+            match (read, broken) {
+                (Ok(Some(len)), None) => used += len,
+                (Ok(None), None) => return used,
+                (Err(reason), _) => self.fail(core, conn, &reason),
+                (_, Some(reason)) => self.fail(core, conn, reason),
+            }
+        }
+        bytes.len()
+    }
+
+    fn drained(&mut self, _core: &mut Core<N>, _conn: Conn) {}
+
+    fn closed(&mut self, core: &mut Core<N>, conn: Conn) {
+        if self.client(conn).conn == Some(conn) {
+            self.gone(core, conn);
+            self.forget(conn);
+        }
+    }
+
+    fn begun(&mut self, _net: &mut N, _ticket: Ticket, _payload: &[u8]) {}
+
+    fn given_up(&mut self, _now: Time, ticket: Ticket) {
+        if let Some(key) = self.key(ticket) {
+            self.remove(key);
+        }
+    }
+
+    fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
+        // It left in the same wake-up.
+        let Some(key) = self.key(ticket) else { return };
+        let known = self.remove(key);
+        self.client(known.conn).used = net.now();
+        self.write(net, known.conn, known.tag, answer.word, answer.come_back, answer.payload);
+    }
+}
