--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -450,6 +450,20 @@
     assert_eq!(gw.host.0.last(), Some(&Call::Cancel(e, 0)));
 }
 
+// A day of bad clients on sockets: hundreds withdrawn at once made every answer look late, and a quarter was deferred.
+#[test_case(0, 10_000.0; "at once")]
+#[test_case(999, 10_000.0; "before the usual latency")]
+#[test_case(1000, 2000.0; "as late as an answer")]
+fn who_leaves_before_any_answer_can_come_teaches_no_target_time(age: Time, most: f64) {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, 0, 1);
+    let events: Vec<usize> = (0..200).map(|_| arrive(&mut gw, 0)).collect();
+    gw.clock(NOW + age);
+    events.into_iter().for_each(|e| gw.lapsed(e));
+    assert_eq!((gw.types[0].felt * 0.999 < most, gw.types[0].felt > 999.0), (true, true));
+    assert_eq!(gw.types[0].felt == 10_000.0, most == 10_000.0);
+}
+
 #[test_case(0, 0, 0, 0.5; "by the benefit of the type")]
 #[test_case(1, 0, 0, 1.0; "the most is one")]
 #[test_case(1, 21, 0, 0.1; "beyond the tenant's share")]
