A spoilt answer ends one launch and counts as one failure

Ruled out: the door (no malformed call), late hosts (t/o as before). Lines: Choice::ended counted each launch of a broken connection; may_launch barred the same worker after a break; Carrier::ride put all launches on the first connection. Now one break is one failure, keyed events of a zone or cell may go back, launches spread where connections cost nothing, and an answer that stops half-way ends its connection.

--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -44,14 +44,17 @@
     let mut first = First(Vec::new());
     let rev = take(&config.known, 0, &mut first).map_err(|e| input(named(format!("field known: {e}"))))?;
     let workers = first.0.iter().map(|l| l.0.len()).max().unwrap_or(0);
-    let budget = share(config.sockets as usize, workers);
     let s = &config.settings;
+    let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
+    let budget = share(config.sockets as usize, workers, priced);
     let setup = Setup {
         most_held: s.number("allowed.most-held") as usize,
         connect_time_out: s.span("allowed.connect-timeout-ms"),
         streams: s.number("allowed.streams-per-conn") as usize,
         connections: budget.a_worker,
-        keep_alive: s.span("allowed.keepalive-ms"),
+        spread: budget.spread,
+        // Ours end first: a launch that crosses the host's own close may have run.
+        keep_alive: s.span("allowed.keepalive-ms") * 3 / 4,
         probe_time_out: s.span("allowed.connect-timeout-ms"),
         order_time_out: s.span("extra.order-timeout-ms"),
         silent: SILENT,
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -26,6 +26,8 @@
     pub connect_time_out: Time,
     pub streams: usize,
     pub connections: usize,
+    /// With so many launches on each connection another one is made, while there may be more: what breaks one then ends fewer.
+    pub spread: usize,
     pub keep_alive: Time,
     pub probe_time_out: Time,
     pub order_time_out: Time,
@@ -162,6 +164,8 @@
     pub sent: Vec<usize>,
     /// Events whose launches on it were given up: an answer may still be on its way.
     given_up: VecDeque<u64>,
+    /// Since when a message has lain there in part.
+    pub partial: Option<Time>,
     /// When something last came or went.
     used: Time,
     heard: Time,
@@ -617,6 +621,21 @@
         self.links.get(link).filter(|l| !l.greeted).map(|l| l.conn)
     }
 
+    /// What is left of a connection's bytes once its whole messages are read.
+    pub fn left_over(&mut self, link: usize, any: bool) {
+        let now = self.net.now();
+        if let Some(l) = self.links.get_mut(link) {
+            l.partial = any.then_some(now);
+        }
+    }
+
+    /// Connections on which a message stopped half-way.
+    pub fn stuck(&self, now: Time) -> Vec<(usize, Conn)> {
+        let rest = self.way.rest();
+        let stuck = |l: &Link| l.partial.zip(rest).is_some_and(|(since, rest)| now >= since + rest);
+        self.links.iter().filter(|l| stuck(l.1)).map(|l| (l.0, l.1.conn)).collect()
+    }
+
     /// Links to close: idle ones, those to workers that are gone, and those on which only given-up launches
     /// are left and nothing was heard for long.
     pub fn idle(&mut self, now: Time) -> Vec<(usize, Conn)> {
@@ -646,37 +665,21 @@
                     || all.into_iter().any(|k| self.outs[*k].is_launch_of(out.event)))
         };
         let room = |l: &Link| !launch || l.streams < self.setup.streams && !twice(l);
-        let links = self.wks[out.wk].links.iter().copied();
-        let ready = links.clone().find(|l| self.links[*l].greeted && room(&self.links[*l]));
-        let link = ready.or_else(|| links.clone().find(|l| room(&self.links[*l])));
-        let link = match (link, self.wks[out.wk].at) {
+        // One on which an answer stopped half-way may be of no further use.
+        let links = self.wks[out.wk].links.iter().copied().filter(|l| room(&self.links[*l]));
+        let least = |l: &usize| (self.links[*l].partial.is_some(), self.links[*l].streams);
+        let ready = links.clone().filter(|l| self.links[*l].greeted).min_by_key(least);
+        let coming = links.clone().find(|l| !self.links[*l].greeted);
+        let more = self.wks[out.wk].links.len() < self.setup.connections;
+        let full = ready.is_some_and(|l| self.links[l].streams + 1 >= self.setup.spread);
+        let spare = (launch && more && full && coming.is_none()).then_some(self.wks[out.wk].at).flatten();
+        let (link, at) = (ready.or(coming), self.wks[out.wk].at);
+        if let Some(at) = spare {
+            self.open_link(out.wk, at);
+        }
+        let link = match (link, at) {
             (Some(link), _) => link,
-            (None, Some(at)) if self.wks[out.wk].links.len() < self.setup.connections => {
-                let conn = self.net.connect(at, self.setup.connect_time_out);
-                self.counts.connections += 1;
-                let now = self.net.now();
-                let link = self.links.insert(Link {
-                    wk: out.wk,
-                    conn,
-                    greeted: false,
-                    written: 0,
-                    work: 0,
-                    streams: 0,
-                    waiting: Vec::new(),
-                    sent: Vec::new(),
-                    given_up: VecDeque::new(),
-                    used: now,
-                    heard: now,
-                    greeting: None,
-                });
-                if self.way.greets() {
-                    let until = now + self.setup.connect_time_out;
-                    self.links[link].greeting = Some(self.net.set(until, OF_GREETING | link as u64));
-                }
-                self.wks[out.wk].links.push(link);
-                self.opened.push((conn, link));
-                link
-            }
+            (None, Some(at)) if more => self.open_link(out.wk, at),
             // All streams of all connections are taken.
             _ => {
                 return self.at_once(key, Outcome::Full);
@@ -691,6 +694,34 @@
         }
     }
 
+    fn open_link(&mut self, wk: usize, at: SocketAddr) -> usize {
+        let conn = self.net.connect(at, self.setup.connect_time_out);
+        self.counts.connections += 1;
+        let now = self.net.now();
+        let link = self.links.insert(Link {
+            wk,
+            conn,
+            greeted: false,
+            written: 0,
+            work: 0,
+            streams: 0,
+            waiting: Vec::new(),
+            sent: Vec::new(),
+            given_up: VecDeque::new(),
+            partial: None,
+            used: now,
+            heard: now,
+            greeting: None,
+        });
+        if self.way.greets() {
+            let until = now + self.setup.connect_time_out;
+            self.links[link].greeting = Some(self.net.set(until, OF_GREETING | link as u64));
+        }
+        self.wks[wk].links.push(link);
+        self.opened.push((conn, link));
+        link
+    }
+
     /// The outcome is known already; it is told when the decisions' call is over.
     pub(crate) fn at_once(&mut self, key: usize, outcome: Outcome) {
         let count = self.outs[key].count;
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -911,6 +911,9 @@
                     self.core.choice.host.heard(link);
                 }
                 let used = self.frames(conn, bytes, owner);
+                if let Owner::Link(link) = self.owner(conn) {
+                    self.core.choice.host.left_over(link, used < bytes.len());
+                }
                 if owner == Owner::Peer {
                     self.record();
                 }
@@ -1005,6 +1008,12 @@
             OF_LINKS => {
                 self.core.net().set(now + LINKS, OF_LINKS);
                 self.cut_late(LINKS);
+                for (link, conn) in self.core.choice.host.stuck(now) {
+                    warn!(link, "cut off: an answer stopped half-way");
+                    self.core.net().reset(conn);
+                    self.own(conn, Owner::Nobody);
+                    self.link_over(link, Why::Reset);
+                }
                 for (link, conn) in self.core.choice.host.idle(now) {
                     self.core.net().close(conn);
                     self.own(conn, Owner::Nobody);
--- a/crates/tidewall-gateway/src/start.rs
+++ b/crates/tidewall-gateway/src/start.rs
@@ -13,6 +13,7 @@
         connect_time_out: limits.span("connect_time_out_ms"),
         streams: limits.whole("streams") as usize,
         connections: limits.whole("connections") as usize,
+        spread: usize::MAX,
         keep_alive: limits.span("keep_alive_ms"),
         probe_time_out: limits.span("probe_time_out_ms"),
         order_time_out: loading.span("order_time_out_ms"),
--- a/crates/tidewall-gateway/src/way.rs
+++ b/crates/tidewall-gateway/src/way.rs
@@ -79,6 +79,10 @@
     fn ends_given_up(&self) -> bool;
     /// Whether answers name launches by their event's id: then no connection carries an id twice.
     fn by_event(&self) -> bool;
+    /// How long the rest of a message that has begun may stay away; none where that means nothing.
+    fn rest(&self) -> Option<Time> {
+        None
+    }
     fn hello(&self, out: &mut Vec<u8>, me: &Me);
     fn launch(&self, out: &mut Vec<u8>, own: u64, launch: &Launched);
     fn cancel(&self, out: &mut Vec<u8>, own: u64, event: u64);
--- a/crates/tidewall-platform-door/src/lines.rs
+++ b/crates/tidewall-platform-door/src/lines.rs
@@ -1,5 +1,5 @@
 //! Hosts at the gateway's seam: their lines become what the gateway hears of a worker.
-use tidewall::host::Outcome;
+use tidewall::host::{Outcome, Time};
 use tidewall_gateway::way::{Heard, Launched, Me, Name, Order, Way};
 use tidewall_platform::host::{self, Answers, Fields, Of};
 
@@ -20,6 +20,11 @@
         true
     }
 
+    /// A matter of a round trip, a few milliseconds; this is far more, and still lets events go elsewhere in time.
+    fn rest(&self) -> Option<Time> {
+        Some(500)
+    }
+
     fn hello(&self, _out: &mut Vec<u8>, _me: &Me) {}
 
     fn launch(&self, out: &mut Vec<u8>, _own: u64, l: &Launched) {
--- a/crates/tidewall-platform/src/budget.rs
+++ b/crates/tidewall-platform/src/budget.rs
@@ -5,17 +5,22 @@
 pub struct Budget {
     pub clients: usize,
     pub a_worker: usize,
+    /// Launches on a connection before another one is made.
+    pub spread: usize,
 }
 
 /// Standard streams, poll, signals, listener, two to the board, the configuration while it is read, and as many to spare.
 const OWN: usize = 24;
 
 /// Usual clients hold a third of all; half leaves as many again for those that are about to be turned away.
-pub fn share(sockets: usize, workers: usize) -> Budget {
+/// `priced`: connections to workers cost something of their own.
+pub fn share(sockets: usize, workers: usize, priced: bool) -> Budget {
     let clients = (sockets / 2).saturating_sub(OWN / 2).max(1);
     let rest = sockets.saturating_sub(clients + OWN);
     // Workers are replaced: the old one's connections may still stand beside the new one's. Eight connections carry more
     // than any worker runs.
     let a_worker = (rest / (2 * workers.max(4))).clamp(1, 8);
-    Budget { clients, a_worker }
+    // Where connections are free each launch has its own while there are places: one that breaks ends it alone.
+    let spread = if priced { usize::MAX } else { 1 };
+    Budget { clients, a_worker, spread }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -564,8 +564,11 @@
         let w = &self.workers[wk];
         let open = !evt.over && !evt.streaming && self.now + self.told.tick < evt.arrival.gives_up;
         let alone = evt.out() == 0 || self.told.twice;
-        // Not again to a worker that has it or has failed it; after a miss it may go back.
-        let again = evt.sent().iter().any(|l| l.wk == wk && l.state != State::ProvenNotRun);
+        // Not again to a worker that has it or has failed it; after a miss it may go back, and where only few
+        // may have it, also after a broken connection: the worker may be well and its copy stands.
+        let few = matches!(self.types[evt.arrival.typ].repeat, Repeat::Keyed(Group::Zone | Group::Cell, _));
+        let back = |s: State| s == State::ProvenNotRun || few && s == State::Broke;
+        let again = evt.sent().iter().any(|l| l.wk == wk && !back(l.state));
         if !open || !alone || again || w.listed.standing != Standing::On || evt.count >= self.told.most {
             return false;
         }
@@ -722,7 +725,11 @@
         let Some(evt) = known.filter(|evt| is_out(evt.launches[launch].state)) else { return };
         let Launch { wk, at, state, seen } = evt.launches[launch];
         let proven = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Miss);
-        evt.launches[launch].state = if proven { State::ProvenNotRun } else { State::MayHaveRun };
+        evt.launches[launch].state = match outcome {
+            Outcome::Reset => State::Broke,
+            _ if proven => State::ProvenNotRun,
+            _ => State::MayHaveRun,
+        };
         let arrival = evt.arrival;
         let (f, now) = (arrival.function, self.now);
         self.workers[wk].in_flight -= 1;
@@ -763,7 +770,13 @@
                 self.strained.add(now, 1);
                 self.cut(wk);
             }
+            // What rode on one connection ends at one moment: one failure, not one for each. Guards against a
+            // spoilt answer that costs a good worker all its trust; a worker that died fails again at once.
+            Outcome::Reset if self.workers[wk].broke_at == now => {}
             Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
+                if outcome == Outcome::Reset {
+                    self.workers[wk].broke_at = now;
+                }
                 if state == State::Out {
                     self.failed(wk);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,6 +107,8 @@
     pub probe_at: Time,
     /// Failures in a row, and how long it is left out for them.
     pub failures: u32,
+    /// When a connection to it last broke under a launch.
+    pub broke_at: Time,
     pub out_until: Time,
     pub out_span: Time,
     /// Mean work that it did of late, and the launches that a cold start's budget counts.
@@ -169,6 +171,8 @@
     #[default]
     ProvenNotRun,
     MayHaveRun,
+    /// May have run; its connection broke, which says little of the worker.
+    Broke,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
