--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -132,6 +132,7 @@
     pub took: Time,
 }
 
+#[derive(Default)]
 pub struct Wk {
     at: Option<SocketAddr>,
     listed: Listed,
@@ -146,6 +147,10 @@
 }
 
 impl Wk {
+    pub fn known(&self) -> bool {
+        self.at.is_some()
+    }
+
     pub fn standing(&self) -> Standing {
         self.listed.standing
     }
@@ -354,17 +359,7 @@
         let (zone, kind) = (place(&self.zones, &entry.zone), place(&self.kinds, &entry.machine));
         let wk = self.workers.index(&entry.name);
         if self.wks.len() <= wk {
-            let new = || Wk {
-                at: None,
-                listed: Listed::default(),
-                zone: String::new(),
-                machine: String::new(),
-                life: 0,
-                drains: false,
-                left: 0,
-                links: Vec::new(),
-            };
-            self.wks.resize_with(wk + 1, new);
+            self.wks.resize_with(wk + 1, Wk::default);
         }
         let w = &mut self.wks[wk];
         let restarted = entry.life > w.life || w.at.is_none();
@@ -414,6 +409,21 @@
         }
     }
 
+    /// Workers that are gone and of which nothing is under way here.
+    pub fn gone(&self) -> Vec<usize> {
+        let idle = |(wk, w): &(usize, &Wk)| {
+            let gone = w.at.is_some() && w.listed.standing == Standing::Gone && w.links.is_empty();
+            gone && !self.outs.iter().any(|o| o.1.wk == *wk)
+        };
+        self.wks.iter().enumerate().filter(idle).map(|w| w.0).collect()
+    }
+
+    /// Its index may name another from now on.
+    pub fn forget_worker(&mut self, wk: usize) {
+        self.workers.forget(wk);
+        self.wks[wk] = Wk::default();
+    }
+
     /// Whether anything is known of where it answers.
     pub fn reachable(&self, wk: usize) -> bool {
         self.wks.get(wk).is_some_and(|w| w.at.is_some())
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -564,6 +564,24 @@
         Ok(read)
     }
 
+    /// Workers that are gone for good are forgotten, so that replaced machines do not add up. A pair's records name
+    /// workers by their index, so there none is.
+    fn forget_workers(&mut self) {
+        if self.pair.is_some() {
+            return;
+        }
+        for wk in self.core.choice.host.gone() {
+            if self.core.choice.forget_worker(wk) {
+                self.core.choice.host.forget_worker(wk);
+            }
+        }
+    }
+
+    /// Workers of which something is known.
+    pub fn workers(&self) -> usize {
+        self.core.choice.host.wks.iter().filter(|w| w.known()).count()
+    }
+
     /// Takes a list over, or changes of one.
     pub fn list(&mut self, entries: &[Entry], whole: bool) {
         let host = &mut self.core.choice.host;
@@ -1029,6 +1047,7 @@
             OF_PAIR => self.pair_tick(),
             OF_VRRP => self.vrrp_due(),
             OF_COUNTS => {
+                self.forget_workers();
                 self.core.net().set(now + COUNTS, OF_COUNTS);
                 info!(counts = ?self.counts(), held = self.held(), "counts");
             }
--- /dev/null
+++ b/crates/tidewall-platform-door/tests/service.rs
@@ -0,0 +1,266 @@
+//! The gateway on the platform: each rule that is met on its sockets, with the failure that tries it.
+mod help;
+
+use help::*;
+use test_case::test_case;
+use tidewall_net::{App, Net};
+
+#[test]
+fn each_call_gets_its_one_answer() {
+    let mut s = site(&[Does::Answers, Does::Answers]);
+    let conn = s.connect();
+    for i in 1..=100 {
+        s.send(conn, &call(i, i, ["check", "record", "issue"][i as usize % 3], 2000));
+        s.pass(200);
+    }
+    s.pass(SECOND);
+    let text = s.client.text(conn);
+    (1..=100).for_each(|i| assert_eq!(text.matches(&ok(i)).count(), 1, "{i}"));
+    assert_eq!(
+        (text.len(), s.gateway.held(), s.gateway.outstanding()),
+        ((1..=100).map(|i| ok(i).len()).sum(), 0, 0)
+    );
+}
+
+// A spoilt answer has run: what may run again does, elsewhere or at the same host, and nothing of it is passed on.
+#[test_case("ID ok - 2\r\nyes\r\n", "check", true; "a length that does not fit")]
+#[test_case("ID ok - 3000000000\r\nyesyes", "record", true; "three gigabytes")]
+#[test_case("\u{1}\u{2}noise\r\n", "check", true; "noise")]
+#[test_case("ID ok - 40\r\nyes\r\n", "record", true; "it stops half-way and stays open")]
+#[test_case("ID ok - 2\r\nyes\r\n", "issue", false; "at most once")]
+#[test_case("ID ok - 40\r\nyes\r\n", "issue", false; "at most once, half-way")]
+fn spoilt_answers(says: &'static str, typ: &str, again: bool) {
+    let mut s = site(&[Does::Once(says), Does::Once(says)]);
+    let text = s.ask(typ, 4000);
+    let expected = if again { ok(1) } else { failed(1) };
+    assert_eq!((text, s.launches()), (expected, if again { 2 } else { 1 }));
+    for host in &s.hosts {
+        let line = host.got.iter().filter(|g| g.1.starts_with("go ")).map(|g| g.0).collect::<Vec<_>>();
+        assert!(line.len() < 2 || line[0] != line[1], "the same trace twice on one connection");
+    }
+}
+
+// Others that wait on other connections of the same host go on.
+#[test]
+fn a_spoilt_answer_ends_its_own_launch_alone() {
+    let mut s = site(&[Does::Nothing]);
+    for i in 0..3 {
+        let conn = s.connect();
+        s.send(conn, &call(1, 10 + i, "issue", 2000));
+        s.pass(50);
+    }
+    let last = s.hosts[0].got.iter().rfind(|g| g.1.starts_with("go ")).unwrap().0;
+    s.hosts[0].net.write(last, b"\x01\x02\r\n");
+    s.pass(100);
+    assert_eq!(s.gateway.held(), 2);
+}
+
+#[test]
+fn keyed_events_go_back_after_a_broken_connection() {
+    let mut s = site(&[Does::BreaksOnce]);
+    assert_eq!((s.ask("record", 1000), s.launches()), (ok(1), 2));
+}
+
+#[test_case("ID ok - 3\r\nyes\r\nID ok - 3\r\nyes\r\n"; "a second copy")]
+#[test_case("00000000000000ff ok - 2\r\nno\r\nID ok - 3\r\nyes\r\n"; "one ahead under an unknown id")]
+fn more_than_is_theirs_is_dropped(says: &'static str) {
+    let mut s = site(&[Does::Says(says)]);
+    for _ in 0..3 {
+        assert_eq!(s.ask("issue", 500), ok(1));
+    }
+    assert!(s.hosts[0].over.is_empty(), "the connection is good");
+}
+
+#[test_case("nothing", true; "miss")]
+#[test_case("refused", true; "full")]
+#[test_case("stale", true; "over already")]
+#[test_case("error", false; "may have run")]
+fn what_never_ran_may_go_again(word: &'static str, again: bool) {
+    let says: &'static str = Box::leak(format!("ID {word} - 0\r\n\r\n").into_boxed_str());
+    let mut s = site(&[Does::Once(says), Does::Once(says)]);
+    let text = s.ask("issue", 10_000);
+    assert_eq!((text == ok(1), text == failed(1), s.launches() > 1), (again, !again, again));
+}
+
+#[test]
+fn a_withdrawn_call_gets_no_answer_and_its_launch_is_halted() {
+    let mut s = site(&[Does::Nothing]);
+    let conn = s.connect();
+    s.send(conn, &call(7, 9, "check", 2000));
+    s.pass(100);
+    s.send(conn, &command(&["CANCEL", "7"]));
+    s.pass(5 * SECOND);
+    assert_eq!(
+        (s.client.text(conn), s.hosts[0].lines("halt")),
+        (String::new(), vec!["halt 0000000000000009"])
+    );
+    assert_eq!((s.gateway.held(), s.gateway.outstanding()), (0, 0));
+}
+
+#[test]
+fn what_gets_no_answer_is_answered_by_its_time() {
+    let mut s = site(&[Does::Nothing]);
+    assert_eq!(s.ask("issue", 2 * SECOND + 100), failed(1));
+    assert_eq!(s.gateway.outstanding(), 0);
+}
+
+// A bad client gets a word within 3 s; a good one beside it notices nothing.
+#[test_case("GET / HTTP/1.1\r\n\r\n", "-ERR array: '*' expected\r\n"; "another protocol")]
+#[test_case("*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$5\r\ncheck\r\n$0\r\n\r\n$60000000\r\n", "-ERR word: 60000000 bytes, at most 16384\r\n"; "sixty megabytes")]
+#[test_case("*2\r\n$-1\r\n", "-ERR word: no number\r\n"; "a negative length")]
+#[test_case("*3\r\n$4\r\nCA", ""; "half a command")]
+#[test_case("", ""; "nothing at all")]
+fn bad_clients_are_told_and_closed(says: &str, word: &str) {
+    let mut s = site(&[Does::Answers]);
+    let (bad, good) = (s.connect(), s.connect());
+    s.send(bad, says);
+    s.send(good, &call(1, 1, "check", 2000));
+    s.pass(3 * SECOND);
+    assert_eq!((s.client.text(bad).as_str(), s.client.over.contains(&bad)), (word, true));
+    assert_eq!((s.client.text(good), s.client.over.contains(&good)), (ok(1), false));
+}
+
+// A call at fault fails alone; those beside it on the connection go on.
+#[test_case("nosuch", "acme", "1"; "an unknown type")]
+#[test_case("check", "nobody", "1"; "an unknown tenant")]
+#[test_case("check", "acme", "NaN"; "no number")]
+fn a_call_at_fault_fails_alone(typ: &str, tenant: &str, weight: &str) {
+    let mut s = site(&[Does::Answers]);
+    let conn = s.connect();
+    let fields =
+        format!("trace=00000000000000ff,patience=900,customer={tenant},entity={FUNCTION},weight={weight}");
+    let bad = command(&["CALL", "1", typ, &fields, ""]);
+    s.send(conn, &(bad + &call(2, 2, "check", 2000)));
+    s.pass(1000);
+    assert_eq!((s.client.text(conn), s.launches()), (failed(1) + &ok(2), 1));
+}
+
+#[test]
+fn a_trace_that_is_in_hand_fails_and_the_first_is_unharmed() {
+    let mut s = site(&[Does::Nothing]);
+    let (first, other) = (s.connect(), s.connect());
+    s.send(first, &call(1, 5, "issue", 2000));
+    s.pass(100);
+    s.send(other, &call(1, 5, "issue", 2000));
+    s.pass(100);
+    assert_eq!((s.client.text(other), s.launches(), s.gateway.held()), (failed(1), 1, 1));
+}
+
+#[test]
+fn a_tag_that_is_used_twice_ends_the_connection() {
+    let mut s = site(&[Does::Nothing]);
+    let conn = s.connect();
+    s.send(conn, &(call(1, 5, "check", 2000) + &call(1, 6, "check", 2000)));
+    s.pass(SECOND);
+    assert_eq!(s.client.text(conn), "-ERR tag: used before\r\n");
+    assert_eq!((s.client.over.contains(&conn), s.gateway.held()), (true, 0));
+}
+
+#[test]
+fn more_than_thirty_two_open_are_deferred_with_a_time() {
+    let mut s = site(&[Does::Nothing]);
+    let conn = s.connect();
+    s.send(conn, &(1..=33).map(|i| call(i, i, "check", 2000)).collect::<String>());
+    s.pass(10);
+    assert_eq!(s.client.text(conn), command(&["33", "BUSY", "pause=500", ""]));
+}
+
+// Places run out: silent ones go first, oldest first; one with a call open never goes.
+#[test]
+fn silent_connections_make_room() {
+    let mut s = site_of(&[Does::Nothing], 4);
+    let busy = s.connect();
+    s.send(busy, &call(1, 1, "check", 2000));
+    s.pass(10);
+    let silent: Vec<_> = (0..5)
+        .map(|_| {
+            let conn = s.connect();
+            s.pass(10);
+            conn
+        })
+        .collect();
+    s.pass(10);
+    assert_eq!(s.client.over, silent[..2]);
+}
+
+#[test]
+fn a_removed_host_gets_nothing_more() {
+    let mut s = site(&[Does::Answers, Does::Answers]);
+    s.board.tell(&news(2, &[host(0, "draining")], false));
+    s.pass(10);
+    let before = s.hosts[0].lines("go").len();
+    for _ in 0..10 {
+        assert_eq!(s.ask("check", 500), ok(1));
+    }
+    assert_eq!(s.hosts[0].lines("go").len(), before);
+}
+
+// Long days: hosts are replaced by new ones, some at the address of one that has gone.
+#[test]
+fn replaced_hosts_do_not_add_up() {
+    let mut s = site(&[Does::Answers]);
+    for rev in 2..=20 {
+        let old = host(0, "removed").replace("s-0", &format!("s-{}", if rev == 2 { 0 } else { rev + 98 }));
+        let new = host(0, "up").replace("s-0", &format!("s-{}", rev + 99));
+        s.board.tell(&news(rev, &[old, new], false));
+        s.pass(10 * SECOND);
+        assert_eq!(s.ask("check", 500), ok(1), "host {rev}");
+    }
+    s.pass(80 * SECOND);
+    assert!(s.gateway.workers() <= 2, "{}", s.gateway.workers());
+}
+
+// The next poll asks from the last event that was taken whole.
+#[test_case(false; "it breaks off in an event")]
+#[test_case(true; "it falls silent")]
+fn the_board_is_asked_again(silent: bool) {
+    let mut s = site(&[Does::Answers]);
+    s.board.tell(&news(2, &[host(0, "up")], false));
+    s.pass(10);
+    let conn = s.board.conns[0];
+    if !silent {
+        s.board.net.write(conn, b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"rev\":3,\"noti");
+        s.pass(10);
+        s.board.net.reset(conn);
+    }
+    let (before, span) = (s.board.got.len(), if silent { 2 * SECOND } else { 2000 });
+    s.pass(span);
+    let asked = &s.board.got[before..];
+    assert!(!asked.is_empty() && asked[0].0 != conn && asked[0].1.contains("watch=2&"), "{asked:?}");
+}
+
+#[test]
+fn a_new_configuration_moves_the_board_and_loses_nothing() {
+    let mut s = site(&[Does::Nothing]);
+    let conn = s.connect();
+    s.send(conn, &call(1, 1, "issue", 2000));
+    s.pass(100);
+    // A file that cannot be read: the old one stays.
+    s.gateway.signal(1);
+    s.pass(100);
+    assert_eq!(s.board.got.len(), 1);
+    s.board.net.listen(at("127.0.0.1:711")).unwrap();
+    s.moved.set(Some(at("127.0.0.1:711")));
+    s.gateway.signal(1);
+    s.pass(100);
+    assert_eq!(s.board.got.len(), 2);
+    assert!(s.board.got[1].1.contains("watch=1&") && s.board.got[1].1.contains("127.0.0.1:711"));
+    assert_eq!((s.gateway.held(), s.client.over.len()), (1, 0));
+}
+
+// A front sends on for a while after the signal: it is taken, told by CHECK, and the gateway ends when all have answers.
+#[test]
+fn a_planned_stop_takes_what_still_comes() {
+    let mut s = site(&[Does::Answers]);
+    let conn = s.connect();
+    s.send(conn, &command(&["CHECK", "1", ""]));
+    s.pass(100);
+    s.gateway.signal(15);
+    s.pass(6000);
+    s.send(conn, &(command(&["CHECK", "2", ""]) + &call(3, 3, "check", 2000)));
+    s.pass(500);
+    let text = [command(&["1", "UP"]), command(&["2", "DOWN"]), ok(3)].concat();
+    assert_eq!((s.client.text(conn), s.hand.dead()), (text, false));
+    s.pass(2000);
+    assert!(s.hand.dead());
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -152,6 +152,22 @@
         }
     }
 
+    /// Whether nothing is known or pending of this worker any more; then its index may name another. Guards
+    /// against machines that are replaced by new ones again and again.
+    pub fn forget_worker(&mut self, wk: usize) -> bool {
+        let Some(w) = self.workers.get(wk) else { return true };
+        let seat = |f: &Function| f.seats.iter().any(|s| s.wk == wk);
+        let used = |e: &Evt| e.looks.contains(&wk) || e.sent().iter().any(|l| l.wk == wk);
+        let free = w.listed.standing == Standing::Gone
+            && w.in_flight == 0
+            && !self.functions.iter().any(seat)
+            && !self.events.iter().any(|e| used(e.1));
+        if free {
+            self.workers[wk] = Worker::default();
+        }
+        free
+    }
+
     /// A subscription may have broken: asking anew is always allowed, at the next timer of its own.
     pub fn list_failed(&mut self) {
         let wait = self.spread(SECOND);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -390,6 +390,50 @@
     assert_eq!(gw.trusted(0), !out);
 }
 
+// Days with spoilt answers: all launches of one broken connection counted, and good workers were left out in turn.
+#[test_case(0, 1, true; "of one connection")]
+#[test_case(1, 3, false; "one after the other")]
+fn what_breaks_at_one_moment_is_one_failure(apart: Time, failures: u32, trusted: bool) {
+    let mut gw = gateway(4, &[]);
+    stand(&mut gw, 0, 1);
+    let home = at(&gw, 0, 0);
+    let events: Vec<usize> = (0..3).map(|_| arrive(&mut gw, 0)).collect();
+    for (i, e) in events.into_iter().enumerate() {
+        gw.workers[home].in_flight += u32::from(gw.events[e].count == 0);
+        gw.functions[0].seats[0].flight += u32::from(gw.events[e].count == 0);
+        gw.events[e].launches[0] = Launch { wk: home, at: NOW, ..Launch::default() };
+        (gw.events[e].launches[0].state, gw.events[e].count) = (State::Out, 1);
+        gw.clock(NOW + 1 + apart * i as Time);
+        gw.ended(e, 0, (Outcome::Reset, 10), true, 0);
+    }
+    assert_eq!((gw.workers[home].failures, gw.trusted(home)), (failures, trusted));
+}
+
+#[test_case(0, State::Broke, false; "redeliverable goes elsewhere")]
+#[test_case(1, State::Broke, true; "keyed in a zone may go back")]
+#[test_case(1, State::MayHaveRun, false; "not after an end that says nothing")]
+#[test_case(2, State::Broke, false; "at most once goes nowhere")]
+fn back_to_a_worker_whose_connection_broke(typ: usize, state: State, may: bool) {
+    let mut gw = gateway(2, &[]);
+    stand(&mut gw, typ, 1);
+    let (e, home) = (arrive(&mut gw, typ), at(&gw, typ, 0));
+    gw.events[e].launches[0].state = state;
+    assert_eq!(gw.may_launch(e, home), may);
+}
+
+// Long days: machines are replaced by new ones all day.
+#[test_case(Standing::On, 0, false; "it is there")]
+#[test_case(Standing::Gone, 1, false; "a launch is out")]
+#[test_case(Standing::Gone, 0, true; "gone for good")]
+fn workers_that_are_gone_are_forgotten(standing: Standing, out: u32, forgotten: bool) {
+    let mut gw = gateway(2, &[]);
+    let (wk, entry) = listed(1);
+    gw.list(&[(wk, Listed { standing, ..entry })], false);
+    gw.workers[wk].in_flight = out;
+    assert_eq!(gw.forget_worker(wk), forgotten);
+    assert_eq!(gw.workers[wk].listed.hash == 0, forgotten);
+}
+
 // Overloaded days: late answers left out a third of workers that were only busy.
 #[test]
 fn in_overload_nobody_is_judged() {
