--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -835,6 +835,7 @@
         (held.sent_to[launch], held.ends[launch]) = (wk, None);
         held.count += 1;
         self.counts.launches += 1;
+        tracing::debug!(event = self.events[evt].id, launch, worker = self.workers.text(wk), "launch");
         if !open || now >= gives_up {
             return self.at_once(key, Outcome::Moot);
         }
@@ -901,6 +902,8 @@
 
     fn hold(&mut self, img: usize, wk: usize, copies: u32) {
         let refused = !self.may_order(copies);
+        let (function, worker) = (self.functions.text(img), self.workers.text(wk));
+        tracing::debug!(function, worker, copies, "hold");
         self.counts.orders += u64::from(copies > 0 && !refused);
         let until = self.net.now() + self.setup.order_time_out;
         let key = self.out(Task::Hold { img }, wk, copies, until);
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -475,11 +475,18 @@
         match task {
             Task::Launch { evt, launch } => {
                 let over = !self.core.choice.host.events[evt].open;
-                debug!(event = self.core.choice.host.events[evt].id, launch, ?outcome, took, "ended");
+                let host = &self.core.choice.host;
+                let worker = host.workers.text(wk);
+                debug!(event = host.events[evt].id, launch, worker, ?outcome, took, "ended");
                 self.core.choice.host.copy_over(evt, launch, outcome);
                 self.core.choice.ended(evt, launch, (outcome, took), over, count);
             }
-            Task::Hold { img } => self.core.choice.held(img, wk, outcome, count),
+            Task::Hold { img } => {
+                let host = &self.core.choice.host;
+                let (function, worker) = (host.functions.text(img), host.workers.text(wk));
+                debug!(function, worker, ?outcome, count, took, "held");
+                self.core.choice.held(img, wk, outcome, count);
+            }
             Task::Probe => self.core.choice.probed(wk, outcome),
             Task::Vote { voter, ballot, accepting } => self.no_vote(voter, (ballot, accepting)),
         }
