--- /dev/null
+++ b/crates/tidewall-cli/tests/platform.rs
@@ -0,0 +1,210 @@
+//! The shipped binary on the platform, over loopback, as a process of its own that is told and stopped by signals. Hosts and
+//! board are threads of the test; what is judged is that every call gets its one answer, whatever the hosts do.
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// A host that answers; with `rough` every fifth answer is spoilt and every seventh connection's launch is reset.
+fn host(rough: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    std::thread::spawn(move || {
+        for conn in listener.incoming().flatten() {
+            let count = count.clone();
+            std::thread::spawn(move || serve(conn, rough, &count));
+        }
+    });
+    at
+}
+
+fn serve(conn: TcpStream, rough: bool, count: &AtomicUsize) -> Option<()> {
+    let mut out = conn.try_clone().ok()?;
+    let mut lines = BufReader::new(conn);
+    loop {
+        let mut line = String::new();
+        if lines.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let answer = match words[0] {
+            "go" => {
+                let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+                lines.read_exact(&mut body).ok()?;
+                match count.fetch_add(1, Ordering::Relaxed) {
+                    n if rough && n % 5 == 4 => format!("{} ok - 1\r\nspoilt\r\n", words[1]),
+                    n if rough && n % 7 == 6 => return None,
+                    _ => format!("{} ok res=hit 3\r\nyes\r\n", words[1]),
+                }
+            }
+            "stage" => format!("{} ok copies=1 0\r\n\r\n", words[1]),
+            "stat" => format!("{} yes gauges=q:0;rif:1 0\r\n\r\n", words[1]),
+            _ => continue,
+        };
+        out.write_all(answer.as_bytes()).ok()?;
+    }
+}
+
+/// A board that has nothing to tell; counts the polls.
+fn board(polls: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for conn in listener.incoming().flatten() {
+            let polls = polls.clone();
+            std::thread::spawn(move || -> Option<()> {
+                let mut out = conn.try_clone().ok()?;
+                let mut lines = BufReader::new(conn);
+                loop {
+                    let mut line = String::new();
+                    if lines.read_line(&mut line).ok()? == 0 {
+                        return None;
+                    }
+                    if line == "\r\n" {
+                        polls.fetch_add(1, Ordering::Relaxed);
+                        std::thread::sleep(Duration::from_millis(200));
+                        let body = "{\"rev\":1,\"notices\":[]}";
+                        write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+                            .ok()?;
+                    }
+                }
+            });
+        }
+    });
+    at
+}
+
+/// Ends the process by its own id, however the test ends.
+struct Gateway(Child);
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Gateway {
+    fn signal(&self, signal: i32) {
+        // SAFETY: the process is our own child and not waited for yet.
+        unsafe { libc::kill(self.0.id() as i32, signal) };
+    }
+}
+
+fn config(listen: SocketAddr, board: SocketAddr, hosts: &[SocketAddr]) -> String {
+    let host = |(i, at): (usize, &SocketAddr)| {
+        format!(
+            r#"{{"id":"s-{i}","addr":"{at}","zone":"z","kind":"k","cell":0,"state":"up","weight":4,"started_ms":0}}"#
+        )
+    };
+    let hosts = hosts.iter().enumerate().map(host).collect::<Vec<_>>().join(",");
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","seed":"7","limits":{{"memory_mb":32,"sockets":256}},"board":"{board}",
+ "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"version":0,"full":true,"servers":[{hosts}]}}}}]}},
+ "settings":{{"me":0,"siblings":1,"tick-ms":1.0,"zones":["z"],"kinds":["k"],"discovery":"pushed",
+ "allowed":{{"connect-timeout-ms":250.0,"keepalive-ms":30000.0,"max-attempts":3,"most-held":200,"streams-per-conn":32,
+  "cancel":true,"may-duplicate":true,"retry-after":true,"max-retry-after-ms":500.0,"probes":true}},
+ "rules":{{"drain-grace-ms":2000.0}},"reporting":{{"how":"probe","names":["q","rif"]}},
+ "classes":[{{"name":"check","aim-ms":500.0,"deadline-ms":2000.0,"worth":1.0,"semantics":"read_like"}},
+  {{"name":"issue","aim-ms":500.0,"deadline-ms":2000.0,"worth":1.0,"semantics":"non_idempotent"}}],
+ "extra":{{"orders":true,"order-timeout-ms":4000.0,"if-cold":"load","stays-loaded-ms":60000.0,"load-window-ms":0}}}}}}"#
+    )
+}
+
+fn word(text: &str) -> String {
+    format!("${}\r\n{text}\r\n", text.len())
+}
+
+fn call(tag: usize, typ: &str) -> String {
+    let fields = format!("trace={tag:016x},patience=1500,entity=7f3a9c21e0b4d655,extras=lanes:100");
+    format!("*5\r\n{}{}{}{}{}", word("CALL"), word(&tag.to_string()), word(typ), word(&fields), word("body"))
+}
+
+/// One answer's tag and word (RESP arrays of bulk strings).
+fn answer(lines: &mut impl BufRead) -> (usize, String) {
+    let mut next = || {
+        let mut line = String::new();
+        lines.read_line(&mut line).unwrap();
+        line.trim_end().to_string()
+    };
+    let count: usize = next().strip_prefix('*').unwrap().parse().unwrap();
+    let words: Vec<String> = (0..count)
+        .map(|_| {
+            next();
+            next()
+        })
+        .collect();
+    (words[0].parse().unwrap(), words[1].clone())
+}
+
+#[test_case(false; "calm")]
+#[test_case(true; "rough")]
+fn a_life_on_the_platform(rough: bool) {
+    let polls = Arc::new(AtomicUsize::new(0));
+    let (first, second) = (board(Arc::default()), board(polls.clone()));
+    let hosts = [host(rough), host(rough)];
+    // A port that is free now; nobody else takes it within the moment.
+    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    std::fs::write(&file, config(listen, first, &hosts)).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
+    command.args(["--log", "error", "platform"]).env("ROUTER_CONFIG", &file).stdout(Stdio::null());
+    let mut gateway = Gateway(command.spawn().unwrap());
+    let until = Instant::now() + Duration::from_secs(10);
+    let conn = loop {
+        match TcpStream::connect(listen) {
+            Ok(conn) => break conn,
+            Err(e) => assert!(Instant::now() < until, "{e}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    let mut out = conn.try_clone().unwrap();
+    let mut lines = BufReader::new(conn);
+    let mut words = vec![Vec::new(); 101];
+    for round in 0..10 {
+        if round == 3 {
+            std::fs::write(&file, config(listen, second, &hosts)).unwrap();
+            gateway.signal(libc::SIGHUP);
+        }
+        if round == 9 {
+            gateway.signal(libc::SIGTERM);
+        }
+        let tags = round * 10 + 1..=round * 10 + 10;
+        let sent: String = tags.clone().map(|t| call(t, ["check", "issue"][t % 2])).collect();
+        out.write_all(sent.as_bytes()).unwrap();
+        for _ in tags {
+            let (tag, word) = answer(&mut lines);
+            words[tag].push(word);
+        }
+    }
+    assert!(words[1..].iter().all(|w| w.len() == 1), "{words:?}");
+    let served = words[1..].iter().filter(|w| w[0] == "OK").count();
+    assert!(if rough { served > 20 } else { served == 100 }, "{served} served");
+    assert!(polls.load(Ordering::Relaxed) > 0, "the new board was asked");
+    let until = Instant::now() + Duration::from_secs(10);
+    let status = loop {
+        if let Some(status) = gateway.0.try_wait().unwrap() {
+            break status;
+        }
+        assert!(Instant::now() < until, "it goes on after SIGTERM");
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    assert_eq!(status.code(), Some(0));
+}
+
+#[test]
+fn a_bad_configuration_is_one_plain_line() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    std::fs::write(&file, "{\"settings\":{}}").unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
+    let output = command.arg("platform").env("ROUTER_CONFIG", &file).output().unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!((output.status.code(), text.lines().count()), (Some(2), 1), "{text}");
+    assert!(text.contains("config.json: field settings.allowed.connect-timeout-ms: missing"), "{text}");
+}
