A client that reads nothing is cut off at 256 KiB and cannot keep its place

Need: up to 2 MiB waited for each such client, and a close waits for what is unsent, so its descriptor was kept for ever beside the budget. Test fails with the bound taken out (planted).

--- a/crates/tidewall-platform-door/src/lib.rs
+++ b/crates/tidewall-platform-door/src/lib.rs
@@ -30,6 +30,10 @@
 /// A connection that got its error is left open for so long, unread, so that the error is read before the end.
 const LAST: Time = 3_000;
 
+/// What may lie unread at a client that reads slowly: one largest answer beside the one that is being written. With all places
+/// taken by such clients it is still a matter of their number, which the descriptors bound.
+const UNREAD: usize = tidewall_platform::host::BODY_MOST;
+
 /// A client's call. Those of one connection are chained, so that its end costs no search.
 struct Known {
     conn: Conn,
@@ -167,7 +171,7 @@
             let _ = write!(self.fields, "pause={}", come_back.div_ceil(10));
         }
         client::answer(&mut self.out, tag, word, &self.fields, body);
-        if !net.write(conn, &self.out) {
+        if net.unsent(conn) > UNREAD || !net.write(conn, &self.out) {
             // A client that reads nothing until its buffer is full has lost its answers, not its neighbours.
             net.fail(conn);
         }
@@ -218,7 +222,13 @@
     fn shut<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
         self.gone(core, conn);
         self.forget(conn);
-        core.net().close(conn);
+        let net = core.net();
+        // One that does not read would keep its descriptor for ever, as a close waits for what is unsent.
+        if net.unsent(conn) > 0 {
+            net.reset(conn);
+        } else {
+            net.close(conn);
+        }
     }
 
     /// One more came than there are places: the oldest that said nothing goes, or the one that has been idle for longest.
--- a/crates/tidewall-platform-door/tests/service.rs
+++ b/crates/tidewall-platform-door/tests/service.rs
@@ -183,6 +183,29 @@
     assert_eq!(s.client.over, silent[..2]);
 }
 
+// What it does not read is bounded, and it does not keep its place for ever; one that reads notices nothing.
+#[test]
+fn a_client_that_never_reads_is_cut_off() {
+    let says: &'static str =
+        Box::leak(format!("ID ok - 200000\r\n{}\r\n", "x".repeat(200_000)).into_boxed_str());
+    let mut s = site(&[Does::Says(says)]);
+    let (slow, good) = (s.connect(), s.connect());
+    s.pass(10);
+    s.client.net.pause(slow, true);
+    for i in 1..=20 {
+        // It may be cut off by then.
+        s.client.net.write(slow, call(i, i, "check", 2000).as_bytes());
+        s.pass(300);
+    }
+    s.send(good, &call(1, 99, "check", 2000));
+    s.pass(SECOND);
+    s.client.net.pause(slow, false);
+    s.pass(SECOND);
+    assert_eq!((s.client.over.contains(&slow), s.client.over.contains(&good)), (true, false));
+    assert!(s.client.text(slow).len() < 6 * 200_000 && s.client.text(good).len() > 200_000);
+    assert_eq!(s.gateway.held(), 0);
+}
+
 #[test]
 fn a_removed_host_gets_nothing_more() {
     let mut s = site(&[Does::Answers, Does::Answers]);
