--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -75,8 +75,8 @@
         settings: config.settings,
         roster: config.board,
         roster_retry: setup.connect_time_out,
-        // The decisions tell siblings nothing.
-        peers: Vec::new(),
+        peers: config.peers.into_iter().map(Some).collect(),
+        peer_listen: config.peer_listen,
         setup,
         pair: None,
     };
--- a/crates/tidewall-cli/tests/platform.rs
+++ b/crates/tidewall-cli/tests/platform.rs
@@ -141,6 +141,40 @@
     (words[0].parse().unwrap(), words[1].clone())
 }
 
+/// Starts one and connects to it.
+fn start(file: &std::path::Path, listen: SocketAddr) -> (Gateway, TcpStream) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
+    command.args(["--log", "error", "platform"]).env("ROUTER_CONFIG", file).stdout(Stdio::null());
+    let gateway = Gateway(command.spawn().unwrap());
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        match TcpStream::connect(listen) {
+            Ok(conn) => return (gateway, conn),
+            Err(e) => assert!(Instant::now() < until, "{e}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn after_a_kill_it_comes_back_from_nothing() {
+    let (board, hosts) = (board(Arc::default()), [host(false)]);
+    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    std::fs::write(&file, config(listen, board, &hosts)).unwrap();
+    for _ in 0..2 {
+        let (mut gateway, mut conn) = start(&file, listen);
+        let mut lines = BufReader::new(conn.try_clone().unwrap());
+        write!(conn, "*3\r\n{}{}{}{}", word("CHECK"), word("1"), word(""), call(2, "issue")).unwrap();
+        assert_eq!(answer(&mut lines), (1, "UP".to_string()));
+        assert_eq!(answer(&mut lines), (2, "OK".to_string()));
+        // Our own child, killed outright.
+        gateway.0.kill().unwrap();
+        gateway.0.wait().unwrap();
+    }
+}
+
 #[test_case(false; "calm")]
 #[test_case(true; "rough")]
 fn a_life_on_the_platform(rough: bool) {
@@ -152,17 +186,7 @@
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("config.json");
     std::fs::write(&file, config(listen, first, &hosts)).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-    command.args(["--log", "error", "platform"]).env("ROUTER_CONFIG", &file).stdout(Stdio::null());
-    let mut gateway = Gateway(command.spawn().unwrap());
-    let until = Instant::now() + Duration::from_secs(10);
-    let conn = loop {
-        match TcpStream::connect(listen) {
-            Ok(conn) => break conn,
-            Err(e) => assert!(Instant::now() < until, "{e}"),
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    };
+    let (mut gateway, conn) = start(&file, listen);
     let mut out = conn.try_clone().unwrap();
     let mut lines = BufReader::new(conn);
     let mut words = vec![Vec::new(); 101];
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -946,8 +946,10 @@
     fn tell(&mut self, peer: Option<u32>, bytes: &[u8]) {
         let Some(port) = self.port else { return };
         self.frame.clear();
-        let f = Frame::new(&mut self.frame, kind::PEER).whole(Field::Id, self.me as u64);
-        f.bytes(Field::Payload, bytes).end();
+        self.way.tell(&mut self.frame, self.me as u64, bytes);
+        if self.frame.is_empty() {
+            return;
+        }
         for (i, at) in self.peers.iter().enumerate() {
             let wanted = i != self.me && peer.is_none_or(|p| p as usize == i);
             if let Some(at) = at.filter(|_| wanted) {
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -26,7 +26,7 @@
 use tidewall::settings::Settings;
 use tidewall_net::{App, Conn, Deadline, Listener, Net, Port, Time, Why};
 use tidewall_pair::fate::margin;
-use tidewall_wire::{self as wire, kind, Field, Fields};
+use tidewall_wire::{self as wire, Fields};
 use tracing::{debug, error, info, warn};
 use way::{Feed, Heard, Me, Name, Told, Way};
 
@@ -213,6 +213,8 @@
     roster: Source,
     /// Between the signal to stop and the end of taking: what a front still sends is taken.
     linger: Time,
+    /// When something malformed was last named.
+    complained: Option<Time>,
     shelf: Box<dyn Shelf>,
     unsaved: bool,
     port: Option<Port>,
@@ -242,6 +244,7 @@
     pub roster: SocketAddr,
     pub roster_retry: Time,
     pub peers: Vec<Option<SocketAddr>>,
+    pub peer_listen: Option<SocketAddr>,
     pub setup: Setup,
     pub pair: Option<Peering>,
 }
@@ -261,7 +264,9 @@
         feed: Box<dyn Feed>,
     ) -> Result<Gateway<N>, String> {
         let now = net.now();
-        let port = match start.peers.get(start.me).copied().flatten() {
+        // Where we listen may be another address than the one that others know us by.
+        let at = start.peer_listen.or(start.peers.get(start.me).copied().flatten());
+        let port = match at {
             None => None,
             Some(at) => Some(net.bind(at).map_err(|e| format!("{at}: datagrams: {e}"))?.0),
         };
@@ -289,6 +294,7 @@
             me: start.me as u64,
             roster,
             linger: 0,
+            complained: None,
             shelf,
             unsaved: false,
             port,
@@ -698,7 +704,14 @@
                 Ok(None) => break,
                 Ok(Some(len)) => used += len,
                 Err(reason) => {
-                    warn!(reason, ?owner, "malformed frame");
+                    self.complain(
+                        &reason,
+                        match owner {
+                            Owner::Link(_) => "worker",
+                            Owner::Roster => "list",
+                            _ => "gateway",
+                        },
+                    );
                     let mut out = Vec::new();
                     match owner {
                         Owner::Link(_) => self.core.choice.host.way.complain(&mut out, &reason),
@@ -724,6 +737,18 @@
         used
     }
 
+    /// Names something malformed: one line a second at most, however fast it comes; the counts tell the rest.
+    fn complain(&mut self, reason: &str, what: &str) {
+        const APART: Time = 10_000;
+        let now = self.core.net().now();
+        if self.complained.is_none_or(|at| now >= at + APART) {
+            self.complained = Some(now);
+            warn!(reason, what, so_far = self.counts().malformed + 1, "malformed");
+        } else {
+            debug!(reason, what, "malformed");
+        }
+    }
+
     /// Goes on taking what comes for so long after the first signal to stop, as a front notices late.
     pub fn linger(&mut self, span: Time) {
         self.linger = span;
@@ -976,19 +1001,19 @@
         if self.port != Some(port) {
             return;
         }
-        let Ok(Some((body, _))) = wire::frame(bytes) else { return };
-        let told = Fields::read(body).and_then(|f| {
-            let peer = f.upto(Field::Id, u64::from(u32::MAX), 0)?;
-            Ok((f.kind()? == kind::PEER, peer as u32, f.bytes(Field::Payload)?))
-        });
-        match told {
-            Ok((true, peer, payload)) => {
-                let now = self.core.net().now();
+        let host = &mut self.core.choice.host;
+        let from = host.peers.iter().position(|p| *p == Some(from)).map(|p| p as u32);
+        match host.way.clone().told(from, bytes) {
+            Ok((peer, payload)) => {
+                let now = host.net.now();
                 self.core.choice.clock(now);
                 self.core.choice.told(peer, payload);
                 self.settle();
             }
-            _ => self.core.choice.host.counts.malformed += 1,
+            Err(reason) => {
+                host.counts.malformed += 1;
+                self.complain(&reason, "datagram");
+            }
         }
     }
 
--- a/crates/tidewall-gateway/src/native_way.rs
+++ b/crates/tidewall-gateway/src/native_way.rs
@@ -66,6 +66,20 @@
         message(&Fields::read(body)?, heard).map(|()| Some(len))
     }
 
+    fn tell(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]) {
+        Frame::new(out, kind::PEER).whole(Field::Id, me).bytes(Field::Payload, bytes).end();
+    }
+
+    fn told<'a>(&self, _from: Option<u32>, bytes: &'a [u8]) -> Result<(u32, &'a [u8]), String> {
+        let (body, _) = wire::frame(bytes)?.ok_or("field length: cut short")?;
+        let fields = Fields::read(body)?;
+        if fields.kind()? != kind::PEER {
+            return Err("field kind: not a gateway's".to_string());
+        }
+        let peer = fields.upto(Field::Id, u64::from(u32::MAX), 0)?;
+        Ok((peer as u32, fields.bytes(Field::Payload)?))
+    }
+
     fn complain(&self, out: &mut Vec<u8>, reason: &str) {
         wire::error(out, reason);
     }
--- a/crates/tidewall-gateway/src/start.rs
+++ b/crates/tidewall-gateway/src/start.rs
@@ -31,6 +31,7 @@
         roster: s.section("roster").text("address").parse().expect("checked"),
         roster_retry: s.section("roster").span("retry_ms"),
         peers: gateways.iter().map(|g| g.text("peer_address").parse().ok()).collect(),
+        peer_listen: None,
         setup: setup(s),
         pair: None,
     }
--- a/crates/tidewall-gateway/src/way.rs
+++ b/crates/tidewall-gateway/src/way.rs
@@ -91,6 +91,10 @@
     fn unload(&self, out: &mut Vec<u8>, function: &str);
     /// Reads one message and gives back its length; none while it is not whole. An error ends the connection.
     fn read(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String>;
+    /// A datagram to another gateway.
+    fn tell(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]);
+    /// Who a datagram is from, and what it says; `from` is whose address it came from, where that is known.
+    fn told<'a>(&self, from: Option<u32>, bytes: &'a [u8]) -> Result<(u32, &'a [u8]), String>;
     /// What is said before a connection is closed over something malformed.
     fn complain(&self, out: &mut Vec<u8>, reason: &str);
 }
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -315,6 +315,7 @@
         roster: at(ROSTER),
         roster_retry: 5_000,
         peers: vec![None],
+        peer_listen: None,
         setup,
         pair: None,
     };
--- a/crates/tidewall-interop/tests/amqprs.rs
+++ b/crates/tidewall-interop/tests/amqprs.rs
@@ -79,6 +79,7 @@
                 roster,
                 roster_retry: 1_000,
                 peers: vec![None],
+                peer_listen: None,
                 setup,
                 pair: None,
             };
--- a/crates/tidewall-platform-door/src/lines.rs
+++ b/crates/tidewall-platform-door/src/lines.rs
@@ -5,6 +5,9 @@
 
 pub struct Lines;
 
+/// The page's bound of a datagram between gateways.
+const DATAGRAM_MOST: usize = 256;
+
 impl Way for Lines {
     /// Connected is all there is.
     fn greets(&self) -> bool {
@@ -52,6 +55,21 @@
         host::read(bytes, &mut Ear(heard))
     }
 
+    /// As it is; a longer one than the page allows stays here.
+    fn tell(&self, out: &mut Vec<u8>, _me: u64, bytes: &[u8]) {
+        if bytes.len() <= DATAGRAM_MOST {
+            out.extend_from_slice(bytes);
+        }
+    }
+
+    fn told<'a>(&self, from: Option<u32>, bytes: &'a [u8]) -> Result<(u32, &'a [u8]), String> {
+        let from = from.ok_or("datagram: from nobody's address")?;
+        if bytes.len() > DATAGRAM_MOST {
+            return Err(format!("datagram: {} bytes, at most {DATAGRAM_MOST}", bytes.len()));
+        }
+        Ok((from, bytes))
+    }
+
     fn complain(&self, _out: &mut Vec<u8>, _reason: &str) {}
 }
 
--- a/crates/tidewall-platform-door/tests/help/mod.rs
+++ b/crates/tidewall-platform-door/tests/help/mod.rs
@@ -157,6 +157,7 @@
 }
 
 pub const BOARD: &str = "127.0.0.1:701";
+pub const SIBLING: &str = "127.0.0.1:721";
 pub const GATEWAY: &str = "127.0.0.1:700";
 
 /// Types: "check" redeliverable, "record" keyed in a zone, "issue" at-most-once.
@@ -243,7 +244,8 @@
         settings: config.settings,
         roster: config.board,
         roster_retry: 2_500,
-        peers: Vec::new(),
+        peers: vec![Some(at("127.0.0.1:720")), Some(at(SIBLING))],
+        peer_listen: Some(at("127.0.0.1:720")),
         setup,
         pair: None,
     };
--- a/crates/tidewall-platform-door/tests/service.rs
+++ b/crates/tidewall-platform-door/tests/service.rs
@@ -3,7 +3,9 @@
 
 use help::*;
 use test_case::test_case;
+use tidewall_gateway::way::Way;
 use tidewall_net::{App, Net};
+use tidewall_platform_door::lines::Lines;
 
 #[test]
 fn each_call_gets_its_one_answer() {
@@ -271,6 +273,26 @@
     assert_eq!((s.gateway.held(), s.client.over.len()), (1, 0));
 }
 
+// Who a datagram is from is told by its address alone.
+#[test_case(SIBLING, 256, 0; "a sibling's")]
+#[test_case(SIBLING, 257, 1; "one that is too long")]
+#[test_case("127.0.0.1:799", 5, 1; "a stranger's")]
+fn datagrams_between_gateways(from: &str, size: usize, malformed: u64) {
+    let mut s = site(&[Does::Answers]);
+    let (port, _) = s.client.net.bind(at(from)).unwrap();
+    s.client.net.send(port, at("127.0.0.1:720"), &vec![7; size]);
+    s.pass(100);
+    assert_eq!(s.gateway.counts().malformed, malformed);
+}
+
+#[test_case(256, 256; "as it is")]
+#[test_case(257, 0; "not one that is too long")]
+fn datagrams_go_out(size: usize, written: usize) {
+    let mut out = Vec::new();
+    Lines.tell(&mut out, 3, &vec![7; size]);
+    assert_eq!(out, vec![7; written]);
+}
+
 // A front sends on for a while after the signal: it is taken, told by CHECK, and the gateway ends when all have answers.
 #[test]
 fn a_planned_stop_takes_what_still_comes() {
--- a/crates/tidewall-platform/src/config.rs
+++ b/crates/tidewall-platform/src/config.rs
@@ -12,6 +12,9 @@
     pub memory_mb: u64,
     pub sockets: u64,
     pub me: usize,
+    /// Where datagrams of other gateways come in, and their addresses by number; none where the settings bar them.
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
     pub settings: BTreeMap<String, String>,
     /// The board's events up to now, as an answer of the board holds them.
     pub known: Value,
@@ -51,6 +54,16 @@
     if orders && !settings.contains_key("extra.order-timeout-ms") {
         return Err("field settings.extra.order-timeout-ms: missing".to_string());
     }
+    let told = settings.get("allowed.peers").is_some_and(|p| p == "true");
+    let mut peers = Vec::new();
+    for peer in json["peers"].as_array().into_iter().flatten().filter(|_| told) {
+        let text = peer.as_str().unwrap_or("");
+        peers.push(
+            text.parse()
+                .map_err(|_| format!("field peers: '{}' is no address and port", crate::shown(text)))?,
+        );
+    }
+    let peer_listen = if told { Some(address(&json, "peer_listen")?) } else { None };
     let seed = json["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
     Ok(Config {
         name: text_of(&json, "name")?.to_string(),
@@ -60,6 +73,8 @@
         memory_mb: whole("/limits/memory_mb")?,
         sockets: whole("/limits/sockets")?,
         me: whole("/settings/me")? as usize,
+        peer_listen,
+        peers,
         settings,
         known: json.get("known").cloned().ok_or("field known: missing")?,
     })
