--- a/src/choice.rs
+++ b/src/choice.rs
@@ -726,8 +726,8 @@
         let Some(evt) = self.events.get(e).filter(|evt| !evt.over) else { return };
         // Clients that leave early, unannounced, want their answers before that: latencies are judged by it.
         // One leaving moves it eight times as far as an answer moves it back, so a few in a hundred do not
-        // matter. Where they leave for a reason of their own, it only makes the bounds tighter. Before the usual
-        // latency nobody can have waited for an answer: guards against clients that withdraw hundreds at once.
+        // matter. Where they leave for a reason of their own, it only makes the bounds tighter. Before the
+        // usual latency nobody can have waited for an answer: guards against hundreds withdrawn at once.
         let (age, typ) = ((self.now - evt.came) as f64, &mut self.types[evt.arrival.typ]);
         if self.now + SWEEP < evt.arrival.gives_up && (typ.run..typ.felt).contains(&age) {
             typ.felt = smooth(typ.felt, age);
