One collector of told lists, one listener in the process test, ports of their own

Cause: read at the end, the collector of lists stood three times (gateway, command line, tests), the configuration's variable was read twice, the process test had two accept loops; and after_a_kill_it_comes_back_from_nothing failed once in nine runs (the write to the gateway broke). Likely, by reading and not traced: all three tests took a free port of 127.0.0.1 and gave it back, so another test's host could take it first. Change: News in way.rs serves all; listen() in the test; each test has a loopback address of its own. No check was loosened.

--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use tidewall::settings::Named;
 use tidewall_gateway::carrier::Setup;
-use tidewall_gateway::list::{Entry, NoShelf};
-use tidewall_gateway::way::Told;
+use tidewall_gateway::list::NoShelf;
+use tidewall_gateway::way::News;
 use tidewall_gateway::{Gateway, Start};
 use tidewall_net::mio::{self, Mio};
 use tidewall_platform::budget::share;
@@ -24,26 +24,15 @@
 /// A connection on which everything was given up and nothing is heard ends after this: several round trips and pauses.
 const SILENT: u64 = 30_000;
 
-struct First(Vec<(Vec<Entry>, bool)>);
-
-impl Told for First {
-    fn list(&mut self, entries: &[Entry], whole: bool) {
-        self.0.push((entries.to_vec(), whole));
-    }
-
-    fn said(&mut self, _reason: &str) {}
-}
-
 pub fn platform() -> Result<(), Failure> {
     let path = std::env::var_os("ROUTER_CONFIG").map(PathBuf::from);
-    let path = path.ok_or_else(|| input("ROUTER_CONFIG: not set".to_string()))?;
-    let named = move |e: String| format!("{}: {e}", path.display());
-    let file = PathBuf::from(std::env::var_os("ROUTER_CONFIG").unwrap_or_default());
+    let file = path.ok_or_else(|| input("ROUTER_CONFIG: not set".to_string()))?;
+    let named = |e: String| format!("{}: {e}", file.display());
     let text = std::fs::read(&file).map_err(|e| input(named(e.to_string())))?;
     let config = config::read(&text).map_err(|e| input(named(e)))?;
-    let mut first = First(Vec::new());
+    let mut first = News::default();
     let rev = take(&config.known, 0, &mut first).map_err(|e| input(named(format!("field known: {e}"))))?;
-    let workers = first.0.iter().map(|l| l.0.len()).max().unwrap_or(0);
+    let workers = first.lists.iter().map(|l| l.0.len()).max().unwrap_or(0);
     let s = &config.settings;
     let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
     let budget = share(config.sockets as usize, workers, priced);
@@ -83,7 +72,7 @@
     let mut gateway =
         Gateway::with(net, start, Box::new(NoShelf), Rc::new(Lines), Box::new(board)).map_err(input)?;
     gateway.linger(LINGER);
-    first.0.iter().for_each(|(entries, whole)| gateway.list(entries, *whole));
+    first.lists.iter().for_each(|(entries, whole)| gateway.list(entries, *whole));
     gateway.open(config.listen, Box::new(Platform::new(0, budget.clients, keyed))).map_err(input)?;
     info!(gateway = config.name, ?budget, "serves");
     mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))
--- a/crates/tidewall-cli/tests/platform.rs
+++ b/crates/tidewall-cli/tests/platform.rs
@@ -8,20 +8,25 @@
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
-/// A host that answers; with `rough` every fifth answer is spoilt and every seventh connection's launch is reset.
-fn host(rough: bool) -> SocketAddr {
+/// Listens, and serves each connection on a thread of its own.
+fn listen(serve: impl Fn(TcpStream) -> Option<()> + Clone + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
-    let count = Arc::new(AtomicUsize::new(0));
     std::thread::spawn(move || {
         for conn in listener.incoming().flatten() {
-            let count = count.clone();
-            std::thread::spawn(move || serve(conn, rough, &count));
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(conn));
         }
     });
     at
 }
 
+/// A host that answers; with `rough` every fifth answer is spoilt and every seventh connection's launch is reset.
+fn host(rough: bool) -> SocketAddr {
+    let count = Arc::new(AtomicUsize::new(0));
+    listen(move |conn| serve(conn, rough, &count))
+}
+
 fn serve(conn: TcpStream, rough: bool, count: &AtomicUsize) -> Option<()> {
     let mut out = conn.try_clone().ok()?;
     let mut lines = BufReader::new(conn);
@@ -51,31 +56,18 @@
 
 /// A board that has nothing to tell; counts the polls.
 fn board(polls: Arc<AtomicUsize>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for conn in listener.incoming().flatten() {
-            let polls = polls.clone();
-            std::thread::spawn(move || -> Option<()> {
-                let mut out = conn.try_clone().ok()?;
-                let mut lines = BufReader::new(conn);
-                loop {
-                    let mut line = String::new();
-                    if lines.read_line(&mut line).ok()? == 0 {
-                        return None;
-                    }
-                    if line == "\r\n" {
-                        polls.fetch_add(1, Ordering::Relaxed);
-                        std::thread::sleep(Duration::from_millis(200));
-                        let body = "{\"rev\":1,\"notices\":[]}";
-                        write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-                            .ok()?;
-                    }
-                }
-            });
+    listen(move |conn| {
+        let mut out = conn.try_clone().ok()?;
+        for line in BufReader::new(conn).lines() {
+            if line.ok()?.is_empty() {
+                polls.fetch_add(1, Ordering::Relaxed);
+                std::thread::sleep(Duration::from_millis(200));
+                let body = "{\"rev\":1,\"notices\":[]}";
+                write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
+            }
         }
-    });
-    at
+        None
+    })
 }
 
 /// Ends the process by its own id, however the test ends.
@@ -141,6 +133,12 @@
     (words[0].parse().unwrap(), words[1].clone())
 }
 
+/// A free port of a loopback address that only one test uses: on a shared one another test's host may take the port before
+/// the gateway does, and a client that tries a port of its own address may meet itself.
+fn free(last: u8) -> SocketAddr {
+    TcpListener::bind(SocketAddr::from(([127, 0, 0, last], 0))).unwrap().local_addr().unwrap()
+}
+
 /// Starts one and connects to it.
 fn start(file: &std::path::Path, listen: SocketAddr) -> (Gateway, TcpStream) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
@@ -159,7 +157,7 @@
 #[test]
 fn after_a_kill_it_comes_back_from_nothing() {
     let (board, hosts) = (board(Arc::default()), [host(false)]);
-    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let listen = free(2);
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("config.json");
     std::fs::write(&file, config(listen, board, &hosts)).unwrap();
@@ -181,8 +179,7 @@
     let polls = Arc::new(AtomicUsize::new(0));
     let (first, second) = (board(Arc::default()), board(polls.clone()));
     let hosts = [host(rough), host(rough)];
-    // A port that is free now; nobody else takes it within the moment.
-    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let listen = free(if rough { 3 } else { 4 });
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("config.json");
     std::fs::write(&file, config(listen, first, &hosts)).unwrap();
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -28,7 +28,7 @@
 use tidewall_pair::fate::margin;
 use tidewall_wire::{self as wire, Fields};
 use tracing::{debug, error, info, warn};
-use way::{Feed, Heard, Me, Name, Told, Way};
+use way::{Feed, Heard, Me, Name, News, Way};
 
 /// What a deadline's token stands for; the rest of it is the kind's own.
 pub(crate) const OF_CHOICE: u64 = 1 << 56;
@@ -755,21 +755,6 @@
     }
 }
 
-#[derive(Default)]
-struct News {
-    lists: Vec<(Vec<Entry>, bool)>,
-}
-
-impl Told for News {
-    fn list(&mut self, entries: &[Entry], whole: bool) {
-        self.lists.push((entries.to_vec(), whole));
-    }
-
-    fn said(&mut self, reason: &str) {
-        warn!(reason, "the roster told");
-    }
-}
-
 /// What a worker says on one of its connections, as the gateway hears it.
 struct Ears<'a, N: Net> {
     gw: &'a mut Gateway<N>,
--- a/crates/tidewall-gateway/src/way.rs
+++ b/crates/tidewall-gateway/src/way.rs
@@ -105,6 +105,22 @@
     fn said(&mut self, reason: &str);
 }
 
+/// Lists that were told, to be taken over once their message was read whole.
+#[derive(Default)]
+pub struct News {
+    pub lists: Vec<(Vec<Entry>, bool)>,
+}
+
+impl Told for News {
+    fn list(&mut self, entries: &[Entry], whole: bool) {
+        self.lists.push((entries.to_vec(), whole));
+    }
+
+    fn said(&mut self, reason: &str) {
+        tracing::warn!(reason, "the roster told");
+    }
+}
+
 /// Where the list of workers comes from.
 pub trait Feed {
     fn at(&self) -> SocketAddr;
--- a/crates/tidewall-platform-door/tests/help/mod.rs
+++ b/crates/tidewall-platform-door/tests/help/mod.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tidewall_gateway::carrier::Setup;
-use tidewall_gateway::list::{Entry, NoShelf};
-use tidewall_gateway::way::Told;
+use tidewall_gateway::list::NoShelf;
+use tidewall_gateway::way::News;
 use tidewall_gateway::{Gateway, Start};
 use tidewall_net::memory::{self, Memory, World};
 use tidewall_net::{App, Conn, Listener, Net, Time, Why};
@@ -52,7 +52,6 @@
     launches: Rc<Cell<usize>>,
     /// What a board answers next; nothing is silence.
     pub news: Option<String>,
-    pub rev: u64,
 }
 
 impl Peer {
@@ -177,15 +176,6 @@
     format!("{{{place},\"zone\":\"z\",\"kind\":\"k\",\"cell\":0,\"weight\":4,\"started_ms\":0}}")
 }
 
-struct First(Vec<(Vec<Entry>, bool)>);
-
-impl Told for First {
-    fn list(&mut self, entries: &[Entry], whole: bool) {
-        self.0.push((entries.to_vec(), whole));
-    }
-    fn said(&mut self, _: &str) {}
-}
-
 pub fn site(does: &[Does]) -> Site {
     site_of(does, 128)
 }
@@ -203,7 +193,6 @@
         conns: Vec::new(),
         launches: launches.clone(),
         news: None,
-        rev: 1,
     };
     let mut board = peer(Role::Board);
     board.net.listen(at(BOARD)).unwrap();
@@ -216,7 +205,7 @@
     let client = peer(Role::Client);
     let list: Vec<String> = (0..does.len()).map(|wk| host(wk, "up")).collect();
     let config = config::read(CONFIG.replace("HOSTS", &list.join(",")).as_bytes()).ok().unwrap();
-    let mut first = First(Vec::new());
+    let mut first = News::default();
     let rev = take(&config.known, 0, &mut first).unwrap();
     let moved = Rc::new(Cell::new(None));
     let again = moved.clone();
@@ -252,7 +241,7 @@
     let mut gateway =
         Gateway::with(hand.clone(), start, Box::new(NoShelf), Rc::new(Lines), Box::new(feed)).unwrap();
     gateway.linger(8_000);
-    first.0.iter().for_each(|(entries, whole)| gateway.list(entries, *whole));
+    first.lists.iter().for_each(|(entries, whole)| gateway.list(entries, *whole));
     gateway.open(at(GATEWAY), Box::new(Platform::new(0, most, vec![false, true, false]))).unwrap();
     let mut site = Site { world, gateway, hand, board, moved, hosts, client, tag: 0 };
     site.pass(100);
