Only events of functions that a worker knows pay for orders to load

At fault: Choice::arrive pushed every call to `arrivals`; Choice::hold let an order go for a function of which nothing was known.

Change: a function is shown by a worker's good answer, miss or end of an order; from then on its events count, and those in hand as of when they came. Among many gateways nothing is ordered before that.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -211,14 +211,11 @@
     pub fn arrive(&mut self, arrival: Arrival) {
         let (now, f) = (self.now, arrival.function);
         let e = self.events.insert(Evt { arrival, came: now, ..Evt::default() });
-        let window = self.settings.span("extra.load-window-ms");
-        if window > 0 {
-            // Here too: it may be hours to the next order.
-            self.forget_arrivals(window);
-            self.arrivals.push_back(now);
-        }
+        // Here too: it may be hours to the next order.
+        self.forget_arrivals(self.settings.span("extra.load-window-ms"));
         self.arrived.add(now, 1);
         self.know(&arrival);
+        self.arrivals.extend(self.functions[f].shown.then_some(now));
         let function = &mut self.functions[f];
         function.last = now;
         function.events += 1;
@@ -363,6 +360,21 @@
         }
     }
 
+    /// A worker has shown that it knows this function: a good answer, a miss or the end of an order. From now
+    /// on its events count for the ration, and those in hand as of when they came. Guards against calls of
+    /// what does not exist, by the hundred, withdrawn or turned away at once: the users count none, and
+    /// a few of them would buy an order that nothing pays for.
+    fn show(&mut self, f: usize, outcome: Outcome) {
+        let shows = matches!(outcome, Outcome::Ok | Outcome::Miss);
+        if !shows || std::mem::replace(&mut self.functions[f].shown, true) {
+            return;
+        }
+        for (_, evt) in self.events.iter().filter(|e| e.1.arrival.function == f) {
+            let at = self.arrivals.partition_point(|t| *t <= evt.came);
+            self.arrivals.insert(at, evt.came);
+        }
+    }
+
     fn forget_arrivals(&mut self, window: Time) {
         while self.arrivals.front().is_some_and(|t| t + window <= self.now + 1) {
             self.arrivals.pop_front();
@@ -372,8 +384,10 @@
     /// Every order to load passes here: drains, the ration, and one order at a time for a seat.
     fn hold(&mut self, f: usize, s: usize, copies: u32, needed: bool) -> bool {
         let (now, seat) = (self.now, self.functions[f].seats[s]);
-        let on = self.workers[seat.wk].listed.standing == Standing::On;
-        if !self.settings.is("extra.orders", "true") || !on || seat.pending > 0 || seat.barred_until > now {
+        // Among many gateways the first launch shows whether there is such a function; no order goes before.
+        let shown = self.functions[f].shown || !self.told.many;
+        let on = self.workers[seat.wk].listed.standing == Standing::On && seat.barred_until <= now;
+        if !self.settings.is("extra.orders", "true") || !on || !shown || seat.pending > 0 {
             return false;
         }
         let window = self.settings.span("extra.load-window-ms");
@@ -384,9 +398,9 @@
             }
             self.forget_arrivals(window);
             // Orders of a life before a restart may still count, so the free ones come only after a window.
-            let free =
-                if now > self.started + window { self.settings.number("extra.free-loads") } else { 0.0 };
-            let ration = free + self.settings.number("extra.load-share") * self.arrivals.len() as f64;
+            let free = if now > self.started + window { "extra.free-loads" } else { "" };
+            let ration = self.settings.number(free)
+                + self.settings.number("extra.load-share") * self.arrivals.len() as f64;
             // Renewals leave half the ration to copies that are missing.
             let ration = if needed { ration } else { ration / 2.0 };
             if (self.orders.len() + 1) as f64 > ration {
@@ -749,6 +763,7 @@
         let arrival = evt.arrival;
         let (f, now) = (arrival.function, self.now);
         self.workers[wk].in_flight -= 1;
+        self.show(f, outcome);
         let s = self.seat_of(f, wk).expect("a launch that is out keeps its function's seat");
         self.functions[f].seats[s].flight -= 1;
         if matches!(outcome, Outcome::Ok | Outcome::Full) {
@@ -806,11 +821,8 @@
         if evt.out() > 0 {
             return;
         }
-        let again = match outcome {
-            Outcome::Miss => true,
-            // The users' way: up to two further launches, none while this gateway sees overload.
-            _ => evt.further < 2 && !self.overloaded(),
-        };
+        // The users' way: up to two further launches, none while this gateway sees overload.
+        let again = outcome == Outcome::Miss || evt.further < 2 && !self.overloaded();
         let evt = &mut self.events[e];
         evt.further += u32::from(outcome != Outcome::Miss);
         let lost = self.types[arrival.typ].repeat == Repeat::AtMostOnce && !evt.proven_not_run();
@@ -901,6 +913,7 @@
     pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, copies: u32) {
         let (now, many) = (self.now, self.told.many);
         let Some(s) = self.seat_of(f, wk) else { return };
+        self.show(f, outcome);
         // No room or a failed load: the same order at once would fail again.
         let barred = now + self.spread(if many { 4 * SECOND } else { SECOND / 2 });
         let seat = &mut self.functions[f].seats[s];
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -248,6 +248,47 @@
     assert_eq!((given, holds(&gw)), (orders, orders));
 }
 
+// The fleet's join day: 200 calls of one function that no worker knows, each turned away at once, beside 48 events of
+// the users: "17 LOAD orders within 10.0 s, in which it took 48 requests".
+#[test_case(None, false; "that nothing is known of")]
+#[test_case(Some(Outcome::Error), false; "that workers call an error")]
+#[test_case(Some(Outcome::Full), false; "turned away unseen")]
+#[test_case(Some(Outcome::Miss), true; "that a worker lacks")]
+#[test_case(Some(Outcome::Ok), true; "that a worker has")]
+fn only_events_of_known_functions_pay_for_orders(end: Option<Outcome>, paid: bool) {
+    let ration = [("extra.load-window-ms", "10000"), ("extra.load-share", "0.2"), MANY[0]];
+    let mut gw = gateway(2, &ration);
+    let first = arrive(&mut gw, 0);
+    for _ in 1..200 {
+        let evt = arrive(&mut gw, 0);
+        if evt != first {
+            gw.lapsed(evt);
+        }
+    }
+    let waiting = gw.arrivals.len();
+    if let Some(outcome) = end {
+        gw.ended(first, 0, (outcome, 1), outcome == Outcome::Ok, 0);
+        for _ in 0..199 {
+            arrive(&mut gw, 0);
+        }
+    }
+    assert_eq!((waiting, gw.arrivals.len() >= 200), (0, paid));
+    assert!(paid || gw.arrivals.is_empty());
+}
+
+#[test_case(false, 0; "of which nothing is known")]
+#[test_case(true, 1; "that a worker lacks")]
+fn among_many_no_order_goes_for_a_function(missed: bool, orders: usize) {
+    let mut gw = gateway(2, &MANY[..1]);
+    let evt = arrive(&mut gw, 0);
+    if missed {
+        gw.ended(evt, 0, (Outcome::Miss, 1), false, 0);
+    }
+    gw.functions[0].n = 2;
+    gw.order(0);
+    assert_eq!(holds(&gw).min(1), orders);
+}
+
 #[test_case(9_999, false; "still in the window")]
 #[test_case(10_001, true; "out of it")]
 fn old_orders_leave_the_ration(ms: Time, given: bool) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -151,6 +151,8 @@
     pub lanes: u32,
     /// Smoothed own warm latency; 0 where there is none yet.
     pub run: f64,
+    /// A worker has shown that it knows it.
+    pub shown: bool,
     /// An answer came since the last release of a copy.
     pub news: bool,
     pub crowded: Time,
