Connections to all workers together stay within the descriptors told

Change: Budget names the connections to all workers together; the carrier keeps the sum. The one that has been idle for longest makes room, at once; with none idle the launch is turned away as full, which proves that it has not run. What a worker may have is shared out again as the list changes. Native settings bound each worker's, as before.

Test: ten workers, three connections, one launch each of forty functions; fails without the bound (ten connections).

--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -32,15 +32,15 @@
     let config = config::read(&text).map_err(|e| input(named(e)))?;
     let mut first = News::default();
     let rev = take(&config.known, 0, &mut first).map_err(|e| input(named(format!("field known: {e}"))))?;
-    let workers = first.lists.iter().map(|l| l.0.len()).max().unwrap_or(0);
     let s = &config.settings;
     let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
-    let budget = share(config.sockets as usize, workers, priced);
+    let budget = share(config.sockets as usize, priced);
     let setup = Setup {
         most_held: s.number("allowed.most-held") as usize,
         connect_time_out: s.span("allowed.connect-timeout-ms"),
         streams: s.number("allowed.streams-per-conn") as usize,
         connections: budget.a_worker,
+        links: budget.links,
         spread: budget.spread,
         // Ours end first: a launch that crosses the host's own close may have run.
         keep_alive: s.span("allowed.keepalive-ms") * 3 / 4,
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -26,6 +26,8 @@
     pub connect_time_out: Time,
     pub streams: usize,
     pub connections: usize,
+    /// Connections to all workers together.
+    pub links: usize,
     /// With so many launches on each connection another one is made, while there may be more: what breaks one then ends fewer.
     pub spread: usize,
     pub keep_alive: Time,
@@ -76,6 +78,13 @@
     deadline: Option<Deadline>,
 }
 
+impl Setup {
+    /// Connections to one of so many workers. Workers are replaced: the old one's may still stand beside the new one's.
+    fn a_worker(&self, workers: usize) -> usize {
+        self.connections.min(self.links / (2 * workers.max(4))).max(1)
+    }
+}
+
 impl Out {
     fn is_launch_of(&self, event: u64) -> bool {
         self.event == event && matches!(self.task, Task::Launch { .. })
@@ -198,6 +207,8 @@
 pub struct Carrier<N: Net> {
     pub net: N,
     setup: Setup,
+    /// Connections that each worker may have, now that there are so many workers.
+    a_worker: usize,
     pub types: Vec<String>,
     pub tenants: Vec<String>,
     zones: Vec<String>,
@@ -250,6 +261,7 @@
         let plain = |key: &str| settings.text(key).split(',').map(str::to_string).collect();
         Carrier {
             net,
+            a_worker: setup.a_worker(0),
             setup,
             types: named("classes"),
             tenants: named("tenants"),
@@ -689,17 +701,19 @@
         let least = |l: &usize| (self.links[*l].partial.is_some(), self.links[*l].streams);
         let ready = links.clone().filter(|l| self.links[*l].greeted).min_by_key(least);
         let coming = links.clone().find(|l| !self.links[*l].greeted);
-        let more = self.wks[out.wk].links.len() < self.setup.connections;
+        let more = self.wks[out.wk].links.len() < self.a_worker;
         let full = ready.is_some_and(|l| self.links[l].streams + 1 >= self.setup.spread);
-        let spare = (launch && more && full && coming.is_none()).then_some(self.wks[out.wk].at).flatten();
+        let free = self.links.len() < self.setup.links;
+        let spare =
+            (launch && more && free && full && coming.is_none()).then_some(self.wks[out.wk].at).flatten();
         let (link, at) = (ready.or(coming), self.wks[out.wk].at);
         if let Some(at) = spare {
             self.open_link(out.wk, at);
         }
         let link = match (link, at) {
             (Some(link), _) => link,
-            (None, Some(at)) if more => self.open_link(out.wk, at),
-            // All streams of all connections are taken.
+            (None, Some(at)) if more && (free || self.end_idle()) => self.open_link(out.wk, at),
+            // All streams of all connections are taken, or all descriptors are in use.
             _ => {
                 return self.at_once(key, Outcome::Full);
             }
@@ -713,6 +727,25 @@
         }
     }
 
+    /// Ends the connection that has been idle for longest; false where none is.
+    fn end_idle(&mut self) -> bool {
+        let idle = self.links.iter().filter(|l| l.1.waiting.is_empty() && l.1.sent.is_empty());
+        let Some((key, conn, wk)) = idle.min_by_key(|l| l.1.used).map(|l| (l.0, l.1.conn, l.1.wk)) else {
+            return false;
+        };
+        // At once, not at the end of the wake-up: its descriptor is wanted now. Nothing is heard of it any more.
+        self.net.reset(conn);
+        let link = self.links.remove(key);
+        self.no_greeting(&link);
+        self.wks[wk].links.retain(|l| *l != key);
+        true
+    }
+
+    /// The list has changed: connections are shared out again.
+    pub fn share_out(&mut self) {
+        self.a_worker = self.setup.a_worker(self.wks.iter().filter(|w| w.known()).count());
+    }
+
     fn open_link(&mut self, wk: usize, at: SocketAddr) -> usize {
         let conn = self.net.connect(at, self.setup.connect_time_out);
         self.counts.connections += 1;
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -606,6 +606,7 @@
         if whole {
             self.core.choice.host.only(&entries);
         }
+        self.core.choice.host.share_out();
         self.unsaved();
     }
 
--- a/crates/tidewall-gateway/src/start.rs
+++ b/crates/tidewall-gateway/src/start.rs
@@ -13,6 +13,8 @@
         connect_time_out: limits.span("connect_time_out_ms"),
         streams: limits.whole("streams") as usize,
         connections: limits.whole("connections") as usize,
+        // The settings bound them for each worker.
+        links: usize::MAX,
         spread: usize::MAX,
         keep_alive: limits.span("keep_alive_ms"),
         probe_time_out: limits.span("probe_time_out_ms"),
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -249,6 +249,7 @@
         connect_time_out: 2_500,
         streams: 512,
         connections: 2,
+        links: usize::MAX,
         spread: usize::MAX,
         keep_alive: 300_000,
         probe_time_out: 5_000,
--- a/crates/tidewall-platform-door/tests/help/mod.rs
+++ b/crates/tidewall-platform-door/tests/help/mod.rs
@@ -177,11 +177,11 @@
 }
 
 pub fn site(does: &[Does]) -> Site {
-    site_of(does, 128)
+    site_of(does, 128, 100)
 }
 
 /// Joins gateway, board, one host for each of `does`, and a client, in this order.
-pub fn site_of(does: &[Does], most: usize) -> Site {
+pub fn site_of(does: &[Does], most: usize, links: usize) -> Site {
     let world = memory::world();
     let hand = Memory::join(&world);
     let launches = Rc::new(Cell::new(0));
@@ -220,6 +220,7 @@
         connect_time_out: 2_500,
         streams: 32,
         connections: 4,
+        links: links,
         spread: 1,
         keep_alive: 300_000,
         probe_time_out: 2_500,
--- a/crates/tidewall-platform-door/tests/service.rs
+++ b/crates/tidewall-platform-door/tests/service.rs
@@ -121,6 +121,25 @@
     assert_eq!((s.client.text(conn), s.gateway.held()), (failed(1), 0));
 }
 
+// One connection to each of hundreds of workers is more than 256 descriptors: the sum is bounded, and an idle one makes room.
+#[test_case(Does::Answers, 3, 40, true; "idle ones make room")]
+#[test_case(Does::Nothing, 3, 3, false; "with none idle the rest is turned away")]
+fn connections_stay_within_what_is_told(does: Does, links: usize, launches: usize, served: bool) {
+    let mut s = site_of(&[does; 10], 128, links);
+    let conn = s.connect();
+    for i in 1..=40 {
+        s.send(conn, &call(i, i, "check", 2000).replace(FUNCTION, &format!("{i:016x}")));
+        s.pass(if served { 200 } else { 2 });
+        assert!(s.gateway.links() <= links, "{}", s.gateway.links());
+    }
+    s.pass(3 * SECOND);
+    let text = s.client.text(conn);
+    let answers = (1..=40).filter(|i| {
+        text.contains(&format!("*{}", if served { ok(*i) } else { failed(*i) }.trim_start_matches('*')))
+    });
+    assert_eq!((answers.count() == 40, s.launches() >= launches, s.gateway.held()), (served, true, 0));
+}
+
 // A bad client gets a word within 3 s; a good one beside it notices nothing.
 #[test_case("GET / HTTP/1.1\r\n\r\n", "-ERR array: '*' expected\r\n"; "another protocol")]
 #[test_case("*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$5\r\ncheck\r\n$0\r\n\r\n$60000000\r\n", "-ERR word: 60000000 bytes, at most 16384\r\n"; "sixty megabytes")]
@@ -185,7 +204,7 @@
 // Places run out: silent ones go first, oldest first; one with a call open never goes.
 #[test]
 fn silent_connections_make_room() {
-    let mut s = site_of(&[Does::Nothing], 4);
+    let mut s = site_of(&[Does::Nothing], 4, 100);
     let busy = s.connect();
     s.send(busy, &call(1, 1, "check", 2000));
     s.pass(10);
--- a/crates/tidewall-platform/src/budget.rs
+++ b/crates/tidewall-platform/src/budget.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     pub clients: usize,
+    /// To all workers together, and to one of them.
+    pub links: usize,
     pub a_worker: usize,
     /// Launches on a connection before another one is made.
     pub spread: usize,
@@ -14,13 +16,12 @@
 
 /// Usual clients hold a third of all; half leaves as many again for those that are about to be turned away.
 /// `priced`: connections to workers cost something of their own.
-pub fn share(sockets: usize, workers: usize, priced: bool) -> Budget {
+pub fn share(sockets: usize, priced: bool) -> Budget {
     let clients = (sockets / 2).saturating_sub(OWN / 2).max(1);
-    let rest = sockets.saturating_sub(clients + OWN);
-    // Workers are replaced: the old one's connections may still stand beside the new one's. Eight connections carry more
-    // than any worker runs.
-    let a_worker = (rest / (2 * workers.max(4))).clamp(1, 8);
+    let links = sockets.saturating_sub(clients + OWN).max(1);
+    // Eight connections carry more than any worker runs.
+    let a_worker = 8;
     // Where connections are free each launch has its own while there are places: one that breaks ends it alone.
     let spread = if priced { usize::MAX } else { 1 };
-    Budget { clients, a_worker, spread }
+    Budget { clients, links, a_worker, spread }
 }
--- a/crates/tidewall-platform/tests/codecs.rs
+++ b/crates/tidewall-platform/tests/codecs.rs
@@ -220,12 +220,11 @@
     assert_eq!(config::read(CONFIG.replace(from, to).as_bytes()).err().as_deref(), Some(reason));
 }
 
-#[test_case(256, 16; "few descriptors")]
-#[test_case(256, 60; "few for many hosts")]
-#[test_case(1024, 16; "usual")]
-fn budgets_stay_within_the_limit(sockets: usize, workers: usize) {
-    let b = budget::share(sockets, workers, false);
-    assert!(b.clients + b.a_worker * workers + 20 <= sockets, "{b:?}");
+#[test_case(256; "few")]
+#[test_case(1024; "usual")]
+fn budgets_stay_within_the_limit(sockets: usize) {
+    let b = budget::share(sockets, false);
+    assert!(b.clients + b.links + 20 <= sockets, "{b:?}");
     assert!(b.clients * 3 >= sockets, "usual clients hold a third: {b:?}");
 }
 
