A function keeps the first 128 workers of its order; a thousand workers in the smallest limits

Need: up to 350 processes and hundreds of workers, no bound below 1,024 on either list. A process test with 1,024 workers (one host answers for all), 1,024 peers, 256 descriptors (setrlimit) and 400 functions served all, over 128 descriptors, but took 34,852 kB at the most (33,544 with 1,016 added while it ran); the smallest limit is 32 MB. By size: a seat of 72 bytes for each worker in each function, doubled by the vector's growth.

Change: 128 seats a function, the first of its order, several times what choose and ask look at; filled again when workers that are gone are forgotten. Test of the module; the process test holds both ways. Up to 128 workers nothing changes.

--- a/crates/tidewall-cli/tests/platform.rs
+++ b/crates/tidewall-cli/tests/platform.rs
@@ -87,13 +87,18 @@
     }
 }
 
-fn config(listen: SocketAddr, board: SocketAddr, hosts: &[SocketAddr]) -> String {
+/// The hosts as a list tells them.
+fn listed(hosts: &[SocketAddr]) -> String {
     let host = |(i, at): (usize, &SocketAddr)| {
         format!(
             r#"{{"id":"s-{i}","addr":"{at}","zone":"z","kind":"k","cell":0,"state":"up","weight":4,"started_ms":0}}"#
         )
     };
-    let hosts = hosts.iter().enumerate().map(host).collect::<Vec<_>>().join(",");
+    hosts.iter().enumerate().map(host).collect::<Vec<_>>().join(",")
+}
+
+fn config(listen: SocketAddr, board: SocketAddr, hosts: &[SocketAddr]) -> String {
+    let hosts = listed(hosts);
     format!(
         r#"{{"name":"n0","listen":"{listen}","seed":"7","limits":{{"memory_mb":32,"sockets":256}},"board":"{board}",
  "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"version":0,"full":true,"servers":[{hosts}]}}}}]}},
@@ -173,6 +178,78 @@
     }
 }
 
+/// The smallest limits that the platform's pages name, 32 MB and 256 descriptors, with 1,024 workers (one host answers for all of
+/// them) and 1,024 peers: more of both than a fleet of the size that is planned, and more than there are descriptors.
+#[test_case(1024, 5; "listed at the start")]
+#[test_case(8, 6; "added while it runs")]
+fn a_thousand_workers_and_peers_within_the_smallest_limits(first: usize, last: u8) {
+    use std::os::unix::process::CommandExt;
+    let hosts = [host(false); 1024];
+    let all = listed(&hosts);
+    let board = listen(move |conn| {
+        let mut out = conn.try_clone().ok()?;
+        for line in BufReader::new(conn).lines() {
+            let line = line.ok()?;
+            if line.starts_with("GET ") {
+                let now = line.contains("watch=1&");
+                let pool =
+                    format!("{{\"rev\":2,\"pool\":{{\"version\":1,\"full\":true,\"servers\":[{all}]}}}}");
+                let news = if now { pool.as_str() } else { "" };
+                std::thread::sleep(Duration::from_millis(200));
+                let body = format!("{{\"rev\":2,\"notices\":[{news}]}}");
+                write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
+            }
+        }
+        None
+    });
+    let (at, folder) = (free(last), tempfile::tempdir().unwrap());
+    let file = folder.path().join("config.json");
+    let peers: Vec<String> =
+        (0..1024).map(|i| format!("\"127.1.{}.{}:{}\"", i / 250, i % 250 + 1, at.port())).collect();
+    let told =
+        format!("\"peer_listen\":\"{at}\",\"peers\":[{}],\"settings\":{{\"siblings\":1024,", peers.join(","));
+    let text = config(at, board, &hosts[..first]).replace("\"settings\":{", &told);
+    let text =
+        text.replace("\"siblings\":1,", "").replace("\"probes\":true", "\"probes\":true,\"peers\":true");
+    std::fs::write(&file, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
+    command.args(["--log", "error", "platform"]).env("ROUTER_CONFIG", &file);
+    let limit = libc::rlimit { rlim_cur: 256, rlim_max: 256 };
+    // SAFETY: setrlimit may be called between fork and exec, and its argument lives as long as the command.
+    unsafe {
+        command.pre_exec(move || match libc::setrlimit(libc::RLIMIT_NOFILE, &limit) {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        });
+    }
+    let gateway = Gateway(command.spawn().unwrap());
+    let until = Instant::now() + Duration::from_secs(10);
+    let conn = loop {
+        match TcpStream::connect(at) {
+            Ok(conn) => break conn,
+            Err(e) => assert!(Instant::now() < until, "{e}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    // The board has told them all by then.
+    std::thread::sleep(Duration::from_millis(500));
+    let (mut out, mut lines) = (conn.try_clone().unwrap(), BufReader::new(conn));
+    for tag in 1..=400 {
+        let call = call(tag, "check").replace("7f3a9c21e0b4d655", &format!("{tag:016x}"));
+        out.write_all(call.as_bytes()).unwrap();
+        assert_eq!(answer(&mut lines), (tag, "OK".to_string()));
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.0.id())).unwrap();
+    let peak = status
+        .lines()
+        .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+    let open = std::fs::read_dir(format!("/proc/{}/fd", gateway.0.id())).unwrap().count();
+    assert!(
+        peak.is_some_and(|p| p < 32 << 10) && (100..=256).contains(&open),
+        "{peak:?} kB, {open} descriptors"
+    );
+}
+
 #[test_case(false; "calm")]
 #[test_case(true; "rough")]
 fn a_life_on_the_platform(rough: bool) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -155,10 +155,8 @@
         let Some(w) = self.workers.get(wk) else { return true };
         let seat = |f: &Function| f.seats.iter().any(|s| s.wk == wk);
         let used = |e: &Evt| e.looks.contains(&wk) || e.sent().iter().any(|l| l.wk == wk);
-        let free = w.listed.standing == Standing::Gone
-            && w.in_flight == 0
-            && !self.functions.iter().any(seat)
-            && !self.events.iter().any(|e| used(e.1));
+        let gone = w.listed.standing == Standing::Gone && w.in_flight == 0;
+        let free = gone && !self.functions.iter().any(seat) && !self.events.iter().any(|e| used(e.1));
         if free {
             self.workers[wk] = Worker::default();
         }
@@ -195,6 +193,17 @@
         let own = weight(workers[wk].listed.hash);
         let at = f.seats.partition_point(|s| weight(workers[s.wk].listed.hash) > own);
         f.seats.insert(at, Seat { wk, copies, ..Seat::default() });
+        let over = f.seats.len() > SEATS;
+        f.seats.pop_if(|s| over && s.still());
+    }
+
+    /// The workers that come first in the order have their seats.
+    fn fill(&mut self, f: usize) {
+        for wk in 0..self.workers.len() {
+            if self.workers[wk].listed.standing != Standing::Gone && self.seat_of(f, wk).is_none() {
+                self.seat(f, wk, Copies::Unknown);
+            }
+        }
     }
 
     fn seat_of(&self, f: usize, wk: usize) -> Option<usize> {
@@ -209,7 +218,7 @@
         let (now, f) = (self.now, arrival.function);
         let e = self.events.insert(Evt { arrival, came: now, ..Evt::default() });
         // Here too: it may be hours to the next order.
-        self.forget_arrivals(self.settings.span("extra.load-window-ms"));
+        self.forget_old(self.settings.span("extra.load-window-ms"));
         self.arrived.add(now, 1);
         self.know(&arrival);
         self.arrivals.extend(self.functions[f].shown.then_some(now));
@@ -238,11 +247,7 @@
         let (hash, turn) = (arrival.function_hash, self.chance.below(64) as usize);
         let (typ, lanes) = (arrival.typ, arrival.lanes.max(1));
         self.functions[f] = Function { hash, live: true, typ, lanes, turn, ..Function::default() };
-        for wk in 0..self.workers.len() {
-            if self.workers[wk].listed.standing != Standing::Gone {
-                self.seat(f, wk, Copies::Unknown);
-            }
-        }
+        self.fill(f);
         self.ask(f);
     }
 
@@ -318,8 +323,8 @@
     }
 
     /// Departure: among many gateways a worker without room for a copy is passed over for a while, and the
-    /// next of the order takes its place; each event would miss there once more. So is a cold one in which this
-    /// gateway's share is used up: after a release most are, and events would find no copy they may go to.
+    /// next of the order takes its place; each event would miss there once more. So is a cold one in which
+    /// this gateway's share is used up: after a release most are, and no event could go to the first n.
     fn open(&self, f: usize, seat: &Seat) -> bool {
         let full = || seat.barred_until > self.now && seat.copies == Copies::Absent;
         self.trusted(seat.wk)
@@ -372,10 +377,10 @@
         }
     }
 
-    fn forget_arrivals(&mut self, window: Time) {
-        while self.arrivals.front().is_some_and(|t| t + window <= self.now + 1) {
-            self.arrivals.pop_front();
-        }
+    /// Orders as old as the window still count, events must be younger: the safe way for both.
+    fn forget_old(&mut self, window: Time) {
+        self.orders.drain(..self.orders.partition_point(|t| t + window + 1 < self.now));
+        self.arrivals.drain(..self.arrivals.partition_point(|t| t + window <= self.now + 1));
     }
 
     /// Every order to load passes here: drains, the ration, and one order at a time for a seat.
@@ -389,17 +394,12 @@
         }
         let window = self.settings.span("extra.load-window-ms");
         if window > 0 {
-            // Orders as old as the window still count, events must be younger: the safe way for both.
-            while self.orders.front().is_some_and(|t| t + window + 1 < now) {
-                self.orders.pop_front();
-            }
-            self.forget_arrivals(window);
+            self.forget_old(window);
             // Orders of a life before a restart may still count, so the free ones come only after a window.
             let free = if now > self.started + window { "extra.free-loads" } else { "" };
-            let ration = self.settings.number(free)
-                + self.settings.number("extra.load-share") * self.arrivals.len() as f64;
+            let earned = self.settings.number("extra.load-share") * self.arrivals.len() as f64;
             // Renewals leave half the ration to copies that are missing.
-            let ration = if needed { ration } else { ration / 2.0 };
+            let ration = (self.settings.number(free) + earned) / if needed { 1.0 } else { 2.0 };
             if (self.orders.len() + 1) as f64 > ration {
                 return false;
             }
@@ -723,10 +723,8 @@
     fn call_off(&mut self, e: usize, but: usize) {
         for i in 0..self.events[e].count {
             let state = self.events[e].launches[i].state;
-            if i != but
-                && matches!(state, State::Out | State::Overdue)
-                && self.settings.is("allowed.cancel", "true")
-            {
+            let out = i != but && matches!(state, State::Out | State::Overdue);
+            if out && self.settings.is("allowed.cancel", "true") {
                 self.events[e].launches[i].state = State::Cancelled;
                 self.host.cancel(e, i);
             }
@@ -802,9 +800,8 @@
             // spoilt answer that costs a good worker all its trust; a worker that died fails again at once.
             Outcome::Reset if self.workers[wk].broke_at == now => {}
             Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
-                if outcome == Outcome::Reset {
-                    self.workers[wk].broke_at = now;
-                }
+                let w = &mut self.workers[wk];
+                w.broke_at = if outcome == Outcome::Reset { now } else { w.broke_at };
                 if state == State::Out {
                     self.failed(wk);
                 }
@@ -1030,18 +1027,22 @@
         let (function, workers) = (&mut self.functions[f], &self.workers);
         // Guards against machines that are replaced again and again: each would leave a seat to look past.
         let gone = |wk: usize| workers[wk].listed.standing == Standing::Gone;
-        function.seats.retain(|s| !gone(s.wk) || s.flight + s.pending + s.asks > 0);
+        let before = function.seats.len();
+        function.seats.retain(|s| !gone(s.wk) || !s.still());
         // An answer that is still to come would be taken for one about the index's next user.
-        let still = |s: &Seat| s.flight == 0 && s.pending == 0 && s.asks == 0;
-        let idle = function.events == 0 && function.seats.iter().all(still);
+        let idle = function.events == 0 && function.seats.iter().all(Seat::still);
         if idle && function.n == 0 && now > function.last + 2 * keep {
-            function.live = false;
-            function.seats.clear();
+            (function.live, function.seats) = (false, Vec::new());
             self.host.forget(f);
+        } else if function.seats.len() < before {
+            self.fill(f);
         }
     }
 }
 
+/// Seats of a function at most, several times what an event looks at: a thousand functions have them.
+const SEATS: usize = 128;
+
 /// Where the learned bound starts and where it stops growing: a few times what two cores run at once, and
 /// far above what any worker's queue was seen to take.
 const BOUND_START: f64 = 8.0;
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -289,6 +289,22 @@
     assert_eq!(holds(&gw).min(1), orders);
 }
 
+// A seat for each of 1,024 workers in each of 400 functions took 34 MB of the smallest gateway's 32.
+#[test]
+fn seats_are_bounded_and_filled_again() {
+    let mut gw = gateway(1024, &[MANY[0]]);
+    stand(&mut gw, 0, 1);
+    let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
+    let (first, mut all) = (order(&gw), (0..1024).collect::<Vec<_>>());
+    all.sort_by_key(|wk| std::cmp::Reverse(mix(listed(*wk).1.hash, 99)));
+    assert_eq!((first.len(), &first[..]), (SEATS, &all[..SEATS]));
+    for wk in &first[..100] {
+        gw.list(&[(*wk, Listed { standing: Standing::Gone, ..listed(*wk).1 })], false);
+    }
+    gw.forget(0);
+    assert_eq!(order(&gw), all[100..100 + SEATS]);
+}
+
 // The fleet's join day: after a release nine in ten events that were turned away had a cold head without room as the only one
 // of the first n, and a warm worker behind it.
 #[test_case("300", 1; "among many the next of the order takes its place")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,6 +143,13 @@
     pub barred_until: Time,
 }
 
+impl Seat {
+    /// Nothing is out or awaited there.
+    pub fn still(&self) -> bool {
+        self.flight == 0 && self.pending == 0 && self.asks == 0
+    }
+}
+
 #[derive(Default)]
 pub struct Function {
     pub hash: u64,
