Property test: the ration is kept over a gateway's lives

Random rushes, pauses, renewals and kills, 40 seeds; each order against what is counted at the workers over all lives.

--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -265,6 +265,57 @@
     assert_eq!(first + then, orders);
 }
 
+// A life knows nothing of the one before; what is counted at the workers goes on. Rushes, pauses, renewals and kills by chance.
+#[test]
+fn the_ration_is_kept_over_lives() {
+    let ration = [("extra.load-window-ms", "10000"), ("extra.free-loads", "4"), ("extra.load-share", "0.2")];
+    let (mut tight, mut lives) = (0, 0);
+    for seed in 0..40 {
+        let mut chance = Chance::new(seed);
+        let (mut gw, mut now, mut rush) = (gateway(20, &ration), NOW, 1);
+        let (mut came, mut ordered) = (Vec::new(), Vec::new());
+        stand(&mut gw, 0, 0);
+        for _ in 0..1500 {
+            now += Time::from(chance.below([400, 4000, 20_000][rush]));
+            gw.clock(now);
+            match chance.below(100) {
+                0 => {
+                    // Killed, and back at once.
+                    gw = gateway(20, &ration);
+                    (gw.started, lives) = (now, lives + 1);
+                    gw.clock(now);
+                    stand(&mut gw, 0, 0);
+                }
+                1..=3 => rush = chance.below(3) as usize,
+                4..=69 => {
+                    gw.arrivals.push_back(now);
+                    came.push(now);
+                }
+                _ => {
+                    for s in 0..chance.below(20) as usize {
+                        gw.functions[0].seats[s].pending = 0;
+                        let (window, needed) = (10 * SECOND, s % 4 > 0);
+                        gw.forget_old(window);
+                        if !gw.hold(0, s, 1, needed) {
+                            continue;
+                        }
+                        ordered.push(now);
+                        let young = |list: &[Time]| list.iter().filter(|t| **t + window > now).count() as f64;
+                        let most = 4.0 + 0.2 * young(&came);
+                        assert!(
+                            young(&ordered) <= most,
+                            "seed {seed}: {} orders at {now}, {most}",
+                            young(&ordered)
+                        );
+                        tight += usize::from(young(&ordered) + 1.0 > most);
+                    }
+                }
+            }
+        }
+    }
+    assert!(tight > 100 && lives > 100, "the rule was put to the test: {tight}, {lives}");
+}
+
 // The fleet's join day: 200 calls of one function that no worker knows, each turned away at once, beside 48 events of
 // the users: "17 LOAD orders within 10.0 s, in which it took 48 requests".
 #[test_case(None, false; "that nothing is known of")]
