Read through the fleet change: a check that could not fail, doubled test pieces, settings on the hot path

Cause, by reading the whole change again. The test of bounded connections compared "all FAILED" with false where events are deferred, so its second case passed whatever happened: it now counts each word (40 OK, or 40 BUSY, none FAILED); both cases fail with the bound taken out. The process test's upper bound of descriptors was the system's own limit: now 141, what the shares leave. It had its own board and start loop beside the ones there: one of each now. Since cold workers are passed over, each seat of one that is looked at read two settings by name: read once now.

--- a/crates/tidewall-cli/tests/platform.rs
+++ b/crates/tidewall-cli/tests/platform.rs
@@ -56,13 +56,17 @@
 
 /// A board that has nothing to tell; counts the polls.
 fn board(polls: Arc<AtomicUsize>) -> SocketAddr {
+    board_of(polls, "{\"rev\":1,\"notices\":[]}".to_string())
+}
+
+/// One that always tells this.
+fn board_of(polls: Arc<AtomicUsize>, body: String) -> SocketAddr {
     listen(move |conn| {
         let mut out = conn.try_clone().ok()?;
         for line in BufReader::new(conn).lines() {
             if line.ok()?.is_empty() {
                 polls.fetch_add(1, Ordering::Relaxed);
                 std::thread::sleep(Duration::from_millis(200));
-                let body = "{\"rev\":1,\"notices\":[]}";
                 write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
             }
         }
@@ -148,6 +152,10 @@
 fn start(file: &std::path::Path, listen: SocketAddr) -> (Gateway, TcpStream) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
     command.args(["--log", "error", "platform"]).env("ROUTER_CONFIG", file).stdout(Stdio::null());
+    started(command, listen)
+}
+
+fn started(mut command: Command, listen: SocketAddr) -> (Gateway, TcpStream) {
     let gateway = Gateway(command.spawn().unwrap());
     let until = Instant::now() + Duration::from_secs(10);
     loop {
@@ -186,22 +194,9 @@
     use std::os::unix::process::CommandExt;
     let hosts = [host(false); 1024];
     let all = listed(&hosts);
-    let board = listen(move |conn| {
-        let mut out = conn.try_clone().ok()?;
-        for line in BufReader::new(conn).lines() {
-            let line = line.ok()?;
-            if line.starts_with("GET ") {
-                let now = line.contains("watch=1&");
-                let pool =
-                    format!("{{\"rev\":2,\"pool\":{{\"version\":1,\"full\":true,\"servers\":[{all}]}}}}");
-                let news = if now { pool.as_str() } else { "" };
-                std::thread::sleep(Duration::from_millis(200));
-                let body = format!("{{\"rev\":2,\"notices\":[{news}]}}");
-                write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
-            }
-        }
-        None
-    });
+    // What the gateway has taken already it passes over.
+    let pool = format!("{{\"rev\":2,\"pool\":{{\"version\":1,\"full\":true,\"servers\":[{all}]}}}}");
+    let board = board_of(Arc::default(), format!("{{\"rev\":2,\"notices\":[{pool}]}}"));
     let (at, folder) = (free(last), tempfile::tempdir().unwrap());
     let file = folder.path().join("config.json");
     let peers: Vec<String> =
@@ -222,15 +217,7 @@
             _ => Err(std::io::Error::last_os_error()),
         });
     }
-    let gateway = Gateway(command.spawn().unwrap());
-    let until = Instant::now() + Duration::from_secs(10);
-    let conn = loop {
-        match TcpStream::connect(at) {
-            Ok(conn) => break conn,
-            Err(e) => assert!(Instant::now() < until, "{e}"),
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    };
+    let (gateway, conn) = started(command, at);
     // The board has told them all by then.
     std::thread::sleep(Duration::from_millis(500));
     let (mut out, mut lines) = (conn.try_clone().unwrap(), BufReader::new(conn));
@@ -239,13 +226,14 @@
         out.write_all(call.as_bytes()).unwrap();
         assert_eq!(answer(&mut lines), (tag, "OK".to_string()));
     }
+    // 116 to workers, one client and 24 of its own at most.
     let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.0.id())).unwrap();
     let peak = status
         .lines()
         .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse::<u64>().ok());
     let open = std::fs::read_dir(format!("/proc/{}/fd", gateway.0.id())).unwrap().count();
     assert!(
-        peak.is_some_and(|p| p < 32 << 10) && (100..=256).contains(&open),
+        peak.is_some_and(|p| p < 32 << 10) && (100..=141).contains(&open),
         "{peak:?} kB, {open} descriptors"
     );
 }
--- a/crates/tidewall-platform-door/tests/service.rs
+++ b/crates/tidewall-platform-door/tests/service.rs
@@ -122,22 +122,21 @@
 }
 
 // One connection to each of hundreds of workers is more than 256 descriptors: the sum is bounded, and an idle one makes room.
-#[test_case(Does::Answers, 3, 40, true; "idle ones make room")]
-#[test_case(Does::Nothing, 3, 3, false; "with none idle the rest is turned away")]
-fn connections_stay_within_what_is_told(does: Does, links: usize, launches: usize, served: bool) {
+#[test_case(Does::Answers, 40, 0; "idle ones make room")]
+#[test_case(Does::Nothing, 0, 40; "with none idle the rest is turned away")]
+fn connections_stay_within_what_is_told(does: Does, handled: usize, deferred: usize) {
+    let links = 3;
     let mut s = site_of(&[does; 10], 128, links);
     let conn = s.connect();
     for i in 1..=40 {
         s.send(conn, &call(i, i, "check", 2000).replace(FUNCTION, &format!("{i:016x}")));
-        s.pass(if served { 200 } else { 2 });
+        s.pass(200);
         assert!(s.gateway.links() <= links, "{}", s.gateway.links());
     }
     s.pass(3 * SECOND);
     let text = s.client.text(conn);
-    let answers = (1..=40).filter(|i| {
-        text.contains(&format!("*{}", if served { ok(*i) } else { failed(*i) }.trim_start_matches('*')))
-    });
-    assert_eq!((answers.count() == 40, s.launches() >= launches, s.gateway.held()), (served, true, 0));
+    let words = ["OK", "BUSY", "FAILED"].map(|w| text.matches(&format!("\r\n{w}\r\n")).count());
+    assert_eq!((words, s.gateway.held()), ([handled, deferred, 0], 0));
 }
 
 // A bad client gets a word within 3 s; a good one beside it notices nothing.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -102,6 +102,8 @@
             tick: choice.settings.span("tick-ms"),
             counts: choice.settings.text("reporting.names").split(',').any(|n| n == "rif"),
             cold: (choice.settings.span("rules.cold-ms"), choice.settings.number("rules.cold-from")),
+            tip: choice.settings.number("rules.tip-multiple"),
+            tips: choice.settings.span("rules.overload-for-ms"),
             on_miss: choice.settings.is("extra.if-cold", "miss"),
             twice: choice.settings.is("allowed.may-duplicate", "true"),
             most: (choice.settings.number("allowed.max-attempts") as usize).min(MOST_LAUNCHES),
@@ -362,10 +364,9 @@
         }
     }
 
-    /// A worker has shown that it knows this function: a good answer, a miss or the end of an order. From now
-    /// on its events count for the ration, and those in hand as of when they came. Guards against calls of
-    /// what does not exist, by the hundred, withdrawn or turned away at once: the users count none, and
-    /// a few of them would buy an order that nothing pays for.
+    /// A worker has shown that it knows this function. From now on its events count for the ration, and those
+    /// in hand as of when they came. Guards against calls of what does not exist, by the hundred, withdrawn or
+    /// turned away at once: the users count none, and a few of them would buy an order.
     fn show(&mut self, f: usize, outcome: Outcome) {
         let shows = matches!(outcome, Outcome::Ok | Outcome::Miss);
         if !shows || std::mem::replace(&mut self.functions[f].shown, true) {
@@ -637,11 +638,11 @@
             done.fold((0.0, 0.0, 0.0), |(n, sum, r), o| (n + 1.0, sum + f64::from(o.0) / 2.0, r + o.1));
         // Warm machines that are larger say too much of what this one can take.
         let size = if ratings > 0.0 { (w.listed.rating * count / ratings).min(1.0) } else { 1.0 };
-        let (weight, window) = (self.types[typ].run, self.settings.span("rules.overload-for-ms"));
+        let (weight, window) = (self.types[typ].run, self.told.tips);
         // At what each type is known to cost by now: events that turn out dear count as dear from then on.
         let sent = w.budget.iter().filter(|b| b.0 + window >= self.now);
         let used: f64 = sent.map(|b| self.types[b.1].run).sum();
-        let share = SHARE * self.settings.number("rules.tip-multiple") * part;
+        let share = SHARE * self.told.tip * part;
         let room = share * size * work / f64::max(count, 1.0) * window as f64 / SECOND as f64;
         used + w.luck * weight <= room
     }
@@ -654,7 +655,7 @@
     }
 
     fn launch(&mut self, e: usize, s: usize) {
-        let (now, window) = (self.now, self.settings.span("rules.overload-for-ms"));
+        let (now, window) = (self.now, self.told.tips);
         let evt = &mut self.events[e];
         let function = &mut self.functions[evt.arrival.function];
         let seat = &mut function.seats[s];
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -253,8 +253,7 @@
 #[test_case(30, 0, 4; "a rush that is nearly out of the window pays for nothing")]
 #[test_case(30, 10, 6; "but the free ones and those of what came since")]
 fn the_ration_holds_from_each_order_on(before: usize, since: usize, orders: usize) {
-    let ration = [("extra.load-window-ms", "10000"), ("extra.free-loads", "4"), ("extra.load-share", "0.2")];
-    let mut gw = gateway(20, &ration);
+    let mut gw = gateway(20, &RATION);
     stand(&mut gw, 0, 0);
     gw.arrivals.extend(vec![NOW; before]);
     gw.clock(NOW + 9 * SECOND);
@@ -268,11 +267,10 @@
 // A life knows nothing of the one before; what is counted at the workers goes on. Rushes, pauses, renewals and kills by chance.
 #[test]
 fn the_ration_is_kept_over_lives() {
-    let ration = [("extra.load-window-ms", "10000"), ("extra.free-loads", "4"), ("extra.load-share", "0.2")];
     let (mut tight, mut lives) = (0, 0);
     for seed in 0..40 {
         let mut chance = Chance::new(seed);
-        let (mut gw, mut now, mut rush) = (gateway(20, &ration), NOW, 1);
+        let (mut gw, mut now, mut rush) = (gateway(20, &RATION), NOW, 1);
         let (mut came, mut ordered) = (Vec::new(), Vec::new());
         stand(&mut gw, 0, 0);
         for _ in 0..1500 {
@@ -281,7 +279,7 @@
             match chance.below(100) {
                 0 => {
                     // Killed, and back at once.
-                    gw = gateway(20, &ration);
+                    gw = gateway(20, &RATION);
                     (gw.started, lives) = (now, lives + 1);
                     gw.clock(now);
                     stand(&mut gw, 0, 0);
--- a/src/choice/tests/help.rs
+++ b/src/choice/tests/help.rs
@@ -77,6 +77,10 @@
 /// Settings of a gateway among hundreds, which may probe.
 pub const MANY: [(&str, &str); 2] = [("siblings", "300"), ("allowed.probes", "true")];
 
+/// Four orders to load and a fifth of the events in ten seconds.
+pub const RATION: [(&str, &str); 3] =
+    [("extra.load-window-ms", "10000"), ("extra.free-loads", "4"), ("extra.load-share", "0.2")];
+
 pub fn listed(wk: usize) -> (usize, Listed) {
     let hash = (wk as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (wk, Listed { hash, zone: (wk % 2) as u32, standing: Standing::On, rating: 1.0, ..Listed::default() })
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,8 +15,10 @@
     pub tick: Time,
     /// Reports tell events in flight.
     pub counts: bool,
-    /// How long a worker is cold, and the part that it starts with.
+    /// How long a worker is cold, and the part that it starts with; it tips over so many times that, for so long.
     pub cold: (Time, f64),
+    pub tip: f64,
+    pub tips: Time,
     pub on_miss: bool,
     pub twice: bool,
     pub most: usize,
