--- a/src/choice.rs
+++ b/src/choice.rs
@@ -364,9 +364,9 @@
         }
     }
 
-    /// A worker has shown that it knows this function. From now on its events count for the ration, and
-    /// those in hand as of when they came. Guards against calls of what does not exist, by the hundred, withdrawn
-    /// or turned away at once: the users count none, and a few of them would buy an order.
+    /// A worker has shown that it knows this function: its events count for the ration from now on, and those
+    /// in hand as of when they came. Guards against calls of nothing by the hundred, withdrawn or turned away
+    /// at once: the users count none, and a few of them would buy an order.
     fn show(&mut self, f: usize, outcome: Outcome) {
         let shows = matches!(outcome, Outcome::Ok | Outcome::Miss);
         if !shows || std::mem::replace(&mut self.functions[f].shown, true) {
