Board: numbers that go back or skip change nothing, and the whole list is asked for

Cause, by reading: board::notices took any event behind the last number, so that a skipped one was never missed and an answer of lower numbers was passed over for ever. Also a whole list and what follows it in one answer were applied one after the other, so that a worker could be gone in between. Change: an answer whose numbers do not follow is not taken and the list is asked for from 0; what follows a whole list in one answer is folded into it. Ruled out: other kinds of events count as numbers too.

--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -6,7 +6,7 @@
 use tidewall_gateway::carrier::Setup;
 use tidewall_gateway::list::NoShelf;
 use tidewall_gateway::way::News;
-use tidewall_gateway::{Gateway, Start};
+use tidewall_gateway::{Gateway, Start, LINGER};
 use tidewall_net::mio::{self, Mio};
 use tidewall_platform::budget::share;
 use tidewall_platform::config;
@@ -18,9 +18,6 @@
 /// SIGHUP is a new configuration, the others are the end.
 const SIGNALS: [i32; 3] = [libc::SIGHUP, libc::SIGINT, libc::SIGTERM];
 
-/// After the signal to stop the front still sends for 0.6 s at most; what comes later than 0.7 s is lost.
-const LINGER: u64 = 8_000;
-
 /// A connection on which everything was given up and nothing is heard ends after this: several round trips and pauses.
 const SILENT: u64 = 30_000;
 
@@ -31,7 +28,8 @@
     let text = std::fs::read(&file).map_err(|e| input(named(e.to_string())))?;
     let config = config::read(&text).map_err(|e| input(named(e)))?;
     let mut first = News::default();
-    let rev = take(&config.known, 0, &mut first).map_err(|e| input(named(format!("field known: {e}"))))?;
+    let known = take(&config.known, 0, &mut first);
+    let rev = known.map_err(|e| input(named(format!("field known: {e}"))))?.unwrap_or(0);
     let s = &config.settings;
     are_good(s).map_err(|e| input(named(format!("field settings.{e}"))))?;
     let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
--- a/crates/tidewall-platform-door/src/board.rs
+++ b/crates/tidewall-platform-door/src/board.rs
@@ -80,20 +80,32 @@
     })
 }
 
-/// Takes events over, all of an answer or nothing. Gives back the number of the last one.
-pub fn take(json: &board::Json, last: u64, told: &mut dyn Told) -> Result<u64, String> {
+/// Takes events over, all of an answer or nothing. Gives back the number of the last one, or none where some between were
+/// not told: then nothing is taken, and the whole is to be asked for.
+pub fn take(json: &board::Json, last: u64, told: &mut dyn Told) -> Result<Option<u64>, String> {
     let (now, mut lists) = (unix(), Vec::new());
     let rev = board::notices(json, last, &mut |hosts, full| {
         lists.push((hosts.iter().map(|h| entry(h, now)).collect::<Result<Vec<_>, _>>(), full));
     })?;
-    let mut good = Vec::new();
+    let Some(rev) = rev else { return Ok(None) };
+    let mut good: Vec<(Vec<Entry>, bool)> = Vec::new();
     for (entries, full) in lists {
-        good.push((entries?, full));
+        let entries = entries?;
+        match good.last_mut().filter(|_| !full) {
+            // What follows a whole list in one answer is part of it: nobody is gone in between.
+            Some((whole, true)) => {
+                entries.into_iter().for_each(|e| match whole.iter_mut().find(|w| w.name == e.name) {
+                    Some(known) => *known = e,
+                    None => whole.push(e),
+                })
+            }
+            _ => good.push((entries, full)),
+        }
     }
     for (entries, full) in good {
         told.list(&entries, full);
     }
-    Ok(rev)
+    Ok(Some(rev))
 }
 
 impl Feed for Board {
@@ -107,7 +119,14 @@
 
     fn read(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
         let Some((len, goes_on, body)) = board::read(bytes)? else { return Ok(None) };
-        self.rev = take(&board::json(&body)?, self.rev, told)?;
+        let rev = take(&board::json(&body)?, self.rev, told)?;
+        if rev.is_none() {
+            warn!(
+                last = self.rev,
+                "the board's numbers do not follow each other: the whole list is asked for"
+            );
+        }
+        self.rev = rev.unwrap_or(0);
         (self.goes_on, self.breaks) = (goes_on, 0);
         Ok(Some(len))
     }
--- a/crates/tidewall-platform-door/tests/help/mod.rs
+++ b/crates/tidewall-platform-door/tests/help/mod.rs
@@ -206,7 +206,7 @@
     let list: Vec<String> = (0..does.len()).map(|wk| host(wk, "up")).collect();
     let config = config::read(CONFIG.replace("HOSTS", &list.join(",")).as_bytes()).ok().unwrap();
     let mut first = News::default();
-    let rev = take(&config.known, 0, &mut first).unwrap();
+    let rev = take(&config.known, 0, &mut first).unwrap().unwrap();
     let moved = Rc::new(Cell::new(None));
     let again = moved.clone();
     let feed = Board::new(
--- a/crates/tidewall-platform/src/board.rs
+++ b/crates/tidewall-platform/src/board.rs
@@ -101,13 +101,17 @@
 }
 
 /// Hands the events behind `last` on in their order, each as its list and whether it is all of it. Gives back the number of
-/// the last event; an error names the field, and nothing was handed on.
-pub fn notices(json: &Value, last: u64, tell: &mut dyn FnMut(&[Host], bool)) -> Result<u64, String> {
+/// the last event, or none where events are missing between it and `last`, or the numbers went back; an error names the field.
+/// Nothing was handed on then. With `last` 0 all that there is was asked for, and is taken as it is.
+pub fn notices(json: &Value, last: u64, tell: &mut dyn FnMut(&[Host], bool)) -> Result<Option<u64>, String> {
     let rev = json["rev"].as_u64().ok_or("field rev: no number")?;
     let notices = json["notices"].as_array().ok_or("field notices: no list")?;
-    let mut found = Vec::new();
+    let (mut found, mut numbers) = (Vec::new(), Vec::new());
     for notice in notices {
         let at = notice["rev"].as_u64().ok_or("field notices.rev: no number")?;
+        if at > last {
+            numbers.push(at);
+        }
         // Other kinds of events may be there.
         let Some(pool) = notice.get("pool") else { continue };
         let full = pool["full"].as_bool().ok_or("field pool.full: neither true nor false")?;
@@ -118,10 +122,18 @@
         }
     }
     found.sort_by_key(|f| f.0);
+    numbers.sort_unstable();
+    numbers.dedup();
+    // A whole list makes up for all that was before it.
+    let from = found.iter().rfind(|f| f.2).map_or(last, |f| f.0);
+    let missing = rev != from + numbers.iter().filter(|n| **n > from).count() as u64;
+    if last > 0 && (rev < last || missing) {
+        return Ok(None);
+    }
     for (_, hosts, full) in &found {
         tell(hosts, *full);
     }
-    Ok(rev.max(last))
+    Ok(Some(rev.max(last)))
 }
 
 fn host(json: &Value) -> Result<Host<'_>, String> {
--- a/crates/tidewall-platform/tests/codecs.rs
+++ b/crates/tidewall-platform/tests/codecs.rs
@@ -151,7 +151,10 @@
     }
     let (len, goes_on, body) = board::read(text.as_bytes()).unwrap().unwrap();
     assert_eq!((len, goes_on), (text.len(), true));
-    assert_eq!(board::notices(&board::json(&body).unwrap(), 3, &mut |_, _| ()), Ok(4));
+    let json = board::json(&body).unwrap();
+    // Nothing new behind 4; behind 3 one is missing.
+    let behind = [4, 3].map(|last| board::notices(&json, last, &mut |_, _| ()));
+    assert_eq!(behind, [Ok(Some(4)), Ok(None)]);
 }
 
 #[test_case("HTTP/1.1 500 No\r\n\r\n", "status: 500"; "another status")]
@@ -164,7 +167,7 @@
 }
 
 /// What is told of events behind number 4.
-fn heard(text: &str) -> (Result<u64, String>, Vec<String>) {
+fn heard(text: &str) -> (Result<Option<u64>, String>, Vec<String>) {
     let mut heard = Vec::new();
     let rev = board::notices(&board::json(text.as_bytes()).unwrap(), 4, &mut |hosts, full| {
         heard.push(format!("{full} {}", hosts.iter().map(|h| h.id).collect::<Vec<_>>().join(" ")));
@@ -183,7 +186,28 @@
     let other = r#"{"rev":6,"asset":{}}"#;
     let text =
         format!(r#"{{"rev":7,"notices":[{},{},{other},{}]}}"#, pool(7, "c"), pool(5, "b"), pool(4, "a"));
-    assert_eq!(heard(&text), (Ok(7), vec!["false b".to_string(), "false c".to_string()]));
+    assert_eq!(heard(&text), (Ok(Some(7)), vec!["false b".to_string(), "false c".to_string()]));
+}
+
+/// Behind number 4. What does not follow changes nothing and is asked for anew, whole; a whole list needs nothing before it.
+#[test_case(4, "", Some(4), 0; "nothing new")]
+#[test_case(6, "5 6", Some(6), 2; "two that follow")]
+#[test_case(6, "6 5 5", Some(6), 3; "in another order, and one told twice")]
+#[test_case(3, "", None, 0; "the numbers went back")]
+#[test_case(6, "6", None, 0; "one is left out")]
+#[test_case(7, "5 7", None, 0; "one is left out between others")]
+#[test_case(6, "5", None, 0; "the last one is left out")]
+#[test_case(9, "8! 9", Some(9), 2; "a whole list and one behind it")]
+#[test_case(9, "9!", Some(9), 1; "a whole list alone")]
+#[test_case(9, "5 7!", None, 0; "two are left out behind a whole list")]
+fn numbers_that_do_not_follow_each_other(rev: u64, told: &str, taken: Option<u64>, lists: usize) {
+    let pool = |n: &str| {
+        let (n, full) = (n.trim_end_matches('!'), n.ends_with('!'));
+        format!(r#"{{"rev":{n},"pool":{{"version":1,"full":{full},"servers":[{HOST}]}}}}"#)
+    };
+    let notices: Vec<String> = told.split_whitespace().map(pool).collect();
+    let (rev, heard) = heard(&format!(r#"{{"rev":{rev},"notices":[{}]}}"#, notices.join(",")));
+    assert_eq!((rev, heard.len()), (Ok(taken), lists));
 }
 
 #[test_case(r#"{"notices":[]}"#, "field rev: no number"; "no number")]
