What begins leaves at the end of a wake-up, only for clients that are still there

Cause, shown by sockets with the crossing forced: a call and its client's end that lay unread together began a launch (the read met the end one wake-up later); a launch on a connection that came up late was written though its client had left, where settings forbid cancelling; launches lay in a buffer behind a worker that reads nothing and left seconds later, followed by a halt, and a connection's end counted them as may-have-run; the first event after a start was taken back for what the start's list had said, and went on a second connection; a stop closed its listener over accepted connections and its sockets over unread bytes, so that a reset ate what was owed.

Change: App::all_told ends a wake-up, and only then what waits on a worker's connection leaves, as far as the socket takes it (Net::push); the rest stays waiting and is proven not run, for the time that a connection may take at most, which the module's window of repeats counts with. Clients are read twice before that. A listener that goes hands over what it had accepted; a stop goes on for 20 ms, waits until the peers' systems have taken the answers, and ends its half first. The native door lingers as the platform's does.

Ruled out: pauses hide no client's end (only connections that got their error are paused).

--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -13,7 +13,7 @@
 use tidewall_gateway::native::Native;
 use tidewall_gateway::pair::Ended;
 use tidewall_gateway::start::{keys, peering, start};
-use tidewall_gateway::Gateway;
+use tidewall_gateway::{Gateway, LINGER};
 use tidewall_net::mio::{self, Mio};
 use tidewall_pair::claim::next;
 use tidewall_pair::damp::Damp;
@@ -108,6 +108,10 @@
             let at = own.text("amqp_address").parse().expect("checked");
             gateway.open(at, Box::new(Amqp::new(1, &s))).map_err(input)?;
         }
+        if !s.has("pair") {
+            // Of a pair the other member takes over at once.
+            gateway.linger(LINGER);
+        }
         if s.has("fleet_common") {
             common.start(&s, me, seed, args.left_out, &told)?;
             gateway.watch(common.watch());
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -224,6 +224,10 @@
     turn: u32,
     pub links: Slab<Link>,
     pub opened: Vec<(Conn, usize)>,
+    /// Connections on which something waits to leave at the end of the wake-up, and what leaves on one, with each end.
+    due: Vec<usize>,
+    batch: Vec<u8>,
+    batched: Vec<(usize, usize)>,
     /// Workers that left or started anew: what waits for them was decided by what they were before.
     pub withdrawn: Vec<usize>,
     /// Who waits for the event that is taken next.
@@ -250,6 +254,9 @@
     pub most_come_back: Time,
 }
 
+/// A batch that grew for a burst gives its memory back: a few usual messages.
+const BATCH: usize = 16 << 10;
+
 /// So many given-up events of a connection are remembered: far more than a connection's streams, and an answer that crosses
 /// comes within a round trip.
 const GIVEN_UP: usize = 128;
@@ -277,6 +284,9 @@
             turn: 0,
             links: Slab::new(),
             opened: Vec::new(),
+            due: Vec::new(),
+            batch: Vec::new(),
+            batched: Vec::new(),
             withdrawn: Vec::new(),
             heirs: Vec::new(),
             grace: settings.span("rules.drain-grace-ms"),
@@ -621,14 +631,20 @@
         }
     }
 
-    /// An out whose deadline is due.
+    /// An out whose deadline is due; none where it has left and there is time for its end.
     pub fn late(&mut self, key: usize) -> Option<usize> {
+        let now = self.net.now();
         let out = self.outs.get_mut(key).filter(|o| !o.over)?;
         out.deadline = None;
+        if out.sent && now < out.until {
+            let until = out.until;
+            self.outs[key].deadline = Some(self.net.set(until, OF_OUT | key as u64));
+            return None;
+        }
         Some(key)
     }
 
-    /// The worker has told its name: what waited is sent.
+    /// The worker has told its name: what waited leaves at the end of the wake-up.
     pub fn greeted(&mut self, link: usize) {
         let now = self.net.now();
         let l = &mut self.links[link];
@@ -636,10 +652,12 @@
         if let Some(d) = l.greeting.take() {
             self.net.clear(d);
         }
-        for key in std::mem::take(&mut l.waiting) {
-            self.on(key, link, true);
-            self.send(key);
-        }
+        self.due.push(link);
+    }
+
+    /// Its socket takes more.
+    pub fn drained(&mut self, link: usize) {
+        self.due.push(link);
     }
 
     pub fn no_greeting(&mut self, link: &Link) {
@@ -721,9 +739,9 @@
         let l = &mut self.links[link];
         l.streams += usize::from(launch);
         let greeted = l.greeted;
-        self.on(key, link, greeted);
+        self.on(key, link, false);
         if greeted {
-            self.send(key);
+            self.due.push(link);
         }
     }
 
@@ -780,7 +798,67 @@
         self.known.push_back((key, count, outcome));
     }
 
-    fn send(&mut self, key: usize) {
+    /// The wake-up is over: what waits leaves. False once there was nothing.
+    pub fn leave(&mut self) -> bool {
+        let mut any = false;
+        while let Some(link) = self.due.pop() {
+            any = true;
+            self.leave_on(link);
+        }
+        any
+    }
+
+    /// What waits on a connection leaves as far as its socket takes it. The rest goes on waiting, and has provably not run:
+    /// of what the net holds of it only the end of one message has not left.
+    fn leave_on(&mut self, link: usize) {
+        let Some(l) = self.links.get(link).filter(|l| l.greeted && !l.waiting.is_empty()) else { return };
+        let (conn, now) = (l.conn, self.net.now());
+        let (mut batch, mut batched) = (std::mem::take(&mut self.batch), std::mem::take(&mut self.batched));
+        for i in 0..self.links[link].waiting.len() {
+            let key = self.links[link].waiting[i];
+            if !self.outs[key].over && self.waited_for(key) {
+                self.encode(key);
+                batch.extend_from_slice(&self.frame);
+                batched.push((key, batch.len()));
+            } else {
+                self.at_once(key, Outcome::Moot);
+            }
+        }
+        let left = self.net.push(conn, &batch);
+        let mut from = 0;
+        for &(key, to) in batched.iter().filter(|_| left > 0) {
+            if from >= left {
+                break;
+            }
+            if to > left {
+                // Begun: the rest of it has to follow.
+                self.net.write(conn, &batch[left..to]);
+            }
+            self.off(key);
+            self.on(key, link, true);
+            let task = self.outs[key].task;
+            let work = !matches!(task, Task::Probe | Task::Vote { .. });
+            let l = &mut self.links[link];
+            l.streams += usize::from(matches!(task, Task::Launch { .. }));
+            (l.used, l.written) = (now, l.written + to - from);
+            l.work = if work { l.written } else { l.work };
+            from = to;
+        }
+        batch.clear();
+        batch.shrink_to(BATCH);
+        batched.clear();
+        (self.batch, self.batched) = (batch, batched);
+    }
+
+    /// Whether anybody still waits for what this would begin: asked just before its first byte leaves.
+    fn waited_for(&self, key: usize) -> bool {
+        let Task::Launch { evt, .. } = self.outs[key].task else { return true };
+        let held = &self.events[evt];
+        held.open && self.net.now() < held.arrival.gives_up
+    }
+
+    /// Writes an out's message into `frame`.
+    fn encode(&mut self, key: usize) {
         let out = self.outs[key];
         let (id, now) = (self.wire_id(key), self.net.now());
         let epoch = self.copy.as_ref().map_or(0, |c| c.epoch);
@@ -816,18 +894,6 @@
             Task::Probe => self.way.probe(&mut self.frame, id),
             Task::Vote { ballot, accepting, .. } => self.vote(id, ballot, accepting),
         }
-        if self.put(out.link) {
-            let link = &mut self.links[out.link];
-            link.used = now;
-            if !matches!(out.task, Task::Probe | Task::Vote { .. }) {
-                link.work = link.written;
-            }
-        } else {
-            // A worker that accepts and never reads: its buffer is full, so nothing of this has left.
-            self.off(key);
-            self.outs[key].sent = false;
-            self.at_once(key, Outcome::Full);
-        }
     }
 
     pub(crate) fn out(&mut self, task: Task, wk: usize, copies: u32, until: Time) -> usize {
@@ -852,8 +918,14 @@
             stood,
             deadline: None,
         };
+        // What has not left by the time that a connection may take does not leave any more: its event moves on, and what it
+        // would take effect with later is what the decisions counted with.
+        let first = match task {
+            Task::Vote { .. } => until,
+            _ => until.min(at + self.setup.connect_time_out),
+        };
         let key = self.outs.insert(out);
-        self.outs[key].deadline = Some(self.net.set(until, OF_OUT | key as u64));
+        self.outs[key].deadline = Some(self.net.set(first, OF_OUT | key as u64));
         key
     }
 
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 const OF_VRRP: u64 = 10 << 56;
 const OF_SILENT: u64 = 11 << 56;
 const OF_LEAVE: u64 = 12 << 56;
+const OF_REST: u64 = 13 << 56;
 const OF_WHAT: u64 = 0xff << 56;
 
 /// How often links are looked at for being idle or silent: a tenth of a second is fine against times of
@@ -55,6 +56,14 @@
 /// Answers that clients do not read hold a drain up so long at most: a usual max age.
 const LAST: Time = 50_000;
 
+/// How long a gateway that is told to stop takes what still comes, where its settings or page name no other time: a front
+/// notices late, and the platform's still sends for 0.6 s. What comes later is turned away.
+pub const LINGER: Time = 8_000;
+
+/// Once it takes nothing more it goes on for so long at least: what had been accepted by then is read and answered. Several
+/// wake-ups.
+const REST: Time = 200;
+
 /// Counts are logged this often.
 const COUNTS: Time = 600_000;
 
@@ -208,11 +217,15 @@
     doors: Vec<Box<dyn Door<N>>>,
     owners: Vec<(u32, Owner)>,
     listeners: Vec<Option<Listener>>,
+    /// Those that are over: what they had accepted by then is still told.
+    former: Vec<(Listener, usize)>,
     addresses: Vec<SocketAddr>,
     me: u64,
     roster: Source,
     /// Between the signal to stop and the end of taking: what a front still sends is taken.
     linger: Time,
+    /// Before this it does not end.
+    rests: Time,
     /// When something malformed was last named.
     complained: Option<Time>,
     shelf: Box<dyn Shelf>,
@@ -296,10 +309,12 @@
             doors: Vec::new(),
             owners: Vec::new(),
             listeners: Vec::new(),
+            former: Vec::new(),
             addresses: Vec::new(),
             me: start.me as u64,
             roster,
             linger: 0,
+            rests: 0,
             complained: None,
             shelf,
             unsaved: false,
@@ -343,8 +358,12 @@
 
     /// Listens no more; what is connected stays.
     fn unlisten(&mut self) {
-        for listener in self.listeners.iter_mut().filter_map(Option::take) {
-            self.core.choice.host.net.unlisten(listener);
+        self.former.clear();
+        for (door, listener) in self.listeners.iter_mut().enumerate() {
+            if let Some(listener) = listener.take() {
+                self.core.choice.host.net.unlisten(listener);
+                self.former.push((listener, door));
+            }
         }
     }
 
@@ -388,6 +407,9 @@
         }
         info!(held = self.held(), "drains");
         self.unlisten();
+        self.rests = self.core.net().now() + REST;
+        let at = self.rests;
+        self.core.net().set(at, OF_REST);
         self.rest();
     }
 
@@ -395,7 +417,8 @@
         if self.held() > 0 {
             self.empty = None;
         }
-        if self.core.draining && self.held() == 0 && !self.unread() {
+        let rested = self.core.draining && self.core.net().now() >= self.rests;
+        if rested && self.held() == 0 && !self.unread() {
             info!(counts = ?self.counts(), "drained");
             self.save_list();
             self.core.net().stop();
@@ -408,7 +431,7 @@
         let since = *self.empty.get_or_insert(now);
         let until = self.core.choice.host.last_until.min(since + LAST);
         let waits = |(place, (count, owner)): (usize, &(u32, Owner))| {
-            matches!(owner, Owner::Door(_)) && self.core.net_ref().unsent(Conn::new(place, *count)) > 0
+            matches!(owner, Owner::Door(_)) && self.core.net_ref().untaken(Conn::new(place, *count)) > 0
         };
         now < until && self.owners.iter().enumerate().any(waits)
     }
@@ -617,6 +640,8 @@
         self.core.choice.host.share_out();
         self.unsaved();
         self.tell_list();
+        // What is decided from now on knows the list: nothing of it is to be taken back for what the list said.
+        self.settle();
     }
 
     /// The list is told from now on.
@@ -923,7 +948,9 @@
     }
 
     fn accepted(&mut self, listener: Listener, conn: Conn, _from: SocketAddr) {
-        if let Some(door) = self.listeners.iter().position(|l| *l == Some(listener)) {
+        let door = self.listeners.iter().position(|l| *l == Some(listener));
+        let former = || self.former.iter().find(|f| f.0 == listener).map(|f| f.1);
+        if let Some(door) = door.or_else(former) {
             self.own(conn, Owner::Door(door));
             self.doors[door].accepted(&mut self.core, conn);
         } else if self.pair.as_ref().is_some_and(|p| p.listener() == Some(listener)) {
@@ -983,8 +1010,19 @@
     }
 
     fn drained(&mut self, conn: Conn) {
-        if let Owner::Door(door) = self.owner(conn) {
-            self.doors[door].drained(&mut self.core, conn);
+        match self.owner(conn) {
+            Owner::Door(door) => self.doors[door].drained(&mut self.core, conn),
+            Owner::Link(link) => {
+                self.core.choice.host.drained(link);
+                self.all_told();
+            }
+            _ => {}
+        }
+    }
+
+    fn all_told(&mut self) {
+        while self.core.choice.host.leave() {
+            self.settle();
         }
     }
 
@@ -1054,6 +1092,8 @@
                 }
             }
             OF_LEAVE => self.drain(),
+            // What is owed by then is looked at behind each wake-up.
+            OF_REST => {}
             OF_GREETING => {
                 // It accepts and says nothing, as a hung process does: no connection in time.
                 let link = (token & !OF_WHAT) as usize;
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -65,20 +65,29 @@
     fn lag(&self) -> Time;
     /// Fails where the address is taken or no descriptor is left.
     fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)>;
+    /// Listens no more. What had been connected by then is accepted all the same.
     fn unlisten(&mut self, listener: Listener);
     /// Never fails at once: `App::connected` or `App::closed` follows.
     fn connect(&mut self, to: SocketAddr, within: Time) -> Conn;
     /// Takes the bytes whole, or none of them where the buffer's bound would be passed: then `App::drained`
     /// follows when it is empty again. False also where the connection is gone.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool;
+    /// Writes at once what the socket takes and keeps nothing of the rest: gives back how many bytes have left. None while
+    /// earlier ones wait, or where the connection is gone. After less than all `App::drained` follows when there is room.
+    fn push(&mut self, conn: Conn, bytes: &[u8]) -> usize;
     /// Bytes taken that have not left this process.
     fn unsent(&self, conn: Conn) -> usize;
+    /// Bytes taken that the peer's system has not taken yet, those that have left this process included.
+    fn untaken(&self, conn: Conn) -> usize {
+        self.unsent(conn)
+    }
     /// Whether something has come that the app was not given yet: it is, soon. Asked before an idle connection is
     /// closed, or what its peer sent meanwhile would be lost.
     fn unread(&mut self, conn: Conn) -> bool;
     /// Stops or resumes reading, so that the peer is held back by its own buffers.
     fn pause(&mut self, conn: Conn, on: bool);
-    /// Closes when all that was taken has left. Nothing more is heard of the connection.
+    /// Closes when all that was taken has left, so that the peer can read it to its end. Nothing more is heard of the
+    /// connection.
     fn close(&mut self, conn: Conn);
     /// Closes at once by a reset; what has not left is lost. Nothing more is heard of the connection.
     fn reset(&mut self, conn: Conn);
@@ -107,6 +116,8 @@
     fn drained(&mut self, conn: Conn);
     fn closed(&mut self, conn: Conn, why: Why);
     fn datagram(&mut self, _port: Port, _from: SocketAddr, _bytes: &[u8]) {}
+    /// All that came in this wake-up has been told, ends of connections too: what it called for may leave.
+    fn all_told(&mut self) {}
     fn due(&mut self, token: u64);
     fn signal(&mut self, _signal: i32) {}
 }
--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -90,6 +90,8 @@
     backlog: VecDeque<Way>,
     /// Its clock runs faster by so many millionths.
     ppm: i64,
+    /// It was told something in this moment.
+    woken: bool,
     /// No descriptor is left: it connects to nobody, and accepts nobody until it has some again.
     bare: bool,
 }
@@ -514,6 +516,20 @@
         true
     }
 
+    fn push(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let mut w = self.world.borrow_mut();
+        let other = w.end(conn).filter(|e| e.open && !e.closing && e.write.is_empty()).and_then(|e| e.other);
+        let to = other.and_then(|(other, count)| w.end(Conn::new(other, count)));
+        let room = to.map_or(0, |to| READ_MOST.saturating_sub(to.inbox.len() + to.flying));
+        let left = bytes.len().min(room);
+        if let Some(end) = w.end(conn) {
+            end.owed |= left < bytes.len();
+            end.write.push(&bytes[..left]);
+        }
+        w.push(conn);
+        left
+    }
+
     fn unsent(&self, conn: Conn) -> usize {
         self.world.borrow_mut().end(conn).map_or(0, |e| e.write.len())
     }
@@ -592,6 +608,14 @@
     let mut w = world.borrow_mut();
     let way = w.ways.first_key_value().map(|e| e.0 .0);
     let live = |n: &Node| !n.dead && n.still.is_none();
+    // A wake-up ends when all that came in its moment has been told.
+    let woken = w.nodes.iter().take(apps.len()).position(|n| n.woken && live(n));
+    if let Some(node) = woken.filter(|_| way.is_none_or(|at| at > w.now)) {
+        w.nodes[node].woken = false;
+        drop(w);
+        apps[node].all_told();
+        return true;
+    }
     let due = w.nodes.iter().enumerate().filter(|n| live(n.1));
     let due = due.filter_map(|n| Some((n.1.global(n.1.wheel.next()?), n.0)));
     let due = due.min();
@@ -609,6 +633,7 @@
         w.steps += 1;
         let now = w.nodes[node].local(w.now);
         let token = w.nodes[node].wheel.pop(now);
+        w.nodes[node].woken = true;
         w.digest.write_u64(at);
         w.digest.write_u64(token.unwrap_or(0) ^ (node as u64) << 48);
         drop(w);
@@ -623,6 +648,8 @@
 
 /// Runs all that happens by `until`.
 pub fn run(world: &Rc<RefCell<World>>, apps: Apps, until: Time) {
+    // What they were called for from outside.
+    world.borrow_mut().nodes.iter_mut().for_each(|n| n.woken = true);
     while step(world, apps, until) {}
 }
 
@@ -645,6 +672,7 @@
             w.nodes[node].backlog.push_back(way);
             return;
         }
+        w.nodes[node].woken = true;
     }
     let at = w.now;
     w.digest.write_u64(at);
--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -9,7 +9,7 @@
 use slab::Slab;
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
 
@@ -59,9 +59,40 @@
     closing: bool,
     /// Broken by us, and that is still to be told.
     failed: bool,
+    /// Came from outside.
+    accepted: bool,
+    /// When the socket last took something, and until when the peer has time to read it once our half is over.
+    wrote: Time,
+    ending: Option<Deadline>,
 }
 
 impl Stream {
+    /// Reads on and keeps nothing. True at the end.
+    fn over(&mut self, chunk: &mut [u8]) -> bool {
+        // So much at once and no more, or one that sends without end would hold the loop.
+        for _ in 0..CATCH_UP {
+            match self.socket.read(chunk) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
+            }
+        }
+        false
+    }
+
+    /// Bytes that the system still holds for the peer; 0 where it does not tell.
+    fn queued(&self) -> usize {
+        let mut count: libc::c_int = 0;
+        // SAFETY: the descriptor is open and the count is an integer of the call's size.
+        let done = unsafe { libc::ioctl(self.socket.as_raw_fd(), libc::TIOCOUTQ, &mut count) };
+        if done == 0 {
+            count.max(0) as usize
+        } else {
+            0
+        }
+    }
+
     /// Closing it sends a reset and drops what has not left.
     fn linger_none(&self) {
         let linger = libc::linger { l_onoff: 1, l_linger: 0 };
@@ -90,6 +121,8 @@
     hot: VecDeque<Conn>,
     dirty: Vec<Conn>,
     over: VecDeque<(Conn, Why)>,
+    /// Accepted as their listener went, and not yet told.
+    late: VecDeque<(Listener, Conn, SocketAddr)>,
     started: Instant,
     ppm: i64,
     now: Time,
@@ -107,6 +140,11 @@
     chunk: Box<[u8]>,
 }
 
+/// A connection that was written to so lately is ended in two steps: our half first, then the rest when the peer has closed
+/// too, or after as long again. A close over unread bytes is a reset, and that may eat the last answer. A hundred round trips
+/// of a local network; far less than clients wait.
+const LINGER: Time = 1_000;
+
 const GO_ON: u64 = 1 << 63;
 
 impl Mio {
@@ -121,6 +159,7 @@
             hot: VecDeque::new(),
             dirty: Vec::new(),
             over: VecDeque::new(),
+            late: VecDeque::new(),
             started: Instant::now(),
             ppm: 0,
             now: 1,
@@ -207,6 +246,9 @@
             owed: false,
             closing: false,
             failed: false,
+            accepted: opening.is_none(),
+            wrote: 0,
+            ending: None,
         };
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream.socket, Token(entry.key()), interest)?;
@@ -217,9 +259,8 @@
 
     fn remove(&mut self, conn: Conn) {
         if let Some(s) = self.stream(conn) {
-            let opening = s.opening.take();
-            if let Some(d) = opening {
-                self.own.cancel(d);
+            for deadline in [s.opening.take(), s.ending.take()].into_iter().flatten() {
+                self.own.cancel(deadline);
             }
             if let Slot::Stream(mut s) = self.slots.remove(conn.place()) {
                 // The socket closes by being dropped, whatever the registry says.
@@ -254,6 +295,7 @@
 
     /// Writes what the socket takes. False where the connection broke.
     fn flush(&mut self, conn: Conn) -> bool {
+        let now = self.now;
         let Some(s) = self.stream(conn) else { return true };
         if s.opening.is_some() {
             return true;
@@ -261,7 +303,10 @@
         while !s.write.is_empty() {
             match s.socket.write(s.write.data()) {
                 Ok(0) => return false,
-                Ok(n) => s.write.used(n),
+                Ok(n) => {
+                    s.write.used(n);
+                    s.wrote = now;
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return false,
@@ -269,6 +314,24 @@
         }
         true
     }
+
+    /// All was written: ends our half, and the rest with the peer's. True where it can be dropped at once.
+    fn part(&mut self, conn: Conn) -> bool {
+        let now = self.now;
+        let Some(s) = self.stream(conn) else { return true };
+        if s.ending.is_some() {
+            return false;
+        }
+        if now > s.wrote + LINGER || s.wrote == 0 || s.socket.shutdown(Shutdown::Write).is_err() {
+            return true;
+        }
+        let ending = self.own.insert(now + LINGER, conn.0);
+        if let Some(s) = self.stream(conn) {
+            (s.ending, s.readable) = (Some(ending), true);
+        }
+        self.warm(conn);
+        false
+    }
 }
 
 impl Net for Mio {
@@ -299,6 +362,14 @@
     }
 
     fn unlisten(&mut self, listener: Listener) {
+        // What the system has accepted for us already would be reset, with what it had sent.
+        while let Some(Slot::Listener(socket)) = self.slots.get(listener.0) {
+            let Ok((socket, from)) = socket.accept() else { break };
+            let _ = socket.set_nodelay(true);
+            if let Ok(conn) = self.add(socket, None) {
+                self.late.push_back((listener, conn, from));
+            }
+        }
         if matches!(self.slots.get(listener.0), Some(Slot::Listener(_))) {
             if let Slot::Listener(mut socket) = self.slots.remove(listener.0) {
                 let _ = self.poll.registry().deregister(&mut socket);
@@ -336,6 +407,31 @@
         true
     }
 
+    fn push(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let (good, now) = (self.flush(conn), self.now);
+        let Some(s) = self.stream(conn).filter(|s| !s.closing && s.opening.is_none()) else { return 0 };
+        let mut left = 0;
+        while good && s.write.is_empty() && left < bytes.len() {
+            match s.socket.write(&bytes[left..]) {
+                Ok(n @ 1..) => left += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                // The read meets the end, after what the peer sent before it.
+                _ => {
+                    s.readable = true;
+                    break;
+                }
+            }
+        }
+        s.owed |= left < bytes.len();
+        s.wrote = if left > 0 { now } else { s.wrote };
+        s.readable |= !good;
+        if s.readable {
+            self.warm(conn);
+        }
+        left
+    }
+
     fn unsent(&self, conn: Conn) -> usize {
         match self.slots.get(conn.place()) {
             Some(Slot::Stream(s)) if s.count == conn.count() => s.write.len(),
@@ -356,6 +452,13 @@
         }
     }
 
+    fn untaken(&self, conn: Conn) -> usize {
+        match self.slots.get(conn.place()) {
+            Some(Slot::Stream(s)) if s.count == conn.count() => s.write.len() + s.queued(),
+            _ => 0,
+        }
+    }
+
     fn unread(&mut self, conn: Conn) -> bool {
         let mut chunk = std::mem::take(&mut self.chunk);
         let mut came = false;
@@ -439,11 +542,38 @@
         turn(app)?;
     }
     flush(app);
+    part(app.net())
+}
+
+/// Before the sockets end with the process, those who were just answered have time to read it.
+fn part(net: &mut Mio) -> io::Result<()> {
+    net.look();
+    let (until, mut chunk) = (net.now + LINGER, std::mem::take(&mut net.chunk));
+    let mut rest: Vec<Conn> = Vec::new();
+    for (place, slot) in &net.slots {
+        if let Slot::Stream(s) = slot {
+            rest.extend((s.accepted && !s.failed).then_some(Conn::new(place, s.count)));
+        }
+    }
+    rest.retain(|conn| !net.part(*conn));
+    while !rest.is_empty() && net.now < until {
+        rest.retain(|conn| net.stream(*conn).is_some_and(|s| !s.over(&mut chunk)));
+        if let Some(events) = net.events.as_mut().filter(|_| !rest.is_empty()) {
+            // A signal that comes now changes nothing.
+            let _ = net.poll.poll(events, Some(Duration::from_millis(5)));
+        }
+        net.look();
+    }
+    net.chunk = chunk;
     Ok(())
 }
 
 /// One wake-up: sockets first, timers after them, then what was written leaves.
 pub fn turn<A: App<Net = Mio>>(app: &mut A) -> io::Result<()> {
+    // Before anything of it is read.
+    while let Some((listener, conn, from)) = app.net().late.pop_front() {
+        app.accepted(listener, conn, from);
+    }
     let net = app.net();
     let began = net.now;
     net.look();
@@ -467,6 +597,8 @@
     let net = app.net();
     net.stood += busy.max(late);
     hot(app);
+    // An end that lies behind what was just read is met before anything leaves.
+    hot(app);
     if late > 0 || busy > 0 {
         for _ in 0..CATCH_UP {
             poll_once(app, Some(Duration::ZERO))?;
@@ -491,8 +623,11 @@
             }
         } else {
             let conn = Conn(token);
+            let ending = app.net().stream(conn).is_some_and(|s| s.ending.is_some());
             app.net().remove(conn);
-            app.closed(conn, Why::TimedOut);
+            if !ending {
+                app.closed(conn, Why::TimedOut);
+            }
         }
     }
     while let Some(token) = app.net().wheel.pop(now) {
@@ -501,6 +636,7 @@
             break;
         }
     }
+    app.all_told();
     flush(app);
     Ok(())
 }
@@ -629,6 +765,14 @@
     let mut gone = None;
     if let Some(s) = net.stream(conn) {
         s.hot = false;
+        if s.ending.is_some() {
+            let over = s.over(&mut chunk);
+            net.chunk = chunk;
+            if over {
+                net.remove(conn);
+            }
+            return;
+        }
         if s.closing || s.paused || s.opening.is_some() {
             net.chunk = chunk;
             return;
@@ -693,7 +837,9 @@
             } else if s.failed {
                 // Told by its own entry.
             } else if !good || closing && empty {
-                net.remove(conn);
+                if !good || net.part(conn) {
+                    net.remove(conn);
+                }
             } else if empty && std::mem::take(&mut s.owed) {
                 app.drained(conn);
             }
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -224,6 +224,9 @@
     fn due(&mut self, token: u64) {
         self.gateway.due(token);
     }
+    fn all_told(&mut self) {
+        self.gateway.all_told();
+    }
 }
 
 /// Somebody who does not speak the protocol, or stops in its middle.
--- a/crates/tidewall-sim/tests/table.rs
+++ b/crates/tidewall-sim/tests/table.rs
@@ -280,12 +280,19 @@
     let hurts = if rule == 1 { vec![(12_000, Hurt::KillUntold, 0, 3_000)] } else { Vec::new() };
     let base = Setup { script: Some(script.to_string()), rate: 400.0, ..setup() };
     let base = if rule == 4 { cold(5) } else { base };
-    let kept = play(&base);
-    assert_eq!(kept.breaches, Vec::<String>::new());
-    assert!(kept.cases[rule - 1] > 0, "the run puts the rule to the test");
-    let report = play(&Setup { hurts, plant, ..base });
-    let broken = report.breaches.iter().filter(|b| b.starts_with(&format!("rule {rule}:"))).count();
-    assert!(broken > 0, "{:?}", &report.breaches[..report.breaches.len().min(5)]);
+    // Whether cold workers tip by it hangs on which events come when: each seed is clean, and some seed shows the fault.
+    let mut broken = 0;
+    for seed in base.seed..base.seed + if rule == 4 { 6 } else { 1 } {
+        let base = Setup { seed, ..base.clone() };
+        let kept = play(&base);
+        assert_eq!(kept.breaches, Vec::<String>::new());
+        assert!(kept.cases[rule - 1] > 0, "the run puts the rule to the test");
+        let report = play(&Setup { hurts: hurts.clone(), plant, ..base });
+        let found = report.breaches.iter().filter(|b| b.starts_with(&format!("rule {rule}:"))).count();
+        println!("seed {seed}: {found}, {:?}", &report.breaches[..report.breaches.len().min(5)]);
+        broken += found;
+    }
+    assert!(broken > 0);
 }
 
 /// The stage "handed over": one of a pair hands its seat to the other, and the fault strikes so much later.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -631,7 +631,8 @@
                     Group::Zone => o.listed.zone == w.listed.zone,
                     Group::Cell => o.listed.cell == w.listed.cell,
                 };
-                near && self.now + self.told.tick < l.at + window
+                // It may have run as soon as it was sent; the next may take effect as late as it can leave.
+                near && self.now + self.told.reach + self.told.tick < l.at + window
             }),
         };
         allowed && self.cold_room(wk, evt.arrival.typ)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -90,6 +90,7 @@
             } else {
                 0
             },
+            reach: self.span("allowed.connect-timeout-ms"),
             within: self.span_above_0("rules.ask-within-ms", MOST_SPAN),
             ..Told::default()
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,8 @@
     pub held: f64,
     /// The longest time to come back that a deferral may tell; 0 where none may be told.
     pub back: Time,
+    /// A launch that has not left so long after it was decided does not leave any more.
+    pub reach: Time,
     /// A list that is older than this counts as told, asked for or not.
     pub within: Time,
 }
