Endings' tests are sharpened by taking each mend out; an end leaves no reset, a signal no order

Cause: with each mend taken out on a scratch copy, one at a time, five of twelve were not noticed by the tests (bytes kept by the net, a listener's backlog, bytes that the system holds, sockets that end with the process, what cannot leave). Change: those tests force the point now (the system's own queues are read, the stop comes while the process stands still, unread bytes lie there). Found by it: a connection that had got its error was closed over unread bytes at exit, and a signal that broke off the wait let timers go before sockets; both mended in the net.

--- a/crates/tidewall-cli/tests/endings_of_clients.rs
+++ b/crates/tidewall-cli/tests/endings_of_clients.rs
@@ -153,7 +153,8 @@
 /// A worker that reads nothing: what has not left the process for it is taken back, and no `halt` follows what never came.
 #[test]
 fn what_lies_unsent_is_not_sent_for_a_client_that_left() {
-    let (mut p, mut link, mut clients) = jam(50, "check");
+    let (mut p, mut link, mut clients) = jam(50, "check", 20_000.0);
+    let out = on_its_way(&p.workers[0]);
     for (i, client) in clients.iter_mut().enumerate() {
         let all: String = (0..EACH).map(|n| cancel((i * EACH + n) as u64 + 1)).collect();
         client.send(all);
@@ -164,7 +165,11 @@
         gone += usize::from(line.starts_with("go "));
         halts += usize::from(line.starts_with("halt "));
     }
-    assert!(gone > 0 && gone + 10 < ALL, "{gone} of {ALL} came");
+    // What had left by then, and the end of one that had begun.
+    assert!(
+        gone > 0 && gone <= out / BODY + 1 && gone + 10 < ALL,
+        "{gone} of {ALL} came, {out} bytes were out"
+    );
     assert_eq!(gone, halts);
     nothing_is_held(&mut p);
 }
@@ -172,7 +177,8 @@
 /// The same worker ends its connection: what never left has provably not run and goes again, also at-most-once; the rest fails.
 #[test]
 fn what_never_left_has_not_run() {
-    let (mut p, link, mut clients) = jam(51, "issue");
+    let (mut p, link, mut clients) = jam(51, "issue", 20_000.0);
+    let out = on_its_way(&p.workers[0]);
     link.reset();
     let (mut again, mut links) = (0, Vec::new());
     while let Some(mut link) = accept(&p.workers[0], ms(500)) {
@@ -185,32 +191,43 @@
     let mut words = Vec::new();
     clients.iter_mut().for_each(|c| (0..EACH).for_each(|_| words.extend(c.answer(LONG).map(|a| a.1))));
     let count = |word: &str| words.iter().filter(|w| *w == word).count();
-    assert!(again > 10, "{again} went again");
+    assert!(again + out / BODY + 1 >= ALL && again > 10, "{again} of {ALL} went again, {out} bytes were out");
     assert_eq!((count("OK"), count("FAILED")), (again, ALL - again), "{words:?}");
     assert!(again < ALL, "some had left");
     nothing_is_held(&mut p);
 }
 
+/// What its socket does not take is over when a connection's time is, long before its client's, and has not run.
+#[test]
+fn what_cannot_leave_moves_on() {
+    let (p, _link, _clients) = jam(52, "issue", 250.0);
+    until("they move on", || p.gateway.log().matches("outcome=NoConnection").count() > 10);
+}
+
+const BODY: usize = 16 << 10;
 const EACH: usize = 30;
 const ALL: usize = 12 * EACH;
 
 /// One connection of a worker that reads nothing, and events of a dozen clients on it: more bytes than the system takes for it.
-fn jam(last: u8, typ: &str) -> (Platform, Side, Vec<Side>) {
+/// What cannot leave may wait so long.
+fn jam(last: u8, typ: &str, within: f64) -> (Platform, Side, Vec<Side>) {
     // Among many gateways a worker's bound is not learned from own launches.
     let settings = SETTINGS.replace("\"siblings\":1", "\"siblings\":8");
     let settings = settings.replace("\"streams-per-conn\":32", "\"streams-per-conn\":900");
     let settings = settings.replace("\"most-held\":200", "\"most-held\":900");
+    let settings =
+        settings.replace("\"connect-timeout-ms\":250.0", &format!("\"connect-timeout-ms\":{within}"));
     // Nothing is late on a busy machine.
     let settings = settings
         .replace("\"aim-ms\":500.0,\"deadline-ms\":2000.0", "\"aim-ms\":20000.0,\"deadline-ms\":60000.0");
     let p = platform_with(last, 1, &settings, 256);
     narrow(&p.workers[0]);
-    let body = "x".repeat(16 << 10);
+    let body = "x".repeat(BODY);
     let mut clients: Vec<Side> = (0..ALL / EACH).map(|_| p.client()).collect();
     for tag in 1..=ALL {
         clients[(tag - 1) / EACH].send(call_of(tag as u64, typ, 60_000, "7f3a9c21e0b4d655", &body));
     }
-    until("all are launched", || p.gateway.log().matches(" launch ").count() == ALL);
+    until("all are launched", || p.gateway.log().matches(" launch ").count() >= ALL);
     let link = accept(&p.workers[0], LONG).expect("it connects");
     (p, link, clients)
 }
--- a/crates/tidewall-cli/tests/endings_of_gateways.rs
+++ b/crates/tidewall-cli/tests/endings_of_gateways.rs
@@ -51,7 +51,7 @@
 #[test_case(0, 4; "with the signal")]
 #[test_case(300, 5; "on a new connection")]
 #[test_case(550, 6; "at the last moment that the page names")]
-#[test_case(790, 7; "just before it takes no more")]
+#[test_case(600, 7; "as it takes no more")]
 #[test_case(900, 8; "while it drains")]
 fn what_comes_while_it_goes_is_answered(after: u64, last: u8) {
     let mut p = platform(last, 1);
@@ -71,6 +71,10 @@
     });
     early.send(call(8, "check", 1000));
     p.gateway.signal(libc::SIGTERM * i32::from(after == 0));
+    if after == 600 {
+        // Its time to take no more comes while it stands still.
+        std::thread::sleep(ms(300));
+    }
     p.gateway.still(false);
     let mut owed = late.into_iter().chain([early]).collect::<Vec<_>>();
     while let Some(trace) = link.go(ms(300)) {
@@ -86,7 +90,8 @@
     ends_well(&mut p);
 }
 
-/// A client that reads slowly has the end of a long answer still to come when all else is over, and goes on sending: no reset.
+/// A client that reads slowly has most of a long answer still to come when all else is over, and goes on sending: the process
+/// stays until the client's system has taken it, and no reset eats the rest.
 #[test]
 fn a_slow_reader_gets_its_answer_to_the_end() {
     let mut p = platform(9, 1);
@@ -97,28 +102,32 @@
     link.send(format!("0000000000000001 ok res=hit {}\r\n{body}\r\n", body.len()));
     p.gateway.signal(libc::SIGTERM);
     until("it drains", || p.gateway.log().contains("drains"));
-    let text = client.all(|c| c.send(command(&["CHECK", "2", ""])));
+    std::thread::sleep(ms(400));
+    client.send(command(&["CHECK", "2", ""]));
+    std::thread::sleep(ms(50));
+    let text = client.all(|c| c.send(command(&["CHECK", "3", ""])));
     assert!(text.contains(&body), "{} bytes of its answer", text.len());
     let (code, _) = p.gateway.ended();
     assert_eq!(code, Some(0));
 }
 
-/// The last answer and bytes that it reads no more cross: they must not turn its end into a reset.
+/// Bytes that it reads no more lie there as it ends (it got its error): they do not turn its end into a reset.
 #[test]
-fn the_last_answer_is_not_eaten_by_a_reset() {
+fn unread_bytes_do_not_turn_the_end_into_a_reset() {
     let mut p = platform(10, 1);
     let mut client = p.client();
     let mut link = p.launched(&mut client, 1, "check");
     p.gateway.signal(libc::SIGTERM);
-    until("it drains", || p.gateway.log().contains("drains"));
-    std::thread::sleep(ms(50));
+    std::thread::sleep(ms(650));
     link.says("0000000000000001", "ok");
-    until("all is over", || p.gateway.log().contains("drained"));
-    // Its half is over by now, or about to be.
-    let text = client.all(|c| c.send(command(&["CHECK", "2", ""])));
-    assert!(text.starts_with(&command(&["1", "OK", "", "yes"])), "{text:?}");
-    assert!(!client.was_reset(), "the connection ended by a reset");
+    assert_eq!(client.answer(LONG), Some((1, "OK".to_string())));
+    client.send("GET / HTTP/1.1\r\n");
+    until("it got its error", || p.gateway.log().contains("malformed"));
+    client.send(vec![b'x'; 100_000]);
     ends_well(&mut p);
+    let text = client.all(|_| ());
+    assert!(text.starts_with("-ERR"), "{text:?}");
+    assert!(!client.was_reset(), "the connection ended by a reset");
 }
 
 /// Idle clients by the hundred, more than there are descriptors, while the board is gone: it comes back into the list's life,
--- a/crates/tidewall-cli/tests/help/mod.rs
+++ b/crates/tidewall-cli/tests/help/mod.rs
@@ -270,6 +270,23 @@
     }
 }
 
+/// Bytes that the system holds on the way to a worker: sent and not taken, and taken and not read (`/proc/net/tcp`).
+pub fn on_its_way(worker: &TcpListener) -> usize {
+    let at = worker.local_addr().unwrap();
+    let SocketAddr::V4(v4) = at else { panic!("{at}") };
+    let place = format!("{:08X}:{:04X}", u32::from_le_bytes(v4.ip().octets()), at.port());
+    let hex = |text: &str| usize::from_str_radix(text, 16).unwrap();
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows = table.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+    // Local and remote place, state (01 stands), both queues.
+    rows.filter(|r| r[3] == "01")
+        .map(|r| {
+            let (unsent, unread) = r[4].split_once(':').unwrap();
+            hex(unsent) * usize::from(r[2] == place) + hex(unread) * usize::from(r[1] == place)
+        })
+        .sum()
+}
+
 /// A listener whose backlog is full: what connects waits until places are made, one for each that is dropped.
 pub fn filled(at: &TcpListener) -> Vec<TcpStream> {
     // SAFETY: the descriptor is open; listening again sets its backlog anew.
--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -322,7 +322,7 @@
         if s.ending.is_some() {
             return false;
         }
-        if now > s.wrote + LINGER || s.wrote == 0 || s.socket.shutdown(Shutdown::Write).is_err() {
+        if s.socket.shutdown(Shutdown::Write).is_err() {
             return true;
         }
         let ending = self.own.insert(now + LINGER, conn.0);
@@ -332,6 +332,12 @@
         self.warm(conn);
         false
     }
+
+    /// Whether its peer may still have to read what was written to it last.
+    fn fresh(&mut self, conn: Conn) -> bool {
+        let now = self.now;
+        self.stream(conn).is_some_and(|s| s.wrote > 0 && now <= s.wrote + LINGER)
+    }
 }
 
 impl Net for Mio {
@@ -545,7 +551,8 @@
     part(app.net())
 }
 
-/// Before the sockets end with the process, those who were just answered have time to read it.
+/// Before the sockets end with the process, our halves of those that came to us do, and what lies unread is read: a close over
+/// unread bytes is a reset.
 fn part(net: &mut Mio) -> io::Result<()> {
     net.look();
     let (until, mut chunk) = (net.now + LINGER, std::mem::take(&mut net.chunk));
@@ -645,11 +652,13 @@
 fn poll_once<A: App<Net = Mio>>(app: &mut A, wait: Option<Duration>) -> io::Result<Time> {
     let net = app.net();
     let mut events = net.events.take().expect("polls do not nest");
-    if let Err(e) = net.poll.poll(&mut events, wait) {
-        if e.kind() != io::ErrorKind::Interrupted {
-            return Err(e);
-        }
-        events.clear();
+    let mut polled = net.poll.poll(&mut events, wait);
+    while polled.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::Interrupted) {
+        // A signal: what lies in the sockets by now still goes before the timers.
+        polled = net.poll.poll(&mut events, Some(Duration::ZERO));
+    }
+    if let Err(e) = polled {
+        return Err(e);
     }
     net.look();
     let due = net.asked.max(net.slept);
@@ -837,7 +846,7 @@
             } else if s.failed {
                 // Told by its own entry.
             } else if !good || closing && empty {
-                if !good || net.part(conn) {
+                if !good || !net.fresh(conn) || net.part(conn) {
                     net.remove(conn);
                 }
             } else if empty && std::mem::take(&mut s.owed) {
