--- a/crates/tidewall-net/tests/nets.rs
+++ b/crates/tidewall-net/tests/nets.rs
@@ -200,6 +200,24 @@
     }
 }
 
+/// The system had accepted it, with what it sent, when the listener went: it is told, and read.
+#[test]
+fn on_sockets_what_had_connected_is_accepted_as_its_listener_goes() {
+    let (mut server, seen) = peer(Mio::new().unwrap(), false, 0, 0);
+    let (listener, at) = server.net.listen(local()).unwrap();
+    let mut client = std::net::TcpStream::connect(at).unwrap();
+    std::io::Write::write_all(&mut client, b"a call").unwrap();
+    server.net.unlisten(listener);
+    assert!(std::net::TcpStream::connect(at).is_err(), "nobody listens any more");
+    for _ in 0..20 {
+        let soon = server.net.now() + 50;
+        let d = server.net.set(soon, 9);
+        tidewall_net::mio::turn(&mut server).unwrap();
+        server.net.clear(d);
+    }
+    assert_eq!((seen.borrow().accepted, &seen.borrow().got[..]), (1, &b"a call"[..]));
+}
+
 /// What came in this wake-up, and no readiness told of yet, is found and given to the app; a half that it did not use is no news.
 #[test]
 fn on_sockets_what_lies_unread_is_found_before_a_close() {
