--- a/crates/tidewall-cli/tests/endings_of_workers.rs
+++ b/crates/tidewall-cli/tests/endings_of_workers.rs
@@ -281,3 +281,51 @@
     answers.sort();
     assert_eq!(answers, [1, 2].map(|tag| Some((tag, "OK".to_string()))));
 }
+
+/// A new version on a quiet day: its id was never seen, no copy stands. Its first events cost a miss at most each, the order goes
+/// out, and they are handled when it stands; the old version is served all the while.
+#[test]
+fn a_new_version_on_a_quiet_day() {
+    let settings = SETTINGS.replace("\"orders\":false", "\"orders\":true");
+    let p = platform_with(127, 1, &settings.replace("\"if-cold\":\"load\"", "\"if-cold\":\"miss\""), 256);
+    let (old, new) = ("7f3a9c21e0b4d655", "7f3a9c21e0b4d656");
+    let (mut client, mut links) = (p.client(), Vec::new());
+    let (mut loaded, mut misses, mut words) = (vec![old.to_string()], 0, Vec::new());
+    for tag in 1..=20u64 {
+        // The release comes after the fifth.
+        let function = if tag > 5 && tag % 2 == 0 { new } else { old };
+        client.send(call_of(tag, "check", 2000, function, "body"));
+        let end = std::time::Instant::now() + LONG;
+        loop {
+            links.extend(accept(&p.workers[0], ms(1)));
+            for link in &mut links {
+                let Some(line) = link.line(ms(1)) else { continue };
+                let of = line.split("obj=").nth(1).map_or("", |o| &o[..16]).to_string();
+                let name = line.split(' ').nth(1).unwrap_or_default();
+                match line.split(' ').next().unwrap_or_default() {
+                    "go" if loaded.contains(&of) => link.says(name, "ok"),
+                    "go" => {
+                        misses += 1;
+                        link.send(format!("{name} nothing - 0\r\n\r\n"));
+                    }
+                    "stage" => {
+                        // An order loads at once, an ask changes nothing.
+                        if !line.contains("copies=0") && !loaded.contains(&of) {
+                            loaded.push(of.clone());
+                        }
+                        let copies = usize::from(loaded.contains(&of));
+                        link.send(format!("{name} ok copies={copies} 0\r\n\r\n"));
+                    }
+                    _ => {}
+                }
+            }
+            if let Some((_, word)) = client.answer(ms(1)) {
+                words.push(word);
+                break;
+            }
+            assert!(std::time::Instant::now() < end, "no answer to {tag}: {}", p.gateway.log());
+        }
+    }
+    assert_eq!(words.iter().filter(|w| *w == "OK").count(), 20, "{words:?}");
+    assert!(loaded.len() == 2 && misses <= 2, "{misses} misses");
+}
