--- a/crates/tidewall-amqp-door/src/hold_back.rs
+++ b/crates/tidewall-amqp-door/src/hold_back.rs
@@ -51,7 +51,14 @@
 
 impl HoldBack {
     pub fn new(in_hand: usize, queued_most: usize) -> HoldBack {
-        HoldBack { in_hand, queued_most, reins: Vec::new(), full: false, crowded: false, not_read: 0 }
+        HoldBack {
+            in_hand,
+            queued_most,
+            reins: Vec::new(),
+            full: false,
+            crowded: false,
+            not_read: 0,
+        }
     }
 
     fn rein(&mut self, conn: usize) -> &mut Rein {
@@ -102,7 +109,11 @@
         self.full = above(queued, self.queued_most, if self.full { LOW } else { HIGH });
         self.crowded = above(held, most_held, if self.crowded { LOW } else { HIGH });
         let hold = self.full || self.crowded;
-        let reason = if self.full { "queues are full" } else { "too many events are in hand" };
+        let reason = if self.full {
+            "queues are full"
+        } else {
+            "too many events are in hand"
+        };
         // While it is crowded nobody may owe more than an equal part; a tenant's connections share theirs, so
         // that many connections win nothing.
         let mut tenants: Vec<(usize, usize)> = Vec::new();
@@ -116,7 +127,11 @@
         let mut waiting: Vec<(usize, usize)> = Vec::new();
         for s in seen {
             let siblings = tenants.iter().find(|t| t.0 == s.tenant).map_or(1, |t| t.1);
-            let own = if self.crowded { (part / siblings).min(self.in_hand).max(1) } else { self.in_hand };
+            let own = if self.crowded {
+                (part / siblings).min(self.in_hand).max(1)
+            } else {
+                self.in_hand
+            };
             let rein = *self.rein(s.conn);
             if !rein.paused && s.debts >= own {
                 self.rein(s.conn).paused = true;
@@ -158,7 +173,15 @@
     }
 
     fn seen(debts: &[usize]) -> Vec<Seen> {
-        debts.iter().enumerate().map(|(conn, debts)| Seen { conn, tenant: conn, debts: *debts }).collect()
+        debts
+            .iter()
+            .enumerate()
+            .map(|(conn, debts)| Seen {
+                conn,
+                tenant: conn,
+                debts: *debts,
+            })
+            .collect()
     }
 
     #[test_case(&[99], 0, 0, &[] ; "below its bound")]
@@ -197,10 +220,25 @@
     #[test]
     fn many_connections_win_nothing() {
         let (mut hold, mut calls) = (HoldBack::new(1000, 1000), Calls::default());
-        let mut all: Vec<Seen> = (0..9).map(|conn| Seen { conn, tenant: 0, debts: 51 }).collect();
-        all.push(Seen { conn: 9, tenant: 1, debts: 440 });
+        let mut all: Vec<Seen> = (0..9)
+            .map(|conn| Seen {
+                conn,
+                tenant: 0,
+                debts: 51,
+            })
+            .collect();
+        all.push(Seen {
+            conn: 9,
+            tenant: 1,
+            debts: 440,
+        });
         hold.look(&mut calls, &all, 0, (900, 1000));
-        let paused: Vec<usize> = calls.0.iter().filter(|c| c.1 == "pause").map(|c| c.0).collect();
+        let paused: Vec<usize> = calls
+            .0
+            .iter()
+            .filter(|c| c.1 == "pause")
+            .map(|c| c.0)
+            .collect();
         assert_eq!(paused, (0..9).collect::<Vec<_>>());
     }
 
--- a/crates/tidewall-amqp-door/src/lib.rs
+++ b/crates/tidewall-amqp-door/src/lib.rs
@@ -136,7 +136,12 @@
     }
 
     fn check(&mut self, conn: usize, user: &str, password: &[u8]) {
-        let hash = self.side.users.iter().find(|u| u.name == user).map(|u| u.hash.clone());
+        let hash = self
+            .side
+            .users
+            .iter()
+            .find(|u| u.name == user)
+            .map(|u| u.hash.clone());
         let link = self.side.links[conn];
         if !self.side.logins.check(conn, link, hash, password) {
             self.side.refused.push((conn, link));
@@ -146,10 +151,15 @@
     fn take(&mut self, ticket: u64, t: &Trigger) -> Result<(), (Word, &'static str)> {
         let side = &mut *self.side;
         let now = self.core.net().now();
-        let (typ, function) =
-            t.key.split_once('.').ok_or((Word::TurnedAway, "the routing key is no TYPE.FUNCTION"))?;
-        let typ =
-            side.types.iter().position(|k| k.name == typ).ok_or((Word::TurnedAway, "unknown event type"))?;
+        let (typ, function) = t
+            .key
+            .split_once('.')
+            .ok_or((Word::TurnedAway, "the routing key is no TYPE.FUNCTION"))?;
+        let typ = side
+            .types
+            .iter()
+            .position(|k| k.name == typ)
+            .ok_or((Word::TurnedAway, "unknown event type"))?;
         if function.is_empty() {
             return Err((Word::TurnedAway, "the routing key names no function"));
         }
@@ -157,13 +167,18 @@
         let left = match t.properties.expiration {
             "" => age,
             // The server has checked that it is a number.
-            text => text.parse::<u64>().map_or(age, |ms| ms.saturating_mul(10).min(age)),
+            text => text
+                .parse::<u64>()
+                .map_or(age, |ms| ms.saturating_mul(10).min(age)),
         };
         // Its time may have passed before it was read: an answer might come too late, and silence might be wrong.
         let waited = self.core.net().waited();
-        let left = door::left(left, waited)
-            .ok_or((Word::TurnedAway, if waited < left { "late" } else { "expired" }))?;
-        let mark = (!t.properties.message_id.is_empty()).then(|| (typ, t.properties.message_id.into()));
+        let left = door::left(left, waited).ok_or((
+            Word::TurnedAway,
+            if waited < left { "late" } else { "expired" },
+        ))?;
+        let mark =
+            (!t.properties.message_id.is_empty()).then(|| (typ, t.properties.message_id.into()));
         match mark.as_ref().and_then(|m| side.marks.find(now, m)) {
             Some(Known::InHand(key)) => {
                 let key = *key;
@@ -180,10 +195,13 @@
             return Err((Word::TurnedAway, "most-remembered"));
         }
         let user = side.users.iter().find(|u| u.name == t.user);
-        let known = side.functions.iter().find(|f| match f.name.strip_suffix('*') {
-            Some(start) => function.starts_with(start),
-            None => f.name == function,
-        });
+        let known = side
+            .functions
+            .iter()
+            .find(|f| match f.name.strip_suffix('*') {
+                Some(start) => function.starts_with(start),
+                None => f.name == function,
+            });
         let number = |name: &str| {
             let headers = t.properties.headers.filter(|_| side.headers);
             match headers.and_then(|h| h.get(name)) {
@@ -203,12 +221,17 @@
             typ,
         });
         let event = Incoming {
-            ticket: Ticket { door: side.me, key: key as u64 | u64::from(side.count) << 32 },
+            ticket: Ticket {
+                door: side.me,
+                key: key as u64 | u64::from(side.count) << 32,
+            },
             id: ticket,
             typ,
             tenant: user.and_then(|u| u.tenant),
             function,
-            lanes: number("x-lanes").map_or(known.map_or(1, |f| f.lanes), |v| v.clamp(1.0, 1000.0) as u32),
+            lanes: number("x-lanes").map_or(known.map_or(1, |f| f.lanes), |v| {
+                v.clamp(1.0, 1000.0) as u32
+            }),
             memory: number("x-memory-mb").unwrap_or(known.map_or(0.0, |f| f.memory)),
             hint: span("x-hint-ms").unwrap_or(known.map_or(0, |f| f.hint)),
             load_hint: span("x-load-hint-ms").unwrap_or(known.map_or(0, |f| f.load_hint)),
@@ -218,7 +241,10 @@
             payload: t.body,
         };
         // Clients' ids for logs come from the message, where it has a number for one.
-        let event = Incoming { id: t.properties.correlation_id.parse().unwrap_or(ticket), ..event };
+        let event = Incoming {
+            id: t.properties.correlation_id.parse().unwrap_or(ticket),
+            ..event
+        };
         if let Some(mark) = &mark {
             side.marks.take(mark.clone(), key);
         }
@@ -249,7 +275,10 @@
     }
 
     fn block(&mut self, conn: usize, on: bool, reason: &'static str) {
-        let mut full = Full { core: self.core, side: self.side };
+        let mut full = Full {
+            core: self.core,
+            side: self.side,
+        };
         self.server.block(&mut full, conn, on, reason);
     }
 }
@@ -258,7 +287,11 @@
     /// `me` is the door's place in its gateway.
     pub fn new(me: usize, settings: &Section) -> Amqp {
         let a = settings.section("amqp");
-        let tenants: Vec<String> = settings.sections("tenant").iter().map(|t| t.text("name")).collect();
+        let tenants: Vec<String> = settings
+            .sections("tenant")
+            .iter()
+            .map(|t| t.text("name"))
+            .collect();
         let mut vhosts = a.texts("vhost");
         if vhosts.is_empty() {
             vhosts.push("/".to_string());
@@ -291,7 +324,11 @@
             name: t.text("name"),
             age: t.span("max_age_ms"),
             // Answers to types without a window are remembered as long as a client may still ask.
-            window: if t.span("window_ms") > 0 { t.span("window_ms") } else { t.span("max_age_ms") },
+            window: if t.span("window_ms") > 0 {
+                t.span("window_ms")
+            } else {
+                t.span("max_age_ms")
+            },
             again: t.choice("redelivery") == "REDELIVERABLE",
         };
         let side = Side {
@@ -311,7 +348,15 @@
         };
         let hold = HoldBack::new(a.whole("in_hand") as usize, queued_most);
         let server = Server::new(limits);
-        Amqp { server, side, hold, conns: Vec::new(), exceptions: 0, ticked: 0, seen: Vec::new() }
+        Amqp {
+            server,
+            side,
+            hold,
+            conns: Vec::new(),
+            exceptions: 0,
+            ticked: 0,
+            seen: Vec::new(),
+        }
     }
 
     /// Repeats that joined an event and whose own time is nearly over get their answer: nothing is promised, whatever
@@ -320,9 +365,16 @@
         let now = core.net().now();
         // This look and the next.
         let over = |w: &(u64, Time)| now + 2 * LOOK >= w.1;
-        let Side { taken, joined, late, .. } = &mut self.side;
+        let Side {
+            taken,
+            joined,
+            late,
+            ..
+        } = &mut self.side;
         joined.retain(|key| {
-            let Some(t) = taken.get_mut(*key).filter(|t| t.waiting.len() > 1) else { return false };
+            let Some(t) = taken.get_mut(*key).filter(|t| t.waiting.len() > 1) else {
+                return false;
+            };
             late.extend(t.waiting[1..].iter().filter(|w| over(w)).map(|w| w.0));
             let first = t.waiting[0].0;
             t.waiting.retain(|w| w.0 == first || !over(w));
@@ -333,19 +385,29 @@
         }
         for ticket in std::mem::take(late) {
             let (word, none) = (Word::DeadLettered, 0);
-            self.server.answered(&mut Wires(core.net()), ticket, word, none, "in-hand", &[]);
+            self.server
+                .answered(&mut Wires(core.net()), ticket, word, none, "in-hand", &[]);
         }
         self.server.settle(&mut Wires(core.net()));
     }
 
     fn key(&self, conn: Conn) -> Option<usize> {
-        self.conns.get(conn.place()).copied().flatten().filter(|c| c.0 == conn.0).map(|c| c.1)
+        self.conns
+            .get(conn.place())
+            .copied()
+            .flatten()
+            .filter(|c| c.0 == conn.0)
+            .map(|c| c.1)
     }
 
     fn log(&mut self) {
         if self.server.exceptions > self.exceptions {
             self.exceptions = self.server.exceptions;
-            warn!(exception = self.server.last_exception, count = self.exceptions, "amqp");
+            warn!(
+                exception = self.server.last_exception,
+                count = self.exceptions,
+                "amqp"
+            );
         }
     }
 
@@ -359,7 +421,10 @@
         reason: &str,
         payload: &[u8],
     ) {
-        let (key, count) = ((ticket.key & 0xffff_ffff) as usize, (ticket.key >> 32) as u32);
+        let (key, count) = (
+            (ticket.key & 0xffff_ffff) as usize,
+            (ticket.key >> 32) as u32,
+        );
         if self.side.taken.get(key).is_none_or(|t| t.count != count) {
             return;
         }
@@ -376,7 +441,8 @@
                 self.server.forget(waiting);
                 continue;
             }
-            self.server.answered(&mut Wires(net), waiting, word, come_back, reason, payload);
+            self.server
+                .answered(&mut Wires(net), waiting, word, come_back, reason, payload);
         }
         self.server.settle(&mut Wires(net));
     }
@@ -402,11 +468,24 @@
     }
 
     fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
-        let Some(key) = self.key(conn) else { return bytes.len() };
+        let Some(key) = self.key(conn) else {
+            return bytes.len();
+        };
         self.server.clock(core.net().now());
-        let used = self.server.bytes(&mut Full { core, side: &mut self.side }, key, bytes);
+        let used = self.server.bytes(
+            &mut Full {
+                core,
+                side: &mut self.side,
+            },
+            key,
+            bytes,
+        );
         let debts = self.server.debts(key);
-        let mut hands = Hands { core, server: &mut self.server, side: &mut self.side };
+        let mut hands = Hands {
+            core,
+            server: &mut self.server,
+            side: &mut self.side,
+        };
         self.hold.read(&mut hands, key, debts);
         self.log();
         used
@@ -415,7 +494,13 @@
     fn drained(&mut self, core: &mut Core<N>, conn: Conn) {
         if let Some(key) = self.key(conn) {
             self.server.clock(core.net().now());
-            self.server.drained(&mut Full { core, side: &mut self.side }, key);
+            self.server.drained(
+                &mut Full {
+                    core,
+                    side: &mut self.side,
+                },
+                key,
+            );
         }
     }
 
@@ -426,7 +511,10 @@
             self.server.clock(core.net().now());
             self.server.gone(key);
             self.hold.gone(key);
-            self.server.settle(&mut Full { core, side: &mut self.side });
+            self.server.settle(&mut Full {
+                core,
+                side: &mut self.side,
+            });
         }
     }
 
@@ -438,18 +526,32 @@
             door::Word::Deferred => Word::Deferred,
             door::Word::DeadLettered => Word::DeadLettered,
         };
-        self.tell(net, ticket, word, answer.come_back, answer.reason, answer.payload);
+        self.tell(
+            net,
+            ticket,
+            word,
+            answer.come_back,
+            answer.reason,
+            answer.payload,
+        );
     }
 
     fn given_up(&mut self, now: Time, ticket: Ticket) {
         // Its time passed while this process stood still: nobody is told. It may have run: the mark is free for another try
         // only where that does no harm, and a repeat is told that nothing is promised.
-        let (key, count) = ((ticket.key & 0xffff_ffff) as usize, (ticket.key >> 32) as u32);
+        let (key, count) = (
+            (ticket.key & 0xffff_ffff) as usize,
+            (ticket.key >> 32) as u32,
+        );
         if self.side.taken.get(key).is_some_and(|t| t.count == count) {
             let taken = self.side.taken.remove(key);
             if let Some(mark) = taken.mark {
                 let typ = &self.side.types[taken.typ];
-                let word = if typ.again { Word::Deferred } else { Word::DeadLettered };
+                let word = if typ.again {
+                    Word::Deferred
+                } else {
+                    Word::DeadLettered
+                };
                 self.side.marks.end(now, mark, word, typ.window);
             }
             for (ticket, until) in taken.waiting {
@@ -468,7 +570,10 @@
         let now = core.net().now();
         self.server.clock(now);
         self.impatient(core);
-        let mut full = Full { core, side: &mut self.side };
+        let mut full = Full {
+            core,
+            side: &mut self.side,
+        };
         while let Some((conn, link, good)) = full.side.logins.done() {
             self.server.checked(&mut full, conn, link, good);
         }
@@ -494,13 +599,25 @@
         }
         self.seen.clear();
         for (_, key) in self.conns.iter().flatten() {
-            let tenant =
-                self.server.user(*key).and_then(|u| self.side.users.iter().position(|k| k.name == u));
-            let tenant = tenant.and_then(|u| self.side.users[u].tenant).map_or(0, |t| t + 1);
-            self.seen.push(Seen { conn: *key, tenant, debts: self.server.debts(*key) });
+            let tenant = self
+                .server
+                .user(*key)
+                .and_then(|u| self.side.users.iter().position(|k| k.name == u));
+            let tenant = tenant
+                .and_then(|u| self.side.users[u].tenant)
+                .map_or(0, |t| t + 1);
+            self.seen.push(Seen {
+                conn: *key,
+                tenant,
+                debts: self.server.debts(*key),
+            });
         }
         let (queued, held) = (self.server.queued(), core.held());
-        let mut hands = Hands { core, server: &mut self.server, side: &mut self.side };
+        let mut hands = Hands {
+            core,
+            server: &mut self.server,
+            side: &mut self.side,
+        };
         self.hold.look(&mut hands, &self.seen, queued, held);
         self.log();
     }
--- a/crates/tidewall-amqp-door/src/logins.rs
+++ b/crates/tidewall-amqp-door/src/logins.rs
@@ -49,7 +49,10 @@
     fn new() -> Good {
         let mut key = [0; 32];
         OsRng.fill_bytes(&mut key);
-        Good { key, digests: BTreeSet::new() }
+        Good {
+            key,
+            digests: BTreeSet::new(),
+        }
     }
 
     fn digest(&self, hash: &str, password: &[u8]) -> [u8; 32] {
@@ -69,7 +72,9 @@
         }
         let good = PasswordHash::new(hash.unwrap_or(NOBODY))
             .is_ok_and(|hash| Argon2::default().verify_password(password, &hash).is_ok());
-        let Some(digest) = digest.filter(|_| good) else { return false };
+        let Some(digest) = digest.filter(|_| good) else {
+            return false;
+        };
         if self.digests.len() >= KNOWN {
             self.digests.clear();
         }
@@ -85,7 +90,10 @@
     }
 
     /// A check that panics is a login that failed: the next ones are checked all the same, and nobody waits for it.
-    fn by(most: usize, mut check: impl FnMut(Option<&str>, &[u8]) -> bool + Send + 'static) -> Logins {
+    fn by(
+        most: usize,
+        mut check: impl FnMut(Option<&str>, &[u8]) -> bool + Send + 'static,
+    ) -> Logins {
         let (ask, asked) = sync_channel::<Ask>(most);
         let (tell, told) = sync_channel(most);
         thread::spawn(move || {
@@ -97,12 +105,24 @@
                 }
             }
         });
-        Logins { ask, told, pending: 0 }
+        Logins {
+            ask,
+            told,
+            pending: 0,
+        }
     }
 
     /// False where too many wait already.
     pub fn check(&mut self, conn: usize, link: u64, hash: Option<String>, password: &[u8]) -> bool {
-        let asked = self.ask.try_send(Ask { conn, link, hash, password: password.to_vec() }).is_ok();
+        let asked = self
+            .ask
+            .try_send(Ask {
+                conn,
+                link,
+                hash,
+                password: password.to_vec(),
+            })
+            .is_ok();
         self.pending += usize::from(asked);
         asked
     }
@@ -235,7 +255,10 @@
             asked += usize::from(logins.check(asked, 7, None, b""));
             thread::sleep(std::time::Duration::from_micros(500));
         }
-        assert!((0..100).all(|_| !logins.check(9, 7, None, b"")), "no more than that");
+        assert!(
+            (0..100).all(|_| !logins.check(9, 7, None, b"")),
+            "no more than that"
+        );
         assert_eq!((asked, logins.pending), (5, 5));
         assert_eq!(ends(&mut logins, 5).len(), 5);
         assert!(logins.check(9, 7, None, b""));
@@ -244,7 +267,9 @@
     #[test]
     fn no_more_than_the_bound_is_known() {
         let mut good = Good::new();
-        good.digests = (0..KNOWN as u64).map(|i| [i.to_be_bytes(); 4].concat().try_into().unwrap()).collect();
+        good.digests = (0..KNOWN as u64)
+            .map(|i| [i.to_be_bytes(); 4].concat().try_into().unwrap())
+            .collect();
         assert!(good.check(Some(&hash(b"secret", b"0123456789abcdef")), b"secret"));
         assert_eq!(good.digests.len(), 1);
     }
--- a/crates/tidewall-amqp-door/src/marks.rs
+++ b/crates/tidewall-amqp-door/src/marks.rs
@@ -42,7 +42,8 @@
             return;
         }
         self.count += 1;
-        self.known.insert(mark.clone(), (self.count, Known::Answered(word)));
+        self.known
+            .insert(mark.clone(), (self.count, Known::Answered(word)));
         self.ends.push_back((now + window, self.count, mark));
         self.forget(now);
     }
@@ -54,7 +55,9 @@
 
     fn forget(&mut self, now: Time) {
         while self.ends.front().is_some_and(|e| e.0 <= now) {
-            let Some((_, count, mark)) = self.ends.pop_front() else { return };
+            let Some((_, count, mark)) = self.ends.pop_front() else {
+                return;
+            };
             if self.known.get(&mark).is_some_and(|k| k.0 == count) {
                 self.known.remove(&mark);
             }
@@ -84,7 +87,10 @@
         marks.take(mark("m"), 7);
         assert_eq!(marks.find(0, &mark("m")), Some(&Known::InHand(7)));
         marks.end(100, mark("m"), Word::Handled, 40_000);
-        assert_eq!(marks.find(40_099, &mark("m")), Some(&Known::Answered(Word::Handled)));
+        assert_eq!(
+            marks.find(40_099, &mark("m")),
+            Some(&Known::Answered(Word::Handled))
+        );
         assert_eq!(marks.find(40_100, &mark("m")), None);
         assert!(marks.is_empty());
     }
--- a/crates/tidewall-amqp-door/tests/triggers.rs
+++ b/crates/tidewall-amqp-door/tests/triggers.rs
@@ -58,7 +58,10 @@
     fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let (mut used, mut out) = (0, Vec::new());
         loop {
-            match self.terminal.frame(&bytes[used..], &mut out, &mut self.told) {
+            match self
+                .terminal
+                .frame(&bytes[used..], &mut out, &mut self.told)
+            {
                 Ok(0) => break,
                 Ok(n) => used += n,
                 Err(e) => {
@@ -84,7 +87,11 @@
 
 /// A hash that costs nothing: tests wait for it in real time.
 fn hash() -> String {
-    let cheap = Argon2::new(Algorithm::Argon2id, Version::V0x13, Params::new(8, 1, 1, None).unwrap());
+    let cheap = Argon2::new(
+        Algorithm::Argon2id,
+        Version::V0x13,
+        Params::new(8, 1, 1, None).unwrap(),
+    );
     let salt = SaltString::encode_b64(b"0123456789abcdef").unwrap();
     cheap.hash_password(b"terminal", &salt).unwrap().to_string()
 }
@@ -103,7 +110,9 @@
         hash()
     );
     let settings = tidewall_config::settings("test", &text).unwrap();
-    site.gateway.open(at(DOOR), Box::new(Amqp::new(1, &settings))).unwrap();
+    site.gateway
+        .open(at(DOOR), Box::new(Amqp::new(1, &settings)))
+        .unwrap();
     let desk = |_| Desk {
         net: Memory::join(&site.world),
         conn: None,
@@ -139,7 +148,8 @@
 
     fn pass(&mut self, time: Time) {
         let until = self.site.hand.now() + time;
-        let mut apps: Vec<&mut dyn App<Net = Memory>> = vec![&mut self.site.gateway, &mut self.site.roster];
+        let mut apps: Vec<&mut dyn App<Net = Memory>> =
+            vec![&mut self.site.gateway, &mut self.site.roster];
         self.site.workers.iter_mut().for_each(|w| apps.push(w));
         apps.push(&mut self.site.client);
         self.desks.iter_mut().for_each(|d| apps.push(d));
@@ -149,13 +159,20 @@
     fn publish(&mut self, d: usize, evt: u64, key: &str, left_ms: u64, mark: u64) {
         let desk = &mut self.desks[d];
         let mut out = Vec::new();
-        desk.terminal.publish(&mut out, evt, key, left_ms, mark, false, b"body");
+        desk.terminal
+            .publish(&mut out, evt, key, left_ms, mark, false, b"body");
         let conn = desk.conn.unwrap();
         assert!(desk.net.write(conn, &out));
     }
 
     fn words(&self, d: usize, evt: u64) -> Vec<&str> {
-        self.desks[d].told.answers.iter().filter(|a| a.0 == evt).map(|a| a.1.as_str()).collect()
+        self.desks[d]
+            .told
+            .answers
+            .iter()
+            .filter(|a| a.0 == evt)
+            .map(|a| a.1.as_str())
+            .collect()
     }
 
     fn confirms(&self, d: usize) -> &[(u64, bool)] {
@@ -181,8 +198,14 @@
     let mut y = yard(&[does], 1, "");
     y.publish(0, 7, key, 1_500, 70);
     y.pass(40_000);
-    assert_eq!((y.words(0, 7), y.confirms(0)), (vec![word], &[(7, acked)][..]));
-    assert_eq!((y.site.gateway.held(), y.site.gateway.outstanding()), (0, 0));
+    assert_eq!(
+        (y.words(0, 7), y.confirms(0)),
+        (vec![word], &[(7, acked)][..])
+    );
+    assert_eq!(
+        (y.site.gateway.held(), y.site.gateway.outstanding()),
+        (0, 0)
+    );
 }
 
 #[test_case(0, "turned-away", 0 ; "expiration 0")]
@@ -207,7 +230,10 @@
     y.ready();
     y.publish(0, 8, "record.f", 1_900, 70);
     y.pass(20_000);
-    assert_eq!((y.launches(), y.words(0, 7).len(), y.words(0, 8)), (1, 0, vec!["handled"]));
+    assert_eq!(
+        (y.launches(), y.words(0, 7).len(), y.words(0, 8)),
+        (1, 0, vec!["handled"])
+    );
     assert_eq!(y.confirms(0), [(8, true)]);
     assert_eq!(y.site.gateway.held(), 0);
 }
@@ -219,7 +245,10 @@
     y.pass(500);
     y.publish(1, 8, "record.f", 1_900, 70);
     y.pass(20_000);
-    assert_eq!((y.launches(), y.words(0, 7), y.words(1, 8)), (1, vec!["handled"], vec!["handled"]));
+    assert_eq!(
+        (y.launches(), y.words(0, 7), y.words(1, 8)),
+        (1, vec!["handled"], vec!["handled"])
+    );
 }
 
 /// Within its window the recorded answer is given again; after it the event is a new one.
@@ -231,7 +260,10 @@
     y.pass(wait);
     y.publish(0, 8, "record.f", 1_900, 70);
     y.pass(5_000);
-    assert_eq!((y.words(0, 7), y.words(0, 8)), (vec!["handled"], vec!["handled"]));
+    assert_eq!(
+        (y.words(0, 7), y.words(0, 8)),
+        (vec!["handled"], vec!["handled"])
+    );
     assert_eq!(y.launches(), launches);
 }
 
@@ -243,7 +275,10 @@
     y.pass(5_000);
     y.publish(0, 8, "record.f", 1_500, 70);
     y.pass(40_000);
-    assert_eq!((y.words(0, 7), y.words(0, 8)), (vec!["dead-lettered"], vec!["dead-lettered"]));
+    assert_eq!(
+        (y.words(0, 7), y.words(0, 8)),
+        (vec!["dead-lettered"], vec!["dead-lettered"])
+    );
     let before = y.launches();
     y.publish(0, 9, "record.f", 1_500, 70);
     y.pass(1_000);
@@ -294,7 +329,11 @@
     y.site.client.role = "raw";
     let mut out = tidewall_amqp::codec::PROTOCOL.to_vec();
     let m = tidewall_amqp::codec::Out::method(&mut out, 0, 10, 11);
-    m.long_str(b"").short_str("PLAIN").long_str(b"\0terminal\0guess").short_str("en_US").end();
+    m.long_str(b"")
+        .short_str("PLAIN")
+        .long_str(b"\0terminal\0guess")
+        .short_str("en_US")
+        .end();
     let conn = y.site.client.net.connect(at(DOOR), 10_000);
     y.site.client.net.write(conn, &out);
     for _ in 0..200 {
@@ -304,7 +343,11 @@
     y.publish(0, 7, "check.f", 1_500, 70);
     y.pass(5_000);
     assert_eq!(y.words(0, 7), ["handled"]);
-    let launches = y.site.workers[0].got.iter().filter(|g| g.kind == kind::LAUNCH).count();
+    let launches = y.site.workers[0]
+        .got
+        .iter()
+        .filter(|g| g.kind == kind::LAUNCH)
+        .count();
     assert_eq!(launches, 1);
 }
 
@@ -316,7 +359,11 @@
     y.site.client.role = "raw";
     let mut out = tidewall_amqp::codec::PROTOCOL.to_vec();
     let m = tidewall_amqp::codec::Out::method(&mut out, 0, 10, 11);
-    m.long_str(b"").short_str("PLAIN").long_str(b"\0nobody\0x").short_str("en_US").end();
+    m.long_str(b"")
+        .short_str("PLAIN")
+        .long_str(b"\0nobody\0x")
+        .short_str("en_US")
+        .end();
     for _ in 0..1_000 {
         let conn = net.connect(at(DOOR), 10_000);
         net.write(conn, &out);
@@ -353,14 +400,21 @@
     y.pass(4_000);
     assert_eq!(y.words(0, 8), ["dead-lettered"], "its client gives up now");
     y.pass(20_000);
-    assert_eq!((y.words(0, 7).len(), y.words(0, 8).len(), y.launches()), (1, 1, 1));
+    assert_eq!(
+        (y.words(0, 7).len(), y.words(0, 8).len(), y.launches()),
+        (1, 1, 1)
+    );
 }
 
 /// The memory of a message-id was given up with the answer that came too late: the next try ran it again.
 #[test_case("issue", 1, "dead-lettered"; "at most once is not run again")]
 #[test_case("record", 1, "dead-lettered"; "keyed neither: nobody knows where it ran")]
 #[test_case("check", 2, "handled"; "redeliverable is")]
-fn an_event_whose_time_passed_in_a_standstill_is_remembered(typ: &str, launches: usize, word: &str) {
+fn an_event_whose_time_passed_in_a_standstill_is_remembered(
+    typ: &str,
+    launches: usize,
+    word: &str,
+) {
     let mut y = yard(&[Does::After(3_000)], 1, "");
     y.publish(0, 7, &format!("{typ}.f"), 1_500, 70);
     y.pass(100);
@@ -386,7 +440,10 @@
     y.pass(12_000);
     y.site.hand.still(false);
     y.pass(1_000);
-    assert_eq!((y.words(0, 7).len(), y.words(0, 8)), (0, vec!["dead-lettered"]));
+    assert_eq!(
+        (y.words(0, 7).len(), y.words(0, 8)),
+        (0, vec!["dead-lettered"])
+    );
     y.pass(20_000);
     assert_eq!((y.words(0, 8).len(), y.launches()), (1, 1));
 }
@@ -401,7 +458,10 @@
     y.pass(4_000);
     y.site.hand.still(false);
     y.pass(10_000);
-    assert_eq!((y.words(0, 7), y.words(0, 8)), (vec!["turned-away"], vec!["handled"]));
+    assert_eq!(
+        (y.words(0, 7), y.words(0, 8)),
+        (vec!["turned-away"], vec!["handled"])
+    );
 }
 
 /// What a deferral tells is at least a millisecond, the unit of the door, and never none.
@@ -411,7 +471,11 @@
     y.publish(0, 7, "check.f", 700, 70);
     y.pass(10_000);
     assert_eq!(y.words(0, 7), ["deferred"]);
-    assert!(y.desks[0].told.answers.iter().any(|a| a.0 == 7 && a.2 > 0), "{:?}", y.desks[0].told.answers);
+    assert!(
+        y.desks[0].told.answers.iter().any(|a| a.0 == 7 && a.2 > 0),
+        "{:?}",
+        y.desks[0].told.answers
+    );
 }
 
 #[test_case("check"; "redeliverable")]
@@ -421,5 +485,9 @@
     y.publish(0, 7, &format!("{typ}.f"), 1_900, 70);
     y.pass(800);
     assert_eq!(y.words(0, 7), ["deferred"]);
-    assert!(y.desks[0].told.answers.iter().all(|a| a.2 > 0), "{:?}", y.desks[0].told.answers);
+    assert!(
+        y.desks[0].told.answers.iter().all(|a| a.2 > 0),
+        "{:?}",
+        y.desks[0].told.answers
+    );
 }
--- a/crates/tidewall-amqp/benches/codec.rs
+++ b/crates/tidewall-amqp/benches/codec.rs
@@ -5,7 +5,10 @@
 use tidewall_amqp::topic::{matches, Topics};
 
 fn publish(out: &mut Vec<u8>, properties: &mut Vec<u8>, body: &[u8]) {
-    let m = Out::method(out, 1, 60, 40).short(0).short_str("tidewall.events").short_str("record.book3");
+    let m = Out::method(out, 1, 60, 40)
+        .short(0)
+        .short_str("tidewall.events")
+        .short_str("record.book3");
     m.bit(false).bit(false).end();
     let p = Properties {
         message_id: "4711-0815",
@@ -59,7 +62,10 @@
             })
             .collect();
         let mut topics = Topics::default();
-        patterns.iter().enumerate().for_each(|(i, p)| topics.bind(p, i));
+        patterns
+            .iter()
+            .enumerate()
+            .for_each(|(i, p)| topics.bind(p, i));
         let mut found = Vec::new();
         group.bench_with_input(BenchmarkId::new("trie", size), &size, |b, _| {
             b.iter(|| {
@@ -69,7 +75,14 @@
             });
         });
         group.bench_with_input(BenchmarkId::new("every", size), &size, |b, _| {
-            b.iter(|| black_box(patterns.iter().filter(|p| matches(p, black_box("hall5.8.stock"))).count()));
+            b.iter(|| {
+                black_box(
+                    patterns
+                        .iter()
+                        .filter(|p| matches(p, black_box("hall5.8.stock")))
+                        .count(),
+                )
+            });
         });
     }
     group.finish();
--- a/crates/tidewall-amqp/src/broker.rs
+++ b/crates/tidewall-amqp/src/broker.rs
@@ -103,11 +103,21 @@
             named: 0,
             found: Vec::new(),
         };
-        let own =
-            [("amq.direct", "direct"), ("amq.fanout", "fanout"), ("amq.topic", "topic"), (trigger, TRIGGER)];
+        let own = [
+            ("amq.direct", "direct"),
+            ("amq.fanout", "fanout"),
+            ("amq.topic", "topic"),
+            (trigger, TRIGGER),
+        ];
         for (name, kind) in own {
             let kind = Broker::kind(kind).expect("these are served");
-            let exchange = Exchange { kind, durable: true, auto_delete: false, internal: false, bindings: 0 };
+            let exchange = Exchange {
+                kind,
+                durable: true,
+                auto_delete: false,
+                internal: false,
+                bindings: 0,
+            };
             broker.exchanges.insert(name.to_string(), exchange);
         }
         broker
@@ -119,8 +129,14 @@
             "fanout" => Ok(Kind::Fanout(Vec::new())),
             "topic" => Ok(Kind::Topic(Box::default())),
             TRIGGER => Ok(Kind::Trigger),
-            "headers" => Err(Fault::new(code::NOT_IMPLEMENTED, "headers exchanges are not served")),
-            other => Err(Fault::new(code::COMMAND_INVALID, format!("exchange type '{other}' is unknown"))),
+            "headers" => Err(Fault::new(
+                code::NOT_IMPLEMENTED,
+                "headers exchanges are not served",
+            )),
+            other => Err(Fault::new(
+                code::COMMAND_INVALID,
+                format!("exchange type '{other}' is unknown"),
+            )),
         }
     }
 
@@ -134,7 +150,9 @@
     }
 
     pub fn is_trigger(&self, exchange: &str) -> bool {
-        self.exchanges.get(exchange).is_some_and(|e| matches!(e.kind, Kind::Trigger))
+        self.exchanges
+            .get(exchange)
+            .is_some_and(|e| matches!(e.kind, Kind::Trigger))
     }
 
     pub fn declare_exchange(
@@ -149,43 +167,75 @@
                 return Ok(());
             }
             let same = Broker::kind_name(&known.kind) == kind
-                && (known.durable, known.auto_delete, known.internal) == (durable, auto_delete, internal);
+                && (known.durable, known.auto_delete, known.internal)
+                    == (durable, auto_delete, internal);
             let text = format!("exchange '{name}' stands with other properties");
-            return same.then_some(()).ok_or_else(|| Fault::new(code::PRECONDITION_FAILED, text));
+            return same
+                .then_some(())
+                .ok_or_else(|| Fault::new(code::PRECONDITION_FAILED, text));
         }
         if passive {
             return Err(not_found("exchange", name));
         }
         if name.is_empty() || name.starts_with("amq.") {
-            return Err(Fault::new(code::ACCESS_REFUSED, format!("the name '{name}' is reserved")));
+            return Err(Fault::new(
+                code::ACCESS_REFUSED,
+                format!("the name '{name}' is reserved"),
+            ));
         }
         if kind == TRIGGER {
-            return Err(Fault::new(code::COMMAND_INVALID, "the trigger exchange is named in the settings"));
+            return Err(Fault::new(
+                code::COMMAND_INVALID,
+                "the trigger exchange is named in the settings",
+            ));
         }
         let kind = Broker::kind(kind)?;
-        let exchange = Exchange { kind, durable, auto_delete, internal, bindings: 0 };
+        let exchange = Exchange {
+            kind,
+            durable,
+            auto_delete,
+            internal,
+            bindings: 0,
+        };
         self.exchanges.insert(name.to_string(), exchange);
         Ok(())
     }
 
     pub fn delete_exchange(&mut self, name: &str, if_unused: bool) -> Result<(), Fault> {
         if name.is_empty() || name.starts_with("amq.") || self.is_trigger(name) {
-            return Err(Fault::new(code::ACCESS_REFUSED, format!("exchange '{name}' is the server's")));
+            return Err(Fault::new(
+                code::ACCESS_REFUSED,
+                format!("exchange '{name}' is the server's"),
+            ));
         }
-        let known = self.exchanges.get(name).ok_or_else(|| not_found("exchange", name))?;
+        let known = self
+            .exchanges
+            .get(name)
+            .ok_or_else(|| not_found("exchange", name))?;
         if if_unused && known.bindings > 0 {
-            return Err(Fault::new(code::PRECONDITION_FAILED, format!("exchange '{name}' is in use")));
+            return Err(Fault::new(
+                code::PRECONDITION_FAILED,
+                format!("exchange '{name}' is in use"),
+            ));
         }
         self.exchanges.remove(name);
-        self.queues.iter_mut().for_each(|q| q.1.bindings.retain(|b| b.0 != name));
+        self.queues
+            .iter_mut()
+            .for_each(|q| q.1.bindings.retain(|b| b.0 != name));
         Ok(())
     }
 
     /// Exclusive queues are locked to the others (3.1.4 and queue.declare).
     pub fn queue(&self, conn: usize, name: &str) -> Result<usize, Fault> {
-        let queue = *self.names.get(name).ok_or_else(|| not_found("queue", name))?;
+        let queue = *self
+            .names
+            .get(name)
+            .ok_or_else(|| not_found("queue", name))?;
         if self.queues[queue].exclusive.is_some_and(|c| c != conn) {
-            return Err(Fault::new(code::RESOURCE_LOCKED, format!("queue '{name}' is another connection's")));
+            return Err(Fault::new(
+                code::RESOURCE_LOCKED,
+                format!("queue '{name}' is another connection's"),
+            ));
         }
         Ok(queue)
     }
@@ -207,13 +257,18 @@
                 && q.ttl == spec.ttl;
             let text = format!("queue '{name}' stands with other properties");
             let good = passive || same;
-            return good.then_some(queue).ok_or_else(|| Fault::new(code::PRECONDITION_FAILED, text));
+            return good
+                .then_some(queue)
+                .ok_or_else(|| Fault::new(code::PRECONDITION_FAILED, text));
         }
         if passive {
             return Err(not_found("queue", name));
         }
         if name.starts_with("amq.") {
-            return Err(Fault::new(code::ACCESS_REFUSED, format!("the name '{name}' is reserved")));
+            return Err(Fault::new(
+                code::ACCESS_REFUSED,
+                format!("the name '{name}' is reserved"),
+            ));
         }
         let name = if name.is_empty() {
             self.named += 1;
@@ -236,9 +291,15 @@
 
     pub fn bind(&mut self, queue: usize, exchange: &str, key: &str, on: bool) -> Result<(), Fault> {
         if exchange.is_empty() {
-            return Err(Fault::new(code::ACCESS_REFUSED, "the default exchange binds by itself"));
+            return Err(Fault::new(
+                code::ACCESS_REFUSED,
+                "the default exchange binds by itself",
+            ));
         }
-        let e = self.exchanges.get_mut(exchange).ok_or_else(|| not_found("exchange", exchange))?;
+        let e = self
+            .exchanges
+            .get_mut(exchange)
+            .ok_or_else(|| not_found("exchange", exchange))?;
         let binding = (exchange.to_string(), key.to_string());
         let bindings = &mut self.queues[queue].bindings;
         let known = bindings.iter().position(|b| *b == binding);
@@ -271,7 +332,10 @@
                 topics.unbind(key, queue);
             }
             Kind::Trigger => {
-                return Err(Fault::new(code::ACCESS_REFUSED, "events go to workers, not to queues"));
+                return Err(Fault::new(
+                    code::ACCESS_REFUSED,
+                    "events go to workers, not to queues",
+                ));
             }
         }
         e.bindings = if on { e.bindings + 1 } else { e.bindings - 1 };
@@ -288,7 +352,10 @@
             self.found.extend(self.names.get(key));
             return Ok(&self.found);
         }
-        let e = self.exchanges.get_mut(exchange).ok_or_else(|| not_found("exchange", exchange))?;
+        let e = self
+            .exchanges
+            .get_mut(exchange)
+            .ok_or_else(|| not_found("exchange", exchange))?;
         if e.internal {
             let text = format!("exchange '{exchange}' takes no publishes from clients");
             return Err(Fault::new(code::ACCESS_REFUSED, text));
@@ -313,7 +380,12 @@
         let ttl = q.ttl.map(|t| now + t);
         let expires = [message.expires, ttl].into_iter().flatten().min();
         let message = Message { expires, ..message };
-        let behind = q.ready.iter().rev().take_while(|m| m.priority < message.priority).count();
+        let behind = q
+            .ready
+            .iter()
+            .rev()
+            .take_while(|m| m.priority < message.priority)
+            .count();
         q.ready.insert(q.ready.len() - behind, message);
     }
 
@@ -321,8 +393,18 @@
     pub fn put_back(&mut self, queue: usize, message: Message) {
         self.bytes += message.weight();
         let q = &mut self.queues[queue];
-        let before = q.ready.iter().take_while(|m| m.priority > message.priority).count();
-        q.ready.insert(before, Message { redelivered: true, ..message });
+        let before = q
+            .ready
+            .iter()
+            .take_while(|m| m.priority > message.priority)
+            .count();
+        q.ready.insert(
+            before,
+            Message {
+                redelivered: true,
+                ..message
+            },
+        );
     }
 
     pub fn pop(&mut self, queue: usize) -> Option<Message> {
@@ -337,8 +419,10 @@
         if !q.ready.iter().any(|m| m.expires.is_some_and(|e| e <= now)) {
             return Vec::new();
         }
-        let (gone, kept): (Vec<_>, Vec<_>) =
-            q.ready.drain(..).partition(|m| m.expires.is_some_and(|e| e <= now));
+        let (gone, kept): (Vec<_>, Vec<_>) = q
+            .ready
+            .drain(..)
+            .partition(|m| m.expires.is_some_and(|e| e <= now));
         q.ready.extend(kept);
         self.bytes -= gone.iter().map(Message::weight).sum::<usize>();
         gone
@@ -364,7 +448,8 @@
 
     pub fn consume(&mut self, queue: usize, consumer: Consumer) -> Result<(), Fault> {
         let q = &mut self.queues[queue];
-        let taken = q.consumers.iter().any(|c| c.exclusive) || consumer.exclusive && !q.consumers.is_empty();
+        let taken = q.consumers.iter().any(|c| c.exclusive)
+            || consumer.exclusive && !q.consumers.is_empty();
         if taken {
             let text = format!("queue '{}' is consumed exclusively", q.name);
             return Err(Fault::new(code::ACCESS_REFUSED, text));
@@ -375,9 +460,12 @@
 
     /// True where the queue goes with its last consumer.
     pub fn cancel(&mut self, queue: usize, conn: usize, channel: u16, tag: &str) -> bool {
-        let Some(q) = self.queues.get_mut(queue) else { return false };
+        let Some(q) = self.queues.get_mut(queue) else {
+            return false;
+        };
         let before = q.consumers.len();
-        q.consumers.retain(|c| (c.conn, c.channel, &*c.tag) != (conn, channel, tag));
+        q.consumers
+            .retain(|c| (c.conn, c.channel, &*c.tag) != (conn, channel, tag));
         q.auto_delete && q.consumers.is_empty() && before > 0
     }
 }
--- a/crates/tidewall-amqp/src/codec.rs
+++ b/crates/tidewall-amqp/src/codec.rs
@@ -30,22 +30,39 @@
 /// One whole frame at the start of what was read, with the bytes that it takes; None while more must come. The
 /// size is judged before the payload is there.
 pub fn frame(bytes: &[u8], frame_max: u32) -> Result<Option<(RawFrame<'_>, usize)>, Fault> {
-    let Some(head) = bytes.first_chunk::<7>() else { return Ok(None) };
+    let Some(head) = bytes.first_chunk::<7>() else {
+        return Ok(None);
+    };
     let (kind, channel) = (head[0], u16::from_be_bytes([head[1], head[2]]));
     let size = u32::from_be_bytes([head[3], head[4], head[5], head[6]]);
     if !matches!(kind, METHOD | HEADER | BODY | HEARTBEAT) {
-        return Err(Fault::new(code::FRAME_ERROR, format!("frame type {kind} is unknown")));
+        return Err(Fault::new(
+            code::FRAME_ERROR,
+            format!("frame type {kind} is unknown"),
+        ));
     }
     if u64::from(size) + OVERHEAD as u64 > u64::from(frame_max) {
         let text = format!("a frame of {size} octets is over the negotiated {frame_max}");
         return Err(Fault::new(code::FRAME_ERROR, text));
     }
     let size = size as usize;
-    let Some(end) = bytes.get(7 + size) else { return Ok(None) };
+    let Some(end) = bytes.get(7 + size) else {
+        return Ok(None);
+    };
     if *end != FRAME_END {
-        return Err(Fault::new(code::FRAME_ERROR, format!("frame end {end:#04x} is not 0xce")));
-    }
-    Ok(Some((RawFrame { kind, channel, payload: &bytes[7..7 + size] }, size + OVERHEAD)))
+        return Err(Fault::new(
+            code::FRAME_ERROR,
+            format!("frame end {end:#04x} is not 0xce"),
+        ));
+    }
+    Ok(Some((
+        RawFrame {
+            kind,
+            channel,
+            payload: &bytes[7..7 + size],
+        },
+        size + OVERHEAD,
+    )))
 }
 
 /// Arguments of a method or properties, read one after the other.
@@ -58,7 +75,10 @@
 
 impl<'a> Args<'a> {
     pub fn new(bytes: &'a [u8]) -> Args<'a> {
-        Args { bytes, bits: (0, 8) }
+        Args {
+            bytes,
+            bits: (0, 8),
+        }
     }
 
     fn take(&mut self, count: usize) -> Result<&'a [u8], Fault> {
@@ -96,7 +116,11 @@
 
     pub fn bit(&mut self) -> Result<bool, Fault> {
         let (octet, used) = self.bits;
-        let (octet, used) = if used == 8 { (self.octet()?, 0) } else { (octet, used) };
+        let (octet, used) = if used == 8 {
+            (self.octet()?, 0)
+        } else {
+            (octet, used)
+        };
         self.bits = (octet, used + 1);
         Ok(octet >> used & 1 == 1)
     }
@@ -177,7 +201,9 @@
     pub fn iter(&self) -> impl Iterator<Item = (&'a str, Value<'a>)> {
         let mut args = Args::new(self.0);
         std::iter::from_fn(move || {
-            (args.left() > 0).then(|| Some((args.short_str().ok()?, value(&mut args).ok()?))).flatten()
+            (args.left() > 0)
+                .then(|| Some((args.short_str().ok()?, value(&mut args).ok()?)))
+                .flatten()
         })
     }
 }
@@ -306,7 +332,11 @@
         out.push(kind);
         out.extend_from_slice(&channel.to_be_bytes());
         out.extend_from_slice(&[0; 4]);
-        Out { out, start, bits: 8 }
+        Out {
+            out,
+            start,
+            bits: 8,
+        }
     }
 
     pub fn method(out: &'a mut Vec<u8>, channel: u16, class: u16, method: u16) -> Out<'a> {
@@ -351,7 +381,10 @@
 
     /// At most 255 octets; what is beyond is cut at a character's end.
     pub fn short_str(self, v: &str) -> Out<'a> {
-        let end = (0..=v.len().min(255)).rev().find(|e| v.is_char_boundary(*e)).unwrap_or(0);
+        let end = (0..=v.len().min(255))
+            .rev()
+            .find(|e| v.is_char_boundary(*e))
+            .unwrap_or(0);
         let s = self.octet(end as u8);
         s.out.extend_from_slice(&v.as_bytes()[..end]);
         s
@@ -382,7 +415,10 @@
 
 /// Content behind its method: header with properties as they are encoded, and the body in frames that fit.
 pub fn content(out: &mut Vec<u8>, channel: u16, properties: &[u8], body: &[u8], frame_max: u32) {
-    let f = Out::frame(out, HEADER, channel).short(60).short(0).long_long(body.len() as u64);
+    let f = Out::frame(out, HEADER, channel)
+        .short(60)
+        .short(0)
+        .long_long(body.len() as u64);
     f.raw(properties).end();
     for part in body.chunks(frame_max as usize - OVERHEAD) {
         Out::frame(out, BODY, channel).raw(part).end();
@@ -399,11 +435,25 @@
     set(13, p.headers.is_some());
     set(12, p.delivery_mode > 0);
     set(11, p.priority > 0);
-    texts.iter().zip([10, 9, 8, 7]).for_each(|(t, bit)| set(bit, !t.is_empty()));
+    texts
+        .iter()
+        .zip([10, 9, 8, 7])
+        .for_each(|(t, bit)| set(bit, !t.is_empty()));
     set(6, p.timestamp.is_some());
-    [p.typ, p.user_id, p.app_id].iter().zip([5, 4, 3]).for_each(|(t, bit)| set(bit, !t.is_empty()));
-    let mut o = Out { out, start: 0, bits: 8 }.short(flags);
-    for t in [p.content_type, p.content_encoding].into_iter().filter(|t| !t.is_empty()) {
+    [p.typ, p.user_id, p.app_id]
+        .iter()
+        .zip([5, 4, 3])
+        .for_each(|(t, bit)| set(bit, !t.is_empty()));
+    let mut o = Out {
+        out,
+        start: 0,
+        bits: 8,
+    }
+    .short(flags);
+    for t in [p.content_type, p.content_encoding]
+        .into_iter()
+        .filter(|t| !t.is_empty())
+    {
         o = o.short_str(t);
     }
     if let Some(t) = p.headers {
@@ -418,7 +468,10 @@
     if let Some(t) = p.timestamp {
         o = o.long_long(t);
     }
-    for t in [p.typ, p.user_id, p.app_id].into_iter().filter(|t| !t.is_empty()) {
+    for t in [p.typ, p.user_id, p.app_id]
+        .into_iter()
+        .filter(|t| !t.is_empty())
+    {
         o = o.short_str(t);
     }
 }
@@ -429,11 +482,22 @@
 
 impl TableOut {
     fn put(&mut self, name: &str, kind: u8, value: &[u8]) {
-        let _ = Out { out: &mut self.0, start: 0, bits: 8 }.short_str(name).octet(kind).raw(value);
+        let _ = Out {
+            out: &mut self.0,
+            start: 0,
+            bits: 8,
+        }
+        .short_str(name)
+        .octet(kind)
+        .raw(value);
     }
 
     pub fn text(&mut self, name: &str, value: &str) {
-        self.put(name, b'S', &[&(value.len() as u32).to_be_bytes()[..], value.as_bytes()].concat());
+        self.put(
+            name,
+            b'S',
+            &[&(value.len() as u32).to_be_bytes()[..], value.as_bytes()].concat(),
+        );
     }
 
     pub fn whole(&mut self, name: &str, value: i64) {
@@ -449,11 +513,19 @@
     }
 
     pub fn table(&mut self, name: &str, value: &[u8]) {
-        self.put(name, b'F', &[&(value.len() as u32).to_be_bytes()[..], value].concat());
+        self.put(
+            name,
+            b'F',
+            &[&(value.len() as u32).to_be_bytes()[..], value].concat(),
+        );
     }
 
     /// An array of values, each with its type octet in front.
     pub fn array(&mut self, name: &str, value: &[u8]) {
-        self.put(name, b'A', &[&(value.len() as u32).to_be_bytes()[..], value].concat());
+        self.put(
+            name,
+            b'A',
+            &[&(value.len() as u32).to_be_bytes()[..], value].concat(),
+        );
     }
 }
--- a/crates/tidewall-amqp/src/lib.rs
+++ b/crates/tidewall-amqp/src/lib.rs
@@ -42,7 +42,12 @@
 
 impl Fault {
     pub fn new(code: u16, text: impl Into<String>) -> Fault {
-        Fault { code, text: text.into(), class: 0, method: 0 }
+        Fault {
+            code,
+            text: text.into(),
+            class: 0,
+            method: 0,
+        }
     }
 
     /// Soft errors end their channel, all others the connection.
--- a/crates/tidewall-amqp/src/server.rs
+++ b/crates/tidewall-amqp/src/server.rs
@@ -179,7 +179,11 @@
 
 impl Server {
     pub fn new(limits: Limits) -> Server {
-        let brokers = limits.vhosts.iter().map(|_| Broker::new(&limits.trigger)).collect();
+        let brokers = limits
+            .vhosts
+            .iter()
+            .map(|_| Broker::new(&limits.trigger))
+            .collect();
         Server {
             limits,
             peers: Slab::new(),
@@ -237,7 +241,10 @@
 
     /// Who logged in, once the connection is open.
     pub fn user(&self, conn: usize) -> Option<&str> {
-        self.peers.get(conn).filter(|p| p.state == State::Running).map(|p| p.user.as_str())
+        self.peers
+            .get(conn)
+            .filter(|p| p.state == State::Running)
+            .map(|p| p.user.as_str())
     }
 
     /// Nobody is told of this trigger any more: its client has given up. Its confirm is a nack at the next settle;
@@ -248,7 +255,8 @@
                 p.debts -= 1;
             }
             if w.seq > 0 {
-                self.refused.push((w.conn, w.link, w.channel, w.count, w.seq));
+                self.refused
+                    .push((w.conn, w.link, w.channel, w.count, w.seq));
             }
         }
     }
@@ -324,33 +332,58 @@
     fn start<O: Outside>(&mut self, o: &mut O, conn: usize) {
         self.peers[conn].state = State::Start;
         let mut can = TableOut::default();
-        for name in ["publisher_confirms", "basic.nack", "connection.blocked", "consumer_cancel_notify"] {
+        for name in [
+            "publisher_confirms",
+            "basic.nack",
+            "connection.blocked",
+            "consumer_cancel_notify",
+        ] {
             can.flag(name, true);
         }
         let mut about = TableOut::default();
         about.text("product", "tidewall");
         about.table("capabilities", &can.0);
         self.say(o, conn, (0, 10, 10), |m| {
-            m.octet(0).octet(9).long_str(&about.0).long_str(b"PLAIN").long_str(b"en_US")
+            m.octet(0)
+                .octet(9)
+                .long_str(&about.0)
+                .long_str(b"PLAIN")
+                .long_str(b"en_US")
         });
     }
 
     /// Ends a channel or a connection with the exception's own words.
     fn exception<O: Outside>(&mut self, o: &mut O, conn: usize, channel: u16, fault: Fault) {
         self.exceptions += 1;
-        self.last_exception =
-            format!("{} {} (class {}, method {})", fault.code, fault.text, fault.class, fault.method);
-        let Some(p) = self.peers.get_mut(conn) else { return };
+        self.last_exception = format!(
+            "{} {} (class {}, method {})",
+            fault.code, fault.text, fault.class, fault.method
+        );
+        let Some(p) = self.peers.get_mut(conn) else {
+            return;
+        };
         let write = |m: Out<'_>| -> () {
-            m.short(fault.code).short_str(&fault.text).short(fault.class).short(fault.method).end();
+            m.short(fault.code)
+                .short_str(&fault.text)
+                .short(fault.class)
+                .short(fault.method)
+                .end();
         };
         self.out.clear();
-        if fault.soft() && channel > 0 && p.state == State::Running && p.channels.contains_key(&channel) {
+        if fault.soft()
+            && channel > 0
+            && p.state == State::Running
+            && p.channels.contains_key(&channel)
+        {
             write(Out::method(&mut self.out, channel, 20, 40));
             self.write(o, conn);
             self.end_channel(conn, channel);
             if let Some(c) = self.peers[conn].channels.get_mut(&channel) {
-                *c = Channel { count: c.count, closing: true, ..Channel::default() };
+                *c = Channel {
+                    count: c.count,
+                    closing: true,
+                    ..Channel::default()
+                };
             }
             return;
         }
@@ -374,7 +407,8 @@
         let p = &mut self.peers[conn];
         if p.state == State::Closing {
             // Only close-ok is still heard (and a close that crossed ours).
-            if frame.kind == codec::METHOD && matches!(frame.payload, [0, 10, 0, 51, ..] | [0, 10, 0, 50, ..])
+            if frame.kind == codec::METHOD
+                && matches!(frame.payload, [0, 10, 0, 51, ..] | [0, 10, 0, 50, ..])
             {
                 o.close(p.link);
                 self.gone(conn);
@@ -382,9 +416,10 @@
             return Ok(());
         }
         match frame.kind {
-            codec::HEARTBEAT if frame.channel > 0 => {
-                Err(Fault::new(code::FRAME_ERROR, "heartbeats come on channel 0"))
-            }
+            codec::HEARTBEAT if frame.channel > 0 => Err(Fault::new(
+                code::FRAME_ERROR,
+                "heartbeats come on channel 0",
+            )),
             codec::HEARTBEAT => Ok(()),
             codec::METHOD => {
                 let mut args = Args::new(frame.payload);
@@ -408,27 +443,48 @@
         let p = &mut self.peers[conn];
         if class == 10 {
             if channel > 0 {
-                return Err(Fault::new(code::COMMAND_INVALID, "connection methods come on channel 0"));
+                return Err(Fault::new(
+                    code::COMMAND_INVALID,
+                    "connection methods come on channel 0",
+                ));
             }
             return self.connection(o, conn, method, a);
         }
         if p.state != State::Running {
-            return Err(Fault::new(code::COMMAND_INVALID, "the connection is not open"));
+            return Err(Fault::new(
+                code::COMMAND_INVALID,
+                "the connection is not open",
+            ));
         }
         if channel == 0 || channel > p.channel_max {
-            return Err(Fault::new(code::CHANNEL_ERROR, format!("channel {channel} is not to be had")));
+            return Err(Fault::new(
+                code::CHANNEL_ERROR,
+                format!("channel {channel} is not to be had"),
+            ));
         }
         if class == 20 && method == 10 {
             if p.channels.contains_key(&channel) {
-                return Err(Fault::new(code::CHANNEL_ERROR, format!("channel {channel} is open already")));
+                return Err(Fault::new(
+                    code::CHANNEL_ERROR,
+                    format!("channel {channel} is open already"),
+                ));
             }
             self.counts += 1;
-            p.channels.insert(channel, Channel { count: self.counts, ..Channel::default() });
+            p.channels.insert(
+                channel,
+                Channel {
+                    count: self.counts,
+                    ..Channel::default()
+                },
+            );
             self.say(o, conn, (channel, 20, 11), |m| m.long_str(b""));
             return Ok(());
         }
         let Some(c) = p.channels.get_mut(&channel) else {
-            return Err(Fault::new(code::CHANNEL_ERROR, format!("channel {channel} is not open")));
+            return Err(Fault::new(
+                code::CHANNEL_ERROR,
+                format!("channel {channel} is not open"),
+            ));
         };
         if c.closing {
             // 1.4.2.5 (channel.close): everything but close-ok is dropped until then.
@@ -441,7 +497,10 @@
             return Ok(());
         }
         if c.content.is_some() {
-            return Err(Fault::new(code::UNEXPECTED_FRAME, "a method came within a content"));
+            return Err(Fault::new(
+                code::UNEXPECTED_FRAME,
+                "a method came within a content",
+            ));
         }
         match (class, method) {
             (20, 20) => {
@@ -471,17 +530,27 @@
                 }
                 Ok(())
             }
-            (90, _) => Err(Fault::new(code::NOT_IMPLEMENTED, "transactions are not served")),
+            (90, _) => Err(Fault::new(
+                code::NOT_IMPLEMENTED,
+                "transactions are not served",
+            )),
             _ => Err(Fault::new(code::COMMAND_INVALID, "the method is unknown")),
         }
     }
 
-    fn connection<O: Outside>(&mut self, o: &mut O, conn: usize, method: u16, a: &mut Args) -> Done {
+    fn connection<O: Outside>(
+        &mut self,
+        o: &mut O,
+        conn: usize,
+        method: u16,
+        a: &mut Args,
+    ) -> Done {
         let p = &mut self.peers[conn];
         match (p.state, method) {
             (State::Start, 11) => {
                 let about = a.table()?;
-                let (mechanism, response, _locale) = (a.short_str()?, a.long_str()?, a.short_str()?);
+                let (mechanism, response, _locale) =
+                    (a.short_str()?, a.long_str()?, a.short_str()?);
                 if mechanism != "PLAIN" {
                     return Err(Fault::new(
                         code::ACCESS_REFUSED,
@@ -496,7 +565,10 @@
                 let (_, user, password) = (parts.next(), parts.next(), parts.next());
                 let user = user.and_then(|u| std::str::from_utf8(u).ok());
                 let (Some(user), Some(password)) = (user, password) else {
-                    return Err(Fault::new(code::SYNTAX_ERROR, "the PLAIN response is malformed"));
+                    return Err(Fault::new(
+                        code::SYNTAX_ERROR,
+                        "the PLAIN response is malformed",
+                    ));
                 };
                 p.state = State::Checking;
                 p.user = user.to_string();
@@ -507,9 +579,13 @@
                 let (channels, frame, heartbeat) = (a.short()?, a.long()?, a.short()?);
                 let most = |asked: u64, ours: u64| if asked == 0 { ours } else { asked.min(ours) };
                 if frame > 0 && frame < codec::FRAME_MIN || frame > self.limits.frame_max {
-                    return Err(Fault::new(code::SYNTAX_ERROR, format!("frame-max {frame} was not offered")));
+                    return Err(Fault::new(
+                        code::SYNTAX_ERROR,
+                        format!("frame-max {frame} was not offered"),
+                    ));
                 }
-                p.channel_max = most(u64::from(channels), u64::from(self.limits.channel_max)) as u16;
+                p.channel_max =
+                    most(u64::from(channels), u64::from(self.limits.channel_max)) as u16;
                 p.frame_max = most(u64::from(frame), u64::from(self.limits.frame_max)) as u32;
                 p.heartbeat = Time::from(heartbeat) * 10_000;
                 p.state = State::Open;
@@ -518,8 +594,9 @@
             (State::Open, 40) => {
                 let vhost = a.short_str()?;
                 let known = self.limits.vhosts.iter().position(|v| v == vhost);
-                p.vhost = known
-                    .ok_or_else(|| Fault::new(code::NOT_ALLOWED, format!("no virtual host '{vhost}'")))?;
+                p.vhost = known.ok_or_else(|| {
+                    Fault::new(code::NOT_ALLOWED, format!("no virtual host '{vhost}'"))
+                })?;
                 p.state = State::Running;
                 self.say(o, conn, (0, 10, 41), |m| m.octet(0));
                 Ok(())
@@ -531,7 +608,9 @@
                 Ok(())
             }
             (_, 51) => Ok(()),
-            (State::Running, 70) => Err(Fault::new(code::NOT_IMPLEMENTED, "secrets are not renewed")),
+            (State::Running, 70) => {
+                Err(Fault::new(code::NOT_IMPLEMENTED, "secrets are not renewed"))
+            }
             _ => Err(Fault::new(
                 code::COMMAND_INVALID,
                 format!("connection method {method} is out of its turn"),
@@ -541,20 +620,40 @@
 
     /// The password was checked.
     pub fn checked<O: Outside>(&mut self, o: &mut O, conn: usize, link: u64, good: bool) {
-        let Some(p) = self.peers.get_mut(conn) else { return };
+        let Some(p) = self.peers.get_mut(conn) else {
+            return;
+        };
         if p.link != link || p.state != State::Checking {
             return; // it left meanwhile
         }
         if !good {
-            let fault = Fault { class: 10, method: 11, ..Fault::new(code::ACCESS_REFUSED, "login refused") };
+            let fault = Fault {
+                class: 10,
+                method: 11,
+                ..Fault::new(code::ACCESS_REFUSED, "login refused")
+            };
             return self.exception(o, conn, 0, fault);
         }
         p.state = State::Tune;
-        let Limits { channel_max, frame_max, heartbeat, .. } = self.limits;
-        self.say(o, conn, (0, 10, 30), |m| m.short(channel_max).long(frame_max).short(heartbeat));
+        let Limits {
+            channel_max,
+            frame_max,
+            heartbeat,
+            ..
+        } = self.limits;
+        self.say(o, conn, (0, 10, 30), |m| {
+            m.short(channel_max).long(frame_max).short(heartbeat)
+        });
     }
 
-    fn exchange<O: Outside>(&mut self, o: &mut O, conn: usize, ch: u16, method: u16, a: &mut Args) -> Done {
+    fn exchange<O: Outside>(
+        &mut self,
+        o: &mut O,
+        conn: usize,
+        ch: u16,
+        method: u16,
+        a: &mut Args,
+    ) -> Done {
         let broker = &mut self.brokers[self.peers[conn].vhost];
         let (no_wait, reply) = match method {
             10 => {
@@ -572,7 +671,12 @@
                 broker.delete_exchange(name, if_unused)?;
                 (no_wait, 21)
             }
-            30 | 40 => return Err(Fault::new(code::NOT_IMPLEMENTED, "exchanges are not bound to exchanges")),
+            30 | 40 => {
+                return Err(Fault::new(
+                    code::NOT_IMPLEMENTED,
+                    "exchanges are not bound to exchanges",
+                ))
+            }
             _ => return Err(Fault::new(code::COMMAND_INVALID, "the method is unknown")),
         };
         if !no_wait {
@@ -586,12 +690,22 @@
         let p = &self.peers[conn];
         let last = &p.channels[&ch].last_queue;
         if name.is_empty() && last.is_empty() {
-            return Err(Fault::new(code::NOT_FOUND, "no queue was declared on this channel"));
+            return Err(Fault::new(
+                code::NOT_FOUND,
+                "no queue was declared on this channel",
+            ));
         }
         self.brokers[p.vhost].queue(conn, if name.is_empty() { last } else { name })
     }
 
-    fn queue<O: Outside>(&mut self, o: &mut O, conn: usize, ch: u16, method: u16, a: &mut Args) -> Done {
+    fn queue<O: Outside>(
+        &mut self,
+        o: &mut O,
+        conn: usize,
+        ch: u16,
+        method: u16,
+        a: &mut Args,
+    ) -> Done {
         let vhost = self.peers[conn].vhost;
         a.short()?;
         match method {
@@ -608,7 +722,12 @@
                     None => None,
                     Some(Value::Whole(v)) if v >= 0 => Some(v as u64),
                     Some(Value::Unsigned(v)) => Some(v),
-                    Some(_) => return Err(Fault::new(code::PRECONDITION_FAILED, "x-message-ttl is no time")),
+                    Some(_) => {
+                        return Err(Fault::new(
+                            code::PRECONDITION_FAILED,
+                            "x-message-ttl is no time",
+                        ))
+                    }
                 };
                 let spec = QueueSpec {
                     durable,
@@ -619,17 +738,26 @@
                     ttl: ttl.map(|ms| ms.min(1 << 40) * 10),
                 };
                 let last = self.peers[conn].channels[&ch].last_queue.clone();
-                let name = if name.is_empty() && passive { last } else { name.to_string() };
+                let name = if name.is_empty() && passive {
+                    last
+                } else {
+                    name.to_string()
+                };
                 let broker = &mut self.brokers[vhost];
                 let queue = broker.declare_queue(conn, &name, passive, &spec)?;
                 let q = &broker.queues[queue];
-                let (name, ready, consumers) =
-                    (q.name.clone(), q.ready.len() as u32, q.consumers.len() as u32);
+                let (name, ready, consumers) = (
+                    q.name.clone(),
+                    q.ready.len() as u32,
+                    q.consumers.len() as u32,
+                );
                 if let Some(c) = self.peers[conn].channels.get_mut(&ch) {
                     c.last_queue = name.to_string();
                 }
                 if !no_wait {
-                    self.say(o, conn, (ch, 50, 11), |m| m.short_str(&name).long(ready).long(consumers));
+                    self.say(o, conn, (ch, 50, 11), |m| {
+                        m.short_str(&name).long(ready).long(consumers)
+                    });
                 }
             }
             20 | 50 => {
@@ -651,7 +779,8 @@
                 }
             }
             40 => {
-                let (name, if_unused, if_empty, no_wait) = (a.short_str()?, a.bit()?, a.bit()?, a.bit()?);
+                let (name, if_unused, if_empty, no_wait) =
+                    (a.short_str()?, a.bit()?, a.bit()?, a.bit()?);
                 let queue = match self.named(conn, ch, name) {
                     // Deleting what is not there is no error.
                     Err(f) if f.code == code::NOT_FOUND => usize::MAX,
@@ -686,25 +815,42 @@
     ) -> usize {
         let (count, consumers) = self.brokers[vhost].delete_queue(queue);
         for c in consumers {
-            let channel = self.peers.get_mut(c.conn).and_then(|p| p.channels.get_mut(&c.channel));
+            let channel = self
+                .peers
+                .get_mut(c.conn)
+                .and_then(|p| p.channels.get_mut(&c.channel));
             if let Some(channel) = channel {
                 channel.consumers.remove(&c.tag);
                 if by != Some((c.conn, c.channel)) {
-                    self.say(o, c.conn, (c.channel, 60, 30), |m| m.short_str(&c.tag).bit(true));
+                    self.say(o, c.conn, (c.channel, 60, 30), |m| {
+                        m.short_str(&c.tag).bit(true)
+                    });
                 }
             }
         }
         count
     }
 
-    fn basic<O: Outside>(&mut self, o: &mut O, conn: usize, ch: u16, method: u16, a: &mut Args) -> Done {
+    fn basic<O: Outside>(
+        &mut self,
+        o: &mut O,
+        conn: usize,
+        ch: u16,
+        method: u16,
+        a: &mut Args,
+    ) -> Done {
         let vhost = self.peers[conn].vhost;
-        let Some(c) = self.peers[conn].channels.get_mut(&ch) else { return Ok(()) };
+        let Some(c) = self.peers[conn].channels.get_mut(&ch) else {
+            return Ok(());
+        };
         match method {
             10 => {
                 let (size, count, global) = (a.long()?, a.short()?, a.bit()?);
                 if size > 0 {
-                    return Err(Fault::new(code::NOT_IMPLEMENTED, "prefetch by octets is not served"));
+                    return Err(Fault::new(
+                        code::NOT_IMPLEMENTED,
+                        "prefetch by octets is not served",
+                    ));
                 }
                 if global {
                     c.prefetch_all = count;
@@ -756,10 +902,20 @@
                         let tag = self.hand_out(conn, ch, queue, "".into(), no_ack, &message);
                         let frame_max = self.peers[conn].frame_max;
                         self.out.clear();
-                        let m =
-                            Out::method(&mut self.out, ch, 60, 71).long_long(tag).bit(message.redelivered);
-                        m.short_str(&message.exchange).short_str(&message.key).long(left).end();
-                        codec::content(&mut self.out, ch, &message.properties, &message.body, frame_max);
+                        let m = Out::method(&mut self.out, ch, 60, 71)
+                            .long_long(tag)
+                            .bit(message.redelivered);
+                        m.short_str(&message.exchange)
+                            .short_str(&message.key)
+                            .long(left)
+                            .end();
+                        codec::content(
+                            &mut self.out,
+                            ch,
+                            &message.properties,
+                            &message.body,
+                            frame_max,
+                        );
                         self.write(o, conn);
                     }
                 }
@@ -776,10 +932,16 @@
             100 | 110 => {
                 let requeue = a.bit()?;
                 if !requeue {
-                    return Err(Fault::new(code::NOT_IMPLEMENTED, "recover goes by way of the queue"));
+                    return Err(Fault::new(
+                        code::NOT_IMPLEMENTED,
+                        "recover goes by way of the queue",
+                    ));
                 }
                 let unacked = std::mem::take(&mut c.unacked);
-                unacked.into_iter().rev().for_each(|u| self.put_back(vhost, u));
+                unacked
+                    .into_iter()
+                    .rev()
+                    .for_each(|u| self.put_back(vhost, u));
                 if method == 110 {
                     self.say(o, conn, (ch, 60, 111), |m| m);
                 }
@@ -795,11 +957,20 @@
         let (name, tag) = (a.short_str()?, a.short_str()?);
         let (_no_local, no_ack, exclusive, no_wait) = (a.bit()?, a.bit()?, a.bit()?, a.bit()?);
         a.table()?;
-        let Some(c) = self.peers[conn].channels.get_mut(&ch) else { return Ok(()) };
+        let Some(c) = self.peers[conn].channels.get_mut(&ch) else {
+            return Ok(());
+        };
         c.named += 1;
-        let tag: Rc<str> = if tag.is_empty() { format!("ctag-{ch}-{}", c.named).into() } else { tag.into() };
+        let tag: Rc<str> = if tag.is_empty() {
+            format!("ctag-{ch}-{}", c.named).into()
+        } else {
+            tag.into()
+        };
         if c.consumers.contains_key(&tag) || c.reply_consumer.as_ref() == Some(&tag) {
-            return Err(Fault::new(code::NOT_ALLOWED, format!("consumer tag '{tag}' is in use")));
+            return Err(Fault::new(
+                code::NOT_ALLOWED,
+                format!("consumer tag '{tag}' is in use"),
+            ));
         }
         if name == DIRECT {
             if !no_ack || c.reply_consumer.is_some() {
@@ -812,7 +983,13 @@
         } else {
             let prefetch = c.prefetch;
             let queue = self.named(conn, ch, name)?;
-            let consumer = Consumer { conn, channel: ch, tag: tag.clone(), no_ack, exclusive };
+            let consumer = Consumer {
+                conn,
+                channel: ch,
+                tag: tag.clone(),
+                no_ack,
+                exclusive,
+            };
             self.brokers[vhost].consume(queue, consumer)?;
             if let Some(c) = self.peers[conn].channels.get_mut(&ch) {
                 c.consumers.insert(tag.clone(), (queue, prefetch));
@@ -837,10 +1014,18 @@
     ) -> u64 {
         let p = &mut self.peers[conn];
         let name = self.brokers[p.vhost].queues[queue].name.clone();
-        let Some(c) = p.channels.get_mut(&ch) else { return 0 };
+        let Some(c) = p.channels.get_mut(&ch) else {
+            return 0;
+        };
         c.next_tag += 1;
         if !no_ack {
-            c.unacked.push_back(Unacked { tag: c.next_tag, queue, name, consumer: tag, message: m.clone() });
+            c.unacked.push_back(Unacked {
+                tag: c.next_tag,
+                queue,
+                name,
+                consumer: tag,
+                message: m.clone(),
+            });
         }
         c.next_tag
     }
@@ -855,17 +1040,30 @@
         requeue: Option<bool>,
     ) -> Done {
         let vhost = self.peers[conn].vhost;
-        let Some(c) = self.peers[conn].channels.get_mut(&ch) else { return Ok(()) };
+        let Some(c) = self.peers[conn].channels.get_mut(&ch) else {
+            return Ok(());
+        };
         // Multiple with tag 0 means all.
-        let known =
-            if tag == 0 && multiple { !c.unacked.is_empty() } else { c.unacked.iter().any(|u| u.tag == tag) };
+        let known = if tag == 0 && multiple {
+            !c.unacked.is_empty()
+        } else {
+            c.unacked.iter().any(|u| u.tag == tag)
+        };
         if !(known || tag == 0 && multiple) {
-            return Err(Fault::new(code::PRECONDITION_FAILED, format!("delivery tag {tag} is unknown")));
+            return Err(Fault::new(
+                code::PRECONDITION_FAILED,
+                format!("delivery tag {tag} is unknown"),
+            ));
         }
         let upto = if tag == 0 { u64::MAX } else { tag };
-        let (done, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut c.unacked)
-            .into_iter()
-            .partition(|u| if multiple { u.tag <= upto } else { u.tag == tag });
+        let (done, kept): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut c.unacked).into_iter().partition(|u| {
+                if multiple {
+                    u.tag <= upto
+                } else {
+                    u.tag == tag
+                }
+            });
         c.unacked = kept;
         for u in done.into_iter().rev() {
             match requeue {
@@ -879,7 +1077,10 @@
     }
 
     fn put_back(&mut self, vhost: usize, u: Unacked) {
-        let same = self.brokers[vhost].queues.get(u.queue).is_some_and(|q| q.name == u.name);
+        let same = self.brokers[vhost]
+            .queues
+            .get(u.queue)
+            .is_some_and(|q| q.name == u.name);
         if same {
             self.brokers[vhost].put_back(u.queue, u.message);
             self.stirred.push((vhost, u.queue));
@@ -896,7 +1097,10 @@
         message: Message,
         reason: &str,
     ) {
-        let known = self.brokers[vhost].queues.get(queue).filter(|q| &*q.name == name);
+        let known = self.brokers[vhost]
+            .queues
+            .get(queue)
+            .filter(|q| &*q.name == name);
         if let Some(exchange) = known.and_then(|q| q.dead_letters.clone()) {
             if reason != "rejected" && comes_round(&message, name) {
                 return;
@@ -910,7 +1114,10 @@
     fn publish(&mut self, vhost: usize, exchange: &str, message: Message) -> usize {
         let now = self.now;
         let broker = &mut self.brokers[vhost];
-        let queues = broker.route(exchange, &message.key).map(<[usize]>::to_vec).unwrap_or_default();
+        let queues = broker
+            .route(exchange, &message.key)
+            .map(<[usize]>::to_vec)
+            .unwrap_or_default();
         for queue in &queues {
             broker.push(*queue, now, message.clone());
             self.stirred.push((vhost, *queue));
@@ -920,16 +1127,31 @@
 
     fn header<O: Outside>(&mut self, o: &mut O, conn: usize, ch: u16, payload: &[u8]) -> Done {
         let p = &mut self.peers[conn];
-        let unexpected = || Fault::new(code::UNEXPECTED_FRAME, "a content header without its method");
+        let unexpected = || {
+            Fault::new(
+                code::UNEXPECTED_FRAME,
+                "a content header without its method",
+            )
+        };
         let Some(c) = p.channels.get_mut(&ch) else {
-            return Err(Fault::new(code::CHANNEL_ERROR, format!("channel {ch} is not open")));
+            return Err(Fault::new(
+                code::CHANNEL_ERROR,
+                format!("channel {ch} is not open"),
+            ));
         };
         if c.closing {
             return Ok(());
         }
-        let content = c.content.as_mut().filter(|c| c.head.is_none()).ok_or_else(unexpected)?;
-        let (class, size, _, raw) =
-            codec::header(payload).map_err(|f| Fault { class: 60, method: 40, ..f })?;
+        let content = c
+            .content
+            .as_mut()
+            .filter(|c| c.head.is_none())
+            .ok_or_else(unexpected)?;
+        let (class, size, _, raw) = codec::header(payload).map_err(|f| Fault {
+            class: 60,
+            method: 40,
+            ..f
+        })?;
         if class != 60 {
             return Err(Fault::new(
                 code::FRAME_ERROR,
@@ -938,7 +1160,11 @@
         }
         if size > self.limits.body_max {
             let text = format!("a body of {size} octets is over {}", self.limits.body_max);
-            return Err(Fault { class: 60, method: 40, ..Fault::new(code::CONTENT_TOO_LARGE, text) });
+            return Err(Fault {
+                class: 60,
+                method: 40,
+                ..Fault::new(code::CONTENT_TOO_LARGE, text)
+            });
         }
         content.head = Some((size, raw.into()));
         if size == 0 {
@@ -951,33 +1177,56 @@
     fn body<O: Outside>(&mut self, o: &mut O, conn: usize, ch: u16, payload: &[u8]) -> Done {
         let p = &mut self.peers[conn];
         let Some(c) = p.channels.get_mut(&ch) else {
-            return Err(Fault::new(code::CHANNEL_ERROR, format!("channel {ch} is not open")));
+            return Err(Fault::new(
+                code::CHANNEL_ERROR,
+                format!("channel {ch} is not open"),
+            ));
         };
         if c.closing {
             return Ok(());
         }
-        let content = c.content.as_mut().and_then(|c| Some((c.head.as_ref()?.0, &mut c.body)));
+        let content = c
+            .content
+            .as_mut()
+            .and_then(|c| Some((c.head.as_ref()?.0, &mut c.body)));
         let Some((size, body)) = content else {
-            return Err(Fault::new(code::UNEXPECTED_FRAME, "a body without its header"));
+            return Err(Fault::new(
+                code::UNEXPECTED_FRAME,
+                "a body without its header",
+            ));
         };
         // Room is made for what has come, never for what was only announced.
         body.extend_from_slice(payload);
         match (body.len() as u64).cmp(&size) {
             std::cmp::Ordering::Less => Ok(()),
             std::cmp::Ordering::Equal => self.whole(o, conn, ch),
-            std::cmp::Ordering::Greater => {
-                Err(Fault::new(code::UNEXPECTED_FRAME, "the body is longer than its header told"))
-            }
+            std::cmp::Ordering::Greater => Err(Fault::new(
+                code::UNEXPECTED_FRAME,
+                "the body is longer than its header told",
+            )),
         }
     }
 
     /// A content is complete: it is published.
     fn whole<O: Outside>(&mut self, o: &mut O, conn: usize, ch: u16) -> Done {
-        let fail = |f: Fault| Fault { class: 60, method: 40, ..f };
+        let fail = |f: Fault| Fault {
+            class: 60,
+            method: 40,
+            ..f
+        };
         let now = self.now;
         let (vhost, link) = (self.peers[conn].vhost, self.peers[conn].link);
-        let Some(c) = self.peers[conn].channels.get_mut(&ch) else { return Ok(()) };
-        let Some(Content { exchange, key, mandatory, head: Some((_, raw)), body }) = c.content.take() else {
+        let Some(c) = self.peers[conn].channels.get_mut(&ch) else {
+            return Ok(());
+        };
+        let Some(Content {
+            exchange,
+            key,
+            mandatory,
+            head: Some((_, raw)),
+            body,
+        }) = c.content.take()
+        else {
             return Ok(());
         };
         let (count, named) = (c.count, c.reply_consumer.is_some());
@@ -992,13 +1241,19 @@
             "" => None,
             text => {
                 let ms = text.parse::<u64>().map_err(|_| {
-                    fail(Fault::new(code::PRECONDITION_FAILED, format!("expiration '{text}' is no time")))
+                    fail(Fault::new(
+                        code::PRECONDITION_FAILED,
+                        format!("expiration '{text}' is no time"),
+                    ))
                 })?;
                 Some(now + ms.min(1 << 40) * 10)
             }
         };
         if !properties.user_id.is_empty() && properties.user_id != self.peers[conn].user {
-            return Err(fail(Fault::new(code::PRECONDITION_FAILED, "user-id is not who logged in")));
+            return Err(fail(Fault::new(
+                code::PRECONDITION_FAILED,
+                "user-id is not who logged in",
+            )));
         }
         let message = Message {
             exchange: exchange.clone(),
@@ -1031,12 +1286,19 @@
             };
             let ticket = self.waiting.insert(waiting) as u64;
             self.peers[conn].debts += 1;
-            let resent =
-                matches!(properties.headers.and_then(|h| h.get("x-redelivered")), Some(Value::Flag(true)));
+            let resent = matches!(
+                properties.headers.and_then(|h| h.get("x-redelivered")),
+                Some(Value::Flag(true))
+            );
             let user = self.peers[conn].user.clone();
             let (key, body) = (message.key.clone(), message.body.clone());
-            let trigger =
-                Trigger { user: &user, key: &key, properties: &properties, redelivered: resent, body: &body };
+            let trigger = Trigger {
+                user: &user,
+                key: &key,
+                properties: &properties,
+                redelivered: resent,
+                body: &body,
+            };
             if let Err((word, reason)) = o.take(ticket, &trigger) {
                 self.answered(o, ticket, word, 0, reason, &[]);
             }
@@ -1048,10 +1310,16 @@
                 self.confirm(conn, link, ch, count, seq, false, o);
                 return Ok(());
             }
-            return Err(fail(Fault::new(code::RESOURCE_ERROR, "the queues are full")));
+            return Err(fail(Fault::new(
+                code::RESOURCE_ERROR,
+                "the queues are full",
+            )));
         }
         let reached = {
-            let known = self.brokers[vhost].route(&exchange, &message.key).map_err(fail)?.len();
+            let known = self.brokers[vhost]
+                .route(&exchange, &message.key)
+                .map_err(fail)?
+                .len();
             if known > 0 {
                 self.publish(vhost, &exchange, message.clone())
             } else {
@@ -1059,7 +1327,13 @@
             }
         };
         if reached == 0 && mandatory {
-            self.give_back(o, conn, ch, (code::NO_ROUTE, "no queue is bound for it"), &message);
+            self.give_back(
+                o,
+                conn,
+                ch,
+                (code::NO_ROUTE, "no queue is bound for it"),
+                &message,
+            );
         }
         if seq > 0 {
             self.confirm(conn, link, ch, count, seq, true, o);
@@ -1067,10 +1341,19 @@
         Ok(())
     }
 
-    fn give_back<O: Outside>(&mut self, o: &mut O, conn: usize, ch: u16, why: (u16, &str), m: &Message) {
+    fn give_back<O: Outside>(
+        &mut self,
+        o: &mut O,
+        conn: usize,
+        ch: u16,
+        why: (u16, &str),
+        m: &Message,
+    ) {
         let frame_max = self.peers[conn].frame_max;
         self.out.clear();
-        let f = Out::method(&mut self.out, ch, 60, 50).short(why.0).short_str(why.1);
+        let f = Out::method(&mut self.out, ch, 60, 50)
+            .short(why.0)
+            .short_str(why.1);
         f.short_str(&m.exchange).short_str(&m.key).end();
         codec::content(&mut self.out, ch, &m.properties, &m.body, frame_max);
         self.write(o, conn);
@@ -1088,8 +1371,16 @@
         good: bool,
         o: &mut O,
     ) {
-        let Some(p) = self.peers.get_mut(conn).filter(|p| p.link == link) else { return };
-        let Some(c) = p.channels.get_mut(&ch).filter(|c| c.count == count && !c.closing) else { return };
+        let Some(p) = self.peers.get_mut(conn).filter(|p| p.link == link) else {
+            return;
+        };
+        let Some(c) = p
+            .channels
+            .get_mut(&ch)
+            .filter(|c| c.count == count && !c.closing)
+        else {
+            return;
+        };
         if !c.out.remove(&seq) {
             return;
         }
@@ -1099,7 +1390,9 @@
             }
             c.done.insert(seq);
         } else {
-            self.say(o, conn, (ch, 60, 120), |m| m.long_long(seq).bit(false).bit(false));
+            self.say(o, conn, (ch, 60, 120), |m| {
+                m.long_long(seq).bit(false).bit(false)
+            });
         }
     }
 
@@ -1108,7 +1401,13 @@
             self.confirm(conn, link, ch, count, seq, false, o);
         }
         for (conn, ch) in std::mem::take(&mut self.confirms) {
-            let Some(c) = self.peers.get_mut(conn).and_then(|p| p.channels.get_mut(&ch)) else { continue };
+            let Some(c) = self
+                .peers
+                .get_mut(conn)
+                .and_then(|p| p.channels.get_mut(&ch))
+            else {
+                continue;
+            };
             let done = std::mem::take(&mut c.done);
             // Everything below the first that is still out can be told in one.
             let first_out = c.out.first().copied().unwrap_or(u64::MAX);
@@ -1133,7 +1432,9 @@
         reason: &str,
         payload: &[u8],
     ) {
-        let Some(w) = self.waiting.try_remove(ticket as usize) else { return };
+        let Some(w) = self.waiting.try_remove(ticket as usize) else {
+            return;
+        };
         if let Some(p) = self.peers.get_mut(w.conn).filter(|p| p.link == w.link) {
             p.debts -= 1;
         }
@@ -1173,12 +1474,18 @@
         if word == Word::DeadLettered && !self.limits.dead_letters.is_empty() {
             let exchange = self.limits.dead_letters.clone();
             let message = died(&w.message, &w.message.exchange.clone(), "maxlen", self.now);
-            let message = Message { expires: None, ..message };
+            let message = Message {
+                expires: None,
+                ..message
+            };
             self.publish(w.vhost, &exchange, message);
         }
         // What tells deferred and dead-lettered apart beside the nack.
         let there = self.peers.get(w.conn).is_some_and(|p| {
-            p.link == w.link && p.channels.get(&w.channel).is_some_and(|c| c.count == w.count && !c.closing)
+            p.link == w.link
+                && p.channels
+                    .get(&w.channel)
+                    .is_some_and(|c| c.count == w.count && !c.closing)
         });
         if there && w.seq > 0 && word != Word::Handled {
             let text = match (word, come_back) {
@@ -1187,23 +1494,46 @@
                 _ => format!("{} {reason}", word.text()),
             };
             let dead = word == Word::DeadLettered;
-            let code = if dead { code::INTERNAL_ERROR } else { code::RESOURCE_ERROR };
+            let code = if dead {
+                code::INTERNAL_ERROR
+            } else {
+                code::RESOURCE_ERROR
+            };
             self.give_back(o, w.conn, w.channel, (code, text.trim_end()), &w.message);
         }
         if w.seq > 0 {
-            self.confirm(w.conn, w.link, w.channel, w.count, w.seq, word == Word::Handled, o);
+            self.confirm(
+                w.conn,
+                w.link,
+                w.channel,
+                w.count,
+                w.seq,
+                word == Word::Handled,
+                o,
+            );
         }
     }
 
     /// Straight to the channel that asked, if it still is the same.
     fn direct<O: Outside>(&mut self, o: &mut O, reply_to: &str, message: &Message) -> bool {
         let mut parts = reply_to.rsplit('.');
-        let mut number = || parts.next().and_then(|p| p.parse::<u64>().ok()).unwrap_or(u64::MAX);
+        let mut number = || {
+            parts
+                .next()
+                .and_then(|p| p.parse::<u64>().ok())
+                .unwrap_or(u64::MAX)
+        };
         let (count, ch, conn) = (number(), number() as u16, number() as usize);
-        let Some(p) = self.peers.get_mut(conn) else { return false };
+        let Some(p) = self.peers.get_mut(conn) else {
+            return false;
+        };
         let frame_max = p.frame_max;
-        let Some(c) = p.channels.get_mut(&ch).filter(|c| c.count == count) else { return false };
-        let Some(tag) = c.reply_consumer.clone() else { return false };
+        let Some(c) = p.channels.get_mut(&ch).filter(|c| c.count == count) else {
+            return false;
+        };
+        let Some(tag) = c.reply_consumer.clone() else {
+            return false;
+        };
         c.next_tag += 1;
         let delivery = c.next_tag;
         self.deliver(o, conn, ch, &tag, delivery, message, frame_max);
@@ -1222,23 +1552,34 @@
         frame_max: u32,
     ) {
         self.out.clear();
-        let f = Out::method(&mut self.out, ch, 60, 60).short_str(tag).long_long(delivery);
-        f.bit(m.redelivered).short_str(&m.exchange).short_str(&m.key).end();
+        let f = Out::method(&mut self.out, ch, 60, 60)
+            .short_str(tag)
+            .long_long(delivery);
+        f.bit(m.redelivered)
+            .short_str(&m.exchange)
+            .short_str(&m.key)
+            .end();
         codec::content(&mut self.out, ch, &m.properties, &m.body, frame_max);
         self.write(o, conn);
     }
 
     /// What waited for a connection has left: its consumers may be fed again.
     pub fn drained<O: Outside>(&mut self, o: &mut O, conn: usize) {
-        let channels: Vec<u16> =
-            self.peers.get(conn).map_or(Vec::new(), |p| p.channels.keys().copied().collect());
-        channels.into_iter().for_each(|ch| self.stir_channel(conn, ch));
+        let channels: Vec<u16> = self
+            .peers
+            .get(conn)
+            .map_or(Vec::new(), |p| p.channels.keys().copied().collect());
+        channels
+            .into_iter()
+            .for_each(|ch| self.stir_channel(conn, ch));
         self.settle(o);
     }
 
     /// Consumers of this channel may take more now.
     fn stir_channel(&mut self, conn: usize, ch: u16) {
-        let Some(p) = self.peers.get(conn) else { return };
+        let Some(p) = self.peers.get(conn) else {
+            return;
+        };
         let Some(c) = p.channels.get(&ch) else { return };
         let queues = c.consumers.values().map(|q| (p.vhost, q.0));
         self.stirred.extend(queues);
@@ -1248,7 +1589,8 @@
         let gone = self.brokers[vhost].expired(queue, self.now);
         if !gone.is_empty() {
             let name = self.brokers[vhost].queues[queue].name.clone();
-            gone.into_iter().for_each(|m| self.dead_letter(o, vhost, queue, &name, m, "expired"));
+            gone.into_iter()
+                .for_each(|m| self.dead_letter(o, vhost, queue, &name, m, "expired"));
         }
     }
 
@@ -1260,8 +1602,16 @@
             }
             self.expire(o, vhost, queue);
             while let Some(consumer) = self.next_consumer(o, vhost, queue) {
-                let Some(message) = self.brokers[vhost].pop(queue) else { break };
-                let Consumer { conn, channel, tag, no_ack, .. } = consumer;
+                let Some(message) = self.brokers[vhost].pop(queue) else {
+                    break;
+                };
+                let Consumer {
+                    conn,
+                    channel,
+                    tag,
+                    no_ack,
+                    ..
+                } = consumer;
                 let delivery = self.hand_out(conn, channel, queue, tag.clone(), no_ack, &message);
                 let frame_max = self.peers[conn].frame_max;
                 self.deliver(o, conn, channel, &tag, delivery, &message, frame_max);
@@ -1279,9 +1629,17 @@
         for _ in 0..q.consumers.len() {
             q.consumers.rotate_left(1);
             let consumer = q.consumers.back()?;
-            let Some(p) = self.peers.get(consumer.conn).filter(|p| o.room(p.link)) else { continue };
-            let Some(c) = p.channels.get(&consumer.channel) else { continue };
-            let own = c.unacked.iter().filter(|u| u.consumer == consumer.tag).count();
+            let Some(p) = self.peers.get(consumer.conn).filter(|p| o.room(p.link)) else {
+                continue;
+            };
+            let Some(c) = p.channels.get(&consumer.channel) else {
+                continue;
+            };
+            let own = c
+                .unacked
+                .iter()
+                .filter(|u| u.consumer == consumer.tag)
+                .count();
             let most = c.consumers.get(&consumer.tag).map_or(0, |q| q.1);
             let room = (most == 0 || own < usize::from(most))
                 && (c.prefetch_all == 0 || c.unacked.len() < usize::from(c.prefetch_all));
@@ -1295,8 +1653,13 @@
     /// A channel ends: its consumers go, what was not acked goes back.
     fn end_channel(&mut self, conn: usize, ch: u16) {
         let vhost = self.peers[conn].vhost;
-        let Some(c) = self.peers[conn].channels.get_mut(&ch) else { return };
-        let (consumers, unacked) = (std::mem::take(&mut c.consumers), std::mem::take(&mut c.unacked));
+        let Some(c) = self.peers[conn].channels.get_mut(&ch) else {
+            return;
+        };
+        let (consumers, unacked) = (
+            std::mem::take(&mut c.consumers),
+            std::mem::take(&mut c.unacked),
+        );
         c.reply_consumer = None;
         c.content = None;
         for (tag, (queue, _)) in consumers {
@@ -1304,17 +1667,25 @@
                 self.brokers[vhost].delete_queue(queue);
             }
         }
-        unacked.into_iter().rev().for_each(|u| self.put_back(vhost, u));
+        unacked
+            .into_iter()
+            .rev()
+            .for_each(|u| self.put_back(vhost, u));
     }
 
     fn end_channels(&mut self, conn: usize) {
         let channels: Vec<u16> = self.peers[conn].channels.keys().copied().collect();
-        channels.into_iter().for_each(|ch| self.end_channel(conn, ch));
+        channels
+            .into_iter()
+            .for_each(|ch| self.end_channel(conn, ch));
         self.peers[conn].channels.clear();
         let vhost = self.peers[conn].vhost;
         let own: Vec<usize> = {
             let queues = self.brokers[vhost].queues.iter();
-            queues.filter(|q| q.1.exclusive == Some(conn)).map(|q| q.0).collect()
+            queues
+                .filter(|q| q.1.exclusive == Some(conn))
+                .map(|q| q.0)
+                .collect()
         };
         for queue in own {
             self.brokers[vhost].delete_queue(queue);
@@ -1331,7 +1702,9 @@
 
     /// Holds a connection's publishing back, or lets it go on, where it can be told so.
     pub fn block<O: Outside>(&mut self, o: &mut O, conn: usize, on: bool, reason: &str) {
-        let Some(p) = self.peers.get_mut(conn) else { return };
+        let Some(p) = self.peers.get_mut(conn) else {
+            return;
+        };
         if p.state != State::Running || p.blocked == on {
             return;
         }
@@ -1363,7 +1736,9 @@
         }
         for vhost in 0..self.brokers.len() {
             let queues: Vec<usize> = self.brokers[vhost].queues.iter().map(|q| q.0).collect();
-            queues.into_iter().for_each(|queue| self.expire(o, vhost, queue));
+            queues
+                .into_iter()
+                .for_each(|queue| self.expire(o, vhost, queue));
         }
         self.settle(o);
     }
@@ -1373,10 +1748,14 @@
 /// so what a publisher made up lies behind.
 fn comes_round(message: &Message, queue: &str) -> bool {
     let properties = codec::properties(&mut Args::new(&message.properties)).unwrap_or_default();
-    let Some(Value::Array(deaths)) = properties.headers.and_then(|h| h.get("x-death")) else { return false };
+    let Some(Value::Array(deaths)) = properties.headers.and_then(|h| h.get("x-death")) else {
+        return false;
+    };
     let mut args = Args::new(deaths);
     while args.left() > 0 {
-        let (Ok(b'F'), Ok(entry)) = (args.octet(), args.table()) else { return false };
+        let (Ok(b'F'), Ok(entry)) = (args.octet(), args.table()) else {
+            return false;
+        };
         if matches!(entry.get("reason"), Some(Value::Text(b"rejected"))) {
             return false;
         }
@@ -1414,11 +1793,25 @@
         let rest = one.and_then(|_| codec::skip(&mut args));
         let Some(()) = rest else { break };
         if name != "x-death" {
-            headers.0.extend_from_slice(&old.0[from..old.0.len() - args.left()]);
+            headers
+                .0
+                .extend_from_slice(&old.0[from..old.0.len() - args.left()]);
         }
     }
     let mut out = Vec::new();
     let headers = Some(codec::Table(&headers.0));
-    codec::write_properties(&mut out, &Properties { headers, expiration: "", ..properties });
-    Message { properties: out.into(), expires: None, redelivered: false, ..message.clone() }
+    codec::write_properties(
+        &mut out,
+        &Properties {
+            headers,
+            expiration: "",
+            ..properties
+        },
+    );
+    Message {
+        properties: out.into(),
+        expires: None,
+        redelivered: false,
+        ..message.clone()
+    }
 }
--- a/crates/tidewall-amqp/src/topic.rs
+++ b/crates/tidewall-amqp/src/topic.rs
@@ -19,7 +19,10 @@
 
 impl Node {
     fn empty(&self) -> bool {
-        self.words.is_empty() && self.star.is_none() && self.hash.is_none() && self.values.is_empty()
+        self.words.is_empty()
+            && self.star.is_none()
+            && self.hash.is_none()
+            && self.values.is_empty()
     }
 }
 
@@ -36,7 +39,12 @@
     fn default() -> Topics {
         let mut nodes = Slab::new();
         nodes.insert(Node::default());
-        Topics { nodes, step: 0, now: Vec::new(), next: Vec::new() }
+        Topics {
+            nodes,
+            step: 0,
+            now: Vec::new(),
+            next: Vec::new(),
+        }
     }
 }
 
@@ -50,7 +58,10 @@
                 _ => self.nodes[at].words.get(word).copied(),
             };
             at = known.unwrap_or_else(|| {
-                let new = self.nodes.insert(Node { is_hash: word == "#", ..Node::default() });
+                let new = self.nodes.insert(Node {
+                    is_hash: word == "#",
+                    ..Node::default()
+                });
                 let node = &mut self.nodes[at];
                 match word {
                     "*" => node.star = Some(new),
@@ -81,13 +92,21 @@
             }
         }
         let values = &mut self.nodes[path[path.len() - 1]].values;
-        let Some(count) = values.get_mut(&value) else { return false };
+        let Some(count) = values.get_mut(&value) else {
+            return false;
+        };
         *count -= 1;
         if *count == 0 {
             values.remove(&value);
         }
         // Branches that hold nothing any more go.
-        for (i, word) in pattern.split('.').enumerate().collect::<Vec<_>>().into_iter().rev() {
+        for (i, word) in pattern
+            .split('.')
+            .enumerate()
+            .collect::<Vec<_>>()
+            .into_iter()
+            .rev()
+        {
             if !self.nodes[path[i + 1]].empty() {
                 break;
             }
@@ -123,7 +142,10 @@
 
     /// All values that the key reaches, each once, in their own order.
     pub fn find(&mut self, key: &str, found: &mut Vec<usize>) {
-        let (mut now, mut next) = (std::mem::take(&mut self.now), std::mem::take(&mut self.next));
+        let (mut now, mut next) = (
+            std::mem::take(&mut self.now),
+            std::mem::take(&mut self.next),
+        );
         now.clear();
         self.step += 1;
         Topics::enter(&mut self.nodes, &mut now, 0, self.step);
@@ -131,7 +153,10 @@
             self.step += 1;
             next.clear();
             for node in now.iter().copied() {
-                let to = [self.nodes[node].words.get(word).copied(), self.nodes[node].star];
+                let to = [
+                    self.nodes[node].words.get(word).copied(),
+                    self.nodes[node].star,
+                ];
                 for to in to.into_iter().flatten() {
                     Topics::enter(&mut self.nodes, &mut next, to, self.step);
                 }
@@ -142,7 +167,8 @@
             std::mem::swap(&mut now, &mut next);
         }
         let from = found.len();
-        now.iter().for_each(|node| found.extend(self.nodes[*node].values.keys()));
+        now.iter()
+            .for_each(|node| found.extend(self.nodes[*node].values.keys()));
         found[from..].sort_unstable();
         let mut kept = from;
         for i in from..found.len() {
@@ -158,7 +184,8 @@
 
 /// The plain way, for comparison: one pattern against one key.
 pub fn matches(pattern: &str, key: &str) -> bool {
-    let (pattern, key): (Vec<&str>, Vec<&str>) = (pattern.split('.').collect(), key.split('.').collect());
+    let (pattern, key): (Vec<&str>, Vec<&str>) =
+        (pattern.split('.').collect(), key.split('.').collect());
     let mut reached = vec![false; key.len() + 1];
     reached[0] = true;
     for word in pattern {
--- a/crates/tidewall-amqp/tests/fuzz.rs
+++ b/crates/tidewall-amqp/tests/fuzz.rs
@@ -9,25 +9,59 @@
 
 /// With TIDEWALL_FUZZ=N so many times the cases, from another seed: for long runs outside CI.
 fn runner(cases: u32) -> TestRunner {
-    let times = std::env::var("TIDEWALL_FUZZ").ok().and_then(|n| n.parse::<u32>().ok());
-    let (cases, seed) = (cases * times.unwrap_or(1), if times.is_some() { 11 } else { 9 });
-    let config = Config { cases, failure_persistence: None, ..Config::default() };
-    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]))
+    let times = std::env::var("TIDEWALL_FUZZ")
+        .ok()
+        .and_then(|n| n.parse::<u32>().ok());
+    let (cases, seed) = (
+        cases * times.unwrap_or(1),
+        if times.is_some() { 11 } else { 9 },
+    );
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(
+        config,
+        TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]),
+    )
 }
 
 /// A life of a connection, as bytes.
 fn talk() -> Vec<Vec<u8>> {
-    let p = Properties { message_id: "m", reply_to: "q", expiration: "5", ..Properties::default() };
+    let p = Properties {
+        message_id: "m",
+        reply_to: "q",
+        expiration: "5",
+        ..Properties::default()
+    };
     vec![
         method(1, 20, 10, |m| m.short_str("")),
         method(1, 85, 10, |m| m.bit(false)),
-        method(1, 40, 10, |m| m.short(0).short_str("t").short_str("topic").octet(0).long_str(b"")),
+        method(1, 40, 10, |m| {
+            m.short(0)
+                .short_str("t")
+                .short_str("topic")
+                .octet(0)
+                .long_str(b"")
+        }),
         declare("q", false, false, b""),
         method(1, 50, 20, |m| {
-            m.short(0).short_str("q").short_str("t").short_str("a.#").bit(false).long_str(b"")
+            m.short(0)
+                .short_str("q")
+                .short_str("t")
+                .short_str("a.#")
+                .bit(false)
+                .long_str(b"")
         }),
         method(1, 60, 10, |m| m.long(0).short(2).bit(false)),
-        method(1, 60, 20, |m| m.short(0).short_str("q").short_str("c").octet(0).long_str(b"")),
+        method(1, 60, 20, |m| {
+            m.short(0)
+                .short_str("q")
+                .short_str("c")
+                .octet(0)
+                .long_str(b"")
+        }),
         publish_on(1, "t", "a.b", &p, b"hello", true),
         publish_on(1, "events", "record.f", &p, b"hello", false),
         method(1, 60, 80, |m| m.long_long(1).bit(true)),
@@ -40,12 +74,15 @@
 }
 
 /// Codes of section 1.2.
-const CODES: [u16; 17] =
-    [311, 312, 313, 320, 402, 403, 404, 405, 406, 501, 502, 503, 504, 505, 506, 530, 540];
+const CODES: [u16; 17] = [
+    311, 312, 313, 320, 402, 403, 404, 405, 406, 501, 502, 503, 504, 505, 506, 530, 540,
+];
 
 fn named(s: &mut Site) -> bool {
     let told = s.got(1);
-    told.iter().filter(|t| t.is(10, 50) || t.is(20, 40)).all(|t| CODES.contains(&t.reason().0))
+    told.iter()
+        .filter(|t| t.is(10, 50) || t.is(20, 40))
+        .all(|t| CODES.contains(&t.reason().0))
 }
 
 #[test]
@@ -78,7 +115,11 @@
 
 #[test]
 fn arbitrary_bytes_before_and_after_the_opening() {
-    let all = (prop::collection::vec(any::<u8>(), 0..400), any::<bool>(), 1..50usize);
+    let all = (
+        prop::collection::vec(any::<u8>(), 0..400),
+        any::<bool>(),
+        1..50usize,
+    );
     let done = runner(3_000).run(&all, |(bytes, open, piece)| {
         let mut s = site();
         let conn = if open { s.channel(1) } else { s.raw(1) };
--- a/crates/tidewall-amqp/tests/help/mod.rs
+++ b/crates/tidewall-amqp/tests/help/mod.rs
@@ -1,7 +1,9 @@
 //! A server with scripted clients: frames go in, what comes out is read back.
 #![allow(dead_code)] // each test file uses a part
 use std::collections::BTreeMap;
-use tidewall_amqp::codec::{self, content, frame, write_properties, Args, Out, Properties, PROTOCOL};
+use tidewall_amqp::codec::{
+    self, content, frame, write_properties, Args, Out, Properties, PROTOCOL,
+};
 use tidewall_amqp::server::{Limits, Outside, Server, Trigger, Word};
 
 #[derive(Default)]
@@ -26,13 +28,18 @@
         self.closed.push(link);
     }
     fn check(&mut self, conn: usize, user: &str, password: &[u8]) {
-        self.checks.push((conn, user.to_string(), password.to_vec()));
+        self.checks
+            .push((conn, user.to_string(), password.to_vec()));
     }
     fn take(&mut self, ticket: u64, t: &Trigger) -> Result<(), (Word, &'static str)> {
         if let Some(word) = self.refuse {
             return Err((word, "refused"));
         }
-        self.taken.push((ticket, t.key.to_string(), t.properties.message_id.to_string()));
+        self.taken.push((
+            ticket,
+            t.key.to_string(),
+            t.properties.message_id.to_string(),
+        ));
         Ok(())
     }
 }
@@ -83,7 +90,11 @@
 }
 
 pub fn site_with(limits: Limits) -> Site {
-    Site { server: Server::new(limits), world: World::default(), now: 0 }
+    Site {
+        server: Server::new(limits),
+        world: World::default(),
+        now: 0,
+    }
 }
 
 pub fn method(channel: u16, class: u16, method: u16, args: impl FnOnce(Out) -> Out) -> Vec<u8> {
@@ -100,8 +111,13 @@
     body: &[u8],
     mandatory: bool,
 ) -> Vec<u8> {
-    let mut out =
-        method(channel, 60, 40, |m| m.short(0).short_str(exchange).short_str(key).bit(mandatory).bit(false));
+    let mut out = method(channel, 60, 40, |m| {
+        m.short(0)
+            .short_str(exchange)
+            .short_str(key)
+            .bit(mandatory)
+            .bit(false)
+    });
     let mut properties = Vec::new();
     write_properties(&mut properties, p);
     content(&mut out, channel, &properties, body, 4096);
@@ -131,7 +147,12 @@
                 }
                 kind => (0, u16::from(kind), f.payload),
             };
-            seen.push(Seen { channel: f.channel, class, method, args: args.to_vec() });
+            seen.push(Seen {
+                channel: f.channel,
+                class,
+                method,
+                args: args.to_vec(),
+            });
             at += used;
         }
         assert_eq!(at, bytes.len(), "only whole frames go out");
@@ -146,9 +167,15 @@
         self.world.checks.clear();
         self.server.checked(&mut self.world, conn, link, true);
         self.send(conn, &method(0, 10, 31, |m| m.short(0).long(0).short(0)));
-        self.send(conn, &method(0, 10, 40, |m| m.short_str("/").short_str("").bit(false)));
+        self.send(
+            conn,
+            &method(0, 10, 40, |m| m.short_str("/").short_str("").bit(false)),
+        );
         let told = self.got(link);
-        assert!(told[0].is(10, 10) && told[1].is(10, 30) && told[2].is(10, 41), "{told:?}");
+        assert!(
+            told[0].is(10, 10) && told[1].is(10, 30) && told[2].is(10, 41),
+            "{told:?}"
+        );
         conn
     }
 
@@ -158,7 +185,10 @@
         let mut about = codec::TableOut::default();
         about.table("capabilities", &can.0);
         let ok = method(0, 10, 11, |m| {
-            m.long_str(&about.0).short_str(mechanism).long_str(response).short_str("en_US")
+            m.long_str(&about.0)
+                .short_str(mechanism)
+                .long_str(response)
+                .short_str("en_US")
         });
         self.send(conn, &ok);
     }
@@ -194,12 +224,16 @@
     }
 
     pub fn nack(&mut self, conn: usize, tag: u64, multiple: bool, requeue: bool) {
-        self.send(conn, &method(1, 60, 120, |m| m.long_long(tag).bit(multiple).bit(requeue)));
+        self.send(
+            conn,
+            &method(1, 60, 120, |m| m.long_long(tag).bit(multiple).bit(requeue)),
+        );
     }
 
     pub fn answer(&mut self, ticket: u64, word: Word) {
         self.server.clock(self.now);
-        self.server.answered(&mut self.world, ticket, word, 500, "why", b"result");
+        self.server
+            .answered(&mut self.world, ticket, word, 500, "why", b"result");
         self.server.settle(&mut self.world);
     }
 
@@ -211,7 +245,14 @@
 
 pub fn declare(name: &str, passive: bool, exclusive: bool, table: &[u8]) -> Vec<u8> {
     method(1, 50, 10, |m| {
-        let m = m.short(0).short_str(name).bit(passive).bit(false).bit(exclusive).bit(false).bit(false);
+        let m = m
+            .short(0)
+            .short_str(name)
+            .bit(passive)
+            .bit(false)
+            .bit(exclusive)
+            .bit(false)
+            .bit(false);
         m.long_str(table)
     })
 }
@@ -224,7 +265,10 @@
         a.short_str().unwrap();
         a.long_long().unwrap();
         let again = a.bit().unwrap();
-        let body = seen.get(i + 2).filter(|b| b.is(0, 3)).map_or(Vec::new(), |b| b.args.clone());
+        let body = seen
+            .get(i + 2)
+            .filter(|b| b.is(0, 3))
+            .map_or(Vec::new(), |b| b.args.clone());
         all.push((String::from_utf8(body).unwrap(), again));
     }
     all
--- a/crates/tidewall-amqp/tests/no_alloc.rs
+++ b/crates/tidewall-amqp/tests/no_alloc.rs
@@ -22,16 +22,24 @@
 static ALLOCATOR: Counting = Counting;
 
 fn publish(out: &mut Vec<u8>, properties: &mut Vec<u8>, body: &[u8]) {
-    let m = Out::method(out, 1, 60, 40).short(0).short_str("tidewall.events").short_str("record.book3");
+    let m = Out::method(out, 1, 60, 40)
+        .short(0)
+        .short_str("tidewall.events")
+        .short_str("record.book3");
     m.bit(false).bit(false).end();
-    let p = Properties { message_id: "4711", reply_to: "amq.rabbitmq.reply-to", ..Properties::default() };
+    let p = Properties {
+        message_id: "4711",
+        reply_to: "amq.rabbitmq.reply-to",
+        ..Properties::default()
+    };
     write_properties(properties, &p);
     content(out, 1, properties, body, 131_072);
 }
 
 #[test]
 fn a_publish_is_written_and_read_without_allocating() {
-    let (mut out, mut properties, body) = (Vec::with_capacity(4096), Vec::with_capacity(256), [7; 1024]);
+    let (mut out, mut properties, body) =
+        (Vec::with_capacity(4096), Vec::with_capacity(256), [7; 1024]);
     let before = COUNT.load(Ordering::Relaxed);
     publish(&mut out, &mut properties, &body);
     let mut at = 0;
--- a/crates/tidewall-amqp/tests/rules.rs
+++ b/crates/tidewall-amqp/tests/rules.rs
@@ -80,7 +80,14 @@
     // Frames for the closed channel are dropped until close-ok; then its number is free at once.
     s.declare(conn, "r", b"");
     assert!(s.got(1).is_empty());
-    s.send(conn, &[method(1, 20, 41, |m| m), method(1, 20, 10, |m| m.short_str(""))].concat());
+    s.send(
+        conn,
+        &[
+            method(1, 20, 41, |m| m),
+            method(1, 20, 10, |m| m.short_str("")),
+        ]
+        .concat(),
+    );
     assert!(s.got(1)[0].is(20, 11));
     s.declare(conn, "q", b"");
     assert!(s.got(1)[0].is(50, 11));
@@ -121,7 +128,10 @@
     s.login(conn, "PLAIN", b"\0u\0p");
     s.server.checked(&mut s.world, conn, 1, true);
     s.send(conn, &method(0, 10, 31, |m| m.short(0).long(0).short(0)));
-    s.send(conn, &method(0, 10, 40, |m| m.short_str("/none").short_str("").bit(false)));
+    s.send(
+        conn,
+        &method(0, 10, 40, |m| m.short_str("/none").short_str("").bit(false)),
+    );
     assert_eq!(s.got(1).pop().unwrap().reason().0, 530);
 }
 
@@ -135,7 +145,10 @@
     s.login(conn, "PLAIN", b"\0u\0p");
     s.server.checked(&mut s.world, conn, 1, true);
     s.got(1);
-    s.send(conn, &method(0, 10, 31, |m| m.short(0).long(frame).short(0)));
+    s.send(
+        conn,
+        &method(0, 10, 31, |m| m.short(0).long(frame).short(0)),
+    );
     assert_eq!(s.got(1).len(), usize::from(refused));
 }
 
@@ -147,7 +160,10 @@
     s.login(conn, "PLAIN", b"\0u\0p");
     s.server.checked(&mut s.world, conn, 1, true);
     s.send(conn, &method(0, 10, 31, |m| m.short(0).long(0).short(2)));
-    s.send(conn, &method(0, 10, 40, |m| m.short_str("/").short_str("").bit(false)));
+    s.send(
+        conn,
+        &method(0, 10, 40, |m| m.short_str("/").short_str("").bit(false)),
+    );
     s.got(1);
     s.now = 10_001;
     s.tick();
@@ -191,8 +207,16 @@
     s.got(1);
     s.consume(conn, "q", "c", true);
     let told = s.got(1);
-    let bodies: Vec<u8> = told.iter().filter(|f| f.is(0, 3)).map(|f| f.args[0]).collect();
-    assert_eq!((delivered(&told).len(), bodies), (2, vec![b'a', b'b']), "each in one frame, as both fit");
+    let bodies: Vec<u8> = told
+        .iter()
+        .filter(|f| f.is(0, 3))
+        .map(|f| f.args[0])
+        .collect();
+    assert_eq!(
+        (delivered(&told).len(), bodies),
+        (2, vec![b'a', b'b']),
+        "each in one frame, as both fit"
+    );
 }
 
 #[test]
@@ -204,11 +228,24 @@
     let head = |size: u64| {
         let mut raw = raw.clone();
         raw[11..19].copy_from_slice(&size.to_be_bytes());
-        [method(1, 60, 40, |m| m.short(0).short_str("").short_str("q").octet(0)), raw].concat()
+        [
+            method(1, 60, 40, |m| {
+                m.short(0).short_str("").short_str("q").octet(0)
+            }),
+            raw,
+        ]
+        .concat()
     };
     s.send(conn, &head(1 << 40));
     assert_eq!(s.got(1)[0].reason().0, 311);
-    s.send(conn, &[method(1, 20, 41, |m| m), method(1, 20, 10, |m| m.short_str(""))].concat());
+    s.send(
+        conn,
+        &[
+            method(1, 20, 41, |m| m),
+            method(1, 20, 10, |m| m.short_str("")),
+        ]
+        .concat(),
+    );
     s.got(1);
     // Announced and never sent: nothing is held but what came; the channel's end forgets it.
     s.send(conn, &head(900_000));
@@ -274,7 +311,9 @@
     for (name, value) in told {
         assert_eq!(table.get(name), Some(value), "{name}");
     }
-    let Some(Value::Table(inner)) = table.get("F") else { panic!() };
+    let Some(Value::Table(inner)) = table.get("F") else {
+        panic!()
+    };
     assert_eq!(inner.get("deep"), Some(Value::Text(b"er")));
 }
 
@@ -296,7 +335,14 @@
         s.declare(conn, q, b"");
     }
     let bind = |q: &str, e: &str, k: &str| {
-        method(1, 50, 20, |m| m.short(0).short_str(q).short_str(e).short_str(k).bit(false).long_str(b""))
+        method(1, 50, 20, |m| {
+            m.short(0)
+                .short_str(q)
+                .short_str(e)
+                .short_str(k)
+                .bit(false)
+                .long_str(b"")
+        })
     };
     for (q, e, k) in [
         ("a", "amq.direct", "x"),
@@ -321,16 +367,26 @@
     let mut took = |q: &str| {
         s.got(1);
         s.consume(conn, q, q, true);
-        delivered(&s.got(1)).into_iter().map(|d| d.0).collect::<Vec<_>>().concat()
+        delivered(&s.got(1))
+            .into_iter()
+            .map(|d| d.0)
+            .collect::<Vec<_>>()
+            .concat()
     };
-    assert_eq!((took("a"), took("b"), took("c")), ("1256".into(), "457".into(), "4".into()));
+    assert_eq!(
+        (took("a"), took("b"), took("c")),
+        ("1256".into(), "457".into(), "4".into())
+    );
 }
 
 #[test]
 fn class_basic_mandatory_returns_what_reaches_no_queue() {
     let mut s = site();
     let conn = s.channel(1);
-    s.send(conn, &publish_on(1, "", "none", &Properties::default(), b"x", true));
+    s.send(
+        conn,
+        &publish_on(1, "", "none", &Properties::default(), b"x", true),
+    );
     let told = s.got(1);
     assert!(told[0].is(60, 50) && told[0].reason().0 == 312);
 }
@@ -341,11 +397,20 @@
 fn class_basic_qos_ack_multiple_and_redelivery(own: u16, all: u16, first: usize) {
     let mut s = site();
     let conn = s.channel(1);
-    s.send(conn, &method(1, 60, 10, |m| m.long(0).short(own).bit(false)));
+    s.send(
+        conn,
+        &method(1, 60, 10, |m| m.long(0).short(own).bit(false)),
+    );
     s.send(conn, &method(1, 60, 10, |m| m.long(0).short(all).bit(true)));
     s.declare(conn, "q", b"");
     for i in 0..5 {
-        s.publish(conn, "", "q", &Properties::default(), i.to_string().as_bytes());
+        s.publish(
+            conn,
+            "",
+            "q",
+            &Properties::default(),
+            i.to_string().as_bytes(),
+        );
     }
     s.got(1);
     s.consume(conn, "q", "c", false);
@@ -354,11 +419,16 @@
     let more = delivered(&s.got(1)).len();
     assert_eq!(more, first.min(5 - first));
     // What was not acked goes back, in order, marked as redelivered.
-    s.send(conn, &method(1, 20, 40, |m| m.short(200).short_str("").long(0)));
+    s.send(
+        conn,
+        &method(1, 20, 40, |m| m.short(200).short_str("").long(0)),
+    );
     let next = s.channel(2);
     s.consume(next, "q", "c", true);
     let rest = delivered(&s.got(2));
-    let want: Vec<(String, bool)> = (first..5).map(|i| (i.to_string(), i < first + more)).collect();
+    let want: Vec<(String, bool)> = (first..5)
+        .map(|i| (i.to_string(), i < first + more))
+        .collect();
     assert_eq!(rest, want);
 }
 
@@ -368,21 +438,36 @@
     let conn = s.channel(1);
     s.declare(conn, "q", b"");
     for (priority, body) in [(0, "low"), (5, "high"), (5, "next")] {
-        s.publish(conn, "", "q", &Properties { priority, ..Properties::default() }, body.as_bytes());
+        s.publish(
+            conn,
+            "",
+            "q",
+            &Properties {
+                priority,
+                ..Properties::default()
+            },
+            body.as_bytes(),
+        );
     }
     s.got(1);
     let get = method(1, 60, 70, |m| m.short(0).short_str("q").bit(false));
     let take = |s: &mut Site| {
         s.send(conn, &get);
         let told = s.got(1);
-        told.iter().find(|f| f.is(0, 3)).map(|f| String::from_utf8(f.args.clone()).unwrap())
+        told.iter()
+            .find(|f| f.is(0, 3))
+            .map(|f| String::from_utf8(f.args.clone()).unwrap())
     };
     assert_eq!(take(&mut s).as_deref(), Some("high"));
     s.nack(conn, 1, false, true);
     assert_eq!(take(&mut s).as_deref(), Some("high"), "back in front");
     s.send(conn, &method(1, 60, 90, |m| m.long_long(2).bit(false)));
     assert_eq!(
-        (take(&mut s).as_deref(), take(&mut s).as_deref(), take(&mut s)),
+        (
+            take(&mut s).as_deref(),
+            take(&mut s).as_deref(),
+            take(&mut s)
+        ),
         (Some("next"), Some("low"), None)
     );
 }
@@ -406,7 +491,13 @@
     let conn = s.channel(1);
     s.send(
         conn,
-        &method(1, 40, 10, |m| m.short(0).short_str("dlx").short_str("fanout").octet(0).long_str(b"")),
+        &method(1, 40, 10, |m| {
+            m.short(0)
+                .short_str("dlx")
+                .short_str("fanout")
+                .octet(0)
+                .long_str(b"")
+        }),
     );
     let mut table = TableOut::default();
     table.text("x-dead-letter-exchange", "dlx");
@@ -415,10 +506,19 @@
     s.send(
         conn,
         &method(1, 50, 20, |m| {
-            m.short(0).short_str("dead").short_str("dlx").short_str("").bit(false).long_str(b"")
+            m.short(0)
+                .short_str("dead")
+                .short_str("dlx")
+                .short_str("")
+                .bit(false)
+                .long_str(b"")
         }),
     );
-    let p = Properties { expiration: "100", message_id: "m", ..Properties::default() };
+    let p = Properties {
+        expiration: "100",
+        message_id: "m",
+        ..Properties::default()
+    };
     s.publish(conn, "", "q", &p, b"x");
     s.got(1);
     s.now = 1_001;
@@ -431,7 +531,9 @@
     let head = told.iter().find(|f| f.is(0, 2)).unwrap();
     let (_, _, p, _) = codec::header(&head.args).unwrap();
     assert_eq!((p.message_id, p.expiration), ("m", ""));
-    let Some(Value::Array(deaths)) = p.headers.unwrap().get("x-death") else { panic!() };
+    let Some(Value::Array(deaths)) = p.headers.unwrap().get("x-death") else {
+        panic!()
+    };
     assert_eq!(deaths[0], b'F');
     let one = Args::new(&deaths[1..]).table().unwrap();
     assert_eq!(
@@ -446,7 +548,11 @@
     s.send(
         conn,
         &method(1, 60, 20, |m| {
-            m.short(0).short_str("amq.rabbitmq.reply-to").short_str("r").octet(2).long_str(b"")
+            m.short(0)
+                .short_str("amq.rabbitmq.reply-to")
+                .short_str("r")
+                .octet(2)
+                .long_str(b"")
         }),
     );
     s.got(link);
@@ -465,7 +571,10 @@
 
 /// Frames of a channel as (class, method), contents left out.
 fn methods(seen: &[Seen]) -> Vec<(u16, u16)> {
-    seen.iter().filter(|f| f.class > 0).map(|f| (f.class, f.method)).collect()
+    seen.iter()
+        .filter(|f| f.class > 0)
+        .map(|f| (f.class, f.method))
+        .collect()
 }
 
 #[test_case(Word::Handled, &[(60, 60), (60, 80)], "handled" ; "handled is acked")]
@@ -495,13 +604,24 @@
     let conn = confirming(&mut s, 1);
     s.send(
         conn,
-        &method(1, 40, 10, |m| m.short(0).short_str("dead").short_str("fanout").octet(0).long_str(b"")),
+        &method(1, 40, 10, |m| {
+            m.short(0)
+                .short_str("dead")
+                .short_str("fanout")
+                .octet(0)
+                .long_str(b"")
+        }),
     );
     s.declare(conn, "dq", b"");
     s.send(
         conn,
         &method(1, 50, 20, |m| {
-            m.short(0).short_str("dq").short_str("dead").short_str("").bit(false).long_str(b"")
+            m.short(0)
+                .short_str("dq")
+                .short_str("dead")
+                .short_str("")
+                .bit(false)
+                .long_str(b"")
         }),
     );
     trigger(&mut s, conn, "m1");
@@ -520,7 +640,9 @@
     s.declare(conn, "q", b"");
     s.got(1);
     let p = Properties::default();
-    let five: Vec<u8> = (0..5).flat_map(|_| publish_on(1, "", "q", &p, b"x", false)).collect();
+    let five: Vec<u8> = (0..5)
+        .flat_map(|_| publish_on(1, "", "q", &p, b"x", false))
+        .collect();
     s.send(conn, &five);
     let told = s.got(1);
     assert_eq!(methods(&told), [(60, 80)], "five in one");
@@ -529,8 +651,15 @@
     trigger(&mut s, conn, "m1");
     s.send(conn, &five);
     let told = s.got(1);
-    let single: Vec<_> = told.iter().map(|t| Args::new(&t.args[..8]).long_long().unwrap()).collect();
-    assert_eq!(single, [7, 8, 9, 10, 11], "the sixth is out, so each for itself");
+    let single: Vec<_> = told
+        .iter()
+        .map(|t| Args::new(&t.args[..8]).long_long().unwrap())
+        .collect();
+    assert_eq!(
+        single,
+        [7, 8, 9, 10, 11],
+        "the sixth is out, so each for itself"
+    );
 }
 
 #[test]
@@ -543,12 +672,18 @@
     let tickets: Vec<u64> = s.world.taken.iter().map(|t| t.0).collect();
     s.answer(tickets[0], Word::Handled);
     assert_eq!(methods(&s.got(1)), [(60, 60), (60, 80)]);
-    s.send(conn, &method(1, 20, 40, |m| m.short(200).short_str("").long(0)));
+    s.send(
+        conn,
+        &method(1, 20, 40, |m| m.short(200).short_str("").long(0)),
+    );
     s.send(conn, &method(1, 20, 10, |m| m.short_str("")));
     assert_eq!(methods(&s.got(1)), [(20, 41), (20, 11)]);
     s.answer(tickets[1], Word::Handled);
     s.answer(tickets[2], Word::DeadLettered);
-    assert!(s.got(1).is_empty(), "the new channel gets nothing of the old one's");
+    assert!(
+        s.got(1).is_empty(),
+        "the new channel gets nothing of the old one's"
+    );
     assert_eq!((s.server.unroutable, s.server.debts(conn)), (2, 0));
 }
 
@@ -557,14 +692,19 @@
 fn a_forgotten_trigger_is_not_acked_with_the_others() {
     let mut s = site();
     let conn = confirming(&mut s, 1);
-    ["m1", "m2"].into_iter().for_each(|id| trigger(&mut s, conn, id));
+    ["m1", "m2"]
+        .into_iter()
+        .for_each(|id| trigger(&mut s, conn, id));
     let tickets: Vec<u64> = s.world.taken.iter().map(|t| t.0).collect();
     s.server.forget(tickets[0]);
     s.answer(tickets[1], Word::Handled);
     let told = s.got(1);
     assert_eq!(methods(&told), [(60, 60), (60, 120), (60, 80)]);
     let nacked = told.iter().find(|t| t.is(60, 120)).unwrap();
-    assert_eq!((Args::new(&nacked.args).long_long(), s.server.debts(conn)), (Ok(1), 0));
+    assert_eq!(
+        (Args::new(&nacked.args).long_long(), s.server.debts(conn)),
+        (Ok(1), 0)
+    );
 }
 
 #[test]
@@ -572,9 +712,15 @@
     let mut s = site();
     let conn = s.channel(1);
     s.declare(conn, "replies", b"");
-    let p = Properties { reply_to: "replies", ..Properties::default() };
+    let p = Properties {
+        reply_to: "replies",
+        ..Properties::default()
+    };
     s.publish(conn, "events", "record.b", &p, b"x");
-    s.send(conn, &method(1, 50, 40, |m| m.short(0).short_str("replies").octet(0)));
+    s.send(
+        conn,
+        &method(1, 50, 40, |m| m.short(0).short_str("replies").octet(0)),
+    );
     let ticket = s.world.taken[0].0;
     s.answer(ticket, Word::Handled);
     assert_eq!(s.server.unroutable, 1);
@@ -590,7 +736,10 @@
     assert_eq!(again, conn, "its place is used again");
     let ticket = s.world.taken[0].0;
     s.answer(ticket, Word::Handled);
-    assert!(s.got(2).is_empty(), "the next user of its place gets nothing of it");
+    assert!(
+        s.got(2).is_empty(),
+        "the next user of its place gets nothing of it"
+    );
     assert_eq!(s.server.waiting(), 0);
 }
 
@@ -626,7 +775,10 @@
 
 #[test]
 fn full_queues_refuse_and_say_so() {
-    let mut s = site_with(tidewall_amqp::server::Limits { queued_most: 1_000, ..limits() });
+    let mut s = site_with(tidewall_amqp::server::Limits {
+        queued_most: 1_000,
+        ..limits()
+    });
     let conn = confirming(&mut s, 1);
     s.declare(conn, "q", b"");
     s.got(1);
@@ -657,14 +809,23 @@
         s.send(
             conn,
             &method(1, 40, 10, |m| {
-                m.short(0).short_str(&exchange).short_str("fanout").octet(0).long_str(b"")
+                m.short(0)
+                    .short_str(&exchange)
+                    .short_str("fanout")
+                    .octet(0)
+                    .long_str(b"")
             }),
         );
         s.declare(conn, name, &table.0);
         s.send(
             conn,
             &method(1, 50, 20, |m| {
-                m.short(0).short_str(name).short_str(&exchange).short_str("").bit(false).long_str(b"")
+                m.short(0)
+                    .short_str(name)
+                    .short_str(&exchange)
+                    .short_str("")
+                    .bit(false)
+                    .long_str(b"")
             }),
         );
     }
@@ -673,7 +834,16 @@
     let deaths = [&[b'F'][..], &(entry.0.len() as u32).to_be_bytes(), &entry.0].concat();
     headers.array("x-death", &deaths);
     let headers = made_up.then_some(Table(&headers.0));
-    s.publish(conn, "", "q", &Properties { headers, ..Properties::default() }, b"x");
+    s.publish(
+        conn,
+        "",
+        "q",
+        &Properties {
+            headers,
+            ..Properties::default()
+        },
+        b"x",
+    );
     for _ in 0..50 {
         s.now += 1_000;
         s.tick();
--- a/crates/tidewall-audit/src/lib.rs
+++ b/crates/tidewall-audit/src/lib.rs
@@ -116,7 +116,9 @@
     }
 
     fn breach(&mut self, rule: usize, at: Time, what: String) {
-        self.verdicts[rule - 1].breaches.push(format!("{:.1} ms: {what}", at as f64 / 10.0));
+        self.verdicts[rule - 1]
+            .breaches
+            .push(format!("{:.1} ms: {what}", at as f64 / 10.0));
     }
 
     pub fn row(&mut self, row: &Row) {
@@ -147,7 +149,9 @@
                 }
             }
             Kind::GaveUp => {
-                let Some(e) = self.events.get_mut(&row.evt).filter(|e| !e.over) else { return };
+                let Some(e) = self.events.get_mut(&row.evt).filter(|e| !e.over) else {
+                    return;
+                };
                 e.over = true;
                 let (gw, until) = (e.gateway, e.until);
                 if self.excused(gw, until) {
@@ -156,17 +160,25 @@
                     self.breach(
                         1,
                         t,
-                        format!("event {} had no answer from gateway {gw} in its time", row.evt),
+                        format!(
+                            "event {} had no answer from gateway {gw} in its time",
+                            row.evt
+                        ),
                     );
                 }
             }
             Kind::Broke => {
                 // The client's end of a connection: what was out there is lost, which only a kill excuses.
-                let Some(e) = self.events.get_mut(&row.evt).filter(|e| !e.over) else { return };
+                let Some(e) = self.events.get_mut(&row.evt).filter(|e| !e.over) else {
+                    return;
+                };
                 e.over = true;
                 let gw = e.gateway;
                 if !self.down.contains_key(&gw) {
-                    let what = format!("event {} was dropped by gateway {gw} with its connection", row.evt);
+                    let what = format!(
+                        "event {} was dropped by gateway {gw} with its connection",
+                        row.evt
+                    );
                     self.breach(1, t, what);
                 }
             }
@@ -210,12 +222,16 @@
                 let again = match typ {
                     Type::Redeliverable => false,
                     Type::AtMostOnce => !before.is_empty(),
-                    Type::Keyed(group, window) => {
-                        before.iter().any(|b| near(&self.rules, group, b.0, wk) && last.1 < b.1 + window)
-                    }
+                    Type::Keyed(group, window) => before
+                        .iter()
+                        .any(|b| near(&self.rules, group, b.0, wk) && last.1 < b.1 + window),
                 };
                 if again {
-                    self.breach(2, t, format!("event {} had its effect again at worker {wk}", row.evt));
+                    self.breach(
+                        2,
+                        t,
+                        format!("event {} had its effect again at worker {wk}", row.evt),
+                    );
                 }
             }
             Kind::Told => {
@@ -232,7 +248,8 @@
             Kind::Lost => {
                 let (began, until) = self.still.get(&row.gw).copied().unwrap_or((Time::MAX, 0));
                 let unread = |at: Time| until == Time::MAX && at >= began;
-                self.told.retain(|k, at| k.0 != row.gw || !(row.on || k.1 == row.wk) || !unread(*at));
+                self.told
+                    .retain(|k, at| k.0 != row.gw || !(row.on || k.1 == row.wk) || !unread(*at));
             }
             Kind::Started => {
                 let cold = Cold {
@@ -257,19 +274,27 @@
 
     /// A gateway that is not running owes no answer: it was killed, or stood still when the time came.
     fn excused(&self, gw: usize, until: Time) -> bool {
-        let stood = self.still.get(&gw).is_some_and(|s| until >= s.0 && until <= s.1.saturating_add(GRACE));
+        let stood = self
+            .still
+            .get(&gw)
+            .is_some_and(|s| until >= s.0 && until <= s.1.saturating_add(GRACE));
         if self.rules.pair {
             // The other member answers for a killed one.
             let away = self.away.get(&gw).into_iter().flatten();
             return stood
-                || away.into_iter().any(|a| until + GRACE >= a.0 && until <= a.1.saturating_add(GRACE));
+                || away
+                    .into_iter()
+                    .any(|a| until + GRACE >= a.0 && until <= a.1.saturating_add(GRACE));
         }
         self.down.contains_key(&gw) || stood
     }
 
     fn launch(&mut self, row: &Row) -> Option<&mut Launch> {
         let launches = &mut self.events.get_mut(&row.evt)?.launches;
-        launches.iter_mut().rev().find(|l| l.wk == row.wk && l.ended.is_none())
+        launches
+            .iter_mut()
+            .rev()
+            .find(|l| l.wk == row.wk && l.ended.is_none())
     }
 
     fn asked(&mut self, row: &Row) {
@@ -278,8 +303,14 @@
         let first = row.evt / rows::TRIES * rows::TRIES;
         let mut others = self.events.range(first..first + rows::TRIES);
         let launched = others.any(|e| *e.0 != row.evt && !e.1.launches.is_empty());
-        self.verdicts[1].cases += u64::from(launched && self.rules.types[row.typ] != Type::Redeliverable);
-        let event = Event { gateway: row.gw, typ: row.typ, until: row.t + row.left, ..Event::default() };
+        self.verdicts[1].cases +=
+            u64::from(launched && self.rules.types[row.typ] != Type::Redeliverable);
+        let event = Event {
+            gateway: row.gw,
+            typ: row.typ,
+            until: row.t + row.left,
+            ..Event::default()
+        };
         self.events.insert(row.evt, event);
         self.taken.entry(row.gw).or_default().push_back(row.t);
     }
@@ -290,9 +321,21 @@
             return self.breach(1, t, format!("event {evt} was answered and never asked"));
         };
         // A gateway that stood still hears of a leaving when it goes on, behind what came before it.
-        let still = self.still.get(&e.gateway).copied().unwrap_or((Time::MAX, 0));
-        let heard = |left: Time| if left >= still.0 { left.max(still.1) } else { left };
-        let crossed = e.left.is_some_and(|left| t <= heard(left).saturating_add(GRACE));
+        let still = self
+            .still
+            .get(&e.gateway)
+            .copied()
+            .unwrap_or((Time::MAX, 0));
+        let heard = |left: Time| {
+            if left >= still.0 {
+                left.max(still.1)
+            } else {
+                left
+            }
+        };
+        let crossed = e
+            .left
+            .is_some_and(|left| t <= heard(left).saturating_add(GRACE));
         if e.over && !crossed {
             return self.breach(1, t, format!("event {evt} got a further answer"));
         }
@@ -304,20 +347,32 @@
         let typ = self.rules.types[e.typ];
         let launched = !e.launches.is_empty();
         if late {
-            self.breach(1, t, format!("event {evt} was answered after its client gave up"));
+            self.breach(
+                1,
+                t,
+                format!("event {evt} was answered after its client gave up"),
+            );
         }
         if row.deferred && typ != Type::Redeliverable && launched {
             self.verdicts[1].cases += 1;
             let harmless = matches!(typ, Type::Keyed(Group::All, _));
             if unproven && !harmless {
-                self.breach(2, t, format!("event {evt} was deferred though it may have run"));
+                self.breach(
+                    2,
+                    t,
+                    format!("event {evt} was deferred though it may have run"),
+                );
             }
         }
     }
 
     fn launched(&mut self, row: &Row) {
         let (t, evt, gw, wk) = (row.t, row.evt, row.gw, row.wk);
-        if let Some(told) = self.told.get(&(gw, wk)).copied().filter(|told| t > told + self.rules.drain_grace)
+        if let Some(told) = self
+            .told
+            .get(&(gw, wk))
+            .copied()
+            .filter(|told| t > told + self.rules.drain_grace)
         {
             let late = (t - told) / 10;
             self.breach(
@@ -329,14 +384,24 @@
         self.pushed(row);
         let Some(e) = self.events.get_mut(&evt) else {
             // Turned away, or not asked on a recorded connection.
-            return self.breach(1, t, format!("event {evt} was launched and is in no gateway's hands"));
+            return self.breach(
+                1,
+                t,
+                format!("event {evt} was launched and is in no gateway's hands"),
+            );
         };
         let typ = self.rules.types[e.typ];
         let mut broken = Vec::new();
         let again = !e.launches.is_empty();
         // An end that crosses the next launch within the grace of a wake-up is no overlap.
-        if !self.rules.two_at_once && e.launches.iter().any(|l| l.ended.is_none() && l.at + GRACE < t) {
-            broken.push(format!("event {evt} went to worker {wk} while another launch was out"));
+        if !self.rules.two_at_once
+            && e.launches
+                .iter()
+                .any(|l| l.ended.is_none() && l.at + GRACE < t)
+        {
+            broken.push(format!(
+                "event {evt} went to worker {wk} while another launch was out"
+            ));
         }
         for l in e.launches.iter().filter(|l| !l.proven) {
             let good = match typ {
@@ -347,10 +412,18 @@
                 }
             };
             if !good {
-                broken.push(format!("event {evt} went to worker {wk} though it may have run at {}", l.wk));
+                broken.push(format!(
+                    "event {evt} went to worker {wk} though it may have run at {}",
+                    l.wk
+                ));
             }
         }
-        e.launches.push(Launch { wk, at: t, ended: None, proven: false });
+        e.launches.push(Launch {
+            wk,
+            at: t,
+            ended: None,
+            proven: false,
+        });
         self.verdicts[1].cases += u64::from(again);
         broken.into_iter().for_each(|what| self.breach(2, t, what));
     }
@@ -358,7 +431,9 @@
     /// Work that reaches a cold worker, by all gateways together, against its fall.
     fn pushed(&mut self, row: &Row) {
         let (t, window, multiple) = (row.t, self.rules.fall, self.rules.fall_multiple);
-        let Some(c) = self.cold.get_mut(&row.wk) else { return };
+        let Some(c) = self.cold.get_mut(&row.wk) else {
+            return;
+        };
         let age = t - c.since;
         if age >= c.warm_after {
             return;
@@ -389,8 +464,16 @@
         if row.copies == 0 {
             return;
         }
-        if self.told.get(&(gw, wk)).is_some_and(|told| t > told + self.rules.drain_grace) {
-            self.breach(3, t, format!("gateway {gw} ordered a load at worker {wk} after its drain"));
+        if self
+            .told
+            .get(&(gw, wk))
+            .is_some_and(|told| t > told + self.rules.drain_grace)
+        {
+            self.breach(
+                3,
+                t,
+                format!("gateway {gw} ordered a load at worker {wk} after its drain"),
+            );
         }
         let window = self.rules.load_window;
         if window == 0 {
@@ -436,7 +519,11 @@
             (r.epoch, r.whose) = (epoch, whose);
         }
         if other && epoch == last || before.is_some_and(|b| b != whose) {
-            self.breach(6, t, format!("task {task}: epoch {epoch} was used by two holders"));
+            self.breach(
+                6,
+                t,
+                format!("task {task}: epoch {epoch} was used by two holders"),
+            );
         }
         // Acts of one holder come in one piece, and epochs rise unless keepers forgot them.
         let back = before.is_some() || epoch < last && !self.forgot(since);
@@ -468,11 +555,20 @@
 
     /// What is still open at the end of the record.
     pub fn end(&mut self, at: Time) {
-        let open: Vec<u64> = self.events.iter().filter(|e| !e.1.over).map(|e| *e.0).collect();
+        let open: Vec<u64> = self
+            .events
+            .iter()
+            .filter(|e| !e.1.over)
+            .map(|e| *e.0)
+            .collect();
         for evt in open {
             let (gateway, until) = (self.events[&evt].gateway, self.events[&evt].until);
             if at > until + GRACE && !self.excused(gateway, until) {
-                self.breach(1, at, format!("event {evt} never got an answer from gateway {gateway}"));
+                self.breach(
+                    1,
+                    at,
+                    format!("event {evt} never got an answer from gateway {gateway}"),
+                );
             }
         }
     }
--- a/crates/tidewall-audit/tests/help/mod.rs
+++ b/crates/tidewall-audit/tests/help/mod.rs
@@ -34,26 +34,54 @@
 }
 
 pub fn row(t: u64, k: Kind, evt: u64) -> Row {
-    Row { t, k, evt, left: if k == Kind::Asked { 30_000 } else { 0 }, ..Row::default() }
+    Row {
+        t,
+        k,
+        evt,
+        left: if k == Kind::Asked { 30_000 } else { 0 },
+        ..Row::default()
+    }
 }
 
 /// An act of a gateway's life on task 4, under an epoch.
 pub fn acted(t: u64, gw: usize, life: u64, epoch: u64, wk: usize, on: bool) -> Row {
-    Row { t, k: Kind::Acted, gw, wk, task: 4, epoch, life, on, ..Row::default() }
+    Row {
+        t,
+        k: Kind::Acted,
+        gw,
+        wk,
+        task: 4,
+        epoch,
+        life,
+        on,
+        ..Row::default()
+    }
 }
 
 pub fn asked(t: u64, evt: u64, typ: usize) -> Row {
-    Row { typ, ..row(t, Kind::Asked, evt) }
+    Row {
+        typ,
+        ..row(t, Kind::Asked, evt)
+    }
 }
 
 pub fn at(t: u64, k: Kind, evt: u64, wk: usize) -> Row {
-    Row { wk, ..row(t, k, evt) }
+    Row {
+        wk,
+        ..row(t, k, evt)
+    }
 }
 
 pub fn proven(t: u64, evt: u64, wk: usize) -> Row {
-    Row { proven: true, ..at(t, Kind::Ended, evt, wk) }
+    Row {
+        proven: true,
+        ..at(t, Kind::Ended, evt, wk)
+    }
 }
 
 pub fn deferred(t: u64, evt: u64) -> Row {
-    Row { deferred: true, ..row(t, Kind::Answered, evt) }
+    Row {
+        deferred: true,
+        ..row(t, Kind::Answered, evt)
+    }
 }
--- a/crates/tidewall-audit/tests/rules.rs
+++ b/crates/tidewall-audit/tests/rules.rs
@@ -11,7 +11,10 @@
     rows.iter().for_each(|r| audit.row(r));
     audit.end(1_000_000);
     let verdicts = audit.verdicts.iter().enumerate();
-    verdicts.filter(|v| !v.1.breaches.is_empty()).map(|v| (v.0 + 1, v.1.breaches.len())).collect()
+    verdicts
+        .filter(|v| !v.1.breaches.is_empty())
+        .map(|v| (v.0 + 1, v.1.breaches.len()))
+        .collect()
 }
 
 #[test_case(&[asked(0, 7, 0), row(100, Kind::Answered, 7)], &[] ; "answered once")]
@@ -80,11 +83,20 @@
 #[test_case(20_002, true, &[(3, 1)] ; "planted: an event after the grace")]
 #[test_case(20_002, false, &[(3, 1)] ; "planted: an order after the grace")]
 fn drains_kept(t: u64, event: bool, told: &[(usize, usize)]) {
-    let mut rows = vec![Row { on: false, ..at(0, Kind::Told, 0, 1) }, asked(1, 7, 0)];
+    let mut rows = vec![
+        Row {
+            on: false,
+            ..at(0, Kind::Told, 0, 1)
+        },
+        asked(1, 7, 0),
+    ];
     if event {
         rows.push(at(t, Kind::Launched, 7, 1));
     } else {
-        rows.push(Row { copies: 1, ..at(t, Kind::Ordered, 0, 1) });
+        rows.push(Row {
+            copies: 1,
+            ..at(t, Kind::Ordered, 0, 1)
+        });
     }
     rows.push(row(t, Kind::Answered, 7));
     assert_eq!(broken(&rows), told);
@@ -97,10 +109,20 @@
 fn drains_that_were_never_read(still: bool, roster: bool, told: &[(usize, usize)]) {
     let mut rows = Vec::new();
     rows.extend(still.then(|| row(0, Kind::Still, 0)));
-    rows.push(Row { on: false, ..at(10, Kind::Told, 0, 1) });
-    rows.push(Row { on: roster, ..at(20, Kind::Lost, 0, 1) });
+    rows.push(Row {
+        on: false,
+        ..at(10, Kind::Told, 0, 1)
+    });
+    rows.push(Row {
+        on: roster,
+        ..at(20, Kind::Lost, 0, 1)
+    });
     rows.extend(still.then(|| row(30, Kind::Going, 0)));
-    rows.extend([asked(30_000, 7, 0), at(30_010, Kind::Launched, 7, 1), row(30_020, Kind::Answered, 7)]);
+    rows.extend([
+        asked(30_000, 7, 0),
+        at(30_010, Kind::Launched, 7, 1),
+        row(30_020, Kind::Answered, 7),
+    ]);
     assert_eq!(broken(&rows), told);
 }
 
@@ -110,9 +132,20 @@
 #[test_case(90_000, 40_000.0, &[] ; "nearly warm it takes more")]
 #[test_case(100_000, 99_000.0, &[] ; "warm it is not judged")]
 fn no_cold_worker_pushed_over(t: u64, work: f64, told: &[(usize, usize)]) {
-    let started = Row { capacity: 2.0, from: 0.2, left: 100_000, ..at(0, Kind::Started, 0, 1) };
-    let launched = Row { work, ..at(t, Kind::Launched, 7, 1) };
-    assert_eq!(broken(&[started, asked(t, 7, 0), launched, row(t, Kind::Answered, 7)]), told);
+    let started = Row {
+        capacity: 2.0,
+        from: 0.2,
+        left: 100_000,
+        ..at(0, Kind::Started, 0, 1)
+    };
+    let launched = Row {
+        work,
+        ..at(t, Kind::Launched, 7, 1)
+    };
+    assert_eq!(
+        broken(&[started, asked(t, 7, 0), launched, row(t, Kind::Answered, 7)]),
+        told
+    );
 }
 
 #[test]
@@ -130,7 +163,10 @@
         rows.extend([asked(evt, evt + 1, 0), row(evt, Kind::Answered, evt + 1)]);
     }
     for i in 0..orders {
-        rows.push(Row { copies: 1, ..at(10 + wait + i, Kind::Ordered, 0, 0) });
+        rows.push(Row {
+            copies: 1,
+            ..at(10 + wait + i, Kind::Ordered, 0, 0)
+        });
     }
     assert_eq!(broken(&rows), told);
 }
--- a/crates/tidewall-cli/src/common.rs
+++ b/crates/tidewall-cli/src/common.rs
@@ -26,7 +26,11 @@
 
 impl Common {
     pub fn none() -> Common {
-        Common { threads: Vec::new(), told: Arc::new(AtomicBool::new(false)), watch: None }
+        Common {
+            threads: Vec::new(),
+            told: Arc::new(AtomicBool::new(false)),
+            watch: None,
+        }
     }
 
     /// Starts both; `told` is set when the process is to go.
@@ -48,7 +52,9 @@
             }
             last.clone()
         };
-        let clock = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64);
+        let clock = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(1, |d| d.as_millis() as u64);
         let conf = Conf::new(s, me, next(0, clock), seed, plant.guards(), Box::new(keys));
         // Times that one tells the other are of one clock.
         let (started, ppm) = (Instant::now(), conf.trial_ppm);
@@ -62,7 +68,8 @@
         self.watch = Some(to_acts.other());
         let over = Arc::new(AtomicBool::new(false));
         let mut acting = Acting::new(net()?, &conf, acts_inbox, from_acts, over.clone());
-        let mut keeping = Keeping::new(net()?, conf, (to_acts, inbox), told.clone()).map_err(input)?;
+        let mut keeping =
+            Keeping::new(net()?, conf, (to_acts, inbox), told.clone()).map_err(input)?;
         self.told = told.clone();
         self.thread("acting", move || mio::run(&mut acting))?;
         self.thread("keeping", move || {
@@ -82,8 +89,11 @@
                 error!(task = name, error = %e, "a task ended");
             }
         };
-        let thread = std::thread::Builder::new().name(name.to_string()).spawn(logged);
-        self.threads.push(thread.map_err(|e| Failure::Run(e.to_string()))?);
+        let thread = std::thread::Builder::new()
+            .name(name.to_string())
+            .spawn(logged);
+        self.threads
+            .push(thread.map_err(|e| Failure::Run(e.to_string()))?);
         Ok(())
     }
 
@@ -91,7 +101,9 @@
     pub fn watch(&mut self) -> Watch {
         let mut post = self.watch.take().expect("it was started");
         Box::new(move |list| {
-            post.send(ToActs::Workers(list.iter().map(|e| (e.name.clone(), e.at)).collect()))
+            post.send(ToActs::Workers(
+                list.iter().map(|e| (e.name.clone(), e.at)).collect(),
+            ))
         })
     }
 
--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -190,7 +190,10 @@
 fn zeroed(text: &str) -> String {
     let mut out = String::new();
     for part in text.split_inclusive('"') {
-        match part.strip_suffix('"').and_then(|p| p.parse::<std::net::SocketAddr>().ok()) {
+        match part
+            .strip_suffix('"')
+            .and_then(|p| p.parse::<std::net::SocketAddr>().ok())
+        {
             Some(at) => out += &format!("{}:0\"", at.ip()),
             None => out += part,
         }
@@ -200,7 +203,9 @@
 
 /// The other member's settings.
 fn swapped(text: &str) -> String {
-    text.replace("  own {", "  \0 {").replace("  peer {", "  own {").replace("  \0 {", "  peer {")
+    text.replace("  own {", "  \0 {")
+        .replace("  peer {", "  own {")
+        .replace("  \0 {", "  peer {")
 }
 
 /// Events a second that keep all cores of the fleet busy.
@@ -210,7 +215,10 @@
     let cores: f64 = fleet.sections("workers").iter().map(cores).sum();
     let programs = fleet.sections("programs");
     let share: f64 = programs.iter().map(|p| p.number("share")).sum();
-    let work: f64 = programs.iter().map(|p| p.number("share") / share * p.number("work_ms")).sum();
+    let work: f64 = programs
+        .iter()
+        .map(|p| p.number("share") / share * p.number("work_ms"))
+        .sum();
     cores * 1000.0 / work.max(1e-9)
 }
 
@@ -224,34 +232,63 @@
 
 pub fn day(args: &Day) -> Result<(), Failure> {
     let failed = |e: std::io::Error| Failure::Run(e.to_string());
-    let built_in = if args.pair { ("built-in pair", PAIR) } else { ("built-in day", SETTINGS) };
+    let built_in = if args.pair {
+        ("built-in pair", PAIR)
+    } else {
+        ("built-in day", SETTINGS)
+    };
     let (file, text) = read(&args.config, built_in)?;
-    let text = if args.pair && args.config.is_none() { zeroed(&text) } else { text };
+    let text = if args.pair && args.config.is_none() {
+        zeroed(&text)
+    } else {
+        text
+    };
     let mut text = ports(&text).map_err(failed)?;
     let mut settings = tidewall_config::settings(&file, &text).map_err(input)?;
     if !settings.has("fleet") {
-        return Err(input(format!("{file}:1:1: fleet: there is none in these settings")));
+        return Err(input(format!(
+            "{file}:1:1: fleet: there is none in these settings"
+        )));
     }
-    let without = settings.sections("gateway").into_iter().find(|g| !g.has("amqp_address"));
+    let without = settings
+        .sections("gateway")
+        .into_iter()
+        .find(|g| !g.has("amqp_address"));
     if let Some(g) = without.filter(|_| args.door == Way::Amqp) {
-        return Err(input(format!("{file}: {}: is needed for --door amqp", g.at("amqp_address"))));
+        return Err(input(format!(
+            "{file}: {}: is needed for --door amqp",
+            g.at("amqp_address")
+        )));
     }
-    let script =
-        if args.pair { ("built-in bad day of a pair", PAIR_SCRIPT) } else { ("built-in bad day", SCRIPT) };
+    let script = if args.pair {
+        ("built-in bad day of a pair", PAIR_SCRIPT)
+    } else {
+        ("built-in bad day", SCRIPT)
+    };
     let (script_file, mut script_text) = read(&args.script, script)?;
     if args.pair != settings.has("pair") {
-        return Err(input(format!("{file}: pair: --pair and a pair section go together")));
+        return Err(input(format!(
+            "{file}: pair: --pair and a pair section go together"
+        )));
     }
     let mut seconds = None;
     if let Some(path) = &args.from {
         let name = path.display().to_string();
         let day = std::fs::read_to_string(path).map_err(|e| input(format!("{name}: {e}")))?;
-        let workers: u64 =
-            settings.section("fleet").sections("workers").iter().map(|w| w.whole("count")).sum();
+        let workers: u64 = settings
+            .section("fleet")
+            .sections("workers")
+            .iter()
+            .map(|w| w.whole("count"))
+            .sum();
         let gateways = settings.sections("gateway").len();
-        let told = replay(&day, workers as usize, gateways).map_err(|e| input(format!("{name}: {e}")))?;
+        let told =
+            replay(&day, workers as usize, gateways).map_err(|e| input(format!("{name}: {e}")))?;
         let rate = (capacity(&settings) * told.load).round();
-        println!("{workers} workers and {gateways} gateways, {rate} events a second (load {:.2})", told.load);
+        println!(
+            "{workers} workers and {gateways} gateways, {rate} events a second (load {:.2})",
+            told.load
+        );
         told.says.iter().for_each(|line| println!("{line}"));
         (script_text, seconds) = (told.script, Some(told.seconds));
         text = with_rate(&text, rate)
@@ -260,21 +297,34 @@
     }
     let script = tidewall_config::script(&script_file, &script_text).map_err(input)?;
     let faults = script.sections("fault");
-    let terminals = faults.iter().find(|f| f.choice("trouble").starts_with("TERMINAL_"));
+    let terminals = faults
+        .iter()
+        .find(|f| f.choice("trouble").starts_with("TERMINAL_"));
     if let Some(f) = terminals.filter(|_| args.door != Way::Amqp) {
-        return Err(input(format!("{script_file}: {}: needs --door amqp", f.at("trouble"))));
+        return Err(input(format!(
+            "{script_file}: {}: needs --door amqp",
+            f.at("trouble")
+        )));
     }
     let seconds = args.seconds.or(seconds).unwrap_or(script.number("seconds"));
     if !(1.0..=3600.0).contains(&seconds) {
-        return Err(input(format!("--seconds: {seconds} is not within 1 to 3600")));
+        return Err(input(format!(
+            "--seconds: {seconds} is not within 1 to 3600"
+        )));
     }
     let temporary = tempfile::tempdir().map_err(failed)?;
-    let folder = args.keep.clone().unwrap_or_else(|| temporary.path().to_path_buf());
+    let folder = args
+        .keep
+        .clone()
+        .unwrap_or_else(|| temporary.path().to_path_buf());
     std::fs::create_dir_all(&folder).map_err(|e| input(format!("{}: {e}", folder.display())))?;
     let folder = folder.canonicalize().map_err(failed)?;
     let played = play(args, &settings, &text, &script, seconds, &folder);
     if played.is_err() && args.keep.is_none() {
-        eprintln!("record, settings and logs are kept in {}", temporary.keep().display());
+        eprintln!(
+            "record, settings and logs are kept in {}",
+            temporary.keep().display()
+        );
     }
     played
 }
@@ -290,13 +340,18 @@
     let failed = |e: std::io::Error| Failure::Run(e.to_string());
     let (config, record) = (folder.join("settings.txtpb"), folder.join("record.jsonl"));
     std::fs::write(&config, text).map_err(failed)?;
-    let mut names: Vec<String> = settings.sections("gateway").iter().map(|g| g.text("name")).collect();
+    let mut names: Vec<String> = settings
+        .sections("gateway")
+        .iter()
+        .map(|g| g.text("name"))
+        .collect();
     let mut configs = vec![config.clone(); names.len()];
     if args.pair {
         names.push(names[0].clone());
         configs.push(folder.join("peer.txtpb"));
         std::fs::write(&configs[1], swapped(text)).map_err(failed)?;
-        std::fs::write(folder.join("pair.keys"), format!("1 {:064x}\n", args.seed)).map_err(failed)?;
+        std::fs::write(folder.join("pair.keys"), format!("1 {:064x}\n", args.seed))
+            .map_err(failed)?;
     }
     let children = names.iter().map(|_| None).collect();
     let processes = Processes {
@@ -310,7 +365,8 @@
     };
     let processes = std::rc::Rc::new(std::cell::RefCell::new(processes));
     let mut net = Mio::new().map_err(failed)?;
-    net.signals(&[libc::SIGINT, libc::SIGTERM]).map_err(failed)?;
+    net.signals(&[libc::SIGINT, libc::SIGTERM])
+        .map_err(failed)?;
     let plan = Plan {
         seed: args.seed,
         seconds,
@@ -330,7 +386,9 @@
     let bad = processes.borrow_mut().stop();
     ran?;
     fleet.flush();
-    let lines = BufReader::new(File::open(&record).map_err(failed)?).lines().map_while(Result::ok);
+    let lines = BufReader::new(File::open(&record).map_err(failed)?)
+        .lines()
+        .map_while(Result::ok);
     let audit = tidewall_audit::check(lines).map_err(Failure::Run)?;
     let (results, loads) = (fleet.results().clone(), fleet.loads());
     table(&results, loads, &audit);
@@ -347,7 +405,10 @@
         )));
     }
     if audit.breaches() > 0 {
-        return Err(Failure::Run(format!("{} breaches of the rules", audit.breaches())));
+        return Err(Failure::Run(format!(
+            "{} breaches of the rules",
+            audit.breaches()
+        )));
     }
     if bad > 0 {
         return Err(Failure::Run(format!("{bad} gateways did not end well")));
@@ -360,8 +421,10 @@
     // The first one is the start's.
     let mut list = list.get(1..).unwrap_or(&[]).to_vec();
     list.sort_unstable();
-    let at =
-        |q: f64| list.get(((list.len().max(1) - 1) as f64 * q) as usize).map_or(0.0, |p| *p as f64 / 10.0);
+    let at = |q: f64| {
+        list.get(((list.len().max(1) - 1) as f64 * q) as usize)
+            .map_or(0.0, |p| *p as f64 / 10.0)
+    };
     println!(
         "{} pauses, ms: median {}, p99 {}, worst {}; {} events asked again, {} fell due while nobody could be reached",
         list.len(),
@@ -376,9 +439,14 @@
 /// What the table and the report tell, in one order.
 fn figures(r: &Results, loads: (u64, u64, u64)) -> Vec<(String, f64)> {
     let latency = |q: f64| r.latency.value_at_quantile(q) as f64 / 10.0;
-    let part = |good: u64, all: u64| (good as f64 / all.max(1) as f64 * 10_000.0).round() / 10_000.0;
-    let types =
-        (0..r.names.len()).map(|i| (format!("service of {}", r.names[i]), part(r.good[i], r.asked[i])));
+    let part =
+        |good: u64, all: u64| (good as f64 / all.max(1) as f64 * 10_000.0).round() / 10_000.0;
+    let types = (0..r.names.len()).map(|i| {
+        (
+            format!("service of {}", r.names[i]),
+            part(r.good[i], r.asked[i]),
+        )
+    });
     let plain = [
         ("events", r.events as f64),
         ("tries", r.tries as f64),
@@ -401,7 +469,11 @@
         ("misses", loads.1 as f64),
         ("repeats dropped by halls", loads.2 as f64),
     ];
-    plain.into_iter().map(|f| (f.0.to_string(), f.1)).chain(types).collect()
+    plain
+        .into_iter()
+        .map(|f| (f.0.to_string(), f.1))
+        .chain(types)
+        .collect()
 }
 
 /// A rule that nothing put to the test was not kept, it was not asked.
@@ -426,11 +498,20 @@
     for (i, v) in audit.verdicts.iter().enumerate() {
         let (cases, breaches) = (v.cases, v.breaches.len());
         let name = format!("{} {}", i + 1, RULES[i]);
-        table.add_row([name, cases.to_string(), breaches.to_string(), verdict(cases, breaches).to_string()]);
+        table.add_row([
+            name,
+            cases.to_string(),
+            breaches.to_string(),
+            verdict(cases, breaches).to_string(),
+        ]);
     }
     println!("{table}");
     // A handful shows what is wrong; the record holds them all.
-    for breach in audit.verdicts.iter().flat_map(|v| v.breaches.iter().take(5)) {
+    for breach in audit
+        .verdicts
+        .iter()
+        .flat_map(|v| v.breaches.iter().take(5))
+    {
         println!("{breach}");
     }
 }
--- a/crates/tidewall-cli/src/from.rs
+++ b/crates/tidewall-cli/src/from.rs
@@ -18,29 +18,44 @@
 
 fn number(value: &Value, path: &str) -> Result<f64, String> {
     let found = path.split('.').try_fold(value, |v, key| v.get(key));
-    found.and_then(Value::as_f64).ok_or_else(|| format!("field {path}: a number is missing"))
+    found
+        .and_then(Value::as_f64)
+        .ok_or_else(|| format!("field {path}: a number is missing"))
 }
 
 fn list<'a>(value: &'a Value, key: &str) -> Result<&'a Vec<Value>, String> {
-    value.get(key).and_then(Value::as_array).ok_or_else(|| format!("field {key}: a list is missing"))
+    value
+        .get(key)
+        .and_then(Value::as_array)
+        .ok_or_else(|| format!("field {key}: a list is missing"))
 }
 
 /// Fits a day to `workers` and `gateways` of ours.
 pub fn replay(text: &str, workers: usize, gateways: usize) -> Result<Replay, String> {
-    let day: Value = serde_json::from_str(text).map_err(|e| format!("{}:{}: {e}", e.line(), e.column()))?;
+    let day: Value =
+        serde_json::from_str(text).map_err(|e| format!("{}:{}: {e}", e.line(), e.column()))?;
     let length = number(&day, "length")?;
     let (theirs, gates) = (list(&day, "servers")?.len(), list(&day, "balancers")?.len());
     let scaled = |n: usize, of: usize, ours: usize| {
-        ((n * ours) as f64 / of.max(1) as f64).round().clamp(1.0, ours.max(1) as f64) as usize
+        ((n * ours) as f64 / of.max(1) as f64)
+            .round()
+            .clamp(1.0, ours.max(1) as f64) as usize
     };
     let (mut script, mut says) = (String::new(), Vec::new());
     for (i, t) in list(&day, "troubles")?.iter().enumerate() {
         let named = |e: String| format!("troubles[{i}].{e}");
-        let kind = t.get("kind").and_then(Value::as_str).ok_or_else(|| named("kind: missing".to_string()))?;
+        let kind = t
+            .get("kind")
+            .and_then(Value::as_str)
+            .ok_or_else(|| named("kind: missing".to_string()))?;
         let get = |key: &str| number(t, key).map_err(named);
         let (at, lasts, size, extra) = (get("at")?, get("len")?, get("size")?, get("extra")?);
         let hit = t.get("on").and_then(Value::as_array).map_or(0, Vec::len);
-        let steps = t.get("steps").and_then(Value::as_array).cloned().unwrap_or_default();
+        let steps = t
+            .get("steps")
+            .and_then(Value::as_array)
+            .cloned()
+            .unwrap_or_default();
         let mut fault = |trouble: &str, at: f64, lasts: f64, count: usize, factor: f64| {
             // Writing to a String cannot fail.
             let _ = writeln!(
@@ -67,7 +82,11 @@
             }
             "slow" | "ageing" => {
                 // Ageing grows to its size: half of it stands for the whole time.
-                let factor = if kind == "ageing" { (size / 2.0).max(1.01) } else { factor };
+                let factor = if kind == "ageing" {
+                    (size / 2.0).max(1.01)
+                } else {
+                    factor
+                };
                 fault("WORKER_SLOW", at, lasts, some, factor);
                 format!("{some} of {workers} workers are {factor:.1} times slower")
             }
@@ -88,8 +107,17 @@
                 };
                 let down = (extra * SECOND).max(SECOND);
                 for step in &steps {
-                    let stopped = step.get("stop").and_then(Value::as_array).map_or(0, Vec::len);
-                    fault(trouble, number(step, "at").map_err(named)?, down, scaled(stopped, of, ours), 1.0);
+                    let stopped = step
+                        .get("stop")
+                        .and_then(Value::as_array)
+                        .map_or(0, Vec::len);
+                    fault(
+                        trouble,
+                        number(step, "at").map_err(named)?,
+                        down,
+                        scaled(stopped, of, ours),
+                        1.0,
+                    );
                 }
                 format!("{} steps of {ours} in all", steps.len())
             }
@@ -115,10 +143,19 @@
                 continue;
             }
         };
-        says.push(format!("{kind}: {how}, {:.1} s from {:.1} s", lasts / SECOND, at / SECOND));
+        says.push(format!(
+            "{kind}: {how}, {:.1} s from {:.1} s",
+            lasts / SECOND,
+            at / SECOND
+        ));
     }
     let load = number(&day, "traffic.load")?;
-    Ok(Replay { script, seconds: (length / SECOND).clamp(1.0, 3600.0), load, says })
+    Ok(Replay {
+        script,
+        seconds: (length / SECOND).clamp(1.0, 3600.0),
+        load,
+        says,
+    })
 }
 
 #[cfg(test)]
@@ -139,14 +176,22 @@
     fn sizes_and_times_are_scaled_to_our_fleet() {
         let told = replay(&day(HANG), 12, 3).unwrap();
         assert_eq!((told.seconds, told.load), (40.0, 0.5));
-        assert!(told.script.contains("WORKER_HANG at: 0.2500 lasts_ms: 2000 count: 3"), "{}", told.script);
+        assert!(
+            told.script
+                .contains("WORKER_HANG at: 0.2500 lasts_ms: 2000 count: 3"),
+            "{}",
+            told.script
+        );
         tidewall_config::script("replay", &told.script).unwrap();
     }
 
     #[test]
     fn a_kind_that_is_not_played_is_said() {
         let told = replay(&day(&HANG.replace("hang", "scan")), 12, 3).unwrap();
-        assert_eq!((told.script.as_str(), &told.says[..]), ("", &["scan: not played".to_string()][..]));
+        assert_eq!(
+            (told.script.as_str(), &told.says[..]),
+            ("", &["scan: not played".to_string()][..])
+        );
     }
 
     #[test]
@@ -154,6 +199,9 @@
         let told = replay(&day(&HANG.replace("\"at\": 10000000,", "")), 12, 3).unwrap_err();
         assert_eq!(told, "troubles[0].field at: a number is missing");
         assert!(replay("{", 12, 3).unwrap_err().starts_with("1:1"));
-        assert_eq!(replay("{}", 12, 3).unwrap_err(), "field length: a number is missing");
+        assert_eq!(
+            replay("{}", 12, 3).unwrap_err(),
+            "field length: a number is missing"
+        );
     }
 }
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -15,7 +15,10 @@
 use tidewall_config::Section;
 
 #[derive(Parser)]
-#[command(version, about = "A gateway that runs events on workers which load their programs on demand")]
+#[command(
+    version,
+    about = "A gateway that runs events on workers which load their programs on demand"
+)]
 struct Cli {
     #[command(flatten)]
     logs: Logs,
@@ -94,7 +97,10 @@
         }
     };
     let ansi = std::io::stderr().is_terminal();
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(ansi);
+    let logs = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(ansi);
     if cli.logs.log_json {
         logs.json().flatten_event(true).init();
     } else {
--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -29,7 +29,9 @@
     let config = config::read(&text).map_err(|e| input(named(e)))?;
     let mut first = News::default();
     let known = take(&config.known, 0, &mut first);
-    let rev = known.map_err(|e| input(named(format!("field known: {e}"))))?.unwrap_or(0);
+    let rev = known
+        .map_err(|e| input(named(format!("field known: {e}"))))?
+        .unwrap_or(0);
     let s = &config.settings;
     are_good(s).map_err(|e| input(named(format!("field settings.{e}"))))?;
     let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
@@ -48,14 +50,17 @@
         silent: SILENT,
     };
     let types = s.number("classes.count") as usize;
-    let keyed = (0..types).map(|i| s.is(&format!("classes.{i}.semantics"), "idempotency_key")).collect();
+    let keyed = (0..types)
+        .map(|i| s.is(&format!("classes.{i}.semantics"), "idempotency_key"))
+        .collect();
     let again = move || {
         let text = std::fs::read(&file).map_err(|e| e.to_string())?;
         config::board(&text)
     };
     let board = Board::new(config.board, rev, config.seed, Box::new(again));
     let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
-    net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
+    net.signals(&SIGNALS)
+        .map_err(|e| Failure::Run(e.to_string()))?;
     let start = Start {
         name: config.name.clone(),
         me: config.me,
@@ -68,11 +73,25 @@
         setup,
         pair: None,
     };
-    let mut gateway =
-        Gateway::with(net, start, Box::new(NoShelf), Rc::new(Lines), Box::new(board)).map_err(input)?;
+    let mut gateway = Gateway::with(
+        net,
+        start,
+        Box::new(NoShelf),
+        Rc::new(Lines),
+        Box::new(board),
+    )
+    .map_err(input)?;
     gateway.linger(LINGER);
-    first.lists.iter().for_each(|(entries, whole)| gateway.list(entries, *whole));
-    gateway.open(config.listen, Box::new(Platform::new(0, budget.clients, keyed))).map_err(input)?;
+    first
+        .lists
+        .iter()
+        .for_each(|(entries, whole)| gateway.list(entries, *whole));
+    gateway
+        .open(
+            config.listen,
+            Box::new(Platform::new(0, budget.clients, keyed)),
+        )
+        .map_err(input)?;
     info!(gateway = config.name, ?budget, "serves");
     mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))
 }
--- a/crates/tidewall-cli/src/send.rs
+++ b/crates/tidewall-cli/src/send.rs
@@ -40,10 +40,18 @@
     socket.set_read_timeout(Some(wait)).map_err(run)?;
     let mut out = Vec::new();
     wire::hello(&mut out, "client", "send", 1);
-    let f = Frame::new(&mut out, kind::EVENT).whole(Field::Id, 1).text(Field::Type, &args.typ);
-    let f = f.text(Field::Function, &args.function).text(Field::Tenant, &args.tenant);
-    let f = f.whole(Field::Lanes, args.lanes).real(Field::Memory, args.memory);
-    let f = f.whole(Field::Left, args.max_age * 10).bytes(Field::Mark, args.mark.as_bytes());
+    let f = Frame::new(&mut out, kind::EVENT)
+        .whole(Field::Id, 1)
+        .text(Field::Type, &args.typ);
+    let f = f
+        .text(Field::Function, &args.function)
+        .text(Field::Tenant, &args.tenant);
+    let f = f
+        .whole(Field::Lanes, args.lanes)
+        .real(Field::Memory, args.memory);
+    let f = f
+        .whole(Field::Left, args.max_age * 10)
+        .bytes(Field::Mark, args.mark.as_bytes());
     f.bytes(Field::Payload, args.payload.as_bytes()).end();
     socket.write_all(&out).map_err(run)?;
     let (mut got, mut chunk) = (Vec::new(), [0; 4096]);
@@ -52,14 +60,19 @@
             let fields = Fields::read(body).map_err(input)?;
             match fields.kind().map_err(input)? {
                 kind::ANSWER => return answer(&fields).map_err(input),
-                kind::ERROR => return Err(input(fields.text(Field::Reason).unwrap_or("").to_string())),
+                kind::ERROR => {
+                    return Err(input(fields.text(Field::Reason).unwrap_or("").to_string()))
+                }
                 _ => {}
             }
             got.drain(..used);
         }
         let n = socket.read(&mut chunk).map_err(run)?;
         if n == 0 {
-            return Err(Failure::Run(format!("{}: closed without an answer", args.to)));
+            return Err(Failure::Run(format!(
+                "{}: closed without an answer",
+                args.to
+            )));
         }
         got.extend_from_slice(&chunk[..n]);
     }
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -59,19 +59,27 @@
         None => 0,
         Some(name) => {
             let found = gateways.iter().position(|g| g.text("name") == *name);
-            found.ok_or_else(|| input(format!("--gateway: '{name}' is no gateway of these settings")))?
+            found.ok_or_else(|| {
+                input(format!(
+                    "--gateway: '{name}' is no gateway of these settings"
+                ))
+            })?
         }
     };
     let own = &gateways[me];
-    let seed = args.seed.or_else(|| Some(own.whole("seed")).filter(|s| *s > 0)).unwrap_or_else(|| {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH);
-        now.map_or(1, |d| d.as_nanos() as u64)
-    });
+    let seed = args
+        .seed
+        .or_else(|| Some(own.whole("seed")).filter(|s| *s > 0))
+        .unwrap_or_else(|| {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH);
+            now.map_or(1, |d| d.as_nanos() as u64)
+        });
     info!(gateway = own.text("name"), seed, "starts");
     // Told to go between two lives, when no net listens for it.
     let told = Arc::new(AtomicBool::new(false));
     for signal in SIGNALS {
-        signal_hook::flag::register(signal, told.clone()).map_err(|e| Failure::Run(e.to_string()))?;
+        signal_hook::flag::register(signal, told.clone())
+            .map_err(|e| Failure::Run(e.to_string()))?;
     }
     // A member that is superseded again and again (a tenth of a second at first, ten at most) does not spin.
     let (began, mut damp) = (Instant::now(), Damp::new(1_000, 100_000));
@@ -80,7 +88,8 @@
     // A member of a pair that is superseded starts anew, as a new life that knows nothing.
     loop {
         let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
-        net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
+        net.signals(&SIGNALS)
+            .map_err(|e| Failure::Run(e.to_string()))?;
         let shelf: Box<dyn Shelf> = match own.text("last_list").as_str() {
             "" => Box::new(NoShelf),
             path => Box::new(Beside::new(FileShelf(path.into()))),
@@ -97,16 +106,24 @@
                 }
                 last.borrow().clone()
             };
-            life =
-                next(life, SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64));
+            life = next(
+                life,
+                SystemTime::now()
+                    .duration_since(UNIX_EPOCH)
+                    .map_or(1, |d| d.as_millis() as u64),
+            );
             start.pair = Some(peering(&s, life, Box::new(keys)));
         }
         let mut gateway = Gateway::new(net, start, shelf).map_err(input)?;
         let at = own.text("address").parse().expect("checked");
-        gateway.open(at, Box::new(Native::new(0, &own.text("name")))).map_err(input)?;
+        gateway
+            .open(at, Box::new(Native::new(0, &own.text("name"))))
+            .map_err(input)?;
         if own.has("amqp_address") {
             let at = own.text("amqp_address").parse().expect("checked");
-            gateway.open(at, Box::new(Amqp::new(1, &s))).map_err(input)?;
+            gateway
+                .open(at, Box::new(Amqp::new(1, &s)))
+                .map_err(input)?;
         }
         if !s.has("pair") {
             // Of a pair the other member takes over at once.
@@ -142,7 +159,9 @@
 /// Reads a password from standard input and prints its hash for the settings.
 pub fn hash_password() -> Result<(), Failure> {
     let mut password = String::new();
-    std::io::stdin().read_line(&mut password).map_err(|e| input(e.to_string()))?;
+    std::io::stdin()
+        .read_line(&mut password)
+        .map_err(|e| input(e.to_string()))?;
     let password = password.trim_end_matches(['\n', '\r']);
     if password.is_empty() {
         return Err(input("standard input: a password is missing".to_string()));
@@ -156,17 +175,22 @@
 pub fn standins(args: &Standins) -> Result<(), Failure> {
     let (_, s) = settings(&args.config)?;
     if !s.has("fleet") {
-        return Err(input(format!("{}:1:1: fleet: there is none in these settings", args.config.display())));
+        return Err(input(format!(
+            "{}:1:1: fleet: there is none in these settings",
+            args.config.display()
+        )));
     }
     let record: Box<dyn std::io::Write> = match &args.record {
         None => Box::new(std::io::sink()),
         Some(path) => {
-            let file = std::fs::File::create(path).map_err(|e| input(format!("{}: {e}", path.display())))?;
+            let file = std::fs::File::create(path)
+                .map_err(|e| input(format!("{}: {e}", path.display())))?;
             Box::new(std::io::BufWriter::new(file))
         }
     };
     let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
-    net.signals(&SIGNALS).map_err(|e| Failure::Run(e.to_string()))?;
+    net.signals(&SIGNALS)
+        .map_err(|e| Failure::Run(e.to_string()))?;
     let seed = s.section("fleet").whole("seed");
     let plan = Plan {
         seed,
--- a/crates/tidewall-cli/src/sim.rs
+++ b/crates/tidewall-cli/src/sim.rs
@@ -81,16 +81,28 @@
     let mut never = Vec::new();
     for a in 0..STANDS {
         let runs = |b: usize| reports.iter().filter(|r| r.met[a][b]).count();
-        never.extend((0..STANDS).filter(|b| runs(*b) == 0).map(|b| format!("{}/{}", stand(a), stand(b))));
-        table.add_row(std::iter::once(stand(a).to_string()).chain((0..STANDS).map(|b| runs(b).to_string())));
+        never.extend(
+            (0..STANDS)
+                .filter(|b| runs(*b) == 0)
+                .map(|b| format!("{}/{}", stand(a), stand(b))),
+        );
+        table.add_row(
+            std::iter::once(stand(a).to_string()).chain((0..STANDS).map(|b| runs(b).to_string())),
+        );
     }
-    println!("{table}\nnever met together (member a/member b): {}", never.join(" "));
+    println!(
+        "{table}\nnever met together (member a/member b): {}",
+        never.join(" ")
+    );
 }
 
 pub fn sim(args: &Sim) -> Result<(), Failure> {
     let seeds = seeds(&args.seeds)?;
     if !(2.0..=600.0).contains(&args.seconds) {
-        return Err(input(format!("--seconds: {} is not within 2 to 600", args.seconds)));
+        return Err(input(format!(
+            "--seconds: {} is not within 2 to 600",
+            args.seconds
+        )));
     }
     let rate = args.rate.unwrap_or(if args.fleet { 40.0 } else { 120.0 });
     if !(1.0..=10_000.0).contains(&rate) {
@@ -105,13 +117,23 @@
     let keep = args.record.is_some();
     if args.shrink && !args.fleet {
         let seconds = args.seconds;
-        let setup = Setup { plant: args.plant, seconds, rate, ..Setup::new(seeds.start) };
+        let setup = Setup {
+            plant: args.plant,
+            seconds,
+            rate,
+            ..Setup::new(seeds.start)
+        };
         return match shrink(&setup) {
             None => Err(Failure::Run(format!("seed {} breaks no rule", seeds.start))),
             Some(left) => {
-                left.troubles.iter().for_each(|t| println!("({}, Trouble::{:?}),", t.0, t.1));
+                left.troubles
+                    .iter()
+                    .for_each(|t| println!("({}, Trouble::{:?}),", t.0, t.1));
                 print!("{}", left.script);
-                left.breaches.iter().take(3).for_each(|b| println!("    {b}"));
+                left.breaches
+                    .iter()
+                    .take(3)
+                    .for_each(|b| println!("    {b}"));
                 Ok(())
             }
         };
@@ -122,29 +144,45 @@
     let began = Instant::now();
     let (seconds, plant, only) = (args.seconds, args.plant, args.only);
     let reports = all(seeds, |seed| match args.site {
-        true => {
-            site::play(&site::Setup { keep, shape: args.shapes, ..site::Setup::new(seed, seconds, rate) })
-        }
-        false => run(Setup { plant, seconds, rate, keep, only, ..Setup::new(seed) }),
+        true => site::play(&site::Setup {
+            keep,
+            shape: args.shapes,
+            ..site::Setup::new(seed, seconds, rate)
+        }),
+        false => run(Setup {
+            plant,
+            seconds,
+            rate,
+            keep,
+            only,
+            ..Setup::new(seed)
+        }),
     });
     if let Some(path) = &args.record {
         let name = path.display();
         std::fs::write(path, &reports[0].record).map_err(|e| input(format!("{name}: {e}")))?;
     }
-    for r in reports.iter().filter(|r| args.each || !r.breaches.is_empty()) {
+    for r in reports
+        .iter()
+        .filter(|r| args.each || !r.breaches.is_empty())
+    {
         println!(
             "seed {}: {} events, {} handled, {} asked again, {} takeovers, {} excused, {} breaches, digest {:016x}",
             r.seed, r.events, r.handled, r.asked_again, r.takeovers, r.excused, r.breaches.len(), r.digest
         );
         r.breaches.iter().take(3).for_each(|b| println!("    {b}"));
         if !r.breaches.is_empty() {
-            r.troubles.iter().for_each(|t| println!("    {:.1} ms: {:?}", t.0 as f64 / 10.0, t.1));
+            r.troubles
+                .iter()
+                .for_each(|t| println!("    {:.1} ms: {:?}", t.0 as f64 / 10.0, t.1));
             r.script.lines().for_each(|l| println!("    {l}"));
         }
     }
     let sum = |f: fn(&Report) -> u64| reports.iter().map(f).sum::<u64>();
     let failed = reports.iter().filter(|r| !r.breaches.is_empty()).count();
-    let cases: Vec<u64> = (0..5).map(|i| reports.iter().map(|r| r.cases[i]).sum()).collect();
+    let cases: Vec<u64> = (0..5)
+        .map(|i| reports.iter().map(|r| r.cases[i]).sum())
+        .collect();
     println!(
         "{} runs in {:.1} s: {} events, {} handled, {} asked again, {} takeovers, {} launches refused, {} excused, \
          {} steps",
@@ -163,7 +201,10 @@
     if args.cover {
         cover(&reports);
     }
-    let mut pauses: Vec<u64> = reports.iter().flat_map(|r| r.pauses.iter().copied()).collect();
+    let mut pauses: Vec<u64> = reports
+        .iter()
+        .flat_map(|r| r.pauses.iter().copied())
+        .collect();
     pauses.sort_unstable();
     if let Some(last) = pauses.last() {
         let at = |q: f64| pauses[((pauses.len() - 1) as f64 * q) as usize] as f64 / 10.0;
@@ -184,13 +225,31 @@
 
 fn of_fleet(args: &Sim, seeds: std::ops::Range<u64>, rate: f64) -> Result<(), Failure> {
     if !(3..=50).contains(&args.members) {
-        return Err(input(format!("--members: {} is not within 3 to 50", args.members)));
+        return Err(input(format!(
+            "--members: {} is not within 3 to 50",
+            args.members
+        )));
     }
     if !(1..=10_000).contains(&args.leases) {
-        return Err(input(format!("--leases: {} is not within 1 to 10000", args.leases)));
+        return Err(input(format!(
+            "--leases: {} is not within 1 to 10000",
+            args.leases
+        )));
     }
-    let (members, leases, plant, keep) = (args.members, args.leases, args.left_out, args.record.is_some());
-    let setup = |seed| fleet::Setup { members, leases, plant, keep, rate, ..fleet::Setup::new(seed) };
+    let (members, leases, plant, keep) = (
+        args.members,
+        args.leases,
+        args.left_out,
+        args.record.is_some(),
+    );
+    let setup = |seed| fleet::Setup {
+        members,
+        leases,
+        plant,
+        keep,
+        rate,
+        ..fleet::Setup::new(seed)
+    };
     if let Some(count) = args.mutate {
         return mutated(args, seeds, count);
     }
@@ -198,8 +257,13 @@
         return match fleet::shrink(&setup(seeds.start)) {
             None => Err(Failure::Run(format!("seed {} breaks no rule", seeds.start))),
             Some(left) => {
-                left.troubles.iter().for_each(|t| println!("({}, Trouble::{:?}),", t.0, t.1));
-                left.breaches.iter().take(3).for_each(|b| println!("    {b}"));
+                left.troubles
+                    .iter()
+                    .for_each(|t| println!("({}, Trouble::{:?}),", t.0, t.1));
+                left.breaches
+                    .iter()
+                    .take(3)
+                    .for_each(|b| println!("    {b}"));
                 Ok(())
             }
         };
@@ -210,7 +274,10 @@
         let name = path.display();
         std::fs::write(path, &reports[0].record).map_err(|e| input(format!("{name}: {e}")))?;
     }
-    for r in reports.iter().filter(|r| args.each || !r.breaches.is_empty()) {
+    for r in reports
+        .iter()
+        .filter(|r| args.each || !r.breaches.is_empty())
+    {
         println!(
             "seed {}: {} events, {} handled, {} acts, {} changes, {} datagrams, {} refused, idle {} ms, {} breaches, wild \
              clocks {}, digest {:016x}",
@@ -228,12 +295,16 @@
         );
         r.breaches.iter().take(3).for_each(|b| println!("    {b}"));
         if !r.breaches.is_empty() {
-            r.troubles.iter().for_each(|t| println!("    {:.1} ms: {:?}", t.0 as f64 / 10.0, t.1));
+            r.troubles
+                .iter()
+                .for_each(|t| println!("    {:.1} ms: {:?}", t.0 as f64 / 10.0, t.1));
         }
     }
     let sum = |f: fn(&fleet::Report) -> u64| reports.iter().map(f).sum::<u64>();
     let failed = reports.iter().filter(|r| !r.breaches.is_empty()).count();
-    let cases: Vec<u64> = (0..6).map(|i| reports.iter().map(|r| r.cases[i]).sum()).collect();
+    let cases: Vec<u64> = (0..6)
+        .map(|i| reports.iter().map(|r| r.cases[i]).sum())
+        .collect();
     println!(
         "{} runs in {:.1} s: {} events, {} handled, {} acts, {} changes of holder, {} datagrams, {} refused, {} messages \
          found a channel full, {} steps",
@@ -249,7 +320,10 @@
         sum(|r| r.steps)
     );
     let worst = reports.iter().map(|r| r.idle).max().unwrap_or(0);
-    println!("cases of rules 1 to 6: {cases:?}; all held at most {} ms after the troubles", worst / 10);
+    println!(
+        "cases of rules 1 to 6: {cases:?}; all held at most {} ms after the troubles",
+        worst / 10
+    );
     if failed > 0 {
         return Err(Failure::Run(format!("{failed} runs broke a rule")));
     }
@@ -259,16 +333,32 @@
 fn mutated(args: &Sim, seeds: std::ops::Range<u64>, count: usize) -> Result<(), Failure> {
     let (began, plant) = (Instant::now(), args.left_out);
     const PARTS: u64 = 60;
-    let smallest = fleet::Setup { plant, ..fleet::Setup::smallest(seeds.start) };
+    let smallest = fleet::Setup {
+        plant,
+        ..fleet::Setup::smallest(seeds.start)
+    };
     let mut whole = mutate::Table::default();
-    all(0..PARTS, |part| mutate::exhaustive(&smallest, part as usize, PARTS as usize))
-        .into_iter()
-        .for_each(|t| whole.merge(t));
+    all(0..PARTS, |part| {
+        mutate::exhaustive(&smallest, part as usize, PARTS as usize)
+    })
+    .into_iter()
+    .for_each(|t| whole.merge(t));
     let mut drawn = mutate::Table::default();
-    all(seeds, |seed| mutate::drawn(&fleet::Setup { plant, ..fleet::Setup::new(seed) }, count))
-        .into_iter()
-        .for_each(|t| drawn.merge(t));
-    for (title, table) in [("smallest run, every message and mutation", &whole), ("drawn", &drawn)] {
+    all(seeds, |seed| {
+        mutate::drawn(
+            &fleet::Setup {
+                plant,
+                ..fleet::Setup::new(seed)
+            },
+            count,
+        )
+    })
+    .into_iter()
+    .for_each(|t| drawn.merge(t));
+    for (title, table) in [
+        ("smallest run, every message and mutation", &whole),
+        ("drawn", &drawn),
+    ] {
         println!("{title}: {} messages, {} runs", table.messages, table.runs);
         if args.each {
             let mut shown = Table::new();
@@ -282,8 +372,10 @@
             println!("{shown}");
         }
         let sums = |i: usize| table.counts.values().map(|c| c[i]).sum::<usize>();
-        let sums: Vec<String> =
-            mutate::Outcome::ALL.iter().map(|o| format!("{} {}", sums(*o as usize), o.name())).collect();
+        let sums: Vec<String> = mutate::Outcome::ALL
+            .iter()
+            .map(|o| format!("{} {}", sums(*o as usize), o.name()))
+            .collect();
         println!("    {}", sums.join(", "));
         for (seed, at, m, what) in table.broken.iter().take(5) {
             println!("    seed {seed}, message {at}, {m:?}: {what}");
--- a/crates/tidewall-cli/src/status.rs
+++ b/crates/tidewall-cli/src/status.rs
@@ -61,7 +61,10 @@
 pub fn status(args: &Status) -> Result<(), Failure> {
     let (_, s) = settings(&args.config)?;
     if !s.has("pair") {
-        return Err(input(format!("{}:1:1: pair: there is none in these settings", args.config.display())));
+        return Err(input(format!(
+            "{}:1:1: pair: there is none in these settings",
+            args.config.display()
+        )));
     }
     let mut table = Table::new();
     table.load_preset(presets::ASCII_BORDERS_ONLY_CONDENSED);
--- a/crates/tidewall-cli/tests/cli.rs
+++ b/crates/tidewall-cli/tests/cli.rs
@@ -8,16 +8,35 @@
 const GOOD: &str = include_str!("../../../deploy/examples/small-site.txtpb");
 
 fn tidewall(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_tidewall")).args(args).stdin(Stdio::null()).output().unwrap()
+    Command::new(env!("CARGO_BIN_EXE_tidewall"))
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .unwrap()
 }
 
 /// Settings with the example's ports replaced by free ones, in a file of their own.
 fn settings(name: &str, change: impl Fn(String) -> String) -> PathBuf {
-    let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
-    let text = GOOD.replace("127.0.0.1:7400", &free()).replace("127.0.0.1:7401", &free());
-    let path = std::env::temp_dir().join(format!("tidewall-cli-{name}-{}.txtpb", std::process::id()));
-    let text = text.replace("tidewall-g0.list", path.with_extension("list").to_str().unwrap());
-    std::fs::File::create(&path).unwrap().write_all(change(text).as_bytes()).unwrap();
+    let free = || {
+        TcpListener::bind("127.0.0.1:0")
+            .unwrap()
+            .local_addr()
+            .unwrap()
+            .to_string()
+    };
+    let text = GOOD
+        .replace("127.0.0.1:7400", &free())
+        .replace("127.0.0.1:7401", &free());
+    let path =
+        std::env::temp_dir().join(format!("tidewall-cli-{name}-{}.txtpb", std::process::id()));
+    let text = text.replace(
+        "tidewall-g0.list",
+        path.with_extension("list").to_str().unwrap(),
+    );
+    std::fs::File::create(&path)
+        .unwrap()
+        .write_all(change(text).as_bytes())
+        .unwrap();
     path
 }
 
@@ -36,10 +55,25 @@
     let bad = settings("bad", |t| t.replace("window_ms: 4000", "window_ms: -1"));
     let path = bad.to_str().unwrap();
     for command in ["check", "serve", "standins"] {
-        refused(&tidewall(&[command, "--config", path]), &format!("{path}:27:3: event_type[1].window_ms"));
+        refused(
+            &tidewall(&[command, "--config", path]),
+            &format!("{path}:27:3: event_type[1].window_ms"),
+        );
     }
-    refused(&tidewall(&["check", "--config", "/nonexistent.txtpb"]), "/nonexistent.txtpb");
-    refused(&tidewall(&["serve", "--config", good.to_str().unwrap(), "--gateway", "g9"]), "'g9'");
+    refused(
+        &tidewall(&["check", "--config", "/nonexistent.txtpb"]),
+        "/nonexistent.txtpb",
+    );
+    refused(
+        &tidewall(&[
+            "serve",
+            "--config",
+            good.to_str().unwrap(),
+            "--gateway",
+            "g9",
+        ]),
+        "'g9'",
+    );
 }
 
 #[test]
@@ -51,7 +85,10 @@
         let end = from + t[from..].find('"').unwrap();
         format!("{}{at}{}", &t[..from], &t[end..])
     });
-    refused(&tidewall(&["serve", "--config", path.to_str().unwrap()]), &at);
+    refused(
+        &tidewall(&["serve", "--config", path.to_str().unwrap()]),
+        &at,
+    );
 }
 
 /// Gateway and stand-ins as processes; one event from the shell; SIGTERM ends both well.
@@ -63,20 +100,43 @@
     let at = &text[from..from + text[from..].find('"').unwrap()];
     let start = |command: &str| {
         let mut started = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-        started.args([command, "--log", "error", "--config", path.to_str().unwrap()]).spawn().unwrap()
+        started
+            .args([
+                command,
+                "--log",
+                "error",
+                "--config",
+                path.to_str().unwrap(),
+            ])
+            .spawn()
+            .unwrap()
     };
     let mut both = [start("standins"), start("serve")];
-    let send = ["send", "--to", at, "--type", "look-up", "--function", "shelf0", "--memory", "90"];
+    let send = [
+        "send",
+        "--to",
+        at,
+        "--type",
+        "look-up",
+        "--function",
+        "shelf0",
+        "--memory",
+        "90",
+    ];
     let mut answer = tidewall(&send);
     for _ in 0..40 {
-        if answer.status.success() && String::from_utf8_lossy(&answer.stdout).starts_with("handled") {
+        if answer.status.success() && String::from_utf8_lossy(&answer.stdout).starts_with("handled")
+        {
             break;
         }
         std::thread::sleep(std::time::Duration::from_millis(250));
         answer = tidewall(&send);
     }
     let told = String::from_utf8_lossy(&answer.stdout).to_string();
-    refused(&tidewall(&["send", "--to", at, "--type", "nope", "--function", "f"]), "field type: 'nope'");
+    refused(
+        &tidewall(&["send", "--to", at, "--type", "nope", "--function", "f"]),
+        "field type: 'nope'",
+    );
     for child in &both {
         // SAFETY: our own child, not waited for yet.
         unsafe { libc::kill(child.id() as i32, libc::SIGTERM) };
