--- a/crates/tidewall-cli/tests/endings_native.rs
+++ b/crates/tidewall-cli/tests/endings_native.rs
@@ -98,8 +98,17 @@
         link.over(id, "ok");
     }
     for (client, id) in [(&mut early, 8), (&mut half, 9)] {
-        let word = if after < 800 { "handled" } else { "turned-away" };
-        assert_eq!(client.told(LONG), Some((id, word.to_string())), "{}", n.gateway.log());
+        let word = if after < 800 {
+            "handled"
+        } else {
+            "turned-away"
+        };
+        assert_eq!(
+            client.told(LONG),
+            Some((id, word.to_string())),
+            "{}",
+            n.gateway.log()
+        );
         assert_eq!(client.told(ms(10)), None);
     }
     link.over(id, "ok");
@@ -124,7 +133,11 @@
 /// A worker's end before the first byte of a launch, and after its last one.
 #[test_matrix(["check", "issue"], [true, false])]
 fn a_worker_that_ends_its_connection(typ: &str, after: bool) {
-    let n = native(162 + 2 * u8::from(typ == "issue") + u8::from(after), 1, true);
+    let n = native(
+        162 + 2 * u8::from(typ == "issue") + u8::from(after),
+        1,
+        true,
+    );
     let mut client = n.client();
     client.send(event(1, typ));
     let mut link = accept(&n.workers[0], LONG).expect("it connects");
--- a/crates/tidewall-cli/tests/endings_of_clients.rs
+++ b/crates/tidewall-cli/tests/endings_of_clients.rs
@@ -53,7 +53,10 @@
     for round in 0..5 {
         let mut client = Some(p.client());
         p.gateway.still(true);
-        client.as_mut().unwrap().send(call(100 + round, "check", 2000));
+        client
+            .as_mut()
+            .unwrap()
+            .send(call(100 + round, "check", 2000));
         leave(&mut client, 100 + round, how);
         p.gateway.still(false);
         nothing_begins(&p, &mut [&mut link]);
@@ -64,7 +67,10 @@
 /// It waits on a connection that is being made, which then comes up, a second late.
 #[test_matrix([Leaves::Fin, Leaves::Reset, Leaves::Cancel], [true, false])]
 fn what_waits_on_a_late_connection_is_not_sent_for_a_client_that_left(how: Leaves, cancels: bool) {
-    let settings = SETTINGS.replace("\"connect-timeout-ms\":250.0", "\"connect-timeout-ms\":1900.0");
+    let settings = SETTINGS.replace(
+        "\"connect-timeout-ms\":250.0",
+        "\"connect-timeout-ms\":1900.0",
+    );
     let settings = settings.replace("\"cancel\":true", &format!("\"cancel\":{cancels}"));
     let mut p = platform_with(10 + 2 * how as u8 + u8::from(cancels), 1, &settings, 256);
     let fillers = filled(&p.workers[0]);
@@ -87,7 +93,10 @@
 fn no_second_launch_for_a_client_that_left(how: Leaves, end: &str, at_once: bool) {
     let last = 20
         + 6 * how as u8
-        + 2 * ["refused", "nothing", "reset"].iter().position(|e| *e == end).unwrap() as u8;
+        + 2 * ["refused", "nothing", "reset"]
+            .iter()
+            .position(|e| *e == end)
+            .unwrap() as u8;
     let mut p = platform(last + u8::from(at_once), 2);
     let mut client = Some(p.client());
     let mut link = p.launched(client.as_mut().unwrap(), 1, "check");
@@ -134,19 +143,28 @@
         if how == Leaves::Cancel {
             // Either it had left before, or there is none; nothing twice.
             let got = client.as_mut().unwrap().answer(2 * LEFT);
-            assert!(got.is_none() || got == Some((tag, "OK".to_string())), "{got:?}");
+            assert!(
+                got.is_none() || got == Some((tag, "OK".to_string())),
+                "{got:?}"
+            );
             assert_eq!(client.as_mut().unwrap().answer(2 * LEFT), None);
         }
         client = Some(p.client());
         client.as_mut().unwrap().send(call(tag + 1, "check", 2000));
         assert_eq!(link.go(LONG), Some(format!("{:016x}", tag + 1)));
         link.says(&format!("{:016x}", tag + 1), "ok");
-        assert_eq!(client.as_mut().unwrap().answer(LONG), Some((tag + 1, "OK".to_string())));
+        assert_eq!(
+            client.as_mut().unwrap().answer(LONG),
+            Some((tag + 1, "OK".to_string()))
+        );
         client.as_mut().unwrap().send(call(tag + 2, "check", 2000));
         assert_eq!(link.go(LONG), Some(format!("{:016x}", tag + 2)));
     }
     link.says("0000000000000005", "ok");
-    assert_eq!(client.as_mut().unwrap().answer(LONG), Some((5, "OK".to_string())));
+    assert_eq!(
+        client.as_mut().unwrap().answer(LONG),
+        Some((5, "OK".to_string()))
+    );
     nothing_is_held(&mut p);
 }
 
@@ -155,10 +173,14 @@
 fn what_lies_unsent_is_not_sent_for_a_client_that_left() {
     let (mut p, mut link, mut clients) = jam(50, "check", 20_000.0);
     for (i, client) in clients.iter_mut().enumerate() {
-        let all: String = (0..EACH).map(|n| cancel((i * EACH + n) as u64 + 1)).collect();
+        let all: String = (0..EACH)
+            .map(|n| cancel((i * EACH + n) as u64 + 1))
+            .collect();
         client.send(all);
     }
-    until("all are withdrawn", || p.gateway.log().matches(" lapsed ").count() == ALL);
+    until("all are withdrawn", || {
+        p.gateway.log().matches(" lapsed ").count() == ALL
+    });
     let out = on_its_way(&p.workers[0]);
     let (mut gone, mut halts) = (0, 0);
     while let Some(line) = link.line(ms(1_500)) {
@@ -201,8 +223,15 @@
         words.len() >= ALL
     });
     let count = |word: &str| words.iter().filter(|w| *w == word).count();
-    assert!(again + out / BODY + 1 >= ALL && again > 10, "{again} of {ALL} went again, {out} bytes were out");
-    assert_eq!((count("OK"), count("FAILED")), (again, ALL - again), "{words:?}");
+    assert!(
+        again + out / BODY + 1 >= ALL && again > 10,
+        "{again} of {ALL} went again, {out} bytes were out"
+    );
+    assert_eq!(
+        (count("OK"), count("FAILED")),
+        (again, ALL - again),
+        "{words:?}"
+    );
     assert!(again < ALL, "some had left");
     nothing_is_held(&mut p);
 }
@@ -211,7 +240,9 @@
 #[test]
 fn what_cannot_leave_moves_on() {
     let (p, _link, _clients) = jam(52, "issue", 250.0);
-    until("they move on", || p.gateway.log().matches("outcome=NoConnection").count() > 10);
+    until("they move on", || {
+        p.gateway.log().matches("outcome=NoConnection").count() > 10
+    });
 }
 
 const BODY: usize = 16 << 10;
@@ -225,11 +256,15 @@
     let settings = SETTINGS.replace("\"siblings\":1", "\"siblings\":8");
     let settings = settings.replace("\"streams-per-conn\":32", "\"streams-per-conn\":900");
     let settings = settings.replace("\"most-held\":200", "\"most-held\":900");
-    let settings =
-        settings.replace("\"connect-timeout-ms\":250.0", &format!("\"connect-timeout-ms\":{within}"));
+    let settings = settings.replace(
+        "\"connect-timeout-ms\":250.0",
+        &format!("\"connect-timeout-ms\":{within}"),
+    );
     // Nothing is late on a busy machine.
-    let settings = settings
-        .replace("\"aim-ms\":500.0,\"deadline-ms\":2000.0", "\"aim-ms\":20000.0,\"deadline-ms\":60000.0");
+    let settings = settings.replace(
+        "\"aim-ms\":500.0,\"deadline-ms\":2000.0",
+        "\"aim-ms\":20000.0,\"deadline-ms\":60000.0",
+    );
     let p = platform_with(last, 1, &settings, 256);
     narrow(&p.workers[0]);
     let body = "x".repeat(BODY);
@@ -237,7 +272,9 @@
     for tag in 1..=ALL {
         clients[(tag - 1) / EACH].send(call_of(tag as u64, typ, 60_000, "7f3a9c21e0b4d655", &body));
     }
-    until("all are launched", || p.gateway.log().matches(" launch ").count() >= ALL);
+    until("all are launched", || {
+        p.gateway.log().matches(" launch ").count() >= ALL
+    });
     let link = accept(&p.workers[0], LONG).expect("it connects");
     (p, link, clients)
 }
--- a/crates/tidewall-cli/tests/endings_of_gateways.rs
+++ b/crates/tidewall-cli/tests/endings_of_gateways.rs
@@ -81,7 +81,9 @@
         link.says(&trace, "ok");
     }
     for client in &mut owed {
-        let (_, word) = client.answer(LONG).unwrap_or_else(|| panic!("no answer: {}", p.gateway.log()));
+        let (_, word) = client
+            .answer(LONG)
+            .unwrap_or_else(|| panic!("no answer: {}", p.gateway.log()));
         assert!(word == "OK" || word == "BUSY", "{word}");
         assert_eq!(client.answer(ms(10)), None);
     }
@@ -106,7 +108,9 @@
     std::thread::sleep(ms(300));
     p.gateway.still(false);
     for client in &mut crowd {
-        let (_, word) = client.answer(LONG).unwrap_or_else(|| panic!("no answer: {}", p.gateway.log()));
+        let (_, word) = client
+            .answer(LONG)
+            .unwrap_or_else(|| panic!("no answer: {}", p.gateway.log()));
         assert!(word == "OK" || word == "BUSY", "{word}");
     }
     link.says("0000000000000001", "ok");
@@ -123,7 +127,10 @@
     client.narrow(32 << 10);
     let mut link = p.launched(&mut client, 1, "check");
     let body = "x".repeat(250_000);
-    link.send(format!("0000000000000001 ok res=hit {}\r\n{body}\r\n", body.len()));
+    link.send(format!(
+        "0000000000000001 ok res=hit {}\r\n{body}\r\n",
+        body.len()
+    ));
     p.gateway.signal(libc::SIGTERM);
     until("it drains", || p.gateway.log().contains("drains"));
     std::thread::sleep(ms(400));
@@ -170,7 +177,9 @@
     drop(gone);
     let mut idle = Vec::new();
     for i in 0..400 {
-        let Ok(stream) = std::net::TcpStream::connect_timeout(&p.gateway.at, ms(1_000)) else { break };
+        let Ok(stream) = std::net::TcpStream::connect_timeout(&p.gateway.at, ms(1_000)) else {
+            break;
+        };
         let mut side = Side::new(stream);
         if i % 2 == 0 {
             side.send(command(&["CHECK", "1", ""]));
@@ -189,12 +198,20 @@
         let mut poll = accept(&board, ms(3_000)).expect("it asks again within seconds");
         assert_eq!(poll.poll(LONG), Some(1));
         let extra = [p.workers[1].local_addr().unwrap()];
-        poll.send(board_says(2, &[notice(2, &hosts(1, &extra, "draining"), false)]));
+        poll.send(board_says(
+            2,
+            &[notice(2, &hosts(1, &extra, "draining"), false)],
+        ));
         assert_eq!(poll.poll(LONG), Some(2));
     }
     let mut client = p.client();
     client.send(call(1, "check", 2000));
-    assert_eq!(link.go(LONG).as_deref(), Some("0000000000000001"), "{}", p.gateway.log());
+    assert_eq!(
+        link.go(LONG).as_deref(),
+        Some("0000000000000001"),
+        "{}",
+        p.gateway.log()
+    );
     link.says("0000000000000001", "ok");
     assert_eq!(client.answer(LONG), Some((1, "OK".to_string())));
     assert!(p.gateway.peak() < 32 << 10, "{} kB", p.gateway.peak());
--- a/crates/tidewall-cli/tests/endings_of_workers.rs
+++ b/crates/tidewall-cli/tests/endings_of_workers.rs
@@ -71,21 +71,35 @@
     let link = p.launched(&mut client, 1, typ);
     end(link, how);
     let (word, launches) = serve(&p, &mut client, &mut Vec::new());
-    assert_eq!((word.as_str(), launches), if again { ("OK", 1) } else { ("FAILED", 0) });
+    assert_eq!(
+        (word.as_str(), launches),
+        if again { ("OK", 1) } else { ("FAILED", 0) }
+    );
 }
 
 /// In the middle of an answer, or with one that is spoilt.
 #[test_matrix(["check", "record", "issue"], ["ok res=hit 10\r\nhal", "ok res=hit 2\r\nyes\r\n", "ok res=hi"])]
 fn an_answer_that_is_cut_or_spoilt(typ: &str, says: &str) {
-    let last =
-        70 + says.len() as u8 + ["check", "record", "issue"].iter().position(|t| *t == typ).unwrap() as u8;
+    let last = 70
+        + says.len() as u8
+        + ["check", "record", "issue"]
+            .iter()
+            .position(|t| *t == typ)
+            .unwrap() as u8;
     let p = platform(last, 2);
     let mut client = p.client();
     let mut link = p.launched(&mut client, 1, typ);
     link.send(format!("0000000000000001 {says}"));
     link.reset();
     let (word, launches) = serve(&p, &mut client, &mut Vec::new());
-    assert_eq!((word.as_str(), launches), if typ == "issue" { ("FAILED", 0) } else { ("OK", 1) });
+    assert_eq!(
+        (word.as_str(), launches),
+        if typ == "issue" {
+            ("FAILED", 0)
+        } else {
+            ("OK", 1)
+        }
+    );
     assert_eq!(client.answer(ms(50)), None);
 }
 
@@ -136,16 +150,25 @@
         }
     }
     let (word, launches) = serve(&p, &mut client, &mut links);
-    assert_eq!((word.as_str(), launches), if again { ("OK", 1) } else { ("FAILED", 0) });
+    assert_eq!(
+        (word.as_str(), launches),
+        if again { ("OK", 1) } else { ("FAILED", 0) }
+    );
 }
 
 /// A connection that comes up a second late brings what still waits for it, once; one that never comes up within its time
 /// leaves the event to the other worker, and nothing old is written when its system answers after all.
 #[test_matrix(["check", "record", "issue"], [1_900.0, 250.0])]
 fn a_connection_that_comes_up_late(typ: &str, within: f64) {
-    let last = 110 + 2 * ["check", "record", "issue"].iter().position(|t| *t == typ).unwrap() as u8;
-    let settings =
-        SETTINGS.replace("\"connect-timeout-ms\":250.0", &format!("\"connect-timeout-ms\":{within}"));
+    let last = 110
+        + 2 * ["check", "record", "issue"]
+            .iter()
+            .position(|t| *t == typ)
+            .unwrap() as u8;
+    let settings = SETTINGS.replace(
+        "\"connect-timeout-ms\":250.0",
+        &format!("\"connect-timeout-ms\":{within}"),
+    );
     let p = platform_with(last + u8::from(within < 300.0), 2, &settings, 256);
     let fillers = p.workers.iter().map(filled).collect::<Vec<_>>();
     let mut client = p.client();
@@ -163,9 +186,17 @@
             }
         }
     }
-    assert_eq!(client.answer(LONG), Some((1, "OK".to_string())), "{}", p.gateway.log());
+    assert_eq!(
+        client.answer(LONG),
+        Some((1, "OK".to_string())),
+        "{}",
+        p.gateway.log()
+    );
     // Redeliverable ones may be out twice here, once overdue.
-    assert!(launches == 1 || typ != "issue" && launches == 2, "{launches}");
+    assert!(
+        launches == 1 || typ != "issue" && launches == 2,
+        "{launches}"
+    );
 }
 
 /// What a list did when it ended, told, moved or fell silent, with a drain told just then: nothing more goes to the worker.
@@ -235,7 +266,10 @@
             poll
         }
         Watch::Skips => {
-            poll.send(board_says(4, &[notice(4, &hosts(1, &at[1..], "up"), false)]));
+            poll.send(board_says(
+                4,
+                &[notice(4, &hosts(1, &at[1..], "up"), false)],
+            ));
             assert_eq!(poll.poll(LONG), Some(0), "what lies between is asked for");
             let whole = notice(1, &hosts(0, &at, "up"), true);
             poll.send(board_says(2, &[whole, drain(2)]));
@@ -247,7 +281,10 @@
     for tag in 1..20 {
         client.send(call(tag, "check", 2000));
     }
-    assert!(accept(&p.workers[0], ms(200)).is_none(), "it was told to drain");
+    assert!(
+        accept(&p.workers[0], ms(200)).is_none(),
+        "it was told to drain"
+    );
     let mut link = accept(&p.workers[1], LONG).expect("the other one serves");
     for _ in 1..20 {
         if let Some(trace) = link.go(ms(300)) {
@@ -269,7 +306,10 @@
     assert_eq!(poll.poll(LONG), Some(1));
     let mut client = p.client();
     let mut old = p.launched(&mut client, 1, "issue");
-    let changes = [notice(2, &hosts(0, &at, "removed"), false), notice(3, &hosts(7, &at, "up"), false)];
+    let changes = [
+        notice(2, &hosts(0, &at, "removed"), false),
+        notice(3, &hosts(7, &at, "up"), false),
+    ];
     poll.send(board_says(3, &changes));
     assert_eq!(poll.poll(LONG), Some(3));
     client.send(call(2, "check", 2000));
@@ -287,7 +327,12 @@
 #[test]
 fn a_new_version_on_a_quiet_day() {
     let settings = SETTINGS.replace("\"orders\":false", "\"orders\":true");
-    let p = platform_with(127, 1, &settings.replace("\"if-cold\":\"load\"", "\"if-cold\":\"miss\""), 256);
+    let p = platform_with(
+        127,
+        1,
+        &settings.replace("\"if-cold\":\"load\"", "\"if-cold\":\"miss\""),
+        256,
+    );
     let (old, new) = ("7f3a9c21e0b4d655", "7f3a9c21e0b4d656");
     let (mut client, mut links) = (p.client(), Vec::new());
     let (mut loaded, mut misses, mut words) = (vec![old.to_string()], 0, Vec::new());
@@ -299,8 +344,14 @@
         loop {
             links.extend(accept(&p.workers[0], ms(1)));
             for link in &mut links {
-                let Some(line) = link.line(ms(1)) else { continue };
-                let of = line.split("obj=").nth(1).map_or("", |o| &o[..16]).to_string();
+                let Some(line) = link.line(ms(1)) else {
+                    continue;
+                };
+                let of = line
+                    .split("obj=")
+                    .nth(1)
+                    .map_or("", |o| &o[..16])
+                    .to_string();
                 let name = line.split(' ').nth(1).unwrap_or_default();
                 match line.split(' ').next().unwrap_or_default() {
                     "go" if loaded.contains(&of) => link.says(name, "ok"),
@@ -323,7 +374,11 @@
                 words.push(word);
                 break;
             }
-            assert!(std::time::Instant::now() < end, "no answer to {tag}: {}", p.gateway.log());
+            assert!(
+                std::time::Instant::now() < end,
+                "no answer to {tag}: {}",
+                p.gateway.log()
+            );
         }
     }
     assert_eq!(words.iter().filter(|w| *w == "OK").count(), 20, "{words:?}");
--- a/crates/tidewall-cli/tests/help/mod.rs
+++ b/crates/tidewall-cli/tests/help/mod.rs
@@ -94,18 +94,31 @@
     }
 
     pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
+            .unwrap()
+            .count()
     }
 
     /// Resident memory at its peak, in kB.
     pub fn peak(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        let line = status
+            .lines()
+            .find_map(|l| l.strip_prefix("VmHWM:"))
+            .unwrap();
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
-    fn spawn(mut command: Command, at: SocketAddr, folder: tempfile::TempDir, limit: u64) -> Gateway {
-        let limit = libc::rlimit { rlim_cur: limit, rlim_max: limit };
+    fn spawn(
+        mut command: Command,
+        at: SocketAddr,
+        folder: tempfile::TempDir,
+        limit: u64,
+    ) -> Gateway {
+        let limit = libc::rlimit {
+            rlim_cur: limit,
+            rlim_max: limit,
+        };
         // SAFETY: setrlimit may be called between fork and exec, and its argument lives as long as the command.
         unsafe {
             command.pre_exec(move || match libc::setrlimit(libc::RLIMIT_NOFILE, &limit) {
@@ -113,7 +126,11 @@
                 _ => Err(std::io::Error::last_os_error()),
             });
         }
-        let mut child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+        let mut child = command
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
         let told = Arc::new(Mutex::new(String::new()));
         let (to, lines) = (told.clone(), BufReader::new(child.stderr.take().unwrap()));
         std::thread::spawn(move || {
@@ -123,7 +140,12 @@
                 told.push('\n');
             })
         });
-        Gateway { child, at, told, _folder: folder }
+        Gateway {
+            child,
+            at,
+            told,
+            _folder: folder,
+        }
     }
 }
 
@@ -139,7 +161,12 @@
 impl Side {
     pub fn new(stream: TcpStream) -> Side {
         stream.set_nodelay(true).unwrap();
-        Side { stream, got: Vec::new(), over: false, broke: false }
+        Side {
+            stream,
+            got: Vec::new(),
+            over: false,
+            broke: false,
+        }
     }
 
     pub fn connect(at: SocketAddr) -> Side {
@@ -165,7 +192,10 @@
 
     /// Ends by a reset, whatever lies unread.
     pub fn reset(self) {
-        let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+        let linger = libc::linger {
+            l_onoff: 1,
+            l_linger: 0,
+        };
         self.option(libc::SO_LINGER, &linger);
     }
 
@@ -211,7 +241,11 @@
     }
 
     /// The next message that `cut` finds at the start of what was read, within a time.
-    pub fn next<T>(&mut self, within: Duration, cut: impl Fn(&[u8]) -> Option<(T, usize)>) -> Option<T> {
+    pub fn next<T>(
+        &mut self,
+        within: Duration,
+        cut: impl Fn(&[u8]) -> Option<(T, usize)>,
+    ) -> Option<T> {
         let end = Instant::now() + within;
         loop {
             if let Some((found, len)) = cut(&self.got) {
@@ -273,11 +307,20 @@
 /// Bytes that the system holds on the way to a worker: sent and not taken, and taken and not read (`/proc/net/tcp`).
 pub fn on_its_way(worker: &TcpListener) -> usize {
     let at = worker.local_addr().unwrap();
-    let SocketAddr::V4(v4) = at else { panic!("{at}") };
-    let place = format!("{:08X}:{:04X}", u32::from_le_bytes(v4.ip().octets()), at.port());
+    let SocketAddr::V4(v4) = at else {
+        panic!("{at}")
+    };
+    let place = format!(
+        "{:08X}:{:04X}",
+        u32::from_le_bytes(v4.ip().octets()),
+        at.port()
+    );
     let hex = |text: &str| usize::from_str_radix(text, 16).unwrap();
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let rows = table.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+    let rows = table
+        .lines()
+        .skip(1)
+        .map(|l| l.split_whitespace().collect::<Vec<_>>());
     // Local and remote place, state (01 stands), both queues.
     rows.filter(|r| r[3] == "01")
         .map(|r| {
@@ -367,7 +410,10 @@
 }
 
 pub fn command(words: &[&str]) -> String {
-    let words: Vec<String> = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    let words: Vec<String> = words
+        .iter()
+        .map(|w| format!("${}\r\n{w}\r\n", w.len()))
+        .collect();
     format!("*{}\r\n{}", words.len(), words.concat())
 }
 
@@ -377,8 +423,9 @@
 }
 
 pub fn call_of(tag: u64, typ: &str, patience: u64, function: &str, body: &str) -> String {
-    let fields =
-        format!("trace={tag:016x},patience={patience},nonce=n{tag},entity={function},extras=lanes:1000");
+    let fields = format!(
+        "trace={tag:016x},patience={patience},nonce=n{tag},entity={function},extras=lanes:1000"
+    );
     command(&["CALL", &tag.to_string(), typ, &fields, body])
 }
 
@@ -389,10 +436,19 @@
 /// Hosts as a list tells them, the first one as s-0; `state` for all of them.
 pub fn hosts(first: usize, at: &[SocketAddr], state: &str) -> String {
     let host = |(i, at): (usize, &SocketAddr)| {
-        let place = format!("\"id\":\"s-{}\",\"addr\":\"{at}\",\"state\":\"{state}\"", first + i);
-        format!("{{{place},\"zone\":\"z\",\"kind\":\"k\",\"cell\":0,\"weight\":4,\"started_ms\":0}}")
+        let place = format!(
+            "\"id\":\"s-{}\",\"addr\":\"{at}\",\"state\":\"{state}\"",
+            first + i
+        );
+        format!(
+            "{{{place},\"zone\":\"z\",\"kind\":\"k\",\"cell\":0,\"weight\":4,\"started_ms\":0}}"
+        )
     };
-    at.iter().enumerate().map(host).collect::<Vec<_>>().join(",")
+    at.iter()
+        .enumerate()
+        .map(host)
+        .collect::<Vec<_>>()
+        .join(",")
 }
 
 /// One numbered change of the list.
@@ -403,7 +459,10 @@
 /// What a board says.
 pub fn board_says(rev: u64, notices: &[String]) -> String {
     let body = format!("{{\"rev\":{rev},\"notices\":[{}]}}", notices.join(","));
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
 
 impl Side {
@@ -413,7 +472,10 @@
             let text = String::from_utf8_lossy(bytes);
             let end = text.find("\r\n\r\n")? + 4;
             let from = text.find("watch=")? + 6;
-            let number: String = text[from..].chars().take_while(char::is_ascii_digit).collect();
+            let number: String = text[from..]
+                .chars()
+                .take_while(char::is_ascii_digit)
+                .collect();
             Some((number.parse().ok()?, end))
         })
     }
@@ -438,15 +500,31 @@
 
 /// With so many workers, these settings, and so many descriptors.
 pub fn platform_with(last: u8, workers: usize, settings: &str, sockets: u64) -> Platform {
-    let (board, workers) = (free(last), (0..workers).map(|_| free(last)).collect::<Vec<_>>());
+    let (board, workers) = (
+        free(last),
+        (0..workers).map(|_| free(last)).collect::<Vec<_>>(),
+    );
     let at = address(last);
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("config.json");
     let all: Vec<SocketAddr> = workers.iter().map(|w| w.local_addr().unwrap()).collect();
-    std::fs::write(&file, config(at, board.local_addr().unwrap(), &hosts(0, &all, "up"), settings, sockets))
-        .unwrap();
+    std::fs::write(
+        &file,
+        config(
+            at,
+            board.local_addr().unwrap(),
+            &hosts(0, &all, "up"),
+            settings,
+            sockets,
+        ),
+    )
+    .unwrap();
     let gateway = platform_process(at, folder, sockets);
-    Platform { gateway, board, workers }
+    Platform {
+        gateway,
+        board,
+        workers,
+    }
 }
 
 pub fn platform(last: u8, workers: usize) -> Platform {
@@ -455,11 +533,19 @@
 
 pub fn platform_process(at: SocketAddr, folder: tempfile::TempDir, sockets: u64) -> Gateway {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-    command.args(["--log", "debug", "platform"]).env("ROUTER_CONFIG", folder.path().join("config.json"));
+    command
+        .args(["--log", "debug", "platform"])
+        .env("ROUTER_CONFIG", folder.path().join("config.json"));
     Gateway::spawn(command, at, folder, sockets)
 }
 
-pub fn config(at: SocketAddr, board: SocketAddr, hosts: &str, settings: &str, sockets: u64) -> String {
+pub fn config(
+    at: SocketAddr,
+    board: SocketAddr,
+    hosts: &str,
+    settings: &str,
+    sockets: u64,
+) -> String {
     format!(
         r#"{{"name":"n0","listen":"{at}","seed":"7","limits":{{"memory_mb":32,"sockets":{sockets}}},"board":"{board}",
  "known":{{"rev":1,"notices":[{}]}},"settings":{settings}}}"#,
@@ -488,8 +574,18 @@
 
     /// The file tells another board from now on.
     pub fn moved(&self, board: &TcpListener) {
-        let all: Vec<SocketAddr> = self.workers.iter().map(|w| w.local_addr().unwrap()).collect();
-        let text = config(self.gateway.at, board.local_addr().unwrap(), &hosts(0, &all, "up"), SETTINGS, 256);
+        let all: Vec<SocketAddr> = self
+            .workers
+            .iter()
+            .map(|w| w.local_addr().unwrap())
+            .collect();
+        let text = config(
+            self.gateway.at,
+            board.local_addr().unwrap(),
+            &hosts(0, &all, "up"),
+            SETTINGS,
+            256,
+        );
         std::fs::write(self.gateway._folder.path().join("config.json"), text).unwrap();
         self.gateway.signal(libc::SIGHUP);
     }
@@ -500,10 +596,14 @@
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("site.txtpb");
     let list = folder.path().join("list");
-    let text = settings.replace("ADDRESS", &at.to_string()).replace("LIST", list.to_str().unwrap());
+    let text = settings
+        .replace("ADDRESS", &at.to_string())
+        .replace("LIST", list.to_str().unwrap());
     std::fs::write(&file, text).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-    command.args(["--log", "debug", "serve", "--config"]).arg(&file);
+    command
+        .args(["--log", "debug", "serve", "--config"])
+        .arg(&file);
     Gateway::spawn(command, at, folder, 1024)
 }
 
@@ -529,7 +629,9 @@
 }
 
 fn framed(bytes: &[u8]) -> Option<(Vec<u8>, usize)> {
-    wire::frame(bytes).unwrap().map(|(body, len)| (body.to_vec(), len))
+    wire::frame(bytes)
+        .unwrap()
+        .map(|(body, len)| (body.to_vec(), len))
 }
 
 impl Side {
@@ -571,7 +673,10 @@
     /// A launch's end.
     pub fn over(&mut self, id: u64, outcome: &str) {
         self.say(|out| {
-            Frame::new(out, kind::END).whole(Field::Id, id).text(Field::Outcome, outcome).end();
+            Frame::new(out, kind::END)
+                .whole(Field::Id, id)
+                .text(Field::Outcome, outcome)
+                .end();
         });
     }
 
@@ -582,7 +687,10 @@
             let (kind, body) = self.frame(end.saturating_duration_since(Instant::now()))?;
             if kind == kind::ANSWER {
                 let f = Fields::read(&body).unwrap();
-                return Some((f.whole(Field::Id).unwrap(), f.text(Field::Word).unwrap().to_string()));
+                return Some((
+                    f.whole(Field::Id).unwrap(),
+                    f.text(Field::Word).unwrap().to_string(),
+                ));
             }
         }
     }
@@ -591,8 +699,13 @@
 /// An event as a client sends it.
 pub fn event(id: u64, typ: &str) -> Vec<u8> {
     let mut out = Vec::new();
-    let f = Frame::new(&mut out, kind::EVENT).whole(Field::Id, id).text(Field::Type, typ);
-    f.text(Field::Function, "f").whole(Field::Lanes, 1000).whole(Field::Left, 20_000).end();
+    let f = Frame::new(&mut out, kind::EVENT)
+        .whole(Field::Id, id)
+        .text(Field::Type, typ);
+    f.text(Field::Function, "f")
+        .whole(Field::Lanes, 1000)
+        .whole(Field::Left, 20_000)
+        .end();
     out
 }
 
@@ -603,22 +716,42 @@
 }
 
 pub fn native(last: u8, workers: usize, cancels: bool) -> Native {
-    let (roster, workers) = (free(last), (0..workers).map(|_| free(last)).collect::<Vec<_>>());
+    let (roster, workers) = (
+        free(last),
+        (0..workers).map(|_| free(last)).collect::<Vec<_>>(),
+    );
     let settings = SITE.replace("ROSTER", &roster.local_addr().unwrap().to_string());
-    let gateway = native_process(address(last), &settings.replace("CANCEL", &cancels.to_string()));
+    let gateway = native_process(
+        address(last),
+        &settings.replace("CANCEL", &cancels.to_string()),
+    );
     let mut told = accept(&roster, LONG).expect("it asks for its list");
     told.frame(LONG).expect("its hello");
     let mut list = Entries::default();
     for (i, worker) in workers.iter().enumerate() {
         let at = worker.local_addr().unwrap().to_string();
         list.add(|f| {
-            let f = f.text(Field::Name, &format!("w{i}")).text(Field::Place, &at).text(Field::Zone, "z");
-            f.text(Field::Machine, "k").text(Field::Standing, "on").real(Field::Rating, 1.0)
+            let f = f
+                .text(Field::Name, &format!("w{i}"))
+                .text(Field::Place, &at)
+                .text(Field::Zone, "z");
+            f.text(Field::Machine, "k")
+                .text(Field::Standing, "on")
+                .real(Field::Rating, 1.0)
         });
     }
     told.say(|out| wire::hello(out, "roster", "r", 1));
-    told.say(|out| Frame::new(out, kind::ROSTER).text(Field::Scope, "whole").entries(&list).end());
-    Native { gateway, workers, _roster: told }
+    told.say(|out| {
+        Frame::new(out, kind::ROSTER)
+            .text(Field::Scope, "whole")
+            .entries(&list)
+            .end()
+    });
+    Native {
+        gateway,
+        workers,
+        _roster: told,
+    }
 }
 
 impl Native {
--- a/crates/tidewall-cli/tests/platform.rs
+++ b/crates/tidewall-cli/tests/platform.rs
@@ -67,7 +67,12 @@
             if line.ok()?.is_empty() {
                 polls.fetch_add(1, Ordering::Relaxed);
                 std::thread::sleep(Duration::from_millis(200));
-                write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
+                write!(
+                    out,
+                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                    body.len()
+                )
+                .ok()?;
             }
         }
         None
@@ -98,7 +103,12 @@
             r#"{{"id":"s-{i}","addr":"{at}","zone":"z","kind":"k","cell":0,"state":"up","weight":4,"started_ms":0}}"#
         )
     };
-    hosts.iter().enumerate().map(host).collect::<Vec<_>>().join(",")
+    hosts
+        .iter()
+        .enumerate()
+        .map(host)
+        .collect::<Vec<_>>()
+        .join(",")
 }
 
 fn config(listen: SocketAddr, board: SocketAddr, hosts: &[SocketAddr]) -> String {
@@ -122,7 +132,14 @@
 
 fn call(tag: usize, typ: &str) -> String {
     let fields = format!("trace={tag:016x},patience=1500,entity=7f3a9c21e0b4d655,extras=lanes:100");
-    format!("*5\r\n{}{}{}{}{}", word("CALL"), word(&tag.to_string()), word(typ), word(&fields), word("body"))
+    format!(
+        "*5\r\n{}{}{}{}{}",
+        word("CALL"),
+        word(&tag.to_string()),
+        word(typ),
+        word(&fields),
+        word("body")
+    )
 }
 
 /// One answer's tag and word (RESP arrays of bulk strings).
@@ -145,13 +162,19 @@
 /// A free port of a loopback address that only one test uses: on a shared one another test's host may take the port before
 /// the gateway does, and a client that tries a port of its own address may meet itself.
 fn free(last: u8) -> SocketAddr {
-    TcpListener::bind(SocketAddr::from(([127, 0, 0, last], 0))).unwrap().local_addr().unwrap()
+    TcpListener::bind(SocketAddr::from(([127, 0, 0, last], 0)))
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 /// Starts one and connects to it.
 fn start(file: &std::path::Path, listen: SocketAddr) -> (Gateway, TcpStream) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-    command.args(["--log", "error", "platform"]).env("ROUTER_CONFIG", file).stdout(Stdio::null());
+    command
+        .args(["--log", "error", "platform"])
+        .env("ROUTER_CONFIG", file)
+        .stdout(Stdio::null());
     started(command, listen)
 }
 
@@ -177,7 +200,15 @@
     for _ in 0..2 {
         let (mut gateway, mut conn) = start(&file, listen);
         let mut lines = BufReader::new(conn.try_clone().unwrap());
-        write!(conn, "*3\r\n{}{}{}{}", word("CHECK"), word("1"), word(""), call(2, "issue")).unwrap();
+        write!(
+            conn,
+            "*3\r\n{}{}{}{}",
+            word("CHECK"),
+            word("1"),
+            word(""),
+            call(2, "issue")
+        )
+        .unwrap();
         assert_eq!(answer(&mut lines), (1, "UP".to_string()));
         assert_eq!(answer(&mut lines), (2, "OK".to_string()));
         // Our own child, killed outright.
@@ -195,21 +226,34 @@
     let hosts = [host(false); 1024];
     let all = listed(&hosts);
     // What the gateway has taken already it passes over.
-    let pool = format!("{{\"rev\":2,\"pool\":{{\"version\":1,\"full\":true,\"servers\":[{all}]}}}}");
-    let board = board_of(Arc::default(), format!("{{\"rev\":2,\"notices\":[{pool}]}}"));
+    let pool =
+        format!("{{\"rev\":2,\"pool\":{{\"version\":1,\"full\":true,\"servers\":[{all}]}}}}");
+    let board = board_of(
+        Arc::default(),
+        format!("{{\"rev\":2,\"notices\":[{pool}]}}"),
+    );
     let (at, folder) = (free(last), tempfile::tempdir().unwrap());
     let file = folder.path().join("config.json");
-    let peers: Vec<String> =
-        (0..1024).map(|i| format!("\"127.1.{}.{}:{}\"", i / 250, i % 250 + 1, at.port())).collect();
-    let told =
-        format!("\"peer_listen\":\"{at}\",\"peers\":[{}],\"settings\":{{\"siblings\":1024,", peers.join(","));
+    let peers: Vec<String> = (0..1024)
+        .map(|i| format!("\"127.1.{}.{}:{}\"", i / 250, i % 250 + 1, at.port()))
+        .collect();
+    let told = format!(
+        "\"peer_listen\":\"{at}\",\"peers\":[{}],\"settings\":{{\"siblings\":1024,",
+        peers.join(",")
+    );
     let text = config(at, board, &hosts[..first]).replace("\"settings\":{", &told);
-    let text =
-        text.replace("\"siblings\":1,", "").replace("\"probes\":true", "\"probes\":true,\"peers\":true");
+    let text = text
+        .replace("\"siblings\":1,", "")
+        .replace("\"probes\":true", "\"probes\":true,\"peers\":true");
     std::fs::write(&file, text).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-    command.args(["--log", "error", "platform"]).env("ROUTER_CONFIG", &file);
-    let limit = libc::rlimit { rlim_cur: 256, rlim_max: 256 };
+    command
+        .args(["--log", "error", "platform"])
+        .env("ROUTER_CONFIG", &file);
+    let limit = libc::rlimit {
+        rlim_cur: 256,
+        rlim_max: 256,
+    };
     // SAFETY: setrlimit may be called between fork and exec, and its argument lives as long as the command.
     unsafe {
         command.pre_exec(move || match libc::setrlimit(libc::RLIMIT_NOFILE, &limit) {
@@ -228,10 +272,16 @@
     }
     // 116 to workers, one client and 24 of its own at most.
     let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.0.id())).unwrap();
-    let peak = status
-        .lines()
-        .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse::<u64>().ok());
-    let open = std::fs::read_dir(format!("/proc/{}/fd", gateway.0.id())).unwrap().count();
+    let peak = status.lines().find_map(|l| {
+        l.strip_prefix("VmHWM:")?
+            .trim()
+            .strip_suffix(" kB")?
+            .parse::<u64>()
+            .ok()
+    });
+    let open = std::fs::read_dir(format!("/proc/{}/fd", gateway.0.id()))
+        .unwrap()
+        .count();
     assert!(
         peak.is_some_and(|p| p < 32 << 10) && (100..=141).contains(&open),
         "{peak:?} kB, {open} descriptors"
@@ -261,7 +311,10 @@
             gateway.signal(libc::SIGTERM);
         }
         let tags = round * 10 + 1..=round * 10 + 10;
-        let sent: String = tags.clone().map(|t| call(t, ["check", "issue"][t % 2])).collect();
+        let sent: String = tags
+            .clone()
+            .map(|t| call(t, ["check", "issue"][t % 2]))
+            .collect();
         out.write_all(sent.as_bytes()).unwrap();
         for _ in tags {
             let (tag, word) = answer(&mut lines);
@@ -270,7 +323,10 @@
     }
     assert!(words[1..].iter().all(|w| w.len() == 1), "{words:?}");
     let served = words[1..].iter().filter(|w| w[0] == "OK").count();
-    assert!(if rough { served > 20 } else { served == 100 }, "{served} served");
+    assert!(
+        if rough { served > 20 } else { served == 100 },
+        "{served} served"
+    );
     assert!(polls.load(Ordering::Relaxed) > 0, "the new board was asked");
     let until = Instant::now() + Duration::from_secs(10);
     let status = loop {
@@ -289,10 +345,21 @@
     let file = folder.path().join("config.json");
     std::fs::write(&file, "{\"settings\":{}}").unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-    let output = command.arg("platform").env("ROUTER_CONFIG", &file).output().unwrap();
+    let output = command
+        .arg("platform")
+        .env("ROUTER_CONFIG", &file)
+        .output()
+        .unwrap();
     let text = String::from_utf8(output.stderr).unwrap();
-    assert_eq!((output.status.code(), text.lines().count()), (Some(2), 1), "{text}");
-    assert!(text.contains("config.json: field settings.allowed.connect-timeout-ms: missing"), "{text}");
+    assert_eq!(
+        (output.status.code(), text.lines().count()),
+        (Some(2), 1),
+        "{text}"
+    );
+    assert!(
+        text.contains("config.json: field settings.allowed.connect-timeout-ms: missing"),
+        "{text}"
+    );
 }
 
 /// A setting that can't be meant ends the start; one that is left out does not.
@@ -303,12 +370,24 @@
 fn a_setting_that_cannot_be_meant_is_one_plain_line(from: &str, to: &str, reason: &str) {
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("config.json");
-    let text = config("127.0.0.1:1".parse().unwrap(), "127.0.0.1:2".parse().unwrap(), &[]);
+    let text = config(
+        "127.0.0.1:1".parse().unwrap(),
+        "127.0.0.1:2".parse().unwrap(),
+        &[],
+    );
     assert!(text.contains(from));
     std::fs::write(&file, text.replace(from, to)).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-    let output = command.arg("platform").env("ROUTER_CONFIG", &file).output().unwrap();
+    let output = command
+        .arg("platform")
+        .env("ROUTER_CONFIG", &file)
+        .output()
+        .unwrap();
     let text = String::from_utf8(output.stderr).unwrap();
-    assert_eq!((output.status.code(), text.lines().count()), (Some(2), 1), "{text}");
+    assert_eq!(
+        (output.status.code(), text.lines().count()),
+        (Some(2), 1),
+        "{text}"
+    );
     assert!(text.contains(reason), "{text}");
 }
--- a/crates/tidewall-common/src/acting.rs
+++ b/crates/tidewall-common/src/acting.rs
@@ -94,7 +94,10 @@
             life: conf.life,
             name: conf.name.clone(),
             acts: Acts::new(conf.tasks, conf.turn, conf.margin),
-            side: Turns { due: Vec::new(), post },
+            side: Turns {
+                due: Vec::new(),
+                post,
+            },
             inbox,
             links: Vec::new(),
             conns: BTreeMap::new(),
@@ -140,7 +143,10 @@
         for i in 0..self.links.len() {
             let l = &self.links[i];
             let awaits = l.asked || !l.up;
-            if let Some(conn) = l.conn.filter(|_| awaits && now > l.since + SILENT * self.within) {
+            if let Some(conn) = l
+                .conn
+                .filter(|_| awaits && now > l.since + SILENT * self.within)
+            {
                 self.over(i);
                 self.links[i].conn = None;
                 self.conns.remove(&conn);
@@ -164,15 +170,27 @@
                     self.net.close(conn);
                 }
                 // The last one stands in its place now.
-                self.conns.values_mut().filter(|at| **at == self.links.len()).for_each(|at| *at = i);
+                self.conns
+                    .values_mut()
+                    .filter(|at| **at == self.links.len())
+                    .for_each(|at| *at = i);
             }
         }
         for (name, at) in list {
             if !self.links.iter().any(|l| l.name == name) {
                 let key = key(&name);
                 let (waiting, out) = (VecDeque::new(), BTreeMap::new());
-                let link =
-                    Link { key, name, at, conn: None, up: false, asked: false, since: 0, waiting, out };
+                let link = Link {
+                    key,
+                    name,
+                    at,
+                    conn: None,
+                    up: false,
+                    asked: false,
+                    since: 0,
+                    waiting,
+                    out,
+                };
                 self.links.push(link);
             }
         }
@@ -192,7 +210,9 @@
     }
 
     fn turn(&mut self, task: usize) {
-        let Some(place) = self.place(task) else { return };
+        let Some(place) = self.place(task) else {
+            return;
+        };
         let within = self.within;
         let l = &mut self.links[place];
         if l.waiting.len() < WAITING {
@@ -223,14 +243,27 @@
         let Some(conn) = l.conn else { return };
         while let Some(task) = l.waiting.pop_front() {
             let now = self.net.now();
-            let Some(epoch) = self.acts.may(now, task) else { continue };
+            let Some(epoch) = self.acts.may(now, task) else {
+                continue;
+            };
             self.next += 1;
             self.out.clear();
             let f = Frame::new(&mut self.out, kind::ACT).whole(Field::Id, self.next);
             let f = f.whole(Field::Task, task as u64).whole(Field::Epoch, epoch);
-            let f = f.whole(Field::Member, self.me as u64).whole(Field::Life, self.life);
-            let check = check(&[self.next, task as u64, epoch, self.me as u64, self.life, ticket]);
-            f.whole(Field::Ticket, ticket).whole(Field::Check, check).end();
+            let f = f
+                .whole(Field::Member, self.me as u64)
+                .whole(Field::Life, self.life);
+            let check = check(&[
+                self.next,
+                task as u64,
+                epoch,
+                self.me as u64,
+                self.life,
+                ticket,
+            ]);
+            f.whole(Field::Ticket, ticket)
+                .whole(Field::Check, check)
+                .end();
             if self.net.write(conn, &self.out) {
                 self.sent += 1;
                 l.out.insert(self.next, (task, self.acts.sent(now, task)));
@@ -248,7 +281,9 @@
             kind::TICKET => self.ticket(link, fields.whole(Field::Ticket)?),
             kind::ACTED => {
                 let id = fields.whole(Field::Id)?;
-                let Some((task, round)) = self.links[link].out.remove(&id) else { return Ok(()) };
+                let Some((task, round)) = self.links[link].out.remove(&id) else {
+                    return Ok(());
+                };
                 let now = self.net.now();
                 self.acts.answered(now, &mut self.side, task, round);
                 if fields.text(Field::Outcome)? != "done" {
@@ -279,7 +314,9 @@
     }
 
     fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
-        let Some(link) = self.conns.get(&conn).copied() else { return bytes.len() };
+        let Some(link) = self.conns.get(&conn).copied() else {
+            return bytes.len();
+        };
         let mut used = 0;
         let done = loop {
             match wire::frame(&bytes[used..]) {
--- a/crates/tidewall-common/src/acts.rs
+++ b/crates/tidewall-common/src/acts.rs
@@ -36,21 +36,41 @@
 impl Acts {
     pub fn new(tasks: usize, every: Time, margin: Time) -> Acts {
         let holds = vec![Hold::default(); tasks];
-        Acts { holds, turns: BTreeSet::new(), stops: BTreeSet::new(), every, margin }
+        Acts {
+            holds,
+            turns: BTreeSet::new(),
+            stops: BTreeSet::new(),
+            every,
+            margin,
+        }
     }
 
     /// Under which epoch that task may be acted on now: asked right before the bytes go to the socket.
     pub fn may(&self, now: Time, task: usize) -> Option<u64> {
-        self.holds.get(task).filter(|h| h.epoch > 0 && now < h.until).map(|h| h.epoch)
+        self.holds
+            .get(task)
+            .filter(|h| h.epoch > 0 && now < h.until)
+            .map(|h| h.epoch)
     }
 
     /// `first`: when its first turn is, from now on, for one that was not held before.
     pub fn held(&mut self, now: Time, task: usize, epoch: u64, until: Time, first: Time) {
-        let Some(h) = self.holds.get_mut(task).filter(|h| epoch >= h.epoch && epoch > h.stops) else {
+        let Some(h) = self
+            .holds
+            .get_mut(task)
+            .filter(|h| epoch >= h.epoch && epoch > h.stops)
+        else {
             return;
         };
         let new = h.epoch == 0 || h.next == Time::MAX || now >= h.until;
-        (h.epoch, h.until) = (epoch, if h.epoch == epoch { h.until.max(until) } else { until });
+        (h.epoch, h.until) = (
+            epoch,
+            if h.epoch == epoch {
+                h.until.max(until)
+            } else {
+                until
+            },
+        );
         if new {
             self.turns.remove(&(h.next, task));
             h.next = now + first;
@@ -59,7 +79,9 @@
     }
 
     pub fn stop(&mut self, now: Time, host: &mut impl Host, task: usize, epoch: u64) {
-        let Some(h) = self.holds.get_mut(task) else { return };
+        let Some(h) = self.holds.get_mut(task) else {
+            return;
+        };
         if h.epoch == epoch {
             self.turns.remove(&(h.next, task));
             (h.epoch, h.until, h.next) = (0, 0, Time::MAX);
@@ -108,10 +130,15 @@
             host.turn(task);
         }
         let stops: Vec<usize> = self.stops.iter().copied().collect();
-        stops.into_iter().for_each(|task| self.look(now, host, task));
+        stops
+            .into_iter()
+            .for_each(|task| self.look(now, host, task));
     }
 
     pub fn held_now(&self, now: Time) -> usize {
-        self.turns.iter().filter(|t| self.may(now, t.1).is_some()).count()
+        self.turns
+            .iter()
+            .filter(|t| self.may(now, t.1).is_some())
+            .count()
     }
 }
--- a/crates/tidewall-common/src/codec.rs
+++ b/crates/tidewall-common/src/codec.rs
@@ -80,8 +80,19 @@
     body.clear();
     let mut e = Encoder::new(&mut *body);
     let left = u64::from(h.word.standing == Standing::Left);
-    let numbers = [VERSION, h.from as u64, h.to as u64, h.to_life, h.word.life, u64::from(h.word.turn), left];
-    numbers.into_iter().chain([h.number]).for_each(|n| drop(e.u64(n)));
+    let numbers = [
+        VERSION,
+        h.from as u64,
+        h.to as u64,
+        h.to_life,
+        h.word.life,
+        u64::from(h.word.turn),
+        left,
+    ];
+    numbers
+        .into_iter()
+        .chain([h.number])
+        .for_each(|n| drop(e.u64(n)));
 }
 
 fn sign(key: &[u8], bytes: &[u8]) -> Hmac<Sha256> {
@@ -111,7 +122,9 @@
     let (body, id) = signed.split_at(signed.len() - 1);
     let key = keys.0.iter().find(|k| k.0 == id[0]).ok_or("key: unknown")?;
     // Compared in constant time.
-    sign(&key.1, signed).verify_truncated_left(hash).map_err(|_| "hash: wrong")?;
+    sign(&key.1, signed)
+        .verify_truncated_left(hash)
+        .map_err(|_| "hash: wrong")?;
     Ok(body)
 }
 
@@ -132,9 +145,22 @@
         1 => Standing::Left,
         _ => return Err("head: a number is out of range"),
     };
-    let word = Word { life, turn: small(turn)?, standing };
+    let word = Word {
+        life,
+        turn: small(turn)?,
+        standing,
+    };
     let (from, to) = (small(from)? as usize, small(to)? as usize);
-    Ok((Head { from, to, to_life, word, number }, d.position()))
+    Ok((
+        Head {
+            from,
+            to,
+            to_life,
+            word,
+            number,
+        },
+        d.position(),
+    ))
 }
 
 /// Whether all items are good.
@@ -160,7 +186,10 @@
     let mut d = Decoder::new(body);
     while d.position() < body.len() {
         let kind = d.u64().map_err(|_| "item: no kind")?;
-        let len = *item::LENGTHS.get(kind as usize).filter(|l| **l > 0).ok_or("item: unknown kind")?;
+        let len = *item::LENGTHS
+            .get(kind as usize)
+            .filter(|l| **l > 0)
+            .ok_or("item: unknown kind")?;
         let mut n = [0; 8];
         for n in &mut n[..len] {
             *n = d.u64().map_err(|_| "item: no number")?;
@@ -195,8 +224,16 @@
 }
 
 fn answer(good: bool, promised: u64, n: &[u64]) -> Answer {
-    let accepted = Grant { epoch: n[0], member: n[1] as usize, life: n[2] };
-    Answer { good, promise: Promise { promised, accepted }, left: n[3] }
+    let accepted = Grant {
+        epoch: n[0],
+        member: n[1] as usize,
+        life: n[2],
+    };
+    Answer {
+        good,
+        promise: Promise { promised, accepted },
+        left: n[3],
+    }
 }
 
 fn call(kind: u64, n: &[u64], from: usize, heard: &mut impl Heard) -> Result<(), &'static str> {
@@ -206,7 +243,11 @@
         item::PING_FOR => heard.ping_for(from, first, n[1] as u32),
         item::ACK => heard.ack(from, first, n[1] as u32),
         item::WORD => {
-            let word = Word { life: n[1], turn: n[2] as u32, standing: Standing::ALL[n[3] as usize] };
+            let word = Word {
+                life: n[1],
+                turn: n[2] as u32,
+                standing: Standing::ALL[n[3] as usize],
+            };
             heard.word(first, word);
         }
         item::PREPARE => heard.prepare(from, first, n[1]),
@@ -241,7 +282,11 @@
             return Err("life: a former one");
         }
         if life > self.life {
-            *self = Window { life, last: number, heard: 1 };
+            *self = Window {
+                life,
+                last: number,
+                heard: 1,
+            };
             return Ok(());
         }
         if number > self.last {
--- a/crates/tidewall-common/src/conf.rs
+++ b/crates/tidewall-common/src/conf.rs
@@ -47,18 +47,33 @@
         let (c, gateways) = (s.section("fleet_common"), s.sections("gateway"));
         let names: Vec<String> = gateways.iter().map(|g| g.text("name")).collect();
         let reach = |g: &Section| {
-            let field = if g.has("common_reached_at") { "common_reached_at" } else { "common_address" };
+            let field = if g.has("common_reached_at") {
+                "common_reached_at"
+            } else {
+                "common_address"
+            };
             g.text(field).parse().expect("checked")
         };
         let place = |name: &String| names.iter().position(|n| n == name).expect("checked");
-        let (term, ticket, ppm) = (c.span("term_ms"), c.span("ticket_ms"), c.whole("clocks_ppm"));
-        let usable = if guards.shortened { usable(term, ppm, ticket) } else { term };
+        let (term, ticket, ppm) = (
+            c.span("term_ms"),
+            c.span("ticket_ms"),
+            c.whole("clocks_ppm"),
+        );
+        let usable = if guards.shortened {
+            usable(term, ppm, ticket)
+        } else {
+            term
+        };
         Conf {
             me,
             life,
             seed,
             name: names[me].clone(),
-            listen: gateways[me].text("common_address").parse().expect("checked"),
+            listen: gateways[me]
+                .text("common_address")
+                .parse()
+                .expect("checked"),
             reach: gateways.iter().map(reach).collect(),
             keepers: c.texts("keeper").iter().map(place).collect(),
             tasks: c.whole("leases") as usize,
@@ -92,6 +107,8 @@
 
     /// How often a task looks at its channels and at what is due.
     pub fn tick(&self) -> Time {
-        (self.usable / (4 * RETRY)).min(self.period / 8).clamp(10, 500)
+        (self.usable / (4 * RETRY))
+            .min(self.period / 8)
+            .clamp(10, 500)
     }
 }
--- a/crates/tidewall-common/src/keeping.rs
+++ b/crates/tidewall-common/src/keeping.rs
@@ -76,7 +76,13 @@
     fn begin(&mut self, to: usize) {
         self.number += 1;
         let (to_life, number) = (self.lives[to] & LIFE, self.number);
-        let head = Head { from: self.me, to, to_life, word: self.own, number };
+        let head = Head {
+            from: self.me,
+            to,
+            to_life,
+            word: self.own,
+            number,
+        };
         codec::head(&mut self.bodies[to], &head);
         self.dirty.push(to);
     }
@@ -108,11 +114,13 @@
         self.packets.pings[to] = true;
     }
     fn ping_for(&mut self, via: usize, target: usize, seq: u32) {
-        self.packets.add(via, item::PING_FOR, &[target as u64, u64::from(seq)]);
+        self.packets
+            .add(via, item::PING_FOR, &[target as u64, u64::from(seq)]);
         self.packets.pings[via] = true;
     }
     fn ack(&mut self, to: usize, of: usize, seq: u32) {
-        self.packets.add(to, item::ACK, &[of as u64, u64::from(seq)]);
+        self.packets
+            .add(to, item::ACK, &[of as u64, u64::from(seq)]);
         self.packets.pings[to] = true;
     }
     fn comes(&mut self, member: usize, life: u64) {
@@ -130,19 +138,27 @@
     fn prepare(&mut self, keeper: usize, task: usize, ballot: u64) {
         match self.keepers[keeper] {
             me if me == self.packets.me => self.own.push_back(Own::Prepare { task, ballot }),
-            to => self.packets.add(to, item::PREPARE, &[task as u64, count(ballot)]),
+            to => self
+                .packets
+                .add(to, item::PREPARE, &[task as u64, count(ballot)]),
         }
     }
     fn accept(&mut self, keeper: usize, task: usize, epoch: u64, tag: u32) {
         match self.keepers[keeper] {
             me if me == self.packets.me => self.own.push_back(Own::Accept { task, epoch, tag }),
-            to => self.packets.add(to, item::ACCEPT, &[task as u64, count(epoch), u64::from(tag)]),
+            to => self.packets.add(
+                to,
+                item::ACCEPT,
+                &[task as u64, count(epoch), u64::from(tag)],
+            ),
         }
     }
     fn release(&mut self, keeper: usize, task: usize, epoch: u64) {
         match self.keepers[keeper] {
             me if me == self.packets.me => self.own.push_back(Own::Release { task, epoch }),
-            to => self.packets.add(to, item::RELEASE, &[task as u64, count(epoch)]),
+            to => self
+                .packets
+                .add(to, item::RELEASE, &[task as u64, count(epoch)]),
         }
     }
     fn held(&mut self, task: usize, epoch: u64, until: Time) {
@@ -223,7 +239,9 @@
         acts: (Post<ToActs>, Inbox<FromActs>),
         told: Arc<AtomicBool>,
     ) -> Result<Keeping<N>, String> {
-        let (port, _) = net.bind(conf.listen).map_err(|e| format!("{}: common_address: {e}", conf.listen))?;
+        let (port, _) = net
+            .bind(conf.listen)
+            .map_err(|e| format!("{}: common_address: {e}", conf.listen))?;
         let now = net.now();
         let n = conf.names.len();
         let mut chance = ChaCha8Rng::seed_from_u64(conf.seed ^ 0x1ea5e);
@@ -242,19 +260,35 @@
         let (post, inbox) = acts;
         let keepers = conf.keepers.clone();
         let (own, untold) = (VecDeque::new(), BTreeSet::new());
-        let side = Side { packets, keepers, own, acts: post, untold, chance, news: Vec::new() };
+        let side = Side {
+            packets,
+            keepers,
+            own,
+            acts: post,
+            untold,
+            chance,
+            news: Vec::new(),
+        };
         let is_keeper = conf.keepers.contains(&conf.me);
         let keeper = is_keeper.then(|| Keeper::new(now, conf.tasks, conf.term, conf.guards));
         let mut settles = vec![None; n];
         settles[conf.me] = Some(now + conf.term);
         let per_s = (conf.datagrams as i64, conf.bytes as i64);
-        let budget = Budget { datagrams: per_s.0, bytes: per_s.1, per_s, last: now, rest: (0, 0) };
+        let budget = Budget {
+            datagrams: per_s.0,
+            bytes: per_s.1,
+            per_s,
+            last: now,
+            rest: (0, 0),
+        };
         net.set(now + conf.tick(), OF_TICK);
         Ok(Keeping {
             port,
             members,
             keeper,
-            places: (0..n).map(|m| conf.keepers.iter().position(|k| *k == m)).collect(),
+            places: (0..n)
+                .map(|m| conf.keepers.iter().position(|k| *k == m))
+                .collect(),
             holder: Holder::new(conf.terms(), conf.tasks),
             share: Share::new(&conf.names, conf.tasks),
             settles,
@@ -299,7 +333,8 @@
 
     fn stood(&mut self) {
         let stood = self.net.stood();
-        self.members.stood(stood - std::mem::replace(&mut self.stood, stood));
+        self.members
+            .stood(stood - std::mem::replace(&mut self.stood, stood));
     }
 
     fn tick(&mut self) {
@@ -336,7 +371,10 @@
                 info!(member = %self.conf.name, "{line}");
             }
         }
-        if self.leaves.is_some_and(|at| self.holder.runs() == 0 || now > at + LEAVING * self.conf.term) {
+        if self
+            .leaves
+            .is_some_and(|at| self.holder.runs() == 0 || now > at + LEAVING * self.conf.term)
+        {
             // One tick more, so that what was said last has left.
             if std::mem::replace(&mut self.over, true) {
                 return self.net.stop();
@@ -404,17 +442,34 @@
     fn done(&mut self, now: Time) {
         while let Some(own) = self.side.own.pop_front() {
             let (me, life) = (self.conf.me, self.conf.life);
-            let Some(keeper) = &mut self.keeper else { continue };
+            let Some(keeper) = &mut self.keeper else {
+                continue;
+            };
             let place = self.places[me].expect("it is one");
             match own {
                 Own::Prepare { task, ballot } => {
                     if let Some(told) = keeper.prepare(now, task, ballot, (me, life)) {
-                        self.holder.promised(now, &mut self.side, (place, task), ballot, told);
+                        self.holder
+                            .promised(now, &mut self.side, (place, task), ballot, told);
                     }
                 }
                 Own::Accept { task, epoch, tag } => {
-                    if let Some(told) = keeper.accept(now, task, Grant { epoch, member: me, life }) {
-                        self.holder.accepted(now, &mut self.side, (place, task), (epoch, tag), told);
+                    if let Some(told) = keeper.accept(
+                        now,
+                        task,
+                        Grant {
+                            epoch,
+                            member: me,
+                            life,
+                        },
+                    ) {
+                        self.holder.accepted(
+                            now,
+                            &mut self.side,
+                            (place, task),
+                            (epoch, tag),
+                            told,
+                        );
                     }
                 }
                 Own::Release { task, epoch } => keeper.release(now, task, epoch),
@@ -431,11 +486,16 @@
                 continue;
             }
             let first = self.members.of_itself(to).map(|w| (to, w));
-            let rumours =
-                if std::mem::take(&mut packets.pings[to]) { RUMOURS } else { usize::from(first.is_some()) };
+            let rumours = if std::mem::take(&mut packets.pings[to]) {
+                RUMOURS
+            } else {
+                usize::from(first.is_some())
+            };
             for i in 0..rumours {
                 let rumour = if i == 0 { first } else { None };
-                let Some((of, w)) = rumour.or_else(|| self.members.rumour()) else { break };
+                let Some((of, w)) = rumour.or_else(|| self.members.rumour()) else {
+                    break;
+                };
                 let numbers = [of as u64, w.life, u64::from(w.turn), w.standing as u64];
                 if !codec::item(&mut packets.bodies[to], item::WORD, &numbers) {
                     break;
@@ -482,14 +542,21 @@
         if self.conf.guards.numbers {
             new?;
         }
-        if !self.members.heard(now, &mut self.side, head.from, head.word) {
+        if !self
+            .members
+            .heard(now, &mut self.side, head.from, head.word)
+        {
             return Err("life: a former one");
         }
         self.side.packets.lives[head.from] = head.word.life;
         // Whoever says that it goes may hand something over in the same breath.
         self.shared_out(now);
         self.counts.came.inc();
-        let mut ears = Ears { k: self, now, life: head.word.life };
+        let mut ears = Ears {
+            k: self,
+            now,
+            life: head.word.life,
+        };
         codec::calls(&body[at..], head.from, &mut ears)
     }
 }
@@ -504,7 +571,12 @@
 impl<N: Net> Ears<'_, N> {
     fn answer(&mut self, to: usize, (yes, no): (u64, u64), of: &[u64], told: Answer) {
         let p = told.promise;
-        let kept = [p.accepted.epoch, p.accepted.member as u64, p.accepted.life, told.left];
+        let kept = [
+            p.accepted.epoch,
+            p.accepted.member as u64,
+            p.accepted.life,
+            told.left,
+        ];
         let mut numbers = of.to_vec();
         if !told.good {
             numbers.push(p.promised);
@@ -512,7 +584,10 @@
         if yes != item::ACCEPTED || !told.good {
             numbers.extend_from_slice(&kept);
         }
-        self.k.side.packets.add(to, if told.good { yes } else { no }, &numbers);
+        self.k
+            .side
+            .packets
+            .add(to, if told.good { yes } else { no }, &numbers);
     }
 
     fn mine(&self, count: u64) -> u64 {
@@ -525,26 +600,47 @@
         self.k.members.pinged(&mut self.k.side, from, seq);
     }
     fn ping_for(&mut self, from: usize, target: usize, seq: u32) {
-        self.k.members.pinged_for(&mut self.k.side, from, target, seq);
+        self.k
+            .members
+            .pinged_for(&mut self.k.side, from, target, seq);
     }
     fn ack(&mut self, from: usize, of: usize, seq: u32) {
         self.k.members.acked(&mut self.k.side, from, of, seq);
     }
     fn word(&mut self, member: usize, word: Word) {
-        self.k.members.told(self.now, &mut self.k.side, member, word);
+        self.k
+            .members
+            .told(self.now, &mut self.k.side, member, word);
     }
     fn prepare(&mut self, from: usize, task: usize, count: u64) {
         let (whose, now) = ((from, self.life), self.now);
-        let told =
-            self.k.keeper.as_mut().and_then(|k| k.prepare(now, task, ballot(from, self.life, count), whose));
+        let told = self
+            .k
+            .keeper
+            .as_mut()
+            .and_then(|k| k.prepare(now, task, ballot(from, self.life, count), whose));
         if let Some(told) = told {
-            self.answer(from, (item::PROMISED, item::NOT_PROMISED), &[task as u64, count], told);
+            self.answer(
+                from,
+                (item::PROMISED, item::NOT_PROMISED),
+                &[task as u64, count],
+                told,
+            );
         }
     }
     fn accept(&mut self, from: usize, task: usize, count: u64, tag: u32) {
-        let grant = Grant { epoch: ballot(from, self.life, count), member: from, life: self.life };
+        let grant = Grant {
+            epoch: ballot(from, self.life, count),
+            member: from,
+            life: self.life,
+        };
         let now = self.now;
-        if let Some(told) = self.k.keeper.as_mut().and_then(|k| k.accept(now, task, grant)) {
+        if let Some(told) = self
+            .k
+            .keeper
+            .as_mut()
+            .and_then(|k| k.accept(now, task, grant))
+        {
             self.k.counts.granted.inc_by(u64::from(told.good));
             let of = [task as u64, count, u64::from(tag)];
             self.answer(from, (item::ACCEPTED, item::NOT_ACCEPTED), &of, told);
@@ -558,20 +654,34 @@
     }
     fn handed(&mut self, task: usize) {
         if task < self.k.conf.tasks && self.k.share.best(task) == Some(self.k.conf.me) {
-            self.k.holder.want(self.now, &mut self.k.side, task, true, true);
+            self.k
+                .holder
+                .want(self.now, &mut self.k.side, task, true, true);
         }
     }
     fn promised(&mut self, from: usize, task: usize, count: u64, told: Answer) {
-        let Some(place) = self.k.places[from] else { return };
+        let Some(place) = self.k.places[from] else {
+            return;
+        };
         let ballot = self.mine(count);
         let told = self.mined(told, ballot);
-        self.k.holder.promised(self.now, &mut self.k.side, (place, task), ballot, told);
+        self.k
+            .holder
+            .promised(self.now, &mut self.k.side, (place, task), ballot, told);
     }
     fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: Answer) {
-        let Some(place) = self.k.places[from] else { return };
+        let Some(place) = self.k.places[from] else {
+            return;
+        };
         let epoch = self.mine(count);
         let told = self.mined(told, epoch);
-        self.k.holder.accepted(self.now, &mut self.k.side, (place, task), (epoch, tag), told);
+        self.k.holder.accepted(
+            self.now,
+            &mut self.k.side,
+            (place, task),
+            (epoch, tag),
+            told,
+        );
     }
 }
 
--- a/crates/tidewall-common/src/lib.rs
+++ b/crates/tidewall-common/src/lib.rs
@@ -91,9 +91,23 @@
         let log = Arc::new(Mutex::new(Vec::new()));
         let acting = {
             let log = log.clone();
-            thread::spawn(move || act(inbox, Side { turns: Vec::new(), post, early }, log))
+            thread::spawn(move || {
+                act(
+                    inbox,
+                    Side {
+                        turns: Vec::new(),
+                        post,
+                        early,
+                    },
+                    log,
+                )
+            })
         };
-        to.send(ToActs::Held { task: 0, epoch: 5, until: u64::MAX });
+        to.send(ToActs::Held {
+            task: 0,
+            epoch: 5,
+            until: u64::MAX,
+        });
         thread::yield_now();
         for _ in 0..STEPS {
             // Told again, as a lease that is given back is.
@@ -108,7 +122,10 @@
         acting.join().unwrap();
         let log = log.lock().unwrap();
         let given = log.iter().position(|l| l.1).unwrap_or(log.len());
-        assert!(log[given..].iter().all(|l| l.1), "an act took effect after it was given back: {log:?}");
+        assert!(
+            log[given..].iter().all(|l| l.1),
+            "an act took effect after it was given back: {log:?}"
+        );
     }
 
     #[test]
--- a/crates/tidewall-common/src/post.rs
+++ b/crates/tidewall-common/src/post.rs
@@ -48,7 +48,10 @@
 
     /// A further sender of the same channel.
     pub fn other(&self) -> Post<T> {
-        Post { out: self.out.clone(), full: 0 }
+        Post {
+            out: self.out.clone(),
+            full: 0,
+        }
     }
 }
 
--- a/crates/tidewall-common/tests/codec.rs
+++ b/crates/tidewall-common/tests/codec.rs
@@ -1,6 +1,8 @@
 //! Datagrams: what is not good costs itself alone, and nothing of it counts.
 use test_case::test_case;
-use tidewall_common::codec::{self, head, item, items, open, read_head, seal, Head, Heard, Window, DATAGRAM};
+use tidewall_common::codec::{
+    self, head, item, items, open, read_head, seal, Head, Heard, Window, DATAGRAM,
+};
 use tidewall_lease::keeper::Answer;
 use tidewall_members::{Standing, Word};
 use tidewall_vrrp::packet::Keys;
@@ -20,7 +22,10 @@
         self.0.push(format!("ack {from} {of} {seq}"));
     }
     fn word(&mut self, member: usize, word: Word) {
-        self.0.push(format!("word {member} {} {} {:?}", word.life, word.turn, word.standing));
+        self.0.push(format!(
+            "word {member} {} {} {:?}",
+            word.life, word.turn, word.standing
+        ));
     }
     fn prepare(&mut self, from: usize, task: usize, count: u64) {
         self.0.push(format!("prepare {from} {task} {count}"));
@@ -36,11 +41,23 @@
     }
     fn promised(&mut self, from: usize, task: usize, count: u64, told: Answer) {
         let p = told.promise;
-        let last = (p.promised, p.accepted.epoch, p.accepted.member, p.accepted.life, told.left);
-        self.0.push(format!("promised {from} {task} {count} {} {last:?}", told.good));
+        let last = (
+            p.promised,
+            p.accepted.epoch,
+            p.accepted.member,
+            p.accepted.life,
+            told.left,
+        );
+        self.0.push(format!(
+            "promised {from} {task} {count} {} {last:?}",
+            told.good
+        ));
     }
     fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: Answer) {
-        self.0.push(format!("accepted {from} {task} {count} {tag} {} {}", told.good, told.promise.promised));
+        self.0.push(format!(
+            "accepted {from} {task} {count} {tag} {} {}",
+            told.good, told.promise.promised
+        ));
     }
 }
 
@@ -52,7 +69,11 @@
     from: 2,
     to: 1,
     to_life: 77,
-    word: Word { life: 1_764_633_600_000, turn: 3, standing: Standing::Here },
+    word: Word {
+        life: 1_764_633_600_000,
+        turn: 3,
+        standing: Standing::Here,
+    },
     number: 9,
 };
 
@@ -103,10 +124,16 @@
 /// Under a good seal: cut anywhere, or any octet changed, all of it counts or nothing.
 #[test]
 fn what_is_malformed_under_the_seal_does_nothing() {
-    let whole = body(&[(item::ACCEPT, &[4, 5, 6]), (item::HANDED, &[7]), (item::WORD, &[4, 9, 1, 2])]);
+    let whole = body(&[
+        (item::ACCEPT, &[4, 5, 6]),
+        (item::HANDED, &[7]),
+        (item::WORD, &[4, 9, 1, 2]),
+    ]);
     let (_, at) = read_head(&whole).unwrap();
     let judge = |bytes: &[u8]| {
-        let Ok((told, at)) = read_head(bytes) else { return };
+        let Ok((told, at)) = read_head(bytes) else {
+            return;
+        };
         let mut heard = Said::default();
         let done = items(&bytes[at..], told.from, &mut heard);
         assert!(done.is_ok() || heard.0.is_empty(), "{:?}", heard.0);
@@ -119,7 +146,10 @@
             judge(&bytes);
         }
     }
-    assert_eq!(items(&whole[at..whole.len() - 1], 2, &mut Said::default()), Err("item: no number"));
+    assert_eq!(
+        items(&whole[at..whole.len() - 1], 2, &mut Said::default()),
+        Err("item: no number")
+    );
 }
 
 #[test_case(&[(5, 1, true), (5, 1, false)] ; "played again")]
@@ -129,7 +159,11 @@
 fn numbers_are_heard_once(told: &[(u64, u64, bool)]) {
     let mut window = Window::default();
     for (life, number, good) in told {
-        assert_eq!(window.new_one(*life, *number).is_ok(), *good, "{life} {number}");
+        assert_eq!(
+            window.new_one(*life, *number).is_ok(),
+            *good,
+            "{life} {number}"
+        );
     }
 }
 
@@ -137,10 +171,27 @@
 #[test]
 fn a_datagram_stays_within_its_bound() {
     let mut body = Vec::new();
-    head(&mut body, &Head { from: 4_095, to: 4_095, to_life: codec::LIFE, number: u64::MAX, ..HEAD });
+    head(
+        &mut body,
+        &Head {
+            from: 4_095,
+            to: 4_095,
+            to_life: codec::LIFE,
+            number: u64::MAX,
+            ..HEAD
+        },
+    );
     let before = body.len();
-    let full =
-        [u64::from(u32::MAX), u64::MAX, u64::from(u32::MAX), u64::MAX, u64::MAX, 5, u64::MAX, u64::MAX];
+    let full = [
+        u64::from(u32::MAX),
+        u64::MAX,
+        u64::from(u32::MAX),
+        u64::MAX,
+        u64::MAX,
+        5,
+        u64::MAX,
+        u64::MAX,
+    ];
     assert!(item(&mut body, item::NOT_ACCEPTED, &full) && body.len() > before);
     while item(&mut body, item::ACCEPT, &[9_999, 1 << 20, 1 << 20]) {}
     let len = body.len();
--- a/crates/tidewall-config/src/check.rs
+++ b/crates/tidewall-config/src/check.rs
@@ -105,7 +105,11 @@
 fn each(message: &DynamicMessage, path: &str) -> Result<(), Fault> {
     let name = message.descriptor().name().to_string();
     for (field, value) in message.fields() {
-        let at = if path.is_empty() { field.name().to_string() } else { format!("{path}.{}", field.name()) };
+        let at = if path.is_empty() {
+            field.name().to_string()
+        } else {
+            format!("{path}.{}", field.name())
+        };
         let range = RANGES.iter().find(|r| r.0 == name && r.1 == field.name());
         let number = match value {
             Value::U32(v) => Some(f64::from(*v)),
@@ -116,7 +120,11 @@
                 None
             }
             Value::List(list) => {
-                for (i, m) in list.iter().enumerate().filter_map(|(i, v)| Some((i, v.as_message()?))) {
+                for (i, m) in list
+                    .iter()
+                    .enumerate()
+                    .filter_map(|(i, v)| Some((i, v.as_message()?)))
+                {
                     each(m, &format!("{at}[{i}]"))?;
                 }
                 None
@@ -141,8 +149,15 @@
     let mut names: Vec<String> = Vec::new();
     for s in sections {
         let name = s.text("name");
-        if name.is_empty() || name.chars().any(|c| c.is_whitespace() || c == ',' || c == '=') {
-            return fault(s.at("name"), format!("'{name}' is no name (no spaces, commas or '=')"));
+        if name.is_empty()
+            || name
+                .chars()
+                .any(|c| c.is_whitespace() || c == ',' || c == '=')
+        {
+            return fault(
+                s.at("name"),
+                format!("'{name}' is no name (no spaces, commas or '=')"),
+            );
         }
         if names.contains(&name) {
             return fault(s.at("name"), format!("'{name}' stands twice"));
@@ -157,13 +172,18 @@
     if names.contains(&name) {
         return Ok(());
     }
-    fault(s.at(field), format!("'{name}' is no {list} of these settings"))
+    fault(
+        s.at(field),
+        format!("'{name}' is no {list} of these settings"),
+    )
 }
 
 fn address(s: &Section, field: &str, seen: &mut Vec<SocketAddr>) -> Result<(), Fault> {
     let text = s.text(field);
     match text.parse::<SocketAddr>() {
-        Ok(at) if !at.ip().is_loopback() => fault(s.at(field), format!("'{text}' is not on loopback")),
+        Ok(at) if !at.ip().is_loopback() => {
+            fault(s.at(field), format!("'{text}' is not on loopback"))
+        }
         Ok(at) if seen.contains(&at) && at.port() != 0 => {
             fault(s.at(field), format!("'{text}' is taken by another field"))
         }
@@ -181,7 +201,11 @@
         return fault(format!("zone[{i}]"), format!("'{}' stands twice", zones[i]));
     }
     for list in ["gateway", "event_type", "zone"] {
-        let empty = if list == "zone" { zones.is_empty() } else { s.sections(list).is_empty() };
+        let empty = if list == "zone" {
+            zones.is_empty()
+        } else {
+            s.sections(list).is_empty()
+        };
         if empty {
             return fault(list.to_string(), "at least one is needed");
         }
@@ -204,7 +228,10 @@
     for g in gateways.iter().filter(|g| g.has("amqp_address")) {
         address(g, "amqp_address", &mut addresses)?;
         if !s.has("amqp") {
-            return fault(g.at("amqp_address"), "there is no amqp section in these settings");
+            return fault(
+                g.at("amqp_address"),
+                "there is no amqp section in these settings",
+            );
         }
     }
     if s.has("amqp") {
@@ -220,28 +247,46 @@
     for t in s.sections("event_type") {
         let (target, age) = (t.number("target_time_ms"), t.number("max_age_ms"));
         if age < target {
-            return fault(t.at("max_age_ms"), format!("{age} is under target_time_ms, {target}"));
+            return fault(
+                t.at("max_age_ms"),
+                format!("{age} is under target_time_ms, {target}"),
+            );
         }
         // An answer of the gateway's own needs a few looks at the clock before the client gives up.
         if age < 20.0 * tick {
-            return fault(t.at("max_age_ms"), format!("{age} is under twenty times tick_ms, {tick}"));
+            return fault(
+                t.at("max_age_ms"),
+                format!("{age} is under twenty times tick_ms, {tick}"),
+            );
         }
         let keyed = t.choice("redelivery") == "KEYED";
         if keyed && t.number("window_ms") <= 0.0 {
-            return fault(t.at("window_ms"), "a KEYED event type needs a window above 0");
+            return fault(
+                t.at("window_ms"),
+                "a KEYED event type needs a window above 0",
+            );
         }
         if !keyed && t.has("window_ms") && t.number("window_ms") > 0.0 {
             return fault(t.at("window_ms"), "only a KEYED event type has a window");
         }
     }
     let limits = s.section("limits");
-    let (connect, keep) = (limits.number("connect_time_out_ms"), limits.number("keep_alive_ms"));
+    let (connect, keep) = (
+        limits.number("connect_time_out_ms"),
+        limits.number("keep_alive_ms"),
+    );
     if keep < connect {
-        return fault(limits.at("keep_alive_ms"), format!("{keep} is under connect_time_out_ms, {connect}"));
+        return fault(
+            limits.at("keep_alive_ms"),
+            format!("{keep} is under connect_time_out_ms, {connect}"),
+        );
     }
     let reports = s.section("reports");
     if limits.flag("probes") && !reports.flag("in_flight") && !reports.flag("busy") {
-        return fault(reports.at("busy"), "probes are allowed, but reports tell neither in_flight nor busy");
+        return fault(
+            reports.at("busy"),
+            "probes are allowed, but reports tell neither in_flight nor busy",
+        );
     }
     if s.has("fleet") {
         fleet(&s.section("fleet"), &zones, &kinds, &types)?;
@@ -251,7 +296,10 @@
 
 fn pair(p: &Section, gateways: usize, addresses: &mut Vec<SocketAddr>) -> Result<(), Fault> {
     if gateways != 1 {
-        return fault(p.at("own"), format!("a pair is one gateway, and there are {gateways}"));
+        return fault(
+            p.at("own"),
+            format!("a pair is one gateway, and there are {gateways}"),
+        );
     }
     let members = [p.section("own"), p.section("peer")];
     names(&members)?;
@@ -261,17 +309,29 @@
         address(m, "link_address", addresses)?;
     }
     if datagrams[0].ip() == datagrams[1].ip() {
-        return fault(members[1].at("vrrp_address"), "members are told apart by their IP addresses");
+        return fault(
+            members[1].at("vrrp_address"),
+            "members are told apart by their IP addresses",
+        );
     }
     if p.text("key_file").is_empty() {
         return fault(p.at("key_file"), "it is needed");
     }
     let voters = p.texts("voter");
     if voters.len() < 3 || voters.len().is_multiple_of(2) {
-        return fault(p.at("voter"), format!("{} are told; an odd number from 3 on is needed", voters.len()));
+        return fault(
+            p.at("voter"),
+            format!(
+                "{} are told; an odd number from 3 on is needed",
+                voters.len()
+            ),
+        );
     }
     if let Some(i) = (1..voters.len()).find(|i| voters[..*i].contains(&voters[*i])) {
-        return fault(format!("pair.voter[{i}]"), format!("'{}' stands twice", voters[i]));
+        return fault(
+            format!("pair.voter[{i}]"),
+            format!("'{}' stands twice", voters[i]),
+        );
     }
     Ok(())
 }
@@ -279,20 +339,30 @@
 fn common(c: &Section, gateways: &[Section]) -> Result<(), Fault> {
     let members: Vec<String> = gateways.iter().map(|g| g.text("name")).collect();
     if members.len() > MEMBERS {
-        return fault("gateway".to_string(), format!("{} members are over {MEMBERS}", members.len()));
+        return fault(
+            "gateway".to_string(),
+            format!("{} members are over {MEMBERS}", members.len()),
+        );
     }
     let (mut own, mut reached) = (Vec::new(), Vec::new());
     for g in gateways {
         address(g, "common_address", &mut own)?;
         address(
             g,
-            if g.has("common_reached_at") { "common_reached_at" } else { "common_address" },
+            if g.has("common_reached_at") {
+                "common_reached_at"
+            } else {
+                "common_address"
+            },
             &mut reached,
         )?;
     }
     let keepers = c.texts("keeper");
     if keepers.len() < 3 || keepers.len().is_multiple_of(2) || keepers.len() > KEEPERS {
-        let what = format!("{} are told; an odd number from 3 to {KEEPERS} is needed", keepers.len());
+        let what = format!(
+            "{} are told; an odd number from 3 to {KEEPERS} is needed",
+            keepers.len()
+        );
         return fault(c.at("keeper"), what);
     }
     for (i, keeper) in keepers.iter().enumerate() {
@@ -332,7 +402,10 @@
         }
     }
     if 4 * c.span("period_ms") > 10 * term {
-        return fault(c.at("period_ms"), "a lost member would be missed only terms after its leases ran out");
+        return fault(
+            c.at("period_ms"),
+            "a lost member would be missed only terms after its leases ran out",
+        );
     }
     Ok(())
 }
@@ -345,7 +418,10 @@
     names(&users)?;
     for u in &users {
         if !u.text("password_hash").starts_with("$argon2") {
-            return fault(u.at("password_hash"), "it is no hash of argon2 (see tidewall hash-password)");
+            return fault(
+                u.at("password_hash"),
+                "it is no hash of argon2 (see tidewall hash-password)",
+            );
         }
         if u.has("tenant") {
             refers(u, "tenant", "tenant", tenants)?;
@@ -355,7 +431,10 @@
         if f.text("name").trim_end_matches('*').contains('*') || f.text("name").is_empty() {
             return fault(
                 f.at("name"),
-                format!("'{}' is no name, nor the start of one and '*'", f.text("name")),
+                format!(
+                    "'{}' is no name, nor the start of one and '*'",
+                    f.text("name")
+                ),
             );
         }
     }
@@ -363,7 +442,10 @@
         return fault(a.at("trigger_exchange"), "it needs a name");
     }
     if a.text("trigger_exchange") == a.text("dead_letter_exchange") {
-        return fault(a.at("dead_letter_exchange"), "dead letters would be events again");
+        return fault(
+            a.at("dead_letter_exchange"),
+            "dead letters would be events again",
+        );
     }
     Ok(())
 }
@@ -386,7 +468,10 @@
     let depot = f.section("depot");
     let (capacity, most) = (depot.number("capacity"), depot.number("most"));
     if most < capacity {
-        return fault(depot.at("most"), format!("{most} is under capacity, {capacity}"));
+        return fault(
+            depot.at("most"),
+            format!("{most} is under capacity, {capacity}"),
+        );
     }
     Ok(())
 }
@@ -397,12 +482,17 @@
             return fault(f.at("trouble"), "it must be named");
         }
         let trouble = f.choice("trouble");
-        let at_once =
-            matches!(trouble.as_str(), "WORKER_RESET" | "COPIES_VOID" | "TERMINAL_CUT" | "TERMINAL_CHANNEL");
+        let at_once = matches!(
+            trouble.as_str(),
+            "WORKER_RESET" | "COPIES_VOID" | "TERMINAL_CUT" | "TERMINAL_CHANNEL"
+        );
         if !at_once && f.number("lasts_ms") <= 0.0 {
             return fault(f.at("lasts_ms"), format!("{trouble} needs a time above 0"));
         }
-        let sized = matches!(trouble.as_str(), "WORKER_SLOW" | "DEPOT_SLOW" | "BURST" | "HEAVY");
+        let sized = matches!(
+            trouble.as_str(),
+            "WORKER_SLOW" | "DEPOT_SLOW" | "BURST" | "HEAVY"
+        );
         if sized && f.number("factor") <= 1.0 {
             return fault(f.at("factor"), format!("{trouble} needs a factor above 1"));
         }
--- a/crates/tidewall-config/src/lib.rs
+++ b/crates/tidewall-config/src/lib.rs
@@ -29,7 +29,9 @@
     fn value(&self, field: &str) -> Value {
         let name = self.message.descriptor().name().to_string();
         let value = self.message.get_field_by_name(field);
-        value.unwrap_or_else(|| panic!("the schema has no field {field} in {name}")).into_owned()
+        value
+            .unwrap_or_else(|| panic!("the schema has no field {field} in {name}"))
+            .into_owned()
     }
 
     pub fn has(&self, field: &str) -> bool {
@@ -84,25 +86,36 @@
 
     /// The name of an enumeration's value.
     pub fn choice(&self, field: &str) -> String {
-        let descriptor = self.message.descriptor().get_field_by_name(field).expect("the field is known");
+        let descriptor = self
+            .message
+            .descriptor()
+            .get_field_by_name(field)
+            .expect("the field is known");
         let kind = descriptor.kind();
         let of = kind.as_enum().expect("the field is an enumeration");
         let number = self.value(field).as_enum_number().unwrap_or(0);
-        of.get_value(number).map_or(String::new(), |v| v.name().to_string())
+        of.get_value(number)
+            .map_or(String::new(), |v| v.name().to_string())
     }
 
     /// A section within this one; its defaults where it is left out.
     pub fn section(&self, field: &str) -> Section {
         let value = self.value(field);
         let message = value.as_message().cloned().expect("the field is a section");
-        Section { message, path: self.at(field) }
+        Section {
+            message,
+            path: self.at(field),
+        }
     }
 
     pub fn sections(&self, field: &str) -> Vec<Section> {
         let value = self.value(field);
         let list = value.as_list().unwrap_or(&[]).iter().enumerate();
         let section = |(i, v): (usize, &Value)| {
-            Some(Section { message: v.as_message()?.clone(), path: format!("{}[{i}]", self.at(field)) })
+            Some(Section {
+                message: v.as_message()?.clone(),
+                path: format!("{}[{i}]", self.at(field)),
+            })
         };
         list.filter_map(section).collect()
     }
@@ -110,7 +123,9 @@
     pub fn texts(&self, field: &str) -> Vec<String> {
         let value = self.value(field);
         let list = value.as_list().unwrap_or(&[]);
-        list.iter().filter_map(|v| v.as_str().map(str::to_string)).collect()
+        list.iter()
+            .filter_map(|v| v.as_str().map(str::to_string))
+            .collect()
     }
 }
 
@@ -133,7 +148,11 @@
 
 fn each(message: &DynamicMessage, path: &str, lines: &mut Vec<String>) {
     for (field, value) in message.fields() {
-        let at = if path.is_empty() { field.name().to_string() } else { format!("{path}.{}", field.name()) };
+        let at = if path.is_empty() {
+            field.name().to_string()
+        } else {
+            format!("{path}.{}", field.name())
+        };
         match value {
             Value::Message(m) => each(m, &at, lines),
             Value::List(list) => {
@@ -164,14 +183,25 @@
 fn read(file: &str, text: &str, name: &str, check: Check) -> Result<Section, String> {
     let descriptor = pool().get_message_by_name(name).expect("the schema has it");
     let message = DynamicMessage::parse_text_format(descriptor, text).map_err(|e| {
-        let span = e.labels().and_then(|mut l| l.next()).map_or(text.len(), |l| l.offset());
+        let span = e
+            .labels()
+            .and_then(|mut l| l.next())
+            .map_or(text.len(), |l| l.offset());
         let (line, column) = places::line_and_column(text, span);
-        format!("{file}:{line}:{column}: {}", e.to_string().replace('\n', " "))
-    })?;
-    let section = Section { message, path: String::new() };
-    check::ranges(&section).and_then(|()| check(&section)).map_err(|(path, what)| {
-        let (line, column) = Places::of(text).find(&path);
-        format!("{file}:{line}:{column}: {path}: {what}")
+        format!(
+            "{file}:{line}:{column}: {}",
+            e.to_string().replace('\n', " ")
+        )
     })?;
+    let section = Section {
+        message,
+        path: String::new(),
+    };
+    check::ranges(&section)
+        .and_then(|()| check(&section))
+        .map_err(|(path, what)| {
+            let (line, column) = Places::of(text).find(&path);
+            format!("{file}:{line}:{column}: {path}: {what}")
+        })?;
     Ok(section)
 }
--- a/crates/tidewall-config/src/places.rs
+++ b/crates/tidewall-config/src/places.rs
@@ -25,7 +25,10 @@
     pub fn find(&self, path: &str) -> (usize, usize) {
         let mut path = path;
         loop {
-            let indexed = self.0.get(path).or_else(|| self.0.get(&format!("{path}[0]")));
+            let indexed = self
+                .0
+                .get(path)
+                .or_else(|| self.0.get(&format!("{path}[0]")));
             if let Some(place) = indexed {
                 return *place;
             }
@@ -45,7 +48,11 @@
             if matches!(name, ";" | ",") {
                 continue;
             }
-            let base = if above.is_empty() { name.to_string() } else { format!("{above}.{name}") };
+            let base = if above.is_empty() {
+                name.to_string()
+            } else {
+                format!("{above}.{name}")
+            };
             let mut next = r.token();
             if next.is_some_and(|t| t.1 == ":") {
                 next = r.token();
@@ -88,9 +95,13 @@
             self.fields(r, &path);
             if path.ends_with("[0]") {
                 let inner = format!("{path}.");
-                let added = self.0.iter().filter(|e| e.0.starts_with(&inner) && !before.contains(e.0));
-                let plain: Vec<_> =
-                    added.map(|e| (format!("{base}.{}", &e.0[inner.len()..]), *e.1)).collect();
+                let added = self
+                    .0
+                    .iter()
+                    .filter(|e| e.0.starts_with(&inner) && !before.contains(e.0));
+                let plain: Vec<_> = added
+                    .map(|e| (format!("{base}.{}", &e.0[inner.len()..]), *e.1))
+                    .collect();
                 self.0.extend(plain);
             }
         }
--- a/crates/tidewall-config/src/plain.rs
+++ b/crates/tidewall-config/src/plain.rs
@@ -15,15 +15,35 @@
     put("locality", gateways[me].text("zone"));
     put("zones", s.texts("zone").join(","));
     put("tick-ms", s.number("tick_ms").to_string());
-    put("over-share-worth", s.number("over_share_benefit").to_string());
+    put(
+        "over-share-worth",
+        s.number("over_share_benefit").to_string(),
+    );
     put("workload", "load".to_string());
     put("weights", "nominal".to_string());
-    put("discovery", if s.section("roster").flag("pushed") { "pushed" } else { "on_request" }.to_string());
+    put(
+        "discovery",
+        if s.section("roster").flag("pushed") {
+            "pushed"
+        } else {
+            "on_request"
+        }
+        .to_string(),
+    );
 
     let kinds = s.sections("kind");
-    let of = |field: &str| kinds.iter().map(|k| k.text(field)).collect::<Vec<_>>().join(",");
+    let of = |field: &str| {
+        kinds
+            .iter()
+            .map(|k| k.text(field))
+            .collect::<Vec<_>>()
+            .join(",")
+    };
     put("kinds", of("name"));
-    let memory = kinds.iter().map(|k| k.number("memory_mb").to_string()).collect::<Vec<_>>();
+    let memory = kinds
+        .iter()
+        .map(|k| k.number("memory_mb").to_string())
+        .collect::<Vec<_>>();
     put("extra.memory-mb-by-kind", memory.join(","));
 
     let types = s.sections("event_type");
@@ -52,7 +72,10 @@
     put("tenants.count", tenants.len().to_string());
     for (i, t) in tenants.iter().enumerate() {
         put(&format!("tenants.{i}.name"), t.text("name"));
-        put(&format!("tenants.{i}.quota-per-s"), t.number("quota_per_s").to_string());
+        put(
+            &format!("tenants.{i}.quota-per-s"),
+            t.number("quota_per_s").to_string(),
+        );
     }
 
     let limits = s.section("limits");
@@ -76,7 +99,10 @@
     for (key, field) in numbers {
         put(&format!("allowed.{key}"), limits.number(field).to_string());
     }
-    put("allowed.peers", gateways[me].has("peer_address").to_string());
+    put(
+        "allowed.peers",
+        gateways[me].has("peer_address").to_string(),
+    );
 
     let rules = s.section("rules");
     let numbers = [
@@ -91,7 +117,10 @@
     }
     let loading = s.section("loading");
     put("extra.orders", loading.flag("orders").to_string());
-    put("extra.if-cold", if loading.flag("miss") { "miss" } else { "load" }.to_string());
+    put(
+        "extra.if-cold",
+        if loading.flag("miss") { "miss" } else { "load" }.to_string(),
+    );
     put("extra.tells-warm", "true".to_string());
     put("extra.says-company", "true".to_string());
     let numbers = [
@@ -106,7 +135,11 @@
     }
     let reports = s.section("reports");
     let told = [("rif", "in_flight"), ("busy", "busy")];
-    let names: Vec<&str> = told.iter().filter(|n| reports.flag(n.1)).map(|n| n.0).collect();
+    let names: Vec<&str> = told
+        .iter()
+        .filter(|n| reports.flag(n.1))
+        .map(|n| n.0)
+        .collect();
     put("reporting.names", names.join(","));
     let how = match (names.is_empty(), reports.flag("with_answers")) {
         (true, _) => "none",
--- a/crates/tidewall-config/tests/settings.rs
+++ b/crates/tidewall-config/tests/settings.rs
@@ -38,7 +38,10 @@
     let (a, b) = (settings("a", PAIR).unwrap(), settings("b", OTHER).unwrap());
     assert_eq!(agree(&a), agree(&b));
     assert!(agree(&a).contains(&"limits.max_launches = 3".to_string()));
-    assert_ne!(a.section("pair").section("own").text("name"), b.section("pair").section("own").text("name"));
+    assert_ne!(
+        a.section("pair").section("own").text("name"),
+        b.section("pair").section("own").text("name")
+    );
 }
 
 #[test_case("\"e0\", \"e1\"]", "\"e0\"]", "pair.voter", "odd number" ; "an even number of voters")]
@@ -52,7 +55,10 @@
 fn bad_pairs_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
     assert!(PAIR.contains(good));
     let told = settings("site", &PAIR.replacen(good, bad, 1)).unwrap_err();
-    assert!(told.contains(place) && told.contains(what) && !told.contains('\n'), "{told}");
+    assert!(
+        told.contains(place) && told.contains(what) && !told.contains('\n'),
+        "{told}"
+    );
 }
 
 const COMMON: &str = include_str!("../../../deploy/examples/three-halls.txtpb");
@@ -73,7 +79,10 @@
 fn bad_common_settings_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
     assert!(settings("site", COMMON).is_ok() && COMMON.contains(good));
     let told = settings("site", &COMMON.replacen(good, bad, 1)).unwrap_err();
-    assert!(told.contains(place) && told.contains(what) && !told.contains('\n'), "{told}");
+    assert!(
+        told.contains(place) && told.contains(what) && !told.contains('\n'),
+        "{told}"
+    );
 }
 
 /// The line numbers are those of the shipped example with one thing replaced.
@@ -95,7 +104,10 @@
 fn bad_settings_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
     assert!(GOOD.contains(good));
     let told = settings("site", &GOOD.replacen(good, bad, 1)).unwrap_err();
-    assert!(told.starts_with(place) && told.contains(what) && !told.contains('\n'), "{told}");
+    assert!(
+        told.starts_with(place) && told.contains(what) && !told.contains('\n'),
+        "{told}"
+    );
 }
 
 #[test_case("fault { trouble: WORKER_KILL }", "s:1:1: fault[0].lasts_ms" ; "no time")]
@@ -115,12 +127,25 @@
 #[test_case(include_str!("../../../deploy/examples/bad-terminals.txtpb"); "a script")]
 fn damaged_files_are_refused_in_one_line(text: &str) {
     let judge = |text: &str| {
-        for told in [settings("f", text).err(), script("f", text).err()].into_iter().flatten() {
-            let place = told.split(':').skip(1).take(2).all(|n| n.parse::<u32>().is_ok());
-            assert!(told.starts_with("f:") && place && !told.contains('\n'), "{told:?}");
+        for told in [settings("f", text).err(), script("f", text).err()]
+            .into_iter()
+            .flatten()
+        {
+            let place = told
+                .split(':')
+                .skip(1)
+                .take(2)
+                .all(|n| n.parse::<u32>().is_ok());
+            assert!(
+                told.starts_with("f:") && place && !told.contains('\n'),
+                "{told:?}"
+            );
         }
     };
-    for at in (0..text.len()).step_by(11).filter(|at| text.is_char_boundary(*at)) {
+    for at in (0..text.len())
+        .step_by(11)
+        .filter(|at| text.is_char_boundary(*at))
+    {
         judge(&text[..at]);
         for odd in ["\0", "}", "{", "-1e308", "\u{fffd}", "\""] {
             judge(&format!("{}{odd}{}", &text[..at], &text[at..]));
--- a/crates/tidewall-drill/src/door.rs
+++ b/crates/tidewall-drill/src/door.rs
@@ -7,7 +7,9 @@
 
 pub fn bytes(text: &str) -> Result<Vec<u8>, String> {
     let text = if text == "-" { "" } else { text };
-    STANDARD.decode(text).map_err(|e| format!("field payload: {e}"))
+    STANDARD
+        .decode(text)
+        .map_err(|e| format!("field payload: {e}"))
 }
 
 pub struct Door {
@@ -25,10 +27,16 @@
 
 impl Door {
     pub fn new(id: &str, settings: &BTreeMap<String, String>) -> Door {
-        let named =
-            |list: &str| (0..).map_while(|i| settings.get(&format!("{list}.{i}.name")).cloned()).collect();
-        let plain =
-            |key: &str| settings.get(key).map_or(Vec::new(), |v| v.split(',').map(str::to_string).collect());
+        let named = |list: &str| {
+            (0..)
+                .map_while(|i| settings.get(&format!("{list}.{i}.name")).cloned())
+                .collect()
+        };
+        let plain = |key: &str| {
+            settings
+                .get(key)
+                .map_or(Vec::new(), |v| v.split(',').map(str::to_string).collect())
+        };
         Door {
             id: id.to_string(),
             out: String::new(),
@@ -86,7 +94,10 @@
 impl Host for Door {
     fn launch(&mut self, evt: usize, wk: usize, time_out: Time) {
         let (id, host) = (self.events[evt].clone(), self.workers.text(wk).to_string());
-        self.line("TRY", format_args!(" msg-id={id} try-for-ms={} host={host}", Ms(time_out)));
+        self.line(
+            "TRY",
+            format_args!(" msg-id={id} try-for-ms={} host={host}", Ms(time_out)),
+        );
     }
 
     fn cancel(&mut self, evt: usize, launch: usize) {
@@ -96,7 +107,10 @@
 
     fn defer(&mut self, evt: usize, come_back: Time) {
         let id = self.events[evt].clone();
-        self.line("REFUSE", format_args!(" msg-id={id} backoff-ms={}", Ms(come_back)));
+        self.line(
+            "REFUSE",
+            format_args!(" msg-id={id} backoff-ms={}", Ms(come_back)),
+        );
     }
 
     fn dead_letter(&mut self, evt: usize) {
@@ -123,12 +137,21 @@
     }
 
     fn hold(&mut self, img: usize, wk: usize, copies: u32) {
-        let (key, host) = (self.functions.text(img).to_string(), self.workers.text(wk).to_string());
-        self.line("START_COPY", format_args!(" target-fn={key} host={host} count={copies}"));
+        let (key, host) = (
+            self.functions.text(img).to_string(),
+            self.workers.text(wk).to_string(),
+        );
+        self.line(
+            "START_COPY",
+            format_args!(" target-fn={key} host={host} count={copies}"),
+        );
     }
 
     fn unload(&mut self, img: usize, wk: usize) {
-        let (key, host) = (self.functions.text(img).to_string(), self.workers.text(wk).to_string());
+        let (key, host) = (
+            self.functions.text(img).to_string(),
+            self.workers.text(wk).to_string(),
+        );
         self.line("EVICT", format_args!(" target-fn={key} host={host}"));
     }
 
@@ -145,14 +168,24 @@
     }
 
     fn tell(&mut self, peer: Option<u32>, bytes: &[u8]) {
-        let payload = if bytes.is_empty() { "-".to_string() } else { STANDARD.encode(bytes) };
+        let payload = if bytes.is_empty() {
+            "-".to_string()
+        } else {
+            STANDARD.encode(bytes)
+        };
         match peer {
-            Some(peer) => self.line("ANNOUNCE", format_args!(" addressee={peer} payload={payload}")),
+            Some(peer) => self.line(
+                "ANNOUNCE",
+                format_args!(" addressee={peer} payload={payload}"),
+            ),
             None => self.line("ANNOUNCE", format_args!(" addressee=* payload={payload}")),
         }
     }
 
     fn note(&mut self, text: &str) {
-        self.line("SAY_LOG", format_args!(" note-text={}", text.replace('\n', " ")));
+        self.line(
+            "SAY_LOG",
+            format_args!(" note-text={}", text.replace('\n', " ")),
+        );
     }
 }
--- a/crates/tidewall-drill/src/main.rs
+++ b/crates/tidewall-drill/src/main.rs
@@ -19,7 +19,10 @@
     fn read(rest: &'a str) -> Result<Fields<'a>, String> {
         let mut pairs = Vec::new();
         for part in rest.split(' ').filter(|p| !p.is_empty()) {
-            pairs.push(part.split_once('=').ok_or_else(|| format!("'{part}' is not name=value"))?);
+            pairs.push(
+                part.split_once('=')
+                    .ok_or_else(|| format!("'{part}' is not name=value"))?,
+            );
         }
         Ok(Fields(pairs))
     }
@@ -29,14 +32,18 @@
     }
 
     fn text(&self, name: &str) -> Result<&'a str, String> {
-        self.find(name).filter(|v| !v.is_empty()).ok_or_else(|| format!("field {name} is missing"))
+        self.find(name)
+            .filter(|v| !v.is_empty())
+            .ok_or_else(|| format!("field {name} is missing"))
     }
 
     fn parsed<T: std::str::FromStr>(&self, name: &str, otherwise: Option<T>) -> Result<T, String> {
         match (self.find(name), otherwise) {
             (None, Some(value)) => Ok(value),
             (None, None) => Err(format!("field {name} is missing")),
-            (Some(v), _) => v.parse().map_err(|_| format!("field {name}: '{v}' is not a valid value")),
+            (Some(v), _) => v
+                .parse()
+                .map_err(|_| format!("field {name}: '{v}' is not a valid value")),
         }
     }
 
@@ -90,10 +97,22 @@
     /// A load report as (name, value) pairs.
     fn report(&self) -> Result<Vec<(&'a str, f64)>, String> {
         let mut values = Vec::new();
-        for pair in self.find("metrics").unwrap_or("").split(',').filter(|p| !p.is_empty()) {
+        for pair in self
+            .find("metrics")
+            .unwrap_or("")
+            .split(',')
+            .filter(|p| !p.is_empty())
+        {
             let bad = || format!("field metrics: '{pair}' is not name:number");
             let (name, value) = pair.split_once(':').ok_or_else(bad)?;
-            values.push((name, value.parse::<f64>().ok().filter(|v| v.is_finite()).ok_or_else(bad)?));
+            values.push((
+                name,
+                value
+                    .parse::<f64>()
+                    .ok()
+                    .filter(|v| v.is_finite())
+                    .ok_or_else(bad)?,
+            ));
         }
         Ok(values)
     }
@@ -147,8 +166,8 @@
         let settings: BTreeMap<_, _> = pairs.map(|p| (p.0.to_string(), p.1.to_string())).collect();
         let seed = fields.parsed("entropy", None)?;
         let door = Door::new(fields.text("gateway-id")?, &settings);
-        let gateway =
-            Choice::new(door, now, seed, settings).map_err(|e| format!("field profile-data: {e}"))?;
+        let gateway = Choice::new(door, now, seed, settings)
+            .map_err(|e| format!("field profile-data: {e}"))?;
         all.insert(fields.gateway()?, gateway);
         return Ok(());
     }
@@ -175,7 +194,9 @@
         all.remove(&number);
         return Ok(());
     }
-    let gw = all.get_mut(&number).ok_or("field gateway-id: this instance is not up")?;
+    let gw = all
+        .get_mut(&number)
+        .ok_or("field gateway-id: this instance is not up")?;
     gw.clock(now);
     match name {
         "VIEW" => {
@@ -265,15 +286,25 @@
 }
 
 /// A panic of the decisions is declared on the wire, with its text.
-fn guarded(all: &mut Gateways, now: Time, line: &str, more: &[String]) -> Result<Option<String>, String> {
+fn guarded(
+    all: &mut Gateways,
+    now: Time,
+    line: &str,
+    more: &[String],
+) -> Result<Option<String>, String> {
     match catch_unwind(AssertUnwindSafe(|| apply(all, now, line, more))) {
         Ok(done) => done.map(|()| None),
         Err(cause) => {
             let text = cause.downcast_ref::<String>().cloned();
             let text = text.or_else(|| cause.downcast_ref::<&str>().map(|s| s.to_string()));
             let rest = line.split_once(' ').map_or("", |p| p.1);
-            let id = rest.split(' ').find_map(|p| p.strip_prefix("gateway-id=")).unwrap_or("gateway/0");
-            let text = text.unwrap_or_else(|| "panic".to_string()).replace('\n', " ");
+            let id = rest
+                .split(' ')
+                .find_map(|p| p.strip_prefix("gateway-id="))
+                .unwrap_or("gateway/0");
+            let text = text
+                .unwrap_or_else(|| "panic".to_string())
+                .replace('\n', " ");
             Ok(Some(format!("BROKEN gateway-id={id} note-text={text}\n")))
         }
     }
@@ -288,7 +319,9 @@
     let mut read = |line: &mut String, count: &mut u64| -> Result<bool, String> {
         line.clear();
         *count += 1;
-        let got = input.read_line(line).map_err(|e| format!("line {count}: {e}"))?;
+        let got = input
+            .read_line(line)
+            .map_err(|e| format!("line {count}: {e}"))?;
         line.truncate(line.trim_end_matches(['\n', '\r']).len());
         Ok(got > 0)
     };
@@ -313,7 +346,10 @@
         } else if line.is_empty() {
             continue;
         } else if !open {
-            return Err(at(format!("'{}' stands outside a batch", line.split(' ').next().unwrap_or(""))));
+            return Err(at(format!(
+                "'{}' stands outside a batch",
+                line.split(' ').next().unwrap_or("")
+            )));
         } else {
             more.clear();
             let (first, event) = (count, line.clone());
@@ -321,12 +357,15 @@
                 let fields = Fields::read(rest).map_err(at)?;
                 for _ in 0..fields.parsed("members-list", Some(0u32)).map_err(at)? {
                     if !read(&mut line, &mut count)? || !line.starts_with("M ") {
-                        return Err(format!("line {count}: field members-list: an entry is missing"));
+                        return Err(format!(
+                            "line {count}: field members-list: an entry is missing"
+                        ));
                     }
                     more.push(line.clone());
                 }
             }
-            let fault = guarded(&mut all, now, &event, &more).map_err(|e| format!("line {first}: {e}"))?;
+            let fault =
+                guarded(&mut all, now, &event, &more).map_err(|e| format!("line {first}: {e}"))?;
             reply.push_str(fault.as_deref().unwrap_or(""));
         }
     }
--- a/crates/tidewall-forecast/src/counts.rs
+++ b/crates/tidewall-forecast/src/counts.rs
@@ -25,18 +25,31 @@
 impl Counts {
     pub fn new(most: usize) -> Counts {
         let most = most.max(1);
-        Counts { most, entries: Vec::new(), places: HashTable::new(), order: BTreeSet::new(), total: 0 }
+        Counts {
+            most,
+            entries: Vec::new(),
+            places: HashTable::new(),
+            order: BTreeSet::new(),
+            total: 0,
+        }
     }
 
     /// One arrival's first try.
     pub fn add(&mut self, function: u64) {
         self.total += 1;
         let entries = &self.entries;
-        let found = self.places.find(function, |p| entries[*p].function == function).copied();
+        let found = self
+            .places
+            .find(function, |p| entries[*p].function == function)
+            .copied();
         let place = match found {
             Some(place) => place,
             None if self.entries.len() < self.most => {
-                self.entries.push(Count { function, count: 0, over: 0 });
+                self.entries.push(Count {
+                    function,
+                    count: 0,
+                    over: 0,
+                });
                 self.put(function, self.entries.len() - 1)
             }
             None => {
@@ -45,7 +58,11 @@
                 if let Ok(found) = self.places.find_entry(old, |p| *p == place) {
                     found.remove();
                 }
-                self.entries[place] = Count { function, count: least, over: least };
+                self.entries[place] = Count {
+                    function,
+                    count: least,
+                    over: least,
+                };
                 self.put(function, place)
             }
         };
@@ -57,7 +74,8 @@
 
     fn put(&mut self, function: u64, place: usize) -> usize {
         let entries = &self.entries;
-        self.places.insert_unique(function, place, |p| entries[*p].function);
+        self.places
+            .insert_unique(function, place, |p| entries[*p].function);
         place
     }
 
@@ -68,7 +86,9 @@
     /// How much of it is certain.
     pub fn of(&self, function: u64) -> Option<Count> {
         let entries = &self.entries;
-        self.places.find(function, |p| entries[*p].function == function).map(|p| entries[*p])
+        self.places
+            .find(function, |p| entries[*p].function == function)
+            .map(|p| entries[*p])
     }
 
     /// Octets that it holds.
--- a/crates/tidewall-forecast/src/history.rs
+++ b/crates/tidewall-forecast/src/history.rs
@@ -36,7 +36,13 @@
 
 impl History {
     pub fn new(shape: Shape) -> History {
-        History { shape, ring: vec![UNKNOWN; shape.slots()], next: 0, first: u64::MAX, most: 0.0 }
+        History {
+            shape,
+            ring: vec![UNKNOWN; shape.slots()],
+            next: 0,
+            first: u64::MAX,
+            most: 0.0,
+        }
     }
 
     pub fn shape(&self) -> Shape {
@@ -86,11 +92,18 @@
     pub fn write(&self, out: &mut Vec<u8>) {
         let start = out.len();
         out.extend_from_slice(MAGIC);
-        for n in [self.shape.period as u64, self.shape.periods as u64, self.next, self.first] {
+        for n in [
+            self.shape.period as u64,
+            self.shape.periods as u64,
+            self.next,
+            self.first,
+        ] {
             out.extend_from_slice(&n.to_be_bytes());
         }
         out.extend_from_slice(&self.most.to_be_bytes());
-        self.ring.iter().for_each(|c| out.extend_from_slice(&c.to_be_bytes()));
+        self.ring
+            .iter()
+            .for_each(|c| out.extend_from_slice(&c.to_be_bytes()));
         let sum = xxh3_64(&out[start..]);
         out.extend_from_slice(&sum.to_be_bytes());
     }
@@ -108,15 +121,21 @@
         if xxh3_64(body).to_be_bytes() != *sum {
             return Err("checksum: wrong");
         }
-        let whole =
-            |i: usize| u64::from_be_bytes(body[8 + 8 * i..16 + 8 * i].try_into().expect("eight octets"));
+        let whole = |i: usize| {
+            u64::from_be_bytes(
+                body[8 + 8 * i..16 + 8 * i]
+                    .try_into()
+                    .expect("eight octets"),
+            )
+        };
         if (whole(0), whole(1)) != (shape.period as u64, shape.periods as u64) {
             return Err("period: another one than the settings'");
         }
         if body.len() != HEAD + 4 * shape.slots() {
             return Err("length: not as many slots as told");
         }
-        let real = |at: usize| f32::from_be_bytes(body[at..at + 4].try_into().expect("four octets"));
+        let real =
+            |at: usize| f32::from_be_bytes(body[at..at + 4].try_into().expect("four octets"));
         let ring: Vec<f32> = (0..shape.slots()).map(|i| real(HEAD + 4 * i)).collect();
         let (next, first, most) = (whole(2), whole(3), real(40));
         if !most.is_finite()
@@ -125,6 +144,12 @@
         {
             return Err("slots: a number that cannot be");
         }
-        Ok(History { shape, ring, next, first, most })
+        Ok(History {
+            shape,
+            ring,
+            next,
+            first,
+            most,
+        })
     }
 }
--- a/crates/tidewall-forecast/src/merged.rs
+++ b/crates/tidewall-forecast/src/merged.rs
@@ -25,12 +25,21 @@
 
 impl Merged {
     pub fn new(keep: usize) -> Merged {
-        Merged { slots: BTreeMap::new(), keep: keep.max(1) }
+        Merged {
+            slots: BTreeMap::new(),
+            keep: keep.max(1),
+        }
     }
 
     /// False where it is too old to be kept.
     pub fn told(&mut self, word: Word) -> bool {
-        let newest = self.slots.keys().next_back().copied().unwrap_or(word.slot).max(word.slot);
+        let newest = self
+            .slots
+            .keys()
+            .next_back()
+            .copied()
+            .unwrap_or(word.slot)
+            .max(word.slot);
         if word.slot + self.keep as u64 <= newest {
             return false;
         }
@@ -42,7 +51,11 @@
             let oldest = *lives.clone().next().expect("there are some").0;
             slot.remove(&oldest);
         }
-        while self.slots.first_key_value().is_some_and(|s| s.0 + self.keep as u64 <= newest) {
+        while self
+            .slots
+            .first_key_value()
+            .is_some_and(|s| s.0 + self.keep as u64 <= newest)
+        {
             self.slots.pop_first();
         }
         true
@@ -52,14 +65,21 @@
     pub fn merge(&mut self, other: &Merged) {
         for (slot, lives) in &other.slots {
             for ((member, life), count) in lives {
-                self.told(Word { slot: *slot, member: *member, life: *life, count: *count });
+                self.told(Word {
+                    slot: *slot,
+                    member: *member,
+                    life: *life,
+                    count: *count,
+                });
             }
         }
     }
 
     /// Arrivals in a slot, and of how many members there is a word.
     pub fn slot(&self, slot: u64) -> (u64, usize) {
-        let Some(lives) = self.slots.get(&slot) else { return (0, 0) };
+        let Some(lives) = self.slots.get(&slot) else {
+            return (0, 0);
+        };
         let members: std::collections::BTreeSet<u16> = lives.keys().map(|k| k.0).collect();
         (lives.values().map(|c| u64::from(*c)).sum(), members.len())
     }
@@ -70,6 +90,9 @@
 
     /// Octets that it holds.
     pub fn bytes(&self) -> usize {
-        self.slots.values().map(|l| 24 + l.len() * std::mem::size_of::<((u16, u64), u32)>()).sum()
+        self.slots
+            .values()
+            .map(|l| 24 + l.len() * std::mem::size_of::<((u16, u64), u32)>())
+            .sum()
     }
 }
--- a/crates/tidewall-forecast/tests/merge.rs
+++ b/crates/tidewall-forecast/tests/merge.rs
@@ -20,7 +20,12 @@
                 let more = chance.random_range(0..9);
                 count += more;
                 *truth.entry(slot).or_default() += u64::from(more);
-                words.push(Word { slot, member, life, count });
+                words.push(Word {
+                    slot,
+                    member,
+                    life,
+                    count,
+                });
                 if chance.random_ratio(1, 5) {
                     // It dies with nothing untold, and counts anew.
                     (life, count) = (life + 1, 0);
@@ -38,7 +43,11 @@
         let (mut words, truth) = words(&mut chance);
         let mut a = Merged::new(10);
         words.iter().for_each(|w| assert!(a.told(*w)));
-        let twice: Vec<Word> = words.iter().copied().filter(|_| chance.random_ratio(1, 2)).collect();
+        let twice: Vec<Word> = words
+            .iter()
+            .copied()
+            .filter(|_| chance.random_ratio(1, 2))
+            .collect();
         words.extend(twice);
         words.shuffle(&mut chance);
         let (mut b, mut c) = (Merged::new(10), Merged::new(10));
@@ -49,13 +58,20 @@
         c.merge(&b);
         b.merge(&c);
         assert_eq!((&a, &a), (&b, &c));
-        truth.iter().for_each(|(slot, count)| assert_eq!(a.slot(*slot).0, *count));
+        truth
+            .iter()
+            .for_each(|(slot, count)| assert_eq!(a.slot(*slot).0, *count));
     }
 }
 
 #[test]
 fn a_repeat_counts_once_and_a_later_lower_word_changes_nothing() {
-    let w = Word { slot: 1, member: 0, life: 1, count: 7 };
+    let w = Word {
+        slot: 1,
+        member: 0,
+        life: 1,
+        count: 7,
+    };
     let mut merged = Merged::new(4);
     (0..3).for_each(|_| assert!(merged.told(w)));
     assert!(merged.told(Word { count: 4, ..w }));
@@ -65,12 +81,39 @@
 #[test]
 fn what_is_too_old_is_not_kept_and_lives_are_bounded() {
     let mut m = Merged::new(3);
-    assert!(m.told(Word { slot: 10, member: 0, life: 1, count: 1 }));
-    assert!(!m.told(Word { slot: 7, member: 0, life: 1, count: 1 }));
-    assert!(m.told(Word { slot: 8, member: 0, life: 1, count: 1 }));
-    assert!(m.told(Word { slot: 12, member: 0, life: 1, count: 1 }));
+    assert!(m.told(Word {
+        slot: 10,
+        member: 0,
+        life: 1,
+        count: 1
+    }));
+    assert!(!m.told(Word {
+        slot: 7,
+        member: 0,
+        life: 1,
+        count: 1
+    }));
+    assert!(m.told(Word {
+        slot: 8,
+        member: 0,
+        life: 1,
+        count: 1
+    }));
+    assert!(m.told(Word {
+        slot: 12,
+        member: 0,
+        life: 1,
+        count: 1
+    }));
     assert_eq!((m.slot(8), m.slot(10)), ((0, 0), (1, 1)));
-    (0..1_000).for_each(|life| assert!(m.told(Word { slot: 12, member: 1, life, count: 1 })));
+    (0..1_000).for_each(|life| {
+        assert!(m.told(Word {
+            slot: 12,
+            member: 1,
+            life,
+            count: 1
+        }))
+    });
     assert!(m.bytes() < 1_000);
 }
 
@@ -95,7 +138,11 @@
     }
     let mut top: Vec<(u64, u32)> = exact.iter().map(|(f, c)| (*f, *c)).collect();
     top.sort_by_key(|t| std::cmp::Reverse(t.1));
-    let wrong = |t: &(u64, u32)| counts.of(t.0).map_or(1.0, |c| f64::from(c.count - t.1) / f64::from(t.1));
+    let wrong = |t: &(u64, u32)| {
+        counts
+            .of(t.0)
+            .map_or(1.0, |c| f64::from(c.count - t.1) / f64::from(t.1))
+    };
     let worst = top[..100].iter().map(wrong).fold(0.0, f64::max);
     println!(
         "room {room}: {} octets, worst of the hundred most wanted {:.1} in a hundred",
@@ -105,7 +152,10 @@
     assert!(worst <= most, "{worst}");
 }
 
-const SHAPE: Shape = Shape { period: 24, periods: 3 };
+const SHAPE: Shape = Shape {
+    period: 24,
+    periods: 3,
+};
 
 fn history() -> (History, Vec<u8>) {
     let mut h = History::new(SHAPE);
@@ -119,9 +169,15 @@
 fn a_history_comes_back_whole() {
     let (h, bytes) = history();
     let back = History::read(&bytes, SHAPE).unwrap();
-    assert_eq!((back.next(), back.periods(), back.most), (h.next(), h.periods(), h.most));
+    assert_eq!(
+        (back.next(), back.periods(), back.most),
+        (h.next(), h.periods(), h.most)
+    );
     (0..400).for_each(|s| assert_eq!(back.at(s), h.at(s)));
-    assert_eq!((h.at(99), h.at(105), h.at(106), h.at(160)), (None, None, Some(106.0), None));
+    assert_eq!(
+        (h.at(99), h.at(105), h.at(106), h.at(160)),
+        (None, None, Some(106.0), None)
+    );
 }
 
 /// Cut anywhere, or any bit changed: named and set aside, never half taken.
@@ -134,8 +190,14 @@
         bytes[bit / 8] ^= 1 << (bit % 8);
         assert!(History::read(&bytes, SHAPE).is_err());
     }
-    let other = Shape { period: 12, periods: 6 };
-    assert_eq!(History::read(&bytes, other).err(), Some("period: another one than the settings'"));
+    let other = Shape {
+        period: 12,
+        periods: 6,
+    };
+    assert_eq!(
+        History::read(&bytes, other).err(),
+        Some("period: another one than the settings'")
+    );
 }
 
 #[test]
@@ -156,10 +218,15 @@
 #[ignore = "a measurement"]
 fn costs_at_ten_thousand_functions() {
     use std::time::Instant;
-    let shape = Shape { period: 288, periods: 7 };
+    let shape = Shape {
+        period: 288,
+        periods: 7,
+    };
     let mut chance = ChaCha8Rng::seed_from_u64(1);
     let zipf = Zipf::new(10_000.0, 1.0).expect("a law");
-    let drawn: Vec<u64> = (0..1_000_000).map(|_| zipf.sample(&mut chance) as u64).collect();
+    let drawn: Vec<u64> = (0..1_000_000)
+        .map(|_| zipf.sample(&mut chance) as u64)
+        .collect();
     for room in [10_000, 1_000] {
         let (began, mut counts) = (Instant::now(), Counts::new(room));
         drawn.iter().for_each(|f| counts.add(*f));
@@ -172,7 +239,12 @@
     let mut m = Merged::new(4);
     let began = Instant::now();
     for i in 0..1_000_000u64 {
-        m.told(Word { slot: i / 250_000, member: (i % 30) as u16, life: 1, count: (i % 1_000) as u32 });
+        m.told(Word {
+            slot: i / 250_000,
+            member: (i % 30) as u16,
+            life: 1,
+            count: (i % 1_000) as u32,
+        });
     }
     println!(
         "merge: {:.0} ns a word, {} octets for 4 slots of 30 members",
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -81,7 +81,9 @@
 impl Setup {
     /// Connections to one of so many workers. Workers are replaced: the old one's may still stand beside the new one's.
     fn a_worker(&self, workers: usize) -> usize {
-        self.connections.min(self.links / (2 * workers.max(4))).max(1)
+        self.connections
+            .min(self.links / (2 * workers.max(4)))
+            .max(1)
     }
 }
 
@@ -263,8 +265,11 @@
 
 impl<N: Net> Carrier<N> {
     pub fn new(net: N, settings: &Settings, setup: Setup) -> Carrier<N> {
-        let named =
-            |list: &str| (0..).map_while(|i| settings.get(&format!("{list}.{i}.name")).cloned()).collect();
+        let named = |list: &str| {
+            (0..)
+                .map_while(|i| settings.get(&format!("{list}.{i}.name")).cloned())
+                .collect()
+        };
         let plain = |key: &str| settings.text(key).split(',').map(str::to_string).collect();
         Carrier {
             net,
@@ -367,8 +372,19 @@
                 Word::Deferred => self.counts.deferred += 1,
                 _ => self.counts.dead_lettered += 1,
             }
-            tracing::debug!(event = self.events[evt].id, word = word.text(), took, "answered");
-            let given = Given { evt, ticket, word, come_back, took };
+            tracing::debug!(
+                event = self.events[evt].id,
+                word = word.text(),
+                took,
+                "answered"
+            );
+            let given = Given {
+                evt,
+                ticket,
+                word,
+                come_back,
+                took,
+            };
             if self.copy.is_some() {
                 // At once: its place may serve another event before this call of the decisions is over.
                 let due = self.copy_answered(&given, &[]);
@@ -385,9 +401,15 @@
     /// telling would look like another start.
     pub fn listed(&mut self, entry: &Entry) -> (usize, Listed) {
         let now = self.net.now();
-        let place =
-            |list: &[String], name: &str| list.iter().position(|z| z == name).map_or(u32::MAX, |z| z as u32);
-        let (zone, kind) = (place(&self.zones, &entry.zone), place(&self.kinds, &entry.machine));
+        let place = |list: &[String], name: &str| {
+            list.iter()
+                .position(|z| z == name)
+                .map_or(u32::MAX, |z| z as u32)
+        };
+        let (zone, kind) = (
+            place(&self.zones, &entry.zone),
+            place(&self.kinds, &entry.machine),
+        );
         let wk = self.workers.index(&entry.name);
         if self.wks.len() <= wk {
             self.wks.resize_with(wk + 1, Wk::default);
@@ -402,7 +424,11 @@
         };
         // A list that was made before the roster noticed does not bring back one that said that it drains.
         w.drains &= entry.standing == Standing::On && entry.life <= w.life;
-        let standing = if w.drains { Standing::Draining } else { entry.standing };
+        let standing = if w.drains {
+            Standing::Draining
+        } else {
+            entry.standing
+        };
         let leaves = standing != Standing::On && w.listed.standing == Standing::On;
         if leaves {
             w.left = now;
@@ -446,7 +472,12 @@
             let gone = w.at.is_some() && w.listed.standing == Standing::Gone && w.links.is_empty();
             gone && !self.outs.iter().any(|o| o.1.wk == *wk)
         };
-        self.wks.iter().enumerate().filter(idle).map(|w| w.0).collect()
+        self.wks
+            .iter()
+            .enumerate()
+            .filter(idle)
+            .map(|w| w.0)
+            .collect()
     }
 
     /// Its index may name another from now on.
@@ -463,7 +494,9 @@
     /// An event's launches as they stand: number, worker, and whether its end proves that it has not run.
     pub fn launches_of(&self, place: usize) -> Vec<(usize, usize, Option<bool>)> {
         let held = &self.events[place];
-        (0..held.count).map(|i| (i, held.sent_to[i], held.ends[i])).collect()
+        (0..held.count)
+            .map(|i| (i, held.sent_to[i], held.ends[i]))
+            .collect()
     }
 
     pub fn known_life(&self, wk: usize) -> Option<u64> {
@@ -498,7 +531,11 @@
             Task::Probe | Task::Vote { .. } => false,
         };
         let waits = |o: &Out| o.wk == wk && !o.sent && !o.over && work(o);
-        self.outs.iter().filter(|o| waits(o.1)).map(|o| o.0).collect()
+        self.outs
+            .iter()
+            .filter(|o| waits(o.1))
+            .map(|o| o.0)
+            .collect()
     }
 
     /// Connections on which work for a worker that left still waits for its socket, and would leave after the grace; looked
@@ -509,12 +546,18 @@
             let ends = w.listed.standing != Standing::On && w.left + self.grace <= now + look;
             ends && l.written - self.net.unsent(l.conn).min(l.written) < l.work
         };
-        self.links.iter().filter(|l| late(l.1)).map(|l| (l.0, l.1.conn)).collect()
+        self.links
+            .iter()
+            .filter(|l| late(l.1))
+            .map(|l| (l.0, l.1.conn))
+            .collect()
     }
 
     /// Writes to a worker; false where its buffer is full or its connection gone.
     fn put(&mut self, link: usize) -> bool {
-        let Some(l) = self.links.get_mut(link) else { return false };
+        let Some(l) = self.links.get_mut(link) else {
+            return false;
+        };
         let good = self.net.write(l.conn, &self.frame);
         l.written += if good { self.frame.len() } else { 0 };
         good
@@ -537,7 +580,12 @@
             })
         };
         let gone = |w: &Wk| w.listed.standing == Standing::Gone;
-        self.wks.iter().enumerate().filter(|w| !gone(w.1)).filter_map(entry).collect()
+        self.wks
+            .iter()
+            .enumerate()
+            .filter(|w| !gone(w.1))
+            .filter_map(entry)
+            .collect()
     }
 
     /// The out that a worker's answer names, if it belongs to this connection and still is the same one.
@@ -546,7 +594,10 @@
             Name::Own(id) => id,
             Name::Event(event) => {
                 let sent = &self.links[link].sent;
-                return Ok(sent.iter().copied().find(|k| self.outs[*k].is_launch_of(event)));
+                return Ok(sent
+                    .iter()
+                    .copied()
+                    .find(|k| self.outs[*k].is_launch_of(event)));
             }
         };
         let (key, count) = ((id & 0xffff_ffff) as usize, (id >> 32) as u32);
@@ -593,8 +644,16 @@
 
     /// Takes an out off its link's list, without a search.
     fn off(&mut self, key: usize) {
-        let Out { link, slot, sent, task, .. } = self.outs[key];
-        let Some(l) = self.links.get_mut(link) else { return };
+        let Out {
+            link,
+            slot,
+            sent,
+            task,
+            ..
+        } = self.outs[key];
+        let Some(l) = self.links.get_mut(link) else {
+            return;
+        };
         let list = if sent { &mut l.sent } else { &mut l.waiting };
         list.swap_remove(slot);
         if let Some(moved) = list.get(slot) {
@@ -606,7 +665,9 @@
 
     /// Frees an out that ended before it was sent, or of which the worker says nothing more.
     pub fn unsent_over(&mut self, key: usize) {
-        let Some(out) = self.outs.get(key).filter(|o| o.over) else { return };
+        let Some(out) = self.outs.get(key).filter(|o| o.over) else {
+            return;
+        };
         if out.sent && self.way.ends_given_up() {
             return;
         }
@@ -681,8 +742,16 @@
     /// Connections on which a message stopped half-way.
     pub fn stuck(&self, now: Time) -> Vec<(usize, Conn)> {
         let rest = self.way.rest();
-        let stuck = |l: &Link| l.partial.zip(rest).is_some_and(|(since, rest)| now >= since + rest);
-        self.links.iter().filter(|l| stuck(l.1)).map(|l| (l.0, l.1.conn)).collect()
+        let stuck = |l: &Link| {
+            l.partial
+                .zip(rest)
+                .is_some_and(|(since, rest)| now >= since + rest)
+        };
+        self.links
+            .iter()
+            .filter(|l| stuck(l.1))
+            .map(|l| (l.0, l.1.conn))
+            .collect()
     }
 
     /// Links to close: idle ones, those to workers that are gone, and those on which only given-up launches
@@ -711,19 +780,29 @@
             let all = l.sent.iter().chain(&l.waiting);
             self.way.by_event()
                 && (l.given_up.contains(&out.event)
-                    || all.into_iter().any(|k| self.outs[*k].is_launch_of(out.event)))
+                    || all
+                        .into_iter()
+                        .any(|k| self.outs[*k].is_launch_of(out.event)))
         };
         let room = |l: &Link| !launch || l.streams < self.setup.streams && !twice(l);
         // One on which an answer stopped half-way may be of no further use.
-        let links = self.wks[out.wk].links.iter().copied().filter(|l| room(&self.links[*l]));
+        let links = self.wks[out.wk]
+            .links
+            .iter()
+            .copied()
+            .filter(|l| room(&self.links[*l]));
         let least = |l: &usize| (self.links[*l].partial.is_some(), self.links[*l].streams);
-        let ready = links.clone().filter(|l| self.links[*l].greeted).min_by_key(least);
+        let ready = links
+            .clone()
+            .filter(|l| self.links[*l].greeted)
+            .min_by_key(least);
         let coming = links.clone().find(|l| !self.links[*l].greeted);
         let more = self.wks[out.wk].links.len() < self.a_worker;
         let full = ready.is_some_and(|l| self.links[l].streams + 1 >= self.setup.spread);
         let free = self.links.len() < self.setup.links;
-        let spare =
-            (launch && more && free && full && coming.is_none()).then_some(self.wks[out.wk].at).flatten();
+        let spare = (launch && more && free && full && coming.is_none())
+            .then_some(self.wks[out.wk].at)
+            .flatten();
         let (link, at) = (ready.or(coming), self.wks[out.wk].at);
         if let Some(at) = spare {
             self.open_link(out.wk, at);
@@ -747,8 +826,14 @@
 
     /// Ends the connection that has been idle for longest; false where none is.
     fn end_idle(&mut self) -> bool {
-        let idle = self.links.iter().filter(|l| l.1.waiting.is_empty() && l.1.sent.is_empty());
-        let Some((key, conn, wk)) = idle.min_by_key(|l| l.1.used).map(|l| (l.0, l.1.conn, l.1.wk)) else {
+        let idle = self
+            .links
+            .iter()
+            .filter(|l| l.1.waiting.is_empty() && l.1.sent.is_empty());
+        let Some((key, conn, wk)) = idle
+            .min_by_key(|l| l.1.used)
+            .map(|l| (l.0, l.1.conn, l.1.wk))
+        else {
             return false;
         };
         // At once, not at the end of the wake-up: its descriptor is wanted now. Nothing is heard of it any more.
@@ -761,7 +846,9 @@
 
     /// The list has changed: connections are shared out again.
     pub fn share_out(&mut self) {
-        self.a_worker = self.setup.a_worker(self.wks.iter().filter(|w| w.known()).count());
+        self.a_worker = self
+            .setup
+            .a_worker(self.wks.iter().filter(|w| w.known()).count());
     }
 
     fn open_link(&mut self, wk: usize, at: SocketAddr) -> usize {
@@ -811,9 +898,18 @@
     /// What waits on a connection leaves as far as its socket takes it. The rest goes on waiting, and has provably not run:
     /// of what the net holds of it only the end of one message has not left.
     fn leave_on(&mut self, link: usize) {
-        let Some(l) = self.links.get(link).filter(|l| l.greeted && !l.waiting.is_empty()) else { return };
+        let Some(l) = self
+            .links
+            .get(link)
+            .filter(|l| l.greeted && !l.waiting.is_empty())
+        else {
+            return;
+        };
         let (conn, now) = (l.conn, self.net.now());
-        let (mut batch, mut batched) = (std::mem::take(&mut self.batch), std::mem::take(&mut self.batched));
+        let (mut batch, mut batched) = (
+            std::mem::take(&mut self.batch),
+            std::mem::take(&mut self.batched),
+        );
         for i in 0..self.links[link].waiting.len() {
             let key = self.links[link].waiting[i];
             if !self.outs[key].over && self.waited_for(key) {
@@ -852,7 +948,9 @@
 
     /// Whether anybody still waits for what this would begin: asked just before its first byte leaves.
     fn waited_for(&self, key: usize) -> bool {
-        let Task::Launch { evt, .. } = self.outs[key].task else { return true };
+        let Task::Launch { evt, .. } = self.outs[key].task else {
+            return true;
+        };
         let held = &self.events[evt];
         held.open && self.net.now() < held.arrival.gives_up
     }
@@ -886,13 +984,23 @@
                 self.way.launch(&mut self.frame, id, &launched);
             }
             Task::Hold { img } => {
-                let (lanes, memory, load_hint) = self.images.get(img).copied().unwrap_or((1, 0.0, 0));
+                let (lanes, memory, load_hint) =
+                    self.images.get(img).copied().unwrap_or((1, 0.0, 0));
                 let function = self.functions.text(img);
-                let order = Order { function, copies: out.copies, lanes, memory, load_hint, epoch };
+                let order = Order {
+                    function,
+                    copies: out.copies,
+                    lanes,
+                    memory,
+                    load_hint,
+                    epoch,
+                };
                 self.way.hold(&mut self.frame, id, &order);
             }
             Task::Probe => self.way.probe(&mut self.frame, id),
-            Task::Vote { ballot, accepting, .. } => self.vote(id, ballot, accepting),
+            Task::Vote {
+                ballot, accepting, ..
+            } => self.vote(id, ballot, accepting),
         }
     }
 
@@ -942,14 +1050,23 @@
         let now = self.net.now();
         let held = &self.events[evt];
         let (launch, gives_up, open) = (held.count, held.arrival.gives_up, held.open);
-        let until = if time_out == 0 { gives_up } else { gives_up.min(now + time_out) };
+        let until = if time_out == 0 {
+            gives_up
+        } else {
+            gives_up.min(now + time_out)
+        };
         let key = self.out(Task::Launch { evt, launch }, wk, 0, until);
         let held = &mut self.events[evt];
         held.outs[launch] = key;
         (held.sent_to[launch], held.ends[launch]) = (wk, None);
         held.count += 1;
         self.counts.launches += 1;
-        tracing::debug!(event = self.events[evt].id, launch, worker = self.workers.text(wk), "launch");
+        tracing::debug!(
+            event = self.events[evt].id,
+            launch,
+            worker = self.workers.text(wk),
+            "launch"
+        );
         if !open || now >= gives_up {
             return self.at_once(key, Outcome::Moot);
         }
@@ -961,7 +1078,10 @@
 
     fn cancel(&mut self, evt: usize, launch: usize) {
         let key = self.events[evt].outs[launch];
-        let Some(out) = self.outs.get(key).filter(|o| o.task == Task::Launch { evt, launch } && !o.over)
+        let Some(out) = self
+            .outs
+            .get(key)
+            .filter(|o| o.task == Task::Launch { evt, launch } && !o.over)
         else {
             return;
         };
@@ -1028,7 +1148,11 @@
     }
 
     fn unload(&mut self, img: usize, wk: usize) {
-        let ready = self.wks[wk].links.iter().copied().find(|l| self.links[*l].greeted);
+        let ready = self.wks[wk]
+            .links
+            .iter()
+            .copied()
+            .find(|l| self.links[*l].greeted);
         if let Some(link) = ready {
             self.frame.clear();
             self.way.unload(&mut self.frame, self.functions.text(img));
@@ -1044,7 +1168,9 @@
         self.follows = on;
         if let Some(conn) = self.roster {
             self.frame.clear();
-            Frame::new(&mut self.frame, kind::FOLLOW).flag(Field::On, on).end();
+            Frame::new(&mut self.frame, kind::FOLLOW)
+                .flag(Field::On, on)
+                .end();
             self.net.write(conn, &self.frame);
         }
     }
--- a/crates/tidewall-gateway/src/door.rs
+++ b/crates/tidewall-gateway/src/door.rs
@@ -27,7 +27,10 @@
 }
 
 /// Nobody waits for the answer.
-pub const NOBODY: Ticket = Ticket { door: usize::MAX, key: 0 };
+pub const NOBODY: Ticket = Ticket {
+    door: usize::MAX,
+    key: 0,
+};
 
 impl Word {
     pub fn read(text: &str) -> Result<Word, String> {
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -135,7 +135,10 @@
     fn begin(&mut self, event: &Incoming) -> usize {
         let host = &mut self.choice.host;
         let now = host.net.now();
-        let margin = host.copy.as_ref().map_or(0, |c| margin(c.kind(event.typ), event.left, c.silence));
+        let margin = host
+            .copy
+            .as_ref()
+            .map_or(0, |c| margin(c.kind(event.typ), event.left, c.silence));
         let function = host.functions.index(event.function);
         let arrival = Arrival {
             typ: event.typ,
@@ -154,7 +157,13 @@
         };
         let place = self.choice.next_place();
         self.choice.host.open(place, event, &arrival);
-        debug!(event = event.id, place, function = event.function, left = event.left, "taken");
+        debug!(
+            event = event.id,
+            place,
+            function = event.function,
+            left = event.left,
+            "taken"
+        );
         self.choice.clock(now);
         self.choice.arrive(arrival);
         place
@@ -204,7 +213,10 @@
     /// The client's connection broke. One of a pair goes on with what can be asked for again.
     pub fn broke(&mut self, place: usize, ticket: Ticket) {
         let host = &mut self.choice.host;
-        let held = host.events.get_mut(place).filter(|h| h.open && h.ticket == ticket);
+        let held = host
+            .events
+            .get_mut(place)
+            .filter(|h| h.open && h.ticket == ticket);
         match held.filter(|h| host.copy.is_some() && !h.mark().is_empty()) {
             Some(held) => held.ticket = NOBODY,
             None => self.left(place, ticket),
@@ -284,7 +296,9 @@
     ) -> Result<Gateway<N>, String> {
         let now = net.now();
         // Where we listen may be another address than the one that others know us by.
-        let at = start.peer_listen.or(start.peers.get(start.me).copied().flatten());
+        let at = start
+            .peer_listen
+            .or(start.peers.get(start.me).copied().flatten());
         let port = match at {
             None => None,
             Some(at) => Some(net.bind(at).map_err(|e| format!("{at}: datagrams: {e}"))?.0),
@@ -296,7 +310,13 @@
         (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.me);
         carrier.way = way;
         let choice = Choice::new(carrier, now, start.seed, start.settings)?;
-        let roster = Source { feed, conn: None, within: start.roster_retry, attempts: 0, silence: None };
+        let roster = Source {
+            feed,
+            conn: None,
+            within: start.roster_retry,
+            attempts: 0,
+            silence: None,
+        };
         let mut gateway = Gateway {
             core: Core {
                 choice,
@@ -431,7 +451,8 @@
         let since = *self.empty.get_or_insert(now);
         let until = self.core.choice.host.last_until.min(since + LAST);
         let waits = |(place, (count, owner)): (usize, &(u32, Owner))| {
-            matches!(owner, Owner::Door(_)) && self.core.net_ref().untaken(Conn::new(place, *count)) > 0
+            matches!(owner, Owner::Door(_))
+                && self.core.net_ref().untaken(Conn::new(place, *count)) > 0
         };
         now < until && self.owners.iter().enumerate().any(waits)
     }
@@ -444,7 +465,10 @@
     }
 
     fn owner(&self, conn: Conn) -> Owner {
-        let owner = self.owners.get(conn.place()).filter(|o| o.0 == conn.count());
+        let owner = self
+            .owners
+            .get(conn.place())
+            .filter(|o| o.0 == conn.count());
         owner.map_or(Owner::Nobody, |o| o.1)
     }
 
@@ -491,7 +515,12 @@
         let now = self.core.net().now();
         for (link, conn) in self.core.choice.host.too_late(now, look) {
             warn!(
-                worker = self.core.choice.host.workers.text(self.core.choice.host.links[link].wk),
+                worker = self
+                    .core
+                    .choice
+                    .host
+                    .workers
+                    .text(self.core.choice.host.links[link].wk),
                 "cut off: it drains and reads nothing"
             );
             self.core.net().reset(conn);
@@ -503,8 +532,16 @@
     /// One launch, order or probe is over.
     fn done(&mut self, key: usize, outcome: Outcome, count: u32) {
         let host = &mut self.core.choice.host;
-        let Some(out) = host.outs.get_mut(key).filter(|o| !o.over) else { return };
-        let Out { task, wk, at, stood, .. } = *out;
+        let Some(out) = host.outs.get_mut(key).filter(|o| !o.over) else {
+            return;
+        };
+        let Out {
+            task,
+            wk,
+            at,
+            stood,
+            ..
+        } = *out;
         let now = host.net.now();
         // What passed while this process stood still is no evidence about a worker.
         let took = (now - at).saturating_sub(host.net.stood() - stood);
@@ -515,9 +552,18 @@
                 let over = !self.core.choice.host.events[evt].open;
                 let host = &self.core.choice.host;
                 let worker = host.workers.text(wk);
-                debug!(event = host.events[evt].id, launch, worker, ?outcome, took, "ended");
+                debug!(
+                    event = host.events[evt].id,
+                    launch,
+                    worker,
+                    ?outcome,
+                    took,
+                    "ended"
+                );
                 self.core.choice.host.copy_over(evt, launch, outcome);
-                self.core.choice.ended(evt, launch, (outcome, took), over, count);
+                self.core
+                    .choice
+                    .ended(evt, launch, (outcome, took), over, count);
             }
             Task::Hold { img } => {
                 let host = &self.core.choice.host;
@@ -526,14 +572,20 @@
                 self.core.choice.held(img, wk, outcome, count);
             }
             Task::Probe => self.core.choice.probed(wk, outcome),
-            Task::Vote { voter, ballot, accepting } => self.no_vote(voter, (ballot, accepting)),
+            Task::Vote {
+                voter,
+                ballot,
+                accepting,
+            } => self.no_vote(voter, (ballot, accepting)),
         }
     }
 
     /// An answer that is not the decisions' own: handled, or the break of an answer that had begun.
     fn answer(&mut self, evt: usize, word: Word, payload: &[u8]) {
         let host = &mut self.core.choice.host;
-        let Some((ticket, took)) = host.close(evt, None) else { return };
+        let Some((ticket, took)) = host.close(evt, None) else {
+            return;
+        };
         let past = host.too_late_for(evt, ticket) && host.events[evt].begun.is_none();
         if past && host.copy.is_none() {
             host.counts.overdue += 1;
@@ -545,7 +597,16 @@
             _ => host.counts.dead_lettered += 1,
         }
         debug!(event = host.events[evt].id, word = word.text(), "answered");
-        self.conclude(&Given { evt, ticket, word, come_back: 0, took }, payload);
+        self.conclude(
+            &Given {
+                evt,
+                ticket,
+                word,
+                come_back: 0,
+                took,
+            },
+            payload,
+        );
     }
 
     /// An answer that had begun comes to no end: its launch was the event's last one, and nobody else may answer.
@@ -564,9 +625,17 @@
         host.wks[wk].links.retain(|l| *l != link);
         host.no_greeting(&gone);
         // The place may serve another connection before the last of these is over.
-        gone.waiting.iter().chain(&gone.sent).for_each(|key| host.outs[*key].link = usize::MAX);
+        gone.waiting
+            .iter()
+            .chain(&gone.sent)
+            .for_each(|key| host.outs[*key].link = usize::MAX);
         if !gone.greeted {
-            debug!(worker = host.workers.text(wk), ?why, waiting = gone.waiting.len(), "no connection");
+            debug!(
+                worker = host.workers.text(wk),
+                ?why,
+                waiting = gone.waiting.len(),
+                "no connection"
+            );
         }
         for key in gone.waiting {
             // Never sent: proven not run.
@@ -593,7 +662,9 @@
     fn list_told(&mut self, conn: Conn, bytes: &[u8]) -> Result<Option<usize>, String> {
         let mut news = News::default();
         let read = self.roster.feed.read(bytes, &mut news)?;
-        news.lists.iter().for_each(|(entries, whole)| self.list(entries, *whole));
+        news.lists
+            .iter()
+            .for_each(|(entries, whole)| self.list(entries, *whole));
         if read.is_some() {
             let mut out = Vec::new();
             if !self.roster.feed.next(&mut out) {
@@ -624,7 +695,13 @@
 
     /// Workers of which something is known.
     pub fn workers(&self) -> usize {
-        self.core.choice.host.wks.iter().filter(|w| w.known()).count()
+        self.core
+            .choice
+            .host
+            .wks
+            .iter()
+            .filter(|w| w.known())
+            .count()
     }
 
     /// Takes a list over, or changes of one.
@@ -739,7 +816,9 @@
                 Owner::Link(link) => self.heard(link, rest),
                 Owner::Roster => self.list_told(conn, rest),
                 _ => wire::frame(rest).and_then(|frame| {
-                    let Some((body, len)) = frame else { return Ok(None) };
+                    let Some((body, len)) = frame else {
+                        return Ok(None);
+                    };
                     let fields = Fields::read(body)?;
                     match owner {
                         Owner::Peer => self.peer_frame(&fields)?,
@@ -791,7 +870,12 @@
         let now = self.core.net().now();
         if self.complained.is_none_or(|at| now >= at + APART) {
             self.complained = Some(now);
-            warn!(reason, what, so_far = self.counts().malformed + 1, "malformed");
+            warn!(
+                reason,
+                what,
+                so_far = self.counts().malformed + 1,
+                "malformed"
+            );
         } else {
             debug!(reason, what, "malformed");
         }
@@ -830,7 +914,10 @@
         let now = host.net.now();
         if role != "worker" || name != host.workers.text(wk) {
             // Another one has come to live at this address: nothing was sent, so nothing has run.
-            return Err(format!("field name: {role} {name} answers for {}", host.workers.text(wk)));
+            return Err(format!(
+                "field name: {role} {name} answers for {}",
+                host.workers.text(wk)
+            ));
         }
         let known = host.known_life(wk);
         if known.is_some_and(|k| life > k) {
@@ -853,8 +940,12 @@
         let link = self.link;
         let host = self.host();
         let now = host.net.now();
-        let Some(key) = host.key(name, link)? else { return Ok(()) };
-        let Task::Launch { evt, launch } = host.outs[key].task else { return Ok(()) };
+        let Some(key) = host.key(name, link)? else {
+            return Ok(());
+        };
+        let Task::Launch { evt, launch } = host.outs[key].task else {
+            return Ok(());
+        };
         if host.outs[key].over || !host.events[evt].open || host.events[evt].begun.is_some() {
             return Ok(());
         }
@@ -869,10 +960,18 @@
         Ok(())
     }
 
-    fn ended(&mut self, name: Name, outcome: Outcome, note: u32, payload: &[u8]) -> Result<(), String> {
+    fn ended(
+        &mut self,
+        name: Name,
+        outcome: Outcome,
+        note: u32,
+        payload: &[u8],
+    ) -> Result<(), String> {
         let link = self.link;
         let host = self.host();
-        let Some(key) = host.key(name, link)? else { return Ok(()) };
+        let Some(key) = host.key(name, link)? else {
+            return Ok(());
+        };
         if let Task::Launch { evt, .. } = host.outs[key].task {
             if !host.outs[key].over && outcome == Outcome::Ok {
                 // The first good answer is the client's at once.
@@ -887,7 +986,9 @@
     fn held(&mut self, name: Name, outcome: Outcome, copies: u32) -> Result<(), String> {
         let link = self.link;
         let host = self.host();
-        let Some(key) = host.key(name, link)? else { return Ok(()) };
+        let Some(key) = host.key(name, link)? else {
+            return Ok(());
+        };
         if matches!(host.outs[key].task, Task::Hold { .. }) {
             self.gw.done(key, outcome, copies);
             self.host().free(key);
@@ -898,9 +999,12 @@
     fn probed(&mut self, name: Name, well: bool) -> Result<(), String> {
         let link = self.link;
         let host = self.host();
-        let Some(key) = host.key(name, link)? else { return Ok(()) };
+        let Some(key) = host.key(name, link)? else {
+            return Ok(());
+        };
         if matches!(host.outs[key].task, Task::Probe) {
-            self.gw.done(key, if well { Outcome::Ok } else { Outcome::Error }, 0);
+            self.gw
+                .done(key, if well { Outcome::Ok } else { Outcome::Error }, 0);
             self.host().free(key);
         }
         Ok(())
@@ -953,7 +1057,11 @@
         if let Some(door) = door.or_else(former) {
             self.own(conn, Owner::Door(door));
             self.doors[door].accepted(&mut self.core, conn);
-        } else if self.pair.as_ref().is_some_and(|p| p.listener() == Some(listener)) {
+        } else if self
+            .pair
+            .as_ref()
+            .is_some_and(|p| p.listener() == Some(listener))
+        {
             self.own(conn, Owner::Guest);
         }
     }
@@ -964,7 +1072,11 @@
         }
         let mut out = Vec::new();
         let member = self.pair.as_ref().map_or(0, |p| p.member() as u64 + 1);
-        let me = Me { name: &self.name, number: self.me, member };
+        let me = Me {
+            name: &self.name,
+            number: self.me,
+            member,
+        };
         let host = &mut self.core.choice.host;
         if self.roster.conn == Some(conn) {
             if self.roster.feed.native() {
@@ -1048,7 +1160,11 @@
             return;
         }
         let host = &mut self.core.choice.host;
-        let from = host.peers.iter().position(|p| *p == Some(from)).map(|p| p as u32);
+        let from = host
+            .peers
+            .iter()
+            .position(|p| *p == Some(from))
+            .map(|p| p as u32);
         match host.way.clone().told(from, bytes) {
             Ok((peer, payload)) => {
                 let now = host.net.now();
@@ -1076,7 +1192,15 @@
                     self.broke_off(task);
                     self.core.choice.host.give_up(key);
                     // What still waited for a connection is proven not run.
-                    self.done(key, if sent { Outcome::TimedOut } else { Outcome::NoConnection }, 0);
+                    self.done(
+                        key,
+                        if sent {
+                            Outcome::TimedOut
+                        } else {
+                            Outcome::NoConnection
+                        },
+                        0,
+                    );
                     self.core.choice.host.unsent_over(key);
                 }
             }
--- a/crates/tidewall-gateway/src/list.rs
+++ b/crates/tidewall-gateway/src/list.rs
@@ -32,7 +32,9 @@
     let at = e.text(Field::Place)?;
     Ok(Entry {
         name: e.text(Field::Name)?.to_string(),
-        at: at.parse().map_err(|_| format!("field place: '{at}' is no address and port"))?,
+        at: at
+            .parse()
+            .map_err(|_| format!("field place: '{at}' is no address and port"))?,
         zone: e.word(Field::Zone)?.to_string(),
         machine: e.word(Field::Machine)?.to_string(),
         cell: e.upto(Field::Cell, u64::from(u32::MAX), 0)? as u32,
@@ -50,9 +52,16 @@
         Standing::Draining => "draining",
         Standing::Gone => "gone",
     };
-    let f = f.text(Field::Name, &e.name).text(Field::Place, &e.at.to_string()).text(Field::Zone, &e.zone);
-    let f = f.text(Field::Machine, &e.machine).whole(Field::Cell, u64::from(e.cell));
-    let f = f.text(Field::Standing, standing).real(Field::Rating, e.rating);
+    let f = f
+        .text(Field::Name, &e.name)
+        .text(Field::Place, &e.at.to_string())
+        .text(Field::Zone, &e.zone);
+    let f = f
+        .text(Field::Machine, &e.machine)
+        .whole(Field::Cell, u64::from(e.cell));
+    let f = f
+        .text(Field::Standing, standing)
+        .real(Field::Rating, e.rating);
     f.whole(Field::Life, e.life).whole(Field::Age, e.age)
 }
 
@@ -63,7 +72,10 @@
     let mut list = Entries::default();
     entries.iter().for_each(|e| list.add(|f| write(f, e)));
     let mut body = Vec::new();
-    Frame::new(&mut body, kind::ROSTER).text(Field::Scope, "whole").entries(&list).end();
+    Frame::new(&mut body, kind::ROSTER)
+        .text(Field::Scope, "whole")
+        .entries(&list)
+        .end();
     let mut out = MAGIC.to_vec();
     out.extend_from_slice(&sum(&body).to_be_bytes());
     out.extend_from_slice(&body);
@@ -78,8 +90,12 @@
 
 /// `passed` is how long ago it was written: workers have aged since.
 pub fn decode(bytes: &[u8], passed: Time) -> Result<Vec<Entry>, String> {
-    let body = bytes.strip_prefix(MAGIC).ok_or("field magic: no list of this version")?;
-    let (told, body) = body.split_first_chunk::<8>().ok_or("field sum: cut short")?;
+    let body = bytes
+        .strip_prefix(MAGIC)
+        .ok_or("field magic: no list of this version")?;
+    let (told, body) = body
+        .split_first_chunk::<8>()
+        .ok_or("field sum: cut short")?;
     if sum(body) != u64::from_be_bytes(*told) {
         return Err("field sum: the list is torn".to_string());
     }
@@ -137,11 +153,17 @@
 
 impl Beside {
     pub fn new(shelf: impl Shelf + Send + 'static) -> Beside {
-        Beside { shelf: Some(Box::new(shelf)), ask: None, ended: None }
+        Beside {
+            shelf: Some(Box::new(shelf)),
+            ask: None,
+            ended: None,
+        }
     }
 
     fn start(&mut self) -> io::Result<()> {
-        let Some(mut shelf) = self.shelf.take() else { return Ok(()) };
+        let Some(mut shelf) = self.shelf.take() else {
+            return Ok(());
+        };
         let (ask, asked) = sync_channel::<Vec<u8>>(WAITING);
         let (end, ended) = sync_channel(0);
         thread::Builder::new().spawn(move || {
@@ -173,7 +195,8 @@
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.start()?;
         let ask = self.ask.as_ref().ok_or(io::ErrorKind::BrokenPipe)?;
-        ask.try_send(bytes.to_vec()).map_err(|_| io::ErrorKind::WouldBlock.into())
+        ask.try_send(bytes.to_vec())
+            .map_err(|_| io::ErrorKind::WouldBlock.into())
     }
 }
 
@@ -193,7 +216,9 @@
             Ok(bytes) => {
                 let written = fs::metadata(&self.0)?.modified()?;
                 // A clock that was set back says nothing: then no time has passed.
-                let passed = SystemTime::now().duration_since(written).unwrap_or(Duration::ZERO);
+                let passed = SystemTime::now()
+                    .duration_since(written)
+                    .unwrap_or(Duration::ZERO);
                 Ok(Some((bytes, (passed.as_millis() * 10) as Time)))
             }
             Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
--- a/crates/tidewall-gateway/src/native.rs
+++ b/crates/tidewall-gateway/src/native.rs
@@ -67,7 +67,14 @@
         let first = self.client(conn).first;
         let after = first.unwrap_or(NONE);
         self.count = self.count.wrapping_add(1);
-        let known = Known { conn, id, place: usize::MAX, before: NONE, after, count: self.count };
+        let known = Known {
+            conn,
+            id,
+            place: usize::MAX,
+            before: NONE,
+            after,
+            count: self.count,
+        };
         let key = self.known.insert(known) as u32;
         if let Some(first) = first {
             self.known[first as usize].before = key;
@@ -78,13 +85,19 @@
     }
 
     fn ticket(&self, key: u32, count: u32) -> Ticket {
-        Ticket { door: self.me, key: u64::from(key) | u64::from(count) << 32 }
+        Ticket {
+            door: self.me,
+            key: u64::from(key) | u64::from(count) << 32,
+        }
     }
 
     /// The key of a ticket whose event has not left meanwhile.
     fn key(&self, ticket: Ticket) -> Option<u32> {
         let (key, count) = (ticket.key as u32, (ticket.key >> 32) as u32);
-        self.known.get(key as usize).filter(|k| k.count == count).map(|_| key)
+        self.known
+            .get(key as usize)
+            .filter(|k| k.count == count)
+            .map(|_| key)
     }
 
     fn remove(&mut self, key: u32) -> Known {
@@ -101,7 +114,12 @@
         known
     }
 
-    fn frame<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, fields: &Fields) -> Result<(), String> {
+    fn frame<N: Net>(
+        &mut self,
+        core: &mut Core<N>,
+        conn: Conn,
+        fields: &Fields,
+    ) -> Result<(), String> {
         if !self.client(conn).greeted {
             if wire::greeted(fields)? != "client" {
                 return Err("field role: only clients are heard here".to_string());
@@ -112,7 +130,12 @@
             let f = Frame::new(&mut self.out, kind::HELLO).whole(Field::Version, wire::VERSION);
             let f = f.text(Field::Role, "gateway").text(Field::Name, &self.name);
             let f = f.whole(Field::Life, self.me as u64);
-            if epoch > 0 { f.whole(Field::Epoch, epoch) } else { f }.end();
+            if epoch > 0 {
+                f.whole(Field::Epoch, epoch)
+            } else {
+                f
+            }
+            .end();
             core.net().write(conn, &self.out);
             return Ok(());
         }
@@ -131,7 +154,12 @@
         }
     }
 
-    fn event<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, fields: &Fields) -> Result<(), String> {
+    fn event<N: Net>(
+        &mut self,
+        core: &mut Core<N>,
+        conn: Conn,
+        fields: &Fields,
+    ) -> Result<(), String> {
         let id = fields.whole(Field::Id)?;
         if self.ids.contains_key(&(conn, id)) {
             return Err(format!("field id: {id} is in hand already"));
@@ -143,7 +171,10 @@
             ticket: Ticket::default(),
             id,
             typ: typ.ok_or_else(|| {
-                format!("field type: '{}' is unknown", fields.text(Field::Type).unwrap_or(""))
+                format!(
+                    "field type: '{}' is unknown",
+                    fields.text(Field::Type).unwrap_or("")
+                )
             })?,
             tenant: core.tenants().iter().position(|t| t == tenant),
             function: fields.text(Field::Function)?,
@@ -180,7 +211,10 @@
     fn turn_away<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, id: u64, reason: &str) {
         self.out.clear();
         let frame = Frame::new(&mut self.out, kind::ANSWER).whole(Field::Id, id);
-        frame.text(Field::Word, "turned-away").text(Field::Reason, reason).end();
+        frame
+            .text(Field::Word, "turned-away")
+            .text(Field::Reason, reason)
+            .end();
         core.net().write(conn, &self.out);
     }
 
@@ -196,7 +230,10 @@
 
 impl<N: Net> Door<N> for Native {
     fn accepted(&mut self, _core: &mut Core<N>, conn: Conn) {
-        *self.client(conn) = Client { count: conn.count(), ..Client::default() };
+        *self.client(conn) = Client {
+            count: conn.count(),
+            ..Client::default()
+        };
     }
 
     fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
@@ -232,7 +269,9 @@
     }
 
     fn begun(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]) {
-        let Some(known) = self.key(ticket).map(|k| &self.known[k as usize]) else { return };
+        let Some(known) = self.key(ticket).map(|k| &self.known[k as usize]) else {
+            return;
+        };
         self.out.clear();
         let frame = Frame::new(&mut self.out, kind::BEGUN).whole(Field::Id, known.id);
         frame.bytes(Field::Payload, payload).end();
@@ -251,8 +290,12 @@
         let known = self.remove(key);
         self.out.clear();
         let frame = Frame::new(&mut self.out, kind::ANSWER).whole(Field::Id, known.id);
-        let frame = frame.text(Field::Word, answer.word.text()).text(Field::Reason, answer.reason);
-        let frame = frame.whole(Field::Took, answer.took).bytes(Field::Payload, answer.payload);
+        let frame = frame
+            .text(Field::Word, answer.word.text())
+            .text(Field::Reason, answer.reason);
+        let frame = frame
+            .whole(Field::Took, answer.took)
+            .bytes(Field::Payload, answer.payload);
         let come_back = |f: Frame| f.whole(Field::ComeBack, answer.come_back).end();
         if answer.come_back > 0 {
             come_back(frame)
--- a/crates/tidewall-gateway/src/native_way.rs
+++ b/crates/tidewall-gateway/src/native_way.rs
@@ -10,8 +10,16 @@
 
 fn hello(out: &mut Vec<u8>, me: &Me) {
     let f = Frame::new(out, kind::HELLO).whole(Field::Version, wire::VERSION);
-    let f = f.text(Field::Role, "gateway").text(Field::Name, me.name).whole(Field::Life, me.number);
-    if me.member > 0 { f.whole(Field::Member, me.member) } else { f }.end();
+    let f = f
+        .text(Field::Role, "gateway")
+        .text(Field::Name, me.name)
+        .whole(Field::Life, me.number);
+    if me.member > 0 {
+        f.whole(Field::Member, me.member)
+    } else {
+        f
+    }
+    .end();
 }
 
 impl Way for NativeWay {
@@ -33,12 +41,20 @@
 
     fn launch(&self, out: &mut Vec<u8>, own: u64, l: &Launched) {
         let f = Frame::new(out, kind::LAUNCH).whole(Field::Id, own);
-        let f = f.whole(Field::Event, l.event).whole(Field::Launch, l.launch);
+        let f = f
+            .whole(Field::Event, l.event)
+            .whole(Field::Launch, l.launch);
         let f = f.text(Field::Type, l.typ).text(Field::Function, l.function);
-        let f = f.whole(Field::Lanes, u64::from(l.lanes)).real(Field::Memory, l.memory);
+        let f = f
+            .whole(Field::Lanes, u64::from(l.lanes))
+            .real(Field::Memory, l.memory);
         let f = f.whole(Field::Left, l.left).whole(Field::Hint, l.hint);
         let f = f.bytes(Field::Mark, l.mark).flag(Field::Resent, l.resent);
-        let f = if l.epoch > 0 { f.whole(Field::Epoch, l.epoch) } else { f };
+        let f = if l.epoch > 0 {
+            f.whole(Field::Epoch, l.epoch)
+        } else {
+            f
+        };
         f.bytes(Field::Payload, l.payload).end();
     }
 
@@ -51,23 +67,41 @@
     }
 
     fn hold(&self, out: &mut Vec<u8>, own: u64, o: &Order) {
-        let f = Frame::new(out, kind::HOLD).whole(Field::Id, own).text(Field::Function, o.function);
-        let f = f.whole(Field::Copies, u64::from(o.copies)).whole(Field::Lanes, u64::from(o.lanes));
-        let f = f.real(Field::Memory, o.memory).whole(Field::LoadHint, o.load_hint);
-        if o.epoch > 0 { f.whole(Field::Epoch, o.epoch) } else { f }.end();
+        let f = Frame::new(out, kind::HOLD)
+            .whole(Field::Id, own)
+            .text(Field::Function, o.function);
+        let f = f
+            .whole(Field::Copies, u64::from(o.copies))
+            .whole(Field::Lanes, u64::from(o.lanes));
+        let f = f
+            .real(Field::Memory, o.memory)
+            .whole(Field::LoadHint, o.load_hint);
+        if o.epoch > 0 {
+            f.whole(Field::Epoch, o.epoch)
+        } else {
+            f
+        }
+        .end();
     }
 
     fn unload(&self, out: &mut Vec<u8>, function: &str) {
-        Frame::new(out, kind::UNLOAD).text(Field::Function, function).end();
+        Frame::new(out, kind::UNLOAD)
+            .text(Field::Function, function)
+            .end();
     }
 
     fn read(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String> {
-        let Some((body, len)) = wire::frame(bytes)? else { return Ok(None) };
+        let Some((body, len)) = wire::frame(bytes)? else {
+            return Ok(None);
+        };
         message(&Fields::read(body)?, heard).map(|()| Some(len))
     }
 
     fn tell(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]) {
-        Frame::new(out, kind::PEER).whole(Field::Id, me).bytes(Field::Payload, bytes).end();
+        Frame::new(out, kind::PEER)
+            .whole(Field::Id, me)
+            .bytes(Field::Payload, bytes)
+            .end();
     }
 
     fn told<'a>(&self, _from: Option<u32>, bytes: &'a [u8]) -> Result<(u32, &'a [u8]), String> {
@@ -134,7 +168,10 @@
 
 fn report(fields: &Fields, heard: &mut dyn Heard) -> Result<(), String> {
     if fields.has(Field::InFlight) || fields.has(Field::Busy) {
-        heard.reported(fields.real(Field::InFlight, 0.0)?, fields.real(Field::Busy, 0.0)?);
+        heard.reported(
+            fields.real(Field::InFlight, 0.0)?,
+            fields.real(Field::Busy, 0.0)?,
+        );
     }
     Ok(())
 }
@@ -168,7 +205,11 @@
 
 impl Roster {
     pub fn new(at: SocketAddr, retry: Retry) -> Roster {
-        Roster { at, greeted: false, retry }
+        Roster {
+            at,
+            greeted: false,
+            retry,
+        }
     }
 }
 
@@ -186,7 +227,9 @@
     }
 
     fn read(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
-        let Some((body, len)) = wire::frame(bytes)? else { return Ok(None) };
+        let Some((body, len)) = wire::frame(bytes)? else {
+            return Ok(None);
+        };
         let fields = Fields::read(body)?;
         if !self.greeted {
             if wire::greeted(&fields)? != "roster" {
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -126,8 +126,15 @@
     /// One update, numbered; written where the other member follows.
     pub fn tell<N: Net>(&mut self, net: &mut N, kind: u64, fill: impl FnOnce(Frame)) {
         self.seq += 1;
-        let Some(conn) = self.conn.filter(|_| self.on) else { return };
-        if !self.copies && matches!(kind, kind::TAKEN | kind::LAUNCHED | kind::OVER | kind::ANSWERED) {
+        let Some(conn) = self.conn.filter(|_| self.on) else {
+            return;
+        };
+        if !self.copies
+            && matches!(
+                kind,
+                kind::TAKEN | kind::LAUNCHED | kind::OVER | kind::ANSWERED
+            )
+        {
             self.acked += 1;
             self.base += 1;
             return;
@@ -194,19 +201,41 @@
     now: Time,
 ) {
     let a = held.arrival();
-    let f = f.whole(Field::Place, place as u64).whole(Field::Id, held.id);
-    let f = f.text(Field::Type, &types[a.typ]).text(Field::Function, function);
+    let f = f
+        .whole(Field::Place, place as u64)
+        .whole(Field::Id, held.id);
+    let f = f
+        .text(Field::Type, &types[a.typ])
+        .text(Field::Function, function);
     let f = match a.tenant {
         Some(tenant) => f.text(Field::Tenant, &tenants[tenant]),
         None => f,
     };
     // What is as it is where it is left out is left out.
-    let f = if a.lanes != 1 { f.whole(Field::Lanes, u64::from(a.lanes)) } else { f };
-    let f = if a.memory != 0.0 { f.real(Field::Memory, a.memory) } else { f };
-    let f = if a.hint > 0 { f.whole(Field::Hint, a.hint) } else { f };
-    let f = if a.load_hint > 0 { f.whole(Field::LoadHint, a.load_hint) } else { f };
+    let f = if a.lanes != 1 {
+        f.whole(Field::Lanes, u64::from(a.lanes))
+    } else {
+        f
+    };
+    let f = if a.memory != 0.0 {
+        f.real(Field::Memory, a.memory)
+    } else {
+        f
+    };
+    let f = if a.hint > 0 {
+        f.whole(Field::Hint, a.hint)
+    } else {
+        f
+    };
+    let f = if a.load_hint > 0 {
+        f.whole(Field::LoadHint, a.load_hint)
+    } else {
+        f
+    };
     let f = f.whole(Field::Left, held.until().saturating_sub(now));
-    f.bytes(Field::Mark, held.mark()).bytes(Field::Payload, held.payload()).end();
+    f.bytes(Field::Mark, held.mark())
+        .bytes(Field::Payload, held.payload())
+        .end();
 }
 
 impl<N: Net> Carrier<N> {
@@ -229,13 +258,22 @@
         held.unproven += 1;
         let name = self.workers.text(self.outs[key].wk);
         copy.tell(&mut self.net, kind::LAUNCHED, |f| {
-            let f = f.whole(Field::Place, evt as u64).whole(Field::Launch, launch as u64);
+            let f = f
+                .whole(Field::Place, evt as u64)
+                .whole(Field::Launch, launch as u64);
             f.text(Field::Name, name).end();
         });
         let must = !copy.kind(held.arrival().typ).harmless() || !copy.two_at_once;
         if copy.waits && must {
             let now = self.net.now();
-            copy.back.push_back((copy.seq, now, Later::Ride { key, count: self.outs[key].count }));
+            copy.back.push_back((
+                copy.seq,
+                now,
+                Later::Ride {
+                    key,
+                    count: self.outs[key].count,
+                },
+            ));
         } else {
             self.ride(key);
         }
@@ -243,13 +281,18 @@
 
     pub(crate) fn copy_over(&mut self, evt: usize, launch: usize, outcome: Outcome) {
         let Some(copy) = &mut self.copy else { return };
-        let proven = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Miss);
+        let proven = matches!(
+            outcome,
+            Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Miss
+        );
         let held = &mut self.events[evt];
         held.ends[launch] = Some(proven);
         held.unproven -= u32::from(proven && held.unproven > 0);
         if held.open {
             copy.tell(&mut self.net, kind::OVER, |f| {
-                let f = f.whole(Field::Place, evt as u64).whole(Field::Launch, launch as u64);
+                let f = f
+                    .whole(Field::Place, evt as u64)
+                    .whole(Field::Launch, launch as u64);
                 f.flag(Field::On, proven).end();
             });
         }
@@ -265,8 +308,14 @@
         let (place, mark, types) = (given.evt as u64, held.mark(), &self.types);
         let unsure = copy.unsure;
         copy.tell(&mut self.net, kind::ANSWERED, |f| {
-            let f = f.whole(Field::Place, place).text(Field::Word, given.word.text());
-            let f = if unsure { f.text(Field::Type, &types[typ]).bytes(Field::Mark, mark) } else { f };
+            let f = f
+                .whole(Field::Place, place)
+                .text(Field::Word, given.word.text());
+            let f = if unsure {
+                f.text(Field::Type, &types[typ]).bytes(Field::Mark, mark)
+            } else {
+                f
+            };
             f.bytes(Field::Payload, payload).end();
         });
         let mut due = copy.due();
@@ -294,13 +343,17 @@
         } else {
             copy.known.remove(typ, held.mark());
         }
-        copy.tell(&mut self.net, kind::GONE, |f| f.whole(Field::Place, place as u64).end());
+        copy.tell(&mut self.net, kind::GONE, |f| {
+            f.whole(Field::Place, place as u64).end()
+        });
     }
 
     /// Whether an order to load is within the ration of both lives; it is counted and told.
     pub(crate) fn may_order(&mut self, copies: u32) -> bool {
         let now = self.net.now();
-        let Some(copy) = &mut self.copy else { return true };
+        let Some(copy) = &mut self.copy else {
+            return true;
+        };
         if copies == 0 {
             return true;
         }
@@ -308,7 +361,9 @@
             return false;
         }
         copy.ration.ordered(now);
-        copy.tell(&mut self.net, kind::ORDERED, |f| f.whole(Field::Age, 0).end());
+        copy.tell(&mut self.net, kind::ORDERED, |f| {
+            f.whole(Field::Age, 0).end()
+        });
         true
     }
 
@@ -317,7 +372,14 @@
         let now = self.net.now();
         match &mut self.copy {
             Some(copy) if copy.waits && copies > 0 => {
-                copy.back.push_back((copy.seq, now, Later::Ride { key, count: self.outs[key].count }));
+                copy.back.push_back((
+                    copy.seq,
+                    now,
+                    Later::Ride {
+                        key,
+                        count: self.outs[key].count,
+                    },
+                ));
             }
             _ => self.ride(key),
         }
@@ -325,7 +387,9 @@
 
     /// Takes one of several that wait for the same event off; false where it is the only one.
     pub(crate) fn one_less(&mut self, place: usize, ticket: Ticket) -> bool {
-        let Some(held) = self.events.get_mut(place).filter(|h| h.open) else { return false };
+        let Some(held) = self.events.get_mut(place).filter(|h| h.open) else {
+            return false;
+        };
         if let Some(at) = held.more.iter().position(|m| m.0 == ticket) {
             held.more.swap_remove(at);
             return true;
@@ -344,8 +408,12 @@
         if accepting {
             let f = Frame::new(&mut self.frame, kind::ACCEPT).whole(Field::Id, id);
             let f = f.whole(Field::Ballot, ballot).whole(Field::Epoch, c.epoch);
-            let f = f.whole(Field::Member, c.member as u64 + 1).whole(Field::Floor, c.floor);
-            f.whole(Field::SyncA, c.sync[0]).whole(Field::SyncB, c.sync[1]).end();
+            let f = f
+                .whole(Field::Member, c.member as u64 + 1)
+                .whole(Field::Floor, c.floor);
+            f.whole(Field::SyncA, c.sync[0])
+                .whole(Field::SyncB, c.sync[1])
+                .end();
         } else {
             Frame::new(&mut self.frame, kind::PREPARE)
                 .whole(Field::Id, id)
@@ -356,12 +424,20 @@
 }
 
 /// A deferral is not remembered, as it invites the next try.
-pub fn remember(copy: &mut Copying, now: Time, typ: usize, mark: &[u8], word: Word, payload: &[u8]) {
+pub fn remember(
+    copy: &mut Copying,
+    now: Time,
+    typ: usize,
+    mark: &[u8],
+    word: Word,
+    payload: &[u8],
+) {
     if word == Word::Deferred {
         copy.known.remove(typ, mark);
     } else {
         let until = now + copy.keep(typ);
-        copy.known.answered(now, typ, mark, word as u8, payload, until);
+        copy.known
+            .answered(now, typ, mark, word as u8, payload, until);
     }
 }
 
