--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -182,7 +182,13 @@
         let Some(port) = self.port else { return };
         *self.number += 1;
         let mut out = Vec::new();
-        packet::write(&mut out, (vrid, priority, interval), &[v4(self.at.shared)], *self.number, self.keys);
+        packet::write(
+            &mut out,
+            (vrid, priority, interval),
+            &[v4(self.at.shared)],
+            *self.number,
+            self.keys,
+        );
         self.net.send(port, self.at.peer_vrrp, &out);
     }
 
@@ -218,8 +224,28 @@
 
 impl Parts {
     fn vrrp<N: Net>(&mut self, net: &mut N, f: impl FnOnce(&mut Router, &mut Vrrp<N>)) {
-        let Parts { at, router, keys, port, number, timer, wanted, .. } = self;
-        f(router, &mut Vrrp { net, at, keys, port: *port, number, timer, wanted });
+        let Parts {
+            at,
+            router,
+            keys,
+            port,
+            number,
+            timer,
+            wanted,
+            ..
+        } = self;
+        f(
+            router,
+            &mut Vrrp {
+                net,
+                at,
+                keys,
+                port: *port,
+                number,
+                timer,
+                wanted,
+            },
+        );
     }
 }
 
@@ -231,7 +257,13 @@
 
 impl<N: Net> Acting<'_, N> {
     fn copy(&mut self) -> &mut Copying {
-        self.gw.core.choice.host.copy.as_mut().expect("a pair copies")
+        self.gw
+            .core
+            .choice
+            .host
+            .copy
+            .as_mut()
+            .expect("a pair copies")
     }
 
     fn ask(&mut self, voter: Option<usize>, wk: Option<usize>, ballot: u64, accepting: bool) {
@@ -239,7 +271,16 @@
         let within = host.net.now() + SILENT * Time::from(self.parts.at.interval) * CENTISECOND;
         match (wk.filter(|wk| host.reachable(*wk)), voter) {
             (Some(wk), _) => {
-                let key = host.out(Task::Vote { voter, ballot, accepting }, wk, 0, within);
+                let key = host.out(
+                    Task::Vote {
+                        voter,
+                        ballot,
+                        accepting,
+                    },
+                    wk,
+                    0,
+                    within,
+                );
                 host.ride(key);
             }
             (None, Some(voter)) => self.copy().unheard.push_back((voter, (ballot, accepting))),
@@ -248,7 +289,12 @@
     }
 
     fn voter(&self, voter: usize) -> Option<usize> {
-        self.gw.core.choice.host.workers.known(&self.parts.at.voters[voter])
+        self.gw
+            .core
+            .choice
+            .host
+            .workers
+            .known(&self.parts.at.voters[voter])
     }
 
     /// All workers hear who serves, not only the voters.
@@ -280,7 +326,13 @@
 impl<N: Net> seat::Act for Acting<'_, N> {
     fn vrrp(&mut self, on: bool) {
         let net = &mut self.gw.core.choice.host.net;
-        self.parts.vrrp(net, |router, act| if on { router.startup(act) } else { router.shutdown(act) });
+        self.parts.vrrp(net, |router, act| {
+            if on {
+                router.startup(act)
+            } else {
+                router.shutdown(act)
+            }
+        });
         if !on {
             // The seat knows already.
             self.parts.wanted = None;
@@ -374,10 +426,17 @@
         let now = host.net.now();
         let copy = host.copy.as_mut()?;
         let until = now + event.left;
-        if event.resent && now < copy.forgot && copy.known.find(now, event.typ, event.mark).is_none() {
+        if event.resent
+            && now < copy.forgot
+            && copy.known.find(now, event.typ, event.mark).is_none()
+        {
             let kind = copy.kind(event.typ);
             if let Some(later) = unknown(kind, copy.two_at_once, copy.fenced_all) {
-                let word = if later { Word::Deferred } else { Word::DeadLettered };
+                let word = if later {
+                    Word::Deferred
+                } else {
+                    Word::DeadLettered
+                };
                 remember(copy, now, event.typ, event.mark, word, &[]);
                 let mut due = copy.due();
                 due.tickets.push((event.ticket, until));
@@ -432,12 +491,24 @@
         };
         let interval = Time::from(at.interval) * CENTISECOND;
         let net = self.core.net();
-        let port = net.bind(at.vrrp).map_err(|e| format!("{}: datagrams: {e}", at.vrrp))?.0;
-        let listener = net.listen(at.link).map_err(|e| format!("{}: {e}", at.link))?.0;
+        let port = net
+            .bind(at.vrrp)
+            .map_err(|e| format!("{}: datagrams: {e}", at.vrrp))?
+            .0;
+        let listener = net
+            .listen(at.link)
+            .map_err(|e| format!("{}: {e}", at.link))?
+            .0;
         net.set(now + interval / TICKS, OF_PAIR);
         let ration = Ration::new(at.ration.0, at.ration.1, at.ration.2);
-        let mut copy =
-            Copying::new(me, at.kinds.clone(), at.two_at_once, at.keeps.clone(), ration, at.copies);
+        let mut copy = Copying::new(
+            me,
+            at.kinds.clone(),
+            at.two_at_once,
+            at.keeps.clone(),
+            ration,
+            at.copies,
+        );
         copy.silence = (SILENT + 1) * interval;
         self.core.choice.host.copy = Some(Box::new(copy));
         let stood = self.core.net().stood();
@@ -478,7 +549,9 @@
 
     /// What the seat does for one thing that happened, and what VRRP said meanwhile.
     fn with_seat(&mut self, f: impl FnOnce(&mut Seat, Time, &mut Acting<N>)) {
-        let Some(mut pair) = self.pair.take() else { return };
+        let Some(mut pair) = self.pair.take() else {
+            return;
+        };
         let now = self.core.net().now();
         let Pair { seat, parts } = &mut *pair;
         f(seat, now, &mut Acting { gw: self, parts });
@@ -509,7 +582,12 @@
 
     /// Launches and answers that wait for the other member's record.
     pub fn waiting(&self) -> usize {
-        self.core.choice.host.copy.as_ref().map_or(0, |c| c.waiting())
+        self.core
+            .choice
+            .host
+            .copy
+            .as_ref()
+            .map_or(0, |c| c.waiting())
     }
 
     /// How this member of a pair stands.
@@ -556,10 +634,16 @@
                 self.peer_over();
             }
             Some(_) => {
-                let counted =
-                    if pair.seat.state() == State::Paired { pair.seat.granted.sync[1 - member] } else { 0 };
+                let counted = if pair.seat.state() == State::Paired {
+                    pair.seat.granted.sync[1 - member]
+                } else {
+                    0
+                };
                 copy.say(&mut self.core.choice.host.net, kind::PING, |f| {
-                    f.flag(Field::On, counts).whole(Field::SyncA, counted).whole(Field::Epoch, epoch).end()
+                    f.flag(Field::On, counts)
+                        .whole(Field::SyncA, counted)
+                        .whole(Field::Epoch, epoch)
+                        .end()
                 });
             }
             None if member == 1 && retry => {
@@ -662,9 +746,15 @@
         let Some(pair) = &self.pair else { return };
         let at = &pair.parts.at;
         let f = Frame::new(&mut out, kind::HELLO).whole(Field::Version, wire::VERSION);
-        let f = f.text(Field::Role, "pair").text(Field::Name, &at.name).whole(Field::Life, at.life);
-        let f = f.flag(Field::On, pair.seat.state().serves()).whole(Field::Epoch, pair.seat.epoch());
-        f.bytes(Field::Payload, at.agree.join("\n").as_bytes()).end();
+        let f = f
+            .text(Field::Role, "pair")
+            .text(Field::Name, &at.name)
+            .whole(Field::Life, at.life);
+        let f = f
+            .flag(Field::On, pair.seat.state().serves())
+            .whole(Field::Epoch, pair.seat.epoch());
+        f.bytes(Field::Payload, at.agree.join("\n").as_bytes())
+            .end();
         self.core.net().write(conn, &out);
     }
 
@@ -685,8 +775,13 @@
             other => return Err(format!("field role: {other} is not heard here")),
         }
         let (name, life) = (fields.text(Field::Name)?, fields.whole(Field::Life)?);
-        let (serves, epoch) = (fields.flag(Field::On)?, fields.upto(Field::Epoch, u64::MAX, 0)?);
-        let Some(pair) = &mut self.pair else { return Err("field role: no pair here".to_string()) };
+        let (serves, epoch) = (
+            fields.flag(Field::On)?,
+            fields.upto(Field::Epoch, u64::MAX, 0)?,
+        );
+        let Some(pair) = &mut self.pair else {
+            return Err("field role: no pair here".to_string());
+        };
         if name != pair.parts.at.peer_name {
             return Err(format!("field name: {name} is not the other member"));
         }
@@ -708,7 +803,11 @@
             // The lower priority keeps off, or the later name.
             let bar = differs.is_some() && pair.parts.me == 1;
             if let Some(line) = &differs {
-                warn!(setting = line, refuses = bar, "settings disagree with the other member's");
+                warn!(
+                    setting = line,
+                    refuses = bar,
+                    "settings disagree with the other member's"
+                );
             }
             pair.parts.disagrees = differs;
             pair.seat.bar(bar);
@@ -740,14 +839,18 @@
             parts.recorded = parts.got;
             let (host, got) = (&mut self.core.choice.host, parts.got);
             if let Some(copy) = &mut host.copy {
-                copy.say(&mut host.net, kind::RECORDED, |f| f.whole(Field::Seq, got).end());
+                copy.say(&mut host.net, kind::RECORDED, |f| {
+                    f.whole(Field::Seq, got).end()
+                });
             }
         }
     }
 
     pub(crate) fn peer_frame(&mut self, fields: &Fields) -> Result<(), String> {
         let now = self.core.net().now();
-        let Some(pair) = &mut self.pair else { return Ok(()) };
+        let Some(pair) = &mut self.pair else {
+            return Ok(());
+        };
         pair.parts.heard = now;
         match fields.kind()? {
             kind::PING => {
@@ -792,12 +895,17 @@
         const PLACES: u64 = 1 << 24; // more events than a gateway may hold
         let host = &mut self.core.choice.host;
         let now = host.net.now();
-        let (Some(pair), Some(copy)) = (&mut self.pair, &mut host.copy) else { return Ok(()) };
+        let (Some(pair), Some(copy)) = (&mut self.pair, &mut host.copy) else {
+            return Ok(());
+        };
         let parts = &mut pair.parts;
         let place = fields.upto(Field::Place, PLACES, PLACES)? as usize;
         let typ = |types: &[String]| -> Result<usize, String> {
             let name = fields.text(Field::Type)?;
-            types.iter().position(|t| t == name).ok_or_else(|| format!("field type: '{name}' is unknown"))
+            types
+                .iter()
+                .position(|t| t == name)
+                .ok_or_else(|| format!("field type: '{name}' is unknown"))
         };
         match fields.kind()? {
             kind::COPY => {
@@ -836,7 +944,11 @@
             kind::LAUNCHED => {
                 let wk = host.workers.index(fields.text(Field::Name)?);
                 if let Some(kept) = parts.theirs.get_mut(place).and_then(Option::as_mut) {
-                    kept.launches.push(fate::Launch { wk, at: now, state: fate::State::Out });
+                    kept.launches.push(fate::Launch {
+                        wk,
+                        at: now,
+                        state: fate::State::Out,
+                    });
                 }
             }
             kind::OVER => {
@@ -844,7 +956,11 @@
                 let proven = fields.flag(Field::On)?;
                 let kept = parts.theirs.get_mut(place).and_then(Option::as_mut);
                 if let Some(l) = kept.and_then(|k| k.launches.get_mut(launch)) {
-                    l.state = if proven { fate::State::ProvenNotRun } else { fate::State::MayHaveRun };
+                    l.state = if proven {
+                        fate::State::ProvenNotRun
+                    } else {
+                        fate::State::MayHaveRun
+                    };
                 }
             }
             kind::ANSWERED => {
@@ -854,7 +970,14 @@
                 match (&kept, fields.has(Field::Type)) {
                     (Some(kept), false) => remember(copy, now, kept.typ, &kept.mark, word, payload),
                     (None, false) => {}
-                    _ => remember(copy, now, typ(&host.types)?, fields.bytes(Field::Mark)?, word, payload),
+                    _ => remember(
+                        copy,
+                        now,
+                        typ(&host.types)?,
+                        fields.bytes(Field::Mark)?,
+                        word,
+                        payload,
+                    ),
                 }
                 if let Some(kept) = kept.filter(|k| !k.tickets.is_empty()) {
                     let mut due = copy.due();
@@ -866,7 +989,10 @@
             }
             kind::GONE => {
                 if let Some(kept) = parts.theirs.get_mut(place).and_then(Option::take) {
-                    let ran = kept.launches.iter().any(|l| l.state != fate::State::ProvenNotRun);
+                    let ran = kept
+                        .launches
+                        .iter()
+                        .any(|l| l.state != fate::State::ProvenNotRun);
                     if ran && copy.kind(kept.typ) != Kind::Redeliverable {
                         remember(copy, now, kept.typ, &kept.mark, Word::DeadLettered, &[]);
                     } else {
@@ -889,7 +1015,9 @@
         let host = &mut self.core.choice.host;
         let now = host.net.now();
         let Some(copy) = &mut host.copy else { return };
-        let Some(conn) = copy.conn.filter(|_| copy.on) else { return };
+        let Some(conn) = copy.conn.filter(|_| copy.on) else {
+            return;
+        };
         while host.net.unsent(conn) < COPY_AHEAD && copy.on {
             match parts.cursor {
                 Cursor::Events(place) if place < host.events.len() => {
@@ -907,13 +1035,17 @@
                         let name = host.workers.text(wk).to_string();
                         let copy = host.copy.as_mut().expect("a pair copies");
                         copy.tell(&mut host.net, kind::LAUNCHED, |f| {
-                            let f = f.whole(Field::Place, place as u64).whole(Field::Launch, launch as u64);
+                            let f = f
+                                .whole(Field::Place, place as u64)
+                                .whole(Field::Launch, launch as u64);
                             f.text(Field::Name, &name).end();
                         });
                         if let Some(proven) = proven {
                             copy.tell(&mut host.net, kind::OVER, |f| {
                                 let f = f.whole(Field::Place, place as u64);
-                                f.whole(Field::Launch, launch as u64).flag(Field::On, proven).end();
+                                f.whole(Field::Launch, launch as u64)
+                                    .flag(Field::On, proven)
+                                    .end();
                             });
                         }
                     }
@@ -933,8 +1065,12 @@
                         let (typ, mark, payload) = (entry.typ, entry.mark.clone(), payload.clone());
                         let text = word(*number).text();
                         copy.tell(&mut host.net, kind::ANSWERED, |f| {
-                            let f = f.text(Field::Type, &host.types[typ]).bytes(Field::Mark, &mark);
-                            f.text(Field::Word, text).bytes(Field::Payload, &payload).end();
+                            let f = f
+                                .text(Field::Type, &host.types[typ])
+                                .bytes(Field::Mark, &mark);
+                            f.text(Field::Word, text)
+                                .bytes(Field::Payload, &payload)
+                                .end();
                         });
                     }
                 }
@@ -949,9 +1085,14 @@
         let mut left = false;
         for place in 0..parts.theirs.len() {
             let host = &mut self.core.choice.host;
-            let (Some(copy), Some(kept)) = (&mut host.copy, &parts.theirs[place]) else { continue };
+            let (Some(copy), Some(kept)) = (&mut host.copy, &parts.theirs[place]) else {
+                continue;
+            };
             let fenced = |wk: usize| {
-                let gone = host.wks.get(wk).is_none_or(|w| w.standing() == Standing::Gone);
+                let gone = host
+                    .wks
+                    .get(wk)
+                    .is_none_or(|w| w.standing() == Standing::Gone);
                 gone || parts.fenced.get(wk).copied().unwrap_or(false)
             };
             let (kind, two) = (copy.kind(kept.typ), copy.two_at_once);
@@ -1033,7 +1174,12 @@
             held.more.retain(|t| !over(t));
             !held.more.is_empty()
         });
-        for kept in parts.theirs.iter_mut().flatten().filter(|k| !k.tickets.is_empty()) {
+        for kept in parts
+            .theirs
+            .iter_mut()
+            .flatten()
+            .filter(|k| !k.tickets.is_empty())
+        {
             late.extend(kept.tickets.iter().filter(|t| over(t)).copied());
             kept.tickets.retain(|t| !over(t));
         }
@@ -1058,10 +1204,24 @@
         }
     }
 
-    pub(crate) fn promised(&mut self, link: usize, wk: usize, fields: &Fields) -> Result<(), String> {
+    pub(crate) fn promised(
+        &mut self,
+        link: usize,
+        wk: usize,
+        fields: &Fields,
+    ) -> Result<(), String> {
         let host = &mut self.core.choice.host;
-        let Some(key) = host.key(Name::Own(fields.whole(Field::Id)?), link)? else { return Ok(()) };
-        let Task::Vote { voter, ballot, accepting } = host.outs[key].task else { return Ok(()) };
+        let Some(key) = host.key(Name::Own(fields.whole(Field::Id)?), link)? else {
+            return Ok(());
+        };
+        let Task::Vote {
+            voter,
+            ballot,
+            accepting,
+        } = host.outs[key].task
+        else {
+            return Ok(());
+        };
         let over = host.outs[key].over;
         let good = fields.flag(Field::On)?;
         let whole = |field| fields.upto(field, u64::MAX, 0);
@@ -1071,13 +1231,20 @@
             sync: [whole(Field::SyncA)?, whole(Field::SyncB)?],
             floor: whole(Field::Floor)?,
         };
-        let promise = Promise { promised: whole(Field::Ballot)?, accepted };
+        let promise = Promise {
+            promised: whole(Field::Ballot)?,
+            accepted,
+        };
         host.free(key);
         self.with_seat(|seat, now, act| {
             if let Some(voter) = voter.filter(|_| !over) {
                 seat.told(now, act, voter, (ballot, accepting), good, promise);
             }
-            if accepting && good && accepted.epoch >= seat.epoch() && accepted.member == act.parts.me {
+            if accepting
+                && good
+                && accepted.epoch >= seat.epoch()
+                && accepted.member == act.parts.me
+            {
                 let parts = &mut *act.parts;
                 if parts.fenced.len() <= wk {
                     parts.fenced.resize(wk + 1, false);
@@ -1101,8 +1268,20 @@
             }
             return;
         }
-        let Given { ticket, word, come_back, took, .. } = *given;
-        let answer = Answer { word, come_back, reason: "", payload, took };
+        let Given {
+            ticket,
+            word,
+            come_back,
+            took,
+            ..
+        } = *given;
+        let answer = Answer {
+            word,
+            come_back,
+            reason: "",
+            payload,
+            took,
+        };
         self.doors[ticket.door].answered(&mut host.net, ticket, &answer);
     }
 
@@ -1117,7 +1296,13 @@
                 continue;
             }
             let (come_back, took) = (due.come_back, due.took);
-            let answer = Answer { word, come_back, reason: "", payload: &due.payload, took };
+            let answer = Answer {
+                word,
+                come_back,
+                reason: "",
+                payload: &due.payload,
+                took,
+            };
             self.doors[ticket.door].answered(&mut host.net, *ticket, &answer);
         }
         if let Some(copy) = &mut host.copy {
@@ -1128,11 +1313,17 @@
     /// One more thing of the pair's own; false where nothing is left.
     pub(crate) fn settle_pair(&mut self) -> bool {
         let host = &mut self.core.choice.host;
-        let Some(copy) = &mut host.copy else { return false };
+        let Some(copy) = &mut host.copy else {
+            return false;
+        };
         if let Some(later) = copy.ready() {
             match later {
                 Later::Ride { key, count } => {
-                    if host.outs.get(key).is_some_and(|o| o.count == count && !o.over) {
+                    if host
+                        .outs
+                        .get(key)
+                        .is_some_and(|o| o.count == count && !o.over)
+                    {
                         host.ride(key);
                     }
                 }
@@ -1200,15 +1391,26 @@
     fn status(&mut self, conn: Conn) {
         let mut out = Vec::new();
         let host = &self.core.choice.host;
-        let (Some(pair), Some(copy)) = (&self.pair, &host.copy) else { return };
+        let (Some(pair), Some(copy)) = (&self.pair, &host.copy) else {
+            return;
+        };
         let f = Frame::new(&mut out, kind::STATUS).text(Field::Name, &pair.parts.at.name);
-        let f = f.text(Field::Word, pair.seat.state().text()).whole(Field::Epoch, pair.seat.epoch());
-        let f = f.flag(Field::On, copy.conn.is_some()).whole(Field::Life, pair.parts.at.life);
-        let f = f.whole(Field::InFlight, host.held as u64).whole(Field::Waiting, copy.waiting() as u64);
+        let f = f
+            .text(Field::Word, pair.seat.state().text())
+            .whole(Field::Epoch, pair.seat.epoch());
+        let f = f
+            .flag(Field::On, copy.conn.is_some())
+            .whole(Field::Life, pair.parts.at.life);
+        let f = f
+            .whole(Field::InFlight, host.held as u64)
+            .whole(Field::Waiting, copy.waiting() as u64);
         let kept = pair.parts.theirs.iter().flatten().count() as u64;
-        let f = f.whole(Field::Copies, kept).whole(Field::Seq, copy.seq - copy.acked);
+        let f = f
+            .whole(Field::Copies, kept)
+            .whole(Field::Seq, copy.seq - copy.acked);
         let f = f.whole(Field::Ballot, pair.parts.bad);
-        f.text(Field::Reason, pair.parts.disagrees.as_deref().unwrap_or("")).end();
+        f.text(Field::Reason, pair.parts.disagrees.as_deref().unwrap_or(""))
+            .end();
         self.core.net().write(conn, &out);
     }
 }
@@ -1223,6 +1425,10 @@
     theirs.sort_unstable();
     let mut mine: Vec<&str> = ours.iter().map(String::as_str).collect();
     mine.sort_unstable();
-    let only = |a: &[&str], b: &[&str]| a.iter().find(|l| b.binary_search(l).is_err()).map(|l| l.to_string());
+    let only = |a: &[&str], b: &[&str]| {
+        a.iter()
+            .find(|l| b.binary_search(l).is_err())
+            .map(|l| l.to_string())
+    };
     only(&mine, &theirs).or_else(|| only(&theirs, &mine))
 }
--- a/crates/tidewall-gateway/src/retry.rs
+++ b/crates/tidewall-gateway/src/retry.rs
@@ -13,7 +13,10 @@
 
 impl Retry {
     pub fn new(seed: u64, span: Time) -> Retry {
-        Retry { span, chance: ChaCha8Rng::seed_from_u64(seed) }
+        Retry {
+            span,
+            chance: ChaCha8Rng::seed_from_u64(seed),
+        }
     }
 
     pub fn wait(&mut self) -> Time {
--- a/crates/tidewall-gateway/src/start.rs
+++ b/crates/tidewall-gateway/src/start.rs
@@ -30,9 +30,16 @@
         me,
         seed,
         settings: plain(s, me),
-        roster: s.section("roster").text("address").parse().expect("checked"),
+        roster: s
+            .section("roster")
+            .text("address")
+            .parse()
+            .expect("checked"),
         roster_retry: s.section("roster").span("retry_ms"),
-        peers: gateways.iter().map(|g| g.text("peer_address").parse().ok()).collect(),
+        peers: gateways
+            .iter()
+            .map(|g| g.text("peer_address").parse().ok())
+            .collect(),
         peer_listen: None,
         setup: setup(s),
         pair: None,
@@ -47,7 +54,10 @@
     let types = s.sections("event_type");
     let kind = |t: &Section| match t.choice("redelivery").as_str() {
         "REDELIVERABLE" => Kind::Redeliverable,
-        "KEYED" => Kind::Keyed { all: t.choice("group") == "ALL", window: t.span("window_ms") },
+        "KEYED" => Kind::Keyed {
+            all: t.choice("group") == "ALL",
+            window: t.span("window_ms"),
+        },
         _ => Kind::AtMostOnce,
     };
     let keep = |t: &Section| match t.choice("redelivery").as_str() {
@@ -66,13 +76,20 @@
         peer_vrrp: at(&peer, "vrrp_address"),
         link: at(&own, "link_address"),
         peer_link: at(&peer, "link_address"),
-        shared: s.sections("gateway")[0].text("address").parse().expect("checked"),
+        shared: s.sections("gateway")[0]
+            .text("address")
+            .parse()
+            .expect("checked"),
         keys,
         voters: pair.texts("voter"),
         kinds: types.iter().map(kind).collect(),
         keeps: types.iter().map(keep).collect(),
         two_at_once: limits.flag("two_at_once"),
-        ration: (loading.span("window_ms"), loading.number("free"), loading.number("share")),
+        ration: (
+            loading.span("window_ms"),
+            loading.number("free"),
+            loading.number("share"),
+        ),
         agree: agree(s),
         copies: true,
     }
@@ -87,19 +104,28 @@
             continue;
         }
         let bad = |what: &str| format!("{file}:{}:1: {what}", i + 1);
-        let (id, hex) = line.split_once(' ').ok_or_else(|| bad("a number and a key are needed"))?;
-        let id = id.parse::<u8>().map_err(|_| bad("the number is not within 0 to 255"))?;
+        let (id, hex) = line
+            .split_once(' ')
+            .ok_or_else(|| bad("a number and a key are needed"))?;
+        let id = id
+            .parse::<u8>()
+            .map_err(|_| bad("the number is not within 0 to 255"))?;
         let hex = hex.trim();
         // Shorter ones could be tried out.
         if hex.len() < 32 || hex.len() % 2 == 1 || !hex.is_ascii() {
-            return Err(bad("a key has an even number of at least 32 hexadecimal digits"));
+            return Err(bad(
+                "a key has an even number of at least 32 hexadecimal digits",
+            ));
         }
         let octet = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16);
         let key: Result<Vec<u8>, _> = (0..hex.len()).step_by(2).map(octet).collect();
         if keys.0.iter().any(|k| k.0 == id) {
             return Err(bad("the number stands twice"));
         }
-        keys.0.push((id, key.map_err(|_| bad("a key has hexadecimal digits only"))?));
+        keys.0.push((
+            id,
+            key.map_err(|_| bad("a key has hexadecimal digits only"))?,
+        ));
     }
     if keys.0.is_empty() {
         return Err(format!("{file}:1:1: there is no key"));
--- a/crates/tidewall-gateway/src/way.rs
+++ b/crates/tidewall-gateway/src/way.rs
@@ -58,7 +58,13 @@
     fn known(&self) -> bool;
     fn begun(&mut self, name: Name, payload: &[u8]) -> Result<(), String>;
     /// The end of a launch. `note` holds what is known of the copy, and eight times the company.
-    fn ended(&mut self, name: Name, outcome: Outcome, note: u32, payload: &[u8]) -> Result<(), String>;
+    fn ended(
+        &mut self,
+        name: Name,
+        outcome: Outcome,
+        note: u32,
+        payload: &[u8],
+    ) -> Result<(), String>;
     fn held(&mut self, name: Name, outcome: Outcome, copies: u32) -> Result<(), String>;
     /// Whether it said that it is well.
     fn probed(&mut self, name: Name, well: bool) -> Result<(), String>;
--- a/crates/tidewall-gateway/tests/descriptors.rs
+++ b/crates/tidewall-gateway/tests/descriptors.rs
@@ -44,7 +44,11 @@
 
 #[test]
 fn without_a_descriptor_a_connection_counts_as_none_and_accepting_resumes() {
-    let mut probe = Probe { net: Mio::new().unwrap(), accepted: 0, over: Vec::new() };
+    let mut probe = Probe {
+        net: Mio::new().unwrap(),
+        accepted: 0,
+        over: Vec::new(),
+    };
     let (_, at) = probe.net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let worker = TcpListener::bind("127.0.0.1:0").unwrap();
     let client = TcpStream::connect_timeout(&at, Duration::from_secs(1)).unwrap();
@@ -61,6 +65,9 @@
     assert_eq!((&probe.over[..], probe.accepted), (&[Why::Refused][..], 0));
     held.clear();
     pass(&mut probe, 2_500);
-    assert_eq!(probe.accepted, 1, "accepting goes on when descriptors are back");
+    assert_eq!(
+        probe.accepted, 1,
+        "accepting goes on when descriptors are back"
+    );
     drop(client);
 }
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -31,9 +31,19 @@
         s.send(&out);
     }
     s.pass(12_000);
-    assert_eq!(s.client.words(1), if leaves { vec![] } else { vec!["dead-lettered"] });
+    assert_eq!(
+        s.client.words(1),
+        if leaves {
+            vec![]
+        } else {
+            vec!["dead-lettered"]
+        }
+    );
     let told = s.client.got.iter().find(|g| g.kind == kind::ANSWER);
-    assert!(told.is_none_or(|t| t.at <= 1_000 + 10_000 + 10), "before its client gives up");
+    assert!(
+        told.is_none_or(|t| t.at <= 1_000 + 10_000 + 10),
+        "before its client gives up"
+    );
     s.pass(30_000);
     assert_eq!((s.gateway.held(), s.gateway.outstanding()), (0, 0));
     // A further event finds all places good.
@@ -57,7 +67,11 @@
     s.workers.iter_mut().for_each(|w| w.got.clear());
     s.ask(11..111, "check", 20_000);
     s.pass(300);
-    assert!(s.launches() <= 2, "{} launches at once on cold workers", s.launches());
+    assert!(
+        s.launches() <= 2,
+        "{} launches at once on cold workers",
+        s.launches()
+    );
     s.pass(25_000);
     s.all_answered(11..111);
 }
@@ -68,7 +82,10 @@
 
 impl Shelf for Kept {
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
-        let young = tidewall_gateway::list::Entry { age: 5_000, ..entry(0) };
+        let young = tidewall_gateway::list::Entry {
+            age: 5_000,
+            ..entry(0)
+        };
         Ok(Some((tidewall_gateway::list::encode(&[young]), self.0)))
     }
     fn write(&mut self, _: &[u8]) -> io::Result<()> {
@@ -84,7 +101,11 @@
     s.workers[0].age = 10_000;
     s.ask(1..101, "check", 20_000);
     s.pass(300);
-    assert!(s.launches() <= 2, "{} launches at once on a cold worker", s.launches());
+    assert!(
+        s.launches() <= 2,
+        "{} launches at once on a cold worker",
+        s.launches()
+    );
     s.pass(25_000);
     s.all_answered(1..101);
 }
@@ -100,7 +121,11 @@
 #[test_case(false; "waiting for a greeting")]
 #[test_case(true; "in the write buffer")]
 fn nothing_leaves_after_the_grace_of_a_drain(greeted: bool) {
-    let setup = Setup { connect_time_out: 60_000, streams: 10_000, ..setup() };
+    let setup = Setup {
+        connect_time_out: 60_000,
+        streams: 10_000,
+        ..setup()
+    };
     let mut s = site_with(&[Does::Nothing], setup, Box::new(NoShelf));
     let mut first = 1;
     if greeted {
@@ -118,13 +143,22 @@
         s.pass(1);
     }
     s.pass(200);
-    let sent = if greeted { (2 << 20) / payload.len() } else { 0 };
+    let sent = if greeted {
+        (2 << 20) / payload.len()
+    } else {
+        0
+    };
     drained(&mut s);
     s.pass(25_000);
     s.workers[0].net.still(false);
     s.pass(80_000);
-    let after = s.workers[0].launches().saturating_sub(first * usize::from(greeted));
-    assert!(after <= sent, "{after} launches came, {sent} had left the gateway in time");
+    let after = s.workers[0]
+        .launches()
+        .saturating_sub(first * usize::from(greeted));
+    assert!(
+        after <= sent,
+        "{after} launches came, {sent} had left the gateway in time"
+    );
     s.all_answered(2..22);
 }
 
@@ -160,16 +194,26 @@
 fn half_a_list_changes_nothing() {
     let mut s = site(&[Does::Answers]);
     let mut list = Entries::default();
-    let moved = tidewall_gateway::list::Entry { at: at("127.0.0.1:999"), life: 9, ..entry(0) };
+    let moved = tidewall_gateway::list::Entry {
+        at: at("127.0.0.1:999"),
+        life: 9,
+        ..entry(0)
+    };
     list.add(|f| write(f, &moved));
     list.add(|f| f.text(Field::Name, "w1").text(Field::Place, "nowhere"));
     let mut out = Vec::new();
-    Frame::new(&mut out, kind::ROSTER).text(Field::Scope, "patch").entries(&list).end();
+    Frame::new(&mut out, kind::ROSTER)
+        .text(Field::Scope, "patch")
+        .entries(&list)
+        .end();
     s.roster.say(&out);
     s.pass(100);
     s.ask(1..11, "check", 4_000);
     s.pass(5_000);
-    assert!((1..11).all(|id| s.client.words(id) == ["handled"]), "the former list holds");
+    assert!(
+        (1..11).all(|id| s.client.words(id) == ["handled"]),
+        "the former list holds"
+    );
     assert_eq!(s.gateway.counts().malformed, 1);
 }
 
@@ -211,9 +255,17 @@
     });
     let mut at: Vec<Time> = sites.flatten().collect();
     at.sort_unstable();
-    let most = at.chunk_by(|a, b| a.abs_diff(*b) == 0).map(<[_]>::len).max().unwrap();
+    let most = at
+        .chunk_by(|a, b| a.abs_diff(*b) == 0)
+        .map(<[_]>::len)
+        .max()
+        .unwrap();
     // All ask at once when it goes; not so from then on.
-    assert!(at.len() > 100 && most <= 10, "{most} of 20 gateways in one millisecond, {} in all", at.len());
+    assert!(
+        at.len() > 100 && most <= 10,
+        "{most} of 20 gateways in one millisecond, {} in all",
+        at.len()
+    );
 }
 
 /// Nothing follows from a part of an end but that the launch may have run.
@@ -222,7 +274,9 @@
 fn a_workers_answer_is_cut_at_every_byte(typ: &str, word: &str, most: usize) {
     let whole = {
         let mut out = Vec::new();
-        let f = Frame::new(&mut out, kind::END).whole(Field::Id, 1 << 32).text(Field::Outcome, "ok");
+        let f = Frame::new(&mut out, kind::END)
+            .whole(Field::Id, 1 << 32)
+            .text(Field::Outcome, "ok");
         f.whole(Field::Copy, 1).end();
         out.len()
     };
@@ -231,8 +285,16 @@
         s.ask(1..2, typ, 20_000);
         s.pass(25_000);
         s.all_answered(1..2);
-        assert!((1..=most).contains(&s.launches()), "{} launches", s.launches());
-        assert!(s.client.words(1) == [word], "{bytes}: {:?}", s.client.words(1));
+        assert!(
+            (1..=most).contains(&s.launches()),
+            "{} launches",
+            s.launches()
+        );
+        assert!(
+            s.client.words(1) == [word],
+            "{bytes}: {:?}",
+            s.client.words(1)
+        );
         assert_eq!((s.gateway.held(), s.gateway.outstanding()), (0, 0));
     }
 }
@@ -248,7 +310,10 @@
         s.pass(100);
         s.client.net.kill();
         s.pass(1_000);
-        assert_eq!((s.gateway.counts().taken, s.gateway.held(), s.launches()), (0, 0, 0));
+        assert_eq!(
+            (s.gateway.counts().taken, s.gateway.held(), s.launches()),
+            (0, 0, 0)
+        );
     }
 }
 
@@ -278,7 +343,14 @@
 
 fn disk(fails: usize, takes: u64) -> (Disk, Receiver<Vec<u8>>) {
     let (wrote, told) = channel();
-    (Disk { fails, takes: Duration::from_millis(takes), wrote }, told)
+    (
+        Disk {
+            fails,
+            takes: Duration::from_millis(takes),
+            wrote,
+        },
+        told,
+    )
 }
 
 impl Shelf for Disk {
@@ -291,7 +363,9 @@
             self.fails -= 1;
             return Err(io::ErrorKind::StorageFull.into());
         }
-        self.wrote.send(bytes.to_vec()).map_err(|_| io::ErrorKind::BrokenPipe.into())
+        self.wrote
+            .send(bytes.to_vec())
+            .map_err(|_| io::ErrorKind::BrokenPipe.into())
     }
 }
 
@@ -324,7 +398,10 @@
     std::fs::create_dir(at("g0.new")).unwrap();
     for name in ["g0.list", "g0.last"] {
         FileShelf(at(name)).write(name.as_bytes()).unwrap();
-        assert_eq!(FileShelf(at(name)).read().unwrap().unwrap().0, name.as_bytes());
+        assert_eq!(
+            FileShelf(at(name)).read().unwrap().unwrap().0,
+            name.as_bytes()
+        );
     }
 }
 
@@ -336,7 +413,10 @@
         let mut flipped = whole.clone();
         flipped[at] ^= 0x41;
         assert!(tidewall_gateway::list::decode(&whole[..at], 0).is_err());
-        assert!(tidewall_gateway::list::decode(&flipped, 0).is_err(), "byte {at}");
+        assert!(
+            tidewall_gateway::list::decode(&flipped, 0).is_err(),
+            "byte {at}"
+        );
     }
     let keys = "# keys\n1 00112233445566778899aabbccddeeff\n";
     assert!(tidewall_gateway::start::keys("f", keys).is_ok());
--- a/crates/tidewall-gateway/tests/hard.rs
+++ b/crates/tidewall-gateway/tests/hard.rs
@@ -20,7 +20,10 @@
     s.all_answered(1..101);
     // The decisions may defer some of so many at once; none is lost on the way.
     let counts = s.gateway.counts();
-    assert!(counts.handled > 20 && counts.handled + counts.deferred == 100, "{counts:?}");
+    assert!(
+        counts.handled > 20 && counts.handled + counts.deferred == 100,
+        "{counts:?}"
+    );
 }
 
 #[test_case("check", "deferred", 1 ; "redeliverable")]
@@ -31,9 +34,19 @@
     s.pass(20_000);
     s.all_answered(1..2);
     assert_eq!((s.client.words(1), s.launches()), (vec![word], launches));
-    let told = s.client.got.iter().find(|g| g.kind == kind::ANSWER).unwrap().at;
+    let told = s
+        .client
+        .got
+        .iter()
+        .find(|g| g.kind == kind::ANSWER)
+        .unwrap()
+        .at;
     assert!(told < 1_000 + 5_000 + 10, "before its client gives up");
-    assert_eq!(s.gateway.outstanding(), 0, "the late end was taken off the books");
+    assert_eq!(
+        s.gateway.outstanding(),
+        0,
+        "the late end was taken off the books"
+    );
 }
 
 #[test]
@@ -63,7 +76,10 @@
     assert_eq!((s.gateway.held(), s.gateway.outstanding()), (0, 0));
     let counts = s.gateway.counts();
     assert_eq!(counts.lapsed + counts.handled, 39);
-    assert!(counts.lapsed > 0 && counts.handled > 0, "both came first at times");
+    assert!(
+        counts.lapsed > 0 && counts.handled > 0,
+        "both came first at times"
+    );
 }
 
 #[test]
@@ -75,7 +91,10 @@
     // One whose time ends while its launch waits for the connection is dead-lettered: the decisions cannot
     // know that nothing was sent.
     let counts = s.gateway.counts();
-    assert!(counts.deferred > 150 && counts.deferred + counts.dead_lettered == 199, "{counts:?}");
+    assert!(
+        counts.deferred > 150 && counts.deferred + counts.dead_lettered == 199,
+        "{counts:?}"
+    );
     assert_eq!(s.launches(), 0);
 }
 
@@ -97,8 +116,13 @@
     }
     s.pass(30_000);
     s.all_answered(2..100);
-    let deferred = (2..100).filter(|id| s.client.words(*id) == ["deferred"]).count();
-    assert!((1..98).contains(&deferred), "{deferred} were proven not run");
+    let deferred = (2..100)
+        .filter(|id| s.client.words(*id) == ["deferred"])
+        .count();
+    assert!(
+        (1..98).contains(&deferred),
+        "{deferred} were proven not run"
+    );
 }
 
 #[test]
@@ -124,7 +148,10 @@
     s.ask(6..11, "check", 20_000);
     s.pass(25_000);
     s.all_answered(1..11);
-    assert!((1..11).all(|id| s.client.words(id) == ["handled"]), "no worker was left out for it");
+    assert!(
+        (1..11).all(|id| s.client.words(id) == ["handled"]),
+        "no worker was left out for it"
+    );
 }
 
 /// Left over: less than it stood still, so it may be over already; or so little more that neither an answer nor silence would be
@@ -140,7 +167,10 @@
     s.hand.still(false);
     s.pass(20_000);
     let words = [s.client.words(1), s.client.words(2), s.client.words(3)];
-    assert_eq!(words, [vec!["turned-away"], vec!["turned-away"], vec!["handled"]]);
+    assert_eq!(
+        words,
+        [vec!["turned-away"], vec!["turned-away"], vec!["handled"]]
+    );
     assert_eq!(s.gateway.counts().taken, 1);
 }
 
@@ -152,7 +182,10 @@
         s.ask(id..id + 1, "check", 9_000);
         s.pass(10_000);
     }
-    assert!((1..61).all(|id| s.client.words(id) == ["handled"]), "the last list holds");
+    assert!(
+        (1..61).all(|id| s.client.words(id) == ["handled"]),
+        "the last list holds"
+    );
 }
 
 #[test]
@@ -162,7 +195,11 @@
     s.workers[1].name = "w0".to_string();
     s.ask(1..21, "issue", 5_000);
     s.pass(10_000);
-    assert_eq!(s.launches(), 0, "nothing is sent to one that answers by another name");
+    assert_eq!(
+        s.launches(),
+        0,
+        "nothing is sent to one that answers by another name"
+    );
     s.all_answered(1..21);
     s.roster.entries.swap(0, 1);
     (s.roster.entries[0].name, s.roster.entries[1].name) = ("w0".into(), "w1".into());
@@ -190,8 +227,14 @@
     s.send(bytes);
     s.pass(20_000);
     let error = s.client.got.iter().find(|g| g.kind == kind::ERROR).unwrap();
-    assert!(error.word.contains(names) && error.conn != other, "{error:?}");
-    assert_eq!((s.client.words(1), s.gateway.counts().malformed), (vec!["handled"], 1));
+    assert!(
+        error.word.contains(names) && error.conn != other,
+        "{error:?}"
+    );
+    assert_eq!(
+        (s.client.words(1), s.gateway.counts().malformed),
+        (vec!["handled"], 1)
+    );
     assert_eq!(s.client.over, [Why::Ended]);
 }
 
@@ -249,7 +292,11 @@
         assert_eq!(shelf.read().unwrap().unwrap().0, old);
         assert!(decode(&new[..cut], 0).is_err(), "a torn list is not used");
     }
-    let mut s = site_with(&[Does::Answers], setup(), Box::new(FileShelf(folder.join("g0.list"))));
+    let mut s = site_with(
+        &[Does::Answers],
+        setup(),
+        Box::new(FileShelf(folder.join("g0.list"))),
+    );
     s.roster.net.kill();
     s.ask(1..2, "check", 20_000);
     s.pass(20_000);
@@ -259,14 +306,24 @@
 
 #[test]
 fn a_list_that_is_kept_ages_with_the_time_that_passed() {
-    let young = tidewall_gateway::list::Entry { age: 100, ..entry(1) };
+    let young = tidewall_gateway::list::Entry {
+        age: 100,
+        ..entry(1)
+    };
     let back = decode(&encode(&[entry(0), young]), 5_000).unwrap();
     assert_eq!((back[0].age, back[1].age), (0, 5_100));
 }
 
 #[test]
 fn beyond_what_is_held_an_event_is_turned_away() {
-    let mut s = site_with(&[Does::Nothing], help::Setup { most_held: 10, ..setup() }, Box::new(NoShelf));
+    let mut s = site_with(
+        &[Does::Nothing],
+        help::Setup {
+            most_held: 10,
+            ..setup()
+        },
+        Box::new(NoShelf),
+    );
     s.ask(1..16, "check", 20_000);
     s.pass(100);
     assert_eq!(s.gateway.held(), 10);
@@ -296,6 +353,10 @@
     s.client.net.kill();
     s.pass(100);
     assert_eq!((s.gateway.held(), s.gateway.counts().lapsed), (0, 5));
-    let cancels = s.workers[0].got.iter().filter(|g| g.kind == kind::CANCEL).count();
+    let cancels = s.workers[0]
+        .got
+        .iter()
+        .filter(|g| g.kind == kind::CANCEL)
+        .count();
     assert_eq!(cancels, 5);
 }
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -72,7 +72,10 @@
 
     /// The words that a client got for an event.
     pub fn words(&self, id: u64) -> Vec<&str> {
-        let answers = self.got.iter().filter(|g| g.kind == kind::ANSWER && g.id == id);
+        let answers = self
+            .got
+            .iter()
+            .filter(|g| g.kind == kind::ANSWER && g.id == id);
         answers.map(|g| g.word.as_str()).collect()
     }
 
@@ -84,9 +87,17 @@
 
     fn end(&mut self, conn: Conn, id: u64, outcome: &str) {
         let mut out = Vec::new();
-        let f = Frame::new(&mut out, kind::END).whole(Field::Id, id).text(Field::Outcome, outcome);
-        let payload = if let Does::AnswersWith(size) = self.does { vec![7; size] } else { Vec::new() };
-        f.whole(Field::Copy, 1).bytes(Field::Payload, &payload).end();
+        let f = Frame::new(&mut out, kind::END)
+            .whole(Field::Id, id)
+            .text(Field::Outcome, outcome);
+        let payload = if let Does::AnswersWith(size) = self.does {
+            vec![7; size]
+        } else {
+            Vec::new()
+        };
+        f.whole(Field::Copy, 1)
+            .bytes(Field::Payload, &payload)
+            .end();
         self.net.write(conn, &out);
     }
 
@@ -94,7 +105,10 @@
         let mut list = Entries::default();
         self.entries.iter().for_each(|e| list.add(|f| write(f, e)));
         let mut out = Vec::new();
-        Frame::new(&mut out, kind::ROSTER).text(Field::Scope, "whole").entries(&list).end();
+        Frame::new(&mut out, kind::ROSTER)
+            .text(Field::Scope, "whole")
+            .entries(&list)
+            .end();
         self.net.write(conn, &out);
     }
 
@@ -121,11 +135,25 @@
 
     fn frame(&mut self, conn: Conn, fields: &Fields) {
         let kind = fields.kind().unwrap();
-        let word = [Field::Word, Field::Reason].into_iter().find_map(|f| fields.text(f).ok()).unwrap_or("");
-        let (id, event) = (fields.whole(Field::Id).unwrap_or(0), fields.whole(Field::Event).unwrap_or(0));
+        let word = [Field::Word, Field::Reason]
+            .into_iter()
+            .find_map(|f| fields.text(f).ok())
+            .unwrap_or("");
+        let (id, event) = (
+            fields.whole(Field::Id).unwrap_or(0),
+            fields.whole(Field::Event).unwrap_or(0),
+        );
         let come_back = fields.whole(Field::ComeBack).unwrap_or(0);
         let (word, at) = (word.to_string(), self.net.now());
-        self.got.push(Got { conn, kind, id, event, word, come_back, at });
+        self.got.push(Got {
+            conn,
+            kind,
+            id,
+            event,
+            word,
+            come_back,
+            at,
+        });
         let mut out = Vec::new();
         match (self.role, kind) {
             ("client", _) => {}
@@ -145,7 +173,9 @@
             (_, kind::LAUNCH) => match self.does {
                 Does::Answers | Does::AnswersWith(_) => self.end(conn, id, "ok"),
                 Does::BreaksOff(bytes) => {
-                    let f = Frame::new(&mut out, kind::END).whole(Field::Id, id).text(Field::Outcome, "ok");
+                    let f = Frame::new(&mut out, kind::END)
+                        .whole(Field::Id, id)
+                        .text(Field::Outcome, "ok");
                     f.whole(Field::Copy, 1).end();
                     out.truncate(bytes);
                     self.net.write(conn, &out);
@@ -169,7 +199,9 @@
             },
             (_, kind::HOLD) => {
                 let copies = fields.whole(Field::Copies).unwrap();
-                let f = Frame::new(&mut out, kind::HELD).whole(Field::Id, id).text(Field::Outcome, "ok");
+                let f = Frame::new(&mut out, kind::HELD)
+                    .whole(Field::Id, id)
+                    .text(Field::Outcome, "ok");
                 f.whole(Field::Copies, copies).end();
                 self.net.write(conn, &out);
             }
@@ -321,8 +353,17 @@
         pair: None,
     };
     let mut gateway = Gateway::new(hand.clone(), start, shelf).unwrap();
-    gateway.open(at(GATEWAY), Box::new(Native::new(0, "g0"))).unwrap();
-    let mut site = Site { world, gateway, hand, roster, workers, client };
+    gateway
+        .open(at(GATEWAY), Box::new(Native::new(0, "g0")))
+        .unwrap();
+    let mut site = Site {
+        world,
+        gateway,
+        hand,
+        roster,
+        workers,
+        client,
+    };
     site.client.connect();
     site.pass(1_000);
     site
@@ -362,7 +403,12 @@
     /// Nothing is left in hand, and each of these events has just one answer.
     pub fn all_answered(&self, ids: std::ops::Range<u64>) {
         for id in ids {
-            assert_eq!(self.client.words(id).len(), 1, "event {id}: {:?}", self.client.words(id));
+            assert_eq!(
+                self.client.words(id).len(),
+                1,
+                "event {id}: {:?}",
+                self.client.words(id)
+            );
         }
         assert_eq!(self.gateway.held(), 0);
     }
@@ -373,7 +419,14 @@
 }
 
 pub fn event(out: &mut Vec<u8>, id: u64, typ: &str, left: Time, payload: &[u8]) {
-    let f = Frame::new(out, kind::EVENT).whole(Field::Id, id).text(Field::Type, typ);
-    let f = f.text(Field::Function, "f").whole(Field::Lanes, 1000).whole(Field::Left, left);
-    f.bytes(Field::Mark, &id.to_be_bytes()).bytes(Field::Payload, payload).end();
+    let f = Frame::new(out, kind::EVENT)
+        .whole(Field::Id, id)
+        .text(Field::Type, typ);
+    let f = f
+        .text(Field::Function, "f")
+        .whole(Field::Lanes, 1000)
+        .whole(Field::Left, left);
+    f.bytes(Field::Mark, &id.to_be_bytes())
+        .bytes(Field::Payload, payload)
+        .end();
 }
--- a/crates/tidewall-interop/tests/amqprs.rs
+++ b/crates/tidewall-interop/tests/amqprs.rs
@@ -22,12 +22,19 @@
 const SOON: Duration = Duration::from_secs(20);
 
 fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 /// A gateway with its door, and two stand-in workers; they end with the test's process.
 fn site() -> SocketAddr {
-    let cheap = Argon2::new(Algorithm::Argon2id, Version::V0x13, Params::new(8, 1, 1, None).unwrap());
+    let cheap = Argon2::new(
+        Algorithm::Argon2id,
+        Version::V0x13,
+        Params::new(8, 1, 1, None).unwrap(),
+    );
     let salt = SaltString::encode_b64(b"0123456789abcdef").unwrap();
     let hash = cheap.hash_password(b"secret", &salt).unwrap().to_string();
     let (door, roster) = (free(), free());
@@ -102,7 +109,13 @@
 }
 
 async fn connect(at: SocketAddr, password: &str) -> Result<Connection, amqprs::error::Error> {
-    Connection::open(&OpenConnectionArguments::new("127.0.0.1", at.port(), "terminal", password)).await
+    Connection::open(&OpenConnectionArguments::new(
+        "127.0.0.1",
+        at.port(),
+        "terminal",
+        password,
+    ))
+    .await
 }
 
 /// Hands each delivery on: tag, correlation-id, type, body.
@@ -110,7 +123,13 @@
 
 #[async_trait::async_trait]
 impl AsyncConsumer for Hand {
-    async fn consume(&mut self, _: &amqprs::channel::Channel, d: Deliver, p: BasicProperties, body: Vec<u8>) {
+    async fn consume(
+        &mut self,
+        _: &amqprs::channel::Channel,
+        d: Deliver,
+        p: BasicProperties,
+        body: Vec<u8>,
+    ) {
         let text = |t: Option<&String>| t.cloned().unwrap_or_default();
         let told = (
             d.delivery_tag(),
@@ -125,42 +144,80 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_published_client_declares_publishes_consumes_and_closes() {
     let door = site();
-    assert!(connect(door, "wrong").await.is_err(), "a wrong password is refused");
+    assert!(
+        connect(door, "wrong").await.is_err(),
+        "a wrong password is refused"
+    );
     let connection = connect(door, "secret").await.unwrap();
     let channel = connection.open_channel(None).await.unwrap();
-    channel.confirm_select(ConfirmSelectArguments::default()).await.unwrap();
+    channel
+        .confirm_select(ConfirmSelectArguments::default())
+        .await
+        .unwrap();
 
     // Plain queues: declare, bind to a topic exchange, publish, consume, ack.
-    channel.exchange_declare(ExchangeDeclareArguments::new("t", "topic")).await.unwrap();
-    let (queue, _, _) = channel.queue_declare(QueueDeclareArguments::new("q")).await.unwrap().unwrap();
-    channel.queue_bind(QueueBindArguments::new(&queue, "t", "stock.#")).await.unwrap();
+    channel
+        .exchange_declare(ExchangeDeclareArguments::new("t", "topic"))
+        .await
+        .unwrap();
+    let (queue, _, _) = channel
+        .queue_declare(QueueDeclareArguments::new("q"))
+        .await
+        .unwrap()
+        .unwrap();
+    channel
+        .queue_bind(QueueBindArguments::new(&queue, "t", "stock.#"))
+        .await
+        .unwrap();
     let (tell, mut told) = unbounded_channel();
-    channel.basic_consume(Hand(tell), BasicConsumeArguments::new("q", "c")).await.unwrap();
+    channel
+        .basic_consume(Hand(tell), BasicConsumeArguments::new("q", "c"))
+        .await
+        .unwrap();
     for i in 0..3 {
         let to = BasicPublishArguments::new("t", "stock.hall.1");
-        channel.basic_publish(BasicProperties::default(), format!("m{i}").into_bytes(), to).await.unwrap();
+        channel
+            .basic_publish(BasicProperties::default(), format!("m{i}").into_bytes(), to)
+            .await
+            .unwrap();
     }
     for i in 0..3 {
         let (tag, _, _, body) = timeout(SOON, told.recv()).await.unwrap().unwrap();
         assert_eq!(body, format!("m{i}"));
-        channel.basic_ack(BasicAckArguments::new(tag, false)).await.unwrap();
+        channel
+            .basic_ack(BasicAckArguments::new(tag, false))
+            .await
+            .unwrap();
     }
 
     // Triggers, answered to a queue of our own. The first may be deferred while the gateway learns its workers.
-    channel.queue_declare(QueueDeclareArguments::new("answers")).await.unwrap();
+    channel
+        .queue_declare(QueueDeclareArguments::new("answers"))
+        .await
+        .unwrap();
     let (tell, mut told) = unbounded_channel();
     channel
-        .basic_consume(Hand(tell), BasicConsumeArguments::new("answers", "a").auto_ack(true).finish())
+        .basic_consume(
+            Hand(tell),
+            BasicConsumeArguments::new("answers", "a")
+                .auto_ack(true)
+                .finish(),
+        )
         .await
         .unwrap();
     let mut handled = 0;
     for i in 0..30 {
         let mut p = BasicProperties::default();
-        p.with_correlation_id(&i.to_string()).with_reply_to("answers").with_message_id(&format!("id{i}"));
+        p.with_correlation_id(&i.to_string())
+            .with_reply_to("answers")
+            .with_message_id(&format!("id{i}"));
         p.with_expiration("1000");
         let to = BasicPublishArguments::new("tidewall.events", "check.p0");
         // The stand-ins read the work from the body: five milliseconds.
-        channel.basic_publish(p, 50u32.to_be_bytes().to_vec(), to).await.unwrap();
+        channel
+            .basic_publish(p, 50u32.to_be_bytes().to_vec(), to)
+            .await
+            .unwrap();
         let (_, correlation, word, _) = timeout(SOON, told.recv()).await.unwrap().unwrap();
         assert_eq!(correlation, i.to_string());
         handled += usize::from(word == "handled");
@@ -174,7 +231,10 @@
     // Heartbeats keep an idle connection open: three intervals pass.
     tokio::time::sleep(Duration::from_millis(3_200)).await;
     assert!(connection.is_open());
-    channel.queue_delete(QueueDeleteArguments::new("q")).await.unwrap();
+    channel
+        .queue_delete(QueueDeleteArguments::new("q"))
+        .await
+        .unwrap();
     channel.close().await.unwrap();
     connection.close().await.unwrap();
 }
--- a/crates/tidewall-lease/src/holder.rs
+++ b/crates/tidewall-lease/src/holder.rs
@@ -14,13 +14,21 @@
 
 /// Which list a lease is filed in, and at which time.
 fn place(lease: &Lease) -> (bool, Time) {
-    (matches!(lease.state, State::Held | State::Stopping), lease.next)
+    (
+        matches!(lease.state, State::Held | State::Stopping),
+        lease.next,
+    )
 }
 
 impl Holder {
     pub fn new(terms: Terms, tasks: usize) -> Holder {
         let leases = (0..tasks).map(Lease::new).collect();
-        Holder { terms, leases, runs: BTreeSet::new(), claims: BTreeSet::new() }
+        Holder {
+            terms,
+            leases,
+            runs: BTreeSet::new(),
+            claims: BTreeSet::new(),
+        }
     }
 
     pub fn lease(&self, task: usize) -> &Lease {
@@ -33,7 +41,10 @@
 
     /// Tasks that may be acted on here now.
     pub fn held(&self, now: Time) -> usize {
-        self.runs.iter().filter(|r| self.leases[r.1].may(now)).count()
+        self.runs
+            .iter()
+            .filter(|r| self.leases[r.1].may(now))
+            .count()
     }
 
     /// Leases that run here, given back or not.
@@ -48,9 +59,17 @@
         let done = happen(lease, &self.terms);
         let (runs, next) = place(lease);
         if (ran, at) != (runs, next) {
-            let list = if ran { &mut self.runs } else { &mut self.claims };
+            let list = if ran {
+                &mut self.runs
+            } else {
+                &mut self.claims
+            };
             list.remove(&(at, task));
-            let list = if runs { &mut self.runs } else { &mut self.claims };
+            let list = if runs {
+                &mut self.runs
+            } else {
+                &mut self.claims
+            };
             if next != Time::MAX {
                 list.insert((next, task));
             }
@@ -86,7 +105,8 @@
 
     /// Whether it was given back now.
     pub fn stopped(&mut self, now: Time, host: &mut impl Host, task: usize, epoch: u64) -> bool {
-        self.with(task, |l, t| l.stopped(now, t, host, epoch)).unwrap_or(false)
+        self.with(task, |l, t| l.stopped(now, t, host, epoch))
+            .unwrap_or(false)
     }
 
     pub fn outbid(&mut self, now: Time, host: &mut impl Host, task: usize, epoch: u64) {
@@ -96,7 +116,10 @@
     /// When something is due here.
     pub fn next(&self) -> Option<Time> {
         let first = |list: &BTreeSet<(Time, usize)>| list.first().map(|f| f.0);
-        first(&self.runs).into_iter().chain(first(&self.claims)).min()
+        first(&self.runs)
+            .into_iter()
+            .chain(first(&self.claims))
+            .min()
     }
 
     /// What is due is done for `most` tasks at most; gives back for how many it was.
@@ -104,8 +127,11 @@
         let mut done = 0;
         while done < most {
             // What runs out goes before what does not run yet.
-            let first = |list: &BTreeSet<(Time, usize)>| list.first().filter(|f| f.0 <= now).map(|f| f.1);
-            let Some(task) = first(&self.runs).or_else(|| first(&self.claims)) else { break };
+            let first =
+                |list: &BTreeSet<(Time, usize)>| list.first().filter(|f| f.0 <= now).map(|f| f.1);
+            let Some(task) = first(&self.runs).or_else(|| first(&self.claims)) else {
+                break;
+            };
             self.with(task, |l, t| l.due(now, t, host));
             done += 1;
         }
--- a/crates/tidewall-lease/src/keeper.rs
+++ b/crates/tidewall-lease/src/keeper.rs
@@ -51,7 +51,11 @@
         if now >= self.until {
             promise.accepted = Grant::default();
         }
-        Answer { good, promise, left: self.until.saturating_sub(now) }
+        Answer {
+            good,
+            promise,
+            left: self.until.saturating_sub(now),
+        }
     }
 
     /// A member asks for leave under a ballot of its own. While another's lease runs nothing is promised: a promise
@@ -88,7 +92,11 @@
 impl Keeper {
     pub fn new(now: Time, tasks: usize, term: Time, guards: Guards) -> Keeper {
         let quiet = if guards.quiet { now + term } else { now };
-        Keeper { slots: vec![Slot::default(); tasks], term, quiet }
+        Keeper {
+            slots: vec![Slot::default(); tasks],
+            term,
+            quiet,
+        }
     }
 
     /// The slot, where the keeper may speak and the task is one of ours.
@@ -99,7 +107,13 @@
         self.slots.get_mut(task)
     }
 
-    pub fn prepare(&mut self, now: Time, task: usize, ballot: u64, whose: (usize, u64)) -> Option<Answer> {
+    pub fn prepare(
+        &mut self,
+        now: Time,
+        task: usize,
+        ballot: u64,
+        whose: (usize, u64),
+    ) -> Option<Answer> {
         self.slot(now, task).map(|s| s.prepare(now, ballot, whose))
     }
 
--- a/crates/tidewall-lease/src/lease.rs
+++ b/crates/tidewall-lease/src/lease.rs
@@ -43,7 +43,11 @@
     }
 
     fn grant(&self, epoch: u64) -> Grant {
-        Grant { epoch, member: self.me, life: self.life }
+        Grant {
+            epoch,
+            member: self.me,
+            life: self.life,
+        }
     }
 }
 
@@ -242,7 +246,12 @@
                 round.heard_of(self.seen);
                 self.barred = 0;
                 self.tag = self.tag.wrapping_add(1);
-                round.begin(&mut Asks { host, task: self.task, tag: self.tag, accepts: false });
+                round.begin(&mut Asks {
+                    host,
+                    task: self.task,
+                    tag: self.tag,
+                    accepts: false,
+                });
                 (self.round, self.asked) = (Some(round), now);
                 self.wait = terms.retry;
                 self.next = now + self.wait;
@@ -255,7 +264,12 @@
             }
             State::Claiming => {
                 if let Some(round) = &self.round {
-                    round.ask_again(&mut Asks { host, task: self.task, tag: self.tag, accepts: false });
+                    round.ask_again(&mut Asks {
+                        host,
+                        task: self.task,
+                        tag: self.tag,
+                        accepts: false,
+                    });
                 }
                 self.wait *= 2;
                 self.next = now + self.wait;
@@ -279,7 +293,11 @@
         // Each asking has a number of its own: an answer to a former one says nothing of this one's time.
         self.tag = self.tag.wrapping_add(1);
         self.asks.rotate_right(1);
-        self.asks[0] = Asked { tag: self.tag, at: now, ..Asked::default() };
+        self.asks[0] = Asked {
+            tag: self.tag,
+            at: now,
+            ..Asked::default()
+        };
         (0..terms.keepers).for_each(|k| host.accept(k, self.task, self.epoch, self.tag));
         self.next = (now + self.wait).min(self.until);
         self.wait *= 2;
@@ -321,12 +339,25 @@
         of: (u64, bool),
         told: Answer,
     ) {
-        let Some(mut round) = self.round.take() else { return };
+        let Some(mut round) = self.round.take() else {
+            return;
+        };
         if !told.good && told.promise.accepted.epoch > 0 {
             self.barred = self.barred.max(now + told.left);
         }
-        let mut asks = Asks { host, task: self.task, tag: self.tag, accepts: false };
-        let came = round.told((&mut asks, &mut Says(terms)), keeper, of, told.good, told.promise);
+        let mut asks = Asks {
+            host,
+            task: self.task,
+            tag: self.tag,
+            accepts: false,
+        };
+        let came = round.told(
+            (&mut asks, &mut Says(terms)),
+            keeper,
+            of,
+            told.good,
+            told.promise,
+        );
         if asks.accepts {
             // Leave counts from here: no keeper has heard of it before.
             self.asked = now;
@@ -380,9 +411,13 @@
             return;
         }
         match self.state {
-            State::Claiming if tag == self.tag => self.told(now, terms, host, keeper, (epoch, true), told),
+            State::Claiming if tag == self.tag => {
+                self.told(now, terms, host, keeper, (epoch, true), told)
+            }
             State::Held if epoch == self.epoch => {
-                let Some(ask) = self.asks.iter_mut().find(|a| tag > 0 && a.tag == tag) else { return };
+                let Some(ask) = self.asks.iter_mut().find(|a| tag > 0 && a.tag == tag) else {
+                    return;
+                };
                 ask.votes += u32::from(told.good);
                 if told.good {
                     ask.granted |= 1 << keeper;
@@ -391,7 +426,11 @@
                 }
                 let ask = *ask;
                 let majority = terms.keepers as u32 / 2 + 1;
-                let votes = if terms.guards.once { ask.granted.count_ones() } else { ask.votes };
+                let votes = if terms.guards.once {
+                    ask.granted.count_ones()
+                } else {
+                    ask.votes
+                };
                 if votes == majority && told.good {
                     self.got(now, terms, host, ask.at);
                 } else if ask.refused.count_ones() >= majority {
--- a/crates/tidewall-lease/src/lib.rs
+++ b/crates/tidewall-lease/src/lib.rs
@@ -28,6 +28,12 @@
 
 impl Default for Guards {
     fn default() -> Guards {
-        Guards { quiet: true, shortened: true, from_asking: true, once: true, numbers: true }
+        Guards {
+            quiet: true,
+            shortened: true,
+            from_asking: true,
+            once: true,
+            numbers: true,
+        }
     }
 }
--- a/crates/tidewall-lease/src/round.rs
+++ b/crates/tidewall-lease/src/round.rs
@@ -40,7 +40,10 @@
 
 impl Own {
     pub fn new(bits: u32, value: u64) -> Own {
-        Own { bits, value: value & ((1 << bits) - 1) }
+        Own {
+            bits,
+            value: value & ((1 << bits) - 1),
+        }
     }
 
     pub fn ballot(self, count: u64) -> u64 {
@@ -64,7 +67,15 @@
 impl<C: Said> Round<C> {
     pub fn new(own: Own, voters: usize) -> Round<C> {
         let answers = vec![Answer::Awaited; voters];
-        Round { own, answers, under_way: false, claim: None, ballot: 0, seen: 0, tries: 0 }
+        Round {
+            own,
+            answers,
+            under_way: false,
+            claim: None,
+            ballot: 0,
+            seen: 0,
+            tries: 0,
+        }
     }
 
     pub fn busy(&self) -> bool {
@@ -96,7 +107,9 @@
 
     fn ask(&mut self, ask: &mut impl Ask<C>) {
         // The next ballot above all heard of that is this life's own: what a former life sent may still be on its way.
-        self.ballot = self.own.ballot((self.seen.max(self.ballot) >> self.own.bits) + 1);
+        self.ballot = self
+            .own
+            .ballot((self.seen.max(self.ballot) >> self.own.bits) + 1);
         (self.under_way, self.claim) = (true, None);
         self.answers.fill(Answer::Awaited);
         (0..self.answers.len()).for_each(|voter| ask.prepare(voter, self.ballot));
@@ -104,7 +117,11 @@
 
     /// A question was lost or its answer was: whoever has not answered is asked again.
     pub fn ask_again(&self, ask: &mut impl Ask<C>) {
-        let open = self.answers.iter().enumerate().filter(|a| *a.1 == Answer::Awaited);
+        let open = self
+            .answers
+            .iter()
+            .enumerate()
+            .filter(|a| *a.1 == Answer::Awaited);
         for (voter, _) in open.filter(|_| self.under_way) {
             match self.claim {
                 Some(claim) => ask.accept(voter, claim),
@@ -126,7 +143,11 @@
         if !self.under_way || ballot != self.ballot || accepting != self.claim.is_some() {
             return None;
         }
-        self.answers[voter] = if good { Answer::Good(promise) } else { Answer::Not };
+        self.answers[voter] = if good {
+            Answer::Good(promise)
+        } else {
+            Answer::Not
+        };
         self.look(ask, rule)
     }
 
@@ -144,9 +165,21 @@
         self.look(ask, rule)
     }
 
-    fn look<R: Rule<C>>(&mut self, ask: &mut impl Ask<C>, rule: &mut R) -> Option<Outcome<C, R::No>> {
-        let good = self.answers.iter().filter(|a| matches!(a, Answer::Good(_))).count();
-        let open = self.answers.iter().filter(|a| **a == Answer::Awaited).count();
+    fn look<R: Rule<C>>(
+        &mut self,
+        ask: &mut impl Ask<C>,
+        rule: &mut R,
+    ) -> Option<Outcome<C, R::No>> {
+        let good = self
+            .answers
+            .iter()
+            .filter(|a| matches!(a, Answer::Good(_)))
+            .count();
+        let open = self
+            .answers
+            .iter()
+            .filter(|a| **a == Answer::Awaited)
+            .count();
         if good + open < self.majority() {
             // Who just started knows no ballots; one that is outbid again and again lets the other one have it.
             if self.seen > self.ballot && self.tries < OUTBID {
@@ -189,7 +222,10 @@
             })
         };
         let silent = self.answers.len() - heard().count();
-        let possible = |c: &C| heard().filter(|o| o.epoch() >= c.epoch()).count() + silent >= self.majority();
-        heard().filter(|c| c.epoch() > 0 && possible(c)).max_by_key(|c| c.epoch())
+        let possible =
+            |c: &C| heard().filter(|o| o.epoch() >= c.epoch()).count() + silent >= self.majority();
+        heard()
+            .filter(|c| c.epoch() > 0 && possible(c))
+            .max_by_key(|c| c.epoch())
     }
 }
--- a/crates/tidewall-lease/src/share.rs
+++ b/crates/tidewall-lease/src/share.rs
@@ -5,7 +5,9 @@
 
 /// The check that goes with an act: no bit of it may change unseen on its way, nor may it be taken for another's.
 pub fn check(numbers: &[u64]) -> u64 {
-    numbers.iter().fold(0, |seed, n| xxh3_64_with_seed(&n.to_be_bytes(), seed))
+    numbers
+        .iter()
+        .fold(0, |seed, n| xxh3_64_with_seed(&n.to_be_bytes(), seed))
 }
 
 /// What a name weighs by, and how much it weighs for a task: members that hold, and workers where a task takes effect.
@@ -34,7 +36,11 @@
     /// Members are told by their names, so that the order in which settings list them decides nothing.
     pub fn new(names: &[String], tasks: usize) -> Share {
         let keys: Vec<u64> = names.iter().map(|n| key(n)).collect();
-        Share { here: vec![false; keys.len()], keys, best: vec![None; tasks] }
+        Share {
+            here: vec![false; keys.len()],
+            keys,
+            best: vec![None; tasks],
+        }
     }
 
     fn weight(&self, task: usize, member: usize) -> u64 {
@@ -49,7 +55,11 @@
         self.here[member]
     }
 
-    pub fn comes(&mut self, member: usize, mut moves: impl FnMut(usize, Option<usize>, Option<usize>)) {
+    pub fn comes(
+        &mut self,
+        member: usize,
+        mut moves: impl FnMut(usize, Option<usize>, Option<usize>),
+    ) {
         if std::mem::replace(&mut self.here[member], true) {
             return;
         }
@@ -62,7 +72,11 @@
         }
     }
 
-    pub fn goes(&mut self, member: usize, mut moves: impl FnMut(usize, Option<usize>, Option<usize>)) {
+    pub fn goes(
+        &mut self,
+        member: usize,
+        mut moves: impl FnMut(usize, Option<usize>, Option<usize>),
+    ) {
         if !std::mem::replace(&mut self.here[member], false) {
             return;
         }
--- a/crates/tidewall-lease/tests/explore.rs
+++ b/crates/tidewall-lease/tests/explore.rs
@@ -66,14 +66,27 @@
 
 fn kept(a: Answer) -> Kept {
     // How long others are barred only says when it is of use to ask again; here whoever may ask does at any time.
-    (a.promise.promised, a.promise.accepted.epoch, a.promise.accepted.member, a.promise.accepted.life)
+    (
+        a.promise.promised,
+        a.promise.accepted.epoch,
+        a.promise.accepted.member,
+        a.promise.accepted.life,
+    )
 }
 
 fn answer(good: bool, k: Kept) -> Answer {
     let mut slot = Slot::default();
     slot.promise.promised = k.0;
-    slot.promise.accepted = Grant { epoch: k.1, member: k.2, life: k.3 };
-    Answer { good, promise: slot.promise, left: 0 }
+    slot.promise.accepted = Grant {
+        epoch: k.1,
+        member: k.2,
+        life: k.3,
+    };
+    Answer {
+        good,
+        promise: slot.promise,
+        left: 0,
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -125,10 +138,21 @@
 
 impl Host for Sends<'_> {
     fn prepare(&mut self, keeper: usize, _: usize, ballot: u64) {
-        self.way.push(Message::Prepare { from: self.from, life: self.life, keeper, ballot });
+        self.way.push(Message::Prepare {
+            from: self.from,
+            life: self.life,
+            keeper,
+            ballot,
+        });
     }
     fn accept(&mut self, keeper: usize, _: usize, epoch: u64, tag: u32) {
-        self.way.push(Message::Accept { from: self.from, life: self.life, keeper, epoch, tag });
+        self.way.push(Message::Accept {
+            from: self.from,
+            life: self.life,
+            keeper,
+            epoch,
+            tag,
+        });
     }
     fn release(&mut self, keeper: usize, _: usize, epoch: u64) {
         self.way.push(Message::Release { keeper, epoch });
@@ -142,8 +166,20 @@
 
 impl Plan {
     fn terms(&self, me: usize, life: u64) -> Terms {
-        let usable = if self.guards.shortened { usable(TERM, PPM, TICKET) } else { TERM };
-        Terms { me, life, keepers: 3, usable, retry: 1_000, offset: 0, guards: self.guards }
+        let usable = if self.guards.shortened {
+            usable(TERM, PPM, TICKET)
+        } else {
+            TERM
+        };
+        Terms {
+            me,
+            life,
+            keepers: 3,
+            usable,
+            retry: 1_000,
+            offset: 0,
+            guards: self.guards,
+        }
     }
 
     fn clock(&self, member: usize, at: Time) -> Time {
@@ -162,7 +198,17 @@
         let members = (0..self.members).map(|_| (Lease::new(0), 1)).collect();
         let left = self.left;
         let (at, still, way) = (0, None, Vec::new());
-        World { at, keepers, members, still, way, effect: 0, reached: (0, (0, 0)), left, broken: None }
+        World {
+            at,
+            keepers,
+            members,
+            still,
+            way,
+            effect: 0,
+            reached: (0, (0, 0)),
+            left,
+            broken: None,
+        }
     }
 
     /// The first member was granted the task by two keepers; what it asked the third is still on its way.
@@ -170,23 +216,35 @@
         let mut w = self.start();
         let (terms, mut lease) = (self.terms(0, 1), Lease::new(0));
         let mut way = Vec::new();
-        let mut host = Sends { way: &mut way, from: 0, life: 1 };
+        let mut host = Sends {
+            way: &mut way,
+            from: 0,
+            life: 1,
+        };
         lease.want(0, &terms, &mut host, true, true);
         lease.due(0, &terms, &mut host);
         w.members[0].0 = lease;
         w.way = way;
         while w.members[0].0.state != State::Held {
             let third = |m: &Message| {
-                matches!(m, Message::Prepare { keeper: 2, .. } | Message::Accept { keeper: 2, .. })
+                matches!(
+                    m,
+                    Message::Prepare { keeper: 2, .. } | Message::Accept { keeper: 2, .. }
+                )
             };
-            let m = *w.way.iter().find(|m| !third(m)).expect("something is on its way");
+            let m = *w
+                .way
+                .iter()
+                .find(|m| !third(m))
+                .expect("something is on its way");
             let mut n = self.come(&w, m).expect("it is heard");
             let place = n.way.iter().position(|o| *o == m).expect("it was there");
             n.way.remove(place);
             w = n;
         }
-        w.way
-            .retain(|m| self.reaches[0][2] || !matches!(m, Message::Prepare { .. } | Message::Accept { .. }));
+        w.way.retain(|m| {
+            self.reaches[0][2] || !matches!(m, Message::Prepare { .. } | Message::Accept { .. })
+        });
         w
     }
 
@@ -217,7 +275,11 @@
                 n.left[5] -= u8::from(claims);
                 let (lease, life) = &mut n.members[m];
                 let terms = self.terms(m, *life);
-                let mut host = Sends { way: &mut n.way, from: m, life: *life };
+                let mut host = Sends {
+                    way: &mut n.way,
+                    from: m,
+                    life: *life,
+                };
                 if lease.state == State::Idle {
                     lease.want(now, &terms, &mut host, true, true);
                 }
@@ -229,7 +291,11 @@
                 n.left[6] -= 1;
                 let (lease, life) = &mut n.members[m];
                 let terms = self.terms(m, *life);
-                let mut host = Sends { way: &mut n.way, from: m, life: *life };
+                let mut host = Sends {
+                    way: &mut n.way,
+                    from: m,
+                    life: *life,
+                };
                 lease.want(now, &terms, &mut host, false, false);
                 let epoch = lease.epoch;
                 lease.stopped(now, &terms, &mut host, epoch);
@@ -241,7 +307,11 @@
                 n.left[2] -= 1;
                 let ticket = w.at * rate(self.worker_fast);
                 let whose = (m, w.members[m].1);
-                n.way.push(Message::Act { epoch: lease.epoch, whose, ticket });
+                n.way.push(Message::Act {
+                    epoch: lease.epoch,
+                    whose,
+                    ticket,
+                });
                 if w.left[1] > 0 {
                     let mut s = n.clone();
                     s.left[1] -= 1;
@@ -262,7 +332,11 @@
             if w.left[0] > 0 {
                 let mut n = w.clone();
                 n.left[0] -= 1;
-                let quiet = if self.guards.quiet { self.keeper_clock(w.at) + TERM } else { 0 };
+                let quiet = if self.guards.quiet {
+                    self.keeper_clock(w.at) + TERM
+                } else {
+                    0
+                };
                 n.keepers[k] = (Slot::default(), quiet);
                 all.push(n);
             }
@@ -302,46 +376,114 @@
         let mut n = w.clone();
         let now = self.keeper_clock(w.at);
         match m {
-            Message::Prepare { from, life, keeper, ballot } => {
+            Message::Prepare {
+                from,
+                life,
+                keeper,
+                ballot,
+            } => {
                 let (slot, quiet) = &mut n.keepers[keeper];
                 if now < *quiet {
                     return None;
                 }
                 let a = slot.prepare(now, ballot, (from, life));
                 let told = kept(a);
-                n.way.push(Message::Promised { to: from, life, keeper, ballot, good: a.good, told });
+                n.way.push(Message::Promised {
+                    to: from,
+                    life,
+                    keeper,
+                    ballot,
+                    good: a.good,
+                    told,
+                });
             }
-            Message::Accept { from, life, keeper, epoch, tag } => {
+            Message::Accept {
+                from,
+                life,
+                keeper,
+                epoch,
+                tag,
+            } => {
                 let (slot, quiet) = &mut n.keepers[keeper];
                 if now < *quiet {
                     return None;
                 }
-                let a = slot.accept(now, Grant { epoch, member: from, life }, TERM);
+                let a = slot.accept(
+                    now,
+                    Grant {
+                        epoch,
+                        member: from,
+                        life,
+                    },
+                    TERM,
+                );
                 let told = kept(a);
-                n.way.push(Message::Accepted { to: from, life, keeper, epoch, tag, good: a.good, told });
+                n.way.push(Message::Accepted {
+                    to: from,
+                    life,
+                    keeper,
+                    epoch,
+                    tag,
+                    good: a.good,
+                    told,
+                });
             }
             Message::Release { keeper, epoch } => n.keepers[keeper].0.release(now, epoch),
-            Message::Promised { to, life, keeper, ballot, good, told } => {
+            Message::Promised {
+                to,
+                life,
+                keeper,
+                ballot,
+                good,
+                told,
+            } => {
                 let now = self.clock(to, w.at);
                 let (lease, mine) = &mut n.members[to];
                 if w.still == Some(to) || *mine != life {
                     return None;
                 }
                 let terms = self.terms(to, life);
-                let mut host = Sends { way: &mut n.way, from: to, life };
+                let mut host = Sends {
+                    way: &mut n.way,
+                    from: to,
+                    life,
+                };
                 lease.promised(now, &terms, &mut host, keeper, ballot, answer(good, told));
             }
-            Message::Accepted { to, life, keeper, epoch, tag, good, told } => {
+            Message::Accepted {
+                to,
+                life,
+                keeper,
+                epoch,
+                tag,
+                good,
+                told,
+            } => {
                 let now = self.clock(to, w.at);
                 let (lease, mine) = &mut n.members[to];
                 if w.still == Some(to) || *mine != life {
                     return None;
                 }
                 let terms = self.terms(to, life);
-                let mut host = Sends { way: &mut n.way, from: to, life };
-                lease.accepted(now, &terms, &mut host, keeper, (epoch, tag), answer(good, told));
+                let mut host = Sends {
+                    way: &mut n.way,
+                    from: to,
+                    life,
+                };
+                lease.accepted(
+                    now,
+                    &terms,
+                    &mut host,
+                    keeper,
+                    (epoch, tag),
+                    answer(good, told),
+                );
             }
-            Message::Act { epoch, whose, ticket } => {
+            Message::Act {
+                epoch,
+                whose,
+                ticket,
+            } => {
                 let now = w.at * rate(self.worker_fast);
                 let fresh = now <= ticket + TICKET;
                 // What one life sent under its own former epoch overlaps nobody.
@@ -368,15 +510,20 @@
             return;
         }
         // A member that stands still has checked before: its check is void by the ticket, not by its clock.
-        let may =
-            (0..self.members).filter(|m| w.still != Some(*m) && w.members[*m].0.may(self.clock(*m, w.at)));
+        let may = (0..self.members)
+            .filter(|m| w.still != Some(*m) && w.members[*m].0.may(self.clock(*m, w.at)));
         if may.count() > 1 {
             w.broken = Some("two may act at once");
         }
     }
 
     /// Whole to that depth; gives back how many states were met, the depth reached, and what was broken where.
-    fn explore(&self, from: World, depth: usize, most: usize) -> (usize, usize, Option<&'static str>) {
+    fn explore(
+        &self,
+        from: World,
+        depth: usize,
+        most: usize,
+    ) -> (usize, usize, Option<&'static str>) {
         let mut met: HashSet<u64, BuildHasherDefault<DefaultHasher>> = HashSet::default();
         let mut now = vec![from];
         for step in 1..=depth {
@@ -404,7 +551,13 @@
 
 /// Holders' clocks slow and keepers' fast is the worst for a lease; the worker's is the other way about.
 const WORST: Plan = Plan {
-    guards: Guards { quiet: true, shortened: true, from_asking: true, once: true, numbers: true },
+    guards: Guards {
+        quiet: true,
+        shortened: true,
+        from_asking: true,
+        once: true,
+        numbers: true,
+    },
     fenced: true,
     fast: [false, true, false],
     keepers_fast: true,
@@ -430,7 +583,10 @@
     let (states, depth, broken) = plan.explore(plan.granted(), 40, MOST);
     println!("two keepers each, one granted: {states} states to depth {depth}");
     assert_eq!(broken, None);
-    let plan = Plan { reaches: ALL, ..plan };
+    let plan = Plan {
+        reaches: ALL,
+        ..plan
+    };
     let (states, depth, broken) = plan.explore(plan.granted(), 40, MOST);
     println!("all keepers, one granted: {states} states to depth {depth}");
     assert_eq!(broken, None);
--- a/crates/tidewall-lease/tests/lease.rs
+++ b/crates/tidewall-lease/tests/lease.rs
@@ -38,13 +38,23 @@
     usable: 1_600,
     retry: 100,
     offset: 0,
-    guards: Guards { quiet: true, shortened: true, from_asking: true, once: true, numbers: true },
+    guards: Guards {
+        quiet: true,
+        shortened: true,
+        from_asking: true,
+        once: true,
+        numbers: true,
+    },
 };
 
 fn good(epoch: u64) -> Answer {
     let mut slot = Slot::default();
     slot.promise.promised = epoch;
-    Answer { good: true, promise: slot.promise, left: 0 }
+    Answer {
+        good: true,
+        promise: slot.promise,
+        left: 0,
+    }
 }
 
 /// Claimed at 0, the answers to its first question at 10, to its second at 20.
@@ -62,7 +72,10 @@
 #[test]
 fn leave_counts_from_when_it_was_asked() {
     let (lease, said) = granted();
-    assert_eq!((lease.state, said.held.as_slice()), (State::Held, &[1_610][..]));
+    assert_eq!(
+        (lease.state, said.held.as_slice()),
+        (State::Held, &[1_610][..])
+    );
     assert!(lease.may(1_609) && !lease.may(1_610));
 }
 
@@ -76,7 +89,8 @@
     let (_, epoch, tag) = said.accepts[0];
     lease.due(first + 100, &TERMS, &mut said);
     assert_eq!(said.accepts.len(), 6);
-    (0..2).for_each(|k| lease.accepted(first + 250, &TERMS, &mut said, k, (epoch, tag), good(epoch)));
+    (0..2)
+        .for_each(|k| lease.accepted(first + 250, &TERMS, &mut said, k, (epoch, tag), good(epoch)));
     assert_eq!(said.held.last(), Some(&(first + TERMS.usable)));
 }
 
@@ -94,7 +108,10 @@
     }
     let held = lease.epoch;
     lease.outbid(50, &TERMS, &mut said, newer);
-    assert_eq!((lease.state, said.stopped.as_slice()), (State::Idle, &[held][..]));
+    assert_eq!(
+        (lease.state, said.stopped.as_slice()),
+        (State::Idle, &[held][..])
+    );
     said.prepared.clear();
     let next = lease.next;
     lease.due(next, &TERMS, &mut said);
@@ -114,7 +131,11 @@
     let barred = |left| {
         let mut a = good(5);
         a.good = false;
-        a.promise.accepted = Grant { epoch: 5, member: 2, life: 3 };
+        a.promise.accepted = Grant {
+            epoch: 5,
+            member: 2,
+            life: 3,
+        };
         Answer { left, ..a }
     };
     lease.promised(10, &TERMS, &mut said, 0, of, barred(900));
--- a/crates/tidewall-measure/src/forward.rs
+++ b/crates/tidewall-measure/src/forward.rs
@@ -47,7 +47,12 @@
 
 pub fn run(at: &str, to: &str) {
     let mut net = Mio::new().expect("polling works");
-    net.listen(at.parse().expect("an address")).expect("it is free");
-    mio::run(&mut Forward { net, to: to.parse().expect("an address"), pairs: Vec::new() })
-        .expect("polling works");
+    net.listen(at.parse().expect("an address"))
+        .expect("it is free");
+    mio::run(&mut Forward {
+        net,
+        to: to.parse().expect("an address"),
+        pairs: Vec::new(),
+    })
+    .expect("polling works");
 }
--- a/crates/tidewall-measure/src/main.rs
+++ b/crates/tidewall-measure/src/main.rs
@@ -22,7 +22,9 @@
 const SECONDS: u64 = 8;
 
 fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("loopback has ports")
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("loopback has ports")
 }
 
 /// A process of ours with its CPU and memory as the system counts them.
@@ -31,22 +33,44 @@
 impl Process {
     fn start(args: &[&str]) -> Process {
         let exe = std::env::current_exe().expect("a program knows its file");
-        let own = exe.with_file_name(if args[0] == "forward" { "tidewall-measure" } else { "tidewall" });
+        let own = exe.with_file_name(if args[0] == "forward" {
+            "tidewall-measure"
+        } else {
+            "tidewall"
+        });
         let log = Stdio::from(std::fs::File::create("/dev/null").expect("it is there"));
-        Process(Command::new(own).args(args).stderr(log).spawn().expect("it was built"))
+        Process(
+            Command::new(own)
+                .args(args)
+                .stderr(log)
+                .spawn()
+                .expect("it was built"),
+        )
     }
 
     fn cpu(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
+        let stat =
+            std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
         let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
-        let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        let ticks = |i: usize| {
+            fields
+                .get(i)
+                .and_then(|f| f.parse::<f64>().ok())
+                .unwrap_or(0.0)
+        };
         // utime and stime, proc(5), in hundredths of a second.
         (ticks(11) + ticks(12)) / 100.0
     }
 
     fn memory(&self) -> f64 {
-        let statm = std::fs::read_to_string(format!("/proc/{}/statm", self.0.id())).unwrap_or_default();
-        statm.split(' ').nth(1).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0) * 4096.0
+        let statm =
+            std::fs::read_to_string(format!("/proc/{}/statm", self.0.id())).unwrap_or_default();
+        statm
+            .split(' ')
+            .nth(1)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+            * 4096.0
     }
 }
 
@@ -81,11 +105,17 @@
         let seen = stop.clone();
         let thread = std::thread::spawn(move || {
             let mut echo = Echo::new(workers, answers, seen).expect("loopback has ports");
-            tell.send((echo.roster, echo.worker)).expect("it is waited for");
+            tell.send((echo.roster, echo.worker))
+                .expect("it is waited for");
             mio::run(&mut echo).expect("polling works");
         });
         let (roster, worker) = told.recv().expect("it starts");
-        Far { roster, worker, stop, thread: Some(thread) }
+        Far {
+            roster,
+            worker,
+            stop,
+            thread: Some(thread),
+        }
     }
 }
 
@@ -102,8 +132,15 @@
     let at = free();
     let path = std::env::temp_dir().join(format!("tidewall-measure-{}.txtpb", at.port()));
     let mut file = std::fs::File::create(&path).expect("the temporary folder can be written");
-    file.write_all(settings(at, far.roster, target).as_bytes()).expect("it can");
-    let process = Process::start(&["serve", "--log", "error", "--config", path.to_str().expect("text")]);
+    file.write_all(settings(at, far.roster, target).as_bytes())
+        .expect("it can");
+    let process = Process::start(&[
+        "serve",
+        "--log",
+        "error",
+        "--config",
+        path.to_str().expect("text"),
+    ]);
     std::thread::sleep(Duration::from_millis(400));
     (process, at, path)
 }
@@ -135,7 +172,10 @@
     let (cpu, began) = (process.map_or(0.0, Process::cpu), Instant::now());
     load.until(SECONDS as f64);
     mio::run(&mut load).expect("polling works");
-    let (spent, cpu) = (began.elapsed().as_secs_f64(), process.map_or(0.0, Process::cpu) - cpu);
+    let (spent, cpu) = (
+        began.elapsed().as_secs_f64(),
+        process.map_or(0.0, Process::cpu) - cpu,
+    );
     Measured {
         rate: load.sent as f64 / spent,
         answered: load.handled as f64 / load.sent.max(1) as f64,
@@ -232,7 +272,13 @@
         Some("busiest") => return table(&[(0.0, 64), (0.0, 512)]),
         _ => {}
     }
-    table(&[(950.0, 0), (5000.0, 0), (20_000.0, 0), (0.0, 64), (0.0, 512)]);
+    table(&[
+        (950.0, 0),
+        (5000.0, 0),
+        (20_000.0, 0),
+        (0.0, 64),
+        (0.0, 512),
+    ]);
     for (workers, rate) in [(12, 950), (12, 5000), (12, 50_000), (91, 5000)] {
         println!(
             "decisions alone, {workers} workers, {rate} a second: {:.2} us an event",
@@ -243,7 +289,9 @@
 }
 
 fn table(rows: &[(f64, usize)]) {
-    println!("{SECONDS} s each, 8 connections, 200 bytes of payload, times in ms, CPU in us an event");
+    println!(
+        "{SECONDS} s each, 8 connections, 200 bytes of payload, times in ms, CPU in us an event"
+    );
     println!(
         "{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
         "", "a second", "handled", "p50", "p99", "p99.9", "CPU"
@@ -251,7 +299,11 @@
     for (rate, window) in rows.iter().copied() {
         println!(
             "{}",
-            if rate > 0.0 { format!("at {rate} a second") } else { format!("{window} out at a time") }
+            if rate > 0.0 {
+                format!("at {rate} a second")
+            } else {
+                format!("{window} out at a time")
+            }
         );
         let far = Far::start(12, true);
         line("direct", &measure(far.worker, None, rate, window));
@@ -271,7 +323,10 @@
     let cheap = argon2::Params::new(8, 1, 1, None).expect("they are good");
     let cheap = argon2::Argon2::new(argon2::Algorithm::Argon2id, argon2::Version::V0x13, cheap);
     let salt = SaltString::encode_b64(b"0123456789abcdef").expect("it is long enough");
-    let hash = cheap.hash_password(b"terminal", &salt).expect("it hashes").to_string();
+    let hash = cheap
+        .hash_password(b"terminal", &salt)
+        .expect("it hashes")
+        .to_string();
     let (at, door) = (free(), free());
     let text = settings(at, far.roster, 1000)
         .replace("seed: 7", &format!("seed: 7 amqp_address: \"{door}\""))
@@ -281,7 +336,13 @@
         );
     let path = std::env::temp_dir().join(format!("tidewall-measure-{}.txtpb", at.port()));
     std::fs::write(&path, text).expect("the temporary folder can be written");
-    let process = Process::start(&["serve", "--log", "error", "--config", path.to_str().expect("text")]);
+    let process = Process::start(&[
+        "serve",
+        "--log",
+        "error",
+        "--config",
+        path.to_str().expect("text"),
+    ]);
     std::thread::sleep(Duration::from_millis(400));
     (process, at, door, path)
 }
@@ -295,15 +356,27 @@
         "{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
         "", "a second", "handled", "p50", "p99", "p99.9", "CPU"
     );
-    for (rate, window) in [(950.0, 0), (5000.0, 0), (10_000.0, 0), (20_000.0, 0), (0.0, 64), (0.0, 512)] {
+    for (rate, window) in [
+        (950.0, 0),
+        (5000.0, 0),
+        (10_000.0, 0),
+        (20_000.0, 0),
+        (0.0, 64),
+        (0.0, 512),
+    ] {
         println!(
             "{}",
-            if rate > 0.0 { format!("at {rate} a second") } else { format!("{window} out at a time") }
+            if rate > 0.0 {
+                format!("at {rate} a second")
+            } else {
+                format!("{window} out at a time")
+            }
         );
         let far = Far::start(12, true);
         let (process, at, door, path) = both_doors(&far);
         line("native", &measure(at, Some(&process), rate, window));
-        let mut load = terminals::Terminals::new(door, 8, rate, window).expect("sockets are to be had");
+        let mut load =
+            terminals::Terminals::new(door, 8, rate, window).expect("sockets are to be had");
         load.until(1.5);
         mio::run(&mut load).expect("polling works");
         load.begin();
@@ -333,30 +406,57 @@
     let empty = process.memory();
     let mut socket = std::net::TcpStream::connect(door).expect("the door is open");
     let mut out = PROTOCOL.to_vec();
-    let m = Out::method(&mut out, 0, 10, 11).long_str(b"").short_str("PLAIN");
+    let m = Out::method(&mut out, 0, 10, 11)
+        .long_str(b"")
+        .short_str("PLAIN");
     m.long_str(b"\0terminal\0terminal").short_str("en_US").end();
     socket.write_all(&out).expect("it reads");
     // Tune comes once the password was checked.
     std::thread::sleep(Duration::from_millis(500));
     out.clear();
-    Out::method(&mut out, 0, 10, 31).short(0).long(0).short(0).end();
-    Out::method(&mut out, 0, 10, 40).short_str("/").short_str("").bit(false).end();
+    Out::method(&mut out, 0, 10, 31)
+        .short(0)
+        .long(0)
+        .short(0)
+        .end();
+    Out::method(&mut out, 0, 10, 40)
+        .short_str("/")
+        .short_str("")
+        .bit(false)
+        .end();
     Out::method(&mut out, 1, 20, 10).short_str("").end();
-    Out::method(&mut out, 1, 50, 10).short(0).short_str("q").octet(0).long_str(b"").end();
+    Out::method(&mut out, 1, 50, 10)
+        .short(0)
+        .short_str("q")
+        .octet(0)
+        .long_str(b"")
+        .end();
     socket.write_all(&out).expect("it reads");
     for _ in 0..100 {
         out.clear();
         for _ in 0..1_000 {
-            Out::method(&mut out, 1, 60, 40).short(0).short_str("").short_str("q").octet(0).end();
+            Out::method(&mut out, 1, 60, 40)
+                .short(0)
+                .short_str("")
+                .short_str("q")
+                .octet(0)
+                .end();
             content(&mut out, 1, &[0, 0], &[7; 1024], 131_072);
         }
         socket.write_all(&out).expect("it reads");
     }
     // Its count is told by a passive declare.
     out.clear();
-    Out::method(&mut out, 1, 50, 10).short(0).short_str("q").octet(1).long_str(b"").end();
+    Out::method(&mut out, 1, 50, 10)
+        .short(0)
+        .short_str("q")
+        .octet(1)
+        .long_str(b"")
+        .end();
     socket.write_all(&out).expect("it reads");
-    socket.set_read_timeout(Some(Duration::from_secs(3))).expect("it can be set");
+    socket
+        .set_read_timeout(Some(Duration::from_secs(3)))
+        .expect("it can be set");
     let (mut got, mut chunk) = (Vec::new(), [0; 4096]);
     while let Ok(n) = socket.read(&mut chunk) {
         got.extend_from_slice(&chunk[..n]);
@@ -417,7 +517,10 @@
     load.until(3.0);
     mio::run(&mut load).expect("polling works");
     let more = process.memory() - empty;
-    println!("91 workers and 2000 functions: {:.1} MiB more", more / 1048576.0);
+    println!(
+        "91 workers and 2000 functions: {:.1} MiB more",
+        more / 1048576.0
+    );
     drop(process);
     let _ = std::fs::remove_file(path);
 }
--- a/crates/tidewall-measure/src/pair.rs
+++ b/crates/tidewall-measure/src/pair.rs
@@ -20,11 +20,19 @@
 }
 
 fn at(host: &str) -> SocketAddr {
-    TcpListener::bind((host, 0)).and_then(|l| l.local_addr()).expect("loopback has ports")
+    TcpListener::bind((host, 0))
+        .and_then(|l| l.local_addr())
+        .expect("loopback has ports")
 }
 
 /// `two`: whether two launches at once are allowed.
-fn settings(gateway: SocketAddr, roster: SocketAddr, max_age: u64, two: bool, rest: &str) -> String {
+fn settings(
+    gateway: SocketAddr,
+    roster: SocketAddr,
+    max_age: u64,
+    two: bool,
+    rest: &str,
+) -> String {
     let typ = |i: usize| {
         let (name, word) = (["t", "o"][i], WORDS[i]);
         format!(
@@ -45,7 +53,8 @@
         let shared = free();
         let folder = std::env::temp_dir();
         let keys = folder.join(format!("tidewall-pair-{}.keys", shared.port()));
-        std::fs::write(&keys, format!("1 {:064x}\n", 7)).expect("the temporary folder can be written");
+        std::fs::write(&keys, format!("1 {:064x}\n", 7))
+            .expect("the temporary folder can be written");
         let hosts = ["127.0.0.2", "127.0.0.3"];
         let (links, vrrp) = (hosts.map(at), hosts.map(at));
         let files = [0, 1].map(|m: usize| {
@@ -66,18 +75,29 @@
             std::fs::write(&path, settings(shared, far.roster, max_age, two, &rest)).expect("it can");
             path
         });
-        Pair { at: shared, links, files, keys, members: [None, None] }
+        Pair {
+            at: shared,
+            links,
+            files,
+            keys,
+            members: [None, None],
+        }
     }
 
     fn start(&mut self, m: usize) {
         let file = self.files[m].to_str().expect("text").to_string();
-        self.members[m] = Some(Process::start(&["serve", "--log", "error", "--config", &file]));
+        self.members[m] = Some(Process::start(&[
+            "serve", "--log", "error", "--config", &file,
+        ]));
     }
 
     /// What a member says of itself: its state, and the events of the other one that it keeps.
     fn state(&self, m: usize) -> Option<(String, u64)> {
-        let mut socket = TcpStream::connect_timeout(&self.links[m], Duration::from_millis(200)).ok()?;
-        socket.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
+        let mut socket =
+            TcpStream::connect_timeout(&self.links[m], Duration::from_millis(200)).ok()?;
+        socket
+            .set_read_timeout(Some(Duration::from_millis(500)))
+            .ok()?;
         let mut out = Vec::new();
         wire::hello(&mut out, "status", "measure", 1);
         socket.write_all(&out).ok()?;
@@ -86,13 +106,19 @@
         let (body, _) = wire::frame(&got[..n]).ok()??;
         let fields = Fields::read(body).ok()?;
         (fields.kind() == Ok(kind::STATUS)).then_some(())?;
-        Some((fields.text(Field::Word).ok()?.to_string(), fields.whole(Field::Copies).ok()?))
+        Some((
+            fields.text(Field::Word).ok()?.to_string(),
+            fields.whole(Field::Copies).ok()?,
+        ))
     }
 
     fn until(&self, m: usize, state: &str) -> Duration {
         let began = Instant::now();
         while self.state(m).is_none_or(|s| s.0 != state) {
-            assert!(began.elapsed() < Duration::from_secs(30), "it never was {state}");
+            assert!(
+                began.elapsed() < Duration::from_secs(30),
+                "it never was {state}"
+            );
             std::thread::sleep(Duration::from_millis(2));
         }
         began.elapsed()
@@ -125,26 +151,49 @@
     for (rate, window) in rows.into_iter().skip(usize::from(quick)) {
         println!(
             "{}",
-            if rate > 0.0 { format!("at {rate} a second") } else { format!("{window} out at a time") }
+            if rate > 0.0 {
+                format!("at {rate} a second")
+            } else {
+                format!("{window} out at a time")
+            }
         );
         let far = Far::start(12, true);
         let single = free();
         let path = std::env::temp_dir().join(format!("tidewall-measure-{}.txtpb", single.port()));
         std::fs::write(&path, settings(single, far.roster, 1_000, false, "")).expect("it can");
-        let process = Process::start(&["serve", "--log", "error", "--config", path.to_str().expect("text")]);
+        let process = Process::start(&[
+            "serve",
+            "--log",
+            "error",
+            "--config",
+            path.to_str().expect("text"),
+        ]);
         std::thread::sleep(Duration::from_millis(400));
         if !quick {
-            line("single, t", &measured(load(single, rate, window, "t"), Some(&process)));
+            line(
+                "single, t",
+                &measured(load(single, rate, window, "t"), Some(&process)),
+            );
         }
-        line("single, o", &measured(load(single, rate, window, "o"), Some(&process)));
+        line(
+            "single, o",
+            &measured(load(single, rate, window, "o"), Some(&process)),
+        );
         drop(process);
         let _ = std::fs::remove_file(path);
-        let pairs = [("pair, t, two", true, "t"), ("pair, t", false, "t"), ("pair, o", false, "o")];
+        let pairs = [
+            ("pair, t, two", true, "t"),
+            ("pair, t", false, "t"),
+            ("pair, o", false, "o"),
+        ];
         for (name, two, typ) in pairs.into_iter().skip(if quick { 2 } else { 0 }) {
             let mut pair = Pair::new(&far, 1_000, two);
             (0..2).for_each(|m| pair.start(m));
             pair.until(0, "paired");
-            line(name, &measured(load(pair.at, rate, window, typ), pair.members[0].as_ref()));
+            line(
+                name,
+                &measured(load(pair.at, rate, window, typ), pair.members[0].as_ref()),
+            );
         }
     }
     resync();
--- a/crates/tidewall-measure/src/peers.rs
+++ b/crates/tidewall-measure/src/peers.rs
@@ -30,7 +30,9 @@
         let mut net = Mio::new()?;
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let (roster_listener, roster) = net.listen(any)?;
-        let workers = (0..workers).map(|_| net.listen(any)).collect::<Result<Vec<_>, _>>()?;
+        let workers = (0..workers)
+            .map(|_| net.listen(any))
+            .collect::<Result<Vec<_>, _>>()?;
         net.set(0, 0);
         let worker = workers[0].1;
         let promises = vec![Promise::default(); workers.len()];
@@ -54,21 +56,35 @@
         match (fields.kind()?, worker) {
             (kind::HELLO, Some(wk)) => {
                 let f = Frame::new(&mut self.out, kind::HELLO).whole(Field::Version, wire::VERSION);
-                let role = if fields.text(Field::Role)? == "client" { "gateway" } else { "worker" };
-                f.text(Field::Role, role).text(Field::Name, &format!("w{wk}")).whole(Field::Life, 1).end();
+                let role = if fields.text(Field::Role)? == "client" {
+                    "gateway"
+                } else {
+                    "worker"
+                };
+                f.text(Field::Role, role)
+                    .text(Field::Name, &format!("w{wk}"))
+                    .whole(Field::Life, 1)
+                    .end();
             }
             (kind::HELLO, None) => wire::hello(&mut self.out, "roster", "r", 1),
             (kind::FOLLOW, _) => {
                 let mut list = Entries::default();
                 for (wk, (_, at)) in self.workers.iter().enumerate() {
                     list.add(|f| {
-                        let f = f.text(Field::Name, &format!("w{wk}")).text(Field::Place, &at.to_string());
-                        let f =
-                            f.text(Field::Zone, "z").text(Field::Machine, "k").text(Field::Standing, "on");
+                        let f = f
+                            .text(Field::Name, &format!("w{wk}"))
+                            .text(Field::Place, &at.to_string());
+                        let f = f
+                            .text(Field::Zone, "z")
+                            .text(Field::Machine, "k")
+                            .text(Field::Standing, "on");
                         f.whole(Field::Life, 1).real(Field::Rating, 2.0)
                     });
                 }
-                Frame::new(&mut self.out, kind::ROSTER).text(Field::Scope, "whole").entries(&list).end();
+                Frame::new(&mut self.out, kind::ROSTER)
+                    .text(Field::Scope, "whole")
+                    .entries(&list)
+                    .end();
             }
             (k @ (kind::PREPARE | kind::ACCEPT), Some(wk)) => {
                 let whole = |field| fields.upto(field, u64::MAX, 0);
@@ -79,23 +95,40 @@
                     let sync = [whole(Field::SyncA)?, whole(Field::SyncB)?];
                     let member = whole(Field::Member)?.max(1) as usize - 1;
                     let (epoch, floor) = (whole(Field::Epoch)?, whole(Field::Floor)?);
-                    promise.accept(Claim { epoch, member, sync, floor })
+                    promise.accept(Claim {
+                        epoch,
+                        member,
+                        sync,
+                        floor,
+                    })
                 };
                 let p = *promise;
-                let f = Frame::new(&mut self.out, kind::PROMISED).whole(Field::Id, fields.whole(Field::Id)?);
+                let f = Frame::new(&mut self.out, kind::PROMISED)
+                    .whole(Field::Id, fields.whole(Field::Id)?);
                 let f = f.flag(Field::On, good).whole(Field::Ballot, p.promised);
-                let f = f.whole(Field::Epoch, p.accepted.epoch).whole(Field::Floor, p.accepted.floor);
+                let f = f
+                    .whole(Field::Epoch, p.accepted.epoch)
+                    .whole(Field::Floor, p.accepted.floor);
                 let f = f.whole(Field::Member, p.accepted.member as u64 + 1);
-                f.whole(Field::SyncA, p.accepted.sync[0]).whole(Field::SyncB, p.accepted.sync[1]).end();
+                f.whole(Field::SyncA, p.accepted.sync[0])
+                    .whole(Field::SyncB, p.accepted.sync[1])
+                    .end();
             }
             (kind::LAUNCH, _) if self.answers => {
-                let f = Frame::new(&mut self.out, kind::END).whole(Field::Id, fields.whole(Field::Id)?);
-                let f = f.text(Field::Outcome, "ok").whole(Field::Copy, 1).whole(Field::Company, 0);
+                let f =
+                    Frame::new(&mut self.out, kind::END).whole(Field::Id, fields.whole(Field::Id)?);
+                let f = f
+                    .text(Field::Outcome, "ok")
+                    .whole(Field::Copy, 1)
+                    .whole(Field::Company, 0);
                 f.bytes(Field::Payload, fields.bytes(Field::Payload)?).end();
             }
             (kind::EVENT, _) if self.answers => {
-                let f = Frame::new(&mut self.out, kind::ANSWER).whole(Field::Id, fields.whole(Field::Id)?);
-                f.text(Field::Word, "handled").bytes(Field::Payload, fields.bytes(Field::Payload)?).end();
+                let f = Frame::new(&mut self.out, kind::ANSWER)
+                    .whole(Field::Id, fields.whole(Field::Id)?);
+                f.text(Field::Word, "handled")
+                    .bytes(Field::Payload, fields.bytes(Field::Payload)?)
+                    .end();
             }
             _ => return Ok(()),
         }
@@ -111,7 +144,11 @@
     }
     fn accepted(&mut self, listener: Listener, conn: Conn, _: SocketAddr) {
         if listener != self.roster_listener {
-            let wk = self.workers.iter().position(|w| w.0 == listener).unwrap_or(0);
+            let wk = self
+                .workers
+                .iter()
+                .position(|w| w.0 == listener)
+                .unwrap_or(0);
             self.names.insert(conn, wk);
         }
     }
@@ -120,7 +157,9 @@
         let mut used = 0;
         while let Ok(Some((body, len))) = wire::frame(&bytes[used..]) {
             used += len;
-            Fields::read(body).and_then(|f| self.frame(conn, &f)).expect("our own frames are good");
+            Fields::read(body)
+                .and_then(|f| self.frame(conn, &f))
+                .expect("our own frames are good");
         }
         used
     }
@@ -210,11 +249,21 @@
         let id = self.next;
         self.due[id as usize % RING] = due;
         self.out.clear();
-        let f = Frame::new(&mut self.out, kind::EVENT).whole(Field::Id, id).text(Field::Type, self.typ);
+        let f = Frame::new(&mut self.out, kind::EVENT)
+            .whole(Field::Id, id)
+            .text(Field::Type, self.typ);
         let mark = id.to_be_bytes();
-        let f = if self.marks { f.bytes(Field::Mark, &mark) } else { f };
-        let f = f.text(Field::Function, &format!("f{}", id % self.functions)).whole(Field::Lanes, 1000);
-        f.whole(Field::Left, 36_000_000).bytes(Field::Payload, &[7; 200]).end();
+        let f = if self.marks {
+            f.bytes(Field::Mark, &mark)
+        } else {
+            f
+        };
+        let f = f
+            .text(Field::Function, &format!("f{}", id % self.functions))
+            .whole(Field::Lanes, 1000);
+        f.whole(Field::Left, 36_000_000)
+            .bytes(Field::Payload, &[7; 200])
+            .end();
         let conn = self.conns[id as usize % self.conns.len()];
         self.net.write(conn, &self.out);
         self.next += 1;
--- a/crates/tidewall-measure/src/terminals.rs
+++ b/crates/tidewall-measure/src/terminals.rs
@@ -43,9 +43,16 @@
 }
 
 impl Terminals {
-    pub fn new(to: SocketAddr, connections: usize, rate: f64, window: usize) -> std::io::Result<Terminals> {
+    pub fn new(
+        to: SocketAddr,
+        connections: usize,
+        rate: f64,
+        window: usize,
+    ) -> std::io::Result<Terminals> {
         let mut net = Mio::new()?;
-        let conns = (0..connections).map(|_| (net.connect(to, 50_000), Terminal::default())).collect();
+        let conns = (0..connections)
+            .map(|_| (net.connect(to, 50_000), Terminal::default()))
+            .collect();
         Ok(Terminals {
             net,
             conns,
@@ -87,7 +94,9 @@
         let at = evt as usize % self.conns.len();
         let mut out = Vec::with_capacity(2048);
         let key = format!("t.f{}", evt % 4);
-        self.conns[at].1.publish(&mut out, evt, &key, 900, evt + 1, false, &self.body);
+        self.conns[at]
+            .1
+            .publish(&mut out, evt, &key, 900, evt + 1, false, &self.body);
         self.net.write(self.conns[at].0, &out);
         self.next += 1;
         self.sent += 1;
--- a/crates/tidewall-members/src/lib.rs
+++ b/crates/tidewall-members/src/lib.rs
@@ -89,8 +89,20 @@
 }
 
 impl Members {
-    pub fn new(now: Time, me: usize, life: u64, members: usize, period: Time, first: Time) -> Members {
-        let list = (0..members).map(|_| Member { word: None, until: 0 }).collect();
+    pub fn new(
+        now: Time,
+        me: usize,
+        life: u64,
+        members: usize,
+        period: Time,
+        first: Time,
+    ) -> Members {
+        let list = (0..members)
+            .map(|_| Member {
+                word: None,
+                until: 0,
+            })
+            .collect();
         let mut rumours = Rumours::new(members);
         rumours.new_word(me, false);
         Members {
@@ -125,13 +137,22 @@
 
     /// It is there, as far as we know; one that is suspected still is.
     pub fn here(&self, member: usize) -> bool {
-        self.word(member).is_some_and(|w| w.standing <= Standing::Suspect)
+        self.word(member)
+            .is_some_and(|w| w.standing <= Standing::Suspect)
     }
 
     /// What we say of ourselves.
     pub fn own(&self) -> Word {
-        let standing = if self.leaving { Standing::Left } else { Standing::Here };
-        Word { life: self.life, turn: self.turn, standing }
+        let standing = if self.leaving {
+            Standing::Left
+        } else {
+            Standing::Here
+        };
+        Word {
+            life: self.life,
+            turn: self.turn,
+            standing,
+        }
     }
 
     pub fn count(&self) -> usize {
@@ -203,7 +224,15 @@
         for m in 0..self.list.len() {
             let over = |w: Word| w.standing == Standing::Suspect && now >= self.list[m].until;
             if let Some(word) = self.list[m].word.filter(|w| over(*w)) {
-                self.learn(now, host, m, Word { standing: Standing::Gone, ..word });
+                self.learn(
+                    now,
+                    host,
+                    m,
+                    Word {
+                        standing: Standing::Gone,
+                        ..word
+                    },
+                );
             }
         }
         if self.leaving {
@@ -224,7 +253,11 @@
     fn period_begins(&mut self, now: Time, host: &mut impl Host) {
         // Those never heard of, a few at a time until each was tried, then now and then.
         let all = self.fresh >= self.list.len();
-        let tries = if all { usize::from(self.periods.is_multiple_of(GONE_EVERY)) } else { NEW };
+        let tries = if all {
+            usize::from(self.periods.is_multiple_of(GONE_EVERY))
+        } else {
+            NEW
+        };
         for _ in 0..tries {
             let member = self.next_fresh();
             // In the first round those that are here too: they may not have heard of this life.
@@ -246,7 +279,12 @@
             self.at = (self.at + 1) % self.order.len();
             if self.here(target) {
                 let seq = self.seq();
-                self.probe = Some(Probe { target, seq, at: now, by_others: false });
+                self.probe = Some(Probe {
+                    target,
+                    seq,
+                    at: now,
+                    by_others: false,
+                });
                 host.ping(target, seq);
                 return;
             }
@@ -263,18 +301,37 @@
         if let Some(probe) = &mut self.probe {
             probe.by_others = true;
         }
-        let others: Vec<usize> =
-            self.order.iter().copied().filter(|m| *m != target && self.here(*m)).collect();
-        let from = if others.is_empty() { 0 } else { host.chance(others.len() as u64) as usize };
+        let others: Vec<usize> = self
+            .order
+            .iter()
+            .copied()
+            .filter(|m| *m != target && self.here(*m))
+            .collect();
+        let from = if others.is_empty() {
+            0
+        } else {
+            host.chance(others.len() as u64) as usize
+        };
         for i in 0..VIA.min(others.len()) {
             host.ping_for(others[(from + i) % others.len()], target, seq);
         }
     }
 
     fn suspect(&mut self, now: Time, host: &mut impl Host, member: usize) {
-        if let Some(word) = self.list[member].word.filter(|w| w.standing == Standing::Here) {
+        if let Some(word) = self.list[member]
+            .word
+            .filter(|w| w.standing == Standing::Here)
+        {
             self.suspected += 1;
-            self.learn(now, host, member, Word { standing: Standing::Suspect, ..word });
+            self.learn(
+                now,
+                host,
+                member,
+                Word {
+                    standing: Standing::Suspect,
+                    ..word
+                },
+            );
         }
     }
 
@@ -300,7 +357,8 @@
         if word.standing == Standing::Suspect {
             self.list[member].until = now + self.suspicion();
         }
-        self.rumours.new_word(member, word.standing == Standing::Here && word.turn == 0);
+        self.rumours
+            .new_word(member, word.standing == Standing::Here && word.turn == 0);
         let comes = word.standing <= Standing::Suspect;
         if comes && (!here || was.is_some_and(|w| w.life != word.life)) {
             host.comes(member, word.life);
@@ -312,8 +370,14 @@
     /// Something came from that member just now, whatever it was, and with it what it says of itself. False where it is
     /// from a former life.
     pub fn heard(&mut self, now: Time, host: &mut impl Host, from: usize, word: Word) -> bool {
-        let Word { life, turn, standing } = word;
-        let Some(member) = self.list.get(from).filter(|_| from != self.me) else { return false };
+        let Word {
+            life,
+            turn,
+            standing,
+        } = word;
+        let Some(member) = self.list.get(from).filter(|_| from != self.me) else {
+            return false;
+        };
         if member.word.is_some_and(|w| w.life > life) {
             return false;
         }
@@ -353,17 +417,30 @@
         if self.relays.len() >= RELAYS {
             self.relays.remove(0);
         }
-        self.relays.push(Relay { seq, target, to: from, its });
+        self.relays.push(Relay {
+            seq,
+            target,
+            to: from,
+            its,
+        });
         host.ping(target, seq);
     }
 
     /// `from` says that `of` is there.
     pub fn acked(&mut self, host: &mut impl Host, from: usize, of: usize, seq: u32) {
-        if self.probe.as_ref().is_some_and(|p| p.seq == seq && p.target == of) {
+        if self
+            .probe
+            .as_ref()
+            .is_some_and(|p| p.seq == seq && p.target == of)
+        {
             self.probe = None;
             self.doubt = self.doubt.saturating_sub(1);
         }
-        if let Some(i) = self.relays.iter().position(|r| r.seq == seq && r.target == of && from == of) {
+        if let Some(i) = self
+            .relays
+            .iter()
+            .position(|r| r.seq == seq && r.target == of && from == of)
+        {
             let relay = self.relays.remove(i);
             host.ack(relay.to, of, relay.its);
         }
--- a/crates/tidewall-members/src/rumours.rs
+++ b/crates/tidewall-members/src/rumours.rs
@@ -11,7 +11,12 @@
 }
 
 impl Standing {
-    pub const ALL: [Standing; 4] = [Standing::Here, Standing::Suspect, Standing::Gone, Standing::Left];
+    pub const ALL: [Standing; 4] = [
+        Standing::Here,
+        Standing::Suspect,
+        Standing::Gone,
+        Standing::Left,
+    ];
 }
 
 /// What is said of a member. What has the newer life is the truth; of one life, the newer turn (a member takes a new
@@ -32,7 +37,10 @@
 
 impl Rumours {
     pub fn new(members: usize) -> Rumours {
-        Rumours { told: vec![None; members], order: BTreeSet::new() }
+        Rumours {
+            told: vec![None; members],
+            order: BTreeSet::new(),
+        }
     }
 
     /// A rumour reaches all members in about log2 of their number of tellings by each; three times that is SWIM's usual. Who is
--- a/crates/tidewall-members/tests/help/mod.rs
+++ b/crates/tidewall-members/tests/help/mod.rs
@@ -40,7 +40,9 @@
         self.goes.push((member, left));
     }
     fn chance(&mut self, below: u64) -> u64 {
-        self.chance.as_mut().map_or(0, |c| c.random_range(0..below.max(1)))
+        self.chance
+            .as_mut()
+            .map_or(0, |c| c.random_range(0..below.max(1)))
     }
 }
 
@@ -67,7 +69,9 @@
         let first = |m: usize| (m as u64 * 37 % 10) * PERIOD / 10;
         Net {
             now: 0,
-            members: (0..n).map(|m| Members::new(0, m, 1, n, PERIOD, first(m))).collect(),
+            members: (0..n)
+                .map(|m| Members::new(0, m, 1, n, PERIOD, first(m)))
+                .collect(),
             outs: (0..n)
                 .map(|m| Out {
                     chance: Some(ChaCha8Rng::seed_from_u64(seed * 1_000 + m as u64)),
@@ -90,7 +94,10 @@
         for (to, sent) in std::mem::take(&mut self.outs[from].sent) {
             let m = &mut self.members[from];
             let first = m.of_itself(to).map(|w| (to, w));
-            let rumours: Vec<_> = first.into_iter().chain((0..6).map_while(|_| m.rumour())).collect();
+            let rumours: Vec<_> = first
+                .into_iter()
+                .chain((0..6).map_while(|_| m.rumour()))
+                .collect();
             let datagram = (from, m.own(), sent, rumours);
             self.datagrams += 1;
             self.count += 1;
@@ -106,7 +113,9 @@
         if !m.heard(now, out, from, word) {
             return;
         }
-        rumours.into_iter().for_each(|(of, word)| m.told(now, out, of, word));
+        rumours
+            .into_iter()
+            .for_each(|(of, word)| m.told(now, out, of, word));
         match sent {
             Sent::Ping(seq) => m.pinged(out, from, seq),
             Sent::PingFor(target, seq) => m.pinged_for(out, from, target, seq),
@@ -148,7 +157,9 @@
         let all = || 0..self.members.len();
         let pairs = all().filter(run).flat_map(|m| all().map(move |o| (m, o)));
         let wrong = pairs.filter(|(m, o)| self.members[*m].here(*o) != run(o));
-        wrong.map(|(m, o)| (m, o, self.members[m].word(o))).collect()
+        wrong
+            .map(|(m, o)| (m, o, self.members[m].word(o)))
+            .collect()
     }
 
     pub fn restart(&mut self, m: usize) {
--- a/crates/tidewall-members/tests/swim.rs
+++ b/crates/tidewall-members/tests/swim.rs
@@ -6,7 +6,11 @@
 use tidewall_members::{Standing, Word};
 
 fn here_in(life: u64) -> Word {
-    Word { life, turn: 0, standing: Standing::Here }
+    Word {
+        life,
+        turn: 0,
+        standing: Standing::Here,
+    }
 }
 
 #[test_case(3 ; "three")]
@@ -70,7 +74,10 @@
     let mut net = Net::new(6, 4);
     net.run(20 * PERIOD);
     let side = |m: usize| m < 2;
-    net.cut = (0..36).map(|i| (i / 6, i % 6)).filter(|(a, b)| side(*a) != side(*b)).collect();
+    net.cut = (0..36)
+        .map(|i| (i / 6, i % 6))
+        .filter(|(a, b)| side(*a) != side(*b))
+        .collect();
     net.run(60 * PERIOD);
     assert!((0..6).all(|m| (0..6).all(|o| net.members[m].here(o) == (side(m) == side(o)))));
     net.cut.clear();
@@ -116,7 +123,10 @@
     assert!(m.heard(0, out, 1, here_in(2)));
     m.told(0, out, 1, word);
     assert_eq!(m.here(1), here);
-    assert!(!m.heard(0, out, 1, here_in(1)), "a former life is not heard");
+    assert!(
+        !m.heard(0, out, 1, here_in(1)),
+        "a former life is not heard"
+    );
     // A member that there is not.
     m.told(0, out, 7, word);
 }
@@ -128,7 +138,13 @@
         let mut net = Net::new(9, 8);
         net.lost = 200;
         net.run(100 * PERIOD);
-        (net.datagrams, net.members.iter().map(|m| (m.suspected, m.refuted)).collect::<Vec<_>>())
+        (
+            net.datagrams,
+            net.members
+                .iter()
+                .map(|m| (m.suspected, m.refuted))
+                .collect::<Vec<_>>(),
+        )
     };
     assert_eq!(run(), run());
 }
--- a/crates/tidewall-net/benches/wheel.rs
+++ b/crates/tidewall-net/benches/wheel.rs
@@ -33,7 +33,8 @@
         });
         group.bench_with_input(BenchmarkId::new("heap", size), &size, |b, &size| {
             let mut chance = ChaCha8Rng::seed_from_u64(7);
-            let (mut heap, mut dead, mut now, mut held) = (BinaryHeap::new(), HashSet::new(), 0, Vec::new());
+            let (mut heap, mut dead, mut now, mut held) =
+                (BinaryHeap::new(), HashSet::new(), 0, Vec::new());
             let mut id = size;
             for i in 0..size {
                 heap.push(Reverse((chance.random_range(1..SPAN), i, i)));
--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -18,12 +18,34 @@
 
 /// What is on its way. It is private: apps see one method for each.
 enum Way {
-    Knock { end: usize, count: u32, to: SocketAddr },
-    Opened { end: usize, count: u32 },
-    Late { end: usize, count: u32 },
-    Bytes { end: usize, count: u32, bytes: Vec<u8> },
-    Over { end: usize, count: u32, why: Why },
-    Datagram { to: SocketAddr, from: SocketAddr, bytes: Vec<u8> },
+    Knock {
+        end: usize,
+        count: u32,
+        to: SocketAddr,
+    },
+    Opened {
+        end: usize,
+        count: u32,
+    },
+    Late {
+        end: usize,
+        count: u32,
+    },
+    Bytes {
+        end: usize,
+        count: u32,
+        bytes: Vec<u8>,
+    },
+    Over {
+        end: usize,
+        count: u32,
+        why: Why,
+    },
+    Datagram {
+        to: SocketAddr,
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
 }
 
 /// What befalls what goes from one node to another. Streams lose nothing for good: what is lost or cut comes later.
@@ -194,7 +216,9 @@
         let key = (from.node, to.node);
         self.paths.insert(key, path);
         if !path.cut {
-            let (go, stay) = std::mem::take(&mut self.stalled).into_iter().partition(|s| s.0 == key);
+            let (go, stay) = std::mem::take(&mut self.stalled)
+                .into_iter()
+                .partition(|s| s.0 == key);
             self.stalled = stay;
             let go: Vec<_> = go;
             go.into_iter().for_each(|(_, way)| self.across(key, way));
@@ -203,7 +227,9 @@
 
     /// Sends from one node to another, by their path, past whoever taps it.
     fn across(&mut self, key: (usize, usize), mut way: Way) {
-        let Some(mut tap) = self.tap.take() else { return self.by_path(key, way) };
+        let Some(mut tap) = self.tap.take() else {
+            return self.by_path(key, way);
+        };
         let told = match &mut way {
             Way::Datagram { bytes, .. } => tap(key.0, key.1, true, bytes),
             Way::Bytes { bytes, .. } => tap(key.0, key.1, false, bytes),
@@ -217,14 +243,35 @@
                 if let Some(e) = self.ends.get_mut(end).filter(|e| e.count == count) {
                     e.flying -= bytes.len();
                 }
-                self.by_path(key, Way::Over { end, count, why: Why::Reset });
+                self.by_path(
+                    key,
+                    Way::Over {
+                        end,
+                        count,
+                        why: Why::Reset,
+                    },
+                );
             }
             (Tapped::Lose, _) => {}
             (Tapped::Twice(wait), Way::Datagram { to, from, bytes }) => {
-                self.by_path(key, Way::Datagram { to, from, bytes: bytes.clone() });
+                self.by_path(
+                    key,
+                    Way::Datagram {
+                        to,
+                        from,
+                        bytes: bytes.clone(),
+                    },
+                );
                 self.send(wait, Way::Datagram { to, from, bytes });
             }
-            (Tapped::Twice(_), Way::Bytes { end, count, mut bytes }) => {
+            (
+                Tapped::Twice(_),
+                Way::Bytes {
+                    end,
+                    count,
+                    mut bytes,
+                },
+            ) => {
                 if let Some(e) = self.ends.get_mut(end).filter(|e| e.count == count) {
                     e.flying += bytes.len();
                 }
@@ -242,7 +289,13 @@
                 self.send(wait, way);
             }
             (Tapped::To(node), Way::Datagram { from, bytes, .. }) => {
-                if let Some(to) = self.ports.iter().flatten().find(|p| p.0 == node).map(|p| p.1) {
+                if let Some(to) = self
+                    .ports
+                    .iter()
+                    .flatten()
+                    .find(|p| p.0 == node)
+                    .map(|p| p.1)
+                {
                     self.by_path((key.0, node), Way::Datagram { to, from, bytes });
                 }
             }
@@ -251,7 +304,10 @@
     }
 
     fn by_path(&mut self, key: (usize, usize), way: Way) {
-        let same = Path { delay: self.delay, ..Path::default() };
+        let same = Path {
+            delay: self.delay,
+            ..Path::default()
+        };
         let path = self.paths.get(&key).copied().unwrap_or(same);
         let datagram = matches!(way, Way::Datagram { .. });
         if path.cut {
@@ -270,7 +326,14 @@
             Way::Datagram { .. } if lost => {}
             Way::Datagram { to, from, bytes } => {
                 if twice {
-                    self.send(wait, Way::Datagram { to, from, bytes: bytes.clone() });
+                    self.send(
+                        wait,
+                        Way::Datagram {
+                            to,
+                            from,
+                            bytes: bytes.clone(),
+                        },
+                    );
                     wait += path.delay;
                 }
                 self.send(wait, Way::Datagram { to, from, bytes });
@@ -297,7 +360,9 @@
     }
 
     fn end(&mut self, conn: Conn) -> Option<&mut End> {
-        self.ends.get_mut(conn.place()).filter(|e| e.count == conn.count())
+        self.ends
+            .get_mut(conn.place())
+            .filter(|e| e.count == conn.count())
     }
 
     fn add(&mut self, node: usize, from: SocketAddr, other: Option<(usize, u32)>) -> Conn {
@@ -325,13 +390,26 @@
     /// the former owner sends them.
     fn moved(&mut self, to: usize, at: SocketAddr) {
         let former = |l: &Option<(usize, SocketAddr)>| l.is_some_and(|l| l.1 == at && l.0 != to);
-        self.listeners.iter_mut().filter(|l| former(l)).for_each(|l| *l = None);
-        let ends = self.ends.iter().filter(|e| e.1.at == Some(at) && e.1.node != to);
+        self.listeners
+            .iter_mut()
+            .filter(|l| former(l))
+            .for_each(|l| *l = None);
+        let ends = self
+            .ends
+            .iter()
+            .filter(|e| e.1.at == Some(at) && e.1.node != to);
         let both = ends.flat_map(|e| [Some((e.0, e.1.count)), e.1.other]);
         let gone: Vec<(usize, u32)> = both.flatten().collect();
         for (end, count) in gone {
             let delay = self.delay;
-            self.send(delay, Way::Over { end, count, why: Why::Reset });
+            self.send(
+                delay,
+                Way::Over {
+                    end,
+                    count,
+                    why: Why::Reset,
+                },
+            );
         }
     }
 
@@ -347,7 +425,12 @@
 
     /// Tells an end that the other one, at that node, is gone.
     fn over(&mut self, from: usize, (end, count): (usize, u32), why: Why) {
-        if let Some(node) = self.ends.get(end).filter(|e| e.count == count).map(|e| e.node) {
+        if let Some(node) = self
+            .ends
+            .get(end)
+            .filter(|e| e.count == count)
+            .map(|e| e.node)
+        {
             self.across((from, node), Way::Over { end, count, why });
         }
     }
@@ -355,16 +438,27 @@
     /// Moves what was written towards the other end, as far as that one takes it.
     fn push(&mut self, conn: Conn) {
         let Some(end) = self.end(conn) else { return };
-        let Some((other, count)) = end.other.filter(|_| end.open && !end.write.is_empty()) else { return };
+        let Some((other, count)) = end.other.filter(|_| end.open && !end.write.is_empty()) else {
+            return;
+        };
         let from = end.node;
         let mut bytes = end.write.data().to_vec();
-        let Some(to) = self.ends.get_mut(other).filter(|e| e.count == count) else { return };
+        let Some(to) = self.ends.get_mut(other).filter(|e| e.count == count) else {
+            return;
+        };
         let room = READ_MOST.saturating_sub(to.inbox.len() + to.flying);
         bytes.truncate(room);
         let (taken, node) = (bytes.len(), to.node);
         to.flying += taken;
         if taken > 0 {
-            self.across((from, node), Way::Bytes { end: other, count, bytes });
+            self.across(
+                (from, node),
+                Way::Bytes {
+                    end: other,
+                    count,
+                    bytes,
+                },
+            );
         }
         if let Some(end) = self.end(conn) {
             end.write.used(taken);
@@ -376,7 +470,10 @@
     pub fn join(world: &Rc<RefCell<World>>) -> Memory {
         let mut w = world.borrow_mut();
         w.nodes.push(Node::default());
-        Memory { world: world.clone(), node: w.nodes.len() - 1 }
+        Memory {
+            world: world.clone(),
+            node: w.nodes.len() - 1,
+        }
     }
 
     /// All its connections break and it hears of nothing any more.
@@ -384,11 +481,22 @@
         let mut w = self.world.borrow_mut();
         w.nodes[self.node].dead = true;
         let node = self.node;
-        w.listeners.iter_mut().filter(|l| l.is_some_and(|l| l.0 == node)).for_each(|l| *l = None);
-        w.ports.iter_mut().filter(|p| p.is_some_and(|p| p.0 == node)).for_each(|p| *p = None);
-        let gone: Vec<Conn> =
-            w.ends.iter().filter(|e| e.1.node == node).map(|e| Conn::new(e.0, e.1.count)).collect();
-        gone.into_iter().for_each(|conn| w.drop_end(conn, Why::Reset));
+        w.listeners
+            .iter_mut()
+            .filter(|l| l.is_some_and(|l| l.0 == node))
+            .for_each(|l| *l = None);
+        w.ports
+            .iter_mut()
+            .filter(|p| p.is_some_and(|p| p.0 == node))
+            .for_each(|p| *p = None);
+        let gone: Vec<Conn> = w
+            .ends
+            .iter()
+            .filter(|e| e.1.node == node)
+            .map(|e| Conn::new(e.0, e.1.count))
+            .collect();
+        gone.into_iter()
+            .for_each(|conn| w.drop_end(conn, Why::Reset));
     }
 
     pub fn dead(&self) -> bool {
@@ -399,7 +507,10 @@
     pub fn restart(&self) {
         let mut w = self.world.borrow_mut();
         let ppm = w.nodes[self.node].ppm;
-        w.nodes[self.node] = Node { ppm, ..Node::default() };
+        w.nodes[self.node] = Node {
+            ppm,
+            ..Node::default()
+        };
     }
 
     /// Its clock runs faster by so many millionths.
@@ -432,7 +543,14 @@
     pub fn cut(&self, conn: Conn) {
         let mut w = self.world.borrow_mut();
         let count = conn.count();
-        w.send(0, Way::Over { end: conn.place(), count, why: Why::Reset });
+        w.send(
+            0,
+            Way::Over {
+                end: conn.place(),
+                count,
+                why: Why::Reset,
+            },
+        );
         let other = w.end(conn).and_then(|e| Some((e.node, e.other?)));
         if let Some((from, other)) = other {
             w.over(from, other, Why::Reset);
@@ -491,10 +609,22 @@
         let conn = w.add(self.node, to, None);
         let (end, count, delay) = (conn.place(), conn.count(), w.delay);
         if w.nodes[self.node].bare {
-            w.send(0, Way::Over { end, count, why: Why::Refused });
+            w.send(
+                0,
+                Way::Over {
+                    end,
+                    count,
+                    why: Why::Refused,
+                },
+            );
             return conn;
         }
-        let node = w.listeners.iter().flatten().find(|l| l.1 == to).map(|l| l.0);
+        let node = w
+            .listeners
+            .iter()
+            .flatten()
+            .find(|l| l.1 == to)
+            .map(|l| l.0);
         let knock = Way::Knock { end, count, to };
         match node {
             Some(node) => w.across((self.node, node), knock),
@@ -506,7 +636,9 @@
 
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool {
         let mut w = self.world.borrow_mut();
-        let Some(end) = w.end(conn).filter(|e| !e.closing) else { return false };
+        let Some(end) = w.end(conn).filter(|e| !e.closing) else {
+            return false;
+        };
         if end.write.len() + bytes.len() > WRITE_MOST {
             end.owed = true;
             return false;
@@ -518,7 +650,10 @@
 
     fn push(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let mut w = self.world.borrow_mut();
-        let other = w.end(conn).filter(|e| e.open && !e.closing && e.write.is_empty()).and_then(|e| e.other);
+        let other = w
+            .end(conn)
+            .filter(|e| e.open && !e.closing && e.write.is_empty())
+            .and_then(|e| e.other);
         let to = other.and_then(|(other, count)| w.end(Conn::new(other, count)));
         let room = to.map_or(0, |to| READ_MOST.saturating_sub(to.inbox.len() + to.flying));
         let left = bytes.len().min(room);
@@ -531,11 +666,17 @@
     }
 
     fn unsent(&self, conn: Conn) -> usize {
-        self.world.borrow_mut().end(conn).map_or(0, |e| e.write.len())
+        self.world
+            .borrow_mut()
+            .end(conn)
+            .map_or(0, |e| e.write.len())
     }
 
     fn unread(&mut self, conn: Conn) -> bool {
-        self.world.borrow_mut().end(conn).is_some_and(|e| !e.inbox.is_empty())
+        self.world
+            .borrow_mut()
+            .end(conn)
+            .is_some_and(|e| !e.inbox.is_empty())
     }
 
     fn pause(&mut self, conn: Conn, on: bool) {
@@ -543,7 +684,14 @@
         let Some(end) = w.end(conn) else { return };
         end.paused = on;
         let (end, count) = (conn.place(), conn.count());
-        w.send(0, Way::Bytes { end, count, bytes: Vec::new() });
+        w.send(
+            0,
+            Way::Bytes {
+                end,
+                count,
+                bytes: Vec::new(),
+            },
+        );
     }
 
     fn close(&mut self, conn: Conn) {
@@ -580,9 +728,20 @@
 
     fn send(&mut self, port: Port, to: SocketAddr, bytes: &[u8]) {
         let mut w = self.world.borrow_mut();
-        let Some((_, from)) = w.ports[port.0] else { return };
-        let Some(node) = w.ports.iter().flatten().find(|p| p.1 == to).map(|p| p.0) else { return };
-        w.across((self.node, node), Way::Datagram { to, from, bytes: bytes.to_vec() });
+        let Some((_, from)) = w.ports[port.0] else {
+            return;
+        };
+        let Some(node) = w.ports.iter().flatten().find(|p| p.1 == to).map(|p| p.0) else {
+            return;
+        };
+        w.across(
+            (self.node, node),
+            Way::Datagram {
+                to,
+                from,
+                bytes: bytes.to_vec(),
+            },
+        );
     }
 
     fn set(&mut self, at: Time, token: u64) -> Deadline {
@@ -593,7 +752,9 @@
     }
 
     fn clear(&mut self, deadline: Deadline) {
-        self.world.borrow_mut().nodes[self.node].wheel.cancel(deadline);
+        self.world.borrow_mut().nodes[self.node]
+            .wheel
+            .cancel(deadline);
     }
 
     fn stop(&mut self) {
@@ -609,7 +770,11 @@
     let way = w.ways.first_key_value().map(|e| e.0 .0);
     let live = |n: &Node| !n.dead && n.still.is_none();
     // A wake-up ends when all that came in its moment has been told.
-    let woken = w.nodes.iter().take(apps.len()).position(|n| n.woken && live(n));
+    let woken = w
+        .nodes
+        .iter()
+        .take(apps.len())
+        .position(|n| n.woken && live(n));
     if let Some(node) = woken.filter(|_| way.is_none_or(|at| at > w.now)) {
         w.nodes[node].woken = false;
         drop(w);
@@ -649,19 +814,32 @@
 /// Runs all that happens by `until`.
 pub fn run(world: &Rc<RefCell<World>>, apps: Apps, until: Time) {
     // What they were called for from outside.
-    world.borrow_mut().nodes.iter_mut().for_each(|n| n.woken = true);
+    world
+        .borrow_mut()
+        .nodes
+        .iter_mut()
+        .for_each(|n| n.woken = true);
     while step(world, apps, until) {}
 }
 
 fn happen(world: &Rc<RefCell<World>>, apps: Apps, way: Way) {
     let mut w = world.borrow_mut();
     let node = match &way {
-        Way::Knock { to, .. } => w.listeners.iter().flatten().find(|l| l.1 == *to).map(|l| l.0),
+        Way::Knock { to, .. } => w
+            .listeners
+            .iter()
+            .flatten()
+            .find(|l| l.1 == *to)
+            .map(|l| l.0),
         Way::Datagram { to, .. } => w.ports.iter().flatten().find(|p| p.1 == *to).map(|p| p.0),
         Way::Opened { end, count }
         | Way::Late { end, count }
         | Way::Bytes { end, count, .. }
-        | Way::Over { end, count, .. } => w.ends.get(*end).filter(|e| e.count == *count).map(|e| e.node),
+        | Way::Over { end, count, .. } => w
+            .ends
+            .get(*end)
+            .filter(|e| e.count == *count)
+            .map(|e| e.node),
     };
     if let Some(node) = node {
         if w.nodes[node].dead {
@@ -682,7 +860,10 @@
             w.digest.write(bytes);
         }
         Way::Datagram { bytes, .. } => w.digest.write(bytes),
-        Way::Knock { end, .. } | Way::Opened { end, .. } | Way::Late { end, .. } | Way::Over { end, .. } => {
+        Way::Knock { end, .. }
+        | Way::Opened { end, .. }
+        | Way::Late { end, .. }
+        | Way::Over { end, .. } => {
             w.digest.write_usize(*end);
         }
     }
@@ -693,9 +874,19 @@
                 // Accepting pauses, as on sockets.
                 return w.send(1_000, Way::Knock { end, count, to });
             }
-            let place = w.listeners.iter().position(|l| l.is_some_and(|l| l.1 == to));
+            let place = w
+                .listeners
+                .iter()
+                .position(|l| l.is_some_and(|l| l.1 == to));
             let (Some(node), Some(place)) = (node, place) else {
-                return w.send(delay, Way::Over { end, count, why: Why::Refused });
+                return w.send(
+                    delay,
+                    Way::Over {
+                        end,
+                        count,
+                        why: Why::Refused,
+                    },
+                );
             };
             if w.ends.get(end).is_none_or(|e| e.count != count) {
                 return;
@@ -720,13 +911,19 @@
             world.borrow_mut().push(conn);
         }
         Way::Late { end, count } => {
-            let Some(node) = node.filter(|_| !w.ends[end].open) else { return };
+            let Some(node) = node.filter(|_| !w.ends[end].open) else {
+                return;
+            };
             let conn = Conn::new(end, count);
             w.drop_end(conn, Why::Ended);
             drop(w);
             apps[node].closed(conn, Why::TimedOut);
         }
-        Way::Bytes { end, count, bytes: came } => {
+        Way::Bytes {
+            end,
+            count,
+            bytes: came,
+        } => {
             let Some(node) = node else { return };
             if let Some(e) = w.end(Conn::new(end, count)) {
                 e.flying -= came.len();
@@ -765,7 +962,9 @@
 fn bytes(world: &Rc<RefCell<World>>, apps: Apps, node: usize, conn: Conn) -> bool {
     let mut w = world.borrow_mut();
     let piece = if w.piece == 0 { usize::MAX } else { w.piece };
-    let Some(end) = w.end(conn).filter(|e| !e.paused && !e.closing) else { return false };
+    let Some(end) = w.end(conn).filter(|e| !e.paused && !e.closing) else {
+        return false;
+    };
     let n = end.inbox.len().min(piece);
     if n == 0 {
         return false;
@@ -785,16 +984,34 @@
         end.read = read;
     }
     if more {
-        w.send(0, Way::Bytes { end: conn.place(), count: conn.count(), bytes: Vec::new() });
+        w.send(
+            0,
+            Way::Bytes {
+                end: conn.place(),
+                count: conn.count(),
+                bytes: Vec::new(),
+            },
+        );
     }
     if full {
-        w.send(0, Way::Over { end: conn.place(), count: conn.count(), why: Why::Reset });
+        w.send(
+            0,
+            Way::Over {
+                end: conn.place(),
+                count: conn.count(),
+                why: Why::Reset,
+            },
+        );
     }
     // The other end's waiting bytes have room now.
-    let Some((place, count)) = other else { return more };
+    let Some((place, count)) = other else {
+        return more;
+    };
     let from = Conn::new(place, count);
     w.push(from);
-    let Some(end) = w.end(from).filter(|e| e.write.is_empty()) else { return more };
+    let Some(end) = w.end(from).filter(|e| e.write.is_empty()) else {
+        return more;
+    };
     let (owed, closing, at) = (std::mem::take(&mut end.owed), end.closing, end.node);
     if closing {
         w.drop_end(from, Why::Ended);
--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -95,7 +95,10 @@
 
     /// Closing it sends a reset and drops what has not left.
     fn linger_none(&self) {
-        let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+        let linger = libc::linger {
+            l_onoff: 1,
+            l_linger: 0,
+        };
         // SAFETY: the descriptor is open and the option's value is a linger of its size.
         unsafe {
             libc::setsockopt(
@@ -187,7 +190,9 @@
     /// These signals come as `App::signal` from now on.
     pub fn signals(&mut self, which: &[i32]) -> io::Result<()> {
         let mut signals = Signals::new(which)?;
-        self.poll.registry().register(&mut signals, Token(SIGNALS), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut signals, Token(SIGNALS), Interest::READABLE)?;
         self.signals = Some(signals);
         Ok(())
     }
@@ -205,14 +210,23 @@
     /// Whole tenths that have passed, rounded down, from 1 on: 0 means "long ago" to the decisions.
     fn look(&mut self) {
         let past = (self.started.elapsed().as_micros() / 100) as i128;
-        self.now = self.now.max((past + past * i128::from(self.ppm) / 1_000_000) as Time + 1);
+        self.now = self
+            .now
+            .max((past + past * i128::from(self.ppm) / 1_000_000) as Time + 1);
     }
 
     /// Takes a lag into account.
     fn lagged(&mut self, lag: Time) {
         const SECOND: Time = 10_000;
         if self.now >= self.lags_from + SECOND {
-            self.lags = [0, if self.now >= self.lags_from + 2 * SECOND { 0 } else { self.lags[0] }];
+            self.lags = [
+                0,
+                if self.now >= self.lags_from + 2 * SECOND {
+                    0
+                } else {
+                    self.lags[0]
+                },
+            ];
             self.lags_from = self.now;
         }
         if lag <= STANDSTILL {
@@ -251,7 +265,9 @@
             ending: None,
         };
         let interest = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut stream.socket, Token(entry.key()), interest)?;
+        self.poll
+            .registry()
+            .register(&mut stream.socket, Token(entry.key()), interest)?;
         stream.opening = opening.map(|at| self.own.insert(at, conn.0));
         entry.insert(Slot::Stream(Box::new(stream)));
         Ok(conn)
@@ -296,7 +312,9 @@
     /// Writes what the socket takes. False where the connection broke.
     fn flush(&mut self, conn: Conn) -> bool {
         let now = self.now;
-        let Some(s) = self.stream(conn) else { return true };
+        let Some(s) = self.stream(conn) else {
+            return true;
+        };
         if s.opening.is_some() {
             return true;
         }
@@ -318,7 +336,9 @@
     /// All was written: ends our half, and the rest with the peer's. True where it can be dropped at once.
     fn part(&mut self, conn: Conn) -> bool {
         let now = self.now;
-        let Some(s) = self.stream(conn) else { return true };
+        let Some(s) = self.stream(conn) else {
+            return true;
+        };
         if s.ending.is_some() {
             return false;
         }
@@ -336,7 +356,8 @@
     /// Whether its peer may still have to read what was written to it last.
     fn fresh(&mut self, conn: Conn) -> bool {
         let now = self.now;
-        self.stream(conn).is_some_and(|s| s.wrote > 0 && now <= s.wrote + LINGER)
+        self.stream(conn)
+            .is_some_and(|s| s.wrote > 0 && now <= s.wrote + LINGER)
     }
 }
 
@@ -361,7 +382,9 @@
         let mut socket = TcpListener::bind(at)?;
         let at = socket.local_addr()?;
         let entry = self.slots.vacant_entry();
-        self.poll.registry().register(&mut socket, Token(entry.key()), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut socket, Token(entry.key()), Interest::READABLE)?;
         let listener = Listener(entry.key());
         entry.insert(Slot::Listener(socket));
         Ok((listener, at))
@@ -370,7 +393,9 @@
     fn unlisten(&mut self, listener: Listener) {
         // What the system has accepted for us already would be reset, with what it had sent.
         while let Some(Slot::Listener(socket)) = self.slots.get(listener.0) {
-            let Ok((socket, from)) = socket.accept() else { break };
+            let Ok((socket, from)) = socket.accept() else {
+                break;
+            };
             let _ = socket.set_nodelay(true);
             if let Ok(conn) = self.add(socket, None) {
                 self.late.push_back((listener, conn, from));
@@ -400,7 +425,9 @@
     }
 
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool {
-        let Some(s) = self.stream(conn) else { return false };
+        let Some(s) = self.stream(conn) else {
+            return false;
+        };
         if s.closing {
             return false;
         }
@@ -415,7 +442,12 @@
 
     fn push(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let (good, now) = (self.flush(conn), self.now);
-        let Some(s) = self.stream(conn).filter(|s| !s.closing && s.opening.is_none()) else { return 0 };
+        let Some(s) = self
+            .stream(conn)
+            .filter(|s| !s.closing && s.opening.is_none())
+        else {
+            return 0;
+        };
         let mut left = 0;
         while good && s.write.is_empty() && left < bytes.len() {
             match s.socket.write(&bytes[left..]) {
@@ -468,7 +500,10 @@
     fn unread(&mut self, conn: Conn) -> bool {
         let mut chunk = std::mem::take(&mut self.chunk);
         let mut came = false;
-        if let Some(s) = self.stream(conn).filter(|s| !s.closing && !s.paused && s.opening.is_none()) {
+        if let Some(s) = self
+            .stream(conn)
+            .filter(|s| !s.closing && !s.paused && s.opening.is_none())
+        {
             came = s.hot && !s.read.is_empty();
             if !came {
                 // No readiness was told of what came in this wake-up: only a read shows it.
@@ -517,7 +552,9 @@
         let mut socket = UdpSocket::bind(at)?;
         let at = socket.local_addr()?;
         let entry = self.slots.vacant_entry();
-        self.poll.registry().register(&mut socket, Token(entry.key()), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut socket, Token(entry.key()), Interest::READABLE)?;
         let port = Port(entry.key());
         entry.insert(Slot::Port(socket));
         Ok((port, at))
@@ -590,8 +627,15 @@
     // The last wake-up's own work counts too.
     let busy = net.now - began;
     net.lagged(busy);
-    let busy = if busy > STANDSTILL && net.asked != Time::MAX { busy } else { 0 };
-    let due = [net.wheel.next(), net.own.next()].into_iter().flatten().min();
+    let busy = if busy > STANDSTILL && net.asked != Time::MAX {
+        busy
+    } else {
+        0
+    };
+    let due = [net.wheel.next(), net.own.next()]
+        .into_iter()
+        .flatten()
+        .min();
     let idle = net.hot.is_empty() && net.over.is_empty();
     net.asked = due.unwrap_or(Time::MAX - 1);
     let wait = match due {
@@ -653,14 +697,21 @@
     let net = app.net();
     let mut events = net.events.take().expect("polls do not nest");
     let mut polled = net.poll.poll(&mut events, wait);
-    while polled.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::Interrupted) {
+    while polled
+        .as_ref()
+        .is_err_and(|e| e.kind() == io::ErrorKind::Interrupted)
+    {
         // A signal: what lies in the sockets by now still goes before the timers.
         polled = net.poll.poll(&mut events, Some(Duration::ZERO));
     }
     polled?;
     net.look();
     let due = net.asked.max(net.slept);
-    let late = if wait.is_some() { net.now.saturating_sub(due) } else { 0 };
+    let late = if wait.is_some() {
+        net.now.saturating_sub(due)
+    } else {
+        0
+    };
     net.lagged(late);
     let late = if late > STANDSTILL { late } else { 0 };
     if late > 0 {
@@ -670,7 +721,12 @@
     for event in events.iter() {
         let place = event.token().0;
         if place == SIGNALS {
-            let pending: Vec<i32> = app.net().signals.iter_mut().flat_map(|s| s.pending()).collect();
+            let pending: Vec<i32> = app
+                .net()
+                .signals
+                .iter_mut()
+                .flat_map(|s| s.pending())
+                .collect();
             pending.into_iter().for_each(|signal| app.signal(signal));
             continue;
         }
@@ -715,7 +771,9 @@
 fn accept<A: App<Net = Mio>>(app: &mut A, place: usize) {
     for round in 0.. {
         let net = app.net();
-        let Some(Slot::Listener(listener)) = net.slots.get(place) else { return };
+        let Some(Slot::Listener(listener)) = net.slots.get(place) else {
+            return;
+        };
         match listener.accept() {
             Ok((socket, from)) => {
                 let _ = socket.set_nodelay(true);
@@ -748,7 +806,9 @@
 fn datagrams<A: App<Net = Mio>>(app: &mut A, place: usize) {
     let mut bytes = [0; 2048];
     for _ in 0..ACCEPTS {
-        let Some(Slot::Port(socket)) = app.net().slots.get(place) else { return };
+        let Some(Slot::Port(socket)) = app.net().slots.get(place) else {
+            return;
+        };
         match socket.recv_from(&mut bytes) {
             Ok((n, from)) => app.datagram(Port(place), from, &bytes[..n]),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -761,7 +821,9 @@
 /// Reads once from each connection that may have something.
 fn hot<A: App<Net = Mio>>(app: &mut A) {
     for _ in 0..app.net().hot.len() {
-        let Some(conn) = app.net().hot.pop_front() else { return };
+        let Some(conn) = app.net().hot.pop_front() else {
+            return;
+        };
         read(app, conn);
     }
 }
@@ -791,7 +853,9 @@
                     s.read.push(&chunk[..n]);
                     net.warm(conn);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => (s.readable, s.stale) = (false, 0),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    (s.readable, s.stale) = (false, 0)
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => net.warm(conn),
                 Err(_) => gone = Some(Why::Reset),
             }
--- a/crates/tidewall-net/src/wheel.rs
+++ b/crates/tidewall-net/src/wheel.rs
@@ -67,7 +67,14 @@
 
     pub fn insert(&mut self, at: Time, token: u64) -> Deadline {
         let place = if self.free == NONE {
-            self.nodes.push(Node { at, token, before: NONE, after: NONE, count: 0, home: NONE });
+            self.nodes.push(Node {
+                at,
+                token,
+                before: NONE,
+                after: NONE,
+                count: 0,
+                home: NONE,
+            });
             (self.nodes.len() - 1) as u32
         } else {
             let place = self.free;
@@ -133,7 +140,11 @@
     fn start(&self, level: usize, slot: u32) -> Time {
         let shift = BITS * level as u32;
         let above = shift + BITS;
-        let upper = if above >= 64 { 0 } else { self.now >> above << above };
+        let upper = if above >= 64 {
+            0
+        } else {
+            self.now >> above << above
+        };
         (upper | Time::from(slot) << shift).max(self.now)
     }
 
@@ -156,7 +167,12 @@
     }
 
     fn unlink(&mut self, place: u32) {
-        let Node { before, after, home, .. } = self.nodes[place as usize];
+        let Node {
+            before,
+            after,
+            home,
+            ..
+        } = self.nodes[place as usize];
         let home = home as usize;
         if before == NONE {
             self.heads[home] = after;
--- a/crates/tidewall-net/tests/nets.rs
+++ b/crates/tidewall-net/tests/nets.rs
@@ -81,7 +81,17 @@
 
 fn peer<N: Net>(net: N, echo: bool, send: usize, stop_at: usize) -> (Peer<N>, Rc<RefCell<Seen>>) {
     let seen = Rc::new(RefCell::new(Seen::default()));
-    (Peer { net, seen: seen.clone(), echo, send, stop_at, conn: None }, seen)
+    (
+        Peer {
+            net,
+            seen: seen.clone(),
+            echo,
+            send,
+            stop_at,
+            conn: None,
+        },
+        seen,
+    )
 }
 
 fn local() -> SocketAddr {
@@ -101,7 +111,10 @@
     memory::run(&world, &mut [&mut a, &mut b], 100_000);
     let seen = seen.borrow();
     assert_eq!(seen.got.len(), seen.sent);
-    assert_eq!((seen.turned_away, seen.drained), (size > WRITE_MOST, size > WRITE_MOST));
+    assert_eq!(
+        (seen.turned_away, seen.drained),
+        (size > WRITE_MOST, size > WRITE_MOST)
+    );
 }
 
 #[test]
@@ -147,7 +160,9 @@
     drop(b);
     echo.join().unwrap();
     let seen = seen.borrow();
-    assert!(seen.turned_away && seen.got.len() >= WRITE_MOST / 2 && seen.got.iter().all(|b| *b == 7));
+    assert!(
+        seen.turned_away && seen.got.len() >= WRITE_MOST / 2 && seen.got.iter().all(|b| *b == 7)
+    );
 }
 
 #[test]
@@ -162,7 +177,10 @@
     a.net.set(now + 500, 5);
     tidewall_net::mio::run(&mut a).unwrap();
     let seen = seen.borrow();
-    assert_eq!((&seen.over[..], &seen.due[..]), (&[Why::Refused][..], &[5][..]));
+    assert_eq!(
+        (&seen.over[..], &seen.due[..]),
+        (&[Why::Refused][..], &[5][..])
+    );
     assert_eq!(seen.datagrams, [b"to myself"]);
 }
 
@@ -187,14 +205,20 @@
 fn a_flood_of_connections_does_not_hold_the_loop() {
     let (mut peer, seen) = peer(Mio::new().unwrap(), false, 0, 0);
     let (_, at) = peer.net.listen(local()).unwrap();
-    let flood: Vec<_> = (0..100).map(|_| std::net::TcpStream::connect(at).unwrap()).collect();
+    let flood: Vec<_> = (0..100)
+        .map(|_| std::net::TcpStream::connect(at).unwrap())
+        .collect();
     let mut turns = 0;
     while seen.borrow().accepted < flood.len() {
         let (before, soon) = (seen.borrow().accepted, peer.net.now() + 50);
         let d = peer.net.set(soon, 9);
         tidewall_net::mio::turn(&mut peer).unwrap();
         peer.net.clear(d);
-        assert!(seen.borrow().accepted - before <= 65, "{} in one wake-up", seen.borrow().accepted - before);
+        assert!(
+            seen.borrow().accepted - before <= 65,
+            "{} in one wake-up",
+            seen.borrow().accepted - before
+        );
         turns += 1;
         assert!(turns < 100);
     }
@@ -208,14 +232,20 @@
     let mut client = std::net::TcpStream::connect(at).unwrap();
     std::io::Write::write_all(&mut client, b"a call").unwrap();
     server.net.unlisten(listener);
-    assert!(std::net::TcpStream::connect(at).is_err(), "nobody listens any more");
+    assert!(
+        std::net::TcpStream::connect(at).is_err(),
+        "nobody listens any more"
+    );
     for _ in 0..20 {
         let soon = server.net.now() + 50;
         let d = server.net.set(soon, 9);
         tidewall_net::mio::turn(&mut server).unwrap();
         server.net.clear(d);
     }
-    assert_eq!((seen.borrow().accepted, &seen.borrow().got[..]), (1, &b"a call"[..]));
+    assert_eq!(
+        (seen.borrow().accepted, &seen.borrow().got[..]),
+        (1, &b"a call"[..])
+    );
 }
 
 /// What came in this wake-up, and no readiness told of yet, is found and given to the app; a half that it did not use is no news.
--- a/crates/tidewall-net/tests/paths.rs
+++ b/crates/tidewall-net/tests/paths.rs
@@ -60,7 +60,10 @@
     };
     let (mut a, mut b) = (node(), node());
     a.net.listen(at(700)).unwrap();
-    let ports = [a.net.bind(at(900)).unwrap().0, b.net.bind(at(901)).unwrap().0];
+    let ports = [
+        a.net.bind(at(900)).unwrap().0,
+        b.net.bind(at(901)).unwrap().0,
+    ];
     b.net.connect(at(700), 1_000);
     memory::run(&world, &mut [&mut a, &mut b], 100);
     (world, a, b, ports)
@@ -74,24 +77,40 @@
 #[test]
 fn a_cut_holds_a_stream_back_and_loses_datagrams_one_way_only() {
     let (world, mut a, mut b, ports) = two();
-    let usual = Path { delay: 2, ..Path::default() };
-    world.borrow_mut().path(&b.net, &a.net, Path { cut: true, ..usual });
+    let usual = Path {
+        delay: 2,
+        ..Path::default()
+    };
+    world
+        .borrow_mut()
+        .path(&b.net, &a.net, Path { cut: true, ..usual });
     say(&mut b, b"later");
     b.net.send(ports[1], at(900), &[1]);
     say(&mut a, b"now");
     memory::run(&world, &mut [&mut a, &mut b], 500);
-    assert_eq!((a.got.len(), a.datagrams.len(), b.got[0].1.as_slice()), (0, 0, &b"now"[..]));
+    assert_eq!(
+        (a.got.len(), a.datagrams.len(), b.got[0].1.as_slice()),
+        (0, 0, &b"now"[..])
+    );
     world.borrow_mut().path(&b.net, &a.net, usual);
     say(&mut b, b" still");
     memory::run(&world, &mut [&mut a, &mut b], 600);
     let all: Vec<u8> = a.got.iter().flat_map(|g| g.1.clone()).collect();
-    assert_eq!((all.as_slice(), a.datagrams.len(), a.over.len()), (&b"later still"[..], 0, 0));
+    assert_eq!(
+        (all.as_slice(), a.datagrams.len(), a.over.len()),
+        (&b"later still"[..], 0, 0)
+    );
 }
 
 #[test]
 fn a_stream_keeps_its_order_whatever_is_lost_and_bytes_come_no_sooner_than_their_path_takes() {
     let (world, mut a, mut b, _) = two();
-    let path = Path { delay: 50, jitter: 200, lost: 300, ..Path::default() };
+    let path = Path {
+        delay: 50,
+        jitter: 200,
+        lost: 300,
+        ..Path::default()
+    };
     world.borrow_mut().path(&b.net, &a.net, path);
     for i in 0..100u8 {
         say(&mut b, &[i]);
@@ -111,13 +130,25 @@
     world.borrow_mut().path(&b.net, &a.net, path);
     (0..200u8).for_each(|i| b.net.send(ports[1], at(900), &[i]));
     memory::run(&world, &mut [&mut a, &mut b], 1_000);
-    assert!((least..=most).contains(&a.datagrams.len()), "{}", a.datagrams.len());
+    assert!(
+        (least..=most).contains(&a.datagrams.len()),
+        "{}",
+        a.datagrams.len()
+    );
 }
 
 #[test]
 fn datagrams_overtake_each_other() {
     let (world, mut a, mut b, ports) = two();
-    world.borrow_mut().path(&b.net, &a.net, Path { delay: 2, jitter: 50, ..Path::default() });
+    world.borrow_mut().path(
+        &b.net,
+        &a.net,
+        Path {
+            delay: 2,
+            jitter: 50,
+            ..Path::default()
+        },
+    );
     (0..50u8).for_each(|i| b.net.send(ports[1], at(900), &[i]));
     memory::run(&world, &mut [&mut a, &mut b], 1_000);
     assert!(a.datagrams.len() == 50 && !a.datagrams.is_sorted());
@@ -142,7 +173,10 @@
     let mut c_net = Memory::join(&world);
     c_net.listen(at(700)).unwrap();
     memory::run(&world, &mut [&mut a, &mut b], 200);
-    assert_eq!((a.over.as_slice(), b.over.as_slice()), (&[Why::Reset][..], &[Why::Reset][..]));
+    assert_eq!(
+        (a.over.as_slice(), b.over.as_slice()),
+        (&[Why::Reset][..], &[Why::Reset][..])
+    );
     // Others do not move.
     assert!(c_net.bind(at(900)).is_err());
 }
--- a/crates/tidewall-net/tests/wheel.rs
+++ b/crates/tidewall-net/tests/wheel.rs
@@ -27,7 +27,10 @@
                 due.push(id);
             }
             let rest = plain.split_off(&(now + 1, 0));
-            let mut told: Vec<u64> = std::mem::replace(&mut plain, rest).into_keys().map(|k| k.1).collect();
+            let mut told: Vec<u64> = std::mem::replace(&mut plain, rest)
+                .into_keys()
+                .map(|k| k.1)
+                .collect();
             due.sort_unstable();
             told.sort_unstable();
             assert_eq!(due, told);
@@ -45,7 +48,10 @@
     let old = wheel.insert(at, 1);
     assert!(wheel.cancel(old) && !wheel.cancel(old));
     let new = wheel.insert(at, 2);
-    assert!(!wheel.cancel(old), "a stale name must not reach the place's next user");
+    assert!(
+        !wheel.cancel(old),
+        "a stale name must not reach the place's next user"
+    );
     assert_eq!(wheel.pop(at), Some(2));
     assert!(!wheel.cancel(new) && wheel.pop(1 << 50).is_none());
 }
--- a/crates/tidewall-pair/src/claim.rs
+++ b/crates/tidewall-pair/src/claim.rs
@@ -66,7 +66,13 @@
 impl Claim {
     pub fn new(me: usize, life: u64, voters: usize) -> Claim {
         Claim {
-            says: Says { me, life, wish: None, over: 0, forgot: false },
+            says: Says {
+                me,
+                life,
+                wish: None,
+                over: 0,
+                forgot: false,
+            },
             round: Round::new(Own::new(OWN, life << 1 | me as u64), voters),
         }
     }
@@ -109,12 +115,21 @@
         good: bool,
         promise: Promise,
     ) -> Option<Outcome> {
-        self.round.told((ask, &mut self.says), voter, of, good, promise).map(outcome)
+        self.round
+            .told((ask, &mut self.says), voter, of, good, promise)
+            .map(outcome)
     }
 
     /// A voter cannot be asked, or did not answer.
-    pub fn unheard(&mut self, ask: &mut impl Ask<Asked>, voter: usize, of: (u64, bool)) -> Option<Outcome> {
-        self.round.unheard((ask, &mut self.says), voter, of).map(outcome)
+    pub fn unheard(
+        &mut self,
+        ask: &mut impl Ask<Asked>,
+        voter: usize,
+        of: (u64, bool),
+    ) -> Option<Outcome> {
+        self.round
+            .unheard((ask, &mut self.says), voter, of)
+            .map(outcome)
     }
 }
 
@@ -137,8 +152,17 @@
         let mut sync = [0; 2];
         sync[self.me] = self.life;
         sync[1 - self.me] = wish.with.unwrap_or(0);
-        let floor = if wish.fences { ballot } else { told.map_or(0, |t| t.floor) };
-        Ok(Asked { epoch: ballot, member: self.me, sync, floor })
+        let floor = if wish.fences {
+            ballot
+        } else {
+            told.map_or(0, |t| t.floor)
+        };
+        Ok(Asked {
+            epoch: ballot,
+            member: self.me,
+            sync,
+            floor,
+        })
     }
 }
 
--- a/crates/tidewall-pair/src/damp.rs
+++ b/crates/tidewall-pair/src/damp.rs
@@ -10,7 +10,12 @@
 
 impl Damp {
     pub fn new(first: Time, most: Time) -> Damp {
-        Damp { first, most, next: first, last: 0 }
+        Damp {
+            first,
+            most,
+            next: first,
+            last: 0,
+        }
     }
 
     /// It happened again; gives back until when to hold off. What lies back longer than the longest wait is forgiven.
--- a/crates/tidewall-pair/src/fate.rs
+++ b/crates/tidewall-pair/src/fate.rs
@@ -87,7 +87,9 @@
         _ if late => Fate::DeadLetter,
         Kind::AtMostOnce => Fate::DeadLetter,
         Kind::Keyed { all: false, .. } => Fate::DeadLetter,
-        Kind::Keyed { window, .. } if unproven().any(|l| now + LEAST >= l.at + window) => Fate::DeadLetter,
+        Kind::Keyed { window, .. } if unproven().any(|l| now + LEAST >= l.at + window) => {
+            Fate::DeadLetter
+        }
         _ if out && !two_at_once => Fate::Await,
         _ => Fate::Continue,
     }
--- a/crates/tidewall-pair/src/known.rs
+++ b/crates/tidewall-pair/src/known.rs
@@ -59,7 +59,10 @@
 
     fn drop_key(&mut self, key: usize) {
         let entry = self.entries.remove(key);
-        if let Ok(found) = self.keys.find_entry(hash(entry.typ, &entry.mark), |k| *k == key) {
+        if let Ok(found) = self
+            .keys
+            .find_entry(hash(entry.typ, &entry.mark), |k| *k == key)
+        {
             found.remove();
         }
     }
@@ -79,14 +82,30 @@
             (entry.place, entry.until, entry.count) = (place, until, count);
             return key;
         }
-        let key = self.entries.insert(Entry { typ, mark: mark.into(), place, until, count });
+        let key = self.entries.insert(Entry {
+            typ,
+            mark: mark.into(),
+            place,
+            until,
+            count,
+        });
         let entries = &self.entries;
-        self.keys.insert_unique(hash(typ, mark), key, |k| hash(entries[*k].typ, &entries[*k].mark));
+        self.keys.insert_unique(hash(typ, mark), key, |k| {
+            hash(entries[*k].typ, &entries[*k].mark)
+        });
         key
     }
 
     /// Its answer is given again until then.
-    pub fn answered(&mut self, now: Time, typ: usize, mark: &[u8], word: u8, payload: &[u8], until: Time) {
+    pub fn answered(
+        &mut self,
+        now: Time,
+        typ: usize,
+        mark: &[u8],
+        word: u8,
+        payload: &[u8],
+        until: Time,
+    ) {
         if mark.is_empty() {
             return;
         }
@@ -109,7 +128,9 @@
 
     fn forget(&mut self, now: Time) {
         while self.ends.front().is_some_and(|e| e.0 <= now) {
-            let Some((_, key, count)) = self.ends.pop_front() else { return };
+            let Some((_, key, count)) = self.ends.pop_front() else {
+                return;
+            };
             if self.entries.get(key).is_some_and(|e| e.count == count) {
                 self.drop_key(key);
             }
@@ -124,7 +145,10 @@
     /// What the other member told is void; what is in hand here stays.
     pub fn reset(&mut self) {
         for key in 0..self.entries.capacity() {
-            let void = self.entries.get(key).is_some_and(|e| !matches!(e.place, Place::Here(_)));
+            let void = self
+                .entries
+                .get(key)
+                .is_some_and(|e| !matches!(e.place, Place::Here(_)));
             if void {
                 self.drop_key(key);
             }
--- a/crates/tidewall-pair/src/ration.rs
+++ b/crates/tidewall-pair/src/ration.rs
@@ -14,7 +14,13 @@
 impl Ration {
     /// A window of 0 rations nothing.
     pub fn new(window: Time, free: f64, share: f64) -> Ration {
-        Ration { window, free, share, orders: VecDeque::new(), taken: VecDeque::new() }
+        Ration {
+            window,
+            free,
+            share,
+            orders: VecDeque::new(),
+            taken: VecDeque::new(),
+        }
     }
 
     fn forget(&mut self, now: Time) {
@@ -50,6 +56,7 @@
     /// Whether one more order is within the ration.
     pub fn room(&mut self, now: Time) -> bool {
         self.forget(now);
-        self.window == 0 || (self.orders.len() + 1) as f64 <= self.free + self.share * self.taken.len() as f64
+        self.window == 0
+            || (self.orders.len() + 1) as f64 <= self.free + self.share * self.taken.len() as f64
     }
 }
--- a/crates/tidewall-pair/src/seat.rs
+++ b/crates/tidewall-pair/src/seat.rs
@@ -75,7 +75,10 @@
     }
 
     pub fn serves(self) -> bool {
-        matches!(self, State::Solo | State::Joining | State::Paired | State::Parting)
+        matches!(
+            self,
+            State::Solo | State::Joining | State::Paired | State::Parting
+        )
     }
 }
 
@@ -181,9 +184,14 @@
     }
 
     fn wish(&self, purpose: Purpose) -> Wish {
-        let with = (self.peer.up && purpose == Purpose::GoOn || self.handed).then_some(self.peer.life);
+        let with =
+            (self.peer.up && purpose == Purpose::GoOn || self.handed).then_some(self.peer.life);
         // Alone, the other's launches end; with it they stay good.
-        Wish { purpose, with, fences: with.is_none() }
+        Wish {
+            purpose,
+            with,
+            fences: with.is_none(),
+        }
     }
 
     fn take_over(&mut self, now: Time, act: &mut impl Act) {
@@ -226,7 +234,9 @@
                 self.vrrp = true;
                 act.vrrp(true);
             }
-            State::Standby if self.vrrp && self.peer.up && self.peer.serves && !self.peer.counts_us => {
+            State::Standby
+                if self.vrrp && self.peer.up && self.peer.serves && !self.peer.counts_us =>
+            {
                 // It would have to ask a member that does not count it.
                 (self.vrrp, self.active) = (false, false);
                 act.vrrp(false);
@@ -236,17 +246,27 @@
                 act.copy(false);
             }
             State::Asking if now > self.since + YIELD * self.interval => self.bounce(now, act),
-            State::Parting if now > self.since + PARTING * self.interval => {
-                self.over(now, act, "neither the other member nor a majority of voters can be reached")
-            }
+            State::Parting if now > self.since + PARTING * self.interval => self.over(
+                now,
+                act,
+                "neither the other member nor a majority of voters can be reached",
+            ),
             State::Parting if !self.claim.busy() && now >= self.again => {
-                let wish = Wish { with: None, fences: true, ..self.wish(Purpose::GoOn) };
+                let wish = Wish {
+                    with: None,
+                    fences: true,
+                    ..self.wish(Purpose::GoOn)
+                };
                 self.claim.begin(act, wish);
             }
-            State::Retiring if self.active && self.alone(now) && !self.claim.busy() && now >= self.again => {
+            State::Retiring
+                if self.active && self.alone(now) && !self.claim.busy() && now >= self.again =>
+            {
+                self.take_over(now, act)
+            }
+            State::Standby if self.active && self.alone(now) && !self.leaving => {
                 self.take_over(now, act)
             }
-            State::Standby if self.active && self.alone(now) && !self.leaving => self.take_over(now, act),
             _ => {}
         }
     }
@@ -277,7 +297,12 @@
     /// The link stands, and the other one has told its life and whether it serves.
     pub fn peer_up(&mut self, now: Time, act: &mut impl Act, life: u64, serves: bool, epoch: u64) {
         self.claim.over(life.saturating_sub(1));
-        self.peer = Peer { up: true, life, serves, counts_us: false };
+        self.peer = Peer {
+            up: true,
+            life,
+            serves,
+            counts_us: false,
+        };
         if serves && self.state.serves() && epoch > self.granted.epoch {
             return self.over(now, act, "the other member serves under a newer epoch");
         }
@@ -302,7 +327,14 @@
     }
 
     /// What the other one tells again and again.
-    pub fn peer_told(&mut self, now: Time, act: &mut impl Act, serves: bool, counts_us: bool, epoch: u64) {
+    pub fn peer_told(
+        &mut self,
+        now: Time,
+        act: &mut impl Act,
+        serves: bool,
+        counts_us: bool,
+        epoch: u64,
+    ) {
         (self.peer.serves, self.peer.counts_us) = (serves, counts_us);
         // What there is to know was told us by one that serves.
         if counts_us {
@@ -318,7 +350,11 @@
         match self.state {
             State::Paired | State::Joining => {
                 self.go(now, State::Parting);
-                let wish = Wish { with: None, fences: true, ..self.wish(Purpose::GoOn) };
+                let wish = Wish {
+                    with: None,
+                    fences: true,
+                    ..self.wish(Purpose::GoOn)
+                };
                 self.claim.begin(act, wish);
             }
             State::Asking => self.take_over(now, act),
@@ -407,8 +443,17 @@
     /// A worker refused what we sent under our epoch: whether we still serve, the voters know.
     pub fn fenced(&mut self, act: &mut impl Act) {
         if self.state.serves() && !self.claim.busy() {
-            let with = self.granted.sync.iter().copied().find(|l| *l == self.peer.life && *l > 0);
-            let wish = Wish { purpose: Purpose::GoOn, with, fences: with.is_none() };
+            let with = self
+                .granted
+                .sync
+                .iter()
+                .copied()
+                .find(|l| *l == self.peer.life && *l > 0);
+            let wish = Wish {
+                purpose: Purpose::GoOn,
+                with,
+                fences: with.is_none(),
+            };
             self.claim.begin(act, wish);
         }
     }
@@ -435,7 +480,9 @@
 
     fn ended(&mut self, now: Time, act: &mut impl Act, outcome: Outcome) {
         match (self.state, outcome) {
-            (State::Claiming | State::Retiring, Outcome::Granted(claim)) => self.seated(now, act, claim),
+            (State::Claiming | State::Retiring, Outcome::Granted(claim)) => {
+                self.seated(now, act, claim)
+            }
             (State::Claiming, _) => self.bounce(now, act),
             (State::Retiring, Outcome::NoMajority) => self.again = now + AGAIN * self.interval,
             (State::Retiring, _) => self.over(now, act, "the other member serves without us"),
@@ -447,7 +494,9 @@
                     act.waits(true);
                 }
             }
-            (s, _) if s.serves() => self.over(now, act, "the voters say that the other member serves"),
+            (s, _) if s.serves() => {
+                self.over(now, act, "the voters say that the other member serves")
+            }
             _ => {}
         }
     }
--- a/crates/tidewall-pair/tests/claims.rs
+++ b/crates/tidewall-pair/tests/claims.rs
@@ -9,11 +9,27 @@
 use tidewall_pair::claim::{count, Claim, Outcome, Purpose, Wish};
 use tidewall_pair::promise::{Claim as Asked, Fence, Promise};
 
-const TAKE: Wish = Wish { purpose: Purpose::TakeOver, with: None, fences: true };
-const GO_ON: Wish = Wish { purpose: Purpose::GoOn, with: None, fences: true };
+const TAKE: Wish = Wish {
+    purpose: Purpose::TakeOver,
+    with: None,
+    fences: true,
+};
+const GO_ON: Wish = Wish {
+    purpose: Purpose::GoOn,
+    with: None,
+    fences: true,
+};
 
 fn accepted(epoch: u64, member: usize, sync: [u64; 2]) -> Promise {
-    Promise { promised: epoch, accepted: Asked { epoch, member, sync, floor: epoch } }
+    Promise {
+        promised: epoch,
+        accepted: Asked {
+            epoch,
+            member,
+            sync,
+            floor: epoch,
+        },
+    }
 }
 
 /// All of these voters answer; those beyond are unheard.
@@ -64,7 +80,10 @@
 fn lives_that_are_over_are_not_waited_for_and_it_is_known_that_something_is_lost() {
     let mut voters = [accepted(5 << 24, 1, [6, 9]); 3];
     let mut claim = Claim::new(0, 7, 3);
-    assert_eq!(ask(&mut claim, &mut voters, 3, TAKE), Some(Outcome::OutOfSync));
+    assert_eq!(
+        ask(&mut claim, &mut voters, 3, TAKE),
+        Some(Outcome::OutOfSync)
+    );
     claim.over(9);
     assert!(granted(ask(&mut claim, &mut voters, 3, TAKE)).is_some());
     assert!(claim.forgot());
@@ -74,15 +93,26 @@
 fn an_outbid_claim_is_begun_anew_above_what_was_heard() {
     let mut voters = [accepted(41 << 24, 1, [7, 9]); 3];
     let mut claim = Claim::new(0, 7, 3);
-    assert_eq!(granted(ask(&mut claim, &mut voters, 3, TAKE)), Some(([7, 0], 42)));
+    assert_eq!(
+        granted(ask(&mut claim, &mut voters, 3, TAKE)),
+        Some(([7, 0], 42))
+    );
 }
 
 #[test_case(0, 5, true ; "its own, whatever the epoch")]
 #[test_case(1, 3, false ; "the other's, older than the floor")]
 #[test_case(1, 4, true ; "the other's, from the floor on")]
 fn what_a_worker_takes(member: usize, epoch: u64, told: bool) {
-    let claim = Asked { epoch: 6, member: 0, sync: [7, 0], floor: 4 };
-    let promise = Promise { promised: 6, accepted: claim };
+    let claim = Asked {
+        epoch: 6,
+        member: 0,
+        sync: [7, 0],
+        floor: 4,
+    };
+    let promise = Promise {
+        promised: 6,
+        accepted: claim,
+    };
     assert_eq!(promise.may(member, epoch), told);
     // The floor is under the epoch: the other one goes on with what it has out.
     assert!(!promise.ends(member));
@@ -122,13 +152,24 @@
         let mut outcome = None;
         match chance.random_range(0..12) {
             0 => {
-                let purpose = if serving[me] { Purpose::GoOn } else { Purpose::TakeOver };
+                let purpose = if serving[me] {
+                    Purpose::GoOn
+                } else {
+                    Purpose::TakeOver
+                };
                 let with = (serving[me] && chance.random_ratio(1, 2)).then_some(lives[1 - me]);
                 if let Some(life) = with {
                     // It is claimed only of one that follows, and from here on everything waits for that one.
                     follows[1 - me] = life;
                 }
-                claims[me].begin(&mut host, Wish { purpose, with, fences: with.is_none() });
+                claims[me].begin(
+                    &mut host,
+                    Wish {
+                        purpose,
+                        with,
+                        fences: with.is_none(),
+                    },
+                );
             }
             1 if chance.random_ratio(1, 3) => {
                 lives[me] += 1;
@@ -153,15 +194,26 @@
                             voters[m.voter] = Promise::default();
                         }
                         let answer = vote(&mut voters[m.voter], (m.ballot, m.asked));
-                        way.push(Message { answer: Some(answer), ..m });
+                        way.push(Message {
+                            answer: Some(answer),
+                            ..m
+                        });
                     }
                     Some((good, promise)) if m.life == lives[m.from] => {
                         let of = (m.ballot, m.asked.is_some());
-                        outcome =
-                            claims[m.from].told(&mut host, m.voter, of, good, promise).map(|o| (m.from, o));
+                        outcome = claims[m.from]
+                            .told(&mut host, m.voter, of, good, promise)
+                            .map(|o| (m.from, o));
                         for (voter, ballot, asked) in host.asked.drain(..) {
                             let life = lives[m.from];
-                            way.push(Message { from: m.from, life, voter, ballot, asked, answer: None });
+                            way.push(Message {
+                                from: m.from,
+                                life,
+                                voter,
+                                ballot,
+                                asked,
+                                answer: None,
+                            });
                         }
                     }
                     Some(_) => {}
@@ -170,9 +222,18 @@
             _ => {}
         }
         for (voter, ballot, asked) in host.asked.drain(..) {
-            way.push(Message { from: me, life: lives[me], voter, ballot, asked, answer: None });
+            way.push(Message {
+                from: me,
+                life: lives[me],
+                voter,
+                ballot,
+                asked,
+                answer: None,
+            });
         }
-        let Some((who, outcome)) = outcome else { continue };
+        let Some((who, outcome)) = outcome else {
+            continue;
+        };
         match outcome {
             Outcome::Granted(c) => {
                 if let Some(l) = last.filter(|l| l.epoch < c.epoch) {
@@ -181,7 +242,8 @@
                     breaches += usize::from(!knew && !claims[who].forgot());
                 }
                 // Two grants of one epoch.
-                breaches += usize::from(last.is_some_and(|l| l.epoch == c.epoch && l.member != c.member));
+                breaches +=
+                    usize::from(last.is_some_and(|l| l.epoch == c.epoch && l.member != c.member));
                 if last.is_none_or(|l| l.epoch < c.epoch) {
                     last = Some(c);
                     follows = c.sync;
@@ -205,7 +267,9 @@
 
 #[test]
 fn no_order_of_messages_lets_an_ignorant_life_serve_unawares() {
-    let broken: Vec<u64> = (0..5_000).filter(|seed| breaches(*seed, false) > 0).collect();
+    let broken: Vec<u64> = (0..5_000)
+        .filter(|seed| breaches(*seed, false) > 0)
+        .collect();
     assert_eq!(broken, Vec::<u64>::new());
 }
 
--- a/crates/tidewall-pair/tests/decisions.rs
+++ b/crates/tidewall-pair/tests/decisions.rs
@@ -10,11 +10,25 @@
 use tidewall_pair::ration::Ration;
 use tidewall_pair::seat::{Seat, State as Sits};
 
-const ALL: Kind = Kind::Keyed { all: true, window: 40_000 };
-const ZONE: Kind = Kind::Keyed { all: false, window: 40_000 };
+const ALL: Kind = Kind::Keyed {
+    all: true,
+    window: 40_000,
+};
+const ZONE: Kind = Kind::Keyed {
+    all: false,
+    window: 40_000,
+};
 
 fn launches(states: &[State]) -> Vec<Launch> {
-    states.iter().enumerate().map(|(wk, state)| Launch { wk, at: 10_000, state: *state }).collect()
+    states
+        .iter()
+        .enumerate()
+        .map(|(wk, state)| Launch {
+            wk,
+            at: 10_000,
+            state: *state,
+        })
+        .collect()
 }
 
 #[test_case(Kind::AtMostOnce, &[], 20_000, Fate::Continue ; "at-most-once, never launched")]
@@ -31,13 +45,20 @@
 #[test_case(ZONE, &[State::ProvenNotRun], 20_000, Fate::Continue ; "keyed in a zone, proven not run")]
 #[test_case(Kind::Keyed { all: true, window: 50 }, &[State::MayHaveRun], 20_000, Fate::DeadLetter ; "keyed among all, its window is over")]
 fn what_becomes_of_an_event(kind: Kind, states: &[State], until: u64, told: Fate) {
-    assert_eq!(fate(kind, false, (10_000, until), &launches(states), |wk| wk == 1), told);
+    assert_eq!(
+        fate(kind, false, (10_000, until), &launches(states), |wk| wk
+            == 1),
+        told
+    );
 }
 
 #[test]
 fn where_two_at_once_are_allowed_nothing_is_awaited() {
     let out = launches(&[State::Out]);
-    assert_eq!(fate(Kind::Redeliverable, true, (0, 9_000), &out, |_| false), Fate::Continue);
+    assert_eq!(
+        fate(Kind::Redeliverable, true, (0, 9_000), &out, |_| false),
+        Fate::Continue
+    );
 }
 
 #[test_case(Kind::AtMostOnce, true, Some(false) ; "at-most-once may have run")]
@@ -78,7 +99,9 @@
 #[test]
 fn each_time_costs_twice_as_long_and_is_forgiven() {
     let mut damp = Damp::new(10, 50);
-    let waits: Vec<u64> = (0..4).map(|i| damp.again(i * 100 / 4) - i * 100 / 4).collect();
+    let waits: Vec<u64> = (0..4)
+        .map(|i| damp.again(i * 100 / 4) - i * 100 / 4)
+        .collect();
     assert_eq!(waits, [10, 20, 40, 50]);
     assert_eq!(damp.again(1_000), 1_010);
 }
@@ -91,7 +114,10 @@
     assert_eq!(known.find(0, 2, b"m"), None);
     known.hold(1, b"m", Place::Here(4));
     known.answered(10, 1, b"m", 0, b"r", 50);
-    assert_eq!(known.find(49, 1, b"m"), Some(&Place::Answered(0, b"r"[..].into())));
+    assert_eq!(
+        known.find(49, 1, b"m"),
+        Some(&Place::Answered(0, b"r"[..].into()))
+    );
     assert_eq!(known.find(50, 1, b"m"), None);
     assert!(known.is_empty());
 }
@@ -105,7 +131,10 @@
     known.answered(0, 1, b"o", 2, b"", 500);
     assert_eq!(known.find(200, 1, b"m"), Some(&Place::Here(8)));
     known.reset();
-    assert_eq!((known.len(), known.find(200, 1, b"m")), (1, Some(&Place::Here(8))));
+    assert_eq!(
+        (known.len(), known.find(200, 1, b"m")),
+        (1, Some(&Place::Here(8)))
+    );
 }
 
 #[test]
@@ -170,7 +199,10 @@
         seat.tick(now, &mut host);
     }
     assert_eq!(seat.state(), Sits::Over);
-    assert_eq!(host.said.iter().filter(|s| s.starts_with("again")).count(), 1);
+    assert_eq!(
+        host.said.iter().filter(|s| s.starts_with("again")).count(),
+        1
+    );
     assert!(!host.said.contains(&"waits false".to_string()));
 }
 
@@ -178,7 +210,12 @@
 fn one_that_is_superseded_starts_anew() {
     let mut voters = [Promise::default(); 3];
     let (mut seat, mut host) = paired(&mut voters);
-    let theirs = tidewall_pair::promise::Claim { epoch: 99 << 24, member: 1, sync: [0, 9], floor: 99 << 24 };
+    let theirs = tidewall_pair::promise::Claim {
+        epoch: 99 << 24,
+        member: 1,
+        sync: [0, 9],
+        floor: 99 << 24,
+    };
     voters.iter_mut().for_each(|v| assert!(v.accept(theirs)));
     seat.fenced(&mut host);
     answer(&mut seat, &mut host, &mut voters, 200);
@@ -190,19 +227,28 @@
     let mut voters = [Promise::default(); 3];
     let (mut seat, mut host) = paired(&mut voters);
     seat.yield_asked(100, &mut host);
-    assert_eq!((seat.state(), host.said.join(", ")), (Sits::Retiring, "retire, yielded".to_string()));
+    assert_eq!(
+        (seat.state(), host.said.join(", ")),
+        (Sits::Retiring, "retire, yielded".to_string())
+    );
     let (mut other, mut far) = (Seat::new(1, 9, 3, INTERVAL, 0), Host::default());
     other.peer_up(100, &mut far, 7, true, seat.epoch());
     other.peer_told(100, &mut far, true, true, seat.epoch());
     other.tick(100, &mut far);
     other.active(110, &mut far);
-    assert_eq!((other.state(), far.said.join(", ")), (Sits::Asking, "vrrp true, ask yield".to_string()));
+    assert_eq!(
+        (other.state(), far.said.join(", ")),
+        (Sits::Asking, "vrrp true, ask yield".to_string())
+    );
     other.peer_yielded(120, &mut far);
     answer(&mut other, &mut far, &mut voters, 130);
     assert_eq!((other.state(), other.granted.sync), (Sits::Paired, [7, 9]));
     // What the retired one has out stays good.
     assert!(other.granted.floor < other.granted.epoch);
-    assert!(far.said.iter().any(|s| s.ends_with("adopt false forgot false")));
+    assert!(far
+        .said
+        .iter()
+        .any(|s| s.ends_with("adopt false forgot false")));
     seat.empty(200, &mut host);
     assert_eq!(seat.state(), Sits::Standby);
 }
@@ -251,7 +297,12 @@
 #[test]
 fn what_may_not_be_claimed_is_tried_again_later_and_later() {
     let mut voters = [Promise::default(); 3];
-    let theirs = tidewall_pair::promise::Claim { epoch: 9 << 24, member: 0, sync: [7, 0], floor: 9 << 24 };
+    let theirs = tidewall_pair::promise::Claim {
+        epoch: 9 << 24,
+        member: 0,
+        sync: [7, 0],
+        floor: 9 << 24,
+    };
     voters.iter_mut().for_each(|v| assert!(v.accept(theirs)));
     let (mut seat, mut host) = (Seat::new(1, 9, 3, INTERVAL, 0), Host::default());
     let mut tried = Vec::new();
@@ -281,5 +332,8 @@
 #[test]
 fn known_gap_a_clock_set_back_across_a_restart_gives_a_lower_number() {
     let former = tidewall_pair::claim::next(0, 1_000);
-    assert!(tidewall_pair::claim::next(0, 200) > former, "the same ballots may be used again");
+    assert!(
+        tidewall_pair::claim::next(0, 200) > former,
+        "the same ballots may be used again"
+    );
 }
--- a/crates/tidewall-pair/tests/help/mod.rs
+++ b/crates/tidewall-pair/tests/help/mod.rs
@@ -25,10 +25,14 @@
         self.said.push(format!("vrrp {on}"));
     }
     fn open(&mut self, claim: Claim, adopt: bool, forgot: bool) {
-        self.said.push(format!("open {} adopt {adopt} forgot {forgot}", claim.epoch));
+        self.said.push(format!(
+            "open {} adopt {adopt} forgot {forgot}",
+            claim.epoch
+        ));
     }
     fn renewed(&mut self, claim: Claim, adopt: bool) {
-        self.said.push(format!("renewed {} adopt {adopt}", claim.epoch));
+        self.said
+            .push(format!("renewed {} adopt {adopt}", claim.epoch));
     }
     fn retire(&mut self) {
         self.said.push("retire".to_string());
--- a/crates/tidewall-platform-door/src/board.rs
+++ b/crates/tidewall-platform-door/src/board.rs
@@ -40,7 +40,15 @@
         again: Box<dyn FnMut() -> Result<SocketAddr, String>>,
     ) -> Board {
         let chance = ChaCha8Rng::seed_from_u64(seed);
-        Board { at, host: at.to_string(), rev, goes_on: true, breaks: 0, chance, again }
+        Board {
+            at,
+            host: at.to_string(),
+            rev,
+            goes_on: true,
+            breaks: 0,
+            chance,
+            again,
+        }
     }
 
     fn ask(&self, out: &mut Vec<u8>) {
@@ -50,7 +58,9 @@
 
 /// Unix time in milliseconds.
 fn unix() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
 }
 
 /// One host as the gateway's list has it. One that is removed may be told without an address.
@@ -64,7 +74,12 @@
     let at = match host.at.parse() {
         Ok(at) => at,
         Err(_) if standing == Standing::Gone => nowhere(),
-        Err(_) => return Err(format!("field servers.addr: '{}'", tidewall_platform::shown(host.at))),
+        Err(_) => {
+            return Err(format!(
+                "field servers.addr: '{}'",
+                tidewall_platform::shown(host.at)
+            ))
+        }
     };
     Ok(Entry {
         name: host.id.to_string(),
@@ -76,7 +91,11 @@
         rating: host.weight,
         life: host.started,
         // A start is never so young that it counts as one of long ago.
-        age: if host.started == 0 { 0 } else { (now.saturating_sub(host.started) * 10).max(1) },
+        age: if host.started == 0 {
+            0
+        } else {
+            (now.saturating_sub(host.started) * 10).max(1)
+        },
     })
 }
 
@@ -85,7 +104,13 @@
 pub fn take(json: &board::Json, last: u64, told: &mut dyn Told) -> Result<Option<u64>, String> {
     let (now, mut lists) = (unix(), Vec::new());
     let rev = board::notices(json, last, &mut |hosts, full| {
-        lists.push((hosts.iter().map(|h| entry(h, now)).collect::<Result<Vec<_>, _>>(), full));
+        lists.push((
+            hosts
+                .iter()
+                .map(|h| entry(h, now))
+                .collect::<Result<Vec<_>, _>>(),
+            full,
+        ));
     })?;
     let Some(rev) = rev else { return Ok(None) };
     let mut good: Vec<(Vec<Entry>, bool)> = Vec::new();
@@ -93,12 +118,12 @@
         let entries = entries?;
         match good.last_mut().filter(|_| !full) {
             // What follows a whole list in one answer is part of it: nobody is gone in between.
-            Some((whole, true)) => {
-                entries.into_iter().for_each(|e| match whole.iter_mut().find(|w| w.name == e.name) {
+            Some((whole, true)) => entries.into_iter().for_each(|e| {
+                match whole.iter_mut().find(|w| w.name == e.name) {
                     Some(known) => *known = e,
                     None => whole.push(e),
-                })
-            }
+                }
+            }),
             _ => good.push((entries, full)),
         }
     }
@@ -118,7 +143,9 @@
     }
 
     fn read(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
-        let Some((len, goes_on, body)) = board::read(bytes)? else { return Ok(None) };
+        let Some((len, goes_on, body)) = board::read(bytes)? else {
+            return Ok(None);
+        };
         let rev = take(&board::json(&body)?, self.rev, told)?;
         if rev.is_none() {
             warn!(
@@ -143,7 +170,11 @@
     }
 
     fn retry(&mut self) -> Time {
-        let wait = if self.breaks == 0 { 1 } else { (WAIT << self.breaks.min(8)).min(WAIT_MOST) };
+        let wait = if self.breaks == 0 {
+            1
+        } else {
+            (WAIT << self.breaks.min(8)).min(WAIT_MOST)
+        };
         self.breaks += 1;
         wait * 3 / 4 + self.chance.random_range(0..=wait / 2)
     }
