--- a/crates/tidewall-platform-door/src/lib.rs
+++ b/crates/tidewall-platform-door/src/lib.rs
@@ -117,7 +117,15 @@
         let first = self.client(conn).first;
         let after = first.unwrap_or(NONE);
         self.count = self.count.wrapping_add(1);
-        let known = Known { conn, tag, trace, place: usize::MAX, before: NONE, after, count: self.count };
+        let known = Known {
+            conn,
+            tag,
+            trace,
+            place: usize::MAX,
+            before: NONE,
+            after,
+            count: self.count,
+        };
         let key = self.known.insert(known) as u32;
         if let Some(first) = first {
             self.known[first as usize].before = key;
@@ -132,13 +140,19 @@
 
     fn ticket(&self, key: u32) -> Ticket {
         let count = self.known[key as usize].count;
-        Ticket { door: self.me, key: u64::from(key) | u64::from(count) << 32 }
+        Ticket {
+            door: self.me,
+            key: u64::from(key) | u64::from(count) << 32,
+        }
     }
 
     /// The key of a ticket whose call has not left meanwhile.
     fn key(&self, ticket: Ticket) -> Option<u32> {
         let (key, count) = (ticket.key as u32, (ticket.key >> 32) as u32);
-        self.known.get(key as usize).filter(|k| k.count == count).map(|_| key)
+        self.known
+            .get(key as usize)
+            .filter(|k| k.count == count)
+            .map(|_| key)
     }
 
     fn remove(&mut self, key: u32) -> Known {
@@ -163,7 +177,15 @@
         self.write(core.net(), conn, tag, word, come_back, &[]);
     }
 
-    fn write<N: Net>(&mut self, net: &mut N, conn: Conn, tag: u64, word: Word, come_back: Time, body: &[u8]) {
+    fn write<N: Net>(
+        &mut self,
+        net: &mut N,
+        conn: Conn,
+        tag: u64,
+        word: Word,
+        come_back: Time,
+        body: &[u8],
+    ) {
         use std::fmt::Write;
         self.out.clear();
         self.fields.clear();
@@ -248,12 +270,19 @@
             (None, true) => 3,
             (None, false) => 4,
         };
-        let idle = self.clients.iter().filter(|c| c.conn.is_some() && c.first.is_none());
+        let idle = self
+            .clients
+            .iter()
+            .filter(|c| c.conn.is_some() && c.first.is_none());
         let mut idle: Vec<_> = idle.map(|c| (order(c), c.used, c.conn)).collect();
         idle.sort_unstable();
         // What it sent while we were busy is answered first.
         let quiet = |conn: &Conn, core: &mut Core<N>| !core.net().unread(*conn);
-        if let Some(conn) = idle.into_iter().filter_map(|c| c.2).find(|conn| quiet(conn, core)) {
+        if let Some(conn) = idle
+            .into_iter()
+            .filter_map(|c| c.2)
+            .find(|conn| quiet(conn, core))
+        {
             self.shut(core, conn);
         }
     }
@@ -282,7 +311,8 @@
         let open = client.open;
         let told = call.and_then(|call| {
             let typ = self.core.types().iter().position(|t| t == call.typ);
-            let typ = typ.ok_or_else(|| format!("event type: '{}'", tidewall_platform::shown(call.typ)))?;
+            let typ =
+                typ.ok_or_else(|| format!("event type: '{}'", tidewall_platform::shown(call.typ)))?;
             let tenants = self.core.tenants();
             let tenant = tenants.iter().position(|t| Some(t.as_str()) == call.tenant);
             if tenant.is_none() && (call.tenant.is_some() || !tenants.is_empty()) {
@@ -301,7 +331,9 @@
             Err(reason) => {
                 self.door.complain(&reason, "call");
                 self.core.counts().malformed += 1;
-                return self.door.turn_away(self.core, conn, tag, Word::DeadLettered);
+                return self
+                    .door
+                    .turn_away(self.core, conn, tag, Word::DeadLettered);
             }
         };
         let tenths = |ms: f64| (ms * 10.0) as Time;
@@ -384,7 +416,12 @@
 
     fn accepted(&mut self, core: &mut Core<N>, conn: Conn) {
         let now = core.net().now();
-        *self.client(conn) = Client { conn: Some(conn), came: now, used: now, ..Client::default() };
+        *self.client(conn) = Client {
+            conn: Some(conn),
+            came: now,
+            used: now,
+            ..Client::default()
+        };
         self.count_of_clients += 1;
         if self.count_of_clients > self.most {
             self.make_room(core);
@@ -394,7 +431,12 @@
     fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         while self.client(conn).conn == Some(conn) && self.client(conn).ending.is_none() {
-            let mut ear = Ear { door: self, core, conn, broken: None };
+            let mut ear = Ear {
+                door: self,
+                core,
+                conn,
+                broken: None,
+            };
             let read = client::read(&bytes[used..], &mut ear);
             let broken = ear.broken;
             match (read, broken) {
@@ -434,6 +476,13 @@
         let Some(key) = self.key(ticket) else { return };
         let known = self.remove(key);
         self.client(known.conn).used = net.now();
-        self.write(net, known.conn, known.tag, answer.word, answer.come_back, answer.payload);
+        self.write(
+            net,
+            known.conn,
+            known.tag,
+            answer.word,
+            answer.come_back,
+            answer.payload,
+        );
     }
 }
--- a/crates/tidewall-platform-door/src/lines.rs
+++ b/crates/tidewall-platform-door/src/lines.rs
@@ -32,7 +32,15 @@
 
     fn launch(&self, out: &mut Vec<u8>, _own: u64, l: &Launched) {
         // At least one: no time at all could not be used by a host.
-        host::go(out, l.event, l.typ, l.function, (l.waits / 10).max(1), l.mark, l.payload);
+        host::go(
+            out,
+            l.event,
+            l.typ,
+            l.function,
+            (l.waits / 10).max(1),
+            l.mark,
+            l.payload,
+        );
     }
 
     fn cancel(&self, out: &mut Vec<u8>, _own: u64, event: u64) {
@@ -65,7 +73,10 @@
     fn told<'a>(&self, from: Option<u32>, bytes: &'a [u8]) -> Result<(u32, &'a [u8]), String> {
         let from = from.ok_or("datagram: from nobody's address")?;
         if bytes.len() > DATAGRAM_MOST {
-            return Err(format!("datagram: {} bytes, at most {DATAGRAM_MOST}", bytes.len()));
+            return Err(format!(
+                "datagram: {} bytes, at most {DATAGRAM_MOST}",
+                bytes.len()
+            ));
         }
         Ok((from, bytes))
     }
@@ -112,8 +123,13 @@
             (Of::Trace(trace), _) => {
                 // Company is told with these two alone.
                 let told = matches!(outcome, Outcome::Ok | Outcome::Full);
-                let company = if told { fields.company.min(COMPANY_MOST) } else { 0 };
-                self.0.ended(Name::Event(trace), outcome, note | company << 3, body)
+                let company = if told {
+                    fields.company.min(COMPANY_MOST)
+                } else {
+                    0
+                };
+                self.0
+                    .ended(Name::Event(trace), outcome, note | company << 3, body)
             }
             (Of::Tag(tag), "yes" | "no") => self.0.probed(Name::Own(tag), word == "yes"),
             (Of::Tag(tag), _) => self.0.held(Name::Own(tag), outcome, fields.copies),
--- a/crates/tidewall-platform-door/tests/help/mod.rs
+++ b/crates/tidewall-platform-door/tests/help/mod.rs
@@ -93,7 +93,11 @@
 
     /// All that came on this connection.
     pub fn text(&self, conn: Conn) -> String {
-        self.got.iter().filter(|g| g.0 == conn).map(|g| g.1.as_str()).collect()
+        self.got
+            .iter()
+            .filter(|g| g.0 == conn)
+            .map(|g| g.1.as_str())
+            .collect()
     }
 }
 
@@ -172,7 +176,10 @@
  "extra":{"orders":true,"order-timeout-ms":4000.0,"if-cold":"load","stays-loaded-ms":60000.0,"load-window-ms":0}}}"#;
 
 pub fn host(wk: usize, state: &str) -> String {
-    let place = format!("\"id\":\"s-{wk}\",\"addr\":\"127.0.0.1:{}\",\"state\":\"{state}\"", 800 + wk);
+    let place = format!(
+        "\"id\":\"s-{wk}\",\"addr\":\"127.0.0.1:{}\",\"state\":\"{state}\"",
+        800 + wk
+    );
     format!("{{{place},\"zone\":\"z\",\"kind\":\"k\",\"cell\":0,\"weight\":4,\"started_ms\":0}}")
 }
 
@@ -199,12 +206,16 @@
     let mut hosts = Vec::new();
     for (i, does) in does.iter().enumerate() {
         let mut host = peer(Role::Host(*does));
-        host.net.listen(at(&format!("127.0.0.1:{}", 800 + i))).unwrap();
+        host.net
+            .listen(at(&format!("127.0.0.1:{}", 800 + i)))
+            .unwrap();
         hosts.push(host);
     }
     let client = peer(Role::Client);
     let list: Vec<String> = (0..does.len()).map(|wk| host(wk, "up")).collect();
-    let config = config::read(CONFIG.replace("HOSTS", &list.join(",")).as_bytes()).ok().unwrap();
+    let config = config::read(CONFIG.replace("HOSTS", &list.join(",")).as_bytes())
+        .ok()
+        .unwrap();
     let mut first = News::default();
     let rev = take(&config.known, 0, &mut first).unwrap().unwrap();
     let moved = Rc::new(Cell::new(None));
@@ -239,18 +250,44 @@
         setup,
         pair: None,
     };
-    let mut gateway =
-        Gateway::with(hand.clone(), start, Box::new(NoShelf), Rc::new(Lines), Box::new(feed)).unwrap();
+    let mut gateway = Gateway::with(
+        hand.clone(),
+        start,
+        Box::new(NoShelf),
+        Rc::new(Lines),
+        Box::new(feed),
+    )
+    .unwrap();
     gateway.linger(8_000);
-    first.lists.iter().for_each(|(entries, whole)| gateway.list(entries, *whole));
-    gateway.open(at(GATEWAY), Box::new(Platform::new(0, most, vec![false, true, false]))).unwrap();
-    let mut site = Site { world, gateway, hand, board, moved, hosts, client, tag: 0 };
+    first
+        .lists
+        .iter()
+        .for_each(|(entries, whole)| gateway.list(entries, *whole));
+    gateway
+        .open(
+            at(GATEWAY),
+            Box::new(Platform::new(0, most, vec![false, true, false])),
+        )
+        .unwrap();
+    let mut site = Site {
+        world,
+        gateway,
+        hand,
+        board,
+        moved,
+        hosts,
+        client,
+        tag: 0,
+    };
     site.pass(100);
     site
 }
 
 pub fn command(words: &[&str]) -> String {
-    let words: Vec<String> = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    let words: Vec<String> = words
+        .iter()
+        .map(|w| format!("${}\r\n{w}\r\n", w.len()))
+        .collect();
     format!("*{}\r\n{}", words.len(), words.concat())
 }
 
@@ -263,11 +300,17 @@
 }
 
 pub fn news(rev: u64, hosts: &[String], full: bool) -> String {
-    let pool = format!("{{\"version\":1,\"full\":{full},\"servers\":[{}]}}", hosts.join(","));
+    let pool = format!(
+        "{{\"version\":1,\"full\":{full},\"servers\":[{}]}}",
+        hosts.join(",")
+    );
     let body = format!("{{\"rev\":{rev},\"notices\":[{{\"rev\":{rev},\"pool\":{pool}}}]}}");
     // What a board writes is what the codec reads.
     assert!(board::json(body.as_bytes()).is_ok());
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
 
 impl Site {
--- a/crates/tidewall-platform-door/tests/service.rs
+++ b/crates/tidewall-platform-door/tests/service.rs
@@ -12,7 +12,10 @@
     let mut s = site(&[Does::Answers, Does::Answers]);
     let conn = s.connect();
     for i in 1..=100 {
-        s.send(conn, &call(i, i, ["check", "record", "issue"][i as usize % 3], 2000));
+        s.send(
+            conn,
+            &call(i, i, ["check", "record", "issue"][i as usize % 3], 2000),
+        );
         s.pass(200);
     }
     s.pass(SECOND);
@@ -37,8 +40,16 @@
     let expected = if again { ok(1) } else { failed(1) };
     assert_eq!((text, s.launches()), (expected, if again { 2 } else { 1 }));
     for host in &s.hosts {
-        let line = host.got.iter().filter(|g| g.1.starts_with("go ")).map(|g| g.0).collect::<Vec<_>>();
-        assert!(line.len() < 2 || line[0] != line[1], "the same trace twice on one connection");
+        let line = host
+            .got
+            .iter()
+            .filter(|g| g.1.starts_with("go "))
+            .map(|g| g.0)
+            .collect::<Vec<_>>();
+        assert!(
+            line.len() < 2 || line[0] != line[1],
+            "the same trace twice on one connection"
+        );
     }
 }
 
@@ -51,7 +62,12 @@
         s.send(conn, &call(1, 10 + i, "issue", 2000));
         s.pass(50);
     }
-    let last = s.hosts[0].got.iter().rfind(|g| g.1.starts_with("go ")).unwrap().0;
+    let last = s.hosts[0]
+        .got
+        .iter()
+        .rfind(|g| g.1.starts_with("go "))
+        .unwrap()
+        .0;
     s.hosts[0].net.write(last, b"\x01\x02\r\n");
     s.pass(100);
     assert_eq!(s.gateway.held(), 2);
@@ -81,7 +97,10 @@
     let says: &'static str = Box::leak(format!("ID {word} - 0\r\n\r\n").into_boxed_str());
     let mut s = site(&[Does::Once(says), Does::Once(says)]);
     let text = s.ask("issue", 10_000);
-    assert_eq!((text == ok(1), text == failed(1), s.launches() > 1), (again, !again, again));
+    assert_eq!(
+        (text == ok(1), text == failed(1), s.launches() > 1),
+        (again, !again, again)
+    );
 }
 
 #[test]
@@ -129,7 +148,10 @@
     let mut s = site_of(&[does; 10], 128, links);
     let conn = s.connect();
     for i in 1..=40 {
-        s.send(conn, &call(i, i, "check", 2000).replace(FUNCTION, &format!("{i:016x}")));
+        s.send(
+            conn,
+            &call(i, i, "check", 2000).replace(FUNCTION, &format!("{i:016x}")),
+        );
         s.pass(200);
         assert!(s.gateway.links() <= links, "{}", s.gateway.links());
     }
@@ -151,8 +173,14 @@
     s.send(bad, says);
     s.send(good, &call(1, 1, "check", 2000));
     s.pass(3 * SECOND);
-    assert_eq!((s.client.text(bad).as_str(), s.client.over.contains(&bad)), (word, true));
-    assert_eq!((s.client.text(good), s.client.over.contains(&good)), (ok(1), false));
+    assert_eq!(
+        (s.client.text(bad).as_str(), s.client.over.contains(&bad)),
+        (word, true)
+    );
+    assert_eq!(
+        (s.client.text(good), s.client.over.contains(&good)),
+        (ok(1), false)
+    );
 }
 
 // A call at fault fails alone; those beside it on the connection go on.
@@ -162,8 +190,9 @@
 fn a_call_at_fault_fails_alone(typ: &str, tenant: &str, weight: &str) {
     let mut s = site(&[Does::Answers]);
     let conn = s.connect();
-    let fields =
-        format!("trace=00000000000000ff,patience=900,customer={tenant},entity={FUNCTION},weight={weight}");
+    let fields = format!(
+        "trace=00000000000000ff,patience=900,customer={tenant},entity={FUNCTION},weight={weight}"
+    );
     let bad = command(&["CALL", "1", typ, &fields, ""]);
     s.send(conn, &(bad + &call(2, 2, "check", 2000)));
     s.pass(1000);
@@ -178,14 +207,20 @@
     s.pass(100);
     s.send(other, &call(1, 5, "issue", 2000));
     s.pass(100);
-    assert_eq!((s.client.text(other), s.launches(), s.gateway.held()), (failed(1), 1, 1));
+    assert_eq!(
+        (s.client.text(other), s.launches(), s.gateway.held()),
+        (failed(1), 1, 1)
+    );
 }
 
 #[test]
 fn a_tag_that_is_used_twice_ends_the_connection() {
     let mut s = site(&[Does::Nothing]);
     let conn = s.connect();
-    s.send(conn, &(call(1, 5, "check", 2000) + &call(1, 6, "check", 2000)));
+    s.send(
+        conn,
+        &(call(1, 5, "check", 2000) + &call(1, 6, "check", 2000)),
+    );
     s.pass(SECOND);
     assert_eq!(s.client.text(conn), "-ERR tag: used before\r\n");
     assert_eq!((s.client.over.contains(&conn), s.gateway.held()), (true, 0));
@@ -195,9 +230,17 @@
 fn more_than_thirty_two_open_are_deferred_with_a_time() {
     let mut s = site(&[Does::Nothing]);
     let conn = s.connect();
-    s.send(conn, &(1..=33).map(|i| call(i, i, "check", 2000)).collect::<String>());
+    s.send(
+        conn,
+        &(1..=33)
+            .map(|i| call(i, i, "check", 2000))
+            .collect::<String>(),
+    );
     s.pass(10);
-    assert_eq!(s.client.text(conn), command(&["33", "BUSY", "pause=500", ""]));
+    assert_eq!(
+        s.client.text(conn),
+        command(&["33", "BUSY", "pause=500", ""])
+    );
 }
 
 // Places run out: silent ones go first, oldest first; one with a call open never goes.
@@ -251,14 +294,19 @@
     s.client.net.pause(slow, true);
     for i in 1..=20 {
         // It may be cut off by then.
-        s.client.net.write(slow, call(i, i, "check", 2000).as_bytes());
+        s.client
+            .net
+            .write(slow, call(i, i, "check", 2000).as_bytes());
         s.pass(300);
     }
     s.send(good, &call(1, 99, "check", 2000));
     s.pass(SECOND);
     s.client.net.pause(slow, false);
     s.pass(SECOND);
-    assert_eq!((s.client.over.contains(&slow), s.client.over.contains(&good)), (true, false));
+    assert_eq!(
+        (s.client.over.contains(&slow), s.client.over.contains(&good)),
+        (true, false)
+    );
     assert!(s.client.text(slow).len() < 6 * 200_000 && s.client.text(good).len() > 200_000);
     assert_eq!(s.gateway.held(), 0);
 }
@@ -280,7 +328,8 @@
 fn replaced_hosts_do_not_add_up() {
     let mut s = site(&[Does::Answers]);
     for rev in 2..=20 {
-        let old = host(0, "removed").replace("s-0", &format!("s-{}", if rev == 2 { 0 } else { rev + 98 }));
+        let old = host(0, "removed")
+            .replace("s-0", &format!("s-{}", if rev == 2 { 0 } else { rev + 98 }));
         let new = host(0, "up").replace("s-0", &format!("s-{}", rev + 99));
         s.board.tell(&news(rev, &[old, new], false));
         s.pass(10 * SECOND);
@@ -299,14 +348,20 @@
     s.pass(10);
     let conn = s.board.conns[0];
     if !silent {
-        s.board.net.write(conn, b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"rev\":3,\"noti");
+        s.board.net.write(
+            conn,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"rev\":3,\"noti",
+        );
         s.pass(10);
         s.board.net.reset(conn);
     }
     let (before, span) = (s.board.got.len(), if silent { 2 * SECOND } else { 2000 });
     s.pass(span);
     let asked = &s.board.got[before..];
-    assert!(!asked.is_empty() && asked[0].0 != conn && asked[0].1.contains("watch=2&"), "{asked:?}");
+    assert!(
+        !asked.is_empty() && asked[0].0 != conn && asked[0].1.contains("watch=2&"),
+        "{asked:?}"
+    );
 }
 
 #[test]
@@ -357,7 +412,10 @@
     s.pass(100);
     s.gateway.signal(15);
     s.pass(6000);
-    s.send(conn, &(command(&["CHECK", "2", ""]) + &call(3, 3, "check", 2000)));
+    s.send(
+        conn,
+        &(command(&["CHECK", "2", ""]) + &call(3, 3, "check", 2000)),
+    );
     s.pass(500);
     let text = [command(&["1", "UP"]), command(&["2", "DOWN"]), ok(3)].concat();
     assert_eq!((s.client.text(conn), s.hand.dead()), (text, false));
--- a/crates/tidewall-platform/src/board.rs
+++ b/crates/tidewall-platform/src/board.rs
@@ -10,7 +10,10 @@
 
 pub fn ask(out: &mut Vec<u8>, host: &str, rev: u64, linger_ms: u64) {
     // Writing to a Vec cannot fail.
-    let _ = write!(out, "GET /board/poll?watch={rev}&linger={linger_ms} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+    let _ = write!(
+        out,
+        "GET /board/poll?watch={rev}&linger={linger_ms} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+    );
 }
 
 /// How an answer's body ends.
@@ -38,15 +41,22 @@
     let seen = &bytes[..bytes.len().min(HEAD_MOST)];
     let at = match head.parse(seen).map_err(|e| format!("head: {e}"))? {
         httparse::Status::Complete(at) => at,
-        httparse::Status::Partial if bytes.len() >= HEAD_MOST => return Err("head: too long".to_string()),
+        httparse::Status::Partial if bytes.len() >= HEAD_MOST => {
+            return Err("head: too long".to_string())
+        }
         httparse::Status::Partial => return Ok(None),
     };
     if head.code != Some(200) {
         return Err(format!("status: {}", head.code.unwrap_or(0)));
     }
     let find = |name: &str| {
-        let header = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        header.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
+        let header = head
+            .headers
+            .iter()
+            .find(|h| h.name.eq_ignore_ascii_case(name));
+        header
+            .and_then(|h| std::str::from_utf8(h.value).ok())
+            .map(str::trim)
     };
     let goes_on = !find("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
     let form = match (find("transfer-encoding"), find("content-length")) {
@@ -57,7 +67,9 @@
     };
     let rest = &bytes[at..];
     let (len, body) = match form {
-        Form::Length(len) if len > BODY_MOST => return Err(format!("content-length: {len} is too much")),
+        Form::Length(len) if len > BODY_MOST => {
+            return Err(format!("content-length: {len} is too much"))
+        }
         Form::Length(len) => match rest.get(..len) {
             Some(body) => (len, body.to_vec()),
             None => return Ok(None),
@@ -82,7 +94,9 @@
             return Err("chunk: too much".to_string());
         }
         at += head;
-        let Some(data) = bytes.get(at..at + len as usize + 2) else { return Ok(None) };
+        let Some(data) = bytes.get(at..at + len as usize + 2) else {
+            return Ok(None);
+        };
         let (data, end) = data.split_at(len as usize);
         if end != b"\r\n" {
             return Err("chunk: longer than its size".to_string());
@@ -103,19 +117,31 @@
 /// Hands the events behind `last` on in their order, each as its list and whether it is all of it. Gives back the number of
 /// the last event, or none where events are missing between it and `last`, or the numbers went back; an error names the field.
 /// Nothing was handed on then. With `last` 0 all that there is was asked for, and is taken as it is.
-pub fn notices(json: &Value, last: u64, tell: &mut dyn FnMut(&[Host], bool)) -> Result<Option<u64>, String> {
+pub fn notices(
+    json: &Value,
+    last: u64,
+    tell: &mut dyn FnMut(&[Host], bool),
+) -> Result<Option<u64>, String> {
     let rev = json["rev"].as_u64().ok_or("field rev: no number")?;
     let notices = json["notices"].as_array().ok_or("field notices: no list")?;
     let (mut found, mut numbers) = (Vec::new(), Vec::new());
     for notice in notices {
-        let at = notice["rev"].as_u64().ok_or("field notices.rev: no number")?;
+        let at = notice["rev"]
+            .as_u64()
+            .ok_or("field notices.rev: no number")?;
         if at > last {
             numbers.push(at);
         }
         // Other kinds of events may be there.
-        let Some(pool) = notice.get("pool") else { continue };
-        let full = pool["full"].as_bool().ok_or("field pool.full: neither true nor false")?;
-        let servers = pool["servers"].as_array().ok_or("field pool.servers: no list")?;
+        let Some(pool) = notice.get("pool") else {
+            continue;
+        };
+        let full = pool["full"]
+            .as_bool()
+            .ok_or("field pool.full: neither true nor false")?;
+        let servers = pool["servers"]
+            .as_array()
+            .ok_or("field pool.servers: no list")?;
         let hosts = servers.iter().map(host).collect::<Result<Vec<_>, _>>()?;
         if at > last {
             found.push((at, hosts, full));
@@ -137,14 +163,23 @@
 }
 
 fn host(json: &Value) -> Result<Host<'_>, String> {
-    let text = |name: &str| json[name].as_str().ok_or_else(|| format!("field servers.{name}: no text"));
+    let text = |name: &str| {
+        json[name]
+            .as_str()
+            .ok_or_else(|| format!("field servers.{name}: no text"))
+    };
     let state = text("state")?;
     if !matches!(state, "up" | "draining" | "removed") {
         return Err(format!("field servers.state: '{}'", crate::shown(state)));
     }
     // One that is removed may be told by its id alone.
-    let soft =
-        |name: &str| if state == "removed" { Ok(json[name].as_str().unwrap_or("")) } else { text(name) };
+    let soft = |name: &str| {
+        if state == "removed" {
+            Ok(json[name].as_str().unwrap_or(""))
+        } else {
+            text(name)
+        }
+    };
     Ok(Host {
         id: text("id")?,
         at: soft("addr")?,
--- a/crates/tidewall-platform/src/budget.rs
+++ b/crates/tidewall-platform/src/budget.rs
@@ -23,5 +23,10 @@
     let a_worker = 8;
     // Where connections are free each launch has its own while there are places: one that breaks ends it alone.
     let spread = if priced { usize::MAX } else { 1 };
-    Budget { clients, links, a_worker, spread }
+    Budget {
+        clients,
+        links,
+        a_worker,
+        spread,
+    }
 }
--- a/crates/tidewall-platform/src/client.rs
+++ b/crates/tidewall-platform/src/client.rs
@@ -50,45 +50,65 @@
         Some(_) => {}
     }
     let Some(end) = memchr::memchr(b'\n', &bytes[..bytes.len().min(HEAD + 2)]) else {
-        return if bytes.len() > HEAD { Err(format!("{what}: no number")) } else { Ok(None) };
+        return if bytes.len() > HEAD {
+            Err(format!("{what}: no number"))
+        } else {
+            Ok(None)
+        };
     };
-    let digits =
-        bytes[1..end].strip_suffix(b"\r").filter(|d| !d.is_empty() && d.iter().all(u8::is_ascii_digit));
+    let digits = bytes[1..end]
+        .strip_suffix(b"\r")
+        .filter(|d| !d.is_empty() && d.iter().all(u8::is_ascii_digit));
     let text = digits.and_then(|d| std::str::from_utf8(d).ok());
-    let value = text.and_then(|t| t.parse().ok()).ok_or_else(|| format!("{what}: no number"))?;
+    let value = text
+        .and_then(|t| t.parse().ok())
+        .ok_or_else(|| format!("{what}: no number"))?;
     Ok(Some((value, end + 1)))
 }
 
 /// Reads one command and gives back its length; none while it is not whole.
 pub fn read(bytes: &[u8], commands: &mut dyn Commands) -> Result<Option<usize>, String> {
-    let Some((count, mut at)) = number(bytes, b'*', "array")? else { return Ok(None) };
+    let Some((count, mut at)) = number(bytes, b'*', "array")? else {
+        return Ok(None);
+    };
     if !(2..=MOST.len()).contains(&count) {
         return Err(format!("array: {count} words"));
     }
     let mut words: [&[u8]; MOST.len()] = [b""; MOST.len()];
     for (word, most) in words.iter_mut().zip(MOST).take(count) {
-        let Some((len, head)) = number(&bytes[at..], b'$', "word")? else { return Ok(None) };
+        let Some((len, head)) = number(&bytes[at..], b'$', "word")? else {
+            return Ok(None);
+        };
         // Judged before any of it is waited for.
         if len > most {
             return Err(format!("word: {len} bytes, at most {most}"));
         }
         at += head;
-        let Some(rest) = bytes.get(at..at + len + 2) else { return Ok(None) };
+        let Some(rest) = bytes.get(at..at + len + 2) else {
+            return Ok(None);
+        };
         if &rest[len..] != b"\r\n" {
             return Err("word: longer than its length".to_string());
         }
         *word = &rest[..len];
         at += len + 2;
     }
-    let text = |i: usize, what: &str| std::str::from_utf8(words[i]).map_err(|_| format!("{what}: no text"));
+    let text = |i: usize, what: &str| {
+        std::str::from_utf8(words[i]).map_err(|_| format!("{what}: no text"))
+    };
     let tag = words[1];
-    let tag = if tag.iter().all(u8::is_ascii_digit) { text(1, "tag")?.parse().unwrap_or(0) } else { 0 };
+    let tag = if tag.iter().all(u8::is_ascii_digit) {
+        text(1, "tag")?.parse().unwrap_or(0)
+    } else {
+        0
+    };
     if tag == 0 {
         return Err("tag: no number from 1 up".to_string());
     }
     match (words[0], count) {
         (b"CALL", 4 | 5) => {
-            let told = text(3, "fields").and_then(|fields| call(text(2, "event type")?, fields, words[4]));
+            let told =
+                text(3, "fields").and_then(|fields| call(text(2, "event type")?, fields, words[4]));
             commands.call(tag, told);
         }
         (b"CANCEL", _) => commands.cancel(tag),
@@ -129,9 +149,12 @@
             "customer" => call.tenant = Some(value),
             "nonce" => {
                 // It goes on to hosts within a line of words.
-                let good =
-                    !value.is_empty() && value.len() <= 64 && value.bytes().all(|b| b.is_ascii_graphic());
-                call.nonce = good.then_some(value).ok_or("field nonce: not 1 to 64 plain characters")?;
+                let good = !value.is_empty()
+                    && value.len() <= 64
+                    && value.bytes().all(|b| b.is_ascii_graphic());
+                call.nonce = good
+                    .then_some(value)
+                    .ok_or("field nonce: not 1 to 64 plain characters")?;
             }
             "entity" => {
                 hex16(value).ok_or("field entity: not 16 hexadecimal digits")?;
@@ -146,7 +169,9 @@
         }
     }
     call.trace = trace.ok_or("field trace: missing")?;
-    call.patience = patience.filter(|p| *p > 0.0).ok_or("field patience: missing")?;
+    call.patience = patience
+        .filter(|p| *p > 0.0)
+        .ok_or("field patience: missing")?;
     if call.function.is_empty() {
         return Err("field entity: missing".to_string());
     }
--- a/crates/tidewall-platform/src/config.rs
+++ b/crates/tidewall-platform/src/config.rs
@@ -49,7 +49,11 @@
 pub fn read(text: &[u8]) -> Result<Config, String> {
     let json: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let field = |path: &str| format!("field {path}: missing or no number");
-    let whole = |path: &str| json.pointer(path).and_then(Value::as_u64).ok_or_else(|| field(&path[1..]));
+    let whole = |path: &str| {
+        json.pointer(path)
+            .and_then(Value::as_u64)
+            .ok_or_else(|| field(&path[1..]))
+    };
     let mut settings = BTreeMap::new();
     if !json["settings"].is_object() {
         return Err("field settings: missing".to_string());
@@ -61,9 +65,14 @@
         }
     }
     for name in AT_LEAST_1 {
-        let value = settings.get(name).filter(|v| v.parse::<f64>().map_or(true, |v| v.is_nan() || v < 1.0));
+        let value = settings
+            .get(name)
+            .filter(|v| v.parse::<f64>().map_or(true, |v| v.is_nan() || v < 1.0));
         if let Some(value) = value {
-            return Err(format!("field settings.{name}: '{}' is under 1", crate::shown(value)));
+            return Err(format!(
+                "field settings.{name}: '{}' is under 1",
+                crate::shown(value)
+            ));
         }
     }
     let orders = settings.get("extra.orders").is_some_and(|o| o == "true");
@@ -72,15 +81,28 @@
     }
     let told = settings.get("allowed.peers").is_some_and(|p| p == "true");
     let mut peers = Vec::new();
-    for peer in json["peers"].as_array().into_iter().flatten().filter(|_| told) {
+    for peer in json["peers"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter(|_| told)
+    {
         let text = peer.as_str().unwrap_or("");
-        peers.push(
-            text.parse()
-                .map_err(|_| format!("field peers: '{}' is no address and port", crate::shown(text)))?,
-        );
+        peers.push(text.parse().map_err(|_| {
+            format!(
+                "field peers: '{}' is no address and port",
+                crate::shown(text)
+            )
+        })?);
     }
-    let peer_listen = if told { Some(address(&json, "peer_listen")?) } else { None };
-    let seed = json["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
+    let peer_listen = if told {
+        Some(address(&json, "peer_listen")?)
+    } else {
+        None
+    };
+    let seed = json["seed"]
+        .as_str()
+        .and_then(|s| u64::from_str_radix(s, 16).ok());
     Ok(Config {
         name: text_of(&json, "name")?.to_string(),
         listen: address(&json, "listen")?,
@@ -103,12 +125,19 @@
 }
 
 fn text_of<'a>(json: &'a Value, name: &str) -> Result<&'a str, String> {
-    json[name].as_str().ok_or_else(|| format!("field {name}: missing"))
+    json[name]
+        .as_str()
+        .ok_or_else(|| format!("field {name}: missing"))
 }
 
 fn address(json: &Value, name: &str) -> Result<SocketAddr, String> {
     let text = text_of(json, name)?;
-    text.parse().map_err(|_| format!("field {name}: '{}' is no address and port", crate::shown(text)))
+    text.parse().map_err(|_| {
+        format!(
+            "field {name}: '{}' is no address and port",
+            crate::shown(text)
+        )
+    })
 }
 
 /// A value as the bench's wire writes it within lists and pairs.
@@ -122,7 +151,13 @@
 }
 
 fn flatten(path: &str, value: &Value, settings: &mut BTreeMap<String, String>) {
-    let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    let below = |name: &str| {
+        if path.is_empty() {
+            name.to_string()
+        } else {
+            format!("{path}.{name}")
+        }
+    };
     match value {
         Value::Object(fields) => {
             for (name, value) in fields {
--- a/crates/tidewall-platform/src/host.rs
+++ b/crates/tidewall-platform/src/host.rs
@@ -12,7 +12,15 @@
 /// Our own tags begin with this, so that none looks like a trace.
 const TAG: char = 't';
 
-pub fn go(out: &mut Vec<u8>, trace: u64, typ: &str, function: &str, ms: u64, nonce: &[u8], body: &[u8]) {
+pub fn go(
+    out: &mut Vec<u8>,
+    trace: u64,
+    typ: &str,
+    function: &str,
+    ms: u64,
+    nonce: &[u8],
+    body: &[u8],
+) {
     // Writing to a Vec cannot fail, here and below.
     let _ = write!(out, "go {trace:016x} kind={typ},obj={function},ms={ms}");
     if !nonce.is_empty() {
@@ -68,13 +76,21 @@
 /// Reads one answer and gives back its length; none while it is not whole.
 pub fn read(bytes: &[u8], answers: &mut dyn Answers) -> Result<Option<usize>, String> {
     let Some(end) = memchr::memchr(b'\n', &bytes[..bytes.len().min(LINE_MOST)]) else {
-        return if bytes.len() >= LINE_MOST { Err("line: too long".to_string()) } else { Ok(None) };
+        return if bytes.len() >= LINE_MOST {
+            Err("line: too long".to_string())
+        } else {
+            Ok(None)
+        };
     };
-    let line = bytes[..end].strip_suffix(b"\r").ok_or("line: ends without CR")?;
+    let line = bytes[..end]
+        .strip_suffix(b"\r")
+        .ok_or("line: ends without CR")?;
     let line = std::str::from_utf8(line).map_err(|_| "line: no text")?;
     let mut words = line.split(' ');
     let mut word = || words.next().filter(|w| !w.is_empty());
-    let (Some(id), Some(what)) = (word(), word()) else { return Err(format!("line: '{}'", shown(line))) };
+    let (Some(id), Some(what)) = (word(), word()) else {
+        return Err(format!("line: '{}'", shown(line)));
+    };
     let (list, len) = (word().unwrap_or("-"), word().unwrap_or("0"));
     if words.next().is_some() || !len.bytes().all(|b| b.is_ascii_digit()) {
         return Err(format!("line: '{}'", shown(line)));
@@ -94,13 +110,19 @@
         let (name, value) = pair?;
         match name {
             "res" => fields.note = value,
-            "queue_fn" => fields.company = value.parse().map_err(|_| "field queue_fn: no number")?,
+            "queue_fn" => {
+                fields.company = value.parse().map_err(|_| "field queue_fn: no number")?
+            }
             "copies" => fields.copies = value.parse().map_err(|_| "field copies: no number")?,
             "gauges" => fields.gauges = value,
             _ => {}
         }
     }
-    let tag = || id.strip_prefix(TAG).and_then(|t| t.parse().ok()).map(Of::Tag);
+    let tag = || {
+        id.strip_prefix(TAG)
+            .and_then(|t| t.parse().ok())
+            .map(Of::Tag)
+    };
     // An id that is none of ours is told all the same: its answer is nobody's.
     if let Some(of) = hex16(id).map(Of::Trace).or_else(tag) {
         answers.answer(of, what, &fields, body)?;
@@ -113,6 +135,13 @@
     text.split(';').filter(|p| !p.is_empty()).map(|pair| {
         let bad = || format!("field gauges: '{}' is not name:number", shown(pair));
         let (name, value) = pair.split_once(':').ok_or_else(bad)?;
-        Ok((name, value.parse().ok().filter(|v: &f64| v.is_finite()).ok_or_else(bad)?))
+        Ok((
+            name,
+            value
+                .parse()
+                .ok()
+                .filter(|v: &f64| v.is_finite())
+                .ok_or_else(bad)?,
+        ))
     })
 }
--- a/crates/tidewall-platform/src/lib.rs
+++ b/crates/tidewall-platform/src/lib.rs
@@ -26,5 +26,8 @@
 
 /// Foreign text in a log line: short, and nothing that a terminal would act on.
 pub fn shown(text: &str) -> String {
-    text.chars().take(40).map(|c| if c.is_control() { '?' } else { c }).collect()
+    text.chars()
+        .take(40)
+        .map(|c| if c.is_control() { '?' } else { c })
+        .collect()
 }
--- a/crates/tidewall-platform/tests/codecs.rs
+++ b/crates/tidewall-platform/tests/codecs.rs
@@ -11,7 +11,11 @@
     let call = command(&["CALL", "7", "stock-check", &usual(), "body"]);
     for cut in 0..call.len() {
         let mut told = Told::default();
-        assert_eq!((commands(&call[..cut], &mut told), told.0.len()), (Ok(cut), 0), "cut at {cut}");
+        assert_eq!(
+            (commands(&call[..cut], &mut told), told.0.len()),
+            (Ok(cut), 0),
+            "cut at {cut}"
+        );
     }
     let mut told = Told::default();
     assert_eq!(commands(&call, &mut told), Ok(0));
@@ -22,7 +26,12 @@
 #[test]
 fn commands_that_share_a_read_are_all_told() {
     let call = command(&["CALL", "7", "a", &usual(), ""]);
-    let all = [call, command(&["CANCEL", "7"]), command(&["CHECK", "8", ""])].concat();
+    let all = [
+        call,
+        command(&["CANCEL", "7"]),
+        command(&["CHECK", "8", ""]),
+    ]
+    .concat();
     let mut told = Told::default();
     assert_eq!(commands(&all, &mut told), Ok(0));
     assert_eq!(told.0[1..], ["7 cancel", "8 check"]);
@@ -42,7 +51,10 @@
 #[test_case(b"*2\r\n$5\r\nCHECK\r\n$1\r\n0\r\n", "tag: no number from 1 up"; "tag 0")]
 #[test_case(b"*2\r\n$5\r\nCHECK\r\n$2\r\n-1\r\n", "tag: no number from 1 up"; "a negative tag")]
 fn broken_framing_is_named(bytes: &[u8], reason: &str) {
-    assert_eq!(commands(bytes, &mut Told::default()), Err(reason.to_string()));
+    assert_eq!(
+        commands(bytes, &mut Told::default()),
+        Err(reason.to_string())
+    );
 }
 
 // What fails one call and leaves its connection good.
@@ -64,7 +76,10 @@
 #[test_case("what", "'what' is not name=value"; "no pair")]
 fn fields_at_fault_are_named(fields: &str, reason: &str) {
     let mut told = Told::default();
-    assert_eq!(commands(&command(&["CALL", "3", "a", fields, ""]), &mut told), Ok(0));
+    assert_eq!(
+        commands(&command(&["CALL", "3", "a", fields, ""]), &mut told),
+        Ok(0)
+    );
     assert_eq!(told.0, [format!("3 bad {reason}")]);
 }
 
@@ -92,7 +107,8 @@
     assert_eq!(String::from_utf8(out).unwrap(), whole);
 }
 
-const ANSWER: &[u8] = b"9b1f03aa5c7e2d41 ok res=hit,queue_fn=3 4\r\nbody\r\nt6 ok copies=2 0\r\n\r\n";
+const ANSWER: &[u8] =
+    b"9b1f03aa5c7e2d41 ok res=hit,queue_fn=3 4\r\nbody\r\nt6 ok copies=2 0\r\n\r\n";
 
 #[test]
 fn answers_of_hosts_are_read_at_every_cut() {
@@ -100,12 +116,22 @@
     for cut in 0..ANSWER.len() {
         let mut told = Told::default();
         let whole = if cut < first { 0 } else { first };
-        assert_eq!(answers(&ANSWER[..cut], &mut told), Ok(cut - whole), "cut at {cut}");
+        assert_eq!(
+            answers(&ANSWER[..cut], &mut told),
+            Ok(cut - whole),
+            "cut at {cut}"
+        );
         assert_eq!(told.0.len(), usize::from(cut >= first));
     }
     let mut told = Told::default();
     assert_eq!(answers(ANSWER, &mut told), Ok(0));
-    assert_eq!(told.0, ["Trace(11177656830387957057) ok hit 3 0 4", "Tag(6) ok  0 2 0"]);
+    assert_eq!(
+        told.0,
+        [
+            "Trace(11177656830387957057) ok hit 3 0 4",
+            "Tag(6) ok  0 2 0"
+        ]
+    );
 }
 
 #[test_case(b"9b1f03aa5c7e2d41 ok - 3000000000\r\n", "length: 3000000000 bytes, at most 262144"; "three gigabytes")]
@@ -117,12 +143,18 @@
 #[test_case(b"hello\r\n", "line: 'hello'"; "one word")]
 #[test_case(b"9b1f03aa5c7e2d41 ok copies=x 0\r\n\r\n", "field copies: no number"; "a figure that is none")]
 fn spoilt_answers_are_named(bytes: &[u8], reason: &str) {
-    assert_eq!(answers(bytes, &mut Told::default()), Err(reason.to_string()));
+    assert_eq!(
+        answers(bytes, &mut Told::default()),
+        Err(reason.to_string())
+    );
 }
 
 #[test]
 fn a_line_that_never_ends_is_not_waited_for() {
-    assert_eq!(answers(&[b'a'; 2000], &mut Told::default()), Err("line: too long".to_string()));
+    assert_eq!(
+        answers(&[b'a'; 2000], &mut Told::default()),
+        Err("line: too long".to_string())
+    );
 }
 
 // An answer under an id that is none of ours is nobody's, and the connection stays good.
@@ -147,7 +179,11 @@
 #[test_case(CHUNKS; "in chunks")]
 fn polls_are_read_at_every_cut(text: &str) {
     for cut in 0..text.len() {
-        assert_eq!(board::read(&text.as_bytes()[..cut]), Ok(None), "cut at {cut}");
+        assert_eq!(
+            board::read(&text.as_bytes()[..cut]),
+            Ok(None),
+            "cut at {cut}"
+        );
     }
     let (len, goes_on, body) = board::read(text.as_bytes()).unwrap().unwrap();
     assert_eq!((len, goes_on), (text.len(), true));
@@ -169,9 +205,16 @@
 /// What is told of events behind number 4.
 fn heard(text: &str) -> (Result<Option<u64>, String>, Vec<String>) {
     let mut heard = Vec::new();
-    let rev = board::notices(&board::json(text.as_bytes()).unwrap(), 4, &mut |hosts, full| {
-        heard.push(format!("{full} {}", hosts.iter().map(|h| h.id).collect::<Vec<_>>().join(" ")));
-    });
+    let rev = board::notices(
+        &board::json(text.as_bytes()).unwrap(),
+        4,
+        &mut |hosts, full| {
+            heard.push(format!(
+                "{full} {}",
+                hosts.iter().map(|h| h.id).collect::<Vec<_>>().join(" ")
+            ));
+        },
+    );
     (rev, heard)
 }
 
@@ -181,12 +224,25 @@
 fn notices_come_in_their_order_and_once() {
     let host = |id: &str| HOST.replace("ID", id);
     let pool = |rev: u64, id: &str| {
-        format!(r#"{{"rev":{rev},"pool":{{"version":1,"full":false,"servers":[{}]}}}}"#, host(id))
+        format!(
+            r#"{{"rev":{rev},"pool":{{"version":1,"full":false,"servers":[{}]}}}}"#,
+            host(id)
+        )
     };
     let other = r#"{"rev":6,"asset":{}}"#;
-    let text =
-        format!(r#"{{"rev":7,"notices":[{},{},{other},{}]}}"#, pool(7, "c"), pool(5, "b"), pool(4, "a"));
-    assert_eq!(heard(&text), (Ok(Some(7)), vec!["false b".to_string(), "false c".to_string()]));
+    let text = format!(
+        r#"{{"rev":7,"notices":[{},{},{other},{}]}}"#,
+        pool(7, "c"),
+        pool(5, "b"),
+        pool(4, "a")
+    );
+    assert_eq!(
+        heard(&text),
+        (
+            Ok(Some(7)),
+            vec!["false b".to_string(), "false c".to_string()]
+        )
+    );
 }
 
 /// Behind number 4. What does not follow changes nothing and is asked for anew, whole; a whole list needs nothing before it.
@@ -206,7 +262,10 @@
         format!(r#"{{"rev":{n},"pool":{{"version":1,"full":{full},"servers":[{HOST}]}}}}"#)
     };
     let notices: Vec<String> = told.split_whitespace().map(pool).collect();
-    let (rev, heard) = heard(&format!(r#"{{"rev":{rev},"notices":[{}]}}"#, notices.join(",")));
+    let (rev, heard) = heard(&format!(
+        r#"{{"rev":{rev},"notices":[{}]}}"#,
+        notices.join(",")
+    ));
     assert_eq!((rev, heard.len()), (Ok(taken), lists));
 }
 
@@ -243,7 +302,12 @@
 #[test_case("\"connect-timeout-ms\":250.0", "\"connect-timeout-ms\":0", "field settings.allowed.connect-timeout-ms: '0' is under 1"; "no time to connect")]
 #[test_case("\"most-held\":9", "\"most-held\":\"x\"", "field settings.allowed.most-held: 'x' is under 1"; "no number")]
 fn a_bad_configuration_is_named(from: &str, to: &str, reason: &str) {
-    assert_eq!(config::read(CONFIG.replace(from, to).as_bytes()).err().as_deref(), Some(reason));
+    assert_eq!(
+        config::read(CONFIG.replace(from, to).as_bytes())
+            .err()
+            .as_deref(),
+        Some(reason)
+    );
 }
 
 #[test_case(256; "few")]
@@ -251,13 +315,19 @@
 fn budgets_stay_within_the_limit(sockets: usize) {
     let b = budget::share(sockets, false);
     assert!(b.clients + b.links + 20 <= sockets, "{b:?}");
-    assert!(b.clients * 3 >= sockets, "usual clients hold a third: {b:?}");
+    assert!(
+        b.clients * 3 >= sockets,
+        "usual clients hold a third: {b:?}"
+    );
 }
 
 #[test]
 fn pairs_name_what_is_none() {
     assert_eq!(pairs("-").count(), 0);
-    assert_eq!(pairs("a=1,=2").last(), Some(Err("'=2' is not name=value".to_string())));
+    assert_eq!(
+        pairs("a=1,=2").last(),
+        Some(Err("'=2' is not name=value".to_string()))
+    );
 }
 
 /// Whatever comes: no panic, and what is not whole is never longer than the bounds allow.
@@ -265,7 +335,10 @@
 fn arbitrary_bytes() {
     let call = command(&["CALL", "7", "a", &usual(), "body"]);
     let change = (any::<prop::sample::Index>(), any::<u8>());
-    let all = (prop::collection::vec(change, 0..6), prop::collection::vec(any::<u8>(), 0..200));
+    let all = (
+        prop::collection::vec(change, 0..6),
+        prop::collection::vec(any::<u8>(), 0..200),
+    );
     let done = runner(4_000).run(&all, |(changes, noise)| {
         for good in [&call[..], ANSWER, POLL.as_bytes(), CHUNKS.as_bytes()] {
             let mut bytes = good.to_vec();
@@ -280,7 +353,9 @@
             }
             let _ = answers(&bytes, &mut told);
             let _ = board::read(&bytes).map(|r| {
-                r.map(|(_, _, body)| board::json(&body).map(|j| board::notices(&j, 0, &mut |_, _| ())))
+                r.map(|(_, _, body)| {
+                    board::json(&body).map(|j| board::notices(&j, 0, &mut |_, _| ()))
+                })
             });
         }
         Ok(())
--- a/crates/tidewall-platform/tests/help/mod.rs
+++ b/crates/tidewall-platform/tests/help/mod.rs
@@ -83,6 +83,10 @@
 
 /// With a fixed seed and budget.
 pub fn runner(cases: u32) -> TestRunner {
-    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
     TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]))
 }
--- a/crates/tidewall-sim/src/fleet.rs
+++ b/crates/tidewall-sim/src/fleet.rs
@@ -43,8 +43,13 @@
 }
 
 impl Plant {
-    pub const ALL: [Plant; 5] =
-        [Plant::Forgets, Plant::NotShortened, Plant::NoEpochs, Plant::FromAnswer, Plant::TwoVotes];
+    pub const ALL: [Plant; 5] = [
+        Plant::Forgets,
+        Plant::NotShortened,
+        Plant::NoEpochs,
+        Plant::FromAnswer,
+        Plant::TwoVotes,
+    ];
 
     pub fn guards(self) -> Guards {
         Guards {
@@ -65,17 +70,37 @@
     /// All at once.
     KillAll { back: Time },
     /// A process, or only one of its tasks, stands still.
-    Pause { member: usize, part: Part, lasts: Time },
+    Pause {
+        member: usize,
+        part: Part,
+        lasts: Time,
+    },
     /// Nothing crosses between these members and the others: both ways, or only out of them, or only into them.
-    Cut { members: Vec<usize>, way: Ways, lasts: Time },
+    Cut {
+        members: Vec<usize>,
+        way: Ways,
+        lasts: Time,
+    },
     /// The same, again and again.
-    Flap { members: Vec<usize>, times: u32, every: Time },
+    Flap {
+        members: Vec<usize>,
+        times: u32,
+        every: Time,
+    },
     /// What goes between members is slow, uneven, lost and doubled.
     Slow { path: Path, lasts: Time },
     /// The same between one member and the others.
-    SlowOf { member: usize, path: Path, lasts: Time },
+    SlowOf {
+        member: usize,
+        path: Path,
+        lasts: Time,
+    },
     /// What goes between one member's acts and the workers is slow.
-    SlowActs { member: usize, delay: Time, lasts: Time },
+    SlowActs {
+        member: usize,
+        delay: Time,
+        lasts: Time,
+    },
     /// Told to go; it starts again after a while.
     Leave { member: usize, back: Time },
     /// All are told to go, one after the other.
@@ -139,7 +164,16 @@
     pub fn smallest(seed: u64) -> Setup {
         let troubles = Some(Vec::new());
         let (channel, wild) = (Some(64), Some(false));
-        Setup { members: 3, leases: 1, rate: 0.0, seconds: 4.0, troubles, channel, wild, ..Setup::new(seed) }
+        Setup {
+            members: 3,
+            leases: 1,
+            rate: 0.0,
+            seconds: 4.0,
+            troubles,
+            channel,
+            wild,
+            ..Setup::new(seed)
+        }
     }
 }
 
@@ -188,8 +222,9 @@
             m % 200 + 1
         );
     }
-    let keepers =
-        (0..if setup.members >= 5 { 5 } else { 3 }).map(|m| format!("\"g{m}\"")).collect::<Vec<_>>();
+    let keepers = (0..if setup.members >= 5 { 5 } else { 3 })
+        .map(|m| format!("\"g{m}\""))
+        .collect::<Vec<_>>();
     let times = if setup.usual {
         "term_ms: 5000 clocks_ppm: 1000 ticket_ms: 500 period_ms: 500 turn_ms: 1000 datagrams_per_s: 100000 bytes_per_s: 10000000"
             .to_string()
@@ -322,7 +357,9 @@
     let gateway = if setup.rate > 0.0 {
         let mut gateway = site::plain(s, &hands[0], me, seed);
         gateway.watch(Box::new(move |list| {
-            watch.send(ToActs::Workers(list.iter().map(|e| (e.name.clone(), e.at)).collect()))
+            watch.send(ToActs::Workers(
+                list.iter().map(|e| (e.name.clone(), e.at)).collect(),
+            ))
         }));
         Ok(Box::new(gateway))
     } else {
@@ -348,11 +385,15 @@
         let world = memory::world();
         world.borrow_mut().seed(setup.seed);
         let mut chance = ChaCha8Rng::seed_from_u64(setup.seed ^ 0xf1ee7);
-        let channel =
-            setup.channel.unwrap_or(*[1, 2, 4, 64, 64, 64].choose(&mut chance).expect("there are some"));
+        let channel = setup.channel.unwrap_or(
+            *[1, 2, 4, 64, 64, 64]
+                .choose(&mut chance)
+                .expect("there are some"),
+        );
         let s = settings(&setup, channel);
-        let hands: Vec<[Memory; 3]> =
-            (0..setup.members).map(|_| std::array::from_fn(|_| Memory::join(&world))).collect();
+        let hands: Vec<[Memory; 3]> = (0..setup.members)
+            .map(|_| std::array::from_fn(|_| Memory::join(&world)))
+            .collect();
         let fleet_hand = Memory::join(&world);
         let wild = setup.wild.unwrap_or(chance.random_ratio(1, 8));
         let bound = match (setup.usual, wild) {
@@ -361,7 +402,9 @@
             _ => PPM,
         };
         // The worst for a lease: its holder's clock is slow, and the keepers' are fast.
-        let worst = chance.random_ratio(1, 2).then(|| chance.random_range(0..setup.members));
+        let worst = chance
+            .random_ratio(1, 2)
+            .then(|| chance.random_range(0..setup.members));
         for (m, h) in hands.iter().enumerate() {
             h[0].clock(chance.random_range(-200..=200));
             // At the ends of the bound more often than within it: that is where it matters.
@@ -392,8 +435,9 @@
         let span = (setup.seconds * 10_000.0) as Time;
         let drawn = || draw(&mut chance, span, setup.members);
         let troubles = setup.troubles.clone().unwrap_or_else(drawn);
-        let processes: Vec<Process> =
-            (0..setup.members).map(|m| process(&setup, &s, &hands[m], m, 1_000 + m as u64)).collect();
+        let processes: Vec<Process> = (0..setup.members)
+            .map(|m| process(&setup, &s, &hands[m], m, 1_000 + m as u64))
+            .collect();
         let mut run = Run {
             setup,
             s,
@@ -436,7 +480,8 @@
     }
 
     pub fn step(&mut self, until: Time) -> bool {
-        let mut apps: Vec<&mut dyn App<Net = Memory>> = Vec::with_capacity(3 * self.processes.len() + 1);
+        let mut apps: Vec<&mut dyn App<Net = Memory>> =
+            Vec::with_capacity(3 * self.processes.len() + 1);
         for p in &mut self.processes {
             apps.push(match &mut p.gateway {
                 Ok(gateway) => &mut **gateway,
@@ -495,7 +540,10 @@
     }
 
     fn usual() -> Path {
-        Path { delay: 2, ..Path::default() }
+        Path {
+            delay: 2,
+            ..Path::default()
+        }
     }
 
     /// What befalls datagrams between members now: cuts that hold, and what is slow.
@@ -508,9 +556,20 @@
                     out != into && (*way == Ways::Both || (*way == Ways::Out) == out)
                 };
                 let cut = self.cuts.iter().any(struck);
-                let one = self.slow_of.iter().find(|s| s.0 == a || s.0 == b).map(|s| s.1);
-                let path = Path { cut, ..one.or(self.slow).unwrap_or(Run::usual()) };
-                w.path(&self.processes[a].hands[1], &self.processes[b].hands[1], path);
+                let one = self
+                    .slow_of
+                    .iter()
+                    .find(|s| s.0 == a || s.0 == b)
+                    .map(|s| s.1);
+                let path = Path {
+                    cut,
+                    ..one.or(self.slow).unwrap_or(Run::usual())
+                };
+                w.path(
+                    &self.processes[a].hands[1],
+                    &self.processes[b].hands[1],
+                    path,
+                );
             }
         }
     }
@@ -548,18 +607,34 @@
         match trouble {
             Trouble::Kill { member, back } => self.kill(member, back),
             Trouble::KillAll { back } => (0..all).for_each(|m| self.kill(m, back)),
-            Trouble::Pause { member, part, lasts } => {
+            Trouble::Pause {
+                member,
+                part,
+                lasts,
+            } => {
                 self.pause(member, part, true);
                 self.ends.push((now + lasts, End::Go(member, part)));
             }
-            Trouble::Cut { members, way, lasts } => {
+            Trouble::Cut {
+                members,
+                way,
+                lasts,
+            } => {
                 self.cut(&members, way, true);
                 self.ends.push((now + lasts, End::Mend(members, way)));
             }
-            Trouble::Flap { members, times, every } => {
+            Trouble::Flap {
+                members,
+                times,
+                every,
+            } => {
                 for i in 0..Time::from(times) {
-                    self.ends.push((now + 2 * i * every, End::Cut(members.clone())));
-                    self.ends.push((now + (2 * i + 1) * every, End::Mend(members.clone(), Ways::Both)));
+                    self.ends
+                        .push((now + 2 * i * every, End::Cut(members.clone())));
+                    self.ends.push((
+                        now + (2 * i + 1) * every,
+                        End::Mend(members.clone(), Ways::Both),
+                    ));
                 }
             }
             Trouble::Slow { path, lasts } => {
@@ -567,19 +642,34 @@
                 self.paths();
                 self.ends.push((now + lasts, End::MendAll));
             }
-            Trouble::SlowOf { member, path, lasts } => {
+            Trouble::SlowOf {
+                member,
+                path,
+                lasts,
+            } => {
                 self.slow_of.push((member, path));
                 self.paths();
                 self.ends.push((now + lasts, End::MendOf(member)));
             }
-            Trouble::SlowActs { member, delay, lasts } => {
-                self.acts(member, Path { delay, ..Path::default() });
+            Trouble::SlowActs {
+                member,
+                delay,
+                lasts,
+            } => {
+                self.acts(
+                    member,
+                    Path {
+                        delay,
+                        ..Path::default()
+                    },
+                );
                 self.ends.push((now + lasts, End::MendActs(member)));
             }
             Trouble::Leave { member, back } => self.leave(member, back),
             Trouble::Rolling { every, back } => {
                 for m in 0..all {
-                    self.ends.push((now + m as Time * every, End::Leave(m, back)));
+                    self.ends
+                        .push((now + m as Time * every, End::Leave(m, back)));
                 }
             }
         }
@@ -648,20 +738,27 @@
             let now = p.hands[1].now();
             p.back.is_none() && p.keeping.holder().lease(task).may(now)
         };
-        (0..self.processes.len()).filter(|m| may(&self.processes[*m])).collect()
+        (0..self.processes.len())
+            .filter(|m| may(&self.processes[*m]))
+            .collect()
     }
 
     /// How a task stands at each member that wants it, and whom others think it should be with.
     pub fn look_at(&self, task: usize) -> String {
-        let each = self.processes.iter().enumerate().filter(|p| p.1.back.is_none()).map(|(m, p)| {
-            let l = p.keeping.holder().lease(task);
-            format!(
-                "{m}:{:?}/{:?}/{}",
-                l.state,
-                p.keeping.best(task),
-                if l.wanted() { "wanted" } else { "-" }
-            )
-        });
+        let each = self
+            .processes
+            .iter()
+            .enumerate()
+            .filter(|p| p.1.back.is_none())
+            .map(|(m, p)| {
+                let l = p.keeping.holder().lease(task);
+                format!(
+                    "{m}:{:?}/{:?}/{}",
+                    l.state,
+                    p.keeping.best(task),
+                    if l.wanted() { "wanted" } else { "-" }
+                )
+            });
         format!("task {task}: {}", each.collect::<Vec<_>>().join(" "))
     }
 
@@ -669,17 +766,25 @@
     fn overlap(&mut self) {
         for task in (0..self.setup.leases).filter(|_| !self.wild) {
             let may = |p: &Process| p.back.is_none() && p.acting.may(p.hands[2].now(), task);
-            let both: Vec<usize> = (0..self.processes.len()).filter(|m| may(&self.processes[*m])).collect();
+            let both: Vec<usize> = (0..self.processes.len())
+                .filter(|m| may(&self.processes[*m]))
+                .collect();
             if both.len() > 1 && self.counted.breaches.len() < 3 {
                 let at = self.now() as f64 / 10.0;
-                self.counted.breaches.push(format!("{at} ms: task {task} may be acted on by {both:?}"));
+                self.counted
+                    .breaches
+                    .push(format!("{at} ms: task {task} may be acted on by {both:?}"));
             }
         }
     }
 
     /// How many tasks are held where they should be.
     pub fn settled(&self) -> bool {
-        let acted_on = |task| self.processes.iter().any(|p| p.acting.may(p.hands[2].now(), task));
+        let acted_on = |task| {
+            self.processes
+                .iter()
+                .any(|p| p.acting.may(p.hands[2].now(), task))
+        };
         (0..self.setup.leases).all(|task| self.holders(task).len() == 1 && acted_on(task))
             && self.processes.iter().all(|p| {
                 let holder = p.keeping.holder();
@@ -722,16 +827,24 @@
         // Beyond their bound clocks may lapse leases at any time, and only safety is promised.
         if idle.is_none() || !self.wild && !self.settled() {
             let held: Vec<_> = (0..self.setup.leases).map(|t| self.holders(t)).collect();
-            breaches
-                .push(format!("liveness: after {} ms tasks are held by {held:?}", (self.now() - began) / 10));
+            breaches.push(format!(
+                "liveness: after {} ms tasks are held by {held:?}",
+                (self.now() - began) / 10
+            ));
         }
         self.fleet.flush();
         let bytes = self.record.0.borrow().clone();
-        let lines = std::str::from_utf8(&bytes).expect("JSON is text").lines().map(str::to_string);
+        let lines = std::str::from_utf8(&bytes)
+            .expect("JSON is text")
+            .lines()
+            .map(str::to_string);
         let audit: Audit = tidewall_audit::check(lines).expect("the record is whole");
         let rules = audit.verdicts.iter().enumerate();
-        breaches
-            .extend(rules.flat_map(|(i, v)| v.breaches.iter().map(move |b| format!("rule {}: {b}", i + 1))));
+        breaches.extend(rules.flat_map(|(i, v)| {
+            v.breaches
+                .iter()
+                .map(move |b| format!("rule {}: {b}", i + 1))
+        }));
         for p in &self.processes {
             self.counted.refused += p.keeping.counts.refused.get();
             self.counted.datagrams += p.keeping.counts.sent.get();
@@ -745,7 +858,11 @@
             steps,
             events: results.events,
             handled: results.handled,
-            service: if self.setup.rate > 0.0 { results.service() } else { 0.0 },
+            service: if self.setup.rate > 0.0 {
+                results.service()
+            } else {
+                0.0
+            },
             acts: audit.acts,
             changes: audit.verdicts[5].cases,
             idle: idle.unwrap_or(0),
@@ -774,7 +891,10 @@
         for i in (0..last.troubles.len()).rev() {
             let mut fewer = last.troubles.clone();
             fewer.remove(i);
-            let report = run(Setup { troubles: Some(fewer), ..setup.clone() });
+            let report = run(Setup {
+                troubles: Some(fewer),
+                ..setup.clone()
+            });
             if !report.breaches.is_empty() {
                 last = report;
             }
@@ -808,16 +928,32 @@
             0 => Trouble::Kill { member, back },
             1 => Trouble::KillAll { back },
             2 => {
-                let part = *[Part::All, Part::Keeping, Part::Acting].choose(chance).expect("there are some");
-                Trouble::Pause { member, part, lasts }
+                let part = *[Part::All, Part::Keeping, Part::Acting]
+                    .choose(chance)
+                    .expect("there are some");
+                Trouble::Pause {
+                    member,
+                    part,
+                    lasts,
+                }
             }
             3 => {
-                let way = *[Ways::Both, Ways::Out, Ways::In].choose(chance).expect("there are some");
-                Trouble::Cut { members, way, lasts }
+                let way = *[Ways::Both, Ways::Out, Ways::In]
+                    .choose(chance)
+                    .expect("there are some");
+                Trouble::Cut {
+                    members,
+                    way,
+                    lasts,
+                }
             }
             4 => {
                 let (times, every) = (chance.random_range(2..6), chance.random_range(500..5_000));
-                Trouble::Flap { members, times, every }
+                Trouble::Flap {
+                    members,
+                    times,
+                    every,
+                }
             }
             5 => {
                 let path = Path {
@@ -827,9 +963,16 @@
                     twice: chance.random_range(0..500),
                     cut: false,
                 };
-                Trouble::Slow { path, lasts: lasts.max(TERM / 4) }
+                Trouble::Slow {
+                    path,
+                    lasts: lasts.max(TERM / 4),
+                }
             }
-            6 => Trouble::SlowActs { member, delay: chance.random_range(100..8_000), lasts },
+            6 => Trouble::SlowActs {
+                member,
+                delay: chance.random_range(100..8_000),
+                lasts,
+            },
             7 => Trouble::Leave { member, back },
             9 => {
                 // A member on a slow link is cut off, alone or with another one, while its renewals are on their way.
@@ -844,10 +987,24 @@
                 members.truncate(chance.random_range(0..=all / 2 - 1));
                 members.push(member);
                 let after = chance.random_range(TERM / 4..TERM);
-                list.push((at + after, Trouble::Cut { members, way: Ways::Both, lasts: 2 * TERM }));
-                Trouble::SlowOf { member, path, lasts: after + TERM }
+                list.push((
+                    at + after,
+                    Trouble::Cut {
+                        members,
+                        way: Ways::Both,
+                        lasts: 2 * TERM,
+                    },
+                ));
+                Trouble::SlowOf {
+                    member,
+                    path,
+                    lasts: after + TERM,
+                }
             }
-            _ => Trouble::Rolling { every: chance.random_range(2_000..12_000), back: back.min(8_000) },
+            _ => Trouble::Rolling {
+                every: chance.random_range(2_000..12_000),
+                back: back.min(8_000),
+            },
         };
         list.push((at, trouble));
     }
@@ -904,7 +1061,12 @@
     let sent = |run: &Run| -> Vec<(u64, u64)> {
         run.processes
             .iter()
-            .map(|p| (p.keeping.counts.sent.get(), p.keeping.counts.sent_bytes.get()))
+            .map(|p| {
+                (
+                    p.keeping.counts.sent.get(),
+                    p.keeping.counts.sent_bytes.get(),
+                )
+            })
             .collect()
     };
     let before = sent(&run);
@@ -912,8 +1074,15 @@
     run.until(from + span);
     let after = sent(&run);
     let a_second = |of: fn(&(u64, u64)) -> u64| {
-        let each: Vec<f64> = after.iter().zip(&before).map(|(a, b)| (of(a) - of(b)) as f64 / 10.0).collect();
-        (each.iter().sum::<f64>() / each.len() as f64, each.iter().copied().fold(0.0, f64::max))
+        let each: Vec<f64> = after
+            .iter()
+            .zip(&before)
+            .map(|(a, b)| (of(a) - of(b)) as f64 / 10.0)
+            .collect();
+        (
+            each.iter().sum::<f64>() / each.len() as f64,
+            each.iter().copied().fold(0.0, f64::max),
+        )
     };
     let (datagrams, bytes) = (a_second(|s| s.0), a_second(|s| s.1));
     // No keeper: with one of those gone too the times are the same, but the table would have to say which.
@@ -924,5 +1093,11 @@
     run.until(settle);
     run.leave(goes, 10_000_000);
     let given = until(&mut run, Some(goes));
-    Cost { datagrams, bytes, start, lost, given }
+    Cost {
+        datagrams,
+        bytes,
+        start,
+        lost,
+        given,
+    }
 }
--- a/crates/tidewall-sim/src/lib.rs
+++ b/crates/tidewall-sim/src/lib.rs
@@ -23,7 +23,10 @@
                     return;
                 }
                 let report = run(seed);
-                reports.lock().expect("no thread panics while it holds this").push((seed, report));
+                reports
+                    .lock()
+                    .expect("no thread panics while it holds this")
+                    .push((seed, report));
             });
         }
     });
--- a/crates/tidewall-sim/src/mutate.rs
+++ b/crates/tidewall-sim/src/mutate.rs
@@ -68,8 +68,13 @@
 }
 
 impl Outcome {
-    pub const ALL: [Outcome; 5] =
-        [Outcome::NoDifference, Outcome::Later, Outcome::Refused, Outcome::SafeStop, Outcome::Broken];
+    pub const ALL: [Outcome; 5] = [
+        Outcome::NoDifference,
+        Outcome::Later,
+        Outcome::Refused,
+        Outcome::SafeStop,
+        Outcome::Broken,
+    ];
 
     pub fn name(self) -> &'static str {
         ["no difference", "later", "refused", "safe stop", "BROKEN"][self as usize]
@@ -120,11 +125,16 @@
 
 /// What of a lease's business it is, before anything that goes along: the highest kind.
 fn kind(body: &[u8]) -> &'static str {
-    let Ok((_, at)) = codec::read_head(body) else { return KINDS[0] };
+    let Ok((_, at)) = codec::read_head(body) else {
+        return KINDS[0];
+    };
     let (mut d, mut highest) = (Decoder::new(&body[at..]), 0);
     while d.position() < body.len() - at {
         let Ok(kind) = d.u64() else { break };
-        let len = codec::item::LENGTHS.get(kind as usize).copied().unwrap_or(0);
+        let len = codec::item::LENGTHS
+            .get(kind as usize)
+            .copied()
+            .unwrap_or(0);
         if kind as usize != codec::item::WORD as usize {
             highest = highest.max(kind as usize);
         }
@@ -132,24 +142,52 @@
             break;
         }
     }
-    KINDS.get(highest).copied().filter(|_| highest > 0).unwrap_or("word")
+    KINDS
+        .get(highest)
+        .copied()
+        .filter(|_| highest > 0)
+        .unwrap_or("word")
 }
 
 fn message(datagram: bool, from: usize, bytes: &[u8]) -> Message {
     if !datagram {
-        let kind = if from % 3 == 2 { "to a worker" } else { "from a worker" };
-        return Message { kind, datagram, numbers: 0 };
+        let kind = if from % 3 == 2 {
+            "to a worker"
+        } else {
+            "from a worker"
+        };
+        return Message {
+            kind,
+            datagram,
+            numbers: 0,
+        };
     }
     match codec::open(bytes, &keys()) {
-        Ok(body) => Message { kind: kind(body), datagram, numbers: numbers(body).len() },
-        Err(_) => Message { kind: KINDS[0], datagram, numbers: 0 },
+        Ok(body) => Message {
+            kind: kind(body),
+            datagram,
+            numbers: numbers(body).len(),
+        },
+        Err(_) => Message {
+            kind: KINDS[0],
+            datagram,
+            numbers: 0,
+        },
     }
 }
 
 /// All mutations of that message: each field's, too, where it has fields.
 pub fn mutations(m: &Message) -> Vec<Mutation> {
     use Mutation::*;
-    let mut all = vec![LeftOut, Doubled, HeldPastTerm, CutShort, Flipped(10), Flipped(50), Flipped(90)];
+    let mut all = vec![
+        LeftOut,
+        Doubled,
+        HeldPastTerm,
+        CutShort,
+        Flipped(10),
+        Flipped(50),
+        Flipped(90),
+    ];
     if m.datagram {
         all.extend([Swapped, AgainAtEnd, CutUnderSeal, ToAnother]);
         all.extend([5, 30, 60, 95].map(FlippedUnderSeal));
@@ -161,7 +199,9 @@
 }
 
 fn reseal(bytes: &mut Vec<u8>, change: impl FnOnce(&mut Vec<u8>)) {
-    let Ok(body) = codec::open(bytes, &keys()) else { return };
+    let Ok(body) = codec::open(bytes, &keys()) else {
+        return;
+    };
     let mut body = body.to_vec();
     change(&mut body);
     codec::seal(&mut body, &keys());
@@ -229,7 +269,11 @@
 /// The run with that one message changed.
 pub fn play(setup: &Setup, at: usize, m: Mutation) -> Report {
     let mut run = Run::new(setup.clone());
-    let (count, members, world) = (Rc::new(RefCell::new(0)), setup.members, Rc::downgrade(run.world()));
+    let (count, members, world) = (
+        Rc::new(RefCell::new(0)),
+        setup.members,
+        Rc::downgrade(run.world()),
+    );
     let end = (setup.seconds * 10_000.0) as Time;
     run.tap(Box::new(move |from, to, datagram, bytes| {
         if from % 3 == 0 && datagram {
@@ -240,7 +284,10 @@
             return Tapped::Pass;
         }
         // The world is borrowed by whoever sends: its time is that of the last look, near enough for the end.
-        let now = world.upgrade().and_then(|w| w.try_borrow().ok().map(|w| w.now())).unwrap_or(0);
+        let now = world
+            .upgrade()
+            .and_then(|w| w.try_borrow().ok().map(|w| w.now()))
+            .unwrap_or(0);
         apply(m, bytes, (now, end), (to, members))
     }));
     run.finish()
@@ -270,7 +317,15 @@
 }
 
 impl Table {
-    fn add(&mut self, seed: u64, at: usize, message: &Message, m: Mutation, base: &Report, r: &Report) {
+    fn add(
+        &mut self,
+        seed: u64,
+        at: usize,
+        message: &Message,
+        m: Mutation,
+        base: &Report,
+        r: &Report,
+    ) {
         let came = outcome(base, r);
         self.runs += 1;
         self.counts.entry((message.kind, m.name())).or_default()[came as usize] += 1;
@@ -292,9 +347,15 @@
 
 /// Every message of the smallest run that `part` of `parts` falls to, with every mutation.
 pub fn exhaustive(setup: &Setup, part: usize, parts: usize) -> Table {
-    let setup = Setup { keep: true, ..setup.clone() };
+    let setup = Setup {
+        keep: true,
+        ..setup.clone()
+    };
     let (messages, base) = record(&setup);
-    let mut table = Table { messages: if part == 0 { messages.len() } else { 0 }, ..Table::default() };
+    let mut table = Table {
+        messages: if part == 0 { messages.len() } else { 0 },
+        ..Table::default()
+    };
     for (at, message) in messages.iter().enumerate().filter(|m| m.0 % parts == part) {
         for m in mutations(message) {
             table.add(setup.seed, at, message, m, &base, &play(&setup, at, m));
@@ -305,11 +366,22 @@
 
 /// So many drawn messages and mutations of a run with drawn troubles.
 pub fn drawn(setup: &Setup, count: usize) -> Table {
-    let setup = Setup { keep: true, rate: 0.0, ..setup.clone() };
+    let setup = Setup {
+        keep: true,
+        rate: 0.0,
+        ..setup.clone()
+    };
     let (messages, base) = record(&setup);
-    let mut table = Table { messages: messages.len(), ..Table::default() };
+    let mut table = Table {
+        messages: messages.len(),
+        ..Table::default()
+    };
     if messages.is_empty() || !base.breaches.is_empty() {
-        table.broken.extend(base.breaches.first().map(|b| (setup.seed, 0, Mutation::LeftOut, b.clone())));
+        table.broken.extend(
+            base.breaches
+                .first()
+                .map(|b| (setup.seed, 0, Mutation::LeftOut, b.clone())),
+        );
         return table;
     }
     let mut chance = ChaCha8Rng::seed_from_u64(setup.seed ^ 0x3a7e);
@@ -317,7 +389,14 @@
         let at = chance.random_range(0..messages.len());
         let all = mutations(&messages[at]);
         let m = all[chance.random_range(0..all.len())];
-        table.add(setup.seed, at, &messages[at], m, &base, &play(&setup, at, m));
+        table.add(
+            setup.seed,
+            at,
+            &messages[at],
+            m,
+            &base,
+            &play(&setup, at, m),
+        );
     }
     table
 }
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -178,14 +178,22 @@
 
 fn settings(member: usize, rate: f64) -> Section {
     let part = |m: usize| {
-        let (name, vrrp, link) =
-            [("a", "127.0.0.2:112", "127.0.0.2:113"), ("b", "127.0.0.3:112", "127.0.0.3:113")][m];
+        let (name, vrrp, link) = [
+            ("a", "127.0.0.2:112", "127.0.0.2:113"),
+            ("b", "127.0.0.3:112", "127.0.0.3:113"),
+        ][m];
         (name, vrrp, link)
     };
     let (own, peer) = (part(member), part(1 - member));
     let text = SETTINGS.replace("OWNPRIORITY", if member == 0 { "200" } else { "100" });
-    let text = text.replace("OWNVRRP", own.1).replace("OWNLINK", own.2).replace("OWN", own.0);
-    let text = text.replace("PEERVRRP", peer.1).replace("PEERLINK", peer.2).replace("PEER", peer.0);
+    let text = text
+        .replace("OWNVRRP", own.1)
+        .replace("OWNLINK", own.2)
+        .replace("OWN", own.0);
+    let text = text
+        .replace("PEERVRRP", peer.1)
+        .replace("PEERLINK", peer.2)
+        .replace("PEER", peer.0);
     let text = text.replace("RATE", &rate.to_string());
     tidewall_config::settings("run", &text).expect("the run's settings are good")
 }
@@ -272,13 +280,19 @@
     let mut pair = peering(&s, life, Box::new(keys));
     pair.copies = setup.plant != Plant::NoCopies;
     if setup.disagree && me == 1 {
-        let line = pair.agree.iter_mut().find(|l| l.starts_with("limits.max_launches"));
+        let line = pair
+            .agree
+            .iter_mut()
+            .find(|l| l.starts_with("limits.max_launches"));
         *line.expect("it is set") = "limits.max_launches = 4".to_string();
     }
     start.pair = Some(pair);
-    let mut gateway = Gateway::new(net.clone(), start, Box::new(NoShelf)).expect("its addresses are free");
+    let mut gateway =
+        Gateway::new(net.clone(), start, Box::new(NoShelf)).expect("its addresses are free");
     let shared = SHARED.parse().expect("it is an address");
-    gateway.open(shared, Box::new(Native::new(0, "g0"))).expect("one of a pair listens later");
+    gateway
+        .open(shared, Box::new(Native::new(0, "g0")))
+        .expect("one of a pair listens later");
     gateway
 }
 
@@ -286,7 +300,10 @@
     pub fn new(setup: Setup) -> Run {
         let world = memory::world();
         world.borrow_mut().seed(setup.seed);
-        world.borrow_mut().moves.push(SHARED.parse().expect("it is an address"));
+        world
+            .borrow_mut()
+            .moves
+            .push(SHARED.parse().expect("it is an address"));
         let hands = [Memory::join(&world), Memory::join(&world)];
         let fleet_hand = Memory::join(&world);
         let mut stranger_net = Memory::join(&world);
@@ -298,7 +315,10 @@
         let record = Shared::default();
         let s = settings(0, setup.rate);
         let span = (setup.seconds * 10_000.0) as Time;
-        let troubles = setup.troubles.clone().unwrap_or_else(|| draw(&mut chance, span, setup.only));
+        let troubles = setup
+            .troubles
+            .clone()
+            .unwrap_or_else(|| draw(&mut chance, span, setup.only));
         let script = match (&setup.script, &setup.troubles) {
             (Some(text), _) => text.clone(),
             (None, Some(_)) => String::new(),
@@ -319,10 +339,19 @@
             task_epochs: true,
             wild_clocks: false,
         };
-        let fleet = Fleet::new(fleet_hand.clone(), &s, Some(&script), plan).expect("its addresses are free");
-        let members = [member(&hands[0], 0, &setup, 1), member(&hands[1], 1, &setup, 1)];
-        let (port, _) = stranger_net.bind("127.0.0.2:999".parse().expect("an address")).expect("free");
-        let stranger = Stranger { net: stranger_net, port };
+        let fleet = Fleet::new(fleet_hand.clone(), &s, Some(&script), plan)
+            .expect("its addresses are free");
+        let members = [
+            member(&hands[0], 0, &setup, 1),
+            member(&hands[1], 1, &setup, 1),
+        ];
+        let (port, _) = stranger_net
+            .bind("127.0.0.2:999".parse().expect("an address"))
+            .expect("free");
+        let stranger = Stranger {
+            net: stranger_net,
+            port,
+        };
         Run {
             setup,
             world,
@@ -353,7 +382,11 @@
     /// One thing happens, if any does by then.
     pub fn step(&mut self, until: Time) -> bool {
         let [a, b] = &mut self.members;
-        memory::step(&self.world, &mut [a, b, &mut self.fleet, &mut self.stranger], until)
+        memory::step(
+            &self.world,
+            &mut [a, b, &mut self.fleet, &mut self.stranger],
+            until,
+        )
     }
 
     pub fn member(&self, m: usize) -> &Gateway<Memory> {
@@ -380,7 +413,10 @@
     }
 
     fn usual() -> Path {
-        Path { delay: 2, ..Path::default() }
+        Path {
+            delay: 2,
+            ..Path::default()
+        }
     }
 
     pub fn trouble(&mut self, trouble: Trouble) {
@@ -399,7 +435,13 @@
                 }
             }
             Trouble::Cut { from, lasts } => {
-                self.paths(from, Path { cut: true, ..Run::usual() });
+                self.paths(
+                    from,
+                    Path {
+                        cut: true,
+                        ..Run::usual()
+                    },
+                );
                 self.ends.push((now + lasts, End::Mend));
             }
             Trouble::Slow { path, lasts } => {
@@ -423,7 +465,9 @@
                 }
             }
             Trouble::Forged { member } => {
-                let to = ["127.0.0.2:112", "127.0.0.3:112"][member].parse().expect("an address");
+                let to = ["127.0.0.2:112", "127.0.0.3:112"][member]
+                    .parse()
+                    .expect("an address");
                 let shared = [Ipv4Addr::LOCALHOST];
                 let mut out = Vec::new();
                 let port = self.stranger.port;
@@ -432,7 +476,13 @@
                 let keys = [(1, b"guessed".to_vec()), (1, KEY.to_vec())];
                 for (i, key) in keys.into_iter().enumerate() {
                     out.clear();
-                    packet::write(&mut out, (1, 254, 10), &shared, 1 + i as u64, &Keys(vec![key]));
+                    packet::write(
+                        &mut out,
+                        (1, 254, 10),
+                        &shared,
+                        1 + i as u64,
+                        &Keys(vec![key]),
+                    );
                     self.stranger.net.send(port, to, &out);
                 }
                 out.truncate(9);
@@ -464,7 +514,13 @@
                 End::Go(m) => self.hands[m].still(false),
                 End::Mend => self.paths(None, Run::usual()),
                 End::MendOutside => self.outside(Run::usual()),
-                End::Cut => self.paths(None, Path { cut: true, ..Run::usual() }),
+                End::Cut => self.paths(
+                    None,
+                    Path {
+                        cut: true,
+                        ..Run::usual()
+                    },
+                ),
             }
         }
         // Somebody serves again.
@@ -474,7 +530,9 @@
         }
         let [a, b] = [0, 1].map(|m: usize| {
             let state = self.members[m].state().filter(|_| !self.hands[m].dead());
-            state.map_or(STANDS - 1, |s| State::ALL.iter().position(|o| *o == s).unwrap_or(0))
+            state.map_or(STANDS - 1, |s| {
+                State::ALL.iter().position(|o| *o == s).unwrap_or(0)
+            })
         });
         self.met[a][b] = true;
         for m in 0..2 {
@@ -505,12 +563,18 @@
     }
 
     fn still(&self, m: usize) -> bool {
-        self.ends.iter().any(|e| matches!(e.1, End::Go(of) if of == m))
+        self.ends
+            .iter()
+            .any(|e| matches!(e.1, End::Go(of) if of == m))
     }
 
     /// The record's knowledge of a standstill, as of a kill, comes from whoever causes it.
     fn row(&self, k: Kind) {
-        let row = Row { t: self.now(), k, ..Row::default() };
+        let row = Row {
+            t: self.now(),
+            k,
+            ..Row::default()
+        };
         let mut record = self.record.0.borrow_mut();
         serde_json::to_writer(&mut *record, &row).expect("a row is JSON");
         record.push(b'\n');
@@ -535,7 +599,10 @@
         self.until(end + 1_000);
         self.fleet.flush();
         let bytes = self.record.0.borrow().clone();
-        let lines = std::str::from_utf8(&bytes).expect("JSON is text").lines().map(str::to_string);
+        let lines = std::str::from_utf8(&bytes)
+            .expect("JSON is text")
+            .lines()
+            .map(str::to_string);
         let audit: Audit = tidewall_audit::check(lines).expect("the record is whole");
         let results = self.fleet.results();
         let (digest, steps) = (self.world.borrow().digest(), self.world.borrow().steps);
@@ -557,7 +624,11 @@
                 .verdicts
                 .iter()
                 .enumerate()
-                .flat_map(|(i, v)| v.breaches.iter().map(move |b| format!("rule {}: {b}", i + 1)))
+                .flat_map(|(i, v)| {
+                    v.breaches
+                        .iter()
+                        .map(move |b| format!("rule {}: {b}", i + 1))
+                })
                 .collect(),
             troubles: self.troubles,
             script: self.script,
@@ -580,7 +651,12 @@
     }
     let fails = |troubles: &[(Time, Trouble)], script: &str, seconds: f64| {
         let (troubles, script) = (Some(troubles.to_vec()), Some(script.to_string()));
-        let report = run(Setup { troubles, script, seconds, ..setup.clone() });
+        let report = run(Setup {
+            troubles,
+            script,
+            seconds,
+            ..setup.clone()
+        });
         (!report.breaches.is_empty()).then_some(report)
     };
     let mut seconds = setup.seconds;
@@ -611,21 +687,49 @@
 
 /// One to five troubles between the start-up and the last third.
 fn draw(chance: &mut ChaCha8Rng, span: Time, only: Option<Sort>) -> Vec<(Time, Trouble)> {
-    let count = if only.is_some() { 1 } else { chance.random_range(1..=5) };
+    let count = if only.is_some() {
+        1
+    } else {
+        chance.random_range(1..=5)
+    };
     let mut list: Vec<(Time, Trouble)> = (0..count)
         .map(|_| {
             let at = chance.random_range(12_000..span * 3 / 4);
             let member = chance.random_range(0..2);
             let lasts = chance.random_range(500..15_000);
-            let sorts = [Sort::Kill, Sort::Kill, Sort::Kill, Sort::KillBoth, Sort::Pause, Sort::Pause];
-            let more = [Sort::Cut, Sort::Slow, Sort::Outside, Sort::Leave, Sort::Flap, Sort::Forged];
+            let sorts = [
+                Sort::Kill,
+                Sort::Kill,
+                Sort::Kill,
+                Sort::KillBoth,
+                Sort::Pause,
+                Sort::Pause,
+            ];
+            let more = [
+                Sort::Cut,
+                Sort::Slow,
+                Sort::Outside,
+                Sort::Leave,
+                Sort::Flap,
+                Sort::Forged,
+            ];
             let drawn = chance.random_range(0..12);
-            let sort = *sorts.iter().chain(&more).nth(drawn).expect("there are twelve");
+            let sort = *sorts
+                .iter()
+                .chain(&more)
+                .nth(drawn)
+                .expect("there are twelve");
             let trouble = match only.unwrap_or(sort) {
-                Sort::Kill => Trouble::Kill { member, back: chance.random_ratio(3, 4).then_some(lasts) },
+                Sort::Kill => Trouble::Kill {
+                    member,
+                    back: chance.random_ratio(3, 4).then_some(lasts),
+                },
                 Sort::KillBoth => Trouble::KillBoth { back: lasts },
                 Sort::Pause => Trouble::Pause { member, lasts },
-                Sort::Cut => Trouble::Cut { from: chance.random_ratio(1, 2).then_some(member), lasts },
+                Sort::Cut => Trouble::Cut {
+                    from: chance.random_ratio(1, 2).then_some(member),
+                    lasts,
+                },
                 Sort::Slow => {
                     let path = Path {
                         delay: chance.random_range(2..600),
@@ -647,8 +751,14 @@
                     };
                     Trouble::Outside { path, lasts }
                 }
-                Sort::Leave => Trouble::Leave { member, back: lasts },
-                Sort::Flap => Trouble::Flap { times: chance.random_range(2..6), every: 2_500 },
+                Sort::Leave => Trouble::Leave {
+                    member,
+                    back: lasts,
+                },
+                Sort::Flap => Trouble::Flap {
+                    times: chance.random_range(2..6),
+                    every: 2_500,
+                },
                 Sort::Forged => Trouble::Forged { member },
             };
             (at, trouble)
--- a/crates/tidewall-sim/src/shape.rs
+++ b/crates/tidewall-sim/src/shape.rs
@@ -6,7 +6,11 @@
 use std::fmt::Write;
 
 /// Names of drawn event types, and how each may be repeated.
-const TYPES: [(&str, &str); 3] = [("check", "REDELIVERABLE"), ("record", "KEYED"), ("issue", "AT_MOST_ONCE")];
+const TYPES: [(&str, &str); 3] = [
+    ("check", "REDELIVERABLE"),
+    ("record", "KEYED"),
+    ("issue", "AT_MOST_ONCE"),
+];
 
 /// Between two values, evenly in their logarithms.
 fn between(chance: &mut ChaCha8Rng, least: f64, most: f64) -> f64 {
@@ -41,15 +45,30 @@
         );
     }
     let names: Vec<String> = (0..halls).map(|h| format!("\"h{h}\"")).collect();
-    let _ = writeln!(text, "roster {{ address: \"127.0.0.1:790\" pushed: {} }}", c.random::<bool>());
-    let _ = writeln!(text, "zone: [{}]\nkind {{ name: \"k\" memory_mb: {memory} }}", names.join(", "));
+    let _ = writeln!(
+        text,
+        "roster {{ address: \"127.0.0.1:790\" pushed: {} }}",
+        c.random::<bool>()
+    );
+    let _ = writeln!(
+        text,
+        "zone: [{}]\nkind {{ name: \"k\" memory_mb: {memory} }}",
+        names.join(", ")
+    );
     if c.random() {
-        let _ = writeln!(text, "tenant {{ name: \"depot-a\" quota_per_s: {} }}", one(c, &[0.5, 40.0, 1e6]));
+        let _ = writeln!(
+            text,
+            "tenant {{ name: \"depot-a\" quota_per_s: {} }}",
+            one(c, &[0.5, 40.0, 1e6])
+        );
     }
     for (name, kind) in TYPES {
         let _ = write!(text, "event_type {{ name: \"{name}\" target_time_ms: {target:.1} max_age_ms: {age:.1} redelivery: {kind}");
         if kind == "KEYED" {
-            let (group, window) = (one(c, &["ALL", "ZONE", "CELL"]), age * one(c, &[0.1, 1.0, 5.0]));
+            let (group, window) = (
+                one(c, &["ALL", "ZONE", "CELL"]),
+                age * one(c, &[0.1, 1.0, 5.0]),
+            );
             // What lies at a worker that hangs comes whole seconds late, and the audit counts from there.
             let window = window.max(4_000.0);
             let _ = write!(text, " group: {group} window_ms: {window:.1}");
@@ -74,13 +93,20 @@
         (load * 4.0).max(1_000.0)
     );
     let cold = one(c, &[0.0, 3_000.0, 60_000.0]);
-    let (from, multiple, span) = (one(c, &[0.1, 0.4]), one(c, &[1.5, 3.0]), one(c, &[500.0, 2_000.0]));
+    let (from, multiple, span) = (
+        one(c, &[0.1, 0.4]),
+        one(c, &[1.5, 3.0]),
+        one(c, &[500.0, 2_000.0]),
+    );
     let _ = writeln!(
         text,
         "rules {{ cold_from: {from} cold_ms: {cold} fall_multiple: {multiple} fall_ms: {span} }}"
     );
     let (answers, flight) = (c.random::<bool>(), c.random::<bool>());
-    let _ = writeln!(text, "reports {{ with_answers: {answers} in_flight: {flight} busy: true }}\nfleet {{");
+    let _ = writeln!(
+        text,
+        "reports {{ with_answers: {answers} in_flight: {flight} busy: true }}\nfleet {{"
+    );
     for w in 0..workers {
         let _ = writeln!(
             text,
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -108,7 +108,10 @@
 impl Shelf for Disk {
     fn read(&mut self) -> std::io::Result<Option<(Vec<u8>, Time)>> {
         let platter = self.0.borrow();
-        Ok(platter.bytes.clone().map(|b| (b, platter.age.unwrap_or(1_000))))
+        Ok(platter
+            .bytes
+            .clone()
+            .map(|b| (b, platter.age.unwrap_or(1_000))))
     }
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         let mut platter = self.0.borrow_mut();
@@ -175,7 +178,16 @@
     /// With drawn troubles and nothing left out.
     pub fn new(seed: u64, seconds: f64, rate: f64) -> Setup {
         let (script, hurts) = (None, Vec::new());
-        Setup { seed, seconds, rate, script, hurts, plant: Plant::Nothing, keep: false, shape: false }
+        Setup {
+            seed,
+            seconds,
+            rate,
+            script,
+            hurts,
+            plant: Plant::Nothing,
+            keep: false,
+            shape: false,
+        }
     }
 }
 
@@ -246,7 +258,9 @@
         if self.chance.random_ratio(2, 3) {
             wire::hello(&mut out, "client", "stranger", 0);
             let f = wire::Frame::new(&mut out, wire::kind::EVENT).whole(wire::Field::Id, 1);
-            f.text(wire::Field::Type, "check").text(wire::Field::Function, "stock-1").end();
+            f.text(wire::Field::Type, "check")
+                .text(wire::Field::Function, "stock-1")
+                .end();
             let cut = self.chance.random_range(0..=out.len());
             out.truncate(cut);
         }
@@ -281,9 +295,18 @@
     }
     let mut gateway =
         Gateway::new(net.clone(), start, Box::new(disk.clone())).expect("its addresses are free");
-    let at = s.sections("gateway")[me].text("address").parse().expect("checked");
-    gateway.open(at, Box::new(Native::new(0, &name))).expect("its address is free");
-    Hearing { gateway, deaf: plant == Plant::Deaf, lists: 0 }
+    let at = s.sections("gateway")[me]
+        .text("address")
+        .parse()
+        .expect("checked");
+    gateway
+        .open(at, Box::new(Native::new(0, &name)))
+        .expect("its address is free");
+    Hearing {
+        gateway,
+        deaf: plant == Plant::Deaf,
+        lists: 0,
+    }
 }
 
 /// A gateway as shipped, with its door open.
@@ -296,28 +319,52 @@
 
 /// Events a second and virtual seconds, seed, and the script if it is not to be drawn.
 pub fn run(seed: u64, seconds: f64, rate: f64, script: Option<String>, keep: bool) -> Report {
-    play(&Setup { script, keep, ..Setup::new(seed, seconds, rate) })
+    play(&Setup {
+        script,
+        keep,
+        ..Setup::new(seed, seconds, rate)
+    })
 }
 
 pub fn play(setup: &Setup) -> Report {
-    let Setup { seed, seconds, rate, plant, keep, .. } = *setup;
+    let Setup {
+        seed,
+        seconds,
+        rate,
+        plant,
+        keep,
+        ..
+    } = *setup;
     let world: Rc<RefCell<World>> = memory::world();
     world.borrow_mut().seed(seed);
     let mut chance = ChaCha8Rng::seed_from_u64(seed ^ 0x517e);
-    let drawn =
-        if setup.shape { shape::draw(seed, rate) } else { SETTINGS.replace("RATE", &rate.to_string()) };
+    let drawn = if setup.shape {
+        shape::draw(seed, rate)
+    } else {
+        SETTINGS.replace("RATE", &rate.to_string())
+    };
     let s = tidewall_config::settings("run", &drawn).expect("the run's settings are good");
     let count = s.sections("gateway").len();
     let hands: Vec<Memory> = (0..count).map(|_| Memory::join(&world)).collect();
     let fleet_hand = Memory::join(&world);
     let stranger_chance = ChaCha8Rng::seed_from_u64(seed ^ 0x57a6);
-    let mut stranger = Stranger { net: Memory::join(&world), chance: stranger_chance };
+    let mut stranger = Stranger {
+        net: Memory::join(&world),
+        chance: stranger_chance,
+    };
     let uneven = chance.random_ratio(1, 3);
-    let mut path = Path { delay: world.borrow().delay, ..Path::default() };
+    let mut path = Path {
+        delay: world.borrow().delay,
+        ..Path::default()
+    };
     for hand in &hands {
         hand.clock(chance.random_range(-200..=200));
         if uneven {
-            path = Path { delay: chance.random_range(2..40), jitter: 20, ..Path::default() };
+            path = Path {
+                delay: chance.random_range(2..40),
+                jitter: 20,
+                ..Path::default()
+            };
             world.borrow_mut().path(hand, &fleet_hand, path);
             world.borrow_mut().path(&fleet_hand, hand, path);
         }
@@ -340,20 +387,41 @@
         task_epochs: true,
         wild_clocks: false,
     };
-    let mut fleet = Fleet::new(fleet_hand.clone(), &s, Some(&parsed), plan).expect("its addresses are free");
+    let mut fleet =
+        Fleet::new(fleet_hand.clone(), &s, Some(&parsed), plan).expect("its addresses are free");
     let disks: Vec<Disk> = (0..count).map(|_| Disk::default()).collect();
     let mut lives = 0;
     let mut gateways: Vec<Hearing> = (0..count)
-        .map(|me| gateway(&s, &hands[me], me, seed * 1_000 + me as u64, &disks[me], plant))
+        .map(|me| {
+            gateway(
+                &s,
+                &hands[me],
+                me,
+                seed * 1_000 + me as u64,
+                &disks[me],
+                plant,
+            )
+        })
         .collect();
     // The longest max age, then the fleet's aftermath and one more for what is left over.
-    let age = s.sections("event_type").iter().map(|t| t.span("max_age_ms")).max().unwrap_or(0);
+    let age = s
+        .sections("event_type")
+        .iter()
+        .map(|t| t.span("max_age_ms"))
+        .max()
+        .unwrap_or(0);
     let clients = s.section("fleet").section("clients");
-    let apart = clients.span("wait_ms").max(s.section("limits").span("most_come_back_ms"));
+    let apart = clients
+        .span("wait_ms")
+        .max(s.section("limits").span("most_come_back_ms"));
     let tries = (clients.whole("retries") + 1) * (age + apart);
     // No drawn trouble lasts to here; one of a gateway whose end the fleet was not there to tell ends now.
     let wake = (seconds * 10_000.0) as Time + 25_000;
-    let end = if setup.shape { wake + tries } else { (seconds * 10_000.0) as Time + age } + 10_000;
+    let end = if setup.shape {
+        wake + tries
+    } else {
+        (seconds * 10_000.0) as Time + age
+    } + 10_000;
     let mut broken = Vec::new();
     // Hurts that begin and end, in the order of their times.
     let mut due: Vec<(Time, bool, Hurt, usize)> = Vec::new();
@@ -366,7 +434,9 @@
         if setup.shape && (wake..wake + LOOK).contains(&until) {
             hands.iter().for_each(|hand| hand.still(false));
         }
-        let until = due.last().map_or(until, |d| until.min(d.0.max(world.borrow().now())));
+        let until = due
+            .last()
+            .map_or(until, |d| until.min(d.0.max(world.borrow().now())));
         loop {
             let mut apps: Vec<&mut dyn App<Net = Memory>> = Vec::with_capacity(count + 2);
             apps.extend(gateways.iter_mut().map(|g| g as &mut dyn App<Net = Memory>));
@@ -383,7 +453,9 @@
                         let mut platter = disks[gw].0.borrow_mut();
                         platter.full = chance.random_ratio(1, 4);
                         // A write that a kill cut short.
-                        if let Some(bytes) = platter.bytes.as_mut().filter(|_| chance.random_ratio(1, 4)) {
+                        if let Some(bytes) =
+                            platter.bytes.as_mut().filter(|_| chance.random_ratio(1, 4))
+                        {
                             bytes.truncate(chance.random_range(0..=bytes.len()));
                         }
                     }
@@ -401,13 +473,19 @@
             match hurt {
                 Hurt::Cut => {
                     fleet.apart(gw, begins);
-                    let cut = Path { cut: begins, ..path };
+                    let cut = Path {
+                        cut: begins,
+                        ..path
+                    };
                     world.borrow_mut().path(&hands[gw], &fleet_hand, cut);
                     world.borrow_mut().path(&fleet_hand, &hands[gw], cut);
                 }
                 Hurt::Bare => hands[gw].bare(begins),
                 Hurt::Junk if begins => {
-                    let at = s.sections("gateway")[gw].text("address").parse().expect("checked");
+                    let at = s.sections("gateway")[gw]
+                        .text("address")
+                        .parse()
+                        .expect("checked");
                     for _ in 0..20 {
                         stranger.net.connect(at, 10_000);
                     }
@@ -421,7 +499,10 @@
                     let mut platter = disks[gw].0.borrow_mut();
                     match hurt {
                         Hurt::KillFull => (platter.full, platter.bytes) = (true, None),
-                        Hurt::KillTorn => platter.bytes.iter_mut().for_each(|b| b.truncate(b.len() / 2)),
+                        Hurt::KillTorn => platter
+                            .bytes
+                            .iter_mut()
+                            .for_each(|b| b.truncate(b.len() / 2)),
                         Hurt::KillAhead => platter.age = Some(36_000_000),
                         _ => platter.age = Some(0),
                     }
@@ -442,21 +523,37 @@
             let over = c.handled + c.deferred + c.dead_lettered + c.lapsed + c.overdue;
             // Every event is in hand or over, and over once.
             if c.taken != over + g.held() as u64 && broken.len() < 3 {
-                broken.push(format!("gateway {gw}: {} taken, {over} over, {} held", c.taken, g.held()));
+                broken.push(format!(
+                    "gateway {gw}: {} taken, {over} over, {} held",
+                    c.taken,
+                    g.held()
+                ));
             }
         }
     }
-    for (gw, Hearing { gateway: g, .. }) in gateways.iter().enumerate().filter(|g| !hands[g.0].dead()) {
+    for (gw, Hearing { gateway: g, .. }) in
+        gateways.iter().enumerate().filter(|g| !hands[g.0].dead())
+    {
         if g.held() > 0 {
-            broken.push(format!("gateway {gw}: {} events are held for ever", g.held()));
+            broken.push(format!(
+                "gateway {gw}: {} events are held for ever",
+                g.held()
+            ));
         }
     }
     fleet.flush();
     let bytes = record.0.borrow().clone();
-    let lines = std::str::from_utf8(&bytes).expect("JSON is text").lines().map(str::to_string);
+    let lines = std::str::from_utf8(&bytes)
+        .expect("JSON is text")
+        .lines()
+        .map(str::to_string);
     let audit = tidewall_audit::check(lines).expect("the record is whole");
     let rules = audit.verdicts.iter().enumerate();
-    broken.extend(rules.flat_map(|(i, v)| v.breaches.iter().map(move |b| format!("rule {}: {b}", i + 1))));
+    broken.extend(rules.flat_map(|(i, v)| {
+        v.breaches
+            .iter()
+            .map(move |b| format!("rule {}: {b}", i + 1))
+    }));
     let results = fleet.results();
     let (digest, steps) = (world.borrow().digest(), world.borrow().steps);
     Report {
@@ -482,13 +579,21 @@
 
 /// Some kinds are on, about half of them; two to seven troubles of those.
 fn draw(chance: &mut ChaCha8Rng) -> String {
-    let on: Vec<&str> = KINDS.into_iter().filter(|_| chance.random_ratio(1, 2)).collect();
+    let on: Vec<&str> = KINDS
+        .into_iter()
+        .filter(|_| chance.random_ratio(1, 2))
+        .collect();
     let mut list: Vec<(f64, String)> = Vec::new();
     for _ in 0..chance.random_range(2..=7) {
         let Some(kind) = on.choose(chance) else { break };
         let lasts = chance.random_range(100..2_500).to_string();
-        list.push((chance.random_range(0.15..0.8), kind.replace("LASTS", &lasts)));
+        list.push((
+            chance.random_range(0.15..0.8),
+            kind.replace("LASTS", &lasts),
+        ));
     }
     list.sort_by(|a, b| a.0.total_cmp(&b.0));
-    list.iter().map(|(at, kind)| format!("fault {{ trouble: {kind} at: {at:.3} }}\n")).collect()
+    list.iter()
+        .map(|(at, kind)| format!("fault {{ trouble: {kind} at: {at:.3} }}\n"))
+        .collect()
 }
--- a/crates/tidewall-sim/tests/fleet.rs
+++ b/crates/tidewall-sim/tests/fleet.rs
@@ -6,16 +6,33 @@
 
 #[test]
 fn the_same_seed_gives_the_same_run() {
-    let twice = || run(Setup { keep: true, ..Setup::new(7) });
+    let twice = || {
+        run(Setup {
+            keep: true,
+            ..Setup::new(7)
+        })
+    };
     let (a, b) = (twice(), twice());
-    assert_eq!((a.digest, a.steps, a.acts, a.record), (b.digest, b.steps, b.acts, b.record));
+    assert_eq!(
+        (a.digest, a.steps, a.acts, a.record),
+        (b.digest, b.steps, b.acts, b.record)
+    );
 }
 
 #[test]
 fn drawn_troubles_break_no_rule() {
-    let broken: Vec<_> =
-        (0..40).map(|seed| run(Setup::new(seed))).filter(|r| !r.breaches.is_empty()).collect();
-    assert!(broken.is_empty(), "{:?}", broken.iter().map(|r| (r.seed, &r.breaches)).collect::<Vec<_>>());
+    let broken: Vec<_> = (0..40)
+        .map(|seed| run(Setup::new(seed)))
+        .filter(|r| !r.breaches.is_empty())
+        .collect();
+    assert!(
+        broken.is_empty(),
+        "{:?}",
+        broken
+            .iter()
+            .map(|r| (r.seed, &r.breaches))
+            .collect::<Vec<_>>()
+    );
 }
 
 /// Seeds that show it, found by `sim --fleet --left-out`.
@@ -26,12 +43,20 @@
 #[test_case(Plant::TwoVotes, 88)]
 fn a_guard_left_out_is_noticed(plant: Plant, seed: u64) {
     assert!(run(Setup::new(seed)).breaches.is_empty());
-    assert!(!run(Setup { plant, ..Setup::new(seed) }).breaches.is_empty());
+    assert!(!run(Setup {
+        plant,
+        ..Setup::new(seed)
+    })
+    .breaches
+    .is_empty());
 }
 
 #[test]
 fn a_failing_run_shrinks() {
-    let setup = Setup { plant: Plant::NoEpochs, ..Setup::new(7) };
+    let setup = Setup {
+        plant: Plant::NoEpochs,
+        ..Setup::new(7)
+    };
     let whole = run(setup.clone()).troubles.len();
     let left = shrink(&setup).expect("it breaks a rule");
     assert!(left.troubles.len() <= whole && !left.breaches.is_empty());
@@ -41,10 +66,25 @@
 /// Kept from when it was found: a renewal on a link slower than its retry never counted, as each asking voided the last.
 #[test]
 fn a_slow_link_keeps_its_leases() {
-    let path = tidewall_net::memory::Path { delay: 2_500, ..Default::default() };
-    let troubles = vec![(30_000, Trouble::SlowOf { member: 4, path, lasts: 300_000 })];
-    let setup =
-        Setup { troubles: Some(troubles), wild: Some(false), seconds: 10.0, rate: 0.0, ..Setup::new(3) };
+    let path = tidewall_net::memory::Path {
+        delay: 2_500,
+        ..Default::default()
+    };
+    let troubles = vec![(
+        30_000,
+        Trouble::SlowOf {
+            member: 4,
+            path,
+            lasts: 300_000,
+        },
+    )];
+    let setup = Setup {
+        troubles: Some(troubles),
+        wild: Some(false),
+        seconds: 10.0,
+        rate: 0.0,
+        ..Setup::new(3)
+    };
     let report = run(setup);
     assert_eq!(report.breaches, Vec::<String>::new());
     assert!(report.acts > 500);
@@ -55,10 +95,16 @@
 fn no_changed_message_breaks_a_rule() {
     let table = mutate::exhaustive(&Setup::smallest(0), 3, 40);
     assert!(table.runs > 200, "{}", table.runs);
-    assert_eq!(table.broken.iter().map(|b| &b.3).collect::<Vec<_>>(), Vec::<&String>::new());
+    assert_eq!(
+        table.broken.iter().map(|b| &b.3).collect::<Vec<_>>(),
+        Vec::<&String>::new()
+    );
     let met = |o: Outcome| table.counts.values().any(|c| c[o as usize] > 0);
     assert!(
-        met(Outcome::NoDifference) && met(Outcome::Refused) && met(Outcome::SafeStop) && met(Outcome::Later)
+        met(Outcome::NoDifference)
+            && met(Outcome::Refused)
+            && met(Outcome::SafeStop)
+            && met(Outcome::Later)
     );
 }
 
@@ -79,7 +125,10 @@
     // 100 leases, four askings in 4.5 s to two others each, some fourteen a datagram; pings; answers.
     assert!(c.datagrams.1 < 60.0 && c.bytes.1 < 10_000.0, "{c:?}");
     // One that goes in order leaves its tasks idle for some round trips, one that is lost for a term.
-    assert!(c.given < 5_000 && c.lost < 120_000 && c.given < c.lost, "{c:?}");
+    assert!(
+        c.given < 5_000 && c.lost < 120_000 && c.given < c.lost,
+        "{c:?}"
+    );
 }
 
 /// Rumours rode on renewals, and so went to the keepers again and again: others missed a lost member only when they pinged it
--- a/crates/tidewall-sim/tests/pair.rs
+++ b/crates/tidewall-sim/tests/pair.rs
@@ -28,11 +28,22 @@
 fn no_rule_is_broken_and_one_member_serves(troubles: Vec<Trouble>, most_takeovers: u64) {
     let mut run = troubled(7, troubles, 4.0);
     run.until(38_000);
-    assert_eq!((0..2).filter(|m| run.serves(*m)).count(), 1, "at the end one serves");
+    assert_eq!(
+        (0..2).filter(|m| run.serves(*m)).count(),
+        1,
+        "at the end one serves"
+    );
     let report = run.finish();
     assert_eq!(report.breaches, Vec::<String>::new());
-    assert!(report.takeovers <= most_takeovers, "{} takeovers", report.takeovers);
-    assert!(report.events > 300 && report.handled * 10 > report.events * 6, "{report:?}");
+    assert!(
+        report.takeovers <= most_takeovers,
+        "{} takeovers",
+        report.takeovers
+    );
+    assert!(
+        report.events > 300 && report.handled * 10 > report.events * 6,
+        "{report:?}"
+    );
 }
 
 /// Steps on until the master is in a moment of interest, and kills it there for good.
@@ -63,7 +74,9 @@
 #[test_case(2 ; "seed 2")]
 #[test_case(3 ; "seed 3")]
 fn killed_between_launch_and_answer(seed: u64) {
-    let out = |run: &tidewall_sim::pair::Run| run.member(0).outstanding() > 2 && run.member(0).waiting() == 0;
+    let out = |run: &tidewall_sim::pair::Run| {
+        run.member(0).outstanding() > 2 && run.member(0).waiting() == 0
+    };
     let report = killed_when(seed, out);
     assert_eq!(report.breaches, Vec::<String>::new());
     assert!(report.asked_again > 0);
@@ -90,7 +103,13 @@
     let troubles = vec![Trouble::Forged { member: 0 }, Trouble::Forged { member: 1 }];
     let mut run = troubled(3, troubles, 3.0);
     run.until(24_000);
-    assert_eq!([run.member(0).bad_advertisements(), run.member(1).bad_advertisements()], [3, 3]);
+    assert_eq!(
+        [
+            run.member(0).bad_advertisements(),
+            run.member(1).bad_advertisements()
+        ],
+        [3, 3]
+    );
     assert!(run.serves(0) && !run.serves(1));
     let report = run.finish();
     assert_eq!((report.breaches.len(), report.takeovers), (0, 1));
@@ -98,16 +117,26 @@
 
 #[test]
 fn a_failing_seed_shrinks_to_what_it_needs() {
-    let setup = Setup { plant: Plant::NoCopies, ..Setup::new(0) };
+    let setup = Setup {
+        plant: Plant::NoCopies,
+        ..Setup::new(0)
+    };
     let whole = run(setup.clone());
     let left = shrink(&setup).expect("it breaks a rule");
-    assert!(!left.breaches.is_empty() && left.troubles.len() < whole.troubles.len(), "{left:?}");
+    assert!(
+        !left.breaches.is_empty() && left.troubles.len() < whole.troubles.len(),
+        "{left:?}"
+    );
     assert!(shrink(&Setup::new(0)).is_none());
 }
 
 #[test]
 fn where_settings_disagree_one_member_keeps_off() {
-    let setup = Setup { disagree: true, troubles: Some(Vec::new()), ..Setup::new(3) };
+    let setup = Setup {
+        disagree: true,
+        troubles: Some(Vec::new()),
+        ..Setup::new(3)
+    };
     let mut run = tidewall_sim::pair::Run::new(setup);
     run.until(20_000);
     assert!(run.serves(0) && !run.serves(1));
@@ -120,7 +149,14 @@
 
 #[test]
 fn a_backup_that_was_down_for_a_minute_follows_again_while_events_flow() {
-    let mut run = troubled(5, vec![Trouble::Kill { member: 1, back: Some(600_000) }], 64.0);
+    let mut run = troubled(
+        5,
+        vec![Trouble::Kill {
+            member: 1,
+            back: Some(600_000),
+        }],
+        64.0,
+    );
     run.until(619_000);
     assert_eq!(run.member(0).state().map(|s| s.text()), Some("solo"));
     run.until(625_000);
@@ -134,21 +170,34 @@
 
 #[test]
 fn the_same_seed_gives_the_same_run() {
-    let both: Vec<(u64, u64)> = (0..2).map(|_| run(Setup::new(11))).map(|r| (r.digest, r.steps)).collect();
+    let both: Vec<(u64, u64)> = (0..2)
+        .map(|_| run(Setup::new(11)))
+        .map(|r| (r.digest, r.steps))
+        .collect();
     assert_eq!(both[0], both[1]);
     assert_ne!(run(Setup::new(12)).digest, both[0].0);
 }
 
 /// Runs that broke a rule, of these seeds.
 fn failing(seeds: std::ops::Range<u64>, plant: Plant) -> Vec<Report> {
-    let reports = all(seeds, |seed| run(Setup { plant, ..Setup::new(seed) }));
-    reports.into_iter().filter(|r| !r.breaches.is_empty()).collect()
+    let reports = all(seeds, |seed| {
+        run(Setup {
+            plant,
+            ..Setup::new(seed)
+        })
+    });
+    reports
+        .into_iter()
+        .filter(|r| !r.breaches.is_empty())
+        .collect()
 }
 
 #[test]
 fn two_hundred_fixed_seeds_break_no_rule() {
-    let broken: Vec<(u64, Vec<String>)> =
-        failing(0..200, Plant::Nothing).into_iter().map(|r| (r.seed, r.breaches)).collect();
+    let broken: Vec<(u64, Vec<String>)> = failing(0..200, Plant::Nothing)
+        .into_iter()
+        .map(|r| (r.seed, r.breaches))
+        .collect();
     assert_eq!(broken, Vec::new());
 }
 
@@ -174,7 +223,12 @@
         }
         run.kill(0, (at % 2 == 0).then_some(400));
         let report = run.finish();
-        assert_eq!(report.breaches, Vec::<String>::new(), "at step {}", part * 180 + at * 3);
+        assert_eq!(
+            report.breaches,
+            Vec::<String>::new(),
+            "at step {}",
+            part * 180 + at * 3
+        );
     }
 }
 
--- a/crates/tidewall-sim/tests/site.rs
+++ b/crates/tidewall-sim/tests/site.rs
@@ -6,20 +6,36 @@
 
 /// A site whose settings are drawn from the seed too.
 fn shape(seed: u64, plant: Plant) -> Setup {
-    Setup { plant, shape: true, ..Setup::new(seed, 5.0, 60.0) }
+    Setup {
+        plant,
+        shape: true,
+        ..Setup::new(seed, 5.0, 60.0)
+    }
 }
 
 #[test]
 fn a_hundred_fixed_seeds_break_no_rule() {
     let reports = all(0..100, |seed| run(seed, 5.0, 120.0, None, false));
-    let broken: Vec<_> = reports.into_iter().filter(|r| !r.breaches.is_empty()).collect();
-    assert!(broken.is_empty(), "{:?}", broken.iter().map(|r| (r.seed, &r.breaches)).collect::<Vec<_>>());
+    let broken: Vec<_> = reports
+        .into_iter()
+        .filter(|r| !r.breaches.is_empty())
+        .collect();
+    assert!(
+        broken.is_empty(),
+        "{:?}",
+        broken
+            .iter()
+            .map(|r| (r.seed, &r.breaches))
+            .collect::<Vec<_>>()
+    );
 }
 
 #[test]
 fn the_same_seed_gives_the_same_run() {
-    let both: Vec<(u64, u64)> =
-        (0..2).map(|_| run(7, 4.0, 100.0, None, false)).map(|r| (r.digest, r.steps)).collect();
+    let both: Vec<(u64, u64)> = (0..2)
+        .map(|_| run(7, 4.0, 100.0, None, false))
+        .map(|r| (r.digest, r.steps))
+        .collect();
     assert_eq!(both[0], both[1]);
 }
 
@@ -28,7 +44,10 @@
 #[test_case(182 ; "asked of one that stood still, which then stood still again")]
 #[test_case(209 ; "three standstills")]
 fn seeds_that_broke_a_rule_once(seed: u64) {
-    assert_eq!(run(seed, 8.0, 150.0, None, false).breaches, Vec::<String>::new());
+    assert_eq!(
+        run(seed, 8.0, 150.0, None, false).breaches,
+        Vec::<String>::new()
+    );
 }
 
 /// Settings far beyond any deployment: one to twelve gateways, one to thirty workers, target times of 30 ms to half a minute.
@@ -36,9 +55,19 @@
 fn drawn_shapes_break_no_rule() {
     let reports = all(0..60, |seed| play(&shape(seed, Plant::Nothing)));
     let broken: Vec<_> = reports.iter().filter(|r| !r.breaches.is_empty()).collect();
-    assert!(broken.is_empty(), "{:?}", broken.iter().map(|r| (r.seed, &r.breaches)).collect::<Vec<_>>());
+    assert!(
+        broken.is_empty(),
+        "{:?}",
+        broken
+            .iter()
+            .map(|r| (r.seed, &r.breaches))
+            .collect::<Vec<_>>()
+    );
     let cases = |rule: usize| reports.iter().map(|r| r.cases[rule]).sum::<u64>();
-    assert!((0..5).all(|rule| cases(rule) > 0), "each rule was put to the test");
+    assert!(
+        (0..5).all(|rule| cases(rule) > 0),
+        "each rule was put to the test"
+    );
 }
 
 /// What is left out on purpose breaks its rule in one of the shapes.
@@ -49,5 +78,7 @@
 fn a_planted_fault_is_found_in_some_shape(rule: usize, plant: Plant) {
     let text = format!("rule {rule}:");
     let found = all(30..56, |seed| play(&shape(seed, plant)));
-    assert!(found.iter().any(|r| r.breaches.iter().any(|b| b.starts_with(&text))));
+    assert!(found
+        .iter()
+        .any(|r| r.breaches.iter().any(|b| b.starts_with(&text))));
 }
--- a/crates/tidewall-sim/tests/table.rs
+++ b/crates/tidewall-sim/tests/table.rs
@@ -13,7 +13,10 @@
 
 /// One seed in CI; `TABLE_SEED` tries another.
 fn seed() -> u64 {
-    std::env::var("TABLE_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(11)
+    std::env::var("TABLE_SEED")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(11)
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -76,17 +79,30 @@
 const RESTART: &str = "fault { trouble: GATEWAY_KILL at: 0.33 lasts_ms: 400 }\n";
 
 fn rows(script: &str) -> Vec<Row> {
-    let report = play(&Setup { script: Some(script.to_string()), keep: true, ..setup() });
+    let report = play(&Setup {
+        script: Some(script.to_string()),
+        keep: true,
+        ..setup()
+    });
     assert_eq!(report.breaches, Vec::<String>::new());
     let text = String::from_utf8(report.record).unwrap();
-    text.lines().skip(1).map(|l| serde_json::from_str(l).unwrap()).collect()
+    text.lines()
+        .skip(1)
+        .map(|l| serde_json::from_str(l).unwrap())
+        .collect()
 }
 
 /// The digest of the run that is not struck.
 fn plain(base: &str) -> u64 {
     static BOTH: OnceLock<[u64; 2]> = OnceLock::new();
     let both = BOTH.get_or_init(|| {
-        ["", RESTART].map(|script| play(&Setup { script: Some(script.to_string()), ..setup() }).digest)
+        ["", RESTART].map(|script| {
+            play(&Setup {
+                script: Some(script.to_string()),
+                ..setup()
+            })
+            .digest
+        })
     });
     both[usize::from(!base.is_empty())]
 }
@@ -112,7 +128,10 @@
                 .map(|(asked, gw, at)| ((asked + at) / 2, gw))
                 .collect()
         }
-        Stage::Ordered => of(Kind::Ordered).filter(|r| r.copies > 0).map(|r| (r.t + 1, r.gw)).collect(),
+        Stage::Ordered => of(Kind::Ordered)
+            .filter(|r| r.copies > 0)
+            .map(|r| (r.t + 1, r.gw))
+            .collect(),
         Stage::Launched => of(Kind::Launched).map(|r| (r.t + 1, r.gw)).collect(),
         Stage::Ended => of(Kind::Ended).map(|r| (r.t + 1, r.gw)).collect(),
         Stage::Answered => of(Kind::Answered).map(|r| (r.t + 1, r.gw)).collect(),
@@ -125,7 +144,10 @@
 fn strike(fault: Fault, at: Time, gw: usize, base: &str) -> Setup {
     let part = at as f64 / (SECONDS * 10_000.0);
     let line = |text: &str| {
-        format!("{base}fault {{ trouble: {} }}\n", text.replace(" AT", &format!(" at: {part:.6}")))
+        format!(
+            "{base}fault {{ trouble: {} }}\n",
+            text.replace(" AT", &format!(" at: {part:.6}"))
+        )
     };
     let script = match fault {
         Fault::Paused => line("GATEWAY_STILL AT lasts_ms: 900"),
@@ -133,7 +155,9 @@
         Fault::Silent => line("WORKER_SILENT AT lasts_ms: 1500 count: 3"),
         Fault::Hung => line("WORKER_HANG AT lasts_ms: 1500 count: 3"),
         Fault::Slow => line("WORKER_SLOW AT lasts_ms: 1500 factor: 8 count: 4"),
-        Fault::Full => line("BURST AT lasts_ms: 800 factor: 5") + &line("HEAVY AT lasts_ms: 800 factor: 4"),
+        Fault::Full => {
+            line("BURST AT lasts_ms: 800 factor: 5") + &line("HEAVY AT lasts_ms: 800 factor: 4")
+        }
         Fault::Cold => line("WORKER_KILL AT lasts_ms: 200 count: 4"),
         Fault::Drained => line("WORKER_DRAIN AT lasts_ms: 2500 count: 4"),
         Fault::StaleList => {
@@ -159,8 +183,15 @@
         Fault::GatewayGone => Some((Hurt::KillBack, 60_000)),
         _ => None,
     };
-    let hurts = hurt.map(|(hurt, ms)| (at, hurt, gw, ms * 10)).into_iter().collect();
-    Setup { script: Some(script), hurts, ..setup() }
+    let hurts = hurt
+        .map(|(hurt, ms)| (at, hurt, gw, ms * 10))
+        .into_iter()
+        .collect();
+    Setup {
+        script: Some(script),
+        hurts,
+        ..setup()
+    }
 }
 
 #[test_matrix(
@@ -170,17 +201,34 @@
     [Stage::Taken, Stage::Held, Stage::Ordered, Stage::Launched, Stage::Ended, Stage::Answered, Stage::Restarting]
 )]
 fn cell(fault: Fault, stage: Stage) {
-    let base = if stage == Stage::Restarting { RESTART } else { "" };
+    let base = if stage == Stage::Restarting {
+        RESTART
+    } else {
+        ""
+    };
     for (at, gw) in moments(stage) {
         let setup = strike(fault, at, gw, base);
         // A script is held against the run without it, what it cannot say against the same script alone.
         let unstruck = match setup.hurts.is_empty() {
             true => plain(base),
-            false => play(&Setup { hurts: Vec::new(), ..setup.clone() }).digest,
+            false => {
+                play(&Setup {
+                    hurts: Vec::new(),
+                    ..setup.clone()
+                })
+                .digest
+            }
         };
         let struck = play(&setup);
-        assert_eq!(struck.breaches, Vec::<String>::new(), "{fault:?} at {at}, gateway {gw}");
-        assert_ne!(struck.digest, unstruck, "{fault:?} changes nothing at {at}: the cell tests nothing");
+        assert_eq!(
+            struck.breaches,
+            Vec::<String>::new(),
+            "{fault:?} at {at}, gateway {gw}"
+        );
+        assert_ne!(
+            struck.digest, unstruck,
+            "{fault:?} changes nothing at {at}: the cell tests nothing"
+        );
         assert!(struck.cases[0] > 300 && struck.handled > 100, "{struck:?}");
     }
 }
@@ -194,7 +242,12 @@
     for at in from..from + 20 {
         let hurt = [Hurt::KillBack, Hurt::KillTorn][at as usize % 2];
         let hurts = vec![(10_000 + at, hurt, at as usize % 3, 500)];
-        let report = play(&Setup { hurts, rate: 600.0, seconds: 2.0, ..setup() });
+        let report = play(&Setup {
+            hurts,
+            rate: 600.0,
+            seconds: 2.0,
+            ..setup()
+        });
         assert_eq!(report.breaches, Vec::<String>::new(), "at {at}");
     }
 }
@@ -213,14 +266,21 @@
         "fault {{ trouble: WORKER_KILL at: 0.4 lasts_ms: 100 count: 11 }}\n\
          fault {{ trouble: HEAVY at: 0.42 lasts_ms: 3000 factor: {factor} }}"
     );
-    Setup { script: Some(script), rate: 300.0, ..setup() }
+    Setup {
+        script: Some(script),
+        rate: 300.0,
+        ..setup()
+    }
 }
 
 /// Known red (KNOWN-RED.txt): events that cost eight times as much from one moment on, while eleven of twelve workers are cold:
 /// until the first of them ends no gateway can know.
 #[test]
 fn known_gap_cold_workers_and_events_that_turn_eight_times_as_dear() {
-    assert_eq!(play(&Setup { seed: 3, ..cold(8) }).breaches, Vec::<String>::new());
+    assert_eq!(
+        play(&Setup { seed: 3, ..cold(8) }).breaches,
+        Vec::<String>::new()
+    );
 }
 
 /// Second tries of all layers together, from what reached the workers: each try of a client (two repeats at most) has three
@@ -232,22 +292,44 @@
     let (mut most_try, mut most_event) = (0, 0);
     for seed in 500..530 {
         let report = match pair {
-            false => play(&Setup { seed, script: None, keep: true, ..setup() }),
-            true => pair::run(pair::Setup { keep: true, ..pair::Setup::new(seed) }),
+            false => play(&Setup {
+                seed,
+                script: None,
+                keep: true,
+                ..setup()
+            }),
+            true => pair::run(pair::Setup {
+                keep: true,
+                ..pair::Setup::new(seed)
+            }),
         };
         assert_eq!(report.breaches, Vec::<String>::new());
         let text = String::from_utf8(report.record).unwrap();
-        let rows = text.lines().skip(1).map(|l| serde_json::from_str::<Row>(l).unwrap());
-        let mut launched: Vec<u64> = rows.filter(|r| r.k == Kind::Launched).map(|r| r.evt).collect();
+        let rows = text
+            .lines()
+            .skip(1)
+            .map(|l| serde_json::from_str::<Row>(l).unwrap());
+        let mut launched: Vec<u64> = rows
+            .filter(|r| r.k == Kind::Launched)
+            .map(|r| r.evt)
+            .collect();
         launched.sort_unstable();
-        let most = |same: fn(&u64, &u64) -> bool| launched.chunk_by(same).map(<[_]>::len).max().unwrap_or(0);
+        let most = |same: fn(&u64, &u64) -> bool| {
+            launched.chunk_by(same).map(<[_]>::len).max().unwrap_or(0)
+        };
         let (per_try, per_event) = (most(|a, b| a == b), most(|a, b| a / TRIES == b / TRIES));
         let lives = 1 + report.takeovers as usize * usize::from(pair);
-        assert!(per_try <= 3 * lives && per_event <= 9 * lives, "seed {seed}: {per_try}, {per_event}");
+        assert!(
+            per_try <= 3 * lives && per_event <= 9 * lives,
+            "seed {seed}: {per_try}, {per_event}"
+        );
         (most_try, most_event) = (most_try.max(per_try), most_event.max(per_event));
     }
     println!("at most {most_try} launches of a try, {most_event} of an event");
-    assert!(most_try > 1 && most_event >= most_try, "the runs put the bound to the test");
+    assert!(
+        most_try > 1 && most_event >= most_try,
+        "the runs put the bound to the test"
+    );
 }
 
 /// The former life's orders still count, its events have left the window, and the new life knows neither. The free ones are kept
@@ -259,7 +341,10 @@
         fault { trouble: COPIES_VOID at: 0.8 }\n";
     let once = |seed| {
         let script = Some(script.to_string());
-        play(&Setup { script, ..Setup::new(seed, 15.0, 20.0) })
+        play(&Setup {
+            script,
+            ..Setup::new(seed, 15.0, 20.0)
+        })
     };
     let breaches: Vec<String> = (1..8).flat_map(|seed| once(seed).breaches).collect();
     assert_eq!(breaches, Vec::<String>::new());
@@ -275,19 +360,44 @@
     let script = "fault { trouble: WORKER_DRAIN at: 0.1 lasts_ms: 2800 count: 4 }\n\
         fault { trouble: WORKER_RESET at: 0.3 count: 6 }\nfault { trouble: WORKER_KILL at: 0.5 lasts_ms: 100 count: 5 }\n\
         fault { trouble: WORKER_SILENT at: 0.6 lasts_ms: 1500 count: 3 }\n";
-    let hurts = if rule == 1 { vec![(12_000, Hurt::KillUntold, 0, 3_000)] } else { Vec::new() };
-    let base = Setup { script: Some(script.to_string()), rate: 400.0, ..setup() };
+    let hurts = if rule == 1 {
+        vec![(12_000, Hurt::KillUntold, 0, 3_000)]
+    } else {
+        Vec::new()
+    };
+    let base = Setup {
+        script: Some(script.to_string()),
+        rate: 400.0,
+        ..setup()
+    };
     let base = if rule == 4 { cold(5) } else { base };
     // Whether cold workers tip by it hangs on which events come when: each seed is clean, and some seed shows the fault.
     let mut broken = 0;
     for seed in base.seed..base.seed + if rule == 4 { 6 } else { 1 } {
-        let base = Setup { seed, ..base.clone() };
+        let base = Setup {
+            seed,
+            ..base.clone()
+        };
         let kept = play(&base);
         assert_eq!(kept.breaches, Vec::<String>::new());
-        assert!(kept.cases[rule - 1] > 0, "the run puts the rule to the test");
-        let report = play(&Setup { hurts: hurts.clone(), plant, ..base });
-        let found = report.breaches.iter().filter(|b| b.starts_with(&format!("rule {rule}:"))).count();
-        println!("seed {seed}: {found}, {:?}", &report.breaches[..report.breaches.len().min(5)]);
+        assert!(
+            kept.cases[rule - 1] > 0,
+            "the run puts the rule to the test"
+        );
+        let report = play(&Setup {
+            hurts: hurts.clone(),
+            plant,
+            ..base
+        });
+        let found = report
+            .breaches
+            .iter()
+            .filter(|b| b.starts_with(&format!("rule {rule}:")))
+            .count();
+        println!(
+            "seed {seed}: {found}, {:?}",
+            &report.breaches[..report.breaches.len().min(5)]
+        );
         broken += found;
     }
     assert!(broken > 0);
@@ -310,9 +420,15 @@
         let part = at as f64 / 30_000.0;
         let script = match fleet {
             "" => String::new(),
-            text => format!("fault {{ trouble: {} }}\n", text.replace(" AT", &format!(" at: {part:.6}"))),
+            text => format!(
+                "fault {{ trouble: {} }}\n",
+                text.replace(" AT", &format!(" at: {part:.6}"))
+            ),
+        };
+        let leave = Trouble::Leave {
+            member: 0,
+            back: 4_000,
         };
-        let leave = Trouble::Leave { member: 0, back: 4_000 };
         let setup = pair::Setup {
             seconds: 3.0,
             troubles: Some(vec![(15_000, leave), (at, trouble)]),
@@ -320,7 +436,11 @@
             ..pair::Setup::new(seed())
         };
         let report = pair::run(setup);
-        assert_eq!(report.breaches, Vec::<String>::new(), "{after} after the seat was to be handed over");
+        assert_eq!(
+            report.breaches,
+            Vec::<String>::new(),
+            "{after} after the seat was to be handed over"
+        );
         assert!(report.cases[0] > 100, "{report:?}");
     }
 }
--- a/crates/tidewall-standins/src/clients.rs
+++ b/crates/tidewall-standins/src/clients.rs
@@ -50,8 +50,13 @@
 impl Results {
     /// Benefit answered within the target time over the benefit asked for.
     pub fn service(&self) -> f64 {
-        let sum =
-            |counts: &[u64]| -> f64 { counts.iter().zip(&self.benefit).map(|(n, b)| *n as f64 * b).sum() };
+        let sum = |counts: &[u64]| -> f64 {
+            counts
+                .iter()
+                .zip(&self.benefit)
+                .map(|(n, b)| *n as f64 * b)
+                .sum()
+        };
         sum(&self.good) / sum(&self.asked).max(1e-9)
     }
 }
@@ -198,8 +203,13 @@
             .collect();
         let gateway = |s: &Section| Gateway {
             name: s.text("name"),
-            terminals: (0..c.whole("connections")).map(|_| Terminal::default()).collect(),
-            at: s.text(if amqp { "amqp_address" } else { "address" }).parse().expect("checked"),
+            terminals: (0..c.whole("connections"))
+                .map(|_| Terminal::default())
+                .collect(),
+            at: s
+                .text(if amqp { "amqp_address" } else { "address" })
+                .parse()
+                .expect("checked"),
             conns: vec![(None, false); c.whole("connections") as usize],
             turn: 0,
             down: Some(g.net.now()),
@@ -208,7 +218,11 @@
         };
         let zeros = vec![0; types.len()];
         Clients {
-            tenants: settings.sections("tenant").iter().map(|t| t.text("name")).collect(),
+            tenants: settings
+                .sections("tenant")
+                .iter()
+                .map(|t| t.text("name"))
+                .collect(),
             gateways: settings.sections("gateway").iter().map(gateway).collect(),
             rate: c.number("rate"),
             retries: c.whole("retries"),
@@ -276,7 +290,10 @@
     }
 
     pub fn connect<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
-        let conn = g.net.connect(self.gateways[gw].at, if self.pair { AGAIN / 2 } else { AGAIN });
+        let conn = g.net.connect(
+            self.gateways[gw].at,
+            if self.pair { AGAIN / 2 } else { AGAIN },
+        );
         g.own(conn, Owner::Client { gw, n });
         self.gateways[gw].conns[n] = (Some(conn), false);
     }
@@ -290,7 +307,12 @@
             }
             return;
         }
-        wire::hello(&mut g.out, "client", &format!("{}-{n}", self.gateways[gw].name), 1);
+        wire::hello(
+            &mut g.out,
+            "client",
+            &format!("{}-{n}", self.gateways[gw].name),
+            1,
+        );
         if let Some(conn) = self.gateways[gw].conns[n].0 {
             g.net.write(conn, &g.out);
         }
@@ -305,23 +327,40 @@
         if gateway.down.is_none() && gateway.conns.iter().all(|c| !c.1) {
             gateway.down = Some(now);
             if self.pair {
-                g.row(Row { k: Kind::Away, gw, ..Row::default() });
+                g.row(Row {
+                    k: Kind::Away,
+                    gw,
+                    ..Row::default()
+                });
             }
         }
         let again = if self.pair { SOON } else { AGAIN };
-        g.net.set(now + again, of::CONNECT | (gw as u64) << 32 | n as u64);
+        g.net
+            .set(now + again, of::CONNECT | (gw as u64) << 32 | n as u64);
         if cut {
             return self.let_go(g, gw, n);
         }
         if self.pair {
-            self.events.iter_mut().filter(|e| e.1.at == Some((gw, n))).for_each(|e| e.1.sent = false);
+            self.events
+                .iter_mut()
+                .filter(|e| e.1.at == Some((gw, n)))
+                .for_each(|e| e.1.sent = false);
             return;
         }
-        let out: Vec<usize> =
-            self.events.iter().filter(|e| e.1.at == Some((gw, n)) && e.1.sent).map(|e| e.0).collect();
+        let out: Vec<usize> = self
+            .events
+            .iter()
+            .filter(|e| e.1.at == Some((gw, n)) && e.1.sent)
+            .map(|e| e.0)
+            .collect();
         for key in out {
             let evt = self.id(key);
-            g.row(Row { k: Kind::Broke, evt, gw, ..Row::default() });
+            g.row(Row {
+                k: Kind::Broke,
+                evt,
+                gw,
+                ..Row::default()
+            });
             self.results.broken += 1;
             // Only where a repeat does no harm: nobody knows what became of it.
             let harmless = self.harmless(g.programs[self.events[key].program].typ);
@@ -331,26 +370,47 @@
 
     /// A terminal does not wait any longer on this channel, by its own doing; it asks again with the same message-id.
     fn let_go<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
-        let out: Vec<usize> =
-            self.events.iter().filter(|e| e.1.at == Some((gw, n)) && e.1.sent).map(|e| e.0).collect();
+        let out: Vec<usize> = self
+            .events
+            .iter()
+            .filter(|e| e.1.at == Some((gw, n)) && e.1.sent)
+            .map(|e| e.0)
+            .collect();
         for key in out {
             let evt = self.id(key);
-            g.row(Row { k: Kind::Left, evt, gw, ..Row::default() });
+            g.row(Row {
+                k: Kind::Left,
+                evt,
+                gw,
+                ..Row::default()
+            });
             self.results.let_go += 1;
-            (self.events[key].stick, self.events[key].stuck) = (Some((gw, self.gateways[gw].broken)), true);
+            (self.events[key].stick, self.events[key].stuck) =
+                (Some((gw, self.gateways[gw].broken)), true);
             self.over(g, key, true, 0);
         }
     }
 
     /// Breaks a terminal's connection at some byte of a publish.
     pub fn cut<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
-        let Some(conn) = self.gateways[gw].conns[n].0.filter(|_| self.gateways[gw].conns[n].1) else {
+        let Some(conn) = self.gateways[gw].conns[n]
+            .0
+            .filter(|_| self.gateways[gw].conns[n].1)
+        else {
             return;
         };
         g.out.clear();
         let program = &g.programs[0];
         let key = format!("{}.{}", self.types[program.typ].name, program.name);
-        self.gateways[gw].terminals[n].publish(&mut g.out, u64::MAX, &key, 1, u64::MAX, false, &[0; 64]);
+        self.gateways[gw].terminals[n].publish(
+            &mut g.out,
+            u64::MAX,
+            &key,
+            1,
+            u64::MAX,
+            false,
+            &[0; 64],
+        );
         let part = g.chance.random_range(0..g.out.len());
         g.net.write(conn, &g.out[..part]);
         self.gateways[gw].cut[n] = true;
@@ -359,7 +419,10 @@
 
     /// Closes a terminal's channel, whatever is on its way on it.
     pub fn close_channel<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
-        let Some(conn) = self.gateways[gw].conns[n].0.filter(|_| self.gateways[gw].conns[n].1) else {
+        let Some(conn) = self.gateways[gw].conns[n]
+            .0
+            .filter(|_| self.gateways[gw].conns[n].1)
+        else {
             return;
         };
         g.out.clear();
@@ -371,7 +434,10 @@
 
     /// A terminal reads nothing from now on.
     pub fn slow<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
-        let Some(conn) = self.gateways[gw].conns[n].0.filter(|_| self.gateways[gw].conns[n].1) else {
+        let Some(conn) = self.gateways[gw].conns[n]
+            .0
+            .filter(|_| self.gateways[gw].conns[n].1)
+        else {
             return;
         };
         g.net.pause(conn, true);
@@ -390,14 +456,22 @@
     /// Terminals, as (gateway, place).
     pub fn lines(&self) -> Vec<(usize, usize)> {
         let each = |gw: usize| (0..self.gateways[gw].conns.len()).map(move |n| (gw, n));
-        (0..self.gateways.len()).flat_map(each).filter(|(gw, n)| self.gateways[*gw].conns[*n].1).collect()
+        (0..self.gateways.len())
+            .flat_map(each)
+            .filter(|(gw, n)| self.gateways[*gw].conns[*n].1)
+            .collect()
     }
 
     /// So many further terminals log in at once.
     pub fn guests<N: Net>(&mut self, g: &mut Ground<N>, count: usize, hoard: u64) {
         for i in 0..count {
-            let conn = g.net.connect(self.gateways[i % self.gateways.len()].at, 100 * AGAIN);
-            let key = self.guests.insert(Guest { conn, terminal: Terminal::hoarder(hoard) });
+            let conn = g
+                .net
+                .connect(self.gateways[i % self.gateways.len()].at, 100 * AGAIN);
+            let key = self.guests.insert(Guest {
+                conn,
+                terminal: Terminal::hoarder(hoard),
+            });
             g.own(conn, Owner::Guest(key));
         }
     }
@@ -420,10 +494,17 @@
         self.guests.remove(key);
     }
 
-    pub fn guest<N: Net>(&mut self, g: &mut Ground<N>, key: usize, bytes: &[u8]) -> Result<usize, String> {
+    pub fn guest<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        key: usize,
+        bytes: &[u8],
+    ) -> Result<usize, String> {
         let (mut told, mut out, mut used) = (Told::default(), Vec::new(), 0);
         loop {
-            let one = self.guests[key].terminal.frame(&bytes[used..], &mut out, &mut told)?;
+            let one = self.guests[key]
+                .terminal
+                .frame(&bytes[used..], &mut out, &mut told)?;
             if one == 0 {
                 break;
             }
@@ -447,7 +528,11 @@
         let since = self.gateways[gw].down.take();
         if let Some(since) = since.filter(|_| self.pair) {
             self.pauses.push(g.net.now() - since);
-            g.row(Row { k: Kind::Back, gw, ..Row::default() });
+            g.row(Row {
+                k: Kind::Back,
+                gw,
+                ..Row::default()
+            });
         }
         if self.pair {
             self.ask_again(g, gw, n);
@@ -457,8 +542,12 @@
     /// What is out is asked for again, by the same id and mark.
     fn ask_again<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
         let now = g.net.now();
-        let out: Vec<usize> =
-            self.events.iter().filter(|e| !e.1.sent && e.1.deadline.is_some()).map(|e| e.0).collect();
+        let out: Vec<usize> = self
+            .events
+            .iter()
+            .filter(|e| !e.1.sent && e.1.deadline.is_some())
+            .map(|e| e.0)
+            .collect();
         for key in out {
             let left = self.events[key].ends.saturating_sub(now);
             if left > 0 {
@@ -494,11 +583,19 @@
 
     fn arrival<N: Net>(&mut self, g: &mut Ground<N>, due: Time) {
         let draw: f64 = self.arrivals.random();
-        let program = g.programs.partition_point(|p| p.upto < draw).min(g.programs.len() - 1);
+        let program = g
+            .programs
+            .partition_point(|p| p.upto < draw)
+            .min(g.programs.len() - 1);
         // Work spreads by a third round its mean, as of programs whose input varies.
-        let spread: f64 = LogNormal::new(-0.05, 0.32).expect("good").sample(&mut self.arrivals);
-        let tenant =
-            if self.tenants.is_empty() { 0 } else { self.arrivals.random_range(0..self.tenants.len()) };
+        let spread: f64 = LogNormal::new(-0.05, 0.32)
+            .expect("good")
+            .sample(&mut self.arrivals);
+        let tenant = if self.tenants.is_empty() {
+            0
+        } else {
+            self.arrivals.random_range(0..self.tenants.len())
+        };
         self.count += 1;
         let event = Event {
             number: self.count,
@@ -528,12 +625,16 @@
         let now = g.net.now();
         let typ = g.programs[self.events[key].program].typ;
         let ends = self.events[key].due + self.types[typ].age;
-        let left = ((self.types[typ].age as f64 * self.patience) as Time).min(ends.saturating_sub(now));
+        let left =
+            ((self.types[typ].age as f64 * self.patience) as Time).min(ends.saturating_sub(now));
         // A wrong clock tells another time, which both ends go by.
         let left = ((left as f64 * self.skew) as Time).min(self.types[typ].age);
         // An event that its terminal let go may be asked again where the first asking is known, or where that is
         // harmless.
-        let stick = self.events[key].stick.take().filter(|s| self.gateways[s.0].broken == s.1);
+        let stick = self.events[key]
+            .stick
+            .take()
+            .filter(|s| self.gateways[s.0].broken == s.1);
         let unknown = self.events[key].stuck && stick.is_none() && !self.harmless(typ);
         if left < 10 || unknown {
             self.events.remove(key);
@@ -543,18 +644,27 @@
         self.results.tries += 1;
         // The front spreads evenly; it leaves out a gateway only when that has been down for a while.
         let open = |gw: &Gateway, front: Time| gw.down.is_none_or(|since| now < since + front);
-        let fit: Vec<usize> =
-            (0..self.gateways.len()).filter(|gw| open(&self.gateways[*gw], self.front)).collect();
-        let gw = if fit.is_empty() { 0 } else { fit[g.chance.random_range(0..fit.len())] };
+        let fit: Vec<usize> = (0..self.gateways.len())
+            .filter(|gw| open(&self.gateways[*gw], self.front))
+            .collect();
+        let gw = if fit.is_empty() {
+            0
+        } else {
+            fit[g.chance.random_range(0..fit.len())]
+        };
         let gw = stick.map_or(gw, |s| s.0);
         let gateway = &mut self.gateways[gw];
         gateway.turn += 1;
-        let ready: Vec<usize> = (0..gateway.conns.len()).filter(|n| gateway.conns[*n].1).collect();
+        let ready: Vec<usize> = (0..gateway.conns.len())
+            .filter(|n| gateway.conns[*n].1)
+            .collect();
         if ready.is_empty() && self.pair {
             // It waits for a connection, as long as its client does.
             let e = &mut self.events[key];
             (e.ends, e.asked, e.sent, e.at) = (now + left, false, false, Some((gw, usize::MAX)));
-            let late = g.net.set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
+            let late = g
+                .net
+                .set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
             self.events[key].deadline = Some(late);
             return;
         }
@@ -567,7 +677,10 @@
         let other = ready[(gateway.turn + 1) % ready.len()];
         let ends = now + left;
         (self.events[key].ends, self.events[key].asked) = (ends, false);
-        self.events[key].deadline = Some(g.net.set(ends + tidewall_audit::GRACE, of::LATE | key as u64));
+        self.events[key].deadline = Some(
+            g.net
+                .set(ends + tidewall_audit::GRACE, of::LATE | key as u64),
+        );
         // AMQP knows no leaving.
         if g.chance.random_ratio(1, self.impatient) && !self.amqp && !self.pair {
             self.events[key].leaves = Some(g.net.set(now + left / 3, of::LEAVE | key as u64));
@@ -580,7 +693,9 @@
 
     /// Sends one try on a connection, whose client gives up after `left`.
     fn ask<N: Net>(&mut self, g: &mut Ground<N>, key: usize, (gw, n): (usize, usize), left: Time) {
-        let Some(conn) = self.gateways[gw].conns[n].0 else { return };
+        let Some(conn) = self.gateways[gw].conns[n].0 else {
+            return;
+        };
         let (evt, program) = (self.id(key), &g.programs[self.events[key].program]);
         let typ = program.typ;
         let e = &mut self.events[key];
@@ -590,30 +705,61 @@
         if self.amqp {
             let key = format!("{}.{}", self.types[typ].name, program.name);
             let (left, resent) = (left / 10, e.tries > 1 || e.asked);
-            self.gateways[gw].terminals[n].publish(&mut g.out, evt, &key, left, mark(evt), resent, &payload);
+            self.gateways[gw].terminals[n].publish(
+                &mut g.out,
+                evt,
+                &key,
+                left,
+                mark(evt),
+                resent,
+                &payload,
+            );
         } else {
             let f = Frame::new(&mut g.out, kind::EVENT).whole(Field::Id, evt);
-            let f = f.text(Field::Type, &self.types[typ].name).text(Field::Function, &program.name);
-            let f = f.text(Field::Tenant, self.tenants.get(e.tenant).map_or("", String::as_str));
-            let f = f.whole(Field::Lanes, u64::from(program.lanes)).real(Field::Memory, program.memory);
+            let f = f
+                .text(Field::Type, &self.types[typ].name)
+                .text(Field::Function, &program.name);
+            let f = f.text(
+                Field::Tenant,
+                self.tenants.get(e.tenant).map_or("", String::as_str),
+            );
+            let f = f
+                .whole(Field::Lanes, u64::from(program.lanes))
+                .real(Field::Memory, program.memory);
             let f = f
                 .whole(Field::Hint, program.work as u64)
                 .whole(Field::LoadHint, program.fetch + program.start);
-            let f = f.whole(Field::Left, left).bytes(Field::Mark, &mark(evt).to_be_bytes());
-            f.flag(Field::Resent, e.tries > 1 || e.asked).bytes(Field::Payload, &payload).end();
+            let f = f
+                .whole(Field::Left, left)
+                .bytes(Field::Mark, &mark(evt).to_be_bytes());
+            f.flag(Field::Resent, e.tries > 1 || e.asked)
+                .bytes(Field::Payload, &payload)
+                .end();
         }
         (e.at, e.sent) = (Some((gw, n)), true);
         let again = std::mem::replace(&mut e.asked, true);
         // On record before it is on the wire, or its launch might seem to come first.
         let k = if again { Kind::AskedAgain } else { Kind::Asked };
-        g.row(Row { k, evt, gw, typ, left, ..Row::default() });
+        g.row(Row {
+            k,
+            evt,
+            gw,
+            typ,
+            left,
+            ..Row::default()
+        });
         self.results.asked_again += u64::from(again);
         if !g.net.write(conn, &g.out) {
             if self.pair {
                 self.events[key].sent = false;
                 return;
             }
-            g.row(Row { k: Kind::TurnedAway, evt, gw, ..Row::default() });
+            g.row(Row {
+                k: Kind::TurnedAway,
+                evt,
+                gw,
+                ..Row::default()
+            });
             self.over(g, key, true, 0);
         }
     }
@@ -622,23 +768,53 @@
     fn twin<N: Net>(&mut self, g: &mut Ground<N>, of: usize, (gw, n): (usize, usize), left: Time) {
         let now = g.net.now();
         let e = &self.events[of];
-        if e.tries >= TRIES || self.events.iter().any(|t| t.1.twin && t.1.number == e.number) {
+        if e.tries >= TRIES
+            || self
+                .events
+                .iter()
+                .any(|t| t.1.twin && t.1.number == e.number)
+        {
             return;
         }
         let (typ, program) = (g.programs[e.program].typ, &g.programs[e.program]);
         let mut payload = vec![0; self.payload.max(4)];
         payload[..4].copy_from_slice(&(e.work.ceil() as u32).to_be_bytes());
         let at = Some((gw, n));
-        let twin = Event { tries: TRIES, at, sent: true, deadline: None, leaves: None, twin: true, ..*e };
+        let twin = Event {
+            tries: TRIES,
+            at,
+            sent: true,
+            deadline: None,
+            leaves: None,
+            twin: true,
+            ..*e
+        };
         let key = self.events.insert(twin);
         let evt = self.id(key);
         g.out.clear();
         let name = format!("{}.{}", self.types[typ].name, program.name);
-        self.gateways[gw].terminals[n].publish(&mut g.out, evt, &name, left / 10, mark(evt), false, &payload);
-        let late = g.net.set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
+        self.gateways[gw].terminals[n].publish(
+            &mut g.out,
+            evt,
+            &name,
+            left / 10,
+            mark(evt),
+            false,
+            &payload,
+        );
+        let late = g
+            .net
+            .set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
         self.events[key].deadline = Some(late);
         self.results.twins += 1;
-        g.row(Row { k: Kind::Asked, evt, gw, typ, left, ..Row::default() });
+        g.row(Row {
+            k: Kind::Asked,
+            evt,
+            gw,
+            typ,
+            left,
+            ..Row::default()
+        });
         if let Some(conn) = self.gateways[gw].conns[n].0 {
             g.net.write(conn, &g.out);
         }
@@ -749,13 +925,30 @@
         come_back: Time,
     ) -> Result<(), String> {
         let deferred = word == "deferred";
-        let kind = if word == "turned-away" { Kind::TurnedAway } else { Kind::Answered };
-        g.row(Row { k: kind, evt, gw, deferred, ..Row::default() });
-        let found = self.events.iter().find(|e| e.1.sent && e.1.number * TRIES + e.1.tries - 1 == evt);
-        let Some(key) = found.map(|e| e.0) else { return Ok(()) };
+        let kind = if word == "turned-away" {
+            Kind::TurnedAway
+        } else {
+            Kind::Answered
+        };
+        g.row(Row {
+            k: kind,
+            evt,
+            gw,
+            deferred,
+            ..Row::default()
+        });
+        let found = self
+            .events
+            .iter()
+            .find(|e| e.1.sent && e.1.number * TRIES + e.1.tries - 1 == evt);
+        let Some(key) = found.map(|e| e.0) else {
+            return Ok(());
+        };
         let typ = g.programs[self.events[key].program].typ;
         match word {
-            "handled" | "deferred" | "dead-lettered" if self.events[key].twin => self.over(g, key, false, 0),
+            "handled" | "deferred" | "dead-lettered" if self.events[key].twin => {
+                self.over(g, key, false, 0)
+            }
             "handled" => {
                 let took = g.net.now() - self.events[key].due;
                 self.results.handled += 1;
@@ -794,21 +987,36 @@
             self.events[key].deadline = None;
             return self.over(g, key, true, 0);
         }
-        g.row(Row { k: Kind::GaveUp, evt, gw, ..Row::default() });
+        g.row(Row {
+            k: Kind::GaveUp,
+            evt,
+            gw,
+            ..Row::default()
+        });
         self.results.lapsed += u64::from(!self.events[key].twin);
         self.events[key].deadline = None;
-        let again = self.types[g.programs[self.events[key].program].typ].redelivery == "REDELIVERABLE";
+        let again =
+            self.types[g.programs[self.events[key].program].typ].redelivery == "REDELIVERABLE";
         self.over(g, key, again, 0);
     }
 
     /// It leaves early and says so.
     pub fn leave<N: Net>(&mut self, g: &mut Ground<N>, key: usize) {
         let evt = self.id(key);
-        let Some((gw, n)) = self.events[key].at else { return };
+        let Some((gw, n)) = self.events[key].at else {
+            return;
+        };
         self.events[key].leaves = None;
-        g.row(Row { k: Kind::Left, evt, gw, ..Row::default() });
+        g.row(Row {
+            k: Kind::Left,
+            evt,
+            gw,
+            ..Row::default()
+        });
         g.out.clear();
-        Frame::new(&mut g.out, kind::LEAVE).whole(Field::Id, evt).end();
+        Frame::new(&mut g.out, kind::LEAVE)
+            .whole(Field::Id, evt)
+            .end();
         if let Some(conn) = self.gateways[gw].conns[n].0 {
             g.net.write(conn, &g.out);
         }
--- a/crates/tidewall-standins/src/depot.rs
+++ b/crates/tidewall-standins/src/depot.rs
@@ -32,12 +32,20 @@
         })
     }
 
-    pub fn frame<N: Net>(&mut self, g: &mut Ground<N>, conn: Conn, fields: &Fields) -> Result<(), String> {
+    pub fn frame<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        conn: Conn,
+        fields: &Fields,
+    ) -> Result<(), String> {
         if fields.kind()? == kind::HELLO {
             wire::greeted(fields)?;
             return Ok(());
         }
-        let (id, hint) = (fields.whole(Field::Id)?, fields.upto(Field::LoadHint, 1 << 32, 0)?);
+        let (id, hint) = (
+            fields.whole(Field::Id)?,
+            fields.upto(Field::LoadHint, 1 << 32, 0)?,
+        );
         fields.text(Field::Function)?;
         if self.fetches.len() >= self.most {
             self.answer(g, conn, id, "full");
@@ -63,7 +71,10 @@
 
     fn answer<N: Net>(&self, g: &mut Ground<N>, conn: Conn, id: u64, outcome: &str) {
         g.out.clear();
-        Frame::new(&mut g.out, kind::FETCHED).whole(Field::Id, id).text(Field::Outcome, outcome).end();
+        Frame::new(&mut g.out, kind::FETCHED)
+            .whole(Field::Id, id)
+            .text(Field::Outcome, outcome)
+            .end();
         g.net.write(conn, &g.out);
     }
 }
--- a/crates/tidewall-standins/src/faults.rs
+++ b/crates/tidewall-standins/src/faults.rs
@@ -45,51 +45,87 @@
                 hit: Vec::new(),
             });
         }
-        Faults { list, gateways, busy: Vec::new() }
+        Faults {
+            list,
+            gateways,
+            busy: Vec::new(),
+        }
     }
 }
 
 impl<N: Net> Fleet<N> {
     /// Workers that are well, of the kind that the fault is for.
     fn fit(&self, machine: &str) -> Vec<usize> {
-        let well =
-            |w: &crate::workers::Worker| w.up && !w.draining && w.hung == 0 && w.silent == 0 && w.slow == 1.0;
+        let well = |w: &crate::workers::Worker| {
+            w.up && !w.draining && w.hung == 0 && w.silent == 0 && w.slow == 1.0
+        };
         let list = self.workers.list.iter().enumerate();
-        list.filter(|w| well(w.1) && (machine.is_empty() || w.1.machine == machine)).map(|w| w.0).collect()
+        list.filter(|w| well(w.1) && (machine.is_empty() || w.1.machine == machine))
+            .map(|w| w.0)
+            .collect()
     }
 
     /// Somebody else killed a gateway, or started it again.
     pub fn killed(&mut self, gw: usize, killed: bool) {
         let k = if killed { Kind::Killed } else { Kind::Up };
-        self.ground.row(Row { k, gw, ..Row::default() });
+        self.ground.row(Row {
+            k,
+            gw,
+            ..Row::default()
+        });
     }
 
     /// Nothing gets to or from a gateway, or again: to its clients it stands still.
     pub fn apart(&mut self, gw: usize, apart: bool) {
         let k = if apart { Kind::Still } else { Kind::Going };
-        self.ground.row(Row { k, gw, ..Row::default() });
+        self.ground.row(Row {
+            k,
+            gw,
+            ..Row::default()
+        });
     }
 
     pub(crate) fn fault(&mut self, i: usize) {
         let now = self.ground.net.now();
-        let Fault { trouble, lasts, count, machine, factor, .. } = &self.faults.list[i];
+        let Fault {
+            trouble,
+            lasts,
+            count,
+            machine,
+            factor,
+            ..
+        } = &self.faults.list[i];
         let (trouble, lasts, count, factor) = (trouble.clone(), *lasts, *count, *factor);
         let until = now + lasts;
         let g = &mut self.ground;
         let mut hit = Vec::new();
         if trouble.starts_with("WORKER_") {
             let fit = self.fit(machine);
-            hit = fit.choose_multiple(&mut self.ground.chance, count).copied().collect();
+            hit = fit
+                .choose_multiple(&mut self.ground.chance, count)
+                .copied()
+                .collect();
         } else if trouble.starts_with("GATEWAY_") {
             let busy = &self.faults.busy;
-            let all = self.faults.gateways.members().unwrap_or(self.clients.gateways());
+            let all = self
+                .faults
+                .gateways
+                .members()
+                .unwrap_or(self.clients.gateways());
             let fit: Vec<usize> = (0..all).filter(|gw| !busy.contains(gw)).collect();
             hit = fit.choose_multiple(&mut g.chance, count).copied().collect();
         }
         info!(trouble, ?hit, lasts_ms = lasts / 10, "fault");
-        for wk in hit.iter().copied().filter(|_| trouble.starts_with("WORKER_")) {
-            let (g, life, since) =
-                (&mut self.ground, self.workers.list[wk].life, self.workers.list[wk].since);
+        for wk in hit
+            .iter()
+            .copied()
+            .filter(|_| trouble.starts_with("WORKER_"))
+        {
+            let (g, life, since) = (
+                &mut self.ground,
+                self.workers.list[wk].life,
+                self.workers.list[wk].since,
+            );
             match trouble.as_str() {
                 "WORKER_KILL" => {
                     self.workers.kill(g, wk);
@@ -112,14 +148,26 @@
             }
         }
         let g = &mut self.ground;
-        for gw in hit.iter().copied().filter(|_| trouble.starts_with("GATEWAY_")) {
+        for gw in hit
+            .iter()
+            .copied()
+            .filter(|_| trouble.starts_with("GATEWAY_"))
+        {
             self.faults.busy.push(gw);
             if trouble == "GATEWAY_KILL" {
                 let pair = self.faults.gateways.members().is_some();
-                g.row(Row { k: Kind::Killed, gw: if pair { 0 } else { gw }, ..Row::default() });
+                g.row(Row {
+                    k: Kind::Killed,
+                    gw: if pair { 0 } else { gw },
+                    ..Row::default()
+                });
                 self.faults.gateways.kill(gw);
             } else {
-                g.row(Row { k: Kind::Still, gw, ..Row::default() });
+                g.row(Row {
+                    k: Kind::Still,
+                    gw,
+                    ..Row::default()
+                });
                 self.faults.gateways.still(gw, true);
             }
         }
@@ -132,7 +180,11 @@
             "DEPOT_SLOW" => self.depot.slow = factor,
             "BURST" => self.clients.burst = factor,
             "HEAVY" => self.clients.heavy = factor,
-            "REPORTS_LATE" => self.workers.list.iter_mut().for_each(|w| w.late_reports = true),
+            "REPORTS_LATE" => self
+                .workers
+                .list
+                .iter_mut()
+                .for_each(|w| w.late_reports = true),
             "ROSTER_SILENT" => self.roster.silent = until,
             "ROSTER_GONE" => self.roster.gone(g),
             "COPIES_VOID" => self.workers.void(),
@@ -148,7 +200,10 @@
     fn terminals(&mut self, trouble: &str, count: usize, factor: f64, hit: &mut Vec<usize>) {
         let g = &mut self.ground;
         let lines = self.clients.lines();
-        let drawn: Vec<(usize, usize)> = lines.choose_multiple(&mut g.chance, count).copied().collect();
+        let drawn: Vec<(usize, usize)> = lines
+            .choose_multiple(&mut g.chance, count)
+            .copied()
+            .collect();
         for (gw, n) in drawn {
             match trouble {
                 "TERMINAL_CUT" => self.clients.cut(g, gw, n),
@@ -178,14 +233,22 @@
             match trouble.as_str() {
                 "GATEWAY_KILL" => {
                     let pair = self.faults.gateways.members().is_some();
-                    g.row(Row { k: Kind::Up, gw: if pair { 0 } else { which }, ..Row::default() });
+                    g.row(Row {
+                        k: Kind::Up,
+                        gw: if pair { 0 } else { which },
+                        ..Row::default()
+                    });
                     self.faults.busy.retain(|gw| *gw != which);
                     self.faults.gateways.start(which);
                 }
                 "GATEWAY_STILL" => {
                     self.faults.busy.retain(|gw| *gw != which);
                     self.faults.gateways.still(which, false);
-                    g.row(Row { k: Kind::Going, gw: which, ..Row::default() });
+                    g.row(Row {
+                        k: Kind::Going,
+                        gw: which,
+                        ..Row::default()
+                    });
                 }
                 "WORKER_HANG" => {
                     self.workers.go(g, which);
@@ -218,7 +281,11 @@
             "TERMINAL_LOGINS" | "TERMINAL_HOARDS" => self.clients.guests_go(g),
             "BURST" => self.clients.burst = 1.0,
             "HEAVY" => self.clients.heavy = 1.0,
-            "REPORTS_LATE" => self.workers.list.iter_mut().for_each(|w| w.late_reports = false),
+            "REPORTS_LATE" => self
+                .workers
+                .list
+                .iter_mut()
+                .for_each(|w| w.late_reports = false),
             "ROSTER_SILENT" => {
                 g.net.set(g.net.now(), of::TELL);
             }
--- a/crates/tidewall-standins/src/lib.rs
+++ b/crates/tidewall-standins/src/lib.rs
@@ -93,19 +93,27 @@
     }
 
     fn owner(&self, conn: Conn) -> Owner {
-        let owner = self.owners.get(conn.place()).filter(|o| o.0 == conn.count());
+        let owner = self
+            .owners
+            .get(conn.place())
+            .filter(|o| o.0 == conn.count());
         owner.map_or(Owner::Nobody, |o| o.1)
     }
 
     pub fn row(&mut self, row: Row) {
-        let row = Row { t: self.net.now(), ..row };
+        let row = Row {
+            t: self.net.now(),
+            ..row
+        };
         self.line(&row);
     }
 
     fn line(&mut self, value: &impl serde::Serialize) {
         // A record that cannot be written would make every verdict empty: that ends the run.
         serde_json::to_writer(&mut self.record, value).expect("the record can be written");
-        self.record.write_all(b"\n").expect("the record can be written");
+        self.record
+            .write_all(b"\n")
+            .expect("the record can be written");
     }
 }
 
@@ -164,7 +172,12 @@
 
 impl<N: Net> Fleet<N> {
     /// Opens all listeners; the line of an error names the address.
-    pub fn new(net: N, settings: &Section, script: Option<&Section>, plan: Plan) -> Result<Fleet<N>, String> {
+    pub fn new(
+        net: N,
+        settings: &Section,
+        script: Option<&Section>,
+        plan: Plan,
+    ) -> Result<Fleet<N>, String> {
         let fleet = settings.section("fleet");
         let mut ground = Ground {
             net,
@@ -180,11 +193,21 @@
         let mut workers = workers;
         (workers.fences, workers.forgets) = (plan.fences, plan.forgets);
         workers.task_epochs = plan.task_epochs;
-        ground.line(&Rules { wild_clocks: plan.wild_clocks, ..rules(settings, &workers) });
+        ground.line(&Rules {
+            wild_clocks: plan.wild_clocks,
+            ..rules(settings, &workers)
+        });
         let roster = Roster::new(&mut ground, settings, &fleet, &workers)?;
         let clients = Clients::new(&mut ground, settings, &fleet, plan.seed, plan.amqp);
         let faults = Faults::new(&mut ground, script, plan.seconds, plan.gateways);
-        let mut fleet = Fleet { ground, workers, depot, roster, clients, faults };
+        let mut fleet = Fleet {
+            ground,
+            workers,
+            depot,
+            roster,
+            clients,
+            faults,
+        };
         let now = fleet.ground.net.now();
         if plan.clients {
             fleet.clients.start(&mut fleet.ground);
@@ -192,8 +215,15 @@
         if plan.seconds > 0.0 {
             let until = now + (plan.seconds * 10_000.0) as Time;
             fleet.clients.until = until;
-            let age = settings.sections("event_type").iter().map(|t| t.span("max_age_ms")).max();
-            fleet.ground.net.set(until + age.unwrap_or(0) + AFTERMATH, of::END);
+            let age = settings
+                .sections("event_type")
+                .iter()
+                .map(|t| t.span("max_age_ms"))
+                .max();
+            fleet
+                .ground
+                .net
+                .set(until + age.unwrap_or(0) + AFTERMATH, of::END);
         }
         Ok(fleet)
     }
@@ -204,7 +234,11 @@
 
     /// Loads that were begun, copies that were missed, and events that a hall's workers dropped as repeats.
     pub fn loads(&self) -> (u64, u64, u64) {
-        (self.workers.loads, self.workers.misses, self.workers.dropped)
+        (
+            self.workers.loads,
+            self.workers.misses,
+            self.workers.dropped,
+        )
     }
 
     /// How long clients found nobody at a pair's address, each time.
@@ -219,12 +253,20 @@
 
     /// Its workers, by name.
     pub fn workers(&self) -> Vec<(String, SocketAddr)> {
-        self.workers.list.iter().map(|w| (w.name.clone(), w.at)).collect()
+        self.workers
+            .list
+            .iter()
+            .map(|w| (w.name.clone(), w.at))
+            .collect()
     }
 
     /// The roster tells that the workers stand there: at a relay's addresses, in their order.
     pub fn fronts(&mut self, at: &[SocketAddr]) {
-        self.ground.listed.iter_mut().zip(at).for_each(|(l, at)| l.1 = *at);
+        self.ground
+            .listed
+            .iter_mut()
+            .zip(at)
+            .for_each(|(l, at)| l.1 = *at);
     }
 
     pub fn roster_at(&self) -> SocketAddr {
@@ -232,7 +274,10 @@
     }
 
     pub fn flush(&mut self) {
-        self.ground.record.flush().expect("the record can be written");
+        self.ground
+            .record
+            .flush()
+            .expect("the record can be written");
     }
 
     fn frame(&mut self, conn: Conn, owner: Owner, fields: &Fields) -> Result<(), String> {
@@ -251,7 +296,11 @@
 
 /// The programs with their shares summed up, popular ones first within each group (Zipf's law).
 fn programs(settings: &Section, fleet: &Section) -> Vec<Program> {
-    let types: Vec<String> = settings.sections("event_type").iter().map(|t| t.text("name")).collect();
+    let types: Vec<String> = settings
+        .sections("event_type")
+        .iter()
+        .map(|t| t.text("name"))
+        .collect();
     let groups = fleet.sections("programs");
     let all: f64 = groups.iter().map(|p| p.number("share")).sum();
     let (mut list, mut upto) = (Vec::new(), 0.0);
@@ -262,7 +311,10 @@
             upto += p.number("share") / all * weight(i) / sum;
             list.push(Program {
                 name: format!("{}{i}", p.text("name")),
-                typ: types.iter().position(|t| *t == p.text("event_type")).unwrap_or(0),
+                typ: types
+                    .iter()
+                    .position(|t| *t == p.text("event_type"))
+                    .unwrap_or(0),
                 work: p.number("work_ms") * 10.0,
                 memory: p.number("memory_mb"),
                 lanes: p.whole("lanes") as u32,
@@ -276,9 +328,16 @@
 }
 
 fn keepers(settings: &Section) -> Vec<usize> {
-    let names: Vec<String> = settings.sections("gateway").iter().map(|g| g.text("name")).collect();
+    let names: Vec<String> = settings
+        .sections("gateway")
+        .iter()
+        .map(|g| g.text("name"))
+        .collect();
     let keepers = settings.section("fleet_common").texts("keeper");
-    keepers.iter().filter_map(|k| names.iter().position(|n| n == k)).collect()
+    keepers
+        .iter()
+        .filter_map(|k| names.iter().position(|n| n == k))
+        .collect()
 }
 
 fn rules(settings: &Section, workers: &Workers) -> Rules {
@@ -321,7 +380,12 @@
             ground.own(conn, Owner::Depot);
         } else if self.roster.listener == Some(listener) {
             self.roster.accepted(ground, conn);
-        } else if let Some(wk) = self.workers.list.iter().position(|w| w.listener == Some(listener)) {
+        } else if let Some(wk) = self
+            .workers
+            .list
+            .iter()
+            .position(|w| w.listener == Some(listener))
+        {
             self.workers.accepted(ground, wk, conn);
         }
     }
@@ -339,19 +403,25 @@
         let mut used = 0;
         if let Owner::Client { gw, n } = self.ground.owner(conn) {
             if self.clients.amqp {
-                return self.clients.terminal(&mut self.ground, gw, n, bytes).unwrap_or_else(|reason| {
-                    warn!(reason, gw, n, "a terminal's connection ends");
-                    self.ground.net.fail(conn);
-                    bytes.len()
-                });
+                return self
+                    .clients
+                    .terminal(&mut self.ground, gw, n, bytes)
+                    .unwrap_or_else(|reason| {
+                        warn!(reason, gw, n, "a terminal's connection ends");
+                        self.ground.net.fail(conn);
+                        bytes.len()
+                    });
             }
         }
         if let Owner::Guest(key) = self.ground.owner(conn) {
-            return self.clients.guest(&mut self.ground, key, bytes).unwrap_or_else(|reason| {
-                warn!(reason, "a guest's connection ends");
-                self.ground.net.fail(conn);
-                bytes.len()
-            });
+            return self
+                .clients
+                .guest(&mut self.ground, key, bytes)
+                .unwrap_or_else(|reason| {
+                    warn!(reason, "a guest's connection ends");
+                    self.ground.net.fail(conn);
+                    bytes.len()
+                });
         }
         loop {
             let owner = self.ground.owner(conn);
@@ -365,7 +435,8 @@
             };
             for wk in std::mem::take(&mut self.workers.fell) {
                 let (life, since) = (self.workers.list[wk].life, self.workers.list[wk].since);
-                self.roster.news(&mut self.ground, wk, workers::At::Gone, life, since, None);
+                self.roster
+                    .news(&mut self.ground, wk, workers::At::Gone, life, since, None);
             }
             if let Err(reason) = told {
                 warn!(reason, ?owner, "malformed frame");
--- a/crates/tidewall-standins/src/roster.rs
+++ b/crates/tidewall-standins/src/roster.rs
@@ -35,8 +35,10 @@
         workers: &Workers,
     ) -> Result<Roster, String> {
         let at = settings.section("roster").text("address");
-        let (listener, at) =
-            g.net.listen(at.parse().expect("checked")).map_err(|e| format!("{at}: roster: {e}"))?;
+        let (listener, at) = g
+            .net
+            .listen(at.parse().expect("checked"))
+            .map_err(|e| format!("{at}: roster: {e}"))?;
         Ok(Roster {
             listener: Some(listener),
             at,
@@ -61,11 +63,17 @@
         self.greeted.retain(|f| f.0 != conn);
     }
 
-    pub fn frame<N: Net>(&mut self, g: &mut Ground<N>, conn: Conn, fields: &Fields) -> Result<(), String> {
+    pub fn frame<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        conn: Conn,
+        fields: &Fields,
+    ) -> Result<(), String> {
         match fields.kind()? {
             kind::HELLO => {
                 wire::greeted(fields)?;
-                self.greeted.push((conn, fields.whole(Field::Life)? as usize));
+                self.greeted
+                    .push((conn, fields.whole(Field::Life)? as usize));
                 g.out.clear();
                 wire::hello(&mut g.out, "roster", "roster", 1);
                 g.net.write(conn, &g.out);
@@ -133,14 +141,26 @@
         self.silent = 0;
     }
 
-    fn send<N: Net>(&mut self, g: &mut Ground<N>, conn: Conn, gw: usize, scope: &str, which: &[usize]) {
+    fn send<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        conn: Conn,
+        gw: usize,
+        scope: &str,
+        which: &[usize],
+    ) {
         let now = g.net.now();
         let mut list = Entries::default();
         self.generation += 1;
         for wk in which.iter().copied() {
             let (at, life, since) = self.known[wk];
             if scope == "whole" && at == At::Gone {
-                g.row(Row { k: Kind::Told, gw, wk, ..Row::default() });
+                g.row(Row {
+                    k: Kind::Told,
+                    gw,
+                    wk,
+                    ..Row::default()
+                });
                 continue;
             }
             let (name, place, zone, machine, rating) = g.listed[wk].clone();
@@ -150,8 +170,12 @@
                 At::Gone => "gone",
             };
             list.add(|f| {
-                let f = f.text(Field::Name, &name).text(Field::Place, &place.to_string());
-                let f = f.text(Field::Zone, &self.zones[zone]).text(Field::Machine, &machine);
+                let f = f
+                    .text(Field::Name, &name)
+                    .text(Field::Place, &place.to_string());
+                let f = f
+                    .text(Field::Zone, &self.zones[zone])
+                    .text(Field::Machine, &machine);
                 let f = f.whole(Field::Cell, wk as u64).text(Field::Standing, word);
                 let f = f.real(Field::Rating, rating).whole(Field::Life, life);
                 if since > 0 {
@@ -160,11 +184,19 @@
                     f
                 }
             });
-            g.row(Row { k: Kind::Told, gw, wk, on: at == At::On, ..Row::default() });
+            g.row(Row {
+                k: Kind::Told,
+                gw,
+                wk,
+                on: at == At::On,
+                ..Row::default()
+            });
         }
         g.out.clear();
         let f = Frame::new(&mut g.out, kind::ROSTER).text(Field::Scope, scope);
-        f.whole(Field::Generation, self.generation).entries(&list).end();
+        f.whole(Field::Generation, self.generation)
+            .entries(&list)
+            .end();
         g.net.write(conn, &g.out);
     }
 
@@ -174,7 +206,12 @@
             g.net.unlisten(listener);
         }
         for (_, gw) in &self.followers {
-            g.row(Row { k: Kind::Lost, gw: *gw, on: true, ..Row::default() });
+            g.row(Row {
+                k: Kind::Lost,
+                gw: *gw,
+                on: true,
+                ..Row::default()
+            });
         }
         for (conn, _) in std::mem::take(&mut self.greeted) {
             g.own(conn, Owner::Nobody);
--- a/crates/tidewall-standins/src/terminal.rs
+++ b/crates/tidewall-standins/src/terminal.rs
@@ -29,25 +29,42 @@
 
 impl Terminal {
     pub fn connected(&mut self, out: &mut Vec<u8>) {
-        *self = Terminal { hoard: self.hoard, ..Terminal::default() };
+        *self = Terminal {
+            hoard: self.hoard,
+            ..Terminal::default()
+        };
         out.extend_from_slice(&codec::PROTOCOL);
     }
 
     /// It publishes no events; it consumes a queue of so many messages of its own.
     pub fn hoarder(hoard: u64) -> Terminal {
-        Terminal { hoard, ..Terminal::default() }
+        Terminal {
+            hoard,
+            ..Terminal::default()
+        }
     }
 
     /// Closes the channel; it is opened again when that is done.
     pub fn close_channel(&mut self, out: &mut Vec<u8>) {
         self.closing = true;
-        Out::method(out, 1, 20, 40).short(200).short_str("done").short(0).short(0).end();
+        Out::method(out, 1, 20, 40)
+            .short(200)
+            .short_str("done")
+            .short(0)
+            .short(0)
+            .end();
     }
 
     /// A queue of its own, its messages, and a consumer that never acks.
     fn hoards(&mut self, out: &mut Vec<u8>) {
         let m = Out::method(out, 1, 50, 10).short(0).short_str("");
-        m.bit(false).bit(false).bit(true).bit(true).bit(false).long_str(b"").end();
+        m.bit(false)
+            .bit(false)
+            .bit(true)
+            .bit(true)
+            .bit(false)
+            .long_str(b"")
+            .end();
     }
 
     /// Reads one frame at the start of the bytes; 0 while it is not whole.
@@ -58,7 +75,9 @@
         heard: &mut impl Heard,
     ) -> Result<usize, String> {
         let bad = |f: tidewall_amqp::Fault| format!("{} {}", f.code, f.text);
-        let Some((frame, used)) = codec::frame(bytes, 1 << 20).map_err(bad)? else { return Ok(0) };
+        let Some((frame, used)) = codec::frame(bytes, 1 << 20).map_err(bad)? else {
+            return Ok(0);
+        };
         match frame.kind {
             codec::METHOD => self.method(frame.payload, out, heard).map_err(bad)?,
             codec::HEADER => {
@@ -69,7 +88,10 @@
                         Some(Value::Whole(ms)) => ms.max(0) as u64 * 10,
                         _ => 0,
                     };
-                    let evt = p.correlation_id.parse().map_err(|_| "an answer without its correlation-id")?;
+                    let evt = p
+                        .correlation_id
+                        .parse()
+                        .map_err(|_| "an answer without its correlation-id")?;
                     heard.answer(evt, p.typ, come_back);
                 }
             }
@@ -92,30 +114,54 @@
                 can.flag("connection.blocked", true);
                 let mut about = TableOut::default();
                 about.table("capabilities", &can.0);
-                let m = Out::method(out, 0, 10, 11).long_str(&about.0).short_str("PLAIN");
+                let m = Out::method(out, 0, 10, 11)
+                    .long_str(&about.0)
+                    .short_str("PLAIN");
                 m.long_str(b"\0terminal\0terminal").short_str("en_US").end();
             }
             (10, 30) => {
                 let (channels, frame, heartbeat) = (a.short()?, a.long()?, a.short()?);
-                Out::method(out, 0, 10, 31).short(channels).long(frame).short(heartbeat).end();
-                Out::method(out, 0, 10, 40).short_str("/").short_str("").bit(false).end();
+                Out::method(out, 0, 10, 31)
+                    .short(channels)
+                    .long(frame)
+                    .short(heartbeat)
+                    .end();
+                Out::method(out, 0, 10, 40)
+                    .short_str("/")
+                    .short_str("")
+                    .bit(false)
+                    .end();
             }
             (10, 41) => Out::method(out, 1, 20, 10).short_str("").end(),
             (20, 11) => {
                 Out::method(out, 1, 85, 10).bit(false).end();
-                let m = Out::method(out, 1, 60, 20).short(0).short_str(DIRECT).short_str("answers");
-                m.bit(false).bit(true).bit(false).bit(false).long_str(b"").end();
+                let m = Out::method(out, 1, 60, 20)
+                    .short(0)
+                    .short_str(DIRECT)
+                    .short_str("answers");
+                m.bit(false)
+                    .bit(true)
+                    .bit(false)
+                    .bit(false)
+                    .long_str(b"")
+                    .end();
             }
             (60, 21) if self.hoard > 0 && !self.delivery => self.hoards(out),
             (60, 21) => heard.ready(),
             (20, 41) => {
-                *self = Terminal { hoard: self.hoard, ..Terminal::default() };
+                *self = Terminal {
+                    hoard: self.hoard,
+                    ..Terminal::default()
+                };
                 Out::method(out, 1, 20, 10).short_str("").end();
             }
             (50, 11) => {
                 let queue = a.short_str()?.to_string();
                 for _ in 0..self.hoard {
-                    let m = Out::method(out, 1, 60, 40).short(0).short_str("").short_str(&queue);
+                    let m = Out::method(out, 1, 60, 40)
+                        .short(0)
+                        .short_str("")
+                        .short_str(&queue);
                     m.bit(false).bit(false).end();
                     let mut properties = Vec::new();
                     codec::write_properties(&mut properties, &Properties::default());
@@ -123,8 +169,16 @@
                 }
                 // Its own consume-ok says ready once deliveries are on.
                 self.delivery = true;
-                let m = Out::method(out, 1, 60, 20).short(0).short_str(&queue).short_str("hoard");
-                m.bit(false).bit(false).bit(false).bit(false).long_str(b"").end();
+                let m = Out::method(out, 1, 60, 20)
+                    .short(0)
+                    .short_str(&queue)
+                    .short_str("hoard");
+                m.bit(false)
+                    .bit(false)
+                    .bit(false)
+                    .bit(false)
+                    .long_str(b"")
+                    .end();
             }
             _ if self.closing => {}
             (60, 60) => self.delivery = true,
@@ -162,11 +216,15 @@
     ) {
         self.published += 1;
         self.out.insert(self.published, evt);
-        let m = Out::method(out, 1, 60, 40).short(0).short_str("tidewall.events").short_str(key);
+        let m = Out::method(out, 1, 60, 40)
+            .short(0)
+            .short_str("tidewall.events")
+            .short_str(key);
         m.bit(false).bit(false).end();
         let mut headers = TableOut::default();
         headers.flag("x-redelivered", resent);
-        let (id, correlation, expiration) = (mark.to_string(), evt.to_string(), left_ms.to_string());
+        let (id, correlation, expiration) =
+            (mark.to_string(), evt.to_string(), left_ms.to_string());
         let p = Properties {
             headers: Some(codec::Table(&headers.0)),
             message_id: &id,
