--- a/crates/tidewall-standins/src/workers.rs
+++ b/crates/tidewall-standins/src/workers.rs
@@ -136,15 +136,21 @@
         let (reports, zones) = (settings.section("reports"), settings.texts("zone"));
         let mut list = Vec::new();
         for group in fleet.sections("workers") {
-            let machine =
-                settings.sections("kind").into_iter().find(|k| k.text("name") == group.text("kind"));
+            let machine = settings
+                .sections("kind")
+                .into_iter()
+                .find(|k| k.text("name") == group.text("kind"));
             for i in 0..group.whole("count") {
                 let at: SocketAddr = ([127, 0, 0, 1], 0).into();
                 let (listener, at) = g.net.listen(at).map_err(|e| format!("{at}: worker: {e}"))?;
                 let name = format!("{}{i}", group.text("name"));
-                let zone = zones.iter().position(|z| *z == group.text("zone")).unwrap_or(0);
+                let zone = zones
+                    .iter()
+                    .position(|z| *z == group.text("zone"))
+                    .unwrap_or(0);
                 let (cores, speed) = (group.number("cores"), group.number("speed"));
-                g.listed.push((name.clone(), at, zone, group.text("kind"), cores * speed));
+                g.listed
+                    .push((name.clone(), at, zone, group.text("kind"), cores * speed));
                 list.push(Worker {
                     name,
                     at,
@@ -194,8 +200,16 @@
             in_flight: reports.flag("in_flight"),
             busy: reports.flag("busy"),
             with_answers: reports.flag("with_answers"),
-            windows: settings.sections("event_type").iter().map(|t| t.span("window_ms")).collect(),
-            alls: settings.sections("event_type").iter().map(|t| t.choice("group") == "ALL").collect(),
+            windows: settings
+                .sections("event_type")
+                .iter()
+                .map(|t| t.span("window_ms"))
+                .collect(),
+            alls: settings
+                .sections("event_type")
+                .iter()
+                .map(|t| t.choice("group") == "ALL")
+                .collect(),
             marks: vec![BTreeMap::new(); zones.len()],
             loads: 0,
             misses: 0,
@@ -226,7 +240,9 @@
         fields: &Fields,
     ) -> Result<(), String> {
         let w = &mut self.list[wk];
-        let Some(gw) = w.gateways.iter_mut().find(|c| c.0 == conn) else { return Ok(()) };
+        let Some(gw) = w.gateways.iter_mut().find(|c| c.0 == conn) else {
+            return Ok(());
+        };
         let gw = match fields.kind()? {
             kind::HELLO => {
                 wire::greeted(fields)?;
@@ -235,7 +251,11 @@
                 if member > 0 {
                     w.members.push((conn, member));
                 }
-                let age = if w.since > 0 { (g.net.now() - w.since).max(1) } else { 0 };
+                let age = if w.since > 0 {
+                    (g.net.now() - w.since).max(1)
+                } else {
+                    0
+                };
                 g.out.clear();
                 let f = Frame::new(&mut g.out, kind::HELLO).whole(Field::Version, wire::VERSION);
                 let f = f.text(Field::Role, "worker").text(Field::Name, &w.name);
@@ -252,7 +272,9 @@
                 let now = g.net.now();
                 if now >= self.list[wk].silent {
                     g.out.clear();
-                    Frame::new(&mut g.out, kind::TICKET).whole(Field::Ticket, now).end();
+                    Frame::new(&mut g.out, kind::TICKET)
+                        .whole(Field::Ticket, now)
+                        .end();
                     g.net.write(conn, &g.out);
                 }
                 Ok(())
@@ -263,10 +285,17 @@
                 let id = fields.whole(Field::Id)?;
                 // Running work goes on; what waits is dropped.
                 let w = &mut self.list[wk];
-                let found = w.runs.iter().find(|r| r.1.id == id && r.1.conn == conn && !r.1.running);
+                let found = w
+                    .runs
+                    .iter()
+                    .find(|r| r.1.id == id && r.1.conn == conn && !r.1.running);
                 if let Some(key) = found.map(|r| r.0) {
                     let program = w.runs[key].program;
-                    w.copies.entry(program).or_default().waiting.retain(|k| *k != key);
+                    w.copies
+                        .entry(program)
+                        .or_default()
+                        .waiting
+                        .retain(|k| *k != key);
                     w.waiting -= 1;
                     self.end(g, wk, key, "cancelled", 0);
                 }
@@ -279,7 +308,13 @@
                     self.held(g, wk, conn, id, "fenced", 0);
                     return Ok(());
                 }
-                g.row(Row { k: Kind::Ordered, gw, wk, copies, ..Row::default() });
+                g.row(Row {
+                    k: Kind::Ordered,
+                    gw,
+                    wk,
+                    copies,
+                    ..Row::default()
+                });
                 let program = g.programs.iter().position(|p| p.name == name);
                 match program {
                     Some(program) => self.hold(g, wk, conn, id, program, copies),
@@ -349,7 +384,12 @@
         if good && self.fences {
             // Whoever no longer serves has nothing out here any more.
             let w = &self.list[wk];
-            let ends: Vec<Conn> = w.members.iter().filter(|m| p.ends(m.1 - 1)).map(|m| m.0).collect();
+            let ends: Vec<Conn> = w
+                .members
+                .iter()
+                .filter(|m| p.ends(m.1 - 1))
+                .map(|m| m.0)
+                .collect();
             for old in ends {
                 self.gateway_gone(g, wk, old);
                 g.own(old, Owner::Nobody);
@@ -360,10 +400,18 @@
             return Ok(());
         }
         g.out.clear();
-        let f = Frame::new(&mut g.out, kind::PROMISED).whole(Field::Id, id).flag(Field::On, good);
-        let f = f.whole(Field::Ballot, p.promised).whole(Field::Epoch, p.accepted.epoch);
-        let f = f.whole(Field::Member, p.accepted.member as u64 + 1).whole(Field::Floor, p.accepted.floor);
-        f.whole(Field::SyncA, p.accepted.sync[0]).whole(Field::SyncB, p.accepted.sync[1]).end();
+        let f = Frame::new(&mut g.out, kind::PROMISED)
+            .whole(Field::Id, id)
+            .flag(Field::On, good);
+        let f = f
+            .whole(Field::Ballot, p.promised)
+            .whole(Field::Epoch, p.accepted.epoch);
+        let f = f
+            .whole(Field::Member, p.accepted.member as u64 + 1)
+            .whole(Field::Floor, p.accepted.floor);
+        f.whole(Field::SyncA, p.accepted.sync[0])
+            .whole(Field::SyncB, p.accepted.sync[1])
+            .end();
         g.net.write(conn, &g.out);
         Ok(())
     }
@@ -376,9 +424,15 @@
         conn: Conn,
         fields: &Fields,
     ) -> Result<(), String> {
-        let (id, task, epoch) =
-            (fields.whole(Field::Id)?, fields.whole(Field::Task)?, fields.whole(Field::Epoch)?);
-        let (gw, life) = (fields.whole(Field::Member)? as usize, fields.whole(Field::Life)?);
+        let (id, task, epoch) = (
+            fields.whole(Field::Id)?,
+            fields.whole(Field::Task)?,
+            fields.whole(Field::Epoch)?,
+        );
+        let (gw, life) = (
+            fields.whole(Field::Member)? as usize,
+            fields.whole(Field::Life)?,
+        );
         let now = g.net.now();
         let ticket = fields.whole(Field::Ticket)?;
         if fields.whole(Field::Check)? != check(&[id, task, epoch, gw as u64, life, ticket]) {
@@ -393,7 +447,16 @@
             self.list[wk].epochs.insert(task, epoch.max(seen));
         }
         if !late {
-            g.row(Row { k: Kind::Acted, gw, wk, task, epoch, life, on: done, ..Row::default() });
+            g.row(Row {
+                k: Kind::Acted,
+                gw,
+                wk,
+                task,
+                epoch,
+                life,
+                on: done,
+                ..Row::default()
+            });
         }
         if now >= self.list[wk].silent {
             g.out.clear();
@@ -403,14 +466,20 @@
                 (_, true) => "older",
                 _ => "done",
             };
-            f.text(Field::Outcome, outcome).whole(Field::Epoch, seen).end();
+            f.text(Field::Outcome, outcome)
+                .whole(Field::Epoch, seen)
+                .end();
             g.net.write(conn, &g.out);
         }
         Ok(())
     }
 
     fn told<'a>(&self, f: Frame<'a>, flight: f64, busy: f64) -> Frame<'a> {
-        let f = if self.in_flight { f.real(Field::InFlight, flight) } else { f };
+        let f = if self.in_flight {
+            f.real(Field::InFlight, flight)
+        } else {
+            f
+        };
         if self.busy {
             f.real(Field::Busy, busy)
         } else {
@@ -420,7 +489,10 @@
 
     fn report(&mut self, now: Time, wk: usize) -> (f64, f64) {
         let w = &mut self.list[wk];
-        let fresh = (f64::from(w.busy) + w.waiting as f64, (f64::from(w.busy) / w.cores).min(1.0));
+        let fresh = (
+            f64::from(w.busy) + w.waiting as f64,
+            (f64::from(w.busy) / w.cores).min(1.0),
+        );
         w.reports.push_back((now, fresh.0, fresh.1));
         while w.reports.get(1).is_some_and(|r| r.0 + LATE_REPORT < now) {
             w.reports.pop_front();
@@ -456,11 +528,17 @@
         // The stand-ins' clients tell the real work in the payload: a gateway knows only the hint.
         let payload = fields.bytes(Field::Payload)?;
         let Some(program) = g.programs.iter().position(|p| p.name == name) else {
-            return Err(format!("field function: '{name}' is no program of this fleet"));
+            return Err(format!(
+                "field function: '{name}' is no program of this fleet"
+            ));
         };
-        let told = payload.first_chunk::<4>().map(|b| f64::from(u32::from_be_bytes(*b)));
+        let told = payload
+            .first_chunk::<4>()
+            .map(|b| f64::from(u32::from_be_bytes(*b)));
         let work = told.unwrap_or(g.programs[program].work);
-        let mark = mark.first_chunk::<8>().map_or(0, |b| u64::from_be_bytes(*b));
+        let mark = mark
+            .first_chunk::<8>()
+            .map_or(0, |b| u64::from_be_bytes(*b));
         let typ = g.programs[program].typ;
         if !self.may(wk, conn, fields)? {
             // It reached nobody who would run it.
@@ -471,7 +549,15 @@
             g.net.write(conn, &g.out);
             return Ok(());
         }
-        g.row(Row { k: Kind::Launched, gw, wk, evt, typ, work, ..Row::default() });
+        g.row(Row {
+            k: Kind::Launched,
+            gw,
+            wk,
+            evt,
+            typ,
+            work,
+            ..Row::default()
+        });
         self.push(g, wk, work);
         if !self.list[wk].up {
             return Ok(()); // it fell over by this one
@@ -529,7 +615,11 @@
         }
         let sum: f64 = w.pushed.iter().map(|p| p.1).sum();
         if part < 1.0 && sum > multiple * part * w.cores * w.speed * window as f64 {
-            g.row(Row { k: Kind::Fell, wk, ..Row::default() });
+            g.row(Row {
+                k: Kind::Fell,
+                wk,
+                ..Row::default()
+            });
             w.fallen = true;
             self.fell.push(wk);
             self.kill(g, wk);
@@ -546,7 +636,9 @@
             if u64::from(c.running) >= c.standing * u64::from(g.programs[program].lanes) {
                 return;
             }
-            let Some(key) = c.waiting.pop_front() else { return };
+            let Some(key) = c.waiting.pop_front() else {
+                return;
+            };
             let typ = g.programs[program].typ;
             let (mark, hall) = (w.runs[key].mark, if self.alls[typ] { 0 } else { w.zone });
             let first = self.marks[hall].get(&mark).copied().filter(|_| mark > 0);
@@ -564,7 +656,10 @@
             let run = &mut w.runs[key];
             let takes = (run.work / w.speed * w.slow * crowd / part).ceil() as Time;
             run.running = true;
-            run.deadline = Some(g.net.set(now + takes, of::RUN | (wk as u64) << 32 | key as u64));
+            run.deadline = Some(
+                g.net
+                    .set(now + takes, of::RUN | (wk as u64) << 32 | key as u64),
+            );
             if run.mark > 0 {
                 self.marks[hall].insert(run.mark, now);
             }
@@ -579,14 +674,22 @@
             w.runs[key].deadline = Some(again);
             return;
         }
-        let Run { evt, program, copy, .. } = w.runs[key];
+        let Run {
+            evt, program, copy, ..
+        } = w.runs[key];
         w.runs[key].deadline = None;
         w.busy -= 1;
         let c = w.copies.entry(program).or_default();
         c.running -= 1;
         c.idle_since = g.net.now();
         let typ = g.programs[program].typ;
-        g.row(Row { k: Kind::Ran, wk, evt, typ, ..Row::default() });
+        g.row(Row {
+            k: Kind::Ran,
+            wk,
+            evt,
+            typ,
+            ..Row::default()
+        });
         self.end(g, wk, key, "ok", copy);
         self.go_on(g, wk, program);
     }
@@ -606,12 +709,26 @@
             return;
         }
         let proven = matches!(outcome, "full" | "miss");
-        g.row(Row { k: Kind::Ended, wk, evt: run.evt, proven, ..Row::default() });
+        g.row(Row {
+            k: Kind::Ended,
+            wk,
+            evt: run.evt,
+            proven,
+            ..Row::default()
+        });
         g.out.clear();
-        let f = Frame::new(&mut g.out, kind::END).whole(Field::Id, run.id).text(Field::Outcome, outcome);
-        let f = f.whole(Field::Took, now - run.came).whole(Field::Copy, copy);
+        let f = Frame::new(&mut g.out, kind::END)
+            .whole(Field::Id, run.id)
+            .text(Field::Outcome, outcome);
+        let f = f
+            .whole(Field::Took, now - run.came)
+            .whole(Field::Copy, copy);
         let f = f.whole(Field::Company, run.company.min(30));
-        let f = if self.with_answers { self.told(f, flight, busy) } else { f };
+        let f = if self.with_answers {
+            self.told(f, flight, busy)
+        } else {
+            f
+        };
         f.bytes(Field::Payload, &run.evt.to_be_bytes()).end();
         g.net.write(run.conn, &g.out);
     }
@@ -643,7 +760,12 @@
                 return self.held(g, wk, conn, id, "full", standing);
             }
         }
-        self.list[wk].copies.entry(program).or_default().orders.push((conn, id, copies));
+        self.list[wk]
+            .copies
+            .entry(program)
+            .or_default()
+            .orders
+            .push((conn, id, copies));
     }
 
     fn held<N: Net>(
@@ -660,7 +782,9 @@
             return;
         }
         g.out.clear();
-        let f = Frame::new(&mut g.out, kind::HELD).whole(Field::Id, id).text(Field::Outcome, outcome);
+        let f = Frame::new(&mut g.out, kind::HELD)
+            .whole(Field::Id, id)
+            .text(Field::Outcome, outcome);
         f.whole(Field::Copies, copies).end();
         g.net.write(conn, &g.out);
     }
@@ -673,14 +797,21 @@
         }
         let needs = g.programs[program].memory;
         loop {
-            let used = |c: (&usize, &Copies)| (c.1.standing + c.1.loading) as f64 * g.programs[*c.0].memory;
+            let used = |c: (&usize, &Copies)| {
+                (c.1.standing + c.1.loading) as f64 * g.programs[*c.0].memory
+            };
             if w.copies.iter().map(used).sum::<f64>() + needs <= w.memory {
                 break;
             }
             let idle = |c: &(&usize, &mut Copies)| {
                 *c.0 != program && c.1.standing > 0 && c.1.running == 0 && c.1.waiting.is_empty()
             };
-            let Some(oldest) = w.copies.iter_mut().filter(idle).min_by_key(|c| c.1.idle_since) else {
+            let Some(oldest) = w
+                .copies
+                .iter_mut()
+                .filter(idle)
+                .min_by_key(|c| c.1.idle_since)
+            else {
                 return false;
             };
             oldest.1.standing = 0;
@@ -703,7 +834,9 @@
         let program = &g.programs[w.loads[key]];
         g.out.clear();
         let f = Frame::new(&mut g.out, kind::FETCH).whole(Field::Id, key as u64 | w.life << 32);
-        f.text(Field::Function, &program.name).whole(Field::LoadHint, program.fetch).end();
+        f.text(Field::Function, &program.name)
+            .whole(Field::LoadHint, program.fetch)
+            .end();
         if let Some(conn) = w.depot {
             g.net.write(conn, &g.out);
         }
@@ -718,7 +851,8 @@
             g.net.write(conn, &g.out);
         }
         let keys: Vec<usize> = w.loads.iter().map(|l| l.0).collect();
-        keys.into_iter().for_each(|key| Workers::fetch(g, &self.list[wk], key));
+        keys.into_iter()
+            .for_each(|key| Workers::fetch(g, &self.list[wk], key));
     }
 
     pub fn depot_gone<N: Net>(&mut self, g: &mut Ground<N>, wk: usize) {
@@ -728,11 +862,19 @@
     }
 
     /// The depot's answer to a fetch.
-    pub fn fetched<N: Net>(&mut self, g: &mut Ground<N>, wk: usize, fields: &Fields) -> Result<(), String> {
+    pub fn fetched<N: Net>(
+        &mut self,
+        g: &mut Ground<N>,
+        wk: usize,
+        fields: &Fields,
+    ) -> Result<(), String> {
         if fields.kind()? != kind::FETCHED {
             return Ok(());
         }
-        let (id, ok) = (fields.whole(Field::Id)?, fields.text(Field::Outcome)? == "ok");
+        let (id, ok) = (
+            fields.whole(Field::Id)?,
+            fields.text(Field::Outcome)? == "ok",
+        );
         let w = &self.list[wk];
         let key = (id & 0xffff_ffff) as usize;
         if id >> 32 != w.life || !w.loads.contains(key) {
@@ -741,7 +883,10 @@
         if ok {
             let takes = (g.programs[w.loads[key]].start as f64 * w.slow) as Time;
             let now = g.net.now().max(w.hung);
-            g.net.set(now + takes, of::START | (wk as u64) << 32 | key as u64 | (w.life & 0xffff) << 16);
+            g.net.set(
+                now + takes,
+                of::START | (wk as u64) << 32 | key as u64 | (w.life & 0xffff) << 16,
+            );
         } else {
             self.failed(g, wk, key);
         }
@@ -756,11 +901,18 @@
         c.loading -= 1;
         let standing = c.standing;
         let orders = std::mem::take(&mut c.orders);
-        let waiting =
-            if standing + c.loading == 0 { std::mem::take(&mut c.waiting) } else { VecDeque::new() };
+        let waiting = if standing + c.loading == 0 {
+            std::mem::take(&mut c.waiting)
+        } else {
+            VecDeque::new()
+        };
         w.waiting -= waiting.len();
-        orders.into_iter().for_each(|(conn, id, _)| self.held(g, wk, conn, id, "error", standing));
-        waiting.into_iter().for_each(|run| self.end(g, wk, run, "miss", 4));
+        orders
+            .into_iter()
+            .for_each(|(conn, id, _)| self.held(g, wk, conn, id, "error", standing));
+        waiting
+            .into_iter()
+            .for_each(|run| self.end(g, wk, run, "miss", 4));
     }
 
     /// A load is through: the copy stands.
@@ -777,10 +929,14 @@
         c.standing += 1;
         c.idle_since = now;
         let standing = c.standing;
-        let (ready, wait) = std::mem::take(&mut c.orders).into_iter().partition(|o| o.2 <= standing);
+        let (ready, wait) = std::mem::take(&mut c.orders)
+            .into_iter()
+            .partition(|o| o.2 <= standing);
         c.orders = wait;
         let ready: Vec<(Conn, u64, u64)> = ready;
-        ready.into_iter().for_each(|(conn, id, _)| self.held(g, wk, conn, id, "ok", standing));
+        ready
+            .into_iter()
+            .for_each(|(conn, id, _)| self.held(g, wk, conn, id, "ok", standing));
         self.go_on(g, wk, program);
     }
 
@@ -790,13 +946,16 @@
         for w in &mut self.list {
             for c in w.copies.values_mut() {
                 // A little longer than the least that is told.
-                if c.running == 0 && c.waiting.is_empty() && now > c.idle_since + self.stays + IDLE {
+                if c.running == 0 && c.waiting.is_empty() && now > c.idle_since + self.stays + IDLE
+                {
                     c.standing = 0;
                 }
             }
         }
         let longest = self.windows.iter().max().copied().unwrap_or(0);
-        self.marks.iter_mut().for_each(|m| m.retain(|_, first| now < *first + longest));
+        self.marks
+            .iter_mut()
+            .for_each(|m| m.retain(|_, first| now < *first + longest));
     }
 
     /// A gateway's end of a connection is gone: what runs goes on, and answers nobody.
@@ -804,10 +963,22 @@
         let w = &mut self.list[wk];
         w.gateways.retain(|c| c.0 != conn);
         w.members.retain(|c| c.0 != conn);
-        let mut out: Vec<u64> = w.runs.iter().filter(|r| r.1.conn == conn).map(|r| r.1.evt).collect();
+        let mut out: Vec<u64> = w
+            .runs
+            .iter()
+            .filter(|r| r.1.conn == conn)
+            .map(|r| r.1.evt)
+            .collect();
         out.extend(w.swallowed.iter().filter(|s| s.0 == conn).map(|s| s.1));
         w.swallowed.retain(|s| s.0 != conn);
-        out.into_iter().for_each(|evt| g.row(Row { k: Kind::Cut, wk, evt, ..Row::default() }));
+        out.into_iter().for_each(|evt| {
+            g.row(Row {
+                k: Kind::Cut,
+                wk,
+                evt,
+                ..Row::default()
+            })
+        });
     }
 
     /// As a kill leaves it: no socket, no copy, no word.
@@ -815,7 +986,12 @@
         let conns: Vec<(Conn, usize)> = self.list[wk].gateways.iter().map(|c| (c.0, c.1)).collect();
         for (conn, gw) in conns {
             if gw != usize::MAX {
-                g.row(Row { k: Kind::Lost, gw, wk, ..Row::default() });
+                g.row(Row {
+                    k: Kind::Lost,
+                    gw,
+                    wk,
+                    ..Row::default()
+                });
             }
             self.gateway_gone(g, wk, conn);
             g.own(conn, Owner::Nobody);
@@ -835,7 +1011,11 @@
             }
             // What was running had no effect yet: its mark is worth nothing.
             if run.mark > 0 && run.running {
-                let hall = if self.alls[g.programs[run.program].typ] { 0 } else { w.zone };
+                let hall = if self.alls[g.programs[run.program].typ] {
+                    0
+                } else {
+                    w.zone
+                };
                 self.marks[hall].remove(&run.mark);
             }
         }
@@ -849,14 +1029,23 @@
     /// A new start, empty and cold. False where its address is taken.
     pub fn start<N: Net>(&mut self, g: &mut Ground<N>, wk: usize) -> bool {
         let at = self.list[wk].at;
-        let Ok((listener, _)) = g.net.listen(at) else { return false };
+        let Ok((listener, _)) = g.net.listen(at) else {
+            return false;
+        };
         let now = g.net.now();
         let (cold, from) = self.cold;
         let w = &mut self.list[wk];
         (w.listener, w.up, w.draining) = (Some(listener), true, false);
         (w.life, w.since, w.hung, w.silent, w.slow) = (w.life + 1, now, 0, 0, 1.0);
         let capacity = w.cores * w.speed;
-        g.row(Row { k: Kind::Started, wk, capacity, from, left: cold, ..Row::default() });
+        g.row(Row {
+            k: Kind::Started,
+            wk,
+            capacity,
+            from,
+            left: cold,
+            ..Row::default()
+        });
         true
     }
 
@@ -877,10 +1066,22 @@
         self.list[wk].members.clear();
         for (conn, _) in std::mem::take(&mut self.list[wk].gateways) {
             let w = &mut self.list[wk];
-            let mut out: Vec<u64> = w.runs.iter().filter(|r| r.1.conn == conn).map(|r| r.1.evt).collect();
+            let mut out: Vec<u64> = w
+                .runs
+                .iter()
+                .filter(|r| r.1.conn == conn)
+                .map(|r| r.1.evt)
+                .collect();
             out.extend(w.swallowed.iter().filter(|s| s.0 == conn).map(|s| s.1));
             w.swallowed.retain(|s| s.0 != conn);
-            out.into_iter().for_each(|evt| g.row(Row { k: Kind::Cut, wk, evt, ..Row::default() }));
+            out.into_iter().for_each(|evt| {
+                g.row(Row {
+                    k: Kind::Cut,
+                    wk,
+                    evt,
+                    ..Row::default()
+                })
+            });
             // The head of a frame of a hundred bytes, and two of them.
             g.net.write(conn, &[0, 0, 0, 100, 0xb8, 2]);
             g.own(conn, Owner::Nobody);
@@ -897,7 +1098,12 @@
                 g.out.clear();
                 Frame::new(&mut g.out, kind::DRAINS).end();
                 g.net.write(conn, &g.out);
-                g.row(Row { k: Kind::Told, gw, wk, ..Row::default() });
+                g.row(Row {
+                    k: Kind::Told,
+                    gw,
+                    wk,
+                    ..Row::default()
+                });
             }
         }
     }
--- a/crates/tidewall-trials/src/relay.rs
+++ b/crates/tidewall-trials/src/relay.rs
@@ -84,12 +84,16 @@
         let mut net = Mio::new().map_err(|e| e.to_string())?;
         let mut bound = Vec::new();
         for way in ways {
-            let (port, _) = net.bind(way.front).map_err(|e| format!("{}: {e}", way.front))?;
+            let (port, _) = net
+                .bind(way.front)
+                .map_err(|e| format!("{}: {e}", way.front))?;
             bound.push((port, way));
         }
         let (mut list, mut fronts) = (Vec::new(), Vec::new());
         for worker in workers {
-            let (listener, at) = net.listen(([127, 0, 0, 1], 0).into()).map_err(|e| e.to_string())?;
+            let (listener, at) = net
+                .listen(([127, 0, 0, 1], 0).into())
+                .map_err(|e| e.to_string())?;
             list.push((listener, *worker));
             fronts.push(at);
         }
@@ -131,15 +135,30 @@
 
     fn look(&mut self) {
         let (stop, links, breaks) = {
-            let mut state = self.state.lock().expect("nobody panics while it holds this");
-            (state.stop, state.acts.clone(), std::mem::take(&mut state.breaks))
+            let mut state = self
+                .state
+                .lock()
+                .expect("nobody panics while it holds this");
+            (
+                state.stop,
+                state.acts.clone(),
+                std::mem::take(&mut state.breaks),
+            )
         };
         if stop {
             return self.net.stop();
         }
-        let of = |p: &Pair| p.member.and_then(|m| links.get(&m).copied()).unwrap_or_default();
-        let mended: Vec<Conn> =
-            self.stalled.keys().copied().filter(|c| self.pairs.get(c).is_none_or(|p| !of(p).cut)).collect();
+        let of = |p: &Pair| {
+            p.member
+                .and_then(|m| links.get(&m).copied())
+                .unwrap_or_default()
+        };
+        let mended: Vec<Conn> = self
+            .stalled
+            .keys()
+            .copied()
+            .filter(|c| self.pairs.get(c).is_none_or(|p| !of(p).cut))
+            .collect();
         for conn in mended {
             for bytes in self.stalled.remove(&conn).unwrap_or_default() {
                 self.net.write(conn, &bytes);
@@ -190,10 +209,26 @@
     }
 
     fn accepted(&mut self, listener: Listener, conn: Conn, _: SocketAddr) {
-        let Some(to) = self.workers.iter().find(|w| w.0 == listener).map(|w| w.1) else { return };
+        let Some(to) = self.workers.iter().find(|w| w.0 == listener).map(|w| w.1) else {
+            return;
+        };
         let other = self.net.connect(to, 20_000);
-        self.pairs.insert(conn, Pair { other, out: true, member: None });
-        self.pairs.insert(other, Pair { other: conn, out: false, member: None });
+        self.pairs.insert(
+            conn,
+            Pair {
+                other,
+                out: true,
+                member: None,
+            },
+        );
+        self.pairs.insert(
+            other,
+            Pair {
+                other: conn,
+                out: false,
+                member: None,
+            },
+        );
     }
 
     fn connected(&mut self, conn: Conn) {
@@ -204,7 +239,9 @@
     }
 
     fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
-        let Some(pair) = self.pairs.get_mut(&conn) else { return bytes.len() };
+        let Some(pair) = self.pairs.get_mut(&conn) else {
+            return bytes.len();
+        };
         let other = pair.other;
         if pair.out && pair.member.is_none() {
             if let Some(member) = Relay::whose(bytes) {
@@ -216,8 +253,13 @@
         }
         let member = self.pairs[&conn].member;
         let link = {
-            let state = self.state.lock().expect("nobody panics while it holds this");
-            member.and_then(|m| state.acts.get(&m).copied()).unwrap_or_default()
+            let state = self
+                .state
+                .lock()
+                .expect("nobody panics while it holds this");
+            member
+                .and_then(|m| state.acts.get(&m).copied())
+                .unwrap_or_default()
         };
         self.pass(other, bytes.to_vec(), link);
         bytes.len()
@@ -230,14 +272,26 @@
     }
 
     fn datagram(&mut self, port: Port, from: SocketAddr, bytes: &[u8]) {
-        let Some(to) = self.ways.iter().position(|w| w.0 == port) else { return };
-        let Some(from) = self.ways.iter().position(|w| w.1.back == from) else { return };
+        let Some(to) = self.ways.iter().position(|w| w.0 == port) else {
+            return;
+        };
+        let Some(from) = self.ways.iter().position(|w| w.1.back == from) else {
+            return;
+        };
         let (link, lost, twice, jitter) = {
-            let mut state = self.state.lock().expect("nobody panics while it holds this");
+            let mut state = self
+                .state
+                .lock()
+                .expect("nobody panics while it holds this");
             let link = state.links.get(&(from, to)).copied().unwrap_or_default();
-            let lost = link.cut || link.lost > 0 && self.chance.random_ratio(link.lost.min(1_000), 1_000);
+            let lost =
+                link.cut || link.lost > 0 && self.chance.random_ratio(link.lost.min(1_000), 1_000);
             let twice = link.twice > 0 && self.chance.random_ratio(link.twice.min(1_000), 1_000);
-            let jitter = if link.jitter > 0 { self.chance.random_range(0..=link.jitter) } else { 0 };
+            let jitter = if link.jitter > 0 {
+                self.chance.random_range(0..=link.jitter)
+            } else {
+                0
+            };
             if lost {
                 state.held_back += 1;
             } else {
--- a/crates/tidewall-trials/src/trial.rs
+++ b/crates/tidewall-trials/src/trial.rs
@@ -64,7 +64,16 @@
 impl Setup {
     pub fn new(seed: u64, lasts: u64, script: Vec<(u64, Step)>) -> Setup {
         let (left_out, clocks) = ("nothing", [0; MEMBERS]);
-        Setup { seed, script, lasts, left_out, clocks, wild: false, channel: 64, term: TERM }
+        Setup {
+            seed,
+            script,
+            lasts,
+            left_out,
+            clocks,
+            wild: false,
+            channel: 64,
+            term: TERM,
+        }
     }
 }
 
@@ -113,7 +122,8 @@
     }
     static BUILT: std::sync::Once = std::sync::Once::new();
     BUILT.call_once(|| {
-        let mut cargo = Command::new(std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_string()));
+        let mut cargo =
+            Command::new(std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_string()));
         cargo.args(["build", "-q", "-p", "tidewall-cli"]);
         if dir.ends_with("release") {
             cargo.arg("--release");
@@ -184,7 +194,15 @@
     fn start(&mut self, m: usize) {
         let log = std::fs::File::create(self.dir.path().join(format!("g{m}.log"))).expect("a log");
         let child = Command::new(binary())
-            .args(["--log", "info", "serve", "--gateway", &format!("g{m}"), "--seed", &(m + 1).to_string()])
+            .args([
+                "--log",
+                "info",
+                "serve",
+                "--gateway",
+                &format!("g{m}"),
+                "--seed",
+                &(m + 1).to_string(),
+            ])
             .args(["--left-out", self.left_out, "--config"])
             .arg(self.dir.path().join(format!("g{m}.txtpb")))
             .stdout(Stdio::null())
@@ -251,7 +269,11 @@
     let keys = dir.path().join("keys");
     std::fs::write(&keys, "1 00112233445566778899aabbccddeeff\n").expect("keys");
     for m in 0..MEMBERS {
-        std::fs::write(dir.path().join(format!("g{m}.txtpb")), settings(&setup, m, &keys)).expect("settings");
+        std::fs::write(
+            dir.path().join(format!("g{m}.txtpb")),
+            settings(&setup, m, &keys),
+        )
+        .expect("settings");
     }
     let s = tidewall_config::settings("trial", &settings(&setup, 0, &keys))
         .expect("the trial's settings are good");
@@ -268,7 +290,8 @@
         task_epochs: setup.left_out != "no-epochs",
         wild_clocks: setup.wild,
     };
-    let mut fleet = Fleet::new(Mio::new().expect("a net"), &s, None, plan).expect("its addresses are free");
+    let mut fleet =
+        Fleet::new(Mio::new().expect("a net"), &s, None, plan).expect("its addresses are free");
     let state: Arc<Mutex<State>> = Arc::default();
     let parse = |text: String| text.parse::<SocketAddr>().expect("an address");
     let ways = (0..MEMBERS).map(|m| Way {
@@ -279,13 +302,19 @@
     let (told, seed, ways) = (state.clone(), setup.seed, ways.collect());
     let (sender, fronts) = std::sync::mpsc::channel();
     let relay = std::thread::spawn(move || {
-        let (mut relay, fronts) = Relay::new(ways, &workers, told, seed).expect("its addresses are free");
+        let (mut relay, fronts) =
+            Relay::new(ways, &workers, told, seed).expect("its addresses are free");
         sender.send(fronts).expect("somebody waits for it");
         mio::run(&mut relay).expect("the relay runs");
     });
     fleet.fronts(&fronts.recv().expect("the relay stands"));
     let children = (0..MEMBERS).map(|_| None).collect();
-    let mut processes = Processes { dir, left_out: setup.left_out, children, goes: vec![false; MEMBERS] };
+    let mut processes = Processes {
+        dir,
+        left_out: setup.left_out,
+        children,
+        goes: vec![false; MEMBERS],
+    };
     (0..MEMBERS).for_each(|m| processes.start(m));
     let began = Instant::now();
     // A keeper's silence, members that settle, and the first turns; a busy machine may need longer.
@@ -306,7 +335,10 @@
             } else if since_when.elapsed() > STILL {
                 all_held = Some(Instant::now());
             }
-            assert!(began.elapsed() < Duration::from_secs(60), "the tasks are not all held after a minute");
+            assert!(
+                began.elapsed() < Duration::from_secs(60),
+                "the tasks are not all held after a minute"
+            );
         }
         let Some(since) = all_held else { continue };
         let past = since.elapsed().as_millis() as u64;
@@ -325,21 +357,35 @@
                 processes.kill(m);
                 last.insert(m, Instant::now());
             }
-            if last.get(&m).is_some_and(|at| at.elapsed() > Duration::from_millis(100)) {
+            if last
+                .get(&m)
+                .is_some_and(|at| at.elapsed() > Duration::from_millis(100))
+            {
                 last.remove(&m);
                 processes.start(m);
                 fleet.killed(m, false);
             }
         }
-        if past >= setup.lasts && script.is_empty() && !processes.goes.contains(&true) && last.is_empty() {
+        if past >= setup.lasts
+            && script.is_empty()
+            && !processes.goes.contains(&true)
+            && last.is_empty()
+        {
             // Whatever a planted fault is to show has been shown; else all have to be held again.
             let held = acted(&record.0.borrow(), now.saturating_sub(5 * setup.term)).len();
-            if setup.left_out != "nothing" || setup.wild || held == LEASES || past > setup.lasts + 30_000 {
+            if setup.left_out != "nothing"
+                || setup.wild
+                || held == LEASES
+                || past > setup.lasts + 30_000
+            {
                 break now;
             }
         }
     };
-    state.lock().expect("nobody panics while it holds this").stop = true;
+    state
+        .lock()
+        .expect("nobody panics while it holds this")
+        .stop = true;
     relay.join().expect("the relay ends");
     let held = acted(&record.0.borrow(), ends.saturating_sub(5 * setup.term)).len();
     // A folder that is kept is looked at later.
@@ -353,22 +399,44 @@
         std::fs::write(file, &bytes).expect("the record is kept");
         if held < LEASES {
             for m in 0..MEMBERS {
-                let to = Path::new(&dir).join(format!("{}-{}-g{m}.log", setup.seed, std::process::id()));
+                let to =
+                    Path::new(&dir).join(format!("{}-{}-g{m}.log", setup.seed, std::process::id()));
                 std::fs::copy(logs.join(format!("g{m}.log")), to).expect("a log is kept");
             }
         }
     }
-    let lines = std::str::from_utf8(&bytes).expect("JSON is text").lines().map(str::to_string);
+    let lines = std::str::from_utf8(&bytes)
+        .expect("JSON is text")
+        .lines()
+        .map(str::to_string);
     let audit: Audit = tidewall_audit::check(lines).expect("the record is whole");
     let rules = audit.verdicts.iter().enumerate();
-    let datagrams = state.lock().expect("nobody panics while it holds this").passed;
-    let told: BTreeSet<usize> =
-        setup.script.iter().filter_map(|s| if let Step::Term(m) = s.1 { Some(m) } else { None }).collect();
+    let datagrams = state
+        .lock()
+        .expect("nobody panics while it holds this")
+        .passed;
+    let told: BTreeSet<usize> = setup
+        .script
+        .iter()
+        .filter_map(|s| {
+            if let Step::Term(m) = s.1 {
+                Some(m)
+            } else {
+                None
+            }
+        })
+        .collect();
     let crosses = |b: &String| {
         b.starts_with("rule 1")
-            && told.iter().any(|m| b.ends_with(&format!("was dropped by gateway {m} with its connection")))
+            && told
+                .iter()
+                .any(|m| b.ends_with(&format!("was dropped by gateway {m} with its connection")))
     };
-    let all = rules.flat_map(|(i, v)| v.breaches.iter().map(move |b| format!("rule {}: {b}", i + 1)));
+    let all = rules.flat_map(|(i, v)| {
+        v.breaches
+            .iter()
+            .map(move |b| format!("rule {}: {b}", i + 1))
+    });
     let (crossed, breaches): (Vec<String>, Vec<String>) = all.partition(crosses);
     Verdict {
         breaches,
@@ -418,12 +486,24 @@
             }
         }),
         Step::Acts(m, like) => {
-            state.lock().expect("nobody panics while it holds this").acts.insert(*m, *like);
+            state
+                .lock()
+                .expect("nobody panics while it holds this")
+                .acts
+                .insert(*m, *like);
         }
-        Step::Break(m) => state.lock().expect("nobody panics while it holds this").breaks.push(*m),
+        Step::Break(m) => state
+            .lock()
+            .expect("nobody panics while it holds this")
+            .breaks
+            .push(*m),
         Step::Mend => {
             links(state, |_, _, link| *link = Link::default());
-            state.lock().expect("nobody panics while it holds this").acts.clear();
+            state
+                .lock()
+                .expect("nobody panics while it holds this")
+                .acts
+                .clear();
         }
     }
 }
--- a/crates/tidewall-trials/tests/leases.rs
+++ b/crates/tidewall-trials/tests/leases.rs
@@ -3,16 +3,36 @@
 use tidewall_trials::relay::Link;
 use tidewall_trials::trial::{play, Setup, Step, MEMBERS, TERM};
 
-const CUT: Link = Link { cut: true, lost: 0, twice: 0, delay: 0, jitter: 0 };
-const ROUGH: Link = Link { cut: false, lost: 150, twice: 150, delay: 100, jitter: 600 };
-const SLOW: Link = Link { cut: false, lost: 0, twice: 0, delay: 1_500, jitter: 1_000 };
+const CUT: Link = Link {
+    cut: true,
+    lost: 0,
+    twice: 0,
+    delay: 0,
+    jitter: 0,
+};
+const ROUGH: Link = Link {
+    cut: false,
+    lost: 150,
+    twice: 150,
+    delay: 100,
+    jitter: 600,
+};
+const SLOW: Link = Link {
+    cut: false,
+    lost: 0,
+    twice: 0,
+    delay: 1_500,
+    jitter: 1_000,
+};
 
 fn both(side: &[usize]) -> Step {
     Step::Cut(side.to_vec(), true, true)
 }
 
 fn flapping(side: &[usize]) -> Vec<(u64, Step)> {
-    (0..6).flat_map(|i| [(i * 900, both(side)), (i * 900 + 450, Step::Mend)]).collect()
+    (0..6)
+        .flat_map(|i| [(i * 900, both(side)), (i * 900 + 450, Step::Mend)])
+        .collect()
 }
 
 fn all(step: fn(usize) -> Step, at: u64) -> Vec<(u64, Step)> {
@@ -21,7 +41,9 @@
 
 /// Each member is told to go in turn, and comes back.
 fn rolling() -> Vec<(u64, Step)> {
-    (0..MEMBERS as u64).map(|m| (m * 1_500, Step::Term(m as usize))).collect()
+    (0..MEMBERS as u64)
+        .map(|m| (m * 1_500, Step::Term(m as usize)))
+        .collect()
 }
 
 #[test_case(1, 2_000, vec![] ; "nothing")]
@@ -39,20 +61,43 @@
 #[test_case(13, 12_000, rolling() ; "rolling")]
 #[test_case(14, 5_000, vec![(0, Step::Acts(3, SLOW)), (0, Step::Acts(4, CUT)), (1_000, Step::Break(0)), (3_500, Step::Mend)] ; "acts slow, cut and broken")]
 fn no_two_act_and_all_is_held_again(seed: u64, lasts: u64, script: Vec<(u64, Step)>) {
-    let goes = script.iter().filter(|s| matches!(s.1, Step::Term(_))).count();
+    let goes = script
+        .iter()
+        .filter(|s| matches!(s.1, Step::Term(_)))
+        .count();
     let v = play(Setup::new(seed, lasts, script));
-    assert!(v.crossed <= goes, "{} events crossed the ends of {goes} gateways", v.crossed);
-    println!("{} acts, {} changes, {} events, {} datagrams", v.acts, v.changes, v.events, v.datagrams);
-    assert_eq!((v.breaches.as_slice(), v.held), (&[][..], tidewall_trials::trial::LEASES));
+    assert!(
+        v.crossed <= goes,
+        "{} events crossed the ends of {goes} gateways",
+        v.crossed
+    );
+    println!(
+        "{} acts, {} changes, {} events, {} datagrams",
+        v.acts, v.changes, v.events, v.datagrams
+    );
+    assert_eq!(
+        (v.breaches.as_slice(), v.held),
+        (&[][..], tidewall_trials::trial::LEASES)
+    );
     assert!(v.acts > 100 && v.events > 0 && v.datagrams > 100);
 }
 
 #[test]
 fn a_channel_for_one_message_loses_no_task() {
-    let script = vec![(0, Step::Term(4)), (2_000, Step::Kill(3)), (2_500, Step::Start(3))];
-    let v = play(Setup { channel: 1, ..Setup::new(20, 6_000, script) });
+    let script = vec![
+        (0, Step::Term(4)),
+        (2_000, Step::Kill(3)),
+        (2_500, Step::Start(3)),
+    ];
+    let v = play(Setup {
+        channel: 1,
+        ..Setup::new(20, 6_000, script)
+    });
     assert!(v.crossed <= 1);
-    assert_eq!((v.breaches.as_slice(), v.held), (&[][..], tidewall_trials::trial::LEASES));
+    assert_eq!(
+        (v.breaches.as_slice(), v.held),
+        (&[][..], tidewall_trials::trial::LEASES)
+    );
 }
 
 /// The holder's clock is slow and the keepers' fast, at the bound.
@@ -62,19 +107,40 @@
 /// Two keepers of three die and start at once, while the holder is cut off from all.
 fn forgets() -> Vec<(u64, Step)> {
     // The others claim what the holder held: 1 and 4.
-    let restarts = [(50, Step::Kill(0)), (50, Step::Kill(2)), (200, Step::Start(0)), (200, Step::Start(2))];
+    let restarts = [
+        (50, Step::Kill(0)),
+        (50, Step::Kill(2)),
+        (200, Step::Start(0)),
+        (200, Step::Start(2)),
+    ];
     std::iter::once((0, both(&[3]))).chain(restarts).collect()
 }
 
 /// Its answers take long; then it asks in vain, while answers still come.
 fn late() -> Vec<(u64, Step)> {
-    let slow = Link { delay: 11_000, ..Link::default() };
-    vec![(0, Step::Into(3, slow)), (3_000, Step::Cut(vec![3], true, false)), (4_700, both(&[3]))]
+    let slow = Link {
+        delay: 11_000,
+        ..Link::default()
+    };
+    vec![
+        (0, Step::Into(3, slow)),
+        (3_000, Step::Cut(vec![3], true, false)),
+        (4_700, both(&[3])),
+    ]
 }
 
 /// It reaches one keeper alone, and all that it hears comes twice.
 fn twice() -> Vec<(u64, Step)> {
-    vec![(0, Step::Links(Link { twice: 1_000, ..Link::default() })), (10, both(&[0, 3]))]
+    vec![
+        (
+            0,
+            Step::Links(Link {
+                twice: 1_000,
+                ..Link::default()
+            }),
+        ),
+        (10, both(&[0, 3])),
+    ]
 }
 
 #[test_case("nothing", 30, 0, forgets(), [0; 5], false ; "keepers that are silent after a start")]
@@ -96,8 +162,23 @@
     wild: bool,
 ) {
     // Long enough for members to miss the holder while what it was granted still runs.
-    let term = if least == 1 && left_out == "forgets" { 2 * TERM } else { TERM };
-    let v = play(Setup { left_out, clocks, wild, term, ..Setup::new(seed, 3 * TERM, script) });
-    println!("{left_out}: {} acts, {} changes, {:?}", v.acts, v.changes, v.breaches.first());
+    let term = if least == 1 && left_out == "forgets" {
+        2 * TERM
+    } else {
+        TERM
+    };
+    let v = play(Setup {
+        left_out,
+        clocks,
+        wild,
+        term,
+        ..Setup::new(seed, 3 * TERM, script)
+    });
+    println!(
+        "{left_out}: {} acts, {} changes, {:?}",
+        v.acts,
+        v.changes,
+        v.breaches.first()
+    );
     assert_eq!(v.breaches.is_empty(), least == 0, "{:?}", v.breaches);
 }
--- a/crates/tidewall-vrrp/src/lib.rs
+++ b/crates/tidewall-vrrp/src/lib.rs
@@ -77,10 +77,17 @@
             return Err("priority: 0 is not within 1 to 255".to_string());
         }
         if !(1..=4095).contains(&p.interval) {
-            return Err(format!("interval: {} is not within 1 to 4095 centiseconds", p.interval));
+            return Err(format!(
+                "interval: {} is not within 1 to 4095 centiseconds",
+                p.interval
+            ));
         }
         let active_interval = p.interval;
-        Ok(Router { p, state: State::Initialize, active_interval })
+        Ok(Router {
+            p,
+            state: State::Initialize,
+            active_interval,
+        })
     }
 
     pub fn state(&self) -> State {
--- a/crates/tidewall-vrrp/src/packet.rs
+++ b/crates/tidewall-vrrp/src/packet.rs
@@ -20,7 +20,9 @@
 
 /// Internet checksum (RFC 1071).
 fn checksum(bytes: &[u8]) -> u16 {
-    let words = bytes.chunks(2).map(|w| u32::from(w[0]) << 8 | u32::from(*w.get(1).unwrap_or(&0)));
+    let words = bytes
+        .chunks(2)
+        .map(|w| u32::from(w[0]) << 8 | u32::from(*w.get(1).unwrap_or(&0)));
     let mut sum: u32 = words.sum();
     while sum >> 16 > 0 {
         sum = (sum & 0xffff) + (sum >> 16);
@@ -47,7 +49,9 @@
     out.extend_from_slice(&[VERSION_AND_TYPE, vrid, priority, addresses.len() as u8]);
     out.extend_from_slice(&(interval & 0x0fff).to_be_bytes());
     out.extend_from_slice(&[0, 0]);
-    addresses.iter().for_each(|a| out.extend_from_slice(&a.octets()));
+    addresses
+        .iter()
+        .for_each(|a| out.extend_from_slice(&a.octets()));
     let sum = checksum(&out[start..]);
     out[start + 6..start + 8].copy_from_slice(&sum.to_be_bytes());
     out.push(HOPS);
@@ -90,10 +94,19 @@
         return Err("hops: it came over more than one link");
     }
     let signed = &bytes[..bytes.len() - 32];
-    let key = keys.0.iter().find(|k| k.0 == tail[9]).ok_or("key: unknown")?;
+    let key = keys
+        .0
+        .iter()
+        .find(|k| k.0 == tail[9])
+        .ok_or("key: unknown")?;
     // Compared in constant time.
-    sign(&key.1, signed).verify_slice(&tail[10..]).map_err(|_| "hash: wrong")?;
-    let told: Vec<Ipv4Addr> = body[8..].chunks(4).map(|a| Ipv4Addr::new(a[0], a[1], a[2], a[3])).collect();
+    sign(&key.1, signed)
+        .verify_slice(&tail[10..])
+        .map_err(|_| "hash: wrong")?;
+    let told: Vec<Ipv4Addr> = body[8..]
+        .chunks(4)
+        .map(|a| Ipv4Addr::new(a[0], a[1], a[2], a[3]))
+        .collect();
     if told != addresses {
         return Err("addresses: not those of this virtual router");
     }
@@ -107,5 +120,12 @@
     if interval == 0 {
         return Err("interval: 0");
     }
-    Ok((body[1], Advertisement { priority: body[2], interval, from }))
+    Ok((
+        body[1],
+        Advertisement {
+            priority: body[2],
+            interval,
+            from,
+        },
+    ))
 }
--- a/crates/tidewall-vrrp/tests/transitions.rs
+++ b/crates/tidewall-vrrp/tests/transitions.rs
@@ -39,7 +39,14 @@
 }
 
 fn router(priority: u8, preempt: bool, state: State) -> Router {
-    let p = Parameters { vrid: 7, priority, interval: 100, preempt, accept: false, address: ip(5) };
+    let p = Parameters {
+        vrid: 7,
+        priority,
+        interval: 100,
+        preempt,
+        accept: false,
+        address: ip(5),
+    };
     let mut r = Router::new(p).unwrap();
     if state != State::Initialize {
         r.startup(&mut Calls::default());
@@ -52,7 +59,11 @@
 }
 
 fn told(priority: u8, interval: u16, from: u8) -> Advertisement {
-    Advertisement { priority, interval, from: ip(from) }
+    Advertisement {
+        priority,
+        interval,
+        from: ip(from),
+    }
 }
 
 /// A second's interval, and the skew of priority 100: 156/256 of it, in tenths of a millisecond.
@@ -114,7 +125,14 @@
 #[test_case(1, 100, 0, "interval" ; "no interval")]
 #[test_case(1, 100, 4096, "interval" ; "an interval beyond twelve bits")]
 fn parameters_out_of_range_are_named(vrid: u8, priority: u8, interval: u16, names: &str) {
-    let p = Parameters { vrid, priority, interval, preempt: true, accept: false, address: ip(1) };
+    let p = Parameters {
+        vrid,
+        priority,
+        interval,
+        preempt: true,
+        accept: false,
+        address: ip(1),
+    };
     assert!(Router::new(p).err().unwrap().starts_with(names));
 }
 
@@ -181,7 +199,11 @@
     }
     impl Act for Link {
         fn advertise(&mut self, _: u8, priority: u8, interval: u16) {
-            self.out.push(Advertisement { priority, interval, from: self.from });
+            self.out.push(Advertisement {
+                priority,
+                interval,
+                from: self.from,
+            });
         }
         fn wake(&mut self, _: u8, wait: Time) {
             self.wake = Some(self.now + wait);
@@ -196,9 +218,17 @@
             self.active = false;
         }
     }
-    let link = |from| Link { out: Vec::new(), wake: None, now: 0, from: ip(from), active: false };
-    let mut both =
-        [(router(100, true, State::Initialize), link(1)), (router(150, true, State::Initialize), link(2))];
+    let link = |from| Link {
+        out: Vec::new(),
+        wake: None,
+        now: 0,
+        from: ip(from),
+        active: false,
+    };
+    let mut both = [
+        (router(100, true, State::Initialize), link(1)),
+        (router(150, true, State::Initialize), link(2)),
+    ];
     both.iter_mut().for_each(|(r, l)| r.startup(l));
     let mut chance = seed;
     for now in 0..1_000_000 {
@@ -209,7 +239,9 @@
                 r.due(l);
             }
             for a in std::mem::take(&mut both[i].1.out) {
-                chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                chance = chance
+                    .wrapping_mul(6_364_136_223_846_793_005)
+                    .wrapping_add(1);
                 // Half of all is lost for the first minute.
                 if now > 600_000 || chance >> 63 == 0 {
                     let (r, l) = &mut both[1 - i];
@@ -226,7 +258,13 @@
 fn a_packet_cut_at_any_byte_is_refused() {
     let whole = packet(1);
     for at in 0..whole.len() {
-        let got = read(&whole[..at], ip(5), &[ip(100)], &keys(1), &mut Guard::default());
+        let got = read(
+            &whole[..at],
+            ip(5),
+            &[ip(100)],
+            &keys(1),
+            &mut Guard::default(),
+        );
         assert!(got.is_err(), "cut at {at}");
     }
 }
--- a/crates/tidewall-wire/src/lib.rs
+++ b/crates/tidewall-wire/src/lib.rs
@@ -143,7 +143,9 @@
 /// Looks for one frame at the start of what was read: its body and the bytes it takes, or None while it is
 /// not whole yet. A frame that is too long is an error before any of it is kept.
 pub fn frame(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, String> {
-    let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
+    let Some(head) = bytes.first_chunk::<4>() else {
+        return Ok(None);
+    };
     let len = u32::from_be_bytes(*head) as usize;
     if len > FRAME_MOST {
         return Err(format!("field length: {len} bytes are over {FRAME_MOST}"));
@@ -169,7 +171,8 @@
     /// One map; numbers that are not known are skipped, so that later versions may add some.
     fn map(d: &mut Decoder<'a>) -> Result<Fields<'a>, String> {
         let mut values = [None; FIELDS];
-        let bad = |e: minicbor::decode::Error| format!("field kind: the frame is no map of fields ({e})");
+        let bad =
+            |e: minicbor::decode::Error| format!("field kind: the frame is no map of fields ({e})");
         let Some(len) = d.map().map_err(bad)? else {
             return Err("field kind: maps of unknown length are not taken".to_string());
         };
@@ -197,7 +200,11 @@
                     d.skip().map_err(bad)?;
                     Value::List(&d.input()[from..d.position()])
                 }
-                other => return Err(format!("field {name}: a value of type {other} is not taken")),
+                other => {
+                    return Err(format!(
+                        "field {name}: a value of type {other} is not taken"
+                    ))
+                }
             };
             values[key as usize] = Some(value);
         }
@@ -226,7 +233,11 @@
 
     /// A whole number that may be absent, up to a bound.
     pub fn upto(&self, field: Field, most: u64, otherwise: u64) -> Result<u64, String> {
-        let value = if self.has(field) { self.whole(field)? } else { otherwise };
+        let value = if self.has(field) {
+            self.whole(field)?
+        } else {
+            otherwise
+        };
         if value <= most {
             return Ok(value);
         }
@@ -281,12 +292,18 @@
     }
 
     /// The entries of a list, each a map of fields.
-    pub fn entries(&self, mut each: impl FnMut(&Fields<'a>) -> Result<(), String>) -> Result<(), String> {
+    pub fn entries(
+        &self,
+        mut each: impl FnMut(&Fields<'a>) -> Result<(), String>,
+    ) -> Result<(), String> {
         let Some(Value::List(bytes)) = self.get(Field::Entries) else {
             return Err("field entries is missing".to_string());
         };
         let mut d = Decoder::new(bytes);
-        let len = d.array().map_err(|e| format!("field entries: {e}"))?.unwrap_or(0);
+        let len = d
+            .array()
+            .map_err(|e| format!("field entries: {e}"))?
+            .unwrap_or(0);
         for i in 0..len {
             let entry = Fields::map(&mut d).map_err(|e| format!("field entries[{i}]: {e}"))?;
             each(&entry).map_err(|e| format!("field entries[{i}]: {e}"))?;
@@ -307,7 +324,12 @@
     pub fn new(out: &'a mut Vec<u8>, kind: u64) -> Frame<'a> {
         let start = out.len();
         out.extend_from_slice(&[0; 4]);
-        let frame = Frame { map: out.len(), out, start, count: 0 };
+        let frame = Frame {
+            map: out.len(),
+            out,
+            start,
+            count: 0,
+        };
         // Up to 255 fields: the head has room for the count, which is known at the end.
         frame.out.extend_from_slice(&[0xb8, 0]);
         frame.whole(Field::Kind, kind)
@@ -391,7 +413,12 @@
     pub fn add(&mut self, write: impl FnOnce(Frame) -> Frame) {
         let map = self.bytes.len();
         self.bytes.extend_from_slice(&[0xb8, 0]);
-        let frame = Frame { out: &mut self.bytes, start: 0, map, count: 0 };
+        let frame = Frame {
+            out: &mut self.bytes,
+            start: 0,
+            map,
+            count: 0,
+        };
         let count = write(frame).count;
         self.bytes[map + 1] = count;
         self.count += 1;
@@ -400,13 +427,19 @@
 
 /// The error frame: why the connection is closed right after it.
 pub fn error(out: &mut Vec<u8>, reason: &str) {
-    Frame::new(out, kind::ERROR).text(Field::Reason, reason).end();
+    Frame::new(out, kind::ERROR)
+        .text(Field::Reason, reason)
+        .end();
 }
 
 /// The first frame of each side of a connection.
 pub fn hello(out: &mut Vec<u8>, role: &str, name: &str, life: u64) {
     let frame = Frame::new(out, kind::HELLO).whole(Field::Version, VERSION);
-    frame.text(Field::Role, role).text(Field::Name, name).whole(Field::Life, life).end();
+    frame
+        .text(Field::Role, role)
+        .text(Field::Name, name)
+        .whole(Field::Life, life)
+        .end();
 }
 
 /// The role of a hello, once its version is ours.
@@ -416,6 +449,8 @@
     }
     match fields.whole(Field::Version)? {
         VERSION => fields.text(Field::Role),
-        other => Err(format!("field version: {other} is not spoken here, {VERSION} is")),
+        other => Err(format!(
+            "field version: {other} is not spoken here, {VERSION} is"
+        )),
     }
 }
--- a/crates/tidewall-wire/tests/frames.rs
+++ b/crates/tidewall-wire/tests/frames.rs
@@ -1,6 +1,8 @@
 //! What was written is read again; what is malformed names its field.
 use test_case::test_case;
-use tidewall_wire::{error, frame, greeted, hello, kind, Entries, Field, Fields, Frame, FRAME_MOST};
+use tidewall_wire::{
+    error, frame, greeted, hello, kind, Entries, Field, Fields, Frame, FRAME_MOST,
+};
 
 fn body(write: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
     let mut out = Vec::new();
@@ -16,15 +18,23 @@
     list.add(|e| e.text(Field::Name, "w1").real(Field::Memory, 0.5));
     list.add(|e| e.text(Field::Name, "w2").flag(Field::On, true));
     let body = body(|out| {
-        let f = Frame::new(out, kind::EVENT).whole(Field::Id, u64::MAX).text(Field::Type, "check");
-        f.bytes(Field::Payload, &[1, 2]).flag(Field::Resent, true).entries(&list).end();
+        let f = Frame::new(out, kind::EVENT)
+            .whole(Field::Id, u64::MAX)
+            .text(Field::Type, "check");
+        f.bytes(Field::Payload, &[1, 2])
+            .flag(Field::Resent, true)
+            .entries(&list)
+            .end();
     });
     let fields = Fields::read(&body).unwrap();
     assert_eq!(fields.kind(), Ok(kind::EVENT));
     assert_eq!(fields.whole(Field::Id), Ok(u64::MAX));
     assert_eq!(fields.text(Field::Type), Ok("check"));
     assert_eq!(fields.bytes(Field::Payload), Ok(&[1, 2][..]));
-    assert_eq!((fields.flag(Field::Resent), fields.flag(Field::On)), (Ok(true), Ok(false)));
+    assert_eq!(
+        (fields.flag(Field::Resent), fields.flag(Field::On)),
+        (Ok(true), Ok(false))
+    );
     let mut names = Vec::new();
     let each = |e: &Fields<'_>| {
         names.push((e.text(Field::Name)?.to_string(), e.flag(Field::On)?));
@@ -37,7 +47,9 @@
 #[test]
 fn unknown_fields_are_skipped_whatever_they_hold() {
     // {0: 10, 99: [1, {"a": h'00'}], 5: 3}
-    let body = [0xa3, 0, 10, 0x18, 99, 0x82, 1, 0xa1, 0x61, b'a', 0x41, 0, 5, 3];
+    let body = [
+        0xa3, 0, 10, 0x18, 99, 0x82, 1, 0xa1, 0x61, b'a', 0x41, 0, 5, 3,
+    ];
     let fields = Fields::read(&body).unwrap();
     assert_eq!(fields.whole(Field::Id), Ok(3));
 }
@@ -58,7 +70,9 @@
 
 #[test]
 fn a_frame_of_four_gib_is_refused_by_its_length_alone() {
-    assert!(frame(&[0xff; 4]).unwrap_err().contains(&FRAME_MOST.to_string()));
+    assert!(frame(&[0xff; 4])
+        .unwrap_err()
+        .contains(&FRAME_MOST.to_string()));
     assert_eq!(frame(&[0, 0, 0]).unwrap(), None);
     assert_eq!(frame(&[0, 0, 0, 2, 7]).unwrap(), None);
 }
@@ -76,8 +90,13 @@
 #[test]
 fn only_a_hello_greets() {
     let no = body(|out| error(out, "x"));
-    assert!(greeted(&Fields::read(&no).unwrap()).unwrap_err().contains("first frame"));
+    assert!(greeted(&Fields::read(&no).unwrap())
+        .unwrap_err()
+        .contains("first frame"));
     let yes = body(|out| hello(out, "worker", "w1", 3));
     let fields = Fields::read(&yes).unwrap();
-    assert_eq!((greeted(&fields), fields.text(Field::Name)), (Ok("worker"), Ok("w1")));
+    assert_eq!(
+        (greeted(&fields), fields.text(Field::Name)),
+        (Ok("worker"), Ok("w1"))
+    );
 }
