Packages carry standard names: failover, membership, coordination, ingress, emulator

Cause: pair, members, common, doors, stand-ins, trials, measure and drill are house words that say nothing to newcomers.

--- a/crates/tidewall-amqp-door/tests/triggers.rs
+++ b/crates/tidewall-amqp-ingress/tests/triggers.rs
@@ -8,10 +8,10 @@
 use help::*;
 use std::net::SocketAddr;
 use test_case::test_case;
-use tidewall_amqp_door::Amqp;
+use tidewall_amqp_ingress::Amqp;
+use tidewall_emulator::terminal::{Heard, Terminal};
 use tidewall_net::memory::{self, Memory};
 use tidewall_net::{App, Conn, Listener, Net, Time, Why};
-use tidewall_standins::terminal::{Heard, Terminal};
 use tidewall_wire::kind;
 
 const DOOR: &str = "127.0.0.1:702";
--- a/crates/tidewall-measure/src/peers.rs
+++ b/crates/tidewall-benchmarks/src/peers.rs
@@ -5,9 +5,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
+use tidewall_failover::promise::{Claim, Promise};
 use tidewall_net::mio::Mio;
 use tidewall_net::{App, Conn, Listener, Net, Why};
-use tidewall_pair::promise::{Claim, Promise};
 use tidewall_wire::{self as wire, kind, Entries, Field, Fields, Frame};
 
 pub struct Echo {
--- a/crates/tidewall-measure/src/terminals.rs
+++ b/crates/tidewall-benchmarks/src/terminals.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Instant;
+use tidewall_emulator::terminal::{Heard, Terminal};
 use tidewall_net::mio::Mio;
 use tidewall_net::{App, Conn, Listener, Net, Why};
-use tidewall_standins::terminal::{Heard, Terminal};
 
 #[derive(Default)]
 struct Told {
--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -12,8 +12,8 @@
 use std::time::{Duration, Instant};
 use tidewall_audit::{Audit, RULES};
 use tidewall_config::Section;
+use tidewall_emulator::{Fleet, Gateways, Plan, Results};
 use tidewall_net::mio::{self, Mio};
-use tidewall_standins::{Fleet, Gateways, Plan, Results};
 use tracing::{info, warn};
 
 #[derive(Args)]
--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -10,9 +10,9 @@
 use tidewall_net::mio::{self, Mio};
 use tidewall_platform::budget::share;
 use tidewall_platform::config;
-use tidewall_platform_door::board::{take, Board};
-use tidewall_platform_door::lines::Lines;
-use tidewall_platform_door::Platform;
+use tidewall_platform_ingress::board::{take, Board};
+use tidewall_platform_ingress::lines::Lines;
+use tidewall_platform_ingress::Platform;
 use tracing::info;
 
 /// SIGHUP is a new configuration, the others are the end.
--- a/crates/tidewall-common/src/codec.rs
+++ b/crates/tidewall-coordination/src/codec.rs
@@ -7,7 +7,7 @@
 use tidewall_lease::keeper::{Answer, Grant};
 use tidewall_lease::lease::COUNTS;
 use tidewall_lease::promise::Promise;
-use tidewall_members::{Standing, Word};
+use tidewall_membership::{Standing, Word};
 use tidewall_vrrp::packet::Keys;
 
 pub const DATAGRAM: usize = 256;
--- a/crates/tidewall-common/src/keeping.rs
+++ b/crates/tidewall-coordination/src/keeping.rs
@@ -14,7 +14,7 @@
 use tidewall_lease::keeper::{Answer, Grant, Keeper};
 use tidewall_lease::lease::{ballot, count, Host as LeaseHost};
 use tidewall_lease::share::Share;
-use tidewall_members::{Host as MembersHost, Members, Word};
+use tidewall_membership::{Host as MembersHost, Members, Word};
 use tidewall_net::{App, Conn, Listener, Net, Port, Why};
 use tidewall_vrrp::packet::Keys;
 use tracing::{info, warn};
--- a/crates/tidewall-common/tests/acts.rs
+++ b/crates/tidewall-coordination/tests/acts.rs
@@ -1,6 +1,6 @@
 //! What is done for held tasks, and when a task counts as stopped.
 use test_case::test_case;
-use tidewall_common::acts::{Acts, Host};
+use tidewall_coordination::acts::{Acts, Host};
 
 #[derive(Default)]
 struct Said {
--- a/crates/tidewall-common/tests/codec.rs
+++ b/crates/tidewall-coordination/tests/codec.rs
@@ -1,10 +1,10 @@
 //! Datagrams: what is not good costs itself alone, and nothing of it counts.
 use test_case::test_case;
-use tidewall_common::codec::{
+use tidewall_coordination::codec::{
     self, head, item, items, open, read_head, seal, Head, Heard, Window, DATAGRAM,
 };
 use tidewall_lease::keeper::Answer;
-use tidewall_members::{Standing, Word};
+use tidewall_membership::{Standing, Word};
 use tidewall_vrrp::packet::Keys;
 
 /// What was called, a line each.
--- a/crates/tidewall-standins/src/workers.rs
+++ b/crates/tidewall-emulator/src/workers.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use tidewall_audit::rows::{Kind, Row, TRIES};
 use tidewall_config::Section;
+use tidewall_failover::promise::{Claim, Fence, Promise};
 use tidewall_lease::share::check;
 use tidewall_net::{Conn, Deadline, Listener, Net, Time};
-use tidewall_pair::promise::{Claim, Fence, Promise};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 
 /// Where a worker stands.
--- a/crates/tidewall-pair/tests/claims.rs
+++ b/crates/tidewall-failover/tests/claims.rs
@@ -6,8 +6,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
-use tidewall_pair::claim::{count, Claim, Outcome, Purpose, Wish};
-use tidewall_pair::promise::{Claim as Asked, Fence, Promise};
+use tidewall_failover::claim::{count, Claim, Outcome, Purpose, Wish};
+use tidewall_failover::promise::{Claim as Asked, Fence, Promise};
 
 const TAKE: Wish = Wish {
     purpose: Purpose::TakeOver,
--- a/crates/tidewall-pair/tests/decisions.rs
+++ b/crates/tidewall-failover/tests/decisions.rs
@@ -3,12 +3,12 @@
 
 use help::*;
 use test_case::test_case;
-use tidewall_pair::damp::Damp;
-use tidewall_pair::fate::{fate, margin, unknown, Fate, Kind, Launch, State};
-use tidewall_pair::known::{Known, Place, MOST};
-use tidewall_pair::promise::Promise;
-use tidewall_pair::ration::Ration;
-use tidewall_pair::seat::{Seat, State as Sits};
+use tidewall_failover::damp::Damp;
+use tidewall_failover::fate::{fate, margin, unknown, Fate, Kind, Launch, State};
+use tidewall_failover::known::{Known, Place, MOST};
+use tidewall_failover::promise::Promise;
+use tidewall_failover::ration::Ration;
+use tidewall_failover::seat::{Seat, State as Sits};
 
 const ALL: Kind = Kind::Keyed {
     all: true,
@@ -210,7 +210,7 @@
 fn one_that_is_superseded_starts_anew() {
     let mut voters = [Promise::default(); 3];
     let (mut seat, mut host) = paired(&mut voters);
-    let theirs = tidewall_pair::promise::Claim {
+    let theirs = tidewall_failover::promise::Claim {
         epoch: 99 << 24,
         member: 1,
         sync: [0, 9],
@@ -297,7 +297,7 @@
 #[test]
 fn what_may_not_be_claimed_is_tried_again_later_and_later() {
     let mut voters = [Promise::default(); 3];
-    let theirs = tidewall_pair::promise::Claim {
+    let theirs = tidewall_failover::promise::Claim {
         epoch: 9 << 24,
         member: 0,
         sync: [7, 0],
@@ -324,16 +324,16 @@
 #[test_case(1_000, 1_000, 1_001; "within one millisecond")]
 #[test_case(1_000, 200, 1_001; "the clock was set back")]
 fn no_two_lives_have_the_same_number(last: u64, clock: u64, told: u64) {
-    assert_eq!(tidewall_pair::claim::next(last, clock), told);
+    assert_eq!(tidewall_failover::claim::next(last, clock), told);
 }
 
 /// Known red (KNOWN-RED.txt) until a member's last number outlives its process (the journal's matter): a life that began at
 /// 1,000, and one after a restart with the clock set back to 200.
 #[test]
 fn known_gap_a_clock_set_back_across_a_restart_gives_a_lower_number() {
-    let former = tidewall_pair::claim::next(0, 1_000);
+    let former = tidewall_failover::claim::next(0, 1_000);
     assert!(
-        tidewall_pair::claim::next(0, 200) > former,
+        tidewall_failover::claim::next(0, 200) > former,
         "the same ballots may be used again"
     );
 }
--- a/crates/tidewall-pair/tests/help/mod.rs
+++ b/crates/tidewall-failover/tests/help/mod.rs
@@ -1,8 +1,8 @@
 //! Voters, and a host that notes what a seat calls for.
 #![allow(dead_code)] // each test file uses a part
-use tidewall_pair::claim::Ask;
-use tidewall_pair::promise::{Claim, Promise};
-use tidewall_pair::seat::Act;
+use tidewall_failover::claim::Ask;
+use tidewall_failover::promise::{Claim, Promise};
+use tidewall_failover::seat::Act;
 
 /// What was asked of voters, until it is answered; and what else was called for, a word each.
 #[derive(Default)]
--- a/crates/tidewall-trials/src/trial.rs
+++ b/crates/tidewall-fault-tests/src/trial.rs
@@ -12,9 +12,9 @@
 use std::time::{Duration, Instant};
 use tidewall_audit::rows::{Kind, Row};
 use tidewall_audit::Audit;
+use tidewall_emulator::{Fleet, Gateways, Plan};
 use tidewall_net::mio::{self, Mio};
 use tidewall_net::{Net, Time};
-use tidewall_standins::{Fleet, Gateways, Plan};
 
 pub const MEMBERS: usize = 5;
 /// Keepers: one in each hall.
--- a/crates/tidewall-trials/tests/leases.rs
+++ b/crates/tidewall-fault-tests/tests/leases.rs
@@ -1,7 +1,7 @@
 //! Several processes of the shipped program, with faults between them: no two holders act at once, and each task is held again.
 use test_case::test_case;
-use tidewall_trials::relay::Link;
-use tidewall_trials::trial::{play, Setup, Step, MEMBERS, TERM};
+use tidewall_fault_tests::relay::Link;
+use tidewall_fault_tests::trial::{play, Setup, Step, MEMBERS, TERM};
 
 const CUT: Link = Link {
     cut: true,
@@ -77,7 +77,7 @@
     );
     assert_eq!(
         (v.breaches.as_slice(), v.held),
-        (&[][..], tidewall_trials::trial::LEASES)
+        (&[][..], tidewall_fault_tests::trial::LEASES)
     );
     assert!(v.acts > 100 && v.events > 0 && v.datagrams > 100);
 }
@@ -96,7 +96,7 @@
     assert!(v.crossed <= 1);
     assert_eq!(
         (v.breaches.as_slice(), v.held),
-        (&[][..], tidewall_trials::trial::LEASES)
+        (&[][..], tidewall_fault_tests::trial::LEASES)
     );
 }
 
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -4,11 +4,11 @@
 use crate::door::{Ticket, Word, NOBODY};
 use std::collections::VecDeque;
 use tidewall::host::Outcome;
+use tidewall_failover::fate::Kind;
+use tidewall_failover::known::{Known, Place};
+use tidewall_failover::promise::Claim;
+use tidewall_failover::ration::Ration;
 use tidewall_net::{Conn, Net, Time};
-use tidewall_pair::fate::Kind;
-use tidewall_pair::known::{Known, Place};
-use tidewall_pair::promise::Claim;
-use tidewall_pair::ration::Ration;
 use tidewall_wire::{kind, Field, Frame};
 
 /// An answer on its way to whoever asked.
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -1,5 +1,5 @@
 //! One of a pair of gateways behind one address: VRRP datagrams, the link to the other member, the copy of what that one
-//! has in hand, and the voters' answers. `tidewall-pair` decides; this carries out.
+//! has in hand, and the voters' answers. `tidewall-failover` decides; this carries out.
 pub mod copying;
 
 use crate::carrier::{Given, Task};
@@ -9,13 +9,13 @@
 use copying::{remember, taken, word, Copying, Due, Later};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use tidewall::host::Standing;
+use tidewall_failover::claim::{count, Ask};
+use tidewall_failover::fate::{self, fate, unknown, Fate, Kind};
+use tidewall_failover::known::Place;
+use tidewall_failover::promise::{Claim, Promise};
+use tidewall_failover::ration::Ration;
+use tidewall_failover::seat::{self, Seat, State};
 use tidewall_net::{Conn, Deadline, Listener, Net, Port, Time};
-use tidewall_pair::claim::{count, Ask};
-use tidewall_pair::fate::{self, fate, unknown, Fate, Kind};
-use tidewall_pair::known::Place;
-use tidewall_pair::promise::{Claim, Promise};
-use tidewall_pair::ration::Ration;
-use tidewall_pair::seat::{self, Seat, State};
 use tidewall_vrrp::packet::{self, Guard, Keys};
 use tidewall_vrrp::{Parameters, Router, CENTISECOND};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
--- a/crates/tidewall-gateway/src/start.rs
+++ b/crates/tidewall-gateway/src/start.rs
@@ -3,7 +3,7 @@
 use crate::pair::Peering;
 use crate::Start;
 use tidewall_config::{agree, plain, Section};
-use tidewall_pair::fate::Kind;
+use tidewall_failover::fate::Kind;
 use tidewall_vrrp::packet::Keys;
 
 pub fn setup(s: &Section) -> Setup {
--- a/crates/tidewall-interop/tests/amqprs.rs
+++ b/crates/tidewall-interop/tests/amqprs.rs
@@ -10,12 +10,12 @@
 use argon2::{Algorithm, Argon2, Params, Version};
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
-use tidewall_amqp_door::Amqp;
+use tidewall_amqp_ingress::Amqp;
+use tidewall_emulator::{Fleet, NoGateways, Plan};
 use tidewall_gateway::carrier::Setup;
 use tidewall_gateway::list::NoShelf;
 use tidewall_gateway::{Gateway, Start};
 use tidewall_net::mio::{self, Mio};
-use tidewall_standins::{Fleet, NoGateways, Plan};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::timeout;
 
--- a/crates/tidewall-members/tests/help/mod.rs
+++ b/crates/tidewall-membership/tests/help/mod.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
-use tidewall_members::{Host, Members, Time, Word};
+use tidewall_membership::{Host, Members, Time, Word};
 
 pub const PERIOD: Time = 2_000;
 pub const TICK: Time = 200;
--- a/crates/tidewall-members/tests/swim.rs
+++ b/crates/tidewall-membership/tests/swim.rs
@@ -3,7 +3,7 @@
 
 use help::*;
 use test_case::test_case;
-use tidewall_members::{Standing, Word};
+use tidewall_membership::{Standing, Word};
 
 fn here_in(life: u64) -> Word {
     Word {
--- a/crates/tidewall-platform-door/tests/help/mod.rs
+++ b/crates/tidewall-platform-ingress/tests/help/mod.rs
@@ -10,9 +10,9 @@
 use tidewall_net::memory::{self, Memory, World};
 use tidewall_net::{App, Conn, Listener, Net, Time, Why};
 use tidewall_platform::{board, config};
-use tidewall_platform_door::board::{take, Board};
-use tidewall_platform_door::lines::Lines;
-use tidewall_platform_door::Platform;
+use tidewall_platform_ingress::board::{take, Board};
+use tidewall_platform_ingress::lines::Lines;
+use tidewall_platform_ingress::Platform;
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
 pub const SECOND: Time = 10_000;
--- a/crates/tidewall-platform-door/tests/service.rs
+++ b/crates/tidewall-platform-ingress/tests/service.rs
@@ -5,7 +5,7 @@
 use test_case::test_case;
 use tidewall_gateway::way::Way;
 use tidewall_net::{App, Net};
-use tidewall_platform_door::lines::Lines;
+use tidewall_platform_ingress::lines::Lines;
 
 #[test]
 fn each_call_gets_its_one_answer() {
--- a/crates/tidewall-sim/src/fleet.rs
+++ b/crates/tidewall-sim/src/fleet.rs
@@ -12,17 +12,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tidewall_audit::Audit;
-use tidewall_common::acting::Acting;
-use tidewall_common::conf::Conf;
-use tidewall_common::keeping::Keeping;
-use tidewall_common::post::{channel, Post, ToActs};
 use tidewall_config::Section;
+use tidewall_coordination::acting::Acting;
+use tidewall_coordination::conf::Conf;
+use tidewall_coordination::keeping::Keeping;
+use tidewall_coordination::post::{channel, Post, ToActs};
+use tidewall_emulator::{Fleet, Gateways, Plan};
 use tidewall_gateway::Gateway;
 use tidewall_lease::lease::State;
 use tidewall_lease::Guards;
 use tidewall_net::memory::{self, Memory, Path, Tap, World};
 use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
-use tidewall_standins::{Fleet, Gateways, Plan};
 use tidewall_vrrp::packet::Keys;
 
 /// What is left out on purpose, to show which net notices.
--- a/crates/tidewall-sim/src/mutate.rs
+++ b/crates/tidewall-sim/src/mutate.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use tidewall_common::codec;
+use tidewall_coordination::codec;
 use tidewall_net::memory::Tapped;
 use tidewall_net::Time;
 
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -9,6 +9,8 @@
 use tidewall_audit::rows::{Kind, Row};
 use tidewall_audit::Audit;
 use tidewall_config::Section;
+use tidewall_emulator::{Fleet, NoGateways, Plan};
+use tidewall_failover::seat::State;
 use tidewall_gateway::list::NoShelf;
 use tidewall_gateway::native::Native;
 use tidewall_gateway::pair::Ended;
@@ -16,8 +18,6 @@
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
 use tidewall_net::{App, Conn, Listener, Net, Time, Why};
-use tidewall_pair::seat::State;
-use tidewall_standins::{Fleet, NoGateways, Plan};
 use tidewall_vrrp::packet::{self, Keys};
 
 /// How a member may stand: the seat's states, or dead.
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -11,13 +11,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tidewall_config::Section;
+use tidewall_emulator::{Fleet, Gateways, Plan};
 use tidewall_gateway::list::Shelf;
 use tidewall_gateway::native::Native;
 use tidewall_gateway::start::start;
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
 use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
-use tidewall_standins::{Fleet, Gateways, Plan};
 use tidewall_wire as wire;
 
 const SETTINGS: &str = r#"
