--- a/crates/tidewall-bench-adapter/src/door.rs
+++ b/crates/tidewall-bench-adapter/src/door.rs
@@ -2,8 +2,8 @@
 use base64::{engine::general_purpose::STANDARD, Engine};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
-use tidewall::host::{Host, Time};
-use tidewall::ids::Ids;
+use tidewall::interface::{SchedulerActions, Time};
+use tidewall::interner::Interner;
 
 pub fn bytes(text: &str) -> Result<Vec<u8>, String> {
     let text = if text == "-" { "" } else { text };
@@ -19,8 +19,8 @@
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
-    workers: Ids,
-    functions: Ids,
+    workers: Interner,
+    functions: Interner,
     events: Vec<String>,
     places: HashMap<String, usize>,
 }
@@ -44,23 +44,23 @@
             tenants: named("tenants"),
             zones: plain("zones"),
             kinds: plain("kinds"),
-            workers: Ids::default(),
-            functions: Ids::default(),
+            workers: Interner::default(),
+            functions: Interner::default(),
             events: Vec::new(),
             places: HashMap::new(),
         }
     }
 
     pub fn worker(&mut self, text: &str) -> usize {
-        self.workers.index(text)
+        self.workers.intern(text)
     }
 
     pub fn function(&mut self, text: &str) -> usize {
-        self.functions.index(text)
+        self.functions.intern(text)
     }
 
     pub fn known_function(&self, text: &str) -> Option<usize> {
-        self.functions.known(text)
+        self.functions.get(text)
     }
 
     pub fn open(&mut self, place: usize, text: &str) {
@@ -91,21 +91,24 @@
     }
 }
 
-impl Host for Door {
-    fn launch(&mut self, evt: usize, wk: usize, time_out: Time) {
-        let (id, host) = (self.events[evt].clone(), self.workers.text(wk).to_string());
+impl SchedulerActions for Door {
+    fn send_attempt(&mut self, evt: usize, wk: usize, time_out: Time) {
+        let (id, host) = (
+            self.events[evt].clone(),
+            self.workers.resolve(wk).to_string(),
+        );
         self.line(
             "TRY",
             format_args!(" msg-id={id} try-for-ms={} host={host}", Ms(time_out)),
         );
     }
 
-    fn cancel(&mut self, evt: usize, launch: usize) {
+    fn cancel_attempt(&mut self, evt: usize, launch: usize) {
         let id = self.events[evt].clone();
         self.line("ABANDON", format_args!(" msg-id={id} shot={launch}"));
     }
 
-    fn defer(&mut self, evt: usize, come_back: Time) {
+    fn reject(&mut self, evt: usize, come_back: Time) {
         let id = self.events[evt].clone();
         self.line(
             "REFUSE",
@@ -113,33 +116,33 @@
         );
     }
 
-    fn dead_letter(&mut self, evt: usize) {
+    fn fail(&mut self, evt: usize) {
         let id = self.events[evt].clone();
         self.line("ABORT", format_args!(" msg-id={id}"));
     }
 
-    fn release(&mut self, evt: usize) {
+    fn release_request(&mut self, evt: usize) {
         self.places.remove(&self.events[evt]);
     }
 
-    fn timer(&mut self, wait: Time, token: u64) {
+    fn set_timer(&mut self, wait: Time, token: u64) {
         self.line("SCHEDULE", format_args!(" in-ms={} ctx={token}", Ms(wait)));
     }
 
-    fn probe(&mut self, wk: usize) {
-        let host = self.workers.text(wk).to_string();
+    fn send_health_check(&mut self, wk: usize) {
+        let host = self.workers.resolve(wk).to_string();
         self.line("ASK_LOAD", format_args!(" host={host}"));
     }
 
-    fn hang_up(&mut self, wk: usize) {
-        let host = self.workers.text(wk).to_string();
+    fn close_idle_connections(&mut self, wk: usize) {
+        let host = self.workers.resolve(wk).to_string();
         self.line("HANG_UP", format_args!(" host={host}"));
     }
 
-    fn hold(&mut self, img: usize, wk: usize, copies: u32) {
+    fn send_load_request(&mut self, img: usize, wk: usize, copies: u32) {
         let (key, host) = (
-            self.functions.text(img).to_string(),
-            self.workers.text(wk).to_string(),
+            self.functions.resolve(img).to_string(),
+            self.workers.resolve(wk).to_string(),
         );
         self.line(
             "START_COPY",
@@ -147,27 +150,27 @@
         );
     }
 
-    fn unload(&mut self, img: usize, wk: usize) {
+    fn unload_instances(&mut self, img: usize, wk: usize) {
         let (key, host) = (
-            self.functions.text(img).to_string(),
-            self.workers.text(wk).to_string(),
+            self.functions.resolve(img).to_string(),
+            self.workers.resolve(wk).to_string(),
         );
         self.line("EVICT", format_args!(" target-fn={key} host={host}"));
     }
 
-    fn forget(&mut self, img: usize) {
-        self.functions.forget(img);
+    fn forget_function(&mut self, img: usize) {
+        self.functions.remove(img);
     }
 
-    fn follow(&mut self, on: bool) {
+    fn watch_endpoints(&mut self, on: bool) {
         self.line("FOLLOW", format_args!(" enable={}", u8::from(on)));
     }
 
-    fn look_up(&mut self) {
+    fn poll_endpoints(&mut self) {
         self.line("LOOKUP", format_args!(""));
     }
 
-    fn tell(&mut self, peer: Option<u32>, bytes: &[u8]) {
+    fn send_to_peers(&mut self, peer: Option<u32>, bytes: &[u8]) {
         let payload = if bytes.is_empty() {
             "-".to_string()
         } else {
@@ -182,7 +185,7 @@
         }
     }
 
-    fn note(&mut self, text: &str) {
+    fn log_note(&mut self, text: &str) {
         self.line(
             "SAY_LOG",
             format_args!(" note-text={}", text.replace('\n', " ")),
--- a/crates/tidewall-bench-adapter/src/main.rs
+++ b/crates/tidewall-bench-adapter/src/main.rs
@@ -6,11 +6,11 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use tidewall::choice::Choice;
-use tidewall::host::{Arrival, Listed, Outcome, Standing, Time};
-use tidewall::ids::hash;
+use tidewall::choice::Scheduler;
+use tidewall::interface::{Endpoint, EndpointState, Outcome, RequestInfo, Time};
+use tidewall::interner::fnv1a;
 
-type Gateways = BTreeMap<u64, Choice<Door>>;
+type Gateways = BTreeMap<u64, Scheduler<Door>>;
 
 /// The fields of one line; what goes wrong names the field.
 struct Fields<'a>(Vec<(&'a str, &'a str)>);
@@ -83,12 +83,12 @@
         Ok(match self.text("code")? {
             "1" => Outcome::Ok,
             "0" => Outcome::Error,
-            "2" => Outcome::Full,
+            "2" => Outcome::AtCapacity,
             "3" => Outcome::TimedOut,
-            "4" => Outcome::NoConnection,
+            "4" => Outcome::ConnectFailed,
             "5" => Outcome::Reset,
             "6" => Outcome::Cancelled,
-            "7" => Outcome::Moot,
+            "7" => Outcome::Discarded,
             "8" => Outcome::Miss,
             v => return Err(format!("field code: '{v}' is no outcome")),
         })
@@ -119,16 +119,16 @@
 }
 
 /// One line of a list.
-fn listed(door: &mut Door, fields: &Fields) -> Result<(usize, Listed), String> {
+fn listed(door: &mut Door, fields: &Fields) -> Result<(usize, Endpoint), String> {
     let host = fields.text("host")?;
     let standing = match fields.text("state")? {
-        "on" => Standing::On,
-        "fading" => Standing::Draining,
-        "off" => Standing::Gone,
+        "on" => EndpointState::Active,
+        "fading" => EndpointState::Draining,
+        "off" => EndpointState::Removed,
         v => return Err(format!("field state: '{v}' is no state")),
     };
-    let entry = Listed {
-        hash: hash(host),
+    let entry = Endpoint {
+        name_hash: fnv1a(host),
         zone: door
             .zones
             .iter()
@@ -140,18 +140,18 @@
             .position(|k| Some(k.as_str()) == fields.find("sku"))
             .map_or(u32::MAX, |k| k as u32),
         cell: fields.parsed("pod", Some(0))?,
-        standing,
+        state: standing,
         rating: fields.number("rating", Some(1.0))?,
-        since: fields.time("since-ms", Some(0.0))?,
+        started_at: fields.time("since-ms", Some(0.0))?,
     };
     Ok((door.worker(host), entry))
 }
 
 /// Hands over the values of a load report, where one came.
-fn reported(gw: &mut Choice<Door>, wk: usize, report: &[(&str, f64)]) {
+fn reported(gw: &mut Scheduler<Door>, wk: usize, report: &[(&str, f64)]) {
     let value = |name| report.iter().find(|v| v.0 == name).map_or(0.0, |v| v.1);
     if !report.is_empty() {
-        gw.reported(wk, value("rif"), value("busy"));
+        gw.load_reported(wk, value("rif"), value("busy"));
     }
 }
 
@@ -166,7 +166,7 @@
         let settings: BTreeMap<_, _> = pairs.map(|p| (p.0.to_string(), p.1.to_string())).collect();
         let seed = fields.parsed("entropy", None)?;
         let door = Door::new(fields.text("gateway-id")?, &settings);
-        let gateway = Choice::new(door, now, seed, settings)
+        let gateway = Scheduler::new(door, now, seed, settings)
             .map_err(|e| format!("field profile-data: {e}"))?;
         all.insert(fields.gateway()?, gateway);
         return Ok(());
@@ -197,12 +197,12 @@
     let gw = all
         .get_mut(&number)
         .ok_or("field gateway-id: this instance is not up")?;
-    gw.clock(now);
+    gw.advance_clock(now);
     match name {
         "VIEW" => {
             let scope = fields.text("scope")?;
             if scope == "broken" {
-                gw.list_failed();
+                gw.endpoint_update_failed();
                 return Ok(());
             }
             if !matches!(scope, "patch" | "whole" | "stale_copy") {
@@ -213,14 +213,14 @@
                 let fields = Fields::read(entry.strip_prefix("M").unwrap_or(entry))?;
                 entries.push(listed(&mut gw.host, &fields)?);
             }
-            gw.list(&entries, scope != "patch");
+            gw.update_endpoints(&entries, scope != "patch");
         }
         "DEMAND" => {
             let key = fields.text("target-fn")?;
             let tenant = fields.find("project").filter(|t| *t != "0");
             let typ = fields.text("qos")?;
-            let arrival = Arrival {
-                typ: gw
+            let arrival = RequestInfo {
+                class: gw
                     .host
                     .types
                     .iter()
@@ -228,22 +228,22 @@
                     .ok_or_else(|| format!("field qos: '{typ}' is unknown"))?,
                 tenant: tenant.and_then(|t| gw.host.tenants.iter().position(|n| n == t)),
                 function: gw.host.function(key),
-                function_hash: hash(key),
+                function_hash: fnv1a(key),
                 lanes: fields.parsed("at-once", Some(1))?,
                 memory: fields.number("size-mb", Some(0.0))?,
-                gives_up: fields.time("valid-until-ms", None)?,
-                hint: fields.span("work-hint-ms")?,
+                deadline: fields.time("valid-until-ms", None)?,
+                cost_hint: fields.span("work-hint-ms")?,
                 load_hint: fields.span("cold-ms")?,
-                resent: fields.flag("resent")?,
+                is_retry: fields.flag("resent")?,
             };
-            let place = gw.next_place();
+            let place = gw.next_request_slot();
             gw.host.open(place, fields.text("msg-id")?);
-            gw.arrive(arrival);
+            gw.request_arrived(arrival);
         }
         "ACK_FIRST" => {
             let launch = fields.parsed("shot", None)?;
             if let Some(evt) = gw.host.event(fields.text("msg-id")?) {
-                gw.begun(evt, launch);
+                gw.response_started(evt, launch);
             }
         }
         "REPORT_BACK" => {
@@ -253,32 +253,32 @@
             let wk = gw.host.worker(fields.text("host")?);
             reported(gw, wk, &report);
             if let Some(evt) = gw.host.event(fields.text("msg-id")?) {
-                gw.ended(evt, launch, (outcome, took), over, note);
+                gw.attempt_ended(evt, launch, (outcome, took), over, note);
             }
         }
         "LAPSED" => {
             if let Some(evt) = gw.host.event(fields.text("msg-id")?) {
-                gw.lapsed(evt);
+                gw.client_abandoned(evt);
             }
         }
-        "TIMER" => gw.timer(fields.parsed("ctx", None)?),
+        "TIMER" => gw.timer_fired(fields.parsed("ctx", None)?),
         "HEALTH" => {
             let (outcome, report) = (fields.outcome()?, fields.report()?);
             fields.span("lag-ms")?;
             let wk = gw.host.worker(fields.text("host")?);
             reported(gw, wk, &report);
-            gw.probed(wk, outcome);
+            gw.health_check_ended(wk, outcome);
         }
         "FROM_PEER" => {
             let sender = fields.parsed("sender", None)?;
-            gw.told(sender, &door::bytes(fields.text("payload")?)?);
+            gw.peer_message_received(sender, &door::bytes(fields.text("payload")?)?);
         }
         _ => {
             let (outcome, copies) = (fields.outcome()?, fields.parsed("count", Some(0))?);
             fields.span("lag-ms")?;
             let wk = gw.host.worker(fields.text("host")?);
             if let Some(img) = gw.host.known_function(fields.text("target-fn")?) {
-                gw.held(img, wk, outcome, copies);
+                gw.load_request_ended(img, wk, outcome, copies);
             }
         }
     }
--- a/crates/tidewall-benchmarks/src/main.rs
+++ b/crates/tidewall-benchmarks/src/main.rs
@@ -14,8 +14,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tidewall::choice::Choice;
-use tidewall::host::{Arrival, Host, Listed, Outcome, Standing, Time};
+use tidewall::choice::Scheduler;
+use tidewall::interface::{Endpoint, EndpointState, Outcome, RequestInfo, SchedulerActions, Time};
 use tidewall_net::mio;
 
 /// Long enough for p99.9 of thousands of events a second, short enough for a coffee.
@@ -200,24 +200,24 @@
 /// The decisions alone: arrivals and ends with nothing behind them.
 struct Nothing(Vec<(usize, usize)>);
 
-impl Host for Nothing {
-    fn launch(&mut self, evt: usize, wk: usize, _: Time) {
+impl SchedulerActions for Nothing {
+    fn send_attempt(&mut self, evt: usize, wk: usize, _: Time) {
         self.0.push((evt, wk));
     }
-    fn cancel(&mut self, _: usize, _: usize) {}
-    fn defer(&mut self, _: usize, _: Time) {}
-    fn dead_letter(&mut self, _: usize) {}
-    fn release(&mut self, _: usize) {}
-    fn timer(&mut self, _: Time, _: u64) {}
-    fn probe(&mut self, _: usize) {}
-    fn hang_up(&mut self, _: usize) {}
-    fn hold(&mut self, _: usize, _: usize, _: u32) {}
-    fn unload(&mut self, _: usize, _: usize) {}
-    fn forget(&mut self, _: usize) {}
-    fn follow(&mut self, _: bool) {}
-    fn look_up(&mut self) {}
-    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
-    fn note(&mut self, _: &str) {}
+    fn cancel_attempt(&mut self, _: usize, _: usize) {}
+    fn reject(&mut self, _: usize, _: Time) {}
+    fn fail(&mut self, _: usize) {}
+    fn release_request(&mut self, _: usize) {}
+    fn set_timer(&mut self, _: Time, _: u64) {}
+    fn send_health_check(&mut self, _: usize) {}
+    fn close_idle_connections(&mut self, _: usize) {}
+    fn send_load_request(&mut self, _: usize, _: usize, _: u32) {}
+    fn unload_instances(&mut self, _: usize, _: usize) {}
+    fn forget_function(&mut self, _: usize) {}
+    fn watch_endpoints(&mut self, _: bool) {}
+    fn poll_endpoints(&mut self) {}
+    fn send_to_peers(&mut self, _: Option<u32>, _: &[u8]) {}
+    fn log_note(&mut self, _: &str) {}
 }
 
 /// Microseconds of CPU for one event in the decisions, at a pace of `rate` a second.
@@ -225,38 +225,38 @@
     let text = settings(free(), free(), 1000);
     let s = tidewall_config::settings("measure", &text).expect("they are good");
     let map = tidewall_config::plain(&s, 0);
-    let mut choice = Choice::new(Nothing(Vec::new()), 1, 7, map).expect("they are good");
+    let mut choice = Scheduler::new(Nothing(Vec::new()), 1, 7, map).expect("they are good");
     let listed = |wk: usize| {
         (
             wk,
-            Listed {
-                hash: wk as u64 * 0x9e37_79b9,
-                standing: Standing::On,
+            Endpoint {
+                name_hash: wk as u64 * 0x9e37_79b9,
+                state: EndpointState::Active,
                 rating: 2.0,
-                ..Listed::default()
+                ..Endpoint::default()
             },
         )
     };
-    choice.list(&(0..workers).map(listed).collect::<Vec<_>>(), true);
+    choice.update_endpoints(&(0..workers).map(listed).collect::<Vec<_>>(), true);
     let (count, began) = (200_000u64, Instant::now());
     let mut swept = 0;
     for i in 0..count {
         let now = 1 + i * 10_000 / rate;
-        choice.clock(now);
+        choice.advance_clock(now);
         while swept + 100 <= now {
             swept += 100;
-            choice.timer(0);
+            choice.timer_fired(0);
         }
-        let arrival = Arrival {
+        let arrival = RequestInfo {
             function: 0,
             function_hash: 99,
             lanes: 1000,
-            gives_up: now + 10_000,
-            ..Arrival::default()
+            deadline: now + 10_000,
+            ..RequestInfo::default()
         };
-        choice.arrive(arrival);
+        choice.request_arrived(arrival);
         while let Some((evt, _)) = choice.host.0.pop() {
-            choice.ended(evt, 0, (Outcome::Ok, 5), true, 1);
+            choice.attempt_ended(evt, 0, (Outcome::Ok, 5), true, 1);
         }
     }
     began.elapsed().as_secs_f64() / count as f64 * 1e6
--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -2,7 +2,7 @@
 use crate::{input, Failure};
 use std::path::PathBuf;
 use std::rc::Rc;
-use tidewall::settings::{are_good, Named};
+use tidewall::settings::{validate, SettingsReader};
 use tidewall_gateway::carrier::Setup;
 use tidewall_gateway::list::NoShelf;
 use tidewall_gateway::way::News;
@@ -33,20 +33,20 @@
         .map_err(|e| input(named(format!("field known: {e}"))))?
         .unwrap_or(0);
     let s = &config.settings;
-    are_good(s).map_err(|e| input(named(format!("field settings.{e}"))))?;
+    validate(s).map_err(|e| input(named(format!("field settings.{e}"))))?;
     let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
     let budget = share(config.sockets as usize, priced);
     let setup = Setup {
         most_held: s.number("allowed.most-held") as usize,
-        connect_time_out: s.span("allowed.connect-timeout-ms"),
+        connect_time_out: s.duration("allowed.connect-timeout-ms"),
         streams: s.number("allowed.streams-per-conn") as usize,
         connections: budget.a_worker,
         links: budget.links,
         spread: budget.spread,
         // Ours end first: a launch that crosses the host's own close may have run.
-        keep_alive: s.span("allowed.keepalive-ms") * 3 / 4,
-        probe_time_out: s.span("allowed.connect-timeout-ms"),
-        order_time_out: s.span("extra.order-timeout-ms"),
+        keep_alive: s.duration("allowed.keepalive-ms") * 3 / 4,
+        probe_time_out: s.duration("allowed.connect-timeout-ms"),
+        order_time_out: s.duration("extra.order-timeout-ms"),
         silent: SILENT,
     };
     let types = s.number("classes.count") as usize;
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -1,4 +1,4 @@
-//! Carries out what the decisions call for: the `Host` on sockets. Launches, orders and probes ride as streams
+//! Carries out what the decisions call for: the `SchedulerActions` on sockets. Launches, orders and probes ride as streams
 //! on a few connections to each worker. What is known at once (no room, no time left, called off) is kept in
 //! `known` until the decisions' call is over, since they may not be called from within it.
 use crate::door::{Incoming, Ticket, Word};
@@ -11,10 +11,10 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tidewall::choice::MOST_LAUNCHES;
-use tidewall::host::{Arrival, Host, Listed, Outcome, Standing};
-use tidewall::ids::{hash, Ids};
-use tidewall::settings::{Named, Settings};
+use tidewall::choice::MAX_ATTEMPTS;
+use tidewall::interface::{Endpoint, EndpointState, Outcome, RequestInfo, SchedulerActions};
+use tidewall::interner::{fnv1a, Interner};
+use tidewall::settings::{Settings, SettingsReader};
 use tidewall_net::{Conn, Deadline, Net, Port, Time};
 use tidewall_wire::{kind, Field, Frame};
 use tracing::info;
@@ -102,18 +102,18 @@
     came: Time,
     /// When its client gives up.
     until: Time,
-    arrival: Arrival,
+    arrival: RequestInfo,
     mark: Vec<u8>,
     payload: Vec<u8>,
-    outs: [usize; MOST_LAUNCHES],
+    outs: [usize; MAX_ATTEMPTS],
     count: usize,
     /// Launches that may have run.
     pub unproven: u32,
     /// Others that asked for the same event, each with the time when it gives up.
     pub more: Vec<(Ticket, Time)>,
     /// Where its launches went, and what their ends prove.
-    sent_to: [usize; MOST_LAUNCHES],
-    pub ends: [Option<bool>; MOST_LAUNCHES],
+    sent_to: [usize; MAX_ATTEMPTS],
+    pub ends: [Option<bool>; MAX_ATTEMPTS],
 }
 
 impl Held {
@@ -121,7 +121,7 @@
         self.until
     }
 
-    pub fn arrival(&self) -> &Arrival {
+    pub fn arrival(&self) -> &RequestInfo {
         &self.arrival
     }
 
@@ -146,7 +146,7 @@
 #[derive(Default)]
 pub struct Wk {
     at: Option<SocketAddr>,
-    listed: Listed,
+    listed: Endpoint,
     zone: String,
     machine: String,
     life: u64,
@@ -162,8 +162,8 @@
         self.at.is_some()
     }
 
-    pub fn standing(&self) -> Standing {
-        self.listed.standing
+    pub fn standing(&self) -> EndpointState {
+        self.listed.state
     }
 }
 
@@ -215,9 +215,9 @@
     pub tenants: Vec<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
-    pub workers: Ids,
+    pub workers: Interner,
     pub wks: Vec<Wk>,
-    pub functions: Ids,
+    pub functions: Interner,
     /// By function: what an order to load tells of it.
     images: Vec<(u32, f64, Time)>,
     pub events: Vec<Held>,
@@ -279,9 +279,9 @@
             tenants: named("tenants"),
             zones: plain("zones"),
             kinds: plain("kinds"),
-            workers: Ids::default(),
+            workers: Interner::default(),
             wks: Vec::new(),
-            functions: Ids::default(),
+            functions: Interner::default(),
             images: Vec::new(),
             events: Vec::new(),
             held: 0,
@@ -294,7 +294,7 @@
             batched: Vec::new(),
             withdrawn: Vec::new(),
             heirs: Vec::new(),
-            grace: settings.span("rules.drain-grace-ms"),
+            grace: settings.duration("rules.drain-grace-ms"),
             last_until: 0,
             known: VecDeque::new(),
             given: VecDeque::new(),
@@ -310,12 +310,12 @@
             copy: None,
             frame: Vec::new(),
             way: Rc::new(NativeWay),
-            most_come_back: settings.span("allowed.max-retry-after-ms"),
+            most_come_back: settings.duration("allowed.max-retry-after-ms"),
         }
     }
 
     /// The event's place is in use from now on; its buffers are those of the place's last user.
-    pub fn open(&mut self, place: usize, event: &Incoming, arrival: &Arrival) {
+    pub fn open(&mut self, place: usize, event: &Incoming, arrival: &RequestInfo) {
         if self.events.len() <= place {
             self.events.resize_with(place + 1, Held::default);
         }
@@ -399,7 +399,7 @@
 
     /// Where the worker stands in the decisions' terms. A start that is known already keeps its time, or each
     /// telling would look like another start.
-    pub fn listed(&mut self, entry: &Entry) -> (usize, Listed) {
+    pub fn listed(&mut self, entry: &Entry) -> (usize, Endpoint) {
         let now = self.net.now();
         let place = |list: &[String], name: &str| {
             list.iter()
@@ -410,26 +410,26 @@
             place(&self.zones, &entry.zone),
             place(&self.kinds, &entry.machine),
         );
-        let wk = self.workers.index(&entry.name);
+        let wk = self.workers.intern(&entry.name);
         if self.wks.len() <= wk {
             self.wks.resize_with(wk + 1, Wk::default);
         }
         let w = &mut self.wks[wk];
         let restarted = entry.life > w.life || w.at.is_none();
         let since = match (restarted, entry.age) {
-            (false, _) => w.listed.since,
+            (false, _) => w.listed.started_at,
             (true, 0) => 0,
             // 0 would mean long ago. A start before our own clock began is as old as that.
             (true, age) => now.saturating_sub(age).max(1),
         };
         // A list that was made before the roster noticed does not bring back one that said that it drains.
-        w.drains &= entry.standing == Standing::On && entry.life <= w.life;
+        w.drains &= entry.standing == EndpointState::Active && entry.life <= w.life;
         let standing = if w.drains {
-            Standing::Draining
+            EndpointState::Draining
         } else {
             entry.standing
         };
-        let leaves = standing != Standing::On && w.listed.standing == Standing::On;
+        let leaves = standing != EndpointState::Active && w.listed.state == EndpointState::Active;
         if leaves {
             w.left = now;
         }
@@ -438,14 +438,14 @@
         }
         w.life = w.life.max(entry.life);
         w.at = Some(entry.at);
-        w.listed = Listed {
-            hash: hash(&entry.name),
+        w.listed = Endpoint {
+            name_hash: fnv1a(&entry.name),
             zone,
             kind,
             cell: entry.cell,
-            standing,
+            state: standing,
             rating: entry.rating,
-            since,
+            started_at: since,
         };
         w.zone.clone_from(&entry.zone);
         w.machine.clone_from(&entry.machine);
@@ -453,15 +453,15 @@
     }
 
     /// A whole list: whoever is not in it is gone.
-    pub fn only(&mut self, entries: &[(usize, Listed)]) {
+    pub fn only(&mut self, entries: &[(usize, Endpoint)]) {
         let now = self.net.now();
         for (wk, w) in self.wks.iter_mut().enumerate() {
-            if !entries.iter().any(|e| e.0 == wk) && w.listed.standing != Standing::Gone {
-                if w.listed.standing == Standing::On {
+            if !entries.iter().any(|e| e.0 == wk) && w.listed.state != EndpointState::Removed {
+                if w.listed.state == EndpointState::Active {
                     w.left = now;
                     self.withdrawn.push(wk);
                 }
-                (w.listed.standing, w.drains) = (Standing::Gone, false);
+                (w.listed.state, w.drains) = (EndpointState::Removed, false);
             }
         }
     }
@@ -469,7 +469,8 @@
     /// Workers that are gone and of which nothing is under way here.
     pub fn gone(&self) -> Vec<usize> {
         let idle = |(wk, w): &(usize, &Wk)| {
-            let gone = w.at.is_some() && w.listed.standing == Standing::Gone && w.links.is_empty();
+            let gone =
+                w.at.is_some() && w.listed.state == EndpointState::Removed && w.links.is_empty();
             gone && !self.outs.iter().any(|o| o.1.wk == *wk)
         };
         self.wks
@@ -482,7 +483,7 @@
 
     /// Its index may name another from now on.
     pub fn forget_worker(&mut self, wk: usize) {
-        self.workers.forget(wk);
+        self.workers.remove(wk);
         self.wks[wk] = Wk::default();
     }
 
@@ -503,22 +504,22 @@
         Some(self.wks[wk].life)
     }
 
-    pub fn restarted(&mut self, wk: usize, life: u64, age: Time) -> Option<Listed> {
+    pub fn restarted(&mut self, wk: usize, life: u64, age: Time) -> Option<Endpoint> {
         let now = self.net.now();
         let w = &mut self.wks[wk];
         (w.life, w.drains) = (life, false);
         self.withdrawn.push(wk);
-        w.listed.since = now.saturating_sub(age).max(1);
+        w.listed.started_at = now.saturating_sub(age).max(1);
         // One that the roster calls gone stays so until the roster says otherwise.
-        (w.listed.standing == Standing::On).then_some(w.listed)
+        (w.listed.state == EndpointState::Active).then_some(w.listed)
     }
 
-    pub fn drains(&mut self, wk: usize) -> Option<Listed> {
+    pub fn drains(&mut self, wk: usize) -> Option<Endpoint> {
         let w = &mut self.wks[wk];
-        if w.listed.standing != Standing::On {
+        if w.listed.state != EndpointState::Active {
             return None;
         }
-        (w.listed.standing, w.drains, w.left) = (Standing::Draining, true, self.net.now());
+        (w.listed.state, w.drains, w.left) = (EndpointState::Draining, true, self.net.now());
         self.withdrawn.push(wk);
         Some(w.listed)
     }
@@ -543,7 +544,7 @@
     pub fn too_late(&self, now: Time, look: Time) -> Vec<(usize, Conn)> {
         let late = |l: &Link| {
             let w = &self.wks[l.wk];
-            let ends = w.listed.standing != Standing::On && w.left + self.grace <= now + look;
+            let ends = w.listed.state != EndpointState::Active && w.left + self.grace <= now + look;
             ends && l.written - self.net.unsent(l.conn).min(l.written) < l.work
         };
         self.links
@@ -566,20 +567,20 @@
     pub fn entries(&self) -> Vec<Entry> {
         let now = self.net.now();
         let entry = |(wk, w): (usize, &Wk)| {
-            let since = w.listed.since;
+            let since = w.listed.started_at;
             Some(Entry {
-                name: self.workers.text(wk).to_string(),
+                name: self.workers.resolve(wk).to_string(),
                 at: w.at?,
                 zone: w.zone.clone(),
                 machine: w.machine.clone(),
                 cell: w.listed.cell,
-                standing: w.listed.standing,
+                standing: w.listed.state,
                 rating: w.listed.rating,
                 life: w.life,
                 age: if since == 0 { 0 } else { (now - since).max(1) },
             })
         };
-        let gone = |w: &Wk| w.listed.standing == Standing::Gone;
+        let gone = |w: &Wk| w.listed.state == EndpointState::Removed;
         self.wks
             .iter()
             .enumerate()
@@ -761,7 +762,7 @@
         let mut idle = Vec::new();
         for (key, l) in &self.links {
             let nothing = l.waiting.is_empty() && l.sent.is_empty();
-            let gone = self.wks[l.wk].listed.standing == Standing::Gone;
+            let gone = self.wks[l.wk].listed.state == EndpointState::Removed;
             let given_up = l.waiting.is_empty() && l.sent.iter().all(|k| self.outs[*k].over);
             let quiet = now > l.used + silent && now > l.heard + silent;
             if nothing && (now > l.used + keep || gone && quiet) || !nothing && given_up && quiet {
@@ -812,7 +813,7 @@
             (None, Some(at)) if more && (free || self.end_idle()) => self.open_link(out.wk, at),
             // All streams of all connections are taken, or all descriptors are in use.
             _ => {
-                return self.at_once(key, Outcome::Full);
+                return self.at_once(key, Outcome::AtCapacity);
             }
         };
         let l = &mut self.links[link];
@@ -917,7 +918,7 @@
                 batch.extend_from_slice(&self.frame);
                 batched.push((key, batch.len()));
             } else {
-                self.at_once(key, Outcome::Moot);
+                self.at_once(key, Outcome::Discarded);
             }
         }
         let left = self.net.push(conn, &batch);
@@ -952,7 +953,7 @@
             return true;
         };
         let held = &self.events[evt];
-        held.open && self.net.now() < held.arrival.gives_up
+        held.open && self.net.now() < held.arrival.deadline
     }
 
     /// Writes an out's message into `frame`.
@@ -965,19 +966,19 @@
             Task::Launch { evt, launch } => {
                 let e = &self.events[evt];
                 let a = &e.arrival;
-                let left = a.gives_up.saturating_sub(now);
+                let left = a.deadline.saturating_sub(now);
                 let launched = Launched {
                     event: e.id,
                     launch: launch as u64,
-                    typ: &self.types[a.typ],
-                    function: self.functions.text(a.function),
+                    typ: &self.types[a.class],
+                    function: self.functions.resolve(a.function),
                     lanes: a.lanes,
                     memory: a.memory,
                     waits: out.until.saturating_sub(now).min(left),
                     left,
-                    hint: a.hint,
+                    hint: a.cost_hint,
                     mark: &e.mark,
-                    resent: a.resent,
+                    resent: a.is_retry,
                     epoch,
                     payload: &e.payload,
                 };
@@ -986,7 +987,7 @@
             Task::Hold { img } => {
                 let (lanes, memory, load_hint) =
                     self.images.get(img).copied().unwrap_or((1, 0.0, 0));
-                let function = self.functions.text(img);
+                let function = self.functions.resolve(img);
                 let order = Order {
                     function,
                     copies: out.copies,
@@ -1045,11 +1046,11 @@
     }
 }
 
-impl<N: Net> Host for Carrier<N> {
-    fn launch(&mut self, evt: usize, wk: usize, time_out: Time) {
+impl<N: Net> SchedulerActions for Carrier<N> {
+    fn send_attempt(&mut self, evt: usize, wk: usize, time_out: Time) {
         let now = self.net.now();
         let held = &self.events[evt];
-        let (launch, gives_up, open) = (held.count, held.arrival.gives_up, held.open);
+        let (launch, gives_up, open) = (held.count, held.arrival.deadline, held.open);
         let until = if time_out == 0 {
             gives_up
         } else {
@@ -1064,11 +1065,11 @@
         tracing::debug!(
             event = self.events[evt].id,
             launch,
-            worker = self.workers.text(wk),
+            worker = self.workers.resolve(wk),
             "launch"
         );
         if !open || now >= gives_up {
-            return self.at_once(key, Outcome::Moot);
+            return self.at_once(key, Outcome::Discarded);
         }
         if self.copy.is_some() {
             return self.copy_launched(evt, launch, key);
@@ -1076,7 +1077,7 @@
         self.ride(key);
     }
 
-    fn cancel(&mut self, evt: usize, launch: usize) {
+    fn cancel_attempt(&mut self, evt: usize, launch: usize) {
         let key = self.events[evt].outs[launch];
         let Some(out) = self
             .outs
@@ -1086,7 +1087,7 @@
             return;
         };
         if !out.sent {
-            return self.at_once(key, Outcome::Moot);
+            return self.at_once(key, Outcome::Discarded);
         }
         let (id, link, event) = (self.wire_id(key), out.link, out.event);
         self.frame.clear();
@@ -1095,15 +1096,15 @@
         self.at_once(key, Outcome::Cancelled);
     }
 
-    fn defer(&mut self, evt: usize, come_back: Time) {
+    fn reject(&mut self, evt: usize, come_back: Time) {
         self.own_answer(evt, Word::Deferred, come_back);
     }
 
-    fn dead_letter(&mut self, evt: usize) {
+    fn fail(&mut self, evt: usize) {
         self.own_answer(evt, Word::DeadLettered, 0);
     }
 
-    fn release(&mut self, evt: usize) {
+    fn release_request(&mut self, evt: usize) {
         let held = &mut self.events[evt];
         // A place that held a large payload gives its memory back.
         const KEPT: usize = 1024; // a usual event's payload
@@ -1112,19 +1113,19 @@
         assert!(!held.open, "an event was released without an answer");
     }
 
-    fn timer(&mut self, wait: Time, token: u64) {
+    fn set_timer(&mut self, wait: Time, token: u64) {
         let now = self.net.now();
         self.net.set(now + wait, OF_CHOICE | token);
     }
 
-    fn probe(&mut self, wk: usize) {
+    fn send_health_check(&mut self, wk: usize) {
         self.counts.probes += 1;
         let until = self.net.now() + self.setup.probe_time_out;
         let key = self.out(Task::Probe, wk, 0, until);
         self.ride(key);
     }
 
-    fn hang_up(&mut self, wk: usize) {
+    fn close_idle_connections(&mut self, wk: usize) {
         for i in 0..self.wks[wk].links.len() {
             let link = &mut self.links[self.wks[wk].links[i]];
             if link.waiting.is_empty() && link.sent.is_empty() {
@@ -1134,20 +1135,20 @@
         }
     }
 
-    fn hold(&mut self, img: usize, wk: usize, copies: u32) {
+    fn send_load_request(&mut self, img: usize, wk: usize, copies: u32) {
         let refused = !self.may_order(copies);
-        let (function, worker) = (self.functions.text(img), self.workers.text(wk));
+        let (function, worker) = (self.functions.resolve(img), self.workers.resolve(wk));
         tracing::debug!(function, worker, copies, "hold");
         self.counts.orders += u64::from(copies > 0 && !refused);
         let until = self.net.now() + self.setup.order_time_out;
         let key = self.out(Task::Hold { img }, wk, copies, until);
         if refused {
-            return self.at_once(key, Outcome::Full);
+            return self.at_once(key, Outcome::AtCapacity);
         }
         self.order_recorded(key, copies);
     }
 
-    fn unload(&mut self, img: usize, wk: usize) {
+    fn unload_instances(&mut self, img: usize, wk: usize) {
         let ready = self.wks[wk]
             .links
             .iter()
@@ -1155,16 +1156,17 @@
             .find(|l| self.links[*l].greeted);
         if let Some(link) = ready {
             self.frame.clear();
-            self.way.unload(&mut self.frame, self.functions.text(img));
+            self.way
+                .unload(&mut self.frame, self.functions.resolve(img));
             self.put(link);
         }
     }
 
-    fn forget(&mut self, img: usize) {
-        self.functions.forget(img);
+    fn forget_function(&mut self, img: usize) {
+        self.functions.remove(img);
     }
 
-    fn follow(&mut self, on: bool) {
+    fn watch_endpoints(&mut self, on: bool) {
         self.follows = on;
         if let Some(conn) = self.roster {
             self.frame.clear();
@@ -1175,7 +1177,7 @@
         }
     }
 
-    fn look_up(&mut self) {
+    fn poll_endpoints(&mut self) {
         if let Some(conn) = self.roster {
             self.frame.clear();
             Frame::new(&mut self.frame, kind::LOOK_UP).end();
@@ -1183,7 +1185,7 @@
         }
     }
 
-    fn tell(&mut self, peer: Option<u32>, bytes: &[u8]) {
+    fn send_to_peers(&mut self, peer: Option<u32>, bytes: &[u8]) {
         let Some(port) = self.port else { return };
         self.frame.clear();
         self.way.tell(&mut self.frame, self.me as u64, bytes);
@@ -1198,7 +1200,7 @@
         }
     }
 
-    fn note(&mut self, text: &str) {
+    fn log_note(&mut self, text: &str) {
         info!(text, "note");
     }
 }
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -20,9 +20,9 @@
 use retry::Retry;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tidewall::choice::Choice;
-use tidewall::host::{Arrival, Listed, Outcome, Standing};
-use tidewall::ids;
+use tidewall::choice::Scheduler;
+use tidewall::interface::{Endpoint, EndpointState, Outcome, RequestInfo};
+use tidewall::interner;
 use tidewall::settings::Settings;
 use tidewall_failover::fate::margin;
 use tidewall_net::{App, Conn, Deadline, Listener, Net, Port, Time, Why};
@@ -81,7 +81,7 @@
 
 /// Events on their way, as the doors see it: they tell what comes and who leaves.
 pub struct Core<N: Net> {
-    choice: Choice<Carrier<N>>,
+    choice: Scheduler<Carrier<N>>,
     draining: bool,
     /// Told to stop; what comes is still taken for a while.
     leaving: bool,
@@ -139,23 +139,23 @@
             .copy
             .as_ref()
             .map_or(0, |c| margin(c.kind(event.typ), event.left, c.silence));
-        let function = host.functions.index(event.function);
-        let arrival = Arrival {
-            typ: event.typ,
+        let function = host.functions.intern(event.function);
+        let arrival = RequestInfo {
+            class: event.typ,
             tenant: event.tenant,
             function,
-            function_hash: ids::hash(event.function),
+            function_hash: interner::fnv1a(event.function),
             lanes: event.lanes.max(1),
             memory: event.memory,
             // A deadline of ours may be met late by our own lag: told to the decisions as if the client gave up so
             // much earlier, or an answer that is just in time for them would come too late for it.
             // Twice the worst of late, as the next may be worse.
-            gives_up: now + event.left - (2 * host.net.lag()).min(event.left / 4) - margin,
-            hint: event.hint,
+            deadline: now + event.left - (2 * host.net.lag()).min(event.left / 4) - margin,
+            cost_hint: event.hint,
             load_hint: event.load_hint,
-            resent: event.resent,
+            is_retry: event.resent,
         };
-        let place = self.choice.next_place();
+        let place = self.choice.next_request_slot();
         self.choice.host.open(place, event, &arrival);
         debug!(
             event = event.id,
@@ -164,8 +164,8 @@
             left = event.left,
             "taken"
         );
-        self.choice.clock(now);
-        self.choice.arrive(arrival);
+        self.choice.advance_clock(now);
+        self.choice.request_arrived(arrival);
         place
     }
 
@@ -205,8 +205,8 @@
             host.counts.lapsed += 1;
             host.copy_lapsed(place);
             debug!(event = host.events[place].id, place, "lapsed");
-            self.choice.clock(now);
-            self.choice.lapsed(place);
+            self.choice.advance_clock(now);
+            self.choice.client_abandoned(place);
         }
     }
 
@@ -309,7 +309,7 @@
         let mut carrier = Carrier::new(net, &start.settings, start.setup);
         (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.me);
         carrier.way = way;
-        let choice = Choice::new(carrier, now, start.seed, start.settings)?;
+        let choice = Scheduler::new(carrier, now, start.seed, start.settings)?;
         let roster = Source {
             feed,
             conn: None,
@@ -504,7 +504,7 @@
     /// A worker left or started anew: what has not left for it is to be decided again.
     fn take_back(&mut self, wk: usize) {
         for key in self.core.choice.host.not_sent(wk) {
-            self.done(key, Outcome::Moot, 0);
+            self.done(key, Outcome::Discarded, 0);
             self.core.choice.host.unsent_over(key);
         }
         self.cut_late(0);
@@ -520,7 +520,7 @@
                     .choice
                     .host
                     .workers
-                    .text(self.core.choice.host.links[link].wk),
+                    .resolve(self.core.choice.host.links[link].wk),
                 "cut off: it drains and reads nothing"
             );
             self.core.net().reset(conn);
@@ -546,12 +546,12 @@
         // What passed while this process stood still is no evidence about a worker.
         let took = (now - at).saturating_sub(host.net.stood() - stood);
         host.finish(key);
-        self.core.choice.clock(now);
+        self.core.choice.advance_clock(now);
         match task {
             Task::Launch { evt, launch } => {
                 let over = !self.core.choice.host.events[evt].open;
                 let host = &self.core.choice.host;
-                let worker = host.workers.text(wk);
+                let worker = host.workers.resolve(wk);
                 debug!(
                     event = host.events[evt].id,
                     launch,
@@ -563,15 +563,15 @@
                 self.core.choice.host.copy_over(evt, launch, outcome);
                 self.core
                     .choice
-                    .ended(evt, launch, (outcome, took), over, count);
+                    .attempt_ended(evt, launch, (outcome, took), over, count);
             }
             Task::Hold { img } => {
                 let host = &self.core.choice.host;
-                let (function, worker) = (host.functions.text(img), host.workers.text(wk));
+                let (function, worker) = (host.functions.resolve(img), host.workers.resolve(wk));
                 debug!(function, worker, ?outcome, count, took, "held");
-                self.core.choice.held(img, wk, outcome, count);
+                self.core.choice.load_request_ended(img, wk, outcome, count);
             }
-            Task::Probe => self.core.choice.probed(wk, outcome),
+            Task::Probe => self.core.choice.health_check_ended(wk, outcome),
             Task::Vote {
                 voter,
                 ballot,
@@ -631,7 +631,7 @@
             .for_each(|key| host.outs[*key].link = usize::MAX);
         if !gone.greeted {
             debug!(
-                worker = host.workers.text(wk),
+                worker = host.workers.resolve(wk),
                 ?why,
                 waiting = gone.waiting.len(),
                 "no connection"
@@ -639,7 +639,7 @@
         }
         for key in gone.waiting {
             // Never sent: proven not run.
-            self.done(key, Outcome::NoConnection, 0);
+            self.done(key, Outcome::ConnectFailed, 0);
             self.core.choice.host.free(key);
         }
         for key in gone.sent {
@@ -708,9 +708,9 @@
     pub fn list(&mut self, entries: &[Entry], whole: bool) {
         let host = &mut self.core.choice.host;
         let now = host.net.now();
-        let entries: Vec<(usize, Listed)> = entries.iter().map(|e| host.listed(e)).collect();
-        self.core.choice.clock(now);
-        self.core.choice.list(&entries, whole);
+        let entries: Vec<(usize, Endpoint)> = entries.iter().map(|e| host.listed(e)).collect();
+        self.core.choice.advance_clock(now);
+        self.core.choice.update_endpoints(&entries, whole);
         if whole {
             self.core.choice.host.only(&entries);
         }
@@ -765,8 +765,8 @@
         let now = self.core.net().now();
         let wait = self.roster.feed.retry();
         self.core.net().set(now + wait, OF_ROSTER);
-        self.core.choice.clock(now);
-        self.core.choice.list_failed();
+        self.core.choice.advance_clock(now);
+        self.core.choice.endpoint_update_failed();
     }
 
     fn unsaved(&mut self) {
@@ -804,7 +804,7 @@
         let host = &mut self.core.choice.host;
         let listed: Vec<_> = entries.iter().map(|e: &Entry| host.listed(e)).collect();
         info!(workers = listed.len(), "last list");
-        self.core.choice.list(&listed, true);
+        self.core.choice.update_endpoints(&listed, true);
     }
 
     /// Reads messages and hands each on; a malformed one ends the connection with a word why.
@@ -912,11 +912,11 @@
         let wk = self.wk();
         let host = self.host();
         let now = host.net.now();
-        if role != "worker" || name != host.workers.text(wk) {
+        if role != "worker" || name != host.workers.resolve(wk) {
             // Another one has come to live at this address: nothing was sent, so nothing has run.
             return Err(format!(
                 "field name: {role} {name} answers for {}",
-                host.workers.text(wk)
+                host.workers.resolve(wk)
             ));
         }
         let known = host.known_life(wk);
@@ -924,8 +924,8 @@
             // It restarted before the roster told.
             debug!(worker = name, life, age, "started anew");
             if let Some(entry) = host.restarted(wk, life, age) {
-                self.gw.core.choice.clock(now);
-                self.gw.core.choice.list(&[(wk, entry)], false);
+                self.gw.core.choice.advance_clock(now);
+                self.gw.core.choice.update_endpoints(&[(wk, entry)], false);
             }
             while let Some(wk) = self.host().withdrawn.pop() {
                 self.gw.take_back(wk);
@@ -955,8 +955,8 @@
         if let Some(door) = gw.doors.get_mut(ticket.door) {
             door.begun(&mut gw.core.choice.host.net, ticket, payload);
         }
-        gw.core.choice.clock(now);
-        gw.core.choice.begun(evt, launch);
+        gw.core.choice.advance_clock(now);
+        gw.core.choice.response_started(evt, launch);
         Ok(())
     }
 
@@ -1013,8 +1013,8 @@
     fn reported(&mut self, in_flight: f64, busy: f64) {
         let wk = self.wk();
         let now = self.host().net.now();
-        self.gw.core.choice.clock(now);
-        self.gw.core.choice.reported(wk, in_flight, busy);
+        self.gw.core.choice.advance_clock(now);
+        self.gw.core.choice.load_reported(wk, in_flight, busy);
     }
 
     fn promised(&mut self, fields: &Fields) -> Result<(), String> {
@@ -1030,17 +1030,17 @@
         let wk = self.wk();
         let host = self.host();
         let now = host.net.now();
-        debug!(worker = host.workers.text(wk), "drains");
+        debug!(worker = host.workers.resolve(wk), "drains");
         if let Some(entry) = host.drains(wk) {
-            self.gw.core.choice.clock(now);
-            self.gw.core.choice.list(&[(wk, entry)], false);
+            self.gw.core.choice.advance_clock(now);
+            self.gw.core.choice.update_endpoints(&[(wk, entry)], false);
             self.gw.unsaved();
         }
     }
 
     fn said(&mut self, reason: &str) {
         let wk = self.wk();
-        warn!(worker = self.host().workers.text(wk), reason, "told");
+        warn!(worker = self.host().workers.resolve(wk), reason, "told");
     }
 }
 
@@ -1168,8 +1168,8 @@
         match host.way.clone().told(from, bytes) {
             Ok((peer, payload)) => {
                 let now = host.net.now();
-                self.core.choice.clock(now);
-                self.core.choice.told(peer, payload);
+                self.core.choice.advance_clock(now);
+                self.core.choice.peer_message_received(peer, payload);
                 self.settle();
             }
             Err(reason) => {
@@ -1183,8 +1183,8 @@
         let now = self.core.net().now();
         match token & OF_WHAT {
             OF_CHOICE => {
-                self.core.choice.clock(now);
-                self.core.choice.timer(token & !OF_WHAT);
+                self.core.choice.advance_clock(now);
+                self.core.choice.timer_fired(token & !OF_WHAT);
             }
             OF_OUT => {
                 if let Some(key) = self.core.choice.host.late((token & !OF_WHAT) as usize) {
@@ -1197,7 +1197,7 @@
                         if sent {
                             Outcome::TimedOut
                         } else {
-                            Outcome::NoConnection
+                            Outcome::ConnectFailed
                         },
                         0,
                     );
@@ -1291,11 +1291,11 @@
 const HANG_UP: i32 = 1;
 
 /// Where an entry's standing is told by a word.
-pub(crate) fn standing(word: &str) -> Result<Standing, String> {
+pub(crate) fn standing(word: &str) -> Result<EndpointState, String> {
     Ok(match word {
-        "on" => Standing::On,
-        "draining" => Standing::Draining,
-        "gone" => Standing::Gone,
+        "on" => EndpointState::Active,
+        "draining" => EndpointState::Draining,
+        "gone" => EndpointState::Removed,
         other => return Err(format!("field standing: '{other}' is no standing")),
     })
 }
--- a/crates/tidewall-gateway/src/list.rs
+++ b/crates/tidewall-gateway/src/list.rs
@@ -7,8 +7,8 @@
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::thread;
 use std::time::{Duration, SystemTime};
-use tidewall::host::{Standing, Time};
-use tidewall::ids;
+use tidewall::interface::{EndpointState, Time};
+use tidewall::interner;
 use tidewall_wire::{frame, kind, Entries, Field, Fields, Frame};
 use tracing::warn;
 
@@ -20,7 +20,7 @@
     pub zone: String,
     pub machine: String,
     pub cell: u32,
-    pub standing: Standing,
+    pub standing: EndpointState,
     pub rating: f64,
     /// Counts its starts; a higher one is a later start.
     pub life: u64,
@@ -48,9 +48,9 @@
 /// Writes an entry's fields, for the last list and for rosters.
 pub fn write<'a>(f: Frame<'a>, e: &Entry) -> Frame<'a> {
     let standing = match e.standing {
-        Standing::On => "on",
-        Standing::Draining => "draining",
-        Standing::Gone => "gone",
+        EndpointState::Active => "on",
+        EndpointState::Draining => "draining",
+        EndpointState::Removed => "gone",
     };
     let f = f
         .text(Field::Name, &e.name)
@@ -85,7 +85,7 @@
 fn sum(bytes: &[u8]) -> u64 {
     // The hash of ids serves: it guards against torn files, not against forgers.
     let text: String = bytes.iter().map(|b| char::from(*b)).collect();
-    ids::hash(&text)
+    interner::fnv1a(&text)
 }
 
 /// `passed` is how long ago it was written: workers have aged since.
--- a/crates/tidewall-gateway/src/native_way.rs
+++ b/crates/tidewall-gateway/src/native_way.rs
@@ -3,7 +3,7 @@
 use crate::retry::Retry;
 use crate::way::{Feed, Heard, Launched, Me, Name, Order, Told, Way};
 use std::net::SocketAddr;
-use tidewall::host::{Outcome, Time};
+use tidewall::interface::{Outcome, Time};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 
 pub struct NativeWay;
@@ -189,7 +189,7 @@
         "ok" => Outcome::Ok,
         "error" => Outcome::Error,
         // One that refuses as another member serves counts as full.
-        "full" | "fenced" => Outcome::Full,
+        "full" | "fenced" => Outcome::AtCapacity,
         "miss" => Outcome::Miss,
         "cancelled" => Outcome::Cancelled,
         other => return Err(format!("field outcome: '{other}' is no outcome")),
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -3,7 +3,7 @@
 use crate::carrier::{Carrier, Given, Held};
 use crate::door::{Ticket, Word, NOBODY};
 use std::collections::VecDeque;
-use tidewall::host::Outcome;
+use tidewall::interface::Outcome;
 use tidewall_failover::fate::Kind;
 use tidewall_failover::known::{Known, Place};
 use tidewall_failover::promise::Claim;
@@ -205,7 +205,7 @@
         .whole(Field::Place, place as u64)
         .whole(Field::Id, held.id);
     let f = f
-        .text(Field::Type, &types[a.typ])
+        .text(Field::Type, &types[a.class])
         .text(Field::Function, function);
     let f = match a.tenant {
         Some(tenant) => f.text(Field::Tenant, &tenants[tenant]),
@@ -222,8 +222,8 @@
     } else {
         f
     };
-    let f = if a.hint > 0 {
-        f.whole(Field::Hint, a.hint)
+    let f = if a.cost_hint > 0 {
+        f.whole(Field::Hint, a.cost_hint)
     } else {
         f
     };
@@ -244,8 +244,8 @@
         let (now, held) = (self.net.now(), &self.events[place]);
         let a = held.arrival();
         copy.ration.took(now);
-        copy.known.hold(a.typ, held.mark(), Place::Here(place));
-        let function = self.functions.text(a.function);
+        copy.known.hold(a.class, held.mark(), Place::Here(place));
+        let function = self.functions.resolve(a.function);
         copy.tell(&mut self.net, kind::TAKEN, |f| {
             taken(f, place, held, &self.types, &self.tenants, function, now)
         });
@@ -256,14 +256,14 @@
         let Some(copy) = &mut self.copy else { return };
         let held = &mut self.events[evt];
         held.unproven += 1;
-        let name = self.workers.text(self.outs[key].wk);
+        let name = self.workers.resolve(self.outs[key].wk);
         copy.tell(&mut self.net, kind::LAUNCHED, |f| {
             let f = f
                 .whole(Field::Place, evt as u64)
                 .whole(Field::Launch, launch as u64);
             f.text(Field::Name, name).end();
         });
-        let must = !copy.kind(held.arrival().typ).harmless() || !copy.two_at_once;
+        let must = !copy.kind(held.arrival().class).harmless() || !copy.two_at_once;
         if copy.waits && must {
             let now = self.net.now();
             copy.back.push_back((
@@ -283,7 +283,7 @@
         let Some(copy) = &mut self.copy else { return };
         let proven = matches!(
             outcome,
-            Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Miss
+            Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::Discarded | Outcome::Miss
         );
         let held = &mut self.events[evt];
         held.ends[launch] = Some(proven);
@@ -303,7 +303,7 @@
         let now = self.net.now();
         let copy = self.copy.as_mut()?;
         let held = &mut self.events[given.evt];
-        let typ = held.arrival().typ;
+        let typ = held.arrival().class;
         remember(copy, now, typ, held.mark(), given.word, payload);
         let (place, mark, types) = (given.evt as u64, held.mark(), &self.types);
         let unsure = copy.unsure;
@@ -337,7 +337,7 @@
         let now = self.net.now();
         let Some(copy) = &mut self.copy else { return };
         let held = &self.events[place];
-        let typ = held.arrival().typ;
+        let typ = held.arrival().class;
         if held.unproven > 0 && copy.kind(typ) != Kind::Redeliverable {
             remember(copy, now, typ, held.mark(), Word::DeadLettered, &[]);
         } else {
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -8,7 +8,7 @@
 use crate::{Core, Gateway, Owner, OF_PAIR, OF_VRRP};
 use copying::{remember, taken, word, Copying, Due, Later};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use tidewall::host::Standing;
+use tidewall::interface::EndpointState;
 use tidewall_failover::claim::{count, Ask};
 use tidewall_failover::fate::{self, fate, unknown, Fate, Kind};
 use tidewall_failover::known::Place;
@@ -294,7 +294,7 @@
             .choice
             .host
             .workers
-            .known(&self.parts.at.voters[voter])
+            .get(&self.parts.at.voters[voter])
     }
 
     /// All workers hear who serves, not only the voters.
@@ -942,7 +942,7 @@
                 parts.theirs[place] = Some(kept);
             }
             kind::LAUNCHED => {
-                let wk = host.workers.index(fields.text(Field::Name)?);
+                let wk = host.workers.intern(fields.text(Field::Name)?);
                 if let Some(kept) = parts.theirs.get_mut(place).and_then(Option::as_mut) {
                     kept.launches.push(fate::Launch {
                         wk,
@@ -1026,13 +1026,13 @@
                     if !held.open {
                         continue;
                     }
-                    let function = host.functions.text(held.arrival().function);
+                    let function = host.functions.resolve(held.arrival().function);
                     copy.tell(&mut host.net, kind::TAKEN, |f| {
                         taken(f, place, held, &host.types, &host.tenants, function, now)
                     });
                     // As it stands: so many that may have run, wherever. Their places are those of the launches.
                     for (launch, wk, proven) in host.launches_of(place) {
-                        let name = host.workers.text(wk).to_string();
+                        let name = host.workers.resolve(wk).to_string();
                         let copy = host.copy.as_mut().expect("a pair copies");
                         copy.tell(&mut host.net, kind::LAUNCHED, |f| {
                             let f = f
@@ -1092,7 +1092,7 @@
                 let gone = host
                     .wks
                     .get(wk)
-                    .is_none_or(|w| w.standing() == Standing::Gone);
+                    .is_none_or(|w| w.standing() == EndpointState::Removed);
                 gone || parts.fenced.get(wk).copied().unwrap_or(false)
             };
             let (kind, two) = (copy.kind(kept.typ), copy.two_at_once);
@@ -1123,7 +1123,7 @@
         let host = &mut self.core.choice.host;
         let fenced = |wk: usize| parts.fenced.get(wk).copied().unwrap_or(false);
         let mut wks = host.wks.iter().enumerate();
-        let all = wks.all(|(wk, w)| w.standing() == Standing::Gone || fenced(wk));
+        let all = wks.all(|(wk, w)| w.standing() == EndpointState::Removed || fenced(wk));
         if let Some(copy) = &mut host.copy {
             copy.fenced_all = all;
         }
--- a/crates/tidewall-gateway/src/way.rs
+++ b/crates/tidewall-gateway/src/way.rs
@@ -2,7 +2,7 @@
 //! from a worker, a `Feed` reads the list; neither knows sockets, time or outcomes, which are the carrier's.
 use crate::list::Entry;
 use std::net::SocketAddr;
-use tidewall::host::{Outcome, Time};
+use tidewall::interface::{Outcome, Time};
 use tidewall_wire::Fields;
 
 /// By what name a worker's answer comes back: the gateway's own number, or the event's id.
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::time::{Duration, Instant};
 use test_case::test_case;
-use tidewall::host::Standing;
+use tidewall::interface::EndpointState;
 use tidewall_gateway::list::{write, Beside, FileShelf, NoShelf, Shelf};
 use tidewall_net::{Net, Time};
 use tidewall_wire::{kind, Entries, Field, Frame};
@@ -112,7 +112,7 @@
 
 fn drained(s: &mut Site) {
     for e in &mut s.roster.entries {
-        e.standing = Standing::Draining;
+        e.standing = EndpointState::Draining;
     }
     s.roster.tell_all();
 }
@@ -178,10 +178,10 @@
     s.all_answered(11..31);
     assert_eq!(s.workers[0].launches(), 0);
     // Once the roster has noticed, its word holds; and so does that of another life.
-    s.roster.entries[0].standing = Standing::Draining;
+    s.roster.entries[0].standing = EndpointState::Draining;
     s.roster.tell_all();
     s.pass(100);
-    s.roster.entries[0].standing = Standing::On;
+    s.roster.entries[0].standing = EndpointState::Active;
     s.roster.tell_all();
     s.pass(100);
     s.ask(31..71, "check", 20_000);
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -297,7 +297,7 @@
         zone: "z".to_string(),
         machine: "k".to_string(),
         cell: 0,
-        standing: tidewall::host::Standing::On,
+        standing: tidewall::interface::EndpointState::Active,
         rating: 1.0,
         life: 1,
         age: 0,
--- a/crates/tidewall-platform-ingress/src/board.rs
+++ b/crates/tidewall-platform-ingress/src/board.rs
@@ -3,7 +3,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tidewall::host::{Standing, Time};
+use tidewall::interface::{EndpointState, Time};
 use tidewall_gateway::list::Entry;
 use tidewall_gateway::way::{Feed, Me, Told};
 use tidewall_platform::board;
@@ -66,14 +66,14 @@
 /// One host as the gateway's list has it. One that is removed may be told without an address.
 fn entry(host: &board::Host, now: u64) -> Result<Entry, String> {
     let standing = match host.state {
-        "up" => Standing::On,
-        "draining" => Standing::Draining,
-        _ => Standing::Gone,
+        "up" => EndpointState::Active,
+        "draining" => EndpointState::Draining,
+        _ => EndpointState::Removed,
     };
     let nowhere = || SocketAddr::from(([0, 0, 0, 0], 0));
     let at = match host.at.parse() {
         Ok(at) => at,
-        Err(_) if standing == Standing::Gone => nowhere(),
+        Err(_) if standing == EndpointState::Removed => nowhere(),
         Err(_) => {
             return Err(format!(
                 "field servers.addr: '{}'",
--- a/crates/tidewall-platform-ingress/src/lines.rs
+++ b/crates/tidewall-platform-ingress/src/lines.rs
@@ -1,5 +1,5 @@
 //! Hosts at the gateway's seam: their lines become what the gateway hears of a worker.
-use tidewall::host::{Outcome, Time};
+use tidewall::interface::{Outcome, Time};
 use tidewall_gateway::way::{Heard, Launched, Me, Name, Order, Way};
 use tidewall_platform::host::{self, Answers, Fields, Of};
 
@@ -102,9 +102,9 @@
         let outcome = match word {
             "ok" | "yes" => Outcome::Ok,
             "nothing" => Outcome::Miss,
-            "refused" => Outcome::Full,
+            "refused" => Outcome::AtCapacity,
             "error" | "no" => Outcome::Error,
-            "stale" => Outcome::Moot,
+            "stale" => Outcome::Discarded,
             other => return Err(format!("word: '{}'", tidewall_platform::shown(other))),
         };
         if !fields.gauges.is_empty() {
@@ -122,7 +122,7 @@
             (Of::Trace(_), "yes" | "no") => Err(format!("word: '{word}' for a launch")),
             (Of::Trace(trace), _) => {
                 // Company is told with these two alone.
-                let told = matches!(outcome, Outcome::Ok | Outcome::Full);
+                let told = matches!(outcome, Outcome::Ok | Outcome::AtCapacity);
                 let company = if told {
                     fields.company.min(COMPANY_MOST)
                 } else {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,12 +1,12 @@
 //! All decisions of the router, one instance for each gateway. How it is called: `new` with the host, the
 //! clock, a seed and the settings; then `clock` before each thing that happens, and one method for each of
 //! those: `list`, `list_failed`, `arrive` (after `next_place` named the event's place), `begun`, `ended`,
-//! `lapsed`, `timer`, `reported`, `probed`, `held`, `told`. It acts by calling the `Host` of `src/host.rs`
+//! `lapsed`, `timer`, `reported`, `probed`, `held`, `told`. It acts by calling the `SchedulerActions` of `src/host.rs`
 //! and knows no wire. Workers, functions and events come as small indices. The mechanism is that of
 //! docs/design.md; what departs from it is marked "Departure" here and explained there.
-use crate::chance::{mix, Chance};
-use crate::host::{Arrival, Host, Listed, Outcome, Standing, Time};
-use crate::settings::{are_good, Named, Settings};
+use crate::interface::{Endpoint, EndpointState, Outcome, RequestInfo, SchedulerActions, Time};
+use crate::random::{mix_hashes, RandomGenerator};
+use crate::settings::{validate, Settings, SettingsReader};
 use crate::state::*;
 use slab::Slab;
 use std::collections::VecDeque;
@@ -19,45 +19,46 @@
 const SWEEP: Time = 10 * MS;
 
 /// A step of the counts that slide over twenty of them: the page's two seconds for R.
-pub const RATE_STEP: Time = SECOND / 10;
+pub const COUNTER_STEP: Time = SECOND / 10;
 
 /// More launches than this an event never gets, whatever the settings allow.
-pub const MOST_LAUNCHES: usize = 8;
+pub const MAX_ATTEMPTS: usize = 8;
 
-pub struct Choice<H> {
+pub struct Scheduler<H> {
     pub host: H,
     now: Time,
     started: Time,
-    chance: Chance,
+    chance: RandomGenerator,
     settings: Settings,
-    types: Vec<EventType>,
+    types: Vec<RequestClass>,
     tenants: Vec<Tenant>,
     workers: Vec<Worker>,
     functions: Vec<Function>,
-    events: Slab<Evt>,
+    events: Slab<Request>,
     waiting: VecDeque<usize>,
     orders: VecDeque<Time>,
     arrivals: VecDeque<Time>,
     /// The sweep up to which counts were checked.
     checked: Time,
-    arrived: Rate,
-    strained: Rate,
+    arrived: SlidingCounter,
+    strained: SlidingCounter,
     missed: f64,
     doubt: f64,
     /// Standard cores that a unit of rating stands for, as busy workers' answers show.
     pace: f64,
-    told: Told,
+    told: SchedulerConfig,
 }
 
-impl<H: Host> Choice<H> {
-    pub fn new(host: H, now: Time, seed: u64, settings: Settings) -> Result<Choice<H>, String> {
-        are_good(&settings)?;
-        let types = (0..settings.number("classes.count") as usize).map(|i| settings.event_type(i));
+impl<H: SchedulerActions> Scheduler<H> {
+    pub fn new(host: H, now: Time, seed: u64, settings: Settings) -> Result<Scheduler<H>, String> {
+        validate(&settings)?;
+        let types = (0..settings.number("classes.count") as usize).map(|i| settings.request_class(i));
         // The page's start: a tenth of the target time.
-        let start = |t: EventType| EventType { felt: t.target as f64, run: t.target as f64 / 10.0, ..t };
-        let types: Vec<EventType> = types.map(start).collect();
+        let start =
+            |t: RequestClass| RequestClass { felt: t.target as f64, run: t.target as f64 / 10.0, ..t };
+        let types: Vec<RequestClass> = types.map(start).collect();
         let tenants = (0..settings.number("tenants.count") as usize).map(|i| settings.tenant(i)).collect();
-        let (mut told, minute) = (settings.told(), 60 * SECOND);
+        let (mut told, minute) = (settings.scheduler_config(), 60 * SECOND);
         told.many = told.siblings >= 8.0; // well between the fleets seen, of 3 and of 20 and more
         told.looks &= told.many && settings.number("deductions.probe") < LOOKS_BRING / 2.0;
         // Siblings renew copies too: with S gateways a silence of S keep-alives here is one of a keep-alive
@@ -74,11 +75,11 @@
         // The safe way where they are not told: what a worker can do by now, over any second.
         told.tip = if told.tip > 0.0 { told.tip } else { 1.0 };
         told.tips = if told.tips > 0 { told.tips } else { SECOND };
-        let mut choice = Choice {
+        let mut choice = Scheduler {
             host,
             now,
             started: now,
-            chance: Chance::new(seed),
+            chance: RandomGenerator::new(seed),
             settings,
             told,
             types,
@@ -90,52 +91,53 @@
             orders: VecDeque::new(),
             arrivals: VecDeque::new(),
             checked: now / SWEEP,
-            arrived: Rate::default(),
-            strained: Rate::default(),
+            arrived: SlidingCounter::default(),
+            strained: SlidingCounter::default(),
             missed: 0.0,
             doubt: 0.0,
             pace: 1.0,
         };
         if choice.told.asks {
-            choice.host.follow(true);
+            choice.host.watch_endpoints(true);
         }
-        choice.host.timer(choice.told.sweep, 0);
+        choice.host.set_timer(choice.told.sweep, 0);
         Ok(choice)
     }
 
-    pub fn clock(&mut self, now: Time) {
+    pub fn advance_clock(&mut self, now: Time) {
         self.now = self.now.max(now);
     }
 
-    pub fn list(&mut self, entries: &[(usize, Listed)], whole: bool) {
+    pub fn update_endpoints(&mut self, entries: &[(usize, Endpoint)], whole: bool) {
         for wk in 0..self.workers.len() {
             if whole && !entries.iter().any(|e| e.0 == wk) {
-                self.leave(wk, Standing::Gone);
+                self.leave(wk, EndpointState::Removed);
             }
         }
         for &(wk, listed) in entries {
             self.workers.resize_with(self.workers.len().max(wk + 1), Worker::default);
             let known = self.workers[wk].listed;
-            if listed.standing != Standing::On {
-                self.leave(wk, listed.standing);
-            } else if known.standing != Standing::On || known.since < listed.since {
+            if listed.state != EndpointState::Active {
+                self.leave(wk, listed.state);
+            } else if known.state != EndpointState::Active || known.started_at < listed.started_at {
                 // New, restarted or back from the dead: nothing that was learned of it holds; it is empty.
                 let in_flight = self.workers[wk].in_flight;
                 let luck = f64::from(self.chance.below(1000) + 1) / 1000.0;
                 self.workers[wk] =
                     Worker { listed, in_flight, luck, bound: BOUND_START, ..Worker::default() };
                 // One that was here before comes back empty; of a new one nothing is known.
-                let copies = if known.hash != 0 { Copies::Absent } else { Copies::Unknown };
+                let copies =
+                    if known.name_hash != 0 { InstanceState::Absent } else { InstanceState::Unknown };
                 (0..self.functions.len()).for_each(|f| self.seat(f, wk, copies));
             }
         }
     }
 
     /// A worker that drains or is gone gets nothing more from the moment that this gateway hears of it.
-    fn leave(&mut self, wk: usize, standing: Standing) {
-        self.workers[wk].listed.standing = standing;
+    fn leave(&mut self, wk: usize, standing: EndpointState) {
+        self.workers[wk].listed.state = standing;
         for s in self.functions.iter_mut().flat_map(|f| &mut f.seats).filter(|s| s.wk == wk) {
-            s.copies = Copies::Unknown;
+            s.copies = InstanceState::Unknown;
         }
     }
 
@@ -144,8 +146,8 @@
     pub fn forget_worker(&mut self, wk: usize) -> bool {
         let Some(w) = self.workers.get(wk) else { return true };
         let seat = |f: &Function| f.seats.iter().any(|s| s.wk == wk);
-        let used = |e: &Evt| e.looks.contains(&wk) || e.sent().iter().any(|l| l.wk == wk);
-        let gone = w.listed.standing == Standing::Gone && w.in_flight == 0;
+        let used = |e: &Request| e.looks.contains(&wk) || e.sent().iter().any(|l| l.wk == wk);
+        let gone = w.listed.state == EndpointState::Removed && w.in_flight == 0;
         let free = gone && !self.functions.iter().any(seat) && !self.events.iter().any(|e| used(e.1));
         if free {
             self.workers[wk] = Worker::default();
@@ -154,10 +156,10 @@
     }
 
     /// A subscription may have broken: asking anew is always allowed, at the next timer of its own.
-    pub fn list_failed(&mut self) {
+    pub fn endpoint_update_failed(&mut self) {
         // Well within the time after which what was listed counts as told.
         let wait = self.spread(SECOND.min(self.told.within / 2).max(MS));
-        self.host.timer(wait, 1);
+        self.host.set_timer(wait, 1);
     }
 
     /// Three quarters to five quarters of a span. Guards against whatever strikes many functions or gateways
@@ -168,22 +170,29 @@
 
     /// The worker's place in the function's shared order: rendezvous hashing of the two id texts, so every
     /// gateway finds the same order whatever it learned first.
-    fn seat(&mut self, f: usize, wk: usize, copies: Copies) {
+    fn seat(&mut self, f: usize, wk: usize, copies: InstanceState) {
         let f = &mut self.functions[f];
         if !f.live {
             return;
         }
         if let Some(s) = f.seats.iter_mut().find(|s| s.wk == wk) {
             // It started anew: empty.
-            let Seat { flight, pending, asks, .. } = *s;
-            *s = Seat { wk, flight, pending, asks, copies: Copies::Absent, ..Seat::default() };
+            let Placement { flight, pending, asks, .. } = *s;
+            *s = Placement {
+                wk,
+                flight,
+                pending,
+                asks,
+                copies: InstanceState::Absent,
+                ..Placement::default()
+            };
             return;
         }
         let (hash, workers) = (f.hash, &self.workers);
-        let weight = |h: u64| (mix(h, hash), h);
-        let own = weight(workers[wk].listed.hash);
-        let at = f.seats.partition_point(|s| weight(workers[s.wk].listed.hash) > own);
-        f.seats.insert(at, Seat { wk, copies, ..Seat::default() });
+        let weight = |h: u64| (mix_hashes(h, hash), h);
+        let own = weight(workers[wk].listed.name_hash);
+        let at = f.seats.partition_point(|s| weight(workers[s.wk].listed.name_hash) > own);
+        f.seats.insert(at, Placement { wk, copies, ..Placement::default() });
         let over = f.seats.len() > SEATS.max(2 * f.n);
         f.seats.pop_if(|s| over && s.still());
     }
@@ -191,8 +200,8 @@
     /// The workers that come first in the order have their seats.
     fn fill(&mut self, f: usize) {
         for wk in 0..self.workers.len() {
-            if self.workers[wk].listed.standing != Standing::Gone && self.seat_of(f, wk).is_none() {
-                self.seat(f, wk, Copies::Unknown);
+            if self.workers[wk].listed.state != EndpointState::Removed && self.seat_of(f, wk).is_none() {
+                self.seat(f, wk, InstanceState::Unknown);
             }
         }
     }
@@ -201,13 +210,13 @@
         self.functions.get(f)?.seats.iter().position(|s| s.wk == wk)
     }
 
-    pub fn next_place(&self) -> usize {
+    pub fn next_request_slot(&self) -> usize {
         self.events.vacant_key()
     }
 
-    pub fn arrive(&mut self, arrival: Arrival) {
+    pub fn request_arrived(&mut self, arrival: RequestInfo) {
         let (now, f) = (self.now, arrival.function);
-        let e = self.events.insert(Evt { arrival, came: now, ..Evt::default() });
+        let e = self.events.insert(Request { arrival, came: now, ..Request::default() });
         // Here too: it may be hours to the next order.
         self.forget_old(self.told.ration.0);
         self.arrived.add(now, 1);
@@ -221,14 +230,14 @@
         // A try that ends before the next sweep could answer it, or before half its usual run is over, is
         // answered now: its launch would be wasted work. Guards against storms of late repeats, whatever
         // makes clients repeat; it could turn away an event that is far lighter than it looks.
-        let soonest = usual(&self.types[arrival.typ], &arrival) as Time / 2;
-        if now + soonest.max(self.told.sweep + 2 * self.told.tick) >= arrival.gives_up {
+        let soonest = usual(&self.types[arrival.class], &arrival) as Time / 2;
+        if now + soonest.max(self.told.sweep + 2 * self.told.tick) >= arrival.deadline {
             return self.give_up(e, 0);
         }
         self.place(e);
     }
 
-    fn know(&mut self, arrival: &Arrival) {
+    fn know(&mut self, arrival: &RequestInfo) {
         let f = arrival.function;
         self.functions.resize_with(self.functions.len().max(f + 1), Function::default);
         if self.functions[f].live {
@@ -236,7 +245,7 @@
         }
         // Starting the rotation by chance keeps gateways from marching in step.
         let (hash, turn) = (arrival.function_hash, self.chance.below(64) as usize);
-        let (typ, lanes) = (arrival.typ, arrival.lanes.max(1));
+        let (typ, lanes) = (arrival.class, arrival.lanes.max(1));
         self.functions[f] = Function { hash, live: true, typ, lanes, turn, ..Function::default() };
         self.fill(f);
         self.ask(f);
@@ -255,7 +264,7 @@
             let wk = self.functions[f].seats[s].wk;
             if self.trusted(wk) {
                 self.functions[f].seats[s].asks += 1;
-                self.host.hold(f, wk, 0);
+                self.host.send_load_request(f, wk, 0);
             }
         }
     }
@@ -287,7 +296,7 @@
         let seen = per_second(function.rate.seen(now, started));
         // Departure: where a run is longer than the span of R, R is that of the events in hand, by Little's
         // law; one event in two seconds would buy a copy for every two seconds of its run.
-        let long = run * SECOND as f64 > (20 * RATE_STEP) as f64;
+        let long = run * SECOND as f64 > (20 * COUNTER_STEP) as f64;
         let mut rate = if long { f64::from(function.events) / run } else { seen };
         if many && function.run > 0.0 {
             // Departure: R of all gateways, by Little's law from the company that own events met at the first
@@ -328,21 +337,21 @@
     /// Departure: among many gateways a worker without room for a copy is passed over for a while, and the
     /// next of the order takes its place; each event would miss there once more. So is a cold one in which
     /// this gateway's share is used up: after a release most are, and no event could go to the first n.
-    fn open(&self, f: usize, seat: &Seat) -> bool {
+    fn open(&self, f: usize, seat: &Placement) -> bool {
         // Where nobody may order a load, one that lacks the function is passed over too.
-        let full = || seat.barred_until > self.now && seat.copies == Copies::Absent;
+        let full = || seat.barred_until > self.now && seat.copies == InstanceState::Absent;
         self.trusted(seat.wk)
             && !((self.told.many || !self.told.orders) && full())
             && (!self.told.many || self.cold_room(seat.wk, self.functions[f].typ))
     }
 
     fn trusted(&self, wk: usize) -> bool {
-        self.workers[wk].listed.standing == Standing::On && self.workers[wk].out_until <= self.now
+        self.workers[wk].listed.state == EndpointState::Active && self.workers[wk].out_until <= self.now
     }
 
     /// A copy stands as far as is known: a sign of it is young enough.
-    fn stands(&self, seat: &Seat) -> bool {
-        seat.copies == Copies::Standing && (seat.flight > 0 || self.now < seat.renewed + self.told.keep)
+    fn stands(&self, seat: &Placement) -> bool {
+        seat.copies == InstanceState::Loaded && (seat.flight > 0 || self.now < seat.renewed + self.told.keep)
     }
 
     /// Hold orders: the first n are to have their copies, and copies in use are renewed.
@@ -359,9 +368,9 @@
             place += 1;
             // Half the keep-alive: one renewal lost still leaves time for another. Use renews by itself.
             let aged = self.now > seat.renewed + half && self.now < self.functions[f].last + half;
-            let unknown = seat.copies == Copies::Unknown && (place > 1 || !self.told.presumes);
-            let missing = unknown || seat.copies == Copies::Absent;
-            if seat.pending == 0 && (missing || aged && seat.copies == Copies::Standing) {
+            let unknown = seat.copies == InstanceState::Unknown && (place > 1 || !self.told.presumes);
+            let missing = unknown || seat.copies == InstanceState::Absent;
+            if seat.pending == 0 && (missing || aged && seat.copies == InstanceState::Loaded) {
                 self.hold(f, s, copies as u32, missing);
             }
         }
@@ -393,7 +402,7 @@
         let (now, seat) = (self.now, self.functions[f].seats[s]);
         // Among many gateways the first launch shows whether there is such a function; no order goes before.
         let shown = self.functions[f].shown || !self.told.presumes;
-        let on = self.workers[seat.wk].listed.standing == Standing::On && seat.barred_until <= now;
+        let on = self.workers[seat.wk].listed.state == EndpointState::Active && seat.barred_until <= now;
         if !self.told.orders || !on || !shown || seat.pending > 0 {
             return false;
         }
@@ -416,11 +425,11 @@
         }
         let seat = &mut self.functions[f].seats[s];
         seat.pending += 1;
-        if seat.copies != Copies::Standing {
-            seat.copies = Copies::Ordered;
+        if seat.copies != InstanceState::Loaded {
+            seat.copies = InstanceState::Loading;
         }
         seat.renewed = now;
-        self.host.hold(f, seat.wk, copies.clamp(1, 16));
+        self.host.send_load_request(f, seat.wk, copies.clamp(1, 16));
         true
     }
 
@@ -437,15 +446,16 @@
         } else if out > 0 {
             return;
         } else {
-            let (function, typ) = (&self.functions[f], &self.types[arrival.typ]);
+            let (function, typ) = (&self.functions[f], &self.types[arrival.class]);
             let crowded = self.usable(f).take(function.n.max(1)).any(|s| self.stands(&function.seats[s]));
             // A load that comes after the client gave up is no hope: answered at once, with a time by which
             // it is there. One at a worker that left is none; one overdue is, up to three times the usual.
             let load = if function.load > 0.0 { function.load as Time } else { arrival.load_hint };
-            let out = function.seats.iter().filter(|s| s.copies == Copies::Ordered && self.trusted(s.wk));
+            let out =
+                function.seats.iter().filter(|s| s.copies == InstanceState::Loading && self.trusted(s.wk));
             let due = out.map(|s| s.renewed + load).filter(|d| now <= d + 2 * load || load == 0).min();
             let ends = |due: &Time| now.max(*due) + usual(typ, &arrival) as Time;
-            if let Some(due) = due.filter(|d| !crowded && ends(d) > arrival.gives_up) {
+            if let Some(due) = due.filter(|d| !crowded && ends(d) > arrival.deadline) {
                 return self.give_up(e, due.saturating_sub(now));
             }
             // With copies that have no room it waits an eighth of the target time at most, in overload half
@@ -479,7 +489,7 @@
             if now >= w.seen_at + LOOK_HOLDS {
                 if w.probe_at <= w.seen_at {
                     w.probe_at = now;
-                    self.host.probe(wk);
+                    self.host.send_health_check(wk);
                 }
                 wait |= now < w.probe_at + self.told.look;
             }
@@ -518,9 +528,9 @@
     }
 
     /// Benefit of an event from 0 to 1, against the most that any type brings; less beyond a tenant's share.
-    fn worth(&mut self, arrival: &Arrival) -> f64 {
+    fn worth(&mut self, arrival: &RequestInfo) -> f64 {
         let most = self.types.iter().fold(0.0, |m, t| t.benefit.max(m));
-        let typ = &self.types[arrival.typ];
+        let typ = &self.types[arrival.class];
         let mut worth = if most > 0.0 { typ.benefit / most } else { 1.0 };
         // One that will hardly be answered within its target time brings what a late answer does.
         if usual(typ, arrival) > wanted(typ, arrival) {
@@ -552,7 +562,7 @@
             }
             // Departure: among many gateways a copy of which nothing is known is presumed to stand, siblings
             // use it; a miss costs a round trip, and then the page's order goes out.
-            let unknown = seat.copies == Copies::Unknown && hopes;
+            let unknown = seat.copies == InstanceState::Unknown && hopes;
             let near = place < heads || self.told.presumes && self.missed < 0.1;
             let presumed = many && unknown && near && (self.told.presumes || !shown);
             let ready = presumed || self.stands(&seat) || !self.told.on_miss;
@@ -601,7 +611,7 @@
     /// together: three quarters of the workers' mean (tried: 1.25, 1, 0.75; evener was better) and one, so
     /// that small numbers do not bind. Lanes alone let the homes of hot functions jam while others idle.
     fn even_bound(&self) -> f64 {
-        let on = self.workers.iter().filter(|w| w.listed.standing == Standing::On);
+        let on = self.workers.iter().filter(|w| w.listed.state == EndpointState::Active);
         let (count, sum) = on.fold((0u32, 0), |(c, s), w| (c + 1, s + w.in_flight));
         0.75 * f64::from(sum) / f64::from(count.max(1)) + 1.0
     }
@@ -610,32 +620,37 @@
     fn may_launch(&self, e: usize, wk: usize) -> bool {
         let evt = &self.events[e];
         let w = &self.workers[wk];
-        let open = !evt.over && !evt.streaming && self.now + self.told.tick < evt.arrival.gives_up;
+        let open = !evt.over && !evt.streaming && self.now + self.told.tick < evt.arrival.deadline;
         let alone = evt.out() == 0 || self.told.twice;
         // Not again to a worker that has it or has failed it; after a miss it may go back, and where only few
         // may have it, also after a broken connection: the worker may be well and its copy stands.
-        let few = matches!(self.types[evt.arrival.typ].repeat, Repeat::Keyed(Group::Zone | Group::Cell, _));
-        let back = |s: State| s == State::ProvenNotRun || few && s == State::Broke;
+        let few = matches!(
+            self.types[evt.arrival.class].repeat,
+            RetrySafety::IdempotencyKey(KeyScope::Zone | KeyScope::Cell, _)
+        );
+        let back =
+            |s: AttemptState| s == AttemptState::NotExecuted || few && s == AttemptState::ConnectionLost;
         let again = evt.sent().iter().any(|l| l.wk == wk && !back(l.state));
-        if !open || !alone || again || w.listed.standing != Standing::On || evt.count >= self.told.most {
+        if !open || !alone || again || w.listed.state != EndpointState::Active || evt.count >= self.told.most
+        {
             return false;
         }
-        let unproven = || evt.sent().iter().filter(|l| l.state != State::ProvenNotRun);
-        let allowed = match self.types[evt.arrival.typ].repeat {
-            Repeat::Redeliverable => true,
-            Repeat::AtMostOnce => evt.proven_not_run(),
-            Repeat::Keyed(group, window) => unproven().all(|l| {
+        let unproven = || evt.sent().iter().filter(|l| l.state != AttemptState::NotExecuted);
+        let allowed = match self.types[evt.arrival.class].repeat {
+            RetrySafety::Idempotent => true,
+            RetrySafety::NonIdempotent => evt.proven_not_run(),
+            RetrySafety::IdempotencyKey(group, window) => unproven().all(|l| {
                 let o = &self.workers[l.wk];
                 let near = match group {
-                    Group::All => true,
-                    Group::Zone => o.listed.zone == w.listed.zone,
-                    Group::Cell => o.listed.cell == w.listed.cell,
+                    KeyScope::All => true,
+                    KeyScope::Zone => o.listed.zone == w.listed.zone,
+                    KeyScope::Cell => o.listed.cell == w.listed.cell,
                 };
                 // It may have run as soon as it was sent; the next may take effect as late as it can leave.
                 near && self.now + self.told.reach + self.told.tick < l.at + window
             }),
         };
-        allowed && self.cold_room(wk, evt.arrival.typ)
+        allowed && self.cold_room(wk, evt.arrival.class)
     }
 
     /// The budget of a cold worker. What it can take is told nowhere: this gateway's own share of it is what
@@ -648,7 +663,7 @@
         const SHARE: f64 = 0.6;
         let w = &self.workers[wk];
         let Some(part) = self.cold_part(w) else { return true };
-        let warm = |o: &&Worker| o.listed.standing == Standing::On && self.cold_part(o).is_none();
+        let warm = |o: &&Worker| o.listed.state == EndpointState::Active && self.cold_part(o).is_none();
         let done = self.workers.iter().filter(warm).map(|o| (o.done.recent(self.now), o.listed.rating));
         let (count, work, ratings) =
             done.fold((0.0, 0.0, 0.0), |(n, sum, r), o| (n + 1.0, sum + f64::from(o.0) / 2.0, r + o.1));
@@ -666,9 +681,9 @@
 
     /// How warm a worker is at the least, None when it is warm.
     fn cold_part(&self, w: &Worker) -> Option<f64> {
-        let age = self.now.saturating_sub(w.listed.since);
+        let age = self.now.saturating_sub(w.listed.started_at);
         let (cold, from) = self.told.cold;
-        (w.listed.since > 0 && age < cold).then(|| from + (1.0 - from) * age as f64 / cold as f64)
+        (w.listed.started_at > 0 && age < cold).then(|| from + (1.0 - from) * age as f64 / cold as f64)
     }
 
     fn launch(&mut self, e: usize, s: usize) {
@@ -678,22 +693,22 @@
         let seat = &mut function.seats[s];
         let w = &mut self.workers[seat.wk];
         let seen = if now < w.seen_at + LOOK_HOLDS { w.seen } else { -1.0 };
-        evt.launches[evt.count] = Launch { wk: seat.wk, at: now, seen, state: State::Out };
+        evt.launches[evt.count] = Attempt { wk: seat.wk, at: now, seen, state: AttemptState::InFlight };
         evt.count += 1;
         evt.waiting = false;
         seat.flight += 1;
         w.in_flight += 1;
-        if w.listed.since > 0 {
+        if w.listed.started_at > 0 {
             while w.budget.front().is_some_and(|b| b.0 + window < now) {
                 w.budget.pop_front();
             }
-            w.budget.push_back((now, evt.arrival.typ));
+            w.budget.push_back((now, evt.arrival.class));
         }
         // A tenant's share is used by what is launched for it; a storm of repeats alone does not use it up.
         if let Some(t) = evt.arrival.tenant.filter(|_| evt.count == 1) {
             self.tenants[t].rate.add(now, 1);
         }
-        self.host.launch(e, seat.wk, 0);
+        self.host.send_attempt(e, seat.wk, 0);
     }
 
     /// A final answer of our own, at once: a deferral where that is harmless, else a dead letter.
@@ -702,21 +717,21 @@
         if evt.over || evt.streaming {
             return;
         }
-        let harmless = match self.types[evt.arrival.typ].repeat {
-            Repeat::Redeliverable | Repeat::Keyed(Group::All, _) => true,
-            Repeat::Keyed(..) | Repeat::AtMostOnce => evt.proven_not_run(),
+        let harmless = match self.types[evt.arrival.class].repeat {
+            RetrySafety::Idempotent | RetrySafety::IdempotencyKey(KeyScope::All, _) => true,
+            RetrySafety::IdempotencyKey(..) | RetrySafety::NonIdempotent => evt.proven_not_run(),
         };
         if harmless {
             // Spread over half to all of a tenth of the target time, so that those deferred together do not
             // come back together, and come in time (a quarter, and the longest allowed, did worse).
             // What waits for a load comes back when that is due.
-            let (target, longest) = (self.types[evt.arrival.typ].target, self.told.back);
+            let (target, longest) = (self.types[evt.arrival.class].target, self.told.back);
             let wait = (target / 10).max(2 * due).min(longest) as u32;
             // Where a time may be told it is never none, which would read as "at once" or as untold.
             let wait = (wait / 2 + self.chance.below(wait / 2 + 1)).max(u32::from(longest > 0));
-            self.host.defer(e, Time::from(wait));
+            self.host.reject(e, Time::from(wait));
         } else {
-            self.host.dead_letter(e);
+            self.host.fail(e);
         }
         self.conclude(e);
     }
@@ -727,15 +742,15 @@
         self.functions[evt.arrival.function].events -= u32::from(!evt.over);
         (evt.over, evt.waiting) = (true, false);
         if !evt.streaming {
-            self.call_off(e, MOST_LAUNCHES);
+            self.call_off(e, MAX_ATTEMPTS);
         }
         if self.events[e].out() == 0 {
             self.events.remove(e);
-            self.host.release(e);
+            self.host.release_request(e);
         }
     }
 
-    pub fn begun(&mut self, e: usize, launch: usize) {
+    pub fn response_started(&mut self, e: usize, launch: usize) {
         let Some(evt) = self.events.get_mut(e) else { return };
         evt.streaming = true;
         self.call_off(e, launch);
@@ -745,37 +760,40 @@
     fn call_off(&mut self, e: usize, but: usize) {
         for i in 0..self.events[e].count {
             let state = self.events[e].launches[i].state;
-            let out = i != but && matches!(state, State::Out | State::Overdue);
+            let out = i != but && matches!(state, AttemptState::InFlight | AttemptState::Overdue);
             if out && self.told.cancel {
-                self.events[e].launches[i].state = State::Cancelled;
-                self.host.cancel(e, i);
+                self.events[e].launches[i].state = AttemptState::Cancelled;
+                self.host.cancel_attempt(e, i);
             }
         }
     }
 
-    pub fn lapsed(&mut self, e: usize) {
+    pub fn client_abandoned(&mut self, e: usize) {
         let Some(evt) = self.events.get(e).filter(|evt| !evt.over) else { return };
         // Clients that leave early, unannounced, want their answers before that: latencies are judged by it.
         // One leaving moves it eight times as far as an answer moves it back, so a few in a hundred do not
         // matter. Where they leave for a reason of their own, it only makes the bounds tighter. Before the
         // usual latency nobody can have waited for an answer: guards against hundreds withdrawn at once.
-        let (age, typ) = ((self.now - evt.came) as f64, &mut self.types[evt.arrival.typ]);
-        if self.now + self.told.sweep < evt.arrival.gives_up && (typ.run..typ.felt).contains(&age) {
+        let (age, typ) = ((self.now - evt.came) as f64, &mut self.types[evt.arrival.class]);
+        if self.now + self.told.sweep < evt.arrival.deadline && (typ.run..typ.felt).contains(&age) {
             typ.felt = smooth(typ.felt, age);
         }
         self.conclude(e);
     }
 
-    pub fn ended(&mut self, e: usize, launch: usize, how: (Outcome, Time), over: bool, note: u32) {
+    pub fn attempt_ended(&mut self, e: usize, launch: usize, how: (Outcome, Time), over: bool, note: u32) {
         let (outcome, took) = how;
         let known = self.events.get_mut(e).filter(|evt| launch < evt.count);
         let Some(evt) = known.filter(|evt| is_out(evt.launches[launch].state)) else { return };
-        let Launch { wk, at, state, seen } = evt.launches[launch];
-        let proven = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Miss);
+        let Attempt { wk, at, state, seen } = evt.launches[launch];
+        let proven = matches!(
+            outcome,
+            Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::Discarded | Outcome::Miss
+        );
         evt.launches[launch].state = match outcome {
-            Outcome::Reset => State::Broke,
-            _ if proven => State::ProvenNotRun,
-            _ => State::MayHaveRun,
+            Outcome::Reset => AttemptState::ConnectionLost,
+            _ if proven => AttemptState::NotExecuted,
+            _ => AttemptState::MayHaveExecuted,
         };
         let arrival = evt.arrival;
         let (f, now) = (arrival.function, self.now);
@@ -783,7 +801,7 @@
         self.show(f, outcome);
         let s = self.seat_of(f, wk).expect("a launch that is out keeps its function's seat");
         self.functions[f].seats[s].flight -= 1;
-        if matches!(outcome, Outcome::Ok | Outcome::Full) {
+        if matches!(outcome, Outcome::Ok | Outcome::AtCapacity) {
             let function = &mut self.functions[f];
             let company = f64::from(note >> 3);
             function.seats[s].crowd += (company - function.seats[s].crowd) / 2.0;
@@ -796,8 +814,8 @@
             }
         }
         self.missed += (f64::from(u8::from(outcome == Outcome::Miss)) - self.missed) / 32.0;
-        if outcome == Outcome::Ok && seen > 0.0 && arrival.hint > 0 {
-            let pace = (seen * arrival.hint as f64 / took as f64).min(8.0);
+        if outcome == Outcome::Ok && seen > 0.0 && arrival.cost_hint > 0 {
+            let pace = (seen * arrival.cost_hint as f64 / took as f64).min(8.0);
             self.pace += (pace - self.pace) / if pace > self.pace { 16.0 } else { 32.0 };
         }
         match outcome {
@@ -807,15 +825,15 @@
                 // the first n was only used because a copy was thought to stand there.
                 let head = self.usable(f).take(self.functions[f].n.max(1)).any(|h| h == s);
                 let seat = &mut self.functions[f].seats[s];
-                if seat.copies != Copies::Ordered {
-                    seat.copies = Copies::Absent;
+                if seat.copies != InstanceState::Loading {
+                    seat.copies = InstanceState::Absent;
                 }
                 seat.barred_until = if self.told.orders { seat.barred_until } else { now + self.told.keep };
                 if head {
                     self.hold(f, s, 1, true);
                 }
             }
-            Outcome::Full => {
+            Outcome::AtCapacity => {
                 self.strained.add(now, 1);
                 self.cut(wk);
             }
@@ -824,14 +842,14 @@
             Outcome::Reset if self.workers[wk].broke_at == now => {}
             // A call of what does not exist, or a load that failed, is not the worker's fault.
             Outcome::Error if note & 7 == 4 || !self.functions[f].shown => {}
-            Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset | Outcome::Error => {
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset | Outcome::Error => {
                 let w = &mut self.workers[wk];
                 w.broke_at = if outcome == Outcome::Reset { now } else { w.broke_at };
-                if state == State::Out {
+                if state == AttemptState::InFlight {
                     self.failed(wk);
                 }
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::Discarded => {}
         }
         let evt = &self.events[e];
         if over || evt.over {
@@ -844,7 +862,7 @@
         let again = outcome == Outcome::Miss || evt.further < 2 && !self.overloaded();
         let evt = &mut self.events[e];
         evt.further += u32::from(outcome != Outcome::Miss);
-        let lost = self.types[arrival.typ].repeat == Repeat::AtMostOnce && !evt.proven_not_run();
+        let lost = self.types[arrival.class].repeat == RetrySafety::NonIdempotent && !evt.proven_not_run();
         if again && !lost && evt.count < self.told.most {
             self.place(e);
         } else {
@@ -853,21 +871,21 @@
     }
 
     /// What a good answer teaches. `warm` is 1 where a copy stood, 0 where that is not told.
-    fn answered(&mut self, wk: usize, s: usize, arrival: &Arrival, at: Time, took: Time, warm: u32) {
+    fn answered(&mut self, wk: usize, s: usize, arrival: &RequestInfo, at: Time, took: Time, warm: u32) {
         let (now, f) = (self.now, arrival.function);
-        let typ = &mut self.types[arrival.typ];
+        let typ = &mut self.types[arrival.class];
         let (target, function) = (wanted(typ, arrival), &mut self.functions[f]);
         typ.felt += (typ.target as f64 - typ.felt) / 64.0;
-        (function.seats[s].copies, function.seats[s].renewed) = (Copies::Standing, now);
+        (function.seats[s].copies, function.seats[s].renewed) = (InstanceState::Loaded, now);
         if warm > 1 {
             return;
         }
         function.run = if function.run > 0.0 { smooth(function.run, took as f64) } else { took as f64 };
         typ.run = smooth(typ.run, took as f64);
-        typ.hint = smooth(typ.hint, arrival.hint as f64);
+        typ.hint = smooth(typ.hint, arrival.cost_hint as f64);
         let late = took > patience(typ, arrival);
         let w = &mut self.workers[wk];
-        w.done.add(now, typ.run.min((20 * RATE_STEP) as f64) as u32); // what it did in the span at most
+        w.done.add(now, typ.run.min((20 * COUNTER_STEP) as f64) as u32); // what it did in the span at most
         w.strain = smooth(w.strain, (took as f64 / target).min(2.0));
         // Learning the in-flight bound: it grows by one for each bound's worth of good answers while it is
         // used, and is cut when latencies near the target time (0.45 did better than 0.6 and 0.7 everywhere).
@@ -902,7 +920,7 @@
     /// then lateness is not theirs, and leaving workers out makes it worse.
     fn failed(&mut self, wk: usize) {
         let (now, overloaded) = (self.now, self.overloaded());
-        let all = self.workers.iter().filter(|w| w.listed.standing == Standing::On);
+        let all = self.workers.iter().filter(|w| w.listed.state == EndpointState::Active);
         let (count, out) = all.fold((0, 0), |(c, o), w| (c + 1, o + usize::from(w.out_until > now)));
         let w = &mut self.workers[wk];
         w.failures += u32::from(!overloaded);
@@ -921,7 +939,7 @@
     }
 
     /// A load report: events in flight and the part of its cores that is busy, 0 where they are not told.
-    pub fn reported(&mut self, wk: usize, in_flight: f64, busy: f64) {
+    pub fn load_reported(&mut self, wk: usize, in_flight: f64, busy: f64) {
         let w = &mut self.workers[wk];
         // Busy cores alone say little near one; queueing theory has so many there (1.05: reports are noisy).
         let waits = busy / (1.05 - busy.min(1.0));
@@ -929,7 +947,7 @@
         w.seen_at = self.now;
     }
 
-    pub fn held(&mut self, f: usize, wk: usize, outcome: Outcome, copies: u32) {
+    pub fn load_request_ended(&mut self, f: usize, wk: usize, outcome: Outcome, copies: u32) {
         let (now, many) = (self.now, self.told.many);
         let Some(s) = self.seat_of(f, wk) else { return };
         self.show(f, outcome);
@@ -944,20 +962,21 @@
         if ask && outcome == Outcome::Ok && copies == 0 {
             return;
         }
-        let stood = seat.copies == Copies::Standing && matches!(outcome, Outcome::TimedOut | Outcome::Ok);
+        let stood =
+            seat.copies == InstanceState::Loaded && matches!(outcome, Outcome::TimedOut | Outcome::Ok);
         if copies > 0 {
             // How long its loads take. It rises at once and falls slowly: one that a sibling ordered before
             // seems shorter than it is.
-            if !ask && seat.copies == Copies::Ordered {
+            if !ask && seat.copies == InstanceState::Loading {
                 let took = (now - seat.renewed) as f64;
                 function.load = smooth(function.load, took).max(took);
             }
-            (seat.copies, seat.renewed) = (Copies::Standing, now);
+            (seat.copies, seat.renewed) = (InstanceState::Loaded, now);
         } else if !stood && (!ask || seat.pending == 0) {
-            seat.copies = Copies::Absent;
+            seat.copies = InstanceState::Absent;
         }
         seat.barred_until = if copies == 0 { barred } else { seat.barred_until };
-        if matches!(outcome, Outcome::Reset | Outcome::NoConnection | Outcome::TimedOut) {
+        if matches!(outcome, Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut) {
             self.failed(wk);
         }
         if copies > 0 {
@@ -965,7 +984,7 @@
         }
     }
 
-    pub fn probed(&mut self, wk: usize, outcome: Outcome) {
+    pub fn health_check_ended(&mut self, wk: usize, outcome: Outcome) {
         let w = &mut self.workers[wk];
         (w.seen_at, w.probe_at) = (self.now, 0);
         if outcome != Outcome::Ok {
@@ -975,15 +994,15 @@
         self.look_again(|evt| evt.looks.contains(&wk));
     }
 
-    pub fn told(&mut self, _peer: u32, _bytes: &[u8]) {}
+    pub fn peer_message_received(&mut self, _peer: u32, _bytes: &[u8]) {}
 
-    pub fn timer(&mut self, token: u64) {
+    pub fn timer_fired(&mut self, token: u64) {
         if token == 1 {
             return if self.told.asks {
-                self.host.follow(true)
+                self.host.watch_endpoints(true)
             };
         }
-        self.host.timer(self.told.sweep, 0);
+        self.host.set_timer(self.told.sweep, 0);
         (0..self.events.capacity()).for_each(|e| self.check(e));
         self.look_again(|_| true);
         // Counts are checked once a second, the functions spread over the sweeps of it; a sweep that comes
@@ -1001,7 +1020,7 @@
     }
 
     /// Events that wait here, oldest first, are tried again.
-    fn look_again(&mut self, which: impl Fn(&Evt) -> bool) {
+    fn look_again(&mut self, which: impl Fn(&Request) -> bool) {
         for _ in 0..self.waiting.len() {
             let Some(e) = self.waiting.pop_front() else { return };
             let Some(evt) = self.events.get_mut(e).filter(|evt| evt.waiting) else { continue };
@@ -1021,18 +1040,18 @@
         let held = self.events.get(e).filter(|evt| !evt.over && !evt.streaming);
         let Some(evt) = held else { return };
         // The last sweep before the client gives up is the last chance for an answer of our own.
-        if now + self.told.sweep + 2 * self.told.tick >= evt.arrival.gives_up {
+        if now + self.told.sweep + 2 * self.told.tick >= evt.arrival.deadline {
             return self.give_up(e, 0);
         }
-        let typ = &self.types[evt.arrival.typ];
+        let typ = &self.types[evt.arrival.class];
         let patience = patience(typ, &evt.arrival);
         let arrival = evt.arrival;
         for i in 0..self.events[e].count {
-            let Launch { wk, at, state, .. } = self.events[e].launches[i];
-            if state != State::Out || now <= at + patience {
+            let Attempt { wk, at, state, .. } = self.events[e].launches[i];
+            if state != AttemptState::InFlight || now <= at + patience {
                 continue;
             }
-            self.events[e].launches[i].state = State::Overdue;
+            self.events[e].launches[i].state = AttemptState::Overdue;
             self.failed(wk);
             // A further launch goes out beside the late one where that is allowed.
             let worth = self.worth(&arrival);
@@ -1050,14 +1069,14 @@
         let (now, keep) = (self.now, self.told.keep);
         let (function, workers) = (&mut self.functions[f], &self.workers);
         // Guards against machines that are replaced again and again: each would leave a seat to look past.
-        let gone = |wk: usize| workers[wk].listed.standing == Standing::Gone;
+        let gone = |wk: usize| workers[wk].listed.state == EndpointState::Removed;
         let before = function.seats.len();
         function.seats.retain(|s| !gone(s.wk) || !s.still());
         // An answer that is still to come would be taken for one about the index's next user.
-        let idle = function.events == 0 && function.seats.iter().all(Seat::still);
+        let idle = function.events == 0 && function.seats.iter().all(Placement::still);
         if idle && function.n == 0 && now > function.last + 2 * keep {
             (function.live, function.seats) = (false, Vec::new());
-            self.host.forget(f);
+            self.host.forget_function(f);
         } else if function.seats.len() < before {
             self.fill(f);
         }
@@ -1098,18 +1117,18 @@
 }
 
 /// The usual warm latency of an event of this cost, where costs are hinted.
-fn usual(typ: &EventType, arrival: &Arrival) -> f64 {
-    typ.run * if typ.hint > 0.0 && arrival.hint > 0 { arrival.hint as f64 / typ.hint } else { 1.0 }
+fn usual(typ: &RequestClass, arrival: &RequestInfo) -> f64 {
+    typ.run * if typ.hint > 0.0 && arrival.cost_hint > 0 { arrival.cost_hint as f64 / typ.hint } else { 1.0 }
 }
 
 /// The target time as clients show it, longer for much work where the settings say so.
-fn wanted(typ: &EventType, arrival: &Arrival) -> f64 {
-    (typ.felt + typ.stretch * arrival.hint as f64).min(typ.age)
+fn wanted(typ: &RequestClass, arrival: &RequestInfo) -> f64 {
+    (typ.felt + typ.stretch * arrival.cost_hint as f64).min(typ.age)
 }
 
 /// How long a launch may take before it is late: three times the usual for an event of this cost, but early
 /// enough for another try within the target time.
-fn patience(typ: &EventType, arrival: &Arrival) -> Time {
+fn patience(typ: &RequestClass, arrival: &RequestInfo) -> Time {
     let target = wanted(typ, arrival);
     (3.0 * usual(typ, arrival).max(typ.run)).clamp(target / 4.0, (target - typ.run).max(target / 2.0)) as Time
 }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -63,7 +63,7 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 1);
     gw.functions[0].last = NOW;
-    gw.clock(NOW + ms * MS);
+    gw.advance_clock(NOW + ms * MS);
     gw.scale(0, true);
     assert_eq!(gw.functions[0].n, left);
 }
@@ -73,7 +73,7 @@
     let (mut a, mut b) = (gateway(5, &[]), gateway(0, &[]));
     a.know(&arrival(0));
     b.know(&arrival(0));
-    b.list(&[4, 0, 3, 1, 2].map(listed), true);
+    b.update_endpoints(&[4, 0, 3, 1, 2].map(listed), true);
     let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
     assert_eq!(order(&a), order(&b));
 }
@@ -121,7 +121,7 @@
     arrive(&mut gw, 0);
     assert_eq!((gw.host.0.len(), holds(&gw)), (3, 0));
     let far = at(&gw, 0, 2);
-    gw.held(0, far, Outcome::Ok, 1);
+    gw.load_request_ended(0, far, Outcome::Ok, 1);
     assert_eq!(launches(&gw), [far]);
 }
 
@@ -131,7 +131,8 @@
 fn copies_beyond_the_first_n_are_looked_for_near_the_head(place: usize, found: bool) {
     let mut gw = gateway(40, &[]);
     stand(&mut gw, 0, 0);
-    (gw.functions[0].seats[place].copies, gw.functions[0].seats[place].renewed) = (Copies::Standing, NOW);
+    (gw.functions[0].seats[place].copies, gw.functions[0].seats[place].renewed) =
+        (InstanceState::Loaded, NOW);
     arrive(&mut gw, 0);
     assert_eq!(launches(&gw).len(), usize::from(found));
 }
@@ -141,8 +142,8 @@
 fn among_many_gateways_the_head_is_presumed_to_stand_and_a_miss_orders_it() {
     let mut gw = gateway(3, &[("siblings", "300")]);
     let (e, home) = (arrive(&mut gw, 0), at(&gw, 0, 0));
-    assert_eq!(gw.host.0, [Call::Launch(e, home)]);
-    gw.ended(e, 0, (Outcome::Miss, 10), false, 0);
+    assert_eq!(gw.host.0, [Call::Attempt(e, home)]);
+    gw.attempt_ended(e, 0, (Outcome::Miss, 10), false, 0);
     assert_eq!(gw.host.0[1..], [Call::Hold(0, home, 1)]);
 }
 
@@ -152,7 +153,7 @@
     let mut gw = gateway(8, &[("siblings", "300")]);
     stand(&mut gw, 0, 1);
     let e = arrive(&mut gw, 0);
-    gw.ended(e, 0, (Outcome::Ok, 2000), true, 1 + 8 * 2 * company);
+    gw.attempt_ended(e, 0, (Outcome::Ok, 2000), true, 1 + 8 * 2 * company);
     gw.scale(0, false);
     assert_eq!(gw.functions[0].n, n);
 }
@@ -184,7 +185,7 @@
     let mut gw = gateway(4, &MANY);
     stand(&mut gw, 0, 2);
     gw.missed = missed;
-    gw.functions[0].seats[2..].iter_mut().for_each(|s| s.copies = Copies::Absent);
+    gw.functions[0].seats[2..].iter_mut().for_each(|s| s.copies = InstanceState::Absent);
     arrive(&mut gw, 0);
     answer(&mut gw, &[6.0, 6.0]);
     assert_eq!(gw.functions[0].n, n);
@@ -212,10 +213,10 @@
     for _ in 0..3 {
         let e = arrive(&mut gw, 0);
         answer(&mut gw, &[1.0, 1.0]);
-        gw.ended(e, 0, (Outcome::Ok, 2000), true, 1 + 8 * company);
+        gw.attempt_ended(e, 0, (Outcome::Ok, 2000), true, 1 + 8 * company);
     }
     let before = probes(&gw).len();
-    gw.clock(NOW + SECOND);
+    gw.advance_clock(NOW + SECOND);
     arrive(&mut gw, 0);
     assert_eq!(probes(&gw).len() == before, sure == 1);
 }
@@ -227,10 +228,10 @@
     stand(&mut gw, 0, 2);
     arrive(&mut gw, 0);
     let answers = probes(&gw)[1];
-    gw.reported(answers, 1.0, 0.0);
-    gw.probed(answers, Outcome::Ok);
-    gw.clock(NOW + LOOK);
-    gw.timer(0);
+    gw.load_reported(answers, 1.0, 0.0);
+    gw.health_check_ended(answers, Outcome::Ok);
+    gw.advance_clock(NOW + LOOK);
+    gw.timer_fired(0);
     assert_eq!(launches(&gw), [answers]);
 }
 
@@ -240,9 +241,9 @@
     let mut gw = gateway(3, &MANY[..many]);
     stand(&mut gw, 0, 1);
     let home = at(&gw, 0, 0);
-    gw.held(0, home, Outcome::Full, 0);
-    gw.clock(NOW + SECOND);
-    (gw.functions[0].seats[0].copies, gw.functions[0].n) = (Copies::Absent, 1);
+    gw.load_request_ended(0, home, Outcome::AtCapacity, 0);
+    gw.advance_clock(NOW + SECOND);
+    (gw.functions[0].seats[0].copies, gw.functions[0].n) = (InstanceState::Absent, 1);
     assert_eq!(gw.usable(0).next() == Some(0), again);
 }
 
@@ -275,9 +276,9 @@
     let mut gw = gateway(20, &RATION);
     stand(&mut gw, 0, 0);
     gw.arrivals.extend(vec![NOW; before]);
-    gw.clock(NOW + 9 * SECOND);
+    gw.advance_clock(NOW + 9 * SECOND);
     let first = (0..10).filter(|s| gw.hold(0, *s, 1, true)).count();
-    gw.clock(NOW + 9 * SECOND + 1);
+    gw.advance_clock(NOW + 9 * SECOND + 1);
     gw.arrivals.extend(vec![gw.now; since]);
     let then = (10..20).filter(|s| gw.hold(0, *s, 1, true)).count();
     assert_eq!(first + then, orders);
@@ -288,19 +289,19 @@
 fn the_ration_is_kept_over_lives() {
     let (mut tight, mut lives) = (0, 0);
     for seed in 0..40 {
-        let mut chance = Chance::new(seed);
+        let mut chance = RandomGenerator::new(seed);
         let (mut gw, mut now, mut rush) = (gateway(20, &RATION), NOW, 1);
         let (mut came, mut ordered) = (Vec::new(), Vec::new());
         stand(&mut gw, 0, 0);
         for _ in 0..1500 {
             now += Time::from(chance.below([400, 4000, 20_000][rush]));
-            gw.clock(now);
+            gw.advance_clock(now);
             match chance.below(100) {
                 0 => {
                     // Killed, and back at once.
                     gw = gateway(20, &RATION);
                     (gw.started, lives) = (now, lives + 1);
-                    gw.clock(now);
+                    gw.advance_clock(now);
                     stand(&mut gw, 0, 0);
                 }
                 1..=3 => rush = chance.below(3) as usize,
@@ -337,7 +338,7 @@
 // the users: "17 LOAD orders within 10.0 s, in which it took 48 requests".
 #[test_case(None, false; "that nothing is known of")]
 #[test_case(Some(Outcome::Error), false; "that workers call an error")]
-#[test_case(Some(Outcome::Full), false; "turned away unseen")]
+#[test_case(Some(Outcome::AtCapacity), false; "turned away unseen")]
 #[test_case(Some(Outcome::Miss), true; "that a worker lacks")]
 #[test_case(Some(Outcome::Ok), true; "that a worker has")]
 fn only_events_of_known_functions_pay_for_orders(end: Option<Outcome>, paid: bool) {
@@ -347,12 +348,12 @@
     for _ in 1..200 {
         let evt = arrive(&mut gw, 0);
         if evt != first {
-            gw.lapsed(evt);
+            gw.client_abandoned(evt);
         }
     }
     let waiting = gw.arrivals.len();
     if let Some(outcome) = end {
-        gw.ended(first, 0, (outcome, 1), outcome == Outcome::Ok, 0);
+        gw.attempt_ended(first, 0, (outcome, 1), outcome == Outcome::Ok, 0);
         for _ in 0..199 {
             arrive(&mut gw, 0);
         }
@@ -367,7 +368,7 @@
     let mut gw = gateway(2, &MANY[..1]);
     let evt = arrive(&mut gw, 0);
     if missed {
-        gw.ended(evt, 0, (Outcome::Miss, 1), false, 0);
+        gw.attempt_ended(evt, 0, (Outcome::Miss, 1), false, 0);
     }
     gw.functions[0].n = 2;
     gw.order(0);
@@ -385,11 +386,11 @@
     gw.functions[0].shown = shown;
     for _ in 0..3 {
         let evt = arrive(&mut gw, 0);
-        gw.ended(evt, 0, (Outcome::Error, 1), false, note);
+        gw.attempt_ended(evt, 0, (Outcome::Error, 1), false, note);
         // What the head failed is tried behind it.
         assert_eq!(launches(&gw), [at(&gw, 0, 0), at(&gw, 0, 1)]);
-        gw.lapsed(evt);
-        gw.ended(evt, 1, (Outcome::Cancelled, 1), true, 0);
+        gw.client_abandoned(evt);
+        gw.attempt_ended(evt, 1, (Outcome::Cancelled, 1), true, 0);
         gw.host.0.clear();
     }
     assert_eq!(!gw.trusted(at(&gw, 0, 0)), left_out);
@@ -402,10 +403,10 @@
     stand(&mut gw, 0, 1);
     let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
     let (first, mut all) = (order(&gw), (0..1024).collect::<Vec<_>>());
-    all.sort_by_key(|wk| std::cmp::Reverse(mix(listed(*wk).1.hash, 99)));
+    all.sort_by_key(|wk| std::cmp::Reverse(mix_hashes(listed(*wk).1.name_hash, 99)));
     assert_eq!((first.len(), &first[..]), (SEATS, &all[..SEATS]));
     for wk in &first[..100] {
-        gw.list(&[(*wk, Listed { standing: Standing::Gone, ..listed(*wk).1 })], false);
+        gw.update_endpoints(&[(*wk, Endpoint { state: EndpointState::Removed, ..listed(*wk).1 })], false);
     }
     gw.forget(0);
     assert_eq!(order(&gw), all[100..100 + SEATS]);
@@ -421,7 +422,7 @@
     gw.functions[0].n = 1;
     let wk = at(&gw, 0, 0);
     // It has just started, and this gateway has no share in it.
-    (gw.workers[wk].listed.since, gw.workers[wk].luck) = (NOW, 1.0);
+    (gw.workers[wk].listed.started_at, gw.workers[wk].luck) = (NOW, 1.0);
     assert_eq!(gw.usable(0).next(), Some(head));
     arrive(&mut gw, 0);
     assert_eq!(launches(&gw), [at(&gw, 0, 1)]);
@@ -444,17 +445,17 @@
     let mut gw = gateway(2, &ration);
     stand(&mut gw, 0, 0);
     gw.orders.push_back(NOW);
-    gw.clock(NOW + ms * MS);
+    gw.advance_clock(NOW + ms * MS);
     gw.arrivals.push_back(gw.now);
     assert_eq!(gw.hold(0, 0, 1, true), given);
 }
 
-#[test_case(Standing::Draining)]
-#[test_case(Standing::Gone)]
-fn nothing_goes_to_a_worker_that_leaves(standing: Standing) {
+#[test_case(EndpointState::Draining)]
+#[test_case(EndpointState::Removed)]
+fn nothing_goes_to_a_worker_that_leaves(standing: EndpointState) {
     let mut gw = gateway(1, &[]);
     stand(&mut gw, 0, 1);
-    gw.list(&[(0, Listed { standing, ..listed(0).1 })], false);
+    gw.update_endpoints(&[(0, Endpoint { state: standing, ..listed(0).1 })], false);
     arrive(&mut gw, 0);
     assert!(!gw.hold(0, 0, 1, true));
     assert!(launches(&gw).is_empty() && holds(&gw) == 0);
@@ -465,9 +466,9 @@
 #[test_case(300, 0, 0, 0; "those that know no rates send none")]
 fn all_gateways_together_spare_a_cold_worker(gateways: u64, sent: u32, least: usize, most: usize) {
     let starts = (0..gateways).filter(|seed| {
-        let mut gw = Choice::new(Calls::default(), 0, *seed, settings(&[("siblings", "300")])).unwrap();
-        gw.clock(NOW);
-        gw.list(&[(0, Listed { since: NOW - 1, ..listed(0).1 }), listed(1)], true);
+        let mut gw = Scheduler::new(Calls::default(), 0, *seed, settings(&[("siblings", "300")])).unwrap();
+        gw.advance_clock(NOW);
+        gw.update_endpoints(&[(0, Endpoint { started_at: NOW - 1, ..listed(0).1 }), listed(1)], true);
         gw.workers[1].done.add(NOW, sent / 60);
         gw.cold_room(0, 0)
     });
@@ -489,7 +490,7 @@
 #[test_case(0.5, 9, false; "ten do not")]
 fn a_cold_worker_gets_its_part(age: f64, sent: usize, room: bool) {
     let mut gw = gateway(3, &[]);
-    gw.workers[0].listed.since = NOW - (age * 100_000.0) as Time - 1;
+    gw.workers[0].listed.started_at = NOW - (age * 100_000.0) as Time - 1;
     gw.workers[0].luck = 1.0;
     gw.workers[0].budget.extend(vec![(NOW, 0); sent]);
     (1..3).for_each(|wk| gw.workers[wk].done.add(NOW, 20_000));
@@ -500,14 +501,14 @@
 #[test_case(2, Outcome::Error, false; "at most once does not")]
 #[test_case(2, Outcome::Reset, false; "nor after a reset")]
 #[test_case(2, Outcome::TimedOut, false; "nor after a time out")]
-#[test_case(2, Outcome::Full, true; "it does where it was proven not to run")]
-#[test_case(2, Outcome::NoConnection, true; "as without a connection")]
+#[test_case(2, Outcome::AtCapacity, true; "it does where it was proven not to run")]
+#[test_case(2, Outcome::ConnectFailed, true; "as without a connection")]
 #[test_case(2, Outcome::Miss, true; "and after a miss")]
 fn no_effect_twice(typ: usize, outcome: Outcome, again: bool) {
     let mut gw = gateway(4, &[]);
     stand(&mut gw, typ, 2);
     let e = arrive(&mut gw, typ);
-    gw.ended(e, 0, (outcome, 100), false, 0);
+    gw.attempt_ended(e, 0, (outcome, 100), false, 0);
     assert_eq!(launches(&gw).len() == 2, again);
     assert_eq!(gw.host.0.contains(&Call::DeadLetter(e)), !again);
 }
@@ -520,7 +521,7 @@
     stand(&mut gw, 1, 4);
     let e = arrive(&mut gw, 1);
     let first = launches(&gw)[0];
-    gw.clock(NOW + ms * MS);
+    gw.advance_clock(NOW + ms * MS);
     let other = (0..4).find(|wk| *wk != first && (wk % 2 == first % 2) == (same == 1)).unwrap();
     assert_eq!(gw.may_launch(e, other), allowed);
 }
@@ -541,8 +542,8 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, typ, 1);
     let e = arrive(&mut gw, typ);
-    gw.clock(NOW + 20_000 - SWEEP - 2 * MS);
-    gw.timer(0);
+    gw.advance_clock(NOW + 20_000 - SWEEP - 2 * MS);
+    gw.timer_fired(0);
     assert!(gw.host.0.contains(&Call::Cancel(e, 0)));
     assert_eq!(matches!(gw.host.0[1], Call::Defer(..)), deferred);
 }
@@ -554,7 +555,7 @@
 fn a_try_too_late_to_end_is_answered_at_once(left: Time, given_up: bool) {
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 1);
-    gw.arrive(Arrival { gives_up: NOW + left, ..arrival(0) });
+    gw.request_arrived(RequestInfo { deadline: NOW + left, ..arrival(0) });
     assert_eq!(launches(&gw).is_empty(), given_up);
 }
 
@@ -567,7 +568,7 @@
     (0..3).filter(|s| *s != place).for_each(|s| gw.functions[0].seats[s].flight = 3);
     let e = arrive(&mut gw, 0);
     (0..3).for_each(|s| gw.functions[0].seats[s].flight = u32::from(s == place));
-    gw.ended(e, 0, (Outcome::Miss, 10), false, 0);
+    gw.attempt_ended(e, 0, (Outcome::Miss, 10), false, 0);
     assert_eq!((holds(&gw), launches(&gw).len()), (orders, 2));
 }
 
@@ -590,19 +591,19 @@
     for (i, e) in events.into_iter().enumerate() {
         gw.workers[home].in_flight += u32::from(gw.events[e].count == 0);
         gw.functions[0].seats[0].flight += u32::from(gw.events[e].count == 0);
-        gw.events[e].launches[0] = Launch { wk: home, at: NOW, ..Launch::default() };
-        (gw.events[e].launches[0].state, gw.events[e].count) = (State::Out, 1);
-        gw.clock(NOW + 1 + apart * i as Time);
-        gw.ended(e, 0, (Outcome::Reset, 10), true, 0);
+        gw.events[e].launches[0] = Attempt { wk: home, at: NOW, ..Attempt::default() };
+        (gw.events[e].launches[0].state, gw.events[e].count) = (AttemptState::InFlight, 1);
+        gw.advance_clock(NOW + 1 + apart * i as Time);
+        gw.attempt_ended(e, 0, (Outcome::Reset, 10), true, 0);
     }
     assert_eq!((gw.workers[home].failures, gw.trusted(home)), (failures, trusted));
 }
 
-#[test_case(0, State::Broke, false; "redeliverable goes elsewhere")]
-#[test_case(1, State::Broke, true; "keyed in a zone may go back")]
-#[test_case(1, State::MayHaveRun, false; "not after an end that says nothing")]
-#[test_case(2, State::Broke, false; "at most once goes nowhere")]
-fn back_to_a_worker_whose_connection_broke(typ: usize, state: State, may: bool) {
+#[test_case(0, AttemptState::ConnectionLost, false; "redeliverable goes elsewhere")]
+#[test_case(1, AttemptState::ConnectionLost, true; "keyed in a zone may go back")]
+#[test_case(1, AttemptState::MayHaveExecuted, false; "not after an end that says nothing")]
+#[test_case(2, AttemptState::ConnectionLost, false; "at most once goes nowhere")]
+fn back_to_a_worker_whose_connection_broke(typ: usize, state: AttemptState, may: bool) {
     let mut gw = gateway(2, &[]);
     stand(&mut gw, typ, 1);
     let (e, home) = (arrive(&mut gw, typ), at(&gw, typ, 0));
@@ -611,16 +612,16 @@
 }
 
 // Long days: machines are replaced by new ones all day.
-#[test_case(Standing::On, 0, false; "it is there")]
-#[test_case(Standing::Gone, 1, false; "a launch is out")]
-#[test_case(Standing::Gone, 0, true; "gone for good")]
-fn workers_that_are_gone_are_forgotten(standing: Standing, out: u32, forgotten: bool) {
+#[test_case(EndpointState::Active, 0, false; "it is there")]
+#[test_case(EndpointState::Removed, 1, false; "a launch is out")]
+#[test_case(EndpointState::Removed, 0, true; "gone for good")]
+fn workers_that_are_gone_are_forgotten(standing: EndpointState, out: u32, forgotten: bool) {
     let mut gw = gateway(2, &[]);
     let (wk, entry) = listed(1);
-    gw.list(&[(wk, Listed { standing, ..entry })], false);
+    gw.update_endpoints(&[(wk, Endpoint { state: standing, ..entry })], false);
     gw.workers[wk].in_flight = out;
     assert_eq!(gw.forget_worker(wk), forgotten);
-    assert_eq!(gw.workers[wk].listed.hash == 0, forgotten);
+    assert_eq!(gw.workers[wk].listed.name_hash == 0, forgotten);
 }
 
 // Overloaded days: late answers left out a third of workers that were only busy.
@@ -655,7 +656,7 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 1);
     let (e, home) = (arrive(&mut gw, 0), at(&gw, 0, 0));
-    gw.ended(e, 0, (Outcome::Full, 10), false, 0);
+    gw.attempt_ended(e, 0, (Outcome::AtCapacity, 10), false, 0);
     assert!(gw.workers[home].bound < BOUND_START);
 }
 
@@ -665,7 +666,7 @@
     let siblings = siblings.to_string();
     let mut gw = gateway(1, &[("siblings", &siblings)]);
     for i in 0..20 {
-        gw.clock(NOW + i * SECOND);
+        gw.advance_clock(NOW + i * SECOND);
         gw.cut(0);
     }
     assert_eq!(gw.workers[0].bound, floor);
@@ -677,8 +678,8 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 1);
     let e = arrive(&mut gw, 0);
-    gw.clock(NOW + 2000);
-    gw.lapsed(e);
+    gw.advance_clock(NOW + 2000);
+    gw.client_abandoned(e);
     assert_eq!((gw.types[0].felt, gw.types[0].target), (9000.0, 10_000));
     assert_eq!(gw.host.0.last(), Some(&Call::Cancel(e, 0)));
 }
@@ -691,8 +692,8 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 1);
     let events: Vec<usize> = (0..200).map(|_| arrive(&mut gw, 0)).collect();
-    gw.clock(NOW + age);
-    events.into_iter().for_each(|e| gw.lapsed(e));
+    gw.advance_clock(NOW + age);
+    events.into_iter().for_each(|e| gw.client_abandoned(e));
     assert_eq!((gw.types[0].felt * 0.999 < most, gw.types[0].felt > 999.0), (true, true));
     assert_eq!(gw.types[0].felt == 10_000.0, most == 10_000.0);
 }
@@ -705,7 +706,7 @@
     let mut gw = gateway(1, &[]);
     gw.tenants[0].rate.add(NOW, launched);
     gw.types[typ].hint = 1000.0;
-    let event = Arrival { tenant: Some(0), hint, ..arrival(typ) };
+    let event = RequestInfo { tenant: Some(0), cost_hint: hint, ..arrival(typ) };
     assert!((gw.worth(&event) - worth).abs() < 1e-9);
 }
 
@@ -716,7 +717,7 @@
     stand(&mut gw, 0, 1);
     let e = arrive(&mut gw, 0);
     (gw.workers[0].in_flight, gw.workers[0].bound) = (8, 8.0);
-    let waits = Evt { arrival: arrival(0), ..Evt::default() };
+    let waits = Request { arrival: arrival(0), ..Request::default() };
     let other = gw.events.insert(waits);
     assert_ne!(e, other);
     assert_eq!(usize::from(gw.choose(0, other, f64::from(tenths) / 10.0).is_none()), none);
@@ -729,7 +730,7 @@
     stand(&mut gw, 0, 1);
     (gw.workers[0].in_flight, gw.workers[0].bound) = (40, 8.0);
     let e = arrive(&mut gw, 0);
-    gw.clock(NOW + waited + 1);
+    gw.advance_clock(NOW + waited + 1);
     gw.look_again(|_| true);
     assert_eq!(
         gw.host.0.iter().any(|c| matches!(c, Call::Defer(at, wait) if *at == e && *wait <= 1000)),
@@ -743,8 +744,8 @@
     let mut gw = gateway(4, &[]);
     stand(&mut gw, 0, 2);
     arrive(&mut gw, 0);
-    gw.clock(NOW + after);
-    gw.timer(0);
+    gw.advance_clock(NOW + after);
+    gw.timer_fired(0);
     assert_eq!(launches(&gw).len(), count);
 }
 
@@ -752,8 +753,8 @@
 fn a_restarted_worker_is_empty_and_cold() {
     let mut gw = gateway(1, &[]);
     stand(&mut gw, 0, 1);
-    gw.list(&[(0, Listed { since: NOW, ..listed(0).1 })], false);
-    assert_eq!(gw.functions[0].seats[0].copies, Copies::Absent);
+    gw.update_endpoints(&[(0, Endpoint { started_at: NOW, ..listed(0).1 })], false);
+    assert_eq!(gw.functions[0].seats[0].copies, InstanceState::Absent);
     assert!(gw.cold_part(&gw.workers[0]).is_some_and(|part| part < 0.21));
 }
 
@@ -761,7 +762,7 @@
 fn functions_that_nothing_asks_for_are_forgotten() {
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 0);
-    gw.clock(NOW + 17 * SECOND);
+    gw.advance_clock(NOW + 17 * SECOND);
     gw.forget(0);
     assert_eq!((gw.host.0.last(), gw.functions[0].seats.len()), (Some(&Call::Forget(0)), 0));
 }
@@ -777,7 +778,7 @@
 #[test_case("allowed.probes", "yes", "allowed.probes: 'yes' is neither true nor false")]
 #[test_case("rules.cold-from", "1.5", "rules.cold-from: '1.5' is no number from 0 to 1")]
 fn a_setting_that_cannot_be_meant_is_named(key: &str, value: &str, line: &str) {
-    let made = Choice::new(Calls::default(), 0, 1, settings(&[(key, value)]));
+    let made = Scheduler::new(Calls::default(), 0, 1, settings(&[(key, value)]));
     assert_eq!(made.err().as_deref(), Some(line));
 }
 
@@ -785,13 +786,13 @@
 #[test_case("extra.stays-loaded-ms", |t| t.keep == 60 * SECOND; "no keep-alive: a copy stands until a miss")]
 #[test_case("rules.tip-multiple", |t| t.tip == 1.0; "no multiple: never above what it can do")]
 #[test_case("rules.overload-for-ms", |t| t.tips == SECOND; "no span: over any second")]
-#[test_case("allowed.max-attempts", |t| t.most == MOST_LAUNCHES; "no bound of launches")]
+#[test_case("allowed.max-attempts", |t| t.most == MAX_ATTEMPTS; "no bound of launches")]
 #[test_case("allowed.max-retry-after-ms", |t| t.back > SECOND; "no longest time to come back")]
 #[test_case("siblings", |t| t.siblings == 1.0 && !t.many; "a gateway alone")]
-fn a_setting_that_is_left_out(key: &str, sound: fn(&Told) -> bool) {
+fn a_setting_that_is_left_out(key: &str, sound: fn(&SchedulerConfig) -> bool) {
     let mut settings = settings(&[]);
     settings.remove(key);
-    assert!(sound(&Choice::new(Calls::default(), 0, 1, settings).unwrap().told));
+    assert!(sound(&Scheduler::new(Calls::default(), 0, 1, settings).unwrap().told));
 }
 
 // It was 0: every event beyond the first was beyond its tenant's share, and with no benefit told all brought nothing.
@@ -801,24 +802,24 @@
     let left_out = keys.iter().map(|key| (*key, "0")).collect::<Vec<_>>();
     let gw = &mut gateway(1, &left_out);
     gw.tenants[0].rate.add(NOW, 90);
-    assert_eq!(gw.worth(&Arrival { tenant: Some(0), ..arrival(0) }), worth);
+    assert_eq!(gw.worth(&RequestInfo { tenant: Some(0), ..arrival(0) }), worth);
 }
 
 // Loads of a minute and clients that wait for two seconds: events were held until their clients left.
-#[test_case(600_000, Standing::On, 0, true; "a load that comes too late is no hope")]
-#[test_case(10_000, Standing::On, 0, false; "one that comes in time is")]
-#[test_case(10_000, Standing::Gone, 1300, true; "not at a worker that left")]
-#[test_case(2_000, Standing::On, 6_100, true; "nor when it is overdue three times")]
-#[test_case(0, Standing::On, 1300, false; "of unknown length it may come")]
-fn an_event_waits_for_a_load_that_can_come(load: Time, standing: Standing, later: Time, given_up: bool) {
+#[test_case(600_000, EndpointState::Active, 0, true; "a load that comes too late is no hope")]
+#[test_case(10_000, EndpointState::Active, 0, false; "one that comes in time is")]
+#[test_case(10_000, EndpointState::Removed, 1300, true; "not at a worker that left")]
+#[test_case(2_000, EndpointState::Active, 6_100, true; "nor when it is overdue three times")]
+#[test_case(0, EndpointState::Active, 1300, false; "of unknown length it may come")]
+fn an_event_waits_for_a_load_that_can_come(load: Time, standing: EndpointState, later: Time, given_up: bool) {
     let gw = &mut gateway(1, &[]);
     gw.know(&arrival(0));
     let seat = &mut gw.functions[0].seats[0];
-    (seat.copies, seat.pending, seat.renewed, seat.asks) = (Copies::Ordered, 1, NOW, 0);
-    gw.workers[0].listed.standing = standing;
-    let place = gw.next_place();
-    gw.arrive(Arrival { load_hint: load, ..arrival(0) });
-    gw.clock(NOW + later);
+    (seat.copies, seat.pending, seat.renewed, seat.asks) = (InstanceState::Loading, 1, NOW, 0);
+    gw.workers[0].listed.state = standing;
+    let place = gw.next_request_slot();
+    gw.request_arrived(RequestInfo { load_hint: load, ..arrival(0) });
+    gw.advance_clock(NOW + later);
     gw.look_again(|_| true);
     let answer = gw.host.0.iter().find(|c| matches!(c, Call::Defer(e, _) if *e == place));
     assert_eq!(answer.is_some(), given_up, "{:?}", gw.host.0);
@@ -829,8 +830,8 @@
     let gw = &mut gateway(1, &[("allowed.max-retry-after-ms", "600000")]);
     gw.know(&arrival(0));
     let seat = &mut gw.functions[0].seats[0];
-    (seat.copies, seat.pending, seat.renewed, seat.asks) = (Copies::Ordered, 1, NOW, 0);
-    gw.arrive(Arrival { load_hint: 60 * SECOND, ..arrival(0) });
+    (seat.copies, seat.pending, seat.renewed, seat.asks) = (InstanceState::Loading, 1, NOW, 0);
+    gw.request_arrived(RequestInfo { load_hint: 60 * SECOND, ..arrival(0) });
     assert!(matches!(gw.host.0[1], Call::Defer(_, back) if back >= 60 * SECOND), "{:?}", gw.host.0);
 }
 
@@ -842,9 +843,9 @@
     stand(gw, 0, 1);
     for took in took {
         let seat = &mut gw.functions[0].seats[0];
-        (seat.copies, seat.pending, seat.renewed) = (Copies::Ordered, 1, gw.now);
-        gw.clock(gw.now + took);
-        gw.held(0, 0, Outcome::Ok, 1);
+        (seat.copies, seat.pending, seat.renewed) = (InstanceState::Loading, 1, gw.now);
+        gw.advance_clock(gw.now + took);
+        gw.load_request_ended(0, 0, Outcome::Ok, 1);
     }
     assert_eq!(gw.functions[0].load, load);
 }
@@ -866,9 +867,9 @@
     let gw = &mut gateway(3, &[("extra.orders", "false")]);
     let place = arrive(gw, 0);
     let first = launches(gw)[0];
-    gw.ended(place, 0, (Outcome::Miss, 10), false, 0);
+    gw.attempt_ended(place, 0, (Outcome::Miss, 10), false, 0);
     assert_ne!(launches(gw)[1], first);
-    gw.ended(place, 1, (Outcome::Ok, 10), true, 1);
+    gw.attempt_ended(place, 1, (Outcome::Ok, 10), true, 1);
     arrive(gw, 0);
     assert_eq!(launches(gw)[1], launches(gw)[2]);
 }
@@ -916,7 +917,7 @@
     let gw = &mut gateway(2, &[("rules.overload-for-ms", "500")]);
     gw.types[0].run = run;
     gw.workers[1].done.add(NOW, 20_000);
-    gw.list(&[(0, Listed { since: NOW - 1, ..listed(0).1 })], false);
+    gw.update_endpoints(&[(0, Endpoint { started_at: NOW - 1, ..listed(0).1 })], false);
     gw.workers[0].luck = 0.001;
     assert_eq!(gw.cold_room(0, 0), room);
 }
@@ -948,14 +949,14 @@
 #[test_case(90_000, 20_000.0; "not beyond the max age")]
 fn the_target_time_stretches_with_the_work(hint: Time, target: f64) {
     let gw = gateway(1, &[("classes.0.aim-stretch", "2"), ("classes.0.deadline-ms", "2000")]);
-    assert_eq!(wanted(&gw.types[0], &Arrival { hint, ..arrival(0) }), target);
+    assert_eq!(wanted(&gw.types[0], &RequestInfo { cost_hint: hint, ..arrival(0) }), target);
 }
 
 #[test_case("", 7_500; "as far apart as a second allows")]
 #[test_case("100", 375; "well within the time after which a list counts as told")]
 fn a_list_that_failed_is_asked_for_in_time(within: &str, least: Time) {
     let gw = &mut gateway(1, &[("rules.ask-within-ms", if within.is_empty() { "0" } else { within })]);
-    gw.list_failed();
+    gw.endpoint_update_failed();
     let waits = gw.host.0.iter().find_map(|c| if let Call::Timer(wait, 1) = c { Some(*wait) } else { None });
     assert!((least..=least * 5 / 3 + 1).contains(&waits.unwrap()), "{waits:?}");
 }
@@ -966,12 +967,12 @@
 fn what_has_no_hope_is_not_kept_for_its_deadline(loading: bool, given_up: bool) {
     let mut gw = gateway(2, &[("extra.load-window-ms", "10000")]);
     stand(&mut gw, 0, 1);
-    gw.functions[0].seats[0].copies = if loading { Copies::Ordered } else { Copies::Absent };
+    gw.functions[0].seats[0].copies = if loading { InstanceState::Loading } else { InstanceState::Absent };
     gw.functions[0].seats[0].pending = u32::from(loading);
     let e = arrive(&mut gw, 0);
     assert!(launches(&gw).is_empty() && holds(&gw) == 0);
-    gw.clock(NOW + 1250 + 1);
-    gw.timer(0);
+    gw.advance_clock(NOW + 1250 + 1);
+    gw.timer_fired(0);
     let told = gw.host.0.iter().any(|c| matches!(c, Call::Defer(at, back) if *at == e && *back > 0));
     assert_eq!(told, given_up);
 }
@@ -981,9 +982,9 @@
 fn a_deferral_that_may_tell_a_time_tells_one(target: &str, longest: &str) {
     let more = [("classes.0.aim-ms", target), ("allowed.max-retry-after-ms", longest)];
     for seed in 0..20 {
-        let mut gw = Choice::new(Calls::default(), 0, seed, settings(&more)).unwrap();
-        let e = gw.next_place();
-        gw.arrive(Arrival { gives_up: 1, ..arrival(0) });
+        let mut gw = Scheduler::new(Calls::default(), 0, seed, settings(&more)).unwrap();
+        let e = gw.next_request_slot();
+        gw.request_arrived(RequestInfo { deadline: 1, ..arrival(0) });
         assert!(matches!(gw.host.0.last(), Some(Call::Defer(at, back)) if *at == e && *back > 0));
     }
 }
@@ -1002,11 +1003,11 @@
 #[test_case(5 * SECOND; "after standstills")]
 fn every_function_is_checked_however_late_sweeps_come(apart: Time) {
     let mut gw = gateway(1, &[]);
-    (0..150).for_each(|f| gw.know(&Arrival { function: f, ..arrival(0) }));
+    (0..150).for_each(|f| gw.know(&RequestInfo { function: f, ..arrival(0) }));
     gw.functions.iter_mut().flat_map(|f| &mut f.seats).for_each(|s| s.asks = 0);
     for sweep in 0..3 + 32 * SECOND / apart {
-        gw.clock(NOW + sweep * apart);
-        gw.timer(0);
+        gw.advance_clock(NOW + sweep * apart);
+        gw.timer_fired(0);
     }
     assert_eq!(gw.functions.iter().filter(|f| f.live).count(), 0, "all idle ones are forgotten");
 }
@@ -1014,14 +1015,14 @@
 // An order that ended well with nothing left its seat pending for good; an ask's end used an order's up.
 #[test_case(0, 1, &[(Outcome::Ok, 0)], 0, 0; "an order that ends with no copy")]
 #[test_case(1, 1, &[(Outcome::TimedOut, 0)], 0, 1; "an ask's end leaves the order out")]
-#[test_case(1, 1, &[(Outcome::Ok, 0), (Outcome::Full, 0)], 0, 0; "both ends")]
+#[test_case(1, 1, &[(Outcome::Ok, 0), (Outcome::AtCapacity, 0)], 0, 0; "both ends")]
 #[test_case(1, 1, &[(Outcome::Ok, 1), (Outcome::Ok, 0)], 0, 0; "in the other order")]
 fn each_end_is_counted_once(asks: u32, orders: u32, ends: &[(Outcome, u32)], asks_left: u32, left: u32) {
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 0);
     (gw.functions[0].seats[0].asks, gw.functions[0].seats[0].pending) = (asks, orders);
     let wk = at(&gw, 0, 0);
-    ends.iter().for_each(|(outcome, copies)| gw.held(0, wk, *outcome, *copies));
+    ends.iter().for_each(|(outcome, copies)| gw.load_request_ended(0, wk, *outcome, *copies));
     assert_eq!((gw.functions[0].seats[0].asks, gw.functions[0].seats[0].pending), (asks_left, left));
 }
 
@@ -1029,7 +1030,7 @@
 fn a_function_is_not_forgotten_while_an_ask_is_out() {
     let mut gw = gateway(2, &[]);
     gw.know(&arrival(0));
-    gw.clock(NOW + 60 * SECOND);
+    gw.advance_clock(NOW + 60 * SECOND);
     gw.forget(0);
     assert!(gw.functions[0].live, "its index would name another when the answer comes");
 }
@@ -1039,8 +1040,8 @@
 fn times_of_arrivals_stay_bounded_without_orders() {
     let mut gw = gateway(1, &[("extra.load-window-ms", "1000"), ("extra.orders", "false")]);
     for i in 0..10_000 {
-        gw.clock(NOW + i * 10 * MS);
-        gw.arrive(Arrival { gives_up: 1, ..arrival(0) });
+        gw.advance_clock(NOW + i * 10 * MS);
+        gw.request_arrived(RequestInfo { deadline: 1, ..arrival(0) });
     }
     assert!(gw.arrivals.len() <= 102, "{}", gw.arrivals.len());
 }
@@ -1053,13 +1054,13 @@
     for seed in 0..gateways {
         let siblings = gateways.to_string();
         let more = settings(&[("siblings", &siblings)]);
-        let mut gw = Choice::new(Calls::default(), 0, seed, more).unwrap();
-        gw.clock(NOW);
-        gw.list(&[listed(0), listed(1), listed(2)], true);
-        (0..200).for_each(|f| gw.know(&Arrival { function: f, ..arrival(0) }));
+        let mut gw = Scheduler::new(Calls::default(), 0, seed, more).unwrap();
+        gw.advance_clock(NOW);
+        gw.update_endpoints(&[listed(0), listed(1), listed(2)], true);
+        (0..200).for_each(|f| gw.know(&RequestInfo { function: f, ..arrival(0) }));
         for f in 0..200 {
-            gw.held(f, 0, Outcome::Full, 0);
-            gw.held(f, 0, Outcome::Full, 0);
+            gw.load_request_ended(f, 0, Outcome::AtCapacity, 0);
+            gw.load_request_ended(f, 0, Outcome::AtCapacity, 0);
             at.push(gw.functions[f].seats.iter().find(|s| s.wk == 0).unwrap().barred_until / SWEEP);
         }
     }
@@ -1071,11 +1072,11 @@
 #[test]
 fn trials_and_lists_do_not_line_up() {
     let gateways = (0..50).map(|seed| {
-        let mut gw = Choice::new(Calls::default(), 0, seed, settings(&[])).unwrap();
-        gw.clock(NOW);
-        gw.list(&(0..4).map(listed).collect::<Vec<_>>(), true);
+        let mut gw = Scheduler::new(Calls::default(), 0, seed, settings(&[])).unwrap();
+        gw.advance_clock(NOW);
+        gw.update_endpoints(&(0..4).map(listed).collect::<Vec<_>>(), true);
         (0..3).for_each(|_| gw.failed(0));
-        gw.list_failed();
+        gw.endpoint_update_failed();
         let asked =
             gw.host.0.iter().rev().find_map(|c| if let Call::Timer(t, 1) = c { Some(*t) } else { None });
         (gw.workers[0].out_until / SWEEP, asked.unwrap() / SWEEP)
@@ -1095,7 +1096,8 @@
 #[test_case(100.0, 0.1, false; "a machine a tenth of the warm ones' size")]
 fn a_cold_budget_goes_by_present_costs_and_size(run: f64, rating: f64, room: bool) {
     let mut gw = gateway(3, &[]);
-    (gw.workers[0].listed.since, gw.workers[0].listed.rating, gw.workers[0].luck) = (NOW - 1, rating, 1.0);
+    (gw.workers[0].listed.started_at, gw.workers[0].listed.rating, gw.workers[0].luck) =
+        (NOW - 1, rating, 1.0);
     gw.workers[0].budget.extend(vec![(NOW, 0); 6]);
     gw.types[0].run = run;
     (1..3).for_each(|wk| gw.workers[wk].done.add(NOW, 8_000));
@@ -1110,22 +1112,22 @@
     stand(&mut gw, 0, 0);
     gw.functions[0].seats.iter_mut().find(|s| s.wk == 1).unwrap().flight = flight;
     gw.functions[0].last = NOW; // or all of it would be forgotten
-    gw.list(&[(1, Listed { standing: Standing::Gone, ..listed(1).1 })], false);
-    gw.clock(NOW + 2 * SECOND);
-    gw.timer(0);
+    gw.update_endpoints(&[(1, Endpoint { state: EndpointState::Removed, ..listed(1).1 })], false);
+    gw.advance_clock(NOW + 2 * SECOND);
+    gw.timer_fired(0);
     assert_eq!(gw.functions[0].seats.len(), left);
     // Back, it has its place in the order again, and is empty.
-    gw.list(&[listed(1)], false);
+    gw.update_endpoints(&[listed(1)], false);
     let mut all = gateway(3, &[]);
     stand(&mut all, 0, 0);
     let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
     assert_eq!(order(&gw), order(&all));
-    assert_eq!(gw.functions[0].seats.iter().find(|s| s.wk == 1).unwrap().copies, Copies::Absent);
+    assert_eq!(gw.functions[0].seats.iter().find(|s| s.wk == 1).unwrap().copies, InstanceState::Absent);
 }
 
 // The count that matters is the total: misses are not counted among the two further launches.
 #[test_case(Outcome::Miss; "misses")]
-#[test_case(Outcome::Full; "full")]
+#[test_case(Outcome::AtCapacity; "full")]
 #[test_case(Outcome::Error; "errors")]
 #[test_case(Outcome::Reset; "resets")]
 fn launches_of_one_event_are_bounded_whatever_the_ends(outcome: Outcome) {
@@ -1134,10 +1136,10 @@
         stand(&mut gw, 0, 12);
         let e = arrive(&mut gw, 0);
         for launch in 0..60 {
-            (0..12).for_each(|s| gw.functions[0].seats[s].copies = Copies::Standing);
-            gw.ended(e, launch, (outcome, 10), false, 0);
+            (0..12).for_each(|s| gw.functions[0].seats[s].copies = InstanceState::Loaded);
+            gw.attempt_ended(e, launch, (outcome, 10), false, 0);
         }
-        let bound = most.parse::<usize>().unwrap().min(MOST_LAUNCHES);
+        let bound = most.parse::<usize>().unwrap().min(MAX_ATTEMPTS);
         assert!(launches(&gw).len() <= bound);
         assert!(holds(&gw) <= launches(&gw).len(), "an order for each miss at the most");
     }
--- a/src/choice/tests/help.rs
+++ b/src/choice/tests/help.rs
@@ -3,7 +3,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
-    Launch(usize, usize),
+    Attempt(usize, usize),
     Cancel(usize, usize),
     Defer(usize, Time),
     DeadLetter(usize),
@@ -17,46 +17,46 @@
 #[derive(Default)]
 pub struct Calls(pub Vec<Call>);
 
-impl Host for Calls {
-    fn launch(&mut self, evt: usize, wk: usize, _time_out: Time) {
-        self.0.push(Call::Launch(evt, wk));
+impl SchedulerActions for Calls {
+    fn send_attempt(&mut self, evt: usize, wk: usize, _time_out: Time) {
+        self.0.push(Call::Attempt(evt, wk));
     }
-    fn cancel(&mut self, evt: usize, launch: usize) {
+    fn cancel_attempt(&mut self, evt: usize, launch: usize) {
         self.0.push(Call::Cancel(evt, launch));
     }
-    fn defer(&mut self, evt: usize, come_back: Time) {
+    fn reject(&mut self, evt: usize, come_back: Time) {
         self.0.push(Call::Defer(evt, come_back));
     }
-    fn dead_letter(&mut self, evt: usize) {
+    fn fail(&mut self, evt: usize) {
         self.0.push(Call::DeadLetter(evt));
     }
-    fn release(&mut self, _evt: usize) {}
-    fn timer(&mut self, wait: Time, token: u64) {
+    fn release_request(&mut self, _evt: usize) {}
+    fn set_timer(&mut self, wait: Time, token: u64) {
         // That of the sweep comes all the time and is no matter of tests.
         if token > 0 {
             self.0.push(Call::Timer(wait, token));
         }
     }
-    fn probe(&mut self, wk: usize) {
+    fn send_health_check(&mut self, wk: usize) {
         self.0.push(Call::Probe(wk));
     }
-    fn hang_up(&mut self, _wk: usize) {}
-    fn hold(&mut self, img: usize, wk: usize, copies: u32) {
+    fn close_idle_connections(&mut self, _wk: usize) {}
+    fn send_load_request(&mut self, img: usize, wk: usize, copies: u32) {
         self.0.push(Call::Hold(img, wk, copies));
     }
-    fn unload(&mut self, _img: usize, _wk: usize) {}
-    fn forget(&mut self, img: usize) {
+    fn unload_instances(&mut self, _img: usize, _wk: usize) {}
+    fn forget_function(&mut self, img: usize) {
         self.0.push(Call::Forget(img));
     }
-    fn follow(&mut self, _on: bool) {
+    fn watch_endpoints(&mut self, _on: bool) {
         self.0.push(Call::Follow);
     }
-    fn look_up(&mut self) {}
-    fn tell(&mut self, _peer: Option<u32>, _bytes: &[u8]) {}
-    fn note(&mut self, _text: &str) {}
+    fn poll_endpoints(&mut self) {}
+    fn send_to_peers(&mut self, _peer: Option<u32>, _bytes: &[u8]) {}
+    fn log_note(&mut self, _text: &str) {}
 }
 
-pub type Gateway = Choice<Calls>;
+pub type Gateway = Scheduler<Calls>;
 
 pub const NOW: Time = 1_000_000;
 
@@ -82,21 +82,37 @@
 pub const RATION: [(&str, &str); 3] =
     [("extra.load-window-ms", "10000"), ("extra.free-loads", "4"), ("extra.load-share", "0.2")];
 
-pub fn listed(wk: usize) -> (usize, Listed) {
+pub fn listed(wk: usize) -> (usize, Endpoint) {
     let hash = (wk as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (wk, Listed { hash, zone: (wk % 2) as u32, standing: Standing::On, rating: 1.0, ..Listed::default() })
+    (
+        wk,
+        Endpoint {
+            name_hash: hash,
+            zone: (wk % 2) as u32,
+            state: EndpointState::Active,
+            rating: 1.0,
+            ..Endpoint::default()
+        },
+    )
 }
 
 /// A gateway that has run for long and knows `workers` warm workers.
 pub fn gateway(workers: usize, more: &[(&str, &str)]) -> Gateway {
-    let mut gw = Choice::new(Calls::default(), 0, 7, settings(more)).unwrap();
-    gw.clock(NOW);
-    gw.list(&(0..workers).map(listed).collect::<Vec<_>>(), true);
+    let mut gw = Scheduler::new(Calls::default(), 0, 7, settings(more)).unwrap();
+    gw.advance_clock(NOW);
+    gw.update_endpoints(&(0..workers).map(listed).collect::<Vec<_>>(), true);
     gw
 }
 
-pub fn arrival(typ: usize) -> Arrival {
-    Arrival { typ, function: typ, function_hash: 99, lanes: 2, gives_up: NOW + 20_000, ..Arrival::default() }
+pub fn arrival(typ: usize) -> RequestInfo {
+    RequestInfo {
+        class: typ,
+        function: typ,
+        function_hash: 99,
+        lanes: 2,
+        deadline: NOW + 20_000,
+        ..RequestInfo::default()
+    }
 }
 
 /// A function of this type that is known, with copies standing on the first `n` workers of its order.
@@ -107,20 +123,20 @@
     gw.functions[typ].turn = 0;
     gw.functions[typ].seats.iter_mut().for_each(|s| s.asks = 0);
     for seat in &mut gw.functions[typ].seats[..n] {
-        (seat.copies, seat.renewed) = (Copies::Standing, now);
+        (seat.copies, seat.renewed) = (InstanceState::Loaded, now);
     }
     gw.host.0.clear();
 }
 
 /// The event that arrives now, with what was called for.
 pub fn arrive(gw: &mut Gateway, typ: usize) -> usize {
-    let place = gw.next_place();
-    gw.arrive(arrival(typ));
+    let place = gw.next_request_slot();
+    gw.request_arrived(arrival(typ));
     place
 }
 
 pub fn launches(gw: &Gateway) -> Vec<usize> {
-    gw.host.0.iter().filter_map(|c| if let Call::Launch(_, wk) = c { Some(*wk) } else { None }).collect()
+    gw.host.0.iter().filter_map(|c| if let Call::Attempt(_, wk) = c { Some(*wk) } else { None }).collect()
 }
 
 pub fn probes(gw: &Gateway) -> Vec<usize> {
@@ -130,8 +146,8 @@
 /// Each probed worker answers with so many events in flight.
 pub fn answer(gw: &mut Gateway, loads: &[f64]) {
     for (wk, load) in probes(gw).into_iter().zip(loads) {
-        gw.reported(wk, *load, 0.0);
-        gw.probed(wk, Outcome::Ok);
+        gw.load_reported(wk, *load, 0.0);
+        gw.health_check_ended(wk, Outcome::Ok);
     }
 }
 
--- a/src/choice/tests/ramp.rs
+++ b/src/choice/tests/ramp.rs
@@ -25,7 +25,7 @@
 enum What {
     Arrive,
     End(usize, u32, usize, usize),
-    Told(usize, u32),
+    Notified(usize, u32),
     Starts,
     Restarts,
     Sweep,
@@ -36,7 +36,7 @@
     /// An event's work at a warm worker; all are alike, as the rule counts events of mean work.
     run: Time,
     now: Time,
-    chance: Chance,
+    chance: RandomGenerator,
     gateways: Vec<Gateway>,
     lives: Vec<u32>,
     started: Time,
@@ -59,18 +59,18 @@
         if wk < WORKERS || at < self.started {
             return 1.0;
         }
-        let (cold, from) = (self.settings.span("rules.cold-ms"), self.settings.number("rules.cold-from"));
+        let (cold, from) = (self.settings.duration("rules.cold-ms"), self.settings.number("rules.cold-from"));
         (from + (1.0 - from) * (at - self.started) as f64 / cold as f64).min(1.0)
     }
 
     /// Half of the workers were there all the time, the others have one in their place that is new.
-    fn list(&self) -> Vec<(usize, Listed)> {
+    fn list(&self) -> Vec<(usize, Endpoint)> {
         let anew = |wk: usize| {
             if self.now >= self.started && wk % 2 == 1 {
                 let (_, l) = listed(wk + WORKERS);
-                return (wk + WORKERS, Listed { since: self.started, rating: CORES as f64, ..l });
+                return (wk + WORKERS, Endpoint { started_at: self.started, rating: CORES as f64, ..l });
             }
-            (wk, Listed { rating: CORES as f64, ..listed(wk).1 })
+            (wk, Endpoint { rating: CORES as f64, ..listed(wk).1 })
         };
         (0..WORKERS).map(anew).collect()
     }
@@ -78,8 +78,8 @@
     fn tell(&mut self, gw: usize) {
         let list = self.list();
         let gateway = &mut self.gateways[gw];
-        gateway.clock(self.now);
-        gateway.list(&list, true);
+        gateway.advance_clock(self.now);
+        gateway.update_endpoints(&list, true);
         if self.planted == Planted::AllRoundUp {
             gateway.workers.iter_mut().for_each(|w| w.luck = 0.0);
         }
@@ -89,7 +89,7 @@
     /// What the gateway called for: launches come to their workers at once and end when a core has done them.
     fn carry_out(&mut self, gw: usize) {
         for call in std::mem::take(&mut self.gateways[gw].host.0) {
-            let Call::Launch(evt, wk) = call else { continue };
+            let Call::Attempt(evt, wk) = call else { continue };
             let launch = self.gateways[gw].events[evt].count - 1;
             let took = (self.run as f64 / self.part(wk, self.now)) as Time;
             self.came[wk].push(self.now);
@@ -109,14 +109,14 @@
                     * weights.last().expect("there are some");
                 let gw = weights.partition_point(|w| *w <= drawn);
                 let gateway = &mut self.gateways[gw];
-                gateway.clock(self.now);
+                gateway.advance_clock(self.now);
                 let function = self.chance.below(4) as usize;
                 let hash = 77 + function as u64;
-                gateway.arrive(Arrival {
+                gateway.request_arrived(RequestInfo {
                     function,
                     function_hash: hash,
                     lanes: 1000,
-                    gives_up: self.now + 20_000,
+                    deadline: self.now + 20_000,
                     ..arrival(0)
                 });
                 self.carry_out(gw);
@@ -125,17 +125,17 @@
                 let gateway = &mut self.gateways[gw];
                 let Some(e) = gateway.events.get(evt).filter(|e| launch < e.count) else { return };
                 let took = self.now - e.launches[launch].at;
-                gateway.clock(self.now);
-                gateway.ended(evt, launch, (Outcome::Ok, took), true, 1);
+                gateway.advance_clock(self.now);
+                gateway.attempt_ended(evt, launch, (Outcome::Ok, took), true, 1);
                 self.carry_out(gw);
             }
             What::End(..) => {}
-            What::Told(gw, life) if life == self.lives[gw] => self.tell(gw),
-            What::Told(..) => {}
+            What::Notified(gw, life) if life == self.lives[gw] => self.tell(gw),
+            What::Notified(..) => {}
             What::Starts => {
                 for gw in 0..self.gateways.len() {
                     let at = self.now + Time::from(self.chance.below(3_000));
-                    self.plan(at, What::Told(gw, self.lives[gw]));
+                    self.plan(at, What::Notified(gw, self.lives[gw]));
                 }
             }
             What::Restarts => {
@@ -143,7 +143,7 @@
                     self.lives[gw] += 1;
                     let seed = u64::from(self.chance.below(1 << 30));
                     self.gateways[gw] =
-                        Choice::new(Calls::default(), self.now, seed, self.settings.clone()).unwrap();
+                        Scheduler::new(Calls::default(), self.now, seed, self.settings.clone()).unwrap();
                     self.tell(gw);
                 }
             }
@@ -151,8 +151,8 @@
                 self.plan(self.now + 400, What::Sweep);
                 for gw in 0..self.gateways.len() {
                     if !self.gateways[gw].events.is_empty() {
-                        self.gateways[gw].clock(self.now);
-                        self.gateways[gw].timer(0);
+                        self.gateways[gw].advance_clock(self.now);
+                        self.gateways[gw].timer_fired(0);
                         self.carry_out(gw);
                     }
                 }
@@ -176,10 +176,10 @@
     let mut told = settings.clone();
     told.insert("rules.cold-ms".to_string(), "10000".to_string());
     let gateway =
-        |i: usize| Choice::new(Calls::default(), NOW, seed * 10_007 + i as u64, settings.clone()).unwrap();
+        |i: usize| Scheduler::new(Calls::default(), NOW, seed * 10_007 + i as u64, settings.clone()).unwrap();
     let mut fleet = Fleet {
         now: NOW,
-        chance: Chance::new(seed),
+        chance: RandomGenerator::new(seed),
         gateways: (0..gateways).map(gateway).collect(),
         lives: vec![0; gateways],
         started: NOW + WARM,
@@ -219,7 +219,7 @@
         fleet.happen(what, SECOND as f64 / rate, &weights);
     }
     fleet.settings = told;
-    let window = fleet.settings.span("rules.overload-for-ms");
+    let window = fleet.settings.duration("rules.overload-for-ms");
     let (mut worst, mut got) = (f64::MIN, 0);
     for (wk, came) in fleet.came.iter().enumerate().skip(WORKERS) {
         got += came.len();
--- a/src/choice/tests/shapes.rs
+++ b/src/choice/tests/shapes.rs
@@ -16,7 +16,7 @@
     Due(usize, u32, usize),
     Leave(usize, u32, usize),
     Fault,
-    Told(usize, u32, usize),
+    Notified(usize, u32, usize),
 }
 
 /// An event as the outside has it; its launches: worker, when, until when, how it ends, and whether that is still to come.
@@ -36,7 +36,7 @@
     life: u32,
     asked: Vec<Asked>,
     /// What it was told of each worker, and when; its orders and events for the ration.
-    told: Vec<(Standing, Time)>,
+    told: Vec<(EndpointState, Time)>,
     orders: Vec<Time>,
     taken: Vec<Time>,
     pending: Vec<(usize, usize)>,
@@ -50,7 +50,7 @@
     cores: f64,
     hand: u32,
     copies: Vec<(Time, Time)>,
-    standing: Standing,
+    standing: EndpointState,
     since: Time,
     silent: Time,
     /// Work that reached it from gateways that knew of its start.
@@ -83,18 +83,18 @@
     calm: bool,
 }
 
-fn pick<T: Clone>(c: &mut Chance, of: &[T]) -> T {
+fn pick<T: Clone>(c: &mut RandomGenerator, of: &[T]) -> T {
     of[c.below(of.len() as u32) as usize].clone()
 }
 
 /// Between two values, evenly in their logarithms.
-fn between(c: &mut Chance, low: f64, high: f64) -> f64 {
+fn between(c: &mut RandomGenerator, low: f64, high: f64) -> f64 {
     low * (high / low).powf(f64::from(c.below(10_000)) / 10_000.0)
 }
 
 impl Shape {
     pub fn draw(seed: u64) -> Shape {
-        let c = &mut Chance::new(seed.wrapping_mul(77) + 5);
+        let c = &mut RandomGenerator::new(seed.wrapping_mul(77) + 5);
         let target = between(c, 20.0, 600_000.0);
         let age = target * between(c, 1.2, 6.0);
         let siblings = pick(c, &[1, 2, 3, 5, 7, 8, 12, 30, 120, 350]);
@@ -212,7 +212,7 @@
 struct Play {
     shape: Shape,
     now: Time,
-    chance: Chance,
+    chance: RandomGenerator,
     heap: BinaryHeap<Reverse<(Time, u64, What)>>,
     seq: u64,
     gws: Vec<Lived>,
@@ -226,8 +226,8 @@
 
 impl Play {
     fn new(shape: Shape) -> Play {
-        let chance = Chance::new(shape.seed + 1);
-        let machine = Machine { cores: shape.cores, standing: Standing::On, ..Machine::default() };
+        let chance = RandomGenerator::new(shape.seed + 1);
+        let machine = Machine { cores: shape.cores, standing: EndpointState::Active, ..Machine::default() };
         let machines = vec![machine; shape.workers];
         let mut play = Play {
             now: 0,
@@ -269,10 +269,10 @@
         self.heap.push(Reverse((time.max(self.now), self.seq, what)));
     }
 
-    fn entry(&self, wk: usize) -> (usize, Listed) {
+    fn entry(&self, wk: usize) -> (usize, Endpoint) {
         let (m, zone) = (&self.machines[wk], wk as u32 % self.shape.zones);
         let (standing, since) = (m.standing, m.since);
-        (wk, Listed { standing, since, zone, cell: wk as u32 / 3, ..listed(wk).1 })
+        (wk, Endpoint { state: standing, started_at: since, zone, cell: wk as u32 / 3, ..listed(wk).1 })
     }
 
     fn start(&mut self, g: usize, life: u32) {
@@ -290,12 +290,12 @@
             }
             _ => {}
         }
-        let gw = Choice::new(Calls::default(), self.now, seed, settings);
+        let gw = Scheduler::new(Calls::default(), self.now, seed, settings);
         let mut gw = gw.unwrap_or_else(|e| panic!("{e}"));
         let entries: Vec<_> = (0..self.machines.len()).map(|wk| self.entry(wk)).collect();
-        let told = entries.iter().map(|e| (e.1.standing, e.1.since)).collect();
-        gw.clock(self.now);
-        gw.list(&entries, true);
+        let told = entries.iter().map(|e| (e.1.state, e.1.started_at)).collect();
+        gw.advance_clock(self.now);
+        gw.update_endpoints(&entries, true);
         let lived = Lived {
             gw,
             life,
@@ -331,8 +331,8 @@
         let orders = self.shape.settings.is("extra.if-cold", "miss");
         let informed = self.gws[g].told[wk].1 == self.machines[wk].since;
         let m = &mut self.machines[wk];
-        if m.standing == Standing::Gone {
-            return (Outcome::NoConnection, now + 20);
+        if m.standing == EndpointState::Removed {
+            return (Outcome::ConnectFailed, now + 20);
         }
         if m.silent > now {
             return (Outcome::TimedOut, gives_up + 1);
@@ -346,7 +346,7 @@
             return (Outcome::Miss, now + 5);
         }
         if f64::from(m.hand) > m.cores * 8.0 {
-            return (Outcome::Full, now + 5);
+            return (Outcome::AtCapacity, now + 5);
         }
         let from = if stands { from.max(now) } else { now + p.load };
         let work = p.run * luck * (f64::from(m.hand + 1) / m.cores).max(1.0);
@@ -372,15 +372,16 @@
         let id = self.gws[g].asked.iter().rposition(|a| a.place == place).expect("it was taken");
         let (allowed, twice) =
             (self.number("allowed.max-attempts") as usize, s.is("allowed.may-duplicate", "true"));
-        let (group, window) = (s.text("classes.1.group").to_string(), s.span("classes.1.window-ms"));
+        let (group, window) = (s.text("classes.1.group").to_string(), s.duration("classes.1.window-ms"));
         let evt = &self.gws[g].asked[id];
         let text = self.shape.told();
         assert!(evt.over.is_none() && now < evt.gives_up, "rule 1: launched after its end: {text}");
         assert!(allowed == 0 || evt.launches.len() < allowed, "more launches than are allowed: {text}");
         assert!(twice || evt.launches.iter().all(|l| !l.3), "rule 2: two out: {text}");
-        assert!(self.gws[g].told[wk].0 == Standing::On, "rule 3: to a worker that drains: {text}");
-        let proven =
-            |o: Outcome| matches!(o, Outcome::Full | Outcome::NoConnection | Outcome::Miss | Outcome::Moot);
+        assert!(self.gws[g].told[wk].0 == EndpointState::Active, "rule 3: to a worker that drains: {text}");
+        let proven = |o: Outcome| {
+            matches!(o, Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::Miss | Outcome::Discarded)
+        };
         for l in evt.launches.iter().filter(|l| l.3 || !proven(l.2)) {
             let near = match group.as_str() {
                 "all" => true,
@@ -408,7 +409,10 @@
         assert!(evt.over.is_none(), "rule 1: two final answers: {text}");
         evt.over = Some(how);
         let proven = |l: &(usize, Time, Outcome, bool)| {
-            !l.3 && matches!(l.2, Outcome::Full | Outcome::NoConnection | Outcome::Miss | Outcome::Moot)
+            !l.3 && matches!(
+                l.2,
+                Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::Miss | Outcome::Discarded
+            )
         };
         let harmless = match self.shape.programs[evt.f].typ {
             0 => true,
@@ -430,7 +434,7 @@
             for call in std::mem::take(&mut self.gws[g].gw.host.0) {
                 let (now, life) = (self.now, self.gws[g].life);
                 match call {
-                    Call::Launch(place, wk) => self.launch(g, place, wk),
+                    Call::Attempt(place, wk) => self.launch(g, place, wk),
                     Call::Cancel(place, launch) => {
                         let id = self.gws[g].asked.iter().rposition(|a| a.place == place).unwrap();
                         let out = &mut self.gws[g].asked[id].launches[launch];
@@ -465,10 +469,10 @@
         assert!(self.shape.settings.is("extra.orders", "true") && copies <= 16);
         if copies > 0 {
             assert!(
-                self.gws[g].told[wk].0 == Standing::On,
+                self.gws[g].told[wk].0 == EndpointState::Active,
                 "rule 3: an order to a worker that drains: {text}"
             );
-            let window = self.shape.settings.span("extra.load-window-ms");
+            let window = self.shape.settings.duration("extra.load-window-ms");
             let (free, share) = (self.number("extra.free-loads"), self.number("extra.load-share"));
             let lived = &mut self.gws[g];
             lived.orders.push(now);
@@ -483,7 +487,7 @@
         let luck = self.chance.below(30);
         let m = &mut self.machines[wk];
         let (mut how, mut after) = (0, 5);
-        if m.standing == Standing::Gone {
+        if m.standing == EndpointState::Removed {
             how = 2;
         } else if m.silent > now {
             (how, after) = (3, 100_000);
@@ -508,18 +512,18 @@
                 let count = self.machines.len();
                 for wk in (0..some).map(|i| (wk + i) % count) {
                     let m = &mut self.machines[wk];
-                    (m.since, m.hand, m.standing) = (now.max(1), 0, Standing::On);
+                    (m.since, m.hand, m.standing) = (now.max(1), 0, EndpointState::Active);
                     m.sent.clear();
                     m.copies.iter_mut().for_each(|c| *c = (Time::MAX, 0));
                 }
                 self.tell_all();
             }
             1 => {
-                self.machines[wk].standing = Standing::Draining;
+                self.machines[wk].standing = EndpointState::Draining;
                 self.tell_all();
             }
             2 => {
-                self.machines[wk].standing = Standing::Gone;
+                self.machines[wk].standing = EndpointState::Removed;
                 self.tell_all();
             }
             3 => {
@@ -534,7 +538,7 @@
 
     fn tell_all(&mut self) {
         for g in 0..self.gws.len() {
-            self.at(self.now + 3_000, What::Told(g, self.gws[g].life, 0));
+            self.at(self.now + 3_000, What::Notified(g, self.gws[g].life, 0));
         }
     }
 
@@ -551,8 +555,8 @@
         let p = self.shape.programs[f];
         let gives_up = now + (self.shape.age * 10.0) as Time;
         let lived = &mut self.gws[g];
-        lived.gw.clock(now);
-        let place = lived.gw.next_place();
+        lived.gw.advance_clock(now);
+        let place = lived.gw.next_request_slot();
         let free = lived.asked.iter().rev().find(|a| a.place == place);
         assert!(
             free.is_none_or(|a| a.over.is_some() && a.launches.iter().all(|l| !l.3)),
@@ -575,9 +579,15 @@
             self.at(now + (gives_up - now) / 3, What::Leave(g, life, id));
         }
         let load_hint = if self.shape.spoil == Some("hopeful") { 0 } else { p.load };
-        let told = Arrival { hint: p.run as Time, load_hint, tenant: Some(0), ..arrival(p.typ) };
-        let hash = mix(f as u64 + 1, 99);
-        self.gws[g].gw.arrive(Arrival { function: f, function_hash: hash, lanes: p.lanes, gives_up, ..told });
+        let told = RequestInfo { cost_hint: p.run as Time, load_hint, tenant: Some(0), ..arrival(p.typ) };
+        let hash = mix_hashes(f as u64 + 1, 99);
+        self.gws[g].gw.request_arrived(RequestInfo {
+            function: f,
+            function_hash: hash,
+            lanes: p.lanes,
+            deadline: gives_up,
+            ..told
+        });
         self.act(g);
         self.look(g);
         let step = self.gws[g].gw.told.sweep;
@@ -607,7 +617,7 @@
             self.ends[usize::from(now > came + (self.shape.target * 10.0) as Time)] += 1;
         }
         let over = self.gws[g].asked[id].over.is_some();
-        if !matches!(how, Outcome::Miss | Outcome::Full | Outcome::NoConnection) {
+        if !matches!(how, Outcome::Miss | Outcome::AtCapacity | Outcome::ConnectFailed) {
             let m = &mut self.machines[wk];
             m.hand = m.hand.saturating_sub(1);
         }
@@ -616,11 +626,11 @@
         if self.shape.settings.is("reporting.how", "answers") && how != Outcome::TimedOut {
             let busy = (f64::from(hand) / self.machines[wk].cores).min(1.0);
             let told = |name: &str, v: f64| if names.contains(name) { v } else { 0.0 };
-            self.gws[g].gw.reported(wk, told("rif", f64::from(hand)), told("busy", busy));
+            self.gws[g].gw.load_reported(wk, told("rif", f64::from(hand)), told("busy", busy));
         }
         let company = if self.shape.spoil == Some("crowd") { 30 } else { hand.min(30) };
-        let note = (1 + 8 * company) * u32::from(matches!(how, Outcome::Ok | Outcome::Full));
-        self.gws[g].gw.ended(place, launch, (how, (now - at).max(1)), over, note);
+        let note = (1 + 8 * company) * u32::from(matches!(how, Outcome::Ok | Outcome::AtCapacity));
+        self.gws[g].gw.attempt_ended(place, launch, (how, (now - at).max(1)), over, note);
     }
 
     fn step(&mut self, what: What) {
@@ -636,14 +646,14 @@
         | What::Probed(g, life, _)
         | What::Due(g, life, _)
         | What::Leave(g, life, _)
-        | What::Told(g, life, _)) = what
+        | What::Notified(g, life, _)) = what
         else {
             return;
         };
         if self.gws[g].life != life {
             return;
         }
-        self.gws[g].gw.clock(now);
+        self.gws[g].gw.advance_clock(now);
         match what {
             What::Sweep(..) => {
                 if self.gws[g].sweep != now {
@@ -657,9 +667,9 @@
                     self.shape.life / 300
                 };
                 let due = self.gws[g].asked.iter().filter(|a| a.over.is_none()).map(|a| a.gives_up);
-                let tick = 2 * self.shape.settings.span("tick-ms");
+                let tick = 2 * self.shape.settings.duration("tick-ms");
                 let last = due.map(|t| t.saturating_sub(tick + 5)).filter(|t| *t > now).min();
-                self.gws[g].gw.timer(0);
+                self.gws[g].gw.timer_fired(0);
                 let step = self.gws[g].gw.told.sweep;
                 let sweep = now + next.max(step);
                 self.sweep(g, last.map_or(sweep, |t| t.saturating_sub(step).min(sweep).max(now + 1)));
@@ -673,21 +683,21 @@
                 let (from, until) = self.machines[wk].copies[f];
                 let stands = u32::from(from <= now && until > now);
                 let outcome =
-                    [Outcome::Ok, Outcome::Error, Outcome::NoConnection, Outcome::TimedOut][how as usize];
+                    [Outcome::Ok, Outcome::Error, Outcome::ConnectFailed, Outcome::TimedOut][how as usize];
                 let stands = if how == 0 { stands } else { 0 };
-                self.gws[g].gw.held(f, wk, outcome, stands);
+                self.gws[g].gw.load_request_ended(f, wk, outcome, stands);
             }
             What::Probed(_, _, wk) => {
                 let m = &self.machines[wk];
-                let well = m.silent <= now && m.standing != Standing::Gone;
+                let well = m.silent <= now && m.standing != EndpointState::Removed;
                 if well && !self.shape.settings.is("reporting.how", "none") {
                     let busy = (f64::from(m.hand) / m.cores).min(1.0);
                     let names = self.shape.settings.text("reporting.names");
                     let told = |name: &str, v: f64| if names.contains(name) { v } else { 0.0 };
                     let (rif, busy) = (told("rif", f64::from(m.hand)), told("busy", busy));
-                    self.gws[g].gw.reported(wk, rif, busy);
+                    self.gws[g].gw.load_reported(wk, rif, busy);
                 }
-                self.gws[g].gw.probed(wk, if well { Outcome::Ok } else { Outcome::TimedOut });
+                self.gws[g].gw.health_check_ended(wk, if well { Outcome::Ok } else { Outcome::TimedOut });
             }
             What::Due(_, _, id) => {
                 let evt = &self.gws[g].asked[id];
@@ -705,14 +715,14 @@
                 evt.over = Some("left");
                 let place = evt.place;
                 self.ends[4] += 1;
-                self.gws[g].gw.lapsed(place);
+                self.gws[g].gw.client_abandoned(place);
             }
-            What::Told(..) => {
+            What::Notified(..) => {
                 let entries: Vec<_> = (0..self.machines.len()).map(|wk| self.entry(wk)).collect();
                 if self.shape.spoil != Some("untold") {
-                    self.gws[g].gw.list(&entries, true);
+                    self.gws[g].gw.update_endpoints(&entries, true);
                 }
-                self.gws[g].told = entries.iter().map(|e| (e.1.standing, e.1.since)).collect();
+                self.gws[g].told = entries.iter().map(|e| (e.1.state, e.1.started_at)).collect();
             }
             _ => {}
         }
@@ -737,8 +747,10 @@
 
     /// Rule 4, where all gateways are played.
     fn cold(&self) {
-        let (cold, window) =
-            (self.shape.settings.span("rules.cold-ms"), self.shape.settings.span("rules.overload-for-ms"));
+        let (cold, window) = (
+            self.shape.settings.duration("rules.cold-ms"),
+            self.shape.settings.duration("rules.overload-for-ms"),
+        );
         let (from, tip) = (self.number("rules.cold-from"), self.number("rules.tip-multiple"));
         if self.shape.siblings != self.shape.played || cold == 0 || window == 0 || tip == 0.0 {
             return;
@@ -772,7 +784,8 @@
         assert!(done.most <= bound, "{} copies for {} in hand: {text}", done.most, done.hand);
         // With nothing amiss, quick loads and no ration, eight in ten are handled in time also at seven tenths of the cores.
         let s = &done.shape.settings;
-        let eased = done.shape.calm && s.is("extra.orders", "true") && s.span("extra.load-window-ms") == 0;
+        let eased =
+            done.shape.calm && s.is("extra.orders", "true") && s.duration("extra.load-window-ms") == 0;
         let quick = done.shape.programs.iter().all(|p| p.load as f64 + 2.0 * p.run < done.shape.target * 5.0);
         if eased && quick && done.shape.cores * done.shape.workers as f64 >= 8.0 {
             assert!(done.ends[0] * 10 >= all * 8, "only {:?} of {all}: {text}", done.ends);
--- a/src/ids.rs
+++ b/src/interner.rs
@@ -3,19 +3,19 @@
 use std::collections::HashMap;
 
 /// A fixed hash of an id text (FNV-1a), the same at every gateway.
-pub fn hash(text: &str) -> u64 {
+pub fn fnv1a(text: &str) -> u64 {
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
 /// Looked up by text, never walked, so the map's order decides nothing. Places are used again.
 #[derive(Default)]
-pub struct Ids {
+pub struct Interner {
     texts: Slab<String>,
     places: HashMap<String, usize>,
 }
 
-impl Ids {
-    pub fn index(&mut self, text: &str) -> usize {
+impl Interner {
+    pub fn intern(&mut self, text: &str) -> usize {
         if let Some(place) = self.places.get(text) {
             return *place;
         }
@@ -24,15 +24,15 @@
         place
     }
 
-    pub fn known(&self, text: &str) -> Option<usize> {
+    pub fn get(&self, text: &str) -> Option<usize> {
         self.places.get(text).copied()
     }
 
-    pub fn text(&self, place: usize) -> &str {
+    pub fn resolve(&self, place: usize) -> &str {
         &self.texts[place]
     }
 
-    pub fn forget(&mut self, place: usize) {
+    pub fn remove(&mut self, place: usize) {
         if let Some(text) = self.texts.try_remove(place) {
             self.places.remove(&text);
         }
--- a/src/chance.rs
+++ b/src/random.rs
@@ -1,27 +1,27 @@
 //! Chance: a multiply-with-carry generator (lag 1, 32-bit words), started from the instance's seed.
 
-pub struct Chance(u64);
+pub struct RandomGenerator(u64);
 
-impl Chance {
-    pub fn new(seed: u64) -> Chance {
+impl RandomGenerator {
+    pub fn new(seed: u64) -> RandomGenerator {
         // Neither 0 nor the multiplier's own fixed point may be the start; mixing keeps near seeds apart.
         let mixed = (seed ^ (seed >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        Chance((mixed >> 2) | 1)
+        RandomGenerator((mixed >> 2) | 1)
     }
 
-    pub fn draw(&mut self) -> u32 {
+    pub fn next_u32(&mut self) -> u32 {
         self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
         self.0 as u32
     }
 
     /// A number from 0 up to, not including, `n`.
     pub fn below(&mut self, n: u32) -> u32 {
-        ((u64::from(self.draw()) * u64::from(n)) >> 32) as u32
+        ((u64::from(self.next_u32()) * u64::from(n)) >> 32) as u32
     }
 }
 
 /// A fixed mixture of two hashes, the same everywhere.
-pub fn mix(a: u64, b: u64) -> u64 {
+pub fn mix_hashes(a: u64, b: u64) -> u64 {
     let x = (a ^ b.rotate_left(32)).wrapping_mul(0x9fb2_1c65_1e98_df25);
     let x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
     x ^ (x >> 29)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,12 +1,12 @@
 //! The settings as the wire names them: a plain map of names to values, read by name. It decides nothing.
-use crate::choice::MOST_LAUNCHES;
-use crate::host::Time;
-use crate::state::{EventType, Group, Repeat, Tenant, Told};
+use crate::choice::MAX_ATTEMPTS;
+use crate::interface::Time;
+use crate::state::{KeyScope, RequestClass, RetrySafety, SchedulerConfig, Tenant};
 use std::collections::BTreeMap;
 
 pub type Settings = BTreeMap<String, String>;
 
-pub trait Named {
+pub trait SettingsReader {
     fn text(&self, key: &str) -> &str;
 
     fn is(&self, key: &str, value: &str) -> bool {
@@ -18,106 +18,106 @@
     }
 
     /// The number where it is told and above 0, else another.
-    fn above_0(&self, key: &str, otherwise: f64) -> f64 {
+    fn positive_or(&self, key: &str, otherwise: f64) -> f64 {
         Some(self.number(key)).filter(|v| *v > 0.0).unwrap_or(otherwise)
     }
 
     /// Milliseconds as tenths of one, rounded down: spans in settings are limits.
-    fn span(&self, key: &str) -> Time {
+    fn duration(&self, key: &str) -> Time {
         (self.number(key) * 10.0).floor() as Time
     }
 
     /// The same for a span.
-    fn span_above_0(&self, key: &str, otherwise: f64) -> Time {
-        (self.above_0(key, otherwise / 10.0) * 10.0).floor() as Time
+    fn duration_or(&self, key: &str, otherwise: f64) -> Time {
+        (self.positive_or(key, otherwise / 10.0) * 10.0).floor() as Time
     }
 
     /// The event type at this place. An answer is wanted before the client gives up at the latest, also where no
     /// target time is told.
-    fn event_type(&self, typ: usize) -> EventType {
+    fn request_class(&self, typ: usize) -> RequestClass {
         let key = |name: &str| format!("classes.{typ}.{name}");
-        let age = self.span_above_0(&key("deadline-ms"), MOST_SPAN);
-        EventType {
-            target: self.span_above_0(&key("aim-ms"), age as f64).min(age),
+        let age = self.duration_or(&key("deadline-ms"), MAX_DURATION);
+        RequestClass {
+            target: self.duration_or(&key("aim-ms"), age as f64).min(age),
             age: age as f64,
             stretch: self.number(&key("aim-stretch")),
             benefit: self.number(&key("worth")),
             late: self.number(&key("late-worth")),
-            repeat: self.repeat(typ),
-            ..EventType::default()
+            repeat: self.retry_safety(typ),
+            ..RequestClass::default()
         }
     }
 
     /// The tenant at this place; where no share is told it has no bound.
     fn tenant(&self, tenant: usize) -> Tenant {
-        let quota = self.above_0(&format!("tenants.{tenant}.quota-per-s"), f64::MAX);
+        let quota = self.positive_or(&format!("tenants.{tenant}.quota-per-s"), f64::MAX);
         Tenant { quota, ..Tenant::default() }
     }
 
     /// What every event asks for. Where it is left out: one gateway alone, the wire's most launches, and no bound.
-    fn told(&self) -> Told {
+    fn scheduler_config(&self) -> SchedulerConfig {
         let names = |name: &str| self.text("reporting.names").split(',').any(|n| n == name);
         let orders = self.is("extra.orders", "true");
         let untold = self.text("allowed.max-retry-after-ms").is_empty();
         let longest =
             if untold { f64::from(u32::MAX) } else { self.number("allowed.max-retry-after-ms") * 10.0 };
-        Told {
-            siblings: self.above_0("siblings", 1.0),
+        SchedulerConfig {
+            siblings: self.positive_or("siblings", 1.0),
             looks: self.is("allowed.probes", "true")
                 && !self.is("reporting.how", "none")
                 && (names("rif") || names("busy")),
-            keep: self.span("extra.stays-loaded-ms"),
-            tick: self.span("tick-ms"),
+            keep: self.duration("extra.stays-loaded-ms"),
+            tick: self.duration("tick-ms"),
             counts: names("rif"),
-            cold: (self.span("rules.cold-ms"), self.number("rules.cold-from")),
+            cold: (self.duration("rules.cold-ms"), self.number("rules.cold-from")),
             tip: self.number("rules.tip-multiple"),
-            tips: self.span("rules.overload-for-ms"),
+            tips: self.duration("rules.overload-for-ms"),
             asks: self.is("discovery", "on_request"),
             orders,
             ration: (
-                self.span("extra.load-window-ms"),
+                self.duration("extra.load-window-ms"),
                 self.number("extra.free-loads"),
                 self.number("extra.load-share"),
             ),
             on_miss: orders && self.is("extra.if-cold", "miss"),
             twice: self.is("allowed.may-duplicate", "true"),
             cancel: self.is("allowed.cancel", "true"),
-            most: self.above_0("allowed.max-attempts", MOST_LAUNCHES as f64).min(MOST_LAUNCHES as f64)
+            most: self.positive_or("allowed.max-attempts", MAX_ATTEMPTS as f64).min(MAX_ATTEMPTS as f64)
                 as usize,
-            held: self.above_0("allowed.most-held", MOST_SPAN),
+            held: self.positive_or("allowed.most-held", MAX_DURATION),
             back: if self.is("allowed.retry-after", "true") {
                 longest.min(f64::from(u32::MAX)) as Time
             } else {
                 0
             },
-            reach: self.span("allowed.connect-timeout-ms"),
-            within: self.span_above_0("rules.ask-within-ms", MOST_SPAN),
-            ..Told::default()
+            reach: self.duration("allowed.connect-timeout-ms"),
+            within: self.duration_or("rules.ask-within-ms", MAX_DURATION),
+            ..SchedulerConfig::default()
         }
     }
 
     /// Whether events of the type at this place may run again.
-    fn repeat(&self, typ: usize) -> Repeat {
+    fn retry_safety(&self, typ: usize) -> RetrySafety {
         let key = |name: &str| format!("classes.{typ}.{name}");
-        let window = self.span(&key("window-ms"));
+        let window = self.duration(&key("window-ms"));
         match (self.text(&key("semantics")), self.text(&key("group"))) {
-            ("read_like", _) => Repeat::Redeliverable,
-            ("idempotency_key", "all") => Repeat::Keyed(Group::All, window),
-            ("idempotency_key", "zone") => Repeat::Keyed(Group::Zone, window),
-            ("idempotency_key", _) => Repeat::Keyed(Group::Cell, window),
-            _ => Repeat::AtMostOnce,
+            ("read_like", _) => RetrySafety::Idempotent,
+            ("idempotency_key", "all") => RetrySafety::IdempotencyKey(KeyScope::All, window),
+            ("idempotency_key", "zone") => RetrySafety::IdempotencyKey(KeyScope::Zone, window),
+            ("idempotency_key", _) => RetrySafety::IdempotencyKey(KeyScope::Cell, window),
+            _ => RetrySafety::NonIdempotent,
         }
     }
 }
 
-impl Named for Settings {
+impl SettingsReader for Settings {
     fn text(&self, key: &str) -> &str {
         self.get(key).map_or("", String::as_str)
     }
 }
 
 /// The longest span that a setting may tell, in tenths of a millisecond: some thirty years.
-pub const MOST_SPAN: f64 = 1e13;
+pub const MAX_DURATION: f64 = 1e13;
 
 /// Numbers that mean nothing outside these bounds: name (a digit stands for any place of a list), least, most,
 /// and whether only whole ones do. Wide on purpose: they keep out what can't be meant, not what was not met yet.
@@ -153,13 +153,13 @@
 
 /// Names the first setting that can't be meant, in one line. What is left out has its default, and names that are
 /// not known are passed over.
-pub fn are_good(settings: &Settings) -> Result<(), String> {
+pub fn validate(settings: &Settings) -> Result<(), String> {
     for (key, value) in settings {
         let part = |p: &str| if p.parse::<u32>().is_ok() { "0".to_string() } else { p.to_string() };
         let name = key.split('.').map(part).collect::<Vec<_>>().join(".");
         if name.ends_with("-ms") {
             for part in value.split(',') {
-                let good = part.parse().is_ok_and(|v: f64| (0.0..MOST_SPAN / 10.0).contains(&v));
+                let good = part.parse().is_ok_and(|v: f64| (0.0..MAX_DURATION / 10.0).contains(&v));
                 good.then_some(()).ok_or_else(|| format!("{key}: '{part}' is not a time"))?;
             }
         } else if let Some((_, least, most, whole)) = NUMBERS.iter().find(|n| n.0 == name) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,11 @@
 //! What is remembered of workers, functions and events. It decides nothing; all decisions are in `choice`.
-use crate::choice::{MOST_LAUNCHES, RATE_STEP};
-use crate::host::{Arrival, Listed, Time};
+use crate::choice::{COUNTER_STEP, MAX_ATTEMPTS};
+use crate::interface::{Endpoint, RequestInfo, Time};
 use std::collections::VecDeque;
 
 /// Settings that every event asks for, read once: looking them up by name took most of the time at full size.
 #[derive(Default)]
-pub struct Told {
+pub struct SchedulerConfig {
     pub siblings: f64,
     /// Departures for large fleets act with more gateways than this one's own rate and own events in flight
     /// can speak for (the limit lies well between the fleets seen, of 3 and of 20 and more).
@@ -48,22 +48,22 @@
 
 /// What may be done again once a launch may have run.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Repeat {
-    Redeliverable,
-    Keyed(Group, Time),
+pub enum RetrySafety {
+    Idempotent,
+    IdempotencyKey(KeyScope, Time),
     #[default]
-    AtMostOnce,
+    NonIdempotent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Group {
+pub enum KeyScope {
     All,
     Zone,
     Cell,
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct EventType {
+pub struct RequestClass {
     pub target: Time,
     /// The target time as clients show it: less where they leave before the told times.
     pub felt: f64,
@@ -72,7 +72,7 @@
     pub stretch: f64,
     pub benefit: f64,
     pub late: f64,
-    pub repeat: Repeat,
+    pub repeat: RetrySafety,
     /// Smoothed own warm latency and hint of cost, in tenths of a millisecond.
     pub run: f64,
     pub hint: f64,
@@ -81,20 +81,20 @@
 #[derive(Default)]
 pub struct Tenant {
     pub quota: f64,
-    pub rate: Rate,
+    pub rate: SlidingCounter,
 }
 
 /// A count that slides over twenty steps.
 #[derive(Clone, Default)]
-pub struct Rate {
+pub struct SlidingCounter {
     pub steps: [u32; 20],
     pub at: Time,
     pub sum: u32,
 }
 
-impl Rate {
+impl SlidingCounter {
     pub fn turn(&mut self, now: Time) {
-        let (step, len) = (now / RATE_STEP, self.steps.len() as Time);
+        let (step, len) = (now / COUNTER_STEP, self.steps.len() as Time);
         for s in self.at + 1..=step.min(self.at + len) {
             self.sum -= std::mem::take(&mut self.steps[(s % len) as usize]);
         }
@@ -109,7 +109,7 @@
 
     /// The sum by now, where nothing was added for a while.
     pub fn recent(&self, now: Time) -> u32 {
-        let (step, len) = (now / RATE_STEP, self.steps.len() as Time);
+        let (step, len) = (now / COUNTER_STEP, self.steps.len() as Time);
         let gone = (self.at + 1..=step.min(self.at + len)).map(|s| self.steps[(s % len) as usize]);
         self.sum - gone.sum::<u32>()
     }
@@ -117,13 +117,13 @@
     /// How many there were, and over which part of the span since `started` they were counted.
     pub fn seen(&mut self, now: Time, started: Time) -> (f64, Time) {
         self.turn(now);
-        (f64::from(self.sum), (now - started).min(RATE_STEP * self.steps.len() as Time))
+        (f64::from(self.sum), (now - started).min(COUNTER_STEP * self.steps.len() as Time))
     }
 }
 
 #[derive(Default)]
 pub struct Worker {
-    pub listed: Listed,
+    pub listed: Endpoint,
     pub in_flight: u32,
     /// The in-flight bound that the page leaves open, for the worker as a whole; learned.
     pub bound: f64,
@@ -141,26 +141,26 @@
     pub out_until: Time,
     pub out_span: Time,
     /// Mean work that it did of late, and the launches that a cold start's budget counts.
-    pub done: Rate,
+    pub done: SlidingCounter,
     pub budget: VecDeque<(Time, usize)>,
     /// Where between 0 and 1 this gateway rounds its share of a cold worker up.
     pub luck: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Copies {
+pub enum InstanceState {
     #[default]
     Unknown,
     Absent,
-    Ordered,
-    Standing,
+    Loading,
+    Loaded,
 }
 
 /// A function's copies on one worker. A function has a seat for every worker, in the shared order.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Seat {
+pub struct Placement {
     pub wk: usize,
-    pub copies: Copies,
+    pub copies: InstanceState,
     pub flight: u32,
     /// Orders that await their end, and asks that do.
     pub pending: u32,
@@ -172,7 +172,7 @@
     pub barred_until: Time,
 }
 
-impl Seat {
+impl Placement {
     /// Nothing is out or awaited there.
     pub fn still(&self) -> bool {
         self.flight == 0 && self.pending == 0 && self.asks == 0
@@ -196,37 +196,37 @@
     pub crowded: Time,
     pub n: usize,
     pub turn: usize,
-    pub rate: Rate,
+    pub rate: SlidingCounter,
     pub last: Time,
     pub events: u32,
-    pub seats: Vec<Seat>,
+    pub seats: Vec<Placement>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum State {
-    Out,
+pub enum AttemptState {
+    InFlight,
     /// Cancelled by us or late beyond patience: counted against its worker already.
     Overdue,
     Cancelled,
     #[default]
-    ProvenNotRun,
-    MayHaveRun,
+    NotExecuted,
+    MayHaveExecuted,
     /// May have run; its connection broke, which says little of the worker.
-    Broke,
+    ConnectionLost,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Launch {
+pub struct Attempt {
     pub wk: usize,
     pub at: Time,
     /// How full the worker was seen to be.
     pub seen: f64,
-    pub state: State,
+    pub state: AttemptState,
 }
 
 #[derive(Default)]
-pub struct Evt {
-    pub arrival: Arrival,
+pub struct Request {
+    pub arrival: RequestInfo,
     pub came: Time,
     pub over: bool,
     pub streaming: bool,
@@ -238,12 +238,12 @@
     pub grown_at: Time,
     /// Launches that followed a failure; the move after a miss is not one.
     pub further: u32,
-    pub launches: [Launch; MOST_LAUNCHES],
+    pub launches: [Attempt; MAX_ATTEMPTS],
     pub count: usize,
 }
 
-impl Evt {
-    pub fn sent(&self) -> &[Launch] {
+impl Request {
+    pub fn sent(&self) -> &[Attempt] {
         &self.launches[..self.count]
     }
 
@@ -252,10 +252,10 @@
     }
 
     pub fn proven_not_run(&self) -> bool {
-        self.sent().iter().all(|l| l.state == State::ProvenNotRun)
+        self.sent().iter().all(|l| l.state == AttemptState::NotExecuted)
     }
 }
 
-pub fn is_out(state: State) -> bool {
-    matches!(state, State::Out | State::Overdue | State::Cancelled)
+pub fn is_out(state: AttemptState) -> bool {
+    matches!(state, AttemptState::InFlight | AttemptState::Overdue | AttemptState::Cancelled)
 }
