--- a/crates/tidewall-amqp-ingress/src/lib.rs
+++ b/crates/tidewall-amqp-ingress/src/lib.rs
@@ -102,7 +102,7 @@
 fn write<N: Net>(net: &mut N, link: u64, bytes: &[u8]) {
     if !net.write(Conn(link), bytes) {
         // One that reads nothing until its buffer is full has lost its deliveries, not its neighbours.
-        net.fail(Conn(link));
+        net.abort(Conn(link));
     }
 }
 
@@ -172,7 +172,7 @@
                 .map_or(age, |ms| ms.saturating_mul(10).min(age)),
         };
         // Its time may have passed before it was read: an answer might come too late, and silence might be wrong.
-        let waited = self.core.net().waited();
+        let waited = self.core.net().read_delay();
         let left = door::left(left, waited).ok_or((
             Word::TurnedAway,
             if waited < left { "late" } else { "expired" },
@@ -221,23 +221,23 @@
             typ,
         });
         let event = Incoming {
-            ticket: Ticket {
-                door: side.me,
+            reply_handle: Ticket {
+                ingress: side.me,
                 key: key as u64 | u64::from(side.count) << 32,
             },
             id: ticket,
-            typ,
+            class: typ,
             tenant: user.and_then(|u| u.tenant),
             function,
             lanes: number("x-lanes").map_or(known.map_or(1, |f| f.lanes), |v| {
                 v.clamp(1.0, 1000.0) as u32
             }),
             memory: number("x-memory-mb").unwrap_or(known.map_or(0.0, |f| f.memory)),
-            hint: span("x-hint-ms").unwrap_or(known.map_or(0, |f| f.hint)),
+            cost_hint: span("x-hint-ms").unwrap_or(known.map_or(0, |f| f.hint)),
             load_hint: span("x-load-hint-ms").unwrap_or(known.map_or(0, |f| f.load_hint)),
-            left,
-            resent: t.redelivered,
-            mark: t.properties.message_id.as_bytes(),
+            remaining: left,
+            is_retry: t.redelivered,
+            idempotency_key: t.properties.message_id.as_bytes(),
             payload: t.body,
         };
         // Clients' ids for logs come from the message, where it has a number for one.
@@ -248,7 +248,7 @@
         if let Some(mark) = &mark {
             side.marks.take(mark.clone(), key);
         }
-        match self.core.take(&event) {
+        match self.core.admit(&event) {
             Ok(_) => Ok(()),
             Err(reason) => {
                 self.side.taken.remove(key);
@@ -271,7 +271,7 @@
 impl<N: Net> Reins for Hands<'_, N> {
     fn pause(&mut self, conn: usize, on: bool) {
         let link = self.side.links[conn];
-        self.core.net().pause(Conn(link), on);
+        self.core.net().set_read_paused(Conn(link), on);
     }
 
     fn block(&mut self, conn: usize, on: bool, reason: &'static str) {
@@ -393,7 +393,7 @@
 
     fn key(&self, conn: Conn) -> Option<usize> {
         self.conns
-            .get(conn.place())
+            .get(conn.index())
             .copied()
             .flatten()
             .filter(|c| c.0 == conn.0)
@@ -449,17 +449,17 @@
 }
 
 impl<N: Net> Door<N> for Amqp {
-    fn opened(&mut self, core: &mut Core<N>) {
-        core.wake(self.side.me, LOOK);
+    fn started(&mut self, core: &mut Core<N>) {
+        core.set_ingress_timer(self.side.me, LOOK);
     }
 
     fn accepted(&mut self, core: &mut Core<N>, conn: Conn) {
         self.server.clock(core.net().now());
         let key = self.server.accepted(conn.0);
-        if self.conns.len() <= conn.place() {
-            self.conns.resize(conn.place() + 1, None);
+        if self.conns.len() <= conn.index() {
+            self.conns.resize(conn.index() + 1, None);
         }
-        self.conns[conn.place()] = Some((conn.0, key));
+        self.conns[conn.index()] = Some((conn.0, key));
         if self.side.links.len() <= key {
             self.side.links.resize(key + 1, 0);
         }
@@ -467,7 +467,7 @@
         self.hold.gone(key);
     }
 
-    fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
         let Some(key) = self.key(conn) else {
             return bytes.len();
         };
@@ -491,7 +491,7 @@
         used
     }
 
-    fn drained(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn writable(&mut self, core: &mut Core<N>, conn: Conn) {
         if let Some(key) = self.key(conn) {
             self.server.clock(core.net().now());
             self.server.drained(
@@ -507,7 +507,7 @@
     /// What it published goes on: a terminal that comes back asks with the same message-id.
     fn closed(&mut self, core: &mut Core<N>, conn: Conn) {
         if let Some(key) = self.key(conn) {
-            self.conns[conn.place()] = None;
+            self.conns[conn.index()] = None;
             self.server.clock(core.net().now());
             self.server.gone(key);
             self.hold.gone(key);
@@ -518,25 +518,25 @@
         }
     }
 
-    fn begun(&mut self, _net: &mut N, _ticket: Ticket, _payload: &[u8]) {}
+    fn response_started(&mut self, _net: &mut N, _ticket: Ticket, _payload: &[u8]) {}
 
-    fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
-        let word = match answer.word {
-            door::Word::Handled => Word::Handled,
-            door::Word::Deferred => Word::Deferred,
-            door::Word::DeadLettered => Word::DeadLettered,
+    fn respond(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
+        let word = match answer.disposition {
+            door::Word::Completed => Word::Handled,
+            door::Word::Rejected => Word::Deferred,
+            door::Word::Failed => Word::DeadLettered,
         };
         self.tell(
             net,
             ticket,
             word,
-            answer.come_back,
+            answer.retry_after,
             answer.reason,
             answer.payload,
         );
     }
 
-    fn given_up(&mut self, now: Time, ticket: Ticket) {
+    fn request_expired(&mut self, now: Time, ticket: Ticket) {
         // Its time passed while this process stood still: nobody is told. It may have run: the mark is free for another try
         // only where that does no harm, and a repeat is told that nothing is promised.
         let (key, count) = (
@@ -565,8 +565,8 @@
         }
     }
 
-    fn due(&mut self, core: &mut Core<N>) {
-        core.wake(self.side.me, LOOK);
+    fn timer_fired(&mut self, core: &mut Core<N>) {
+        core.set_ingress_timer(self.side.me, LOOK);
         let now = core.net().now();
         self.server.clock(now);
         self.impatient(core);
@@ -589,7 +589,7 @@
         if tick {
             self.ticked = now;
             self.server.tick(&mut full);
-            if core.draining() {
+            if core.is_draining() {
                 info!(
                     connections = self.server.connections(),
                     waiting = self.server.waiting(),
@@ -612,7 +612,7 @@
                 debts: self.server.debts(*key),
             });
         }
-        let (queued, held) = (self.server.queued(), core.held());
+        let (queued, held) = (self.server.queued(), core.in_flight());
         let mut hands = Hands {
             core,
             server: &mut self.server,
--- a/crates/tidewall-amqp-ingress/tests/triggers.rs
+++ b/crates/tidewall-amqp-ingress/tests/triggers.rs
@@ -11,7 +11,7 @@
 use tidewall_amqp_ingress::Amqp;
 use tidewall_emulator::terminal::{Heard, Terminal};
 use tidewall_net::memory::{self, Memory};
-use tidewall_net::{App, Conn, Listener, Net, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
 use tidewall_wire::kind;
 
 const DOOR: &str = "127.0.0.1:702";
@@ -55,7 +55,7 @@
         self.terminal.connected(&mut out);
         self.net.write(conn, &out);
     }
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let (mut used, mut out) = (0, Vec::new());
         loop {
             match self
@@ -73,11 +73,11 @@
         self.net.write(conn, &out);
         used
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, _: Why) {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, _: CloseReason) {
         self.conn = None;
     }
-    fn due(&mut self, _: u64) {}
+    fn timer_fired(&mut self, _: u64) {}
 }
 
 struct Yard {
@@ -111,7 +111,7 @@
     );
     let settings = tidewall_config::settings("test", &text).unwrap();
     site.gateway
-        .open(at(DOOR), Box::new(Amqp::new(1, &settings)))
+        .add_ingress(at(DOOR), Box::new(Amqp::new(1, &settings)))
         .unwrap();
     let desk = |_| Desk {
         net: Memory::join(&site.world),
@@ -203,7 +203,10 @@
         (vec![word], &[(7, acked)][..])
     );
     assert_eq!(
-        (y.site.gateway.held(), y.site.gateway.outstanding()),
+        (
+            y.site.gateway.requests_in_flight(),
+            y.site.gateway.calls_in_flight()
+        ),
         (0, 0)
     );
 }
@@ -235,7 +238,7 @@
         (1, 0, vec!["handled"])
     );
     assert_eq!(y.confirms(0), [(8, true)]);
-    assert_eq!(y.site.gateway.held(), 0);
+    assert_eq!(y.site.gateway.requests_in_flight(), 0);
 }
 
 #[test]
@@ -384,7 +387,11 @@
         y.publish(0, evt, "check.f", 1_900, evt + 1);
         y.pass(3);
     }
-    assert!(y.site.gateway.held() <= 5, "{}", y.site.gateway.held());
+    assert!(
+        y.site.gateway.requests_in_flight() <= 5,
+        "{}",
+        y.site.gateway.requests_in_flight()
+    );
     y.pass(200_000);
     assert!((0..40).all(|evt| y.words(0, evt).len() == 1));
     assert_eq!(y.confirms(0).len(), 40);
--- a/crates/tidewall-benchmarks/src/forward.rs
+++ b/crates/tidewall-benchmarks/src/forward.rs
@@ -1,7 +1,7 @@
 //! The bare forwarder: for each client one connection to the far end, bytes copied both ways, on the same net.
 use std::net::SocketAddr;
 use tidewall_net::mio::{self, Mio};
-use tidewall_net::{App, Conn, Listener, Net, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 
 struct Forward {
     net: Mio,
@@ -12,11 +12,11 @@
 
 impl Forward {
     fn pair(&mut self, a: Conn, b: Conn) {
-        let most = a.place().max(b.place()) + 1;
+        let most = a.index().max(b.index()) + 1;
         if self.pairs.len() < most {
             self.pairs.resize(most, None);
         }
-        (self.pairs[a.place()], self.pairs[b.place()]) = (Some(b), Some(a));
+        (self.pairs[a.index()], self.pairs[b.index()]) = (Some(b), Some(a));
     }
 }
 
@@ -30,19 +30,19 @@
         self.pair(conn, far);
     }
     fn connected(&mut self, _: Conn) {}
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
-        if let Some(other) = self.pairs[conn.place()] {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        if let Some(other) = self.pairs[conn.index()] {
             self.net.write(other, bytes);
         }
         bytes.len()
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, conn: Conn, _: Why) {
-        if let Some(other) = self.pairs[conn.place()].take() {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, conn: Conn, _: CloseReason) {
+        if let Some(other) = self.pairs[conn.index()].take() {
             self.net.close(other);
         }
     }
-    fn due(&mut self, _: u64) {}
+    fn timer_fired(&mut self, _: u64) {}
 }
 
 pub fn run(at: &str, to: &str) {
--- a/crates/tidewall-benchmarks/src/peers.rs
+++ b/crates/tidewall-benchmarks/src/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 use tidewall_failover::promise::{Claim, Promise};
 use tidewall_net::mio::Mio;
-use tidewall_net::{App, Conn, Listener, Net, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 use tidewall_wire::{self as wire, kind, Entries, Field, Fields, Frame};
 
 pub struct Echo {
@@ -33,7 +33,7 @@
         let workers = (0..workers)
             .map(|_| net.listen(any))
             .collect::<Result<Vec<_>, _>>()?;
-        net.set(0, 0);
+        net.set_timer(0, 0);
         let worker = workers[0].1;
         let promises = vec![Promise::default(); workers.len()];
         Ok(Echo {
@@ -153,7 +153,7 @@
         }
     }
     fn connected(&mut self, _: Conn) {}
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         while let Ok(Some((body, len))) = wire::frame(&bytes[used..]) {
             used += len;
@@ -163,16 +163,16 @@
         }
         used
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, conn: Conn, _: Why) {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, conn: Conn, _: CloseReason) {
         self.names.remove(&conn);
     }
-    fn due(&mut self, _: u64) {
+    fn timer_fired(&mut self, _: u64) {
         if self.stop.load(Ordering::Relaxed) {
             return self.net.stop();
         }
         let at = self.net.now() + 500;
-        self.net.set(at, 0);
+        self.net.set_timer(at, 0);
     }
 }
 
@@ -231,8 +231,8 @@
     pub fn until(&mut self, seconds: f64) {
         self.net.go_on();
         let at = self.net.now() + (seconds * 10_000.0) as u64;
-        self.net.set(at, 1);
-        self.net.set(0, 0);
+        self.net.set_timer(at, 1);
+        self.net.set_timer(0, 0);
     }
 
     /// What came before was warming up.
@@ -305,7 +305,7 @@
         wire::hello(&mut self.out, "client", "load", 1);
         self.net.write(conn, &self.out);
     }
-    fn bytes(&mut self, _: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, _: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         while let Ok(Some((body, len))) = wire::frame(&bytes[used..]) {
             used += len;
@@ -329,16 +329,16 @@
         }
         used
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, why: Why) {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, why: CloseReason) {
         panic!("a connection of the measurement broke: {why:?}");
     }
-    fn due(&mut self, token: u64) {
+    fn timer_fired(&mut self, token: u64) {
         if token == 1 {
             return self.net.stop();
         }
         self.pace();
         let at = self.net.now() + 10;
-        self.net.set(at, 0);
+        self.net.set_timer(at, 0);
     }
 }
--- a/crates/tidewall-benchmarks/src/terminals.rs
+++ b/crates/tidewall-benchmarks/src/terminals.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 use tidewall_emulator::terminal::{Heard, Terminal};
 use tidewall_net::mio::Mio;
-use tidewall_net::{App, Conn, Listener, Net, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 
 #[derive(Default)]
 struct Told {
@@ -75,8 +75,8 @@
     pub fn until(&mut self, seconds: f64) {
         self.net.go_on();
         let at = self.net.now() + (seconds * 10_000.0) as u64;
-        self.net.set(at, 1);
-        self.net.set(0, 0);
+        self.net.set_timer(at, 1);
+        self.net.set_timer(0, 0);
     }
 
     pub fn begin(&mut self) {
@@ -136,7 +136,7 @@
         }
         self.net.write(conn, &out);
     }
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let (mut told, mut out, mut used) = (Told::default(), Vec::new(), 0);
         if let Some(c) = self.conns.iter_mut().find(|c| c.0 == conn) {
             while let Ok(one) = c.1.frame(&bytes[used..], &mut out, &mut told) {
@@ -163,16 +163,16 @@
         }
         used
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, why: Why) {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, why: CloseReason) {
         panic!("a terminal's connection broke: {why:?}");
     }
-    fn due(&mut self, token: u64) {
+    fn timer_fired(&mut self, token: u64) {
         if token == 1 {
             return self.net.stop();
         }
         self.pace();
         let at = self.net.now() + 10;
-        self.net.set(at, 0);
+        self.net.set_timer(at, 0);
     }
 }
--- a/crates/tidewall-cli/src/common.rs
+++ b/crates/tidewall-cli/src/common.rs
@@ -102,7 +102,7 @@
         let mut post = self.watch.take().expect("it was started");
         Box::new(move |list| {
             post.send(ToActs::Workers(
-                list.iter().map(|e| (e.name.clone(), e.at)).collect(),
+                list.iter().map(|e| (e.name.clone(), e.address)).collect(),
             ))
         })
     }
--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -37,17 +37,17 @@
     let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
     let budget = share(config.sockets as usize, priced);
     let setup = Setup {
-        most_held: s.number("allowed.most-held") as usize,
-        connect_time_out: s.duration("allowed.connect-timeout-ms"),
-        streams: s.number("allowed.streams-per-conn") as usize,
-        connections: budget.a_worker,
-        links: budget.links,
-        spread: budget.spread,
+        max_requests: s.number("allowed.most-held") as usize,
+        connect_timeout: s.duration("allowed.connect-timeout-ms"),
+        streams_per_connection: s.number("allowed.streams-per-conn") as usize,
+        connections_per_worker: budget.a_worker,
+        max_worker_connections: budget.links,
+        spread_threshold: budget.spread,
         // Ours end first: a launch that crosses the host's own close may have run.
         keep_alive: s.duration("allowed.keepalive-ms") * 3 / 4,
-        probe_time_out: s.duration("allowed.connect-timeout-ms"),
-        order_time_out: s.duration("extra.order-timeout-ms"),
-        silent: SILENT,
+        health_check_timeout: s.duration("allowed.connect-timeout-ms"),
+        load_request_timeout: s.duration("extra.order-timeout-ms"),
+        silence_timeout: SILENT,
     };
     let types = s.number("classes.count") as usize;
     let keyed = (0..types)
@@ -63,17 +63,17 @@
         .map_err(|e| Failure::Run(e.to_string()))?;
     let start = Start {
         name: config.name.clone(),
-        me: config.me,
+        index: config.me,
         seed: config.seed,
         settings: config.settings,
-        roster: config.board,
-        roster_retry: setup.connect_time_out,
+        discovery: config.board,
+        discovery_retry: setup.connect_timeout,
         peers: config.peers.into_iter().map(Some).collect(),
         peer_listen: config.peer_listen,
-        setup,
-        pair: None,
+        limits: setup,
+        failover: None,
     };
-    let mut gateway = Gateway::with(
+    let mut gateway = Gateway::with_protocols(
         net,
         start,
         Box::new(NoShelf),
@@ -81,13 +81,13 @@
         Box::new(board),
     )
     .map_err(input)?;
-    gateway.linger(LINGER);
+    gateway.set_drain_grace(LINGER);
     first
-        .lists
+        .updates
         .iter()
-        .for_each(|(entries, whole)| gateway.list(entries, *whole));
+        .for_each(|(entries, whole)| gateway.update_endpoints(entries, *whole));
     gateway
-        .open(
+        .add_ingress(
             config.listen,
             Box::new(Platform::new(0, budget.clients, keyed)),
         )
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -112,29 +112,29 @@
                     .duration_since(UNIX_EPOCH)
                     .map_or(1, |d| d.as_millis() as u64),
             );
-            start.pair = Some(peering(&s, life, Box::new(keys)));
+            start.failover = Some(peering(&s, life, Box::new(keys)));
         }
         let mut gateway = Gateway::new(net, start, shelf).map_err(input)?;
         let at = own.text("address").parse().expect("checked");
         gateway
-            .open(at, Box::new(Native::new(0, &own.text("name"))))
+            .add_ingress(at, Box::new(Native::new(0, &own.text("name"))))
             .map_err(input)?;
         if own.has("amqp_address") {
             let at = own.text("amqp_address").parse().expect("checked");
             gateway
-                .open(at, Box::new(Amqp::new(1, &s)))
+                .add_ingress(at, Box::new(Amqp::new(1, &s)))
                 .map_err(input)?;
         }
         if !s.has("pair") {
             // Of a pair the other member takes over at once.
-            gateway.linger(LINGER);
+            gateway.set_drain_grace(LINGER);
         }
         if s.has("fleet_common") {
             common.start(&s, me, seed, args.left_out, &told)?;
-            gateway.watch(common.watch());
+            gateway.watch_endpoints(common.watch());
         }
         mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))?;
-        if gateway.ended() == Ended::Drained {
+        if gateway.stop_reason() == Ended::Drained {
             drop(gateway);
             common.end();
             return Ok(());
--- a/crates/tidewall-coordination/src/acting.rs
+++ b/crates/tidewall-coordination/src/acting.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tidewall_lease::share::{check, key, weight};
-use tidewall_net::{App, Conn, Listener, Net, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 use tracing::debug;
 
@@ -87,7 +87,7 @@
         over: Arc<AtomicBool>,
     ) -> Acting<N> {
         let now = net.now();
-        net.set(now + conf.tick(), OF_TICK);
+        net.set_timer(now + conf.tick(), OF_TICK);
         Acting {
             net,
             me: conf.me,
@@ -156,7 +156,7 @@
         if self.told.load(Ordering::Relaxed) {
             return self.net.stop();
         }
-        self.net.set(now + self.tick, OF_TICK);
+        self.net.set_timer(now + self.tick, OF_TICK);
     }
 
     pub fn workers(&mut self, list: Vec<(String, SocketAddr)>) {
@@ -313,7 +313,7 @@
         self.net.write(conn, &self.out);
     }
 
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let Some(link) = self.conns.get(&conn).copied() else {
             return bytes.len();
         };
@@ -332,22 +332,22 @@
         };
         if let Err(why) = done {
             debug!(member = %self.name, why, "a worker is not understood");
-            self.net.fail(conn);
+            self.net.abort(conn);
             return bytes.len();
         }
         used
     }
 
-    fn drained(&mut self, _: Conn) {}
+    fn writable(&mut self, _: Conn) {}
 
-    fn closed(&mut self, conn: Conn, _: Why) {
+    fn closed(&mut self, conn: Conn, _: CloseReason) {
         if let Some(link) = self.conns.remove(&conn) {
             self.over(link);
             self.links[link].conn = None;
         }
     }
 
-    fn due(&mut self, _: u64) {
+    fn timer_fired(&mut self, _: u64) {
         self.tick();
     }
 }
--- a/crates/tidewall-coordination/src/keeping.rs
+++ b/crates/tidewall-coordination/src/keeping.rs
@@ -15,7 +15,7 @@
 use tidewall_lease::lease::{ballot, count, Host as LeaseHost};
 use tidewall_lease::share::Share;
 use tidewall_membership::{Host as MembersHost, Members, Word};
-use tidewall_net::{App, Conn, Listener, Net, Port, Why};
+use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net};
 use tidewall_vrrp::packet::Keys;
 use tracing::{info, warn};
 
@@ -207,7 +207,7 @@
 
 pub struct Keeping<N: Net> {
     net: N,
-    port: Port,
+    port: DatagramSocket,
     conf: Conf,
     members: Members,
     keeper: Option<Keeper>,
@@ -240,7 +240,7 @@
         told: Arc<AtomicBool>,
     ) -> Result<Keeping<N>, String> {
         let (port, _) = net
-            .bind(conf.listen)
+            .bind_datagram(conf.listen)
             .map_err(|e| format!("{}: common_address: {e}", conf.listen))?;
         let now = net.now();
         let n = conf.names.len();
@@ -281,7 +281,7 @@
             last: now,
             rest: (0, 0),
         };
-        net.set(now + conf.tick(), OF_TICK);
+        net.set_timer(now + conf.tick(), OF_TICK);
         Ok(Keeping {
             port,
             members,
@@ -297,7 +297,7 @@
             acts: inbox,
             budget,
             keys: (conf.keys)(),
-            stood: net.stood(),
+            stood: net.total_stall(),
             looked: now,
             complained: 0,
             counts: Counts::new(),
@@ -332,7 +332,7 @@
     }
 
     fn stood(&mut self) {
-        let stood = self.net.stood();
+        let stood = self.net.total_stall();
         self.members
             .stood(stood - std::mem::replace(&mut self.stood, stood));
     }
@@ -380,7 +380,7 @@
                 return self.net.stop();
             }
         }
-        self.net.set(now + self.conf.tick(), OF_TICK);
+        self.net.set_timer(now + self.conf.tick(), OF_TICK);
     }
 
     /// Told to go: what is held here is given to those that should have it then.
@@ -510,7 +510,8 @@
             self.counts.sent_bytes.inc_by(body.len() as u64);
             self.budget.datagrams -= 1;
             self.budget.bytes -= body.len() as i64;
-            self.net.send(self.port, self.conf.reach[to], &body);
+            self.net
+                .send_datagram(self.port, self.conf.reach[to], &body);
         }
         self.side.packets.own = self.members.own();
     }
@@ -703,13 +704,13 @@
     }
     fn accepted(&mut self, _: Listener, _: Conn, _: SocketAddr) {}
     fn connected(&mut self, _: Conn) {}
-    fn bytes(&mut self, _: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, _: Conn, bytes: &[u8]) -> usize {
         bytes.len()
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, _: Why) {}
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, _: CloseReason) {}
 
-    fn datagram(&mut self, _: Port, from: SocketAddr, bytes: &[u8]) {
+    fn datagram_received(&mut self, _: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
         let now = self.net.now();
         // After a standstill what lies unread here is old: what it says of time was counted from before.
         self.stood();
@@ -720,7 +721,7 @@
         self.done(now);
     }
 
-    fn due(&mut self, _: u64) {
+    fn timer_fired(&mut self, _: u64) {
         self.tick();
     }
 }
--- a/crates/tidewall-emulator/src/clients.rs
+++ b/crates/tidewall-emulator/src/clients.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use tidewall_audit::rows::{Kind, Row, TRIES};
 use tidewall_config::Section;
-use tidewall_net::{Conn, Deadline, Net, Time};
+use tidewall_net::{Conn, Net, Time, TimerId};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 
 /// What clients saw.
@@ -80,10 +80,10 @@
     /// Where its present try is.
     at: Option<(usize, usize)>,
     sent: bool,
-    deadline: Option<Deadline>,
+    deadline: Option<TimerId>,
     /// When this try's client gives up.
     ends: Time,
-    leaves: Option<Deadline>,
+    leaves: Option<TimerId>,
     /// A terminal asks this gateway again, as long as its process is certainly the same one.
     stick: Option<(usize, u64)>,
     stuck: bool,
@@ -286,7 +286,7 @@
         }
         // Connections come first; then the open-loop arrivals.
         let now = g.net.now();
-        g.net.set(now + 2 * AGAIN, of::NEXT);
+        g.net.set_timer(now + 2 * AGAIN, of::NEXT);
     }
 
     pub fn connect<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
@@ -336,7 +336,7 @@
         }
         let again = if self.pair { SOON } else { AGAIN };
         g.net
-            .set(now + again, of::CONNECT | (gw as u64) << 32 | n as u64);
+            .set_timer(now + again, of::CONNECT | (gw as u64) << 32 | n as u64);
         if cut {
             return self.let_go(g, gw, n);
         }
@@ -414,7 +414,7 @@
         let part = g.chance.random_range(0..g.out.len());
         g.net.write(conn, &g.out[..part]);
         self.gateways[gw].cut[n] = true;
-        g.net.fail(conn);
+        g.net.abort(conn);
     }
 
     /// Closes a terminal's channel, whatever is on its way on it.
@@ -440,7 +440,7 @@
         else {
             return;
         };
-        g.net.pause(conn, true);
+        g.net.set_read_paused(conn, true);
         self.gateways[gw].conns[n].1 = false;
         self.let_go(g, gw, n);
     }
@@ -449,7 +449,7 @@
     pub fn slow_over<N: Net>(&mut self, g: &mut Ground<N>, gw: usize, n: usize) {
         if let Some(conn) = self.gateways[gw].conns[n].0 {
             self.gateways[gw].cut[n] = true;
-            g.net.fail(conn);
+            g.net.abort(conn);
         }
     }
 
@@ -567,7 +567,7 @@
             if self.gateways.iter().all(|gw| gw.conns.iter().any(|c| c.1)) {
                 self.rounds = 0;
             }
-            g.net.set(now + AGAIN, of::NEXT);
+            g.net.set_timer(now + AGAIN, of::NEXT);
             return;
         }
         if self.due == 0.0 {
@@ -578,7 +578,8 @@
             let gap: f64 = Exp1.sample(&mut self.arrivals);
             self.due += gap / (self.rate * self.burst) * 10_000.0;
         }
-        g.net.set((self.due.ceil() as Time).max(now + 1), of::NEXT);
+        g.net
+            .set_timer((self.due.ceil() as Time).max(now + 1), of::NEXT);
     }
 
     fn arrival<N: Net>(&mut self, g: &mut Ground<N>, due: Time) {
@@ -664,7 +665,7 @@
             (e.ends, e.asked, e.sent, e.at) = (now + left, false, false, Some((gw, usize::MAX)));
             let late = g
                 .net
-                .set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
+                .set_timer(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
             self.events[key].deadline = Some(late);
             return;
         }
@@ -679,11 +680,11 @@
         (self.events[key].ends, self.events[key].asked) = (ends, false);
         self.events[key].deadline = Some(
             g.net
-                .set(ends + tidewall_audit::GRACE, of::LATE | key as u64),
+                .set_timer(ends + tidewall_audit::GRACE, of::LATE | key as u64),
         );
         // AMQP knows no leaving.
         if g.chance.random_ratio(1, self.impatient) && !self.amqp && !self.pair {
-            self.events[key].leaves = Some(g.net.set(now + left / 3, of::LEAVE | key as u64));
+            self.events[key].leaves = Some(g.net.set_timer(now + left / 3, of::LEAVE | key as u64));
         }
         self.ask(g, key, (gw, n), left);
         if self.twice && self.amqp && other != n && self.events.get(key).is_some_and(|e| e.sent) {
@@ -804,7 +805,7 @@
         );
         let late = g
             .net
-            .set(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
+            .set_timer(now + left + tidewall_audit::GRACE, of::LATE | key as u64);
         self.events[key].deadline = Some(late);
         self.results.twins += 1;
         g.row(Row {
@@ -832,7 +833,7 @@
         let e = &mut self.events[key];
         (e.at, e.sent) = (None, false);
         for d in [e.deadline.take(), e.leaves.take()].into_iter().flatten() {
-            g.net.clear(d);
+            g.net.cancel_timer(d);
         }
         let typ = &self.types[g.programs[e.program].typ];
         let wait = self.wait.max(come_back);
@@ -842,7 +843,7 @@
             && now + wait < e.due + typ.age
             && now < self.until.max(e.due)
         {
-            g.net.set(now + wait, of::RETRY | key as u64);
+            g.net.set_timer(now + wait, of::RETRY | key as u64);
         } else {
             self.events.remove(key);
         }
--- a/crates/tidewall-emulator/src/depot.rs
+++ b/crates/tidewall-emulator/src/depot.rs
@@ -56,13 +56,13 @@
         let crowd = (self.fetches.len() as f64 / self.capacity as f64).max(1.0);
         let now = g.net.now();
         let at = now.max(self.stalled) + (hint as f64 * crowd * self.slow) as Time;
-        g.net.set(at, of::FETCHED | key as u64);
+        g.net.set_timer(at, of::FETCHED | key as u64);
         Ok(())
     }
 
     pub fn done<N: Net>(&mut self, g: &mut Ground<N>, key: usize) {
         if g.net.now() < self.stalled {
-            g.net.set(self.stalled, of::FETCHED | key as u64);
+            g.net.set_timer(self.stalled, of::FETCHED | key as u64);
             return;
         }
         let (conn, id) = self.fetches.remove(key);
--- a/crates/tidewall-emulator/src/faults.rs
+++ b/crates/tidewall-emulator/src/faults.rs
@@ -35,7 +35,7 @@
         let mut list = Vec::new();
         for f in script.map(|s| s.sections("fault")).unwrap_or_default() {
             let at = now + (f.number("at") * seconds * 10_000.0) as Time;
-            g.net.set(at, of::FAULT | list.len() as u64);
+            g.net.set_timer(at, of::FAULT | list.len() as u64);
             list.push(Fault {
                 trouble: f.choice("trouble"),
                 lasts: f.span("lasts_ms"),
@@ -192,7 +192,7 @@
         }
         self.faults.list[i].hit = hit;
         if lasts > 0 {
-            self.ground.net.set(until, of::OVER | i as u64);
+            self.ground.net.set_timer(until, of::OVER | i as u64);
         }
     }
 
@@ -287,7 +287,7 @@
                 .iter_mut()
                 .for_each(|w| w.late_reports = false),
             "ROSTER_SILENT" => {
-                g.net.set(g.net.now(), of::TELL);
+                g.net.set_timer(g.net.now(), of::TELL);
             }
             "ROSTER_GONE" => self.roster.back(g),
             _ => {}
--- a/crates/tidewall-emulator/src/lib.rs
+++ b/crates/tidewall-emulator/src/lib.rs
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 use tidewall_audit::rows::{Group, Row, Rules, Type};
 use tidewall_config::Section;
-use tidewall_net::{App, Conn, Listener, Net, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
 use tidewall_wire::{self as wire, Fields};
 use tracing::warn;
 use workers::Workers;
@@ -86,17 +86,17 @@
 
 impl<N: Net> Ground<N> {
     pub fn own(&mut self, conn: Conn, owner: Owner) {
-        if self.owners.len() <= conn.place() {
-            self.owners.resize(conn.place() + 1, (0, Owner::Nobody));
+        if self.owners.len() <= conn.index() {
+            self.owners.resize(conn.index() + 1, (0, Owner::Nobody));
         }
-        self.owners[conn.place()] = (conn.count(), owner);
+        self.owners[conn.index()] = (conn.generation(), owner);
     }
 
     fn owner(&self, conn: Conn) -> Owner {
         let owner = self
             .owners
-            .get(conn.place())
-            .filter(|o| o.0 == conn.count());
+            .get(conn.index())
+            .filter(|o| o.0 == conn.generation());
         owner.map_or(Owner::Nobody, |o| o.1)
     }
 
@@ -223,7 +223,7 @@
             fleet
                 .ground
                 .net
-                .set(until + age.unwrap_or(0) + AFTERMATH, of::END);
+                .set_timer(until + age.unwrap_or(0) + AFTERMATH, of::END);
         }
         Ok(fleet)
     }
@@ -399,7 +399,7 @@
         }
     }
 
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         if let Owner::Client { gw, n } = self.ground.owner(conn) {
             if self.clients.amqp {
@@ -408,7 +408,7 @@
                     .terminal(&mut self.ground, gw, n, bytes)
                     .unwrap_or_else(|reason| {
                         warn!(reason, gw, n, "a terminal's connection ends");
-                        self.ground.net.fail(conn);
+                        self.ground.net.abort(conn);
                         bytes.len()
                     });
             }
@@ -419,7 +419,7 @@
                 .guest(&mut self.ground, key, bytes)
                 .unwrap_or_else(|reason| {
                     warn!(reason, "a guest's connection ends");
-                    self.ground.net.fail(conn);
+                    self.ground.net.abort(conn);
                     bytes.len()
                 });
         }
@@ -443,15 +443,15 @@
                 let mut out = Vec::new();
                 wire::error(&mut out, &reason);
                 self.ground.net.write(conn, &out);
-                self.ground.net.fail(conn);
+                self.ground.net.abort(conn);
                 return bytes.len();
             }
         }
     }
 
-    fn drained(&mut self, _conn: Conn) {}
+    fn writable(&mut self, _conn: Conn) {}
 
-    fn closed(&mut self, conn: Conn, _why: Why) {
+    fn closed(&mut self, conn: Conn, _why: CloseReason) {
         let owner = self.ground.owner(conn);
         self.ground.own(conn, Owner::Nobody);
         let ground = &mut self.ground;
@@ -465,7 +465,7 @@
         }
     }
 
-    fn due(&mut self, token: u64) {
+    fn timer_fired(&mut self, token: u64) {
         let rest = token & !of::WHAT;
         let (high, low) = ((rest >> 32) as usize, (rest & 0xffff_ffff) as usize);
         let ground = &mut self.ground;
@@ -486,7 +486,7 @@
         }
     }
 
-    fn signal(&mut self, _signal: i32) {
+    fn signal_received(&mut self, _signal: i32) {
         self.ground.net.stop();
     }
 }
--- a/crates/tidewall-emulator/src/roster.rs
+++ b/crates/tidewall-emulator/src/roster.rs
@@ -106,7 +106,7 @@
     ) {
         let when = g.net.now() + wait.unwrap_or(self.late);
         self.news.push_back((when, wk, at, life, since));
-        g.net.set(when, of::TELL);
+        g.net.set_timer(when, of::TELL);
     }
 
     /// A notice that is no longer true: the process that seemed to hang goes on.
@@ -126,7 +126,7 @@
         });
         if now < self.silent {
             // Whatever happened meanwhile is told as a whole list afterwards.
-            g.net.set(self.silent, of::TELL);
+            g.net.set_timer(self.silent, of::TELL);
             return;
         }
         let all: Vec<usize> = (0..self.known.len()).collect();
@@ -203,7 +203,7 @@
     /// All its connections break, and nobody gets through until it is back.
     pub fn gone<N: Net>(&mut self, g: &mut Ground<N>) {
         if let Some(listener) = self.listener.take() {
-            g.net.unlisten(listener);
+            g.net.stop_listening(listener);
         }
         for (_, gw) in &self.followers {
             g.row(Row {
--- a/crates/tidewall-emulator/src/workers.rs
+++ b/crates/tidewall-emulator/src/workers.rs
@@ -8,7 +8,7 @@
 use tidewall_config::Section;
 use tidewall_failover::promise::{Claim, Fence, Promise};
 use tidewall_lease::share::check;
-use tidewall_net::{Conn, Deadline, Listener, Net, Time};
+use tidewall_net::{Conn, Listener, Net, Time, TimerId};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 
 /// Where a worker stands.
@@ -32,7 +32,7 @@
     /// 1 it met a loaded copy, 3 it waited for one.
     copy: u64,
     company: u64,
-    deadline: Option<Deadline>,
+    deadline: Option<TimerId>,
 }
 
 /// The copies of one program.
@@ -189,7 +189,7 @@
             }
         }
         let now = g.net.now();
-        g.net.set(now + IDLE, of::IDLE);
+        g.net.set_timer(now + IDLE, of::IDLE);
         Ok(Workers {
             list,
             depot,
@@ -228,7 +228,7 @@
         let w = &mut self.list[wk];
         w.gateways.push((conn, usize::MAX));
         if g.net.now() < w.hung {
-            g.net.pause(conn, true);
+            g.net.set_read_paused(conn, true);
         }
     }
 
@@ -658,7 +658,7 @@
             run.running = true;
             run.deadline = Some(
                 g.net
-                    .set(now + takes, of::RUN | (wk as u64) << 32 | key as u64),
+                    .set_timer(now + takes, of::RUN | (wk as u64) << 32 | key as u64),
             );
             if run.mark > 0 {
                 self.marks[hall].insert(run.mark, now);
@@ -670,7 +670,9 @@
     pub fn ran<N: Net>(&mut self, g: &mut Ground<N>, wk: usize, key: usize) {
         let w = &mut self.list[wk];
         if g.net.now() < w.hung {
-            let again = g.net.set(w.hung, of::RUN | (wk as u64) << 32 | key as u64);
+            let again = g
+                .net
+                .set_timer(w.hung, of::RUN | (wk as u64) << 32 | key as u64);
             w.runs[key].deadline = Some(again);
             return;
         }
@@ -883,7 +885,7 @@
         if ok {
             let takes = (g.programs[w.loads[key]].start as f64 * w.slow) as Time;
             let now = g.net.now().max(w.hung);
-            g.net.set(
+            g.net.set_timer(
                 now + takes,
                 of::START | (wk as u64) << 32 | key as u64 | (w.life & 0xffff) << 16,
             );
@@ -942,7 +944,7 @@
 
     pub fn idle<N: Net>(&mut self, g: &mut Ground<N>) {
         let now = g.net.now();
-        g.net.set(now + IDLE, of::IDLE);
+        g.net.set_timer(now + IDLE, of::IDLE);
         for w in &mut self.list {
             for c in w.copies.values_mut() {
                 // A little longer than the least that is told.
@@ -999,7 +1001,7 @@
         }
         let w = &mut self.list[wk];
         if let Some(listener) = w.listener.take() {
-            g.net.unlisten(listener);
+            g.net.stop_listening(listener);
         }
         if let Some(conn) = w.depot.take() {
             g.own(conn, Owner::Nobody);
@@ -1007,7 +1009,7 @@
         }
         for (_, run) in &w.runs {
             if let Some(d) = run.deadline {
-                g.net.clear(d);
+                g.net.cancel_timer(d);
             }
             // What was running had no effect yet: its mark is worth nothing.
             if run.mark > 0 && run.running {
@@ -1052,13 +1054,17 @@
     pub fn hang<N: Net>(&mut self, g: &mut Ground<N>, wk: usize, until: Time) {
         let w = &mut self.list[wk];
         w.hung = until;
-        w.gateways.iter().for_each(|c| g.net.pause(c.0, true));
+        w.gateways
+            .iter()
+            .for_each(|c| g.net.set_read_paused(c.0, true));
     }
 
     pub fn go<N: Net>(&mut self, g: &mut Ground<N>, wk: usize) {
         let w = &mut self.list[wk];
         w.hung = 0;
-        w.gateways.iter().for_each(|c| g.net.pause(c.0, false));
+        w.gateways
+            .iter()
+            .for_each(|c| g.net.set_read_paused(c.0, false));
     }
 
     /// Breaks its connections in the middle of a frame.
--- a/crates/tidewall-fault-tests/src/relay.rs
+++ b/crates/tidewall-fault-tests/src/relay.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use tidewall_net::mio::Mio;
-use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 use tidewall_wire::{self as wire, Field, Fields};
 
 /// What befalls what goes from one member to another.
@@ -52,7 +52,7 @@
 pub struct Relay {
     net: Mio,
     state: Arc<Mutex<State>>,
-    ways: Vec<(Port, Way)>,
+    ways: Vec<(DatagramSocket, Way)>,
     workers: Vec<(Listener, SocketAddr)>,
     pairs: BTreeMap<Conn, Pair>,
     /// What waits for its time: a datagram for a member, or bytes for a connection.
@@ -85,7 +85,7 @@
         let mut bound = Vec::new();
         for way in ways {
             let (port, _) = net
-                .bind(way.front)
+                .bind_datagram(way.front)
                 .map_err(|e| format!("{}: {e}", way.front))?;
             bound.push((port, way));
         }
@@ -98,7 +98,7 @@
             fronts.push(at);
         }
         let now = net.now();
-        net.set(now + LOOK, OF_LOOK);
+        net.set_timer(now + LOOK, OF_LOOK);
         let relay = Relay {
             net,
             state,
@@ -116,7 +116,7 @@
     fn later(&mut self, wait: Time, late: Late) {
         let key = self.late.insert(late) as u64;
         let at = self.net.now() + wait;
-        self.net.set(at, key);
+        self.net.set_timer(at, key);
     }
 
     fn pass(&mut self, to: Conn, bytes: Vec<u8>, link: Link) {
@@ -175,7 +175,7 @@
             self.net.reset(conn);
         }
         let now = self.net.now();
-        self.net.set(now + LOOK, OF_LOOK);
+        self.net.set_timer(now + LOOK, OF_LOOK);
     }
 
     /// One end is gone: the other goes too.
@@ -238,7 +238,7 @@
         }
     }
 
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let Some(pair) = self.pairs.get_mut(&conn) else {
             return bytes.len();
         };
@@ -265,13 +265,13 @@
         bytes.len()
     }
 
-    fn drained(&mut self, _: Conn) {}
+    fn writable(&mut self, _: Conn) {}
 
-    fn closed(&mut self, conn: Conn, _: Why) {
+    fn closed(&mut self, conn: Conn, _: CloseReason) {
         self.end(conn);
     }
 
-    fn datagram(&mut self, port: Port, from: SocketAddr, bytes: &[u8]) {
+    fn datagram_received(&mut self, port: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
         let Some(to) = self.ways.iter().position(|w| w.0 == port) else {
             return;
         };
@@ -309,20 +309,20 @@
         if wait == 0 {
             let (port, way) = &self.ways[to];
             let (port, back) = (*port, way.back);
-            self.net.send(port, back, bytes);
+            self.net.send_datagram(port, back, bytes);
         } else {
             self.later(wait, Late::Datagram(to, bytes.to_vec()));
         }
     }
 
-    fn due(&mut self, token: u64) {
+    fn timer_fired(&mut self, token: u64) {
         if token == OF_LOOK {
             return self.look();
         }
         match self.late.remove(token as usize) {
             Late::Datagram(to, bytes) => {
                 let (port, back) = (self.ways[to].0, self.ways[to].1.back);
-                self.net.send(port, back, &bytes);
+                self.net.send_datagram(port, back, &bytes);
             }
             Late::Bytes(conn, bytes) => {
                 self.net.write(conn, &bytes);
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/carrier.rs
@@ -15,25 +15,25 @@
 use tidewall::interface::{Endpoint, EndpointState, Outcome, RequestInfo, SchedulerActions};
 use tidewall::interner::{fnv1a, Interner};
 use tidewall::settings::{Settings, SettingsReader};
-use tidewall_net::{Conn, Deadline, Net, Port, Time};
+use tidewall_net::{Conn, DatagramSocket, Net, Time, TimerId};
 use tidewall_wire::{kind, Field, Frame};
 use tracing::info;
 
 /// Limits of the sockets' side, from the settings.
 #[derive(Clone, Debug)]
 pub struct Setup {
-    pub most_held: usize,
-    pub connect_time_out: Time,
-    pub streams: usize,
-    pub connections: usize,
+    pub max_requests: usize,
+    pub connect_timeout: Time,
+    pub streams_per_connection: usize,
+    pub connections_per_worker: usize,
     /// Connections to all workers together.
-    pub links: usize,
+    pub max_worker_connections: usize,
     /// With so many launches on each connection another one is made, while there may be more: what breaks one then ends fewer.
-    pub spread: usize,
+    pub spread_threshold: usize,
     pub keep_alive: Time,
-    pub probe_time_out: Time,
-    pub order_time_out: Time,
-    pub silent: Time,
+    pub health_check_timeout: Time,
+    pub load_request_timeout: Time,
+    pub silence_timeout: Time,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -75,14 +75,14 @@
     pub stood: Time,
     /// When it is given up here.
     until: Time,
-    deadline: Option<Deadline>,
+    deadline: Option<TimerId>,
 }
 
 impl Setup {
     /// Connections to one of so many workers. Workers are replaced: the old one's may still stand beside the new one's.
     fn a_worker(&self, workers: usize) -> usize {
-        self.connections
-            .min(self.links / (2 * workers.max(4)))
+        self.connections_per_worker
+            .min(self.max_worker_connections / (2 * workers.max(4)))
             .max(1)
     }
 }
@@ -186,7 +186,7 @@
     used: Time,
     heard: Time,
     /// Until then the worker must have told its name.
-    greeting: Option<Deadline>,
+    greeting: Option<TimerId>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -245,7 +245,7 @@
     pub waits_on: Vec<bool>,
     pub roster: Option<Conn>,
     pub follows: bool,
-    pub port: Option<Port>,
+    pub port: Option<DatagramSocket>,
     pub peers: Vec<Option<SocketAddr>>,
     pub me: usize,
     pub counts: Counts,
@@ -325,15 +325,16 @@
         }
         self.images[img] = (arrival.lanes, arrival.memory, arrival.load_hint);
         let held = &mut self.events[place];
-        (held.open, held.ticket, held.id, held.begun) = (true, event.ticket, event.id, None);
+        (held.open, held.ticket, held.id, held.begun) = (true, event.reply_handle, event.id, None);
         let now = self.net.now();
-        (held.came, held.until, held.arrival, held.count) = (now, now + event.left, *arrival, 0);
+        (held.came, held.until, held.arrival, held.count) =
+            (now, now + event.remaining, *arrival, 0);
         self.last_until = self.last_until.max(held.until);
         held.unproven = 0;
         held.more.clear();
         held.more.append(&mut self.heirs);
         held.mark.clear();
-        held.mark.extend_from_slice(event.mark);
+        held.mark.extend_from_slice(event.idempotency_key);
         held.payload.clear();
         held.payload.extend_from_slice(event.payload);
         self.held += 1;
@@ -356,7 +357,7 @@
 
     /// Nothing may be sent for this event any more: its client's time has passed, which is all that says when it gives up.
     pub fn too_late_for(&self, evt: usize, ticket: Ticket) -> bool {
-        let waits_on = self.waits_on.get(ticket.door).is_some_and(|w| *w);
+        let waits_on = self.waits_on.get(ticket.ingress).is_some_and(|w| *w);
         self.net.now() > self.events[evt].until && !waits_on
     }
 
@@ -369,7 +370,7 @@
                 return;
             }
             match word {
-                Word::Deferred => self.counts.deferred += 1,
+                Word::Rejected => self.counts.deferred += 1,
                 _ => self.counts.dead_lettered += 1,
             }
             tracing::debug!(
@@ -415,7 +416,7 @@
             self.wks.resize_with(wk + 1, Wk::default);
         }
         let w = &mut self.wks[wk];
-        let restarted = entry.life > w.life || w.at.is_none();
+        let restarted = entry.incarnation > w.life || w.at.is_none();
         let since = match (restarted, entry.age) {
             (false, _) => w.listed.started_at,
             (true, 0) => 0,
@@ -423,11 +424,11 @@
             (true, age) => now.saturating_sub(age).max(1),
         };
         // A list that was made before the roster noticed does not bring back one that said that it drains.
-        w.drains &= entry.standing == EndpointState::Active && entry.life <= w.life;
+        w.drains &= entry.state == EndpointState::Active && entry.incarnation <= w.life;
         let standing = if w.drains {
             EndpointState::Draining
         } else {
-            entry.standing
+            entry.state
         };
         let leaves = standing != EndpointState::Active && w.listed.state == EndpointState::Active;
         if leaves {
@@ -436,8 +437,8 @@
         if leaves || restarted {
             self.withdrawn.push(wk);
         }
-        w.life = w.life.max(entry.life);
-        w.at = Some(entry.at);
+        w.life = w.life.max(entry.incarnation);
+        w.at = Some(entry.address);
         w.listed = Endpoint {
             name_hash: fnv1a(&entry.name),
             zone,
@@ -570,13 +571,13 @@
             let since = w.listed.started_at;
             Some(Entry {
                 name: self.workers.resolve(wk).to_string(),
-                at: w.at?,
+                address: w.at?,
                 zone: w.zone.clone(),
                 machine: w.machine.clone(),
                 cell: w.listed.cell,
-                standing: w.listed.state,
+                state: w.listed.state,
                 rating: w.listed.rating,
-                life: w.life,
+                incarnation: w.life,
                 age: if since == 0 { 0 } else { (now - since).max(1) },
             })
         };
@@ -592,8 +593,8 @@
     /// The out that a worker's answer names, if it belongs to this connection and still is the same one.
     pub fn key(&self, name: Name, link: usize) -> Result<Option<usize>, String> {
         let id = match name {
-            Name::Own(id) => id,
-            Name::Event(event) => {
+            Name::CallId(id) => id,
+            Name::RequestId(event) => {
                 let sent = &self.links[link].sent;
                 return Ok(sent
                     .iter()
@@ -623,7 +624,7 @@
 
     pub fn no_deadline(&mut self, key: usize) {
         if let Some(d) = self.outs[key].deadline.take() {
-            self.net.clear(d);
+            self.net.cancel_timer(d);
         }
     }
 
@@ -669,7 +670,7 @@
         let Some(out) = self.outs.get(key).filter(|o| o.over) else {
             return;
         };
-        if out.sent && self.way.ends_given_up() {
+        if out.sent && self.way.confirms_cancelled() {
             return;
         }
         let (sent, event, link) = (out.sent, out.event, out.link);
@@ -685,10 +686,10 @@
     /// Tells the worker that nobody waits for this launch, where it would not hear it by the launch's own time.
     pub fn give_up(&mut self, key: usize) {
         let out = self.outs[key];
-        if out.sent && !self.way.ends_given_up() && matches!(out.task, Task::Launch { .. }) {
+        if out.sent && !self.way.confirms_cancelled() && matches!(out.task, Task::Launch { .. }) {
             self.frame.clear();
             let id = self.wire_id(key);
-            self.way.cancel(&mut self.frame, id, out.event);
+            self.way.write_cancel(&mut self.frame, id, out.event);
             self.put(out.link);
         }
     }
@@ -700,7 +701,7 @@
         out.deadline = None;
         if out.sent && now < out.until {
             let until = out.until;
-            self.outs[key].deadline = Some(self.net.set(until, OF_OUT | key as u64));
+            self.outs[key].deadline = Some(self.net.set_timer(until, OF_OUT | key as u64));
             return None;
         }
         Some(key)
@@ -712,7 +713,7 @@
         let l = &mut self.links[link];
         (l.greeted, l.used, l.heard) = (true, now, now);
         if let Some(d) = l.greeting.take() {
-            self.net.clear(d);
+            self.net.cancel_timer(d);
         }
         self.due.push(link);
     }
@@ -724,7 +725,7 @@
 
     pub fn no_greeting(&mut self, link: &Link) {
         if let Some(d) = link.greeting {
-            self.net.clear(d);
+            self.net.cancel_timer(d);
         }
     }
 
@@ -742,7 +743,7 @@
 
     /// Connections on which a message stopped half-way.
     pub fn stuck(&self, now: Time) -> Vec<(usize, Conn)> {
-        let rest = self.way.rest();
+        let rest = self.way.partial_message_timeout();
         let stuck = |l: &Link| {
             l.partial
                 .zip(rest)
@@ -758,7 +759,7 @@
     /// Links to close: idle ones, those to workers that are gone, and those on which only given-up launches
     /// are left and nothing was heard for long.
     pub fn idle(&mut self, now: Time) -> Vec<(usize, Conn)> {
-        let (keep, silent) = (self.setup.keep_alive, self.setup.silent);
+        let (keep, silent) = (self.setup.keep_alive, self.setup.silence_timeout);
         let mut idle = Vec::new();
         for (key, l) in &self.links {
             let nothing = l.waiting.is_empty() && l.sent.is_empty();
@@ -779,13 +780,13 @@
         // An id twice on one connection: the ends of the two could not be told apart.
         let twice = |l: &Link| {
             let all = l.sent.iter().chain(&l.waiting);
-            self.way.by_event()
+            self.way.answers_by_request_id()
                 && (l.given_up.contains(&out.event)
                     || all
                         .into_iter()
                         .any(|k| self.outs[*k].is_launch_of(out.event)))
         };
-        let room = |l: &Link| !launch || l.streams < self.setup.streams && !twice(l);
+        let room = |l: &Link| !launch || l.streams < self.setup.streams_per_connection && !twice(l);
         // One on which an answer stopped half-way may be of no further use.
         let links = self.wks[out.wk]
             .links
@@ -799,8 +800,8 @@
             .min_by_key(least);
         let coming = links.clone().find(|l| !self.links[*l].greeted);
         let more = self.wks[out.wk].links.len() < self.a_worker;
-        let full = ready.is_some_and(|l| self.links[l].streams + 1 >= self.setup.spread);
-        let free = self.links.len() < self.setup.links;
+        let full = ready.is_some_and(|l| self.links[l].streams + 1 >= self.setup.spread_threshold);
+        let free = self.links.len() < self.setup.max_worker_connections;
         let spare = (launch && more && free && full && coming.is_none())
             .then_some(self.wks[out.wk].at)
             .flatten();
@@ -853,7 +854,7 @@
     }
 
     fn open_link(&mut self, wk: usize, at: SocketAddr) -> usize {
-        let conn = self.net.connect(at, self.setup.connect_time_out);
+        let conn = self.net.connect(at, self.setup.connect_timeout);
         self.counts.connections += 1;
         let now = self.net.now();
         let link = self.links.insert(Link {
@@ -871,9 +872,9 @@
             heard: now,
             greeting: None,
         });
-        if self.way.greets() {
-            let until = now + self.setup.connect_time_out;
-            self.links[link].greeting = Some(self.net.set(until, OF_GREETING | link as u64));
+        if self.way.requires_greeting() {
+            let until = now + self.setup.connect_timeout;
+            self.links[link].greeting = Some(self.net.set_timer(until, OF_GREETING | link as u64));
         }
         self.wks[wk].links.push(link);
         self.opened.push((conn, link));
@@ -921,7 +922,7 @@
                 self.at_once(key, Outcome::Discarded);
             }
         }
-        let left = self.net.push(conn, &batch);
+        let left = self.net.write_available(conn, &batch);
         let mut from = 0;
         for &(key, to) in batched.iter().filter(|_| left > 0) {
             if from >= left {
@@ -968,21 +969,21 @@
                 let a = &e.arrival;
                 let left = a.deadline.saturating_sub(now);
                 let launched = Launched {
-                    event: e.id,
-                    launch: launch as u64,
-                    typ: &self.types[a.class],
+                    request_id: e.id,
+                    attempt: launch as u64,
+                    class: &self.types[a.class],
                     function: self.functions.resolve(a.function),
                     lanes: a.lanes,
                     memory: a.memory,
-                    waits: out.until.saturating_sub(now).min(left),
-                    left,
-                    hint: a.cost_hint,
-                    mark: &e.mark,
-                    resent: a.is_retry,
+                    timeout: out.until.saturating_sub(now).min(left),
+                    remaining: left,
+                    cost_hint: a.cost_hint,
+                    idempotency_key: &e.mark,
+                    is_retry: a.is_retry,
                     epoch,
                     payload: &e.payload,
                 };
-                self.way.launch(&mut self.frame, id, &launched);
+                self.way.write_attempt(&mut self.frame, id, &launched);
             }
             Task::Hold { img } => {
                 let (lanes, memory, load_hint) =
@@ -990,15 +991,15 @@
                 let function = self.functions.resolve(img);
                 let order = Order {
                     function,
-                    copies: out.copies,
+                    instances: out.copies,
                     lanes,
                     memory,
                     load_hint,
                     epoch,
                 };
-                self.way.hold(&mut self.frame, id, &order);
+                self.way.write_load_request(&mut self.frame, id, &order);
             }
-            Task::Probe => self.way.probe(&mut self.frame, id),
+            Task::Probe => self.way.write_health_check(&mut self.frame, id),
             Task::Vote {
                 ballot, accepting, ..
             } => self.vote(id, ballot, accepting),
@@ -1007,7 +1008,7 @@
 
     pub(crate) fn out(&mut self, task: Task, wk: usize, copies: u32, until: Time) -> usize {
         self.turn = self.turn.wrapping_add(1);
-        let (at, stood) = (self.net.now(), self.net.stood());
+        let (at, stood) = (self.net.now(), self.net.total_stall());
         let event = match task {
             Task::Launch { evt, .. } => self.events[evt].id,
             _ => 0,
@@ -1031,10 +1032,10 @@
         // would take effect with later is what the decisions counted with.
         let first = match task {
             Task::Vote { .. } => until,
-            _ => until.min(at + self.setup.connect_time_out),
+            _ => until.min(at + self.setup.connect_timeout),
         };
         let key = self.outs.insert(out);
-        self.outs[key].deadline = Some(self.net.set(first, OF_OUT | key as u64));
+        self.outs[key].deadline = Some(self.net.set_timer(first, OF_OUT | key as u64));
         key
     }
 
@@ -1091,17 +1092,17 @@
         }
         let (id, link, event) = (self.wire_id(key), out.link, out.event);
         self.frame.clear();
-        self.way.cancel(&mut self.frame, id, event);
+        self.way.write_cancel(&mut self.frame, id, event);
         self.put(link);
         self.at_once(key, Outcome::Cancelled);
     }
 
     fn reject(&mut self, evt: usize, come_back: Time) {
-        self.own_answer(evt, Word::Deferred, come_back);
+        self.own_answer(evt, Word::Rejected, come_back);
     }
 
     fn fail(&mut self, evt: usize) {
-        self.own_answer(evt, Word::DeadLettered, 0);
+        self.own_answer(evt, Word::Failed, 0);
     }
 
     fn release_request(&mut self, evt: usize) {
@@ -1115,12 +1116,12 @@
 
     fn set_timer(&mut self, wait: Time, token: u64) {
         let now = self.net.now();
-        self.net.set(now + wait, OF_CHOICE | token);
+        self.net.set_timer(now + wait, OF_CHOICE | token);
     }
 
     fn send_health_check(&mut self, wk: usize) {
         self.counts.probes += 1;
-        let until = self.net.now() + self.setup.probe_time_out;
+        let until = self.net.now() + self.setup.health_check_timeout;
         let key = self.out(Task::Probe, wk, 0, until);
         self.ride(key);
     }
@@ -1140,7 +1141,7 @@
         let (function, worker) = (self.functions.resolve(img), self.workers.resolve(wk));
         tracing::debug!(function, worker, copies, "hold");
         self.counts.orders += u64::from(copies > 0 && !refused);
-        let until = self.net.now() + self.setup.order_time_out;
+        let until = self.net.now() + self.setup.load_request_timeout;
         let key = self.out(Task::Hold { img }, wk, copies, until);
         if refused {
             return self.at_once(key, Outcome::AtCapacity);
@@ -1157,7 +1158,7 @@
         if let Some(link) = ready {
             self.frame.clear();
             self.way
-                .unload(&mut self.frame, self.functions.resolve(img));
+                .write_unload(&mut self.frame, self.functions.resolve(img));
             self.put(link);
         }
     }
@@ -1188,14 +1189,15 @@
     fn send_to_peers(&mut self, peer: Option<u32>, bytes: &[u8]) {
         let Some(port) = self.port else { return };
         self.frame.clear();
-        self.way.tell(&mut self.frame, self.me as u64, bytes);
+        self.way
+            .write_peer_datagram(&mut self.frame, self.me as u64, bytes);
         if self.frame.is_empty() {
             return;
         }
         for (i, at) in self.peers.iter().enumerate() {
             let wanted = i != self.me && peer.is_none_or(|p| p as usize == i);
             if let Some(at) = at.filter(|_| wanted) {
-                self.net.send(port, at, &self.frame);
+                self.net.send_datagram(port, at, &self.frame);
             }
         }
     }
--- a/crates/tidewall-gateway/src/door.rs
+++ b/crates/tidewall-gateway/src/door.rs
@@ -6,7 +6,7 @@
 /// Names an event to the door that it came by: the key is that door's own.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ticket {
-    pub door: usize,
+    pub ingress: usize,
     pub key: u64,
 }
 
@@ -21,85 +21,85 @@
 /// The three words of a final answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Word {
-    Handled,
-    Deferred,
-    DeadLettered,
+    Completed,
+    Rejected,
+    Failed,
 }
 
 /// Nobody waits for the answer.
 pub const NOBODY: Ticket = Ticket {
-    door: usize::MAX,
+    ingress: usize::MAX,
     key: 0,
 };
 
 impl Word {
     pub fn read(text: &str) -> Result<Word, String> {
         Ok(match text {
-            "handled" => Word::Handled,
-            "deferred" => Word::Deferred,
-            "dead-lettered" => Word::DeadLettered,
+            "handled" => Word::Completed,
+            "deferred" => Word::Rejected,
+            "dead-lettered" => Word::Failed,
             other => return Err(format!("field word: '{other}' is no answer")),
         })
     }
 
     pub fn text(self) -> &'static str {
         match self {
-            Word::Handled => "handled",
-            Word::Deferred => "deferred",
-            Word::DeadLettered => "dead-lettered",
+            Word::Completed => "handled",
+            Word::Rejected => "deferred",
+            Word::Failed => "dead-lettered",
         }
     }
 }
 
 pub struct Answer<'a> {
-    pub word: Word,
+    pub disposition: Word,
     /// With deferred: when to come back; 0 where that is not told.
-    pub come_back: Time,
+    pub retry_after: Time,
     pub reason: &'a str,
     pub payload: &'a [u8],
     /// How long the gateway held it.
-    pub took: Time,
+    pub elapsed: Time,
 }
 
 /// An event as it comes, its fields still where the protocol's bytes lie.
 pub struct Incoming<'a> {
-    pub ticket: Ticket,
+    pub reply_handle: Ticket,
     /// The client's own name for it, for logs and workers.
     pub id: u64,
-    pub typ: usize,
+    pub class: usize,
     pub tenant: Option<usize>,
     pub function: &'a str,
     pub lanes: u32,
     pub memory: f64,
-    pub hint: Time,
+    pub cost_hint: Time,
     pub load_hint: Time,
     /// How long until the client gives up.
-    pub left: Time,
-    pub resent: bool,
-    pub mark: &'a [u8],
+    pub remaining: Time,
+    pub is_retry: bool,
+    pub idempotency_key: &'a [u8],
     pub payload: &'a [u8],
 }
 
 /// One protocol. It reads its clients' bytes and tells `Core` which events come and which clients leave.
 pub trait Door<N: Net> {
     /// It has its listener; a door that needs deadlines asks for its first one here.
-    fn opened(&mut self, _core: &mut Core<N>) {}
+    fn started(&mut self, _core: &mut Core<N>) {}
     /// A deadline of `Core::wake` is due.
-    fn due(&mut self, _core: &mut Core<N>) {}
+    fn timer_fired(&mut self, _core: &mut Core<N>) {}
     fn accepted(&mut self, core: &mut Core<N>, conn: Conn);
     /// Gives back how many bytes it has used.
-    fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize;
-    fn drained(&mut self, core: &mut Core<N>, conn: Conn);
+    fn received(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize;
+    fn writable(&mut self, core: &mut Core<N>, conn: Conn);
     fn closed(&mut self, core: &mut Core<N>, conn: Conn);
     /// The answer has begun; more follows.
-    fn begun(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]);
+    fn response_started(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]);
     /// The one final answer. Each ticket gets it once, and none after `Core::left`.
-    fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer);
+    fn respond(&mut self, net: &mut N, ticket: Ticket, answer: &Answer);
     /// Its clients say when they stop waiting: until they do an answer is owed, late or not. Elsewhere the time that came with
     /// an event says it, and nothing may follow.
-    fn waits_on(&self) -> bool {
+    fn accepts_late_response(&self) -> bool {
         false
     }
     /// Instead of an answer: the client's time has passed, and nothing may be sent for it.
-    fn given_up(&mut self, now: Time, ticket: Ticket);
+    fn request_expired(&mut self, now: Time, ticket: Ticket);
 }
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -25,7 +25,7 @@
 use tidewall::interner;
 use tidewall::settings::Settings;
 use tidewall_failover::fate::margin;
-use tidewall_net::{App, Conn, Deadline, Listener, Net, Port, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time, TimerId};
 use tidewall_wire::{self as wire, Fields};
 use tracing::{debug, error, info, warn};
 use way::{Feed, Heard, Me, Name, News, Way};
@@ -101,21 +101,21 @@
         &self.choice.host.net
     }
 
-    pub fn types(&self) -> &[String] {
+    pub fn class_names(&self) -> &[String] {
         &self.choice.host.types
     }
 
-    pub fn tenants(&self) -> &[String] {
+    pub fn tenant_names(&self) -> &[String] {
         &self.choice.host.tenants
     }
 
-    pub fn counts(&mut self) -> &mut Counts {
+    pub fn counters(&mut self) -> &mut Counts {
         &mut self.choice.host.counts
     }
 
     /// Takes an event, which gets its one answer from now on, or turns it away with a word why. The place that
     /// it gives back names the event to `left`.
-    pub fn take(&mut self, event: &Incoming) -> Result<usize, &'static str> {
+    pub fn admit(&mut self, event: &Incoming) -> Result<usize, &'static str> {
         if let Some(place) = self.again(event) {
             return Ok(place);
         }
@@ -135,13 +135,12 @@
     fn begin(&mut self, event: &Incoming) -> usize {
         let host = &mut self.choice.host;
         let now = host.net.now();
-        let margin = host
-            .copy
-            .as_ref()
-            .map_or(0, |c| margin(c.kind(event.typ), event.left, c.silence));
+        let margin = host.copy.as_ref().map_or(0, |c| {
+            margin(c.kind(event.class), event.remaining, c.silence)
+        });
         let function = host.functions.intern(event.function);
         let arrival = RequestInfo {
-            class: event.typ,
+            class: event.class,
             tenant: event.tenant,
             function,
             function_hash: interner::fnv1a(event.function),
@@ -150,10 +149,12 @@
             // A deadline of ours may be met late by our own lag: told to the decisions as if the client gave up so
             // much earlier, or an answer that is just in time for them would come too late for it.
             // Twice the worst of late, as the next may be worse.
-            deadline: now + event.left - (2 * host.net.lag()).min(event.left / 4) - margin,
-            cost_hint: event.hint,
+            deadline: now + event.remaining
+                - (2 * host.net.max_timer_lag()).min(event.remaining / 4)
+                - margin,
+            cost_hint: event.cost_hint,
             load_hint: event.load_hint,
-            is_retry: event.resent,
+            is_retry: event.is_retry,
         };
         let place = self.choice.next_request_slot();
         self.choice.host.open(place, event, &arrival);
@@ -161,7 +162,7 @@
             event = event.id,
             place,
             function = event.function,
-            left = event.left,
+            left = event.remaining,
             "taken"
         );
         self.choice.advance_clock(now);
@@ -170,32 +171,32 @@
     }
 
     /// `Door::due` follows for the door at this place.
-    pub fn wake(&mut self, door: usize, wait: Time) {
+    pub fn set_ingress_timer(&mut self, door: usize, wait: Time) {
         let at = self.net().now() + wait;
-        self.net().set(at, OF_DOOR | door as u64);
+        self.net().set_timer(at, OF_DOOR | door as u64);
     }
 
     /// Events in hand, and how many there may be.
-    pub fn held(&self) -> (usize, usize) {
+    pub fn in_flight(&self) -> (usize, usize) {
         (self.choice.host.held, self.most_held)
     }
 
     /// Whether this gateway is on its way out, taking or not.
-    pub fn leaving(&self) -> bool {
+    pub fn is_shutting_down(&self) -> bool {
         self.leaving || self.draining
     }
 
     /// The longest time to come back that clients go by; 0 where they are told none.
-    pub fn most_come_back(&self) -> Time {
+    pub fn max_retry_after(&self) -> Time {
         self.choice.host.most_come_back
     }
 
-    pub fn draining(&self) -> bool {
+    pub fn is_draining(&self) -> bool {
         self.draining
     }
 
     /// The client does not wait for this event any more.
-    pub fn left(&mut self, place: usize, ticket: Ticket) {
+    pub fn client_abandoned(&mut self, place: usize, ticket: Ticket) {
         let now = self.net().now();
         let host = &mut self.choice.host;
         if host.one_less(place, ticket) {
@@ -211,7 +212,7 @@
     }
 
     /// The client's connection broke. One of a pair goes on with what can be asked for again.
-    pub fn broke(&mut self, place: usize, ticket: Ticket) {
+    pub fn client_disconnected(&mut self, place: usize, ticket: Ticket) {
         let host = &mut self.choice.host;
         let held = host
             .events
@@ -219,7 +220,7 @@
             .filter(|h| h.open && h.ticket == ticket);
         match held.filter(|h| host.copy.is_some() && !h.mark().is_empty()) {
             Some(held) => held.ticket = NOBODY,
-            None => self.left(place, ticket),
+            None => self.client_abandoned(place, ticket),
         }
     }
 }
@@ -242,7 +243,7 @@
     complained: Option<Time>,
     shelf: Box<dyn Shelf>,
     unsaved: bool,
-    port: Option<Port>,
+    port: Option<DatagramSocket>,
     name: String,
     pair: Option<Box<Pair>>,
     ended: Ended,
@@ -263,31 +264,34 @@
     within: Time,
     attempts: u64,
     /// Something is asked of it that it owes an answer to by then.
-    silence: Option<Deadline>,
+    silence: Option<TimerId>,
 }
 
 /// What a gateway is told at start, besides its settings.
 pub struct Start {
     pub name: String,
-    pub me: usize,
+    pub index: usize,
     pub seed: u64,
     pub settings: Settings,
-    pub roster: SocketAddr,
-    pub roster_retry: Time,
+    pub discovery: SocketAddr,
+    pub discovery_retry: Time,
     pub peers: Vec<Option<SocketAddr>>,
     pub peer_listen: Option<SocketAddr>,
-    pub setup: Setup,
-    pub pair: Option<Peering>,
+    pub limits: Setup,
+    pub failover: Option<Peering>,
 }
 
 impl<N: Net> Gateway<N> {
     pub fn new(net: N, start: Start, shelf: Box<dyn Shelf>) -> Result<Gateway<N>, String> {
-        let feed = Roster::new(start.roster, Retry::new(start.seed, start.roster_retry));
-        Gateway::with(net, start, shelf, Rc::new(NativeWay), Box::new(feed))
+        let feed = Roster::new(
+            start.discovery,
+            Retry::new(start.seed, start.discovery_retry),
+        );
+        Gateway::with_protocols(net, start, shelf, Rc::new(NativeWay), Box::new(feed))
     }
 
     /// With workers and a list that speak other protocols than the native one.
-    pub fn with(
+    pub fn with_protocols(
         mut net: N,
         start: Start,
         shelf: Box<dyn Shelf>,
@@ -298,22 +302,26 @@
         // Where we listen may be another address than the one that others know us by.
         let at = start
             .peer_listen
-            .or(start.peers.get(start.me).copied().flatten());
+            .or(start.peers.get(start.index).copied().flatten());
         let port = match at {
             None => None,
-            Some(at) => Some(net.bind(at).map_err(|e| format!("{at}: datagrams: {e}"))?.0),
+            Some(at) => Some(
+                net.bind_datagram(at)
+                    .map_err(|e| format!("{at}: datagrams: {e}"))?
+                    .0,
+            ),
         };
-        let most_held = start.setup.most_held;
-        net.set(now + LINKS, OF_LINKS);
-        net.set(now + COUNTS, OF_COUNTS);
-        let mut carrier = Carrier::new(net, &start.settings, start.setup);
-        (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.me);
+        let most_held = start.limits.max_requests;
+        net.set_timer(now + LINKS, OF_LINKS);
+        net.set_timer(now + COUNTS, OF_COUNTS);
+        let mut carrier = Carrier::new(net, &start.settings, start.limits);
+        (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.index);
         carrier.way = way;
         let choice = Scheduler::new(carrier, now, start.seed, start.settings)?;
         let roster = Source {
             feed,
             conn: None,
-            within: start.roster_retry,
+            within: start.discovery_retry,
             attempts: 0,
             silence: None,
         };
@@ -322,7 +330,7 @@
                 choice,
                 draining: false,
                 leaving: false,
-                standby: start.pair.is_some(),
+                standby: start.failover.is_some(),
                 most_held,
                 there: Default::default(),
             },
@@ -331,7 +339,7 @@
             listeners: Vec::new(),
             former: Vec::new(),
             addresses: Vec::new(),
-            me: start.me as u64,
+            me: start.index as u64,
             roster,
             linger: 0,
             rests: 0,
@@ -348,15 +356,23 @@
         };
         gateway.last_list();
         gateway.ask_roster();
-        if let Some(peering) = start.pair {
+        if let Some(peering) = start.failover {
             gateway.pair_up(peering)?;
         }
         Ok(gateway)
     }
 
     /// Opens a door; fails with a line that names the address.
-    pub fn open(&mut self, at: SocketAddr, door: Box<dyn Door<N>>) -> Result<SocketAddr, String> {
-        self.core.choice.host.waits_on.push(door.waits_on());
+    pub fn add_ingress(
+        &mut self,
+        at: SocketAddr,
+        door: Box<dyn Door<N>>,
+    ) -> Result<SocketAddr, String> {
+        self.core
+            .choice
+            .host
+            .waits_on
+            .push(door.accepts_late_response());
         self.doors.push(door);
         self.addresses.push(at);
         self.listeners.push(None);
@@ -365,7 +381,7 @@
         if self.pair.is_none() {
             self.listen(last).map_err(|e| format!("{at}: {e}"))?;
         }
-        self.doors[last].opened(&mut self.core);
+        self.doors[last].started(&mut self.core);
         Ok(self.addresses[last])
     }
 
@@ -381,37 +397,37 @@
         self.former.clear();
         for (door, listener) in self.listeners.iter_mut().enumerate() {
             if let Some(listener) = listener.take() {
-                self.core.choice.host.net.unlisten(listener);
+                self.core.choice.host.net.stop_listening(listener);
                 self.former.push((listener, door));
             }
         }
     }
 
     /// Why the net was stopped.
-    pub fn ended(&self) -> Ended {
+    pub fn stop_reason(&self) -> Ended {
         self.ended
     }
 
-    pub fn counts(&self) -> &Counts {
+    pub fn counters(&self) -> &Counts {
         &self.core.choice.host.counts
     }
 
     /// How often it was tried to reach the roster.
-    pub fn roster_attempts(&self) -> u64 {
+    pub fn discovery_attempts(&self) -> u64 {
         self.roster.attempts
     }
 
-    pub fn held(&self) -> usize {
+    pub fn requests_in_flight(&self) -> usize {
         self.core.choice.host.held
     }
 
     /// Launches, orders and probes of which a worker's end is still awaited.
-    pub fn outstanding(&self) -> usize {
+    pub fn calls_in_flight(&self) -> usize {
         self.core.choice.host.outs.len()
     }
 
     /// Connections to workers that stand or are being made.
-    pub fn links(&self) -> usize {
+    pub fn worker_connections(&self) -> usize {
         self.core.choice.host.links.len()
     }
 
@@ -422,24 +438,24 @@
             return;
         }
         if std::mem::replace(&mut self.core.draining, true) {
-            warn!(held = self.held(), "ends at once");
+            warn!(held = self.requests_in_flight(), "ends at once");
             return self.core.net().stop();
         }
-        info!(held = self.held(), "drains");
+        info!(held = self.requests_in_flight(), "drains");
         self.unlisten();
         self.rests = self.core.net().now() + REST;
         let at = self.rests;
-        self.core.net().set(at, OF_REST);
+        self.core.net().set_timer(at, OF_REST);
         self.rest();
     }
 
     fn rest(&mut self) {
-        if self.held() > 0 {
+        if self.requests_in_flight() > 0 {
             self.empty = None;
         }
         let rested = self.core.draining && self.core.net().now() >= self.rests;
-        if rested && self.held() == 0 && !self.unread() {
-            info!(counts = ?self.counts(), "drained");
+        if rested && self.requests_in_flight() == 0 && !self.unread() {
+            info!(counts = ?self.counters(), "drained");
             self.save_list();
             self.core.net().stop();
         }
@@ -452,23 +468,23 @@
         let until = self.core.choice.host.last_until.min(since + LAST);
         let waits = |(place, (count, owner)): (usize, &(u32, Owner))| {
             matches!(owner, Owner::Door(_))
-                && self.core.net_ref().untaken(Conn::new(place, *count)) > 0
+                && self.core.net_ref().unacknowledged(Conn::new(place, *count)) > 0
         };
         now < until && self.owners.iter().enumerate().any(waits)
     }
 
     fn own(&mut self, conn: Conn, owner: Owner) {
-        if self.owners.len() <= conn.place() {
-            self.owners.resize(conn.place() + 1, (0, Owner::Nobody));
+        if self.owners.len() <= conn.index() {
+            self.owners.resize(conn.index() + 1, (0, Owner::Nobody));
         }
-        self.owners[conn.place()] = (conn.count(), owner);
+        self.owners[conn.index()] = (conn.generation(), owner);
     }
 
     fn owner(&self, conn: Conn) -> Owner {
         let owner = self
             .owners
-            .get(conn.place())
-            .filter(|o| o.0 == conn.count());
+            .get(conn.index())
+            .filter(|o| o.0 == conn.generation());
         owner.map_or(Owner::Nobody, |o| o.1)
     }
 
@@ -493,7 +509,7 @@
                 // One more thing was done.
             } else if let Some(ticket) = self.core.choice.host.gone.pop_front() {
                 let now = self.core.net().now();
-                self.doors[ticket.door].given_up(now, ticket);
+                self.doors[ticket.ingress].request_expired(now, ticket);
             } else {
                 break;
             }
@@ -525,7 +541,7 @@
             );
             self.core.net().reset(conn);
             self.own(conn, Owner::Nobody);
-            self.link_over(link, Why::Reset);
+            self.link_over(link, CloseReason::Reset);
         }
     }
 
@@ -544,7 +560,7 @@
         } = *out;
         let now = host.net.now();
         // What passed while this process stood still is no evidence about a worker.
-        let took = (now - at).saturating_sub(host.net.stood() - stood);
+        let took = (now - at).saturating_sub(host.net.total_stall() - stood);
         host.finish(key);
         self.core.choice.advance_clock(now);
         match task {
@@ -590,10 +606,10 @@
         if past && host.copy.is_none() {
             host.counts.overdue += 1;
             let now = host.net.now();
-            return self.doors[ticket.door].given_up(now, ticket);
+            return self.doors[ticket.ingress].request_expired(now, ticket);
         }
         match word {
-            Word::Handled => host.counts.handled += 1,
+            Word::Completed => host.counts.handled += 1,
             _ => host.counts.dead_lettered += 1,
         }
         debug!(event = host.events[evt].id, word = word.text(), "answered");
@@ -613,12 +629,12 @@
     fn broke_off(&mut self, task: Task) {
         if let Task::Launch { evt, launch } = task {
             if self.core.choice.host.events[evt].begun == Some(launch) {
-                self.answer(evt, Word::DeadLettered, &[]);
+                self.answer(evt, Word::Failed, &[]);
             }
         }
     }
 
-    fn link_over(&mut self, link: usize, why: Why) {
+    fn link_over(&mut self, link: usize, why: CloseReason) {
         let host = &mut self.core.choice.host;
         let gone = host.links.remove(link);
         let wk = gone.wk;
@@ -655,19 +671,19 @@
     /// One message of a worker; none while it is not whole.
     fn heard(&mut self, link: usize, bytes: &[u8]) -> Result<Option<usize>, String> {
         let way = self.core.choice.host.way.clone();
-        way.read(bytes, &mut Ears { gw: self, link })
+        way.read_message(bytes, &mut Ears { gw: self, link })
     }
 
     /// One message of the list's source. What it asks next leaves with it.
     fn list_told(&mut self, conn: Conn, bytes: &[u8]) -> Result<Option<usize>, String> {
         let mut news = News::default();
-        let read = self.roster.feed.read(bytes, &mut news)?;
-        news.lists
+        let read = self.roster.feed.read_message(bytes, &mut news)?;
+        news.updates
             .iter()
-            .for_each(|(entries, whole)| self.list(entries, *whole));
+            .for_each(|(entries, whole)| self.update_endpoints(entries, *whole));
         if read.is_some() {
             let mut out = Vec::new();
-            if !self.roster.feed.next(&mut out) {
+            if !self.roster.feed.write_next_poll(&mut out) {
                 self.core.net().close(conn);
                 self.own(conn, Owner::Nobody);
                 self.quiet();
@@ -694,7 +710,7 @@
     }
 
     /// Workers of which something is known.
-    pub fn workers(&self) -> usize {
+    pub fn known_workers(&self) -> usize {
         self.core
             .choice
             .host
@@ -705,7 +721,7 @@
     }
 
     /// Takes a list over, or changes of one.
-    pub fn list(&mut self, entries: &[Entry], whole: bool) {
+    pub fn update_endpoints(&mut self, entries: &[Entry], whole: bool) {
         let host = &mut self.core.choice.host;
         let now = host.net.now();
         let entries: Vec<(usize, Endpoint)> = entries.iter().map(|e| host.listed(e)).collect();
@@ -722,7 +738,7 @@
     }
 
     /// The list is told from now on.
-    pub fn watch(&mut self, watch: Watch) {
+    pub fn watch_endpoints(&mut self, watch: Watch) {
         self.watch = Some(watch);
         self.tell_list();
     }
@@ -736,20 +752,20 @@
     /// The source of the list owes an answer from now on.
     fn listen_for(&mut self) {
         self.quiet();
-        if let Some(patience) = self.roster.feed.patience() {
+        if let Some(patience) = self.roster.feed.silence_timeout() {
             let at = self.core.net().now() + patience;
-            self.roster.silence = Some(self.core.net().set(at, OF_SILENT));
+            self.roster.silence = Some(self.core.net().set_timer(at, OF_SILENT));
         }
     }
 
     fn quiet(&mut self) {
         if let Some(d) = self.roster.silence.take() {
-            self.core.net().clear(d);
+            self.core.net().cancel_timer(d);
         }
     }
 
     fn ask_roster(&mut self) {
-        let (at, within) = (self.roster.feed.at(), self.roster.within);
+        let (at, within) = (self.roster.feed.address(), self.roster.within);
         self.roster.attempts += 1;
         let conn = self.core.net().connect(at, within);
         self.own(conn, Owner::Roster);
@@ -757,14 +773,14 @@
     }
 
     /// The last list holds; the decisions hear that news may be missing, and it is asked for anew.
-    fn roster_over(&mut self, why: Why) {
-        warn!(?why, at = %self.roster.feed.at(), "no roster");
+    fn roster_over(&mut self, why: CloseReason) {
+        warn!(?why, at = %self.roster.feed.address(), "no roster");
         self.roster.conn = None;
         self.quiet();
         self.core.choice.host.roster = None;
         let now = self.core.net().now();
-        let wait = self.roster.feed.retry();
-        self.core.net().set(now + wait, OF_ROSTER);
+        let wait = self.roster.feed.retry_delay();
+        self.core.net().set_timer(now + wait, OF_ROSTER);
         self.core.choice.advance_clock(now);
         self.core.choice.endpoint_update_failed();
     }
@@ -772,7 +788,7 @@
     fn unsaved(&mut self) {
         if !std::mem::replace(&mut self.unsaved, true) {
             let now = self.core.net().now();
-            self.core.net().set(now + SHELF, OF_SHELF);
+            self.core.net().set_timer(now + SHELF, OF_SHELF);
         }
     }
 
@@ -784,7 +800,7 @@
                 // A disk that was full may have room by then.
                 self.unsaved = true;
                 let again = self.core.net().now() + 10 * SHELF;
-                self.core.net().set(again, OF_SHELF);
+                self.core.net().set_timer(again, OF_SHELF);
             }
         }
     }
@@ -841,8 +857,8 @@
                     );
                     let mut out = Vec::new();
                     match owner {
-                        Owner::Link(_) => self.core.choice.host.way.complain(&mut out, &reason),
-                        Owner::Roster => self.roster.feed.complain(&mut out, &reason),
+                        Owner::Link(_) => self.core.choice.host.way.write_error(&mut out, &reason),
+                        Owner::Roster => self.roster.feed.write_error(&mut out, &reason),
                         _ => wire::error(&mut out, &reason),
                     }
                     let host = &mut self.core.choice.host;
@@ -851,10 +867,10 @@
                     host.net.close(conn);
                     self.own(conn, Owner::Nobody);
                     match owner {
-                        Owner::Link(link) => self.link_over(link, Why::Reset),
+                        Owner::Link(link) => self.link_over(link, CloseReason::Reset),
                         Owner::Peer => self.peer_over(),
                         Owner::Guest => {}
-                        _ => self.roster_over(Why::Reset),
+                        _ => self.roster_over(CloseReason::Reset),
                     }
                     return bytes.len();
                 }
@@ -873,7 +889,7 @@
             warn!(
                 reason,
                 what,
-                so_far = self.counts().malformed + 1,
+                so_far = self.counters().malformed + 1,
                 "malformed"
             );
         } else {
@@ -882,7 +898,7 @@
     }
 
     /// Goes on taking what comes for so long after the first signal to stop, as a front notices late.
-    pub fn linger(&mut self, span: Time) {
+    pub fn set_drain_grace(&mut self, span: Time) {
         self.linger = span;
     }
 }
@@ -904,7 +920,7 @@
 }
 
 impl<N: Net> Heard for Ears<'_, N> {
-    fn known(&self) -> bool {
+    fn has_greeted(&self) -> bool {
         self.gw.core.choice.host.links[self.link].greeted
     }
 
@@ -936,7 +952,7 @@
         Ok(())
     }
 
-    fn begun(&mut self, name: Name, payload: &[u8]) -> Result<(), String> {
+    fn response_started(&mut self, name: Name, payload: &[u8]) -> Result<(), String> {
         let link = self.link;
         let host = self.host();
         let now = host.net.now();
@@ -952,15 +968,15 @@
         host.events[evt].begun = Some(launch);
         let ticket = host.events[evt].ticket;
         let gw = &mut *self.gw;
-        if let Some(door) = gw.doors.get_mut(ticket.door) {
-            door.begun(&mut gw.core.choice.host.net, ticket, payload);
+        if let Some(door) = gw.doors.get_mut(ticket.ingress) {
+            door.response_started(&mut gw.core.choice.host.net, ticket, payload);
         }
         gw.core.choice.advance_clock(now);
         gw.core.choice.response_started(evt, launch);
         Ok(())
     }
 
-    fn ended(
+    fn attempt_ended(
         &mut self,
         name: Name,
         outcome: Outcome,
@@ -975,7 +991,7 @@
         if let Task::Launch { evt, .. } = host.outs[key].task {
             if !host.outs[key].over && outcome == Outcome::Ok {
                 // The first good answer is the client's at once.
-                self.gw.answer(evt, Word::Handled, payload);
+                self.gw.answer(evt, Word::Completed, payload);
             }
             self.gw.done(key, outcome, note);
             self.host().free(key);
@@ -983,7 +999,12 @@
         Ok(())
     }
 
-    fn held(&mut self, name: Name, outcome: Outcome, copies: u32) -> Result<(), String> {
+    fn load_request_ended(
+        &mut self,
+        name: Name,
+        outcome: Outcome,
+        copies: u32,
+    ) -> Result<(), String> {
         let link = self.link;
         let host = self.host();
         let Some(key) = host.key(name, link)? else {
@@ -996,7 +1017,7 @@
         Ok(())
     }
 
-    fn probed(&mut self, name: Name, well: bool) -> Result<(), String> {
+    fn health_check_ended(&mut self, name: Name, well: bool) -> Result<(), String> {
         let link = self.link;
         let host = self.host();
         let Some(key) = host.key(name, link)? else {
@@ -1010,23 +1031,23 @@
         Ok(())
     }
 
-    fn reported(&mut self, in_flight: f64, busy: f64) {
+    fn load_reported(&mut self, in_flight: f64, busy: f64) {
         let wk = self.wk();
         let now = self.host().net.now();
         self.gw.core.choice.advance_clock(now);
         self.gw.core.choice.load_reported(wk, in_flight, busy);
     }
 
-    fn promised(&mut self, fields: &Fields) -> Result<(), String> {
+    fn vote_received(&mut self, fields: &Fields) -> Result<(), String> {
         let wk = self.wk();
         self.gw.promised(self.link, wk, fields)
     }
 
-    fn fenced(&mut self) {
+    fn epoch_rejected(&mut self) {
         self.gw.fenced();
     }
 
-    fn drains(&mut self) {
+    fn draining(&mut self) {
         let wk = self.wk();
         let host = self.host();
         let now = host.net.now();
@@ -1038,7 +1059,7 @@
         }
     }
 
-    fn said(&mut self, reason: &str) {
+    fn error_reported(&mut self, reason: &str) {
         let wk = self.wk();
         warn!(worker = self.host().workers.resolve(wk), reason, "told");
     }
@@ -1074,35 +1095,37 @@
         let member = self.pair.as_ref().map_or(0, |p| p.member() as u64 + 1);
         let me = Me {
             name: &self.name,
-            number: self.me,
-            member,
+            index: self.me,
+            failover_member: member,
         };
         let host = &mut self.core.choice.host;
         if self.roster.conn == Some(conn) {
-            if self.roster.feed.native() {
+            if self.roster.feed.is_native() {
                 host.roster = Some(conn);
             }
-            self.roster.feed.connected(&mut out, &me, host.follows);
+            self.roster
+                .feed
+                .write_subscription(&mut out, &me, host.follows);
             host.net.write(conn, &out);
             self.listen_for();
         } else if let Owner::Link(link) = self.owner(conn) {
             let host = &mut self.core.choice.host;
-            host.way.hello(&mut out, &me);
+            host.way.write_greeting(&mut out, &me);
             if !out.is_empty() {
                 host.net.write(conn, &out);
                 host.links[link].written += out.len();
             }
-            if !host.way.greets() {
+            if !host.way.requires_greeting() {
                 host.greeted(link);
                 self.settle();
             }
         }
     }
 
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let used = match self.owner(conn) {
             Owner::Nobody => bytes.len(),
-            Owner::Door(door) => self.doors[door].bytes(&mut self.core, conn, bytes),
+            Owner::Door(door) => self.doors[door].received(&mut self.core, conn, bytes),
             owner => {
                 if let Owner::Link(link) = owner {
                     self.core.choice.host.heard(link);
@@ -1121,24 +1144,24 @@
         used
     }
 
-    fn drained(&mut self, conn: Conn) {
+    fn writable(&mut self, conn: Conn) {
         match self.owner(conn) {
-            Owner::Door(door) => self.doors[door].drained(&mut self.core, conn),
+            Owner::Door(door) => self.doors[door].writable(&mut self.core, conn),
             Owner::Link(link) => {
                 self.core.choice.host.drained(link);
-                self.all_told();
+                self.wakeup_ended();
             }
             _ => {}
         }
     }
 
-    fn all_told(&mut self) {
+    fn wakeup_ended(&mut self) {
         while self.core.choice.host.leave() {
             self.settle();
         }
     }
 
-    fn closed(&mut self, conn: Conn, why: Why) {
+    fn closed(&mut self, conn: Conn, why: CloseReason) {
         match self.owner(conn) {
             Owner::Nobody => {}
             Owner::Door(door) => self.doors[door].closed(&mut self.core, conn),
@@ -1151,7 +1174,7 @@
         self.settle();
     }
 
-    fn datagram(&mut self, port: Port, from: SocketAddr, bytes: &[u8]) {
+    fn datagram_received(&mut self, port: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
         if self.pair.as_ref().is_some_and(|p| p.port() == Some(port)) {
             self.advertised(from, bytes);
             return self.settle();
@@ -1165,7 +1188,7 @@
             .iter()
             .position(|p| *p == Some(from))
             .map(|p| p as u32);
-        match host.way.clone().told(from, bytes) {
+        match host.way.clone().read_peer_datagram(from, bytes) {
             Ok((peer, payload)) => {
                 let now = host.net.now();
                 self.core.choice.advance_clock(now);
@@ -1179,7 +1202,7 @@
         }
     }
 
-    fn due(&mut self, token: u64) {
+    fn timer_fired(&mut self, token: u64) {
         let now = self.core.net().now();
         match token & OF_WHAT {
             OF_CHOICE => {
@@ -1212,7 +1235,7 @@
                 if let Some(conn) = self.roster.conn {
                     self.core.net().reset(conn);
                     self.own(conn, Owner::Nobody);
-                    self.roster_over(Why::TimedOut);
+                    self.roster_over(CloseReason::TimedOut);
                 }
             }
             OF_LEAVE => self.drain(),
@@ -1224,11 +1247,11 @@
                 if let Some(conn) = self.core.choice.host.ungreeted(link) {
                     self.core.net().reset(conn);
                     self.own(conn, Owner::Nobody);
-                    self.link_over(link, Why::TimedOut);
+                    self.link_over(link, CloseReason::TimedOut);
                 }
             }
             OF_LINKS => {
-                self.core.net().set(now + LINKS, OF_LINKS);
+                self.core.net().set_timer(now + LINKS, OF_LINKS);
                 if self.unheard {
                     self.tell_list();
                 }
@@ -1237,17 +1260,17 @@
                     warn!(link, "cut off: an answer stopped half-way");
                     self.core.net().reset(conn);
                     self.own(conn, Owner::Nobody);
-                    self.link_over(link, Why::Reset);
+                    self.link_over(link, CloseReason::Reset);
                 }
                 for (link, conn) in self.core.choice.host.idle(now) {
                     self.core.net().close(conn);
                     self.own(conn, Owner::Nobody);
-                    self.link_over(link, Why::Ended);
+                    self.link_over(link, CloseReason::Ended);
                 }
             }
             OF_DOOR => {
                 if let Some(door) = self.doors.get_mut((token & !OF_WHAT) as usize) {
-                    door.due(&mut self.core);
+                    door.timer_fired(&mut self.core);
                 }
             }
             OF_SHELF => self.save_list(),
@@ -1255,18 +1278,18 @@
             OF_VRRP => self.vrrp_due(),
             OF_COUNTS => {
                 self.forget_workers();
-                self.core.net().set(now + COUNTS, OF_COUNTS);
-                info!(counts = ?self.counts(), held = self.held(), "counts");
+                self.core.net().set_timer(now + COUNTS, OF_COUNTS);
+                info!(counts = ?self.counters(), held = self.requests_in_flight(), "counts");
             }
             _ => error!(token, "a deadline of nobody"),
         }
         self.settle();
     }
 
-    fn signal(&mut self, signal: i32) {
+    fn signal_received(&mut self, signal: i32) {
         if signal == HANG_UP {
             if self.roster.feed.reload() {
-                info!(at = %self.roster.feed.at(), "the list comes from elsewhere now");
+                info!(at = %self.roster.feed.address(), "the list comes from elsewhere now");
                 if let Some(conn) = self.roster.conn.take() {
                     self.core.net().reset(conn);
                     self.own(conn, Owner::Nobody);
@@ -1276,11 +1299,11 @@
             }
             return;
         }
-        if self.linger > 0 && !self.core.leaving() {
+        if self.linger > 0 && !self.core.is_shutting_down() {
             self.core.leaving = true;
-            info!(held = self.held(), "told to stop");
+            info!(held = self.requests_in_flight(), "told to stop");
             let at = self.core.net().now() + self.linger;
-            self.core.net().set(at, OF_LEAVE);
+            self.core.net().set_timer(at, OF_LEAVE);
             return;
         }
         self.drain();
--- a/crates/tidewall-gateway/src/list.rs
+++ b/crates/tidewall-gateway/src/list.rs
@@ -16,14 +16,14 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     pub name: String,
-    pub at: SocketAddr,
+    pub address: SocketAddr,
     pub zone: String,
     pub machine: String,
     pub cell: u32,
-    pub standing: EndpointState,
+    pub state: EndpointState,
     pub rating: f64,
     /// Counts its starts; a higher one is a later start.
-    pub life: u64,
+    pub incarnation: u64,
     /// How long ago it started; 0 where that is long ago or not told.
     pub age: Time,
 }
@@ -32,29 +32,29 @@
     let at = e.text(Field::Place)?;
     Ok(Entry {
         name: e.text(Field::Name)?.to_string(),
-        at: at
+        address: at
             .parse()
             .map_err(|_| format!("field place: '{at}' is no address and port"))?,
         zone: e.word(Field::Zone)?.to_string(),
         machine: e.word(Field::Machine)?.to_string(),
         cell: e.upto(Field::Cell, u64::from(u32::MAX), 0)? as u32,
-        standing: crate::standing(e.text(Field::Standing)?)?,
+        state: crate::standing(e.text(Field::Standing)?)?,
         rating: e.real(Field::Rating, 1.0)?,
-        life: e.upto(Field::Life, u64::MAX, 0)?,
+        incarnation: e.upto(Field::Life, u64::MAX, 0)?,
         age: e.upto(Field::Age, u64::MAX >> 8, 0)?,
     })
 }
 
 /// Writes an entry's fields, for the last list and for rosters.
 pub fn write<'a>(f: Frame<'a>, e: &Entry) -> Frame<'a> {
-    let standing = match e.standing {
+    let standing = match e.state {
         EndpointState::Active => "on",
         EndpointState::Draining => "draining",
         EndpointState::Removed => "gone",
     };
     let f = f
         .text(Field::Name, &e.name)
-        .text(Field::Place, &e.at.to_string())
+        .text(Field::Place, &e.address.to_string())
         .text(Field::Zone, &e.zone);
     let f = f
         .text(Field::Machine, &e.machine)
@@ -62,7 +62,7 @@
     let f = f
         .text(Field::Standing, standing)
         .real(Field::Rating, e.rating);
-    f.whole(Field::Life, e.life).whole(Field::Age, e.age)
+    f.whole(Field::Life, e.incarnation).whole(Field::Age, e.age)
 }
 
 const MAGIC: &[u8; 8] = b"tdwlist1";
--- a/crates/tidewall-gateway/src/native.rs
+++ b/crates/tidewall-gateway/src/native.rs
@@ -57,10 +57,10 @@
     }
 
     fn client(&mut self, conn: Conn) -> &mut Client {
-        if self.clients.len() <= conn.place() {
-            self.clients.resize_with(conn.place() + 1, Client::default);
+        if self.clients.len() <= conn.index() {
+            self.clients.resize_with(conn.index() + 1, Client::default);
         }
-        &mut self.clients[conn.place()]
+        &mut self.clients[conn.index()]
     }
 
     fn add(&mut self, conn: Conn, id: u64) -> u32 {
@@ -86,7 +86,7 @@
 
     fn ticket(&self, key: u32, count: u32) -> Ticket {
         Ticket {
-            door: self.me,
+            ingress: self.me,
             key: u64::from(key) | u64::from(count) << 32,
         }
     }
@@ -146,7 +146,7 @@
                 // The answer may have crossed it.
                 if let Some(key) = self.ids.get(&(conn, id)).copied() {
                     let known = self.remove(key);
-                    core.left(known.place, self.ticket(key, known.count));
+                    core.client_abandoned(known.place, self.ticket(key, known.count));
                 }
                 Ok(())
             }
@@ -165,40 +165,47 @@
             return Err(format!("field id: {id} is in hand already"));
         }
         let typ = fields.text(Field::Type)?;
-        let typ = core.types().iter().position(|t| t == typ);
+        let typ = core.class_names().iter().position(|t| t == typ);
         let tenant = fields.word(Field::Tenant)?;
         let event = Incoming {
-            ticket: Ticket::default(),
+            reply_handle: Ticket::default(),
             id,
-            typ: typ.ok_or_else(|| {
+            class: typ.ok_or_else(|| {
                 format!(
                     "field type: '{}' is unknown",
                     fields.text(Field::Type).unwrap_or("")
                 )
             })?,
-            tenant: core.tenants().iter().position(|t| t == tenant),
+            tenant: core.tenant_names().iter().position(|t| t == tenant),
             function: fields.text(Field::Function)?,
             lanes: fields.upto(Field::Lanes, 1000, 1)? as u32,
             memory: fields.real(Field::Memory, 0.0)?,
-            hint: fields.upto(Field::Hint, LEFT_MOST, 0)?,
+            cost_hint: fields.upto(Field::Hint, LEFT_MOST, 0)?,
             load_hint: fields.upto(Field::LoadHint, LEFT_MOST, 0)?,
             // Shorter by what it may have waited for us to read it.
-            left: left(fields.upto(Field::Left, LEFT_MOST, 0)?, core.net().waited()).unwrap_or(0),
-            resent: fields.flag(Field::Resent)?,
-            mark: fields.bytes(Field::Mark)?,
+            remaining: left(
+                fields.upto(Field::Left, LEFT_MOST, 0)?,
+                core.net().read_delay(),
+            )
+            .unwrap_or(0),
+            is_retry: fields.flag(Field::Resent)?,
+            idempotency_key: fields.bytes(Field::Mark)?,
             payload: fields.bytes(Field::Payload)?,
         };
         fields.whole(Field::Left)?;
-        if event.left == 0 {
+        if event.remaining == 0 {
             // Its time may have passed before it was read. An answer might come too late and silence might be
             // wrong: it is not taken, and that is said.
-            core.counts().turned_away += 1;
+            core.counters().turned_away += 1;
             self.turn_away(core, conn, id, "late");
             return Ok(());
         }
         let key = self.add(conn, id);
         let ticket = self.ticket(key, self.known[key as usize].count);
-        match core.take(&Incoming { ticket, ..event }) {
+        match core.admit(&Incoming {
+            reply_handle: ticket,
+            ..event
+        }) {
             Ok(place) => self.known[key as usize].place = place,
             Err(reason) => {
                 self.remove(key);
@@ -222,7 +229,7 @@
     fn gone<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
         while let Some(key) = self.client(conn).first {
             let known = self.remove(key);
-            core.broke(known.place, self.ticket(key, known.count));
+            core.client_disconnected(known.place, self.ticket(key, known.count));
         }
         *self.client(conn) = Client::default();
     }
@@ -231,12 +238,12 @@
 impl<N: Net> Door<N> for Native {
     fn accepted(&mut self, _core: &mut Core<N>, conn: Conn) {
         *self.client(conn) = Client {
-            count: conn.count(),
+            count: conn.generation(),
             ..Client::default()
         };
     }
 
-    fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         loop {
             let told = match wire::frame(&bytes[used..]) {
@@ -249,7 +256,7 @@
             };
             if let Err(reason) = told {
                 warn!(reason, "malformed frame of a client");
-                core.counts().malformed += 1;
+                core.counters().malformed += 1;
                 self.out.clear();
                 wire::error(&mut self.out, &reason);
                 core.net().write(conn, &self.out);
@@ -260,15 +267,15 @@
         }
     }
 
-    fn drained(&mut self, _core: &mut Core<N>, _conn: Conn) {}
+    fn writable(&mut self, _core: &mut Core<N>, _conn: Conn) {}
 
     fn closed(&mut self, core: &mut Core<N>, conn: Conn) {
-        if self.client(conn).count == conn.count() {
+        if self.client(conn).count == conn.generation() {
             self.gone(core, conn);
         }
     }
 
-    fn begun(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]) {
+    fn response_started(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]) {
         let Some(known) = self.key(ticket).map(|k| &self.known[k as usize]) else {
             return;
         };
@@ -278,33 +285,33 @@
         net.write(known.conn, &self.out);
     }
 
-    fn given_up(&mut self, _now: Time, ticket: Ticket) {
+    fn request_expired(&mut self, _now: Time, ticket: Ticket) {
         if let Some(key) = self.key(ticket) {
             self.remove(key);
         }
     }
 
-    fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
+    fn respond(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
         // It left in the same wake-up.
         let Some(key) = self.key(ticket) else { return };
         let known = self.remove(key);
         self.out.clear();
         let frame = Frame::new(&mut self.out, kind::ANSWER).whole(Field::Id, known.id);
         let frame = frame
-            .text(Field::Word, answer.word.text())
+            .text(Field::Word, answer.disposition.text())
             .text(Field::Reason, answer.reason);
         let frame = frame
-            .whole(Field::Took, answer.took)
+            .whole(Field::Took, answer.elapsed)
             .bytes(Field::Payload, answer.payload);
-        let come_back = |f: Frame| f.whole(Field::ComeBack, answer.come_back).end();
-        if answer.come_back > 0 {
+        let come_back = |f: Frame| f.whole(Field::ComeBack, answer.retry_after).end();
+        if answer.retry_after > 0 {
             come_back(frame)
         } else {
             frame.end()
         }
         if !net.write(known.conn, &self.out) {
             // A client that reads nothing until its buffer is full has lost its answers, not its neighbours.
-            net.fail(known.conn);
+            net.abort(known.conn);
         }
     }
 }
--- a/crates/tidewall-gateway/src/native_way.rs
+++ b/crates/tidewall-gateway/src/native_way.rs
@@ -13,9 +13,9 @@
     let f = f
         .text(Field::Role, "gateway")
         .text(Field::Name, me.name)
-        .whole(Field::Life, me.number);
-    if me.member > 0 {
-        f.whole(Field::Member, me.member)
+        .whole(Field::Life, me.index);
+    if me.failover_member > 0 {
+        f.whole(Field::Member, me.failover_member)
     } else {
         f
     }
@@ -23,33 +23,39 @@
 }
 
 impl Way for NativeWay {
-    fn greets(&self) -> bool {
+    fn requires_greeting(&self) -> bool {
         true
     }
 
-    fn ends_given_up(&self) -> bool {
+    fn confirms_cancelled(&self) -> bool {
         true
     }
 
-    fn by_event(&self) -> bool {
+    fn answers_by_request_id(&self) -> bool {
         false
     }
 
-    fn hello(&self, out: &mut Vec<u8>, me: &Me) {
+    fn write_greeting(&self, out: &mut Vec<u8>, me: &Me) {
         hello(out, me);
     }
 
-    fn launch(&self, out: &mut Vec<u8>, own: u64, l: &Launched) {
+    fn write_attempt(&self, out: &mut Vec<u8>, own: u64, l: &Launched) {
         let f = Frame::new(out, kind::LAUNCH).whole(Field::Id, own);
         let f = f
-            .whole(Field::Event, l.event)
-            .whole(Field::Launch, l.launch);
-        let f = f.text(Field::Type, l.typ).text(Field::Function, l.function);
+            .whole(Field::Event, l.request_id)
+            .whole(Field::Launch, l.attempt);
+        let f = f
+            .text(Field::Type, l.class)
+            .text(Field::Function, l.function);
         let f = f
             .whole(Field::Lanes, u64::from(l.lanes))
             .real(Field::Memory, l.memory);
-        let f = f.whole(Field::Left, l.left).whole(Field::Hint, l.hint);
-        let f = f.bytes(Field::Mark, l.mark).flag(Field::Resent, l.resent);
+        let f = f
+            .whole(Field::Left, l.remaining)
+            .whole(Field::Hint, l.cost_hint);
+        let f = f
+            .bytes(Field::Mark, l.idempotency_key)
+            .flag(Field::Resent, l.is_retry);
         let f = if l.epoch > 0 {
             f.whole(Field::Epoch, l.epoch)
         } else {
@@ -58,20 +64,20 @@
         f.bytes(Field::Payload, l.payload).end();
     }
 
-    fn cancel(&self, out: &mut Vec<u8>, own: u64, _event: u64) {
+    fn write_cancel(&self, out: &mut Vec<u8>, own: u64, _event: u64) {
         Frame::new(out, kind::CANCEL).whole(Field::Id, own).end();
     }
 
-    fn probe(&self, out: &mut Vec<u8>, own: u64) {
+    fn write_health_check(&self, out: &mut Vec<u8>, own: u64) {
         Frame::new(out, kind::PROBE).whole(Field::Id, own).end();
     }
 
-    fn hold(&self, out: &mut Vec<u8>, own: u64, o: &Order) {
+    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, o: &Order) {
         let f = Frame::new(out, kind::HOLD)
             .whole(Field::Id, own)
             .text(Field::Function, o.function);
         let f = f
-            .whole(Field::Copies, u64::from(o.copies))
+            .whole(Field::Copies, u64::from(o.instances))
             .whole(Field::Lanes, u64::from(o.lanes));
         let f = f
             .real(Field::Memory, o.memory)
@@ -84,27 +90,31 @@
         .end();
     }
 
-    fn unload(&self, out: &mut Vec<u8>, function: &str) {
+    fn write_unload(&self, out: &mut Vec<u8>, function: &str) {
         Frame::new(out, kind::UNLOAD)
             .text(Field::Function, function)
             .end();
     }
 
-    fn read(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String> {
+    fn read_message(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String> {
         let Some((body, len)) = wire::frame(bytes)? else {
             return Ok(None);
         };
         message(&Fields::read(body)?, heard).map(|()| Some(len))
     }
 
-    fn tell(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]) {
+    fn write_peer_datagram(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]) {
         Frame::new(out, kind::PEER)
             .whole(Field::Id, me)
             .bytes(Field::Payload, bytes)
             .end();
     }
 
-    fn told<'a>(&self, _from: Option<u32>, bytes: &'a [u8]) -> Result<(u32, &'a [u8]), String> {
+    fn read_peer_datagram<'a>(
+        &self,
+        _from: Option<u32>,
+        bytes: &'a [u8],
+    ) -> Result<(u32, &'a [u8]), String> {
         let (body, _) = wire::frame(bytes)?.ok_or("field length: cut short")?;
         let fields = Fields::read(body)?;
         if fields.kind()? != kind::PEER {
@@ -114,13 +124,13 @@
         Ok((peer as u32, fields.bytes(Field::Payload)?))
     }
 
-    fn complain(&self, out: &mut Vec<u8>, reason: &str) {
+    fn write_error(&self, out: &mut Vec<u8>, reason: &str) {
         wire::error(out, reason);
     }
 }
 
 fn message(fields: &Fields, heard: &mut dyn Heard) -> Result<(), String> {
-    if !heard.known() {
+    if !heard.has_greeted() {
         let role = wire::greeted(fields)?;
         let name = fields.text(Field::Name)?;
         return heard.greeted(
@@ -130,9 +140,9 @@
             fields.upto(Field::Age, u64::MAX >> 8, 0)?,
         );
     }
-    let own = || fields.whole(Field::Id).map(Name::Own);
+    let own = || fields.whole(Field::Id).map(Name::CallId);
     match fields.kind()? {
-        kind::BEGUN => heard.begun(own()?, fields.bytes(Field::Payload)?),
+        kind::BEGUN => heard.response_started(own()?, fields.bytes(Field::Payload)?),
         kind::END => {
             let outcome = outcome(fields)?;
             let copy = fields.upto(Field::Copy, 4, 0)? as u32;
@@ -140,26 +150,26 @@
             let (payload, own) = (fields.bytes(Field::Payload)?, own()?);
             report(fields, heard)?;
             refused(fields, heard)?;
-            heard.ended(own, outcome, copy | company << 3, payload)
+            heard.attempt_ended(own, outcome, copy | company << 3, payload)
         }
         kind::HELD => {
             let (outcome, copies) = (outcome(fields)?, fields.upto(Field::Copies, 1 << 16, 0)?);
             let own = own()?;
             refused(fields, heard)?;
-            heard.held(own, outcome, copies as u32)
+            heard.load_request_ended(own, outcome, copies as u32)
         }
         kind::PROBED => {
             let own = own()?;
             report(fields, heard)?;
-            heard.probed(own, true)
+            heard.health_check_ended(own, true)
         }
-        kind::PROMISED => heard.promised(fields),
+        kind::PROMISED => heard.vote_received(fields),
         kind::DRAINS => {
-            heard.drains();
+            heard.draining();
             Ok(())
         }
         kind::ERROR => {
-            heard.said(fields.text(Field::Reason)?);
+            heard.error_reported(fields.text(Field::Reason)?);
             Ok(())
         }
         other => Err(format!("field kind: {other} is not for a gateway")),
@@ -168,7 +178,7 @@
 
 fn report(fields: &Fields, heard: &mut dyn Heard) -> Result<(), String> {
     if fields.has(Field::InFlight) || fields.has(Field::Busy) {
-        heard.reported(
+        heard.load_reported(
             fields.real(Field::InFlight, 0.0)?,
             fields.real(Field::Busy, 0.0)?,
         );
@@ -179,7 +189,7 @@
 /// Refused as another member serves: that is looked into.
 fn refused(fields: &Fields, heard: &mut dyn Heard) -> Result<(), String> {
     if fields.text(Field::Outcome)? == "fenced" {
-        heard.fenced();
+        heard.epoch_rejected();
     }
     Ok(())
 }
@@ -214,11 +224,11 @@
 }
 
 impl Feed for Roster {
-    fn at(&self) -> SocketAddr {
+    fn address(&self) -> SocketAddr {
         self.at
     }
 
-    fn connected(&mut self, out: &mut Vec<u8>, me: &Me, follows: bool) {
+    fn write_subscription(&mut self, out: &mut Vec<u8>, me: &Me, follows: bool) {
         self.greeted = false;
         hello(out, me);
         if follows {
@@ -226,7 +236,7 @@
         }
     }
 
-    fn read(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
+    fn read_message(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
         let Some((body, len)) = wire::frame(bytes)? else {
             return Ok(None);
         };
@@ -251,23 +261,23 @@
                     entries.push(list::entry(e)?);
                     Ok(())
                 })?;
-                told.list(&entries, whole);
+                told.endpoints_received(&entries, whole);
             }
-            kind::ERROR => told.said(fields.text(Field::Reason)?),
+            kind::ERROR => told.error_reported(fields.text(Field::Reason)?),
             other => return Err(format!("field kind: {other} is not for a gateway")),
         }
         Ok(Some(len))
     }
 
-    fn retry(&mut self) -> Time {
+    fn retry_delay(&mut self) -> Time {
         self.retry.wait()
     }
 
-    fn complain(&self, out: &mut Vec<u8>, reason: &str) {
+    fn write_error(&self, out: &mut Vec<u8>, reason: &str) {
         wire::error(out, reason);
     }
 
-    fn native(&self) -> bool {
+    fn is_native(&self) -> bool {
         true
     }
 }
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/pair/copying.rs
@@ -339,7 +339,7 @@
         let held = &self.events[place];
         let typ = held.arrival().class;
         if held.unproven > 0 && copy.kind(typ) != Kind::Redeliverable {
-            remember(copy, now, typ, held.mark(), Word::DeadLettered, &[]);
+            remember(copy, now, typ, held.mark(), Word::Failed, &[]);
         } else {
             copy.known.remove(typ, held.mark());
         }
@@ -432,7 +432,7 @@
     word: Word,
     payload: &[u8],
 ) {
-    if word == Word::Deferred {
+    if word == Word::Rejected {
         copy.known.remove(typ, mark);
     } else {
         let until = now + copy.keep(typ);
@@ -442,5 +442,5 @@
 }
 
 pub fn word(number: u8) -> Word {
-    [Word::Handled, Word::Deferred, Word::DeadLettered][usize::from(number).min(2)]
+    [Word::Completed, Word::Rejected, Word::Failed][usize::from(number).min(2)]
 }
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/pair/mod.rs
@@ -15,7 +15,7 @@
 use tidewall_failover::promise::{Claim, Promise};
 use tidewall_failover::ration::Ration;
 use tidewall_failover::seat::{self, Seat, State};
-use tidewall_net::{Conn, Deadline, Listener, Net, Port, Time};
+use tidewall_net::{Conn, DatagramSocket, Listener, Net, Time, TimerId};
 use tidewall_vrrp::packet::{self, Guard, Keys};
 use tidewall_vrrp::{Parameters, Router, CENTISECOND};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
@@ -94,11 +94,11 @@
     router: Router,
     keys: Keys,
     guard: Guard,
-    port: Option<Port>,
+    port: Option<DatagramSocket>,
     listener: Option<Listener>,
     /// Advertisements sent, for the replay guard of the other one.
     number: u64,
-    timer: Option<Deadline>,
+    timer: Option<TimerId>,
     /// What VRRP said meanwhile.
     wanted: Option<bool>,
     dialing: Option<Conn>,
@@ -138,7 +138,7 @@
         self.parts.listener
     }
 
-    pub fn port(&self) -> Option<Port> {
+    pub fn port(&self) -> Option<DatagramSocket> {
         self.parts.port
     }
 
@@ -171,9 +171,9 @@
     net: &'a mut N,
     at: &'a Peering,
     keys: &'a Keys,
-    port: Option<Port>,
+    port: Option<DatagramSocket>,
     number: &'a mut u64,
-    timer: &'a mut Option<Deadline>,
+    timer: &'a mut Option<TimerId>,
     wanted: &'a mut Option<bool>,
 }
 
@@ -189,20 +189,20 @@
             *self.number,
             self.keys,
         );
-        self.net.send(port, self.at.peer_vrrp, &out);
+        self.net.send_datagram(port, self.at.peer_vrrp, &out);
     }
 
     fn wake(&mut self, _vrid: u8, wait: Time) {
         if let Some(d) = self.timer.take() {
-            self.net.clear(d);
+            self.net.cancel_timer(d);
         }
         let at = self.net.now() + wait;
-        *self.timer = Some(self.net.set(at, OF_VRRP));
+        *self.timer = Some(self.net.set_timer(at, OF_VRRP));
     }
 
     fn sleep(&mut self, _vrid: u8) {
         if let Some(d) = self.timer.take() {
-            self.net.clear(d);
+            self.net.cancel_timer(d);
         }
     }
 
@@ -369,7 +369,7 @@
     }
 
     fn retire(&mut self) {
-        info!(held = self.gw.held(), "retires");
+        info!(held = self.gw.requests_in_flight(), "retires");
         self.gw.core.standby = true;
         self.gw.unlisten();
     }
@@ -425,44 +425,43 @@
         let host = &mut self.choice.host;
         let now = host.net.now();
         let copy = host.copy.as_mut()?;
-        let until = now + event.left;
-        if event.resent
+        let until = now + event.remaining;
+        if event.is_retry
             && now < copy.forgot
-            && copy.known.find(now, event.typ, event.mark).is_none()
+            && copy
+                .known
+                .find(now, event.class, event.idempotency_key)
+                .is_none()
         {
-            let kind = copy.kind(event.typ);
+            let kind = copy.kind(event.class);
             if let Some(later) = unknown(kind, copy.two_at_once, copy.fenced_all) {
-                let word = if later {
-                    Word::Deferred
-                } else {
-                    Word::DeadLettered
-                };
-                remember(copy, now, event.typ, event.mark, word, &[]);
+                let word = if later { Word::Rejected } else { Word::Failed };
+                remember(copy, now, event.class, event.idempotency_key, word, &[]);
                 let mut due = copy.due();
-                due.tickets.push((event.ticket, until));
+                due.tickets.push((event.reply_handle, until));
                 (due.word, due.come_back) = (Some(word), UNFENCED);
                 copy.replays.push_back(due);
                 return Some(usize::MAX);
             }
         }
-        if event.mark.is_empty() {
+        if event.idempotency_key.is_empty() {
             return None;
         }
-        match copy.known.find(now, event.typ, event.mark)? {
+        match copy.known.find(now, event.class, event.idempotency_key)? {
             Place::Here(place) => {
                 let place = *place;
                 copy.joined.push(place);
-                host.events[place].more.push((event.ticket, until));
+                host.events[place].more.push((event.reply_handle, until));
                 Some(place)
             }
             Place::There(at) => {
-                self.there.push_back((*at, event.ticket, until));
+                self.there.push_back((*at, event.reply_handle, until));
                 Some(usize::MAX)
             }
             Place::Answered(number, payload) => {
                 let (number, payload) = (*number, payload.clone());
                 let mut due = copy.due();
-                due.tickets.push((event.ticket, until));
+                due.tickets.push((event.reply_handle, until));
                 due.word = Some(word(number));
                 due.payload.extend_from_slice(&payload);
                 copy.replays.push_back(due);
@@ -492,14 +491,14 @@
         let interval = Time::from(at.interval) * CENTISECOND;
         let net = self.core.net();
         let port = net
-            .bind(at.vrrp)
+            .bind_datagram(at.vrrp)
             .map_err(|e| format!("{}: datagrams: {e}", at.vrrp))?
             .0;
         let listener = net
             .listen(at.link)
             .map_err(|e| format!("{}: {e}", at.link))?
             .0;
-        net.set(now + interval / TICKS, OF_PAIR);
+        net.set_timer(now + interval / TICKS, OF_PAIR);
         let ration = Ration::new(at.ration.0, at.ration.1, at.ration.2);
         let mut copy = Copying::new(
             me,
@@ -511,7 +510,7 @@
         );
         copy.silence = (SILENT + 1) * interval;
         self.core.choice.host.copy = Some(Box::new(copy));
-        let stood = self.core.net().stood();
+        let stood = self.core.net().total_stall();
         let parts = Parts {
             me,
             router: Router::new(parameters)?,
@@ -571,17 +570,17 @@
     }
 
     /// The first setting that the other member has otherwise.
-    pub fn disagrees(&self) -> Option<&str> {
+    pub fn settings_mismatch(&self) -> Option<&str> {
         self.pair.as_ref()?.parts.disagrees.as_deref()
     }
 
     /// Advertisements that were ignored as malformed, forged or replayed.
-    pub fn bad_advertisements(&self) -> u64 {
+    pub fn rejected_advertisements(&self) -> u64 {
         self.pair.as_ref().map_or(0, |p| p.parts.bad)
     }
 
     /// Launches and answers that wait for the other member's record.
-    pub fn waiting(&self) -> usize {
+    pub fn unreplicated(&self) -> usize {
         self.core
             .choice
             .host
@@ -591,7 +590,7 @@
     }
 
     /// How this member of a pair stands.
-    pub fn state(&self) -> Option<State> {
+    pub fn role(&self) -> Option<State> {
         self.pair.as_ref().map(|p| p.state())
     }
 
@@ -610,15 +609,15 @@
         let interval = Time::from(pair.parts.at.interval) * CENTISECOND;
         let net = &mut self.core.choice.host.net;
         let now = net.now();
-        net.set(now + interval / TICKS, OF_PAIR);
+        net.set_timer(now + interval / TICKS, OF_PAIR);
         let parts = &mut pair.parts;
         parts.ticks += 1;
         if parts.ticks % KEYS == 0 {
             parts.keys = (parts.at.keys)();
         }
         // What passed while we stood still says nothing about the other one.
-        if net.stood() > parts.stood {
-            (parts.stood, parts.heard) = (net.stood(), now);
+        if net.total_stall() > parts.stood {
+            (parts.stood, parts.heard) = (net.total_stall(), now);
         }
         let counts = pair.seat.state().serves();
         let silent = now > parts.heard + SILENT * interval;
@@ -690,7 +689,8 @@
             act.parts.timer = None;
             let net = &mut act.gw.core.choice.host.net;
             // What was not heard while we stood still says nothing of the other one.
-            let stood = net.stood() > std::mem::replace(&mut act.parts.vrrp_stood, net.stood());
+            let stood =
+                net.total_stall() > std::mem::replace(&mut act.parts.vrrp_stood, net.total_stall());
             act.parts.vrrp(net, |router, vrrp| {
                 if stood && router.state() == tidewall_vrrp::State::Backup {
                     tidewall_vrrp::Act::wake(vrrp, 0, router.down());
@@ -994,7 +994,7 @@
                         .iter()
                         .any(|l| l.state != fate::State::ProvenNotRun);
                     if ran && copy.kind(kept.typ) != Kind::Redeliverable {
-                        remember(copy, now, kept.typ, &kept.mark, Word::DeadLettered, &[]);
+                        remember(copy, now, kept.typ, &kept.mark, Word::Failed, &[]);
                     } else {
                         copy.known.remove(kept.typ, &kept.mark);
                     }
@@ -1107,8 +1107,8 @@
                     self.go_on(kept);
                     continue;
                 }
-                Fate::DeadLetter => Word::DeadLettered,
-                _ => Word::Deferred,
+                Fate::DeadLetter => Word::Failed,
+                _ => Word::Rejected,
             };
             remember(copy, now, kept.typ, &kept.mark, word, &[]);
             let mut due = copy.due();
@@ -1134,18 +1134,18 @@
         let asked = !kept.tickets.is_empty();
         self.core.choice.host.heirs = kept.tickets;
         let place = self.core.begin(&Incoming {
-            ticket: NOBODY,
+            reply_handle: NOBODY,
             id: kept.id,
-            typ: kept.typ,
+            class: kept.typ,
             tenant: kept.tenant,
             function: &kept.function,
             lanes: kept.lanes,
             memory: kept.memory,
-            hint: kept.hint,
+            cost_hint: kept.hint,
             load_hint: kept.load_hint,
-            left: kept.until - now,
-            resent: true,
-            mark: &kept.mark,
+            remaining: kept.until - now,
+            is_retry: true,
+            idempotency_key: &kept.mark,
             payload: &kept.payload,
         });
         copy_of(&mut self.core).ration.took_before();
@@ -1185,7 +1185,7 @@
         }
         if !late.is_empty() {
             let mut due = copy.due();
-            (due.tickets, due.word) = (late, Some(Word::DeadLettered));
+            (due.tickets, due.word) = (late, Some(Word::Failed));
             copy.replays.push_back(due);
         }
     }
@@ -1211,7 +1211,7 @@
         fields: &Fields,
     ) -> Result<(), String> {
         let host = &mut self.core.choice.host;
-        let Some(key) = host.key(Name::Own(fields.whole(Field::Id)?), link)? else {
+        let Some(key) = host.key(Name::CallId(fields.whole(Field::Id)?), link)? else {
             return Ok(());
         };
         let Task::Vote {
@@ -1276,34 +1276,34 @@
             ..
         } = *given;
         let answer = Answer {
-            word,
-            come_back,
+            disposition: word,
+            retry_after: come_back,
             reason: "",
             payload,
-            took,
+            elapsed: took,
         };
-        self.doors[ticket.door].answered(&mut host.net, ticket, &answer);
+        self.doors[ticket.ingress].respond(&mut host.net, ticket, &answer);
     }
 
     fn give(&mut self, due: Due) {
         let host = &mut self.core.choice.host;
         let now = host.net.now();
-        let word = due.word.unwrap_or(Word::DeadLettered);
+        let word = due.word.unwrap_or(Word::Failed);
         for (ticket, until) in due.tickets.iter().filter(|t| t.0 != NOBODY) {
             if now > *until {
                 host.counts.overdue += 1;
-                self.doors[ticket.door].given_up(now, *ticket);
+                self.doors[ticket.ingress].request_expired(now, *ticket);
                 continue;
             }
             let (come_back, took) = (due.come_back, due.took);
             let answer = Answer {
-                word,
-                come_back,
+                disposition: word,
+                retry_after: come_back,
                 reason: "",
                 payload: &due.payload,
-                took,
+                elapsed: took,
             };
-            self.doors[ticket.door].answered(&mut host.net, *ticket, &answer);
+            self.doors[ticket.ingress].respond(&mut host.net, *ticket, &answer);
         }
         if let Some(copy) = &mut host.copy {
             copy.done(due);
@@ -1348,7 +1348,7 @@
                 None => {
                     // It ended in the same wake-up: it is asked for again by whoever still wants it.
                     let mut due = copy_of(&mut self.core).due();
-                    (due.word, due.come_back) = (Some(Word::Deferred), UNFENCED);
+                    (due.word, due.come_back) = (Some(Word::Rejected), UNFENCED);
                     due.tickets.push((ticket, until));
                     self.give(due);
                 }
@@ -1358,14 +1358,14 @@
             let resting = pair.seat.state() == State::Retiring
                 || pair.parts.leaving && pair.seat.state() == State::Standby;
             if resting
-                && self.held() == 0
+                && self.requests_in_flight() == 0
                 && self.ended == Ended::Drained
                 && copy_of(&mut self.core).waiting() == 0
                 && !self.unread()
             {
-                let was = self.state();
+                let was = self.role();
                 self.with_seat(|seat, now, act| seat.empty(now, act));
-                if was == Some(State::Retiring) && self.state() == Some(State::Standby) {
+                if was == Some(State::Retiring) && self.role() == Some(State::Standby) {
                     self.hang_up();
                 }
             }
@@ -1382,7 +1382,7 @@
         for place in 0..self.owners.len() {
             let (count, owner) = self.owners[place];
             if let Owner::Door(_) = owner {
-                self.core.net().fail(Conn::new(place, count));
+                self.core.net().abort(Conn::new(place, count));
             }
         }
     }
--- a/crates/tidewall-gateway/src/start.rs
+++ b/crates/tidewall-gateway/src/start.rs
@@ -9,17 +9,17 @@
 pub fn setup(s: &Section) -> Setup {
     let (limits, loading) = (s.section("limits"), s.section("loading"));
     Setup {
-        most_held: limits.whole("most_held") as usize,
-        connect_time_out: limits.span("connect_time_out_ms"),
-        streams: limits.whole("streams") as usize,
-        connections: limits.whole("connections") as usize,
+        max_requests: limits.whole("most_held") as usize,
+        connect_timeout: limits.span("connect_time_out_ms"),
+        streams_per_connection: limits.whole("streams") as usize,
+        connections_per_worker: limits.whole("connections") as usize,
         // The settings bound them for each worker.
-        links: usize::MAX,
-        spread: usize::MAX,
+        max_worker_connections: usize::MAX,
+        spread_threshold: usize::MAX,
         keep_alive: limits.span("keep_alive_ms"),
-        probe_time_out: limits.span("probe_time_out_ms"),
-        order_time_out: loading.span("order_time_out_ms"),
-        silent: limits.span("silent_ms"),
+        health_check_timeout: limits.span("probe_time_out_ms"),
+        load_request_timeout: loading.span("order_time_out_ms"),
+        silence_timeout: limits.span("silent_ms"),
     }
 }
 
@@ -27,22 +27,22 @@
     let gateways = s.sections("gateway");
     Start {
         name: gateways[me].text("name"),
-        me,
+        index: me,
         seed,
         settings: plain(s, me),
-        roster: s
+        discovery: s
             .section("roster")
             .text("address")
             .parse()
             .expect("checked"),
-        roster_retry: s.section("roster").span("retry_ms"),
+        discovery_retry: s.section("roster").span("retry_ms"),
         peers: gateways
             .iter()
             .map(|g| g.text("peer_address").parse().ok())
             .collect(),
         peer_listen: None,
-        setup: setup(s),
-        pair: None,
+        limits: setup(s),
+        failover: None,
     }
 }
 
--- a/crates/tidewall-gateway/src/way.rs
+++ b/crates/tidewall-gateway/src/way.rs
@@ -8,33 +8,33 @@
 /// By what name a worker's answer comes back: the gateway's own number, or the event's id.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Name {
-    Own(u64),
-    Event(u64),
+    CallId(u64),
+    RequestId(u64),
 }
 
 /// Who we are, for protocols in which that is said.
 #[derive(Clone, Copy)]
 pub struct Me<'a> {
     pub name: &'a str,
-    pub number: u64,
+    pub index: u64,
     /// Of a pair: one more than the member's place; else 0.
-    pub member: u64,
+    pub failover_member: u64,
 }
 
 /// A launch as it goes out.
 pub struct Launched<'a> {
-    pub event: u64,
-    pub launch: u64,
-    pub typ: &'a str,
+    pub request_id: u64,
+    pub attempt: u64,
+    pub class: &'a str,
     pub function: &'a str,
     pub lanes: u32,
     pub memory: f64,
     /// How long until the gateway's wait for it ends, and until the client gives up.
-    pub waits: Time,
-    pub left: Time,
-    pub hint: Time,
-    pub mark: &'a [u8],
-    pub resent: bool,
+    pub timeout: Time,
+    pub remaining: Time,
+    pub cost_hint: Time,
+    pub idempotency_key: &'a [u8],
+    pub is_retry: bool,
     /// 0 where the gateway is none of a pair.
     pub epoch: u64,
     pub payload: &'a [u8],
@@ -43,7 +43,7 @@
 /// An order to load, or an ask where no copies are wanted.
 pub struct Order<'a> {
     pub function: &'a str,
-    pub copies: u32,
+    pub instances: u32,
     pub lanes: u32,
     pub memory: f64,
     pub load_hint: Time,
@@ -55,102 +55,111 @@
     /// Its name, where workers greet; false where it is not the one that was asked for.
     fn greeted(&mut self, role: &str, name: &str, life: u64, age: Time) -> Result<(), String>;
     /// Whether it has greeted.
-    fn known(&self) -> bool;
-    fn begun(&mut self, name: Name, payload: &[u8]) -> Result<(), String>;
+    fn has_greeted(&self) -> bool;
+    fn response_started(&mut self, name: Name, payload: &[u8]) -> Result<(), String>;
     /// The end of a launch. `note` holds what is known of the copy, and eight times the company.
-    fn ended(
+    fn attempt_ended(
         &mut self,
         name: Name,
         outcome: Outcome,
         note: u32,
         payload: &[u8],
     ) -> Result<(), String>;
-    fn held(&mut self, name: Name, outcome: Outcome, copies: u32) -> Result<(), String>;
+    fn load_request_ended(
+        &mut self,
+        name: Name,
+        outcome: Outcome,
+        copies: u32,
+    ) -> Result<(), String>;
     /// Whether it said that it is well.
-    fn probed(&mut self, name: Name, well: bool) -> Result<(), String>;
+    fn health_check_ended(&mut self, name: Name, well: bool) -> Result<(), String>;
     /// A load report: events in flight and the part of its cores that is busy.
-    fn reported(&mut self, in_flight: f64, busy: f64);
-    fn promised(&mut self, fields: &Fields) -> Result<(), String>;
+    fn load_reported(&mut self, in_flight: f64, busy: f64);
+    fn vote_received(&mut self, fields: &Fields) -> Result<(), String>;
     /// It refuses, as another member of the pair serves.
-    fn fenced(&mut self);
-    fn drains(&mut self);
-    fn said(&mut self, reason: &str);
+    fn epoch_rejected(&mut self);
+    fn draining(&mut self);
+    fn error_reported(&mut self, reason: &str);
 }
 
 /// A worker's protocol. Each method writes one message behind what `out` holds.
 pub trait Way {
     /// Whether a worker tells its name before anything is sent to it.
-    fn greets(&self) -> bool;
+    fn requires_greeting(&self) -> bool;
     /// Whether a launch that was given up still gets the worker's own end.
-    fn ends_given_up(&self) -> bool;
+    fn confirms_cancelled(&self) -> bool;
     /// Whether answers name launches by their event's id: then no connection carries an id twice.
-    fn by_event(&self) -> bool;
+    fn answers_by_request_id(&self) -> bool;
     /// How long the rest of a message that has begun may stay away; none where that means nothing.
-    fn rest(&self) -> Option<Time> {
+    fn partial_message_timeout(&self) -> Option<Time> {
         None
     }
-    fn hello(&self, out: &mut Vec<u8>, me: &Me);
-    fn launch(&self, out: &mut Vec<u8>, own: u64, launch: &Launched);
-    fn cancel(&self, out: &mut Vec<u8>, own: u64, event: u64);
-    fn probe(&self, out: &mut Vec<u8>, own: u64);
-    fn hold(&self, out: &mut Vec<u8>, own: u64, order: &Order);
-    fn unload(&self, out: &mut Vec<u8>, function: &str);
+    fn write_greeting(&self, out: &mut Vec<u8>, me: &Me);
+    fn write_attempt(&self, out: &mut Vec<u8>, own: u64, launch: &Launched);
+    fn write_cancel(&self, out: &mut Vec<u8>, own: u64, event: u64);
+    fn write_health_check(&self, out: &mut Vec<u8>, own: u64);
+    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, order: &Order);
+    fn write_unload(&self, out: &mut Vec<u8>, function: &str);
     /// Reads one message and gives back its length; none while it is not whole. An error ends the connection.
-    fn read(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String>;
+    fn read_message(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String>;
     /// A datagram to another gateway.
-    fn tell(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]);
+    fn write_peer_datagram(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]);
     /// Who a datagram is from, and what it says; `from` is whose address it came from, where that is known.
-    fn told<'a>(&self, from: Option<u32>, bytes: &'a [u8]) -> Result<(u32, &'a [u8]), String>;
+    fn read_peer_datagram<'a>(
+        &self,
+        from: Option<u32>,
+        bytes: &'a [u8],
+    ) -> Result<(u32, &'a [u8]), String>;
     /// What is said before a connection is closed over something malformed.
-    fn complain(&self, out: &mut Vec<u8>, reason: &str);
+    fn write_error(&self, out: &mut Vec<u8>, reason: &str);
 }
 
 /// What the list's source said.
 pub trait Told {
-    fn list(&mut self, entries: &[Entry], whole: bool);
-    fn said(&mut self, reason: &str);
+    fn endpoints_received(&mut self, entries: &[Entry], whole: bool);
+    fn error_reported(&mut self, reason: &str);
 }
 
 /// Lists that were told, to be taken over once their message was read whole.
 #[derive(Default)]
 pub struct News {
-    pub lists: Vec<(Vec<Entry>, bool)>,
+    pub updates: Vec<(Vec<Entry>, bool)>,
 }
 
 impl Told for News {
-    fn list(&mut self, entries: &[Entry], whole: bool) {
-        self.lists.push((entries.to_vec(), whole));
+    fn endpoints_received(&mut self, entries: &[Entry], whole: bool) {
+        self.updates.push((entries.to_vec(), whole));
     }
 
-    fn said(&mut self, reason: &str) {
+    fn error_reported(&mut self, reason: &str) {
         tracing::warn!(reason, "the roster told");
     }
 }
 
 /// Where the list of workers comes from.
 pub trait Feed {
-    fn at(&self) -> SocketAddr;
+    fn address(&self) -> SocketAddr;
     /// Connected: what is said first.
-    fn connected(&mut self, out: &mut Vec<u8>, me: &Me, follows: bool);
+    fn write_subscription(&mut self, out: &mut Vec<u8>, me: &Me, follows: bool);
     /// Reads one message and gives back its length; none while it is not whole. All of a message is taken, or nothing.
-    fn read(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String>;
+    fn read_message(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String>;
     /// What is asked next, once a message was read; false where the connection is used up.
-    fn next(&mut self, _out: &mut Vec<u8>) -> bool {
+    fn write_next_poll(&mut self, _out: &mut Vec<u8>) -> bool {
         true
     }
     /// How long it may say nothing from its last question on; none where silence means nothing.
-    fn patience(&self) -> Option<Time> {
+    fn silence_timeout(&self) -> Option<Time> {
         None
     }
     /// How long to wait before it is asked again after the connection broke.
-    fn retry(&mut self) -> Time;
+    fn retry_delay(&mut self) -> Time;
     /// The settings' file may have changed; true where the list now comes from another address.
     fn reload(&mut self) -> bool {
         false
     }
-    fn complain(&self, _out: &mut Vec<u8>, _reason: &str) {}
+    fn write_error(&self, _out: &mut Vec<u8>, _reason: &str) {}
     /// Whether the carrier's wishes to follow or look up are said in native frames.
-    fn native(&self) -> bool {
+    fn is_native(&self) -> bool {
         false
     }
 }
--- a/crates/tidewall-gateway/tests/descriptors.rs
+++ b/crates/tidewall-gateway/tests/descriptors.rs
@@ -2,12 +2,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 use tidewall_net::mio::{self, Mio};
-use tidewall_net::{App, Conn, Listener, Net, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 
 struct Probe {
     net: Mio,
     accepted: usize,
-    over: Vec<Why>,
+    over: Vec<CloseReason>,
 }
 
 impl App for Probe {
@@ -19,14 +19,14 @@
         self.accepted += 1;
     }
     fn connected(&mut self, _: Conn) {}
-    fn bytes(&mut self, _: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, _: Conn, bytes: &[u8]) -> usize {
         bytes.len()
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, why: Why) {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, why: CloseReason) {
         self.over.push(why);
     }
-    fn due(&mut self, _: u64) {
+    fn timer_fired(&mut self, _: u64) {
         self.net.stop();
     }
 }
@@ -36,9 +36,9 @@
     let until = now + tenths;
     while probe.net.now() < until {
         let at = probe.net.now() + 50;
-        let d = probe.net.set(at, 0);
+        let d = probe.net.set_timer(at, 0);
         mio::turn(probe).unwrap();
-        probe.net.clear(d);
+        probe.net.cancel_timer(d);
     }
 }
 
@@ -62,7 +62,10 @@
     }
     probe.net.connect(worker.local_addr().unwrap(), 10_000);
     pass(&mut probe, 500);
-    assert_eq!((&probe.over[..], probe.accepted), (&[Why::Refused][..], 0));
+    assert_eq!(
+        (&probe.over[..], probe.accepted),
+        (&[CloseReason::Refused][..], 0)
+    );
     held.clear();
     pass(&mut probe, 2_500);
     assert_eq!(
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -45,7 +45,10 @@
         "before its client gives up"
     );
     s.pass(30_000);
-    assert_eq!((s.gateway.held(), s.gateway.outstanding()), (0, 0));
+    assert_eq!(
+        (s.gateway.requests_in_flight(), s.gateway.calls_in_flight()),
+        (0, 0)
+    );
     // A further event finds all places good.
     s.workers[0].does = Does::Answers;
     s.ask(2..3, "check", 10_000);
@@ -112,7 +115,7 @@
 
 fn drained(s: &mut Site) {
     for e in &mut s.roster.entries {
-        e.standing = EndpointState::Draining;
+        e.state = EndpointState::Draining;
     }
     s.roster.tell_all();
 }
@@ -122,8 +125,8 @@
 #[test_case(true; "in the write buffer")]
 fn nothing_leaves_after_the_grace_of_a_drain(greeted: bool) {
     let setup = Setup {
-        connect_time_out: 60_000,
-        streams: 10_000,
+        connect_timeout: 60_000,
+        streams_per_connection: 10_000,
         ..setup()
     };
     let mut s = site_with(&[Does::Nothing], setup, Box::new(NoShelf));
@@ -178,10 +181,10 @@
     s.all_answered(11..31);
     assert_eq!(s.workers[0].launches(), 0);
     // Once the roster has noticed, its word holds; and so does that of another life.
-    s.roster.entries[0].standing = EndpointState::Draining;
+    s.roster.entries[0].state = EndpointState::Draining;
     s.roster.tell_all();
     s.pass(100);
-    s.roster.entries[0].standing = EndpointState::Active;
+    s.roster.entries[0].state = EndpointState::Active;
     s.roster.tell_all();
     s.pass(100);
     s.ask(31..71, "check", 20_000);
@@ -195,8 +198,8 @@
     let mut s = site(&[Does::Answers]);
     let mut list = Entries::default();
     let moved = tidewall_gateway::list::Entry {
-        at: at("127.0.0.1:999"),
-        life: 9,
+        address: at("127.0.0.1:999"),
+        incarnation: 9,
         ..entry(0)
     };
     list.add(|f| write(f, &moved));
@@ -214,7 +217,7 @@
         (1..11).all(|id| s.client.words(id) == ["handled"]),
         "the former list holds"
     );
-    assert_eq!(s.gateway.counts().malformed, 1);
+    assert_eq!(s.gateway.counters().malformed, 1);
 }
 
 /// The process ended when nothing was held, with answers still in its write buffers.
@@ -225,7 +228,10 @@
     s.client.pause(true);
     s.ask(1..31, "check", 15_000);
     s.pass(3_000);
-    assert_eq!((s.gateway.held(), s.gateway.counts().handled), (0, 30));
+    assert_eq!(
+        (s.gateway.requests_in_flight(), s.gateway.counters().handled),
+        (0, 30)
+    );
     s.gateway.drain();
     s.pass(1_000);
     assert!(!s.hand.dead(), "a part of them has not left");
@@ -247,9 +253,9 @@
         s.roster.net.kill();
         let mut at: Vec<Time> = Vec::new();
         for tick in 0..4_000 {
-            let before = s.gateway.roster_attempts();
+            let before = s.gateway.discovery_attempts();
             s.pass(10);
-            at.extend((s.gateway.roster_attempts() > before).then_some(tick));
+            at.extend((s.gateway.discovery_attempts() > before).then_some(tick));
         }
         at
     });
@@ -295,7 +301,10 @@
             "{bytes}: {:?}",
             s.client.words(1)
         );
-        assert_eq!((s.gateway.held(), s.gateway.outstanding()), (0, 0));
+        assert_eq!(
+            (s.gateway.requests_in_flight(), s.gateway.calls_in_flight()),
+            (0, 0)
+        );
     }
 }
 
@@ -311,7 +320,11 @@
         s.client.net.kill();
         s.pass(1_000);
         assert_eq!(
-            (s.gateway.counts().taken, s.gateway.held(), s.launches()),
+            (
+                s.gateway.counters().taken,
+                s.gateway.requests_in_flight(),
+                s.launches()
+            ),
             (0, 0, 0)
         );
     }
--- a/crates/tidewall-gateway/tests/hard.rs
+++ b/crates/tidewall-gateway/tests/hard.rs
@@ -6,7 +6,7 @@
 use std::fs;
 use test_case::test_case;
 use tidewall_gateway::list::{decode, encode, FileShelf, NoShelf, Shelf};
-use tidewall_net::{Net, Why};
+use tidewall_net::{CloseReason, Net};
 use tidewall_wire::{kind, Field, Frame};
 
 #[test_case(1 ; "one byte at a time")]
@@ -19,7 +19,7 @@
     s.pass(25_000);
     s.all_answered(1..101);
     // The decisions may defer some of so many at once; none is lost on the way.
-    let counts = s.gateway.counts();
+    let counts = s.gateway.counters();
     assert!(
         counts.handled > 20 && counts.handled + counts.deferred == 100,
         "{counts:?}"
@@ -43,7 +43,7 @@
         .at;
     assert!(told < 1_000 + 5_000 + 10, "before its client gives up");
     assert_eq!(
-        s.gateway.outstanding(),
+        s.gateway.calls_in_flight(),
         0,
         "the late end was taken off the books"
     );
@@ -73,8 +73,11 @@
         assert!(s.client.words(id).len() <= 1);
     }
     s.pass(5_000);
-    assert_eq!((s.gateway.held(), s.gateway.outstanding()), (0, 0));
-    let counts = s.gateway.counts();
+    assert_eq!(
+        (s.gateway.requests_in_flight(), s.gateway.calls_in_flight()),
+        (0, 0)
+    );
+    let counts = s.gateway.counters();
     assert_eq!(counts.lapsed + counts.handled, 39);
     assert!(
         counts.lapsed > 0 && counts.handled > 0,
@@ -90,7 +93,7 @@
     s.all_answered(1..200);
     // One whose time ends while its launch waits for the connection is dead-lettered: the decisions cannot
     // know that nothing was sent.
-    let counts = s.gateway.counts();
+    let counts = s.gateway.counters();
     assert!(
         counts.deferred > 150 && counts.deferred + counts.dead_lettered == 199,
         "{counts:?}"
@@ -171,7 +174,7 @@
         words,
         [vec!["turned-away"], vec!["turned-away"], vec!["handled"]]
     );
-    assert_eq!(s.gateway.counts().taken, 1);
+    assert_eq!(s.gateway.counters().taken, 1);
 }
 
 #[test]
@@ -203,8 +206,8 @@
     s.all_answered(1..21);
     s.roster.entries.swap(0, 1);
     (s.roster.entries[0].name, s.roster.entries[1].name) = ("w0".into(), "w1".into());
-    s.roster.entries[0].at = entry(1).at;
-    s.roster.entries[1].at = entry(0).at;
+    s.roster.entries[0].address = entry(1).address;
+    s.roster.entries[1].address = entry(0).address;
     s.roster.tell_all();
     // Those that were left out for it come back on trial within seconds.
     s.pass(100_000);
@@ -232,10 +235,10 @@
         "{error:?}"
     );
     assert_eq!(
-        (s.client.words(1), s.gateway.counts().malformed),
+        (s.client.words(1), s.gateway.counters().malformed),
         (vec!["handled"], 1)
     );
-    assert_eq!(s.client.over, [Why::Ended]);
+    assert_eq!(s.client.over, [CloseReason::Ended]);
 }
 
 #[test]
@@ -260,7 +263,10 @@
     s.pass(20_000);
     let error = s.client.got.iter().find(|g| g.kind == kind::ERROR).unwrap();
     assert!(error.word.contains("field id"));
-    assert_eq!((s.gateway.held(), s.gateway.counts().lapsed), (0, 1));
+    assert_eq!(
+        (s.gateway.requests_in_flight(), s.gateway.counters().lapsed),
+        (0, 1)
+    );
 }
 
 #[test_case("check", "handled", 2 ; "redeliverable goes to the other")]
@@ -319,14 +325,14 @@
     let mut s = site_with(
         &[Does::Nothing],
         help::Setup {
-            most_held: 10,
+            max_requests: 10,
             ..setup()
         },
         Box::new(NoShelf),
     );
     s.ask(1..16, "check", 20_000);
     s.pass(100);
-    assert_eq!(s.gateway.held(), 10);
+    assert_eq!(s.gateway.requests_in_flight(), 10);
     assert!((11..16).all(|id| s.client.words(id) == ["turned-away"]));
     s.pass(30_000);
     s.all_answered(1..16);
@@ -342,7 +348,7 @@
     s.pass(5_000);
     assert!((1..6).all(|id| s.client.words(id) == ["handled"]));
     assert_eq!(s.client.words(6), ["turned-away"]);
-    assert_eq!(s.gateway.held(), 0);
+    assert_eq!(s.gateway.requests_in_flight(), 0);
 }
 
 #[test]
@@ -352,7 +358,10 @@
     s.pass(100);
     s.client.net.kill();
     s.pass(100);
-    assert_eq!((s.gateway.held(), s.gateway.counts().lapsed), (0, 5));
+    assert_eq!(
+        (s.gateway.requests_in_flight(), s.gateway.counters().lapsed),
+        (0, 5)
+    );
     let cancels = s.workers[0]
         .got
         .iter()
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -8,7 +8,7 @@
 use tidewall_gateway::native::Native;
 use tidewall_gateway::{Gateway, Start};
 use tidewall_net::memory::{self, Memory, World};
-use tidewall_net::{App, Conn, Listener, Net, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
 use tidewall_wire::{self as wire, kind, Entries, Field, Fields, Frame};
 
 pub const GATEWAY: &str = "127.0.0.1:700";
@@ -59,7 +59,7 @@
     pub age: Time,
     pub does: Does,
     pub got: Vec<Got>,
-    pub over: Vec<Why>,
+    pub over: Vec<CloseReason>,
     pub entries: Vec<Entry>,
     conns: Vec<Conn>,
     late: Vec<(Conn, u64)>,
@@ -122,7 +122,7 @@
     /// Reads on, or not.
     pub fn pause(&mut self, on: bool) {
         for conn in self.conns.clone() {
-            self.net.pause(conn, on);
+            self.net.set_read_paused(conn, on);
         }
     }
 
@@ -188,7 +188,7 @@
                 Does::After(wait) => {
                     self.late.push((conn, id));
                     let at = self.net.now() + wait;
-                    self.net.set(at, (self.late.len() - 1) as u64);
+                    self.net.set_timer(at, (self.late.len() - 1) as u64);
                 }
                 Does::AnswersAndBreaks => {
                     self.end(conn, id, "ok");
@@ -220,7 +220,7 @@
             self.conns.push(conn);
         }
         if self.does == Does::ReadsNothing {
-            self.net.pause(conn, true);
+            self.net.set_read_paused(conn, true);
         }
     }
     fn connected(&mut self, conn: Conn) {
@@ -231,7 +231,7 @@
         wire::hello(&mut out, self.role, &self.name, self.life);
         self.net.write(conn, &out);
     }
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         if self.role == "raw" {
             return bytes.len();
         }
@@ -242,12 +242,12 @@
         }
         used
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, conn: Conn, why: Why) {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, conn: Conn, why: CloseReason) {
         self.conns.retain(|c| *c != conn);
         self.over.push(why);
     }
-    fn due(&mut self, token: u64) {
+    fn timer_fired(&mut self, token: u64) {
         let (conn, id) = self.late[token as usize];
         self.end(conn, id, "ok");
     }
@@ -277,29 +277,29 @@
 
 pub fn setup() -> Setup {
     Setup {
-        most_held: 1000,
-        connect_time_out: 2_500,
-        streams: 512,
-        connections: 2,
-        links: usize::MAX,
-        spread: usize::MAX,
+        max_requests: 1000,
+        connect_timeout: 2_500,
+        streams_per_connection: 512,
+        connections_per_worker: 2,
+        max_worker_connections: usize::MAX,
+        spread_threshold: usize::MAX,
         keep_alive: 300_000,
-        probe_time_out: 5_000,
-        order_time_out: 50_000,
-        silent: 10_000,
+        health_check_timeout: 5_000,
+        load_request_timeout: 50_000,
+        silence_timeout: 10_000,
     }
 }
 
 pub fn entry(wk: usize) -> Entry {
     Entry {
         name: format!("w{wk}"),
-        at: at(&format!("127.0.0.1:{}", 800 + wk)),
+        address: at(&format!("127.0.0.1:{}", 800 + wk)),
         zone: "z".to_string(),
         machine: "k".to_string(),
         cell: 0,
-        standing: tidewall::interface::EndpointState::Active,
+        state: tidewall::interface::EndpointState::Active,
         rating: 1.0,
-        life: 1,
+        incarnation: 1,
         age: 0,
     }
 }
@@ -336,25 +336,25 @@
     let mut workers = Vec::new();
     for (i, does) in does.iter().enumerate() {
         let mut worker = peer("worker", format!("w{i}"), *does);
-        worker.net.listen(entry(i).at).unwrap();
+        worker.net.listen(entry(i).address).unwrap();
         workers.push(worker);
     }
     let client = peer("client", "c".to_string(), Does::Nothing);
     let start = Start {
         name: "g0".to_string(),
-        me: 0,
+        index: 0,
         seed,
         settings: tidewall_config::plain(&settings, 0),
-        roster: at(ROSTER),
-        roster_retry: 5_000,
+        discovery: at(ROSTER),
+        discovery_retry: 5_000,
         peers: vec![None],
         peer_listen: None,
-        setup,
-        pair: None,
+        limits: setup,
+        failover: None,
     };
     let mut gateway = Gateway::new(hand.clone(), start, shelf).unwrap();
     gateway
-        .open(at(GATEWAY), Box::new(Native::new(0, "g0")))
+        .add_ingress(at(GATEWAY), Box::new(Native::new(0, "g0")))
         .unwrap();
     let mut site = Site {
         world,
@@ -392,7 +392,7 @@
         worker.net.kill();
         worker.net.restart();
         worker.life += 1;
-        worker.net.listen(entry(wk).at).unwrap();
+        worker.net.listen(entry(wk).address).unwrap();
     }
 
     pub fn send(&mut self, bytes: &[u8]) {
@@ -410,7 +410,7 @@
                 self.client.words(id)
             );
         }
-        assert_eq!(self.gateway.held(), 0);
+        assert_eq!(self.gateway.requests_in_flight(), 0);
     }
 
     pub fn launches(&self) -> usize {
--- a/crates/tidewall-interop/tests/amqprs.rs
+++ b/crates/tidewall-interop/tests/amqprs.rs
@@ -70,31 +70,33 @@
         std::thread::spawn(move || {
             let s = tidewall_config::settings("test", &text).unwrap();
             let setup = Setup {
-                most_held: 1000,
-                connect_time_out: 2_500,
-                streams: 32,
-                connections: 4,
-                links: usize::MAX,
-                spread: usize::MAX,
+                max_requests: 1000,
+                connect_timeout: 2_500,
+                streams_per_connection: 32,
+                connections_per_worker: 4,
+                max_worker_connections: usize::MAX,
+                spread_threshold: usize::MAX,
                 keep_alive: 300_000,
-                probe_time_out: 5_000,
-                order_time_out: 80_000,
-                silent: 10_000,
+                health_check_timeout: 5_000,
+                load_request_timeout: 80_000,
+                silence_timeout: 10_000,
             };
             let start = Start {
                 name: "g".to_string(),
-                me: 0,
+                index: 0,
                 seed: 7,
                 settings: tidewall_config::plain(&s, 0),
-                roster,
-                roster_retry: 1_000,
+                discovery: roster,
+                discovery_retry: 1_000,
                 peers: vec![None],
                 peer_listen: None,
-                setup,
-                pair: None,
+                limits: setup,
+                failover: None,
             };
             let mut gateway = Gateway::new(Mio::new().unwrap(), start, Box::new(NoShelf)).unwrap();
-            gateway.open(door, Box::new(Amqp::new(0, &s))).unwrap();
+            gateway
+                .add_ingress(door, Box::new(Amqp::new(0, &s)))
+                .unwrap();
             mio::run(&mut gateway).unwrap();
         });
         mio::run(&mut fleet).unwrap();
--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -3,8 +3,8 @@
 //! pieces of any size; nodes can stand still, die and start again, and have clocks of their own rate. What goes
 //! from one node to another goes by a `Path`, which may be slow, uneven, lossy or cut, each way for itself.
 use crate::buffer::{Buffer, READ_MOST, WRITE_MOST};
-use crate::wheel::{Deadline, Wheel};
-use crate::{App, Conn, Listener, Net, Port, Time, Why};
+use crate::wheel::{TimerId, Wheel};
+use crate::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHasher;
@@ -39,7 +39,7 @@
     Over {
         end: usize,
         count: u32,
-        why: Why,
+        why: CloseReason,
     },
     Datagram {
         to: SocketAddr,
@@ -248,7 +248,7 @@
                     Way::Over {
                         end,
                         count,
-                        why: Why::Reset,
+                        why: CloseReason::Reset,
                     },
                 );
             }
@@ -361,8 +361,8 @@
 
     fn end(&mut self, conn: Conn) -> Option<&mut End> {
         self.ends
-            .get_mut(conn.place())
-            .filter(|e| e.count == conn.count())
+            .get_mut(conn.index())
+            .filter(|e| e.count == conn.generation())
     }
 
     fn add(&mut self, node: usize, from: SocketAddr, other: Option<(usize, u32)>) -> Conn {
@@ -407,16 +407,16 @@
                 Way::Over {
                     end,
                     count,
-                    why: Why::Reset,
+                    why: CloseReason::Reset,
                 },
             );
         }
     }
 
     /// The end is gone; the other one hears of it after a while.
-    fn drop_end(&mut self, conn: Conn, why: Why) {
+    fn drop_end(&mut self, conn: Conn, why: CloseReason) {
         if self.end(conn).is_some() {
-            let end = self.ends.remove(conn.place());
+            let end = self.ends.remove(conn.index());
             if let Some((other, count)) = end.other {
                 self.over(end.node, (other, count), why);
             }
@@ -424,7 +424,7 @@
     }
 
     /// Tells an end that the other one, at that node, is gone.
-    fn over(&mut self, from: usize, (end, count): (usize, u32), why: Why) {
+    fn over(&mut self, from: usize, (end, count): (usize, u32), why: CloseReason) {
         if let Some(node) = self
             .ends
             .get(end)
@@ -496,7 +496,7 @@
             .map(|e| Conn::new(e.0, e.1.count))
             .collect();
         gone.into_iter()
-            .for_each(|conn| w.drop_end(conn, Why::Reset));
+            .for_each(|conn| w.drop_end(conn, CloseReason::Reset));
     }
 
     pub fn dead(&self) -> bool {
@@ -542,18 +542,18 @@
     /// Breaks a connection of this node, for both ends.
     pub fn cut(&self, conn: Conn) {
         let mut w = self.world.borrow_mut();
-        let count = conn.count();
+        let count = conn.generation();
         w.send(
             0,
             Way::Over {
-                end: conn.place(),
+                end: conn.index(),
                 count,
-                why: Why::Reset,
+                why: CloseReason::Reset,
             },
         );
         let other = w.end(conn).and_then(|e| Some((e.node, e.other?)));
         if let Some((from, other)) = other {
-            w.over(from, other, Why::Reset);
+            w.over(from, other, CloseReason::Reset);
         }
     }
 }
@@ -564,11 +564,11 @@
         w.nodes[self.node].local(w.now)
     }
 
-    fn stood(&self) -> Time {
+    fn total_stall(&self) -> Time {
         self.world.borrow().nodes[self.node].stood
     }
 
-    fn waited(&self) -> Time {
+    fn read_delay(&self) -> Time {
         let w = self.world.borrow();
         let (at, long) = w.nodes[self.node].thawed;
         if at == w.now {
@@ -578,7 +578,7 @@
         }
     }
 
-    fn lag(&self) -> Time {
+    fn max_timer_lag(&self) -> Time {
         0
     }
 
@@ -600,21 +600,21 @@
         Ok((Listener(w.listeners.len() - 1), at))
     }
 
-    fn unlisten(&mut self, listener: Listener) {
+    fn stop_listening(&mut self, listener: Listener) {
         self.world.borrow_mut().listeners[listener.0] = None;
     }
 
     fn connect(&mut self, to: SocketAddr, within: Time) -> Conn {
         let mut w = self.world.borrow_mut();
         let conn = w.add(self.node, to, None);
-        let (end, count, delay) = (conn.place(), conn.count(), w.delay);
+        let (end, count, delay) = (conn.index(), conn.generation(), w.delay);
         if w.nodes[self.node].bare {
             w.send(
                 0,
                 Way::Over {
                     end,
                     count,
-                    why: Why::Refused,
+                    why: CloseReason::Refused,
                 },
             );
             return conn;
@@ -648,7 +648,7 @@
         true
     }
 
-    fn push(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn write_available(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let mut w = self.world.borrow_mut();
         let other = w
             .end(conn)
@@ -672,18 +672,18 @@
             .map_or(0, |e| e.write.len())
     }
 
-    fn unread(&mut self, conn: Conn) -> bool {
+    fn has_unread(&mut self, conn: Conn) -> bool {
         self.world
             .borrow_mut()
             .end(conn)
             .is_some_and(|e| !e.inbox.is_empty())
     }
 
-    fn pause(&mut self, conn: Conn, on: bool) {
+    fn set_read_paused(&mut self, conn: Conn, on: bool) {
         let mut w = self.world.borrow_mut();
         let Some(end) = w.end(conn) else { return };
         end.paused = on;
-        let (end, count) = (conn.place(), conn.count());
+        let (end, count) = (conn.index(), conn.generation());
         w.send(
             0,
             Way::Bytes {
@@ -699,19 +699,19 @@
         let Some(end) = w.end(conn) else { return };
         end.closing = true;
         if end.write.is_empty() || end.other.is_none() {
-            w.drop_end(conn, Why::Ended);
+            w.drop_end(conn, CloseReason::Ended);
         }
     }
 
     fn reset(&mut self, conn: Conn) {
-        self.world.borrow_mut().drop_end(conn, Why::Reset);
+        self.world.borrow_mut().drop_end(conn, CloseReason::Reset);
     }
 
-    fn fail(&mut self, conn: Conn) {
+    fn abort(&mut self, conn: Conn) {
         self.cut(conn);
     }
 
-    fn bind(&mut self, at: SocketAddr) -> io::Result<(Port, SocketAddr)> {
+    fn bind_datagram(&mut self, at: SocketAddr) -> io::Result<(DatagramSocket, SocketAddr)> {
         let mut w = self.world.borrow_mut();
         let mut at = at;
         if at.port() == 0 {
@@ -723,10 +723,10 @@
             return Err(io::ErrorKind::AddrInUse.into());
         }
         w.ports.push(Some((node, at)));
-        Ok((Port(w.ports.len() - 1), at))
+        Ok((DatagramSocket(w.ports.len() - 1), at))
     }
 
-    fn send(&mut self, port: Port, to: SocketAddr, bytes: &[u8]) {
+    fn send_datagram(&mut self, port: DatagramSocket, to: SocketAddr, bytes: &[u8]) {
         let mut w = self.world.borrow_mut();
         let Some((_, from)) = w.ports[port.0] else {
             return;
@@ -744,14 +744,14 @@
         );
     }
 
-    fn set(&mut self, at: Time, token: u64) -> Deadline {
+    fn set_timer(&mut self, at: Time, token: u64) -> TimerId {
         let mut w = self.world.borrow_mut();
         let node = self.node;
         let at = at.max(w.nodes[node].local(w.now));
         w.nodes[node].wheel.insert(at, token)
     }
 
-    fn clear(&mut self, deadline: Deadline) {
+    fn cancel_timer(&mut self, deadline: TimerId) {
         self.world.borrow_mut().nodes[self.node]
             .wheel
             .cancel(deadline);
@@ -778,7 +778,7 @@
     if let Some(node) = woken.filter(|_| way.is_none_or(|at| at > w.now)) {
         w.nodes[node].woken = false;
         drop(w);
-        apps[node].all_told();
+        apps[node].wakeup_ended();
         return true;
     }
     let due = w.nodes.iter().enumerate().filter(|n| live(n.1));
@@ -803,7 +803,7 @@
         w.digest.write_u64(token.unwrap_or(0) ^ (node as u64) << 48);
         drop(w);
         if let Some(token) = token {
-            apps[node].due(token);
+            apps[node].timer_fired(token);
         }
         return true;
     }
@@ -884,7 +884,7 @@
                     Way::Over {
                         end,
                         count,
-                        why: Why::Refused,
+                        why: CloseReason::Refused,
                     },
                 );
             };
@@ -896,7 +896,7 @@
             if let Some(e) = w.end(conn) {
                 e.at = Some(to);
             }
-            w.ends[end].other = Some((conn.place(), conn.count()));
+            w.ends[end].other = Some((conn.index(), conn.generation()));
             let knocked = w.ends[end].node;
             w.across((node, knocked), Way::Opened { end, count });
             drop(w);
@@ -915,9 +915,9 @@
                 return;
             };
             let conn = Conn::new(end, count);
-            w.drop_end(conn, Why::Ended);
+            w.drop_end(conn, CloseReason::Ended);
             drop(w);
-            apps[node].closed(conn, Why::TimedOut);
+            apps[node].closed(conn, CloseReason::TimedOut);
         }
         Way::Bytes {
             end,
@@ -936,7 +936,7 @@
             let Some(node) = node else { return };
             let conn = Conn::new(end, count);
             drop(w);
-            if why == Why::Ended {
+            if why == CloseReason::Ended {
                 // What was sent before the end is read first.
                 while bytes(world, apps, node, conn) {}
             }
@@ -952,7 +952,7 @@
             let port = w.ports.iter().position(|p| p.is_some_and(|p| p.1 == to));
             drop(w);
             if let (Some(node), Some(port)) = (node, port) {
-                apps[node].datagram(Port(port), from, &bytes);
+                apps[node].datagram_received(DatagramSocket(port), from, &bytes);
             }
         }
     }
@@ -976,7 +976,7 @@
     let mut read = std::mem::take(&mut end.read);
     let other = end.other;
     drop(w);
-    let used = apps[node].bytes(conn, read.data());
+    let used = apps[node].received(conn, read.data());
     read.used(used);
     let mut w = world.borrow_mut();
     let full = read.len() >= READ_MOST;
@@ -987,8 +987,8 @@
         w.send(
             0,
             Way::Bytes {
-                end: conn.place(),
-                count: conn.count(),
+                end: conn.index(),
+                count: conn.generation(),
                 bytes: Vec::new(),
             },
         );
@@ -997,9 +997,9 @@
         w.send(
             0,
             Way::Over {
-                end: conn.place(),
-                count: conn.count(),
-                why: Why::Reset,
+                end: conn.index(),
+                count: conn.generation(),
+                why: CloseReason::Reset,
             },
         );
     }
@@ -1014,10 +1014,10 @@
     };
     let (owed, closing, at) = (std::mem::take(&mut end.owed), end.closing, end.node);
     if closing {
-        w.drop_end(from, Why::Ended);
+        w.drop_end(from, CloseReason::Ended);
     } else if owed && !w.nodes[at].dead {
         drop(w);
-        apps[at].drained(from);
+        apps[at].writable(from);
     }
     more
 }
--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -1,8 +1,8 @@
 //! The trait on real sockets: one thread, readiness by mio. What is written in a wake-up leaves at its end in
 //! one piece for each connection.
 use crate::buffer::{Buffer, READ_MOST, WRITE_MOST};
-use crate::wheel::{Deadline, Wheel};
-use crate::{App, Conn, Listener, Net, Port, Time, Why};
+use crate::wheel::{TimerId, Wheel};
+use crate::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook_mio::v1_0::Signals;
@@ -35,7 +35,7 @@
 enum Slot {
     Listener(TcpListener),
     Stream(Box<Stream>),
-    Port(UdpSocket),
+    DatagramSocket(UdpSocket),
     /// An attempt to connect that failed at once, by its count.
     Never(u32),
 }
@@ -44,7 +44,7 @@
     socket: TcpStream,
     count: u32,
     /// The deadline of an attempt to connect.
-    opening: Option<Deadline>,
+    opening: Option<TimerId>,
     read: Buffer,
     write: Buffer,
     readable: bool,
@@ -63,7 +63,7 @@
     accepted: bool,
     /// When the socket last took something, and until when the peer has time to read it once our half is over.
     wrote: Time,
-    ending: Option<Deadline>,
+    ending: Option<TimerId>,
 }
 
 impl Stream {
@@ -123,7 +123,7 @@
     own: Wheel,
     hot: VecDeque<Conn>,
     dirty: Vec<Conn>,
-    over: VecDeque<(Conn, Why)>,
+    over: VecDeque<(Conn, CloseReason)>,
     /// Accepted as their listener went, and not yet told.
     late: VecDeque<(Listener, Conn, SocketAddr)>,
     started: Instant,
@@ -235,8 +235,8 @@
     }
 
     fn stream(&mut self, conn: Conn) -> Option<&mut Stream> {
-        match self.slots.get_mut(conn.place()) {
-            Some(Slot::Stream(s)) if s.count == conn.count() => Some(s),
+        match self.slots.get_mut(conn.index()) {
+            Some(Slot::Stream(s)) if s.count == conn.generation() => Some(s),
             _ => None,
         }
     }
@@ -278,7 +278,7 @@
             for deadline in [s.opening.take(), s.ending.take()].into_iter().flatten() {
                 self.own.cancel(deadline);
             }
-            if let Slot::Stream(mut s) = self.slots.remove(conn.place()) {
+            if let Slot::Stream(mut s) = self.slots.remove(conn.index()) {
                 // The socket closes by being dropped, whatever the registry says.
                 let _ = self.poll.registry().deregister(&mut s.socket);
             }
@@ -287,8 +287,8 @@
 
     /// Forgets an attempt that failed at once.
     fn never(&mut self, conn: Conn) {
-        if matches!(self.slots.get(conn.place()), Some(Slot::Never(c)) if *c == conn.count()) {
-            self.slots.remove(conn.place());
+        if matches!(self.slots.get(conn.index()), Some(Slot::Never(c)) if *c == conn.generation()) {
+            self.slots.remove(conn.index());
             self.over.retain(|o| o.0 != conn);
         }
     }
@@ -366,15 +366,15 @@
         self.now
     }
 
-    fn stood(&self) -> Time {
+    fn total_stall(&self) -> Time {
         self.stood
     }
 
-    fn waited(&self) -> Time {
+    fn read_delay(&self) -> Time {
         self.waited + self.stale
     }
 
-    fn lag(&self) -> Time {
+    fn max_timer_lag(&self) -> Time {
         self.lags[0].max(self.lags[1])
     }
 
@@ -390,7 +390,7 @@
         Ok((listener, at))
     }
 
-    fn unlisten(&mut self, listener: Listener) {
+    fn stop_listening(&mut self, listener: Listener) {
         // What the system has accepted for us already would be reset, with what it had sent.
         while let Some(Slot::Listener(socket)) = self.slots.get(listener.0) {
             let Ok((socket, from)) = socket.accept() else {
@@ -419,7 +419,7 @@
             // No descriptor or no route: told in the next wake-up, like every other failure.
             self.count = self.count.wrapping_add(1) & 0x7fff_ffff;
             let conn = Conn::new(self.slots.insert(Slot::Never(self.count)), self.count);
-            self.over.push_back((conn, Why::Refused));
+            self.over.push_back((conn, CloseReason::Refused));
             conn
         })
     }
@@ -440,7 +440,7 @@
         true
     }
 
-    fn push(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn write_available(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let (good, now) = (self.flush(conn), self.now);
         let Some(s) = self
             .stream(conn)
@@ -471,13 +471,13 @@
     }
 
     fn unsent(&self, conn: Conn) -> usize {
-        match self.slots.get(conn.place()) {
-            Some(Slot::Stream(s)) if s.count == conn.count() => s.write.len(),
+        match self.slots.get(conn.index()) {
+            Some(Slot::Stream(s)) if s.count == conn.generation() => s.write.len(),
             _ => 0,
         }
     }
 
-    fn pause(&mut self, conn: Conn, on: bool) {
+    fn set_read_paused(&mut self, conn: Conn, on: bool) {
         let now = self.now;
         if let Some(s) = self.stream(conn) {
             if on && !s.paused {
@@ -490,14 +490,14 @@
         }
     }
 
-    fn untaken(&self, conn: Conn) -> usize {
-        match self.slots.get(conn.place()) {
-            Some(Slot::Stream(s)) if s.count == conn.count() => s.write.len() + s.queued(),
+    fn unacknowledged(&self, conn: Conn) -> usize {
+        match self.slots.get(conn.index()) {
+            Some(Slot::Stream(s)) if s.count == conn.generation() => s.write.len() + s.queued(),
             _ => 0,
         }
     }
 
-    fn unread(&mut self, conn: Conn) -> bool {
+    fn has_unread(&mut self, conn: Conn) -> bool {
         let mut chunk = std::mem::take(&mut self.chunk);
         let mut came = false;
         if let Some(s) = self
@@ -528,7 +528,7 @@
         self.never(conn);
     }
 
-    fn fail(&mut self, conn: Conn) {
+    fn abort(&mut self, conn: Conn) {
         if let Some(s) = self.stream(conn) {
             // Its place is kept until that is told, so that no other connection is taken for it.
             s.closing = true;
@@ -536,7 +536,7 @@
             s.write.used(unsent);
             s.linger_none();
             s.failed = true;
-            self.over.push_back((conn, Why::Reset));
+            self.over.push_back((conn, CloseReason::Reset));
         }
     }
 
@@ -548,29 +548,29 @@
         self.never(conn);
     }
 
-    fn bind(&mut self, at: SocketAddr) -> io::Result<(Port, SocketAddr)> {
+    fn bind_datagram(&mut self, at: SocketAddr) -> io::Result<(DatagramSocket, SocketAddr)> {
         let mut socket = UdpSocket::bind(at)?;
         let at = socket.local_addr()?;
         let entry = self.slots.vacant_entry();
         self.poll
             .registry()
             .register(&mut socket, Token(entry.key()), Interest::READABLE)?;
-        let port = Port(entry.key());
-        entry.insert(Slot::Port(socket));
+        let port = DatagramSocket(entry.key());
+        entry.insert(Slot::DatagramSocket(socket));
         Ok((port, at))
     }
 
-    fn send(&mut self, port: Port, to: SocketAddr, bytes: &[u8]) {
-        if let Some(Slot::Port(socket)) = self.slots.get(port.0) {
+    fn send_datagram(&mut self, port: DatagramSocket, to: SocketAddr, bytes: &[u8]) {
+        if let Some(Slot::DatagramSocket(socket)) = self.slots.get(port.0) {
             let _ = socket.send_to(bytes, to);
         }
     }
 
-    fn set(&mut self, at: Time, token: u64) -> Deadline {
+    fn set_timer(&mut self, at: Time, token: u64) -> TimerId {
         self.wheel.insert(at, token)
     }
 
-    fn clear(&mut self, deadline: Deadline) {
+    fn cancel_timer(&mut self, deadline: TimerId) {
         self.wheel.cancel(deadline);
     }
 
@@ -669,7 +669,7 @@
         let place = (token & !GO_ON) as usize;
         if token & GO_ON != 0 {
             match app.net().slots.get(place) {
-                Some(Slot::Port(_)) => datagrams(app, place),
+                Some(Slot::DatagramSocket(_)) => datagrams(app, place),
                 _ => accept(app, place),
             }
         } else {
@@ -677,17 +677,17 @@
             let ending = app.net().stream(conn).is_some_and(|s| s.ending.is_some());
             app.net().remove(conn);
             if !ending {
-                app.closed(conn, Why::TimedOut);
+                app.closed(conn, CloseReason::TimedOut);
             }
         }
     }
     while let Some(token) = app.net().wheel.pop(now) {
-        app.due(token);
+        app.timer_fired(token);
         if app.net().stopped {
             break;
         }
     }
-    app.all_told();
+    app.wakeup_ended();
     flush(app);
     Ok(())
 }
@@ -727,13 +727,15 @@
                 .iter_mut()
                 .flat_map(|s| s.pending())
                 .collect();
-            pending.into_iter().for_each(|signal| app.signal(signal));
+            pending
+                .into_iter()
+                .for_each(|signal| app.signal_received(signal));
             continue;
         }
         match app.net().slots.get_mut(place) {
             None | Some(Slot::Never(_)) => {}
             Some(Slot::Listener(_)) => accept(app, place),
-            Some(Slot::Port(_)) => datagrams(app, place),
+            Some(Slot::DatagramSocket(_)) => datagrams(app, place),
             Some(Slot::Stream(s)) => {
                 let conn = Conn::new(place, s.count);
                 // Errors and hang-ups show up in the read.
@@ -755,7 +757,7 @@
     if s.opening.is_some() {
         if let Ok(Some(_)) | Err(_) = s.socket.take_error() {
             net.remove(conn);
-            return app.closed(conn, Why::Refused);
+            return app.closed(conn, CloseReason::Refused);
         }
         if s.socket.peer_addr().is_err() {
             return; // not yet
@@ -806,11 +808,11 @@
 fn datagrams<A: App<Net = Mio>>(app: &mut A, place: usize) {
     let mut bytes = [0; 2048];
     for _ in 0..ACCEPTS {
-        let Some(Slot::Port(socket)) = app.net().slots.get(place) else {
+        let Some(Slot::DatagramSocket(socket)) = app.net().slots.get(place) else {
             return;
         };
         match socket.recv_from(&mut bytes) {
-            Ok((n, from)) => app.datagram(Port(place), from, &bytes[..n]),
+            Ok((n, from)) => app.datagram_received(DatagramSocket(place), from, &bytes[..n]),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
             Err(_) => {}
         }
@@ -848,7 +850,7 @@
         }
         if s.readable {
             match s.socket.read(&mut chunk) {
-                Ok(0) => gone = Some(Why::Ended),
+                Ok(0) => gone = Some(CloseReason::Ended),
                 Ok(n) => {
                     s.read.push(&chunk[..n]);
                     net.warm(conn);
@@ -857,7 +859,7 @@
                     (s.readable, s.stale) = (false, 0)
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => net.warm(conn),
-                Err(_) => gone = Some(Why::Reset),
+                Err(_) => gone = Some(CloseReason::Reset),
             }
         }
     }
@@ -867,14 +869,14 @@
         let mut buffer = std::mem::take(&mut s.read);
         let stale = s.stale;
         app.net().stale = stale;
-        let used = app.bytes(conn, buffer.data());
+        let used = app.received(conn, buffer.data());
         app.net().stale = 0;
         buffer.used(used);
         let full = buffer.len() >= READ_MOST;
         if let Some(s) = app.net().stream(conn) {
             s.read = buffer;
             if full {
-                gone = Some(Why::Reset);
+                gone = Some(CloseReason::Reset);
             }
         }
     }
@@ -912,7 +914,7 @@
                     net.remove(conn);
                 }
             } else if empty && std::mem::take(&mut s.owed) {
-                app.drained(conn);
+                app.writable(conn);
             }
         }
         if app.net().dirty.is_empty() {
--- a/crates/tidewall-net/src/wheel.rs
+++ b/crates/tidewall-net/src/wheel.rs
@@ -11,7 +11,7 @@
 
 /// Names one deadline; stale ones are recognised by the count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Deadline {
+pub struct TimerId {
     place: u32,
     count: u32,
 }
@@ -65,7 +65,7 @@
         self.len == 0
     }
 
-    pub fn insert(&mut self, at: Time, token: u64) -> Deadline {
+    pub fn insert(&mut self, at: Time, token: u64) -> TimerId {
         let place = if self.free == NONE {
             self.nodes.push(Node {
                 at,
@@ -86,11 +86,11 @@
         let count = node.count;
         self.link(place);
         self.len += 1;
-        Deadline { place, count }
+        TimerId { place, count }
     }
 
     /// False where it is over already.
-    pub fn cancel(&mut self, deadline: Deadline) -> bool {
+    pub fn cancel(&mut self, deadline: TimerId) -> bool {
         let known = self.nodes.get(deadline.place as usize);
         if known.is_none_or(|n| n.count != deadline.count || n.home == NONE) {
             return false;
--- a/crates/tidewall-net/tests/nets.rs
+++ b/crates/tidewall-net/tests/nets.rs
@@ -5,7 +5,7 @@
 use test_case::test_case;
 use tidewall_net::buffer::WRITE_MOST;
 use tidewall_net::memory::{self, Memory};
-use tidewall_net::{mio::Mio, App, Conn, Listener, Net, Port, Why};
+use tidewall_net::{mio::Mio, App, CloseReason, Conn, DatagramSocket, Listener, Net};
 
 #[derive(Default)]
 struct Seen {
@@ -13,7 +13,7 @@
     sent: usize,
     turned_away: bool,
     drained: bool,
-    over: Vec<Why>,
+    over: Vec<CloseReason>,
     connected: usize,
     accepted: usize,
     datagrams: Vec<Vec<u8>>,
@@ -51,7 +51,7 @@
             self.seen.borrow_mut().sent += piece.len();
         }
     }
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         self.seen.borrow_mut().got.extend_from_slice(bytes);
         if self.echo {
             self.net.write(conn, bytes);
@@ -61,19 +61,19 @@
         }
         bytes.len()
     }
-    fn drained(&mut self, _: Conn) {
+    fn writable(&mut self, _: Conn) {
         self.seen.borrow_mut().drained = true;
     }
-    fn closed(&mut self, _: Conn, why: Why) {
+    fn closed(&mut self, _: Conn, why: CloseReason) {
         self.seen.borrow_mut().over.push(why);
         if self.stop_at > 0 {
             self.net.stop();
         }
     }
-    fn datagram(&mut self, _: Port, _: SocketAddr, bytes: &[u8]) {
+    fn datagram_received(&mut self, _: DatagramSocket, _: SocketAddr, bytes: &[u8]) {
         self.seen.borrow_mut().datagrams.push(bytes.to_vec());
     }
-    fn due(&mut self, token: u64) {
+    fn timer_fired(&mut self, token: u64) {
         self.seen.borrow_mut().due.push(token);
         self.net.stop();
     }
@@ -128,7 +128,10 @@
     a.net.kill();
     b.net.connect(at, 1000);
     memory::run(&world, &mut [&mut a, &mut b], 2_000);
-    assert_eq!(seen.borrow().over, [Why::Reset, Why::Refused]);
+    assert_eq!(
+        seen.borrow().over,
+        [CloseReason::Reset, CloseReason::Refused]
+    );
 }
 
 #[test]
@@ -143,7 +146,10 @@
     assert!(got.borrow().got.is_empty());
     a.net.still(false);
     memory::run(&world, &mut [&mut a, &mut b], 11_000);
-    assert_eq!((got.borrow().got.len(), a.net.stood()), (4096, 10_000));
+    assert_eq!(
+        (got.borrow().got.len(), a.net.total_stall()),
+        (4096, 10_000)
+    );
 }
 
 #[test]
@@ -168,18 +174,18 @@
 #[test]
 fn on_sockets_a_missing_peer_refuses_and_datagrams_and_deadlines_come() {
     let (mut a, seen) = peer(Mio::new().unwrap(), false, 0, 0);
-    let (port, at) = a.net.bind(local()).unwrap();
-    a.net.send(port, at, b"to myself");
+    let (port, at) = a.net.bind_datagram(local()).unwrap();
+    a.net.send_datagram(port, at, b"to myself");
     let (listener, gone) = a.net.listen(local()).unwrap();
-    a.net.unlisten(listener);
+    a.net.stop_listening(listener);
     a.net.connect(gone, 10_000);
     let now = a.net.now();
-    a.net.set(now + 500, 5);
+    a.net.set_timer(now + 500, 5);
     tidewall_net::mio::run(&mut a).unwrap();
     let seen = seen.borrow();
     assert_eq!(
         (&seen.over[..], &seen.due[..]),
-        (&[Why::Refused][..], &[5][..])
+        (&[CloseReason::Refused][..], &[5][..])
     );
     assert_eq!(seen.datagrams, [b"to myself"]);
 }
@@ -188,14 +194,14 @@
 #[test]
 fn datagrams_beyond_those_of_one_wake_up_are_read_too() {
     let (mut peer, seen) = peer(Mio::new().unwrap(), false, 0, 0);
-    let (_, at) = peer.net.bind(local()).unwrap();
+    let (_, at) = peer.net.bind_datagram(local()).unwrap();
     let from = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
     (0..200u8).for_each(|i| assert_eq!(from.send_to(&[i], at).unwrap(), 1));
     for _ in 0..20 {
         let soon = peer.net.now() + 50;
-        let d = peer.net.set(soon, 9);
+        let d = peer.net.set_timer(soon, 9);
         tidewall_net::mio::turn(&mut peer).unwrap();
-        peer.net.clear(d);
+        peer.net.cancel_timer(d);
     }
     assert_eq!(seen.borrow().datagrams.len(), 200);
 }
@@ -211,9 +217,9 @@
     let mut turns = 0;
     while seen.borrow().accepted < flood.len() {
         let (before, soon) = (seen.borrow().accepted, peer.net.now() + 50);
-        let d = peer.net.set(soon, 9);
+        let d = peer.net.set_timer(soon, 9);
         tidewall_net::mio::turn(&mut peer).unwrap();
-        peer.net.clear(d);
+        peer.net.cancel_timer(d);
         assert!(
             seen.borrow().accepted - before <= 65,
             "{} in one wake-up",
@@ -231,16 +237,16 @@
     let (listener, at) = server.net.listen(local()).unwrap();
     let mut client = std::net::TcpStream::connect(at).unwrap();
     std::io::Write::write_all(&mut client, b"a call").unwrap();
-    server.net.unlisten(listener);
+    server.net.stop_listening(listener);
     assert!(
         std::net::TcpStream::connect(at).is_err(),
         "nobody listens any more"
     );
     for _ in 0..20 {
         let soon = server.net.now() + 50;
-        let d = server.net.set(soon, 9);
+        let d = server.net.set_timer(soon, 9);
         tidewall_net::mio::turn(&mut server).unwrap();
-        server.net.clear(d);
+        server.net.cancel_timer(d);
     }
     assert_eq!(
         (seen.borrow().accepted, &seen.borrow().got[..]),
@@ -258,14 +264,14 @@
         tidewall_net::mio::turn(&mut server).unwrap();
     }
     let conn = server.conn.expect("it was accepted");
-    assert!(!server.net.unread(conn));
+    assert!(!server.net.has_unread(conn));
     std::io::Write::write_all(&mut client, b"a call").unwrap();
     // Loopback needs a moment.
     std::thread::sleep(std::time::Duration::from_millis(50));
-    assert!(server.net.unread(conn) && server.net.unread(conn));
+    assert!(server.net.has_unread(conn) && server.net.has_unread(conn));
     while seen.borrow().got.is_empty() {
         tidewall_net::mio::turn(&mut server).unwrap();
     }
     assert_eq!(seen.borrow().got, b"a call");
-    assert!(!server.net.unread(conn));
+    assert!(!server.net.has_unread(conn));
 }
--- a/crates/tidewall-net/tests/paths.rs
+++ b/crates/tidewall-net/tests/paths.rs
@@ -4,14 +4,14 @@
 use std::rc::Rc;
 use test_case::test_case;
 use tidewall_net::memory::{self, Memory, Path, World};
-use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 
 struct Node {
     net: Memory,
     conn: Option<Conn>,
     got: Vec<(Time, Vec<u8>)>,
     datagrams: Vec<u8>,
-    over: Vec<Why>,
+    over: Vec<CloseReason>,
     due: Vec<Time>,
 }
 
@@ -26,18 +26,18 @@
     fn connected(&mut self, conn: Conn) {
         self.conn = Some(conn);
     }
-    fn bytes(&mut self, _: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, _: Conn, bytes: &[u8]) -> usize {
         self.got.push((self.net.now(), bytes.to_vec()));
         bytes.len()
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, why: Why) {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, why: CloseReason) {
         self.over.push(why);
     }
-    fn datagram(&mut self, _: Port, _: SocketAddr, bytes: &[u8]) {
+    fn datagram_received(&mut self, _: DatagramSocket, _: SocketAddr, bytes: &[u8]) {
         self.datagrams.push(bytes[0]);
     }
-    fn due(&mut self, _: u64) {
+    fn timer_fired(&mut self, _: u64) {
         self.due.push(self.net.now());
     }
 }
@@ -47,7 +47,7 @@
 }
 
 /// Node a listens, node b is connected to it, and both have a datagram port.
-fn two() -> (Rc<RefCell<World>>, Node, Node, [Port; 2]) {
+fn two() -> (Rc<RefCell<World>>, Node, Node, [DatagramSocket; 2]) {
     let world = memory::world();
     world.borrow_mut().seed(7);
     let node = || Node {
@@ -61,8 +61,8 @@
     let (mut a, mut b) = (node(), node());
     a.net.listen(at(700)).unwrap();
     let ports = [
-        a.net.bind(at(900)).unwrap().0,
-        b.net.bind(at(901)).unwrap().0,
+        a.net.bind_datagram(at(900)).unwrap().0,
+        b.net.bind_datagram(at(901)).unwrap().0,
     ];
     b.net.connect(at(700), 1_000);
     memory::run(&world, &mut [&mut a, &mut b], 100);
@@ -85,7 +85,7 @@
         .borrow_mut()
         .path(&b.net, &a.net, Path { cut: true, ..usual });
     say(&mut b, b"later");
-    b.net.send(ports[1], at(900), &[1]);
+    b.net.send_datagram(ports[1], at(900), &[1]);
     say(&mut a, b"now");
     memory::run(&world, &mut [&mut a, &mut b], 500);
     assert_eq!(
@@ -128,7 +128,7 @@
 fn datagrams_are_lost_or_come_twice(path: Path, least: usize, most: usize) {
     let (world, mut a, mut b, ports) = two();
     world.borrow_mut().path(&b.net, &a.net, path);
-    (0..200u8).for_each(|i| b.net.send(ports[1], at(900), &[i]));
+    (0..200u8).for_each(|i| b.net.send_datagram(ports[1], at(900), &[i]));
     memory::run(&world, &mut [&mut a, &mut b], 1_000);
     assert!(
         (least..=most).contains(&a.datagrams.len()),
@@ -149,7 +149,7 @@
             ..Path::default()
         },
     );
-    (0..50u8).for_each(|i| b.net.send(ports[1], at(900), &[i]));
+    (0..50u8).for_each(|i| b.net.send_datagram(ports[1], at(900), &[i]));
     memory::run(&world, &mut [&mut a, &mut b], 1_000);
     assert!(a.datagrams.len() == 50 && !a.datagrams.is_sorted());
 }
@@ -159,7 +159,7 @@
 fn a_clock_of_its_own_rate(ppm: i64, told: Time) {
     let (world, mut a, mut b, _) = two();
     a.net.clock(ppm);
-    a.net.set(50_000, 1);
+    a.net.set_timer(50_000, 1);
     memory::run(&world, &mut [&mut a, &mut b], 100_000);
     assert_eq!(a.net.now(), told);
     // Never before its time, by its own clock.
@@ -175,22 +175,22 @@
     memory::run(&world, &mut [&mut a, &mut b], 200);
     assert_eq!(
         (a.over.as_slice(), b.over.as_slice()),
-        (&[Why::Reset][..], &[Why::Reset][..])
+        (&[CloseReason::Reset][..], &[CloseReason::Reset][..])
     );
     // Others do not move.
-    assert!(c_net.bind(at(900)).is_err());
+    assert!(c_net.bind_datagram(at(900)).is_err());
 }
 
 #[test]
 fn a_dead_node_starts_again_with_nothing() {
     let (world, mut a, mut b, _) = two();
-    a.net.set(300, 1);
+    a.net.set_timer(300, 1);
     a.net.kill();
     memory::run(&world, &mut [&mut a, &mut b], 200);
-    assert_eq!(b.over, [Why::Reset]);
+    assert_eq!(b.over, [CloseReason::Reset]);
     a.net.restart();
     a.net.listen(at(700)).unwrap();
-    a.net.bind(at(900)).unwrap();
+    a.net.bind_datagram(at(900)).unwrap();
     memory::run(&world, &mut [&mut a, &mut b], 400);
     assert!(a.due.is_empty());
 }
