--- a/crates/tidewall-platform-ingress/src/board.rs
+++ b/crates/tidewall-platform-ingress/src/board.rs
@@ -83,13 +83,13 @@
     };
     Ok(Entry {
         name: host.id.to_string(),
-        at,
+        address: at,
         zone: host.zone.to_string(),
         machine: host.kind.to_string(),
         cell: host.cell.min(u64::from(u32::MAX)) as u32,
-        standing,
+        state: standing,
         rating: host.weight,
-        life: host.started,
+        incarnation: host.started,
         // A start is never so young that it counts as one of long ago.
         age: if host.started == 0 {
             0
@@ -128,21 +128,21 @@
         }
     }
     for (entries, full) in good {
-        told.list(&entries, full);
+        told.endpoints_received(&entries, full);
     }
     Ok(Some(rev))
 }
 
 impl Feed for Board {
-    fn at(&self) -> SocketAddr {
+    fn address(&self) -> SocketAddr {
         self.at
     }
 
-    fn connected(&mut self, out: &mut Vec<u8>, _me: &Me, _follows: bool) {
+    fn write_subscription(&mut self, out: &mut Vec<u8>, _me: &Me, _follows: bool) {
         self.ask(out);
     }
 
-    fn read(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
+    fn read_message(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
         let Some((len, goes_on, body)) = board::read(bytes)? else {
             return Ok(None);
         };
@@ -158,18 +158,18 @@
         Ok(Some(len))
     }
 
-    fn next(&mut self, out: &mut Vec<u8>) -> bool {
+    fn write_next_poll(&mut self, out: &mut Vec<u8>) -> bool {
         if self.goes_on {
             self.ask(out);
         }
         self.goes_on
     }
 
-    fn patience(&self) -> Option<Time> {
+    fn silence_timeout(&self) -> Option<Time> {
         Some(LINGER_MS * 10 + MARGIN)
     }
 
-    fn retry(&mut self) -> Time {
+    fn retry_delay(&mut self) -> Time {
         let wait = if self.breaks == 0 {
             1
         } else {
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -107,10 +107,10 @@
     }
 
     fn client(&mut self, conn: Conn) -> &mut Client {
-        if self.clients.len() <= conn.place() {
-            self.clients.resize_with(conn.place() + 1, Client::default);
+        if self.clients.len() <= conn.index() {
+            self.clients.resize_with(conn.index() + 1, Client::default);
         }
-        &mut self.clients[conn.place()]
+        &mut self.clients[conn.index()]
     }
 
     fn add(&mut self, conn: Conn, tag: u64, trace: u64) -> u32 {
@@ -141,7 +141,7 @@
     fn ticket(&self, key: u32) -> Ticket {
         let count = self.known[key as usize].count;
         Ticket {
-            door: self.me,
+            ingress: self.me,
             key: u64::from(key) | u64::from(count) << 32,
         }
     }
@@ -173,7 +173,7 @@
 
     /// Answers a call that was not taken.
     fn turn_away<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, tag: u64, word: Word) {
-        let come_back = core.most_come_back();
+        let come_back = core.max_retry_after();
         self.write(core.net(), conn, tag, word, come_back, &[]);
     }
 
@@ -190,9 +190,9 @@
         self.out.clear();
         self.fields.clear();
         let word = match word {
-            Word::Handled => "OK",
-            Word::Deferred => "BUSY",
-            Word::DeadLettered => "FAILED",
+            Word::Completed => "OK",
+            Word::Rejected => "BUSY",
+            Word::Failed => "FAILED",
         };
         if word == "BUSY" && come_back > 0 {
             // Whole milliseconds, never sooner than was said.
@@ -201,7 +201,7 @@
         client::answer(&mut self.out, tag, word, &self.fields, body);
         if net.unsent(conn) > UNREAD || !net.write(conn, &self.out) {
             // A client that reads nothing until its buffer is full has lost its answers, not its neighbours.
-            net.fail(conn);
+            net.abort(conn);
         }
     }
 
@@ -210,7 +210,7 @@
         while let Some(key) = self.client(conn).first {
             let ticket = self.ticket(key);
             let known = self.remove(key);
-            core.left(known.place, ticket);
+            core.client_abandoned(known.place, ticket);
         }
     }
 
@@ -235,14 +235,14 @@
     /// An error that belongs to no call: the connection ends behind it.
     fn fail<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, reason: &str) {
         self.complain(reason, "connection");
-        core.counts().malformed += 1;
+        core.counters().malformed += 1;
         self.gone(core, conn);
         self.out.clear();
         client::error(&mut self.out, reason);
         let net = core.net();
         net.write(conn, &self.out);
         // What it still sends is not read: it is held back by its own buffers until the end.
-        net.pause(conn, true);
+        net.set_read_paused(conn, true);
         let until = net.now() + LAST;
         self.client(conn).ending = Some(until);
     }
@@ -277,7 +277,7 @@
         let mut idle: Vec<_> = idle.map(|c| (order(c), c.used, c.conn)).collect();
         idle.sort_unstable();
         // What it sent while we were busy is answered first.
-        let quiet = |conn: &Conn, core: &mut Core<N>| !core.net().unread(*conn);
+        let quiet = |conn: &Conn, core: &mut Core<N>| !core.net().has_unread(*conn);
         if let Some(conn) = idle
             .into_iter()
             .filter_map(|c| c.2)
@@ -310,10 +310,10 @@
         client.highest = tag;
         let open = client.open;
         let told = call.and_then(|call| {
-            let typ = self.core.types().iter().position(|t| t == call.typ);
+            let typ = self.core.class_names().iter().position(|t| t == call.typ);
             let typ =
                 typ.ok_or_else(|| format!("event type: '{}'", tidewall_platform::shown(call.typ)))?;
-            let tenants = self.core.tenants();
+            let tenants = self.core.tenant_names();
             let tenant = tenants.iter().position(|t| Some(t.as_str()) == call.tenant);
             if tenant.is_none() && (call.tenant.is_some() || !tenants.is_empty()) {
                 return Err("field customer: unknown".to_string());
@@ -330,41 +330,42 @@
             Ok(told) => told,
             Err(reason) => {
                 self.door.complain(&reason, "call");
-                self.core.counts().malformed += 1;
-                return self
-                    .door
-                    .turn_away(self.core, conn, tag, Word::DeadLettered);
+                self.core.counters().malformed += 1;
+                return self.door.turn_away(self.core, conn, tag, Word::Failed);
             }
         };
         let tenths = |ms: f64| (ms * 10.0) as Time;
-        let waited = self.core.net().waited();
+        let waited = self.core.net().read_delay();
         let event = Incoming {
-            ticket: Ticket::default(),
+            reply_handle: Ticket::default(),
             id: call.trace,
-            typ,
+            class: typ,
             tenant,
             function: call.function,
             lanes: call.lanes as u32,
             memory: call.memory,
-            hint: tenths(call.hint),
+            cost_hint: tenths(call.hint),
             load_hint: tenths(call.load),
             // Shorter by what it may have waited for us to read it.
-            left: left(tenths(call.patience), waited).unwrap_or(0),
-            resent: call.resent,
-            mark: call.nonce.as_bytes(),
+            remaining: left(tenths(call.patience), waited).unwrap_or(0),
+            is_retry: call.resent,
+            idempotency_key: call.nonce.as_bytes(),
             payload: call.body,
         };
-        if open >= OPEN_MOST || event.left == 0 {
-            self.core.counts().turned_away += 1;
-            return self.door.turn_away(self.core, conn, tag, Word::Deferred);
+        if open >= OPEN_MOST || event.remaining == 0 {
+            self.core.counters().turned_away += 1;
+            return self.door.turn_away(self.core, conn, tag, Word::Rejected);
         }
         let key = self.door.add(conn, tag, call.trace);
         let ticket = self.door.ticket(key);
-        match self.core.take(&Incoming { ticket, ..event }) {
+        match self.core.admit(&Incoming {
+            reply_handle: ticket,
+            ..event
+        }) {
             Ok(place) => self.door.known[key as usize].place = place,
             Err(_) => {
                 self.door.remove(key);
-                self.door.turn_away(self.core, conn, tag, Word::Deferred);
+                self.door.turn_away(self.core, conn, tag, Word::Rejected);
             }
         }
     }
@@ -377,7 +378,7 @@
         if let Some(key) = self.door.tags.get(&(self.conn, tag)).copied() {
             let ticket = self.door.ticket(key);
             let known = self.door.remove(key);
-            self.core.left(known.place, ticket);
+            self.core.client_abandoned(known.place, ticket);
         }
     }
 
@@ -385,7 +386,11 @@
         let now = self.core.net().now();
         let client = self.door.client(self.conn);
         (client.spoke, client.used) = (true, now);
-        let word = if self.core.leaving() { "DOWN" } else { "UP" };
+        let word = if self.core.is_shutting_down() {
+            "DOWN"
+        } else {
+            "UP"
+        };
         self.door.out.clear();
         client::answer(&mut self.door.out, tag, word, "", &[]);
         self.core.net().write(self.conn, &self.door.out);
@@ -393,12 +398,12 @@
 }
 
 impl<N: Net> Door<N> for Platform {
-    fn opened(&mut self, core: &mut Core<N>) {
-        core.wake(self.me, LOOK);
+    fn started(&mut self, core: &mut Core<N>) {
+        core.set_ingress_timer(self.me, LOOK);
     }
 
-    fn due(&mut self, core: &mut Core<N>) {
-        core.wake(self.me, LOOK);
+    fn timer_fired(&mut self, core: &mut Core<N>) {
+        core.set_ingress_timer(self.me, LOOK);
         let now = core.net().now();
         for place in 0..self.clients.len() {
             let c = &self.clients[place];
@@ -408,7 +413,7 @@
                 None if !c.spoke => now >= c.came + SILENT,
                 None => c.first.is_none() && now >= c.used + IDLE,
             };
-            if over && (c.ending.is_some() || !core.net().unread(conn)) {
+            if over && (c.ending.is_some() || !core.net().has_unread(conn)) {
                 self.shut(core, conn);
             }
         }
@@ -428,7 +433,7 @@
         }
     }
 
-    fn bytes(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         while self.client(conn).conn == Some(conn) && self.client(conn).ending.is_none() {
             let mut ear = Ear {
@@ -449,7 +454,7 @@
         bytes.len()
     }
 
-    fn drained(&mut self, _core: &mut Core<N>, _conn: Conn) {}
+    fn writable(&mut self, _core: &mut Core<N>, _conn: Conn) {}
 
     fn closed(&mut self, core: &mut Core<N>, conn: Conn) {
         if self.client(conn).conn == Some(conn) {
@@ -458,20 +463,20 @@
         }
     }
 
-    fn begun(&mut self, _net: &mut N, _ticket: Ticket, _payload: &[u8]) {}
+    fn response_started(&mut self, _net: &mut N, _ticket: Ticket, _payload: &[u8]) {}
 
     /// CANCEL says it.
-    fn waits_on(&self) -> bool {
+    fn accepts_late_response(&self) -> bool {
         true
     }
 
-    fn given_up(&mut self, _now: Time, ticket: Ticket) {
+    fn request_expired(&mut self, _now: Time, ticket: Ticket) {
         if let Some(key) = self.key(ticket) {
             self.remove(key);
         }
     }
 
-    fn answered(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
+    fn respond(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
         // It left in the same wake-up.
         let Some(key) = self.key(ticket) else { return };
         let known = self.remove(key);
@@ -480,8 +485,8 @@
             net,
             known.conn,
             known.tag,
-            answer.word,
-            answer.come_back,
+            answer.disposition,
+            answer.retry_after,
             answer.payload,
         );
     }
--- a/crates/tidewall-platform-ingress/src/lines.rs
+++ b/crates/tidewall-platform-ingress/src/lines.rs
@@ -10,67 +10,71 @@
 
 impl Way for Lines {
     /// Connected is all there is.
-    fn greets(&self) -> bool {
+    fn requires_greeting(&self) -> bool {
         false
     }
 
     /// `halt` has no answer.
-    fn ends_given_up(&self) -> bool {
+    fn confirms_cancelled(&self) -> bool {
         false
     }
 
-    fn by_event(&self) -> bool {
+    fn answers_by_request_id(&self) -> bool {
         true
     }
 
     /// A matter of a round trip, a few milliseconds; this is far more, and still lets events go elsewhere in time.
-    fn rest(&self) -> Option<Time> {
+    fn partial_message_timeout(&self) -> Option<Time> {
         Some(500)
     }
 
-    fn hello(&self, _out: &mut Vec<u8>, _me: &Me) {}
+    fn write_greeting(&self, _out: &mut Vec<u8>, _me: &Me) {}
 
-    fn launch(&self, out: &mut Vec<u8>, _own: u64, l: &Launched) {
+    fn write_attempt(&self, out: &mut Vec<u8>, _own: u64, l: &Launched) {
         // At least one: no time at all could not be used by a host.
         host::go(
             out,
-            l.event,
-            l.typ,
+            l.request_id,
+            l.class,
             l.function,
-            (l.waits / 10).max(1),
-            l.mark,
+            (l.timeout / 10).max(1),
+            l.idempotency_key,
             l.payload,
         );
     }
 
-    fn cancel(&self, out: &mut Vec<u8>, _own: u64, event: u64) {
+    fn write_cancel(&self, out: &mut Vec<u8>, _own: u64, event: u64) {
         host::halt(out, event);
     }
 
-    fn probe(&self, out: &mut Vec<u8>, own: u64) {
+    fn write_health_check(&self, out: &mut Vec<u8>, own: u64) {
         host::stat(out, own);
     }
 
-    fn hold(&self, out: &mut Vec<u8>, own: u64, order: &Order) {
-        host::stage(out, own, order.function, order.copies);
+    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, order: &Order) {
+        host::stage(out, own, order.function, order.instances);
     }
 
-    fn unload(&self, out: &mut Vec<u8>, function: &str) {
+    fn write_unload(&self, out: &mut Vec<u8>, function: &str) {
         host::purge(out, function);
     }
 
-    fn read(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String> {
+    fn read_message(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String> {
         host::read(bytes, &mut Ear(heard))
     }
 
     /// As it is; a longer one than the page allows stays here.
-    fn tell(&self, out: &mut Vec<u8>, _me: u64, bytes: &[u8]) {
+    fn write_peer_datagram(&self, out: &mut Vec<u8>, _me: u64, bytes: &[u8]) {
         if bytes.len() <= DATAGRAM_MOST {
             out.extend_from_slice(bytes);
         }
     }
 
-    fn told<'a>(&self, from: Option<u32>, bytes: &'a [u8]) -> Result<(u32, &'a [u8]), String> {
+    fn read_peer_datagram<'a>(
+        &self,
+        from: Option<u32>,
+        bytes: &'a [u8],
+    ) -> Result<(u32, &'a [u8]), String> {
         let from = from.ok_or("datagram: from nobody's address")?;
         if bytes.len() > DATAGRAM_MOST {
             return Err(format!(
@@ -81,7 +85,7 @@
         Ok((from, bytes))
     }
 
-    fn complain(&self, _out: &mut Vec<u8>, _reason: &str) {}
+    fn write_error(&self, _out: &mut Vec<u8>, _reason: &str) {}
 }
 
 struct Ear<'a>(&'a mut dyn Heard);
@@ -116,7 +120,7 @@
                     _ => {}
                 }
             }
-            self.0.reported(in_flight, busy);
+            self.0.load_reported(in_flight, busy);
         }
         match (of, word) {
             (Of::Trace(_), "yes" | "no") => Err(format!("word: '{word}' for a launch")),
@@ -129,10 +133,15 @@
                     0
                 };
                 self.0
-                    .ended(Name::Event(trace), outcome, note | company << 3, body)
+                    .attempt_ended(Name::RequestId(trace), outcome, note | company << 3, body)
+            }
+            (Of::Tag(tag), "yes" | "no") => {
+                self.0.health_check_ended(Name::CallId(tag), word == "yes")
+            }
+            (Of::Tag(tag), _) => {
+                self.0
+                    .load_request_ended(Name::CallId(tag), outcome, fields.copies)
             }
-            (Of::Tag(tag), "yes" | "no") => self.0.probed(Name::Own(tag), word == "yes"),
-            (Of::Tag(tag), _) => self.0.held(Name::Own(tag), outcome, fields.copies),
         }
     }
 }
--- a/crates/tidewall-platform-ingress/tests/help/mod.rs
+++ b/crates/tidewall-platform-ingress/tests/help/mod.rs
@@ -8,7 +8,7 @@
 use tidewall_gateway::way::News;
 use tidewall_gateway::{Gateway, Start};
 use tidewall_net::memory::{self, Memory, World};
-use tidewall_net::{App, Conn, Listener, Net, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
 use tidewall_platform::{board, config};
 use tidewall_platform_ingress::board::{take, Board};
 use tidewall_platform_ingress::lines::Lines;
@@ -110,7 +110,7 @@
         self.conns.push(conn);
     }
     fn connected(&mut self, _: Conn) {}
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let text = String::from_utf8_lossy(bytes).to_string();
         match self.role {
             Role::Client => {
@@ -139,12 +139,12 @@
             }
         }
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, conn: Conn, _: Why) {
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, conn: Conn, _: CloseReason) {
         self.conns.retain(|c| *c != conn);
         self.over.push(conn);
     }
-    fn due(&mut self, _: u64) {}
+    fn timer_fired(&mut self, _: u64) {}
 }
 
 pub struct Site {
@@ -227,30 +227,30 @@
         Box::new(move || again.get().ok_or("n0.json: it cannot be read".to_string())),
     );
     let setup = Setup {
-        most_held: 200,
-        connect_time_out: 2_500,
-        streams: 32,
-        connections: 4,
-        links,
-        spread: 1,
+        max_requests: 200,
+        connect_timeout: 2_500,
+        streams_per_connection: 32,
+        connections_per_worker: 4,
+        max_worker_connections: links,
+        spread_threshold: 1,
         keep_alive: 300_000,
-        probe_time_out: 2_500,
-        order_time_out: 40_000,
-        silent: 30_000,
+        health_check_timeout: 2_500,
+        load_request_timeout: 40_000,
+        silence_timeout: 30_000,
     };
     let start = Start {
         name: config.name.clone(),
-        me: 0,
+        index: 0,
         seed: config.seed,
         settings: config.settings,
-        roster: config.board,
-        roster_retry: 2_500,
+        discovery: config.board,
+        discovery_retry: 2_500,
         peers: vec![Some(at("127.0.0.1:720")), Some(at(SIBLING))],
         peer_listen: Some(at("127.0.0.1:720")),
-        setup,
-        pair: None,
+        limits: setup,
+        failover: None,
     };
-    let mut gateway = Gateway::with(
+    let mut gateway = Gateway::with_protocols(
         hand.clone(),
         start,
         Box::new(NoShelf),
@@ -258,13 +258,13 @@
         Box::new(feed),
     )
     .unwrap();
-    gateway.linger(8_000);
+    gateway.set_drain_grace(8_000);
     first
-        .lists
+        .updates
         .iter()
-        .for_each(|(entries, whole)| gateway.list(entries, *whole));
+        .for_each(|(entries, whole)| gateway.update_endpoints(entries, *whole));
     gateway
-        .open(
+        .add_ingress(
             at(GATEWAY),
             Box::new(Platform::new(0, most, vec![false, true, false])),
         )
--- a/crates/tidewall-platform-ingress/tests/service.rs
+++ b/crates/tidewall-platform-ingress/tests/service.rs
@@ -22,7 +22,11 @@
     let text = s.client.text(conn);
     (1..=100).for_each(|i| assert_eq!(text.matches(&ok(i)).count(), 1, "{i}"));
     assert_eq!(
-        (text.len(), s.gateway.held(), s.gateway.outstanding()),
+        (
+            text.len(),
+            s.gateway.requests_in_flight(),
+            s.gateway.calls_in_flight()
+        ),
         ((1..=100).map(|i| ok(i).len()).sum(), 0, 0)
     );
 }
@@ -70,7 +74,7 @@
         .0;
     s.hosts[0].net.write(last, b"\x01\x02\r\n");
     s.pass(100);
-    assert_eq!(s.gateway.held(), 2);
+    assert_eq!(s.gateway.requests_in_flight(), 2);
 }
 
 #[test]
@@ -115,14 +119,17 @@
         (s.client.text(conn), s.hosts[0].lines("halt")),
         (String::new(), vec!["halt 0000000000000009"])
     );
-    assert_eq!((s.gateway.held(), s.gateway.outstanding()), (0, 0));
+    assert_eq!(
+        (s.gateway.requests_in_flight(), s.gateway.calls_in_flight()),
+        (0, 0)
+    );
 }
 
 #[test]
 fn what_gets_no_answer_is_answered_by_its_time() {
     let mut s = site(&[Does::Nothing]);
     assert_eq!(s.ask("issue", 2 * SECOND + 100), failed(1));
-    assert_eq!(s.gateway.outstanding(), 0);
+    assert_eq!(s.gateway.calls_in_flight(), 0);
 }
 
 // The fleet's join day: eight answers in 270,000 events fell due in a standstill of 2 to 58 ms and were dropped as too late, so
@@ -137,7 +144,10 @@
     s.pass(1_000);
     s.hand.still(false);
     s.pass(1_000);
-    assert_eq!((s.client.text(conn), s.gateway.held()), (failed(1), 0));
+    assert_eq!(
+        (s.client.text(conn), s.gateway.requests_in_flight()),
+        (failed(1), 0)
+    );
 }
 
 // One connection to each of hundreds of workers is more than 256 descriptors: the sum is bounded, and an idle one makes room.
@@ -153,12 +163,19 @@
             &call(i, i, "check", 2000).replace(FUNCTION, &format!("{i:016x}")),
         );
         s.pass(200);
-        assert!(s.gateway.links() <= links, "{}", s.gateway.links());
+        assert!(
+            s.gateway.worker_connections() <= links,
+            "{}",
+            s.gateway.worker_connections()
+        );
     }
     s.pass(3 * SECOND);
     let text = s.client.text(conn);
     let words = ["OK", "BUSY", "FAILED"].map(|w| text.matches(&format!("\r\n{w}\r\n")).count());
-    assert_eq!((words, s.gateway.held()), ([handled, deferred, 0], 0));
+    assert_eq!(
+        (words, s.gateway.requests_in_flight()),
+        ([handled, deferred, 0], 0)
+    );
 }
 
 // A bad client gets a word within 3 s; a good one beside it notices nothing.
@@ -208,7 +225,11 @@
     s.send(other, &call(1, 5, "issue", 2000));
     s.pass(100);
     assert_eq!(
-        (s.client.text(other), s.launches(), s.gateway.held()),
+        (
+            s.client.text(other),
+            s.launches(),
+            s.gateway.requests_in_flight()
+        ),
         (failed(1), 1, 1)
     );
 }
@@ -223,7 +244,13 @@
     );
     s.pass(SECOND);
     assert_eq!(s.client.text(conn), "-ERR tag: used before\r\n");
-    assert_eq!((s.client.over.contains(&conn), s.gateway.held()), (true, 0));
+    assert_eq!(
+        (
+            s.client.over.contains(&conn),
+            s.gateway.requests_in_flight()
+        ),
+        (true, 0)
+    );
 }
 
 #[test]
@@ -291,7 +318,7 @@
     let mut s = site(&[Does::Says(says)]);
     let (slow, good) = (s.connect(), s.connect());
     s.pass(10);
-    s.client.net.pause(slow, true);
+    s.client.net.set_read_paused(slow, true);
     for i in 1..=20 {
         // It may be cut off by then.
         s.client
@@ -301,14 +328,14 @@
     }
     s.send(good, &call(1, 99, "check", 2000));
     s.pass(SECOND);
-    s.client.net.pause(slow, false);
+    s.client.net.set_read_paused(slow, false);
     s.pass(SECOND);
     assert_eq!(
         (s.client.over.contains(&slow), s.client.over.contains(&good)),
         (true, false)
     );
     assert!(s.client.text(slow).len() < 6 * 200_000 && s.client.text(good).len() > 200_000);
-    assert_eq!(s.gateway.held(), 0);
+    assert_eq!(s.gateway.requests_in_flight(), 0);
 }
 
 #[test]
@@ -336,7 +363,11 @@
         assert_eq!(s.ask("check", 500), ok(1), "host {rev}");
     }
     s.pass(80 * SECOND);
-    assert!(s.gateway.workers() <= 2, "{}", s.gateway.workers());
+    assert!(
+        s.gateway.known_workers() <= 2,
+        "{}",
+        s.gateway.known_workers()
+    );
 }
 
 // The next poll asks from the last event that was taken whole.
@@ -371,16 +402,19 @@
     s.send(conn, &call(1, 1, "issue", 2000));
     s.pass(100);
     // A file that cannot be read: the old one stays.
-    s.gateway.signal(1);
+    s.gateway.signal_received(1);
     s.pass(100);
     assert_eq!(s.board.got.len(), 1);
     s.board.net.listen(at("127.0.0.1:711")).unwrap();
     s.moved.set(Some(at("127.0.0.1:711")));
-    s.gateway.signal(1);
+    s.gateway.signal_received(1);
     s.pass(100);
     assert_eq!(s.board.got.len(), 2);
     assert!(s.board.got[1].1.contains("watch=1&") && s.board.got[1].1.contains("127.0.0.1:711"));
-    assert_eq!((s.gateway.held(), s.client.over.len()), (1, 0));
+    assert_eq!(
+        (s.gateway.requests_in_flight(), s.client.over.len()),
+        (1, 0)
+    );
 }
 
 // Who a datagram is from is told by its address alone.
@@ -389,17 +423,19 @@
 #[test_case("127.0.0.1:799", 5, 1; "a stranger's")]
 fn datagrams_between_gateways(from: &str, size: usize, malformed: u64) {
     let mut s = site(&[Does::Answers]);
-    let (port, _) = s.client.net.bind(at(from)).unwrap();
-    s.client.net.send(port, at("127.0.0.1:720"), &vec![7; size]);
+    let (port, _) = s.client.net.bind_datagram(at(from)).unwrap();
+    s.client
+        .net
+        .send_datagram(port, at("127.0.0.1:720"), &vec![7; size]);
     s.pass(100);
-    assert_eq!(s.gateway.counts().malformed, malformed);
+    assert_eq!(s.gateway.counters().malformed, malformed);
 }
 
 #[test_case(256, 256; "as it is")]
 #[test_case(257, 0; "not one that is too long")]
 fn datagrams_go_out(size: usize, written: usize) {
     let mut out = Vec::new();
-    Lines.tell(&mut out, 3, &vec![7; size]);
+    Lines.write_peer_datagram(&mut out, 3, &vec![7; size]);
     assert_eq!(out, vec![7; written]);
 }
 
@@ -410,7 +446,7 @@
     let conn = s.connect();
     s.send(conn, &command(&["CHECK", "1", ""]));
     s.pass(100);
-    s.gateway.signal(15);
+    s.gateway.signal_received(15);
     s.pass(6000);
     s.send(
         conn,
--- a/crates/tidewall-sim/src/fleet.rs
+++ b/crates/tidewall-sim/src/fleet.rs
@@ -22,7 +22,7 @@
 use tidewall_lease::lease::State;
 use tidewall_lease::Guards;
 use tidewall_net::memory::{self, Memory, Path, Tap, World};
-use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 use tidewall_vrrp::packet::Keys;
 
 /// What is left out on purpose, to show which net notices.
@@ -274,13 +274,13 @@
     }
     fn accepted(&mut self, _: Listener, _: Conn, _: SocketAddr) {}
     fn connected(&mut self, _: Conn) {}
-    fn bytes(&mut self, _: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, _: Conn, bytes: &[u8]) -> usize {
         bytes.len()
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, _: Why) {}
-    fn datagram(&mut self, _: Port, _: SocketAddr, _: &[u8]) {}
-    fn due(&mut self, _: u64) {}
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, _: CloseReason) {}
+    fn datagram_received(&mut self, _: DatagramSocket, _: SocketAddr, _: &[u8]) {}
+    fn timer_fired(&mut self, _: u64) {}
 }
 
 struct NoOrders;
@@ -356,9 +356,9 @@
     let keeping = keeping.expect("its address is free");
     let gateway = if setup.rate > 0.0 {
         let mut gateway = site::plain(s, &hands[0], me, seed);
-        gateway.watch(Box::new(move |list| {
+        gateway.watch_endpoints(Box::new(move |list| {
             watch.send(ToActs::Workers(
-                list.iter().map(|e| (e.name.clone(), e.at)).collect(),
+                list.iter().map(|e| (e.name.clone(), e.address)).collect(),
             ))
         }));
         Ok(Box::new(gateway))
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -17,7 +17,7 @@
 use tidewall_gateway::start::{peering, start};
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
-use tidewall_net::{App, Conn, Listener, Net, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
 use tidewall_vrrp::packet::{self, Keys};
 
 /// How a member may stand: the seat's states, or dead.
@@ -215,7 +215,7 @@
 /// Somebody on the segment.
 struct Stranger {
     net: Memory,
-    port: tidewall_net::Port,
+    port: tidewall_net::DatagramSocket,
 }
 
 impl App for Stranger {
@@ -225,12 +225,12 @@
     }
     fn accepted(&mut self, _: Listener, _: Conn, _: SocketAddr) {}
     fn connected(&mut self, _: Conn) {}
-    fn bytes(&mut self, _: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, _: Conn, bytes: &[u8]) -> usize {
         bytes.len()
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, _: Why) {}
-    fn due(&mut self, _: u64) {}
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, _: CloseReason) {}
+    fn timer_fired(&mut self, _: u64) {}
 }
 
 pub struct Run {
@@ -286,12 +286,12 @@
             .find(|l| l.starts_with("limits.max_launches"));
         *line.expect("it is set") = "limits.max_launches = 4".to_string();
     }
-    start.pair = Some(pair);
+    start.failover = Some(pair);
     let mut gateway =
         Gateway::new(net.clone(), start, Box::new(NoShelf)).expect("its addresses are free");
     let shared = SHARED.parse().expect("it is an address");
     gateway
-        .open(shared, Box::new(Native::new(0, "g0")))
+        .add_ingress(shared, Box::new(Native::new(0, "g0")))
         .expect("one of a pair listens later");
     gateway
 }
@@ -346,7 +346,7 @@
             member(&hands[1], 1, &setup, 1),
         ];
         let (port, _) = stranger_net
-            .bind("127.0.0.2:999".parse().expect("an address"))
+            .bind_datagram("127.0.0.2:999".parse().expect("an address"))
             .expect("free");
         let stranger = Stranger {
             net: stranger_net,
@@ -394,7 +394,7 @@
     }
 
     pub fn serves(&self, m: usize) -> bool {
-        !self.hands[m].dead() && self.members[m].state().is_some_and(|s| s.serves())
+        !self.hands[m].dead() && self.members[m].role().is_some_and(|s| s.serves())
     }
 
     pub fn kill(&mut self, m: usize, back: Option<Time>) {
@@ -483,10 +483,10 @@
                         1 + i as u64,
                         &Keys(vec![key]),
                     );
-                    self.stranger.net.send(port, to, &out);
+                    self.stranger.net.send_datagram(port, to, &out);
                 }
                 out.truncate(9);
-                self.stranger.net.send(port, to, &out);
+                self.stranger.net.send_datagram(port, to, &out);
             }
         }
     }
@@ -529,7 +529,7 @@
             self.row(Kind::Going);
         }
         let [a, b] = [0, 1].map(|m: usize| {
-            let state = self.members[m].state().filter(|_| !self.hands[m].dead());
+            let state = self.members[m].role().filter(|_| !self.hands[m].dead());
             state.map_or(STANDS - 1, |s| {
                 State::ALL.iter().position(|o| *o == s).unwrap_or(0)
             })
@@ -541,7 +541,7 @@
             self.served[m] = serves;
             if self.hands[m].dead() && self.back[m].is_none() && !self.killed_for_good(m) {
                 // It stopped by itself: superseded, or told to go.
-                let wait = match (self.members[m].ended(), self.leaves[m].take()) {
+                let wait = match (self.members[m].stop_reason(), self.leaves[m].take()) {
                     (Ended::Again, _) => RESTART,
                     (_, Some(back)) => back,
                     _ => continue,
@@ -582,7 +582,7 @@
 
     fn killed_for_good(&self, m: usize) -> bool {
         // A killed process has not ended itself.
-        self.members[m].ended() == Ended::Drained && self.leaves[m].is_none()
+        self.members[m].stop_reason() == Ended::Drained && self.leaves[m].is_none()
     }
 
     pub fn until(&mut self, until: Time) {
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -17,7 +17,7 @@
 use tidewall_gateway::start::start;
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
-use tidewall_net::{App, Conn, Listener, Net, Port, Time, Why};
+use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 use tidewall_wire as wire;
 
 const SETTINGS: &str = r#"
@@ -209,35 +209,35 @@
     fn connected(&mut self, conn: Conn) {
         self.gateway.connected(conn);
     }
-    fn bytes(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         if !self.deaf {
-            return self.gateway.bytes(conn, bytes);
+            return self.gateway.received(conn, bytes);
         }
         let mut used = 0;
         while let Ok(Some((body, len))) = wire::frame(&bytes[used..]) {
             let kind = wire::Fields::read(body).and_then(|f| f.kind()).unwrap_or(0);
             self.lists += usize::from(kind == wire::kind::ROSTER);
             if kind != wire::kind::DRAINS && (kind != wire::kind::ROSTER || self.lists == 1) {
-                self.gateway.bytes(conn, &bytes[used..used + len]);
+                self.gateway.received(conn, &bytes[used..used + len]);
             }
             used += len;
         }
         used
     }
-    fn drained(&mut self, conn: Conn) {
-        self.gateway.drained(conn);
+    fn writable(&mut self, conn: Conn) {
+        self.gateway.writable(conn);
     }
-    fn closed(&mut self, conn: Conn, why: Why) {
+    fn closed(&mut self, conn: Conn, why: CloseReason) {
         self.gateway.closed(conn, why);
     }
-    fn datagram(&mut self, port: Port, from: SocketAddr, bytes: &[u8]) {
-        self.gateway.datagram(port, from, bytes);
+    fn datagram_received(&mut self, port: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
+        self.gateway.datagram_received(port, from, bytes);
     }
-    fn due(&mut self, token: u64) {
-        self.gateway.due(token);
+    fn timer_fired(&mut self, token: u64) {
+        self.gateway.timer_fired(token);
     }
-    fn all_told(&mut self) {
-        self.gateway.all_told();
+    fn wakeup_ended(&mut self) {
+        self.gateway.wakeup_ended();
     }
 }
 
@@ -273,12 +273,12 @@
             self.net.reset(conn);
         }
     }
-    fn bytes(&mut self, _: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, _: Conn, bytes: &[u8]) -> usize {
         bytes.len()
     }
-    fn drained(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, _: Why) {}
-    fn due(&mut self, _: u64) {}
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, _: CloseReason) {}
+    fn timer_fired(&mut self, _: u64) {}
 }
 
 fn gateway(s: &Section, net: &Memory, me: usize, seed: u64, disk: &Disk, plant: Plant) -> Hearing {
@@ -300,7 +300,7 @@
         .parse()
         .expect("checked");
     gateway
-        .open(at, Box::new(Native::new(0, &name)))
+        .add_ingress(at, Box::new(Native::new(0, &name)))
         .expect("its address is free");
     Hearing {
         gateway,
@@ -519,14 +519,14 @@
             }
         }
         for (gw, Hearing { gateway: g, .. }) in gateways.iter().enumerate() {
-            let c = g.counts();
+            let c = g.counters();
             let over = c.handled + c.deferred + c.dead_lettered + c.lapsed + c.overdue;
             // Every event is in hand or over, and over once.
-            if c.taken != over + g.held() as u64 && broken.len() < 3 {
+            if c.taken != over + g.requests_in_flight() as u64 && broken.len() < 3 {
                 broken.push(format!(
                     "gateway {gw}: {} taken, {over} over, {} held",
                     c.taken,
-                    g.held()
+                    g.requests_in_flight()
                 ));
             }
         }
@@ -534,10 +534,10 @@
     for (gw, Hearing { gateway: g, .. }) in
         gateways.iter().enumerate().filter(|g| !hands[g.0].dead())
     {
-        if g.held() > 0 {
+        if g.requests_in_flight() > 0 {
             broken.push(format!(
                 "gateway {gw}: {} events are held for ever",
-                g.held()
+                g.requests_in_flight()
             ));
         }
     }
--- a/crates/tidewall-sim/tests/pair.rs
+++ b/crates/tidewall-sim/tests/pair.rs
@@ -64,7 +64,7 @@
 #[test_case(3 ; "seed 3")]
 fn killed_between_record_and_launch(seed: u64) {
     // Something was told to the other member, and what it is for waits.
-    let report = killed_when(seed, |run| run.member(0).waiting() > 0);
+    let report = killed_when(seed, |run| run.member(0).unreplicated() > 0);
     assert_eq!(report.breaches, Vec::<String>::new());
     assert!(report.asked_again > 0);
 }
@@ -75,7 +75,7 @@
 #[test_case(3 ; "seed 3")]
 fn killed_between_launch_and_answer(seed: u64) {
     let out = |run: &tidewall_sim::pair::Run| {
-        run.member(0).outstanding() > 2 && run.member(0).waiting() == 0
+        run.member(0).calls_in_flight() > 2 && run.member(0).unreplicated() == 0
     };
     let report = killed_when(seed, out);
     assert_eq!(report.breaches, Vec::<String>::new());
@@ -90,9 +90,9 @@
     // More answers than launches wait: handled counts before its record is there.
     let handled = std::cell::Cell::new(None);
     let moment = |run: &tidewall_sim::pair::Run| {
-        let now = run.member(0).counts().handled;
+        let now = run.member(0).counters().handled;
         let before = handled.replace(Some(now));
-        before.is_some_and(|b| now > b) && run.member(0).waiting() > 0
+        before.is_some_and(|b| now > b) && run.member(0).unreplicated() > 0
     };
     let report = killed_when(seed, moment);
     assert_eq!(report.breaches, Vec::<String>::new());
@@ -105,8 +105,8 @@
     run.until(24_000);
     assert_eq!(
         [
-            run.member(0).bad_advertisements(),
-            run.member(1).bad_advertisements()
+            run.member(0).rejected_advertisements(),
+            run.member(1).rejected_advertisements()
         ],
         [3, 3]
     );
@@ -140,7 +140,7 @@
     let mut run = tidewall_sim::pair::Run::new(setup);
     run.until(20_000);
     assert!(run.serves(0) && !run.serves(1));
-    let told = run.member(1).disagrees().expect("it says which");
+    let told = run.member(1).settings_mismatch().expect("it says which");
     assert_eq!(told, "limits.max_launches = 4");
     run.kill(0, None);
     run.until(40_000);
@@ -158,9 +158,9 @@
         64.0,
     );
     run.until(619_000);
-    assert_eq!(run.member(0).state().map(|s| s.text()), Some("solo"));
+    assert_eq!(run.member(0).role().map(|s| s.text()), Some("solo"));
     run.until(625_000);
-    assert_eq!(run.member(0).state().map(|s| s.text()), Some("paired"));
+    assert_eq!(run.member(0).role().map(|s| s.text()), Some("paired"));
     run.kill(0, None);
     run.until(640_000);
     assert!(run.serves(1));
