--- a/crates/tidewall-amqp-ingress/src/lib.rs
+++ b/crates/tidewall-amqp-ingress/src/lib.rs
@@ -12,8 +12,8 @@
 use tidewall_amqp::codec::Value;
 use tidewall_amqp::server::{Limits, Outside, Server, Trigger, Word};
 use tidewall_config::Section;
-use tidewall_gateway::door::{Answer, Door, Incoming, Ticket};
-use tidewall_gateway::{door, Core};
+use tidewall_gateway::ingress::{IncomingRequest, Ingress, ReplyHandle, Response};
+use tidewall_gateway::{ingress, IngressContext};
 use tidewall_net::{Conn, Net, Time};
 use tracing::{info, warn};
 
@@ -88,7 +88,7 @@
 
 /// The gateway's side while the decisions may be called.
 struct Full<'a, N: Net> {
-    core: &'a mut Core<N>,
+    core: &'a mut IngressContext<N>,
     side: &'a mut Side,
 }
 
@@ -173,7 +173,7 @@
         };
         // Its time may have passed before it was read: an answer might come too late, and silence might be wrong.
         let waited = self.core.net().read_delay();
-        let left = door::left(left, waited).ok_or((
+        let left = ingress::remaining_time(left, waited).ok_or((
             Word::TurnedAway,
             if waited < left { "late" } else { "expired" },
         ))?;
@@ -220,8 +220,8 @@
             mark: mark.clone(),
             typ,
         });
-        let event = Incoming {
-            reply_handle: Ticket {
+        let event = IncomingRequest {
+            reply_handle: ReplyHandle {
                 ingress: side.me,
                 key: key as u64 | u64::from(side.count) << 32,
             },
@@ -241,7 +241,7 @@
             payload: t.body,
         };
         // Clients' ids for logs come from the message, where it has a number for one.
-        let event = Incoming {
+        let event = IncomingRequest {
             id: t.properties.correlation_id.parse().unwrap_or(ticket),
             ..event
         };
@@ -263,7 +263,7 @@
 
 /// Carries the reins out.
 struct Hands<'a, N: Net> {
-    core: &'a mut Core<N>,
+    core: &'a mut IngressContext<N>,
     server: &'a mut Server,
     side: &'a mut Side,
 }
@@ -361,7 +361,7 @@
 
     /// Repeats that joined an event and whose own time is nearly over get their answer: nothing is promised, whatever
     /// becomes of the event.
-    fn impatient<N: Net>(&mut self, core: &mut Core<N>) {
+    fn impatient<N: Net>(&mut self, core: &mut IngressContext<N>) {
         let now = core.net().now();
         // This look and the next.
         let over = |w: &(u64, Time)| now + 2 * LOOK >= w.1;
@@ -415,7 +415,7 @@
     fn tell<N: Net>(
         &mut self,
         net: &mut N,
-        ticket: Ticket,
+        ticket: ReplyHandle,
         word: Word,
         come_back: Time,
         reason: &str,
@@ -448,12 +448,12 @@
     }
 }
 
-impl<N: Net> Door<N> for Amqp {
-    fn started(&mut self, core: &mut Core<N>) {
+impl<N: Net> Ingress<N> for Amqp {
+    fn started(&mut self, core: &mut IngressContext<N>) {
         core.set_ingress_timer(self.side.me, LOOK);
     }
 
-    fn accepted(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn accepted(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         self.server.clock(core.net().now());
         let key = self.server.accepted(conn.0);
         if self.conns.len() <= conn.index() {
@@ -467,7 +467,7 @@
         self.hold.gone(key);
     }
 
-    fn received(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, core: &mut IngressContext<N>, conn: Conn, bytes: &[u8]) -> usize {
         let Some(key) = self.key(conn) else {
             return bytes.len();
         };
@@ -491,7 +491,7 @@
         used
     }
 
-    fn writable(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn writable(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         if let Some(key) = self.key(conn) {
             self.server.clock(core.net().now());
             self.server.drained(
@@ -505,7 +505,7 @@
     }
 
     /// What it published goes on: a terminal that comes back asks with the same message-id.
-    fn closed(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn closed(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         if let Some(key) = self.key(conn) {
             self.conns[conn.index()] = None;
             self.server.clock(core.net().now());
@@ -518,13 +518,13 @@
         }
     }
 
-    fn response_started(&mut self, _net: &mut N, _ticket: Ticket, _payload: &[u8]) {}
+    fn response_started(&mut self, _net: &mut N, _ticket: ReplyHandle, _payload: &[u8]) {}
 
-    fn respond(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
+    fn respond(&mut self, net: &mut N, ticket: ReplyHandle, answer: &Response) {
         let word = match answer.disposition {
-            door::Word::Completed => Word::Handled,
-            door::Word::Rejected => Word::Deferred,
-            door::Word::Failed => Word::DeadLettered,
+            ingress::Disposition::Completed => Word::Handled,
+            ingress::Disposition::Rejected => Word::Deferred,
+            ingress::Disposition::Failed => Word::DeadLettered,
         };
         self.tell(
             net,
@@ -536,7 +536,7 @@
         );
     }
 
-    fn request_expired(&mut self, now: Time, ticket: Ticket) {
+    fn request_expired(&mut self, now: Time, ticket: ReplyHandle) {
         // Its time passed while this process stood still: nobody is told. It may have run: the mark is free for another try
         // only where that does no harm, and a repeat is told that nothing is promised.
         let (key, count) = (
@@ -565,7 +565,7 @@
         }
     }
 
-    fn timer_fired(&mut self, core: &mut Core<N>) {
+    fn timer_fired(&mut self, core: &mut IngressContext<N>) {
         core.set_ingress_timer(self.side.me, LOOK);
         let now = core.net().now();
         self.server.clock(now);
--- a/crates/tidewall-cli/src/common.rs
+++ b/crates/tidewall-cli/src/common.rs
@@ -13,7 +13,7 @@
 use tidewall_coordination::keeping::Keeping;
 use tidewall_coordination::post::{channel, Post, ToActs};
 use tidewall_failover::claim::next;
-use tidewall_gateway::Watch;
+use tidewall_gateway::EndpointWatcher;
 use tidewall_net::mio::{self, Mio};
 use tidewall_sim::fleet::Plant;
 use tracing::error;
@@ -98,7 +98,7 @@
     }
 
     /// The gateway's list of workers, for those that act there.
-    pub fn watch(&mut self) -> Watch {
+    pub fn watch(&mut self) -> EndpointWatcher {
         let mut post = self.watch.take().expect("it was started");
         Box::new(move |list| {
             post.send(ToActs::Workers(
--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -3,10 +3,10 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use tidewall::settings::{validate, SettingsReader};
-use tidewall_gateway::carrier::Setup;
-use tidewall_gateway::list::NoShelf;
-use tidewall_gateway::way::News;
-use tidewall_gateway::{Gateway, Start, LINGER};
+use tidewall_gateway::endpoints::NoEndpointCache;
+use tidewall_gateway::protocol::ReceivedUpdates;
+use tidewall_gateway::worker_pool::GatewayLimits;
+use tidewall_gateway::{Gateway, GatewayConfig, DRAIN_GRACE};
 use tidewall_net::mio::{self, Mio};
 use tidewall_platform::budget::share;
 use tidewall_platform::config;
@@ -27,7 +27,7 @@
     let named = |e: String| format!("{}: {e}", file.display());
     let text = std::fs::read(&file).map_err(|e| input(named(e.to_string())))?;
     let config = config::read(&text).map_err(|e| input(named(e)))?;
-    let mut first = News::default();
+    let mut first = ReceivedUpdates::default();
     let known = take(&config.known, 0, &mut first);
     let rev = known
         .map_err(|e| input(named(format!("field known: {e}"))))?
@@ -36,7 +36,7 @@
     validate(s).map_err(|e| input(named(format!("field settings.{e}"))))?;
     let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
     let budget = share(config.sockets as usize, priced);
-    let setup = Setup {
+    let setup = GatewayLimits {
         max_requests: s.number("allowed.most-held") as usize,
         connect_timeout: s.duration("allowed.connect-timeout-ms"),
         streams_per_connection: s.number("allowed.streams-per-conn") as usize,
@@ -61,7 +61,7 @@
     let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
     net.signals(&SIGNALS)
         .map_err(|e| Failure::Run(e.to_string()))?;
-    let start = Start {
+    let start = GatewayConfig {
         name: config.name.clone(),
         index: config.me,
         seed: config.seed,
@@ -76,12 +76,12 @@
     let mut gateway = Gateway::with_protocols(
         net,
         start,
-        Box::new(NoShelf),
+        Box::new(NoEndpointCache),
         Rc::new(Lines),
         Box::new(board),
     )
     .map_err(input)?;
-    gateway.set_drain_grace(LINGER);
+    gateway.set_drain_grace(DRAIN_GRACE);
     first
         .updates
         .iter()
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -12,11 +12,13 @@
 use tidewall_emulator::{Fleet, NoGateways, Plan};
 use tidewall_failover::claim::next;
 use tidewall_failover::damp::Damp;
-use tidewall_gateway::list::{Beside, FileShelf, NoShelf, Shelf};
-use tidewall_gateway::native::Native;
-use tidewall_gateway::pair::Ended;
-use tidewall_gateway::start::{keys, peering, start};
-use tidewall_gateway::{Gateway, LINGER};
+use tidewall_gateway::config::{failover_config, gateway_config, parse_keys};
+use tidewall_gateway::endpoints::{
+    BackgroundEndpointCache, EndpointCache, FileEndpointCache, NoEndpointCache,
+};
+use tidewall_gateway::failover::StopReason;
+use tidewall_gateway::native_ingress::NativeIngress;
+use tidewall_gateway::{Gateway, DRAIN_GRACE};
 use tidewall_net::mio::{self, Mio};
 use tidewall_sim::fleet::Plant;
 use tidewall_vrrp::packet::Keys;
@@ -90,11 +92,11 @@
         let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
         net.signals(&SIGNALS)
             .map_err(|e| Failure::Run(e.to_string()))?;
-        let shelf: Box<dyn Shelf> = match own.text("last_list").as_str() {
-            "" => Box::new(NoShelf),
-            path => Box::new(Beside::new(FileShelf(path.into()))),
+        let shelf: Box<dyn EndpointCache> = match own.text("last_list").as_str() {
+            "" => Box::new(NoEndpointCache),
+            path => Box::new(BackgroundEndpointCache::new(FileEndpointCache(path.into()))),
         };
-        let mut start = start(&s, me, seed);
+        let mut start = gateway_config(&s, me, seed);
         if s.has("pair") {
             let file = PathBuf::from(s.section("pair").text("key_file"));
             let first = read_keys(&file).map_err(input)?;
@@ -112,12 +114,12 @@
                     .duration_since(UNIX_EPOCH)
                     .map_or(1, |d| d.as_millis() as u64),
             );
-            start.failover = Some(peering(&s, life, Box::new(keys)));
+            start.failover = Some(failover_config(&s, life, Box::new(keys)));
         }
         let mut gateway = Gateway::new(net, start, shelf).map_err(input)?;
         let at = own.text("address").parse().expect("checked");
         gateway
-            .add_ingress(at, Box::new(Native::new(0, &own.text("name"))))
+            .add_ingress(at, Box::new(NativeIngress::new(0, &own.text("name"))))
             .map_err(input)?;
         if own.has("amqp_address") {
             let at = own.text("amqp_address").parse().expect("checked");
@@ -127,14 +129,14 @@
         }
         if !s.has("pair") {
             // Of a pair the other member takes over at once.
-            gateway.set_drain_grace(LINGER);
+            gateway.set_drain_grace(DRAIN_GRACE);
         }
         if s.has("fleet_common") {
             common.start(&s, me, seed, args.left_out, &told)?;
             gateway.watch_endpoints(common.watch());
         }
         mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))?;
-        if gateway.stop_reason() == Ended::Drained {
+        if gateway.stop_reason() == StopReason::Drained {
             drop(gateway);
             common.end();
             return Ok(());
@@ -153,7 +155,7 @@
 pub fn read_keys(file: &std::path::Path) -> Result<Keys, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
-    keys(&name, &text)
+    parse_keys(&name, &text)
 }
 
 /// Reads a password from standard input and prints its hash for the settings.
--- a/crates/tidewall-gateway/src/retry.rs
+++ b/crates/tidewall-gateway/src/backoff.rs
@@ -6,14 +6,14 @@
 /// Waits of three to five quarters of a span: what strikes all gateways of a site at one moment, as the end of the roster does,
 /// is not to bring them back at one moment, again and again. A quarter each way keeps the mean and spreads a span of
 /// half a second over a quarter of it, far more than a connection takes.
-pub struct Retry {
+pub struct Backoff {
     span: Time,
     chance: ChaCha8Rng,
 }
 
-impl Retry {
-    pub fn new(seed: u64, span: Time) -> Retry {
-        Retry {
+impl Backoff {
+    pub fn new(seed: u64, span: Time) -> Backoff {
+        Backoff {
             span,
             chance: ChaCha8Rng::seed_from_u64(seed),
         }
--- a/crates/tidewall-gateway/src/start.rs
+++ b/crates/tidewall-gateway/src/config.rs
@@ -1,14 +1,14 @@
 //! What the settings tell a gateway at start.
-use crate::carrier::Setup;
-use crate::pair::Peering;
-use crate::Start;
+use crate::failover::FailoverConfig;
+use crate::worker_pool::GatewayLimits;
+use crate::GatewayConfig;
 use tidewall_config::{agree, plain, Section};
 use tidewall_failover::fate::Kind;
 use tidewall_vrrp::packet::Keys;
 
-pub fn setup(s: &Section) -> Setup {
+pub fn limits(s: &Section) -> GatewayLimits {
     let (limits, loading) = (s.section("limits"), s.section("loading"));
-    Setup {
+    GatewayLimits {
         max_requests: limits.whole("most_held") as usize,
         connect_timeout: limits.span("connect_time_out_ms"),
         streams_per_connection: limits.whole("streams") as usize,
@@ -23,9 +23,9 @@
     }
 }
 
-pub fn start(s: &Section, me: usize, seed: u64) -> Start {
+pub fn gateway_config(s: &Section, me: usize, seed: u64) -> GatewayConfig {
     let gateways = s.sections("gateway");
-    Start {
+    GatewayConfig {
         name: gateways[me].text("name"),
         index: me,
         seed,
@@ -41,13 +41,13 @@
             .map(|g| g.text("peer_address").parse().ok())
             .collect(),
         peer_listen: None,
-        limits: setup(s),
+        limits: limits(s),
         failover: None,
     }
 }
 
 /// This machine's part of the pair.
-pub fn peering(s: &Section, life: u64, keys: Box<dyn Fn() -> Keys>) -> Peering {
+pub fn failover_config(s: &Section, life: u64, keys: Box<dyn Fn() -> Keys>) -> FailoverConfig {
     let (pair, loading, limits) = (s.section("pair"), s.section("loading"), s.section("limits"));
     let (own, peer) = (pair.section("own"), pair.section("peer"));
     let at = |s: &Section, field: &str| s.text(field).parse().expect("checked");
@@ -64,39 +64,39 @@
         "KEYED" => t.span("window_ms").max(t.span("max_age_ms")),
         _ => t.span("max_age_ms"),
     };
-    Peering {
+    FailoverConfig {
         name: own.text("name"),
         peer_name: peer.text("name"),
-        life,
+        incarnation: life,
         vrid: pair.whole("vrid") as u8,
         priority: own.whole("priority") as u8,
         interval: pair.whole("interval_cs") as u16,
         preempt: pair.flag("preempt"),
-        vrrp: at(&own, "vrrp_address"),
-        peer_vrrp: at(&peer, "vrrp_address"),
-        link: at(&own, "link_address"),
-        peer_link: at(&peer, "link_address"),
-        shared: s.sections("gateway")[0]
+        vrrp_address: at(&own, "vrrp_address"),
+        peer_vrrp_address: at(&peer, "vrrp_address"),
+        link_address: at(&own, "link_address"),
+        peer_link_address: at(&peer, "link_address"),
+        shared_address: s.sections("gateway")[0]
             .text("address")
             .parse()
             .expect("checked"),
         keys,
         voters: pair.texts("voter"),
-        kinds: types.iter().map(kind).collect(),
-        keeps: types.iter().map(keep).collect(),
-        two_at_once: limits.flag("two_at_once"),
-        ration: (
+        retry_safety: types.iter().map(kind).collect(),
+        retention: types.iter().map(keep).collect(),
+        allows_hedging: limits.flag("two_at_once"),
+        load_request_limit: (
             loading.span("window_ms"),
             loading.number("free"),
             loading.number("share"),
         ),
-        agree: agree(s),
-        copies: true,
+        shared_settings: agree(s),
+        replicates: true,
     }
 }
 
 /// Keys from a file's text: a line each, a number and hexadecimal digits; lines that begin with # are passed over.
-pub fn keys(file: &str, text: &str) -> Result<Keys, String> {
+pub fn parse_keys(file: &str, text: &str) -> Result<Keys, String> {
     let mut keys = Keys::default();
     for (i, line) in text.lines().enumerate() {
         let line = line.trim();
--- a/crates/tidewall-gateway/src/list.rs
+++ b/crates/tidewall-gateway/src/endpoints.rs
@@ -14,7 +14,7 @@
 
 /// One worker as the roster tells it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
+pub struct EndpointRecord {
     pub name: String,
     pub address: SocketAddr,
     pub zone: String,
@@ -28,9 +28,9 @@
     pub age: Time,
 }
 
-pub fn entry(e: &Fields) -> Result<Entry, String> {
+pub fn entry(e: &Fields) -> Result<EndpointRecord, String> {
     let at = e.text(Field::Place)?;
-    Ok(Entry {
+    Ok(EndpointRecord {
         name: e.text(Field::Name)?.to_string(),
         address: at
             .parse()
@@ -46,7 +46,7 @@
 }
 
 /// Writes an entry's fields, for the last list and for rosters.
-pub fn write<'a>(f: Frame<'a>, e: &Entry) -> Frame<'a> {
+pub fn write<'a>(f: Frame<'a>, e: &EndpointRecord) -> Frame<'a> {
     let standing = match e.state {
         EndpointState::Active => "on",
         EndpointState::Draining => "draining",
@@ -68,7 +68,7 @@
 const MAGIC: &[u8; 8] = b"tdwlist1";
 
 /// The bytes of a kept list, without the time of writing, which the shelf knows.
-pub fn encode(entries: &[Entry]) -> Vec<u8> {
+pub fn encode(entries: &[EndpointRecord]) -> Vec<u8> {
     let mut list = Entries::default();
     entries.iter().for_each(|e| list.add(|f| write(f, e)));
     let mut body = Vec::new();
@@ -89,7 +89,7 @@
 }
 
 /// `passed` is how long ago it was written: workers have aged since.
-pub fn decode(bytes: &[u8], passed: Time) -> Result<Vec<Entry>, String> {
+pub fn decode(bytes: &[u8], passed: Time) -> Result<Vec<EndpointRecord>, String> {
     let body = bytes
         .strip_prefix(MAGIC)
         .ok_or("field magic: no list of this version")?;
@@ -111,7 +111,7 @@
 }
 
 /// Where the last list lies.
-pub trait Shelf {
+pub trait EndpointCache {
     /// What was written last, and how long ago.
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>>;
     /// Whole or not at all, whenever the process is killed or the power is cut.
@@ -119,9 +119,9 @@
 }
 
 /// Keeps nothing.
-pub struct NoShelf;
+pub struct NoEndpointCache;
 
-impl Shelf for NoShelf {
+impl EndpointCache for NoEndpointCache {
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
         Ok(None)
     }
@@ -132,12 +132,12 @@
 }
 
 /// A file, written beside, synchronised and renamed: a stop in the middle leaves the one before.
-pub struct FileShelf(pub PathBuf);
+pub struct FileEndpointCache(pub PathBuf);
 
 /// A shelf that writes on a thread of its own: a disk may take seconds, and events may not wait for it. What it could not write
 /// it tries again until something newer comes.
-pub struct Beside {
-    shelf: Option<Box<dyn Shelf + Send>>,
+pub struct BackgroundEndpointCache {
+    shelf: Option<Box<dyn EndpointCache + Send>>,
     ask: Option<SyncSender<Vec<u8>>>,
     ended: Option<Receiver<()>>,
 }
@@ -151,9 +151,9 @@
 /// At the end a disk is waited for so long: well above what a healthy one takes, and nobody waits for an answer any more.
 const END: Duration = Duration::from_secs(5);
 
-impl Beside {
-    pub fn new(shelf: impl Shelf + Send + 'static) -> Beside {
-        Beside {
+impl BackgroundEndpointCache {
+    pub fn new(shelf: impl EndpointCache + Send + 'static) -> BackgroundEndpointCache {
+        BackgroundEndpointCache {
             shelf: Some(Box::new(shelf)),
             ask: None,
             ended: None,
@@ -187,7 +187,7 @@
     }
 }
 
-impl Shelf for Beside {
+impl EndpointCache for BackgroundEndpointCache {
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
         self.shelf.as_mut().map_or(Ok(None), |s| s.read())
     }
@@ -200,7 +200,7 @@
     }
 }
 
-impl Drop for Beside {
+impl Drop for BackgroundEndpointCache {
     /// What was handed over is written, where the disk takes it.
     fn drop(&mut self) {
         self.ask = None;
@@ -210,7 +210,7 @@
     }
 }
 
-impl Shelf for FileShelf {
+impl EndpointCache for FileEndpointCache {
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
         match fs::read(&self.0) {
             Ok(bytes) => {
--- a/crates/tidewall-gateway/src/pair/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -1,12 +1,12 @@
 //! One of a pair of gateways behind one address: VRRP datagrams, the link to the other member, the copy of what that one
 //! has in hand, and the voters' answers. `tidewall-failover` decides; this carries out.
-pub mod copying;
+pub mod replicator;
 
-use crate::carrier::{Given, Task};
-use crate::door::{Answer, Incoming, Ticket, Word, NOBODY};
-use crate::way::Name;
-use crate::{Core, Gateway, Owner, OF_PAIR, OF_VRRP};
-use copying::{remember, taken, word, Copying, Due, Later};
+use crate::ingress::{Disposition, IncomingRequest, ReplyHandle, Response, NO_CLIENT};
+use crate::protocol::CallName;
+use crate::worker_pool::{CallKind, LocalResponse};
+use crate::{Gateway, IngressContext, Owner, OF_PAIR, OF_VRRP};
+use replicator::{remember, taken, word, DeferredAction, PendingResponse, Replicator};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use tidewall::interface::EndpointState;
 use tidewall_failover::claim::{count, Ask};
@@ -22,46 +22,46 @@
 use tracing::{info, warn};
 
 /// What a member of a pair is told at start.
-pub struct Peering {
+pub struct FailoverConfig {
     pub name: String,
     pub peer_name: String,
     /// Rises with each start of this member.
-    pub life: u64,
+    pub incarnation: u64,
     pub vrid: u8,
     pub priority: u8,
     /// Centiseconds.
     pub interval: u16,
     pub preempt: bool,
-    pub vrrp: SocketAddr,
-    pub peer_vrrp: SocketAddr,
-    pub link: SocketAddr,
-    pub peer_link: SocketAddr,
+    pub vrrp_address: SocketAddr,
+    pub peer_vrrp_address: SocketAddr,
+    pub link_address: SocketAddr,
+    pub peer_link_address: SocketAddr,
     /// The address that clients know.
-    pub shared: SocketAddr,
+    pub shared_address: SocketAddr,
     /// Asked again and again, so that keys change without a pause.
     pub keys: Box<dyn Fn() -> Keys>,
     pub voters: Vec<String>,
-    pub kinds: Vec<Kind>,
-    pub keeps: Vec<Time>,
-    pub two_at_once: bool,
+    pub retry_safety: Vec<Kind>,
+    pub retention: Vec<Time>,
+    pub allows_hedging: bool,
     /// Window, free orders, and orders for each event taken.
-    pub ration: (Time, f64, f64),
+    pub load_request_limit: (Time, f64, f64),
     /// Settings that both must have, a line each.
-    pub agree: Vec<String>,
+    pub shared_settings: Vec<String>,
     /// False only where the audit is to notice that nothing goes to the other member.
-    pub copies: bool,
+    pub replicates: bool,
 }
 
 /// Why a gateway's net was stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
+pub enum StopReason {
     Drained,
     /// It is to start anew: another member serves.
-    Again,
+    Restart,
 }
 
 /// An event that the other member has in hand.
-struct Kept {
+struct ReplicatedRequest {
     id: u64,
     typ: usize,
     tenant: Option<usize>,
@@ -75,21 +75,21 @@
     payload: Vec<u8>,
     launches: Vec<fate::Launch>,
     /// Who asked us for it.
-    tickets: Vec<(Ticket, Time)>,
+    tickets: Vec<(ReplyHandle, Time)>,
 }
 
 /// How far a copy has come.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Cursor {
+enum SnapshotCursor {
     Off,
     Events(usize),
     Answers(usize),
     /// All was told, up to this update.
-    Told(u64),
+    Finished(u64),
 }
 
 struct Parts {
-    at: Peering,
+    at: FailoverConfig,
     me: usize,
     router: Router,
     keys: Keys,
@@ -105,13 +105,13 @@
     heard: Time,
     stood: Time,
     vrrp_stood: Time,
-    theirs: Vec<Option<Kept>>,
+    theirs: Vec<Option<ReplicatedRequest>>,
     /// We continue what the other one had: those that still await a fence.
     adopting: bool,
     /// Updates that came over this link, and those that we said are recorded.
     got: u64,
     recorded: u64,
-    cursor: Cursor,
+    cursor: SnapshotCursor,
     /// When waiting began, so many updates were on their way.
     began: u64,
     fenced: Vec<bool>,
@@ -124,12 +124,12 @@
     leaving: bool,
 }
 
-pub struct Pair {
+pub struct FailoverNode {
     seat: Seat,
     parts: Parts,
 }
 
-impl Pair {
+impl FailoverNode {
     pub fn member(&self) -> usize {
         self.parts.me
     }
@@ -169,7 +169,7 @@
 /// VRRP's acting: datagrams, one timer, and a word when the addresses come or go.
 struct Vrrp<'a, N: Net> {
     net: &'a mut N,
-    at: &'a Peering,
+    at: &'a FailoverConfig,
     keys: &'a Keys,
     port: Option<DatagramSocket>,
     number: &'a mut u64,
@@ -185,11 +185,12 @@
         packet::write(
             &mut out,
             (vrid, priority, interval),
-            &[v4(self.at.shared)],
+            &[v4(self.at.shared_address)],
             *self.number,
             self.keys,
         );
-        self.net.send_datagram(port, self.at.peer_vrrp, &out);
+        self.net
+            .send_datagram(port, self.at.peer_vrrp_address, &out);
     }
 
     fn wake(&mut self, _vrid: u8, wait: Time) {
@@ -256,7 +257,7 @@
 }
 
 impl<N: Net> Acting<'_, N> {
-    fn copy(&mut self) -> &mut Copying {
+    fn copy(&mut self) -> &mut Replicator {
         self.gw
             .core
             .choice
@@ -272,7 +273,7 @@
         match (wk.filter(|wk| host.reachable(*wk)), voter) {
             (Some(wk), _) => {
                 let key = host.out(
-                    Task::Vote {
+                    CallKind::Vote {
                         voter,
                         ballot,
                         accepting,
@@ -342,7 +343,7 @@
     fn open(&mut self, claim: Claim, adopt: bool, forgot: bool) {
         info!(epoch = count(claim.epoch), adopt, forgot, "serves");
         let now = self.gw.core.net().now();
-        let longest = self.parts.at.keeps.iter().max().copied().unwrap_or(0);
+        let longest = self.parts.at.retention.iter().max().copied().unwrap_or(0);
         self.copy().forgot = if forgot { now + longest } else { 0 };
         self.copy().epoch = claim.epoch;
         self.gw.core.standby = false;
@@ -386,7 +387,11 @@
         (copy.on, copy.base, copy.acked) = (true, copy.seq - copy.sent, copy.seq);
         copy.unsure = !new;
         copy.tell(&mut host.net, kind::COPY, |f| f.flag(Field::On, new).end());
-        self.parts.cursor = if new { Cursor::Off } else { Cursor::Events(0) };
+        self.parts.cursor = if new {
+            SnapshotCursor::Off
+        } else {
+            SnapshotCursor::Events(0)
+        };
         self.parts.began = copy.seq;
         self.gw.pump(self.parts);
     }
@@ -408,7 +413,7 @@
     fn again(&mut self, why: &'static str) {
         warn!(why, "starts anew");
         if !self.parts.leaving {
-            self.gw.ended = Ended::Again;
+            self.gw.ended = StopReason::Restart;
         }
         self.gw.core.net().stop();
     }
@@ -419,9 +424,9 @@
     }
 }
 
-impl<N: Net> Core<N> {
+impl<N: Net> IngressContext<N> {
     /// One of a pair may know this event: in hand, here or at the other member, or answered.
-    pub(crate) fn again(&mut self, event: &Incoming) -> Option<usize> {
+    pub(crate) fn again(&mut self, event: &IncomingRequest) -> Option<usize> {
         let host = &mut self.choice.host;
         let now = host.net.now();
         let copy = host.copy.as_mut()?;
@@ -435,7 +440,11 @@
         {
             let kind = copy.kind(event.class);
             if let Some(later) = unknown(kind, copy.two_at_once, copy.fenced_all) {
-                let word = if later { Word::Rejected } else { Word::Failed };
+                let word = if later {
+                    Disposition::Rejected
+                } else {
+                    Disposition::Failed
+                };
                 remember(copy, now, event.class, event.idempotency_key, word, &[]);
                 let mut due = copy.due();
                 due.tickets.push((event.reply_handle, until));
@@ -477,7 +486,7 @@
 }
 
 impl<N: Net> Gateway<N> {
-    pub(crate) fn pair_up(&mut self, at: Peering) -> Result<(), String> {
+    pub(crate) fn pair_up(&mut self, at: FailoverConfig) -> Result<(), String> {
         let me = usize::from(at.name > at.peer_name);
         let now = self.core.net().now();
         let parameters = Parameters {
@@ -486,27 +495,31 @@
             interval: at.interval,
             preempt: at.preempt,
             accept: true,
-            address: v4(at.vrrp),
+            address: v4(at.vrrp_address),
         };
         let interval = Time::from(at.interval) * CENTISECOND;
         let net = self.core.net();
         let port = net
-            .bind_datagram(at.vrrp)
-            .map_err(|e| format!("{}: datagrams: {e}", at.vrrp))?
+            .bind_datagram(at.vrrp_address)
+            .map_err(|e| format!("{}: datagrams: {e}", at.vrrp_address))?
             .0;
         let listener = net
-            .listen(at.link)
-            .map_err(|e| format!("{}: {e}", at.link))?
+            .listen(at.link_address)
+            .map_err(|e| format!("{}: {e}", at.link_address))?
             .0;
         net.set_timer(now + interval / TICKS, OF_PAIR);
-        let ration = Ration::new(at.ration.0, at.ration.1, at.ration.2);
-        let mut copy = Copying::new(
+        let ration = Ration::new(
+            at.load_request_limit.0,
+            at.load_request_limit.1,
+            at.load_request_limit.2,
+        );
+        let mut copy = Replicator::new(
             me,
-            at.kinds.clone(),
-            at.two_at_once,
-            at.keeps.clone(),
+            at.retry_safety.clone(),
+            at.allows_hedging,
+            at.retention.clone(),
             ration,
-            at.copies,
+            at.replicates,
         );
         copy.silence = (SILENT + 1) * interval;
         self.core.choice.host.copy = Some(Box::new(copy));
@@ -519,7 +532,7 @@
             port: Some(port),
             listener: Some(listener),
             // A start's numbers are above those of the one before, so long as lives are told in milliseconds.
-            number: at.life << 20,
+            number: at.incarnation << 20,
             timer: None,
             wanted: None,
             dialing: None,
@@ -530,7 +543,7 @@
             adopting: false,
             got: 0,
             recorded: 0,
-            cursor: Cursor::Off,
+            cursor: SnapshotCursor::Off,
             began: 0,
             fenced: Vec::new(),
             unopened: false,
@@ -541,8 +554,14 @@
             leaving: false,
             at,
         };
-        let seat = Seat::new(me, parts.at.life, parts.at.voters.len(), interval, now);
-        self.pair = Some(Box::new(Pair { seat, parts }));
+        let seat = Seat::new(
+            me,
+            parts.at.incarnation,
+            parts.at.voters.len(),
+            interval,
+            now,
+        );
+        self.pair = Some(Box::new(FailoverNode { seat, parts }));
         Ok(())
     }
 
@@ -552,7 +571,7 @@
             return;
         };
         let now = self.core.net().now();
-        let Pair { seat, parts } = &mut *pair;
+        let FailoverNode { seat, parts } = &mut *pair;
         f(seat, now, &mut Acting { gw: self, parts });
         while let Some(on) = parts.wanted.take() {
             if on {
@@ -622,7 +641,7 @@
         let counts = pair.seat.state().serves();
         let silent = now > parts.heard + SILENT * interval;
         let (member, retry) = (parts.me, parts.dialing.is_none());
-        let (peer, epoch) = (parts.at.peer_link, pair.seat.epoch());
+        let (peer, epoch) = (parts.at.peer_link_address, pair.seat.epoch());
         let copy = self.core.choice.host.copy.as_mut().expect("a pair copies");
         match copy.conn {
             Some(conn) if silent || copy.slow(now) => {
@@ -647,7 +666,7 @@
             }
             None if member == 1 && retry => {
                 let conn = self.core.net().connect(peer, interval);
-                self.own(conn, Owner::Guest);
+                self.own(conn, Owner::Handshake);
                 if let Some(pair) = &mut self.pair {
                     pair.parts.dialing = Some(conn);
                 }
@@ -704,9 +723,9 @@
     pub(crate) fn advertised(&mut self, from: SocketAddr, bytes: &[u8]) {
         self.with_seat(|_, now, act| {
             let parts = &mut *act.parts;
-            let shared = [v4(parts.at.shared)];
+            let shared = [v4(parts.at.shared_address)];
             // The hash does not cover who sent it: a packet that was overheard must not come from elsewhere.
-            let read = match v4(from) == v4(parts.at.peer_vrrp) {
+            let read = match v4(from) == v4(parts.at.peer_vrrp_address) {
                 true => packet::read(bytes, v4(from), &shared, &parts.keys, &mut parts.guard),
                 false => Err("from: not the other member"),
             };
@@ -749,11 +768,11 @@
         let f = f
             .text(Field::Role, "pair")
             .text(Field::Name, &at.name)
-            .whole(Field::Life, at.life);
+            .whole(Field::Life, at.incarnation);
         let f = f
             .flag(Field::On, pair.seat.state().serves())
             .whole(Field::Epoch, pair.seat.epoch());
-        f.bytes(Field::Payload, at.agree.join("\n").as_bytes())
+        f.bytes(Field::Payload, at.shared_settings.join("\n").as_bytes())
             .end();
         self.core.net().write(conn, &out);
     }
@@ -786,7 +805,7 @@
             return Err(format!("field name: {name} is not the other member"));
         }
         let theirs = String::from_utf8_lossy(fields.bytes(Field::Payload)?).into_owned();
-        let differs = disagree(&pair.parts.at.agree, &theirs);
+        let differs = disagree(&pair.parts.at.shared_settings, &theirs);
         if pair.parts.dialing.take().is_none() {
             // They dialled: they hear who we are.
             self.link_made(conn);
@@ -825,7 +844,7 @@
             (copy.conn, copy.on, copy.broken) = (None, false, false);
         }
         if let Some(pair) = &mut self.pair {
-            pair.parts.cursor = Cursor::Off;
+            pair.parts.cursor = SnapshotCursor::Off;
         }
         warn!("the link to the other member is gone");
         self.with_seat(|seat, now, act| seat.peer_down(now, act));
@@ -855,7 +874,10 @@
         match fields.kind()? {
             kind::PING => {
                 let counted = fields.upto(Field::SyncA, u64::MAX, 0)?;
-                let (serves, counts) = (fields.flag(Field::On)?, counted == pair.parts.at.life);
+                let (serves, counts) = (
+                    fields.flag(Field::On)?,
+                    counted == pair.parts.at.incarnation,
+                );
                 let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
                 self.with_seat(|seat, now, act| seat.peer_told(now, act, serves, counts, epoch));
             }
@@ -869,9 +891,9 @@
                 self.with_seat(|seat, now, act| {
                     act.gw.pump(act.parts);
                     let acked = act.copy().acked;
-                    if let Cursor::Told(all) = act.parts.cursor {
+                    if let SnapshotCursor::Finished(all) = act.parts.cursor {
                         if acked >= all {
-                            act.parts.cursor = Cursor::Off;
+                            act.parts.cursor = SnapshotCursor::Off;
                             seat.copied(now, act);
                         }
                     }
@@ -919,7 +941,7 @@
                 let typ = typ(&host.types)?;
                 let tenant = fields.word(Field::Tenant)?;
                 let mark = fields.bytes(Field::Mark)?;
-                let kept = Kept {
+                let kept = ReplicatedRequest {
                     id: fields.whole(Field::Id)?,
                     typ,
                     tenant: host.tenants.iter().position(|t| t == tenant),
@@ -964,7 +986,7 @@
                 }
             }
             kind::ANSWERED => {
-                let word = Word::read(fields.text(Field::Word)?)?;
+                let word = Disposition::from_wire(fields.text(Field::Word)?)?;
                 let payload = fields.bytes(Field::Payload)?;
                 let kept = parts.theirs.get_mut(place).and_then(Option::take);
                 match (&kept, fields.has(Field::Type)) {
@@ -994,7 +1016,7 @@
                         .iter()
                         .any(|l| l.state != fate::State::ProvenNotRun);
                     if ran && copy.kind(kept.typ) != Kind::Redeliverable {
-                        remember(copy, now, kept.typ, &kept.mark, Word::Failed, &[]);
+                        remember(copy, now, kept.typ, &kept.mark, Disposition::Failed, &[]);
                     } else {
                         copy.known.remove(kept.typ, &kept.mark);
                     }
@@ -1020,8 +1042,8 @@
         };
         while host.net.unsent(conn) < COPY_AHEAD && copy.on {
             match parts.cursor {
-                Cursor::Events(place) if place < host.events.len() => {
-                    parts.cursor = Cursor::Events(place + 1);
+                SnapshotCursor::Events(place) if place < host.events.len() => {
+                    parts.cursor = SnapshotCursor::Events(place + 1);
                     let held = &host.events[place];
                     if !held.open {
                         continue;
@@ -1051,19 +1073,19 @@
                     }
                     return self.pump(parts);
                 }
-                Cursor::Events(_) => parts.cursor = Cursor::Answers(0),
-                Cursor::Answers(from) => {
+                SnapshotCursor::Events(_) => parts.cursor = SnapshotCursor::Answers(0),
+                SnapshotCursor::Answers(from) => {
                     let copy = &mut **copy;
                     let Some((key, entry)) = copy.known.next(from) else {
                         copy.tell(&mut host.net, kind::COPIED, |f| f.end());
-                        parts.cursor = Cursor::Told(copy.seq);
+                        parts.cursor = SnapshotCursor::Finished(copy.seq);
                         copy.unsure = false;
                         return;
                     };
-                    parts.cursor = Cursor::Answers(key + 1);
+                    parts.cursor = SnapshotCursor::Answers(key + 1);
                     if let Place::Answered(number, payload) = &entry.place {
                         let (typ, mark, payload) = (entry.typ, entry.mark.clone(), payload.clone());
-                        let text = word(*number).text();
+                        let text = word(*number).wire_text();
                         copy.tell(&mut host.net, kind::ANSWERED, |f| {
                             let f = f
                                 .text(Field::Type, &host.types[typ])
@@ -1074,7 +1096,7 @@
                         });
                     }
                 }
-                Cursor::Told(_) | Cursor::Off => return,
+                SnapshotCursor::Finished(_) | SnapshotCursor::Off => return,
             }
         }
     }
@@ -1107,8 +1129,8 @@
                     self.go_on(kept);
                     continue;
                 }
-                Fate::DeadLetter => Word::Failed,
-                _ => Word::Rejected,
+                Fate::DeadLetter => Disposition::Failed,
+                _ => Disposition::Rejected,
             };
             remember(copy, now, kept.typ, &kept.mark, word, &[]);
             let mut due = copy.due();
@@ -1129,12 +1151,12 @@
         }
     }
 
-    fn go_on(&mut self, kept: Kept) {
+    fn go_on(&mut self, kept: ReplicatedRequest) {
         let now = self.core.net().now();
         let asked = !kept.tickets.is_empty();
         self.core.choice.host.heirs = kept.tickets;
-        let place = self.core.begin(&Incoming {
-            reply_handle: NOBODY,
+        let place = self.core.begin(&IncomingRequest {
+            reply_handle: NO_CLIENT,
             id: kept.id,
             class: kept.typ,
             tenant: kept.tenant,
@@ -1162,7 +1184,7 @@
         let Some(copy) = &mut host.copy else { return };
         // It is looked at once a tick.
         let tick = Time::from(parts.at.interval) * CENTISECOND / TICKS;
-        let over = |t: &(Ticket, Time)| now + tick + 2 * fate::LEAST >= t.1;
+        let over = |t: &(ReplyHandle, Time)| now + tick + 2 * fate::LEAST >= t.1;
         let mut late = Vec::new();
         let events = &mut host.events;
         copy.joined.retain(|place| {
@@ -1185,7 +1207,7 @@
         }
         if !late.is_empty() {
             let mut due = copy.due();
-            (due.tickets, due.word) = (late, Some(Word::Failed));
+            (due.tickets, due.word) = (late, Some(Disposition::Failed));
             copy.replays.push_back(due);
         }
     }
@@ -1211,10 +1233,10 @@
         fields: &Fields,
     ) -> Result<(), String> {
         let host = &mut self.core.choice.host;
-        let Some(key) = host.key(Name::CallId(fields.whole(Field::Id)?), link)? else {
+        let Some(key) = host.key(CallName::CallId(fields.whole(Field::Id)?), link)? else {
             return Ok(());
         };
-        let Task::Vote {
+        let CallKind::Vote {
             voter,
             ballot,
             accepting,
@@ -1260,7 +1282,7 @@
     // What is settled after each thing that happened.
 
     /// The event's answer, which is used up: it goes to whoever waits for it, at once or when it is recorded.
-    pub(crate) fn conclude(&mut self, given: &Given, payload: &[u8]) {
+    pub(crate) fn conclude(&mut self, given: &LocalResponse, payload: &[u8]) {
         let host = &mut self.core.choice.host;
         if host.copy.is_some() {
             if let Some(due) = host.copy_answered(given, payload) {
@@ -1268,14 +1290,14 @@
             }
             return;
         }
-        let Given {
+        let LocalResponse {
             ticket,
             word,
             come_back,
             took,
             ..
         } = *given;
-        let answer = Answer {
+        let answer = Response {
             disposition: word,
             retry_after: come_back,
             reason: "",
@@ -1285,18 +1307,18 @@
         self.doors[ticket.ingress].respond(&mut host.net, ticket, &answer);
     }
 
-    fn give(&mut self, due: Due) {
+    fn give(&mut self, due: PendingResponse) {
         let host = &mut self.core.choice.host;
         let now = host.net.now();
-        let word = due.word.unwrap_or(Word::Failed);
-        for (ticket, until) in due.tickets.iter().filter(|t| t.0 != NOBODY) {
+        let word = due.word.unwrap_or(Disposition::Failed);
+        for (ticket, until) in due.tickets.iter().filter(|t| t.0 != NO_CLIENT) {
             if now > *until {
                 host.counts.overdue += 1;
                 self.doors[ticket.ingress].request_expired(now, *ticket);
                 continue;
             }
             let (come_back, took) = (due.come_back, due.took);
-            let answer = Answer {
+            let answer = Response {
                 disposition: word,
                 retry_after: come_back,
                 reason: "",
@@ -1318,7 +1340,7 @@
         };
         if let Some(later) = copy.ready() {
             match later {
-                Later::Ride { key, count } => {
+                DeferredAction::Send { key, count } => {
                     if host
                         .outs
                         .get(key)
@@ -1327,7 +1349,7 @@
                         host.ride(key);
                     }
                 }
-                Later::Answer(due) => self.give(due),
+                DeferredAction::Respond(due) => self.give(due),
             }
         } else if let Some(due) = copy.replays.pop_front() {
             self.give(due);
@@ -1348,7 +1370,7 @@
                 None => {
                     // It ended in the same wake-up: it is asked for again by whoever still wants it.
                     let mut due = copy_of(&mut self.core).due();
-                    (due.word, due.come_back) = (Some(Word::Rejected), UNFENCED);
+                    (due.word, due.come_back) = (Some(Disposition::Rejected), UNFENCED);
                     due.tickets.push((ticket, until));
                     self.give(due);
                 }
@@ -1359,7 +1381,7 @@
                 || pair.parts.leaving && pair.seat.state() == State::Standby;
             if resting
                 && self.requests_in_flight() == 0
-                && self.ended == Ended::Drained
+                && self.ended == StopReason::Drained
                 && copy_of(&mut self.core).waiting() == 0
                 && !self.unread()
             {
@@ -1381,7 +1403,7 @@
         }
         for place in 0..self.owners.len() {
             let (count, owner) = self.owners[place];
-            if let Owner::Door(_) = owner {
+            if let Owner::Ingress(_) = owner {
                 self.core.net().abort(Conn::new(place, count));
             }
         }
@@ -1400,7 +1422,7 @@
             .whole(Field::Epoch, pair.seat.epoch());
         let f = f
             .flag(Field::On, copy.conn.is_some())
-            .whole(Field::Life, pair.parts.at.life);
+            .whole(Field::Life, pair.parts.at.incarnation);
         let f = f
             .whole(Field::InFlight, host.held as u64)
             .whole(Field::Waiting, copy.waiting() as u64);
@@ -1415,7 +1437,7 @@
     }
 }
 
-fn copy_of<N: Net>(core: &mut Core<N>) -> &mut Copying {
+fn copy_of<N: Net>(core: &mut IngressContext<N>) -> &mut Replicator {
     core.choice.host.copy.as_mut().expect("a pair copies")
 }
 
--- a/crates/tidewall-gateway/src/pair/copying.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -1,7 +1,7 @@
 //! What goes to the other member of a pair, on the carrier's side: events taken, launches, their ends, answers and load
 //! orders, in the order in which they happen; and what waits until the other member has recorded them. It decides nothing.
-use crate::carrier::{Carrier, Given, Held};
-use crate::door::{Ticket, Word, NOBODY};
+use crate::ingress::{Disposition, ReplyHandle, NO_CLIENT};
+use crate::worker_pool::{LocalResponse, PendingRequest, WorkerPool};
 use std::collections::VecDeque;
 use tidewall::interface::Outcome;
 use tidewall_failover::fate::Kind;
@@ -13,22 +13,22 @@
 
 /// An answer on its way to whoever asked.
 #[derive(Default)]
-pub struct Due {
+pub struct PendingResponse {
     /// With the times when they give up.
-    pub tickets: Vec<(Ticket, Time)>,
-    pub word: Option<Word>,
+    pub tickets: Vec<(ReplyHandle, Time)>,
+    pub word: Option<Disposition>,
     pub come_back: Time,
     pub took: Time,
     pub payload: Vec<u8>,
 }
 
 /// What waits until all that was told before is recorded.
-pub enum Later {
-    Ride { key: usize, count: u32 },
-    Answer(Due),
+pub enum DeferredAction {
+    Send { key: usize, count: u32 },
+    Respond(PendingResponse),
 }
 
-pub struct Copying {
+pub struct Replicator {
     pub member: usize,
     /// Under which launches and orders are sent; 0 while we do not serve and hold nothing.
     pub epoch: u64,
@@ -45,7 +45,7 @@
     /// Updates that went over this link.
     pub sent: u64,
     /// With the time since when each waits.
-    back: VecDeque<(u64, Time, Later)>,
+    back: VecDeque<(u64, Time, DeferredAction)>,
     /// The link took no more: the other member is too slow.
     pub broken: bool,
     pub known: Known,
@@ -59,7 +59,7 @@
     pub unheard: VecDeque<(usize, (u64, bool))>,
     /// A worker refused our epoch.
     pub fenced: bool,
-    pub replays: VecDeque<Due>,
+    pub replays: VecDeque<PendingResponse>,
     /// Places of events that were asked for again.
     pub joined: Vec<usize>,
     /// How long the link may be silent.
@@ -68,12 +68,12 @@
     pub forgot: Time,
     /// Nothing of former lives is out at any worker.
     pub fenced_all: bool,
-    spare: Vec<Due>,
+    spare: Vec<PendingResponse>,
     copies: bool,
     buf: Vec<u8>,
 }
 
-impl Copying {
+impl Replicator {
     pub fn new(
         member: usize,
         kinds: Vec<Kind>,
@@ -81,8 +81,8 @@
         keeps: Vec<Time>,
         ration: Ration,
         copies: bool,
-    ) -> Copying {
-        Copying {
+    ) -> Replicator {
+        Replicator {
             member,
             epoch: 0,
             conn: None,
@@ -156,7 +156,7 @@
     }
 
     /// What waits no longer.
-    pub fn ready(&mut self) -> Option<Later> {
+    pub fn ready(&mut self) -> Option<DeferredAction> {
         let first = self.back.front()?.0;
         if self.waits && first > self.acked {
             return None;
@@ -173,12 +173,12 @@
         self.back.len()
     }
 
-    pub fn due(&mut self) -> Due {
+    pub fn due(&mut self) -> PendingResponse {
         self.spare.pop().unwrap_or_default()
     }
 
     /// Its buffers serve the next one.
-    pub fn done(&mut self, mut due: Due) {
+    pub fn done(&mut self, mut due: PendingResponse) {
         const SPARE: usize = 256; // more than wait for one round trip at usual rates
         due.tickets.clear();
         due.payload.clear();
@@ -194,7 +194,7 @@
 pub fn taken(
     f: Frame,
     place: usize,
-    held: &Held,
+    held: &PendingRequest,
     types: &[String],
     tenants: &[String],
     function: &str,
@@ -238,7 +238,7 @@
         .end();
 }
 
-impl<N: Net> Carrier<N> {
+impl<N: Net> WorkerPool<N> {
     pub(crate) fn copy_taken(&mut self, place: usize) {
         let Some(copy) = &mut self.copy else { return };
         let (now, held) = (self.net.now(), &self.events[place]);
@@ -269,7 +269,7 @@
             copy.back.push_back((
                 copy.seq,
                 now,
-                Later::Ride {
+                DeferredAction::Send {
                     key,
                     count: self.outs[key].count,
                 },
@@ -299,7 +299,11 @@
     }
 
     /// The event has its answer. Given back where it may go at once; else it waits to be recorded.
-    pub(crate) fn copy_answered(&mut self, given: &Given, payload: &[u8]) -> Option<Due> {
+    pub(crate) fn copy_answered(
+        &mut self,
+        given: &LocalResponse,
+        payload: &[u8],
+    ) -> Option<PendingResponse> {
         let now = self.net.now();
         let copy = self.copy.as_mut()?;
         let held = &mut self.events[given.evt];
@@ -310,7 +314,7 @@
         copy.tell(&mut self.net, kind::ANSWERED, |f| {
             let f = f
                 .whole(Field::Place, place)
-                .text(Field::Word, given.word.text());
+                .text(Field::Word, given.word.wire_text());
             let f = if unsure {
                 f.text(Field::Type, &types[typ]).bytes(Field::Mark, mark)
             } else {
@@ -320,13 +324,14 @@
         });
         let mut due = copy.due();
         due.tickets.append(&mut held.more);
-        if given.ticket != NOBODY {
+        if given.ticket != NO_CLIENT {
             due.tickets.push((given.ticket, held.until()));
         }
         (due.word, due.come_back, due.took) = (Some(given.word), given.come_back, given.took);
         due.payload.extend_from_slice(payload);
         if copy.waits && !copy.kind(typ).harmless() {
-            copy.back.push_back((copy.seq, now, Later::Answer(due)));
+            copy.back
+                .push_back((copy.seq, now, DeferredAction::Respond(due)));
             return None;
         }
         Some(due)
@@ -339,7 +344,7 @@
         let held = &self.events[place];
         let typ = held.arrival().class;
         if held.unproven > 0 && copy.kind(typ) != Kind::Redeliverable {
-            remember(copy, now, typ, held.mark(), Word::Failed, &[]);
+            remember(copy, now, typ, held.mark(), Disposition::Failed, &[]);
         } else {
             copy.known.remove(typ, held.mark());
         }
@@ -375,7 +380,7 @@
                 copy.back.push_back((
                     copy.seq,
                     now,
-                    Later::Ride {
+                    DeferredAction::Send {
                         key,
                         count: self.outs[key].count,
                     },
@@ -386,7 +391,7 @@
     }
 
     /// Takes one of several that wait for the same event off; false where it is the only one.
-    pub(crate) fn one_less(&mut self, place: usize, ticket: Ticket) -> bool {
+    pub(crate) fn one_less(&mut self, place: usize, ticket: ReplyHandle) -> bool {
         let Some(held) = self.events.get_mut(place).filter(|h| h.open) else {
             return false;
         };
@@ -396,7 +401,7 @@
         }
         let others = held.ticket == ticket && !held.more.is_empty();
         if others {
-            held.ticket = NOBODY;
+            held.ticket = NO_CLIENT;
         }
         others
     }
@@ -425,14 +430,14 @@
 
 /// A deferral is not remembered, as it invites the next try.
 pub fn remember(
-    copy: &mut Copying,
+    copy: &mut Replicator,
     now: Time,
     typ: usize,
     mark: &[u8],
-    word: Word,
+    word: Disposition,
     payload: &[u8],
 ) {
-    if word == Word::Rejected {
+    if word == Disposition::Rejected {
         copy.known.remove(typ, mark);
     } else {
         let until = now + copy.keep(typ);
@@ -441,6 +446,10 @@
     }
 }
 
-pub fn word(number: u8) -> Word {
-    [Word::Completed, Word::Rejected, Word::Failed][usize::from(number).min(2)]
+pub fn word(number: u8) -> Disposition {
+    [
+        Disposition::Completed,
+        Disposition::Rejected,
+        Disposition::Failed,
+    ][usize::from(number).min(2)]
 }
--- a/crates/tidewall-gateway/src/door.rs
+++ b/crates/tidewall-gateway/src/ingress.rs
@@ -1,11 +1,11 @@
 //! The seam between the gateway and the protocols by which events come. Whatever the protocol, an event comes
-//! as `Incoming` and its one answer leaves by `Door::answered`.
-use crate::Core;
+//! as `IncomingRequest` and its one answer leaves by `Ingress::answered`.
+use crate::IngressContext;
 use tidewall_net::{Conn, Net, Time};
 
 /// Names an event to the door that it came by: the key is that door's own.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ticket {
+pub struct ReplyHandle {
     pub ingress: usize,
     pub key: u64,
 }
@@ -13,46 +13,46 @@
 /// What is left to an event that told `left` and may have lain unread for as long as `waited`; none where too little is certain.
 /// An event that is taken must be answered before its client gives up: the larger the part that is uncertain, the longer
 /// neither an answer nor silence would be right. With a quarter none of 2,000 drawn runs of a site broke a rule; without, some did.
-pub fn left(left: Time, waited: Time) -> Option<Time> {
+pub fn remaining_time(left: Time, waited: Time) -> Option<Time> {
     let certain = left.saturating_sub(waited);
     (certain > 0 && 4 * waited <= left).then_some(certain)
 }
 
 /// The three words of a final answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum Disposition {
     Completed,
     Rejected,
     Failed,
 }
 
 /// Nobody waits for the answer.
-pub const NOBODY: Ticket = Ticket {
+pub const NO_CLIENT: ReplyHandle = ReplyHandle {
     ingress: usize::MAX,
     key: 0,
 };
 
-impl Word {
-    pub fn read(text: &str) -> Result<Word, String> {
+impl Disposition {
+    pub fn from_wire(text: &str) -> Result<Disposition, String> {
         Ok(match text {
-            "handled" => Word::Completed,
-            "deferred" => Word::Rejected,
-            "dead-lettered" => Word::Failed,
+            "handled" => Disposition::Completed,
+            "deferred" => Disposition::Rejected,
+            "dead-lettered" => Disposition::Failed,
             other => return Err(format!("field word: '{other}' is no answer")),
         })
     }
 
-    pub fn text(self) -> &'static str {
+    pub fn wire_text(self) -> &'static str {
         match self {
-            Word::Completed => "handled",
-            Word::Rejected => "deferred",
-            Word::Failed => "dead-lettered",
+            Disposition::Completed => "handled",
+            Disposition::Rejected => "deferred",
+            Disposition::Failed => "dead-lettered",
         }
     }
 }
 
-pub struct Answer<'a> {
-    pub disposition: Word,
+pub struct Response<'a> {
+    pub disposition: Disposition,
     /// With deferred: when to come back; 0 where that is not told.
     pub retry_after: Time,
     pub reason: &'a str,
@@ -62,8 +62,8 @@
 }
 
 /// An event as it comes, its fields still where the protocol's bytes lie.
-pub struct Incoming<'a> {
-    pub reply_handle: Ticket,
+pub struct IncomingRequest<'a> {
+    pub reply_handle: ReplyHandle,
     /// The client's own name for it, for logs and workers.
     pub id: u64,
     pub class: usize,
@@ -80,26 +80,26 @@
     pub payload: &'a [u8],
 }
 
-/// One protocol. It reads its clients' bytes and tells `Core` which events come and which clients leave.
-pub trait Door<N: Net> {
+/// One protocol. It reads its clients' bytes and tells `IngressContext` which events come and which clients leave.
+pub trait Ingress<N: Net> {
     /// It has its listener; a door that needs deadlines asks for its first one here.
-    fn started(&mut self, _core: &mut Core<N>) {}
-    /// A deadline of `Core::wake` is due.
-    fn timer_fired(&mut self, _core: &mut Core<N>) {}
-    fn accepted(&mut self, core: &mut Core<N>, conn: Conn);
+    fn started(&mut self, _core: &mut IngressContext<N>) {}
+    /// A deadline of `IngressContext::wake` is due.
+    fn timer_fired(&mut self, _core: &mut IngressContext<N>) {}
+    fn accepted(&mut self, core: &mut IngressContext<N>, conn: Conn);
     /// Gives back how many bytes it has used.
-    fn received(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize;
-    fn writable(&mut self, core: &mut Core<N>, conn: Conn);
-    fn closed(&mut self, core: &mut Core<N>, conn: Conn);
+    fn received(&mut self, core: &mut IngressContext<N>, conn: Conn, bytes: &[u8]) -> usize;
+    fn writable(&mut self, core: &mut IngressContext<N>, conn: Conn);
+    fn closed(&mut self, core: &mut IngressContext<N>, conn: Conn);
     /// The answer has begun; more follows.
-    fn response_started(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]);
-    /// The one final answer. Each ticket gets it once, and none after `Core::left`.
-    fn respond(&mut self, net: &mut N, ticket: Ticket, answer: &Answer);
+    fn response_started(&mut self, net: &mut N, ticket: ReplyHandle, payload: &[u8]);
+    /// The one final answer. Each ticket gets it once, and none after `IngressContext::left`.
+    fn respond(&mut self, net: &mut N, ticket: ReplyHandle, answer: &Response);
     /// Its clients say when they stop waiting: until they do an answer is owed, late or not. Elsewhere the time that came with
     /// an event says it, and nothing may follow.
     fn accepts_late_response(&self) -> bool {
         false
     }
     /// Instead of an answer: the client's time has passed, and nothing may be sent for it.
-    fn request_expired(&mut self, now: Time, ticket: Ticket);
+    fn request_expired(&mut self, now: Time, ticket: ReplyHandle);
 }
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -2,22 +2,24 @@
 //! deadlines, tells the decisions, and settles what they called for. `carrier` implements the decisions'
 //! `Host`, `native` is the door that speaks the native frames, `list` keeps the last list of workers. It
 //! decides nothing.
-pub mod carrier;
-pub mod door;
-pub mod list;
-pub mod native;
-pub mod native_way;
-pub mod pair;
-pub mod retry;
-pub mod start;
-pub mod way;
-
-use carrier::{Carrier, Counts, Given, Out, Setup, Task};
-use door::{Door, Incoming, Ticket, Word, NOBODY};
-use list::{Entry, Shelf};
-use native_way::{NativeWay, Roster};
-use pair::{Ended, Pair, Peering};
-use retry::Retry;
+pub mod backoff;
+pub mod config;
+pub mod endpoints;
+pub mod failover;
+pub mod ingress;
+pub mod native_ingress;
+pub mod native_protocol;
+pub mod protocol;
+pub mod worker_pool;
+
+use backoff::Backoff;
+use endpoints::{EndpointCache, EndpointRecord};
+use failover::{FailoverConfig, FailoverNode, StopReason};
+use ingress::{Disposition, IncomingRequest, Ingress, ReplyHandle, NO_CLIENT};
+use native_protocol::{NativeDiscovery, NativeWorkerProtocol};
+use protocol::{
+    CallName, DiscoverySource, LocalIdentity, ReceivedUpdates, WorkerEvents, WorkerProtocol,
+};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tidewall::choice::Scheduler;
@@ -28,7 +30,7 @@
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time, TimerId};
 use tidewall_wire::{self as wire, Fields};
 use tracing::{debug, error, info, warn};
-use way::{Feed, Heard, Me, Name, News, Way};
+use worker_pool::{Call, CallKind, Counters, GatewayLimits, LocalResponse, WorkerPool};
 
 /// What a deadline's token stands for; the rest of it is the kind's own.
 pub(crate) const OF_CHOICE: u64 = 1 << 56;
@@ -58,7 +60,7 @@
 
 /// How long a gateway that is told to stop takes what still comes, where its settings or page name no other time: a front
 /// notices late, and the platform's still sends for 0.6 s. What comes later is turned away.
-pub const LINGER: Time = 8_000;
+pub const DRAIN_GRACE: Time = 8_000;
 
 /// Once it takes nothing more it goes on for so long at least: what had been accepted by then is read and answered. Several
 /// wake-ups.
@@ -71,17 +73,17 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Owner {
     Nobody,
-    Door(usize),
-    Link(usize),
-    Roster,
+    Ingress(usize),
+    Worker(usize),
+    Discovery,
     /// The link to the other member of a pair, and a connection that may become it.
     Peer,
-    Guest,
+    Handshake,
 }
 
 /// Events on their way, as the doors see it: they tell what comes and who leaves.
-pub struct Core<N: Net> {
-    choice: Scheduler<Carrier<N>>,
+pub struct IngressContext<N: Net> {
+    choice: Scheduler<WorkerPool<N>>,
     draining: bool,
     /// Told to stop; what comes is still taken for a while.
     leaving: bool,
@@ -89,10 +91,10 @@
     standby: bool,
     most_held: usize,
     /// Asked for again while the other member has them: its place, who asks, until when.
-    there: std::collections::VecDeque<(usize, Ticket, Time)>,
+    there: std::collections::VecDeque<(usize, ReplyHandle, Time)>,
 }
 
-impl<N: Net> Core<N> {
+impl<N: Net> IngressContext<N> {
     pub fn net(&mut self) -> &mut N {
         &mut self.choice.host.net
     }
@@ -109,13 +111,13 @@
         &self.choice.host.tenants
     }
 
-    pub fn counters(&mut self) -> &mut Counts {
+    pub fn counters(&mut self) -> &mut Counters {
         &mut self.choice.host.counts
     }
 
     /// Takes an event, which gets its one answer from now on, or turns it away with a word why. The place that
     /// it gives back names the event to `left`.
-    pub fn admit(&mut self, event: &Incoming) -> Result<usize, &'static str> {
+    pub fn admit(&mut self, event: &IncomingRequest) -> Result<usize, &'static str> {
         if let Some(place) = self.again(event) {
             return Ok(place);
         }
@@ -132,7 +134,7 @@
         Ok(self.begin(event))
     }
 
-    fn begin(&mut self, event: &Incoming) -> usize {
+    fn begin(&mut self, event: &IncomingRequest) -> usize {
         let host = &mut self.choice.host;
         let now = host.net.now();
         let margin = host.copy.as_ref().map_or(0, |c| {
@@ -170,7 +172,7 @@
         place
     }
 
-    /// `Door::due` follows for the door at this place.
+    /// `Ingress::due` follows for the door at this place.
     pub fn set_ingress_timer(&mut self, door: usize, wait: Time) {
         let at = self.net().now() + wait;
         self.net().set_timer(at, OF_DOOR | door as u64);
@@ -196,7 +198,7 @@
     }
 
     /// The client does not wait for this event any more.
-    pub fn client_abandoned(&mut self, place: usize, ticket: Ticket) {
+    pub fn client_abandoned(&mut self, place: usize, ticket: ReplyHandle) {
         let now = self.net().now();
         let host = &mut self.choice.host;
         if host.one_less(place, ticket) {
@@ -212,54 +214,54 @@
     }
 
     /// The client's connection broke. One of a pair goes on with what can be asked for again.
-    pub fn client_disconnected(&mut self, place: usize, ticket: Ticket) {
+    pub fn client_disconnected(&mut self, place: usize, ticket: ReplyHandle) {
         let host = &mut self.choice.host;
         let held = host
             .events
             .get_mut(place)
             .filter(|h| h.open && h.ticket == ticket);
         match held.filter(|h| host.copy.is_some() && !h.mark().is_empty()) {
-            Some(held) => held.ticket = NOBODY,
+            Some(held) => held.ticket = NO_CLIENT,
             None => self.client_abandoned(place, ticket),
         }
     }
 }
 
 pub struct Gateway<N: Net> {
-    core: Core<N>,
-    doors: Vec<Box<dyn Door<N>>>,
+    core: IngressContext<N>,
+    doors: Vec<Box<dyn Ingress<N>>>,
     owners: Vec<(u32, Owner)>,
     listeners: Vec<Option<Listener>>,
     /// Those that are over: what they had accepted by then is still told.
     former: Vec<(Listener, usize)>,
     addresses: Vec<SocketAddr>,
     me: u64,
-    roster: Source,
+    roster: DiscoveryClient,
     /// Between the signal to stop and the end of taking: what a front still sends is taken.
     linger: Time,
     /// Before this it does not end.
     rests: Time,
     /// When something malformed was last named.
     complained: Option<Time>,
-    shelf: Box<dyn Shelf>,
+    shelf: Box<dyn EndpointCache>,
     unsaved: bool,
     port: Option<DatagramSocket>,
     name: String,
-    pair: Option<Box<Pair>>,
-    ended: Ended,
+    pair: Option<Box<FailoverNode>>,
+    ended: StopReason,
     /// Since when nothing is held, once that is asked for.
     empty: Option<Time>,
-    watch: Option<Watch>,
+    watch: Option<EndpointWatcher>,
     /// The list changed and whoever watches it could not hear it.
     unheard: bool,
 }
 
 /// Hears of each change of the list of workers; false where it cannot now, and is told again later.
-pub type Watch = Box<dyn FnMut(&[Entry]) -> bool + Send>;
+pub type EndpointWatcher = Box<dyn FnMut(&[EndpointRecord]) -> bool + Send>;
 
 /// Where the list comes from, and the connection to it.
-struct Source {
-    feed: Box<dyn Feed>,
+struct DiscoveryClient {
+    feed: Box<dyn DiscoverySource>,
     conn: Option<Conn>,
     within: Time,
     attempts: u64,
@@ -268,7 +270,7 @@
 }
 
 /// What a gateway is told at start, besides its settings.
-pub struct Start {
+pub struct GatewayConfig {
     pub name: String,
     pub index: usize,
     pub seed: u64,
@@ -277,26 +279,36 @@
     pub discovery_retry: Time,
     pub peers: Vec<Option<SocketAddr>>,
     pub peer_listen: Option<SocketAddr>,
-    pub limits: Setup,
-    pub failover: Option<Peering>,
+    pub limits: GatewayLimits,
+    pub failover: Option<FailoverConfig>,
 }
 
 impl<N: Net> Gateway<N> {
-    pub fn new(net: N, start: Start, shelf: Box<dyn Shelf>) -> Result<Gateway<N>, String> {
-        let feed = Roster::new(
+    pub fn new(
+        net: N,
+        start: GatewayConfig,
+        shelf: Box<dyn EndpointCache>,
+    ) -> Result<Gateway<N>, String> {
+        let feed = NativeDiscovery::new(
             start.discovery,
-            Retry::new(start.seed, start.discovery_retry),
+            Backoff::new(start.seed, start.discovery_retry),
         );
-        Gateway::with_protocols(net, start, shelf, Rc::new(NativeWay), Box::new(feed))
+        Gateway::with_protocols(
+            net,
+            start,
+            shelf,
+            Rc::new(NativeWorkerProtocol),
+            Box::new(feed),
+        )
     }
 
     /// With workers and a list that speak other protocols than the native one.
     pub fn with_protocols(
         mut net: N,
-        start: Start,
-        shelf: Box<dyn Shelf>,
-        way: Rc<dyn Way>,
-        feed: Box<dyn Feed>,
+        start: GatewayConfig,
+        shelf: Box<dyn EndpointCache>,
+        way: Rc<dyn WorkerProtocol>,
+        feed: Box<dyn DiscoverySource>,
     ) -> Result<Gateway<N>, String> {
         let now = net.now();
         // Where we listen may be another address than the one that others know us by.
@@ -314,11 +326,11 @@
         let most_held = start.limits.max_requests;
         net.set_timer(now + LINKS, OF_LINKS);
         net.set_timer(now + COUNTS, OF_COUNTS);
-        let mut carrier = Carrier::new(net, &start.settings, start.limits);
+        let mut carrier = WorkerPool::new(net, &start.settings, start.limits);
         (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.index);
         carrier.way = way;
         let choice = Scheduler::new(carrier, now, start.seed, start.settings)?;
-        let roster = Source {
+        let roster = DiscoveryClient {
             feed,
             conn: None,
             within: start.discovery_retry,
@@ -326,7 +338,7 @@
             silence: None,
         };
         let mut gateway = Gateway {
-            core: Core {
+            core: IngressContext {
                 choice,
                 draining: false,
                 leaving: false,
@@ -349,7 +361,7 @@
             port,
             name: start.name,
             pair: None,
-            ended: Ended::Drained,
+            ended: StopReason::Drained,
             empty: None,
             watch: None,
             unheard: false,
@@ -366,7 +378,7 @@
     pub fn add_ingress(
         &mut self,
         at: SocketAddr,
-        door: Box<dyn Door<N>>,
+        door: Box<dyn Ingress<N>>,
     ) -> Result<SocketAddr, String> {
         self.core
             .choice
@@ -404,11 +416,11 @@
     }
 
     /// Why the net was stopped.
-    pub fn stop_reason(&self) -> Ended {
+    pub fn stop_reason(&self) -> StopReason {
         self.ended
     }
 
-    pub fn counters(&self) -> &Counts {
+    pub fn counters(&self) -> &Counters {
         &self.core.choice.host.counts
     }
 
@@ -467,7 +479,7 @@
         let since = *self.empty.get_or_insert(now);
         let until = self.core.choice.host.last_until.min(since + LAST);
         let waits = |(place, (count, owner)): (usize, &(u32, Owner))| {
-            matches!(owner, Owner::Door(_))
+            matches!(owner, Owner::Ingress(_))
                 && self.core.net_ref().unacknowledged(Conn::new(place, *count)) > 0
         };
         now < until && self.owners.iter().enumerate().any(waits)
@@ -494,7 +506,7 @@
         loop {
             let host = &mut self.core.choice.host;
             if let Some((conn, link)) = host.opened.pop() {
-                self.own(conn, Owner::Link(link));
+                self.own(conn, Owner::Worker(link));
             } else if let Some((key, count, outcome)) = host.known.pop_front() {
                 // Its place may belong to another by now.
                 if host.outs.get(key).is_some_and(|o| o.count == count) {
@@ -551,7 +563,7 @@
         let Some(out) = host.outs.get_mut(key).filter(|o| !o.over) else {
             return;
         };
-        let Out {
+        let Call {
             task,
             wk,
             at,
@@ -564,7 +576,7 @@
         host.finish(key);
         self.core.choice.advance_clock(now);
         match task {
-            Task::Launch { evt, launch } => {
+            CallKind::Launch { evt, launch } => {
                 let over = !self.core.choice.host.events[evt].open;
                 let host = &self.core.choice.host;
                 let worker = host.workers.resolve(wk);
@@ -581,14 +593,14 @@
                     .choice
                     .attempt_ended(evt, launch, (outcome, took), over, count);
             }
-            Task::Hold { img } => {
+            CallKind::Hold { img } => {
                 let host = &self.core.choice.host;
                 let (function, worker) = (host.functions.resolve(img), host.workers.resolve(wk));
                 debug!(function, worker, ?outcome, count, took, "held");
                 self.core.choice.load_request_ended(img, wk, outcome, count);
             }
-            Task::Probe => self.core.choice.health_check_ended(wk, outcome),
-            Task::Vote {
+            CallKind::Probe => self.core.choice.health_check_ended(wk, outcome),
+            CallKind::Vote {
                 voter,
                 ballot,
                 accepting,
@@ -597,7 +609,7 @@
     }
 
     /// An answer that is not the decisions' own: handled, or the break of an answer that had begun.
-    fn answer(&mut self, evt: usize, word: Word, payload: &[u8]) {
+    fn answer(&mut self, evt: usize, word: Disposition, payload: &[u8]) {
         let host = &mut self.core.choice.host;
         let Some((ticket, took)) = host.close(evt, None) else {
             return;
@@ -609,12 +621,16 @@
             return self.doors[ticket.ingress].request_expired(now, ticket);
         }
         match word {
-            Word::Completed => host.counts.handled += 1,
+            Disposition::Completed => host.counts.handled += 1,
             _ => host.counts.dead_lettered += 1,
         }
-        debug!(event = host.events[evt].id, word = word.text(), "answered");
+        debug!(
+            event = host.events[evt].id,
+            word = word.wire_text(),
+            "answered"
+        );
         self.conclude(
-            &Given {
+            &LocalResponse {
                 evt,
                 ticket,
                 word,
@@ -626,10 +642,10 @@
     }
 
     /// An answer that had begun comes to no end: its launch was the event's last one, and nobody else may answer.
-    fn broke_off(&mut self, task: Task) {
-        if let Task::Launch { evt, launch } = task {
+    fn broke_off(&mut self, task: CallKind) {
+        if let CallKind::Launch { evt, launch } = task {
             if self.core.choice.host.events[evt].begun == Some(launch) {
-                self.answer(evt, Word::Failed, &[]);
+                self.answer(evt, Disposition::Failed, &[]);
             }
         }
     }
@@ -676,7 +692,7 @@
 
     /// One message of the list's source. What it asks next leaves with it.
     fn list_told(&mut self, conn: Conn, bytes: &[u8]) -> Result<Option<usize>, String> {
-        let mut news = News::default();
+        let mut news = ReceivedUpdates::default();
         let read = self.roster.feed.read_message(bytes, &mut news)?;
         news.updates
             .iter()
@@ -721,7 +737,7 @@
     }
 
     /// Takes a list over, or changes of one.
-    pub fn update_endpoints(&mut self, entries: &[Entry], whole: bool) {
+    pub fn update_endpoints(&mut self, entries: &[EndpointRecord], whole: bool) {
         let host = &mut self.core.choice.host;
         let now = host.net.now();
         let entries: Vec<(usize, Endpoint)> = entries.iter().map(|e| host.listed(e)).collect();
@@ -738,7 +754,7 @@
     }
 
     /// The list is told from now on.
-    pub fn watch_endpoints(&mut self, watch: Watch) {
+    pub fn watch_endpoints(&mut self, watch: EndpointWatcher) {
         self.watch = Some(watch);
         self.tell_list();
     }
@@ -768,7 +784,7 @@
         let (at, within) = (self.roster.feed.address(), self.roster.within);
         self.roster.attempts += 1;
         let conn = self.core.net().connect(at, within);
-        self.own(conn, Owner::Roster);
+        self.own(conn, Owner::Discovery);
         self.roster.conn = Some(conn);
     }
 
@@ -795,7 +811,7 @@
     fn save_list(&mut self) {
         if std::mem::take(&mut self.unsaved) {
             let entries = self.core.choice.host.entries();
-            if let Err(e) = self.shelf.write(&list::encode(&entries)) {
+            if let Err(e) = self.shelf.write(&endpoints::encode(&entries)) {
                 warn!(error = %e, "the last list was not kept");
                 // A disk that was full may have room by then.
                 self.unsaved = true;
@@ -808,7 +824,7 @@
     fn last_list(&mut self) {
         let entries = match self.shelf.read() {
             Ok(None) => Vec::new(),
-            Ok(Some((bytes, age))) => list::decode(&bytes, age).unwrap_or_else(|e| {
+            Ok(Some((bytes, age))) => endpoints::decode(&bytes, age).unwrap_or_else(|e| {
                 warn!(error = e, "the last list is not used");
                 Vec::new()
             }),
@@ -818,7 +834,10 @@
             }
         };
         let host = &mut self.core.choice.host;
-        let listed: Vec<_> = entries.iter().map(|e: &Entry| host.listed(e)).collect();
+        let listed: Vec<_> = entries
+            .iter()
+            .map(|e: &EndpointRecord| host.listed(e))
+            .collect();
         info!(workers = listed.len(), "last list");
         self.core.choice.update_endpoints(&listed, true);
     }
@@ -829,8 +848,8 @@
         while self.owner(conn) == owner {
             let rest = &bytes[used..];
             let told = match owner {
-                Owner::Link(link) => self.heard(link, rest),
-                Owner::Roster => self.list_told(conn, rest),
+                Owner::Worker(link) => self.heard(link, rest),
+                Owner::Discovery => self.list_told(conn, rest),
                 _ => wire::frame(rest).and_then(|frame| {
                     let Some((body, len)) = frame else {
                         return Ok(None);
@@ -850,15 +869,17 @@
                     self.complain(
                         &reason,
                         match owner {
-                            Owner::Link(_) => "worker",
-                            Owner::Roster => "list",
+                            Owner::Worker(_) => "worker",
+                            Owner::Discovery => "list",
                             _ => "gateway",
                         },
                     );
                     let mut out = Vec::new();
                     match owner {
-                        Owner::Link(_) => self.core.choice.host.way.write_error(&mut out, &reason),
-                        Owner::Roster => self.roster.feed.write_error(&mut out, &reason),
+                        Owner::Worker(_) => {
+                            self.core.choice.host.way.write_error(&mut out, &reason)
+                        }
+                        Owner::Discovery => self.roster.feed.write_error(&mut out, &reason),
                         _ => wire::error(&mut out, &reason),
                     }
                     let host = &mut self.core.choice.host;
@@ -867,9 +888,9 @@
                     host.net.close(conn);
                     self.own(conn, Owner::Nobody);
                     match owner {
-                        Owner::Link(link) => self.link_over(link, CloseReason::Reset),
+                        Owner::Worker(link) => self.link_over(link, CloseReason::Reset),
                         Owner::Peer => self.peer_over(),
-                        Owner::Guest => {}
+                        Owner::Handshake => {}
                         _ => self.roster_over(CloseReason::Reset),
                     }
                     return bytes.len();
@@ -910,7 +931,7 @@
 }
 
 impl<N: Net> Ears<'_, N> {
-    fn host(&mut self) -> &mut Carrier<N> {
+    fn host(&mut self) -> &mut WorkerPool<N> {
         &mut self.gw.core.choice.host
     }
 
@@ -919,7 +940,7 @@
     }
 }
 
-impl<N: Net> Heard for Ears<'_, N> {
+impl<N: Net> WorkerEvents for Ears<'_, N> {
     fn has_greeted(&self) -> bool {
         self.gw.core.choice.host.links[self.link].greeted
     }
@@ -952,14 +973,14 @@
         Ok(())
     }
 
-    fn response_started(&mut self, name: Name, payload: &[u8]) -> Result<(), String> {
+    fn response_started(&mut self, name: CallName, payload: &[u8]) -> Result<(), String> {
         let link = self.link;
         let host = self.host();
         let now = host.net.now();
         let Some(key) = host.key(name, link)? else {
             return Ok(());
         };
-        let Task::Launch { evt, launch } = host.outs[key].task else {
+        let CallKind::Launch { evt, launch } = host.outs[key].task else {
             return Ok(());
         };
         if host.outs[key].over || !host.events[evt].open || host.events[evt].begun.is_some() {
@@ -978,7 +999,7 @@
 
     fn attempt_ended(
         &mut self,
-        name: Name,
+        name: CallName,
         outcome: Outcome,
         note: u32,
         payload: &[u8],
@@ -988,10 +1009,10 @@
         let Some(key) = host.key(name, link)? else {
             return Ok(());
         };
-        if let Task::Launch { evt, .. } = host.outs[key].task {
+        if let CallKind::Launch { evt, .. } = host.outs[key].task {
             if !host.outs[key].over && outcome == Outcome::Ok {
                 // The first good answer is the client's at once.
-                self.gw.answer(evt, Word::Completed, payload);
+                self.gw.answer(evt, Disposition::Completed, payload);
             }
             self.gw.done(key, outcome, note);
             self.host().free(key);
@@ -1001,7 +1022,7 @@
 
     fn load_request_ended(
         &mut self,
-        name: Name,
+        name: CallName,
         outcome: Outcome,
         copies: u32,
     ) -> Result<(), String> {
@@ -1010,20 +1031,20 @@
         let Some(key) = host.key(name, link)? else {
             return Ok(());
         };
-        if matches!(host.outs[key].task, Task::Hold { .. }) {
+        if matches!(host.outs[key].task, CallKind::Hold { .. }) {
             self.gw.done(key, outcome, copies);
             self.host().free(key);
         }
         Ok(())
     }
 
-    fn health_check_ended(&mut self, name: Name, well: bool) -> Result<(), String> {
+    fn health_check_ended(&mut self, name: CallName, well: bool) -> Result<(), String> {
         let link = self.link;
         let host = self.host();
         let Some(key) = host.key(name, link)? else {
             return Ok(());
         };
-        if matches!(host.outs[key].task, Task::Probe) {
+        if matches!(host.outs[key].task, CallKind::Probe) {
             self.gw
                 .done(key, if well { Outcome::Ok } else { Outcome::Error }, 0);
             self.host().free(key);
@@ -1076,24 +1097,24 @@
         let door = self.listeners.iter().position(|l| *l == Some(listener));
         let former = || self.former.iter().find(|f| f.0 == listener).map(|f| f.1);
         if let Some(door) = door.or_else(former) {
-            self.own(conn, Owner::Door(door));
+            self.own(conn, Owner::Ingress(door));
             self.doors[door].accepted(&mut self.core, conn);
         } else if self
             .pair
             .as_ref()
             .is_some_and(|p| p.listener() == Some(listener))
         {
-            self.own(conn, Owner::Guest);
+            self.own(conn, Owner::Handshake);
         }
     }
 
     fn connected(&mut self, conn: Conn) {
-        if self.owner(conn) == Owner::Guest {
+        if self.owner(conn) == Owner::Handshake {
             return self.link_made(conn);
         }
         let mut out = Vec::new();
         let member = self.pair.as_ref().map_or(0, |p| p.member() as u64 + 1);
-        let me = Me {
+        let me = LocalIdentity {
             name: &self.name,
             index: self.me,
             failover_member: member,
@@ -1108,7 +1129,7 @@
                 .write_subscription(&mut out, &me, host.follows);
             host.net.write(conn, &out);
             self.listen_for();
-        } else if let Owner::Link(link) = self.owner(conn) {
+        } else if let Owner::Worker(link) = self.owner(conn) {
             let host = &mut self.core.choice.host;
             host.way.write_greeting(&mut out, &me);
             if !out.is_empty() {
@@ -1125,13 +1146,13 @@
     fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let used = match self.owner(conn) {
             Owner::Nobody => bytes.len(),
-            Owner::Door(door) => self.doors[door].received(&mut self.core, conn, bytes),
+            Owner::Ingress(door) => self.doors[door].received(&mut self.core, conn, bytes),
             owner => {
-                if let Owner::Link(link) = owner {
+                if let Owner::Worker(link) = owner {
                     self.core.choice.host.heard(link);
                 }
                 let used = self.frames(conn, bytes, owner);
-                if let Owner::Link(link) = self.owner(conn) {
+                if let Owner::Worker(link) = self.owner(conn) {
                     self.core.choice.host.left_over(link, used < bytes.len());
                 }
                 if owner == Owner::Peer {
@@ -1146,8 +1167,8 @@
 
     fn writable(&mut self, conn: Conn) {
         match self.owner(conn) {
-            Owner::Door(door) => self.doors[door].writable(&mut self.core, conn),
-            Owner::Link(link) => {
+            Owner::Ingress(door) => self.doors[door].writable(&mut self.core, conn),
+            Owner::Worker(link) => {
                 self.core.choice.host.drained(link);
                 self.wakeup_ended();
             }
@@ -1164,11 +1185,11 @@
     fn closed(&mut self, conn: Conn, why: CloseReason) {
         match self.owner(conn) {
             Owner::Nobody => {}
-            Owner::Door(door) => self.doors[door].closed(&mut self.core, conn),
-            Owner::Link(link) => self.link_over(link, why),
-            Owner::Roster => self.roster_over(why),
+            Owner::Ingress(door) => self.doors[door].closed(&mut self.core, conn),
+            Owner::Worker(link) => self.link_over(link, why),
+            Owner::Discovery => self.roster_over(why),
             Owner::Peer => self.peer_over(),
-            Owner::Guest => self.guest_over(conn),
+            Owner::Handshake => self.guest_over(conn),
         }
         self.own(conn, Owner::Nobody);
         self.settle();
@@ -1211,7 +1232,7 @@
             }
             OF_OUT => {
                 if let Some(key) = self.core.choice.host.late((token & !OF_WHAT) as usize) {
-                    let Out { sent, task, .. } = self.core.choice.host.outs[key];
+                    let Call { sent, task, .. } = self.core.choice.host.outs[key];
                     self.broke_off(task);
                     self.core.choice.host.give_up(key);
                     // What still waited for a connection is proven not run.
--- a/crates/tidewall-gateway/src/native.rs
+++ b/crates/tidewall-gateway/src/native_ingress.rs
@@ -1,6 +1,6 @@
 //! The door that speaks the native frames of `docs/wire.md`.
-use crate::door::{left, Answer, Door, Incoming, Ticket};
-use crate::Core;
+use crate::ingress::{remaining_time, IncomingRequest, Ingress, ReplyHandle, Response};
+use crate::IngressContext;
 use rustc_hash::FxHashMap;
 use slab::Slab;
 use tidewall_net::{Conn, Net, Time};
@@ -31,7 +31,7 @@
     first: Option<u32>,
 }
 
-pub struct Native {
+pub struct NativeIngress {
     /// Which door of the gateway this is.
     me: usize,
     name: String,
@@ -43,9 +43,9 @@
     out: Vec<u8>,
 }
 
-impl Native {
-    pub fn new(me: usize, name: &str) -> Native {
-        Native {
+impl NativeIngress {
+    pub fn new(me: usize, name: &str) -> NativeIngress {
+        NativeIngress {
             me,
             name: name.to_string(),
             clients: Vec::new(),
@@ -84,15 +84,15 @@
         key
     }
 
-    fn ticket(&self, key: u32, count: u32) -> Ticket {
-        Ticket {
+    fn ticket(&self, key: u32, count: u32) -> ReplyHandle {
+        ReplyHandle {
             ingress: self.me,
             key: u64::from(key) | u64::from(count) << 32,
         }
     }
 
     /// The key of a ticket whose event has not left meanwhile.
-    fn key(&self, ticket: Ticket) -> Option<u32> {
+    fn key(&self, ticket: ReplyHandle) -> Option<u32> {
         let (key, count) = (ticket.key as u32, (ticket.key >> 32) as u32);
         self.known
             .get(key as usize)
@@ -116,7 +116,7 @@
 
     fn frame<N: Net>(
         &mut self,
-        core: &mut Core<N>,
+        core: &mut IngressContext<N>,
         conn: Conn,
         fields: &Fields,
     ) -> Result<(), String> {
@@ -156,7 +156,7 @@
 
     fn event<N: Net>(
         &mut self,
-        core: &mut Core<N>,
+        core: &mut IngressContext<N>,
         conn: Conn,
         fields: &Fields,
     ) -> Result<(), String> {
@@ -167,8 +167,8 @@
         let typ = fields.text(Field::Type)?;
         let typ = core.class_names().iter().position(|t| t == typ);
         let tenant = fields.word(Field::Tenant)?;
-        let event = Incoming {
-            reply_handle: Ticket::default(),
+        let event = IncomingRequest {
+            reply_handle: ReplyHandle::default(),
             id,
             class: typ.ok_or_else(|| {
                 format!(
@@ -183,7 +183,7 @@
             cost_hint: fields.upto(Field::Hint, LEFT_MOST, 0)?,
             load_hint: fields.upto(Field::LoadHint, LEFT_MOST, 0)?,
             // Shorter by what it may have waited for us to read it.
-            remaining: left(
+            remaining: remaining_time(
                 fields.upto(Field::Left, LEFT_MOST, 0)?,
                 core.net().read_delay(),
             )
@@ -202,7 +202,7 @@
         }
         let key = self.add(conn, id);
         let ticket = self.ticket(key, self.known[key as usize].count);
-        match core.admit(&Incoming {
+        match core.admit(&IncomingRequest {
             reply_handle: ticket,
             ..event
         }) {
@@ -215,7 +215,13 @@
         Ok(())
     }
 
-    fn turn_away<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, id: u64, reason: &str) {
+    fn turn_away<N: Net>(
+        &mut self,
+        core: &mut IngressContext<N>,
+        conn: Conn,
+        id: u64,
+        reason: &str,
+    ) {
         self.out.clear();
         let frame = Frame::new(&mut self.out, kind::ANSWER).whole(Field::Id, id);
         frame
@@ -226,7 +232,7 @@
     }
 
     /// All events of a connection that is gone are lapsed.
-    fn gone<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn gone<N: Net>(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         while let Some(key) = self.client(conn).first {
             let known = self.remove(key);
             core.client_disconnected(known.place, self.ticket(key, known.count));
@@ -235,15 +241,15 @@
     }
 }
 
-impl<N: Net> Door<N> for Native {
-    fn accepted(&mut self, _core: &mut Core<N>, conn: Conn) {
+impl<N: Net> Ingress<N> for NativeIngress {
+    fn accepted(&mut self, _core: &mut IngressContext<N>, conn: Conn) {
         *self.client(conn) = Client {
             count: conn.generation(),
             ..Client::default()
         };
     }
 
-    fn received(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, core: &mut IngressContext<N>, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         loop {
             let told = match wire::frame(&bytes[used..]) {
@@ -267,15 +273,15 @@
         }
     }
 
-    fn writable(&mut self, _core: &mut Core<N>, _conn: Conn) {}
+    fn writable(&mut self, _core: &mut IngressContext<N>, _conn: Conn) {}
 
-    fn closed(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn closed(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         if self.client(conn).count == conn.generation() {
             self.gone(core, conn);
         }
     }
 
-    fn response_started(&mut self, net: &mut N, ticket: Ticket, payload: &[u8]) {
+    fn response_started(&mut self, net: &mut N, ticket: ReplyHandle, payload: &[u8]) {
         let Some(known) = self.key(ticket).map(|k| &self.known[k as usize]) else {
             return;
         };
@@ -285,20 +291,20 @@
         net.write(known.conn, &self.out);
     }
 
-    fn request_expired(&mut self, _now: Time, ticket: Ticket) {
+    fn request_expired(&mut self, _now: Time, ticket: ReplyHandle) {
         if let Some(key) = self.key(ticket) {
             self.remove(key);
         }
     }
 
-    fn respond(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
+    fn respond(&mut self, net: &mut N, ticket: ReplyHandle, answer: &Response) {
         // It left in the same wake-up.
         let Some(key) = self.key(ticket) else { return };
         let known = self.remove(key);
         self.out.clear();
         let frame = Frame::new(&mut self.out, kind::ANSWER).whole(Field::Id, known.id);
         let frame = frame
-            .text(Field::Word, answer.disposition.text())
+            .text(Field::Word, answer.disposition.wire_text())
             .text(Field::Reason, answer.reason);
         let frame = frame
             .whole(Field::Took, answer.elapsed)
--- a/crates/tidewall-gateway/src/native_way.rs
+++ b/crates/tidewall-gateway/src/native_protocol.rs
@@ -1,14 +1,17 @@
 //! Workers and the roster as they speak the native frames of `docs/wire.md`.
-use crate::list::{self, Entry};
-use crate::retry::Retry;
-use crate::way::{Feed, Heard, Launched, Me, Name, Order, Told, Way};
+use crate::backoff::Backoff;
+use crate::endpoints::{self, EndpointRecord};
+use crate::protocol::{
+    AttemptMessage, CallName, DiscoveryEvents, DiscoverySource, LoadRequestMessage, LocalIdentity,
+    WorkerEvents, WorkerProtocol,
+};
 use std::net::SocketAddr;
 use tidewall::interface::{Outcome, Time};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 
-pub struct NativeWay;
+pub struct NativeWorkerProtocol;
 
-fn hello(out: &mut Vec<u8>, me: &Me) {
+fn hello(out: &mut Vec<u8>, me: &LocalIdentity) {
     let f = Frame::new(out, kind::HELLO).whole(Field::Version, wire::VERSION);
     let f = f
         .text(Field::Role, "gateway")
@@ -22,7 +25,7 @@
     .end();
 }
 
-impl Way for NativeWay {
+impl WorkerProtocol for NativeWorkerProtocol {
     fn requires_greeting(&self) -> bool {
         true
     }
@@ -35,11 +38,11 @@
         false
     }
 
-    fn write_greeting(&self, out: &mut Vec<u8>, me: &Me) {
+    fn write_greeting(&self, out: &mut Vec<u8>, me: &LocalIdentity) {
         hello(out, me);
     }
 
-    fn write_attempt(&self, out: &mut Vec<u8>, own: u64, l: &Launched) {
+    fn write_attempt(&self, out: &mut Vec<u8>, own: u64, l: &AttemptMessage) {
         let f = Frame::new(out, kind::LAUNCH).whole(Field::Id, own);
         let f = f
             .whole(Field::Event, l.request_id)
@@ -72,7 +75,7 @@
         Frame::new(out, kind::PROBE).whole(Field::Id, own).end();
     }
 
-    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, o: &Order) {
+    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, o: &LoadRequestMessage) {
         let f = Frame::new(out, kind::HOLD)
             .whole(Field::Id, own)
             .text(Field::Function, o.function);
@@ -96,7 +99,11 @@
             .end();
     }
 
-    fn read_message(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String> {
+    fn read_message(
+        &self,
+        bytes: &[u8],
+        heard: &mut dyn WorkerEvents,
+    ) -> Result<Option<usize>, String> {
         let Some((body, len)) = wire::frame(bytes)? else {
             return Ok(None);
         };
@@ -129,7 +136,7 @@
     }
 }
 
-fn message(fields: &Fields, heard: &mut dyn Heard) -> Result<(), String> {
+fn message(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), String> {
     if !heard.has_greeted() {
         let role = wire::greeted(fields)?;
         let name = fields.text(Field::Name)?;
@@ -140,7 +147,7 @@
             fields.upto(Field::Age, u64::MAX >> 8, 0)?,
         );
     }
-    let own = || fields.whole(Field::Id).map(Name::CallId);
+    let own = || fields.whole(Field::Id).map(CallName::CallId);
     match fields.kind()? {
         kind::BEGUN => heard.response_started(own()?, fields.bytes(Field::Payload)?),
         kind::END => {
@@ -176,7 +183,7 @@
     }
 }
 
-fn report(fields: &Fields, heard: &mut dyn Heard) -> Result<(), String> {
+fn report(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), String> {
     if fields.has(Field::InFlight) || fields.has(Field::Busy) {
         heard.load_reported(
             fields.real(Field::InFlight, 0.0)?,
@@ -187,7 +194,7 @@
 }
 
 /// Refused as another member serves: that is looked into.
-fn refused(fields: &Fields, heard: &mut dyn Heard) -> Result<(), String> {
+fn refused(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), String> {
     if fields.text(Field::Outcome)? == "fenced" {
         heard.epoch_rejected();
     }
@@ -207,15 +214,15 @@
 }
 
 /// The roster of `docs/wire.md`.
-pub struct Roster {
+pub struct NativeDiscovery {
     at: SocketAddr,
     greeted: bool,
-    retry: Retry,
+    retry: Backoff,
 }
 
-impl Roster {
-    pub fn new(at: SocketAddr, retry: Retry) -> Roster {
-        Roster {
+impl NativeDiscovery {
+    pub fn new(at: SocketAddr, retry: Backoff) -> NativeDiscovery {
+        NativeDiscovery {
             at,
             greeted: false,
             retry,
@@ -223,12 +230,12 @@
     }
 }
 
-impl Feed for Roster {
+impl DiscoverySource for NativeDiscovery {
     fn address(&self) -> SocketAddr {
         self.at
     }
 
-    fn write_subscription(&mut self, out: &mut Vec<u8>, me: &Me, follows: bool) {
+    fn write_subscription(&mut self, out: &mut Vec<u8>, me: &LocalIdentity, follows: bool) {
         self.greeted = false;
         hello(out, me);
         if follows {
@@ -236,7 +243,11 @@
         }
     }
 
-    fn read_message(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
+    fn read_message(
+        &mut self,
+        bytes: &[u8],
+        told: &mut dyn DiscoveryEvents,
+    ) -> Result<Option<usize>, String> {
         let Some((body, len)) = wire::frame(bytes)? else {
             return Ok(None);
         };
@@ -256,9 +267,9 @@
                     other => return Err(format!("field scope: '{other}' is no scope")),
                 };
                 // All of it is read before any of it is taken over.
-                let mut entries: Vec<Entry> = Vec::new();
+                let mut entries: Vec<EndpointRecord> = Vec::new();
                 fields.entries(|e| {
-                    entries.push(list::entry(e)?);
+                    entries.push(endpoints::entry(e)?);
                     Ok(())
                 })?;
                 told.endpoints_received(&entries, whole);
--- a/crates/tidewall-gateway/src/way.rs
+++ b/crates/tidewall-gateway/src/protocol.rs
@@ -1,20 +1,20 @@
-//! The seam between the gateway and the protocols of workers and of the list. A `Way` writes and reads what goes to and comes
-//! from a worker, a `Feed` reads the list; neither knows sockets, time or outcomes, which are the carrier's.
-use crate::list::Entry;
+//! The seam between the gateway and the protocols of workers and of the list. A `WorkerProtocol` writes and reads what goes to and comes
+//! from a worker, a `DiscoverySource` reads the list; neither knows sockets, time or outcomes, which are the carrier's.
+use crate::endpoints::EndpointRecord;
 use std::net::SocketAddr;
 use tidewall::interface::{Outcome, Time};
 use tidewall_wire::Fields;
 
 /// By what name a worker's answer comes back: the gateway's own number, or the event's id.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Name {
+pub enum CallName {
     CallId(u64),
     RequestId(u64),
 }
 
 /// Who we are, for protocols in which that is said.
 #[derive(Clone, Copy)]
-pub struct Me<'a> {
+pub struct LocalIdentity<'a> {
     pub name: &'a str,
     pub index: u64,
     /// Of a pair: one more than the member's place; else 0.
@@ -22,7 +22,7 @@
 }
 
 /// A launch as it goes out.
-pub struct Launched<'a> {
+pub struct AttemptMessage<'a> {
     pub request_id: u64,
     pub attempt: u64,
     pub class: &'a str,
@@ -41,7 +41,7 @@
 }
 
 /// An order to load, or an ask where no copies are wanted.
-pub struct Order<'a> {
+pub struct LoadRequestMessage<'a> {
     pub function: &'a str,
     pub instances: u32,
     pub lanes: u32,
@@ -51,28 +51,28 @@
 }
 
 /// What a worker said; each is told as its bytes are read.
-pub trait Heard {
+pub trait WorkerEvents {
     /// Its name, where workers greet; false where it is not the one that was asked for.
     fn greeted(&mut self, role: &str, name: &str, life: u64, age: Time) -> Result<(), String>;
     /// Whether it has greeted.
     fn has_greeted(&self) -> bool;
-    fn response_started(&mut self, name: Name, payload: &[u8]) -> Result<(), String>;
+    fn response_started(&mut self, name: CallName, payload: &[u8]) -> Result<(), String>;
     /// The end of a launch. `note` holds what is known of the copy, and eight times the company.
     fn attempt_ended(
         &mut self,
-        name: Name,
+        name: CallName,
         outcome: Outcome,
         note: u32,
         payload: &[u8],
     ) -> Result<(), String>;
     fn load_request_ended(
         &mut self,
-        name: Name,
+        name: CallName,
         outcome: Outcome,
         copies: u32,
     ) -> Result<(), String>;
     /// Whether it said that it is well.
-    fn health_check_ended(&mut self, name: Name, well: bool) -> Result<(), String>;
+    fn health_check_ended(&mut self, name: CallName, well: bool) -> Result<(), String>;
     /// A load report: events in flight and the part of its cores that is busy.
     fn load_reported(&mut self, in_flight: f64, busy: f64);
     fn vote_received(&mut self, fields: &Fields) -> Result<(), String>;
@@ -83,7 +83,7 @@
 }
 
 /// A worker's protocol. Each method writes one message behind what `out` holds.
-pub trait Way {
+pub trait WorkerProtocol {
     /// Whether a worker tells its name before anything is sent to it.
     fn requires_greeting(&self) -> bool;
     /// Whether a launch that was given up still gets the worker's own end.
@@ -94,14 +94,18 @@
     fn partial_message_timeout(&self) -> Option<Time> {
         None
     }
-    fn write_greeting(&self, out: &mut Vec<u8>, me: &Me);
-    fn write_attempt(&self, out: &mut Vec<u8>, own: u64, launch: &Launched);
+    fn write_greeting(&self, out: &mut Vec<u8>, me: &LocalIdentity);
+    fn write_attempt(&self, out: &mut Vec<u8>, own: u64, launch: &AttemptMessage);
     fn write_cancel(&self, out: &mut Vec<u8>, own: u64, event: u64);
     fn write_health_check(&self, out: &mut Vec<u8>, own: u64);
-    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, order: &Order);
+    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, order: &LoadRequestMessage);
     fn write_unload(&self, out: &mut Vec<u8>, function: &str);
     /// Reads one message and gives back its length; none while it is not whole. An error ends the connection.
-    fn read_message(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String>;
+    fn read_message(
+        &self,
+        bytes: &[u8],
+        heard: &mut dyn WorkerEvents,
+    ) -> Result<Option<usize>, String>;
     /// A datagram to another gateway.
     fn write_peer_datagram(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]);
     /// Who a datagram is from, and what it says; `from` is whose address it came from, where that is known.
@@ -115,19 +119,19 @@
 }
 
 /// What the list's source said.
-pub trait Told {
-    fn endpoints_received(&mut self, entries: &[Entry], whole: bool);
+pub trait DiscoveryEvents {
+    fn endpoints_received(&mut self, entries: &[EndpointRecord], whole: bool);
     fn error_reported(&mut self, reason: &str);
 }
 
 /// Lists that were told, to be taken over once their message was read whole.
 #[derive(Default)]
-pub struct News {
-    pub updates: Vec<(Vec<Entry>, bool)>,
+pub struct ReceivedUpdates {
+    pub updates: Vec<(Vec<EndpointRecord>, bool)>,
 }
 
-impl Told for News {
-    fn endpoints_received(&mut self, entries: &[Entry], whole: bool) {
+impl DiscoveryEvents for ReceivedUpdates {
+    fn endpoints_received(&mut self, entries: &[EndpointRecord], whole: bool) {
         self.updates.push((entries.to_vec(), whole));
     }
 
@@ -137,12 +141,16 @@
 }
 
 /// Where the list of workers comes from.
-pub trait Feed {
+pub trait DiscoverySource {
     fn address(&self) -> SocketAddr;
     /// Connected: what is said first.
-    fn write_subscription(&mut self, out: &mut Vec<u8>, me: &Me, follows: bool);
+    fn write_subscription(&mut self, out: &mut Vec<u8>, me: &LocalIdentity, follows: bool);
     /// Reads one message and gives back its length; none while it is not whole. All of a message is taken, or nothing.
-    fn read_message(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String>;
+    fn read_message(
+        &mut self,
+        bytes: &[u8],
+        told: &mut dyn DiscoveryEvents,
+    ) -> Result<Option<usize>, String>;
     /// What is asked next, once a message was read; false where the connection is used up.
     fn write_next_poll(&mut self, _out: &mut Vec<u8>) -> bool {
         true
--- a/crates/tidewall-gateway/src/carrier.rs
+++ b/crates/tidewall-gateway/src/worker_pool.rs
@@ -1,11 +1,11 @@
 //! Carries out what the decisions call for: the `SchedulerActions` on sockets. Launches, orders and probes ride as streams
 //! on a few connections to each worker. What is known at once (no room, no time left, called off) is kept in
 //! `known` until the decisions' call is over, since they may not be called from within it.
-use crate::door::{Incoming, Ticket, Word};
-use crate::list::Entry;
-use crate::native_way::NativeWay;
-use crate::pair::copying::Copying;
-use crate::way::{Launched, Name, Order, Way};
+use crate::endpoints::EndpointRecord;
+use crate::failover::replicator::Replicator;
+use crate::ingress::{Disposition, IncomingRequest, ReplyHandle};
+use crate::native_protocol::NativeWorkerProtocol;
+use crate::protocol::{AttemptMessage, CallName, LoadRequestMessage, WorkerProtocol};
 use crate::{OF_CHOICE, OF_GREETING, OF_OUT};
 use slab::Slab;
 use std::collections::VecDeque;
@@ -21,7 +21,7 @@
 
 /// Limits of the sockets' side, from the settings.
 #[derive(Clone, Debug)]
-pub struct Setup {
+pub struct GatewayLimits {
     pub max_requests: usize,
     pub connect_timeout: Time,
     pub streams_per_connection: usize,
@@ -37,7 +37,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Task {
+pub enum CallKind {
     Launch {
         evt: usize,
         launch: usize,
@@ -56,8 +56,8 @@
 
 /// Something asked of a worker that has one answer.
 #[derive(Clone, Copy, Debug)]
-pub struct Out {
-    pub task: Task,
+pub struct Call {
+    pub task: CallKind,
     pub wk: usize,
     /// Of a launch: its event's id.
     pub event: u64,
@@ -78,7 +78,7 @@
     deadline: Option<TimerId>,
 }
 
-impl Setup {
+impl GatewayLimits {
     /// Connections to one of so many workers. Workers are replaced: the old one's may still stand beside the new one's.
     fn a_worker(&self, workers: usize) -> usize {
         self.connections_per_worker
@@ -87,16 +87,16 @@
     }
 }
 
-impl Out {
+impl Call {
     fn is_launch_of(&self, event: u64) -> bool {
-        self.event == event && matches!(self.task, Task::Launch { .. })
+        self.event == event && matches!(self.task, CallKind::Launch { .. })
     }
 }
 
 #[derive(Default)]
-pub struct Held {
+pub struct PendingRequest {
     pub open: bool,
-    pub ticket: Ticket,
+    pub ticket: ReplyHandle,
     pub id: u64,
     pub begun: Option<usize>,
     came: Time,
@@ -110,13 +110,13 @@
     /// Launches that may have run.
     pub unproven: u32,
     /// Others that asked for the same event, each with the time when it gives up.
-    pub more: Vec<(Ticket, Time)>,
+    pub more: Vec<(ReplyHandle, Time)>,
     /// Where its launches went, and what their ends prove.
     sent_to: [usize; MAX_ATTEMPTS],
     pub ends: [Option<bool>; MAX_ATTEMPTS],
 }
 
-impl Held {
+impl PendingRequest {
     pub fn until(&self) -> Time {
         self.until
     }
@@ -135,16 +135,16 @@
 }
 
 /// An answer of the decisions' own.
-pub struct Given {
+pub struct LocalResponse {
     pub evt: usize,
-    pub ticket: Ticket,
-    pub word: Word,
+    pub ticket: ReplyHandle,
+    pub word: Disposition,
     pub come_back: Time,
     pub took: Time,
 }
 
 #[derive(Default)]
-pub struct Wk {
+pub struct WorkerEntry {
     at: Option<SocketAddr>,
     listed: Endpoint,
     zone: String,
@@ -157,7 +157,7 @@
     pub links: Vec<usize>,
 }
 
-impl Wk {
+impl WorkerEntry {
     pub fn known(&self) -> bool {
         self.at.is_some()
     }
@@ -167,7 +167,7 @@
     }
 }
 
-pub struct Link {
+pub struct WorkerConnection {
     pub wk: usize,
     conn: Conn,
     pub greeted: bool,
@@ -190,7 +190,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
+pub struct Counters {
     pub taken: u64,
     pub handled: u64,
     pub deferred: u64,
@@ -206,9 +206,9 @@
     pub connections: u64,
 }
 
-pub struct Carrier<N: Net> {
+pub struct WorkerPool<N: Net> {
     pub net: N,
-    setup: Setup,
+    setup: GatewayLimits,
     /// Connections that each worker may have, now that there are so many workers.
     a_worker: usize,
     pub types: Vec<String>,
@@ -216,15 +216,15 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     pub workers: Interner,
-    pub wks: Vec<Wk>,
+    pub wks: Vec<WorkerEntry>,
     pub functions: Interner,
     /// By function: what an order to load tells of it.
     images: Vec<(u32, f64, Time)>,
-    pub events: Vec<Held>,
+    pub events: Vec<PendingRequest>,
     pub held: usize,
-    pub outs: Slab<Out>,
+    pub outs: Slab<Call>,
     turn: u32,
-    pub links: Slab<Link>,
+    pub links: Slab<WorkerConnection>,
     pub opened: Vec<(Conn, usize)>,
     /// Connections on which something waits to leave at the end of the wake-up, and what leaves on one, with each end.
     due: Vec<usize>,
@@ -233,14 +233,14 @@
     /// Workers that left or started anew: what waits for them was decided by what they were before.
     pub withdrawn: Vec<usize>,
     /// Who waits for the event that is taken next.
-    pub heirs: Vec<(Ticket, Time)>,
+    pub heirs: Vec<(ReplyHandle, Time)>,
     grace: Time,
     /// When the last client of all that were ever taken gives up.
     pub last_until: Time,
     pub known: VecDeque<(usize, u32, Outcome)>,
-    pub given: VecDeque<Given>,
+    pub given: VecDeque<LocalResponse>,
     /// Tickets of events whose clients have given up.
-    pub gone: VecDeque<Ticket>,
+    pub gone: VecDeque<ReplyHandle>,
     /// By door: its clients say when they stop waiting.
     pub waits_on: Vec<bool>,
     pub roster: Option<Conn>,
@@ -248,11 +248,11 @@
     pub port: Option<DatagramSocket>,
     pub peers: Vec<Option<SocketAddr>>,
     pub me: usize,
-    pub counts: Counts,
+    pub counts: Counters,
     /// One of a pair: what goes to the other member, and what waits for it.
-    pub copy: Option<Box<Copying>>,
+    pub copy: Option<Box<Replicator>>,
     pub(crate) frame: Vec<u8>,
-    pub way: Rc<dyn Way>,
+    pub way: Rc<dyn WorkerProtocol>,
     pub most_come_back: Time,
 }
 
@@ -263,15 +263,15 @@
 /// comes within a round trip.
 const GIVEN_UP: usize = 128;
 
-impl<N: Net> Carrier<N> {
-    pub fn new(net: N, settings: &Settings, setup: Setup) -> Carrier<N> {
+impl<N: Net> WorkerPool<N> {
+    pub fn new(net: N, settings: &Settings, setup: GatewayLimits) -> WorkerPool<N> {
         let named = |list: &str| {
             (0..)
                 .map_while(|i| settings.get(&format!("{list}.{i}.name")).cloned())
                 .collect()
         };
         let plain = |key: &str| settings.text(key).split(',').map(str::to_string).collect();
-        Carrier {
+        WorkerPool {
             net,
             a_worker: setup.a_worker(0),
             setup,
@@ -306,18 +306,18 @@
             port: None,
             peers: Vec::new(),
             me: 0,
-            counts: Counts::default(),
+            counts: Counters::default(),
             copy: None,
             frame: Vec::new(),
-            way: Rc::new(NativeWay),
+            way: Rc::new(NativeWorkerProtocol),
             most_come_back: settings.duration("allowed.max-retry-after-ms"),
         }
     }
 
     /// The event's place is in use from now on; its buffers are those of the place's last user.
-    pub fn open(&mut self, place: usize, event: &Incoming, arrival: &RequestInfo) {
+    pub fn open(&mut self, place: usize, event: &IncomingRequest, arrival: &RequestInfo) {
         if self.events.len() <= place {
-            self.events.resize_with(place + 1, Held::default);
+            self.events.resize_with(place + 1, PendingRequest::default);
         }
         let img = arrival.function;
         if self.images.len() <= img {
@@ -344,7 +344,11 @@
 
     /// The one place where an event's answer is used up: whoever gets the ticket gives the answer, and nobody
     /// gets it twice. With a ticket, only where the place still belongs to it.
-    pub fn close(&mut self, place: usize, ticket: Option<Ticket>) -> Option<(Ticket, Time)> {
+    pub fn close(
+        &mut self,
+        place: usize,
+        ticket: Option<ReplyHandle>,
+    ) -> Option<(ReplyHandle, Time)> {
         let now = self.net.now();
         let held = self.events.get_mut(place)?;
         if !held.open || ticket.is_some_and(|t| t != held.ticket) {
@@ -356,12 +360,12 @@
     }
 
     /// Nothing may be sent for this event any more: its client's time has passed, which is all that says when it gives up.
-    pub fn too_late_for(&self, evt: usize, ticket: Ticket) -> bool {
+    pub fn too_late_for(&self, evt: usize, ticket: ReplyHandle) -> bool {
         let waits_on = self.waits_on.get(ticket.ingress).is_some_and(|w| *w);
         self.net.now() > self.events[evt].until && !waits_on
     }
 
-    fn own_answer(&mut self, evt: usize, word: Word, come_back: Time) {
+    fn own_answer(&mut self, evt: usize, word: Disposition, come_back: Time) {
         if let Some((ticket, took)) = self.close(evt, None) {
             if self.copy.is_none() && self.too_late_for(evt, ticket) {
                 // Nothing is sent to a client that has given up.
@@ -370,16 +374,16 @@
                 return;
             }
             match word {
-                Word::Rejected => self.counts.deferred += 1,
+                Disposition::Rejected => self.counts.deferred += 1,
                 _ => self.counts.dead_lettered += 1,
             }
             tracing::debug!(
                 event = self.events[evt].id,
-                word = word.text(),
+                word = word.wire_text(),
                 took,
                 "answered"
             );
-            let given = Given {
+            let given = LocalResponse {
                 evt,
                 ticket,
                 word,
@@ -400,7 +404,7 @@
 
     /// Where the worker stands in the decisions' terms. A start that is known already keeps its time, or each
     /// telling would look like another start.
-    pub fn listed(&mut self, entry: &Entry) -> (usize, Endpoint) {
+    pub fn listed(&mut self, entry: &EndpointRecord) -> (usize, Endpoint) {
         let now = self.net.now();
         let place = |list: &[String], name: &str| {
             list.iter()
@@ -413,7 +417,7 @@
         );
         let wk = self.workers.intern(&entry.name);
         if self.wks.len() <= wk {
-            self.wks.resize_with(wk + 1, Wk::default);
+            self.wks.resize_with(wk + 1, WorkerEntry::default);
         }
         let w = &mut self.wks[wk];
         let restarted = entry.incarnation > w.life || w.at.is_none();
@@ -469,7 +473,7 @@
 
     /// Workers that are gone and of which nothing is under way here.
     pub fn gone(&self) -> Vec<usize> {
-        let idle = |(wk, w): &(usize, &Wk)| {
+        let idle = |(wk, w): &(usize, &WorkerEntry)| {
             let gone =
                 w.at.is_some() && w.listed.state == EndpointState::Removed && w.links.is_empty();
             gone && !self.outs.iter().any(|o| o.1.wk == *wk)
@@ -485,7 +489,7 @@
     /// Its index may name another from now on.
     pub fn forget_worker(&mut self, wk: usize) {
         self.workers.remove(wk);
-        self.wks[wk] = Wk::default();
+        self.wks[wk] = WorkerEntry::default();
     }
 
     /// Whether anything is known of where it answers.
@@ -527,12 +531,12 @@
 
     /// Launches and orders for this worker that have not left: all that is known of them is that nothing has run.
     pub fn not_sent(&self, wk: usize) -> Vec<usize> {
-        let work = |o: &Out| match o.task {
-            Task::Launch { .. } => true,
-            Task::Hold { .. } => o.copies > 0,
-            Task::Probe | Task::Vote { .. } => false,
+        let work = |o: &Call| match o.task {
+            CallKind::Launch { .. } => true,
+            CallKind::Hold { .. } => o.copies > 0,
+            CallKind::Probe | CallKind::Vote { .. } => false,
         };
-        let waits = |o: &Out| o.wk == wk && !o.sent && !o.over && work(o);
+        let waits = |o: &Call| o.wk == wk && !o.sent && !o.over && work(o);
         self.outs
             .iter()
             .filter(|o| waits(o.1))
@@ -543,7 +547,7 @@
     /// Connections on which work for a worker that left still waits for its socket, and would leave after the grace; looked
     /// for again after `look`.
     pub fn too_late(&self, now: Time, look: Time) -> Vec<(usize, Conn)> {
-        let late = |l: &Link| {
+        let late = |l: &WorkerConnection| {
             let w = &self.wks[l.wk];
             let ends = w.listed.state != EndpointState::Active && w.left + self.grace <= now + look;
             ends && l.written - self.net.unsent(l.conn).min(l.written) < l.work
@@ -565,11 +569,11 @@
         good
     }
 
-    pub fn entries(&self) -> Vec<Entry> {
+    pub fn entries(&self) -> Vec<EndpointRecord> {
         let now = self.net.now();
-        let entry = |(wk, w): (usize, &Wk)| {
+        let entry = |(wk, w): (usize, &WorkerEntry)| {
             let since = w.listed.started_at;
-            Some(Entry {
+            Some(EndpointRecord {
                 name: self.workers.resolve(wk).to_string(),
                 address: w.at?,
                 zone: w.zone.clone(),
@@ -581,7 +585,7 @@
                 age: if since == 0 { 0 } else { (now - since).max(1) },
             })
         };
-        let gone = |w: &Wk| w.listed.state == EndpointState::Removed;
+        let gone = |w: &WorkerEntry| w.listed.state == EndpointState::Removed;
         self.wks
             .iter()
             .enumerate()
@@ -591,10 +595,10 @@
     }
 
     /// The out that a worker's answer names, if it belongs to this connection and still is the same one.
-    pub fn key(&self, name: Name, link: usize) -> Result<Option<usize>, String> {
+    pub fn key(&self, name: CallName, link: usize) -> Result<Option<usize>, String> {
         let id = match name {
-            Name::CallId(id) => id,
-            Name::RequestId(event) => {
+            CallName::CallId(id) => id,
+            CallName::RequestId(event) => {
                 let sent = &self.links[link].sent;
                 return Ok(sent
                     .iter()
@@ -646,7 +650,7 @@
 
     /// Takes an out off its link's list, without a search.
     fn off(&mut self, key: usize) {
-        let Out {
+        let Call {
             link,
             slot,
             sent,
@@ -661,7 +665,7 @@
         if let Some(moved) = list.get(slot) {
             self.outs[*moved].slot = slot;
         }
-        l.streams -= usize::from(matches!(task, Task::Launch { .. }));
+        l.streams -= usize::from(matches!(task, CallKind::Launch { .. }));
         self.outs[key].link = usize::MAX;
     }
 
@@ -686,7 +690,8 @@
     /// Tells the worker that nobody waits for this launch, where it would not hear it by the launch's own time.
     pub fn give_up(&mut self, key: usize) {
         let out = self.outs[key];
-        if out.sent && !self.way.confirms_cancelled() && matches!(out.task, Task::Launch { .. }) {
+        if out.sent && !self.way.confirms_cancelled() && matches!(out.task, CallKind::Launch { .. })
+        {
             self.frame.clear();
             let id = self.wire_id(key);
             self.way.write_cancel(&mut self.frame, id, out.event);
@@ -723,7 +728,7 @@
         self.due.push(link);
     }
 
-    pub fn no_greeting(&mut self, link: &Link) {
+    pub fn no_greeting(&mut self, link: &WorkerConnection) {
         if let Some(d) = link.greeting {
             self.net.cancel_timer(d);
         }
@@ -744,7 +749,7 @@
     /// Connections on which a message stopped half-way.
     pub fn stuck(&self, now: Time) -> Vec<(usize, Conn)> {
         let rest = self.way.partial_message_timeout();
-        let stuck = |l: &Link| {
+        let stuck = |l: &WorkerConnection| {
             l.partial
                 .zip(rest)
                 .is_some_and(|(since, rest)| now >= since + rest)
@@ -776,9 +781,9 @@
     /// Puts an out on a connection of its worker: one with a free stream, one that is being made, or a new one.
     pub(crate) fn ride(&mut self, key: usize) {
         let out = self.outs[key];
-        let launch = matches!(out.task, Task::Launch { .. });
+        let launch = matches!(out.task, CallKind::Launch { .. });
         // An id twice on one connection: the ends of the two could not be told apart.
-        let twice = |l: &Link| {
+        let twice = |l: &WorkerConnection| {
             let all = l.sent.iter().chain(&l.waiting);
             self.way.answers_by_request_id()
                 && (l.given_up.contains(&out.event)
@@ -786,7 +791,9 @@
                         .into_iter()
                         .any(|k| self.outs[*k].is_launch_of(out.event)))
         };
-        let room = |l: &Link| !launch || l.streams < self.setup.streams_per_connection && !twice(l);
+        let room = |l: &WorkerConnection| {
+            !launch || l.streams < self.setup.streams_per_connection && !twice(l)
+        };
         // One on which an answer stopped half-way may be of no further use.
         let links = self.wks[out.wk]
             .links
@@ -857,7 +864,7 @@
         let conn = self.net.connect(at, self.setup.connect_timeout);
         self.counts.connections += 1;
         let now = self.net.now();
-        let link = self.links.insert(Link {
+        let link = self.links.insert(WorkerConnection {
             wk,
             conn,
             greeted: false,
@@ -935,9 +942,9 @@
             self.off(key);
             self.on(key, link, true);
             let task = self.outs[key].task;
-            let work = !matches!(task, Task::Probe | Task::Vote { .. });
+            let work = !matches!(task, CallKind::Probe | CallKind::Vote { .. });
             let l = &mut self.links[link];
-            l.streams += usize::from(matches!(task, Task::Launch { .. }));
+            l.streams += usize::from(matches!(task, CallKind::Launch { .. }));
             (l.used, l.written) = (now, l.written + to - from);
             l.work = if work { l.written } else { l.work };
             from = to;
@@ -950,7 +957,7 @@
 
     /// Whether anybody still waits for what this would begin: asked just before its first byte leaves.
     fn waited_for(&self, key: usize) -> bool {
-        let Task::Launch { evt, .. } = self.outs[key].task else {
+        let CallKind::Launch { evt, .. } = self.outs[key].task else {
             return true;
         };
         let held = &self.events[evt];
@@ -964,11 +971,11 @@
         let epoch = self.copy.as_ref().map_or(0, |c| c.epoch);
         self.frame.clear();
         match out.task {
-            Task::Launch { evt, launch } => {
+            CallKind::Launch { evt, launch } => {
                 let e = &self.events[evt];
                 let a = &e.arrival;
                 let left = a.deadline.saturating_sub(now);
-                let launched = Launched {
+                let launched = AttemptMessage {
                     request_id: e.id,
                     attempt: launch as u64,
                     class: &self.types[a.class],
@@ -985,11 +992,11 @@
                 };
                 self.way.write_attempt(&mut self.frame, id, &launched);
             }
-            Task::Hold { img } => {
+            CallKind::Hold { img } => {
                 let (lanes, memory, load_hint) =
                     self.images.get(img).copied().unwrap_or((1, 0.0, 0));
                 let function = self.functions.resolve(img);
-                let order = Order {
+                let order = LoadRequestMessage {
                     function,
                     instances: out.copies,
                     lanes,
@@ -999,21 +1006,21 @@
                 };
                 self.way.write_load_request(&mut self.frame, id, &order);
             }
-            Task::Probe => self.way.write_health_check(&mut self.frame, id),
-            Task::Vote {
+            CallKind::Probe => self.way.write_health_check(&mut self.frame, id),
+            CallKind::Vote {
                 ballot, accepting, ..
             } => self.vote(id, ballot, accepting),
         }
     }
 
-    pub(crate) fn out(&mut self, task: Task, wk: usize, copies: u32, until: Time) -> usize {
+    pub(crate) fn out(&mut self, task: CallKind, wk: usize, copies: u32, until: Time) -> usize {
         self.turn = self.turn.wrapping_add(1);
         let (at, stood) = (self.net.now(), self.net.total_stall());
         let event = match task {
-            Task::Launch { evt, .. } => self.events[evt].id,
+            CallKind::Launch { evt, .. } => self.events[evt].id,
             _ => 0,
         };
-        let out = Out {
+        let out = Call {
             task,
             wk,
             event,
@@ -1031,7 +1038,7 @@
         // What has not left by the time that a connection may take does not leave any more: its event moves on, and what it
         // would take effect with later is what the decisions counted with.
         let first = match task {
-            Task::Vote { .. } => until,
+            CallKind::Vote { .. } => until,
             _ => until.min(at + self.setup.connect_timeout),
         };
         let key = self.outs.insert(out);
@@ -1047,7 +1054,7 @@
     }
 }
 
-impl<N: Net> SchedulerActions for Carrier<N> {
+impl<N: Net> SchedulerActions for WorkerPool<N> {
     fn send_attempt(&mut self, evt: usize, wk: usize, time_out: Time) {
         let now = self.net.now();
         let held = &self.events[evt];
@@ -1057,7 +1064,7 @@
         } else {
             gives_up.min(now + time_out)
         };
-        let key = self.out(Task::Launch { evt, launch }, wk, 0, until);
+        let key = self.out(CallKind::Launch { evt, launch }, wk, 0, until);
         let held = &mut self.events[evt];
         held.outs[launch] = key;
         (held.sent_to[launch], held.ends[launch]) = (wk, None);
@@ -1083,7 +1090,7 @@
         let Some(out) = self
             .outs
             .get(key)
-            .filter(|o| o.task == Task::Launch { evt, launch } && !o.over)
+            .filter(|o| o.task == CallKind::Launch { evt, launch } && !o.over)
         else {
             return;
         };
@@ -1098,11 +1105,11 @@
     }
 
     fn reject(&mut self, evt: usize, come_back: Time) {
-        self.own_answer(evt, Word::Rejected, come_back);
+        self.own_answer(evt, Disposition::Rejected, come_back);
     }
 
     fn fail(&mut self, evt: usize) {
-        self.own_answer(evt, Word::Failed, 0);
+        self.own_answer(evt, Disposition::Failed, 0);
     }
 
     fn release_request(&mut self, evt: usize) {
@@ -1122,7 +1129,7 @@
     fn send_health_check(&mut self, wk: usize) {
         self.counts.probes += 1;
         let until = self.net.now() + self.setup.health_check_timeout;
-        let key = self.out(Task::Probe, wk, 0, until);
+        let key = self.out(CallKind::Probe, wk, 0, until);
         self.ride(key);
     }
 
@@ -1142,7 +1149,7 @@
         tracing::debug!(function, worker, copies, "hold");
         self.counts.orders += u64::from(copies > 0 && !refused);
         let until = self.net.now() + self.setup.load_request_timeout;
-        let key = self.out(Task::Hold { img }, wk, copies, until);
+        let key = self.out(CallKind::Hold { img }, wk, copies, until);
         if refused {
             return self.at_once(key, Outcome::AtCapacity);
         }
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -8,7 +8,9 @@
 use std::time::{Duration, Instant};
 use test_case::test_case;
 use tidewall::interface::EndpointState;
-use tidewall_gateway::list::{write, Beside, FileShelf, NoShelf, Shelf};
+use tidewall_gateway::endpoints::{
+    write, BackgroundEndpointCache, EndpointCache, FileEndpointCache, NoEndpointCache,
+};
 use tidewall_net::{Net, Time};
 use tidewall_wire::{kind, Entries, Field, Frame};
 
@@ -81,15 +83,18 @@
 
 /// A list that was kept is an hour old by a clock that has jumped. Ruled out: a start before the gateway's own clock began is as
 /// old as that, so its workers are cold from then on.
-struct Kept(Time);
+struct ReplicatedRequest(Time);
 
-impl Shelf for Kept {
+impl EndpointCache for ReplicatedRequest {
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
-        let young = tidewall_gateway::list::Entry {
+        let young = tidewall_gateway::endpoints::EndpointRecord {
             age: 5_000,
             ..entry(0)
         };
-        Ok(Some((tidewall_gateway::list::encode(&[young]), self.0)))
+        Ok(Some((
+            tidewall_gateway::endpoints::encode(&[young]),
+            self.0,
+        )))
     }
     fn write(&mut self, _: &[u8]) -> io::Result<()> {
         Ok(())
@@ -99,7 +104,11 @@
 #[test_case(5_000; "the clock is right")]
 #[test_case(36_000_000; "it has jumped by an hour")]
 fn a_worker_that_says_that_it_is_young_is_cold(passed: Time) {
-    let mut s = site_with(&[Does::Answers], setup(), Box::new(Kept(passed)));
+    let mut s = site_with(
+        &[Does::Answers],
+        setup(),
+        Box::new(ReplicatedRequest(passed)),
+    );
     s.roster.net.kill();
     s.workers[0].age = 10_000;
     s.ask(1..101, "check", 20_000);
@@ -124,12 +133,12 @@
 #[test_case(false; "waiting for a greeting")]
 #[test_case(true; "in the write buffer")]
 fn nothing_leaves_after_the_grace_of_a_drain(greeted: bool) {
-    let setup = Setup {
+    let setup = GatewayLimits {
         connect_timeout: 60_000,
         streams_per_connection: 10_000,
         ..setup()
     };
-    let mut s = site_with(&[Does::Nothing], setup, Box::new(NoShelf));
+    let mut s = site_with(&[Does::Nothing], setup, Box::new(NoEndpointCache));
     let mut first = 1;
     if greeted {
         s.ask(1..2, "issue", 1_000);
@@ -197,7 +206,7 @@
 fn half_a_list_changes_nothing() {
     let mut s = site(&[Does::Answers]);
     let mut list = Entries::default();
-    let moved = tidewall_gateway::list::Entry {
+    let moved = tidewall_gateway::endpoints::EndpointRecord {
         address: at("127.0.0.1:999"),
         incarnation: 9,
         ..entry(0)
@@ -249,7 +258,7 @@
 #[test]
 fn attempts_to_reach_the_roster_do_not_line_up() {
     let sites = (0..20).map(|seed| {
-        let mut s = site_seeded(&[Does::Answers], setup(), Box::new(NoShelf), seed);
+        let mut s = site_seeded(&[Does::Answers], setup(), Box::new(NoEndpointCache), seed);
         s.roster.net.kill();
         let mut at: Vec<Time> = Vec::new();
         for tick in 0..4_000 {
@@ -366,7 +375,7 @@
     )
 }
 
-impl Shelf for Disk {
+impl EndpointCache for Disk {
     fn read(&mut self) -> io::Result<Option<(Vec<u8>, Time)>> {
         Ok(None)
     }
@@ -386,7 +395,7 @@
 #[test]
 fn a_slow_disk_holds_nobody_up_and_has_the_last_list_at_the_end() {
     let (slow, told) = disk(0, 700);
-    let mut shelf = Beside::new(slow);
+    let mut shelf = BackgroundEndpointCache::new(slow);
     let began = Instant::now();
     (0..5u8).for_each(|i| shelf.write(&[i]).unwrap());
     assert!(began.elapsed() < Duration::from_millis(600));
@@ -398,7 +407,7 @@
 #[test]
 fn a_disk_that_was_full_gets_the_list_when_it_has_room() {
     let (full, told) = disk(1, 0);
-    let mut shelf = Beside::new(full);
+    let mut shelf = BackgroundEndpointCache::new(full);
     shelf.write(b"list").unwrap();
     assert_eq!(told.recv_timeout(Duration::from_secs(10)).unwrap(), b"list");
 }
@@ -410,9 +419,9 @@
     let at = |name: &str| folder.path().join(name);
     std::fs::create_dir(at("g0.new")).unwrap();
     for name in ["g0.list", "g0.last"] {
-        FileShelf(at(name)).write(name.as_bytes()).unwrap();
+        FileEndpointCache(at(name)).write(name.as_bytes()).unwrap();
         assert_eq!(
-            FileShelf(at(name)).read().unwrap().unwrap().0,
+            FileEndpointCache(at(name)).read().unwrap().unwrap().0,
             name.as_bytes()
         );
     }
@@ -421,22 +430,22 @@
 /// A kept list, or a key file, that is cut, damaged or foreign is not used; a line says why.
 #[test]
 fn damaged_files_are_not_used() {
-    let whole = tidewall_gateway::list::encode(&[entry(0), entry(1)]);
+    let whole = tidewall_gateway::endpoints::encode(&[entry(0), entry(1)]);
     for at in 0..whole.len() {
         let mut flipped = whole.clone();
         flipped[at] ^= 0x41;
-        assert!(tidewall_gateway::list::decode(&whole[..at], 0).is_err());
+        assert!(tidewall_gateway::endpoints::decode(&whole[..at], 0).is_err());
         assert!(
-            tidewall_gateway::list::decode(&flipped, 0).is_err(),
+            tidewall_gateway::endpoints::decode(&flipped, 0).is_err(),
             "byte {at}"
         );
     }
     let keys = "# keys\n1 00112233445566778899aabbccddeeff\n";
-    assert!(tidewall_gateway::start::keys("f", keys).is_ok());
+    assert!(tidewall_gateway::config::parse_keys("f", keys).is_ok());
     for at in 0..keys.len() {
         for odd in ["x", "é", "\n", "\0"] {
             let text = format!("{}{odd}{}", &keys[..at], &keys[at..]);
-            if let Err(told) = tidewall_gateway::start::keys("f", &text) {
+            if let Err(told) = tidewall_gateway::config::parse_keys("f", &text) {
                 assert!(told.starts_with("f:") && !told.contains('\n'), "{told}");
             }
         }
--- a/crates/tidewall-gateway/tests/hard.rs
+++ b/crates/tidewall-gateway/tests/hard.rs
@@ -5,7 +5,9 @@
 use help::*;
 use std::fs;
 use test_case::test_case;
-use tidewall_gateway::list::{decode, encode, FileShelf, NoShelf, Shelf};
+use tidewall_gateway::endpoints::{
+    decode, encode, EndpointCache, FileEndpointCache, NoEndpointCache,
+};
 use tidewall_net::{CloseReason, Net};
 use tidewall_wire::{kind, Field, Frame};
 
@@ -288,7 +290,7 @@
 fn a_kill_in_the_middle_of_writing_the_last_list() {
     let folder = std::env::temp_dir().join(format!("tidewall-list-{}", std::process::id()));
     fs::create_dir_all(&folder).unwrap();
-    let mut shelf = FileShelf(folder.join("g0.list"));
+    let mut shelf = FileEndpointCache(folder.join("g0.list"));
     assert!(shelf.read().unwrap().is_none());
     let old = encode(&[entry(0)]);
     shelf.write(&old).unwrap();
@@ -301,7 +303,7 @@
     let mut s = site_with(
         &[Does::Answers],
         setup(),
-        Box::new(FileShelf(folder.join("g0.list"))),
+        Box::new(FileEndpointCache(folder.join("g0.list"))),
     );
     s.roster.net.kill();
     s.ask(1..2, "check", 20_000);
@@ -312,7 +314,7 @@
 
 #[test]
 fn a_list_that_is_kept_ages_with_the_time_that_passed() {
-    let young = tidewall_gateway::list::Entry {
+    let young = tidewall_gateway::endpoints::EndpointRecord {
         age: 100,
         ..entry(1)
     };
@@ -324,11 +326,11 @@
 fn beyond_what_is_held_an_event_is_turned_away() {
     let mut s = site_with(
         &[Does::Nothing],
-        help::Setup {
+        help::GatewayLimits {
             max_requests: 10,
             ..setup()
         },
-        Box::new(NoShelf),
+        Box::new(NoEndpointCache),
     );
     s.ask(1..16, "check", 20_000);
     s.pass(100);
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -3,10 +3,10 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-pub use tidewall_gateway::carrier::Setup;
-use tidewall_gateway::list::{write, Entry, NoShelf, Shelf};
-use tidewall_gateway::native::Native;
-use tidewall_gateway::{Gateway, Start};
+use tidewall_gateway::endpoints::{write, EndpointCache, EndpointRecord, NoEndpointCache};
+use tidewall_gateway::native_ingress::NativeIngress;
+pub use tidewall_gateway::worker_pool::GatewayLimits;
+use tidewall_gateway::{Gateway, GatewayConfig};
 use tidewall_net::memory::{self, Memory, World};
 use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
 use tidewall_wire::{self as wire, kind, Entries, Field, Fields, Frame};
@@ -60,7 +60,7 @@
     pub does: Does,
     pub got: Vec<Got>,
     pub over: Vec<CloseReason>,
-    pub entries: Vec<Entry>,
+    pub entries: Vec<EndpointRecord>,
     conns: Vec<Conn>,
     late: Vec<(Conn, u64)>,
 }
@@ -275,8 +275,8 @@
 loading { miss: false window_ms: 0 orders: false }
 "#;
 
-pub fn setup() -> Setup {
-    Setup {
+pub fn setup() -> GatewayLimits {
+    GatewayLimits {
         max_requests: 1000,
         connect_timeout: 2_500,
         streams_per_connection: 512,
@@ -290,8 +290,8 @@
     }
 }
 
-pub fn entry(wk: usize) -> Entry {
-    Entry {
+pub fn entry(wk: usize) -> EndpointRecord {
+    EndpointRecord {
         name: format!("w{wk}"),
         address: at(&format!("127.0.0.1:{}", 800 + wk)),
         zone: "z".to_string(),
@@ -305,15 +305,20 @@
 }
 
 pub fn site(does: &[Does]) -> Site {
-    site_with(does, setup(), Box::new(NoShelf))
+    site_with(does, setup(), Box::new(NoEndpointCache))
 }
 
-pub fn site_with(does: &[Does], setup: Setup, shelf: Box<dyn Shelf>) -> Site {
+pub fn site_with(does: &[Does], setup: GatewayLimits, shelf: Box<dyn EndpointCache>) -> Site {
     site_seeded(does, setup, shelf, 7)
 }
 
 /// Joins gateway, roster, one worker for each of `does`, and a client, in this order; the client connects.
-pub fn site_seeded(does: &[Does], setup: Setup, shelf: Box<dyn Shelf>, seed: u64) -> Site {
+pub fn site_seeded(
+    does: &[Does],
+    setup: GatewayLimits,
+    shelf: Box<dyn EndpointCache>,
+    seed: u64,
+) -> Site {
     let world = memory::world();
     let hand = Memory::join(&world);
     let settings = tidewall_config::settings("test", SETTINGS).unwrap();
@@ -340,7 +345,7 @@
         workers.push(worker);
     }
     let client = peer("client", "c".to_string(), Does::Nothing);
-    let start = Start {
+    let start = GatewayConfig {
         name: "g0".to_string(),
         index: 0,
         seed,
@@ -354,7 +359,7 @@
     };
     let mut gateway = Gateway::new(hand.clone(), start, shelf).unwrap();
     gateway
-        .add_ingress(at(GATEWAY), Box::new(Native::new(0, "g0")))
+        .add_ingress(at(GATEWAY), Box::new(NativeIngress::new(0, "g0")))
         .unwrap();
     let mut site = Site {
         world,
--- a/crates/tidewall-gateway/tests/read.rs
+++ b/crates/tidewall-gateway/tests/read.rs
@@ -1,14 +1,14 @@
 //! What is read at the door: keys of advertisements from a file's text, what is left to an event.
 use test_case::test_case;
-use tidewall_gateway::door::left;
-use tidewall_gateway::start::keys;
+use tidewall_gateway::config::parse_keys;
+use tidewall_gateway::ingress::remaining_time;
 
 const KEY: &str = "000102030405060708090a0b0c0d0e0f";
 
 #[test]
 fn the_first_signs_and_all_are_taken() {
     let text = format!("# new first\n2 {}\n\n1 {KEY}\n", KEY.replace('0', "f"));
-    let keys = keys("k", &text).unwrap();
+    let keys = parse_keys("k", &text).unwrap();
     assert_eq!(keys.0.iter().map(|k| k.0).collect::<Vec<_>>(), [2, 1]);
     assert_eq!(keys.0[1].1[..4], [0, 1, 2, 3]);
 }
@@ -20,7 +20,7 @@
 #[test_case("1 000102030405060708090a0b0c0d0e0g", "k:1:1: a key has hexadecimal" ; "no digit")]
 #[test_case("1 000102030405060708090a0b0c0d0e0f\n1 000102030405060708090a0b0c0d0e0f", "k:2:1: the number stands twice" ; "twice")]
 fn bad_keys_name_their_line(text: &str, told: &str) {
-    let error = keys("k", text).err().expect("it is refused");
+    let error = parse_keys("k", text).err().expect("it is refused");
     assert!(error.starts_with(told), "{error}");
 }
 
@@ -29,5 +29,5 @@
 #[test_case(21_000, 5_251, None ; "more than that")]
 #[test_case(0, 0, None ; "nothing was left")]
 fn what_is_left_to_an_event(told: u64, waited: u64, certain: Option<u64>) {
-    assert_eq!(left(told, waited), certain);
+    assert_eq!(remaining_time(told, waited), certain);
 }
--- a/crates/tidewall-interop/tests/amqprs.rs
+++ b/crates/tidewall-interop/tests/amqprs.rs
@@ -12,9 +12,9 @@
 use std::time::Duration;
 use tidewall_amqp_ingress::Amqp;
 use tidewall_emulator::{Fleet, NoGateways, Plan};
-use tidewall_gateway::carrier::Setup;
-use tidewall_gateway::list::NoShelf;
-use tidewall_gateway::{Gateway, Start};
+use tidewall_gateway::endpoints::NoEndpointCache;
+use tidewall_gateway::worker_pool::GatewayLimits;
+use tidewall_gateway::{Gateway, GatewayConfig};
 use tidewall_net::mio::{self, Mio};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::timeout;
@@ -69,7 +69,7 @@
         let mut fleet = Fleet::new(Mio::new().unwrap(), &s, None, plan).unwrap();
         std::thread::spawn(move || {
             let s = tidewall_config::settings("test", &text).unwrap();
-            let setup = Setup {
+            let setup = GatewayLimits {
                 max_requests: 1000,
                 connect_timeout: 2_500,
                 streams_per_connection: 32,
@@ -81,7 +81,7 @@
                 load_request_timeout: 80_000,
                 silence_timeout: 10_000,
             };
-            let start = Start {
+            let start = GatewayConfig {
                 name: "g".to_string(),
                 index: 0,
                 seed: 7,
@@ -93,7 +93,8 @@
                 limits: setup,
                 failover: None,
             };
-            let mut gateway = Gateway::new(Mio::new().unwrap(), start, Box::new(NoShelf)).unwrap();
+            let mut gateway =
+                Gateway::new(Mio::new().unwrap(), start, Box::new(NoEndpointCache)).unwrap();
             gateway
                 .add_ingress(door, Box::new(Amqp::new(0, &s)))
                 .unwrap();
--- a/crates/tidewall-platform-ingress/src/board.rs
+++ b/crates/tidewall-platform-ingress/src/board.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tidewall::interface::{EndpointState, Time};
-use tidewall_gateway::list::Entry;
-use tidewall_gateway::way::{Feed, Me, Told};
+use tidewall_gateway::endpoints::EndpointRecord;
+use tidewall_gateway::protocol::{DiscoveryEvents, DiscoverySource, LocalIdentity};
 use tidewall_platform::board;
 use tracing::warn;
 
@@ -64,7 +64,7 @@
 }
 
 /// One host as the gateway's list has it. One that is removed may be told without an address.
-fn entry(host: &board::Host, now: u64) -> Result<Entry, String> {
+fn entry(host: &board::Host, now: u64) -> Result<EndpointRecord, String> {
     let standing = match host.state {
         "up" => EndpointState::Active,
         "draining" => EndpointState::Draining,
@@ -81,7 +81,7 @@
             ))
         }
     };
-    Ok(Entry {
+    Ok(EndpointRecord {
         name: host.id.to_string(),
         address: at,
         zone: host.zone.to_string(),
@@ -101,7 +101,11 @@
 
 /// Takes events over, all of an answer or nothing. Gives back the number of the last one, or none where some between were
 /// not told: then nothing is taken, and the whole is to be asked for.
-pub fn take(json: &board::Json, last: u64, told: &mut dyn Told) -> Result<Option<u64>, String> {
+pub fn take(
+    json: &board::Json,
+    last: u64,
+    told: &mut dyn DiscoveryEvents,
+) -> Result<Option<u64>, String> {
     let (now, mut lists) = (unix(), Vec::new());
     let rev = board::notices(json, last, &mut |hosts, full| {
         lists.push((
@@ -113,7 +117,7 @@
         ));
     })?;
     let Some(rev) = rev else { return Ok(None) };
-    let mut good: Vec<(Vec<Entry>, bool)> = Vec::new();
+    let mut good: Vec<(Vec<EndpointRecord>, bool)> = Vec::new();
     for (entries, full) in lists {
         let entries = entries?;
         match good.last_mut().filter(|_| !full) {
@@ -133,16 +137,20 @@
     Ok(Some(rev))
 }
 
-impl Feed for Board {
+impl DiscoverySource for Board {
     fn address(&self) -> SocketAddr {
         self.at
     }
 
-    fn write_subscription(&mut self, out: &mut Vec<u8>, _me: &Me, _follows: bool) {
+    fn write_subscription(&mut self, out: &mut Vec<u8>, _me: &LocalIdentity, _follows: bool) {
         self.ask(out);
     }
 
-    fn read_message(&mut self, bytes: &[u8], told: &mut dyn Told) -> Result<Option<usize>, String> {
+    fn read_message(
+        &mut self,
+        bytes: &[u8],
+        told: &mut dyn DiscoveryEvents,
+    ) -> Result<Option<usize>, String> {
         let Some((len, goes_on, body)) = board::read(bytes)? else {
             return Ok(None);
         };
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform at the gateway's seams: its clients come by a `Door`, its hosts are a `Way`, its notice board a `Feed`.
+//! The platform at the gateway's seams: its clients come by a `Ingress`, its hosts are a `WorkerProtocol`, its notice board a `DiscoverySource`.
 //! Everything that is over is the gateway's to say; here stand what a client is owed on its connection and how long one that
 //! says nothing may stay.
 pub mod board;
@@ -6,8 +6,10 @@
 
 use rustc_hash::FxHashMap;
 use slab::Slab;
-use tidewall_gateway::door::{left, Answer, Door, Incoming, Ticket, Word};
-use tidewall_gateway::Core;
+use tidewall_gateway::ingress::{
+    remaining_time, Disposition, IncomingRequest, Ingress, ReplyHandle, Response,
+};
+use tidewall_gateway::IngressContext;
 use tidewall_net::{Conn, Net, Time};
 use tidewall_platform::client::{self, Call, Commands};
 use tracing::{debug, warn};
@@ -138,16 +140,16 @@
         key
     }
 
-    fn ticket(&self, key: u32) -> Ticket {
+    fn ticket(&self, key: u32) -> ReplyHandle {
         let count = self.known[key as usize].count;
-        Ticket {
+        ReplyHandle {
             ingress: self.me,
             key: u64::from(key) | u64::from(count) << 32,
         }
     }
 
     /// The key of a ticket whose call has not left meanwhile.
-    fn key(&self, ticket: Ticket) -> Option<u32> {
+    fn key(&self, ticket: ReplyHandle) -> Option<u32> {
         let (key, count) = (ticket.key as u32, (ticket.key >> 32) as u32);
         self.known
             .get(key as usize)
@@ -172,7 +174,13 @@
     }
 
     /// Answers a call that was not taken.
-    fn turn_away<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, tag: u64, word: Word) {
+    fn turn_away<N: Net>(
+        &mut self,
+        core: &mut IngressContext<N>,
+        conn: Conn,
+        tag: u64,
+        word: Disposition,
+    ) {
         let come_back = core.max_retry_after();
         self.write(core.net(), conn, tag, word, come_back, &[]);
     }
@@ -182,7 +190,7 @@
         net: &mut N,
         conn: Conn,
         tag: u64,
-        word: Word,
+        word: Disposition,
         come_back: Time,
         body: &[u8],
     ) {
@@ -190,9 +198,9 @@
         self.out.clear();
         self.fields.clear();
         let word = match word {
-            Word::Completed => "OK",
-            Word::Rejected => "BUSY",
-            Word::Failed => "FAILED",
+            Disposition::Completed => "OK",
+            Disposition::Rejected => "BUSY",
+            Disposition::Failed => "FAILED",
         };
         if word == "BUSY" && come_back > 0 {
             // Whole milliseconds, never sooner than was said.
@@ -206,7 +214,7 @@
     }
 
     /// All calls of a connection that is gone are lapsed.
-    fn gone<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn gone<N: Net>(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         while let Some(key) = self.client(conn).first {
             let ticket = self.ticket(key);
             let known = self.remove(key);
@@ -233,7 +241,7 @@
     }
 
     /// An error that belongs to no call: the connection ends behind it.
-    fn fail<N: Net>(&mut self, core: &mut Core<N>, conn: Conn, reason: &str) {
+    fn fail<N: Net>(&mut self, core: &mut IngressContext<N>, conn: Conn, reason: &str) {
         self.complain(reason, "connection");
         core.counters().malformed += 1;
         self.gone(core, conn);
@@ -247,7 +255,7 @@
         self.client(conn).ending = Some(until);
     }
 
-    fn shut<N: Net>(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn shut<N: Net>(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         self.gone(core, conn);
         self.forget(conn);
         let net = core.net();
@@ -261,7 +269,7 @@
 
     /// One more came than there are places: first those that got an error, then the oldest that said nothing, then the one that
     /// has been idle for longest. One that came just now goes last: its first command is on its way, and would be lost.
-    fn make_room<N: Net>(&mut self, core: &mut Core<N>) {
+    fn make_room<N: Net>(&mut self, core: &mut IngressContext<N>) {
         let now = core.net().now();
         let order = |c: &Client| match (c.ending, c.spoke) {
             (Some(_), _) => 0,
@@ -277,7 +285,7 @@
         let mut idle: Vec<_> = idle.map(|c| (order(c), c.used, c.conn)).collect();
         idle.sort_unstable();
         // What it sent while we were busy is answered first.
-        let quiet = |conn: &Conn, core: &mut Core<N>| !core.net().has_unread(*conn);
+        let quiet = |conn: &Conn, core: &mut IngressContext<N>| !core.net().has_unread(*conn);
         if let Some(conn) = idle
             .into_iter()
             .filter_map(|c| c.2)
@@ -291,7 +299,7 @@
 /// A client's commands, as they are read.
 struct Ear<'a, N: Net> {
     door: &'a mut Platform,
-    core: &'a mut Core<N>,
+    core: &'a mut IngressContext<N>,
     conn: Conn,
     /// The connection is of no further use.
     broken: Option<&'static str>,
@@ -331,13 +339,15 @@
             Err(reason) => {
                 self.door.complain(&reason, "call");
                 self.core.counters().malformed += 1;
-                return self.door.turn_away(self.core, conn, tag, Word::Failed);
+                return self
+                    .door
+                    .turn_away(self.core, conn, tag, Disposition::Failed);
             }
         };
         let tenths = |ms: f64| (ms * 10.0) as Time;
         let waited = self.core.net().read_delay();
-        let event = Incoming {
-            reply_handle: Ticket::default(),
+        let event = IncomingRequest {
+            reply_handle: ReplyHandle::default(),
             id: call.trace,
             class: typ,
             tenant,
@@ -347,25 +357,28 @@
             cost_hint: tenths(call.hint),
             load_hint: tenths(call.load),
             // Shorter by what it may have waited for us to read it.
-            remaining: left(tenths(call.patience), waited).unwrap_or(0),
+            remaining: remaining_time(tenths(call.patience), waited).unwrap_or(0),
             is_retry: call.resent,
             idempotency_key: call.nonce.as_bytes(),
             payload: call.body,
         };
         if open >= OPEN_MOST || event.remaining == 0 {
             self.core.counters().turned_away += 1;
-            return self.door.turn_away(self.core, conn, tag, Word::Rejected);
+            return self
+                .door
+                .turn_away(self.core, conn, tag, Disposition::Rejected);
         }
         let key = self.door.add(conn, tag, call.trace);
         let ticket = self.door.ticket(key);
-        match self.core.admit(&Incoming {
+        match self.core.admit(&IncomingRequest {
             reply_handle: ticket,
             ..event
         }) {
             Ok(place) => self.door.known[key as usize].place = place,
             Err(_) => {
                 self.door.remove(key);
-                self.door.turn_away(self.core, conn, tag, Word::Rejected);
+                self.door
+                    .turn_away(self.core, conn, tag, Disposition::Rejected);
             }
         }
     }
@@ -397,12 +410,12 @@
     }
 }
 
-impl<N: Net> Door<N> for Platform {
-    fn started(&mut self, core: &mut Core<N>) {
+impl<N: Net> Ingress<N> for Platform {
+    fn started(&mut self, core: &mut IngressContext<N>) {
         core.set_ingress_timer(self.me, LOOK);
     }
 
-    fn timer_fired(&mut self, core: &mut Core<N>) {
+    fn timer_fired(&mut self, core: &mut IngressContext<N>) {
         core.set_ingress_timer(self.me, LOOK);
         let now = core.net().now();
         for place in 0..self.clients.len() {
@@ -419,7 +432,7 @@
         }
     }
 
-    fn accepted(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn accepted(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         let now = core.net().now();
         *self.client(conn) = Client {
             conn: Some(conn),
@@ -433,7 +446,7 @@
         }
     }
 
-    fn received(&mut self, core: &mut Core<N>, conn: Conn, bytes: &[u8]) -> usize {
+    fn received(&mut self, core: &mut IngressContext<N>, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         while self.client(conn).conn == Some(conn) && self.client(conn).ending.is_none() {
             let mut ear = Ear {
@@ -454,29 +467,29 @@
         bytes.len()
     }
 
-    fn writable(&mut self, _core: &mut Core<N>, _conn: Conn) {}
+    fn writable(&mut self, _core: &mut IngressContext<N>, _conn: Conn) {}
 
-    fn closed(&mut self, core: &mut Core<N>, conn: Conn) {
+    fn closed(&mut self, core: &mut IngressContext<N>, conn: Conn) {
         if self.client(conn).conn == Some(conn) {
             self.gone(core, conn);
             self.forget(conn);
         }
     }
 
-    fn response_started(&mut self, _net: &mut N, _ticket: Ticket, _payload: &[u8]) {}
+    fn response_started(&mut self, _net: &mut N, _ticket: ReplyHandle, _payload: &[u8]) {}
 
     /// CANCEL says it.
     fn accepts_late_response(&self) -> bool {
         true
     }
 
-    fn request_expired(&mut self, _now: Time, ticket: Ticket) {
+    fn request_expired(&mut self, _now: Time, ticket: ReplyHandle) {
         if let Some(key) = self.key(ticket) {
             self.remove(key);
         }
     }
 
-    fn respond(&mut self, net: &mut N, ticket: Ticket, answer: &Answer) {
+    fn respond(&mut self, net: &mut N, ticket: ReplyHandle, answer: &Response) {
         // It left in the same wake-up.
         let Some(key) = self.key(ticket) else { return };
         let known = self.remove(key);
--- a/crates/tidewall-platform-ingress/src/lines.rs
+++ b/crates/tidewall-platform-ingress/src/lines.rs
@@ -1,6 +1,8 @@
 //! Hosts at the gateway's seam: their lines become what the gateway hears of a worker.
 use tidewall::interface::{Outcome, Time};
-use tidewall_gateway::way::{Heard, Launched, Me, Name, Order, Way};
+use tidewall_gateway::protocol::{
+    AttemptMessage, CallName, LoadRequestMessage, LocalIdentity, WorkerEvents, WorkerProtocol,
+};
 use tidewall_platform::host::{self, Answers, Fields, Of};
 
 pub struct Lines;
@@ -8,7 +10,7 @@
 /// The page's bound of a datagram between gateways.
 const DATAGRAM_MOST: usize = 256;
 
-impl Way for Lines {
+impl WorkerProtocol for Lines {
     /// Connected is all there is.
     fn requires_greeting(&self) -> bool {
         false
@@ -28,9 +30,9 @@
         Some(500)
     }
 
-    fn write_greeting(&self, _out: &mut Vec<u8>, _me: &Me) {}
+    fn write_greeting(&self, _out: &mut Vec<u8>, _me: &LocalIdentity) {}
 
-    fn write_attempt(&self, out: &mut Vec<u8>, _own: u64, l: &Launched) {
+    fn write_attempt(&self, out: &mut Vec<u8>, _own: u64, l: &AttemptMessage) {
         // At least one: no time at all could not be used by a host.
         host::go(
             out,
@@ -51,7 +53,7 @@
         host::stat(out, own);
     }
 
-    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, order: &Order) {
+    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, order: &LoadRequestMessage) {
         host::stage(out, own, order.function, order.instances);
     }
 
@@ -59,7 +61,11 @@
         host::purge(out, function);
     }
 
-    fn read_message(&self, bytes: &[u8], heard: &mut dyn Heard) -> Result<Option<usize>, String> {
+    fn read_message(
+        &self,
+        bytes: &[u8],
+        heard: &mut dyn WorkerEvents,
+    ) -> Result<Option<usize>, String> {
         host::read(bytes, &mut Ear(heard))
     }
 
@@ -88,7 +94,7 @@
     fn write_error(&self, _out: &mut Vec<u8>, _reason: &str) {}
 }
 
-struct Ear<'a>(&'a mut dyn Heard);
+struct Ear<'a>(&'a mut dyn WorkerEvents);
 
 /// Events of the same function at a host beyond this are told as this many, as on the bench's wire.
 const COMPANY_MOST: u32 = 30;
@@ -132,15 +138,19 @@
                 } else {
                     0
                 };
-                self.0
-                    .attempt_ended(Name::RequestId(trace), outcome, note | company << 3, body)
-            }
-            (Of::Tag(tag), "yes" | "no") => {
-                self.0.health_check_ended(Name::CallId(tag), word == "yes")
+                self.0.attempt_ended(
+                    CallName::RequestId(trace),
+                    outcome,
+                    note | company << 3,
+                    body,
+                )
             }
+            (Of::Tag(tag), "yes" | "no") => self
+                .0
+                .health_check_ended(CallName::CallId(tag), word == "yes"),
             (Of::Tag(tag), _) => {
                 self.0
-                    .load_request_ended(Name::CallId(tag), outcome, fields.copies)
+                    .load_request_ended(CallName::CallId(tag), outcome, fields.copies)
             }
         }
     }
--- a/crates/tidewall-platform-ingress/tests/help/mod.rs
+++ b/crates/tidewall-platform-ingress/tests/help/mod.rs
@@ -3,10 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tidewall_gateway::carrier::Setup;
-use tidewall_gateway::list::NoShelf;
-use tidewall_gateway::way::News;
-use tidewall_gateway::{Gateway, Start};
+use tidewall_gateway::endpoints::NoEndpointCache;
+use tidewall_gateway::protocol::ReceivedUpdates;
+use tidewall_gateway::worker_pool::GatewayLimits;
+use tidewall_gateway::{Gateway, GatewayConfig};
 use tidewall_net::memory::{self, Memory, World};
 use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
 use tidewall_platform::{board, config};
@@ -216,7 +216,7 @@
     let config = config::read(CONFIG.replace("HOSTS", &list.join(",")).as_bytes())
         .ok()
         .unwrap();
-    let mut first = News::default();
+    let mut first = ReceivedUpdates::default();
     let rev = take(&config.known, 0, &mut first).unwrap().unwrap();
     let moved = Rc::new(Cell::new(None));
     let again = moved.clone();
@@ -226,7 +226,7 @@
         7,
         Box::new(move || again.get().ok_or("n0.json: it cannot be read".to_string())),
     );
-    let setup = Setup {
+    let setup = GatewayLimits {
         max_requests: 200,
         connect_timeout: 2_500,
         streams_per_connection: 32,
@@ -238,7 +238,7 @@
         load_request_timeout: 40_000,
         silence_timeout: 30_000,
     };
-    let start = Start {
+    let start = GatewayConfig {
         name: config.name.clone(),
         index: 0,
         seed: config.seed,
@@ -253,7 +253,7 @@
     let mut gateway = Gateway::with_protocols(
         hand.clone(),
         start,
-        Box::new(NoShelf),
+        Box::new(NoEndpointCache),
         Rc::new(Lines),
         Box::new(feed),
     )
--- a/crates/tidewall-platform-ingress/tests/service.rs
+++ b/crates/tidewall-platform-ingress/tests/service.rs
@@ -3,7 +3,7 @@
 
 use help::*;
 use test_case::test_case;
-use tidewall_gateway::way::Way;
+use tidewall_gateway::protocol::WorkerProtocol;
 use tidewall_net::{App, Net};
 use tidewall_platform_ingress::lines::Lines;
 
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -11,10 +11,10 @@
 use tidewall_config::Section;
 use tidewall_emulator::{Fleet, NoGateways, Plan};
 use tidewall_failover::seat::State;
-use tidewall_gateway::list::NoShelf;
-use tidewall_gateway::native::Native;
-use tidewall_gateway::pair::Ended;
-use tidewall_gateway::start::{peering, start};
+use tidewall_gateway::config::{failover_config, gateway_config};
+use tidewall_gateway::endpoints::NoEndpointCache;
+use tidewall_gateway::failover::StopReason;
+use tidewall_gateway::native_ingress::NativeIngress;
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
 use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
@@ -275,23 +275,23 @@
 
 fn member(net: &Memory, me: usize, setup: &Setup, life: u64) -> Gateway<Memory> {
     let s = settings(me, setup.rate);
-    let mut start = start(&s, 0, setup.seed * 10 + life * 2 + me as u64);
+    let mut start = gateway_config(&s, 0, setup.seed * 10 + life * 2 + me as u64);
     let keys = || Keys(vec![(1, KEY.to_vec())]);
-    let mut pair = peering(&s, life, Box::new(keys));
-    pair.copies = setup.plant != Plant::NoCopies;
+    let mut pair = failover_config(&s, life, Box::new(keys));
+    pair.replicates = setup.plant != Plant::NoCopies;
     if setup.disagree && me == 1 {
         let line = pair
-            .agree
+            .shared_settings
             .iter_mut()
             .find(|l| l.starts_with("limits.max_launches"));
         *line.expect("it is set") = "limits.max_launches = 4".to_string();
     }
     start.failover = Some(pair);
-    let mut gateway =
-        Gateway::new(net.clone(), start, Box::new(NoShelf)).expect("its addresses are free");
+    let mut gateway = Gateway::new(net.clone(), start, Box::new(NoEndpointCache))
+        .expect("its addresses are free");
     let shared = SHARED.parse().expect("it is an address");
     gateway
-        .add_ingress(shared, Box::new(Native::new(0, "g0")))
+        .add_ingress(shared, Box::new(NativeIngress::new(0, "g0")))
         .expect("one of a pair listens later");
     gateway
 }
@@ -542,7 +542,7 @@
             if self.hands[m].dead() && self.back[m].is_none() && !self.killed_for_good(m) {
                 // It stopped by itself: superseded, or told to go.
                 let wait = match (self.members[m].stop_reason(), self.leaves[m].take()) {
-                    (Ended::Again, _) => RESTART,
+                    (StopReason::Restart, _) => RESTART,
                     (_, Some(back)) => back,
                     _ => continue,
                 };
@@ -582,7 +582,7 @@
 
     fn killed_for_good(&self, m: usize) -> bool {
         // A killed process has not ended itself.
-        self.members[m].stop_reason() == Ended::Drained && self.leaves[m].is_none()
+        self.members[m].stop_reason() == StopReason::Drained && self.leaves[m].is_none()
     }
 
     pub fn until(&mut self, until: Time) {
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -12,9 +12,9 @@
 use std::rc::Rc;
 use tidewall_config::Section;
 use tidewall_emulator::{Fleet, Gateways, Plan};
-use tidewall_gateway::list::Shelf;
-use tidewall_gateway::native::Native;
-use tidewall_gateway::start::start;
+use tidewall_gateway::config::gateway_config;
+use tidewall_gateway::endpoints::EndpointCache;
+use tidewall_gateway::native_ingress::NativeIngress;
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
@@ -105,7 +105,7 @@
     age: Option<Time>,
 }
 
-impl Shelf for Disk {
+impl EndpointCache for Disk {
     fn read(&mut self) -> std::io::Result<Option<(Vec<u8>, Time)>> {
         let platter = self.0.borrow();
         Ok(platter
@@ -282,7 +282,7 @@
 }
 
 fn gateway(s: &Section, net: &Memory, me: usize, seed: u64, disk: &Disk, plant: Plant) -> Hearing {
-    let mut start = start(s, me, seed);
+    let mut start = gateway_config(s, me, seed);
     let name = start.name.clone();
     let mut put = |key: &str, value: &str| {
         *start.settings.get_mut(key).expect("it is a setting") = value.to_string();
@@ -300,7 +300,7 @@
         .parse()
         .expect("checked");
     gateway
-        .add_ingress(at, Box::new(Native::new(0, &name)))
+        .add_ingress(at, Box::new(NativeIngress::new(0, &name)))
         .expect("its address is free");
     Hearing {
         gateway,
