--- a/crates/tidewall-benchmarks/src/peers.rs
+++ b/crates/tidewall-benchmarks/src/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
-use tidewall_failover::promise::{Claim, Promise};
+use tidewall_failover::leadership::{Leadership, LeadershipAcceptor};
 use tidewall_net::mio::Mio;
 use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 use tidewall_wire::{self as wire, kind, Entries, Field, Fields, Frame};
@@ -19,7 +19,7 @@
     roster_listener: Listener,
     names: HashMap<Conn, usize>,
     /// What each worker keeps for a pair.
-    promises: Vec<Promise>,
+    promises: Vec<LeadershipAcceptor>,
     answers: bool,
     stop: Arc<AtomicBool>,
     out: Vec<u8>,
@@ -35,7 +35,7 @@
             .collect::<Result<Vec<_>, _>>()?;
         net.set_timer(0, 0);
         let worker = workers[0].1;
-        let promises = vec![Promise::default(); workers.len()];
+        let promises = vec![LeadershipAcceptor::default(); workers.len()];
         Ok(Echo {
             net,
             roster,
@@ -95,7 +95,7 @@
                     let sync = [whole(Field::SyncA)?, whole(Field::SyncB)?];
                     let member = whole(Field::Member)?.max(1) as usize - 1;
                     let (epoch, floor) = (whole(Field::Epoch)?, whole(Field::Floor)?);
-                    promise.accept(Claim {
+                    promise.accept(Leadership {
                         epoch,
                         member,
                         sync,
--- a/crates/tidewall-cli/src/common.rs
+++ b/crates/tidewall-cli/src/coordination.rs
@@ -8,25 +8,25 @@
 use std::thread::JoinHandle;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use tidewall_config::Section;
-use tidewall_coordination::acting::Acting;
-use tidewall_coordination::conf::Conf;
-use tidewall_coordination::keeping::Keeping;
-use tidewall_coordination::post::{channel, Post, ToActs};
-use tidewall_failover::claim::next;
+use tidewall_coordination::config::CoordinationConfig;
+use tidewall_coordination::executor_task::ExecutorTask;
+use tidewall_coordination::lease_task::LeaseTask;
+use tidewall_coordination::mailbox::{channel, ExecutorCommand, MailboxSender};
+use tidewall_failover::proposal::next;
 use tidewall_gateway::EndpointWatcher;
 use tidewall_net::mio::{self, Mio};
 use tidewall_sim::fleet::Plant;
 use tracing::error;
 
-pub struct Common {
+pub struct CoordinationThreads {
     threads: Vec<JoinHandle<()>>,
     told: Arc<AtomicBool>,
-    watch: Option<Post<ToActs>>,
+    watch: Option<MailboxSender<ExecutorCommand>>,
 }
 
-impl Common {
-    pub fn none() -> Common {
-        Common {
+impl CoordinationThreads {
+    pub fn none() -> CoordinationThreads {
+        CoordinationThreads {
             threads: Vec::new(),
             told: Arc::new(AtomicBool::new(false)),
             watch: None,
@@ -55,7 +55,8 @@
         let clock = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(1, |d| d.as_millis() as u64);
-        let conf = Conf::new(s, me, next(0, clock), seed, plant.guards(), Box::new(keys));
+        let conf =
+            CoordinationConfig::new(s, me, next(0, clock), seed, plant.guards(), Box::new(keys));
         // Times that one tells the other are of one clock.
         let (started, ppm) = (Instant::now(), conf.trial_ppm);
         let net = || {
@@ -63,13 +64,13 @@
             net.clock(started, ppm);
             Ok::<Mio, Failure>(net)
         };
-        let (to_acts, acts_inbox) = channel::<ToActs>(conf.channel);
+        let (to_acts, acts_inbox) = channel::<ExecutorCommand>(conf.channel);
         let (from_acts, inbox) = channel(conf.channel);
         self.watch = Some(to_acts.other());
         let over = Arc::new(AtomicBool::new(false));
-        let mut acting = Acting::new(net()?, &conf, acts_inbox, from_acts, over.clone());
+        let mut acting = ExecutorTask::new(net()?, &conf, acts_inbox, from_acts, over.clone());
         let mut keeping =
-            Keeping::new(net()?, conf, (to_acts, inbox), told.clone()).map_err(input)?;
+            LeaseTask::new(net()?, conf, (to_acts, inbox), told.clone()).map_err(input)?;
         self.told = told.clone();
         self.thread("acting", move || mio::run(&mut acting))?;
         self.thread("keeping", move || {
@@ -101,7 +102,7 @@
     pub fn watch(&mut self) -> EndpointWatcher {
         let mut post = self.watch.take().expect("it was started");
         Box::new(move |list| {
-            post.send(ToActs::Workers(
+            post.send(ExecutorCommand::Workers(
                 list.iter().map(|e| (e.name.clone(), e.address)).collect(),
             ))
         })
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -1,5 +1,5 @@
 //! `tidewall`: the command line. Exit codes: 0 well, 1 a rule or a run failed, 2 bad input.
-mod common;
+mod coordination;
 mod day;
 mod from;
 mod platform;
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -1,5 +1,5 @@
 //! `serve` and `standins`: processes that run until they are told to stop.
-use crate::common::Common;
+use crate::coordination::CoordinationThreads;
 use crate::{input, settings, Failure};
 use argon2::password_hash::{rand_core::OsRng, PasswordHasher, SaltString};
 use argon2::Argon2;
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tidewall_amqp_ingress::Amqp;
 use tidewall_emulator::{Fleet, NoGateways, Plan};
-use tidewall_failover::claim::next;
-use tidewall_failover::damp::Damp;
+use tidewall_failover::flap_damping::FlapDamping;
+use tidewall_failover::proposal::next;
 use tidewall_gateway::config::{failover_config, gateway_config, parse_keys};
 use tidewall_gateway::endpoints::{
     BackgroundEndpointCache, EndpointCache, FileEndpointCache, NoEndpointCache,
@@ -84,9 +84,9 @@
             .map_err(|e| Failure::Run(e.to_string()))?;
     }
     // A member that is superseded again and again (a tenth of a second at first, ten at most) does not spin.
-    let (began, mut damp) = (Instant::now(), Damp::new(1_000, 100_000));
+    let (began, mut damp) = (Instant::now(), FlapDamping::new(1_000, 100_000));
     let mut life = 0;
-    let mut common = Common::none();
+    let mut coordination = CoordinationThreads::none();
     // A member of a pair that is superseded starts anew, as a new life that knows nothing.
     loop {
         let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
@@ -132,13 +132,13 @@
             gateway.set_drain_grace(DRAIN_GRACE);
         }
         if s.has("fleet_common") {
-            common.start(&s, me, seed, args.left_out, &told)?;
-            gateway.watch_endpoints(common.watch());
+            coordination.start(&s, me, seed, args.left_out, &told)?;
+            gateway.watch_endpoints(coordination.watch());
         }
         mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))?;
         if gateway.stop_reason() == StopReason::Drained {
             drop(gateway);
-            common.end();
+            coordination.end();
             return Ok(());
         }
         drop(gateway);
--- a/crates/tidewall-config/src/check.rs
+++ b/crates/tidewall-config/src/check.rs
@@ -2,7 +2,7 @@
 use crate::Section;
 use prost_reflect::{DynamicMessage, ReflectMessage, Value};
 use std::net::SocketAddr;
-use tidewall_lease::lease::{usable, KEEPERS, MEMBERS};
+use tidewall_lease::lease::{usable, MAX_GRANTORS, MAX_MEMBERS};
 
 type Fault = (String, String);
 
@@ -338,10 +338,10 @@
 
 fn common(c: &Section, gateways: &[Section]) -> Result<(), Fault> {
     let members: Vec<String> = gateways.iter().map(|g| g.text("name")).collect();
-    if members.len() > MEMBERS {
+    if members.len() > MAX_MEMBERS {
         return fault(
             "gateway".to_string(),
-            format!("{} members are over {MEMBERS}", members.len()),
+            format!("{} members are over {MAX_MEMBERS}", members.len()),
         );
     }
     let (mut own, mut reached) = (Vec::new(), Vec::new());
@@ -358,9 +358,9 @@
         )?;
     }
     let keepers = c.texts("keeper");
-    if keepers.len() < 3 || keepers.len().is_multiple_of(2) || keepers.len() > KEEPERS {
+    if keepers.len() < 3 || keepers.len().is_multiple_of(2) || keepers.len() > MAX_GRANTORS {
         let what = format!(
-            "{} are told; an odd number from 3 to {KEEPERS} is needed",
+            "{} are told; an odd number from 3 to {MAX_GRANTORS} is needed",
             keepers.len()
         );
         return fault(c.at("keeper"), what);
--- a/crates/tidewall-coordination/src/codec.rs
+++ b/crates/tidewall-coordination/src/codec.rs
@@ -4,10 +4,10 @@
 use hmac::{Hmac, Mac};
 use minicbor::{Decoder, Encoder};
 use sha2::Sha256;
-use tidewall_lease::keeper::{Answer, Grant};
-use tidewall_lease::lease::COUNTS;
-use tidewall_lease::promise::Promise;
-use tidewall_membership::{Standing, Word};
+use tidewall_lease::acceptor::AcceptorState;
+use tidewall_lease::grantor::{Grant, GrantorReply};
+use tidewall_lease::lease::BALLOT_COUNT_LIMIT;
+use tidewall_membership::{MemberState, MemberUpdate};
 use tidewall_vrrp::packet::Keys;
 
 pub const DATAGRAM: usize = 256;
@@ -37,28 +37,28 @@
 
 /// What a datagram says of its sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Head {
+pub struct DatagramHeader {
     pub from: usize,
     pub to: usize,
     /// The receiver's life as the sender knows it; 0 where it knows none.
     pub to_life: u64,
-    pub word: Word,
+    pub word: MemberUpdate,
     pub number: u64,
 }
 
-pub trait Heard {
+pub trait DatagramEvents {
     fn ping(&mut self, from: usize, seq: u32);
     fn ping_for(&mut self, from: usize, target: usize, seq: u32);
     fn ack(&mut self, from: usize, of: usize, seq: u32);
-    fn word(&mut self, member: usize, word: Word);
+    fn word(&mut self, member: usize, word: MemberUpdate);
     /// A member asks as a holder. Ballots are told by their count: the rest of them is the sender's, or the receiver's.
     fn prepare(&mut self, from: usize, task: usize, count: u64);
     fn accept(&mut self, from: usize, task: usize, count: u64, tag: u32);
     fn release(&mut self, from: usize, task: usize, count: u64);
     fn handed(&mut self, task: usize);
     /// A keeper answers.
-    fn promised(&mut self, from: usize, task: usize, count: u64, told: Answer);
-    fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: Answer);
+    fn promised(&mut self, from: usize, task: usize, count: u64, told: GrantorReply);
+    fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: GrantorReply);
 }
 
 /// Writes an item; true where it fits behind what is there.
@@ -76,10 +76,10 @@
     fits
 }
 
-pub fn head(body: &mut Vec<u8>, h: &Head) {
+pub fn head(body: &mut Vec<u8>, h: &DatagramHeader) {
     body.clear();
     let mut e = Encoder::new(&mut *body);
-    let left = u64::from(h.word.standing == Standing::Left);
+    let left = u64::from(h.word.standing == MemberState::Left);
     let numbers = [
         VERSION,
         h.from as u64,
@@ -129,7 +129,7 @@
 }
 
 /// The head, and where the items begin.
-pub fn read_head(body: &[u8]) -> Result<(Head, usize), &'static str> {
+pub fn read_head(body: &[u8]) -> Result<(DatagramHeader, usize), &'static str> {
     let mut d = Decoder::new(body);
     let mut n = [0; 8];
     for (i, n) in n.iter_mut().enumerate() {
@@ -141,18 +141,18 @@
     let [_, from, to, to_life, life, turn, left, number] = n;
     let small = |n: u64| u32::try_from(n).map_err(|_| "head: a number is out of range");
     let standing = match left {
-        0 => Standing::Here,
-        1 => Standing::Left,
+        0 => MemberState::Here,
+        1 => MemberState::Left,
         _ => return Err("head: a number is out of range"),
     };
-    let word = Word {
+    let word = MemberUpdate {
         life,
         turn: small(turn)?,
         standing,
     };
     let (from, to) = (small(from)? as usize, small(to)? as usize);
     Ok((
-        Head {
+        DatagramHeader {
             from,
             to,
             to_life,
@@ -169,13 +169,21 @@
 }
 
 /// Reads all items, or none where one is not good.
-pub fn items(body: &[u8], from: usize, heard: &mut impl Heard) -> Result<(), &'static str> {
+pub fn items(
+    body: &[u8],
+    from: usize,
+    heard: &mut impl DatagramEvents,
+) -> Result<(), &'static str> {
     whole(body)?;
     calls(body, from, heard)
 }
 
 /// The items of a body of which `whole` was asked.
-pub fn calls(body: &[u8], from: usize, heard: &mut impl Heard) -> Result<(), &'static str> {
+pub fn calls(
+    body: &[u8],
+    from: usize,
+    heard: &mut impl DatagramEvents,
+) -> Result<(), &'static str> {
     each(body, |kind, n| call(kind, n, from, heard))
 }
 
@@ -203,13 +211,13 @@
 /// Numbers that become small ones fit.
 fn check(kind: u64, n: &[u64; 8]) -> Result<(), &'static str> {
     let small = |i: usize| u32::try_from(n[i]).is_ok();
-    if (item::PREPARE..=item::RELEASE).contains(&kind) && n[1] >= COUNTS {
+    if (item::PREPARE..=item::RELEASE).contains(&kind) && n[1] >= BALLOT_COUNT_LIMIT {
         return Err("item: a number is out of range");
     }
     let good = match kind {
         item::PING | item::HANDED => small(0),
         item::PING_FOR | item::ACK => small(0) && small(1),
-        item::WORD => small(0) && small(2) && (n[3] as usize) < Standing::ALL.len(),
+        item::WORD => small(0) && small(2) && (n[3] as usize) < MemberState::ALL.len(),
         item::ACCEPT | item::ACCEPTED => small(0) && small(2),
         item::NOT_ACCEPTED => small(0) && small(2) && small(5),
         item::PROMISED => small(0) && small(3),
@@ -223,30 +231,35 @@
     }
 }
 
-fn answer(good: bool, promised: u64, n: &[u64]) -> Answer {
+fn answer(good: bool, promised: u64, n: &[u64]) -> GrantorReply {
     let accepted = Grant {
         epoch: n[0],
         member: n[1] as usize,
         life: n[2],
     };
-    Answer {
+    GrantorReply {
         good,
-        promise: Promise { promised, accepted },
+        promise: AcceptorState { promised, accepted },
         left: n[3],
     }
 }
 
-fn call(kind: u64, n: &[u64], from: usize, heard: &mut impl Heard) -> Result<(), &'static str> {
+fn call(
+    kind: u64,
+    n: &[u64],
+    from: usize,
+    heard: &mut impl DatagramEvents,
+) -> Result<(), &'static str> {
     let first = n[0] as usize;
     match kind {
         item::PING => heard.ping(from, n[0] as u32),
         item::PING_FOR => heard.ping_for(from, first, n[1] as u32),
         item::ACK => heard.ack(from, first, n[1] as u32),
         item::WORD => {
-            let word = Word {
+            let word = MemberUpdate {
                 life: n[1],
                 turn: n[2] as u32,
-                standing: Standing::ALL[n[3] as usize],
+                standing: MemberState::ALL[n[3] as usize],
             };
             heard.word(first, word);
         }
@@ -269,20 +282,20 @@
 
 /// Numbers of one sender's life: the highest heard, and which of the 64 below it were.
 #[derive(Clone, Copy, Default)]
-pub struct Window {
+pub struct ReplayWindow {
     life: u64,
     last: u64,
     heard: u64,
 }
 
-impl Window {
+impl ReplayWindow {
     /// Whether this one is new. Datagrams may overtake each other by up to 64.
     pub fn new_one(&mut self, life: u64, number: u64) -> Result<(), &'static str> {
         if life < self.life {
             return Err("life: a former one");
         }
         if life > self.life {
-            *self = Window {
+            *self = ReplayWindow {
                 life,
                 last: number,
                 heard: 1,
--- a/crates/tidewall-coordination/src/conf.rs
+++ b/crates/tidewall-coordination/src/config.rs
@@ -2,11 +2,11 @@
 use crate::Time;
 use std::net::SocketAddr;
 use tidewall_config::Section;
-use tidewall_lease::lease::{margin, usable, Terms};
-use tidewall_lease::Guards;
+use tidewall_lease::lease::{margin, usable, LeaseConfig};
+use tidewall_lease::SafetyChecks;
 use tidewall_vrrp::packet::Keys;
 
-pub struct Conf {
+pub struct CoordinationConfig {
     pub me: usize,
     pub life: u64,
     pub seed: u64,
@@ -26,7 +26,7 @@
     pub datagrams: u64,
     pub bytes: u64,
     pub channel: usize,
-    pub guards: Guards,
+    pub guards: SafetyChecks,
     pub keys: Box<dyn Fn() -> Keys + Send>,
     /// By so many millionths this member's clock runs faster: for trials.
     pub trial_ppm: i64,
@@ -35,15 +35,15 @@
 /// The part of `usable` after which what was not answered is asked again: a lost datagram costs little of a term.
 const RETRY: Time = 16;
 
-impl Conf {
+impl CoordinationConfig {
     pub fn new(
         s: &Section,
         me: usize,
         life: u64,
         seed: u64,
-        guards: Guards,
+        guards: SafetyChecks,
         keys: Box<dyn Fn() -> Keys + Send>,
-    ) -> Conf {
+    ) -> CoordinationConfig {
         let (c, gateways) = (s.section("fleet_common"), s.sections("gateway"));
         let names: Vec<String> = gateways.iter().map(|g| g.text("name")).collect();
         let reach = |g: &Section| {
@@ -65,7 +65,7 @@
         } else {
             term
         };
-        Conf {
+        CoordinationConfig {
             me,
             life,
             seed,
@@ -92,8 +92,8 @@
         }
     }
 
-    pub fn terms(&self) -> Terms {
-        Terms {
+    pub fn terms(&self) -> LeaseConfig {
+        LeaseConfig {
             me: self.me,
             life: self.life,
             keepers: self.keepers.len(),
--- a/crates/tidewall-coordination/src/counts.rs
+++ b/crates/tidewall-coordination/src/counters.rs
@@ -5,7 +5,7 @@
 use prometheus_client::registry::Registry;
 
 #[derive(Default)]
-pub struct Counts {
+pub struct CoordinationCounters {
     registry: Registry,
     last: String,
     pub sent: Counter,
@@ -19,9 +19,9 @@
     pub members: Gauge,
 }
 
-impl Counts {
-    pub fn new() -> Counts {
-        let mut c = Counts::default();
+impl CoordinationCounters {
+    pub fn new() -> CoordinationCounters {
+        let mut c = CoordinationCounters::default();
         let r = &mut c.registry;
         r.register(
             "datagrams_sent",
--- a/crates/tidewall-coordination/src/acts.rs
+++ b/crates/tidewall-coordination/src/effect_scheduler.rs
@@ -4,7 +4,7 @@
 use crate::Time;
 use std::collections::BTreeSet;
 
-pub trait Host {
+pub trait EffectActions {
     /// Its turn: an act is to go out, if it still may when its ticket is there.
     fn turn(&mut self, task: usize);
     fn stopped(&mut self, task: usize, epoch: u64);
@@ -24,7 +24,7 @@
     stops: u64,
 }
 
-pub struct Acts {
+pub struct EffectScheduler {
     holds: Vec<Hold>,
     turns: BTreeSet<(Time, usize)>,
     stops: BTreeSet<usize>,
@@ -33,10 +33,10 @@
     margin: Time,
 }
 
-impl Acts {
-    pub fn new(tasks: usize, every: Time, margin: Time) -> Acts {
+impl EffectScheduler {
+    pub fn new(tasks: usize, every: Time, margin: Time) -> EffectScheduler {
         let holds = vec![Hold::default(); tasks];
-        Acts {
+        EffectScheduler {
             holds,
             turns: BTreeSet::new(),
             stops: BTreeSet::new(),
@@ -78,7 +78,7 @@
         }
     }
 
-    pub fn stop(&mut self, now: Time, host: &mut impl Host, task: usize, epoch: u64) {
+    pub fn stop(&mut self, now: Time, host: &mut impl EffectActions, task: usize, epoch: u64) {
         let Some(h) = self.holds.get_mut(task) else {
             return;
         };
@@ -100,13 +100,13 @@
     }
 
     /// An act of that round was answered.
-    pub fn answered(&mut self, now: Time, host: &mut impl Host, task: usize, round: u32) {
+    pub fn answered(&mut self, now: Time, host: &mut impl EffectActions, task: usize, round: u32) {
         let h = &mut self.holds[task];
         h.out -= u32::from(round == h.round).min(h.out);
         self.look(now, host, task);
     }
 
-    fn look(&mut self, now: Time, host: &mut impl Host, task: usize) {
+    fn look(&mut self, now: Time, host: &mut impl EffectActions, task: usize) {
         let h = &mut self.holds[task];
         let over = h.out == 0 || now > h.last + self.margin;
         if over && self.stops.remove(&task) {
@@ -116,7 +116,7 @@
     }
 
     /// Turns that are due, and stops whose time is over.
-    pub fn tick(&mut self, now: Time, host: &mut impl Host) {
+    pub fn tick(&mut self, now: Time, host: &mut impl EffectActions) {
         while let Some((at, task)) = self.turns.first().copied().filter(|t| t.0 <= now) {
             self.turns.remove(&(at, task));
             let h = &mut self.holds[task];
--- a/crates/tidewall-coordination/src/acting.rs
+++ b/crates/tidewall-coordination/src/executor_task.rs
@@ -1,8 +1,8 @@
 //! The task that does what is due for tasks held here: own connections to workers, one channel each way. An act goes by a
 //! ticket that its worker gave out a short while ago, and whether it may go is asked right before it is written.
-use crate::acts::{Acts, Host};
-use crate::conf::Conf;
-use crate::post::{FromActs, Inbox, Post, ToActs};
+use crate::config::CoordinationConfig;
+use crate::effect_scheduler::{EffectActions, EffectScheduler};
+use crate::mailbox::{ExecutorCommand, ExecutorEvent, MailboxReceiver, MailboxSender};
 use crate::Time;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use tidewall_lease::share::{check, key, weight};
+use tidewall_lease::assignment::{check, key, weight};
 use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 use tracing::debug;
@@ -42,27 +42,27 @@
 
 struct Turns {
     due: Vec<usize>,
-    post: Post<FromActs>,
+    post: MailboxSender<ExecutorEvent>,
 }
 
-impl Host for Turns {
+impl EffectActions for Turns {
     fn turn(&mut self, task: usize) {
         self.due.push(task);
     }
     fn stopped(&mut self, task: usize, epoch: u64) {
         // Where the channel is full it is asked for again.
-        self.post.send(FromActs::Stopped { task, epoch });
+        self.post.send(ExecutorEvent::Stopped { task, epoch });
     }
 }
 
-pub struct Acting<N: Net> {
+pub struct ExecutorTask<N: Net> {
     net: N,
     me: usize,
     life: u64,
     name: String,
-    acts: Acts,
+    acts: EffectScheduler,
     side: Turns,
-    inbox: Inbox<ToActs>,
+    inbox: MailboxReceiver<ExecutorCommand>,
     links: Vec<Link>,
     /// Links by connection.
     conns: BTreeMap<Conn, usize>,
@@ -77,23 +77,23 @@
     pub refused: u64,
 }
 
-impl<N: Net> Acting<N> {
+impl<N: Net> ExecutorTask<N> {
     /// `over` is set when the other task has ended.
     pub fn new(
         mut net: N,
-        conf: &Conf,
-        inbox: Inbox<ToActs>,
-        post: Post<FromActs>,
+        conf: &CoordinationConfig,
+        inbox: MailboxReceiver<ExecutorCommand>,
+        post: MailboxSender<ExecutorEvent>,
         over: Arc<AtomicBool>,
-    ) -> Acting<N> {
+    ) -> ExecutorTask<N> {
         let now = net.now();
         net.set_timer(now + conf.tick(), OF_TICK);
-        Acting {
+        ExecutorTask {
             net,
             me: conf.me,
             life: conf.life,
             name: conf.name.clone(),
-            acts: Acts::new(conf.tasks, conf.turn, conf.margin),
+            acts: EffectScheduler::new(conf.tasks, conf.turn, conf.margin),
             side: Turns {
                 due: Vec::new(),
                 post,
@@ -126,13 +126,15 @@
         let now = self.net.now();
         while let Some(message) = self.inbox.take() {
             match message {
-                ToActs::Held { task, epoch, until } => {
+                ExecutorCommand::Held { task, epoch, until } => {
                     // Turns of many tasks spread over the time between two of one.
                     let first = self.chance.random_range(0..self.turn.max(1));
                     self.acts.held(now, task, epoch, until, first);
                 }
-                ToActs::Stop { task, epoch } => self.acts.stop(now, &mut self.side, task, epoch),
-                ToActs::Workers(list) => self.workers(list),
+                ExecutorCommand::Stop { task, epoch } => {
+                    self.acts.stop(now, &mut self.side, task, epoch)
+                }
+                ExecutorCommand::Workers(list) => self.workers(list),
             }
         }
         self.acts.tick(now, &mut self.side);
@@ -290,7 +292,7 @@
                     self.refused += 1;
                     let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
                     debug!(member = %self.name, task, epoch, "an act was refused");
-                    self.side.post.send(FromActs::Seen { task, epoch });
+                    self.side.post.send(ExecutorEvent::Seen { task, epoch });
                 }
             }
             _ => {}
@@ -299,7 +301,7 @@
     }
 }
 
-impl<N: Net> App for Acting<N> {
+impl<N: Net> App for ExecutorTask<N> {
     type Net = N;
 
     fn net(&mut self) -> &mut N {
--- a/crates/tidewall-coordination/src/keeping.rs
+++ b/crates/tidewall-coordination/src/lease_task.rs
@@ -1,8 +1,8 @@
 //! The task that follows the members and claims, renews, grants and gives back leases: one UDP port, one channel each way.
-use crate::codec::{self, item, Head, Heard, Window, DATAGRAM, LIFE};
-use crate::conf::Conf;
-use crate::counts::Counts;
-use crate::post::{FromActs, Inbox, Post, ToActs};
+use crate::codec::{self, item, DatagramEvents, DatagramHeader, ReplayWindow, DATAGRAM, LIFE};
+use crate::config::CoordinationConfig;
+use crate::counters::CoordinationCounters;
+use crate::mailbox::{ExecutorCommand, ExecutorEvent, MailboxReceiver, MailboxSender};
 use crate::Time;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -10,11 +10,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use tidewall_lease::holder::Holder;
-use tidewall_lease::keeper::{Answer, Grant, Keeper};
-use tidewall_lease::lease::{ballot, count, Host as LeaseHost};
-use tidewall_lease::share::Share;
-use tidewall_membership::{Host as MembersHost, Members, Word};
+use tidewall_lease::assignment::Assignment;
+use tidewall_lease::grantor::{Grant, GrantorReply, LeaseGrantor};
+use tidewall_lease::holder::LeaseHolder;
+use tidewall_lease::lease::{ballot, count, LeaseActions as LeaseHost};
+use tidewall_membership::{MemberUpdate, Membership, MembershipActions};
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net};
 use tidewall_vrrp::packet::Keys;
 use tracing::{info, warn};
@@ -54,7 +54,7 @@
     ready: VecDeque<(usize, Vec<u8>)>,
     /// Lives of the members as we know them.
     lives: Vec<u64>,
-    own: Word,
+    own: MemberUpdate,
 }
 
 impl Packets {
@@ -76,7 +76,7 @@
     fn begin(&mut self, to: usize) {
         self.number += 1;
         let (to_life, number) = (self.lives[to] & LIFE, self.number);
-        let head = Head {
+        let head = DatagramHeader {
             from: self.me,
             to,
             to_life,
@@ -100,7 +100,7 @@
     packets: Packets,
     keepers: Vec<usize>,
     own: VecDeque<Own>,
-    acts: Post<ToActs>,
+    acts: MailboxSender<ExecutorCommand>,
     /// Tasks held of which those that act could not be told.
     untold: BTreeSet<usize>,
     chance: ChaCha8Rng,
@@ -108,7 +108,7 @@
     news: Vec<(usize, Option<u64>, bool)>,
 }
 
-impl MembersHost for Side {
+impl MembershipActions for Side {
     fn ping(&mut self, to: usize, seq: u32) {
         self.packets.add(to, item::PING, &[u64::from(seq)]);
         self.packets.pings[to] = true;
@@ -163,12 +163,12 @@
     }
     fn held(&mut self, task: usize, epoch: u64, until: Time) {
         // Where the channel is full it is told at one of the next ticks; until then nobody acts on it.
-        if !self.acts.send(ToActs::Held { task, epoch, until }) {
+        if !self.acts.send(ExecutorCommand::Held { task, epoch, until }) {
             self.untold.insert(task);
         }
     }
     fn stop(&mut self, task: usize, epoch: u64) {
-        self.acts.send(ToActs::Stop { task, epoch });
+        self.acts.send(ExecutorCommand::Stop { task, epoch });
     }
     fn chance(&mut self, below: Time) -> Time {
         self.chance.random_range(0..below.max(1))
@@ -205,40 +205,43 @@
     }
 }
 
-pub struct Keeping<N: Net> {
+pub struct LeaseTask<N: Net> {
     net: N,
     port: DatagramSocket,
-    conf: Conf,
-    members: Members,
-    keeper: Option<Keeper>,
+    conf: CoordinationConfig,
+    members: Membership,
+    keeper: Option<LeaseGrantor>,
     /// By member: which keeper it is.
     places: Vec<Option<usize>>,
-    holder: Holder,
-    share: Share,
+    holder: LeaseHolder,
+    share: Assignment,
     /// When a member that came takes part in the share: it may flap, and a start is no crowd of moves.
     settles: Vec<Option<Time>>,
     side: Side,
-    windows: Vec<Window>,
-    acts: Inbox<FromActs>,
+    windows: Vec<ReplayWindow>,
+    acts: MailboxReceiver<ExecutorEvent>,
     budget: Budget,
     keys: Keys,
     stood: Time,
     looked: Time,
     complained: Time,
-    pub counts: Counts,
+    pub counts: CoordinationCounters,
     told: Arc<AtomicBool>,
     leaves: Option<Time>,
     over: bool,
 }
 
-impl<N: Net> Keeping<N> {
+impl<N: Net> LeaseTask<N> {
     /// `told` is set when this member is to go.
     pub fn new(
         mut net: N,
-        conf: Conf,
-        acts: (Post<ToActs>, Inbox<FromActs>),
+        conf: CoordinationConfig,
+        acts: (
+            MailboxSender<ExecutorCommand>,
+            MailboxReceiver<ExecutorEvent>,
+        ),
         told: Arc<AtomicBool>,
-    ) -> Result<Keeping<N>, String> {
+    ) -> Result<LeaseTask<N>, String> {
         let (port, _) = net
             .bind_datagram(conf.listen)
             .map_err(|e| format!("{}: common_address: {e}", conf.listen))?;
@@ -246,7 +249,7 @@
         let n = conf.names.len();
         let mut chance = ChaCha8Rng::seed_from_u64(conf.seed ^ 0x1ea5e);
         let first = chance.random_range(0..conf.period.max(1));
-        let members = Members::new(now, conf.me, conf.life, n, conf.period, first);
+        let members = Membership::new(now, conf.me, conf.life, n, conf.period, first);
         let packets = Packets {
             me: conf.me,
             number: 0,
@@ -270,7 +273,7 @@
             news: Vec::new(),
         };
         let is_keeper = conf.keepers.contains(&conf.me);
-        let keeper = is_keeper.then(|| Keeper::new(now, conf.tasks, conf.term, conf.guards));
+        let keeper = is_keeper.then(|| LeaseGrantor::new(now, conf.tasks, conf.term, conf.guards));
         let mut settles = vec![None; n];
         settles[conf.me] = Some(now + conf.term);
         let per_s = (conf.datagrams as i64, conf.bytes as i64);
@@ -282,25 +285,25 @@
             rest: (0, 0),
         };
         net.set_timer(now + conf.tick(), OF_TICK);
-        Ok(Keeping {
+        Ok(LeaseTask {
             port,
             members,
             keeper,
             places: (0..n)
                 .map(|m| conf.keepers.iter().position(|k| *k == m))
                 .collect(),
-            holder: Holder::new(conf.terms(), conf.tasks),
-            share: Share::new(&conf.names, conf.tasks),
+            holder: LeaseHolder::new(conf.terms(), conf.tasks),
+            share: Assignment::new(&conf.names, conf.tasks),
             settles,
             side,
-            windows: vec![Window::default(); n],
+            windows: vec![ReplayWindow::default(); n],
             acts: inbox,
             budget,
             keys: (conf.keys)(),
             stood: net.total_stall(),
             looked: now,
             complained: 0,
-            counts: Counts::new(),
+            counts: CoordinationCounters::new(),
             told,
             leaves: None,
             over: false,
@@ -309,11 +312,11 @@
         })
     }
 
-    pub fn members(&self) -> &Members {
+    pub fn members(&self) -> &Membership {
         &self.members
     }
 
-    pub fn holder(&self) -> &Holder {
+    pub fn holder(&self) -> &LeaseHolder {
         &self.holder
     }
 
@@ -346,7 +349,12 @@
         while let Some(task) = self.side.untold.first().copied() {
             let lease = self.holder.lease(task);
             let (epoch, until) = (lease.epoch, lease.until);
-            if lease.may(now) && !self.side.acts.send(ToActs::Held { task, epoch, until }) {
+            if lease.may(now)
+                && !self
+                    .side
+                    .acts
+                    .send(ExecutorCommand::Held { task, epoch, until })
+            {
                 break;
             }
             self.side.untold.remove(&task);
@@ -392,9 +400,9 @@
         self.side.news.push((self.conf.me, None, true));
     }
 
-    fn acts_say(&mut self, now: Time, message: FromActs) {
+    fn acts_say(&mut self, now: Time, message: ExecutorEvent) {
         match message {
-            FromActs::Stopped { task, epoch } => {
+            ExecutorEvent::Stopped { task, epoch } => {
                 if self.holder.stopped(now, &mut self.side, task, epoch) {
                     self.counts.given_back.inc();
                     if let Some(to) = self.share.best(task).filter(|to| *to != self.conf.me) {
@@ -402,7 +410,9 @@
                     }
                 }
             }
-            FromActs::Seen { task, epoch } => self.holder.outbid(now, &mut self.side, task, epoch),
+            ExecutorEvent::Seen { task, epoch } => {
+                self.holder.outbid(now, &mut self.side, task, epoch)
+            }
         }
     }
 
@@ -563,14 +573,14 @@
 }
 
 struct Ears<'a, N: Net> {
-    k: &'a mut Keeping<N>,
+    k: &'a mut LeaseTask<N>,
     now: Time,
     /// The sender's.
     life: u64,
 }
 
 impl<N: Net> Ears<'_, N> {
-    fn answer(&mut self, to: usize, (yes, no): (u64, u64), of: &[u64], told: Answer) {
+    fn answer(&mut self, to: usize, (yes, no): (u64, u64), of: &[u64], told: GrantorReply) {
         let p = told.promise;
         let kept = [
             p.accepted.epoch,
@@ -596,7 +606,7 @@
     }
 }
 
-impl<N: Net> Heard for Ears<'_, N> {
+impl<N: Net> DatagramEvents for Ears<'_, N> {
     fn ping(&mut self, from: usize, seq: u32) {
         self.k.members.pinged(&mut self.k.side, from, seq);
     }
@@ -608,7 +618,7 @@
     fn ack(&mut self, from: usize, of: usize, seq: u32) {
         self.k.members.acked(&mut self.k.side, from, of, seq);
     }
-    fn word(&mut self, member: usize, word: Word) {
+    fn word(&mut self, member: usize, word: MemberUpdate) {
         self.k
             .members
             .told(self.now, &mut self.k.side, member, word);
@@ -660,7 +670,7 @@
                 .want(self.now, &mut self.k.side, task, true, true);
         }
     }
-    fn promised(&mut self, from: usize, task: usize, count: u64, told: Answer) {
+    fn promised(&mut self, from: usize, task: usize, count: u64, told: GrantorReply) {
         let Some(place) = self.k.places[from] else {
             return;
         };
@@ -670,7 +680,7 @@
             .holder
             .promised(self.now, &mut self.k.side, (place, task), ballot, told);
     }
-    fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: Answer) {
+    fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: GrantorReply) {
         let Some(place) = self.k.places[from] else {
             return;
         };
@@ -688,7 +698,7 @@
 
 impl<N: Net> Ears<'_, N> {
     /// A good answer's promise is the ballot that was asked with.
-    fn mined(&self, mut told: Answer, ballot: u64) -> Answer {
+    fn mined(&self, mut told: GrantorReply, ballot: u64) -> GrantorReply {
         if told.good {
             told.promise.promised = ballot;
         }
@@ -696,7 +706,7 @@
     }
 }
 
-impl<N: Net> App for Keeping<N> {
+impl<N: Net> App for LeaseTask<N> {
     type Net = N;
 
     fn net(&mut self) -> &mut N {
--- a/crates/tidewall-coordination/src/lib.rs
+++ b/crates/tidewall-coordination/src/lib.rs
@@ -1,24 +1,24 @@
 //! What the gateways hold in common, carried by tasks (threads) beside a gateway's loop: each owns its sockets and state and
-//! talks by messages over bounded channels. `keeping` follows the members and claims, renews and grants leases; `acting` does
-//! for each task held here what it is due, at the worker where it takes effect. `acts` decides that without I/O and clock,
-//! `codec` is the datagrams between members, `post` the channels, `counts` what is counted.
-pub mod acting;
-pub mod acts;
+//! talks by messages over bounded channels. `lease_task` follows the members and claims, renews and grants leases; `executor_task` does
+//! for each task held here what it is due, at the worker where it takes effect. `effect_scheduler` decides that without I/O and clock,
+//! `codec` is the datagrams between members, `mailbox` the channels, `counters` what is counted.
 pub mod codec;
-pub mod conf;
-pub mod counts;
-pub mod keeping;
-pub mod post;
+pub mod config;
+pub mod counters;
+pub mod effect_scheduler;
+pub mod executor_task;
+pub mod lease_task;
+pub mod mailbox;
 
 /// Whole tenths of a millisecond.
 pub type Time = u64;
 
 /// Orderings of the task that holds and the task that acts, each run another: the shipped channels on shuttle's primitives,
-/// the shipped `Acts` and `Lease` at their ends.
+/// the shipped `EffectScheduler` and `Lease` at their ends.
 #[cfg(all(test, shuttle))]
 mod orderings {
-    use crate::acts::{Acts, Host};
-    use crate::post::{channel, FromActs, Inbox, Post, ToActs};
+    use crate::effect_scheduler::{EffectScheduler, Host};
+    use crate::mailbox::{channel, ExecutorCommand, ExecutorEvent, MailboxReceiver, MailboxSender};
     use shuttle::sync::Mutex;
     use shuttle::thread;
     use std::sync::Arc;
@@ -28,7 +28,7 @@
 
     struct Side {
         turns: Vec<usize>,
-        post: Post<FromActs>,
+        post: MailboxSender<ExecutorEvent>,
         /// Planted: says that it stopped as soon as it is told to.
         early: bool,
     }
@@ -38,12 +38,16 @@
             self.turns.push(task);
         }
         fn stopped(&mut self, task: usize, epoch: u64) {
-            self.post.send(FromActs::Stopped { task, epoch });
+            self.post.send(ExecutorEvent::Stopped { task, epoch });
         }
     }
 
     /// The task that acts, and a worker at which acts take effect some time after they left.
-    fn act(inbox: Inbox<ToActs>, mut side: Side, log: Arc<Mutex<Vec<(u64, bool)>>>) {
+    fn act(
+        inbox: MailboxReceiver<ExecutorCommand>,
+        mut side: Side,
+        log: Arc<Mutex<Vec<(u64, bool)>>>,
+    ) {
         let (mut to, way) = channel::<(u64, u32)>(2);
         let (mut answer, answers) = channel::<u32>(2);
         let worker = thread::spawn(move || {
@@ -55,18 +59,20 @@
                 thread::yield_now();
             }
         });
-        let mut acts = Acts::new(1, 1, 1_000);
+        let mut acts = EffectScheduler::new(1, 1, 1_000);
         for now in 0..STEPS {
             while let Some(message) = inbox.take() {
                 match message {
-                    ToActs::Held { task, epoch, until } => acts.held(now, task, epoch, until, 0),
-                    ToActs::Stop { task, epoch } => {
+                    ExecutorCommand::Held { task, epoch, until } => {
+                        acts.held(now, task, epoch, until, 0)
+                    }
+                    ExecutorCommand::Stop { task, epoch } => {
                         if side.early {
-                            side.post.send(FromActs::Stopped { task, epoch });
+                            side.post.send(ExecutorEvent::Stopped { task, epoch });
                         }
                         acts.stop(now, &mut side, task, epoch);
                     }
-                    ToActs::Workers(_) => {}
+                    ExecutorCommand::Workers(_) => {}
                 }
             }
             while let Some(round) = answers.take() {
@@ -103,7 +109,7 @@
                 )
             })
         };
-        to.send(ToActs::Held {
+        to.send(ExecutorCommand::Held {
             task: 0,
             epoch: 5,
             until: u64::MAX,
@@ -111,9 +117,9 @@
         thread::yield_now();
         for _ in 0..STEPS {
             // Told again, as a lease that is given back is.
-            to.send(ToActs::Stop { task: 0, epoch: 5 });
+            to.send(ExecutorCommand::Stop { task: 0, epoch: 5 });
             thread::yield_now();
-            if from.take() == Some(FromActs::Stopped { task: 0, epoch: 5 }) {
+            if from.take() == Some(ExecutorEvent::Stopped { task: 0, epoch: 5 }) {
                 // Given back: whoever acts from now on is another.
                 log.lock().unwrap().push((5, true));
                 break;
--- a/crates/tidewall-coordination/src/post.rs
+++ b/crates/tidewall-coordination/src/mailbox.rs
@@ -8,7 +8,7 @@
 
 /// From the one that holds leases to whoever acts.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ToActs {
+pub enum ExecutorCommand {
     /// It may be acted on until then, of the common clock, under this epoch.
     Held { task: usize, epoch: u64, until: u64 },
     /// No longer; `Stopped` is awaited.
@@ -18,27 +18,27 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FromActs {
+pub enum ExecutorEvent {
     /// Nothing of that task is on its way any more.
     Stopped { task: usize, epoch: u64 },
     /// A worker has seen this epoch, newer than ours.
     Seen { task: usize, epoch: u64 },
 }
 
-pub struct Post<T> {
+pub struct MailboxSender<T> {
     out: Sender<T>,
     /// Messages that found the channel full.
     pub full: u64,
 }
 
-pub struct Inbox<T>(Receiver<T>);
+pub struct MailboxReceiver<T>(Receiver<T>);
 
-pub fn channel<T>(most: usize) -> (Post<T>, Inbox<T>) {
+pub fn channel<T>(most: usize) -> (MailboxSender<T>, MailboxReceiver<T>) {
     let (out, inbox) = bounded(most);
-    (Post { out, full: 0 }, Inbox(inbox))
+    (MailboxSender { out, full: 0 }, MailboxReceiver(inbox))
 }
 
-impl<T> Post<T> {
+impl<T> MailboxSender<T> {
     /// False where the channel is full, or the other task is gone.
     pub fn send(&mut self, message: T) -> bool {
         let sent = self.out.try_send(message).is_ok();
@@ -47,15 +47,15 @@
     }
 
     /// A further sender of the same channel.
-    pub fn other(&self) -> Post<T> {
-        Post {
+    pub fn other(&self) -> MailboxSender<T> {
+        MailboxSender {
             out: self.out.clone(),
             full: 0,
         }
     }
 }
 
-impl<T> Inbox<T> {
+impl<T> MailboxReceiver<T> {
     pub fn take(&self) -> Option<T> {
         self.0.try_recv().ok()
     }
--- a/crates/tidewall-coordination/tests/codec.rs
+++ b/crates/tidewall-coordination/tests/codec.rs
@@ -1,17 +1,18 @@
 //! Datagrams: what is not good costs itself alone, and nothing of it counts.
 use test_case::test_case;
 use tidewall_coordination::codec::{
-    self, head, item, items, open, read_head, seal, Head, Heard, Window, DATAGRAM,
+    self, head, item, items, open, read_head, seal, DatagramEvents, DatagramHeader, ReplayWindow,
+    DATAGRAM,
 };
-use tidewall_lease::keeper::Answer;
-use tidewall_membership::{Standing, Word};
+use tidewall_lease::grantor::GrantorReply;
+use tidewall_membership::{MemberState, MemberUpdate};
 use tidewall_vrrp::packet::Keys;
 
 /// What was called, a line each.
 #[derive(Default)]
 struct Said(Vec<String>);
 
-impl Heard for Said {
+impl DatagramEvents for Said {
     fn ping(&mut self, from: usize, seq: u32) {
         self.0.push(format!("ping {from} {seq}"));
     }
@@ -21,7 +22,7 @@
     fn ack(&mut self, from: usize, of: usize, seq: u32) {
         self.0.push(format!("ack {from} {of} {seq}"));
     }
-    fn word(&mut self, member: usize, word: Word) {
+    fn word(&mut self, member: usize, word: MemberUpdate) {
         self.0.push(format!(
             "word {member} {} {} {:?}",
             word.life, word.turn, word.standing
@@ -39,7 +40,7 @@
     fn handed(&mut self, task: usize) {
         self.0.push(format!("handed {task}"));
     }
-    fn promised(&mut self, from: usize, task: usize, count: u64, told: Answer) {
+    fn promised(&mut self, from: usize, task: usize, count: u64, told: GrantorReply) {
         let p = told.promise;
         let last = (
             p.promised,
@@ -53,7 +54,7 @@
             told.good
         ));
     }
-    fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: Answer) {
+    fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: GrantorReply) {
         self.0.push(format!(
             "accepted {from} {task} {count} {tag} {} {}",
             told.good, told.promise.promised
@@ -65,14 +66,14 @@
     Keys(vec![(3, key.to_vec())])
 }
 
-const HEAD: Head = Head {
+const HEAD: DatagramHeader = DatagramHeader {
     from: 2,
     to: 1,
     to_life: 77,
-    word: Word {
+    word: MemberUpdate {
         life: 1_764_633_600_000,
         turn: 3,
-        standing: Standing::Here,
+        standing: MemberState::Here,
     },
     number: 9,
 };
@@ -157,7 +158,7 @@
 #[test_case(&[(5, 100, true), (5, 36, false)] ; "too old to tell")]
 #[test_case(&[(5, 1, true), (6, 1, true), (5, 2, false)] ; "a former life")]
 fn numbers_are_heard_once(told: &[(u64, u64, bool)]) {
-    let mut window = Window::default();
+    let mut window = ReplayWindow::default();
     for (life, number, good) in told {
         assert_eq!(
             window.new_one(*life, *number).is_ok(),
@@ -173,7 +174,7 @@
     let mut body = Vec::new();
     head(
         &mut body,
-        &Head {
+        &DatagramHeader {
             from: 4_095,
             to: 4_095,
             to_life: codec::LIFE,
--- a/crates/tidewall-coordination/tests/acts.rs
+++ b/crates/tidewall-coordination/tests/effect_scheduler.rs
@@ -1,6 +1,6 @@
 //! What is done for held tasks, and when a task counts as stopped.
 use test_case::test_case;
-use tidewall_coordination::acts::{Acts, Host};
+use tidewall_coordination::effect_scheduler::{EffectActions, EffectScheduler};
 
 #[derive(Default)]
 struct Said {
@@ -8,7 +8,7 @@
     stopped: Vec<(usize, u64)>,
 }
 
-impl Host for Said {
+impl EffectActions for Said {
     fn turn(&mut self, task: usize) {
         self.turns.push(task);
     }
@@ -22,7 +22,7 @@
 
 #[test]
 fn a_task_has_its_turns_while_its_lease_runs_and_makes_up_for_none() {
-    let (mut acts, mut said) = (Acts::new(3, EVERY, MARGIN), Said::default());
+    let (mut acts, mut said) = (EffectScheduler::new(3, EVERY, MARGIN), Said::default());
     acts.held(0, 1, 7, 350, 10);
     for now in [5, 10, 60, 110, 345, 350, 360, 1_000] {
         acts.tick(now, &mut said);
@@ -41,7 +41,7 @@
 #[test_case(true, MARGIN, false ; "it may still take effect")]
 #[test_case(true, MARGIN + 1, true ; "its ticket is too old everywhere")]
 fn stopped_means_that_nothing_can_take_effect_any_more(out: bool, later: u64, told: bool) {
-    let (mut acts, mut said) = (Acts::new(3, EVERY, MARGIN), Said::default());
+    let (mut acts, mut said) = (EffectScheduler::new(3, EVERY, MARGIN), Said::default());
     acts.held(0, 1, 7, 10_000, 10);
     let round = if out { acts.sent(20, 1) } else { 0 };
     acts.stop(20, &mut said, 1, 7);
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_word_that_was_overtaken_holds_nothing() {
-    let (mut acts, mut said) = (Acts::new(3, EVERY, MARGIN), Said::default());
+    let (mut acts, mut said) = (EffectScheduler::new(3, EVERY, MARGIN), Said::default());
     acts.held(0, 1, 9, 10_000, 10);
     // Of a former epoch: neither holds nor stops the newer one.
     acts.held(0, 1, 7, 90_000, 10);
@@ -70,7 +70,7 @@
 /// Its act was given up by time; the answer that comes after all is not taken for one of the act that went since.
 #[test]
 fn a_late_answer_is_none_of_what_was_sent_since() {
-    let (mut acts, mut said) = (Acts::new(3, EVERY, MARGIN), Said::default());
+    let (mut acts, mut said) = (EffectScheduler::new(3, EVERY, MARGIN), Said::default());
     acts.held(0, 1, 7, 10_000, 10);
     let old = acts.sent(20, 1);
     acts.stop(20, &mut said, 1, 7);
--- a/crates/tidewall-emulator/src/workers.rs
+++ b/crates/tidewall-emulator/src/workers.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use tidewall_audit::rows::{Kind, Row, TRIES};
 use tidewall_config::Section;
-use tidewall_failover::promise::{Claim, Fence, Promise};
-use tidewall_lease::share::check;
+use tidewall_failover::leadership::{Fencing, Leadership, LeadershipAcceptor};
+use tidewall_lease::assignment::check;
 use tidewall_net::{Conn, Listener, Net, Time, TimerId};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 
@@ -74,7 +74,7 @@
     /// Runs whose ends it kept to itself.
     swallowed: Vec<(Conn, u64)>,
     /// What it keeps for a pair, across its own restarts.
-    promise: Promise,
+    promise: LeadershipAcceptor,
     /// The highest epoch that took effect here, by task: kept across restarts, as the promise is.
     epochs: BTreeMap<u64, u64>,
     depot: Option<Conn>,
@@ -174,7 +174,7 @@
                     gateways: Vec::new(),
                     members: Vec::new(),
                     swallowed: Vec::new(),
-                    promise: Promise::default(),
+                    promise: LeadershipAcceptor::default(),
                     epochs: BTreeMap::new(),
                     depot: None,
                     depot_up: false,
@@ -367,13 +367,13 @@
         let (id, ballot) = (fields.whole(Field::Id)?, fields.whole(Field::Ballot)?);
         let whole = |field| fields.upto(field, u64::MAX, 0);
         if self.forgets {
-            self.list[wk].promise = Promise::default();
+            self.list[wk].promise = LeadershipAcceptor::default();
         }
         let promise = &mut self.list[wk].promise;
         let good = if fields.kind()? == kind::PREPARE {
             promise.prepare(ballot)
         } else {
-            promise.accept(Claim {
+            promise.accept(Leadership {
                 epoch: whole(Field::Epoch)?,
                 member: fields.upto(Field::Member, 2, 1)?.max(1) as usize - 1,
                 sync: [whole(Field::SyncA)?, whole(Field::SyncB)?],
--- a/crates/tidewall-failover/src/known.rs
+++ b/crates/tidewall-failover/src/deduplication.rs
@@ -8,28 +8,28 @@
 use std::hash::Hasher;
 
 /// Answers that are kept at most: at a thousand events a second, four minutes' worth.
-pub const MOST: usize = 262_144;
+pub const MAX_ENTRIES: usize = 262_144;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Place {
+pub enum RequestLocation {
     Here(usize),
     There(usize),
     /// The word's number and the payload.
     Answered(u8, Box<[u8]>),
 }
 
-pub struct Entry {
+pub struct DeduplicationEntry {
     pub typ: usize,
     pub mark: Box<[u8]>,
-    pub place: Place,
+    pub place: RequestLocation,
     pub until: Time,
     count: u64,
 }
 
 #[derive(Default)]
-pub struct Known {
+pub struct DeduplicationTable {
     keys: HashTable<usize>,
-    entries: Slab<Entry>,
+    entries: Slab<DeduplicationEntry>,
     /// When answers end, oldest first.
     ends: VecDeque<(Time, usize, u64)>,
     count: u64,
@@ -42,7 +42,7 @@
     hasher.finish()
 }
 
-impl Known {
+impl DeduplicationTable {
     fn key(&self, typ: usize, mark: &[u8]) -> Option<usize> {
         let same = |key: &usize| {
             let entry = &self.entries[*key];
@@ -51,7 +51,7 @@
         self.keys.find(hash(typ, mark), same).copied()
     }
 
-    pub fn find(&mut self, now: Time, typ: usize, mark: &[u8]) -> Option<&Place> {
+    pub fn find(&mut self, now: Time, typ: usize, mark: &[u8]) -> Option<&RequestLocation> {
         self.forget(now);
         let key = self.key(typ, mark)?;
         Some(&self.entries[key].place)
@@ -68,13 +68,13 @@
     }
 
     /// In hand, here or there.
-    pub fn hold(&mut self, typ: usize, mark: &[u8], place: Place) {
+    pub fn hold(&mut self, typ: usize, mark: &[u8], place: RequestLocation) {
         if !mark.is_empty() {
             self.put(typ, mark, place, Time::MAX);
         }
     }
 
-    fn put(&mut self, typ: usize, mark: &[u8], place: Place, until: Time) -> usize {
+    fn put(&mut self, typ: usize, mark: &[u8], place: RequestLocation, until: Time) -> usize {
         self.count += 1;
         let count = self.count;
         if let Some(key) = self.key(typ, mark) {
@@ -82,7 +82,7 @@
             (entry.place, entry.until, entry.count) = (place, until, count);
             return key;
         }
-        let key = self.entries.insert(Entry {
+        let key = self.entries.insert(DeduplicationEntry {
             typ,
             mark: mark.into(),
             place,
@@ -109,7 +109,12 @@
         if mark.is_empty() {
             return;
         }
-        let key = self.put(typ, mark, Place::Answered(word, payload.into()), until);
+        let key = self.put(
+            typ,
+            mark,
+            RequestLocation::Answered(word, payload.into()),
+            until,
+        );
         self.ends.push_back((until, key, self.count));
         self.forget(now);
     }
@@ -123,7 +128,7 @@
 
     /// Whether one more event may be taken: no answer is forgotten before its time, or its repeat would run again.
     pub fn room(&self) -> bool {
-        self.ends.len() < MOST
+        self.ends.len() < MAX_ENTRIES
     }
 
     fn forget(&mut self, now: Time) {
@@ -138,7 +143,7 @@
     }
 
     /// The next entry from this place on, in the order of places.
-    pub fn next(&self, from: usize) -> Option<(usize, &Entry)> {
+    pub fn next(&self, from: usize) -> Option<(usize, &DeduplicationEntry)> {
         (from..self.entries.capacity()).find_map(|key| Some((key, self.entries.get(key)?)))
     }
 
@@ -148,7 +153,7 @@
             let void = self
                 .entries
                 .get(key)
-                .is_some_and(|e| !matches!(e.place, Place::Here(_)));
+                .is_some_and(|e| !matches!(e.place, RequestLocation::Here(_)));
             if void {
                 self.drop_key(key);
             }
--- a/crates/tidewall-failover/src/damp.rs
+++ b/crates/tidewall-failover/src/flap_damping.rs
@@ -1,16 +1,16 @@
 //! Holds a member off that lost or could not get its seat: twice as long each time, forgiven with time.
 use crate::Time;
 
-pub struct Damp {
+pub struct FlapDamping {
     first: Time,
     most: Time,
     next: Time,
     last: Time,
 }
 
-impl Damp {
-    pub fn new(first: Time, most: Time) -> Damp {
-        Damp {
+impl FlapDamping {
+    pub fn new(first: Time, most: Time) -> FlapDamping {
+        FlapDamping {
             first,
             most,
             next: first,
--- a/crates/tidewall-failover/src/promise.rs
+++ b/crates/tidewall-failover/src/leadership.rs
@@ -1,10 +1,10 @@
 //! What one worker keeps for a pair: the highest ballot that it was asked with, and the claim that it accepted
 //! last. It must survive the worker's restart, or two majorities might not meet.
-use tidewall_lease::promise::Said;
+use tidewall_lease::acceptor::BallotedValue;
 
 /// A claim to serve. Epochs are ballots: a count, then the life and the member that use it, so no two ever use the same.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Claim {
+pub struct Leadership {
     pub epoch: u64,
     /// Member 0 or 1.
     pub member: usize,
@@ -14,23 +14,23 @@
     pub floor: u64,
 }
 
-impl Said for Claim {
+impl BallotedValue for Leadership {
     fn epoch(&self) -> u64 {
         self.epoch
     }
 }
 
-pub type Promise = tidewall_lease::promise::Promise<Claim>;
+pub type LeadershipAcceptor = tidewall_lease::acceptor::AcceptorState<Leadership>;
 
 /// What a worker asks of its promise.
-pub trait Fence {
+pub trait Fencing {
     /// Whether a launch or an order of that member, sent under that epoch, may be taken.
     fn may(&self, member: usize, epoch: u64) -> bool;
     /// Whether what that member has out here must end: it was accepted that the other serves alone.
     fn ends(&self, member: usize) -> bool;
 }
 
-impl Fence for Promise {
+impl Fencing for LeadershipAcceptor {
     fn may(&self, member: usize, epoch: u64) -> bool {
         self.accepted.epoch == 0 || member == self.accepted.member || epoch >= self.accepted.floor
     }
--- a/crates/tidewall-failover/src/ration.rs
+++ b/crates/tidewall-failover/src/load_request_limit.rs
@@ -3,7 +3,7 @@
 use crate::Time;
 use std::collections::VecDeque;
 
-pub struct Ration {
+pub struct LoadRequestLimiter {
     window: Time,
     free: f64,
     share: f64,
@@ -11,10 +11,10 @@
     taken: VecDeque<Time>,
 }
 
-impl Ration {
+impl LoadRequestLimiter {
     /// A window of 0 rations nothing.
-    pub fn new(window: Time, free: f64, share: f64) -> Ration {
-        Ration {
+    pub fn new(window: Time, free: f64, share: f64) -> LoadRequestLimiter {
+        LoadRequestLimiter {
             window,
             free,
             share,
--- a/crates/tidewall-failover/src/claim.rs
+++ b/crates/tidewall-failover/src/proposal.rs
@@ -1,9 +1,9 @@
 //! How a member gets leave to serve: a round of `tidewall-lease` whose voters are workers named in the settings. What a
 //! claim may say is decided here: whoever claims hears of whoever might have been granted before, and by which lives all is known.
-use crate::promise::{Claim as Asked, Promise};
-use tidewall_lease::round::{Outcome as Came, Own, Round, Rule};
+use crate::leadership::{Leadership, LeadershipAcceptor};
+use tidewall_lease::proposer::{BallotOwner, ProposalRule, ProposerRound, RoundOutcome};
 
-pub use tidewall_lease::round::Ask;
+pub use tidewall_lease::proposer::ProposerTransport;
 
 /// What for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,8 +15,8 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    Granted(Asked),
+pub enum ProposalOutcome {
+    Granted(Leadership),
     /// This life does not hold all that there is to know, and one that does may come back.
     OutOfSync,
     /// The other member serves, or might.
@@ -26,7 +26,7 @@
 
 /// What a claim would say, besides its epoch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Wish {
+pub struct ProposalRequest {
     pub purpose: Purpose,
     /// The other member's life, where it holds all as well.
     pub with: Option<u64>,
@@ -52,20 +52,20 @@
 struct Says {
     me: usize,
     life: u64,
-    wish: Option<Wish>,
+    wish: Option<ProposalRequest>,
     /// Lives of the other member up to this one are over.
     over: u64,
     forgot: bool,
 }
 
-pub struct Claim {
+pub struct LeadershipProposer {
     says: Says,
-    round: Round<Asked>,
+    round: ProposerRound<Leadership>,
 }
 
-impl Claim {
-    pub fn new(me: usize, life: u64, voters: usize) -> Claim {
-        Claim {
+impl LeadershipProposer {
+    pub fn new(me: usize, life: u64, voters: usize) -> LeadershipProposer {
+        LeadershipProposer {
             says: Says {
                 me,
                 life,
@@ -73,7 +73,7 @@
                 over: 0,
                 forgot: false,
             },
-            round: Round::new(Own::new(OWN, life << 1 | me as u64), voters),
+            round: ProposerRound::new(BallotOwner::new(OWN, life << 1 | me as u64), voters),
         }
     }
 
@@ -101,7 +101,7 @@
     }
 
     /// Begins anew, whatever was under way.
-    pub fn begin(&mut self, ask: &mut impl Ask<Asked>, wish: Wish) {
+    pub fn begin(&mut self, ask: &mut impl ProposerTransport<Leadership>, wish: ProposalRequest) {
         self.says.wish = Some(wish);
         self.round.begin(ask);
     }
@@ -109,12 +109,12 @@
     /// A voter's answer to the ballot; `accepting` tells which of the two questions it answers.
     pub fn told(
         &mut self,
-        ask: &mut impl Ask<Asked>,
+        ask: &mut impl ProposerTransport<Leadership>,
         voter: usize,
         of: (u64, bool),
         good: bool,
-        promise: Promise,
-    ) -> Option<Outcome> {
+        promise: LeadershipAcceptor,
+    ) -> Option<ProposalOutcome> {
         self.round
             .told((ask, &mut self.says), voter, of, good, promise)
             .map(outcome)
@@ -123,28 +123,32 @@
     /// A voter cannot be asked, or did not answer.
     pub fn unheard(
         &mut self,
-        ask: &mut impl Ask<Asked>,
+        ask: &mut impl ProposerTransport<Leadership>,
         voter: usize,
         of: (u64, bool),
-    ) -> Option<Outcome> {
+    ) -> Option<ProposalOutcome> {
         self.round
             .unheard((ask, &mut self.says), voter, of)
             .map(outcome)
     }
 }
 
-fn outcome(came: Came<Asked, Outcome>) -> Outcome {
+fn outcome(came: RoundOutcome<Leadership, ProposalOutcome>) -> ProposalOutcome {
     match came {
-        Came::Granted(claim) => Outcome::Granted(claim),
-        Came::Not(why) => why,
-        Came::NoMajority => Outcome::NoMajority,
+        RoundOutcome::Granted(claim) => ProposalOutcome::Granted(claim),
+        RoundOutcome::Not(why) => why,
+        RoundOutcome::NoMajority => ProposalOutcome::NoMajority,
     }
 }
 
-impl Rule<Asked> for Says {
-    type No = Outcome;
+impl ProposalRule<Leadership> for Says {
+    type No = ProposalOutcome;
 
-    fn say(&mut self, ballot: u64, told: Option<Asked>) -> Result<Asked, Outcome> {
+    fn say(
+        &mut self,
+        ballot: u64,
+        told: Option<Leadership>,
+    ) -> Result<Leadership, ProposalOutcome> {
         let wish = self.wish.expect("it is under way");
         self.allowed(wish, told)?;
         // It stays so, or a claim of our own that few accepted would look as if this life knew all.
@@ -157,7 +161,7 @@
         } else {
             told.map_or(0, |t| t.floor)
         };
-        Ok(Asked {
+        Ok(Leadership {
             epoch: ballot,
             member: self.me,
             sync,
@@ -167,16 +171,20 @@
 }
 
 impl Says {
-    fn allowed(&self, wish: Wish, told: Option<Asked>) -> Result<(), Outcome> {
+    fn allowed(
+        &self,
+        wish: ProposalRequest,
+        told: Option<Leadership>,
+    ) -> Result<(), ProposalOutcome> {
         let Some(told) = told else { return Ok(()) };
         let other = told.sync[1 - self.me];
         match wish.purpose {
             Purpose::GoOn if told.member == self.me && told.sync[self.me] == self.life => Ok(()),
-            Purpose::GoOn => Err(Outcome::Superseded),
+            Purpose::GoOn => Err(ProposalOutcome::Superseded),
             _ if told.sync[self.me] == self.life => Ok(()),
             // All lives that knew anything are over: nothing is left to lose.
             _ if other <= self.over => Ok(()),
-            _ => Err(Outcome::OutOfSync),
+            _ => Err(ProposalOutcome::OutOfSync),
         }
     }
 }
--- a/crates/tidewall-failover/src/fate.rs
+++ b/crates/tidewall-failover/src/recovery.rs
@@ -3,7 +3,7 @@
 use crate::Time;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
+pub enum RetrySafety {
     Redeliverable,
     /// A repeat is dropped everywhere (`all`) or within a group only, for the window.
     Keyed {
@@ -13,15 +13,18 @@
     AtMostOnce,
 }
 
-impl Kind {
+impl RetrySafety {
     /// A repeat does no harm anywhere: its answers need not wait for the other member's record.
     pub fn harmless(self) -> bool {
-        matches!(self, Kind::Redeliverable | Kind::Keyed { all: true, .. })
+        matches!(
+            self,
+            RetrySafety::Redeliverable | RetrySafety::Keyed { all: true, .. }
+        )
     }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
+pub enum AttemptState {
     /// Sent, and no end is known.
     Out,
     ProvenNotRun,
@@ -29,14 +32,14 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Launch {
+pub struct Attempt {
     pub wk: usize,
     pub at: Time,
-    pub state: State,
+    pub state: AttemptState,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
+pub enum RecoveryAction {
     /// It is taken as if it came anew.
     Continue,
     /// A launch may still be out, and two at once are barred: until its worker is fenced.
@@ -51,7 +54,7 @@
 
 /// How much earlier than its client gives up an event of a pair is to be over: an answer may wait until the voters know that
 /// the other member is gone, which takes the link's silence and a claim. Where a repeat does no harm nothing waits.
-pub fn margin(kind: Kind, left: Time, silence: Time) -> Time {
+pub fn margin(kind: RetrySafety, left: Time, silence: Time) -> Time {
     match kind {
         kind if kind.harmless() => 0,
         // The silence, one tick, and a claim's two round trips to the workers.
@@ -61,9 +64,9 @@
 
 /// An event that is asked for again while nobody knows what became of it: the lives that had it are over. True: it is to
 /// come back later; false: it is dead-lettered, as it may have run; none: it may begin anew. `fenced`: nothing of those lives is out any more.
-pub fn unknown(kind: Kind, two_at_once: bool, fenced: bool) -> Option<bool> {
+pub fn unknown(kind: RetrySafety, two_at_once: bool, fenced: bool) -> Option<bool> {
     match kind {
-        Kind::AtMostOnce | Kind::Keyed { all: false, .. } => Some(false),
+        RetrySafety::AtMostOnce | RetrySafety::Keyed { all: false, .. } => Some(false),
         _ if !two_at_once && !fenced => Some(true),
         _ => None,
     }
@@ -71,26 +74,30 @@
 
 /// `fenced` tells whether nothing of the old master's is out at a worker any more.
 pub fn fate(
-    kind: Kind,
+    kind: RetrySafety,
     two_at_once: bool,
     (now, until): (Time, Time),
-    launches: &[Launch],
+    launches: &[Attempt],
     fenced: impl Fn(usize) -> bool,
-) -> Fate {
-    let unproven = || launches.iter().filter(|l| l.state != State::ProvenNotRun);
+) -> RecoveryAction {
+    let unproven = || {
+        launches
+            .iter()
+            .filter(|l| l.state != AttemptState::ProvenNotRun)
+    };
     let clean = unproven().next().is_none();
-    let out = unproven().any(|l| l.state == State::Out && !fenced(l.wk));
+    let out = unproven().any(|l| l.state == AttemptState::Out && !fenced(l.wk));
     let late = now + LEAST >= until;
     match kind {
-        _ if clean && late => Fate::Forget,
-        _ if clean => Fate::Continue,
-        _ if late => Fate::DeadLetter,
-        Kind::AtMostOnce => Fate::DeadLetter,
-        Kind::Keyed { all: false, .. } => Fate::DeadLetter,
-        Kind::Keyed { window, .. } if unproven().any(|l| now + LEAST >= l.at + window) => {
-            Fate::DeadLetter
+        _ if clean && late => RecoveryAction::Forget,
+        _ if clean => RecoveryAction::Continue,
+        _ if late => RecoveryAction::DeadLetter,
+        RetrySafety::AtMostOnce => RecoveryAction::DeadLetter,
+        RetrySafety::Keyed { all: false, .. } => RecoveryAction::DeadLetter,
+        RetrySafety::Keyed { window, .. } if unproven().any(|l| now + LEAST >= l.at + window) => {
+            RecoveryAction::DeadLetter
         }
-        _ if out && !two_at_once => Fate::Await,
-        _ => Fate::Continue,
+        _ if out && !two_at_once => RecoveryAction::Await,
+        _ => RecoveryAction::Continue,
     }
 }
--- a/crates/tidewall-failover/src/seat.rs
+++ b/crates/tidewall-failover/src/role.rs
@@ -1,19 +1,21 @@
 //! Who serves. VRRP says who wants to; the majority of voters says who may; the link between the members says what the
 //! other one holds. A member that is superseded ends its process and starts anew, knowing nothing.
-use crate::claim::{Ask, Claim, Outcome, Purpose, Wish};
-use crate::damp::Damp;
-use crate::promise::{Claim as Asked, Promise};
+use crate::flap_damping::FlapDamping;
+use crate::leadership::{Leadership, LeadershipAcceptor};
+use crate::proposal::{
+    LeadershipProposer, ProposalOutcome, ProposalRequest, ProposerTransport, Purpose,
+};
 use crate::Time;
 
 /// How a member acts.
-pub trait Act: Ask<Asked> {
+pub trait RoleActions: ProposerTransport<Leadership> {
     /// Takes part in VRRP or not; where it stops as the active one it says so (priority 0).
     fn vrrp(&mut self, on: bool);
     /// Serves from now on. `adopt`: what the other member had in hand is ours. `forgot`: what others had in hand before is
     /// known to nobody.
-    fn open(&mut self, claim: Asked, adopt: bool, forgot: bool);
+    fn open(&mut self, claim: Leadership, adopt: bool, forgot: bool);
     /// The claim under which it serves is another now; `adopt` as above.
-    fn renewed(&mut self, claim: Asked, adopt: bool);
+    fn renewed(&mut self, claim: Leadership, adopt: bool);
     /// Takes no new events; what it holds goes on.
     fn retire(&mut self);
     /// Nothing waits for the other member (`false`), or launches and answers do.
@@ -30,7 +32,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
+pub enum Role {
     Standby,
     /// The other member was asked to retire.
     Asking,
@@ -47,37 +49,37 @@
     Over,
 }
 
-impl State {
-    pub const ALL: [State; 9] = [
-        State::Standby,
-        State::Asking,
-        State::Claiming,
-        State::Solo,
-        State::Joining,
-        State::Paired,
-        State::Parting,
-        State::Retiring,
-        State::Over,
+impl Role {
+    pub const ALL: [Role; 9] = [
+        Role::Standby,
+        Role::Asking,
+        Role::Claiming,
+        Role::Solo,
+        Role::Joining,
+        Role::Paired,
+        Role::Parting,
+        Role::Retiring,
+        Role::Over,
     ];
 
     pub fn text(self) -> &'static str {
         match self {
-            State::Standby => "standby",
-            State::Asking => "asking",
-            State::Claiming => "claiming",
-            State::Solo => "solo",
-            State::Joining => "joining",
-            State::Paired => "paired",
-            State::Parting => "parting",
-            State::Retiring => "retiring",
-            State::Over => "over",
+            Role::Standby => "standby",
+            Role::Asking => "asking",
+            Role::Claiming => "claiming",
+            Role::Solo => "solo",
+            Role::Joining => "joining",
+            Role::Paired => "paired",
+            Role::Parting => "parting",
+            Role::Retiring => "retiring",
+            Role::Over => "over",
         }
     }
 
     pub fn serves(self) -> bool {
         matches!(
             self,
-            State::Solo | State::Joining | State::Paired | State::Parting
+            Role::Solo | Role::Joining | Role::Paired | Role::Parting
         )
     }
 }
@@ -91,21 +93,21 @@
     counts_us: bool,
 }
 
-pub struct Seat {
-    state: State,
+pub struct RoleStateMachine {
+    state: Role,
     /// When this state began.
     since: Time,
     interval: Time,
-    claim: Claim,
+    claim: LeadershipProposer,
     /// Under which we serve.
-    pub granted: Asked,
+    pub granted: Leadership,
     peer: Peer,
     vrrp: bool,
     active: bool,
-    damp: Damp,
+    damp: FlapDamping,
     held_off: Time,
     /// A link that was too slow is not relied on again before that.
-    slow: Damp,
+    slow: FlapDamping,
     slow_off: Time,
     /// A copy is owed to the other member.
     owed: bool,
@@ -133,22 +135,22 @@
 /// Just started, it waits so many intervals for the link before it goes without.
 const LINK: Time = 5;
 
-impl Seat {
+impl RoleStateMachine {
     /// `interval` is VRRP's advertisement interval.
-    pub fn new(me: usize, life: u64, voters: usize, interval: Time, now: Time) -> Seat {
-        Seat {
-            state: State::Standby,
+    pub fn new(me: usize, life: u64, voters: usize, interval: Time, now: Time) -> RoleStateMachine {
+        RoleStateMachine {
+            state: Role::Standby,
             since: now,
             interval,
-            claim: Claim::new(me, life, voters),
-            granted: Asked::default(),
+            claim: LeadershipProposer::new(me, life, voters),
+            granted: Leadership::default(),
             peer: Peer::default(),
             vrrp: false,
             active: false,
             // From half a second, RFC 9568's usual advertisement interval being one, to half a minute.
-            damp: Damp::new(5 * interval, 300 * interval),
+            damp: FlapDamping::new(5 * interval, 300 * interval),
             held_off: now,
-            slow: Damp::new(10 * interval, 300 * interval),
+            slow: FlapDamping::new(10 * interval, 300 * interval),
             slow_off: 0,
             owed: false,
             again: 0,
@@ -160,7 +162,7 @@
         }
     }
 
-    pub fn state(&self) -> State {
+    pub fn state(&self) -> Role {
         self.state
     }
 
@@ -170,46 +172,46 @@
     }
 
     pub fn counts(&self, peer_life: u64) -> bool {
-        self.state == State::Paired && self.granted.sync.contains(&peer_life)
+        self.state == Role::Paired && self.granted.sync.contains(&peer_life)
     }
 
-    fn go(&mut self, now: Time, state: State) {
+    fn go(&mut self, now: Time, state: Role) {
         (self.state, self.since) = (state, now);
     }
 
-    fn over(&mut self, now: Time, act: &mut impl Act, why: &'static str) {
+    fn over(&mut self, now: Time, act: &mut impl RoleActions, why: &'static str) {
         self.claim.stop();
-        self.go(now, State::Over);
+        self.go(now, Role::Over);
         act.again(why);
     }
 
-    fn wish(&self, purpose: Purpose) -> Wish {
+    fn wish(&self, purpose: Purpose) -> ProposalRequest {
         let with =
             (self.peer.up && purpose == Purpose::GoOn || self.handed).then_some(self.peer.life);
         // Alone, the other's launches end; with it they stay good.
-        Wish {
+        ProposalRequest {
             purpose,
             with,
             fences: with.is_none(),
         }
     }
 
-    fn take_over(&mut self, now: Time, act: &mut impl Act) {
-        if self.state != State::Retiring {
-            self.go(now, State::Claiming);
+    fn take_over(&mut self, now: Time, act: &mut impl RoleActions) {
+        if self.state != Role::Retiring {
+            self.go(now, Role::Claiming);
         }
         let wish = self.wish(Purpose::TakeOver);
         self.claim.begin(act, wish);
     }
 
     /// Not now: VRRP hears that we stop, and we come back later.
-    fn bounce(&mut self, now: Time, act: &mut impl Act) {
+    fn bounce(&mut self, now: Time, act: &mut impl RoleActions) {
         self.claim.stop();
         (self.handed, self.active, self.vrrp) = (false, false, false);
         act.vrrp(false);
         self.held_off = self.damp.again(now);
-        if self.state != State::Retiring {
-            self.go(now, State::Standby);
+        if self.state != Role::Retiring {
+            self.go(now, Role::Standby);
         }
     }
 
@@ -228,43 +230,43 @@
     }
 
     /// At least twice in an interval.
-    pub fn tick(&mut self, now: Time, act: &mut impl Act) {
+    pub fn tick(&mut self, now: Time, act: &mut impl RoleActions) {
         match self.state {
-            State::Standby if !self.vrrp && self.fit(now) => {
+            Role::Standby if !self.vrrp && self.fit(now) => {
                 self.vrrp = true;
                 act.vrrp(true);
             }
-            State::Standby
+            Role::Standby
                 if self.vrrp && self.peer.up && self.peer.serves && !self.peer.counts_us =>
             {
                 // It would have to ask a member that does not count it.
                 (self.vrrp, self.active) = (false, false);
                 act.vrrp(false);
             }
-            State::Solo if self.owed && self.peer.up && now >= self.slow_off => {
+            Role::Solo if self.owed && self.peer.up && now >= self.slow_off => {
                 self.owed = false;
                 act.copy(false);
             }
-            State::Asking if now > self.since + YIELD * self.interval => self.bounce(now, act),
-            State::Parting if now > self.since + PARTING * self.interval => self.over(
+            Role::Asking if now > self.since + YIELD * self.interval => self.bounce(now, act),
+            Role::Parting if now > self.since + PARTING * self.interval => self.over(
                 now,
                 act,
                 "neither the other member nor a majority of voters can be reached",
             ),
-            State::Parting if !self.claim.busy() && now >= self.again => {
-                let wish = Wish {
+            Role::Parting if !self.claim.busy() && now >= self.again => {
+                let wish = ProposalRequest {
                     with: None,
                     fences: true,
                     ..self.wish(Purpose::GoOn)
                 };
                 self.claim.begin(act, wish);
             }
-            State::Retiring
+            Role::Retiring
                 if self.active && self.alone(now) && !self.claim.busy() && now >= self.again =>
             {
                 self.take_over(now, act)
             }
-            State::Standby if self.active && self.alone(now) && !self.leaving => {
+            Role::Standby if self.active && self.alone(now) && !self.leaving => {
                 self.take_over(now, act)
             }
             _ => {}
@@ -272,14 +274,14 @@
     }
 
     /// VRRP: the addresses are ours.
-    pub fn active(&mut self, now: Time, act: &mut impl Act) {
+    pub fn active(&mut self, now: Time, act: &mut impl RoleActions) {
         self.active = true;
         match self.state {
-            State::Standby if self.peer.up && self.peer.serves => {
-                self.go(now, State::Asking);
+            Role::Standby if self.peer.up && self.peer.serves => {
+                self.go(now, Role::Asking);
                 act.ask_yield();
             }
-            State::Standby => self.take_over(now, act),
+            Role::Standby => self.take_over(now, act),
             _ => {}
         }
     }
@@ -288,14 +290,21 @@
     pub fn inactive(&mut self, now: Time) {
         self.active = false;
         // Whoever was handed the seat claims it, or nobody would serve.
-        if matches!(self.state, State::Asking | State::Claiming) && !self.handed {
+        if matches!(self.state, Role::Asking | Role::Claiming) && !self.handed {
             self.claim.stop();
-            self.go(now, State::Standby);
+            self.go(now, Role::Standby);
         }
     }
 
     /// The link stands, and the other one has told its life and whether it serves.
-    pub fn peer_up(&mut self, now: Time, act: &mut impl Act, life: u64, serves: bool, epoch: u64) {
+    pub fn peer_up(
+        &mut self,
+        now: Time,
+        act: &mut impl RoleActions,
+        life: u64,
+        serves: bool,
+        epoch: u64,
+    ) {
         self.claim.over(life.saturating_sub(1));
         self.peer = Peer {
             up: true,
@@ -306,15 +315,15 @@
         if serves && self.state.serves() && epoch > self.granted.epoch {
             return self.over(now, act, "the other member serves under a newer epoch");
         }
-        if serves && self.state == State::Retiring {
+        if serves && self.state == Role::Retiring {
             return self.over(now, act, "the other member went on without us");
         }
-        if self.state == State::Solo {
+        if self.state == Role::Solo {
             self.owe(now, act);
         }
     }
 
-    fn owe(&mut self, now: Time, act: &mut impl Act) {
+    fn owe(&mut self, now: Time, act: &mut impl RoleActions) {
         self.owed = now < self.slow_off;
         if !self.owed {
             act.copy(false);
@@ -330,7 +339,7 @@
     pub fn peer_told(
         &mut self,
         now: Time,
-        act: &mut impl Act,
+        act: &mut impl RoleActions,
         serves: bool,
         counts_us: bool,
         epoch: u64,
@@ -345,21 +354,21 @@
         }
     }
 
-    pub fn peer_down(&mut self, now: Time, act: &mut impl Act) {
+    pub fn peer_down(&mut self, now: Time, act: &mut impl RoleActions) {
         self.peer.up = false;
         match self.state {
-            State::Paired | State::Joining => {
-                self.go(now, State::Parting);
-                let wish = Wish {
+            Role::Paired | Role::Joining => {
+                self.go(now, Role::Parting);
+                let wish = ProposalRequest {
                     with: None,
                     fences: true,
                     ..self.wish(Purpose::GoOn)
                 };
                 self.claim.begin(act, wish);
             }
-            State::Asking => self.take_over(now, act),
+            Role::Asking => self.take_over(now, act),
             // It said that it retired; whether it is gone by now the voters' answers show.
-            State::Claiming if self.handed => {
+            Role::Claiming if self.handed => {
                 self.handed = false;
                 self.take_over(now, act);
             }
@@ -368,61 +377,61 @@
     }
 
     /// The other member asks us to retire.
-    pub fn yield_asked(&mut self, now: Time, act: &mut impl Act) {
-        if self.state == State::Paired {
+    pub fn yield_asked(&mut self, now: Time, act: &mut impl RoleActions) {
+        if self.state == Role::Paired {
             self.claim.stop();
-            self.go(now, State::Retiring);
+            self.go(now, Role::Retiring);
             act.retire();
             act.yielded();
         }
     }
 
     /// The other member has retired; all that it took is in its copy here.
-    pub fn peer_yielded(&mut self, now: Time, act: &mut impl Act) {
+    pub fn peer_yielded(&mut self, now: Time, act: &mut impl RoleActions) {
         // Even where we do not want it any more: nobody else does.
-        if matches!(self.state, State::Asking | State::Standby) {
+        if matches!(self.state, Role::Asking | Role::Standby) {
             self.handed = true;
             self.take_over(now, act);
         }
     }
 
     /// The other member has all that was told up to now.
-    pub fn copied(&mut self, now: Time, act: &mut impl Act) {
-        if self.state == State::Solo && self.peer.up {
-            self.go(now, State::Joining);
+    pub fn copied(&mut self, now: Time, act: &mut impl RoleActions) {
+        if self.state == Role::Solo && self.peer.up {
+            self.go(now, Role::Joining);
             act.waits(true);
         }
     }
 
     /// All that was on its way when waiting began has come there too.
-    pub fn joined(&mut self, act: &mut impl Act) {
-        if self.state == State::Joining && !self.claim.busy() {
+    pub fn joined(&mut self, act: &mut impl RoleActions) {
+        if self.state == Role::Joining && !self.claim.busy() {
             let wish = self.wish(Purpose::GoOn);
             self.claim.begin(act, wish);
         }
     }
 
     /// Nothing is in hand.
-    pub fn empty(&mut self, now: Time, act: &mut impl Act) {
-        if self.state == State::Retiring && !self.claim.busy() {
-            self.go(now, State::Standby);
+    pub fn empty(&mut self, now: Time, act: &mut impl RoleActions) {
+        if self.state == Role::Retiring && !self.claim.busy() {
+            self.go(now, Role::Standby);
         }
-        if self.leaving && self.state == State::Standby {
+        if self.leaving && self.state == Role::Standby {
             act.gone();
         }
     }
 
     /// Told to go: the other one takes over where it can. False where nobody can: it ends as one gateway would.
-    pub fn leave(&mut self, now: Time, act: &mut impl Act) -> bool {
+    pub fn leave(&mut self, now: Time, act: &mut impl RoleActions) -> bool {
         (self.leaving, self.left_at) = (true, now);
         (self.vrrp, self.active) = (false, false);
         act.vrrp(false);
         match self.state {
-            State::Paired => true,
-            State::Retiring => true,
-            State::Standby | State::Asking | State::Claiming => {
+            Role::Paired => true,
+            Role::Retiring => true,
+            Role::Standby | Role::Asking | Role::Claiming => {
                 self.claim.stop();
-                self.go(now, State::Standby);
+                self.go(now, Role::Standby);
                 true
             }
             _ => false,
@@ -432,7 +441,7 @@
     /// Told to go, and nobody takes over: it ends as one gateway would.
     pub fn ends_alone(&self, now: Time) -> bool {
         let asked_for = now <= self.left_at + YIELD * self.interval;
-        self.leaving && (self.state == State::Solo || self.state == State::Paired && !asked_for)
+        self.leaving && (self.state == Role::Solo || self.state == Role::Paired && !asked_for)
     }
 
     /// Settings disagree with the other member's, and we are the one to keep off.
@@ -441,7 +450,7 @@
     }
 
     /// A worker refused what we sent under our epoch: whether we still serve, the voters know.
-    pub fn fenced(&mut self, act: &mut impl Act) {
+    pub fn fenced(&mut self, act: &mut impl RoleActions) {
         if self.state.serves() && !self.claim.busy() {
             let with = self
                 .granted
@@ -449,7 +458,7 @@
                 .iter()
                 .copied()
                 .find(|l| *l == self.peer.life && *l > 0);
-            let wish = Wish {
+            let wish = ProposalRequest {
                 purpose: Purpose::GoOn,
                 with,
                 fences: with.is_none(),
@@ -461,35 +470,43 @@
     pub fn told(
         &mut self,
         now: Time,
-        act: &mut impl Act,
+        act: &mut impl RoleActions,
         voter: usize,
         of: (u64, bool),
         good: bool,
-        promise: Promise,
+        promise: LeadershipAcceptor,
     ) {
         if let Some(outcome) = self.claim.told(act, voter, of, good, promise) {
             self.ended(now, act, outcome);
         }
     }
 
-    pub fn unheard(&mut self, now: Time, act: &mut impl Act, voter: usize, of: (u64, bool)) {
+    pub fn unheard(
+        &mut self,
+        now: Time,
+        act: &mut impl RoleActions,
+        voter: usize,
+        of: (u64, bool),
+    ) {
         if let Some(outcome) = self.claim.unheard(act, voter, of) {
             self.ended(now, act, outcome);
         }
     }
 
-    fn ended(&mut self, now: Time, act: &mut impl Act, outcome: Outcome) {
+    fn ended(&mut self, now: Time, act: &mut impl RoleActions, outcome: ProposalOutcome) {
         match (self.state, outcome) {
-            (State::Claiming | State::Retiring, Outcome::Granted(claim)) => {
+            (Role::Claiming | Role::Retiring, ProposalOutcome::Granted(claim)) => {
                 self.seated(now, act, claim)
             }
-            (State::Claiming, _) => self.bounce(now, act),
-            (State::Retiring, Outcome::NoMajority) => self.again = now + AGAIN * self.interval,
-            (State::Retiring, _) => self.over(now, act, "the other member serves without us"),
-            (s, Outcome::Granted(claim)) if s.serves() => self.renewed(now, act, claim),
-            (s, Outcome::NoMajority) if s.serves() => {
+            (Role::Claiming, _) => self.bounce(now, act),
+            (Role::Retiring, ProposalOutcome::NoMajority) => {
+                self.again = now + AGAIN * self.interval
+            }
+            (Role::Retiring, _) => self.over(now, act, "the other member serves without us"),
+            (s, ProposalOutcome::Granted(claim)) if s.serves() => self.renewed(now, act, claim),
+            (s, ProposalOutcome::NoMajority) if s.serves() => {
                 self.again = now + AGAIN * self.interval;
-                if s == State::Joining {
+                if s == Role::Joining {
                     // It is asked again by the next thing that is recorded.
                     act.waits(true);
                 }
@@ -501,17 +518,17 @@
         }
     }
 
-    fn seated(&mut self, now: Time, act: &mut impl Act, claim: Asked) {
+    fn seated(&mut self, now: Time, act: &mut impl RoleActions, claim: Leadership) {
         self.granted = claim;
         let handed = std::mem::take(&mut self.handed);
         (self.heir, self.peer.serves) = (handed, false);
         if handed {
-            self.go(now, State::Paired);
+            self.go(now, Role::Paired);
             act.waits(true);
             act.open(claim, false, false);
             act.copy(true);
         } else {
-            self.go(now, State::Solo);
+            self.go(now, Role::Solo);
             act.waits(false);
             let forgot = self.claim.forgot();
             self.claim.knows();
@@ -522,11 +539,11 @@
         }
     }
 
-    fn renewed(&mut self, now: Time, act: &mut impl Act, claim: Asked) {
+    fn renewed(&mut self, now: Time, act: &mut impl RoleActions, claim: Leadership) {
         self.granted = claim;
         match self.state {
-            State::Parting => {
-                self.go(now, State::Solo);
+            Role::Parting => {
+                self.go(now, Role::Solo);
                 let adopt = std::mem::take(&mut self.heir);
                 act.renewed(claim, adopt);
                 act.waits(false);
@@ -534,8 +551,8 @@
                     self.owe(now, act);
                 }
             }
-            State::Joining => {
-                self.go(now, State::Paired);
+            Role::Joining => {
+                self.go(now, Role::Paired);
                 act.renewed(claim, false);
             }
             _ => act.renewed(claim, false),
--- a/crates/tidewall-failover/tests/claims.rs
+++ b/crates/tidewall-failover/tests/claims.rs
@@ -6,24 +6,26 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
-use tidewall_failover::claim::{count, Claim, Outcome, Purpose, Wish};
-use tidewall_failover::promise::{Claim as Asked, Fence, Promise};
+use tidewall_failover::leadership::{Fencing, Leadership, LeadershipAcceptor};
+use tidewall_failover::proposal::{
+    count, LeadershipProposer, ProposalOutcome, ProposalRequest, Purpose,
+};
 
-const TAKE: Wish = Wish {
+const TAKE: ProposalRequest = ProposalRequest {
     purpose: Purpose::TakeOver,
     with: None,
     fences: true,
 };
-const GO_ON: Wish = Wish {
+const GO_ON: ProposalRequest = ProposalRequest {
     purpose: Purpose::GoOn,
     with: None,
     fences: true,
 };
 
-fn accepted(epoch: u64, member: usize, sync: [u64; 2]) -> Promise {
-    Promise {
+fn accepted(epoch: u64, member: usize, sync: [u64; 2]) -> LeadershipAcceptor {
+    LeadershipAcceptor {
         promised: epoch,
-        accepted: Asked {
+        accepted: Leadership {
             epoch,
             member,
             sync,
@@ -33,7 +35,12 @@
 }
 
 /// All of these voters answer; those beyond are unheard.
-fn ask(claim: &mut Claim, voters: &mut [Promise], all: usize, wish: Wish) -> Option<Outcome> {
+fn ask(
+    claim: &mut LeadershipProposer,
+    voters: &mut [LeadershipAcceptor],
+    all: usize,
+    wish: ProposalRequest,
+) -> Option<ProposalOutcome> {
     let mut host = Host::default();
     claim.begin(&mut host, wish);
     let mut outcome = None;
@@ -52,16 +59,16 @@
     outcome
 }
 
-fn granted(outcome: Option<Outcome>) -> Option<([u64; 2], u64)> {
+fn granted(outcome: Option<ProposalOutcome>) -> Option<([u64; 2], u64)> {
     match outcome {
-        Some(Outcome::Granted(c)) => Some((c.sync, count(c.epoch))),
+        Some(ProposalOutcome::Granted(c)) => Some((c.sync, count(c.epoch))),
         _ => None,
     }
 }
 
-#[test_case(&[Promise::default(); 3], TAKE, Some(([7, 0], 1)) ; "nobody ever served")]
-#[test_case(&[Promise::default(); 2], TAKE, Some(([7, 0], 1)) ; "a majority is enough")]
-#[test_case(&[Promise::default(); 1], TAKE, None ; "less is not")]
+#[test_case(&[LeadershipAcceptor::default(); 3], TAKE, Some(([7, 0], 1)) ; "nobody ever served")]
+#[test_case(&[LeadershipAcceptor::default(); 2], TAKE, Some(([7, 0], 1)) ; "a majority is enough")]
+#[test_case(&[LeadershipAcceptor::default(); 1], TAKE, None ; "less is not")]
 #[test_case(&[accepted(5 << 24, 1, [7, 9]); 3], TAKE, Some(([7, 0], 6)) ; "in the know")]
 #[test_case(&[accepted(5 << 24, 1, [0, 9]); 3], TAKE, None ; "not in the know")]
 #[test_case(&[accepted(5 << 24, 1, [6, 9]); 3], TAKE, None ; "a former life was")]
@@ -70,19 +77,19 @@
 #[test_case(&[accepted(4 << 24, 0, [6, 9]); 3], GO_ON, None ; "a former life served")]
 #[test_case(&[accepted(4 << 24, 0, [7, 9]), accepted(5 << 24, 1, [0, 9])], TAKE, None ; "one of two accepted the other's: the silent one may have")]
 #[test_case(&[accepted(4 << 24, 0, [7, 9]), accepted(5 << 24, 1, [0, 9]), accepted(4 << 24, 0, [7, 9])], TAKE, Some(([7, 0], 6)) ; "one of three did: nobody was granted that")]
-fn who_may(voters: &[Promise], wish: Wish, told: Option<([u64; 2], u64)>) {
+fn who_may(voters: &[LeadershipAcceptor], wish: ProposalRequest, told: Option<([u64; 2], u64)>) {
     let mut voters = voters.to_vec();
-    let mut claim = Claim::new(0, 7, 3);
+    let mut claim = LeadershipProposer::new(0, 7, 3);
     assert_eq!(granted(ask(&mut claim, &mut voters, 3, wish)), told);
 }
 
 #[test]
 fn lives_that_are_over_are_not_waited_for_and_it_is_known_that_something_is_lost() {
     let mut voters = [accepted(5 << 24, 1, [6, 9]); 3];
-    let mut claim = Claim::new(0, 7, 3);
+    let mut claim = LeadershipProposer::new(0, 7, 3);
     assert_eq!(
         ask(&mut claim, &mut voters, 3, TAKE),
-        Some(Outcome::OutOfSync)
+        Some(ProposalOutcome::OutOfSync)
     );
     claim.over(9);
     assert!(granted(ask(&mut claim, &mut voters, 3, TAKE)).is_some());
@@ -92,7 +99,7 @@
 #[test]
 fn an_outbid_claim_is_begun_anew_above_what_was_heard() {
     let mut voters = [accepted(41 << 24, 1, [7, 9]); 3];
-    let mut claim = Claim::new(0, 7, 3);
+    let mut claim = LeadershipProposer::new(0, 7, 3);
     assert_eq!(
         granted(ask(&mut claim, &mut voters, 3, TAKE)),
         Some(([7, 0], 42))
@@ -103,13 +110,13 @@
 #[test_case(1, 3, false ; "the other's, older than the floor")]
 #[test_case(1, 4, true ; "the other's, from the floor on")]
 fn what_a_worker_takes(member: usize, epoch: u64, told: bool) {
-    let claim = Asked {
+    let claim = Leadership {
         epoch: 6,
         member: 0,
         sync: [7, 0],
         floor: 4,
     };
-    let promise = Promise {
+    let promise = LeadershipAcceptor {
         promised: 6,
         accepted: claim,
     };
@@ -130,21 +137,22 @@
     life: u64,
     voter: usize,
     ballot: u64,
-    asked: Option<Asked>,
+    asked: Option<Leadership>,
     /// The voter's answer on its way back.
-    answer: Option<(bool, Promise)>,
+    answer: Option<(bool, LeadershipAcceptor)>,
 }
 
 /// Three voters, two members that claim, lose, repeat and reorder messages, die and start again. `forgets`: voters that keep
 /// nothing.
 fn breaches(seed: u64, forgets: bool) -> usize {
     let mut chance = ChaCha8Rng::seed_from_u64(seed);
-    let mut voters = [Promise::default(); 3];
+    let mut voters = [LeadershipAcceptor::default(); 3];
     let mut lives = [1u64, 1];
-    let mut claims: Vec<Claim> = (0..2).map(|me| Claim::new(me, 1, 3)).collect();
+    let mut claims: Vec<LeadershipProposer> =
+        (0..2).map(|me| LeadershipProposer::new(me, 1, 3)).collect();
     let mut way: Vec<Message> = Vec::new();
     // The last claim that was granted, and what was granted before.
-    let mut last: Option<Asked> = None;
+    let mut last: Option<Leadership> = None;
     let (mut serving, mut follows, mut breaches) = ([false, false], [0, 0], 0);
     for _ in 0..300 {
         let me = chance.random_range(0..2);
@@ -164,7 +172,7 @@
                 }
                 claims[me].begin(
                     &mut host,
-                    Wish {
+                    ProposalRequest {
                         purpose,
                         with,
                         fences: with.is_none(),
@@ -174,7 +182,7 @@
             1 if chance.random_ratio(1, 3) => {
                 lives[me] += 1;
                 serving[me] = false;
-                claims[me] = Claim::new(me, lives[me], 3);
+                claims[me] = LeadershipProposer::new(me, lives[me], 3);
                 claims[me].over(lives[1 - me] - 1);
                 claims[1 - me].over(lives[me] - 1);
             }
@@ -191,7 +199,7 @@
                 match m.answer {
                     None => {
                         if forgets {
-                            voters[m.voter] = Promise::default();
+                            voters[m.voter] = LeadershipAcceptor::default();
                         }
                         let answer = vote(&mut voters[m.voter], (m.ballot, m.asked));
                         way.push(Message {
@@ -235,7 +243,7 @@
             continue;
         };
         match outcome {
-            Outcome::Granted(c) => {
+            ProposalOutcome::Granted(c) => {
                 if let Some(l) = last.filter(|l| l.epoch < c.epoch) {
                     // Whoever serves next was in the know of whoever served last, or knows that it is not.
                     let knew = l.sync[who] == lives[who] || follows[who] == lives[who];
@@ -251,11 +259,11 @@
                 serving[who] = true;
                 claims[who].knows();
             }
-            Outcome::Superseded => {
+            ProposalOutcome::Superseded => {
                 // It starts anew, as the gateway does.
                 lives[who] += 1;
                 serving[who] = false;
-                claims[who] = Claim::new(who, lives[who], 3);
+                claims[who] = LeadershipProposer::new(who, lives[who], 3);
                 claims[who].over(lives[1 - who] - 1);
                 claims[1 - who].over(lives[who] - 1);
             }
--- a/crates/tidewall-failover/tests/help/mod.rs
+++ b/crates/tidewall-failover/tests/help/mod.rs
@@ -1,36 +1,36 @@
 //! Voters, and a host that notes what a seat calls for.
 #![allow(dead_code)] // each test file uses a part
-use tidewall_failover::claim::Ask;
-use tidewall_failover::promise::{Claim, Promise};
-use tidewall_failover::seat::Act;
+use tidewall_failover::leadership::{Leadership, LeadershipAcceptor};
+use tidewall_failover::proposal::ProposerTransport;
+use tidewall_failover::role::RoleActions;
 
 /// What was asked of voters, until it is answered; and what else was called for, a word each.
 #[derive(Default)]
 pub struct Host {
-    pub asked: Vec<(usize, u64, Option<Claim>)>,
+    pub asked: Vec<(usize, u64, Option<Leadership>)>,
     pub said: Vec<String>,
 }
 
-impl Ask<Claim> for Host {
+impl ProposerTransport<Leadership> for Host {
     fn prepare(&mut self, voter: usize, ballot: u64) {
         self.asked.push((voter, ballot, None));
     }
-    fn accept(&mut self, voter: usize, claim: Claim) {
+    fn accept(&mut self, voter: usize, claim: Leadership) {
         self.asked.push((voter, claim.epoch, Some(claim)));
     }
 }
 
-impl Act for Host {
+impl RoleActions for Host {
     fn vrrp(&mut self, on: bool) {
         self.said.push(format!("vrrp {on}"));
     }
-    fn open(&mut self, claim: Claim, adopt: bool, forgot: bool) {
+    fn open(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
         self.said.push(format!(
             "open {} adopt {adopt} forgot {forgot}",
             claim.epoch
         ));
     }
-    fn renewed(&mut self, claim: Claim, adopt: bool) {
+    fn renewed(&mut self, claim: Leadership, adopt: bool) {
         self.said
             .push(format!("renewed {} adopt {adopt}", claim.epoch));
     }
@@ -58,7 +58,10 @@
 }
 
 /// A voter's answer to one question.
-pub fn vote(voter: &mut Promise, question: (u64, Option<Claim>)) -> (bool, Promise) {
+pub fn vote(
+    voter: &mut LeadershipAcceptor,
+    question: (u64, Option<Leadership>),
+) -> (bool, LeadershipAcceptor) {
     let good = match question {
         (ballot, None) => voter.prepare(ballot),
         (_, Some(claim)) => voter.accept(claim),
--- a/crates/tidewall-gateway/src/config.rs
+++ b/crates/tidewall-gateway/src/config.rs
@@ -3,7 +3,7 @@
 use crate::worker_pool::GatewayLimits;
 use crate::GatewayConfig;
 use tidewall_config::{agree, plain, Section};
-use tidewall_failover::fate::Kind;
+use tidewall_failover::recovery::RetrySafety;
 use tidewall_vrrp::packet::Keys;
 
 pub fn limits(s: &Section) -> GatewayLimits {
@@ -53,12 +53,12 @@
     let at = |s: &Section, field: &str| s.text(field).parse().expect("checked");
     let types = s.sections("event_type");
     let kind = |t: &Section| match t.choice("redelivery").as_str() {
-        "REDELIVERABLE" => Kind::Redeliverable,
-        "KEYED" => Kind::Keyed {
+        "REDELIVERABLE" => RetrySafety::Redeliverable,
+        "KEYED" => RetrySafety::Keyed {
             all: t.choice("group") == "ALL",
             window: t.span("window_ms"),
         },
-        _ => Kind::AtMostOnce,
+        _ => RetrySafety::AtMostOnce,
     };
     let keep = |t: &Section| match t.choice("redelivery").as_str() {
         "KEYED" => t.span("window_ms").max(t.span("max_age_ms")),
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -9,14 +9,14 @@
 use replicator::{remember, taken, word, DeferredAction, PendingResponse, Replicator};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use tidewall::interface::EndpointState;
-use tidewall_failover::claim::{count, Ask};
-use tidewall_failover::fate::{self, fate, unknown, Fate, Kind};
-use tidewall_failover::known::Place;
-use tidewall_failover::promise::{Claim, Promise};
-use tidewall_failover::ration::Ration;
-use tidewall_failover::seat::{self, Seat, State};
+use tidewall_failover::deduplication::RequestLocation;
+use tidewall_failover::leadership::{Leadership, LeadershipAcceptor};
+use tidewall_failover::load_request_limit::LoadRequestLimiter;
+use tidewall_failover::proposal::{count, ProposerTransport};
+use tidewall_failover::recovery::{self, fate, unknown, RecoveryAction, RetrySafety};
+use tidewall_failover::role::{self, Role, RoleStateMachine};
 use tidewall_net::{Conn, DatagramSocket, Listener, Net, Time, TimerId};
-use tidewall_vrrp::packet::{self, Guard, Keys};
+use tidewall_vrrp::packet::{self, Keys, ReplayGuard};
 use tidewall_vrrp::{Parameters, Router, CENTISECOND};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 use tracing::{info, warn};
@@ -41,7 +41,7 @@
     /// Asked again and again, so that keys change without a pause.
     pub keys: Box<dyn Fn() -> Keys>,
     pub voters: Vec<String>,
-    pub retry_safety: Vec<Kind>,
+    pub retry_safety: Vec<RetrySafety>,
     pub retention: Vec<Time>,
     pub allows_hedging: bool,
     /// Window, free orders, and orders for each event taken.
@@ -73,7 +73,7 @@
     until: Time,
     mark: Vec<u8>,
     payload: Vec<u8>,
-    launches: Vec<fate::Launch>,
+    launches: Vec<recovery::Attempt>,
     /// Who asked us for it.
     tickets: Vec<(ReplyHandle, Time)>,
 }
@@ -93,7 +93,7 @@
     me: usize,
     router: Router,
     keys: Keys,
-    guard: Guard,
+    guard: ReplayGuard,
     port: Option<DatagramSocket>,
     listener: Option<Listener>,
     /// Advertisements sent, for the replay guard of the other one.
@@ -125,7 +125,7 @@
 }
 
 pub struct FailoverNode {
-    seat: Seat,
+    seat: RoleStateMachine,
     parts: Parts,
 }
 
@@ -142,7 +142,7 @@
         self.parts.port
     }
 
-    pub fn state(&self) -> State {
+    pub fn state(&self) -> Role {
         self.seat.state()
     }
 }
@@ -177,7 +177,7 @@
     wanted: &'a mut Option<bool>,
 }
 
-impl<N: Net> tidewall_vrrp::Act for Vrrp<'_, N> {
+impl<N: Net> tidewall_vrrp::VrrpActions for Vrrp<'_, N> {
     fn advertise(&mut self, vrid: u8, priority: u8, interval: u16) {
         let Some(port) = self.port else { return };
         *self.number += 1;
@@ -299,7 +299,7 @@
     }
 
     /// All workers hear who serves, not only the voters.
-    fn spread(&mut self, claim: Claim) {
+    fn spread(&mut self, claim: Leadership) {
         self.copy().claim = claim;
         let all = self.gw.core.choice.host.wks.len();
         self.parts.fenced.resize(all, false);
@@ -311,20 +311,20 @@
     }
 }
 
-impl<N: Net> Ask<Claim> for Acting<'_, N> {
+impl<N: Net> ProposerTransport<Leadership> for Acting<'_, N> {
     fn prepare(&mut self, voter: usize, ballot: u64) {
         let wk = self.voter(voter);
         self.ask(Some(voter), wk, ballot, false);
     }
 
-    fn accept(&mut self, voter: usize, claim: Claim) {
+    fn accept(&mut self, voter: usize, claim: Leadership) {
         self.copy().claim = claim;
         let wk = self.voter(voter);
         self.ask(Some(voter), wk, claim.epoch, true);
     }
 }
 
-impl<N: Net> seat::Act for Acting<'_, N> {
+impl<N: Net> role::RoleActions for Acting<'_, N> {
     fn vrrp(&mut self, on: bool) {
         let net = &mut self.gw.core.choice.host.net;
         self.parts.vrrp(net, |router, act| {
@@ -340,7 +340,7 @@
         }
     }
 
-    fn open(&mut self, claim: Claim, adopt: bool, forgot: bool) {
+    fn open(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
         info!(epoch = count(claim.epoch), adopt, forgot, "serves");
         let now = self.gw.core.net().now();
         let longest = self.parts.at.retention.iter().max().copied().unwrap_or(0);
@@ -356,7 +356,7 @@
         }
     }
 
-    fn renewed(&mut self, claim: Claim, adopt: bool) {
+    fn renewed(&mut self, claim: Leadership, adopt: bool) {
         info!(epoch = count(claim.epoch), sync = ?claim.sync, "claim renewed");
         self.copy().epoch = claim.epoch;
         if claim.floor == claim.epoch {
@@ -457,17 +457,17 @@
             return None;
         }
         match copy.known.find(now, event.class, event.idempotency_key)? {
-            Place::Here(place) => {
+            RequestLocation::Here(place) => {
                 let place = *place;
                 copy.joined.push(place);
                 host.events[place].more.push((event.reply_handle, until));
                 Some(place)
             }
-            Place::There(at) => {
+            RequestLocation::There(at) => {
                 self.there.push_back((*at, event.reply_handle, until));
                 Some(usize::MAX)
             }
-            Place::Answered(number, payload) => {
+            RequestLocation::Answered(number, payload) => {
                 let (number, payload) = (*number, payload.clone());
                 let mut due = copy.due();
                 due.tickets.push((event.reply_handle, until));
@@ -508,7 +508,7 @@
             .map_err(|e| format!("{}: {e}", at.link_address))?
             .0;
         net.set_timer(now + interval / TICKS, OF_PAIR);
-        let ration = Ration::new(
+        let ration = LoadRequestLimiter::new(
             at.load_request_limit.0,
             at.load_request_limit.1,
             at.load_request_limit.2,
@@ -528,7 +528,7 @@
             me,
             router: Router::new(parameters)?,
             keys: (at.keys)(),
-            guard: Guard::default(),
+            guard: ReplayGuard::default(),
             port: Some(port),
             listener: Some(listener),
             // A start's numbers are above those of the one before, so long as lives are told in milliseconds.
@@ -554,7 +554,7 @@
             leaving: false,
             at,
         };
-        let seat = Seat::new(
+        let seat = RoleStateMachine::new(
             me,
             parts.at.incarnation,
             parts.at.voters.len(),
@@ -566,7 +566,7 @@
     }
 
     /// What the seat does for one thing that happened, and what VRRP said meanwhile.
-    fn with_seat(&mut self, f: impl FnOnce(&mut Seat, Time, &mut Acting<N>)) {
+    fn with_seat(&mut self, f: impl FnOnce(&mut RoleStateMachine, Time, &mut Acting<N>)) {
         let Some(mut pair) = self.pair.take() else {
             return;
         };
@@ -609,7 +609,7 @@
     }
 
     /// How this member of a pair stands.
-    pub fn role(&self) -> Option<State> {
+    pub fn role(&self) -> Option<Role> {
         self.pair.as_ref().map(|p| p.state())
     }
 
@@ -652,7 +652,7 @@
                 self.peer_over();
             }
             Some(_) => {
-                let counted = if pair.seat.state() == State::Paired {
+                let counted = if pair.seat.state() == Role::Paired {
                     pair.seat.granted.sync[1 - member]
                 } else {
                     0
@@ -678,7 +678,7 @@
             if act.parts.unopened {
                 act.gw.listen_all(act.parts);
             }
-            if seat.state() == State::Joining {
+            if seat.state() == Role::Joining {
                 let copy = act.copy();
                 if copy.acked >= act.parts.began {
                     seat.joined(act);
@@ -712,7 +712,7 @@
                 net.total_stall() > std::mem::replace(&mut act.parts.vrrp_stood, net.total_stall());
             act.parts.vrrp(net, |router, vrrp| {
                 if stood && router.state() == tidewall_vrrp::State::Backup {
-                    tidewall_vrrp::Act::wake(vrrp, 0, router.down());
+                    tidewall_vrrp::VrrpActions::wake(vrrp, 0, router.down());
                 } else {
                     router.due(vrrp);
                 }
@@ -897,7 +897,7 @@
                             seat.copied(now, act);
                         }
                     }
-                    if seat.state() == State::Joining && acked >= act.parts.began {
+                    if seat.state() == Role::Joining && acked >= act.parts.began {
                         seat.joined(act);
                     }
                 });
@@ -960,16 +960,16 @@
                     parts.theirs.resize_with(place + 1, || None);
                 }
                 copy.ration.took(now);
-                copy.known.hold(typ, mark, Place::There(place));
+                copy.known.hold(typ, mark, RequestLocation::There(place));
                 parts.theirs[place] = Some(kept);
             }
             kind::LAUNCHED => {
                 let wk = host.workers.intern(fields.text(Field::Name)?);
                 if let Some(kept) = parts.theirs.get_mut(place).and_then(Option::as_mut) {
-                    kept.launches.push(fate::Launch {
+                    kept.launches.push(recovery::Attempt {
                         wk,
                         at: now,
-                        state: fate::State::Out,
+                        state: recovery::AttemptState::Out,
                     });
                 }
             }
@@ -979,9 +979,9 @@
                 let kept = parts.theirs.get_mut(place).and_then(Option::as_mut);
                 if let Some(l) = kept.and_then(|k| k.launches.get_mut(launch)) {
                     l.state = if proven {
-                        fate::State::ProvenNotRun
+                        recovery::AttemptState::ProvenNotRun
                     } else {
-                        fate::State::MayHaveRun
+                        recovery::AttemptState::MayHaveRun
                     };
                 }
             }
@@ -1014,8 +1014,8 @@
                     let ran = kept
                         .launches
                         .iter()
-                        .any(|l| l.state != fate::State::ProvenNotRun);
-                    if ran && copy.kind(kept.typ) != Kind::Redeliverable {
+                        .any(|l| l.state != recovery::AttemptState::ProvenNotRun);
+                    if ran && copy.kind(kept.typ) != RetrySafety::Redeliverable {
                         remember(copy, now, kept.typ, &kept.mark, Disposition::Failed, &[]);
                     } else {
                         copy.known.remove(kept.typ, &kept.mark);
@@ -1083,7 +1083,7 @@
                         return;
                     };
                     parts.cursor = SnapshotCursor::Answers(key + 1);
-                    if let Place::Answered(number, payload) = &entry.place {
+                    if let RequestLocation::Answered(number, payload) = &entry.place {
                         let (typ, mark, payload) = (entry.typ, entry.mark.clone(), payload.clone());
                         let text = word(*number).wire_text();
                         copy.tell(&mut host.net, kind::ANSWERED, |f| {
@@ -1119,17 +1119,17 @@
             };
             let (kind, two) = (copy.kind(kept.typ), copy.two_at_once);
             let fate = fate(kind, two, (now, kept.until), &kept.launches, fenced);
-            if fate == Fate::Await {
+            if fate == RecoveryAction::Await {
                 left = true;
                 continue;
             }
             let kept = parts.theirs[place].take().expect("it was there");
             let word = match fate {
-                Fate::Continue => {
+                RecoveryAction::Continue => {
                     self.go_on(kept);
                     continue;
                 }
-                Fate::DeadLetter => Disposition::Failed,
+                RecoveryAction::DeadLetter => Disposition::Failed,
                 _ => Disposition::Rejected,
             };
             remember(copy, now, kept.typ, &kept.mark, word, &[]);
@@ -1184,7 +1184,7 @@
         let Some(copy) = &mut host.copy else { return };
         // It is looked at once a tick.
         let tick = Time::from(parts.at.interval) * CENTISECOND / TICKS;
-        let over = |t: &(ReplyHandle, Time)| now + tick + 2 * fate::LEAST >= t.1;
+        let over = |t: &(ReplyHandle, Time)| now + tick + 2 * recovery::LEAST >= t.1;
         let mut late = Vec::new();
         let events = &mut host.events;
         copy.joined.retain(|place| {
@@ -1247,13 +1247,13 @@
         let over = host.outs[key].over;
         let good = fields.flag(Field::On)?;
         let whole = |field| fields.upto(field, u64::MAX, 0);
-        let accepted = Claim {
+        let accepted = Leadership {
             epoch: whole(Field::Epoch)?,
             member: fields.upto(Field::Member, 2, 1)?.max(1) as usize - 1,
             sync: [whole(Field::SyncA)?, whole(Field::SyncB)?],
             floor: whole(Field::Floor)?,
         };
-        let promise = Promise {
+        let promise = LeadershipAcceptor {
             promised: whole(Field::Ballot)?,
             accepted,
         };
@@ -1377,8 +1377,8 @@
             }
         } else {
             let Some(pair) = &self.pair else { return false };
-            let resting = pair.seat.state() == State::Retiring
-                || pair.parts.leaving && pair.seat.state() == State::Standby;
+            let resting = pair.seat.state() == Role::Retiring
+                || pair.parts.leaving && pair.seat.state() == Role::Standby;
             if resting
                 && self.requests_in_flight() == 0
                 && self.ended == StopReason::Drained
@@ -1387,7 +1387,7 @@
             {
                 let was = self.role();
                 self.with_seat(|seat, now, act| seat.empty(now, act));
-                if was == Some(State::Retiring) && self.role() == Some(State::Standby) {
+                if was == Some(Role::Retiring) && self.role() == Some(Role::Standby) {
                     self.hang_up();
                 }
             }
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -4,10 +4,10 @@
 use crate::worker_pool::{LocalResponse, PendingRequest, WorkerPool};
 use std::collections::VecDeque;
 use tidewall::interface::Outcome;
-use tidewall_failover::fate::Kind;
-use tidewall_failover::known::{Known, Place};
-use tidewall_failover::promise::Claim;
-use tidewall_failover::ration::Ration;
+use tidewall_failover::deduplication::{DeduplicationTable, RequestLocation};
+use tidewall_failover::leadership::Leadership;
+use tidewall_failover::load_request_limit::LoadRequestLimiter;
+use tidewall_failover::recovery::RetrySafety;
 use tidewall_net::{Conn, Net, Time};
 use tidewall_wire::{kind, Field, Frame};
 
@@ -48,14 +48,14 @@
     back: VecDeque<(u64, Time, DeferredAction)>,
     /// The link took no more: the other member is too slow.
     pub broken: bool,
-    pub known: Known,
-    pub ration: Ration,
-    kinds: Vec<Kind>,
+    pub known: DeduplicationTable,
+    pub ration: LoadRequestLimiter,
+    kinds: Vec<RetrySafety>,
     pub two_at_once: bool,
     /// How long an answer is given again, by type.
     keeps: Vec<Time>,
     /// What voters are asked to accept.
-    pub claim: Claim,
+    pub claim: Leadership,
     pub unheard: VecDeque<(usize, (u64, bool))>,
     /// A worker refused our epoch.
     pub fenced: bool,
@@ -76,10 +76,10 @@
 impl Replicator {
     pub fn new(
         member: usize,
-        kinds: Vec<Kind>,
+        kinds: Vec<RetrySafety>,
         two_at_once: bool,
         keeps: Vec<Time>,
-        ration: Ration,
+        ration: LoadRequestLimiter,
         copies: bool,
     ) -> Replicator {
         Replicator {
@@ -96,12 +96,12 @@
             sent: 0,
             back: VecDeque::new(),
             broken: false,
-            known: Known::default(),
+            known: DeduplicationTable::default(),
             ration,
             kinds,
             two_at_once,
             keeps,
-            claim: Claim::default(),
+            claim: Leadership::default(),
             unheard: VecDeque::new(),
             fenced: false,
             replays: VecDeque::new(),
@@ -115,7 +115,7 @@
         }
     }
 
-    pub fn kind(&self, typ: usize) -> Kind {
+    pub fn kind(&self, typ: usize) -> RetrySafety {
         self.kinds[typ]
     }
 
@@ -244,7 +244,8 @@
         let (now, held) = (self.net.now(), &self.events[place]);
         let a = held.arrival();
         copy.ration.took(now);
-        copy.known.hold(a.class, held.mark(), Place::Here(place));
+        copy.known
+            .hold(a.class, held.mark(), RequestLocation::Here(place));
         let function = self.functions.resolve(a.function);
         copy.tell(&mut self.net, kind::TAKEN, |f| {
             taken(f, place, held, &self.types, &self.tenants, function, now)
@@ -343,7 +344,7 @@
         let Some(copy) = &mut self.copy else { return };
         let held = &self.events[place];
         let typ = held.arrival().class;
-        if held.unproven > 0 && copy.kind(typ) != Kind::Redeliverable {
+        if held.unproven > 0 && copy.kind(typ) != RetrySafety::Redeliverable {
             remember(copy, now, typ, held.mark(), Disposition::Failed, &[]);
         } else {
             copy.known.remove(typ, held.mark());
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -26,7 +26,7 @@
 use tidewall::interface::{Endpoint, EndpointState, Outcome, RequestInfo};
 use tidewall::interner;
 use tidewall::settings::Settings;
-use tidewall_failover::fate::margin;
+use tidewall_failover::recovery::margin;
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time, TimerId};
 use tidewall_wire::{self as wire, Fields};
 use tracing::{debug, error, info, warn};
--- a/crates/tidewall-lease/src/share.rs
+++ b/crates/tidewall-lease/src/assignment.rs
@@ -19,7 +19,7 @@
     xxh3_64_with_seed(&(task as u64).to_be_bytes(), key)
 }
 
-pub struct Share {
+pub struct Assignment {
     /// By member: its key.
     keys: Vec<u64>,
     here: Vec<bool>,
@@ -32,11 +32,11 @@
     (xxh3_64(name.as_bytes()) % tasks.max(1) as u64) as usize
 }
 
-impl Share {
+impl Assignment {
     /// Members are told by their names, so that the order in which settings list them decides nothing.
-    pub fn new(names: &[String], tasks: usize) -> Share {
+    pub fn new(names: &[String], tasks: usize) -> Assignment {
         let keys: Vec<u64> = names.iter().map(|n| key(n)).collect();
-        Share {
+        Assignment {
             here: vec![false; keys.len()],
             keys,
             best: vec![None; tasks],
--- a/crates/tidewall-lease/src/keeper.rs
+++ b/crates/tidewall-lease/src/grantor.rs
@@ -1,8 +1,8 @@
 //! What a keeper answers. It has no disk: after a start it says nothing for the longest term, so that whatever its
 //! former life granted is over before it grants anew. A lease counts from when the keeper hears of it.
-use crate::lease::{count, JUMP};
-use crate::promise::{Promise, Said};
-use crate::{Guards, Time};
+use crate::acceptor::{AcceptorState, BallotedValue};
+use crate::lease::{count, MAX_BALLOT_JUMP};
+use crate::{SafetyChecks, Time};
 
 /// A lease as keepers accept it: under which epoch, to which member and which life of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -12,7 +12,7 @@
     pub life: u64,
 }
 
-impl Said for Grant {
+impl BallotedValue for Grant {
     fn epoch(&self) -> u64 {
         self.epoch
     }
@@ -26,32 +26,32 @@
 
 /// One task at one keeper.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Slot {
-    pub promise: Promise<Grant>,
+pub struct GrantorSlot {
+    pub promise: AcceptorState<Grant>,
     /// From when on another may be granted what was accepted last.
     pub until: Time,
 }
 
 /// An answer: whether it was granted, what is kept here, and how long that still bars others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Answer {
+pub struct GrantorReply {
     pub good: bool,
-    pub promise: Promise<Grant>,
+    pub promise: AcceptorState<Grant>,
     pub left: Time,
 }
 
-impl Slot {
+impl GrantorSlot {
     /// Whether it is one that could follow what is kept here. One message at fault would otherwise use up all ballots.
     fn near(&self, epoch: u64) -> bool {
-        count(epoch) <= count(self.promise.promised) + JUMP
+        count(epoch) <= count(self.promise.promised) + MAX_BALLOT_JUMP
     }
 
-    fn answer(&self, now: Time, good: bool) -> Answer {
+    fn answer(&self, now: Time, good: bool) -> GrantorReply {
         let mut promise = self.promise;
         if now >= self.until {
             promise.accepted = Grant::default();
         }
-        Answer {
+        GrantorReply {
             good,
             promise,
             left: self.until.saturating_sub(now),
@@ -60,13 +60,13 @@
 
     /// A member asks for leave under a ballot of its own. While another's lease runs nothing is promised: a promise
     /// would refuse that one's renewals.
-    pub fn prepare(&mut self, now: Time, ballot: u64, whose: (usize, u64)) -> Answer {
+    pub fn prepare(&mut self, now: Time, ballot: u64, whose: (usize, u64)) -> GrantorReply {
         let barred = now < self.until && self.promise.accepted.whose() != whose;
         let good = !barred && self.near(ballot) && self.promise.prepare(ballot);
         self.answer(now, good)
     }
 
-    pub fn accept(&mut self, now: Time, grant: Grant, term: Time) -> Answer {
+    pub fn accept(&mut self, now: Time, grant: Grant, term: Time) -> GrantorReply {
         let good = self.near(grant.epoch) && self.promise.accept(grant);
         if good {
             self.until = now + term;
@@ -83,24 +83,24 @@
     }
 }
 
-pub struct Keeper {
-    slots: Vec<Slot>,
+pub struct LeaseGrantor {
+    slots: Vec<GrantorSlot>,
     term: Time,
     quiet: Time,
 }
 
-impl Keeper {
-    pub fn new(now: Time, tasks: usize, term: Time, guards: Guards) -> Keeper {
+impl LeaseGrantor {
+    pub fn new(now: Time, tasks: usize, term: Time, guards: SafetyChecks) -> LeaseGrantor {
         let quiet = if guards.quiet { now + term } else { now };
-        Keeper {
-            slots: vec![Slot::default(); tasks],
+        LeaseGrantor {
+            slots: vec![GrantorSlot::default(); tasks],
             term,
             quiet,
         }
     }
 
     /// The slot, where the keeper may speak and the task is one of ours.
-    fn slot(&mut self, now: Time, task: usize) -> Option<&mut Slot> {
+    fn slot(&mut self, now: Time, task: usize) -> Option<&mut GrantorSlot> {
         if now < self.quiet {
             return None;
         }
@@ -113,11 +113,11 @@
         task: usize,
         ballot: u64,
         whose: (usize, u64),
-    ) -> Option<Answer> {
+    ) -> Option<GrantorReply> {
         self.slot(now, task).map(|s| s.prepare(now, ballot, whose))
     }
 
-    pub fn accept(&mut self, now: Time, task: usize, grant: Grant) -> Option<Answer> {
+    pub fn accept(&mut self, now: Time, task: usize, grant: Grant) -> Option<GrantorReply> {
         let term = self.term;
         self.slot(now, task).map(|s| s.accept(now, grant, term))
     }
--- a/crates/tidewall-lease/src/holder.rs
+++ b/crates/tidewall-lease/src/holder.rs
@@ -1,11 +1,11 @@
 //! All tasks at one member: which is due when, renewals before claims, and no more at a time than the member's budget lets out.
-use crate::keeper::Answer;
-use crate::lease::{Host, Lease, State, Terms};
+use crate::grantor::GrantorReply;
+use crate::lease::{Lease, LeaseActions, LeaseConfig, LeaseState};
 use crate::Time;
 use std::collections::BTreeSet;
 
-pub struct Holder {
-    pub terms: Terms,
+pub struct LeaseHolder {
+    pub terms: LeaseConfig,
     leases: Vec<Lease>,
     /// Tasks by when they are due: those that run here, and those that are claimed.
     runs: BTreeSet<(Time, usize)>,
@@ -15,15 +15,15 @@
 /// Which list a lease is filed in, and at which time.
 fn place(lease: &Lease) -> (bool, Time) {
     (
-        matches!(lease.state, State::Held | State::Stopping),
+        matches!(lease.state, LeaseState::Held | LeaseState::Stopping),
         lease.next,
     )
 }
 
-impl Holder {
-    pub fn new(terms: Terms, tasks: usize) -> Holder {
+impl LeaseHolder {
+    pub fn new(terms: LeaseConfig, tasks: usize) -> LeaseHolder {
         let leases = (0..tasks).map(Lease::new).collect();
-        Holder {
+        LeaseHolder {
             terms,
             leases,
             runs: BTreeSet::new(),
@@ -53,7 +53,11 @@
     }
 
     /// One thing happens to one task, which is filed anew afterwards.
-    fn with<R>(&mut self, task: usize, happen: impl FnOnce(&mut Lease, &Terms) -> R) -> Option<R> {
+    fn with<R>(
+        &mut self,
+        task: usize,
+        happen: impl FnOnce(&mut Lease, &LeaseConfig) -> R,
+    ) -> Option<R> {
         let lease = self.leases.get_mut(task)?;
         let (ran, at) = place(lease);
         let done = happen(lease, &self.terms);
@@ -77,17 +81,24 @@
         Some(done)
     }
 
-    pub fn want(&mut self, now: Time, host: &mut impl Host, task: usize, on: bool, soon: bool) {
+    pub fn want(
+        &mut self,
+        now: Time,
+        host: &mut impl LeaseActions,
+        task: usize,
+        on: bool,
+        soon: bool,
+    ) {
         self.with(task, |l, t| l.want(now, t, host, on, soon));
     }
 
     pub fn promised(
         &mut self,
         now: Time,
-        host: &mut impl Host,
+        host: &mut impl LeaseActions,
         (keeper, task): (usize, usize),
         ballot: u64,
-        told: Answer,
+        told: GrantorReply,
     ) {
         self.with(task, |l, t| l.promised(now, t, host, keeper, ballot, told));
     }
@@ -95,21 +106,27 @@
     pub fn accepted(
         &mut self,
         now: Time,
-        host: &mut impl Host,
+        host: &mut impl LeaseActions,
         (keeper, task): (usize, usize),
         of: (u64, u32),
-        told: Answer,
+        told: GrantorReply,
     ) {
         self.with(task, |l, t| l.accepted(now, t, host, keeper, of, told));
     }
 
     /// Whether it was given back now.
-    pub fn stopped(&mut self, now: Time, host: &mut impl Host, task: usize, epoch: u64) -> bool {
+    pub fn stopped(
+        &mut self,
+        now: Time,
+        host: &mut impl LeaseActions,
+        task: usize,
+        epoch: u64,
+    ) -> bool {
         self.with(task, |l, t| l.stopped(now, t, host, epoch))
             .unwrap_or(false)
     }
 
-    pub fn outbid(&mut self, now: Time, host: &mut impl Host, task: usize, epoch: u64) {
+    pub fn outbid(&mut self, now: Time, host: &mut impl LeaseActions, task: usize, epoch: u64) {
         self.with(task, |l, t| l.outbid(now, t, host, epoch));
     }
 
@@ -123,7 +140,7 @@
     }
 
     /// What is due is done for `most` tasks at most; gives back for how many it was.
-    pub fn due(&mut self, now: Time, host: &mut impl Host, most: usize) -> usize {
+    pub fn due(&mut self, now: Time, host: &mut impl LeaseActions, most: usize) -> usize {
         let mut done = 0;
         while done < most {
             // What runs out goes before what does not run yet.
--- a/crates/tidewall-lease/src/lease.rs
+++ b/crates/tidewall-lease/src/lease.rs
@@ -1,12 +1,12 @@
 //! One task at one member: claimed, renewed, given back. It may be acted on until a time of the member's own clock, counted
 //! from the asking and shortened by what clocks may differ, so that it is over here before any keeper lets another have it.
-use crate::keeper::{Answer, Grant};
-use crate::round::{Ask, Outcome, Own, Round, Rule};
-use crate::{Guards, Time};
+use crate::grantor::{Grant, GrantorReply};
+use crate::proposer::{BallotOwner, ProposalRule, ProposerRound, ProposerTransport, RoundOutcome};
+use crate::{SafetyChecks, Time};
 
 /// What leases of a member have in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Terms {
+pub struct LeaseConfig {
     pub me: usize,
     pub life: u64,
     pub keepers: usize,
@@ -16,7 +16,7 @@
     pub retry: Time,
     /// Drawn for each member, so that not all renew in the same moment.
     pub offset: Time,
-    pub guards: Guards,
+    pub guards: SafetyChecks,
 }
 
 /// The part of `usable` after which a lease is renewed: three askings may be lost before it lapses.
@@ -35,10 +35,10 @@
 }
 
 /// Keepers at most: a set of them is one word.
-pub const KEEPERS: usize = 63;
+pub const MAX_GRANTORS: usize = 63;
 
-impl Terms {
-    fn own(&self) -> Own {
+impl LeaseConfig {
+    fn own(&self) -> BallotOwner {
         own(self.me, self.life)
     }
 
@@ -57,11 +57,11 @@
 pub const OWN: u32 = MEMBER + LIFE;
 
 /// The members that fit into ballots.
-pub const MEMBERS: usize = 1 << MEMBER;
+pub const MAX_MEMBERS: usize = 1 << MEMBER;
 
-fn own(member: usize, life: u64) -> Own {
+fn own(member: usize, life: u64) -> BallotOwner {
     // Lives are milliseconds: those of one member that lie within three days differ here.
-    Own::new(OWN, (life & ((1 << LIFE) - 1)) << MEMBER | member as u64)
+    BallotOwner::new(OWN, (life & ((1 << LIFE) - 1)) << MEMBER | member as u64)
 }
 
 /// The ballot of that count that is this life's own.
@@ -71,16 +71,16 @@
 
 /// A ballot is at most so many claims ahead of what is known of its task: more than a keeper that forgot all can have missed
 /// in years, less than would use up the numbers.
-pub const JUMP: u64 = 1 << 20;
+pub const MAX_BALLOT_JUMP: u64 = 1 << 20;
 
 /// Counts of ballots are below this.
-pub const COUNTS: u64 = 1 << (64 - OWN);
+pub const BALLOT_COUNT_LIMIT: u64 = 1 << (64 - OWN);
 
 pub fn count(ballot: u64) -> u64 {
     ballot >> OWN
 }
 
-pub trait Host {
+pub trait LeaseActions {
     fn prepare(&mut self, keeper: usize, task: usize, ballot: u64);
     /// Asked for leave, or for more of it; the tag comes back with the answer and tells which asking it answers.
     fn accept(&mut self, keeper: usize, task: usize, epoch: u64, tag: u32);
@@ -94,7 +94,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum State {
+pub enum LeaseState {
     /// Another's, or nobody's.
     Idle,
     Claiming,
@@ -106,10 +106,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Lease {
     task: usize,
-    pub state: State,
+    pub state: LeaseState,
     /// It should be held here.
     wanted: bool,
-    round: Option<Box<Round<Grant>>>,
+    round: Option<Box<ProposerRound<Grant>>>,
     /// The highest epoch that was heard of: a claim has to be above it.
     seen: u64,
     pub epoch: u64,
@@ -152,7 +152,7 @@
     accepts: bool,
 }
 
-impl<H: Host> Ask<Grant> for Asks<'_, H> {
+impl<H: LeaseActions> ProposerTransport<Grant> for Asks<'_, H> {
     fn prepare(&mut self, voter: usize, ballot: u64) {
         self.host.prepare(voter, self.task, ballot);
     }
@@ -163,9 +163,9 @@
     }
 }
 
-struct Says<'a>(&'a Terms);
+struct Says<'a>(&'a LeaseConfig);
 
-impl Rule<Grant> for Says<'_> {
+impl ProposalRule<Grant> for Says<'_> {
     type No = Grant;
 
     /// Another's lease that a majority may have granted, and that still runs at one that told of it, is not taken.
@@ -181,7 +181,7 @@
     pub fn new(task: usize) -> Lease {
         Lease {
             task,
-            state: State::Idle,
+            state: LeaseState::Idle,
             wanted: false,
             round: None,
             seen: 0,
@@ -203,23 +203,30 @@
 
     /// Whether it may be acted on now.
     pub fn may(&self, now: Time) -> bool {
-        self.state == State::Held && now < self.until
+        self.state == LeaseState::Held && now < self.until
     }
 
     /// It should be held here, or no longer. `soon`: nobody else holds it any more, so it is claimed at once.
-    pub fn want(&mut self, now: Time, terms: &Terms, host: &mut impl Host, on: bool, soon: bool) {
+    pub fn want(
+        &mut self,
+        now: Time,
+        terms: &LeaseConfig,
+        host: &mut impl LeaseActions,
+        on: bool,
+        soon: bool,
+    ) {
         self.wanted = on;
         match self.state {
-            State::Idle if on => {
+            LeaseState::Idle if on => {
                 // Members that hear of the same loss at the same time do not all ask in the same moment.
                 let wait = if soon { 0 } else { host.chance(terms.retry) };
                 self.next = self.next.min(now + wait);
             }
-            State::Claiming if !on => self.idle(Time::MAX),
+            LeaseState::Claiming if !on => self.idle(Time::MAX),
             // What was refused so far was refused while another still held it.
-            State::Claiming if soon => self.idle(now),
-            State::Held if !on => {
-                self.state = State::Stopping;
+            LeaseState::Claiming if soon => self.idle(now),
+            LeaseState::Held if !on => {
+                self.state = LeaseState::Stopping;
                 self.next = (now + terms.retry).min(self.until);
                 host.stop(self.task, self.epoch);
             }
@@ -228,21 +235,21 @@
     }
 
     fn idle(&mut self, next: Time) {
-        (self.state, self.round, self.next) = (State::Idle, None, next);
+        (self.state, self.round, self.next) = (LeaseState::Idle, None, next);
     }
 
     /// Claimed anew after a while, where it is wanted.
-    fn later(&mut self, now: Time, terms: &Terms, host: &mut impl Host, wait: Time) {
+    fn later(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions, wait: Time) {
         let wait = wait + 1 + host.chance(terms.retry);
         self.idle(if self.wanted { now + wait } else { Time::MAX });
     }
 
     /// Its time has come.
-    pub fn due(&mut self, now: Time, terms: &Terms, host: &mut impl Host) {
+    pub fn due(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions) {
         match self.state {
-            State::Idle if self.wanted => {
-                self.state = State::Claiming;
-                let mut round = Box::new(Round::new(terms.own(), terms.keepers));
+            LeaseState::Idle if self.wanted => {
+                self.state = LeaseState::Claiming;
+                let mut round = Box::new(ProposerRound::new(terms.own(), terms.keepers));
                 round.heard_of(self.seen);
                 self.barred = 0;
                 self.tag = self.tag.wrapping_add(1);
@@ -256,13 +263,13 @@
                 self.wait = terms.retry;
                 self.next = now + self.wait;
             }
-            State::Idle => self.next = Time::MAX,
+            LeaseState::Idle => self.next = Time::MAX,
             // What was not answered by now was lost, or its keeper is.
-            State::Claiming if now >= self.asked + terms.usable / 2 => {
+            LeaseState::Claiming if now >= self.asked + terms.usable / 2 => {
                 let wait = self.barred.saturating_sub(now).min(terms.usable);
                 self.later(now, terms, host, wait);
             }
-            State::Claiming => {
+            LeaseState::Claiming => {
                 if let Some(round) = &self.round {
                     round.ask_again(&mut Asks {
                         host,
@@ -274,22 +281,22 @@
                 self.wait *= 2;
                 self.next = now + self.wait;
             }
-            State::Held if now >= self.until => {
+            LeaseState::Held if now >= self.until => {
                 host.stop(self.task, self.epoch);
                 self.later(now, terms, host, 0);
             }
-            State::Held => self.renew(now, terms, host),
+            LeaseState::Held => self.renew(now, terms, host),
             // Told again: the first word may have found its channel full.
-            State::Stopping if now < self.until => {
+            LeaseState::Stopping if now < self.until => {
                 host.stop(self.task, self.epoch);
                 self.next = (now + terms.retry).min(self.until);
             }
             // Nobody said that it stopped; its time is over all the same.
-            State::Stopping => self.later(now, terms, host, 0),
+            LeaseState::Stopping => self.later(now, terms, host, 0),
         }
     }
 
-    fn renew(&mut self, now: Time, terms: &Terms, host: &mut impl Host) {
+    fn renew(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions) {
         // Each asking has a number of its own: an answer to a former one says nothing of this one's time.
         self.tag = self.tag.wrapping_add(1);
         self.asks.rotate_right(1);
@@ -305,7 +312,7 @@
 
     /// False where no claim can have come so far.
     fn heard_of(&mut self, ballot: u64) -> bool {
-        let near = count(ballot) <= count(self.seen) + JUMP;
+        let near = count(ballot) <= count(self.seen) + MAX_BALLOT_JUMP;
         if near {
             self.seen = self.seen.max(ballot);
         }
@@ -316,16 +323,16 @@
     pub fn promised(
         &mut self,
         now: Time,
-        terms: &Terms,
-        host: &mut impl Host,
+        terms: &LeaseConfig,
+        host: &mut impl LeaseActions,
         keeper: usize,
         ballot: u64,
-        told: Answer,
+        told: GrantorReply,
     ) {
         if !self.heard_of(told.promise.promised) {
             return;
         }
-        if self.state == State::Claiming {
+        if self.state == LeaseState::Claiming {
             self.told(now, terms, host, keeper, (ballot, false), told);
         }
     }
@@ -333,11 +340,11 @@
     fn told(
         &mut self,
         now: Time,
-        terms: &Terms,
-        host: &mut impl Host,
+        terms: &LeaseConfig,
+        host: &mut impl LeaseActions,
         keeper: usize,
         of: (u64, bool),
-        told: Answer,
+        told: GrantorReply,
     ) {
         let Some(mut round) = self.round.take() else {
             return;
@@ -365,15 +372,15 @@
         self.round = Some(round);
         match came {
             None => {}
-            Some(Outcome::Granted(grant)) => {
-                (self.state, self.round, self.epoch) = (State::Held, None, grant.epoch);
+            Some(RoundOutcome::Granted(grant)) => {
+                (self.state, self.round, self.epoch) = (LeaseState::Held, None, grant.epoch);
                 self.seen = self.seen.max(grant.epoch);
                 (self.until, self.asks) = (0, [Asked::default(); ASKS]);
                 let asked = self.asked;
                 self.got(now, terms, host, asked);
             }
             // While another's runs there is no use in asking.
-            Some(Outcome::Not(_) | Outcome::NoMajority) => {
+            Some(RoundOutcome::Not(_) | RoundOutcome::NoMajority) => {
                 let wait = self.barred.saturating_sub(now).min(terms.usable);
                 self.later(now, terms, host, wait);
             }
@@ -381,7 +388,7 @@
     }
 
     /// A majority granted what was asked then.
-    fn got(&mut self, now: Time, terms: &Terms, host: &mut impl Host, asked: Time) {
+    fn got(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions, asked: Time) {
         let from = if terms.guards.from_asking { asked } else { now };
         self.until = self.until.max(from + terms.usable);
         self.wait = terms.retry;
@@ -401,20 +408,20 @@
     pub fn accepted(
         &mut self,
         now: Time,
-        terms: &Terms,
-        host: &mut impl Host,
+        terms: &LeaseConfig,
+        host: &mut impl LeaseActions,
         keeper: usize,
         (epoch, tag): (u64, u32),
-        told: Answer,
+        told: GrantorReply,
     ) {
         if !self.heard_of(told.promise.promised) {
             return;
         }
         match self.state {
-            State::Claiming if tag == self.tag => {
+            LeaseState::Claiming if tag == self.tag => {
                 self.told(now, terms, host, keeper, (epoch, true), told)
             }
-            State::Held if epoch == self.epoch => {
+            LeaseState::Held if epoch == self.epoch => {
                 let Some(ask) = self.asks.iter_mut().find(|a| tag > 0 && a.tag == tag) else {
                     return;
                 };
@@ -444,8 +451,14 @@
     }
 
     /// Nobody here acts on it any more: it is given back.
-    pub fn stopped(&mut self, now: Time, terms: &Terms, host: &mut impl Host, epoch: u64) -> bool {
-        let given = self.state == State::Stopping && epoch == self.epoch;
+    pub fn stopped(
+        &mut self,
+        now: Time,
+        terms: &LeaseConfig,
+        host: &mut impl LeaseActions,
+        epoch: u64,
+    ) -> bool {
+        let given = self.state == LeaseState::Stopping && epoch == self.epoch;
         if given {
             (0..terms.keepers).for_each(|k| host.release(k, self.task, epoch));
             self.later(now, terms, host, 0);
@@ -454,9 +467,15 @@
     }
 
     /// A worker has seen a newer epoch: keepers that lost their memory granted an old one.
-    pub fn outbid(&mut self, now: Time, terms: &Terms, host: &mut impl Host, epoch: u64) {
+    pub fn outbid(
+        &mut self,
+        now: Time,
+        terms: &LeaseConfig,
+        host: &mut impl LeaseActions,
+        epoch: u64,
+    ) {
         // It may have been heard of before, from a keeper that promised it to another: what counts is what is held.
-        if self.heard_of(epoch) && self.state == State::Held && epoch > self.epoch {
+        if self.heard_of(epoch) && self.state == LeaseState::Held && epoch > self.epoch {
             host.stop(self.task, self.epoch);
             self.later(now, terms, host, 0);
         }
--- a/crates/tidewall-lease/src/lib.rs
+++ b/crates/tidewall-lease/src/lib.rs
@@ -1,19 +1,19 @@
-//! Leave to act, without I/O and without a clock. `round` is how leave is got from a majority of voters, `promise` what one
-//! voter keeps; a pair's seat and the fleet's leases are both built on them. `keeper` answers for the fleet's leases,
-//! `holder` claims, renews and gives them back, `share` says who should hold what.
+//! Leave to act, without I/O and without a clock. `proposer` is how leave is got from a majority of voters, `acceptor` what one
+//! voter keeps; a pair's seat and the fleet's leases are both built on them. `grantor` answers for the fleet's leases,
+//! `holder` claims, renews and gives them back, `assignment` says who should hold what.
+pub mod acceptor;
+pub mod assignment;
+pub mod grantor;
 pub mod holder;
-pub mod keeper;
 pub mod lease;
-pub mod promise;
-pub mod round;
-pub mod share;
+pub mod proposer;
 
 /// Whole tenths of a millisecond.
 pub type Time = u64;
 
 /// Guards that can be left out, only to show which net notices it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Guards {
+pub struct SafetyChecks {
     /// A keeper is silent for a term after its start.
     pub quiet: bool,
     /// A term is shortened by what clocks may differ, and by a ticket's age.
@@ -26,9 +26,9 @@
     pub numbers: bool,
 }
 
-impl Default for Guards {
-    fn default() -> Guards {
-        Guards {
+impl Default for SafetyChecks {
+    fn default() -> SafetyChecks {
+        SafetyChecks {
             quiet: true,
             shortened: true,
             from_asking: true,
--- a/crates/tidewall-lease/src/round.rs
+++ b/crates/tidewall-lease/src/proposer.rs
@@ -1,30 +1,30 @@
 //! How somebody gets leave from a majority of voters: they first promise to refuse older ballots and tell what they
 //! accepted, then accept the claim. Two majorities meet in a voter, so whoever claims next hears of whoever might have
-//! been granted before. What a claim may say is its `Rule`'s: the seat of a pair and the leases of a fleet differ there alone.
-use crate::promise::{Promise, Said};
+//! been granted before. What a claim may say is its `ProposalRule`'s: the seat of a pair and the leases of a fleet differ there alone.
+use crate::acceptor::{AcceptorState, BallotedValue};
 
-pub trait Ask<C> {
+pub trait ProposerTransport<C> {
     fn prepare(&mut self, voter: usize, ballot: u64);
     fn accept(&mut self, voter: usize, claim: C);
 }
 
-pub trait Rule<C> {
+pub trait ProposalRule<C> {
     type No;
     /// What to claim under this ballot, given the newest claim that a majority may have accepted.
     fn say(&mut self, ballot: u64, told: Option<C>) -> Result<C, Self::No>;
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Outcome<C, N> {
+pub enum RoundOutcome<C, N> {
     Granted(C),
     Not(N),
     NoMajority,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Answer<C> {
+enum GrantorReply<C> {
     Awaited,
-    Good(Promise<C>),
+    Good(AcceptorState<C>),
     Not,
 }
 
@@ -33,14 +33,14 @@
 
 /// The lower bits of a ballot, by which whoever uses it differs from all others and from its own former lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Own {
+pub struct BallotOwner {
     pub bits: u32,
     pub value: u64,
 }
 
-impl Own {
-    pub fn new(bits: u32, value: u64) -> Own {
-        Own {
+impl BallotOwner {
+    pub fn new(bits: u32, value: u64) -> BallotOwner {
+        BallotOwner {
             bits,
             value: value & ((1 << bits) - 1),
         }
@@ -52,9 +52,9 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Round<C> {
-    own: Own,
-    answers: Vec<Answer<C>>,
+pub struct ProposerRound<C> {
+    own: BallotOwner,
+    answers: Vec<GrantorReply<C>>,
     under_way: bool,
     claim: Option<C>,
     ballot: u64,
@@ -64,10 +64,10 @@
     tries: u32,
 }
 
-impl<C: Said> Round<C> {
-    pub fn new(own: Own, voters: usize) -> Round<C> {
-        let answers = vec![Answer::Awaited; voters];
-        Round {
+impl<C: BallotedValue> ProposerRound<C> {
+    pub fn new(own: BallotOwner, voters: usize) -> ProposerRound<C> {
+        let answers = vec![GrantorReply::Awaited; voters];
+        ProposerRound {
             own,
             answers,
             under_way: false,
@@ -100,28 +100,28 @@
     }
 
     /// Begins anew, whatever was under way.
-    pub fn begin(&mut self, ask: &mut impl Ask<C>) {
+    pub fn begin(&mut self, ask: &mut impl ProposerTransport<C>) {
         self.tries = 0;
         self.ask(ask);
     }
 
-    fn ask(&mut self, ask: &mut impl Ask<C>) {
+    fn ask(&mut self, ask: &mut impl ProposerTransport<C>) {
         // The next ballot above all heard of that is this life's own: what a former life sent may still be on its way.
         self.ballot = self
             .own
             .ballot((self.seen.max(self.ballot) >> self.own.bits) + 1);
         (self.under_way, self.claim) = (true, None);
-        self.answers.fill(Answer::Awaited);
+        self.answers.fill(GrantorReply::Awaited);
         (0..self.answers.len()).for_each(|voter| ask.prepare(voter, self.ballot));
     }
 
     /// A question was lost or its answer was: whoever has not answered is asked again.
-    pub fn ask_again(&self, ask: &mut impl Ask<C>) {
+    pub fn ask_again(&self, ask: &mut impl ProposerTransport<C>) {
         let open = self
             .answers
             .iter()
             .enumerate()
-            .filter(|a| *a.1 == Answer::Awaited);
+            .filter(|a| *a.1 == GrantorReply::Awaited);
         for (voter, _) in open.filter(|_| self.under_way) {
             match self.claim {
                 Some(claim) => ask.accept(voter, claim),
@@ -131,54 +131,54 @@
     }
 
     /// A voter's answer to the ballot; `accepting` tells which of the two questions it answers.
-    pub fn told<R: Rule<C>>(
+    pub fn told<R: ProposalRule<C>>(
         &mut self,
-        (ask, rule): (&mut impl Ask<C>, &mut R),
+        (ask, rule): (&mut impl ProposerTransport<C>, &mut R),
         voter: usize,
         (ballot, accepting): (u64, bool),
         good: bool,
-        promise: Promise<C>,
-    ) -> Option<Outcome<C, R::No>> {
+        promise: AcceptorState<C>,
+    ) -> Option<RoundOutcome<C, R::No>> {
         self.seen = self.seen.max(promise.promised);
         if !self.under_way || ballot != self.ballot || accepting != self.claim.is_some() {
             return None;
         }
         self.answers[voter] = if good {
-            Answer::Good(promise)
+            GrantorReply::Good(promise)
         } else {
-            Answer::Not
+            GrantorReply::Not
         };
         self.look(ask, rule)
     }
 
     /// A voter cannot be asked, or did not answer.
-    pub fn unheard<R: Rule<C>>(
+    pub fn unheard<R: ProposalRule<C>>(
         &mut self,
-        (ask, rule): (&mut impl Ask<C>, &mut R),
+        (ask, rule): (&mut impl ProposerTransport<C>, &mut R),
         voter: usize,
         (ballot, accepting): (u64, bool),
-    ) -> Option<Outcome<C, R::No>> {
+    ) -> Option<RoundOutcome<C, R::No>> {
         if !self.under_way || ballot != self.ballot || accepting != self.claim.is_some() {
             return None;
         }
-        self.answers[voter] = Answer::Not;
+        self.answers[voter] = GrantorReply::Not;
         self.look(ask, rule)
     }
 
-    fn look<R: Rule<C>>(
+    fn look<R: ProposalRule<C>>(
         &mut self,
-        ask: &mut impl Ask<C>,
+        ask: &mut impl ProposerTransport<C>,
         rule: &mut R,
-    ) -> Option<Outcome<C, R::No>> {
+    ) -> Option<RoundOutcome<C, R::No>> {
         let good = self
             .answers
             .iter()
-            .filter(|a| matches!(a, Answer::Good(_)))
+            .filter(|a| matches!(a, GrantorReply::Good(_)))
             .count();
         let open = self
             .answers
             .iter()
-            .filter(|a| **a == Answer::Awaited)
+            .filter(|a| **a == GrantorReply::Awaited)
             .count();
         if good + open < self.majority() {
             // Who just started knows no ballots; one that is outbid again and again lets the other one have it.
@@ -188,14 +188,14 @@
                 return None;
             }
             self.stop();
-            return Some(Outcome::NoMajority);
+            return Some(RoundOutcome::NoMajority);
         }
         if good < self.majority() {
             return None;
         }
         if let Some(claim) = self.claim {
             self.stop();
-            return Some(Outcome::Granted(claim));
+            return Some(RoundOutcome::Granted(claim));
         }
         let claim = match rule.say(self.ballot, self.governing()) {
             Ok(claim) => claim,
@@ -203,11 +203,11 @@
             Err(_) if open > 0 => return None,
             Err(no) => {
                 self.stop();
-                return Some(Outcome::Not(no));
+                return Some(RoundOutcome::Not(no));
             }
         };
         self.claim = Some(claim);
-        self.answers.fill(Answer::Awaited);
+        self.answers.fill(GrantorReply::Awaited);
         (0..self.answers.len()).for_each(|voter| ask.accept(voter, claim));
         None
     }
@@ -217,7 +217,7 @@
     fn governing(&self) -> Option<C> {
         let heard = || {
             self.answers.iter().filter_map(|a| match a {
-                Answer::Good(p) => Some(p.accepted),
+                GrantorReply::Good(p) => Some(p.accepted),
                 _ => None,
             })
         };
--- a/crates/tidewall-lease/tests/explore.rs
+++ b/crates/tidewall-lease/tests/explore.rs
@@ -5,9 +5,9 @@
 use std::collections::HashSet;
 use std::hash::{BuildHasherDefault, Hash, Hasher};
 use test_case::test_case;
-use tidewall_lease::keeper::{Answer, Grant, Slot};
-use tidewall_lease::lease::{usable, Host, Lease, State, Terms};
-use tidewall_lease::{Guards, Time};
+use tidewall_lease::grantor::{Grant, GrantorReply, GrantorSlot};
+use tidewall_lease::lease::{usable, Lease, LeaseActions, LeaseConfig, LeaseState};
+use tidewall_lease::{SafetyChecks, Time};
 
 /// A tick of true time is 4 of a slow clock and 6 of a fast one: a bound of a fifth.
 const SLOW: Time = 4;
@@ -64,7 +64,7 @@
 /// What a keeper told, by value: promised, accepted epoch, member, life.
 type Kept = (u64, u64, usize, u64);
 
-fn kept(a: Answer) -> Kept {
+fn kept(a: GrantorReply) -> Kept {
     // How long others are barred only says when it is of use to ask again; here whoever may ask does at any time.
     (
         a.promise.promised,
@@ -74,15 +74,15 @@
     )
 }
 
-fn answer(good: bool, k: Kept) -> Answer {
-    let mut slot = Slot::default();
+fn answer(good: bool, k: Kept) -> GrantorReply {
+    let mut slot = GrantorSlot::default();
     slot.promise.promised = k.0;
     slot.promise.accepted = Grant {
         epoch: k.1,
         member: k.2,
         life: k.3,
     };
-    Answer {
+    GrantorReply {
         good,
         promise: slot.promise,
         left: 0,
@@ -92,7 +92,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
     at: Time,
-    keepers: Vec<(Slot, Time)>,
+    keepers: Vec<(GrantorSlot, Time)>,
     members: Vec<(Lease, u64)>,
     /// A member that stands still does nothing; what it had checked before it stood is on its way when it goes on.
     still: Option<usize>,
@@ -107,7 +107,7 @@
 
 #[derive(Clone, Copy)]
 struct Plan {
-    guards: Guards,
+    guards: SafetyChecks,
     fenced: bool,
     /// Clocks that are fast: of each member, of the keepers, of the worker.
     fast: [bool; 3],
@@ -136,7 +136,7 @@
     life: u64,
 }
 
-impl Host for Sends<'_> {
+impl LeaseActions for Sends<'_> {
     fn prepare(&mut self, keeper: usize, _: usize, ballot: u64) {
         self.way.push(Message::Prepare {
             from: self.from,
@@ -165,13 +165,13 @@
 }
 
 impl Plan {
-    fn terms(&self, me: usize, life: u64) -> Terms {
+    fn terms(&self, me: usize, life: u64) -> LeaseConfig {
         let usable = if self.guards.shortened {
             usable(TERM, PPM, TICKET)
         } else {
             TERM
         };
-        Terms {
+        LeaseConfig {
             me,
             life,
             keepers: 3,
@@ -194,7 +194,7 @@
     }
 
     fn start(&self) -> World {
-        let keepers = vec![(Slot::default(), 0); 3];
+        let keepers = vec![(GrantorSlot::default(), 0); 3];
         let members = (0..self.members).map(|_| (Lease::new(0), 1)).collect();
         let left = self.left;
         let (at, still, way) = (0, None, Vec::new());
@@ -225,7 +225,7 @@
         lease.due(0, &terms, &mut host);
         w.members[0].0 = lease;
         w.way = way;
-        while w.members[0].0.state != State::Held {
+        while w.members[0].0.state != LeaseState::Held {
             let third = |m: &Message| {
                 matches!(
                     m,
@@ -267,8 +267,8 @@
             let now = self.clock(m, w.at);
             let lease = &w.members[m].0;
             // It wants the task, does what is due, or gives it back.
-            let claims = lease.state == State::Idle && w.left[5] > 0;
-            let renews = lease.state == State::Held && (w.left[4] > 0 || now >= lease.until);
+            let claims = lease.state == LeaseState::Idle && w.left[5] > 0;
+            let renews = lease.state == LeaseState::Held && (w.left[4] > 0 || now >= lease.until);
             if claims || renews {
                 let mut n = w.clone();
                 n.left[4] -= u8::from(renews && now < lease.until);
@@ -280,13 +280,13 @@
                     from: m,
                     life: *life,
                 };
-                if lease.state == State::Idle {
+                if lease.state == LeaseState::Idle {
                     lease.want(now, &terms, &mut host, true, true);
                 }
                 lease.due(now, &terms, &mut host);
                 all.push(n);
             }
-            if lease.state == State::Held && w.left[6] > 0 {
+            if lease.state == LeaseState::Held && w.left[6] > 0 {
                 let mut n = w.clone();
                 n.left[6] -= 1;
                 let (lease, life) = &mut n.members[m];
@@ -337,7 +337,7 @@
                 } else {
                     0
                 };
-                n.keepers[k] = (Slot::default(), quiet);
+                n.keepers[k] = (GrantorSlot::default(), quiet);
                 all.push(n);
             }
         }
@@ -551,7 +551,7 @@
 
 /// Holders' clocks slow and keepers' fast is the worst for a lease; the worker's is the other way about.
 const WORST: Plan = Plan {
-    guards: Guards {
+    guards: SafetyChecks {
         quiet: true,
         shortened: true,
         from_asking: true,
@@ -571,7 +571,7 @@
 
 const ALL: [[bool; 3]; 2] = [[true; 3]; 2];
 
-const GUARDS: Guards = WORST.guards;
+const GUARDS: SafetyChecks = WORST.guards;
 
 #[test_case(Plan { left: [1, 0, 1, 0, 0, 1, 0], ..WORST } ; "one restart, of a keeper or a member")]
 #[test_case(Plan { left: [0, 0, 0, 1, 1, 1, 0], ..WORST } ; "one renewal, one message twice")]
@@ -598,11 +598,11 @@
 /// States after which no further step is begun, in CI.
 const MOST: usize = 200_000;
 
-#[test_case(Plan { guards: Guards { quiet: false, ..GUARDS }, left: [1, 0, 0, 0, 0, 1, 0], ..WORST } ; "keepers that forget")]
-#[test_case(Plan { guards: Guards { shortened: false, ..GUARDS }, ..WORST } ; "a term not shortened by the bound of clocks")]
+#[test_case(Plan { guards: SafetyChecks { quiet: false, ..GUARDS }, left: [1, 0, 0, 0, 0, 1, 0], ..WORST } ; "keepers that forget")]
+#[test_case(Plan { guards: SafetyChecks { shortened: false, ..GUARDS }, ..WORST } ; "a term not shortened by the bound of clocks")]
 #[test_case(Plan { fenced: false, broken_clocks: true, left: [0, 0, 2, 0, 0, 1, 0], ..WORST } ; "workers that look at no epoch")]
-#[test_case(Plan { guards: Guards { from_asking: false, ..GUARDS }, left: [0, 0, 0, 0, 1, 1, 0], ticks: 6, ..WORST } ; "a renewal counted from its answer")]
-#[test_case(Plan { guards: Guards { once: false, ..GUARDS }, left: [0, 0, 0, 1, 1, 1, 0], reaches: [[true, false, false], [false, true, true]], ..WORST } ; "one vote counted twice")]
+#[test_case(Plan { guards: SafetyChecks { from_asking: false, ..GUARDS }, left: [0, 0, 0, 0, 1, 1, 0], ticks: 6, ..WORST } ; "a renewal counted from its answer")]
+#[test_case(Plan { guards: SafetyChecks { once: false, ..GUARDS }, left: [0, 0, 0, 1, 1, 1, 0], reaches: [[true, false, false], [false, true, true]], ..WORST } ; "one vote counted twice")]
 fn a_planted_fault_is_found(plan: Plan) {
     let (states, depth, broken) = plan.explore(plan.granted(), 40, 25 * MOST);
     println!("{states} states to depth {depth}: {broken:?}");
--- a/crates/tidewall-lease/tests/lease.rs
+++ b/crates/tidewall-lease/tests/lease.rs
@@ -1,18 +1,18 @@
 //! One lease by hand: what is asked when, and what a worker's newer epoch does.
 use test_case::test_case;
-use tidewall_lease::keeper::{Answer, Grant, Slot};
-use tidewall_lease::lease::{ballot, Host, Lease, State, Terms};
-use tidewall_lease::Guards;
+use tidewall_lease::grantor::{Grant, GrantorReply, GrantorSlot};
+use tidewall_lease::lease::{ballot, Lease, LeaseActions, LeaseConfig, LeaseState};
+use tidewall_lease::SafetyChecks;
 
 #[derive(Default)]
-struct Said {
+struct BallotedValue {
     prepared: Vec<(usize, u64)>,
     accepts: Vec<(usize, u64, u32)>,
     held: Vec<u64>,
     stopped: Vec<u64>,
 }
 
-impl Host for Said {
+impl LeaseActions for BallotedValue {
     fn prepare(&mut self, keeper: usize, _: usize, ballot: u64) {
         self.prepared.push((keeper, ballot));
     }
@@ -31,14 +31,14 @@
     }
 }
 
-const TERMS: Terms = Terms {
+const TERMS: LeaseConfig = LeaseConfig {
     me: 1,
     life: 7,
     keepers: 3,
     usable: 1_600,
     retry: 100,
     offset: 0,
-    guards: Guards {
+    guards: SafetyChecks {
         quiet: true,
         shortened: true,
         from_asking: true,
@@ -47,10 +47,10 @@
     },
 };
 
-fn good(epoch: u64) -> Answer {
-    let mut slot = Slot::default();
+fn good(epoch: u64) -> GrantorReply {
+    let mut slot = GrantorSlot::default();
     slot.promise.promised = epoch;
-    Answer {
+    GrantorReply {
         good: true,
         promise: slot.promise,
         left: 0,
@@ -58,8 +58,8 @@
 }
 
 /// Claimed at 0, the answers to its first question at 10, to its second at 20.
-fn granted() -> (Lease, Said) {
-    let (mut lease, mut said) = (Lease::new(0), Said::default());
+fn granted() -> (Lease, BallotedValue) {
+    let (mut lease, mut said) = (Lease::new(0), BallotedValue::default());
     lease.want(0, &TERMS, &mut said, true, true);
     lease.due(0, &TERMS, &mut said);
     let of = said.prepared[0].1;
@@ -74,7 +74,7 @@
     let (lease, said) = granted();
     assert_eq!(
         (lease.state, said.held.as_slice()),
-        (State::Held, &[1_610][..])
+        (LeaseState::Held, &[1_610][..])
     );
     assert!(lease.may(1_609) && !lease.may(1_610));
 }
@@ -110,7 +110,7 @@
     lease.outbid(50, &TERMS, &mut said, newer);
     assert_eq!(
         (lease.state, said.stopped.as_slice()),
-        (State::Idle, &[held][..])
+        (LeaseState::Idle, &[held][..])
     );
     said.prepared.clear();
     let next = lease.next;
@@ -119,12 +119,12 @@
     // Words that come late, of what is held by now, change nothing.
     let (mut lease, mut said) = granted();
     lease.outbid(50, &TERMS, &mut said, held);
-    assert_eq!((lease.state, said.stopped.len()), (State::Held, 0));
+    assert_eq!((lease.state, said.stopped.len()), (LeaseState::Held, 0));
 }
 
 #[test]
 fn a_lease_of_another_is_waited_for_by_the_keeper_that_bars_longest() {
-    let (mut lease, mut said) = (Lease::new(0), Said::default());
+    let (mut lease, mut said) = (Lease::new(0), BallotedValue::default());
     lease.want(0, &TERMS, &mut said, true, true);
     lease.due(0, &TERMS, &mut said);
     let of = said.prepared[0].1;
@@ -136,9 +136,9 @@
             member: 2,
             life: 3,
         };
-        Answer { left, ..a }
+        GrantorReply { left, ..a }
     };
     lease.promised(10, &TERMS, &mut said, 0, of, barred(900));
     lease.promised(10, &TERMS, &mut said, 1, of, barred(400));
-    assert_eq!((lease.state, lease.next), (State::Idle, 911));
+    assert_eq!((lease.state, lease.next), (LeaseState::Idle, 911));
 }
--- a/crates/tidewall-membership/src/rumours.rs
+++ b/crates/tidewall-membership/src/gossip.rs
@@ -2,7 +2,7 @@
 use std::collections::BTreeSet;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Standing {
+pub enum MemberState {
     Here,
     Suspect,
     Gone,
@@ -10,34 +10,34 @@
     Left,
 }
 
-impl Standing {
-    pub const ALL: [Standing; 4] = [
-        Standing::Here,
-        Standing::Suspect,
-        Standing::Gone,
-        Standing::Left,
+impl MemberState {
+    pub const ALL: [MemberState; 4] = [
+        MemberState::Here,
+        MemberState::Suspect,
+        MemberState::Gone,
+        MemberState::Left,
     ];
 }
 
 /// What is said of a member. What has the newer life is the truth; of one life, the newer turn (a member takes a new
 /// turn to refute what is said of it); of one turn, the worse standing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Word {
+pub struct MemberUpdate {
     pub life: u64,
     pub turn: u32,
-    pub standing: Standing,
+    pub standing: MemberState,
 }
 
-pub struct Rumours {
+pub struct GossipQueue {
     /// By member: where its word stands in the order, while it is told on.
     told: Vec<Option<(bool, u32)>>,
     /// Whether it can wait, how often it was told, whose it is.
     order: BTreeSet<(bool, u32, usize)>,
 }
 
-impl Rumours {
-    pub fn new(members: usize) -> Rumours {
-        Rumours {
+impl GossipQueue {
+    pub fn new(members: usize) -> GossipQueue {
+        GossipQueue {
             told: vec![None; members],
             order: BTreeSet::new(),
         }
--- a/crates/tidewall-membership/src/lib.rs
+++ b/crates/tidewall-membership/src/lib.rs
@@ -2,15 +2,15 @@
 //! doubt of oneself first. Each period one member is pinged, by way of others where it does not answer; who answers nobody is
 //! suspected, and gone when it does not refute that in time. It only says whom to ask and who should hold what: nothing
 //! that must never happen rests on it. No I/O and no clock.
-mod rumours;
+mod gossip;
 
-use rumours::Rumours;
-pub use rumours::{Standing, Word};
+use gossip::GossipQueue;
+pub use gossip::{MemberState, MemberUpdate};
 
 /// Whole tenths of a millisecond.
 pub type Time = u64;
 
-pub trait Host {
+pub trait MembershipActions {
     /// 0 as its number: just to be heard, no answer is waited for.
     fn ping(&mut self, to: usize, seq: u32);
     /// Ping that one on our behalf.
@@ -42,7 +42,7 @@
 const SUSPECT: u64 = 4;
 
 struct Member {
-    word: Option<Word>,
+    word: Option<MemberUpdate>,
     /// When its suspicion ends.
     until: Time,
 }
@@ -62,13 +62,13 @@
     its: u32,
 }
 
-pub struct Members {
+pub struct Membership {
     me: usize,
     life: u64,
     turn: u32,
     period: Time,
     list: Vec<Member>,
-    rumours: Rumours,
+    rumours: GossipQueue,
     /// The order in which members are pinged, drawn anew for each round, and where it stands.
     order: Vec<usize>,
     at: usize,
@@ -88,7 +88,7 @@
     pub refuted: u64,
 }
 
-impl Members {
+impl Membership {
     pub fn new(
         now: Time,
         me: usize,
@@ -96,16 +96,16 @@
         members: usize,
         period: Time,
         first: Time,
-    ) -> Members {
+    ) -> Membership {
         let list = (0..members)
             .map(|_| Member {
                 word: None,
                 until: 0,
             })
             .collect();
-        let mut rumours = Rumours::new(members);
+        let mut rumours = GossipQueue::new(members);
         rumours.new_word(me, false);
-        Members {
+        Membership {
             me,
             life,
             turn: 0,
@@ -128,7 +128,7 @@
         }
     }
 
-    pub fn word(&self, member: usize) -> Option<Word> {
+    pub fn word(&self, member: usize) -> Option<MemberUpdate> {
         if member == self.me {
             return Some(self.own());
         }
@@ -138,17 +138,17 @@
     /// It is there, as far as we know; one that is suspected still is.
     pub fn here(&self, member: usize) -> bool {
         self.word(member)
-            .is_some_and(|w| w.standing <= Standing::Suspect)
+            .is_some_and(|w| w.standing <= MemberState::Suspect)
     }
 
     /// What we say of ourselves.
-    pub fn own(&self) -> Word {
+    pub fn own(&self) -> MemberUpdate {
         let standing = if self.leaving {
-            Standing::Left
+            MemberState::Left
         } else {
-            Standing::Here
+            MemberState::Here
         };
-        Word {
+        MemberUpdate {
             life: self.life,
             turn: self.turn,
             standing,
@@ -160,12 +160,12 @@
     }
 
     /// What the receiver should hear first: that it is thought gone, so that it can refute it.
-    pub fn of_itself(&self, to: usize) -> Option<Word> {
-        self.word(to).filter(|w| w.standing > Standing::Here)
+    pub fn of_itself(&self, to: usize) -> Option<MemberUpdate> {
+        self.word(to).filter(|w| w.standing > MemberState::Here)
     }
 
     /// What to tell along with the next datagram: a member, and what is known of it.
-    pub fn rumour(&mut self) -> Option<(usize, Word)> {
+    pub fn rumour(&mut self) -> Option<(usize, MemberUpdate)> {
         loop {
             let member = self.rumours.tell()?;
             if let Some(word) = self.word(member) {
@@ -206,7 +206,7 @@
     }
 
     /// At least three times a period.
-    pub fn tick(&mut self, now: Time, host: &mut impl Host) {
+    pub fn tick(&mut self, now: Time, host: &mut impl MembershipActions) {
         // A tick that comes late: starved, however it came about.
         let late = (now - self.last).saturating_sub(self.period);
         self.last = now;
@@ -222,14 +222,15 @@
             }
         }
         for m in 0..self.list.len() {
-            let over = |w: Word| w.standing == Standing::Suspect && now >= self.list[m].until;
+            let over =
+                |w: MemberUpdate| w.standing == MemberState::Suspect && now >= self.list[m].until;
             if let Some(word) = self.list[m].word.filter(|w| over(*w)) {
                 self.learn(
                     now,
                     host,
                     m,
-                    Word {
-                        standing: Standing::Gone,
+                    MemberUpdate {
+                        standing: MemberState::Gone,
                         ..word
                     },
                 );
@@ -250,7 +251,7 @@
         }
     }
 
-    fn period_begins(&mut self, now: Time, host: &mut impl Host) {
+    fn period_begins(&mut self, now: Time, host: &mut impl MembershipActions) {
         // Those never heard of, a few at a time until each was tried, then now and then.
         let all = self.fresh >= self.list.len();
         let tries = if all {
@@ -297,7 +298,7 @@
         (self.me + self.fresh) % self.list.len()
     }
 
-    fn by_others(&mut self, host: &mut impl Host, target: usize, seq: u32) {
+    fn by_others(&mut self, host: &mut impl MembershipActions, target: usize, seq: u32) {
         if let Some(probe) = &mut self.probe {
             probe.by_others = true;
         }
@@ -317,18 +318,18 @@
         }
     }
 
-    fn suspect(&mut self, now: Time, host: &mut impl Host, member: usize) {
+    fn suspect(&mut self, now: Time, host: &mut impl MembershipActions, member: usize) {
         if let Some(word) = self.list[member]
             .word
-            .filter(|w| w.standing == Standing::Here)
+            .filter(|w| w.standing == MemberState::Here)
         {
             self.suspected += 1;
             self.learn(
                 now,
                 host,
                 member,
-                Word {
-                    standing: Standing::Suspect,
+                MemberUpdate {
+                    standing: MemberState::Suspect,
                     ..word
                 },
             );
@@ -336,11 +337,17 @@
     }
 
     /// A word that may be news.
-    fn learn(&mut self, now: Time, host: &mut impl Host, member: usize, word: Word) {
+    fn learn(
+        &mut self,
+        now: Time,
+        host: &mut impl MembershipActions,
+        member: usize,
+        word: MemberUpdate,
+    ) {
         if member == self.me {
             // Ourselves as of this life: whatever worse is said is refuted by a new turn.
             let ours = word.life == self.life && word.turn >= self.turn;
-            if ours && word.standing > Standing::Here && !self.leaving {
+            if ours && word.standing > MemberState::Here && !self.leaving {
                 self.turn = word.turn + 1;
                 self.refuted += 1;
                 self.doubt = (self.doubt + 1).min(DOUBT);
@@ -354,23 +361,29 @@
         }
         let here = self.here(member);
         self.list[member].word = Some(word);
-        if word.standing == Standing::Suspect {
+        if word.standing == MemberState::Suspect {
             self.list[member].until = now + self.suspicion();
         }
         self.rumours
-            .new_word(member, word.standing == Standing::Here && word.turn == 0);
-        let comes = word.standing <= Standing::Suspect;
+            .new_word(member, word.standing == MemberState::Here && word.turn == 0);
+        let comes = word.standing <= MemberState::Suspect;
         if comes && (!here || was.is_some_and(|w| w.life != word.life)) {
             host.comes(member, word.life);
         } else if here && !comes {
-            host.goes(member, word.standing == Standing::Left);
+            host.goes(member, word.standing == MemberState::Left);
         }
     }
 
     /// Something came from that member just now, whatever it was, and with it what it says of itself. False where it is
     /// from a former life.
-    pub fn heard(&mut self, now: Time, host: &mut impl Host, from: usize, word: Word) -> bool {
-        let Word {
+    pub fn heard(
+        &mut self,
+        now: Time,
+        host: &mut impl MembershipActions,
+        from: usize,
+        word: MemberUpdate,
+    ) -> bool {
+        let MemberUpdate {
             life,
             turn,
             standing,
@@ -383,13 +396,13 @@
         }
         match member.word {
             Some(w)
-                if standing == Standing::Here
+                if standing == MemberState::Here
                     && w.life == life
-                    && w.standing > Standing::Here
+                    && w.standing > MemberState::Here
                     && w.turn >= turn =>
             {
                 // It is there all the same: it hears what is said of it with the answer, and refutes it.
-                if w.standing == Standing::Suspect {
+                if w.standing == MemberState::Suspect {
                     self.list[from].until = now + self.suspicion();
                 }
             }
@@ -398,18 +411,30 @@
         true
     }
 
-    pub fn told(&mut self, now: Time, host: &mut impl Host, member: usize, word: Word) {
+    pub fn told(
+        &mut self,
+        now: Time,
+        host: &mut impl MembershipActions,
+        member: usize,
+        word: MemberUpdate,
+    ) {
         if member < self.list.len() {
             self.learn(now, host, member, word);
         }
     }
 
-    pub fn pinged(&mut self, host: &mut impl Host, from: usize, seq: u32) {
+    pub fn pinged(&mut self, host: &mut impl MembershipActions, from: usize, seq: u32) {
         host.ack(from, self.me, seq);
     }
 
     /// Asked to ping another one.
-    pub fn pinged_for(&mut self, host: &mut impl Host, from: usize, target: usize, its: u32) {
+    pub fn pinged_for(
+        &mut self,
+        host: &mut impl MembershipActions,
+        from: usize,
+        target: usize,
+        its: u32,
+    ) {
         if target >= self.list.len() || target == self.me {
             return;
         }
@@ -427,7 +452,7 @@
     }
 
     /// `from` says that `of` is there.
-    pub fn acked(&mut self, host: &mut impl Host, from: usize, of: usize, seq: u32) {
+    pub fn acked(&mut self, host: &mut impl MembershipActions, from: usize, of: usize, seq: u32) {
         if self
             .probe
             .as_ref()
--- a/crates/tidewall-membership/tests/help/mod.rs
+++ b/crates/tidewall-membership/tests/help/mod.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
-use tidewall_membership::{Host, Members, Time, Word};
+use tidewall_membership::{MemberUpdate, Membership, MembershipActions, Time};
 
 pub const PERIOD: Time = 2_000;
 pub const TICK: Time = 200;
@@ -23,7 +23,7 @@
     pub chance: Option<ChaCha8Rng>,
 }
 
-impl Host for Out {
+impl MembershipActions for Out {
     fn ping(&mut self, to: usize, seq: u32) {
         self.sent.push((to, Sent::Ping(seq)));
     }
@@ -46,11 +46,11 @@
     }
 }
 
-pub type Datagram = (usize, Word, Sent, Vec<(usize, Word)>);
+pub type Datagram = (usize, MemberUpdate, Sent, Vec<(usize, MemberUpdate)>);
 
 pub struct Net {
     pub now: Time,
-    pub members: Vec<Members>,
+    pub members: Vec<Membership>,
     pub outs: Vec<Out>,
     pub lives: Vec<u64>,
     pub down: Vec<bool>,
@@ -70,7 +70,7 @@
         Net {
             now: 0,
             members: (0..n)
-                .map(|m| Members::new(0, m, 1, n, PERIOD, first(m)))
+                .map(|m| Membership::new(0, m, 1, n, PERIOD, first(m)))
                 .collect(),
             outs: (0..n)
                 .map(|m| Out {
@@ -152,7 +152,7 @@
     }
 
     /// Who sees whom wrongly, and how.
-    pub fn wrong(&self) -> Vec<(usize, usize, Option<Word>)> {
+    pub fn wrong(&self) -> Vec<(usize, usize, Option<MemberUpdate>)> {
         let run = |m: &usize| !self.down[*m] && !self.still[*m];
         let all = || 0..self.members.len();
         let pairs = all().filter(run).flat_map(|m| all().map(move |o| (m, o)));
@@ -165,6 +165,7 @@
     pub fn restart(&mut self, m: usize) {
         self.lives[m] += 1;
         self.down[m] = false;
-        self.members[m] = Members::new(self.now, m, self.lives[m], self.members.len(), PERIOD, 0);
+        self.members[m] =
+            Membership::new(self.now, m, self.lives[m], self.members.len(), PERIOD, 0);
     }
 }
--- a/crates/tidewall-membership/tests/swim.rs
+++ b/crates/tidewall-membership/tests/swim.rs
@@ -3,13 +3,13 @@
 
 use help::*;
 use test_case::test_case;
-use tidewall_membership::{Standing, Word};
+use tidewall_membership::{MemberState, MemberUpdate};
 
-fn here_in(life: u64) -> Word {
-    Word {
+fn here_in(life: u64) -> MemberUpdate {
+    MemberUpdate {
         life,
         turn: 0,
-        standing: Standing::Here,
+        standing: MemberState::Here,
     }
 }
 
@@ -113,11 +113,11 @@
     assert!(net.outs[1..].iter().all(|o| o.goes == [(0, true)]));
 }
 
-#[test_case(Word { life: 1, turn: 9, standing: Standing::Gone }, true ; "a former life")]
-#[test_case(Word { life: 2, turn: 0, standing: Standing::Suspect }, true ; "suspected, not yet gone")]
-#[test_case(Word { life: 2, turn: 0, standing: Standing::Gone }, false ; "this life")]
-#[test_case(Word { life: 3, turn: 0, standing: Standing::Here }, true ; "a newer life")]
-fn which_word_is_news(word: Word, here: bool) {
+#[test_case(MemberUpdate { life: 1, turn: 9, standing: MemberState::Gone }, true ; "a former life")]
+#[test_case(MemberUpdate { life: 2, turn: 0, standing: MemberState::Suspect }, true ; "suspected, not yet gone")]
+#[test_case(MemberUpdate { life: 2, turn: 0, standing: MemberState::Gone }, false ; "this life")]
+#[test_case(MemberUpdate { life: 3, turn: 0, standing: MemberState::Here }, true ; "a newer life")]
+fn which_word_is_news(word: MemberUpdate, here: bool) {
     let mut net = Net::new(3, 7);
     let (m, out) = (&mut net.members[0], &mut net.outs[0]);
     assert!(m.heard(0, out, 1, here_in(2)));
--- a/crates/tidewall-sim/src/fleet.rs
+++ b/crates/tidewall-sim/src/fleet.rs
@@ -13,14 +13,14 @@
 use std::sync::Arc;
 use tidewall_audit::Audit;
 use tidewall_config::Section;
-use tidewall_coordination::acting::Acting;
-use tidewall_coordination::conf::Conf;
-use tidewall_coordination::keeping::Keeping;
-use tidewall_coordination::post::{channel, Post, ToActs};
+use tidewall_coordination::config::CoordinationConfig;
+use tidewall_coordination::executor_task::ExecutorTask;
+use tidewall_coordination::lease_task::LeaseTask;
+use tidewall_coordination::mailbox::{channel, ExecutorCommand, MailboxSender};
 use tidewall_emulator::{Fleet, Gateways, Plan};
 use tidewall_gateway::Gateway;
-use tidewall_lease::lease::State;
-use tidewall_lease::Guards;
+use tidewall_lease::lease::LeaseState;
+use tidewall_lease::SafetyChecks;
 use tidewall_net::memory::{self, Memory, Path, Tap, World};
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 use tidewall_vrrp::packet::Keys;
@@ -51,8 +51,8 @@
         Plant::TwoVotes,
     ];
 
-    pub fn guards(self) -> Guards {
-        Guards {
+    pub fn guards(self) -> SafetyChecks {
+        SafetyChecks {
             quiet: self != Plant::Forgets,
             shortened: self != Plant::NotShortened,
             from_asking: self != Plant::FromAnswer,
@@ -295,8 +295,8 @@
 struct Process {
     hands: [Memory; 3],
     gateway: Result<Box<Gateway<Memory>>, Empty>,
-    keeping: Keeping<Memory>,
-    acting: Acting<Memory>,
+    keeping: LeaseTask<Memory>,
+    acting: ExecutorTask<Memory>,
     told: Arc<AtomicBool>,
     /// When it starts next.
     back: Option<Time>,
@@ -345,19 +345,19 @@
 
 fn process(setup: &Setup, s: &Section, hands: &[Memory; 3], me: usize, life: u64) -> Process {
     let seed = setup.seed * 1_000 + life * 16 + me as u64;
-    let conf = Conf::new(s, me, life, seed, setup.plant.guards(), Box::new(keys));
-    let (to_acts, acts_inbox) = channel::<ToActs>(conf.channel);
+    let conf = CoordinationConfig::new(s, me, life, seed, setup.plant.guards(), Box::new(keys));
+    let (to_acts, acts_inbox) = channel::<ExecutorCommand>(conf.channel);
     let (from_acts, inbox) = channel(conf.channel);
-    let mut watch: Post<ToActs> = to_acts.other();
+    let mut watch: MailboxSender<ExecutorCommand> = to_acts.other();
     let told = Arc::new(AtomicBool::new(false));
     let over = Arc::new(AtomicBool::new(false));
-    let acting = Acting::new(hands[2].clone(), &conf, acts_inbox, from_acts, over);
-    let keeping = Keeping::new(hands[1].clone(), conf, (to_acts, inbox), told.clone());
+    let acting = ExecutorTask::new(hands[2].clone(), &conf, acts_inbox, from_acts, over);
+    let keeping = LeaseTask::new(hands[1].clone(), conf, (to_acts, inbox), told.clone());
     let keeping = keeping.expect("its address is free");
     let gateway = if setup.rate > 0.0 {
         let mut gateway = site::plain(s, &hands[0], me, seed);
         gateway.watch_endpoints(Box::new(move |list| {
-            watch.send(ToActs::Workers(
+            watch.send(ExecutorCommand::Workers(
                 list.iter().map(|e| (e.name.clone(), e.address)).collect(),
             ))
         }));
@@ -788,7 +788,7 @@
         (0..self.setup.leases).all(|task| self.holders(task).len() == 1 && acted_on(task))
             && self.processes.iter().all(|p| {
                 let holder = p.keeping.holder();
-                (0..self.setup.leases).all(|t| holder.lease(t).state != State::Stopping)
+                (0..self.setup.leases).all(|t| holder.lease(t).state != LeaseState::Stopping)
             })
     }
 
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -10,7 +10,7 @@
 use tidewall_audit::Audit;
 use tidewall_config::Section;
 use tidewall_emulator::{Fleet, NoGateways, Plan};
-use tidewall_failover::seat::State;
+use tidewall_failover::role::Role;
 use tidewall_gateway::config::{failover_config, gateway_config};
 use tidewall_gateway::endpoints::NoEndpointCache;
 use tidewall_gateway::failover::StopReason;
@@ -21,13 +21,13 @@
 use tidewall_vrrp::packet::{self, Keys};
 
 /// How a member may stand: the seat's states, or dead.
-pub const STANDS: usize = State::ALL.len() + 1;
+pub const STANDS: usize = Role::ALL.len() + 1;
 
 /// Which states of both members were met together.
 pub type Met = [[bool; STANDS]; STANDS];
 
 pub fn stand(at: usize) -> &'static str {
-    State::ALL.get(at).map_or("dead", |s| s.text())
+    Role::ALL.get(at).map_or("dead", |s| s.text())
 }
 
 /// What is left out on purpose, to show that the audit notices.
@@ -531,7 +531,7 @@
         let [a, b] = [0, 1].map(|m: usize| {
             let state = self.members[m].role().filter(|_| !self.hands[m].dead());
             state.map_or(STANDS - 1, |s| {
-                State::ALL.iter().position(|o| *o == s).unwrap_or(0)
+                Role::ALL.iter().position(|o| *o == s).unwrap_or(0)
             })
         });
         self.met[a][b] = true;
--- a/crates/tidewall-vrrp/src/lib.rs
+++ b/crates/tidewall-vrrp/src/lib.rs
@@ -1,5 +1,5 @@
 //! VRRP version 3 (RFC 9568) as a machine without I/O: a `Router` is told what happens to one virtual router and acts
-//! through `Act`. `packet` knows the octets. The RFC's Active router is the one that RFC 5798 called Master.
+//! through `VrrpActions`. `packet` knows the octets. The RFC's Active router is the one that RFC 5798 called Master.
 //! What differs from the RFC: packets ride in UDP on loopback, so the hop limit is carried as a field and the
 //! checksum covers no pseudo-header; and since anyone on a segment could claim to be Active, each packet ends
 //! in a keyed hash with a replay guard.
@@ -41,7 +41,7 @@
 }
 
 /// How a router acts.
-pub trait Act {
+pub trait VrrpActions {
     fn advertise(&mut self, vrid: u8, priority: u8, interval: u16);
     /// The one timer of a router; a new time replaces the old one.
     fn wake(&mut self, vrid: u8, wait: Time);
@@ -116,11 +116,11 @@
         Time::from(self.p.interval) * CENTISECOND
     }
 
-    fn advertise(&self, act: &mut impl Act, priority: u8) {
+    fn advertise(&self, act: &mut impl VrrpActions, priority: u8) {
         act.advertise(self.p.vrid, priority, self.p.interval);
     }
 
-    fn go_active(&mut self, act: &mut impl Act) {
+    fn go_active(&mut self, act: &mut impl VrrpActions) {
         self.advertise(act, self.p.priority);
         act.take(self.p.vrid, self.p.accept || self.p.priority == OWNER);
         act.wake(self.p.vrid, self.own_interval());
@@ -128,7 +128,7 @@
     }
 
     /// Startup (6.4.1).
-    pub fn startup(&mut self, act: &mut impl Act) {
+    pub fn startup(&mut self, act: &mut impl VrrpActions) {
         if self.state != State::Initialize {
             return;
         }
@@ -141,7 +141,7 @@
     }
 
     /// Shutdown (6.4.2, 6.4.3).
-    pub fn shutdown(&mut self, act: &mut impl Act) {
+    pub fn shutdown(&mut self, act: &mut impl VrrpActions) {
         match std::mem::replace(&mut self.state, State::Initialize) {
             State::Initialize => {}
             State::Backup => act.sleep(self.p.vrid),
@@ -153,8 +153,8 @@
         }
     }
 
-    /// The timer of `Act::wake`: Active_Down_Timer in Backup, Adver_Timer in Active.
-    pub fn due(&mut self, act: &mut impl Act) {
+    /// The timer of `VrrpActions::wake`: Active_Down_Timer in Backup, Adver_Timer in Active.
+    pub fn due(&mut self, act: &mut impl VrrpActions) {
         match self.state {
             State::Initialize => {}
             State::Backup => self.go_active(act),
@@ -166,7 +166,7 @@
     }
 
     /// An advertisement of this virtual router that passed all checks (7.1).
-    pub fn heard(&mut self, act: &mut impl Act, a: Advertisement) {
+    pub fn heard(&mut self, act: &mut impl VrrpActions, a: Advertisement) {
         match self.state {
             State::Initialize => {}
             State::Backup if a.priority == STOPS => act.wake(self.p.vrid, self.skew()),
--- a/crates/tidewall-vrrp/src/packet.rs
+++ b/crates/tidewall-vrrp/src/packet.rs
@@ -64,7 +64,7 @@
 
 /// Remembers the last number of each sender and virtual router: what is not higher was heard before.
 #[derive(Default)]
-pub struct Guard(BTreeMap<(Ipv4Addr, u8), u64>);
+pub struct ReplayGuard(BTreeMap<(Ipv4Addr, u8), u64>);
 
 /// Checks a packet (7.1) and tells its virtual router and what it says. The error names the check.
 pub fn read(
@@ -72,7 +72,7 @@
     from: Ipv4Addr,
     addresses: &[Ipv4Addr],
     keys: &Keys,
-    guard: &mut Guard,
+    guard: &mut ReplayGuard,
 ) -> Result<(u8, Advertisement), &'static str> {
     if bytes.len() < 8 + TAIL {
         return Err("length: cut short");
--- a/crates/tidewall-vrrp/tests/transitions.rs
+++ b/crates/tidewall-vrrp/tests/transitions.rs
@@ -1,8 +1,8 @@
 //! Each transition of RFC 9568's section 6.4, and two routers that find one Active whatever is lost.
 use std::net::Ipv4Addr;
 use test_case::test_case;
-use tidewall_vrrp::packet::{read, write, Guard, Keys};
-use tidewall_vrrp::{Act, Advertisement, Parameters, Router, State, Time, OWNER, STOPS};
+use tidewall_vrrp::packet::{read, write, Keys, ReplayGuard};
+use tidewall_vrrp::{Advertisement, Parameters, Router, State, Time, VrrpActions, OWNER, STOPS};
 
 #[derive(Clone, Debug, PartialEq)]
 enum Call {
@@ -16,7 +16,7 @@
 #[derive(Default)]
 struct Calls(Vec<Call>);
 
-impl Act for Calls {
+impl VrrpActions for Calls {
     fn advertise(&mut self, _: u8, priority: u8, _: u16) {
         self.0.push(Call::Advertise(priority));
     }
@@ -148,7 +148,7 @@
 
 #[test]
 fn what_is_written_is_read() {
-    let mut guard = Guard::default();
+    let mut guard = ReplayGuard::default();
     let got = read(&packet(1), ip(5), &[ip(100)], &keys(1), &mut guard);
     assert_eq!(got, Ok((7, told(100, 100, 5))));
 }
@@ -164,13 +164,19 @@
 fn a_changed_packet_fails_its_check(at: usize, byte: u8, names: &str) {
     let mut bytes = packet(1);
     bytes[at] = byte;
-    let got = read(&bytes, ip(5), &[ip(100)], &keys(1), &mut Guard::default());
+    let got = read(
+        &bytes,
+        ip(5),
+        &[ip(100)],
+        &keys(1),
+        &mut ReplayGuard::default(),
+    );
     assert!(got.unwrap_err().starts_with(names), "{got:?}");
 }
 
 #[test]
 fn a_packet_heard_before_and_one_of_another_key_are_refused() {
-    let mut guard = Guard::default();
+    let mut guard = ReplayGuard::default();
     let mut hear = |bytes: &[u8], k: &Keys| read(bytes, ip(5), &[ip(100)], k, &mut guard);
     assert!(hear(&packet(5), &keys(1)).is_ok());
     assert_eq!(hear(&packet(5), &keys(1)), Err("number: heard before"));
@@ -197,7 +203,7 @@
         from: Ipv4Addr,
         active: bool,
     }
-    impl Act for Link {
+    impl VrrpActions for Link {
         fn advertise(&mut self, _: u8, priority: u8, interval: u16) {
             self.out.push(Advertisement {
                 priority,
@@ -263,7 +269,7 @@
             ip(5),
             &[ip(100)],
             &keys(1),
-            &mut Guard::default(),
+            &mut ReplayGuard::default(),
         );
         assert!(got.is_err(), "cut at {at}");
     }
