--- a/crates/tidewall-benchmarks/src/peers.rs
+++ b/crates/tidewall-benchmarks/src/peers.rs
@@ -98,8 +98,8 @@
                     promise.accept(Leadership {
                         epoch,
                         member,
-                        sync,
-                        floor,
+                        synced_incarnations: sync,
+                        fencing_floor: floor,
                     })
                 };
                 let p = *promise;
@@ -108,10 +108,10 @@
                 let f = f.flag(Field::On, good).whole(Field::Ballot, p.promised);
                 let f = f
                     .whole(Field::Epoch, p.accepted.epoch)
-                    .whole(Field::Floor, p.accepted.floor);
+                    .whole(Field::Floor, p.accepted.fencing_floor);
                 let f = f.whole(Field::Member, p.accepted.member as u64 + 1);
-                f.whole(Field::SyncA, p.accepted.sync[0])
-                    .whole(Field::SyncB, p.accepted.sync[1])
+                f.whole(Field::SyncA, p.accepted.synced_incarnations[0])
+                    .whole(Field::SyncB, p.accepted.synced_incarnations[1])
                     .end();
             }
             (kind::LAUNCH, _) if self.answers => {
--- a/crates/tidewall-cli/src/coordination.rs
+++ b/crates/tidewall-cli/src/coordination.rs
@@ -66,7 +66,7 @@
         };
         let (to_acts, acts_inbox) = channel::<ExecutorCommand>(conf.channel);
         let (from_acts, inbox) = channel(conf.channel);
-        self.watch = Some(to_acts.other());
+        self.watch = Some(to_acts.clone_sender());
         let over = Arc::new(AtomicBool::new(false));
         let mut acting = ExecutorTask::new(net()?, &conf, acts_inbox, from_acts, over.clone());
         let mut keeping =
@@ -102,7 +102,7 @@
     pub fn watch(&mut self) -> EndpointWatcher {
         let mut post = self.watch.take().expect("it was started");
         Box::new(move |list| {
-            post.send(ExecutorCommand::Workers(
+            post.send(ExecutorCommand::EndpointsChanged(
                 list.iter().map(|e| (e.name.clone(), e.address)).collect(),
             ))
         })
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -142,7 +142,7 @@
             return Ok(());
         }
         drop(gateway);
-        let until = damp.again((began.elapsed().as_micros() / 100) as u64);
+        let until = damp.next_hold_off((began.elapsed().as_micros() / 100) as u64);
         while ((began.elapsed().as_micros() / 100) as u64) < until {
             if told.load(Ordering::Relaxed) {
                 return Ok(());
--- a/crates/tidewall-coordination/src/codec.rs
+++ b/crates/tidewall-coordination/src/codec.rs
@@ -79,14 +79,14 @@
 pub fn head(body: &mut Vec<u8>, h: &DatagramHeader) {
     body.clear();
     let mut e = Encoder::new(&mut *body);
-    let left = u64::from(h.word.standing == MemberState::Left);
+    let left = u64::from(h.word.state == MemberState::Left);
     let numbers = [
         VERSION,
         h.from as u64,
         h.to as u64,
         h.to_life,
-        h.word.life,
-        u64::from(h.word.turn),
+        h.word.incarnation,
+        u64::from(h.word.refutation),
         left,
     ];
     numbers
@@ -141,14 +141,14 @@
     let [_, from, to, to_life, life, turn, left, number] = n;
     let small = |n: u64| u32::try_from(n).map_err(|_| "head: a number is out of range");
     let standing = match left {
-        0 => MemberState::Here,
+        0 => MemberState::Alive,
         1 => MemberState::Left,
         _ => return Err("head: a number is out of range"),
     };
     let word = MemberUpdate {
-        life,
-        turn: small(turn)?,
-        standing,
+        incarnation: life,
+        refutation: small(turn)?,
+        state: standing,
     };
     let (from, to) = (small(from)? as usize, small(to)? as usize);
     Ok((
@@ -235,12 +235,12 @@
     let accepted = Grant {
         epoch: n[0],
         member: n[1] as usize,
-        life: n[2],
+        incarnation: n[2],
     };
     GrantorReply {
-        good,
-        promise: AcceptorState { promised, accepted },
-        left: n[3],
+        granted: good,
+        state: AcceptorState { promised, accepted },
+        remaining: n[3],
     }
 }
 
@@ -257,9 +257,9 @@
         item::ACK => heard.ack(from, first, n[1] as u32),
         item::WORD => {
             let word = MemberUpdate {
-                life: n[1],
-                turn: n[2] as u32,
-                standing: MemberState::ALL[n[3] as usize],
+                incarnation: n[1],
+                refutation: n[2] as u32,
+                state: MemberState::ALL[n[3] as usize],
             };
             heard.word(first, word);
         }
--- a/crates/tidewall-coordination/src/config.rs
+++ b/crates/tidewall-coordination/src/config.rs
@@ -7,26 +7,26 @@
 use tidewall_vrrp::packet::Keys;
 
 pub struct CoordinationConfig {
-    pub me: usize,
-    pub life: u64,
+    pub member: usize,
+    pub incarnation: u64,
     pub seed: u64,
     pub name: String,
     /// All members' names; where this one listens, and where it reaches each.
     pub names: Vec<String>,
     pub listen: SocketAddr,
     pub reach: Vec<SocketAddr>,
-    pub keepers: Vec<usize>,
+    pub grantors: Vec<usize>,
     pub tasks: usize,
-    pub term: Time,
+    pub lease_duration: Time,
     pub usable: Time,
     /// How long an act may take effect after it left, by our own clock.
-    pub margin: Time,
+    pub effect_timeout: Time,
     pub period: Time,
-    pub turn: Time,
+    pub effect_interval: Time,
     pub datagrams: u64,
     pub bytes: u64,
     pub channel: usize,
-    pub guards: SafetyChecks,
+    pub safety_checks: SafetyChecks,
     pub keys: Box<dyn Fn() -> Keys + Send>,
     /// By so many millionths this member's clock runs faster: for trials.
     pub trial_ppm: i64,
@@ -60,14 +60,14 @@
             c.span("ticket_ms"),
             c.whole("clocks_ppm"),
         );
-        let usable = if guards.shortened {
+        let usable = if guards.shortened_lease {
             usable(term, ppm, ticket)
         } else {
             term
         };
         CoordinationConfig {
-            me,
-            life,
+            member: me,
+            incarnation: life,
             seed,
             name: names[me].clone(),
             listen: gateways[me]
@@ -75,17 +75,17 @@
                 .parse()
                 .expect("checked"),
             reach: gateways.iter().map(reach).collect(),
-            keepers: c.texts("keeper").iter().map(place).collect(),
+            grantors: c.texts("keeper").iter().map(place).collect(),
             tasks: c.whole("leases") as usize,
-            term,
+            lease_duration: term,
             usable,
-            margin: margin(ppm, ticket),
+            effect_timeout: margin(ppm, ticket),
             period: c.span("period_ms"),
-            turn: c.span("turn_ms"),
+            effect_interval: c.span("turn_ms"),
             datagrams: c.whole("datagrams_per_s"),
             bytes: c.whole("bytes_per_s"),
             channel: c.whole("channel") as usize,
-            guards,
+            safety_checks: guards,
             keys,
             trial_ppm: c.signed("trial_clock_ppm"),
             names,
@@ -94,14 +94,14 @@
 
     pub fn terms(&self) -> LeaseConfig {
         LeaseConfig {
-            me: self.me,
-            life: self.life,
-            keepers: self.keepers.len(),
-            usable: self.usable,
+            member: self.member,
+            incarnation: self.incarnation,
+            grantors: self.grantors.len(),
+            usable_duration: self.usable,
             retry: (self.usable / RETRY).max(1),
             // Drawn by the life, as good as any.
             offset: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48,
-            guards: self.guards,
+            safety_checks: self.safety_checks,
         }
     }
 
--- a/crates/tidewall-coordination/src/effect_scheduler.rs
+++ b/crates/tidewall-coordination/src/effect_scheduler.rs
@@ -6,8 +6,8 @@
 
 pub trait EffectActions {
     /// Its turn: an act is to go out, if it still may when its ticket is there.
-    fn turn(&mut self, task: usize);
-    fn stopped(&mut self, task: usize, epoch: u64);
+    fn run_effect(&mut self, task: usize);
+    fn execution_stopped(&mut self, task: usize, epoch: u64);
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -46,7 +46,7 @@
     }
 
     /// Under which epoch that task may be acted on now: asked right before the bytes go to the socket.
-    pub fn may(&self, now: Time, task: usize) -> Option<u64> {
+    pub fn permitted_epoch(&self, now: Time, task: usize) -> Option<u64> {
         self.holds
             .get(task)
             .filter(|h| h.epoch > 0 && now < h.until)
@@ -54,7 +54,7 @@
     }
 
     /// `first`: when its first turn is, from now on, for one that was not held before.
-    pub fn held(&mut self, now: Time, task: usize, epoch: u64, until: Time, first: Time) {
+    pub fn lease_acquired(&mut self, now: Time, task: usize, epoch: u64, until: Time, first: Time) {
         let Some(h) = self
             .holds
             .get_mut(task)
@@ -78,7 +78,13 @@
         }
     }
 
-    pub fn stop(&mut self, now: Time, host: &mut impl EffectActions, task: usize, epoch: u64) {
+    pub fn lease_lost(
+        &mut self,
+        now: Time,
+        host: &mut impl EffectActions,
+        task: usize,
+        epoch: u64,
+    ) {
         let Some(h) = self.holds.get_mut(task) else {
             return;
         };
@@ -92,7 +98,7 @@
     }
 
     /// An act has left; what it gives back comes with its answer.
-    pub fn sent(&mut self, now: Time, task: usize) -> u32 {
+    pub fn effect_sent(&mut self, now: Time, task: usize) -> u32 {
         let h = &mut self.holds[task];
         h.out += 1;
         h.last = now;
@@ -100,7 +106,13 @@
     }
 
     /// An act of that round was answered.
-    pub fn answered(&mut self, now: Time, host: &mut impl EffectActions, task: usize, round: u32) {
+    pub fn effect_acknowledged(
+        &mut self,
+        now: Time,
+        host: &mut impl EffectActions,
+        task: usize,
+        round: u32,
+    ) {
         let h = &mut self.holds[task];
         h.out -= u32::from(round == h.round).min(h.out);
         self.look(now, host, task);
@@ -110,7 +122,7 @@
         let h = &mut self.holds[task];
         let over = h.out == 0 || now > h.last + self.margin;
         if over && self.stops.remove(&task) {
-            host.stopped(task, h.stops);
+            host.execution_stopped(task, h.stops);
             (h.out, h.stops, h.round) = (0, 0, h.round.wrapping_add(1));
         }
     }
@@ -127,7 +139,7 @@
             // One that is late does not make up for what it missed.
             h.next = (at + self.every).max(now + 1);
             self.turns.insert((h.next, task));
-            host.turn(task);
+            host.run_effect(task);
         }
         let stops: Vec<usize> = self.stops.iter().copied().collect();
         stops
@@ -135,10 +147,10 @@
             .for_each(|task| self.look(now, host, task));
     }
 
-    pub fn held_now(&self, now: Time) -> usize {
+    pub fn held_count(&self, now: Time) -> usize {
         self.turns
             .iter()
-            .filter(|t| self.may(now, t.1).is_some())
+            .filter(|t| self.permitted_epoch(now, t.1).is_some())
             .count()
     }
 }
--- a/crates/tidewall-coordination/src/executor_task.rs
+++ b/crates/tidewall-coordination/src/executor_task.rs
@@ -46,12 +46,13 @@
 }
 
 impl EffectActions for Turns {
-    fn turn(&mut self, task: usize) {
+    fn run_effect(&mut self, task: usize) {
         self.due.push(task);
     }
-    fn stopped(&mut self, task: usize, epoch: u64) {
+    fn execution_stopped(&mut self, task: usize, epoch: u64) {
         // Where the channel is full it is asked for again.
-        self.post.send(ExecutorEvent::Stopped { task, epoch });
+        self.post
+            .send(ExecutorEvent::ExecutionStopped { task, epoch });
     }
 }
 
@@ -90,10 +91,10 @@
         net.set_timer(now + conf.tick(), OF_TICK);
         ExecutorTask {
             net,
-            me: conf.me,
-            life: conf.life,
+            me: conf.member,
+            life: conf.incarnation,
             name: conf.name.clone(),
-            acts: EffectScheduler::new(conf.tasks, conf.turn, conf.margin),
+            acts: EffectScheduler::new(conf.tasks, conf.effect_interval, conf.effect_timeout),
             side: Turns {
                 due: Vec::new(),
                 post,
@@ -103,8 +104,8 @@
             conns: BTreeMap::new(),
             next: 0,
             tick: conf.tick(),
-            turn: conf.turn,
-            within: conf.margin,
+            turn: conf.effect_interval,
+            within: conf.effect_timeout,
             chance: ChaCha8Rng::seed_from_u64(conf.seed ^ 0xac75),
             out: Vec::new(),
             told: over,
@@ -114,27 +115,27 @@
     }
 
     /// Whether that task may be acted on here now.
-    pub fn may(&self, now: Time, task: usize) -> bool {
-        self.acts.may(now, task).is_some()
+    pub fn is_held(&self, now: Time, task: usize) -> bool {
+        self.acts.permitted_epoch(now, task).is_some()
     }
 
-    pub fn held(&self, now: Time) -> usize {
-        self.acts.held_now(now)
+    pub fn held_count(&self, now: Time) -> usize {
+        self.acts.held_count(now)
     }
 
     fn tick(&mut self) {
         let now = self.net.now();
-        while let Some(message) = self.inbox.take() {
+        while let Some(message) = self.inbox.try_receive() {
             match message {
-                ExecutorCommand::Held { task, epoch, until } => {
+                ExecutorCommand::LeaseAcquired { task, epoch, until } => {
                     // Turns of many tasks spread over the time between two of one.
                     let first = self.chance.random_range(0..self.turn.max(1));
-                    self.acts.held(now, task, epoch, until, first);
+                    self.acts.lease_acquired(now, task, epoch, until, first);
                 }
-                ExecutorCommand::Stop { task, epoch } => {
-                    self.acts.stop(now, &mut self.side, task, epoch)
+                ExecutorCommand::LeaseLost { task, epoch } => {
+                    self.acts.lease_lost(now, &mut self.side, task, epoch)
                 }
-                ExecutorCommand::Workers(list) => self.workers(list),
+                ExecutorCommand::EndpointsChanged(list) => self.workers(list),
             }
         }
         self.acts.tick(now, &mut self.side);
@@ -245,7 +246,7 @@
         let Some(conn) = l.conn else { return };
         while let Some(task) = l.waiting.pop_front() {
             let now = self.net.now();
-            let Some(epoch) = self.acts.may(now, task) else {
+            let Some(epoch) = self.acts.permitted_epoch(now, task) else {
                 continue;
             };
             self.next += 1;
@@ -268,7 +269,8 @@
                 .end();
             if self.net.write(conn, &self.out) {
                 self.sent += 1;
-                l.out.insert(self.next, (task, self.acts.sent(now, task)));
+                l.out
+                    .insert(self.next, (task, self.acts.effect_sent(now, task)));
             }
         }
     }
@@ -287,7 +289,8 @@
                     return Ok(());
                 };
                 let now = self.net.now();
-                self.acts.answered(now, &mut self.side, task, round);
+                self.acts
+                    .effect_acknowledged(now, &mut self.side, task, round);
                 if fields.text(Field::Outcome)? != "done" {
                     self.refused += 1;
                     let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
--- a/crates/tidewall-coordination/src/lease_task.rs
+++ b/crates/tidewall-coordination/src/lease_task.rs
@@ -13,7 +13,7 @@
 use tidewall_lease::assignment::Assignment;
 use tidewall_lease::grantor::{Grant, GrantorReply, LeaseGrantor};
 use tidewall_lease::holder::LeaseHolder;
-use tidewall_lease::lease::{ballot, count, LeaseActions as LeaseHost};
+use tidewall_lease::lease::{ballot, count, LeaseActions};
 use tidewall_membership::{MemberUpdate, Membership, MembershipActions};
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net};
 use tidewall_vrrp::packet::Keys;
@@ -113,7 +113,7 @@
         self.packets.add(to, item::PING, &[u64::from(seq)]);
         self.packets.pings[to] = true;
     }
-    fn ping_for(&mut self, via: usize, target: usize, seq: u32) {
+    fn ping_indirect(&mut self, via: usize, target: usize, seq: u32) {
         self.packets
             .add(via, item::PING_FOR, &[target as u64, u64::from(seq)]);
         self.packets.pings[via] = true;
@@ -123,18 +123,18 @@
             .add(to, item::ACK, &[of as u64, u64::from(seq)]);
         self.packets.pings[to] = true;
     }
-    fn comes(&mut self, member: usize, life: u64) {
+    fn member_joined(&mut self, member: usize, life: u64) {
         self.news.push((member, Some(life), false));
     }
-    fn goes(&mut self, member: usize, left: bool) {
+    fn member_lost(&mut self, member: usize, left: bool) {
         self.news.push((member, None, left));
     }
-    fn chance(&mut self, below: u64) -> u64 {
+    fn random_below(&mut self, below: u64) -> u64 {
         self.chance.random_range(0..below.max(1))
     }
 }
 
-impl LeaseHost for Side {
+impl LeaseActions for Side {
     fn prepare(&mut self, keeper: usize, task: usize, ballot: u64) {
         match self.keepers[keeper] {
             me if me == self.packets.me => self.own.push_back(Own::Prepare { task, ballot }),
@@ -161,16 +161,19 @@
                 .add(to, item::RELEASE, &[task as u64, count(epoch)]),
         }
     }
-    fn held(&mut self, task: usize, epoch: u64, until: Time) {
+    fn lease_acquired(&mut self, task: usize, epoch: u64, until: Time) {
         // Where the channel is full it is told at one of the next ticks; until then nobody acts on it.
-        if !self.acts.send(ExecutorCommand::Held { task, epoch, until }) {
+        if !self
+            .acts
+            .send(ExecutorCommand::LeaseAcquired { task, epoch, until })
+        {
             self.untold.insert(task);
         }
     }
-    fn stop(&mut self, task: usize, epoch: u64) {
-        self.acts.send(ExecutorCommand::Stop { task, epoch });
+    fn lease_lost(&mut self, task: usize, epoch: u64) {
+        self.acts.send(ExecutorCommand::LeaseLost { task, epoch });
     }
-    fn chance(&mut self, below: Time) -> Time {
+    fn random_below(&mut self, below: Time) -> Time {
         self.chance.random_range(0..below.max(1))
     }
 }
@@ -249,19 +252,19 @@
         let n = conf.names.len();
         let mut chance = ChaCha8Rng::seed_from_u64(conf.seed ^ 0x1ea5e);
         let first = chance.random_range(0..conf.period.max(1));
-        let members = Membership::new(now, conf.me, conf.life, n, conf.period, first);
+        let members = Membership::new(now, conf.member, conf.incarnation, n, conf.period, first);
         let packets = Packets {
-            me: conf.me,
+            me: conf.member,
             number: 0,
             bodies: vec![Vec::new(); n],
             dirty: Vec::new(),
             pings: vec![false; n],
             ready: VecDeque::new(),
             lives: vec![0; n],
-            own: members.own(),
+            own: members.own_update(),
         };
         let (post, inbox) = acts;
-        let keepers = conf.keepers.clone();
+        let keepers = conf.grantors.clone();
         let (own, untold) = (VecDeque::new(), BTreeSet::new());
         let side = Side {
             packets,
@@ -272,10 +275,11 @@
             chance,
             news: Vec::new(),
         };
-        let is_keeper = conf.keepers.contains(&conf.me);
-        let keeper = is_keeper.then(|| LeaseGrantor::new(now, conf.tasks, conf.term, conf.guards));
+        let is_keeper = conf.grantors.contains(&conf.member);
+        let keeper = is_keeper
+            .then(|| LeaseGrantor::new(now, conf.tasks, conf.lease_duration, conf.safety_checks));
         let mut settles = vec![None; n];
-        settles[conf.me] = Some(now + conf.term);
+        settles[conf.member] = Some(now + conf.lease_duration);
         let per_s = (conf.datagrams as i64, conf.bytes as i64);
         let budget = Budget {
             datagrams: per_s.0,
@@ -290,7 +294,7 @@
             members,
             keeper,
             places: (0..n)
-                .map(|m| conf.keepers.iter().position(|k| *k == m))
+                .map(|m| conf.grantors.iter().position(|k| *k == m))
                 .collect(),
             holder: LeaseHolder::new(conf.terms(), conf.tasks),
             share: Assignment::new(&conf.names, conf.tasks),
@@ -321,39 +325,39 @@
     }
 
     /// Who should hold that task, as far as is known here.
-    pub fn best(&self, task: usize) -> Option<usize> {
-        self.share.best(task)
+    pub fn preferred_holder(&self, task: usize) -> Option<usize> {
+        self.share.owner(task)
     }
 
     /// It has handed over what it held, and may end.
-    pub fn over(&self) -> bool {
+    pub fn is_finished(&self) -> bool {
         self.over
     }
 
-    pub fn full(&self) -> u64 {
+    pub fn dropped_commands(&self) -> u64 {
         self.side.acts.full
     }
 
     fn stood(&mut self) {
         let stood = self.net.total_stall();
         self.members
-            .stood(stood - std::mem::replace(&mut self.stood, stood));
+            .process_stalled(stood - std::mem::replace(&mut self.stood, stood));
     }
 
     fn tick(&mut self) {
         let now = self.net.now();
         self.stood();
-        while let Some(message) = self.acts.take() {
+        while let Some(message) = self.acts.try_receive() {
             self.acts_say(now, message);
         }
         while let Some(task) = self.side.untold.first().copied() {
             let lease = self.holder.lease(task);
             let (epoch, until) = (lease.epoch, lease.until);
-            if lease.may(now)
+            if lease.is_held(now)
                 && !self
                     .side
                     .acts
-                    .send(ExecutorCommand::Held { task, epoch, until })
+                    .send(ExecutorCommand::LeaseAcquired { task, epoch, until })
             {
                 break;
             }
@@ -365,24 +369,23 @@
         self.members.tick(now, &mut self.side);
         self.shared_out(now);
         self.budget.fill(now);
-        let most = self.budget.most(self.conf.keepers.len() as u64);
-        self.holder.due(now, &mut self.side, most);
+        let most = self.budget.most(self.conf.grantors.len() as u64);
+        self.holder.run_due(now, &mut self.side, most);
         self.done(now);
         if now >= self.looked + LOOK {
             self.looked = now;
             self.keys = (self.conf.keys)();
-            self.counts.held.set(self.holder.held(now) as i64);
-            self.counts.members.set(self.members.count() as i64);
+            self.counts.held.set(self.holder.held_count(now) as i64);
+            self.counts.members.set(self.members.alive_count() as i64);
             let full = self.side.acts.full;
             self.counts.full.inc_by(full - self.counts.full.get());
             if let Some(line) = self.counts.line() {
                 info!(member = %self.conf.name, "{line}");
             }
         }
-        if self
-            .leaves
-            .is_some_and(|at| self.holder.runs() == 0 || now > at + LEAVING * self.conf.term)
-        {
+        if self.leaves.is_some_and(|at| {
+            self.holder.running_count() == 0 || now > at + LEAVING * self.conf.lease_duration
+        }) {
             // One tick more, so that what was said last has left.
             if std::mem::replace(&mut self.over, true) {
                 return self.net.stop();
@@ -393,46 +396,50 @@
 
     /// Told to go: what is held here is given to those that should have it then.
     fn leave(&mut self, now: Time) {
-        info!(member = %self.conf.name, held = self.holder.runs(), "leaves; its leases are handed over");
+        info!(member = %self.conf.name, held = self.holder.running_count(), "leaves; its leases are handed over");
         self.leaves = Some(now);
         self.members.leave();
-        self.settles[self.conf.me] = None;
-        self.side.news.push((self.conf.me, None, true));
+        self.settles[self.conf.member] = None;
+        self.side.news.push((self.conf.member, None, true));
     }
 
     fn acts_say(&mut self, now: Time, message: ExecutorEvent) {
         match message {
-            ExecutorEvent::Stopped { task, epoch } => {
-                if self.holder.stopped(now, &mut self.side, task, epoch) {
+            ExecutorEvent::ExecutionStopped { task, epoch } => {
+                if self
+                    .holder
+                    .execution_stopped(now, &mut self.side, task, epoch)
+                {
                     self.counts.given_back.inc();
-                    if let Some(to) = self.share.best(task).filter(|to| *to != self.conf.me) {
+                    if let Some(to) = self.share.owner(task).filter(|to| *to != self.conf.member) {
                         self.side.packets.add(to, item::HANDED, &[task as u64]);
                     }
                 }
             }
             ExecutorEvent::Seen { task, epoch } => {
-                self.holder.outbid(now, &mut self.side, task, epoch)
+                self.holder
+                    .higher_epoch_seen(now, &mut self.side, task, epoch)
             }
         }
     }
 
     /// Who came and who went, and which tasks move by it.
     fn shared_out(&mut self, now: Time) {
-        let me = self.conf.me;
+        let me = self.conf.member;
         for (member, life, left) in std::mem::take(&mut self.side.news) {
             let name = &self.conf.names[member];
             match life {
                 Some(life) => {
                     info!(member = %self.conf.name, other = %name, life, "is there");
                     self.side.packets.lives[member] = life;
-                    self.settles[member] = Some(now + self.conf.term);
+                    self.settles[member] = Some(now + self.conf.lease_duration);
                 }
                 None => {
                     info!(member = %self.conf.name, other = %name, left, "is not there any more");
                     self.settles[member] = None;
                     let (holder, side) = (&mut self.holder, &mut self.side);
-                    self.share.goes(member, |task, _, to| {
-                        holder.want(now, side, task, to == Some(me), left);
+                    self.share.member_left(member, |task, _, to| {
+                        holder.set_wanted(now, side, task, to == Some(me), left);
                     });
                 }
             }
@@ -441,8 +448,8 @@
             if self.settles[member].is_some_and(|at| now >= at) {
                 self.settles[member] = None;
                 let (holder, side) = (&mut self.holder, &mut self.side);
-                self.share.comes(member, |task, _, to| {
-                    holder.want(now, side, task, to == Some(me), false);
+                self.share.member_joined(member, |task, _, to| {
+                    holder.set_wanted(now, side, task, to == Some(me), false);
                 });
             }
         }
@@ -451,7 +458,7 @@
     /// What we ask ourselves, and what goes out.
     fn done(&mut self, now: Time) {
         while let Some(own) = self.side.own.pop_front() {
-            let (me, life) = (self.conf.me, self.conf.life);
+            let (me, life) = (self.conf.member, self.conf.incarnation);
             let Some(keeper) = &mut self.keeper else {
                 continue;
             };
@@ -459,8 +466,13 @@
             match own {
                 Own::Prepare { task, ballot } => {
                     if let Some(told) = keeper.prepare(now, task, ballot, (me, life)) {
-                        self.holder
-                            .promised(now, &mut self.side, (place, task), ballot, told);
+                        self.holder.prepare_replied(
+                            now,
+                            &mut self.side,
+                            (place, task),
+                            ballot,
+                            told,
+                        );
                     }
                 }
                 Own::Accept { task, epoch, tag } => {
@@ -470,10 +482,10 @@
                         Grant {
                             epoch,
                             member: me,
-                            life,
+                            incarnation: life,
                         },
                     ) {
-                        self.holder.accepted(
+                        self.holder.accept_replied(
                             now,
                             &mut self.side,
                             (place, task),
@@ -495,7 +507,7 @@
             if packets.bodies[to].is_empty() {
                 continue;
             }
-            let first = self.members.of_itself(to).map(|w| (to, w));
+            let first = self.members.update_for(to).map(|w| (to, w));
             let rumours = if std::mem::take(&mut packets.pings[to]) {
                 RUMOURS
             } else {
@@ -503,10 +515,15 @@
             };
             for i in 0..rumours {
                 let rumour = if i == 0 { first } else { None };
-                let Some((of, w)) = rumour.or_else(|| self.members.rumour()) else {
+                let Some((of, w)) = rumour.or_else(|| self.members.next_gossip()) else {
                     break;
                 };
-                let numbers = [of as u64, w.life, u64::from(w.turn), w.standing as u64];
+                let numbers = [
+                    of as u64,
+                    w.incarnation,
+                    u64::from(w.refutation),
+                    w.state as u64,
+                ];
                 if !codec::item(&mut packets.bodies[to], item::WORD, &numbers) {
                     break;
                 }
@@ -523,7 +540,7 @@
             self.net
                 .send_datagram(self.port, self.conf.reach[to], &body);
         }
-        self.side.packets.own = self.members.own();
+        self.side.packets.own = self.members.own_update();
     }
 
     /// A datagram that is not good costs itself alone: a count, and a line a second at most.
@@ -538,35 +555,35 @@
     fn heard(&mut self, now: Time, bytes: &[u8]) -> Result<(), &'static str> {
         let body = codec::open(bytes, &self.keys)?;
         let (head, at) = codec::read_head(body)?;
-        if head.to != self.conf.me {
+        if head.to != self.conf.member {
             return Err("to: another member");
         }
-        if head.from >= self.windows.len() || head.from == self.conf.me {
+        if head.from >= self.windows.len() || head.from == self.conf.member {
             return Err("from: no other member");
         }
-        if head.to_life != 0 && head.to_life != self.conf.life & LIFE {
+        if head.to_life != 0 && head.to_life != self.conf.incarnation & LIFE {
             return Err("to: a former life");
         }
         // All of it is looked at before any of it counts.
         codec::whole(&body[at..])?;
-        let new = self.windows[head.from].new_one(head.word.life, head.number);
-        if self.conf.guards.numbers {
+        let new = self.windows[head.from].new_one(head.word.incarnation, head.number);
+        if self.conf.safety_checks.replay_protection {
             new?;
         }
         if !self
             .members
-            .heard(now, &mut self.side, head.from, head.word)
+            .sender_heard(now, &mut self.side, head.from, head.word)
         {
             return Err("life: a former one");
         }
-        self.side.packets.lives[head.from] = head.word.life;
+        self.side.packets.lives[head.from] = head.word.incarnation;
         // Whoever says that it goes may hand something over in the same breath.
         self.shared_out(now);
         self.counts.came.inc();
         let mut ears = Ears {
             k: self,
             now,
-            life: head.word.life,
+            life: head.word.incarnation,
         };
         codec::calls(&body[at..], head.from, &mut ears)
     }
@@ -581,47 +598,47 @@
 
 impl<N: Net> Ears<'_, N> {
     fn answer(&mut self, to: usize, (yes, no): (u64, u64), of: &[u64], told: GrantorReply) {
-        let p = told.promise;
+        let p = told.state;
         let kept = [
             p.accepted.epoch,
             p.accepted.member as u64,
-            p.accepted.life,
-            told.left,
+            p.accepted.incarnation,
+            told.remaining,
         ];
         let mut numbers = of.to_vec();
-        if !told.good {
+        if !told.granted {
             numbers.push(p.promised);
         }
-        if yes != item::ACCEPTED || !told.good {
+        if yes != item::ACCEPTED || !told.granted {
             numbers.extend_from_slice(&kept);
         }
         self.k
             .side
             .packets
-            .add(to, if told.good { yes } else { no }, &numbers);
+            .add(to, if told.granted { yes } else { no }, &numbers);
     }
 
     fn mine(&self, count: u64) -> u64 {
-        ballot(self.k.conf.me, self.k.conf.life, count)
+        ballot(self.k.conf.member, self.k.conf.incarnation, count)
     }
 }
 
 impl<N: Net> DatagramEvents for Ears<'_, N> {
     fn ping(&mut self, from: usize, seq: u32) {
-        self.k.members.pinged(&mut self.k.side, from, seq);
+        self.k.members.ping_received(&mut self.k.side, from, seq);
     }
     fn ping_for(&mut self, from: usize, target: usize, seq: u32) {
         self.k
             .members
-            .pinged_for(&mut self.k.side, from, target, seq);
+            .indirect_ping_received(&mut self.k.side, from, target, seq);
     }
     fn ack(&mut self, from: usize, of: usize, seq: u32) {
-        self.k.members.acked(&mut self.k.side, from, of, seq);
+        self.k.members.ack_received(&mut self.k.side, from, of, seq);
     }
     fn word(&mut self, member: usize, word: MemberUpdate) {
         self.k
             .members
-            .told(self.now, &mut self.k.side, member, word);
+            .gossip_received(self.now, &mut self.k.side, member, word);
     }
     fn prepare(&mut self, from: usize, task: usize, count: u64) {
         let (whose, now) = ((from, self.life), self.now);
@@ -643,7 +660,7 @@
         let grant = Grant {
             epoch: ballot(from, self.life, count),
             member: from,
-            life: self.life,
+            incarnation: self.life,
         };
         let now = self.now;
         if let Some(told) = self
@@ -652,7 +669,7 @@
             .as_mut()
             .and_then(|k| k.accept(now, task, grant))
         {
-            self.k.counts.granted.inc_by(u64::from(told.good));
+            self.k.counts.granted.inc_by(u64::from(told.granted));
             let of = [task as u64, count, u64::from(tag)];
             self.answer(from, (item::ACCEPTED, item::NOT_ACCEPTED), &of, told);
         }
@@ -664,10 +681,10 @@
         }
     }
     fn handed(&mut self, task: usize) {
-        if task < self.k.conf.tasks && self.k.share.best(task) == Some(self.k.conf.me) {
+        if task < self.k.conf.tasks && self.k.share.owner(task) == Some(self.k.conf.member) {
             self.k
                 .holder
-                .want(self.now, &mut self.k.side, task, true, true);
+                .set_wanted(self.now, &mut self.k.side, task, true, true);
         }
     }
     fn promised(&mut self, from: usize, task: usize, count: u64, told: GrantorReply) {
@@ -678,7 +695,7 @@
         let told = self.mined(told, ballot);
         self.k
             .holder
-            .promised(self.now, &mut self.k.side, (place, task), ballot, told);
+            .prepare_replied(self.now, &mut self.k.side, (place, task), ballot, told);
     }
     fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: GrantorReply) {
         let Some(place) = self.k.places[from] else {
@@ -686,7 +703,7 @@
         };
         let epoch = self.mine(count);
         let told = self.mined(told, epoch);
-        self.k.holder.accepted(
+        self.k.holder.accept_replied(
             self.now,
             &mut self.k.side,
             (place, task),
@@ -699,8 +716,8 @@
 impl<N: Net> Ears<'_, N> {
     /// A good answer's promise is the ballot that was asked with.
     fn mined(&self, mut told: GrantorReply, ballot: u64) -> GrantorReply {
-        if told.good {
-            told.promise.promised = ballot;
+        if told.granted {
+            told.state.promised = ballot;
         }
         told
     }
--- a/crates/tidewall-coordination/src/lib.rs
+++ b/crates/tidewall-coordination/src/lib.rs
@@ -17,7 +17,7 @@
 /// the shipped `EffectScheduler` and `Lease` at their ends.
 #[cfg(all(test, shuttle))]
 mod orderings {
-    use crate::effect_scheduler::{EffectScheduler, Host};
+    use crate::effect_scheduler::{EffectActions, EffectScheduler};
     use crate::mailbox::{channel, ExecutorCommand, ExecutorEvent, MailboxReceiver, MailboxSender};
     use shuttle::sync::Mutex;
     use shuttle::thread;
@@ -33,12 +33,13 @@
         early: bool,
     }
 
-    impl Host for Side {
-        fn turn(&mut self, task: usize) {
+    impl EffectActions for Side {
+        fn run_effect(&mut self, task: usize) {
             self.turns.push(task);
         }
-        fn stopped(&mut self, task: usize, epoch: u64) {
-            self.post.send(ExecutorEvent::Stopped { task, epoch });
+        fn execution_stopped(&mut self, task: usize, epoch: u64) {
+            self.post
+                .send(ExecutorEvent::ExecutionStopped { task, epoch });
         }
     }
 
@@ -52,7 +53,7 @@
         let (mut answer, answers) = channel::<u32>(2);
         let worker = thread::spawn(move || {
             for _ in 0..STEPS {
-                if let Some((epoch, round)) = way.take() {
+                if let Some((epoch, round)) = way.try_receive() {
                     log.lock().unwrap().push((epoch, false));
                     answer.send(round);
                 }
@@ -61,28 +62,29 @@
         });
         let mut acts = EffectScheduler::new(1, 1, 1_000);
         for now in 0..STEPS {
-            while let Some(message) = inbox.take() {
+            while let Some(message) = inbox.try_receive() {
                 match message {
-                    ExecutorCommand::Held { task, epoch, until } => {
-                        acts.held(now, task, epoch, until, 0)
+                    ExecutorCommand::LeaseAcquired { task, epoch, until } => {
+                        acts.lease_acquired(now, task, epoch, until, 0)
                     }
-                    ExecutorCommand::Stop { task, epoch } => {
+                    ExecutorCommand::LeaseLost { task, epoch } => {
                         if side.early {
-                            side.post.send(ExecutorEvent::Stopped { task, epoch });
+                            side.post
+                                .send(ExecutorEvent::ExecutionStopped { task, epoch });
                         }
-                        acts.stop(now, &mut side, task, epoch);
+                        acts.lease_lost(now, &mut side, task, epoch);
                     }
-                    ExecutorCommand::Workers(_) => {}
+                    ExecutorCommand::EndpointsChanged(_) => {}
                 }
             }
-            while let Some(round) = answers.take() {
-                acts.answered(now, &mut side, 0, round);
+            while let Some(round) = answers.try_receive() {
+                acts.effect_acknowledged(now, &mut side, 0, round);
             }
             acts.tick(now, &mut side);
-            if let Some(epoch) = side.turns.pop().and_then(|_| acts.may(now, 0)) {
-                let round = acts.sent(now, 0);
+            if let Some(epoch) = side.turns.pop().and_then(|_| acts.permitted_epoch(now, 0)) {
+                let round = acts.effect_sent(now, 0);
                 if !to.send((epoch, round)) {
-                    acts.answered(now, &mut side, 0, round);
+                    acts.effect_acknowledged(now, &mut side, 0, round);
                 }
             }
             thread::yield_now();
@@ -109,7 +111,7 @@
                 )
             })
         };
-        to.send(ExecutorCommand::Held {
+        to.send(ExecutorCommand::LeaseAcquired {
             task: 0,
             epoch: 5,
             until: u64::MAX,
@@ -117,9 +119,9 @@
         thread::yield_now();
         for _ in 0..STEPS {
             // Told again, as a lease that is given back is.
-            to.send(ExecutorCommand::Stop { task: 0, epoch: 5 });
+            to.send(ExecutorCommand::LeaseLost { task: 0, epoch: 5 });
             thread::yield_now();
-            if from.take() == Some(ExecutorEvent::Stopped { task: 0, epoch: 5 }) {
+            if from.try_receive() == Some(ExecutorEvent::ExecutionStopped { task: 0, epoch: 5 }) {
                 // Given back: whoever acts from now on is another.
                 log.lock().unwrap().push((5, true));
                 break;
--- a/crates/tidewall-coordination/src/mailbox.rs
+++ b/crates/tidewall-coordination/src/mailbox.rs
@@ -10,17 +10,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ExecutorCommand {
     /// It may be acted on until then, of the common clock, under this epoch.
-    Held { task: usize, epoch: u64, until: u64 },
+    LeaseAcquired { task: usize, epoch: u64, until: u64 },
     /// No longer; `Stopped` is awaited.
-    Stop { task: usize, epoch: u64 },
+    LeaseLost { task: usize, epoch: u64 },
     /// The workers that are there, by name.
-    Workers(Vec<(String, SocketAddr)>),
+    EndpointsChanged(Vec<(String, SocketAddr)>),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExecutorEvent {
     /// Nothing of that task is on its way any more.
-    Stopped { task: usize, epoch: u64 },
+    ExecutionStopped { task: usize, epoch: u64 },
     /// A worker has seen this epoch, newer than ours.
     Seen { task: usize, epoch: u64 },
 }
@@ -47,7 +47,7 @@
     }
 
     /// A further sender of the same channel.
-    pub fn other(&self) -> MailboxSender<T> {
+    pub fn clone_sender(&self) -> MailboxSender<T> {
         MailboxSender {
             out: self.out.clone(),
             full: 0,
@@ -56,7 +56,7 @@
 }
 
 impl<T> MailboxReceiver<T> {
-    pub fn take(&self) -> Option<T> {
+    pub fn try_receive(&self) -> Option<T> {
         self.0.try_recv().ok()
     }
 }
--- a/crates/tidewall-coordination/tests/codec.rs
+++ b/crates/tidewall-coordination/tests/codec.rs
@@ -25,7 +25,7 @@
     fn word(&mut self, member: usize, word: MemberUpdate) {
         self.0.push(format!(
             "word {member} {} {} {:?}",
-            word.life, word.turn, word.standing
+            word.incarnation, word.refutation, word.state
         ));
     }
     fn prepare(&mut self, from: usize, task: usize, count: u64) {
@@ -41,23 +41,23 @@
         self.0.push(format!("handed {task}"));
     }
     fn promised(&mut self, from: usize, task: usize, count: u64, told: GrantorReply) {
-        let p = told.promise;
+        let p = told.state;
         let last = (
             p.promised,
             p.accepted.epoch,
             p.accepted.member,
-            p.accepted.life,
-            told.left,
+            p.accepted.incarnation,
+            told.remaining,
         );
         self.0.push(format!(
             "promised {from} {task} {count} {} {last:?}",
-            told.good
+            told.granted
         ));
     }
     fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: GrantorReply) {
         self.0.push(format!(
             "accepted {from} {task} {count} {tag} {} {}",
-            told.good, told.promise.promised
+            told.granted, told.state.promised
         ));
     }
 }
@@ -71,9 +71,9 @@
     to: 1,
     to_life: 77,
     word: MemberUpdate {
-        life: 1_764_633_600_000,
-        turn: 3,
-        standing: MemberState::Here,
+        incarnation: 1_764_633_600_000,
+        refutation: 3,
+        state: MemberState::Alive,
     },
     number: 9,
 };
--- a/crates/tidewall-emulator/src/workers.rs
+++ b/crates/tidewall-emulator/src/workers.rs
@@ -353,7 +353,7 @@
         let w = &self.list[wk];
         let member = w.members.iter().find(|m| m.0 == conn).map(|m| m.1);
         let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
-        Ok(!self.fences || member.is_none_or(|m| w.promise.may(m - 1, epoch)))
+        Ok(!self.fences || member.is_none_or(|m| w.promise.permits(m - 1, epoch)))
     }
 
     /// A pair's question: what was promised and accepted here.
@@ -376,8 +376,8 @@
             promise.accept(Leadership {
                 epoch: whole(Field::Epoch)?,
                 member: fields.upto(Field::Member, 2, 1)?.max(1) as usize - 1,
-                sync: [whole(Field::SyncA)?, whole(Field::SyncB)?],
-                floor: whole(Field::Floor)?,
+                synced_incarnations: [whole(Field::SyncA)?, whole(Field::SyncB)?],
+                fencing_floor: whole(Field::Floor)?,
             })
         };
         let p = *promise;
@@ -387,7 +387,7 @@
             let ends: Vec<Conn> = w
                 .members
                 .iter()
-                .filter(|m| p.ends(m.1 - 1))
+                .filter(|m| p.must_end(m.1 - 1))
                 .map(|m| m.0)
                 .collect();
             for old in ends {
@@ -408,9 +408,9 @@
             .whole(Field::Epoch, p.accepted.epoch);
         let f = f
             .whole(Field::Member, p.accepted.member as u64 + 1)
-            .whole(Field::Floor, p.accepted.floor);
-        f.whole(Field::SyncA, p.accepted.sync[0])
-            .whole(Field::SyncB, p.accepted.sync[1])
+            .whole(Field::Floor, p.accepted.fencing_floor);
+        f.whole(Field::SyncA, p.accepted.synced_incarnations[0])
+            .whole(Field::SyncB, p.accepted.synced_incarnations[1])
             .end();
         g.net.write(conn, &g.out);
         Ok(())
--- a/crates/tidewall-failover/src/deduplication.rs
+++ b/crates/tidewall-failover/src/deduplication.rs
@@ -12,16 +12,16 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RequestLocation {
-    Here(usize),
-    There(usize),
+    Local(usize),
+    Remote(usize),
     /// The word's number and the payload.
-    Answered(u8, Box<[u8]>),
+    Responded(u8, Box<[u8]>),
 }
 
 pub struct DeduplicationEntry {
-    pub typ: usize,
-    pub mark: Box<[u8]>,
-    pub place: RequestLocation,
+    pub class: usize,
+    pub idempotency_key: Box<[u8]>,
+    pub location: RequestLocation,
     pub until: Time,
     count: u64,
 }
@@ -46,29 +46,29 @@
     fn key(&self, typ: usize, mark: &[u8]) -> Option<usize> {
         let same = |key: &usize| {
             let entry = &self.entries[*key];
-            entry.typ == typ && *entry.mark == *mark
+            entry.class == typ && *entry.idempotency_key == *mark
         };
         self.keys.find(hash(typ, mark), same).copied()
     }
 
-    pub fn find(&mut self, now: Time, typ: usize, mark: &[u8]) -> Option<&RequestLocation> {
+    pub fn lookup(&mut self, now: Time, typ: usize, mark: &[u8]) -> Option<&RequestLocation> {
         self.forget(now);
         let key = self.key(typ, mark)?;
-        Some(&self.entries[key].place)
+        Some(&self.entries[key].location)
     }
 
     fn drop_key(&mut self, key: usize) {
         let entry = self.entries.remove(key);
         if let Ok(found) = self
             .keys
-            .find_entry(hash(entry.typ, &entry.mark), |k| *k == key)
+            .find_entry(hash(entry.class, &entry.idempotency_key), |k| *k == key)
         {
             found.remove();
         }
     }
 
     /// In hand, here or there.
-    pub fn hold(&mut self, typ: usize, mark: &[u8], place: RequestLocation) {
+    pub fn insert_in_flight(&mut self, typ: usize, mark: &[u8], place: RequestLocation) {
         if !mark.is_empty() {
             self.put(typ, mark, place, Time::MAX);
         }
@@ -79,25 +79,25 @@
         let count = self.count;
         if let Some(key) = self.key(typ, mark) {
             let entry = &mut self.entries[key];
-            (entry.place, entry.until, entry.count) = (place, until, count);
+            (entry.location, entry.until, entry.count) = (place, until, count);
             return key;
         }
         let key = self.entries.insert(DeduplicationEntry {
-            typ,
-            mark: mark.into(),
-            place,
+            class: typ,
+            idempotency_key: mark.into(),
+            location: place,
             until,
             count,
         });
         let entries = &self.entries;
         self.keys.insert_unique(hash(typ, mark), key, |k| {
-            hash(entries[*k].typ, &entries[*k].mark)
+            hash(entries[*k].class, &entries[*k].idempotency_key)
         });
         key
     }
 
     /// Its answer is given again until then.
-    pub fn answered(
+    pub fn record_response(
         &mut self,
         now: Time,
         typ: usize,
@@ -112,7 +112,7 @@
         let key = self.put(
             typ,
             mark,
-            RequestLocation::Answered(word, payload.into()),
+            RequestLocation::Responded(word, payload.into()),
             until,
         );
         self.ends.push_back((until, key, self.count));
@@ -127,7 +127,7 @@
     }
 
     /// Whether one more event may be taken: no answer is forgotten before its time, or its repeat would run again.
-    pub fn room(&self) -> bool {
+    pub fn has_capacity(&self) -> bool {
         self.ends.len() < MAX_ENTRIES
     }
 
@@ -148,12 +148,12 @@
     }
 
     /// What the other member told is void; what is in hand here stays.
-    pub fn reset(&mut self) {
+    pub fn clear_responses(&mut self) {
         for key in 0..self.entries.capacity() {
             let void = self
                 .entries
                 .get(key)
-                .is_some_and(|e| !matches!(e.place, RequestLocation::Here(_)));
+                .is_some_and(|e| !matches!(e.location, RequestLocation::Local(_)));
             if void {
                 self.drop_key(key);
             }
--- a/crates/tidewall-failover/src/flap_damping.rs
+++ b/crates/tidewall-failover/src/flap_damping.rs
@@ -19,7 +19,7 @@
     }
 
     /// It happened again; gives back until when to hold off. What lies back longer than the longest wait is forgiven.
-    pub fn again(&mut self, now: Time) -> Time {
+    pub fn next_hold_off(&mut self, now: Time) -> Time {
         if now > self.last + self.most {
             self.next = self.first;
         }
--- a/crates/tidewall-failover/src/leadership.rs
+++ b/crates/tidewall-failover/src/leadership.rs
@@ -9,9 +9,9 @@
     /// Member 0 or 1.
     pub member: usize,
     /// The lives of both members that hold all that there is to know; 0 for one that does not.
-    pub sync: [u64; 2],
+    pub synced_incarnations: [u64; 2],
     /// The other member's launches with an older epoch are refused.
-    pub floor: u64,
+    pub fencing_floor: u64,
 }
 
 impl BallotedValue for Leadership {
@@ -25,19 +25,21 @@
 /// What a worker asks of its promise.
 pub trait Fencing {
     /// Whether a launch or an order of that member, sent under that epoch, may be taken.
-    fn may(&self, member: usize, epoch: u64) -> bool;
+    fn permits(&self, member: usize, epoch: u64) -> bool;
     /// Whether what that member has out here must end: it was accepted that the other serves alone.
-    fn ends(&self, member: usize) -> bool;
+    fn must_end(&self, member: usize) -> bool;
 }
 
 impl Fencing for LeadershipAcceptor {
-    fn may(&self, member: usize, epoch: u64) -> bool {
-        self.accepted.epoch == 0 || member == self.accepted.member || epoch >= self.accepted.floor
+    fn permits(&self, member: usize, epoch: u64) -> bool {
+        self.accepted.epoch == 0
+            || member == self.accepted.member
+            || epoch >= self.accepted.fencing_floor
     }
 
-    fn ends(&self, member: usize) -> bool {
+    fn must_end(&self, member: usize) -> bool {
         self.accepted.epoch > 0
             && member != self.accepted.member
-            && self.accepted.floor == self.accepted.epoch
+            && self.accepted.fencing_floor == self.accepted.epoch
     }
 }
--- a/crates/tidewall-failover/src/load_request_limit.rs
+++ b/crates/tidewall-failover/src/load_request_limit.rs
@@ -34,7 +34,7 @@
         }
     }
 
-    pub fn took(&mut self, now: Time) {
+    pub fn request_received(&mut self, now: Time) {
         if self.window > 0 {
             self.forget(now);
             self.taken.push_back(now);
@@ -42,11 +42,11 @@
     }
 
     /// What was counted last had been counted before: an event that the other member took and we go on with.
-    pub fn took_before(&mut self) {
+    pub fn undo_last_request(&mut self) {
         self.taken.pop_back();
     }
 
-    pub fn ordered(&mut self, now: Time) {
+    pub fn load_requested(&mut self, now: Time) {
         if self.window > 0 {
             self.forget(now);
             self.orders.push_back(now);
@@ -54,7 +54,7 @@
     }
 
     /// Whether one more order is within the ration.
-    pub fn room(&mut self, now: Time) -> bool {
+    pub fn has_capacity(&mut self, now: Time) -> bool {
         self.forget(now);
         self.window == 0
             || (self.orders.len() + 1) as f64 <= self.free + self.share * self.taken.len() as f64
--- a/crates/tidewall-failover/src/proposal.rs
+++ b/crates/tidewall-failover/src/proposal.rs
@@ -86,7 +86,7 @@
     }
 
     /// Lives of the other member up to this one are over.
-    pub fn over(&mut self, life: u64) {
+    pub fn peer_incarnation_ended(&mut self, life: u64) {
         self.says.over = self.says.over.max(life);
     }
 
@@ -107,7 +107,7 @@
     }
 
     /// A voter's answer to the ballot; `accepting` tells which of the two questions it answers.
-    pub fn told(
+    pub fn vote_received(
         &mut self,
         ask: &mut impl ProposerTransport<Leadership>,
         voter: usize,
@@ -116,19 +116,19 @@
         promise: LeadershipAcceptor,
     ) -> Option<ProposalOutcome> {
         self.round
-            .told((ask, &mut self.says), voter, of, good, promise)
+            .reply_received((ask, &mut self.says), voter, of, good, promise)
             .map(outcome)
     }
 
     /// A voter cannot be asked, or did not answer.
-    pub fn unheard(
+    pub fn vote_missing(
         &mut self,
         ask: &mut impl ProposerTransport<Leadership>,
         voter: usize,
         of: (u64, bool),
     ) -> Option<ProposalOutcome> {
         self.round
-            .unheard((ask, &mut self.says), voter, of)
+            .reply_missing((ask, &mut self.says), voter, of)
             .map(outcome)
     }
 }
@@ -144,7 +144,7 @@
 impl ProposalRule<Leadership> for Says {
     type No = ProposalOutcome;
 
-    fn say(
+    fn propose(
         &mut self,
         ballot: u64,
         told: Option<Leadership>,
@@ -152,20 +152,20 @@
         let wish = self.wish.expect("it is under way");
         self.allowed(wish, told)?;
         // It stays so, or a claim of our own that few accepted would look as if this life knew all.
-        self.forgot |= told.is_some_and(|t| t.sync[self.me] != self.life);
+        self.forgot |= told.is_some_and(|t| t.synced_incarnations[self.me] != self.life);
         let mut sync = [0; 2];
         sync[self.me] = self.life;
         sync[1 - self.me] = wish.with.unwrap_or(0);
         let floor = if wish.fences {
             ballot
         } else {
-            told.map_or(0, |t| t.floor)
+            told.map_or(0, |t| t.fencing_floor)
         };
         Ok(Leadership {
             epoch: ballot,
             member: self.me,
-            sync,
-            floor,
+            synced_incarnations: sync,
+            fencing_floor: floor,
         })
     }
 }
@@ -177,11 +177,15 @@
         told: Option<Leadership>,
     ) -> Result<(), ProposalOutcome> {
         let Some(told) = told else { return Ok(()) };
-        let other = told.sync[1 - self.me];
+        let other = told.synced_incarnations[1 - self.me];
         match wish.purpose {
-            Purpose::GoOn if told.member == self.me && told.sync[self.me] == self.life => Ok(()),
+            Purpose::GoOn
+                if told.member == self.me && told.synced_incarnations[self.me] == self.life =>
+            {
+                Ok(())
+            }
             Purpose::GoOn => Err(ProposalOutcome::Superseded),
-            _ if told.sync[self.me] == self.life => Ok(()),
+            _ if told.synced_incarnations[self.me] == self.life => Ok(()),
             // All lives that knew anything are over: nothing is left to lose.
             _ if other <= self.over => Ok(()),
             _ => Err(ProposalOutcome::OutOfSync),
--- a/crates/tidewall-failover/src/recovery.rs
+++ b/crates/tidewall-failover/src/recovery.rs
@@ -4,21 +4,21 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetrySafety {
-    Redeliverable,
+    Idempotent,
     /// A repeat is dropped everywhere (`all`) or within a group only, for the window.
-    Keyed {
+    IdempotencyKey {
         all: bool,
         window: Time,
     },
-    AtMostOnce,
+    NonIdempotent,
 }
 
 impl RetrySafety {
     /// A repeat does no harm anywhere: its answers need not wait for the other member's record.
-    pub fn harmless(self) -> bool {
+    pub fn is_safe_to_repeat(self) -> bool {
         matches!(
             self,
-            RetrySafety::Redeliverable | RetrySafety::Keyed { all: true, .. }
+            RetrySafety::Idempotent | RetrySafety::IdempotencyKey { all: true, .. }
         )
     }
 }
@@ -26,15 +26,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptState {
     /// Sent, and no end is known.
-    Out,
-    ProvenNotRun,
-    MayHaveRun,
+    InFlight,
+    NotExecuted,
+    MayHaveExecuted,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Attempt {
-    pub wk: usize,
-    pub at: Time,
+    pub worker: usize,
+    pub sent_at: Time,
     pub state: AttemptState,
 }
 
@@ -43,10 +43,10 @@
     /// It is taken as if it came anew.
     Continue,
     /// A launch may still be out, and two at once are barred: until its worker is fenced.
-    Await,
-    DeadLetter,
+    AwaitFencing,
+    Fail,
     /// Nothing has run: whoever asks again may begin anew, or come back later.
-    Forget,
+    Reject,
 }
 
 /// Less than this is left: no launch would come back in time. Twice the least lag that a busy machine shows.
@@ -56,7 +56,7 @@
 /// the other member is gone, which takes the link's silence and a claim. Where a repeat does no harm nothing waits.
 pub fn margin(kind: RetrySafety, left: Time, silence: Time) -> Time {
     match kind {
-        kind if kind.harmless() => 0,
+        kind if kind.is_safe_to_repeat() => 0,
         // The silence, one tick, and a claim's two round trips to the workers.
         _ => (silence + 10 * LEAST).min(left / 4),
     }
@@ -66,7 +66,7 @@
 /// come back later; false: it is dead-lettered, as it may have run; none: it may begin anew. `fenced`: nothing of those lives is out any more.
 pub fn unknown(kind: RetrySafety, two_at_once: bool, fenced: bool) -> Option<bool> {
     match kind {
-        RetrySafety::AtMostOnce | RetrySafety::Keyed { all: false, .. } => Some(false),
+        RetrySafety::NonIdempotent | RetrySafety::IdempotencyKey { all: false, .. } => Some(false),
         _ if !two_at_once && !fenced => Some(true),
         _ => None,
     }
@@ -83,21 +83,23 @@
     let unproven = || {
         launches
             .iter()
-            .filter(|l| l.state != AttemptState::ProvenNotRun)
+            .filter(|l| l.state != AttemptState::NotExecuted)
     };
     let clean = unproven().next().is_none();
-    let out = unproven().any(|l| l.state == AttemptState::Out && !fenced(l.wk));
+    let out = unproven().any(|l| l.state == AttemptState::InFlight && !fenced(l.worker));
     let late = now + LEAST >= until;
     match kind {
-        _ if clean && late => RecoveryAction::Forget,
+        _ if clean && late => RecoveryAction::Reject,
         _ if clean => RecoveryAction::Continue,
-        _ if late => RecoveryAction::DeadLetter,
-        RetrySafety::AtMostOnce => RecoveryAction::DeadLetter,
-        RetrySafety::Keyed { all: false, .. } => RecoveryAction::DeadLetter,
-        RetrySafety::Keyed { window, .. } if unproven().any(|l| now + LEAST >= l.at + window) => {
-            RecoveryAction::DeadLetter
+        _ if late => RecoveryAction::Fail,
+        RetrySafety::NonIdempotent => RecoveryAction::Fail,
+        RetrySafety::IdempotencyKey { all: false, .. } => RecoveryAction::Fail,
+        RetrySafety::IdempotencyKey { window, .. }
+            if unproven().any(|l| now + LEAST >= l.sent_at + window) =>
+        {
+            RecoveryAction::Fail
         }
-        _ if out && !two_at_once => RecoveryAction::Await,
+        _ if out && !two_at_once => RecoveryAction::AwaitFencing,
         _ => RecoveryAction::Continue,
     }
 }
--- a/crates/tidewall-failover/src/role.rs
+++ b/crates/tidewall-failover/src/role.rs
@@ -10,76 +10,76 @@
 /// How a member acts.
 pub trait RoleActions: ProposerTransport<Leadership> {
     /// Takes part in VRRP or not; where it stops as the active one it says so (priority 0).
-    fn vrrp(&mut self, on: bool);
+    fn set_vrrp_enabled(&mut self, on: bool);
     /// Serves from now on. `adopt`: what the other member had in hand is ours. `forgot`: what others had in hand before is
     /// known to nobody.
-    fn open(&mut self, claim: Leadership, adopt: bool, forgot: bool);
+    fn start_serving(&mut self, claim: Leadership, adopt: bool, forgot: bool);
     /// The claim under which it serves is another now; `adopt` as above.
-    fn renewed(&mut self, claim: Leadership, adopt: bool);
+    fn leadership_renewed(&mut self, claim: Leadership, adopt: bool);
     /// Takes no new events; what it holds goes on.
-    fn retire(&mut self);
+    fn stop_accepting(&mut self);
     /// Nothing waits for the other member (`false`), or launches and answers do.
-    fn waits(&mut self, on: bool);
+    fn set_replication_wait(&mut self, on: bool);
     /// All that there is to know goes to the other member; `new`: it knows all up to now, only what is new is told.
-    fn copy(&mut self, new: bool);
+    fn start_replication(&mut self, new: bool);
     /// Asks the other member to retire, or says that we have.
-    fn ask_yield(&mut self);
-    fn yielded(&mut self);
+    fn request_step_down(&mut self);
+    fn confirm_step_down(&mut self);
     /// The process ends and starts anew.
-    fn again(&mut self, why: &'static str);
+    fn restart_process(&mut self, why: &'static str);
     /// Nothing is held any more and we were told to go.
-    fn gone(&mut self);
+    fn exit_process(&mut self);
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
     Standby,
     /// The other member was asked to retire.
-    Asking,
-    Claiming,
+    RequestingStepDown,
+    Proposing,
     /// Serving, and nobody else knows: nothing waits for the other.
     Solo,
     /// Serving; the other holds a copy, and what is new waits for it.
-    Joining,
-    Paired,
+    Synchronizing,
+    Replicating,
     /// Serving; the other one is lost and the voters do not know it yet: launches and answers wait.
-    Parting,
+    PeerLost,
     /// The other one serves; what was taken before goes on.
-    Retiring,
-    Over,
+    Draining,
+    Stopped,
 }
 
 impl Role {
     pub const ALL: [Role; 9] = [
         Role::Standby,
-        Role::Asking,
-        Role::Claiming,
+        Role::RequestingStepDown,
+        Role::Proposing,
         Role::Solo,
-        Role::Joining,
-        Role::Paired,
-        Role::Parting,
-        Role::Retiring,
-        Role::Over,
+        Role::Synchronizing,
+        Role::Replicating,
+        Role::PeerLost,
+        Role::Draining,
+        Role::Stopped,
     ];
 
     pub fn text(self) -> &'static str {
         match self {
             Role::Standby => "standby",
-            Role::Asking => "asking",
-            Role::Claiming => "claiming",
+            Role::RequestingStepDown => "asking",
+            Role::Proposing => "claiming",
             Role::Solo => "solo",
-            Role::Joining => "joining",
-            Role::Paired => "paired",
-            Role::Parting => "parting",
-            Role::Retiring => "retiring",
-            Role::Over => "over",
+            Role::Synchronizing => "joining",
+            Role::Replicating => "paired",
+            Role::PeerLost => "parting",
+            Role::Draining => "retiring",
+            Role::Stopped => "over",
         }
     }
 
     pub fn serves(self) -> bool {
         matches!(
             self,
-            Role::Solo | Role::Joining | Role::Paired | Role::Parting
+            Role::Solo | Role::Synchronizing | Role::Replicating | Role::PeerLost
         )
     }
 }
@@ -171,8 +171,8 @@
         self.granted.epoch
     }
 
-    pub fn counts(&self, peer_life: u64) -> bool {
-        self.state == Role::Paired && self.granted.sync.contains(&peer_life)
+    pub fn is_synced_with(&self, peer_life: u64) -> bool {
+        self.state == Role::Replicating && self.granted.synced_incarnations.contains(&peer_life)
     }
 
     fn go(&mut self, now: Time, state: Role) {
@@ -181,8 +181,8 @@
 
     fn over(&mut self, now: Time, act: &mut impl RoleActions, why: &'static str) {
         self.claim.stop();
-        self.go(now, Role::Over);
-        act.again(why);
+        self.go(now, Role::Stopped);
+        act.restart_process(why);
     }
 
     fn wish(&self, purpose: Purpose) -> ProposalRequest {
@@ -197,8 +197,8 @@
     }
 
     fn take_over(&mut self, now: Time, act: &mut impl RoleActions) {
-        if self.state != Role::Retiring {
-            self.go(now, Role::Claiming);
+        if self.state != Role::Draining {
+            self.go(now, Role::Proposing);
         }
         let wish = self.wish(Purpose::TakeOver);
         self.claim.begin(act, wish);
@@ -208,9 +208,9 @@
     fn bounce(&mut self, now: Time, act: &mut impl RoleActions) {
         self.claim.stop();
         (self.handed, self.active, self.vrrp) = (false, false, false);
-        act.vrrp(false);
-        self.held_off = self.damp.again(now);
-        if self.state != Role::Retiring {
+        act.set_vrrp_enabled(false);
+        self.held_off = self.damp.next_hold_off(now);
+        if self.state != Role::Draining {
             self.go(now, Role::Standby);
         }
     }
@@ -234,26 +234,28 @@
         match self.state {
             Role::Standby if !self.vrrp && self.fit(now) => {
                 self.vrrp = true;
-                act.vrrp(true);
+                act.set_vrrp_enabled(true);
             }
             Role::Standby
                 if self.vrrp && self.peer.up && self.peer.serves && !self.peer.counts_us =>
             {
                 // It would have to ask a member that does not count it.
                 (self.vrrp, self.active) = (false, false);
-                act.vrrp(false);
+                act.set_vrrp_enabled(false);
             }
             Role::Solo if self.owed && self.peer.up && now >= self.slow_off => {
                 self.owed = false;
-                act.copy(false);
+                act.start_replication(false);
             }
-            Role::Asking if now > self.since + YIELD * self.interval => self.bounce(now, act),
-            Role::Parting if now > self.since + PARTING * self.interval => self.over(
+            Role::RequestingStepDown if now > self.since + YIELD * self.interval => {
+                self.bounce(now, act)
+            }
+            Role::PeerLost if now > self.since + PARTING * self.interval => self.over(
                 now,
                 act,
                 "neither the other member nor a majority of voters can be reached",
             ),
-            Role::Parting if !self.claim.busy() && now >= self.again => {
+            Role::PeerLost if !self.claim.busy() && now >= self.again => {
                 let wish = ProposalRequest {
                     with: None,
                     fences: true,
@@ -261,7 +263,7 @@
                 };
                 self.claim.begin(act, wish);
             }
-            Role::Retiring
+            Role::Draining
                 if self.active && self.alone(now) && !self.claim.busy() && now >= self.again =>
             {
                 self.take_over(now, act)
@@ -274,12 +276,12 @@
     }
 
     /// VRRP: the addresses are ours.
-    pub fn active(&mut self, now: Time, act: &mut impl RoleActions) {
+    pub fn vrrp_became_active(&mut self, now: Time, act: &mut impl RoleActions) {
         self.active = true;
         match self.state {
             Role::Standby if self.peer.up && self.peer.serves => {
-                self.go(now, Role::Asking);
-                act.ask_yield();
+                self.go(now, Role::RequestingStepDown);
+                act.request_step_down();
             }
             Role::Standby => self.take_over(now, act),
             _ => {}
@@ -287,17 +289,17 @@
     }
 
     /// VRRP: they are not. Whoever serves goes on until it is asked to retire.
-    pub fn inactive(&mut self, now: Time) {
+    pub fn vrrp_became_backup(&mut self, now: Time) {
         self.active = false;
         // Whoever was handed the seat claims it, or nobody would serve.
-        if matches!(self.state, Role::Asking | Role::Claiming) && !self.handed {
+        if matches!(self.state, Role::RequestingStepDown | Role::Proposing) && !self.handed {
             self.claim.stop();
             self.go(now, Role::Standby);
         }
     }
 
     /// The link stands, and the other one has told its life and whether it serves.
-    pub fn peer_up(
+    pub fn peer_connected(
         &mut self,
         now: Time,
         act: &mut impl RoleActions,
@@ -305,7 +307,7 @@
         serves: bool,
         epoch: u64,
     ) {
-        self.claim.over(life.saturating_sub(1));
+        self.claim.peer_incarnation_ended(life.saturating_sub(1));
         self.peer = Peer {
             up: true,
             life,
@@ -315,7 +317,7 @@
         if serves && self.state.serves() && epoch > self.granted.epoch {
             return self.over(now, act, "the other member serves under a newer epoch");
         }
-        if serves && self.state == Role::Retiring {
+        if serves && self.state == Role::Draining {
             return self.over(now, act, "the other member went on without us");
         }
         if self.state == Role::Solo {
@@ -326,17 +328,17 @@
     fn owe(&mut self, now: Time, act: &mut impl RoleActions) {
         self.owed = now < self.slow_off;
         if !self.owed {
-            act.copy(false);
+            act.start_replication(false);
         }
     }
 
     /// The link is about to be broken, as what waits for the other member waits too long.
-    pub fn slow(&mut self, now: Time) {
-        self.slow_off = self.slow.again(now);
+    pub fn peer_too_slow(&mut self, now: Time) {
+        self.slow_off = self.slow.next_hold_off(now);
     }
 
     /// What the other one tells again and again.
-    pub fn peer_told(
+    pub fn peer_heartbeat(
         &mut self,
         now: Time,
         act: &mut impl RoleActions,
@@ -354,11 +356,11 @@
         }
     }
 
-    pub fn peer_down(&mut self, now: Time, act: &mut impl RoleActions) {
+    pub fn peer_disconnected(&mut self, now: Time, act: &mut impl RoleActions) {
         self.peer.up = false;
         match self.state {
-            Role::Paired | Role::Joining => {
-                self.go(now, Role::Parting);
+            Role::Replicating | Role::Synchronizing => {
+                self.go(now, Role::PeerLost);
                 let wish = ProposalRequest {
                     with: None,
                     fences: true,
@@ -366,9 +368,9 @@
                 };
                 self.claim.begin(act, wish);
             }
-            Role::Asking => self.take_over(now, act),
+            Role::RequestingStepDown => self.take_over(now, act),
             // It said that it retired; whether it is gone by now the voters' answers show.
-            Role::Claiming if self.handed => {
+            Role::Proposing if self.handed => {
                 self.handed = false;
                 self.take_over(now, act);
             }
@@ -377,59 +379,59 @@
     }
 
     /// The other member asks us to retire.
-    pub fn yield_asked(&mut self, now: Time, act: &mut impl RoleActions) {
-        if self.state == Role::Paired {
+    pub fn step_down_requested(&mut self, now: Time, act: &mut impl RoleActions) {
+        if self.state == Role::Replicating {
             self.claim.stop();
-            self.go(now, Role::Retiring);
-            act.retire();
-            act.yielded();
+            self.go(now, Role::Draining);
+            act.stop_accepting();
+            act.confirm_step_down();
         }
     }
 
     /// The other member has retired; all that it took is in its copy here.
-    pub fn peer_yielded(&mut self, now: Time, act: &mut impl RoleActions) {
+    pub fn peer_stepped_down(&mut self, now: Time, act: &mut impl RoleActions) {
         // Even where we do not want it any more: nobody else does.
-        if matches!(self.state, Role::Asking | Role::Standby) {
+        if matches!(self.state, Role::RequestingStepDown | Role::Standby) {
             self.handed = true;
             self.take_over(now, act);
         }
     }
 
     /// The other member has all that was told up to now.
-    pub fn copied(&mut self, now: Time, act: &mut impl RoleActions) {
+    pub fn snapshot_acknowledged(&mut self, now: Time, act: &mut impl RoleActions) {
         if self.state == Role::Solo && self.peer.up {
-            self.go(now, Role::Joining);
-            act.waits(true);
+            self.go(now, Role::Synchronizing);
+            act.set_replication_wait(true);
         }
     }
 
     /// All that was on its way when waiting began has come there too.
-    pub fn joined(&mut self, act: &mut impl RoleActions) {
-        if self.state == Role::Joining && !self.claim.busy() {
+    pub fn replication_caught_up(&mut self, act: &mut impl RoleActions) {
+        if self.state == Role::Synchronizing && !self.claim.busy() {
             let wish = self.wish(Purpose::GoOn);
             self.claim.begin(act, wish);
         }
     }
 
     /// Nothing is in hand.
-    pub fn empty(&mut self, now: Time, act: &mut impl RoleActions) {
-        if self.state == Role::Retiring && !self.claim.busy() {
+    pub fn drained(&mut self, now: Time, act: &mut impl RoleActions) {
+        if self.state == Role::Draining && !self.claim.busy() {
             self.go(now, Role::Standby);
         }
         if self.leaving && self.state == Role::Standby {
-            act.gone();
+            act.exit_process();
         }
     }
 
     /// Told to go: the other one takes over where it can. False where nobody can: it ends as one gateway would.
-    pub fn leave(&mut self, now: Time, act: &mut impl RoleActions) -> bool {
+    pub fn shutdown_requested(&mut self, now: Time, act: &mut impl RoleActions) -> bool {
         (self.leaving, self.left_at) = (true, now);
         (self.vrrp, self.active) = (false, false);
-        act.vrrp(false);
+        act.set_vrrp_enabled(false);
         match self.state {
-            Role::Paired => true,
-            Role::Retiring => true,
-            Role::Standby | Role::Asking | Role::Claiming => {
+            Role::Replicating => true,
+            Role::Draining => true,
+            Role::Standby | Role::RequestingStepDown | Role::Proposing => {
                 self.claim.stop();
                 self.go(now, Role::Standby);
                 true
@@ -439,22 +441,22 @@
     }
 
     /// Told to go, and nobody takes over: it ends as one gateway would.
-    pub fn ends_alone(&self, now: Time) -> bool {
+    pub fn exits_without_peer(&self, now: Time) -> bool {
         let asked_for = now <= self.left_at + YIELD * self.interval;
-        self.leaving && (self.state == Role::Solo || self.state == Role::Paired && !asked_for)
+        self.leaving && (self.state == Role::Solo || self.state == Role::Replicating && !asked_for)
     }
 
     /// Settings disagree with the other member's, and we are the one to keep off.
-    pub fn bar(&mut self, on: bool) {
+    pub fn set_barred(&mut self, on: bool) {
         self.barred = on;
     }
 
     /// A worker refused what we sent under our epoch: whether we still serve, the voters know.
-    pub fn fenced(&mut self, act: &mut impl RoleActions) {
+    pub fn epoch_rejected(&mut self, act: &mut impl RoleActions) {
         if self.state.serves() && !self.claim.busy() {
             let with = self
                 .granted
-                .sync
+                .synced_incarnations
                 .iter()
                 .copied()
                 .find(|l| *l == self.peer.life && *l > 0);
@@ -467,7 +469,7 @@
         }
     }
 
-    pub fn told(
+    pub fn vote_received(
         &mut self,
         now: Time,
         act: &mut impl RoleActions,
@@ -476,39 +478,39 @@
         good: bool,
         promise: LeadershipAcceptor,
     ) {
-        if let Some(outcome) = self.claim.told(act, voter, of, good, promise) {
+        if let Some(outcome) = self.claim.vote_received(act, voter, of, good, promise) {
             self.ended(now, act, outcome);
         }
     }
 
-    pub fn unheard(
+    pub fn vote_missing(
         &mut self,
         now: Time,
         act: &mut impl RoleActions,
         voter: usize,
         of: (u64, bool),
     ) {
-        if let Some(outcome) = self.claim.unheard(act, voter, of) {
+        if let Some(outcome) = self.claim.vote_missing(act, voter, of) {
             self.ended(now, act, outcome);
         }
     }
 
     fn ended(&mut self, now: Time, act: &mut impl RoleActions, outcome: ProposalOutcome) {
         match (self.state, outcome) {
-            (Role::Claiming | Role::Retiring, ProposalOutcome::Granted(claim)) => {
+            (Role::Proposing | Role::Draining, ProposalOutcome::Granted(claim)) => {
                 self.seated(now, act, claim)
             }
-            (Role::Claiming, _) => self.bounce(now, act),
-            (Role::Retiring, ProposalOutcome::NoMajority) => {
+            (Role::Proposing, _) => self.bounce(now, act),
+            (Role::Draining, ProposalOutcome::NoMajority) => {
                 self.again = now + AGAIN * self.interval
             }
-            (Role::Retiring, _) => self.over(now, act, "the other member serves without us"),
+            (Role::Draining, _) => self.over(now, act, "the other member serves without us"),
             (s, ProposalOutcome::Granted(claim)) if s.serves() => self.renewed(now, act, claim),
             (s, ProposalOutcome::NoMajority) if s.serves() => {
                 self.again = now + AGAIN * self.interval;
-                if s == Role::Joining {
+                if s == Role::Synchronizing {
                     // It is asked again by the next thing that is recorded.
-                    act.waits(true);
+                    act.set_replication_wait(true);
                 }
             }
             (s, _) if s.serves() => {
@@ -523,16 +525,16 @@
         let handed = std::mem::take(&mut self.handed);
         (self.heir, self.peer.serves) = (handed, false);
         if handed {
-            self.go(now, Role::Paired);
-            act.waits(true);
-            act.open(claim, false, false);
-            act.copy(true);
+            self.go(now, Role::Replicating);
+            act.set_replication_wait(true);
+            act.start_serving(claim, false, false);
+            act.start_replication(true);
         } else {
             self.go(now, Role::Solo);
-            act.waits(false);
+            act.set_replication_wait(false);
             let forgot = self.claim.forgot();
             self.claim.knows();
-            act.open(claim, true, forgot);
+            act.start_serving(claim, true, forgot);
             if self.peer.up {
                 self.owe(now, act);
             }
@@ -542,20 +544,20 @@
     fn renewed(&mut self, now: Time, act: &mut impl RoleActions, claim: Leadership) {
         self.granted = claim;
         match self.state {
-            Role::Parting => {
+            Role::PeerLost => {
                 self.go(now, Role::Solo);
                 let adopt = std::mem::take(&mut self.heir);
-                act.renewed(claim, adopt);
-                act.waits(false);
+                act.leadership_renewed(claim, adopt);
+                act.set_replication_wait(false);
                 if self.peer.up {
                     self.owe(now, act);
                 }
             }
-            Role::Joining => {
-                self.go(now, Role::Paired);
-                act.renewed(claim, false);
+            Role::Synchronizing => {
+                self.go(now, Role::Replicating);
+                act.leadership_renewed(claim, false);
             }
-            _ => act.renewed(claim, false),
+            _ => act.leadership_renewed(claim, false),
         }
     }
 }
--- a/crates/tidewall-failover/tests/claims.rs
+++ b/crates/tidewall-failover/tests/claims.rs
@@ -28,8 +28,8 @@
         accepted: Leadership {
             epoch,
             member,
-            sync,
-            floor: epoch,
+            synced_incarnations: sync,
+            fencing_floor: epoch,
         },
     }
 }
@@ -49,9 +49,9 @@
         let told = match voters.get_mut(voter) {
             Some(v) => {
                 let (good, promise) = vote(v, (ballot, asked));
-                claim.told(&mut host, voter, of, good, promise)
+                claim.vote_received(&mut host, voter, of, good, promise)
             }
-            None => claim.unheard(&mut host, voter, of),
+            None => claim.vote_missing(&mut host, voter, of),
         };
         outcome = outcome.or(told);
     }
@@ -61,7 +61,7 @@
 
 fn granted(outcome: Option<ProposalOutcome>) -> Option<([u64; 2], u64)> {
     match outcome {
-        Some(ProposalOutcome::Granted(c)) => Some((c.sync, count(c.epoch))),
+        Some(ProposalOutcome::Granted(c)) => Some((c.synced_incarnations, count(c.epoch))),
         _ => None,
     }
 }
@@ -91,7 +91,7 @@
         ask(&mut claim, &mut voters, 3, TAKE),
         Some(ProposalOutcome::OutOfSync)
     );
-    claim.over(9);
+    claim.peer_incarnation_ended(9);
     assert!(granted(ask(&mut claim, &mut voters, 3, TAKE)).is_some());
     assert!(claim.forgot());
 }
@@ -113,22 +113,22 @@
     let claim = Leadership {
         epoch: 6,
         member: 0,
-        sync: [7, 0],
-        floor: 4,
+        synced_incarnations: [7, 0],
+        fencing_floor: 4,
     };
     let promise = LeadershipAcceptor {
         promised: 6,
         accepted: claim,
     };
-    assert_eq!(promise.may(member, epoch), told);
+    assert_eq!(promise.permits(member, epoch), told);
     // The floor is under the epoch: the other one goes on with what it has out.
-    assert!(!promise.ends(member));
+    assert!(!promise.must_end(member));
 }
 
 #[test]
 fn a_worker_ends_what_the_fenced_member_has_out() {
     let promise = accepted(6, 0, [7, 0]);
-    assert!(promise.ends(1) && !promise.ends(0));
+    assert!(promise.must_end(1) && !promise.must_end(0));
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -183,8 +183,8 @@
                 lives[me] += 1;
                 serving[me] = false;
                 claims[me] = LeadershipProposer::new(me, lives[me], 3);
-                claims[me].over(lives[1 - me] - 1);
-                claims[1 - me].over(lives[me] - 1);
+                claims[me].peer_incarnation_ended(lives[1 - me] - 1);
+                claims[1 - me].peer_incarnation_ended(lives[me] - 1);
             }
             2 if !way.is_empty() => {
                 let lost = chance.random_range(0..way.len());
@@ -210,7 +210,7 @@
                     Some((good, promise)) if m.life == lives[m.from] => {
                         let of = (m.ballot, m.asked.is_some());
                         outcome = claims[m.from]
-                            .told(&mut host, m.voter, of, good, promise)
+                            .vote_received(&mut host, m.voter, of, good, promise)
                             .map(|o| (m.from, o));
                         for (voter, ballot, asked) in host.asked.drain(..) {
                             let life = lives[m.from];
@@ -246,7 +246,8 @@
             ProposalOutcome::Granted(c) => {
                 if let Some(l) = last.filter(|l| l.epoch < c.epoch) {
                     // Whoever serves next was in the know of whoever served last, or knows that it is not.
-                    let knew = l.sync[who] == lives[who] || follows[who] == lives[who];
+                    let knew =
+                        l.synced_incarnations[who] == lives[who] || follows[who] == lives[who];
                     breaches += usize::from(!knew && !claims[who].forgot());
                 }
                 // Two grants of one epoch.
@@ -254,7 +255,7 @@
                     usize::from(last.is_some_and(|l| l.epoch == c.epoch && l.member != c.member));
                 if last.is_none_or(|l| l.epoch < c.epoch) {
                     last = Some(c);
-                    follows = c.sync;
+                    follows = c.synced_incarnations;
                 }
                 serving[who] = true;
                 claims[who].knows();
@@ -264,8 +265,8 @@
                 lives[who] += 1;
                 serving[who] = false;
                 claims[who] = LeadershipProposer::new(who, lives[who], 3);
-                claims[who].over(lives[1 - who] - 1);
-                claims[1 - who].over(lives[who] - 1);
+                claims[who].peer_incarnation_ended(lives[1 - who] - 1);
+                claims[1 - who].peer_incarnation_ended(lives[who] - 1);
             }
             _ => {}
         }
--- a/crates/tidewall-failover/tests/help/mod.rs
+++ b/crates/tidewall-failover/tests/help/mod.rs
@@ -21,38 +21,38 @@
 }
 
 impl RoleActions for Host {
-    fn vrrp(&mut self, on: bool) {
+    fn set_vrrp_enabled(&mut self, on: bool) {
         self.said.push(format!("vrrp {on}"));
     }
-    fn open(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
+    fn start_serving(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
         self.said.push(format!(
             "open {} adopt {adopt} forgot {forgot}",
             claim.epoch
         ));
     }
-    fn renewed(&mut self, claim: Leadership, adopt: bool) {
+    fn leadership_renewed(&mut self, claim: Leadership, adopt: bool) {
         self.said
             .push(format!("renewed {} adopt {adopt}", claim.epoch));
     }
-    fn retire(&mut self) {
+    fn stop_accepting(&mut self) {
         self.said.push("retire".to_string());
     }
-    fn waits(&mut self, on: bool) {
+    fn set_replication_wait(&mut self, on: bool) {
         self.said.push(format!("waits {on}"));
     }
-    fn copy(&mut self, new: bool) {
+    fn start_replication(&mut self, new: bool) {
         self.said.push(format!("copy {new}"));
     }
-    fn ask_yield(&mut self) {
+    fn request_step_down(&mut self) {
         self.said.push("ask yield".to_string());
     }
-    fn yielded(&mut self) {
+    fn confirm_step_down(&mut self) {
         self.said.push("yielded".to_string());
     }
-    fn again(&mut self, why: &'static str) {
+    fn restart_process(&mut self, why: &'static str) {
         self.said.push(format!("again: {why}"));
     }
-    fn gone(&mut self) {
+    fn exit_process(&mut self) {
         self.said.push("gone".to_string());
     }
 }
--- a/crates/tidewall-gateway/src/config.rs
+++ b/crates/tidewall-gateway/src/config.rs
@@ -53,12 +53,12 @@
     let at = |s: &Section, field: &str| s.text(field).parse().expect("checked");
     let types = s.sections("event_type");
     let kind = |t: &Section| match t.choice("redelivery").as_str() {
-        "REDELIVERABLE" => RetrySafety::Redeliverable,
-        "KEYED" => RetrySafety::Keyed {
+        "REDELIVERABLE" => RetrySafety::Idempotent,
+        "KEYED" => RetrySafety::IdempotencyKey {
             all: t.choice("group") == "ALL",
             window: t.span("window_ms"),
         },
-        _ => RetrySafety::AtMostOnce,
+        _ => RetrySafety::NonIdempotent,
     };
     let keep = |t: &Section| match t.choice("redelivery").as_str() {
         "KEYED" => t.span("window_ms").max(t.span("max_age_ms")),
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -193,7 +193,7 @@
             .send_datagram(port, self.at.peer_vrrp_address, &out);
     }
 
-    fn wake(&mut self, _vrid: u8, wait: Time) {
+    fn set_timer(&mut self, _vrid: u8, wait: Time) {
         if let Some(d) = self.timer.take() {
             self.net.cancel_timer(d);
         }
@@ -201,17 +201,17 @@
         *self.timer = Some(self.net.set_timer(at, OF_VRRP));
     }
 
-    fn sleep(&mut self, _vrid: u8) {
+    fn cancel_timer(&mut self, _vrid: u8) {
         if let Some(d) = self.timer.take() {
             self.net.cancel_timer(d);
         }
     }
 
-    fn take(&mut self, _vrid: u8, _accept: bool) {
+    fn become_active(&mut self, _vrid: u8, _accept: bool) {
         *self.wanted = Some(true);
     }
 
-    fn release(&mut self, _vrid: u8) {
+    fn become_backup(&mut self, _vrid: u8) {
         *self.wanted = Some(false);
     }
 }
@@ -325,7 +325,7 @@
 }
 
 impl<N: Net> role::RoleActions for Acting<'_, N> {
-    fn vrrp(&mut self, on: bool) {
+    fn set_vrrp_enabled(&mut self, on: bool) {
         let net = &mut self.gw.core.choice.host.net;
         self.parts.vrrp(net, |router, act| {
             if on {
@@ -340,7 +340,7 @@
         }
     }
 
-    fn open(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
+    fn start_serving(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
         info!(epoch = count(claim.epoch), adopt, forgot, "serves");
         let now = self.gw.core.net().now();
         let longest = self.parts.at.retention.iter().max().copied().unwrap_or(0);
@@ -356,10 +356,10 @@
         }
     }
 
-    fn renewed(&mut self, claim: Leadership, adopt: bool) {
-        info!(epoch = count(claim.epoch), sync = ?claim.sync, "claim renewed");
+    fn leadership_renewed(&mut self, claim: Leadership, adopt: bool) {
+        info!(epoch = count(claim.epoch), sync = ?claim.synced_incarnations, "claim renewed");
         self.copy().epoch = claim.epoch;
-        if claim.floor == claim.epoch {
+        if claim.fencing_floor == claim.epoch {
             self.parts.fenced.clear();
         }
         self.spread(claim);
@@ -369,19 +369,19 @@
         }
     }
 
-    fn retire(&mut self) {
+    fn stop_accepting(&mut self) {
         info!(held = self.gw.requests_in_flight(), "retires");
         self.gw.core.standby = true;
         self.gw.unlisten();
     }
 
-    fn waits(&mut self, on: bool) {
+    fn set_replication_wait(&mut self, on: bool) {
         let copy = self.copy();
         copy.waits = on;
         self.parts.began = copy.seq;
     }
 
-    fn copy(&mut self, new: bool) {
+    fn start_replication(&mut self, new: bool) {
         let host = &mut self.gw.core.choice.host;
         let Some(copy) = &mut host.copy else { return };
         (copy.on, copy.base, copy.acked) = (true, copy.seq - copy.sent, copy.seq);
@@ -396,21 +396,21 @@
         self.gw.pump(self.parts);
     }
 
-    fn ask_yield(&mut self) {
+    fn request_step_down(&mut self) {
         let host = &mut self.gw.core.choice.host;
         if let Some(copy) = &mut host.copy {
             copy.say(&mut host.net, kind::YIELD, |f| f.end());
         }
     }
 
-    fn yielded(&mut self) {
+    fn confirm_step_down(&mut self) {
         let host = &mut self.gw.core.choice.host;
         if let Some(copy) = &mut host.copy {
             copy.say(&mut host.net, kind::YIELDED, |f| f.end());
         }
     }
 
-    fn again(&mut self, why: &'static str) {
+    fn restart_process(&mut self, why: &'static str) {
         warn!(why, "starts anew");
         if !self.parts.leaving {
             self.gw.ended = StopReason::Restart;
@@ -418,7 +418,7 @@
         self.gw.core.net().stop();
     }
 
-    fn gone(&mut self) {
+    fn exit_process(&mut self) {
         self.gw.save_list();
         self.gw.core.net().stop();
     }
@@ -435,7 +435,7 @@
             && now < copy.forgot
             && copy
                 .known
-                .find(now, event.class, event.idempotency_key)
+                .lookup(now, event.class, event.idempotency_key)
                 .is_none()
         {
             let kind = copy.kind(event.class);
@@ -456,18 +456,18 @@
         if event.idempotency_key.is_empty() {
             return None;
         }
-        match copy.known.find(now, event.class, event.idempotency_key)? {
-            RequestLocation::Here(place) => {
+        match copy.known.lookup(now, event.class, event.idempotency_key)? {
+            RequestLocation::Local(place) => {
                 let place = *place;
                 copy.joined.push(place);
                 host.events[place].more.push((event.reply_handle, until));
                 Some(place)
             }
-            RequestLocation::There(at) => {
+            RequestLocation::Remote(at) => {
                 self.there.push_back((*at, event.reply_handle, until));
                 Some(usize::MAX)
             }
-            RequestLocation::Answered(number, payload) => {
+            RequestLocation::Responded(number, payload) => {
                 let (number, payload) = (*number, payload.clone());
                 let mut due = copy.due();
                 due.tickets.push((event.reply_handle, until));
@@ -575,9 +575,9 @@
         f(seat, now, &mut Acting { gw: self, parts });
         while let Some(on) = parts.wanted.take() {
             if on {
-                seat.active(now, &mut Acting { gw: self, parts });
+                seat.vrrp_became_active(now, &mut Acting { gw: self, parts });
             } else {
-                seat.inactive(now);
+                seat.vrrp_became_backup(now);
             }
         }
         self.pair = Some(pair);
@@ -646,14 +646,14 @@
         match copy.conn {
             Some(conn) if silent || copy.slow(now) => {
                 warn!(silent, "the other member is silent or too slow");
-                pair.seat.slow(now);
+                pair.seat.peer_too_slow(now);
                 self.core.choice.host.net.reset(conn);
                 self.own(conn, Owner::Nobody);
                 self.peer_over();
             }
             Some(_) => {
-                let counted = if pair.seat.state() == Role::Paired {
-                    pair.seat.granted.sync[1 - member]
+                let counted = if pair.seat.state() == Role::Replicating {
+                    pair.seat.granted.synced_incarnations[1 - member]
                 } else {
                     0
                 };
@@ -678,10 +678,10 @@
             if act.parts.unopened {
                 act.gw.listen_all(act.parts);
             }
-            if seat.state() == Role::Joining {
+            if seat.state() == Role::Synchronizing {
                 let copy = act.copy();
                 if copy.acked >= act.parts.began {
-                    seat.joined(act);
+                    seat.replication_caught_up(act);
                 }
             }
             act.gw.all_fenced(act.parts);
@@ -697,7 +697,12 @@
             act.gw.pump(act.parts);
             act.gw.impatient(act.parts);
         });
-        if self.pair.as_ref().is_some_and(|p| p.seat.ends_alone(now)) && !self.core.draining {
+        if self
+            .pair
+            .as_ref()
+            .is_some_and(|p| p.seat.exits_without_peer(now))
+            && !self.core.draining
+        {
             self.core.draining = true;
             self.unlisten();
         }
@@ -712,9 +717,9 @@
                 net.total_stall() > std::mem::replace(&mut act.parts.vrrp_stood, net.total_stall());
             act.parts.vrrp(net, |router, vrrp| {
                 if stood && router.state() == tidewall_vrrp::State::Backup {
-                    tidewall_vrrp::VrrpActions::wake(vrrp, 0, router.down());
+                    tidewall_vrrp::VrrpActions::set_timer(vrrp, 0, router.active_down_interval());
                 } else {
-                    router.due(vrrp);
+                    router.timer_fired(vrrp);
                 }
             });
         });
@@ -732,7 +737,9 @@
             match read {
                 Ok((vrid, advertisement)) if vrid == parts.at.vrid => {
                     let net = &mut act.gw.core.choice.host.net;
-                    parts.vrrp(net, |router, vrrp| router.heard(vrrp, advertisement));
+                    parts.vrrp(net, |router, vrrp| {
+                        router.advertisement_received(vrrp, advertisement)
+                    });
                 }
                 Ok(_) => {}
                 Err(reason) => {
@@ -753,7 +760,7 @@
             _ => return false,
         }
         let mut waits = false;
-        self.with_seat(|seat, now, act| waits = seat.leave(now, act));
+        self.with_seat(|seat, now, act| waits = seat.shutdown_requested(now, act));
         self.settle();
         waits
     }
@@ -829,13 +836,13 @@
                 );
             }
             pair.parts.disagrees = differs;
-            pair.seat.bar(bar);
+            pair.seat.set_barred(bar);
         }
         if let Some(copy) = &mut self.core.choice.host.copy {
             (copy.conn, copy.sent) = (Some(conn), 0);
         }
         info!(name, life, serves, "the other member is there");
-        self.with_seat(|seat, now, act| seat.peer_up(now, act, life, serves, epoch));
+        self.with_seat(|seat, now, act| seat.peer_connected(now, act, life, serves, epoch));
         Ok(())
     }
 
@@ -847,7 +854,7 @@
             pair.parts.cursor = SnapshotCursor::Off;
         }
         warn!("the link to the other member is gone");
-        self.with_seat(|seat, now, act| seat.peer_down(now, act));
+        self.with_seat(|seat, now, act| seat.peer_disconnected(now, act));
     }
 
     /// Tells the other member how much of what came is recorded.
@@ -879,7 +886,9 @@
                     counted == pair.parts.at.incarnation,
                 );
                 let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
-                self.with_seat(|seat, now, act| seat.peer_told(now, act, serves, counts, epoch));
+                self.with_seat(|seat, now, act| {
+                    seat.peer_heartbeat(now, act, serves, counts, epoch)
+                });
             }
             kind::RECORDED => {
                 let seq = fields.whole(Field::Seq)?;
@@ -894,16 +903,16 @@
                     if let SnapshotCursor::Finished(all) = act.parts.cursor {
                         if acked >= all {
                             act.parts.cursor = SnapshotCursor::Off;
-                            seat.copied(now, act);
+                            seat.snapshot_acknowledged(now, act);
                         }
                     }
-                    if seat.state() == Role::Joining && acked >= act.parts.began {
-                        seat.joined(act);
+                    if seat.state() == Role::Synchronizing && acked >= act.parts.began {
+                        seat.replication_caught_up(act);
                     }
                 });
             }
-            kind::YIELD => self.with_seat(|seat, now, act| seat.yield_asked(now, act)),
-            kind::YIELDED => self.with_seat(|seat, now, act| seat.peer_yielded(now, act)),
+            kind::YIELD => self.with_seat(|seat, now, act| seat.step_down_requested(now, act)),
+            kind::YIELDED => self.with_seat(|seat, now, act| seat.peer_stepped_down(now, act)),
             _ => {
                 pair.parts.got += 1;
                 return self.update(fields);
@@ -934,7 +943,7 @@
                 let new = fields.flag(Field::On)?;
                 parts.theirs.clear();
                 if !new {
-                    copy.known.reset();
+                    copy.known.clear_responses();
                 }
             }
             kind::TAKEN => {
@@ -959,17 +968,18 @@
                 if parts.theirs.len() <= place {
                     parts.theirs.resize_with(place + 1, || None);
                 }
-                copy.ration.took(now);
-                copy.known.hold(typ, mark, RequestLocation::There(place));
+                copy.ration.request_received(now);
+                copy.known
+                    .insert_in_flight(typ, mark, RequestLocation::Remote(place));
                 parts.theirs[place] = Some(kept);
             }
             kind::LAUNCHED => {
                 let wk = host.workers.intern(fields.text(Field::Name)?);
                 if let Some(kept) = parts.theirs.get_mut(place).and_then(Option::as_mut) {
                     kept.launches.push(recovery::Attempt {
-                        wk,
-                        at: now,
-                        state: recovery::AttemptState::Out,
+                        worker: wk,
+                        sent_at: now,
+                        state: recovery::AttemptState::InFlight,
                     });
                 }
             }
@@ -979,9 +989,9 @@
                 let kept = parts.theirs.get_mut(place).and_then(Option::as_mut);
                 if let Some(l) = kept.and_then(|k| k.launches.get_mut(launch)) {
                     l.state = if proven {
-                        recovery::AttemptState::ProvenNotRun
+                        recovery::AttemptState::NotExecuted
                     } else {
-                        recovery::AttemptState::MayHaveRun
+                        recovery::AttemptState::MayHaveExecuted
                     };
                 }
             }
@@ -1014,8 +1024,8 @@
                     let ran = kept
                         .launches
                         .iter()
-                        .any(|l| l.state != recovery::AttemptState::ProvenNotRun);
-                    if ran && copy.kind(kept.typ) != RetrySafety::Redeliverable {
+                        .any(|l| l.state != recovery::AttemptState::NotExecuted);
+                    if ran && copy.kind(kept.typ) != RetrySafety::Idempotent {
                         remember(copy, now, kept.typ, &kept.mark, Disposition::Failed, &[]);
                     } else {
                         copy.known.remove(kept.typ, &kept.mark);
@@ -1024,7 +1034,7 @@
             }
             kind::ORDERED => {
                 let age = fields.upto(Field::Age, u64::MAX >> 8, 0)?;
-                copy.ration.ordered(now.saturating_sub(age));
+                copy.ration.load_requested(now.saturating_sub(age));
             }
             kind::COPIED => {}
             other => return Err(format!("field kind: {other} is not for a pair")),
@@ -1083,8 +1093,9 @@
                         return;
                     };
                     parts.cursor = SnapshotCursor::Answers(key + 1);
-                    if let RequestLocation::Answered(number, payload) = &entry.place {
-                        let (typ, mark, payload) = (entry.typ, entry.mark.clone(), payload.clone());
+                    if let RequestLocation::Responded(number, payload) = &entry.location {
+                        let (typ, mark, payload) =
+                            (entry.class, entry.idempotency_key.clone(), payload.clone());
                         let text = word(*number).wire_text();
                         copy.tell(&mut host.net, kind::ANSWERED, |f| {
                             let f = f
@@ -1119,7 +1130,7 @@
             };
             let (kind, two) = (copy.kind(kept.typ), copy.two_at_once);
             let fate = fate(kind, two, (now, kept.until), &kept.launches, fenced);
-            if fate == RecoveryAction::Await {
+            if fate == RecoveryAction::AwaitFencing {
                 left = true;
                 continue;
             }
@@ -1129,7 +1140,7 @@
                     self.go_on(kept);
                     continue;
                 }
-                RecoveryAction::DeadLetter => Disposition::Failed,
+                RecoveryAction::Fail => Disposition::Failed,
                 _ => Disposition::Rejected,
             };
             remember(copy, now, kept.typ, &kept.mark, word, &[]);
@@ -1170,7 +1181,7 @@
             idempotency_key: &kept.mark,
             payload: &kept.payload,
         });
-        copy_of(&mut self.core).ration.took_before();
+        copy_of(&mut self.core).ration.undo_last_request();
         if asked {
             // Where it has its answer already this is passed by.
             copy_of(&mut self.core).joined.push(place);
@@ -1250,8 +1261,8 @@
         let accepted = Leadership {
             epoch: whole(Field::Epoch)?,
             member: fields.upto(Field::Member, 2, 1)?.max(1) as usize - 1,
-            sync: [whole(Field::SyncA)?, whole(Field::SyncB)?],
-            floor: whole(Field::Floor)?,
+            synced_incarnations: [whole(Field::SyncA)?, whole(Field::SyncB)?],
+            fencing_floor: whole(Field::Floor)?,
         };
         let promise = LeadershipAcceptor {
             promised: whole(Field::Ballot)?,
@@ -1260,7 +1271,7 @@
         host.free(key);
         self.with_seat(|seat, now, act| {
             if let Some(voter) = voter.filter(|_| !over) {
-                seat.told(now, act, voter, (ballot, accepting), good, promise);
+                seat.vote_received(now, act, voter, (ballot, accepting), good, promise);
             }
             if accepting
                 && good
@@ -1354,9 +1365,9 @@
         } else if let Some(due) = copy.replays.pop_front() {
             self.give(due);
         } else if let Some((voter, of)) = copy.unheard.pop_front() {
-            self.with_seat(|seat, now, act| seat.unheard(now, act, voter, of));
+            self.with_seat(|seat, now, act| seat.vote_missing(now, act, voter, of));
         } else if std::mem::take(&mut copy.fenced) {
-            self.with_seat(|seat, _, act| seat.fenced(act));
+            self.with_seat(|seat, _, act| seat.epoch_rejected(act));
         } else if copy.broken {
             if let Some(conn) = copy.conn {
                 self.core.net().reset(conn);
@@ -1377,7 +1388,7 @@
             }
         } else {
             let Some(pair) = &self.pair else { return false };
-            let resting = pair.seat.state() == Role::Retiring
+            let resting = pair.seat.state() == Role::Draining
                 || pair.parts.leaving && pair.seat.state() == Role::Standby;
             if resting
                 && self.requests_in_flight() == 0
@@ -1386,8 +1397,8 @@
                 && !self.unread()
             {
                 let was = self.role();
-                self.with_seat(|seat, now, act| seat.empty(now, act));
-                if was == Some(Role::Retiring) && self.role() == Some(Role::Standby) {
+                self.with_seat(|seat, now, act| seat.drained(now, act));
+                if was == Some(Role::Draining) && self.role() == Some(Role::Standby) {
                     self.hang_up();
                 }
             }
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -243,9 +243,9 @@
         let Some(copy) = &mut self.copy else { return };
         let (now, held) = (self.net.now(), &self.events[place]);
         let a = held.arrival();
-        copy.ration.took(now);
+        copy.ration.request_received(now);
         copy.known
-            .hold(a.class, held.mark(), RequestLocation::Here(place));
+            .insert_in_flight(a.class, held.mark(), RequestLocation::Local(place));
         let function = self.functions.resolve(a.function);
         copy.tell(&mut self.net, kind::TAKEN, |f| {
             taken(f, place, held, &self.types, &self.tenants, function, now)
@@ -264,7 +264,7 @@
                 .whole(Field::Launch, launch as u64);
             f.text(Field::Name, name).end();
         });
-        let must = !copy.kind(held.arrival().class).harmless() || !copy.two_at_once;
+        let must = !copy.kind(held.arrival().class).is_safe_to_repeat() || !copy.two_at_once;
         if copy.waits && must {
             let now = self.net.now();
             copy.back.push_back((
@@ -330,7 +330,7 @@
         }
         (due.word, due.come_back, due.took) = (Some(given.word), given.come_back, given.took);
         due.payload.extend_from_slice(payload);
-        if copy.waits && !copy.kind(typ).harmless() {
+        if copy.waits && !copy.kind(typ).is_safe_to_repeat() {
             copy.back
                 .push_back((copy.seq, now, DeferredAction::Respond(due)));
             return None;
@@ -344,7 +344,7 @@
         let Some(copy) = &mut self.copy else { return };
         let held = &self.events[place];
         let typ = held.arrival().class;
-        if held.unproven > 0 && copy.kind(typ) != RetrySafety::Redeliverable {
+        if held.unproven > 0 && copy.kind(typ) != RetrySafety::Idempotent {
             remember(copy, now, typ, held.mark(), Disposition::Failed, &[]);
         } else {
             copy.known.remove(typ, held.mark());
@@ -363,10 +363,10 @@
         if copies == 0 {
             return true;
         }
-        if copy.epoch == 0 || !copy.ration.room(now) {
+        if copy.epoch == 0 || !copy.ration.has_capacity(now) {
             return false;
         }
-        copy.ration.ordered(now);
+        copy.ration.load_requested(now);
         copy.tell(&mut self.net, kind::ORDERED, |f| {
             f.whole(Field::Age, 0).end()
         });
@@ -416,9 +416,9 @@
             let f = f.whole(Field::Ballot, ballot).whole(Field::Epoch, c.epoch);
             let f = f
                 .whole(Field::Member, c.member as u64 + 1)
-                .whole(Field::Floor, c.floor);
-            f.whole(Field::SyncA, c.sync[0])
-                .whole(Field::SyncB, c.sync[1])
+                .whole(Field::Floor, c.fencing_floor);
+            f.whole(Field::SyncA, c.synced_incarnations[0])
+                .whole(Field::SyncB, c.synced_incarnations[1])
                 .end();
         } else {
             Frame::new(&mut self.frame, kind::PREPARE)
@@ -443,7 +443,7 @@
     } else {
         let until = now + copy.keep(typ);
         copy.known
-            .answered(now, typ, mark, word as u8, payload, until);
+            .record_response(now, typ, mark, word as u8, payload, until);
     }
 }
 
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -122,7 +122,7 @@
             return Ok(place);
         }
         let host = &mut self.choice.host;
-        let full = host.copy.as_ref().is_some_and(|c| !c.known.room());
+        let full = host.copy.as_ref().is_some_and(|c| !c.known.has_capacity());
         if self.draining || self.standby || host.held >= self.most_held || full {
             host.counts.turned_away += 1;
             return Err(match (self.draining || self.standby, full) {
--- a/crates/tidewall-lease/src/assignment.rs
+++ b/crates/tidewall-lease/src/assignment.rs
@@ -47,15 +47,15 @@
         weight(task, self.keys[member])
     }
 
-    pub fn best(&self, task: usize) -> Option<usize> {
+    pub fn owner(&self, task: usize) -> Option<usize> {
         self.best[task]
     }
 
-    pub fn here(&self, member: usize) -> bool {
+    pub fn is_present(&self, member: usize) -> bool {
         self.here[member]
     }
 
-    pub fn comes(
+    pub fn member_joined(
         &mut self,
         member: usize,
         mut moves: impl FnMut(usize, Option<usize>, Option<usize>),
@@ -72,7 +72,7 @@
         }
     }
 
-    pub fn goes(
+    pub fn member_left(
         &mut self,
         member: usize,
         mut moves: impl FnMut(usize, Option<usize>, Option<usize>),
--- a/crates/tidewall-lease/src/grantor.rs
+++ b/crates/tidewall-lease/src/grantor.rs
@@ -9,7 +9,7 @@
 pub struct Grant {
     pub epoch: u64,
     pub member: usize,
-    pub life: u64,
+    pub incarnation: u64,
 }
 
 impl BallotedValue for Grant {
@@ -19,66 +19,66 @@
 }
 
 impl Grant {
-    pub fn whose(&self) -> (usize, u64) {
-        (self.member, self.life)
+    pub fn owner(&self) -> (usize, u64) {
+        (self.member, self.incarnation)
     }
 }
 
 /// One task at one keeper.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct GrantorSlot {
-    pub promise: AcceptorState<Grant>,
+    pub acceptor: AcceptorState<Grant>,
     /// From when on another may be granted what was accepted last.
-    pub until: Time,
+    pub expires_at: Time,
 }
 
 /// An answer: whether it was granted, what is kept here, and how long that still bars others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct GrantorReply {
-    pub good: bool,
-    pub promise: AcceptorState<Grant>,
-    pub left: Time,
+    pub granted: bool,
+    pub state: AcceptorState<Grant>,
+    pub remaining: Time,
 }
 
 impl GrantorSlot {
     /// Whether it is one that could follow what is kept here. One message at fault would otherwise use up all ballots.
     fn near(&self, epoch: u64) -> bool {
-        count(epoch) <= count(self.promise.promised) + MAX_BALLOT_JUMP
+        count(epoch) <= count(self.acceptor.promised) + MAX_BALLOT_JUMP
     }
 
     fn answer(&self, now: Time, good: bool) -> GrantorReply {
-        let mut promise = self.promise;
-        if now >= self.until {
+        let mut promise = self.acceptor;
+        if now >= self.expires_at {
             promise.accepted = Grant::default();
         }
         GrantorReply {
-            good,
-            promise,
-            left: self.until.saturating_sub(now),
+            granted: good,
+            state: promise,
+            remaining: self.expires_at.saturating_sub(now),
         }
     }
 
     /// A member asks for leave under a ballot of its own. While another's lease runs nothing is promised: a promise
     /// would refuse that one's renewals.
     pub fn prepare(&mut self, now: Time, ballot: u64, whose: (usize, u64)) -> GrantorReply {
-        let barred = now < self.until && self.promise.accepted.whose() != whose;
-        let good = !barred && self.near(ballot) && self.promise.prepare(ballot);
+        let barred = now < self.expires_at && self.acceptor.accepted.owner() != whose;
+        let good = !barred && self.near(ballot) && self.acceptor.prepare(ballot);
         self.answer(now, good)
     }
 
     pub fn accept(&mut self, now: Time, grant: Grant, term: Time) -> GrantorReply {
-        let good = self.near(grant.epoch) && self.promise.accept(grant);
+        let good = self.near(grant.epoch) && self.acceptor.accept(grant);
         if good {
-            self.until = now + term;
+            self.expires_at = now + term;
         }
         self.answer(now, good)
     }
 
     /// Its holder has stopped. A renewal that is still on its way must not bring it back.
     pub fn release(&mut self, now: Time, epoch: u64) {
-        if self.promise.accepted.epoch == epoch {
-            self.until = now;
-            self.promise.promised = self.promise.promised.max(epoch + 1);
+        if self.acceptor.accepted.epoch == epoch {
+            self.expires_at = now;
+            self.acceptor.promised = self.acceptor.promised.max(epoch + 1);
         }
     }
 }
@@ -91,7 +91,7 @@
 
 impl LeaseGrantor {
     pub fn new(now: Time, tasks: usize, term: Time, guards: SafetyChecks) -> LeaseGrantor {
-        let quiet = if guards.quiet { now + term } else { now };
+        let quiet = if guards.silent_start { now + term } else { now };
         LeaseGrantor {
             slots: vec![GrantorSlot::default(); tasks],
             term,
@@ -130,6 +130,6 @@
 
     /// Leases that run here.
     pub fn running(&self, now: Time) -> usize {
-        self.slots.iter().filter(|s| now < s.until).count()
+        self.slots.iter().filter(|s| now < s.expires_at).count()
     }
 }
--- a/crates/tidewall-lease/src/holder.rs
+++ b/crates/tidewall-lease/src/holder.rs
@@ -40,15 +40,15 @@
     }
 
     /// Tasks that may be acted on here now.
-    pub fn held(&self, now: Time) -> usize {
+    pub fn held_count(&self, now: Time) -> usize {
         self.runs
             .iter()
-            .filter(|r| self.leases[r.1].may(now))
+            .filter(|r| self.leases[r.1].is_held(now))
             .count()
     }
 
     /// Leases that run here, given back or not.
-    pub fn runs(&self) -> usize {
+    pub fn running_count(&self) -> usize {
         self.runs.len()
     }
 
@@ -81,7 +81,7 @@
         Some(done)
     }
 
-    pub fn want(
+    pub fn set_wanted(
         &mut self,
         now: Time,
         host: &mut impl LeaseActions,
@@ -89,10 +89,10 @@
         on: bool,
         soon: bool,
     ) {
-        self.with(task, |l, t| l.want(now, t, host, on, soon));
+        self.with(task, |l, t| l.set_wanted(now, t, host, on, soon));
     }
 
-    pub fn promised(
+    pub fn prepare_replied(
         &mut self,
         now: Time,
         host: &mut impl LeaseActions,
@@ -100,10 +100,12 @@
         ballot: u64,
         told: GrantorReply,
     ) {
-        self.with(task, |l, t| l.promised(now, t, host, keeper, ballot, told));
+        self.with(task, |l, t| {
+            l.prepare_replied(now, t, host, keeper, ballot, told)
+        });
     }
 
-    pub fn accepted(
+    pub fn accept_replied(
         &mut self,
         now: Time,
         host: &mut impl LeaseActions,
@@ -111,27 +113,35 @@
         of: (u64, u32),
         told: GrantorReply,
     ) {
-        self.with(task, |l, t| l.accepted(now, t, host, keeper, of, told));
+        self.with(task, |l, t| {
+            l.accept_replied(now, t, host, keeper, of, told)
+        });
     }
 
     /// Whether it was given back now.
-    pub fn stopped(
+    pub fn execution_stopped(
         &mut self,
         now: Time,
         host: &mut impl LeaseActions,
         task: usize,
         epoch: u64,
     ) -> bool {
-        self.with(task, |l, t| l.stopped(now, t, host, epoch))
+        self.with(task, |l, t| l.execution_stopped(now, t, host, epoch))
             .unwrap_or(false)
     }
 
-    pub fn outbid(&mut self, now: Time, host: &mut impl LeaseActions, task: usize, epoch: u64) {
-        self.with(task, |l, t| l.outbid(now, t, host, epoch));
+    pub fn higher_epoch_seen(
+        &mut self,
+        now: Time,
+        host: &mut impl LeaseActions,
+        task: usize,
+        epoch: u64,
+    ) {
+        self.with(task, |l, t| l.higher_epoch_seen(now, t, host, epoch));
     }
 
     /// When something is due here.
-    pub fn next(&self) -> Option<Time> {
+    pub fn next_deadline(&self) -> Option<Time> {
         let first = |list: &BTreeSet<(Time, usize)>| list.first().map(|f| f.0);
         first(&self.runs)
             .into_iter()
@@ -140,7 +150,7 @@
     }
 
     /// What is due is done for `most` tasks at most; gives back for how many it was.
-    pub fn due(&mut self, now: Time, host: &mut impl LeaseActions, most: usize) -> usize {
+    pub fn run_due(&mut self, now: Time, host: &mut impl LeaseActions, most: usize) -> usize {
         let mut done = 0;
         while done < most {
             // What runs out goes before what does not run yet.
@@ -149,7 +159,7 @@
             let Some(task) = first(&self.runs).or_else(|| first(&self.claims)) else {
                 break;
             };
-            self.with(task, |l, t| l.due(now, t, host));
+            self.with(task, |l, t| l.timer_fired(now, t, host));
             done += 1;
         }
         done
--- a/crates/tidewall-lease/src/lease.rs
+++ b/crates/tidewall-lease/src/lease.rs
@@ -7,16 +7,16 @@
 /// What leases of a member have in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseConfig {
-    pub me: usize,
-    pub life: u64,
-    pub keepers: usize,
+    pub member: usize,
+    pub incarnation: u64,
+    pub grantors: usize,
     /// For how long an asking that was granted may be acted on.
-    pub usable: Time,
+    pub usable_duration: Time,
     /// What was asked and not answered is asked again after this, as often as is of use.
     pub retry: Time,
     /// Drawn for each member, so that not all renew in the same moment.
     pub offset: Time,
-    pub guards: SafetyChecks,
+    pub safety_checks: SafetyChecks,
 }
 
 /// The part of `usable` after which a lease is renewed: three askings may be lost before it lapses.
@@ -39,14 +39,14 @@
 
 impl LeaseConfig {
     fn own(&self) -> BallotOwner {
-        own(self.me, self.life)
+        own(self.member, self.incarnation)
     }
 
     fn grant(&self, epoch: u64) -> Grant {
         Grant {
             epoch,
-            member: self.me,
-            life: self.life,
+            member: self.member,
+            incarnation: self.incarnation,
         }
     }
 }
@@ -86,11 +86,11 @@
     fn accept(&mut self, keeper: usize, task: usize, epoch: u64, tag: u32);
     fn release(&mut self, keeper: usize, task: usize, epoch: u64);
     /// It may be acted on until then, under this epoch.
-    fn held(&mut self, task: usize, epoch: u64, until: Time);
+    fn lease_acquired(&mut self, task: usize, epoch: u64, until: Time);
     /// No longer. Where it is to be given back `Lease::stopped` has to follow.
-    fn stop(&mut self, task: usize, epoch: u64);
+    fn lease_lost(&mut self, task: usize, epoch: u64);
     /// Below that, drawn.
-    fn chance(&mut self, below: Time) -> Time;
+    fn random_below(&mut self, below: Time) -> Time;
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -169,9 +169,9 @@
     type No = Grant;
 
     /// Another's lease that a majority may have granted, and that still runs at one that told of it, is not taken.
-    fn say(&mut self, ballot: u64, told: Option<Grant>) -> Result<Grant, Grant> {
+    fn propose(&mut self, ballot: u64, told: Option<Grant>) -> Result<Grant, Grant> {
         match told {
-            Some(other) if other.whose() != (self.0.me, self.0.life) => Err(other),
+            Some(other) if other.owner() != (self.0.member, self.0.incarnation) => Err(other),
             _ => Ok(self.0.grant(ballot)),
         }
     }
@@ -202,12 +202,12 @@
     }
 
     /// Whether it may be acted on now.
-    pub fn may(&self, now: Time) -> bool {
+    pub fn is_held(&self, now: Time) -> bool {
         self.state == LeaseState::Held && now < self.until
     }
 
     /// It should be held here, or no longer. `soon`: nobody else holds it any more, so it is claimed at once.
-    pub fn want(
+    pub fn set_wanted(
         &mut self,
         now: Time,
         terms: &LeaseConfig,
@@ -219,7 +219,11 @@
         match self.state {
             LeaseState::Idle if on => {
                 // Members that hear of the same loss at the same time do not all ask in the same moment.
-                let wait = if soon { 0 } else { host.chance(terms.retry) };
+                let wait = if soon {
+                    0
+                } else {
+                    host.random_below(terms.retry)
+                };
                 self.next = self.next.min(now + wait);
             }
             LeaseState::Claiming if !on => self.idle(Time::MAX),
@@ -228,7 +232,7 @@
             LeaseState::Held if !on => {
                 self.state = LeaseState::Stopping;
                 self.next = (now + terms.retry).min(self.until);
-                host.stop(self.task, self.epoch);
+                host.lease_lost(self.task, self.epoch);
             }
             _ => {}
         }
@@ -240,17 +244,17 @@
 
     /// Claimed anew after a while, where it is wanted.
     fn later(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions, wait: Time) {
-        let wait = wait + 1 + host.chance(terms.retry);
+        let wait = wait + 1 + host.random_below(terms.retry);
         self.idle(if self.wanted { now + wait } else { Time::MAX });
     }
 
     /// Its time has come.
-    pub fn due(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions) {
+    pub fn timer_fired(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions) {
         match self.state {
             LeaseState::Idle if self.wanted => {
                 self.state = LeaseState::Claiming;
-                let mut round = Box::new(ProposerRound::new(terms.own(), terms.keepers));
-                round.heard_of(self.seen);
+                let mut round = Box::new(ProposerRound::new(terms.own(), terms.grantors));
+                round.ballot_seen(self.seen);
                 self.barred = 0;
                 self.tag = self.tag.wrapping_add(1);
                 round.begin(&mut Asks {
@@ -265,8 +269,8 @@
             }
             LeaseState::Idle => self.next = Time::MAX,
             // What was not answered by now was lost, or its keeper is.
-            LeaseState::Claiming if now >= self.asked + terms.usable / 2 => {
-                let wait = self.barred.saturating_sub(now).min(terms.usable);
+            LeaseState::Claiming if now >= self.asked + terms.usable_duration / 2 => {
+                let wait = self.barred.saturating_sub(now).min(terms.usable_duration);
                 self.later(now, terms, host, wait);
             }
             LeaseState::Claiming => {
@@ -282,13 +286,13 @@
                 self.next = now + self.wait;
             }
             LeaseState::Held if now >= self.until => {
-                host.stop(self.task, self.epoch);
+                host.lease_lost(self.task, self.epoch);
                 self.later(now, terms, host, 0);
             }
             LeaseState::Held => self.renew(now, terms, host),
             // Told again: the first word may have found its channel full.
             LeaseState::Stopping if now < self.until => {
-                host.stop(self.task, self.epoch);
+                host.lease_lost(self.task, self.epoch);
                 self.next = (now + terms.retry).min(self.until);
             }
             // Nobody said that it stopped; its time is over all the same.
@@ -305,7 +309,7 @@
             at: now,
             ..Asked::default()
         };
-        (0..terms.keepers).for_each(|k| host.accept(k, self.task, self.epoch, self.tag));
+        (0..terms.grantors).for_each(|k| host.accept(k, self.task, self.epoch, self.tag));
         self.next = (now + self.wait).min(self.until);
         self.wait *= 2;
     }
@@ -320,7 +324,7 @@
     }
 
     /// A keeper's answer to a claim's first question.
-    pub fn promised(
+    pub fn prepare_replied(
         &mut self,
         now: Time,
         terms: &LeaseConfig,
@@ -329,7 +333,7 @@
         ballot: u64,
         told: GrantorReply,
     ) {
-        if !self.heard_of(told.promise.promised) {
+        if !self.heard_of(told.state.promised) {
             return;
         }
         if self.state == LeaseState::Claiming {
@@ -349,8 +353,8 @@
         let Some(mut round) = self.round.take() else {
             return;
         };
-        if !told.good && told.promise.accepted.epoch > 0 {
-            self.barred = self.barred.max(now + told.left);
+        if !told.granted && told.state.accepted.epoch > 0 {
+            self.barred = self.barred.max(now + told.remaining);
         }
         let mut asks = Asks {
             host,
@@ -358,12 +362,12 @@
             tag: self.tag,
             accepts: false,
         };
-        let came = round.told(
+        let came = round.reply_received(
             (&mut asks, &mut Says(terms)),
             keeper,
             of,
-            told.good,
-            told.promise,
+            told.granted,
+            told.state,
         );
         if asks.accepts {
             // Leave counts from here: no keeper has heard of it before.
@@ -381,7 +385,7 @@
             }
             // While another's runs there is no use in asking.
             Some(RoundOutcome::Not(_) | RoundOutcome::NoMajority) => {
-                let wait = self.barred.saturating_sub(now).min(terms.usable);
+                let wait = self.barred.saturating_sub(now).min(terms.usable_duration);
                 self.later(now, terms, host, wait);
             }
         }
@@ -389,23 +393,27 @@
 
     /// A majority granted what was asked then.
     fn got(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions, asked: Time) {
-        let from = if terms.guards.from_asking { asked } else { now };
-        self.until = self.until.max(from + terms.usable);
+        let from = if terms.safety_checks.counts_from_request {
+            asked
+        } else {
+            now
+        };
+        self.until = self.until.max(from + terms.usable_duration);
         self.wait = terms.retry;
         // Renewals of many tasks spread by themselves over some time.
-        let spread = host.chance(terms.usable / (2 * RENEW) + 1);
-        let next = self.until - terms.usable + terms.usable / RENEW + spread;
+        let spread = host.random_below(terms.usable_duration / (2 * RENEW) + 1);
+        let next = self.until - terms.usable_duration + terms.usable_duration / RENEW + spread;
         // Those that fall due soon after each other go together, in few datagrams; members differ by their offset.
-        let grid = (terms.usable / (8 * RENEW)).max(1);
+        let grid = (terms.usable_duration / (8 * RENEW)).max(1);
         let next = next - (next + terms.offset) % grid;
         self.next = next.max(now + 1).min(self.until);
         if now < self.until {
-            host.held(self.task, self.epoch, self.until);
+            host.lease_acquired(self.task, self.epoch, self.until);
         }
     }
 
     /// A keeper's answer to an asking for leave, or for more of it.
-    pub fn accepted(
+    pub fn accept_replied(
         &mut self,
         now: Time,
         terms: &LeaseConfig,
@@ -414,7 +422,7 @@
         (epoch, tag): (u64, u32),
         told: GrantorReply,
     ) {
-        if !self.heard_of(told.promise.promised) {
+        if !self.heard_of(told.state.promised) {
             return;
         }
         match self.state {
@@ -425,24 +433,24 @@
                 let Some(ask) = self.asks.iter_mut().find(|a| tag > 0 && a.tag == tag) else {
                     return;
                 };
-                ask.votes += u32::from(told.good);
-                if told.good {
+                ask.votes += u32::from(told.granted);
+                if told.granted {
                     ask.granted |= 1 << keeper;
                 } else {
                     ask.refused |= 1 << keeper;
                 }
                 let ask = *ask;
-                let majority = terms.keepers as u32 / 2 + 1;
-                let votes = if terms.guards.once {
+                let majority = terms.grantors as u32 / 2 + 1;
+                let votes = if terms.safety_checks.one_vote_per_grantor {
                     ask.granted.count_ones()
                 } else {
                     ask.votes
                 };
-                if votes == majority && told.good {
+                if votes == majority && told.granted {
                     self.got(now, terms, host, ask.at);
                 } else if ask.refused.count_ones() >= majority {
                     // Keepers that lost their memory, or another under a newer epoch: it can only be claimed anew.
-                    host.stop(self.task, self.epoch);
+                    host.lease_lost(self.task, self.epoch);
                     self.later(now, terms, host, 0);
                 }
             }
@@ -451,7 +459,7 @@
     }
 
     /// Nobody here acts on it any more: it is given back.
-    pub fn stopped(
+    pub fn execution_stopped(
         &mut self,
         now: Time,
         terms: &LeaseConfig,
@@ -460,14 +468,14 @@
     ) -> bool {
         let given = self.state == LeaseState::Stopping && epoch == self.epoch;
         if given {
-            (0..terms.keepers).for_each(|k| host.release(k, self.task, epoch));
+            (0..terms.grantors).for_each(|k| host.release(k, self.task, epoch));
             self.later(now, terms, host, 0);
         }
         given
     }
 
     /// A worker has seen a newer epoch: keepers that lost their memory granted an old one.
-    pub fn outbid(
+    pub fn higher_epoch_seen(
         &mut self,
         now: Time,
         terms: &LeaseConfig,
@@ -476,7 +484,7 @@
     ) {
         // It may have been heard of before, from a keeper that promised it to another: what counts is what is held.
         if self.heard_of(epoch) && self.state == LeaseState::Held && epoch > self.epoch {
-            host.stop(self.task, self.epoch);
+            host.lease_lost(self.task, self.epoch);
             self.later(now, terms, host, 0);
         }
     }
--- a/crates/tidewall-lease/src/lib.rs
+++ b/crates/tidewall-lease/src/lib.rs
@@ -15,25 +15,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct SafetyChecks {
     /// A keeper is silent for a term after its start.
-    pub quiet: bool,
+    pub silent_start: bool,
     /// A term is shortened by what clocks may differ, and by a ticket's age.
-    pub shortened: bool,
+    pub shortened_lease: bool,
     /// Leave counts from its asking.
-    pub from_asking: bool,
+    pub counts_from_request: bool,
     /// A keeper counts once for each asking.
-    pub once: bool,
+    pub one_vote_per_grantor: bool,
     /// A datagram that came before is refused.
-    pub numbers: bool,
+    pub replay_protection: bool,
 }
 
 impl Default for SafetyChecks {
     fn default() -> SafetyChecks {
         SafetyChecks {
-            quiet: true,
-            shortened: true,
-            from_asking: true,
-            once: true,
-            numbers: true,
+            silent_start: true,
+            shortened_lease: true,
+            counts_from_request: true,
+            one_vote_per_grantor: true,
+            replay_protection: true,
         }
     }
 }
--- a/crates/tidewall-lease/src/proposer.rs
+++ b/crates/tidewall-lease/src/proposer.rs
@@ -11,7 +11,7 @@
 pub trait ProposalRule<C> {
     type No;
     /// What to claim under this ballot, given the newest claim that a majority may have accepted.
-    fn say(&mut self, ballot: u64, told: Option<C>) -> Result<C, Self::No>;
+    fn propose(&mut self, ballot: u64, told: Option<C>) -> Result<C, Self::No>;
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -91,7 +91,7 @@
     }
 
     /// The next ballot is above this one as well.
-    pub fn heard_of(&mut self, ballot: u64) {
+    pub fn ballot_seen(&mut self, ballot: u64) {
         self.seen = self.seen.max(ballot);
     }
 
@@ -131,7 +131,7 @@
     }
 
     /// A voter's answer to the ballot; `accepting` tells which of the two questions it answers.
-    pub fn told<R: ProposalRule<C>>(
+    pub fn reply_received<R: ProposalRule<C>>(
         &mut self,
         (ask, rule): (&mut impl ProposerTransport<C>, &mut R),
         voter: usize,
@@ -152,7 +152,7 @@
     }
 
     /// A voter cannot be asked, or did not answer.
-    pub fn unheard<R: ProposalRule<C>>(
+    pub fn reply_missing<R: ProposalRule<C>>(
         &mut self,
         (ask, rule): (&mut impl ProposerTransport<C>, &mut R),
         voter: usize,
@@ -197,7 +197,7 @@
             self.stop();
             return Some(RoundOutcome::Granted(claim));
         }
-        let claim = match rule.say(self.ballot, self.governing()) {
+        let claim = match rule.propose(self.ballot, self.governing()) {
             Ok(claim) => claim,
             // Those that still may answer could change what is possible.
             Err(_) if open > 0 => return None,
--- a/crates/tidewall-lease/tests/explore.rs
+++ b/crates/tidewall-lease/tests/explore.rs
@@ -67,25 +67,25 @@
 fn kept(a: GrantorReply) -> Kept {
     // How long others are barred only says when it is of use to ask again; here whoever may ask does at any time.
     (
-        a.promise.promised,
-        a.promise.accepted.epoch,
-        a.promise.accepted.member,
-        a.promise.accepted.life,
+        a.state.promised,
+        a.state.accepted.epoch,
+        a.state.accepted.member,
+        a.state.accepted.incarnation,
     )
 }
 
 fn answer(good: bool, k: Kept) -> GrantorReply {
     let mut slot = GrantorSlot::default();
-    slot.promise.promised = k.0;
-    slot.promise.accepted = Grant {
+    slot.acceptor.promised = k.0;
+    slot.acceptor.accepted = Grant {
         epoch: k.1,
         member: k.2,
-        life: k.3,
+        incarnation: k.3,
     };
     GrantorReply {
-        good,
-        promise: slot.promise,
-        left: 0,
+        granted: good,
+        state: slot.acceptor,
+        remaining: 0,
     }
 }
 
@@ -157,28 +157,28 @@
     fn release(&mut self, keeper: usize, _: usize, epoch: u64) {
         self.way.push(Message::Release { keeper, epoch });
     }
-    fn held(&mut self, _: usize, _: u64, _: Time) {}
-    fn stop(&mut self, _: usize, _: u64) {}
-    fn chance(&mut self, _: Time) -> Time {
+    fn lease_acquired(&mut self, _: usize, _: u64, _: Time) {}
+    fn lease_lost(&mut self, _: usize, _: u64) {}
+    fn random_below(&mut self, _: Time) -> Time {
         0
     }
 }
 
 impl Plan {
     fn terms(&self, me: usize, life: u64) -> LeaseConfig {
-        let usable = if self.guards.shortened {
+        let usable = if self.guards.shortened_lease {
             usable(TERM, PPM, TICKET)
         } else {
             TERM
         };
         LeaseConfig {
-            me,
-            life,
-            keepers: 3,
-            usable,
+            member: me,
+            incarnation: life,
+            grantors: 3,
+            usable_duration: usable,
             retry: 1_000,
             offset: 0,
-            guards: self.guards,
+            safety_checks: self.guards,
         }
     }
 
@@ -221,8 +221,8 @@
             from: 0,
             life: 1,
         };
-        lease.want(0, &terms, &mut host, true, true);
-        lease.due(0, &terms, &mut host);
+        lease.set_wanted(0, &terms, &mut host, true, true);
+        lease.timer_fired(0, &terms, &mut host);
         w.members[0].0 = lease;
         w.way = way;
         while w.members[0].0.state != LeaseState::Held {
@@ -281,9 +281,9 @@
                     life: *life,
                 };
                 if lease.state == LeaseState::Idle {
-                    lease.want(now, &terms, &mut host, true, true);
+                    lease.set_wanted(now, &terms, &mut host, true, true);
                 }
-                lease.due(now, &terms, &mut host);
+                lease.timer_fired(now, &terms, &mut host);
                 all.push(n);
             }
             if lease.state == LeaseState::Held && w.left[6] > 0 {
@@ -296,12 +296,12 @@
                     from: m,
                     life: *life,
                 };
-                lease.want(now, &terms, &mut host, false, false);
+                lease.set_wanted(now, &terms, &mut host, false, false);
                 let epoch = lease.epoch;
-                lease.stopped(now, &terms, &mut host, epoch);
+                lease.execution_stopped(now, &terms, &mut host, epoch);
                 all.push(n);
             }
-            if lease.may(now) && w.left[2] > 0 {
+            if lease.is_held(now) && w.left[2] > 0 {
                 // It asked for a ticket just now; the act leaves.
                 let mut n = w.clone();
                 n.left[2] -= 1;
@@ -332,7 +332,7 @@
             if w.left[0] > 0 {
                 let mut n = w.clone();
                 n.left[0] -= 1;
-                let quiet = if self.guards.quiet {
+                let quiet = if self.guards.silent_start {
                     self.keeper_clock(w.at) + TERM
                 } else {
                     0
@@ -393,7 +393,7 @@
                     life,
                     keeper,
                     ballot,
-                    good: a.good,
+                    good: a.granted,
                     told,
                 });
             }
@@ -413,7 +413,7 @@
                     Grant {
                         epoch,
                         member: from,
-                        life,
+                        incarnation: life,
                     },
                     TERM,
                 );
@@ -424,7 +424,7 @@
                     keeper,
                     epoch,
                     tag,
-                    good: a.good,
+                    good: a.granted,
                     told,
                 });
             }
@@ -448,7 +448,7 @@
                     from: to,
                     life,
                 };
-                lease.promised(now, &terms, &mut host, keeper, ballot, answer(good, told));
+                lease.prepare_replied(now, &terms, &mut host, keeper, ballot, answer(good, told));
             }
             Message::Accepted {
                 to,
@@ -470,7 +470,7 @@
                     from: to,
                     life,
                 };
-                lease.accepted(
+                lease.accept_replied(
                     now,
                     &terms,
                     &mut host,
@@ -511,7 +511,7 @@
         }
         // A member that stands still has checked before: its check is void by the ticket, not by its clock.
         let may = (0..self.members)
-            .filter(|m| w.still != Some(*m) && w.members[*m].0.may(self.clock(*m, w.at)));
+            .filter(|m| w.still != Some(*m) && w.members[*m].0.is_held(self.clock(*m, w.at)));
         if may.count() > 1 {
             w.broken = Some("two may act at once");
         }
@@ -552,11 +552,11 @@
 /// Holders' clocks slow and keepers' fast is the worst for a lease; the worker's is the other way about.
 const WORST: Plan = Plan {
     guards: SafetyChecks {
-        quiet: true,
-        shortened: true,
-        from_asking: true,
-        once: true,
-        numbers: true,
+        silent_start: true,
+        shortened_lease: true,
+        counts_from_request: true,
+        one_vote_per_grantor: true,
+        replay_protection: true,
     },
     fenced: true,
     fast: [false, true, false],
@@ -598,11 +598,11 @@
 /// States after which no further step is begun, in CI.
 const MOST: usize = 200_000;
 
-#[test_case(Plan { guards: SafetyChecks { quiet: false, ..GUARDS }, left: [1, 0, 0, 0, 0, 1, 0], ..WORST } ; "keepers that forget")]
-#[test_case(Plan { guards: SafetyChecks { shortened: false, ..GUARDS }, ..WORST } ; "a term not shortened by the bound of clocks")]
+#[test_case(Plan { guards: SafetyChecks { silent_start: false, ..GUARDS }, left: [1, 0, 0, 0, 0, 1, 0], ..WORST } ; "keepers that forget")]
+#[test_case(Plan { guards: SafetyChecks { shortened_lease: false, ..GUARDS }, ..WORST } ; "a term not shortened by the bound of clocks")]
 #[test_case(Plan { fenced: false, broken_clocks: true, left: [0, 0, 2, 0, 0, 1, 0], ..WORST } ; "workers that look at no epoch")]
-#[test_case(Plan { guards: SafetyChecks { from_asking: false, ..GUARDS }, left: [0, 0, 0, 0, 1, 1, 0], ticks: 6, ..WORST } ; "a renewal counted from its answer")]
-#[test_case(Plan { guards: SafetyChecks { once: false, ..GUARDS }, left: [0, 0, 0, 1, 1, 1, 0], reaches: [[true, false, false], [false, true, true]], ..WORST } ; "one vote counted twice")]
+#[test_case(Plan { guards: SafetyChecks { counts_from_request: false, ..GUARDS }, left: [0, 0, 0, 0, 1, 1, 0], ticks: 6, ..WORST } ; "a renewal counted from its answer")]
+#[test_case(Plan { guards: SafetyChecks { one_vote_per_grantor: false, ..GUARDS }, left: [0, 0, 0, 1, 1, 1, 0], reaches: [[true, false, false], [false, true, true]], ..WORST } ; "one vote counted twice")]
 fn a_planted_fault_is_found(plan: Plan) {
     let (states, depth, broken) = plan.explore(plan.granted(), 40, 25 * MOST);
     println!("{states} states to depth {depth}: {broken:?}");
--- a/crates/tidewall-lease/tests/lease.rs
+++ b/crates/tidewall-lease/tests/lease.rs
@@ -20,52 +20,52 @@
         self.accepts.push((keeper, epoch, tag));
     }
     fn release(&mut self, _: usize, _: usize, _: u64) {}
-    fn held(&mut self, _: usize, _: u64, until: u64) {
+    fn lease_acquired(&mut self, _: usize, _: u64, until: u64) {
         self.held.push(until);
     }
-    fn stop(&mut self, _: usize, epoch: u64) {
+    fn lease_lost(&mut self, _: usize, epoch: u64) {
         self.stopped.push(epoch);
     }
-    fn chance(&mut self, _: u64) -> u64 {
+    fn random_below(&mut self, _: u64) -> u64 {
         0
     }
 }
 
 const TERMS: LeaseConfig = LeaseConfig {
-    me: 1,
-    life: 7,
-    keepers: 3,
-    usable: 1_600,
+    member: 1,
+    incarnation: 7,
+    grantors: 3,
+    usable_duration: 1_600,
     retry: 100,
     offset: 0,
-    guards: SafetyChecks {
-        quiet: true,
-        shortened: true,
-        from_asking: true,
-        once: true,
-        numbers: true,
+    safety_checks: SafetyChecks {
+        silent_start: true,
+        shortened_lease: true,
+        counts_from_request: true,
+        one_vote_per_grantor: true,
+        replay_protection: true,
     },
 };
 
 fn good(epoch: u64) -> GrantorReply {
     let mut slot = GrantorSlot::default();
-    slot.promise.promised = epoch;
+    slot.acceptor.promised = epoch;
     GrantorReply {
-        good: true,
-        promise: slot.promise,
-        left: 0,
+        granted: true,
+        state: slot.acceptor,
+        remaining: 0,
     }
 }
 
 /// Claimed at 0, the answers to its first question at 10, to its second at 20.
 fn granted() -> (Lease, BallotedValue) {
     let (mut lease, mut said) = (Lease::new(0), BallotedValue::default());
-    lease.want(0, &TERMS, &mut said, true, true);
-    lease.due(0, &TERMS, &mut said);
+    lease.set_wanted(0, &TERMS, &mut said, true, true);
+    lease.timer_fired(0, &TERMS, &mut said);
     let of = said.prepared[0].1;
-    (0..2).for_each(|k| lease.promised(10, &TERMS, &mut said, k, of, good(of)));
+    (0..2).for_each(|k| lease.prepare_replied(10, &TERMS, &mut said, k, of, good(of)));
     let (_, epoch, tag) = said.accepts[0];
-    (0..2).for_each(|k| lease.accepted(20, &TERMS, &mut said, k, (epoch, tag), good(epoch)));
+    (0..2).for_each(|k| lease.accept_replied(20, &TERMS, &mut said, k, (epoch, tag), good(epoch)));
     (lease, said)
 }
 
@@ -76,7 +76,7 @@
         (lease.state, said.held.as_slice()),
         (LeaseState::Held, &[1_610][..])
     );
-    assert!(lease.may(1_609) && !lease.may(1_610));
+    assert!(lease.is_held(1_609) && !lease.is_held(1_610));
 }
 
 /// Answers to an asking that another followed count from their own time.
@@ -85,13 +85,14 @@
     let (mut lease, mut said) = granted();
     said.accepts.clear();
     let first = lease.next;
-    lease.due(first, &TERMS, &mut said);
+    lease.timer_fired(first, &TERMS, &mut said);
     let (_, epoch, tag) = said.accepts[0];
-    lease.due(first + 100, &TERMS, &mut said);
+    lease.timer_fired(first + 100, &TERMS, &mut said);
     assert_eq!(said.accepts.len(), 6);
-    (0..2)
-        .for_each(|k| lease.accepted(first + 250, &TERMS, &mut said, k, (epoch, tag), good(epoch)));
-    assert_eq!(said.held.last(), Some(&(first + TERMS.usable)));
+    (0..2).for_each(|k| {
+        lease.accept_replied(first + 250, &TERMS, &mut said, k, (epoch, tag), good(epoch))
+    });
+    assert_eq!(said.held.last(), Some(&(first + TERMS.usable_duration)));
 }
 
 /// A worker saw a newer epoch than the one held, which this lease may have heard of already (a keeper had promised it to another):
@@ -103,42 +104,45 @@
     let newer = ballot(2, 9, 40);
     if before {
         let mut no = good(newer);
-        no.good = false;
-        lease.accepted(30, &TERMS, &mut said, 2, (lease.epoch, 99), no);
+        no.granted = false;
+        lease.accept_replied(30, &TERMS, &mut said, 2, (lease.epoch, 99), no);
     }
     let held = lease.epoch;
-    lease.outbid(50, &TERMS, &mut said, newer);
+    lease.higher_epoch_seen(50, &TERMS, &mut said, newer);
     assert_eq!(
         (lease.state, said.stopped.as_slice()),
         (LeaseState::Idle, &[held][..])
     );
     said.prepared.clear();
     let next = lease.next;
-    lease.due(next, &TERMS, &mut said);
+    lease.timer_fired(next, &TERMS, &mut said);
     assert!(said.prepared[0].1 > newer);
     // Words that come late, of what is held by now, change nothing.
     let (mut lease, mut said) = granted();
-    lease.outbid(50, &TERMS, &mut said, held);
+    lease.higher_epoch_seen(50, &TERMS, &mut said, held);
     assert_eq!((lease.state, said.stopped.len()), (LeaseState::Held, 0));
 }
 
 #[test]
 fn a_lease_of_another_is_waited_for_by_the_keeper_that_bars_longest() {
     let (mut lease, mut said) = (Lease::new(0), BallotedValue::default());
-    lease.want(0, &TERMS, &mut said, true, true);
-    lease.due(0, &TERMS, &mut said);
+    lease.set_wanted(0, &TERMS, &mut said, true, true);
+    lease.timer_fired(0, &TERMS, &mut said);
     let of = said.prepared[0].1;
     let barred = |left| {
         let mut a = good(5);
-        a.good = false;
-        a.promise.accepted = Grant {
+        a.granted = false;
+        a.state.accepted = Grant {
             epoch: 5,
             member: 2,
-            life: 3,
+            incarnation: 3,
         };
-        GrantorReply { left, ..a }
+        GrantorReply {
+            remaining: left,
+            ..a
+        }
     };
-    lease.promised(10, &TERMS, &mut said, 0, of, barred(900));
-    lease.promised(10, &TERMS, &mut said, 1, of, barred(400));
+    lease.prepare_replied(10, &TERMS, &mut said, 0, of, barred(900));
+    lease.prepare_replied(10, &TERMS, &mut said, 1, of, barred(400));
     assert_eq!((lease.state, lease.next), (LeaseState::Idle, 911));
 }
--- a/crates/tidewall-membership/src/gossip.rs
+++ b/crates/tidewall-membership/src/gossip.rs
@@ -3,18 +3,18 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum MemberState {
-    Here,
+    Alive,
     Suspect,
-    Gone,
+    Dead,
     /// It said so itself.
     Left,
 }
 
 impl MemberState {
     pub const ALL: [MemberState; 4] = [
-        MemberState::Here,
+        MemberState::Alive,
         MemberState::Suspect,
-        MemberState::Gone,
+        MemberState::Dead,
         MemberState::Left,
     ];
 }
@@ -23,9 +23,9 @@
 /// turn to refute what is said of it); of one turn, the worse standing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MemberUpdate {
-    pub life: u64,
-    pub turn: u32,
-    pub standing: MemberState,
+    pub incarnation: u64,
+    pub refutation: u32,
+    pub state: MemberState,
 }
 
 pub struct GossipQueue {
--- a/crates/tidewall-membership/src/lib.rs
+++ b/crates/tidewall-membership/src/lib.rs
@@ -14,13 +14,13 @@
     /// 0 as its number: just to be heard, no answer is waited for.
     fn ping(&mut self, to: usize, seq: u32);
     /// Ping that one on our behalf.
-    fn ping_for(&mut self, via: usize, target: usize, seq: u32);
+    fn ping_indirect(&mut self, via: usize, target: usize, seq: u32);
     /// `of` is there.
     fn ack(&mut self, to: usize, of: usize, seq: u32);
-    fn comes(&mut self, member: usize, life: u64);
-    fn goes(&mut self, member: usize, left: bool);
+    fn member_joined(&mut self, member: usize, life: u64);
+    fn member_lost(&mut self, member: usize, left: bool);
     /// Below that, drawn.
-    fn chance(&mut self, below: u64) -> u64;
+    fn random_below(&mut self, below: u64) -> u64;
 }
 
 /// Members asked to ping another one on our behalf; SWIM's usual number.
@@ -80,7 +80,7 @@
     periods: u64,
     last: Time,
     /// How much we doubt ourselves.
-    pub doubt: u32,
+    pub self_distrust: u32,
     leaving: bool,
     /// Where the search among members never heard of stands.
     fresh: usize,
@@ -120,7 +120,7 @@
             next: now + first,
             periods: 0,
             last: now,
-            doubt: 0,
+            self_distrust: 0,
             leaving: false,
             fresh: 0,
             suspected: 0,
@@ -128,53 +128,53 @@
         }
     }
 
-    pub fn word(&self, member: usize) -> Option<MemberUpdate> {
+    pub fn update_of(&self, member: usize) -> Option<MemberUpdate> {
         if member == self.me {
-            return Some(self.own());
+            return Some(self.own_update());
         }
         self.list[member].word
     }
 
     /// It is there, as far as we know; one that is suspected still is.
-    pub fn here(&self, member: usize) -> bool {
-        self.word(member)
-            .is_some_and(|w| w.standing <= MemberState::Suspect)
+    pub fn is_alive(&self, member: usize) -> bool {
+        self.update_of(member)
+            .is_some_and(|w| w.state <= MemberState::Suspect)
     }
 
     /// What we say of ourselves.
-    pub fn own(&self) -> MemberUpdate {
+    pub fn own_update(&self) -> MemberUpdate {
         let standing = if self.leaving {
             MemberState::Left
         } else {
-            MemberState::Here
+            MemberState::Alive
         };
         MemberUpdate {
-            life: self.life,
-            turn: self.turn,
-            standing,
+            incarnation: self.life,
+            refutation: self.turn,
+            state: standing,
         }
     }
 
-    pub fn count(&self) -> usize {
-        (0..self.list.len()).filter(|m| self.here(*m)).count()
+    pub fn alive_count(&self) -> usize {
+        (0..self.list.len()).filter(|m| self.is_alive(*m)).count()
     }
 
     /// What the receiver should hear first: that it is thought gone, so that it can refute it.
-    pub fn of_itself(&self, to: usize) -> Option<MemberUpdate> {
-        self.word(to).filter(|w| w.standing > MemberState::Here)
+    pub fn update_for(&self, to: usize) -> Option<MemberUpdate> {
+        self.update_of(to).filter(|w| w.state > MemberState::Alive)
     }
 
     /// What to tell along with the next datagram: a member, and what is known of it.
-    pub fn rumour(&mut self) -> Option<(usize, MemberUpdate)> {
+    pub fn next_gossip(&mut self) -> Option<(usize, MemberUpdate)> {
         loop {
             let member = self.rumours.tell()?;
-            if let Some(word) = self.word(member) {
+            if let Some(word) = self.update_of(member) {
                 return Some((member, word));
             }
         }
     }
 
-    pub fn rumours(&self) -> usize {
+    pub fn pending_gossip(&self) -> usize {
         self.rumours.len()
     }
 
@@ -184,16 +184,16 @@
     }
 
     fn patience(&self) -> Time {
-        self.period / 3 * Time::from(1 + self.doubt)
+        self.period / 3 * Time::from(1 + self.self_distrust)
     }
 
     fn suspicion(&self) -> Time {
         let logs = (u64::from((self.list.len() + 1).ilog2()) * 3).div_ceil(10);
-        SUSPECT * logs.max(1) * self.period * Time::from(1 + self.doubt / 2)
+        SUSPECT * logs.max(1) * self.period * Time::from(1 + self.self_distrust / 2)
     }
 
     /// We stood still or were starved for that long: what was not heard meanwhile says nothing of others.
-    pub fn stood(&mut self, long: Time) {
+    pub fn process_stalled(&mut self, long: Time) {
         if long < self.period / 2 {
             return;
         }
@@ -202,7 +202,7 @@
         for m in &mut self.list {
             m.until += long;
         }
-        self.doubt = (self.doubt + 1).min(DOUBT);
+        self.self_distrust = (self.self_distrust + 1).min(DOUBT);
     }
 
     /// At least three times a period.
@@ -210,12 +210,12 @@
         // A tick that comes late: starved, however it came about.
         let late = (now - self.last).saturating_sub(self.period);
         self.last = now;
-        self.stood(late);
+        self.process_stalled(late);
         if let Some(probe) = &self.probe {
             let (target, seq, since) = (probe.target, probe.seq, probe.at);
             if now >= since + 3 * self.patience() {
                 self.probe = None;
-                self.doubt = (self.doubt + 1).min(DOUBT);
+                self.self_distrust = (self.self_distrust + 1).min(DOUBT);
                 self.suspect(now, host, target);
             } else if !probe.by_others && now >= since + self.patience() {
                 self.by_others(host, target, seq);
@@ -223,14 +223,14 @@
         }
         for m in 0..self.list.len() {
             let over =
-                |w: MemberUpdate| w.standing == MemberState::Suspect && now >= self.list[m].until;
+                |w: MemberUpdate| w.state == MemberState::Suspect && now >= self.list[m].until;
             if let Some(word) = self.list[m].word.filter(|w| over(*w)) {
                 self.learn(
                     now,
                     host,
                     m,
                     MemberUpdate {
-                        standing: MemberState::Gone,
+                        state: MemberState::Dead,
                         ..word
                     },
                 );
@@ -240,7 +240,7 @@
             // Quickly, to one after the other, as nobody here will be there much longer.
             for _ in 0..VIA {
                 let to = self.next_fresh();
-                if to != self.me && self.here(to) {
+                if to != self.me && self.is_alive(to) {
                     host.ping(to, 0);
                 }
             }
@@ -262,7 +262,7 @@
         for _ in 0..tries {
             let member = self.next_fresh();
             // In the first round those that are here too: they may not have heard of this life.
-            if member != self.me && !(all && self.here(member)) {
+            if member != self.me && !(all && self.is_alive(member)) {
                 host.ping(member, 0);
             }
         }
@@ -272,13 +272,13 @@
         for _ in 0..self.order.len() {
             if self.at == 0 {
                 for i in (1..self.order.len()).rev() {
-                    let j = host.chance(i as u64 + 1) as usize;
+                    let j = host.random_below(i as u64 + 1) as usize;
                     self.order.swap(i, j);
                 }
             }
             let target = self.order[self.at];
             self.at = (self.at + 1) % self.order.len();
-            if self.here(target) {
+            if self.is_alive(target) {
                 let seq = self.seq();
                 self.probe = Some(Probe {
                     target,
@@ -306,22 +306,22 @@
             .order
             .iter()
             .copied()
-            .filter(|m| *m != target && self.here(*m))
+            .filter(|m| *m != target && self.is_alive(*m))
             .collect();
         let from = if others.is_empty() {
             0
         } else {
-            host.chance(others.len() as u64) as usize
+            host.random_below(others.len() as u64) as usize
         };
         for i in 0..VIA.min(others.len()) {
-            host.ping_for(others[(from + i) % others.len()], target, seq);
+            host.ping_indirect(others[(from + i) % others.len()], target, seq);
         }
     }
 
     fn suspect(&mut self, now: Time, host: &mut impl MembershipActions, member: usize) {
         if let Some(word) = self.list[member]
             .word
-            .filter(|w| w.standing == MemberState::Here)
+            .filter(|w| w.state == MemberState::Alive)
         {
             self.suspected += 1;
             self.learn(
@@ -329,7 +329,7 @@
                 host,
                 member,
                 MemberUpdate {
-                    standing: MemberState::Suspect,
+                    state: MemberState::Suspect,
                     ..word
                 },
             );
@@ -346,11 +346,11 @@
     ) {
         if member == self.me {
             // Ourselves as of this life: whatever worse is said is refuted by a new turn.
-            let ours = word.life == self.life && word.turn >= self.turn;
-            if ours && word.standing > MemberState::Here && !self.leaving {
-                self.turn = word.turn + 1;
+            let ours = word.incarnation == self.life && word.refutation >= self.turn;
+            if ours && word.state > MemberState::Alive && !self.leaving {
+                self.turn = word.refutation + 1;
                 self.refuted += 1;
-                self.doubt = (self.doubt + 1).min(DOUBT);
+                self.self_distrust = (self.self_distrust + 1).min(DOUBT);
                 self.rumours.new_word(self.me, false);
             }
             return;
@@ -359,24 +359,26 @@
         if was.is_some_and(|w| w >= word) {
             return;
         }
-        let here = self.here(member);
+        let here = self.is_alive(member);
         self.list[member].word = Some(word);
-        if word.standing == MemberState::Suspect {
+        if word.state == MemberState::Suspect {
             self.list[member].until = now + self.suspicion();
         }
-        self.rumours
-            .new_word(member, word.standing == MemberState::Here && word.turn == 0);
-        let comes = word.standing <= MemberState::Suspect;
-        if comes && (!here || was.is_some_and(|w| w.life != word.life)) {
-            host.comes(member, word.life);
+        self.rumours.new_word(
+            member,
+            word.state == MemberState::Alive && word.refutation == 0,
+        );
+        let comes = word.state <= MemberState::Suspect;
+        if comes && (!here || was.is_some_and(|w| w.incarnation != word.incarnation)) {
+            host.member_joined(member, word.incarnation);
         } else if here && !comes {
-            host.goes(member, word.standing == MemberState::Left);
+            host.member_lost(member, word.state == MemberState::Left);
         }
     }
 
     /// Something came from that member just now, whatever it was, and with it what it says of itself. False where it is
     /// from a former life.
-    pub fn heard(
+    pub fn sender_heard(
         &mut self,
         now: Time,
         host: &mut impl MembershipActions,
@@ -384,25 +386,25 @@
         word: MemberUpdate,
     ) -> bool {
         let MemberUpdate {
-            life,
-            turn,
-            standing,
+            incarnation: life,
+            refutation: turn,
+            state: standing,
         } = word;
         let Some(member) = self.list.get(from).filter(|_| from != self.me) else {
             return false;
         };
-        if member.word.is_some_and(|w| w.life > life) {
+        if member.word.is_some_and(|w| w.incarnation > life) {
             return false;
         }
         match member.word {
             Some(w)
-                if standing == MemberState::Here
-                    && w.life == life
-                    && w.standing > MemberState::Here
-                    && w.turn >= turn =>
+                if standing == MemberState::Alive
+                    && w.incarnation == life
+                    && w.state > MemberState::Alive
+                    && w.refutation >= turn =>
             {
                 // It is there all the same: it hears what is said of it with the answer, and refutes it.
-                if w.standing == MemberState::Suspect {
+                if w.state == MemberState::Suspect {
                     self.list[from].until = now + self.suspicion();
                 }
             }
@@ -411,7 +413,7 @@
         true
     }
 
-    pub fn told(
+    pub fn gossip_received(
         &mut self,
         now: Time,
         host: &mut impl MembershipActions,
@@ -423,12 +425,12 @@
         }
     }
 
-    pub fn pinged(&mut self, host: &mut impl MembershipActions, from: usize, seq: u32) {
+    pub fn ping_received(&mut self, host: &mut impl MembershipActions, from: usize, seq: u32) {
         host.ack(from, self.me, seq);
     }
 
     /// Asked to ping another one.
-    pub fn pinged_for(
+    pub fn indirect_ping_received(
         &mut self,
         host: &mut impl MembershipActions,
         from: usize,
@@ -452,14 +454,20 @@
     }
 
     /// `from` says that `of` is there.
-    pub fn acked(&mut self, host: &mut impl MembershipActions, from: usize, of: usize, seq: u32) {
+    pub fn ack_received(
+        &mut self,
+        host: &mut impl MembershipActions,
+        from: usize,
+        of: usize,
+        seq: u32,
+    ) {
         if self
             .probe
             .as_ref()
             .is_some_and(|p| p.seq == seq && p.target == of)
         {
             self.probe = None;
-            self.doubt = self.doubt.saturating_sub(1);
+            self.self_distrust = self.self_distrust.saturating_sub(1);
         }
         if let Some(i) = self
             .relays
--- a/crates/tidewall-membership/tests/help/mod.rs
+++ b/crates/tidewall-membership/tests/help/mod.rs
@@ -27,19 +27,19 @@
     fn ping(&mut self, to: usize, seq: u32) {
         self.sent.push((to, Sent::Ping(seq)));
     }
-    fn ping_for(&mut self, via: usize, target: usize, seq: u32) {
+    fn ping_indirect(&mut self, via: usize, target: usize, seq: u32) {
         self.sent.push((via, Sent::PingFor(target, seq)));
     }
     fn ack(&mut self, to: usize, of: usize, seq: u32) {
         self.sent.push((to, Sent::Ack(of, seq)));
     }
-    fn comes(&mut self, member: usize, _: u64) {
+    fn member_joined(&mut self, member: usize, _: u64) {
         self.comes.push(member);
     }
-    fn goes(&mut self, member: usize, left: bool) {
+    fn member_lost(&mut self, member: usize, left: bool) {
         self.goes.push((member, left));
     }
-    fn chance(&mut self, below: u64) -> u64 {
+    fn random_below(&mut self, below: u64) -> u64 {
         self.chance
             .as_mut()
             .map_or(0, |c| c.random_range(0..below.max(1)))
@@ -93,12 +93,12 @@
     fn post(&mut self, from: usize) {
         for (to, sent) in std::mem::take(&mut self.outs[from].sent) {
             let m = &mut self.members[from];
-            let first = m.of_itself(to).map(|w| (to, w));
+            let first = m.update_for(to).map(|w| (to, w));
             let rumours: Vec<_> = first
                 .into_iter()
-                .chain((0..6).map_while(|_| m.rumour()))
+                .chain((0..6).map_while(|_| m.next_gossip()))
                 .collect();
-            let datagram = (from, m.own(), sent, rumours);
+            let datagram = (from, m.own_update(), sent, rumours);
             self.datagrams += 1;
             self.count += 1;
             let lost = self.chance.random_ratio(self.lost, 1_000);
@@ -110,16 +110,16 @@
 
     fn come(&mut self, to: usize, (from, word, sent, rumours): Datagram) {
         let (m, out, now) = (&mut self.members[to], &mut self.outs[to], self.now);
-        if !m.heard(now, out, from, word) {
+        if !m.sender_heard(now, out, from, word) {
             return;
         }
         rumours
             .into_iter()
-            .for_each(|(of, word)| m.told(now, out, of, word));
+            .for_each(|(of, word)| m.gossip_received(now, out, of, word));
         match sent {
-            Sent::Ping(seq) => m.pinged(out, from, seq),
-            Sent::PingFor(target, seq) => m.pinged_for(out, from, target, seq),
-            Sent::Ack(of, seq) => m.acked(out, from, of, seq),
+            Sent::Ping(seq) => m.ping_received(out, from, seq),
+            Sent::PingFor(target, seq) => m.indirect_ping_received(out, from, target, seq),
+            Sent::Ack(of, seq) => m.ack_received(out, from, of, seq),
         }
         self.post(to);
     }
@@ -156,9 +156,9 @@
         let run = |m: &usize| !self.down[*m] && !self.still[*m];
         let all = || 0..self.members.len();
         let pairs = all().filter(run).flat_map(|m| all().map(move |o| (m, o)));
-        let wrong = pairs.filter(|(m, o)| self.members[*m].here(*o) != run(o));
+        let wrong = pairs.filter(|(m, o)| self.members[*m].is_alive(*o) != run(o));
         wrong
-            .map(|(m, o)| (m, o, self.members[m].word(o)))
+            .map(|(m, o)| (m, o, self.members[m].update_of(o)))
             .collect()
     }
 
--- a/crates/tidewall-membership/tests/swim.rs
+++ b/crates/tidewall-membership/tests/swim.rs
@@ -7,9 +7,9 @@
 
 fn here_in(life: u64) -> MemberUpdate {
     MemberUpdate {
-        life,
-        turn: 0,
-        standing: MemberState::Here,
+        incarnation: life,
+        refutation: 0,
+        state: MemberState::Alive,
     }
 }
 
@@ -79,7 +79,7 @@
         .filter(|(a, b)| side(*a) != side(*b))
         .collect();
     net.run(60 * PERIOD);
-    assert!((0..6).all(|m| (0..6).all(|o| net.members[m].here(o) == (side(m) == side(o)))));
+    assert!((0..6).all(|m| (0..6).all(|o| net.members[m].is_alive(o) == (side(m) == side(o)))));
     net.cut.clear();
     net.run(80 * PERIOD);
     assert_eq!(net.wrong(), []);
@@ -92,9 +92,9 @@
     net.run(20 * PERIOD);
     net.still[0] = true;
     net.run(60 * PERIOD);
-    assert!((1..5).all(|m| !net.members[m].here(0)));
+    assert!((1..5).all(|m| !net.members[m].is_alive(0)));
     net.still[0] = false;
-    net.members[0].stood(60 * PERIOD);
+    net.members[0].process_stalled(60 * PERIOD);
     net.run(30 * PERIOD);
     assert!(net.outs[0].goes.is_empty());
     assert!(net.agree(), "it refutes what was said of it");
@@ -113,22 +113,22 @@
     assert!(net.outs[1..].iter().all(|o| o.goes == [(0, true)]));
 }
 
-#[test_case(MemberUpdate { life: 1, turn: 9, standing: MemberState::Gone }, true ; "a former life")]
-#[test_case(MemberUpdate { life: 2, turn: 0, standing: MemberState::Suspect }, true ; "suspected, not yet gone")]
-#[test_case(MemberUpdate { life: 2, turn: 0, standing: MemberState::Gone }, false ; "this life")]
-#[test_case(MemberUpdate { life: 3, turn: 0, standing: MemberState::Here }, true ; "a newer life")]
+#[test_case(MemberUpdate { incarnation: 1, refutation: 9, state: MemberState::Dead }, true ; "a former life")]
+#[test_case(MemberUpdate { incarnation: 2, refutation: 0, state: MemberState::Suspect }, true ; "suspected, not yet gone")]
+#[test_case(MemberUpdate { incarnation: 2, refutation: 0, state: MemberState::Dead }, false ; "this life")]
+#[test_case(MemberUpdate { incarnation: 3, refutation: 0, state: MemberState::Alive }, true ; "a newer life")]
 fn which_word_is_news(word: MemberUpdate, here: bool) {
     let mut net = Net::new(3, 7);
     let (m, out) = (&mut net.members[0], &mut net.outs[0]);
-    assert!(m.heard(0, out, 1, here_in(2)));
-    m.told(0, out, 1, word);
-    assert_eq!(m.here(1), here);
+    assert!(m.sender_heard(0, out, 1, here_in(2)));
+    m.gossip_received(0, out, 1, word);
+    assert_eq!(m.is_alive(1), here);
     assert!(
-        !m.heard(0, out, 1, here_in(1)),
+        !m.sender_heard(0, out, 1, here_in(1)),
         "a former life is not heard"
     );
     // A member that there is not.
-    m.told(0, out, 7, word);
+    m.gossip_received(0, out, 7, word);
 }
 
 /// The same seed is the same run.
--- a/crates/tidewall-sim/src/fleet.rs
+++ b/crates/tidewall-sim/src/fleet.rs
@@ -53,11 +53,11 @@
 
     pub fn guards(self) -> SafetyChecks {
         SafetyChecks {
-            quiet: self != Plant::Forgets,
-            shortened: self != Plant::NotShortened,
-            from_asking: self != Plant::FromAnswer,
-            once: self != Plant::TwoVotes,
-            numbers: self != Plant::TwoVotes,
+            silent_start: self != Plant::Forgets,
+            shortened_lease: self != Plant::NotShortened,
+            counts_from_request: self != Plant::FromAnswer,
+            one_vote_per_grantor: self != Plant::TwoVotes,
+            replay_protection: self != Plant::TwoVotes,
         }
     }
 }
@@ -348,7 +348,7 @@
     let conf = CoordinationConfig::new(s, me, life, seed, setup.plant.guards(), Box::new(keys));
     let (to_acts, acts_inbox) = channel::<ExecutorCommand>(conf.channel);
     let (from_acts, inbox) = channel(conf.channel);
-    let mut watch: MailboxSender<ExecutorCommand> = to_acts.other();
+    let mut watch: MailboxSender<ExecutorCommand> = to_acts.clone_sender();
     let told = Arc::new(AtomicBool::new(false));
     let over = Arc::new(AtomicBool::new(false));
     let acting = ExecutorTask::new(hands[2].clone(), &conf, acts_inbox, from_acts, over);
@@ -357,7 +357,7 @@
     let gateway = if setup.rate > 0.0 {
         let mut gateway = site::plain(s, &hands[0], me, seed);
         gateway.watch_endpoints(Box::new(move |list| {
-            watch.send(ExecutorCommand::Workers(
+            watch.send(ExecutorCommand::EndpointsChanged(
                 list.iter().map(|e| (e.name.clone(), e.address)).collect(),
             ))
         }));
@@ -507,7 +507,7 @@
         (p.back, p.leaves) = (Some(now + back), None);
         self.counted.refused += p.keeping.counts.refused.get();
         self.counted.datagrams += p.keeping.counts.sent.get();
-        self.counted.full += p.keeping.full();
+        self.counted.full += p.keeping.dropped_commands();
         if !p.ended {
             self.fleet.killed(m, true);
         }
@@ -713,7 +713,7 @@
             let p = &self.processes[m];
             let drained = p.gateway.as_ref().map_or(true, |_| p.hands[0].dead());
             if let Some((at, back)) = p.leaves {
-                if p.keeping.over() && drained || now > at + PATIENCE {
+                if p.keeping.is_finished() && drained || now > at + PATIENCE {
                     self.kill(m, back);
                 }
             }
@@ -736,7 +736,7 @@
     pub fn holders(&self, task: usize) -> Vec<usize> {
         let may = |p: &Process| {
             let now = p.hands[1].now();
-            p.back.is_none() && p.keeping.holder().lease(task).may(now)
+            p.back.is_none() && p.keeping.holder().lease(task).is_held(now)
         };
         (0..self.processes.len())
             .filter(|m| may(&self.processes[*m]))
@@ -755,7 +755,7 @@
                 format!(
                     "{m}:{:?}/{:?}/{}",
                     l.state,
-                    p.keeping.best(task),
+                    p.keeping.preferred_holder(task),
                     if l.wanted() { "wanted" } else { "-" }
                 )
             });
@@ -765,7 +765,7 @@
     /// Two that may act on one task at once, each by its own clock, whether or not a turn of both falls into that time.
     fn overlap(&mut self) {
         for task in (0..self.setup.leases).filter(|_| !self.wild) {
-            let may = |p: &Process| p.back.is_none() && p.acting.may(p.hands[2].now(), task);
+            let may = |p: &Process| p.back.is_none() && p.acting.is_held(p.hands[2].now(), task);
             let both: Vec<usize> = (0..self.processes.len())
                 .filter(|m| may(&self.processes[*m]))
                 .collect();
@@ -783,7 +783,7 @@
         let acted_on = |task| {
             self.processes
                 .iter()
-                .any(|p| p.acting.may(p.hands[2].now(), task))
+                .any(|p| p.acting.is_held(p.hands[2].now(), task))
         };
         (0..self.setup.leases).all(|task| self.holders(task).len() == 1 && acted_on(task))
             && self.processes.iter().all(|p| {
@@ -848,7 +848,7 @@
         for p in &self.processes {
             self.counted.refused += p.keeping.counts.refused.get();
             self.counted.datagrams += p.keeping.counts.sent.get();
-            self.counted.full += p.keeping.full();
+            self.counted.full += p.keeping.dropped_commands();
         }
         let results = self.fleet.results();
         let (digest, steps) = (self.world.borrow().digest(), self.world.borrow().steps);
--- a/crates/tidewall-sim/tests/fleet.rs
+++ b/crates/tidewall-sim/tests/fleet.rs
@@ -117,13 +117,16 @@
     assert!(
         !slot
             .prepare(0, ballot(1, 7, BALLOT_COUNT_LIMIT - 1), (1, 7))
-            .good
+            .granted
+    );
+    assert!(
+        slot.prepare(0, ballot(1, 7, MAX_BALLOT_JUMP), (1, 7))
+            .granted
     );
-    assert!(slot.prepare(0, ballot(1, 7, MAX_BALLOT_JUMP), (1, 7)).good);
     assert!(
         !slot
             .prepare(0, ballot(1, 7, 2 * MAX_BALLOT_JUMP + 1), (1, 7))
-            .good
+            .granted
     );
 }
 
--- a/crates/tidewall-vrrp/src/lib.rs
+++ b/crates/tidewall-vrrp/src/lib.rs
@@ -44,12 +44,12 @@
 pub trait VrrpActions {
     fn advertise(&mut self, vrid: u8, priority: u8, interval: u16);
     /// The one timer of a router; a new time replaces the old one.
-    fn wake(&mut self, vrid: u8, wait: Time);
-    fn sleep(&mut self, vrid: u8);
+    fn set_timer(&mut self, vrid: u8, wait: Time);
+    fn cancel_timer(&mut self, vrid: u8);
     /// The virtual addresses are ours from now on (on a real link: gratuitous ARP). `accept` as configured, always
     /// true for the owner.
-    fn take(&mut self, vrid: u8, accept: bool);
-    fn release(&mut self, vrid: u8);
+    fn become_active(&mut self, vrid: u8, accept: bool);
+    fn become_backup(&mut self, vrid: u8);
 }
 
 /// What an advertisement says that matters here.
@@ -103,13 +103,13 @@
     }
 
     /// Skew_Time: the higher the priority, the shorter (6.1).
-    pub fn skew(&self) -> Time {
+    pub fn skew_time(&self) -> Time {
         Time::from(256 - u16::from(self.p.priority)) * self.active_interval() / 256
     }
 
     /// Active_Down_Interval.
-    pub fn down(&self) -> Time {
-        3 * self.active_interval() + self.skew()
+    pub fn active_down_interval(&self) -> Time {
+        3 * self.active_interval() + self.skew_time()
     }
 
     fn own_interval(&self) -> Time {
@@ -122,8 +122,8 @@
 
     fn go_active(&mut self, act: &mut impl VrrpActions) {
         self.advertise(act, self.p.priority);
-        act.take(self.p.vrid, self.p.accept || self.p.priority == OWNER);
-        act.wake(self.p.vrid, self.own_interval());
+        act.become_active(self.p.vrid, self.p.accept || self.p.priority == OWNER);
+        act.set_timer(self.p.vrid, self.own_interval());
         self.state = State::Active;
     }
 
@@ -136,7 +136,7 @@
             return self.go_active(act);
         }
         self.active_interval = self.p.interval;
-        act.wake(self.p.vrid, self.down());
+        act.set_timer(self.p.vrid, self.active_down_interval());
         self.state = State::Backup;
     }
 
@@ -144,53 +144,53 @@
     pub fn shutdown(&mut self, act: &mut impl VrrpActions) {
         match std::mem::replace(&mut self.state, State::Initialize) {
             State::Initialize => {}
-            State::Backup => act.sleep(self.p.vrid),
+            State::Backup => act.cancel_timer(self.p.vrid),
             State::Active => {
-                act.sleep(self.p.vrid);
+                act.cancel_timer(self.p.vrid);
                 self.advertise(act, STOPS);
-                act.release(self.p.vrid);
+                act.become_backup(self.p.vrid);
             }
         }
     }
 
     /// The timer of `VrrpActions::wake`: Active_Down_Timer in Backup, Adver_Timer in Active.
-    pub fn due(&mut self, act: &mut impl VrrpActions) {
+    pub fn timer_fired(&mut self, act: &mut impl VrrpActions) {
         match self.state {
             State::Initialize => {}
             State::Backup => self.go_active(act),
             State::Active => {
                 self.advertise(act, self.p.priority);
-                act.wake(self.p.vrid, self.own_interval());
+                act.set_timer(self.p.vrid, self.own_interval());
             }
         }
     }
 
     /// An advertisement of this virtual router that passed all checks (7.1).
-    pub fn heard(&mut self, act: &mut impl VrrpActions, a: Advertisement) {
+    pub fn advertisement_received(&mut self, act: &mut impl VrrpActions, a: Advertisement) {
         match self.state {
             State::Initialize => {}
-            State::Backup if a.priority == STOPS => act.wake(self.p.vrid, self.skew()),
+            State::Backup if a.priority == STOPS => act.set_timer(self.p.vrid, self.skew_time()),
             State::Backup if !self.p.preempt || a.priority >= self.p.priority => {
                 self.active_interval = a.interval;
-                act.wake(self.p.vrid, self.down());
+                act.set_timer(self.p.vrid, self.active_down_interval());
             }
             // Of a lower priority, which is to be preempted: the timer runs on.
             State::Backup => {}
             State::Active if a.priority == STOPS => {
                 self.advertise(act, self.p.priority);
-                act.wake(self.p.vrid, self.own_interval());
+                act.set_timer(self.p.vrid, self.own_interval());
             }
             State::Active => {
                 let tie = a.priority == self.p.priority && a.from > self.p.address;
                 if a.priority > self.p.priority || tie {
                     self.active_interval = a.interval;
-                    act.release(self.p.vrid);
-                    act.wake(self.p.vrid, self.down());
+                    act.become_backup(self.p.vrid);
+                    act.set_timer(self.p.vrid, self.active_down_interval());
                     self.state = State::Backup;
                 } else {
                     // RFC 9568: asserted at once, so that two Active routers are one again within a delay.
                     self.advertise(act, self.p.priority);
-                    act.wake(self.p.vrid, self.own_interval());
+                    act.set_timer(self.p.vrid, self.own_interval());
                 }
             }
         }
--- a/crates/tidewall-vrrp/tests/transitions.rs
+++ b/crates/tidewall-vrrp/tests/transitions.rs
@@ -20,16 +20,16 @@
     fn advertise(&mut self, _: u8, priority: u8, _: u16) {
         self.0.push(Call::Advertise(priority));
     }
-    fn wake(&mut self, _: u8, wait: Time) {
+    fn set_timer(&mut self, _: u8, wait: Time) {
         self.0.push(Call::Wake(wait));
     }
-    fn sleep(&mut self, _: u8) {
+    fn cancel_timer(&mut self, _: u8) {
         self.0.push(Call::Sleep);
     }
-    fn take(&mut self, _: u8, accept: bool) {
+    fn become_active(&mut self, _: u8, accept: bool) {
         self.0.push(Call::Take(accept));
     }
-    fn release(&mut self, _: u8) {
+    fn become_backup(&mut self, _: u8) {
         self.0.push(Call::Release);
     }
 }
@@ -52,7 +52,7 @@
         r.startup(&mut Calls::default());
     }
     if state == State::Active && r.state() != State::Active {
-        r.due(&mut Calls::default());
+        r.timer_fired(&mut Calls::default());
     }
     assert_eq!(r.state(), state);
     r
@@ -93,7 +93,7 @@
 #[test_case(State::Active, State::Active, &[Call::Advertise(100), Call::Wake(SECOND)] ; "6.4.3 advertisement timer")]
 fn timers(before: State, after: State, calls: &[Call]) {
     let (mut r, mut act) = (router(100, true, before), Calls::default());
-    r.due(&mut act);
+    r.timer_fired(&mut act);
     assert_eq!((r.state(), &act.0[..]), (after, calls));
 }
 
@@ -105,7 +105,7 @@
 #[test_case(true, told(200, 10, 1), &[Call::Wake(DOWN / 10)] ; "6.4.2 the interval is learned")]
 fn a_backup_hears(preempt: bool, a: Advertisement, calls: &[Call]) {
     let (mut r, mut act) = (router(100, preempt, State::Backup), Calls::default());
-    r.heard(&mut act, a);
+    r.advertisement_received(&mut act, a);
     assert_eq!((r.state(), &act.0[..]), (State::Backup, calls));
 }
 
@@ -116,7 +116,7 @@
 #[test_case(told(101, 10, 4), State::Backup, &[Call::Release, Call::Wake(DOWN / 10)] ; "6.4.3 higher priority")]
 fn an_active_one_hears(a: Advertisement, state: State, calls: &[Call]) {
     let (mut r, mut act) = (router(100, true, State::Active), Calls::default());
-    r.heard(&mut act, a);
+    r.advertisement_received(&mut act, a);
     assert_eq!((r.state(), &act.0[..]), (state, calls));
 }
 
@@ -211,16 +211,16 @@
                 from: self.from,
             });
         }
-        fn wake(&mut self, _: u8, wait: Time) {
+        fn set_timer(&mut self, _: u8, wait: Time) {
             self.wake = Some(self.now + wait);
         }
-        fn sleep(&mut self, _: u8) {
+        fn cancel_timer(&mut self, _: u8) {
             self.wake = None;
         }
-        fn take(&mut self, _: u8, _: bool) {
+        fn become_active(&mut self, _: u8, _: bool) {
             self.active = true;
         }
-        fn release(&mut self, _: u8) {
+        fn become_backup(&mut self, _: u8) {
             self.active = false;
         }
     }
@@ -242,7 +242,7 @@
             let (r, l) = &mut both[i];
             l.now = now;
             if l.wake == Some(now) {
-                r.due(l);
+                r.timer_fired(l);
             }
             for a in std::mem::take(&mut both[i].1.out) {
                 chance = chance
@@ -252,7 +252,7 @@
                 if now > 600_000 || chance >> 63 == 0 {
                     let (r, l) = &mut both[1 - i];
                     l.now = now;
-                    r.heard(l, a);
+                    r.advertisement_received(l, a);
                 }
             }
         }
