--- a/crates/tidewall-coordination/tests/codec.rs
+++ b/crates/tidewall-coordination/tests/codec.rs
@@ -88,7 +88,7 @@
 #[test_case(item::PING, &[5], "ping 2 5")]
 #[test_case(item::PING_FOR, &[4, 5], "ping for 2 4 5")]
 #[test_case(item::ACK, &[4, 5], "ack 2 4 5")]
-#[test_case(item::WORD, &[4, 9, 1, 2], "word 4 9 1 Gone")]
+#[test_case(item::WORD, &[4, 9, 1, 2], "word 4 9 1 Dead")]
 #[test_case(item::PREPARE, &[4, 5], "prepare 2 4 5")]
 #[test_case(item::PROMISED, &[4, 5, 6, 7, 8, 9], "promised 2 4 5 true (5, 6, 7, 8, 9)")]
 #[test_case(item::NOT_PROMISED, &[4, 5, 6, 7, 8, 9, 10], "promised 2 4 5 false (6, 7, 8, 9, 10)")]
