--- a/crates/tidewall-benchmarks/src/peers.rs
+++ b/crates/tidewall-benchmarks/src/peers.rs
@@ -158,6 +158,7 @@
         while let Ok(Some((body, len))) = wire::frame(&bytes[used..]) {
             used += len;
             Fields::read(body)
+                .map_err(String::from)
                 .and_then(|f| self.frame(conn, &f))
                 .expect("our own frames are good");
         }
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -70,7 +70,8 @@
     Input(String),
 }
 
-fn input(text: String) -> Failure {
+fn input(text: impl Into<String>) -> Failure {
+    let text = text.into();
     Failure::Input(text)
 }
 
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -155,7 +155,7 @@
 pub fn read_keys(file: &std::path::Path) -> Result<Keys, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
-    parse_keys(&name, &text)
+    Ok(parse_keys(&name, &text)?)
 }
 
 /// Reads a password from standard input and prints its hash for the settings.
--- a/crates/tidewall-coordination/src/executor_task.rs
+++ b/crates/tidewall-coordination/src/executor_task.rs
@@ -328,11 +328,14 @@
                 Ok(None) => break Ok(()),
                 Ok(Some((body, len))) => {
                     used += len;
-                    if let Err(e) = Fields::read(body).and_then(|f| self.frame(link, &f)) {
+                    if let Err(e) = Fields::read(body)
+                        .map_err(String::from)
+                        .and_then(|f| self.frame(link, &f))
+                    {
                         break Err(e);
                     }
                 }
-                Err(e) => break Err(e),
+                Err(e) => break Err(e.to_string()),
             }
         };
         if let Err(why) = done {
--- a/crates/tidewall-emulator/src/lib.rs
+++ b/crates/tidewall-emulator/src/lib.rs
@@ -429,9 +429,11 @@
                 Ok(None) => return used,
                 Ok(Some((body, len))) => {
                     used += len;
-                    Fields::read(body).and_then(|fields| self.frame(conn, owner, &fields))
+                    Fields::read(body)
+                        .map_err(String::from)
+                        .and_then(|fields| self.frame(conn, owner, &fields))
                 }
-                Err(e) => Err(e),
+                Err(e) => Err(e.to_string()),
             };
             for wk in std::mem::take(&mut self.workers.fell) {
                 let (life, since) = (self.workers.list[wk].life, self.workers.list[wk].since);
--- a/crates/tidewall-gateway/src/config.rs
+++ b/crates/tidewall-gateway/src/config.rs
@@ -1,4 +1,5 @@
 //! What the settings tell a gateway at start.
+use crate::error::{KeyFileError, KeyFileProblem};
 use crate::failover::FailoverConfig;
 use crate::worker_pool::GatewayLimits;
 use crate::GatewayConfig;
@@ -96,39 +97,41 @@
 }
 
 /// Keys from a file's text: a line each, a number and hexadecimal digits; lines that begin with # are passed over.
-pub fn parse_keys(file: &str, text: &str) -> Result<Keys, String> {
+pub fn parse_keys(file: &str, text: &str) -> Result<Keys, KeyFileError> {
     let mut keys = Keys::default();
     for (i, line) in text.lines().enumerate() {
         let line = line.trim();
         if line.is_empty() || line.starts_with('#') {
             continue;
         }
-        let bad = |what: &str| format!("{file}:{}:1: {what}", i + 1);
+        let bad = |problem| KeyFileError {
+            file: file.to_string(),
+            line: i + 1,
+            problem,
+        };
         let (id, hex) = line
             .split_once(' ')
-            .ok_or_else(|| bad("a number and a key are needed"))?;
-        let id = id
-            .parse::<u8>()
-            .map_err(|_| bad("the number is not within 0 to 255"))?;
+            .ok_or_else(|| bad(KeyFileProblem::NoPair))?;
+        let id = id.parse::<u8>().map_err(|_| bad(KeyFileProblem::Number))?;
         let hex = hex.trim();
         // Shorter ones could be tried out.
         if hex.len() < 32 || hex.len() % 2 == 1 || !hex.is_ascii() {
-            return Err(bad(
-                "a key has an even number of at least 32 hexadecimal digits",
-            ));
+            return Err(bad(KeyFileProblem::Length));
         }
         let octet = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16);
         let key: Result<Vec<u8>, _> = (0..hex.len()).step_by(2).map(octet).collect();
         if keys.0.iter().any(|k| k.0 == id) {
-            return Err(bad("the number stands twice"));
+            return Err(bad(KeyFileProblem::Duplicate));
         }
-        keys.0.push((
-            id,
-            key.map_err(|_| bad("a key has hexadecimal digits only"))?,
-        ));
+        keys.0
+            .push((id, key.map_err(|_| bad(KeyFileProblem::Digits))?));
     }
     if keys.0.is_empty() {
-        return Err(format!("{file}:1:1: there is no key"));
+        return Err(KeyFileError {
+            file: file.to_string(),
+            line: 1,
+            problem: KeyFileProblem::Empty,
+        });
     }
     Ok(keys)
 }
--- a/crates/tidewall-gateway/src/endpoints.rs
+++ b/crates/tidewall-gateway/src/endpoints.rs
@@ -7,11 +7,29 @@
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::thread;
 use std::time::{Duration, SystemTime};
+use thiserror::Error;
 use tidewall::interface::{EndpointState, Time};
 use tidewall::interner;
-use tidewall_wire::{frame, kind, Entries, Field, Fields, Frame};
+use tidewall_wire::{frame, kind, Entries, Field, Fields, Frame, WireError};
 use tracing::warn;
 
+/// Why a stored endpoint list is not used.
+#[derive(Debug, Error)]
+pub enum EndpointListError {
+    /// It does not begin with this version's magic bytes.
+    #[error("field magic: no list of this version")]
+    UnknownVersion,
+    /// It ends within its checksum.
+    #[error("field sum: cut short")]
+    Truncated,
+    /// Its checksum does not match its body.
+    #[error("field sum: the list is torn")]
+    ChecksumMismatch,
+    /// Its body is malformed.
+    #[error(transparent)]
+    Body(#[from] WireError),
+}
+
 /// One worker as the roster tells it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointRecord {
@@ -28,23 +46,36 @@
     pub age: Time,
 }
 
-pub fn entry(e: &Fields) -> Result<EndpointRecord, String> {
+pub fn entry(e: &Fields) -> Result<EndpointRecord, WireError> {
     let at = e.text(Field::Place)?;
     Ok(EndpointRecord {
         name: e.text(Field::Name)?.to_string(),
-        address: at
-            .parse()
-            .map_err(|_| format!("field place: '{at}' is no address and port"))?,
+        address: at.parse().map_err(|_| {
+            WireError::invalid(Field::Place, format!("'{at}' is no address and port"))
+        })?,
         zone: e.word(Field::Zone)?.to_string(),
         machine: e.word(Field::Machine)?.to_string(),
         cell: e.upto(Field::Cell, u64::from(u32::MAX), 0)? as u32,
-        state: crate::standing(e.text(Field::Standing)?)?,
+        state: state_from_wire(e.text(Field::Standing)?)?,
         rating: e.real(Field::Rating, 1.0)?,
         incarnation: e.upto(Field::Life, u64::MAX, 0)?,
         age: e.upto(Field::Age, u64::MAX >> 8, 0)?,
     })
 }
 
+/// The state that a word of the wire names.
+fn state_from_wire(word: &str) -> Result<EndpointState, WireError> {
+    match word {
+        "on" => Ok(EndpointState::Active),
+        "draining" => Ok(EndpointState::Draining),
+        "gone" => Ok(EndpointState::Removed),
+        other => Err(WireError::invalid(
+            Field::Standing,
+            format!("'{other}' is no standing"),
+        )),
+    }
+}
+
 /// Writes an entry's fields, for the last list and for rosters.
 pub fn write<'a>(f: Frame<'a>, e: &EndpointRecord) -> Frame<'a> {
     let standing = match e.state {
@@ -89,17 +120,17 @@
 }
 
 /// `passed` is how long ago it was written: workers have aged since.
-pub fn decode(bytes: &[u8], passed: Time) -> Result<Vec<EndpointRecord>, String> {
+pub fn decode(bytes: &[u8], passed: Time) -> Result<Vec<EndpointRecord>, EndpointListError> {
     let body = bytes
         .strip_prefix(MAGIC)
-        .ok_or("field magic: no list of this version")?;
+        .ok_or(EndpointListError::UnknownVersion)?;
     let (told, body) = body
         .split_first_chunk::<8>()
-        .ok_or("field sum: cut short")?;
+        .ok_or(EndpointListError::Truncated)?;
     if sum(body) != u64::from_be_bytes(*told) {
-        return Err("field sum: the list is torn".to_string());
+        return Err(EndpointListError::ChecksumMismatch);
     }
-    let (body, _) = frame(body)?.ok_or("field length: cut short")?;
+    let (body, _) = frame(body)?.ok_or(WireError::Truncated)?;
     let mut entries = Vec::new();
     Fields::read(body)?.entries(|e| {
         let mut e = entry(e)?;
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -2,6 +2,7 @@
 //! has in hand, and the voters' answers. `tidewall-failover` decides; this carries out.
 pub mod replicator;
 
+use crate::error::{ProtocolError, StartError};
 use crate::ingress::{Disposition, IncomingRequest, ReplyHandle, Response, NO_CLIENT};
 use crate::protocol::CallName;
 use crate::worker_pool::{CallKind, LocalResponse};
@@ -18,7 +19,7 @@
 use tidewall_net::{Conn, DatagramSocket, Listener, Net, Time, TimerId};
 use tidewall_vrrp::packet::{self, Keys, ReplayGuard};
 use tidewall_vrrp::{Parameters, Router, CENTISECOND};
-use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
+use tidewall_wire::{self as wire, kind, Field, Fields, Frame, WireError};
 use tracing::{info, warn};
 
 /// What a member of a pair is told at start.
@@ -486,7 +487,7 @@
 }
 
 impl<N: Net> Gateway<N> {
-    pub(crate) fn pair_up(&mut self, at: FailoverConfig) -> Result<(), String> {
+    pub(crate) fn pair_up(&mut self, at: FailoverConfig) -> Result<(), StartError> {
         let me = usize::from(at.name > at.peer_name);
         let now = self.core.net().now();
         let parameters = Parameters {
@@ -501,11 +502,17 @@
         let net = self.core.net();
         let port = net
             .bind_datagram(at.vrrp_address)
-            .map_err(|e| format!("{}: datagrams: {e}", at.vrrp_address))?
+            .map_err(|source| StartError::BindDatagrams {
+                address: at.vrrp_address,
+                source,
+            })?
             .0;
         let listener = net
             .listen(at.link_address)
-            .map_err(|e| format!("{}: {e}", at.link_address))?
+            .map_err(|source| StartError::Listen {
+                address: at.link_address,
+                source,
+            })?
             .0;
         net.set_timer(now + interval / TICKS, OF_PAIR);
         let ration = LoadRequestLimiter::new(
@@ -526,7 +533,7 @@
         let stood = self.core.net().total_stall();
         let parts = Parts {
             me,
-            router: Router::new(parameters)?,
+            router: Router::new(parameters).map_err(StartError::Vrrp)?,
             keys: (at.keys)(),
             guard: ReplayGuard::default(),
             port: Some(port),
@@ -791,14 +798,18 @@
     }
 
     /// The first frame of a connection to the link's listener, or of the one that we dialled.
-    pub(crate) fn guest_frame(&mut self, conn: Conn, fields: &Fields) -> Result<(), String> {
+    pub(crate) fn guest_frame(&mut self, conn: Conn, fields: &Fields) -> Result<(), ProtocolError> {
         match wire::greeted(fields)? {
             "status" => {
                 self.status(conn);
                 return Ok(());
             }
             "pair" => {}
-            other => return Err(format!("field role: {other} is not heard here")),
+            other => {
+                return Err(
+                    WireError::invalid(Field::Role, format!("{other} is not heard here")).into(),
+                )
+            }
         }
         let (name, life) = (fields.text(Field::Name)?, fields.whole(Field::Life)?);
         let (serves, epoch) = (
@@ -806,10 +817,12 @@
             fields.upto(Field::Epoch, u64::MAX, 0)?,
         );
         let Some(pair) = &mut self.pair else {
-            return Err("field role: no pair here".to_string());
+            return Err(WireError::invalid(Field::Role, "no pair here").into());
         };
         if name != pair.parts.at.peer_name {
-            return Err(format!("field name: {name} is not the other member"));
+            return Err(
+                WireError::invalid(Field::Name, format!("{name} is not the other member")).into(),
+            );
         }
         let theirs = String::from_utf8_lossy(fields.bytes(Field::Payload)?).into_owned();
         let differs = disagree(&pair.parts.at.shared_settings, &theirs);
@@ -872,7 +885,7 @@
         }
     }
 
-    pub(crate) fn peer_frame(&mut self, fields: &Fields) -> Result<(), String> {
+    pub(crate) fn peer_frame(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
         let now = self.core.net().now();
         let Some(pair) = &mut self.pair else {
             return Ok(());
@@ -894,7 +907,9 @@
                 let seq = fields.whole(Field::Seq)?;
                 let copy = self.core.choice.host.copy.as_mut().expect("a pair copies");
                 if copy.base + seq > copy.seq {
-                    return Err(format!("field seq: {seq} was never told"));
+                    return Err(
+                        WireError::invalid(Field::Seq, format!("{seq} was never told")).into(),
+                    );
                 }
                 copy.acked = copy.acked.max(copy.base + seq);
                 self.with_seat(|seat, now, act| {
@@ -922,7 +937,7 @@
     }
 
     /// One update of what the other member has in hand.
-    fn update(&mut self, fields: &Fields) -> Result<(), String> {
+    fn update(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
         const PLACES: u64 = 1 << 24; // more events than a gateway may hold
         let host = &mut self.core.choice.host;
         let now = host.net.now();
@@ -931,12 +946,11 @@
         };
         let parts = &mut pair.parts;
         let place = fields.upto(Field::Place, PLACES, PLACES)? as usize;
-        let typ = |types: &[String]| -> Result<usize, String> {
+        let typ = |types: &[String]| -> Result<usize, ProtocolError> {
             let name = fields.text(Field::Type)?;
-            types
-                .iter()
-                .position(|t| t == name)
-                .ok_or_else(|| format!("field type: '{name}' is unknown"))
+            types.iter().position(|t| t == name).ok_or_else(|| {
+                WireError::invalid(Field::Type, format!("'{name}' is unknown")).into()
+            })
         };
         match fields.kind()? {
             kind::COPY => {
@@ -1037,7 +1051,11 @@
                 copy.ration.load_requested(now.saturating_sub(age));
             }
             kind::COPIED => {}
-            other => return Err(format!("field kind: {other} is not for a pair")),
+            other => {
+                return Err(
+                    WireError::invalid(Field::Kind, format!("{other} is not for a pair")).into(),
+                )
+            }
         }
         Ok(())
     }
@@ -1242,7 +1260,7 @@
         link: usize,
         wk: usize,
         fields: &Fields,
-    ) -> Result<(), String> {
+    ) -> Result<(), ProtocolError> {
         let host = &mut self.core.choice.host;
         let Some(key) = host.key(CallName::CallId(fields.whole(Field::Id)?), link)? else {
             return Ok(());
--- a/crates/tidewall-gateway/src/ingress.rs
+++ b/crates/tidewall-gateway/src/ingress.rs
@@ -2,6 +2,7 @@
 //! as `IncomingRequest` and its one answer leaves by `Ingress::answered`.
 use crate::IngressContext;
 use tidewall_net::{Conn, Net, Time};
+use tidewall_wire::{Field, WireError};
 
 /// Names an event to the door that it came by: the key is that door's own.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,12 +34,17 @@
 };
 
 impl Disposition {
-    pub fn from_wire(text: &str) -> Result<Disposition, String> {
+    pub fn from_wire(text: &str) -> Result<Disposition, WireError> {
         Ok(match text {
             "handled" => Disposition::Completed,
             "deferred" => Disposition::Rejected,
             "dead-lettered" => Disposition::Failed,
-            other => return Err(format!("field word: '{other}' is no answer")),
+            other => {
+                return Err(WireError::invalid(
+                    Field::Word,
+                    format!("'{other}' is no answer"),
+                ))
+            }
         })
     }
 
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod backoff;
 pub mod config;
 pub mod endpoints;
+pub mod error;
 pub mod failover;
 pub mod ingress;
 pub mod native_ingress;
@@ -14,6 +15,7 @@
 
 use backoff::Backoff;
 use endpoints::{EndpointCache, EndpointRecord};
+use error::{ProtocolError, StartError};
 use failover::{FailoverConfig, FailoverNode, StopReason};
 use ingress::{Disposition, IncomingRequest, Ingress, ReplyHandle, NO_CLIENT};
 use native_protocol::{NativeDiscovery, NativeWorkerProtocol};
@@ -23,12 +25,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tidewall::choice::Scheduler;
-use tidewall::interface::{Endpoint, EndpointState, Outcome, RequestInfo};
+use tidewall::interface::{Endpoint, Outcome, RequestInfo};
 use tidewall::interner;
 use tidewall::settings::Settings;
 use tidewall_failover::recovery::margin;
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time, TimerId};
-use tidewall_wire::{self as wire, Fields};
+use tidewall_wire::{self as wire, Field, Fields, WireError};
 use tracing::{debug, error, info, warn};
 use worker_pool::{Call, CallKind, Counters, GatewayLimits, LocalResponse, WorkerPool};
 
@@ -288,7 +290,7 @@
         net: N,
         start: GatewayConfig,
         shelf: Box<dyn EndpointCache>,
-    ) -> Result<Gateway<N>, String> {
+    ) -> Result<Gateway<N>, StartError> {
         let feed = NativeDiscovery::new(
             start.discovery,
             Backoff::new(start.seed, start.discovery_retry),
@@ -309,7 +311,7 @@
         shelf: Box<dyn EndpointCache>,
         way: Rc<dyn WorkerProtocol>,
         feed: Box<dyn DiscoverySource>,
-    ) -> Result<Gateway<N>, String> {
+    ) -> Result<Gateway<N>, StartError> {
         let now = net.now();
         // Where we listen may be another address than the one that others know us by.
         let at = start
@@ -319,7 +321,10 @@
             None => None,
             Some(at) => Some(
                 net.bind_datagram(at)
-                    .map_err(|e| format!("{at}: datagrams: {e}"))?
+                    .map_err(|source| StartError::BindDatagrams {
+                        address: at,
+                        source,
+                    })?
                     .0,
             ),
         };
@@ -329,7 +334,8 @@
         let mut carrier = WorkerPool::new(net, &start.settings, start.limits);
         (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.index);
         carrier.way = way;
-        let choice = Scheduler::new(carrier, now, start.seed, start.settings)?;
+        let choice = Scheduler::new(carrier, now, start.seed, start.settings)
+            .map_err(StartError::Settings)?;
         let roster = DiscoveryClient {
             feed,
             conn: None,
@@ -379,7 +385,7 @@
         &mut self,
         at: SocketAddr,
         door: Box<dyn Ingress<N>>,
-    ) -> Result<SocketAddr, String> {
+    ) -> Result<SocketAddr, StartError> {
         self.core
             .choice
             .host
@@ -391,7 +397,10 @@
         let last = self.doors.len() - 1;
         // One of a pair listens when it serves.
         if self.pair.is_none() {
-            self.listen(last).map_err(|e| format!("{at}: {e}"))?;
+            self.listen(last).map_err(|source| StartError::Listen {
+                address: at,
+                source,
+            })?;
         }
         self.doors[last].started(&mut self.core);
         Ok(self.addresses[last])
@@ -685,13 +694,13 @@
     }
 
     /// One message of a worker; none while it is not whole.
-    fn heard(&mut self, link: usize, bytes: &[u8]) -> Result<Option<usize>, String> {
+    fn heard(&mut self, link: usize, bytes: &[u8]) -> Result<Option<usize>, ProtocolError> {
         let way = self.core.choice.host.way.clone();
         way.read_message(bytes, &mut Ears { gw: self, link })
     }
 
     /// One message of the list's source. What it asks next leaves with it.
-    fn list_told(&mut self, conn: Conn, bytes: &[u8]) -> Result<Option<usize>, String> {
+    fn list_told(&mut self, conn: Conn, bytes: &[u8]) -> Result<Option<usize>, ProtocolError> {
         let mut news = ReceivedUpdates::default();
         let read = self.roster.feed.read_message(bytes, &mut news)?;
         news.updates
@@ -825,7 +834,7 @@
         let entries = match self.shelf.read() {
             Ok(None) => Vec::new(),
             Ok(Some((bytes, age))) => endpoints::decode(&bytes, age).unwrap_or_else(|e| {
-                warn!(error = e, "the last list is not used");
+                warn!(error = %e, "the last list is not used");
                 Vec::new()
             }),
             Err(e) => {
@@ -842,6 +851,24 @@
         self.core.choice.update_endpoints(&listed, true);
     }
 
+    /// Reads one frame of another gateway; returns its length, none while it is incomplete.
+    fn gateway_frame(
+        &mut self,
+        conn: Conn,
+        owner: Owner,
+        bytes: &[u8],
+    ) -> Result<Option<usize>, ProtocolError> {
+        let Some((body, len)) = wire::frame(bytes)? else {
+            return Ok(None);
+        };
+        let fields = Fields::read(body)?;
+        match owner {
+            Owner::Peer => self.peer_frame(&fields)?,
+            _ => self.guest_frame(conn, &fields)?,
+        }
+        Ok(Some(len))
+    }
+
     /// Reads messages and hands each on; a malformed one ends the connection with a word why.
     fn frames(&mut self, conn: Conn, bytes: &[u8], owner: Owner) -> usize {
         let mut used = 0;
@@ -850,22 +877,13 @@
             let told = match owner {
                 Owner::Worker(link) => self.heard(link, rest),
                 Owner::Discovery => self.list_told(conn, rest),
-                _ => wire::frame(rest).and_then(|frame| {
-                    let Some((body, len)) = frame else {
-                        return Ok(None);
-                    };
-                    let fields = Fields::read(body)?;
-                    match owner {
-                        Owner::Peer => self.peer_frame(&fields)?,
-                        _ => self.guest_frame(conn, &fields)?,
-                    }
-                    Ok(Some(len))
-                }),
+                _ => self.gateway_frame(conn, owner, rest),
             };
             match told {
                 Ok(None) => break,
                 Ok(Some(len)) => used += len,
-                Err(reason) => {
+                Err(error) => {
+                    let reason = error.to_string();
                     self.complain(
                         &reason,
                         match owner {
@@ -945,16 +963,21 @@
         self.gw.core.choice.host.links[self.link].greeted
     }
 
-    fn greeted(&mut self, role: &str, name: &str, life: u64, age: Time) -> Result<(), String> {
+    fn greeted(
+        &mut self,
+        role: &str,
+        name: &str,
+        life: u64,
+        age: Time,
+    ) -> Result<(), ProtocolError> {
         let wk = self.wk();
         let host = self.host();
         let now = host.net.now();
         if role != "worker" || name != host.workers.resolve(wk) {
             // Another one has come to live at this address: nothing was sent, so nothing has run.
-            return Err(format!(
-                "field name: {role} {name} answers for {}",
-                host.workers.resolve(wk)
-            ));
+            let expected = host.workers.resolve(wk);
+            let reason = format!("{role} {name} answers for {expected}");
+            return Err(WireError::invalid(Field::Name, reason).into());
         }
         let known = host.known_life(wk);
         if known.is_some_and(|k| life > k) {
@@ -973,7 +996,7 @@
         Ok(())
     }
 
-    fn response_started(&mut self, name: CallName, payload: &[u8]) -> Result<(), String> {
+    fn response_started(&mut self, name: CallName, payload: &[u8]) -> Result<(), ProtocolError> {
         let link = self.link;
         let host = self.host();
         let now = host.net.now();
@@ -1003,7 +1026,7 @@
         outcome: Outcome,
         note: u32,
         payload: &[u8],
-    ) -> Result<(), String> {
+    ) -> Result<(), ProtocolError> {
         let link = self.link;
         let host = self.host();
         let Some(key) = host.key(name, link)? else {
@@ -1025,7 +1048,7 @@
         name: CallName,
         outcome: Outcome,
         copies: u32,
-    ) -> Result<(), String> {
+    ) -> Result<(), ProtocolError> {
         let link = self.link;
         let host = self.host();
         let Some(key) = host.key(name, link)? else {
@@ -1038,7 +1061,7 @@
         Ok(())
     }
 
-    fn health_check_ended(&mut self, name: CallName, well: bool) -> Result<(), String> {
+    fn health_check_ended(&mut self, name: CallName, well: bool) -> Result<(), ProtocolError> {
         let link = self.link;
         let host = self.host();
         let Some(key) = host.key(name, link)? else {
@@ -1059,7 +1082,7 @@
         self.gw.core.choice.load_reported(wk, in_flight, busy);
     }
 
-    fn vote_received(&mut self, fields: &Fields) -> Result<(), String> {
+    fn vote_received(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
         let wk = self.wk();
         self.gw.promised(self.link, wk, fields)
     }
@@ -1218,7 +1241,7 @@
             }
             Err(reason) => {
                 host.counts.malformed += 1;
-                self.complain(&reason, "datagram");
+                self.complain(&reason.to_string(), "datagram");
             }
         }
     }
@@ -1333,13 +1356,3 @@
 
 /// The number of SIGHUP (POSIX: 1 on every system of today).
 const HANG_UP: i32 = 1;
-
-/// Where an entry's standing is told by a word.
-pub(crate) fn standing(word: &str) -> Result<EndpointState, String> {
-    Ok(match word {
-        "on" => EndpointState::Active,
-        "draining" => EndpointState::Draining,
-        "gone" => EndpointState::Removed,
-        other => return Err(format!("field standing: '{other}' is no standing")),
-    })
-}
--- a/crates/tidewall-gateway/src/native_ingress.rs
+++ b/crates/tidewall-gateway/src/native_ingress.rs
@@ -1,10 +1,11 @@
 //! The door that speaks the native frames of `docs/wire.md`.
+use crate::error::ProtocolError;
 use crate::ingress::{remaining_time, IncomingRequest, Ingress, ReplyHandle, Response};
 use crate::IngressContext;
 use rustc_hash::FxHashMap;
 use slab::Slab;
 use tidewall_net::{Conn, Net, Time};
-use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
+use tidewall_wire::{self as wire, kind, Field, Fields, Frame, WireError};
 use tracing::warn;
 
 const NONE: u32 = u32::MAX;
@@ -119,10 +120,10 @@
         core: &mut IngressContext<N>,
         conn: Conn,
         fields: &Fields,
-    ) -> Result<(), String> {
+    ) -> Result<(), ProtocolError> {
         if !self.client(conn).greeted {
             if wire::greeted(fields)? != "client" {
-                return Err("field role: only clients are heard here".to_string());
+                return Err(WireError::invalid(Field::Role, "only clients are heard here").into());
             }
             self.client(conn).greeted = true;
             self.out.clear();
@@ -150,7 +151,9 @@
                 }
                 Ok(())
             }
-            other => Err(format!("field kind: {other} is not for a gateway")),
+            other => {
+                Err(WireError::invalid(Field::Kind, format!("{other} is not for a gateway")).into())
+            }
         }
     }
 
@@ -159,10 +162,10 @@
         core: &mut IngressContext<N>,
         conn: Conn,
         fields: &Fields,
-    ) -> Result<(), String> {
+    ) -> Result<(), ProtocolError> {
         let id = fields.whole(Field::Id)?;
         if self.ids.contains_key(&(conn, id)) {
-            return Err(format!("field id: {id} is in hand already"));
+            return Err(WireError::invalid(Field::Id, format!("{id} is in hand already")).into());
         }
         let typ = fields.text(Field::Type)?;
         let typ = core.class_names().iter().position(|t| t == typ);
@@ -171,10 +174,8 @@
             reply_handle: ReplyHandle::default(),
             id,
             class: typ.ok_or_else(|| {
-                format!(
-                    "field type: '{}' is unknown",
-                    fields.text(Field::Type).unwrap_or("")
-                )
+                let name = fields.text(Field::Type).unwrap_or("");
+                WireError::invalid(Field::Type, format!("'{name}' is unknown"))
             })?,
             tenant: core.tenant_names().iter().position(|t| t == tenant),
             function: fields.text(Field::Function)?,
@@ -252,15 +253,18 @@
     fn received(&mut self, core: &mut IngressContext<N>, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
         loop {
-            let told = match wire::frame(&bytes[used..]) {
+            let result = match wire::frame(&bytes[used..]) {
                 Ok(None) => return used,
                 Ok(Some((body, len))) => {
                     used += len;
-                    Fields::read(body).and_then(|fields| self.frame(core, conn, &fields))
+                    Fields::read(body)
+                        .map_err(ProtocolError::from)
+                        .and_then(|fields| self.frame(core, conn, &fields))
                 }
-                Err(e) => Err(e),
+                Err(error) => Err(error.into()),
             };
-            if let Err(reason) = told {
+            if let Err(error) = result {
+                let reason = error.to_string();
                 warn!(reason, "malformed frame of a client");
                 core.counters().malformed += 1;
                 self.out.clear();
--- a/crates/tidewall-gateway/src/native_protocol.rs
+++ b/crates/tidewall-gateway/src/native_protocol.rs
@@ -1,13 +1,14 @@
 //! Workers and the roster as they speak the native frames of `docs/wire.md`.
 use crate::backoff::Backoff;
 use crate::endpoints::{self, EndpointRecord};
+use crate::error::ProtocolError;
 use crate::protocol::{
     AttemptMessage, CallName, DiscoveryEvents, DiscoverySource, LoadRequestMessage, LocalIdentity,
     WorkerEvents, WorkerProtocol,
 };
 use std::net::SocketAddr;
 use tidewall::interface::{Outcome, Time};
-use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
+use tidewall_wire::{self as wire, kind, Field, Fields, Frame, WireError};
 
 pub struct NativeWorkerProtocol;
 
@@ -103,7 +104,7 @@
         &self,
         bytes: &[u8],
         heard: &mut dyn WorkerEvents,
-    ) -> Result<Option<usize>, String> {
+    ) -> Result<Option<usize>, ProtocolError> {
         let Some((body, len)) = wire::frame(bytes)? else {
             return Ok(None);
         };
@@ -121,11 +122,11 @@
         &self,
         _from: Option<u32>,
         bytes: &'a [u8],
-    ) -> Result<(u32, &'a [u8]), String> {
-        let (body, _) = wire::frame(bytes)?.ok_or("field length: cut short")?;
+    ) -> Result<(u32, &'a [u8]), ProtocolError> {
+        let (body, _) = wire::frame(bytes)?.ok_or(WireError::Truncated)?;
         let fields = Fields::read(body)?;
         if fields.kind()? != kind::PEER {
-            return Err("field kind: not a gateway's".to_string());
+            return Err(WireError::invalid(Field::Kind, "not a gateway's").into());
         }
         let peer = fields.upto(Field::Id, u64::from(u32::MAX), 0)?;
         Ok((peer as u32, fields.bytes(Field::Payload)?))
@@ -136,7 +137,7 @@
     }
 }
 
-fn message(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), String> {
+fn message(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
     if !heard.has_greeted() {
         let role = wire::greeted(fields)?;
         let name = fields.text(Field::Name)?;
@@ -179,11 +180,13 @@
             heard.error_reported(fields.text(Field::Reason)?);
             Ok(())
         }
-        other => Err(format!("field kind: {other} is not for a gateway")),
+        other => {
+            Err(WireError::invalid(Field::Kind, format!("{other} is not for a gateway")).into())
+        }
     }
 }
 
-fn report(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), String> {
+fn report(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
     if fields.has(Field::InFlight) || fields.has(Field::Busy) {
         heard.load_reported(
             fields.real(Field::InFlight, 0.0)?,
@@ -194,14 +197,14 @@
 }
 
 /// Refused as another member serves: that is looked into.
-fn refused(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), String> {
+fn refused(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
     if fields.text(Field::Outcome)? == "fenced" {
         heard.epoch_rejected();
     }
     Ok(())
 }
 
-fn outcome(fields: &Fields) -> Result<Outcome, String> {
+fn outcome(fields: &Fields) -> Result<Outcome, ProtocolError> {
     Ok(match fields.text(Field::Outcome)? {
         "ok" => Outcome::Ok,
         "error" => Outcome::Error,
@@ -209,7 +212,11 @@
         "full" | "fenced" => Outcome::AtCapacity,
         "miss" => Outcome::Miss,
         "cancelled" => Outcome::Cancelled,
-        other => return Err(format!("field outcome: '{other}' is no outcome")),
+        other => {
+            return Err(
+                WireError::invalid(Field::Outcome, format!("'{other}' is no outcome")).into(),
+            )
+        }
     })
 }
 
@@ -247,14 +254,14 @@
         &mut self,
         bytes: &[u8],
         told: &mut dyn DiscoveryEvents,
-    ) -> Result<Option<usize>, String> {
+    ) -> Result<Option<usize>, ProtocolError> {
         let Some((body, len)) = wire::frame(bytes)? else {
             return Ok(None);
         };
         let fields = Fields::read(body)?;
         if !self.greeted {
             if wire::greeted(&fields)? != "roster" {
-                return Err("field role: no roster answers there".to_string());
+                return Err(WireError::invalid(Field::Role, "no roster answers there").into());
             }
             self.greeted = true;
             return Ok(Some(len));
@@ -264,7 +271,13 @@
                 let whole = match fields.text(Field::Scope)? {
                     "whole" => true,
                     "patch" => false,
-                    other => return Err(format!("field scope: '{other}' is no scope")),
+                    other => {
+                        return Err(WireError::invalid(
+                            Field::Scope,
+                            format!("'{other}' is no scope"),
+                        )
+                        .into())
+                    }
                 };
                 // All of it is read before any of it is taken over.
                 let mut entries: Vec<EndpointRecord> = Vec::new();
@@ -275,7 +288,13 @@
                 told.endpoints_received(&entries, whole);
             }
             kind::ERROR => told.error_reported(fields.text(Field::Reason)?),
-            other => return Err(format!("field kind: {other} is not for a gateway")),
+            other => {
+                return Err(WireError::invalid(
+                    Field::Kind,
+                    format!("{other} is not for a gateway"),
+                )
+                .into())
+            }
         }
         Ok(Some(len))
     }
--- a/crates/tidewall-gateway/src/protocol.rs
+++ b/crates/tidewall-gateway/src/protocol.rs
@@ -1,6 +1,7 @@
 //! The seam between the gateway and the protocols of workers and of the list. A `WorkerProtocol` writes and reads what goes to and comes
 //! from a worker, a `DiscoverySource` reads the list; neither knows sockets, time or outcomes, which are the carrier's.
 use crate::endpoints::EndpointRecord;
+use crate::error::ProtocolError;
 use std::net::SocketAddr;
 use tidewall::interface::{Outcome, Time};
 use tidewall_wire::Fields;
@@ -53,10 +54,16 @@
 /// What a worker said; each is told as its bytes are read.
 pub trait WorkerEvents {
     /// Its name, where workers greet; false where it is not the one that was asked for.
-    fn greeted(&mut self, role: &str, name: &str, life: u64, age: Time) -> Result<(), String>;
+    fn greeted(
+        &mut self,
+        role: &str,
+        name: &str,
+        life: u64,
+        age: Time,
+    ) -> Result<(), ProtocolError>;
     /// Whether it has greeted.
     fn has_greeted(&self) -> bool;
-    fn response_started(&mut self, name: CallName, payload: &[u8]) -> Result<(), String>;
+    fn response_started(&mut self, name: CallName, payload: &[u8]) -> Result<(), ProtocolError>;
     /// The end of a launch. `note` holds what is known of the copy, and eight times the company.
     fn attempt_ended(
         &mut self,
@@ -64,18 +71,18 @@
         outcome: Outcome,
         note: u32,
         payload: &[u8],
-    ) -> Result<(), String>;
+    ) -> Result<(), ProtocolError>;
     fn load_request_ended(
         &mut self,
         name: CallName,
         outcome: Outcome,
         copies: u32,
-    ) -> Result<(), String>;
+    ) -> Result<(), ProtocolError>;
     /// Whether it said that it is well.
-    fn health_check_ended(&mut self, name: CallName, well: bool) -> Result<(), String>;
+    fn health_check_ended(&mut self, name: CallName, well: bool) -> Result<(), ProtocolError>;
     /// A load report: events in flight and the part of its cores that is busy.
     fn load_reported(&mut self, in_flight: f64, busy: f64);
-    fn vote_received(&mut self, fields: &Fields) -> Result<(), String>;
+    fn vote_received(&mut self, fields: &Fields) -> Result<(), ProtocolError>;
     /// It refuses, as another member of the pair serves.
     fn epoch_rejected(&mut self);
     fn draining(&mut self);
@@ -105,7 +112,7 @@
         &self,
         bytes: &[u8],
         heard: &mut dyn WorkerEvents,
-    ) -> Result<Option<usize>, String>;
+    ) -> Result<Option<usize>, ProtocolError>;
     /// A datagram to another gateway.
     fn write_peer_datagram(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]);
     /// Who a datagram is from, and what it says; `from` is whose address it came from, where that is known.
@@ -113,7 +120,7 @@
         &self,
         from: Option<u32>,
         bytes: &'a [u8],
-    ) -> Result<(u32, &'a [u8]), String>;
+    ) -> Result<(u32, &'a [u8]), ProtocolError>;
     /// What is said before a connection is closed over something malformed.
     fn write_error(&self, out: &mut Vec<u8>, reason: &str);
 }
@@ -150,7 +157,7 @@
         &mut self,
         bytes: &[u8],
         told: &mut dyn DiscoveryEvents,
-    ) -> Result<Option<usize>, String>;
+    ) -> Result<Option<usize>, ProtocolError>;
     /// What is asked next, once a message was read; false where the connection is used up.
     fn write_next_poll(&mut self, _out: &mut Vec<u8>) -> bool {
         true
--- a/crates/tidewall-gateway/src/worker_pool.rs
+++ b/crates/tidewall-gateway/src/worker_pool.rs
@@ -2,6 +2,7 @@
 //! on a few connections to each worker. What is known at once (no room, no time left, called off) is kept in
 //! `known` until the decisions' call is over, since they may not be called from within it.
 use crate::endpoints::EndpointRecord;
+use crate::error::ProtocolError;
 use crate::failover::replicator::Replicator;
 use crate::ingress::{Disposition, IncomingRequest, ReplyHandle};
 use crate::native_protocol::NativeWorkerProtocol;
@@ -16,7 +17,7 @@
 use tidewall::interner::{fnv1a, Interner};
 use tidewall::settings::{Settings, SettingsReader};
 use tidewall_net::{Conn, DatagramSocket, Net, Time, TimerId};
-use tidewall_wire::{kind, Field, Frame};
+use tidewall_wire::{kind, Field, Frame, WireError};
 use tracing::info;
 
 /// Limits of the sockets' side, from the settings.
@@ -595,7 +596,7 @@
     }
 
     /// The out that a worker's answer names, if it belongs to this connection and still is the same one.
-    pub fn key(&self, name: CallName, link: usize) -> Result<Option<usize>, String> {
+    pub fn key(&self, name: CallName, link: usize) -> Result<Option<usize>, ProtocolError> {
         let id = match name {
             CallName::CallId(id) => id,
             CallName::RequestId(event) => {
@@ -608,9 +609,11 @@
         };
         let (key, count) = ((id & 0xffff_ffff) as usize, (id >> 32) as u32);
         match self.outs.get(key) {
-            Some(out) if out.count == count && out.link != link => {
-                Err(format!("field id: {id} was sent on another connection"))
-            }
+            Some(out) if out.count == count && out.link != link => Err(WireError::invalid(
+                Field::Id,
+                format!("{id} was sent on another connection"),
+            )
+            .into()),
             Some(out) if out.count == count => Ok(Some(key)),
             _ => Ok(None),
         }
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -446,6 +446,7 @@
         for odd in ["x", "é", "\n", "\0"] {
             let text = format!("{}{odd}{}", &keys[..at], &keys[at..]);
             if let Err(told) = tidewall_gateway::config::parse_keys("f", &text) {
+                let told = told.to_string();
                 assert!(told.starts_with("f:") && !told.contains('\n'), "{told}");
             }
         }
--- a/crates/tidewall-gateway/tests/read.rs
+++ b/crates/tidewall-gateway/tests/read.rs
@@ -21,7 +21,7 @@
 #[test_case("1 000102030405060708090a0b0c0d0e0f\n1 000102030405060708090a0b0c0d0e0f", "k:2:1: the number stands twice" ; "twice")]
 fn bad_keys_name_their_line(text: &str, told: &str) {
     let error = parse_keys("k", text).err().expect("it is refused");
-    assert!(error.starts_with(told), "{error}");
+    assert!(error.to_string().starts_with(told), "{error}");
 }
 
 #[test_case(21_000, 0, Some(21_000) ; "read at once")]
--- a/crates/tidewall-platform-ingress/src/board.rs
+++ b/crates/tidewall-platform-ingress/src/board.rs
@@ -5,6 +5,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tidewall::interface::{EndpointState, Time};
 use tidewall_gateway::endpoints::EndpointRecord;
+use tidewall_gateway::error::ProtocolError;
 use tidewall_gateway::protocol::{DiscoveryEvents, DiscoverySource, LocalIdentity};
 use tidewall_platform::board;
 use tracing::warn;
@@ -150,11 +151,12 @@
         &mut self,
         bytes: &[u8],
         told: &mut dyn DiscoveryEvents,
-    ) -> Result<Option<usize>, String> {
-        let Some((len, goes_on, body)) = board::read(bytes)? else {
+    ) -> Result<Option<usize>, ProtocolError> {
+        let Some((len, goes_on, body)) = board::read(bytes).map_err(ProtocolError::other)? else {
             return Ok(None);
         };
-        let rev = take(&board::json(&body)?, self.rev, told)?;
+        let json = board::json(&body).map_err(ProtocolError::other)?;
+        let rev = take(&json, self.rev, told).map_err(ProtocolError::other)?;
         if rev.is_none() {
             warn!(
                 last = self.rev,
--- a/crates/tidewall-platform-ingress/src/lines.rs
+++ b/crates/tidewall-platform-ingress/src/lines.rs
@@ -1,5 +1,6 @@
 //! Hosts at the gateway's seam: their lines become what the gateway hears of a worker.
 use tidewall::interface::{Outcome, Time};
+use tidewall_gateway::error::ProtocolError;
 use tidewall_gateway::protocol::{
     AttemptMessage, CallName, LoadRequestMessage, LocalIdentity, WorkerEvents, WorkerProtocol,
 };
@@ -65,8 +66,8 @@
         &self,
         bytes: &[u8],
         heard: &mut dyn WorkerEvents,
-    ) -> Result<Option<usize>, String> {
-        host::read(bytes, &mut Ear(heard))
+    ) -> Result<Option<usize>, ProtocolError> {
+        host::read(bytes, &mut Ear(heard)).map_err(ProtocolError::other)
     }
 
     /// As it is; a longer one than the page allows stays here.
@@ -80,13 +81,11 @@
         &self,
         from: Option<u32>,
         bytes: &'a [u8],
-    ) -> Result<(u32, &'a [u8]), String> {
-        let from = from.ok_or("datagram: from nobody's address")?;
+    ) -> Result<(u32, &'a [u8]), ProtocolError> {
+        let from = from.ok_or_else(|| ProtocolError::other("datagram: from nobody's address"))?;
         if bytes.len() > DATAGRAM_MOST {
-            return Err(format!(
-                "datagram: {} bytes, at most {DATAGRAM_MOST}",
-                bytes.len()
-            ));
+            let reason = format!("datagram: {} bytes, at most {DATAGRAM_MOST}", bytes.len());
+            return Err(ProtocolError::other(reason));
         }
         Ok((from, bytes))
     }
@@ -138,19 +137,20 @@
                 } else {
                     0
                 };
-                self.0.attempt_ended(
-                    CallName::RequestId(trace),
-                    outcome,
-                    note | company << 3,
-                    body,
-                )
+                let name = CallName::RequestId(trace);
+                let ended = self
+                    .0
+                    .attempt_ended(name, outcome, note | company << 3, body);
+                ended.map_err(String::from)
             }
             (Of::Tag(tag), "yes" | "no") => self
                 .0
-                .health_check_ended(CallName::CallId(tag), word == "yes"),
+                .health_check_ended(CallName::CallId(tag), word == "yes")
+                .map_err(String::from),
             (Of::Tag(tag), _) => {
-                self.0
-                    .load_request_ended(CallName::CallId(tag), outcome, fields.copies)
+                let name = CallName::CallId(tag);
+                let ended = self.0.load_request_ended(name, outcome, fields.copies);
+                ended.map_err(String::from)
             }
         }
     }
--- /dev/null
+++ b/crates/tidewall-wire/src/error.rs
@@ -0,0 +1,156 @@
+//! Why a frame is refused. Each message names the field at fault, by its name in `docs/wire.md`.
+use crate::{Field, FRAME_MOST, VERSION};
+use minicbor::data::Type;
+use minicbor::decode;
+use thiserror::Error;
+
+/// A malformed frame, or a value that its receiver does not accept. The connection that it came on is closed with
+/// this text.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// The length prefix is over [`FRAME_MOST`].
+    #[error("field length: {length} bytes are over {FRAME_MOST}")]
+    FrameTooLong {
+        /// Bytes that the prefix announces.
+        length: usize,
+    },
+    /// The body goes on behind its CBOR map.
+    #[error("field length: bytes follow the frame's map")]
+    TrailingBytes,
+    /// A datagram or file ends before its frame does.
+    #[error("field length: cut short")]
+    Truncated,
+    /// The body is no CBOR map.
+    #[error("field kind: the frame is no map of fields ({0})")]
+    NotAMap(#[source] decode::Error),
+    /// A CBOR map of indefinite length.
+    #[error("field kind: maps of unknown length are not taken")]
+    IndefiniteMap,
+    /// A map key is no number.
+    #[error("field number: {0}")]
+    FieldNumber(#[source] decode::Error),
+    /// The value of a field with an unknown number cannot be skipped.
+    #[error("field {number}: {source}")]
+    UnknownField {
+        /// The field's number.
+        number: u64,
+        /// What CBOR decoding met.
+        source: decode::Error,
+    },
+    /// A field's value cannot be decoded.
+    #[error("field {field}: {source}")]
+    Value {
+        /// The field's name.
+        field: &'static str,
+        /// What CBOR decoding met.
+        source: decode::Error,
+    },
+    /// A field stands twice in one map.
+    #[error("field {field}: stands twice")]
+    Duplicate {
+        /// The field's name.
+        field: &'static str,
+    },
+    /// A CBOR type that no field has.
+    #[error("field {field}: a value of type {found} is not taken")]
+    UnsupportedType {
+        /// The field's name.
+        field: &'static str,
+        /// The CBOR type that was found.
+        found: Type,
+    },
+    /// A field that this kind of frame needs is absent or empty.
+    #[error("field {field} is missing")]
+    Missing {
+        /// The field's name.
+        field: &'static str,
+    },
+    /// A field has another type than this frame needs.
+    #[error("field {field} is no {expected}")]
+    WrongType {
+        /// The field's name.
+        field: &'static str,
+        /// The type that is needed.
+        expected: &'static str,
+    },
+    /// A number is over its bound.
+    #[error("field {field}: {value} is over {limit}")]
+    OverLimit {
+        /// The field's name.
+        field: &'static str,
+        /// The value that was found.
+        value: u64,
+        /// The largest value that is accepted.
+        limit: u64,
+    },
+    /// A real number is negative, too large or not finite.
+    #[error("field {field}: {value} is out of range")]
+    OutOfRange {
+        /// The field's name.
+        field: &'static str,
+        /// The value that was found.
+        value: f64,
+    },
+    /// An entry of a list is refused.
+    #[error("field entries[{index}]: {source}")]
+    Entry {
+        /// The entry's place in the list, from 0.
+        index: u64,
+        /// What is wrong with the entry.
+        source: Box<WireError>,
+    },
+    /// The first frame of a connection is no greeting.
+    #[error("field kind: the first frame must be a hello")]
+    NoGreeting,
+    /// The peer speaks another version of the protocol.
+    #[error("field version: {version} is not spoken here, {VERSION} is")]
+    Version {
+        /// The peer's version.
+        version: u64,
+    },
+    /// A well-formed value that means nothing to its receiver.
+    #[error("field {field}: {reason}")]
+    Invalid {
+        /// The field's name.
+        field: &'static str,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl WireError {
+    /// A well-formed value of `field` that its receiver does not accept, and why.
+    pub fn invalid(field: Field, reason: impl Into<String>) -> WireError {
+        WireError::Invalid {
+            field: field.name(),
+            reason: reason.into(),
+        }
+    }
+
+    pub(crate) fn missing(field: Field) -> WireError {
+        WireError::Missing {
+            field: field.name(),
+        }
+    }
+
+    pub(crate) fn wrong_type(field: Field, expected: &'static str) -> WireError {
+        WireError::WrongType {
+            field: field.name(),
+            expected,
+        }
+    }
+}
+
+/// Equal where they say the same: decoding errors of the CBOR library cannot be compared otherwise.
+impl PartialEq for WireError {
+    fn eq(&self, other: &WireError) -> bool {
+        self.to_string() == other.to_string()
+    }
+}
+
+/// For callers that only pass the text on.
+impl From<WireError> for String {
+    fn from(error: WireError) -> String {
+        error.to_string()
+    }
+}
--- a/crates/tidewall-wire/src/lib.rs
+++ b/crates/tidewall-wire/src/lib.rs
@@ -1,6 +1,10 @@
 //! The frames that clients, gateways, workers, the roster and the depot speak among themselves, as specified in
 //! `docs/wire.md`: a length of four bytes, then a CBOR map (RFC 8949) from small numbers to values. Frames get
 //! no types: `Frame` writes one field after the other, `Fields` hands each to whoever asks for it by name.
+mod error;
+
+pub use error::WireError;
+
 use minicbor::data::Type;
 use minicbor::{Decoder, Encoder};
 
@@ -142,13 +146,13 @@
 
 /// Looks for one frame at the start of what was read: its body and the bytes it takes, or None while it is
 /// not whole yet. A frame that is too long is an error before any of it is kept.
-pub fn frame(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, String> {
+pub fn frame(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, WireError> {
     let Some(head) = bytes.first_chunk::<4>() else {
         return Ok(None);
     };
     let len = u32::from_be_bytes(*head) as usize;
     if len > FRAME_MOST {
-        return Err(format!("field length: {len} bytes are over {FRAME_MOST}"));
+        return Err(WireError::FrameTooLong { length: len });
     }
     Ok(bytes.get(4..4 + len).map(|body| (body, 4 + len)))
 }
@@ -159,33 +163,34 @@
 }
 
 impl<'a> Fields<'a> {
-    pub fn read(body: &'a [u8]) -> Result<Fields<'a>, String> {
+    pub fn read(body: &'a [u8]) -> Result<Fields<'a>, WireError> {
         let mut d = Decoder::new(body);
         let fields = Fields::map(&mut d)?;
         if d.position() != body.len() {
-            return Err("field length: bytes follow the frame's map".to_string());
+            return Err(WireError::TrailingBytes);
         }
         Ok(fields)
     }
 
     /// One map; numbers that are not known are skipped, so that later versions may add some.
-    fn map(d: &mut Decoder<'a>) -> Result<Fields<'a>, String> {
+    fn map(d: &mut Decoder<'a>) -> Result<Fields<'a>, WireError> {
         let mut values = [None; FIELDS];
-        let bad =
-            |e: minicbor::decode::Error| format!("field kind: the frame is no map of fields ({e})");
-        let Some(len) = d.map().map_err(bad)? else {
-            return Err("field kind: maps of unknown length are not taken".to_string());
+        let Some(len) = d.map().map_err(WireError::NotAMap)? else {
+            return Err(WireError::IndefiniteMap);
         };
         for _ in 0..len {
-            let key = d.u64().map_err(|e| format!("field number: {e}"))?;
+            let key = d.u64().map_err(WireError::FieldNumber)?;
             if key as usize >= FIELDS {
-                d.skip().map_err(|e| format!("field {key}: {e}"))?;
+                d.skip().map_err(|source| WireError::UnknownField {
+                    number: key,
+                    source,
+                })?;
                 continue;
             }
-            let name = NAMES[key as usize];
-            let bad = |e: minicbor::decode::Error| format!("field {name}: {e}");
+            let field = NAMES[key as usize];
+            let bad = |source| WireError::Value { field, source };
             if values[key as usize].is_some() {
-                return Err(format!("field {name}: stands twice"));
+                return Err(WireError::Duplicate { field });
             }
             let value = match d.datatype().map_err(bad)? {
                 Type::U8 | Type::U16 | Type::U32 | Type::U64 => Value::Whole(d.u64().map_err(bad)?),
@@ -200,11 +205,7 @@
                     d.skip().map_err(bad)?;
                     Value::List(&d.input()[from..d.position()])
                 }
-                other => {
-                    return Err(format!(
-                        "field {name}: a value of type {other} is not taken"
-                    ))
-                }
+                found => return Err(WireError::UnsupportedType { field, found }),
             };
             values[key as usize] = Some(value);
         }
@@ -219,20 +220,20 @@
         self.get(field).is_some()
     }
 
-    pub fn kind(&self) -> Result<u64, String> {
+    pub fn kind(&self) -> Result<u64, WireError> {
         self.whole(Field::Kind)
     }
 
-    pub fn whole(&self, field: Field) -> Result<u64, String> {
+    pub fn whole(&self, field: Field) -> Result<u64, WireError> {
         match self.get(field) {
             Some(Value::Whole(v)) => Ok(v),
-            None => Err(format!("field {} is missing", field.name())),
-            Some(_) => Err(format!("field {} is no whole number", field.name())),
+            None => Err(WireError::missing(field)),
+            Some(_) => Err(WireError::wrong_type(field, "whole number")),
         }
     }
 
     /// A whole number that may be absent, up to a bound.
-    pub fn upto(&self, field: Field, most: u64, otherwise: u64) -> Result<u64, String> {
+    pub fn upto(&self, field: Field, most: u64, otherwise: u64) -> Result<u64, WireError> {
         let value = if self.has(field) {
             self.whole(field)?
         } else {
@@ -241,32 +242,39 @@
         if value <= most {
             return Ok(value);
         }
-        Err(format!("field {}: {value} is over {most}", field.name()))
+        Err(WireError::OverLimit {
+            field: field.name(),
+            value,
+            limit: most,
+        })
     }
 
-    pub fn real(&self, field: Field, otherwise: f64) -> Result<f64, String> {
+    pub fn real(&self, field: Field, otherwise: f64) -> Result<f64, WireError> {
         let value = match self.get(field) {
             None => otherwise,
             Some(Value::Whole(v)) => v as f64,
             Some(Value::Real(v)) => v,
-            Some(_) => return Err(format!("field {} is no number", field.name())),
+            Some(_) => return Err(WireError::wrong_type(field, "number")),
         };
         if value.is_finite() && (0.0..1e15).contains(&value) {
             return Ok(value);
         }
-        Err(format!("field {}: {value} is out of range", field.name()))
+        Err(WireError::OutOfRange {
+            field: field.name(),
+            value,
+        })
     }
 
-    pub fn text(&self, field: Field) -> Result<&'a str, String> {
+    pub fn text(&self, field: Field) -> Result<&'a str, WireError> {
         match self.get(field) {
             Some(Value::Text(v)) if !v.is_empty() => Ok(v),
-            None | Some(Value::Text(_)) => Err(format!("field {} is missing", field.name())),
-            Some(_) => Err(format!("field {} is no text", field.name())),
+            None | Some(Value::Text(_)) => Err(WireError::missing(field)),
+            Some(_) => Err(WireError::wrong_type(field, "text")),
         }
     }
 
     /// Text that may be absent: empty then.
-    pub fn word(&self, field: Field) -> Result<&'a str, String> {
+    pub fn word(&self, field: Field) -> Result<&'a str, WireError> {
         if self.has(field) && self.get(field) != Some(Value::Text("")) {
             self.text(field)
         } else {
@@ -275,38 +283,43 @@
     }
 
     /// Bytes that may be absent: empty then.
-    pub fn bytes(&self, field: Field) -> Result<&'a [u8], String> {
+    pub fn bytes(&self, field: Field) -> Result<&'a [u8], WireError> {
         match self.get(field) {
             None => Ok(&[]),
             Some(Value::Bytes(v)) => Ok(v),
-            Some(_) => Err(format!("field {} is no bytes", field.name())),
+            Some(_) => Err(WireError::wrong_type(field, "bytes")),
         }
     }
 
-    pub fn flag(&self, field: Field) -> Result<bool, String> {
+    pub fn flag(&self, field: Field) -> Result<bool, WireError> {
         match self.get(field) {
             None => Ok(false),
             Some(Value::Flag(v)) => Ok(v),
-            Some(_) => Err(format!("field {} is no flag", field.name())),
+            Some(_) => Err(WireError::wrong_type(field, "flag")),
         }
     }
 
     /// The entries of a list, each a map of fields.
     pub fn entries(
         &self,
-        mut each: impl FnMut(&Fields<'a>) -> Result<(), String>,
-    ) -> Result<(), String> {
+        mut each: impl FnMut(&Fields<'a>) -> Result<(), WireError>,
+    ) -> Result<(), WireError> {
         let Some(Value::List(bytes)) = self.get(Field::Entries) else {
-            return Err("field entries is missing".to_string());
+            return Err(WireError::missing(Field::Entries));
         };
         let mut d = Decoder::new(bytes);
-        let len = d
-            .array()
-            .map_err(|e| format!("field entries: {e}"))?
-            .unwrap_or(0);
-        for i in 0..len {
-            let entry = Fields::map(&mut d).map_err(|e| format!("field entries[{i}]: {e}"))?;
-            each(&entry).map_err(|e| format!("field entries[{i}]: {e}"))?;
+        let bad = |source| WireError::Value {
+            field: Field::Entries.name(),
+            source,
+        };
+        let len = d.array().map_err(bad)?.unwrap_or(0);
+        for index in 0..len {
+            let refused = |source| WireError::Entry {
+                index,
+                source: Box::new(source),
+            };
+            let entry = Fields::map(&mut d).map_err(refused)?;
+            each(&entry).map_err(refused)?;
         }
         Ok(())
     }
@@ -443,14 +456,12 @@
 }
 
 /// The role of a hello, once its version is ours.
-pub fn greeted<'a>(fields: &Fields<'a>) -> Result<&'a str, String> {
+pub fn greeted<'a>(fields: &Fields<'a>) -> Result<&'a str, WireError> {
     if fields.kind()? != kind::HELLO {
-        return Err("field kind: the first frame must be a hello".to_string());
+        return Err(WireError::NoGreeting);
     }
     match fields.whole(Field::Version)? {
         VERSION => fields.text(Field::Role),
-        other => Err(format!(
-            "field version: {other} is not spoken here, {VERSION} is"
-        )),
+        version => Err(WireError::Version { version }),
     }
 }
--- a/crates/tidewall-wire/tests/frames.rs
+++ b/crates/tidewall-wire/tests/frames.rs
@@ -1,7 +1,7 @@
 //! What was written is read again; what is malformed names its field.
 use test_case::test_case;
 use tidewall_wire::{
-    error, frame, greeted, hello, kind, Entries, Field, Fields, Frame, FRAME_MOST,
+    error, frame, greeted, hello, kind, Entries, Field, Fields, Frame, WireError, FRAME_MOST,
 };
 
 fn body(write: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
@@ -27,18 +27,21 @@
             .end();
     });
     let fields = Fields::read(&body).unwrap();
-    assert_eq!(fields.kind(), Ok(kind::EVENT));
-    assert_eq!(fields.whole(Field::Id), Ok(u64::MAX));
-    assert_eq!(fields.text(Field::Type), Ok("check"));
-    assert_eq!(fields.bytes(Field::Payload), Ok(&[1, 2][..]));
+    assert_eq!(fields.kind().unwrap(), kind::EVENT);
+    assert_eq!(fields.whole(Field::Id).unwrap(), u64::MAX);
+    assert_eq!(fields.text(Field::Type).unwrap(), "check");
+    assert_eq!(fields.bytes(Field::Payload).unwrap(), &[1, 2][..]);
     assert_eq!(
-        (fields.flag(Field::Resent), fields.flag(Field::On)),
-        (Ok(true), Ok(false))
+        (
+            fields.flag(Field::Resent).unwrap(),
+            fields.flag(Field::On).unwrap()
+        ),
+        (true, false)
     );
     let mut names = Vec::new();
     let each = |e: &Fields<'_>| {
         names.push((e.text(Field::Name)?.to_string(), e.flag(Field::On)?));
-        Ok(())
+        Ok::<_, WireError>(())
     };
     fields.entries(each).unwrap();
     assert_eq!(names, [("w1".to_string(), false), ("w2".to_string(), true)]);
@@ -51,7 +54,7 @@
         0xa3, 0, 10, 0x18, 99, 0x82, 1, 0xa1, 0x61, b'a', 0x41, 0, 5, 3,
     ];
     let fields = Fields::read(&body).unwrap();
-    assert_eq!(fields.whole(Field::Id), Ok(3));
+    assert_eq!(fields.whole(Field::Id).unwrap(), 3);
 }
 
 #[test_case(&[0xa1, 0, 0x61, b'x'], "field kind is no whole number" ; "text for a number")]
@@ -64,7 +67,10 @@
 #[test_case(&[0xbf, 0, 1, 0xff], "unknown length" ; "a map without length")]
 #[test_case(&[0xa1, 0, 0xf6], "field kind: a value of type null" ; "null")]
 fn a_malformed_frame_names_its_field(body: &[u8], says: &str) {
-    let told = Fields::read(body).and_then(|f| f.kind()).unwrap_err();
+    let told = Fields::read(body)
+        .and_then(|f| f.kind())
+        .unwrap_err()
+        .to_string();
     assert!(told.contains(says), "{told}");
 }
 
@@ -72,6 +78,7 @@
 fn a_frame_of_four_gib_is_refused_by_its_length_alone() {
     assert!(frame(&[0xff; 4])
         .unwrap_err()
+        .to_string()
         .contains(&FRAME_MOST.to_string()));
     assert_eq!(frame(&[0, 0, 0]).unwrap(), None);
     assert_eq!(frame(&[0, 0, 0, 2, 7]).unwrap(), None);
@@ -84,7 +91,8 @@
         let f = Frame::new(out, kind::HELLO).whole(Field::Version, version);
         f.text(Field::Role, "client").end();
     });
-    greeted(&Fields::read(&body).unwrap()).map(str::to_string)
+    let role = greeted(&Fields::read(&body).unwrap())?;
+    Ok(role.to_string())
 }
 
 #[test]
@@ -92,11 +100,12 @@
     let no = body(|out| error(out, "x"));
     assert!(greeted(&Fields::read(&no).unwrap())
         .unwrap_err()
+        .to_string()
         .contains("first frame"));
     let yes = body(|out| hello(out, "worker", "w1", 3));
     let fields = Fields::read(&yes).unwrap();
     assert_eq!(
-        (greeted(&fields), fields.text(Field::Name)),
-        (Ok("worker"), Ok("w1"))
+        (greeted(&fields).unwrap(), fields.text(Field::Name).unwrap()),
+        ("worker", "w1")
     );
 }
