--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -260,16 +260,16 @@
 impl<N: Net> Acting<'_, N> {
     fn copy(&mut self) -> &mut Replicator {
         self.gw
-            .core
-            .choice
+            .context
+            .scheduler
             .host
-            .copy
+            .replicator
             .as_mut()
             .expect("a pair copies")
     }
 
     fn ask(&mut self, voter: Option<usize>, wk: Option<usize>, ballot: u64, accepting: bool) {
-        let host = &mut self.gw.core.choice.host;
+        let host = &mut self.gw.context.scheduler.host;
         let within = host.net.now() + SILENT * Time::from(self.parts.at.interval) * CENTISECOND;
         match (wk.filter(|wk| host.reachable(*wk)), voter) {
             (Some(wk), _) => {
@@ -292,17 +292,17 @@
 
     fn voter(&self, voter: usize) -> Option<usize> {
         self.gw
-            .core
-            .choice
+            .context
+            .scheduler
             .host
-            .workers
+            .worker_names
             .get(&self.parts.at.voters[voter])
     }
 
     /// All workers hear who serves, not only the voters.
     fn spread(&mut self, claim: Leadership) {
         self.copy().claim = claim;
-        let all = self.gw.core.choice.host.wks.len();
+        let all = self.gw.context.scheduler.host.workers.len();
         self.parts.fenced.resize(all, false);
         for wk in 0..all {
             if !self.parts.fenced[wk] {
@@ -327,7 +327,7 @@
 
 impl<N: Net> role::RoleActions for Acting<'_, N> {
     fn set_vrrp_enabled(&mut self, on: bool) {
-        let net = &mut self.gw.core.choice.host.net;
+        let net = &mut self.gw.context.scheduler.host.net;
         self.parts.vrrp(net, |router, act| {
             if on {
                 router.startup(act)
@@ -343,17 +343,17 @@
 
     fn start_serving(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
         info!(epoch = count(claim.epoch), adopt, forgot, "serves");
-        let now = self.gw.core.net().now();
+        let now = self.gw.context.net().now();
         let longest = self.parts.at.retention.iter().max().copied().unwrap_or(0);
         self.copy().forgot = if forgot { now + longest } else { 0 };
         self.copy().epoch = claim.epoch;
-        self.gw.core.standby = false;
+        self.gw.context.standby = false;
         self.parts.fenced.clear();
-        self.gw.listen_all(self.parts);
+        self.gw.open_listeners(self.parts);
         self.spread(claim);
         if adopt {
             self.parts.adopting = true;
-            self.gw.adopt(self.parts);
+            self.gw.take_over_requests(self.parts);
         }
     }
 
@@ -366,14 +366,14 @@
         self.spread(claim);
         if adopt {
             self.parts.adopting = true;
-            self.gw.adopt(self.parts);
+            self.gw.take_over_requests(self.parts);
         }
     }
 
     fn stop_accepting(&mut self) {
         info!(held = self.gw.requests_in_flight(), "retires");
-        self.gw.core.standby = true;
-        self.gw.unlisten();
+        self.gw.context.standby = true;
+        self.gw.stop_listening();
     }
 
     fn set_replication_wait(&mut self, on: bool) {
@@ -383,8 +383,10 @@
     }
 
     fn start_replication(&mut self, new: bool) {
-        let host = &mut self.gw.core.choice.host;
-        let Some(copy) = &mut host.copy else { return };
+        let host = &mut self.gw.context.scheduler.host;
+        let Some(copy) = &mut host.replicator else {
+            return;
+        };
         (copy.on, copy.base, copy.acked) = (true, copy.seq - copy.sent, copy.seq);
         copy.unsure = !new;
         copy.tell(&mut host.net, kind::COPY, |f| f.flag(Field::On, new).end());
@@ -394,19 +396,19 @@
             SnapshotCursor::Events(0)
         };
         self.parts.began = copy.seq;
-        self.gw.pump(self.parts);
+        self.gw.send_pending_snapshot(self.parts);
     }
 
     fn request_step_down(&mut self) {
-        let host = &mut self.gw.core.choice.host;
-        if let Some(copy) = &mut host.copy {
+        let host = &mut self.gw.context.scheduler.host;
+        if let Some(copy) = &mut host.replicator {
             copy.say(&mut host.net, kind::YIELD, |f| f.end());
         }
     }
 
     fn confirm_step_down(&mut self) {
-        let host = &mut self.gw.core.choice.host;
-        if let Some(copy) = &mut host.copy {
+        let host = &mut self.gw.context.scheduler.host;
+        if let Some(copy) = &mut host.replicator {
             copy.say(&mut host.net, kind::YIELDED, |f| f.end());
         }
     }
@@ -414,23 +416,23 @@
     fn restart_process(&mut self, why: &'static str) {
         warn!(why, "starts anew");
         if !self.parts.leaving {
-            self.gw.ended = StopReason::Restart;
+            self.gw.stop_reason = StopReason::Restart;
         }
-        self.gw.core.net().stop();
+        self.gw.context.net().stop();
     }
 
     fn exit_process(&mut self) {
-        self.gw.save_list();
-        self.gw.core.net().stop();
+        self.gw.write_endpoint_cache();
+        self.gw.context.net().stop();
     }
 }
 
 impl<N: Net> IngressContext<N> {
     /// One of a pair may know this event: in hand, here or at the other member, or answered.
-    pub(crate) fn again(&mut self, event: &IncomingRequest) -> Option<usize> {
-        let host = &mut self.choice.host;
+    pub(crate) fn find_duplicate(&mut self, event: &IncomingRequest) -> Option<usize> {
+        let host = &mut self.scheduler.host;
         let now = host.net.now();
-        let copy = host.copy.as_mut()?;
+        let copy = host.replicator.as_mut()?;
         let until = now + event.remaining;
         if event.is_retry
             && now < copy.forgot
@@ -461,11 +463,14 @@
             RequestLocation::Local(place) => {
                 let place = *place;
                 copy.joined.push(place);
-                host.events[place].more.push((event.reply_handle, until));
+                host.requests[place]
+                    .waiting_clients
+                    .push((event.reply_handle, until));
                 Some(place)
             }
             RequestLocation::Remote(at) => {
-                self.there.push_back((*at, event.reply_handle, until));
+                self.awaited_remote
+                    .push_back((*at, event.reply_handle, until));
                 Some(usize::MAX)
             }
             RequestLocation::Responded(number, payload) => {
@@ -482,14 +487,18 @@
 
     /// The epoch under which this gateway serves; 0 where it is not one of a pair.
     pub fn epoch(&self) -> u64 {
-        self.choice.host.copy.as_ref().map_or(0, |c| c.epoch)
+        self.scheduler
+            .host
+            .replicator
+            .as_ref()
+            .map_or(0, |c| c.epoch)
     }
 }
 
 impl<N: Net> Gateway<N> {
-    pub(crate) fn pair_up(&mut self, at: FailoverConfig) -> Result<(), StartError> {
+    pub(crate) fn enable_failover(&mut self, at: FailoverConfig) -> Result<(), StartError> {
         let me = usize::from(at.name > at.peer_name);
-        let now = self.core.net().now();
+        let now = self.context.net().now();
         let parameters = Parameters {
             vrid: at.vrid,
             priority: at.priority,
@@ -499,7 +508,7 @@
             address: v4(at.vrrp_address),
         };
         let interval = Time::from(at.interval) * CENTISECOND;
-        let net = self.core.net();
+        let net = self.context.net();
         let port = net
             .bind_datagram(at.vrrp_address)
             .map_err(|source| StartError::BindDatagrams {
@@ -529,8 +538,8 @@
             at.replicates,
         );
         copy.silence = (SILENT + 1) * interval;
-        self.core.choice.host.copy = Some(Box::new(copy));
-        let stood = self.core.net().total_stall();
+        self.context.scheduler.host.replicator = Some(Box::new(copy));
+        let stood = self.context.net().total_stall();
         let parts = Parts {
             me,
             router: Router::new(parameters).map_err(StartError::Vrrp)?,
@@ -568,16 +577,16 @@
             interval,
             now,
         );
-        self.pair = Some(Box::new(FailoverNode { seat, parts }));
+        self.failover = Some(Box::new(FailoverNode { seat, parts }));
         Ok(())
     }
 
     /// What the seat does for one thing that happened, and what VRRP said meanwhile.
-    fn with_seat(&mut self, f: impl FnOnce(&mut RoleStateMachine, Time, &mut Acting<N>)) {
-        let Some(mut pair) = self.pair.take() else {
+    fn with_role(&mut self, f: impl FnOnce(&mut RoleStateMachine, Time, &mut Acting<N>)) {
+        let Some(mut pair) = self.failover.take() else {
             return;
         };
-        let now = self.core.net().now();
+        let now = self.context.net().now();
         let FailoverNode { seat, parts } = &mut *pair;
         f(seat, now, &mut Acting { gw: self, parts });
         while let Some(on) = parts.wanted.take() {
@@ -587,42 +596,42 @@
                 seat.vrrp_became_backup(now);
             }
         }
-        self.pair = Some(pair);
+        self.failover = Some(pair);
     }
 
     /// Under which it serves; 0 where it never did.
     pub fn epoch(&self) -> u64 {
-        self.core.epoch()
+        self.context.epoch()
     }
 
     /// The first setting that the other member has otherwise.
     pub fn settings_mismatch(&self) -> Option<&str> {
-        self.pair.as_ref()?.parts.disagrees.as_deref()
+        self.failover.as_ref()?.parts.disagrees.as_deref()
     }
 
     /// Advertisements that were ignored as malformed, forged or replayed.
     pub fn rejected_advertisements(&self) -> u64 {
-        self.pair.as_ref().map_or(0, |p| p.parts.bad)
+        self.failover.as_ref().map_or(0, |p| p.parts.bad)
     }
 
     /// Launches and answers that wait for the other member's record.
     pub fn unreplicated(&self) -> usize {
-        self.core
-            .choice
+        self.context
+            .scheduler
             .host
-            .copy
+            .replicator
             .as_ref()
             .map_or(0, |c| c.waiting())
     }
 
     /// How this member of a pair stands.
     pub fn role(&self) -> Option<Role> {
-        self.pair.as_ref().map(|p| p.state())
+        self.failover.as_ref().map(|p| p.state())
     }
 
-    fn listen_all(&mut self, parts: &mut Parts) {
+    fn open_listeners(&mut self, parts: &mut Parts) {
         parts.unopened = false;
-        for door in 0..self.doors.len() {
+        for door in 0..self.ingresses.len() {
             // The former owner of the address may still hold it: tried again with the next tick.
             if self.listeners[door].is_none() && self.listen(door).is_err() {
                 parts.unopened = true;
@@ -630,10 +639,12 @@
         }
     }
 
-    pub(crate) fn pair_tick(&mut self) {
-        let Some(pair) = &mut self.pair else { return };
+    pub(crate) fn failover_tick(&mut self) {
+        let Some(pair) = &mut self.failover else {
+            return;
+        };
         let interval = Time::from(pair.parts.at.interval) * CENTISECOND;
-        let net = &mut self.core.choice.host.net;
+        let net = &mut self.context.scheduler.host.net;
         let now = net.now();
         net.set_timer(now + interval / TICKS, OF_PAIR);
         let parts = &mut pair.parts;
@@ -649,14 +660,20 @@
         let silent = now > parts.heard + SILENT * interval;
         let (member, retry) = (parts.me, parts.dialing.is_none());
         let (peer, epoch) = (parts.at.peer_link_address, pair.seat.epoch());
-        let copy = self.core.choice.host.copy.as_mut().expect("a pair copies");
+        let copy = self
+            .context
+            .scheduler
+            .host
+            .replicator
+            .as_mut()
+            .expect("a pair copies");
         match copy.conn {
             Some(conn) if silent || copy.slow(now) => {
                 warn!(silent, "the other member is silent or too slow");
                 pair.seat.peer_too_slow(now);
-                self.core.choice.host.net.reset(conn);
-                self.own(conn, Owner::Nobody);
-                self.peer_over();
+                self.context.scheduler.host.net.reset(conn);
+                self.set_owner(conn, Owner::Nobody);
+                self.peer_connection_closed();
             }
             Some(_) => {
                 let counted = if pair.seat.state() == Role::Replicating {
@@ -664,7 +681,7 @@
                 } else {
                     0
                 };
-                copy.say(&mut self.core.choice.host.net, kind::PING, |f| {
+                copy.say(&mut self.context.scheduler.host.net, kind::PING, |f| {
                     f.flag(Field::On, counts)
                         .whole(Field::SyncA, counted)
                         .whole(Field::Epoch, epoch)
@@ -672,18 +689,18 @@
                 });
             }
             None if member == 1 && retry => {
-                let conn = self.core.net().connect(peer, interval);
-                self.own(conn, Owner::Handshake);
-                if let Some(pair) = &mut self.pair {
+                let conn = self.context.net().connect(peer, interval);
+                self.set_owner(conn, Owner::Handshake);
+                if let Some(pair) = &mut self.failover {
                     pair.parts.dialing = Some(conn);
                 }
             }
             None => {}
         }
-        self.with_seat(|seat, now, act| {
+        self.with_role(|seat, now, act| {
             seat.tick(now, act);
             if act.parts.unopened {
-                act.gw.listen_all(act.parts);
+                act.gw.open_listeners(act.parts);
             }
             if seat.state() == Role::Synchronizing {
                 let copy = act.copy();
@@ -691,7 +708,7 @@
                     seat.replication_caught_up(act);
                 }
             }
-            act.gw.all_fenced(act.parts);
+            act.gw.update_fencing_complete(act.parts);
             let awaits = act.parts.adopting && act.parts.theirs.iter().any(Option::is_some);
             let forgot = now < act.copy().forgot && !act.copy().fenced_all;
             if seat.state().serves() && (awaits || forgot) {
@@ -699,26 +716,26 @@
                     let claim = act.copy().claim;
                     act.spread(claim);
                 }
-                act.gw.adopt(act.parts);
+                act.gw.take_over_requests(act.parts);
             }
-            act.gw.pump(act.parts);
-            act.gw.impatient(act.parts);
+            act.gw.send_pending_snapshot(act.parts);
+            act.gw.expire_waiting_clients(act.parts);
         });
         if self
-            .pair
+            .failover
             .as_ref()
             .is_some_and(|p| p.seat.exits_without_peer(now))
-            && !self.core.draining
+            && !self.context.draining
         {
-            self.core.draining = true;
-            self.unlisten();
+            self.context.draining = true;
+            self.stop_listening();
         }
     }
 
-    pub(crate) fn vrrp_due(&mut self) {
-        self.with_seat(|_, _, act| {
+    pub(crate) fn vrrp_timer_fired(&mut self) {
+        self.with_role(|_, _, act| {
             act.parts.timer = None;
-            let net = &mut act.gw.core.choice.host.net;
+            let net = &mut act.gw.context.scheduler.host.net;
             // What was not heard while we stood still says nothing of the other one.
             let stood =
                 net.total_stall() > std::mem::replace(&mut act.parts.vrrp_stood, net.total_stall());
@@ -732,8 +749,8 @@
         });
     }
 
-    pub(crate) fn advertised(&mut self, from: SocketAddr, bytes: &[u8]) {
-        self.with_seat(|_, now, act| {
+    pub(crate) fn vrrp_datagram_received(&mut self, from: SocketAddr, bytes: &[u8]) {
+        self.with_role(|_, now, act| {
             let parts = &mut *act.parts;
             let shared = [v4(parts.at.shared_address)];
             // The hash does not cover who sent it: a packet that was overheard must not come from elsewhere.
@@ -743,7 +760,7 @@
             };
             match read {
                 Ok((vrid, advertisement)) if vrid == parts.at.vrid => {
-                    let net = &mut act.gw.core.choice.host.net;
+                    let net = &mut act.gw.context.scheduler.host.net;
                     parts.vrrp(net, |router, vrrp| {
                         router.advertisement_received(vrrp, advertisement)
                     });
@@ -761,22 +778,22 @@
     }
 
     /// Told to go. False where it is to end as one gateway would.
-    pub(crate) fn leave(&mut self) -> bool {
-        match &mut self.pair {
+    pub(crate) fn begin_failover_shutdown(&mut self) -> bool {
+        match &mut self.failover {
             Some(pair) if !pair.parts.leaving => pair.parts.leaving = true,
             _ => return false,
         }
         let mut waits = false;
-        self.with_seat(|seat, now, act| waits = seat.shutdown_requested(now, act));
-        self.settle();
+        self.with_role(|seat, now, act| waits = seat.shutdown_requested(now, act));
+        self.deliver_deferred_outcomes();
         waits
     }
 
     // The link.
 
-    pub(crate) fn link_made(&mut self, conn: Conn) {
+    pub(crate) fn send_peer_greeting(&mut self, conn: Conn) {
         let mut out = Vec::new();
-        let Some(pair) = &self.pair else { return };
+        let Some(pair) = &self.failover else { return };
         let at = &pair.parts.at;
         let f = Frame::new(&mut out, kind::HELLO).whole(Field::Version, wire::VERSION);
         let f = f
@@ -788,20 +805,28 @@
             .whole(Field::Epoch, pair.seat.epoch());
         f.bytes(Field::Payload, at.shared_settings.join("\n").as_bytes())
             .end();
-        self.core.net().write(conn, &out);
+        self.context.net().write(conn, &out);
     }
 
-    pub(crate) fn guest_over(&mut self, conn: Conn) {
-        if let Some(pair) = self.pair.as_mut().filter(|p| p.parts.dialing == Some(conn)) {
+    pub(crate) fn handshake_closed(&mut self, conn: Conn) {
+        if let Some(pair) = self
+            .failover
+            .as_mut()
+            .filter(|p| p.parts.dialing == Some(conn))
+        {
             pair.parts.dialing = None;
         }
     }
 
     /// The first frame of a connection to the link's listener, or of the one that we dialled.
-    pub(crate) fn guest_frame(&mut self, conn: Conn, fields: &Fields) -> Result<(), ProtocolError> {
+    pub(crate) fn handshake_frame_received(
+        &mut self,
+        conn: Conn,
+        fields: &Fields,
+    ) -> Result<(), ProtocolError> {
         match wire::greeted(fields)? {
             "status" => {
-                self.status(conn);
+                self.send_status(conn);
                 return Ok(());
             }
             "pair" => {}
@@ -816,7 +841,7 @@
             fields.flag(Field::On)?,
             fields.upto(Field::Epoch, u64::MAX, 0)?,
         );
-        let Some(pair) = &mut self.pair else {
+        let Some(pair) = &mut self.failover else {
             return Err(WireError::invalid(Field::Role, "no pair here").into());
         };
         if name != pair.parts.at.peer_name {
@@ -828,16 +853,23 @@
         let differs = disagree(&pair.parts.at.shared_settings, &theirs);
         if pair.parts.dialing.take().is_none() {
             // They dialled: they hear who we are.
-            self.link_made(conn);
+            self.send_peer_greeting(conn);
         }
-        if let Some(old) = self.core.choice.host.copy.as_ref().and_then(|c| c.conn) {
-            self.core.net().reset(old);
-            self.own(old, Owner::Nobody);
-            self.peer_over();
+        if let Some(old) = self
+            .context
+            .scheduler
+            .host
+            .replicator
+            .as_ref()
+            .and_then(|c| c.conn)
+        {
+            self.context.net().reset(old);
+            self.set_owner(old, Owner::Nobody);
+            self.peer_connection_closed();
         }
-        let now = self.core.net().now();
-        self.own(conn, Owner::Peer);
-        if let Some(pair) = &mut self.pair {
+        let now = self.context.net().now();
+        self.set_owner(conn, Owner::Peer);
+        if let Some(pair) = &mut self.failover {
             (pair.parts.got, pair.parts.recorded, pair.parts.heard) = (0, 0, now);
             // The lower priority keeps off, or the later name.
             let bar = differs.is_some() && pair.parts.me == 1;
@@ -851,33 +883,35 @@
             pair.parts.disagrees = differs;
             pair.seat.set_barred(bar);
         }
-        if let Some(copy) = &mut self.core.choice.host.copy {
+        if let Some(copy) = &mut self.context.scheduler.host.replicator {
             (copy.conn, copy.sent) = (Some(conn), 0);
         }
         info!(name, life, serves, "the other member is there");
-        self.with_seat(|seat, now, act| seat.peer_connected(now, act, life, serves, epoch));
+        self.with_role(|seat, now, act| seat.peer_connected(now, act, life, serves, epoch));
         Ok(())
     }
 
-    pub(crate) fn peer_over(&mut self) {
-        if let Some(copy) = &mut self.core.choice.host.copy {
+    pub(crate) fn peer_connection_closed(&mut self) {
+        if let Some(copy) = &mut self.context.scheduler.host.replicator {
             (copy.conn, copy.on, copy.broken) = (None, false, false);
         }
-        if let Some(pair) = &mut self.pair {
+        if let Some(pair) = &mut self.failover {
             pair.parts.cursor = SnapshotCursor::Off;
         }
         warn!("the link to the other member is gone");
-        self.with_seat(|seat, now, act| seat.peer_disconnected(now, act));
+        self.with_role(|seat, now, act| seat.peer_disconnected(now, act));
     }
 
     /// Tells the other member how much of what came is recorded.
-    pub(crate) fn record(&mut self) {
-        let Some(pair) = &mut self.pair else { return };
+    pub(crate) fn acknowledge_records(&mut self) {
+        let Some(pair) = &mut self.failover else {
+            return;
+        };
         let parts = &mut pair.parts;
         if parts.got > parts.recorded {
             parts.recorded = parts.got;
-            let (host, got) = (&mut self.core.choice.host, parts.got);
-            if let Some(copy) = &mut host.copy {
+            let (host, got) = (&mut self.context.scheduler.host, parts.got);
+            if let Some(copy) = &mut host.replicator {
                 copy.say(&mut host.net, kind::RECORDED, |f| {
                     f.whole(Field::Seq, got).end()
                 });
@@ -885,9 +919,9 @@
         }
     }
 
-    pub(crate) fn peer_frame(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
-        let now = self.core.net().now();
-        let Some(pair) = &mut self.pair else {
+    pub(crate) fn peer_frame_received(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
+        let now = self.context.net().now();
+        let Some(pair) = &mut self.failover else {
             return Ok(());
         };
         pair.parts.heard = now;
@@ -899,21 +933,27 @@
                     counted == pair.parts.at.incarnation,
                 );
                 let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
-                self.with_seat(|seat, now, act| {
+                self.with_role(|seat, now, act| {
                     seat.peer_heartbeat(now, act, serves, counts, epoch)
                 });
             }
             kind::RECORDED => {
                 let seq = fields.whole(Field::Seq)?;
-                let copy = self.core.choice.host.copy.as_mut().expect("a pair copies");
+                let copy = self
+                    .context
+                    .scheduler
+                    .host
+                    .replicator
+                    .as_mut()
+                    .expect("a pair copies");
                 if copy.base + seq > copy.seq {
                     return Err(
                         WireError::invalid(Field::Seq, format!("{seq} was never told")).into(),
                     );
                 }
                 copy.acked = copy.acked.max(copy.base + seq);
-                self.with_seat(|seat, now, act| {
-                    act.gw.pump(act.parts);
+                self.with_role(|seat, now, act| {
+                    act.gw.send_pending_snapshot(act.parts);
                     let acked = act.copy().acked;
                     if let SnapshotCursor::Finished(all) = act.parts.cursor {
                         if acked >= all {
@@ -926,22 +966,22 @@
                     }
                 });
             }
-            kind::YIELD => self.with_seat(|seat, now, act| seat.step_down_requested(now, act)),
-            kind::YIELDED => self.with_seat(|seat, now, act| seat.peer_stepped_down(now, act)),
+            kind::YIELD => self.with_role(|seat, now, act| seat.step_down_requested(now, act)),
+            kind::YIELDED => self.with_role(|seat, now, act| seat.peer_stepped_down(now, act)),
             _ => {
                 pair.parts.got += 1;
-                return self.update(fields);
+                return self.apply_record(fields);
             }
         }
         Ok(())
     }
 
     /// One update of what the other member has in hand.
-    fn update(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
+    fn apply_record(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
         const PLACES: u64 = 1 << 24; // more events than a gateway may hold
-        let host = &mut self.core.choice.host;
+        let host = &mut self.context.scheduler.host;
         let now = host.net.now();
-        let (Some(pair), Some(copy)) = (&mut self.pair, &mut host.copy) else {
+        let (Some(pair), Some(copy)) = (&mut self.failover, &mut host.replicator) else {
             return Ok(());
         };
         let parts = &mut pair.parts;
@@ -961,13 +1001,13 @@
                 }
             }
             kind::TAKEN => {
-                let typ = typ(&host.types)?;
+                let typ = typ(&host.class_names)?;
                 let tenant = fields.word(Field::Tenant)?;
                 let mark = fields.bytes(Field::Mark)?;
                 let kept = ReplicatedRequest {
                     id: fields.whole(Field::Id)?,
                     typ,
-                    tenant: host.tenants.iter().position(|t| t == tenant),
+                    tenant: host.tenant_names.iter().position(|t| t == tenant),
                     function: fields.text(Field::Function)?.to_string(),
                     lanes: fields.upto(Field::Lanes, 1000, 1)? as u32,
                     memory: fields.real(Field::Memory, 0.0)?,
@@ -988,7 +1028,7 @@
                 parts.theirs[place] = Some(kept);
             }
             kind::LAUNCHED => {
-                let wk = host.workers.intern(fields.text(Field::Name)?);
+                let wk = host.worker_names.intern(fields.text(Field::Name)?);
                 if let Some(kept) = parts.theirs.get_mut(place).and_then(Option::as_mut) {
                     kept.launches.push(recovery::Attempt {
                         worker: wk,
@@ -1019,7 +1059,7 @@
                     _ => remember(
                         copy,
                         now,
-                        typ(&host.types)?,
+                        typ(&host.class_names)?,
                         fields.bytes(Field::Mark)?,
                         word,
                         payload,
@@ -1061,29 +1101,39 @@
     }
 
     /// Tells more of the copy, as far as the link takes it.
-    fn pump(&mut self, parts: &mut Parts) {
-        let host = &mut self.core.choice.host;
+    fn send_pending_snapshot(&mut self, parts: &mut Parts) {
+        let host = &mut self.context.scheduler.host;
         let now = host.net.now();
-        let Some(copy) = &mut host.copy else { return };
+        let Some(copy) = &mut host.replicator else {
+            return;
+        };
         let Some(conn) = copy.conn.filter(|_| copy.on) else {
             return;
         };
         while host.net.unsent(conn) < COPY_AHEAD && copy.on {
             match parts.cursor {
-                SnapshotCursor::Events(place) if place < host.events.len() => {
+                SnapshotCursor::Events(place) if place < host.requests.len() => {
                     parts.cursor = SnapshotCursor::Events(place + 1);
-                    let held = &host.events[place];
+                    let held = &host.requests[place];
                     if !held.open {
                         continue;
                     }
-                    let function = host.functions.resolve(held.arrival().function);
+                    let function = host.function_names.resolve(held.info().function);
                     copy.tell(&mut host.net, kind::TAKEN, |f| {
-                        taken(f, place, held, &host.types, &host.tenants, function, now)
+                        taken(
+                            f,
+                            place,
+                            held,
+                            &host.class_names,
+                            &host.tenant_names,
+                            function,
+                            now,
+                        )
                     });
                     // As it stands: so many that may have run, wherever. Their places are those of the launches.
                     for (launch, wk, proven) in host.launches_of(place) {
-                        let name = host.workers.resolve(wk).to_string();
-                        let copy = host.copy.as_mut().expect("a pair copies");
+                        let name = host.worker_names.resolve(wk).to_string();
+                        let copy = host.replicator.as_mut().expect("a pair copies");
                         copy.tell(&mut host.net, kind::LAUNCHED, |f| {
                             let f = f
                                 .whole(Field::Place, place as u64)
@@ -1099,7 +1149,7 @@
                             });
                         }
                     }
-                    return self.pump(parts);
+                    return self.send_pending_snapshot(parts);
                 }
                 SnapshotCursor::Events(_) => parts.cursor = SnapshotCursor::Answers(0),
                 SnapshotCursor::Answers(from) => {
@@ -1117,7 +1167,7 @@
                         let text = word(*number).wire_text();
                         copy.tell(&mut host.net, kind::ANSWERED, |f| {
                             let f = f
-                                .text(Field::Type, &host.types[typ])
+                                .text(Field::Type, &host.class_names[typ])
                                 .bytes(Field::Mark, &mark);
                             f.text(Field::Word, text)
                                 .bytes(Field::Payload, &payload)
@@ -1131,19 +1181,19 @@
     }
 
     /// Goes on with what the other member had in hand, as far as that may be.
-    fn adopt(&mut self, parts: &mut Parts) {
-        let now = self.core.net().now();
+    fn take_over_requests(&mut self, parts: &mut Parts) {
+        let now = self.context.net().now();
         let mut left = false;
         for place in 0..parts.theirs.len() {
-            let host = &mut self.core.choice.host;
-            let (Some(copy), Some(kept)) = (&mut host.copy, &parts.theirs[place]) else {
+            let host = &mut self.context.scheduler.host;
+            let (Some(copy), Some(kept)) = (&mut host.replicator, &parts.theirs[place]) else {
                 continue;
             };
             let fenced = |wk: usize| {
                 let gone = host
-                    .wks
+                    .workers
                     .get(wk)
-                    .is_none_or(|w| w.standing() == EndpointState::Removed);
+                    .is_none_or(|w| w.state() == EndpointState::Removed);
                 gone || parts.fenced.get(wk).copied().unwrap_or(false)
             };
             let (kind, two) = (copy.kind(kept.typ), copy.two_at_once);
@@ -1155,7 +1205,7 @@
             let kept = parts.theirs[place].take().expect("it was there");
             let word = match fate {
                 RecoveryAction::Continue => {
-                    self.go_on(kept);
+                    self.resume_request(kept);
                     continue;
                 }
                 RecoveryAction::Fail => Disposition::Failed,
@@ -1170,21 +1220,21 @@
     }
 
     /// Whether nothing of former lives is out at any worker.
-    fn all_fenced(&mut self, parts: &Parts) {
-        let host = &mut self.core.choice.host;
+    fn update_fencing_complete(&mut self, parts: &Parts) {
+        let host = &mut self.context.scheduler.host;
         let fenced = |wk: usize| parts.fenced.get(wk).copied().unwrap_or(false);
-        let mut wks = host.wks.iter().enumerate();
-        let all = wks.all(|(wk, w)| w.standing() == EndpointState::Removed || fenced(wk));
-        if let Some(copy) = &mut host.copy {
+        let mut wks = host.workers.iter().enumerate();
+        let all = wks.all(|(wk, w)| w.state() == EndpointState::Removed || fenced(wk));
+        if let Some(copy) = &mut host.replicator {
             copy.fenced_all = all;
         }
     }
 
-    fn go_on(&mut self, kept: ReplicatedRequest) {
-        let now = self.core.net().now();
+    fn resume_request(&mut self, kept: ReplicatedRequest) {
+        let now = self.context.net().now();
         let asked = !kept.tickets.is_empty();
-        self.core.choice.host.heirs = kept.tickets;
-        let place = self.core.begin(&IncomingRequest {
+        self.context.scheduler.host.next_waiting_clients = kept.tickets;
+        let place = self.context.start_request(&IncomingRequest {
             reply_handle: NO_CLIENT,
             id: kept.id,
             class: kept.typ,
@@ -1199,31 +1249,33 @@
             idempotency_key: &kept.mark,
             payload: &kept.payload,
         });
-        copy_of(&mut self.core).ration.undo_last_request();
+        copy_of(&mut self.context).ration.undo_last_request();
         if asked {
             // Where it has its answer already this is passed by.
-            copy_of(&mut self.core).joined.push(place);
+            copy_of(&mut self.context).joined.push(place);
         }
     }
 
     /// Those who asked again and whose time is nearly over get their answer, whatever becomes of the event.
-    fn impatient(&mut self, parts: &mut Parts) {
-        let host = &mut self.core.choice.host;
+    fn expire_waiting_clients(&mut self, parts: &mut Parts) {
+        let host = &mut self.context.scheduler.host;
         let now = host.net.now();
-        let Some(copy) = &mut host.copy else { return };
+        let Some(copy) = &mut host.replicator else {
+            return;
+        };
         // It is looked at once a tick.
         let tick = Time::from(parts.at.interval) * CENTISECOND / TICKS;
         let over = |t: &(ReplyHandle, Time)| now + tick + 2 * recovery::LEAST >= t.1;
         let mut late = Vec::new();
-        let events = &mut host.events;
+        let events = &mut host.requests;
         copy.joined.retain(|place| {
             let held = &mut events[*place];
             if !held.open {
                 return false;
             }
-            late.extend(held.more.iter().filter(|t| over(t)).copied());
-            held.more.retain(|t| !over(t));
-            !held.more.is_empty()
+            late.extend(held.waiting_clients.iter().filter(|t| over(t)).copied());
+            held.waiting_clients.retain(|t| !over(t));
+            !held.waiting_clients.is_empty()
         });
         for kept in parts
             .theirs
@@ -1243,25 +1295,25 @@
 
     // Voters and workers.
 
-    pub(crate) fn no_vote(&mut self, voter: Option<usize>, of: (u64, bool)) {
-        if let (Some(voter), Some(copy)) = (voter, &mut self.core.choice.host.copy) {
+    pub(crate) fn vote_missing(&mut self, voter: Option<usize>, of: (u64, bool)) {
+        if let (Some(voter), Some(copy)) = (voter, &mut self.context.scheduler.host.replicator) {
             copy.unheard.push_back((voter, of));
         }
     }
 
-    pub(crate) fn fenced(&mut self) {
-        if let Some(copy) = &mut self.core.choice.host.copy {
+    pub(crate) fn epoch_rejected(&mut self) {
+        if let Some(copy) = &mut self.context.scheduler.host.replicator {
             copy.fenced = true;
         }
     }
 
-    pub(crate) fn promised(
+    pub(crate) fn vote_received(
         &mut self,
         link: usize,
         wk: usize,
         fields: &Fields,
     ) -> Result<(), ProtocolError> {
-        let host = &mut self.core.choice.host;
+        let host = &mut self.context.scheduler.host;
         let Some(key) = host.key(CallName::CallId(fields.whole(Field::Id)?), link)? else {
             return Ok(());
         };
@@ -1269,11 +1321,11 @@
             voter,
             ballot,
             accepting,
-        } = host.outs[key].task
+        } = host.calls[key].kind
         else {
             return Ok(());
         };
-        let over = host.outs[key].over;
+        let over = host.calls[key].ended;
         let good = fields.flag(Field::On)?;
         let whole = |field| fields.upto(field, u64::MAX, 0);
         let accepted = Leadership {
@@ -1287,7 +1339,7 @@
             accepted,
         };
         host.free(key);
-        self.with_seat(|seat, now, act| {
+        self.with_role(|seat, now, act| {
             if let Some(voter) = voter.filter(|_| !over) {
                 seat.vote_received(now, act, voter, (ballot, accepting), good, promise);
             }
@@ -1301,7 +1353,7 @@
                     parts.fenced.resize(wk + 1, false);
                 }
                 if !std::mem::replace(&mut parts.fenced[wk], true) && parts.adopting {
-                    act.gw.adopt(act.parts);
+                    act.gw.take_over_requests(act.parts);
                 }
             }
         });
@@ -1311,19 +1363,19 @@
     // What is settled after each thing that happened.
 
     /// The event's answer, which is used up: it goes to whoever waits for it, at once or when it is recorded.
-    pub(crate) fn conclude(&mut self, given: &LocalResponse, payload: &[u8]) {
-        let host = &mut self.core.choice.host;
-        if host.copy.is_some() {
+    pub(crate) fn send_final_response(&mut self, given: &LocalResponse, payload: &[u8]) {
+        let host = &mut self.context.scheduler.host;
+        if host.replicator.is_some() {
             if let Some(due) = host.copy_answered(given, payload) {
-                self.give(due);
+                self.send_pending_response(due);
             }
             return;
         }
         let LocalResponse {
-            ticket,
-            word,
-            come_back,
-            took,
+            reply_handle: ticket,
+            disposition: word,
+            retry_after: come_back,
+            elapsed: took,
             ..
         } = *given;
         let answer = Response {
@@ -1333,17 +1385,17 @@
             payload,
             elapsed: took,
         };
-        self.doors[ticket.ingress].respond(&mut host.net, ticket, &answer);
+        self.ingresses[ticket.ingress].respond(&mut host.net, ticket, &answer);
     }
 
-    fn give(&mut self, due: PendingResponse) {
-        let host = &mut self.core.choice.host;
+    fn send_pending_response(&mut self, due: PendingResponse) {
+        let host = &mut self.context.scheduler.host;
         let now = host.net.now();
         let word = due.word.unwrap_or(Disposition::Failed);
         for (ticket, until) in due.tickets.iter().filter(|t| t.0 != NO_CLIENT) {
             if now > *until {
-                host.counts.overdue += 1;
-                self.doors[ticket.ingress].request_expired(now, *ticket);
+                host.counters.expired += 1;
+                self.ingresses[ticket.ingress].request_expired(now, *ticket);
                 continue;
             }
             let (come_back, took) = (due.come_back, due.took);
@@ -1354,70 +1406,72 @@
                 payload: &due.payload,
                 elapsed: took,
             };
-            self.doors[ticket.ingress].respond(&mut host.net, *ticket, &answer);
+            self.ingresses[ticket.ingress].respond(&mut host.net, *ticket, &answer);
         }
-        if let Some(copy) = &mut host.copy {
+        if let Some(copy) = &mut host.replicator {
             copy.done(due);
         }
     }
 
     /// One more thing of the pair's own; false where nothing is left.
-    pub(crate) fn settle_pair(&mut self) -> bool {
-        let host = &mut self.core.choice.host;
-        let Some(copy) = &mut host.copy else {
+    pub(crate) fn deliver_failover_outcome(&mut self) -> bool {
+        let host = &mut self.context.scheduler.host;
+        let Some(copy) = &mut host.replicator else {
             return false;
         };
         if let Some(later) = copy.ready() {
             match later {
                 DeferredAction::Send { key, count } => {
                     if host
-                        .outs
+                        .calls
                         .get(key)
-                        .is_some_and(|o| o.count == count && !o.over)
+                        .is_some_and(|o| o.generation == count && !o.ended)
                     {
                         host.ride(key);
                     }
                 }
-                DeferredAction::Respond(due) => self.give(due),
+                DeferredAction::Respond(due) => self.send_pending_response(due),
             }
         } else if let Some(due) = copy.replays.pop_front() {
-            self.give(due);
+            self.send_pending_response(due);
         } else if let Some((voter, of)) = copy.unheard.pop_front() {
-            self.with_seat(|seat, now, act| seat.vote_missing(now, act, voter, of));
+            self.with_role(|seat, now, act| seat.vote_missing(now, act, voter, of));
         } else if std::mem::take(&mut copy.fenced) {
-            self.with_seat(|seat, _, act| seat.epoch_rejected(act));
+            self.with_role(|seat, _, act| seat.epoch_rejected(act));
         } else if copy.broken {
             if let Some(conn) = copy.conn {
-                self.core.net().reset(conn);
-                self.own(conn, Owner::Nobody);
+                self.context.net().reset(conn);
+                self.set_owner(conn, Owner::Nobody);
             }
-            self.peer_over();
-        } else if let Some((at, ticket, until)) = self.core.there.pop_front() {
-            let theirs = self.pair.as_mut().map(|p| &mut p.parts.theirs);
+            self.peer_connection_closed();
+        } else if let Some((at, ticket, until)) = self.context.awaited_remote.pop_front() {
+            let theirs = self.failover.as_mut().map(|p| &mut p.parts.theirs);
             match theirs.and_then(|t| t.get_mut(at)).and_then(Option::as_mut) {
                 Some(kept) => kept.tickets.push((ticket, until)),
                 None => {
                     // It ended in the same wake-up: it is asked for again by whoever still wants it.
-                    let mut due = copy_of(&mut self.core).due();
+                    let mut due = copy_of(&mut self.context).due();
                     (due.word, due.come_back) = (Some(Disposition::Rejected), UNFENCED);
                     due.tickets.push((ticket, until));
-                    self.give(due);
+                    self.send_pending_response(due);
                 }
             }
         } else {
-            let Some(pair) = &self.pair else { return false };
+            let Some(pair) = &self.failover else {
+                return false;
+            };
             let resting = pair.seat.state() == Role::Draining
                 || pair.parts.leaving && pair.seat.state() == Role::Standby;
             if resting
                 && self.requests_in_flight() == 0
-                && self.ended == StopReason::Drained
-                && copy_of(&mut self.core).waiting() == 0
-                && !self.unread()
+                && self.stop_reason == StopReason::Drained
+                && copy_of(&mut self.context).waiting() == 0
+                && !self.has_unread_responses()
             {
                 let was = self.role();
-                self.with_seat(|seat, now, act| seat.drained(now, act));
+                self.with_role(|seat, now, act| seat.drained(now, act));
                 if was == Some(Role::Draining) && self.role() == Some(Role::Standby) {
-                    self.hang_up();
+                    self.close_client_connections();
                 }
             }
             return false;
@@ -1426,23 +1480,23 @@
     }
 
     /// Clients that are still connected are to find the other member.
-    fn hang_up(&mut self) {
-        if let Some(copy) = &mut self.core.choice.host.copy {
+    fn close_client_connections(&mut self) {
+        if let Some(copy) = &mut self.context.scheduler.host.replicator {
             (copy.epoch, copy.on) = (0, false);
         }
         for place in 0..self.owners.len() {
             let (count, owner) = self.owners[place];
             if let Owner::Ingress(_) = owner {
-                self.core.net().abort(Conn::new(place, count));
+                self.context.net().abort(Conn::new(place, count));
             }
         }
     }
 
     /// What `tidewall status` asks for.
-    fn status(&mut self, conn: Conn) {
+    fn send_status(&mut self, conn: Conn) {
         let mut out = Vec::new();
-        let host = &self.core.choice.host;
-        let (Some(pair), Some(copy)) = (&self.pair, &host.copy) else {
+        let host = &self.context.scheduler.host;
+        let (Some(pair), Some(copy)) = (&self.failover, &host.replicator) else {
             return;
         };
         let f = Frame::new(&mut out, kind::STATUS).text(Field::Name, &pair.parts.at.name);
@@ -1453,7 +1507,7 @@
             .flag(Field::On, copy.conn.is_some())
             .whole(Field::Life, pair.parts.at.incarnation);
         let f = f
-            .whole(Field::InFlight, host.held as u64)
+            .whole(Field::InFlight, host.in_flight as u64)
             .whole(Field::Waiting, copy.waiting() as u64);
         let kept = pair.parts.theirs.iter().flatten().count() as u64;
         let f = f
@@ -1462,12 +1516,16 @@
         let f = f.whole(Field::Ballot, pair.parts.bad);
         f.text(Field::Reason, pair.parts.disagrees.as_deref().unwrap_or(""))
             .end();
-        self.core.net().write(conn, &out);
+        self.context.net().write(conn, &out);
     }
 }
 
 fn copy_of<N: Net>(core: &mut IngressContext<N>) -> &mut Replicator {
-    core.choice.host.copy.as_mut().expect("a pair copies")
+    core.scheduler
+        .host
+        .replicator
+        .as_mut()
+        .expect("a pair copies")
 }
 
 /// The first setting that the other member has otherwise.
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -200,7 +200,7 @@
     function: &str,
     now: Time,
 ) {
-    let a = held.arrival();
+    let a = held.info();
     let f = f
         .whole(Field::Place, place as u64)
         .whole(Field::Id, held.id);
@@ -232,39 +232,54 @@
     } else {
         f
     };
-    let f = f.whole(Field::Left, held.until().saturating_sub(now));
-    f.bytes(Field::Mark, held.mark())
+    let f = f.whole(Field::Left, held.deadline().saturating_sub(now));
+    f.bytes(Field::Mark, held.idempotency_key())
         .bytes(Field::Payload, held.payload())
         .end();
 }
 
 impl<N: Net> WorkerPool<N> {
     pub(crate) fn copy_taken(&mut self, place: usize) {
-        let Some(copy) = &mut self.copy else { return };
-        let (now, held) = (self.net.now(), &self.events[place]);
-        let a = held.arrival();
+        let Some(copy) = &mut self.replicator else {
+            return;
+        };
+        let (now, held) = (self.net.now(), &self.requests[place]);
+        let a = held.info();
         copy.ration.request_received(now);
-        copy.known
-            .insert_in_flight(a.class, held.mark(), RequestLocation::Local(place));
-        let function = self.functions.resolve(a.function);
+        copy.known.insert_in_flight(
+            a.class,
+            held.idempotency_key(),
+            RequestLocation::Local(place),
+        );
+        let function = self.function_names.resolve(a.function);
         copy.tell(&mut self.net, kind::TAKEN, |f| {
-            taken(f, place, held, &self.types, &self.tenants, function, now)
+            taken(
+                f,
+                place,
+                held,
+                &self.class_names,
+                &self.tenant_names,
+                function,
+                now,
+            )
         });
     }
 
     /// Recorded before it is sent, where a repeat might do harm or two at once are barred.
     pub(crate) fn copy_launched(&mut self, evt: usize, launch: usize, key: usize) {
-        let Some(copy) = &mut self.copy else { return };
-        let held = &mut self.events[evt];
+        let Some(copy) = &mut self.replicator else {
+            return;
+        };
+        let held = &mut self.requests[evt];
         held.unproven += 1;
-        let name = self.workers.resolve(self.outs[key].wk);
+        let name = self.worker_names.resolve(self.calls[key].worker);
         copy.tell(&mut self.net, kind::LAUNCHED, |f| {
             let f = f
                 .whole(Field::Place, evt as u64)
                 .whole(Field::Launch, launch as u64);
             f.text(Field::Name, name).end();
         });
-        let must = !copy.kind(held.arrival().class).is_safe_to_repeat() || !copy.two_at_once;
+        let must = !copy.kind(held.info().class).is_safe_to_repeat() || !copy.two_at_once;
         if copy.waits && must {
             let now = self.net.now();
             copy.back.push_back((
@@ -272,7 +287,7 @@
                 now,
                 DeferredAction::Send {
                     key,
-                    count: self.outs[key].count,
+                    count: self.calls[key].generation,
                 },
             ));
         } else {
@@ -281,13 +296,15 @@
     }
 
     pub(crate) fn copy_over(&mut self, evt: usize, launch: usize, outcome: Outcome) {
-        let Some(copy) = &mut self.copy else { return };
+        let Some(copy) = &mut self.replicator else {
+            return;
+        };
         let proven = matches!(
             outcome,
             Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::Discarded | Outcome::Miss
         );
-        let held = &mut self.events[evt];
-        held.ends[launch] = Some(proven);
+        let held = &mut self.requests[evt];
+        held.not_executed[launch] = Some(proven);
         held.unproven -= u32::from(proven && held.unproven > 0);
         if held.open {
             copy.tell(&mut self.net, kind::OVER, |f| {
@@ -306,16 +323,27 @@
         payload: &[u8],
     ) -> Option<PendingResponse> {
         let now = self.net.now();
-        let copy = self.copy.as_mut()?;
-        let held = &mut self.events[given.evt];
-        let typ = held.arrival().class;
-        remember(copy, now, typ, held.mark(), given.word, payload);
-        let (place, mark, types) = (given.evt as u64, held.mark(), &self.types);
+        let copy = self.replicator.as_mut()?;
+        let held = &mut self.requests[given.request];
+        let typ = held.info().class;
+        remember(
+            copy,
+            now,
+            typ,
+            held.idempotency_key(),
+            given.disposition,
+            payload,
+        );
+        let (place, mark, types) = (
+            given.request as u64,
+            held.idempotency_key(),
+            &self.class_names,
+        );
         let unsure = copy.unsure;
         copy.tell(&mut self.net, kind::ANSWERED, |f| {
             let f = f
                 .whole(Field::Place, place)
-                .text(Field::Word, given.word.wire_text());
+                .text(Field::Word, given.disposition.wire_text());
             let f = if unsure {
                 f.text(Field::Type, &types[typ]).bytes(Field::Mark, mark)
             } else {
@@ -324,11 +352,12 @@
             f.bytes(Field::Payload, payload).end();
         });
         let mut due = copy.due();
-        due.tickets.append(&mut held.more);
-        if given.ticket != NO_CLIENT {
-            due.tickets.push((given.ticket, held.until()));
+        due.tickets.append(&mut held.waiting_clients);
+        if given.reply_handle != NO_CLIENT {
+            due.tickets.push((given.reply_handle, held.deadline()));
         }
-        (due.word, due.come_back, due.took) = (Some(given.word), given.come_back, given.took);
+        (due.word, due.come_back, due.took) =
+            (Some(given.disposition), given.retry_after, given.elapsed);
         due.payload.extend_from_slice(payload);
         if copy.waits && !copy.kind(typ).is_safe_to_repeat() {
             copy.back
@@ -341,13 +370,22 @@
     /// Its client said that it leaves. What may have run is not run again for whoever asks later.
     pub(crate) fn copy_lapsed(&mut self, place: usize) {
         let now = self.net.now();
-        let Some(copy) = &mut self.copy else { return };
-        let held = &self.events[place];
-        let typ = held.arrival().class;
+        let Some(copy) = &mut self.replicator else {
+            return;
+        };
+        let held = &self.requests[place];
+        let typ = held.info().class;
         if held.unproven > 0 && copy.kind(typ) != RetrySafety::Idempotent {
-            remember(copy, now, typ, held.mark(), Disposition::Failed, &[]);
+            remember(
+                copy,
+                now,
+                typ,
+                held.idempotency_key(),
+                Disposition::Failed,
+                &[],
+            );
         } else {
-            copy.known.remove(typ, held.mark());
+            copy.known.remove(typ, held.idempotency_key());
         }
         copy.tell(&mut self.net, kind::GONE, |f| {
             f.whole(Field::Place, place as u64).end()
@@ -357,7 +395,7 @@
     /// Whether an order to load is within the ration of both lives; it is counted and told.
     pub(crate) fn may_order(&mut self, copies: u32) -> bool {
         let now = self.net.now();
-        let Some(copy) = &mut self.copy else {
+        let Some(copy) = &mut self.replicator else {
             return true;
         };
         if copies == 0 {
@@ -376,14 +414,14 @@
     /// An order waits for the other member's record, or its ration might not count it.
     pub(crate) fn order_recorded(&mut self, key: usize, copies: u32) {
         let now = self.net.now();
-        match &mut self.copy {
+        match &mut self.replicator {
             Some(copy) if copy.waits && copies > 0 => {
                 copy.back.push_back((
                     copy.seq,
                     now,
                     DeferredAction::Send {
                         key,
-                        count: self.outs[key].count,
+                        count: self.calls[key].generation,
                     },
                 ));
             }
@@ -393,23 +431,23 @@
 
     /// Takes one of several that wait for the same event off; false where it is the only one.
     pub(crate) fn one_less(&mut self, place: usize, ticket: ReplyHandle) -> bool {
-        let Some(held) = self.events.get_mut(place).filter(|h| h.open) else {
+        let Some(held) = self.requests.get_mut(place).filter(|h| h.open) else {
             return false;
         };
-        if let Some(at) = held.more.iter().position(|m| m.0 == ticket) {
-            held.more.swap_remove(at);
+        if let Some(at) = held.waiting_clients.iter().position(|m| m.0 == ticket) {
+            held.waiting_clients.swap_remove(at);
             return true;
         }
-        let others = held.ticket == ticket && !held.more.is_empty();
+        let others = held.reply_handle == ticket && !held.waiting_clients.is_empty();
         if others {
-            held.ticket = NO_CLIENT;
+            held.reply_handle = NO_CLIENT;
         }
         others
     }
 
     /// The question that a vote's out stands for.
     pub(crate) fn vote(&mut self, id: u64, ballot: u64, accepting: bool) {
-        let Some(copy) = &self.copy else { return };
+        let Some(copy) = &self.replicator else { return };
         let c = copy.claim;
         if accepting {
             let f = Frame::new(&mut self.frame, kind::ACCEPT).whole(Field::Id, id);
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -85,64 +85,67 @@
 
 /// Events on their way, as the doors see it: they tell what comes and who leaves.
 pub struct IngressContext<N: Net> {
-    choice: Scheduler<WorkerPool<N>>,
+    scheduler: Scheduler<WorkerPool<N>>,
     draining: bool,
     /// Told to stop; what comes is still taken for a while.
-    leaving: bool,
+    shutting_down: bool,
     /// Another member of the pair serves.
     standby: bool,
-    most_held: usize,
+    max_requests: usize,
     /// Asked for again while the other member has them: its place, who asks, until when.
-    there: std::collections::VecDeque<(usize, ReplyHandle, Time)>,
+    awaited_remote: std::collections::VecDeque<(usize, ReplyHandle, Time)>,
 }
 
 impl<N: Net> IngressContext<N> {
     pub fn net(&mut self) -> &mut N {
-        &mut self.choice.host.net
+        &mut self.scheduler.host.net
     }
 
     pub fn net_ref(&self) -> &N {
-        &self.choice.host.net
+        &self.scheduler.host.net
     }
 
     pub fn class_names(&self) -> &[String] {
-        &self.choice.host.types
+        &self.scheduler.host.class_names
     }
 
     pub fn tenant_names(&self) -> &[String] {
-        &self.choice.host.tenants
+        &self.scheduler.host.tenant_names
     }
 
     pub fn counters(&mut self) -> &mut Counters {
-        &mut self.choice.host.counts
+        &mut self.scheduler.host.counters
     }
 
     /// Takes an event, which gets its one answer from now on, or turns it away with a word why. The place that
     /// it gives back names the event to `left`.
     pub fn admit(&mut self, event: &IncomingRequest) -> Result<usize, &'static str> {
-        if let Some(place) = self.again(event) {
+        if let Some(place) = self.find_duplicate(event) {
             return Ok(place);
         }
-        let host = &mut self.choice.host;
-        let full = host.copy.as_ref().is_some_and(|c| !c.known.has_capacity());
-        if self.draining || self.standby || host.held >= self.most_held || full {
-            host.counts.turned_away += 1;
+        let host = &mut self.scheduler.host;
+        let full = host
+            .replicator
+            .as_ref()
+            .is_some_and(|c| !c.known.has_capacity());
+        if self.draining || self.standby || host.in_flight >= self.max_requests || full {
+            host.counters.refused += 1;
             return Err(match (self.draining || self.standby, full) {
                 (true, _) => "draining",
                 (_, true) => "most-remembered",
                 _ => "most-held",
             });
         }
-        Ok(self.begin(event))
+        Ok(self.start_request(event))
     }
 
-    fn begin(&mut self, event: &IncomingRequest) -> usize {
-        let host = &mut self.choice.host;
+    fn start_request(&mut self, event: &IncomingRequest) -> usize {
+        let host = &mut self.scheduler.host;
         let now = host.net.now();
-        let margin = host.copy.as_ref().map_or(0, |c| {
+        let margin = host.replicator.as_ref().map_or(0, |c| {
             margin(c.kind(event.class), event.remaining, c.silence)
         });
-        let function = host.functions.intern(event.function);
+        let function = host.function_names.intern(event.function);
         let arrival = RequestInfo {
             class: event.class,
             tenant: event.tenant,
@@ -160,8 +163,8 @@
             load_hint: event.load_hint,
             is_retry: event.is_retry,
         };
-        let place = self.choice.next_request_slot();
-        self.choice.host.open(place, event, &arrival);
+        let place = self.scheduler.next_request_slot();
+        self.scheduler.host.open(place, event, &arrival);
         debug!(
             event = event.id,
             place,
@@ -169,8 +172,8 @@
             left = event.remaining,
             "taken"
         );
-        self.choice.advance_clock(now);
-        self.choice.request_arrived(arrival);
+        self.scheduler.advance_clock(now);
+        self.scheduler.request_arrived(arrival);
         place
     }
 
@@ -182,17 +185,17 @@
 
     /// Events in hand, and how many there may be.
     pub fn in_flight(&self) -> (usize, usize) {
-        (self.choice.host.held, self.most_held)
+        (self.scheduler.host.in_flight, self.max_requests)
     }
 
     /// Whether this gateway is on its way out, taking or not.
     pub fn is_shutting_down(&self) -> bool {
-        self.leaving || self.draining
+        self.shutting_down || self.draining
     }
 
     /// The longest time to come back that clients go by; 0 where they are told none.
     pub fn max_retry_after(&self) -> Time {
-        self.choice.host.most_come_back
+        self.scheduler.host.max_retry_after
     }
 
     pub fn is_draining(&self) -> bool {
@@ -202,60 +205,60 @@
     /// The client does not wait for this event any more.
     pub fn client_abandoned(&mut self, place: usize, ticket: ReplyHandle) {
         let now = self.net().now();
-        let host = &mut self.choice.host;
+        let host = &mut self.scheduler.host;
         if host.one_less(place, ticket) {
             return;
         }
         if host.close(place, Some(ticket)).is_some() {
-            host.counts.lapsed += 1;
+            host.counters.abandoned += 1;
             host.copy_lapsed(place);
-            debug!(event = host.events[place].id, place, "lapsed");
-            self.choice.advance_clock(now);
-            self.choice.client_abandoned(place);
+            debug!(event = host.requests[place].id, place, "lapsed");
+            self.scheduler.advance_clock(now);
+            self.scheduler.client_abandoned(place);
         }
     }
 
     /// The client's connection broke. One of a pair goes on with what can be asked for again.
     pub fn client_disconnected(&mut self, place: usize, ticket: ReplyHandle) {
-        let host = &mut self.choice.host;
+        let host = &mut self.scheduler.host;
         let held = host
-            .events
+            .requests
             .get_mut(place)
-            .filter(|h| h.open && h.ticket == ticket);
-        match held.filter(|h| host.copy.is_some() && !h.mark().is_empty()) {
-            Some(held) => held.ticket = NO_CLIENT,
+            .filter(|h| h.open && h.reply_handle == ticket);
+        match held.filter(|h| host.replicator.is_some() && !h.idempotency_key().is_empty()) {
+            Some(held) => held.reply_handle = NO_CLIENT,
             None => self.client_abandoned(place, ticket),
         }
     }
 }
 
 pub struct Gateway<N: Net> {
-    core: IngressContext<N>,
-    doors: Vec<Box<dyn Ingress<N>>>,
+    context: IngressContext<N>,
+    ingresses: Vec<Box<dyn Ingress<N>>>,
     owners: Vec<(u32, Owner)>,
     listeners: Vec<Option<Listener>>,
     /// Those that are over: what they had accepted by then is still told.
-    former: Vec<(Listener, usize)>,
+    closed_listeners: Vec<(Listener, usize)>,
     addresses: Vec<SocketAddr>,
-    me: u64,
-    roster: DiscoveryClient,
+    index: u64,
+    discovery: DiscoveryClient,
     /// Between the signal to stop and the end of taking: what a front still sends is taken.
-    linger: Time,
+    drain_grace: Time,
     /// Before this it does not end.
-    rests: Time,
+    exit_not_before: Time,
     /// When something malformed was last named.
-    complained: Option<Time>,
-    shelf: Box<dyn EndpointCache>,
-    unsaved: bool,
-    port: Option<DatagramSocket>,
+    last_complaint: Option<Time>,
+    endpoint_cache: Box<dyn EndpointCache>,
+    cache_outdated: bool,
+    datagram_socket: Option<DatagramSocket>,
     name: String,
-    pair: Option<Box<FailoverNode>>,
-    ended: StopReason,
+    failover: Option<Box<FailoverNode>>,
+    stop_reason: StopReason,
     /// Since when nothing is held, once that is asked for.
-    empty: Option<Time>,
-    watch: Option<EndpointWatcher>,
+    idle_since: Option<Time>,
+    endpoint_watcher: Option<EndpointWatcher>,
     /// The list changed and whoever watches it could not hear it.
-    unheard: bool,
+    watcher_outdated: bool,
 }
 
 /// Hears of each change of the list of workers; false where it cannot now, and is told again later.
@@ -263,12 +266,12 @@
 
 /// Where the list comes from, and the connection to it.
 struct DiscoveryClient {
-    feed: Box<dyn DiscoverySource>,
+    source: Box<dyn DiscoverySource>,
     conn: Option<Conn>,
-    within: Time,
+    connect_timeout: Time,
     attempts: u64,
     /// Something is asked of it that it owes an answer to by then.
-    silence: Option<TimerId>,
+    response_timer: Option<TimerId>,
 }
 
 /// What a gateway is told at start, besides its settings.
@@ -332,50 +335,50 @@
         net.set_timer(now + LINKS, OF_LINKS);
         net.set_timer(now + COUNTS, OF_COUNTS);
         let mut carrier = WorkerPool::new(net, &start.settings, start.limits);
-        (carrier.port, carrier.peers, carrier.me) = (port, start.peers, start.index);
-        carrier.way = way;
+        (carrier.datagram_socket, carrier.peers, carrier.index) = (port, start.peers, start.index);
+        carrier.protocol = way;
         let choice = Scheduler::new(carrier, now, start.seed, start.settings)
             .map_err(StartError::Settings)?;
         let roster = DiscoveryClient {
-            feed,
+            source: feed,
             conn: None,
-            within: start.discovery_retry,
+            connect_timeout: start.discovery_retry,
             attempts: 0,
-            silence: None,
+            response_timer: None,
         };
         let mut gateway = Gateway {
-            core: IngressContext {
-                choice,
+            context: IngressContext {
+                scheduler: choice,
                 draining: false,
-                leaving: false,
+                shutting_down: false,
                 standby: start.failover.is_some(),
-                most_held,
-                there: Default::default(),
+                max_requests: most_held,
+                awaited_remote: Default::default(),
             },
-            doors: Vec::new(),
+            ingresses: Vec::new(),
             owners: Vec::new(),
             listeners: Vec::new(),
-            former: Vec::new(),
+            closed_listeners: Vec::new(),
             addresses: Vec::new(),
-            me: start.index as u64,
-            roster,
-            linger: 0,
-            rests: 0,
-            complained: None,
-            shelf,
-            unsaved: false,
-            port,
+            index: start.index as u64,
+            discovery: roster,
+            drain_grace: 0,
+            exit_not_before: 0,
+            last_complaint: None,
+            endpoint_cache: shelf,
+            cache_outdated: false,
+            datagram_socket: port,
             name: start.name,
-            pair: None,
-            ended: StopReason::Drained,
-            empty: None,
-            watch: None,
-            unheard: false,
+            failover: None,
+            stop_reason: StopReason::Drained,
+            idle_since: None,
+            endpoint_watcher: None,
+            watcher_outdated: false,
         };
-        gateway.last_list();
-        gateway.ask_roster();
+        gateway.load_endpoint_cache();
+        gateway.connect_discovery();
         if let Some(peering) = start.failover {
-            gateway.pair_up(peering)?;
+            gateway.enable_failover(peering)?;
         }
         Ok(gateway)
     }
@@ -386,115 +389,119 @@
         at: SocketAddr,
         door: Box<dyn Ingress<N>>,
     ) -> Result<SocketAddr, StartError> {
-        self.core
-            .choice
+        self.context
+            .scheduler
             .host
-            .waits_on
+            .ingress_accepts_late
             .push(door.accepts_late_response());
-        self.doors.push(door);
+        self.ingresses.push(door);
         self.addresses.push(at);
         self.listeners.push(None);
-        let last = self.doors.len() - 1;
+        let last = self.ingresses.len() - 1;
         // One of a pair listens when it serves.
-        if self.pair.is_none() {
+        if self.failover.is_none() {
             self.listen(last).map_err(|source| StartError::Listen {
                 address: at,
                 source,
             })?;
         }
-        self.doors[last].started(&mut self.core);
+        self.ingresses[last].started(&mut self.context);
         Ok(self.addresses[last])
     }
 
     fn listen(&mut self, door: usize) -> std::io::Result<()> {
-        let (listener, at) = self.core.net().listen(self.addresses[door])?;
+        let (listener, at) = self.context.net().listen(self.addresses[door])?;
         (self.listeners[door], self.addresses[door]) = (Some(listener), at);
         info!(gateway = self.name, %at, "listens");
         Ok(())
     }
 
     /// Listens no more; what is connected stays.
-    fn unlisten(&mut self) {
-        self.former.clear();
+    fn stop_listening(&mut self) {
+        self.closed_listeners.clear();
         for (door, listener) in self.listeners.iter_mut().enumerate() {
             if let Some(listener) = listener.take() {
-                self.core.choice.host.net.stop_listening(listener);
-                self.former.push((listener, door));
+                self.context.scheduler.host.net.stop_listening(listener);
+                self.closed_listeners.push((listener, door));
             }
         }
     }
 
     /// Why the net was stopped.
     pub fn stop_reason(&self) -> StopReason {
-        self.ended
+        self.stop_reason
     }
 
     pub fn counters(&self) -> &Counters {
-        &self.core.choice.host.counts
+        &self.context.scheduler.host.counters
     }
 
     /// How often it was tried to reach the roster.
     pub fn discovery_attempts(&self) -> u64 {
-        self.roster.attempts
+        self.discovery.attempts
     }
 
     pub fn requests_in_flight(&self) -> usize {
-        self.core.choice.host.held
+        self.context.scheduler.host.in_flight
     }
 
     /// Launches, orders and probes of which a worker's end is still awaited.
     pub fn calls_in_flight(&self) -> usize {
-        self.core.choice.host.outs.len()
+        self.context.scheduler.host.calls.len()
     }
 
     /// Connections to workers that stand or are being made.
     pub fn worker_connections(&self) -> usize {
-        self.core.choice.host.links.len()
+        self.context.scheduler.host.connections.len()
     }
 
     /// Takes no new events; when what is held has its answers the net is stopped. The second time it stops at
     /// once.
     pub fn drain(&mut self) {
-        if self.leave() {
+        if self.begin_failover_shutdown() {
             return;
         }
-        if std::mem::replace(&mut self.core.draining, true) {
+        if std::mem::replace(&mut self.context.draining, true) {
             warn!(held = self.requests_in_flight(), "ends at once");
-            return self.core.net().stop();
+            return self.context.net().stop();
         }
         info!(held = self.requests_in_flight(), "drains");
-        self.unlisten();
-        self.rests = self.core.net().now() + REST;
-        let at = self.rests;
-        self.core.net().set_timer(at, OF_REST);
-        self.rest();
+        self.stop_listening();
+        self.exit_not_before = self.context.net().now() + REST;
+        let at = self.exit_not_before;
+        self.context.net().set_timer(at, OF_REST);
+        self.exit_when_drained();
     }
 
-    fn rest(&mut self) {
+    fn exit_when_drained(&mut self) {
         if self.requests_in_flight() > 0 {
-            self.empty = None;
+            self.idle_since = None;
         }
-        let rested = self.core.draining && self.core.net().now() >= self.rests;
-        if rested && self.requests_in_flight() == 0 && !self.unread() {
+        let rested = self.context.draining && self.context.net().now() >= self.exit_not_before;
+        if rested && self.requests_in_flight() == 0 && !self.has_unread_responses() {
             info!(counts = ?self.counters(), "drained");
-            self.save_list();
-            self.core.net().stop();
+            self.write_endpoint_cache();
+            self.context.net().stop();
         }
     }
 
     /// Whether answers still wait to be read by clients that have not given up.
-    pub(crate) fn unread(&mut self) -> bool {
-        let now = self.core.net().now();
-        let since = *self.empty.get_or_insert(now);
-        let until = self.core.choice.host.last_until.min(since + LAST);
+    pub(crate) fn has_unread_responses(&mut self) -> bool {
+        let now = self.context.net().now();
+        let since = *self.idle_since.get_or_insert(now);
+        let until = self.context.scheduler.host.last_deadline.min(since + LAST);
         let waits = |(place, (count, owner)): (usize, &(u32, Owner))| {
             matches!(owner, Owner::Ingress(_))
-                && self.core.net_ref().unacknowledged(Conn::new(place, *count)) > 0
+                && self
+                    .context
+                    .net_ref()
+                    .unacknowledged(Conn::new(place, *count))
+                    > 0
         };
         now < until && self.owners.iter().enumerate().any(waits)
     }
 
-    fn own(&mut self, conn: Conn, owner: Owner) {
+    fn set_owner(&mut self, conn: Conn, owner: Owner) {
         if self.owners.len() <= conn.index() {
             self.owners.resize(conn.index() + 1, (0, Owner::Nobody));
         }
@@ -511,168 +518,180 @@
 
     /// Hands over what the decisions' last calls left behind: outcomes that were known at once, the
     /// gateway's own answers, and connections that were asked for.
-    fn settle(&mut self) {
+    fn deliver_deferred_outcomes(&mut self) {
         loop {
-            let host = &mut self.core.choice.host;
-            if let Some((conn, link)) = host.opened.pop() {
-                self.own(conn, Owner::Worker(link));
-            } else if let Some((key, count, outcome)) = host.known.pop_front() {
+            let host = &mut self.context.scheduler.host;
+            if let Some((conn, link)) = host.opened_connections.pop() {
+                self.set_owner(conn, Owner::Worker(link));
+            } else if let Some((key, count, outcome)) = host.deferred_outcomes.pop_front() {
                 // Its place may belong to another by now.
-                if host.outs.get(key).is_some_and(|o| o.count == count) {
-                    self.done(key, outcome, 0);
-                    self.core.choice.host.unsent_over(key);
+                if host.calls.get(key).is_some_and(|o| o.generation == count) {
+                    self.call_ended(key, outcome, 0);
+                    self.context.scheduler.host.unsent_over(key);
                 }
-            } else if let Some(given) = host.given.pop_front() {
-                self.conclude(&given, &[]);
-            } else if let Some(wk) = host.withdrawn.pop() {
-                self.take_back(wk);
-            } else if self.settle_pair() {
+            } else if let Some(given) = host.local_responses.pop_front() {
+                self.send_final_response(&given, &[]);
+            } else if let Some(wk) = host.withdrawn_workers.pop() {
+                self.withdraw_unsent_calls(wk);
+            } else if self.deliver_failover_outcome() {
                 // One more thing was done.
-            } else if let Some(ticket) = self.core.choice.host.gone.pop_front() {
-                let now = self.core.net().now();
-                self.doors[ticket.ingress].request_expired(now, ticket);
+            } else if let Some(ticket) = self.context.scheduler.host.expired_clients.pop_front() {
+                let now = self.context.net().now();
+                self.ingresses[ticket.ingress].request_expired(now, ticket);
             } else {
                 break;
             }
         }
-        self.rest();
+        self.exit_when_drained();
     }
 
     /// A worker left or started anew: what has not left for it is to be decided again.
-    fn take_back(&mut self, wk: usize) {
-        for key in self.core.choice.host.not_sent(wk) {
-            self.done(key, Outcome::Discarded, 0);
-            self.core.choice.host.unsent_over(key);
+    fn withdraw_unsent_calls(&mut self, wk: usize) {
+        for key in self.context.scheduler.host.not_sent(wk) {
+            self.call_ended(key, Outcome::Discarded, 0);
+            self.context.scheduler.host.unsent_over(key);
         }
-        self.cut_late(0);
+        self.reset_stalled_after_grace(0);
     }
 
     /// Nothing leaves for a worker after the grace: its socket takes no more, so the connection ends instead.
-    fn cut_late(&mut self, look: Time) {
-        let now = self.core.net().now();
-        for (link, conn) in self.core.choice.host.too_late(now, look) {
+    fn reset_stalled_after_grace(&mut self, look: Time) {
+        let now = self.context.net().now();
+        for (link, conn) in self.context.scheduler.host.too_late(now, look) {
             warn!(
                 worker = self
-                    .core
-                    .choice
+                    .context
+                    .scheduler
                     .host
-                    .workers
-                    .resolve(self.core.choice.host.links[link].wk),
+                    .worker_names
+                    .resolve(self.context.scheduler.host.connections[link].worker),
                 "cut off: it drains and reads nothing"
             );
-            self.core.net().reset(conn);
-            self.own(conn, Owner::Nobody);
-            self.link_over(link, CloseReason::Reset);
+            self.context.net().reset(conn);
+            self.set_owner(conn, Owner::Nobody);
+            self.worker_connection_closed(link, CloseReason::Reset);
         }
     }
 
     /// One launch, order or probe is over.
-    fn done(&mut self, key: usize, outcome: Outcome, count: u32) {
-        let host = &mut self.core.choice.host;
-        let Some(out) = host.outs.get_mut(key).filter(|o| !o.over) else {
+    fn call_ended(&mut self, key: usize, outcome: Outcome, count: u32) {
+        let host = &mut self.context.scheduler.host;
+        let Some(out) = host.calls.get_mut(key).filter(|o| !o.ended) else {
             return;
         };
         let Call {
-            task,
-            wk,
-            at,
-            stood,
+            kind: task,
+            worker: wk,
+            started_at: at,
+            stall_at_start: stood,
             ..
         } = *out;
         let now = host.net.now();
         // What passed while this process stood still is no evidence about a worker.
         let took = (now - at).saturating_sub(host.net.total_stall() - stood);
         host.finish(key);
-        self.core.choice.advance_clock(now);
+        self.context.scheduler.advance_clock(now);
         match task {
-            CallKind::Launch { evt, launch } => {
-                let over = !self.core.choice.host.events[evt].open;
-                let host = &self.core.choice.host;
-                let worker = host.workers.resolve(wk);
+            CallKind::Attempt {
+                request: evt,
+                attempt: launch,
+            } => {
+                let over = !self.context.scheduler.host.requests[evt].open;
+                let host = &self.context.scheduler.host;
+                let worker = host.worker_names.resolve(wk);
                 debug!(
-                    event = host.events[evt].id,
+                    event = host.requests[evt].id,
                     launch,
                     worker,
                     ?outcome,
                     took,
                     "ended"
                 );
-                self.core.choice.host.copy_over(evt, launch, outcome);
-                self.core
-                    .choice
+                self.context.scheduler.host.copy_over(evt, launch, outcome);
+                self.context
+                    .scheduler
                     .attempt_ended(evt, launch, (outcome, took), over, count);
             }
-            CallKind::Hold { img } => {
-                let host = &self.core.choice.host;
-                let (function, worker) = (host.functions.resolve(img), host.workers.resolve(wk));
+            CallKind::LoadRequest { function: img } => {
+                let host = &self.context.scheduler.host;
+                let (function, worker) = (
+                    host.function_names.resolve(img),
+                    host.worker_names.resolve(wk),
+                );
                 debug!(function, worker, ?outcome, count, took, "held");
-                self.core.choice.load_request_ended(img, wk, outcome, count);
+                self.context
+                    .scheduler
+                    .load_request_ended(img, wk, outcome, count);
             }
-            CallKind::Probe => self.core.choice.health_check_ended(wk, outcome),
+            CallKind::HealthCheck => self.context.scheduler.health_check_ended(wk, outcome),
             CallKind::Vote {
                 voter,
                 ballot,
                 accepting,
-            } => self.no_vote(voter, (ballot, accepting)),
+            } => self.vote_missing(voter, (ballot, accepting)),
         }
     }
 
     /// An answer that is not the decisions' own: handled, or the break of an answer that had begun.
-    fn answer(&mut self, evt: usize, word: Disposition, payload: &[u8]) {
-        let host = &mut self.core.choice.host;
+    fn respond(&mut self, evt: usize, word: Disposition, payload: &[u8]) {
+        let host = &mut self.context.scheduler.host;
         let Some((ticket, took)) = host.close(evt, None) else {
             return;
         };
-        let past = host.too_late_for(evt, ticket) && host.events[evt].begun.is_none();
-        if past && host.copy.is_none() {
-            host.counts.overdue += 1;
+        let past = host.too_late_for(evt, ticket) && host.requests[evt].streaming_attempt.is_none();
+        if past && host.replicator.is_none() {
+            host.counters.expired += 1;
             let now = host.net.now();
-            return self.doors[ticket.ingress].request_expired(now, ticket);
+            return self.ingresses[ticket.ingress].request_expired(now, ticket);
         }
         match word {
-            Disposition::Completed => host.counts.handled += 1,
-            _ => host.counts.dead_lettered += 1,
+            Disposition::Completed => host.counters.completed += 1,
+            _ => host.counters.failed += 1,
         }
         debug!(
-            event = host.events[evt].id,
+            event = host.requests[evt].id,
             word = word.wire_text(),
             "answered"
         );
-        self.conclude(
+        self.send_final_response(
             &LocalResponse {
-                evt,
-                ticket,
-                word,
-                come_back: 0,
-                took,
+                request: evt,
+                reply_handle: ticket,
+                disposition: word,
+                retry_after: 0,
+                elapsed: took,
             },
             payload,
         );
     }
 
     /// An answer that had begun comes to no end: its launch was the event's last one, and nobody else may answer.
-    fn broke_off(&mut self, task: CallKind) {
-        if let CallKind::Launch { evt, launch } = task {
-            if self.core.choice.host.events[evt].begun == Some(launch) {
-                self.answer(evt, Disposition::Failed, &[]);
+    fn partial_response_lost(&mut self, task: CallKind) {
+        if let CallKind::Attempt {
+            request: evt,
+            attempt: launch,
+        } = task
+        {
+            if self.context.scheduler.host.requests[evt].streaming_attempt == Some(launch) {
+                self.respond(evt, Disposition::Failed, &[]);
             }
         }
     }
 
-    fn link_over(&mut self, link: usize, why: CloseReason) {
-        let host = &mut self.core.choice.host;
-        let gone = host.links.remove(link);
-        let wk = gone.wk;
-        host.wks[wk].links.retain(|l| *l != link);
+    fn worker_connection_closed(&mut self, link: usize, why: CloseReason) {
+        let host = &mut self.context.scheduler.host;
+        let gone = host.connections.remove(link);
+        let wk = gone.worker;
+        host.workers[wk].connections.retain(|l| *l != link);
         host.no_greeting(&gone);
         // The place may serve another connection before the last of these is over.
         gone.waiting
             .iter()
             .chain(&gone.sent)
-            .for_each(|key| host.outs[*key].link = usize::MAX);
-        if !gone.greeted {
+            .for_each(|key| host.calls[*key].connection = usize::MAX);
+        if !gone.ready {
             debug!(
-                worker = host.workers.resolve(wk),
+                worker = host.worker_names.resolve(wk),
                 ?why,
                 waiting = gone.waiting.len(),
                 "no connection"
@@ -680,42 +699,50 @@
         }
         for key in gone.waiting {
             // Never sent: proven not run.
-            self.done(key, Outcome::ConnectFailed, 0);
-            self.core.choice.host.free(key);
+            self.call_ended(key, Outcome::ConnectFailed, 0);
+            self.context.scheduler.host.free(key);
         }
         for key in gone.sent {
-            let out = self.core.choice.host.outs[key];
-            if !out.over {
-                self.broke_off(out.task);
+            let out = self.context.scheduler.host.calls[key];
+            if !out.ended {
+                self.partial_response_lost(out.kind);
             }
-            self.done(key, Outcome::Reset, 0);
-            self.core.choice.host.free(key);
+            self.call_ended(key, Outcome::Reset, 0);
+            self.context.scheduler.host.free(key);
         }
     }
 
     /// One message of a worker; none while it is not whole.
-    fn heard(&mut self, link: usize, bytes: &[u8]) -> Result<Option<usize>, ProtocolError> {
-        let way = self.core.choice.host.way.clone();
+    fn read_worker_message(
+        &mut self,
+        link: usize,
+        bytes: &[u8],
+    ) -> Result<Option<usize>, ProtocolError> {
+        let way = self.context.scheduler.host.protocol.clone();
         way.read_message(bytes, &mut Ears { gw: self, link })
     }
 
     /// One message of the list's source. What it asks next leaves with it.
-    fn list_told(&mut self, conn: Conn, bytes: &[u8]) -> Result<Option<usize>, ProtocolError> {
+    fn read_discovery_message(
+        &mut self,
+        conn: Conn,
+        bytes: &[u8],
+    ) -> Result<Option<usize>, ProtocolError> {
         let mut news = ReceivedUpdates::default();
-        let read = self.roster.feed.read_message(bytes, &mut news)?;
+        let read = self.discovery.source.read_message(bytes, &mut news)?;
         news.updates
             .iter()
             .for_each(|(entries, whole)| self.update_endpoints(entries, *whole));
         if read.is_some() {
             let mut out = Vec::new();
-            if !self.roster.feed.write_next_poll(&mut out) {
-                self.core.net().close(conn);
-                self.own(conn, Owner::Nobody);
-                self.quiet();
-                self.ask_roster();
+            if !self.discovery.source.write_next_poll(&mut out) {
+                self.context.net().close(conn);
+                self.set_owner(conn, Owner::Nobody);
+                self.cancel_discovery_timeout();
+                self.connect_discovery();
             } else if !out.is_empty() {
-                self.core.net().write(conn, &out);
-                self.listen_for();
+                self.context.net().write(conn, &out);
+                self.arm_discovery_timeout();
             }
         }
         Ok(read)
@@ -723,115 +750,118 @@
 
     /// Workers that are gone for good are forgotten, so that replaced machines do not add up. A pair's records name
     /// workers by their index, so there none is.
-    fn forget_workers(&mut self) {
-        if self.pair.is_some() {
+    fn forget_removed_workers(&mut self) {
+        if self.failover.is_some() {
             return;
         }
-        for wk in self.core.choice.host.gone() {
-            if self.core.choice.forget_worker(wk) {
-                self.core.choice.host.forget_worker(wk);
+        for wk in self.context.scheduler.host.gone() {
+            if self.context.scheduler.forget_worker(wk) {
+                self.context.scheduler.host.forget_worker(wk);
             }
         }
     }
 
     /// Workers of which something is known.
     pub fn known_workers(&self) -> usize {
-        self.core
-            .choice
+        self.context
+            .scheduler
             .host
-            .wks
+            .workers
             .iter()
-            .filter(|w| w.known())
+            .filter(|w| w.is_known())
             .count()
     }
 
     /// Takes a list over, or changes of one.
     pub fn update_endpoints(&mut self, entries: &[EndpointRecord], whole: bool) {
-        let host = &mut self.core.choice.host;
+        let host = &mut self.context.scheduler.host;
         let now = host.net.now();
         let entries: Vec<(usize, Endpoint)> = entries.iter().map(|e| host.listed(e)).collect();
-        self.core.choice.advance_clock(now);
-        self.core.choice.update_endpoints(&entries, whole);
+        self.context.scheduler.advance_clock(now);
+        self.context.scheduler.update_endpoints(&entries, whole);
         if whole {
-            self.core.choice.host.only(&entries);
+            self.context.scheduler.host.only(&entries);
         }
-        self.core.choice.host.share_out();
-        self.unsaved();
-        self.tell_list();
+        self.context.scheduler.host.share_out();
+        self.schedule_cache_write();
+        self.notify_endpoint_watcher();
         // What is decided from now on knows the list: nothing of it is to be taken back for what the list said.
-        self.settle();
+        self.deliver_deferred_outcomes();
     }
 
     /// The list is told from now on.
     pub fn watch_endpoints(&mut self, watch: EndpointWatcher) {
-        self.watch = Some(watch);
-        self.tell_list();
+        self.endpoint_watcher = Some(watch);
+        self.notify_endpoint_watcher();
     }
 
-    fn tell_list(&mut self) {
-        if let Some(watch) = &mut self.watch {
-            self.unheard = !watch(&self.core.choice.host.entries());
+    fn notify_endpoint_watcher(&mut self) {
+        if let Some(watch) = &mut self.endpoint_watcher {
+            self.watcher_outdated = !watch(&self.context.scheduler.host.entries());
         }
     }
 
     /// The source of the list owes an answer from now on.
-    fn listen_for(&mut self) {
-        self.quiet();
-        if let Some(patience) = self.roster.feed.silence_timeout() {
-            let at = self.core.net().now() + patience;
-            self.roster.silence = Some(self.core.net().set_timer(at, OF_SILENT));
+    fn arm_discovery_timeout(&mut self) {
+        self.cancel_discovery_timeout();
+        if let Some(patience) = self.discovery.source.silence_timeout() {
+            let at = self.context.net().now() + patience;
+            self.discovery.response_timer = Some(self.context.net().set_timer(at, OF_SILENT));
         }
     }
 
-    fn quiet(&mut self) {
-        if let Some(d) = self.roster.silence.take() {
-            self.core.net().cancel_timer(d);
+    fn cancel_discovery_timeout(&mut self) {
+        if let Some(d) = self.discovery.response_timer.take() {
+            self.context.net().cancel_timer(d);
         }
     }
 
-    fn ask_roster(&mut self) {
-        let (at, within) = (self.roster.feed.address(), self.roster.within);
-        self.roster.attempts += 1;
-        let conn = self.core.net().connect(at, within);
-        self.own(conn, Owner::Discovery);
-        self.roster.conn = Some(conn);
+    fn connect_discovery(&mut self) {
+        let (at, within) = (
+            self.discovery.source.address(),
+            self.discovery.connect_timeout,
+        );
+        self.discovery.attempts += 1;
+        let conn = self.context.net().connect(at, within);
+        self.set_owner(conn, Owner::Discovery);
+        self.discovery.conn = Some(conn);
     }
 
     /// The last list holds; the decisions hear that news may be missing, and it is asked for anew.
-    fn roster_over(&mut self, why: CloseReason) {
-        warn!(?why, at = %self.roster.feed.address(), "no roster");
-        self.roster.conn = None;
-        self.quiet();
-        self.core.choice.host.roster = None;
-        let now = self.core.net().now();
-        let wait = self.roster.feed.retry_delay();
-        self.core.net().set_timer(now + wait, OF_ROSTER);
-        self.core.choice.advance_clock(now);
-        self.core.choice.endpoint_update_failed();
-    }
-
-    fn unsaved(&mut self) {
-        if !std::mem::replace(&mut self.unsaved, true) {
-            let now = self.core.net().now();
-            self.core.net().set_timer(now + SHELF, OF_SHELF);
+    fn discovery_connection_closed(&mut self, why: CloseReason) {
+        warn!(?why, at = %self.discovery.source.address(), "no roster");
+        self.discovery.conn = None;
+        self.cancel_discovery_timeout();
+        self.context.scheduler.host.discovery_connection = None;
+        let now = self.context.net().now();
+        let wait = self.discovery.source.retry_delay();
+        self.context.net().set_timer(now + wait, OF_ROSTER);
+        self.context.scheduler.advance_clock(now);
+        self.context.scheduler.endpoint_update_failed();
+    }
+
+    fn schedule_cache_write(&mut self) {
+        if !std::mem::replace(&mut self.cache_outdated, true) {
+            let now = self.context.net().now();
+            self.context.net().set_timer(now + SHELF, OF_SHELF);
         }
     }
 
-    fn save_list(&mut self) {
-        if std::mem::take(&mut self.unsaved) {
-            let entries = self.core.choice.host.entries();
-            if let Err(e) = self.shelf.write(&endpoints::encode(&entries)) {
+    fn write_endpoint_cache(&mut self) {
+        if std::mem::take(&mut self.cache_outdated) {
+            let entries = self.context.scheduler.host.entries();
+            if let Err(e) = self.endpoint_cache.write(&endpoints::encode(&entries)) {
                 warn!(error = %e, "the last list was not kept");
                 // A disk that was full may have room by then.
-                self.unsaved = true;
-                let again = self.core.net().now() + 10 * SHELF;
-                self.core.net().set_timer(again, OF_SHELF);
+                self.cache_outdated = true;
+                let again = self.context.net().now() + 10 * SHELF;
+                self.context.net().set_timer(again, OF_SHELF);
             }
         }
     }
 
-    fn last_list(&mut self) {
-        let entries = match self.shelf.read() {
+    fn load_endpoint_cache(&mut self) {
+        let entries = match self.endpoint_cache.read() {
             Ok(None) => Vec::new(),
             Ok(Some((bytes, age))) => endpoints::decode(&bytes, age).unwrap_or_else(|e| {
                 warn!(error = %e, "the last list is not used");
@@ -842,17 +872,17 @@
                 Vec::new()
             }
         };
-        let host = &mut self.core.choice.host;
+        let host = &mut self.context.scheduler.host;
         let listed: Vec<_> = entries
             .iter()
             .map(|e: &EndpointRecord| host.listed(e))
             .collect();
         info!(workers = listed.len(), "last list");
-        self.core.choice.update_endpoints(&listed, true);
+        self.context.scheduler.update_endpoints(&listed, true);
     }
 
     /// Reads one frame of another gateway; returns its length, none while it is incomplete.
-    fn gateway_frame(
+    fn read_gateway_frame(
         &mut self,
         conn: Conn,
         owner: Owner,
@@ -863,28 +893,28 @@
         };
         let fields = Fields::read(body)?;
         match owner {
-            Owner::Peer => self.peer_frame(&fields)?,
-            _ => self.guest_frame(conn, &fields)?,
+            Owner::Peer => self.peer_frame_received(&fields)?,
+            _ => self.handshake_frame_received(conn, &fields)?,
         }
         Ok(Some(len))
     }
 
     /// Reads messages and hands each on; a malformed one ends the connection with a word why.
-    fn frames(&mut self, conn: Conn, bytes: &[u8], owner: Owner) -> usize {
+    fn read_messages(&mut self, conn: Conn, bytes: &[u8], owner: Owner) -> usize {
         let mut used = 0;
         while self.owner(conn) == owner {
             let rest = &bytes[used..];
             let told = match owner {
-                Owner::Worker(link) => self.heard(link, rest),
-                Owner::Discovery => self.list_told(conn, rest),
-                _ => self.gateway_frame(conn, owner, rest),
+                Owner::Worker(link) => self.read_worker_message(link, rest),
+                Owner::Discovery => self.read_discovery_message(conn, rest),
+                _ => self.read_gateway_frame(conn, owner, rest),
             };
             match told {
                 Ok(None) => break,
                 Ok(Some(len)) => used += len,
                 Err(error) => {
                     let reason = error.to_string();
-                    self.complain(
+                    self.log_malformed(
                         &reason,
                         match owner {
                             Owner::Worker(_) => "worker",
@@ -894,37 +924,42 @@
                     );
                     let mut out = Vec::new();
                     match owner {
-                        Owner::Worker(_) => {
-                            self.core.choice.host.way.write_error(&mut out, &reason)
-                        }
-                        Owner::Discovery => self.roster.feed.write_error(&mut out, &reason),
+                        Owner::Worker(_) => self
+                            .context
+                            .scheduler
+                            .host
+                            .protocol
+                            .write_error(&mut out, &reason),
+                        Owner::Discovery => self.discovery.source.write_error(&mut out, &reason),
                         _ => wire::error(&mut out, &reason),
                     }
-                    let host = &mut self.core.choice.host;
-                    host.counts.malformed += 1;
+                    let host = &mut self.context.scheduler.host;
+                    host.counters.malformed += 1;
                     host.net.write(conn, &out);
                     host.net.close(conn);
-                    self.own(conn, Owner::Nobody);
+                    self.set_owner(conn, Owner::Nobody);
                     match owner {
-                        Owner::Worker(link) => self.link_over(link, CloseReason::Reset),
-                        Owner::Peer => self.peer_over(),
+                        Owner::Worker(link) => {
+                            self.worker_connection_closed(link, CloseReason::Reset)
+                        }
+                        Owner::Peer => self.peer_connection_closed(),
                         Owner::Handshake => {}
-                        _ => self.roster_over(CloseReason::Reset),
+                        _ => self.discovery_connection_closed(CloseReason::Reset),
                     }
                     return bytes.len();
                 }
             }
-            self.settle();
+            self.deliver_deferred_outcomes();
         }
         used
     }
 
     /// Names something malformed: one line a second at most, however fast it comes; the counts tell the rest.
-    fn complain(&mut self, reason: &str, what: &str) {
+    fn log_malformed(&mut self, reason: &str, what: &str) {
         const APART: Time = 10_000;
-        let now = self.core.net().now();
-        if self.complained.is_none_or(|at| now >= at + APART) {
-            self.complained = Some(now);
+        let now = self.context.net().now();
+        if self.last_complaint.is_none_or(|at| now >= at + APART) {
+            self.last_complaint = Some(now);
             warn!(
                 reason,
                 what,
@@ -938,7 +973,7 @@
 
     /// Goes on taking what comes for so long after the first signal to stop, as a front notices late.
     pub fn set_drain_grace(&mut self, span: Time) {
-        self.linger = span;
+        self.drain_grace = span;
     }
 }
 
@@ -950,17 +985,17 @@
 
 impl<N: Net> Ears<'_, N> {
     fn host(&mut self) -> &mut WorkerPool<N> {
-        &mut self.gw.core.choice.host
+        &mut self.gw.context.scheduler.host
     }
 
     fn wk(&self) -> usize {
-        self.gw.core.choice.host.links[self.link].wk
+        self.gw.context.scheduler.host.connections[self.link].worker
     }
 }
 
 impl<N: Net> WorkerEvents for Ears<'_, N> {
     fn has_greeted(&self) -> bool {
-        self.gw.core.choice.host.links[self.link].greeted
+        self.gw.context.scheduler.host.connections[self.link].ready
     }
 
     fn greeted(
@@ -973,9 +1008,9 @@
         let wk = self.wk();
         let host = self.host();
         let now = host.net.now();
-        if role != "worker" || name != host.workers.resolve(wk) {
+        if role != "worker" || name != host.worker_names.resolve(wk) {
             // Another one has come to live at this address: nothing was sent, so nothing has run.
-            let expected = host.workers.resolve(wk);
+            let expected = host.worker_names.resolve(wk);
             let reason = format!("{role} {name} answers for {expected}");
             return Err(WireError::invalid(Field::Name, reason).into());
         }
@@ -984,11 +1019,14 @@
             // It restarted before the roster told.
             debug!(worker = name, life, age, "started anew");
             if let Some(entry) = host.restarted(wk, life, age) {
-                self.gw.core.choice.advance_clock(now);
-                self.gw.core.choice.update_endpoints(&[(wk, entry)], false);
+                self.gw.context.scheduler.advance_clock(now);
+                self.gw
+                    .context
+                    .scheduler
+                    .update_endpoints(&[(wk, entry)], false);
             }
-            while let Some(wk) = self.host().withdrawn.pop() {
-                self.gw.take_back(wk);
+            while let Some(wk) = self.host().withdrawn_workers.pop() {
+                self.gw.withdraw_unsent_calls(wk);
             }
         }
         let link = self.link;
@@ -1003,20 +1041,27 @@
         let Some(key) = host.key(name, link)? else {
             return Ok(());
         };
-        let CallKind::Launch { evt, launch } = host.outs[key].task else {
+        let CallKind::Attempt {
+            request: evt,
+            attempt: launch,
+        } = host.calls[key].kind
+        else {
             return Ok(());
         };
-        if host.outs[key].over || !host.events[evt].open || host.events[evt].begun.is_some() {
+        if host.calls[key].ended
+            || !host.requests[evt].open
+            || host.requests[evt].streaming_attempt.is_some()
+        {
             return Ok(());
         }
-        host.events[evt].begun = Some(launch);
-        let ticket = host.events[evt].ticket;
+        host.requests[evt].streaming_attempt = Some(launch);
+        let ticket = host.requests[evt].reply_handle;
         let gw = &mut *self.gw;
-        if let Some(door) = gw.doors.get_mut(ticket.ingress) {
-            door.response_started(&mut gw.core.choice.host.net, ticket, payload);
+        if let Some(door) = gw.ingresses.get_mut(ticket.ingress) {
+            door.response_started(&mut gw.context.scheduler.host.net, ticket, payload);
         }
-        gw.core.choice.advance_clock(now);
-        gw.core.choice.response_started(evt, launch);
+        gw.context.scheduler.advance_clock(now);
+        gw.context.scheduler.response_started(evt, launch);
         Ok(())
     }
 
@@ -1032,12 +1077,12 @@
         let Some(key) = host.key(name, link)? else {
             return Ok(());
         };
-        if let CallKind::Launch { evt, .. } = host.outs[key].task {
-            if !host.outs[key].over && outcome == Outcome::Ok {
+        if let CallKind::Attempt { request: evt, .. } = host.calls[key].kind {
+            if !host.calls[key].ended && outcome == Outcome::Ok {
                 // The first good answer is the client's at once.
-                self.gw.answer(evt, Disposition::Completed, payload);
+                self.gw.respond(evt, Disposition::Completed, payload);
             }
-            self.gw.done(key, outcome, note);
+            self.gw.call_ended(key, outcome, note);
             self.host().free(key);
         }
         Ok(())
@@ -1054,8 +1099,8 @@
         let Some(key) = host.key(name, link)? else {
             return Ok(());
         };
-        if matches!(host.outs[key].task, CallKind::Hold { .. }) {
-            self.gw.done(key, outcome, copies);
+        if matches!(host.calls[key].kind, CallKind::LoadRequest { .. }) {
+            self.gw.call_ended(key, outcome, copies);
             self.host().free(key);
         }
         Ok(())
@@ -1067,9 +1112,9 @@
         let Some(key) = host.key(name, link)? else {
             return Ok(());
         };
-        if matches!(host.outs[key].task, CallKind::Probe) {
+        if matches!(host.calls[key].kind, CallKind::HealthCheck) {
             self.gw
-                .done(key, if well { Outcome::Ok } else { Outcome::Error }, 0);
+                .call_ended(key, if well { Outcome::Ok } else { Outcome::Error }, 0);
             self.host().free(key);
         }
         Ok(())
@@ -1078,34 +1123,40 @@
     fn load_reported(&mut self, in_flight: f64, busy: f64) {
         let wk = self.wk();
         let now = self.host().net.now();
-        self.gw.core.choice.advance_clock(now);
-        self.gw.core.choice.load_reported(wk, in_flight, busy);
+        self.gw.context.scheduler.advance_clock(now);
+        self.gw.context.scheduler.load_reported(wk, in_flight, busy);
     }
 
     fn vote_received(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
         let wk = self.wk();
-        self.gw.promised(self.link, wk, fields)
+        self.gw.vote_received(self.link, wk, fields)
     }
 
     fn epoch_rejected(&mut self) {
-        self.gw.fenced();
+        self.gw.epoch_rejected();
     }
 
     fn draining(&mut self) {
         let wk = self.wk();
         let host = self.host();
         let now = host.net.now();
-        debug!(worker = host.workers.resolve(wk), "drains");
+        debug!(worker = host.worker_names.resolve(wk), "drains");
         if let Some(entry) = host.drains(wk) {
-            self.gw.core.choice.advance_clock(now);
-            self.gw.core.choice.update_endpoints(&[(wk, entry)], false);
-            self.gw.unsaved();
+            self.gw.context.scheduler.advance_clock(now);
+            self.gw
+                .context
+                .scheduler
+                .update_endpoints(&[(wk, entry)], false);
+            self.gw.schedule_cache_write();
         }
     }
 
     fn error_reported(&mut self, reason: &str) {
         let wk = self.wk();
-        warn!(worker = self.host().workers.resolve(wk), reason, "told");
+        warn!(
+            worker = self.host().worker_names.resolve(wk),
+            reason, "told"
+        );
     }
 }
 
@@ -1113,55 +1164,60 @@
     type Net = N;
 
     fn net(&mut self) -> &mut N {
-        self.core.net()
+        self.context.net()
     }
 
     fn accepted(&mut self, listener: Listener, conn: Conn, _from: SocketAddr) {
         let door = self.listeners.iter().position(|l| *l == Some(listener));
-        let former = || self.former.iter().find(|f| f.0 == listener).map(|f| f.1);
+        let former = || {
+            self.closed_listeners
+                .iter()
+                .find(|f| f.0 == listener)
+                .map(|f| f.1)
+        };
         if let Some(door) = door.or_else(former) {
-            self.own(conn, Owner::Ingress(door));
-            self.doors[door].accepted(&mut self.core, conn);
+            self.set_owner(conn, Owner::Ingress(door));
+            self.ingresses[door].accepted(&mut self.context, conn);
         } else if self
-            .pair
+            .failover
             .as_ref()
             .is_some_and(|p| p.listener() == Some(listener))
         {
-            self.own(conn, Owner::Handshake);
+            self.set_owner(conn, Owner::Handshake);
         }
     }
 
     fn connected(&mut self, conn: Conn) {
         if self.owner(conn) == Owner::Handshake {
-            return self.link_made(conn);
+            return self.send_peer_greeting(conn);
         }
         let mut out = Vec::new();
-        let member = self.pair.as_ref().map_or(0, |p| p.member() as u64 + 1);
+        let member = self.failover.as_ref().map_or(0, |p| p.member() as u64 + 1);
         let me = LocalIdentity {
             name: &self.name,
-            index: self.me,
+            index: self.index,
             failover_member: member,
         };
-        let host = &mut self.core.choice.host;
-        if self.roster.conn == Some(conn) {
-            if self.roster.feed.is_native() {
-                host.roster = Some(conn);
+        let host = &mut self.context.scheduler.host;
+        if self.discovery.conn == Some(conn) {
+            if self.discovery.source.is_native() {
+                host.discovery_connection = Some(conn);
             }
-            self.roster
-                .feed
-                .write_subscription(&mut out, &me, host.follows);
+            self.discovery
+                .source
+                .write_subscription(&mut out, &me, host.watches_endpoints);
             host.net.write(conn, &out);
-            self.listen_for();
+            self.arm_discovery_timeout();
         } else if let Owner::Worker(link) = self.owner(conn) {
-            let host = &mut self.core.choice.host;
-            host.way.write_greeting(&mut out, &me);
+            let host = &mut self.context.scheduler.host;
+            host.protocol.write_greeting(&mut out, &me);
             if !out.is_empty() {
                 host.net.write(conn, &out);
-                host.links[link].written += out.len();
+                host.connections[link].written += out.len();
             }
-            if !host.way.requires_greeting() {
+            if !host.protocol.requires_greeting() {
                 host.greeted(link);
-                self.settle();
+                self.deliver_deferred_outcomes();
             }
         }
     }
@@ -1169,30 +1225,33 @@
     fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let used = match self.owner(conn) {
             Owner::Nobody => bytes.len(),
-            Owner::Ingress(door) => self.doors[door].received(&mut self.core, conn, bytes),
+            Owner::Ingress(door) => self.ingresses[door].received(&mut self.context, conn, bytes),
             owner => {
                 if let Owner::Worker(link) = owner {
-                    self.core.choice.host.heard(link);
+                    self.context.scheduler.host.heard(link);
                 }
-                let used = self.frames(conn, bytes, owner);
+                let used = self.read_messages(conn, bytes, owner);
                 if let Owner::Worker(link) = self.owner(conn) {
-                    self.core.choice.host.left_over(link, used < bytes.len());
+                    self.context
+                        .scheduler
+                        .host
+                        .left_over(link, used < bytes.len());
                 }
                 if owner == Owner::Peer {
-                    self.record();
+                    self.acknowledge_records();
                 }
                 used
             }
         };
-        self.settle();
+        self.deliver_deferred_outcomes();
         used
     }
 
     fn writable(&mut self, conn: Conn) {
         match self.owner(conn) {
-            Owner::Ingress(door) => self.doors[door].writable(&mut self.core, conn),
+            Owner::Ingress(door) => self.ingresses[door].writable(&mut self.context, conn),
             Owner::Worker(link) => {
-                self.core.choice.host.drained(link);
+                self.context.scheduler.host.drained(link);
                 self.wakeup_ended();
             }
             _ => {}
@@ -1200,66 +1259,77 @@
     }
 
     fn wakeup_ended(&mut self) {
-        while self.core.choice.host.leave() {
-            self.settle();
+        while self.context.scheduler.host.leave() {
+            self.deliver_deferred_outcomes();
         }
     }
 
     fn closed(&mut self, conn: Conn, why: CloseReason) {
         match self.owner(conn) {
             Owner::Nobody => {}
-            Owner::Ingress(door) => self.doors[door].closed(&mut self.core, conn),
-            Owner::Worker(link) => self.link_over(link, why),
-            Owner::Discovery => self.roster_over(why),
-            Owner::Peer => self.peer_over(),
-            Owner::Handshake => self.guest_over(conn),
+            Owner::Ingress(door) => self.ingresses[door].closed(&mut self.context, conn),
+            Owner::Worker(link) => self.worker_connection_closed(link, why),
+            Owner::Discovery => self.discovery_connection_closed(why),
+            Owner::Peer => self.peer_connection_closed(),
+            Owner::Handshake => self.handshake_closed(conn),
         }
-        self.own(conn, Owner::Nobody);
-        self.settle();
+        self.set_owner(conn, Owner::Nobody);
+        self.deliver_deferred_outcomes();
     }
 
     fn datagram_received(&mut self, port: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
-        if self.pair.as_ref().is_some_and(|p| p.port() == Some(port)) {
-            self.advertised(from, bytes);
-            return self.settle();
+        if self
+            .failover
+            .as_ref()
+            .is_some_and(|p| p.port() == Some(port))
+        {
+            self.vrrp_datagram_received(from, bytes);
+            return self.deliver_deferred_outcomes();
         }
-        if self.port != Some(port) {
+        if self.datagram_socket != Some(port) {
             return;
         }
-        let host = &mut self.core.choice.host;
+        let host = &mut self.context.scheduler.host;
         let from = host
             .peers
             .iter()
             .position(|p| *p == Some(from))
             .map(|p| p as u32);
-        match host.way.clone().read_peer_datagram(from, bytes) {
+        match host.protocol.clone().read_peer_datagram(from, bytes) {
             Ok((peer, payload)) => {
                 let now = host.net.now();
-                self.core.choice.advance_clock(now);
-                self.core.choice.peer_message_received(peer, payload);
-                self.settle();
+                self.context.scheduler.advance_clock(now);
+                self.context.scheduler.peer_message_received(peer, payload);
+                self.deliver_deferred_outcomes();
             }
             Err(reason) => {
-                host.counts.malformed += 1;
-                self.complain(&reason.to_string(), "datagram");
+                host.counters.malformed += 1;
+                self.log_malformed(&reason.to_string(), "datagram");
             }
         }
     }
 
     fn timer_fired(&mut self, token: u64) {
-        let now = self.core.net().now();
+        let now = self.context.net().now();
         match token & OF_WHAT {
             OF_CHOICE => {
-                self.core.choice.advance_clock(now);
-                self.core.choice.timer_fired(token & !OF_WHAT);
+                self.context.scheduler.advance_clock(now);
+                self.context.scheduler.timer_fired(token & !OF_WHAT);
             }
             OF_OUT => {
-                if let Some(key) = self.core.choice.host.late((token & !OF_WHAT) as usize) {
-                    let Call { sent, task, .. } = self.core.choice.host.outs[key];
-                    self.broke_off(task);
-                    self.core.choice.host.give_up(key);
+                if let Some(key) = self
+                    .context
+                    .scheduler
+                    .host
+                    .late((token & !OF_WHAT) as usize)
+                {
+                    let Call {
+                        sent, kind: task, ..
+                    } = self.context.scheduler.host.calls[key];
+                    self.partial_response_lost(task);
+                    self.context.scheduler.host.give_up(key);
                     // What still waited for a connection is proven not run.
-                    self.done(
+                    self.call_ended(
                         key,
                         if sent {
                             Outcome::TimedOut
@@ -1268,18 +1338,18 @@
                         },
                         0,
                     );
-                    self.core.choice.host.unsent_over(key);
+                    self.context.scheduler.host.unsent_over(key);
                 }
             }
-            OF_ROSTER if self.roster.conn.is_none() => self.ask_roster(),
+            OF_ROSTER if self.discovery.conn.is_none() => self.connect_discovery(),
             // It was asked meanwhile.
             OF_ROSTER => {}
             OF_SILENT => {
-                self.roster.silence = None;
-                if let Some(conn) = self.roster.conn {
-                    self.core.net().reset(conn);
-                    self.own(conn, Owner::Nobody);
-                    self.roster_over(CloseReason::TimedOut);
+                self.discovery.response_timer = None;
+                if let Some(conn) = self.discovery.conn {
+                    self.context.net().reset(conn);
+                    self.set_owner(conn, Owner::Nobody);
+                    self.discovery_connection_closed(CloseReason::TimedOut);
                 }
             }
             OF_LEAVE => self.drain(),
@@ -1288,66 +1358,66 @@
             OF_GREETING => {
                 // It accepts and says nothing, as a hung process does: no connection in time.
                 let link = (token & !OF_WHAT) as usize;
-                if let Some(conn) = self.core.choice.host.ungreeted(link) {
-                    self.core.net().reset(conn);
-                    self.own(conn, Owner::Nobody);
-                    self.link_over(link, CloseReason::TimedOut);
+                if let Some(conn) = self.context.scheduler.host.ungreeted(link) {
+                    self.context.net().reset(conn);
+                    self.set_owner(conn, Owner::Nobody);
+                    self.worker_connection_closed(link, CloseReason::TimedOut);
                 }
             }
             OF_LINKS => {
-                self.core.net().set_timer(now + LINKS, OF_LINKS);
-                if self.unheard {
-                    self.tell_list();
+                self.context.net().set_timer(now + LINKS, OF_LINKS);
+                if self.watcher_outdated {
+                    self.notify_endpoint_watcher();
                 }
-                self.cut_late(LINKS);
-                for (link, conn) in self.core.choice.host.stuck(now) {
+                self.reset_stalled_after_grace(LINKS);
+                for (link, conn) in self.context.scheduler.host.stuck(now) {
                     warn!(link, "cut off: an answer stopped half-way");
-                    self.core.net().reset(conn);
-                    self.own(conn, Owner::Nobody);
-                    self.link_over(link, CloseReason::Reset);
+                    self.context.net().reset(conn);
+                    self.set_owner(conn, Owner::Nobody);
+                    self.worker_connection_closed(link, CloseReason::Reset);
                 }
-                for (link, conn) in self.core.choice.host.idle(now) {
-                    self.core.net().close(conn);
-                    self.own(conn, Owner::Nobody);
-                    self.link_over(link, CloseReason::Ended);
+                for (link, conn) in self.context.scheduler.host.idle(now) {
+                    self.context.net().close(conn);
+                    self.set_owner(conn, Owner::Nobody);
+                    self.worker_connection_closed(link, CloseReason::Ended);
                 }
             }
             OF_DOOR => {
-                if let Some(door) = self.doors.get_mut((token & !OF_WHAT) as usize) {
-                    door.timer_fired(&mut self.core);
+                if let Some(door) = self.ingresses.get_mut((token & !OF_WHAT) as usize) {
+                    door.timer_fired(&mut self.context);
                 }
             }
-            OF_SHELF => self.save_list(),
-            OF_PAIR => self.pair_tick(),
-            OF_VRRP => self.vrrp_due(),
+            OF_SHELF => self.write_endpoint_cache(),
+            OF_PAIR => self.failover_tick(),
+            OF_VRRP => self.vrrp_timer_fired(),
             OF_COUNTS => {
-                self.forget_workers();
-                self.core.net().set_timer(now + COUNTS, OF_COUNTS);
+                self.forget_removed_workers();
+                self.context.net().set_timer(now + COUNTS, OF_COUNTS);
                 info!(counts = ?self.counters(), held = self.requests_in_flight(), "counts");
             }
             _ => error!(token, "a deadline of nobody"),
         }
-        self.settle();
+        self.deliver_deferred_outcomes();
     }
 
     fn signal_received(&mut self, signal: i32) {
         if signal == HANG_UP {
-            if self.roster.feed.reload() {
-                info!(at = %self.roster.feed.address(), "the list comes from elsewhere now");
-                if let Some(conn) = self.roster.conn.take() {
-                    self.core.net().reset(conn);
-                    self.own(conn, Owner::Nobody);
+            if self.discovery.source.reload() {
+                info!(at = %self.discovery.source.address(), "the list comes from elsewhere now");
+                if let Some(conn) = self.discovery.conn.take() {
+                    self.context.net().reset(conn);
+                    self.set_owner(conn, Owner::Nobody);
                 }
-                self.quiet();
-                self.ask_roster();
+                self.cancel_discovery_timeout();
+                self.connect_discovery();
             }
             return;
         }
-        if self.linger > 0 && !self.core.is_shutting_down() {
-            self.core.leaving = true;
+        if self.drain_grace > 0 && !self.context.is_shutting_down() {
+            self.context.shutting_down = true;
             info!(held = self.requests_in_flight(), "told to stop");
-            let at = self.core.net().now() + self.linger;
-            self.core.net().set_timer(at, OF_LEAVE);
+            let at = self.context.net().now() + self.drain_grace;
+            self.context.net().set_timer(at, OF_LEAVE);
             return;
         }
         self.drain();
--- a/crates/tidewall-gateway/src/native_ingress.rs
+++ b/crates/tidewall-gateway/src/native_ingress.rs
@@ -197,7 +197,7 @@
         if event.remaining == 0 {
             // Its time may have passed before it was read. An answer might come too late and silence might be
             // wrong: it is not taken, and that is said.
-            core.counters().turned_away += 1;
+            core.counters().refused += 1;
             self.turn_away(core, conn, id, "late");
             return Ok(());
         }
--- a/crates/tidewall-gateway/src/worker_pool.rs
+++ b/crates/tidewall-gateway/src/worker_pool.rs
@@ -39,14 +39,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CallKind {
-    Launch {
-        evt: usize,
-        launch: usize,
+    Attempt {
+        request: usize,
+        attempt: usize,
     },
-    Hold {
-        img: usize,
+    LoadRequest {
+        function: usize,
     },
-    Probe,
+    HealthCheck,
     /// A pair's question to a worker; `voter` is none for one that only hears of a claim.
     Vote {
         voter: Option<usize>,
@@ -58,25 +58,25 @@
 /// Something asked of a worker that has one answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
-    pub task: CallKind,
-    pub wk: usize,
+    pub kind: CallKind,
+    pub worker: usize,
     /// Of a launch: its event's id.
-    pub event: u64,
-    pub link: usize,
+    pub request_id: u64,
+    pub connection: usize,
     /// Its place in its link's list of what waits or of what was sent.
-    slot: usize,
+    list_position: usize,
     /// Tells the users of a slab's place apart on the wire.
-    pub count: u32,
-    pub copies: u32,
+    pub generation: u32,
+    pub instances: u32,
     /// Written to its connection: from here on it may have run.
     pub sent: bool,
     /// The decisions have their outcome; only the worker's own end is still awaited.
-    pub over: bool,
-    pub at: Time,
-    pub stood: Time,
+    pub ended: bool,
+    pub started_at: Time,
+    pub stall_at_start: Time,
     /// When it is given up here.
-    until: Time,
-    deadline: Option<TimerId>,
+    expires_at: Time,
+    timer: Option<TimerId>,
 }
 
 impl GatewayLimits {
@@ -90,44 +90,44 @@
 
 impl Call {
     fn is_launch_of(&self, event: u64) -> bool {
-        self.event == event && matches!(self.task, CallKind::Launch { .. })
+        self.request_id == event && matches!(self.kind, CallKind::Attempt { .. })
     }
 }
 
 #[derive(Default)]
 pub struct PendingRequest {
     pub open: bool,
-    pub ticket: ReplyHandle,
+    pub reply_handle: ReplyHandle,
     pub id: u64,
-    pub begun: Option<usize>,
-    came: Time,
+    pub streaming_attempt: Option<usize>,
+    received_at: Time,
     /// When its client gives up.
-    until: Time,
-    arrival: RequestInfo,
-    mark: Vec<u8>,
+    deadline: Time,
+    info: RequestInfo,
+    idempotency_key: Vec<u8>,
     payload: Vec<u8>,
-    outs: [usize; MAX_ATTEMPTS],
-    count: usize,
+    calls: [usize; MAX_ATTEMPTS],
+    attempts: usize,
     /// Launches that may have run.
     pub unproven: u32,
     /// Others that asked for the same event, each with the time when it gives up.
-    pub more: Vec<(ReplyHandle, Time)>,
+    pub waiting_clients: Vec<(ReplyHandle, Time)>,
     /// Where its launches went, and what their ends prove.
-    sent_to: [usize; MAX_ATTEMPTS],
-    pub ends: [Option<bool>; MAX_ATTEMPTS],
+    attempt_workers: [usize; MAX_ATTEMPTS],
+    pub not_executed: [Option<bool>; MAX_ATTEMPTS],
 }
 
 impl PendingRequest {
-    pub fn until(&self) -> Time {
-        self.until
+    pub fn deadline(&self) -> Time {
+        self.deadline
     }
 
-    pub fn arrival(&self) -> &RequestInfo {
-        &self.arrival
+    pub fn info(&self) -> &RequestInfo {
+        &self.info
     }
 
-    pub fn mark(&self) -> &[u8] {
-        &self.mark
+    pub fn idempotency_key(&self) -> &[u8] {
+        &self.idempotency_key
     }
 
     pub fn payload(&self) -> &[u8] {
@@ -137,124 +137,124 @@
 
 /// An answer of the decisions' own.
 pub struct LocalResponse {
-    pub evt: usize,
-    pub ticket: ReplyHandle,
-    pub word: Disposition,
-    pub come_back: Time,
-    pub took: Time,
+    pub request: usize,
+    pub reply_handle: ReplyHandle,
+    pub disposition: Disposition,
+    pub retry_after: Time,
+    pub elapsed: Time,
 }
 
 #[derive(Default)]
 pub struct WorkerEntry {
-    at: Option<SocketAddr>,
-    listed: Endpoint,
+    address: Option<SocketAddr>,
+    endpoint: Endpoint,
     zone: String,
     machine: String,
-    life: u64,
+    incarnation: u64,
     /// It said itself that it drains, and the roster has not noticed yet.
-    drains: bool,
+    reported_draining: bool,
     /// When it was told that it drains or is gone.
-    left: Time,
-    pub links: Vec<usize>,
+    removed_at: Time,
+    pub connections: Vec<usize>,
 }
 
 impl WorkerEntry {
-    pub fn known(&self) -> bool {
-        self.at.is_some()
+    pub fn is_known(&self) -> bool {
+        self.address.is_some()
     }
 
-    pub fn standing(&self) -> EndpointState {
-        self.listed.state
+    pub fn state(&self) -> EndpointState {
+        self.endpoint.state
     }
 }
 
 pub struct WorkerConnection {
-    pub wk: usize,
+    pub worker: usize,
     conn: Conn,
-    pub greeted: bool,
+    pub ready: bool,
     /// Bytes written to it in all, and up to the last that bring work: a launch or an order.
     pub written: usize,
-    work: usize,
+    last_work_offset: usize,
     /// Launches on it, sent or waiting.
     streams: usize,
     pub waiting: Vec<usize>,
     pub sent: Vec<usize>,
     /// Events whose launches on it were given up: an answer may still be on its way.
-    given_up: VecDeque<u64>,
+    abandoned_requests: VecDeque<u64>,
     /// Since when a message has lain there in part.
-    pub partial: Option<Time>,
+    pub partial_since: Option<Time>,
     /// When something last came or went.
-    used: Time,
-    heard: Time,
+    last_used: Time,
+    last_received: Time,
     /// Until then the worker must have told its name.
-    greeting: Option<TimerId>,
+    greeting_timer: Option<TimerId>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Counters {
-    pub taken: u64,
-    pub handled: u64,
-    pub deferred: u64,
-    pub dead_lettered: u64,
-    pub lapsed: u64,
-    pub turned_away: u64,
+    pub admitted: u64,
+    pub completed: u64,
+    pub rejected: u64,
+    pub failed: u64,
+    pub abandoned: u64,
+    pub refused: u64,
     /// Answers that were not sent, since their client had given up: after a standstill of this process.
-    pub overdue: u64,
+    pub expired: u64,
     pub malformed: u64,
-    pub launches: u64,
-    pub orders: u64,
-    pub probes: u64,
+    pub attempts: u64,
+    pub load_requests: u64,
+    pub health_checks: u64,
     pub connections: u64,
 }
 
 pub struct WorkerPool<N: Net> {
     pub net: N,
-    setup: GatewayLimits,
+    limits: GatewayLimits,
     /// Connections that each worker may have, now that there are so many workers.
-    a_worker: usize,
-    pub types: Vec<String>,
-    pub tenants: Vec<String>,
+    connections_per_worker: usize,
+    pub class_names: Vec<String>,
+    pub tenant_names: Vec<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
-    pub workers: Interner,
-    pub wks: Vec<WorkerEntry>,
-    pub functions: Interner,
+    pub worker_names: Interner,
+    pub workers: Vec<WorkerEntry>,
+    pub function_names: Interner,
     /// By function: what an order to load tells of it.
-    images: Vec<(u32, f64, Time)>,
-    pub events: Vec<PendingRequest>,
-    pub held: usize,
-    pub outs: Slab<Call>,
-    turn: u32,
-    pub links: Slab<WorkerConnection>,
-    pub opened: Vec<(Conn, usize)>,
+    function_resources: Vec<(u32, f64, Time)>,
+    pub requests: Vec<PendingRequest>,
+    pub in_flight: usize,
+    pub calls: Slab<Call>,
+    call_generation: u32,
+    pub connections: Slab<WorkerConnection>,
+    pub opened_connections: Vec<(Conn, usize)>,
     /// Connections on which something waits to leave at the end of the wake-up, and what leaves on one, with each end.
-    due: Vec<usize>,
+    writable_connections: Vec<usize>,
     batch: Vec<u8>,
-    batched: Vec<(usize, usize)>,
+    batch_ends: Vec<(usize, usize)>,
     /// Workers that left or started anew: what waits for them was decided by what they were before.
-    pub withdrawn: Vec<usize>,
+    pub withdrawn_workers: Vec<usize>,
     /// Who waits for the event that is taken next.
-    pub heirs: Vec<(ReplyHandle, Time)>,
-    grace: Time,
+    pub next_waiting_clients: Vec<(ReplyHandle, Time)>,
+    drain_grace: Time,
     /// When the last client of all that were ever taken gives up.
-    pub last_until: Time,
-    pub known: VecDeque<(usize, u32, Outcome)>,
-    pub given: VecDeque<LocalResponse>,
+    pub last_deadline: Time,
+    pub deferred_outcomes: VecDeque<(usize, u32, Outcome)>,
+    pub local_responses: VecDeque<LocalResponse>,
     /// Tickets of events whose clients have given up.
-    pub gone: VecDeque<ReplyHandle>,
+    pub expired_clients: VecDeque<ReplyHandle>,
     /// By door: its clients say when they stop waiting.
-    pub waits_on: Vec<bool>,
-    pub roster: Option<Conn>,
-    pub follows: bool,
-    pub port: Option<DatagramSocket>,
+    pub ingress_accepts_late: Vec<bool>,
+    pub discovery_connection: Option<Conn>,
+    pub watches_endpoints: bool,
+    pub datagram_socket: Option<DatagramSocket>,
     pub peers: Vec<Option<SocketAddr>>,
-    pub me: usize,
-    pub counts: Counters,
+    pub index: usize,
+    pub counters: Counters,
     /// One of a pair: what goes to the other member, and what waits for it.
-    pub copy: Option<Box<Replicator>>,
+    pub replicator: Option<Box<Replicator>>,
     pub(crate) frame: Vec<u8>,
-    pub way: Rc<dyn WorkerProtocol>,
-    pub most_come_back: Time,
+    pub protocol: Rc<dyn WorkerProtocol>,
+    pub max_retry_after: Time,
 }
 
 /// A batch that grew for a burst gives its memory back: a few usual messages.
@@ -274,72 +274,79 @@
         let plain = |key: &str| settings.text(key).split(',').map(str::to_string).collect();
         WorkerPool {
             net,
-            a_worker: setup.a_worker(0),
-            setup,
-            types: named("classes"),
-            tenants: named("tenants"),
+            connections_per_worker: setup.a_worker(0),
+            limits: setup,
+            class_names: named("classes"),
+            tenant_names: named("tenants"),
             zones: plain("zones"),
             kinds: plain("kinds"),
-            workers: Interner::default(),
-            wks: Vec::new(),
-            functions: Interner::default(),
-            images: Vec::new(),
-            events: Vec::new(),
-            held: 0,
-            outs: Slab::new(),
-            turn: 0,
-            links: Slab::new(),
-            opened: Vec::new(),
-            due: Vec::new(),
+            worker_names: Interner::default(),
+            workers: Vec::new(),
+            function_names: Interner::default(),
+            function_resources: Vec::new(),
+            requests: Vec::new(),
+            in_flight: 0,
+            calls: Slab::new(),
+            call_generation: 0,
+            connections: Slab::new(),
+            opened_connections: Vec::new(),
+            writable_connections: Vec::new(),
             batch: Vec::new(),
-            batched: Vec::new(),
-            withdrawn: Vec::new(),
-            heirs: Vec::new(),
-            grace: settings.duration("rules.drain-grace-ms"),
-            last_until: 0,
-            known: VecDeque::new(),
-            given: VecDeque::new(),
-            gone: VecDeque::new(),
-            waits_on: Vec::new(),
-            roster: None,
+            batch_ends: Vec::new(),
+            withdrawn_workers: Vec::new(),
+            next_waiting_clients: Vec::new(),
+            drain_grace: settings.duration("rules.drain-grace-ms"),
+            last_deadline: 0,
+            deferred_outcomes: VecDeque::new(),
+            local_responses: VecDeque::new(),
+            expired_clients: VecDeque::new(),
+            ingress_accepts_late: Vec::new(),
+            discovery_connection: None,
             // Where changes come unasked the roster is still told that we are there.
-            follows: settings.is("discovery", "pushed"),
-            port: None,
+            watches_endpoints: settings.is("discovery", "pushed"),
+            datagram_socket: None,
             peers: Vec::new(),
-            me: 0,
-            counts: Counters::default(),
-            copy: None,
+            index: 0,
+            counters: Counters::default(),
+            replicator: None,
             frame: Vec::new(),
-            way: Rc::new(NativeWorkerProtocol),
-            most_come_back: settings.duration("allowed.max-retry-after-ms"),
+            protocol: Rc::new(NativeWorkerProtocol),
+            max_retry_after: settings.duration("allowed.max-retry-after-ms"),
         }
     }
 
     /// The event's place is in use from now on; its buffers are those of the place's last user.
     pub fn open(&mut self, place: usize, event: &IncomingRequest, arrival: &RequestInfo) {
-        if self.events.len() <= place {
-            self.events.resize_with(place + 1, PendingRequest::default);
+        if self.requests.len() <= place {
+            self.requests
+                .resize_with(place + 1, PendingRequest::default);
         }
         let img = arrival.function;
-        if self.images.len() <= img {
-            self.images.resize(img + 1, (1, 0.0, 0));
+        if self.function_resources.len() <= img {
+            self.function_resources.resize(img + 1, (1, 0.0, 0));
         }
-        self.images[img] = (arrival.lanes, arrival.memory, arrival.load_hint);
-        let held = &mut self.events[place];
-        (held.open, held.ticket, held.id, held.begun) = (true, event.reply_handle, event.id, None);
+        self.function_resources[img] = (arrival.lanes, arrival.memory, arrival.load_hint);
+        let held = &mut self.requests[place];
+        (
+            held.open,
+            held.reply_handle,
+            held.id,
+            held.streaming_attempt,
+        ) = (true, event.reply_handle, event.id, None);
         let now = self.net.now();
-        (held.came, held.until, held.arrival, held.count) =
+        (held.received_at, held.deadline, held.info, held.attempts) =
             (now, now + event.remaining, *arrival, 0);
-        self.last_until = self.last_until.max(held.until);
+        self.last_deadline = self.last_deadline.max(held.deadline);
         held.unproven = 0;
-        held.more.clear();
-        held.more.append(&mut self.heirs);
-        held.mark.clear();
-        held.mark.extend_from_slice(event.idempotency_key);
+        held.waiting_clients.clear();
+        held.waiting_clients.append(&mut self.next_waiting_clients);
+        held.idempotency_key.clear();
+        held.idempotency_key
+            .extend_from_slice(event.idempotency_key);
         held.payload.clear();
         held.payload.extend_from_slice(event.payload);
-        self.held += 1;
-        self.counts.taken += 1;
+        self.in_flight += 1;
+        self.counters.admitted += 1;
         self.copy_taken(place);
     }
 
@@ -351,55 +358,58 @@
         ticket: Option<ReplyHandle>,
     ) -> Option<(ReplyHandle, Time)> {
         let now = self.net.now();
-        let held = self.events.get_mut(place)?;
-        if !held.open || ticket.is_some_and(|t| t != held.ticket) {
+        let held = self.requests.get_mut(place)?;
+        if !held.open || ticket.is_some_and(|t| t != held.reply_handle) {
             return None;
         }
         held.open = false;
-        self.held -= 1;
-        Some((held.ticket, now - held.came))
+        self.in_flight -= 1;
+        Some((held.reply_handle, now - held.received_at))
     }
 
     /// Nothing may be sent for this event any more: its client's time has passed, which is all that says when it gives up.
     pub fn too_late_for(&self, evt: usize, ticket: ReplyHandle) -> bool {
-        let waits_on = self.waits_on.get(ticket.ingress).is_some_and(|w| *w);
-        self.net.now() > self.events[evt].until && !waits_on
+        let waits_on = self
+            .ingress_accepts_late
+            .get(ticket.ingress)
+            .is_some_and(|w| *w);
+        self.net.now() > self.requests[evt].deadline && !waits_on
     }
 
     fn own_answer(&mut self, evt: usize, word: Disposition, come_back: Time) {
         if let Some((ticket, took)) = self.close(evt, None) {
-            if self.copy.is_none() && self.too_late_for(evt, ticket) {
+            if self.replicator.is_none() && self.too_late_for(evt, ticket) {
                 // Nothing is sent to a client that has given up.
-                self.counts.overdue += 1;
-                self.gone.push_back(ticket);
+                self.counters.expired += 1;
+                self.expired_clients.push_back(ticket);
                 return;
             }
             match word {
-                Disposition::Rejected => self.counts.deferred += 1,
-                _ => self.counts.dead_lettered += 1,
+                Disposition::Rejected => self.counters.rejected += 1,
+                _ => self.counters.failed += 1,
             }
             tracing::debug!(
-                event = self.events[evt].id,
+                event = self.requests[evt].id,
                 word = word.wire_text(),
                 took,
                 "answered"
             );
             let given = LocalResponse {
-                evt,
-                ticket,
-                word,
-                come_back,
-                took,
+                request: evt,
+                reply_handle: ticket,
+                disposition: word,
+                retry_after: come_back,
+                elapsed: took,
             };
-            if self.copy.is_some() {
+            if self.replicator.is_some() {
                 // At once: its place may serve another event before this call of the decisions is over.
                 let due = self.copy_answered(&given, &[]);
-                if let (Some(copy), Some(due)) = (&mut self.copy, due) {
+                if let (Some(copy), Some(due)) = (&mut self.replicator, due) {
                     copy.replays.push_back(due);
                 }
                 return;
             }
-            self.given.push_back(given);
+            self.local_responses.push_back(given);
         }
     }
 
@@ -416,35 +426,36 @@
             place(&self.zones, &entry.zone),
             place(&self.kinds, &entry.machine),
         );
-        let wk = self.workers.intern(&entry.name);
-        if self.wks.len() <= wk {
-            self.wks.resize_with(wk + 1, WorkerEntry::default);
+        let wk = self.worker_names.intern(&entry.name);
+        if self.workers.len() <= wk {
+            self.workers.resize_with(wk + 1, WorkerEntry::default);
         }
-        let w = &mut self.wks[wk];
-        let restarted = entry.incarnation > w.life || w.at.is_none();
+        let w = &mut self.workers[wk];
+        let restarted = entry.incarnation > w.incarnation || w.address.is_none();
         let since = match (restarted, entry.age) {
-            (false, _) => w.listed.started_at,
+            (false, _) => w.endpoint.started_at,
             (true, 0) => 0,
             // 0 would mean long ago. A start before our own clock began is as old as that.
             (true, age) => now.saturating_sub(age).max(1),
         };
         // A list that was made before the roster noticed does not bring back one that said that it drains.
-        w.drains &= entry.state == EndpointState::Active && entry.incarnation <= w.life;
-        let standing = if w.drains {
+        w.reported_draining &=
+            entry.state == EndpointState::Active && entry.incarnation <= w.incarnation;
+        let standing = if w.reported_draining {
             EndpointState::Draining
         } else {
             entry.state
         };
-        let leaves = standing != EndpointState::Active && w.listed.state == EndpointState::Active;
+        let leaves = standing != EndpointState::Active && w.endpoint.state == EndpointState::Active;
         if leaves {
-            w.left = now;
+            w.removed_at = now;
         }
         if leaves || restarted {
-            self.withdrawn.push(wk);
+            self.withdrawn_workers.push(wk);
         }
-        w.life = w.life.max(entry.incarnation);
-        w.at = Some(entry.address);
-        w.listed = Endpoint {
+        w.incarnation = w.incarnation.max(entry.incarnation);
+        w.address = Some(entry.address);
+        w.endpoint = Endpoint {
             name_hash: fnv1a(&entry.name),
             zone,
             kind,
@@ -455,19 +466,19 @@
         };
         w.zone.clone_from(&entry.zone);
         w.machine.clone_from(&entry.machine);
-        (wk, w.listed)
+        (wk, w.endpoint)
     }
 
     /// A whole list: whoever is not in it is gone.
     pub fn only(&mut self, entries: &[(usize, Endpoint)]) {
         let now = self.net.now();
-        for (wk, w) in self.wks.iter_mut().enumerate() {
-            if !entries.iter().any(|e| e.0 == wk) && w.listed.state != EndpointState::Removed {
-                if w.listed.state == EndpointState::Active {
-                    w.left = now;
-                    self.withdrawn.push(wk);
+        for (wk, w) in self.workers.iter_mut().enumerate() {
+            if !entries.iter().any(|e| e.0 == wk) && w.endpoint.state != EndpointState::Removed {
+                if w.endpoint.state == EndpointState::Active {
+                    w.removed_at = now;
+                    self.withdrawn_workers.push(wk);
                 }
-                (w.listed.state, w.drains) = (EndpointState::Removed, false);
+                (w.endpoint.state, w.reported_draining) = (EndpointState::Removed, false);
             }
         }
     }
@@ -475,11 +486,12 @@
     /// Workers that are gone and of which nothing is under way here.
     pub fn gone(&self) -> Vec<usize> {
         let idle = |(wk, w): &(usize, &WorkerEntry)| {
-            let gone =
-                w.at.is_some() && w.listed.state == EndpointState::Removed && w.links.is_empty();
-            gone && !self.outs.iter().any(|o| o.1.wk == *wk)
+            let gone = w.address.is_some()
+                && w.endpoint.state == EndpointState::Removed
+                && w.connections.is_empty();
+            gone && !self.calls.iter().any(|o| o.1.worker == *wk)
         };
-        self.wks
+        self.workers
             .iter()
             .enumerate()
             .filter(idle)
@@ -490,55 +502,56 @@
     /// Its index may name another from now on.
     pub fn forget_worker(&mut self, wk: usize) {
         self.workers.remove(wk);
-        self.wks[wk] = WorkerEntry::default();
+        self.workers[wk] = WorkerEntry::default();
     }
 
     /// Whether anything is known of where it answers.
     pub fn reachable(&self, wk: usize) -> bool {
-        self.wks.get(wk).is_some_and(|w| w.at.is_some())
+        self.workers.get(wk).is_some_and(|w| w.address.is_some())
     }
 
     /// An event's launches as they stand: number, worker, and whether its end proves that it has not run.
     pub fn launches_of(&self, place: usize) -> Vec<(usize, usize, Option<bool>)> {
-        let held = &self.events[place];
-        (0..held.count)
-            .map(|i| (i, held.sent_to[i], held.ends[i]))
+        let held = &self.requests[place];
+        (0..held.attempts)
+            .map(|i| (i, held.attempt_workers[i], held.not_executed[i]))
             .collect()
     }
 
     pub fn known_life(&self, wk: usize) -> Option<u64> {
-        Some(self.wks[wk].life)
+        Some(self.workers[wk].incarnation)
     }
 
     pub fn restarted(&mut self, wk: usize, life: u64, age: Time) -> Option<Endpoint> {
         let now = self.net.now();
-        let w = &mut self.wks[wk];
-        (w.life, w.drains) = (life, false);
-        self.withdrawn.push(wk);
-        w.listed.started_at = now.saturating_sub(age).max(1);
+        let w = &mut self.workers[wk];
+        (w.incarnation, w.reported_draining) = (life, false);
+        self.withdrawn_workers.push(wk);
+        w.endpoint.started_at = now.saturating_sub(age).max(1);
         // One that the roster calls gone stays so until the roster says otherwise.
-        (w.listed.state == EndpointState::Active).then_some(w.listed)
+        (w.endpoint.state == EndpointState::Active).then_some(w.endpoint)
     }
 
     pub fn drains(&mut self, wk: usize) -> Option<Endpoint> {
-        let w = &mut self.wks[wk];
-        if w.listed.state != EndpointState::Active {
+        let w = &mut self.workers[wk];
+        if w.endpoint.state != EndpointState::Active {
             return None;
         }
-        (w.listed.state, w.drains, w.left) = (EndpointState::Draining, true, self.net.now());
-        self.withdrawn.push(wk);
-        Some(w.listed)
+        (w.endpoint.state, w.reported_draining, w.removed_at) =
+            (EndpointState::Draining, true, self.net.now());
+        self.withdrawn_workers.push(wk);
+        Some(w.endpoint)
     }
 
     /// Launches and orders for this worker that have not left: all that is known of them is that nothing has run.
     pub fn not_sent(&self, wk: usize) -> Vec<usize> {
-        let work = |o: &Call| match o.task {
-            CallKind::Launch { .. } => true,
-            CallKind::Hold { .. } => o.copies > 0,
-            CallKind::Probe | CallKind::Vote { .. } => false,
+        let work = |o: &Call| match o.kind {
+            CallKind::Attempt { .. } => true,
+            CallKind::LoadRequest { .. } => o.instances > 0,
+            CallKind::HealthCheck | CallKind::Vote { .. } => false,
         };
-        let waits = |o: &Call| o.wk == wk && !o.sent && !o.over && work(o);
-        self.outs
+        let waits = |o: &Call| o.worker == wk && !o.sent && !o.ended && work(o);
+        self.calls
             .iter()
             .filter(|o| waits(o.1))
             .map(|o| o.0)
@@ -549,11 +562,12 @@
     /// for again after `look`.
     pub fn too_late(&self, now: Time, look: Time) -> Vec<(usize, Conn)> {
         let late = |l: &WorkerConnection| {
-            let w = &self.wks[l.wk];
-            let ends = w.listed.state != EndpointState::Active && w.left + self.grace <= now + look;
-            ends && l.written - self.net.unsent(l.conn).min(l.written) < l.work
+            let w = &self.workers[l.worker];
+            let ends = w.endpoint.state != EndpointState::Active
+                && w.removed_at + self.drain_grace <= now + look;
+            ends && l.written - self.net.unsent(l.conn).min(l.written) < l.last_work_offset
         };
-        self.links
+        self.connections
             .iter()
             .filter(|l| late(l.1))
             .map(|l| (l.0, l.1.conn))
@@ -562,7 +576,7 @@
 
     /// Writes to a worker; false where its buffer is full or its connection gone.
     fn put(&mut self, link: usize) -> bool {
-        let Some(l) = self.links.get_mut(link) else {
+        let Some(l) = self.connections.get_mut(link) else {
             return false;
         };
         let good = self.net.write(l.conn, &self.frame);
@@ -573,21 +587,21 @@
     pub fn entries(&self) -> Vec<EndpointRecord> {
         let now = self.net.now();
         let entry = |(wk, w): (usize, &WorkerEntry)| {
-            let since = w.listed.started_at;
+            let since = w.endpoint.started_at;
             Some(EndpointRecord {
-                name: self.workers.resolve(wk).to_string(),
-                address: w.at?,
+                name: self.worker_names.resolve(wk).to_string(),
+                address: w.address?,
                 zone: w.zone.clone(),
                 machine: w.machine.clone(),
-                cell: w.listed.cell,
-                state: w.listed.state,
-                rating: w.listed.rating,
-                incarnation: w.life,
+                cell: w.endpoint.cell,
+                state: w.endpoint.state,
+                rating: w.endpoint.rating,
+                incarnation: w.incarnation,
                 age: if since == 0 { 0 } else { (now - since).max(1) },
             })
         };
-        let gone = |w: &WorkerEntry| w.listed.state == EndpointState::Removed;
-        self.wks
+        let gone = |w: &WorkerEntry| w.endpoint.state == EndpointState::Removed;
+        self.workers
             .iter()
             .enumerate()
             .filter(|w| !gone(w.1))
@@ -600,37 +614,36 @@
         let id = match name {
             CallName::CallId(id) => id,
             CallName::RequestId(event) => {
-                let sent = &self.links[link].sent;
+                let sent = &self.connections[link].sent;
                 return Ok(sent
                     .iter()
                     .copied()
-                    .find(|k| self.outs[*k].is_launch_of(event)));
+                    .find(|k| self.calls[*k].is_launch_of(event)));
             }
         };
         let (key, count) = ((id & 0xffff_ffff) as usize, (id >> 32) as u32);
-        match self.outs.get(key) {
-            Some(out) if out.count == count && out.link != link => Err(WireError::invalid(
-                Field::Id,
-                format!("{id} was sent on another connection"),
-            )
-            .into()),
-            Some(out) if out.count == count => Ok(Some(key)),
+        match self.calls.get(key) {
+            Some(out) if out.generation == count && out.connection != link => Err(
+                WireError::invalid(Field::Id, format!("{id} was sent on another connection"))
+                    .into(),
+            ),
+            Some(out) if out.generation == count => Ok(Some(key)),
             _ => Ok(None),
         }
     }
 
     fn wire_id(&self, key: usize) -> u64 {
-        key as u64 | u64::from(self.outs[key].count) << 32
+        key as u64 | u64::from(self.calls[key].generation) << 32
     }
 
     /// The decisions get this out's outcome now.
     pub fn finish(&mut self, key: usize) {
         self.no_deadline(key);
-        self.outs[key].over = true;
+        self.calls[key].ended = true;
     }
 
     pub fn no_deadline(&mut self, key: usize) {
-        if let Some(d) = self.outs[key].deadline.take() {
+        if let Some(d) = self.calls[key].timer.take() {
             self.net.cancel_timer(d);
         }
     }
@@ -639,77 +652,80 @@
     pub fn free(&mut self, key: usize) {
         self.no_deadline(key);
         self.off(key);
-        self.outs.remove(key);
+        self.calls.remove(key);
     }
 
     /// Puts an out on its link's list.
     fn on(&mut self, key: usize, link: usize, sent: bool) {
-        let l = &mut self.links[link];
+        let l = &mut self.connections[link];
         let list = if sent { &mut l.sent } else { &mut l.waiting };
-        let out = &mut self.outs[key];
-        (out.link, out.slot, out.sent) = (link, list.len(), sent);
+        let out = &mut self.calls[key];
+        (out.connection, out.list_position, out.sent) = (link, list.len(), sent);
         list.push(key);
     }
 
     /// Takes an out off its link's list, without a search.
     fn off(&mut self, key: usize) {
         let Call {
-            link,
-            slot,
+            connection: link,
+            list_position: slot,
             sent,
-            task,
+            kind: task,
             ..
-        } = self.outs[key];
-        let Some(l) = self.links.get_mut(link) else {
+        } = self.calls[key];
+        let Some(l) = self.connections.get_mut(link) else {
             return;
         };
         let list = if sent { &mut l.sent } else { &mut l.waiting };
         list.swap_remove(slot);
         if let Some(moved) = list.get(slot) {
-            self.outs[*moved].slot = slot;
+            self.calls[*moved].list_position = slot;
         }
-        l.streams -= usize::from(matches!(task, CallKind::Launch { .. }));
-        self.outs[key].link = usize::MAX;
+        l.streams -= usize::from(matches!(task, CallKind::Attempt { .. }));
+        self.calls[key].connection = usize::MAX;
     }
 
     /// Frees an out that ended before it was sent, or of which the worker says nothing more.
     pub fn unsent_over(&mut self, key: usize) {
-        let Some(out) = self.outs.get(key).filter(|o| o.over) else {
+        let Some(out) = self.calls.get(key).filter(|o| o.ended) else {
             return;
         };
-        if out.sent && self.way.confirms_cancelled() {
+        if out.sent && self.protocol.confirms_cancelled() {
             return;
         }
-        let (sent, event, link) = (out.sent, out.event, out.link);
-        if let Some(l) = self.links.get_mut(link).filter(|_| sent) {
-            if l.given_up.len() == GIVEN_UP {
-                l.given_up.pop_front();
+        let (sent, event, link) = (out.sent, out.request_id, out.connection);
+        if let Some(l) = self.connections.get_mut(link).filter(|_| sent) {
+            if l.abandoned_requests.len() == GIVEN_UP {
+                l.abandoned_requests.pop_front();
             }
-            l.given_up.push_back(event);
+            l.abandoned_requests.push_back(event);
         }
         self.free(key);
     }
 
     /// Tells the worker that nobody waits for this launch, where it would not hear it by the launch's own time.
     pub fn give_up(&mut self, key: usize) {
-        let out = self.outs[key];
-        if out.sent && !self.way.confirms_cancelled() && matches!(out.task, CallKind::Launch { .. })
+        let out = self.calls[key];
+        if out.sent
+            && !self.protocol.confirms_cancelled()
+            && matches!(out.kind, CallKind::Attempt { .. })
         {
             self.frame.clear();
             let id = self.wire_id(key);
-            self.way.write_cancel(&mut self.frame, id, out.event);
-            self.put(out.link);
+            self.protocol
+                .write_cancel(&mut self.frame, id, out.request_id);
+            self.put(out.connection);
         }
     }
 
     /// An out whose deadline is due; none where it has left and there is time for its end.
     pub fn late(&mut self, key: usize) -> Option<usize> {
         let now = self.net.now();
-        let out = self.outs.get_mut(key).filter(|o| !o.over)?;
-        out.deadline = None;
-        if out.sent && now < out.until {
-            let until = out.until;
-            self.outs[key].deadline = Some(self.net.set_timer(until, OF_OUT | key as u64));
+        let out = self.calls.get_mut(key).filter(|o| !o.ended)?;
+        out.timer = None;
+        if out.sent && now < out.expires_at {
+            let until = out.expires_at;
+            self.calls[key].timer = Some(self.net.set_timer(until, OF_OUT | key as u64));
             return None;
         }
         Some(key)
@@ -718,46 +734,49 @@
     /// The worker has told its name: what waited leaves at the end of the wake-up.
     pub fn greeted(&mut self, link: usize) {
         let now = self.net.now();
-        let l = &mut self.links[link];
-        (l.greeted, l.used, l.heard) = (true, now, now);
-        if let Some(d) = l.greeting.take() {
+        let l = &mut self.connections[link];
+        (l.ready, l.last_used, l.last_received) = (true, now, now);
+        if let Some(d) = l.greeting_timer.take() {
             self.net.cancel_timer(d);
         }
-        self.due.push(link);
+        self.writable_connections.push(link);
     }
 
     /// Its socket takes more.
     pub fn drained(&mut self, link: usize) {
-        self.due.push(link);
+        self.writable_connections.push(link);
     }
 
     pub fn no_greeting(&mut self, link: &WorkerConnection) {
-        if let Some(d) = link.greeting {
+        if let Some(d) = link.greeting_timer {
             self.net.cancel_timer(d);
         }
     }
 
     pub fn ungreeted(&self, link: usize) -> Option<Conn> {
-        self.links.get(link).filter(|l| !l.greeted).map(|l| l.conn)
+        self.connections
+            .get(link)
+            .filter(|l| !l.ready)
+            .map(|l| l.conn)
     }
 
     /// What is left of a connection's bytes once its whole messages are read.
     pub fn left_over(&mut self, link: usize, any: bool) {
         let now = self.net.now();
-        if let Some(l) = self.links.get_mut(link) {
-            l.partial = any.then_some(now);
+        if let Some(l) = self.connections.get_mut(link) {
+            l.partial_since = any.then_some(now);
         }
     }
 
     /// Connections on which a message stopped half-way.
     pub fn stuck(&self, now: Time) -> Vec<(usize, Conn)> {
-        let rest = self.way.partial_message_timeout();
+        let rest = self.protocol.partial_message_timeout();
         let stuck = |l: &WorkerConnection| {
-            l.partial
+            l.partial_since
                 .zip(rest)
                 .is_some_and(|(since, rest)| now >= since + rest)
         };
-        self.links
+        self.connections
             .iter()
             .filter(|l| stuck(l.1))
             .map(|l| (l.0, l.1.conn))
@@ -767,14 +786,16 @@
     /// Links to close: idle ones, those to workers that are gone, and those on which only given-up launches
     /// are left and nothing was heard for long.
     pub fn idle(&mut self, now: Time) -> Vec<(usize, Conn)> {
-        let (keep, silent) = (self.setup.keep_alive, self.setup.silence_timeout);
+        let (keep, silent) = (self.limits.keep_alive, self.limits.silence_timeout);
         let mut idle = Vec::new();
-        for (key, l) in &self.links {
+        for (key, l) in &self.connections {
             let nothing = l.waiting.is_empty() && l.sent.is_empty();
-            let gone = self.wks[l.wk].listed.state == EndpointState::Removed;
-            let given_up = l.waiting.is_empty() && l.sent.iter().all(|k| self.outs[*k].over);
-            let quiet = now > l.used + silent && now > l.heard + silent;
-            if nothing && (now > l.used + keep || gone && quiet) || !nothing && given_up && quiet {
+            let gone = self.workers[l.worker].endpoint.state == EndpointState::Removed;
+            let given_up = l.waiting.is_empty() && l.sent.iter().all(|k| self.calls[*k].ended);
+            let quiet = now > l.last_used + silent && now > l.last_received + silent;
+            if nothing && (now > l.last_used + keep || gone && quiet)
+                || !nothing && given_up && quiet
+            {
                 idle.push((key, l.conn));
             }
         }
@@ -783,124 +804,131 @@
 
     /// Puts an out on a connection of its worker: one with a free stream, one that is being made, or a new one.
     pub(crate) fn ride(&mut self, key: usize) {
-        let out = self.outs[key];
-        let launch = matches!(out.task, CallKind::Launch { .. });
+        let out = self.calls[key];
+        let launch = matches!(out.kind, CallKind::Attempt { .. });
         // An id twice on one connection: the ends of the two could not be told apart.
         let twice = |l: &WorkerConnection| {
             let all = l.sent.iter().chain(&l.waiting);
-            self.way.answers_by_request_id()
-                && (l.given_up.contains(&out.event)
+            self.protocol.answers_by_request_id()
+                && (l.abandoned_requests.contains(&out.request_id)
                     || all
                         .into_iter()
-                        .any(|k| self.outs[*k].is_launch_of(out.event)))
+                        .any(|k| self.calls[*k].is_launch_of(out.request_id)))
         };
         let room = |l: &WorkerConnection| {
-            !launch || l.streams < self.setup.streams_per_connection && !twice(l)
+            !launch || l.streams < self.limits.streams_per_connection && !twice(l)
         };
         // One on which an answer stopped half-way may be of no further use.
-        let links = self.wks[out.wk]
-            .links
+        let links = self.workers[out.worker]
+            .connections
             .iter()
             .copied()
-            .filter(|l| room(&self.links[*l]));
-        let least = |l: &usize| (self.links[*l].partial.is_some(), self.links[*l].streams);
+            .filter(|l| room(&self.connections[*l]));
+        let least = |l: &usize| {
+            (
+                self.connections[*l].partial_since.is_some(),
+                self.connections[*l].streams,
+            )
+        };
         let ready = links
             .clone()
-            .filter(|l| self.links[*l].greeted)
+            .filter(|l| self.connections[*l].ready)
             .min_by_key(least);
-        let coming = links.clone().find(|l| !self.links[*l].greeted);
-        let more = self.wks[out.wk].links.len() < self.a_worker;
-        let full = ready.is_some_and(|l| self.links[l].streams + 1 >= self.setup.spread_threshold);
-        let free = self.links.len() < self.setup.max_worker_connections;
+        let coming = links.clone().find(|l| !self.connections[*l].ready);
+        let more = self.workers[out.worker].connections.len() < self.connections_per_worker;
+        let full =
+            ready.is_some_and(|l| self.connections[l].streams + 1 >= self.limits.spread_threshold);
+        let free = self.connections.len() < self.limits.max_worker_connections;
         let spare = (launch && more && free && full && coming.is_none())
-            .then_some(self.wks[out.wk].at)
+            .then_some(self.workers[out.worker].address)
             .flatten();
-        let (link, at) = (ready.or(coming), self.wks[out.wk].at);
+        let (link, at) = (ready.or(coming), self.workers[out.worker].address);
         if let Some(at) = spare {
-            self.open_link(out.wk, at);
+            self.open_link(out.worker, at);
         }
         let link = match (link, at) {
             (Some(link), _) => link,
-            (None, Some(at)) if more && (free || self.end_idle()) => self.open_link(out.wk, at),
+            (None, Some(at)) if more && (free || self.end_idle()) => self.open_link(out.worker, at),
             // All streams of all connections are taken, or all descriptors are in use.
             _ => {
                 return self.at_once(key, Outcome::AtCapacity);
             }
         };
-        let l = &mut self.links[link];
+        let l = &mut self.connections[link];
         l.streams += usize::from(launch);
-        let greeted = l.greeted;
+        let greeted = l.ready;
         self.on(key, link, false);
         if greeted {
-            self.due.push(link);
+            self.writable_connections.push(link);
         }
     }
 
     /// Ends the connection that has been idle for longest; false where none is.
     fn end_idle(&mut self) -> bool {
         let idle = self
-            .links
+            .connections
             .iter()
             .filter(|l| l.1.waiting.is_empty() && l.1.sent.is_empty());
         let Some((key, conn, wk)) = idle
-            .min_by_key(|l| l.1.used)
-            .map(|l| (l.0, l.1.conn, l.1.wk))
+            .min_by_key(|l| l.1.last_used)
+            .map(|l| (l.0, l.1.conn, l.1.worker))
         else {
             return false;
         };
         // At once, not at the end of the wake-up: its descriptor is wanted now. Nothing is heard of it any more.
         self.net.reset(conn);
-        let link = self.links.remove(key);
+        let link = self.connections.remove(key);
         self.no_greeting(&link);
-        self.wks[wk].links.retain(|l| *l != key);
+        self.workers[wk].connections.retain(|l| *l != key);
         true
     }
 
     /// The list has changed: connections are shared out again.
     pub fn share_out(&mut self) {
-        self.a_worker = self
-            .setup
-            .a_worker(self.wks.iter().filter(|w| w.known()).count());
+        self.connections_per_worker = self
+            .limits
+            .a_worker(self.workers.iter().filter(|w| w.is_known()).count());
     }
 
     fn open_link(&mut self, wk: usize, at: SocketAddr) -> usize {
-        let conn = self.net.connect(at, self.setup.connect_timeout);
-        self.counts.connections += 1;
+        let conn = self.net.connect(at, self.limits.connect_timeout);
+        self.counters.connections += 1;
         let now = self.net.now();
-        let link = self.links.insert(WorkerConnection {
-            wk,
+        let link = self.connections.insert(WorkerConnection {
+            worker: wk,
             conn,
-            greeted: false,
+            ready: false,
             written: 0,
-            work: 0,
+            last_work_offset: 0,
             streams: 0,
             waiting: Vec::new(),
             sent: Vec::new(),
-            given_up: VecDeque::new(),
-            partial: None,
-            used: now,
-            heard: now,
-            greeting: None,
+            abandoned_requests: VecDeque::new(),
+            partial_since: None,
+            last_used: now,
+            last_received: now,
+            greeting_timer: None,
         });
-        if self.way.requires_greeting() {
-            let until = now + self.setup.connect_timeout;
-            self.links[link].greeting = Some(self.net.set_timer(until, OF_GREETING | link as u64));
+        if self.protocol.requires_greeting() {
+            let until = now + self.limits.connect_timeout;
+            self.connections[link].greeting_timer =
+                Some(self.net.set_timer(until, OF_GREETING | link as u64));
         }
-        self.wks[wk].links.push(link);
-        self.opened.push((conn, link));
+        self.workers[wk].connections.push(link);
+        self.opened_connections.push((conn, link));
         link
     }
 
     /// The outcome is known already; it is told when the decisions' call is over.
     pub(crate) fn at_once(&mut self, key: usize, outcome: Outcome) {
-        let count = self.outs[key].count;
-        self.known.push_back((key, count, outcome));
+        let count = self.calls[key].generation;
+        self.deferred_outcomes.push_back((key, count, outcome));
     }
 
     /// The wake-up is over: what waits leaves. False once there was nothing.
     pub fn leave(&mut self) -> bool {
         let mut any = false;
-        while let Some(link) = self.due.pop() {
+        while let Some(link) = self.writable_connections.pop() {
             any = true;
             self.leave_on(link);
         }
@@ -911,20 +939,20 @@
     /// of what the net holds of it only the end of one message has not left.
     fn leave_on(&mut self, link: usize) {
         let Some(l) = self
-            .links
+            .connections
             .get(link)
-            .filter(|l| l.greeted && !l.waiting.is_empty())
+            .filter(|l| l.ready && !l.waiting.is_empty())
         else {
             return;
         };
         let (conn, now) = (l.conn, self.net.now());
         let (mut batch, mut batched) = (
             std::mem::take(&mut self.batch),
-            std::mem::take(&mut self.batched),
+            std::mem::take(&mut self.batch_ends),
         );
-        for i in 0..self.links[link].waiting.len() {
-            let key = self.links[link].waiting[i];
-            if !self.outs[key].over && self.waited_for(key) {
+        for i in 0..self.connections[link].waiting.len() {
+            let key = self.connections[link].waiting[i];
+            if !self.calls[key].ended && self.waited_for(key) {
                 self.encode(key);
                 batch.extend_from_slice(&self.frame);
                 batched.push((key, batch.len()));
@@ -944,72 +972,79 @@
             }
             self.off(key);
             self.on(key, link, true);
-            let task = self.outs[key].task;
-            let work = !matches!(task, CallKind::Probe | CallKind::Vote { .. });
-            let l = &mut self.links[link];
-            l.streams += usize::from(matches!(task, CallKind::Launch { .. }));
-            (l.used, l.written) = (now, l.written + to - from);
-            l.work = if work { l.written } else { l.work };
+            let task = self.calls[key].kind;
+            let work = !matches!(task, CallKind::HealthCheck | CallKind::Vote { .. });
+            let l = &mut self.connections[link];
+            l.streams += usize::from(matches!(task, CallKind::Attempt { .. }));
+            (l.last_used, l.written) = (now, l.written + to - from);
+            l.last_work_offset = if work { l.written } else { l.last_work_offset };
             from = to;
         }
         batch.clear();
         batch.shrink_to(BATCH);
         batched.clear();
-        (self.batch, self.batched) = (batch, batched);
+        (self.batch, self.batch_ends) = (batch, batched);
     }
 
     /// Whether anybody still waits for what this would begin: asked just before its first byte leaves.
     fn waited_for(&self, key: usize) -> bool {
-        let CallKind::Launch { evt, .. } = self.outs[key].task else {
+        let CallKind::Attempt { request: evt, .. } = self.calls[key].kind else {
             return true;
         };
-        let held = &self.events[evt];
-        held.open && self.net.now() < held.arrival.deadline
+        let held = &self.requests[evt];
+        held.open && self.net.now() < held.info.deadline
     }
 
     /// Writes an out's message into `frame`.
     fn encode(&mut self, key: usize) {
-        let out = self.outs[key];
+        let out = self.calls[key];
         let (id, now) = (self.wire_id(key), self.net.now());
-        let epoch = self.copy.as_ref().map_or(0, |c| c.epoch);
+        let epoch = self.replicator.as_ref().map_or(0, |c| c.epoch);
         self.frame.clear();
-        match out.task {
-            CallKind::Launch { evt, launch } => {
-                let e = &self.events[evt];
-                let a = &e.arrival;
+        match out.kind {
+            CallKind::Attempt {
+                request: evt,
+                attempt: launch,
+            } => {
+                let e = &self.requests[evt];
+                let a = &e.info;
                 let left = a.deadline.saturating_sub(now);
                 let launched = AttemptMessage {
                     request_id: e.id,
                     attempt: launch as u64,
-                    class: &self.types[a.class],
-                    function: self.functions.resolve(a.function),
+                    class: &self.class_names[a.class],
+                    function: self.function_names.resolve(a.function),
                     lanes: a.lanes,
                     memory: a.memory,
-                    timeout: out.until.saturating_sub(now).min(left),
+                    timeout: out.expires_at.saturating_sub(now).min(left),
                     remaining: left,
                     cost_hint: a.cost_hint,
-                    idempotency_key: &e.mark,
+                    idempotency_key: &e.idempotency_key,
                     is_retry: a.is_retry,
                     epoch,
                     payload: &e.payload,
                 };
-                self.way.write_attempt(&mut self.frame, id, &launched);
+                self.protocol.write_attempt(&mut self.frame, id, &launched);
             }
-            CallKind::Hold { img } => {
-                let (lanes, memory, load_hint) =
-                    self.images.get(img).copied().unwrap_or((1, 0.0, 0));
-                let function = self.functions.resolve(img);
+            CallKind::LoadRequest { function: img } => {
+                let (lanes, memory, load_hint) = self
+                    .function_resources
+                    .get(img)
+                    .copied()
+                    .unwrap_or((1, 0.0, 0));
+                let function = self.function_names.resolve(img);
                 let order = LoadRequestMessage {
                     function,
-                    instances: out.copies,
+                    instances: out.instances,
                     lanes,
                     memory,
                     load_hint,
                     epoch,
                 };
-                self.way.write_load_request(&mut self.frame, id, &order);
+                self.protocol
+                    .write_load_request(&mut self.frame, id, &order);
             }
-            CallKind::Probe => self.way.write_health_check(&mut self.frame, id),
+            CallKind::HealthCheck => self.protocol.write_health_check(&mut self.frame, id),
             CallKind::Vote {
                 ballot, accepting, ..
             } => self.vote(id, ballot, accepting),
@@ -1017,42 +1052,42 @@
     }
 
     pub(crate) fn out(&mut self, task: CallKind, wk: usize, copies: u32, until: Time) -> usize {
-        self.turn = self.turn.wrapping_add(1);
+        self.call_generation = self.call_generation.wrapping_add(1);
         let (at, stood) = (self.net.now(), self.net.total_stall());
         let event = match task {
-            CallKind::Launch { evt, .. } => self.events[evt].id,
+            CallKind::Attempt { request: evt, .. } => self.requests[evt].id,
             _ => 0,
         };
         let out = Call {
-            task,
-            wk,
-            event,
-            until,
-            link: usize::MAX,
-            slot: 0,
-            count: self.turn,
-            copies,
+            kind: task,
+            worker: wk,
+            request_id: event,
+            expires_at: until,
+            connection: usize::MAX,
+            list_position: 0,
+            generation: self.call_generation,
+            instances: copies,
             sent: false,
-            over: false,
-            at,
-            stood,
-            deadline: None,
+            ended: false,
+            started_at: at,
+            stall_at_start: stood,
+            timer: None,
         };
         // What has not left by the time that a connection may take does not leave any more: its event moves on, and what it
         // would take effect with later is what the decisions counted with.
         let first = match task {
             CallKind::Vote { .. } => until,
-            _ => until.min(at + self.setup.connect_timeout),
+            _ => until.min(at + self.limits.connect_timeout),
         };
-        let key = self.outs.insert(out);
-        self.outs[key].deadline = Some(self.net.set_timer(first, OF_OUT | key as u64));
+        let key = self.calls.insert(out);
+        self.calls[key].timer = Some(self.net.set_timer(first, OF_OUT | key as u64));
         key
     }
 
     pub fn heard(&mut self, link: usize) {
         let now = self.net.now();
-        if let Some(l) = self.links.get_mut(link) {
-            l.heard = now;
+        if let Some(l) = self.connections.get_mut(link) {
+            l.last_received = now;
         }
     }
 }
@@ -1060,49 +1095,60 @@
 impl<N: Net> SchedulerActions for WorkerPool<N> {
     fn send_attempt(&mut self, evt: usize, wk: usize, time_out: Time) {
         let now = self.net.now();
-        let held = &self.events[evt];
-        let (launch, gives_up, open) = (held.count, held.arrival.deadline, held.open);
+        let held = &self.requests[evt];
+        let (launch, gives_up, open) = (held.attempts, held.info.deadline, held.open);
         let until = if time_out == 0 {
             gives_up
         } else {
             gives_up.min(now + time_out)
         };
-        let key = self.out(CallKind::Launch { evt, launch }, wk, 0, until);
-        let held = &mut self.events[evt];
-        held.outs[launch] = key;
-        (held.sent_to[launch], held.ends[launch]) = (wk, None);
-        held.count += 1;
-        self.counts.launches += 1;
+        let key = self.out(
+            CallKind::Attempt {
+                request: evt,
+                attempt: launch,
+            },
+            wk,
+            0,
+            until,
+        );
+        let held = &mut self.requests[evt];
+        held.calls[launch] = key;
+        (held.attempt_workers[launch], held.not_executed[launch]) = (wk, None);
+        held.attempts += 1;
+        self.counters.attempts += 1;
         tracing::debug!(
-            event = self.events[evt].id,
+            event = self.requests[evt].id,
             launch,
-            worker = self.workers.resolve(wk),
+            worker = self.worker_names.resolve(wk),
             "launch"
         );
         if !open || now >= gives_up {
             return self.at_once(key, Outcome::Discarded);
         }
-        if self.copy.is_some() {
+        if self.replicator.is_some() {
             return self.copy_launched(evt, launch, key);
         }
         self.ride(key);
     }
 
     fn cancel_attempt(&mut self, evt: usize, launch: usize) {
-        let key = self.events[evt].outs[launch];
-        let Some(out) = self
-            .outs
-            .get(key)
-            .filter(|o| o.task == CallKind::Launch { evt, launch } && !o.over)
-        else {
+        let key = self.requests[evt].calls[launch];
+        let Some(out) = self.calls.get(key).filter(|o| {
+            o.kind
+                == CallKind::Attempt {
+                    request: evt,
+                    attempt: launch,
+                }
+                && !o.ended
+        }) else {
             return;
         };
         if !out.sent {
             return self.at_once(key, Outcome::Discarded);
         }
-        let (id, link, event) = (self.wire_id(key), out.link, out.event);
+        let (id, link, event) = (self.wire_id(key), out.connection, out.request_id);
         self.frame.clear();
-        self.way.write_cancel(&mut self.frame, id, event);
+        self.protocol.write_cancel(&mut self.frame, id, event);
         self.put(link);
         self.at_once(key, Outcome::Cancelled);
     }
@@ -1116,7 +1162,7 @@
     }
 
     fn release_request(&mut self, evt: usize) {
-        let held = &mut self.events[evt];
+        let held = &mut self.requests[evt];
         // A place that held a large payload gives its memory back.
         const KEPT: usize = 1024; // a usual event's payload
         held.payload.clear();
@@ -1130,29 +1176,32 @@
     }
 
     fn send_health_check(&mut self, wk: usize) {
-        self.counts.probes += 1;
-        let until = self.net.now() + self.setup.health_check_timeout;
-        let key = self.out(CallKind::Probe, wk, 0, until);
+        self.counters.health_checks += 1;
+        let until = self.net.now() + self.limits.health_check_timeout;
+        let key = self.out(CallKind::HealthCheck, wk, 0, until);
         self.ride(key);
     }
 
     fn close_idle_connections(&mut self, wk: usize) {
-        for i in 0..self.wks[wk].links.len() {
-            let link = &mut self.links[self.wks[wk].links[i]];
+        for i in 0..self.workers[wk].connections.len() {
+            let link = &mut self.connections[self.workers[wk].connections[i]];
             if link.waiting.is_empty() && link.sent.is_empty() {
                 // The next look at the links closes it.
-                link.used = 0;
+                link.last_used = 0;
             }
         }
     }
 
     fn send_load_request(&mut self, img: usize, wk: usize, copies: u32) {
         let refused = !self.may_order(copies);
-        let (function, worker) = (self.functions.resolve(img), self.workers.resolve(wk));
+        let (function, worker) = (
+            self.function_names.resolve(img),
+            self.worker_names.resolve(wk),
+        );
         tracing::debug!(function, worker, copies, "hold");
-        self.counts.orders += u64::from(copies > 0 && !refused);
-        let until = self.net.now() + self.setup.load_request_timeout;
-        let key = self.out(CallKind::Hold { img }, wk, copies, until);
+        self.counters.load_requests += u64::from(copies > 0 && !refused);
+        let until = self.net.now() + self.limits.load_request_timeout;
+        let key = self.out(CallKind::LoadRequest { function: img }, wk, copies, until);
         if refused {
             return self.at_once(key, Outcome::AtCapacity);
         }
@@ -1160,26 +1209,26 @@
     }
 
     fn unload_instances(&mut self, img: usize, wk: usize) {
-        let ready = self.wks[wk]
-            .links
+        let ready = self.workers[wk]
+            .connections
             .iter()
             .copied()
-            .find(|l| self.links[*l].greeted);
+            .find(|l| self.connections[*l].ready);
         if let Some(link) = ready {
             self.frame.clear();
-            self.way
-                .write_unload(&mut self.frame, self.functions.resolve(img));
+            self.protocol
+                .write_unload(&mut self.frame, self.function_names.resolve(img));
             self.put(link);
         }
     }
 
     fn forget_function(&mut self, img: usize) {
-        self.functions.remove(img);
+        self.function_names.remove(img);
     }
 
     fn watch_endpoints(&mut self, on: bool) {
-        self.follows = on;
-        if let Some(conn) = self.roster {
+        self.watches_endpoints = on;
+        if let Some(conn) = self.discovery_connection {
             self.frame.clear();
             Frame::new(&mut self.frame, kind::FOLLOW)
                 .flag(Field::On, on)
@@ -1189,7 +1238,7 @@
     }
 
     fn poll_endpoints(&mut self) {
-        if let Some(conn) = self.roster {
+        if let Some(conn) = self.discovery_connection {
             self.frame.clear();
             Frame::new(&mut self.frame, kind::LOOK_UP).end();
             self.net.write(conn, &self.frame);
@@ -1197,15 +1246,17 @@
     }
 
     fn send_to_peers(&mut self, peer: Option<u32>, bytes: &[u8]) {
-        let Some(port) = self.port else { return };
+        let Some(port) = self.datagram_socket else {
+            return;
+        };
         self.frame.clear();
-        self.way
-            .write_peer_datagram(&mut self.frame, self.me as u64, bytes);
+        self.protocol
+            .write_peer_datagram(&mut self.frame, self.index as u64, bytes);
         if self.frame.is_empty() {
             return;
         }
         for (i, at) in self.peers.iter().enumerate() {
-            let wanted = i != self.me && peer.is_none_or(|p| p as usize == i);
+            let wanted = i != self.index && peer.is_none_or(|p| p as usize == i);
             if let Some(at) = at.filter(|_| wanted) {
                 self.net.send_datagram(port, at, &self.frame);
             }
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -238,7 +238,10 @@
     s.ask(1..31, "check", 15_000);
     s.pass(3_000);
     assert_eq!(
-        (s.gateway.requests_in_flight(), s.gateway.counters().handled),
+        (
+            s.gateway.requests_in_flight(),
+            s.gateway.counters().completed
+        ),
         (0, 30)
     );
     s.gateway.drain();
@@ -330,7 +333,7 @@
         s.pass(1_000);
         assert_eq!(
             (
-                s.gateway.counters().taken,
+                s.gateway.counters().admitted,
                 s.gateway.requests_in_flight(),
                 s.launches()
             ),
--- a/crates/tidewall-gateway/tests/hard.rs
+++ b/crates/tidewall-gateway/tests/hard.rs
@@ -23,7 +23,7 @@
     // The decisions may defer some of so many at once; none is lost on the way.
     let counts = s.gateway.counters();
     assert!(
-        counts.handled > 20 && counts.handled + counts.deferred == 100,
+        counts.completed > 20 && counts.completed + counts.rejected == 100,
         "{counts:?}"
     );
 }
@@ -80,9 +80,9 @@
         (0, 0)
     );
     let counts = s.gateway.counters();
-    assert_eq!(counts.lapsed + counts.handled, 39);
+    assert_eq!(counts.abandoned + counts.completed, 39);
     assert!(
-        counts.lapsed > 0 && counts.handled > 0,
+        counts.abandoned > 0 && counts.completed > 0,
         "both came first at times"
     );
 }
@@ -97,7 +97,7 @@
     // know that nothing was sent.
     let counts = s.gateway.counters();
     assert!(
-        counts.deferred > 150 && counts.deferred + counts.dead_lettered == 199,
+        counts.rejected > 150 && counts.rejected + counts.failed == 199,
         "{counts:?}"
     );
     assert_eq!(s.launches(), 0);
@@ -176,7 +176,7 @@
         words,
         [vec!["turned-away"], vec!["turned-away"], vec!["handled"]]
     );
-    assert_eq!(s.gateway.counters().taken, 1);
+    assert_eq!(s.gateway.counters().admitted, 1);
 }
 
 #[test]
@@ -266,7 +266,10 @@
     let error = s.client.got.iter().find(|g| g.kind == kind::ERROR).unwrap();
     assert!(error.word.contains("field id"));
     assert_eq!(
-        (s.gateway.requests_in_flight(), s.gateway.counters().lapsed),
+        (
+            s.gateway.requests_in_flight(),
+            s.gateway.counters().abandoned
+        ),
         (0, 1)
     );
 }
@@ -361,7 +364,10 @@
     s.client.net.kill();
     s.pass(100);
     assert_eq!(
-        (s.gateway.requests_in_flight(), s.gateway.counters().lapsed),
+        (
+            s.gateway.requests_in_flight(),
+            s.gateway.counters().abandoned
+        ),
         (0, 5)
     );
     let cancels = s.workers[0]
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -363,7 +363,7 @@
             payload: call.body,
         };
         if open >= OPEN_MOST || event.remaining == 0 {
-            self.core.counters().turned_away += 1;
+            self.core.counters().refused += 1;
             return self
                 .door
                 .turn_away(self.core, conn, tag, Disposition::Rejected);
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -520,12 +520,12 @@
         }
         for (gw, Hearing { gateway: g, .. }) in gateways.iter().enumerate() {
             let c = g.counters();
-            let over = c.handled + c.deferred + c.dead_lettered + c.lapsed + c.overdue;
+            let over = c.completed + c.rejected + c.failed + c.abandoned + c.expired;
             // Every event is in hand or over, and over once.
-            if c.taken != over + g.requests_in_flight() as u64 && broken.len() < 3 {
+            if c.admitted != over + g.requests_in_flight() as u64 && broken.len() < 3 {
                 broken.push(format!(
                     "gateway {gw}: {} taken, {over} over, {} held",
-                    c.taken,
+                    c.admitted,
                     g.requests_in_flight()
                 ));
             }
--- a/crates/tidewall-sim/tests/pair.rs
+++ b/crates/tidewall-sim/tests/pair.rs
@@ -90,7 +90,7 @@
     // More answers than launches wait: handled counts before its record is there.
     let handled = std::cell::Cell::new(None);
     let moment = |run: &tidewall_sim::pair::Run| {
-        let now = run.member(0).counters().handled;
+        let now = run.member(0).counters().completed;
         let before = handled.replace(Some(now));
         before.is_some_and(|b| now > b) && run.member(0).unreplicated() > 0
     };
