--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -64,19 +64,19 @@
 /// An event that the other member has in hand.
 struct ReplicatedRequest {
     id: u64,
-    typ: usize,
+    class: usize,
     tenant: Option<usize>,
     function: String,
     lanes: u32,
     memory: f64,
-    hint: Time,
+    cost_hint: Time,
     load_hint: Time,
-    until: Time,
-    mark: Vec<u8>,
+    deadline: Time,
+    idempotency_key: Vec<u8>,
     payload: Vec<u8>,
-    launches: Vec<recovery::Attempt>,
+    attempts: Vec<recovery::Attempt>,
     /// Who asked us for it.
-    tickets: Vec<(ReplyHandle, Time)>,
+    clients: Vec<(ReplyHandle, Time)>,
 }
 
 /// How far a copy has come.
@@ -126,25 +126,25 @@
 }
 
 pub struct FailoverNode {
-    seat: RoleStateMachine,
-    parts: Parts,
+    role_machine: RoleStateMachine,
+    state: Parts,
 }
 
 impl FailoverNode {
     pub fn member(&self) -> usize {
-        self.parts.me
+        self.state.me
     }
 
     pub fn listener(&self) -> Option<Listener> {
-        self.parts.listener
+        self.state.listener
     }
 
     pub fn port(&self) -> Option<DatagramSocket> {
-        self.parts.port
+        self.state.port
     }
 
     pub fn state(&self) -> Role {
-        self.seat.state()
+        self.role_machine.state()
     }
 }
 
@@ -271,9 +271,9 @@
     fn ask(&mut self, voter: Option<usize>, wk: Option<usize>, ballot: u64, accepting: bool) {
         let host = &mut self.gw.context.scheduler.host;
         let within = host.net.now() + SILENT * Time::from(self.parts.at.interval) * CENTISECOND;
-        match (wk.filter(|wk| host.reachable(*wk)), voter) {
+        match (wk.filter(|wk| host.has_address(*wk)), voter) {
             (Some(wk), _) => {
-                let key = host.out(
+                let key = host.start_call(
                     CallKind::Vote {
                         voter,
                         ballot,
@@ -283,9 +283,12 @@
                     0,
                     within,
                 );
-                host.ride(key);
+                host.assign_connection(key);
             }
-            (None, Some(voter)) => self.copy().unheard.push_back((voter, (ballot, accepting))),
+            (None, Some(voter)) => self
+                .copy()
+                .missing_votes
+                .push_back((voter, (ballot, accepting))),
             _ => {}
         }
     }
@@ -301,7 +304,7 @@
 
     /// All workers hear who serves, not only the voters.
     fn spread(&mut self, claim: Leadership) {
-        self.copy().claim = claim;
+        self.copy().leadership = claim;
         let all = self.gw.context.scheduler.host.workers.len();
         self.parts.fenced.resize(all, false);
         for wk in 0..all {
@@ -319,7 +322,7 @@
     }
 
     fn accept(&mut self, voter: usize, claim: Leadership) {
-        self.copy().claim = claim;
+        self.copy().leadership = claim;
         let wk = self.voter(voter);
         self.ask(Some(voter), wk, claim.epoch, true);
     }
@@ -345,7 +348,7 @@
         info!(epoch = count(claim.epoch), adopt, forgot, "serves");
         let now = self.gw.context.net().now();
         let longest = self.parts.at.retention.iter().max().copied().unwrap_or(0);
-        self.copy().forgot = if forgot { now + longest } else { 0 };
+        self.copy().history_unknown_until = if forgot { now + longest } else { 0 };
         self.copy().epoch = claim.epoch;
         self.gw.context.standby = false;
         self.parts.fenced.clear();
@@ -378,8 +381,8 @@
 
     fn set_replication_wait(&mut self, on: bool) {
         let copy = self.copy();
-        copy.waits = on;
-        self.parts.began = copy.seq;
+        copy.waits_for_records = on;
+        self.parts.began = copy.last_sequence;
     }
 
     fn start_replication(&mut self, new: bool) {
@@ -387,29 +390,37 @@
         let Some(copy) = &mut host.replicator else {
             return;
         };
-        (copy.on, copy.base, copy.acked) = (true, copy.seq - copy.sent, copy.seq);
-        copy.unsure = !new;
-        copy.tell(&mut host.net, kind::COPY, |f| f.flag(Field::On, new).end());
+        (
+            copy.streaming,
+            copy.sequence_base,
+            copy.acknowledged_sequence,
+        ) = (
+            true,
+            copy.last_sequence - copy.sent_on_connection,
+            copy.last_sequence,
+        );
+        copy.snapshot_incomplete = !new;
+        copy.send_record(&mut host.net, kind::COPY, |f| f.flag(Field::On, new).end());
         self.parts.cursor = if new {
             SnapshotCursor::Off
         } else {
             SnapshotCursor::Events(0)
         };
-        self.parts.began = copy.seq;
+        self.parts.began = copy.last_sequence;
         self.gw.send_pending_snapshot(self.parts);
     }
 
     fn request_step_down(&mut self) {
         let host = &mut self.gw.context.scheduler.host;
         if let Some(copy) = &mut host.replicator {
-            copy.say(&mut host.net, kind::YIELD, |f| f.end());
+            copy.send_control(&mut host.net, kind::YIELD, |f| f.end());
         }
     }
 
     fn confirm_step_down(&mut self) {
         let host = &mut self.gw.context.scheduler.host;
         if let Some(copy) = &mut host.replicator {
-            copy.say(&mut host.net, kind::YIELDED, |f| f.end());
+            copy.send_control(&mut host.net, kind::YIELDED, |f| f.end());
         }
     }
 
@@ -435,34 +446,37 @@
         let copy = host.replicator.as_mut()?;
         let until = now + event.remaining;
         if event.is_retry
-            && now < copy.forgot
+            && now < copy.history_unknown_until
             && copy
-                .known
+                .deduplication
                 .lookup(now, event.class, event.idempotency_key)
                 .is_none()
         {
-            let kind = copy.kind(event.class);
-            if let Some(later) = unknown(kind, copy.two_at_once, copy.fenced_all) {
+            let kind = copy.retry_safety_of(event.class);
+            if let Some(later) = unknown(kind, copy.allows_hedging, copy.all_workers_fenced) {
                 let word = if later {
                     Disposition::Rejected
                 } else {
                     Disposition::Failed
                 };
                 remember(copy, now, event.class, event.idempotency_key, word, &[]);
-                let mut due = copy.due();
-                due.tickets.push((event.reply_handle, until));
-                (due.word, due.come_back) = (Some(word), UNFENCED);
-                copy.replays.push_back(due);
+                let mut due = copy.new_response();
+                due.clients.push((event.reply_handle, until));
+                (due.disposition, due.retry_after) = (Some(word), UNFENCED);
+                copy.ready_responses.push_back(due);
                 return Some(usize::MAX);
             }
         }
         if event.idempotency_key.is_empty() {
             return None;
         }
-        match copy.known.lookup(now, event.class, event.idempotency_key)? {
+        match copy
+            .deduplication
+            .lookup(now, event.class, event.idempotency_key)?
+        {
             RequestLocation::Local(place) => {
                 let place = *place;
-                copy.joined.push(place);
+                copy.shared_requests.push(place);
                 host.requests[place]
                     .waiting_clients
                     .push((event.reply_handle, until));
@@ -475,11 +489,11 @@
             }
             RequestLocation::Responded(number, payload) => {
                 let (number, payload) = (*number, payload.clone());
-                let mut due = copy.due();
-                due.tickets.push((event.reply_handle, until));
-                due.word = Some(word(number));
+                let mut due = copy.new_response();
+                due.clients.push((event.reply_handle, until));
+                due.disposition = Some(word(number));
                 due.payload.extend_from_slice(&payload);
-                copy.replays.push_back(due);
+                copy.ready_responses.push_back(due);
                 Some(usize::MAX)
             }
         }
@@ -537,7 +551,7 @@
             ration,
             at.replicates,
         );
-        copy.silence = (SILENT + 1) * interval;
+        copy.silence_timeout = (SILENT + 1) * interval;
         self.context.scheduler.host.replicator = Some(Box::new(copy));
         let stood = self.context.net().total_stall();
         let parts = Parts {
@@ -577,7 +591,10 @@
             interval,
             now,
         );
-        self.failover = Some(Box::new(FailoverNode { seat, parts }));
+        self.failover = Some(Box::new(FailoverNode {
+            role_machine: seat,
+            state: parts,
+        }));
         Ok(())
     }
 
@@ -587,7 +604,10 @@
             return;
         };
         let now = self.context.net().now();
-        let FailoverNode { seat, parts } = &mut *pair;
+        let FailoverNode {
+            role_machine: seat,
+            state: parts,
+        } = &mut *pair;
         f(seat, now, &mut Acting { gw: self, parts });
         while let Some(on) = parts.wanted.take() {
             if on {
@@ -606,12 +626,12 @@
 
     /// The first setting that the other member has otherwise.
     pub fn settings_mismatch(&self) -> Option<&str> {
-        self.failover.as_ref()?.parts.disagrees.as_deref()
+        self.failover.as_ref()?.state.disagrees.as_deref()
     }
 
     /// Advertisements that were ignored as malformed, forged or replayed.
     pub fn rejected_advertisements(&self) -> u64 {
-        self.failover.as_ref().map_or(0, |p| p.parts.bad)
+        self.failover.as_ref().map_or(0, |p| p.state.bad)
     }
 
     /// Launches and answers that wait for the other member's record.
@@ -621,7 +641,7 @@
             .host
             .replicator
             .as_ref()
-            .map_or(0, |c| c.waiting())
+            .map_or(0, |c| c.waiting_count())
     }
 
     /// How this member of a pair stands.
@@ -643,11 +663,11 @@
         let Some(pair) = &mut self.failover else {
             return;
         };
-        let interval = Time::from(pair.parts.at.interval) * CENTISECOND;
+        let interval = Time::from(pair.state.at.interval) * CENTISECOND;
         let net = &mut self.context.scheduler.host.net;
         let now = net.now();
         net.set_timer(now + interval / TICKS, OF_PAIR);
-        let parts = &mut pair.parts;
+        let parts = &mut pair.state;
         parts.ticks += 1;
         if parts.ticks % KEYS == 0 {
             parts.keys = (parts.at.keys)();
@@ -656,10 +676,10 @@
         if net.total_stall() > parts.stood {
             (parts.stood, parts.heard) = (net.total_stall(), now);
         }
-        let counts = pair.seat.state().serves();
+        let counts = pair.role_machine.state().serves();
         let silent = now > parts.heard + SILENT * interval;
         let (member, retry) = (parts.me, parts.dialing.is_none());
-        let (peer, epoch) = (parts.at.peer_link_address, pair.seat.epoch());
+        let (peer, epoch) = (parts.at.peer_link_address, pair.role_machine.epoch());
         let copy = self
             .context
             .scheduler
@@ -668,20 +688,20 @@
             .as_mut()
             .expect("a pair copies");
         match copy.conn {
-            Some(conn) if silent || copy.slow(now) => {
+            Some(conn) if silent || copy.is_peer_too_slow(now) => {
                 warn!(silent, "the other member is silent or too slow");
-                pair.seat.peer_too_slow(now);
+                pair.role_machine.peer_too_slow(now);
                 self.context.scheduler.host.net.reset(conn);
                 self.set_owner(conn, Owner::Nobody);
                 self.peer_connection_closed();
             }
             Some(_) => {
-                let counted = if pair.seat.state() == Role::Replicating {
-                    pair.seat.granted.synced_incarnations[1 - member]
+                let counted = if pair.role_machine.state() == Role::Replicating {
+                    pair.role_machine.granted.synced_incarnations[1 - member]
                 } else {
                     0
                 };
-                copy.say(&mut self.context.scheduler.host.net, kind::PING, |f| {
+                copy.send_control(&mut self.context.scheduler.host.net, kind::PING, |f| {
                     f.flag(Field::On, counts)
                         .whole(Field::SyncA, counted)
                         .whole(Field::Epoch, epoch)
@@ -692,7 +712,7 @@
                 let conn = self.context.net().connect(peer, interval);
                 self.set_owner(conn, Owner::Handshake);
                 if let Some(pair) = &mut self.failover {
-                    pair.parts.dialing = Some(conn);
+                    pair.state.dialing = Some(conn);
                 }
             }
             None => {}
@@ -704,16 +724,16 @@
             }
             if seat.state() == Role::Synchronizing {
                 let copy = act.copy();
-                if copy.acked >= act.parts.began {
+                if copy.acknowledged_sequence >= act.parts.began {
                     seat.replication_caught_up(act);
                 }
             }
             act.gw.update_fencing_complete(act.parts);
             let awaits = act.parts.adopting && act.parts.theirs.iter().any(Option::is_some);
-            let forgot = now < act.copy().forgot && !act.copy().fenced_all;
+            let forgot = now < act.copy().history_unknown_until && !act.copy().all_workers_fenced;
             if seat.state().serves() && (awaits || forgot) {
                 if act.parts.ticks % FENCE == 0 {
-                    let claim = act.copy().claim;
+                    let claim = act.copy().leadership;
                     act.spread(claim);
                 }
                 act.gw.take_over_requests(act.parts);
@@ -724,7 +744,7 @@
         if self
             .failover
             .as_ref()
-            .is_some_and(|p| p.seat.exits_without_peer(now))
+            .is_some_and(|p| p.role_machine.exits_without_peer(now))
             && !self.context.draining
         {
             self.context.draining = true;
@@ -780,7 +800,7 @@
     /// Told to go. False where it is to end as one gateway would.
     pub(crate) fn begin_failover_shutdown(&mut self) -> bool {
         match &mut self.failover {
-            Some(pair) if !pair.parts.leaving => pair.parts.leaving = true,
+            Some(pair) if !pair.state.leaving => pair.state.leaving = true,
             _ => return false,
         }
         let mut waits = false;
@@ -794,15 +814,15 @@
     pub(crate) fn send_peer_greeting(&mut self, conn: Conn) {
         let mut out = Vec::new();
         let Some(pair) = &self.failover else { return };
-        let at = &pair.parts.at;
+        let at = &pair.state.at;
         let f = Frame::new(&mut out, kind::HELLO).whole(Field::Version, wire::VERSION);
         let f = f
             .text(Field::Role, "pair")
             .text(Field::Name, &at.name)
             .whole(Field::Life, at.incarnation);
         let f = f
-            .flag(Field::On, pair.seat.state().serves())
-            .whole(Field::Epoch, pair.seat.epoch());
+            .flag(Field::On, pair.role_machine.state().serves())
+            .whole(Field::Epoch, pair.role_machine.epoch());
         f.bytes(Field::Payload, at.shared_settings.join("\n").as_bytes())
             .end();
         self.context.net().write(conn, &out);
@@ -812,9 +832,9 @@
         if let Some(pair) = self
             .failover
             .as_mut()
-            .filter(|p| p.parts.dialing == Some(conn))
+            .filter(|p| p.state.dialing == Some(conn))
         {
-            pair.parts.dialing = None;
+            pair.state.dialing = None;
         }
     }
 
@@ -844,14 +864,14 @@
         let Some(pair) = &mut self.failover else {
             return Err(WireError::invalid(Field::Role, "no pair here").into());
         };
-        if name != pair.parts.at.peer_name {
+        if name != pair.state.at.peer_name {
             return Err(
                 WireError::invalid(Field::Name, format!("{name} is not the other member")).into(),
             );
         }
         let theirs = String::from_utf8_lossy(fields.bytes(Field::Payload)?).into_owned();
-        let differs = disagree(&pair.parts.at.shared_settings, &theirs);
-        if pair.parts.dialing.take().is_none() {
+        let differs = disagree(&pair.state.at.shared_settings, &theirs);
+        if pair.state.dialing.take().is_none() {
             // They dialled: they hear who we are.
             self.send_peer_greeting(conn);
         }
@@ -870,9 +890,9 @@
         let now = self.context.net().now();
         self.set_owner(conn, Owner::Peer);
         if let Some(pair) = &mut self.failover {
-            (pair.parts.got, pair.parts.recorded, pair.parts.heard) = (0, 0, now);
+            (pair.state.got, pair.state.recorded, pair.state.heard) = (0, 0, now);
             // The lower priority keeps off, or the later name.
-            let bar = differs.is_some() && pair.parts.me == 1;
+            let bar = differs.is_some() && pair.state.me == 1;
             if let Some(line) = &differs {
                 warn!(
                     setting = line,
@@ -880,11 +900,11 @@
                     "settings disagree with the other member's"
                 );
             }
-            pair.parts.disagrees = differs;
-            pair.seat.set_barred(bar);
+            pair.state.disagrees = differs;
+            pair.role_machine.set_barred(bar);
         }
         if let Some(copy) = &mut self.context.scheduler.host.replicator {
-            (copy.conn, copy.sent) = (Some(conn), 0);
+            (copy.conn, copy.sent_on_connection) = (Some(conn), 0);
         }
         info!(name, life, serves, "the other member is there");
         self.with_role(|seat, now, act| seat.peer_connected(now, act, life, serves, epoch));
@@ -893,10 +913,10 @@
 
     pub(crate) fn peer_connection_closed(&mut self) {
         if let Some(copy) = &mut self.context.scheduler.host.replicator {
-            (copy.conn, copy.on, copy.broken) = (None, false, false);
+            (copy.conn, copy.streaming, copy.connection_overflowed) = (None, false, false);
         }
         if let Some(pair) = &mut self.failover {
-            pair.parts.cursor = SnapshotCursor::Off;
+            pair.state.cursor = SnapshotCursor::Off;
         }
         warn!("the link to the other member is gone");
         self.with_role(|seat, now, act| seat.peer_disconnected(now, act));
@@ -907,12 +927,12 @@
         let Some(pair) = &mut self.failover else {
             return;
         };
-        let parts = &mut pair.parts;
+        let parts = &mut pair.state;
         if parts.got > parts.recorded {
             parts.recorded = parts.got;
             let (host, got) = (&mut self.context.scheduler.host, parts.got);
             if let Some(copy) = &mut host.replicator {
-                copy.say(&mut host.net, kind::RECORDED, |f| {
+                copy.send_control(&mut host.net, kind::RECORDED, |f| {
                     f.whole(Field::Seq, got).end()
                 });
             }
@@ -924,13 +944,13 @@
         let Some(pair) = &mut self.failover else {
             return Ok(());
         };
-        pair.parts.heard = now;
+        pair.state.heard = now;
         match fields.kind()? {
             kind::PING => {
                 let counted = fields.upto(Field::SyncA, u64::MAX, 0)?;
                 let (serves, counts) = (
                     fields.flag(Field::On)?,
-                    counted == pair.parts.at.incarnation,
+                    counted == pair.state.at.incarnation,
                 );
                 let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
                 self.with_role(|seat, now, act| {
@@ -946,15 +966,16 @@
                     .replicator
                     .as_mut()
                     .expect("a pair copies");
-                if copy.base + seq > copy.seq {
+                if copy.sequence_base + seq > copy.last_sequence {
                     return Err(
                         WireError::invalid(Field::Seq, format!("{seq} was never told")).into(),
                     );
                 }
-                copy.acked = copy.acked.max(copy.base + seq);
+                copy.acknowledged_sequence =
+                    copy.acknowledged_sequence.max(copy.sequence_base + seq);
                 self.with_role(|seat, now, act| {
                     act.gw.send_pending_snapshot(act.parts);
-                    let acked = act.copy().acked;
+                    let acked = act.copy().acknowledged_sequence;
                     if let SnapshotCursor::Finished(all) = act.parts.cursor {
                         if acked >= all {
                             act.parts.cursor = SnapshotCursor::Off;
@@ -969,7 +990,7 @@
             kind::YIELD => self.with_role(|seat, now, act| seat.step_down_requested(now, act)),
             kind::YIELDED => self.with_role(|seat, now, act| seat.peer_stepped_down(now, act)),
             _ => {
-                pair.parts.got += 1;
+                pair.state.got += 1;
                 return self.apply_record(fields);
             }
         }
@@ -984,7 +1005,7 @@
         let (Some(pair), Some(copy)) = (&mut self.failover, &mut host.replicator) else {
             return Ok(());
         };
-        let parts = &mut pair.parts;
+        let parts = &mut pair.state;
         let place = fields.upto(Field::Place, PLACES, PLACES)? as usize;
         let typ = |types: &[String]| -> Result<usize, ProtocolError> {
             let name = fields.text(Field::Type)?;
@@ -997,7 +1018,7 @@
                 let new = fields.flag(Field::On)?;
                 parts.theirs.clear();
                 if !new {
-                    copy.known.clear_responses();
+                    copy.deduplication.clear_responses();
                 }
             }
             kind::TAKEN => {
@@ -1006,31 +1027,31 @@
                 let mark = fields.bytes(Field::Mark)?;
                 let kept = ReplicatedRequest {
                     id: fields.whole(Field::Id)?,
-                    typ,
+                    class: typ,
                     tenant: host.tenant_names.iter().position(|t| t == tenant),
                     function: fields.text(Field::Function)?.to_string(),
                     lanes: fields.upto(Field::Lanes, 1000, 1)? as u32,
                     memory: fields.real(Field::Memory, 0.0)?,
-                    hint: fields.upto(Field::Hint, u64::MAX >> 8, 0)?,
+                    cost_hint: fields.upto(Field::Hint, u64::MAX >> 8, 0)?,
                     load_hint: fields.upto(Field::LoadHint, u64::MAX >> 8, 0)?,
-                    until: now + fields.upto(Field::Left, u64::MAX >> 8, 0)?,
-                    mark: mark.to_vec(),
+                    deadline: now + fields.upto(Field::Left, u64::MAX >> 8, 0)?,
+                    idempotency_key: mark.to_vec(),
                     payload: fields.bytes(Field::Payload)?.to_vec(),
-                    launches: Vec::new(),
-                    tickets: Vec::new(),
+                    attempts: Vec::new(),
+                    clients: Vec::new(),
                 };
                 if parts.theirs.len() <= place {
                     parts.theirs.resize_with(place + 1, || None);
                 }
-                copy.ration.request_received(now);
-                copy.known
+                copy.load_request_limiter.request_received(now);
+                copy.deduplication
                     .insert_in_flight(typ, mark, RequestLocation::Remote(place));
                 parts.theirs[place] = Some(kept);
             }
             kind::LAUNCHED => {
                 let wk = host.worker_names.intern(fields.text(Field::Name)?);
                 if let Some(kept) = parts.theirs.get_mut(place).and_then(Option::as_mut) {
-                    kept.launches.push(recovery::Attempt {
+                    kept.attempts.push(recovery::Attempt {
                         worker: wk,
                         sent_at: now,
                         state: recovery::AttemptState::InFlight,
@@ -1041,7 +1062,7 @@
                 let launch = fields.whole(Field::Launch)? as usize;
                 let proven = fields.flag(Field::On)?;
                 let kept = parts.theirs.get_mut(place).and_then(Option::as_mut);
-                if let Some(l) = kept.and_then(|k| k.launches.get_mut(launch)) {
+                if let Some(l) = kept.and_then(|k| k.attempts.get_mut(launch)) {
                     l.state = if proven {
                         recovery::AttemptState::NotExecuted
                     } else {
@@ -1054,7 +1075,9 @@
                 let payload = fields.bytes(Field::Payload)?;
                 let kept = parts.theirs.get_mut(place).and_then(Option::take);
                 match (&kept, fields.has(Field::Type)) {
-                    (Some(kept), false) => remember(copy, now, kept.typ, &kept.mark, word, payload),
+                    (Some(kept), false) => {
+                        remember(copy, now, kept.class, &kept.idempotency_key, word, payload)
+                    }
                     (None, false) => {}
                     _ => remember(
                         copy,
@@ -1065,30 +1088,38 @@
                         payload,
                     ),
                 }
-                if let Some(kept) = kept.filter(|k| !k.tickets.is_empty()) {
-                    let mut due = copy.due();
-                    due.tickets = kept.tickets;
-                    due.word = Some(word);
+                if let Some(kept) = kept.filter(|k| !k.clients.is_empty()) {
+                    let mut due = copy.new_response();
+                    due.clients = kept.clients;
+                    due.disposition = Some(word);
                     due.payload.extend_from_slice(payload);
-                    copy.replays.push_back(due);
+                    copy.ready_responses.push_back(due);
                 }
             }
             kind::GONE => {
                 if let Some(kept) = parts.theirs.get_mut(place).and_then(Option::take) {
                     let ran = kept
-                        .launches
+                        .attempts
                         .iter()
                         .any(|l| l.state != recovery::AttemptState::NotExecuted);
-                    if ran && copy.kind(kept.typ) != RetrySafety::Idempotent {
-                        remember(copy, now, kept.typ, &kept.mark, Disposition::Failed, &[]);
+                    if ran && copy.retry_safety_of(kept.class) != RetrySafety::Idempotent {
+                        remember(
+                            copy,
+                            now,
+                            kept.class,
+                            &kept.idempotency_key,
+                            Disposition::Failed,
+                            &[],
+                        );
                     } else {
-                        copy.known.remove(kept.typ, &kept.mark);
+                        copy.deduplication.remove(kept.class, &kept.idempotency_key);
                     }
                 }
             }
             kind::ORDERED => {
                 let age = fields.upto(Field::Age, u64::MAX >> 8, 0)?;
-                copy.ration.load_requested(now.saturating_sub(age));
+                copy.load_request_limiter
+                    .load_requested(now.saturating_sub(age));
             }
             kind::COPIED => {}
             other => {
@@ -1107,10 +1138,10 @@
         let Some(copy) = &mut host.replicator else {
             return;
         };
-        let Some(conn) = copy.conn.filter(|_| copy.on) else {
+        let Some(conn) = copy.conn.filter(|_| copy.streaming) else {
             return;
         };
-        while host.net.unsent(conn) < COPY_AHEAD && copy.on {
+        while host.net.unsent(conn) < COPY_AHEAD && copy.streaming {
             match parts.cursor {
                 SnapshotCursor::Events(place) if place < host.requests.len() => {
                     parts.cursor = SnapshotCursor::Events(place + 1);
@@ -1119,7 +1150,7 @@
                         continue;
                     }
                     let function = host.function_names.resolve(held.info().function);
-                    copy.tell(&mut host.net, kind::TAKEN, |f| {
+                    copy.send_record(&mut host.net, kind::TAKEN, |f| {
                         taken(
                             f,
                             place,
@@ -1131,17 +1162,17 @@
                         )
                     });
                     // As it stands: so many that may have run, wherever. Their places are those of the launches.
-                    for (launch, wk, proven) in host.launches_of(place) {
+                    for (launch, wk, proven) in host.attempts_of(place) {
                         let name = host.worker_names.resolve(wk).to_string();
                         let copy = host.replicator.as_mut().expect("a pair copies");
-                        copy.tell(&mut host.net, kind::LAUNCHED, |f| {
+                        copy.send_record(&mut host.net, kind::LAUNCHED, |f| {
                             let f = f
                                 .whole(Field::Place, place as u64)
                                 .whole(Field::Launch, launch as u64);
                             f.text(Field::Name, &name).end();
                         });
                         if let Some(proven) = proven {
-                            copy.tell(&mut host.net, kind::OVER, |f| {
+                            copy.send_record(&mut host.net, kind::OVER, |f| {
                                 let f = f.whole(Field::Place, place as u64);
                                 f.whole(Field::Launch, launch as u64)
                                     .flag(Field::On, proven)
@@ -1154,10 +1185,10 @@
                 SnapshotCursor::Events(_) => parts.cursor = SnapshotCursor::Answers(0),
                 SnapshotCursor::Answers(from) => {
                     let copy = &mut **copy;
-                    let Some((key, entry)) = copy.known.next(from) else {
-                        copy.tell(&mut host.net, kind::COPIED, |f| f.end());
-                        parts.cursor = SnapshotCursor::Finished(copy.seq);
-                        copy.unsure = false;
+                    let Some((key, entry)) = copy.deduplication.next(from) else {
+                        copy.send_record(&mut host.net, kind::COPIED, |f| f.end());
+                        parts.cursor = SnapshotCursor::Finished(copy.last_sequence);
+                        copy.snapshot_incomplete = false;
                         return;
                     };
                     parts.cursor = SnapshotCursor::Answers(key + 1);
@@ -1165,7 +1196,7 @@
                         let (typ, mark, payload) =
                             (entry.class, entry.idempotency_key.clone(), payload.clone());
                         let text = word(*number).wire_text();
-                        copy.tell(&mut host.net, kind::ANSWERED, |f| {
+                        copy.send_record(&mut host.net, kind::ANSWERED, |f| {
                             let f = f
                                 .text(Field::Type, &host.class_names[typ])
                                 .bytes(Field::Mark, &mark);
@@ -1196,8 +1227,8 @@
                     .is_none_or(|w| w.state() == EndpointState::Removed);
                 gone || parts.fenced.get(wk).copied().unwrap_or(false)
             };
-            let (kind, two) = (copy.kind(kept.typ), copy.two_at_once);
-            let fate = fate(kind, two, (now, kept.until), &kept.launches, fenced);
+            let (kind, two) = (copy.retry_safety_of(kept.class), copy.allows_hedging);
+            let fate = fate(kind, two, (now, kept.deadline), &kept.attempts, fenced);
             if fate == RecoveryAction::AwaitFencing {
                 left = true;
                 continue;
@@ -1211,10 +1242,10 @@
                 RecoveryAction::Fail => Disposition::Failed,
                 _ => Disposition::Rejected,
             };
-            remember(copy, now, kept.typ, &kept.mark, word, &[]);
-            let mut due = copy.due();
-            (due.tickets, due.word, due.come_back) = (kept.tickets, Some(word), UNFENCED);
-            copy.replays.push_back(due);
+            remember(copy, now, kept.class, &kept.idempotency_key, word, &[]);
+            let mut due = copy.new_response();
+            (due.clients, due.disposition, due.retry_after) = (kept.clients, Some(word), UNFENCED);
+            copy.ready_responses.push_back(due);
         }
         parts.adopting = left;
     }
@@ -1226,33 +1257,35 @@
         let mut wks = host.workers.iter().enumerate();
         let all = wks.all(|(wk, w)| w.state() == EndpointState::Removed || fenced(wk));
         if let Some(copy) = &mut host.replicator {
-            copy.fenced_all = all;
+            copy.all_workers_fenced = all;
         }
     }
 
     fn resume_request(&mut self, kept: ReplicatedRequest) {
         let now = self.context.net().now();
-        let asked = !kept.tickets.is_empty();
-        self.context.scheduler.host.next_waiting_clients = kept.tickets;
+        let asked = !kept.clients.is_empty();
+        self.context.scheduler.host.next_waiting_clients = kept.clients;
         let place = self.context.start_request(&IncomingRequest {
             reply_handle: NO_CLIENT,
             id: kept.id,
-            class: kept.typ,
+            class: kept.class,
             tenant: kept.tenant,
             function: &kept.function,
             lanes: kept.lanes,
             memory: kept.memory,
-            cost_hint: kept.hint,
+            cost_hint: kept.cost_hint,
             load_hint: kept.load_hint,
-            remaining: kept.until - now,
+            remaining: kept.deadline - now,
             is_retry: true,
-            idempotency_key: &kept.mark,
+            idempotency_key: &kept.idempotency_key,
             payload: &kept.payload,
         });
-        copy_of(&mut self.context).ration.undo_last_request();
+        copy_of(&mut self.context)
+            .load_request_limiter
+            .undo_last_request();
         if asked {
             // Where it has its answer already this is passed by.
-            copy_of(&mut self.context).joined.push(place);
+            copy_of(&mut self.context).shared_requests.push(place);
         }
     }
 
@@ -1268,7 +1301,7 @@
         let over = |t: &(ReplyHandle, Time)| now + tick + 2 * recovery::LEAST >= t.1;
         let mut late = Vec::new();
         let events = &mut host.requests;
-        copy.joined.retain(|place| {
+        copy.shared_requests.retain(|place| {
             let held = &mut events[*place];
             if !held.open {
                 return false;
@@ -1281,15 +1314,15 @@
             .theirs
             .iter_mut()
             .flatten()
-            .filter(|k| !k.tickets.is_empty())
+            .filter(|k| !k.clients.is_empty())
         {
-            late.extend(kept.tickets.iter().filter(|t| over(t)).copied());
-            kept.tickets.retain(|t| !over(t));
+            late.extend(kept.clients.iter().filter(|t| over(t)).copied());
+            kept.clients.retain(|t| !over(t));
         }
         if !late.is_empty() {
-            let mut due = copy.due();
-            (due.tickets, due.word) = (late, Some(Disposition::Failed));
-            copy.replays.push_back(due);
+            let mut due = copy.new_response();
+            (due.clients, due.disposition) = (late, Some(Disposition::Failed));
+            copy.ready_responses.push_back(due);
         }
     }
 
@@ -1297,13 +1330,13 @@
 
     pub(crate) fn vote_missing(&mut self, voter: Option<usize>, of: (u64, bool)) {
         if let (Some(voter), Some(copy)) = (voter, &mut self.context.scheduler.host.replicator) {
-            copy.unheard.push_back((voter, of));
+            copy.missing_votes.push_back((voter, of));
         }
     }
 
     pub(crate) fn epoch_rejected(&mut self) {
         if let Some(copy) = &mut self.context.scheduler.host.replicator {
-            copy.fenced = true;
+            copy.epoch_rejected = true;
         }
     }
 
@@ -1314,7 +1347,7 @@
         fields: &Fields,
     ) -> Result<(), ProtocolError> {
         let host = &mut self.context.scheduler.host;
-        let Some(key) = host.key(CallName::CallId(fields.whole(Field::Id)?), link)? else {
+        let Some(key) = host.call_key(CallName::CallId(fields.whole(Field::Id)?), link)? else {
             return Ok(());
         };
         let CallKind::Vote {
@@ -1338,7 +1371,7 @@
             promised: whole(Field::Ballot)?,
             accepted,
         };
-        host.free(key);
+        host.remove_call(key);
         self.with_role(|seat, now, act| {
             if let Some(voter) = voter.filter(|_| !over) {
                 seat.vote_received(now, act, voter, (ballot, accepting), good, promise);
@@ -1366,7 +1399,7 @@
     pub(crate) fn send_final_response(&mut self, given: &LocalResponse, payload: &[u8]) {
         let host = &mut self.context.scheduler.host;
         if host.replicator.is_some() {
-            if let Some(due) = host.copy_answered(given, payload) {
+            if let Some(due) = host.replicate_response(given, payload) {
                 self.send_pending_response(due);
             }
             return;
@@ -1391,14 +1424,14 @@
     fn send_pending_response(&mut self, due: PendingResponse) {
         let host = &mut self.context.scheduler.host;
         let now = host.net.now();
-        let word = due.word.unwrap_or(Disposition::Failed);
-        for (ticket, until) in due.tickets.iter().filter(|t| t.0 != NO_CLIENT) {
+        let word = due.disposition.unwrap_or(Disposition::Failed);
+        for (ticket, until) in due.clients.iter().filter(|t| t.0 != NO_CLIENT) {
             if now > *until {
                 host.counters.expired += 1;
                 self.ingresses[ticket.ingress].request_expired(now, *ticket);
                 continue;
             }
-            let (come_back, took) = (due.come_back, due.took);
+            let (come_back, took) = (due.retry_after, due.elapsed);
             let answer = Response {
                 disposition: word,
                 retry_after: come_back,
@@ -1409,7 +1442,7 @@
             self.ingresses[ticket.ingress].respond(&mut host.net, *ticket, &answer);
         }
         if let Some(copy) = &mut host.replicator {
-            copy.done(due);
+            copy.recycle_response(due);
         }
     }
 
@@ -1419,7 +1452,7 @@
         let Some(copy) = &mut host.replicator else {
             return false;
         };
-        if let Some(later) = copy.ready() {
+        if let Some(later) = copy.next_recorded() {
             match later {
                 DeferredAction::Send { key, count } => {
                     if host
@@ -1427,32 +1460,32 @@
                         .get(key)
                         .is_some_and(|o| o.generation == count && !o.ended)
                     {
-                        host.ride(key);
+                        host.assign_connection(key);
                     }
                 }
                 DeferredAction::Respond(due) => self.send_pending_response(due),
             }
-        } else if let Some(due) = copy.replays.pop_front() {
+        } else if let Some(due) = copy.ready_responses.pop_front() {
             self.send_pending_response(due);
-        } else if let Some((voter, of)) = copy.unheard.pop_front() {
+        } else if let Some((voter, of)) = copy.missing_votes.pop_front() {
             self.with_role(|seat, now, act| seat.vote_missing(now, act, voter, of));
-        } else if std::mem::take(&mut copy.fenced) {
+        } else if std::mem::take(&mut copy.epoch_rejected) {
             self.with_role(|seat, _, act| seat.epoch_rejected(act));
-        } else if copy.broken {
+        } else if copy.connection_overflowed {
             if let Some(conn) = copy.conn {
                 self.context.net().reset(conn);
                 self.set_owner(conn, Owner::Nobody);
             }
             self.peer_connection_closed();
         } else if let Some((at, ticket, until)) = self.context.awaited_remote.pop_front() {
-            let theirs = self.failover.as_mut().map(|p| &mut p.parts.theirs);
+            let theirs = self.failover.as_mut().map(|p| &mut p.state.theirs);
             match theirs.and_then(|t| t.get_mut(at)).and_then(Option::as_mut) {
-                Some(kept) => kept.tickets.push((ticket, until)),
+                Some(kept) => kept.clients.push((ticket, until)),
                 None => {
                     // It ended in the same wake-up: it is asked for again by whoever still wants it.
-                    let mut due = copy_of(&mut self.context).due();
-                    (due.word, due.come_back) = (Some(Disposition::Rejected), UNFENCED);
-                    due.tickets.push((ticket, until));
+                    let mut due = copy_of(&mut self.context).new_response();
+                    (due.disposition, due.retry_after) = (Some(Disposition::Rejected), UNFENCED);
+                    due.clients.push((ticket, until));
                     self.send_pending_response(due);
                 }
             }
@@ -1460,12 +1493,12 @@
             let Some(pair) = &self.failover else {
                 return false;
             };
-            let resting = pair.seat.state() == Role::Draining
-                || pair.parts.leaving && pair.seat.state() == Role::Standby;
+            let resting = pair.role_machine.state() == Role::Draining
+                || pair.state.leaving && pair.role_machine.state() == Role::Standby;
             if resting
                 && self.requests_in_flight() == 0
                 && self.stop_reason == StopReason::Drained
-                && copy_of(&mut self.context).waiting() == 0
+                && copy_of(&mut self.context).waiting_count() == 0
                 && !self.has_unread_responses()
             {
                 let was = self.role();
@@ -1482,7 +1515,7 @@
     /// Clients that are still connected are to find the other member.
     fn close_client_connections(&mut self) {
         if let Some(copy) = &mut self.context.scheduler.host.replicator {
-            (copy.epoch, copy.on) = (0, false);
+            (copy.epoch, copy.streaming) = (0, false);
         }
         for place in 0..self.owners.len() {
             let (count, owner) = self.owners[place];
@@ -1499,22 +1532,22 @@
         let (Some(pair), Some(copy)) = (&self.failover, &host.replicator) else {
             return;
         };
-        let f = Frame::new(&mut out, kind::STATUS).text(Field::Name, &pair.parts.at.name);
+        let f = Frame::new(&mut out, kind::STATUS).text(Field::Name, &pair.state.at.name);
         let f = f
-            .text(Field::Word, pair.seat.state().text())
-            .whole(Field::Epoch, pair.seat.epoch());
+            .text(Field::Word, pair.role_machine.state().text())
+            .whole(Field::Epoch, pair.role_machine.epoch());
         let f = f
             .flag(Field::On, copy.conn.is_some())
-            .whole(Field::Life, pair.parts.at.incarnation);
+            .whole(Field::Life, pair.state.at.incarnation);
         let f = f
             .whole(Field::InFlight, host.in_flight as u64)
-            .whole(Field::Waiting, copy.waiting() as u64);
-        let kept = pair.parts.theirs.iter().flatten().count() as u64;
+            .whole(Field::Waiting, copy.waiting_count() as u64);
+        let kept = pair.state.theirs.iter().flatten().count() as u64;
         let f = f
             .whole(Field::Copies, kept)
-            .whole(Field::Seq, copy.seq - copy.acked);
-        let f = f.whole(Field::Ballot, pair.parts.bad);
-        f.text(Field::Reason, pair.parts.disagrees.as_deref().unwrap_or(""))
+            .whole(Field::Seq, copy.last_sequence - copy.acknowledged_sequence);
+        let f = f.whole(Field::Ballot, pair.state.bad);
+        f.text(Field::Reason, pair.state.disagrees.as_deref().unwrap_or(""))
             .end();
         self.context.net().write(conn, &out);
     }
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -15,10 +15,10 @@
 #[derive(Default)]
 pub struct PendingResponse {
     /// With the times when they give up.
-    pub tickets: Vec<(ReplyHandle, Time)>,
-    pub word: Option<Disposition>,
-    pub come_back: Time,
-    pub took: Time,
+    pub clients: Vec<(ReplyHandle, Time)>,
+    pub disposition: Option<Disposition>,
+    pub retry_after: Time,
+    pub elapsed: Time,
     pub payload: Vec<u8>,
 }
 
@@ -34,42 +34,42 @@
     pub epoch: u64,
     pub conn: Option<Conn>,
     /// The other member follows what happens.
-    pub on: bool,
+    pub streaming: bool,
     /// It may not know of an event that it hears the answer of: a copy is under way.
-    pub unsure: bool,
-    pub waits: bool,
+    pub snapshot_incomplete: bool,
+    pub waits_for_records: bool,
     /// Updates up to now, those that are recorded, and those before this link.
-    pub seq: u64,
-    pub acked: u64,
-    pub base: u64,
+    pub last_sequence: u64,
+    pub acknowledged_sequence: u64,
+    pub sequence_base: u64,
     /// Updates that went over this link.
-    pub sent: u64,
+    pub sent_on_connection: u64,
     /// With the time since when each waits.
-    back: VecDeque<(u64, Time, DeferredAction)>,
+    awaiting_record: VecDeque<(u64, Time, DeferredAction)>,
     /// The link took no more: the other member is too slow.
-    pub broken: bool,
-    pub known: DeduplicationTable,
-    pub ration: LoadRequestLimiter,
-    kinds: Vec<RetrySafety>,
-    pub two_at_once: bool,
+    pub connection_overflowed: bool,
+    pub deduplication: DeduplicationTable,
+    pub load_request_limiter: LoadRequestLimiter,
+    retry_safety: Vec<RetrySafety>,
+    pub allows_hedging: bool,
     /// How long an answer is given again, by type.
-    keeps: Vec<Time>,
+    retention: Vec<Time>,
     /// What voters are asked to accept.
-    pub claim: Leadership,
-    pub unheard: VecDeque<(usize, (u64, bool))>,
+    pub leadership: Leadership,
+    pub missing_votes: VecDeque<(usize, (u64, bool))>,
     /// A worker refused our epoch.
-    pub fenced: bool,
-    pub replays: VecDeque<PendingResponse>,
+    pub epoch_rejected: bool,
+    pub ready_responses: VecDeque<PendingResponse>,
     /// Places of events that were asked for again.
-    pub joined: Vec<usize>,
+    pub shared_requests: Vec<usize>,
     /// How long the link may be silent.
-    pub silence: Time,
+    pub silence_timeout: Time,
     /// Until then, what is asked for again may have been in hand of a life that is over and told nobody.
-    pub forgot: Time,
+    pub history_unknown_until: Time,
     /// Nothing of former lives is out at any worker.
-    pub fenced_all: bool,
+    pub all_workers_fenced: bool,
     spare: Vec<PendingResponse>,
-    copies: bool,
+    replicates: bool,
     buf: Vec<u8>,
 }
 
@@ -86,103 +86,108 @@
             member,
             epoch: 0,
             conn: None,
-            on: false,
-            unsure: false,
+            streaming: false,
+            snapshot_incomplete: false,
             // Until the voters say that nobody else knows.
-            waits: true,
-            seq: 0,
-            acked: 0,
-            base: 0,
-            sent: 0,
-            back: VecDeque::new(),
-            broken: false,
-            known: DeduplicationTable::default(),
-            ration,
-            kinds,
-            two_at_once,
-            keeps,
-            claim: Leadership::default(),
-            unheard: VecDeque::new(),
-            fenced: false,
-            replays: VecDeque::new(),
-            joined: Vec::new(),
-            silence: 0,
-            forgot: 0,
-            fenced_all: false,
+            waits_for_records: true,
+            last_sequence: 0,
+            acknowledged_sequence: 0,
+            sequence_base: 0,
+            sent_on_connection: 0,
+            awaiting_record: VecDeque::new(),
+            connection_overflowed: false,
+            deduplication: DeduplicationTable::default(),
+            load_request_limiter: ration,
+            retry_safety: kinds,
+            allows_hedging: two_at_once,
+            retention: keeps,
+            leadership: Leadership::default(),
+            missing_votes: VecDeque::new(),
+            epoch_rejected: false,
+            ready_responses: VecDeque::new(),
+            shared_requests: Vec::new(),
+            silence_timeout: 0,
+            history_unknown_until: 0,
+            all_workers_fenced: false,
             spare: Vec::new(),
-            copies,
+            replicates: copies,
             buf: Vec::new(),
         }
     }
 
-    pub fn kind(&self, typ: usize) -> RetrySafety {
-        self.kinds[typ]
+    pub fn retry_safety_of(&self, typ: usize) -> RetrySafety {
+        self.retry_safety[typ]
     }
 
-    pub fn keep(&self, typ: usize) -> Time {
-        self.keeps[typ]
+    pub fn retention_of(&self, typ: usize) -> Time {
+        self.retention[typ]
     }
 
     /// One update, numbered; written where the other member follows.
-    pub fn tell<N: Net>(&mut self, net: &mut N, kind: u64, fill: impl FnOnce(Frame)) {
-        self.seq += 1;
-        let Some(conn) = self.conn.filter(|_| self.on) else {
+    pub fn send_record<N: Net>(&mut self, net: &mut N, kind: u64, fill: impl FnOnce(Frame)) {
+        self.last_sequence += 1;
+        let Some(conn) = self.conn.filter(|_| self.streaming) else {
             return;
         };
-        if !self.copies
+        if !self.replicates
             && matches!(
                 kind,
                 kind::TAKEN | kind::LAUNCHED | kind::OVER | kind::ANSWERED
             )
         {
-            self.acked += 1;
-            self.base += 1;
+            self.acknowledged_sequence += 1;
+            self.sequence_base += 1;
             return;
         }
-        self.sent += 1;
+        self.sent_on_connection += 1;
         self.buf.clear();
         fill(Frame::new(&mut self.buf, kind));
         if !net.write(conn, &self.buf) {
-            (self.broken, self.on) = (true, false);
+            (self.connection_overflowed, self.streaming) = (true, false);
         }
     }
 
     /// Something else that the other member is told.
-    pub fn say<N: Net>(&mut self, net: &mut N, kind: u64, fill: impl FnOnce(Frame)) {
+    pub fn send_control<N: Net>(&mut self, net: &mut N, kind: u64, fill: impl FnOnce(Frame)) {
         let Some(conn) = self.conn else { return };
         self.buf.clear();
         fill(Frame::new(&mut self.buf, kind));
-        self.broken |= !net.write(conn, &self.buf);
+        self.connection_overflowed |= !net.write(conn, &self.buf);
     }
 
     /// What waits no longer.
-    pub fn ready(&mut self) -> Option<DeferredAction> {
-        let first = self.back.front()?.0;
-        if self.waits && first > self.acked {
+    pub fn next_recorded(&mut self) -> Option<DeferredAction> {
+        let first = self.awaiting_record.front()?.0;
+        if self.waits_for_records && first > self.acknowledged_sequence {
             return None;
         }
-        self.back.pop_front().map(|b| b.2)
+        self.awaiting_record.pop_front().map(|b| b.2)
     }
 
     /// Something has waited longer than the link may be silent: the other member is there, and of no use.
-    pub fn slow(&self, now: Time) -> bool {
-        self.waits && self.on && self.back.front().is_some_and(|b| now > b.1 + self.silence)
+    pub fn is_peer_too_slow(&self, now: Time) -> bool {
+        self.waits_for_records
+            && self.streaming
+            && self
+                .awaiting_record
+                .front()
+                .is_some_and(|b| now > b.1 + self.silence_timeout)
     }
 
-    pub fn waiting(&self) -> usize {
-        self.back.len()
+    pub fn waiting_count(&self) -> usize {
+        self.awaiting_record.len()
     }
 
-    pub fn due(&mut self) -> PendingResponse {
+    pub fn new_response(&mut self) -> PendingResponse {
         self.spare.pop().unwrap_or_default()
     }
 
     /// Its buffers serve the next one.
-    pub fn done(&mut self, mut due: PendingResponse) {
+    pub fn recycle_response(&mut self, mut due: PendingResponse) {
         const SPARE: usize = 256; // more than wait for one round trip at usual rates
-        due.tickets.clear();
+        due.clients.clear();
         due.payload.clear();
-        (due.word, due.come_back, due.took) = (None, 0, 0);
+        (due.disposition, due.retry_after, due.elapsed) = (None, 0, 0);
         if self.spare.len() < SPARE {
             self.spare.push(due);
         }
@@ -239,20 +244,20 @@
 }
 
 impl<N: Net> WorkerPool<N> {
-    pub(crate) fn copy_taken(&mut self, place: usize) {
+    pub(crate) fn replicate_admission(&mut self, place: usize) {
         let Some(copy) = &mut self.replicator else {
             return;
         };
         let (now, held) = (self.net.now(), &self.requests[place]);
         let a = held.info();
-        copy.ration.request_received(now);
-        copy.known.insert_in_flight(
+        copy.load_request_limiter.request_received(now);
+        copy.deduplication.insert_in_flight(
             a.class,
             held.idempotency_key(),
             RequestLocation::Local(place),
         );
         let function = self.function_names.resolve(a.function);
-        copy.tell(&mut self.net, kind::TAKEN, |f| {
+        copy.send_record(&mut self.net, kind::TAKEN, |f| {
             taken(
                 f,
                 place,
@@ -266,24 +271,25 @@
     }
 
     /// Recorded before it is sent, where a repeat might do harm or two at once are barred.
-    pub(crate) fn copy_launched(&mut self, evt: usize, launch: usize, key: usize) {
+    pub(crate) fn replicate_attempt(&mut self, evt: usize, launch: usize, key: usize) {
         let Some(copy) = &mut self.replicator else {
             return;
         };
         let held = &mut self.requests[evt];
         held.unproven += 1;
         let name = self.worker_names.resolve(self.calls[key].worker);
-        copy.tell(&mut self.net, kind::LAUNCHED, |f| {
+        copy.send_record(&mut self.net, kind::LAUNCHED, |f| {
             let f = f
                 .whole(Field::Place, evt as u64)
                 .whole(Field::Launch, launch as u64);
             f.text(Field::Name, name).end();
         });
-        let must = !copy.kind(held.info().class).is_safe_to_repeat() || !copy.two_at_once;
-        if copy.waits && must {
+        let must =
+            !copy.retry_safety_of(held.info().class).is_safe_to_repeat() || !copy.allows_hedging;
+        if copy.waits_for_records && must {
             let now = self.net.now();
-            copy.back.push_back((
-                copy.seq,
+            copy.awaiting_record.push_back((
+                copy.last_sequence,
                 now,
                 DeferredAction::Send {
                     key,
@@ -291,11 +297,11 @@
                 },
             ));
         } else {
-            self.ride(key);
+            self.assign_connection(key);
         }
     }
 
-    pub(crate) fn copy_over(&mut self, evt: usize, launch: usize, outcome: Outcome) {
+    pub(crate) fn replicate_attempt_end(&mut self, evt: usize, launch: usize, outcome: Outcome) {
         let Some(copy) = &mut self.replicator else {
             return;
         };
@@ -307,7 +313,7 @@
         held.not_executed[launch] = Some(proven);
         held.unproven -= u32::from(proven && held.unproven > 0);
         if held.open {
-            copy.tell(&mut self.net, kind::OVER, |f| {
+            copy.send_record(&mut self.net, kind::OVER, |f| {
                 let f = f
                     .whole(Field::Place, evt as u64)
                     .whole(Field::Launch, launch as u64);
@@ -317,7 +323,7 @@
     }
 
     /// The event has its answer. Given back where it may go at once; else it waits to be recorded.
-    pub(crate) fn copy_answered(
+    pub(crate) fn replicate_response(
         &mut self,
         given: &LocalResponse,
         payload: &[u8],
@@ -339,8 +345,8 @@
             held.idempotency_key(),
             &self.class_names,
         );
-        let unsure = copy.unsure;
-        copy.tell(&mut self.net, kind::ANSWERED, |f| {
+        let unsure = copy.snapshot_incomplete;
+        copy.send_record(&mut self.net, kind::ANSWERED, |f| {
             let f = f
                 .whole(Field::Place, place)
                 .text(Field::Word, given.disposition.wire_text());
@@ -351,31 +357,31 @@
             };
             f.bytes(Field::Payload, payload).end();
         });
-        let mut due = copy.due();
-        due.tickets.append(&mut held.waiting_clients);
+        let mut due = copy.new_response();
+        due.clients.append(&mut held.waiting_clients);
         if given.reply_handle != NO_CLIENT {
-            due.tickets.push((given.reply_handle, held.deadline()));
+            due.clients.push((given.reply_handle, held.deadline()));
         }
-        (due.word, due.come_back, due.took) =
+        (due.disposition, due.retry_after, due.elapsed) =
             (Some(given.disposition), given.retry_after, given.elapsed);
         due.payload.extend_from_slice(payload);
-        if copy.waits && !copy.kind(typ).is_safe_to_repeat() {
-            copy.back
-                .push_back((copy.seq, now, DeferredAction::Respond(due)));
+        if copy.waits_for_records && !copy.retry_safety_of(typ).is_safe_to_repeat() {
+            copy.awaiting_record
+                .push_back((copy.last_sequence, now, DeferredAction::Respond(due)));
             return None;
         }
         Some(due)
     }
 
     /// Its client said that it leaves. What may have run is not run again for whoever asks later.
-    pub(crate) fn copy_lapsed(&mut self, place: usize) {
+    pub(crate) fn replicate_abandonment(&mut self, place: usize) {
         let now = self.net.now();
         let Some(copy) = &mut self.replicator else {
             return;
         };
         let held = &self.requests[place];
         let typ = held.info().class;
-        if held.unproven > 0 && copy.kind(typ) != RetrySafety::Idempotent {
+        if held.unproven > 0 && copy.retry_safety_of(typ) != RetrySafety::Idempotent {
             remember(
                 copy,
                 now,
@@ -385,15 +391,15 @@
                 &[],
             );
         } else {
-            copy.known.remove(typ, held.idempotency_key());
+            copy.deduplication.remove(typ, held.idempotency_key());
         }
-        copy.tell(&mut self.net, kind::GONE, |f| {
+        copy.send_record(&mut self.net, kind::GONE, |f| {
             f.whole(Field::Place, place as u64).end()
         });
     }
 
     /// Whether an order to load is within the ration of both lives; it is counted and told.
-    pub(crate) fn may_order(&mut self, copies: u32) -> bool {
+    pub(crate) fn admit_load_request(&mut self, copies: u32) -> bool {
         let now = self.net.now();
         let Some(copy) = &mut self.replicator else {
             return true;
@@ -401,23 +407,23 @@
         if copies == 0 {
             return true;
         }
-        if copy.epoch == 0 || !copy.ration.has_capacity(now) {
+        if copy.epoch == 0 || !copy.load_request_limiter.has_capacity(now) {
             return false;
         }
-        copy.ration.load_requested(now);
-        copy.tell(&mut self.net, kind::ORDERED, |f| {
+        copy.load_request_limiter.load_requested(now);
+        copy.send_record(&mut self.net, kind::ORDERED, |f| {
             f.whole(Field::Age, 0).end()
         });
         true
     }
 
     /// An order waits for the other member's record, or its ration might not count it.
-    pub(crate) fn order_recorded(&mut self, key: usize, copies: u32) {
+    pub(crate) fn send_when_recorded(&mut self, key: usize, copies: u32) {
         let now = self.net.now();
         match &mut self.replicator {
-            Some(copy) if copy.waits && copies > 0 => {
-                copy.back.push_back((
-                    copy.seq,
+            Some(copy) if copy.waits_for_records && copies > 0 => {
+                copy.awaiting_record.push_back((
+                    copy.last_sequence,
                     now,
                     DeferredAction::Send {
                         key,
@@ -425,12 +431,12 @@
                     },
                 ));
             }
-            _ => self.ride(key),
+            _ => self.assign_connection(key),
         }
     }
 
     /// Takes one of several that wait for the same event off; false where it is the only one.
-    pub(crate) fn one_less(&mut self, place: usize, ticket: ReplyHandle) -> bool {
+    pub(crate) fn remove_waiting_client(&mut self, place: usize, ticket: ReplyHandle) -> bool {
         let Some(held) = self.requests.get_mut(place).filter(|h| h.open) else {
             return false;
         };
@@ -446,9 +452,9 @@
     }
 
     /// The question that a vote's out stands for.
-    pub(crate) fn vote(&mut self, id: u64, ballot: u64, accepting: bool) {
+    pub(crate) fn encode_vote(&mut self, id: u64, ballot: u64, accepting: bool) {
         let Some(copy) = &self.replicator else { return };
-        let c = copy.claim;
+        let c = copy.leadership;
         if accepting {
             let f = Frame::new(&mut self.frame, kind::ACCEPT).whole(Field::Id, id);
             let f = f.whole(Field::Ballot, ballot).whole(Field::Epoch, c.epoch);
@@ -477,10 +483,10 @@
     payload: &[u8],
 ) {
     if word == Disposition::Rejected {
-        copy.known.remove(typ, mark);
+        copy.deduplication.remove(typ, mark);
     } else {
-        let until = now + copy.keep(typ);
-        copy.known
+        let until = now + copy.retention_of(typ);
+        copy.deduplication
             .record_response(now, typ, mark, word as u8, payload, until);
     }
 }
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -127,7 +127,7 @@
         let full = host
             .replicator
             .as_ref()
-            .is_some_and(|c| !c.known.has_capacity());
+            .is_some_and(|c| !c.deduplication.has_capacity());
         if self.draining || self.standby || host.in_flight >= self.max_requests || full {
             host.counters.refused += 1;
             return Err(match (self.draining || self.standby, full) {
@@ -143,7 +143,11 @@
         let host = &mut self.scheduler.host;
         let now = host.net.now();
         let margin = host.replicator.as_ref().map_or(0, |c| {
-            margin(c.kind(event.class), event.remaining, c.silence)
+            margin(
+                c.retry_safety_of(event.class),
+                event.remaining,
+                c.silence_timeout,
+            )
         });
         let function = host.function_names.intern(event.function);
         let arrival = RequestInfo {
@@ -164,7 +168,7 @@
             is_retry: event.is_retry,
         };
         let place = self.scheduler.next_request_slot();
-        self.scheduler.host.open(place, event, &arrival);
+        self.scheduler.host.register_request(place, event, &arrival);
         debug!(
             event = event.id,
             place,
@@ -206,12 +210,12 @@
     pub fn client_abandoned(&mut self, place: usize, ticket: ReplyHandle) {
         let now = self.net().now();
         let host = &mut self.scheduler.host;
-        if host.one_less(place, ticket) {
+        if host.remove_waiting_client(place, ticket) {
             return;
         }
-        if host.close(place, Some(ticket)).is_some() {
+        if host.take_reply_handle(place, Some(ticket)).is_some() {
             host.counters.abandoned += 1;
-            host.copy_lapsed(place);
+            host.replicate_abandonment(place);
             debug!(event = host.requests[place].id, place, "lapsed");
             self.scheduler.advance_clock(now);
             self.scheduler.client_abandoned(place);
@@ -527,7 +531,7 @@
                 // Its place may belong to another by now.
                 if host.calls.get(key).is_some_and(|o| o.generation == count) {
                     self.call_ended(key, outcome, 0);
-                    self.context.scheduler.host.unsent_over(key);
+                    self.context.scheduler.host.remove_ended_call(key);
                 }
             } else if let Some(given) = host.local_responses.pop_front() {
                 self.send_final_response(&given, &[]);
@@ -547,9 +551,9 @@
 
     /// A worker left or started anew: what has not left for it is to be decided again.
     fn withdraw_unsent_calls(&mut self, wk: usize) {
-        for key in self.context.scheduler.host.not_sent(wk) {
+        for key in self.context.scheduler.host.unsent_calls(wk) {
             self.call_ended(key, Outcome::Discarded, 0);
-            self.context.scheduler.host.unsent_over(key);
+            self.context.scheduler.host.remove_ended_call(key);
         }
         self.reset_stalled_after_grace(0);
     }
@@ -557,7 +561,7 @@
     /// Nothing leaves for a worker after the grace: its socket takes no more, so the connection ends instead.
     fn reset_stalled_after_grace(&mut self, look: Time) {
         let now = self.context.net().now();
-        for (link, conn) in self.context.scheduler.host.too_late(now, look) {
+        for (link, conn) in self.context.scheduler.host.stalled_after_grace(now, look) {
             warn!(
                 worker = self
                     .context
@@ -589,7 +593,7 @@
         let now = host.net.now();
         // What passed while this process stood still is no evidence about a worker.
         let took = (now - at).saturating_sub(host.net.total_stall() - stood);
-        host.finish(key);
+        host.finish_call(key);
         self.context.scheduler.advance_clock(now);
         match task {
             CallKind::Attempt {
@@ -607,7 +611,10 @@
                     took,
                     "ended"
                 );
-                self.context.scheduler.host.copy_over(evt, launch, outcome);
+                self.context
+                    .scheduler
+                    .host
+                    .replicate_attempt_end(evt, launch, outcome);
                 self.context
                     .scheduler
                     .attempt_ended(evt, launch, (outcome, took), over, count);
@@ -635,10 +642,11 @@
     /// An answer that is not the decisions' own: handled, or the break of an answer that had begun.
     fn respond(&mut self, evt: usize, word: Disposition, payload: &[u8]) {
         let host = &mut self.context.scheduler.host;
-        let Some((ticket, took)) = host.close(evt, None) else {
+        let Some((ticket, took)) = host.take_reply_handle(evt, None) else {
             return;
         };
-        let past = host.too_late_for(evt, ticket) && host.requests[evt].streaming_attempt.is_none();
+        let past =
+            host.is_past_deadline(evt, ticket) && host.requests[evt].streaming_attempt.is_none();
         if past && host.replicator.is_none() {
             host.counters.expired += 1;
             let now = host.net.now();
@@ -683,7 +691,7 @@
         let gone = host.connections.remove(link);
         let wk = gone.worker;
         host.workers[wk].connections.retain(|l| *l != link);
-        host.no_greeting(&gone);
+        host.cancel_greeting_timer(&gone);
         // The place may serve another connection before the last of these is over.
         gone.waiting
             .iter()
@@ -700,7 +708,7 @@
         for key in gone.waiting {
             // Never sent: proven not run.
             self.call_ended(key, Outcome::ConnectFailed, 0);
-            self.context.scheduler.host.free(key);
+            self.context.scheduler.host.remove_call(key);
         }
         for key in gone.sent {
             let out = self.context.scheduler.host.calls[key];
@@ -708,7 +716,7 @@
                 self.partial_response_lost(out.kind);
             }
             self.call_ended(key, Outcome::Reset, 0);
-            self.context.scheduler.host.free(key);
+            self.context.scheduler.host.remove_call(key);
         }
     }
 
@@ -754,7 +762,7 @@
         if self.failover.is_some() {
             return;
         }
-        for wk in self.context.scheduler.host.gone() {
+        for wk in self.context.scheduler.host.removed_idle_workers() {
             if self.context.scheduler.forget_worker(wk) {
                 self.context.scheduler.host.forget_worker(wk);
             }
@@ -776,13 +784,14 @@
     pub fn update_endpoints(&mut self, entries: &[EndpointRecord], whole: bool) {
         let host = &mut self.context.scheduler.host;
         let now = host.net.now();
-        let entries: Vec<(usize, Endpoint)> = entries.iter().map(|e| host.listed(e)).collect();
+        let entries: Vec<(usize, Endpoint)> =
+            entries.iter().map(|e| host.register_endpoint(e)).collect();
         self.context.scheduler.advance_clock(now);
         self.context.scheduler.update_endpoints(&entries, whole);
         if whole {
-            self.context.scheduler.host.only(&entries);
+            self.context.scheduler.host.retain_listed(&entries);
         }
-        self.context.scheduler.host.share_out();
+        self.context.scheduler.host.redistribute_connections();
         self.schedule_cache_write();
         self.notify_endpoint_watcher();
         // What is decided from now on knows the list: nothing of it is to be taken back for what the list said.
@@ -797,7 +806,7 @@
 
     fn notify_endpoint_watcher(&mut self) {
         if let Some(watch) = &mut self.endpoint_watcher {
-            self.watcher_outdated = !watch(&self.context.scheduler.host.entries());
+            self.watcher_outdated = !watch(&self.context.scheduler.host.endpoint_records());
         }
     }
 
@@ -849,7 +858,7 @@
 
     fn write_endpoint_cache(&mut self) {
         if std::mem::take(&mut self.cache_outdated) {
-            let entries = self.context.scheduler.host.entries();
+            let entries = self.context.scheduler.host.endpoint_records();
             if let Err(e) = self.endpoint_cache.write(&endpoints::encode(&entries)) {
                 warn!(error = %e, "the last list was not kept");
                 // A disk that was full may have room by then.
@@ -875,7 +884,7 @@
         let host = &mut self.context.scheduler.host;
         let listed: Vec<_> = entries
             .iter()
-            .map(|e: &EndpointRecord| host.listed(e))
+            .map(|e: &EndpointRecord| host.register_endpoint(e))
             .collect();
         info!(workers = listed.len(), "last list");
         self.context.scheduler.update_endpoints(&listed, true);
@@ -1014,11 +1023,11 @@
             let reason = format!("{role} {name} answers for {expected}");
             return Err(WireError::invalid(Field::Name, reason).into());
         }
-        let known = host.known_life(wk);
+        let known = host.incarnation_of(wk);
         if known.is_some_and(|k| life > k) {
             // It restarted before the roster told.
             debug!(worker = name, life, age, "started anew");
-            if let Some(entry) = host.restarted(wk, life, age) {
+            if let Some(entry) = host.worker_restarted(wk, life, age) {
                 self.gw.context.scheduler.advance_clock(now);
                 self.gw
                     .context
@@ -1030,7 +1039,7 @@
             }
         }
         let link = self.link;
-        self.host().greeted(link);
+        self.host().connection_ready(link);
         Ok(())
     }
 
@@ -1038,7 +1047,7 @@
         let link = self.link;
         let host = self.host();
         let now = host.net.now();
-        let Some(key) = host.key(name, link)? else {
+        let Some(key) = host.call_key(name, link)? else {
             return Ok(());
         };
         let CallKind::Attempt {
@@ -1074,7 +1083,7 @@
     ) -> Result<(), ProtocolError> {
         let link = self.link;
         let host = self.host();
-        let Some(key) = host.key(name, link)? else {
+        let Some(key) = host.call_key(name, link)? else {
             return Ok(());
         };
         if let CallKind::Attempt { request: evt, .. } = host.calls[key].kind {
@@ -1083,7 +1092,7 @@
                 self.gw.respond(evt, Disposition::Completed, payload);
             }
             self.gw.call_ended(key, outcome, note);
-            self.host().free(key);
+            self.host().remove_call(key);
         }
         Ok(())
     }
@@ -1096,12 +1105,12 @@
     ) -> Result<(), ProtocolError> {
         let link = self.link;
         let host = self.host();
-        let Some(key) = host.key(name, link)? else {
+        let Some(key) = host.call_key(name, link)? else {
             return Ok(());
         };
         if matches!(host.calls[key].kind, CallKind::LoadRequest { .. }) {
             self.gw.call_ended(key, outcome, copies);
-            self.host().free(key);
+            self.host().remove_call(key);
         }
         Ok(())
     }
@@ -1109,13 +1118,13 @@
     fn health_check_ended(&mut self, name: CallName, well: bool) -> Result<(), ProtocolError> {
         let link = self.link;
         let host = self.host();
-        let Some(key) = host.key(name, link)? else {
+        let Some(key) = host.call_key(name, link)? else {
             return Ok(());
         };
         if matches!(host.calls[key].kind, CallKind::HealthCheck) {
             self.gw
                 .call_ended(key, if well { Outcome::Ok } else { Outcome::Error }, 0);
-            self.host().free(key);
+            self.host().remove_call(key);
         }
         Ok(())
     }
@@ -1141,7 +1150,7 @@
         let host = self.host();
         let now = host.net.now();
         debug!(worker = host.worker_names.resolve(wk), "drains");
-        if let Some(entry) = host.drains(wk) {
+        if let Some(entry) = host.worker_draining(wk) {
             self.gw.context.scheduler.advance_clock(now);
             self.gw
                 .context
@@ -1216,7 +1225,7 @@
                 host.connections[link].written += out.len();
             }
             if !host.protocol.requires_greeting() {
-                host.greeted(link);
+                host.connection_ready(link);
                 self.deliver_deferred_outcomes();
             }
         }
@@ -1228,14 +1237,14 @@
             Owner::Ingress(door) => self.ingresses[door].received(&mut self.context, conn, bytes),
             owner => {
                 if let Owner::Worker(link) = owner {
-                    self.context.scheduler.host.heard(link);
+                    self.context.scheduler.host.bytes_received(link);
                 }
                 let used = self.read_messages(conn, bytes, owner);
                 if let Owner::Worker(link) = self.owner(conn) {
                     self.context
                         .scheduler
                         .host
-                        .left_over(link, used < bytes.len());
+                        .set_partial_message(link, used < bytes.len());
                 }
                 if owner == Owner::Peer {
                     self.acknowledge_records();
@@ -1251,7 +1260,7 @@
         match self.owner(conn) {
             Owner::Ingress(door) => self.ingresses[door].writable(&mut self.context, conn),
             Owner::Worker(link) => {
-                self.context.scheduler.host.drained(link);
+                self.context.scheduler.host.connection_writable(link);
                 self.wakeup_ended();
             }
             _ => {}
@@ -1259,7 +1268,7 @@
     }
 
     fn wakeup_ended(&mut self) {
-        while self.context.scheduler.host.leave() {
+        while self.context.scheduler.host.flush() {
             self.deliver_deferred_outcomes();
         }
     }
@@ -1321,13 +1330,13 @@
                     .context
                     .scheduler
                     .host
-                    .late((token & !OF_WHAT) as usize)
+                    .call_timer_fired((token & !OF_WHAT) as usize)
                 {
                     let Call {
                         sent, kind: task, ..
                     } = self.context.scheduler.host.calls[key];
                     self.partial_response_lost(task);
-                    self.context.scheduler.host.give_up(key);
+                    self.context.scheduler.host.cancel_expired_call(key);
                     // What still waited for a connection is proven not run.
                     self.call_ended(
                         key,
@@ -1338,7 +1347,7 @@
                         },
                         0,
                     );
-                    self.context.scheduler.host.unsent_over(key);
+                    self.context.scheduler.host.remove_ended_call(key);
                 }
             }
             OF_ROSTER if self.discovery.conn.is_none() => self.connect_discovery(),
@@ -1358,7 +1367,7 @@
             OF_GREETING => {
                 // It accepts and says nothing, as a hung process does: no connection in time.
                 let link = (token & !OF_WHAT) as usize;
-                if let Some(conn) = self.context.scheduler.host.ungreeted(link) {
+                if let Some(conn) = self.context.scheduler.host.unready_connection(link) {
                     self.context.net().reset(conn);
                     self.set_owner(conn, Owner::Nobody);
                     self.worker_connection_closed(link, CloseReason::TimedOut);
@@ -1370,13 +1379,13 @@
                     self.notify_endpoint_watcher();
                 }
                 self.reset_stalled_after_grace(LINKS);
-                for (link, conn) in self.context.scheduler.host.stuck(now) {
+                for (link, conn) in self.context.scheduler.host.stalled_connections(now) {
                     warn!(link, "cut off: an answer stopped half-way");
                     self.context.net().reset(conn);
                     self.set_owner(conn, Owner::Nobody);
                     self.worker_connection_closed(link, CloseReason::Reset);
                 }
-                for (link, conn) in self.context.scheduler.host.idle(now) {
+                for (link, conn) in self.context.scheduler.host.idle_connections(now) {
                     self.context.net().close(conn);
                     self.set_owner(conn, Owner::Nobody);
                     self.worker_connection_closed(link, CloseReason::Ended);
--- a/crates/tidewall-gateway/src/worker_pool.rs
+++ b/crates/tidewall-gateway/src/worker_pool.rs
@@ -316,7 +316,12 @@
     }
 
     /// The event's place is in use from now on; its buffers are those of the place's last user.
-    pub fn open(&mut self, place: usize, event: &IncomingRequest, arrival: &RequestInfo) {
+    pub fn register_request(
+        &mut self,
+        place: usize,
+        event: &IncomingRequest,
+        arrival: &RequestInfo,
+    ) {
         if self.requests.len() <= place {
             self.requests
                 .resize_with(place + 1, PendingRequest::default);
@@ -347,12 +352,12 @@
         held.payload.extend_from_slice(event.payload);
         self.in_flight += 1;
         self.counters.admitted += 1;
-        self.copy_taken(place);
+        self.replicate_admission(place);
     }
 
     /// The one place where an event's answer is used up: whoever gets the ticket gives the answer, and nobody
     /// gets it twice. With a ticket, only where the place still belongs to it.
-    pub fn close(
+    pub fn take_reply_handle(
         &mut self,
         place: usize,
         ticket: Option<ReplyHandle>,
@@ -368,7 +373,7 @@
     }
 
     /// Nothing may be sent for this event any more: its client's time has passed, which is all that says when it gives up.
-    pub fn too_late_for(&self, evt: usize, ticket: ReplyHandle) -> bool {
+    pub fn is_past_deadline(&self, evt: usize, ticket: ReplyHandle) -> bool {
         let waits_on = self
             .ingress_accepts_late
             .get(ticket.ingress)
@@ -376,9 +381,9 @@
         self.net.now() > self.requests[evt].deadline && !waits_on
     }
 
-    fn own_answer(&mut self, evt: usize, word: Disposition, come_back: Time) {
-        if let Some((ticket, took)) = self.close(evt, None) {
-            if self.replicator.is_none() && self.too_late_for(evt, ticket) {
+    fn respond_locally(&mut self, evt: usize, word: Disposition, come_back: Time) {
+        if let Some((ticket, took)) = self.take_reply_handle(evt, None) {
+            if self.replicator.is_none() && self.is_past_deadline(evt, ticket) {
                 // Nothing is sent to a client that has given up.
                 self.counters.expired += 1;
                 self.expired_clients.push_back(ticket);
@@ -403,9 +408,9 @@
             };
             if self.replicator.is_some() {
                 // At once: its place may serve another event before this call of the decisions is over.
-                let due = self.copy_answered(&given, &[]);
+                let due = self.replicate_response(&given, &[]);
                 if let (Some(copy), Some(due)) = (&mut self.replicator, due) {
-                    copy.replays.push_back(due);
+                    copy.ready_responses.push_back(due);
                 }
                 return;
             }
@@ -415,7 +420,7 @@
 
     /// Where the worker stands in the decisions' terms. A start that is known already keeps its time, or each
     /// telling would look like another start.
-    pub fn listed(&mut self, entry: &EndpointRecord) -> (usize, Endpoint) {
+    pub fn register_endpoint(&mut self, entry: &EndpointRecord) -> (usize, Endpoint) {
         let now = self.net.now();
         let place = |list: &[String], name: &str| {
             list.iter()
@@ -470,7 +475,7 @@
     }
 
     /// A whole list: whoever is not in it is gone.
-    pub fn only(&mut self, entries: &[(usize, Endpoint)]) {
+    pub fn retain_listed(&mut self, entries: &[(usize, Endpoint)]) {
         let now = self.net.now();
         for (wk, w) in self.workers.iter_mut().enumerate() {
             if !entries.iter().any(|e| e.0 == wk) && w.endpoint.state != EndpointState::Removed {
@@ -484,7 +489,7 @@
     }
 
     /// Workers that are gone and of which nothing is under way here.
-    pub fn gone(&self) -> Vec<usize> {
+    pub fn removed_idle_workers(&self) -> Vec<usize> {
         let idle = |(wk, w): &(usize, &WorkerEntry)| {
             let gone = w.address.is_some()
                 && w.endpoint.state == EndpointState::Removed
@@ -506,23 +511,23 @@
     }
 
     /// Whether anything is known of where it answers.
-    pub fn reachable(&self, wk: usize) -> bool {
+    pub fn has_address(&self, wk: usize) -> bool {
         self.workers.get(wk).is_some_and(|w| w.address.is_some())
     }
 
     /// An event's launches as they stand: number, worker, and whether its end proves that it has not run.
-    pub fn launches_of(&self, place: usize) -> Vec<(usize, usize, Option<bool>)> {
+    pub fn attempts_of(&self, place: usize) -> Vec<(usize, usize, Option<bool>)> {
         let held = &self.requests[place];
         (0..held.attempts)
             .map(|i| (i, held.attempt_workers[i], held.not_executed[i]))
             .collect()
     }
 
-    pub fn known_life(&self, wk: usize) -> Option<u64> {
+    pub fn incarnation_of(&self, wk: usize) -> Option<u64> {
         Some(self.workers[wk].incarnation)
     }
 
-    pub fn restarted(&mut self, wk: usize, life: u64, age: Time) -> Option<Endpoint> {
+    pub fn worker_restarted(&mut self, wk: usize, life: u64, age: Time) -> Option<Endpoint> {
         let now = self.net.now();
         let w = &mut self.workers[wk];
         (w.incarnation, w.reported_draining) = (life, false);
@@ -532,7 +537,7 @@
         (w.endpoint.state == EndpointState::Active).then_some(w.endpoint)
     }
 
-    pub fn drains(&mut self, wk: usize) -> Option<Endpoint> {
+    pub fn worker_draining(&mut self, wk: usize) -> Option<Endpoint> {
         let w = &mut self.workers[wk];
         if w.endpoint.state != EndpointState::Active {
             return None;
@@ -544,7 +549,7 @@
     }
 
     /// Launches and orders for this worker that have not left: all that is known of them is that nothing has run.
-    pub fn not_sent(&self, wk: usize) -> Vec<usize> {
+    pub fn unsent_calls(&self, wk: usize) -> Vec<usize> {
         let work = |o: &Call| match o.kind {
             CallKind::Attempt { .. } => true,
             CallKind::LoadRequest { .. } => o.instances > 0,
@@ -560,7 +565,7 @@
 
     /// Connections on which work for a worker that left still waits for its socket, and would leave after the grace; looked
     /// for again after `look`.
-    pub fn too_late(&self, now: Time, look: Time) -> Vec<(usize, Conn)> {
+    pub fn stalled_after_grace(&self, now: Time, look: Time) -> Vec<(usize, Conn)> {
         let late = |l: &WorkerConnection| {
             let w = &self.workers[l.worker];
             let ends = w.endpoint.state != EndpointState::Active
@@ -575,7 +580,7 @@
     }
 
     /// Writes to a worker; false where its buffer is full or its connection gone.
-    fn put(&mut self, link: usize) -> bool {
+    fn write_frame(&mut self, link: usize) -> bool {
         let Some(l) = self.connections.get_mut(link) else {
             return false;
         };
@@ -584,7 +589,7 @@
         good
     }
 
-    pub fn entries(&self) -> Vec<EndpointRecord> {
+    pub fn endpoint_records(&self) -> Vec<EndpointRecord> {
         let now = self.net.now();
         let entry = |(wk, w): (usize, &WorkerEntry)| {
             let since = w.endpoint.started_at;
@@ -610,7 +615,7 @@
     }
 
     /// The out that a worker's answer names, if it belongs to this connection and still is the same one.
-    pub fn key(&self, name: CallName, link: usize) -> Result<Option<usize>, ProtocolError> {
+    pub fn call_key(&self, name: CallName, link: usize) -> Result<Option<usize>, ProtocolError> {
         let id = match name {
             CallName::CallId(id) => id,
             CallName::RequestId(event) => {
@@ -632,31 +637,31 @@
         }
     }
 
-    fn wire_id(&self, key: usize) -> u64 {
+    fn wire_call_id(&self, key: usize) -> u64 {
         key as u64 | u64::from(self.calls[key].generation) << 32
     }
 
     /// The decisions get this out's outcome now.
-    pub fn finish(&mut self, key: usize) {
-        self.no_deadline(key);
+    pub fn finish_call(&mut self, key: usize) {
+        self.cancel_call_timer(key);
         self.calls[key].ended = true;
     }
 
-    pub fn no_deadline(&mut self, key: usize) {
+    pub fn cancel_call_timer(&mut self, key: usize) {
         if let Some(d) = self.calls[key].timer.take() {
             self.net.cancel_timer(d);
         }
     }
 
     /// Nothing more is awaited for it.
-    pub fn free(&mut self, key: usize) {
-        self.no_deadline(key);
-        self.off(key);
+    pub fn remove_call(&mut self, key: usize) {
+        self.cancel_call_timer(key);
+        self.detach(key);
         self.calls.remove(key);
     }
 
     /// Puts an out on its link's list.
-    fn on(&mut self, key: usize, link: usize, sent: bool) {
+    fn attach(&mut self, key: usize, link: usize, sent: bool) {
         let l = &mut self.connections[link];
         let list = if sent { &mut l.sent } else { &mut l.waiting };
         let out = &mut self.calls[key];
@@ -665,7 +670,7 @@
     }
 
     /// Takes an out off its link's list, without a search.
-    fn off(&mut self, key: usize) {
+    fn detach(&mut self, key: usize) {
         let Call {
             connection: link,
             list_position: slot,
@@ -686,7 +691,7 @@
     }
 
     /// Frees an out that ended before it was sent, or of which the worker says nothing more.
-    pub fn unsent_over(&mut self, key: usize) {
+    pub fn remove_ended_call(&mut self, key: usize) {
         let Some(out) = self.calls.get(key).filter(|o| o.ended) else {
             return;
         };
@@ -700,26 +705,26 @@
             }
             l.abandoned_requests.push_back(event);
         }
-        self.free(key);
+        self.remove_call(key);
     }
 
     /// Tells the worker that nobody waits for this launch, where it would not hear it by the launch's own time.
-    pub fn give_up(&mut self, key: usize) {
+    pub fn cancel_expired_call(&mut self, key: usize) {
         let out = self.calls[key];
         if out.sent
             && !self.protocol.confirms_cancelled()
             && matches!(out.kind, CallKind::Attempt { .. })
         {
             self.frame.clear();
-            let id = self.wire_id(key);
+            let id = self.wire_call_id(key);
             self.protocol
                 .write_cancel(&mut self.frame, id, out.request_id);
-            self.put(out.connection);
+            self.write_frame(out.connection);
         }
     }
 
     /// An out whose deadline is due; none where it has left and there is time for its end.
-    pub fn late(&mut self, key: usize) -> Option<usize> {
+    pub fn call_timer_fired(&mut self, key: usize) -> Option<usize> {
         let now = self.net.now();
         let out = self.calls.get_mut(key).filter(|o| !o.ended)?;
         out.timer = None;
@@ -732,7 +737,7 @@
     }
 
     /// The worker has told its name: what waited leaves at the end of the wake-up.
-    pub fn greeted(&mut self, link: usize) {
+    pub fn connection_ready(&mut self, link: usize) {
         let now = self.net.now();
         let l = &mut self.connections[link];
         (l.ready, l.last_used, l.last_received) = (true, now, now);
@@ -743,17 +748,17 @@
     }
 
     /// Its socket takes more.
-    pub fn drained(&mut self, link: usize) {
+    pub fn connection_writable(&mut self, link: usize) {
         self.writable_connections.push(link);
     }
 
-    pub fn no_greeting(&mut self, link: &WorkerConnection) {
+    pub fn cancel_greeting_timer(&mut self, link: &WorkerConnection) {
         if let Some(d) = link.greeting_timer {
             self.net.cancel_timer(d);
         }
     }
 
-    pub fn ungreeted(&self, link: usize) -> Option<Conn> {
+    pub fn unready_connection(&self, link: usize) -> Option<Conn> {
         self.connections
             .get(link)
             .filter(|l| !l.ready)
@@ -761,7 +766,7 @@
     }
 
     /// What is left of a connection's bytes once its whole messages are read.
-    pub fn left_over(&mut self, link: usize, any: bool) {
+    pub fn set_partial_message(&mut self, link: usize, any: bool) {
         let now = self.net.now();
         if let Some(l) = self.connections.get_mut(link) {
             l.partial_since = any.then_some(now);
@@ -769,7 +774,7 @@
     }
 
     /// Connections on which a message stopped half-way.
-    pub fn stuck(&self, now: Time) -> Vec<(usize, Conn)> {
+    pub fn stalled_connections(&self, now: Time) -> Vec<(usize, Conn)> {
         let rest = self.protocol.partial_message_timeout();
         let stuck = |l: &WorkerConnection| {
             l.partial_since
@@ -785,7 +790,7 @@
 
     /// Links to close: idle ones, those to workers that are gone, and those on which only given-up launches
     /// are left and nothing was heard for long.
-    pub fn idle(&mut self, now: Time) -> Vec<(usize, Conn)> {
+    pub fn idle_connections(&mut self, now: Time) -> Vec<(usize, Conn)> {
         let (keep, silent) = (self.limits.keep_alive, self.limits.silence_timeout);
         let mut idle = Vec::new();
         for (key, l) in &self.connections {
@@ -803,7 +808,7 @@
     }
 
     /// Puts an out on a connection of its worker: one with a free stream, one that is being made, or a new one.
-    pub(crate) fn ride(&mut self, key: usize) {
+    pub(crate) fn assign_connection(&mut self, key: usize) {
         let out = self.calls[key];
         let launch = matches!(out.kind, CallKind::Attempt { .. });
         // An id twice on one connection: the ends of the two could not be told apart.
@@ -844,27 +849,29 @@
             .flatten();
         let (link, at) = (ready.or(coming), self.workers[out.worker].address);
         if let Some(at) = spare {
-            self.open_link(out.worker, at);
+            self.open_connection(out.worker, at);
         }
         let link = match (link, at) {
             (Some(link), _) => link,
-            (None, Some(at)) if more && (free || self.end_idle()) => self.open_link(out.worker, at),
+            (None, Some(at)) if more && (free || self.close_longest_idle()) => {
+                self.open_connection(out.worker, at)
+            }
             // All streams of all connections are taken, or all descriptors are in use.
             _ => {
-                return self.at_once(key, Outcome::AtCapacity);
+                return self.defer_outcome(key, Outcome::AtCapacity);
             }
         };
         let l = &mut self.connections[link];
         l.streams += usize::from(launch);
         let greeted = l.ready;
-        self.on(key, link, false);
+        self.attach(key, link, false);
         if greeted {
             self.writable_connections.push(link);
         }
     }
 
     /// Ends the connection that has been idle for longest; false where none is.
-    fn end_idle(&mut self) -> bool {
+    fn close_longest_idle(&mut self) -> bool {
         let idle = self
             .connections
             .iter()
@@ -878,19 +885,19 @@
         // At once, not at the end of the wake-up: its descriptor is wanted now. Nothing is heard of it any more.
         self.net.reset(conn);
         let link = self.connections.remove(key);
-        self.no_greeting(&link);
+        self.cancel_greeting_timer(&link);
         self.workers[wk].connections.retain(|l| *l != key);
         true
     }
 
     /// The list has changed: connections are shared out again.
-    pub fn share_out(&mut self) {
+    pub fn redistribute_connections(&mut self) {
         self.connections_per_worker = self
             .limits
             .a_worker(self.workers.iter().filter(|w| w.is_known()).count());
     }
 
-    fn open_link(&mut self, wk: usize, at: SocketAddr) -> usize {
+    fn open_connection(&mut self, wk: usize, at: SocketAddr) -> usize {
         let conn = self.net.connect(at, self.limits.connect_timeout);
         self.counters.connections += 1;
         let now = self.net.now();
@@ -920,24 +927,24 @@
     }
 
     /// The outcome is known already; it is told when the decisions' call is over.
-    pub(crate) fn at_once(&mut self, key: usize, outcome: Outcome) {
+    pub(crate) fn defer_outcome(&mut self, key: usize, outcome: Outcome) {
         let count = self.calls[key].generation;
         self.deferred_outcomes.push_back((key, count, outcome));
     }
 
     /// The wake-up is over: what waits leaves. False once there was nothing.
-    pub fn leave(&mut self) -> bool {
+    pub fn flush(&mut self) -> bool {
         let mut any = false;
         while let Some(link) = self.writable_connections.pop() {
             any = true;
-            self.leave_on(link);
+            self.flush_connection(link);
         }
         any
     }
 
     /// What waits on a connection leaves as far as its socket takes it. The rest goes on waiting, and has provably not run:
     /// of what the net holds of it only the end of one message has not left.
-    fn leave_on(&mut self, link: usize) {
+    fn flush_connection(&mut self, link: usize) {
         let Some(l) = self
             .connections
             .get(link)
@@ -952,12 +959,12 @@
         );
         for i in 0..self.connections[link].waiting.len() {
             let key = self.connections[link].waiting[i];
-            if !self.calls[key].ended && self.waited_for(key) {
-                self.encode(key);
+            if !self.calls[key].ended && self.client_still_waiting(key) {
+                self.encode_call(key);
                 batch.extend_from_slice(&self.frame);
                 batched.push((key, batch.len()));
             } else {
-                self.at_once(key, Outcome::Discarded);
+                self.defer_outcome(key, Outcome::Discarded);
             }
         }
         let left = self.net.write_available(conn, &batch);
@@ -970,8 +977,8 @@
                 // Begun: the rest of it has to follow.
                 self.net.write(conn, &batch[left..to]);
             }
-            self.off(key);
-            self.on(key, link, true);
+            self.detach(key);
+            self.attach(key, link, true);
             let task = self.calls[key].kind;
             let work = !matches!(task, CallKind::HealthCheck | CallKind::Vote { .. });
             let l = &mut self.connections[link];
@@ -987,7 +994,7 @@
     }
 
     /// Whether anybody still waits for what this would begin: asked just before its first byte leaves.
-    fn waited_for(&self, key: usize) -> bool {
+    fn client_still_waiting(&self, key: usize) -> bool {
         let CallKind::Attempt { request: evt, .. } = self.calls[key].kind else {
             return true;
         };
@@ -996,9 +1003,9 @@
     }
 
     /// Writes an out's message into `frame`.
-    fn encode(&mut self, key: usize) {
+    fn encode_call(&mut self, key: usize) {
         let out = self.calls[key];
-        let (id, now) = (self.wire_id(key), self.net.now());
+        let (id, now) = (self.wire_call_id(key), self.net.now());
         let epoch = self.replicator.as_ref().map_or(0, |c| c.epoch);
         self.frame.clear();
         match out.kind {
@@ -1047,11 +1054,17 @@
             CallKind::HealthCheck => self.protocol.write_health_check(&mut self.frame, id),
             CallKind::Vote {
                 ballot, accepting, ..
-            } => self.vote(id, ballot, accepting),
+            } => self.encode_vote(id, ballot, accepting),
         }
     }
 
-    pub(crate) fn out(&mut self, task: CallKind, wk: usize, copies: u32, until: Time) -> usize {
+    pub(crate) fn start_call(
+        &mut self,
+        task: CallKind,
+        wk: usize,
+        copies: u32,
+        until: Time,
+    ) -> usize {
         self.call_generation = self.call_generation.wrapping_add(1);
         let (at, stood) = (self.net.now(), self.net.total_stall());
         let event = match task {
@@ -1084,7 +1097,7 @@
         key
     }
 
-    pub fn heard(&mut self, link: usize) {
+    pub fn bytes_received(&mut self, link: usize) {
         let now = self.net.now();
         if let Some(l) = self.connections.get_mut(link) {
             l.last_received = now;
@@ -1102,7 +1115,7 @@
         } else {
             gives_up.min(now + time_out)
         };
-        let key = self.out(
+        let key = self.start_call(
             CallKind::Attempt {
                 request: evt,
                 attempt: launch,
@@ -1123,12 +1136,12 @@
             "launch"
         );
         if !open || now >= gives_up {
-            return self.at_once(key, Outcome::Discarded);
+            return self.defer_outcome(key, Outcome::Discarded);
         }
         if self.replicator.is_some() {
-            return self.copy_launched(evt, launch, key);
+            return self.replicate_attempt(evt, launch, key);
         }
-        self.ride(key);
+        self.assign_connection(key);
     }
 
     fn cancel_attempt(&mut self, evt: usize, launch: usize) {
@@ -1144,21 +1157,21 @@
             return;
         };
         if !out.sent {
-            return self.at_once(key, Outcome::Discarded);
+            return self.defer_outcome(key, Outcome::Discarded);
         }
-        let (id, link, event) = (self.wire_id(key), out.connection, out.request_id);
+        let (id, link, event) = (self.wire_call_id(key), out.connection, out.request_id);
         self.frame.clear();
         self.protocol.write_cancel(&mut self.frame, id, event);
-        self.put(link);
-        self.at_once(key, Outcome::Cancelled);
+        self.write_frame(link);
+        self.defer_outcome(key, Outcome::Cancelled);
     }
 
     fn reject(&mut self, evt: usize, come_back: Time) {
-        self.own_answer(evt, Disposition::Rejected, come_back);
+        self.respond_locally(evt, Disposition::Rejected, come_back);
     }
 
     fn fail(&mut self, evt: usize) {
-        self.own_answer(evt, Disposition::Failed, 0);
+        self.respond_locally(evt, Disposition::Failed, 0);
     }
 
     fn release_request(&mut self, evt: usize) {
@@ -1178,8 +1191,8 @@
     fn send_health_check(&mut self, wk: usize) {
         self.counters.health_checks += 1;
         let until = self.net.now() + self.limits.health_check_timeout;
-        let key = self.out(CallKind::HealthCheck, wk, 0, until);
-        self.ride(key);
+        let key = self.start_call(CallKind::HealthCheck, wk, 0, until);
+        self.assign_connection(key);
     }
 
     fn close_idle_connections(&mut self, wk: usize) {
@@ -1193,7 +1206,7 @@
     }
 
     fn send_load_request(&mut self, img: usize, wk: usize, copies: u32) {
-        let refused = !self.may_order(copies);
+        let refused = !self.admit_load_request(copies);
         let (function, worker) = (
             self.function_names.resolve(img),
             self.worker_names.resolve(wk),
@@ -1201,11 +1214,11 @@
         tracing::debug!(function, worker, copies, "hold");
         self.counters.load_requests += u64::from(copies > 0 && !refused);
         let until = self.net.now() + self.limits.load_request_timeout;
-        let key = self.out(CallKind::LoadRequest { function: img }, wk, copies, until);
+        let key = self.start_call(CallKind::LoadRequest { function: img }, wk, copies, until);
         if refused {
-            return self.at_once(key, Outcome::AtCapacity);
+            return self.defer_outcome(key, Outcome::AtCapacity);
         }
-        self.order_recorded(key, copies);
+        self.send_when_recorded(key, copies);
     }
 
     fn unload_instances(&mut self, img: usize, wk: usize) {
@@ -1218,7 +1231,7 @@
             self.frame.clear();
             self.protocol
                 .write_unload(&mut self.frame, self.function_names.resolve(img));
-            self.put(link);
+            self.write_frame(link);
         }
     }
 
