A removed worker's name is released again: the rename had met the records instead

Cause: renaming wks to workers and workers to worker_names in one step turned the release of a name into the removal of a record; test replaced_hosts_do_not_add_up found it. Change: forget_worker releases the name.

--- a/crates/tidewall-gateway/src/worker_pool.rs
+++ b/crates/tidewall-gateway/src/worker_pool.rs
@@ -506,7 +506,7 @@
 
     /// Its index may name another from now on.
     pub fn forget_worker(&mut self, wk: usize) {
-        self.workers.remove(wk);
+        self.worker_names.remove(wk);
         self.workers[wk] = WorkerEntry::default();
     }
 
