Settings: checks by concern, a typed error, the scheduler's map in parts

Cause: one file checked everything with pairs of strings as errors, and two functions of over 100 lines did all. The whole map of four example sites is recorded from the text before and held by a test.

--- a/crates/tidewall-config/src/places.rs
+++ b/crates/tidewall-config/src/locations.rs
@@ -1,7 +1,8 @@
-//! Where each field of a text stands: the parser gives values without their places, and an error about a value
-//! must name one.
+//! Where each field of a text stands: the parser gives values without their locations, and an error about a value must
+//! name one.
 use std::collections::BTreeMap;
 
+/// Line and column, each from 1, of an octet of the text.
 pub fn line_and_column(text: &str, offset: usize) -> (usize, usize) {
     let before = &text.as_bytes()[..offset.min(text.len())];
     let line = before.iter().filter(|b| **b == b'\n').count() + 1;
@@ -10,18 +11,18 @@
 }
 
 /// Paths such as `event_type[1].group`, each with line and column.
-pub struct Places(BTreeMap<String, (usize, usize)>);
+pub struct FieldLocations(BTreeMap<String, (usize, usize)>);
 
-impl Places {
+impl FieldLocations {
     /// Of a text that has been parsed before, and so is well formed.
-    pub fn of(text: &str) -> Places {
-        let mut places = Places(BTreeMap::new());
-        let mut reader = Reader { text, at: 0 };
-        places.fields(&mut reader, "");
-        places
+    pub fn of(text: &str) -> FieldLocations {
+        let mut locations = FieldLocations(BTreeMap::new());
+        let mut tokens = Tokens { text, offset: 0 };
+        locations.read_fields(&mut tokens, "");
+        locations
     }
 
-    /// The place of a path, or of the nearest section above it that is written down.
+    /// Line and column of a path, or of the nearest section above it that is written down.
     pub fn find(&self, path: &str) -> (usize, usize) {
         let mut path = path;
         loop {
@@ -29,8 +30,8 @@
                 .0
                 .get(path)
                 .or_else(|| self.0.get(&format!("{path}[0]")));
-            if let Some(place) = indexed {
-                return *place;
+            if let Some(location) = indexed {
+                return *location;
             }
             match path.rfind(['.', '[']) {
                 Some(end) => path = &path[..end],
@@ -39,42 +40,42 @@
         }
     }
 
-    fn fields(&mut self, r: &mut Reader, above: &str) {
+    fn read_fields(&mut self, tokens: &mut Tokens, parent: &str) {
         let mut counts: BTreeMap<String, usize> = BTreeMap::new();
-        while let Some((offset, name)) = r.token() {
+        while let Some((offset, name)) = tokens.next() {
             if matches!(name, "}" | ">") {
                 return;
             }
             if matches!(name, ";" | ",") {
                 continue;
             }
-            let base = if above.is_empty() {
+            let base = if parent.is_empty() {
                 name.to_string()
             } else {
-                format!("{above}.{name}")
+                format!("{parent}.{name}")
             };
-            let mut next = r.token();
+            let mut next = tokens.next();
             if next.is_some_and(|t| t.1 == ":") {
-                next = r.token();
+                next = tokens.next();
             }
             if next.is_some_and(|t| t.1 == "[") {
                 // Each value of a list has a place of its own.
-                while let Some((at, token)) = r.token() {
+                while let Some((at, token)) = tokens.next() {
                     match token {
                         "]" => break,
                         "," => {}
-                        _ => self.value(r, &base, name, &mut counts, at, token),
+                        _ => self.read_value(tokens, &base, name, &mut counts, at, token),
                     }
                 }
             } else if let Some((_, token)) = next {
-                self.value(r, &base, name, &mut counts, offset, token);
+                self.read_value(tokens, &base, name, &mut counts, offset, token);
             }
         }
     }
 
-    fn value(
+    fn read_value(
         &mut self,
-        r: &mut Reader,
+        tokens: &mut Tokens,
         base: &str,
         name: &str,
         counts: &mut BTreeMap<String, usize>,
@@ -82,17 +83,17 @@
         token: &str,
     ) {
         let count = counts.entry(name.to_string()).or_insert(0);
-        let place = line_and_column(r.text, offset);
+        let location = line_and_column(tokens.text, offset);
         let path = format!("{base}[{count}]");
         if *count == 0 {
-            self.0.insert(base.to_string(), place);
+            self.0.insert(base.to_string(), location);
         }
         *count += 1;
-        self.0.insert(path.clone(), place);
+        self.0.insert(path.clone(), location);
         if matches!(token, "{" | "<") {
             // A field that stands once is found by its plain name as well.
             let before: Vec<String> = self.0.keys().cloned().collect();
-            self.fields(r, &path);
+            self.read_fields(tokens, &path);
             if path.ends_with("[0]") {
                 let inner = format!("{path}.");
                 let added = self
@@ -108,34 +109,40 @@
     }
 }
 
-struct Reader<'a> {
+/// The tokens of a text in order.
+struct Tokens<'a> {
     text: &'a str,
-    at: usize,
+    offset: usize,
 }
 
-impl<'a> Reader<'a> {
-    /// The next mark, word or quoted text, with its offset; comments and space are passed over.
-    fn token(&mut self) -> Option<(usize, &'a str)> {
+impl<'a> Tokens<'a> {
+    /// The next punctuation mark, word or quoted text, with its offset; comments and white space are skipped.
+    fn next(&mut self) -> Option<(usize, &'a str)> {
         let bytes = self.text.as_bytes();
         loop {
-            match *bytes.get(self.at)? {
-                b'#' => self.at += bytes[self.at..].iter().take_while(|b| **b != b'\n').count(),
-                b if b.is_ascii_whitespace() => self.at += 1,
+            match *bytes.get(self.offset)? {
+                b'#' => {
+                    self.offset += bytes[self.offset..]
+                        .iter()
+                        .take_while(|b| **b != b'\n')
+                        .count()
+                }
+                b if b.is_ascii_whitespace() => self.offset += 1,
                 _ => break,
             }
         }
-        let from = self.at;
+        let from = self.offset;
         let first = bytes[from];
-        self.at += 1;
+        self.offset += 1;
         if matches!(first, b'"' | b'\'') {
-            while self.at < bytes.len() && bytes[self.at] != first {
-                self.at += if bytes[self.at] == b'\\' { 2 } else { 1 };
+            while self.offset < bytes.len() && bytes[self.offset] != first {
+                self.offset += if bytes[self.offset] == b'\\' { 2 } else { 1 };
             }
-            self.at = (self.at + 1).min(bytes.len());
+            self.offset = (self.offset + 1).min(bytes.len());
         } else if !b"{}<>[]:;,".contains(&first) {
             let word = |b: &&u8| !b.is_ascii_whitespace() && !b"{}<>[]:;,#\"'".contains(b);
-            self.at += bytes[self.at..].iter().take_while(word).count();
+            self.offset += bytes[self.offset..].iter().take_while(word).count();
         }
-        Some((from, &self.text[from..self.at]))
+        Some((from, &self.text[from..self.offset]))
     }
 }
--- a/crates/tidewall-config/tests/settings.rs
+++ b/crates/tidewall-config/tests/settings.rs
@@ -1,4 +1,6 @@
 //! Good settings reach the decisions' map; bad ones are refused in one line with place and field.
+#![allow(clippy::unwrap_used)]
+use std::collections::BTreeMap;
 use test_case::test_case;
 use tidewall_config::{agree, plain, script, settings};
 
@@ -54,7 +56,9 @@
 #[test_case("key_file: \"deploy/examples/pair.keys\"", "", "pair.key_file", "needed" ; "no keys")]
 fn bad_pairs_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
     assert!(PAIR.contains(good));
-    let told = settings("site", &PAIR.replacen(good, bad, 1)).unwrap_err();
+    let told = settings("site", &PAIR.replacen(good, bad, 1))
+        .unwrap_err()
+        .to_string();
     assert!(
         told.contains(place) && told.contains(what) && !told.contains('\n'),
         "{told}"
@@ -78,7 +82,9 @@
 #[test_case("leases: 64", "leases: 0", "fleet_common.leases", "within" ; "no leases")]
 fn bad_common_settings_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
     assert!(settings("site", COMMON).is_ok() && COMMON.contains(good));
-    let told = settings("site", &COMMON.replacen(good, bad, 1)).unwrap_err();
+    let told = settings("site", &COMMON.replacen(good, bad, 1))
+        .unwrap_err()
+        .to_string();
     assert!(
         told.contains(place) && told.contains(what) && !told.contains('\n'),
         "{told}"
@@ -103,7 +109,9 @@
 #[test_case("roster {", "roster [", "site:10:", "expected" ; "broken brackets")]
 fn bad_settings_name_their_place(good: &str, bad: &str, place: &str, what: &str) {
     assert!(GOOD.contains(good));
-    let told = settings("site", &GOOD.replacen(good, bad, 1)).unwrap_err();
+    let told = settings("site", &GOOD.replacen(good, bad, 1))
+        .unwrap_err()
+        .to_string();
     assert!(
         told.starts_with(place) && told.contains(what) && !told.contains('\n'),
         "{told}"
@@ -116,7 +124,7 @@
 #[test_case("fault { trouble: EARTHQUAKE }", "s:1:18:" ; "an unknown trouble")]
 #[test_case("fault { lasts_ms: 5 }", "s:1:1: fault[0].trouble" ; "none named")]
 fn bad_scripts_name_their_place(text: &str, place: &str) {
-    let told = script("s", text).unwrap_err();
+    let told = script("s", text).unwrap_err().to_string();
     assert!(told.starts_with(place), "{told}");
 }
 
@@ -127,7 +135,9 @@
 #[test_case(include_str!("../../../deploy/examples/bad-terminals.txtpb"); "a script")]
 fn damaged_files_are_refused_in_one_line(text: &str) {
     let judge = |text: &str| {
-        for told in [settings("f", text).err(), script("f", text).err()]
+        let errors = [settings("f", text).err(), script("f", text).err()];
+        for told in errors
+            .map(|error| error.map(String::from))
             .into_iter()
             .flatten()
         {
@@ -152,3 +162,18 @@
         }
     }
 }
+
+/// Every name and value of the map, for the settings that come with the repository: recorded before the map's code was
+/// split, and the same since.
+#[test_case("small-site", include_str!("../../../deploy/examples/small-site.txtpb"), include_str!("maps/small-site.txt"))]
+#[test_case("day", include_str!("../../../deploy/examples/day.txtpb"), include_str!("maps/day.txt"))]
+#[test_case("three-halls", include_str!("../../../deploy/examples/three-halls.txtpb"), include_str!("maps/three-halls.txt"))]
+#[test_case("pair-a", include_str!("../../../deploy/examples/pair-a.txtpb"), include_str!("maps/pair-a.txt"))]
+fn the_whole_map_is_as_it_was_recorded(name: &str, text: &str, recorded: &str) {
+    let section = settings(name, text).unwrap();
+    let last = section.sections("gateway").len() - 1;
+    let lines = |map: BTreeMap<String, String>| -> String {
+        map.iter().map(|(k, v)| format!("{k}={v}\n")).collect()
+    };
+    assert_eq!(lines(plain(&section, last)), recorded);
+}
