--- a/crates/tidewall-cli/src/coordination.rs
+++ b/crates/tidewall-cli/src/coordination.rs
@@ -1,10 +1,10 @@
-//! The tasks beside a gateway's loop that carry what the gateways hold in common: two threads, each with a net of its own,
-//! that end when they have handed over what they hold.
+//! The two coordination threads beside a gateway's loop: the lease task and the executor task, each with a `Net` of its own. This
+//! module starts them, hands them the gateway's list of workers, and joins them after they have handed over their leases.
 use crate::serve::read_keys;
 use crate::{input, Failure};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use tidewall_config::Section;
@@ -16,78 +16,82 @@
 use tidewall_gateway::EndpointWatcher;
 use tidewall_net::mio::{self, Mio};
 use tidewall_sim::fleet::Plant;
+use tidewall_vrrp::packet::Keys;
 use tracing::error;
 
+/// The running threads; empty where the settings have no `fleet_common`.
 pub struct CoordinationThreads {
     threads: Vec<JoinHandle<()>>,
-    told: Arc<AtomicBool>,
-    watch: Option<MailboxSender<ExecutorCommand>>,
+    shutdown: Arc<AtomicBool>,
+    /// Until `endpoint_watcher` takes it.
+    endpoint_commands: Option<MailboxSender<ExecutorCommand>>,
 }
 
 impl CoordinationThreads {
+    /// No threads.
     pub fn none() -> CoordinationThreads {
         CoordinationThreads {
             threads: Vec::new(),
-            told: Arc::new(AtomicBool::new(false)),
-            watch: None,
+            shutdown: Arc::new(AtomicBool::new(false)),
+            endpoint_commands: None,
         }
     }
 
-    /// Starts both; `told` is set when the process is to go.
+    /// Starts both threads. Whoever sets `shutdown` makes them hand over their leases and end.
+    ///
+    /// # Errors
+    /// Wrong input: the key file cannot be read, or the address cannot be bound. Otherwise the system gives no thread or poll.
     pub fn start(
         &mut self,
-        s: &Section,
-        me: usize,
+        settings: &Section,
+        member: usize,
         seed: u64,
         plant: Plant,
-        told: &Arc<AtomicBool>,
+        shutdown: &Arc<AtomicBool>,
     ) -> Result<(), Failure> {
-        let file = PathBuf::from(s.section("fleet_common").text("key_file"));
-        let last = std::sync::Mutex::new(read_keys(&file).map_err(input)?);
-        // A file that cannot be read, or is being written, leaves the keys as they are.
-        let keys = move || {
-            let mut last = last.lock().expect("nobody panics while it holds this");
-            if let Ok(keys) = read_keys(&file) {
-                *last = keys;
-            }
-            last.clone()
-        };
-        let clock = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(1, |d| d.as_millis() as u64);
-        let conf =
-            CoordinationConfig::new(s, me, next(0, clock), seed, plant.guards(), Box::new(keys));
-        // Times that one tells the other are of one clock.
-        let (started, ppm) = (Instant::now(), conf.trial_ppm);
+        let load_keys = key_loader(settings)?;
+        let incarnation = next(0, wall_clock_ms());
+        let guards = plant.guards();
+        let config =
+            CoordinationConfig::new(settings, member, incarnation, seed, guards, load_keys);
+        // Times in messages between the tasks are of one clock.
+        let (started, clock_skew_ppm) = (Instant::now(), config.clock_skew_ppm);
         let net = || {
             let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
-            net.clock(started, ppm);
+            net.clock(started, clock_skew_ppm);
             Ok::<Mio, Failure>(net)
         };
-        let (to_acts, acts_inbox) = channel::<ExecutorCommand>(conf.channel);
-        let (from_acts, inbox) = channel(conf.channel);
-        self.watch = Some(to_acts.clone_sender());
-        let over = Arc::new(AtomicBool::new(false));
-        let mut acting = ExecutorTask::new(net()?, &conf, acts_inbox, from_acts, over.clone());
-        let mut keeping =
-            LeaseTask::new(net()?, conf, (to_acts, inbox), told.clone()).map_err(input)?;
-        self.told = told.clone();
-        self.thread("acting", move || mio::run(&mut acting))?;
-        self.thread("keeping", move || {
-            let done = mio::run(&mut keeping);
-            over.store(true, Ordering::Relaxed);
+        let (commands, executor_inbox) = channel::<ExecutorCommand>(config.channel_capacity);
+        let (events, lease_inbox) = channel(config.channel_capacity);
+        self.endpoint_commands = Some(commands.clone_sender());
+        let lease_task_ended = Arc::new(AtomicBool::new(false));
+        let mut executor = ExecutorTask::new(
+            net()?,
+            &config,
+            executor_inbox,
+            events,
+            lease_task_ended.clone(),
+        );
+        let mailboxes = (commands, lease_inbox);
+        let mut lease = LeaseTask::new(net()?, config, mailboxes, shutdown.clone())
+            .map_err(|e| input(e.into()))?;
+        self.shutdown = shutdown.clone();
+        self.spawn("executor", move || mio::run(&mut executor))?;
+        self.spawn("lease", move || {
+            let done = mio::run(&mut lease);
+            lease_task_ended.store(true, Ordering::Relaxed);
             done
         })
     }
 
-    fn thread(
+    fn spawn(
         &mut self,
         name: &'static str,
         run: impl FnOnce() -> std::io::Result<()> + Send + 'static,
     ) -> Result<(), Failure> {
         let logged = move || {
             if let Err(e) = run() {
-                error!(task = name, error = %e, "a task ended");
+                error!(task = name, error = %e, "coordination task failed");
             }
         };
         let thread = std::thread::Builder::new()
@@ -98,22 +102,44 @@
         Ok(())
     }
 
-    /// The gateway's list of workers, for those that act there.
-    pub fn watch(&mut self) -> EndpointWatcher {
-        let mut post = self.watch.take().expect("it was started");
-        Box::new(move |list| {
-            post.send(ExecutorCommand::EndpointsChanged(
-                list.iter().map(|e| (e.name.clone(), e.address)).collect(),
-            ))
+    /// Passes each new list of workers on to the executor task. To be called once, after `start`.
+    pub fn endpoint_watcher(&mut self) -> EndpointWatcher {
+        let mut commands = self
+            .endpoint_commands
+            .take()
+            .expect("called once, after start");
+        Box::new(move |endpoints| {
+            let endpoints = endpoints.iter().map(|e| (e.name.clone(), e.address));
+            commands.send(ExecutorCommand::EndpointsChanged(endpoints.collect()))
         })
     }
 
-    /// The gateway has answered all: what is held is handed over, and both end.
-    pub fn end(&mut self) {
-        self.told.store(true, Ordering::Relaxed);
+    /// The gateway has drained: the leases are handed over, and both threads end.
+    pub fn shut_down(&mut self) {
+        self.shutdown.store(true, Ordering::Relaxed);
         for thread in self.threads.drain(..) {
-            // A task that panicked has said so, and ended the process.
+            // A task that panicked has logged it, and ended the process.
             let _ = thread.join();
         }
     }
 }
+
+/// Reads the key file anew at each call. One that cannot be read, or is being written, leaves the keys as they are.
+fn key_loader(settings: &Section) -> Result<Box<dyn Fn() -> Keys + Send>, Failure> {
+    let file = PathBuf::from(settings.section("fleet_common").text("key_file"));
+    let last = Mutex::new(read_keys(&file).map_err(input)?);
+    Ok(Box::new(move || {
+        let mut last = last.lock().expect("nobody panics while it holds this");
+        if let Ok(keys) = read_keys(&file) {
+            *last = keys;
+        }
+        last.clone()
+    }))
+}
+
+/// Milliseconds since 1970; 1 where the clock stands before that.
+fn wall_clock_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(1, |d| d.as_millis() as u64)
+}
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -133,12 +133,12 @@
         }
         if s.has("fleet_common") {
             coordination.start(&s, me, seed, args.left_out, &told)?;
-            gateway.watch_endpoints(coordination.watch());
+            gateway.watch_endpoints(coordination.endpoint_watcher());
         }
         mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))?;
         if gateway.stop_reason() == StopReason::Drained {
             drop(gateway);
-            coordination.end();
+            coordination.shut_down();
             return Ok(());
         }
         drop(gateway);
--- /dev/null
+++ b/crates/tidewall-coordination/src/codec/mod.rs
@@ -0,0 +1,143 @@
+//! Datagrams between members, as `docs/wire.md` specifies them: a header, items (unsigned integers in CBOR, RFC 8949, one after
+//! the other), the number of a key, and an HMAC-SHA-256 over all before it, truncated to 16 bytes; 256 bytes at most. Each item
+//! is a [`DatagramItem`], encoded and decoded here alone. A datagram with one malformed item has no effect at all. Pure functions
+//! over buffers of the caller: nothing is allocated but the room that a body grows into.
+mod error;
+mod item;
+pub mod kind;
+mod lease_message;
+
+pub use error::DatagramError;
+pub use item::{decode_items, encode_item, DatagramItem, DecodedItems};
+pub use lease_message::{LeaseReply, LeaseRequest};
+
+use hmac::{Hmac, Mac};
+use minicbor::{Decoder, Encoder};
+use sha2::Sha256;
+use tidewall_membership::{MemberState, MemberUpdate};
+use tidewall_vrrp::packet::Keys;
+
+/// Bytes of the longest datagram: it passes unfragmented over any link, and a flood of them stays cheap.
+pub const MAX_DATAGRAM: usize = 256;
+const VERSION: u64 = 1;
+/// Bytes of the truncated HMAC: 128 bits are out of reach of guessing.
+const MAC_LENGTH: usize = 16;
+/// What `seal` appends: the number of the key and the truncated HMAC.
+const SEAL_LENGTH: usize = 1 + MAC_LENGTH;
+const HEADER_FIELDS: usize = 8;
+
+/// The low bits of a receiver's incarnation that a datagram carries: those of one member that were drawn within three days (2^28
+/// milliseconds) differ here, and what was meant for a former incarnation is rejected.
+pub const INCARNATION_MASK: u64 = (1 << 28) - 1;
+
+/// What a datagram says of itself and its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DatagramHeader {
+    /// The sending member.
+    pub from: usize,
+    /// The receiving member.
+    pub to: usize,
+    /// The receiver's incarnation as far as the sender knows it, by [`INCARNATION_MASK`]; 0 where it knows none.
+    pub to_incarnation: u64,
+    /// What the sender says of itself: its incarnation, and whether it is alive or leaves.
+    pub sender: MemberUpdate,
+    /// Rises with each datagram of one incarnation of the sender.
+    pub sequence: u64,
+}
+
+fn append(body: &mut Vec<u8>, numbers: &[u64]) {
+    let mut encoder = Encoder::new(body);
+    for number in numbers {
+        // Writing to a Vec cannot fail.
+        let _ = encoder.u64(*number);
+    }
+}
+
+/// Starts a datagram: what `body` held before is gone.
+pub fn encode_header(body: &mut Vec<u8>, header: &DatagramHeader) {
+    body.clear();
+    let numbers: [u64; HEADER_FIELDS] = [
+        VERSION,
+        header.from as u64,
+        header.to as u64,
+        header.to_incarnation,
+        header.sender.incarnation,
+        u64::from(header.sender.refutation),
+        u64::from(header.sender.state == MemberState::Left),
+        header.sequence,
+    ];
+    append(body, &numbers);
+}
+
+fn mac(key: &[u8], bytes: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
+    mac.update(bytes);
+    mac
+}
+
+/// Appends the number of the first key and the HMAC under it.
+pub fn seal(body: &mut Vec<u8>, keys: &Keys) {
+    let (id, key) = keys.0.first().map_or((0, &[][..]), |k| (k.0, &k.1));
+    body.push(id);
+    let hash = mac(key, body).finalize().into_bytes();
+    body.extend_from_slice(&hash[..MAC_LENGTH]);
+}
+
+/// Authenticates a datagram by any of the keys, and returns its body.
+///
+/// # Errors
+/// The first four of [`DatagramError`].
+pub fn open<'a>(bytes: &'a [u8], keys: &Keys) -> Result<&'a [u8], DatagramError> {
+    if bytes.len() > MAX_DATAGRAM {
+        return Err(DatagramError::TooLong);
+    }
+    if bytes.len() < SEAL_LENGTH {
+        return Err(DatagramError::TooShort);
+    }
+    let (signed, hash) = bytes.split_at(bytes.len() - MAC_LENGTH);
+    let (body, id) = signed.split_at(signed.len() - 1);
+    let key = keys
+        .0
+        .iter()
+        .find(|k| k.0 == id[0])
+        .ok_or(DatagramError::UnknownKey)?;
+    // Compared in constant time.
+    mac(&key.1, signed)
+        .verify_truncated_left(hash)
+        .map_err(|_| DatagramError::WrongMac)?;
+    Ok(body)
+}
+
+/// Reads the header of an opened body; the second value is where its items begin.
+///
+/// # Errors
+/// [`DatagramError::MalformedHeader`], [`DatagramError::UnknownVersion`], [`DatagramError::HeaderOutOfRange`].
+pub fn decode_header(body: &[u8]) -> Result<(DatagramHeader, usize), DatagramError> {
+    let mut decoder = Decoder::new(body);
+    let mut numbers = [0; HEADER_FIELDS];
+    for (i, number) in numbers.iter_mut().enumerate() {
+        *number = decoder.u64().map_err(|_| DatagramError::MalformedHeader)?;
+        if i == 0 && *number != VERSION {
+            return Err(DatagramError::UnknownVersion);
+        }
+    }
+    let [_, from, to, to_incarnation, incarnation, refutation, left, sequence] = numbers;
+    let small = |n: u64| u32::try_from(n).map_err(|_| DatagramError::HeaderOutOfRange);
+    let state = match left {
+        0 => MemberState::Alive,
+        1 => MemberState::Left,
+        _ => return Err(DatagramError::HeaderOutOfRange),
+    };
+    let header = DatagramHeader {
+        from: small(from)? as usize,
+        to: small(to)? as usize,
+        to_incarnation,
+        sender: MemberUpdate {
+            incarnation,
+            refutation: small(refutation)?,
+            state,
+        },
+        sequence,
+    };
+    Ok((header, decoder.position()))
+}
--- a/crates/tidewall-coordination/src/config.rs
+++ b/crates/tidewall-coordination/src/config.rs
@@ -1,4 +1,5 @@
-//! What the settings tell these tasks.
+//! The settings of the tasks, translated from the section `fleet_common` and the list of gateways. The keys of the settings
+//! file appear here alone.
 use crate::Time;
 use std::net::SocketAddr;
 use tidewall_config::Section;
@@ -6,109 +7,144 @@
 use tidewall_lease::SafetyChecks;
 use tidewall_vrrp::packet::Keys;
 
+/// Settings of one member. Times are in tenths of a millisecond.
 pub struct CoordinationConfig {
+    /// This member, as an index of `member_names`.
     pub member: usize,
+    /// Rises with each start of the member.
     pub incarnation: u64,
+    /// Of all random numbers of both tasks.
     pub seed: u64,
-    pub name: String,
-    /// All members' names; where this one listens, and where it reaches each.
-    pub names: Vec<String>,
+    /// This member's name.
+    pub member_name: String,
+    /// The names of all members.
+    pub member_names: Vec<String>,
+    /// Where this member receives datagrams.
     pub listen: SocketAddr,
-    pub reach: Vec<SocketAddr>,
+    /// By member: where it is reached from here.
+    pub member_addresses: Vec<SocketAddr>,
+    /// The members that grant leases.
     pub grantors: Vec<usize>,
+    /// How many tasks there are; each has one lease.
     pub tasks: usize,
+    /// How long a grantor keeps a lease from others.
     pub lease_duration: Time,
+    /// How long the holder may use it, counted from its request: shorter by the error of clocks and the age of permits.
     pub usable: Time,
-    /// How long an act may take effect after it left, by our own clock.
+    /// How long after it was sent an effect may still take place, by this member's clock.
     pub effect_timeout: Time,
-    pub period: Time,
+    /// Of the membership protocol: how often a member is probed.
+    pub protocol_period: Time,
+    /// How often an effect of each held task is due.
     pub effect_interval: Time,
-    pub datagrams: u64,
-    pub bytes: u64,
-    pub channel: usize,
+    /// Datagrams that this member may send a second.
+    pub datagrams_per_second: u64,
+    /// Bytes that this member may send a second.
+    pub bytes_per_second: u64,
+    /// Messages that a mailbox holds.
+    pub channel_capacity: usize,
+    /// Checks that a simulation may leave out to show that they are needed; all are on in service.
     pub safety_checks: SafetyChecks,
-    pub keys: Box<dyn Fn() -> Keys + Send>,
-    /// By so many millionths this member's clock runs faster: for trials.
-    pub trial_ppm: i64,
+    /// Reads the keys that datagrams are sealed with.
+    pub load_keys: Box<dyn Fn() -> Keys + Send>,
+    /// By how many millionths this member's clock runs fast, for tests.
+    pub clock_skew_ppm: i64,
 }
 
-/// The part of `usable` after which what was not answered is asked again: a lost datagram costs little of a term.
-const RETRY: Time = 16;
+/// The part of `usable` after which a request without reply is sent again: a lost datagram costs little of a lease.
+const RETRIES_PER_LEASE: Time = 16;
+
+/// How many ticks pass between two retries, and between two probes, so that neither is late by much.
+const TICKS_PER_RETRY: Time = 4;
+const TICKS_PER_PERIOD: Time = 8;
+
+/// Bounds of the tick, 1 ms and 50 ms: below, an idle task would burn a core; above, mailboxes would wait too long.
+const MIN_TICK: Time = 10;
+const MAX_TICK: Time = 500;
 
 impl CoordinationConfig {
+    /// The settings of `member`; the section must have passed the checks of `tidewall-config`.
     pub fn new(
-        s: &Section,
-        me: usize,
-        life: u64,
+        section: &Section,
+        member: usize,
+        incarnation: u64,
         seed: u64,
-        guards: SafetyChecks,
-        keys: Box<dyn Fn() -> Keys + Send>,
+        safety_checks: SafetyChecks,
+        load_keys: Box<dyn Fn() -> Keys + Send>,
     ) -> CoordinationConfig {
-        let (c, gateways) = (s.section("fleet_common"), s.sections("gateway"));
-        let names: Vec<String> = gateways.iter().map(|g| g.text("name")).collect();
-        let reach = |g: &Section| {
-            let field = if g.has("common_reached_at") {
-                "common_reached_at"
-            } else {
-                "common_address"
-            };
-            g.text(field).parse().expect("checked")
+        let (common, gateways) = (section.section("fleet_common"), section.sections("gateway"));
+        let member_names: Vec<String> = gateways.iter().map(|g| g.text("name")).collect();
+        let grantor_of = |name: &String| {
+            let position = member_names.iter().position(|n| n == name);
+            position.expect("the settings check finds each keeper among the gateways")
         };
-        let place = |name: &String| names.iter().position(|n| n == name).expect("checked");
-        let (term, ticket, ppm) = (
-            c.span("term_ms"),
-            c.span("ticket_ms"),
-            c.whole("clocks_ppm"),
+        let (lease_duration, permit_age, clocks_ppm) = (
+            common.span("term_ms"),
+            common.span("ticket_ms"),
+            common.whole("clocks_ppm"),
         );
-        let usable = if guards.shortened_lease {
-            usable(term, ppm, ticket)
-        } else {
-            term
-        };
         CoordinationConfig {
-            member: me,
-            incarnation: life,
+            member,
+            incarnation,
             seed,
-            name: names[me].clone(),
-            listen: gateways[me]
-                .text("common_address")
-                .parse()
-                .expect("checked"),
-            reach: gateways.iter().map(reach).collect(),
-            grantors: c.texts("keeper").iter().map(place).collect(),
-            tasks: c.whole("leases") as usize,
-            lease_duration: term,
-            usable,
-            effect_timeout: margin(ppm, ticket),
-            period: c.span("period_ms"),
-            effect_interval: c.span("turn_ms"),
-            datagrams: c.whole("datagrams_per_s"),
-            bytes: c.whole("bytes_per_s"),
-            channel: c.whole("channel") as usize,
-            safety_checks: guards,
-            keys,
-            trial_ppm: c.signed("trial_clock_ppm"),
-            names,
+            member_name: member_names[member].clone(),
+            listen: address(&gateways[member], "common_address"),
+            member_addresses: gateways.iter().map(member_address).collect(),
+            grantors: common.texts("keeper").iter().map(grantor_of).collect(),
+            tasks: common.whole("leases") as usize,
+            lease_duration,
+            usable: if safety_checks.shortened_lease {
+                usable(lease_duration, clocks_ppm, permit_age)
+            } else {
+                lease_duration
+            },
+            effect_timeout: margin(clocks_ppm, permit_age),
+            protocol_period: common.span("period_ms"),
+            effect_interval: common.span("turn_ms"),
+            datagrams_per_second: common.whole("datagrams_per_s"),
+            bytes_per_second: common.whole("bytes_per_s"),
+            channel_capacity: common.whole("channel") as usize,
+            safety_checks,
+            load_keys,
+            clock_skew_ppm: common.signed("trial_clock_ppm"),
+            member_names,
         }
     }
 
-    pub fn terms(&self) -> LeaseConfig {
+    /// The settings of this member's leases.
+    pub fn lease_config(&self) -> LeaseConfig {
         LeaseConfig {
             member: self.member,
             incarnation: self.incarnation,
             grantors: self.grantors.len(),
             usable_duration: self.usable,
-            retry: (self.usable / RETRY).max(1),
-            // Drawn by the life, as good as any.
+            retry: (self.usable / RETRIES_PER_LEASE).max(1),
+            // A multiplicative hash (2^64 by the golden ratio) of the seed, cut to 16 bits, spreads members as well as a draw.
             offset: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48,
             safety_checks: self.safety_checks,
         }
     }
 
-    /// How often a task looks at its channels and at what is due.
-    pub fn tick(&self) -> Time {
-        (self.usable / (4 * RETRY))
-            .min(self.period / 8)
-            .clamp(10, 500)
+    /// How often a task reads its mailboxes and does what is due.
+    pub fn tick_interval(&self) -> Time {
+        (self.usable / (TICKS_PER_RETRY * RETRIES_PER_LEASE))
+            .min(self.protocol_period / TICKS_PER_PERIOD)
+            .clamp(MIN_TICK, MAX_TICK)
     }
 }
+
+fn address(gateway: &Section, key: &str) -> SocketAddr {
+    let text = gateway.text(key);
+    text.parse()
+        .expect("the settings check has parsed each address")
+}
+
+/// Behind a translated address a member listens elsewhere than where it is reached.
+fn member_address(gateway: &Section) -> SocketAddr {
+    let key = if gateway.has("common_reached_at") {
+        "common_reached_at"
+    } else {
+        "common_address"
+    };
+    address(gateway, key)
+}
--- a/crates/tidewall-coordination/src/counters.rs
+++ b/crates/tidewall-coordination/src/counters.rs
@@ -1,79 +1,101 @@
-//! What these tasks count, told as lines of the log every ten seconds where something changed.
+//! Metrics of the lease task, which owns them. They are logged as one line every ten seconds where one has changed; their names
+//! in that line are those of the operators' pages.
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+/// Counts since the start of the process, and gauges of now.
 #[derive(Default)]
 pub struct CoordinationCounters {
     registry: Registry,
-    last: String,
-    pub sent: Counter,
-    pub sent_bytes: Counter,
-    pub came: Counter,
-    pub refused: Counter,
-    pub full: Counter,
-    pub given_back: Counter,
-    pub granted: Counter,
-    pub held: Gauge,
-    pub members: Gauge,
+    last_line: String,
+    /// Datagrams to other members.
+    pub datagrams_sent: Counter,
+    /// Bytes of them.
+    pub bytes_sent: Counter,
+    /// Datagrams of other members that were good.
+    pub datagrams_received: Counter,
+    /// Datagrams that were malformed, forged, replayed, or of a former incarnation.
+    pub datagrams_rejected: Counter,
+    /// Commands that found the executor's mailbox full.
+    pub dropped_commands: Counter,
+    /// Leases that were given back after their execution had stopped.
+    pub leases_handed_over: Counter,
+    /// Requests of other members that this member granted.
+    pub requests_granted: Counter,
+    /// Leases held here.
+    pub leases_held: Gauge,
+    /// Members that are alive, this one included.
+    pub members_alive: Gauge,
 }
 
 impl CoordinationCounters {
+    /// All at zero and registered.
     pub fn new() -> CoordinationCounters {
-        let mut c = CoordinationCounters::default();
-        let r = &mut c.registry;
-        r.register(
-            "datagrams_sent",
-            "Datagrams to other members",
-            c.sent.clone(),
-        );
-        r.register("bytes_sent", "Bytes of them", c.sent_bytes.clone());
-        r.register(
-            "datagrams_heard",
-            "Datagrams of other members that were good",
-            c.came.clone(),
-        );
-        r.register(
-            "datagrams_refused",
-            "Malformed, forged, replayed, or of a former life",
-            c.refused.clone(),
-        );
-        r.register(
-            "channel_full",
-            "Messages between tasks that found their channel full",
-            c.full.clone(),
-        );
-        r.register(
-            "leases_given_back",
-            "Leases handed over in order",
-            c.given_back.clone(),
-        );
-        r.register(
-            "keeper_grants",
-            "Askings that this member granted as a keeper",
-            c.granted.clone(),
-        );
-        r.register("leases_held", "Leases that run here", c.held.clone());
-        r.register(
-            "members_here",
-            "Members that are there, this one included",
-            c.members.clone(),
-        );
-        c
+        let mut counters = CoordinationCounters::default();
+        let registered = [
+            (
+                "datagrams_sent",
+                "Datagrams to other members",
+                &counters.datagrams_sent,
+            ),
+            ("bytes_sent", "Bytes of them", &counters.bytes_sent),
+            (
+                "datagrams_heard",
+                "Datagrams of other members that were good",
+                &counters.datagrams_received,
+            ),
+            (
+                "datagrams_refused",
+                "Malformed, forged, replayed, or of a former life",
+                &counters.datagrams_rejected,
+            ),
+            (
+                "channel_full",
+                "Messages between tasks that found their channel full",
+                &counters.dropped_commands,
+            ),
+            (
+                "leases_given_back",
+                "Leases handed over in order",
+                &counters.leases_handed_over,
+            ),
+            (
+                "keeper_grants",
+                "Askings that this member granted as a keeper",
+                &counters.requests_granted,
+            ),
+        ];
+        for (name, help, counter) in registered {
+            counters.registry.register(name, help, counter.clone());
+        }
+        let registered = [
+            ("leases_held", "Leases that run here", &counters.leases_held),
+            (
+                "members_here",
+                "Members that are there, this one included",
+                &counters.members_alive,
+            ),
+        ];
+        for (name, help, gauge) in registered {
+            counters.registry.register(name, help, gauge.clone());
+        }
+        counters
     }
 
-    /// One line, or none where nothing changed.
-    pub fn line(&mut self) -> Option<String> {
+    /// All metrics as one line `name=value ...`, or none where it is the line of the last call.
+    pub fn changed_line(&mut self) -> Option<String> {
         let mut text = String::new();
         encode(&mut text, &self.registry).ok()?;
-        let told = text.lines().filter(|l| !l.starts_with('#'));
-        let line = told
-            .map(|l| l.replacen(' ', "=", 1))
+        let line = text
+            .lines()
+            .filter(|line| !line.starts_with('#'))
+            .map(|line| line.replacen(' ', "=", 1))
             .collect::<Vec<_>>()
             .join(" ");
-        let new = line != self.last;
-        self.last.clone_from(&line);
-        new.then_some(line)
+        let changed = line != self.last_line;
+        self.last_line.clone_from(&line);
+        changed.then_some(line)
     }
 }
--- a/crates/tidewall-coordination/src/effect_scheduler.rs
+++ b/crates/tidewall-coordination/src/effect_scheduler.rs
@@ -1,156 +1,169 @@
-//! What is done for tasks held here, and when: each has its turn every so often, while its lease runs. A task that is
-//! given back is reported as stopped only when nothing of it can be on its way any more: what was sent is answered, or
-//! older than a worker lets a ticket become. No I/O and no clock.
+//! Decides when effects of held tasks are due, and when the execution of a task has stopped. Each task has an effect every
+//! interval while its lease runs. A task whose lease was lost is reported as stopped only when no effect of it can take place any
+//! more: all that were sent are acknowledged, or older than a worker lets a permit become. No I/O and no clock; the executor
+//! task owns it.
 use crate::Time;
 use std::collections::BTreeSet;
 
+/// What the scheduler does to the outside.
 pub trait EffectActions {
-    /// Its turn: an act is to go out, if it still may when its ticket is there.
+    /// An effect of the task is due: it is to go out, if the lease still permits it when the worker's permit is there.
     fn run_effect(&mut self, task: usize);
+    /// No effect under that epoch, or one below, can take place any more.
     fn execution_stopped(&mut self, task: usize, epoch: u64);
 }
 
+/// One task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Hold {
+struct TaskState {
+    /// Of the lease held here; 0 where there is none.
     epoch: u64,
-    until: Time,
-    next: Time,
-    /// Acts on their way, and when the last of them left.
-    out: u32,
-    last: Time,
-    /// Rises when those on their way are given up: an answer that comes later is none of those sent since.
+    expires_at: Time,
+    next_effect: Time,
+    in_flight: u32,
+    last_sent: Time,
+    /// Rises when the effects in flight are given up: an acknowledgement that comes later is none of those sent since.
     round: u32,
-    /// To be reported as stopped.
-    stops: u64,
+    /// The highest epoch that was lost and is to be reported as stopped; 0 where there is none.
+    stopping_epoch: u64,
 }
 
+/// The tasks of a node; see the module's description.
 pub struct EffectScheduler {
-    holds: Vec<Hold>,
-    turns: BTreeSet<(Time, usize)>,
-    stops: BTreeSet<usize>,
-    every: Time,
-    /// How long after it left an act may still take effect, by our own clock.
-    margin: Time,
+    tasks: Vec<TaskState>,
+    /// Held tasks by the time of their next effect.
+    due: BTreeSet<(Time, usize)>,
+    /// Tasks that are to be reported as stopped.
+    stopping: BTreeSet<usize>,
+    interval: Time,
+    effect_timeout: Time,
 }
 
 impl EffectScheduler {
-    pub fn new(tasks: usize, every: Time, margin: Time) -> EffectScheduler {
-        let holds = vec![Hold::default(); tasks];
+    /// For `tasks` tasks, an effect of each every `interval`. An effect may still take place for `effect_timeout` after it was sent,
+    /// by this node's clock.
+    pub fn new(tasks: usize, interval: Time, effect_timeout: Time) -> EffectScheduler {
         EffectScheduler {
-            holds,
-            turns: BTreeSet::new(),
-            stops: BTreeSet::new(),
-            every,
-            margin,
+            tasks: vec![TaskState::default(); tasks],
+            due: BTreeSet::new(),
+            stopping: BTreeSet::new(),
+            interval,
+            effect_timeout,
         }
     }
 
-    /// Under which epoch that task may be acted on now: asked right before the bytes go to the socket.
+    /// The epoch under which an effect of the task may go out now. To be asked right before the bytes are written.
     pub fn permitted_epoch(&self, now: Time, task: usize) -> Option<u64> {
-        self.holds
+        self.tasks
             .get(task)
-            .filter(|h| h.epoch > 0 && now < h.until)
-            .map(|h| h.epoch)
+            .filter(|state| state.epoch > 0 && now < state.expires_at)
+            .map(|state| state.epoch)
     }
 
-    /// `first`: when its first turn is, from now on, for one that was not held before.
-    pub fn lease_acquired(&mut self, now: Time, task: usize, epoch: u64, until: Time, first: Time) {
-        let Some(h) = self
-            .holds
+    /// The lease is held until `until`. The first effect of a task that was not held before is due after `first_delay`. A lease of
+    /// an epoch that is older than what is known, or that was lost, is ignored.
+    pub fn lease_acquired(
+        &mut self,
+        now: Time,
+        task: usize,
+        epoch: u64,
+        until: Time,
+        first_delay: Time,
+    ) {
+        let Some(state) = self
+            .tasks
             .get_mut(task)
-            .filter(|h| epoch >= h.epoch && epoch > h.stops)
+            .filter(|state| epoch >= state.epoch && epoch > state.stopping_epoch)
         else {
             return;
         };
-        let new = h.epoch == 0 || h.next == Time::MAX || now >= h.until;
-        (h.epoch, h.until) = (
-            epoch,
-            if h.epoch == epoch {
-                h.until.max(until)
-            } else {
-                until
-            },
-        );
-        if new {
-            self.turns.remove(&(h.next, task));
-            h.next = now + first;
-            self.turns.insert((h.next, task));
+        let starts = state.epoch == 0 || state.next_effect == Time::MAX || now >= state.expires_at;
+        state.expires_at = if state.epoch == epoch {
+            state.expires_at.max(until)
+        } else {
+            until
+        };
+        state.epoch = epoch;
+        if starts {
+            self.due.remove(&(state.next_effect, task));
+            state.next_effect = now + first_delay;
+            self.due.insert((state.next_effect, task));
         }
     }
 
+    /// The lease of that epoch is lost; `execution_stopped` follows, now or later.
     pub fn lease_lost(
         &mut self,
         now: Time,
-        host: &mut impl EffectActions,
+        actions: &mut impl EffectActions,
         task: usize,
         epoch: u64,
     ) {
-        let Some(h) = self.holds.get_mut(task) else {
+        let Some(state) = self.tasks.get_mut(task) else {
             return;
         };
-        if h.epoch == epoch {
-            self.turns.remove(&(h.next, task));
-            (h.epoch, h.until, h.next) = (0, 0, Time::MAX);
+        if state.epoch == epoch {
+            self.due.remove(&(state.next_effect, task));
+            state.epoch = 0;
+            state.expires_at = 0;
+            state.next_effect = Time::MAX;
         }
-        h.stops = h.stops.max(epoch);
-        self.stops.insert(task);
-        self.look(now, host, task);
+        state.stopping_epoch = state.stopping_epoch.max(epoch);
+        self.stopping.insert(task);
+        self.report_if_stopped(now, actions, task);
     }
 
-    /// An act has left; what it gives back comes with its answer.
+    /// An effect was sent. Its acknowledgement has to name the round that is returned.
     pub fn effect_sent(&mut self, now: Time, task: usize) -> u32 {
-        let h = &mut self.holds[task];
-        h.out += 1;
-        h.last = now;
-        h.round
+        let state = &mut self.tasks[task];
+        state.in_flight += 1;
+        state.last_sent = now;
+        state.round
     }
 
-    /// An act of that round was answered.
+    /// An effect that was sent in that round was acknowledged, or rejected by its worker.
     pub fn effect_acknowledged(
         &mut self,
         now: Time,
-        host: &mut impl EffectActions,
+        actions: &mut impl EffectActions,
         task: usize,
         round: u32,
     ) {
-        let h = &mut self.holds[task];
-        h.out -= u32::from(round == h.round).min(h.out);
-        self.look(now, host, task);
+        let state = &mut self.tasks[task];
+        if round == state.round {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+        self.report_if_stopped(now, actions, task);
     }
 
-    fn look(&mut self, now: Time, host: &mut impl EffectActions, task: usize) {
-        let h = &mut self.holds[task];
-        let over = h.out == 0 || now > h.last + self.margin;
-        if over && self.stops.remove(&task) {
-            host.execution_stopped(task, h.stops);
-            (h.out, h.stops, h.round) = (0, 0, h.round.wrapping_add(1));
+    fn report_if_stopped(&mut self, now: Time, actions: &mut impl EffectActions, task: usize) {
+        let state = &mut self.tasks[task];
+        let stopped = state.in_flight == 0 || now > state.last_sent + self.effect_timeout;
+        if stopped && self.stopping.remove(&task) {
+            actions.execution_stopped(task, state.stopping_epoch);
+            state.in_flight = 0;
+            state.stopping_epoch = 0;
+            state.round = state.round.wrapping_add(1);
         }
     }
 
-    /// Turns that are due, and stops whose time is over.
-    pub fn tick(&mut self, now: Time, host: &mut impl EffectActions) {
-        while let Some((at, task)) = self.turns.first().copied().filter(|t| t.0 <= now) {
-            self.turns.remove(&(at, task));
-            let h = &mut self.holds[task];
-            if h.epoch == 0 || now >= h.until {
-                h.next = Time::MAX;
+    /// Runs the effects that are due, and reports the tasks whose last effect has timed out.
+    pub fn tick(&mut self, now: Time, actions: &mut impl EffectActions) {
+        while let Some((at, task)) = self.due.first().copied().filter(|due| due.0 <= now) {
+            self.due.remove(&(at, task));
+            let state = &mut self.tasks[task];
+            if state.epoch == 0 || now >= state.expires_at {
+                state.next_effect = Time::MAX;
                 continue;
             }
-            // One that is late does not make up for what it missed.
-            h.next = (at + self.every).max(now + 1);
-            self.turns.insert((h.next, task));
-            host.run_effect(task);
+            // A late effect does not make up for those that were missed.
+            state.next_effect = (at + self.interval).max(now + 1);
+            self.due.insert((state.next_effect, task));
+            actions.run_effect(task);
+        }
+        let stopping: Vec<usize> = self.stopping.iter().copied().collect();
+        for task in stopping {
+            self.report_if_stopped(now, actions, task);
         }
-        let stops: Vec<usize> = self.stops.iter().copied().collect();
-        stops
-            .into_iter()
-            .for_each(|task| self.look(now, host, task));
-    }
-
-    pub fn held_count(&self, now: Time) -> usize {
-        self.turns
-            .iter()
-            .filter(|t| self.permitted_epoch(now, t.1).is_some())
-            .count()
     }
 }
--- /dev/null
+++ b/crates/tidewall-coordination/src/lease_task/mod.rs
@@ -0,0 +1,352 @@
+//! The lease task: follows the membership (SWIM) and claims, renews, grants and hands over leases. It runs on a thread of its own and
+//! is the only owner of the UDP socket, the membership, this member's leases and the grants of its grantor. It talks to the
+//! executor task by one mailbox each way and never waits: where the executor's mailbox is full, an acquired lease is announced
+//! at a later tick (until then nothing is executed under it), and a lost one is announced again by its lease as long as it
+//! is not confirmed.
+mod actions;
+mod handover;
+mod outgoing;
+mod receive;
+mod send_budget;
+
+use crate::config::CoordinationConfig;
+use crate::counters::CoordinationCounters;
+use crate::mailbox::{ExecutorCommand, ExecutorEvent, MailboxReceiver, MailboxSender};
+use crate::replay_window::ReplayWindow;
+use crate::{Time, TICK_TIMER};
+use actions::{LocalRequest, TaskActions};
+use outgoing::OutgoingDatagrams;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use send_budget::SendBudget;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use tidewall_lease::assignment::Assignment;
+use tidewall_lease::grantor::{Grant, GrantorReply, LeaseGrantor};
+use tidewall_lease::holder::LeaseHolder;
+use tidewall_membership::Membership;
+use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net};
+use tidewall_vrrp::packet::Keys;
+use tracing::info;
+
+/// How often keys are read again and counters logged, in tenths of a millisecond: seconds suffice for a change of keys by hand.
+const REPORT_INTERVAL: Time = 100_000;
+
+/// A member that shuts down and cannot hand over its leases ends after so many lease durations all the same: by then all
+/// have expired.
+const SHUTDOWN_LEASE_DURATIONS: Time = 2;
+
+/// Sets the random numbers of this task apart from those of the executor, which draws from the same seed.
+const RNG_STREAM: u64 = 0x1ea5e;
+
+/// Why the lease task cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum LeaseTaskError {
+    /// Its address cannot be bound.
+    #[error("{address}: common_address: {source}")]
+    Bind {
+        /// The address of the settings.
+        address: SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+impl From<LeaseTaskError> for String {
+    fn from(error: LeaseTaskError) -> String {
+        error.to_string()
+    }
+}
+
+/// See the module's description. `App` makes it run on any `Net`.
+pub struct LeaseTask<N: Net> {
+    net: N,
+    socket: DatagramSocket,
+    config: CoordinationConfig,
+    membership: Membership,
+    /// Where this member is one of the grantors.
+    grantor: Option<LeaseGrantor>,
+    /// By member: which of the grantors it is.
+    grantor_indices: Vec<Option<usize>>,
+    holder: LeaseHolder,
+    assignment: Assignment,
+    /// By member: when one that has joined is assigned tasks. It may flap, and a start of all must not move tasks in a crowd.
+    assigned_from: Vec<Option<Time>>,
+    actions: TaskActions,
+    /// By member, as a sender.
+    replay_windows: Vec<ReplayWindow>,
+    executor_events: MailboxReceiver<ExecutorEvent>,
+    budget: SendBudget,
+    keys: Keys,
+    /// Stall of the process that the membership knows of.
+    known_stall: Time,
+    last_report: Time,
+    /// When a rejected datagram was logged last; 0 where none was.
+    last_rejection_log: Time,
+    /// What this task counts.
+    pub counters: CoordinationCounters,
+    shutdown: Arc<AtomicBool>,
+    shutdown_began: Option<Time>,
+    finished: bool,
+}
+
+impl<N: Net> LeaseTask<N> {
+    /// Binds the socket and starts the clock of the task. `executor` are the ends of the mailboxes to and from the executor task;
+    /// whoever sets `shutdown` makes this member leave.
+    ///
+    /// # Errors
+    /// Where the address cannot be bound.
+    pub fn new(
+        mut net: N,
+        config: CoordinationConfig,
+        executor: (
+            MailboxSender<ExecutorCommand>,
+            MailboxReceiver<ExecutorEvent>,
+        ),
+        shutdown: Arc<AtomicBool>,
+    ) -> Result<LeaseTask<N>, LeaseTaskError> {
+        let address = config.listen;
+        let (socket, _) = net
+            .bind_datagram(address)
+            .map_err(|source| LeaseTaskError::Bind { address, source })?;
+        let now = net.now();
+        let members = config.member_names.len();
+        let mut rng = ChaCha8Rng::seed_from_u64(config.seed ^ RNG_STREAM);
+        let membership = new_membership(now, &config, &mut rng);
+        let outgoing = OutgoingDatagrams::new(config.member, members, membership.own_update());
+        let (commands, executor_events) = executor;
+        let grantors = &config.grantors;
+        let mut assigned_from = vec![None; members];
+        assigned_from[config.member] = Some(now + config.lease_duration);
+        net.set_timer(now + config.tick_interval(), TICK_TIMER);
+        Ok(LeaseTask {
+            socket,
+            membership,
+            grantor: new_grantor(now, &config),
+            grantor_indices: (0..members)
+                .map(|member| grantors.iter().position(|grantor| *grantor == member))
+                .collect(),
+            holder: LeaseHolder::new(config.lease_config(), config.tasks),
+            assignment: Assignment::new(&config.member_names, config.tasks),
+            assigned_from,
+            actions: TaskActions::new(outgoing, grantors.clone(), commands, rng),
+            replay_windows: vec![ReplayWindow::default(); members],
+            executor_events,
+            budget: SendBudget::new(now, config.datagrams_per_second, config.bytes_per_second),
+            keys: (config.load_keys)(),
+            known_stall: net.total_stall(),
+            last_report: now,
+            last_rejection_log: 0,
+            counters: CoordinationCounters::new(),
+            shutdown,
+            shutdown_began: None,
+            finished: false,
+            net,
+            config,
+        })
+    }
+
+    /// Who is alive, as far as is known here.
+    pub fn members(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// The leases of this member.
+    pub fn holder(&self) -> &LeaseHolder {
+        &self.holder
+    }
+
+    /// Which member should hold the lease of that task, as far as is known here.
+    pub fn preferred_holder(&self, task: usize) -> Option<usize> {
+        self.assignment.owner(task)
+    }
+
+    /// Whether it was shut down and has handed over its leases, or waited for them to expire.
+    pub fn is_finished(&self) -> bool {
+        self.finished
+    }
+
+    /// How many commands found the executor's mailbox full.
+    pub fn dropped_commands(&self) -> u64 {
+        self.actions.commands.dropped
+    }
+
+    /// Silence during a stall of this process says nothing about other members.
+    fn process_stall(&mut self) {
+        let stall = self.net.total_stall();
+        self.membership
+            .process_stalled(stall - std::mem::replace(&mut self.known_stall, stall));
+    }
+
+    fn tick(&mut self) {
+        let now = self.net.now();
+        self.process_stall();
+        while let Some(event) = self.executor_events.try_receive() {
+            self.handle_executor_event(now, event);
+        }
+        self.announce_pending_leases(now);
+        if self.shutdown_began.is_none() && self.shutdown.load(Ordering::Relaxed) {
+            self.begin_shutdown(now);
+        }
+        self.membership.tick(now, &mut self.actions);
+        self.apply_membership_changes(now);
+        self.budget.refill(now);
+        let grantors = self.config.grantors.len() as u64;
+        let max_tasks = self.budget.affordable_tasks(grantors);
+        self.holder.run_due(now, &mut self.actions, max_tasks);
+        self.finish_turn(now);
+        if now >= self.last_report + REPORT_INTERVAL {
+            self.last_report = now;
+            self.report(now);
+        }
+        // One tick later, so that the last datagrams have left.
+        if self.may_finish(now) && std::mem::replace(&mut self.finished, true) {
+            return self.net.stop();
+        }
+        self.net
+            .set_timer(now + self.config.tick_interval(), TICK_TIMER);
+    }
+
+    fn may_finish(&self, now: Time) -> bool {
+        self.shutdown_began.is_some_and(|began| {
+            self.holder.running_count() == 0
+                || now > began + SHUTDOWN_LEASE_DURATIONS * self.config.lease_duration
+        })
+    }
+
+    fn report(&mut self, now: Time) {
+        self.keys = (self.config.load_keys)();
+        let counters = &mut self.counters;
+        counters.leases_held.set(self.holder.held_count(now) as i64);
+        counters
+            .members_alive
+            .set(self.membership.alive_count() as i64);
+        let dropped = self.actions.commands.dropped;
+        counters
+            .dropped_commands
+            .inc_by(dropped - counters.dropped_commands.get());
+        if let Some(line) = counters.changed_line() {
+            info!(member = %self.config.member_name, "{line}");
+        }
+    }
+
+    /// Ends each turn of the task: requests to the own grantor are answered, and all datagrams go out.
+    fn finish_turn(&mut self, now: Time) {
+        while let Some(request) = self.actions.local_requests.pop_front() {
+            self.handle_local_request(now, request);
+        }
+        self.send_datagrams();
+    }
+
+    fn handle_local_request(&mut self, now: Time, request: LocalRequest) {
+        let (member, incarnation) = (self.config.member, self.config.incarnation);
+        let Some(grantor) = &mut self.grantor else {
+            return;
+        };
+        match request {
+            LocalRequest::Prepare { task, ballot } => {
+                if let Some(reply) = grantor.prepare(now, task, ballot, (member, incarnation)) {
+                    self.handle_prepare_reply(now, member, task, ballot, reply);
+                }
+            }
+            LocalRequest::Accept { task, epoch, tag } => {
+                let grant = Grant {
+                    epoch,
+                    member,
+                    incarnation,
+                };
+                if let Some(reply) = grantor.accept(now, task, grant) {
+                    self.handle_accept_reply(now, member, task, (epoch, tag), reply);
+                }
+            }
+            LocalRequest::Release { task, epoch } => grantor.release(now, task, epoch),
+        }
+    }
+
+    /// Replies of members that are no grantors are ignored.
+    fn handle_prepare_reply(
+        &mut self,
+        now: Time,
+        grantor: usize,
+        task: usize,
+        ballot: u64,
+        reply: GrantorReply,
+    ) {
+        if let Some(index) = self.grantor_indices[grantor] {
+            let actions = &mut self.actions;
+            self.holder
+                .prepare_replied(now, actions, (index, task), ballot, reply);
+        }
+    }
+
+    /// Replies of members that are no grantors are ignored. `request` is the epoch and tag of what is replied to.
+    fn handle_accept_reply(
+        &mut self,
+        now: Time,
+        grantor: usize,
+        task: usize,
+        request: (u64, u32),
+        reply: GrantorReply,
+    ) {
+        if let Some(index) = self.grantor_indices[grantor] {
+            let actions = &mut self.actions;
+            self.holder
+                .accept_replied(now, actions, (index, task), request, reply);
+        }
+    }
+}
+
+/// The first probe is at a random time of the period, so that members that start together do not probe together.
+fn new_membership(now: Time, config: &CoordinationConfig, rng: &mut ChaCha8Rng) -> Membership {
+    let first_probe = rng.random_range(0..config.protocol_period.max(1));
+    Membership::new(
+        now,
+        config.member,
+        config.incarnation,
+        config.member_names.len(),
+        config.protocol_period,
+        first_probe,
+    )
+}
+
+fn new_grantor(now: Time, config: &CoordinationConfig) -> Option<LeaseGrantor> {
+    config.grantors.contains(&config.member).then(|| {
+        LeaseGrantor::new(
+            now,
+            config.tasks,
+            config.lease_duration,
+            config.safety_checks,
+        )
+    })
+}
+
+impl<N: Net> App for LeaseTask<N> {
+    type Net = N;
+
+    fn net(&mut self) -> &mut N {
+        &mut self.net
+    }
+    fn accepted(&mut self, _: Listener, _: Conn, _: SocketAddr) {}
+    fn connected(&mut self, _: Conn) {}
+    fn received(&mut self, _: Conn, bytes: &[u8]) -> usize {
+        bytes.len()
+    }
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, _: Conn, _: CloseReason) {}
+
+    fn datagram_received(&mut self, _: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
+        let now = self.net.now();
+        // After a stall what lies unread in the socket is old: times that it tells were counted from before.
+        self.process_stall();
+        if let Err(error) = self.handle_datagram(now, bytes) {
+            self.reject_datagram(now, from, error);
+        }
+        self.apply_membership_changes(now);
+        self.finish_turn(now);
+    }
+
+    fn timer_fired(&mut self, _: u64) {
+        self.tick();
+    }
+}
--- /dev/null
+++ b/crates/tidewall-coordination/src/lease_task/outgoing.rs
@@ -0,0 +1,146 @@
+//! Outgoing datagrams: what is said to one member during a turn of the lease task is packed into as few datagrams as possible,
+//! gossip fills the room that is left, and all go out at the end of the turn.
+use super::LeaseTask;
+use crate::codec::{self, DatagramHeader, DatagramItem, INCARNATION_MASK, MAX_DATAGRAM};
+use std::collections::VecDeque;
+use tidewall_membership::MemberUpdate;
+use tidewall_net::Net;
+
+/// Membership updates in one datagram at most: a dozen bytes each, beside a batch of lease requests.
+const MAX_GOSSIP: usize = 6;
+
+/// The datagram being packed for one member; its body is empty where there is nothing to say.
+#[derive(Clone, Default)]
+struct Draft {
+    body: Vec<u8>,
+    /// It holds a probe or an ack: gossip rides on these alone. On a batch of renewals each update would be repeated to the
+    /// same few grantors, and reach nobody else.
+    carries_probe: bool,
+    /// The member's incarnation as far as it is known; 0 where it is not.
+    incarnation: u64,
+}
+
+struct PackedDatagram {
+    to: usize,
+    body: Vec<u8>,
+}
+
+pub(super) struct OutgoingDatagrams {
+    own_member: usize,
+    last_sequence: u64,
+    /// By member.
+    drafts: Vec<Draft>,
+    /// Members with a draft in the order they were begun; one whose draft was full is here once for each.
+    begun: Vec<usize>,
+    packed: VecDeque<PackedDatagram>,
+    /// What the headers say of this member.
+    own_update: MemberUpdate,
+}
+
+impl OutgoingDatagrams {
+    pub fn new(own_member: usize, members: usize, own_update: MemberUpdate) -> OutgoingDatagrams {
+        OutgoingDatagrams {
+            own_member,
+            last_sequence: 0,
+            drafts: vec![Draft::default(); members],
+            begun: Vec::new(),
+            packed: VecDeque::new(),
+            own_update,
+        }
+    }
+
+    pub fn own_member(&self) -> usize {
+        self.own_member
+    }
+
+    pub fn set_incarnation(&mut self, member: usize, incarnation: u64) {
+        self.drafts[member].incarnation = incarnation;
+    }
+
+    /// Nothing goes to this member itself, or to one that there is not.
+    pub fn add(&mut self, to: usize, item: &DatagramItem) {
+        if to == self.own_member || to >= self.drafts.len() {
+            return;
+        }
+        if self.drafts[to].body.is_empty() {
+            self.begin(to);
+        }
+        if !codec::encode_item(&mut self.drafts[to].body, item) {
+            self.pack(to);
+            self.begin(to);
+            // A header and one item always fit.
+            codec::encode_item(&mut self.drafts[to].body, item);
+        }
+    }
+
+    /// Adds a ping or an ack, with which gossip may go.
+    pub fn add_probe(&mut self, to: usize, item: &DatagramItem) {
+        self.add(to, item);
+        self.drafts[to].carries_probe = true;
+    }
+
+    fn begin(&mut self, to: usize) {
+        self.last_sequence += 1;
+        let draft = &mut self.drafts[to];
+        let header = DatagramHeader {
+            from: self.own_member,
+            to,
+            to_incarnation: draft.incarnation & INCARNATION_MASK,
+            sender: self.own_update,
+            sequence: self.last_sequence,
+        };
+        codec::encode_header(&mut draft.body, &header);
+        self.begun.push(to);
+    }
+
+    fn pack(&mut self, to: usize) {
+        let body = std::mem::take(&mut self.drafts[to].body);
+        if !body.is_empty() {
+            self.packed.push_back(PackedDatagram { to, body });
+        }
+    }
+}
+
+impl<N: Net> LeaseTask<N> {
+    /// Completes all drafts with gossip in the room that they have, and sends them.
+    pub(super) fn send_datagrams(&mut self) {
+        while let Some(to) = self.actions.outgoing.begun.pop() {
+            if !self.actions.outgoing.drafts[to].body.is_empty() {
+                self.add_gossip(to);
+                self.actions.outgoing.pack(to);
+            }
+        }
+        while let Some(PackedDatagram { to, mut body }) = self.actions.outgoing.packed.pop_front() {
+            codec::seal(&mut body, &self.keys);
+            debug_assert!(body.len() <= MAX_DATAGRAM);
+            self.counters.datagrams_sent.inc();
+            self.counters.bytes_sent.inc_by(body.len() as u64);
+            self.budget.spend_datagram(body.len());
+            self.net
+                .send_datagram(self.socket, self.config.member_addresses[to], &body);
+        }
+        self.actions.outgoing.own_update = self.membership.own_update();
+    }
+
+    /// What this member says of the receiver goes first and with any datagram: a receiver that is suspected refutes it.
+    fn add_gossip(&mut self, to: usize) {
+        let draft = &mut self.actions.outgoing.drafts[to];
+        let mut about_receiver = self.membership.update_for(to).map(|update| (to, update));
+        let limit = if std::mem::take(&mut draft.carries_probe) {
+            MAX_GOSSIP
+        } else {
+            usize::from(about_receiver.is_some())
+        };
+        for _ in 0..limit {
+            let next = about_receiver
+                .take()
+                .or_else(|| self.membership.next_gossip());
+            let Some((member, update)) = next else {
+                break;
+            };
+            if !codec::encode_item(&mut draft.body, &DatagramItem::Gossip { member, update }) {
+                break;
+            }
+        }
+    }
+}
--- a/crates/tidewall-coordination/src/mailbox.rs
+++ b/crates/tidewall-coordination/src/mailbox.rs
@@ -1,61 +1,90 @@
-//! Bounded channels between tasks. Nobody waits at either end: what finds its channel full is not sent, and whoever sent it
-//! tries again or does without (`docs/design/common.md` says which).
+//! Bounded channels between the tasks. Nobody waits at either end: a message that finds its channel full is not sent, and the sender
+//! either tries again or does without it (`docs/design/common.md` says which). Each end belongs to one thread; further senders of
+//! a channel are made by [`MailboxSender::clone_sender`].
 #[cfg(not(shuttle))]
 use crossbeam_channel::{bounded, Receiver, Sender};
 #[cfg(shuttle)]
 use shuttle::sync::mpsc::{sync_channel as bounded, Receiver, SyncSender as Sender};
 use std::net::SocketAddr;
 
-/// From the one that holds leases to whoever acts.
+/// From the lease task, and from the gateway's discovery, to the executor task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ExecutorCommand {
-    /// It may be acted on until then, of the common clock, under this epoch.
-    LeaseAcquired { task: usize, epoch: u64, until: u64 },
-    /// No longer; `Stopped` is awaited.
-    LeaseLost { task: usize, epoch: u64 },
-    /// The workers that are there, by name.
+    /// The lease of a task is held here, anew or renewed.
+    LeaseAcquired {
+        /// The task whose lease it is.
+        task: usize,
+        /// Under which its effects go out.
+        epoch: u64,
+        /// When it expires, in tenths of a millisecond of the clock that both tasks read.
+        until: u64,
+    },
+    /// The lease is not held any more; `ExecutionStopped` is awaited.
+    LeaseLost {
+        /// The task whose lease it was.
+        task: usize,
+        /// Of the lost lease.
+        epoch: u64,
+    },
+    /// The complete list of workers, each by name and address.
     EndpointsChanged(Vec<(String, SocketAddr)>),
 }
 
+/// From the executor task to the lease task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExecutorEvent {
-    /// Nothing of that task is on its way any more.
-    ExecutionStopped { task: usize, epoch: u64 },
-    /// A worker has seen this epoch, newer than ours.
-    Seen { task: usize, epoch: u64 },
+    /// No effect of the task can take place any more.
+    ExecutionStopped {
+        /// The task that has stopped.
+        task: usize,
+        /// Of the lost lease.
+        epoch: u64,
+    },
+    /// A worker has seen a higher epoch than that of the lease held here.
+    HigherEpochSeen {
+        /// The task whose effect was rejected.
+        task: usize,
+        /// The epoch that the worker knows.
+        epoch: u64,
+    },
 }
 
+/// The sending end.
 pub struct MailboxSender<T> {
-    out: Sender<T>,
-    /// Messages that found the channel full.
-    pub full: u64,
+    sender: Sender<T>,
+    /// How many messages of this sender found the channel full or the receiver gone.
+    pub dropped: u64,
 }
 
+/// The receiving end.
 pub struct MailboxReceiver<T>(Receiver<T>);
 
-pub fn channel<T>(most: usize) -> (MailboxSender<T>, MailboxReceiver<T>) {
-    let (out, inbox) = bounded(most);
-    (MailboxSender { out, full: 0 }, MailboxReceiver(inbox))
+/// A channel that holds up to `capacity` messages.
+pub fn channel<T>(capacity: usize) -> (MailboxSender<T>, MailboxReceiver<T>) {
+    let (sender, receiver) = bounded(capacity);
+    let sender = MailboxSender { sender, dropped: 0 };
+    (sender, MailboxReceiver(receiver))
 }
 
 impl<T> MailboxSender<T> {
-    /// False where the channel is full, or the other task is gone.
+    /// Never waits. False where the channel is full, or the other task is gone.
     pub fn send(&mut self, message: T) -> bool {
-        let sent = self.out.try_send(message).is_ok();
-        self.full += u64::from(!sent);
+        let sent = self.sender.try_send(message).is_ok();
+        self.dropped += u64::from(!sent);
         sent
     }
 
-    /// A further sender of the same channel.
+    /// A further sender of the same channel, with a count of its own.
     pub fn clone_sender(&self) -> MailboxSender<T> {
         MailboxSender {
-            out: self.out.clone(),
-            full: 0,
+            sender: self.sender.clone(),
+            dropped: 0,
         }
     }
 }
 
 impl<T> MailboxReceiver<T> {
+    /// Never waits.
     pub fn try_receive(&self) -> Option<T> {
         self.0.try_recv().ok()
     }
--- a/crates/tidewall-coordination/src/orderings_tests.rs
+++ b/crates/tidewall-coordination/src/orderings_tests.rs
@@ -1,5 +1,5 @@
-//! Orderings of the task that holds and the task that acts, each run another: the shipped channels on shuttle's primitives,
-//! the shipped `EffectScheduler` and `Lease` at their ends.
+//! Thread orderings of the lease task and the executor task, explored by shuttle: the shipped mailboxes on shuttle's primitives, the
+//! shipped `EffectScheduler` at one end, and a stand-in for the lease task at the other.
 use crate::effect_scheduler::{EffectActions, EffectScheduler};
 use crate::mailbox::{channel, ExecutorCommand, ExecutorEvent, MailboxReceiver, MailboxSender};
 use shuttle::sync::Mutex;
@@ -9,61 +9,76 @@
 const RUNS: usize = 5_000;
 const STEPS: u64 = 25;
 
-struct Side {
-    turns: Vec<usize>,
-    post: MailboxSender<ExecutorEvent>,
-    /// Planted: says that it stopped as soon as it is told to.
-    early: bool,
+/// What happened, in order.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Entry {
+    /// An effect took place at the worker, under this epoch.
+    Effect(u64),
+    /// The lease of this epoch was given back.
+    GivenBack(u64),
 }
 
-impl EffectActions for Side {
+struct Output {
+    due: Vec<usize>,
+    events: MailboxSender<ExecutorEvent>,
+    /// Planted fault: reports that execution has stopped as soon as the lease is lost.
+    reports_early: bool,
+}
+
+impl EffectActions for Output {
     fn run_effect(&mut self, task: usize) {
-        self.turns.push(task);
+        self.due.push(task);
     }
     fn execution_stopped(&mut self, task: usize, epoch: u64) {
-        self.post
+        self.events
             .send(ExecutorEvent::ExecutionStopped { task, epoch });
     }
 }
 
-/// The task that acts, and a worker at which acts take effect some time after they left.
-fn act(inbox: MailboxReceiver<ExecutorCommand>, mut side: Side, log: Arc<Mutex<Vec<(u64, bool)>>>) {
-    let (mut to, way) = channel::<(u64, u32)>(2);
-    let (mut answer, answers) = channel::<u32>(2);
+/// The executor task, and a worker at which effects take place some time after they were sent.
+fn execute(
+    commands: MailboxReceiver<ExecutorCommand>,
+    mut output: Output,
+    log: Arc<Mutex<Vec<Entry>>>,
+) {
+    let (mut effects, effects_received) = channel::<(u64, u32)>(2);
+    let (mut acknowledgements, acknowledged) = channel::<u32>(2);
     let worker = thread::spawn(move || {
         for _ in 0..STEPS {
-            if let Some((epoch, round)) = way.try_receive() {
-                log.lock().unwrap().push((epoch, false));
-                answer.send(round);
+            if let Some((epoch, round)) = effects_received.try_receive() {
+                log.lock().unwrap().push(Entry::Effect(epoch));
+                acknowledgements.send(round);
             }
             thread::yield_now();
         }
     });
-    let mut acts = EffectScheduler::new(1, 1, 1_000);
+    let mut scheduler = EffectScheduler::new(1, 1, 1_000);
     for now in 0..STEPS {
-        while let Some(message) = inbox.try_receive() {
-            match message {
+        while let Some(command) = commands.try_receive() {
+            match command {
                 ExecutorCommand::LeaseAcquired { task, epoch, until } => {
-                    acts.lease_acquired(now, task, epoch, until, 0)
+                    scheduler.lease_acquired(now, task, epoch, until, 0);
                 }
                 ExecutorCommand::LeaseLost { task, epoch } => {
-                    if side.early {
-                        side.post
+                    if output.reports_early {
+                        output
+                            .events
                             .send(ExecutorEvent::ExecutionStopped { task, epoch });
                     }
-                    acts.lease_lost(now, &mut side, task, epoch);
+                    scheduler.lease_lost(now, &mut output, task, epoch);
                 }
                 ExecutorCommand::EndpointsChanged(_) => {}
             }
         }
-        while let Some(round) = answers.try_receive() {
-            acts.effect_acknowledged(now, &mut side, 0, round);
+        while let Some(round) = acknowledged.try_receive() {
+            scheduler.effect_acknowledged(now, &mut output, 0, round);
         }
-        acts.tick(now, &mut side);
-        if let Some(epoch) = side.turns.pop().and_then(|_| acts.permitted_epoch(now, 0)) {
-            let round = acts.effect_sent(now, 0);
-            if !to.send((epoch, round)) {
-                acts.effect_acknowledged(now, &mut side, 0, round);
+        scheduler.tick(now, &mut output);
+        let due = output.due.pop();
+        if let Some(epoch) = due.and_then(|_| scheduler.permitted_epoch(now, 0)) {
+            let round = scheduler.effect_sent(now, 0);
+            if !effects.send((epoch, round)) {
+                scheduler.effect_acknowledged(now, &mut output, 0, round);
             }
         }
         thread::yield_now();
@@ -71,59 +86,57 @@
     worker.join().unwrap();
 }
 
-/// Nothing takes effect after the one that holds has heard that it stopped; a full channel loses no stop for good.
-fn nothing_after_stopped(most: usize, early: bool) {
-    let (mut to, inbox) = channel(most);
-    let (post, from) = channel(most);
+/// No effect takes place after the lease task has received that execution stopped; a full mailbox loses no stop for good.
+fn no_effect_after_stopped(capacity: usize, reports_early: bool) {
+    let (mut commands, commands_received) = channel(capacity);
+    let (events, events_received) = channel(capacity);
     let log = Arc::new(Mutex::new(Vec::new()));
-    let acting = {
+    let executor = {
         let log = log.clone();
-        thread::spawn(move || {
-            act(
-                inbox,
-                Side {
-                    turns: Vec::new(),
-                    post,
-                    early,
-                },
-                log,
-            )
-        })
+        let output = Output {
+            due: Vec::new(),
+            events,
+            reports_early,
+        };
+        thread::spawn(move || execute(commands_received, output, log))
     };
-    to.send(ExecutorCommand::LeaseAcquired {
+    commands.send(ExecutorCommand::LeaseAcquired {
         task: 0,
         epoch: 5,
         until: u64::MAX,
     });
     thread::yield_now();
     for _ in 0..STEPS {
-        // Told again, as a lease that is given back is.
-        to.send(ExecutorCommand::LeaseLost { task: 0, epoch: 5 });
+        // Sent again and again, as a lease that is to be given back does.
+        commands.send(ExecutorCommand::LeaseLost { task: 0, epoch: 5 });
         thread::yield_now();
-        if from.try_receive() == Some(ExecutorEvent::ExecutionStopped { task: 0, epoch: 5 }) {
-            // Given back: whoever acts from now on is another.
-            log.lock().unwrap().push((5, true));
+        if events_received.try_receive()
+            == Some(ExecutorEvent::ExecutionStopped { task: 0, epoch: 5 })
+        {
+            // From now on another member executes the task.
+            log.lock().unwrap().push(Entry::GivenBack(5));
             break;
         }
     }
-    acting.join().unwrap();
+    executor.join().unwrap();
     let log = log.lock().unwrap();
-    let given = log.iter().position(|l| l.1).unwrap_or(log.len());
+    let given_back = |entry: &Entry| matches!(entry, Entry::GivenBack(_));
+    let first = log.iter().position(given_back).unwrap_or(log.len());
     assert!(
-        log[given..].iter().all(|l| l.1),
-        "an act took effect after it was given back: {log:?}"
+        log[first..].iter().all(given_back),
+        "an effect took place after the lease was given back: {log:?}"
     );
 }
 
 #[test]
-fn no_act_takes_effect_after_its_task_was_given_back() {
-    shuttle::check_random(|| nothing_after_stopped(1, false), RUNS);
-    shuttle::check_random(|| nothing_after_stopped(4, false), RUNS);
-    shuttle::check_pct(|| nothing_after_stopped(2, false), RUNS, 3);
+fn no_effect_takes_place_after_the_lease_was_given_back() {
+    shuttle::check_random(|| no_effect_after_stopped(1, false), RUNS);
+    shuttle::check_random(|| no_effect_after_stopped(4, false), RUNS);
+    shuttle::check_pct(|| no_effect_after_stopped(2, false), RUNS, 3);
 }
 
 #[test]
-#[should_panic(expected = "an act took effect")]
-fn a_planted_early_word_is_seen() {
-    shuttle::check_random(|| nothing_after_stopped(4, true), RUNS);
+#[should_panic(expected = "an effect took place")]
+fn a_planted_early_report_is_detected() {
+    shuttle::check_random(|| no_effect_after_stopped(4, true), RUNS);
 }
--- a/crates/tidewall-coordination/tests/codec.rs
+++ b/crates/tidewall-coordination/tests/codec.rs
@@ -1,116 +1,116 @@
 //! Datagrams: what is not good costs itself alone, and nothing of it counts.
+#![allow(clippy::unwrap_used, missing_docs)]
 use test_case::test_case;
+use tidewall_coordination::codec::DatagramItem::{self, *};
+use tidewall_coordination::codec::LeaseReply::*;
+use tidewall_coordination::codec::LeaseRequest::*;
 use tidewall_coordination::codec::{
-    self, head, item, items, open, read_head, seal, DatagramEvents, DatagramHeader, ReplayWindow,
-    DATAGRAM,
+    decode_header, decode_items, encode_header, encode_item, open, seal, DatagramError,
+    DatagramHeader, INCARNATION_MASK, MAX_DATAGRAM,
 };
-use tidewall_lease::grantor::GrantorReply;
+use tidewall_coordination::replay_window::ReplayWindow;
+use tidewall_lease::grantor::Grant;
 use tidewall_membership::{MemberState, MemberUpdate};
 use tidewall_vrrp::packet::Keys;
 
-/// What was called, a line each.
-#[derive(Default)]
-struct Said(Vec<String>);
+/// All items, or none where one is malformed.
+fn items(items: &[u8]) -> Result<Vec<DatagramItem>, DatagramError> {
+    decode_items(items).map(Iterator::collect)
+}
 
-impl DatagramEvents for Said {
-    fn ping(&mut self, from: usize, seq: u32) {
-        self.0.push(format!("ping {from} {seq}"));
-    }
-    fn ping_for(&mut self, from: usize, target: usize, seq: u32) {
-        self.0.push(format!("ping for {from} {target} {seq}"));
-    }
-    fn ack(&mut self, from: usize, of: usize, seq: u32) {
-        self.0.push(format!("ack {from} {of} {seq}"));
-    }
-    fn word(&mut self, member: usize, word: MemberUpdate) {
-        self.0.push(format!(
-            "word {member} {} {} {:?}",
-            word.incarnation, word.refutation, word.state
-        ));
-    }
-    fn prepare(&mut self, from: usize, task: usize, count: u64) {
-        self.0.push(format!("prepare {from} {task} {count}"));
-    }
-    fn accept(&mut self, from: usize, task: usize, count: u64, tag: u32) {
-        self.0.push(format!("accept {from} {task} {count} {tag}"));
-    }
-    fn release(&mut self, from: usize, task: usize, count: u64) {
-        self.0.push(format!("release {from} {task} {count}"));
-    }
-    fn handed(&mut self, task: usize) {
-        self.0.push(format!("handed {task}"));
-    }
-    fn promised(&mut self, from: usize, task: usize, count: u64, told: GrantorReply) {
-        let p = told.state;
-        let last = (
-            p.promised,
-            p.accepted.epoch,
-            p.accepted.member,
-            p.accepted.incarnation,
-            told.remaining,
-        );
-        self.0.push(format!(
-            "promised {from} {task} {count} {} {last:?}",
-            told.granted
-        ));
-    }
-    fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: GrantorReply) {
-        self.0.push(format!(
-            "accepted {from} {task} {count} {tag} {} {}",
-            told.granted, told.state.promised
-        ));
+const fn grant(epoch: u64, member: usize, incarnation: u64) -> Grant {
+    Grant {
+        epoch,
+        member,
+        incarnation,
     }
 }
 
+const ACCEPT: DatagramItem = Request(Accept {
+    task: 4,
+    ballot_count: 5,
+    tag: 6,
+});
+
+const GOSSIP: DatagramItem = Gossip {
+    member: 4,
+    update: MemberUpdate {
+        incarnation: 9,
+        refutation: 1,
+        state: MemberState::Dead,
+    },
+};
+
 fn keys(key: &[u8]) -> Keys {
     Keys(vec![(3, key.to_vec())])
 }
 
-const HEAD: DatagramHeader = DatagramHeader {
+const HEADER: DatagramHeader = DatagramHeader {
     from: 2,
     to: 1,
-    to_life: 77,
-    word: MemberUpdate {
+    to_incarnation: 77,
+    sender: MemberUpdate {
         incarnation: 1_764_633_600_000,
         refutation: 3,
         state: MemberState::Alive,
     },
-    number: 9,
+    sequence: 9,
 };
 
-fn body(list: &[(u64, &[u64])]) -> Vec<u8> {
+fn body(items: &[DatagramItem]) -> Vec<u8> {
     let mut body = Vec::new();
-    head(&mut body, &HEAD);
-    assert!(list.iter().all(|(kind, n)| item(&mut body, *kind, n)));
+    encode_header(&mut body, &HEADER);
+    assert!(items.iter().all(|item| encode_item(&mut body, item)));
     body
 }
 
-#[test_case(item::PING, &[5], "ping 2 5")]
-#[test_case(item::PING_FOR, &[4, 5], "ping for 2 4 5")]
-#[test_case(item::ACK, &[4, 5], "ack 2 4 5")]
-#[test_case(item::WORD, &[4, 9, 1, 2], "word 4 9 1 Dead")]
-#[test_case(item::PREPARE, &[4, 5], "prepare 2 4 5")]
-#[test_case(item::PROMISED, &[4, 5, 6, 7, 8, 9], "promised 2 4 5 true (5, 6, 7, 8, 9)")]
-#[test_case(item::NOT_PROMISED, &[4, 5, 6, 7, 8, 9, 10], "promised 2 4 5 false (6, 7, 8, 9, 10)")]
-#[test_case(item::ACCEPT, &[4, 5, 6], "accept 2 4 5 6")]
-#[test_case(item::ACCEPTED, &[4, 5, 6], "accepted 2 4 5 6 true 5")]
-#[test_case(item::NOT_ACCEPTED, &[4, 5, 6, 7, 8, 9, 10, 11], "accepted 2 4 5 6 false 7")]
-#[test_case(item::RELEASE, &[4, 5], "release 2 4 5")]
-#[test_case(item::HANDED, &[4], "handed 4")]
-fn each_item_is_one_call(kind: u64, numbers: &[u64], said: &str) {
-    let mut bytes = body(&[(kind, numbers)]);
+/// What follows the header, as the numbers of `docs/wire.md`.
+fn numbers(items: &[u8]) -> Vec<u64> {
+    let mut decoder = minicbor::Decoder::new(items);
+    let mut numbers = Vec::new();
+    while decoder.position() < items.len() {
+        numbers.push(decoder.u64().unwrap());
+    }
+    numbers
+}
+
+#[test_case(Ping { sequence: 5 }, &[1, 5])]
+#[test_case(IndirectPing { target: 4, sequence: 5 }, &[2, 4, 5])]
+#[test_case(Ack { subject: 4, sequence: 5 }, &[3, 4, 5])]
+#[test_case(GOSSIP, &[4, 4, 9, 1, 2])]
+#[test_case(Request(Prepare { task: 4, ballot_count: 5 }), &[5, 4, 5])]
+#[test_case(
+    Reply(Promised { task: 4, ballot_count: 5, accepted: grant(6, 7, 8), remaining: 9 }),
+    &[6, 4, 5, 6, 7, 8, 9]
+)]
+#[test_case(
+    Reply(PrepareRejected { task: 4, ballot_count: 5, promised: 6, accepted: grant(7, 8, 9), remaining: 10 }),
+    &[7, 4, 5, 6, 7, 8, 9, 10]
+)]
+#[test_case(ACCEPT, &[8, 4, 5, 6])]
+#[test_case(Reply(Accepted { task: 4, ballot_count: 5, tag: 6 }), &[9, 4, 5, 6])]
+#[test_case(
+    Reply(AcceptRejected { task: 4, ballot_count: 5, tag: 6, promised: 7, accepted: grant(8, 9, 10), remaining: 11 }),
+    &[10, 4, 5, 6, 7, 8, 9, 10, 11]
+)]
+#[test_case(Request(Release { task: 4, ballot_count: 5 }), &[11, 4, 5])]
+#[test_case(HandedOver { task: 4 }, &[12, 4])]
+fn each_item_is_decoded_as_it_was_encoded(item: DatagramItem, on_the_wire: &[u64]) {
+    let mut bytes = body(&[item]);
     seal(&mut bytes, &keys(b"key"));
     let body = open(&bytes, &keys(b"key")).unwrap();
-    let (told, at) = read_head(body).unwrap();
-    let mut heard = Said::default();
-    items(&body[at..], told.from, &mut heard).unwrap();
-    assert_eq!((told, heard.0), (HEAD, vec![said.to_string()]));
+    let (header, items_start) = decode_header(body).unwrap();
+    assert_eq!(numbers(&body[items_start..]), on_the_wire);
+    assert_eq!(
+        (header, items(&body[items_start..])),
+        (HEADER, Ok(vec![item]))
+    );
 }
 
 /// Any bit of a sealed datagram, and any cut of it.
 #[test]
-fn nothing_that_was_changed_is_opened() {
-    let mut bytes = body(&[(item::ACCEPT, &[4, 5, 6]), (item::WORD, &[4, 9, 1, 2])]);
+fn a_tampered_datagram_is_not_opened() {
+    let mut bytes = body(&[ACCEPT, GOSSIP]);
     seal(&mut bytes, &keys(b"key"));
     for bit in 0..bytes.len() * 8 {
         let mut bytes = bytes.clone();
@@ -119,25 +119,30 @@
     }
     assert!((0..bytes.len()).all(|len| open(&bytes[..len], &keys(b"key")).is_err()));
     assert!(open(&bytes, &keys(b"other")).is_err());
-    assert!(open(&[0; DATAGRAM + 1], &keys(b"key")).is_err());
+    assert!(open(&[0; MAX_DATAGRAM + 1], &keys(b"key")).is_err());
 }
 
-/// Under a good seal: cut anywhere, or any octet changed, all of it counts or nothing.
+/// Under a good seal: cut anywhere, or any octet changed, all items are decoded or none.
 #[test]
-fn what_is_malformed_under_the_seal_does_nothing() {
-    let whole = body(&[
-        (item::ACCEPT, &[4, 5, 6]),
-        (item::HANDED, &[7]),
-        (item::WORD, &[4, 9, 1, 2]),
-    ]);
-    let (_, at) = read_head(&whole).unwrap();
+fn a_malformed_body_yields_no_item() {
+    let whole = body(&[ACCEPT, HandedOver { task: 7 }, GOSSIP]);
+    let (_, items_start) = decode_header(&whole).unwrap();
     let judge = |bytes: &[u8]| {
-        let Ok((told, at)) = read_head(bytes) else {
+        let Ok((_, items_start)) = decode_header(bytes) else {
+            return;
+        };
+        let Ok(decoded) = decode_items(&bytes[items_start..]) else {
             return;
         };
-        let mut heard = Said::default();
-        let done = items(&bytes[at..], told.from, &mut heard);
-        assert!(done.is_ok() || heard.0.is_empty(), "{:?}", heard.0);
+        // What was found good is read to its end: encoded again, it is the same numbers and the same items.
+        let decoded: Vec<DatagramItem> = decoded.collect();
+        let again = body(&decoded);
+        let (_, again_start) = decode_header(&again).unwrap();
+        assert_eq!(
+            numbers(&again[again_start..]),
+            numbers(&bytes[items_start..])
+        );
+        assert_eq!(items(&again[again_start..]), Ok(decoded));
     };
     for len in 0..whole.len() {
         judge(&whole[..len]);
@@ -148,22 +153,23 @@
         }
     }
     assert_eq!(
-        items(&whole[at..whole.len() - 1], 2, &mut Said::default()),
-        Err("item: no number")
+        items(&whole[items_start..whole.len() - 1]),
+        Err(DatagramError::MalformedItem)
     );
+    assert_eq!(DatagramError::MalformedItem.to_string(), "item: no number");
 }
 
-#[test_case(&[(5, 1, true), (5, 1, false)] ; "played again")]
-#[test_case(&[(5, 2, true), (5, 1, true), (5, 1, false)] ; "overtaken, then played again")]
+#[test_case(&[(5, 1, true), (5, 1, false)] ; "replayed")]
+#[test_case(&[(5, 2, true), (5, 1, true), (5, 1, false)] ; "overtaken, then replayed")]
 #[test_case(&[(5, 100, true), (5, 36, false)] ; "too old to tell")]
-#[test_case(&[(5, 1, true), (6, 1, true), (5, 2, false)] ; "a former life")]
-fn numbers_are_heard_once(told: &[(u64, u64, bool)]) {
+#[test_case(&[(5, 1, true), (6, 1, true), (5, 2, false)] ; "a former incarnation")]
+fn each_sequence_number_is_admitted_once(datagrams: &[(u64, u64, bool)]) {
     let mut window = ReplayWindow::default();
-    for (life, number, good) in told {
+    for (incarnation, sequence, admitted) in datagrams {
         assert_eq!(
-            window.new_one(*life, *number).is_ok(),
-            *good,
-            "{life} {number}"
+            window.admit(*incarnation, *sequence).is_ok(),
+            *admitted,
+            "{incarnation} {sequence}"
         );
     }
 }
@@ -172,31 +178,34 @@
 #[test]
 fn a_datagram_stays_within_its_bound() {
     let mut body = Vec::new();
-    head(
+    encode_header(
         &mut body,
         &DatagramHeader {
             from: 4_095,
             to: 4_095,
-            to_life: codec::LIFE,
-            number: u64::MAX,
-            ..HEAD
+            to_incarnation: INCARNATION_MASK,
+            sequence: u64::MAX,
+            ..HEADER
         },
     );
     let before = body.len();
-    let full = [
-        u64::from(u32::MAX),
-        u64::MAX,
-        u64::from(u32::MAX),
-        u64::MAX,
-        u64::MAX,
-        5,
-        u64::MAX,
-        u64::MAX,
-    ];
-    assert!(item(&mut body, item::NOT_ACCEPTED, &full) && body.len() > before);
-    while item(&mut body, item::ACCEPT, &[9_999, 1 << 20, 1 << 20]) {}
+    let longest = Reply(AcceptRejected {
+        task: u32::MAX as usize,
+        ballot_count: u64::MAX,
+        tag: u32::MAX,
+        promised: u64::MAX,
+        accepted: grant(u64::MAX, 5, u64::MAX),
+        remaining: u64::MAX,
+    });
+    assert!(encode_item(&mut body, &longest) && body.len() > before);
+    let request = Request(Accept {
+        task: 9_999,
+        ballot_count: 1 << 20,
+        tag: 1 << 20,
+    });
+    while encode_item(&mut body, &request) {}
     let len = body.len();
-    assert!(!item(&mut body, item::ACCEPT, &[9_999, 1 << 20, 1 << 20]) && body.len() == len);
+    assert!(!encode_item(&mut body, &request) && body.len() == len);
     seal(&mut body, &keys(b"key"));
-    assert!(body.len() <= DATAGRAM);
+    assert!(body.len() <= MAX_DATAGRAM);
 }
--- a/crates/tidewall-sim/src/fleet.rs
+++ b/crates/tidewall-sim/src/fleet.rs
@@ -346,8 +346,8 @@
 fn process(setup: &Setup, s: &Section, hands: &[Memory; 3], me: usize, life: u64) -> Process {
     let seed = setup.seed * 1_000 + life * 16 + me as u64;
     let conf = CoordinationConfig::new(s, me, life, seed, setup.plant.guards(), Box::new(keys));
-    let (to_acts, acts_inbox) = channel::<ExecutorCommand>(conf.channel);
-    let (from_acts, inbox) = channel(conf.channel);
+    let (to_acts, acts_inbox) = channel::<ExecutorCommand>(conf.channel_capacity);
+    let (from_acts, inbox) = channel(conf.channel_capacity);
     let mut watch: MailboxSender<ExecutorCommand> = to_acts.clone_sender();
     let told = Arc::new(AtomicBool::new(false));
     let over = Arc::new(AtomicBool::new(false));
@@ -463,7 +463,9 @@
     /// Where no gateway is played nobody else tells the workers.
     fn started(&mut self, m: usize) {
         if self.processes[m].gateway.is_err() {
-            self.processes[m].acting.workers(self.workers.clone());
+            self.processes[m]
+                .acting
+                .update_endpoints(self.workers.clone());
         }
     }
 
@@ -505,8 +507,8 @@
             hand.kill();
         }
         (p.back, p.leaves) = (Some(now + back), None);
-        self.counted.refused += p.keeping.counts.refused.get();
-        self.counted.datagrams += p.keeping.counts.sent.get();
+        self.counted.refused += p.keeping.counters.datagrams_rejected.get();
+        self.counted.datagrams += p.keeping.counters.datagrams_sent.get();
         self.counted.full += p.keeping.dropped_commands();
         if !p.ended {
             self.fleet.killed(m, true);
@@ -846,8 +848,8 @@
                 .map(move |b| format!("rule {}: {b}", i + 1))
         }));
         for p in &self.processes {
-            self.counted.refused += p.keeping.counts.refused.get();
-            self.counted.datagrams += p.keeping.counts.sent.get();
+            self.counted.refused += p.keeping.counters.datagrams_rejected.get();
+            self.counted.datagrams += p.keeping.counters.datagrams_sent.get();
             self.counted.full += p.keeping.dropped_commands();
         }
         let results = self.fleet.results();
@@ -1063,8 +1065,8 @@
             .iter()
             .map(|p| {
                 (
-                    p.keeping.counts.sent.get(),
-                    p.keeping.counts.sent_bytes.get(),
+                    p.keeping.counters.datagrams_sent.get(),
+                    p.keeping.counters.bytes_sent.get(),
                 )
             })
             .collect()
--- a/crates/tidewall-sim/src/mutate.rs
+++ b/crates/tidewall-sim/src/mutate.rs
@@ -125,17 +125,17 @@
 
 /// What of a lease's business it is, before anything that goes along: the highest kind.
 fn kind(body: &[u8]) -> &'static str {
-    let Ok((_, at)) = codec::read_head(body) else {
+    let Ok((_, at)) = codec::decode_header(body) else {
         return KINDS[0];
     };
     let (mut d, mut highest) = (Decoder::new(&body[at..]), 0);
     while d.position() < body.len() - at {
         let Ok(kind) = d.u64() else { break };
-        let len = codec::item::LENGTHS
+        let len = codec::kind::FIELD_COUNTS
             .get(kind as usize)
             .copied()
             .unwrap_or(0);
-        if kind as usize != codec::item::WORD as usize {
+        if kind as usize != codec::kind::GOSSIP as usize {
             highest = highest.max(kind as usize);
         }
         if (0..len).any(|_| d.u64().is_err()) {
