Coordination: ordinary English in docs and comments, raw items as a struct

Cause: some descriptions kept the old manner of speaking; the kind and numbers of an item went around as a tuple.

--- a/crates/tidewall-coordination/src/codec/error.rs
+++ b/crates/tidewall-coordination/src/codec/error.rs
@@ -6,10 +6,10 @@
     /// Longer than `MAX_DATAGRAM`.
     #[error("length: over 256")]
     TooLong,
-    /// Too short to hold a key's number and an HMAC.
+    /// Too short to hold a key id and an HMAC.
     #[error("length: cut short")]
     TooShort,
-    /// Sealed with a key that is not known here.
+    /// Sealed with an unknown key.
     #[error("key: unknown")]
     UnknownKey,
     /// The HMAC does not match.
--- a/crates/tidewall-coordination/src/codec/item.rs
+++ b/crates/tidewall-coordination/src/codec/item.rs
@@ -5,7 +5,7 @@
 use tidewall_membership::{MemberState, MemberUpdate};
 
 /// Numbers of the longest item.
-pub(super) const MAX_FIELDS: usize = 8;
+const MAX_FIELDS: usize = 8;
 
 /// A message to a member; a datagram carries one or more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     Gossip {
         /// The member that it is about.
         member: usize,
-        /// What is said of it.
+        /// Its state.
         update: MemberUpdate,
     },
     /// From a lease holder to a grantor.
@@ -106,51 +106,60 @@
     if decoder.position() >= decoder.input().len() {
         return None;
     }
-    Some(read_numbers(decoder).and_then(|(kind, numbers)| item_of(kind, &numbers)))
+    Some(RawItem::read(decoder).and_then(|raw| raw.item()))
 }
 
-fn read_numbers(decoder: &mut Decoder) -> Result<(u64, [u64; MAX_FIELDS]), DatagramError> {
-    let kind = decoder.u64().map_err(|_| DatagramError::MissingKind)?;
-    let count = *kind::FIELD_COUNTS
-        .get(kind as usize)
-        .filter(|count| **count > 0)
-        .ok_or(DatagramError::UnknownKind)?;
-    let mut numbers = [0; MAX_FIELDS];
-    for number in &mut numbers[..count] {
-        *number = decoder.u64().map_err(|_| DatagramError::MalformedItem)?;
-    }
-    Ok((kind, numbers))
+/// An item as it is on the wire.
+pub(super) struct RawItem {
+    pub kind: u64,
+    /// Those that the kind does not have are 0.
+    pub numbers: [u64; MAX_FIELDS],
 }
 
-/// Numbers that become indices or 32-bit numbers have to fit.
-fn item_of(kind: u64, numbers: &[u64; MAX_FIELDS]) -> Result<DatagramItem, DatagramError> {
-    let n = numbers;
-    Ok(match kind {
-        kind::PING => DatagramItem::Ping {
-            sequence: small(n[0])?,
-        },
-        kind::INDIRECT_PING => DatagramItem::IndirectPing {
-            target: index(n[0])?,
-            sequence: small(n[1])?,
-        },
-        kind::ACK => DatagramItem::Ack {
-            subject: index(n[0])?,
-            sequence: small(n[1])?,
-        },
-        kind::GOSSIP => DatagramItem::Gossip {
-            member: index(n[0])?,
-            update: MemberUpdate {
-                incarnation: n[1],
-                refutation: small(n[2])?,
-                state: member_state(n[3])?,
-            },
-        },
-        kind::PREPARE | kind::ACCEPT | kind::RELEASE => {
-            DatagramItem::Request(LeaseRequest::from_numbers(kind, n)?)
+impl RawItem {
+    fn read(decoder: &mut Decoder) -> Result<RawItem, DatagramError> {
+        let kind = decoder.u64().map_err(|_| DatagramError::MissingKind)?;
+        let count = *kind::FIELD_COUNTS
+            .get(kind as usize)
+            .filter(|count| **count > 0)
+            .ok_or(DatagramError::UnknownKind)?;
+        let mut numbers = [0; MAX_FIELDS];
+        for number in &mut numbers[..count] {
+            *number = decoder.u64().map_err(|_| DatagramError::MalformedItem)?;
         }
-        kind::HANDED_OVER => DatagramItem::HandedOver { task: index(n[0])? },
-        _ => DatagramItem::Reply(LeaseReply::from_numbers(kind, n)?),
-    })
+        Ok(RawItem { kind, numbers })
+    }
+
+    /// Numbers that become indices or 32-bit numbers have to fit.
+    fn item(&self) -> Result<DatagramItem, DatagramError> {
+        let n = &self.numbers;
+        Ok(match self.kind {
+            kind::PING => DatagramItem::Ping {
+                sequence: small(n[0])?,
+            },
+            kind::INDIRECT_PING => DatagramItem::IndirectPing {
+                target: index(n[0])?,
+                sequence: small(n[1])?,
+            },
+            kind::ACK => DatagramItem::Ack {
+                subject: index(n[0])?,
+                sequence: small(n[1])?,
+            },
+            kind::GOSSIP => DatagramItem::Gossip {
+                member: index(n[0])?,
+                update: MemberUpdate {
+                    incarnation: n[1],
+                    refutation: small(n[2])?,
+                    state: member_state(n[3])?,
+                },
+            },
+            kind::PREPARE | kind::ACCEPT | kind::RELEASE => {
+                DatagramItem::Request(LeaseRequest::from_raw(self)?)
+            }
+            kind::HANDED_OVER => DatagramItem::HandedOver { task: index(n[0])? },
+            _ => DatagramItem::Reply(LeaseReply::from_raw(self)?),
+        })
+    }
 }
 
 fn member_state(number: u64) -> Result<MemberState, DatagramError> {
--- a/crates/tidewall-coordination/src/codec/lease_message.rs
+++ b/crates/tidewall-coordination/src/codec/lease_message.rs
@@ -1,6 +1,6 @@
 //! Messages between lease holders and grantors. Ballots and epochs travel as their count alone: the rest is the lease holder's
 //! member and incarnation, which both sides know.
-use super::item::{index, small, MAX_FIELDS};
+use super::item::{index, small, RawItem};
 use super::{append, kind, DatagramError};
 use tidewall_lease::grantor::{Grant, GrantorReply};
 use tidewall_lease::lease::BALLOT_COUNT_LIMIT;
@@ -103,17 +103,15 @@
         }
     }
 
-    pub(super) fn from_numbers(
-        kind: u64,
-        numbers: &[u64; MAX_FIELDS],
-    ) -> Result<LeaseRequest, DatagramError> {
-        let (task, ballot_count) = (index(numbers[0])?, count(numbers[1])?);
-        Ok(match kind {
+    pub(super) fn from_raw(raw: &RawItem) -> Result<LeaseRequest, DatagramError> {
+        let n = &raw.numbers;
+        let (task, ballot_count) = (index(n[0])?, count(n[1])?);
+        Ok(match raw.kind {
             kind::PREPARE => LeaseRequest::Prepare { task, ballot_count },
             kind::ACCEPT => LeaseRequest::Accept {
                 task,
                 ballot_count,
-                tag: small(numbers[2])?,
+                tag: small(n[2])?,
             },
             kind::RELEASE => LeaseRequest::Release { task, ballot_count },
             _ => return Err(DatagramError::UnknownKind),
@@ -167,13 +165,10 @@
         }
     }
 
-    pub(super) fn from_numbers(
-        kind: u64,
-        numbers: &[u64; MAX_FIELDS],
-    ) -> Result<LeaseReply, DatagramError> {
-        let n = numbers;
+    pub(super) fn from_raw(raw: &RawItem) -> Result<LeaseReply, DatagramError> {
+        let n = &raw.numbers;
         let (task, ballot_count) = (index(n[0])?, count(n[1])?);
-        Ok(match kind {
+        Ok(match raw.kind {
             kind::PROMISED => LeaseReply::Promised {
                 task,
                 ballot_count,
--- a/crates/tidewall-coordination/src/codec/mod.rs
+++ b/crates/tidewall-coordination/src/codec/mod.rs
@@ -1,5 +1,5 @@
 //! Datagrams between members, as `docs/wire.md` specifies them: a header, items (unsigned integers in CBOR, RFC 8949, one after
-//! the other), the number of a key, and an HMAC-SHA-256 over all before it, truncated to 16 bytes; 256 bytes at most. Each item
+//! the other), the id of a key, and an HMAC-SHA-256 over all before it, truncated to 16 bytes; 256 bytes at most. Each item
 //! is a [`DatagramItem`], encoded and decoded here alone. A datagram with one malformed item has no effect at all. Pure functions
 //! over buffers of the caller: nothing is allocated but the room that a body grows into.
 mod error;
@@ -19,18 +19,19 @@
 
 /// Bytes of the longest datagram: it passes unfragmented over any link, and a flood of them stays cheap.
 pub const MAX_DATAGRAM: usize = 256;
+/// Of the protocol; the first number of a header.
 const VERSION: u64 = 1;
 /// Bytes of the truncated HMAC: 128 bits are out of reach of guessing.
 const MAC_LENGTH: usize = 16;
-/// What `seal` appends: the number of the key and the truncated HMAC.
+/// What `seal` appends: the id of the key and the truncated HMAC.
 const SEAL_LENGTH: usize = 1 + MAC_LENGTH;
 const HEADER_FIELDS: usize = 8;
 
-/// The low bits of a receiver's incarnation that a datagram carries: those of one member that were drawn within three days (2^28
-/// milliseconds) differ here, and what was meant for a former incarnation is rejected.
+/// The low bits of a receiver's incarnation that a datagram carries, so that one for a former incarnation is rejected. Incarnations
+/// are times in milliseconds: those of one member within three days (2^28 milliseconds) differ in these bits.
 pub const INCARNATION_MASK: u64 = (1 << 28) - 1;
 
-/// What a datagram says of itself and its sender.
+/// The header of a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DatagramHeader {
     /// The sending member.
@@ -39,7 +40,7 @@
     pub to: usize,
     /// The receiver's incarnation as far as the sender knows it, by [`INCARNATION_MASK`]; 0 where it knows none.
     pub to_incarnation: u64,
-    /// What the sender says of itself: its incarnation, and whether it is alive or leaves.
+    /// The sender's own state: its incarnation, and whether it is alive or has left.
     pub sender: MemberUpdate,
     /// Rises with each datagram of one incarnation of the sender.
     pub sequence: u64,
@@ -75,7 +76,7 @@
     mac
 }
 
-/// Appends the number of the first key and the HMAC under it.
+/// Appends the id of the first key and the HMAC under it.
 pub fn seal(body: &mut Vec<u8>, keys: &Keys) {
     let (id, key) = keys.0.first().map_or((0, &[][..]), |k| (k.0, &k.1));
     body.push(id);
@@ -86,7 +87,7 @@
 /// Authenticates a datagram by any of the keys, and returns its body.
 ///
 /// # Errors
-/// The first four of [`DatagramError`].
+/// [`DatagramError::TooLong`], [`DatagramError::TooShort`], [`DatagramError::UnknownKey`], [`DatagramError::WrongMac`].
 pub fn open<'a>(bytes: &'a [u8], keys: &Keys) -> Result<&'a [u8], DatagramError> {
     if bytes.len() > MAX_DATAGRAM {
         return Err(DatagramError::TooLong);
--- a/crates/tidewall-coordination/src/config.rs
+++ b/crates/tidewall-coordination/src/config.rs
@@ -13,7 +13,7 @@
     pub member: usize,
     /// Rises with each start of the member.
     pub incarnation: u64,
-    /// Of all random numbers of both tasks.
+    /// Seed of the random numbers of both tasks.
     pub seed: u64,
     /// This member's name.
     pub member_name: String,
@@ -30,7 +30,7 @@
     /// How long a grantor keeps a lease from others.
     pub lease_duration: Time,
     /// How long the holder may use it, counted from its request: shorter by the error of clocks and the age of permits.
-    pub usable: Time,
+    pub usable_duration: Time,
     /// How long after it was sent an effect may still take place, by this member's clock.
     pub effect_timeout: Time,
     /// Of the membership protocol: how often a member is probed.
@@ -54,8 +54,9 @@
 /// The part of `usable` after which a request without reply is sent again: a lost datagram costs little of a lease.
 const RETRIES_PER_LEASE: Time = 16;
 
-/// How many ticks pass between two retries, and between two probes, so that neither is late by much.
+/// How many ticks pass between two retries at least, so that none is late by much.
 const TICKS_PER_RETRY: Time = 4;
+/// How many ticks pass in a period of the membership protocol at least.
 const TICKS_PER_PERIOD: Time = 8;
 
 /// Bounds of the tick, 1 ms and 50 ms: below, an idle task would burn a core; above, mailboxes would wait too long.
@@ -78,11 +79,9 @@
             let position = member_names.iter().position(|n| n == name);
             position.expect("the settings check finds each keeper among the gateways")
         };
-        let (lease_duration, permit_age, clocks_ppm) = (
-            common.span("term_ms"),
-            common.span("ticket_ms"),
-            common.whole("clocks_ppm"),
-        );
+        let lease_duration = common.span("term_ms");
+        let permit_age = common.span("ticket_ms");
+        let clocks_ppm = common.whole("clocks_ppm");
         CoordinationConfig {
             member,
             incarnation,
@@ -93,7 +92,7 @@
             grantors: common.texts("keeper").iter().map(grantor_of).collect(),
             tasks: common.whole("leases") as usize,
             lease_duration,
-            usable: if safety_checks.shortened_lease {
+            usable_duration: if safety_checks.shortened_lease {
                 usable(lease_duration, clocks_ppm, permit_age)
             } else {
                 lease_duration
@@ -117,8 +116,8 @@
             member: self.member,
             incarnation: self.incarnation,
             grantors: self.grantors.len(),
-            usable_duration: self.usable,
-            retry: (self.usable / RETRIES_PER_LEASE).max(1),
+            usable_duration: self.usable_duration,
+            retry: (self.usable_duration / RETRIES_PER_LEASE).max(1),
             // A multiplicative hash (2^64 by the golden ratio) of the seed, cut to 16 bits, spreads members as well as a draw.
             offset: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48,
             safety_checks: self.safety_checks,
@@ -127,7 +126,7 @@
 
     /// How often a task reads its mailboxes and does what is due.
     pub fn tick_interval(&self) -> Time {
-        (self.usable / (TICKS_PER_RETRY * RETRIES_PER_LEASE))
+        (self.usable_duration / (TICKS_PER_RETRY * RETRIES_PER_LEASE))
             .min(self.protocol_period / TICKS_PER_PERIOD)
             .clamp(MIN_TICK, MAX_TICK)
     }
--- a/crates/tidewall-coordination/src/counters.rs
+++ b/crates/tidewall-coordination/src/counters.rs
@@ -48,22 +48,22 @@
             ),
             (
                 "datagrams_refused",
-                "Malformed, forged, replayed, or of a former life",
+                "Datagrams that were malformed, forged, replayed, or of a former incarnation",
                 &counters.datagrams_rejected,
             ),
             (
                 "channel_full",
-                "Messages between tasks that found their channel full",
+                "Commands that found the mailbox of the executor task full",
                 &counters.dropped_commands,
             ),
             (
                 "leases_given_back",
-                "Leases handed over in order",
+                "Leases given back after their execution had stopped",
                 &counters.leases_handed_over,
             ),
             (
                 "keeper_grants",
-                "Askings that this member granted as a keeper",
+                "Requests of other members that this member granted",
                 &counters.requests_granted,
             ),
         ];
@@ -71,10 +71,10 @@
             counters.registry.register(name, help, counter.clone());
         }
         let registered = [
-            ("leases_held", "Leases that run here", &counters.leases_held),
+            ("leases_held", "Leases held here", &counters.leases_held),
             (
                 "members_here",
-                "Members that are there, this one included",
+                "Members that are alive, this one included",
                 &counters.members_alive,
             ),
         ];
--- a/crates/tidewall-coordination/src/effect_scheduler.rs
+++ b/crates/tidewall-coordination/src/effect_scheduler.rs
@@ -5,7 +5,7 @@
 use crate::Time;
 use std::collections::BTreeSet;
 
-/// What the scheduler does to the outside.
+/// The output of the scheduler.
 pub trait EffectActions {
     /// An effect of the task is due: it is to go out, if the lease still permits it when the worker's permit is there.
     fn run_effect(&mut self, task: usize);
@@ -28,7 +28,7 @@
     stopping_epoch: u64,
 }
 
-/// The tasks of a node; see the module's description.
+/// The tasks of a node; see the module's documentation.
 pub struct EffectScheduler {
     tasks: Vec<TaskState>,
     /// Held tasks by the time of their next effect.
--- a/crates/tidewall-coordination/src/executor_task/mod.rs
+++ b/crates/tidewall-coordination/src/executor_task/mod.rs
@@ -25,7 +25,7 @@
 /// A connection on which nothing was answered for so many effect timeouts is given up: the worker vanished.
 const SILENT_TIMEOUTS: Time = 4;
 
-/// Sets the random numbers of this task apart from those of the lease task, which draws from the same seed.
+/// Separates the random numbers of this task from those of the lease task, which has the same seed.
 const RNG_STREAM: u64 = 0xac75;
 
 /// A frame of a worker that breaks the protocol; it costs the connection.
@@ -39,7 +39,7 @@
     }
 }
 
-/// What the scheduler does to the outside.
+/// The output side of the scheduler.
 struct SchedulerOutput {
     /// Tasks of which an effect is due.
     due: Vec<usize>,
@@ -92,7 +92,7 @@
     }
 }
 
-/// See the module's description. `App` makes it run on any `Net`.
+/// The state of the executor task; see the module's documentation. It is an `App` of the event loop and runs on any `Net`.
 pub struct ExecutorTask<N: Net> {
     net: N,
     member: usize,
@@ -115,7 +115,7 @@
 }
 
 impl<N: Net> ExecutorTask<N> {
-    /// Starts the clock of the task. Whoever sets `shutdown` ends it: the lease task, when it has handed over its leases.
+    /// Sets the first timer. Setting `shutdown` ends the task; that is due when the lease task has ended.
     pub fn new(
         mut net: N,
         config: &CoordinationConfig,
--- a/crates/tidewall-coordination/src/executor_task/workers.rs
+++ b/crates/tidewall-coordination/src/executor_task/workers.rs
@@ -1,4 +1,4 @@
-//! The workers at which effects take place: which there are, which one a task belongs to, and what waits for each.
+//! The workers at which effects take place: the list of them, the choice of one for a task, and the effects queued for each.
 use super::ExecutorTask;
 use crate::Time;
 use std::collections::{BTreeMap, VecDeque};
@@ -6,8 +6,8 @@
 use tidewall_lease::assignment::{key, weight};
 use tidewall_net::{Conn, Net};
 
-/// Effects that wait for one worker's permit at most: beyond, they are skipped until they are due again. Far above what is due
-/// within a permit's round trip.
+/// How many effects may wait for a permit of one worker; beyond, they are skipped until they are due again. It is far above the
+/// number that becomes due within the round trip of a permit, and bounds the memory that an unreachable worker takes.
 const MAX_QUEUED: usize = 4_096;
 
 /// An effect that was sent and not answered yet.
@@ -17,6 +17,7 @@
     pub round: u32,
 }
 
+/// A worker, its connection, and the effects for it.
 pub(super) struct Worker {
     /// For rendezvous hashing, from its name.
     hash_key: u64,
--- a/crates/tidewall-coordination/src/lease_task/actions.rs
+++ b/crates/tidewall-coordination/src/lease_task/actions.rs
@@ -1,5 +1,5 @@
-//! What membership and leases do to the outside: they call these traits, and the calls become datagrams, commands to the executor,
-//! or entries that the lease task works off at the end of its turn.
+//! The side effects of membership and leases: their calls become datagrams, commands to the executor task, or queue entries that the
+//! lease task handles after the current event.
 use super::outgoing::OutgoingDatagrams;
 use crate::codec::{DatagramItem, LeaseRequest};
 use crate::mailbox::{ExecutorCommand, MailboxSender};
@@ -17,7 +17,7 @@
     Release { task: usize, epoch: u64 },
 }
 
-/// A change of the membership that the assignment of tasks does not know yet.
+/// A change of the membership that is not applied to the assignment of tasks yet.
 pub(super) enum MembershipChange {
     Joined {
         member: usize,
@@ -30,6 +30,7 @@
     },
 }
 
+/// The output side of the lease task.
 pub(super) struct TaskActions {
     pub outgoing: OutgoingDatagrams,
     /// Members that grant leases, by the grantor's index.
--- a/crates/tidewall-coordination/src/lease_task/mod.rs
+++ b/crates/tidewall-coordination/src/lease_task/mod.rs
@@ -30,14 +30,14 @@
 use tidewall_vrrp::packet::Keys;
 use tracing::info;
 
-/// How often keys are read again and counters logged, in tenths of a millisecond: seconds suffice for a change of keys by hand.
+/// How often keys are read again and counters logged: ten seconds are soon enough for a change of keys by an operator.
 const REPORT_INTERVAL: Time = 100_000;
 
 /// A member that shuts down and cannot hand over its leases ends after so many lease durations all the same: by then all
 /// have expired.
 const SHUTDOWN_LEASE_DURATIONS: Time = 2;
 
-/// Sets the random numbers of this task apart from those of the executor, which draws from the same seed.
+/// Separates the random numbers of this task from those of the executor task, which has the same seed.
 const RNG_STREAM: u64 = 0x1ea5e;
 
 /// Why the lease task cannot start.
@@ -48,7 +48,7 @@
     Bind {
         /// The address of the settings.
         address: SocketAddr,
-        /// What the system says.
+        /// The error of the operating system.
         source: std::io::Error,
     },
 }
@@ -59,7 +59,7 @@
     }
 }
 
-/// See the module's description. `App` makes it run on any `Net`.
+/// The state of the lease task; see the module's documentation. It is an `App` of the event loop and runs on any `Net`.
 pub struct LeaseTask<N: Net> {
     net: N,
     socket: DatagramSocket,
@@ -71,7 +71,8 @@
     grantor_indices: Vec<Option<usize>>,
     holder: LeaseHolder,
     assignment: Assignment,
-    /// By member: when one that has joined is assigned tasks. It may flap, and a start of all must not move tasks in a crowd.
+    /// By member: when one that has joined is assigned tasks. The delay keeps a flapping member, and a start of many members at
+    /// once, from moving tasks back and forth.
     assigned_from: Vec<Option<Time>>,
     actions: TaskActions,
     /// By member, as a sender.
@@ -79,7 +80,7 @@
     executor_events: MailboxReceiver<ExecutorEvent>,
     budget: SendBudget,
     keys: Keys,
-    /// Stall of the process that the membership knows of.
+    /// Total stall of the process that the membership was told of.
     known_stall: Time,
     last_report: Time,
     /// When a rejected datagram was logged last; 0 where none was.
@@ -92,8 +93,8 @@
 }
 
 impl<N: Net> LeaseTask<N> {
-    /// Binds the socket and starts the clock of the task. `executor` are the ends of the mailboxes to and from the executor task;
-    /// whoever sets `shutdown` makes this member leave.
+    /// Binds the socket and sets the first timer. `executor` are the ends of the mailboxes to and from the executor task. Setting
+    /// `shutdown` makes this member leave the membership, hand over its leases and end.
     ///
     /// # Errors
     /// Where the address cannot be bound.
@@ -162,7 +163,7 @@
         self.assignment.owner(task)
     }
 
-    /// Whether it was shut down and has handed over its leases, or waited for them to expire.
+    /// Whether it was shut down and has handed over its leases, or has waited until they expired.
     pub fn is_finished(&self) -> bool {
         self.finished
     }
@@ -172,7 +173,7 @@
         self.actions.commands.dropped
     }
 
-    /// Silence during a stall of this process says nothing about other members.
+    /// Tells the membership of new stalls of this process: members that seemed silent meanwhile are not to be suspected.
     fn process_stall(&mut self) {
         let stall = self.net.total_stall();
         self.membership
@@ -195,7 +196,7 @@
         let grantors = self.config.grantors.len() as u64;
         let max_tasks = self.budget.affordable_tasks(grantors);
         self.holder.run_due(now, &mut self.actions, max_tasks);
-        self.finish_turn(now);
+        self.flush(now);
         if now >= self.last_report + REPORT_INTERVAL {
             self.last_report = now;
             self.report(now);
@@ -231,8 +232,8 @@
         }
     }
 
-    /// Ends each turn of the task: requests to the own grantor are answered, and all datagrams go out.
-    fn finish_turn(&mut self, now: Time) {
+    /// Ends the handling of each event: requests to this member's own grantor are answered, then all datagrams are sent.
+    fn flush(&mut self, now: Time) {
         while let Some(request) = self.actions.local_requests.pop_front() {
             self.handle_local_request(now, request);
         }
@@ -337,13 +338,13 @@
 
     fn datagram_received(&mut self, _: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
         let now = self.net.now();
-        // After a stall what lies unread in the socket is old: times that it tells were counted from before.
+        // After a stall the datagrams in the socket are old: the durations in them were measured before it.
         self.process_stall();
         if let Err(error) = self.handle_datagram(now, bytes) {
             self.reject_datagram(now, from, error);
         }
         self.apply_membership_changes(now);
-        self.finish_turn(now);
+        self.flush(now);
     }
 
     fn timer_fired(&mut self, _: u64) {
--- a/crates/tidewall-coordination/src/lease_task/outgoing.rs
+++ b/crates/tidewall-coordination/src/lease_task/outgoing.rs
@@ -1,5 +1,5 @@
-//! Outgoing datagrams: what is said to one member during a turn of the lease task is packed into as few datagrams as possible,
-//! gossip fills the room that is left, and all go out at the end of the turn.
+//! Outgoing datagrams: the items for one member that are produced while an event is handled are packed into as few datagrams as
+//! possible, gossip fills the room that is left, and all are sent when the event has been handled.
 use super::LeaseTask;
 use crate::codec::{self, DatagramHeader, DatagramItem, INCARNATION_MASK, MAX_DATAGRAM};
 use std::collections::VecDeque;
@@ -9,7 +9,7 @@
 /// Membership updates in one datagram at most: a dozen bytes each, beside a batch of lease requests.
 const MAX_GOSSIP: usize = 6;
 
-/// The datagram being packed for one member; its body is empty where there is nothing to say.
+/// The datagram being packed for one member; its body is empty where there is no item for it.
 #[derive(Clone, Default)]
 struct Draft {
     body: Vec<u8>,
@@ -33,7 +33,7 @@
     /// Members with a draft in the order they were begun; one whose draft was full is here once for each.
     begun: Vec<usize>,
     packed: VecDeque<PackedDatagram>,
-    /// What the headers say of this member.
+    /// This member's state, for the headers.
     own_update: MemberUpdate,
 }
 
@@ -57,7 +57,7 @@
         self.drafts[member].incarnation = incarnation;
     }
 
-    /// Nothing goes to this member itself, or to one that there is not.
+    /// Adds an item for a member. Items for this member itself, and for unknown members, are dropped.
     pub fn add(&mut self, to: usize, item: &DatagramItem) {
         if to == self.own_member || to >= self.drafts.len() {
             return;
@@ -122,7 +122,7 @@
         self.actions.outgoing.own_update = self.membership.own_update();
     }
 
-    /// What this member says of the receiver goes first and with any datagram: a receiver that is suspected refutes it.
+    /// The update about the receiver goes first, and with any datagram: a suspected receiver has to learn of it to refute it.
     fn add_gossip(&mut self, to: usize) {
         let draft = &mut self.actions.outgoing.drafts[to];
         let mut about_receiver = self.membership.update_for(to).map(|update| (to, update));
--- a/crates/tidewall-coordination/src/lib.rs
+++ b/crates/tidewall-coordination/src/lib.rs
@@ -21,6 +21,7 @@
 /// A time of the node's clock or a duration, in whole tenths of a millisecond.
 pub type Time = u64;
 
+/// A second, as a [`Time`].
 pub(crate) const SECOND: Time = 10_000;
 
 /// The only timer of either task.
--- a/crates/tidewall-coordination/src/orderings_tests.rs
+++ b/crates/tidewall-coordination/src/orderings_tests.rs
@@ -46,7 +46,9 @@
     let worker = thread::spawn(move || {
         for _ in 0..STEPS {
             if let Some((epoch, round)) = effects_received.try_receive() {
-                log.lock().unwrap().push(Entry::Effect(epoch));
+                log.lock()
+                    .expect("no thread panics while it holds the log")
+                    .push(Entry::Effect(epoch));
                 acknowledgements.send(round);
             }
             thread::yield_now();
@@ -83,7 +85,7 @@
         }
         thread::yield_now();
     }
-    worker.join().unwrap();
+    worker.join().expect("the worker thread does not panic");
 }
 
 /// No effect takes place after the lease task has received that execution stopped; a full mailbox loses no stop for good.
@@ -114,12 +116,14 @@
             == Some(ExecutorEvent::ExecutionStopped { task: 0, epoch: 5 })
         {
             // From now on another member executes the task.
-            log.lock().unwrap().push(Entry::GivenBack(5));
+            log.lock()
+                .expect("no thread panics while it holds the log")
+                .push(Entry::GivenBack(5));
             break;
         }
     }
-    executor.join().unwrap();
-    let log = log.lock().unwrap();
+    executor.join().expect("the executor thread does not panic");
+    let log = log.lock().expect("no thread panics while it holds the log");
     let given_back = |entry: &Entry| matches!(entry, Entry::GivenBack(_));
     let first = log.iter().position(given_back).unwrap_or(log.len());
     assert!(
