Coordination: tests of rejection texts and of items out of range

Change: one case for each text and for each limit; replies are built by LeaseReply::for_prepare and for_accept.

--- a/crates/tidewall-coordination/src/codec/lease_message.rs
+++ b/crates/tidewall-coordination/src/codec/lease_message.rs
@@ -200,7 +200,7 @@
     }
 
     /// The reply to a `Prepare`.
-    pub fn to_prepare(task: usize, ballot_count: u64, reply: &GrantorReply) -> LeaseReply {
+    pub fn for_prepare(task: usize, ballot_count: u64, reply: &GrantorReply) -> LeaseReply {
         let (accepted, remaining) = (reply.state.accepted, reply.remaining);
         if reply.granted {
             LeaseReply::Promised {
@@ -221,7 +221,12 @@
     }
 
     /// The reply to an `Accept`.
-    pub fn to_accept(task: usize, ballot_count: u64, tag: u32, reply: &GrantorReply) -> LeaseReply {
+    pub fn for_accept(
+        task: usize,
+        ballot_count: u64,
+        tag: u32,
+        reply: &GrantorReply,
+    ) -> LeaseReply {
         if reply.granted {
             LeaseReply::Accepted {
                 task,
--- a/crates/tidewall-coordination/src/lease_task/receive.rs
+++ b/crates/tidewall-coordination/src/lease_task/receive.rs
@@ -106,7 +106,7 @@
                 let owner = (sender.member, sender.incarnation);
                 grantor
                     .prepare(now, task, sender.ballot(ballot_count), owner)
-                    .map(|reply| LeaseReply::to_prepare(task, ballot_count, &reply))
+                    .map(|reply| LeaseReply::for_prepare(task, ballot_count, &reply))
             }
             LeaseRequest::Accept {
                 task,
@@ -122,7 +122,7 @@
                     self.counters
                         .requests_granted
                         .inc_by(u64::from(reply.granted));
-                    LeaseReply::to_accept(task, ballot_count, tag, &reply)
+                    LeaseReply::for_accept(task, ballot_count, tag, &reply)
                 })
             }
             LeaseRequest::Release { task, ballot_count } => {
--- a/crates/tidewall-coordination/tests/codec.rs
+++ b/crates/tidewall-coordination/tests/codec.rs
@@ -10,6 +10,7 @@
 };
 use tidewall_coordination::replay_window::ReplayWindow;
 use tidewall_lease::grantor::Grant;
+use tidewall_lease::lease::BALLOT_COUNT_LIMIT;
 use tidewall_membership::{MemberState, MemberUpdate};
 use tidewall_vrrp::packet::Keys;
 
@@ -209,3 +210,57 @@
     seal(&mut body, &keys(b"key"));
     assert!(body.len() <= MAX_DATAGRAM);
 }
+
+/// The log and the operators' pages show these texts.
+#[test_case(DatagramError::TooLong, "length: over 256")]
+#[test_case(DatagramError::TooShort, "length: cut short")]
+#[test_case(DatagramError::UnknownKey, "key: unknown")]
+#[test_case(DatagramError::WrongMac, "hash: wrong")]
+#[test_case(DatagramError::MalformedHeader, "head: no number")]
+#[test_case(DatagramError::UnknownVersion, "version: not 1")]
+#[test_case(DatagramError::HeaderOutOfRange, "head: a number is out of range")]
+#[test_case(DatagramError::MissingKind, "item: no kind")]
+#[test_case(DatagramError::UnknownKind, "item: unknown kind")]
+#[test_case(DatagramError::MalformedItem, "item: no number")]
+#[test_case(DatagramError::ItemOutOfRange, "item: a number is out of range")]
+#[test_case(DatagramError::WrongReceiver, "to: another member")]
+#[test_case(DatagramError::StaleReceiver, "to: a former life")]
+#[test_case(DatagramError::UnknownSender, "from: no other member")]
+#[test_case(DatagramError::StaleSender, "life: a former one")]
+#[test_case(DatagramError::Replayed, "number: heard before")]
+fn a_rejection_has_its_documented_text(error: DatagramError, text: &str) {
+    assert_eq!(error.to_string(), text);
+}
+
+fn encoded(numbers: &[u64]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut encoder = minicbor::Encoder::new(&mut bytes);
+    for number in numbers {
+        encoder.u64(*number).unwrap();
+    }
+    bytes
+}
+
+const OVER: u64 = 1 << 32;
+
+#[test_case(&[0], DatagramError::UnknownKind ; "kind 0")]
+#[test_case(&[13, 1], DatagramError::UnknownKind ; "kind 13")]
+#[test_case(&[1], DatagramError::MalformedItem ; "no sequence")]
+#[test_case(&[1, OVER], DatagramError::ItemOutOfRange ; "ping sequence")]
+#[test_case(&[2, OVER, 1], DatagramError::ItemOutOfRange ; "ping target")]
+#[test_case(&[3, 1, OVER], DatagramError::ItemOutOfRange ; "ack sequence")]
+#[test_case(&[4, 1, 1, OVER, 0], DatagramError::ItemOutOfRange ; "refutation")]
+#[test_case(&[4, 1, 1, 1, 4], DatagramError::ItemOutOfRange ; "member state")]
+#[test_case(&[5, 1, BALLOT_COUNT_LIMIT], DatagramError::ItemOutOfRange ; "prepared ballot")]
+#[test_case(&[6, 1, 1, 1, OVER, 1, 1], DatagramError::ItemOutOfRange ; "promised member")]
+#[test_case(&[7, 1, 1, 1, 1, OVER, 1, 1], DatagramError::ItemOutOfRange ; "not promised member")]
+#[test_case(&[8, 1, 1, OVER], DatagramError::ItemOutOfRange ; "accept tag")]
+#[test_case(&[9, 1, BALLOT_COUNT_LIMIT, 1], DatagramError::ItemOutOfRange ; "accepted ballot")]
+#[test_case(&[10, 1, 1, 1, 1, 1, OVER, 1, 1], DatagramError::ItemOutOfRange ; "not accepted member")]
+#[test_case(&[11, OVER, 1], DatagramError::ItemOutOfRange ; "released task")]
+#[test_case(&[12, OVER], DatagramError::ItemOutOfRange ; "handed over task")]
+fn an_item_out_of_range_is_rejected_with_all_others(numbers: &[u64], error: DatagramError) {
+    let mut bytes = encoded(&[12, 4]);
+    bytes.extend(encoded(numbers));
+    assert_eq!(items(&bytes), Err(error));
+}
