--- a/crates/tidewall-coordination/src/lease_task/send_budget.rs
+++ b/crates/tidewall-coordination/src/lease_task/send_budget.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// What a member may still send now. Only new lease requests wait for it; they are the bulk of the traffic.
+/// What a member may still send now. Only claims and renewals of leases wait for it: they are the bulk of the traffic.
 pub(super) struct SendBudget {
     datagrams: TokenBucket,
     bytes: TokenBucket,
