--- a/crates/tidewall-gateway/src/failover/duplicates.rs
+++ b/crates/tidewall-gateway/src/failover/duplicates.rs
@@ -1,73 +1,79 @@
-//! Requests that the pair knows already.
-use super::*;
+//! Requests that a client sends again, found by class and idempotency key: they join the request in flight, here or at the
+//! peer, or get the response that is remembered, so that nothing is executed twice. A retry whose first sending nobody
+//! remembers is refused while that may be due to a takeover without replication.
+use super::replicator::{disposition_from_number, Replicator};
+use super::FENCING_RETRY_AFTER;
+use crate::ingress::{Disposition, IncomingRequest};
+use crate::IngressContext;
+use tidewall_failover::deduplication::RequestLocation;
+use tidewall_failover::recovery;
+use tidewall_net::{Net, Time};
+
+/// The slot given back for a duplicate that joined no request in flight here.
+const NO_LOCAL_SLOT: usize = usize::MAX;
 
 impl<N: Net> IngressContext<N> {
-    /// One of a pair may know this event: in hand, here or at the other member, or answered.
-    pub(crate) fn find_duplicate(&mut self, event: &IncomingRequest) -> Option<usize> {
+    /// Gives a request to the one in flight or the response that it repeats, and gives back its slot; none where it is
+    /// new, or failover is not configured.
+    pub(crate) fn find_duplicate(&mut self, request: &IncomingRequest) -> Option<usize> {
         let host = &mut self.scheduler.host;
         let now = host.net.now();
-        let copy = host.replicator.as_mut()?;
-        let until = now + event.remaining;
-        if event.is_retry
-            && now < copy.history_unknown_until
-            && copy
-                .deduplication
-                .lookup(now, event.class, event.idempotency_key)
-                .is_none()
-        {
-            let kind = copy.retry_safety_of(event.class);
-            if let Some(later) = unknown(kind, copy.allows_hedging, copy.all_workers_fenced) {
-                let word = if later {
-                    Disposition::Rejected
-                } else {
-                    Disposition::Failed
-                };
-                remember(copy, now, event.class, event.idempotency_key, word, &[]);
-                let mut due = copy.new_response();
-                due.clients.push((event.reply_handle, until));
-                (due.disposition, due.retry_after) = (Some(word), UNFENCED);
-                copy.ready_responses.push_back(due);
-                return Some(usize::MAX);
-            }
+        let replicator = host.replicator.as_mut()?;
+        let client = (request.reply_handle, now + request.remaining);
+        if refuse_unknown_retry(replicator, request, now) {
+            return Some(NO_LOCAL_SLOT);
         }
-        if event.idempotency_key.is_empty() {
+        let key = request.idempotency_key;
+        if key.is_empty() {
             return None;
         }
-        match copy
-            .deduplication
-            .lookup(now, event.class, event.idempotency_key)?
-        {
-            RequestLocation::Local(place) => {
-                let place = *place;
-                copy.shared_requests.push(place);
-                host.requests[place]
-                    .waiting_clients
-                    .push((event.reply_handle, until));
-                Some(place)
+        match replicator.deduplication.lookup(now, request.class, key)? {
+            RequestLocation::Local(slot) => {
+                let slot = *slot;
+                replicator.shared_requests.push(slot);
+                host.requests[slot].waiting_clients.push(client);
+                Some(slot)
             }
-            RequestLocation::Remote(at) => {
-                self.awaited_remote
-                    .push_back((*at, event.reply_handle, until));
-                Some(usize::MAX)
+            RequestLocation::Remote(slot) => {
+                self.awaited_remote.push_back((*slot, client.0, client.1));
+                Some(NO_LOCAL_SLOT)
             }
             RequestLocation::Responded(number, payload) => {
                 let (number, payload) = (*number, payload.clone());
-                let mut due = copy.new_response();
-                due.clients.push((event.reply_handle, until));
-                due.disposition = Some(word(number));
-                due.payload.extend_from_slice(&payload);
-                copy.ready_responses.push_back(due);
-                Some(usize::MAX)
+                let mut response = replicator.new_response();
+                response.clients.push(client);
+                response.disposition = Some(disposition_from_number(number));
+                response.payload.extend_from_slice(&payload);
+                replicator.ready_responses.push_back(response);
+                Some(NO_LOCAL_SLOT)
             }
         }
     }
+}
 
-    /// The epoch under which this gateway serves; 0 where it is not one of a pair.
-    pub fn epoch(&self) -> u64 {
-        self.scheduler
-            .host
-            .replicator
-            .as_ref()
-            .map_or(0, |c| c.epoch)
+/// Refuses a retry of which nobody knows what became of its first sending, where a second execution may do harm. False
+/// where it may be treated as any other request.
+fn refuse_unknown_retry(replicator: &mut Replicator, request: &IncomingRequest, now: Time) -> bool {
+    let (class, key) = (request.class, request.idempotency_key);
+    if !request.is_retry
+        || now >= replicator.history_unknown_until
+        || replicator.deduplication.lookup(now, class, key).is_some()
+    {
+        return false;
     }
+    let retry_safety = replicator.retry_safety_of(class);
+    let (hedging, fenced) = (replicator.allows_hedging, replicator.all_workers_fenced);
+    let disposition = match recovery::unknown(retry_safety, hedging, fenced) {
+        None => return false,
+        Some(true) => Disposition::Rejected,
+        Some(false) => Disposition::Failed,
+    };
+    replicator.remember_response(now, class, key, disposition, &[]);
+    let mut response = replicator.new_response();
+    let client = (request.reply_handle, now + request.remaining);
+    response.clients.push(client);
+    response.disposition = Some(disposition);
+    response.retry_after = FENCING_RETRY_AFTER;
+    replicator.ready_responses.push_back(response);
+    true
 }
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -1,8 +1,33 @@
-//! One of a pair of gateways behind one address: VRRP datagrams, the link to the other member, the copy of what that one
-//! has in hand, and the voters' answers. `tidewall-failover` decides; this carries out.
-mod apply;
+//! Failover: two gateways run as an active/standby pair behind one shared address.
+//!
+//! Three parties have a say. VRRP tells which of the two wants to serve ([`vrrp`]). A majority of the workers, as
+//! acceptors of leadership proposals, tells which of them may, and under which epoch ([`voting`]). The connection to the
+//! peer tells what the other one knows ([`peer_link`]). The crate `tidewall-failover` weighs them
+//! ([`RoleStateMachine`]); this module carries its decisions out inside the gateway's event loop ([`role_actions`]).
+//!
+//! What makes a takeover safe is the order of things:
+//!
+//! 1. The serving gateway writes a replication record ([`records`]) of each change of its requests in flight before the
+//!    change has an effect outside ([`replication`]).
+//! 2. Where a second execution may do harm, an attempt is sent to its worker, and a response to its client, only after the
+//!    peer has acknowledged the record ([`replicator`]). So the peer knows of each attempt that may have been executed, and
+//!    no client holds a response that the peer could contradict.
+//! 3. A peer that has just connected gets a snapshot of all that is in flight or remembered ([`snapshot`]). Until it has
+//!    acknowledged that, it is not told to the voters as synchronized, and may not take over.
+//! 4. The peer applies the records to its table of the other's requests ([`peer_requests`]). When it serves, it continues
+//!    each of them, waits until a worker is fenced, or ends it ([`takeover`]).
+//! 5. Workers refuse what is sent under an epoch below the accepted one: a gateway that was paused while the other took
+//!    over can do no harm, and restarts knowing nothing.
+//!
+//! A client whose connection was lost may send its request again to either gateway; [`duplicates`] finds what became of it.
+//!
+//! All times are whole tenths of a millisecond, but for the VRRP interval, which is in centiseconds as on its wire.
+pub mod control_messages;
 mod duplicates;
 mod peer_link;
+mod peer_requests;
+pub mod records;
+mod replication;
 pub mod replicator;
 mod responses;
 mod role_actions;
@@ -12,433 +37,302 @@
 mod voting;
 mod vrrp;
 
-use crate::error::{ProtocolError, StartError};
-use crate::ingress::{Disposition, IncomingRequest, ReplyHandle, Response, NO_CLIENT};
-use crate::protocol::CallName;
-use crate::worker_pool::{CallKind, LocalResponse};
-use crate::{Gateway, IngressContext, Owner, OF_PAIR, OF_VRRP};
-use replicator::{remember, taken, word, DeferredAction, PendingResponse, Replicator};
-use role_actions::Acting;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use tidewall::interface::EndpointState;
-use tidewall_failover::deduplication::RequestLocation;
-use tidewall_failover::leadership::{Leadership, LeadershipAcceptor};
-use tidewall_failover::load_request_limit::LoadRequestLimiter;
-use tidewall_failover::proposal::{count, ProposerTransport};
-use tidewall_failover::recovery::{self, fate, unknown, RecoveryAction, RetrySafety};
-use tidewall_failover::role::{self, Role, RoleStateMachine};
-use tidewall_net::{Conn, DatagramSocket, Listener, Net, Time, TimerId};
-use tidewall_vrrp::packet::{self, Keys, ReplayGuard};
-use tidewall_vrrp::{Parameters, Router, CENTISECOND};
-use tidewall_wire::{self as wire, kind, Field, Fields, Frame, WireError};
-use tracing::{info, warn};
-use vrrp::v4;
+use crate::error::StartError;
+use crate::{Gateway, IngressContext, OF_PAIR};
+use peer_link::PeerLink;
+use peer_requests::PeerRequests;
+use replicator::Replicator;
+use role_actions::GatewayActions;
+use std::net::SocketAddr;
+use tidewall_failover::recovery::RetrySafety;
+use tidewall_failover::role::{Role, RoleStateMachine};
+use tidewall_net::{DatagramSocket, Listener, Net, Time};
+use tidewall_vrrp::packet::Keys;
+use tidewall_vrrp::CENTISECOND;
+use voting::FencedWorkers;
+use vrrp::{VrrpState, VrrpVerdict};
 
-/// What a member of a pair is told at start.
+/// Ticks, and with them heartbeats, in an advertisement interval: a tick that is late by one matters little.
+const TICKS_PER_INTERVAL: Time = 4;
+
+/// The peer is lost after so many advertisement intervals without a message, as VRRP counts (RFC 9568, 6.1).
+const SILENT_INTERVALS: Time = 3;
+
+/// The authentication keys are read again every so many ticks: each second at the default interval of 10 centiseconds.
+const KEY_RELOAD_TICKS: u64 = 40;
+
+/// Workers that are not fenced yet are asked again every so many ticks: once in an advertisement interval.
+const FENCING_RETRY_TICKS: u64 = 4;
+
+/// The Retry-After of a request that cannot be decided before workers are fenced: a few round trips to the workers.
+const FENCING_RETRY_AFTER: Time = 500;
+
+/// The settings of one gateway of a pair.
 pub struct FailoverConfig {
+    /// This gateway's name.
     pub name: String,
+    /// The other gateway's name.
     pub peer_name: String,
-    /// Rises with each start of this member.
+    /// Rises with each start of this gateway: the clock's milliseconds, so that it needs no storage.
     pub incarnation: u64,
+    /// VRRP's virtual router identifier, 1 to 255, the same at both.
     pub vrid: u8,
+    /// VRRP's priority, 1 to 255: the higher one serves where both may.
     pub priority: u8,
-    /// Centiseconds.
+    /// VRRP's advertisement interval in centiseconds.
     pub interval: u16,
+    /// Whether a higher priority takes over from a lower one that serves.
     pub preempt: bool,
+    /// Where this gateway receives advertisements.
     pub vrrp_address: SocketAddr,
+    /// Where the peer receives advertisements.
     pub peer_vrrp_address: SocketAddr,
+    /// Where this gateway listens for its peer and for `tidewall status`.
     pub link_address: SocketAddr,
+    /// Where the peer listens.
     pub peer_link_address: SocketAddr,
-    /// The address that clients know.
+    /// The address that clients know, which moves with the leadership.
     pub shared_address: SocketAddr,
-    /// Asked again and again, so that keys change without a pause.
+    /// Gives the keys of advertisements. Called again and again, so that keys change without a restart.
     pub keys: Box<dyn Fn() -> Keys>,
+    /// The names of the workers that vote; an odd number.
     pub voters: Vec<String>,
+    /// By request class: what a second execution may do.
     pub retry_safety: Vec<RetrySafety>,
+    /// By request class: how long a response is remembered for clients that ask again.
     pub retention: Vec<Time>,
+    /// Whether two attempts of one request may be executed at once.
     pub allows_hedging: bool,
-    /// Window, free orders, and orders for each event taken.
+    /// The limit of load requests: its window, the load requests that are free in it, and how many each request received
+    /// in it adds.
     pub load_request_limit: (Time, f64, f64),
     /// Settings that both must have, a line each.
     pub shared_settings: Vec<String>,
-    /// False only where the audit is to notice that nothing goes to the other member.
+    /// False only in an audit that is to notice that nothing is replicated.
     pub replicates: bool,
 }
 
-/// Why a gateway's net was stopped.
+impl FailoverConfig {
+    /// VRRP's advertisement interval.
+    fn advertisement_interval(&self) -> Time {
+        Time::from(self.interval) * CENTISECOND
+    }
+
+    /// The time from one failover tick to the next.
+    fn tick_interval(&self) -> Time {
+        self.advertisement_interval() / TICKS_PER_INTERVAL
+    }
+
+    /// How long the peer may send nothing before it counts as lost.
+    fn silence_limit(&self) -> Time {
+        SILENT_INTERVALS * self.advertisement_interval()
+    }
+}
+
+/// Why a gateway's event loop was stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopReason {
+    /// It was asked to stop and has no requests in flight.
     Drained,
-    /// It is to start anew: another member serves.
+    /// The process is to start again: its leadership was superseded, or could not be confirmed.
     Restart,
 }
 
-/// An event that the other member has in hand.
-struct ReplicatedRequest {
-    id: u64,
-    class: usize,
-    tenant: Option<usize>,
-    function: String,
-    lanes: u32,
-    memory: f64,
-    cost_hint: Time,
-    load_hint: Time,
-    deadline: Time,
-    idempotency_key: Vec<u8>,
-    payload: Vec<u8>,
-    attempts: Vec<recovery::Attempt>,
-    /// Who asked us for it.
-    clients: Vec<(ReplyHandle, Time)>,
-}
-
-/// How far a copy has come.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum SnapshotCursor {
-    Off,
-    Events(usize),
-    Answers(usize),
-    /// All was told, up to this update.
-    Finished(u64),
-}
-
-struct Parts {
-    at: FailoverConfig,
-    me: usize,
-    router: Router,
-    keys: Keys,
-    guard: ReplayGuard,
-    port: Option<DatagramSocket>,
-    listener: Option<Listener>,
-    /// Advertisements sent, for the replay guard of the other one.
-    number: u64,
-    timer: Option<TimerId>,
-    /// What VRRP said meanwhile.
-    wanted: Option<bool>,
-    dialing: Option<Conn>,
-    heard: Time,
-    stood: Time,
-    vrrp_stood: Time,
-    theirs: Vec<Option<ReplicatedRequest>>,
-    /// We continue what the other one had: those that still await a fence.
-    adopting: bool,
-    /// Updates that came over this link, and those that we said are recorded.
-    got: u64,
-    recorded: u64,
-    cursor: SnapshotCursor,
-    /// When waiting began, so many updates were on their way.
-    began: u64,
-    fenced: Vec<bool>,
-    /// Doors that could not listen yet.
-    unopened: bool,
+/// What this gateway knows besides its role.
+struct FailoverState {
+    config: FailoverConfig,
+    /// This gateway's position in the pair, 0 or 1: the one whose name sorts first is 0.
+    member: usize,
+    vrrp: VrrpState,
+    link: PeerLink,
+    peer_requests: PeerRequests,
+    /// The peer's requests are ours, and some of them wait for their workers to be fenced.
+    recovering: bool,
+    fenced_workers: FencedWorkers,
+    /// Some ingress could not listen yet.
+    listeners_pending: bool,
     ticks: u64,
-    bad: u64,
-    bad_told: Time,
-    disagrees: Option<String>,
-    leaving: bool,
+    /// A shutdown was requested.
+    shutting_down: bool,
 }
 
+/// One gateway of a pair: its role, and what its role depends on.
 pub struct FailoverNode {
     role_machine: RoleStateMachine,
-    state: Parts,
+    state: FailoverState,
 }
 
 impl FailoverNode {
+    /// This gateway's position in the pair, 0 or 1: the one whose name sorts first is 0.
     pub fn member(&self) -> usize {
-        self.state.me
+        self.state.member
     }
 
+    /// Where the peer and `tidewall status` connect.
     pub fn listener(&self) -> Option<Listener> {
-        self.state.listener
+        Some(self.state.link.listener)
     }
 
+    /// Where advertisements come.
     pub fn port(&self) -> Option<DatagramSocket> {
-        self.state.port
+        Some(self.state.vrrp.socket)
     }
 
+    /// The gateway's role.
     pub fn state(&self) -> Role {
         self.role_machine.state()
     }
 }
 
-/// So many ticks in an advertisement interval: what is late by one is late by little.
-const TICKS: Time = 4;
-
-/// No word on the link for so many intervals: the other member is gone. As VRRP counts (RFC 9568, 6.1).
-const SILENT: Time = 3;
-
-/// So much of a copy may wait in the link's buffer: a quarter of its bound, so that updates find room.
-const COPY_AHEAD: usize = 512 << 10;
-
-/// Keys are read again after so many ticks, and unfenced workers are asked again after so many.
-const KEYS: u64 = 40;
-const FENCE: u64 = 4;
-
-/// Whoever asks for what may still be out somewhere is to come back after this: a few round trips to the workers.
-const UNFENCED: Time = 500;
+impl<N: Net> IngressContext<N> {
+    /// The epoch under which this gateway serves; 0 where it is not one of a pair.
+    pub fn epoch(&self) -> u64 {
+        let replicator = self.scheduler.host.replicator.as_ref();
+        replicator.map_or(0, |replicator| replicator.epoch)
+    }
 
-/// Bad advertisements are logged this often at most.
-const BAD: Time = 10_000;
+    /// The replicator of a gateway that is known to be one of a pair.
+    fn expect_replicator(&mut self) -> &mut Replicator {
+        let replicator = self.scheduler.host.replicator.as_mut();
+        replicator.expect("a gateway with a failover node has a replicator")
+    }
+}
 
 impl<N: Net> Gateway<N> {
-    pub(crate) fn enable_failover(&mut self, at: FailoverConfig) -> Result<(), StartError> {
-        let me = usize::from(at.name > at.peer_name);
-        let now = self.context.net().now();
-        let parameters = Parameters {
-            vrid: at.vrid,
-            priority: at.priority,
-            interval: at.interval,
-            preempt: at.preempt,
-            accept: true,
-            address: v4(at.vrrp_address),
-        };
-        let interval = Time::from(at.interval) * CENTISECOND;
+    /// Makes this gateway one of a pair, standby at first.
+    ///
+    /// # Errors
+    /// An address cannot be bound, or VRRP refuses a parameter.
+    pub(crate) fn enable_failover(&mut self, config: FailoverConfig) -> Result<(), StartError> {
+        let member = usize::from(config.name > config.peer_name);
+        let interval = config.advertisement_interval();
         let net = self.context.net();
-        let port = net
-            .bind_datagram(at.vrrp_address)
-            .map_err(|source| StartError::BindDatagrams {
-                address: at.vrrp_address,
-                source,
-            })?
-            .0;
-        let listener = net
-            .listen(at.link_address)
-            .map_err(|source| StartError::Listen {
-                address: at.link_address,
-                source,
-            })?
-            .0;
-        net.set_timer(now + interval / TICKS, OF_PAIR);
-        let ration = LoadRequestLimiter::new(
-            at.load_request_limit.0,
-            at.load_request_limit.1,
-            at.load_request_limit.2,
-        );
-        let mut copy = Replicator::new(
-            me,
-            at.retry_safety.clone(),
-            at.allows_hedging,
-            at.retention.clone(),
-            ration,
-            at.replicates,
-        );
-        copy.silence_timeout = (SILENT + 1) * interval;
-        self.context.scheduler.host.replicator = Some(Box::new(copy));
-        let stood = self.context.net().total_stall();
-        let parts = Parts {
-            me,
-            router: Router::new(parameters).map_err(StartError::Vrrp)?,
-            keys: (at.keys)(),
-            guard: ReplayGuard::default(),
-            port: Some(port),
-            listener: Some(listener),
-            // A start's numbers are above those of the one before, so long as lives are told in milliseconds.
-            number: at.incarnation << 20,
-            timer: None,
-            wanted: None,
-            dialing: None,
-            heard: now,
-            stood,
-            vrrp_stood: stood,
-            theirs: Vec::new(),
-            adopting: false,
-            got: 0,
-            recorded: 0,
-            cursor: SnapshotCursor::Off,
-            began: 0,
-            fenced: Vec::new(),
-            unopened: false,
+        let now = net.now();
+        let address = config.vrrp_address;
+        let (socket, _) = net
+            .bind_datagram(address)
+            .map_err(|source| StartError::BindDatagrams { address, source })?;
+        let address = config.link_address;
+        let (listener, _) = net
+            .listen(address)
+            .map_err(|source| StartError::Listen { address, source })?;
+        net.set_timer(now + config.tick_interval(), OF_PAIR);
+        // An attempt that waits for its record gets one interval more than the link's silence.
+        let silence_timeout = config.silence_limit() + interval;
+        let replicator = Replicator::new(member, &config, silence_timeout);
+        self.context.scheduler.host.replicator = Some(Box::new(replicator));
+        let total_stall = self.context.net().total_stall();
+        let state = FailoverState {
+            member,
+            vrrp: VrrpState::new(&config, socket, total_stall)?,
+            link: PeerLink::new(listener, now, total_stall),
+            peer_requests: PeerRequests::default(),
+            recovering: false,
+            fenced_workers: FencedWorkers::default(),
+            listeners_pending: false,
             ticks: 0,
-            bad: 0,
-            bad_told: 0,
-            disagrees: None,
-            leaving: false,
-            at,
+            shutting_down: false,
+            config,
         };
-        let seat = RoleStateMachine::new(
-            me,
-            parts.at.incarnation,
-            parts.at.voters.len(),
-            interval,
-            now,
-        );
+        let voters = state.config.voters.len();
+        let incarnation = state.config.incarnation;
+        let role_machine = RoleStateMachine::new(member, incarnation, voters, interval, now);
         self.failover = Some(Box::new(FailoverNode {
-            role_machine: seat,
-            state: parts,
+            role_machine,
+            state,
         }));
         Ok(())
     }
 
-    /// What the seat does for one thing that happened, and what VRRP said meanwhile.
-    fn with_role(&mut self, f: impl FnOnce(&mut RoleStateMachine, Time, &mut Acting<N>)) {
-        let Some(mut pair) = self.failover.take() else {
+    /// Lets the role state machine react to one event, and then to what VRRP concluded meanwhile. Without failover
+    /// nothing happens.
+    fn with_role(
+        &mut self,
+        react: impl FnOnce(&mut RoleStateMachine, Time, &mut GatewayActions<N>),
+    ) {
+        // Taken out, so that the role's actions may borrow all of the gateway.
+        let Some(mut node) = self.failover.take() else {
             return;
         };
         let now = self.context.net().now();
         let FailoverNode {
-            role_machine: seat,
-            state: parts,
-        } = &mut *pair;
-        f(seat, now, &mut Acting { gw: self, parts });
-        while let Some(on) = parts.wanted.take() {
-            if on {
-                seat.vrrp_became_active(now, &mut Acting { gw: self, parts });
-            } else {
-                seat.vrrp_became_backup(now);
+            role_machine,
+            state,
+        } = &mut *node;
+        let mut actions = GatewayActions {
+            gateway: self,
+            state,
+        };
+        react(role_machine, now, &mut actions);
+        while let Some(verdict) = actions.state.vrrp.verdict.take() {
+            match verdict {
+                VrrpVerdict::Active => role_machine.vrrp_became_active(now, &mut actions),
+                VrrpVerdict::Backup => role_machine.vrrp_became_backup(now),
             }
         }
-        self.failover = Some(pair);
+        self.failover = Some(node);
     }
 
-    /// Under which it serves; 0 where it never did.
+    /// The epoch under which this gateway serves or served last; 0 where it never did.
     pub fn epoch(&self) -> u64 {
         self.context.epoch()
     }
 
-    /// The first setting that the other member has otherwise.
+    /// The first setting that the peer has otherwise.
     pub fn settings_mismatch(&self) -> Option<&str> {
-        self.failover.as_ref()?.state.disagrees.as_deref()
+        let node = self.failover.as_ref()?;
+        node.state.link.settings_mismatch.as_deref()
     }
 
-    /// Advertisements that were ignored as malformed, forged or replayed.
-    pub fn rejected_advertisements(&self) -> u64 {
-        self.failover.as_ref().map_or(0, |p| p.state.bad)
-    }
-
-    /// Launches and answers that wait for the other member's record.
+    /// Attempts, load requests and responses that wait for the peer's acknowledgement.
     pub fn unreplicated(&self) -> usize {
-        self.context
-            .scheduler
-            .host
-            .replicator
-            .as_ref()
-            .map_or(0, |c| c.waiting_count())
+        let replicator = self.context.scheduler.host.replicator.as_ref();
+        replicator.map_or(0, |replicator| replicator.waiting_count())
     }
 
-    /// How this member of a pair stands.
+    /// The gateway's role; none without failover.
     pub fn role(&self) -> Option<Role> {
-        self.failover.as_ref().map(|p| p.state())
-    }
-
-    fn open_listeners(&mut self, parts: &mut Parts) {
-        parts.unopened = false;
-        for door in 0..self.ingresses.len() {
-            // The former owner of the address may still hold it: tried again with the next tick.
-            if self.listeners[door].is_none() && self.listen(door).is_err() {
-                parts.unopened = true;
-            }
-        }
+        self.failover.as_ref().map(|node| node.state())
     }
 
+    /// The failover timer fired: several times in an advertisement interval, all is looked after that no event would tell.
     pub(crate) fn failover_tick(&mut self) {
-        let Some(pair) = &mut self.failover else {
+        let Some(node) = &mut self.failover else {
             return;
         };
-        let interval = Time::from(pair.state.at.interval) * CENTISECOND;
+        let state = &mut node.state;
         let net = &mut self.context.scheduler.host.net;
         let now = net.now();
-        net.set_timer(now + interval / TICKS, OF_PAIR);
-        let parts = &mut pair.state;
-        parts.ticks += 1;
-        if parts.ticks % KEYS == 0 {
-            parts.keys = (parts.at.keys)();
+        net.set_timer(now + state.config.tick_interval(), OF_PAIR);
+        state.ticks += 1;
+        if state.ticks % KEY_RELOAD_TICKS == 0 {
+            state.vrrp.reload_keys(&state.config);
         }
-        // What passed while we stood still says nothing about the other one.
-        if net.total_stall() > parts.stood {
-            (parts.stood, parts.heard) = (net.total_stall(), now);
-        }
-        let counts = pair.role_machine.state().serves();
-        let silent = now > parts.heard + SILENT * interval;
-        let (member, retry) = (parts.me, parts.dialing.is_none());
-        let (peer, epoch) = (parts.at.peer_link_address, pair.role_machine.epoch());
-        let copy = self
-            .context
-            .scheduler
-            .host
-            .replicator
-            .as_mut()
-            .expect("a pair copies");
-        match copy.conn {
-            Some(conn) if silent || copy.is_peer_too_slow(now) => {
-                warn!(silent, "the other member is silent or too slow");
-                pair.role_machine.peer_too_slow(now);
-                self.context.scheduler.host.net.reset(conn);
-                self.set_owner(conn, Owner::Nobody);
-                self.peer_connection_closed();
-            }
-            Some(_) => {
-                let counted = if pair.role_machine.state() == Role::Replicating {
-                    pair.role_machine.granted.synced_incarnations[1 - member]
-                } else {
-                    0
-                };
-                copy.send_control(&mut self.context.scheduler.host.net, kind::PING, |f| {
-                    f.flag(Field::On, counts)
-                        .whole(Field::SyncA, counted)
-                        .whole(Field::Epoch, epoch)
-                        .end()
-                });
-            }
-            None if member == 1 && retry => {
-                let conn = self.context.net().connect(peer, interval);
-                self.set_owner(conn, Owner::Handshake);
-                if let Some(pair) = &mut self.failover {
-                    pair.state.dialing = Some(conn);
-                }
-            }
-            None => {}
-        }
-        self.with_role(|seat, now, act| {
-            seat.tick(now, act);
-            if act.parts.unopened {
-                act.gw.open_listeners(act.parts);
-            }
-            if seat.state() == Role::Synchronizing {
-                let copy = act.copy();
-                if copy.acknowledged_sequence >= act.parts.began {
-                    seat.replication_caught_up(act);
-                }
-            }
-            act.gw.update_fencing_complete(act.parts);
-            let awaits = act.parts.adopting && act.parts.theirs.iter().any(Option::is_some);
-            let forgot = now < act.copy().history_unknown_until && !act.copy().all_workers_fenced;
-            if seat.state().serves() && (awaits || forgot) {
-                if act.parts.ticks % FENCE == 0 {
-                    let claim = act.copy().leadership;
-                    act.spread(claim);
-                }
-                act.gw.take_over_requests(act.parts);
-            }
-            act.gw.send_pending_snapshot(act.parts);
-            act.gw.expire_waiting_clients(act.parts);
+        state.link.excuse_stall(now, net.total_stall());
+        self.check_peer_connection(now);
+        self.with_role(|role_machine, now, actions| {
+            role_machine.tick(now, actions);
+            actions.after_tick(role_machine, now);
         });
-        if self
-            .failover
-            .as_ref()
-            .is_some_and(|p| p.role_machine.exits_without_peer(now))
-            && !self.context.draining
-        {
+        let exits = |node: &FailoverNode| node.role_machine.exits_without_peer(now);
+        if self.failover.as_deref().is_some_and(exits) && !self.context.draining {
             self.context.draining = true;
             self.stop_listening();
         }
     }
 
-    /// Told to go. False where it is to end as one gateway would.
+    /// A shutdown is requested. False where the gateway is to end as one without failover would: there is none, or this
+    /// is the second request.
     pub(crate) fn begin_failover_shutdown(&mut self) -> bool {
         match &mut self.failover {
-            Some(pair) if !pair.state.leaving => pair.state.leaving = true,
+            Some(node) if !node.state.shutting_down => node.state.shutting_down = true,
             _ => return false,
         }
-        let mut waits = false;
-        self.with_role(|seat, now, act| waits = seat.shutdown_requested(now, act));
+        let mut waits_for_peer = false;
+        self.with_role(|role_machine, now, actions| {
+            waits_for_peer = role_machine.shutdown_requested(now, actions);
+        });
         self.deliver_deferred_outcomes();
-        waits
+        waits_for_peer
     }
 }
-
-fn copy_of<N: Net>(core: &mut IngressContext<N>) -> &mut Replicator {
-    core.scheduler
-        .host
-        .replicator
-        .as_mut()
-        .expect("a pair copies")
-}
--- a/crates/tidewall-gateway/src/failover/peer_link.rs
+++ b/crates/tidewall-gateway/src/failover/peer_link.rs
@@ -1,204 +1,319 @@
-//! The connection to the peer.
-use super::*;
+//! The connection to the peer. The gateway whose name sorts last dials. Both greet each other with their incarnation,
+//! role, epoch and shared settings; a disagreement of settings bars one of the two from serving. Then come heartbeats,
+//! replication records, their acknowledgements, and requests to step down. A connection that is silent or too slow for a
+//! few advertisement intervals is reset: the role state machine then treats the peer as lost.
+//!
+//! The same listener answers `tidewall status`.
+use super::control_messages::{PeerControl, PeerGreeting, PEER_ROLE, STATUS_ROLE};
+use super::snapshot::SnapshotCursor;
+use crate::error::ProtocolError;
+use crate::{Gateway, Owner};
+use tidewall_failover::role::Role;
+use tidewall_net::{Conn, Listener, Net, Time};
+use tidewall_wire::{self as wire, Field, Fields, WireError};
+use tracing::{info, warn};
+
+/// The member that is barred from serving where the settings disagree: the one whose name sorts last.
+const BARRED_MEMBER: usize = 1;
+
+/// The member that dials its peer.
+const DIALING_MEMBER: usize = 1;
+
+/// The state of the connection to the peer. The connection itself is the replicator's.
+pub(super) struct PeerLink {
+    pub listener: Listener,
+    /// A connection that we opened and whose greeting has not come yet.
+    dialing: Option<Conn>,
+    /// When the last message came.
+    last_heard: Time,
+    /// How long the process had stood still in all at the last tick.
+    total_stall: Time,
+    /// Records that came over this connection, and those that we acknowledged.
+    records_received: u64,
+    records_acknowledged: u64,
+    pub snapshot: SnapshotCursor,
+    /// The last record when waiting for acknowledgements began: the peer has caught up once it is acknowledged.
+    pub wait_start_sequence: u64,
+    /// The first setting that the peer has otherwise.
+    pub settings_mismatch: Option<String>,
+}
+
+impl PeerLink {
+    pub fn new(listener: Listener, now: Time, total_stall: Time) -> PeerLink {
+        PeerLink {
+            listener,
+            dialing: None,
+            last_heard: now,
+            total_stall,
+            records_received: 0,
+            records_acknowledged: 0,
+            snapshot: SnapshotCursor::Idle,
+            wait_start_sequence: 0,
+            settings_mismatch: None,
+        }
+    }
+
+    /// What did not come while this process stood still says nothing about the peer.
+    pub fn excuse_stall(&mut self, now: Time, total_stall: Time) {
+        if total_stall > self.total_stall {
+            self.total_stall = total_stall;
+            self.last_heard = now;
+        }
+    }
+}
 
 impl<N: Net> Gateway<N> {
+    /// Each tick: sends a heartbeat, resets a connection that is silent or too slow, or dials.
+    pub(super) fn check_peer_connection(&mut self, now: Time) {
+        let host = &mut self.context.scheduler.host;
+        let (Some(node), Some(replicator)) = (&mut self.failover, &mut host.replicator) else {
+            return;
+        };
+        let (state, role_machine) = (&mut node.state, &mut node.role_machine);
+        let silent = now > state.link.last_heard + state.config.silence_limit();
+        match replicator.conn {
+            Some(conn) if silent || replicator.is_peer_too_slow(now) => {
+                warn!(silent, "peer is silent or too slow");
+                role_machine.peer_too_slow(now);
+                self.drop_peer_connection(conn);
+            }
+            Some(_) => {
+                let synced_incarnation = match role_machine.state() {
+                    Role::Replicating => role_machine.granted.synced_incarnations[1 - state.member],
+                    _ => 0,
+                };
+                let heartbeat = PeerControl::Heartbeat {
+                    serves: role_machine.state().serves(),
+                    synced_incarnation,
+                    epoch: role_machine.epoch(),
+                };
+                replicator.send_control(&mut host.net, &heartbeat);
+            }
+            None if state.member == DIALING_MEMBER && state.link.dialing.is_none() => {
+                let timeout = state.config.advertisement_interval();
+                let conn = host.net.connect(state.config.peer_link_address, timeout);
+                state.link.dialing = Some(conn);
+                self.set_owner(conn, Owner::Handshake);
+            }
+            None => {}
+        }
+    }
+
+    fn drop_peer_connection(&mut self, conn: Conn) {
+        self.context.net().reset(conn);
+        self.set_owner(conn, Owner::Nobody);
+        self.peer_connection_closed();
+    }
+
+    /// The first message of a connection that we opened, and the reply to a greeting.
     pub(crate) fn send_peer_greeting(&mut self, conn: Conn) {
-        let mut out = Vec::new();
-        let Some(pair) = &self.failover else { return };
-        let at = &pair.state.at;
-        let f = Frame::new(&mut out, kind::HELLO).whole(Field::Version, wire::VERSION);
-        let f = f
-            .text(Field::Role, "pair")
-            .text(Field::Name, &at.name)
-            .whole(Field::Life, at.incarnation);
-        let f = f
-            .flag(Field::On, pair.role_machine.state().serves())
-            .whole(Field::Epoch, pair.role_machine.epoch());
-        f.bytes(Field::Payload, at.shared_settings.join("\n").as_bytes())
-            .end();
-        self.context.net().write(conn, &out);
+        let Some(node) = &self.failover else { return };
+        let config = &node.state.config;
+        let shared_settings = config.shared_settings.join("\n");
+        let greeting = PeerGreeting {
+            name: &config.name,
+            incarnation: config.incarnation,
+            serves: node.role_machine.state().serves(),
+            epoch: node.role_machine.epoch(),
+            shared_settings: shared_settings.as_bytes(),
+        };
+        let mut frame = Vec::new();
+        greeting.encode(&mut frame);
+        self.context.net().write(conn, &frame);
     }
 
+    /// A connection was closed before its greeting came: where we opened it, it is opened again with the next tick.
     pub(crate) fn handshake_closed(&mut self, conn: Conn) {
-        if let Some(pair) = self
-            .failover
-            .as_mut()
-            .filter(|p| p.state.dialing == Some(conn))
-        {
-            pair.state.dialing = None;
+        if let Some(node) = &mut self.failover {
+            let dialing = &mut node.state.link.dialing;
+            if *dialing == Some(conn) {
+                *dialing = None;
+            }
         }
     }
 
-    /// The first frame of a connection to the link's listener, or of the one that we dialled.
+    /// The first frame of a connection that came to the link's listener or that we opened.
+    ///
+    /// # Errors
+    /// It is no greeting, or not one of the peer or of `tidewall status`.
     pub(crate) fn handshake_frame_received(
         &mut self,
         conn: Conn,
         fields: &Fields,
     ) -> Result<(), ProtocolError> {
         match wire::greeted(fields)? {
-            "status" => {
+            STATUS_ROLE => {
                 self.send_status(conn);
-                return Ok(());
+                Ok(())
+            }
+            PEER_ROLE => {
+                let node = self.failover.as_ref();
+                let expected = node.map(|node| node.state.config.peer_name.as_str());
+                let greeting = PeerGreeting::decode(fields, expected)?;
+                self.peer_greeted(conn, &greeting);
+                Ok(())
             }
-            "pair" => {}
             other => {
-                return Err(
-                    WireError::invalid(Field::Role, format!("{other} is not heard here")).into(),
-                )
+                let problem = format!("{other} is not heard here");
+                Err(WireError::invalid(Field::Role, problem).into())
             }
         }
-        let (name, life) = (fields.text(Field::Name)?, fields.whole(Field::Life)?);
-        let (serves, epoch) = (
-            fields.flag(Field::On)?,
-            fields.upto(Field::Epoch, u64::MAX, 0)?,
-        );
-        let Some(pair) = &mut self.failover else {
-            return Err(WireError::invalid(Field::Role, "no pair here").into());
+    }
+
+    /// The connection becomes the one to the peer; an older one, which the peer has given up, is reset.
+    fn peer_greeted(&mut self, conn: Conn, greeting: &PeerGreeting) {
+        let Some(node) = &mut self.failover else {
+            return;
         };
-        if name != pair.state.at.peer_name {
-            return Err(
-                WireError::invalid(Field::Name, format!("{name} is not the other member")).into(),
-            );
-        }
-        let theirs = String::from_utf8_lossy(fields.bytes(Field::Payload)?).into_owned();
-        let differs = disagree(&pair.state.at.shared_settings, &theirs);
-        if pair.state.dialing.take().is_none() {
-            // They dialled: they hear who we are.
+        let peer_settings = String::from_utf8_lossy(greeting.shared_settings);
+        let mismatch = first_difference(&node.state.config.shared_settings, &peer_settings);
+        if node.state.link.dialing.take().is_none() {
+            // The peer dialled and waits for our greeting.
             self.send_peer_greeting(conn);
         }
-        if let Some(old) = self
-            .context
-            .scheduler
-            .host
-            .replicator
-            .as_ref()
-            .and_then(|c| c.conn)
-        {
-            self.context.net().reset(old);
-            self.set_owner(old, Owner::Nobody);
-            self.peer_connection_closed();
+        let replicator = self.context.scheduler.host.replicator.as_ref();
+        if let Some(older) = replicator.and_then(|replicator| replicator.conn) {
+            self.drop_peer_connection(older);
         }
         let now = self.context.net().now();
         self.set_owner(conn, Owner::Peer);
-        if let Some(pair) = &mut self.failover {
-            (pair.state.got, pair.state.recorded, pair.state.heard) = (0, 0, now);
-            // The lower priority keeps off, or the later name.
-            let bar = differs.is_some() && pair.state.me == 1;
-            if let Some(line) = &differs {
-                warn!(
-                    setting = line,
-                    refuses = bar,
-                    "settings disagree with the other member's"
-                );
-            }
-            pair.state.disagrees = differs;
-            pair.role_machine.set_barred(bar);
+        if let Some(node) = &mut self.failover {
+            let link = &mut node.state.link;
+            link.records_received = 0;
+            link.records_acknowledged = 0;
+            link.last_heard = now;
+            let barred = mismatch.is_some() && node.state.member == BARRED_MEMBER;
+            if let Some(setting) = &mismatch {
+                warn!(setting, barred, "settings disagree with the peer");
+            }
+            link.settings_mismatch = mismatch;
+            node.role_machine.set_barred(barred);
         }
-        if let Some(copy) = &mut self.context.scheduler.host.replicator {
-            (copy.conn, copy.sent_on_connection) = (Some(conn), 0);
+        if let Some(replicator) = &mut self.context.scheduler.host.replicator {
+            replicator.conn = Some(conn);
+            replicator.sent_on_connection = 0;
         }
-        info!(name, life, serves, "the other member is there");
-        self.with_role(|seat, now, act| seat.peer_connected(now, act, life, serves, epoch));
-        Ok(())
+        let PeerGreeting {
+            name,
+            incarnation,
+            serves,
+            epoch,
+            ..
+        } = *greeting;
+        info!(peer = name, incarnation, serves, "peer connected");
+        self.with_role(|role_machine, now, actions| {
+            role_machine.peer_connected(now, actions, incarnation, serves, epoch)
+        });
     }
 
+    /// The connection to the peer is gone, or is about to be dropped.
     pub(crate) fn peer_connection_closed(&mut self) {
-        if let Some(copy) = &mut self.context.scheduler.host.replicator {
-            (copy.conn, copy.streaming, copy.connection_overflowed) = (None, false, false);
+        if let Some(replicator) = &mut self.context.scheduler.host.replicator {
+            replicator.conn = None;
+            replicator.streaming = false;
+            replicator.connection_overflowed = false;
         }
-        if let Some(pair) = &mut self.failover {
-            pair.state.cursor = SnapshotCursor::Off;
+        if let Some(node) = &mut self.failover {
+            node.state.link.snapshot = SnapshotCursor::Idle;
         }
-        warn!("the link to the other member is gone");
-        self.with_role(|seat, now, act| seat.peer_disconnected(now, act));
+        warn!("peer connection closed");
+        self.with_role(|role_machine, now, actions| role_machine.peer_disconnected(now, actions));
     }
 
-    /// Tells the other member how much of what came is recorded.
+    /// Acknowledges the records that came since the last time: once for all that were read together.
     pub(crate) fn acknowledge_records(&mut self) {
-        let Some(pair) = &mut self.failover else {
+        let Some(node) = &mut self.failover else {
             return;
         };
-        let parts = &mut pair.state;
-        if parts.got > parts.recorded {
-            parts.recorded = parts.got;
-            let (host, got) = (&mut self.context.scheduler.host, parts.got);
-            if let Some(copy) = &mut host.replicator {
-                copy.send_control(&mut host.net, kind::RECORDED, |f| {
-                    f.whole(Field::Seq, got).end()
-                });
+        let link = &mut node.state.link;
+        if link.records_received > link.records_acknowledged {
+            link.records_acknowledged = link.records_received;
+            let sequence = link.records_received;
+            let host = &mut self.context.scheduler.host;
+            if let Some(replicator) = &mut host.replicator {
+                replicator.send_control(&mut host.net, &PeerControl::Acknowledged { sequence });
             }
         }
     }
 
+    /// A frame of the peer, after its greeting.
+    ///
+    /// # Errors
+    /// The frame is malformed, or acknowledges records that were never sent.
     pub(crate) fn peer_frame_received(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
         let now = self.context.net().now();
-        let Some(pair) = &mut self.failover else {
+        let Some(node) = &mut self.failover else {
             return Ok(());
         };
-        pair.state.heard = now;
-        match fields.kind()? {
-            kind::PING => {
-                let counted = fields.upto(Field::SyncA, u64::MAX, 0)?;
-                let (serves, counts) = (
-                    fields.flag(Field::On)?,
-                    counted == pair.state.at.incarnation,
-                );
-                let epoch = fields.upto(Field::Epoch, u64::MAX, 0)?;
-                self.with_role(|seat, now, act| {
-                    seat.peer_heartbeat(now, act, serves, counts, epoch)
+        node.state.link.last_heard = now;
+        match PeerControl::decode(fields)? {
+            Some(PeerControl::Heartbeat {
+                serves,
+                synced_incarnation,
+                epoch,
+            }) => {
+                let counts_us = synced_incarnation == node.state.config.incarnation;
+                self.with_role(|role_machine, now, actions| {
+                    role_machine.peer_heartbeat(now, actions, serves, counts_us, epoch)
                 });
             }
-            kind::RECORDED => {
-                let seq = fields.whole(Field::Seq)?;
-                let copy = self
-                    .context
-                    .scheduler
-                    .host
-                    .replicator
-                    .as_mut()
-                    .expect("a pair copies");
-                if copy.sequence_base + seq > copy.last_sequence {
-                    return Err(
-                        WireError::invalid(Field::Seq, format!("{seq} was never told")).into(),
-                    );
-                }
-                copy.acknowledged_sequence =
-                    copy.acknowledged_sequence.max(copy.sequence_base + seq);
-                self.with_role(|seat, now, act| {
-                    act.gw.send_pending_snapshot(act.parts);
-                    let acked = act.copy().acknowledged_sequence;
-                    if let SnapshotCursor::Finished(all) = act.parts.cursor {
-                        if acked >= all {
-                            act.parts.cursor = SnapshotCursor::Off;
-                            seat.snapshot_acknowledged(now, act);
-                        }
-                    }
-                    if seat.state() == Role::Synchronizing && acked >= act.parts.began {
-                        seat.replication_caught_up(act);
-                    }
+            Some(PeerControl::Acknowledged { sequence }) => {
+                return self.records_acknowledged(sequence)
+            }
+            Some(PeerControl::StepDownRequested) => {
+                self.with_role(|role_machine, now, actions| {
+                    role_machine.step_down_requested(now, actions)
+                });
+            }
+            Some(PeerControl::SteppedDown) => {
+                self.with_role(|role_machine, now, actions| {
+                    role_machine.peer_stepped_down(now, actions)
                 });
             }
-            kind::YIELD => self.with_role(|seat, now, act| seat.step_down_requested(now, act)),
-            kind::YIELDED => self.with_role(|seat, now, act| seat.peer_stepped_down(now, act)),
-            _ => {
-                pair.state.got += 1;
+            None => {
+                node.state.link.records_received += 1;
                 return self.apply_record(fields);
             }
         }
         Ok(())
     }
+
+    /// The peer has applied all records up to this one, counted on this connection.
+    fn records_acknowledged(&mut self, sequence: u64) -> Result<(), ProtocolError> {
+        let replicator = self.context.expect_replicator();
+        let acknowledged = replicator.sequence_base + sequence;
+        if acknowledged > replicator.last_sequence {
+            let problem = format!("{sequence} was never told");
+            return Err(WireError::invalid(Field::Seq, problem).into());
+        }
+        replicator.acknowledged_sequence = replicator.acknowledged_sequence.max(acknowledged);
+        self.with_role(|role_machine, now, actions| {
+            actions.gateway.send_pending_snapshot(actions.state);
+            let acknowledged = actions.replicator().acknowledged_sequence;
+            if let SnapshotCursor::Sent(last) = actions.state.link.snapshot {
+                if acknowledged >= last {
+                    actions.state.link.snapshot = SnapshotCursor::Idle;
+                    role_machine.snapshot_acknowledged(now, actions);
+                }
+            }
+            let caught_up = acknowledged >= actions.state.link.wait_start_sequence;
+            if role_machine.state() == Role::Synchronizing && caught_up {
+                role_machine.replication_caught_up(actions);
+            }
+        });
+        Ok(())
+    }
 }
 
-/// The first setting that the other member has otherwise.
-fn disagree(ours: &[String], theirs: &str) -> Option<String> {
+/// The first line that only one of the two has, in the order of their texts; ours first.
+fn first_difference(ours: &[String], theirs: &str) -> Option<String> {
     let mut theirs: Vec<&str> = theirs.lines().collect();
     theirs.sort_unstable();
-    let mut mine: Vec<&str> = ours.iter().map(String::as_str).collect();
-    mine.sort_unstable();
-    let only = |a: &[&str], b: &[&str]| {
-        a.iter()
-            .find(|l| b.binary_search(l).is_err())
-            .map(|l| l.to_string())
+    let mut ours: Vec<&str> = ours.iter().map(String::as_str).collect();
+    ours.sort_unstable();
+    let only_in = |lines: &[&str], others: &[&str]| {
+        let missing = |line: &&&str| others.binary_search(line).is_err();
+        lines.iter().find(missing).map(|line| line.to_string())
     };
-    only(&mine, &theirs).or_else(|| only(&theirs, &mine))
+    only_in(&ours, &theirs).or_else(|| only_in(&theirs, &ours))
 }
--- /dev/null
+++ b/crates/tidewall-gateway/src/failover/peer_requests.rs
@@ -0,0 +1,201 @@
+//! The peer's requests in flight, as its replication records tell them. They are only kept until this gateway serves; then
+//! [`takeover`](super::takeover) continues or ends them.
+use super::records::{AdmittedRequest, FinalResponse, RecordNames, ReplicationRecord, NO_SLOT};
+use super::replicator::Replicator;
+use crate::error::ProtocolError;
+use crate::ingress::ReplyHandle;
+use crate::Gateway;
+use tidewall_failover::deduplication::RequestLocation;
+use tidewall_failover::recovery::{Attempt, AttemptState};
+use tidewall_net::{Net, Time};
+use tidewall_wire::Fields;
+
+/// A request that the peer has in flight.
+pub(super) struct ReplicatedRequest {
+    pub id: u64,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub function: String,
+    pub lanes: u32,
+    pub memory: f64,
+    pub cost_hint: Time,
+    pub load_hint: Time,
+    /// By this gateway's clock.
+    pub deadline: Time,
+    pub idempotency_key: Vec<u8>,
+    pub payload: Vec<u8>,
+    /// In the order of their numbers.
+    pub attempts: Vec<Attempt>,
+    /// Clients that sent the same request to this gateway, each with the time when it gives up.
+    pub clients: Vec<(ReplyHandle, Time)>,
+}
+
+impl ReplicatedRequest {
+    fn new(request: &AdmittedRequest, now: Time) -> ReplicatedRequest {
+        ReplicatedRequest {
+            id: request.id,
+            class: request.class,
+            tenant: request.tenant,
+            function: request.function.to_string(),
+            lanes: request.lanes,
+            memory: request.memory,
+            cost_hint: request.cost_hint,
+            load_hint: request.load_hint,
+            deadline: now + request.remaining,
+            idempotency_key: request.idempotency_key.to_vec(),
+            payload: request.payload.to_vec(),
+            attempts: Vec::new(),
+            clients: Vec::new(),
+        }
+    }
+
+    fn may_have_executed(&self) -> bool {
+        let not_executed = |attempt: &Attempt| attempt.state == AttemptState::NotExecuted;
+        !self.attempts.iter().all(not_executed)
+    }
+}
+
+/// The peer's requests by its slots.
+#[derive(Default)]
+pub(super) struct PeerRequests {
+    slots: Vec<Option<ReplicatedRequest>>,
+}
+
+impl PeerRequests {
+    /// One more than the highest slot that was ever in use.
+    pub fn slot_count(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// How many requests there are.
+    pub fn len(&self) -> usize {
+        self.slots.iter().flatten().count()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.slots.iter().all(Option::is_none)
+    }
+
+    pub fn get(&self, slot: usize) -> Option<&ReplicatedRequest> {
+        self.slots.get(slot)?.as_ref()
+    }
+
+    pub fn get_mut(&mut self, slot: usize) -> Option<&mut ReplicatedRequest> {
+        self.slots.get_mut(slot)?.as_mut()
+    }
+
+    pub fn take(&mut self, slot: usize) -> Option<ReplicatedRequest> {
+        self.slots.get_mut(slot)?.take()
+    }
+
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut ReplicatedRequest> {
+        self.slots.iter_mut().flatten()
+    }
+
+    fn insert(&mut self, slot: usize, request: ReplicatedRequest) {
+        if self.slots.len() <= slot {
+            self.slots.resize_with(slot + 1, || None);
+        }
+        self.slots[slot] = Some(request);
+    }
+
+    /// The request has its response: it is remembered, and goes to the clients that sent the same request here.
+    fn record_response(
+        &mut self,
+        replicator: &mut Replicator,
+        now: Time,
+        response: &FinalResponse,
+    ) {
+        let request = self.take(response.slot.unwrap_or(NO_SLOT));
+        let known = request
+            .as_ref()
+            .map(|request| (request.class, &*request.idempotency_key));
+        // The record tells the key where its sender could not be sure that we know the slot.
+        let told = response
+            .request
+            .map(|request| (request.class, request.idempotency_key));
+        if let Some((class, key)) = told.or(known) {
+            replicator.remember_response(now, class, key, response.disposition, response.payload);
+        }
+        if let Some(request) = request.filter(|request| !request.clients.is_empty()) {
+            let mut pending = replicator.new_response();
+            pending.clients = request.clients;
+            pending.disposition = Some(response.disposition);
+            pending.payload.extend_from_slice(response.payload);
+            replicator.ready_responses.push_back(pending);
+        }
+    }
+}
+
+impl<N: Net> Gateway<N> {
+    /// Applies one replication record of the peer.
+    pub(super) fn apply_record(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
+        let host = &mut self.context.scheduler.host;
+        let now = host.net.now();
+        let (Some(node), Some(replicator)) = (&mut self.failover, &mut host.replicator) else {
+            return Ok(());
+        };
+        let requests = &mut node.state.peer_requests;
+        let names = RecordNames {
+            classes: &host.class_names,
+            tenants: &host.tenant_names,
+        };
+        match ReplicationRecord::decode(fields, names)? {
+            ReplicationRecord::SnapshotStarted { only_changes } => {
+                requests.slots.clear();
+                if !only_changes {
+                    replicator.deduplication.clear_responses();
+                }
+            }
+            ReplicationRecord::RequestAdmitted(admitted) => {
+                let (class, key) = (admitted.class, admitted.idempotency_key);
+                let location = RequestLocation::Remote(admitted.slot);
+                replicator.load_request_limiter.request_received(now);
+                replicator
+                    .deduplication
+                    .insert_in_flight(class, key, location);
+                requests.insert(admitted.slot, ReplicatedRequest::new(&admitted, now));
+            }
+            ReplicationRecord::AttemptStarted { slot, worker, .. } => {
+                let worker = host.worker_names.intern(worker);
+                if let Some(request) = requests.get_mut(slot) {
+                    request.attempts.push(Attempt {
+                        worker,
+                        sent_at: now,
+                        state: AttemptState::InFlight,
+                    });
+                }
+            }
+            ReplicationRecord::AttemptEnded {
+                slot,
+                attempt,
+                not_executed,
+            } => {
+                let request = requests.get_mut(slot);
+                let attempts = request.map(|request| &mut request.attempts);
+                if let Some(attempt) = attempts.and_then(|all| all.get_mut(attempt as usize)) {
+                    attempt.state = match not_executed {
+                        true => AttemptState::NotExecuted,
+                        false => AttemptState::MayHaveExecuted,
+                    };
+                }
+            }
+            ReplicationRecord::ResponseRecorded(response) => {
+                requests.record_response(replicator, now, &response);
+            }
+            ReplicationRecord::RequestAbandoned { slot } => {
+                if let Some(request) = requests.take(slot) {
+                    let (class, key) = (request.class, &request.idempotency_key);
+                    let may_have_executed = request.may_have_executed();
+                    replicator.remember_abandonment(now, class, key, may_have_executed);
+                }
+            }
+            ReplicationRecord::LoadRequested { age } => {
+                let requested_at = now.saturating_sub(age);
+                replicator.load_request_limiter.load_requested(requested_at);
+            }
+            ReplicationRecord::SnapshotCompleted => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/tidewall-gateway/src/failover/replication.rs
@@ -0,0 +1,268 @@
+//! What the worker pool replicates: a record for each change of a request in flight, written before the change has an
+//! effect outside the gateway. Where a second execution may do harm, the effect itself (sending an attempt or a response)
+//! is held back until the peer has acknowledged the record: then the peer never takes over a request without knowing of
+//! its attempts, and no client has a response that the peer could contradict.
+//!
+//! A gateway without failover has no replicator; each method then does what a single gateway does.
+use super::control_messages::VoteRequest;
+use super::records::{AdmittedRequest, FinalResponse, RecordNames, ReplicationRecord, RequestKey};
+use super::replicator::{DeferredAction, PendingResponse};
+use crate::ingress::{ReplyHandle, NO_CLIENT};
+use crate::worker_pool::{LocalResponse, PendingRequest, WorkerPool};
+use tidewall::interface::Outcome;
+use tidewall_failover::deduplication::RequestLocation;
+use tidewall_net::{Net, Time};
+
+/// The record of a request in flight as it stands now.
+pub(super) fn admitted_request<'a>(
+    slot: usize,
+    request: &'a PendingRequest,
+    function: &'a str,
+    now: Time,
+) -> AdmittedRequest<'a> {
+    let info = request.info();
+    AdmittedRequest {
+        slot,
+        id: request.id,
+        class: info.class,
+        tenant: info.tenant,
+        function,
+        lanes: info.lanes,
+        memory: info.memory,
+        cost_hint: info.cost_hint,
+        load_hint: info.load_hint,
+        remaining: request.deadline().saturating_sub(now),
+        idempotency_key: request.idempotency_key(),
+        payload: request.payload(),
+    }
+}
+
+impl<N: Net> WorkerPool<N> {
+    /// A request was admitted to this slot.
+    pub(crate) fn replicate_admission(&mut self, slot: usize) {
+        let Some(replicator) = &mut self.replicator else {
+            return;
+        };
+        let now = self.net.now();
+        let request = &self.requests[slot];
+        let info = request.info();
+        replicator.load_request_limiter.request_received(now);
+        replicator.deduplication.insert_in_flight(
+            info.class,
+            request.idempotency_key(),
+            RequestLocation::Local(slot),
+        );
+        let function = self.function_names.resolve(info.function);
+        replicator.send_record(
+            &mut self.net,
+            &ReplicationRecord::RequestAdmitted(admitted_request(slot, request, function, now)),
+            RecordNames {
+                classes: &self.class_names,
+                tenants: &self.tenant_names,
+            },
+        );
+    }
+
+    /// An attempt is ready to be sent. It is recorded first, and held back until that is acknowledged where a second
+    /// execution might do harm or two at once are barred.
+    pub(crate) fn replicate_attempt(&mut self, slot: usize, attempt: usize, call: usize) {
+        let Some(replicator) = &mut self.replicator else {
+            return;
+        };
+        let request = &mut self.requests[slot];
+        request.unproven += 1;
+        let worker = self.worker_names.resolve(self.calls[call].worker);
+        replicator.send_record(
+            &mut self.net,
+            &ReplicationRecord::AttemptStarted {
+                slot,
+                attempt: attempt as u64,
+                worker,
+            },
+            RecordNames {
+                classes: &self.class_names,
+                tenants: &self.tenant_names,
+            },
+        );
+        let retry_safety = replicator.retry_safety_of(request.info().class);
+        let unsafe_unrecorded = !retry_safety.is_safe_to_repeat() || !replicator.allows_hedging;
+        if replicator.waits_for_records && unsafe_unrecorded {
+            let generation = self.calls[call].generation;
+            let now = self.net.now();
+            replicator.defer(now, DeferredAction::SendCall { call, generation });
+        } else {
+            self.assign_connection(call);
+        }
+    }
+
+    /// An attempt ended. Where the outcome proves that it was not executed, a takeover may repeat it.
+    pub(crate) fn replicate_attempt_end(&mut self, slot: usize, attempt: usize, outcome: Outcome) {
+        let Some(replicator) = &mut self.replicator else {
+            return;
+        };
+        let not_executed = matches!(
+            outcome,
+            Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::Discarded | Outcome::Miss
+        );
+        let request = &mut self.requests[slot];
+        request.not_executed[attempt] = Some(not_executed);
+        request.unproven -= u32::from(not_executed && request.unproven > 0);
+        if request.open {
+            replicator.send_record(
+                &mut self.net,
+                &ReplicationRecord::AttemptEnded {
+                    slot,
+                    attempt: attempt as u64,
+                    not_executed,
+                },
+                RecordNames {
+                    classes: &self.class_names,
+                    tenants: &self.tenant_names,
+                },
+            );
+        }
+    }
+
+    /// A request has its final response. Gives it back where it may be sent at once; else it is held back until the
+    /// record is acknowledged.
+    pub(crate) fn replicate_response(
+        &mut self,
+        response: &LocalResponse,
+        payload: &[u8],
+    ) -> Option<PendingResponse> {
+        let now = self.net.now();
+        let replicator = self.replicator.as_mut()?;
+        let slot = response.request;
+        let request = &mut self.requests[slot];
+        let class = request.info().class;
+        let (key, disposition) = (request.idempotency_key(), response.disposition);
+        replicator.remember_response(now, class, key, disposition, payload);
+        let request_key = RequestKey {
+            class,
+            idempotency_key: key,
+        };
+        let record = FinalResponse {
+            slot: Some(slot),
+            request: replicator.snapshot_incomplete.then_some(request_key),
+            disposition,
+            payload,
+        };
+        replicator.send_record(
+            &mut self.net,
+            &ReplicationRecord::ResponseRecorded(record),
+            RecordNames {
+                classes: &self.class_names,
+                tenants: &self.tenant_names,
+            },
+        );
+        let mut pending = replicator.new_response();
+        pending.clients.append(&mut request.waiting_clients);
+        if response.reply_handle != NO_CLIENT {
+            let client = (response.reply_handle, request.deadline());
+            pending.clients.push(client);
+        }
+        pending.disposition = Some(disposition);
+        pending.retry_after = response.retry_after;
+        pending.elapsed = response.elapsed;
+        pending.payload.extend_from_slice(payload);
+        if replicator.waits_for_records && !replicator.retry_safety_of(class).is_safe_to_repeat() {
+            replicator.defer(now, DeferredAction::Respond(pending));
+            return None;
+        }
+        Some(pending)
+    }
+
+    /// The client of the request in this slot abandoned it.
+    pub(crate) fn replicate_abandonment(&mut self, slot: usize) {
+        let now = self.net.now();
+        let Some(replicator) = &mut self.replicator else {
+            return;
+        };
+        let request = &self.requests[slot];
+        replicator.remember_abandonment(
+            now,
+            request.info().class,
+            request.idempotency_key(),
+            request.unproven > 0,
+        );
+        replicator.send_record(
+            &mut self.net,
+            &ReplicationRecord::RequestAbandoned { slot },
+            RecordNames {
+                classes: &self.class_names,
+                tenants: &self.tenant_names,
+            },
+        );
+    }
+
+    /// Whether a load request is within the limit that both gateways share; it is counted and recorded then. A request
+    /// for no instances is not limited.
+    pub(crate) fn admit_load_request(&mut self, instances: u32) -> bool {
+        let now = self.net.now();
+        let Some(replicator) = &mut self.replicator else {
+            return true;
+        };
+        if instances == 0 {
+            return true;
+        }
+        if replicator.epoch == 0 || !replicator.load_request_limiter.has_capacity(now) {
+            return false;
+        }
+        replicator.load_request_limiter.load_requested(now);
+        replicator.send_record(
+            &mut self.net,
+            &ReplicationRecord::LoadRequested { age: 0 },
+            RecordNames {
+                classes: &self.class_names,
+                tenants: &self.tenant_names,
+            },
+        );
+        true
+    }
+
+    /// Sends a load request, held back until its record is acknowledged: the peer's limit might not count it otherwise.
+    pub(crate) fn send_when_recorded(&mut self, call: usize, instances: u32) {
+        let now = self.net.now();
+        match &mut self.replicator {
+            Some(replicator) if replicator.waits_for_records && instances > 0 => {
+                let generation = self.calls[call].generation;
+                replicator.defer(now, DeferredAction::SendCall { call, generation });
+            }
+            _ => self.assign_connection(call),
+        }
+    }
+
+    /// Removes one of several clients that wait for the same request; false where it is the only one.
+    pub(crate) fn remove_waiting_client(&mut self, slot: usize, client: ReplyHandle) -> bool {
+        let Some(request) = self.requests.get_mut(slot).filter(|request| request.open) else {
+            return false;
+        };
+        let waiting = &mut request.waiting_clients;
+        if let Some(position) = waiting.iter().position(|(handle, _)| *handle == client) {
+            waiting.swap_remove(position);
+            return true;
+        }
+        let has_others = request.reply_handle == client && !waiting.is_empty();
+        if has_others {
+            request.reply_handle = NO_CLIENT;
+        }
+        has_others
+    }
+
+    /// Writes the vote request of a call into the frame buffer.
+    pub(crate) fn encode_vote(&mut self, call_id: u64, ballot: u64, accepting: bool) {
+        let Some(replicator) = &self.replicator else {
+            return;
+        };
+        let request = if accepting {
+            VoteRequest::Accept {
+                call_id,
+                ballot,
+                leadership: replicator.leadership,
+            }
+        } else {
+            VoteRequest::Prepare { call_id, ballot }
+        };
+        request.encode(&mut self.frame);
+    }
+}
--- a/crates/tidewall-gateway/src/failover/responses.rs
+++ b/crates/tidewall-gateway/src/failover/responses.rs
@@ -1,133 +1,157 @@
-//! Delivery of responses, held until the peer has recorded them.
-use super::*;
+//! Delivery of responses, and of all else that failover leaves for the end of an event: calls and responses whose records
+//! were acknowledged, missing votes, a rejected epoch, an overflowed connection.
+use super::replicator::{DeferredAction, PendingResponse};
+use super::{StopReason, FENCING_RETRY_AFTER};
+use crate::ingress::{Disposition, ReplyHandle, Response, NO_CLIENT};
+use crate::worker_pool::LocalResponse;
+use crate::{Gateway, Owner};
+use tidewall_failover::role::Role;
+use tidewall_net::{Conn, Net, Time};
 
 impl<N: Net> Gateway<N> {
-    /// The event's answer, which is used up: it goes to whoever waits for it, at once or when it is recorded.
-    pub(crate) fn send_final_response(&mut self, given: &LocalResponse, payload: &[u8]) {
+    /// Sends a request's final response to its client and to all that sent it again; with failover, at once or when it is
+    /// recorded. The slot may serve another request after that.
+    pub(crate) fn send_final_response(&mut self, response: &LocalResponse, payload: &[u8]) {
         let host = &mut self.context.scheduler.host;
         if host.replicator.is_some() {
-            if let Some(due) = host.replicate_response(given, payload) {
-                self.send_pending_response(due);
+            if let Some(pending) = host.replicate_response(response, payload) {
+                self.send_pending_response(pending);
             }
             return;
         }
-        let LocalResponse {
-            reply_handle: ticket,
-            disposition: word,
-            retry_after: come_back,
-            elapsed: took,
-            ..
-        } = *given;
-        let answer = Response {
-            disposition: word,
-            retry_after: come_back,
+        let client = response.reply_handle;
+        let response = Response {
+            disposition: response.disposition,
+            retry_after: response.retry_after,
             reason: "",
             payload,
-            elapsed: took,
+            elapsed: response.elapsed,
         };
-        self.ingresses[ticket.ingress].respond(&mut host.net, ticket, &answer);
+        self.ingresses[client.ingress].respond(&mut host.net, client, &response);
     }
 
-    pub(super) fn send_pending_response(&mut self, due: PendingResponse) {
+    /// Sends a response to each client whose deadline has not passed.
+    fn send_pending_response(&mut self, pending: PendingResponse) {
         let host = &mut self.context.scheduler.host;
         let now = host.net.now();
-        let word = due.disposition.unwrap_or(Disposition::Failed);
-        for (ticket, until) in due.clients.iter().filter(|t| t.0 != NO_CLIENT) {
-            if now > *until {
-                host.counters.expired += 1;
-                self.ingresses[ticket.ingress].request_expired(now, *ticket);
+        let response = Response {
+            disposition: pending.disposition.unwrap_or(Disposition::Failed),
+            retry_after: pending.retry_after,
+            reason: "",
+            payload: &pending.payload,
+            elapsed: pending.elapsed,
+        };
+        for &(client, deadline) in &pending.clients {
+            if client == NO_CLIENT {
                 continue;
             }
-            let (come_back, took) = (due.retry_after, due.elapsed);
-            let answer = Response {
-                disposition: word,
-                retry_after: come_back,
-                reason: "",
-                payload: &due.payload,
-                elapsed: took,
-            };
-            self.ingresses[ticket.ingress].respond(&mut host.net, *ticket, &answer);
+            let ingress = &mut self.ingresses[client.ingress];
+            if now > deadline {
+                host.counters.expired += 1;
+                ingress.request_expired(now, client);
+            } else {
+                ingress.respond(&mut host.net, client, &response);
+            }
         }
-        if let Some(copy) = &mut host.replicator {
-            copy.recycle_response(due);
+        if let Some(replicator) = &mut host.replicator {
+            replicator.recycle_response(pending);
         }
     }
 
-    /// One more thing of the pair's own; false where nothing is left.
+    /// Delivers one outcome of failover; false where none is left. The order of the kinds is part of what a run repeats.
     pub(crate) fn deliver_failover_outcome(&mut self) -> bool {
-        let host = &mut self.context.scheduler.host;
-        let Some(copy) = &mut host.replicator else {
+        let Some(replicator) = &mut self.context.scheduler.host.replicator else {
             return false;
         };
-        if let Some(later) = copy.next_recorded() {
-            match later {
-                DeferredAction::Send { key, count } => {
-                    if host
-                        .calls
-                        .get(key)
-                        .is_some_and(|o| o.generation == count && !o.ended)
-                    {
-                        host.assign_connection(key);
-                    }
-                }
-                DeferredAction::Respond(due) => self.send_pending_response(due),
-            }
-        } else if let Some(due) = copy.ready_responses.pop_front() {
-            self.send_pending_response(due);
-        } else if let Some((voter, of)) = copy.missing_votes.pop_front() {
-            self.with_role(|seat, now, act| seat.vote_missing(now, act, voter, of));
-        } else if std::mem::take(&mut copy.epoch_rejected) {
-            self.with_role(|seat, _, act| seat.epoch_rejected(act));
-        } else if copy.connection_overflowed {
-            if let Some(conn) = copy.conn {
+        if let Some(action) = replicator.next_recorded() {
+            self.run_deferred_action(action);
+        } else if let Some(response) = replicator.ready_responses.pop_front() {
+            self.send_pending_response(response);
+        } else if let Some(missing) = replicator.missing_votes.pop_front() {
+            let round = (missing.round.ballot, missing.round.accepting);
+            self.with_role(|role_machine, now, actions| {
+                role_machine.vote_missing(now, actions, missing.voter, round)
+            });
+        } else if std::mem::take(&mut replicator.epoch_rejected) {
+            self.with_role(|role_machine, _, actions| role_machine.epoch_rejected(actions));
+        } else if replicator.connection_overflowed {
+            if let Some(conn) = replicator.conn {
                 self.context.net().reset(conn);
                 self.set_owner(conn, Owner::Nobody);
             }
             self.peer_connection_closed();
-        } else if let Some((at, ticket, until)) = self.context.awaited_remote.pop_front() {
-            let theirs = self.failover.as_mut().map(|p| &mut p.state.theirs);
-            match theirs.and_then(|t| t.get_mut(at)).and_then(Option::as_mut) {
-                Some(kept) => kept.clients.push((ticket, until)),
-                None => {
-                    // It ended in the same wake-up: it is asked for again by whoever still wants it.
-                    let mut due = copy_of(&mut self.context).new_response();
-                    (due.disposition, due.retry_after) = (Some(Disposition::Rejected), UNFENCED);
-                    due.clients.push((ticket, until));
-                    self.send_pending_response(due);
-                }
-            }
+        } else if let Some((slot, client, deadline)) = self.context.awaited_remote.pop_front() {
+            self.await_peer_request(slot, client, deadline);
         } else {
-            let Some(pair) = &self.failover else {
-                return false;
-            };
-            let resting = pair.role_machine.state() == Role::Draining
-                || pair.state.leaving && pair.role_machine.state() == Role::Standby;
-            if resting
-                && self.requests_in_flight() == 0
-                && self.stop_reason == StopReason::Drained
-                && copy_of(&mut self.context).waiting_count() == 0
-                && !self.has_unread_responses()
-            {
-                let was = self.role();
-                self.with_role(|seat, now, act| seat.drained(now, act));
-                if was == Some(Role::Draining) && self.role() == Some(Role::Standby) {
-                    self.close_client_connections();
-                }
-            }
+            self.finish_draining();
             return false;
         }
         true
     }
 
-    /// Clients that are still connected are to find the other member.
-    pub(super) fn close_client_connections(&mut self) {
-        if let Some(copy) = &mut self.context.scheduler.host.replicator {
-            (copy.epoch, copy.streaming) = (0, false);
+    fn run_deferred_action(&mut self, action: DeferredAction) {
+        match action {
+            DeferredAction::SendCall { call, generation } => {
+                let host = &mut self.context.scheduler.host;
+                let waits = host
+                    .calls
+                    .get(call)
+                    .is_some_and(|call| call.generation == generation && !call.ended);
+                if waits {
+                    host.assign_connection(call);
+                }
+            }
+            DeferredAction::Respond(response) => self.send_pending_response(response),
+        }
+    }
+
+    /// A client sent a request that the peer has in flight: it waits for that one's response.
+    fn await_peer_request(&mut self, slot: usize, client: ReplyHandle, deadline: Time) {
+        let node = self.failover.as_mut();
+        match node.and_then(|node| node.state.peer_requests.get_mut(slot)) {
+            Some(request) => request.clients.push((client, deadline)),
+            None => {
+                // It ended in the same wake-up; whoever still wants it sends it again.
+                let mut response = self.context.expect_replicator().new_response();
+                response.disposition = Some(Disposition::Rejected);
+                response.retry_after = FENCING_RETRY_AFTER;
+                response.clients.push((client, deadline));
+                self.send_pending_response(response);
+            }
+        }
+    }
+
+    /// Tells the role state machine once a gateway that no longer serves has nothing left to do.
+    fn finish_draining(&mut self) {
+        let Some(node) = &self.failover else {
+            return;
+        };
+        let role = node.role_machine.state();
+        let shutting_down = node.state.shutting_down;
+        let is_draining = role == Role::Draining || shutting_down && role == Role::Standby;
+        if is_draining
+            && self.requests_in_flight() == 0
+            && self.stop_reason == StopReason::Drained
+            && self.unreplicated() == 0
+            && !self.has_unread_responses()
+        {
+            self.with_role(|role_machine, now, actions| role_machine.drained(now, actions));
+            if role == Role::Draining && self.role() == Some(Role::Standby) {
+                self.close_client_connections();
+            }
+        }
+    }
+
+    /// Clients that are still connected are to find the gateway that serves now.
+    fn close_client_connections(&mut self) {
+        if let Some(replicator) = &mut self.context.scheduler.host.replicator {
+            replicator.epoch = 0;
+            replicator.streaming = false;
         }
-        for place in 0..self.owners.len() {
-            let (count, owner) = self.owners[place];
+        for index in 0..self.owners.len() {
+            let (generation, owner) = self.owners[index];
             if let Owner::Ingress(_) = owner {
-                self.context.net().abort(Conn::new(place, count));
+                self.context.net().abort(Conn::new(index, generation));
             }
         }
     }
--- a/crates/tidewall-gateway/src/failover/role_actions.rs
+++ b/crates/tidewall-gateway/src/failover/role_actions.rs
@@ -1,130 +1,177 @@
 //! What the role state machine decides, carried out on the gateway.
-use super::*;
+use super::control_messages::PeerControl;
+use super::records::{RecordNames, ReplicationRecord};
+use super::replicator::Replicator;
+use super::snapshot::SnapshotCursor;
+use super::{FailoverState, StopReason, FENCING_RETRY_TICKS};
+use crate::Gateway;
+use tidewall_failover::leadership::Leadership;
+use tidewall_failover::proposal::count;
+use tidewall_failover::role::{Role, RoleActions, RoleStateMachine};
+use tidewall_net::{Net, Time};
+use tracing::{info, warn};
 
-/// The seat's acting, on the gateway that it was taken out of.
-pub(super) struct Acting<'a, N: Net> {
-    pub(super) gw: &'a mut Gateway<N>,
-    pub(super) parts: &'a mut Parts,
+/// The gateway, from which the failover node was taken out, and the node's state.
+pub(super) struct GatewayActions<'a, N: Net> {
+    pub gateway: &'a mut Gateway<N>,
+    pub state: &'a mut FailoverState,
 }
 
-impl<N: Net> Acting<'_, N> {
-    pub(super) fn copy(&mut self) -> &mut Replicator {
-        self.gw
-            .context
-            .scheduler
-            .host
-            .replicator
-            .as_mut()
-            .expect("a pair copies")
+impl<N: Net> GatewayActions<'_, N> {
+    pub(super) fn replicator(&mut self) -> &mut Replicator {
+        self.gateway.context.expect_replicator()
     }
-}
 
-impl<N: Net> role::RoleActions for Acting<'_, N> {
-    fn set_vrrp_enabled(&mut self, on: bool) {
-        let net = &mut self.gw.context.scheduler.host.net;
-        self.parts.vrrp(net, |router, act| {
-            if on {
-                router.startup(act)
-            } else {
-                router.shutdown(act)
+    fn send_control(&mut self, message: PeerControl) {
+        let host = &mut self.gateway.context.scheduler.host;
+        if let Some(replicator) = &mut host.replicator {
+            replicator.send_control(&mut host.net, &message);
+        }
+    }
+
+    fn take_over(&mut self) {
+        self.state.recovering = true;
+        self.gateway.take_over_requests(self.state);
+    }
+
+    /// What each tick moves on, after the role state machine has seen it.
+    pub(super) fn after_tick(&mut self, role_machine: &mut RoleStateMachine, now: Time) {
+        if self.state.listeners_pending {
+            self.gateway.open_listeners(self.state);
+        }
+        if role_machine.state() == Role::Synchronizing {
+            let acknowledged = self.replicator().acknowledged_sequence;
+            if acknowledged >= self.state.link.wait_start_sequence {
+                role_machine.replication_caught_up(self);
             }
-        });
-        if !on {
-            // The seat knows already.
-            self.parts.wanted = None;
         }
+        self.gateway.update_fencing_complete(self.state);
+        let requests_wait = self.state.recovering && !self.state.peer_requests.is_empty();
+        let replicator = self.replicator();
+        let history_unknown =
+            now < replicator.history_unknown_until && !replicator.all_workers_fenced;
+        if role_machine.state().serves() && (requests_wait || history_unknown) {
+            if self.state.ticks % FENCING_RETRY_TICKS == 0 {
+                let leadership = self.replicator().leadership;
+                self.announce_leadership(leadership);
+            }
+            self.gateway.take_over_requests(self.state);
+        }
+        self.gateway.send_pending_snapshot(self.state);
+        self.gateway.expire_waiting_clients(self.state);
+    }
+}
+
+impl<N: Net> RoleActions for GatewayActions<'_, N> {
+    fn set_vrrp_enabled(&mut self, on: bool) {
+        let net = &mut self.gateway.context.scheduler.host.net;
+        self.state.set_vrrp_enabled(net, on);
     }
 
-    fn start_serving(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
-        info!(epoch = count(claim.epoch), adopt, forgot, "serves");
-        let now = self.gw.context.net().now();
-        let longest = self.parts.at.retention.iter().max().copied().unwrap_or(0);
-        self.copy().history_unknown_until = if forgot { now + longest } else { 0 };
-        self.copy().epoch = claim.epoch;
-        self.gw.context.standby = false;
-        self.parts.fenced.clear();
-        self.gw.open_listeners(self.parts);
-        self.spread(claim);
-        if adopt {
-            self.parts.adopting = true;
-            self.gw.take_over_requests(self.parts);
+    fn start_serving(&mut self, leadership: Leadership, take_over: bool, history_unknown: bool) {
+        let epoch = count(leadership.epoch);
+        info!(epoch, take_over, history_unknown, "leadership acquired");
+        let now = self.gateway.context.net().now();
+        let retention = &self.state.config.retention;
+        let longest_retention = retention.iter().max().copied().unwrap_or(0);
+        let replicator = self.replicator();
+        replicator.history_unknown_until = match history_unknown {
+            true => now + longest_retention,
+            false => 0,
+        };
+        replicator.epoch = leadership.epoch;
+        self.gateway.context.standby = false;
+        self.state.fenced_workers.clear();
+        self.gateway.open_listeners(self.state);
+        self.announce_leadership(leadership);
+        if take_over {
+            self.take_over();
         }
     }
 
-    fn leadership_renewed(&mut self, claim: Leadership, adopt: bool) {
-        info!(epoch = count(claim.epoch), sync = ?claim.synced_incarnations, "claim renewed");
-        self.copy().epoch = claim.epoch;
-        if claim.fencing_floor == claim.epoch {
-            self.parts.fenced.clear();
+    fn leadership_renewed(&mut self, leadership: Leadership, take_over: bool) {
+        let epoch = count(leadership.epoch);
+        info!(epoch, synced_incarnations = ?leadership.synced_incarnations, "leadership renewed");
+        self.replicator().epoch = leadership.epoch;
+        if leadership.fencing_floor == leadership.epoch {
+            self.state.fenced_workers.clear();
         }
-        self.spread(claim);
-        if adopt {
-            self.parts.adopting = true;
-            self.gw.take_over_requests(self.parts);
+        self.announce_leadership(leadership);
+        if take_over {
+            self.take_over();
         }
     }
 
     fn stop_accepting(&mut self) {
-        info!(held = self.gw.requests_in_flight(), "retires");
-        self.gw.context.standby = true;
-        self.gw.stop_listening();
+        let in_flight = self.gateway.requests_in_flight();
+        info!(in_flight, "stopped accepting requests");
+        self.gateway.context.standby = true;
+        self.gateway.stop_listening();
     }
 
     fn set_replication_wait(&mut self, on: bool) {
-        let copy = self.copy();
-        copy.waits_for_records = on;
-        self.parts.began = copy.last_sequence;
+        let replicator = self.replicator();
+        replicator.waits_for_records = on;
+        self.state.link.wait_start_sequence = replicator.last_sequence;
     }
 
-    fn start_replication(&mut self, new: bool) {
-        let host = &mut self.gw.context.scheduler.host;
-        let Some(copy) = &mut host.replicator else {
+    fn start_replication(&mut self, only_changes: bool) {
+        let host = &mut self.gateway.context.scheduler.host;
+        let Some(replicator) = &mut host.replicator else {
             return;
         };
-        (
-            copy.streaming,
-            copy.sequence_base,
-            copy.acknowledged_sequence,
-        ) = (
-            true,
-            copy.last_sequence - copy.sent_on_connection,
-            copy.last_sequence,
+        replicator.streaming = true;
+        replicator.sequence_base = replicator.last_sequence - replicator.sent_on_connection;
+        // What was numbered before is part of the snapshot, or known to the peer.
+        replicator.acknowledged_sequence = replicator.last_sequence;
+        replicator.snapshot_incomplete = !only_changes;
+        replicator.send_record(
+            &mut host.net,
+            &ReplicationRecord::SnapshotStarted { only_changes },
+            RecordNames {
+                classes: &host.class_names,
+                tenants: &host.tenant_names,
+            },
         );
-        copy.snapshot_incomplete = !new;
-        copy.send_record(&mut host.net, kind::COPY, |f| f.flag(Field::On, new).end());
-        self.parts.cursor = if new {
-            SnapshotCursor::Off
-        } else {
-            SnapshotCursor::Events(0)
+        self.state.link.snapshot = match only_changes {
+            true => SnapshotCursor::Idle,
+            false => SnapshotCursor::Requests(0),
         };
-        self.parts.began = copy.last_sequence;
-        self.gw.send_pending_snapshot(self.parts);
+        self.state.link.wait_start_sequence = replicator.last_sequence;
+        self.gateway.send_pending_snapshot(self.state);
     }
 
     fn request_step_down(&mut self) {
-        let host = &mut self.gw.context.scheduler.host;
-        if let Some(copy) = &mut host.replicator {
-            copy.send_control(&mut host.net, kind::YIELD, |f| f.end());
-        }
+        self.send_control(PeerControl::StepDownRequested);
     }
 
     fn confirm_step_down(&mut self) {
-        let host = &mut self.gw.context.scheduler.host;
-        if let Some(copy) = &mut host.replicator {
-            copy.send_control(&mut host.net, kind::YIELDED, |f| f.end());
-        }
+        self.send_control(PeerControl::SteppedDown);
     }
 
-    fn restart_process(&mut self, why: &'static str) {
-        warn!(why, "starts anew");
-        if !self.parts.leaving {
-            self.gw.stop_reason = StopReason::Restart;
+    fn restart_process(&mut self, reason: &'static str) {
+        warn!(reason, "process restarting");
+        // After a shutdown was requested the process is not to start again.
+        if !self.state.shutting_down {
+            self.gateway.stop_reason = StopReason::Restart;
         }
-        self.gw.context.net().stop();
+        self.gateway.context.net().stop();
     }
 
     fn exit_process(&mut self) {
-        self.gw.write_endpoint_cache();
-        self.gw.context.net().stop();
+        self.gateway.write_endpoint_cache();
+        self.gateway.context.net().stop();
+    }
+}
+
+impl<N: Net> Gateway<N> {
+    /// Listens for clients. The former owner of the address may still hold it: then it is tried again with the next tick.
+    fn open_listeners(&mut self, state: &mut FailoverState) {
+        state.listeners_pending = false;
+        for ingress in 0..self.ingresses.len() {
+            if self.listeners[ingress].is_none() && self.listen(ingress).is_err() {
+                state.listeners_pending = true;
+            }
+        }
     }
 }
--- a/crates/tidewall-gateway/src/failover/status.rs
+++ b/crates/tidewall-gateway/src/failover/status.rs
@@ -1,31 +1,31 @@
-//! What `tidewall status` asks for.
-use super::*;
+//! The reply to `tidewall status`.
+use super::control_messages::GatewayStatus;
+use crate::Gateway;
+use tidewall_net::{Conn, Net};
 
 impl<N: Net> Gateway<N> {
-    /// What `tidewall status` asks for.
+    /// Sends this gateway's status. Without failover there is none.
     pub(super) fn send_status(&mut self, conn: Conn) {
-        let mut out = Vec::new();
         let host = &self.context.scheduler.host;
-        let (Some(pair), Some(copy)) = (&self.failover, &host.replicator) else {
+        let (Some(node), Some(replicator)) = (&self.failover, &host.replicator) else {
             return;
         };
-        let f = Frame::new(&mut out, kind::STATUS).text(Field::Name, &pair.state.at.name);
-        let f = f
-            .text(Field::Word, pair.role_machine.state().text())
-            .whole(Field::Epoch, pair.role_machine.epoch());
-        let f = f
-            .flag(Field::On, copy.conn.is_some())
-            .whole(Field::Life, pair.state.at.incarnation);
-        let f = f
-            .whole(Field::InFlight, host.in_flight as u64)
-            .whole(Field::Waiting, copy.waiting_count() as u64);
-        let kept = pair.state.theirs.iter().flatten().count() as u64;
-        let f = f
-            .whole(Field::Copies, kept)
-            .whole(Field::Seq, copy.last_sequence - copy.acknowledged_sequence);
-        let f = f.whole(Field::Ballot, pair.state.bad);
-        f.text(Field::Reason, pair.state.disagrees.as_deref().unwrap_or(""))
-            .end();
-        self.context.net().write(conn, &out);
+        let state = &node.state;
+        let status = GatewayStatus {
+            name: &state.config.name,
+            role: node.role_machine.state().text(),
+            epoch: node.role_machine.epoch(),
+            connected: replicator.conn.is_some(),
+            incarnation: state.config.incarnation,
+            in_flight: host.in_flight as u64,
+            waiting: replicator.waiting_count() as u64,
+            replicated_requests: state.peer_requests.len() as u64,
+            unacknowledged: replicator.last_sequence - replicator.acknowledged_sequence,
+            rejected_advertisements: state.vrrp.rejected,
+            settings_mismatch: state.link.settings_mismatch.as_deref().unwrap_or(""),
+        };
+        let mut frame = Vec::new();
+        status.encode(&mut frame);
+        self.context.net().write(conn, &frame);
     }
 }
--- a/crates/tidewall-gateway/src/failover/takeover.rs
+++ b/crates/tidewall-gateway/src/failover/takeover.rs
@@ -1,108 +1,139 @@
-//! Recovery of the requests that the peer had in flight.
-use super::*;
+//! Recovery of the requests that the peer had in flight when this gateway began to serve. Each is continued as if it had
+//! just come, waits until the workers of its attempts are fenced, or ends as failed or rejected: the decision is
+//! [`recovery::fate`], by what a second execution may do and what is known of the attempts.
+use super::peer_requests::ReplicatedRequest;
+use super::{FailoverState, FENCING_RETRY_AFTER};
+use crate::ingress::{Disposition, IncomingRequest, ReplyHandle, NO_CLIENT};
+use crate::Gateway;
+use tidewall::interface::EndpointState;
+use tidewall_failover::recovery::{self, RecoveryAction};
+use tidewall_net::{Net, Time};
 
 impl<N: Net> Gateway<N> {
-    /// Goes on with what the other member had in hand, as far as that may be.
-    pub(super) fn take_over_requests(&mut self, parts: &mut Parts) {
+    /// Continues or ends what the peer had in flight, as far as that may be by now.
+    pub(super) fn take_over_requests(&mut self, state: &mut FailoverState) {
         let now = self.context.net().now();
-        let mut left = false;
-        for place in 0..parts.theirs.len() {
-            let host = &mut self.context.scheduler.host;
-            let (Some(copy), Some(kept)) = (&mut host.replicator, &parts.theirs[place]) else {
+        let mut awaits_fencing = false;
+        for slot in 0..state.peer_requests.slot_count() {
+            let Some(action) = self.recovery_action(state, slot, now) else {
                 continue;
             };
-            let fenced = |wk: usize| {
-                let gone = host
-                    .workers
-                    .get(wk)
-                    .is_none_or(|w| w.state() == EndpointState::Removed);
-                gone || parts.fenced.get(wk).copied().unwrap_or(false)
-            };
-            let (kind, two) = (copy.retry_safety_of(kept.class), copy.allows_hedging);
-            let fate = fate(kind, two, (now, kept.deadline), &kept.attempts, fenced);
-            if fate == RecoveryAction::AwaitFencing {
-                left = true;
+            if action == RecoveryAction::AwaitFencing {
+                awaits_fencing = true;
                 continue;
             }
-            let kept = parts.theirs[place].take().expect("it was there");
-            let word = match fate {
-                RecoveryAction::Continue => {
-                    self.resume_request(kept);
-                    continue;
-                }
-                RecoveryAction::Fail => Disposition::Failed,
-                _ => Disposition::Rejected,
+            let Some(request) = state.peer_requests.take(slot) else {
+                continue;
             };
-            remember(copy, now, kept.class, &kept.idempotency_key, word, &[]);
-            let mut due = copy.new_response();
-            (due.clients, due.disposition, due.retry_after) = (kept.clients, Some(word), UNFENCED);
-            copy.ready_responses.push_back(due);
+            match action {
+                RecoveryAction::Continue => self.resume_request(request),
+                RecoveryAction::Fail => self.end_request(request, now, Disposition::Failed),
+                _ => self.end_request(request, now, Disposition::Rejected),
+            }
         }
-        parts.adopting = left;
+        state.recovering = awaits_fencing;
+    }
+
+    fn recovery_action(
+        &self,
+        state: &FailoverState,
+        slot: usize,
+        now: Time,
+    ) -> Option<RecoveryAction> {
+        let host = &self.context.scheduler.host;
+        let replicator = host.replicator.as_ref()?;
+        let request = state.peer_requests.get(slot)?;
+        // A worker that is gone executes nothing any more.
+        let fenced = |worker: usize| {
+            let entry = host.workers.get(worker);
+            let removed = entry.is_none_or(|entry| entry.state() == EndpointState::Removed);
+            removed || state.fenced_workers.contains(worker)
+        };
+        Some(recovery::fate(
+            replicator.retry_safety_of(request.class),
+            replicator.allows_hedging,
+            (now, request.deadline),
+            &request.attempts,
+            fenced,
+        ))
     }
 
-    pub(super) fn resume_request(&mut self, kept: ReplicatedRequest) {
+    fn resume_request(&mut self, request: ReplicatedRequest) {
         let now = self.context.net().now();
-        let asked = !kept.clients.is_empty();
-        self.context.scheduler.host.next_waiting_clients = kept.clients;
-        let place = self.context.start_request(&IncomingRequest {
+        let has_clients = !request.clients.is_empty();
+        self.context.scheduler.host.next_waiting_clients = request.clients;
+        let slot = self.context.start_request(&IncomingRequest {
             reply_handle: NO_CLIENT,
-            id: kept.id,
-            class: kept.class,
-            tenant: kept.tenant,
-            function: &kept.function,
-            lanes: kept.lanes,
-            memory: kept.memory,
-            cost_hint: kept.cost_hint,
-            load_hint: kept.load_hint,
-            remaining: kept.deadline - now,
+            id: request.id,
+            class: request.class,
+            tenant: request.tenant,
+            function: &request.function,
+            lanes: request.lanes,
+            memory: request.memory,
+            cost_hint: request.cost_hint,
+            load_hint: request.load_hint,
+            remaining: request.deadline - now,
             is_retry: true,
-            idempotency_key: &kept.idempotency_key,
-            payload: &kept.payload,
+            idempotency_key: &request.idempotency_key,
+            payload: &request.payload,
         });
-        copy_of(&mut self.context)
-            .load_request_limiter
-            .undo_last_request();
-        if asked {
-            // Where it has its answer already this is passed by.
-            copy_of(&mut self.context).shared_requests.push(place);
+        let replicator = self.context.expect_replicator();
+        // It was counted when its record came.
+        replicator.load_request_limiter.undo_last_request();
+        if has_clients {
+            // Where it has its response already, the slot is passed by when clients' deadlines are looked at.
+            replicator.shared_requests.push(slot);
         }
     }
 
-    /// Those who asked again and whose time is nearly over get their answer, whatever becomes of the event.
-    pub(super) fn expire_waiting_clients(&mut self, parts: &mut Parts) {
+    fn end_request(&mut self, request: ReplicatedRequest, now: Time, disposition: Disposition) {
+        let replicator = self.context.expect_replicator();
+        let (class, key) = (request.class, &request.idempotency_key);
+        replicator.remember_response(now, class, key, disposition, &[]);
+        let mut response = replicator.new_response();
+        response.clients = request.clients;
+        response.disposition = Some(disposition);
+        response.retry_after = FENCING_RETRY_AFTER;
+        replicator.ready_responses.push_back(response);
+    }
+
+    /// Clients that sent a request again, and whose deadline is near, get a response now, whatever becomes of the request.
+    pub(super) fn expire_waiting_clients(&mut self, state: &mut FailoverState) {
         let host = &mut self.context.scheduler.host;
-        let now = host.net.now();
-        let Some(copy) = &mut host.replicator else {
+        let Some(replicator) = &mut host.replicator else {
             return;
         };
-        // It is looked at once a tick.
-        let tick = Time::from(parts.at.interval) * CENTISECOND / TICKS;
-        let over = |t: &(ReplyHandle, Time)| now + tick + 2 * recovery::LEAST >= t.1;
-        let mut late = Vec::new();
-        let events = &mut host.requests;
-        copy.shared_requests.retain(|place| {
-            let held = &mut events[*place];
-            if !held.open {
+        // Looked at once a tick, so with room for one tick, and for the response's way back.
+        let horizon = host.net.now() + state.config.tick_interval() + 2 * recovery::LEAST;
+        let mut expired = Vec::new();
+        let requests = &mut host.requests;
+        replicator.shared_requests.retain(|slot| {
+            let request = &mut requests[*slot];
+            if !request.open {
                 return false;
             }
-            late.extend(held.waiting_clients.iter().filter(|t| over(t)).copied());
-            held.waiting_clients.retain(|t| !over(t));
-            !held.waiting_clients.is_empty()
+            move_expired(&mut request.waiting_clients, horizon, &mut expired);
+            !request.waiting_clients.is_empty()
         });
-        for kept in parts
-            .theirs
-            .iter_mut()
-            .flatten()
-            .filter(|k| !k.clients.is_empty())
-        {
-            late.extend(kept.clients.iter().filter(|t| over(t)).copied());
-            kept.clients.retain(|t| !over(t));
+        for request in state.peer_requests.iter_mut() {
+            move_expired(&mut request.clients, horizon, &mut expired);
         }
-        if !late.is_empty() {
-            let mut due = copy.new_response();
-            (due.clients, due.disposition) = (late, Some(Disposition::Failed));
-            copy.ready_responses.push_back(due);
+        if !expired.is_empty() {
+            let mut response = replicator.new_response();
+            response.clients = expired;
+            response.disposition = Some(Disposition::Failed);
+            replicator.ready_responses.push_back(response);
         }
     }
 }
+
+/// Moves the clients whose deadline is not after `horizon`; both parts keep their order.
+fn move_expired(
+    clients: &mut Vec<(ReplyHandle, Time)>,
+    horizon: Time,
+    expired: &mut Vec<(ReplyHandle, Time)>,
+) {
+    let is_expired = |client: &(ReplyHandle, Time)| horizon >= client.1;
+    expired.extend(clients.iter().filter(|client| is_expired(client)).copied());
+    clients.retain(|client| !is_expired(client));
+}
--- a/crates/tidewall-gateway/src/failover/voting.rs
+++ b/crates/tidewall-gateway/src/failover/voting.rs
@@ -1,105 +1,139 @@
-//! Votes of the workers, and fencing of attempts made under older epochs.
-use super::*;
+//! Votes of workers on who may serve, and fencing. Some workers are voters: a proposal needs a majority of them. All
+//! workers are told the accepted leadership, as each refuses attempts of older epochs from then on. A worker that has
+//! accepted counts as fenced.
+use super::control_messages::VoteReply;
+use super::replicator::{MissingVote, VoteRound};
+use super::role_actions::GatewayActions;
+use super::FailoverState;
+use crate::error::ProtocolError;
+use crate::protocol::CallName;
+use crate::worker_pool::CallKind;
+use crate::Gateway;
+use tidewall::interface::EndpointState;
+use tidewall_failover::leadership::Leadership;
+use tidewall_failover::proposal::ProposerTransport;
+use tidewall_net::Net;
+use tidewall_wire::Fields;
 
-impl<N: Net> Acting<'_, N> {
-    pub(super) fn ask(
-        &mut self,
-        voter: Option<usize>,
-        wk: Option<usize>,
-        ballot: u64,
-        accepting: bool,
-    ) {
-        let host = &mut self.gw.context.scheduler.host;
-        let within = host.net.now() + SILENT * Time::from(self.parts.at.interval) * CENTISECOND;
-        match (wk.filter(|wk| host.has_address(*wk)), voter) {
-            (Some(wk), _) => {
-                let key = host.start_call(
-                    CallKind::Vote {
-                        voter,
-                        ballot,
-                        accepting,
-                    },
-                    wk,
-                    0,
-                    within,
-                );
-                host.assign_connection(key);
-            }
-            (None, Some(voter)) => self
-                .copy()
-                .missing_votes
-                .push_back((voter, (ballot, accepting))),
-            _ => {}
+/// The workers that have accepted this gateway's leadership, by their index.
+#[derive(Default)]
+pub(super) struct FencedWorkers {
+    by_worker: Vec<bool>,
+}
+
+impl FencedWorkers {
+    pub fn contains(&self, worker: usize) -> bool {
+        self.by_worker.get(worker).copied().unwrap_or(false)
+    }
+
+    /// False where it was in already.
+    fn insert(&mut self, worker: usize) -> bool {
+        if self.by_worker.len() <= worker {
+            self.by_worker.resize(worker + 1, false);
         }
+        !std::mem::replace(&mut self.by_worker[worker], true)
     }
 
-    pub(super) fn voter(&self, voter: usize) -> Option<usize> {
-        self.gw
-            .context
-            .scheduler
-            .host
-            .worker_names
-            .get(&self.parts.at.voters[voter])
+    pub fn clear(&mut self) {
+        self.by_worker.clear();
     }
+}
 
-    /// All workers hear who serves, not only the voters.
-    pub(super) fn spread(&mut self, claim: Leadership) {
-        self.copy().leadership = claim;
-        let all = self.gw.context.scheduler.host.workers.len();
-        self.parts.fenced.resize(all, false);
-        for wk in 0..all {
-            if !self.parts.fenced[wk] {
-                self.ask(None, Some(wk), claim.epoch, true);
+impl<N: Net> GatewayActions<'_, N> {
+    /// Sends a vote request to a worker, whose vote counts for `voter`, if it is one.
+    fn request_vote(&mut self, worker: usize, voter: Option<usize>, round: VoteRound) {
+        let host = &mut self.gateway.context.scheduler.host;
+        let expires_at = host.net.now() + self.state.config.silence_limit();
+        let kind = CallKind::Vote {
+            voter,
+            ballot: round.ballot,
+            accepting: round.accepting,
+        };
+        let call = host.start_call(kind, worker, 0, expires_at);
+        host.assign_connection(call);
+    }
+
+    /// Sends a vote request to a voter. One without an address is told to the role state machine as missing, but after
+    /// the step that it is in.
+    fn request_voter(&mut self, voter: usize, round: VoteRound) {
+        let host = &self.gateway.context.scheduler.host;
+        let worker = host.worker_names.get(&self.state.config.voters[voter]);
+        match worker.filter(|worker| host.has_address(*worker)) {
+            Some(worker) => self.request_vote(worker, Some(voter), round),
+            None => self
+                .replicator()
+                .missing_votes
+                .push_back(MissingVote { voter, round }),
+        }
+    }
+
+    /// Tells all workers that are not fenced yet who serves, not only the voters.
+    pub(super) fn announce_leadership(&mut self, leadership: Leadership) {
+        self.replicator().leadership = leadership;
+        let round = VoteRound {
+            ballot: leadership.epoch,
+            accepting: true,
+        };
+        for worker in 0..self.gateway.context.scheduler.host.workers.len() {
+            let has_address = self.gateway.context.scheduler.host.has_address(worker);
+            if has_address && !self.state.fenced_workers.contains(worker) {
+                self.request_vote(worker, None, round);
             }
         }
     }
 }
 
-impl<N: Net> ProposerTransport<Leadership> for Acting<'_, N> {
+impl<N: Net> ProposerTransport<Leadership> for GatewayActions<'_, N> {
     fn prepare(&mut self, voter: usize, ballot: u64) {
-        let wk = self.voter(voter);
-        self.ask(Some(voter), wk, ballot, false);
+        let round = VoteRound {
+            ballot,
+            accepting: false,
+        };
+        self.request_voter(voter, round);
     }
 
-    fn accept(&mut self, voter: usize, claim: Leadership) {
-        self.copy().leadership = claim;
-        let wk = self.voter(voter);
-        self.ask(Some(voter), wk, claim.epoch, true);
+    fn accept(&mut self, voter: usize, leadership: Leadership) {
+        self.replicator().leadership = leadership;
+        let round = VoteRound {
+            ballot: leadership.epoch,
+            accepting: true,
+        };
+        self.request_voter(voter, round);
     }
 }
 
 impl<N: Net> Gateway<N> {
-    /// Whether nothing of former lives is out at any worker.
-    pub(super) fn update_fencing_complete(&mut self, parts: &Parts) {
-        let host = &mut self.context.scheduler.host;
-        let fenced = |wk: usize| parts.fenced.get(wk).copied().unwrap_or(false);
-        let mut wks = host.workers.iter().enumerate();
-        let all = wks.all(|(wk, w)| w.state() == EndpointState::Removed || fenced(wk));
-        if let Some(copy) = &mut host.replicator {
-            copy.all_workers_fenced = all;
-        }
-    }
-
-    pub(crate) fn vote_missing(&mut self, voter: Option<usize>, of: (u64, bool)) {
-        if let (Some(voter), Some(copy)) = (voter, &mut self.context.scheduler.host.replicator) {
-            copy.missing_votes.push_back((voter, of));
+    /// A voter's vote will not come; `round` is its ballot and whether it was asked to accept.
+    pub(crate) fn vote_missing(&mut self, voter: Option<usize>, (ballot, accepting): (u64, bool)) {
+        let replicator = &mut self.context.scheduler.host.replicator;
+        if let (Some(voter), Some(replicator)) = (voter, replicator) {
+            let round = VoteRound { ballot, accepting };
+            replicator
+                .missing_votes
+                .push_back(MissingVote { voter, round });
         }
     }
 
+    /// A worker rejected our epoch: the role state machine is told with the next deferred outcomes.
     pub(crate) fn epoch_rejected(&mut self) {
-        if let Some(copy) = &mut self.context.scheduler.host.replicator {
-            copy.epoch_rejected = true;
+        if let Some(replicator) = &mut self.context.scheduler.host.replicator {
+            replicator.epoch_rejected = true;
         }
     }
 
+    /// A worker replied to a vote request. A reply to a call that is over still fences the worker.
+    ///
+    /// # Errors
+    /// The reply is malformed, or names a call of another connection.
     pub(crate) fn vote_received(
         &mut self,
-        link: usize,
-        wk: usize,
+        connection: usize,
+        worker: usize,
         fields: &Fields,
     ) -> Result<(), ProtocolError> {
         let host = &mut self.context.scheduler.host;
-        let Some(key) = host.call_key(CallName::CallId(fields.whole(Field::Id)?), link)? else {
+        let call_id = CallName::CallId(VoteReply::decode_call_id(fields)?);
+        let Some(key) = host.call_key(call_id, connection)? else {
             return Ok(());
         };
         let CallKind::Vote {
@@ -110,38 +144,36 @@
         else {
             return Ok(());
         };
-        let over = host.calls[key].ended;
-        let good = fields.flag(Field::On)?;
-        let whole = |field| fields.upto(field, u64::MAX, 0);
-        let accepted = Leadership {
-            epoch: whole(Field::Epoch)?,
-            member: fields.upto(Field::Member, 2, 1)?.max(1) as usize - 1,
-            synced_incarnations: [whole(Field::SyncA)?, whole(Field::SyncB)?],
-            fencing_floor: whole(Field::Floor)?,
-        };
-        let promise = LeadershipAcceptor {
-            promised: whole(Field::Ballot)?,
-            accepted,
-        };
+        let ended = host.calls[key].ended;
+        let reply = VoteReply::decode(fields)?;
         host.remove_call(key);
-        self.with_role(|seat, now, act| {
-            if let Some(voter) = voter.filter(|_| !over) {
-                seat.vote_received(now, act, voter, (ballot, accepting), good, promise);
+        let (granted, acceptor) = (reply.granted, reply.acceptor);
+        self.with_role(|role_machine, now, actions| {
+            if let Some(voter) = voter.filter(|_| !ended) {
+                let round = (ballot, accepting);
+                role_machine.vote_received(now, actions, voter, round, granted, acceptor);
             }
-            if accepting
-                && good
-                && accepted.epoch >= seat.epoch()
-                && accepted.member == act.parts.me
-            {
-                let parts = &mut *act.parts;
-                if parts.fenced.len() <= wk {
-                    parts.fenced.resize(wk + 1, false);
-                }
-                if !std::mem::replace(&mut parts.fenced[wk], true) && parts.adopting {
-                    act.gw.take_over_requests(act.parts);
+            let accepted = acceptor.accepted;
+            let is_ours =
+                accepted.epoch >= role_machine.epoch() && accepted.member == actions.state.member;
+            if accepting && granted && is_ours {
+                let newly_fenced = actions.state.fenced_workers.insert(worker);
+                if newly_fenced && actions.state.recovering {
+                    actions.gateway.take_over_requests(actions.state);
                 }
             }
         });
         Ok(())
     }
+
+    /// Looks whether no worker executes anything of earlier epochs any more.
+    pub(super) fn update_fencing_complete(&mut self, state: &FailoverState) {
+        let host = &mut self.context.scheduler.host;
+        let all_fenced = host.workers.iter().enumerate().all(|(index, worker)| {
+            worker.state() == EndpointState::Removed || state.fenced_workers.contains(index)
+        });
+        if let Some(replicator) = &mut host.replicator {
+            replicator.all_workers_fenced = all_fenced;
+        }
+    }
 }
--- a/crates/tidewall-gateway/src/failover/vrrp.rs
+++ b/crates/tidewall-gateway/src/failover/vrrp.rs
@@ -1,133 +1,246 @@
-//! VRRP on behalf of the gateway: datagrams, its timer, and its verdict on who wants to serve.
-use super::*;
+//! VRRP on behalf of the gateway: advertisements, its one timer, and its verdict on who wants to serve. The rules are
+//! those of `tidewall-vrrp`; the verdict is passed on to the role state machine, which alone decides who serves.
+//!
+//! Advertisements are authenticated and numbered, since whoever forges one could take the shared address away.
+use super::{FailoverConfig, FailoverState};
+use crate::error::StartError;
+use crate::{Gateway, OF_VRRP};
+use std::mem;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use tidewall_net::{DatagramSocket, Net, Time, TimerId};
+use tidewall_vrrp::packet::{self, Keys, ReplayGuard};
+use tidewall_vrrp::{Parameters, Router, VrrpActions};
+use tracing::warn;
 
-/// VRRP's acting: datagrams, one timer, and a word when the addresses come or go.
-pub(super) struct Vrrp<'a, N: Net> {
+/// Rejected advertisements are logged once in this time at most (a second): a forger must not fill the log.
+const REJECTION_LOG_INTERVAL: Time = 10_000;
+
+/// Advertisements are numbered from the incarnation times 2 to the power of this. Incarnations are told in milliseconds,
+/// so the numbers of a start are above those of the one before.
+const INCARNATION_SHIFT: u32 = 20;
+
+/// What VRRP concluded from the advertisements that came or stayed away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum VrrpVerdict {
+    /// This gateway should serve.
+    Active,
+    /// The peer should serve.
+    Backup,
+}
+
+/// The state of VRRP at this gateway.
+pub(super) struct VrrpState {
+    router: Router,
+    keys: Keys,
+    replay_guard: ReplayGuard,
+    pub socket: DatagramSocket,
+    /// Counts advertisements sent, for the peer's replay guard.
+    advertisement_number: u64,
+    timer: Option<TimerId>,
+    /// A verdict that the role state machine has not heard yet.
+    pub verdict: Option<VrrpVerdict>,
+    /// How long the process had stood still in all when the timer fired last.
+    total_stall: Time,
+    /// Advertisements that were rejected, and when one was logged.
+    pub rejected: u64,
+    rejection_logged_at: Time,
+}
+
+impl VrrpState {
+    pub fn new(
+        config: &FailoverConfig,
+        socket: DatagramSocket,
+        total_stall: Time,
+    ) -> Result<VrrpState, StartError> {
+        let parameters = Parameters {
+            vrid: config.vrid,
+            priority: config.priority,
+            interval: config.interval,
+            preempt: config.preempt,
+            accept: true,
+            address: ipv4_of(config.vrrp_address),
+        };
+        Ok(VrrpState {
+            router: Router::new(parameters).map_err(StartError::Vrrp)?,
+            keys: (config.keys)(),
+            replay_guard: ReplayGuard::default(),
+            socket,
+            advertisement_number: config.incarnation << INCARNATION_SHIFT,
+            timer: None,
+            verdict: None,
+            total_stall,
+            rejected: 0,
+            rejection_logged_at: 0,
+        })
+    }
+
+    pub fn reload_keys(&mut self, config: &FailoverConfig) {
+        self.keys = (config.keys)();
+    }
+
+    /// Lets the router act: sends its advertisements, sets its timer and keeps its verdict.
+    pub fn with_router<N: Net>(
+        &mut self,
+        config: &FailoverConfig,
+        net: &mut N,
+        act: impl FnOnce(&mut Router, &mut RouterActions<N>),
+    ) {
+        let mut actions = RouterActions {
+            net,
+            config,
+            keys: &self.keys,
+            socket: self.socket,
+            advertisement_number: &mut self.advertisement_number,
+            timer: &mut self.timer,
+            verdict: &mut self.verdict,
+        };
+        act(&mut self.router, &mut actions);
+    }
+
+    fn timer_fired<N: Net>(&mut self, config: &FailoverConfig, net: &mut N) {
+        self.timer = None;
+        let total_stall = net.total_stall();
+        // While the process stood still it heard nothing, which says nothing about the peer.
+        let stalled = total_stall > mem::replace(&mut self.total_stall, total_stall);
+        self.with_router(config, net, |router, actions| {
+            if stalled && router.state() == tidewall_vrrp::State::Backup {
+                actions.set_timer(0, router.active_down_interval());
+            } else {
+                router.timer_fired(actions);
+            }
+        });
+    }
+
+    fn datagram_received<N: Net>(
+        &mut self,
+        config: &FailoverConfig,
+        net: &mut N,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) {
+        let shared = [ipv4_of(config.shared_address)];
+        let sender = ipv4_of(from);
+        // The hash does not cover the sender: a packet that was overheard must not come from elsewhere.
+        let read = if sender == ipv4_of(config.peer_vrrp_address) {
+            packet::read(bytes, sender, &shared, &self.keys, &mut self.replay_guard)
+        } else {
+            Err("from: not the peer")
+        };
+        match read {
+            Ok((vrid, advertisement)) if vrid == config.vrid => {
+                self.with_router(config, net, |router, actions| {
+                    router.advertisement_received(actions, advertisement)
+                });
+            }
+            Ok(_) => {}
+            Err(reason) => {
+                self.rejected += 1;
+                let now = net.now();
+                let next_log = self.rejection_logged_at + REJECTION_LOG_INTERVAL;
+                if now >= next_log || self.rejection_logged_at == 0 {
+                    self.rejection_logged_at = now;
+                    warn!(reason, %from, total = self.rejected, "advertisement rejected");
+                }
+            }
+        }
+    }
+}
+
+/// What the router may do, on the parts of the gateway that it touches.
+pub(super) struct RouterActions<'a, N: Net> {
     net: &'a mut N,
-    at: &'a FailoverConfig,
+    config: &'a FailoverConfig,
     keys: &'a Keys,
-    port: Option<DatagramSocket>,
-    number: &'a mut u64,
+    socket: DatagramSocket,
+    advertisement_number: &'a mut u64,
     timer: &'a mut Option<TimerId>,
-    wanted: &'a mut Option<bool>,
+    verdict: &'a mut Option<VrrpVerdict>,
 }
 
-impl<N: Net> tidewall_vrrp::VrrpActions for Vrrp<'_, N> {
+impl<N: Net> VrrpActions for RouterActions<'_, N> {
     fn advertise(&mut self, vrid: u8, priority: u8, interval: u16) {
-        let Some(port) = self.port else { return };
-        *self.number += 1;
-        let mut out = Vec::new();
+        *self.advertisement_number += 1;
+        let mut datagram = Vec::new();
         packet::write(
-            &mut out,
+            &mut datagram,
             (vrid, priority, interval),
-            &[v4(self.at.shared_address)],
-            *self.number,
+            &[ipv4_of(self.config.shared_address)],
+            *self.advertisement_number,
             self.keys,
         );
         self.net
-            .send_datagram(port, self.at.peer_vrrp_address, &out);
+            .send_datagram(self.socket, self.config.peer_vrrp_address, &datagram);
     }
 
-    fn set_timer(&mut self, _vrid: u8, wait: Time) {
-        if let Some(d) = self.timer.take() {
-            self.net.cancel_timer(d);
-        }
+    fn set_timer(&mut self, vrid: u8, wait: Time) {
+        self.cancel_timer(vrid);
         let at = self.net.now() + wait;
         *self.timer = Some(self.net.set_timer(at, OF_VRRP));
     }
 
     fn cancel_timer(&mut self, _vrid: u8) {
-        if let Some(d) = self.timer.take() {
-            self.net.cancel_timer(d);
+        if let Some(timer) = self.timer.take() {
+            self.net.cancel_timer(timer);
         }
     }
 
     fn become_active(&mut self, _vrid: u8, _accept: bool) {
-        *self.wanted = Some(true);
+        *self.verdict = Some(VrrpVerdict::Active);
     }
 
     fn become_backup(&mut self, _vrid: u8) {
-        *self.wanted = Some(false);
+        *self.verdict = Some(VrrpVerdict::Backup);
     }
 }
 
-pub(super) fn v4(at: SocketAddr) -> Ipv4Addr {
-    match at.ip() {
-        IpAddr::V4(ip) => ip,
+/// The address without its port; unspecified for IPv6, which the settings refuse.
+pub(super) fn ipv4_of(address: SocketAddr) -> Ipv4Addr {
+    match address.ip() {
+        IpAddr::V4(address) => address,
         IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
     }
 }
 
-impl Parts {
-    pub(super) fn vrrp<N: Net>(&mut self, net: &mut N, f: impl FnOnce(&mut Router, &mut Vrrp<N>)) {
-        let Parts {
-            at,
-            router,
-            keys,
-            port,
-            number,
-            timer,
-            wanted,
-            ..
-        } = self;
-        f(
-            router,
-            &mut Vrrp {
-                net,
-                at,
-                keys,
-                port: *port,
-                number,
-                timer,
-                wanted,
-            },
-        );
+impl FailoverState {
+    /// Starts or ends taking part in VRRP. Where it ends as the active one it says so to the peer (priority 0).
+    pub(super) fn set_vrrp_enabled<N: Net>(&mut self, net: &mut N, enabled: bool) {
+        self.vrrp.with_router(&self.config, net, |router, actions| {
+            if enabled {
+                router.startup(actions)
+            } else {
+                router.shutdown(actions)
+            }
+        });
+        if !enabled {
+            // The role state machine has caused it and knows.
+            self.vrrp.verdict = None;
+        }
     }
 }
 
 impl<N: Net> Gateway<N> {
     pub(crate) fn vrrp_timer_fired(&mut self) {
-        self.with_role(|_, _, act| {
-            act.parts.timer = None;
-            let net = &mut act.gw.context.scheduler.host.net;
-            // What was not heard while we stood still says nothing of the other one.
-            let stood =
-                net.total_stall() > std::mem::replace(&mut act.parts.vrrp_stood, net.total_stall());
-            act.parts.vrrp(net, |router, vrrp| {
-                if stood && router.state() == tidewall_vrrp::State::Backup {
-                    tidewall_vrrp::VrrpActions::set_timer(vrrp, 0, router.active_down_interval());
-                } else {
-                    router.timer_fired(vrrp);
-                }
-            });
+        self.with_role(|_, _, actions| {
+            let net = &mut actions.gateway.context.scheduler.host.net;
+            let state = &mut *actions.state;
+            state.vrrp.timer_fired(&state.config, net);
         });
     }
 
     pub(crate) fn vrrp_datagram_received(&mut self, from: SocketAddr, bytes: &[u8]) {
-        self.with_role(|_, now, act| {
-            let parts = &mut *act.parts;
-            let shared = [v4(parts.at.shared_address)];
-            // The hash does not cover who sent it: a packet that was overheard must not come from elsewhere.
-            let read = match v4(from) == v4(parts.at.peer_vrrp_address) {
-                true => packet::read(bytes, v4(from), &shared, &parts.keys, &mut parts.guard),
-                false => Err("from: not the other member"),
-            };
-            match read {
-                Ok((vrid, advertisement)) if vrid == parts.at.vrid => {
-                    let net = &mut act.gw.context.scheduler.host.net;
-                    parts.vrrp(net, |router, vrrp| {
-                        router.advertisement_received(vrrp, advertisement)
-                    });
-                }
-                Ok(_) => {}
-                Err(reason) => {
-                    parts.bad += 1;
-                    if now >= parts.bad_told + BAD || parts.bad_told == 0 {
-                        parts.bad_told = now;
-                        warn!(reason, %from, so_far = parts.bad, "an advertisement is ignored");
-                    }
-                }
-            }
+        self.with_role(|_, _, actions| {
+            let net = &mut actions.gateway.context.scheduler.host.net;
+            let state = &mut *actions.state;
+            state
+                .vrrp
+                .datagram_received(&state.config, net, from, bytes);
         });
     }
+
+    /// VRRP advertisements that were rejected as malformed, forged or replayed.
+    pub fn rejected_advertisements(&self) -> u64 {
+        self.failover
+            .as_ref()
+            .map_or(0, |node| node.state.vrrp.rejected)
+    }
 }
