--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -1,25 +1,25 @@
 //! Failover: two gateways run as an active/standby pair behind one shared address.
 //!
-//! Three parties have a say. VRRP tells which of the two wants to serve ([`vrrp`]). A majority of the workers, as
-//! acceptors of leadership proposals, tells which of them may, and under which epoch ([`voting`]). The connection to the
-//! peer tells what the other one knows ([`peer_link`]). The crate `tidewall-failover` weighs them
-//! ([`RoleStateMachine`]); this module carries its decisions out inside the gateway's event loop ([`role_actions`]).
+//! Three parties have a say. VRRP tells which of the two wants to serve (`vrrp`). A majority of the workers, as
+//! acceptors of leadership proposals, tells which of them may, and under which epoch (`voting`). The connection to the
+//! peer tells what the other one knows (`peer_link`). The crate `tidewall-failover` weighs them
+//! (`RoleStateMachine`); this module carries its decisions out inside the gateway's event loop (`role_actions`).
 //!
 //! What makes a takeover safe is the order of things:
 //!
-//! 1. The serving gateway writes a replication record ([`records`]) of each change of its requests in flight before the
-//!    change has an effect outside ([`replication`]).
+//! 1. The serving gateway writes a replication record (`records`) of each change of its requests in flight before the
+//!    change has an effect outside (`replication`).
 //! 2. Where a second execution may do harm, an attempt is sent to its worker, and a response to its client, only after the
-//!    peer has acknowledged the record ([`replicator`]). So the peer knows of each attempt that may have been executed, and
+//!    peer has acknowledged the record (`replicator`). So the peer knows of each attempt that may have been executed, and
 //!    no client holds a response that the peer could contradict.
-//! 3. A peer that has just connected gets a snapshot of all that is in flight or remembered ([`snapshot`]). Until it has
+//! 3. A peer that has just connected gets a snapshot of all that is in flight or remembered (`snapshot`). Until it has
 //!    acknowledged that, it is not told to the voters as synchronized, and may not take over.
-//! 4. The peer applies the records to its table of the other's requests ([`peer_requests`]). When it serves, it continues
-//!    each of them, waits until a worker is fenced, or ends it ([`takeover`]).
-//! 5. Workers refuse what is sent under an epoch below the accepted one: a gateway that was paused while the other took
-//!    over can do no harm, and restarts knowing nothing.
+//! 4. The peer applies the records to its table of the other's requests (`peer_requests`). When it serves, it continues
+//!    each of them, waits until a worker is fenced, or ends it (`takeover`).
+//! 5. Workers refuse what the other gateway sends under an epoch below the fencing floor of the leadership that they
+//!    accepted: a gateway that was paused while its peer took over can do no harm, and restarts knowing nothing.
 //!
-//! A client whose connection was lost may send its request again to either gateway; [`duplicates`] finds what became of it.
+//! A client whose connection was lost may send its request again to either gateway; `duplicates` finds what became of it.
 //!
 //! All times are whole tenths of a millisecond, but for the VRRP interval, which is in centiseconds as on its wire.
 pub mod control_messages;
@@ -305,7 +305,7 @@
         let now = net.now();
         net.set_timer(now + state.config.tick_interval(), OF_PAIR);
         state.ticks += 1;
-        if state.ticks % KEY_RELOAD_TICKS == 0 {
+        if state.ticks.is_multiple_of(KEY_RELOAD_TICKS) {
             state.vrrp.reload_keys(&state.config);
         }
         state.link.excuse_stall(now, net.total_stall());
--- a/crates/tidewall-gateway/src/failover/peer_requests.rs
+++ b/crates/tidewall-gateway/src/failover/peer_requests.rs
@@ -1,5 +1,5 @@
 //! The peer's requests in flight, as its replication records tell them. They are only kept until this gateway serves; then
-//! [`takeover`](super::takeover) continues or ends them.
+//! `takeover` continues or ends them.
 use super::records::{AdmittedRequest, FinalResponse, RecordNames, ReplicationRecord, NO_SLOT};
 use super::replicator::Replicator;
 use crate::error::ProtocolError;
@@ -99,6 +99,23 @@
         self.slots[slot] = Some(request);
     }
 
+    fn attempt_started(&mut self, slot: usize, worker: usize, now: Time) {
+        if let Some(request) = self.get_mut(slot) {
+            request.attempts.push(Attempt {
+                worker,
+                sent_at: now,
+                state: AttemptState::InFlight,
+            });
+        }
+    }
+
+    fn attempt_ended(&mut self, slot: usize, attempt: usize, state: AttemptState) {
+        let attempts = self.get_mut(slot).map(|request| &mut request.attempts);
+        if let Some(attempt) = attempts.and_then(|attempts| attempts.get_mut(attempt)) {
+            attempt.state = state;
+        }
+    }
+
     /// The request has its response: it is remembered, and goes to the clients that sent the same request here.
     fn record_response(
         &mut self,
@@ -111,10 +128,10 @@
             .as_ref()
             .map(|request| (request.class, &*request.idempotency_key));
         // The record tells the key where its sender could not be sure that we know the slot.
-        let told = response
+        let stated = response
             .request
             .map(|request| (request.class, request.idempotency_key));
-        if let Some((class, key)) = told.or(known) {
+        if let Some((class, key)) = stated.or(known) {
             replicator.remember_response(now, class, key, response.disposition, response.payload);
         }
         if let Some(request) = request.filter(|request| !request.clients.is_empty()) {
@@ -136,10 +153,7 @@
             return Ok(());
         };
         let requests = &mut node.state.peer_requests;
-        let names = RecordNames {
-            classes: &host.class_names,
-            tenants: &host.tenant_names,
-        };
+        let names = RecordNames::new(&host.class_names, &host.tenant_names);
         match ReplicationRecord::decode(fields, names)? {
             ReplicationRecord::SnapshotStarted { only_changes } => {
                 requests.slots.clear();
@@ -158,27 +172,18 @@
             }
             ReplicationRecord::AttemptStarted { slot, worker, .. } => {
                 let worker = host.worker_names.intern(worker);
-                if let Some(request) = requests.get_mut(slot) {
-                    request.attempts.push(Attempt {
-                        worker,
-                        sent_at: now,
-                        state: AttemptState::InFlight,
-                    });
-                }
+                requests.attempt_started(slot, worker, now);
             }
             ReplicationRecord::AttemptEnded {
                 slot,
                 attempt,
                 not_executed,
             } => {
-                let request = requests.get_mut(slot);
-                let attempts = request.map(|request| &mut request.attempts);
-                if let Some(attempt) = attempts.and_then(|all| all.get_mut(attempt as usize)) {
-                    attempt.state = match not_executed {
-                        true => AttemptState::NotExecuted,
-                        false => AttemptState::MayHaveExecuted,
-                    };
-                }
+                let state = match not_executed {
+                    true => AttemptState::NotExecuted,
+                    false => AttemptState::MayHaveExecuted,
+                };
+                requests.attempt_ended(slot, attempt as usize, state);
             }
             ReplicationRecord::ResponseRecorded(response) => {
                 requests.record_response(replicator, now, &response);
--- a/crates/tidewall-gateway/src/failover/records.rs
+++ b/crates/tidewall-gateway/src/failover/records.rs
@@ -28,6 +28,13 @@
     pub tenants: &'a [String],
 }
 
+impl<'a> RecordNames<'a> {
+    /// The names of request classes and of tenants, in the order of the settings.
+    pub fn new(classes: &'a [String], tenants: &'a [String]) -> RecordNames<'a> {
+        RecordNames { classes, tenants }
+    }
+}
+
 /// A request that was admitted, with all that is needed to continue it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmittedRequest<'a> {
--- a/crates/tidewall-gateway/src/failover/replication.rs
+++ b/crates/tidewall-gateway/src/failover/replication.rs
@@ -56,10 +56,7 @@
         replicator.send_record(
             &mut self.net,
             &ReplicationRecord::RequestAdmitted(admitted_request(slot, request, function, now)),
-            RecordNames {
-                classes: &self.class_names,
-                tenants: &self.tenant_names,
-            },
+            RecordNames::new(&self.class_names, &self.tenant_names),
         );
     }
 
@@ -79,10 +76,7 @@
                 attempt: attempt as u64,
                 worker,
             },
-            RecordNames {
-                classes: &self.class_names,
-                tenants: &self.tenant_names,
-            },
+            RecordNames::new(&self.class_names, &self.tenant_names),
         );
         let retry_safety = replicator.retry_safety_of(request.info().class);
         let unsafe_unrecorded = !retry_safety.is_safe_to_repeat() || !replicator.allows_hedging;
@@ -115,10 +109,7 @@
                     attempt: attempt as u64,
                     not_executed,
                 },
-                RecordNames {
-                    classes: &self.class_names,
-                    tenants: &self.tenant_names,
-                },
+                RecordNames::new(&self.class_names, &self.tenant_names),
             );
         }
     }
@@ -150,10 +141,7 @@
         replicator.send_record(
             &mut self.net,
             &ReplicationRecord::ResponseRecorded(record),
-            RecordNames {
-                classes: &self.class_names,
-                tenants: &self.tenant_names,
-            },
+            RecordNames::new(&self.class_names, &self.tenant_names),
         );
         let mut pending = replicator.new_response();
         pending.clients.append(&mut request.waiting_clients);
@@ -188,10 +176,7 @@
         replicator.send_record(
             &mut self.net,
             &ReplicationRecord::RequestAbandoned { slot },
-            RecordNames {
-                classes: &self.class_names,
-                tenants: &self.tenant_names,
-            },
+            RecordNames::new(&self.class_names, &self.tenant_names),
         );
     }
 
@@ -212,10 +197,7 @@
         replicator.send_record(
             &mut self.net,
             &ReplicationRecord::LoadRequested { age: 0 },
-            RecordNames {
-                classes: &self.class_names,
-                tenants: &self.tenant_names,
-            },
+            RecordNames::new(&self.class_names, &self.tenant_names),
         );
         true
     }
--- a/crates/tidewall-gateway/src/failover/responses.rs
+++ b/crates/tidewall-gateway/src/failover/responses.rs
@@ -58,7 +58,8 @@
         }
     }
 
-    /// Delivers one outcome of failover; false where none is left. The order of the kinds is part of what a run repeats.
+    /// Delivers one outcome of failover; false where none is left. The order in which the
+    /// kinds are looked at decides the order of writes.
     pub(crate) fn deliver_failover_outcome(&mut self) -> bool {
         let Some(replicator) = &mut self.context.scheduler.host.replicator else {
             return false;
--- a/crates/tidewall-gateway/src/failover/role_actions.rs
+++ b/crates/tidewall-gateway/src/failover/role_actions.rs
@@ -51,7 +51,7 @@
         let history_unknown =
             now < replicator.history_unknown_until && !replicator.all_workers_fenced;
         if role_machine.state().serves() && (requests_wait || history_unknown) {
-            if self.state.ticks % FENCING_RETRY_TICKS == 0 {
+            if self.state.ticks.is_multiple_of(FENCING_RETRY_TICKS) {
                 let leadership = self.replicator().leadership;
                 self.announce_leadership(leadership);
             }
@@ -128,10 +128,7 @@
         replicator.send_record(
             &mut host.net,
             &ReplicationRecord::SnapshotStarted { only_changes },
-            RecordNames {
-                classes: &host.class_names,
-                tenants: &host.tenant_names,
-            },
+            RecordNames::new(&host.class_names, &host.tenant_names),
         );
         self.state.link.snapshot = match only_changes {
             true => SnapshotCursor::Idle,
--- a/crates/tidewall-gateway/src/failover/snapshot.rs
+++ b/crates/tidewall-gateway/src/failover/snapshot.rs
@@ -65,10 +65,7 @@
         let Some(replicator) = &mut self.replicator else {
             return;
         };
-        let names = RecordNames {
-            classes: &self.class_names,
-            tenants: &self.tenant_names,
-        };
+        let names = RecordNames::new(&self.class_names, &self.tenant_names);
         let request = &self.requests[slot];
         let function = self.function_names.resolve(request.info().function);
         let admitted = admitted_request(slot, request, function, now);
@@ -97,10 +94,7 @@
     /// Sends the first remembered response from this entry on, or that the snapshot is complete.
     fn send_response_snapshot(&mut self, from: usize) -> Option<SnapshotCursor> {
         let replicator = self.replicator.as_mut()?;
-        let names = RecordNames {
-            classes: &self.class_names,
-            tenants: &self.tenant_names,
-        };
+        let names = RecordNames::new(&self.class_names, &self.tenant_names);
         let Some((index, entry)) = replicator.deduplication.next(from) else {
             replicator.send_record(&mut self.net, &ReplicationRecord::SnapshotCompleted, names);
             replicator.snapshot_incomplete = false;
--- a/crates/tidewall-gateway/src/failover/takeover.rs
+++ b/crates/tidewall-gateway/src/failover/takeover.rs
@@ -1,6 +1,6 @@
 //! Recovery of the requests that the peer had in flight when this gateway began to serve. Each is continued as if it had
 //! just come, waits until the workers of its attempts are fenced, or ends as failed or rejected: the decision is
-//! [`recovery::fate`], by what a second execution may do and what is known of the attempts.
+//! `recovery::fate`, by what a second execution may do and what is known of the attempts.
 use super::peer_requests::ReplicatedRequest;
 use super::{FailoverState, FENCING_RETRY_AFTER};
 use crate::ingress::{Disposition, IncomingRequest, ReplyHandle, NO_CLIENT};
--- a/crates/tidewall-gateway/src/failover/voting.rs
+++ b/crates/tidewall-gateway/src/failover/voting.rs
@@ -1,6 +1,6 @@
 //! Votes of workers on who may serve, and fencing. Some workers are voters: a proposal needs a majority of them. All
-//! workers are told the accepted leadership, as each refuses attempts of older epochs from then on. A worker that has
-//! accepted counts as fenced.
+//! workers are told the accepted leadership, as each refuses from then on what the other gateway sends under an epoch
+//! below the fencing floor. A worker that has accepted counts as fenced.
 use super::control_messages::VoteReply;
 use super::replicator::{MissingVote, VoteRound};
 use super::role_actions::GatewayActions;
