--- /dev/null
+++ b/crates/tidewall-gateway/src/failover/responses.rs
@@ -0,0 +1,159 @@
+//! Delivery of responses, and of all else that failover leaves for the end of an event: calls and responses whose records
+//! were acknowledged, missing votes, a rejected epoch, an overflowed connection.
+use super::replicator::{DeferredAction, PendingResponse};
+use super::{StopReason, FENCING_RETRY_AFTER};
+use crate::ingress::{Disposition, ReplyHandle, Response, NO_CLIENT};
+use crate::worker_pool::LocalResponse;
+use crate::{Gateway, Owner};
+use tidewall_failover::role::Role;
+use tidewall_net::{Conn, Net, Time};
+
+impl<N: Net> Gateway<N> {
+    /// Sends a request's final response to its client and to all that sent it again; with failover, at once or when it is
+    /// recorded. The slot may serve another request after that.
+    pub(crate) fn send_final_response(&mut self, response: &LocalResponse, payload: &[u8]) {
+        let host = &mut self.context.scheduler.host;
+        if host.replicator.is_some() {
+            if let Some(pending) = host.replicate_response(response, payload) {
+                self.send_pending_response(pending);
+            }
+            return;
+        }
+        let client = response.reply_handle;
+        let response = Response {
+            disposition: response.disposition,
+            retry_after: response.retry_after,
+            reason: "",
+            payload,
+            elapsed: response.elapsed,
+        };
+        self.ingresses[client.ingress].respond(&mut host.net, client, &response);
+    }
+
+    /// Sends a response to each client whose deadline has not passed.
+    fn send_pending_response(&mut self, pending: PendingResponse) {
+        let host = &mut self.context.scheduler.host;
+        let now = host.net.now();
+        let response = Response {
+            disposition: pending.disposition.unwrap_or(Disposition::Failed),
+            retry_after: pending.retry_after,
+            reason: "",
+            payload: &pending.payload,
+            elapsed: pending.elapsed,
+        };
+        for &(client, deadline) in &pending.clients {
+            if client == NO_CLIENT {
+                continue;
+            }
+            let ingress = &mut self.ingresses[client.ingress];
+            if now > deadline {
+                host.counters.expired += 1;
+                ingress.request_expired(now, client);
+            } else {
+                ingress.respond(&mut host.net, client, &response);
+            }
+        }
+        if let Some(replicator) = &mut host.replicator {
+            replicator.recycle_response(pending);
+        }
+    }
+
+    /// Delivers one outcome of failover; false where none is left. The order in which the
+    /// kinds are looked at decides the order of writes.
+    pub(crate) fn deliver_failover_outcome(&mut self) -> bool {
+        let Some(replicator) = &mut self.context.scheduler.host.replicator else {
+            return false;
+        };
+        if let Some(action) = replicator.next_recorded() {
+            self.run_deferred_action(action);
+        } else if let Some(response) = replicator.ready_responses.pop_front() {
+            self.send_pending_response(response);
+        } else if let Some(missing) = replicator.missing_votes.pop_front() {
+            let round = (missing.round.ballot, missing.round.accepting);
+            self.with_role(|role_machine, now, actions| {
+                role_machine.vote_missing(now, actions, missing.voter, round)
+            });
+        } else if std::mem::take(&mut replicator.epoch_rejected) {
+            self.with_role(|role_machine, _, actions| role_machine.epoch_rejected(actions));
+        } else if replicator.connection_overflowed {
+            if let Some(conn) = replicator.conn {
+                self.context.net().reset(conn);
+                self.set_owner(conn, Owner::Nobody);
+            }
+            self.peer_connection_closed();
+        } else if let Some((slot, client, deadline)) = self.context.awaited_remote.pop_front() {
+            self.await_peer_request(slot, client, deadline);
+        } else {
+            self.finish_draining();
+            return false;
+        }
+        true
+    }
+
+    fn run_deferred_action(&mut self, action: DeferredAction) {
+        match action {
+            DeferredAction::SendCall { call, generation } => {
+                let host = &mut self.context.scheduler.host;
+                let waits = host
+                    .calls
+                    .get(call)
+                    .is_some_and(|call| call.generation == generation && !call.ended);
+                if waits {
+                    host.assign_connection(call);
+                }
+            }
+            DeferredAction::Respond(response) => self.send_pending_response(response),
+        }
+    }
+
+    /// A client sent a request that the peer has in flight: it waits for that one's response.
+    fn await_peer_request(&mut self, slot: usize, client: ReplyHandle, deadline: Time) {
+        let node = self.failover.as_mut();
+        match node.and_then(|node| node.state.peer_requests.get_mut(slot)) {
+            Some(request) => request.clients.push((client, deadline)),
+            None => {
+                // It ended in the same wake-up; whoever still wants it sends it again.
+                let mut response = self.context.expect_replicator().new_response();
+                response.disposition = Some(Disposition::Rejected);
+                response.retry_after = FENCING_RETRY_AFTER;
+                response.clients.push((client, deadline));
+                self.send_pending_response(response);
+            }
+        }
+    }
+
+    /// Tells the role state machine once a gateway that no longer serves has nothing left to do.
+    fn finish_draining(&mut self) {
+        let Some(node) = &self.failover else {
+            return;
+        };
+        let role = node.role_machine.state();
+        let shutting_down = node.state.shutting_down;
+        let is_draining = role == Role::Draining || shutting_down && role == Role::Standby;
+        if is_draining
+            && self.requests_in_flight() == 0
+            && self.stop_reason == StopReason::Drained
+            && self.unreplicated() == 0
+            && !self.has_unread_responses()
+        {
+            self.with_role(|role_machine, now, actions| role_machine.drained(now, actions));
+            if role == Role::Draining && self.role() == Some(Role::Standby) {
+                self.close_client_connections();
+            }
+        }
+    }
+
+    /// Clients that are still connected are to find the gateway that serves now.
+    fn close_client_connections(&mut self) {
+        if let Some(replicator) = &mut self.context.scheduler.host.replicator {
+            replicator.epoch = 0;
+            replicator.streaming = false;
+        }
+        for index in 0..self.owners.len() {
+            let (generation, owner) = self.owners[index];
+            if let Owner::Ingress(_) = owner {
+                self.context.net().abort(Conn::new(index, generation));
+            }
+        }
+    }
+}
