--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -12,8 +12,8 @@
 fn bounds_follow_the_page(run: f64, lanes: u32, low: f64, up: f64) {
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 1);
-    (gw.functions[0].run, gw.functions[0].lanes) = (run, lanes);
-    let (least, most, _) = gw.bounds(0);
+    (gw.functions[0].warm_latency, gw.functions[0].lanes) = (run, lanes);
+    let (least, most, _) = gw.instance_rates(0);
     assert_eq!((least, most), (low, up));
 }
 
@@ -24,8 +24,8 @@
 fn where_the_whole_numbers_cross_bounds_are_unrounded(target: &str, run: f64, low: f64, up: f64) {
     let mut gw = gateway(2, &[("classes.0.aim-ms", target)]);
     stand(&mut gw, 0, 1);
-    gw.functions[0].run = run;
-    let (least, most, _) = gw.bounds(0);
+    gw.functions[0].warm_latency = run;
+    let (least, most, _) = gw.instance_rates(0);
     assert!((least - low).abs() < 1e-9 && (most - up).abs() < 1e-9, "{least} {most}");
 }
 
@@ -35,10 +35,10 @@
 fn where_runs_are_long_the_count_goes_by_events_in_hand(events: u32, n: usize) {
     let gw = &mut gateway(20, &[("classes.0.aim-ms", "600000")]);
     stand(gw, 0, 1);
-    (gw.functions[0].run, gw.functions[0].events) = (600_000.0, events);
+    (gw.functions[0].warm_latency, gw.functions[0].open_requests) = (600_000.0, events);
     gw.functions[0].rate.add(NOW, events);
     gw.scale(0, false);
-    assert_eq!(gw.functions[0].n, n);
+    assert_eq!(gw.functions[0].desired_instances, n);
 }
 
 // A quarter second on two lanes: 4 to 8 a second for each copy, the band of n copies ends at 4.8 n.
@@ -50,11 +50,11 @@
 fn the_count_follows_the_band(n: usize, events: u32, check: bool) -> usize {
     let mut gw = gateway(4, &[]);
     stand(&mut gw, 0, n);
-    gw.functions[0].run = 2500.0;
-    gw.functions[0].last = NOW;
+    gw.functions[0].warm_latency = 2500.0;
+    gw.functions[0].last_request_at = NOW;
     gw.functions[0].rate.add(NOW, events);
     gw.scale(0, check);
-    gw.functions[0].n
+    gw.functions[0].desired_instances
 }
 
 #[test_case(7999, 1; "within the keep-alive")]
@@ -62,19 +62,19 @@
 fn the_last_copy_lapses_by_the_keep_alive(ms: Time, left: usize) {
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 1);
-    gw.functions[0].last = NOW;
+    gw.functions[0].last_request_at = NOW;
     gw.advance_clock(NOW + ms * MS);
     gw.scale(0, true);
-    assert_eq!(gw.functions[0].n, left);
+    assert_eq!(gw.functions[0].desired_instances, left);
 }
 
 #[test]
 fn the_order_is_shared_whatever_was_learned_first() {
     let (mut a, mut b) = (gateway(5, &[]), gateway(0, &[]));
-    a.know(&arrival(0));
-    b.know(&arrival(0));
+    a.register_function(&arrival(0));
+    b.register_function(&arrival(0));
     b.update_endpoints(&[4, 0, 3, 1, 2].map(listed), true);
-    let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
+    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker).collect::<Vec<_>>();
     assert_eq!(order(&a), order(&b));
 }
 
@@ -97,7 +97,7 @@
     let mut gw = gateway(4, &[]);
     stand(&mut gw, 0, 2);
     let home = at(&gw, 0, 0);
-    gw.functions[0].seats[0].flight = flight;
+    gw.functions[0].placements[0].in_flight = flight;
     gw.workers[home].in_flight = in_flight;
     arrive(&mut gw, 0);
     assert_eq!(launches(&gw) == [home], stays);
@@ -108,8 +108,8 @@
 fn a_copy_beyond_the_first_n_is_used_before_the_first_n_are_overfilled() {
     let mut gw = gateway(3, &[]);
     stand(&mut gw, 0, 2);
-    gw.functions[0].n = 1;
-    gw.functions[0].seats[0].flight = 2;
+    gw.functions[0].desired_instances = 1;
+    gw.functions[0].placements[0].in_flight = 2;
     arrive(&mut gw, 0);
     assert_eq!(launches(&gw), [at(&gw, 0, 1)]);
 }
@@ -131,7 +131,7 @@
 fn copies_beyond_the_first_n_are_looked_for_near_the_head(place: usize, found: bool) {
     let mut gw = gateway(40, &[]);
     stand(&mut gw, 0, 0);
-    (gw.functions[0].seats[place].copies, gw.functions[0].seats[place].renewed) =
+    (gw.functions[0].placements[place].instances, gw.functions[0].placements[place].renewed_at) =
         (InstanceState::Loaded, NOW);
     arrive(&mut gw, 0);
     assert_eq!(launches(&gw).len(), usize::from(found));
@@ -155,17 +155,17 @@
     let e = arrive(&mut gw, 0);
     gw.attempt_ended(e, 0, (Outcome::Ok, 2000), true, 1 + 8 * 2 * company);
     gw.scale(0, false);
-    assert_eq!(gw.functions[0].n, n);
+    assert_eq!(gw.functions[0].desired_instances, n);
 }
 
 #[test]
 fn growth_by_company_does_not_feed_on_itself() {
     let mut gw = gateway(8, &[("siblings", "300")]);
     stand(&mut gw, 0, 1);
-    gw.functions[0].run = 2000.0;
-    gw.functions[0].seats[0].crowd = 9.0;
+    gw.functions[0].warm_latency = 2000.0;
+    gw.functions[0].placements[0].concurrency = 9.0;
     (0..5).for_each(|_| gw.scale(0, false));
-    assert_eq!(gw.functions[0].n, 9);
+    assert_eq!(gw.functions[0].desired_instances, 9);
 }
 
 #[test_case(1.0, 1.0, 0; "alike: the next of the rotation")]
@@ -184,11 +184,11 @@
 fn full_workers_buy_copies_while_memory_lasts(missed: f64, n: usize) {
     let mut gw = gateway(4, &MANY);
     stand(&mut gw, 0, 2);
-    gw.missed = missed;
-    gw.functions[0].seats[2..].iter_mut().for_each(|s| s.copies = InstanceState::Absent);
+    gw.miss_ratio = missed;
+    gw.functions[0].placements[2..].iter_mut().for_each(|s| s.instances = InstanceState::Absent);
     arrive(&mut gw, 0);
     answer(&mut gw, &[6.0, 6.0]);
-    assert_eq!(gw.functions[0].n, n);
+    assert_eq!(gw.functions[0].desired_instances, n);
 }
 
 // lamphun's first incident at size: reports of busy cores did not show lines of events, own answers did.
@@ -198,8 +198,8 @@
     let mut gw = gateway(4, &[("siblings", "300")]);
     stand(&mut gw, 0, 2);
     let home = at(&gw, 0, 0);
-    gw.workers[home].done.add(answered, 1000);
-    gw.workers[home].strain = 0.9;
+    gw.workers[home].completed_work.add(answered, 1000);
+    gw.workers[home].latency_ratio = 0.9;
     arrive(&mut gw, 0);
     assert_eq!(launches(&gw), [at(&gw, 0, place)]);
 }
@@ -230,7 +230,7 @@
     let answers = probes(&gw)[1];
     gw.load_reported(answers, 1.0, 0.0);
     gw.health_check_ended(answers, Outcome::Ok);
-    gw.advance_clock(NOW + LOOK);
+    gw.advance_clock(NOW + LOAD_CHECK_TIMEOUT);
     gw.timer_fired(0);
     assert_eq!(launches(&gw), [answers]);
 }
@@ -243,15 +243,15 @@
     let home = at(&gw, 0, 0);
     gw.load_request_ended(0, home, Outcome::AtCapacity, 0);
     gw.advance_clock(NOW + SECOND);
-    (gw.functions[0].seats[0].copies, gw.functions[0].n) = (InstanceState::Absent, 1);
-    assert_eq!(gw.usable(0).next() == Some(0), again);
+    (gw.functions[0].placements[0].instances, gw.functions[0].desired_instances) = (InstanceState::Absent, 1);
+    assert_eq!(gw.usable_placements(0).next() == Some(0), again);
 }
 
 #[test_case(3, 3; "a small fleet")]
 #[test_case(40, 12; "a large one")]
 fn asking_for_an_unknown_function_stops_at_the_head_of_its_order(workers: usize, asked: usize) {
     let mut gw = gateway(workers, &[]);
-    gw.know(&arrival(0));
+    gw.register_function(&arrival(0));
     assert_eq!(gw.host.0.len(), asked);
 }
 
@@ -262,9 +262,9 @@
     let ration = [("extra.load-window-ms", "10000"), ("extra.free-loads", "2"), ("extra.load-share", "0.2")];
     let mut gw = gateway(8, &ration);
     stand(&mut gw, 0, 0);
-    gw.started = NOW - ran_s * SECOND;
-    gw.arrivals.extend(vec![NOW; events]);
-    let given = (0..8).filter(|s| gw.hold(0, *s, 1, true)).count();
+    gw.started_at = NOW - ran_s * SECOND;
+    gw.recent_arrivals.extend(vec![NOW; events]);
+    let given = (0..8).filter(|s| gw.load_instances(0, *s, 1, true)).count();
     assert_eq!((given, holds(&gw)), (orders, orders));
 }
 
@@ -275,12 +275,12 @@
 fn the_ration_holds_from_each_order_on(before: usize, since: usize, orders: usize) {
     let mut gw = gateway(20, &RATION);
     stand(&mut gw, 0, 0);
-    gw.arrivals.extend(vec![NOW; before]);
+    gw.recent_arrivals.extend(vec![NOW; before]);
     gw.advance_clock(NOW + 9 * SECOND);
-    let first = (0..10).filter(|s| gw.hold(0, *s, 1, true)).count();
+    let first = (0..10).filter(|s| gw.load_instances(0, *s, 1, true)).count();
     gw.advance_clock(NOW + 9 * SECOND + 1);
-    gw.arrivals.extend(vec![gw.now; since]);
-    let then = (10..20).filter(|s| gw.hold(0, *s, 1, true)).count();
+    gw.recent_arrivals.extend(vec![gw.now; since]);
+    let then = (10..20).filter(|s| gw.load_instances(0, *s, 1, true)).count();
     assert_eq!(first + then, orders);
 }
 
@@ -300,21 +300,21 @@
                 0 => {
                     // Killed, and back at once.
                     gw = gateway(20, &RATION);
-                    (gw.started, lives) = (now, lives + 1);
+                    (gw.started_at, lives) = (now, lives + 1);
                     gw.advance_clock(now);
                     stand(&mut gw, 0, 0);
                 }
                 1..=3 => rush = chance.below(3) as usize,
                 4..=69 => {
-                    gw.arrivals.push_back(now);
+                    gw.recent_arrivals.push_back(now);
                     came.push(now);
                 }
                 _ => {
                     for s in 0..chance.below(20) as usize {
-                        gw.functions[0].seats[s].pending = 0;
+                        gw.functions[0].placements[s].pending_loads = 0;
                         let (window, needed) = (10 * SECOND, s % 4 > 0);
-                        gw.forget_old(window);
-                        if !gw.hold(0, s, 1, needed) {
+                        gw.expire_load_history(window);
+                        if !gw.load_instances(0, s, 1, needed) {
                             continue;
                         }
                         ordered.push(now);
@@ -351,15 +351,15 @@
             gw.client_abandoned(evt);
         }
     }
-    let waiting = gw.arrivals.len();
+    let waiting = gw.recent_arrivals.len();
     if let Some(outcome) = end {
         gw.attempt_ended(first, 0, (outcome, 1), outcome == Outcome::Ok, 0);
         for _ in 0..199 {
             arrive(&mut gw, 0);
         }
     }
-    assert_eq!((waiting, gw.arrivals.len() >= 200), (0, paid));
-    assert!(paid || gw.arrivals.is_empty());
+    assert_eq!((waiting, gw.recent_arrivals.len() >= 200), (0, paid));
+    assert!(paid || gw.recent_arrivals.is_empty());
 }
 
 #[test_case(false, 0; "of which nothing is known")]
@@ -370,8 +370,8 @@
     if missed {
         gw.attempt_ended(evt, 0, (Outcome::Miss, 1), false, 0);
     }
-    gw.functions[0].n = 2;
-    gw.order(0);
+    gw.functions[0].desired_instances = 2;
+    gw.request_loads(0);
     assert_eq!(holds(&gw).min(1), orders);
 }
 
@@ -383,7 +383,7 @@
 fn a_worker_that_answers_error(shown: bool, note: u32, left_out: bool) {
     let mut gw = gateway(4, &[MANY[0], ("deductions.probe", "1")]);
     stand(&mut gw, 0, 1);
-    gw.functions[0].shown = shown;
+    gw.functions[0].confirmed = shown;
     for _ in 0..3 {
         let evt = arrive(&mut gw, 0);
         gw.attempt_ended(evt, 0, (Outcome::Error, 1), false, note);
@@ -393,7 +393,7 @@
         gw.attempt_ended(evt, 1, (Outcome::Cancelled, 1), true, 0);
         gw.host.0.clear();
     }
-    assert_eq!(!gw.trusted(at(&gw, 0, 0)), left_out);
+    assert_eq!(!gw.is_available(at(&gw, 0, 0)), left_out);
 }
 
 // A seat for each of 1,024 workers in each of 400 functions took 34 MB of the smallest gateway's 32.
@@ -401,15 +401,15 @@
 fn seats_are_bounded_and_filled_again() {
     let mut gw = gateway(1024, &[MANY[0]]);
     stand(&mut gw, 0, 1);
-    let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
+    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker).collect::<Vec<_>>();
     let (first, mut all) = (order(&gw), (0..1024).collect::<Vec<_>>());
     all.sort_by_key(|wk| std::cmp::Reverse(mix_hashes(listed(*wk).1.name_hash, 99)));
-    assert_eq!((first.len(), &first[..]), (SEATS, &all[..SEATS]));
+    assert_eq!((first.len(), &first[..]), (MAX_PLACEMENTS, &all[..MAX_PLACEMENTS]));
     for wk in &first[..100] {
         gw.update_endpoints(&[(*wk, Endpoint { state: EndpointState::Removed, ..listed(*wk).1 })], false);
     }
-    gw.forget(0);
-    assert_eq!(order(&gw), all[100..100 + SEATS]);
+    gw.forget_idle(0);
+    assert_eq!(order(&gw), all[100..100 + MAX_PLACEMENTS]);
 }
 
 // The fleet's join day: after a release nine in ten events that were turned away had a cold head without room as the only one
@@ -419,11 +419,11 @@
 fn a_cold_head_without_room_is_passed_over(siblings: &str, head: usize) {
     let mut gw = gateway(3, &[("siblings", siblings), ("deductions.probe", "1")]);
     stand(&mut gw, 0, 2);
-    gw.functions[0].n = 1;
+    gw.functions[0].desired_instances = 1;
     let wk = at(&gw, 0, 0);
     // It has just started, and this gateway has no share in it.
-    (gw.workers[wk].listed.started_at, gw.workers[wk].luck) = (NOW, 1.0);
-    assert_eq!(gw.usable(0).next(), Some(head));
+    (gw.workers[wk].endpoint.started_at, gw.workers[wk].slow_start_rounding) = (NOW, 1.0);
+    assert_eq!(gw.usable_placements(0).next(), Some(head));
     arrive(&mut gw, 0);
     assert_eq!(launches(&gw), [at(&gw, 0, 1)]);
 }
@@ -444,10 +444,10 @@
     let ration = [("extra.load-window-ms", "10000"), ("extra.load-share", "1")];
     let mut gw = gateway(2, &ration);
     stand(&mut gw, 0, 0);
-    gw.orders.push_back(NOW);
+    gw.load_requests.push_back(NOW);
     gw.advance_clock(NOW + ms * MS);
-    gw.arrivals.push_back(gw.now);
-    assert_eq!(gw.hold(0, 0, 1, true), given);
+    gw.recent_arrivals.push_back(gw.now);
+    assert_eq!(gw.load_instances(0, 0, 1, true), given);
 }
 
 #[test_case(EndpointState::Draining)]
@@ -457,7 +457,7 @@
     stand(&mut gw, 0, 1);
     gw.update_endpoints(&[(0, Endpoint { state: standing, ..listed(0).1 })], false);
     arrive(&mut gw, 0);
-    assert!(!gw.hold(0, 0, 1, true));
+    assert!(!gw.load_instances(0, 0, 1, true));
     assert!(launches(&gw).is_empty() && holds(&gw) == 0);
 }
 
@@ -469,8 +469,8 @@
         let mut gw = Scheduler::new(Calls::default(), 0, *seed, settings(&[("siblings", "300")])).unwrap();
         gw.advance_clock(NOW);
         gw.update_endpoints(&[(0, Endpoint { started_at: NOW - 1, ..listed(0).1 }), listed(1)], true);
-        gw.workers[1].done.add(NOW, sent / 60);
-        gw.cold_room(0, 0)
+        gw.workers[1].completed_work.add(NOW, sent / 60);
+        gw.has_slow_start_capacity(0, 0)
     });
     assert!((least..=most).contains(&starts.count()));
 }
@@ -479,8 +479,8 @@
 #[test_case(3, false; "long ago: read without an addition since, it counted for ever")]
 fn work_done_counts_while_it_is_recent(seconds: Time, counts: bool) {
     let mut gw = gateway(1, &[]);
-    gw.workers[0].done.add(NOW, 1000);
-    assert_eq!(gw.workers[0].done.recent(NOW + seconds * SECOND) > 0, counts);
+    gw.workers[0].completed_work.add(NOW, 1000);
+    assert_eq!(gw.workers[0].completed_work.recent(NOW + seconds * SECOND) > 0, counts);
 }
 
 // Warm workers get 10 of 1000 a second; 0.6 of the fall multiple of 2.5 times the part of that which is warm.
@@ -490,11 +490,11 @@
 #[test_case(0.5, 9, false; "ten do not")]
 fn a_cold_worker_gets_its_part(age: f64, sent: usize, room: bool) {
     let mut gw = gateway(3, &[]);
-    gw.workers[0].listed.started_at = NOW - (age * 100_000.0) as Time - 1;
-    gw.workers[0].luck = 1.0;
-    gw.workers[0].budget.extend(vec![(NOW, 0); sent]);
-    (1..3).for_each(|wk| gw.workers[wk].done.add(NOW, 20_000));
-    assert_eq!(gw.cold_room(0, 0), room);
+    gw.workers[0].endpoint.started_at = NOW - (age * 100_000.0) as Time - 1;
+    gw.workers[0].slow_start_rounding = 1.0;
+    gw.workers[0].slow_start_attempts.extend(vec![(NOW, 0); sent]);
+    (1..3).for_each(|wk| gw.workers[wk].completed_work.add(NOW, 20_000));
+    assert_eq!(gw.has_slow_start_capacity(0, 0), room);
 }
 
 #[test_case(0, Outcome::Error, true; "redeliverable goes on after an error")]
@@ -523,7 +523,7 @@
     let first = launches(&gw)[0];
     gw.advance_clock(NOW + ms * MS);
     let other = (0..4).find(|wk| *wk != first && (wk % 2 == first % 2) == (same == 1)).unwrap();
-    assert_eq!(gw.may_launch(e, other), allowed);
+    assert_eq!(gw.may_send_attempt(e, other), allowed);
 }
 
 #[test_case("true", true)]
@@ -533,7 +533,7 @@
     stand(&mut gw, 0, 2);
     let e = arrive(&mut gw, 0);
     let other = 1 - launches(&gw)[0];
-    assert_eq!(gw.may_launch(e, other), allowed);
+    assert_eq!(gw.may_send_attempt(e, other), allowed);
 }
 
 #[test_case(0, true; "redeliverable is deferred")]
@@ -542,7 +542,7 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, typ, 1);
     let e = arrive(&mut gw, typ);
-    gw.advance_clock(NOW + 20_000 - SWEEP - 2 * MS);
+    gw.advance_clock(NOW + 20_000 - MAX_SWEEP_INTERVAL - 2 * MS);
     gw.timer_fired(0);
     assert!(gw.host.0.contains(&Call::Cancel(e, 0)));
     assert_eq!(matches!(gw.host.0[1], Call::Defer(..)), deferred);
@@ -564,10 +564,10 @@
 fn after_a_miss_the_order_is_reissued(place: usize, orders: usize) {
     let mut gw = gateway(4, &[]);
     stand(&mut gw, 0, 3);
-    gw.functions[0].n = 2;
-    (0..3).filter(|s| *s != place).for_each(|s| gw.functions[0].seats[s].flight = 3);
+    gw.functions[0].desired_instances = 2;
+    (0..3).filter(|s| *s != place).for_each(|s| gw.functions[0].placements[s].in_flight = 3);
     let e = arrive(&mut gw, 0);
-    (0..3).for_each(|s| gw.functions[0].seats[s].flight = u32::from(s == place));
+    (0..3).for_each(|s| gw.functions[0].placements[s].in_flight = u32::from(s == place));
     gw.attempt_ended(e, 0, (Outcome::Miss, 10), false, 0);
     assert_eq!((holds(&gw), launches(&gw).len()), (orders, 2));
 }
@@ -576,8 +576,8 @@
 #[test_case(3, true; "three are not")]
 fn failures_in_a_row_leave_a_worker_out(failures: usize, out: bool) {
     let mut gw = gateway(4, &[]);
-    (0..failures).for_each(|_| gw.failed(0));
-    assert_eq!(gw.trusted(0), !out);
+    (0..failures).for_each(|_| gw.record_failure(0));
+    assert_eq!(gw.is_available(0), !out);
 }
 
 // Days with spoilt answers: all launches of one broken connection counted, and good workers were left out in turn.
@@ -589,14 +589,14 @@
     let home = at(&gw, 0, 0);
     let events: Vec<usize> = (0..3).map(|_| arrive(&mut gw, 0)).collect();
     for (i, e) in events.into_iter().enumerate() {
-        gw.workers[home].in_flight += u32::from(gw.events[e].count == 0);
-        gw.functions[0].seats[0].flight += u32::from(gw.events[e].count == 0);
-        gw.events[e].launches[0] = Attempt { wk: home, at: NOW, ..Attempt::default() };
-        (gw.events[e].launches[0].state, gw.events[e].count) = (AttemptState::InFlight, 1);
+        gw.workers[home].in_flight += u32::from(gw.requests[e].attempt_count == 0);
+        gw.functions[0].placements[0].in_flight += u32::from(gw.requests[e].attempt_count == 0);
+        gw.requests[e].attempts[0] = Attempt { worker: home, sent_at: NOW, ..Attempt::default() };
+        (gw.requests[e].attempts[0].state, gw.requests[e].attempt_count) = (AttemptState::InFlight, 1);
         gw.advance_clock(NOW + 1 + apart * i as Time);
         gw.attempt_ended(e, 0, (Outcome::Reset, 10), true, 0);
     }
-    assert_eq!((gw.workers[home].failures, gw.trusted(home)), (failures, trusted));
+    assert_eq!((gw.workers[home].failures, gw.is_available(home)), (failures, trusted));
 }
 
 #[test_case(0, AttemptState::ConnectionLost, false; "redeliverable goes elsewhere")]
@@ -607,8 +607,8 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, typ, 1);
     let (e, home) = (arrive(&mut gw, typ), at(&gw, typ, 0));
-    gw.events[e].launches[0].state = state;
-    assert_eq!(gw.may_launch(e, home), may);
+    gw.requests[e].attempts[0].state = state;
+    assert_eq!(gw.may_send_attempt(e, home), may);
 }
 
 // Long days: machines are replaced by new ones all day.
@@ -621,23 +621,23 @@
     gw.update_endpoints(&[(wk, Endpoint { state: standing, ..entry })], false);
     gw.workers[wk].in_flight = out;
     assert_eq!(gw.forget_worker(wk), forgotten);
-    assert_eq!(gw.workers[wk].listed.name_hash == 0, forgotten);
+    assert_eq!(gw.workers[wk].endpoint.name_hash == 0, forgotten);
 }
 
 // Overloaded days: late answers left out a third of workers that were only busy.
 #[test]
 fn in_overload_nobody_is_judged() {
     let mut gw = gateway(4, &[]);
-    gw.strained.add(NOW, 10);
-    (0..3).for_each(|_| gw.failed(0));
-    assert_eq!((gw.workers[0].failures, gw.trusted(0)), (0, true));
+    gw.saturation_count.add(NOW, 10);
+    (0..3).for_each(|_| gw.record_failure(0));
+    assert_eq!((gw.workers[0].failures, gw.is_available(0)), (0, true));
 }
 
 #[test]
 fn a_third_of_the_workers_at_most_is_left_out() {
     let mut gw = gateway(6, &[]);
-    (0..6).for_each(|wk| (0..3).for_each(|_| gw.failed(wk)));
-    assert_eq!((0..6).filter(|wk| !gw.trusted(*wk)).count(), 2);
+    (0..6).for_each(|wk| (0..3).for_each(|_| gw.record_failure(wk)));
+    assert_eq!((0..6).filter(|wk| !gw.is_available(*wk)).count(), 2);
 }
 
 #[test_case(8000, 3, true; "late answers are failures")]
@@ -647,8 +647,8 @@
     stand(&mut gw, 0, 1);
     let home = at(&gw, 0, 0);
     gw.workers[home].failures = 2;
-    gw.answered(home, 0, &arrival(0), NOW, took, 1);
-    assert_eq!((gw.workers[home].failures, !gw.trusted(home)), (failures, out));
+    gw.attempt_succeeded(home, 0, &arrival(0), NOW, took, 1);
+    assert_eq!((gw.workers[home].failures, !gw.is_available(home)), (failures, out));
 }
 
 #[test]
@@ -657,7 +657,7 @@
     stand(&mut gw, 0, 1);
     let (e, home) = (arrive(&mut gw, 0), at(&gw, 0, 0));
     gw.attempt_ended(e, 0, (Outcome::AtCapacity, 10), false, 0);
-    assert!(gw.workers[home].bound < BOUND_START);
+    assert!(gw.workers[home].in_flight_limit < INITIAL_IN_FLIGHT_LIMIT);
 }
 
 #[test_case(1, 4.0; "a lone gateway keeps four in flight")]
@@ -667,9 +667,9 @@
     let mut gw = gateway(1, &[("siblings", &siblings)]);
     for i in 0..20 {
         gw.advance_clock(NOW + i * SECOND);
-        gw.cut(0);
+        gw.reduce_in_flight_limit(0);
     }
-    assert_eq!(gw.workers[0].bound, floor);
+    assert_eq!(gw.workers[0].in_flight_limit, floor);
 }
 
 // Clients left at half the target time, unannounced.
@@ -680,7 +680,7 @@
     let e = arrive(&mut gw, 0);
     gw.advance_clock(NOW + 2000);
     gw.client_abandoned(e);
-    assert_eq!((gw.types[0].felt, gw.types[0].target), (9000.0, 10_000));
+    assert_eq!((gw.classes[0].observed_objective, gw.classes[0].latency_objective), (9000.0, 10_000));
     assert_eq!(gw.host.0.last(), Some(&Call::Cancel(e, 0)));
 }
 
@@ -694,8 +694,11 @@
     let events: Vec<usize> = (0..200).map(|_| arrive(&mut gw, 0)).collect();
     gw.advance_clock(NOW + age);
     events.into_iter().for_each(|e| gw.client_abandoned(e));
-    assert_eq!((gw.types[0].felt * 0.999 < most, gw.types[0].felt > 999.0), (true, true));
-    assert_eq!(gw.types[0].felt == 10_000.0, most == 10_000.0);
+    assert_eq!(
+        (gw.classes[0].observed_objective * 0.999 < most, gw.classes[0].observed_objective > 999.0),
+        (true, true)
+    );
+    assert_eq!(gw.classes[0].observed_objective == 10_000.0, most == 10_000.0);
 }
 
 #[test_case(0, 0, 0, 0.5; "by the benefit of the type")]
@@ -705,9 +708,9 @@
 fn benefit_is_what_can_be_earned(typ: usize, launched: u32, hint: Time, worth: f64) {
     let mut gw = gateway(1, &[]);
     gw.tenants[0].rate.add(NOW, launched);
-    gw.types[typ].hint = 1000.0;
+    gw.classes[typ].mean_cost = 1000.0;
     let event = RequestInfo { tenant: Some(0), cost_hint: hint, ..arrival(typ) };
-    assert!((gw.worth(&event) - worth).abs() < 1e-9);
+    assert!((gw.priority_weight(&event) - worth).abs() < 1e-9);
 }
 
 #[test_case(1, 1; "an event of less benefit finds no room")]
@@ -716,11 +719,11 @@
     let mut gw = gateway(1, &[]);
     stand(&mut gw, 0, 1);
     let e = arrive(&mut gw, 0);
-    (gw.workers[0].in_flight, gw.workers[0].bound) = (8, 8.0);
-    let waits = Request { arrival: arrival(0), ..Request::default() };
-    let other = gw.events.insert(waits);
+    (gw.workers[0].in_flight, gw.workers[0].in_flight_limit) = (8, 8.0);
+    let waits = Request { info: arrival(0), ..Request::default() };
+    let other = gw.requests.insert(waits);
     assert_ne!(e, other);
-    assert_eq!(usize::from(gw.choose(0, other, f64::from(tenths) / 10.0).is_none()), none);
+    assert_eq!(usize::from(gw.choose_placement(0, other, f64::from(tenths) / 10.0).is_none()), none);
 }
 
 #[test_case(1250, true; "an eighth of the target time and more")]
@@ -728,10 +731,10 @@
 fn without_room_an_event_is_given_up_early(waited: Time, given_up: bool) {
     let mut gw = gateway(1, &[]);
     stand(&mut gw, 0, 1);
-    (gw.workers[0].in_flight, gw.workers[0].bound) = (40, 8.0);
+    (gw.workers[0].in_flight, gw.workers[0].in_flight_limit) = (40, 8.0);
     let e = arrive(&mut gw, 0);
     gw.advance_clock(NOW + waited + 1);
-    gw.look_again(|_| true);
+    gw.retry_waiting(|_| true);
     assert_eq!(
         gw.host.0.iter().any(|c| matches!(c, Call::Defer(at, wait) if *at == e && *wait <= 1000)),
         given_up
@@ -754,8 +757,8 @@
     let mut gw = gateway(1, &[]);
     stand(&mut gw, 0, 1);
     gw.update_endpoints(&[(0, Endpoint { started_at: NOW, ..listed(0).1 })], false);
-    assert_eq!(gw.functions[0].seats[0].copies, InstanceState::Absent);
-    assert!(gw.cold_part(&gw.workers[0]).is_some_and(|part| part < 0.21));
+    assert_eq!(gw.functions[0].placements[0].instances, InstanceState::Absent);
+    assert!(gw.slow_start_share(&gw.workers[0]).is_some_and(|part| part < 0.21));
 }
 
 #[test]
@@ -763,8 +766,8 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 0);
     gw.advance_clock(NOW + 17 * SECOND);
-    gw.forget(0);
-    assert_eq!((gw.host.0.last(), gw.functions[0].seats.len()), (Some(&Call::Forget(0)), 0));
+    gw.forget_idle(0);
+    assert_eq!((gw.host.0.last(), gw.functions[0].placements.len()), (Some(&Call::Forget(0)), 0));
 }
 
 #[test_case("rules.cold-ms", "soon", "rules.cold-ms: 'soon' is not a time")]
@@ -783,16 +786,16 @@
 }
 
 // What is left out takes a default that still lets the module work, whatever else is told.
-#[test_case("extra.stays-loaded-ms", |t| t.keep == 60 * SECOND; "no keep-alive: a copy stands until a miss")]
-#[test_case("rules.tip-multiple", |t| t.tip == 1.0; "no multiple: never above what it can do")]
-#[test_case("rules.overload-for-ms", |t| t.tips == SECOND; "no span: over any second")]
-#[test_case("allowed.max-attempts", |t| t.most == MAX_ATTEMPTS; "no bound of launches")]
-#[test_case("allowed.max-retry-after-ms", |t| t.back > SECOND; "no longest time to come back")]
-#[test_case("siblings", |t| t.siblings == 1.0 && !t.many; "a gateway alone")]
+#[test_case("extra.stays-loaded-ms", |t| t.keep_alive == 60 * SECOND; "no keep-alive: a copy stands until a miss")]
+#[test_case("rules.tip-multiple", |t| t.overload_tolerance == 1.0; "no multiple: never above what it can do")]
+#[test_case("rules.overload-for-ms", |t| t.overload_window == SECOND; "no span: over any second")]
+#[test_case("allowed.max-attempts", |t| t.max_attempts == MAX_ATTEMPTS; "no bound of launches")]
+#[test_case("allowed.max-retry-after-ms", |t| t.max_retry_after > SECOND; "no longest time to come back")]
+#[test_case("siblings", |t| t.gateway_count == 1.0 && !t.large_fleet; "a gateway alone")]
 fn a_setting_that_is_left_out(key: &str, sound: fn(&SchedulerConfig) -> bool) {
     let mut settings = settings(&[]);
     settings.remove(key);
-    assert!(sound(&Scheduler::new(Calls::default(), 0, 1, settings).unwrap().told));
+    assert!(sound(&Scheduler::new(Calls::default(), 0, 1, settings).unwrap().config));
 }
 
 // It was 0: every event beyond the first was beyond its tenant's share, and with no benefit told all brought nothing.
@@ -802,7 +805,7 @@
     let left_out = keys.iter().map(|key| (*key, "0")).collect::<Vec<_>>();
     let gw = &mut gateway(1, &left_out);
     gw.tenants[0].rate.add(NOW, 90);
-    assert_eq!(gw.worth(&RequestInfo { tenant: Some(0), ..arrival(0) }), worth);
+    assert_eq!(gw.priority_weight(&RequestInfo { tenant: Some(0), ..arrival(0) }), worth);
 }
 
 // Loads of a minute and clients that wait for two seconds: events were held until their clients left.
@@ -813,14 +816,15 @@
 #[test_case(0, EndpointState::Active, 1300, false; "of unknown length it may come")]
 fn an_event_waits_for_a_load_that_can_come(load: Time, standing: EndpointState, later: Time, given_up: bool) {
     let gw = &mut gateway(1, &[]);
-    gw.know(&arrival(0));
-    let seat = &mut gw.functions[0].seats[0];
-    (seat.copies, seat.pending, seat.renewed, seat.asks) = (InstanceState::Loading, 1, NOW, 0);
-    gw.workers[0].listed.state = standing;
+    gw.register_function(&arrival(0));
+    let seat = &mut gw.functions[0].placements[0];
+    (seat.instances, seat.pending_loads, seat.renewed_at, seat.pending_queries) =
+        (InstanceState::Loading, 1, NOW, 0);
+    gw.workers[0].endpoint.state = standing;
     let place = gw.next_request_slot();
     gw.request_arrived(RequestInfo { load_hint: load, ..arrival(0) });
     gw.advance_clock(NOW + later);
-    gw.look_again(|_| true);
+    gw.retry_waiting(|_| true);
     let answer = gw.host.0.iter().find(|c| matches!(c, Call::Defer(e, _) if *e == place));
     assert_eq!(answer.is_some(), given_up, "{:?}", gw.host.0);
 }
@@ -828,9 +832,10 @@
 #[test]
 fn a_deferral_tells_when_the_load_is_due() {
     let gw = &mut gateway(1, &[("allowed.max-retry-after-ms", "600000")]);
-    gw.know(&arrival(0));
-    let seat = &mut gw.functions[0].seats[0];
-    (seat.copies, seat.pending, seat.renewed, seat.asks) = (InstanceState::Loading, 1, NOW, 0);
+    gw.register_function(&arrival(0));
+    let seat = &mut gw.functions[0].placements[0];
+    (seat.instances, seat.pending_loads, seat.renewed_at, seat.pending_queries) =
+        (InstanceState::Loading, 1, NOW, 0);
     gw.request_arrived(RequestInfo { load_hint: 60 * SECOND, ..arrival(0) });
     assert!(matches!(gw.host.0[1], Call::Defer(_, back) if back >= 60 * SECOND), "{:?}", gw.host.0);
 }
@@ -842,12 +847,12 @@
     let gw = &mut gateway(1, &[]);
     stand(gw, 0, 1);
     for took in took {
-        let seat = &mut gw.functions[0].seats[0];
-        (seat.copies, seat.pending, seat.renewed) = (InstanceState::Loading, 1, gw.now);
+        let seat = &mut gw.functions[0].placements[0];
+        (seat.instances, seat.pending_loads, seat.renewed_at) = (InstanceState::Loading, 1, gw.now);
         gw.advance_clock(gw.now + took);
         gw.load_request_ended(0, 0, Outcome::Ok, 1);
     }
-    assert_eq!(gw.functions[0].load, load);
+    assert_eq!(gw.functions[0].load_time, load);
 }
 
 // Target times of tens of milliseconds: sweeps and waits for probes of 10 and 20 ms left nothing of them.
@@ -858,7 +863,7 @@
 #[test_case("600000", "1", 100, 200; "minutes")]
 fn sweeps_and_looks_go_by_the_target_time(target: &str, tick: &str, sweep: Time, look: Time) {
     let gw = gateway(1, &[("classes.0.aim-ms", target), ("tick-ms", tick)]);
-    assert_eq!((gw.told.sweep, gw.told.look), (sweep, look));
+    assert_eq!((gw.config.sweep_interval, gw.config.load_check_timeout), (sweep, look));
 }
 
 // Where nobody may order a load, events found no copy for ever; a launch shows where copies stand.
@@ -897,7 +902,7 @@
 #[test_case("busy", true)]
 fn only_reports_that_tell_of_load_are_asked_for(names: &str, looks: bool) {
     let gw = gateway(1, &[MANY[0], MANY[1], ("reporting.names", names)]);
-    assert_eq!(gw.told.looks, looks);
+    assert_eq!(gw.config.load_checks, looks);
 }
 
 // Ten answers after a minute each counted as ten minutes of work within two seconds; a cold worker got its part of that.
@@ -906,8 +911,8 @@
     let gw = &mut gateway(1, &[("classes.0.aim-ms", "600000")]);
     stand(gw, 0, 1);
     let at = gw.now;
-    (0..10).for_each(|_| gw.answered(0, 0, &arrival(0), at, 600_000, 1));
-    assert_eq!(gw.workers[0].done.recent(at), 10 * 2 * SECOND as u32);
+    (0..10).for_each(|_| gw.attempt_succeeded(0, 0, &arrival(0), at, 600_000, 1));
+    assert_eq!(gw.workers[0].completed_work.recent(at), 10 * 2 * SECOND as u32);
 }
 
 // A run of two seconds and a span of half a second: a launch tips the worker by itself, whoever's luck it is.
@@ -915,11 +920,11 @@
 #[test_case(20_000.0, false; "one that does not")]
 fn an_event_that_would_tip_a_cold_worker_alone_goes_elsewhere(run: f64, room: bool) {
     let gw = &mut gateway(2, &[("rules.overload-for-ms", "500")]);
-    gw.types[0].run = run;
-    gw.workers[1].done.add(NOW, 20_000);
+    gw.classes[0].warm_latency = run;
+    gw.workers[1].completed_work.add(NOW, 20_000);
     gw.update_endpoints(&[(0, Endpoint { started_at: NOW - 1, ..listed(0).1 })], false);
-    gw.workers[0].luck = 0.001;
-    assert_eq!(gw.cold_room(0, 0), room);
+    gw.workers[0].slow_start_rounding = 0.001;
+    assert_eq!(gw.has_slow_start_capacity(0, 0), room);
 }
 
 // Sixty-four cores, or runs that wait for others: a lone gateway's bound stopped at 64.
@@ -927,10 +932,10 @@
 fn the_learned_bound_grows_while_answers_are_good() {
     let gw = &mut gateway(1, &[]);
     stand(gw, 0, 1);
-    (gw.workers[0].bound, gw.workers[0].in_flight) = (64.0, 63);
+    (gw.workers[0].in_flight_limit, gw.workers[0].in_flight) = (64.0, 63);
     let at = gw.now;
-    (0..65).for_each(|_| gw.answered(0, 0, &arrival(0), at, 100, 1));
-    assert!(gw.workers[0].bound > 64.5);
+    (0..65).for_each(|_| gw.attempt_succeeded(0, 0, &arrival(0), at, 100, 1));
+    assert!(gw.workers[0].in_flight_limit > 64.5);
 }
 
 // One function and hundreds of workers: 128 seats were all that it could use.
@@ -938,10 +943,13 @@
 fn a_function_that_needs_more_of_the_fleet_gets_seats() {
     let gw = &mut gateway(400, &[]);
     stand(gw, 0, 1);
-    gw.functions[0].run = 5_000.0;
+    gw.functions[0].warm_latency = 5_000.0;
     gw.functions[0].rate.add(NOW, 2 * 4 * 100 + 2);
     gw.scale(0, false);
-    assert!(gw.functions[0].n > 100 && gw.functions[0].seats.len() >= 2 * gw.functions[0].n);
+    assert!(
+        gw.functions[0].desired_instances > 100
+            && gw.functions[0].placements.len() >= 2 * gw.functions[0].desired_instances
+    );
 }
 
 // The wire's aim-stretch: the target time grows with an event's own work, up to its max age.
@@ -949,7 +957,7 @@
 #[test_case(90_000, 20_000.0; "not beyond the max age")]
 fn the_target_time_stretches_with_the_work(hint: Time, target: f64) {
     let gw = gateway(1, &[("classes.0.aim-stretch", "2"), ("classes.0.deadline-ms", "2000")]);
-    assert_eq!(wanted(&gw.types[0], &RequestInfo { cost_hint: hint, ..arrival(0) }), target);
+    assert_eq!(wanted(&gw.classes[0], &RequestInfo { cost_hint: hint, ..arrival(0) }), target);
 }
 
 #[test_case("", 7_500; "as far apart as a second allows")]
@@ -967,8 +975,9 @@
 fn what_has_no_hope_is_not_kept_for_its_deadline(loading: bool, given_up: bool) {
     let mut gw = gateway(2, &[("extra.load-window-ms", "10000")]);
     stand(&mut gw, 0, 1);
-    gw.functions[0].seats[0].copies = if loading { InstanceState::Loading } else { InstanceState::Absent };
-    gw.functions[0].seats[0].pending = u32::from(loading);
+    gw.functions[0].placements[0].instances =
+        if loading { InstanceState::Loading } else { InstanceState::Absent };
+    gw.functions[0].placements[0].pending_loads = u32::from(loading);
     let e = arrive(&mut gw, 0);
     assert!(launches(&gw).is_empty() && holds(&gw) == 0);
     gw.advance_clock(NOW + 1250 + 1);
@@ -993,7 +1002,7 @@
 fn the_shortest_target_time_is_no_panic() {
     let gw = &mut gateway(2, &[("classes.0.aim-ms", "0.1")]);
     stand(gw, 0, 1);
-    assert!(gw.bounds(0).1 > 0.0);
+    assert!(gw.instance_rates(0).1 > 0.0);
 }
 
 // The slot of functions to check came from the clock alone: sweeps 20 ms apart passed over every second one for good.
@@ -1003,8 +1012,8 @@
 #[test_case(5 * SECOND; "after standstills")]
 fn every_function_is_checked_however_late_sweeps_come(apart: Time) {
     let mut gw = gateway(1, &[]);
-    (0..150).for_each(|f| gw.know(&RequestInfo { function: f, ..arrival(0) }));
-    gw.functions.iter_mut().flat_map(|f| &mut f.seats).for_each(|s| s.asks = 0);
+    (0..150).for_each(|f| gw.register_function(&RequestInfo { function: f, ..arrival(0) }));
+    gw.functions.iter_mut().flat_map(|f| &mut f.placements).for_each(|s| s.pending_queries = 0);
     for sweep in 0..3 + 32 * SECOND / apart {
         gw.advance_clock(NOW + sweep * apart);
         gw.timer_fired(0);
@@ -1020,18 +1029,22 @@
 fn each_end_is_counted_once(asks: u32, orders: u32, ends: &[(Outcome, u32)], asks_left: u32, left: u32) {
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 0);
-    (gw.functions[0].seats[0].asks, gw.functions[0].seats[0].pending) = (asks, orders);
+    (gw.functions[0].placements[0].pending_queries, gw.functions[0].placements[0].pending_loads) =
+        (asks, orders);
     let wk = at(&gw, 0, 0);
     ends.iter().for_each(|(outcome, copies)| gw.load_request_ended(0, wk, *outcome, *copies));
-    assert_eq!((gw.functions[0].seats[0].asks, gw.functions[0].seats[0].pending), (asks_left, left));
+    assert_eq!(
+        (gw.functions[0].placements[0].pending_queries, gw.functions[0].placements[0].pending_loads),
+        (asks_left, left)
+    );
 }
 
 #[test]
 fn a_function_is_not_forgotten_while_an_ask_is_out() {
     let mut gw = gateway(2, &[]);
-    gw.know(&arrival(0));
+    gw.register_function(&arrival(0));
     gw.advance_clock(NOW + 60 * SECOND);
-    gw.forget(0);
+    gw.forget_idle(0);
     assert!(gw.functions[0].live, "its index would name another when the answer comes");
 }
 
@@ -1043,7 +1056,7 @@
         gw.advance_clock(NOW + i * 10 * MS);
         gw.request_arrived(RequestInfo { deadline: 1, ..arrival(0) });
     }
-    assert!(gw.arrivals.len() <= 102, "{}", gw.arrivals.len());
+    assert!(gw.recent_arrivals.len() <= 102, "{}", gw.recent_arrivals.len());
 }
 
 // After one depot stall 200 functions were ordered again in one sweep, at each of the gateways; so were trials and lists.
@@ -1057,11 +1070,14 @@
         let mut gw = Scheduler::new(Calls::default(), 0, seed, more).unwrap();
         gw.advance_clock(NOW);
         gw.update_endpoints(&[listed(0), listed(1), listed(2)], true);
-        (0..200).for_each(|f| gw.know(&RequestInfo { function: f, ..arrival(0) }));
+        (0..200).for_each(|f| gw.register_function(&RequestInfo { function: f, ..arrival(0) }));
         for f in 0..200 {
             gw.load_request_ended(f, 0, Outcome::AtCapacity, 0);
             gw.load_request_ended(f, 0, Outcome::AtCapacity, 0);
-            at.push(gw.functions[f].seats.iter().find(|s| s.wk == 0).unwrap().barred_until / SWEEP);
+            at.push(
+                gw.functions[f].placements.iter().find(|s| s.worker == 0).unwrap().blocked_until
+                    / MAX_SWEEP_INTERVAL,
+            );
         }
     }
     at.sort_unstable();
@@ -1075,11 +1091,11 @@
         let mut gw = Scheduler::new(Calls::default(), 0, seed, settings(&[])).unwrap();
         gw.advance_clock(NOW);
         gw.update_endpoints(&(0..4).map(listed).collect::<Vec<_>>(), true);
-        (0..3).for_each(|_| gw.failed(0));
+        (0..3).for_each(|_| gw.record_failure(0));
         gw.endpoint_update_failed();
         let asked =
             gw.host.0.iter().rev().find_map(|c| if let Call::Timer(t, 1) = c { Some(*t) } else { None });
-        (gw.workers[0].out_until / SWEEP, asked.unwrap() / SWEEP)
+        (gw.workers[0].ejected_until / MAX_SWEEP_INTERVAL, asked.unwrap() / MAX_SWEEP_INTERVAL)
     });
     let (mut trials, mut lists): (Vec<_>, Vec<_>) = gateways.unzip();
     for at in [&mut trials, &mut lists] {
@@ -1096,12 +1112,12 @@
 #[test_case(100.0, 0.1, false; "a machine a tenth of the warm ones' size")]
 fn a_cold_budget_goes_by_present_costs_and_size(run: f64, rating: f64, room: bool) {
     let mut gw = gateway(3, &[]);
-    (gw.workers[0].listed.started_at, gw.workers[0].listed.rating, gw.workers[0].luck) =
+    (gw.workers[0].endpoint.started_at, gw.workers[0].endpoint.rating, gw.workers[0].slow_start_rounding) =
         (NOW - 1, rating, 1.0);
-    gw.workers[0].budget.extend(vec![(NOW, 0); 6]);
-    gw.types[0].run = run;
-    (1..3).for_each(|wk| gw.workers[wk].done.add(NOW, 8_000));
-    assert_eq!(gw.cold_room(0, 0), room);
+    gw.workers[0].slow_start_attempts.extend(vec![(NOW, 0); 6]);
+    gw.classes[0].warm_latency = run;
+    (1..3).for_each(|wk| gw.workers[wk].completed_work.add(NOW, 8_000));
+    assert_eq!(gw.has_slow_start_capacity(0, 0), room);
 }
 
 // A year of workers that are replaced each day left each function thousands of seats to look through.
@@ -1110,19 +1126,22 @@
 fn seats_of_workers_that_are_gone_for_good_go(flight: u32, left: usize) {
     let mut gw = gateway(3, &[]);
     stand(&mut gw, 0, 0);
-    gw.functions[0].seats.iter_mut().find(|s| s.wk == 1).unwrap().flight = flight;
-    gw.functions[0].last = NOW; // or all of it would be forgotten
+    gw.functions[0].placements.iter_mut().find(|s| s.worker == 1).unwrap().in_flight = flight;
+    gw.functions[0].last_request_at = NOW; // or all of it would be forgotten
     gw.update_endpoints(&[(1, Endpoint { state: EndpointState::Removed, ..listed(1).1 })], false);
     gw.advance_clock(NOW + 2 * SECOND);
     gw.timer_fired(0);
-    assert_eq!(gw.functions[0].seats.len(), left);
+    assert_eq!(gw.functions[0].placements.len(), left);
     // Back, it has its place in the order again, and is empty.
     gw.update_endpoints(&[listed(1)], false);
     let mut all = gateway(3, &[]);
     stand(&mut all, 0, 0);
-    let order = |gw: &Gateway| gw.functions[0].seats.iter().map(|s| s.wk).collect::<Vec<_>>();
+    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker).collect::<Vec<_>>();
     assert_eq!(order(&gw), order(&all));
-    assert_eq!(gw.functions[0].seats.iter().find(|s| s.wk == 1).unwrap().copies, InstanceState::Absent);
+    assert_eq!(
+        gw.functions[0].placements.iter().find(|s| s.worker == 1).unwrap().instances,
+        InstanceState::Absent
+    );
 }
 
 // The count that matters is the total: misses are not counted among the two further launches.
@@ -1136,7 +1155,7 @@
         stand(&mut gw, 0, 12);
         let e = arrive(&mut gw, 0);
         for launch in 0..60 {
-            (0..12).for_each(|s| gw.functions[0].seats[s].copies = InstanceState::Loaded);
+            (0..12).for_each(|s| gw.functions[0].placements[s].instances = InstanceState::Loaded);
             gw.attempt_ended(e, launch, (outcome, 10), false, 0);
         }
         let bound = most.parse::<usize>().unwrap().min(MAX_ATTEMPTS);
--- a/src/choice/tests/help.rs
+++ b/src/choice/tests/help.rs
@@ -117,13 +117,13 @@
 
 /// A function of this type that is known, with copies standing on the first `n` workers of its order.
 pub fn stand(gw: &mut Gateway, typ: usize, n: usize) {
-    gw.know(&arrival(typ));
+    gw.register_function(&arrival(typ));
     let now = gw.now;
-    gw.functions[typ].n = n;
-    gw.functions[typ].turn = 0;
-    gw.functions[typ].seats.iter_mut().for_each(|s| s.asks = 0);
-    for seat in &mut gw.functions[typ].seats[..n] {
-        (seat.copies, seat.renewed) = (InstanceState::Loaded, now);
+    gw.functions[typ].desired_instances = n;
+    gw.functions[typ].rotation = 0;
+    gw.functions[typ].placements.iter_mut().for_each(|s| s.pending_queries = 0);
+    for seat in &mut gw.functions[typ].placements[..n] {
+        (seat.instances, seat.renewed_at) = (InstanceState::Loaded, now);
     }
     gw.host.0.clear();
 }
@@ -157,5 +157,5 @@
 
 /// The worker at a place of the function's shared order.
 pub fn at(gw: &Gateway, f: usize, place: usize) -> usize {
-    gw.functions[f].seats[place].wk
+    gw.functions[f].placements[place].worker
 }
--- a/src/choice/tests/ramp.rs
+++ b/src/choice/tests/ramp.rs
@@ -81,7 +81,7 @@
         gateway.advance_clock(self.now);
         gateway.update_endpoints(&list, true);
         if self.planted == Planted::AllRoundUp {
-            gateway.workers.iter_mut().for_each(|w| w.luck = 0.0);
+            gateway.workers.iter_mut().for_each(|w| w.slow_start_rounding = 0.0);
         }
         self.carry_out(gw);
     }
@@ -90,7 +90,7 @@
     fn carry_out(&mut self, gw: usize) {
         for call in std::mem::take(&mut self.gateways[gw].host.0) {
             let Call::Attempt(evt, wk) = call else { continue };
-            let launch = self.gateways[gw].events[evt].count - 1;
+            let launch = self.gateways[gw].requests[evt].attempt_count - 1;
             let took = (self.run as f64 / self.part(wk, self.now)) as Time;
             self.came[wk].push(self.now);
             let core = self.cores[wk].iter_mut().min().expect("it has cores");
@@ -123,8 +123,8 @@
             }
             What::End(gw, life, evt, launch) if life == self.lives[gw] => {
                 let gateway = &mut self.gateways[gw];
-                let Some(e) = gateway.events.get(evt).filter(|e| launch < e.count) else { return };
-                let took = self.now - e.launches[launch].at;
+                let Some(e) = gateway.requests.get(evt).filter(|e| launch < e.attempt_count) else { return };
+                let took = self.now - e.attempts[launch].sent_at;
                 gateway.advance_clock(self.now);
                 gateway.attempt_ended(evt, launch, (Outcome::Ok, took), true, 1);
                 self.carry_out(gw);
@@ -150,7 +150,7 @@
             What::Sweep => {
                 self.plan(self.now + 400, What::Sweep);
                 for gw in 0..self.gateways.len() {
-                    if !self.gateways[gw].events.is_empty() {
+                    if !self.gateways[gw].requests.is_empty() {
                         self.gateways[gw].advance_clock(self.now);
                         self.gateways[gw].timer_fired(0);
                         self.carry_out(gw);
--- a/src/choice/tests/shapes.rs
+++ b/src/choice/tests/shapes.rs
@@ -590,7 +590,7 @@
         });
         self.act(g);
         self.look(g);
-        let step = self.gws[g].gw.told.sweep;
+        let step = self.gws[g].gw.config.sweep_interval;
         if self.gws[g].sweep > now + step {
             self.sweep(g, now + step);
         }
@@ -598,8 +598,8 @@
 
     fn look(&mut self, g: usize) {
         let gw = &self.gws[g].gw;
-        self.most = self.most.max(gw.functions.iter().map(|f| f.n).max().unwrap_or(0));
-        let hand = self.gws.iter().map(|l| l.gw.events.len()).sum();
+        self.most = self.most.max(gw.functions.iter().map(|f| f.desired_instances).max().unwrap_or(0));
+        let hand = self.gws.iter().map(|l| l.gw.requests.len()).sum();
         self.hand = self.hand.max(hand);
     }
 
@@ -660,7 +660,7 @@
                     return;
                 }
                 // With nothing in hand sweeps may come late: the module says so, and days would take minutes.
-                let busy = !self.gws[g].gw.events.is_empty();
+                let busy = !self.gws[g].gw.requests.is_empty();
                 let next = if busy {
                     (self.shape.life / 4_000).min((self.shape.target * 10.0) as Time / 20)
                 } else {
@@ -670,7 +670,7 @@
                 let tick = 2 * self.shape.settings.duration("tick-ms");
                 let last = due.map(|t| t.saturating_sub(tick + 5)).filter(|t| *t > now).min();
                 self.gws[g].gw.timer_fired(0);
-                let step = self.gws[g].gw.told.sweep;
+                let step = self.gws[g].gw.config.sweep_interval;
                 let sweep = now + next.max(step);
                 self.sweep(g, last.map_or(sweep, |t| t.saturating_sub(step).min(sweep).max(now + 1)));
                 self.look(g);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -38,12 +38,12 @@
         let key = |name: &str| format!("classes.{typ}.{name}");
         let age = self.duration_or(&key("deadline-ms"), MAX_DURATION);
         RequestClass {
-            target: self.duration_or(&key("aim-ms"), age as f64).min(age),
-            age: age as f64,
-            stretch: self.number(&key("aim-stretch")),
-            benefit: self.number(&key("worth")),
-            late: self.number(&key("late-worth")),
-            repeat: self.retry_safety(typ),
+            latency_objective: self.duration_or(&key("aim-ms"), age as f64).min(age),
+            client_timeout: age as f64,
+            objective_per_cost: self.number(&key("aim-stretch")),
+            priority_weight: self.number(&key("worth")),
+            late_weight: self.number(&key("late-worth")),
+            retry_safety: self.retry_safety(typ),
             ..RequestClass::default()
         }
     }
@@ -62,36 +62,37 @@
         let longest =
             if untold { f64::from(u32::MAX) } else { self.number("allowed.max-retry-after-ms") * 10.0 };
         SchedulerConfig {
-            siblings: self.positive_or("siblings", 1.0),
-            looks: self.is("allowed.probes", "true")
+            gateway_count: self.positive_or("siblings", 1.0),
+            load_checks: self.is("allowed.probes", "true")
                 && !self.is("reporting.how", "none")
                 && (names("rif") || names("busy")),
-            keep: self.duration("extra.stays-loaded-ms"),
+            keep_alive: self.duration("extra.stays-loaded-ms"),
             tick: self.duration("tick-ms"),
-            counts: names("rif"),
+            reports_in_flight: names("rif"),
             cold: (self.duration("rules.cold-ms"), self.number("rules.cold-from")),
-            tip: self.number("rules.tip-multiple"),
-            tips: self.duration("rules.overload-for-ms"),
-            asks: self.is("discovery", "on_request"),
-            orders,
+            overload_tolerance: self.number("rules.tip-multiple"),
+            overload_window: self.duration("rules.overload-for-ms"),
+            endpoints_on_request: self.is("discovery", "on_request"),
+            may_load: orders,
             ration: (
                 self.duration("extra.load-window-ms"),
                 self.number("extra.free-loads"),
                 self.number("extra.load-share"),
             ),
-            on_miss: orders && self.is("extra.if-cold", "miss"),
-            twice: self.is("allowed.may-duplicate", "true"),
-            cancel: self.is("allowed.cancel", "true"),
-            most: self.positive_or("allowed.max-attempts", MAX_ATTEMPTS as f64).min(MAX_ATTEMPTS as f64)
-                as usize,
-            held: self.positive_or("allowed.most-held", MAX_DURATION),
-            back: if self.is("allowed.retry-after", "true") {
+            miss_if_absent: orders && self.is("extra.if-cold", "miss"),
+            may_hedge: self.is("allowed.may-duplicate", "true"),
+            may_cancel: self.is("allowed.cancel", "true"),
+            max_attempts: self
+                .positive_or("allowed.max-attempts", MAX_ATTEMPTS as f64)
+                .min(MAX_ATTEMPTS as f64) as usize,
+            max_in_flight: self.positive_or("allowed.most-held", MAX_DURATION),
+            max_retry_after: if self.is("allowed.retry-after", "true") {
                 longest.min(f64::from(u32::MAX)) as Time
             } else {
                 0
             },
-            reach: self.duration("allowed.connect-timeout-ms"),
-            within: self.duration_or("rules.ask-within-ms", MAX_DURATION),
+            connect_timeout: self.duration("allowed.connect-timeout-ms"),
+            endpoint_max_age: self.duration_or("rules.ask-within-ms", MAX_DURATION),
             ..SchedulerConfig::default()
         }
     }
