Decisions: one file for each concern beneath src/choice/

Cause: src/choice.rs held scaling, placement, admission, slow start, load checks, load requests and sweeping in one impl of 1,100 lines, with functions of up to 80 lines and single letters as names. State, lookups and arithmetic without a tuned value go to scheduler, state, config, counter, load_history, lifecycle and endpoint_list. Whole names, aliases for the three kinds of index, named structs for the load-request limit, slow start and selection, named timer tokens, a typed note of attempts, a SettingsError with the text that validate gave as a String, and docs of all public items.

--- /dev/null
+++ b/src/choice/slow_start.rs
@@ -0,0 +1,39 @@
+//! Slow start: how much a worker gets while it warms up after a start.
+use super::*;
+
+impl<A: SchedulerActions> Scheduler<A> {
+    /// The budget of a worker in slow start. What it can take is given nowhere: this gateway's own share of
+    /// it is what warm workers do for it (not what it sends: in overload most of that is rejected), at the
+    /// fraction that the worker is warm by now at the least. It is overloaded at `overload_tolerance` times
+    /// that; 0.6 of it leaves room for small machines, busy days and uneven gateways. Among hundreds of
+    /// gateways a share is far less than one attempt a window: each rounds it up or down by chance, once a
+    /// start, so that all together send what is due. One that just started knows no rates and sends none.
+    pub(super) fn has_slow_start_capacity(&self, worker_id: WorkerId, class: usize) -> bool {
+        const SHARE: f64 = 0.6;
+        let worker = &self.workers[worker_id];
+        let Some(part) = self.slow_start_share(worker) else { return true };
+        let (mut count, mut work, mut ratings) = (0.0, 0.0, 0.0);
+        for warm in self.active_workers().filter(|other| self.slow_start_share(other).is_none()) {
+            work += f64::from(warm.completed_work.recent(self.now)) / 2.0;
+            (count, ratings) = (count + 1.0, ratings + warm.endpoint.rating);
+        }
+        // Warm machines that are larger say too much of what this one can take.
+        let size = if ratings > 0.0 { (worker.endpoint.rating * count / ratings).min(1.0) } else { 1.0 };
+        let (weight, window) = (self.classes[class].warm_latency, self.config.overload_window);
+        // At what each class is known to cost by now: requests that turn out dear count as dear from then on.
+        let sent = worker.slow_start_attempts.iter().filter(|attempt| attempt.0 + window >= self.now);
+        let used: f64 = sent.map(|attempt| self.classes[attempt.1].warm_latency).sum();
+        let share = SHARE * self.config.overload_tolerance * part;
+        let room = share * size * work / f64::max(count, 1.0) * window as f64 / SECOND as f64;
+        // One that is more than all shares together overloads it alone: long runs, windows of half a second.
+        used + worker.slow_start_rounding * weight <= room && weight <= room * self.config.gateway_count
+    }
+
+    /// How warm a worker is at the least, from 0 to 1, None when it is warm.
+    pub(super) fn slow_start_share(&self, worker: &Worker) -> Option<f64> {
+        let age = self.now.saturating_sub(worker.endpoint.started_at);
+        let SlowStart { duration, initial_share } = self.config.slow_start;
+        let warming = worker.endpoint.started_at > 0 && age < duration;
+        warming.then(|| initial_share + (1.0 - initial_share) * age as f64 / duration as f64)
+    }
+}
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -3,6 +3,7 @@
 mod ramp;
 mod shapes;
 use super::*;
+use crate::random::mix_hashes;
 use help::*;
 use test_case::test_case;
 
@@ -13,7 +14,7 @@
     let mut gw = gateway(2, &[]);
     stand(&mut gw, 0, 1);
     (gw.functions[0].warm_latency, gw.functions[0].lanes) = (run, lanes);
-    let (least, most, _) = gw.instance_rates(0);
+    let InstanceRates { min: least, max: most, .. } = gw.instance_rates(0);
     assert_eq!((least, most), (low, up));
 }
 
@@ -25,7 +26,7 @@
     let mut gw = gateway(2, &[("classes.0.aim-ms", target)]);
     stand(&mut gw, 0, 1);
     gw.functions[0].warm_latency = run;
-    let (least, most, _) = gw.instance_rates(0);
+    let InstanceRates { min: least, max: most, .. } = gw.instance_rates(0);
     assert!((least - low).abs() < 1e-9 && (most - up).abs() < 1e-9, "{least} {most}");
 }
 
@@ -74,7 +75,7 @@
     a.register_function(&arrival(0));
     b.register_function(&arrival(0));
     b.update_endpoints(&[4, 0, 3, 1, 2].map(listed), true);
-    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker).collect::<Vec<_>>();
+    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker_id).collect::<Vec<_>>();
     assert_eq!(order(&a), order(&b));
 }
 
@@ -263,7 +264,7 @@
     let mut gw = gateway(8, &ration);
     stand(&mut gw, 0, 0);
     gw.started_at = NOW - ran_s * SECOND;
-    gw.recent_arrivals.extend(vec![NOW; events]);
+    gw.load_history.arrivals.extend(vec![NOW; events]);
     let given = (0..8).filter(|s| gw.load_instances(0, *s, 1, true)).count();
     assert_eq!((given, holds(&gw)), (orders, orders));
 }
@@ -275,11 +276,11 @@
 fn the_ration_holds_from_each_order_on(before: usize, since: usize, orders: usize) {
     let mut gw = gateway(20, &RATION);
     stand(&mut gw, 0, 0);
-    gw.recent_arrivals.extend(vec![NOW; before]);
+    gw.load_history.arrivals.extend(vec![NOW; before]);
     gw.advance_clock(NOW + 9 * SECOND);
     let first = (0..10).filter(|s| gw.load_instances(0, *s, 1, true)).count();
     gw.advance_clock(NOW + 9 * SECOND + 1);
-    gw.recent_arrivals.extend(vec![gw.now; since]);
+    gw.load_history.arrivals.extend(vec![gw.now; since]);
     let then = (10..20).filter(|s| gw.load_instances(0, *s, 1, true)).count();
     assert_eq!(first + then, orders);
 }
@@ -306,7 +307,7 @@
                 }
                 1..=3 => rush = chance.below(3) as usize,
                 4..=69 => {
-                    gw.recent_arrivals.push_back(now);
+                    gw.load_history.arrivals.push_back(now);
                     came.push(now);
                 }
                 _ => {
@@ -351,15 +352,15 @@
             gw.client_abandoned(evt);
         }
     }
-    let waiting = gw.recent_arrivals.len();
+    let waiting = gw.load_history.arrivals.len();
     if let Some(outcome) = end {
         gw.attempt_ended(first, 0, (outcome, 1), outcome == Outcome::Ok, 0);
         for _ in 0..199 {
             arrive(&mut gw, 0);
         }
     }
-    assert_eq!((waiting, gw.recent_arrivals.len() >= 200), (0, paid));
-    assert!(paid || gw.recent_arrivals.is_empty());
+    assert_eq!((waiting, gw.load_history.arrivals.len() >= 200), (0, paid));
+    assert!(paid || gw.load_history.arrivals.is_empty());
 }
 
 #[test_case(false, 0; "of which nothing is known")]
@@ -401,7 +402,7 @@
 fn seats_are_bounded_and_filled_again() {
     let mut gw = gateway(1024, &[MANY[0]]);
     stand(&mut gw, 0, 1);
-    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker).collect::<Vec<_>>();
+    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker_id).collect::<Vec<_>>();
     let (first, mut all) = (order(&gw), (0..1024).collect::<Vec<_>>());
     all.sort_by_key(|wk| std::cmp::Reverse(mix_hashes(listed(*wk).1.name_hash, 99)));
     assert_eq!((first.len(), &first[..]), (MAX_PLACEMENTS, &all[..MAX_PLACEMENTS]));
@@ -444,9 +445,9 @@
     let ration = [("extra.load-window-ms", "10000"), ("extra.load-share", "1")];
     let mut gw = gateway(2, &ration);
     stand(&mut gw, 0, 0);
-    gw.load_requests.push_back(NOW);
+    gw.load_history.sent.push_back(NOW);
     gw.advance_clock(NOW + ms * MS);
-    gw.recent_arrivals.push_back(gw.now);
+    gw.load_history.arrivals.push_back(gw.now);
     assert_eq!(gw.load_instances(0, 0, 1, true), given);
 }
 
@@ -591,7 +592,7 @@
     for (i, e) in events.into_iter().enumerate() {
         gw.workers[home].in_flight += u32::from(gw.requests[e].attempt_count == 0);
         gw.functions[0].placements[0].in_flight += u32::from(gw.requests[e].attempt_count == 0);
-        gw.requests[e].attempts[0] = Attempt { worker: home, sent_at: NOW, ..Attempt::default() };
+        gw.requests[e].attempts[0] = Attempt { worker_id: home, sent_at: NOW, ..Attempt::default() };
         (gw.requests[e].attempts[0].state, gw.requests[e].attempt_count) = (AttemptState::InFlight, 1);
         gw.advance_clock(NOW + 1 + apart * i as Time);
         gw.attempt_ended(e, 0, (Outcome::Reset, 10), true, 0);
@@ -647,7 +648,7 @@
     stand(&mut gw, 0, 1);
     let home = at(&gw, 0, 0);
     gw.workers[home].failures = 2;
-    gw.attempt_succeeded(home, 0, &arrival(0), NOW, took, 1);
+    succeed(&mut gw, home, NOW, took);
     assert_eq!((gw.workers[home].failures, !gw.is_available(home)), (failures, out));
 }
 
@@ -723,7 +724,7 @@
     let waits = Request { info: arrival(0), ..Request::default() };
     let other = gw.requests.insert(waits);
     assert_ne!(e, other);
-    assert_eq!(usize::from(gw.choose_placement(0, other, f64::from(tenths) / 10.0).is_none()), none);
+    assert_eq!(usize::from(gw.select_placements(other, f64::from(tenths) / 10.0).is_none()), none);
 }
 
 #[test_case(1250, true; "an eighth of the target time and more")]
@@ -782,7 +783,7 @@
 #[test_case("rules.cold-from", "1.5", "rules.cold-from: '1.5' is no number from 0 to 1")]
 fn a_setting_that_cannot_be_meant_is_named(key: &str, value: &str, line: &str) {
     let made = Scheduler::new(Calls::default(), 0, 1, settings(&[(key, value)]));
-    assert_eq!(made.err().as_deref(), Some(line));
+    assert_eq!(made.err().map(|error| error.to_string()).as_deref(), Some(line));
 }
 
 // What is left out takes a default that still lets the module work, whatever else is told.
@@ -911,7 +912,7 @@
     let gw = &mut gateway(1, &[("classes.0.aim-ms", "600000")]);
     stand(gw, 0, 1);
     let at = gw.now;
-    (0..10).for_each(|_| gw.attempt_succeeded(0, 0, &arrival(0), at, 600_000, 1));
+    (0..10).for_each(|_| succeed(gw, 0, at, 600_000));
     assert_eq!(gw.workers[0].completed_work.recent(at), 10 * 2 * SECOND as u32);
 }
 
@@ -934,7 +935,7 @@
     stand(gw, 0, 1);
     (gw.workers[0].in_flight_limit, gw.workers[0].in_flight) = (64.0, 63);
     let at = gw.now;
-    (0..65).for_each(|_| gw.attempt_succeeded(0, 0, &arrival(0), at, 100, 1));
+    (0..65).for_each(|_| succeed(gw, 0, at, 100));
     assert!(gw.workers[0].in_flight_limit > 64.5);
 }
 
@@ -957,7 +958,7 @@
 #[test_case(90_000, 20_000.0; "not beyond the max age")]
 fn the_target_time_stretches_with_the_work(hint: Time, target: f64) {
     let gw = gateway(1, &[("classes.0.aim-stretch", "2"), ("classes.0.deadline-ms", "2000")]);
-    assert_eq!(wanted(&gw.classes[0], &RequestInfo { cost_hint: hint, ..arrival(0) }), target);
+    assert_eq!(latency_objective(&gw.classes[0], &RequestInfo { cost_hint: hint, ..arrival(0) }), target);
 }
 
 #[test_case("", 7_500; "as far apart as a second allows")]
@@ -1002,7 +1003,7 @@
 fn the_shortest_target_time_is_no_panic() {
     let gw = &mut gateway(2, &[("classes.0.aim-ms", "0.1")]);
     stand(gw, 0, 1);
-    assert!(gw.instance_rates(0).1 > 0.0);
+    assert!(gw.instance_rates(0).max > 0.0);
 }
 
 // The slot of functions to check came from the clock alone: sweeps 20 ms apart passed over every second one for good.
@@ -1056,7 +1057,7 @@
         gw.advance_clock(NOW + i * 10 * MS);
         gw.request_arrived(RequestInfo { deadline: 1, ..arrival(0) });
     }
-    assert!(gw.recent_arrivals.len() <= 102, "{}", gw.recent_arrivals.len());
+    assert!(gw.load_history.arrivals.len() <= 102, "{}", gw.load_history.arrivals.len());
 }
 
 // After one depot stall 200 functions were ordered again in one sweep, at each of the gateways; so were trials and lists.
@@ -1075,7 +1076,7 @@
             gw.load_request_ended(f, 0, Outcome::AtCapacity, 0);
             gw.load_request_ended(f, 0, Outcome::AtCapacity, 0);
             at.push(
-                gw.functions[f].placements.iter().find(|s| s.worker == 0).unwrap().blocked_until
+                gw.functions[f].placements.iter().find(|s| s.worker_id == 0).unwrap().blocked_until
                     / MAX_SWEEP_INTERVAL,
             );
         }
@@ -1126,7 +1127,7 @@
 fn seats_of_workers_that_are_gone_for_good_go(flight: u32, left: usize) {
     let mut gw = gateway(3, &[]);
     stand(&mut gw, 0, 0);
-    gw.functions[0].placements.iter_mut().find(|s| s.worker == 1).unwrap().in_flight = flight;
+    gw.functions[0].placements.iter_mut().find(|s| s.worker_id == 1).unwrap().in_flight = flight;
     gw.functions[0].last_request_at = NOW; // or all of it would be forgotten
     gw.update_endpoints(&[(1, Endpoint { state: EndpointState::Removed, ..listed(1).1 })], false);
     gw.advance_clock(NOW + 2 * SECOND);
@@ -1136,10 +1137,10 @@
     gw.update_endpoints(&[listed(1)], false);
     let mut all = gateway(3, &[]);
     stand(&mut all, 0, 0);
-    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker).collect::<Vec<_>>();
+    let order = |gw: &Gateway| gw.functions[0].placements.iter().map(|s| s.worker_id).collect::<Vec<_>>();
     assert_eq!(order(&gw), order(&all));
     assert_eq!(
-        gw.functions[0].placements.iter().find(|s| s.worker == 1).unwrap().instances,
+        gw.functions[0].placements.iter().find(|s| s.worker_id == 1).unwrap().instances,
         InstanceState::Absent
     );
 }
--- a/src/choice/tests/help.rs
+++ b/src/choice/tests/help.rs
@@ -135,6 +135,13 @@
     place
 }
 
+/// A warm answer of this worker to a request of function 0, which has its first placement there.
+pub fn succeed(gw: &mut Gateway, worker_id: WorkerId, sent_at: Time, took: Time) {
+    let attempt = Attempt { worker_id, sent_at, ..Attempt::default() };
+    let (info, outcome, note) = (arrival(0), Outcome::Ok, AttemptNote(1));
+    gw.attempt_succeeded(&EndedAttempt { attempt, position: 0, info, outcome, took, note });
+}
+
 pub fn launches(gw: &Gateway) -> Vec<usize> {
     gw.host.0.iter().filter_map(|c| if let Call::Attempt(_, wk) = c { Some(*wk) } else { None }).collect()
 }
@@ -157,5 +164,5 @@
 
 /// The worker at a place of the function's shared order.
 pub fn at(gw: &Gateway, f: usize, place: usize) -> usize {
-    gw.functions[f].placements[place].worker
+    gw.functions[f].placements[place].worker_id
 }
--- a/src/choice/tests/shapes.rs
+++ b/src/choice/tests/shapes.rs
@@ -2,6 +2,7 @@
 //! faults before modelled workers, and every rule checked at each step. Replaces no bench: workers are rough.
 use super::help::*;
 use super::*;
+use crate::random::mix_hashes;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use test_case::test_case;
--- a/src/interner.rs
+++ b/src/interner.rs
@@ -1,4 +1,4 @@
-//! Id texts become small indices here, at the door of whoever runs the decisions. It decides nothing.
+//! Turns id texts into small indices, for whoever runs the decisions. It decides nothing.
 use slab::Slab;
 use std::collections::HashMap;
 
@@ -7,34 +7,42 @@
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
-/// Looked up by text, never walked, so the map's order decides nothing. Places are used again.
+/// Texts and their indices. Looked up by text, never walked, so the map's order decides nothing. Indices are
+/// used again.
 #[derive(Default)]
 pub struct Interner {
     texts: Slab<String>,
-    places: HashMap<String, usize>,
+    indices: HashMap<String, usize>,
 }
 
 impl Interner {
+    /// The index of a text, a new one where it has none.
     pub fn intern(&mut self, text: &str) -> usize {
-        if let Some(place) = self.places.get(text) {
-            return *place;
+        if let Some(index) = self.indices.get(text) {
+            return *index;
         }
-        let place = self.texts.insert(text.to_string());
-        self.places.insert(text.to_string(), place);
-        place
+        let index = self.texts.insert(text.to_string());
+        self.indices.insert(text.to_string(), index);
+        index
     }
 
+    /// The index of a text, None where it has none.
     pub fn get(&self, text: &str) -> Option<usize> {
-        self.places.get(text).copied()
+        self.indices.get(text).copied()
     }
 
-    pub fn resolve(&self, place: usize) -> &str {
-        &self.texts[place]
+    /// The text of an index.
+    ///
+    /// # Panics
+    /// Where the index has none.
+    pub fn resolve(&self, index: usize) -> &str {
+        &self.texts[index]
     }
 
-    pub fn remove(&mut self, place: usize) {
-        if let Some(text) = self.texts.try_remove(place) {
-            self.places.remove(&text);
+    /// Frees an index; it may then name another text.
+    pub fn remove(&mut self, index: usize) {
+        if let Some(text) = self.texts.try_remove(index) {
+            self.indices.remove(&text);
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,19 @@
-//! tidewall: decisions of a router before workers that keep only some of many programs loaded.
-//! `choice` decides, `host` is how it acts, `chance` is its source of chance,
-//! `settings` reads settings by name, `ids` turns texts into indices, `state` is what is remembered. None of them knows a wire.
+//! tidewall: decisions of a router before workers that keep only some of many programs loaded. None of it
+//! knows a wire.
+//!
+//! `choice` decides, `interface` is what it is called with and acts by. `settings` reads settings by name and
+//! `config` holds them; `scheduler`, `state` and `load_history` are what is remembered; `lifecycle` and
+//! `endpoint_list` carry out what follows from a decision or an endpoint list; `counter`, `random` and
+//! `interner` are helpers.
 pub mod choice;
+pub mod config;
+pub mod counter;
+mod endpoint_list;
 pub mod interface;
 pub mod interner;
+mod lifecycle;
+mod load_history;
 pub mod random;
+pub mod scheduler;
 pub mod settings;
 pub mod state;
--- a/src/random.rs
+++ b/src/random.rs
@@ -1,14 +1,17 @@
-//! Chance: a multiply-with-carry generator (lag 1, 32-bit words), started from the instance's seed.
+//! Random numbers that repeat for a seed, and a mixture of hashes. It decides nothing.
 
+/// A multiply-with-carry generator (lag 1, 32-bit words).
 pub struct RandomGenerator(u64);
 
 impl RandomGenerator {
+    /// A generator that gives the same numbers for the same seed.
     pub fn new(seed: u64) -> RandomGenerator {
         // Neither 0 nor the multiplier's own fixed point may be the start; mixing keeps near seeds apart.
         let mixed = (seed ^ (seed >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         RandomGenerator((mixed >> 2) | 1)
     }
 
+    /// The next number, any of 32 bits.
     pub fn next_u32(&mut self) -> u32 {
         self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
         self.0 as u32
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,105 +1,124 @@
-//! The settings as the wire names them: a plain map of names to values, read by name. It decides nothing.
+//! The settings as the wire names them: a plain map of names to values, read by name. It decides nothing. The
+//! names of the settings are those of the wire and stay as they are; here they are translated into the
+//! decisions' terms.
 use crate::choice::MAX_ATTEMPTS;
+use crate::config::{
+    KeyScope, LoadRequestLimit, RequestClass, RetrySafety, SchedulerConfig, SlowStart, Tenant,
+};
 use crate::interface::Time;
-use crate::state::{KeyScope, RequestClass, RetrySafety, SchedulerConfig, Tenant};
 use std::collections::BTreeMap;
+use std::fmt;
 
+/// Settings by name, such as `classes.0.aim-ms`.
 pub type Settings = BTreeMap<String, String>;
 
+/// Reads settings by name.
 pub trait SettingsReader {
+    /// The value as it is written; empty where it is left out.
     fn text(&self, key: &str) -> &str;
 
+    /// Whether the value is this one.
     fn is(&self, key: &str, value: &str) -> bool {
         self.text(key) == value
     }
 
+    /// The value as a number; 0 where it is left out or none.
     fn number(&self, key: &str) -> f64 {
         self.text(key).parse().unwrap_or(0.0)
     }
 
-    /// The number where it is told and above 0, else another.
+    /// The number where it is given and above 0, else another.
     fn positive_or(&self, key: &str, otherwise: f64) -> f64 {
         Some(self.number(key)).filter(|v| *v > 0.0).unwrap_or(otherwise)
     }
 
-    /// Milliseconds as tenths of one, rounded down: spans in settings are limits.
+    /// A span in tenths of a millisecond, rounded down, as spans in settings are limits; 0 where it is left
+    /// out.
     fn duration(&self, key: &str) -> Time {
         (self.number(key) * 10.0).floor() as Time
     }
 
-    /// The same for a span.
+    /// A span in tenths of a millisecond where it is given and above 0, else another.
     fn duration_or(&self, key: &str, otherwise: f64) -> Time {
         (self.positive_or(key, otherwise / 10.0) * 10.0).floor() as Time
     }
 
-    /// The event type at this place. An answer is wanted before the client gives up at the latest, also where no
-    /// target time is told.
-    fn request_class(&self, typ: usize) -> RequestClass {
-        let key = |name: &str| format!("classes.{typ}.{name}");
-        let age = self.duration_or(&key("deadline-ms"), MAX_DURATION);
+    /// The request class at this index. An answer is wanted before the client gives up at the latest, also
+    /// where no latency objective is given.
+    fn request_class(&self, class: usize) -> RequestClass {
+        let key = |name: &str| format!("classes.{class}.{name}");
+        let client_timeout = self.duration_or(&key("deadline-ms"), MAX_DURATION);
         RequestClass {
-            latency_objective: self.duration_or(&key("aim-ms"), age as f64).min(age),
-            client_timeout: age as f64,
+            latency_objective: self.duration_or(&key("aim-ms"), client_timeout as f64).min(client_timeout),
+            client_timeout: client_timeout as f64,
             objective_per_cost: self.number(&key("aim-stretch")),
             priority_weight: self.number(&key("worth")),
             late_weight: self.number(&key("late-worth")),
-            retry_safety: self.retry_safety(typ),
+            retry_safety: self.retry_safety(class),
             ..RequestClass::default()
         }
     }
 
-    /// The tenant at this place; where no share is told it has no bound.
+    /// The tenant at this index; where no quota is given it has no bound.
     fn tenant(&self, tenant: usize) -> Tenant {
         let quota = self.positive_or(&format!("tenants.{tenant}.quota-per-s"), f64::MAX);
         Tenant { quota, ..Tenant::default() }
     }
 
-    /// What every event asks for. Where it is left out: one gateway alone, the wire's most launches, and no bound.
+    /// What every request asks for. Where it is left out: one gateway alone, the most attempts, and no bound.
     fn scheduler_config(&self) -> SchedulerConfig {
-        let names = |name: &str| self.text("reporting.names").split(',').any(|n| n == name);
-        let orders = self.is("extra.orders", "true");
-        let untold = self.text("allowed.max-retry-after-ms").is_empty();
-        let longest =
-            if untold { f64::from(u32::MAX) } else { self.number("allowed.max-retry-after-ms") * 10.0 };
+        let reports = |name: &str| self.text("reporting.names").split(',').any(|n| n == name);
+        let may_load = self.is("extra.orders", "true");
+        let max_attempts = self.positive_or("allowed.max-attempts", MAX_ATTEMPTS as f64);
         SchedulerConfig {
             gateway_count: self.positive_or("siblings", 1.0),
             load_checks: self.is("allowed.probes", "true")
                 && !self.is("reporting.how", "none")
-                && (names("rif") || names("busy")),
+                && (reports("rif") || reports("busy")),
             keep_alive: self.duration("extra.stays-loaded-ms"),
             tick: self.duration("tick-ms"),
-            reports_in_flight: names("rif"),
-            cold: (self.duration("rules.cold-ms"), self.number("rules.cold-from")),
+            reports_in_flight: reports("rif"),
+            slow_start: SlowStart {
+                duration: self.duration("rules.cold-ms"),
+                initial_share: self.number("rules.cold-from"),
+            },
             overload_tolerance: self.number("rules.tip-multiple"),
             overload_window: self.duration("rules.overload-for-ms"),
             endpoints_on_request: self.is("discovery", "on_request"),
-            may_load: orders,
-            ration: (
-                self.duration("extra.load-window-ms"),
-                self.number("extra.free-loads"),
-                self.number("extra.load-share"),
-            ),
-            miss_if_absent: orders && self.is("extra.if-cold", "miss"),
+            may_load,
+            load_limit: LoadRequestLimit {
+                window: self.duration("extra.load-window-ms"),
+                free: self.number("extra.free-loads"),
+                per_request: self.number("extra.load-share"),
+            },
+            miss_if_absent: may_load && self.is("extra.if-cold", "miss"),
             may_hedge: self.is("allowed.may-duplicate", "true"),
             may_cancel: self.is("allowed.cancel", "true"),
-            max_attempts: self
-                .positive_or("allowed.max-attempts", MAX_ATTEMPTS as f64)
-                .min(MAX_ATTEMPTS as f64) as usize,
+            max_attempts: max_attempts.min(MAX_ATTEMPTS as f64) as usize,
             max_in_flight: self.positive_or("allowed.most-held", MAX_DURATION),
-            max_retry_after: if self.is("allowed.retry-after", "true") {
-                longest.min(f64::from(u32::MAX)) as Time
-            } else {
-                0
-            },
+            max_retry_after: self.max_retry_after(),
             connect_timeout: self.duration("allowed.connect-timeout-ms"),
             endpoint_max_age: self.duration_or("rules.ask-within-ms", MAX_DURATION),
+            over_quota_weight: self.number("over-share-worth"),
             ..SchedulerConfig::default()
         }
     }
 
-    /// Whether events of the type at this place may run again.
-    fn retry_safety(&self, typ: usize) -> RetrySafety {
-        let key = |name: &str| format!("classes.{typ}.{name}");
+    /// The longest Retry-After in tenths of a millisecond; 0 where none may be given.
+    fn max_retry_after(&self) -> Time {
+        let key = "allowed.max-retry-after-ms";
+        let most = f64::from(u32::MAX);
+        let longest = if self.text(key).is_empty() { most } else { self.number(key) * 10.0 };
+        if self.is("allowed.retry-after", "true") {
+            longest.min(most) as Time
+        } else {
+            0
+        }
+    }
+
+    /// Whether requests of the class at this index may be executed again.
+    fn retry_safety(&self, class: usize) -> RetrySafety {
+        let key = |name: &str| format!("classes.{class}.{name}");
         let window = self.duration(&key("window-ms"));
         match (self.text(&key("semantics")), self.text(&key("group"))) {
             ("read_like", _) => RetrySafety::Idempotent,
@@ -117,11 +136,12 @@
     }
 }
 
-/// The longest span that a setting may tell, in tenths of a millisecond: some thirty years.
+/// The longest span that a setting may give, in tenths of a millisecond: some thirty years.
 pub const MAX_DURATION: f64 = 1e13;
 
-/// Numbers that mean nothing outside these bounds: name (a digit stands for any place of a list), least, most,
-/// and whether only whole ones do. Wide on purpose: they keep out what can't be meant, not what was not met yet.
+/// Numbers that mean nothing outside these bounds: name (a digit stands for any index of a list), least,
+/// most, and whether only whole ones do. Wide on purpose: they keep out what can't be meant, not what was not
+/// met yet.
 const NUMBERS: [(&str, f64, f64, bool); 17] = [
     ("siblings", 1.0, 1e6, true),
     ("me", 0.0, 1e6, true),
@@ -152,39 +172,121 @@
     "extra.orders",
 ];
 
-/// Names the first setting that can't be meant, in one line. What is left out has its default, and names that are
-/// not known are passed over.
-pub fn validate(settings: &Settings) -> Result<(), String> {
-    for (key, value) in settings {
-        let part = |p: &str| if p.parse::<u32>().is_ok() { "0".to_string() } else { p.to_string() };
-        let name = key.split('.').map(part).collect::<Vec<_>>().join(".");
-        if name.ends_with("-ms") {
-            for part in value.split(',') {
-                let good = part.parse().is_ok_and(|v: f64| (0.0..MAX_DURATION / 10.0).contains(&v));
-                good.then_some(()).ok_or_else(|| format!("{key}: '{part}' is not a time"))?;
-            }
-        } else if let Some((_, least, most, whole)) = NUMBERS.iter().find(|n| n.0 == name) {
-            let good = |v: f64| (*least..=*most).contains(&v) && (!whole || v.fract() == 0.0);
-            if !value.parse().is_ok_and(good) {
+/// A setting that can't be meant; its text names the setting in one line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SettingsError {
+    /// A span that is no number of milliseconds from 0 up to the longest.
+    NotADuration {
+        /// Name of the setting.
+        key: String,
+        /// The part of its value that is meant.
+        value: String,
+    },
+    /// A number that is none or out of bounds.
+    NotANumber {
+        /// Name of the setting.
+        key: String,
+        /// Its value.
+        value: String,
+        /// Whether only whole numbers will do.
+        whole: bool,
+        /// The least and the most that will do.
+        bounds: (f64, f64),
+    },
+    /// Neither true nor false.
+    NotABoolean {
+        /// Name of the setting.
+        key: String,
+        /// Its value.
+        value: String,
+    },
+    /// A setting without which nothing can be decided is left out.
+    Missing {
+        /// Name of the setting.
+        key: &'static str,
+    },
+    /// This gateway's index is not among those of the gateways.
+    IndexOutOfRange {
+        /// The index.
+        index: f64,
+        /// The number of gateways as it is written.
+        gateways: String,
+    },
+    /// A class with neither a latency objective nor a client timeout.
+    NoObjective {
+        /// Index of the class.
+        class: usize,
+    },
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            SettingsError::NotADuration { key, value } => write!(f, "{key}: '{value}' is not a time"),
+            SettingsError::NotANumber { key, value, whole, bounds: (least, most) } => {
                 let kind = if *whole { "whole number" } else { "number" };
-                return Err(format!("{key}: '{value}' is no {kind} from {least} to {most}"));
+                write!(f, "{key}: '{value}' is no {kind} from {least} to {most}")
+            }
+            SettingsError::NotABoolean { key, value } => {
+                write!(f, "{key}: '{value}' is neither true nor false")
+            }
+            SettingsError::Missing { key } => write!(f, "{key}: missing"),
+            SettingsError::IndexOutOfRange { index, gateways } => {
+                write!(f, "me: {index} is not under siblings, {gateways}")
+            }
+            SettingsError::NoObjective { class } => {
+                write!(f, "classes.{class}.aim-ms: neither it nor deadline-ms is told")
             }
-        } else if FLAGS.contains(&name.as_str()) && !matches!(value.as_str(), "true" | "false") {
-            return Err(format!("{key}: '{value}' is neither true nor false"));
         }
     }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl From<SettingsError> for String {
+    fn from(error: SettingsError) -> String {
+        error.to_string()
+    }
+}
+
+/// Finds the first setting that can't be meant. What is left out has its default, and names that are not
+/// known are passed over.
+pub fn validate(settings: &Settings) -> Result<(), SettingsError> {
+    settings.iter().try_for_each(|(key, value)| validate_value(key, value))?;
     if settings.text("classes.count").is_empty() {
-        return Err("classes.count: missing".to_string());
+        return Err(SettingsError::Missing { key: "classes.count" });
     }
-    let me = settings.number("me");
-    if !settings.text("siblings").is_empty() && me >= settings.number("siblings") {
-        return Err(format!("me: {me} is not under siblings, {}", settings.text("siblings")));
+    let (index, gateways) = (settings.number("me"), settings.text("siblings"));
+    if !gateways.is_empty() && index >= settings.number("siblings") {
+        return Err(SettingsError::IndexOutOfRange { index, gateways: gateways.to_string() });
     }
-    for i in 0..settings.number("classes.count") as usize {
-        let spans = ["aim-ms", "deadline-ms"].map(|n| settings.number(&format!("classes.{i}.{n}")));
+    for class in 0..settings.number("classes.count") as usize {
+        let spans = ["aim-ms", "deadline-ms"].map(|n| settings.number(&format!("classes.{class}.{n}")));
         if spans == [0.0, 0.0] {
-            return Err(format!("classes.{i}.aim-ms: neither it nor deadline-ms is told"));
+            return Err(SettingsError::NoObjective { class });
+        }
+    }
+    Ok(())
+}
+
+/// One setting by itself.
+fn validate_value(key: &str, value: &str) -> Result<(), SettingsError> {
+    let (own_key, own_value) = (key.to_string(), value.to_string());
+    let part = |p: &str| if p.parse::<u32>().is_ok() { "0".to_string() } else { p.to_string() };
+    let name = key.split('.').map(part).collect::<Vec<_>>().join(".");
+    if name.ends_with("-ms") {
+        let good = |part: &&str| part.parse().is_ok_and(|v: f64| (0.0..MAX_DURATION / 10.0).contains(&v));
+        if let Some(bad) = value.split(',').find(|part| !good(part)) {
+            return Err(SettingsError::NotADuration { key: own_key, value: bad.to_string() });
+        }
+    } else if let Some((_, least, most, whole)) = NUMBERS.iter().find(|n| n.0 == name) {
+        let good = |v: f64| (*least..=*most).contains(&v) && (!whole || v.fract() == 0.0);
+        if !value.parse().is_ok_and(good) {
+            let (whole, bounds) = (*whole, (*least, *most));
+            return Err(SettingsError::NotANumber { key: own_key, value: own_value, whole, bounds });
         }
+    } else if FLAGS.contains(&name.as_str()) && !matches!(value, "true" | "false") {
+        return Err(SettingsError::NotABoolean { key: own_key, value: own_value });
     }
     Ok(())
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,261 +1,324 @@
-//! What is remembered of workers, functions and events. It decides nothing; all decisions are in `choice`.
-use crate::choice::{COUNTER_STEP, MAX_ATTEMPTS};
-use crate::interface::{Endpoint, RequestInfo, Time};
+//! What is remembered of workers, functions and requests. It decides nothing; all decisions are in `choice`.
+//! Times are in tenths of a millisecond; a time of 0 is long ago.
+use crate::choice::tuning::{COUNTER_STEP, COUNTER_STEPS, MAX_ATTEMPTS};
+use crate::counter::SlidingCounter;
+use crate::interface::{Endpoint, EndpointState, Outcome, RequestInfo, Time, WorkerId};
+use crate::random::mix_hashes;
 use std::collections::VecDeque;
 
-/// Settings that every event asks for, read once: looking them up by name took most of the time at full size.
-#[derive(Default)]
-pub struct SchedulerConfig {
-    pub gateway_count: f64,
-    /// Departures for large fleets act with more gateways than this one's own rate and own events in flight
-    /// can speak for (the limit lies well between the fleets seen, of 3 and of 20 and more).
-    pub large_fleet: bool,
-    /// Among many: a copy of which nothing is known is presumed to stand.
-    pub presume_loaded: bool,
-    /// Probes are allowed and their reports tell how full a worker is.
-    pub load_checks: bool,
-    pub keep_alive: Time,
-    pub tick: Time,
-    /// How often what is in hand is looked at.
-    pub sweep_interval: Time,
-    /// How long an event waits for a probe's answer.
-    pub load_check_timeout: Time,
-    /// Reports tell events in flight.
-    pub reports_in_flight: bool,
-    /// How long a worker is cold, and the part that it starts with; it tips over so many times that, for so long.
-    pub cold: (Time, f64),
-    pub overload_tolerance: f64,
-    pub overload_window: Time,
-    /// Lists come only where they are asked for.
-    pub endpoints_on_request: bool,
-    pub may_load: bool,
-    /// Of orders: window, free ones, share of the events.
-    pub ration: (Time, f64, f64),
-    /// A worker without the function answers with a miss, and an order may change that.
-    pub miss_if_absent: bool,
-    pub may_hedge: bool,
-    pub may_cancel: bool,
-    pub max_attempts: usize,
-    /// Events that a gateway may hold.
-    pub max_in_flight: f64,
-    /// The longest time to come back that a deferral may tell; 0 where none may be told.
-    pub max_retry_after: Time,
-    /// A launch that has not left so long after it was decided does not leave any more.
-    pub connect_timeout: Time,
-    /// A list that is older than this counts as told, asked for or not.
-    pub endpoint_max_age: Time,
-}
-
-/// What may be done again once a launch may have run.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum RetrySafety {
-    Idempotent,
-    IdempotencyKey(KeyScope, Time),
-    #[default]
-    NonIdempotent,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum KeyScope {
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Clone, Debug, Default)]
-pub struct RequestClass {
-    pub latency_objective: Time,
-    /// The target time as clients show it: less where they leave before the told times.
-    pub observed_objective: f64,
-    /// After which clients give up, and by how many times its work the target time of an event is longer.
-    pub client_timeout: f64,
-    pub objective_per_cost: f64,
-    pub priority_weight: f64,
-    pub late_weight: f64,
-    pub retry_safety: RetrySafety,
-    /// Smoothed own warm latency and hint of cost, in tenths of a millisecond.
-    pub warm_latency: f64,
-    pub mean_cost: f64,
-}
-
-#[derive(Default)]
-pub struct Tenant {
-    pub quota: f64,
-    pub rate: SlidingCounter,
-}
-
-/// A count that slides over twenty steps.
-#[derive(Clone, Default)]
-pub struct SlidingCounter {
-    pub steps: [u32; 20],
-    pub at: Time,
-    pub sum: u32,
-}
-
-impl SlidingCounter {
-    pub fn advance(&mut self, now: Time) {
-        let (step, len) = (now / COUNTER_STEP, self.steps.len() as Time);
-        for s in self.at + 1..=step.min(self.at + len) {
-            self.sum -= std::mem::take(&mut self.steps[(s % len) as usize]);
-        }
-        self.at = self.at.max(step);
-    }
-
-    pub fn add(&mut self, now: Time, n: u32) {
-        self.advance(now);
-        self.steps[(self.at % self.steps.len() as Time) as usize] += n;
-        self.sum += n;
-    }
-
-    /// The sum by now, where nothing was added for a while.
-    pub fn recent(&self, now: Time) -> u32 {
-        let (step, len) = (now / COUNTER_STEP, self.steps.len() as Time);
-        let gone = (self.at + 1..=step.min(self.at + len)).map(|s| self.steps[(s % len) as usize]);
-        self.sum - gone.sum::<u32>()
-    }
-
-    /// How many there were, and over which part of the span since `started` they were counted.
-    pub fn count_and_span(&mut self, now: Time, started: Time) -> (f64, Time) {
-        self.advance(now);
-        (f64::from(self.sum), (now - started).min(COUNTER_STEP * self.steps.len() as Time))
-    }
-}
+/// A count over the window by which the decisions measure rates.
+pub type Counter = SlidingCounter<COUNTER_STEP, COUNTER_STEPS>;
 
+/// A worker as this gateway knows it.
 #[derive(Default)]
 pub struct Worker {
+    /// Its entry in the endpoint list.
     pub endpoint: Endpoint,
+    /// Attempts that this gateway has in flight there.
     pub in_flight: u32,
-    /// The in-flight bound that the page leaves open, for the worker as a whole; learned.
+    /// Learned limit of `in_flight`, for all functions together.
     pub in_flight_limit: f64,
-    /// Smoothed warm latency over the target time.
+    /// Smoothed warm latency over the latency objective.
     pub latency_ratio: f64,
+    /// When the limit was last reduced.
     pub limit_reduced_at: Time,
-    /// How full its last report showed it, when that came, and when a probe without answer went out.
+    /// Load by its last report: requests in flight for each unit of rating.
     pub reported_load: f64,
+    /// When that report came.
     pub reported_at: Time,
+    /// When a load check without an answer was sent.
     pub load_check_sent_at: Time,
-    /// Failures in a row, and how long it is left out for them.
+    /// Failures in a row.
     pub failures: u32,
-    /// When a connection to it last broke under a launch.
+    /// When a connection to it last broke under an attempt.
     pub connection_lost_at: Time,
+    /// Until when it is ejected.
     pub ejected_until: Time,
+    /// How long it was ejected the last time; 0 after a good answer.
     pub ejection_time: Time,
-    /// Mean work that it did of late, and the launches that a cold start's budget counts.
-    pub completed_work: SlidingCounter,
+    /// Work that it recently completed for this gateway.
+    pub completed_work: Counter,
+    /// Time and class of the attempts that count for its slow start.
     pub slow_start_attempts: VecDeque<(Time, usize)>,
-    /// Where between 0 and 1 this gateway rounds its share of a cold worker up.
+    /// Where between 0 and 1 this gateway rounds its share of a worker in slow start up.
     pub slow_start_rounding: f64,
 }
 
+impl Worker {
+    /// Whether the endpoint list has it as taking requests.
+    pub fn is_active(&self) -> bool {
+        self.endpoint.state == EndpointState::Active
+    }
+
+    /// Counts an attempt, and for its slow start forgets those older than the window.
+    pub fn attempt_sent(&mut self, now: Time, class: usize, window: Time) {
+        self.in_flight += 1;
+        if self.endpoint.started_at > 0 {
+            while self.slow_start_attempts.front().is_some_and(|a| a.0 + window < now) {
+                self.slow_start_attempts.pop_front();
+            }
+            self.slow_start_attempts.push_back((now, class));
+        }
+    }
+}
+
+/// What is known of a function's instances on one worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum InstanceState {
+    /// Nothing.
     #[default]
     Unknown,
+    /// There is none.
     Absent,
+    /// A load request is on its way or being carried out.
     Loading,
+    /// There are some, until their keep-alive ends.
     Loaded,
 }
 
-/// A function's copies on one worker. A function has a seat for every worker, in the shared order.
+/// A function's instances on one worker.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Placement {
-    pub worker: usize,
+    /// The worker.
+    pub worker_id: WorkerId,
+    /// Whether instances are loaded there.
     pub instances: InstanceState,
+    /// Attempts of the function in flight there.
     pub in_flight: u32,
-    /// Orders that await their end, and asks that do.
+    /// Load requests that await their end.
     pub pending_loads: u32,
+    /// Queries for loaded instances that await their end.
     pub pending_queries: u32,
-    /// Company that own events met there, smoothed.
+    /// Smoothed number of requests of the function, from all gateways, that own ones met there.
     pub concurrency: f64,
-    /// Last sign that the copy's idle time began anew.
+    /// Last sign that the keep-alive began anew.
     pub renewed_at: Time,
+    /// No load request is sent there before.
     pub blocked_until: Time,
 }
 
 impl Placement {
-    /// Nothing is out or awaited there.
+    /// The placement after its worker has restarted: empty, with the ends of calls still to come.
+    pub fn restarted(&self) -> Placement {
+        let Placement { worker_id, in_flight, pending_loads, pending_queries, .. } = *self;
+        let instances = InstanceState::Absent;
+        Placement { worker_id, in_flight, pending_loads, pending_queries, instances, ..Placement::default() }
+    }
+
+    /// Counts the end of a query where one is pending, else that of a load request; whether it was a query.
+    pub fn end_pending_call(&mut self) -> bool {
+        let query = self.pending_queries > 0;
+        let pending = if query { &mut self.pending_queries } else { &mut self.pending_loads };
+        *pending = pending.saturating_sub(1);
+        query
+    }
+
+    /// Nothing is in flight or awaited there.
     pub fn is_idle(&self) -> bool {
         self.in_flight == 0 && self.pending_loads == 0 && self.pending_queries == 0
     }
 }
 
+/// A function as this gateway knows it.
 #[derive(Default)]
 pub struct Function {
+    /// Hash of its id text.
     pub hash: u64,
+    /// Whether the index names a function.
     pub live: bool,
+    /// Class of its requests.
     pub class: usize,
+    /// Requests that one instance executes at a time.
     pub lanes: u32,
     /// Smoothed own warm latency; 0 where there is none yet.
     pub warm_latency: f64,
-    /// Smoothed time from an order to its copy; 0 where there is none yet.
+    /// Smoothed time from a load request to its end; 0 where there is none yet.
     pub load_time: f64,
-    /// A worker has shown that it knows it.
+    /// A worker has shown that it knows the function.
     pub confirmed: bool,
-    /// An answer came since the last release of a copy.
+    /// An answer came since the count of instances was last reduced.
     pub answered_since_release: bool,
+    /// When instances were last added because workers were full.
     pub saturated_at: Time,
+    /// Instances that the function should have.
     pub desired_instances: usize,
+    /// Where the rotation over its first placements goes on.
     pub rotation: usize,
-    pub rate: SlidingCounter,
+    /// Requests that arrived.
+    pub rate: Counter,
+    /// When the last one arrived.
     pub last_request_at: Time,
+    /// Requests in hand.
     pub open_requests: u32,
+    /// Its placements, in the order that all gateways share.
     pub placements: Vec<Placement>,
 }
 
+impl Function {
+    /// Counts a request that arrives now.
+    pub fn request_arrived(&mut self, now: Time) {
+        self.last_request_at = now;
+        self.open_requests += 1;
+        self.rate.add(now, 1);
+    }
+
+    /// Adds a placement in the shared order: rendezvous hashing of the id texts of function and worker.
+    pub fn insert_placement(&mut self, workers: &[Worker], placement: Placement) {
+        let weight = |worker_id: WorkerId| {
+            let name_hash = workers[worker_id].endpoint.name_hash;
+            (mix_hashes(name_hash, self.hash), name_hash)
+        };
+        let own = weight(placement.worker_id);
+        let position = self.placements.partition_point(|p| weight(p.worker_id) > own);
+        self.placements.insert(position, placement);
+    }
+}
+
+/// Rates that one instance is good for, in requests a second, and the run time behind them in seconds.
+pub struct InstanceRates {
+    /// Below it there are more instances than needed.
+    pub min: f64,
+    /// Above it there are too few.
+    pub max: f64,
+    /// The run time.
+    pub run: f64,
+}
+
+/// Placements for an attempt, as positions among those of its function.
+pub struct Selection {
+    /// The placement to use.
+    pub first: usize,
+    /// The next of the rotation, which may be less full.
+    pub second: Option<usize>,
+    /// Where the rotation goes on if one of them is used.
+    pub next_rotation: usize,
+}
+
+/// Where an attempt stands, and after its end whether the request may have been executed.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum AttemptState {
+    /// Sent.
     InFlight,
-    /// Cancelled by us or late beyond patience: counted against its worker already.
+    /// Late: counted against its worker already.
     Overdue,
+    /// Cancelled by us; its end is still to come.
     Cancelled,
+    /// It ended and was certainly not executed.
     #[default]
     NotExecuted,
+    /// It ended.
     MayHaveExecuted,
-    /// May have run; its connection broke, which says little of the worker.
+    /// Its connection broke, which says little of the worker; it may have been executed.
     ConnectionLost,
 }
 
+impl AttemptState {
+    /// Whether its end is still to come.
+    pub fn is_outstanding(self) -> bool {
+        matches!(self, AttemptState::InFlight | AttemptState::Overdue | AttemptState::Cancelled)
+    }
+}
+
+/// A request sent to a worker.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Attempt {
-    pub worker: usize,
+    /// The worker.
+    pub worker_id: WorkerId,
+    /// When it was sent.
     pub sent_at: Time,
-    /// How full the worker was seen to be.
+    /// Load that the worker had reported by then; -1 where that was too old.
     pub reported_load: f64,
+    /// How far it is.
     pub state: AttemptState,
 }
 
+/// An attempt that has ended.
+pub struct EndedAttempt {
+    /// The attempt as it was.
+    pub attempt: Attempt,
+    /// Position of its placement among those of its function.
+    pub position: usize,
+    /// What is known of its request.
+    pub info: RequestInfo,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it took.
+    pub took: Time,
+    /// What the worker said beside the outcome.
+    pub note: AttemptNote,
+}
+
+/// A request in hand.
 #[derive(Default)]
 pub struct Request {
+    /// What is known of it.
     pub info: RequestInfo,
+    /// When it arrived.
     pub arrived_at: Time,
+    /// It has its response, or its client has left.
     pub finished: bool,
+    /// Its response has begun.
     pub streaming: bool,
+    /// It waits for a placement.
     pub waiting: bool,
-    /// The workers whose probes it waits for.
-    pub load_checks: [usize; 2],
-    /// Instances added for it, and when last.
+    /// The workers for whose load checks it waits.
+    pub load_checks: [WorkerId; 2],
+    /// Instances added for it.
     pub instances_added: u32,
+    /// When the last one was added.
     pub instance_added_at: Time,
-    /// Launches that followed a failure; the move after a miss is not one.
+    /// Attempts that followed a failure; the one after a miss is not counted.
     pub retries: u32,
+    /// Its attempts, of which the first `attempt_count` were sent.
     pub attempts: [Attempt; MAX_ATTEMPTS],
+    /// Attempts that were sent.
     pub attempt_count: usize,
 }
 
 impl Request {
+    /// The attempts that were sent.
     pub fn sent_attempts(&self) -> &[Attempt] {
         &self.attempts[..self.attempt_count]
     }
 
+    /// Takes in an attempt that is sent now.
+    pub fn add_attempt(&mut self, worker_id: WorkerId, sent_at: Time, reported_load: f64) {
+        let state = AttemptState::InFlight;
+        self.attempts[self.attempt_count] = Attempt { worker_id, sent_at, reported_load, state };
+        self.attempt_count += 1;
+        self.waiting = false;
+    }
+
+    /// Attempts whose end is still to come.
     pub fn outstanding(&self) -> usize {
-        self.sent_attempts().iter().filter(|l| is_out(l.state)).count()
+        self.sent_attempts().iter().filter(|a| a.state.is_outstanding()).count()
     }
 
+    /// No attempt can have been executed.
     pub fn never_executed(&self) -> bool {
-        self.sent_attempts().iter().all(|l| l.state == AttemptState::NotExecuted)
+        self.sent_attempts().iter().all(|a| a.state == AttemptState::NotExecuted)
     }
 }
 
-pub fn is_out(state: AttemptState) -> bool {
-    matches!(state, AttemptState::InFlight | AttemptState::Overdue | AttemptState::Cancelled)
+/// What a worker says beside an outcome. On the wire it is one number: the instance in the lowest three bits
+/// (0 unknown, 1 it was loaded, 2 it had to be loaded, 3 it was being loaded, 4 its load failed), concurrency
+/// above.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptNote(pub u32);
+
+impl AttemptNote {
+    /// The latency holds no load, as far as is known.
+    pub fn is_warm(self) -> bool {
+        self.0 & 7 <= 1
+    }
+
+    /// The request failed because its instance could not be loaded.
+    pub fn load_failed(self) -> bool {
+        self.0 & 7 == 4
+    }
+
+    /// Requests of the same function, from all gateways, that were at the worker.
+    pub fn concurrency(self) -> f64 {
+        f64::from(self.0 >> 3)
+    }
 }
