--- a/src/choice/tests/help.rs
+++ b/src/choice/tests/help.rs
@@ -1,66 +1,68 @@
 //! Builds gateways in a given state and records what they do.
 use super::super::*;
 
+/// One call of `SchedulerActions`.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
-    Attempt(usize, usize),
-    Cancel(usize, usize),
-    Defer(usize, Time),
-    DeadLetter(usize),
-    Hold(usize, usize, u32),
-    Probe(usize),
-    Forget(usize),
-    Follow,
+    Attempt(RequestSlot, WorkerId),
+    Cancel(RequestSlot, usize),
+    Reject(RequestSlot, Time),
+    Fail(RequestSlot),
+    Load(FunctionId, WorkerId, u32),
+    HealthCheck(WorkerId),
+    ForgetFunction(FunctionId),
+    WatchEndpoints,
     Timer(Time, u64),
 }
 
+/// Records what a scheduler calls for.
 #[derive(Default)]
 pub struct Calls(pub Vec<Call>);
 
 impl SchedulerActions for Calls {
-    fn send_attempt(&mut self, evt: usize, wk: usize, _time_out: Time) {
-        self.0.push(Call::Attempt(evt, wk));
+    fn send_attempt(&mut self, slot: RequestSlot, worker_id: WorkerId, _timeout: Time) {
+        self.0.push(Call::Attempt(slot, worker_id));
     }
-    fn cancel_attempt(&mut self, evt: usize, launch: usize) {
-        self.0.push(Call::Cancel(evt, launch));
+    fn cancel_attempt(&mut self, slot: RequestSlot, attempt: usize) {
+        self.0.push(Call::Cancel(slot, attempt));
     }
-    fn reject(&mut self, evt: usize, come_back: Time) {
-        self.0.push(Call::Defer(evt, come_back));
+    fn reject(&mut self, slot: RequestSlot, retry_after: Time) {
+        self.0.push(Call::Reject(slot, retry_after));
     }
-    fn fail(&mut self, evt: usize) {
-        self.0.push(Call::DeadLetter(evt));
+    fn fail(&mut self, slot: RequestSlot) {
+        self.0.push(Call::Fail(slot));
     }
-    fn release_request(&mut self, _evt: usize) {}
-    fn set_timer(&mut self, wait: Time, token: u64) {
+    fn release_request(&mut self, _slot: RequestSlot) {}
+    fn set_timer(&mut self, delay: Time, token: u64) {
         // That of the sweep comes all the time and is no matter of tests.
         if token > 0 {
-            self.0.push(Call::Timer(wait, token));
+            self.0.push(Call::Timer(delay, token));
         }
     }
-    fn send_health_check(&mut self, wk: usize) {
-        self.0.push(Call::Probe(wk));
+    fn send_health_check(&mut self, worker_id: WorkerId) {
+        self.0.push(Call::HealthCheck(worker_id));
     }
-    fn close_idle_connections(&mut self, _wk: usize) {}
-    fn send_load_request(&mut self, img: usize, wk: usize, copies: u32) {
-        self.0.push(Call::Hold(img, wk, copies));
+    fn close_idle_connections(&mut self, _worker_id: WorkerId) {}
+    fn send_load_request(&mut self, function_id: FunctionId, worker_id: WorkerId, instances: u32) {
+        self.0.push(Call::Load(function_id, worker_id, instances));
     }
-    fn unload_instances(&mut self, _img: usize, _wk: usize) {}
-    fn forget_function(&mut self, img: usize) {
-        self.0.push(Call::Forget(img));
+    fn unload_instances(&mut self, _function_id: FunctionId, _worker_id: WorkerId) {}
+    fn forget_function(&mut self, function_id: FunctionId) {
+        self.0.push(Call::ForgetFunction(function_id));
     }
     fn watch_endpoints(&mut self, _on: bool) {
-        self.0.push(Call::Follow);
+        self.0.push(Call::WatchEndpoints);
     }
     fn poll_endpoints(&mut self) {}
     fn send_to_peers(&mut self, _peer: Option<u32>, _bytes: &[u8]) {}
     fn log_note(&mut self, _text: &str) {}
 }
 
-pub type Gateway = Scheduler<Calls>;
+pub type TestScheduler = Scheduler<Calls>;
 
 pub const NOW: Time = 1_000_000;
 
-/// Three event types, one of each kind, that want an answer in a second; `more` adds to the settings.
+/// Three request types, one of each kind, that want an answer in a second; `more` adds to the settings.
 pub fn settings(more: &[(&str, &str)]) -> Settings {
     let base = "tick-ms=1 classes.count=3 classes.0.aim-ms=1000 classes.0.worth=2 classes.0.late-worth=0.1 \
         classes.0.semantics=read_like classes.1.aim-ms=1000 classes.1.worth=4 classes.1.late-worth=0.1 \
@@ -74,21 +76,22 @@
     pairs.map(|(k, v)| (k.to_string(), v.to_string())).collect()
 }
 
-/// Settings of a gateway among hundreds, which may probe.
-pub const MANY: [(&str, &str); 3] =
+/// Settings of a gateway among hundreds, which may send health checks.
+pub const LARGE_FLEET: [(&str, &str); 3] =
     [("siblings", "300"), ("allowed.probes", "true"), ("reporting.names", "rif,busy")];
 
-/// Four orders to load and a fifth of the events in ten seconds.
-pub const RATION: [(&str, &str); 3] =
+/// Four load requests and a fifth of the requests in ten seconds.
+pub const LOAD_LIMIT: [(&str, &str); 3] =
     [("extra.load-window-ms", "10000"), ("extra.free-loads", "4"), ("extra.load-share", "0.2")];
 
-pub fn listed(wk: usize) -> (usize, Endpoint) {
-    let hash = (wk as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+/// A warm worker in the endpoint list.
+pub fn endpoint_entry(worker_id: WorkerId) -> (WorkerId, Endpoint) {
+    let hash = (worker_id as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (
-        wk,
+        worker_id,
         Endpoint {
             name_hash: hash,
-            zone: (wk % 2) as u32,
+            zone: (worker_id % 2) as u32,
             state: EndpointState::Active,
             rating: 1.0,
             ..Endpoint::default()
@@ -97,17 +100,18 @@
 }
 
 /// A gateway that has run for long and knows `workers` warm workers.
-pub fn gateway(workers: usize, more: &[(&str, &str)]) -> Gateway {
-    let mut gw = Scheduler::new(Calls::default(), 0, 7, settings(more)).unwrap();
-    gw.advance_clock(NOW);
-    gw.update_endpoints(&(0..workers).map(listed).collect::<Vec<_>>(), true);
-    gw
+pub fn scheduler_with(workers: usize, more: &[(&str, &str)]) -> TestScheduler {
+    let mut scheduler = Scheduler::new(Calls::default(), 0, 7, settings(more)).unwrap();
+    scheduler.advance_clock(NOW);
+    scheduler.update_endpoints(&(0..workers).map(endpoint_entry).collect::<Vec<_>>(), true);
+    scheduler
 }
 
-pub fn arrival(typ: usize) -> RequestInfo {
+/// A request of this class to the function of the same index.
+pub fn request_info(class: usize) -> RequestInfo {
     RequestInfo {
-        class: typ,
-        function: typ,
+        class,
+        function: class,
         function_hash: 99,
         lanes: 2,
         deadline: NOW + 20_000,
@@ -115,54 +119,67 @@
     }
 }
 
-/// A function of this type that is known, with copies standing on the first `n` workers of its order.
-pub fn stand(gw: &mut Gateway, typ: usize, n: usize) {
-    gw.register_function(&arrival(typ));
-    let now = gw.now;
-    gw.functions[typ].desired_instances = n;
-    gw.functions[typ].rotation = 0;
-    gw.functions[typ].placements.iter_mut().for_each(|s| s.pending_queries = 0);
-    for seat in &mut gw.functions[typ].placements[..n] {
-        (seat.instances, seat.renewed_at) = (InstanceState::Loaded, now);
+/// A function of this class that is known, with instances loaded on the first `n` workers of its order.
+pub fn load_first(scheduler: &mut TestScheduler, class: usize, n: usize) {
+    scheduler.register_function(&request_info(class));
+    let now = scheduler.now;
+    scheduler.functions[class].desired_instances = n;
+    scheduler.functions[class].rotation = 0;
+    scheduler.functions[class].placements.iter_mut().for_each(|s| s.pending_queries = 0);
+    for placement in &mut scheduler.functions[class].placements[..n] {
+        (placement.instances, placement.renewed_at) = (InstanceState::Loaded, now);
     }
-    gw.host.0.clear();
+    scheduler.host.0.clear();
 }
 
-/// The event that arrives now, with what was called for.
-pub fn arrive(gw: &mut Gateway, typ: usize) -> usize {
-    let place = gw.next_request_slot();
-    gw.request_arrived(arrival(typ));
-    place
+/// The slot of a request that arrives now.
+pub fn send_request(scheduler: &mut TestScheduler, class: usize) -> RequestSlot {
+    let slot = scheduler.next_request_slot();
+    scheduler.request_arrived(request_info(class));
+    slot
 }
 
 /// A warm answer of this worker to a request of function 0, which has its first placement there.
-pub fn succeed(gw: &mut Gateway, worker_id: WorkerId, sent_at: Time, took: Time) {
+pub fn succeed(scheduler: &mut TestScheduler, worker_id: WorkerId, sent_at: Time, took: Time) {
     let attempt = Attempt { worker_id, sent_at, ..Attempt::default() };
-    let (info, outcome, note) = (arrival(0), Outcome::Ok, AttemptNote(1));
-    gw.attempt_succeeded(&EndedAttempt { attempt, position: 0, info, outcome, took, note });
+    let (info, outcome, note) = (request_info(0), Outcome::Ok, AttemptNote(1));
+    scheduler.attempt_succeeded(&EndedAttempt { attempt, position: 0, info, outcome, took, note });
 }
 
-pub fn launches(gw: &Gateway) -> Vec<usize> {
-    gw.host.0.iter().filter_map(|c| if let Call::Attempt(_, wk) = c { Some(*wk) } else { None }).collect()
+/// The workers that attempts went to.
+pub fn attempted_workers(scheduler: &TestScheduler) -> Vec<WorkerId> {
+    scheduler
+        .host
+        .0
+        .iter()
+        .filter_map(|c| if let Call::Attempt(_, worker_id) = c { Some(*worker_id) } else { None })
+        .collect()
 }
 
-pub fn probes(gw: &Gateway) -> Vec<usize> {
-    gw.host.0.iter().filter_map(|c| if let Call::Probe(wk) = c { Some(*wk) } else { None }).collect()
+/// The workers that health checks went to.
+pub fn checked_workers(scheduler: &TestScheduler) -> Vec<WorkerId> {
+    scheduler
+        .host
+        .0
+        .iter()
+        .filter_map(|c| if let Call::HealthCheck(worker_id) = c { Some(*worker_id) } else { None })
+        .collect()
 }
 
-/// Each probed worker answers with so many events in flight.
-pub fn answer(gw: &mut Gateway, loads: &[f64]) {
-    for (wk, load) in probes(gw).into_iter().zip(loads) {
-        gw.load_reported(wk, *load, 0.0);
-        gw.health_check_ended(wk, Outcome::Ok);
+/// Each checked worker answers with so many requests in flight.
+pub fn answer_health_checks(scheduler: &mut TestScheduler, loads: &[f64]) {
+    for (worker_id, load) in checked_workers(scheduler).into_iter().zip(loads) {
+        scheduler.load_reported(worker_id, *load, 0.0);
+        scheduler.health_check_ended(worker_id, Outcome::Ok);
     }
 }
 
-pub fn holds(gw: &Gateway) -> usize {
-    gw.host.0.iter().filter(|c| matches!(c, Call::Hold(_, _, n) if *n > 0)).count()
+/// Load requests without queries.
+pub fn load_request_count(scheduler: &TestScheduler) -> usize {
+    scheduler.host.0.iter().filter(|c| matches!(c, Call::Load(_, _, n) if *n > 0)).count()
 }
 
-/// The worker at a place of the function's shared order.
-pub fn at(gw: &Gateway, f: usize, place: usize) -> usize {
-    gw.functions[f].placements[place].worker_id
+/// The worker at a position of the function's shared order.
+pub fn worker_at(scheduler: &TestScheduler, function_id: FunctionId, position: usize) -> WorkerId {
+    scheduler.functions[function_id].placements[position].worker_id
 }
--- a/src/choice/tests/ramp.rs
+++ b/src/choice/tests/ramp.rs
@@ -33,16 +33,16 @@
 
 struct Fleet {
     settings: Settings,
-    /// An event's work at a warm worker; all are alike, as the rule counts events of mean work.
+    /// A request's work at a warm worker; all are alike, as the rule counts requests of mean work.
     run: Time,
     now: Time,
     chance: RandomGenerator,
-    gateways: Vec<Gateway>,
+    gateways: Vec<TestScheduler>,
     lives: Vec<u32>,
     started: Time,
     due: BinaryHeap<Reverse<(Time, u64, What)>>,
     order: u64,
-    /// By worker: when each core is free again, and the launches that came.
+    /// By worker: when each core is free again, and the attempts that came.
     cores: Vec<Vec<Time>>,
     came: Vec<Vec<Time>>,
     planted: Planted,
@@ -67,10 +67,10 @@
     fn list(&self) -> Vec<(usize, Endpoint)> {
         let anew = |wk: usize| {
             if self.now >= self.started && wk % 2 == 1 {
-                let (_, l) = listed(wk + WORKERS);
+                let (_, l) = endpoint_entry(wk + WORKERS);
                 return (wk + WORKERS, Endpoint { started_at: self.started, rating: CORES as f64, ..l });
             }
-            (wk, Endpoint { rating: CORES as f64, ..listed(wk).1 })
+            (wk, Endpoint { rating: CORES as f64, ..endpoint_entry(wk).1 })
         };
         (0..WORKERS).map(anew).collect()
     }
@@ -86,7 +86,7 @@
         self.carry_out(gw);
     }
 
-    /// What the gateway called for: launches come to their workers at once and end when a core has done them.
+    /// What the gateway called for: attempts come to their workers at once and end when a core has done them.
     fn carry_out(&mut self, gw: usize) {
         for call in std::mem::take(&mut self.gateways[gw].host.0) {
             let Call::Attempt(evt, wk) = call else { continue };
@@ -117,7 +117,7 @@
                     function_hash: hash,
                     lanes: 1000,
                     deadline: self.now + 20_000,
-                    ..arrival(0)
+                    ..request_info(0)
                 });
                 self.carry_out(gw);
             }
@@ -161,7 +161,7 @@
     }
 }
 
-/// By how many launches the worst window of a cold worker is over what it may get, and how many launches cold ones got.
+/// By how many attempts the worst window of a cold worker is over what it may get, and how many attempts cold ones got.
 fn ramp(
     gateways: usize,
     uneven: bool,
@@ -192,7 +192,7 @@
         run,
     };
     (0..gateways).for_each(|gw| fleet.tell(gw));
-    // Events a second: so much of what all workers do when warm.
+    // Requests a second: so much of what all workers do when warm.
     let rate = load * (WORKERS * CORES) as f64 * SECOND as f64 / run as f64;
     let mut sum = 0.0;
     let weight = |i: usize| if uneven { 1.0 / (1.0 + i as f64).powf(0.8) } else { 1.0 };
@@ -233,7 +233,7 @@
     (worst, got)
 }
 
-// Load of the warm fleet, and an event's work: with half a second of it a cold worker may get four at first.
+// Load of the warm fleet, and a request's work: with half a second of it a cold worker may get four at first.
 #[test_matrix([2, 20, 30, 300, 1_000], [false, true], [(0.6, 1_000), (1.1, 1_000), (0.9, 5_000)])]
 fn cold_workers_get_what_they_can_take_from_all_together(gateways: usize, uneven: bool, load: (f64, Time)) {
     for seed in 1..=2 {
--- a/src/choice/tests/scaling.rs
+++ b/src/choice/tests/scaling.rs
@@ -7,114 +7,114 @@
 #[test_case(2500.0, 4, 8.0, 16.0; "a quarter second on four lanes")]
 #[test_case(9000.0, 2, 4.0, 4.0; "at most half the target time")]
 fn bounds_follow_the_page(run: f64, lanes: u32, low: f64, up: f64) {
-    let mut gw = gateway(2, &[]);
-    stand(&mut gw, 0, 1);
-    (gw.functions[0].warm_latency, gw.functions[0].lanes) = (run, lanes);
-    let InstanceRates { min: least, max: most, .. } = gw.instance_rates(0);
+    let mut scheduler = scheduler_with(2, &[]);
+    load_first(&mut scheduler, 0, 1);
+    (scheduler.functions[0].warm_latency, scheduler.functions[0].lanes) = (run, lanes);
+    let InstanceRates { min: least, max: most, .. } = scheduler.instance_rates(0);
     assert_eq!((least, most), (low, up));
 }
 
-// A floor of 0, and an upper bound under the lower one: one copy counted for any rate.
+// A floor of 0, and an upper bound under the lower one: one instance counted for any rate.
 #[test_case("5000", 25_000.0, 0.8, 0.8; "a run of half the target time")]
 #[test_case("10000", 20_000.0, 0.25, 1.0; "a fifth")]
 #[test_case("600000", 15_000.0, 2.0 / 598.5, 2.0 / 1.5; "short against minutes")]
 fn where_the_whole_numbers_cross_bounds_are_unrounded(target: &str, run: f64, low: f64, up: f64) {
-    let mut gw = gateway(2, &[("classes.0.aim-ms", target)]);
-    stand(&mut gw, 0, 1);
-    gw.functions[0].warm_latency = run;
-    let InstanceRates { min: least, max: most, .. } = gw.instance_rates(0);
+    let mut scheduler = scheduler_with(2, &[("classes.0.aim-ms", target)]);
+    load_first(&mut scheduler, 0, 1);
+    scheduler.functions[0].warm_latency = run;
+    let InstanceRates { min: least, max: most, .. } = scheduler.instance_rates(0);
     assert!((least - low).abs() < 1e-9 && (most - up).abs() < 1e-9, "{least} {most}");
 }
 
-// One event in two seconds counted as R bought a copy for each two seconds of its run.
+// One request in two seconds counted as R bought an instance for each two seconds of its run.
 #[test_case(1, 1; "one event in hand")]
 #[test_case(4, 2; "four on two lanes")]
-fn where_runs_are_long_the_count_goes_by_events_in_hand(events: u32, n: usize) {
-    let gw = &mut gateway(20, &[("classes.0.aim-ms", "600000")]);
-    stand(gw, 0, 1);
-    (gw.functions[0].warm_latency, gw.functions[0].open_requests) = (600_000.0, events);
-    gw.functions[0].rate.add(NOW, events);
-    gw.scale(0, false);
-    assert_eq!(gw.functions[0].desired_instances, n);
+fn where_runs_are_long_the_count_goes_by_events_in_hand(requests: u32, n: usize) {
+    let scheduler = &mut scheduler_with(20, &[("classes.0.aim-ms", "600000")]);
+    load_first(scheduler, 0, 1);
+    (scheduler.functions[0].warm_latency, scheduler.functions[0].open_requests) = (600_000.0, requests);
+    scheduler.functions[0].rate.add(NOW, requests);
+    scheduler.scale(0, false);
+    assert_eq!(scheduler.functions[0].desired_instances, n);
 }
 
-// A quarter second on two lanes: 4 to 8 a second for each copy, the band of n copies ends at 4.8 n.
+// A quarter second on two lanes: 4 to 8 a second for each instance, the band of n instances ends at 4.8 n.
 #[test_case(2, 34, false => 3; "above Rmax grows for the excess")]
 #[test_case(2, 20, true => 2; "inside the band stays")]
 #[test_case(3, 20, true => 2; "below the band gives up one at a check")]
 #[test_case(3, 20, false => 3; "gives up at checks only")]
 #[test_case(1, 1, true => 1; "never the last while events come")]
-fn the_count_follows_the_band(n: usize, events: u32, check: bool) -> usize {
-    let mut gw = gateway(4, &[]);
-    stand(&mut gw, 0, n);
-    gw.functions[0].warm_latency = 2500.0;
-    gw.functions[0].last_request_at = NOW;
-    gw.functions[0].rate.add(NOW, events);
-    gw.scale(0, check);
-    gw.functions[0].desired_instances
+fn the_count_follows_the_band(n: usize, requests: u32, check: bool) -> usize {
+    let mut scheduler = scheduler_with(4, &[]);
+    load_first(&mut scheduler, 0, n);
+    scheduler.functions[0].warm_latency = 2500.0;
+    scheduler.functions[0].last_request_at = NOW;
+    scheduler.functions[0].rate.add(NOW, requests);
+    scheduler.scale(0, check);
+    scheduler.functions[0].desired_instances
 }
 
 #[test_case(7999, 1; "within the keep-alive")]
 #[test_case(8001, 0; "after it")]
 fn the_last_copy_lapses_by_the_keep_alive(ms: Time, left: usize) {
-    let mut gw = gateway(2, &[]);
-    stand(&mut gw, 0, 1);
-    gw.functions[0].last_request_at = NOW;
-    gw.advance_clock(NOW + ms * MS);
-    gw.scale(0, true);
-    assert_eq!(gw.functions[0].desired_instances, left);
+    let mut scheduler = scheduler_with(2, &[]);
+    load_first(&mut scheduler, 0, 1);
+    scheduler.functions[0].last_request_at = NOW;
+    scheduler.advance_clock(NOW + ms * MS);
+    scheduler.scale(0, true);
+    assert_eq!(scheduler.functions[0].desired_instances, left);
 }
 
 #[test_case(1, 1; "its lanes are half in use")]
 #[test_case(9, 9; "far more")]
 fn company_at_the_copies_stands_for_what_siblings_send(company: u32, n: usize) {
-    let mut gw = gateway(8, &[("siblings", "300")]);
-    stand(&mut gw, 0, 1);
-    let e = arrive(&mut gw, 0);
-    gw.attempt_ended(e, 0, (Outcome::Ok, 2000), true, 1 + 8 * 2 * company);
-    gw.scale(0, false);
-    assert_eq!(gw.functions[0].desired_instances, n);
+    let mut scheduler = scheduler_with(8, &[("siblings", "300")]);
+    load_first(&mut scheduler, 0, 1);
+    let slot = send_request(&mut scheduler, 0);
+    scheduler.attempt_ended(slot, 0, (Outcome::Ok, 2000), true, 1 + 8 * 2 * company);
+    scheduler.scale(0, false);
+    assert_eq!(scheduler.functions[0].desired_instances, n);
 }
 
 #[test]
 fn growth_by_company_does_not_feed_on_itself() {
-    let mut gw = gateway(8, &[("siblings", "300")]);
-    stand(&mut gw, 0, 1);
-    gw.functions[0].warm_latency = 2000.0;
-    gw.functions[0].placements[0].concurrency = 9.0;
-    (0..5).for_each(|_| gw.scale(0, false));
-    assert_eq!(gw.functions[0].desired_instances, 9);
+    let mut scheduler = scheduler_with(8, &[("siblings", "300")]);
+    load_first(&mut scheduler, 0, 1);
+    scheduler.functions[0].warm_latency = 2000.0;
+    scheduler.functions[0].placements[0].concurrency = 9.0;
+    (0..5).for_each(|_| scheduler.scale(0, false));
+    assert_eq!(scheduler.functions[0].desired_instances, 9);
 }
 
 #[test_case(0.0, 3; "full workers add an instance")]
 #[test_case(0.5, 2; "not where copies are often missed")]
 fn full_workers_buy_copies_while_memory_lasts(missed: f64, n: usize) {
-    let mut gw = gateway(4, &MANY);
-    stand(&mut gw, 0, 2);
-    gw.miss_ratio = missed;
-    gw.functions[0].placements[2..].iter_mut().for_each(|s| s.instances = InstanceState::Absent);
-    arrive(&mut gw, 0);
-    answer(&mut gw, &[6.0, 6.0]);
-    assert_eq!(gw.functions[0].desired_instances, n);
+    let mut scheduler = scheduler_with(4, &LARGE_FLEET);
+    load_first(&mut scheduler, 0, 2);
+    scheduler.miss_ratio = missed;
+    scheduler.functions[0].placements[2..].iter_mut().for_each(|s| s.instances = InstanceState::Absent);
+    send_request(&mut scheduler, 0);
+    answer_health_checks(&mut scheduler, &[6.0, 6.0]);
+    assert_eq!(scheduler.functions[0].desired_instances, n);
 }
 
-// One function and hundreds of workers: 128 seats were all that it could use.
+// One function and hundreds of workers: 128 placements were all that it could use.
 #[test]
 fn a_function_that_needs_more_of_the_fleet_gets_seats() {
-    let gw = &mut gateway(400, &[]);
-    stand(gw, 0, 1);
-    gw.functions[0].warm_latency = 5_000.0;
-    gw.functions[0].rate.add(NOW, 2 * 4 * 100 + 2);
-    gw.scale(0, false);
+    let scheduler = &mut scheduler_with(400, &[]);
+    load_first(scheduler, 0, 1);
+    scheduler.functions[0].warm_latency = 5_000.0;
+    scheduler.functions[0].rate.add(NOW, 2 * 4 * 100 + 2);
+    scheduler.scale(0, false);
     assert!(
-        gw.functions[0].desired_instances > 100
-            && gw.functions[0].placements.len() >= 2 * gw.functions[0].desired_instances
+        scheduler.functions[0].desired_instances > 100
+            && scheduler.functions[0].placements.len() >= 2 * scheduler.functions[0].desired_instances
     );
 }
 
 #[test]
 fn the_shortest_target_time_is_no_panic() {
-    let gw = &mut gateway(2, &[("classes.0.aim-ms", "0.1")]);
-    stand(gw, 0, 1);
-    assert!(gw.instance_rates(0).max > 0.0);
+    let scheduler = &mut scheduler_with(2, &[("classes.0.aim-ms", "0.1")]);
+    load_first(scheduler, 0, 1);
+    assert!(scheduler.instance_rates(0).max > 0.0);
 }
--- a/src/choice/tests/settings.rs
+++ b/src/choice/tests/settings.rs
@@ -18,7 +18,7 @@
     assert_eq!(made.err().map(|error| error.to_string()).as_deref(), Some(line));
 }
 
-// What is left out takes a default that still lets the module work, whatever else is told.
+// What is left out takes a default that still lets the module work, whatever else is given.
 #[test_case("extra.stays-loaded-ms", |t| t.keep_alive == 60 * SECOND; "no keep-alive: a copy stands until a miss")]
 #[test_case("rules.tip-multiple", |t| t.overload_tolerance == 1.0; "no multiple: never above what it can do")]
 #[test_case("rules.overload-for-ms", |t| t.overload_window == SECOND; "no span: over any second")]
@@ -31,29 +31,32 @@
     assert!(sound(&Scheduler::new(Calls::default(), 0, 1, settings).unwrap().config));
 }
 
-// Target times of tens of milliseconds: sweeps and waits for probes of 10 and 20 ms left nothing of them.
+// Target times of tens of milliseconds: sweeps and waits for health checks of 10 and 20 ms left nothing of them.
 #[test_case("20", "1", 12, 25; "twenty milliseconds")]
 #[test_case("20", "5", 50, 0; "and a slow clock: no event waits for a probe")]
 #[test_case("100", "1", 62, 125; "a hundred")]
 #[test_case("400", "1", 100, 200; "as before")]
 #[test_case("600000", "1", 100, 200; "minutes")]
 fn sweeps_and_looks_go_by_the_target_time(target: &str, tick: &str, sweep: Time, look: Time) {
-    let gw = gateway(1, &[("classes.0.aim-ms", target), ("tick-ms", tick)]);
-    assert_eq!((gw.config.sweep_interval, gw.config.load_check_timeout), (sweep, look));
+    let scheduler = scheduler_with(1, &[("classes.0.aim-ms", target), ("tick-ms", tick)]);
+    assert_eq!((scheduler.config.sweep_interval, scheduler.config.load_check_timeout), (sweep, look));
 }
 
-// Reports of queues alone: each event probed two workers, waited, and learned nothing.
+// Reports of queues alone: each request checked two workers, waited, and learned nothing.
 #[test_case("q,x0", false)]
 #[test_case("busy", true)]
 fn only_reports_that_tell_of_load_are_asked_for(names: &str, looks: bool) {
-    let gw = gateway(1, &[MANY[0], MANY[1], ("reporting.names", names)]);
-    assert_eq!(gw.config.load_checks, looks);
+    let scheduler = scheduler_with(1, &[LARGE_FLEET[0], LARGE_FLEET[1], ("reporting.names", names)]);
+    assert_eq!(scheduler.config.load_checks, looks);
 }
 
-// The wire's aim-stretch: the target time grows with an event's own work, up to its max age.
+// The wire's aim-stretch: the latency objective grows with a request's own work, up to its max age.
 #[test_case(1_000, 12_000.0; "by twice its work")]
 #[test_case(90_000, 20_000.0; "not beyond the max age")]
 fn the_target_time_stretches_with_the_work(hint: Time, target: f64) {
-    let gw = gateway(1, &[("classes.0.aim-stretch", "2"), ("classes.0.deadline-ms", "2000")]);
-    assert_eq!(latency_objective(&gw.classes[0], &RequestInfo { cost_hint: hint, ..arrival(0) }), target);
+    let scheduler = scheduler_with(1, &[("classes.0.aim-stretch", "2"), ("classes.0.deadline-ms", "2000")]);
+    assert_eq!(
+        latency_objective(&scheduler.classes[0], &RequestInfo { cost_hint: hint, ..request_info(0) }),
+        target
+    );
 }
--- a/src/choice/tests/shapes.rs
+++ b/src/choice/tests/shapes.rs
@@ -20,7 +20,7 @@
     Notified(usize, u32, usize),
 }
 
-/// An event as the outside has it; its launches: worker, when, until when, how it ends, and whether that is still to come.
+/// A request as the outside has it; its attempts: worker, when, until when, how it ends, and whether that is still to come.
 struct Asked {
     place: usize,
     f: usize,
@@ -33,10 +33,10 @@
 }
 
 struct Lived {
-    gw: Gateway,
+    gw: TestScheduler,
     life: u32,
     asked: Vec<Asked>,
-    /// What it was told of each worker, and when; its orders and events for the ration.
+    /// What it was told of each worker, and when; its load requests and requests for the rate limit.
     told: Vec<(EndpointState, Time)>,
     orders: Vec<Time>,
     taken: Vec<Time>,
@@ -45,7 +45,7 @@
     sweep: Time,
 }
 
-/// A worker: cores, what is in hand, copies by function (stand from, idle until), how it stands, since when, silent until.
+/// A worker: cores, what is in hand, instances by function (stand from, idle until), how it stands, since when, silent until.
 #[derive(Clone, Default)]
 struct Machine {
     cores: f64,
@@ -164,7 +164,7 @@
                 s.remove(key);
             }
         }
-        // A part of what the fleet can do, and as many events as are quickly played.
+        // A part of what the fleet can do, and as many requests as are quickly played.
         let can = workers as f64 * cores / (run * 10.0);
         let part = pick(c, &[0.05, 0.3, 0.7]) * played as f64 / siblings as f64;
         let share = (can * part).min(0.05);
@@ -218,7 +218,7 @@
     seq: u64,
     gws: Vec<Lived>,
     machines: Vec<Machine>,
-    /// Handled within the target time, later, deferred, dead-lettered, left.
+    /// Completed within the latency objective, later, rejected, failed, left.
     pub ends: [u32; 5],
     pub most: usize,
     pub hand: usize,
@@ -243,7 +243,7 @@
             held: 0,
             shape,
         };
-        // Where nobody orders loads, a third of the workers hold each function for good.
+        // Where nobody requests loads, a third of the workers hold each function for good.
         let given = play.shape.settings.is("extra.orders", "false");
         for (wk, m) in play.machines.iter_mut().enumerate() {
             let copy = |f: usize| {
@@ -273,7 +273,16 @@
     fn entry(&self, wk: usize) -> (usize, Endpoint) {
         let (m, zone) = (&self.machines[wk], wk as u32 % self.shape.zones);
         let (standing, since) = (m.standing, m.since);
-        (wk, Endpoint { state: standing, started_at: since, zone, cell: wk as u32 / 3, ..listed(wk).1 })
+        (
+            wk,
+            Endpoint {
+                state: standing,
+                started_at: since,
+                zone,
+                cell: wk as u32 / 3,
+                ..endpoint_entry(wk).1
+            },
+        )
     }
 
     fn start(&mut self, g: usize, life: u32) {
@@ -325,7 +334,7 @@
         self.shape.settings.number(key)
     }
 
-    /// What a launch that reaches a worker comes to: how it ends and when.
+    /// What an attempt that reaches a worker comes to: how it ends and when.
     fn reach(&mut self, g: usize, wk: usize, f: usize, gives_up: Time) -> (Outcome, Time) {
         let (now, p) = (self.now, self.shape.programs[f]);
         let luck = 0.6 + f64::from(self.chance.below(800)) / 1000.0;
@@ -443,7 +452,7 @@
                         out.2 = Outcome::Cancelled;
                         self.at(now + 1, What::End(g, life, id, launch));
                     }
-                    Call::Defer(place, back) => {
+                    Call::Reject(place, back) => {
                         let told = self.shape.settings.is("allowed.retry-after", "true")
                             && self.shape.settings.text("allowed.max-retry-after-ms") != "0";
                         assert!(!told || back > 0, "a deferral without a time: {}", self.shape.told());
@@ -451,15 +460,15 @@
                             self.answer(g, place, "deferred");
                         }
                     }
-                    Call::DeadLetter(place) => self.answer(g, place, "dead-lettered"),
-                    Call::Hold(f, wk, copies) => self.hold(g, f, wk, copies),
-                    Call::Probe(wk) => {
+                    Call::Fail(place) => self.answer(g, place, "dead-lettered"),
+                    Call::Load(f, wk, copies) => self.hold(g, f, wk, copies),
+                    Call::HealthCheck(wk) => {
                         assert!(self.shape.settings.is("allowed.probes", "true"));
                         let late = if self.machines[wk].silent > now { 2_500 } else { 6 };
                         self.at(now + late, What::Probed(g, life, wk));
                     }
-                    Call::Forget(f) => self.gws[g].pending.retain(|p| p.0 != f),
-                    Call::Follow | Call::Timer(..) => {}
+                    Call::ForgetFunction(f) => self.gws[g].pending.retain(|p| p.0 != f),
+                    Call::WatchEndpoints | Call::Timer(..) => {}
                 }
             }
         }
@@ -580,7 +589,8 @@
             self.at(now + (gives_up - now) / 3, What::Leave(g, life, id));
         }
         let load_hint = if self.shape.spoil == Some("hopeful") { 0 } else { p.load };
-        let told = RequestInfo { cost_hint: p.run as Time, load_hint, tenant: Some(0), ..arrival(p.typ) };
+        let told =
+            RequestInfo { cost_hint: p.run as Time, load_hint, tenant: Some(0), ..request_info(p.typ) };
         let hash = mix_hashes(f as u64 + 1, 99);
         self.gws[g].gw.request_arrived(RequestInfo {
             function: f,
@@ -780,10 +790,10 @@
     for seed in from..to {
         let done = Play::new(Shape { spoil, ..Shape::draw(seed) }).play();
         let (all, text) = (done.ends.iter().sum::<u32>(), done.shape.told());
-        // Among many gateways a count may be double, and an event may add three instances; else it follows what is in hand.
+        // Among many gateways a count may be double, and a request may add three instances; else it follows what is in hand.
         let bound = 4 + 2 * done.hand;
         assert!(done.most <= bound, "{} copies for {} in hand: {text}", done.most, done.hand);
-        // With nothing amiss, quick loads and no ration, eight in ten are handled in time also at seven tenths of the cores.
+        // With nothing amiss, quick loads and no rate limit, eight in ten are completed in time also at seven tenths of the cores.
         let s = &done.shape.settings;
         let eased =
             done.shape.calm && s.is("extra.orders", "true") && s.duration("extra.load-window-ms") == 0;
@@ -800,7 +810,7 @@
 }
 
 // Figures that suit one deployment: whatever the settings, told or not, rules hold, counts follow what is in hand, and
-// no event waits for its deadline.
+// no request waits for its deadline.
 #[test_case(0)]
 #[test_case(25)]
 #[test_case(50)]
--- a/src/choice/tests/slow_start.rs
+++ b/src/choice/tests/slow_start.rs
@@ -3,16 +3,20 @@
 use super::*;
 use test_case::test_case;
 
-// Many gateways: one launch a window at each of hundreds of gateways pushed cold workers over.
+// Many gateways: one attempt a window at each of hundreds of gateways pushed cold workers over.
 #[test_case(300, 20_000, 10, 40; "hundreds send a part of one each")]
 #[test_case(300, 0, 0, 0; "those that know no rates send none")]
 fn all_gateways_together_spare_a_cold_worker(gateways: u64, sent: u32, least: usize, most: usize) {
     let starts = (0..gateways).filter(|seed| {
-        let mut gw = Scheduler::new(Calls::default(), 0, *seed, settings(&[("siblings", "300")])).unwrap();
-        gw.advance_clock(NOW);
-        gw.update_endpoints(&[(0, Endpoint { started_at: NOW - 1, ..listed(0).1 }), listed(1)], true);
-        gw.workers[1].completed_work.add(NOW, sent / 60);
-        gw.has_slow_start_capacity(0, 0)
+        let mut scheduler =
+            Scheduler::new(Calls::default(), 0, *seed, settings(&[("siblings", "300")])).unwrap();
+        scheduler.advance_clock(NOW);
+        scheduler.update_endpoints(
+            &[(0, Endpoint { started_at: NOW - 1, ..endpoint_entry(0).1 }), endpoint_entry(1)],
+            true,
+        );
+        scheduler.workers[1].completed_work.add(NOW, sent / 60);
+        scheduler.has_slow_start_capacity(0, 0)
     });
     assert!((least..=most).contains(&starts.count()));
 }
@@ -20,9 +24,9 @@
 #[test_case(1, true; "in the last two seconds")]
 #[test_case(3, false; "long ago: read without an addition since, it counted for ever")]
 fn work_done_counts_while_it_is_recent(seconds: Time, counts: bool) {
-    let mut gw = gateway(1, &[]);
-    gw.workers[0].completed_work.add(NOW, 1000);
-    assert_eq!(gw.workers[0].completed_work.recent(NOW + seconds * SECOND) > 0, counts);
+    let mut scheduler = scheduler_with(1, &[]);
+    scheduler.workers[0].completed_work.add(NOW, 1000);
+    assert_eq!(scheduler.workers[0].completed_work.recent(NOW + seconds * SECOND) > 0, counts);
 }
 
 // Warm workers get 10 of 1000 a second; 0.6 of the fall multiple of 2.5 times the part of that which is warm.
@@ -31,55 +35,58 @@
 #[test_case(0.5, 8, true; "nine at six tenths")]
 #[test_case(0.5, 9, false; "ten do not")]
 fn a_cold_worker_gets_its_part(age: f64, sent: usize, room: bool) {
-    let mut gw = gateway(3, &[]);
-    gw.workers[0].endpoint.started_at = NOW - (age * 100_000.0) as Time - 1;
-    gw.workers[0].slow_start_rounding = 1.0;
-    gw.workers[0].slow_start_attempts.extend(vec![(NOW, 0); sent]);
-    (1..3).for_each(|wk| gw.workers[wk].completed_work.add(NOW, 20_000));
-    assert_eq!(gw.has_slow_start_capacity(0, 0), room);
+    let mut scheduler = scheduler_with(3, &[]);
+    scheduler.workers[0].endpoint.started_at = NOW - (age * 100_000.0) as Time - 1;
+    scheduler.workers[0].slow_start_rounding = 1.0;
+    scheduler.workers[0].slow_start_attempts.extend(vec![(NOW, 0); sent]);
+    (1..3).for_each(|worker_id| scheduler.workers[worker_id].completed_work.add(NOW, 20_000));
+    assert_eq!(scheduler.has_slow_start_capacity(0, 0), room);
 }
 
 #[test]
 fn a_restarted_worker_is_empty_and_cold() {
-    let mut gw = gateway(1, &[]);
-    stand(&mut gw, 0, 1);
-    gw.update_endpoints(&[(0, Endpoint { started_at: NOW, ..listed(0).1 })], false);
-    assert_eq!(gw.functions[0].placements[0].instances, InstanceState::Absent);
-    assert!(gw.slow_start_share(&gw.workers[0]).is_some_and(|part| part < 0.21));
+    let mut scheduler = scheduler_with(1, &[]);
+    load_first(&mut scheduler, 0, 1);
+    scheduler.update_endpoints(&[(0, Endpoint { started_at: NOW, ..endpoint_entry(0).1 })], false);
+    assert_eq!(scheduler.functions[0].placements[0].instances, InstanceState::Absent);
+    assert!(scheduler.slow_start_share(&scheduler.workers[0]).is_some_and(|part| part < 0.21));
 }
 
 // Ten answers after a minute each counted as ten minutes of work within two seconds; a cold worker got its part of that.
 #[test]
 fn an_answer_counts_no_more_work_than_fits_in_the_span() {
-    let gw = &mut gateway(1, &[("classes.0.aim-ms", "600000")]);
-    stand(gw, 0, 1);
-    let at = gw.now;
-    (0..10).for_each(|_| succeed(gw, 0, at, 600_000));
-    assert_eq!(gw.workers[0].completed_work.recent(at), 10 * 2 * SECOND as u32);
+    let scheduler = &mut scheduler_with(1, &[("classes.0.aim-ms", "600000")]);
+    load_first(scheduler, 0, 1);
+    let at = scheduler.now;
+    (0..10).for_each(|_| succeed(scheduler, 0, at, 600_000));
+    assert_eq!(scheduler.workers[0].completed_work.recent(at), 10 * 2 * SECOND as u32);
 }
 
-// A run of two seconds and a span of half a second: a launch tips the worker by itself, whoever's luck it is.
+// A run of two seconds and a span of half a second: an attempt tips the worker by itself, whoever rounds up.
 #[test_case(100.0, true; "a run that fits")]
 #[test_case(20_000.0, false; "one that does not")]
 fn an_event_that_would_tip_a_cold_worker_alone_goes_elsewhere(run: f64, room: bool) {
-    let gw = &mut gateway(2, &[("rules.overload-for-ms", "500")]);
-    gw.classes[0].warm_latency = run;
-    gw.workers[1].completed_work.add(NOW, 20_000);
-    gw.update_endpoints(&[(0, Endpoint { started_at: NOW - 1, ..listed(0).1 })], false);
-    gw.workers[0].slow_start_rounding = 0.001;
-    assert_eq!(gw.has_slow_start_capacity(0, 0), room);
+    let scheduler = &mut scheduler_with(2, &[("rules.overload-for-ms", "500")]);
+    scheduler.classes[0].warm_latency = run;
+    scheduler.workers[1].completed_work.add(NOW, 20_000);
+    scheduler.update_endpoints(&[(0, Endpoint { started_at: NOW - 1, ..endpoint_entry(0).1 })], false);
+    scheduler.workers[0].slow_start_rounding = 0.001;
+    assert_eq!(scheduler.has_slow_start_capacity(0, 0), room);
 }
 
-// Three gateways pushed cold workers over when events turned dear, and small ones beside large warm ones.
+// Three gateways pushed cold workers over when requests turned dear, and small ones beside large warm ones.
 #[test_case(100.0, 1.0, true; "as dear as they seemed")]
 #[test_case(4000.0, 1.0, false; "those sent count as dear as they turned out")]
 #[test_case(100.0, 0.1, false; "a machine a tenth of the warm ones' size")]
 fn a_cold_budget_goes_by_present_costs_and_size(run: f64, rating: f64, room: bool) {
-    let mut gw = gateway(3, &[]);
-    (gw.workers[0].endpoint.started_at, gw.workers[0].endpoint.rating, gw.workers[0].slow_start_rounding) =
-        (NOW - 1, rating, 1.0);
-    gw.workers[0].slow_start_attempts.extend(vec![(NOW, 0); 6]);
-    gw.classes[0].warm_latency = run;
-    (1..3).for_each(|wk| gw.workers[wk].completed_work.add(NOW, 8_000));
-    assert_eq!(gw.has_slow_start_capacity(0, 0), room);
+    let mut scheduler = scheduler_with(3, &[]);
+    (
+        scheduler.workers[0].endpoint.started_at,
+        scheduler.workers[0].endpoint.rating,
+        scheduler.workers[0].slow_start_rounding,
+    ) = (NOW - 1, rating, 1.0);
+    scheduler.workers[0].slow_start_attempts.extend(vec![(NOW, 0); 6]);
+    scheduler.classes[0].warm_latency = run;
+    (1..3).for_each(|worker_id| scheduler.workers[worker_id].completed_work.add(NOW, 8_000));
+    assert_eq!(scheduler.has_slow_start_capacity(0, 0), room);
 }
