--- a/src/choice/tests/ramp.rs
+++ b/src/choice/tests/ramp.rs
@@ -22,12 +22,12 @@
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum What {
-    Arrive,
-    End(usize, u32, usize, usize),
-    Notified(usize, u32),
-    Starts,
-    Restarts,
+enum Event {
+    Arrival,
+    AttemptEnd(usize, u32, usize, usize),
+    EndpointUpdate(usize, u32),
+    WorkersRestart,
+    GatewaysRestart,
     Sweep,
 }
 
@@ -36,124 +36,155 @@
     /// A request's work at a warm worker; all are alike, as the rule counts requests of mean work.
     run: Time,
     now: Time,
-    chance: RandomGenerator,
+    random: RandomGenerator,
     gateways: Vec<TestScheduler>,
-    lives: Vec<u32>,
-    started: Time,
-    due: BinaryHeap<Reverse<(Time, u64, What)>>,
-    order: u64,
+    incarnations: Vec<u32>,
+    slow_start_at: Time,
+    queue: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    sequence: u64,
     /// By worker: when each core is free again, and the attempts that came.
-    cores: Vec<Vec<Time>>,
-    came: Vec<Vec<Time>>,
+    core_free_at: Vec<Vec<Time>>,
+    attempts: Vec<Vec<Time>>,
     planted: Planted,
 }
 
 impl Fleet {
-    fn plan(&mut self, at: Time, what: What) {
-        self.order += 1;
-        self.due.push(Reverse((at, self.order, what)));
+    fn schedule(&mut self, at: Time, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence, event)));
     }
 
     /// How warm a worker is, as the settings tell it.
-    fn part(&self, wk: usize, at: Time) -> f64 {
-        if wk < WORKERS || at < self.started {
+    fn warm_share(&self, worker_id: usize, at: Time) -> f64 {
+        if worker_id < WORKERS || at < self.slow_start_at {
             return 1.0;
         }
         let (cold, from) = (self.settings.duration("rules.cold-ms"), self.settings.number("rules.cold-from"));
-        (from + (1.0 - from) * (at - self.started) as f64 / cold as f64).min(1.0)
+        (from + (1.0 - from) * (at - self.slow_start_at) as f64 / cold as f64).min(1.0)
     }
 
     /// Half of the workers were there all the time, the others have one in their place that is new.
-    fn list(&self) -> Vec<(usize, Endpoint)> {
-        let anew = |wk: usize| {
-            if self.now >= self.started && wk % 2 == 1 {
-                let (_, l) = endpoint_entry(wk + WORKERS);
-                return (wk + WORKERS, Endpoint { started_at: self.started, rating: CORES as f64, ..l });
+    fn endpoints(&self) -> Vec<(usize, Endpoint)> {
+        let anew = |worker_id: usize| {
+            if self.now >= self.slow_start_at && worker_id % 2 == 1 {
+                let (_, l) = endpoint_entry(worker_id + WORKERS);
+                return (
+                    worker_id + WORKERS,
+                    Endpoint { started_at: self.slow_start_at, rating: CORES as f64, ..l },
+                );
             }
-            (wk, Endpoint { rating: CORES as f64, ..endpoint_entry(wk).1 })
+            (worker_id, Endpoint { rating: CORES as f64, ..endpoint_entry(worker_id).1 })
         };
         (0..WORKERS).map(anew).collect()
     }
 
-    fn tell(&mut self, gw: usize) {
-        let list = self.list();
-        let gateway = &mut self.gateways[gw];
+    fn announce_endpoints(&mut self, gateway_id: usize) {
+        let list = self.endpoints();
+        let gateway = &mut self.gateways[gateway_id];
         gateway.advance_clock(self.now);
         gateway.update_endpoints(&list, true);
         if self.planted == Planted::AllRoundUp {
             gateway.workers.iter_mut().for_each(|w| w.slow_start_rounding = 0.0);
         }
-        self.carry_out(gw);
+        self.carry_out(gateway_id);
     }
 
     /// What the gateway called for: attempts come to their workers at once and end when a core has done them.
-    fn carry_out(&mut self, gw: usize) {
-        for call in std::mem::take(&mut self.gateways[gw].host.0) {
-            let Call::Attempt(evt, wk) = call else { continue };
-            let launch = self.gateways[gw].requests[evt].attempt_count - 1;
-            let took = (self.run as f64 / self.part(wk, self.now)) as Time;
-            self.came[wk].push(self.now);
-            let core = self.cores[wk].iter_mut().min().expect("it has cores");
+    fn carry_out(&mut self, gateway_id: usize) {
+        for call in std::mem::take(&mut self.gateways[gateway_id].host.0) {
+            let Call::Attempt(slot, worker_id) = call else { continue };
+            let attempt = self.gateways[gateway_id].requests[slot].attempt_count - 1;
+            let took = (self.run as f64 / self.warm_share(worker_id, self.now)) as Time;
+            self.attempts[worker_id].push(self.now);
+            let core = self.core_free_at[worker_id].iter_mut().min().expect("it has cores");
             *core = self.now.max(*core) + took;
-            let (end, life) = (*core, self.lives[gw]);
-            self.plan(end, What::End(gw, life, evt, launch));
+            let (end, incarnation) = (*core, self.incarnations[gateway_id]);
+            self.schedule(end, Event::AttemptEnd(gateway_id, incarnation, slot, attempt));
         }
     }
 
-    fn happen(&mut self, what: What, gap: f64, weights: &[f64]) {
-        match what {
-            What::Arrive => {
-                let wait = -gap * (f64::from(self.chance.below(9_999) + 1) / 10_000.0).ln();
-                self.plan(self.now + wait as Time + 1, What::Arrive);
-                let drawn = f64::from(self.chance.below(1 << 20)) / f64::from(1 << 20)
-                    * weights.last().expect("there are some");
-                let gw = weights.partition_point(|w| *w <= drawn);
-                let gateway = &mut self.gateways[gw];
-                gateway.advance_clock(self.now);
-                let function = self.chance.below(4) as usize;
-                let hash = 77 + function as u64;
-                gateway.request_arrived(RequestInfo {
-                    function,
-                    function_hash: hash,
-                    lanes: 1000,
-                    deadline: self.now + 20_000,
-                    ..request_info(0)
-                });
-                self.carry_out(gw);
+    fn arrive(&mut self, gap: f64, weights: &[f64]) {
+        let wait = -gap * (f64::from(self.random.below(9_999) + 1) / 10_000.0).ln();
+        self.schedule(self.now + wait as Time + 1, Event::Arrival);
+        let drawn = f64::from(self.random.below(1 << 20)) / f64::from(1 << 20)
+            * weights.last().expect("there are some");
+        let gateway_id = weights.partition_point(|w| *w <= drawn);
+        let gateway = &mut self.gateways[gateway_id];
+        gateway.advance_clock(self.now);
+        let function = self.random.below(4) as usize;
+        let hash = 77 + function as u64;
+        gateway.request_arrived(RequestInfo {
+            function,
+            function_hash: hash,
+            lanes: 1000,
+            deadline: self.now + 20_000,
+            ..request_info(0)
+        });
+        self.carry_out(gateway_id);
+    }
+
+    fn restart_gateways(&mut self) {
+        for gateway_id in (0..self.gateways.len()).step_by(3) {
+            self.incarnations[gateway_id] += 1;
+            let seed = u64::from(self.random.below(1 << 30));
+            self.gateways[gateway_id] =
+                Scheduler::new(Calls::default(), self.now, seed, self.settings.clone()).unwrap();
+            self.announce_endpoints(gateway_id);
+        }
+    }
+
+    /// See `ramp`.
+    fn worst_window(&self) -> (f64, usize) {
+        let window = self.settings.duration("rules.overload-for-ms");
+        let (mut worst, mut got) = (f64::MIN, 0);
+        for (worker_id, attempts) in self.attempts.iter().enumerate().skip(WORKERS) {
+            got += attempts.len();
+            for (i, at) in attempts.iter().enumerate() {
+                let sent = attempts[..=i].iter().filter(|t| **t + window > *at).count() as f64;
+                let can = CORES as f64 * window as f64 / self.run as f64 * self.warm_share(worker_id, *at);
+                let may = self.settings.number("rules.tip-multiple") * can;
+                worst = worst.max(sent - (may + 2.0 * may.sqrt() + 2.0));
             }
-            What::End(gw, life, evt, launch) if life == self.lives[gw] => {
-                let gateway = &mut self.gateways[gw];
-                let Some(e) = gateway.requests.get(evt).filter(|e| launch < e.attempt_count) else { return };
-                let took = self.now - e.attempts[launch].sent_at;
+        }
+        (worst, got)
+    }
+
+    fn happen(&mut self, event: Event, gap: f64, weights: &[f64]) {
+        match event {
+            Event::Arrival => self.arrive(gap, weights),
+            Event::AttemptEnd(gateway_id, incarnation, slot, attempt)
+                if incarnation == self.incarnations[gateway_id] =>
+            {
+                let gateway = &mut self.gateways[gateway_id];
+                let Some(e) = gateway.requests.get(slot).filter(|e| attempt < e.attempt_count) else {
+                    return;
+                };
+                let took = self.now - e.attempts[attempt].sent_at;
                 gateway.advance_clock(self.now);
-                gateway.attempt_ended(evt, launch, (Outcome::Ok, took), true, 1);
-                self.carry_out(gw);
+                gateway.attempt_ended(slot, attempt, (Outcome::Ok, took), true, 1);
+                self.carry_out(gateway_id);
             }
-            What::End(..) => {}
-            What::Notified(gw, life) if life == self.lives[gw] => self.tell(gw),
-            What::Notified(..) => {}
-            What::Starts => {
-                for gw in 0..self.gateways.len() {
-                    let at = self.now + Time::from(self.chance.below(3_000));
-                    self.plan(at, What::Notified(gw, self.lives[gw]));
-                }
+            Event::AttemptEnd(..) => {}
+            Event::EndpointUpdate(gateway_id, incarnation)
+                if incarnation == self.incarnations[gateway_id] =>
+            {
+                self.announce_endpoints(gateway_id)
             }
-            What::Restarts => {
-                for gw in (0..self.gateways.len()).step_by(3) {
-                    self.lives[gw] += 1;
-                    let seed = u64::from(self.chance.below(1 << 30));
-                    self.gateways[gw] =
-                        Scheduler::new(Calls::default(), self.now, seed, self.settings.clone()).unwrap();
-                    self.tell(gw);
+            Event::EndpointUpdate(..) => {}
+            Event::WorkersRestart => {
+                for gateway_id in 0..self.gateways.len() {
+                    let at = self.now + Time::from(self.random.below(3_000));
+                    self.schedule(at, Event::EndpointUpdate(gateway_id, self.incarnations[gateway_id]));
                 }
             }
-            What::Sweep => {
-                self.plan(self.now + 400, What::Sweep);
-                for gw in 0..self.gateways.len() {
-                    if !self.gateways[gw].requests.is_empty() {
-                        self.gateways[gw].advance_clock(self.now);
-                        self.gateways[gw].timer_fired(0);
-                        self.carry_out(gw);
+            Event::GatewaysRestart => self.restart_gateways(),
+            Event::Sweep => {
+                self.schedule(self.now + 400, Event::Sweep);
+                for gateway_id in 0..self.gateways.len() {
+                    if !self.gateways[gateway_id].requests.is_empty() {
+                        self.gateways[gateway_id].advance_clock(self.now);
+                        self.gateways[gateway_id].timer_fired(0);
+                        self.carry_out(gateway_id);
                     }
                 }
             }
@@ -173,25 +204,25 @@
     let cold = if planted == Planted::Warm { "0" } else { "10000" };
     let settings =
         settings(&[("siblings", count.as_str()), ("rules.cold-ms", cold), ("extra.if-cold", "load")]);
-    let mut told = settings.clone();
-    told.insert("rules.cold-ms".to_string(), "10000".to_string());
+    let mut true_settings = settings.clone();
+    true_settings.insert("rules.cold-ms".to_string(), "10000".to_string());
     let gateway =
         |i: usize| Scheduler::new(Calls::default(), NOW, seed * 10_007 + i as u64, settings.clone()).unwrap();
     let mut fleet = Fleet {
         now: NOW,
-        chance: RandomGenerator::new(seed),
+        random: RandomGenerator::new(seed),
         gateways: (0..gateways).map(gateway).collect(),
-        lives: vec![0; gateways],
-        started: NOW + WARM,
-        due: BinaryHeap::new(),
-        order: 0,
-        cores: vec![vec![0; CORES]; 2 * WORKERS],
-        came: vec![Vec::new(); 2 * WORKERS],
+        incarnations: vec![0; gateways],
+        slow_start_at: NOW + WARM,
+        queue: BinaryHeap::new(),
+        sequence: 0,
+        core_free_at: vec![vec![0; CORES]; 2 * WORKERS],
+        attempts: vec![Vec::new(); 2 * WORKERS],
         planted,
         settings,
         run,
     };
-    (0..gateways).for_each(|gw| fleet.tell(gw));
+    (0..gateways).for_each(|gateway_id| fleet.announce_endpoints(gateway_id));
     // Requests a second: so much of what all workers do when warm.
     let rate = load * (WORKERS * CORES) as f64 * SECOND as f64 / run as f64;
     let mut sum = 0.0;
@@ -202,35 +233,24 @@
             sum
         })
         .collect();
-    let started = fleet.started;
-    for (at, what) in [
-        (NOW + 1, What::Arrive),
-        (NOW + 7, What::Sweep),
-        (started, What::Starts),
-        (started + 12_000, What::Restarts),
+    let started = fleet.slow_start_at;
+    for (at, event) in [
+        (NOW + 1, Event::Arrival),
+        (NOW + 7, Event::Sweep),
+        (started, Event::WorkersRestart),
+        (started + 12_000, Event::GatewaysRestart),
     ] {
-        fleet.plan(at, what);
+        fleet.schedule(at, event);
     }
-    while let Some(Reverse((at, _, what))) = fleet.due.pop() {
+    while let Some(Reverse((at, _, event))) = fleet.queue.pop() {
         if at > started + LOOKED {
             break;
         }
         fleet.now = at;
-        fleet.happen(what, SECOND as f64 / rate, &weights);
-    }
-    fleet.settings = told;
-    let window = fleet.settings.duration("rules.overload-for-ms");
-    let (mut worst, mut got) = (f64::MIN, 0);
-    for (wk, came) in fleet.came.iter().enumerate().skip(WORKERS) {
-        got += came.len();
-        for (i, at) in came.iter().enumerate() {
-            let sent = came[..=i].iter().filter(|t| **t + window > *at).count() as f64;
-            let can = CORES as f64 * window as f64 / run as f64 * fleet.part(wk, *at);
-            let may = fleet.settings.number("rules.tip-multiple") * can;
-            worst = worst.max(sent - (may + 2.0 * may.sqrt() + 2.0));
-        }
+        fleet.happen(event, SECOND as f64 / rate, &weights);
     }
-    (worst, got)
+    fleet.settings = true_settings;
+    fleet.worst_window()
 }
 
 // Load of the warm fleet, and a request's work: with half a second of it a cold worker may get four at first.
