--- a/src/choice/placements.rs
+++ b/src/choice/placements.rs
@@ -70,10 +70,10 @@
     pub(super) fn is_usable(&self, function_id: FunctionId, placement: &Placement) -> bool {
         // Where nobody may request loads, one that lacks the function is passed over too.
         let full = || placement.blocked_until > self.now && placement.instances == InstanceState::Absent;
-        let class = self.functions[function_id].class;
+        let class = || self.functions[function_id].class;
         self.is_available(placement.worker_id)
             && !((self.config.large_fleet || !self.config.may_load) && full())
-            && (!self.config.large_fleet || self.has_slow_start_capacity(placement.worker_id, class))
+            && (!self.config.large_fleet || self.has_slow_start_capacity(placement.worker_id, class()))
     }
 
     /// State stays bounded: a function that nothing asks for is forgotten when its keep-alives have ended.
--- a/src/choice/selection.rs
+++ b/src/choice/selection.rs
@@ -11,16 +11,20 @@
         let heads = self.usable_placements(function_id).take(n).count().max(1);
         let (mut next, mut beyond, mut least) = (TwoLowest::default(), None, None::<(usize, f64)>);
         let even = if large_fleet { f64::MAX } else { self.even_in_flight_limit() };
-        for (rank, position) in self.usable_placements(function_id).enumerate() {
+        let mut next_rank = 0;
+        for (position, placement) in function.placements.iter().enumerate() {
+            if !self.is_usable(function_id, placement) {
+                continue;
+            }
+            let rank = next_rank;
+            next_rank += 1;
             // Instances beyond the first n are near the head; looking further cost more CPU than it found.
             let found = next.first.is_some() || beyond.is_some();
             if rank >= heads.max(2) && found || rank >= heads + 16 {
                 break;
             }
-            let placement = &function.placements[position];
-            if !self.may_be_loaded(function, slot, placement, rank < heads)
-                || !self.may_send_attempt(slot, placement.worker_id)
-            {
+            let ready = self.may_be_loaded(slot, placement, rank < heads);
+            if !ready || !self.may_send_attempt(slot, placement.worker_id) {
                 continue;
             }
             let worker = &self.workers[placement.worker_id];
@@ -59,18 +63,14 @@
 
     /// Departure: in a large fleet an instance of which nothing is known is presumed to be loaded, other
     /// gateways use it; a miss costs a round trip, and then the page's load request goes out.
-    fn may_be_loaded(
-        &self,
-        function: &Function,
-        slot: RequestSlot,
-        placement: &Placement,
-        head: bool,
-    ) -> bool {
+    #[inline]
+    fn may_be_loaded(&self, slot: RequestSlot, placement: &Placement, head: bool) -> bool {
         let request = &self.requests[slot];
+        let confirmed = self.functions[request.info.function].confirmed;
         let missed_before = request.attempt_count != request.retries as usize;
         let unknown = placement.instances == InstanceState::Unknown && !missed_before;
         let near = head || self.config.presume_loaded && self.miss_ratio < 0.1;
-        let presumed = unknown && near && (self.config.presume_loaded || !function.confirmed);
+        let presumed = unknown && near && (self.config.presume_loaded || !confirmed);
         self.config.large_fleet && presumed || self.is_loaded(placement) || !self.config.miss_if_absent
     }
 
