Decisions: the rate limit's check, the order of waiting requests and cancelling are policy

Change: it is back in the policy files; timer tokens, units and pure arithmetic of a class, of slow start and of an outcome moved to interface, config and state instead.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,8 +2,6 @@
 //! The mechanism is that of docs/design.md; what departs from it is marked "Departure" and explained there.
 //! The operators' deploy page names this file, so it keeps its name; the type is `Scheduler`.
 mod attempts;
-mod endpoints;
-mod latency;
 mod load_checks;
 mod load_requests;
 mod outcomes;
@@ -16,16 +14,16 @@
 mod sweep;
 pub(crate) mod tuning;
 
+pub use crate::interface::{ENDPOINT_TIMER, SWEEP_TIMER};
 pub use crate::scheduler::Scheduler;
-pub use tuning::{COUNTER_STEP, ENDPOINT_TIMER, MAX_ATTEMPTS, SWEEP_TIMER};
+pub use tuning::{COUNTER_STEP, MAX_ATTEMPTS};
 
-use crate::config::{KeyScope, RequestClass, RetrySafety, SchedulerConfig, SlowStart};
+use crate::config::{KeyScope, RequestClass, RetrySafety, SchedulerConfig};
 use crate::counter::{indicator, update_mean, TwoLowest};
 use crate::interface::*;
 use crate::random::RandomGenerator;
 use crate::settings::{validate, Settings, SettingsError, SettingsReader};
 use crate::state::*;
-use latency::*;
 use tuning::*;
 
 impl<A: SchedulerActions> Scheduler<A> {
--- a/src/choice/attempts.rs
+++ b/src/choice/attempts.rs
@@ -67,4 +67,16 @@
         }
         self.host.send_attempt(slot, worker_id, 0);
     }
+
+    /// Cancels what is still in flight, but for one attempt.
+    pub(crate) fn cancel_attempts(&mut self, slot: RequestSlot, except: usize) {
+        for i in 0..self.requests[slot].attempt_count {
+            let state = self.requests[slot].attempts[i].state;
+            let out = i != except && matches!(state, AttemptState::InFlight | AttemptState::Overdue);
+            if out && self.config.may_cancel {
+                self.requests[slot].attempts[i].state = AttemptState::Cancelled;
+                self.host.cancel_attempt(slot, i);
+            }
+        }
+    }
 }
--- a/src/choice/load_requests.rs
+++ b/src/choice/load_requests.rs
@@ -65,7 +65,13 @@
         let part = if missing { 1.0 } else { 0.5 };
         // It holds from each load request on: one that arrives late (a silent worker heals), or in a next
         // life, finds requests gone that paid for those before, and what is left must do.
-        let allowed = self.load_history.allows_one_more(&limit, free_now, part);
+        let (history, count) = (&self.load_history, self.load_history.sent.len() + 1);
+        let over = |earlier, since, free| {
+            let paid = limit.per_request * history.arrivals_since(since) as f64;
+            (count - earlier) as f64 > (free + paid) * part
+        };
+        let mut sent = history.sent.iter().enumerate();
+        let allowed = !(over(0, 0, free_now) || sent.any(|(i, sent_at)| over(i, *sent_at, limit.free)));
         self.load_history.sent.extend(allowed.then_some(self.now));
         allowed
     }
--- a/src/choice/outcomes.rs
+++ b/src/choice/outcomes.rs
@@ -12,7 +12,8 @@
         finished: bool,
         note: u32,
     ) {
-        let Some((before, position, info)) = self.end_attempt(slot, attempt, state_after(outcome)) else {
+        let Some((before, position, info)) = self.end_attempt(slot, attempt, AttemptState::after(outcome))
+        else {
             return;
         };
         let (worker_id, note) = (before.worker_id, AttemptNote(note));
@@ -92,7 +93,7 @@
         let EndedAttempt { attempt, position, info, took, note, .. } = ended;
         let (now, worker_id, latency) = (self.now, attempt.worker_id, *took as f64);
         let class = &mut self.classes[info.class];
-        let (objective, function) = (latency_objective(class, info), &mut self.functions[info.function]);
+        let (objective, function) = (class.objective_for(info), &mut self.functions[info.function]);
         update_mean(&mut class.observed_objective, class.latency_objective as f64, 64.0);
         let placement = &mut function.placements[*position];
         (placement.instances, placement.renewed_at) = (InstanceState::Loaded, now);
@@ -134,13 +135,3 @@
         }
     }
 }
-
-/// Whether the request may have been executed once an attempt ended so.
-fn state_after(outcome: Outcome) -> AttemptState {
-    use Outcome::{AtCapacity, ConnectFailed, Discarded, Miss, Reset};
-    match outcome {
-        Reset => AttemptState::ConnectionLost,
-        AtCapacity | ConnectFailed | Discarded | Miss => AttemptState::NotExecuted,
-        _ => AttemptState::MayHaveExecuted,
-    }
-}
--- a/src/choice/requests.rs
+++ b/src/choice/requests.rs
@@ -16,7 +16,7 @@
         // A try that ends before the next sweep could answer it, or before half its usual run is over, is
         // answered now: its attempt would be wasted work. Guards against storms of late retries, whatever
         // makes clients retry; it could reject a request that is far lighter than it looks.
-        let soonest = expected_latency(&self.classes[info.class], &info) as Time / 2;
+        let soonest = self.classes[info.class].expected_latency(&info) as Time / 2;
         if now + soonest.max(self.config.sweep_interval + 2 * self.config.tick) >= info.deadline {
             return self.reject_or_fail(slot, 0);
         }
@@ -42,6 +42,21 @@
         }
     }
 
+    /// Requests that wait here, oldest first, are tried again.
+    pub(crate) fn retry_waiting(&mut self, which: impl Fn(&Request) -> bool) {
+        for _ in 0..self.waiting.len() {
+            let Some(slot) = self.waiting.pop_front() else { return };
+            let Some(request) = self.requests.get_mut(slot).filter(|r| r.waiting) else { continue };
+            if !which(request) {
+                self.waiting.push_back(slot);
+                continue;
+            }
+            request.waiting = false;
+            self.request_loads(self.requests[slot].info.function);
+            self.dispatch(slot);
+        }
+    }
+
     /// Some where a request should not wait for a placement: time until its load is due, 0 if unknown.
     fn hopeless_wait(&mut self, slot: RequestSlot) -> Option<Time> {
         let (now, info, arrived_at) = (self.now, self.requests[slot].info, self.requests[slot].arrived_at);
@@ -56,7 +71,7 @@
             |p: &&Placement| p.instances == InstanceState::Loading && self.is_available(p.worker_id);
         let due = function.placements.iter().filter(loading).map(|placement| placement.renewed_at + load);
         let due = due.filter(|due| now <= due + 2 * load || load == 0).min();
-        let ends = |due: &Time| now.max(*due) + expected_latency(class, &info) as Time;
+        let ends = |due: &Time| now.max(*due) + class.expected_latency(&info) as Time;
         if let Some(due) = due.filter(|due| !crowded && ends(due) > info.deadline) {
             return Some(due.saturating_sub(now));
         }
@@ -64,7 +79,7 @@
         // overload half of that, and is rejected (tried from 1/2 to 1/16: an early rejection can still be
         // answered elsewhere). The same with no instance nor load request: it would wait till its deadline.
         let part = if self.is_overloaded() { 16 } else { 8 };
-        let longest = latency_objective(class, &info) as Time / part;
+        let longest = class.objective_for(&info) as Time / part;
         if now > arrived_at + longest && (crowded || due.is_none()) {
             self.saturation_count.add(now, u32::from(crowded));
             return Some(0);
--- a/src/choice/selection.rs
+++ b/src/choice/selection.rs
@@ -89,7 +89,7 @@
         let class = &self.classes[info.class];
         let mut weight = if most > 0.0 { class.priority_weight / most } else { 1.0 };
         // One that will hardly be answered within its latency objective brings what a late answer does.
-        if expected_latency(class, info) > latency_objective(class, info) {
+        if class.expected_latency(info) > class.objective_for(info) {
             weight *= class.late_weight;
         }
         if let Some(tenant) = info.tenant.map(|tenant| &mut self.tenants[tenant]) {
--- a/src/choice/slow_start.rs
+++ b/src/choice/slow_start.rs
@@ -29,11 +29,10 @@
         used + worker.slow_start_rounding * weight <= room && weight <= room * self.config.gateway_count
     }
 
-    /// How warm a worker is at the least, from 0 to 1, None when it is warm.
+    /// How warm a worker is at the least, None when it is warm; a start at 0 is long ago.
     pub(super) fn slow_start_share(&self, worker: &Worker) -> Option<f64> {
-        let age = self.now.saturating_sub(worker.endpoint.started_at);
-        let SlowStart { duration, initial_share } = self.config.slow_start;
-        let warming = worker.endpoint.started_at > 0 && age < duration;
-        warming.then(|| initial_share + (1.0 - initial_share) * age as f64 / duration as f64)
+        let started_at = worker.endpoint.started_at;
+        let age = self.now.saturating_sub(started_at);
+        self.config.slow_start.share_at(age).filter(|_| started_at > 0)
     }
 }
--- a/src/choice/tests/settings.rs
+++ b/src/choice/tests/settings.rs
@@ -56,7 +56,7 @@
 fn the_target_time_stretches_with_the_work(hint: Time, target: f64) {
     let scheduler = scheduler_with(1, &[("classes.0.aim-stretch", "2"), ("classes.0.deadline-ms", "2000")]);
     assert_eq!(
-        latency_objective(&scheduler.classes[0], &RequestInfo { cost_hint: hint, ..request_info(0) }),
+        scheduler.classes[0].objective_for(&RequestInfo { cost_hint: hint, ..request_info(0) }),
         target
     );
 }
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -1,14 +1,6 @@
-//! Constants that more than one part of the decisions uses. Spans are in tenths of a millisecond.
-use crate::interface::Time;
-
-pub(super) const MS: Time = 10;
-pub(super) const SECOND: Time = 10_000;
-
-/// Token of the timer of the sweep over the requests in hand.
-pub const SWEEP_TIMER: u64 = 0;
-
-/// Token of the timer after which the endpoint list is asked for again.
-pub const ENDPOINT_TIMER: u64 = 1;
+//! Constants and estimates that more than one part of the decisions uses. Spans: tenths of a millisecond.
+use crate::config::RequestClass;
+use crate::interface::{RequestInfo, Time, MS, SECOND};
 
 /// How often waiting requests are looked at again and attempts checked, at the most: coarse enough to cost
 /// little CPU. A sixteenth of the shortest latency objective where that is less.
@@ -41,3 +33,22 @@
 /// What checking two workers before each request brings, of its priority weight: 0.02 to 0.08 (with and
 /// without, on days of 40 to 300 gateways). Where two checks cost as much there are none.
 pub(super) const LOAD_CHECK_GAIN: f64 = 0.05;
+
+/// Right after a start the time that there was counts, so that a restarted gateway sees its rates at once;
+/// half a second at the least, or the first few requests would look like a flood.
+pub(super) fn per_second((count, span): (f64, Time)) -> f64 {
+    count * SECOND as f64 / span.max(SECOND / 2) as f64
+}
+
+/// Smoothing over about eight values: steady against chance, quick against change.
+pub(super) fn smooth(old: f64, new: f64) -> f64 {
+    old + (new - old) / 8.0
+}
+
+/// How long an attempt may take before it is late: three times the usual for a request of this cost, but
+/// early enough for another attempt within the latency objective.
+pub(super) fn lateness_limit(class: &RequestClass, info: &RequestInfo) -> Time {
+    let (objective, warm) = (class.objective_for(info), class.warm_latency);
+    let usual = 3.0 * class.expected_latency(info).max(warm);
+    usual.clamp(objective / 4.0, (objective - warm).max(objective / 2.0)) as Time
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,6 @@
 //! Settings in the form in which the decisions read them: looking them up by name for each request took most
 //! of the time at full size. It decides nothing.
-use crate::interface::Time;
+use crate::interface::{RequestInfo, Time};
 use crate::state::Counter;
 
 /// Settings that every request asks for, read once. Spans are in tenths of a millisecond.
@@ -66,6 +66,14 @@
     pub initial_share: f64,
 }
 
+impl SlowStart {
+    /// How warm a worker is at the least at this age, from 0 to 1; None when it is warm.
+    pub fn share_at(&self, age: Time) -> Option<f64> {
+        let SlowStart { duration, initial_share } = *self;
+        (age < duration).then(|| initial_share + (1.0 - initial_share) * age as f64 / duration as f64)
+    }
+}
+
 /// Rate limit of load requests: in any window at most `free` and a share of the requests that arrived in it.
 #[derive(Clone, Copy, Default)]
 pub struct LoadRequestLimit {
@@ -124,6 +132,19 @@
     pub mean_cost: f64,
 }
 
+impl RequestClass {
+    /// The usual warm latency of a request of this cost, where costs are hinted.
+    pub fn expected_latency(&self, info: &RequestInfo) -> f64 {
+        let hinted = self.mean_cost > 0.0 && info.cost_hint > 0;
+        self.warm_latency * if hinted { info.cost_hint as f64 / self.mean_cost } else { 1.0 }
+    }
+
+    /// The latency objective as clients show it, longer for much work where the settings say so.
+    pub fn objective_for(&self, info: &RequestInfo) -> f64 {
+        (self.observed_objective + self.objective_per_cost * info.cost_hint as f64).min(self.client_timeout)
+    }
+}
+
 /// A tenant and its recent attempts.
 #[derive(Default)]
 pub struct Tenant {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,6 +4,18 @@
 /// A point in time or a span, in whole tenths of a millisecond.
 pub type Time = u64;
 
+/// A millisecond.
+pub const MS: Time = 10;
+
+/// A second.
+pub const SECOND: Time = 10_000;
+
+/// Token of the timer of the sweep over the requests in hand.
+pub const SWEEP_TIMER: u64 = 0;
+
+/// Token of the timer after which the endpoint list is asked for again.
+pub const ENDPOINT_TIMER: u64 = 1;
+
 /// Index of a worker, given by the caller; used again once `Scheduler::forget_worker` says so.
 pub type WorkerId = usize;
 
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -1,25 +1,10 @@
-//! How requests wait and end. It carries out what `choice` has decided.
+//! Bookkeeping of ends: of attempts, and of requests that have their response. What follows is decided in `choice`.
 use crate::choice::tuning::MAX_ATTEMPTS;
 use crate::interface::{RequestInfo, RequestSlot, SchedulerActions};
 use crate::scheduler::Scheduler;
-use crate::state::{Attempt, AttemptState, Request};
+use crate::state::{Attempt, AttemptState};
 
 impl<A: SchedulerActions> Scheduler<A> {
-    /// Requests that wait here, oldest first, are tried again.
-    pub(crate) fn retry_waiting(&mut self, which: impl Fn(&Request) -> bool) {
-        for _ in 0..self.waiting.len() {
-            let Some(slot) = self.waiting.pop_front() else { return };
-            let Some(request) = self.requests.get_mut(slot).filter(|r| r.waiting) else { continue };
-            if !which(request) {
-                self.waiting.push_back(slot);
-                continue;
-            }
-            request.waiting = false;
-            self.request_loads(self.requests[slot].info.function);
-            self.dispatch(slot);
-        }
-    }
-
     /// The response of one attempt has begun; the others are cancelled.
     pub fn response_started(&mut self, slot: RequestSlot, attempt: usize) {
         let Some(request) = self.requests.get_mut(slot) else { return };
@@ -41,18 +26,6 @@
         }
     }
 
-    /// Cancels what is still in flight, but for one attempt.
-    pub(crate) fn cancel_attempts(&mut self, slot: RequestSlot, except: usize) {
-        for i in 0..self.requests[slot].attempt_count {
-            let state = self.requests[slot].attempts[i].state;
-            let out = i != except && matches!(state, AttemptState::InFlight | AttemptState::Overdue);
-            if out && self.config.may_cancel {
-                self.requests[slot].attempts[i].state = AttemptState::Cancelled;
-                self.host.cancel_attempt(slot, i);
-            }
-        }
-    }
-
     /// Counts the end of an attempt that is in flight: the attempt as it was, the position of its placement,
     /// and what is known of its request.
     pub(crate) fn end_attempt(
--- a/src/load_history.rs
+++ b/src/load_history.rs
@@ -1,5 +1,4 @@
 //! What the rate limit of load requests counts: arithmetic on times, without any value of its own.
-use crate::config::LoadRequestLimit;
 use crate::interface::Time;
 use std::collections::VecDeque;
 
@@ -27,13 +26,8 @@
         self.arrivals.insert(position, arrived_at);
     }
 
-    /// Whether one more load request is within `part` of the limit: counted from the beginning, where
-    /// `free_now` need no arrivals, and counted from each load request on.
-    pub fn allows_one_more(&self, limit: &LoadRequestLimit, free_now: f64, part: f64) -> bool {
-        let count = self.sent.len() + 1;
-        let since = |time| (self.arrivals.len() - self.arrivals.partition_point(|a| *a < time)) as f64;
-        let over = |i, time, free| (count - i) as f64 > (free + limit.per_request * since(time)) * part;
-        let mut sent = self.sent.iter().enumerate();
-        !(over(0, 0, free_now) || sent.any(|(i, sent_at)| over(i, *sent_at, limit.free)))
+    /// Arrivals at `time` or later.
+    pub fn arrivals_since(&self, time: Time) -> usize {
+        self.arrivals.len() - self.arrivals.partition_point(|arrival| *arrival < time)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -213,6 +213,16 @@
 }
 
 impl AttemptState {
+    /// What the end of an attempt proves of its execution.
+    pub fn after(outcome: Outcome) -> AttemptState {
+        use Outcome::{AtCapacity, ConnectFailed, Discarded, Miss, Reset};
+        match outcome {
+            Reset => AttemptState::ConnectionLost,
+            AtCapacity | ConnectFailed | Discarded | Miss => AttemptState::NotExecuted,
+            _ => AttemptState::MayHaveExecuted,
+        }
+    }
+
     /// Whether its end is still to come.
     pub fn is_outstanding(self) -> bool {
         matches!(self, AttemptState::InFlight | AttemptState::Overdue | AttemptState::Cancelled)
