--- /dev/null
+++ b/src/choice/tuning.rs
@@ -0,0 +1,54 @@
+//! Constants and estimates that more than one part of the decisions uses. Spans: tenths of a millisecond.
+use crate::config::RequestClass;
+use crate::interface::{RequestInfo, Time, MS, SECOND};
+
+/// How often waiting requests are looked at again and attempts checked, at the most: coarse enough to cost
+/// little CPU. A sixteenth of the shortest latency objective where that is less.
+pub(super) const MAX_SWEEP_INTERVAL: Time = 10 * MS;
+
+/// A step of the counts that slide over `COUNTER_STEPS` of them: the page's two seconds for R.
+pub const COUNTER_STEP: Time = SECOND / 10;
+pub(crate) const COUNTER_STEPS: usize = 20;
+
+/// More attempts than this a request never gets, whatever the settings allow.
+pub const MAX_ATTEMPTS: usize = 8;
+
+/// Placements of a function at most, several times what a request looks at: a thousand functions have them.
+pub(super) const MAX_PLACEMENTS: usize = 128;
+
+/// Where the learned limit starts: a few times what two cores run at once. It stops growing at what a gateway
+/// may have in flight in all: dozens of cores, or runs that mostly wait, take hundreds.
+pub(super) const INITIAL_IN_FLIGHT_LIMIT: f64 = 8.0;
+
+/// How long a load check's answer is waited for, several round trips between zones, and how long it holds.
+pub(super) const LOAD_CHECK_TIMEOUT: Time = 20 * MS;
+pub(super) const REPORT_LIFETIME: Time = 200 * MS;
+
+/// A worker that would take half a request's latency objective to get to it is full (the rest is its run).
+pub(super) const FULL_LOAD: f64 = 0.5;
+
+/// Reports are not used while more than this part of the answers contradicts them (tried: 0.25).
+pub(super) const MAX_REPORT_DISTRUST: f64 = 0.15;
+
+/// What checking two workers before each request brings, of its priority weight: 0.02 to 0.08 (with and
+/// without, on days of 40 to 300 gateways). Where two checks cost as much there are none.
+pub(super) const LOAD_CHECK_GAIN: f64 = 0.05;
+
+/// Right after a start the time that there was counts, so that a restarted gateway sees its rates at once;
+/// half a second at the least, or the first few requests would look like a flood.
+pub(super) fn per_second((count, span): (f64, Time)) -> f64 {
+    count * SECOND as f64 / span.max(SECOND / 2) as f64
+}
+
+/// Smoothing over about eight values: steady against chance, quick against change.
+pub(super) fn smooth(old: f64, new: f64) -> f64 {
+    old + (new - old) / 8.0
+}
+
+/// How long an attempt may take before it is late: three times the usual for a request of this cost, but
+/// early enough for another attempt within the latency objective.
+pub(super) fn lateness_limit(class: &RequestClass, info: &RequestInfo) -> Time {
+    let (objective, warm) = (class.objective_for(info), class.warm_latency);
+    let usual = 3.0 * class.expected_latency(info).max(warm);
+    usual.clamp(objective / 4.0, (objective - warm).max(objective / 2.0)) as Time
+}
