--- a/crates/tidewall-gateway/src/error.rs
+++ b/crates/tidewall-gateway/src/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
+use tidewall::settings::SettingsError;
 use tidewall_wire::WireError;
 
 /// Why a message of a worker, of the discovery server or of another gateway is refused. Its connection ends with this
@@ -44,8 +45,8 @@
         source: io::Error,
     },
     /// The scheduler's settings are refused; the text names the setting.
-    #[error("{0}")]
-    Settings(String),
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
     /// The VRRP parameters are refused; the text names the parameter.
     #[error("{0}")]
     Vrrp(String),
