Platform: the descriptor budget is a type with named limits

Cause: budget::share returned clients, links, a_worker and spread, which only the design page explained. The start-up log line prints the new field names.

--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -8,8 +8,8 @@
 use tidewall_gateway::worker_pool::GatewayLimits;
 use tidewall_gateway::{Gateway, GatewayConfig, DRAIN_GRACE};
 use tidewall_net::mio::{self, Mio};
-use tidewall_platform::budget::share;
 use tidewall_platform::config;
+use tidewall_platform::descriptor_budget::DescriptorBudget;
 use tidewall_platform_ingress::board::{take, Board};
 use tidewall_platform_ingress::lines::Lines;
 use tidewall_platform_ingress::Platform;
@@ -35,14 +35,14 @@
     let s = &config.settings;
     validate(s).map_err(|e| input(named(format!("field settings.{e}"))))?;
     let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
-    let budget = share(config.sockets as usize, priced);
+    let budget = DescriptorBudget::new(config.sockets as usize, priced);
     let setup = GatewayLimits {
         max_requests: s.number("allowed.most-held") as usize,
         connect_timeout: s.duration("allowed.connect-timeout-ms"),
         streams_per_connection: s.number("allowed.streams-per-conn") as usize,
-        connections_per_worker: budget.a_worker,
-        max_worker_connections: budget.links,
-        spread_threshold: budget.spread,
+        connections_per_worker: budget.connections_per_worker,
+        max_worker_connections: budget.worker_connections,
+        spread_threshold: budget.spread_threshold,
         // Ours end first: a launch that crosses the host's own close may have run.
         keep_alive: s.duration("allowed.keepalive-ms") * 3 / 4,
         health_check_timeout: s.duration("allowed.connect-timeout-ms"),
@@ -89,7 +89,7 @@
     gateway
         .add_ingress(
             config.listen,
-            Box::new(Platform::new(0, budget.clients, keyed)),
+            Box::new(Platform::new(0, budget.client_connections, keyed)),
         )
         .map_err(input)?;
     info!(gateway = config.name, ?budget, "serves");
--- a/crates/tidewall-platform/src/lib.rs
+++ b/crates/tidewall-platform/src/lib.rs
@@ -1,11 +1,12 @@
 //! The platform's protocol, without I/O: machines that are fed bytes in pieces, hold nothing that is not bounded, and hand each
 //! decoded field straight on. `client` reads commands and writes answers, `host` writes to hosts and reads their lines, `board`
-//! asks the notice board, `config` reads what a gateway is told at start, `budget` shares out the limits. The platform's names
+//! asks the notice board, `config` reads what a gateway is told at start, `descriptor_budget` shares out
+//! the limits. The platform's names
 //! stand here and in settings only.
 pub mod board;
-pub mod budget;
 pub mod client;
 pub mod config;
+pub mod descriptor_budget;
 pub mod host;
 
 /// A trace or function: 16 hexadecimal digits in lower case.
--- a/crates/tidewall-platform/tests/codecs.rs
+++ b/crates/tidewall-platform/tests/codecs.rs
@@ -4,7 +4,7 @@
 use help::*;
 use proptest::prelude::*;
 use test_case::test_case;
-use tidewall_platform::{board, budget, client, config, host, pairs};
+use tidewall_platform::{board, client, config, descriptor_budget::DescriptorBudget, host, pairs};
 
 #[test]
 fn a_call_is_read_at_every_cut() {
@@ -313,10 +313,13 @@
 #[test_case(256; "few")]
 #[test_case(1024; "usual")]
 fn budgets_stay_within_the_limit(sockets: usize) {
-    let b = budget::share(sockets, false);
-    assert!(b.clients + b.links + 20 <= sockets, "{b:?}");
+    let b = DescriptorBudget::new(sockets, false);
     assert!(
-        b.clients * 3 >= sockets,
+        b.client_connections + b.worker_connections + 20 <= sockets,
+        "{b:?}"
+    );
+    assert!(
+        b.client_connections * 3 >= sockets,
         "usual clients hold a third: {b:?}"
     );
 }
