--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -1,97 +1,139 @@
-//! `platform`: one gateway as the platform starts it.
+//! `platform`: one gateway as the platform starts it. All that it needs stands in the file that `ROUTER_CONFIG` names.
 use crate::{input, Failure};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use tidewall::settings::{validate, SettingsReader};
+use tidewall::settings::{validate, Settings, SettingsReader};
 use tidewall_gateway::endpoints::NoEndpointCache;
 use tidewall_gateway::protocol::ReceivedUpdates;
 use tidewall_gateway::worker_pool::GatewayLimits;
 use tidewall_gateway::{Gateway, GatewayConfig, DRAIN_GRACE};
 use tidewall_net::mio::{self, Mio};
-use tidewall_platform::config;
+use tidewall_platform::config::{self, PlatformConfig};
 use tidewall_platform::descriptor_budget::DescriptorBudget;
-use tidewall_platform_ingress::board::{take, Board};
-use tidewall_platform_ingress::lines::Lines;
-use tidewall_platform_ingress::Platform;
+use tidewall_platform_ingress::error::ReloadError;
+use tidewall_platform_ingress::host_protocol::HostProtocol;
+use tidewall_platform_ingress::notice_board::{deliver_notices, NoticeBoardSource};
+use tidewall_platform_ingress::PlatformIngress;
 use tracing::info;
 
-/// SIGHUP is a new configuration, the others are the end.
+/// SIGHUP reads the configuration again, the others shut the gateway down.
 const SIGNALS: [i32; 3] = [libc::SIGHUP, libc::SIGINT, libc::SIGTERM];
 
-/// A connection on which everything was given up and nothing is heard ends after this: several round trips and pauses.
-const SILENT: u64 = 30_000;
+/// A connection to a worker on which every attempt was abandoned and nothing arrives is closed after this, in tenths of a
+/// millisecond: several round trips and pauses.
+const WORKER_SILENCE_TIMEOUT: u64 = 30_000;
 
+/// A configuration that was read and checked.
+struct Loaded {
+    config: PlatformConfig,
+    /// The endpoints that the configuration holds.
+    endpoints: ReceivedUpdates,
+    /// The notice board's revision of these endpoints.
+    revision: u64,
+}
+
+/// Runs a gateway until it is told to stop. What is wrong with the configuration is an input failure that names the file
+/// and the field.
 pub fn platform() -> Result<(), Failure> {
-    let path = std::env::var_os("ROUTER_CONFIG").map(PathBuf::from);
-    let file = path.ok_or_else(|| input("ROUTER_CONFIG: not set".to_string()))?;
-    let named = |e: String| format!("{}: {e}", file.display());
-    let text = std::fs::read(&file).map_err(|e| input(named(e.to_string())))?;
-    let config = config::read(&text).map_err(|e| input(named(e)))?;
-    let mut first = ReceivedUpdates::default();
-    let known = take(&config.known, 0, &mut first);
-    let rev = known
-        .map_err(|e| input(named(format!("field known: {e}"))))?
-        .unwrap_or(0);
-    let s = &config.settings;
-    validate(s).map_err(|e| input(named(format!("field settings.{e}"))))?;
-    let priced = s.number("deductions.connection") + s.number("deductions.handshake") > 0.0;
-    let budget = DescriptorBudget::new(config.sockets as usize, priced);
-    let setup = GatewayLimits {
-        max_requests: s.number("allowed.most-held") as usize,
-        connect_timeout: s.duration("allowed.connect-timeout-ms"),
-        streams_per_connection: s.number("allowed.streams-per-conn") as usize,
-        connections_per_worker: budget.connections_per_worker,
-        max_worker_connections: budget.worker_connections,
-        spread_threshold: budget.spread_threshold,
-        // Ours end first: a launch that crosses the host's own close may have run.
-        keep_alive: s.duration("allowed.keepalive-ms") * 3 / 4,
-        health_check_timeout: s.duration("allowed.connect-timeout-ms"),
-        load_request_timeout: s.duration("extra.order-timeout-ms"),
-        silence_timeout: SILENT,
-    };
-    let types = s.number("classes.count") as usize;
-    let keyed = (0..types)
-        .map(|i| s.is(&format!("classes.{i}.semantics"), "idempotency_key"))
-        .collect();
-    let again = move || {
-        let text = std::fs::read(&file).map_err(|e| e.to_string())?;
-        config::board(&text)
+    let file = std::env::var_os("ROUTER_CONFIG").map(PathBuf::from);
+    let file = file.ok_or_else(|| input("ROUTER_CONFIG: not set"))?;
+    let Loaded {
+        config,
+        endpoints,
+        revision,
+    } = load(&file)?;
+    let settings = &config.settings;
+    let connections_cost =
+        settings.number("deductions.connection") + settings.number("deductions.handshake") > 0.0;
+    let budget = DescriptorBudget::new(config.descriptors as usize, connections_cost);
+    let limits = gateway_limits(settings, &budget);
+    let ingress = PlatformIngress::new(
+        0,
+        budget.client_connections,
+        classes_with_idempotency_key(settings),
+    );
+    let read_address = move || {
+        let text = std::fs::read(&file)?;
+        Ok::<_, ReloadError>(config::parse_notice_board(&text)?)
     };
-    let board = Board::new(config.board, rev, config.seed, Box::new(again));
+    let discovery = NoticeBoardSource::new(
+        config.notice_board,
+        revision,
+        config.seed,
+        Box::new(read_address),
+    );
     let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
     net.signals(&SIGNALS)
         .map_err(|e| Failure::Run(e.to_string()))?;
-    let start = GatewayConfig {
+    let gateway_config = GatewayConfig {
         name: config.name.clone(),
-        index: config.me,
+        index: config.gateway_index,
         seed: config.seed,
         settings: config.settings,
-        discovery: config.board,
-        discovery_retry: setup.connect_timeout,
+        discovery: config.notice_board,
+        discovery_retry: limits.connect_timeout,
         peers: config.peers.into_iter().map(Some).collect(),
         peer_listen: config.peer_listen,
-        limits: setup,
+        limits,
         failover: None,
     };
     let mut gateway = Gateway::with_protocols(
         net,
-        start,
+        gateway_config,
         Box::new(NoEndpointCache),
-        Rc::new(Lines),
-        Box::new(board),
+        Rc::new(HostProtocol),
+        Box::new(discovery),
     )
     .map_err(input)?;
     gateway.set_drain_grace(DRAIN_GRACE);
-    first
-        .updates
-        .iter()
-        .for_each(|(entries, whole)| gateway.update_endpoints(entries, *whole));
+    for (records, complete) in &endpoints.updates {
+        gateway.update_endpoints(records, *complete);
+    }
     gateway
-        .add_ingress(
-            config.listen,
-            Box::new(Platform::new(0, budget.client_connections, keyed)),
-        )
+        .add_ingress(config.listen, Box::new(ingress))
         .map_err(input)?;
-    info!(gateway = config.name, ?budget, "serves");
+    info!(gateway = config.name, ?budget, "gateway started");
     mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))
 }
+
+/// Reads and checks the configuration.
+fn load(file: &Path) -> Result<Loaded, Failure> {
+    let refused = |reason: &dyn std::fmt::Display| input(format!("{}: {reason}", file.display()));
+    let text = std::fs::read(file).map_err(|e| refused(&e))?;
+    let config = config::parse(&text).map_err(|e| refused(&e))?;
+    let mut endpoints = ReceivedUpdates::default();
+    let revision = deliver_notices(&config.initial_notices, 0, &mut endpoints)
+        .map_err(|e| refused(&format_args!("field known: {e}")))?
+        .unwrap_or(0);
+    validate(&config.settings).map_err(|e| refused(&format_args!("field settings.{e}")))?;
+    Ok(Loaded {
+        config,
+        endpoints,
+        revision,
+    })
+}
+
+/// The gateway's limits by the settings and the descriptor budget.
+fn gateway_limits(settings: &Settings, budget: &DescriptorBudget) -> GatewayLimits {
+    GatewayLimits {
+        max_requests: settings.number("allowed.most-held") as usize,
+        connect_timeout: settings.duration("allowed.connect-timeout-ms"),
+        streams_per_connection: settings.number("allowed.streams-per-conn") as usize,
+        connections_per_worker: budget.connections_per_worker,
+        max_worker_connections: budget.worker_connections,
+        spread_threshold: budget.spread_threshold,
+        // The gateway closes first: an attempt that crosses the host's own close may have been executed.
+        keep_alive: settings.duration("allowed.keepalive-ms") * 3 / 4,
+        health_check_timeout: settings.duration("allowed.connect-timeout-ms"),
+        load_request_timeout: settings.duration("extra.order-timeout-ms"),
+        silence_timeout: WORKER_SILENCE_TIMEOUT,
+    }
+}
+
+/// By class, whether its calls need an idempotency key.
+fn classes_with_idempotency_key(settings: &Settings) -> Vec<bool> {
+    let classes = settings.number("classes.count") as usize;
+    (0..classes)
+        .map(|class| settings.is(&format!("classes.{class}.semantics"), "idempotency_key"))
+        .collect()
+}
--- /dev/null
+++ b/crates/tidewall-platform-ingress/src/commands.rs
@@ -0,0 +1,159 @@
+//! What becomes of a client's commands.
+use crate::error::{ConnectionError, InvalidCall};
+use crate::PlatformIngress;
+use tidewall_gateway::ingress::{remaining_time, Disposition, IncomingRequest, ReplyHandle};
+use tidewall_gateway::IngressContext;
+use tidewall_net::{Conn, Net, Time};
+use tidewall_platform::client_command::{CallError, CallRequest, ClientCommand};
+use tidewall_platform::client_reply::ReplyStatus;
+use tidewall_platform::printable;
+
+/// The most open calls of one connection, as the platform's page has it.
+const MAX_OPEN_CALLS: u32 = 32;
+
+/// The indices of a call's class and tenant in the settings.
+struct CallTarget {
+    class: usize,
+    tenant: Option<usize>,
+}
+
+/// A time of the wire in the gateway's unit, tenths of a millisecond.
+fn time_from_ms(ms: f64) -> Time {
+    (ms * 10.0) as Time
+}
+
+impl PlatformIngress {
+    /// Handles a command; an error ends its connection.
+    pub(crate) fn handle_command<N: Net>(
+        &mut self,
+        context: &mut IngressContext<N>,
+        conn: Conn,
+        command: ClientCommand,
+    ) -> Result<(), ConnectionError> {
+        let now = context.net().now();
+        self.connections.slot(conn).command_received(now);
+        match command {
+            ClientCommand::Call { tag, call } => self.handle_call(context, conn, tag, call)?,
+            ClientCommand::Cancel { tag } => self.cancel_call(context, conn, tag),
+            ClientCommand::HealthCheck { tag } => self.reply_to_health_check(context, conn, tag),
+        }
+        Ok(())
+    }
+
+    fn handle_call<N: Net>(
+        &mut self,
+        context: &mut IngressContext<N>,
+        conn: Conn,
+        tag: u64,
+        call: Result<CallRequest, CallError>,
+    ) -> Result<(), ConnectionError> {
+        let connection = self.connections.slot(conn);
+        if tag <= connection.highest_tag {
+            return Err(ConnectionError::TagReused);
+        }
+        connection.highest_tag = tag;
+        let checked = call.map_err(InvalidCall::from).and_then(|call| {
+            let target = self.check_call(context, &call)?;
+            Ok((call, target))
+        });
+        match checked {
+            Ok((call, target)) => self.admit_call(context, conn, tag, &call, &target),
+            Err(error) => {
+                self.log_malformed(&error, "call");
+                context.counters().malformed += 1;
+                self.refuse_call(context, conn, tag, Disposition::Failed);
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks a call against the settings and the calls in flight.
+    fn check_call<N: Net>(
+        &self,
+        context: &IngressContext<N>,
+        call: &CallRequest,
+    ) -> Result<CallTarget, InvalidCall> {
+        let class = context.class_names().iter().position(|c| c == call.class);
+        let class = class.ok_or_else(|| InvalidCall::UnknownClass(printable(call.class)))?;
+        let tenants = context.tenant_names();
+        let tenant = tenants.iter().position(|t| Some(t.as_str()) == call.tenant);
+        if tenant.is_none() && (call.tenant.is_some() || !tenants.is_empty()) {
+            return Err(InvalidCall::UnknownTenant);
+        }
+        if self.needs_idempotency_key[class] && call.idempotency_key.is_empty() {
+            return Err(InvalidCall::IdempotencyKeyMissing);
+        }
+        if self.calls.contains_request(call.request_id) {
+            return Err(InvalidCall::DuplicateRequest);
+        }
+        Ok(CallTarget { class, tenant })
+    }
+
+    fn admit_call<N: Net>(
+        &mut self,
+        context: &mut IngressContext<N>,
+        conn: Conn,
+        tag: u64,
+        call: &CallRequest,
+        target: &CallTarget,
+    ) {
+        // Shorter by what the command may have lain unread here.
+        let read_delay = context.net().read_delay();
+        let remaining = remaining_time(time_from_ms(call.timeout_ms), read_delay).unwrap_or(0);
+        if self.connections.slot(conn).open_calls >= MAX_OPEN_CALLS || remaining == 0 {
+            context.counters().refused += 1;
+            return self.refuse_call(context, conn, tag, Disposition::Rejected);
+        }
+        let request = IncomingRequest {
+            reply_handle: ReplyHandle::default(),
+            id: call.request_id,
+            class: target.class,
+            tenant: target.tenant,
+            function: call.function,
+            lanes: call.lanes as u32,
+            memory: call.memory_mb,
+            cost_hint: time_from_ms(call.cost_hint_ms),
+            load_hint: time_from_ms(call.load_hint_ms),
+            remaining,
+            is_retry: call.is_retry,
+            idempotency_key: call.idempotency_key.as_bytes(),
+            payload: call.payload,
+        };
+        let key = self
+            .calls
+            .insert(&mut self.connections, conn, tag, call.request_id);
+        let reply_handle = self.calls.reply_handle(key);
+        match context.admit(&IncomingRequest {
+            reply_handle,
+            ..request
+        }) {
+            Ok(request_slot) => self.calls.admitted(key, request_slot),
+            Err(_) => {
+                self.calls.remove(&mut self.connections, key);
+                self.refuse_call(context, conn, tag, Disposition::Rejected);
+            }
+        }
+    }
+
+    /// The client stops waiting. Its call may be gone already: the reply may have crossed this command.
+    fn cancel_call<N: Net>(&mut self, context: &mut IngressContext<N>, conn: Conn, tag: u64) {
+        if let Some(key) = self.calls.find_tag(conn, tag) {
+            self.abandon_call(context, key);
+        }
+    }
+
+    fn reply_to_health_check<N: Net>(
+        &mut self,
+        context: &mut IngressContext<N>,
+        conn: Conn,
+        tag: u64,
+    ) {
+        let status = if context.is_shutting_down() {
+            ReplyStatus::Down
+        } else {
+            ReplyStatus::Up
+        };
+        self.encode_reply(tag, status, &[]);
+        context.net().write(conn, &self.out);
+    }
+}
--- /dev/null
+++ b/crates/tidewall-platform-ingress/src/notice_board.rs
@@ -0,0 +1,232 @@
+//! The platform's notice board as the gateway's discovery source.
+use crate::error::ReloadError;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tidewall::interface::{EndpointState, Time};
+use tidewall_gateway::endpoints::EndpointRecord;
+use tidewall_gateway::error::ProtocolError;
+use tidewall_gateway::protocol::{DiscoveryEvents, DiscoverySource, LocalIdentity};
+use tidewall_platform::notice_board::{
+    self, HostEntry, HostState, Json, NoticeBoardError, PollRequest,
+};
+use tracing::warn;
+
+/// How long the board may hold a poll, in milliseconds. A change counts as known 2 s after the end of the wait that was
+/// asked for, so a short wait keeps a silent board from making the endpoint list stale, at one poll a second.
+const POLL_WAIT_MS: u64 = 1_000;
+
+/// A board that is silent for so much longer than the poll's wait hangs. Tenths of a millisecond: of the 2 s that are left
+/// by then, the rest is for the next connection.
+const SILENCE_MARGIN: Time = 7_000;
+
+/// The delay of the second retry in a row, in tenths of a millisecond; the first one comes at once.
+const BASE_RETRY_DELAY: Time = 200;
+
+/// The longest retry delay, in tenths of a millisecond: half a second.
+const MAX_RETRY_DELAY: Time = 5_000;
+
+/// The retry delay is doubled at most so often; it has reached its maximum before.
+const MAX_DOUBLINGS: u32 = 8;
+
+/// Reads the notice board's address from the configuration as it is now.
+pub type ReadAddress = Box<dyn FnMut() -> Result<SocketAddr, ReloadError>>;
+
+/// The notice board, polled over one connection at a time.
+pub struct NoticeBoardSource {
+    address: SocketAddr,
+    /// The address as text, for the polls.
+    host: String,
+    /// The revision of the last response that was used; 0 asks for the complete list.
+    revision: u64,
+    /// Whether the connection takes another poll.
+    keep_alive: bool,
+    /// Connections that ended since the last response.
+    failures: u32,
+    random: ChaCha8Rng,
+    read_address: ReadAddress,
+}
+
+impl NoticeBoardSource {
+    /// A source at `address` that knows all notices up to `revision`. `seed` is that of the jitter of retry delays;
+    /// `read_address` is called when the configuration is to be read again.
+    pub fn new(
+        address: SocketAddr,
+        revision: u64,
+        seed: u64,
+        read_address: ReadAddress,
+    ) -> NoticeBoardSource {
+        NoticeBoardSource {
+            address,
+            host: address.to_string(),
+            revision,
+            keep_alive: true,
+            failures: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            read_address,
+        }
+    }
+
+    fn write_poll(&self, out: &mut Vec<u8>) {
+        let poll = PollRequest {
+            host: &self.host,
+            revision: self.revision,
+            wait_ms: POLL_WAIT_MS,
+        };
+        poll.encode(out);
+    }
+}
+
+/// Unix time in milliseconds.
+fn unix_time_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
+/// One host as the gateway's endpoint list has it. A host that is removed may come without an address.
+fn endpoint_record(host: &HostEntry, now_ms: u64) -> Result<EndpointRecord, NoticeBoardError> {
+    let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+    Ok(EndpointRecord {
+        name: host.id.to_string(),
+        address: host.socket_address()?.unwrap_or(unspecified),
+        zone: host.zone.to_string(),
+        machine: host.machine.to_string(),
+        cell: host.cell.min(u64::from(u32::MAX)) as u32,
+        state: match host.state {
+            HostState::Up => EndpointState::Active,
+            HostState::Draining => EndpointState::Draining,
+            HostState::Removed => EndpointState::Removed,
+        },
+        rating: host.weight,
+        incarnation: host.started_ms,
+        // At least 1 for a known start, as 0 stands for a start long ago.
+        age: if host.started_ms == 0 {
+            0
+        } else {
+            (now_ms.saturating_sub(host.started_ms) * 10).max(1)
+        },
+    })
+}
+
+/// Endpoints that are handed to the gateway together.
+struct EndpointUpdate {
+    records: Vec<EndpointRecord>,
+    complete: bool,
+}
+
+impl EndpointUpdate {
+    /// Replaces the records of the same names, and adds the others.
+    fn merge(&mut self, records: Vec<EndpointRecord>) {
+        for record in records {
+            match self.records.iter_mut().find(|r| r.name == record.name) {
+                Some(known) => *known = record,
+                None => self.records.push(record),
+            }
+        }
+    }
+}
+
+/// Hands the notices behind `last_revision` to the gateway, all of a response or none. Gives back the last revision, or
+/// `None` where notices between are missing: then nothing was handed over, and the complete list is to be asked for.
+pub fn deliver_notices(
+    json: &Json,
+    last_revision: u64,
+    events: &mut dyn DiscoveryEvents,
+) -> Result<Option<u64>, NoticeBoardError> {
+    let now_ms = unix_time_ms();
+    let Some(notices) = notice_board::decode_notices(json, last_revision)? else {
+        return Ok(None);
+    };
+    let mut updates: Vec<EndpointUpdate> = Vec::new();
+    for list in notices.lists {
+        let records = list
+            .hosts
+            .iter()
+            .map(|host| endpoint_record(host, now_ms))
+            .collect::<Result<Vec<_>, _>>()?;
+        match updates.last_mut() {
+            // What follows a complete list in one response belongs to it: no endpoint is gone in between.
+            Some(last) if last.complete && !list.complete => last.merge(records),
+            _ => updates.push(EndpointUpdate {
+                records,
+                complete: list.complete,
+            }),
+        }
+    }
+    for update in updates {
+        events.endpoints_received(&update.records, update.complete);
+    }
+    Ok(Some(notices.revision))
+}
+
+impl DiscoverySource for NoticeBoardSource {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn write_subscription(&mut self, out: &mut Vec<u8>, _identity: &LocalIdentity, _follows: bool) {
+        self.write_poll(out);
+    }
+
+    fn read_message(
+        &mut self,
+        bytes: &[u8],
+        events: &mut dyn DiscoveryEvents,
+    ) -> Result<Option<usize>, ProtocolError> {
+        let decoded = notice_board::decode_response(bytes).map_err(ProtocolError::other)?;
+        let Some(response) = decoded else {
+            return Ok(None);
+        };
+        let json = notice_board::parse_json(&response.body).map_err(ProtocolError::other)?;
+        let revision =
+            deliver_notices(&json, self.revision, events).map_err(ProtocolError::other)?;
+        if revision.is_none() {
+            warn!(
+                last = self.revision,
+                "notice board skipped revisions: requesting the complete endpoint list"
+            );
+        }
+        self.revision = revision.unwrap_or(0);
+        self.keep_alive = response.keep_alive;
+        self.failures = 0;
+        Ok(Some(response.length))
+    }
+
+    fn write_next_poll(&mut self, out: &mut Vec<u8>) -> bool {
+        if self.keep_alive {
+            self.write_poll(out);
+        }
+        self.keep_alive
+    }
+
+    fn silence_timeout(&self) -> Option<Time> {
+        Some(POLL_WAIT_MS * 10 + SILENCE_MARGIN)
+    }
+
+    fn retry_delay(&mut self) -> Time {
+        let delay = if self.failures == 0 {
+            1
+        } else {
+            (BASE_RETRY_DELAY << self.failures.min(MAX_DOUBLINGS)).min(MAX_RETRY_DELAY)
+        };
+        self.failures += 1;
+        // Jitter of a quarter either way, so that gateways do not come back together.
+        delay * 3 / 4 + self.random.random_range(0..=delay / 2)
+    }
+
+    fn reload(&mut self) -> bool {
+        match (self.read_address)() {
+            Ok(address) => {
+                let changed = address != self.address;
+                (self.address, self.host, self.failures) = (address, address.to_string(), 0);
+                changed
+            }
+            Err(error) => {
+                warn!(reason = error.to_string(), "configuration reload failed");
+                false
+            }
+        }
+    }
+}
--- a/crates/tidewall-platform-ingress/tests/help/mod.rs
+++ b/crates/tidewall-platform-ingress/tests/common/mod.rs
@@ -9,10 +9,11 @@
 use tidewall_gateway::{Gateway, GatewayConfig};
 use tidewall_net::memory::{self, Memory, World};
 use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
-use tidewall_platform::{board, config};
-use tidewall_platform_ingress::board::{take, Board};
-use tidewall_platform_ingress::lines::Lines;
-use tidewall_platform_ingress::Platform;
+use tidewall_platform::{config, notice_board};
+use tidewall_platform_ingress::error::ReloadError;
+use tidewall_platform_ingress::host_protocol::HostProtocol;
+use tidewall_platform_ingress::notice_board::{deliver_notices, NoticeBoardSource};
+use tidewall_platform_ingress::PlatformIngress;
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
 pub const SECOND: Time = 10_000;
@@ -21,22 +22,24 @@
     text.parse().unwrap()
 }
 
-/// What a host does with a launch.
+/// What a host does with an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Does {
+pub enum HostBehavior {
+    /// Answers `ok`.
     Answers,
-    /// Says so instead of an answer, ID being the launch's, and goes on to answer later ones.
-    Says(&'static str),
-    /// Says so to its first launch only.
-    Once(&'static str),
-    /// Its connection breaks under the first launch, which has run.
-    BreaksOnce,
-    Nothing,
+    /// Sends this instead of an answer, `ID` being the request's.
+    Sends(&'static str),
+    /// Sends this to the first attempt only, and answers the others.
+    SendsOnce(&'static str),
+    /// Resets its connection at the first attempt, which has been executed, and answers the others.
+    ResetsOnce,
+    /// Never answers.
+    Silent,
 }
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Role {
-    Host(Does),
+    Host(HostBehavior),
     Board,
     Client,
 }
@@ -44,34 +47,40 @@
 pub struct Peer {
     pub net: Memory,
     pub role: Role,
-    /// What came, whole: lines of hosts, requests of a board; of clients the bytes of each connection.
-    pub got: Vec<(Conn, String)>,
-    pub over: Vec<Conn>,
-    pub conns: Vec<Conn>,
-    /// Launches at all hosts so far.
-    launches: Rc<Cell<usize>>,
-    /// What a board answers next; nothing is silence.
-    pub news: Option<String>,
+    /// What arrived: of hosts complete lines, of a board and of clients what each read gave.
+    pub received_texts: Vec<(Conn, String)>,
+    pub closed_conns: Vec<Conn>,
+    pub open_conns: Vec<Conn>,
+    /// Attempts at all hosts so far.
+    attempts: Rc<Cell<usize>>,
+    /// What a board answers next; `None` is silence.
+    pub next_response: Option<String>,
 }
 
 impl Peer {
     fn line(&mut self, conn: Conn, line: &str) {
-        self.got.push((conn, line.to_string()));
-        let Role::Host(does) = self.role else { return };
+        self.received_texts.push((conn, line.to_string()));
+        let Role::Host(behavior) = self.role else {
+            return;
+        };
         let id = line.split(' ').nth(1).unwrap_or("");
         let usual = format!("{id} ok res=hit 3\r\nyes\r\n");
         let out = match line.split(' ').next().unwrap_or("") {
             "stage" => format!("{id} ok copies=2 0\r\n\r\n"),
             "stat" => format!("{id} yes gauges=q:0;rif:1 0\r\n\r\n"),
             "go" => {
-                self.launches.set(self.launches.get() + 1);
-                match does {
-                    Does::Answers => usual,
-                    Does::Says(text) => text.replace("ID", id),
-                    Does::Once(text) if self.launches.get() == 1 => text.replace("ID", id),
-                    Does::BreaksOnce if self.launches.get() == 1 => return self.net.reset(conn),
-                    Does::Once(_) | Does::BreaksOnce => usual,
-                    Does::Nothing => return,
+                self.attempts.set(self.attempts.get() + 1);
+                match behavior {
+                    HostBehavior::Answers => usual,
+                    HostBehavior::Sends(text) => text.replace("ID", id),
+                    HostBehavior::SendsOnce(text) if self.attempts.get() == 1 => {
+                        text.replace("ID", id)
+                    }
+                    HostBehavior::ResetsOnce if self.attempts.get() == 1 => {
+                        return self.net.reset(conn)
+                    }
+                    HostBehavior::SendsOnce(_) | HostBehavior::ResetsOnce => usual,
+                    HostBehavior::Silent => return,
                 }
             }
             _ => return,
@@ -80,20 +89,20 @@
     }
 
     pub fn lines(&self, verb: &str) -> Vec<&str> {
-        let own = self.got.iter().map(|g| g.1.as_str());
+        let own = self.received_texts.iter().map(|g| g.1.as_str());
         own.filter(|l| l.split(' ').next() == Some(verb)).collect()
     }
 
-    /// Answers what was asked last, or says so on its own.
-    pub fn tell(&mut self, text: &str) {
-        for conn in self.conns.clone() {
+    /// Sends this on all open connections, asked for or not.
+    pub fn send_to_all(&mut self, text: &str) {
+        for conn in self.open_conns.clone() {
             self.net.write(conn, text.as_bytes());
         }
     }
 
-    /// All that came on this connection.
+    /// All that arrived on this connection.
     pub fn text(&self, conn: Conn) -> String {
-        self.got
+        self.received_texts
             .iter()
             .filter(|g| g.0 == conn)
             .map(|g| g.1.as_str())
@@ -107,20 +116,20 @@
         &mut self.net
     }
     fn accepted(&mut self, _: Listener, conn: Conn, _: SocketAddr) {
-        self.conns.push(conn);
+        self.open_conns.push(conn);
     }
     fn connected(&mut self, _: Conn) {}
     fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let text = String::from_utf8_lossy(bytes).to_string();
         match self.role {
             Role::Client => {
-                self.got.push((conn, text));
+                self.received_texts.push((conn, text));
                 bytes.len()
             }
             Role::Board => {
-                self.got.push((conn, text));
-                if let Some(news) = self.news.take() {
-                    self.net.write(conn, news.as_bytes());
+                self.received_texts.push((conn, text));
+                if let Some(response) = self.next_response.take() {
+                    self.net.write(conn, response.as_bytes());
                 }
                 bytes.len()
             }
@@ -141,8 +150,8 @@
     }
     fn writable(&mut self, _: Conn) {}
     fn closed(&mut self, conn: Conn, _: CloseReason) {
-        self.conns.retain(|c| *c != conn);
-        self.over.push(conn);
+        self.open_conns.retain(|c| *c != conn);
+        self.closed_conns.push(conn);
     }
     fn timer_fired(&mut self, _: u64) {}
 }
@@ -150,10 +159,10 @@
 pub struct Site {
     pub world: Rc<RefCell<World>>,
     pub gateway: Gateway<Memory>,
-    pub hand: Memory,
+    pub gateway_net: Memory,
     pub board: Peer,
-    /// Where a new configuration says that the board is.
-    pub moved: Rc<Cell<Option<SocketAddr>>>,
+    /// The board's address in a changed configuration; `None` while it cannot be read.
+    pub moved_board: Rc<Cell<Option<SocketAddr>>>,
     pub hosts: Vec<Peer>,
     pub client: Peer,
     tag: u64,
@@ -163,7 +172,7 @@
 pub const SIBLING: &str = "127.0.0.1:721";
 pub const GATEWAY: &str = "127.0.0.1:700";
 
-/// Types: "check" redeliverable, "record" keyed in a zone, "issue" at-most-once.
+/// Classes: "check" is idempotent, "record" has idempotency keys with a scope of a zone, "issue" is non-idempotent.
 const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:700","seed":"7","limits":{"memory_mb":32,"sockets":256},
  "board":"127.0.0.1:701","known":{"rev":1,"notices":[{"rev":1,"pool":{"version":0,"full":true,"servers":[HOSTS]}}]},
  "settings":{"me":0,"siblings":1,"tick-ms":1.0,"zones":["z"],"kinds":["k"],"discovery":"pushed",
@@ -175,111 +184,120 @@
   {"name":"issue","aim-ms":500.0,"deadline-ms":2000.0,"worth":1.0,"semantics":"non_idempotent"}],
  "extra":{"orders":true,"order-timeout-ms":4000.0,"if-cold":"load","stays-loaded-ms":60000.0,"load-window-ms":0}}}"#;
 
-pub fn host(wk: usize, state: &str) -> String {
+/// A host's entry on the board.
+pub fn host(index: usize, state: &str) -> String {
     let place = format!(
-        "\"id\":\"s-{wk}\",\"addr\":\"127.0.0.1:{}\",\"state\":\"{state}\"",
-        800 + wk
+        "\"id\":\"s-{index}\",\"addr\":\"127.0.0.1:{}\",\"state\":\"{state}\"",
+        800 + index
     );
     format!("{{{place},\"zone\":\"z\",\"kind\":\"k\",\"cell\":0,\"weight\":4,\"started_ms\":0}}")
 }
 
-pub fn site(does: &[Does]) -> Site {
-    site_of(does, 128, 100)
+pub fn site(behaviors: &[HostBehavior]) -> Site {
+    site_with_limits(behaviors, 128, 100)
 }
 
-/// Joins gateway, board, one host for each of `does`, and a client, in this order.
-pub fn site_of(does: &[Does], most: usize, links: usize) -> Site {
+/// Joins gateway, board, one host for each behavior, and a client, in this order.
+pub fn site_with_limits(
+    behaviors: &[HostBehavior],
+    max_clients: usize,
+    max_worker_connections: usize,
+) -> Site {
     let world = memory::world();
-    let hand = Memory::join(&world);
-    let launches = Rc::new(Cell::new(0));
+    let gateway_net = Memory::join(&world);
+    let attempts = Rc::new(Cell::new(0));
     let peer = |role| Peer {
         net: Memory::join(&world),
         role,
-        got: Vec::new(),
-        over: Vec::new(),
-        conns: Vec::new(),
-        launches: launches.clone(),
-        news: None,
+        received_texts: Vec::new(),
+        closed_conns: Vec::new(),
+        open_conns: Vec::new(),
+        attempts: attempts.clone(),
+        next_response: None,
     };
     let mut board = peer(Role::Board);
     board.net.listen(at(BOARD)).unwrap();
     let mut hosts = Vec::new();
-    for (i, does) in does.iter().enumerate() {
-        let mut host = peer(Role::Host(*does));
+    for (i, behavior) in behaviors.iter().enumerate() {
+        let mut host = peer(Role::Host(*behavior));
         host.net
             .listen(at(&format!("127.0.0.1:{}", 800 + i)))
             .unwrap();
         hosts.push(host);
     }
     let client = peer(Role::Client);
-    let list: Vec<String> = (0..does.len()).map(|wk| host(wk, "up")).collect();
-    let config = config::read(CONFIG.replace("HOSTS", &list.join(",")).as_bytes())
-        .ok()
+    let list: Vec<String> = (0..behaviors.len()).map(|i| host(i, "up")).collect();
+    let config = config::parse(CONFIG.replace("HOSTS", &list.join(",")).as_bytes()).unwrap();
+    let mut endpoints = ReceivedUpdates::default();
+    let revision = deliver_notices(&config.initial_notices, 0, &mut endpoints)
+        .unwrap()
         .unwrap();
-    let mut first = ReceivedUpdates::default();
-    let rev = take(&config.known, 0, &mut first).unwrap().unwrap();
-    let moved = Rc::new(Cell::new(None));
-    let again = moved.clone();
-    let feed = Board::new(
-        config.board,
-        rev,
+    let moved_board = Rc::new(Cell::new(None));
+    let configured = moved_board.clone();
+    let unreadable = || ReloadError::Read(std::io::Error::other("n0.json: it cannot be read"));
+    let discovery = NoticeBoardSource::new(
+        config.notice_board,
+        revision,
         7,
-        Box::new(move || again.get().ok_or("n0.json: it cannot be read".to_string())),
+        Box::new(move || configured.get().ok_or_else(unreadable)),
     );
-    let setup = GatewayLimits {
+    let limits = GatewayLimits {
         max_requests: 200,
         connect_timeout: 2_500,
         streams_per_connection: 32,
         connections_per_worker: 4,
-        max_worker_connections: links,
+        max_worker_connections,
         spread_threshold: 1,
         keep_alive: 300_000,
         health_check_timeout: 2_500,
         load_request_timeout: 40_000,
         silence_timeout: 30_000,
     };
-    let start = GatewayConfig {
+    let gateway_config = GatewayConfig {
         name: config.name.clone(),
         index: 0,
         seed: config.seed,
         settings: config.settings,
-        discovery: config.board,
+        discovery: config.notice_board,
         discovery_retry: 2_500,
         peers: vec![Some(at("127.0.0.1:720")), Some(at(SIBLING))],
         peer_listen: Some(at("127.0.0.1:720")),
-        limits: setup,
+        limits,
         failover: None,
     };
     let mut gateway = Gateway::with_protocols(
-        hand.clone(),
-        start,
+        gateway_net.clone(),
+        gateway_config,
         Box::new(NoEndpointCache),
-        Rc::new(Lines),
-        Box::new(feed),
+        Rc::new(HostProtocol),
+        Box::new(discovery),
     )
     .unwrap();
     gateway.set_drain_grace(8_000);
-    first
-        .updates
-        .iter()
-        .for_each(|(entries, whole)| gateway.update_endpoints(entries, *whole));
+    for (records, complete) in &endpoints.updates {
+        gateway.update_endpoints(records, *complete);
+    }
     gateway
         .add_ingress(
             at(GATEWAY),
-            Box::new(Platform::new(0, most, vec![false, true, false])),
+            Box::new(PlatformIngress::new(
+                0,
+                max_clients,
+                vec![false, true, false],
+            )),
         )
         .unwrap();
     let mut site = Site {
         world,
         gateway,
-        hand,
+        gateway_net,
         board,
-        moved,
+        moved_board,
         hosts,
         client,
         tag: 0,
     };
-    site.pass(100);
+    site.advance(100);
     site
 }
 
@@ -291,22 +309,23 @@
     format!("*{}\r\n{}", words.len(), words.concat())
 }
 
-/// A call with this trace.
-pub fn call(tag: u64, trace: u64, typ: &str, patience: u64) -> String {
+/// A call of this request id.
+pub fn call(tag: u64, request_id: u64, class: &str, patience: u64) -> String {
     let fields = format!(
-        "trace={trace:016x},patience={patience},customer=acme,nonce=n{trace},entity={FUNCTION},extras=lanes:100"
+        "trace={request_id:016x},patience={patience},customer=acme,nonce=n{request_id},entity={FUNCTION},extras=lanes:100"
     );
-    command(&["CALL", &tag.to_string(), typ, &fields, "body"])
+    command(&["CALL", &tag.to_string(), class, &fields, "body"])
 }
 
-pub fn news(rev: u64, hosts: &[String], full: bool) -> String {
+/// A board's response with one notice.
+pub fn poll_response(rev: u64, hosts: &[String], full: bool) -> String {
     let pool = format!(
         "{{\"version\":1,\"full\":{full},\"servers\":[{}]}}",
         hosts.join(",")
     );
     let body = format!("{{\"rev\":{rev},\"notices\":[{{\"rev\":{rev},\"pool\":{pool}}}]}}");
-    // What a board writes is what the codec reads.
-    assert!(board::json(body.as_bytes()).is_ok());
+    // The codec accepts it as JSON.
+    assert!(notice_board::parse_json(body.as_bytes()).is_ok());
     format!(
         "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
@@ -314,8 +333,8 @@
 }
 
 impl Site {
-    pub fn pass(&mut self, time: Time) {
-        let until = self.hand.now() + time;
+    pub fn advance(&mut self, time: Time) {
+        let until = self.gateway_net.now() + time;
         let mut apps: Vec<&mut dyn App<Net = Memory>> = vec![&mut self.gateway, &mut self.board];
         self.hosts.iter_mut().for_each(|w| apps.push(w));
         apps.push(&mut self.client);
@@ -330,16 +349,16 @@
         assert!(self.client.net.write(conn, text.as_bytes()));
     }
 
-    /// One call on a connection of its own; what came back within this time.
-    pub fn ask(&mut self, typ: &str, time: Time) -> String {
+    /// One call on a connection of its own; what was replied within this time.
+    pub fn call_and_wait(&mut self, class: &str, time: Time) -> String {
         self.tag += 1;
         let conn = self.connect();
-        self.send(conn, &call(1, self.tag, typ, 2000));
-        self.pass(time);
+        self.send(conn, &call(1, self.tag, class, 2000));
+        self.advance(time);
         self.client.text(conn)
     }
 
-    pub fn launches(&self) -> usize {
+    pub fn attempts(&self) -> usize {
         self.hosts.iter().map(|h| h.lines("go").len()).sum()
     }
 }
--- a/crates/tidewall-platform/src/config.rs
+++ b/crates/tidewall-platform/src/config.rs
@@ -1,27 +1,74 @@
-//! What a gateway is told at start: one JSON file. The settings become the flat map that the decisions read on the bench's
-//! wire: the same names, units and forms of lists. Nothing is filled in: a missing figure is named.
-use serde_json::Value;
+//! The configuration that the platform starts a gateway with: one JSON file. Its settings become the flat map that the
+//! scheduler reads from the bench's wire: the same names, units and forms of lists. No default is filled in here: a figure
+//! that is missing is named.
+use crate::fields::printable;
+use crate::notice_board::Json;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use thiserror::Error;
 
-pub struct Config {
+/// The configuration of one gateway.
+#[derive(Clone, Debug)]
+pub struct PlatformConfig {
+    /// The gateway's name.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Seed of the gateway's random numbers.
     pub seed: u64,
-    pub board: SocketAddr,
+    /// The notice board's address.
+    pub notice_board: SocketAddr,
+    /// The memory that the process may take, in MB.
     pub memory_mb: u64,
-    pub sockets: u64,
-    pub me: usize,
-    /// Where datagrams of other gateways come in, and their addresses by number; none where the settings bar them.
+    /// The descriptors that the process may hold.
+    pub descriptors: u64,
+    /// The gateway's index among its siblings, from 0.
+    pub gateway_index: usize,
+    /// Where datagrams of other gateways arrive; `None` where the settings do not allow them.
     pub peer_listen: Option<SocketAddr>,
+    /// The addresses of all gateways by their index; empty where the settings do not allow datagrams.
     pub peers: Vec<SocketAddr>,
+    /// The settings by their full names.
     pub settings: BTreeMap<String, String>,
-    /// The board's events up to now, as an answer of the board holds them.
-    pub known: Value,
+    /// The notices up to now, in the form of a notice board's response.
+    pub initial_notices: Json,
 }
 
-/// Figures without which no decision can be right.
-const NEEDED: [&str; 11] = [
+/// Why a configuration is refused: one line that names the field.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file is no JSON; the text names the place in it.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// A field is missing or has another type.
+    #[error("field {0}: missing")]
+    Missing(String),
+    /// A field is missing or no whole number.
+    #[error("field {0}: missing or no number")]
+    NotNumber(&'static str),
+    /// The seed is missing or no hexadecimal number of 64 bits.
+    #[error("field seed: missing or not hexadecimal")]
+    Seed,
+    /// An address cannot be read.
+    #[error("field {field}: '{value}' is no address and port")]
+    Address {
+        /// The field's name.
+        field: &'static str,
+        /// Its value, printable.
+        value: String,
+    },
+    /// A time or count that has to be positive is under 1 or no number.
+    #[error("field settings.{setting}: '{value}' is under 1")]
+    UnderOne {
+        /// The setting's name.
+        setting: &'static str,
+        /// Its value, printable.
+        value: String,
+    },
+}
+
+/// Settings without which no decision can be right.
+const REQUIRED_SETTINGS: [&str; 11] = [
     "allowed.connect-timeout-ms",
     "allowed.keepalive-ms",
     "allowed.max-attempts",
@@ -35,122 +82,133 @@
     "zones",
 ];
 
-/// Times and counts without which nothing could be sent or held: with none of them every connection ends as it is made, and
-/// every event is turned away.
-const AT_LEAST_1: [&str; 5] = [
+/// Times and counts without which nothing could be sent or held: with a 0 each connection would end as it is made, or each
+/// request be rejected.
+const POSITIVE_SETTINGS: [&str; 5] = [
     "allowed.connect-timeout-ms",
     "allowed.keepalive-ms",
     "allowed.most-held",
     "allowed.streams-per-conn",
-    "extra.order-timeout-ms",
+    LOAD_REQUEST_TIMEOUT,
 ];
 
-/// Errors name the field.
-pub fn read(text: &[u8]) -> Result<Config, String> {
-    let json: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let field = |path: &str| format!("field {path}: missing or no number");
-    let whole = |path: &str| {
-        json.pointer(path)
-            .and_then(Value::as_u64)
-            .ok_or_else(|| field(&path[1..]))
-    };
-    let mut settings = BTreeMap::new();
+/// Needed where load requests are allowed.
+const LOAD_REQUEST_TIMEOUT: &str = "extra.order-timeout-ms";
+
+/// Reads a configuration; an error names the first field that is refused.
+pub fn parse(text: &[u8]) -> Result<PlatformConfig, ConfigError> {
+    let json: Json = serde_json::from_slice(text)?;
+    let settings = parse_settings(&json)?;
+    let is_on = |name: &str| settings.get(name).is_some_and(|value| value == "true");
+    let allows_datagrams = is_on("allowed.peers");
+    let (mut peers, mut peer_listen) = (Vec::new(), None);
+    if allows_datagrams {
+        for peer in json["peers"].as_array().into_iter().flatten() {
+            peers.push(parse_address("peers", peer.as_str().unwrap_or(""))?);
+        }
+        peer_listen = Some(address_field(&json, "peer_listen")?);
+    }
+    Ok(PlatformConfig {
+        name: text_field(&json, "name")?.to_string(),
+        listen: address_field(&json, "listen")?,
+        seed: json["seed"]
+            .as_str()
+            .and_then(|digits| u64::from_str_radix(digits, 16).ok())
+            .ok_or(ConfigError::Seed)?,
+        notice_board: address_field(&json, "board")?,
+        memory_mb: whole_number(&json["limits"]["memory_mb"], "limits/memory_mb")?,
+        descriptors: whole_number(&json["limits"]["sockets"], "limits/sockets")?,
+        gateway_index: whole_number(&json["settings"]["me"], "settings/me")? as usize,
+        peer_listen,
+        peers,
+        settings,
+        initial_notices: json
+            .get("known")
+            .cloned()
+            .ok_or_else(|| ConfigError::Missing("known".to_string()))?,
+    })
+}
+
+/// Reads the notice board's address alone, from a configuration that replaces an earlier one.
+pub fn parse_notice_board(text: &[u8]) -> Result<SocketAddr, ConfigError> {
+    let json: Json = serde_json::from_slice(text)?;
+    address_field(&json, "board")
+}
+
+/// The settings by their full names, with all that are required.
+fn parse_settings(json: &Json) -> Result<BTreeMap<String, String>, ConfigError> {
     if !json["settings"].is_object() {
-        return Err("field settings: missing".to_string());
+        return Err(ConfigError::Missing("settings".to_string()));
     }
+    let mut settings = BTreeMap::new();
     flatten("", &json["settings"], &mut settings);
-    for name in NEEDED {
-        if !settings.contains_key(name) {
-            return Err(format!("field settings.{name}: missing"));
-        }
+    for setting in REQUIRED_SETTINGS {
+        require(&settings, setting)?;
     }
-    for name in AT_LEAST_1 {
-        let value = settings
-            .get(name)
-            .filter(|v| v.parse::<f64>().map_or(true, |v| v.is_nan() || v < 1.0));
-        if let Some(value) = value {
-            return Err(format!(
-                "field settings.{name}: '{}' is under 1",
-                crate::shown(value)
-            ));
+    for setting in POSITIVE_SETTINGS {
+        let Some(value) = settings.get(setting) else {
+            continue;
+        };
+        // NaN is not positive either.
+        let is_positive = value.parse::<f64>().is_ok_and(|number| number >= 1.0);
+        if !is_positive {
+            return Err(ConfigError::UnderOne {
+                setting,
+                value: printable(value),
+            });
         }
     }
-    let orders = settings.get("extra.orders").is_some_and(|o| o == "true");
-    if orders && !settings.contains_key("extra.order-timeout-ms") {
-        return Err("field settings.extra.order-timeout-ms: missing".to_string());
+    let allows_load_requests = settings
+        .get("extra.orders")
+        .is_some_and(|value| value == "true");
+    if allows_load_requests {
+        require(&settings, LOAD_REQUEST_TIMEOUT)?;
     }
-    let told = settings.get("allowed.peers").is_some_and(|p| p == "true");
-    let mut peers = Vec::new();
-    for peer in json["peers"]
-        .as_array()
-        .into_iter()
-        .flatten()
-        .filter(|_| told)
-    {
-        let text = peer.as_str().unwrap_or("");
-        peers.push(text.parse().map_err(|_| {
-            format!(
-                "field peers: '{}' is no address and port",
-                crate::shown(text)
-            )
-        })?);
-    }
-    let peer_listen = if told {
-        Some(address(&json, "peer_listen")?)
+    Ok(settings)
+}
+
+fn require(settings: &BTreeMap<String, String>, setting: &str) -> Result<(), ConfigError> {
+    if settings.contains_key(setting) {
+        Ok(())
     } else {
-        None
-    };
-    let seed = json["seed"]
-        .as_str()
-        .and_then(|s| u64::from_str_radix(s, 16).ok());
-    Ok(Config {
-        name: text_of(&json, "name")?.to_string(),
-        listen: address(&json, "listen")?,
-        seed: seed.ok_or("field seed: missing or not hexadecimal")?,
-        board: address(&json, "board")?,
-        memory_mb: whole("/limits/memory_mb")?,
-        sockets: whole("/limits/sockets")?,
-        me: whole("/settings/me")? as usize,
-        peer_listen,
-        peers,
-        settings,
-        known: json.get("known").cloned().ok_or("field known: missing")?,
-    })
+        Err(ConfigError::Missing(format!("settings.{setting}")))
+    }
 }
 
-/// The board's address alone, as a file that replaced the first one tells it.
-pub fn board(text: &[u8]) -> Result<SocketAddr, String> {
-    let json: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    address(&json, "board")
+fn whole_number(value: &Json, field: &'static str) -> Result<u64, ConfigError> {
+    value.as_u64().ok_or(ConfigError::NotNumber(field))
 }
 
-fn text_of<'a>(json: &'a Value, name: &str) -> Result<&'a str, String> {
-    json[name]
+fn text_field<'a>(json: &'a Json, field: &str) -> Result<&'a str, ConfigError> {
+    json[field]
         .as_str()
-        .ok_or_else(|| format!("field {name}: missing"))
+        .ok_or_else(|| ConfigError::Missing(field.to_string()))
+}
+
+fn address_field(json: &Json, field: &'static str) -> Result<SocketAddr, ConfigError> {
+    parse_address(field, text_field(json, field)?)
 }
 
-fn address(json: &Value, name: &str) -> Result<SocketAddr, String> {
-    let text = text_of(json, name)?;
-    text.parse().map_err(|_| {
-        format!(
-            "field {name}: '{}' is no address and port",
-            crate::shown(text)
-        )
+fn parse_address(field: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::Address {
+        field,
+        value: printable(text),
     })
 }
 
-/// A value as the bench's wire writes it within lists and pairs.
-fn plain(value: &Value) -> Option<String> {
+/// A value as the bench's wire writes it within lists and pairs: blanks and commas, which separate there, become `_`.
+fn scalar_text(value: &Json) -> Option<String> {
     match value {
-        Value::String(text) => Some(text.replace([' ', ','], "_")),
-        Value::Number(number) => Some(number.to_string()),
-        Value::Bool(on) => Some(on.to_string()),
+        Json::String(text) => Some(text.replace([' ', ','], "_")),
+        Json::Number(number) => Some(number.to_string()),
+        Json::Bool(on) => Some(on.to_string()),
         _ => None,
     }
 }
 
-fn flatten(path: &str, value: &Value, settings: &mut BTreeMap<String, String>) {
+/// Adds `value` under `path`: fields of objects and items of lists of objects under paths of their own, with the length of
+/// such a list as `count`; lists of scalars as one value. `null` is left out.
+fn flatten(path: &str, value: &Json, settings: &mut BTreeMap<String, String>) {
     let below = |name: &str| {
         if path.is_empty() {
             name.to_string()
@@ -159,24 +217,24 @@
         }
     };
     match value {
-        Value::Object(fields) => {
+        Json::Object(fields) => {
             for (name, value) in fields {
                 flatten(&below(name), value, settings);
             }
         }
-        Value::Array(items) if items.iter().any(Value::is_object) => {
+        Json::Array(items) if items.iter().any(Json::is_object) => {
             settings.insert(below("count"), items.len().to_string());
-            for (i, item) in items.iter().enumerate() {
-                flatten(&below(&i.to_string()), item, settings);
+            for (index, item) in items.iter().enumerate() {
+                flatten(&below(&index.to_string()), item, settings);
             }
         }
-        Value::Array(items) => {
-            let items: Vec<String> = items.iter().filter_map(plain).collect();
+        Json::Array(items) => {
+            let items: Vec<String> = items.iter().filter_map(scalar_text).collect();
             settings.insert(path.to_string(), items.join(","));
         }
-        Value::Null => {}
-        plain_one => {
-            settings.insert(path.to_string(), plain(plain_one).unwrap_or_default());
+        Json::Null => {}
+        scalar => {
+            settings.insert(path.to_string(), scalar_text(scalar).unwrap_or_default());
         }
     }
 }
--- a/crates/tidewall-platform/tests/codecs.rs
+++ b/crates/tidewall-platform/tests/codecs.rs
@@ -1,43 +1,60 @@
 //! Every codec at every cut of its bytes, with the odd lengths of bad clients and bad peers.
-mod help;
+#![allow(clippy::unwrap_used, missing_docs)]
+mod common;
 
-use help::*;
+use common::*;
 use proptest::prelude::*;
 use test_case::test_case;
-use tidewall_platform::{board, client, config, descriptor_budget::DescriptorBudget, host, pairs};
+use tidewall_platform::client_command::ClientCommand;
+use tidewall_platform::client_reply::{ClientReply, ReplyStatus};
+use tidewall_platform::descriptor_budget::DescriptorBudget;
+use tidewall_platform::host_lines::{
+    parse_gauges, AnswerId, AnswerStatus, DecodedAnswer, Gauge, HostAnswer, HostRequest,
+    InstanceNote,
+};
+use tidewall_platform::{config, name_value_pairs, notice_board};
 
 #[test]
-fn a_call_is_read_at_every_cut() {
-    let call = command(&["CALL", "7", "stock-check", &usual(), "body"]);
+fn a_call_is_decoded_at_every_cut() {
+    let call = command(&["CALL", "7", "stock-check", &usual_fields(), "body"]);
     for cut in 0..call.len() {
-        let mut told = Told::default();
+        let stream = decode_commands(&call[..cut]).unwrap();
         assert_eq!(
-            (commands(&call[..cut], &mut told), told.0.len()),
-            (Ok(cut), 0),
+            (stream.left, stream.messages.len()),
+            (cut, 0),
             "cut at {cut}"
         );
     }
-    let mut told = Told::default();
-    assert_eq!(commands(&call, &mut told), Ok(0));
-    let line = format!("7 {TRACE} stock-check Some(\"acme\") n1 {FUNCTION} 1500 8.2 512 2 0 4");
-    assert_eq!(told.0, [line]);
+    let stream = decode_commands(&call).unwrap();
+    assert_eq!(stream.left, 0);
+    let expected = ClientCommand::Call {
+        tag: 7,
+        call: Ok(usual_call("stock-check", b"body")),
+    };
+    assert_eq!(stream.messages, [expected]);
 }
 
 #[test]
-fn commands_that_share_a_read_are_all_told() {
-    let call = command(&["CALL", "7", "a", &usual(), ""]);
+fn commands_that_share_a_read_are_all_decoded() {
+    let call = command(&["CALL", "7", "a", &usual_fields(), ""]);
     let all = [
         call,
         command(&["CANCEL", "7"]),
         command(&["CHECK", "8", ""]),
     ]
     .concat();
-    let mut told = Told::default();
-    assert_eq!(commands(&all, &mut told), Ok(0));
-    assert_eq!(told.0[1..], ["7 cancel", "8 check"]);
+    let stream = decode_commands(&all).unwrap();
+    assert_eq!(stream.left, 0);
+    assert_eq!(
+        stream.messages[1..],
+        [
+            ClientCommand::Cancel { tag: 7 },
+            ClientCommand::HealthCheck { tag: 8 }
+        ]
+    );
 }
 
-// What leaves a connection of no use; a length is judged before any of its bytes came.
+// What ends a connection; a length is judged before any of its bytes came.
 #[test_case(b"GET / HTTP/1.1\r\n", "array: '*' expected"; "another protocol")]
 #[test_case(b"*-1\r\n", "array: no number"; "a negative count")]
 #[test_case(b"*1000000000\r\n", "array: 1000000000 words"; "a huge count")]
@@ -51,13 +68,10 @@
 #[test_case(b"*2\r\n$5\r\nCHECK\r\n$1\r\n0\r\n", "tag: no number from 1 up"; "tag 0")]
 #[test_case(b"*2\r\n$5\r\nCHECK\r\n$2\r\n-1\r\n", "tag: no number from 1 up"; "a negative tag")]
 fn broken_framing_is_named(bytes: &[u8], reason: &str) {
-    assert_eq!(
-        commands(bytes, &mut Told::default()),
-        Err(reason.to_string())
-    );
+    assert_eq!(decode_commands(bytes), Err(reason.to_string()));
 }
 
-// What fails one call and leaves its connection good.
+// What fails one call and leaves its connection usable.
 #[test_case("patience=1", "field trace: missing"; "no id")]
 #[test_case("trace=9B1F03AA5C7E2D41", "field trace: not 16 hexadecimal digits"; "an id in capitals would not go on as it came")]
 #[test_case("trace=9b1f03aa5c7e2d41,patience=0,entity=7f3a9c21e0b4d655", "field patience: missing"; "no time")]
@@ -75,63 +89,98 @@
 #[test_case("nonce=a b", "field nonce: not 1 to 64 plain characters"; "a key that would break a line")]
 #[test_case("what", "'what' is not name=value"; "no pair")]
 fn fields_at_fault_are_named(fields: &str, reason: &str) {
-    let mut told = Told::default();
-    assert_eq!(
-        commands(&command(&["CALL", "3", "a", fields, ""]), &mut told),
-        Ok(0)
-    );
-    assert_eq!(told.0, [format!("3 bad {reason}")]);
+    let (tag, error) = call_error(&command(&["CALL", "3", "a", fields, ""]));
+    assert_eq!((tag, error.to_string().as_str()), (3, reason));
 }
 
-#[test_case("OK", "", b"xy", "*4\r\n$2\r\n12\r\n$2\r\nOK\r\n$0\r\n\r\n$2\r\nxy\r\n"; "with a body")]
-#[test_case("BUSY", "pause=50", b"", "*4\r\n$2\r\n12\r\n$4\r\nBUSY\r\n$8\r\npause=50\r\n$0\r\n\r\n"; "with a time")]
-#[test_case("FAILED", "", b"", "*2\r\n$2\r\n12\r\n$6\r\nFAILED\r\n"; "bare")]
-fn answers_have_their_tag(word: &str, fields: &str, body: &[u8], whole: &str) {
+#[test_case(ReplyStatus::Completed, b"xy", "*4\r\n$2\r\n12\r\n$2\r\nOK\r\n$0\r\n\r\n$2\r\nxy\r\n"; "with a body")]
+#[test_case(ReplyStatus::Rejected { retry_after_ms: 50 }, b"", "*4\r\n$2\r\n12\r\n$4\r\nBUSY\r\n$8\r\npause=50\r\n$0\r\n\r\n"; "with a time")]
+#[test_case(ReplyStatus::Rejected { retry_after_ms: 0 }, b"", "*2\r\n$2\r\n12\r\n$4\r\nBUSY\r\n"; "rejected without a time")]
+#[test_case(ReplyStatus::Failed, b"", "*2\r\n$2\r\n12\r\n$6\r\nFAILED\r\n"; "bare")]
+#[test_case(ReplyStatus::Up, b"", "*2\r\n$2\r\n12\r\n$2\r\nUP\r\n"; "serving")]
+#[test_case(ReplyStatus::Down, b"", "*2\r\n$2\r\n12\r\n$4\r\nDOWN\r\n"; "shutting down")]
+fn replies_have_their_tag(status: ReplyStatus, payload: &[u8], expected: &str) {
     let mut out = Vec::new();
-    client::answer(&mut out, 12, word, fields, body);
-    assert_eq!(String::from_utf8(out).unwrap(), whole);
+    let reply = ClientReply {
+        tag: 12,
+        status,
+        payload,
+    };
+    reply.encode(&mut out);
+    assert_eq!(String::from_utf8(out).unwrap(), expected);
 }
 
 #[test]
 fn lines_to_hosts() {
     let mut out = Vec::new();
-    host::go(&mut out, 0x9b1f, "a", FUNCTION, 80, b"key", b"body");
-    host::go(&mut out, 1, "a", FUNCTION, 80, b"", b"");
-    host::halt(&mut out, 0x9b1f);
-    host::stat(&mut out, 5);
-    host::stage(&mut out, 6, FUNCTION, 2);
-    host::purge(&mut out, FUNCTION);
-    let whole = "go 0000000000009b1f kind=a,obj=7f3a9c21e0b4d655,ms=80,token=key 4\r\nbody\r\n\
+    let attempt = |request_id, idempotency_key, payload| HostRequest::Attempt {
+        request_id,
+        class: "a",
+        function: FUNCTION,
+        timeout_ms: 80,
+        idempotency_key,
+        payload,
+    };
+    attempt(0x9b1f, b"key", b"body").encode(&mut out);
+    attempt(1, b"", b"").encode(&mut out);
+    HostRequest::Cancel { request_id: 0x9b1f }.encode(&mut out);
+    HostRequest::HealthCheck { call_id: 5 }.encode(&mut out);
+    HostRequest::LoadInstances {
+        call_id: 6,
+        function: FUNCTION,
+        instances: 2,
+    }
+    .encode(&mut out);
+    HostRequest::Unload { function: FUNCTION }.encode(&mut out);
+    let expected = "go 0000000000009b1f kind=a,obj=7f3a9c21e0b4d655,ms=80,token=key 4\r\nbody\r\n\
                  go 0000000000000001 kind=a,obj=7f3a9c21e0b4d655,ms=80 0\r\n\r\n\
                  halt 0000000000009b1f\r\nstat t5\r\nstage t6 obj=7f3a9c21e0b4d655,copies=2\r\npurge 7f3a9c21e0b4d655\r\n";
-    assert_eq!(String::from_utf8(out).unwrap(), whole);
+    assert_eq!(String::from_utf8(out).unwrap(), expected);
 }
 
 const ANSWER: &[u8] =
     b"9b1f03aa5c7e2d41 ok res=hit,queue_fn=3 4\r\nbody\r\nt6 ok copies=2 0\r\n\r\n";
 
 #[test]
-fn answers_of_hosts_are_read_at_every_cut() {
+fn answers_of_hosts_are_decoded_at_every_cut() {
     let first = 48;
     for cut in 0..ANSWER.len() {
-        let mut told = Told::default();
-        let whole = if cut < first { 0 } else { first };
-        assert_eq!(
-            answers(&ANSWER[..cut], &mut told),
-            Ok(cut - whole),
-            "cut at {cut}"
-        );
-        assert_eq!(told.0.len(), usize::from(cut >= first));
+        let stream = decode_answers(&ANSWER[..cut]).unwrap();
+        let complete = if cut < first { 0 } else { first };
+        assert_eq!(stream.left, cut - complete, "cut at {cut}");
+        assert_eq!(stream.messages.len(), usize::from(cut >= first));
     }
-    let mut told = Told::default();
-    assert_eq!(answers(ANSWER, &mut told), Ok(0));
-    assert_eq!(
-        told.0,
-        [
-            "Trace(11177656830387957057) ok hit 3 0 4",
-            "Tag(6) ok  0 2 0"
-        ]
-    );
+    let attempt = HostAnswer {
+        id: AnswerId::Request(0x9b1f_03aa_5c7e_2d41),
+        status: AnswerStatus::Completed,
+        instance: InstanceNote::Loaded,
+        concurrent_requests: 3,
+        instances: 0,
+        load: None,
+        payload: b"body",
+    };
+    let load_request = HostAnswer {
+        id: AnswerId::Call(6),
+        instance: InstanceNote::NotReported,
+        concurrent_requests: 0,
+        instances: 2,
+        payload: b"",
+        ..attempt
+    };
+    let expected = Stream {
+        messages: vec![
+            DecodedAnswer {
+                answer: Some(attempt),
+                length: first,
+            },
+            DecodedAnswer {
+                answer: Some(load_request),
+                length: ANSWER.len() - first,
+            },
+        ],
+        left: 0,
+    };
+    assert_eq!(decode_answers(ANSWER), Ok(expected));
 }
 
 #[test_case(b"9b1f03aa5c7e2d41 ok - 3000000000\r\n", "length: 3000000000 bytes, at most 262144"; "three gigabytes")]
@@ -142,55 +191,69 @@
 #[test_case(b"\xff\xfe\xfd\r\n", "line: no text"; "noise")]
 #[test_case(b"hello\r\n", "line: 'hello'"; "one word")]
 #[test_case(b"9b1f03aa5c7e2d41 ok copies=x 0\r\n\r\n", "field copies: no number"; "a figure that is none")]
-fn spoilt_answers_are_named(bytes: &[u8], reason: &str) {
-    assert_eq!(
-        answers(bytes, &mut Told::default()),
-        Err(reason.to_string())
-    );
+#[test_case(b"9b1f03aa5c7e2d41 ok - 99999999999999999999\r\n", "length: out of range"; "a length beyond 64 bits")]
+#[test_case(b"9b1f03aa5c7e2d41 fine - 0\r\n\r\n", "word: 'fine'"; "an unknown status")]
+#[test_case(b"9b1f03aa5c7e2d41 ok res=warm 0\r\n\r\n", "field res: 'warm'"; "an unknown state of the instance")]
+#[test_case(b"9b1f03aa5c7e2d41 ok gauges=rif 0\r\n\r\n", "field gauges: 'rif' is not name:number"; "a load report without a number")]
+fn malformed_answers_are_named(bytes: &[u8], reason: &str) {
+    assert_eq!(decode_answers(bytes), Err(reason.to_string()));
 }
 
 #[test]
 fn a_line_that_never_ends_is_not_waited_for() {
     assert_eq!(
-        answers(&[b'a'; 2000], &mut Told::default()),
+        decode_answers(&[b'a'; 2000]),
         Err("line: too long".to_string())
     );
 }
 
-// An answer under an id that is none of ours is nobody's, and the connection stays good.
+// An answer under an id that no gateway gives belongs to nothing, and the connection stays usable.
 #[test]
-fn unknown_ids_are_passed_over() {
-    let mut told = Told::default();
-    assert_eq!(answers(b"x-1 ok - 2\r\nab\r\n", &mut told), Ok(0));
-    assert!(told.0.is_empty());
+fn answers_under_unknown_ids_are_skipped() {
+    let stream = decode_answers(b"x-1 ok - 2\r\nab\r\n").unwrap();
+    assert_eq!(stream.left, 0);
+    assert!(stream
+        .messages
+        .iter()
+        .all(|decoded| decoded.answer.is_none()));
+    // Whatever else it says.
+    let stream = decode_answers(b"x-1 fine res=warm,gauges=rif 0\r\n\r\n").unwrap();
+    assert_eq!((stream.left, stream.messages.len()), (0, 1));
+    assert_eq!(stream.messages[0].answer, None);
 }
 
-#[test_case("q:3;rif:7;x1:1.25", Ok(vec![("q", 3.0), ("rif", 7.0), ("x1", 1.25)]); "as told")]
+#[test_case("q:3;rif:7;x1:1.25", Ok(vec![("q", 3.0), ("rif", 7.0), ("x1", 1.25)]); "all are given back")]
 #[test_case("rif:NaN", Err("field gauges: 'rif:NaN' is not name:number".to_string()); "not a number")]
 #[test_case("rif", Err("field gauges: 'rif' is not name:number".to_string()); "no number")]
-fn load_reports(text: &str, values: Result<Vec<(&str, f64)>, String>) {
-    assert_eq!(host::gauges(text).collect::<Result<Vec<_>, _>>(), values);
+fn gauges_of_load_reports(text: &str, values: Result<Vec<(&str, f64)>, String>) {
+    let gauges = parse_gauges(text).collect::<Result<Vec<_>, _>>();
+    let gauges = gauges.map_err(|error| error.to_string());
+    let values = values.map(|values| {
+        let gauge = |(name, value)| Gauge { name, value };
+        values.into_iter().map(gauge).collect()
+    });
+    assert_eq!(gauges, values);
 }
 
 const POLL: &str = "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"rev\":4,\"notices\":[]}\n";
 const CHUNKS: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n{\"rev\":4\r\nf\r\n,\"notices\":[]}\n\r\n0\r\n\r\n";
 
-#[test_case(POLL; "of a told length")]
+#[test_case(POLL; "with content length")]
 #[test_case(CHUNKS; "in chunks")]
-fn polls_are_read_at_every_cut(text: &str) {
+fn poll_responses_are_decoded_at_every_cut(text: &str) {
+    let decode = |bytes| notice_board::decode_response(bytes).map_err(|error| error.to_string());
     for cut in 0..text.len() {
-        assert_eq!(
-            board::read(&text.as_bytes()[..cut]),
-            Ok(None),
-            "cut at {cut}"
-        );
+        assert_eq!(decode(&text.as_bytes()[..cut]), Ok(None), "cut at {cut}");
     }
-    let (len, goes_on, body) = board::read(text.as_bytes()).unwrap().unwrap();
-    assert_eq!((len, goes_on), (text.len(), true));
-    let json = board::json(&body).unwrap();
+    let response = decode(text.as_bytes()).unwrap().unwrap();
+    assert_eq!((response.length, response.keep_alive), (text.len(), true));
+    let json = notice_board::parse_json(&response.body).unwrap();
     // Nothing new behind 4; behind 3 one is missing.
-    let behind = [4, 3].map(|last| board::notices(&json, last, &mut |_, _| ()));
-    assert_eq!(behind, [Ok(Some(4)), Ok(None)]);
+    let revision = |last| {
+        let update = notice_board::decode_notices(&json, last).unwrap();
+        update.map(|update| update.revision)
+    };
+    assert_eq!([4, 3].map(revision), [Some(4), None]);
 }
 
 #[test_case("HTTP/1.1 500 No\r\n\r\n", "status: 500"; "another status")]
@@ -198,30 +261,30 @@
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n", "content-length: 9999999 is too much"; "too long")]
 #[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "chunk: no size"; "a chunk without size")]
 #[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n", "chunk: too much"; "a huge chunk")]
-fn odd_polls_are_named(text: &str, reason: &str) {
-    assert_eq!(board::read(text.as_bytes()), Err(reason.to_string()));
+fn odd_poll_responses_are_named(text: &str, reason: &str) {
+    let error = notice_board::decode_response(text.as_bytes()).unwrap_err();
+    assert_eq!(error.to_string(), reason);
 }
 
-/// What is told of events behind number 4.
-fn heard(text: &str) -> (Result<Option<u64>, String>, Vec<String>) {
-    let mut heard = Vec::new();
-    let rev = board::notices(
-        &board::json(text.as_bytes()).unwrap(),
-        4,
-        &mut |hosts, full| {
-            heard.push(format!(
-                "{full} {}",
-                hosts.iter().map(|h| h.id).collect::<Vec<_>>().join(" ")
-            ));
-        },
-    );
-    (rev, heard)
+/// The revision and the lists of the notices behind revision 4.
+type Update = Result<Option<(u64, Vec<String>)>, String>;
+
+fn update(text: &str) -> Update {
+    let json = notice_board::parse_json(text.as_bytes()).unwrap();
+    let update = notice_board::decode_notices(&json, 4).map_err(|error| error.to_string())?;
+    Ok(update.map(|update| {
+        let lists = update.lists.iter().map(|list| {
+            let ids: Vec<&str> = list.hosts.iter().map(|host| host.id).collect();
+            format!("{} {}", list.complete, ids.join(" "))
+        });
+        (update.revision, lists.collect())
+    }))
 }
 
 const HOST: &str = r#"{"id":"ID","addr":"127.0.0.1:1","zone":"z","kind":"k","cell":1,"state":"up","weight":4,"started_ms":0}"#;
 
 #[test]
-fn notices_come_in_their_order_and_once() {
+fn notices_are_ordered_and_deduplicated() {
     let host = |id: &str| HOST.replace("ID", id);
     let pool = |rev: u64, id: &str| {
         format!(
@@ -236,45 +299,47 @@
         pool(5, "b"),
         pool(4, "a")
     );
-    assert_eq!(
-        heard(&text),
-        (
-            Ok(Some(7)),
-            vec!["false b".to_string(), "false c".to_string()]
-        )
-    );
+    let lists = vec!["false b".to_string(), "false c".to_string()];
+    assert_eq!(update(&text), Ok(Some((7, lists))));
 }
 
-/// Behind number 4. What does not follow changes nothing and is asked for anew, whole; a whole list needs nothing before it.
+/// Behind revision 4. What does not follow is not used, so that a complete list is asked for; a complete list needs nothing
+/// before it.
 #[test_case(4, "", Some(4), 0; "nothing new")]
 #[test_case(6, "5 6", Some(6), 2; "two that follow")]
-#[test_case(6, "6 5 5", Some(6), 3; "in another order, and one told twice")]
+#[test_case(6, "6 5 5", Some(6), 3; "in another order, and one repeated")]
 #[test_case(3, "", None, 0; "the numbers went back")]
 #[test_case(6, "6", None, 0; "one is left out")]
 #[test_case(7, "5 7", None, 0; "one is left out between others")]
 #[test_case(6, "5", None, 0; "the last one is left out")]
-#[test_case(9, "8! 9", Some(9), 2; "a whole list and one behind it")]
-#[test_case(9, "9!", Some(9), 1; "a whole list alone")]
-#[test_case(9, "5 7!", None, 0; "two are left out behind a whole list")]
-fn numbers_that_do_not_follow_each_other(rev: u64, told: &str, taken: Option<u64>, lists: usize) {
+#[test_case(9, "8! 9", Some(9), 2; "a complete list and one behind it")]
+#[test_case(9, "9!", Some(9), 1; "a complete list alone")]
+#[test_case(9, "5 7!", None, 0; "two are left out behind a complete list")]
+fn revisions_that_do_not_follow_each_other(
+    revision: u64,
+    notices: &str,
+    expected: Option<u64>,
+    lists: usize,
+) {
     let pool = |n: &str| {
         let (n, full) = (n.trim_end_matches('!'), n.ends_with('!'));
         format!(r#"{{"rev":{n},"pool":{{"version":1,"full":{full},"servers":[{HOST}]}}}}"#)
     };
-    let notices: Vec<String> = told.split_whitespace().map(pool).collect();
-    let (rev, heard) = heard(&format!(
-        r#"{{"rev":{rev},"notices":[{}]}}"#,
+    let notices: Vec<String> = notices.split_whitespace().map(pool).collect();
+    let update = update(&format!(
+        r#"{{"rev":{revision},"notices":[{}]}}"#,
         notices.join(",")
     ));
-    assert_eq!((rev, heard.len()), (Ok(taken), lists));
+    let counts = update.map(|update| update.map(|(revision, lists)| (revision, lists.len())));
+    assert_eq!(counts, Ok(expected.map(|revision| (revision, lists))));
 }
 
 #[test_case(r#"{"notices":[]}"#, "field rev: no number"; "no number")]
 #[test_case(r#"{"rev":5}"#, "field notices: no list"; "no list")]
 #[test_case(r#"{"rev":5,"notices":[{"rev":5,"pool":{"full":true,"servers":[{"id":"a"}]}}]}"#, "field servers.state: no text"; "half a host")]
 #[test_case(r#"{"rev":5,"notices":[{"rev":5,"pool":{"full":true,"servers":[{"id":"a","state":"?"}]}}]}"#, "field servers.state: '?'"; "an odd state")]
-fn half_told_changes_are_not_taken(text: &str, reason: &str) {
-    assert_eq!(heard(text), (Err(reason.to_string()), Vec::new()));
+fn incomplete_notices_are_refused(text: &str, reason: &str) {
+    assert_eq!(update(text), Err(reason.to_string()));
 }
 
 const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:1","seed":"ff","limits":{"memory_mb":32,"sockets":256},
@@ -288,8 +353,8 @@
 #[test_case("classes.1.name", "y"; "an item")]
 #[test_case("classes.0.deadline-ms", "2140.0"; "a number")]
 #[test_case("extra.orders", "false"; "a flag")]
-fn settings_become_flat(name: &str, value: &str) {
-    let config = config::read(CONFIG.as_bytes()).ok().unwrap();
+fn settings_are_flattened(name: &str, value: &str) {
+    let config = config::parse(CONFIG.as_bytes()).unwrap();
     assert_eq!((config.seed, config.settings[name].as_str()), (255, value));
 }
 
@@ -297,46 +362,43 @@
 #[test_case("\"sockets\":256", "\"x\":1", "field limits/sockets: missing or no number"; "no limit")]
 #[test_case("127.0.0.1:2", "nowhere", "field board: 'nowhere' is no address and port"; "an odd address")]
 #[test_case("\"tick-ms\":1.0,", "", "field settings.tick-ms: missing"; "a figure that is missing")]
-#[test_case("\"orders\":false", "\"orders\":true", "field settings.extra.order-timeout-ms: missing"; "a figure that orders need")]
+#[test_case("\"orders\":false", "\"orders\":true", "field settings.extra.order-timeout-ms: missing"; "a figure that load requests need")]
 #[test_case("\"known\"", "\"unknown\"", "field known: missing"; "no list")]
 #[test_case("\"connect-timeout-ms\":250.0", "\"connect-timeout-ms\":0", "field settings.allowed.connect-timeout-ms: '0' is under 1"; "no time to connect")]
 #[test_case("\"most-held\":9", "\"most-held\":\"x\"", "field settings.allowed.most-held: 'x' is under 1"; "no number")]
-fn a_bad_configuration_is_named(from: &str, to: &str, reason: &str) {
-    assert_eq!(
-        config::read(CONFIG.replace(from, to).as_bytes())
-            .err()
-            .as_deref(),
-        Some(reason)
-    );
+fn a_refused_field_is_named(from: &str, to: &str, reason: &str) {
+    let error = config::parse(CONFIG.replace(from, to).as_bytes()).unwrap_err();
+    assert_eq!(error.to_string(), reason);
 }
 
 #[test_case(256; "few")]
 #[test_case(1024; "usual")]
-fn budgets_stay_within_the_limit(sockets: usize) {
-    let b = DescriptorBudget::new(sockets, false);
+fn the_budget_stays_within_the_limit(sockets: usize) {
+    let budget = DescriptorBudget::new(sockets, false);
     assert!(
-        b.client_connections + b.worker_connections + 20 <= sockets,
-        "{b:?}"
+        budget.client_connections + budget.worker_connections + 20 <= sockets,
+        "{budget:?}"
     );
     assert!(
-        b.client_connections * 3 >= sockets,
-        "usual clients hold a third: {b:?}"
+        budget.client_connections * 3 >= sockets,
+        "usual client connections take a third: {budget:?}"
     );
 }
 
 #[test]
-fn pairs_name_what_is_none() {
-    assert_eq!(pairs("-").count(), 0);
+fn an_entry_that_is_no_pair_is_named() {
+    assert_eq!(name_value_pairs("-").count(), 0);
+    let last = name_value_pairs("a=1,=2").last().unwrap();
     assert_eq!(
-        pairs("a=1,=2").last(),
-        Some(Err("'=2' is not name=value".to_string()))
+        last.map_err(|error| error.to_string()),
+        Err("'=2' is not name=value".to_string())
     );
 }
 
-/// Whatever comes: no panic, and what is not whole is never longer than the bounds allow.
+/// Whatever comes: no panic, and what is incomplete is never longer than the bounds allow.
 #[test]
 fn arbitrary_bytes() {
-    let call = command(&["CALL", "7", "a", &usual(), "body"]);
+    let call = command(&["CALL", "7", "a", &usual_fields(), "body"]);
     let change = (any::<prop::sample::Index>(), any::<u8>());
     let all = (
         prop::collection::vec(change, 0..6),
@@ -350,16 +412,14 @@
                 bytes[at] = *byte;
             }
             bytes.extend_from_slice(&noise);
-            let mut told = Told::default();
-            if let Ok(left) = commands(&bytes, &mut told) {
-                prop_assert!(left <= 20_000);
+            if let Ok(stream) = decode_commands(&bytes) {
+                prop_assert!(stream.left <= 20_000);
+            }
+            let _ = decode_answers(&bytes);
+            if let Ok(Some(response)) = notice_board::decode_response(&bytes) {
+                let _ = notice_board::parse_json(&response.body)
+                    .map(|json| notice_board::decode_notices(&json, 0).map(|_| ()));
             }
-            let _ = answers(&bytes, &mut told);
-            let _ = board::read(&bytes).map(|r| {
-                r.map(|(_, _, body)| {
-                    board::json(&body).map(|j| board::notices(&j, 0, &mut |_, _| ()))
-                })
-            });
         }
         Ok(())
     });
