--- a/crates/tidewall-platform-ingress/src/closing.rs
+++ b/crates/tidewall-platform-ingress/src/closing.rs
@@ -1,4 +1,4 @@
-//! How client connections end: over an error, over a time, or to make room for others.
+//! How client connections end: after an error, by a timeout, or to make room for others.
 use crate::error::ConnectionError;
 use crate::PlatformIngress;
 use tidewall_gateway::IngressContext;
@@ -26,7 +26,7 @@
         self.connections.slot(conn).error_sent(now);
     }
 
-    /// Tells the gateway that nobody waits for a call any more.
+    /// Removes a call whose client stopped waiting, and reports that to the gateway.
     pub(crate) fn abandon_call<N: Net>(&mut self, context: &mut IngressContext<N>, key: u32) {
         let reply_handle = self.calls.reply_handle(key);
         let call = self.calls.remove(&mut self.connections, key);
--- a/crates/tidewall-platform-ingress/src/commands.rs
+++ b/crates/tidewall-platform-ingress/src/commands.rs
@@ -135,7 +135,7 @@
         }
     }
 
-    /// The client stops waiting. Its call may be gone already: the reply may have crossed this command.
+    /// The client stops waiting. Its call may have been replied to already: the reply may have crossed this command.
     fn cancel_call<N: Net>(&mut self, context: &mut IngressContext<N>, conn: Conn, tag: u64) {
         if let Some(key) = self.calls.find_tag(conn, tag) {
             self.abandon_call(context, key);
--- a/crates/tidewall-platform-ingress/src/connections.rs
+++ b/crates/tidewall-platform-ingress/src/connections.rs
@@ -3,7 +3,7 @@
 use tidewall_net::{Conn, Time};
 
 /// A connection that has sent no complete command is closed so long after it was accepted: well within the 3 s in which
-/// its client is owed a word, and long enough for a slow first command.
+/// its client has to get a reply or an error, and long enough for a slow first command.
 const FIRST_COMMAND_TIMEOUT: Time = 20_000;
 
 /// A connection without open calls is closed when it has been idle for so long; the clients that the platform's page
@@ -62,7 +62,7 @@
         self.closes_at.is_some()
     }
 
-    /// Whether one of its times is over.
+    /// Whether it is due to be closed.
     pub(crate) fn has_timed_out(&self, now: Time) -> bool {
         match self.closes_at {
             Some(closes_at) => now >= closes_at,
@@ -147,7 +147,7 @@
         self.slot(conn).conn == Some(conn)
     }
 
-    /// Removes a connection whose calls are gone; nothing where it is not known.
+    /// Removes a connection that has no open calls; does nothing where it is not known.
     pub(crate) fn remove(&mut self, conn: Conn) {
         if self.contains(conn) {
             *self.slot(conn) = ClientConnection::default();
@@ -155,7 +155,7 @@
         }
     }
 
-    /// How many slots there are.
+    /// How many slots there are, used or not.
     pub(crate) fn len(&self) -> usize {
         self.slots.len()
     }
--- a/crates/tidewall-platform-ingress/src/host_protocol.rs
+++ b/crates/tidewall-platform-ingress/src/host_protocol.rs
@@ -130,7 +130,7 @@
     };
     match (answer.id, answer.status) {
         (AnswerId::Request(_), AnswerStatus::Healthy | AnswerStatus::Unhealthy) => {
-            let error = HostLineError::HealthStatusForAttempt(answer.status.word());
+            let error = HostLineError::HealthStatusForAttempt(answer.status.wire_text());
             Err(ProtocolError::other(error))
         }
         (AnswerId::Request(id), _) => {
--- a/crates/tidewall-platform-ingress/src/notice_board.rs
+++ b/crates/tidewall-platform-ingress/src/notice_board.rs
@@ -40,7 +40,7 @@
     host: String,
     /// The revision of the last response that was used; 0 asks for the complete list.
     revision: u64,
-    /// Whether the connection takes another poll.
+    /// Whether another poll may be sent on the connection.
     keep_alive: bool,
     /// Connections that ended since the last response.
     failures: u32,
--- a/crates/tidewall-platform-ingress/src/open_calls.rs
+++ b/crates/tidewall-platform-ingress/src/open_calls.rs
@@ -26,7 +26,7 @@
     ingress: usize,
     calls: Slab<OpenCall>,
     generation: u32,
-    // Looked up, never iterated over: their order is not that of any run.
+    // Looked up only: iterating over a hash map would make runs differ.
     by_tag: FxHashMap<(Conn, u64), u32>,
     by_request_id: FxHashMap<u64, u32>,
 }
--- a/crates/tidewall-platform-ingress/src/replies.rs
+++ b/crates/tidewall-platform-ingress/src/replies.rs
@@ -12,7 +12,7 @@
 /// connections taken by such clients this is still bounded by their number, which descriptors bound.
 const MAX_UNREAD: usize = MAX_ANSWER_PAYLOAD;
 
-/// Malformed clients come by the thousand: the first is a warning, and then one in so many.
+/// Malformed clients may come by the thousand: the first one is logged as a warning, and then one in so many.
 const WARN_ONE_IN: u64 = 1000;
 
 /// The final answer to a call.
--- a/crates/tidewall-platform-ingress/tests/common/mod.rs
+++ b/crates/tidewall-platform-ingress/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway on the platform among scripted hosts, a board and clients, on the network in memory.
 #![allow(dead_code)] // each test file uses a part
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tidewall_gateway::endpoints::NoEndpointCache;
@@ -44,11 +45,18 @@
     Client,
 }
 
+/// What arrived on one connection.
+#[derive(Clone, Debug)]
+pub struct ReceivedText {
+    pub conn: Conn,
+    pub text: String,
+}
+
 pub struct Peer {
     pub net: Memory,
     pub role: Role,
     /// What arrived: of hosts complete lines, of a board and of clients what each read gave.
-    pub received_texts: Vec<(Conn, String)>,
+    pub received_texts: Vec<ReceivedText>,
     pub closed_conns: Vec<Conn>,
     pub open_conns: Vec<Conn>,
     /// Attempts at all hosts so far.
@@ -58,8 +66,21 @@
 }
 
 impl Peer {
+    fn join(world: &Rc<RefCell<World>>, role: Role, attempts: &Rc<Cell<usize>>) -> Peer {
+        Peer {
+            net: Memory::join(world),
+            role,
+            received_texts: Vec::new(),
+            closed_conns: Vec::new(),
+            open_conns: Vec::new(),
+            attempts: attempts.clone(),
+            next_response: None,
+        }
+    }
+
     fn line(&mut self, conn: Conn, line: &str) {
-        self.received_texts.push((conn, line.to_string()));
+        let text = line.to_string();
+        self.received_texts.push(ReceivedText { conn, text });
         let Role::Host(behavior) = self.role else {
             return;
         };
@@ -89,7 +110,7 @@
     }
 
     pub fn lines(&self, verb: &str) -> Vec<&str> {
-        let own = self.received_texts.iter().map(|g| g.1.as_str());
+        let own = self.received_texts.iter().map(|r| r.text.as_str());
         own.filter(|l| l.split(' ').next() == Some(verb)).collect()
     }
 
@@ -104,8 +125,8 @@
     pub fn text(&self, conn: Conn) -> String {
         self.received_texts
             .iter()
-            .filter(|g| g.0 == conn)
-            .map(|g| g.1.as_str())
+            .filter(|r| r.conn == conn)
+            .map(|r| r.text.as_str())
             .collect()
     }
 }
@@ -123,11 +144,11 @@
         let text = String::from_utf8_lossy(bytes).to_string();
         match self.role {
             Role::Client => {
-                self.received_texts.push((conn, text));
+                self.received_texts.push(ReceivedText { conn, text });
                 bytes.len()
             }
             Role::Board => {
-                self.received_texts.push((conn, text));
+                self.received_texts.push(ReceivedText { conn, text });
                 if let Some(response) = self.next_response.take() {
                     self.net.write(conn, response.as_bytes());
                 }
@@ -206,53 +227,60 @@
     let world = memory::world();
     let gateway_net = Memory::join(&world);
     let attempts = Rc::new(Cell::new(0));
-    let peer = |role| Peer {
-        net: Memory::join(&world),
-        role,
-        received_texts: Vec::new(),
-        closed_conns: Vec::new(),
-        open_conns: Vec::new(),
-        attempts: attempts.clone(),
-        next_response: None,
-    };
-    let mut board = peer(Role::Board);
+    let mut board = Peer::join(&world, Role::Board, &attempts);
     board.net.listen(at(BOARD)).unwrap();
-    let mut hosts = Vec::new();
-    for (i, behavior) in behaviors.iter().enumerate() {
-        let mut host = peer(Role::Host(*behavior));
-        host.net
-            .listen(at(&format!("127.0.0.1:{}", 800 + i)))
-            .unwrap();
-        hosts.push(host);
-    }
-    let client = peer(Role::Client);
-    let list: Vec<String> = (0..behaviors.len()).map(|i| host(i, "up")).collect();
+    let hosts = behaviors.iter().enumerate().map(|(i, behavior)| {
+        let mut host = Peer::join(&world, Role::Host(*behavior), &attempts);
+        let address = at(&format!("127.0.0.1:{}", 800 + i));
+        host.net.listen(address).unwrap();
+        host
+    });
+    let hosts = hosts.collect();
+    let client = Peer::join(&world, Role::Client, &attempts);
+    let moved_board = Rc::new(Cell::new(None));
+    let mut gateway = gateway(
+        gateway_net.clone(),
+        behaviors.len(),
+        max_worker_connections,
+        moved_board.clone(),
+    );
+    let classes_with_key = vec![false, true, false];
+    let ingress = PlatformIngress::new(0, max_clients, classes_with_key);
+    gateway.add_ingress(at(GATEWAY), Box::new(ingress)).unwrap();
+    let mut site = Site {
+        world,
+        gateway,
+        gateway_net,
+        board,
+        moved_board,
+        hosts,
+        client,
+        tag: 0,
+    };
+    site.advance(100);
+    site
+}
+
+/// A gateway that has so many hosts in its configuration, and reads the board's address again from `moved_board`.
+fn gateway(
+    net: Memory,
+    hosts: usize,
+    max_worker_connections: usize,
+    moved_board: Rc<Cell<Option<SocketAddr>>>,
+) -> Gateway<Memory> {
+    let list: Vec<String> = (0..hosts).map(|i| host(i, "up")).collect();
     let config = config::parse(CONFIG.replace("HOSTS", &list.join(",")).as_bytes()).unwrap();
     let mut endpoints = ReceivedUpdates::default();
     let revision = deliver_notices(&config.initial_notices, 0, &mut endpoints)
         .unwrap()
         .unwrap();
-    let moved_board = Rc::new(Cell::new(None));
-    let configured = moved_board.clone();
-    let unreadable = || ReloadError::Read(std::io::Error::other("n0.json: it cannot be read"));
+    let unreadable = || ReloadError::Read(io::Error::other("n0.json: it cannot be read"));
     let discovery = NoticeBoardSource::new(
         config.notice_board,
         revision,
         7,
-        Box::new(move || configured.get().ok_or_else(unreadable)),
+        Box::new(move || moved_board.get().ok_or_else(unreadable)),
     );
-    let limits = GatewayLimits {
-        max_requests: 200,
-        connect_timeout: 2_500,
-        streams_per_connection: 32,
-        connections_per_worker: 4,
-        max_worker_connections,
-        spread_threshold: 1,
-        keep_alive: 300_000,
-        health_check_timeout: 2_500,
-        load_request_timeout: 40_000,
-        silence_timeout: 30_000,
-    };
     let gateway_config = GatewayConfig {
         name: config.name.clone(),
         index: 0,
@@ -262,11 +290,11 @@
         discovery_retry: 2_500,
         peers: vec![Some(at("127.0.0.1:720")), Some(at(SIBLING))],
         peer_listen: Some(at("127.0.0.1:720")),
-        limits,
+        limits: limits(max_worker_connections),
         failover: None,
     };
     let mut gateway = Gateway::with_protocols(
-        gateway_net.clone(),
+        net,
         gateway_config,
         Box::new(NoEndpointCache),
         Rc::new(HostProtocol),
@@ -278,27 +306,21 @@
         gateway.update_endpoints(records, *complete);
     }
     gateway
-        .add_ingress(
-            at(GATEWAY),
-            Box::new(PlatformIngress::new(
-                0,
-                max_clients,
-                vec![false, true, false],
-            )),
-        )
-        .unwrap();
-    let mut site = Site {
-        world,
-        gateway,
-        gateway_net,
-        board,
-        moved_board,
-        hosts,
-        client,
-        tag: 0,
-    };
-    site.advance(100);
-    site
+}
+
+fn limits(max_worker_connections: usize) -> GatewayLimits {
+    GatewayLimits {
+        max_requests: 200,
+        connect_timeout: 2_500,
+        streams_per_connection: 32,
+        connections_per_worker: 4,
+        max_worker_connections,
+        spread_threshold: 1,
+        keep_alive: 300_000,
+        health_check_timeout: 2_500,
+        load_request_timeout: 40_000,
+        silence_timeout: 30_000,
+    }
 }
 
 pub fn command(words: &[&str]) -> String {
--- a/crates/tidewall-platform-ingress/tests/service.rs
+++ b/crates/tidewall-platform-ingress/tests/service.rs
@@ -1,4 +1,4 @@
-//! The gateway on the platform: each rule that is met on its sockets, with the failure that tries it.
+//! The gateway on the platform: each rule that it keeps on its sockets, with the fault that tries it.
 #![allow(clippy::unwrap_used, missing_docs)]
 mod common;
 
@@ -9,7 +9,7 @@
 use tidewall_platform_ingress::host_protocol::HostProtocol;
 
 #[test]
-fn each_call_gets_its_one_answer() {
+fn each_call_gets_one_reply() {
     let mut s = site(&[HostBehavior::Answers, HostBehavior::Answers]);
     let conn = s.connect();
     for i in 1..=100 {
@@ -32,35 +32,38 @@
     );
 }
 
-// A spoilt answer has run: what may run again does, elsewhere or at the same host, and nothing of it is passed on.
+// A malformed answer's request was executed: it is retried where that is safe, at any host, and nothing of the answer is passed on.
 #[test_case("ID ok - 2\r\nyes\r\n", "check", true; "a length that does not fit")]
 #[test_case("ID ok - 3000000000\r\nyesyes", "record", true; "three gigabytes")]
 #[test_case("\u{1}\u{2}noise\r\n", "check", true; "noise")]
 #[test_case("ID ok - 40\r\nyes\r\n", "record", true; "it stops half-way and stays open")]
 #[test_case("ID ok - 2\r\nyes\r\n", "issue", false; "at most once")]
 #[test_case("ID ok - 40\r\nyes\r\n", "issue", false; "at most once, half-way")]
-fn spoilt_answers(says: &'static str, typ: &str, again: bool) {
-    let mut s = site(&[HostBehavior::SendsOnce(says), HostBehavior::SendsOnce(says)]);
-    let text = s.call_and_wait(typ, 4000);
-    let expected = if again { ok(1) } else { failed(1) };
-    assert_eq!((text, s.attempts()), (expected, if again { 2 } else { 1 }));
+fn malformed_answers_are_retried_where_safe(sent: &'static str, class: &str, retried: bool) {
+    let mut s = site(&[HostBehavior::SendsOnce(sent), HostBehavior::SendsOnce(sent)]);
+    let text = s.call_and_wait(class, 4000);
+    let expected = if retried { ok(1) } else { failed(1) };
+    assert_eq!(
+        (text, s.attempts()),
+        (expected, if retried { 2 } else { 1 })
+    );
     for host in &s.hosts {
         let line = host
             .received_texts
             .iter()
-            .filter(|g| g.1.starts_with("go "))
-            .map(|g| g.0)
+            .filter(|r| r.text.starts_with("go "))
+            .map(|r| r.conn)
             .collect::<Vec<_>>();
         assert!(
             line.len() < 2 || line[0] != line[1],
-            "the same trace twice on one connection"
+            "the same request id twice on one connection"
         );
     }
 }
 
-// Others that wait on other connections of the same host go on.
+// Attempts on other connections of the same host go on.
 #[test]
-fn a_spoilt_answer_ends_its_own_launch_alone() {
+fn a_malformed_answer_ends_its_own_attempt_only() {
     let mut s = site(&[HostBehavior::Silent]);
     for i in 0..3 {
         let conn = s.connect();
@@ -70,24 +73,24 @@
     let last = s.hosts[0]
         .received_texts
         .iter()
-        .rfind(|g| g.1.starts_with("go "))
+        .rfind(|r| r.text.starts_with("go "))
         .unwrap()
-        .0;
+        .conn;
     s.hosts[0].net.write(last, b"\x01\x02\r\n");
     s.advance(100);
     assert_eq!(s.gateway.requests_in_flight(), 2);
 }
 
 #[test]
-fn keyed_events_go_back_after_a_broken_connection() {
+fn requests_with_an_idempotency_key_are_retried_after_a_reset() {
     let mut s = site(&[HostBehavior::ResetsOnce]);
     assert_eq!((s.call_and_wait("record", 1000), s.attempts()), (ok(1), 2));
 }
 
 #[test_case("ID ok - 3\r\nyes\r\nID ok - 3\r\nyes\r\n"; "a second copy")]
 #[test_case("00000000000000ff ok - 2\r\nno\r\nID ok - 3\r\nyes\r\n"; "one ahead under an unknown id")]
-fn more_than_is_theirs_is_dropped(says: &'static str) {
-    let mut s = site(&[HostBehavior::Sends(says)]);
+fn answers_to_nothing_are_dropped(sent: &'static str) {
+    let mut s = site(&[HostBehavior::Sends(sent)]);
     for _ in 0..3 {
         assert_eq!(s.call_and_wait("issue", 500), ok(1));
     }
@@ -98,18 +101,18 @@
 #[test_case("refused", true; "full")]
 #[test_case("stale", true; "over already")]
 #[test_case("error", false; "may have run")]
-fn what_never_ran_may_go_again(word: &'static str, again: bool) {
-    let says: &'static str = Box::leak(format!("ID {word} - 0\r\n\r\n").into_boxed_str());
-    let mut s = site(&[HostBehavior::SendsOnce(says), HostBehavior::SendsOnce(says)]);
+fn what_was_not_executed_is_retried(word: &'static str, retried: bool) {
+    let sent: &'static str = Box::leak(format!("ID {word} - 0\r\n\r\n").into_boxed_str());
+    let mut s = site(&[HostBehavior::SendsOnce(sent), HostBehavior::SendsOnce(sent)]);
     let text = s.call_and_wait("issue", 10_000);
     assert_eq!(
         (text == ok(1), text == failed(1), s.attempts() > 1),
-        (again, !again, again)
+        (retried, !retried, retried)
     );
 }
 
 #[test]
-fn a_withdrawn_call_gets_no_answer_and_its_launch_is_halted() {
+fn a_cancelled_call_gets_no_reply_and_its_attempt_is_cancelled() {
     let mut s = site(&[HostBehavior::Silent]);
     let conn = s.connect();
     s.send(conn, &call(7, 9, "check", 2000));
@@ -127,16 +130,16 @@
 }
 
 #[test]
-fn what_gets_no_answer_is_answered_by_its_time() {
+fn a_call_without_an_answer_fails_at_its_deadline() {
     let mut s = site(&[HostBehavior::Silent]);
     assert_eq!(s.call_and_wait("issue", 2 * SECOND + 100), failed(1));
     assert_eq!(s.gateway.calls_in_flight(), 0);
 }
 
-// The fleet's join day: eight answers in 270,000 events fell due in a standstill of 2 to 58 ms and were dropped as too late, so
-// their clients, who had not withdrawn, never heard. Until CANCEL an answer is owed.
+// The fleet's join day: eight replies to 270,000 requests fell due in a stall of 2 to 58 ms and were dropped as too late, so their
+// clients, who had not cancelled, never got one. Until CANCEL a reply is owed.
 #[test]
-fn a_standstill_over_its_time_does_not_lose_an_event() {
+fn a_stall_over_a_deadline_loses_no_request() {
     let mut s = site(&[HostBehavior::Silent]);
     let conn = s.connect();
     s.send(conn, &call(1, 9, "issue", 2000));
@@ -151,10 +154,14 @@
     );
 }
 
-// One connection to each of hundreds of workers is more than 256 descriptors: the sum is bounded, and an idle one makes room.
+// One connection to each of hundreds of workers is more than 256 descriptors: their number is bounded, and an idle one makes room.
 #[test_case(HostBehavior::Answers, 40, 0; "idle ones make room")]
-#[test_case(HostBehavior::Silent, 0, 40; "with none idle the rest is turned away")]
-fn connections_stay_within_what_is_told(behavior: HostBehavior, handled: usize, deferred: usize) {
+#[test_case(HostBehavior::Silent, 0, 40; "with none idle the rest is rejected")]
+fn worker_connections_stay_within_their_limit(
+    behavior: HostBehavior,
+    completed: usize,
+    rejected: usize,
+) {
     let links = 3;
     let mut s = site_with_limits(&[behavior; 10], 128, links);
     let conn = s.connect();
@@ -175,20 +182,20 @@
     let words = ["OK", "BUSY", "FAILED"].map(|w| text.matches(&format!("\r\n{w}\r\n")).count());
     assert_eq!(
         (words, s.gateway.requests_in_flight()),
-        ([handled, deferred, 0], 0)
+        ([completed, rejected, 0], 0)
     );
 }
 
-// A bad client gets a word within 3 s; a good one beside it notices nothing.
+// A malformed client gets an error within 3 s; a good one beside it is not affected.
 #[test_case("GET / HTTP/1.1\r\n\r\n", "-ERR array: '*' expected\r\n"; "another protocol")]
 #[test_case("*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$5\r\ncheck\r\n$0\r\n\r\n$60000000\r\n", "-ERR word: 60000000 bytes, at most 16384\r\n"; "sixty megabytes")]
 #[test_case("*2\r\n$-1\r\n", "-ERR word: no number\r\n"; "a negative length")]
 #[test_case("*3\r\n$4\r\nCA", ""; "half a command")]
 #[test_case("", ""; "nothing at all")]
-fn bad_clients_are_told_and_closed(says: &str, word: &str) {
+fn malformed_clients_get_an_error_and_are_closed(sent: &str, error: &str) {
     let mut s = site(&[HostBehavior::Answers]);
     let (bad, good) = (s.connect(), s.connect());
-    s.send(bad, says);
+    s.send(bad, sent);
     s.send(good, &call(1, 1, "check", 2000));
     s.advance(3 * SECOND);
     assert_eq!(
@@ -196,7 +203,7 @@
             s.client.text(bad).as_str(),
             s.client.closed_conns.contains(&bad)
         ),
-        (word, true)
+        (error, true)
     );
     assert_eq!(
         (s.client.text(good), s.client.closed_conns.contains(&good)),
@@ -204,24 +211,24 @@
     );
 }
 
-// A call at fault fails alone; those beside it on the connection go on.
+// An invalid call fails alone; the others on its connection go on.
 #[test_case("nosuch", "acme", "1"; "an unknown type")]
 #[test_case("check", "nobody", "1"; "an unknown tenant")]
 #[test_case("check", "acme", "NaN"; "no number")]
-fn a_call_at_fault_fails_alone(typ: &str, tenant: &str, weight: &str) {
+fn an_invalid_call_fails_alone(class: &str, tenant: &str, weight: &str) {
     let mut s = site(&[HostBehavior::Answers]);
     let conn = s.connect();
     let fields = format!(
         "trace=00000000000000ff,patience=900,customer={tenant},entity={FUNCTION},weight={weight}"
     );
-    let bad = command(&["CALL", "1", typ, &fields, ""]);
+    let bad = command(&["CALL", "1", class, &fields, ""]);
     s.send(conn, &(bad + &call(2, 2, "check", 2000)));
     s.advance(1000);
     assert_eq!((s.client.text(conn), s.attempts()), (failed(1) + &ok(2), 1));
 }
 
 #[test]
-fn a_trace_that_is_in_hand_fails_and_the_first_is_unharmed() {
+fn a_duplicate_request_id_fails_and_the_first_request_goes_on() {
     let mut s = site(&[HostBehavior::Silent]);
     let (first, other) = (s.connect(), s.connect());
     s.send(first, &call(1, 5, "issue", 2000));
@@ -258,7 +265,7 @@
 }
 
 #[test]
-fn more_than_thirty_two_open_are_deferred_with_a_time() {
+fn the_thirty_third_open_call_is_rejected_with_a_time() {
     let mut s = site(&[HostBehavior::Silent]);
     let conn = s.connect();
     s.send(
@@ -274,7 +281,7 @@
     );
 }
 
-// Places run out: silent ones go first, oldest first; one with a call open never goes.
+// With all connections taken: silent ones are closed first, oldest first; one with an open call never is.
 #[test]
 fn silent_connections_make_room() {
     let mut s = site_with_limits(&[HostBehavior::Silent], 4, 100);
@@ -292,8 +299,8 @@
     assert_eq!(s.client.closed_conns, silent[..2]);
 }
 
-// Those that asked once and stay fill all places: the one that has been idle for longest goes, not the one that just came with a call
-// on its way. (Soak, seed 20261202: each new one was closed at once, and its event lost.)
+// All connections are taken by clients that called once and stay: the one idle for longest is closed, not the one that was just
+// accepted with a call on its way. (Soak, seed 20261202: each new one was closed at once, and its request lost.)
 #[test_case(0; "it asks with its connection")]
 #[test_case(400; "it asks a little later")]
 fn a_new_connection_is_not_the_one_that_makes_room(later: u64) {
@@ -314,12 +321,12 @@
     assert_eq!(s.client.text(new), ok(1));
 }
 
-// What it does not read is bounded, and it does not keep its place for ever; one that reads notices nothing.
+// What it does not read is bounded, and its connection does not stay for ever; one that reads is not affected.
 #[test]
-fn a_client_that_never_reads_is_cut_off() {
-    let says: &'static str =
+fn a_client_that_never_reads_is_closed() {
+    let sent: &'static str =
         Box::leak(format!("ID ok - 200000\r\n{}\r\n", "x".repeat(200_000)).into_boxed_str());
-    let mut s = site(&[HostBehavior::Sends(says)]);
+    let mut s = site(&[HostBehavior::Sends(sent)]);
     let (slow, good) = (s.connect(), s.connect());
     s.advance(10);
     s.client.net.set_read_paused(slow, true);
@@ -346,7 +353,7 @@
 }
 
 #[test]
-fn a_removed_host_gets_nothing_more() {
+fn a_draining_host_gets_nothing_more() {
     let mut s = site(&[HostBehavior::Answers, HostBehavior::Answers]);
     s.board
         .send_to_all(&poll_response(2, &[host(0, "draining")], false));
@@ -378,10 +385,10 @@
     );
 }
 
-// The next poll asks from the last event that was taken whole.
-#[test_case(false; "it breaks off in an event")]
+// The next poll asks from the revision of the last response that was complete.
+#[test_case(false; "its connection is reset in a response")]
 #[test_case(true; "it falls silent")]
-fn the_board_is_asked_again(silent: bool) {
+fn the_board_is_polled_again_after_a_fault(silent: bool) {
     let mut s = site(&[HostBehavior::Answers]);
     s.board
         .send_to_all(&poll_response(2, &[host(0, "up")], false));
@@ -402,13 +409,13 @@
     s.advance(span);
     let asked = &s.board.received_texts[before..];
     assert!(
-        !asked.is_empty() && asked[0].0 != conn && asked[0].1.contains("watch=2&"),
+        !asked.is_empty() && asked[0].conn != conn && asked[0].text.contains("watch=2&"),
         "{asked:?}"
     );
 }
 
 #[test]
-fn a_new_configuration_moves_the_board_and_loses_nothing() {
+fn a_reload_moves_the_board_and_loses_nothing() {
     let mut s = site(&[HostBehavior::Silent]);
     let conn = s.connect();
     s.send(conn, &call(1, 1, "issue", 2000));
@@ -423,8 +430,8 @@
     s.advance(100);
     assert_eq!(s.board.received_texts.len(), 2);
     assert!(
-        s.board.received_texts[1].1.contains("watch=1&")
-            && s.board.received_texts[1].1.contains("127.0.0.1:711")
+        s.board.received_texts[1].text.contains("watch=1&")
+            && s.board.received_texts[1].text.contains("127.0.0.1:711")
     );
     assert_eq!(
         (s.gateway.requests_in_flight(), s.client.closed_conns.len()),
@@ -432,11 +439,11 @@
     );
 }
 
-// Who a datagram is from is told by its address alone.
+// The sender of a datagram is known by its address alone.
 #[test_case(SIBLING, 256, 0; "a sibling's")]
 #[test_case(SIBLING, 257, 1; "one that is too long")]
 #[test_case("127.0.0.1:799", 5, 1; "a stranger's")]
-fn datagrams_between_gateways(from: &str, size: usize, malformed: u64) {
+fn peer_datagrams_are_bounded_and_from_siblings(from: &str, size: usize, malformed: u64) {
     let mut s = site(&[HostBehavior::Answers]);
     let (port, _) = s.client.net.bind_datagram(at(from)).unwrap();
     s.client
@@ -448,15 +455,16 @@
 
 #[test_case(256, 256; "as it is")]
 #[test_case(257, 0; "not one that is too long")]
-fn datagrams_go_out(size: usize, written: usize) {
+fn peer_datagrams_are_sent_as_they_are(size: usize, written: usize) {
     let mut out = Vec::new();
     HostProtocol.write_peer_datagram(&mut out, 3, &vec![7; size]);
     assert_eq!(out, vec![7; written]);
 }
 
-// A front sends on for a while after the signal: it is taken, told by CHECK, and the gateway ends when all have answers.
+// A front end sends on for a while after the signal: its calls are admitted, CHECK says DOWN, and the gateway exits when all have
+// replies.
 #[test]
-fn a_planned_stop_takes_what_still_comes() {
+fn graceful_shutdown_admits_what_still_comes() {
     let mut s = site(&[HostBehavior::Answers]);
     let conn = s.connect();
     s.send(conn, &command(&["CHECK", "1", ""]));
--- a/crates/tidewall-platform/src/client_reply.rs
+++ b/crates/tidewall-platform/src/client_reply.rs
@@ -20,7 +20,7 @@
 }
 
 impl ReplyStatus {
-    fn word(self) -> &'static str {
+    fn wire_text(self) -> &'static str {
         match self {
             ReplyStatus::Completed => "OK",
             ReplyStatus::Rejected { .. } => "BUSY",
@@ -52,7 +52,7 @@
         let has_tail = retry_after_ms > 0 || !self.payload.is_empty();
         resp::write_array_header(out, if has_tail { 4 } else { 2 });
         resp::write_bulk_number(out, "", self.tag);
-        resp::write_bulk_string(out, self.status.word().as_bytes());
+        resp::write_bulk_string(out, self.status.wire_text().as_bytes());
         if has_tail {
             if retry_after_ms > 0 {
                 resp::write_bulk_number(out, "pause=", retry_after_ms);
--- a/crates/tidewall-platform/src/host_lines.rs
+++ b/crates/tidewall-platform/src/host_lines.rs
@@ -131,7 +131,7 @@
 }
 
 impl AnswerStatus {
-    fn parse(word: &str) -> Result<AnswerStatus, HostLineError> {
+    fn from_wire(word: &str) -> Result<AnswerStatus, HostLineError> {
         Ok(match word {
             "ok" => AnswerStatus::Completed,
             "nothing" => AnswerStatus::Miss,
@@ -145,7 +145,7 @@
     }
 
     /// The status's word on the wire.
-    pub fn word(self) -> &'static str {
+    pub fn wire_text(self) -> &'static str {
         match self {
             AnswerStatus::Completed => "ok",
             AnswerStatus::Miss => "nothing",
@@ -175,7 +175,7 @@
 }
 
 impl InstanceNote {
-    fn parse(word: &str) -> Result<InstanceNote, HostLineError> {
+    fn from_wire(word: &str) -> Result<InstanceNote, HostLineError> {
         Ok(match word {
             "" => InstanceNote::NotReported,
             "hit" => InstanceNote::Loaded,
@@ -406,8 +406,8 @@
             length,
         }));
     };
-    let instance = InstanceNote::parse(fields.instance)?;
-    let status = AnswerStatus::parse(line.status)?;
+    let instance = InstanceNote::from_wire(fields.instance)?;
+    let status = AnswerStatus::from_wire(line.status)?;
     let load = if fields.gauges.is_empty() {
         None
     } else {
--- a/crates/tidewall-platform/src/notice_board.rs
+++ b/crates/tidewall-platform/src/notice_board.rs
@@ -245,7 +245,7 @@
 }
 
 impl HostState {
-    fn parse(word: &str) -> Result<HostState, NoticeBoardError> {
+    fn from_wire(word: &str) -> Result<HostState, NoticeBoardError> {
         Ok(match word {
             "up" => HostState::Up,
             "draining" => HostState::Draining,
@@ -283,7 +283,7 @@
                 .as_str()
                 .ok_or(NoticeBoardError::field(field, FieldProblem::NotText))
         };
-        let state = HostState::parse(text("state", "servers.state")?)?;
+        let state = HostState::from_wire(text("state", "servers.state")?)?;
         // A host that is removed may be given by its id alone.
         let text_unless_removed = |name: &str, field: &'static str| match state {
             HostState::Removed => Ok(json[name].as_str().unwrap_or("")),
--- a/crates/tidewall-platform/tests/round_trips.rs
+++ b/crates/tidewall-platform/tests/round_trips.rs
@@ -162,7 +162,7 @@
             load.requests_in_flight, load.busy_cores
         );
     }
-    let word = answer.status.word();
+    let word = answer.status.wire_text();
     let mut out = format!("{id} {word} {fields} {}\r\n", answer.payload.len()).into_bytes();
     out.extend_from_slice(answer.payload);
     out.extend_from_slice(b"\r\n");
