--- a/crates/tidewall-platform-ingress/src/connections.rs
+++ b/crates/tidewall-platform-ingress/src/connections.rs
@@ -23,12 +23,14 @@
 /// A connection that got an error is closed so much later, unread, so that its client reads the error before the end.
 const ERROR_LINGER: Time = 3_000;
 
-/// What is known of one client connection. A slot without `conn` is unused.
+/// What is known of one client connection.
 #[derive(Default)]
 pub(crate) struct ClientConnection {
+    /// The connection; `None` in an unused slot.
     pub(crate) conn: Option<Conn>,
     /// Head of the chain of its open calls.
     pub(crate) first_call: Option<u32>,
+    /// How many calls have no reply yet.
     pub(crate) open_calls: u32,
     /// The highest tag of a call so far; one at or below it was used before.
     pub(crate) highest_tag: u64,
@@ -108,7 +110,9 @@
 /// All client connections, by the index of their connection.
 pub(crate) struct ClientConnections {
     slots: Vec<ClientConnection>,
+    /// How many slots are used.
     count: usize,
+    /// How many may be used.
     max: usize,
 }
 
@@ -143,6 +147,7 @@
         self.count > self.max
     }
 
+    /// Whether the connection is known.
     pub(crate) fn contains(&mut self, conn: Conn) -> bool {
         self.slot(conn).conn == Some(conn)
     }
--- a/crates/tidewall-platform-ingress/src/open_calls.rs
+++ b/crates/tidewall-platform-ingress/src/open_calls.rs
@@ -8,8 +8,11 @@
 
 /// A call of a client.
 pub(crate) struct OpenCall {
+    /// Where its reply is written.
     pub(crate) conn: Conn,
+    /// Names it on its connection.
     pub(crate) tag: u64,
+    /// The client's id for the request.
     request_id: u64,
     /// The gateway's slot of the request, once it is admitted.
     pub(crate) request_slot: Option<usize>,
@@ -25,6 +28,7 @@
     /// The ingress' index at the gateway, for reply handles.
     ingress: usize,
     calls: Slab<OpenCall>,
+    /// That of the call that was added last.
     generation: u32,
     // Looked up only: iterating over a hash map would make runs differ.
     by_tag: FxHashMap<(Conn, u64), u32>,
