--- /dev/null
+++ b/crates/tidewall-platform-ingress/tests/common/mod.rs
@@ -0,0 +1,394 @@
+//! A gateway on the platform among scripted hosts, a board and clients, on the network in memory.
+#![allow(dead_code)] // each test file uses a part
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tidewall_gateway::endpoints::NoEndpointCache;
+use tidewall_gateway::protocol::ReceivedUpdates;
+use tidewall_gateway::worker_pool::GatewayLimits;
+use tidewall_gateway::{Gateway, GatewayConfig};
+use tidewall_net::memory::{self, Memory, World};
+use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
+use tidewall_platform::{config, notice_board};
+use tidewall_platform_ingress::error::ReloadError;
+use tidewall_platform_ingress::host_protocol::HostProtocol;
+use tidewall_platform_ingress::notice_board::{deliver_notices, NoticeBoardSource};
+use tidewall_platform_ingress::PlatformIngress;
+
+pub const FUNCTION: &str = "7f3a9c21e0b4d655";
+pub const SECOND: Time = 10_000;
+
+pub fn at(text: &str) -> SocketAddr {
+    text.parse().unwrap()
+}
+
+/// What a host does with an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum HostBehavior {
+    /// Answers `ok`.
+    Answers,
+    /// Sends this instead of an answer, `ID` being the request's.
+    Sends(&'static str),
+    /// Sends this to the first attempt only, and answers the others.
+    SendsOnce(&'static str),
+    /// Resets its connection at the first attempt, which has been executed, and answers the others.
+    ResetsOnce,
+    /// Never answers.
+    Silent,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Role {
+    Host(HostBehavior),
+    Board,
+    Client,
+}
+
+/// What arrived on one connection.
+#[derive(Clone, Debug)]
+pub struct ReceivedText {
+    pub conn: Conn,
+    pub text: String,
+}
+
+pub struct Peer {
+    pub net: Memory,
+    pub role: Role,
+    /// What arrived: of hosts complete lines, of a board and of clients what each read gave.
+    pub received_texts: Vec<ReceivedText>,
+    pub closed_conns: Vec<Conn>,
+    pub open_conns: Vec<Conn>,
+    /// Attempts at all hosts so far.
+    attempts: Rc<Cell<usize>>,
+    /// What a board answers next; `None` is silence.
+    pub next_response: Option<String>,
+}
+
+impl Peer {
+    fn join(world: &Rc<RefCell<World>>, role: Role, attempts: &Rc<Cell<usize>>) -> Peer {
+        Peer {
+            net: Memory::join(world),
+            role,
+            received_texts: Vec::new(),
+            closed_conns: Vec::new(),
+            open_conns: Vec::new(),
+            attempts: attempts.clone(),
+            next_response: None,
+        }
+    }
+
+    fn line(&mut self, conn: Conn, line: &str) {
+        let text = line.to_string();
+        self.received_texts.push(ReceivedText { conn, text });
+        let Role::Host(behavior) = self.role else {
+            return;
+        };
+        let id = line.split(' ').nth(1).unwrap_or("");
+        let usual = format!("{id} ok res=hit 3\r\nyes\r\n");
+        let out = match line.split(' ').next().unwrap_or("") {
+            "stage" => format!("{id} ok copies=2 0\r\n\r\n"),
+            "stat" => format!("{id} yes gauges=q:0;rif:1 0\r\n\r\n"),
+            "go" => {
+                self.attempts.set(self.attempts.get() + 1);
+                match behavior {
+                    HostBehavior::Answers => usual,
+                    HostBehavior::Sends(text) => text.replace("ID", id),
+                    HostBehavior::SendsOnce(text) if self.attempts.get() == 1 => {
+                        text.replace("ID", id)
+                    }
+                    HostBehavior::ResetsOnce if self.attempts.get() == 1 => {
+                        return self.net.reset(conn)
+                    }
+                    HostBehavior::SendsOnce(_) | HostBehavior::ResetsOnce => usual,
+                    HostBehavior::Silent => return,
+                }
+            }
+            _ => return,
+        };
+        self.net.write(conn, out.as_bytes());
+    }
+
+    pub fn lines(&self, verb: &str) -> Vec<&str> {
+        let own = self.received_texts.iter().map(|r| r.text.as_str());
+        own.filter(|l| l.split(' ').next() == Some(verb)).collect()
+    }
+
+    /// Sends this on all open connections, asked for or not.
+    pub fn send_to_all(&mut self, text: &str) {
+        for conn in self.open_conns.clone() {
+            self.net.write(conn, text.as_bytes());
+        }
+    }
+
+    /// All that arrived on this connection.
+    pub fn text(&self, conn: Conn) -> String {
+        self.received_texts
+            .iter()
+            .filter(|r| r.conn == conn)
+            .map(|r| r.text.as_str())
+            .collect()
+    }
+}
+
+impl App for Peer {
+    type Net = Memory;
+    fn net(&mut self) -> &mut Memory {
+        &mut self.net
+    }
+    fn accepted(&mut self, _: Listener, conn: Conn, _: SocketAddr) {
+        self.open_conns.push(conn);
+    }
+    fn connected(&mut self, _: Conn) {}
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let text = String::from_utf8_lossy(bytes).to_string();
+        match self.role {
+            Role::Client => {
+                self.received_texts.push(ReceivedText { conn, text });
+                bytes.len()
+            }
+            Role::Board => {
+                self.received_texts.push(ReceivedText { conn, text });
+                if let Some(response) = self.next_response.take() {
+                    self.net.write(conn, response.as_bytes());
+                }
+                bytes.len()
+            }
+            Role::Host(_) => {
+                let mut used = 0;
+                while let Some(end) = text[used..].find("\r\n") {
+                    let line = text[used..used + end].to_string();
+                    used += end + 2;
+                    if line.starts_with("go ") {
+                        let len: usize = line.rsplit(' ').next().unwrap().parse().unwrap();
+                        used += len + 2;
+                    }
+                    self.line(conn, &line);
+                }
+                used
+            }
+        }
+    }
+    fn writable(&mut self, _: Conn) {}
+    fn closed(&mut self, conn: Conn, _: CloseReason) {
+        self.open_conns.retain(|c| *c != conn);
+        self.closed_conns.push(conn);
+    }
+    fn timer_fired(&mut self, _: u64) {}
+}
+
+pub struct Site {
+    pub world: Rc<RefCell<World>>,
+    pub gateway: Gateway<Memory>,
+    pub gateway_net: Memory,
+    pub board: Peer,
+    /// The board's address in a changed configuration; `None` while it cannot be read.
+    pub moved_board: Rc<Cell<Option<SocketAddr>>>,
+    pub hosts: Vec<Peer>,
+    pub client: Peer,
+    tag: u64,
+}
+
+pub const BOARD: &str = "127.0.0.1:701";
+pub const SIBLING: &str = "127.0.0.1:721";
+pub const GATEWAY: &str = "127.0.0.1:700";
+
+/// Classes: "check" is idempotent, "record" has idempotency keys with a scope of a zone, "issue" is non-idempotent.
+const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:700","seed":"7","limits":{"memory_mb":32,"sockets":256},
+ "board":"127.0.0.1:701","known":{"rev":1,"notices":[{"rev":1,"pool":{"version":0,"full":true,"servers":[HOSTS]}}]},
+ "settings":{"me":0,"siblings":1,"tick-ms":1.0,"zones":["z"],"kinds":["k"],"discovery":"pushed",
+ "allowed":{"connect-timeout-ms":250.0,"keepalive-ms":30000.0,"max-attempts":3,"most-held":200,"streams-per-conn":32,
+  "cancel":true,"may-duplicate":true,"retry-after":true,"max-retry-after-ms":500.0,"probes":true},
+ "rules":{"drain-grace-ms":2000.0},"reporting":{"how":"probe","names":["q","rif"]},"tenants":[{"name":"acme","quota-per-s":1000.0}],
+ "classes":[{"name":"check","aim-ms":500.0,"deadline-ms":2000.0,"worth":1.0,"semantics":"read_like"},
+  {"name":"record","aim-ms":500.0,"deadline-ms":2000.0,"worth":1.0,"semantics":"idempotency_key","group":"zone","window-ms":4000.0},
+  {"name":"issue","aim-ms":500.0,"deadline-ms":2000.0,"worth":1.0,"semantics":"non_idempotent"}],
+ "extra":{"orders":true,"order-timeout-ms":4000.0,"if-cold":"load","stays-loaded-ms":60000.0,"load-window-ms":0}}}"#;
+
+/// A host's entry on the board.
+pub fn host(index: usize, state: &str) -> String {
+    let place = format!(
+        "\"id\":\"s-{index}\",\"addr\":\"127.0.0.1:{}\",\"state\":\"{state}\"",
+        800 + index
+    );
+    format!("{{{place},\"zone\":\"z\",\"kind\":\"k\",\"cell\":0,\"weight\":4,\"started_ms\":0}}")
+}
+
+pub fn site(behaviors: &[HostBehavior]) -> Site {
+    site_with_limits(behaviors, 128, 100)
+}
+
+/// Joins gateway, board, one host for each behavior, and a client, in this order.
+pub fn site_with_limits(
+    behaviors: &[HostBehavior],
+    max_clients: usize,
+    max_worker_connections: usize,
+) -> Site {
+    let world = memory::world();
+    let gateway_net = Memory::join(&world);
+    let attempts = Rc::new(Cell::new(0));
+    let mut board = Peer::join(&world, Role::Board, &attempts);
+    board.net.listen(at(BOARD)).unwrap();
+    let hosts = behaviors.iter().enumerate().map(|(i, behavior)| {
+        let mut host = Peer::join(&world, Role::Host(*behavior), &attempts);
+        let address = at(&format!("127.0.0.1:{}", 800 + i));
+        host.net.listen(address).unwrap();
+        host
+    });
+    let hosts = hosts.collect();
+    let client = Peer::join(&world, Role::Client, &attempts);
+    let moved_board = Rc::new(Cell::new(None));
+    let mut gateway = gateway(
+        gateway_net.clone(),
+        behaviors.len(),
+        max_worker_connections,
+        moved_board.clone(),
+    );
+    let classes_with_key = vec![false, true, false];
+    let ingress = PlatformIngress::new(0, max_clients, classes_with_key);
+    gateway.add_ingress(at(GATEWAY), Box::new(ingress)).unwrap();
+    let mut site = Site {
+        world,
+        gateway,
+        gateway_net,
+        board,
+        moved_board,
+        hosts,
+        client,
+        tag: 0,
+    };
+    site.advance(100);
+    site
+}
+
+/// A gateway that has so many hosts in its configuration, and reads the board's address again from `moved_board`.
+fn gateway(
+    net: Memory,
+    hosts: usize,
+    max_worker_connections: usize,
+    moved_board: Rc<Cell<Option<SocketAddr>>>,
+) -> Gateway<Memory> {
+    let list: Vec<String> = (0..hosts).map(|i| host(i, "up")).collect();
+    let config = config::parse(CONFIG.replace("HOSTS", &list.join(",")).as_bytes()).unwrap();
+    let mut endpoints = ReceivedUpdates::default();
+    let revision = deliver_notices(&config.initial_notices, 0, &mut endpoints)
+        .unwrap()
+        .unwrap();
+    let unreadable = || ReloadError::Read(io::Error::other("n0.json: it cannot be read"));
+    let discovery = NoticeBoardSource::new(
+        config.notice_board,
+        revision,
+        7,
+        Box::new(move || moved_board.get().ok_or_else(unreadable)),
+    );
+    let gateway_config = GatewayConfig {
+        name: config.name.clone(),
+        index: 0,
+        seed: config.seed,
+        settings: config.settings,
+        discovery: config.notice_board,
+        discovery_retry: 2_500,
+        peers: vec![Some(at("127.0.0.1:720")), Some(at(SIBLING))],
+        peer_listen: Some(at("127.0.0.1:720")),
+        limits: limits(max_worker_connections),
+        failover: None,
+    };
+    let mut gateway = Gateway::with_protocols(
+        net,
+        gateway_config,
+        Box::new(NoEndpointCache),
+        Rc::new(HostProtocol),
+        Box::new(discovery),
+    )
+    .unwrap();
+    gateway.set_drain_grace(8_000);
+    for (records, complete) in &endpoints.updates {
+        gateway.update_endpoints(records, *complete);
+    }
+    gateway
+}
+
+fn limits(max_worker_connections: usize) -> GatewayLimits {
+    GatewayLimits {
+        max_requests: 200,
+        connect_timeout: 2_500,
+        streams_per_connection: 32,
+        connections_per_worker: 4,
+        max_worker_connections,
+        spread_threshold: 1,
+        keep_alive: 300_000,
+        health_check_timeout: 2_500,
+        load_request_timeout: 40_000,
+        silence_timeout: 30_000,
+    }
+}
+
+pub fn command(words: &[&str]) -> String {
+    let words: Vec<String> = words
+        .iter()
+        .map(|w| format!("${}\r\n{w}\r\n", w.len()))
+        .collect();
+    format!("*{}\r\n{}", words.len(), words.concat())
+}
+
+/// A call of this request id.
+pub fn call(tag: u64, request_id: u64, class: &str, patience: u64) -> String {
+    let fields = format!(
+        "trace={request_id:016x},patience={patience},customer=acme,nonce=n{request_id},entity={FUNCTION},extras=lanes:100"
+    );
+    command(&["CALL", &tag.to_string(), class, &fields, "body"])
+}
+
+/// A board's response with one notice.
+pub fn poll_response(rev: u64, hosts: &[String], full: bool) -> String {
+    let pool = format!(
+        "{{\"version\":1,\"full\":{full},\"servers\":[{}]}}",
+        hosts.join(",")
+    );
+    let body = format!("{{\"rev\":{rev},\"notices\":[{{\"rev\":{rev},\"pool\":{pool}}}]}}");
+    // The codec accepts it as JSON.
+    assert!(notice_board::parse_json(body.as_bytes()).is_ok());
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+impl Site {
+    pub fn advance(&mut self, time: Time) {
+        let until = self.gateway_net.now() + time;
+        let mut apps: Vec<&mut dyn App<Net = Memory>> = vec![&mut self.gateway, &mut self.board];
+        self.hosts.iter_mut().for_each(|w| apps.push(w));
+        apps.push(&mut self.client);
+        memory::run(&self.world, &mut apps, until);
+    }
+
+    pub fn connect(&mut self) -> Conn {
+        self.client.net.connect(at(GATEWAY), SECOND)
+    }
+
+    pub fn send(&mut self, conn: Conn, text: &str) {
+        assert!(self.client.net.write(conn, text.as_bytes()));
+    }
+
+    /// One call on a connection of its own; what was replied within this time.
+    pub fn call_and_wait(&mut self, class: &str, time: Time) -> String {
+        self.tag += 1;
+        let conn = self.connect();
+        self.send(conn, &call(1, self.tag, class, 2000));
+        self.advance(time);
+        self.client.text(conn)
+    }
+
+    pub fn attempts(&self) -> usize {
+        self.hosts.iter().map(|h| h.lines("go").len()).sum()
+    }
+}
+
+pub fn ok(tag: u64) -> String {
+    command(&[&tag.to_string(), "OK", "", "yes"])
+}
+
+pub fn failed(tag: u64) -> String {
+    command(&[&tag.to_string(), "FAILED"])
+}
