--- a/crates/tidewall-amqp-ingress/src/lib.rs
+++ b/crates/tidewall-amqp-ingress/src/lib.rs
@@ -255,7 +255,7 @@
                 if let Some(mark) = mark {
                     self.side.marks.end(now, mark, Word::Deferred, 0);
                 }
-                Err((Word::TurnedAway, reason))
+                Err((Word::TurnedAway, reason.wire_text()))
             }
         }
     }
--- a/crates/tidewall-cli/tests/endings_of_gateways.rs
+++ b/crates/tidewall-cli/tests/endings_of_gateways.rs
@@ -38,7 +38,7 @@
     let text = call(1, "check", 2000);
     client.send(&text[..30]);
     p.gateway.signal(libc::SIGTERM);
-    until("it was told", || p.gateway.log().contains("told to stop"));
+    until("it was told", || p.gateway.log().contains("shutdown requested"));
     client.send(&text[30..]);
     let mut link = accept(&p.workers[0], LONG).unwrap();
     assert_eq!(link.go(LONG).as_deref(), Some("0000000000000001"));
@@ -132,7 +132,7 @@
         body.len()
     ));
     p.gateway.signal(libc::SIGTERM);
-    until("it drains", || p.gateway.log().contains("drains"));
+    until("it drains", || p.gateway.log().contains("draining started"));
     std::thread::sleep(ms(400));
     client.send(command(&["CHECK", "2", ""]));
     std::thread::sleep(ms(50));
--- /dev/null
+++ b/crates/tidewall-gateway/src/client_requests.rs
@@ -0,0 +1,144 @@
+//! The requests of an ingress's clients: which connection each came on, and which are still open there.
+use crate::ingress::{ReplyHandle, NO_REQUEST_SLOT};
+use rustc_hash::FxHashMap;
+use slab::Slab;
+use tidewall_net::Conn;
+
+/// A client's open request.
+pub struct ClientRequest {
+    /// The connection that it came on.
+    pub conn: Conn,
+    /// The client's id for it, unique among the open ones of its connection.
+    pub id: u64,
+    /// The gateway's slot, once it is admitted; `NO_REQUEST_SLOT` before.
+    pub slot: usize,
+    /// Neighbours in the list of the connection's requests.
+    previous: Option<u32>,
+    next: Option<u32>,
+    /// Tells the successive users of a key apart.
+    generation: u32,
+}
+
+/// The open requests of one connection.
+#[derive(Clone, Copy, Default)]
+struct ConnectionRequests {
+    first: Option<u32>,
+    open: u32,
+}
+
+/// The open requests of an ingress's clients. Those of one connection are linked, so that its end needs no search.
+pub struct ClientRequests {
+    ingress: usize,
+    requests: Slab<ClientRequest>,
+    generation: u32,
+    /// By connection index. A connection's requests are removed before its index is used again.
+    connections: Vec<ConnectionRequests>,
+    /// Looked up, never iterated: its order is not defined.
+    by_id: FxHashMap<(Conn, u64), u32>,
+}
+
+impl ClientRequests {
+    /// No requests, of the ingress with this index.
+    pub fn new(ingress: usize) -> ClientRequests {
+        ClientRequests {
+            ingress,
+            requests: Slab::new(),
+            generation: 0,
+            connections: Vec::new(),
+            by_id: FxHashMap::default(),
+        }
+    }
+
+    fn connection(&mut self, conn: Conn) -> &mut ConnectionRequests {
+        if self.connections.len() <= conn.index() {
+            self.connections
+                .resize(conn.index() + 1, ConnectionRequests::default());
+        }
+        &mut self.connections[conn.index()]
+    }
+
+    /// Adds a request and gives its key. The connection has no other open one with this id.
+    pub fn add(&mut self, conn: Conn, id: u64) -> u32 {
+        let next = self.connection(conn).first;
+        self.generation = self.generation.wrapping_add(1);
+        let request = ClientRequest {
+            conn,
+            id,
+            slot: NO_REQUEST_SLOT,
+            previous: None,
+            next,
+            generation: self.generation,
+        };
+        let key = self.requests.insert(request) as u32;
+        if let Some(next) = next {
+            self.requests[next as usize].previous = Some(key);
+        }
+        let connection = self.connection(conn);
+        connection.first = Some(key);
+        connection.open += 1;
+        self.by_id.insert((conn, id), key);
+        key
+    }
+
+    /// The gateway has admitted the request to this slot.
+    pub fn set_slot(&mut self, key: u32, slot: usize) {
+        self.requests[key as usize].slot = slot;
+    }
+
+    /// The reply handle that names a request to the gateway: its key below, its generation above.
+    pub fn handle(&self, key: u32) -> ReplyHandle {
+        let generation = self.requests[key as usize].generation;
+        ReplyHandle {
+            ingress: self.ingress,
+            key: u64::from(key) | u64::from(generation) << 32,
+        }
+    }
+
+    /// The key that a reply handle names; none where the request is no longer open.
+    pub fn key(&self, handle: ReplyHandle) -> Option<u32> {
+        let (key, generation) = (handle.key as u32, (handle.key >> 32) as u32);
+        self.requests
+            .get(key as usize)
+            .filter(|request| request.generation == generation)
+            .map(|_| key)
+    }
+
+    /// The request that a reply handle names; none where it is no longer open.
+    pub fn get(&self, handle: ReplyHandle) -> Option<&ClientRequest> {
+        self.key(handle).map(|key| &self.requests[key as usize])
+    }
+
+    /// The key of a connection's open request with this id.
+    pub fn find(&self, conn: Conn, id: u64) -> Option<u32> {
+        self.by_id.get(&(conn, id)).copied()
+    }
+
+    /// How many requests of a connection are open.
+    pub fn open(&self, conn: Conn) -> u32 {
+        self.connections
+            .get(conn.index())
+            .map_or(0, |connection| connection.open)
+    }
+
+    /// Removes a request, which is no longer open.
+    pub fn remove(&mut self, key: u32) -> ClientRequest {
+        let request = self.requests.remove(key as usize);
+        self.by_id.remove(&(request.conn, request.id));
+        match request.previous {
+            Some(previous) => self.requests[previous as usize].next = request.next,
+            None => self.connection(request.conn).first = request.next,
+        }
+        if let Some(next) = request.next {
+            self.requests[next as usize].previous = request.previous;
+        }
+        self.connection(request.conn).open -= 1;
+        request
+    }
+
+    /// Removes the latest of a connection's open requests and gives it with its reply handle; none where it has none.
+    pub fn remove_latest(&mut self, conn: Conn) -> Option<(ClientRequest, ReplyHandle)> {
+        let key = self.connections.get(conn.index())?.first?;
+        let handle = self.handle(key);
+        Some((self.remove(key), handle))
+    }
+}
--- a/crates/tidewall-gateway/src/error.rs
+++ b/crates/tidewall-gateway/src/error.rs
@@ -24,6 +24,29 @@
     }
 }
 
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{}", self.wire_text())]
+pub enum AdmissionError {
+    /// The gateway is draining, or the other member of its failover pair serves.
+    Draining,
+    /// The deduplication table has no room for another idempotency key.
+    DeduplicationTableFull,
+    /// As many requests are in flight as the settings allow.
+    TooManyRequests,
+}
+
+impl AdmissionError {
+    /// The reason as clients get it.
+    pub fn wire_text(self) -> &'static str {
+        match self {
+            AdmissionError::Draining => "draining",
+            AdmissionError::DeduplicationTableFull => "most-remembered",
+            AdmissionError::TooManyRequests => "most-held",
+        }
+    }
+}
+
 /// Why a gateway does not start: one line for the operator.
 #[derive(Debug, Error)]
 pub enum StartError {
--- /dev/null
+++ b/crates/tidewall-gateway/src/event_loop.rs
@@ -0,0 +1,122 @@
+//! The event loop's entry points: what happens on connections, sockets and timers is handed to the part that it belongs to.
+//! Each ends by delivering what the scheduler's calls left behind.
+use crate::connection_owners::Owner;
+use crate::Gateway;
+use std::net::SocketAddr;
+use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net};
+
+/// The number of SIGHUP (POSIX: 1 on every system of today).
+const SIGHUP: i32 = 1;
+
+impl<N: Net> App for Gateway<N> {
+    type Net = N;
+
+    fn net(&mut self) -> &mut N {
+        self.context.net()
+    }
+
+    fn accepted(&mut self, listener: Listener, conn: Conn, _from: SocketAddr) {
+        if let Some(ingress) = self.ingress_of(listener) {
+            self.set_owner(conn, Owner::Ingress(ingress));
+            self.ingresses[ingress].accepted(&mut self.context, conn);
+        } else if self
+            .failover
+            .as_ref()
+            .is_some_and(|node| node.listener() == Some(listener))
+        {
+            self.set_owner(conn, Owner::Handshake);
+        }
+    }
+
+    fn connected(&mut self, conn: Conn) {
+        match self.owner(conn) {
+            Owner::Handshake => self.send_peer_greeting(conn),
+            _ if self.discovery.conn == Some(conn) => self.discovery_connected(conn),
+            Owner::Worker(connection) => self.worker_connected(conn, connection),
+            _ => {}
+        }
+    }
+
+    fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let used = match self.owner(conn) {
+            Owner::Nobody => bytes.len(),
+            Owner::Ingress(ingress) => {
+                self.ingresses[ingress].received(&mut self.context, conn, bytes)
+            }
+            owner => {
+                if let Owner::Worker(connection) = owner {
+                    self.context.scheduler.host.bytes_received(connection);
+                }
+                let used = self.read_messages(conn, bytes, owner);
+                if let Owner::Worker(connection) = self.owner(conn) {
+                    self.context
+                        .scheduler
+                        .host
+                        .set_partial_message(connection, used < bytes.len());
+                }
+                if owner == Owner::Peer {
+                    self.acknowledge_records();
+                }
+                used
+            }
+        };
+        self.deliver_deferred_outcomes();
+        used
+    }
+
+    fn writable(&mut self, conn: Conn) {
+        match self.owner(conn) {
+            Owner::Ingress(ingress) => self.ingresses[ingress].writable(&mut self.context, conn),
+            Owner::Worker(connection) => {
+                self.context.scheduler.host.connection_writable(connection);
+                self.wakeup_ended();
+            }
+            _ => {}
+        }
+    }
+
+    fn wakeup_ended(&mut self) {
+        while self.context.scheduler.host.flush() {
+            self.deliver_deferred_outcomes();
+        }
+    }
+
+    fn closed(&mut self, conn: Conn, reason: CloseReason) {
+        match self.owner(conn) {
+            Owner::Nobody => {}
+            Owner::Ingress(ingress) => self.ingresses[ingress].closed(&mut self.context, conn),
+            Owner::Worker(connection) => self.worker_connection_closed(connection, reason),
+            Owner::Discovery => self.discovery_connection_closed(reason),
+            Owner::Peer => self.peer_connection_closed(),
+            Owner::Handshake => self.handshake_closed(conn),
+        }
+        self.set_owner(conn, Owner::Nobody);
+        self.deliver_deferred_outcomes();
+    }
+
+    fn datagram_received(&mut self, socket: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
+        if self
+            .failover
+            .as_ref()
+            .is_some_and(|node| node.port() == Some(socket))
+        {
+            self.vrrp_datagram_received(from, bytes);
+            self.deliver_deferred_outcomes();
+        } else if self.datagram_socket == Some(socket) {
+            self.peer_datagram_received(from, bytes);
+        }
+    }
+
+    fn timer_fired(&mut self, token: u64) {
+        self.dispatch_timer(token);
+        self.deliver_deferred_outcomes();
+    }
+
+    fn signal_received(&mut self, signal: i32) {
+        if signal == SIGHUP {
+            self.reload_discovery();
+        } else {
+            self.shutdown_requested();
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidewall-gateway/src/ingress_context.rs
@@ -0,0 +1,201 @@
+//! Admission: what an ingress may do with the gateway's state, and which requests are accepted.
+use crate::error::AdmissionError;
+use crate::ingress::{IncomingRequest, ReplyHandle, NO_CLIENT};
+use crate::timers::TimerToken;
+use crate::worker_pool::{Counters, WorkerPool};
+use std::collections::VecDeque;
+use tidewall::choice::Scheduler;
+use tidewall::interface::RequestInfo;
+use tidewall::interner;
+use tidewall_failover::recovery::margin;
+use tidewall_net::{Net, Time};
+use tracing::debug;
+
+/// The gateway as its ingresses see it: they tell it which requests come and which clients leave.
+pub struct IngressContext<N: Net> {
+    pub(crate) scheduler: Scheduler<WorkerPool<N>>,
+    /// Nothing more is admitted; the process ends once nothing is in flight.
+    pub(crate) draining: bool,
+    /// Shutdown was requested; for the grace period requests are still admitted.
+    pub(crate) shutting_down: bool,
+    /// Another member of the failover pair serves.
+    pub(crate) standby: bool,
+    max_requests: usize,
+    /// Retries of requests that the other member has in flight: its slot there, who asks, until when.
+    pub(crate) awaited_remote: VecDeque<(usize, ReplyHandle, Time)>,
+}
+
+impl<N: Net> IngressContext<N> {
+    pub(crate) fn new(
+        scheduler: Scheduler<WorkerPool<N>>,
+        max_requests: usize,
+        standby: bool,
+    ) -> IngressContext<N> {
+        IngressContext {
+            scheduler,
+            draining: false,
+            shutting_down: false,
+            standby,
+            max_requests,
+            awaited_remote: VecDeque::new(),
+        }
+    }
+
+    /// The network and the clock.
+    pub fn net(&mut self) -> &mut N {
+        &mut self.scheduler.host.net
+    }
+
+    /// The network and the clock, for reading.
+    pub fn net_ref(&self) -> &N {
+        &self.scheduler.host.net
+    }
+
+    /// Names of the request classes; a request's class is an index here.
+    pub fn class_names(&self) -> &[String] {
+        &self.scheduler.host.class_names
+    }
+
+    /// Names of the tenants; a request's tenant is an index here.
+    pub fn tenant_names(&self) -> &[String] {
+        &self.scheduler.host.tenant_names
+    }
+
+    /// The gateway's totals.
+    pub fn counters(&mut self) -> &mut Counters {
+        &mut self.scheduler.host.counters
+    }
+
+    /// Admits a request, which gets exactly one response from now on. The slot that it gives names the request to
+    /// `client_abandoned`; it is `NO_REQUEST_SLOT` where a request with the same idempotency key is in flight or answered
+    /// elsewhere.
+    ///
+    /// # Errors
+    /// Where the request is refused; nothing follows then.
+    pub fn admit(&mut self, incoming: &IncomingRequest) -> Result<usize, AdmissionError> {
+        if let Some(slot) = self.find_duplicate(incoming) {
+            return Ok(slot);
+        }
+        let pool = &mut self.scheduler.host;
+        let table_full = pool
+            .replicator
+            .as_ref()
+            .is_some_and(|replicator| !replicator.deduplication.has_capacity());
+        let refusal = if self.draining || self.standby {
+            AdmissionError::Draining
+        } else if table_full {
+            AdmissionError::DeduplicationTableFull
+        } else if pool.in_flight >= self.max_requests {
+            AdmissionError::TooManyRequests
+        } else {
+            return Ok(self.start_request(incoming));
+        };
+        pool.counters.refused += 1;
+        Err(refusal)
+    }
+
+    /// Registers a request and hands it to the scheduler; gives its slot.
+    pub(crate) fn start_request(&mut self, incoming: &IncomingRequest) -> usize {
+        let now = self.scheduler.host.net.now();
+        let info = self.request_info(incoming, now);
+        let slot = self.scheduler.next_request_slot();
+        self.scheduler.host.register_request(slot, incoming, &info);
+        debug!(
+            request = incoming.id,
+            slot,
+            function = incoming.function,
+            remaining = incoming.remaining,
+            "request admitted"
+        );
+        self.scheduler.advance_clock(now);
+        self.scheduler.request_arrived(info);
+        slot
+    }
+
+    /// The request in the scheduler's terms.
+    fn request_info(&mut self, incoming: &IncomingRequest, now: Time) -> RequestInfo {
+        let pool = &mut self.scheduler.host;
+        let margin = pool.replicator.as_ref().map_or(0, |replicator| {
+            margin(
+                replicator.retry_safety_of(incoming.class),
+                incoming.remaining,
+                replicator.silence_timeout,
+            )
+        });
+        // Our own timers may fire late: the scheduler is told that the client stops waiting so much earlier, or a response
+        // that is just in time for the scheduler would come too late for the client. Twice the worst lag so far, as the
+        // next may be worse.
+        let lag = (2 * pool.net.max_timer_lag()).min(incoming.remaining / 4);
+        RequestInfo {
+            class: incoming.class,
+            tenant: incoming.tenant,
+            function: pool.function_names.intern(incoming.function),
+            function_hash: interner::fnv1a(incoming.function),
+            lanes: incoming.lanes.max(1),
+            memory: incoming.memory,
+            deadline: now + incoming.remaining - lag - margin,
+            cost_hint: incoming.cost_hint,
+            load_hint: incoming.load_hint,
+            is_retry: incoming.is_retry,
+        }
+    }
+
+    /// `Ingress::timer_fired` follows for the ingress with this index after `wait` tenths of a millisecond.
+    pub fn set_ingress_timer(&mut self, ingress: usize, wait: Time) {
+        let at = self.net().now() + wait;
+        self.net()
+            .set_timer(at, TimerToken::Ingress(ingress).pack());
+    }
+
+    /// Requests in flight, and how many there may be.
+    pub fn in_flight(&self) -> (usize, usize) {
+        (self.scheduler.host.in_flight, self.max_requests)
+    }
+
+    /// Whether shutdown was requested, while requests are still admitted and afterwards.
+    pub fn is_shutting_down(&self) -> bool {
+        self.shutting_down || self.draining
+    }
+
+    /// The longest Retry-After that clients respect, in tenths of a millisecond; 0 where they are told none.
+    pub fn max_retry_after(&self) -> Time {
+        self.scheduler.host.max_retry_after
+    }
+
+    /// Whether nothing more is admitted because the gateway is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// The client does not wait for this request any more.
+    pub fn client_abandoned(&mut self, slot: usize, handle: ReplyHandle) {
+        let now = self.net().now();
+        let pool = &mut self.scheduler.host;
+        if pool.remove_waiting_client(slot, handle) {
+            return;
+        }
+        if pool.take_reply_handle(slot, Some(handle)).is_some() {
+            pool.counters.abandoned += 1;
+            pool.replicate_abandonment(slot);
+            debug!(request = pool.requests[slot].id, slot, "request abandoned");
+            self.scheduler.advance_clock(now);
+            self.scheduler.client_abandoned(slot);
+        }
+    }
+
+    /// The client's connection broke. A member of a failover pair goes on with requests that can be asked for again.
+    pub fn client_disconnected(&mut self, slot: usize, handle: ReplyHandle) {
+        let pool = &mut self.scheduler.host;
+        let is_pair = pool.replicator.is_some();
+        let resumable = pool.requests.get_mut(slot).filter(|request| {
+            request.open
+                && request.reply_handle == handle
+                && is_pair
+                && !request.idempotency_key().is_empty()
+        });
+        match resumable {
+            Some(request) => request.reply_handle = NO_CLIENT,
+            None => self.client_abandoned(slot, handle),
+        }
+    }
+}
--- a/crates/tidewall-gateway/src/native_protocol.rs
+++ b/crates/tidewall-gateway/src/native_protocol.rs
@@ -1,6 +1,6 @@
-//! Workers and the roster as they speak the native frames of `docs/wire.md`.
+//! Workers and the discovery server as they speak the native frames of `docs/wire.md`.
 use crate::backoff::Backoff;
-use crate::endpoints::{self, EndpointRecord};
+use crate::endpoints::{read_record, EndpointRecord};
 use crate::error::ProtocolError;
 use crate::protocol::{
     AttemptMessage, CallName, DiscoveryEvents, DiscoverySource, LoadRequestMessage, LocalIdentity,
@@ -10,20 +10,42 @@
 use tidewall::interface::{Outcome, Time};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame, WireError};
 
+/// The highest age that a worker may give, so that sums of ages and times do not overflow.
+const MAX_AGE: u64 = u64::MAX >> 8;
+
+/// The most that an attempt's end may say of its instance: the numbers of the scheduler's notes, three bits.
+const MAX_INSTANCE_NOTE: u64 = 4;
+
+/// The most other attempts beside one that its end may count.
+const MAX_CONCURRENT: u64 = 30;
+
+/// The most instances that a worker may say it has.
+const MAX_INSTANCES: u64 = 1 << 16;
+
+/// The worker protocol in native frames.
 pub struct NativeWorkerProtocol;
 
-fn hello(out: &mut Vec<u8>, me: &LocalIdentity) {
-    let f = Frame::new(out, kind::HELLO).whole(Field::Version, wire::VERSION);
-    let f = f
+fn write_greeting(out: &mut Vec<u8>, identity: &LocalIdentity) {
+    let frame = Frame::new(out, kind::HELLO)
+        .whole(Field::Version, wire::VERSION)
         .text(Field::Role, "gateway")
-        .text(Field::Name, me.name)
-        .whole(Field::Life, me.index);
-    if me.failover_member > 0 {
-        f.whole(Field::Member, me.failover_member)
+        .text(Field::Name, identity.name)
+        .whole(Field::Life, identity.index);
+    let frame = if identity.failover_member > 0 {
+        frame.whole(Field::Member, identity.failover_member)
+    } else {
+        frame
+    };
+    frame.end();
+}
+
+/// Adds the epoch of a failover pair; other gateways have none.
+fn with_epoch(frame: Frame, epoch: u64) -> Frame {
+    if epoch > 0 {
+        frame.whole(Field::Epoch, epoch)
     } else {
-        f
+        frame
     }
-    .end();
 }
 
 impl WorkerProtocol for NativeWorkerProtocol {
@@ -39,59 +61,52 @@
         false
     }
 
-    fn write_greeting(&self, out: &mut Vec<u8>, me: &LocalIdentity) {
-        hello(out, me);
+    fn write_greeting(&self, out: &mut Vec<u8>, identity: &LocalIdentity) {
+        write_greeting(out, identity);
     }
 
-    fn write_attempt(&self, out: &mut Vec<u8>, own: u64, l: &AttemptMessage) {
-        let f = Frame::new(out, kind::LAUNCH).whole(Field::Id, own);
-        let f = f
-            .whole(Field::Event, l.request_id)
-            .whole(Field::Launch, l.attempt);
-        let f = f
-            .text(Field::Type, l.class)
-            .text(Field::Function, l.function);
-        let f = f
-            .whole(Field::Lanes, u64::from(l.lanes))
-            .real(Field::Memory, l.memory);
-        let f = f
-            .whole(Field::Left, l.remaining)
-            .whole(Field::Hint, l.cost_hint);
-        let f = f
-            .bytes(Field::Mark, l.idempotency_key)
-            .flag(Field::Resent, l.is_retry);
-        let f = if l.epoch > 0 {
-            f.whole(Field::Epoch, l.epoch)
-        } else {
-            f
-        };
-        f.bytes(Field::Payload, l.payload).end();
+    fn write_attempt(&self, out: &mut Vec<u8>, call_id: u64, attempt: &AttemptMessage) {
+        let frame = Frame::new(out, kind::LAUNCH)
+            .whole(Field::Id, call_id)
+            .whole(Field::Event, attempt.request_id)
+            .whole(Field::Launch, attempt.attempt)
+            .text(Field::Type, attempt.class)
+            .text(Field::Function, attempt.function)
+            .whole(Field::Lanes, u64::from(attempt.lanes))
+            .real(Field::Memory, attempt.memory)
+            .whole(Field::Left, attempt.remaining)
+            .whole(Field::Hint, attempt.cost_hint)
+            .bytes(Field::Mark, attempt.idempotency_key)
+            .flag(Field::Resent, attempt.is_retry);
+        with_epoch(frame, attempt.epoch)
+            .bytes(Field::Payload, attempt.payload)
+            .end();
     }
 
-    fn write_cancel(&self, out: &mut Vec<u8>, own: u64, _event: u64) {
-        Frame::new(out, kind::CANCEL).whole(Field::Id, own).end();
+    fn write_cancel(&self, out: &mut Vec<u8>, call_id: u64, _request_id: u64) {
+        Frame::new(out, kind::CANCEL)
+            .whole(Field::Id, call_id)
+            .end();
     }
 
-    fn write_health_check(&self, out: &mut Vec<u8>, own: u64) {
-        Frame::new(out, kind::PROBE).whole(Field::Id, own).end();
+    fn write_health_check(&self, out: &mut Vec<u8>, call_id: u64) {
+        Frame::new(out, kind::PROBE).whole(Field::Id, call_id).end();
     }
 
-    fn write_load_request(&self, out: &mut Vec<u8>, own: u64, o: &LoadRequestMessage) {
-        let f = Frame::new(out, kind::HOLD)
-            .whole(Field::Id, own)
-            .text(Field::Function, o.function);
-        let f = f
-            .whole(Field::Copies, u64::from(o.instances))
-            .whole(Field::Lanes, u64::from(o.lanes));
-        let f = f
-            .real(Field::Memory, o.memory)
-            .whole(Field::LoadHint, o.load_hint);
-        if o.epoch > 0 {
-            f.whole(Field::Epoch, o.epoch)
-        } else {
-            f
-        }
-        .end();
+    fn write_load_request(
+        &self,
+        out: &mut Vec<u8>,
+        call_id: u64,
+        load_request: &LoadRequestMessage,
+    ) {
+        let frame = Frame::new(out, kind::HOLD)
+            .whole(Field::Id, call_id)
+            .text(Field::Function, load_request.function)
+            .whole(Field::Copies, u64::from(load_request.instances))
+            .whole(Field::Lanes, u64::from(load_request.lanes))
+            .real(Field::Memory, load_request.memory)
+            .whole(Field::LoadHint, load_request.load_hint);
+        with_epoch(frame, load_request.epoch).end();
     }
 
     fn write_unload(&self, out: &mut Vec<u8>, function: &str) {
@@ -103,17 +118,18 @@
     fn read_message(
         &self,
         bytes: &[u8],
-        heard: &mut dyn WorkerEvents,
+        events: &mut dyn WorkerEvents,
     ) -> Result<Option<usize>, ProtocolError> {
-        let Some((body, len)) = wire::frame(bytes)? else {
+        let Some((body, length)) = wire::frame(bytes)? else {
             return Ok(None);
         };
-        message(&Fields::read(body)?, heard).map(|()| Some(len))
+        read_frame(&Fields::read(body)?, events)?;
+        Ok(Some(length))
     }
 
-    fn write_peer_datagram(&self, out: &mut Vec<u8>, me: u64, bytes: &[u8]) {
+    fn write_peer_datagram(&self, out: &mut Vec<u8>, index: u64, bytes: &[u8]) {
         Frame::new(out, kind::PEER)
-            .whole(Field::Id, me)
+            .whole(Field::Id, index)
             .bytes(Field::Payload, bytes)
             .end();
     }
@@ -128,8 +144,8 @@
         if fields.kind()? != kind::PEER {
             return Err(WireError::invalid(Field::Kind, "not a gateway's").into());
         }
-        let peer = fields.upto(Field::Id, u64::from(u32::MAX), 0)?;
-        Ok((peer as u32, fields.bytes(Field::Payload)?))
+        let sender = fields.upto(Field::Id, u64::from(u32::MAX), 0)?;
+        Ok((sender as u32, fields.bytes(Field::Payload)?))
     }
 
     fn write_error(&self, out: &mut Vec<u8>, reason: &str) {
@@ -137,115 +153,152 @@
     }
 }
 
-fn message(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
-    if !heard.has_greeted() {
+/// Reads one frame of a worker: its greeting first, then anything else.
+fn read_frame(fields: &Fields, events: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
+    if !events.has_greeted() {
         let role = wire::greeted(fields)?;
         let name = fields.text(Field::Name)?;
-        return heard.greeted(
-            role,
-            name,
-            fields.whole(Field::Life)?,
-            fields.upto(Field::Age, u64::MAX >> 8, 0)?,
-        );
+        let incarnation = fields.whole(Field::Life)?;
+        let age = fields.upto(Field::Age, MAX_AGE, 0)?;
+        return events.greeted(role, name, incarnation, age);
     }
-    let own = || fields.whole(Field::Id).map(CallName::CallId);
+    let call_name = || fields.whole(Field::Id).map(CallName::CallId);
     match fields.kind()? {
-        kind::BEGUN => heard.response_started(own()?, fields.bytes(Field::Payload)?),
-        kind::END => {
-            let outcome = outcome(fields)?;
-            let copy = fields.upto(Field::Copy, 4, 0)? as u32;
-            let company = fields.upto(Field::Company, 30, 0)? as u32;
-            let (payload, own) = (fields.bytes(Field::Payload)?, own()?);
-            report(fields, heard)?;
-            refused(fields, heard)?;
-            heard.attempt_ended(own, outcome, copy | company << 3, payload)
-        }
+        kind::BEGUN => events.response_started(call_name()?, fields.bytes(Field::Payload)?),
+        kind::END => read_attempt_end(fields, events),
         kind::HELD => {
-            let (outcome, copies) = (outcome(fields)?, fields.upto(Field::Copies, 1 << 16, 0)?);
-            let own = own()?;
-            refused(fields, heard)?;
-            heard.load_request_ended(own, outcome, copies as u32)
+            let outcome = read_outcome(fields)?;
+            let instances = fields.upto(Field::Copies, MAX_INSTANCES, 0)? as u32;
+            let call_name = call_name()?;
+            read_epoch_rejection(fields, events)?;
+            events.load_request_ended(call_name, outcome, instances)
         }
         kind::PROBED => {
-            let own = own()?;
-            report(fields, heard)?;
-            heard.health_check_ended(own, true)
+            let call_name = call_name()?;
+            read_load_report(fields, events)?;
+            events.health_check_ended(call_name, true)
         }
-        kind::PROMISED => heard.vote_received(fields),
+        kind::PROMISED => events.vote_received(fields),
         kind::DRAINS => {
-            heard.draining();
+            events.draining();
             Ok(())
         }
         kind::ERROR => {
-            heard.error_reported(fields.text(Field::Reason)?);
+            events.error_reported(fields.text(Field::Reason)?);
             Ok(())
         }
-        other => {
-            Err(WireError::invalid(Field::Kind, format!("{other} is not for a gateway")).into())
-        }
+        other => Err(unexpected_kind(other)),
     }
 }
 
-fn report(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
+fn read_attempt_end(fields: &Fields, events: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
+    let outcome = read_outcome(fields)?;
+    let instance = fields.upto(Field::Copy, MAX_INSTANCE_NOTE, 0)? as u32;
+    let concurrent = fields.upto(Field::Company, MAX_CONCURRENT, 0)? as u32;
+    let payload = fields.bytes(Field::Payload)?;
+    let call_name = CallName::CallId(fields.whole(Field::Id)?);
+    read_load_report(fields, events)?;
+    read_epoch_rejection(fields, events)?;
+    events.attempt_ended(call_name, outcome, instance | concurrent << 3, payload)
+}
+
+fn unexpected_kind(kind: u64) -> ProtocolError {
+    WireError::invalid(Field::Kind, format!("{kind} is not for a gateway")).into()
+}
+
+/// Hands on the load report that an answer may carry.
+fn read_load_report(fields: &Fields, events: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
     if fields.has(Field::InFlight) || fields.has(Field::Busy) {
-        heard.load_reported(
-            fields.real(Field::InFlight, 0.0)?,
-            fields.real(Field::Busy, 0.0)?,
-        );
+        let in_flight = fields.real(Field::InFlight, 0.0)?;
+        let busy = fields.real(Field::Busy, 0.0)?;
+        events.load_reported(in_flight, busy);
     }
     Ok(())
 }
 
-/// Refused as another member serves: that is looked into.
-fn refused(fields: &Fields, heard: &mut dyn WorkerEvents) -> Result<(), ProtocolError> {
+/// Hands on that a worker refused because another member of the failover pair serves.
+fn read_epoch_rejection(
+    fields: &Fields,
+    events: &mut dyn WorkerEvents,
+) -> Result<(), ProtocolError> {
     if fields.text(Field::Outcome)? == "fenced" {
-        heard.epoch_rejected();
+        events.epoch_rejected();
     }
     Ok(())
 }
 
-fn outcome(fields: &Fields) -> Result<Outcome, ProtocolError> {
+fn read_outcome(fields: &Fields) -> Result<Outcome, ProtocolError> {
     Ok(match fields.text(Field::Outcome)? {
         "ok" => Outcome::Ok,
         "error" => Outcome::Error,
-        // One that refuses as another member serves counts as full.
+        // One that refuses because another member serves counts as full.
         "full" | "fenced" => Outcome::AtCapacity,
         "miss" => Outcome::Miss,
         "cancelled" => Outcome::Cancelled,
         other => {
-            return Err(
-                WireError::invalid(Field::Outcome, format!("'{other}' is no outcome")).into(),
-            )
+            let reason = format!("'{other}' is no outcome");
+            return Err(WireError::invalid(Field::Outcome, reason).into());
         }
     })
 }
 
-/// The roster of `docs/wire.md`.
+/// The discovery server of `docs/wire.md`, where it is called the roster.
 pub struct NativeDiscovery {
-    at: SocketAddr,
+    address: SocketAddr,
     greeted: bool,
-    retry: Backoff,
+    backoff: Backoff,
 }
 
 impl NativeDiscovery {
-    pub fn new(at: SocketAddr, retry: Backoff) -> NativeDiscovery {
+    /// The server at this address; `backoff` draws the delays before it is connected again.
+    pub fn new(address: SocketAddr, backoff: Backoff) -> NativeDiscovery {
         NativeDiscovery {
-            at,
+            address,
             greeted: false,
-            retry,
+            backoff,
         }
     }
+
+    fn read_greeting(&mut self, fields: &Fields) -> Result<(), ProtocolError> {
+        if wire::greeted(fields)? != "roster" {
+            return Err(WireError::invalid(Field::Role, "no roster answers there").into());
+        }
+        self.greeted = true;
+        Ok(())
+    }
+}
+
+fn read_endpoint_list(
+    fields: &Fields,
+    events: &mut dyn DiscoveryEvents,
+) -> Result<(), ProtocolError> {
+    let complete = match fields.text(Field::Scope)? {
+        "whole" => true,
+        "patch" => false,
+        other => {
+            let reason = format!("'{other}' is no scope");
+            return Err(WireError::invalid(Field::Scope, reason).into());
+        }
+    };
+    // All of it is read before any of it is taken over.
+    let mut records: Vec<EndpointRecord> = Vec::new();
+    fields.entries(|entry| {
+        records.push(read_record(entry)?);
+        Ok(())
+    })?;
+    events.endpoints_received(&records, complete);
+    Ok(())
 }
 
 impl DiscoverySource for NativeDiscovery {
     fn address(&self) -> SocketAddr {
-        self.at
+        self.address
     }
 
-    fn write_subscription(&mut self, out: &mut Vec<u8>, me: &LocalIdentity, follows: bool) {
+    fn write_subscription(&mut self, out: &mut Vec<u8>, identity: &LocalIdentity, watch: bool) {
         self.greeted = false;
-        hello(out, me);
-        if follows {
+        write_greeting(out, identity);
+        if watch {
             Frame::new(out, kind::FOLLOW).flag(Field::On, true).end();
         }
     }
@@ -253,54 +306,26 @@
     fn read_message(
         &mut self,
         bytes: &[u8],
-        told: &mut dyn DiscoveryEvents,
+        events: &mut dyn DiscoveryEvents,
     ) -> Result<Option<usize>, ProtocolError> {
-        let Some((body, len)) = wire::frame(bytes)? else {
+        let Some((body, length)) = wire::frame(bytes)? else {
             return Ok(None);
         };
         let fields = Fields::read(body)?;
         if !self.greeted {
-            if wire::greeted(&fields)? != "roster" {
-                return Err(WireError::invalid(Field::Role, "no roster answers there").into());
-            }
-            self.greeted = true;
-            return Ok(Some(len));
+            self.read_greeting(&fields)?;
+            return Ok(Some(length));
         }
         match fields.kind()? {
-            kind::ROSTER => {
-                let whole = match fields.text(Field::Scope)? {
-                    "whole" => true,
-                    "patch" => false,
-                    other => {
-                        return Err(WireError::invalid(
-                            Field::Scope,
-                            format!("'{other}' is no scope"),
-                        )
-                        .into())
-                    }
-                };
-                // All of it is read before any of it is taken over.
-                let mut entries: Vec<EndpointRecord> = Vec::new();
-                fields.entries(|e| {
-                    entries.push(endpoints::entry(e)?);
-                    Ok(())
-                })?;
-                told.endpoints_received(&entries, whole);
-            }
-            kind::ERROR => told.error_reported(fields.text(Field::Reason)?),
-            other => {
-                return Err(WireError::invalid(
-                    Field::Kind,
-                    format!("{other} is not for a gateway"),
-                )
-                .into())
-            }
+            kind::ROSTER => read_endpoint_list(&fields, events)?,
+            kind::ERROR => events.error_reported(fields.text(Field::Reason)?),
+            other => return Err(unexpected_kind(other)),
         }
-        Ok(Some(len))
+        Ok(Some(length))
     }
 
     fn retry_delay(&mut self) -> Time {
-        self.retry.wait()
+        self.backoff.wait()
     }
 
     fn write_error(&self, out: &mut Vec<u8>, reason: &str) {
--- /dev/null
+++ b/crates/tidewall-gateway/src/worker_connections.rs
@@ -0,0 +1,132 @@
+//! Connections to workers, as the gateway sees them: greeting, timeouts, and what follows from their end.
+use crate::connection_owners::Owner;
+use crate::protocol::LocalIdentity;
+use crate::Gateway;
+use tidewall::interface::Outcome;
+use tidewall_net::{CloseReason, Conn, Net, Time};
+use tracing::{debug, warn};
+
+impl<N: Net> Gateway<N> {
+    /// A connection to a worker is open.
+    pub(crate) fn worker_connected(&mut self, conn: Conn, connection: usize) {
+        let mut greeting = Vec::new();
+        let protocol = self.context.scheduler.host.protocol.clone();
+        let identity = LocalIdentity {
+            name: &self.name,
+            index: self.index,
+            failover_member: self.failover_member(),
+        };
+        protocol.write_greeting(&mut greeting, &identity);
+        let pool = &mut self.context.scheduler.host;
+        if !greeting.is_empty() {
+            pool.net.write(conn, &greeting);
+            pool.connections[connection].written += greeting.len();
+        }
+        if !protocol.requires_greeting() {
+            pool.connection_ready(connection);
+            self.deliver_deferred_outcomes();
+        }
+    }
+
+    /// A connection to a worker is over: its unsent calls provably were not executed, its sent ones may have been.
+    pub(crate) fn worker_connection_closed(&mut self, connection: usize, reason: CloseReason) {
+        let pool = &mut self.context.scheduler.host;
+        let closed = pool.connections.remove(connection);
+        pool.workers[closed.worker]
+            .connections
+            .retain(|other| *other != connection);
+        pool.cancel_greeting_timer(&closed);
+        // The key may name another connection before the last of these calls has ended.
+        for key in closed.waiting.iter().chain(&closed.sent) {
+            pool.calls[*key].connection = None;
+        }
+        if !closed.ready {
+            debug!(
+                worker = pool.worker_names.resolve(closed.worker),
+                ?reason,
+                waiting = closed.waiting.len(),
+                "worker connection failed"
+            );
+        }
+        for key in closed.waiting {
+            self.call_ended(key, Outcome::ConnectFailed, 0);
+            self.context.scheduler.host.remove_call(key);
+        }
+        for key in closed.sent {
+            let call = self.context.scheduler.host.calls[key];
+            if !call.ended {
+                self.partial_response_lost(call.kind);
+            }
+            self.call_ended(key, Outcome::Reset, 0);
+            self.context.scheduler.host.remove_call(key);
+        }
+    }
+
+    /// The worker accepted a connection and says nothing, as a hung process does: that counts as no connection.
+    pub(crate) fn greeting_timed_out(&mut self, connection: usize) {
+        if let Some(conn) = self.context.scheduler.host.unready_connection(connection) {
+            self.reset_worker_connection(connection, conn, CloseReason::TimedOut);
+        }
+    }
+
+    /// Ends connections that are idle, silent or of no further use.
+    pub(crate) fn close_unused_connections(&mut self, now: Time, next_check: Time) {
+        self.reset_stalled_after_grace(next_check);
+        for (connection, conn) in self.context.scheduler.host.stalled_connections(now) {
+            warn!(
+                connection,
+                "worker connection reset: the rest of a message did not come"
+            );
+            self.reset_worker_connection(connection, conn, CloseReason::Reset);
+        }
+        for (connection, conn) in self.context.scheduler.host.idle_connections(now) {
+            self.context.net().close(conn);
+            self.set_owner(conn, Owner::Nobody);
+            self.worker_connection_closed(connection, CloseReason::Ended);
+        }
+    }
+
+    /// Nothing leaves for a worker after the drain grace period: where its socket takes no more the connection ends instead.
+    fn reset_stalled_after_grace(&mut self, next_check: Time) {
+        let now = self.context.net().now();
+        let pool = &self.context.scheduler.host;
+        for (connection, conn) in pool.stalled_after_grace(now, next_check) {
+            let pool = &self.context.scheduler.host;
+            warn!(
+                worker = pool
+                    .worker_names
+                    .resolve(pool.connections[connection].worker),
+                "worker connection reset: it is draining and reads nothing"
+            );
+            self.reset_worker_connection(connection, conn, CloseReason::Reset);
+        }
+    }
+
+    fn reset_worker_connection(&mut self, connection: usize, conn: Conn, reason: CloseReason) {
+        self.context.net().reset(conn);
+        self.set_owner(conn, Owner::Nobody);
+        self.worker_connection_closed(connection, reason);
+    }
+
+    /// A worker left or restarted: what has not left for it is decided again.
+    pub(crate) fn withdraw_unsent_calls(&mut self, worker: usize) {
+        for key in self.context.scheduler.host.unsent_calls(worker) {
+            self.call_ended(key, Outcome::Discarded, 0);
+            self.context.scheduler.host.remove_ended_call(key);
+        }
+        self.reset_stalled_after_grace(0);
+    }
+
+    /// Forgets workers that were removed for good, so that replaced machines do not add up. A failover pair's records name
+    /// workers by their index, so there none is forgotten.
+    pub(crate) fn forget_removed_workers(&mut self) {
+        if self.failover.is_some() {
+            return;
+        }
+        for worker in self.context.scheduler.host.removed_idle_workers() {
+            if self.context.scheduler.forget_worker(worker) {
+                self.context.scheduler.host.forget_worker(worker);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidewall-gateway/src/worker_pool/connections.rs
@@ -0,0 +1,297 @@
+//! Connections to workers: which one a call is assigned to, when another is opened, and which are to be closed.
+use super::{Call, GatewayLimits, WorkerPool};
+use crate::timers::TimerToken;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use tidewall::interface::{EndpointState, Outcome};
+use tidewall_net::{Conn, Net, Time, TimerId};
+
+/// A connection to a worker, open or being opened.
+pub struct WorkerConnection {
+    /// The worker's index.
+    pub worker: usize,
+    pub(super) conn: Conn,
+    /// The worker has greeted, or needs no greeting: calls may be sent.
+    pub ready: bool,
+    /// Bytes written to it in all.
+    pub written: usize,
+    /// Of these, the bytes up to the last that bring work: an attempt or a load request.
+    pub(super) last_work_offset: usize,
+    /// Attempts on it, sent or waiting.
+    pub(super) streams: usize,
+    /// Keys of the calls that wait for its socket.
+    pub waiting: Vec<usize>,
+    /// Keys of the calls that were sent on it.
+    pub sent: Vec<usize>,
+    /// Requests whose attempts on it were abandoned: an answer may still be on its way.
+    pub(super) abandoned_requests: VecDeque<u64>,
+    /// Since when a part of a message has been waiting for its rest.
+    pub partial_since: Option<Time>,
+    /// When a call was last sent or the connection became ready.
+    pub(super) last_used: Time,
+    last_received: Time,
+    /// Until it fires the worker must have greeted.
+    greeting_timer: Option<TimerId>,
+}
+
+impl WorkerConnection {
+    fn new(worker: usize, conn: Conn, now: Time) -> WorkerConnection {
+        WorkerConnection {
+            worker,
+            conn,
+            ready: false,
+            written: 0,
+            last_work_offset: 0,
+            streams: 0,
+            waiting: Vec::new(),
+            sent: Vec::new(),
+            abandoned_requests: VecDeque::new(),
+            partial_since: None,
+            last_used: now,
+            last_received: now,
+            greeting_timer: None,
+        }
+    }
+
+    /// No call waits or was sent on it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.sent.is_empty()
+    }
+
+    /// The list of sent or of waiting calls.
+    pub(super) fn calls_mut(&mut self, sent: bool) -> &mut Vec<usize> {
+        if sent {
+            &mut self.sent
+        } else {
+            &mut self.waiting
+        }
+    }
+}
+
+impl GatewayLimits {
+    /// Connections to one of so many workers. Workers are replaced: the old one's may still be open beside the new one's, so
+    /// each gets half of an equal part; below four workers it is the part of four, as the first lists are short.
+    pub(super) fn connections_per_worker_of(&self, workers: usize) -> usize {
+        self.connections_per_worker
+            .min(self.max_worker_connections / (2 * workers.max(4)))
+            .max(1)
+    }
+}
+
+impl<N: Net> WorkerPool<N> {
+    /// Assigns a call to a connection of its worker: one with a free stream, one that is being opened, or a new one. Where
+    /// none can be had its outcome is `AtCapacity`.
+    pub(crate) fn assign_connection(&mut self, key: usize) {
+        let call = self.calls[key];
+        let worker = &self.workers[call.worker];
+        let address = worker.address;
+        let may_open = worker.connections.len() < self.connections_per_worker;
+        let has_descriptor = self.connections.len() < self.limits.max_worker_connections;
+        let (ready, opening) = self.usable_connections(&call);
+        let is_crowded = ready.is_some_and(|connection| {
+            self.connections[connection].streams + 1 >= self.limits.spread_threshold
+        });
+        let opens_spare =
+            call.is_attempt() && may_open && has_descriptor && is_crowded && opening.is_none();
+        if let Some(address) = address.filter(|_| opens_spare) {
+            self.open_connection(call.worker, address);
+        }
+        let connection = match (ready.or(opening), address) {
+            (Some(connection), _) => connection,
+            (None, Some(address)) if may_open && (has_descriptor || self.close_longest_idle()) => {
+                self.open_connection(call.worker, address)
+            }
+            // All streams of all connections are taken, or all descriptors are in use.
+            _ => {
+                return self.defer_outcome(key, Outcome::AtCapacity);
+            }
+        };
+        self.connections[connection].streams += usize::from(call.is_attempt());
+        self.attach(key, connection, false);
+        if self.connections[connection].ready {
+            self.writable_connections.push(connection);
+        }
+    }
+
+    /// Of the worker's connections that can take this call: the best ready one, and the first that is being opened. One on
+    /// which an answer stopped half-way comes last, as it may be of no further use; then the fewest streams count.
+    fn usable_connections(&self, call: &Call) -> (Option<usize>, Option<usize>) {
+        let usable = self.workers[call.worker]
+            .connections
+            .iter()
+            .copied()
+            .filter(|connection| self.has_stream_for(*connection, call));
+        let load = |connection: &usize| {
+            let connection = &self.connections[*connection];
+            (connection.partial_since.is_some(), connection.streams)
+        };
+        let ready = usable
+            .clone()
+            .filter(|connection| self.connections[*connection].ready)
+            .min_by_key(load);
+        let opening = usable
+            .clone()
+            .find(|connection| !self.connections[*connection].ready);
+        (ready, opening)
+    }
+
+    /// Whether the connection can take this call. Only attempts are limited.
+    fn has_stream_for(&self, connection: usize, call: &Call) -> bool {
+        if !call.is_attempt() {
+            return true;
+        }
+        let connection = &self.connections[connection];
+        // An id twice on one connection: the answers of the two could not be told apart.
+        let has_request_id = || {
+            let mut calls = connection.sent.iter().chain(&connection.waiting);
+            self.protocol.answers_by_request_id()
+                && (connection.abandoned_requests.contains(&call.request_id)
+                    || calls.any(|key| self.calls[*key].is_attempt_of(call.request_id)))
+        };
+        connection.streams < self.limits.streams_per_connection && !has_request_id()
+    }
+
+    /// Resets the connection that has been idle for longest; false where none is idle.
+    fn close_longest_idle(&mut self) -> bool {
+        let longest_idle = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.is_idle())
+            .min_by_key(|(_, connection)| connection.last_used)
+            .map(|(key, connection)| (key, connection.conn, connection.worker));
+        let Some((key, conn, worker)) = longest_idle else {
+            return false;
+        };
+        // At once, not at the end of the wake-up: its descriptor is wanted now. Nothing is heard of it any more.
+        self.net.reset(conn);
+        let connection = self.connections.remove(key);
+        self.cancel_greeting_timer(&connection);
+        self.workers[worker]
+            .connections
+            .retain(|other| *other != key);
+        true
+    }
+
+    /// The endpoint list has changed: the connections are divided among its workers again.
+    pub fn redistribute_connections(&mut self) {
+        let workers = self.workers.iter().filter(|worker| worker.is_known());
+        self.connections_per_worker = self.limits.connections_per_worker_of(workers.count());
+    }
+
+    fn open_connection(&mut self, worker: usize, address: SocketAddr) -> usize {
+        let conn = self.net.connect(address, self.limits.connect_timeout);
+        self.counters.connections += 1;
+        let now = self.net.now();
+        let key = self
+            .connections
+            .insert(WorkerConnection::new(worker, conn, now));
+        if self.protocol.requires_greeting() {
+            let until = now + self.limits.connect_timeout;
+            let token = TimerToken::Greeting(key).pack();
+            self.connections[key].greeting_timer = Some(self.net.set_timer(until, token));
+        }
+        self.workers[worker].connections.push(key);
+        self.opened_connections.push((conn, key));
+        key
+    }
+
+    /// Calls may be sent: what waits leaves at the end of the wake-up.
+    pub fn connection_ready(&mut self, connection: usize) {
+        let now = self.net.now();
+        let entry = &mut self.connections[connection];
+        entry.ready = true;
+        entry.last_used = now;
+        entry.last_received = now;
+        if let Some(timer) = entry.greeting_timer.take() {
+            self.net.cancel_timer(timer);
+        }
+        self.writable_connections.push(connection);
+    }
+
+    /// The connection's socket takes more.
+    pub fn connection_writable(&mut self, connection: usize) {
+        self.writable_connections.push(connection);
+    }
+
+    /// Cancels the greeting timer of a connection that is being removed, if it is set.
+    pub fn cancel_greeting_timer(&mut self, connection: &WorkerConnection) {
+        if let Some(timer) = connection.greeting_timer {
+            self.net.cancel_timer(timer);
+        }
+    }
+
+    /// The connection, if its worker has not greeted yet.
+    pub fn unready_connection(&self, connection: usize) -> Option<Conn> {
+        self.connections
+            .get(connection)
+            .filter(|entry| !entry.ready)
+            .map(|entry| entry.conn)
+    }
+
+    /// Bytes came from the worker.
+    pub fn bytes_received(&mut self, connection: usize) {
+        let now = self.net.now();
+        if let Some(entry) = self.connections.get_mut(connection) {
+            entry.last_received = now;
+        }
+    }
+
+    /// Whether part of a message is left of the connection's bytes once its complete messages have been read.
+    pub fn set_partial_message(&mut self, connection: usize, partial: bool) {
+        let now = self.net.now();
+        if let Some(entry) = self.connections.get_mut(connection) {
+            entry.partial_since = partial.then_some(now);
+        }
+    }
+
+    /// Connections on which the rest of a message has been missing for the protocol's timeout.
+    pub fn stalled_connections(&self, now: Time) -> Vec<(usize, Conn)> {
+        let timeout = self.protocol.partial_message_timeout();
+        self.connections_where(|connection| {
+            connection
+                .partial_since
+                .zip(timeout)
+                .is_some_and(|(since, timeout)| now >= since + timeout)
+        })
+    }
+
+    /// Connections on which work for a worker that is draining or removed still waits for its socket, and would leave after
+    /// the grace period; looked for again after `next_check`.
+    pub fn stalled_after_grace(&self, now: Time, next_check: Time) -> Vec<(usize, Conn)> {
+        self.connections_where(|connection| {
+            let worker = &self.workers[connection.worker];
+            let grace_ends = worker.endpoint.state != EndpointState::Active
+                && worker.removed_at + self.drain_grace <= now + next_check;
+            let unsent = self.net.unsent(connection.conn).min(connection.written);
+            grace_ends && connection.written - unsent < connection.last_work_offset
+        })
+    }
+
+    /// Connections to close: idle ones, those to removed workers, and those on which only abandoned calls are left and
+    /// nothing was received for long.
+    pub fn idle_connections(&mut self, now: Time) -> Vec<(usize, Conn)> {
+        let (keep_alive, silence) = (self.limits.keep_alive, self.limits.silence_timeout);
+        self.connections_where(|connection| {
+            let removed = self.workers[connection.worker].endpoint.state == EndpointState::Removed;
+            let quiet =
+                now > connection.last_used + silence && now > connection.last_received + silence;
+            if connection.is_idle() {
+                return now > connection.last_used + keep_alive || removed && quiet;
+            }
+            let abandoned = connection.waiting.is_empty()
+                && connection.sent.iter().all(|key| self.calls[*key].ended);
+            abandoned && quiet
+        })
+    }
+
+    fn connections_where(
+        &self,
+        condition: impl Fn(&WorkerConnection) -> bool,
+    ) -> Vec<(usize, Conn)> {
+        self.connections
+            .iter()
+            .filter(|(_, connection)| condition(connection))
+            .map(|(key, connection)| (key, connection.conn))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/tidewall-gateway/src/worker_pool/counters.rs
@@ -0,0 +1,30 @@
+//! Counters of what the gateway has done since it started.
+
+/// Totals since the start of the process. They are logged regularly and read by tests and reports.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counters {
+    /// Requests that were admitted.
+    pub admitted: u64,
+    /// Requests whose response is `Completed`.
+    pub completed: u64,
+    /// Admitted requests whose response is `Rejected`.
+    pub rejected: u64,
+    /// Requests whose response is `Failed`.
+    pub failed: u64,
+    /// Requests whose client stopped waiting.
+    pub abandoned: u64,
+    /// Requests that were not admitted.
+    pub refused: u64,
+    /// Responses that were not sent because their client's deadline had passed, for example after a stall of this process.
+    pub expired: u64,
+    /// Malformed messages and datagrams.
+    pub malformed: u64,
+    /// Attempts that the scheduler started.
+    pub attempts: u64,
+    /// Load requests for at least one instance that were not rate limited.
+    pub load_requests: u64,
+    /// Health checks.
+    pub health_checks: u64,
+    /// Connections to workers that were opened.
+    pub connections: u64,
+}
--- /dev/null
+++ b/crates/tidewall-gateway/src/worker_pool/endpoints.rs
@@ -0,0 +1,227 @@
+//! Endpoints as the pool knows them: addresses, states and incarnations of workers, from the endpoint list and from the
+//! workers themselves.
+use super::{Call, CallKind, WorkerPool};
+use crate::endpoints::EndpointRecord;
+use std::net::SocketAddr;
+use tidewall::interface::{Endpoint, EndpointState};
+use tidewall::interner::fnv1a;
+use tidewall_net::{Net, Time};
+
+/// What is known of a worker. An entry without an address is free.
+#[derive(Default)]
+pub struct WorkerEntry {
+    pub(super) address: Option<SocketAddr>,
+    pub(super) endpoint: Endpoint,
+    zone: String,
+    machine: String,
+    incarnation: u64,
+    /// The worker itself said that it is draining, and the discovery server has not noticed yet.
+    reported_draining: bool,
+    /// When it was told that the worker is draining or removed.
+    pub(super) removed_at: Time,
+    /// Keys of the connections to it.
+    pub connections: Vec<usize>,
+}
+
+impl WorkerEntry {
+    /// Whether the entry is in use.
+    pub fn is_known(&self) -> bool {
+        self.address.is_some()
+    }
+
+    /// The worker's state in the endpoint list.
+    pub fn state(&self) -> EndpointState {
+        self.endpoint.state
+    }
+}
+
+/// The index of a name in the settings' list; `u32::MAX`, which is the scheduler's word for "unknown", where it is not
+/// there.
+fn index_of(names: &[String], name: &str) -> u32 {
+    names
+        .iter()
+        .position(|known| known == name)
+        .map_or(u32::MAX, |index| index as u32)
+}
+
+impl<N: Net> WorkerPool<N> {
+    /// Takes over one record of the endpoint list and gives it in the scheduler's terms. A start that is known already
+    /// keeps its time, or each list would look like another start.
+    pub fn register_endpoint(&mut self, record: &EndpointRecord) -> (usize, Endpoint) {
+        let now = self.net.now();
+        let zone = index_of(&self.zones, &record.zone);
+        let kind = index_of(&self.kinds, &record.machine);
+        let index = self.worker_names.intern(&record.name);
+        if self.workers.len() <= index {
+            self.workers.resize_with(index + 1, WorkerEntry::default);
+        }
+        let worker = &mut self.workers[index];
+        let restarted = record.incarnation > worker.incarnation || worker.address.is_none();
+        let started_at = match (restarted, record.age) {
+            (false, _) => worker.endpoint.started_at,
+            (true, 0) => 0,
+            // 0 would mean long ago. A start before our own clock began is as old as that.
+            (true, age) => now.saturating_sub(age).max(1),
+        };
+        // A list that was made before the discovery server noticed does not bring back a worker that said that it is
+        // draining.
+        worker.reported_draining &=
+            record.state == EndpointState::Active && record.incarnation <= worker.incarnation;
+        let state = if worker.reported_draining {
+            EndpointState::Draining
+        } else {
+            record.state
+        };
+        let leaves =
+            state != EndpointState::Active && worker.endpoint.state == EndpointState::Active;
+        if leaves {
+            worker.removed_at = now;
+        }
+        if leaves || restarted {
+            self.withdrawn_workers.push(index);
+        }
+        worker.incarnation = worker.incarnation.max(record.incarnation);
+        worker.address = Some(record.address);
+        worker.endpoint = Endpoint {
+            name_hash: fnv1a(&record.name),
+            zone,
+            kind,
+            cell: record.cell,
+            state,
+            rating: record.rating,
+            started_at,
+        };
+        worker.zone.clone_from(&record.zone);
+        worker.machine.clone_from(&record.machine);
+        (index, worker.endpoint)
+    }
+
+    /// After a complete list: workers that are not in it are removed.
+    pub fn retain_listed(&mut self, listed: &[(usize, Endpoint)]) {
+        let now = self.net.now();
+        for (index, worker) in self.workers.iter_mut().enumerate() {
+            if !listed.iter().any(|entry| entry.0 == index)
+                && worker.endpoint.state != EndpointState::Removed
+            {
+                if worker.endpoint.state == EndpointState::Active {
+                    worker.removed_at = now;
+                    self.withdrawn_workers.push(index);
+                }
+                worker.endpoint.state = EndpointState::Removed;
+                worker.reported_draining = false;
+            }
+        }
+    }
+
+    /// Removed workers without connections and calls.
+    pub fn removed_idle_workers(&self) -> Vec<usize> {
+        let is_removed_and_idle = |(index, worker): &(usize, &WorkerEntry)| {
+            let removed = worker.address.is_some()
+                && worker.endpoint.state == EndpointState::Removed
+                && worker.connections.is_empty();
+            removed && !self.calls.iter().any(|(_, call)| call.worker == *index)
+        };
+        self.workers
+            .iter()
+            .enumerate()
+            .filter(is_removed_and_idle)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// Forgets a worker: its index may name another one from now on.
+    pub fn forget_worker(&mut self, worker: usize) {
+        self.worker_names.remove(worker);
+        self.workers[worker] = WorkerEntry::default();
+    }
+
+    /// Whether an address is known for this worker.
+    pub fn has_address(&self, worker: usize) -> bool {
+        self.workers
+            .get(worker)
+            .is_some_and(|entry| entry.address.is_some())
+    }
+
+    /// The worker's latest known incarnation.
+    pub fn incarnation_of(&self, worker: usize) -> Option<u64> {
+        Some(self.workers[worker].incarnation)
+    }
+
+    /// The worker greeted as a later incarnation, which started `age` ago. Gives its endpoint where the scheduler is to hear
+    /// of it.
+    pub fn worker_restarted(
+        &mut self,
+        worker: usize,
+        incarnation: u64,
+        age: Time,
+    ) -> Option<Endpoint> {
+        let now = self.net.now();
+        let entry = &mut self.workers[worker];
+        entry.incarnation = incarnation;
+        entry.reported_draining = false;
+        self.withdrawn_workers.push(worker);
+        entry.endpoint.started_at = now.saturating_sub(age).max(1);
+        // One that the endpoint list calls removed stays so until the list says otherwise.
+        (entry.endpoint.state == EndpointState::Active).then_some(entry.endpoint)
+    }
+
+    /// The worker said that it is draining. Gives its endpoint where that is news.
+    pub fn worker_draining(&mut self, worker: usize) -> Option<Endpoint> {
+        let now = self.net.now();
+        let entry = &mut self.workers[worker];
+        if entry.endpoint.state != EndpointState::Active {
+            return None;
+        }
+        entry.endpoint.state = EndpointState::Draining;
+        entry.reported_draining = true;
+        entry.removed_at = now;
+        self.withdrawn_workers.push(worker);
+        Some(entry.endpoint)
+    }
+
+    /// Attempts and load requests for this worker that have not left: all that is known of them is that they were not
+    /// executed.
+    pub fn unsent_calls(&self, worker: usize) -> Vec<usize> {
+        let is_work = |call: &Call| match call.kind {
+            CallKind::Attempt { .. } => true,
+            CallKind::LoadRequest { .. } => call.instances > 0,
+            CallKind::HealthCheck | CallKind::Vote { .. } => false,
+        };
+        let is_unsent =
+            |call: &Call| call.worker == worker && !call.sent && !call.ended && is_work(call);
+        self.calls
+            .iter()
+            .filter(|(_, call)| is_unsent(call))
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// The endpoint list as the pool knows it, without removed workers.
+    pub fn endpoint_records(&self) -> Vec<EndpointRecord> {
+        let now = self.net.now();
+        let record = |(index, worker): (usize, &WorkerEntry)| {
+            let started_at = worker.endpoint.started_at;
+            Some(EndpointRecord {
+                name: self.worker_names.resolve(index).to_string(),
+                address: worker.address?,
+                zone: worker.zone.clone(),
+                machine: worker.machine.clone(),
+                cell: worker.endpoint.cell,
+                state: worker.endpoint.state,
+                rating: worker.endpoint.rating,
+                incarnation: worker.incarnation,
+                age: if started_at == 0 {
+                    0
+                } else {
+                    (now - started_at).max(1)
+                },
+            })
+        };
+        self.workers
+            .iter()
+            .enumerate()
+            .filter(|(_, worker)| worker.endpoint.state != EndpointState::Removed)
+            .filter_map(record)
+            .collect()
+    }
+}
--- a/crates/tidewall-gateway/tests/faults.rs
+++ b/crates/tidewall-gateway/tests/faults.rs
@@ -9,7 +9,7 @@
 use test_case::test_case;
 use tidewall::interface::EndpointState;
 use tidewall_gateway::endpoints::{
-    write, BackgroundEndpointCache, EndpointCache, FileEndpointCache, NoEndpointCache,
+    write_record, BackgroundEndpointCache, EndpointCache, FileEndpointCache, NoEndpointCache,
 };
 use tidewall_net::{Net, Time};
 use tidewall_wire::{kind, Entries, Field, Frame};
@@ -211,7 +211,7 @@
         incarnation: 9,
         ..entry(0)
     };
-    list.add(|f| write(f, &moved));
+    list.add(|f| write_record(f, &moved));
     list.add(|f| f.text(Field::Name, "w1").text(Field::Place, "nowhere"));
     let mut out = Vec::new();
     Frame::new(&mut out, kind::ROSTER)
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tidewall_gateway::endpoints::{write, EndpointCache, EndpointRecord, NoEndpointCache};
+use tidewall_gateway::endpoints::{write_record, EndpointCache, EndpointRecord, NoEndpointCache};
 use tidewall_gateway::native_ingress::NativeIngress;
 pub use tidewall_gateway::worker_pool::GatewayLimits;
 use tidewall_gateway::{Gateway, GatewayConfig};
@@ -103,7 +103,9 @@
 
     fn tell(&mut self, conn: Conn) {
         let mut list = Entries::default();
-        self.entries.iter().for_each(|e| list.add(|f| write(f, e)));
+        self.entries
+            .iter()
+            .for_each(|e| list.add(|f| write_record(f, e)));
         let mut out = Vec::new();
         Frame::new(&mut out, kind::ROSTER)
             .text(Field::Scope, "whole")
