--- a/crates/tidewall-amqp-ingress/tests/triggers.rs
+++ b/crates/tidewall-amqp-ingress/tests/triggers.rs
@@ -1,6 +1,7 @@
 //! Terminals, the gateway with its AMQP door, and scripted workers on the network in memory: one answer for each
 //! event, and no second effect, whatever happens between.
 #[path = "../../tidewall-gateway/tests/help/mod.rs"]
+#[allow(dead_code)] // a part of it is for the gateway's own tests
 mod help;
 
 use argon2::password_hash::{PasswordHasher, SaltString};
@@ -96,7 +97,7 @@
     cheap.hash_password(b"terminal", &salt).unwrap().to_string()
 }
 
-fn yard(does: &[Does], desks: usize, more: &str) -> Yard {
+fn yard(does: &[Behavior], desks: usize, more: &str) -> Yard {
     let mut site = site(does);
     let text = format!(
         r#"
@@ -111,7 +112,7 @@
     );
     let settings = tidewall_config::settings("test", &text).unwrap();
     site.gateway
-        .add_ingress(at(DOOR), Box::new(Amqp::new(1, &settings)))
+        .add_ingress(address(DOOR), Box::new(Amqp::new(1, &settings)))
         .unwrap();
     let desk = |_| Desk {
         net: Memory::join(&site.world),
@@ -131,7 +132,7 @@
     fn connect(&mut self, d: usize) {
         let desk = &mut self.desks[d];
         desk.told.ready = false;
-        desk.conn = Some(desk.net.connect(at(DOOR), 10_000));
+        desk.conn = Some(desk.net.connect(address(DOOR), 10_000));
     }
 
     /// Passwords are checked in real time: the world's clock waits for them.
@@ -147,9 +148,9 @@
     }
 
     fn pass(&mut self, time: Time) {
-        let until = self.site.hand.now() + time;
+        let until = self.site.gateway_net.now() + time;
         let mut apps: Vec<&mut dyn App<Net = Memory>> =
-            vec![&mut self.site.gateway, &mut self.site.roster];
+            vec![&mut self.site.gateway, &mut self.site.discovery];
         self.site.workers.iter_mut().for_each(|w| apps.push(w));
         apps.push(&mut self.site.client);
         self.desks.iter_mut().for_each(|d| apps.push(d));
@@ -180,18 +181,18 @@
     }
 
     fn launches(&self) -> usize {
-        self.site.workers.iter().map(Peer::launches).sum()
+        self.site.workers.iter().map(Peer::attempts).sum()
     }
 }
 
-#[test_case("check.f", Does::Answers, "handled", true ; "handled")]
-#[test_case("check.f", Does::Nothing, "deferred", false ; "deferred")]
-#[test_case("issue.f", Does::Nothing, "dead-lettered", false ; "dead lettered")]
-#[test_case("odd.f", Does::Answers, "turned-away", false ; "unknown type")]
-#[test_case("check", Does::Answers, "turned-away", false ; "no function")]
+#[test_case("check.f", Behavior::Answers, "handled", true ; "handled")]
+#[test_case("check.f", Behavior::Nothing, "deferred", false ; "deferred")]
+#[test_case("issue.f", Behavior::Nothing, "dead-lettered", false ; "dead lettered")]
+#[test_case("odd.f", Behavior::Answers, "turned-away", false ; "unknown type")]
+#[test_case("check", Behavior::Answers, "turned-away", false ; "no function")]
 fn a_publish_gets_one_answer_and_a_confirm_that_says_the_same(
     key: &str,
-    does: Does,
+    does: Behavior,
     word: &str,
     acked: bool,
 ) {
@@ -214,7 +215,7 @@
 #[test_case(0, "turned-away", 0 ; "expiration 0")]
 #[test_case(3_600_000, "deferred", 20_000 ; "expiration beyond the max age is cut to it")]
 fn expirations(ms: u64, word: &str, within: Time) {
-    let mut y = yard(&[Does::Nothing], 1, "");
+    let mut y = yard(&[Behavior::Nothing], 1, "");
     y.publish(0, 7, "check.f", ms, 70);
     y.pass(within + 100);
     assert_eq!(y.words(0, 7), [word]);
@@ -223,7 +224,7 @@
 /// The connection is lost between publish and confirm; the same message-id comes on a new one.
 #[test]
 fn a_message_id_on_a_new_connection_meets_the_event_in_hand() {
-    let mut y = yard(&[Does::After(8_000)], 1, "");
+    let mut y = yard(&[Behavior::AnswersAfter(8_000)], 1, "");
     y.publish(0, 7, "record.f", 1_900, 70);
     y.pass(100);
     let conn = y.desks[0].conn.take().unwrap();
@@ -243,7 +244,7 @@
 
 #[test]
 fn two_publishers_with_one_message_id_share_one_running() {
-    let mut y = yard(&[Does::After(2_000)], 2, "");
+    let mut y = yard(&[Behavior::AnswersAfter(2_000)], 2, "");
     y.publish(0, 7, "record.f", 1_900, 70);
     y.pass(500);
     y.publish(1, 8, "record.f", 1_900, 70);
@@ -258,7 +259,7 @@
 #[test_case(39_000, 1 ; "within the window")]
 #[test_case(41_500, 2 ; "just after the window")]
 fn a_handled_message_id_comes_again(wait: Time, launches: usize) {
-    let mut y = yard(&[Does::Answers], 1, "");
+    let mut y = yard(&[Behavior::Answers], 1, "");
     y.publish(0, 7, "record.f", 1_900, 70);
     y.pass(wait);
     y.publish(0, 8, "record.f", 1_900, 70);
@@ -273,7 +274,7 @@
 /// The worker goes silent; the terminal asks again with the same message-id before and after its answer.
 #[test]
 fn a_record_is_resent_while_its_worker_is_silent() {
-    let mut y = yard(&[Does::Nothing, Does::Nothing], 1, "");
+    let mut y = yard(&[Behavior::Nothing, Behavior::Nothing], 1, "");
     y.publish(0, 7, "record.f", 1_500, 70);
     y.pass(5_000);
     y.publish(0, 8, "record.f", 1_500, 70);
@@ -295,11 +296,11 @@
 /// A deferral invites the next try, which runs.
 #[test]
 fn a_deferred_message_id_may_come_again_at_once() {
-    let mut y = yard(&[Does::Says("full")], 1, "");
+    let mut y = yard(&[Behavior::AnswersOutcome("full")], 1, "");
     y.publish(0, 7, "record.f", 1_500, 70);
     y.pass(20_000);
     assert_eq!(y.words(0, 7), ["deferred"]);
-    y.site.workers[0].does = Does::Answers;
+    y.site.workers[0].behavior = Behavior::Answers;
     y.publish(0, 8, "record.f", 1_500, 70);
     y.pass(20_000);
     assert_eq!(y.words(0, 8), ["handled"]);
@@ -308,7 +309,7 @@
 /// Cut at every byte of a publish: nothing half is taken, and the gateway serves on.
 #[test]
 fn a_terminal_is_cut_at_every_byte() {
-    let mut y = yard(&[Does::Answers], 2, "");
+    let mut y = yard(&[Behavior::Answers], 2, "");
     let mut whole = Vec::new();
     Terminal::default().publish(&mut whole, 7, "issue.f", 1_500, 70, false, b"body");
     for cut in 0..whole.len() {
@@ -328,7 +329,7 @@
 
 #[test]
 fn a_wrong_password_is_refused_and_others_serve_on() {
-    let mut y = yard(&[Does::Answers], 1, "");
+    let mut y = yard(&[Behavior::Answers], 1, "");
     y.site.client.role = "raw";
     let mut out = tidewall_amqp::codec::PROTOCOL.to_vec();
     let m = tidewall_amqp::codec::Out::method(&mut out, 0, 10, 11);
@@ -337,7 +338,7 @@
         .long_str(b"\0terminal\0guess")
         .short_str("en_US")
         .end();
-    let conn = y.site.client.net.connect(at(DOOR), 10_000);
+    let conn = y.site.client.net.connect(address(DOOR), 10_000);
     y.site.client.net.write(conn, &out);
     for _ in 0..200 {
         y.pass(200);
@@ -347,7 +348,7 @@
     y.pass(5_000);
     assert_eq!(y.words(0, 7), ["handled"]);
     let launches = y.site.workers[0]
-        .got
+        .received_frames
         .iter()
         .filter(|g| g.kind == kind::LAUNCH)
         .count();
@@ -357,7 +358,7 @@
 /// A thousand logins at once wait on their own thread; events of those who are in are answered meanwhile.
 #[test]
 fn a_storm_of_logins_does_not_stop_events() {
-    let mut y = yard(&[Does::Answers], 1, "logins: 20");
+    let mut y = yard(&[Behavior::Answers], 1, "logins: 20");
     let mut net = y.site.client.net.clone();
     y.site.client.role = "raw";
     let mut out = tidewall_amqp::codec::PROTOCOL.to_vec();
@@ -368,7 +369,7 @@
         .short_str("en_US")
         .end();
     for _ in 0..1_000 {
-        let conn = net.connect(at(DOOR), 10_000);
+        let conn = net.connect(address(DOOR), 10_000);
         net.write(conn, &out);
     }
     for evt in 0..20 {
@@ -382,7 +383,11 @@
 /// One that asks for more than it may have in hand is not read meanwhile, and loses nothing.
 #[test]
 fn beyond_its_debts_a_connection_is_not_read() {
-    let mut y = yard(&[Does::After(1_000), Does::After(1_000)], 1, "in_hand: 4");
+    let mut y = yard(
+        &[Behavior::AnswersAfter(1_000), Behavior::AnswersAfter(1_000)],
+        1,
+        "in_hand: 4",
+    );
     for evt in 0..40 {
         y.publish(0, evt, "check.f", 1_900, evt + 1);
         y.pass(3);
@@ -400,7 +405,7 @@
 /// A repeat joins the event in hand, which may end after the repeat's own time.
 #[test]
 fn a_repeat_with_less_time_is_answered_in_its_own_time() {
-    let mut y = yard(&[Does::After(12_000)], 1, "");
+    let mut y = yard(&[Behavior::AnswersAfter(12_000)], 1, "");
     y.publish(0, 7, "issue.f", 1_900, 70);
     y.pass(1_000);
     y.publish(0, 8, "issue.f", 400, 70);
@@ -422,12 +427,12 @@
     launches: usize,
     word: &str,
 ) {
-    let mut y = yard(&[Does::After(3_000)], 1, "");
+    let mut y = yard(&[Behavior::AnswersAfter(3_000)], 1, "");
     y.publish(0, 7, &format!("{typ}.f"), 1_500, 70);
     y.pass(100);
-    y.site.hand.still(true);
+    y.site.gateway_net.still(true);
     y.pass(18_000);
-    y.site.hand.still(false);
+    y.site.gateway_net.still(false);
     y.pass(1_000);
     assert!(y.words(0, 7).is_empty(), "its client had given up");
     y.publish(0, 8, &format!("{typ}.f"), 1_500, 70);
@@ -438,14 +443,14 @@
 /// A repeat with more time than the event that it joined was forgotten with it.
 #[test]
 fn a_repeat_whose_event_passed_its_time_in_a_standstill_is_answered() {
-    let mut y = yard(&[Does::After(12_000)], 1, "");
+    let mut y = yard(&[Behavior::AnswersAfter(12_000)], 1, "");
     y.publish(0, 7, "issue.f", 1_000, 70);
     y.pass(3_000);
     y.publish(0, 8, "issue.f", 1_900, 70);
     y.pass(100);
-    y.site.hand.still(true);
+    y.site.gateway_net.still(true);
     y.pass(12_000);
-    y.site.hand.still(false);
+    y.site.gateway_net.still(false);
     y.pass(1_000);
     assert_eq!(
         (y.words(0, 7).len(), y.words(0, 8)),
@@ -458,12 +463,12 @@
 /// The native door does not take what may have lain unread for more than a quarter of its time; this one did.
 #[test]
 fn a_publish_that_may_have_waited_past_its_time_is_not_taken() {
-    let mut y = yard(&[Does::Answers], 1, "");
-    y.site.hand.still(true);
+    let mut y = yard(&[Behavior::Answers], 1, "");
+    y.site.gateway_net.still(true);
     y.publish(0, 7, "check.f", 500, 70);
     y.publish(0, 8, "check.f", 1_900, 80);
     y.pass(4_000);
-    y.site.hand.still(false);
+    y.site.gateway_net.still(false);
     y.pass(10_000);
     assert_eq!(
         (y.words(0, 7), y.words(0, 8)),
@@ -474,7 +479,7 @@
 /// What a deferral tells is at least a millisecond, the unit of the door, and never none.
 #[test]
 fn a_deferral_says_when_to_come_back() {
-    let mut y = yard(&[Does::Nothing], 1, "");
+    let mut y = yard(&[Behavior::Nothing], 1, "");
     y.publish(0, 7, "check.f", 700, 70);
     y.pass(10_000);
     assert_eq!(y.words(0, 7), ["deferred"]);
--- a/crates/tidewall-gateway/src/config.rs
+++ b/crates/tidewall-gateway/src/config.rs
@@ -1,14 +1,21 @@
-//! What the settings tell a gateway at start.
+//! Translates the settings file into what a gateway is started with. The settings were validated when they were read, so
+//! fields have the form that they need.
 use crate::error::{KeyFileError, KeyFileProblem};
 use crate::failover::FailoverConfig;
 use crate::worker_pool::GatewayLimits;
 use crate::GatewayConfig;
+use std::net::SocketAddr;
 use tidewall_config::{agree, plain, Section};
 use tidewall_failover::recovery::RetrySafety;
+use tidewall_net::Time;
 use tidewall_vrrp::packet::Keys;
 
-pub fn limits(s: &Section) -> GatewayLimits {
-    let (limits, loading) = (s.section("limits"), s.section("loading"));
+/// The fewest hexadecimal digits of an authentication key: 128 bits, as shorter ones could be tried out.
+const MIN_KEY_DIGITS: usize = 32;
+
+/// The limits, from the sections `limits` and `loading`.
+pub fn limits(settings: &Section) -> GatewayLimits {
+    let (limits, loading) = (settings.section("limits"), settings.section("loading"));
     GatewayLimits {
         max_requests: limits.whole("most_held") as usize,
         connect_timeout: limits.span("connect_time_out_ms"),
@@ -24,107 +31,109 @@
     }
 }
 
-pub fn gateway_config(s: &Section, me: usize, seed: u64) -> GatewayConfig {
-    let gateways = s.sections("gateway");
+/// A field that holds an address and port.
+fn address(section: &Section, field: &str) -> SocketAddr {
+    section
+        .text(field)
+        .parse()
+        .expect("validated settings hold an address and port here")
+}
+
+/// The configuration of the gateway with this index, without a failover pair.
+pub fn gateway_config(settings: &Section, index: usize, seed: u64) -> GatewayConfig {
+    let gateways = settings.sections("gateway");
+    let discovery = settings.section("roster");
     GatewayConfig {
-        name: gateways[me].text("name"),
-        index: me,
+        name: gateways[index].text("name"),
+        index,
         seed,
-        settings: plain(s, me),
-        discovery: s
-            .section("roster")
-            .text("address")
-            .parse()
-            .expect("checked"),
-        discovery_retry: s.section("roster").span("retry_ms"),
+        settings: plain(settings, index),
+        discovery: address(&discovery, "address"),
+        discovery_retry: discovery.span("retry_ms"),
         peers: gateways
             .iter()
-            .map(|g| g.text("peer_address").parse().ok())
+            .map(|gateway| gateway.text("peer_address").parse().ok())
             .collect(),
         peer_listen: None,
-        limits: limits(s),
+        limits: limits(settings),
         failover: None,
     }
 }
 
-/// This machine's part of the pair.
-pub fn failover_config(s: &Section, life: u64, keys: Box<dyn Fn() -> Keys>) -> FailoverConfig {
-    let (pair, loading, limits) = (s.section("pair"), s.section("loading"), s.section("limits"));
-    let (own, peer) = (pair.section("own"), pair.section("peer"));
-    let at = |s: &Section, field: &str| s.text(field).parse().expect("checked");
-    let types = s.sections("event_type");
-    let kind = |t: &Section| match t.choice("redelivery").as_str() {
+/// Whether requests of this class may be executed again.
+fn retry_safety(class: &Section) -> RetrySafety {
+    match class.choice("redelivery").as_str() {
         "REDELIVERABLE" => RetrySafety::Idempotent,
         "KEYED" => RetrySafety::IdempotencyKey {
-            all: t.choice("group") == "ALL",
-            window: t.span("window_ms"),
+            all: class.choice("group") == "ALL",
+            window: class.span("window_ms"),
         },
         _ => RetrySafety::NonIdempotent,
-    };
-    let keep = |t: &Section| match t.choice("redelivery").as_str() {
-        "KEYED" => t.span("window_ms").max(t.span("max_age_ms")),
-        _ => t.span("max_age_ms"),
-    };
+    }
+}
+
+/// How long a response to a request of this class is remembered, in tenths of a millisecond.
+fn retention(class: &Section) -> Time {
+    match class.choice("redelivery").as_str() {
+        "KEYED" => class.span("window_ms").max(class.span("max_age_ms")),
+        _ => class.span("max_age_ms"),
+    }
+}
+
+/// This member's part of the failover pair.
+pub fn failover_config(
+    settings: &Section,
+    incarnation: u64,
+    keys: Box<dyn Fn() -> Keys>,
+) -> FailoverConfig {
+    let (pair, loading) = (settings.section("pair"), settings.section("loading"));
+    let (own, peer) = (pair.section("own"), pair.section("peer"));
+    let classes = settings.sections("event_type");
     FailoverConfig {
         name: own.text("name"),
         peer_name: peer.text("name"),
-        incarnation: life,
+        incarnation,
         vrid: pair.whole("vrid") as u8,
         priority: own.whole("priority") as u8,
         interval: pair.whole("interval_cs") as u16,
         preempt: pair.flag("preempt"),
-        vrrp_address: at(&own, "vrrp_address"),
-        peer_vrrp_address: at(&peer, "vrrp_address"),
-        link_address: at(&own, "link_address"),
-        peer_link_address: at(&peer, "link_address"),
-        shared_address: s.sections("gateway")[0]
-            .text("address")
-            .parse()
-            .expect("checked"),
+        vrrp_address: address(&own, "vrrp_address"),
+        peer_vrrp_address: address(&peer, "vrrp_address"),
+        link_address: address(&own, "link_address"),
+        peer_link_address: address(&peer, "link_address"),
+        shared_address: address(&settings.sections("gateway")[0], "address"),
         keys,
         voters: pair.texts("voter"),
-        retry_safety: types.iter().map(kind).collect(),
-        retention: types.iter().map(keep).collect(),
-        allows_hedging: limits.flag("two_at_once"),
+        retry_safety: classes.iter().map(retry_safety).collect(),
+        retention: classes.iter().map(retention).collect(),
+        allows_hedging: settings.section("limits").flag("two_at_once"),
         load_request_limit: (
             loading.span("window_ms"),
             loading.number("free"),
             loading.number("share"),
         ),
-        shared_settings: agree(s),
+        shared_settings: agree(settings),
         replicates: true,
     }
 }
 
-/// Keys from a file's text: a line each, a number and hexadecimal digits; lines that begin with # are passed over.
+/// Authentication keys from a file's text: a line each, a number and hexadecimal digits; lines that begin with # are skipped.
+///
+/// # Errors
+/// Where a line is no key, a number is used twice or there is no key; the error names file and line.
 pub fn parse_keys(file: &str, text: &str) -> Result<Keys, KeyFileError> {
     let mut keys = Keys::default();
-    for (i, line) in text.lines().enumerate() {
+    for (index, line) in text.lines().enumerate() {
         let line = line.trim();
         if line.is_empty() || line.starts_with('#') {
             continue;
         }
-        let bad = |problem| KeyFileError {
+        let key = parse_key(line, &keys).map_err(|problem| KeyFileError {
             file: file.to_string(),
-            line: i + 1,
+            line: index + 1,
             problem,
-        };
-        let (id, hex) = line
-            .split_once(' ')
-            .ok_or_else(|| bad(KeyFileProblem::NoPair))?;
-        let id = id.parse::<u8>().map_err(|_| bad(KeyFileProblem::Number))?;
-        let hex = hex.trim();
-        // Shorter ones could be tried out.
-        if hex.len() < 32 || hex.len() % 2 == 1 || !hex.is_ascii() {
-            return Err(bad(KeyFileProblem::Length));
-        }
-        let octet = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16);
-        let key: Result<Vec<u8>, _> = (0..hex.len()).step_by(2).map(octet).collect();
-        if keys.0.iter().any(|k| k.0 == id) {
-            return Err(bad(KeyFileProblem::Duplicate));
-        }
-        keys.0
-            .push((id, key.map_err(|_| bad(KeyFileProblem::Digits))?));
+        })?;
+        keys.0.push(key);
     }
     if keys.0.is_empty() {
         return Err(KeyFileError {
@@ -135,3 +144,19 @@
     }
     Ok(keys)
 }
+
+/// One line of a file of keys; `keys` are those of the lines before.
+fn parse_key(line: &str, keys: &Keys) -> Result<(u8, Vec<u8>), KeyFileProblem> {
+    let (id, digits) = line.split_once(' ').ok_or(KeyFileProblem::NoPair)?;
+    let id = id.parse::<u8>().map_err(|_| KeyFileProblem::Number)?;
+    let digits = digits.trim();
+    if digits.len() < MIN_KEY_DIGITS || digits.len() % 2 == 1 || !digits.is_ascii() {
+        return Err(KeyFileProblem::Length);
+    }
+    let octet = |at: usize| u8::from_str_radix(&digits[at..at + 2], 16);
+    let key: Result<Vec<u8>, _> = (0..digits.len()).step_by(2).map(octet).collect();
+    if keys.0.iter().any(|known| known.0 == id) {
+        return Err(KeyFileProblem::Duplicate);
+    }
+    Ok((id, key.map_err(|_| KeyFileProblem::Digits)?))
+}
--- a/crates/tidewall-gateway/tests/descriptors.rs
+++ b/crates/tidewall-gateway/tests/descriptors.rs
@@ -1,4 +1,4 @@
-//! Descriptors at their end, on real sockets; alone in its process, since the limit is the process's.
+//! File descriptors are used up, on real sockets; alone in its process, since the limit is the process's.
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 use tidewall_net::mio::{self, Mio};
@@ -7,7 +7,7 @@
 struct Probe {
     net: Mio,
     accepted: usize,
-    over: Vec<CloseReason>,
+    close_reasons: Vec<CloseReason>,
 }
 
 impl App for Probe {
@@ -23,51 +23,51 @@
         bytes.len()
     }
     fn writable(&mut self, _: Conn) {}
-    fn closed(&mut self, _: Conn, why: CloseReason) {
-        self.over.push(why);
+    fn closed(&mut self, _: Conn, reason: CloseReason) {
+        self.close_reasons.push(reason);
     }
     fn timer_fired(&mut self, _: u64) {
         self.net.stop();
     }
 }
 
-fn pass(probe: &mut Probe, tenths: u64) {
+fn run_for(probe: &mut Probe, tenths: u64) {
     let now = probe.net.now();
     let until = now + tenths;
     while probe.net.now() < until {
         let at = probe.net.now() + 50;
-        let d = probe.net.set_timer(at, 0);
+        let timer = probe.net.set_timer(at, 0);
         mio::turn(probe).unwrap();
-        probe.net.cancel_timer(d);
+        probe.net.cancel_timer(timer);
     }
 }
 
 #[test]
-fn without_a_descriptor_a_connection_counts_as_none_and_accepting_resumes() {
+fn without_a_descriptor_connecting_is_refused_and_accepting_resumes_later() {
     let mut probe = Probe {
         net: Mio::new().unwrap(),
         accepted: 0,
-        over: Vec::new(),
+        close_reasons: Vec::new(),
     };
     let (_, at) = probe.net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let worker = TcpListener::bind("127.0.0.1:0").unwrap();
     let client = TcpStream::connect_timeout(&at, Duration::from_secs(1)).unwrap();
-    // All that is left is taken.
-    let mut held = Vec::new();
+    // All remaining descriptors are taken.
+    let mut files = Vec::new();
     while let Ok(file) = std::fs::File::open("/dev/null") {
-        held.push(file);
-        if held.len() == 100_000 {
+        files.push(file);
+        if files.len() == 100_000 {
             panic!("no limit was met: run with a limit of descriptors (ulimit -n)");
         }
     }
     probe.net.connect(worker.local_addr().unwrap(), 10_000);
-    pass(&mut probe, 500);
+    run_for(&mut probe, 500);
     assert_eq!(
-        (&probe.over[..], probe.accepted),
+        (&probe.close_reasons[..], probe.accepted),
         (&[CloseReason::Refused][..], 0)
     );
-    held.clear();
-    pass(&mut probe, 2_500);
+    files.clear();
+    run_for(&mut probe, 2_500);
     assert_eq!(
         probe.accepted, 1,
         "accepting goes on when descriptors are back"
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -1,7 +1,7 @@
 //! A gateway among scripted peers on the network in memory.
-#![allow(dead_code)] // each test file uses a part
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use tidewall_gateway::endpoints::{write_record, EndpointCache, EndpointRecord, NoEndpointCache};
 use tidewall_gateway::native_ingress::NativeIngress;
@@ -12,204 +12,231 @@
 use tidewall_wire::{self as wire, kind, Entries, Field, Fields, Frame};
 
 pub const GATEWAY: &str = "127.0.0.1:700";
-pub const ROSTER: &str = "127.0.0.1:701";
+pub const DISCOVERY: &str = "127.0.0.1:701";
 
-pub fn at(text: &str) -> SocketAddr {
+pub fn address(text: &str) -> SocketAddr {
     text.parse().unwrap()
 }
 
-/// A frame that a peer got: its connection, kind, id, and the word or outcome in it.
+/// A frame that a peer received: its connection, kind, id, and the word or reason in it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Got {
+pub struct ReceivedFrame {
     pub conn: Conn,
     pub kind: u64,
     pub id: u64,
-    pub event: u64,
+    pub request_id: u64,
     pub word: String,
-    pub come_back: Time,
-    pub at: Time,
+    pub retry_after: Time,
+    pub received_at: Time,
 }
 
-/// What a worker does with a launch.
+/// What a worker does with an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Does {
+pub enum Behavior {
     Answers,
     /// Answers so much later.
-    After(Time),
+    AnswersAfter(Time),
     /// Answers, and its connection breaks right behind that.
-    AnswersAndBreaks,
+    AnswersAndResets,
     Nothing,
-    /// Reads nothing, not even a hello.
+    /// Answers with this outcome.
+    #[allow(dead_code)] // for the AMQP ingress's tests
+    AnswersOutcome(&'static str),
+    /// Reads nothing, not even a greeting.
     ReadsNothing,
-    Says(&'static str),
     /// Begins an answer in parts, and then says nothing.
-    Begins,
+    StartsResponse,
     /// Answers with so many bytes.
-    AnswersWith(usize),
+    AnswersBytes(usize),
     /// Its connection breaks after so many bytes of its answer.
-    BreaksOff(usize),
+    ResetsAfter(usize),
 }
 
+/// A client, worker or discovery server; with the role `raw` it writes nothing by itself and ignores what it gets.
 pub struct Peer {
     pub net: Memory,
     pub role: &'static str,
     pub name: String,
-    pub life: u64,
+    pub incarnation: u64,
     /// How long ago it says that it started; 0 where it does not.
     pub age: Time,
-    pub does: Does,
-    pub got: Vec<Got>,
-    pub over: Vec<CloseReason>,
-    pub entries: Vec<EndpointRecord>,
+    pub behavior: Behavior,
+    pub received_frames: Vec<ReceivedFrame>,
+    pub close_reasons: Vec<CloseReason>,
+    /// The list of a discovery server.
+    pub endpoints: Vec<EndpointRecord>,
     conns: Vec<Conn>,
-    late: Vec<(Conn, u64)>,
+    /// Answers that wait for a timer, whose token is the index here.
+    delayed: Vec<(Conn, u64)>,
 }
 
 impl Peer {
-    pub fn launches(&self) -> usize {
-        self.got.iter().filter(|g| g.kind == kind::LAUNCH).count()
+    fn new(world: &Rc<RefCell<World>>, role: &'static str, name: String) -> Peer {
+        Peer {
+            net: Memory::join(world),
+            role,
+            name,
+            incarnation: 1,
+            age: 0,
+            behavior: Behavior::Nothing,
+            received_frames: Vec::new(),
+            close_reasons: Vec::new(),
+            endpoints: Vec::new(),
+            conns: Vec::new(),
+            delayed: Vec::new(),
+        }
     }
 
-    /// The words that a client got for an event.
-    pub fn words(&self, id: u64) -> Vec<&str> {
-        let answers = self
-            .got
-            .iter()
-            .filter(|g| g.kind == kind::ANSWER && g.id == id);
-        answers.map(|g| g.word.as_str()).collect()
+    /// How many attempts a worker received.
+    pub fn attempts(&self) -> usize {
+        self.received_of(kind::LAUNCH).count()
     }
 
-    pub fn connect(&mut self) -> Conn {
-        let conn = self.net.connect(at(GATEWAY), 10_000);
-        self.conns.push(conn);
-        conn
+    /// The frames of this kind that it received.
+    pub fn received_of(&self, kind: u64) -> impl Iterator<Item = &ReceivedFrame> {
+        self.received_frames
+            .iter()
+            .filter(move |frame| frame.kind == kind)
     }
 
-    fn end(&mut self, conn: Conn, id: u64, outcome: &str) {
-        let mut out = Vec::new();
-        let f = Frame::new(&mut out, kind::END)
-            .whole(Field::Id, id)
-            .text(Field::Outcome, outcome);
-        let payload = if let Does::AnswersWith(size) = self.does {
-            vec![7; size]
-        } else {
-            Vec::new()
-        };
-        f.whole(Field::Copy, 1)
-            .bytes(Field::Payload, &payload)
-            .end();
-        self.net.write(conn, &out);
+    /// The words of the responses that a client received for a request.
+    pub fn response_words(&self, id: u64) -> Vec<&str> {
+        self.received_of(kind::ANSWER)
+            .filter(|frame| frame.id == id)
+            .map(|frame| frame.word.as_str())
+            .collect()
     }
 
-    fn tell(&mut self, conn: Conn) {
-        let mut list = Entries::default();
-        self.entries
-            .iter()
-            .for_each(|e| list.add(|f| write_record(f, e)));
-        let mut out = Vec::new();
-        Frame::new(&mut out, kind::ROSTER)
-            .text(Field::Scope, "whole")
-            .entries(&list)
-            .end();
-        self.net.write(conn, &out);
+    pub fn connect(&mut self) -> Conn {
+        let conn = self.net.connect(address(GATEWAY), 10_000);
+        self.conns.push(conn);
+        conn
     }
 
-    /// Says something on each of its connections.
-    pub fn say(&mut self, bytes: &[u8]) {
+    /// Writes something on each of its connections.
+    pub fn write_to_all(&mut self, bytes: &[u8]) {
         for conn in self.conns.clone() {
             self.net.write(conn, bytes);
         }
     }
 
-    /// Reads on, or not.
-    pub fn pause(&mut self, on: bool) {
-        for conn in self.conns.clone() {
-            self.net.set_read_paused(conn, on);
-        }
+    /// Sends its list anew to all gateways that watch it.
+    pub fn send_list_to_all(&mut self) {
+        let list = self.list();
+        self.write_to_all(&list);
     }
 
-    /// Tells its list anew to all that follow.
-    pub fn tell_all(&mut self) {
-        for conn in self.conns.clone() {
-            self.tell(conn);
+    fn list(&self) -> Vec<u8> {
+        let mut entries = Entries::default();
+        for record in &self.endpoints {
+            entries.add(|frame| write_record(frame, record));
         }
+        let mut out = Vec::new();
+        Frame::new(&mut out, kind::ROSTER)
+            .text(Field::Scope, "whole")
+            .entries(&entries)
+            .end();
+        out
+    }
+
+    fn end_attempt(&mut self, conn: Conn, id: u64, outcome: &str) {
+        let payload = match self.behavior {
+            Behavior::AnswersBytes(size) => vec![7; size],
+            _ => Vec::new(),
+        };
+        let mut out = Vec::new();
+        Frame::new(&mut out, kind::END)
+            .whole(Field::Id, id)
+            .text(Field::Outcome, outcome)
+            .whole(Field::Copy, 1)
+            .bytes(Field::Payload, &payload)
+            .end();
+        self.net.write(conn, &out);
     }
 
-    fn frame(&mut self, conn: Conn, fields: &Fields) {
+    fn frame_received(&mut self, conn: Conn, fields: &Fields) {
         let kind = fields.kind().unwrap();
         let word = [Field::Word, Field::Reason]
             .into_iter()
-            .find_map(|f| fields.text(f).ok())
+            .find_map(|field| fields.text(field).ok())
             .unwrap_or("");
-        let (id, event) = (
-            fields.whole(Field::Id).unwrap_or(0),
-            fields.whole(Field::Event).unwrap_or(0),
-        );
-        let come_back = fields.whole(Field::ComeBack).unwrap_or(0);
-        let (word, at) = (word.to_string(), self.net.now());
-        self.got.push(Got {
+        let id = fields.whole(Field::Id).unwrap_or(0);
+        self.received_frames.push(ReceivedFrame {
             conn,
             kind,
             id,
-            event,
-            word,
-            come_back,
-            at,
+            request_id: fields.whole(Field::Event).unwrap_or(0),
+            word: word.to_string(),
+            retry_after: fields.whole(Field::ComeBack).unwrap_or(0),
+            received_at: self.net.now(),
         });
-        let mut out = Vec::new();
         match (self.role, kind) {
             ("client", _) => {}
-            (_, kind::HELLO) => {
-                let f = Frame::new(&mut out, kind::HELLO).whole(Field::Version, wire::VERSION);
-                f.text(Field::Role, self.role)
-                    .text(Field::Name, &self.name)
-                    .whole(Field::Life, self.life)
-                    .whole(Field::Age, self.age)
-                    .end();
-                self.net.write(conn, &out);
-            }
+            (_, kind::HELLO) => self.greet(conn),
             ("roster", kind::FOLLOW) => {
                 self.conns.push(conn);
-                self.tell(conn);
+                let list = self.list();
+                self.net.write(conn, &list);
             }
-            (_, kind::LAUNCH) => match self.does {
-                Does::Answers | Does::AnswersWith(_) => self.end(conn, id, "ok"),
-                Does::BreaksOff(bytes) => {
-                    let f = Frame::new(&mut out, kind::END)
-                        .whole(Field::Id, id)
-                        .text(Field::Outcome, "ok");
-                    f.whole(Field::Copy, 1).end();
-                    out.truncate(bytes);
-                    self.net.write(conn, &out);
-                    self.net.reset(conn);
-                }
-                Does::Begins => {
-                    Frame::new(&mut out, kind::BEGUN).whole(Field::Id, id).end();
-                    self.net.write(conn, &out);
-                }
-                Does::After(wait) => {
-                    self.late.push((conn, id));
-                    let at = self.net.now() + wait;
-                    self.net.set_timer(at, (self.late.len() - 1) as u64);
-                }
-                Does::AnswersAndBreaks => {
-                    self.end(conn, id, "ok");
-                    self.net.reset(conn);
-                }
-                Does::Says(outcome) => self.end(conn, id, outcome),
-                Does::Nothing | Does::ReadsNothing => {}
-            },
+            (_, kind::LAUNCH) => self.attempt_received(conn, id),
             (_, kind::HOLD) => {
-                let copies = fields.whole(Field::Copies).unwrap();
-                let f = Frame::new(&mut out, kind::HELD)
+                let instances = fields.whole(Field::Copies).unwrap();
+                let mut out = Vec::new();
+                Frame::new(&mut out, kind::HELD)
                     .whole(Field::Id, id)
-                    .text(Field::Outcome, "ok");
-                f.whole(Field::Copies, copies).end();
+                    .text(Field::Outcome, "ok")
+                    .whole(Field::Copies, instances)
+                    .end();
                 self.net.write(conn, &out);
             }
             _ => {}
         }
     }
+
+    fn greet(&mut self, conn: Conn) {
+        let mut out = Vec::new();
+        Frame::new(&mut out, kind::HELLO)
+            .whole(Field::Version, wire::VERSION)
+            .text(Field::Role, self.role)
+            .text(Field::Name, &self.name)
+            .whole(Field::Life, self.incarnation)
+            .whole(Field::Age, self.age)
+            .end();
+        self.net.write(conn, &out);
+    }
+
+    fn attempt_received(&mut self, conn: Conn, id: u64) {
+        match self.behavior {
+            Behavior::Answers | Behavior::AnswersBytes(_) => self.end_attempt(conn, id, "ok"),
+            Behavior::ResetsAfter(bytes) => {
+                let mut out = Vec::new();
+                Frame::new(&mut out, kind::END)
+                    .whole(Field::Id, id)
+                    .text(Field::Outcome, "ok")
+                    .whole(Field::Copy, 1)
+                    .end();
+                out.truncate(bytes);
+                self.net.write(conn, &out);
+                self.net.reset(conn);
+            }
+            Behavior::StartsResponse => {
+                let mut out = Vec::new();
+                Frame::new(&mut out, kind::BEGUN).whole(Field::Id, id).end();
+                self.net.write(conn, &out);
+            }
+            Behavior::AnswersAfter(delay) => {
+                self.delayed.push((conn, id));
+                let at = self.net.now() + delay;
+                self.net.set_timer(at, (self.delayed.len() - 1) as u64);
+            }
+            Behavior::AnswersAndResets => {
+                self.end_attempt(conn, id, "ok");
+                self.net.reset(conn);
+            }
+            Behavior::AnswersOutcome(outcome) => self.end_attempt(conn, id, outcome),
+            Behavior::Nothing | Behavior::ReadsNothing => {}
+        }
+    }
 }
 
 impl App for Peer {
@@ -221,7 +248,7 @@
         if self.role == "worker" {
             self.conns.push(conn);
         }
-        if self.does == Does::ReadsNothing {
+        if self.behavior == Behavior::ReadsNothing {
             self.net.set_read_paused(conn, true);
         }
     }
@@ -230,7 +257,7 @@
             return;
         }
         let mut out = Vec::new();
-        wire::hello(&mut out, self.role, &self.name, self.life);
+        wire::hello(&mut out, self.role, &self.name, self.incarnation);
         self.net.write(conn, &out);
     }
     fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
@@ -238,34 +265,36 @@
             return bytes.len();
         }
         let mut used = 0;
-        while let Some((body, len)) = wire::frame(&bytes[used..]).unwrap() {
-            used += len;
-            self.frame(conn, &Fields::read(body).unwrap());
+        while let Some((body, length)) = wire::frame(&bytes[used..]).unwrap() {
+            used += length;
+            self.frame_received(conn, &Fields::read(body).unwrap());
         }
         used
     }
     fn writable(&mut self, _: Conn) {}
-    fn closed(&mut self, conn: Conn, why: CloseReason) {
-        self.conns.retain(|c| *c != conn);
-        self.over.push(why);
+    fn closed(&mut self, conn: Conn, reason: CloseReason) {
+        self.conns.retain(|open| *open != conn);
+        self.close_reasons.push(reason);
     }
     fn timer_fired(&mut self, token: u64) {
-        let (conn, id) = self.late[token as usize];
-        self.end(conn, id, "ok");
+        let (conn, id) = self.delayed[token as usize];
+        self.end_attempt(conn, id, "ok");
     }
 }
 
+/// A gateway with its discovery server, workers and a client.
 pub struct Site {
     pub world: Rc<RefCell<World>>,
     pub gateway: Gateway<Memory>,
-    pub hand: Memory,
-    pub roster: Peer,
+    /// The gateway's net.
+    pub gateway_net: Memory,
+    pub discovery: Peer,
     pub workers: Vec<Peer>,
     pub client: Peer,
 }
 
-/// Types: 0 "check" redeliverable, 1 "record" keyed in a zone, 2 "issue" at-most-once. Workers load by
-/// themselves and orders are not rationed, so that each test is about its own matter.
+/// Classes: 0 "check" idempotent, 1 "record" with an idempotency key in a zone, 2 "issue" non-idempotent. Workers load by
+/// themselves and load requests are not rate limited, so that each test is about its own matter.
 const SETTINGS: &str = r#"
 gateway { name: "g0" address: "127.0.0.1:700" zone: "z" }
 roster { address: "127.0.0.1:701" }
@@ -277,7 +306,7 @@
 loading { miss: false window_ms: 0 orders: false }
 "#;
 
-pub fn setup() -> GatewayLimits {
+pub fn limits() -> GatewayLimits {
     GatewayLimits {
         max_requests: 1000,
         connect_timeout: 2_500,
@@ -292,10 +321,10 @@
     }
 }
 
-pub fn entry(wk: usize) -> EndpointRecord {
+pub fn endpoint(worker: usize) -> EndpointRecord {
     EndpointRecord {
-        name: format!("w{wk}"),
-        address: at(&format!("127.0.0.1:{}", 800 + wk)),
+        name: format!("w{worker}"),
+        address: address(&format!("127.0.0.1:{}", 800 + worker)),
         zone: "z".to_string(),
         machine: "k".to_string(),
         cell: 0,
@@ -306,134 +335,139 @@
     }
 }
 
-pub fn site(does: &[Does]) -> Site {
-    site_with(does, setup(), Box::new(NoEndpointCache))
+pub fn site(behaviors: &[Behavior]) -> Site {
+    site_with(behaviors, limits(), Box::new(NoEndpointCache))
 }
 
-pub fn site_with(does: &[Does], setup: GatewayLimits, shelf: Box<dyn EndpointCache>) -> Site {
-    site_seeded(does, setup, shelf, 7)
+pub fn site_with(
+    behaviors: &[Behavior],
+    limits: GatewayLimits,
+    cache: Box<dyn EndpointCache>,
+) -> Site {
+    site_seeded(behaviors, limits, cache, 7)
 }
 
-/// Joins gateway, roster, one worker for each of `does`, and a client, in this order; the client connects.
+/// Joins gateway, discovery server, one worker for each of `behaviors`, and a client, in this order; the client connects.
 pub fn site_seeded(
-    does: &[Does],
-    setup: GatewayLimits,
-    shelf: Box<dyn EndpointCache>,
+    behaviors: &[Behavior],
+    limits: GatewayLimits,
+    cache: Box<dyn EndpointCache>,
     seed: u64,
 ) -> Site {
     let world = memory::world();
-    let hand = Memory::join(&world);
+    let gateway_net = Memory::join(&world);
     let settings = tidewall_config::settings("test", SETTINGS).unwrap();
-    let peer = |role, name: String, does| Peer {
-        net: Memory::join(&world),
-        role,
-        name,
-        life: 1,
-        age: 0,
-        does,
-        got: Vec::new(),
-        over: Vec::new(),
-        entries: Vec::new(),
-        conns: Vec::new(),
-        late: Vec::new(),
-    };
-    let mut roster = peer("roster", "r".to_string(), Does::Nothing);
-    roster.net.listen(at(ROSTER)).unwrap();
-    roster.entries = (0..does.len()).map(entry).collect();
+    let mut discovery = Peer::new(&world, "roster", "r".to_string());
+    discovery.net.listen(address(DISCOVERY)).unwrap();
+    discovery.endpoints = (0..behaviors.len()).map(endpoint).collect();
     let mut workers = Vec::new();
-    for (i, does) in does.iter().enumerate() {
-        let mut worker = peer("worker", format!("w{i}"), *does);
-        worker.net.listen(entry(i).address).unwrap();
+    for (index, behavior) in behaviors.iter().enumerate() {
+        let mut worker = Peer::new(&world, "worker", format!("w{index}"));
+        worker.behavior = *behavior;
+        worker.net.listen(endpoint(index).address).unwrap();
         workers.push(worker);
     }
-    let client = peer("client", "c".to_string(), Does::Nothing);
-    let start = GatewayConfig {
+    let client = Peer::new(&world, "client", "c".to_string());
+    let config = GatewayConfig {
         name: "g0".to_string(),
         index: 0,
         seed,
         settings: tidewall_config::plain(&settings, 0),
-        discovery: at(ROSTER),
+        discovery: address(DISCOVERY),
         discovery_retry: 5_000,
         peers: vec![None],
         peer_listen: None,
-        limits: setup,
+        limits,
         failover: None,
     };
-    let mut gateway = Gateway::new(hand.clone(), start, shelf).unwrap();
+    let mut gateway = Gateway::new(gateway_net.clone(), config, cache).unwrap();
     gateway
-        .add_ingress(at(GATEWAY), Box::new(NativeIngress::new(0, "g0")))
+        .add_ingress(address(GATEWAY), Box::new(NativeIngress::new(0, "g0")))
         .unwrap();
     let mut site = Site {
         world,
         gateway,
-        hand,
-        roster,
+        gateway_net,
+        discovery,
         workers,
         client,
     };
     site.client.connect();
-    site.pass(1_000);
+    site.run_for(1_000);
     site
 }
 
 impl Site {
     /// Lets so much time pass.
-    pub fn pass(&mut self, time: Time) {
-        let until = self.hand.now() + time;
-        let mut apps: Vec<&mut dyn App<Net = Memory>> = vec![&mut self.gateway, &mut self.roster];
-        self.workers.iter_mut().for_each(|w| apps.push(w));
+    pub fn run_for(&mut self, time: Time) {
+        let until = self.gateway_net.now() + time;
+        let mut apps: Vec<&mut dyn App<Net = Memory>> =
+            vec![&mut self.gateway, &mut self.discovery];
+        for worker in &mut self.workers {
+            apps.push(worker);
+        }
         apps.push(&mut self.client);
         memory::run(&self.world, &mut apps, until);
     }
 
-    /// The client's events, in one write.
-    pub fn ask(&mut self, ids: std::ops::Range<u64>, typ: &str, left: Time) {
+    /// The client's requests, in one write.
+    pub fn send_requests(&mut self, ids: Range<u64>, class: &str, remaining: Time) {
         let mut out = Vec::new();
-        ids.for_each(|id| event(&mut out, id, typ, left, &[]));
+        for id in ids {
+            write_request(&mut out, id, class, remaining, &[]);
+        }
         self.send(&out);
     }
 
-    /// A worker dies and comes back at its address as its next life, before the roster tells.
-    pub fn reborn(&mut self, wk: usize) {
-        let worker = &mut self.workers[wk];
-        worker.net.kill();
-        worker.net.restart();
-        worker.life += 1;
-        worker.net.listen(entry(wk).address).unwrap();
+    /// A worker dies and comes back at its address as its next incarnation, before the discovery server notices.
+    pub fn restart_worker(&mut self, worker: usize) {
+        let peer = &mut self.workers[worker];
+        peer.net.kill();
+        peer.net.restart();
+        peer.incarnation += 1;
+        peer.net.listen(endpoint(worker).address).unwrap();
     }
 
+    /// Writes to the client's connection.
     pub fn send(&mut self, bytes: &[u8]) {
         let conn = self.client.conns[0];
         assert!(self.client.net.write(conn, bytes));
     }
 
-    /// Nothing is left in hand, and each of these events has just one answer.
-    pub fn all_answered(&self, ids: std::ops::Range<u64>) {
+    /// The client stops reading, or reads on.
+    pub fn pause_client_reading(&mut self, paused: bool) {
+        for conn in self.client.conns.clone() {
+            self.client.net.set_read_paused(conn, paused);
+        }
+    }
+
+    /// Nothing is in flight, and each of these requests has just one response.
+    pub fn assert_all_answered(&self, ids: Range<u64>) {
         for id in ids {
             assert_eq!(
-                self.client.words(id).len(),
+                self.client.response_words(id).len(),
                 1,
-                "event {id}: {:?}",
-                self.client.words(id)
+                "request {id}: {:?}",
+                self.client.response_words(id)
             );
         }
         assert_eq!(self.gateway.requests_in_flight(), 0);
     }
 
-    pub fn launches(&self) -> usize {
-        self.workers.iter().map(Peer::launches).sum()
+    /// How many attempts all workers received.
+    pub fn attempts(&self) -> usize {
+        self.workers.iter().map(Peer::attempts).sum()
     }
 }
 
-pub fn event(out: &mut Vec<u8>, id: u64, typ: &str, left: Time, payload: &[u8]) {
-    let f = Frame::new(out, kind::EVENT)
+pub fn write_request(out: &mut Vec<u8>, id: u64, class: &str, remaining: Time, payload: &[u8]) {
+    Frame::new(out, kind::EVENT)
         .whole(Field::Id, id)
-        .text(Field::Type, typ);
-    let f = f
+        .text(Field::Type, class)
         .text(Field::Function, "f")
         .whole(Field::Lanes, 1000)
-        .whole(Field::Left, left);
-    f.bytes(Field::Mark, &id.to_be_bytes())
+        .whole(Field::Left, remaining)
+        .bytes(Field::Mark, &id.to_be_bytes())
         .bytes(Field::Payload, payload)
         .end();
 }
--- a/crates/tidewall-gateway/tests/read.rs
+++ b/crates/tidewall-gateway/tests/read.rs
@@ -1,4 +1,4 @@
-//! What is read at the door: keys of advertisements from a file's text, what is left to an event.
+//! What is read at the start and of requests: authentication keys from a file's text, a request's remaining time.
 use test_case::test_case;
 use tidewall_gateway::config::parse_keys;
 use tidewall_gateway::ingress::remaining_time;
@@ -6,7 +6,7 @@
 const KEY: &str = "000102030405060708090a0b0c0d0e0f";
 
 #[test]
-fn the_first_signs_and_all_are_taken() {
+fn keys_keep_the_order_of_their_lines() {
     let text = format!("# new first\n2 {}\n\n1 {KEY}\n", KEY.replace('0', "f"));
     let keys = parse_keys("k", &text).unwrap();
     assert_eq!(keys.0.iter().map(|k| k.0).collect::<Vec<_>>(), [2, 1]);
@@ -19,15 +19,19 @@
 #[test_case("1 0001", "k:1:1: a key has an even number of at least 32" ; "too short")]
 #[test_case("1 000102030405060708090a0b0c0d0e0g", "k:1:1: a key has hexadecimal" ; "no digit")]
 #[test_case("1 000102030405060708090a0b0c0d0e0f\n1 000102030405060708090a0b0c0d0e0f", "k:2:1: the number stands twice" ; "twice")]
-fn bad_keys_name_their_line(text: &str, told: &str) {
+fn bad_keys_name_their_line(text: &str, expected: &str) {
     let error = parse_keys("k", text).err().expect("it is refused");
-    assert!(error.to_string().starts_with(told), "{error}");
+    assert!(error.to_string().starts_with(expected), "{error}");
 }
 
 #[test_case(21_000, 0, Some(21_000) ; "read at once")]
 #[test_case(21_000, 5_250, Some(15_750) ; "a quarter is uncertain")]
 #[test_case(21_000, 5_251, None ; "more than that")]
 #[test_case(0, 0, None ; "nothing was left")]
-fn what_is_left_to_an_event(told: u64, waited: u64, certain: Option<u64>) {
-    assert_eq!(remaining_time(told, waited), certain);
+fn a_request_keeps_the_time_that_is_certainly_left(
+    remaining: u64,
+    waited: u64,
+    certain: Option<u64>,
+) {
+    assert_eq!(remaining_time(remaining, waited), certain);
 }
--- /dev/null
+++ b/crates/tidewall-gateway/tests/scripted_peers/main.rs
@@ -0,0 +1,6 @@
+//! A gateway among scripted peers: hard cases, and faults that were found.
+mod faults;
+mod hard;
+// The AMQP ingress's tests use the same peers.
+#[path = "../help/mod.rs"]
+mod peers;
