One list of a client's open requests for the native and the platform ingress

Cause: both kept the linked list of a connection's requests, its keys and reply handles in code of their own. A worker's incarnation is a number, not an option that is never none.

--- a/crates/tidewall-gateway/src/client_requests.rs
+++ b/crates/tidewall-gateway/src/client_requests.rs
@@ -10,6 +10,8 @@
     pub conn: Conn,
     /// The client's id for it, unique among the open ones of its connection.
     pub id: u64,
+    /// Its id in logs and at workers; the same where the protocol has no other.
+    pub request_id: u64,
     /// The gateway's slot, once it is admitted; `NO_REQUEST_SLOT` before.
     pub slot: usize,
     /// Neighbours in the list of the connection's requests.
@@ -58,12 +60,13 @@
     }
 
     /// Adds a request and gives its key. The connection has no other open one with this id.
-    pub fn add(&mut self, conn: Conn, id: u64) -> u32 {
+    pub fn add(&mut self, conn: Conn, id: u64, request_id: u64) -> u32 {
         let next = self.connection(conn).first;
         self.generation = self.generation.wrapping_add(1);
         let request = ClientRequest {
             conn,
             id,
+            request_id,
             slot: NO_REQUEST_SLOT,
             previous: None,
             next,
@@ -135,10 +138,8 @@
         request
     }
 
-    /// Removes the latest of a connection's open requests and gives it with its reply handle; none where it has none.
-    pub fn remove_latest(&mut self, conn: Conn) -> Option<(ClientRequest, ReplyHandle)> {
-        let key = self.connections.get(conn.index())?.first?;
-        let handle = self.handle(key);
-        Some((self.remove(key), handle))
+    /// The key of the latest of a connection's open requests; none where it has none.
+    pub fn latest(&self, conn: Conn) -> Option<u32> {
+        self.connections.get(conn.index())?.first
     }
 }
--- a/crates/tidewall-gateway/src/native_ingress.rs
+++ b/crates/tidewall-gateway/src/native_ingress.rs
@@ -126,7 +126,7 @@
             self.refuse(context, conn, id, "late");
             return Ok(());
         }
-        let key = self.requests.add(conn, id);
+        let key = self.requests.add(conn, id, id);
         let reply_handle = self.requests.handle(key);
         match context.admit(&IncomingRequest {
             reply_handle,
@@ -160,7 +160,9 @@
 
     /// A connection is over, and nobody waits for its requests on it any more.
     fn disconnected<N: Net>(&mut self, context: &mut IngressContext<N>, conn: Conn) {
-        while let Some((request, handle)) = self.requests.remove_latest(conn) {
+        while let Some(key) = self.requests.latest(conn) {
+            let handle = self.requests.handle(key);
+            let request = self.requests.remove(key);
             context.client_disconnected(request.slot, handle);
         }
         *self.client(conn) = Client::default();
--- a/crates/tidewall-gateway/src/worker_events.rs
+++ b/crates/tidewall-gateway/src/worker_events.rs
@@ -82,8 +82,7 @@
             let reason = format!("{role} {name} answers for {expected}");
             return Err(WireError::invalid(Field::Name, reason).into());
         }
-        let known = pool.incarnation_of(worker);
-        if known.is_some_and(|known| incarnation > known) {
+        if incarnation > pool.incarnation_of(worker) {
             self.restarted(worker, incarnation, age);
         }
         let connection = self.connection;
--- a/crates/tidewall-gateway/src/worker_pool/endpoints.rs
+++ b/crates/tidewall-gateway/src/worker_pool/endpoints.rs
@@ -143,8 +143,8 @@
     }
 
     /// The worker's latest known incarnation.
-    pub fn incarnation_of(&self, worker: usize) -> Option<u64> {
-        Some(self.workers[worker].incarnation)
+    pub fn incarnation_of(&self, worker: usize) -> u64 {
+        self.workers[worker].incarnation
     }
 
     /// The worker greeted as a later incarnation, which started `age` ago. Gives its endpoint where the scheduler is to hear
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod lines;
 
 use rustc_hash::FxHashMap;
-use slab::Slab;
+use tidewall_gateway::client_requests::{ClientRequest, ClientRequests};
 use tidewall_gateway::ingress::{
     remaining_time, Disposition, IncomingRequest, Ingress, ReplyHandle, Response,
 };
@@ -14,8 +14,6 @@
 use tidewall_platform::client::{self, Call, Commands};
 use tracing::{debug, warn};
 
-const NONE: u32 = u32::MAX;
-
 /// Open on one connection at once, as the page has it.
 const OPEN_MOST: u32 = 32;
 
@@ -42,24 +40,9 @@
 /// taken by such clients it is still a matter of their number, which the descriptors bound.
 const UNREAD: usize = tidewall_platform::host::BODY_MOST;
 
-/// A client's call. Those of one connection are chained, so that its end costs no search.
-struct Known {
-    conn: Conn,
-    tag: u64,
-    trace: u64,
-    /// The gateway's place, once it is taken.
-    place: usize,
-    before: u32,
-    after: u32,
-    /// Tells the users of a key apart.
-    count: u32,
-}
-
 #[derive(Default)]
 struct Client {
     conn: Option<Conn>,
-    first: Option<u32>,
-    open: u32,
     /// The highest tag so far: one at or below it was used before.
     highest: u64,
     /// When it came, and when it last said something whole.
@@ -80,10 +63,9 @@
     keyed: Vec<bool>,
     clients: Vec<Client>,
     count_of_clients: usize,
-    known: Slab<Known>,
-    count: u32,
-    /// Looked up, never walked.
-    tags: FxHashMap<(Conn, u64), u32>,
+    /// The clients' open calls; a call's id there is its tag, its request id its trace.
+    calls: ClientRequests,
+    /// By trace: the key of its call. Looked up, never iterated: its order is not defined.
     traces: FxHashMap<u64, u32>,
     out: Vec<u8>,
     fields: String,
@@ -98,9 +80,7 @@
             keyed,
             clients: Vec::new(),
             count_of_clients: 0,
-            known: Slab::new(),
-            count: 0,
-            tags: FxHashMap::default(),
+            calls: ClientRequests::new(me),
             traces: FxHashMap::default(),
             out: Vec::new(),
             fields: String::new(),
@@ -116,61 +96,15 @@
     }
 
     fn add(&mut self, conn: Conn, tag: u64, trace: u64) -> u32 {
-        let first = self.client(conn).first;
-        let after = first.unwrap_or(NONE);
-        self.count = self.count.wrapping_add(1);
-        let known = Known {
-            conn,
-            tag,
-            trace,
-            place: usize::MAX,
-            before: NONE,
-            after,
-            count: self.count,
-        };
-        let key = self.known.insert(known) as u32;
-        if let Some(first) = first {
-            self.known[first as usize].before = key;
-        }
-        let client = self.client(conn);
-        client.first = Some(key);
-        client.open += 1;
-        self.tags.insert((conn, tag), key);
+        let key = self.calls.add(conn, tag, trace);
         self.traces.insert(trace, key);
         key
     }
 
-    fn ticket(&self, key: u32) -> ReplyHandle {
-        let count = self.known[key as usize].count;
-        ReplyHandle {
-            ingress: self.me,
-            key: u64::from(key) | u64::from(count) << 32,
-        }
-    }
-
-    /// The key of a ticket whose call has not left meanwhile.
-    fn key(&self, ticket: ReplyHandle) -> Option<u32> {
-        let (key, count) = (ticket.key as u32, (ticket.key >> 32) as u32);
-        self.known
-            .get(key as usize)
-            .filter(|k| k.count == count)
-            .map(|_| key)
-    }
-
-    fn remove(&mut self, key: u32) -> Known {
-        let known = self.known.remove(key as usize);
-        self.tags.remove(&(known.conn, known.tag));
-        self.traces.remove(&known.trace);
-        if known.before == NONE {
-            self.client(known.conn).first = (known.after != NONE).then_some(known.after);
-        } else {
-            self.known[known.before as usize].after = known.after;
-        }
-        if known.after != NONE {
-            self.known[known.after as usize].before = known.before;
-        }
-        self.client(known.conn).open -= 1;
-        known
+    fn remove(&mut self, key: u32) -> ClientRequest {
+        let call = self.calls.remove(key);
+        self.traces.remove(&call.request_id);
+        call
     }
 
     /// Answers a call that was not taken.
@@ -215,10 +149,10 @@
 
     /// All calls of a connection that is gone are lapsed.
     fn gone<N: Net>(&mut self, core: &mut IngressContext<N>, conn: Conn) {
-        while let Some(key) = self.client(conn).first {
-            let ticket = self.ticket(key);
-            let known = self.remove(key);
-            core.client_abandoned(known.place, ticket);
+        while let Some(key) = self.calls.latest(conn) {
+            let handle = self.calls.handle(key);
+            let call = self.remove(key);
+            core.client_abandoned(call.slot, handle);
         }
     }
 
@@ -281,7 +215,7 @@
         let idle = self
             .clients
             .iter()
-            .filter(|c| c.conn.is_some() && c.first.is_none());
+            .filter(|c| c.conn.is_some_and(|conn| self.calls.open(conn) == 0));
         let mut idle: Vec<_> = idle.map(|c| (order(c), c.used, c.conn)).collect();
         idle.sort_unstable();
         // What it sent while we were busy is answered first.
@@ -316,7 +250,7 @@
             return;
         }
         client.highest = tag;
-        let open = client.open;
+        let open = self.door.calls.open(conn);
         let told = call.and_then(|call| {
             let typ = self.core.class_names().iter().position(|t| t == call.typ);
             let typ =
@@ -369,12 +303,12 @@
                 .turn_away(self.core, conn, tag, Disposition::Rejected);
         }
         let key = self.door.add(conn, tag, call.trace);
-        let ticket = self.door.ticket(key);
+        let reply_handle = self.door.calls.handle(key);
         match self.core.admit(&IncomingRequest {
-            reply_handle: ticket,
+            reply_handle,
             ..event
         }) {
-            Ok(place) => self.door.known[key as usize].place = place,
+            Ok(slot) => self.door.calls.set_slot(key, slot),
             Err(_) => {
                 self.door.remove(key);
                 self.door
@@ -388,10 +322,10 @@
         let client = self.door.client(self.conn);
         (client.spoke, client.used) = (true, now);
         // The answer may have crossed it.
-        if let Some(key) = self.door.tags.get(&(self.conn, tag)).copied() {
-            let ticket = self.door.ticket(key);
-            let known = self.door.remove(key);
-            self.core.client_abandoned(known.place, ticket);
+        if let Some(key) = self.door.calls.find(self.conn, tag) {
+            let handle = self.door.calls.handle(key);
+            let call = self.door.remove(key);
+            self.core.client_abandoned(call.slot, handle);
         }
     }
 
@@ -424,7 +358,7 @@
             let over = match c.ending {
                 Some(until) => now >= until,
                 None if !c.spoke => now >= c.came + SILENT,
-                None => c.first.is_none() && now >= c.used + IDLE,
+                None => self.calls.open(conn) == 0 && now >= c.used + IDLE,
             };
             if over && (c.ending.is_some() || !core.net().has_unread(conn)) {
                 self.shut(core, conn);
@@ -484,20 +418,22 @@
     }
 
     fn request_expired(&mut self, _now: Time, ticket: ReplyHandle) {
-        if let Some(key) = self.key(ticket) {
+        if let Some(key) = self.calls.key(ticket) {
             self.remove(key);
         }
     }
 
     fn respond(&mut self, net: &mut N, ticket: ReplyHandle, answer: &Response) {
         // It left in the same wake-up.
-        let Some(key) = self.key(ticket) else { return };
-        let known = self.remove(key);
-        self.client(known.conn).used = net.now();
+        let Some(key) = self.calls.key(ticket) else {
+            return;
+        };
+        let call = self.remove(key);
+        self.client(call.conn).used = net.now();
         self.write(
             net,
-            known.conn,
-            known.tag,
+            call.conn,
+            call.id,
             answer.disposition,
             answer.retry_after,
             answer.payload,
