Process tests look for the gateway's new log texts, and for the outcome's name of today

Cause: they waited for ' launch ', ' lapsed ' and 'outcome=NoConnection', which the log does not hold any more; the last since the outcome's rename.

--- a/crates/tidewall-cli/tests/endings_of_clients.rs
+++ b/crates/tidewall-cli/tests/endings_of_clients.rs
@@ -179,7 +179,7 @@
         client.send(all);
     }
     until("all are withdrawn", || {
-        p.gateway.log().matches(" lapsed ").count() == ALL
+        p.gateway.log().matches(" request abandoned ").count() == ALL
     });
     let out = on_its_way(&p.workers[0]);
     let (mut gone, mut halts) = (0, 0);
@@ -241,7 +241,7 @@
 fn what_cannot_leave_moves_on() {
     let (p, _link, _clients) = jam(52, "issue", 250.0);
     until("they move on", || {
-        p.gateway.log().matches("outcome=NoConnection").count() > 10
+        p.gateway.log().matches("outcome=ConnectFailed").count() > 10
     });
 }
 
@@ -273,7 +273,7 @@
         clients[(tag - 1) / EACH].send(call_of(tag as u64, typ, 60_000, "7f3a9c21e0b4d655", &body));
     }
     until("all are launched", || {
-        p.gateway.log().matches(" launch ").count() >= ALL
+        p.gateway.log().matches(" attempt started ").count() >= ALL
     });
     let link = accept(&p.workers[0], LONG).expect("it connects");
     (p, link, clients)
