--- a/crates/tidewall-cli/tests/endings_native.rs
+++ b/crates/tidewall-cli/tests/endings_native.rs
@@ -52,7 +52,9 @@
     client.as_mut().unwrap().send(event(1, "check"));
     let mut link = accept(&n.workers[0], LONG).expect("it connects");
     leave(&mut client, 1, how);
-    until("it has left", || n.gateway.log().contains(" request abandoned "));
+    until("it has left", || {
+        n.gateway.log().contains(" request abandoned ")
+    });
     n.greet(&mut link, 0);
     assert_eq!(link.launch(3 * LEFT), None);
 }
@@ -123,7 +125,9 @@
     let mut n = native(160, 1, true);
     let mut client = n.client();
     n.gateway.signal(libc::SIGTERM);
-    until("it was told", || n.gateway.log().contains("shutdown requested"));
+    until("it was told", || {
+        n.gateway.log().contains("shutdown requested")
+    });
     let (mut link, id) = n.launched(&mut client, 1, "check");
     link.over(id, "ok");
     assert_eq!(client.told(LONG), Some((1, "handled".to_string())));
--- a/crates/tidewall-cli/tests/endings_of_clients.rs
+++ b/crates/tidewall-cli/tests/endings_of_clients.rs
@@ -76,7 +76,9 @@
     let fillers = filled(&p.workers[0]);
     let mut client = Some(p.client());
     client.as_mut().unwrap().send(call(1, "check", 2000));
-    until("it is launched", || p.gateway.log().contains(" attempt started "));
+    until("it is launched", || {
+        p.gateway.log().contains(" attempt started ")
+    });
     leave(&mut client, 1, how);
     drop(fillers);
     let mut came = 0;
--- a/crates/tidewall-cli/tests/endings_of_gateways.rs
+++ b/crates/tidewall-cli/tests/endings_of_gateways.rs
@@ -38,7 +38,9 @@
     let text = call(1, "check", 2000);
     client.send(&text[..30]);
     p.gateway.signal(libc::SIGTERM);
-    until("it was told", || p.gateway.log().contains("shutdown requested"));
+    until("it was told", || {
+        p.gateway.log().contains("shutdown requested")
+    });
     client.send(&text[30..]);
     let mut link = accept(&p.workers[0], LONG).unwrap();
     assert_eq!(link.go(LONG).as_deref(), Some("0000000000000001"));
--- a/crates/tidewall-cli/tests/endings_of_workers.rs
+++ b/crates/tidewall-cli/tests/endings_of_workers.rs
@@ -173,7 +173,9 @@
     let fillers = p.workers.iter().map(filled).collect::<Vec<_>>();
     let mut client = p.client();
     client.send(call(1, typ, 4000));
-    until("it is launched", || p.gateway.log().contains(" attempt started "));
+    until("it is launched", || {
+        p.gateway.log().contains(" attempt started ")
+    });
     drop(fillers);
     let (mut launches, mut links) = (0, Vec::new());
     let until = std::time::Instant::now() + ms(2_500);
--- a/crates/tidewall-gateway/tests/read.rs
+++ b/crates/tidewall-gateway/tests/read.rs
@@ -1,6 +1,8 @@
-//! What is read at the start and of requests: authentication keys from a file's text, a request's remaining time.
+//! What is read at the start and of requests: authentication keys from a file's text, a request's remaining time, and why one is
+//! refused.
 use test_case::test_case;
 use tidewall_gateway::config::parse_keys;
+use tidewall_gateway::error::AdmissionError;
 use tidewall_gateway::ingress::remaining_time;
 
 const KEY: &str = "000102030405060708090a0b0c0d0e0f";
@@ -35,3 +37,11 @@
 ) {
     assert_eq!(remaining_time(remaining, waited), certain);
 }
+
+#[test_case(AdmissionError::Draining, "draining")]
+#[test_case(AdmissionError::DeduplicationTableFull, "most-remembered")]
+#[test_case(AdmissionError::TooManyRequests, "most-held")]
+fn refusals_keep_their_wire_texts(error: AdmissionError, text: &str) {
+    assert_eq!(error.wire_text(), text);
+    assert_eq!(error.to_string(), text);
+}
