--- a/crates/tidewall-gateway/tests/drawn_failover_messages.rs
+++ b/crates/tidewall-gateway/tests/drawn_failover_messages.rs
@@ -1,4 +1,5 @@
 //! Drawn messages of failover are read as they were written.
+#![allow(clippy::unwrap_used)]
 #[path = "help/frames.rs"]
 mod frames;
 
--- a/crates/tidewall-gateway/tests/replication_records.rs
+++ b/crates/tidewall-gateway/tests/replication_records.rs
@@ -1,5 +1,6 @@
 //! The messages of failover: frames recorded before they became types decode and encode to the same bytes; malformed ones
 //! are refused.
+#![allow(clippy::unwrap_used)]
 #[path = "help/frames.rs"]
 mod frames;
 
--- a/crates/tidewall-platform-ingress/src/closing.rs
+++ b/crates/tidewall-platform-ingress/src/closing.rs
@@ -30,14 +30,12 @@
     pub(crate) fn abandon_call<N: Net>(&mut self, context: &mut IngressContext<N>, key: u32) {
         let reply_handle = self.calls.reply_handle(key);
         let call = self.calls.remove(&mut self.connections, key);
-        if let Some(request_slot) = call.request_slot {
-            context.client_abandoned(request_slot, reply_handle);
-        }
+        context.client_abandoned(call.slot, reply_handle);
     }
 
     /// Abandons all calls of a connection.
     pub(crate) fn abandon_calls<N: Net>(&mut self, context: &mut IngressContext<N>, conn: Conn) {
-        while let Some(key) = self.connections.slot(conn).first_call {
+        while let Some(key) = self.calls.latest(conn) {
             self.abandon_call(context, key);
         }
     }
--- a/crates/tidewall-platform-ingress/src/connections.rs
+++ b/crates/tidewall-platform-ingress/src/connections.rs
@@ -28,8 +28,6 @@
 pub(crate) struct ClientConnection {
     /// The connection; `None` in an unused slot.
     pub(crate) conn: Option<Conn>,
-    /// Head of the chain of its open calls.
-    pub(crate) first_call: Option<u32>,
     /// How many calls have no reply yet.
     pub(crate) open_calls: u32,
     /// The highest tag of a call so far; one at or below it was used before.
@@ -69,7 +67,7 @@
         match self.closes_at {
             Some(closes_at) => now >= closes_at,
             None if !self.has_sent_command => now >= self.accepted_at + FIRST_COMMAND_TIMEOUT,
-            None => self.first_call.is_none() && now >= self.last_active + IDLE_TIMEOUT,
+            None => self.open_calls == 0 && now >= self.last_active + IDLE_TIMEOUT,
         }
     }
 
@@ -177,7 +175,7 @@
         let mut candidates: Vec<EvictionCandidate> = self
             .slots
             .iter()
-            .filter(|connection| connection.first_call.is_none())
+            .filter(|connection| connection.open_calls == 0)
             .filter_map(|connection| {
                 Some(EvictionCandidate {
                     class: connection.eviction_class(now),
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -122,7 +122,7 @@
         let call = self.calls.remove(&mut self.connections, key);
         self.connections.slot(call.conn).reply_sent(net.now());
         let reply = FinalReply {
-            tag: call.tag,
+            tag: call.id,
             disposition: response.disposition,
             retry_after: response.retry_after,
             payload: response.payload,
