Net: documented trait; buffer and timer wheel in standard terms

The trait's comments, the buffer and the wheel used words of their own (used, place, home, told). Private names are now entry, generation, slot, cascade; the limits are READ_BUFFER_LIMIT and WRITE_BUFFER_LIMIT (one use in the AMQP ingress follows).

--- a/crates/tidewall-amqp-ingress/src/lib.rs
+++ b/crates/tidewall-amqp-ingress/src/lib.rs
@@ -22,7 +22,7 @@
 const LOOK: Time = 100;
 
 /// Deliveries stop while so much waits unsent for a connection: half of the write buffer's bound.
-const UNSENT: usize = tidewall_net::buffer::WRITE_MOST / 2;
+const UNSENT: usize = tidewall_net::buffer::WRITE_BUFFER_LIMIT / 2;
 
 struct User {
     name: String,
--- a/crates/tidewall-net/benches/wheel.rs
+++ b/crates/tidewall-net/benches/wheel.rs
@@ -28,7 +28,7 @@
                 while let Some(i) = wheel.pop(now) {
                     held[i as usize] = wheel.insert(now + chance.random_range(1..SPAN), i);
                 }
-                black_box(wheel.next())
+                black_box(wheel.next_expiry())
             });
         });
         group.bench_with_input(BenchmarkId::new("heap", size), &size, |b, &size| {
--- a/crates/tidewall-net/src/buffer.rs
+++ b/crates/tidewall-net/src/buffer.rs
@@ -1,51 +1,60 @@
-//! Bytes that wait: bounded, in one piece, without moving what is there at each use.
+//! Byte queues of a connection: contiguous, and without moving what is queued at each read.
+//!
+//! The limits are enforced by the [`Net`](crate::Net) implementations, not by [`Buffer`] itself.
 
-/// What may wait unread at a connection: twice the largest frame of the native wire, so that a whole frame
-/// and the start of the next one always fit.
-pub const READ_MOST: usize = 2 << 20;
+/// Limit of received bytes that an app has not consumed, in bytes for each connection: twice the largest frame of
+/// the native protocol, so that a complete frame and the start of the next one always fit.
+pub const READ_BUFFER_LIMIT: usize = 2 << 20;
 
-/// What may wait unsent at a connection. At 950 events a second of 300 bytes each this is seven seconds of a
-/// peer that reads nothing; longer than any max age that is usual.
-pub const WRITE_MOST: usize = 2 << 20;
+/// Limit of bytes that wait to be sent, in bytes for each connection. At 950 requests a second of 300 bytes each this is
+/// seven seconds of a peer that reads nothing; longer than any usual deadline of a request.
+pub const WRITE_BUFFER_LIMIT: usize = 2 << 20;
 
-/// A buffer that grew for a burst gives its memory back when it is empty again.
-const KEPT: usize = 64 << 10;
+/// Capacity in bytes that an empty buffer keeps: one that grew for a burst gives the rest back to the allocator.
+const RETAINED_CAPACITY: usize = 64 << 10;
 
+/// A queue of bytes that is filled at its end and consumed from its start.
 #[derive(Default)]
 pub struct Buffer {
     bytes: Vec<u8>,
-    from: usize,
+    /// Index in `bytes` of the first byte that is not consumed.
+    start: usize,
 }
 
 impl Buffer {
+    /// All queued bytes, in order.
     pub fn data(&self) -> &[u8] {
-        &self.bytes[self.from..]
+        &self.bytes[self.start..]
     }
 
+    /// Number of queued bytes.
     pub fn len(&self) -> usize {
-        self.bytes.len() - self.from
+        self.bytes.len() - self.start
     }
 
+    /// Whether no byte is queued.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
+    /// Appends bytes at the end.
     pub fn push(&mut self, bytes: &[u8]) {
-        // What was used makes room once it is more than what is left: each byte moves at most once.
-        if self.from > self.len() {
-            self.bytes.drain(..self.from);
-            self.from = 0;
+        // The consumed part is dropped once it is longer than what is queued: each byte moves at most once.
+        if self.start > self.len() {
+            self.bytes.drain(..self.start);
+            self.start = 0;
         }
         self.bytes.extend_from_slice(bytes);
     }
 
-    pub fn used(&mut self, count: usize) {
-        self.from += count;
+    /// Drops the first `count` queued bytes; `count` is at most [`Buffer::len`].
+    pub fn consume(&mut self, count: usize) {
+        self.start += count;
         if self.is_empty() {
             self.bytes.clear();
-            self.from = 0;
-            if self.bytes.capacity() > KEPT {
-                self.bytes.shrink_to(KEPT);
+            self.start = 0;
+            if self.bytes.capacity() > RETAINED_CAPACITY {
+                self.bytes.shrink_to(RETAINED_CAPACITY);
             }
         }
     }
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -1,6 +1,8 @@
-//! Sockets, buffers, deadlines and time behind one trait. Protocol code is an `App`: it is called for each
-//! thing that happens and acts through `Net`. `mio` carries it on real sockets, `memory` on a scripted
-//! network with a clock of its own, so that a failure found there is one of the shipped code.
+//! Sockets, write buffers, timers and the clock behind one trait.
+//!
+//! Protocol code is an [`App`]: an event loop calls it for each event, and it acts through [`Net`]. [`mio`] implements
+//! the trait on operating-system sockets; [`memory`] on a simulated network with a virtual clock, so that a fault
+//! found in simulation is one of the code that ships.
 pub mod buffer;
 pub mod memory;
 pub mod mio;
@@ -9,115 +11,142 @@
 use std::io;
 use std::net::SocketAddr;
 
-/// A time or a span in whole tenths of a millisecond.
+/// A time or duration in whole tenths of a millisecond. Times count from an origin that the [`Net`] chooses; 0 is
+/// before every time that [`Net::now`] returns.
 pub type Time = u64;
 
 pub use wheel::TimerId;
 
-/// A connection. Its place is reused; the count in its upper half tells users of that place apart.
+/// Identifies a connection: a slot index in the lower 32 bits, which is reused, and a generation in the upper ones, which
+/// distinguishes the connections that used the slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Conn(pub u64);
 
 impl Conn {
-    pub fn new(place: usize, count: u32) -> Conn {
-        Conn(place as u64 | u64::from(count) << 32)
+    /// The identifier of a slot's connection; `index` is below 2^32.
+    pub fn new(index: usize, generation: u32) -> Conn {
+        Conn(index as u64 | u64::from(generation) << 32)
     }
 
+    /// The slot index: at any time no two open connections of a [`Net`] share it.
     pub fn index(self) -> usize {
         (self.0 & 0xffff_ffff) as usize
     }
 
+    /// The generation, which differs between connections that used the same slot.
     pub fn generation(self) -> u32 {
         (self.0 >> 32) as u32
     }
 }
 
+/// Identifies a listening stream socket, by its slot index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listener(pub usize);
 
-/// A datagram socket.
+/// Identifies a bound datagram socket, by its slot index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DatagramSocket(pub usize);
 
-/// Why a connection is over without our having closed it.
+/// Why a connection ended that the app did not close itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
-    /// Never established: nobody listens there, or no descriptor was left. Nothing was sent.
+    /// Never established: connection refused, no route, or no file descriptor left. Nothing was sent.
     Refused,
-    /// Never established within its time. Nothing was sent.
+    /// Not established before its connect timeout. Nothing was sent.
     TimedOut,
-    /// Broke while it stood.
+    /// Reset or otherwise broken after it was established.
     Reset,
-    /// The other end closed it.
+    /// The peer closed it in order (end of stream).
     Ended,
 }
 
+/// What an [`App`] acts through: non-blocking sockets, timers and the clock of one event loop.
 pub trait Net {
+    /// The time at the start of this wake-up, on a clock that never goes back.
     fn now(&self) -> Time;
-    /// How long the process has stood still in all (stopped, starved, or busy in one call): what happened in
-    /// such a time says nothing about others.
+    /// Total duration for which the process has stalled (stopped, starved of processor time, or busy in one call). A
+    /// timeout that expired during a stall says nothing about a peer.
     fn total_stall(&self) -> Time;
-    /// How long bytes that are read now may have lain unread while this process did something else or stood
-    /// still: a time left that they tell has shrunk by as much.
+    /// Upper bound of the time for which the bytes that are being read may have waited unread in the socket, while this
+    /// process was busy or stalled: a remaining time that they state has shrunk by as much.
     fn read_delay(&self) -> Time;
-    /// The longest that a wake-up took or came late in the last seconds, standstills left out: a deadline may be
-    /// met as much later than it was set for.
+    /// The longest duration or lateness of a wake-up in the last one to two seconds, stalls excluded: a timer may fire that
+    /// much later than it was set for.
     fn max_timer_lag(&self) -> Time;
-    /// Fails where the address is taken or no descriptor is left.
+    /// Listens on an address; port 0 chooses a free one. Returns the listener and the bound address.
+    ///
+    /// # Errors
+    /// The address is in use or not local, or no file descriptor is left.
     fn listen(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)>;
-    /// Listens no more. What had been connected by then is accepted all the same.
+    /// Stops listening. Connections in the backlog are still accepted.
     fn stop_listening(&mut self, listener: Listener);
-    /// Never fails at once: `App::connected` or `App::closed` follows.
+    /// Opens a connection. Never fails at once: [`App::connected`] or [`App::closed`] follows, the latter with
+    /// [`CloseReason::TimedOut`] after `within`.
     fn connect(&mut self, to: SocketAddr, within: Time) -> Conn;
-    /// Takes the bytes whole, or none of them where the buffer's bound would be passed: then `App::drained`
-    /// follows when it is empty again. False also where the connection is gone.
+    /// Queues all of the bytes, or none where [`buffer::WRITE_BUFFER_LIMIT`] would be passed: then it returns false, and
+    /// [`App::writable`] follows when the write buffer is empty. False also where the connection has ended.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool;
-    /// Writes at once what the socket takes and keeps nothing of the rest: gives back how many bytes have left. None while
-    /// earlier ones wait, or where the connection is gone. After less than all `App::drained` follows when there is room.
+    /// Writes what the socket accepts at once, queues nothing, and returns how many bytes were written: 0 while
+    /// earlier bytes are queued, or where the connection has ended. After a partial write [`App::writable`] follows.
+    #[must_use = "bytes beyond the returned count were not written"]
     fn write_available(&mut self, conn: Conn, bytes: &[u8]) -> usize;
-    /// Bytes taken that have not left this process.
+    /// Bytes in the write buffer: accepted by [`Net::write`] and not yet by the socket.
     fn unsent(&self, conn: Conn) -> usize;
-    /// Bytes taken that the peer's system has not taken yet, those that have left this process included.
+    /// Bytes that the peer's system has not acknowledged: the write buffer and the socket's send queue.
     fn unacknowledged(&self, conn: Conn) -> usize {
         self.unsent(conn)
     }
-    /// Whether something has come that the app was not given yet: it is, soon. Asked before an idle connection is
-    /// closed, or what its peer sent meanwhile would be lost.
+    /// Whether bytes have arrived that the app has not been given; it is given them soon. To be called before an idle
+    /// connection is closed, or what its peer has sent meanwhile would be lost.
     fn has_unread(&mut self, conn: Conn) -> bool;
-    /// Stops or resumes reading, so that the peer is held back by its own buffers.
+    /// Pauses or resumes reading. While paused, flow control holds the peer back.
     fn set_read_paused(&mut self, conn: Conn, on: bool);
-    /// Closes when all that was taken has left, so that the peer can read it to its end. Nothing more is heard of the
-    /// connection.
+    /// Closes gracefully, once the write buffer has been sent, so that the peer can read all of it. No further event of
+    /// this connection follows.
     fn close(&mut self, conn: Conn);
-    /// Closes at once by a reset; what has not left is lost. Nothing more is heard of the connection.
+    /// Resets the connection at once; unsent bytes are lost. No further event of this connection follows.
     fn reset(&mut self, conn: Conn);
-    /// Breaks it like `reset`, but as if it had broken by itself: `App::closed` follows.
+    /// Resets the connection like [`Net::reset`], but as if it had failed: [`App::closed`] follows.
     fn abort(&mut self, conn: Conn);
+    /// Binds a datagram socket; port 0 chooses a free one. Returns the socket and the bound address.
+    ///
+    /// # Errors
+    /// The address is in use or not local, or no file descriptor is left.
     fn bind_datagram(&mut self, at: SocketAddr) -> io::Result<(DatagramSocket, SocketAddr)>;
-    /// Datagrams may be lost, without a word.
-    fn send_datagram(&mut self, port: DatagramSocket, to: SocketAddr, bytes: &[u8]);
-    /// `App::due` follows with this token, not before that time.
+    /// Sends a datagram, which may be lost silently.
+    fn send_datagram(&mut self, socket: DatagramSocket, to: SocketAddr, bytes: &[u8]);
+    /// Sets a one-shot timer: [`App::timer_fired`] follows with this token, not before the time `at`.
     fn set_timer(&mut self, at: Time, token: u64) -> TimerId;
-    /// A deadline that is over is passed by.
-    fn cancel_timer(&mut self, deadline: TimerId);
+    /// Cancels a timer; one that has fired or was cancelled is ignored.
+    fn cancel_timer(&mut self, timer: TimerId);
+    /// Makes the event loop return after this wake-up.
     fn stop(&mut self);
 }
 
-/// What can happen. After `Net::close` or `Net::reset` nothing more happens to that connection.
+/// Event handlers of the protocol code. After [`Net::close`] or [`Net::reset`] no event of that connection follows.
 pub trait App {
+    /// The network that the app runs on.
     type Net: Net;
 
+    /// The app's handle on the network, for the event loop.
     fn net(&mut self) -> &mut Self::Net;
+    /// A listener accepted a connection from the address `from`.
     fn accepted(&mut self, listener: Listener, conn: Conn, from: SocketAddr);
+    /// A connection opened by [`Net::connect`] is established.
     fn connected(&mut self, conn: Conn);
-    /// Gives back how many of the bytes it has used; the rest comes again with what follows. Using none of a
-    /// full buffer (`buffer::READ_MOST`) ends the connection.
+    /// Bytes arrived. Returns how many the app has consumed; the rest is passed again together with what follows.
+    /// Leaving a full buffer ([`buffer::READ_BUFFER_LIMIT`]) ends the connection.
     fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize;
+    /// After a write that was not accepted in full: the write buffer is empty again.
     fn writable(&mut self, conn: Conn);
+    /// The connection ended, or was never established.
     fn closed(&mut self, conn: Conn, why: CloseReason);
-    fn datagram_received(&mut self, _port: DatagramSocket, _from: SocketAddr, _bytes: &[u8]) {}
-    /// All that came in this wake-up has been told, ends of connections too: what it called for may leave.
+    /// A datagram arrived.
+    fn datagram_received(&mut self, _socket: DatagramSocket, _from: SocketAddr, _bytes: &[u8]) {}
+    /// All events of this wake-up have been passed on, closed connections included: the reactions to them may be sent.
     fn wakeup_ended(&mut self) {}
+    /// A timer fired, with the token of [`Net::set_timer`].
     fn timer_fired(&mut self, token: u64);
+    /// A signal arrived (`mio` only, see [`mio::Mio::signals`]), by its number.
     fn signal_received(&mut self, _signal: i32) {}
 }
--- a/crates/tidewall-net/src/memory.rs
+++ b/crates/tidewall-net/src/memory.rs
@@ -2,7 +2,7 @@
 //! time and then by the order of its cause, so a run is the same every time. Bytes may be handed over in
 //! pieces of any size; nodes can stand still, die and start again, and have clocks of their own rate. What goes
 //! from one node to another goes by a `Path`, which may be slow, uneven, lossy or cut, each way for itself.
-use crate::buffer::{Buffer, READ_MOST, WRITE_MOST};
+use crate::buffer::{Buffer, READ_BUFFER_LIMIT, WRITE_BUFFER_LIMIT};
 use crate::wheel::{TimerId, Wheel};
 use crate::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 use rand::{Rng, SeedableRng};
@@ -446,7 +446,7 @@
         let Some(to) = self.ends.get_mut(other).filter(|e| e.count == count) else {
             return;
         };
-        let room = READ_MOST.saturating_sub(to.inbox.len() + to.flying);
+        let room = READ_BUFFER_LIMIT.saturating_sub(to.inbox.len() + to.flying);
         bytes.truncate(room);
         let (taken, node) = (bytes.len(), to.node);
         to.flying += taken;
@@ -461,7 +461,7 @@
             );
         }
         if let Some(end) = self.end(conn) {
-            end.write.used(taken);
+            end.write.consume(taken);
         }
     }
 }
@@ -639,7 +639,7 @@
         let Some(end) = w.end(conn).filter(|e| !e.closing) else {
             return false;
         };
-        if end.write.len() + bytes.len() > WRITE_MOST {
+        if end.write.len() + bytes.len() > WRITE_BUFFER_LIMIT {
             end.owed = true;
             return false;
         }
@@ -655,7 +655,9 @@
             .filter(|e| e.open && !e.closing && e.write.is_empty())
             .and_then(|e| e.other);
         let to = other.and_then(|(other, count)| w.end(Conn::new(other, count)));
-        let room = to.map_or(0, |to| READ_MOST.saturating_sub(to.inbox.len() + to.flying));
+        let room = to.map_or(0, |to| {
+            READ_BUFFER_LIMIT.saturating_sub(to.inbox.len() + to.flying)
+        });
         let left = bytes.len().min(room);
         if let Some(end) = w.end(conn) {
             end.owed |= left < bytes.len();
@@ -782,7 +784,7 @@
         return true;
     }
     let due = w.nodes.iter().enumerate().filter(|n| live(n.1));
-    let due = due.filter_map(|n| Some((n.1.global(n.1.wheel.next()?), n.0)));
+    let due = due.filter_map(|n| Some((n.1.global(n.1.wheel.next_expiry()?), n.0)));
     let due = due.min();
     // Bytes go before timers of the same moment, as on sockets.
     if way.is_some_and(|at| at <= until && due.is_none_or(|d| at <= d.0)) {
@@ -970,16 +972,16 @@
         return false;
     }
     let part = end.inbox.data()[..n].to_vec();
-    end.inbox.used(n);
+    end.inbox.consume(n);
     end.read.push(&part);
     let more = !end.inbox.is_empty();
     let mut read = std::mem::take(&mut end.read);
     let other = end.other;
     drop(w);
     let used = apps[node].received(conn, read.data());
-    read.used(used);
+    read.consume(used);
     let mut w = world.borrow_mut();
-    let full = read.len() >= READ_MOST;
+    let full = read.len() >= READ_BUFFER_LIMIT;
     if let Some(end) = w.end(conn) {
         end.read = read;
     }
--- a/crates/tidewall-net/src/mio.rs
+++ b/crates/tidewall-net/src/mio.rs
@@ -1,6 +1,6 @@
 //! The trait on real sockets: one thread, readiness by mio. What is written in a wake-up leaves at its end in
 //! one piece for each connection.
-use crate::buffer::{Buffer, READ_MOST, WRITE_MOST};
+use crate::buffer::{Buffer, READ_BUFFER_LIMIT, WRITE_BUFFER_LIMIT};
 use crate::wheel::{TimerId, Wheel};
 use crate::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time};
 use mio::net::{TcpListener, TcpStream, UdpSocket};
@@ -322,7 +322,7 @@
             match s.socket.write(s.write.data()) {
                 Ok(0) => return false,
                 Ok(n) => {
-                    s.write.used(n);
+                    s.write.consume(n);
                     s.wrote = now;
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
@@ -431,7 +431,7 @@
         if s.closing {
             return false;
         }
-        if s.write.len() + bytes.len() > WRITE_MOST {
+        if s.write.len() + bytes.len() > WRITE_BUFFER_LIMIT {
             s.owed = true;
             return false;
         }
@@ -533,7 +533,7 @@
             // Its place is kept until that is told, so that no other connection is taken for it.
             s.closing = true;
             let unsent = s.write.len();
-            s.write.used(unsent);
+            s.write.consume(unsent);
             s.linger_none();
             s.failed = true;
             self.over.push_back((conn, CloseReason::Reset));
@@ -632,7 +632,7 @@
     } else {
         0
     };
-    let due = [net.wheel.next(), net.own.next()]
+    let due = [net.wheel.next_expiry(), net.own.next_expiry()]
         .into_iter()
         .flatten()
         .min();
@@ -871,8 +871,8 @@
         app.net().stale = stale;
         let used = app.received(conn, buffer.data());
         app.net().stale = 0;
-        buffer.used(used);
-        let full = buffer.len() >= READ_MOST;
+        buffer.consume(used);
+        let full = buffer.len() >= READ_BUFFER_LIMIT;
         if let Some(s) = app.net().stream(conn) {
             s.read = buffer;
             if full {
@@ -904,7 +904,7 @@
             if !good && !closing {
                 // What the peer sent before it broke is read first; the read then meets the end.
                 let unsent = s.write.len();
-                s.write.used(unsent);
+                s.write.consume(unsent);
                 s.readable = true;
                 net.warm(conn);
             } else if s.failed {
--- a/crates/tidewall-net/src/wheel.rs
+++ b/crates/tidewall-net/src/wheel.rs
@@ -1,39 +1,52 @@
-//! Deadlines in a hierarchical timer wheel for tenths of a millisecond: insert, cancel and next take constant
-//! time (an entry moves down a level at most ten times in its life). Measured in `benches/wheel.rs`.
+//! A hierarchical timer wheel with a resolution of a tenth of a millisecond. Insert, cancel and look-up of the next
+//! expiry take constant time: a timer moves to a lower level at most ten times. Measured in `benches/wheel.rs`.
+//!
+//! Timers live in a slab (`entries`); each slot of the wheel is a doubly linked list through it, and the free entries
+//! are a singly linked list.
 use crate::Time;
 
+/// Index that ends a list.
 const NONE: u32 = u32::MAX;
 
-/// Sixty-four slots a level, so that one word shows which are taken; eleven levels cover every `u64`.
-const BITS: u32 = 6;
-const SLOTS: usize = 1 << BITS;
+/// Each level stands for six bits of the expiry: 64 slots, so that one word is the bitmap of a level's occupied slots.
+const LEVEL_BITS: u32 = 6;
+/// Slots of a level.
+const SLOTS: usize = 1 << LEVEL_BITS;
+/// Eleven levels of six bits cover every `u64`.
 const LEVELS: usize = 11;
 
-/// Names one deadline; stale ones are recognised by the count.
+/// Identifies one timer. After the timer has fired or was cancelled the identifier is stale and never matches the
+/// timer that reuses its entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TimerId {
-    place: u32,
-    count: u32,
+    index: u32,
+    generation: u32,
 }
 
+/// A timer, or a free entry.
 #[derive(Clone, Copy)]
-struct Node {
-    at: Time,
+struct Entry {
+    expires_at: Time,
     token: u64,
-    before: u32,
-    after: u32,
-    count: u32,
-    /// Level times slots plus slot, or NONE where the node is free.
-    home: u32,
+    previous: u32,
+    /// Next timer of the slot, or next free entry.
+    next: u32,
+    /// Grows each time the entry is freed.
+    generation: u32,
+    /// Level times slots plus slot, or NONE where the entry is free.
+    slot: u32,
 }
 
+/// The timer wheel. Times are whole tenths of a millisecond on the caller's clock.
 pub struct Wheel {
     now: Time,
-    taken: [u64; LEVELS],
+    /// For each level a bitmap of its slots that hold timers.
+    occupied: [u64; LEVELS],
+    /// First and last timer of each slot, by level times slots plus slot.
     heads: Vec<u32>,
     tails: Vec<u32>,
-    nodes: Vec<Node>,
-    free: u32,
+    entries: Vec<Entry>,
+    first_free: u32,
     len: usize,
 }
 
@@ -44,102 +57,111 @@
 }
 
 impl Wheel {
+    /// An empty wheel whose time is `now`.
     pub fn new(now: Time) -> Wheel {
-        let ends = vec![NONE; LEVELS * SLOTS];
+        let empty_lists = vec![NONE; LEVELS * SLOTS];
         Wheel {
             now,
-            taken: [0; LEVELS],
-            heads: ends.clone(),
-            tails: ends,
-            nodes: Vec::new(),
-            free: NONE,
+            occupied: [0; LEVELS],
+            heads: empty_lists.clone(),
+            tails: empty_lists,
+            entries: Vec::new(),
+            first_free: NONE,
             len: 0,
         }
     }
 
+    /// Number of pending timers.
     pub fn len(&self) -> usize {
         self.len
     }
 
+    /// Whether no timer is pending.
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
 
-    pub fn insert(&mut self, at: Time, token: u64) -> TimerId {
-        let place = if self.free == NONE {
-            self.nodes.push(Node {
-                at,
+    /// Adds a timer that expires at `expires_at`, at once where that has passed; [`Wheel::pop`] returns its token.
+    pub fn insert(&mut self, expires_at: Time, token: u64) -> TimerId {
+        let index = if self.first_free == NONE {
+            self.entries.push(Entry {
+                expires_at,
                 token,
-                before: NONE,
-                after: NONE,
-                count: 0,
-                home: NONE,
+                previous: NONE,
+                next: NONE,
+                generation: 0,
+                slot: NONE,
             });
-            (self.nodes.len() - 1) as u32
+            (self.entries.len() - 1) as u32
         } else {
-            let place = self.free;
-            self.free = self.nodes[place as usize].after;
-            place
+            let index = self.first_free;
+            self.first_free = self.entries[index as usize].next;
+            index
         };
-        let node = &mut self.nodes[place as usize];
-        (node.at, node.token) = (at, token);
-        let count = node.count;
-        self.link(place);
+        let entry = &mut self.entries[index as usize];
+        (entry.expires_at, entry.token) = (expires_at, token);
+        let generation = entry.generation;
+        self.link(index);
         self.len += 1;
-        TimerId { place, count }
+        TimerId { index, generation }
     }
 
-    /// False where it is over already.
-    pub fn cancel(&mut self, deadline: TimerId) -> bool {
-        let known = self.nodes.get(deadline.place as usize);
-        if known.is_none_or(|n| n.count != deadline.count || n.home == NONE) {
+    /// Removes a pending timer. False where it has fired or was cancelled already.
+    pub fn cancel(&mut self, timer: TimerId) -> bool {
+        let entry = self.entries.get(timer.index as usize);
+        if entry.is_none_or(|e| e.generation != timer.generation || e.slot == NONE) {
             return false;
         }
-        self.unlink(deadline.place);
-        self.give_back(deadline.place);
+        self.unlink(timer.index);
+        self.free(timer.index);
         true
     }
 
-    /// No deadline is due before this; None where there is none. Where the nearest lies far off this is the
-    /// start of its slot: asking again then comes closer.
-    pub fn next(&self) -> Option<Time> {
-        let level = self.taken.iter().position(|t| *t != 0)?;
-        Some(self.start(level, self.taken[level].trailing_zeros()))
+    /// A lower bound of the next expiry, or None without timers. Where the next timer is far off this is the start of
+    /// its slot: a call at that time returns a closer bound.
+    pub fn next_expiry(&self) -> Option<Time> {
+        let level = self.occupied.iter().position(|bitmap| *bitmap != 0)?;
+        Some(self.slot_start(level, self.occupied[level].trailing_zeros()))
     }
 
-    /// Takes one deadline that is due by `now`, earliest slot first, in the order of insertion within a slot.
+    /// Advances the wheel to `now` at most and removes one timer that has expired by then: the earliest slot first,
+    /// in order of insertion within a slot. Returns its token, or None when no timer has expired.
     pub fn pop(&mut self, now: Time) -> Option<u64> {
-        while let Some(level) = self.taken.iter().position(|t| *t != 0) {
-            let slot = self.taken[level].trailing_zeros();
-            let start = self.start(level, slot);
+        while let Some(level) = self.occupied.iter().position(|bitmap| *bitmap != 0) {
+            let slot = self.occupied[level].trailing_zeros();
+            let start = self.slot_start(level, slot);
             if start > now {
                 break;
             }
             self.now = self.now.max(start);
-            let place = self.heads[level * SLOTS + slot as usize];
+            let index = self.heads[level * SLOTS + slot as usize];
             if level == 0 {
-                self.unlink(place);
-                let token = self.nodes[place as usize].token;
-                self.give_back(place);
+                self.unlink(index);
+                let token = self.entries[index as usize].token;
+                self.free(index);
                 return Some(token);
             }
-            // The slot has begun: its deadlines move to the levels below.
-            let mut next = place;
-            while next != NONE {
-                let after = self.nodes[next as usize].after;
-                self.unlink(next);
-                self.link(next);
-                next = after;
-            }
+            self.cascade(index);
         }
         self.now = self.now.max(now);
         None
     }
 
-    /// When the slot begins, among those that share the upper digits of now.
-    fn start(&self, level: usize, slot: u32) -> Time {
-        let shift = BITS * level as u32;
-        let above = shift + BITS;
+    /// Moves the timers of a slot that has begun, from its first one on, to lower levels.
+    fn cascade(&mut self, head: u32) {
+        let mut index = head;
+        while index != NONE {
+            let next = self.entries[index as usize].next;
+            self.unlink(index);
+            self.link(index);
+            index = next;
+        }
+    }
+
+    /// When the slot begins, among the times that share the bits above its level with `now`; `now` where it has begun.
+    fn slot_start(&self, level: usize, slot: u32) -> Time {
+        let shift = LEVEL_BITS * level as u32;
+        let above = shift + LEVEL_BITS;
         let upper = if above >= 64 {
             0
         } else {
@@ -148,52 +170,55 @@
         (upper | Time::from(slot) << shift).max(self.now)
     }
 
-    fn link(&mut self, place: u32) {
-        // A time that has passed is due now.
-        let at = self.nodes[place as usize].at.max(self.now);
-        let differs = (at ^ self.now) | (SLOTS as u64 - 1);
-        let level = ((63 - differs.leading_zeros()) / BITS) as usize;
-        let slot = (at >> (BITS * level as u32)) as usize % SLOTS;
-        let home = level * SLOTS + slot;
-        let tail = std::mem::replace(&mut self.tails[home], place);
-        let node = &mut self.nodes[place as usize];
-        (node.home, node.before, node.after) = (home as u32, tail, NONE);
+    /// Appends an entry to the slot of its expiry.
+    fn link(&mut self, index: u32) {
+        // A time that has passed expires now.
+        let expires_at = self.entries[index as usize].expires_at.max(self.now);
+        let differing_bits = (expires_at ^ self.now) | (SLOTS as u64 - 1);
+        let level = ((63 - differing_bits.leading_zeros()) / LEVEL_BITS) as usize;
+        let slot_in_level = (expires_at >> (LEVEL_BITS * level as u32)) as usize % SLOTS;
+        let slot = level * SLOTS + slot_in_level;
+        let tail = std::mem::replace(&mut self.tails[slot], index);
+        let entry = &mut self.entries[index as usize];
+        (entry.slot, entry.previous, entry.next) = (slot as u32, tail, NONE);
         if tail == NONE {
-            self.heads[home] = place;
-            self.taken[level] |= 1 << slot;
+            self.heads[slot] = index;
+            self.occupied[level] |= 1 << slot_in_level;
         } else {
-            self.nodes[tail as usize].after = place;
+            self.entries[tail as usize].next = index;
         }
     }
 
-    fn unlink(&mut self, place: u32) {
-        let Node {
-            before,
-            after,
-            home,
+    /// Removes an entry from its slot's list.
+    fn unlink(&mut self, index: u32) {
+        let Entry {
+            previous,
+            next,
+            slot,
             ..
-        } = self.nodes[place as usize];
-        let home = home as usize;
-        if before == NONE {
-            self.heads[home] = after;
+        } = self.entries[index as usize];
+        let slot = slot as usize;
+        if previous == NONE {
+            self.heads[slot] = next;
         } else {
-            self.nodes[before as usize].after = after;
+            self.entries[previous as usize].next = next;
         }
-        if after == NONE {
-            self.tails[home] = before;
+        if next == NONE {
+            self.tails[slot] = previous;
         } else {
-            self.nodes[after as usize].before = before;
+            self.entries[next as usize].previous = previous;
         }
-        if self.heads[home] == NONE {
-            self.taken[home / SLOTS] &= !(1 << (home % SLOTS));
+        if self.heads[slot] == NONE {
+            self.occupied[slot / SLOTS] &= !(1 << (slot % SLOTS));
         }
     }
 
-    fn give_back(&mut self, place: u32) {
-        let node = &mut self.nodes[place as usize];
-        node.count = node.count.wrapping_add(1);
-        (node.home, node.after) = (NONE, self.free);
-        self.free = place;
+    /// Puts an unlinked entry on the free list; its identifiers are stale from now on.
+    fn free(&mut self, index: u32) {
+        let entry = &mut self.entries[index as usize];
+        entry.generation = entry.generation.wrapping_add(1);
+        (entry.slot, entry.next) = (NONE, self.first_free);
+        self.first_free = index;
         self.len -= 1;
     }
 }
--- a/crates/tidewall-net/tests/nets.rs
+++ b/crates/tidewall-net/tests/nets.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use test_case::test_case;
-use tidewall_net::buffer::WRITE_MOST;
+use tidewall_net::buffer::WRITE_BUFFER_LIMIT;
 use tidewall_net::memory::{self, Memory};
 use tidewall_net::{mio::Mio, App, CloseReason, Conn, DatagramSocket, Listener, Net};
 
@@ -45,7 +45,7 @@
         while self.seen.borrow().sent < self.send {
             if !self.net.write(conn, &piece) {
                 self.seen.borrow_mut().turned_away = true;
-                assert!(self.net.unsent(conn) + piece.len() > WRITE_MOST);
+                assert!(self.net.unsent(conn) + piece.len() > WRITE_BUFFER_LIMIT);
                 break;
             }
             self.seen.borrow_mut().sent += piece.len();
@@ -113,7 +113,7 @@
     assert_eq!(seen.got.len(), seen.sent);
     assert_eq!(
         (seen.turned_away, seen.drained),
-        (size > WRITE_MOST, size > WRITE_MOST)
+        (size > WRITE_BUFFER_LIMIT, size > WRITE_BUFFER_LIMIT)
     );
 }
 
@@ -160,14 +160,16 @@
         tell.send(a.net.listen(local()).unwrap().1).unwrap();
         tidewall_net::mio::run(&mut a).unwrap();
     });
-    let (mut b, seen) = peer(Mio::new().unwrap(), false, 8 << 20, WRITE_MOST / 2);
+    let (mut b, seen) = peer(Mio::new().unwrap(), false, 8 << 20, WRITE_BUFFER_LIMIT / 2);
     b.net.connect(told.recv().unwrap(), 10_000);
     tidewall_net::mio::run(&mut b).unwrap();
     drop(b);
     echo.join().unwrap();
     let seen = seen.borrow();
     assert!(
-        seen.turned_away && seen.got.len() >= WRITE_MOST / 2 && seen.got.iter().all(|b| *b == 7)
+        seen.turned_away
+            && seen.got.len() >= WRITE_BUFFER_LIMIT / 2
+            && seen.got.iter().all(|b| *b == 7)
     );
 }
 
--- a/crates/tidewall-net/tests/wheel.rs
+++ b/crates/tidewall-net/tests/wheel.rs
@@ -37,7 +37,7 @@
         }
         assert_eq!(wheel.len(), plain.len());
         let first = plain.first_key_value().map(|e| e.0 .0);
-        assert!(wheel.next().is_none() == first.is_none() && wheel.next() <= first);
+        assert!(wheel.next_expiry().is_none() == first.is_none() && wheel.next_expiry() <= first);
     }
 }
 
