--- a/crates/tidewall-wire/src/error.rs
+++ b/crates/tidewall-wire/src/error.rs
@@ -1,32 +1,33 @@
-//! Why a frame is refused. Each message names the field at fault, by its name in `docs/wire.md`.
-use crate::{Field, FRAME_MOST, VERSION};
+//! Why a frame is rejected. Each message names the field at fault, by its name in `docs/wire.md`; messages are sent to
+//! peers in error frames, so their wording is part of the protocol's bytes.
+use crate::{Field, MAX_BODY_LENGTH, VERSION};
 use minicbor::data::Type;
 use minicbor::decode;
 use thiserror::Error;
 
-/// A malformed frame, or a value that its receiver does not accept. The connection that it came on is closed with
+/// A malformed frame, or a value that its receiver does not accept. The connection that it arrived on is closed with
 /// this text.
 #[derive(Debug, Error)]
 pub enum WireError {
-    /// The length prefix is over [`FRAME_MOST`].
-    #[error("field length: {length} bytes are over {FRAME_MOST}")]
+    /// The length prefix is over [`MAX_BODY_LENGTH`].
+    #[error("field length: {length} bytes are over {MAX_BODY_LENGTH}")]
     FrameTooLong {
         /// Bytes that the prefix announces.
         length: usize,
     },
-    /// The body goes on behind its CBOR map.
+    /// The body does not end with its CBOR map.
     #[error("field length: bytes follow the frame's map")]
     TrailingBytes,
     /// A datagram or file ends before its frame does.
     #[error("field length: cut short")]
     Truncated,
-    /// The body is no CBOR map.
+    /// The body is not a CBOR map.
     #[error("field kind: the frame is no map of fields ({0})")]
     NotAMap(#[source] decode::Error),
     /// A CBOR map of indefinite length.
     #[error("field kind: maps of unknown length are not taken")]
     IndefiniteMap,
-    /// A map key is no number.
+    /// A map key is not an unsigned number.
     #[error("field number: {0}")]
     FieldNumber(#[source] decode::Error),
     /// The value of a field with an unknown number cannot be skipped.
@@ -34,7 +35,7 @@
     UnknownField {
         /// The field's number.
         number: u64,
-        /// What CBOR decoding met.
+        /// Why CBOR decoding failed.
         source: decode::Error,
     },
     /// A field's value cannot be decoded.
@@ -42,10 +43,10 @@
     Value {
         /// The field's name.
         field: &'static str,
-        /// What CBOR decoding met.
+        /// Why CBOR decoding failed.
         source: decode::Error,
     },
-    /// A field stands twice in one map.
+    /// A field occurs twice in one map.
     #[error("field {field}: stands twice")]
     Duplicate {
         /// The field's name.
@@ -91,15 +92,15 @@
         /// The value that was found.
         value: f64,
     },
-    /// An entry of a list is refused.
+    /// An entry of a list is rejected.
     #[error("field entries[{index}]: {source}")]
     Entry {
-        /// The entry's place in the list, from 0.
+        /// The entry's index in the list, from 0.
         index: u64,
         /// What is wrong with the entry.
         source: Box<WireError>,
     },
-    /// The first frame of a connection is no greeting.
+    /// The first frame of a connection is not a hello.
     #[error("field kind: the first frame must be a hello")]
     NoGreeting,
     /// The peer speaks another version of the protocol.
@@ -108,7 +109,7 @@
         /// The peer's version.
         version: u64,
     },
-    /// A well-formed value that means nothing to its receiver.
+    /// A well-formed value that its receiver does not accept.
     #[error("field {field}: {reason}")]
     Invalid {
         /// The field's name.
@@ -127,12 +128,14 @@
         }
     }
 
+    /// A needed field is absent or empty.
     pub(crate) fn missing(field: Field) -> WireError {
         WireError::Missing {
             field: field.name(),
         }
     }
 
+    /// A field has another type than `expected`.
     pub(crate) fn wrong_type(field: Field, expected: &'static str) -> WireError {
         WireError::WrongType {
             field: field.name(),
@@ -141,14 +144,14 @@
     }
 }
 
-/// Equal where they say the same: decoding errors of the CBOR library cannot be compared otherwise.
+/// Equal where their messages are: decoding errors of the CBOR library cannot be compared otherwise.
 impl PartialEq for WireError {
     fn eq(&self, other: &WireError) -> bool {
         self.to_string() == other.to_string()
     }
 }
 
-/// For callers that only pass the text on.
+/// For callers that only pass the message on.
 impl From<WireError> for String {
     fn from(error: WireError) -> String {
         error.to_string()
