--- a/crates/tidewall-net/src/buffer.rs
+++ b/crates/tidewall-net/src/buffer.rs
@@ -6,8 +6,8 @@
 /// the native protocol, so that a complete frame and the start of the next one always fit.
 pub const READ_BUFFER_LIMIT: usize = 2 << 20;
 
-/// Limit of bytes that wait to be sent, in bytes for each connection. At 950 requests a second of 300 bytes each this is
-/// seven seconds of a peer that reads nothing; longer than any usual deadline of a request.
+/// Limit of bytes that wait to be sent, in bytes for each connection. At 950 requests a second of 300 bytes each this
+/// is seven seconds of a peer that reads nothing; longer than any usual deadline of a request.
 pub const WRITE_BUFFER_LIMIT: usize = 2 << 20;
 
 /// Capacity in bytes that an empty buffer keeps: one that grew for a burst gives the rest back to the allocator.
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -17,8 +17,8 @@
 
 pub use wheel::TimerId;
 
-/// Identifies a connection: a slot index in the lower 32 bits, which is reused, and a generation in the upper ones, which
-/// distinguishes the connections that used the slot.
+/// Identifies a connection: a slot index in the lower 32 bits, which is reused, and a generation in the upper ones,
+/// which distinguishes the connections that used the slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Conn(pub u64);
 
@@ -70,8 +70,8 @@
     /// Upper bound of the time for which the bytes that are being read may have waited unread in the socket, while this
     /// process was busy or stalled: a remaining time that they state has shrunk by as much.
     fn read_delay(&self) -> Time;
-    /// The longest duration or lateness of a wake-up in the last one to two seconds, stalls excluded: a timer may fire that
-    /// much later than it was set for.
+    /// The longest duration or lateness of a wake-up in the last one to two seconds, stalls excluded: a timer may fire
+    /// that much later than it was set for.
     fn max_timer_lag(&self) -> Time;
     /// Listens on an address; port 0 chooses a free one. Returns the listener and the bound address.
     ///
@@ -83,8 +83,8 @@
     /// Opens a connection. Never fails at once: [`App::connected`] or [`App::closed`] follows, the latter with
     /// [`CloseReason::TimedOut`] after `within`.
     fn connect(&mut self, to: SocketAddr, within: Time) -> Conn;
-    /// Queues all of the bytes, or none where [`buffer::WRITE_BUFFER_LIMIT`] would be passed: then it returns false, and
-    /// [`App::writable`] follows when the write buffer is empty. False also where the connection has ended.
+    /// Queues all of the bytes, or none where [`buffer::WRITE_BUFFER_LIMIT`] would be passed: then it returns false,
+    /// and [`App::writable`] follows when the write buffer is empty. False also where the connection has ended.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool;
     /// Writes what the socket accepts at once, queues nothing, and returns how many bytes were written: 0 while
     /// earlier bytes are queued, or where the connection has ended. After a partial write [`App::writable`] follows.
--- a/crates/tidewall-net/src/memory/path.rs
+++ b/crates/tidewall-net/src/memory/path.rs
@@ -15,12 +15,12 @@
     pub lost: u32,
     /// Datagrams duplicated of a thousand.
     pub twice: u32,
-    /// A partition: nothing gets through until a path without it is set.
+    /// A partition: datagrams are lost, and streams wait until a path without it is set.
     pub cut: bool,
 }
 
-/// Delay (200 ms) of a lost segment of a stream, which is retransmitted: the least retransmission timeout of TCP on common
-/// systems.
+/// Delay (200 ms) of a lost segment of a stream, which is retransmitted: the least retransmission timeout of TCP on
+/// common systems.
 const RETRANSMISSION_DELAY: Time = 2_000;
 
 /// What a [`Tap`] does to one message.
--- a/crates/tidewall-net/src/mio/clock.rs
+++ b/crates/tidewall-net/src/mio/clock.rs
@@ -42,8 +42,8 @@
         self.now
     }
 
-    /// Reads the system's clock: whole tenths since the origin, rounded down, plus 1, as 0 means "long ago" to the apps.
-    /// Never goes back.
+    /// Reads the system's clock: whole tenths since the origin, rounded down, plus 1, as 0 means "long ago" to the
+    /// apps. Never goes back.
     pub(super) fn update(&mut self) {
         let elapsed = (self.origin.elapsed().as_micros() / 100) as i128;
         let skewed = elapsed + elapsed * i128::from(self.skew_ppm) / 1_000_000;
--- a/crates/tidewall-net/src/mio/closing.rs
+++ b/crates/tidewall-net/src/mio/closing.rs
@@ -1,13 +1,13 @@
 //! The end of connections: graceful close with a linger, reset and abort.
-use super::slots::{InternalTimer, Slot};
+use super::slots::{InternalTimer, PendingClose, Slot};
 use super::Mio;
 use crate::{CloseReason, Conn, Time};
 use std::net::Shutdown;
 use std::time::Duration;
 
-/// A connection that was written to less than this (100 ms) ago is closed in two steps: first the write half; then, when
-/// the peer has closed too or after this time, the rest. Closing a socket with unread bytes sends a reset, which may
-/// discard the last answer before the peer has read it. A hundred round trips of a local network; far less than
+/// A connection that was written to less than this (100 ms) ago is closed in two steps: first the write half; then,
+/// when the peer has closed too or after this time, the rest. Closing a socket with unread bytes sends a reset, which
+/// may discard the last answer before the peer has read it. A hundred round trips of a local network; far less than
 /// clients wait.
 const LINGER: Time = 1_000;
 
@@ -32,7 +32,8 @@
             c.discard_unsent();
             c.reset_on_close();
             c.aborted = true;
-            self.pending_closes.push_back((conn, CloseReason::Reset));
+            let reason = CloseReason::Reset;
+            self.pending_closes.push_back(PendingClose { conn, reason });
         }
     }
 
@@ -52,8 +53,8 @@
             .is_some_and(|c| c.last_write > 0 && now <= c.last_write + LINGER)
     }
 
-    /// With all written: shuts down the write half and starts the linger. True where there is nothing to wait for and the
-    /// connection can be removed.
+    /// With all written: shuts down the write half and starts the linger. True where there is nothing to wait for and
+    /// the connection can be removed.
     #[must_use]
     pub(super) fn shut_down_or_done(&mut self, conn: Conn) -> bool {
         let now = self.clock.now();
--- a/crates/tidewall-net/src/mio/connection.rs
+++ b/crates/tidewall-net/src/mio/connection.rs
@@ -105,8 +105,8 @@
             l_onoff: 1,
             l_linger: 0,
         };
-        // SAFETY: the descriptor is open as long as `self.socket` lives, and the pointer and length describe `linger`, which
-        // outlives the call and is the type that SO_LINGER reads.
+        // SAFETY: the descriptor is open as long as `self.socket` lives, and the pointer and length describe `linger`,
+        // which outlives the call and is the type that SO_LINGER reads.
         unsafe {
             libc::setsockopt(
                 self.socket.as_raw_fd(),
--- a/crates/tidewall-net/src/mio/listeners.rs
+++ b/crates/tidewall-net/src/mio/listeners.rs
@@ -1,5 +1,5 @@
 //! Listening sockets: the accept loop.
-use super::slots::{InternalTimer, Slot};
+use super::slots::{InternalTimer, PendingAccept, Slot};
 use super::Mio;
 use crate::{App, Listener, Time};
 use mio::net::TcpListener;
@@ -35,7 +35,11 @@
             };
             let _ = socket.set_nodelay(true);
             if let Ok(conn) = self.add_connection(socket, None) {
-                self.pending_accepts.push_back((listener, conn, from));
+                self.pending_accepts.push_back(PendingAccept {
+                    listener,
+                    conn,
+                    from,
+                });
             }
         }
         if matches!(self.slots.get(listener.0), Some(Slot::Listener(_))) {
--- a/crates/tidewall-net/src/mio/mod.rs
+++ b/crates/tidewall-net/src/mio/mod.rs
@@ -29,7 +29,7 @@
 use poll_loop::{NEVER_POLLED, SIGNAL_TOKEN};
 use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
-use slots::Slot;
+use slots::{PendingAccept, PendingClose, Slot};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -55,9 +55,9 @@
     read_queue: VecDeque<Conn>,
     flush_queue: Vec<Conn>,
     /// Ended without an event of their sockets, and the app is not notified yet.
-    pending_closes: VecDeque<(Conn, CloseReason)>,
+    pending_closes: VecDeque<PendingClose>,
     /// Accepted when their listener was closed, and the app is not notified yet.
-    pending_accepts: VecDeque<(Listener, Conn, SocketAddr)>,
+    pending_accepts: VecDeque<PendingAccept>,
     clock: LoopClock,
     /// When the poll was due to return at the latest; [`NEVER_POLLED`] before the first.
     wakeup_due: Time,
@@ -102,8 +102,8 @@
         })
     }
 
-    /// Sets the origin of the clock, so that the event loops of several threads have the same time, and its rate: faster
-    /// than real time by `skew_ppm` millionths (for fault tests).
+    /// Sets the origin of the clock, so that the event loops of several threads have the same time, and its rate:
+    /// faster than real time by `skew_ppm` millionths (for fault tests).
     pub fn clock(&mut self, origin: Instant, skew_ppm: i64) {
         self.clock.set_origin(origin, skew_ppm);
         self.clock.update();
@@ -145,7 +145,8 @@
             let generation = self.next_generation();
             let index = self.slots.insert(Slot::FailedConnect(generation));
             let conn = Conn::new(index, generation);
-            self.pending_closes.push_back((conn, CloseReason::Refused));
+            let reason = CloseReason::Refused;
+            self.pending_closes.push_back(PendingClose { conn, reason });
             conn
         })
     }
--- a/crates/tidewall-net/src/mio/poll_loop.rs
+++ b/crates/tidewall-net/src/mio/poll_loop.rs
@@ -3,7 +3,7 @@
 use super::datagrams::receive;
 use super::listeners::accept;
 use super::reading::read_queued;
-use super::slots::{InternalTimer, Slot};
+use super::slots::{InternalTimer, PendingClose, Slot};
 use super::writing::flush_queued;
 use super::Mio;
 use crate::{App, CloseReason, Conn, Time};
@@ -44,8 +44,8 @@
 /// The system's poll fails.
 pub fn turn<A: App<Net = Mio>>(app: &mut A) -> io::Result<()> {
     // Before anything is read from them.
-    while let Some((listener, conn, from)) = app.net().pending_accepts.pop_front() {
-        app.accepted(listener, conn, from);
+    while let Some(pending) = app.net().pending_accepts.pop_front() {
+        app.accepted(pending.listener, pending.conn, pending.from);
     }
     let busy_stall = app.net().measure_last_wakeup();
     let timeout = app.net().poll_timeout();
@@ -65,7 +65,7 @@
             read_queued(app);
         }
     }
-    while let Some((conn, reason)) = app.net().pending_closes.pop_front() {
+    while let Some(PendingClose { conn, reason }) = app.net().pending_closes.pop_front() {
         app.net().remove_failed_connect(conn);
         app.net().remove_connection(conn);
         app.closed(conn, reason);
@@ -77,8 +77,8 @@
 }
 
 impl Mio {
-    /// Updates the clock at the start of a wake-up, and from it the delay of reads. Returns how long the last wake-up's own
-    /// work stalled the loop: 0 where it was short.
+    /// Updates the clock at the start of a wake-up, and from it the delay of reads. Returns how long the last wake-up's
+    /// own work stalled the loop: 0 where it was short.
     fn measure_last_wakeup(&mut self) -> Time {
         let previous = self.clock.now();
         self.clock.update();
--- a/crates/tidewall-net/src/mio/slots.rs
+++ b/crates/tidewall-net/src/mio/slots.rs
@@ -2,10 +2,11 @@
 //! have work in this wake-up.
 use super::connection::Connection;
 use super::Mio;
-use crate::{Conn, Time};
+use crate::{CloseReason, Conn, Listener, Time};
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Interest, Token};
 use std::io;
+use std::net::SocketAddr;
 
 /// Marks the timer token of a listener or datagram socket. Generations have 31 bits, so no [`Conn`] has this bit.
 const SOCKET_BIT: u64 = 1 << 63;
@@ -23,6 +24,19 @@
     FailedConnect(u32),
 }
 
+/// A connection that ended without an event of its socket.
+pub(super) struct PendingClose {
+    pub(super) conn: Conn,
+    pub(super) reason: CloseReason,
+}
+
+/// A connection that was accepted when its listener was closed.
+pub(super) struct PendingAccept {
+    pub(super) listener: Listener,
+    pub(super) conn: Conn,
+    pub(super) from: SocketAddr,
+}
+
 /// What an internal timer is for.
 pub(super) enum InternalTimer {
     /// The connect timeout or the end of the linger of a connection.
@@ -116,7 +130,7 @@
         if matches!(slot, Some(Slot::FailedConnect(generation)) if *generation == conn.generation())
         {
             self.slots.remove(conn.index());
-            self.pending_closes.retain(|pending| pending.0 != conn);
+            self.pending_closes.retain(|pending| pending.conn != conn);
         }
     }
 
--- a/crates/tidewall-net/tests/nets.rs
+++ b/crates/tidewall-net/tests/nets.rs
@@ -265,7 +265,8 @@
     );
 }
 
-/// Bytes that arrived without a readiness event yet are found and passed to the app; what the app left of them is not unread.
+/// Bytes that arrived without a readiness event yet are found and passed to the app; what the app left of them is not
+/// unread.
 #[test]
 fn on_sockets_unread_bytes_are_found_before_a_close() {
     let (mut server, events) = peer(Mio::new().unwrap(), false, 0, 0);
--- a/crates/tidewall-wire/src/field.rs
+++ b/crates/tidewall-wire/src/field.rs
@@ -33,11 +33,11 @@
     2 Role "role",
     /// Name of the sender in hello and status, of a worker in launched and in roster entries.
     3 Name "name",
-    /// Incarnation: of a worker, the count of its starts (hello, roster entries, act); of a gateway, its index in the settings in
-    /// hello; of a member of a pair, its start in hello and status.
+    /// Incarnation: of a worker, the count of its starts (hello, roster entries, act); of a gateway, its index in the
+    /// settings in hello; of a member of a pair, its start in hello and status.
     4 Life "life",
-    /// Identifier of a request, attempt, load request, health check, fetch or vote, chosen by whoever asks and valid on this
-    /// connection; in peer the sender's index in the settings.
+    /// Identifier of a request, attempt, load request, health check, fetch or vote, chosen by whoever asks and valid on
+    /// this connection; in peer the sender's index in the settings.
     5 Id "id",
     /// Request type, as the settings name it, in event, launch, taken and answered.
     6 Type "type",
@@ -51,8 +51,8 @@
     10 Memory "memory",
     /// Expected execution time in tenths of a millisecond, up to 36,000,000, 0 for unknown, in event, launch and taken.
     11 Hint "hint",
-    /// Expected time of loading an instance in tenths of a millisecond, up to 36,000,000, 0 for unknown, in event, hold, fetch and
-    /// taken.
+    /// Expected time of loading an instance in tenths of a millisecond, up to 36,000,000, 0 for unknown, in event,
+    /// hold, fetch and taken.
     12 LoadHint "load-hint",
     /// Time until the client's deadline in tenths of a millisecond, up to 36,000,000, in event, launch and taken.
     13 Left "left",
@@ -60,8 +60,8 @@
     14 Mark "mark",
     /// Whether the client has sent this request before, in event and launch.
     15 Resent "resent",
-    /// Opaque bytes: of a request (event, launch, taken), of a response (answer, begun, end, answered), of a datagram (peer), and
-    /// the settings that must agree in a pair's hello.
+    /// Opaque bytes: of a request (event, launch, taken), of a response (answer, begun, end, answered), of a datagram
+    /// (peer), and the settings that must agree in a pair's hello.
     16 Payload "payload",
     /// How a request was answered (`handled`, `deferred`, `dead-lettered`, `turned-away`), in answer and answered; the
     /// member's state in status.
@@ -70,13 +70,13 @@
     18 Reason "reason",
     /// Retry-After: least time before a retry in tenths of a millisecond, in answer.
     19 ComeBack "come-back",
-    /// Result of an attempt (`ok`, `error`, `full`, `miss`, `cancelled`, `fenced`), load request, fetch, or effect (`done`,
-    /// `late`, `older`), in end, held, fetched and acted.
+    /// Result of an attempt (`ok`, `error`, `full`, `miss`, `cancelled`, `fenced`), load request, fetch, or effect
+    /// (`done`, `late`, `older`), in end, held, fetched and acted.
     20 Outcome "outcome",
     /// Duration in tenths of a millisecond: of a request in the gateway (answer), of an attempt at the worker (end).
     21 Took "took",
-    /// How an attempt got its instance, in end: 0 none, 1 it was loaded, 2 this request began the load, 3 it waited for a load, 4 the
-    /// load failed.
+    /// How an attempt got its instance, in end: 0 none, 1 it was loaded, 2 this request began the load, 3 it waited for
+    /// a load, 4 the load failed.
     22 Copy "copy",
     /// Requests of the function that were at the worker when this one arrived, 0 to 30, in end.
     23 Company "company",
@@ -86,19 +86,21 @@
     25 Busy "busy",
     /// Actions deferred until the other member has stored their records, in status.
     26 Waiting "waiting",
-    /// Instances requested (hold, up to 16) or loaded (held, up to 65,536); requests replicated from the other member in status.
+    /// Instances requested (hold, up to 16) or loaded (held, up to 65,536); requests replicated from the other member
+    /// in status.
     27 Copies "copies",
     /// `whole` for a complete endpoint list, `patch` for changes, in roster.
     28 Scope "scope",
     /// Version of the endpoint list, which grows with each roster.
     29 Generation "generation",
-    /// Endpoints as an array of maps, in roster: name, place and standing, with zone, machine, cell, rating, life and age.
+    /// Endpoints as an array of maps, in roster: name, place and standing, with zone, machine, cell, rating, life and
+    /// age.
     30 Entries "entries",
-    /// A flag: watch (follow), active (hello of a pair, ping), only new records follow (copy), proven not executed (over), granted
-    /// (promised), connected to the other member (status).
+    /// A flag: watch (follow), active (hello of a pair, ping), only new records follow (copy), proven not executed
+    /// (over), granted (promised), connected to the other member (status).
     31 On "on",
-    /// Address and port as text in roster entries; the number of a request at its member, whole, in taken, launched, over,
-    /// answered and gone.
+    /// Address and port as text in roster entries; the number of a request at its member, whole, in taken, launched,
+    /// over, answered and gone.
     32 Place "place",
     /// Number of an attempt of its request, from 0, in launch, launched and over.
     33 Launch "launch",
@@ -114,22 +116,24 @@
     38 Standing "standing",
     /// Capacity of a worker relative to others, in roster entries.
     39 Rating "rating",
-    /// Tenths of a millisecond since the worker started (hello of a worker, roster entries; 0 or absent for long ago), or since the
-    /// load request (ordered).
+    /// Tenths of a millisecond since the worker started (hello of a worker, roster entries; 0 or absent for long ago),
+    /// or since the load request (ordered).
     40 Age "age",
-    /// Epoch of the pair's active member (hello, launch, hold, ping, accept, promised, status), 0 or absent for none; epoch of a
-    /// task's lease in act and acted.
+    /// Epoch of the pair's active member (hello, launch, hold, ping, accept, promised, status), 0 or absent for none;
+    /// epoch of a task's lease in act and acted.
     41 Epoch "epoch",
     /// Fencing: the other member's requests under an older epoch are rejected, in accept and promised.
     42 Floor "floor",
     /// Sequence number up to which records are stored, in recorded; number of records not yet acknowledged in status.
     43 Seq "seq",
-    /// Ballot proposed (prepare, accept) or highest ballot promised (promised); number of ignored advertisements in status.
+    /// Ballot proposed (prepare, accept) or highest ballot promised (promised); number of ignored advertisements in
+    /// status.
     44 Ballot "ballot",
-    /// Number of a pair's member, 1 or 2 by the order of names, in hello, accept and promised; the gateway's number in act.
+    /// Number of a pair's member, 1 or 2 by the order of names, in hello, accept and promised; the gateway's number in
+    /// act.
     45 Member "member",
-    /// Incarnation of the first member that has all records, 0 for none, in accept and promised; in ping the incarnation of the other
-    /// member.
+    /// Incarnation of the first member that has all records, 0 for none, in accept and promised; in ping the
+    /// incarnation of the other member.
     46 SyncA "sync-a",
     /// Incarnation of the second member that has all records, 0 for none, in accept and promised.
     47 SyncB "sync-b",
--- a/crates/tidewall-wire/src/greeting.rs
+++ b/crates/tidewall-wire/src/greeting.rs
@@ -1,5 +1,5 @@
-//! The frames around a conversation: hello, the first of each side, and the error frame, the last before a connection is
-//! closed by its writer.
+//! The frames around a conversation: hello, the first of each side, and the error frame, the last before a connection
+//! is closed by its writer.
 use crate::{kind, Field, Fields, Frame, WireError};
 
 /// Version of the protocol, stated in each hello. A peer of another version is rejected.
@@ -25,8 +25,8 @@
 /// Checks a connection's first frame and returns the peer's role.
 ///
 /// # Errors
-/// It is no hello ([`WireError::NoGreeting`]), is of another version ([`WireError::Version`]), or has no kind, version or
-/// role.
+/// It is no hello ([`WireError::NoGreeting`]), is of another version ([`WireError::Version`]), or has no kind, version
+/// or role.
 pub fn greeted<'a>(fields: &Fields<'a>) -> Result<&'a str, WireError> {
     if fields.kind()? != kind::HELLO {
         return Err(WireError::NoGreeting);
--- a/crates/tidewall-wire/src/kind.rs
+++ b/crates/tidewall-wire/src/kind.rs
@@ -1,5 +1,5 @@
-//! The kinds of frames: the value of the field `kind`. The numbers are the protocol's and never change; the gaps are for
-//! later kinds.
+//! The kinds of frames: the value of the field `kind`. The numbers are the protocol's and never change; the gaps are
+//! for later kinds.
 
 /// Either side's first frame: version, role, name, life; see [`hello`](crate::hello).
 pub const HELLO: u64 = 1;
--- a/crates/tidewall-wire/src/lib.rs
+++ b/crates/tidewall-wire/src/lib.rs
@@ -1,5 +1,5 @@
-//! The frames of the native protocol between clients, gateways, workers, the discovery server and the artifact store, as
-//! `docs/wire.md` specifies them: a length prefix of four bytes, then a CBOR map (RFC 8949) from field numbers to
+//! The frames of the native protocol between clients, gateways, workers, the discovery server and the artifact store,
+//! as `docs/wire.md` specifies them: a length prefix of four bytes, then a CBOR map (RFC 8949) from field numbers to
 //! values.
 //!
 //! There is no type for each kind of frame: [`Frame`] writes one field after the other, and [`Fields`] gives each to
--- a/crates/tidewall-wire/src/prefix.rs
+++ b/crates/tidewall-wire/src/prefix.rs
@@ -8,8 +8,8 @@
 /// Bytes of the length prefix, an unsigned number in network byte order.
 pub(crate) const PREFIX_LENGTH: usize = 4;
 
-/// Looks for a frame at the start of received bytes. Returns its body and the length of the frame with its prefix, or None while
-/// it is incomplete.
+/// Looks for a frame at the start of received bytes. Returns its body and the length of the frame with its prefix, or
+/// None while it is incomplete.
 ///
 /// # Errors
 /// [`WireError::FrameTooLong`], as soon as the prefix is complete: the body of such a frame need not be buffered.
--- a/crates/tidewall-wire/src/reader.rs
+++ b/crates/tidewall-wire/src/reader.rs
@@ -4,8 +4,8 @@
 use minicbor::decode;
 use minicbor::Decoder;
 
-/// Exclusive upper bound of real numbers, far above what is measured in them (MB, requests, shares); whole numbers below it are
-/// exact in double precision, whose limit is 2^53.
+/// Exclusive upper bound of real numbers, far above what is measured in them (MB, requests, shares); whole numbers
+/// below it are exact in double precision, whose limit is 2^53.
 const REAL_LIMIT: f64 = 1e15;
 
 /// The fields of one frame, or of one entry of a list. Texts and bytes are borrowed from the body.
@@ -18,8 +18,8 @@
     /// Decodes the body of a frame.
     ///
     /// # Errors
-    /// The body is not one CBOR map of definite length, a field occurs twice, or a known field has a value that cannot be
-    /// decoded or whose type no field has.
+    /// The body is not one CBOR map of definite length, a field occurs twice, or a known field has a value that cannot
+    /// be decoded or whose type no field has.
     pub fn read(body: &'a [u8]) -> Result<Fields<'a>, WireError> {
         let mut decoder = Decoder::new(body);
         let fields = Fields::decode_map(&mut decoder)?;
--- a/crates/tidewall-wire/src/writer.rs
+++ b/crates/tidewall-wire/src/writer.rs
@@ -6,8 +6,8 @@
 /// Head of a CBOR map with a count of entries in one byte, which is written last: up to 255 fields.
 const MAP_HEAD: [u8; 2] = [0xb8, 0];
 
-/// Writes one frame behind what is in a buffer, field by field, in the order of the calls. Allocates nothing while the buffer
-/// has capacity. [`Frame::end`] completes it.
+/// Writes one frame behind what is in a buffer, field by field, in the order of the calls. Allocates nothing while the
+/// buffer has capacity. [`Frame::end`] completes it.
 #[must_use = "the frame is not complete before `end`"]
 pub struct Frame<'a> {
     out: &'a mut Vec<u8>,
--- a/crates/tidewall-wire/tests/recorded_frames.rs
+++ b/crates/tidewall-wire/tests/recorded_frames.rs
@@ -1,5 +1,5 @@
-//! The frames recorded in `tests/oracles/wire` are decoded by `Fields`, and `Frame` writes the same fields in the same order to
-//! the same bytes.
+//! The frames recorded in `tests/oracles/wire` are decoded by `Fields`, and `Frame` writes the same fields in the same
+//! order to the same bytes.
 #![allow(clippy::unwrap_used, missing_docs)]
 use minicbor::data::Type;
 use minicbor::Decoder;
