--- a/crates/tidewall-wire/src/field.rs
+++ b/crates/tidewall-wire/src/field.rs
@@ -33,8 +33,8 @@
     2 Role "role",
     /// Name of the sender in hello and status, of a worker in launched and in roster entries.
     3 Name "name",
-    /// Incarnation: of a worker, the count of its starts (hello, roster entries, act); of a gateway, its index in the
-    /// settings in hello; of a member of a pair, its start in hello and status.
+    /// Incarnation: of a worker, the count of its starts (hello, roster entries); of a member of a pair, its start
+    /// (hello, status); of a task's lease holder (act). In the hello of a gateway its index in the settings.
     4 Life "life",
     /// Identifier of a request, attempt, load request, health check, fetch or vote, chosen by whoever asks and valid on
     /// this connection; in peer the sender's index in the settings.
