--- a/crates/tidewall-coordination/src/executor_task.rs
+++ b/crates/tidewall-coordination/src/executor_task.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use tidewall_lease::assignment::{check, key, weight};
+use tidewall_lease::assignment::{checksum, key, weight};
 use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 use tracing::debug;
@@ -256,7 +256,7 @@
             let f = f
                 .whole(Field::Member, self.me as u64)
                 .whole(Field::Life, self.life);
-            let check = check(&[
+            let check = checksum(&[
                 self.next,
                 task as u64,
                 epoch,
--- a/crates/tidewall-emulator/src/workers.rs
+++ b/crates/tidewall-emulator/src/workers.rs
@@ -7,7 +7,7 @@
 use tidewall_audit::rows::{Kind, Row, TRIES};
 use tidewall_config::Section;
 use tidewall_failover::leadership::{Fencing, Leadership, LeadershipAcceptor};
-use tidewall_lease::assignment::check;
+use tidewall_lease::assignment::checksum;
 use tidewall_net::{Conn, Listener, Net, Time, TimerId};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 
@@ -435,7 +435,7 @@
         );
         let now = g.net.now();
         let ticket = fields.whole(Field::Ticket)?;
-        if fields.whole(Field::Check)? != check(&[id, task, epoch, gw as u64, life, ticket]) {
+        if fields.whole(Field::Check)? != checksum(&[id, task, epoch, gw as u64, life, ticket]) {
             return Err("field check: the act was changed on its way".to_string());
         }
         // One that is yet to be given out is none.
--- a/crates/tidewall-lease/src/acceptor.rs
+++ b/crates/tidewall-lease/src/acceptor.rs
@@ -1,31 +1,40 @@
-//! What one voter keeps of a matter: the highest ballot that it was asked with, and the claim that it accepted last.
+//! The state of one Paxos acceptor (Lamport, "Paxos Made Simple", 2001): the highest ballot that it promised, and the value
+//! that it accepted last.
 
-/// What voters accept. Epochs are ballots, so no two claims ever use the same.
+/// What acceptors vote on: a value that carries the ballot under which it was proposed. Ballots are unique, so no two
+/// proposals ever carry the same one.
 pub trait BallotedValue: Copy + PartialEq + Default {
-    /// 0: nothing was ever said.
+    /// The ballot under which the value was proposed; 0: nothing was ever accepted.
     fn epoch(&self) -> u64;
 }
 
+/// What one acceptor remembers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct AcceptorState<C> {
+pub struct AcceptorState<V> {
+    /// The highest ballot promised; lower ones are rejected.
     pub promised: u64,
-    pub accepted: C,
+    /// The value accepted last; its epoch is 0 where there is none.
+    pub accepted: V,
 }
 
-impl<C: BallotedValue> AcceptorState<C> {
-    /// Whoever asks with this ballot hears what was accepted; older ballots are refused from now on.
+impl<V: BallotedValue> AcceptorState<V> {
+    /// Phase 1: promises to reject all ballots below this one. Whether the promise was given: a ballot that is not above
+    /// all promised before gets none, so that two proposers with one ballot cannot both go on.
+    #[must_use]
     pub fn prepare(&mut self, ballot: u64) -> bool {
-        let good = ballot > self.promised;
+        let granted = ballot > self.promised;
         self.promised = self.promised.max(ballot);
-        good
+        granted
     }
 
-    /// The same claim may come twice.
-    pub fn accept(&mut self, claim: C) -> bool {
-        let good = claim.epoch() >= self.promised && claim.epoch() > 0;
-        if good {
-            (self.promised, self.accepted) = (claim.epoch(), claim);
+    /// Phase 2: accepts the value unless a higher ballot was promised. A repeated request is accepted again, so a proposer
+    /// may retransmit it.
+    #[must_use]
+    pub fn accept(&mut self, value: V) -> bool {
+        let granted = value.epoch() >= self.promised && value.epoch() > 0;
+        if granted {
+            (self.promised, self.accepted) = (value.epoch(), value);
         }
-        good
+        granted
     }
 }
--- a/crates/tidewall-lease/src/assignment.rs
+++ b/crates/tidewall-lease/src/assignment.rs
@@ -1,45 +1,45 @@
-//! Who should hold which task: of the members that are there, the one that weighs most for it (rendezvous hashing, Thaler
-//! and Ravishankar, 1998), so that a member that comes or goes moves only what is its own. It only says who should ask;
-//! who may act the keepers say.
+//! Preferred holder of each task: of the members present, the one with the highest weight for it (rendezvous hashing; Thaler
+//! and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998), so that a member that joins or leaves moves
+//! only its own tasks. This decides who should request a lease; who gets one is decided by the grantors.
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// The check that goes with an act: no bit of it may change unseen on its way, nor may it be taken for another's.
-pub fn check(numbers: &[u64]) -> u64 {
-    numbers
-        .iter()
-        .fold(0, |seed, n| xxh3_64_with_seed(&n.to_be_bytes(), seed))
+/// Checksum over the fields of an effect that is sent to a worker: no bit of it may change unnoticed on the way, nor may it be
+/// taken for another task's or another gateway's.
+pub fn checksum(fields: &[u64]) -> u64 {
+    fields.iter().fold(0, |seed, field| {
+        xxh3_64_with_seed(&field.to_be_bytes(), seed)
+    })
 }
 
-/// What a name weighs by, and how much it weighs for a task: members that hold, and workers where a task takes effect.
+/// Hash of a member's or a worker's name, from which its weights for all tasks derive.
 pub fn key(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
 
+/// Weight of a member or worker (by its `key`) for a task; the highest one is preferred.
 pub fn weight(task: usize, key: u64) -> u64 {
     xxh3_64_with_seed(&(task as u64).to_be_bytes(), key)
 }
 
+/// Which member should hold which task.
+#[derive(Clone, Debug)]
 pub struct Assignment {
-    /// By member: its key.
+    /// By member: the hash of its name.
     keys: Vec<u64>,
-    here: Vec<bool>,
-    /// By task: who should hold it.
-    best: Vec<Option<usize>>,
-}
-
-/// The task that a name belongs to.
-pub fn task(name: &str, tasks: usize) -> usize {
-    (xxh3_64(name.as_bytes()) % tasks.max(1) as u64) as usize
+    /// By member: whether it takes part.
+    present: Vec<bool>,
+    /// By task: the preferred holder; `None` while no member is present.
+    owners: Vec<Option<usize>>,
 }
 
 impl Assignment {
-    /// Members are told by their names, so that the order in which settings list them decides nothing.
+    /// No member is present yet. Weights derive from the members' names, so the order in which the settings list them does
+    /// not matter.
     pub fn new(names: &[String], tasks: usize) -> Assignment {
-        let keys: Vec<u64> = names.iter().map(|n| key(n)).collect();
         Assignment {
-            here: vec![false; keys.len()],
-            keys,
-            best: vec![None; tasks],
+            keys: names.iter().map(|name| key(name)).collect(),
+            present: vec![false; names.len()],
+            owners: vec![None; tasks],
         }
     }
 
@@ -47,45 +47,45 @@
         weight(task, self.keys[member])
     }
 
+    /// The preferred holder of a task; `None` while no member is present.
     pub fn owner(&self, task: usize) -> Option<usize> {
-        self.best[task]
-    }
-
-    pub fn is_present(&self, member: usize) -> bool {
-        self.here[member]
+        self.owners[task]
     }
 
+    /// Adds a member. `on_move` gets each task whose owner changes, the owner before and the owner after, by task number.
     pub fn member_joined(
         &mut self,
         member: usize,
-        mut moves: impl FnMut(usize, Option<usize>, Option<usize>),
+        mut on_move: impl FnMut(usize, Option<usize>, Option<usize>),
     ) {
-        if std::mem::replace(&mut self.here[member], true) {
+        if std::mem::replace(&mut self.present[member], true) {
             return;
         }
-        for task in 0..self.best.len() {
-            let was = self.best[task];
-            if was.is_none_or(|w| self.weight(task, member) > self.weight(task, w)) {
-                self.best[task] = Some(member);
-                moves(task, was, Some(member));
+        for task in 0..self.owners.len() {
+            let previous = self.owners[task];
+            if previous.is_none_or(|owner| self.weight(task, member) > self.weight(task, owner)) {
+                self.owners[task] = Some(member);
+                on_move(task, previous, Some(member));
             }
         }
     }
 
+    /// Removes a member. `on_move` gets each of its tasks, the owner before and the owner after, by task number.
     pub fn member_left(
         &mut self,
         member: usize,
-        mut moves: impl FnMut(usize, Option<usize>, Option<usize>),
+        mut on_move: impl FnMut(usize, Option<usize>, Option<usize>),
     ) {
-        if !std::mem::replace(&mut self.here[member], false) {
+        if !std::mem::replace(&mut self.present[member], false) {
             return;
         }
-        for task in 0..self.best.len() {
-            if self.best[task] == Some(member) {
-                let left = (0..self.keys.len()).filter(|m| self.here[*m]);
-                let best = left.max_by_key(|m| self.weight(task, *m));
-                self.best[task] = best;
-                moves(task, Some(member), best);
+        for task in 0..self.owners.len() {
+            if self.owners[task] == Some(member) {
+                let next = (0..self.keys.len())
+                    .filter(|other| self.present[*other])
+                    .max_by_key(|other| self.weight(task, *other));
+                self.owners[task] = next;
+                on_move(task, Some(member), next);
             }
         }
     }
