--- a/crates/tidewall-config/src/check.rs
+++ b/crates/tidewall-config/src/check.rs
@@ -2,7 +2,9 @@
 use crate::Section;
 use prost_reflect::{DynamicMessage, ReflectMessage, Value};
 use std::net::SocketAddr;
-use tidewall_lease::lease::{usable, MAX_GRANTORS, MAX_MEMBERS};
+use tidewall_lease::ballot::MAX_MEMBERS;
+use tidewall_lease::duration::usable_duration;
+use tidewall_lease::lease::MAX_GRANTORS;
 
 type Fault = (String, String);
 
@@ -379,7 +381,7 @@
     }
     // A holder acts for what is left of a term; with less than half of it most of the time nobody would.
     let (term, ticket) = (c.span("term_ms"), c.span("ticket_ms"));
-    let usable = usable(term, c.whole("clocks_ppm"), ticket);
+    let usable = usable_duration(term, c.whole("clocks_ppm"), ticket);
     if 2 * usable < term {
         let what = format!(
             "{} leaves {} ms to act after what clocks_ppm and ticket_ms take off; at least half of it is needed",
--- a/crates/tidewall-coordination/src/codec.rs
+++ b/crates/tidewall-coordination/src/codec.rs
@@ -5,8 +5,8 @@
 use minicbor::{Decoder, Encoder};
 use sha2::Sha256;
 use tidewall_lease::acceptor::AcceptorState;
+use tidewall_lease::ballot::BALLOT_COUNT_LIMIT;
 use tidewall_lease::grantor::{Grant, GrantorReply};
-use tidewall_lease::lease::BALLOT_COUNT_LIMIT;
 use tidewall_membership::{MemberState, MemberUpdate};
 use tidewall_vrrp::packet::Keys;
 
--- a/crates/tidewall-coordination/src/config.rs
+++ b/crates/tidewall-coordination/src/config.rs
@@ -2,7 +2,8 @@
 use crate::Time;
 use std::net::SocketAddr;
 use tidewall_config::Section;
-use tidewall_lease::lease::{margin, usable, LeaseConfig};
+use tidewall_lease::duration::{max_effect_delay, usable_duration};
+use tidewall_lease::lease::LeaseConfig;
 use tidewall_lease::SafetyChecks;
 use tidewall_vrrp::packet::Keys;
 
@@ -61,7 +62,7 @@
             c.whole("clocks_ppm"),
         );
         let usable = if guards.shortened_lease {
-            usable(term, ppm, ticket)
+            usable_duration(term, ppm, ticket)
         } else {
             term
         };
@@ -79,7 +80,7 @@
             tasks: c.whole("leases") as usize,
             lease_duration: term,
             usable,
-            effect_timeout: margin(ppm, ticket),
+            effect_timeout: max_effect_delay(ppm, ticket),
             period: c.span("period_ms"),
             effect_interval: c.span("turn_ms"),
             datagrams: c.whole("datagrams_per_s"),
--- a/crates/tidewall-coordination/src/lease_task.rs
+++ b/crates/tidewall-coordination/src/lease_task.rs
@@ -11,9 +11,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tidewall_lease::assignment::Assignment;
-use tidewall_lease::grantor::{Grant, GrantorReply, LeaseGrantor};
+use tidewall_lease::ballot::{ballot, ballot_count};
+use tidewall_lease::grantor::{Grant, GrantorReply, LeaseGrantor, LeaseOwner};
 use tidewall_lease::holder::LeaseHolder;
-use tidewall_lease::lease::{ballot, count, LeaseActions};
+use tidewall_lease::lease::{AcceptReply, LeaseActions, PrepareReply};
 use tidewall_membership::{MemberUpdate, Membership, MembershipActions};
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net};
 use tidewall_vrrp::packet::Keys;
@@ -140,7 +141,7 @@
             me if me == self.packets.me => self.own.push_back(Own::Prepare { task, ballot }),
             to => self
                 .packets
-                .add(to, item::PREPARE, &[task as u64, count(ballot)]),
+                .add(to, item::PREPARE, &[task as u64, ballot_count(ballot)]),
         }
     }
     fn accept(&mut self, keeper: usize, task: usize, epoch: u64, tag: u32) {
@@ -149,7 +150,7 @@
             to => self.packets.add(
                 to,
                 item::ACCEPT,
-                &[task as u64, count(epoch), u64::from(tag)],
+                &[task as u64, ballot_count(epoch), u64::from(tag)],
             ),
         }
     }
@@ -158,7 +159,7 @@
             me if me == self.packets.me => self.own.push_back(Own::Release { task, epoch }),
             to => self
                 .packets
-                .add(to, item::RELEASE, &[task as u64, count(epoch)]),
+                .add(to, item::RELEASE, &[task as u64, ballot_count(epoch)]),
         }
     }
     fn lease_acquired(&mut self, task: usize, epoch: u64, until: Time) {
@@ -352,7 +353,7 @@
         }
         while let Some(task) = self.side.untold.first().copied() {
             let lease = self.holder.lease(task);
-            let (epoch, until) = (lease.epoch, lease.until);
+            let (epoch, until) = (lease.epoch, lease.usable_until);
             if lease.is_held(now)
                 && !self
                     .side
@@ -462,16 +463,23 @@
             let Some(keeper) = &mut self.keeper else {
                 continue;
             };
+            let owner = LeaseOwner {
+                member: me,
+                incarnation: life,
+            };
             let place = self.places[me].expect("it is one");
             match own {
                 Own::Prepare { task, ballot } => {
-                    if let Some(told) = keeper.prepare(now, task, ballot, (me, life)) {
+                    if let Some(told) = keeper.prepare(now, task, ballot, owner) {
                         self.holder.prepare_replied(
                             now,
                             &mut self.side,
-                            (place, task),
-                            ballot,
-                            told,
+                            task,
+                            PrepareReply {
+                                grantor: place,
+                                ballot,
+                                reply: told,
+                            },
                         );
                     }
                 }
@@ -488,9 +496,13 @@
                         self.holder.accept_replied(
                             now,
                             &mut self.side,
-                            (place, task),
-                            (epoch, tag),
-                            told,
+                            task,
+                            AcceptReply {
+                                grantor: place,
+                                epoch,
+                                tag,
+                                reply: told,
+                            },
                         );
                     }
                 }
@@ -641,7 +653,11 @@
             .gossip_received(self.now, &mut self.k.side, member, word);
     }
     fn prepare(&mut self, from: usize, task: usize, count: u64) {
-        let (whose, now) = ((from, self.life), self.now);
+        let now = self.now;
+        let whose = LeaseOwner {
+            member: from,
+            incarnation: self.life,
+        };
         let told = self
             .k
             .keeper
@@ -693,9 +709,14 @@
         };
         let ballot = self.mine(count);
         let told = self.mined(told, ballot);
+        let reply = PrepareReply {
+            grantor: place,
+            ballot,
+            reply: told,
+        };
         self.k
             .holder
-            .prepare_replied(self.now, &mut self.k.side, (place, task), ballot, told);
+            .prepare_replied(self.now, &mut self.k.side, task, reply);
     }
     fn accepted(&mut self, from: usize, task: usize, count: u64, tag: u32, told: GrantorReply) {
         let Some(place) = self.k.places[from] else {
@@ -703,13 +724,15 @@
         };
         let epoch = self.mine(count);
         let told = self.mined(told, epoch);
-        self.k.holder.accept_replied(
-            self.now,
-            &mut self.k.side,
-            (place, task),
-            (epoch, tag),
-            told,
-        );
+        let reply = AcceptReply {
+            grantor: place,
+            epoch,
+            tag,
+            reply: told,
+        };
+        self.k
+            .holder
+            .accept_replied(self.now, &mut self.k.side, task, reply);
     }
 }
 
--- a/crates/tidewall-failover/src/proposal.rs
+++ b/crates/tidewall-failover/src/proposal.rs
@@ -1,7 +1,9 @@
 //! How a member gets leave to serve: a round of `tidewall-lease` whose voters are workers named in the settings. What a
 //! claim may say is decided here: whoever claims hears of whoever might have been granted before, and by which lives all is known.
 use crate::leadership::{Leadership, LeadershipAcceptor};
-use tidewall_lease::proposer::{BallotOwner, ProposalRule, ProposerRound, RoundOutcome};
+use tidewall_lease::proposer::{
+    BallotOwner, ProposalPhase, ProposalRule, ProposerRound, ReplyTo, RoundOutcome,
+};
 
 pub use tidewall_lease::proposer::ProposerTransport;
 
@@ -78,7 +80,7 @@
     }
 
     pub fn busy(&self) -> bool {
-        self.round.busy()
+        self.round.in_progress()
     }
 
     pub fn stop(&mut self) {
@@ -116,7 +118,7 @@
         promise: LeadershipAcceptor,
     ) -> Option<ProposalOutcome> {
         self.round
-            .reply_received((ask, &mut self.says), voter, of, good, promise)
+            .reply_received(ask, &mut self.says, voter, reply_to(of), good, promise)
             .map(outcome)
     }
 
@@ -128,21 +130,30 @@
         of: (u64, bool),
     ) -> Option<ProposalOutcome> {
         self.round
-            .reply_missing((ask, &mut self.says), voter, of)
+            .reply_missing(ask, &mut self.says, voter, reply_to(of))
             .map(outcome)
     }
 }
 
+fn reply_to((ballot, accepting): (u64, bool)) -> ReplyTo {
+    let phase = if accepting {
+        ProposalPhase::Accept
+    } else {
+        ProposalPhase::Prepare
+    };
+    ReplyTo { ballot, phase }
+}
+
 fn outcome(came: RoundOutcome<Leadership, ProposalOutcome>) -> ProposalOutcome {
     match came {
         RoundOutcome::Granted(claim) => ProposalOutcome::Granted(claim),
-        RoundOutcome::Not(why) => why,
+        RoundOutcome::Rejected(why) => why,
         RoundOutcome::NoMajority => ProposalOutcome::NoMajority,
     }
 }
 
 impl ProposalRule<Leadership> for Says {
-    type No = ProposalOutcome;
+    type Rejection = ProposalOutcome;
 
     fn propose(
         &mut self,
--- a/crates/tidewall-lease/src/grantor.rs
+++ b/crates/tidewall-lease/src/grantor.rs
@@ -1,14 +1,29 @@
-//! What a keeper answers. It has no disk: after a start it says nothing for the longest term, so that whatever its
-//! former life granted is over before it grants anew. A lease counts from when the keeper hears of it.
+//! The grantor of leases: a Paxos acceptor for each task, whose accepted value is a lease with a time of expiry. While a
+//! lease runs, nothing is promised to anybody else. A lease counts from when the grantor hears of the request.
+//!
+//! Grantors have no disk. After its start a grantor stays silent for one lease duration, so that whatever its former
+//! incarnation granted has expired before it grants anew.
 use crate::acceptor::{AcceptorState, BallotedValue};
-use crate::lease::{count, MAX_BALLOT_JUMP};
+use crate::ballot::is_plausible_after;
 use crate::{SafetyChecks, Time};
 
-/// A lease as keepers accept it: under which epoch, to which member and which life of it.
+/// Who requests or holds a lease: one incarnation of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LeaseOwner {
+    /// The member's number.
+    pub member: usize,
+    /// The member's incarnation, wall-clock milliseconds of its start.
+    pub incarnation: u64,
+}
+
+/// A lease as grantors accept it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Grant {
+    /// The ballot under which it was requested; 0: there is none.
     pub epoch: u64,
+    /// The holder's number.
     pub member: usize,
+    /// The holder's incarnation.
     pub incarnation: u64,
 }
 
@@ -19,62 +34,74 @@
 }
 
 impl Grant {
-    pub fn owner(&self) -> (usize, u64) {
-        (self.member, self.incarnation)
+    /// Whose lease it is.
+    pub fn owner(&self) -> LeaseOwner {
+        LeaseOwner {
+            member: self.member,
+            incarnation: self.incarnation,
+        }
     }
 }
 
-/// One task at one keeper.
+/// One task at one grantor.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct GrantorSlot {
+    /// Ballot promised and lease accepted last.
     pub acceptor: AcceptorState<Grant>,
-    /// From when on another may be granted what was accepted last.
+    /// When the lease accepted last expires, by the grantor's clock.
     pub expires_at: Time,
 }
 
-/// An answer: whether it was granted, what is kept here, and how long that still bars others.
+/// A grantor's reply to a prepare or accept request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct GrantorReply {
+    /// Whether the request was granted.
     pub granted: bool,
+    /// The grantor's state after the request; its lease is the default one where the last has expired.
     pub state: AcceptorState<Grant>,
+    /// For how long that lease still keeps others from the task; 0 where it has expired.
     pub remaining: Time,
 }
 
 impl GrantorSlot {
-    /// Whether it is one that could follow what is kept here. One message at fault would otherwise use up all ballots.
-    fn near(&self, epoch: u64) -> bool {
-        count(epoch) <= count(self.acceptor.promised) + MAX_BALLOT_JUMP
+    /// Whether the ballot could follow the one promised: one faulty message would otherwise use up all ballots.
+    fn is_plausible(&self, ballot: u64) -> bool {
+        is_plausible_after(ballot, self.acceptor.promised)
     }
 
-    fn answer(&self, now: Time, good: bool) -> GrantorReply {
-        let mut promise = self.acceptor;
+    fn reply(&self, now: Time, granted: bool) -> GrantorReply {
+        let mut state = self.acceptor;
         if now >= self.expires_at {
-            promise.accepted = Grant::default();
+            state.accepted = Grant::default();
         }
         GrantorReply {
-            granted: good,
-            state: promise,
+            granted,
+            state,
             remaining: self.expires_at.saturating_sub(now),
         }
     }
 
-    /// A member asks for leave under a ballot of its own. While another's lease runs nothing is promised: a promise
-    /// would refuse that one's renewals.
-    pub fn prepare(&mut self, now: Time, ballot: u64, whose: (usize, u64)) -> GrantorReply {
-        let barred = now < self.expires_at && self.acceptor.accepted.owner() != whose;
-        let good = !barred && self.near(ballot) && self.acceptor.prepare(ballot);
-        self.answer(now, good)
+    /// Phase 1: a member requests a promise for a ballot of its own. While another's lease runs nothing is promised: a
+    /// promise would make this grantor reject that one's renewals.
+    #[must_use]
+    pub fn prepare(&mut self, now: Time, ballot: u64, requester: LeaseOwner) -> GrantorReply {
+        let held_by_other = now < self.expires_at && self.acceptor.accepted.owner() != requester;
+        let granted = !held_by_other && self.is_plausible(ballot) && self.acceptor.prepare(ballot);
+        self.reply(now, granted)
     }
 
-    pub fn accept(&mut self, now: Time, grant: Grant, term: Time) -> GrantorReply {
-        let good = self.near(grant.epoch) && self.acceptor.accept(grant);
-        if good {
-            self.expires_at = now + term;
+    /// Phase 2, and each renewal: the lease runs for `lease_duration` from now.
+    #[must_use]
+    pub fn accept(&mut self, now: Time, grant: Grant, lease_duration: Time) -> GrantorReply {
+        let granted = self.is_plausible(grant.epoch) && self.acceptor.accept(grant);
+        if granted {
+            self.expires_at = now + lease_duration;
         }
-        self.answer(now, good)
+        self.reply(now, granted)
     }
 
-    /// Its holder has stopped. A renewal that is still on its way must not bring it back.
+    /// The holder gives back the lease of that epoch. The epoch is promised away, so that a renewal that is still on its way
+    /// does not bring the lease back.
     pub fn release(&mut self, now: Time, epoch: u64) {
         if self.acceptor.accepted.epoch == epoch {
             self.expires_at = now;
@@ -83,53 +110,68 @@
     }
 }
 
+/// All tasks at one grantor.
+#[derive(Debug)]
 pub struct LeaseGrantor {
     slots: Vec<GrantorSlot>,
-    term: Time,
-    quiet: Time,
+    lease_duration: Time,
+    /// No request is answered before this time.
+    silent_until: Time,
 }
 
 impl LeaseGrantor {
-    pub fn new(now: Time, tasks: usize, term: Time, guards: SafetyChecks) -> LeaseGrantor {
-        let quiet = if guards.silent_start { now + term } else { now };
+    /// A grantor that starts now, without memory of what it granted before.
+    pub fn new(
+        now: Time,
+        tasks: usize,
+        lease_duration: Time,
+        safety_checks: SafetyChecks,
+    ) -> LeaseGrantor {
+        let silence = if safety_checks.silent_start {
+            lease_duration
+        } else {
+            0
+        };
         LeaseGrantor {
             slots: vec![GrantorSlot::default(); tasks],
-            term,
-            quiet,
+            lease_duration,
+            silent_until: now + silence,
         }
     }
 
-    /// The slot, where the keeper may speak and the task is one of ours.
+    /// The task's slot; `None` during the silence after the start, and where there is no such task.
     fn slot(&mut self, now: Time, task: usize) -> Option<&mut GrantorSlot> {
-        if now < self.quiet {
+        if now < self.silent_until {
             return None;
         }
         self.slots.get_mut(task)
     }
 
+    /// See [`GrantorSlot::prepare`]; `None`: no reply is sent.
+    #[must_use]
     pub fn prepare(
         &mut self,
         now: Time,
         task: usize,
         ballot: u64,
-        whose: (usize, u64),
+        requester: LeaseOwner,
     ) -> Option<GrantorReply> {
-        self.slot(now, task).map(|s| s.prepare(now, ballot, whose))
+        self.slot(now, task)
+            .map(|slot| slot.prepare(now, ballot, requester))
     }
 
+    /// See [`GrantorSlot::accept`]; `None`: no reply is sent.
+    #[must_use]
     pub fn accept(&mut self, now: Time, task: usize, grant: Grant) -> Option<GrantorReply> {
-        let term = self.term;
-        self.slot(now, task).map(|s| s.accept(now, grant, term))
+        let lease_duration = self.lease_duration;
+        self.slot(now, task)
+            .map(|slot| slot.accept(now, grant, lease_duration))
     }
 
+    /// See [`GrantorSlot::release`].
     pub fn release(&mut self, now: Time, task: usize, epoch: u64) {
         if let Some(slot) = self.slot(now, task) {
             slot.release(now, epoch);
         }
     }
-
-    /// Leases that run here.
-    pub fn running(&self, now: Time) -> usize {
-        self.slots.iter().filter(|s| now < s.expires_at).count()
-    }
 }
--- a/crates/tidewall-lease/src/holder.rs
+++ b/crates/tidewall-lease/src/holder.rs
@@ -1,167 +1,182 @@
-//! All tasks at one member: which is due when, renewals before claims, and no more at a time than the member's budget lets out.
-use crate::grantor::GrantorReply;
-use crate::lease::{Lease, LeaseActions, LeaseConfig, LeaseState};
+//! The leases of all tasks at one member: which of them is due when. Renewals go before new requests, and no more requests
+//! are sent at a time than the member's rate limit allows.
+use crate::lease::{AcceptReply, Lease, LeaseActions, LeaseConfig, LeaseState, PrepareReply};
 use crate::Time;
 use std::collections::BTreeSet;
 
-pub struct LeaseHolder {
-    pub terms: LeaseConfig,
-    leases: Vec<Lease>,
-    /// Tasks by when they are due: those that run here, and those that are claimed.
-    runs: BTreeSet<(Time, usize)>,
-    claims: BTreeSet<(Time, usize)>,
+/// When a lease is due. Ordered by time, then by task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Deadline {
+    at: Time,
+    task: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Queue {
+    /// Leases held here: they expire unless they are renewed in time.
+    Held,
+    /// Leases that are requested, or will be.
+    Claims,
+}
+
+/// Which queue a lease belongs in.
+fn queue_of(lease: &Lease) -> Queue {
+    match lease.state {
+        LeaseState::Held | LeaseState::Stopping => Queue::Held,
+        LeaseState::Idle | LeaseState::Claiming => Queue::Claims,
+    }
 }
 
-/// Which list a lease is filed in, and at which time.
-fn place(lease: &Lease) -> (bool, Time) {
-    (
-        matches!(lease.state, LeaseState::Held | LeaseState::Stopping),
-        lease.next,
-    )
+/// The leases of one member.
+#[derive(Debug)]
+pub struct LeaseHolder {
+    config: LeaseConfig,
+    /// By task.
+    leases: Vec<Lease>,
+    held: BTreeSet<Deadline>,
+    claims: BTreeSet<Deadline>,
 }
 
 impl LeaseHolder {
-    pub fn new(terms: LeaseConfig, tasks: usize) -> LeaseHolder {
-        let leases = (0..tasks).map(Lease::new).collect();
+    /// Holds and wants nothing yet.
+    pub fn new(config: LeaseConfig, tasks: usize) -> LeaseHolder {
         LeaseHolder {
-            terms,
-            leases,
-            runs: BTreeSet::new(),
+            config,
+            leases: (0..tasks).map(Lease::new).collect(),
+            held: BTreeSet::new(),
             claims: BTreeSet::new(),
         }
     }
 
+    /// The lease of a task, which must be below the number given to [`LeaseHolder::new`].
     pub fn lease(&self, task: usize) -> &Lease {
         &self.leases[task]
     }
 
-    pub fn tasks(&self) -> usize {
-        self.leases.len()
-    }
-
-    /// Tasks that may be acted on here now.
+    /// Tasks that may be performed here now.
     pub fn held_count(&self, now: Time) -> usize {
-        self.runs
+        self.held
             .iter()
-            .filter(|r| self.leases[r.1].is_held(now))
+            .filter(|deadline| self.leases[deadline.task].is_held(now))
             .count()
     }
 
-    /// Leases that run here, given back or not.
+    /// Leases held here, with those that are about to be given back.
     pub fn running_count(&self) -> usize {
-        self.runs.len()
+        self.held.len()
     }
 
-    /// One thing happens to one task, which is filed anew afterwards.
-    fn with<R>(
+    fn queue(&mut self, queue: Queue) -> &mut BTreeSet<Deadline> {
+        match queue {
+            Queue::Held => &mut self.held,
+            Queue::Claims => &mut self.claims,
+        }
+    }
+
+    /// Changes one lease, and queues it anew where its deadline changed. `None` where there is no such task.
+    fn update<R>(
         &mut self,
         task: usize,
-        happen: impl FnOnce(&mut Lease, &LeaseConfig) -> R,
+        change: impl FnOnce(&mut Lease, &LeaseConfig) -> R,
     ) -> Option<R> {
         let lease = self.leases.get_mut(task)?;
-        let (ran, at) = place(lease);
-        let done = happen(lease, &self.terms);
-        let (runs, next) = place(lease);
-        if (ran, at) != (runs, next) {
-            let list = if ran {
-                &mut self.runs
-            } else {
-                &mut self.claims
-            };
-            list.remove(&(at, task));
-            let list = if runs {
-                &mut self.runs
-            } else {
-                &mut self.claims
-            };
-            if next != Time::MAX {
-                list.insert((next, task));
+        let before = (queue_of(lease), lease.next_action_at);
+        let result = change(lease, &self.config);
+        let after = (queue_of(lease), lease.next_action_at);
+        if before != after {
+            let (queue, at) = before;
+            self.queue(queue).remove(&Deadline { at, task });
+            let (queue, at) = after;
+            if at != Time::MAX {
+                self.queue(queue).insert(Deadline { at, task });
             }
         }
-        Some(done)
+        Some(result)
     }
 
+    /// See [`Lease::set_wanted`].
     pub fn set_wanted(
         &mut self,
         now: Time,
-        host: &mut impl LeaseActions,
+        actions: &mut impl LeaseActions,
         task: usize,
-        on: bool,
-        soon: bool,
+        wanted: bool,
+        vacant: bool,
     ) {
-        self.with(task, |l, t| l.set_wanted(now, t, host, on, soon));
+        self.update(task, |lease, config| {
+            lease.set_wanted(now, config, actions, wanted, vacant);
+        });
     }
 
+    /// See [`Lease::prepare_replied`].
     pub fn prepare_replied(
         &mut self,
         now: Time,
-        host: &mut impl LeaseActions,
-        (keeper, task): (usize, usize),
-        ballot: u64,
-        told: GrantorReply,
+        actions: &mut impl LeaseActions,
+        task: usize,
+        reply: PrepareReply,
     ) {
-        self.with(task, |l, t| {
-            l.prepare_replied(now, t, host, keeper, ballot, told)
+        self.update(task, |lease, config| {
+            lease.prepare_replied(now, config, actions, reply);
         });
     }
 
+    /// See [`Lease::accept_replied`].
     pub fn accept_replied(
         &mut self,
         now: Time,
-        host: &mut impl LeaseActions,
-        (keeper, task): (usize, usize),
-        of: (u64, u32),
-        told: GrantorReply,
+        actions: &mut impl LeaseActions,
+        task: usize,
+        reply: AcceptReply,
     ) {
-        self.with(task, |l, t| {
-            l.accept_replied(now, t, host, keeper, of, told)
+        self.update(task, |lease, config| {
+            lease.accept_replied(now, config, actions, reply);
         });
     }
 
-    /// Whether it was given back now.
+    /// See [`Lease::execution_stopped`]: whether the lease was given back.
     pub fn execution_stopped(
         &mut self,
         now: Time,
-        host: &mut impl LeaseActions,
+        actions: &mut impl LeaseActions,
         task: usize,
         epoch: u64,
     ) -> bool {
-        self.with(task, |l, t| l.execution_stopped(now, t, host, epoch))
-            .unwrap_or(false)
+        self.update(task, |lease, config| {
+            lease.execution_stopped(now, config, actions, epoch)
+        })
+        .unwrap_or(false)
     }
 
+    /// See [`Lease::higher_epoch_seen`].
     pub fn higher_epoch_seen(
         &mut self,
         now: Time,
-        host: &mut impl LeaseActions,
+        actions: &mut impl LeaseActions,
         task: usize,
         epoch: u64,
     ) {
-        self.with(task, |l, t| l.higher_epoch_seen(now, t, host, epoch));
-    }
-
-    /// When something is due here.
-    pub fn next_deadline(&self) -> Option<Time> {
-        let first = |list: &BTreeSet<(Time, usize)>| list.first().map(|f| f.0);
-        first(&self.runs)
-            .into_iter()
-            .chain(first(&self.claims))
-            .min()
+        self.update(task, |lease, config| {
+            lease.higher_epoch_seen(now, config, actions, epoch);
+        });
     }
 
-    /// What is due is done for `most` tasks at most; gives back for how many it was.
-    pub fn run_due(&mut self, now: Time, host: &mut impl LeaseActions, most: usize) -> usize {
-        let mut done = 0;
-        while done < most {
-            // What runs out goes before what does not run yet.
-            let first =
-                |list: &BTreeSet<(Time, usize)>| list.first().filter(|f| f.0 <= now).map(|f| f.1);
-            let Some(task) = first(&self.runs).or_else(|| first(&self.claims)) else {
+    /// Does what is due, for at most `max_tasks` tasks.
+    pub fn run_due(&mut self, now: Time, actions: &mut impl LeaseActions, max_tasks: usize) {
+        for _ in 0..max_tasks {
+            // A lease that may expire goes before one that is not held yet.
+            let due = |queue: &BTreeSet<Deadline>| {
+                queue
+                    .first()
+                    .filter(|deadline| deadline.at <= now)
+                    .map(|deadline| deadline.task)
+            };
+            let Some(task) = due(&self.held).or_else(|| due(&self.claims)) else {
                 break;
             };
-            self.with(task, |l, t| l.timer_fired(now, t, host));
-            done += 1;
+            self.update(task, |lease, config| {
+                lease.timer_fired(now, config, actions);
+            });
         }
-        done
     }
 }
--- a/crates/tidewall-lease/src/lease.rs
+++ b/crates/tidewall-lease/src/lease.rs
@@ -1,491 +1,467 @@
-//! One task at one member: claimed, renewed, given back. It may be acted on until a time of the member's own clock, counted
-//! from the asking and shortened by what clocks may differ, so that it is over here before any keeper lets another have it.
-use crate::grantor::{Grant, GrantorReply};
-use crate::proposer::{BallotOwner, ProposalRule, ProposerRound, ProposerTransport, RoundOutcome};
+//! One task at one member: its lease is requested, renewed and given back. The lease may be used until a time of the member's
+//! own clock, counted from the request and shortened by what clocks may differ, so that it is over here before any grantor
+//! lets another member have it.
+use crate::ballot::{ballot_owner, is_plausible_after};
+use crate::claim::{GrantorTransport, LeaseRule};
+use crate::grantor::{Grant, GrantorReply, LeaseOwner};
+use crate::proposer::{ProposalPhase, ProposerRound, ReplyTo, RoundOutcome};
+use crate::renewal::{PendingRenewals, RenewalOutcome};
 use crate::{SafetyChecks, Time};
 
-/// What leases of a member have in common.
+/// Grantors at most: a set of them is one `u64`.
+pub const MAX_GRANTORS: usize = 63;
+
+/// A lease is renewed after this part of its usable duration: with the doubling pauses between requests, three of them may
+/// be lost before it expires.
+const RENEWALS_PER_DURATION: Time = 4;
+
+/// What all leases of a member have in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseConfig {
+    /// This member's number.
     pub member: usize,
+    /// This member's incarnation, wall-clock milliseconds of its start.
     pub incarnation: u64,
+    /// The number of grantors, at most [`MAX_GRANTORS`].
     pub grantors: usize,
-    /// For how long an asking that was granted may be acted on.
+    /// For how long after its request a lease may be used, see [`crate::duration::usable_duration`].
     pub usable_duration: Time,
-    /// What was asked and not answered is asked again after this, as often as is of use.
+    /// The first pause before an unanswered request is sent again; it doubles each time.
     pub retry: Time,
-    /// Drawn for each member, so that not all renew in the same moment.
+    /// Drawn for each member, so that not all of them renew at the same moment.
     pub offset: Time,
+    /// Protections that may be off in tests.
     pub safety_checks: SafetyChecks,
 }
 
-/// The part of `usable` after which a lease is renewed: three askings may be lost before it lapses.
-const RENEW: Time = 4;
-
-/// How much of a term may be acted on: `term` is how long a keeper bars others, `ppm` by how much any clock may be off the true
-/// rate, `ticket` how old a worker lets a ticket become. An act that was good when it was sent takes effect before the
-/// term is over anywhere (`docs/design/common.md`).
-pub fn usable(term: Time, ppm: u64, ticket: Time) -> Time {
-    (term * (1_000_000 - ppm) / (1_000_000 + ppm)).saturating_sub(margin(ppm, ticket))
-}
-
-/// How long after it was sent an act may still take effect, by the clock of whoever sent it.
-pub fn margin(ppm: u64, ticket: Time) -> Time {
-    (ticket * (1_000_000 + ppm)).div_ceil(1_000_000 - ppm)
-}
-
-/// Keepers at most: a set of them is one word.
-pub const MAX_GRANTORS: usize = 63;
-
 impl LeaseConfig {
-    fn own(&self) -> BallotOwner {
-        own(self.member, self.incarnation)
-    }
-
-    fn grant(&self, epoch: u64) -> Grant {
-        Grant {
-            epoch,
+    fn owner(&self) -> LeaseOwner {
+        LeaseOwner {
             member: self.member,
             incarnation: self.incarnation,
         }
     }
-}
-
-/// Bits of a ballot that are its user's: 4,096 members, and lives of 28 bits.
-const MEMBER: u32 = 12;
-const LIFE: u32 = 28;
-pub const OWN: u32 = MEMBER + LIFE;
-
-/// The members that fit into ballots.
-pub const MAX_MEMBERS: usize = 1 << MEMBER;
 
-fn own(member: usize, life: u64) -> BallotOwner {
-    // Lives are milliseconds: those of one member that lie within three days differ here.
-    BallotOwner::new(OWN, (life & ((1 << LIFE) - 1)) << MEMBER | member as u64)
+    fn majority(&self) -> u32 {
+        self.grantors as u32 / 2 + 1
+    }
 }
 
-/// The ballot of that count that is this life's own.
-pub fn ballot(member: usize, life: u64, count: u64) -> u64 {
-    own(member, life).ballot(count & ((1 << (64 - OWN)) - 1))
+/// What leases do: requests to grantors, notices to whoever performs the task.
+pub trait LeaseActions {
+    /// Phase 1 request to a grantor.
+    fn prepare(&mut self, grantor: usize, task: usize, ballot: u64);
+    /// Phase 2 request, or a renewal. The tag comes back with the reply and names the request that it answers.
+    fn accept(&mut self, grantor: usize, task: usize, epoch: u64, tag: u32);
+    /// Gives the lease of that epoch back.
+    fn release(&mut self, grantor: usize, task: usize, epoch: u64);
+    /// The lease of that epoch may be used until then; called again after each renewal.
+    fn lease_acquired(&mut self, task: usize, epoch: u64, usable_until: Time);
+    /// The lease may not be used any longer. Where the task is given back, [`Lease::execution_stopped`] has to follow; the
+    /// notice is repeated until then.
+    fn lease_lost(&mut self, task: usize, epoch: u64);
+    /// A random number below `bound`.
+    fn random_below(&mut self, bound: Time) -> Time;
 }
 
-/// A ballot is at most so many claims ahead of what is known of its task: more than a keeper that forgot all can have missed
-/// in years, less than would use up the numbers.
-pub const MAX_BALLOT_JUMP: u64 = 1 << 20;
-
-/// Counts of ballots are below this.
-pub const BALLOT_COUNT_LIMIT: u64 = 1 << (64 - OWN);
-
-pub fn count(ballot: u64) -> u64 {
-    ballot >> OWN
+/// A grantor's reply to a phase 1 request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct PrepareReply {
+    /// Which of the grantors replied.
+    pub grantor: usize,
+    /// The ballot of the request.
+    pub ballot: u64,
+    /// What it replied.
+    pub reply: GrantorReply,
 }
 
-pub trait LeaseActions {
-    fn prepare(&mut self, keeper: usize, task: usize, ballot: u64);
-    /// Asked for leave, or for more of it; the tag comes back with the answer and tells which asking it answers.
-    fn accept(&mut self, keeper: usize, task: usize, epoch: u64, tag: u32);
-    fn release(&mut self, keeper: usize, task: usize, epoch: u64);
-    /// It may be acted on until then, under this epoch.
-    fn lease_acquired(&mut self, task: usize, epoch: u64, until: Time);
-    /// No longer. Where it is to be given back `Lease::stopped` has to follow.
-    fn lease_lost(&mut self, task: usize, epoch: u64);
-    /// Below that, drawn.
-    fn random_below(&mut self, below: Time) -> Time;
+/// A grantor's reply to a phase 2 request or a renewal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AcceptReply {
+    /// Which of the grantors replied.
+    pub grantor: usize,
+    /// The epoch of the request.
+    pub epoch: u64,
+    /// The tag of the request.
+    pub tag: u32,
+    /// What it replied.
+    pub reply: GrantorReply,
 }
 
+/// Where a lease stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum LeaseState {
-    /// Another's, or nobody's.
+    /// Another member's, or nobody's.
     Idle,
+    /// Requested; no majority granted it yet.
     Claiming,
+    /// Granted by a majority; usable until its time runs out.
     Held,
-    /// To be given back as soon as nobody here acts on it.
+    /// To be given back as soon as nobody here performs the task any more.
     Stopping,
 }
 
+/// The lease of one task as one member sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Lease {
     task: usize,
+    /// Where it stands.
     pub state: LeaseState,
-    /// It should be held here.
+    /// Whether this member should hold it.
     wanted: bool,
+    /// The request, while the state is `Claiming`.
     round: Option<Box<ProposerRound<Grant>>>,
-    /// The highest epoch that was heard of: a claim has to be above it.
-    seen: u64,
+    /// A new request needs a ballot above it.
+    highest_ballot_seen: u64,
+    /// The epoch under which it is, or was last, held here.
     pub epoch: u64,
-    pub until: Time,
-    /// The last asking's number, and when a claim asked last.
-    tag: u32,
-    asked: Time,
-    /// Renewals whose answers may still come, the latest first.
-    asks: [Asked; ASKS],
-    /// How long the next one waits for an answer.
-    wait: Time,
-    /// Until when another's lease runs, by the keeper that bars us for longest: asking one sooner than the last is in vain,
-    /// and with a keeper lost it is found out only when the claim is given up.
-    barred: Time,
-    /// When something is to be done here.
-    pub next: Time,
-}
-
-/// One asking for more: an answer says something of its own time alone.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Asked {
-    tag: u32,
-    at: Time,
-    /// Which keepers granted or refused it.
-    granted: u64,
-    refused: u64,
-    /// Counts votes, not voters: only where that guard is left out.
-    votes: u32,
-}
-
-/// Askings under way at most: each waits twice as long as the one before, so that a slow link is asked few times and its
-/// answers still find their asking. Five cover all of a lease's time from a sixteenth of it on.
-const ASKS: usize = 5;
-
-/// Keepers asked, on behalf of one task, by a round that knows only voters.
-struct Asks<'a, H> {
-    host: &'a mut H,
-    task: usize,
-    tag: u32,
-    accepts: bool,
-}
-
-impl<H: LeaseActions> ProposerTransport<Grant> for Asks<'_, H> {
-    fn prepare(&mut self, voter: usize, ballot: u64) {
-        self.host.prepare(voter, self.task, ballot);
-    }
-
-    fn accept(&mut self, voter: usize, claim: Grant) {
-        self.accepts = true;
-        self.host.accept(voter, self.task, claim.epoch, self.tag);
-    }
-}
-
-struct Says<'a>(&'a LeaseConfig);
-
-impl ProposalRule<Grant> for Says<'_> {
-    type No = Grant;
-
-    /// Another's lease that a majority may have granted, and that still runs at one that told of it, is not taken.
-    fn propose(&mut self, ballot: u64, told: Option<Grant>) -> Result<Grant, Grant> {
-        match told {
-            Some(other) if other.owner() != (self.0.member, self.0.incarnation) => Err(other),
-            _ => Ok(self.0.grant(ballot)),
-        }
-    }
+    /// Until when it may be used while its state is `Held`.
+    pub usable_until: Time,
+    /// Numbers requests; 0: there was none.
+    last_tag: u32,
+    /// When the request under way was sent.
+    requested_at: Time,
+    renewals: PendingRenewals,
+    /// The pause until the next retransmission; it doubles each time.
+    retry_pause: Time,
+    /// Until when another member's lease runs, by the grantor that reports the longest time: a request before that is in
+    /// vain, and with a grantor down this is found out only when the request times out.
+    held_elsewhere_until: Time,
+    /// When [`Lease::timer_fired`] is due; `Time::MAX`: nothing is to be done.
+    pub next_action_at: Time,
 }
 
 impl Lease {
+    /// Idle and not wanted.
     pub fn new(task: usize) -> Lease {
         Lease {
             task,
             state: LeaseState::Idle,
             wanted: false,
             round: None,
-            seen: 0,
+            highest_ballot_seen: 0,
             epoch: 0,
-            until: 0,
-            tag: 0,
-            asked: 0,
-            asks: [Asked::default(); ASKS],
-            wait: 0,
-            barred: 0,
-            next: Time::MAX,
+            usable_until: 0,
+            last_tag: 0,
+            requested_at: 0,
+            renewals: PendingRenewals::default(),
+            retry_pause: 0,
+            held_elsewhere_until: 0,
+            next_action_at: Time::MAX,
         }
     }
 
-    /// Whether it should be held here.
+    /// Whether this member should hold it.
     pub fn wanted(&self) -> bool {
         self.wanted
     }
 
-    /// Whether it may be acted on now.
+    /// Whether the task may be performed here now.
     pub fn is_held(&self, now: Time) -> bool {
-        self.state == LeaseState::Held && now < self.until
+        self.state == LeaseState::Held && now < self.usable_until
     }
 
-    /// It should be held here, or no longer. `soon`: nobody else holds it any more, so it is claimed at once.
+    /// This member should hold the lease, or should not any longer. `vacant`: no other member holds it any more, so it is
+    /// requested at once.
     pub fn set_wanted(
         &mut self,
         now: Time,
-        terms: &LeaseConfig,
-        host: &mut impl LeaseActions,
-        on: bool,
-        soon: bool,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
+        wanted: bool,
+        vacant: bool,
     ) {
-        self.wanted = on;
+        self.wanted = wanted;
         match self.state {
-            LeaseState::Idle if on => {
-                // Members that hear of the same loss at the same time do not all ask in the same moment.
-                let wait = if soon {
+            LeaseState::Idle if wanted => {
+                // Members that notice the same loss at the same time do not all send requests at the same moment.
+                let jitter = if vacant {
                     0
                 } else {
-                    host.random_below(terms.retry)
+                    actions.random_below(config.retry)
                 };
-                self.next = self.next.min(now + wait);
+                self.next_action_at = self.next_action_at.min(now + jitter);
             }
-            LeaseState::Claiming if !on => self.idle(Time::MAX),
-            // What was refused so far was refused while another still held it.
-            LeaseState::Claiming if soon => self.idle(now),
-            LeaseState::Held if !on => {
+            LeaseState::Claiming if !wanted => self.become_idle(Time::MAX),
+            // What was rejected so far was rejected while another member still held it.
+            LeaseState::Claiming if vacant => self.become_idle(now),
+            LeaseState::Held if !wanted => {
                 self.state = LeaseState::Stopping;
-                self.next = (now + terms.retry).min(self.until);
-                host.lease_lost(self.task, self.epoch);
+                self.next_action_at = (now + config.retry).min(self.usable_until);
+                actions.lease_lost(self.task, self.epoch);
             }
             _ => {}
         }
     }
 
-    fn idle(&mut self, next: Time) {
-        (self.state, self.round, self.next) = (LeaseState::Idle, None, next);
+    fn become_idle(&mut self, next_action_at: Time) {
+        self.state = LeaseState::Idle;
+        self.round = None;
+        self.next_action_at = next_action_at;
+    }
+
+    /// Idle; requested anew after a pause and some jitter, where it is wanted.
+    fn retry_after(
+        &mut self,
+        now: Time,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
+        pause: Time,
+    ) {
+        let pause = pause + 1 + actions.random_below(config.retry);
+        self.become_idle(if self.wanted { now + pause } else { Time::MAX });
     }
 
-    /// Claimed anew after a while, where it is wanted.
-    fn later(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions, wait: Time) {
-        let wait = wait + 1 + host.random_below(terms.retry);
-        self.idle(if self.wanted { now + wait } else { Time::MAX });
+    /// The request failed: requested anew when the other member's lease may have expired.
+    fn claim_failed(&mut self, now: Time, config: &LeaseConfig, actions: &mut impl LeaseActions) {
+        let remaining = self.held_elsewhere_until.saturating_sub(now);
+        self.retry_after(now, config, actions, remaining.min(config.usable_duration));
     }
 
-    /// Its time has come.
-    pub fn timer_fired(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions) {
+    fn lose(&mut self, now: Time, config: &LeaseConfig, actions: &mut impl LeaseActions) {
+        actions.lease_lost(self.task, self.epoch);
+        self.retry_after(now, config, actions, 0);
+    }
+
+    fn transport<'a, A>(&self, actions: &'a mut A) -> GrantorTransport<'a, A> {
+        GrantorTransport {
+            actions,
+            task: self.task,
+            tag: self.last_tag,
+            accept_sent: false,
+        }
+    }
+
+    /// Does what is due at `next_action_at`.
+    pub fn timer_fired(
+        &mut self,
+        now: Time,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
+    ) {
         match self.state {
-            LeaseState::Idle if self.wanted => {
-                self.state = LeaseState::Claiming;
-                let mut round = Box::new(ProposerRound::new(terms.own(), terms.grantors));
-                round.ballot_seen(self.seen);
-                self.barred = 0;
-                self.tag = self.tag.wrapping_add(1);
-                round.begin(&mut Asks {
-                    host,
-                    task: self.task,
-                    tag: self.tag,
-                    accepts: false,
-                });
-                (self.round, self.asked) = (Some(round), now);
-                self.wait = terms.retry;
-                self.next = now + self.wait;
-            }
-            LeaseState::Idle => self.next = Time::MAX,
-            // What was not answered by now was lost, or its keeper is.
-            LeaseState::Claiming if now >= self.asked + terms.usable_duration / 2 => {
-                let wait = self.barred.saturating_sub(now).min(terms.usable_duration);
-                self.later(now, terms, host, wait);
+            LeaseState::Idle if self.wanted => self.claim(now, config, actions),
+            LeaseState::Idle => self.next_action_at = Time::MAX,
+            // What was not answered by now was lost, or its grantor is down.
+            LeaseState::Claiming if now >= self.requested_at + config.usable_duration / 2 => {
+                self.claim_failed(now, config, actions);
             }
             LeaseState::Claiming => {
                 if let Some(round) = &self.round {
-                    round.ask_again(&mut Asks {
-                        host,
-                        task: self.task,
-                        tag: self.tag,
-                        accepts: false,
-                    });
+                    round.retransmit(&mut self.transport(actions));
                 }
-                self.wait *= 2;
-                self.next = now + self.wait;
+                self.retry_pause *= 2;
+                self.next_action_at = now + self.retry_pause;
             }
-            LeaseState::Held if now >= self.until => {
-                host.lease_lost(self.task, self.epoch);
-                self.later(now, terms, host, 0);
+            LeaseState::Held if now >= self.usable_until => self.lose(now, config, actions),
+            LeaseState::Held => self.renew(now, config, actions),
+            // Repeated, as the channel may have been full the first time.
+            LeaseState::Stopping if now < self.usable_until => {
+                actions.lease_lost(self.task, self.epoch);
+                self.next_action_at = (now + config.retry).min(self.usable_until);
             }
-            LeaseState::Held => self.renew(now, terms, host),
-            // Told again: the first word may have found its channel full.
-            LeaseState::Stopping if now < self.until => {
-                host.lease_lost(self.task, self.epoch);
-                self.next = (now + terms.retry).min(self.until);
-            }
-            // Nobody said that it stopped; its time is over all the same.
-            LeaseState::Stopping => self.later(now, terms, host, 0),
+            // No confirmation that the task stopped, but the lease has run out all the same.
+            LeaseState::Stopping => self.retry_after(now, config, actions, 0),
         }
     }
 
-    fn renew(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions) {
-        // Each asking has a number of its own: an answer to a former one says nothing of this one's time.
-        self.tag = self.tag.wrapping_add(1);
-        self.asks.rotate_right(1);
-        self.asks[0] = Asked {
-            tag: self.tag,
-            at: now,
-            ..Asked::default()
-        };
-        (0..terms.grantors).for_each(|k| host.accept(k, self.task, self.epoch, self.tag));
-        self.next = (now + self.wait).min(self.until);
-        self.wait *= 2;
+    fn claim(&mut self, now: Time, config: &LeaseConfig, actions: &mut impl LeaseActions) {
+        let owner = ballot_owner(config.member, config.incarnation);
+        let mut round = Box::new(ProposerRound::new(owner, config.grantors));
+        round.ballot_seen(self.highest_ballot_seen);
+        self.state = LeaseState::Claiming;
+        self.held_elsewhere_until = 0;
+        self.last_tag = self.last_tag.wrapping_add(1);
+        round.begin(&mut self.transport(actions));
+        (self.round, self.requested_at) = (Some(round), now);
+        self.retry_pause = config.retry;
+        self.next_action_at = now + self.retry_pause;
     }
 
-    /// False where no claim can have come so far.
-    fn heard_of(&mut self, ballot: u64) -> bool {
-        let near = count(ballot) <= count(self.seen) + MAX_BALLOT_JUMP;
-        if near {
-            self.seen = self.seen.max(ballot);
+    fn renew(&mut self, now: Time, config: &LeaseConfig, actions: &mut impl LeaseActions) {
+        // Each request has a tag of its own: a reply to an earlier one says nothing of this one's time.
+        self.last_tag = self.last_tag.wrapping_add(1);
+        self.renewals.request_sent(now, self.last_tag);
+        (0..config.grantors)
+            .for_each(|grantor| actions.accept(grantor, self.task, self.epoch, self.last_tag));
+        self.next_action_at = (now + self.retry_pause).min(self.usable_until);
+        self.retry_pause *= 2;
+    }
+
+    /// Notes a ballot that was reported. False where it is too far ahead to be genuine.
+    fn ballot_seen(&mut self, ballot: u64) -> bool {
+        let plausible = is_plausible_after(ballot, self.highest_ballot_seen);
+        if plausible {
+            self.highest_ballot_seen = self.highest_ballot_seen.max(ballot);
         }
-        near
+        plausible
     }
 
-    /// A keeper's answer to a claim's first question.
+    /// A grantor replied to a phase 1 request.
     pub fn prepare_replied(
         &mut self,
         now: Time,
-        terms: &LeaseConfig,
-        host: &mut impl LeaseActions,
-        keeper: usize,
-        ballot: u64,
-        told: GrantorReply,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
+        reply: PrepareReply,
     ) {
-        if !self.heard_of(told.state.promised) {
-            return;
-        }
-        if self.state == LeaseState::Claiming {
-            self.told(now, terms, host, keeper, (ballot, false), told);
+        if self.ballot_seen(reply.reply.state.promised) && self.state == LeaseState::Claiming {
+            let reply_to = ReplyTo {
+                ballot: reply.ballot,
+                phase: ProposalPhase::Prepare,
+            };
+            self.claim_replied(now, config, actions, reply.grantor, reply_to, reply.reply);
         }
     }
 
-    fn told(
+    fn claim_replied(
         &mut self,
         now: Time,
-        terms: &LeaseConfig,
-        host: &mut impl LeaseActions,
-        keeper: usize,
-        of: (u64, bool),
-        told: GrantorReply,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
+        grantor: usize,
+        reply_to: ReplyTo,
+        reply: GrantorReply,
     ) {
         let Some(mut round) = self.round.take() else {
             return;
         };
-        if !told.granted && told.state.accepted.epoch > 0 {
-            self.barred = self.barred.max(now + told.remaining);
+        if !reply.granted && reply.state.accepted.epoch > 0 {
+            self.held_elsewhere_until = self.held_elsewhere_until.max(now + reply.remaining);
         }
-        let mut asks = Asks {
-            host,
-            task: self.task,
-            tag: self.tag,
-            accepts: false,
+        let mut transport = self.transport(actions);
+        let mut rule = LeaseRule {
+            requester: config.owner(),
         };
-        let came = round.reply_received(
-            (&mut asks, &mut Says(terms)),
-            keeper,
-            of,
-            told.granted,
-            told.state,
+        let outcome = round.reply_received(
+            &mut transport,
+            &mut rule,
+            grantor,
+            reply_to,
+            reply.granted,
+            reply.state,
         );
-        if asks.accepts {
-            // Leave counts from here: no keeper has heard of it before.
-            self.asked = now;
+        if transport.accept_sent {
+            // The lease counts from here: no grantor has seen a request for it before.
+            self.requested_at = now;
         }
         self.round = Some(round);
-        match came {
+        match outcome {
             None => {}
             Some(RoundOutcome::Granted(grant)) => {
-                (self.state, self.round, self.epoch) = (LeaseState::Held, None, grant.epoch);
-                self.seen = self.seen.max(grant.epoch);
-                (self.until, self.asks) = (0, [Asked::default(); ASKS]);
-                let asked = self.asked;
-                self.got(now, terms, host, asked);
+                self.granted(grant.epoch);
+                self.extend(now, config, actions, self.requested_at);
             }
-            // While another's runs there is no use in asking.
-            Some(RoundOutcome::Not(_) | RoundOutcome::NoMajority) => {
-                let wait = self.barred.saturating_sub(now).min(terms.usable_duration);
-                self.later(now, terms, host, wait);
+            Some(RoundOutcome::Rejected(_) | RoundOutcome::NoMajority) => {
+                self.claim_failed(now, config, actions);
             }
         }
     }
 
-    /// A majority granted what was asked then.
-    fn got(&mut self, now: Time, terms: &LeaseConfig, host: &mut impl LeaseActions, asked: Time) {
-        let from = if terms.safety_checks.counts_from_request {
-            asked
+    /// A majority granted the request: held under a new epoch.
+    fn granted(&mut self, epoch: u64) {
+        self.state = LeaseState::Held;
+        self.round = None;
+        self.epoch = epoch;
+        self.highest_ballot_seen = self.highest_ballot_seen.max(epoch);
+        self.usable_until = 0;
+        self.renewals = PendingRenewals::default();
+    }
+
+    /// A majority granted what was requested at that time: usable for longer, and renewed in time.
+    fn extend(
+        &mut self,
+        now: Time,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
+        requested_at: Time,
+    ) {
+        let usable = config.usable_duration;
+        let start = if config.safety_checks.counts_from_request {
+            requested_at
         } else {
             now
         };
-        self.until = self.until.max(from + terms.usable_duration);
-        self.wait = terms.retry;
-        // Renewals of many tasks spread by themselves over some time.
-        let spread = host.random_below(terms.usable_duration / (2 * RENEW) + 1);
-        let next = self.until - terms.usable_duration + terms.usable_duration / RENEW + spread;
-        // Those that fall due soon after each other go together, in few datagrams; members differ by their offset.
-        let grid = (terms.usable_duration / (8 * RENEW)).max(1);
-        let next = next - (next + terms.offset) % grid;
-        self.next = next.max(now + 1).min(self.until);
-        if now < self.until {
-            host.lease_acquired(self.task, self.epoch, self.until);
+        self.usable_until = self.usable_until.max(start + usable);
+        self.retry_pause = config.retry;
+        // Renewals of many tasks spread over some time.
+        let spread = actions.random_below(usable / (2 * RENEWALS_PER_DURATION) + 1);
+        let renew_at = self.usable_until - usable + usable / RENEWALS_PER_DURATION + spread;
+        // Those due soon after each other go together, in few datagrams; members differ by their offset.
+        let batch_interval = (usable / (8 * RENEWALS_PER_DURATION)).max(1);
+        let renew_at = renew_at - (renew_at + config.offset) % batch_interval;
+        self.next_action_at = renew_at.max(now + 1).min(self.usable_until);
+        if now < self.usable_until {
+            actions.lease_acquired(self.task, self.epoch, self.usable_until);
         }
     }
 
-    /// A keeper's answer to an asking for leave, or for more of it.
+    /// A grantor replied to a phase 2 request or a renewal.
     pub fn accept_replied(
         &mut self,
         now: Time,
-        terms: &LeaseConfig,
-        host: &mut impl LeaseActions,
-        keeper: usize,
-        (epoch, tag): (u64, u32),
-        told: GrantorReply,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
+        reply: AcceptReply,
     ) {
-        if !self.heard_of(told.state.promised) {
+        if !self.ballot_seen(reply.reply.state.promised) {
             return;
         }
         match self.state {
-            LeaseState::Claiming if tag == self.tag => {
-                self.told(now, terms, host, keeper, (epoch, true), told)
-            }
-            LeaseState::Held if epoch == self.epoch => {
-                let Some(ask) = self.asks.iter_mut().find(|a| tag > 0 && a.tag == tag) else {
-                    return;
+            LeaseState::Claiming if reply.tag == self.last_tag => {
+                let reply_to = ReplyTo {
+                    ballot: reply.epoch,
+                    phase: ProposalPhase::Accept,
                 };
-                ask.votes += u32::from(told.granted);
-                if told.granted {
-                    ask.granted |= 1 << keeper;
-                } else {
-                    ask.refused |= 1 << keeper;
-                }
-                let ask = *ask;
-                let majority = terms.grantors as u32 / 2 + 1;
-                let votes = if terms.safety_checks.one_vote_per_grantor {
-                    ask.granted.count_ones()
-                } else {
-                    ask.votes
-                };
-                if votes == majority && told.granted {
-                    self.got(now, terms, host, ask.at);
-                } else if ask.refused.count_ones() >= majority {
-                    // Keepers that lost their memory, or another under a newer epoch: it can only be claimed anew.
-                    host.lease_lost(self.task, self.epoch);
-                    self.later(now, terms, host, 0);
+                self.claim_replied(now, config, actions, reply.grantor, reply_to, reply.reply);
+            }
+            LeaseState::Held if reply.epoch == self.epoch => {
+                match self.renewals.reply_received(
+                    reply.tag,
+                    reply.grantor,
+                    reply.reply.granted,
+                    config.majority(),
+                    config.safety_checks,
+                ) {
+                    RenewalOutcome::Undecided => {}
+                    RenewalOutcome::Granted { sent_at } => {
+                        self.extend(now, config, actions, sent_at);
+                    }
+                    // Grantors lost their memory, or another member holds a newer epoch: a new claim is needed.
+                    RenewalOutcome::Rejected => self.lose(now, config, actions),
                 }
             }
             _ => {}
         }
     }
 
-    /// Nobody here acts on it any more: it is given back.
+    /// Nobody here performs the task under that epoch any more. Whether the lease was given back by it.
     pub fn execution_stopped(
         &mut self,
         now: Time,
-        terms: &LeaseConfig,
-        host: &mut impl LeaseActions,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
         epoch: u64,
     ) -> bool {
-        let given = self.state == LeaseState::Stopping && epoch == self.epoch;
-        if given {
-            (0..terms.grantors).for_each(|k| host.release(k, self.task, epoch));
-            self.later(now, terms, host, 0);
+        let released = self.state == LeaseState::Stopping && epoch == self.epoch;
+        if released {
+            (0..config.grantors).for_each(|grantor| actions.release(grantor, self.task, epoch));
+            self.retry_after(now, config, actions, 0);
         }
-        given
+        released
     }
 
-    /// A worker has seen a newer epoch: keepers that lost their memory granted an old one.
+    /// A worker has seen a newer epoch: grantors that lost their memory granted an old one.
     pub fn higher_epoch_seen(
         &mut self,
         now: Time,
-        terms: &LeaseConfig,
-        host: &mut impl LeaseActions,
+        config: &LeaseConfig,
+        actions: &mut impl LeaseActions,
         epoch: u64,
     ) {
-        // It may have been heard of before, from a keeper that promised it to another: what counts is what is held.
-        if self.heard_of(epoch) && self.state == LeaseState::Held && epoch > self.epoch {
-            host.lease_lost(self.task, self.epoch);
-            self.later(now, terms, host, 0);
+        // It may be known already, from a grantor that promised it to another member: it is compared with the epoch held.
+        if self.ballot_seen(epoch) && self.state == LeaseState::Held && epoch > self.epoch {
+            self.lose(now, config, actions);
         }
     }
 }
--- a/crates/tidewall-lease/src/lib.rs
+++ b/crates/tidewall-lease/src/lib.rs
@@ -1,28 +1,39 @@
-//! Leave to act, without I/O and without a clock. `proposer` is how leave is got from a majority of voters, `acceptor` what one
-//! voter keeps; a pair's seat and the fleet's leases are both built on them. `grantor` answers for the fleet's leases,
-//! `holder` claims, renews and gives them back, `assignment` says who should hold what.
+//! Leases granted by a majority, without I/O and without a clock.
+//!
+//! A task (a unit of work that at most one gateway may perform at a time) is leased to one member. The member acts as a
+//! Paxos proposer ([`proposer`]): it gets the promise of a majority of grantors for its ballot, then has the same or another
+//! majority accept its lease ([`grantor`], on [`acceptor`]). Until the lease expires, grantors promise nothing to others,
+//! and the holder renews by having the same lease accepted again ([`lease`]; [`holder`] for all tasks of a member). The
+//! ballot of the lease is its epoch, a fencing token: workers reject effects of an older epoch than one they have seen.
+//! [`assignment`] says which member should request which task.
+//!
+//! Failover of a pair of gateways uses [`proposer`] and [`acceptor`] alone, with its own rule of what may be proposed.
 pub mod acceptor;
 pub mod assignment;
+pub mod ballot;
+mod claim;
+pub mod duration;
 pub mod grantor;
 pub mod holder;
 pub mod lease;
 pub mod proposer;
+mod renewal;
 
-/// Whole tenths of a millisecond.
+/// A time or duration in whole tenths of a millisecond, by a monotonic clock.
 pub type Time = u64;
 
-/// Guards that can be left out, only to show which net notices it.
+/// Protections of the protocol. All are on in service; each can be left out to show which test notices it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct SafetyChecks {
-    /// A keeper is silent for a term after its start.
+    /// A grantor answers nothing for one lease duration after its start, as it forgot what it granted before.
     pub silent_start: bool,
-    /// A term is shortened by what clocks may differ, and by a ticket's age.
+    /// A holder uses less than the lease duration, by what clocks may differ and by the age that a ticket may reach.
     pub shortened_lease: bool,
-    /// Leave counts from its asking.
+    /// A lease counts from when it was requested, not from when the reply arrived.
     pub counts_from_request: bool,
-    /// A keeper counts once for each asking.
+    /// Of one grantor a single reply counts for each request.
     pub one_vote_per_grantor: bool,
-    /// A datagram that came before is refused.
+    /// A datagram that was received before is rejected.
     pub replay_protection: bool,
 }
 
--- a/crates/tidewall-lease/src/proposer.rs
+++ b/crates/tidewall-lease/src/proposer.rs
@@ -1,44 +1,78 @@
-//! How somebody gets leave from a majority of voters: they first promise to refuse older ballots and tell what they
-//! accepted, then accept the claim. Two majorities meet in a voter, so whoever claims next hears of whoever might have
-//! been granted before. What a claim may say is its `ProposalRule`'s: the seat of a pair and the leases of a fleet differ there alone.
+//! One Paxos proposer (Lamport, "Paxos Made Simple", 2001). Phase 1 (prepare): acceptors promise to reject lower ballots and
+//! report the value that they accepted last. Phase 2 (accept): they accept the proposed value. Two majorities share an
+//! acceptor, so whoever proposes next learns of any value that might have been granted before. What may be proposed in
+//! view of it is decided by a [`ProposalRule`]: failover of a pair and the fleet's leases differ there alone.
+//!
+//! Without I/O: requests go out through a [`ProposerTransport`], replies come in by [`ProposerRound::reply_received`].
 use crate::acceptor::{AcceptorState, BallotedValue};
 
-pub trait ProposerTransport<C> {
-    fn prepare(&mut self, voter: usize, ballot: u64);
-    fn accept(&mut self, voter: usize, claim: C);
+/// Sends requests to acceptors, which are numbered from 0.
+pub trait ProposerTransport<V> {
+    /// Phase 1 request.
+    fn prepare(&mut self, acceptor: usize, ballot: u64);
+    /// Phase 2 request; the ballot is the value's epoch.
+    fn accept(&mut self, acceptor: usize, value: V);
 }
 
-pub trait ProposalRule<C> {
-    type No;
-    /// What to claim under this ballot, given the newest claim that a majority may have accepted.
-    fn propose(&mut self, ballot: u64, told: Option<C>) -> Result<C, Self::No>;
+/// Decides what is proposed.
+pub trait ProposalRule<V> {
+    /// Why nothing may be proposed.
+    type Rejection;
+    /// The value to propose under this ballot, given the newest value that a majority may have accepted before.
+    fn propose(&mut self, ballot: u64, accepted: Option<V>) -> Result<V, Self::Rejection>;
 }
 
+/// How a round ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum RoundOutcome<C, N> {
-    Granted(C),
-    Not(N),
+pub enum RoundOutcome<V, R> {
+    /// A majority accepted this value.
+    Granted(V),
+    /// The rule allows no proposal, whatever the acceptors that did not reply yet may report.
+    Rejected(R),
+    /// Too many acceptors rejected the ballot or could not be reached.
     NoMajority,
 }
 
+/// Which of the two requests a reply answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum GrantorReply<C> {
-    Awaited,
-    Good(AcceptorState<C>),
-    Not,
+pub enum ProposalPhase {
+    /// Phase 1, a request for a promise.
+    Prepare,
+    /// Phase 2, a request to accept a value.
+    Accept,
 }
 
-/// So often a claim that was outbid is begun anew at once.
-const OUTBID: u32 = 3;
+/// The request that a reply answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ReplyTo {
+    /// The ballot of the request.
+    pub ballot: u64,
+    /// The kind of the request.
+    pub phase: ProposalPhase,
+}
+
+/// What an acceptor replied to the request that is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Vote<V> {
+    Pending,
+    Granted(AcceptorState<V>),
+    /// Rejected by the acceptor, or it could not be reached.
+    Rejected,
+}
 
-/// The lower bits of a ballot, by which whoever uses it differs from all others and from its own former lives.
+/// So often a round starts over at once with a higher ballot. A proposer that just started knows no ballots and needs to do so
+/// once or twice; one that is outbid time and again makes way for its competitor, or neither would succeed.
+const MAX_RESTARTS_AFTER_HIGHER_BALLOT: u32 = 3;
+
+/// The lower bits of a ballot, by which its user differs from all others and from its own former incarnations.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct BallotOwner {
-    pub bits: u32,
-    pub value: u64,
+    bits: u32,
+    value: u64,
 }
 
 impl BallotOwner {
+    /// `bits` (below 64) are the lower bits of a ballot that belong to its owner; of `value` only these are used.
     pub fn new(bits: u32, value: u64) -> BallotOwner {
         BallotOwner {
             bits,
@@ -46,186 +80,225 @@
         }
     }
 
+    /// The owner's ballot with that count.
     pub fn ballot(self, count: u64) -> u64 {
         count << self.bits | self.value
     }
+
+    /// The owner's lowest ballot above all others with the count of `ballot`.
+    fn next_after(self, ballot: u64) -> u64 {
+        self.ballot((ballot >> self.bits) + 1)
+    }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum RoundState<V> {
+    Idle,
+    Preparing,
+    /// The value was proposed under the current ballot.
+    Accepting(V),
+}
+
+/// A proposer and its current round.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct ProposerRound<C> {
-    own: BallotOwner,
-    answers: Vec<GrantorReply<C>>,
-    under_way: bool,
-    claim: Option<C>,
+pub struct ProposerRound<V> {
+    owner: BallotOwner,
+    /// By acceptor: its reply to the request that is under way.
+    votes: Vec<Vote<V>>,
+    state: RoundState<V>,
+    /// The current ballot; 0 before the first round.
     ballot: u64,
-    /// The highest ballot that was heard of.
-    seen: u64,
-    /// How often this claim was begun anew, as a higher ballot was heard of.
-    tries: u32,
+    highest_ballot_seen: u64,
+    /// How often this round started over after a higher ballot was seen.
+    restarts: u32,
 }
 
-impl<C: BallotedValue> ProposerRound<C> {
-    pub fn new(own: BallotOwner, voters: usize) -> ProposerRound<C> {
-        let answers = vec![GrantorReply::Awaited; voters];
+impl<V: BallotedValue> ProposerRound<V> {
+    /// An idle proposer before that many acceptors.
+    pub fn new(owner: BallotOwner, acceptors: usize) -> ProposerRound<V> {
         ProposerRound {
-            own,
-            answers,
-            under_way: false,
-            claim: None,
+            owner,
+            votes: vec![Vote::Pending; acceptors],
+            state: RoundState::Idle,
             ballot: 0,
-            seen: 0,
-            tries: 0,
+            highest_ballot_seen: 0,
+            restarts: 0,
         }
     }
 
-    pub fn busy(&self) -> bool {
-        self.under_way
+    /// Whether a round is under way.
+    pub fn in_progress(&self) -> bool {
+        self.state != RoundState::Idle
     }
 
+    /// Abandons the round; replies to it are ignored.
     pub fn stop(&mut self) {
-        (self.under_way, self.claim) = (false, None);
+        self.state = RoundState::Idle;
     }
 
+    /// The current ballot; 0 before the first round.
     pub fn ballot(&self) -> u64 {
         self.ballot
     }
 
-    /// The next ballot is above this one as well.
+    /// The next round uses a ballot above this one as well.
     pub fn ballot_seen(&mut self, ballot: u64) {
-        self.seen = self.seen.max(ballot);
+        self.highest_ballot_seen = self.highest_ballot_seen.max(ballot);
     }
 
     fn majority(&self) -> usize {
-        self.answers.len() / 2 + 1
+        self.votes.len() / 2 + 1
     }
 
-    /// Begins anew, whatever was under way.
-    pub fn begin(&mut self, ask: &mut impl ProposerTransport<C>) {
-        self.tries = 0;
-        self.ask(ask);
+    /// Starts a round; one that is under way is abandoned.
+    pub fn begin(&mut self, transport: &mut impl ProposerTransport<V>) {
+        self.restarts = 0;
+        self.send_prepare(transport);
     }
 
-    fn ask(&mut self, ask: &mut impl ProposerTransport<C>) {
-        // The next ballot above all heard of that is this life's own: what a former life sent may still be on its way.
+    fn send_prepare(&mut self, transport: &mut impl ProposerTransport<V>) {
+        // Its owner bits make the ballot this incarnation's own: requests of a former one may still be on their way.
         self.ballot = self
-            .own
-            .ballot((self.seen.max(self.ballot) >> self.own.bits) + 1);
-        (self.under_way, self.claim) = (true, None);
-        self.answers.fill(GrantorReply::Awaited);
-        (0..self.answers.len()).for_each(|voter| ask.prepare(voter, self.ballot));
-    }
-
-    /// A question was lost or its answer was: whoever has not answered is asked again.
-    pub fn ask_again(&self, ask: &mut impl ProposerTransport<C>) {
-        let open = self
-            .answers
-            .iter()
-            .enumerate()
-            .filter(|a| *a.1 == GrantorReply::Awaited);
-        for (voter, _) in open.filter(|_| self.under_way) {
-            match self.claim {
-                Some(claim) => ask.accept(voter, claim),
-                None => ask.prepare(voter, self.ballot),
+            .owner
+            .next_after(self.highest_ballot_seen.max(self.ballot));
+        self.state = RoundState::Preparing;
+        self.votes.fill(Vote::Pending);
+        (0..self.votes.len()).for_each(|acceptor| transport.prepare(acceptor, self.ballot));
+    }
+
+    /// Sends the request once more to each acceptor that did not reply: the request or its reply may be lost.
+    pub fn retransmit(&self, transport: &mut impl ProposerTransport<V>) {
+        let pending = self.votes.iter().enumerate();
+        for (acceptor, _) in pending.filter(|(_, vote)| **vote == Vote::Pending) {
+            match self.state {
+                RoundState::Idle => {}
+                RoundState::Preparing => transport.prepare(acceptor, self.ballot),
+                RoundState::Accepting(value) => transport.accept(acceptor, value),
             }
         }
     }
 
-    /// A voter's answer to the ballot; `accepting` tells which of the two questions it answers.
-    pub fn reply_received<R: ProposalRule<C>>(
+    /// An acceptor's reply: whether it granted the request, and its state. Gives the outcome where the round ended by it.
+    #[must_use]
+    pub fn reply_received<R: ProposalRule<V>>(
         &mut self,
-        (ask, rule): (&mut impl ProposerTransport<C>, &mut R),
-        voter: usize,
-        (ballot, accepting): (u64, bool),
-        good: bool,
-        promise: AcceptorState<C>,
-    ) -> Option<RoundOutcome<C, R::No>> {
-        self.seen = self.seen.max(promise.promised);
-        if !self.under_way || ballot != self.ballot || accepting != self.claim.is_some() {
-            return None;
-        }
-        self.answers[voter] = if good {
-            GrantorReply::Good(promise)
+        transport: &mut impl ProposerTransport<V>,
+        rule: &mut R,
+        acceptor: usize,
+        reply_to: ReplyTo,
+        granted: bool,
+        state: AcceptorState<V>,
+    ) -> Option<RoundOutcome<V, R::Rejection>> {
+        self.ballot_seen(state.promised);
+        let vote = if granted {
+            Vote::Granted(state)
         } else {
-            GrantorReply::Not
+            Vote::Rejected
         };
-        self.look(ask, rule)
+        self.vote(transport, rule, acceptor, reply_to, vote)
     }
 
-    /// A voter cannot be asked, or did not answer.
-    pub fn reply_missing<R: ProposalRule<C>>(
+    /// An acceptor cannot be reached, or did not reply. Gives the outcome where the round ended by it.
+    #[must_use]
+    pub fn reply_missing<R: ProposalRule<V>>(
         &mut self,
-        (ask, rule): (&mut impl ProposerTransport<C>, &mut R),
-        voter: usize,
-        (ballot, accepting): (u64, bool),
-    ) -> Option<RoundOutcome<C, R::No>> {
-        if !self.under_way || ballot != self.ballot || accepting != self.claim.is_some() {
+        transport: &mut impl ProposerTransport<V>,
+        rule: &mut R,
+        acceptor: usize,
+        reply_to: ReplyTo,
+    ) -> Option<RoundOutcome<V, R::Rejection>> {
+        self.vote(transport, rule, acceptor, reply_to, Vote::Rejected)
+    }
+
+    /// Notes a vote, unless it answers an earlier request.
+    fn vote<R: ProposalRule<V>>(
+        &mut self,
+        transport: &mut impl ProposerTransport<V>,
+        rule: &mut R,
+        acceptor: usize,
+        reply_to: ReplyTo,
+        vote: Vote<V>,
+    ) -> Option<RoundOutcome<V, R::Rejection>> {
+        let current_phase = match self.state {
+            RoundState::Idle => return None,
+            RoundState::Preparing => ProposalPhase::Prepare,
+            RoundState::Accepting(_) => ProposalPhase::Accept,
+        };
+        if reply_to.ballot != self.ballot || reply_to.phase != current_phase {
             return None;
         }
-        self.answers[voter] = GrantorReply::Not;
-        self.look(ask, rule)
+        self.votes[acceptor] = vote;
+        self.count_votes(transport, rule)
     }
 
-    fn look<R: ProposalRule<C>>(
+    fn count_votes<R: ProposalRule<V>>(
         &mut self,
-        ask: &mut impl ProposerTransport<C>,
+        transport: &mut impl ProposerTransport<V>,
         rule: &mut R,
-    ) -> Option<RoundOutcome<C, R::No>> {
-        let good = self
-            .answers
-            .iter()
-            .filter(|a| matches!(a, GrantorReply::Good(_)))
-            .count();
-        let open = self
-            .answers
-            .iter()
-            .filter(|a| **a == GrantorReply::Awaited)
-            .count();
-        if good + open < self.majority() {
-            // Who just started knows no ballots; one that is outbid again and again lets the other one have it.
-            if self.seen > self.ballot && self.tries < OUTBID {
-                self.tries += 1;
-                self.ask(ask);
-                return None;
-            }
-            self.stop();
-            return Some(RoundOutcome::NoMajority);
+    ) -> Option<RoundOutcome<V, R::Rejection>> {
+        let count = |wanted: fn(&Vote<V>) -> bool| self.votes.iter().filter(|v| wanted(v)).count();
+        let granted = count(|vote| matches!(vote, Vote::Granted(_)));
+        let pending = count(|vote| *vote == Vote::Pending);
+        if granted + pending < self.majority() {
+            return self.restart_or_fail(transport);
         }
-        if good < self.majority() {
+        if granted < self.majority() {
             return None;
         }
-        if let Some(claim) = self.claim {
+        if let RoundState::Accepting(value) = self.state {
             self.stop();
-            return Some(RoundOutcome::Granted(claim));
+            return Some(RoundOutcome::Granted(value));
         }
-        let claim = match rule.propose(self.ballot, self.governing()) {
-            Ok(claim) => claim,
-            // Those that still may answer could change what is possible.
-            Err(_) if open > 0 => return None,
-            Err(no) => {
+        match rule.propose(self.ballot, self.possibly_chosen()) {
+            Ok(value) => {
+                self.send_accept(transport, value);
+                None
+            }
+            // Replies that are still to come could change what may have been chosen.
+            Err(_) if pending > 0 => None,
+            Err(rejection) => {
                 self.stop();
-                return Some(RoundOutcome::Not(no));
+                Some(RoundOutcome::Rejected(rejection))
             }
-        };
-        self.claim = Some(claim);
-        self.answers.fill(GrantorReply::Awaited);
-        (0..self.answers.len()).for_each(|voter| ask.accept(voter, claim));
-        None
-    }
-
-    /// The newest claim that a majority may have accepted. A voter that accepted a newer one, or did not answer, may
-    /// have accepted it before.
-    fn governing(&self) -> Option<C> {
-        let heard = || {
-            self.answers.iter().filter_map(|a| match a {
-                GrantorReply::Good(p) => Some(p.accepted),
-                _ => None,
+        }
+    }
+
+    fn restart_or_fail<R>(
+        &mut self,
+        transport: &mut impl ProposerTransport<V>,
+    ) -> Option<RoundOutcome<V, R>> {
+        let outbid = self.highest_ballot_seen > self.ballot;
+        if outbid && self.restarts < MAX_RESTARTS_AFTER_HIGHER_BALLOT {
+            self.restarts += 1;
+            self.send_prepare(transport);
+            return None;
+        }
+        self.stop();
+        Some(RoundOutcome::NoMajority)
+    }
+
+    fn send_accept(&mut self, transport: &mut impl ProposerTransport<V>, value: V) {
+        self.state = RoundState::Accepting(value);
+        self.votes.fill(Vote::Pending);
+        (0..self.votes.len()).for_each(|acceptor| transport.accept(acceptor, value));
+    }
+
+    /// The newest value that a majority may have accepted. An acceptor that by now has accepted a newer value, or did not
+    /// reply, may have accepted it.
+    fn possibly_chosen(&self) -> Option<V> {
+        let reported = || {
+            self.votes.iter().filter_map(|vote| match vote {
+                Vote::Granted(state) => Some(state.accepted),
+                Vote::Pending | Vote::Rejected => None,
             })
         };
-        let silent = self.answers.len() - heard().count();
-        let possible =
-            |c: &C| heard().filter(|o| o.epoch() >= c.epoch()).count() + silent >= self.majority();
-        heard()
-            .filter(|c| c.epoch() > 0 && possible(c))
-            .max_by_key(|c| c.epoch())
+        let silent = self.votes.len() - reported().count();
+        let possible = |value: &V| {
+            let not_older = reported().filter(|other| other.epoch() >= value.epoch());
+            not_older.count() + silent >= self.majority()
+        };
+        reported()
+            .filter(|value| value.epoch() > 0 && possible(value))
+            .max_by_key(|value| value.epoch())
     }
 }
--- a/crates/tidewall-lease/tests/lease.rs
+++ b/crates/tidewall-lease/tests/lease.rs
@@ -1,37 +1,46 @@
-//! One lease by hand: what is asked when, and what a worker's newer epoch does.
+//! One lease step by step: what is requested when, and what a worker's newer epoch does.
 use test_case::test_case;
+use tidewall_lease::ballot::ballot;
 use tidewall_lease::grantor::{Grant, GrantorReply, GrantorSlot};
-use tidewall_lease::lease::{ballot, Lease, LeaseActions, LeaseConfig, LeaseState};
+use tidewall_lease::lease::{
+    AcceptReply, Lease, LeaseActions, LeaseConfig, LeaseState, PrepareReply,
+};
 use tidewall_lease::SafetyChecks;
 
+#[derive(Clone, Copy)]
+struct AcceptRequest {
+    epoch: u64,
+    tag: u32,
+}
+
 #[derive(Default)]
-struct BallotedValue {
-    prepared: Vec<(usize, u64)>,
-    accepts: Vec<(usize, u64, u32)>,
-    held: Vec<u64>,
-    stopped: Vec<u64>,
+struct RecordedActions {
+    prepared_ballots: Vec<u64>,
+    accepts: Vec<AcceptRequest>,
+    acquired_until: Vec<u64>,
+    lost_epochs: Vec<u64>,
 }
 
-impl LeaseActions for BallotedValue {
-    fn prepare(&mut self, keeper: usize, _: usize, ballot: u64) {
-        self.prepared.push((keeper, ballot));
+impl LeaseActions for RecordedActions {
+    fn prepare(&mut self, _: usize, _: usize, ballot: u64) {
+        self.prepared_ballots.push(ballot);
     }
-    fn accept(&mut self, keeper: usize, _: usize, epoch: u64, tag: u32) {
-        self.accepts.push((keeper, epoch, tag));
+    fn accept(&mut self, _: usize, _: usize, epoch: u64, tag: u32) {
+        self.accepts.push(AcceptRequest { epoch, tag });
     }
     fn release(&mut self, _: usize, _: usize, _: u64) {}
-    fn lease_acquired(&mut self, _: usize, _: u64, until: u64) {
-        self.held.push(until);
+    fn lease_acquired(&mut self, _: usize, _: u64, usable_until: u64) {
+        self.acquired_until.push(usable_until);
     }
     fn lease_lost(&mut self, _: usize, epoch: u64) {
-        self.stopped.push(epoch);
+        self.lost_epochs.push(epoch);
     }
     fn random_below(&mut self, _: u64) -> u64 {
         0
     }
 }
 
-const TERMS: LeaseConfig = LeaseConfig {
+const CONFIG: LeaseConfig = LeaseConfig {
     member: 1,
     incarnation: 7,
     grantors: 3,
@@ -47,9 +56,9 @@
     },
 };
 
-fn good(epoch: u64) -> GrantorReply {
+fn granted_reply(promised: u64) -> GrantorReply {
     let mut slot = GrantorSlot::default();
-    slot.acceptor.promised = epoch;
+    slot.acceptor.promised = promised;
     GrantorReply {
         granted: true,
         state: slot.acceptor,
@@ -57,92 +66,131 @@
     }
 }
 
-/// Claimed at 0, the answers to its first question at 10, to its second at 20.
-fn granted() -> (Lease, BallotedValue) {
-    let (mut lease, mut said) = (Lease::new(0), BallotedValue::default());
-    lease.set_wanted(0, &TERMS, &mut said, true, true);
-    lease.timer_fired(0, &TERMS, &mut said);
-    let of = said.prepared[0].1;
-    (0..2).for_each(|k| lease.prepare_replied(10, &TERMS, &mut said, k, of, good(of)));
-    let (_, epoch, tag) = said.accepts[0];
-    (0..2).for_each(|k| lease.accept_replied(20, &TERMS, &mut said, k, (epoch, tag), good(epoch)));
-    (lease, said)
+/// A majority grants the request at that time.
+fn accept_by_majority(
+    lease: &mut Lease,
+    actions: &mut RecordedActions,
+    now: u64,
+    AcceptRequest { epoch, tag }: AcceptRequest,
+) {
+    for grantor in 0..2 {
+        let reply = AcceptReply {
+            grantor,
+            epoch,
+            tag,
+            reply: granted_reply(epoch),
+        };
+        lease.accept_replied(now, &CONFIG, actions, reply);
+    }
+}
+
+/// Requested at 0; a majority replied to phase 1 at 10, to phase 2 at 20.
+fn held_lease() -> (Lease, RecordedActions) {
+    let (mut lease, mut actions) = (Lease::new(0), RecordedActions::default());
+    lease.set_wanted(0, &CONFIG, &mut actions, true, true);
+    lease.timer_fired(0, &CONFIG, &mut actions);
+    let ballot = actions.prepared_ballots[0];
+    for grantor in 0..2 {
+        let reply = PrepareReply {
+            grantor,
+            ballot,
+            reply: granted_reply(ballot),
+        };
+        lease.prepare_replied(10, &CONFIG, &mut actions, reply);
+    }
+    let request = actions.accepts[0];
+    accept_by_majority(&mut lease, &mut actions, 20, request);
+    (lease, actions)
 }
 
 #[test]
-fn leave_counts_from_when_it_was_asked() {
-    let (lease, said) = granted();
+fn a_lease_counts_from_its_request() {
+    let (lease, actions) = held_lease();
     assert_eq!(
-        (lease.state, said.held.as_slice()),
+        (lease.state, actions.acquired_until.as_slice()),
         (LeaseState::Held, &[1_610][..])
     );
     assert!(lease.is_held(1_609) && !lease.is_held(1_610));
 }
 
-/// Answers to an asking that another followed count from their own time.
+/// Replies to a request that another one followed count from their own request's time.
 #[test]
-fn a_renewal_on_a_slow_link_counts() {
-    let (mut lease, mut said) = granted();
-    said.accepts.clear();
-    let first = lease.next;
-    lease.timer_fired(first, &TERMS, &mut said);
-    let (_, epoch, tag) = said.accepts[0];
-    lease.timer_fired(first + 100, &TERMS, &mut said);
-    assert_eq!(said.accepts.len(), 6);
-    (0..2).for_each(|k| {
-        lease.accept_replied(first + 250, &TERMS, &mut said, k, (epoch, tag), good(epoch))
-    });
-    assert_eq!(said.held.last(), Some(&(first + TERMS.usable_duration)));
+fn a_late_reply_to_an_earlier_renewal_counts() {
+    let (mut lease, mut actions) = held_lease();
+    actions.accepts.clear();
+    let first = lease.next_action_at;
+    lease.timer_fired(first, &CONFIG, &mut actions);
+    let request = actions.accepts[0];
+    lease.timer_fired(first + 100, &CONFIG, &mut actions);
+    assert_eq!(actions.accepts.len(), 6);
+    accept_by_majority(&mut lease, &mut actions, first + 250, request);
+    assert_eq!(
+        actions.acquired_until.last(),
+        Some(&(first + CONFIG.usable_duration))
+    );
 }
 
-/// A worker saw a newer epoch than the one held, which this lease may have heard of already (a keeper had promised it to another):
-/// five processes killed at once left one task of sixteen with a holder whose every act was refused, for good.
-#[test_case(false; "never heard of")]
-#[test_case(true; "heard of before")]
-fn an_epoch_that_a_worker_has_seen_is_bid_above(before: bool) {
-    let (mut lease, mut said) = granted();
+/// A worker saw a newer epoch than the one held, which this lease may know already (a grantor had promised it to another
+/// member): five processes killed at once left one task of sixteen with a holder whose every effect was rejected, for good.
+#[test_case(false; "not known before")]
+#[test_case(true; "known before")]
+fn a_claim_is_above_an_epoch_that_a_worker_has_seen(known_before: bool) {
+    let (mut lease, mut actions) = held_lease();
     let newer = ballot(2, 9, 40);
-    if before {
-        let mut no = good(newer);
-        no.granted = false;
-        lease.accept_replied(30, &TERMS, &mut said, 2, (lease.epoch, 99), no);
+    if known_before {
+        let reply = AcceptReply {
+            grantor: 2,
+            epoch: lease.epoch,
+            tag: 99,
+            reply: GrantorReply {
+                granted: false,
+                ..granted_reply(newer)
+            },
+        };
+        lease.accept_replied(30, &CONFIG, &mut actions, reply);
     }
     let held = lease.epoch;
-    lease.higher_epoch_seen(50, &TERMS, &mut said, newer);
+    lease.higher_epoch_seen(50, &CONFIG, &mut actions, newer);
     assert_eq!(
-        (lease.state, said.stopped.as_slice()),
+        (lease.state, actions.lost_epochs.as_slice()),
         (LeaseState::Idle, &[held][..])
     );
-    said.prepared.clear();
-    let next = lease.next;
-    lease.timer_fired(next, &TERMS, &mut said);
-    assert!(said.prepared[0].1 > newer);
-    // Words that come late, of what is held by now, change nothing.
-    let (mut lease, mut said) = granted();
-    lease.higher_epoch_seen(50, &TERMS, &mut said, held);
-    assert_eq!((lease.state, said.stopped.len()), (LeaseState::Held, 0));
+    actions.prepared_ballots.clear();
+    let due = lease.next_action_at;
+    lease.timer_fired(due, &CONFIG, &mut actions);
+    assert!(actions.prepared_ballots[0] > newer);
+    // A late report of the epoch that is held changes nothing.
+    let (mut lease, mut actions) = held_lease();
+    lease.higher_epoch_seen(50, &CONFIG, &mut actions, held);
+    assert_eq!(
+        (lease.state, actions.lost_epochs.len()),
+        (LeaseState::Held, 0)
+    );
 }
 
 #[test]
-fn a_lease_of_another_is_waited_for_by_the_keeper_that_bars_longest() {
-    let (mut lease, mut said) = (Lease::new(0), BallotedValue::default());
-    lease.set_wanted(0, &TERMS, &mut said, true, true);
-    lease.timer_fired(0, &TERMS, &mut said);
-    let of = said.prepared[0].1;
-    let barred = |left| {
-        let mut a = good(5);
-        a.granted = false;
-        a.state.accepted = Grant {
+fn a_claim_waits_for_the_longest_remaining_lease_that_is_reported() {
+    let (mut lease, mut actions) = (Lease::new(0), RecordedActions::default());
+    lease.set_wanted(0, &CONFIG, &mut actions, true, true);
+    lease.timer_fired(0, &CONFIG, &mut actions);
+    let ballot = actions.prepared_ballots[0];
+    let mut rejected = |grantor, remaining| {
+        let mut reply = granted_reply(5);
+        reply.granted = false;
+        reply.remaining = remaining;
+        reply.state.accepted = Grant {
             epoch: 5,
             member: 2,
             incarnation: 3,
         };
-        GrantorReply {
-            remaining: left,
-            ..a
-        }
+        let reply = PrepareReply {
+            grantor,
+            ballot,
+            reply,
+        };
+        lease.prepare_replied(10, &CONFIG, &mut actions, reply);
     };
-    lease.prepare_replied(10, &TERMS, &mut said, 0, of, barred(900));
-    lease.prepare_replied(10, &TERMS, &mut said, 1, of, barred(400));
-    assert_eq!((lease.state, lease.next), (LeaseState::Idle, 911));
+    rejected(0, 900);
+    rejected(1, 400);
+    assert_eq!((lease.state, lease.next_action_at), (LeaseState::Idle, 911));
 }
--- a/crates/tidewall-sim/tests/fleet.rs
+++ b/crates/tidewall-sim/tests/fleet.rs
@@ -111,21 +111,25 @@
 /// A message that used up all ballots at once left its task to nobody for good (found by a count at its greatest).
 #[test]
 fn a_count_far_ahead_is_not_taken() {
-    use tidewall_lease::grantor::GrantorSlot;
-    use tidewall_lease::lease::{ballot, BALLOT_COUNT_LIMIT, MAX_BALLOT_JUMP};
+    use tidewall_lease::ballot::{ballot, BALLOT_COUNT_LIMIT, MAX_BALLOT_JUMP};
+    use tidewall_lease::grantor::{GrantorSlot, LeaseOwner};
+    let owner = LeaseOwner {
+        member: 1,
+        incarnation: 7,
+    };
     let mut slot = GrantorSlot::default();
     assert!(
         !slot
-            .prepare(0, ballot(1, 7, BALLOT_COUNT_LIMIT - 1), (1, 7))
+            .prepare(0, ballot(1, 7, BALLOT_COUNT_LIMIT - 1), owner)
             .granted
     );
     assert!(
-        slot.prepare(0, ballot(1, 7, MAX_BALLOT_JUMP), (1, 7))
+        slot.prepare(0, ballot(1, 7, MAX_BALLOT_JUMP), owner)
             .granted
     );
     assert!(
         !slot
-            .prepare(0, ballot(1, 7, 2 * MAX_BALLOT_JUMP + 1), (1, 7))
+            .prepare(0, ballot(1, 7, 2 * MAX_BALLOT_JUMP + 1), owner)
             .granted
     );
 }
