--- a/crates/tidewall-membership/src/gossip.rs
+++ b/crates/tidewall-membership/src/gossip.rs
@@ -1,81 +1,73 @@
-//! What was heard last of each member, to be told on: least told first, each a bounded number of times.
+//! Updates that are still to be gossiped: those sent least often first, each a bounded number of times.
 use std::collections::BTreeSet;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum MemberState {
-    Alive,
-    Suspect,
-    Dead,
-    /// It said so itself.
-    Left,
+/// Urgent updates go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum GossipPriority {
+    Urgent,
+    /// That a member is alive and never was suspected, as all report at a start: among hundreds of these an update about a
+    /// failure would come late.
+    Deferrable,
 }
 
-impl MemberState {
-    pub const ALL: [MemberState; 4] = [
-        MemberState::Alive,
-        MemberState::Suspect,
-        MemberState::Dead,
-        MemberState::Left,
-    ];
+/// The order in which updates are sent: by priority, then by how often they were sent, then by member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct GossipEntry {
+    priority: GossipPriority,
+    transmissions: u32,
+    member: usize,
 }
 
-/// What is said of a member. What has the newer life is the truth; of one life, the newer turn (a member takes a new
-/// turn to refute what is said of it); of one turn, the worse standing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct MemberUpdate {
-    pub incarnation: u64,
-    pub refutation: u32,
-    pub state: MemberState,
-}
-
-pub struct GossipQueue {
-    /// By member: where its word stands in the order, while it is told on.
-    told: Vec<Option<(bool, u32)>>,
-    /// Whether it can wait, how often it was told, whose it is.
-    order: BTreeSet<(bool, u32, usize)>,
+/// At most one update of each member. Only its member is queued: what is sent is the newest update about it.
+pub(crate) struct GossipQueue {
+    /// By member: its entry, while it is queued.
+    entries: Vec<Option<GossipEntry>>,
+    order: BTreeSet<GossipEntry>,
 }
 
 impl GossipQueue {
-    pub fn new(members: usize) -> GossipQueue {
+    pub(crate) fn new(members: usize) -> GossipQueue {
         GossipQueue {
-            told: vec![None; members],
+            entries: vec![None; members],
             order: BTreeSet::new(),
         }
     }
 
-    /// A rumour reaches all members in about log2 of their number of tellings by each; three times that is SWIM's usual. Who is
-    /// there is also heard from itself: once is enough.
-    fn most(&self, waits: bool) -> u32 {
-        let logs = (self.told.len() as u32 + 1).ilog2() + 1;
-        if waits {
-            logs
-        } else {
-            3 * logs
+    /// Gossip reaches all of n members when each sends an update about log2(n) times; SWIM's usual limit is three times
+    /// that. Of a member that is alive others hear from itself as well: a third is enough.
+    fn transmission_limit(&self, priority: GossipPriority) -> u32 {
+        let logarithm = (self.entries.len() as u32 + 1).ilog2() + 1;
+        match priority {
+            GossipPriority::Urgent => 3 * logarithm,
+            GossipPriority::Deferrable => logarithm,
         }
     }
 
-    /// There is a new word of that member. The usual words of a start wait behind all others: among hundreds of them
-    /// one of a loss would come late.
-    pub fn new_word(&mut self, member: usize, waits: bool) {
-        if let Some((was, count)) = self.told[member].replace((waits, 0)) {
-            self.order.remove(&(was, count, member));
+    /// There is a new update about that member.
+    pub(crate) fn enqueue(&mut self, member: usize, priority: GossipPriority) {
+        let entry = GossipEntry {
+            priority,
+            transmissions: 0,
+            member,
+        };
+        if let Some(previous) = self.entries[member].replace(entry) {
+            self.order.remove(&previous);
         }
-        self.order.insert((waits, 0, member));
+        self.order.insert(entry);
     }
 
-    /// The next member to tell of; it counts as told once more.
-    pub fn tell(&mut self) -> Option<usize> {
-        let (waits, count, member) = self.order.pop_first()?;
-        if count + 1 < self.most(waits) {
-            self.told[member] = Some((waits, count + 1));
-            self.order.insert((waits, count + 1, member));
-        } else {
-            self.told[member] = None;
+    /// The member whose update is to be sent next; it counts as sent.
+    pub(crate) fn pop_next(&mut self) -> Option<usize> {
+        let entry = self.order.pop_first()?;
+        let sent = GossipEntry {
+            transmissions: entry.transmissions + 1,
+            ..entry
+        };
+        let remains = sent.transmissions < self.transmission_limit(entry.priority);
+        self.entries[entry.member] = remains.then_some(sent);
+        if remains {
+            self.order.insert(sent);
         }
-        Some(member)
-    }
-
-    pub fn len(&self) -> usize {
-        self.order.len()
+        Some(entry.member)
     }
 }
--- /dev/null
+++ b/crates/tidewall-membership/src/probe_order.rs
@@ -0,0 +1,40 @@
+//! In which order members are probed: all once a round, in a random order that is drawn anew for each round, so that the time
+//! until a failure is noticed is bounded (SWIM, section 4.3).
+use crate::MembershipActions;
+
+pub(crate) struct ProbeOrder {
+    /// All members but ourselves.
+    members: Vec<usize>,
+    /// The place of the next one; 0: a round begins.
+    position: usize,
+}
+
+impl ProbeOrder {
+    pub(crate) fn new(members: impl Iterator<Item = usize>) -> ProbeOrder {
+        ProbeOrder {
+            members: members.collect(),
+            position: 0,
+        }
+    }
+
+    pub(crate) fn members(&self) -> &[usize] {
+        &self.members
+    }
+
+    /// The next member to probe. There must be one.
+    pub(crate) fn next_member(&mut self, actions: &mut impl MembershipActions) -> usize {
+        if self.position == 0 {
+            self.shuffle(actions);
+        }
+        let member = self.members[self.position];
+        self.position = (self.position + 1) % self.members.len();
+        member
+    }
+
+    fn shuffle(&mut self, actions: &mut impl MembershipActions) {
+        for i in (1..self.members.len()).rev() {
+            let j = actions.random_below(i as u64 + 1) as usize;
+            self.members.swap(i, j);
+        }
+    }
+}
--- a/crates/tidewall-membership/tests/help/mod.rs
+++ b/crates/tidewall-membership/tests/help/mod.rs
@@ -1,171 +1,219 @@
-//! Members on a scripted network: what they send takes a while, may be lost, and is told to whoever it was for.
-#![allow(dead_code)] // each test file uses a part
+//! Members on a scripted network: datagrams take a while, may be lost, and reach whoever they are addressed to.
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use tidewall_membership::{MemberUpdate, Membership, MembershipActions, Time};
 
 pub const PERIOD: Time = 2_000;
-pub const TICK: Time = 200;
+const TICK: Time = 200;
+const NETWORK_DELAY: Time = 20;
+/// Updates that ride on one datagram, beside the one for its receiver.
+const GOSSIP_PER_DATAGRAM: usize = 6;
 
 #[derive(Clone)]
-pub enum Sent {
-    Ping(u32),
-    PingFor(usize, u32),
-    Ack(usize, u32),
+enum Message {
+    Ping { seq: u32 },
+    IndirectPing { target: usize, seq: u32 },
+    Ack { alive_member: usize, seq: u32 },
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loss {
+    pub member: usize,
+    pub left: bool,
+}
+
+/// What one member did.
 #[derive(Default)]
-pub struct Out {
-    pub sent: Vec<(usize, Sent)>,
-    pub comes: Vec<usize>,
-    pub goes: Vec<(usize, bool)>,
-    pub chance: Option<ChaCha8Rng>,
+pub struct RecordedActions {
+    outbox: Vec<(usize, Message)>,
+    pub losses: Vec<Loss>,
+    rng: Option<ChaCha8Rng>,
 }
 
-impl MembershipActions for Out {
+impl MembershipActions for RecordedActions {
     fn ping(&mut self, to: usize, seq: u32) {
-        self.sent.push((to, Sent::Ping(seq)));
+        self.outbox.push((to, Message::Ping { seq }));
     }
     fn ping_indirect(&mut self, via: usize, target: usize, seq: u32) {
-        self.sent.push((via, Sent::PingFor(target, seq)));
+        self.outbox
+            .push((via, Message::IndirectPing { target, seq }));
     }
-    fn ack(&mut self, to: usize, of: usize, seq: u32) {
-        self.sent.push((to, Sent::Ack(of, seq)));
-    }
-    fn member_joined(&mut self, member: usize, _: u64) {
-        self.comes.push(member);
+    fn ack(&mut self, to: usize, alive_member: usize, seq: u32) {
+        self.outbox.push((to, Message::Ack { alive_member, seq }));
     }
+    fn member_joined(&mut self, _: usize, _: u64) {}
     fn member_lost(&mut self, member: usize, left: bool) {
-        self.goes.push((member, left));
+        self.losses.push(Loss { member, left });
     }
-    fn random_below(&mut self, below: u64) -> u64 {
-        self.chance
+    fn random_below(&mut self, bound: u64) -> u64 {
+        self.rng
             .as_mut()
-            .map_or(0, |c| c.random_range(0..below.max(1)))
+            .map_or(0, |rng| rng.random_range(0..bound.max(1)))
     }
 }
 
-pub type Datagram = (usize, MemberUpdate, Sent, Vec<(usize, MemberUpdate)>);
+struct Datagram {
+    from: usize,
+    to: usize,
+    sender_update: MemberUpdate,
+    message: Message,
+    gossip: Vec<(usize, MemberUpdate)>,
+}
+
+/// Arrival, and the number of the datagram: two that arrive together do so in the order of their sending.
+type Arrival = (Time, u64);
+
+/// A view of one member on another that does not match what runs.
+#[derive(Debug, PartialEq)]
+pub struct WrongView {
+    observer: usize,
+    member: usize,
+    update: Option<MemberUpdate>,
+}
 
-pub struct Net {
-    pub now: Time,
+pub struct Network {
+    now: Time,
     pub members: Vec<Membership>,
-    pub outs: Vec<Out>,
-    pub lives: Vec<u64>,
+    pub actions: Vec<RecordedActions>,
+    incarnations: Vec<u64>,
     pub down: Vec<bool>,
-    pub still: Vec<bool>,
+    pub paused: Vec<bool>,
     /// From, to: nothing gets across.
-    pub cut: Vec<(usize, usize)>,
-    pub lost: u32,
-    pub chance: ChaCha8Rng,
-    pub way: BTreeMap<(Time, u64), (usize, Datagram)>,
-    pub count: u64,
-    pub datagrams: u64,
+    pub cut_links: Vec<(usize, usize)>,
+    /// Datagrams lost, in thousandths.
+    pub loss_per_mille: u32,
+    rng: ChaCha8Rng,
+    in_flight: BTreeMap<Arrival, Datagram>,
+    pub datagrams_sent: u64,
 }
 
-impl Net {
-    pub fn new(n: usize, seed: u64) -> Net {
-        let first = |m: usize| (m as u64 * 37 % 10) * PERIOD / 10;
-        Net {
+impl Network {
+    pub fn new(members: usize, seed: u64) -> Network {
+        let first_period_in = |member: usize| (member as u64 * 37 % 10) * PERIOD / 10;
+        let actions = |member: usize| RecordedActions {
+            rng: Some(ChaCha8Rng::seed_from_u64(seed * 1_000 + member as u64)),
+            ..RecordedActions::default()
+        };
+        Network {
             now: 0,
-            members: (0..n)
-                .map(|m| Membership::new(0, m, 1, n, PERIOD, first(m)))
-                .collect(),
-            outs: (0..n)
-                .map(|m| Out {
-                    chance: Some(ChaCha8Rng::seed_from_u64(seed * 1_000 + m as u64)),
-                    ..Out::default()
-                })
+            members: (0..members)
+                .map(|m| Membership::new(0, m, 1, members, PERIOD, first_period_in(m)))
                 .collect(),
-            lives: vec![1; n],
-            down: vec![false; n],
-            still: vec![false; n],
-            cut: Vec::new(),
-            lost: 0,
-            chance: ChaCha8Rng::seed_from_u64(seed),
-            way: BTreeMap::new(),
-            count: 0,
-            datagrams: 0,
+            actions: (0..members).map(actions).collect(),
+            incarnations: vec![1; members],
+            down: vec![false; members],
+            paused: vec![false; members],
+            cut_links: Vec::new(),
+            loss_per_mille: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            in_flight: BTreeMap::new(),
+            datagrams_sent: 0,
         }
     }
 
-    fn post(&mut self, from: usize) {
-        for (to, sent) in std::mem::take(&mut self.outs[from].sent) {
-            let m = &mut self.members[from];
-            let first = m.update_for(to).map(|w| (to, w));
-            let rumours: Vec<_> = first
-                .into_iter()
-                .chain((0..6).map_while(|_| m.next_gossip()))
-                .collect();
-            let datagram = (from, m.own_update(), sent, rumours);
-            self.datagrams += 1;
-            self.count += 1;
-            let lost = self.chance.random_ratio(self.lost, 1_000);
-            if !self.cut.contains(&(from, to)) && !lost {
-                self.way.insert((self.now + 20, self.count), (to, datagram));
+    fn runs(&self, member: usize) -> bool {
+        !self.down[member] && !self.paused[member]
+    }
+
+    fn send_outbox(&mut self, from: usize) {
+        for (to, message) in std::mem::take(&mut self.actions[from].outbox) {
+            let sender = &mut self.members[from];
+            let for_receiver = sender.update_for(to).map(|update| (to, update));
+            let others = (0..GOSSIP_PER_DATAGRAM).map_while(|_| sender.next_gossip());
+            let gossip = for_receiver.into_iter().chain(others).collect();
+            let datagram = Datagram {
+                from,
+                to,
+                sender_update: sender.own_update(),
+                message,
+                gossip,
+            };
+            self.datagrams_sent += 1;
+            let lost = self.rng.random_ratio(self.loss_per_mille, 1_000);
+            if !self.cut_links.contains(&(from, to)) && !lost {
+                let arrival = (self.now + NETWORK_DELAY, self.datagrams_sent);
+                self.in_flight.insert(arrival, datagram);
             }
         }
     }
 
-    fn come(&mut self, to: usize, (from, word, sent, rumours): Datagram) {
-        let (m, out, now) = (&mut self.members[to], &mut self.outs[to], self.now);
-        if !m.sender_heard(now, out, from, word) {
+    fn deliver(&mut self, datagram: Datagram) {
+        let (from, to, now) = (datagram.from, datagram.to, self.now);
+        let (receiver, actions) = (&mut self.members[to], &mut self.actions[to]);
+        if !receiver.sender_heard(now, actions, from, datagram.sender_update) {
             return;
         }
-        rumours
-            .into_iter()
-            .for_each(|(of, word)| m.gossip_received(now, out, of, word));
-        match sent {
-            Sent::Ping(seq) => m.ping_received(out, from, seq),
-            Sent::PingFor(target, seq) => m.indirect_ping_received(out, from, target, seq),
-            Sent::Ack(of, seq) => m.ack_received(out, from, of, seq),
+        for (member, update) in datagram.gossip {
+            receiver.gossip_received(now, actions, member, update);
         }
-        self.post(to);
+        match datagram.message {
+            Message::Ping { seq } => receiver.ping_received(actions, from, seq),
+            Message::IndirectPing { target, seq } => {
+                receiver.indirect_ping_received(actions, from, target, seq);
+            }
+            Message::Ack { alive_member, seq } => {
+                receiver.ack_received(actions, from, alive_member, seq);
+            }
+        }
+        self.send_outbox(to);
     }
 
-    pub fn until(&mut self, until: Time) {
-        while self.now < until {
+    pub fn run_for(&mut self, duration: Time) {
+        let end = self.now + duration;
+        while self.now < end {
             self.now += TICK;
-            while let Some(first) = self.way.first_entry().filter(|f| f.key().0 <= self.now) {
-                let (to, datagram) = first.remove();
-                if !self.down[to] && !self.still[to] {
-                    self.come(to, datagram);
+            while let Some(first) = self
+                .in_flight
+                .first_entry()
+                .filter(|entry| entry.key().0 <= self.now)
+            {
+                let datagram = first.remove();
+                if self.runs(datagram.to) {
+                    self.deliver(datagram);
                 }
             }
-            for m in 0..self.members.len() {
-                if !self.down[m] && !self.still[m] {
-                    self.members[m].tick(self.now, &mut self.outs[m]);
-                    self.post(m);
+            for member in 0..self.members.len() {
+                if self.runs(member) {
+                    self.members[member].tick(self.now, &mut self.actions[member]);
+                    self.send_outbox(member);
                 }
             }
         }
     }
 
-    pub fn run(&mut self, span: Time) {
-        self.until(self.now + span);
-    }
-
-    /// Whether all that run see just those there.
+    /// Whether all that run see as alive just those that run.
     pub fn agree(&self) -> bool {
-        self.wrong().is_empty()
+        self.wrong_views().is_empty()
     }
 
-    /// Who sees whom wrongly, and how.
-    pub fn wrong(&self) -> Vec<(usize, usize, Option<MemberUpdate>)> {
-        let run = |m: &usize| !self.down[*m] && !self.still[*m];
+    pub fn wrong_views(&self) -> Vec<WrongView> {
         let all = || 0..self.members.len();
-        let pairs = all().filter(run).flat_map(|m| all().map(move |o| (m, o)));
-        let wrong = pairs.filter(|(m, o)| self.members[*m].is_alive(*o) != run(o));
-        wrong
-            .map(|(m, o)| (m, o, self.members[m].update_of(o)))
+        let pairs = all()
+            .filter(|observer| self.runs(*observer))
+            .flat_map(|observer| all().map(move |member| (observer, member)));
+        pairs
+            .filter(|(observer, member)| {
+                self.members[*observer].is_alive(*member) != self.runs(*member)
+            })
+            .map(|(observer, member)| WrongView {
+                observer,
+                member,
+                update: self.members[observer].update_of(member),
+            })
             .collect()
     }
 
-    pub fn restart(&mut self, m: usize) {
-        self.lives[m] += 1;
-        self.down[m] = false;
-        self.members[m] =
-            Membership::new(self.now, m, self.lives[m], self.members.len(), PERIOD, 0);
+    pub fn restart(&mut self, member: usize) {
+        self.incarnations[member] += 1;
+        self.down[member] = false;
+        self.members[member] = Membership::new(
+            self.now,
+            member,
+            self.incarnations[member],
+            self.members.len(),
+            PERIOD,
+            0,
+        );
     }
 }
--- a/crates/tidewall-membership/tests/swim.rs
+++ b/crates/tidewall-membership/tests/swim.rs
@@ -1,13 +1,13 @@
-//! Who is there, on a scripted network.
+//! Failure detection and gossip on a scripted network.
 mod help;
 
-use help::*;
+use help::{Loss, Network, PERIOD};
 use test_case::test_case;
 use tidewall_membership::{MemberState, MemberUpdate};
 
-fn here_in(life: u64) -> MemberUpdate {
+fn alive(incarnation: u64) -> MemberUpdate {
     MemberUpdate {
-        incarnation: life,
+        incarnation,
         refutation: 0,
         state: MemberState::Alive,
     }
@@ -16,135 +16,148 @@
 #[test_case(3 ; "three")]
 #[test_case(30 ; "thirty")]
 #[test_case(350 ; "three hundred and fifty")]
-fn all_find_each_other_and_one_that_dies_is_missed_by_all(n: usize) {
-    let mut net = Net::new(n, 1);
+fn members_discover_each_other_and_a_failure_is_noticed_by_all(members: usize) {
+    let mut network = Network::new(members, 1);
+    let failed = members - 1;
     let joined = (1..600).find(|_| {
-        net.run(PERIOD);
-        net.agree()
+        network.run_for(PERIOD);
+        network.agree()
     });
-    net.down[n - 1] = true;
-    let missed = (1..600).find(|_| {
-        net.run(PERIOD);
-        net.agree()
+    network.down[failed] = true;
+    let noticed = (1..600).find(|_| {
+        network.run_for(PERIOD);
+        network.agree()
     });
-    println!("{n} members: joined after {joined:?} periods, one dead seen by all after {missed:?}");
-    assert!(joined.is_some() && missed.is_some());
-    // Nobody else was ever thought gone.
-    let other: Vec<_> = net
-        .outs
+    println!("{members} members: joined after {joined:?} periods, a failure noticed by all after {noticed:?}");
+    assert!(joined.is_some() && noticed.is_some());
+    // Nobody else was ever declared dead.
+    let wrong_losses: Vec<_> = network
+        .actions
         .iter()
+        .map(|actions| actions.losses.clone())
         .enumerate()
-        .filter(|o| o.1.goes.iter().any(|g| g.0 != n - 1))
-        .map(|o| (o.0, o.1.goes.clone()))
+        .filter(|(_, losses)| losses.iter().any(|loss| loss.member != failed))
         .collect();
-    assert_eq!(other, []);
-    net.restart(n - 1);
-    net.run(60 * PERIOD);
-    assert_eq!(net.wrong(), []);
+    assert_eq!(wrong_losses, []);
+    network.restart(failed);
+    network.run_for(60 * PERIOD);
+    assert_eq!(network.wrong_views(), []);
 }
 
-/// Of 9,000 pings; what is wrong is refuted, and nothing rests on it.
+/// Of 9,000 pings; wrong suspicions are refuted, and nothing rests on them.
 #[test_case(20, 10 ; "one in fifty datagrams lost")]
 #[test_case(100, 60 ; "one in ten")]
 #[test_case(300, 900 ; "three in ten")]
-fn losses_make_few_gone_and_all_agree_when_they_end(lost: u32, most: usize) {
-    let mut net = Net::new(30, 2);
-    net.lost = lost;
-    net.run(300 * PERIOD);
-    let goes: usize = net.outs.iter().map(|o| o.goes.len()).sum();
-    println!("{goes} wrongly gone over 300 periods of 30 members");
-    assert!(goes <= most);
-    net.lost = 0;
-    net.run(60 * PERIOD);
-    assert_eq!(net.wrong(), []);
+fn lost_datagrams_cause_few_false_positives_and_all_agree_afterwards(
+    loss_per_mille: u32,
+    max_false_positives: usize,
+) {
+    let mut network = Network::new(30, 2);
+    network.loss_per_mille = loss_per_mille;
+    network.run_for(300 * PERIOD);
+    let false_positives: usize = network.actions.iter().map(|a| a.losses.len()).sum();
+    println!("{false_positives} false positives over 300 periods of 30 members");
+    assert!(false_positives <= max_false_positives);
+    network.loss_per_mille = 0;
+    network.run_for(60 * PERIOD);
+    assert_eq!(network.wrong_views(), []);
 }
 
-/// Only one way, and only between two: others say that it is there.
+/// Only one way, and only between two: indirect pings are answered.
 #[test]
-fn a_link_cut_one_way_makes_nobody_gone() {
-    let mut net = Net::new(5, 3);
-    net.run(20 * PERIOD);
-    net.cut = vec![(0, 1)];
-    net.run(200 * PERIOD);
-    assert!(net.agree() && net.outs.iter().all(|o| o.goes.is_empty()));
+fn a_link_cut_one_way_causes_no_loss() {
+    let mut network = Network::new(5, 3);
+    network.run_for(20 * PERIOD);
+    network.cut_links = vec![(0, 1)];
+    network.run_for(200 * PERIOD);
+    assert!(network.agree() && network.actions.iter().all(|a| a.losses.is_empty()));
 }
 
 #[test]
 fn both_sides_of_a_partition_lose_each_other_and_find_each_other_again() {
-    let mut net = Net::new(6, 4);
-    net.run(20 * PERIOD);
-    let side = |m: usize| m < 2;
-    net.cut = (0..36)
+    let mut network = Network::new(6, 4);
+    network.run_for(20 * PERIOD);
+    let minority = |member: usize| member < 2;
+    network.cut_links = (0..36)
         .map(|i| (i / 6, i % 6))
-        .filter(|(a, b)| side(*a) != side(*b))
+        .filter(|(from, to)| minority(*from) != minority(*to))
         .collect();
-    net.run(60 * PERIOD);
-    assert!((0..6).all(|m| (0..6).all(|o| net.members[m].is_alive(o) == (side(m) == side(o)))));
-    net.cut.clear();
-    net.run(80 * PERIOD);
-    assert_eq!(net.wrong(), []);
+    network.run_for(60 * PERIOD);
+    assert!((0..6).all(|observer| {
+        (0..6).all(|member| {
+            network.members[observer].is_alive(member) == (minority(observer) == minority(member))
+        })
+    }));
+    network.cut_links.clear();
+    network.run_for(80 * PERIOD);
+    assert_eq!(network.wrong_views(), []);
 }
 
-/// What it did not hear while it stood says nothing of others; it is the others that miss it.
+/// What it did not receive while it was paused says nothing about others; it is the others that lose it.
 #[test]
-fn one_that_stood_still_thinks_nobody_gone() {
-    let mut net = Net::new(5, 5);
-    net.run(20 * PERIOD);
-    net.still[0] = true;
-    net.run(60 * PERIOD);
-    assert!((1..5).all(|m| !net.members[m].is_alive(0)));
-    net.still[0] = false;
-    net.members[0].process_stalled(60 * PERIOD);
-    net.run(30 * PERIOD);
-    assert!(net.outs[0].goes.is_empty());
-    assert!(net.agree(), "it refutes what was said of it");
-    assert!(net.members[0].refuted > 0);
+fn a_paused_member_declares_nobody_dead() {
+    let mut network = Network::new(5, 5);
+    network.run_for(20 * PERIOD);
+    network.paused[0] = true;
+    network.run_for(60 * PERIOD);
+    assert!((1..5).all(|observer| !network.members[observer].is_alive(0)));
+    network.paused[0] = false;
+    network.members[0].process_stalled(60 * PERIOD);
+    network.run_for(30 * PERIOD);
+    assert!(network.actions[0].losses.is_empty());
+    assert!(
+        network.agree(),
+        "it refutes what the others reported about it"
+    );
+    assert!(network.members[0].suspicions_refuted > 0);
 }
 
 #[test]
-fn one_that_leaves_is_missed_at_once_and_suspected_by_nobody() {
-    let mut net = Net::new(9, 6);
-    net.run(30 * PERIOD);
-    net.members[0].leave();
-    net.run(3 * PERIOD);
-    net.down[0] = true;
-    net.run(6 * PERIOD);
-    assert_eq!(net.wrong(), []);
-    assert!(net.outs[1..].iter().all(|o| o.goes == [(0, true)]));
+fn a_member_that_leaves_is_lost_at_once_and_suspected_by_nobody() {
+    let mut network = Network::new(9, 6);
+    network.run_for(30 * PERIOD);
+    network.members[0].leave();
+    network.run_for(3 * PERIOD);
+    network.down[0] = true;
+    network.run_for(6 * PERIOD);
+    assert_eq!(network.wrong_views(), []);
+    let leave = Loss {
+        member: 0,
+        left: true,
+    };
+    assert!(network.actions[1..].iter().all(|a| a.losses == [leave]));
 }
 
-#[test_case(MemberUpdate { incarnation: 1, refutation: 9, state: MemberState::Dead }, true ; "a former life")]
-#[test_case(MemberUpdate { incarnation: 2, refutation: 0, state: MemberState::Suspect }, true ; "suspected, not yet gone")]
-#[test_case(MemberUpdate { incarnation: 2, refutation: 0, state: MemberState::Dead }, false ; "this life")]
-#[test_case(MemberUpdate { incarnation: 3, refutation: 0, state: MemberState::Alive }, true ; "a newer life")]
-fn which_word_is_news(word: MemberUpdate, here: bool) {
-    let mut net = Net::new(3, 7);
-    let (m, out) = (&mut net.members[0], &mut net.outs[0]);
-    assert!(m.sender_heard(0, out, 1, here_in(2)));
-    m.gossip_received(0, out, 1, word);
-    assert_eq!(m.is_alive(1), here);
+#[test_case(MemberUpdate { incarnation: 1, refutation: 9, state: MemberState::Dead }, true ; "a former incarnation")]
+#[test_case(MemberUpdate { incarnation: 2, refutation: 0, state: MemberState::Suspect }, true ; "suspect, not yet dead")]
+#[test_case(MemberUpdate { incarnation: 2, refutation: 0, state: MemberState::Dead }, false ; "this incarnation")]
+#[test_case(MemberUpdate { incarnation: 3, refutation: 0, state: MemberState::Alive }, true ; "a newer incarnation")]
+fn only_a_newer_update_counts(update: MemberUpdate, alive_afterwards: bool) {
+    let mut network = Network::new(3, 7);
+    let (member, actions) = (&mut network.members[0], &mut network.actions[0]);
+    assert!(member.sender_heard(0, actions, 1, alive(2)));
+    member.gossip_received(0, actions, 1, update);
+    assert_eq!(member.is_alive(1), alive_afterwards);
     assert!(
-        !m.sender_heard(0, out, 1, here_in(1)),
-        "a former life is not heard"
+        !member.sender_heard(0, actions, 1, alive(1)),
+        "a former incarnation is ignored"
     );
-    // A member that there is not.
-    m.gossip_received(0, out, 7, word);
+    // A member that does not exist.
+    member.gossip_received(0, actions, 7, update);
 }
 
-/// The same seed is the same run.
 #[test]
 fn the_same_seed_gives_the_same_run() {
     let run = || {
-        let mut net = Net::new(9, 8);
-        net.lost = 200;
-        net.run(100 * PERIOD);
-        (
-            net.datagrams,
-            net.members
-                .iter()
-                .map(|m| (m.suspected, m.refuted))
-                .collect::<Vec<_>>(),
-        )
+        let mut network = Network::new(9, 8);
+        network.loss_per_mille = 200;
+        network.run_for(100 * PERIOD);
+        let suspicions: Vec<_> = network
+            .members
+            .iter()
+            .map(|m| (m.suspicions_raised, m.suspicions_refuted))
+            .collect();
+        (network.datagrams_sent, suspicions)
     };
     assert_eq!(run(), run());
 }
