Forecast package whole: space-saving counts, merged reports, histories with typed errors, lints

Cause: words, lives and tellings for reports, incarnations and records; positional pairs; errors were texts. Change: `arrivals::ArrivalCounts`, `merged::MergedCounts` with `CountReport` and `SlotCount`, `history::History` with `HistoryShape` and `HistoryError` (thiserror, the same messages); no unwrap and one expect, which states its invariant; `History::shape` and `Merged::newest`, which nobody used, are gone. Membership: pings of a member that leaves have their own limit (the same number as before).

--- a/crates/tidewall-forecast/src/history.rs
+++ b/crates/tidewall-forecast/src/history.rs
@@ -1,155 +1,198 @@
-//! One function's past, slot by slot, over a set number of periods (days, weeks, or seconds in a test), and its form on a
-//! disk: whole or not at all, with a version and a checksum. A slot of which too few members told is unknown, not empty.
+//! One function's past, slot by slot, over a set number of periods (days, weeks, or seconds in a test), and its stored form.
+//! A slot of which too few members reported is unknown, not empty.
+//!
+//! The stored form, all numbers big-endian: the 8 bytes `tdwhist1`; slots per period, periods, next slot and first slot as
+//! u64; the highest count as f32; the ring of counts as f32, NaN for unknown; the xxh3 checksum of all that as u64. It is
+//! read completely or not at all.
 use xxhash_rust::xxh3::xxh3_64;
 
-/// What is not known.
+/// A slot whose count is not known.
 const UNKNOWN: f32 = f32::NAN;
 
-/// How time is cut.
+/// The first slot of a history to which nothing was recorded.
+const NO_SLOT: u64 = u64::MAX;
+
+/// Names the format and its version; another format gets another name.
+const MAGIC: &[u8; 8] = b"tdwhist1";
+
+const U64_BYTES: usize = 8;
+const F32_BYTES: usize = 4;
+const CHECKSUM_BYTES: usize = 8;
+/// The magic, four whole numbers, the highest count.
+const HEADER_BYTES: usize = MAGIC.len() + 4 * U64_BYTES + F32_BYTES;
+
+/// How time is divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Shape {
-    /// Slots in a period, and periods kept.
-    pub period: usize,
+pub struct HistoryShape {
+    /// Slots in a period.
+    pub slots_per_period: usize,
+    /// Periods that are kept.
     pub periods: usize,
 }
 
-impl Shape {
+impl HistoryShape {
+    /// Slots that are kept.
     pub fn slots(self) -> usize {
-        self.period * self.periods
+        self.slots_per_period * self.periods
     }
 }
 
+/// Why a stored history cannot be used. The message names the part that is wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HistoryError {
+    /// Too short for a header and a checksum.
+    #[error("length: cut short")]
+    Truncated,
+    /// Another format, or another version of it.
+    #[error("version: not tdwhist1")]
+    UnknownVersion,
+    /// Some bit changed.
+    #[error("checksum: wrong")]
+    WrongChecksum,
+    /// Written under another [`HistoryShape`].
+    #[error("period: another one than the settings'")]
+    OtherShape,
+    /// The number of slots is not that of the shape.
+    #[error("length: not as many slots as told")]
+    WrongLength,
+    /// An infinite or negative count, or a first slot after the last one.
+    #[error("slots: a number that cannot be")]
+    InvalidNumber,
+}
+
+/// The counts of one function.
 #[derive(Clone, Debug)]
 pub struct History {
-    shape: Shape,
-    /// A ring: the slot's number modulo its length.
-    ring: Vec<f32>,
-    /// The slot after the last that was told.
-    next: u64,
-    /// The first slot that was ever told.
-    first: u64,
+    shape: HistoryShape,
+    /// A ring: a slot's place is its number modulo the length.
+    counts: Vec<f32>,
+    /// The slot after the last that was recorded.
+    next_slot: u64,
+    /// The first slot that was ever recorded, or `NO_SLOT`.
+    first_slot: u64,
     /// The highest count of any slot, ever.
-    pub most: f32,
+    pub max_count: f32,
 }
 
-const MAGIC: &[u8; 8] = b"tdwhist1";
-
 impl History {
-    pub fn new(shape: Shape) -> History {
+    /// All slots unknown.
+    pub fn new(shape: HistoryShape) -> History {
         History {
             shape,
-            ring: vec![UNKNOWN; shape.slots()],
-            next: 0,
-            first: u64::MAX,
-            most: 0.0,
+            counts: vec![UNKNOWN; shape.slots()],
+            next_slot: 0,
+            first_slot: NO_SLOT,
+            max_count: 0.0,
         }
     }
 
-    pub fn shape(&self) -> Shape {
-        self.shape
-    }
-
-    /// The slot after the last that is known.
-    pub fn next(&self) -> u64 {
-        self.next
+    /// The slot after the last that was recorded.
+    pub fn next_slot(&self) -> u64 {
+        self.next_slot
     }
 
-    /// A slot's count; `None` where too few told. Slots that were passed over are unknown. One that was told before may be
-    /// told again, higher, while it is kept.
-    pub fn tell(&mut self, slot: u64, count: Option<f32>) {
-        let len = self.ring.len() as u64;
-        if slot + len < self.next {
+    /// Sets a slot's count; `None` where too few members reported. Slots that were skipped are unknown. A slot may be
+    /// recorded again while it is kept; one that is not kept any more is ignored.
+    pub fn record(&mut self, slot: u64, count: Option<f32>) {
+        let length = self.counts.len() as u64;
+        if slot + length < self.next_slot {
             return;
         }
-        // A clock that jumped, or a long sleep: at most all of it is unknown.
-        let from = self.next.max(slot.saturating_sub(len));
-        if self.first == u64::MAX {
-            self.first = slot;
+        if self.first_slot == NO_SLOT {
+            self.first_slot = slot;
         } else {
-            (from..slot).for_each(|s| self.ring[(s % len) as usize] = UNKNOWN);
+            // After a clock that jumped, or a long pause, at most the whole ring is unknown.
+            let skipped = self.next_slot.max(slot.saturating_sub(length))..slot;
+            skipped.for_each(|skipped| self.counts[(skipped % length) as usize] = UNKNOWN);
         }
-        self.next = self.next.max(slot + 1);
-        self.ring[(slot % len) as usize] = count.unwrap_or(UNKNOWN);
-        self.most = self.most.max(count.unwrap_or(0.0));
+        self.next_slot = self.next_slot.max(slot + 1);
+        self.counts[(slot % length) as usize] = count.unwrap_or(UNKNOWN);
+        self.max_count = self.max_count.max(count.unwrap_or(0.0));
     }
 
-    pub fn at(&self, slot: u64) -> Option<f32> {
-        let len = self.ring.len() as u64;
-        let kept = slot < self.next && slot + len >= self.next && slot >= self.first;
-        Some(self.ring[(slot % len) as usize]).filter(|c| kept && !c.is_nan())
+    /// A slot's count; `None` where it is unknown or not kept.
+    pub fn count(&self, slot: u64) -> Option<f32> {
+        let length = self.counts.len() as u64;
+        let kept =
+            slot < self.next_slot && slot + length >= self.next_slot && slot >= self.first_slot;
+        Some(self.counts[(slot % length) as usize]).filter(|count| kept && !count.is_nan())
     }
 
-    /// Whole periods of which something is known.
-    pub fn periods(&self) -> usize {
-        if self.first == u64::MAX {
+    /// Complete periods since the first slot that was recorded, of those kept.
+    pub fn complete_periods(&self) -> usize {
+        if self.first_slot == NO_SLOT {
             return 0;
         }
-        let slots = (self.next - self.first).min(self.ring.len() as u64) as usize;
-        slots / self.shape.period
+        let slots = (self.next_slot - self.first_slot).min(self.counts.len() as u64);
+        slots as usize / self.shape.slots_per_period
     }
 
-    /// Appends its form: head, slots, checksum.
-    pub fn write(&self, out: &mut Vec<u8>) {
+    /// Appends the stored form.
+    pub fn encode(&self, out: &mut Vec<u8>) {
         let start = out.len();
         out.extend_from_slice(MAGIC);
-        for n in [
-            self.shape.period as u64,
+        for number in [
+            self.shape.slots_per_period as u64,
             self.shape.periods as u64,
-            self.next,
-            self.first,
+            self.next_slot,
+            self.first_slot,
         ] {
-            out.extend_from_slice(&n.to_be_bytes());
+            out.extend_from_slice(&number.to_be_bytes());
         }
-        out.extend_from_slice(&self.most.to_be_bytes());
-        self.ring
-            .iter()
-            .for_each(|c| out.extend_from_slice(&c.to_be_bytes()));
-        let sum = xxh3_64(&out[start..]);
-        out.extend_from_slice(&sum.to_be_bytes());
+        out.extend_from_slice(&self.max_count.to_be_bytes());
+        for count in &self.counts {
+            out.extend_from_slice(&count.to_be_bytes());
+        }
+        let checksum = xxh3_64(&out[start..]);
+        out.extend_from_slice(&checksum.to_be_bytes());
     }
 
-    /// What was written under the same shape; the error names what is wrong, and the member starts empty.
-    pub fn read(bytes: &[u8], shape: Shape) -> Result<History, &'static str> {
-        const HEAD: usize = 8 + 4 * 8 + 4;
-        if bytes.len() < HEAD + 8 {
-            return Err("length: cut short");
-        }
-        let (body, sum) = bytes.split_at(bytes.len() - 8);
-        if body[..8] != MAGIC[..] {
-            return Err("version: not tdwhist1");
-        }
-        if xxh3_64(body).to_be_bytes() != *sum {
-            return Err("checksum: wrong");
+    /// Reads the stored form of a history of that shape. On an error the caller starts with an empty history.
+    pub fn decode(bytes: &[u8], shape: HistoryShape) -> Result<History, HistoryError> {
+        if bytes.len() < HEADER_BYTES + CHECKSUM_BYTES {
+            return Err(HistoryError::Truncated);
         }
-        let whole = |i: usize| {
-            u64::from_be_bytes(
-                body[8 + 8 * i..16 + 8 * i]
-                    .try_into()
-                    .expect("eight octets"),
-            )
+        let (body, checksum) = bytes.split_at(bytes.len() - CHECKSUM_BYTES);
+        let Some(fields) = body.strip_prefix(MAGIC) else {
+            return Err(HistoryError::UnknownVersion);
         };
-        if (whole(0), whole(1)) != (shape.period as u64, shape.periods as u64) {
-            return Err("period: another one than the settings'");
+        if xxh3_64(body).to_be_bytes() != *checksum {
+            return Err(HistoryError::WrongChecksum);
         }
-        if body.len() != HEAD + 4 * shape.slots() {
-            return Err("length: not as many slots as told");
+        let number = |index: usize| u64::from_be_bytes(array_at(fields, index * U64_BYTES));
+        if (number(0), number(1)) != (shape.slots_per_period as u64, shape.periods as u64) {
+            return Err(HistoryError::OtherShape);
         }
-        let real =
-            |at: usize| f32::from_be_bytes(body[at..at + 4].try_into().expect("four octets"));
-        let ring: Vec<f32> = (0..shape.slots()).map(|i| real(HEAD + 4 * i)).collect();
-        let (next, first, most) = (whole(2), whole(3), real(40));
-        if !most.is_finite()
-            || ring.iter().any(|c| c.is_infinite() || *c < 0.0)
-            || first != u64::MAX && first >= next
-        {
-            return Err("slots: a number that cannot be");
+        if body.len() != HEADER_BYTES + F32_BYTES * shape.slots() {
+            return Err(HistoryError::WrongLength);
         }
-        Ok(History {
+        let history = History {
             shape,
-            ring,
-            next,
-            first,
-            most,
-        })
+            counts: body[HEADER_BYTES..]
+                .chunks_exact(F32_BYTES)
+                .map(|count| f32::from_be_bytes(array_at(count, 0)))
+                .collect(),
+            next_slot: number(2),
+            first_slot: number(3),
+            max_count: f32::from_be_bytes(array_at(fields, 4 * U64_BYTES)),
+        };
+        if !history.is_valid() {
+            return Err(HistoryError::InvalidNumber);
+        }
+        Ok(history)
     }
+
+    fn is_valid(&self) -> bool {
+        let valid = |count: &f32| !(count.is_infinite() || *count < 0.0);
+        self.max_count.is_finite()
+            && self.counts.iter().all(valid)
+            && (self.first_slot == NO_SLOT || self.first_slot < self.next_slot)
+    }
+}
+
+/// The bytes from that place on, which must be there.
+fn array_at<const N: usize>(bytes: &[u8], place: usize) -> [u8; N] {
+    let mut array = [0; N];
+    array.copy_from_slice(&bytes[place..place + N]);
+    array
 }
--- a/crates/tidewall-forecast/src/merged.rs
+++ b/crates/tidewall-forecast/src/merged.rs
@@ -1,98 +1,136 @@
-//! What all members told of one function's arrivals, slot by slot. A word says "in that slot I, in this life, have counted so
-//! many so far": of one life the highest counts, lives are added up. So words may come late, twice, in any order, or by way
-//! of others, and nothing is counted twice (state that any message can be applied to any number of times; Shapiro and others,
-//! 2011). What a slot holds, and of how many members, is known to whoever reads it.
-use std::collections::BTreeMap;
+//! What all members report about one function's arrivals, slot by slot. A report says: in that slot I have, in this
+//! incarnation, counted so many so far. Of one incarnation the highest count is valid, and incarnations are added up. So
+//! reports may arrive late, twice, in any order, or by way of other members, and nothing is counted twice: a grow-only
+//! counter, one of the state-based CRDTs (Shapiro, Preguiça, Baquero, Zawirski, "Conflict-free Replicated Data Types", 2011).
+use std::collections::{BTreeMap, BTreeSet};
 
+/// What one member counted in one slot so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Word {
+pub struct CountReport {
+    /// The number of the slot.
     pub slot: u64,
+    /// The number of the member.
     pub member: u16,
-    pub life: u64,
+    /// The incarnation of the member, wall-clock milliseconds of its start.
+    pub incarnation: u64,
+    /// Arrivals that this incarnation counted in the slot.
     pub count: u32,
 }
 
+/// Who counted; ordered by member, then by incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Reporter {
+    member: u16,
+    incarnation: u64,
+}
+
+/// A slot's arrivals as far as they were reported.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotCount {
+    /// Arrivals that all members counted.
+    pub arrivals: u64,
+    /// Of how many members there is a report.
+    pub members: usize,
+}
+
+/// The reports about one function, of the newest slots.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Merged {
-    /// By slot: each member's lives, and what each counted.
-    slots: BTreeMap<u64, BTreeMap<(u16, u64), u32>>,
-    /// Slots kept: later words of older ones are of no more use.
-    keep: usize,
+pub struct MergedCounts {
+    /// By slot: what each incarnation of each member counted.
+    slots: BTreeMap<u64, BTreeMap<Reporter, u32>>,
+    /// Slots kept; a report of an older one is of no more use.
+    slots_kept: usize,
 }
 
-/// Lives of one member in one slot at most; beyond, the oldest makes room, as it has long been told.
-const LIVES: usize = 8;
+/// Incarnations of one member in one slot at most; beyond, the oldest one is dropped. It bounds the memory that a member
+/// which restarts again and again can take.
+const MAX_INCARNATIONS_PER_MEMBER: usize = 8;
 
-impl Merged {
-    pub fn new(keep: usize) -> Merged {
-        Merged {
+/// Bytes of a slot beside its counts, about: its number and the head of its map.
+const SLOT_OVERHEAD_BYTES: usize = 24;
+
+impl MergedCounts {
+    /// Keeps that many slots, at least one.
+    pub fn new(slots_kept: usize) -> MergedCounts {
+        MergedCounts {
             slots: BTreeMap::new(),
-            keep: keep.max(1),
+            slots_kept: slots_kept.max(1),
         }
     }
 
-    /// False where it is too old to be kept.
-    pub fn told(&mut self, word: Word) -> bool {
-        let newest = self
-            .slots
-            .keys()
-            .next_back()
-            .copied()
-            .unwrap_or(word.slot)
-            .max(word.slot);
-        if word.slot + self.keep as u64 <= newest {
+    /// Takes in a report. False where its slot is too old to be kept.
+    pub fn apply(&mut self, report: CountReport) -> bool {
+        let newest_known = self.slots.keys().next_back().copied();
+        let newest = newest_known.map_or(report.slot, |known| known.max(report.slot));
+        let kept = self.slots_kept as u64;
+        if report.slot + kept <= newest {
             return false;
         }
-        let slot = self.slots.entry(word.slot).or_default();
-        let count = slot.entry((word.member, word.life)).or_insert(0);
-        *count = (*count).max(word.count);
-        let lives = slot.range((word.member, 0)..=(word.member, u64::MAX));
-        if lives.clone().count() > LIVES {
-            let oldest = *lives.clone().next().expect("there are some").0;
-            slot.remove(&oldest);
-        }
+        let slot = self.slots.entry(report.slot).or_default();
+        let reporter = Reporter {
+            member: report.member,
+            incarnation: report.incarnation,
+        };
+        let count = slot.entry(reporter).or_insert(0);
+        *count = (*count).max(report.count);
+        drop_oldest_incarnation(slot, report.member);
         while self
             .slots
             .first_key_value()
-            .is_some_and(|s| s.0 + self.keep as u64 <= newest)
+            .is_some_and(|(oldest, _)| oldest + kept <= newest)
         {
             self.slots.pop_first();
         }
         true
     }
 
-    /// All that another one knows.
-    pub fn merge(&mut self, other: &Merged) {
-        for (slot, lives) in &other.slots {
-            for ((member, life), count) in lives {
-                self.told(Word {
+    /// Takes in all that another one knows.
+    pub fn merge(&mut self, other: &MergedCounts) {
+        for (slot, counts) in &other.slots {
+            for (reporter, count) in counts {
+                self.apply(CountReport {
                     slot: *slot,
-                    member: *member,
-                    life: *life,
+                    member: reporter.member,
+                    incarnation: reporter.incarnation,
                     count: *count,
                 });
             }
         }
     }
 
-    /// Arrivals in a slot, and of how many members there is a word.
-    pub fn slot(&self, slot: u64) -> (u64, usize) {
-        let Some(lives) = self.slots.get(&slot) else {
-            return (0, 0);
+    /// The arrivals of a slot; none of no member where the slot is unknown.
+    pub fn slot(&self, slot: u64) -> SlotCount {
+        let Some(counts) = self.slots.get(&slot) else {
+            return SlotCount::default();
         };
-        let members: std::collections::BTreeSet<u16> = lives.keys().map(|k| k.0).collect();
-        (lives.values().map(|c| u64::from(*c)).sum(), members.len())
-    }
-
-    pub fn newest(&self) -> Option<u64> {
-        self.slots.keys().next_back().copied()
+        let members: BTreeSet<u16> = counts.keys().map(|reporter| reporter.member).collect();
+        SlotCount {
+            arrivals: counts.values().map(|count| u64::from(*count)).sum(),
+            members: members.len(),
+        }
     }
 
-    /// Octets that it holds.
-    pub fn bytes(&self) -> usize {
+    /// Bytes that the counts take, about.
+    pub fn size_bytes(&self) -> usize {
         self.slots
             .values()
-            .map(|l| 24 + l.len() * std::mem::size_of::<((u16, u64), u32)>())
+            .map(|counts| {
+                SLOT_OVERHEAD_BYTES + counts.len() * std::mem::size_of::<(Reporter, u32)>()
+            })
             .sum()
     }
 }
+
+/// Drops a member's oldest incarnation where it has too many.
+fn drop_oldest_incarnation(slot: &mut BTreeMap<Reporter, u32>, member: u16) {
+    let of_member = |incarnation| Reporter {
+        member,
+        incarnation,
+    };
+    let mut incarnations = slot.range(of_member(0)..=of_member(u64::MAX));
+    let oldest = incarnations.next().map(|(reporter, _)| *reporter);
+    let newer = incarnations.count();
+    if let Some(oldest) = oldest.filter(|_| newer >= MAX_INCARNATIONS_PER_MEMBER) {
+        slot.remove(&oldest);
+    }
+}
--- a/crates/tidewall-forecast/tests/merge.rs
+++ b/crates/tidewall-forecast/tests/merge.rs
@@ -1,216 +1,250 @@
-//! Counts merge in any order and any number of times; they are bounded; a history is whole or not there.
+//! Counts merge in any order and any number of times; they are bounded; a history is read completely or not at all.
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Zipf};
 use std::collections::BTreeMap;
 use test_case::test_case;
-use tidewall_forecast::counts::Counts;
-use tidewall_forecast::history::{History, Shape};
-use tidewall_forecast::merged::{Merged, Word};
+use tidewall_forecast::arrivals::ArrivalCounts;
+use tidewall_forecast::history::{History, HistoryError, HistoryShape};
+use tidewall_forecast::merged::{CountReport, MergedCounts, SlotCount};
 
-/// Words as five members send them: counts that rise, lives that follow each other.
-fn words(chance: &mut ChaCha8Rng) -> (Vec<Word>, BTreeMap<u64, u64>) {
-    let (mut words, mut truth) = (Vec::new(), BTreeMap::new());
+/// Reports as five members send them, counts that rise and incarnations that follow each other; and the true arrivals by
+/// slot.
+fn random_reports(rng: &mut ChaCha8Rng) -> (Vec<CountReport>, BTreeMap<u64, u64>) {
+    let (mut reports, mut truth) = (Vec::new(), BTreeMap::new());
     for member in 0..5 {
-        let mut life = 1;
+        let mut incarnation = 1;
         for slot in 0..6 {
             let mut count = 0;
-            for _ in 0..chance.random_range(0..5) {
-                let more = chance.random_range(0..9);
+            for _ in 0..rng.random_range(0..5) {
+                let more = rng.random_range(0..9);
                 count += more;
                 *truth.entry(slot).or_default() += u64::from(more);
-                words.push(Word {
+                reports.push(CountReport {
                     slot,
                     member,
-                    life,
+                    incarnation,
                     count,
                 });
-                if chance.random_ratio(1, 5) {
-                    // It dies with nothing untold, and counts anew.
-                    (life, count) = (life + 1, 0);
+                if rng.random_ratio(1, 5) {
+                    // It restarts with nothing unreported, and counts from 0.
+                    (incarnation, count) = (incarnation + 1, 0);
                 }
             }
         }
     }
-    (words, truth)
+    (reports, truth)
 }
 
 #[test]
 fn any_order_and_any_number_of_times_is_the_same() {
     for seed in 0..300 {
-        let mut chance = ChaCha8Rng::seed_from_u64(seed);
-        let (mut words, truth) = words(&mut chance);
-        let mut a = Merged::new(10);
-        words.iter().for_each(|w| assert!(a.told(*w)));
-        let twice: Vec<Word> = words
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut reports, truth) = random_reports(&mut rng);
+        let mut in_order = MergedCounts::new(10);
+        reports.iter().for_each(|r| assert!(in_order.apply(*r)));
+        let duplicates: Vec<CountReport> = reports
             .iter()
             .copied()
-            .filter(|_| chance.random_ratio(1, 2))
+            .filter(|_| rng.random_ratio(1, 2))
             .collect();
-        words.extend(twice);
-        words.shuffle(&mut chance);
-        let (mut b, mut c) = (Merged::new(10), Merged::new(10));
-        for (i, w) in words.iter().enumerate() {
-            if i % 2 == 0 { &mut b } else { &mut c }.told(*w);
+        reports.extend(duplicates);
+        reports.shuffle(&mut rng);
+        let (mut first, mut second) = (MergedCounts::new(10), MergedCounts::new(10));
+        for (i, report) in reports.iter().enumerate() {
+            let half = if i % 2 == 0 { &mut first } else { &mut second };
+            half.apply(*report);
         }
-        b.merge(&c);
-        c.merge(&b);
-        b.merge(&c);
-        assert_eq!((&a, &a), (&b, &c));
+        first.merge(&second);
+        second.merge(&first);
+        first.merge(&second);
+        assert_eq!((&in_order, &in_order), (&first, &second));
         truth
             .iter()
-            .for_each(|(slot, count)| assert_eq!(a.slot(*slot).0, *count));
+            .for_each(|(slot, count)| assert_eq!(in_order.slot(*slot).arrivals, *count));
     }
 }
 
 #[test]
-fn a_repeat_counts_once_and_a_later_lower_word_changes_nothing() {
-    let w = Word {
+fn a_repeated_report_counts_once_and_a_later_lower_one_changes_nothing() {
+    let report = CountReport {
         slot: 1,
         member: 0,
-        life: 1,
+        incarnation: 1,
         count: 7,
     };
-    let mut merged = Merged::new(4);
-    (0..3).for_each(|_| assert!(merged.told(w)));
-    assert!(merged.told(Word { count: 4, ..w }));
-    assert_eq!(merged.slot(1), (7, 1));
+    let mut merged = MergedCounts::new(4);
+    (0..3).for_each(|_| assert!(merged.apply(report)));
+    assert!(merged.apply(CountReport { count: 4, ..report }));
+    let expected = SlotCount {
+        arrivals: 7,
+        members: 1,
+    };
+    assert_eq!(merged.slot(1), expected);
 }
 
 #[test]
-fn what_is_too_old_is_not_kept_and_lives_are_bounded() {
-    let mut m = Merged::new(3);
-    assert!(m.told(Word {
-        slot: 10,
-        member: 0,
-        life: 1,
-        count: 1
-    }));
-    assert!(!m.told(Word {
-        slot: 7,
-        member: 0,
-        life: 1,
-        count: 1
-    }));
-    assert!(m.told(Word {
-        slot: 8,
-        member: 0,
-        life: 1,
-        count: 1
-    }));
-    assert!(m.told(Word {
-        slot: 12,
+fn old_slots_are_not_kept_and_incarnations_are_bounded() {
+    let report = |slot| CountReport {
+        slot,
         member: 0,
-        life: 1,
-        count: 1
-    }));
-    assert_eq!((m.slot(8), m.slot(10)), ((0, 0), (1, 1)));
-    (0..1_000).for_each(|life| {
-        assert!(m.told(Word {
-            slot: 12,
+        incarnation: 1,
+        count: 1,
+    };
+    let mut merged = MergedCounts::new(3);
+    assert!(merged.apply(report(10)));
+    assert!(!merged.apply(report(7)));
+    assert!(merged.apply(report(8)));
+    assert!(merged.apply(report(12)));
+    let one_arrival = SlotCount {
+        arrivals: 1,
+        members: 1,
+    };
+    assert_eq!(
+        (merged.slot(8), merged.slot(10)),
+        (SlotCount::default(), one_arrival)
+    );
+    (0..1_000).for_each(|incarnation| {
+        assert!(merged.apply(CountReport {
             member: 1,
-            life,
-            count: 1
+            incarnation,
+            ..report(12)
         }))
     });
-    assert!(m.bytes() < 1_000);
+    assert!(merged.size_bytes() < 1_000);
 }
 
 /// Ten thousand functions by Zipf's law, 200,000 arrivals; room for all, and for a tenth.
 #[test_case(10_000, 0.0 ; "room for all is exact")]
-#[test_case(2_000, 0.1 ; "a fifth of the room")]
-#[test_case(1_000, 0.25 ; "a tenth of the room")]
-fn counts_against_exact_ones(room: usize, most: f64) {
-    let mut chance = ChaCha8Rng::seed_from_u64(9);
-    let zipf = Zipf::new(10_000.0, 1.0).expect("a law");
-    let (mut counts, mut exact) = (Counts::new(room), BTreeMap::<u64, u32>::new());
+#[test_case(2_000, 0.1 ; "room for a fifth")]
+#[test_case(1_000, 0.25 ; "room for a tenth")]
+fn counts_are_close_to_exact_ones(capacity: usize, max_relative_error: f64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    let zipf = Zipf::new(10_000.0, 1.0).expect("valid parameters");
+    let (mut counts, mut exact) = (ArrivalCounts::new(capacity), BTreeMap::<u64, u32>::new());
     for _ in 0..200_000 {
-        let f = zipf.sample(&mut chance) as u64;
-        counts.add(f);
-        *exact.entry(f).or_default() += 1;
+        let function = zipf.sample(&mut rng) as u64;
+        counts.record(function);
+        *exact.entry(function).or_default() += 1;
     }
     assert_eq!(counts.total, 200_000);
-    // Never too low, never higher than it says that it may be.
-    for c in counts.all() {
-        let truth = exact[&c.function];
-        assert!(truth <= c.count && c.count - c.over <= truth);
+    // Never too low, never too high by more than it says.
+    for entry in counts.entries() {
+        let truth = exact[&entry.function];
+        assert!(truth <= entry.count && entry.count - entry.max_error <= truth);
     }
-    let mut top: Vec<(u64, u32)> = exact.iter().map(|(f, c)| (*f, *c)).collect();
-    top.sort_by_key(|t| std::cmp::Reverse(t.1));
-    let wrong = |t: &(u64, u32)| {
-        counts
-            .of(t.0)
-            .map_or(1.0, |c| f64::from(c.count - t.1) / f64::from(t.1))
+    let mut most_frequent: Vec<(u64, u32)> = exact.iter().map(|(f, c)| (*f, *c)).collect();
+    most_frequent.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let relative_error = |(function, truth): &(u64, u32)| {
+        counts.get(*function).map_or(1.0, |entry| {
+            f64::from(entry.count - truth) / f64::from(*truth)
+        })
     };
-    let worst = top[..100].iter().map(wrong).fold(0.0, f64::max);
+    let worst = most_frequent[..100]
+        .iter()
+        .map(relative_error)
+        .fold(0.0, f64::max);
     println!(
-        "room {room}: {} octets, worst of the hundred most wanted {:.1} in a hundred",
-        counts.bytes(),
+        "capacity {capacity}: {} bytes, worst of the hundred most frequent {:.1} %",
+        counts.size_bytes(),
         100.0 * worst
     );
-    assert!(worst <= most, "{worst}");
+    assert!(worst <= max_relative_error, "{worst}");
 }
 
-const SHAPE: Shape = Shape {
-    period: 24,
+const SHAPE: HistoryShape = HistoryShape {
+    slots_per_period: 24,
     periods: 3,
 };
 
 fn history() -> (History, Vec<u8>) {
-    let mut h = History::new(SHAPE);
-    (100..160).for_each(|s| h.tell(s, (s % 7 != 0).then_some(s as f32)));
+    let mut history = History::new(SHAPE);
+    (100..160).for_each(|slot| history.record(slot, (slot % 7 != 0).then_some(slot as f32)));
     let mut bytes = Vec::new();
-    h.write(&mut bytes);
-    (h, bytes)
+    history.encode(&mut bytes);
+    (history, bytes)
 }
 
 #[test]
-fn a_history_comes_back_whole() {
-    let (h, bytes) = history();
-    let back = History::read(&bytes, SHAPE).unwrap();
+fn a_history_is_decoded_as_it_was_encoded() {
+    let (history, bytes) = history();
+    let decoded = History::decode(&bytes, SHAPE).expect("it is good");
     assert_eq!(
-        (back.next(), back.periods(), back.most),
-        (h.next(), h.periods(), h.most)
+        (
+            decoded.next_slot(),
+            decoded.complete_periods(),
+            decoded.max_count
+        ),
+        (
+            history.next_slot(),
+            history.complete_periods(),
+            history.max_count
+        )
     );
-    (0..400).for_each(|s| assert_eq!(back.at(s), h.at(s)));
+    (0..400).for_each(|slot| assert_eq!(decoded.count(slot), history.count(slot)));
     assert_eq!(
-        (h.at(99), h.at(105), h.at(106), h.at(160)),
-        (None, None, Some(106.0), None)
+        [99, 105, 106, 160].map(|slot| history.count(slot)),
+        [None, None, Some(106.0), None]
     );
 }
 
-/// Cut anywhere, or any bit changed: named and set aside, never half taken.
+/// Cut anywhere, or any bit changed: an error, never half of it.
 #[test]
-fn a_spoilt_history_is_none() {
+fn a_damaged_history_is_rejected() {
     let (_, bytes) = history();
-    assert!((0..bytes.len()).all(|len| History::read(&bytes[..len], SHAPE).is_err()));
+    assert!((0..bytes.len()).all(|len| History::decode(&bytes[..len], SHAPE).is_err()));
     for bit in 0..bytes.len() * 8 {
         let mut bytes = bytes.clone();
         bytes[bit / 8] ^= 1 << (bit % 8);
-        assert!(History::read(&bytes, SHAPE).is_err());
+        assert!(History::decode(&bytes, SHAPE).is_err());
     }
-    let other = Shape {
-        period: 12,
+    let other_shape = HistoryShape {
+        slots_per_period: 12,
         periods: 6,
     };
-    assert_eq!(
-        History::read(&bytes, other).err(),
-        Some("period: another one than the settings'")
-    );
+    let error = History::decode(&bytes, other_shape).err();
+    assert_eq!(error, Some(HistoryError::OtherShape));
+}
+
+#[test]
+fn errors_name_the_part_that_is_wrong() {
+    let messages = [
+        (HistoryError::Truncated, "length: cut short"),
+        (HistoryError::UnknownVersion, "version: not tdwhist1"),
+        (HistoryError::WrongChecksum, "checksum: wrong"),
+        (
+            HistoryError::OtherShape,
+            "period: another one than the settings'",
+        ),
+        (
+            HistoryError::WrongLength,
+            "length: not as many slots as told",
+        ),
+        (
+            HistoryError::InvalidNumber,
+            "slots: a number that cannot be",
+        ),
+    ];
+    for (error, message) in messages {
+        assert_eq!(error.to_string(), message);
+    }
 }
 
 #[test]
-fn slots_passed_over_are_unknown_and_a_jump_leaves_nothing() {
-    let mut h = History::new(SHAPE);
-    (0..30).for_each(|s| h.tell(s, Some(1.0)));
-    h.tell(35, Some(2.0));
-    assert_eq!((h.at(29), h.at(32), h.at(35)), (Some(1.0), None, Some(2.0)));
-    h.tell(1_000_000, Some(3.0));
-    assert!((999_900..1_000_000).all(|s| h.at(s).is_none()));
-    // A clock set back far: passed by.
-    h.tell(5, Some(9.0));
-    assert_eq!((h.next(), h.at(5)), (1_000_001, None));
+fn skipped_slots_are_unknown_and_a_clock_jump_leaves_nothing() {
+    let mut history = History::new(SHAPE);
+    (0..30).for_each(|slot| history.record(slot, Some(1.0)));
+    history.record(35, Some(2.0));
+    assert_eq!(
+        [29, 32, 35].map(|slot| history.count(slot)),
+        [Some(1.0), None, Some(2.0)]
+    );
+    history.record(1_000_000, Some(3.0));
+    assert!((999_900..1_000_000).all(|slot| history.count(slot).is_none()));
+    // A clock set back far: ignored.
+    history.record(5, Some(9.0));
+    assert_eq!((history.next_slot(), history.count(5)), (1_000_001, None));
 }
 
 /// `cargo test --release -p tidewall-forecast --test merge -- --ignored --nocapture`.
@@ -218,38 +252,38 @@
 #[ignore = "a measurement"]
 fn costs_at_ten_thousand_functions() {
     use std::time::Instant;
-    let shape = Shape {
-        period: 288,
+    let shape = HistoryShape {
+        slots_per_period: 288,
         periods: 7,
     };
-    let mut chance = ChaCha8Rng::seed_from_u64(1);
-    let zipf = Zipf::new(10_000.0, 1.0).expect("a law");
-    let drawn: Vec<u64> = (0..1_000_000)
-        .map(|_| zipf.sample(&mut chance) as u64)
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let zipf = Zipf::new(10_000.0, 1.0).expect("valid parameters");
+    let arrivals: Vec<u64> = (0..1_000_000)
+        .map(|_| zipf.sample(&mut rng) as u64)
         .collect();
-    for room in [10_000, 1_000] {
-        let (began, mut counts) = (Instant::now(), Counts::new(room));
-        drawn.iter().for_each(|f| counts.add(*f));
+    for capacity in [10_000, 1_000] {
+        let (started, mut counts) = (Instant::now(), ArrivalCounts::new(capacity));
+        arrivals.iter().for_each(|f| counts.record(*f));
         println!(
-            "counts, room {room}: {:.0} ns an arrival, {} octets",
-            began.elapsed().as_secs_f64() * 1e3,
-            counts.bytes()
+            "counts, capacity {capacity}: {:.0} ns an arrival, {} bytes",
+            started.elapsed().as_secs_f64() * 1e3,
+            counts.size_bytes()
         );
     }
-    let mut m = Merged::new(4);
-    let began = Instant::now();
+    let mut merged = MergedCounts::new(4);
+    let started = Instant::now();
     for i in 0..1_000_000u64 {
-        m.told(Word {
+        merged.apply(CountReport {
             slot: i / 250_000,
             member: (i % 30) as u16,
-            life: 1,
+            incarnation: 1,
             count: (i % 1_000) as u32,
         });
     }
     println!(
-        "merge: {:.0} ns a word, {} octets for 4 slots of 30 members",
-        began.elapsed().as_secs_f64() * 1e3,
-        m.bytes()
+        "merge: {:.0} ns a report, {} bytes for 4 slots of 30 members",
+        started.elapsed().as_secs_f64() * 1e3,
+        merged.size_bytes()
     );
-    println!("history: {} octets a function", shape.slots() * 4 + 56);
+    println!("history: {} bytes a function", shape.slots() * 4 + 56);
 }
--- a/crates/tidewall-membership/src/membership.rs
+++ b/crates/tidewall-membership/src/membership.rs
@@ -7,6 +7,10 @@
 /// Members that are asked for an indirect ping; SWIM's usual number.
 const INDIRECT_PINGS: usize = 3;
 
+/// Members that are pinged at each tick while this one leaves: few datagrams a tick, and all are reached within a few dozen
+/// ticks in a usual fleet.
+const LEAVE_PINGS_PER_TICK: usize = 3;
+
 /// The local health score at most; Lifeguard's usual number.
 const MAX_LOCAL_HEALTH_SCORE: u32 = 8;
 
@@ -233,7 +237,7 @@
 
     /// Pings a few members at each tick, one after the other: this process will not run much longer.
     fn announce_leave(&mut self, actions: &mut impl MembershipActions) {
-        for _ in 0..INDIRECT_PINGS {
+        for _ in 0..LEAVE_PINGS_PER_TICK {
             let to = self.next_discovery_target();
             if to != self.me && self.is_alive(to) {
                 actions.ping(to, 0);
@@ -355,7 +359,7 @@
         }
     }
 
-    /// An update about ourselves: where this incarnation is said to be suspect or dead, a new refutation overrules it.
+    /// An update about ourselves: where this incarnation is said to be suspect or dead, a new refutation overrules that.
     fn refute(&mut self, update: MemberUpdate) {
         let current =
             update.incarnation == self.incarnation && update.refutation >= self.refutation;
