--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -133,12 +133,12 @@
         }
         if s.has("fleet_common") {
             coordination.start(&s, me, seed, args.left_out, &told)?;
-            gateway.watch_endpoints(coordination.watch());
+            gateway.watch_endpoints(coordination.endpoint_watcher());
         }
         mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))?;
         if gateway.stop_reason() == StopReason::Drained {
             drop(gateway);
-            coordination.end();
+            coordination.shut_down();
             return Ok(());
         }
         drop(gateway);
@@ -155,7 +155,7 @@
 pub fn read_keys(file: &std::path::Path) -> Result<Keys, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
-    parse_keys(&name, &text)
+    Ok(parse_keys(&name, &text)?)
 }
 
 /// Reads a password from standard input and prints its hash for the settings.
--- a/crates/tidewall-lease/src/lib.rs
+++ b/crates/tidewall-lease/src/lib.rs
@@ -27,7 +27,7 @@
 pub struct SafetyChecks {
     /// A grantor answers nothing for one lease duration after its start, as it forgot what it granted before.
     pub silent_start: bool,
-    /// A holder uses less than the lease duration, by what clocks may differ and by the age that a ticket may reach.
+    /// A holder uses less than the lease duration, by what clocks may differ and by the age that a permit may reach.
     pub shortened_lease: bool,
     /// A lease counts from when it was requested, not from when the reply arrived.
     pub counts_from_request: bool,
--- a/crates/tidewall-lease/tests/explore/deliver.rs
+++ b/crates/tidewall-lease/tests/explore/deliver.rs
@@ -1,5 +1,5 @@
 //! What a message does to its receiver.
-use crate::scenario::{Scenario, LEASE_DURATION, TICKET_MAX_AGE};
+use crate::scenario::{Scenario, LEASE_DURATION, PERMIT_MAX_AGE};
 use crate::world::{LatestEffect, Message, ReportedState, World};
 use tidewall_lease::grantor::{Grant, GrantorReply, GrantorSlot, LeaseOwner};
 use tidewall_lease::lease::{AcceptReply, PrepareReply};
@@ -26,7 +26,7 @@
                 epoch,
                 member,
                 incarnation,
-                ticket,
+                permit,
             } => {
                 let mut next = world.clone();
                 let effect = LatestEffect {
@@ -34,7 +34,7 @@
                     member,
                     incarnation,
                 };
-                self.effect_delivered(&mut next, effect, ticket);
+                self.effect_delivered(&mut next, effect, permit);
                 Some(next)
             }
         }
@@ -158,8 +158,8 @@
         Some(next)
     }
 
-    fn effect_delivered(&self, world: &mut World, effect: LatestEffect, ticket: Time) {
-        let in_time = self.worker_clock(world.at) <= ticket + TICKET_MAX_AGE;
+    fn effect_delivered(&self, world: &mut World, effect: LatestEffect, permit: Time) {
+        let in_time = self.worker_clock(world.at) <= permit + PERMIT_MAX_AGE;
         if !in_time {
             return;
         }
--- a/crates/tidewall-lease/tests/explore/scenario.rs
+++ b/crates/tidewall-lease/tests/explore/scenario.rs
@@ -13,8 +13,8 @@
 const FAST_RATE: Time = 6;
 const CLOCK_ERROR_PPM: u64 = 200_000;
 pub const LEASE_DURATION: Time = 24;
-/// How old a worker lets a ticket become, by its own clock.
-pub const TICKET_MAX_AGE: Time = 4;
+/// How old a worker lets a permit become, by its own clock.
+pub const PERMIT_MAX_AGE: Time = 4;
 
 /// How often each kind of event may still happen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -107,7 +107,7 @@
 impl Scenario {
     pub fn config(&self, member: usize, incarnation: u64) -> LeaseConfig {
         let usable_duration = if self.safety_checks.shortened_lease {
-            usable_duration(LEASE_DURATION, CLOCK_ERROR_PPM, TICKET_MAX_AGE)
+            usable_duration(LEASE_DURATION, CLOCK_ERROR_PPM, PERMIT_MAX_AGE)
         } else {
             LEASE_DURATION
         };
--- a/crates/tidewall-lease/tests/explore/step.rs
+++ b/crates/tidewall-lease/tests/explore/step.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    /// It requested a ticket just now; the effect leaves at once, or the member is paused before it does.
+    /// It requested a permit just now; the effect leaves at once, or the member is paused before it does.
     fn effect_sent(&self, world: &World, member: usize, successors: &mut Vec<World>) {
         let mut next = world.clone();
         next.budget.effects -= 1;
@@ -88,7 +88,7 @@
             epoch: sender.lease.epoch,
             member,
             incarnation: sender.incarnation,
-            ticket: self.worker_clock(world.at),
+            permit: self.worker_clock(world.at),
         });
         if world.budget.pauses > 0 {
             let mut paused = next.clone();
@@ -154,7 +154,7 @@
     }
 
     /// At most one member holds the lease. A paused member does not count: it has checked before, and that check is voided by
-    /// the age of its ticket, not by its clock.
+    /// the age of its permit, not by its clock.
     fn check(&self, world: &mut World) {
         if self.first_clock_beyond_bound {
             return;
--- a/crates/tidewall-lease/tests/explore/world.rs
+++ b/crates/tidewall-lease/tests/explore/world.rs
@@ -81,12 +81,12 @@
         granted: bool,
         state: ReportedState,
     },
-    /// An effect on its way to the worker, with the worker's time at which its ticket was given out.
+    /// An effect on its way to the worker, with the worker's time at which its permit was given out.
     Effect {
         epoch: u64,
         member: usize,
         incarnation: u64,
-        ticket: Time,
+        permit: Time,
     },
 }
 
