Lease: a proposer's replies name their request by ballot and phase, in failover's terms

Cause: failover gets types for a vote's request of its own; two pairs of equal types would remain. Change: `VoteRequest` and `BallotPhase` stand in `tidewall_lease::proposer`, so that failover can re-export them; its proposer builds a request from the ballot and the phase that its callers pass.

--- a/crates/tidewall-lease/src/proposer.rs
+++ b/crates/tidewall-lease/src/proposer.rs
@@ -33,22 +33,34 @@
     NoMajority,
 }
 
-/// Which of the two requests a reply answers.
+/// The phase of a ballot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum ProposalPhase {
-    /// Phase 1, a request for a promise.
+pub enum BallotPhase {
+    /// Phase 1: the acceptor promises to reject lower ballots.
     Prepare,
-    /// Phase 2, a request to accept a value.
+    /// Phase 2: the acceptor accepts a value.
     Accept,
 }
 
-/// The request that a reply answers.
+/// A request to an acceptor, which its reply, or the lack of one, belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct ReplyTo {
-    /// The ballot of the request.
+pub struct VoteRequest {
+    /// The number of the ballot.
     pub ballot: u64,
-    /// The kind of the request.
-    pub phase: ProposalPhase,
+    /// The phase of the ballot.
+    pub phase: BallotPhase,
+}
+
+impl VoteRequest {
+    /// A request of phase 2 where `accepting`, else of phase 1.
+    pub fn new(ballot: u64, accepting: bool) -> VoteRequest {
+        let phase = if accepting {
+            BallotPhase::Accept
+        } else {
+            BallotPhase::Prepare
+        };
+        VoteRequest { ballot, phase }
+    }
 }
 
 /// What an acceptor replied to the request that is under way.
@@ -185,7 +197,7 @@
         transport: &mut impl ProposerTransport<V>,
         rule: &mut R,
         acceptor: usize,
-        reply_to: ReplyTo,
+        request: VoteRequest,
         granted: bool,
         state: AcceptorState<V>,
     ) -> Option<RoundOutcome<V, R::Rejection>> {
@@ -195,7 +207,7 @@
         } else {
             Vote::Rejected
         };
-        self.vote(transport, rule, acceptor, reply_to, vote)
+        self.vote(transport, rule, acceptor, request, vote)
     }
 
     /// An acceptor cannot be reached, or did not reply. Gives the outcome where the round ended by it.
@@ -205,9 +217,9 @@
         transport: &mut impl ProposerTransport<V>,
         rule: &mut R,
         acceptor: usize,
-        reply_to: ReplyTo,
+        request: VoteRequest,
     ) -> Option<RoundOutcome<V, R::Rejection>> {
-        self.vote(transport, rule, acceptor, reply_to, Vote::Rejected)
+        self.vote(transport, rule, acceptor, request, Vote::Rejected)
     }
 
     /// Notes a vote, unless it answers an earlier request.
@@ -216,15 +228,15 @@
         transport: &mut impl ProposerTransport<V>,
         rule: &mut R,
         acceptor: usize,
-        reply_to: ReplyTo,
+        request: VoteRequest,
         vote: Vote<V>,
     ) -> Option<RoundOutcome<V, R::Rejection>> {
         let current_phase = match self.state {
             RoundState::Idle => return None,
-            RoundState::Preparing => ProposalPhase::Prepare,
-            RoundState::Accepting(_) => ProposalPhase::Accept,
+            RoundState::Preparing => BallotPhase::Prepare,
+            RoundState::Accepting(_) => BallotPhase::Accept,
         };
-        if reply_to.ballot != self.ballot || reply_to.phase != current_phase {
+        if request.ballot != self.ballot || request.phase != current_phase {
             return None;
         }
         self.votes[acceptor] = vote;
