Lease: a proposer's replies are ReplyTo with a ProposalPhase again, as failover has them

Cause: failover took these names over from here while they were renamed here after failover's; the two crossed.

--- a/crates/tidewall-failover/src/proposal.rs
+++ b/crates/tidewall-failover/src/proposal.rs
@@ -2,7 +2,7 @@
 //! claim may say is decided here: whoever claims hears of whoever might have been granted before, and by which lives all is known.
 use crate::leadership::{Leadership, LeadershipAcceptor};
 use tidewall_lease::proposer::{
-    BallotOwner, ProposalRule, ProposerRound, RoundOutcome, VoteRequest,
+    BallotOwner, ProposalPhase, ProposalRule, ProposerRound, ReplyTo, RoundOutcome,
 };
 
 pub use tidewall_lease::proposer::ProposerTransport;
@@ -113,19 +113,12 @@
         &mut self,
         ask: &mut impl ProposerTransport<Leadership>,
         voter: usize,
-        (ballot, accepting): (u64, bool),
+        of: (u64, bool),
         good: bool,
         promise: LeadershipAcceptor,
     ) -> Option<ProposalOutcome> {
         self.round
-            .reply_received(
-                ask,
-                &mut self.says,
-                voter,
-                VoteRequest::new(ballot, accepting),
-                good,
-                promise,
-            )
+            .reply_received(ask, &mut self.says, voter, reply_to(of), good, promise)
             .map(outcome)
     }
 
@@ -134,19 +127,23 @@
         &mut self,
         ask: &mut impl ProposerTransport<Leadership>,
         voter: usize,
-        (ballot, accepting): (u64, bool),
+        of: (u64, bool),
     ) -> Option<ProposalOutcome> {
         self.round
-            .reply_missing(
-                ask,
-                &mut self.says,
-                voter,
-                VoteRequest::new(ballot, accepting),
-            )
+            .reply_missing(ask, &mut self.says, voter, reply_to(of))
             .map(outcome)
     }
 }
 
+fn reply_to((ballot, accepting): (u64, bool)) -> ReplyTo {
+    let phase = if accepting {
+        ProposalPhase::Accept
+    } else {
+        ProposalPhase::Prepare
+    };
+    ReplyTo { ballot, phase }
+}
+
 fn outcome(came: RoundOutcome<Leadership, ProposalOutcome>) -> ProposalOutcome {
     match came {
         RoundOutcome::Granted(claim) => ProposalOutcome::Granted(claim),
--- a/crates/tidewall-lease/src/lease.rs
+++ b/crates/tidewall-lease/src/lease.rs
@@ -4,7 +4,7 @@
 use crate::ballot::{ballot_owner, is_plausible_after};
 use crate::claim::{GrantorTransport, LeaseRule};
 use crate::grantor::{Grant, GrantorReply, LeaseOwner};
-use crate::proposer::{BallotPhase, ProposerRound, RoundOutcome, VoteRequest};
+use crate::proposer::{ProposalPhase, ProposerRound, ReplyTo, RoundOutcome};
 use crate::renewal::{PendingRenewals, RenewalOutcome};
 use crate::{SafetyChecks, Time};
 
@@ -306,11 +306,11 @@
         reply: PrepareReply,
     ) {
         if self.ballot_seen(reply.reply.state.promised) && self.state == LeaseState::Claiming {
-            let request = VoteRequest {
+            let reply_to = ReplyTo {
                 ballot: reply.ballot,
-                phase: BallotPhase::Prepare,
+                phase: ProposalPhase::Prepare,
             };
-            self.claim_replied(now, config, actions, reply.grantor, request, reply.reply);
+            self.claim_replied(now, config, actions, reply.grantor, reply_to, reply.reply);
         }
     }
 
@@ -320,7 +320,7 @@
         config: &LeaseConfig,
         actions: &mut impl LeaseActions,
         grantor: usize,
-        request: VoteRequest,
+        reply_to: ReplyTo,
         reply: GrantorReply,
     ) {
         let Some(mut round) = self.round.take() else {
@@ -337,7 +337,7 @@
             &mut transport,
             &mut rule,
             grantor,
-            request,
+            reply_to,
             reply.granted,
             reply.state,
         );
@@ -409,11 +409,11 @@
         }
         match self.state {
             LeaseState::Claiming if reply.tag == self.last_tag => {
-                let request = VoteRequest {
+                let reply_to = ReplyTo {
                     ballot: reply.epoch,
-                    phase: BallotPhase::Accept,
+                    phase: ProposalPhase::Accept,
                 };
-                self.claim_replied(now, config, actions, reply.grantor, request, reply.reply);
+                self.claim_replied(now, config, actions, reply.grantor, reply_to, reply.reply);
             }
             LeaseState::Held if reply.epoch == self.epoch => {
                 match self.renewals.reply_received(
--- a/crates/tidewall-lease/src/proposer.rs
+++ b/crates/tidewall-lease/src/proposer.rs
@@ -33,34 +33,22 @@
     NoMajority,
 }
 
-/// The phase of a ballot.
+/// Which of the two requests a reply answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum BallotPhase {
-    /// Phase 1: the acceptor promises to reject lower ballots.
+pub enum ProposalPhase {
+    /// Phase 1, a request for a promise.
     Prepare,
-    /// Phase 2: the acceptor accepts a value.
+    /// Phase 2, a request to accept a value.
     Accept,
 }
 
-/// A request to an acceptor, which its reply, or the lack of one, belongs to.
+/// The request that a reply answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct VoteRequest {
-    /// The number of the ballot.
+pub struct ReplyTo {
+    /// The ballot of the request.
     pub ballot: u64,
-    /// The phase of the ballot.
-    pub phase: BallotPhase,
-}
-
-impl VoteRequest {
-    /// A request of phase 2 where `accepting`, else of phase 1.
-    pub fn new(ballot: u64, accepting: bool) -> VoteRequest {
-        let phase = if accepting {
-            BallotPhase::Accept
-        } else {
-            BallotPhase::Prepare
-        };
-        VoteRequest { ballot, phase }
-    }
+    /// The kind of the request.
+    pub phase: ProposalPhase,
 }
 
 /// What an acceptor replied to the request that is under way.
@@ -197,7 +185,7 @@
         transport: &mut impl ProposerTransport<V>,
         rule: &mut R,
         acceptor: usize,
-        request: VoteRequest,
+        reply_to: ReplyTo,
         granted: bool,
         state: AcceptorState<V>,
     ) -> Option<RoundOutcome<V, R::Rejection>> {
@@ -207,7 +195,7 @@
         } else {
             Vote::Rejected
         };
-        self.vote(transport, rule, acceptor, request, vote)
+        self.vote(transport, rule, acceptor, reply_to, vote)
     }
 
     /// An acceptor cannot be reached, or did not reply. Gives the outcome where the round ended by it.
@@ -217,9 +205,9 @@
         transport: &mut impl ProposerTransport<V>,
         rule: &mut R,
         acceptor: usize,
-        request: VoteRequest,
+        reply_to: ReplyTo,
     ) -> Option<RoundOutcome<V, R::Rejection>> {
-        self.vote(transport, rule, acceptor, request, Vote::Rejected)
+        self.vote(transport, rule, acceptor, reply_to, Vote::Rejected)
     }
 
     /// Notes a vote, unless it answers an earlier request.
@@ -228,15 +216,15 @@
         transport: &mut impl ProposerTransport<V>,
         rule: &mut R,
         acceptor: usize,
-        request: VoteRequest,
+        reply_to: ReplyTo,
         vote: Vote<V>,
     ) -> Option<RoundOutcome<V, R::Rejection>> {
         let current_phase = match self.state {
             RoundState::Idle => return None,
-            RoundState::Preparing => BallotPhase::Prepare,
-            RoundState::Accepting(_) => BallotPhase::Accept,
+            RoundState::Preparing => ProposalPhase::Prepare,
+            RoundState::Accepting(_) => ProposalPhase::Accept,
         };
-        if request.ballot != self.ballot || request.phase != current_phase {
+        if reply_to.ballot != self.ballot || reply_to.phase != current_phase {
             return None;
         }
         self.votes[acceptor] = vote;
