--- a/crates/tidewall-config/src/check/coordination.rs
+++ b/crates/tidewall-config/src/check/coordination.rs
@@ -2,7 +2,8 @@
 use super::references::address;
 use super::FieldError;
 use crate::Section;
-use tidewall_lease::lease::{usable, MAX_GRANTORS, MAX_MEMBERS};
+use tidewall_lease::ballot::MAX_MEMBERS;
+use tidewall_lease::lease::MAX_GRANTORS;
 
 /// The fewest grantors of which a majority survives the loss of one.
 const MIN_GRANTORS: usize = 3;
@@ -77,7 +78,8 @@
 /// the time.
 fn usable_duration(common: &Section) -> Result<u64, FieldError> {
     let (duration, permit) = (common.span("term_ms"), common.span("ticket_ms"));
-    let usable = usable(duration, common.whole("clocks_ppm"), permit);
+    let usable =
+        tidewall_lease::duration::usable_duration(duration, common.whole("clocks_ppm"), permit);
     if 2 * usable < duration {
         let reason = format!(
             "{} leaves {} ms to act after what clocks_ppm and ticket_ms take off; at least half of it is needed",
--- a/crates/tidewall-coordination/src/codec/lease_message.rs
+++ b/crates/tidewall-coordination/src/codec/lease_message.rs
@@ -2,8 +2,8 @@
 //! member and incarnation, which both sides know.
 use super::item::{index, small, RawItem};
 use super::{append, kind, DatagramError};
+use tidewall_lease::ballot::BALLOT_COUNT_LIMIT;
 use tidewall_lease::grantor::{Grant, GrantorReply};
-use tidewall_lease::lease::BALLOT_COUNT_LIMIT;
 
 /// What a lease holder asks of a grantor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/tidewall-coordination/src/config.rs
+++ b/crates/tidewall-coordination/src/config.rs
@@ -3,7 +3,8 @@
 use crate::Time;
 use std::net::SocketAddr;
 use tidewall_config::Section;
-use tidewall_lease::lease::{margin, usable, LeaseConfig};
+use tidewall_lease::duration::{max_effect_delay, usable_duration};
+use tidewall_lease::lease::LeaseConfig;
 use tidewall_lease::SafetyChecks;
 use tidewall_vrrp::packet::Keys;
 
@@ -93,11 +94,11 @@
             tasks: common.whole("leases") as usize,
             lease_duration,
             usable_duration: if safety_checks.shortened_lease {
-                usable(lease_duration, clocks_ppm, permit_age)
+                usable_duration(lease_duration, clocks_ppm, permit_age)
             } else {
                 lease_duration
             },
-            effect_timeout: margin(clocks_ppm, permit_age),
+            effect_timeout: max_effect_delay(clocks_ppm, permit_age),
             protocol_period: common.span("period_ms"),
             effect_interval: common.span("turn_ms"),
             datagrams_per_second: common.whole("datagrams_per_s"),
--- a/crates/tidewall-coordination/src/executor_task/mod.rs
+++ b/crates/tidewall-coordination/src/executor_task/mod.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use tidewall_lease::assignment::check;
+use tidewall_lease::assignment::checksum;
 use tidewall_net::{App, CloseReason, Conn, Listener, Net};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame, WireError};
 use tracing::debug;
@@ -61,7 +61,7 @@
     fn encode(&self, frame: &mut Vec<u8>) {
         frame.clear();
         let (task, member) = (self.task as u64, self.member as u64);
-        let checksum = check(&[
+        let checksum = checksum(&[
             self.id,
             task,
             self.epoch,
--- a/crates/tidewall-coordination/src/lease_task/actions.rs
+++ b/crates/tidewall-coordination/src/lease_task/actions.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeSet, VecDeque};
-use tidewall_lease::lease::{count, LeaseActions};
+use tidewall_lease::ballot::ballot_count;
+use tidewall_lease::lease::LeaseActions;
 use tidewall_membership::MembershipActions;
 
 /// A lease request to the grantor that this member is itself: no datagram goes out.
@@ -109,14 +110,14 @@
     fn prepare(&mut self, grantor: usize, task: usize, ballot: u64) {
         let remote = LeaseRequest::Prepare {
             task,
-            ballot_count: count(ballot),
+            ballot_count: ballot_count(ballot),
         };
         self.request(grantor, LocalRequest::Prepare { task, ballot }, remote);
     }
     fn accept(&mut self, grantor: usize, task: usize, epoch: u64, tag: u32) {
         let remote = LeaseRequest::Accept {
             task,
-            ballot_count: count(epoch),
+            ballot_count: ballot_count(epoch),
             tag,
         };
         self.request(grantor, LocalRequest::Accept { task, epoch, tag }, remote);
@@ -124,7 +125,7 @@
     fn release(&mut self, grantor: usize, task: usize, epoch: u64) {
         let remote = LeaseRequest::Release {
             task,
-            ballot_count: count(epoch),
+            ballot_count: ballot_count(epoch),
         };
         self.request(grantor, LocalRequest::Release { task, epoch }, remote);
     }
--- a/crates/tidewall-coordination/src/lease_task/handover.rs
+++ b/crates/tidewall-coordination/src/lease_task/handover.rs
@@ -13,7 +13,7 @@
     pub(super) fn announce_pending_leases(&mut self, now: Time) {
         while let Some(task) = self.actions.unannounced.first().copied() {
             let lease = self.holder.lease(task);
-            let (epoch, until) = (lease.epoch, lease.until);
+            let (epoch, until) = (lease.epoch, lease.usable_until);
             let command = ExecutorCommand::LeaseAcquired { task, epoch, until };
             if lease.is_held(now) && !self.actions.commands.send(command) {
                 break;
--- a/crates/tidewall-coordination/src/lease_task/mod.rs
+++ b/crates/tidewall-coordination/src/lease_task/mod.rs
@@ -23,8 +23,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tidewall_lease::assignment::Assignment;
-use tidewall_lease::grantor::{Grant, GrantorReply, LeaseGrantor};
+use tidewall_lease::grantor::{Grant, GrantorReply, LeaseGrantor, LeaseOwner};
 use tidewall_lease::holder::LeaseHolder;
+use tidewall_lease::lease::{AcceptReply, PrepareReply};
 use tidewall_membership::Membership;
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net};
 use tidewall_vrrp::packet::Keys;
@@ -247,7 +248,11 @@
         };
         match request {
             LocalRequest::Prepare { task, ballot } => {
-                if let Some(reply) = grantor.prepare(now, task, ballot, (member, incarnation)) {
+                let owner = LeaseOwner {
+                    member,
+                    incarnation,
+                };
+                if let Some(reply) = grantor.prepare(now, task, ballot, owner) {
                     self.handle_prepare_reply(now, member, task, ballot, reply);
                 }
             }
@@ -258,7 +263,7 @@
                     incarnation,
                 };
                 if let Some(reply) = grantor.accept(now, task, grant) {
-                    self.handle_accept_reply(now, member, task, (epoch, tag), reply);
+                    self.handle_accept_reply(now, member, task, epoch, tag, reply);
                 }
             }
             LocalRequest::Release { task, epoch } => grantor.release(now, task, epoch),
@@ -275,25 +280,35 @@
         reply: GrantorReply,
     ) {
         if let Some(index) = self.grantor_indices[grantor] {
-            let actions = &mut self.actions;
+            let reply = PrepareReply {
+                grantor: index,
+                ballot,
+                reply,
+            };
             self.holder
-                .prepare_replied(now, actions, (index, task), ballot, reply);
+                .prepare_replied(now, &mut self.actions, task, reply);
         }
     }
 
-    /// Replies of members that are no grantors are ignored. `request` is the epoch and tag of what is replied to.
+    /// Replies of members that are no grantors are ignored.
     fn handle_accept_reply(
         &mut self,
         now: Time,
         grantor: usize,
         task: usize,
-        request: (u64, u32),
+        epoch: u64,
+        tag: u32,
         reply: GrantorReply,
     ) {
         if let Some(index) = self.grantor_indices[grantor] {
-            let actions = &mut self.actions;
+            let reply = AcceptReply {
+                grantor: index,
+                epoch,
+                tag,
+                reply,
+            };
             self.holder
-                .accept_replied(now, actions, (index, task), request, reply);
+                .accept_replied(now, &mut self.actions, task, reply);
         }
     }
 }
--- a/crates/tidewall-coordination/src/lease_task/receive.rs
+++ b/crates/tidewall-coordination/src/lease_task/receive.rs
@@ -4,8 +4,8 @@
 use crate::{Time, SECOND};
 use std::net::SocketAddr;
 use tidewall_lease::acceptor::AcceptorState;
-use tidewall_lease::grantor::{Grant, GrantorReply};
-use tidewall_lease::lease::ballot;
+use tidewall_lease::ballot::ballot;
+use tidewall_lease::grantor::{Grant, GrantorReply, LeaseOwner};
 use tidewall_net::Net;
 use tracing::warn;
 
@@ -103,7 +103,10 @@
         };
         let reply = match request {
             LeaseRequest::Prepare { task, ballot_count } => {
-                let owner = (sender.member, sender.incarnation);
+                let owner = LeaseOwner {
+                    member: sender.member,
+                    incarnation: sender.incarnation,
+                };
                 grantor
                     .prepare(now, task, sender.ballot(ballot_count), owner)
                     .map(|reply| LeaseReply::for_prepare(task, ballot_count, &reply))
@@ -172,7 +175,7 @@
                     ..Grant::default()
                 };
                 let reply = granted(epoch, accepted, 0);
-                self.handle_accept_reply(now, grantor, task, (epoch, tag), reply);
+                self.handle_accept_reply(now, grantor, task, epoch, tag, reply);
             }
             LeaseReply::AcceptRejected {
                 task,
@@ -184,7 +187,7 @@
             } => {
                 let epoch = self.own_ballot(ballot_count);
                 let reply = rejected(promised, accepted, remaining);
-                self.handle_accept_reply(now, grantor, task, (epoch, tag), reply);
+                self.handle_accept_reply(now, grantor, task, epoch, tag, reply);
             }
         }
     }
--- a/crates/tidewall-coordination/tests/codec.rs
+++ b/crates/tidewall-coordination/tests/codec.rs
@@ -9,8 +9,8 @@
     DatagramHeader, INCARNATION_MASK, MAX_DATAGRAM,
 };
 use tidewall_coordination::replay_window::ReplayWindow;
+use tidewall_lease::ballot::BALLOT_COUNT_LIMIT;
 use tidewall_lease::grantor::Grant;
-use tidewall_lease::lease::BALLOT_COUNT_LIMIT;
 use tidewall_membership::{MemberState, MemberUpdate};
 use tidewall_vrrp::packet::Keys;
 
--- a/crates/tidewall-coordination/tests/codec_round_trip.rs
+++ b/crates/tidewall-coordination/tests/codec_round_trip.rs
@@ -8,8 +8,8 @@
     decode_header, decode_items, encode_header, encode_item, open, seal, DatagramHeader,
     MAX_DATAGRAM,
 };
+use tidewall_lease::ballot::BALLOT_COUNT_LIMIT;
 use tidewall_lease::grantor::Grant;
-use tidewall_lease::lease::BALLOT_COUNT_LIMIT;
 use tidewall_membership::{MemberState, MemberUpdate};
 use tidewall_vrrp::packet::Keys;
 
