--- a/crates/tidewall-cli/src/coordination.rs
+++ b/crates/tidewall-cli/src/coordination.rs
@@ -12,7 +12,7 @@
 use tidewall_coordination::executor_task::ExecutorTask;
 use tidewall_coordination::lease_task::LeaseTask;
 use tidewall_coordination::mailbox::{channel, ExecutorCommand, MailboxSender};
-use tidewall_failover::proposal::next;
+use tidewall_failover::proposal::next_incarnation;
 use tidewall_gateway::EndpointWatcher;
 use tidewall_net::mio::{self, Mio};
 use tidewall_sim::fleet::Plant;
@@ -55,8 +55,14 @@
         let clock = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(1, |d| d.as_millis() as u64);
-        let conf =
-            CoordinationConfig::new(s, me, next(0, clock), seed, plant.guards(), Box::new(keys));
+        let conf = CoordinationConfig::new(
+            s,
+            me,
+            next_incarnation(0, clock),
+            seed,
+            plant.guards(),
+            Box::new(keys),
+        );
         // Times that one tells the other are of one clock.
         let (started, ppm) = (Instant::now(), conf.trial_ppm);
         let net = || {
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -11,7 +11,7 @@
 use tidewall_amqp_ingress::Amqp;
 use tidewall_emulator::{Fleet, NoGateways, Plan};
 use tidewall_failover::flap_damping::FlapDamping;
-use tidewall_failover::proposal::next;
+use tidewall_failover::proposal::next_incarnation;
 use tidewall_gateway::config::{failover_config, gateway_config, parse_keys};
 use tidewall_gateway::endpoints::{
     BackgroundEndpointCache, EndpointCache, FileEndpointCache, NoEndpointCache,
@@ -108,7 +108,7 @@
                 }
                 last.borrow().clone()
             };
-            life = next(
+            life = next_incarnation(
                 life,
                 SystemTime::now()
                     .duration_since(UNIX_EPOCH)
--- a/crates/tidewall-cli/src/status.rs
+++ b/crates/tidewall-cli/src/status.rs
@@ -47,7 +47,7 @@
     Ok(vec![
         f.text(Field::Name)?.to_string(),
         f.text(Field::Word)?.to_string(),
-        tidewall_failover::proposal::count(f.upto(Field::Epoch, u64::MAX, 0)?).to_string(),
+        tidewall_failover::proposal::epoch_number(f.upto(Field::Epoch, u64::MAX, 0)?).to_string(),
         if f.flag(Field::On)? { "up" } else { "down" }.to_string(),
         whole(Field::InFlight)?,
         whole(Field::Copies)?,
--- a/crates/tidewall-emulator/src/workers.rs
+++ b/crates/tidewall-emulator/src/workers.rs
@@ -387,7 +387,7 @@
             let ends: Vec<Conn> = w
                 .members
                 .iter()
-                .filter(|m| p.must_end(m.1 - 1))
+                .filter(|m| p.must_abort(m.1 - 1))
                 .map(|m| m.0)
                 .collect();
             for old in ends {
--- a/crates/tidewall-failover/src/deduplication.rs
+++ b/crates/tidewall-failover/src/deduplication.rs
@@ -1,5 +1,9 @@
-//! What became of the events of a pair, by type and mark: in hand here, in hand at the other member, or answered. Bounded
-//! by count and by time. Entries live in a slab; the table finds their places and holds no marks of its own.
+//! The deduplication table: what became of the requests with an idempotency key. A request is in flight at this member,
+//! in flight at the other one, or has a response that is given again to whoever repeats it.
+//!
+//! The table is bounded by count and by time. Entries live in a slab; the hash index holds their slots and no keys of its
+//! own.
+
 use crate::Time;
 use hashbrown::HashTable;
 use rustc_hash::FxHasher;
@@ -7,164 +11,197 @@
 use std::collections::VecDeque;
 use std::hash::Hasher;
 
-/// Answers that are kept at most: at a thousand events a second, four minutes' worth.
+/// Responses that are kept at most: at a thousand requests a second, four minutes' worth.
 pub const MAX_ENTRIES: usize = 262_144;
 
+/// Where a request with an idempotency key is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RequestLocation {
+    /// In flight at this member, in this slot of its requests.
     Local(usize),
+    /// In flight at the other member, in this slot of the replicated requests.
     Remote(usize),
-    /// The word's number and the payload.
-    Responded(u8, Box<[u8]>),
+    /// Completed, rejected or failed.
+    Responded {
+        /// The caller's number of the disposition.
+        disposition: u8,
+        /// What the response carried.
+        payload: Box<[u8]>,
+    },
 }
 
+/// One request of the table.
 pub struct DeduplicationEntry {
+    /// The request class; the same key in two classes names two requests.
     pub class: usize,
+    /// Never empty.
     pub idempotency_key: Box<[u8]>,
+    /// Where the request is.
     pub location: RequestLocation,
-    pub until: Time,
-    count: u64,
+    /// Differs after each change, so that the expiry of a former response does not remove a newer one.
+    generation: u64,
+}
+
+/// When a response is removed, unless its entry changed meanwhile.
+struct Expiry {
+    at: Time,
+    slot: usize,
+    generation: u64,
 }
 
+/// Requests by class and idempotency key.
 #[derive(Default)]
 pub struct DeduplicationTable {
-    keys: HashTable<usize>,
+    /// Slots of `entries`, by the hash of class and key.
+    index: HashTable<usize>,
     entries: Slab<DeduplicationEntry>,
-    /// When answers end, oldest first.
-    ends: VecDeque<(Time, usize, u64)>,
-    count: u64,
+    /// In the order in which the responses were recorded.
+    expiries: VecDeque<Expiry>,
+    last_generation: u64,
 }
 
-fn hash(typ: usize, mark: &[u8]) -> u64 {
+fn hash(class: usize, idempotency_key: &[u8]) -> u64 {
     let mut hasher = FxHasher::default();
-    hasher.write_usize(typ);
-    hasher.write(mark);
+    hasher.write_usize(class);
+    hasher.write(idempotency_key);
     hasher.finish()
 }
 
 impl DeduplicationTable {
-    fn key(&self, typ: usize, mark: &[u8]) -> Option<usize> {
-        let same = |key: &usize| {
-            let entry = &self.entries[*key];
-            entry.class == typ && *entry.idempotency_key == *mark
+    fn slot(&self, class: usize, idempotency_key: &[u8]) -> Option<usize> {
+        let matches = |slot: &usize| {
+            let entry = &self.entries[*slot];
+            entry.class == class && *entry.idempotency_key == *idempotency_key
         };
-        self.keys.find(hash(typ, mark), same).copied()
+        self.index
+            .find(hash(class, idempotency_key), matches)
+            .copied()
     }
 
-    pub fn lookup(&mut self, now: Time, typ: usize, mark: &[u8]) -> Option<&RequestLocation> {
-        self.forget(now);
-        let key = self.key(typ, mark)?;
-        Some(&self.entries[key].location)
+    /// Where this request is, as far as it is known.
+    pub fn lookup(
+        &mut self,
+        now: Time,
+        class: usize,
+        idempotency_key: &[u8],
+    ) -> Option<&RequestLocation> {
+        self.remove_expired(now);
+        let slot = self.slot(class, idempotency_key)?;
+        Some(&self.entries[slot].location)
     }
 
-    fn drop_key(&mut self, key: usize) {
-        let entry = self.entries.remove(key);
-        if let Ok(found) = self
-            .keys
-            .find_entry(hash(entry.class, &entry.idempotency_key), |k| *k == key)
-        {
+    fn remove_slot(&mut self, slot: usize) {
+        let entry = self.entries.remove(slot);
+        let hash = hash(entry.class, &entry.idempotency_key);
+        if let Ok(found) = self.index.find_entry(hash, |other| *other == slot) {
             found.remove();
         }
     }
 
-    /// In hand, here or there.
-    pub fn insert_in_flight(&mut self, typ: usize, mark: &[u8], place: RequestLocation) {
-        if !mark.is_empty() {
-            self.put(typ, mark, place, Time::MAX);
+    /// Records that the request is in flight, here or at the other member. A request without a key is not recorded.
+    pub fn insert_in_flight(
+        &mut self,
+        class: usize,
+        idempotency_key: &[u8],
+        location: RequestLocation,
+    ) {
+        if !idempotency_key.is_empty() {
+            self.insert(class, idempotency_key, location);
         }
     }
 
-    fn put(&mut self, typ: usize, mark: &[u8], place: RequestLocation, until: Time) -> usize {
-        self.count += 1;
-        let count = self.count;
-        if let Some(key) = self.key(typ, mark) {
-            let entry = &mut self.entries[key];
-            (entry.location, entry.until, entry.count) = (place, until, count);
-            return key;
+    fn insert(&mut self, class: usize, idempotency_key: &[u8], location: RequestLocation) -> usize {
+        self.last_generation += 1;
+        let generation = self.last_generation;
+        if let Some(slot) = self.slot(class, idempotency_key) {
+            let entry = &mut self.entries[slot];
+            (entry.location, entry.generation) = (location, generation);
+            return slot;
         }
-        let key = self.entries.insert(DeduplicationEntry {
-            class: typ,
-            idempotency_key: mark.into(),
-            location: place,
-            until,
-            count,
+        let slot = self.entries.insert(DeduplicationEntry {
+            class,
+            idempotency_key: idempotency_key.into(),
+            location,
+            generation,
         });
         let entries = &self.entries;
-        self.keys.insert_unique(hash(typ, mark), key, |k| {
-            hash(entries[*k].class, &entries[*k].idempotency_key)
-        });
-        key
+        self.index
+            .insert_unique(hash(class, idempotency_key), slot, |other| {
+                hash(entries[*other].class, &entries[*other].idempotency_key)
+            });
+        slot
     }
 
-    /// Its answer is given again until then.
+    /// Records the response, to be given again until `expires_at`. A request without a key is not recorded.
     pub fn record_response(
         &mut self,
         now: Time,
-        typ: usize,
-        mark: &[u8],
-        word: u8,
+        class: usize,
+        idempotency_key: &[u8],
+        disposition: u8,
         payload: &[u8],
-        until: Time,
+        expires_at: Time,
     ) {
-        if mark.is_empty() {
+        if idempotency_key.is_empty() {
             return;
         }
-        let key = self.put(
-            typ,
-            mark,
-            RequestLocation::Responded(word, payload.into()),
-            until,
-        );
-        self.ends.push_back((until, key, self.count));
-        self.forget(now);
+        let response = RequestLocation::Responded {
+            disposition,
+            payload: payload.into(),
+        };
+        let slot = self.insert(class, idempotency_key, response);
+        self.expiries.push_back(Expiry {
+            at: expires_at,
+            slot,
+            generation: self.last_generation,
+        });
+        self.remove_expired(now);
     }
 
-    /// It may be asked anew.
-    pub fn remove(&mut self, typ: usize, mark: &[u8]) {
-        if let Some(key) = self.key(typ, mark) {
-            self.drop_key(key);
+    /// Forgets the request: whoever repeats it starts it anew.
+    pub fn remove(&mut self, class: usize, idempotency_key: &[u8]) {
+        if let Some(slot) = self.slot(class, idempotency_key) {
+            self.remove_slot(slot);
         }
     }
 
-    /// Whether one more event may be taken: no answer is forgotten before its time, or its repeat would run again.
+    /// Whether one more request may be admitted: no response is dropped before its time, or its repeat would run again.
     pub fn has_capacity(&self) -> bool {
-        self.ends.len() < MAX_ENTRIES
+        self.expiries.len() < MAX_ENTRIES
     }
 
-    fn forget(&mut self, now: Time) {
-        while self.ends.front().is_some_and(|e| e.0 <= now) {
-            let Some((_, key, count)) = self.ends.pop_front() else {
-                return;
-            };
-            if self.entries.get(key).is_some_and(|e| e.count == count) {
-                self.drop_key(key);
+    fn remove_expired(&mut self, now: Time) {
+        while let Some(expiry) = self.expiries.pop_front_if(|expiry| expiry.at <= now) {
+            let current = self.entries.get(expiry.slot);
+            if current.is_some_and(|entry| entry.generation == expiry.generation) {
+                self.remove_slot(expiry.slot);
             }
         }
     }
 
-    /// The next entry from this place on, in the order of places.
-    pub fn next(&self, from: usize) -> Option<(usize, &DeduplicationEntry)> {
-        (from..self.entries.capacity()).find_map(|key| Some((key, self.entries.get(key)?)))
+    /// The first entry at or after a slot, with its own slot, in the order of slots: a cursor that stays valid while the
+    /// table changes.
+    pub fn next_entry_from(&self, slot: usize) -> Option<(usize, &DeduplicationEntry)> {
+        (slot..self.entries.capacity()).find_map(|slot| Some((slot, self.entries.get(slot)?)))
     }
 
-    /// What the other member told is void; what is in hand here stays.
-    pub fn clear_responses(&mut self) {
-        for key in 0..self.entries.capacity() {
-            let void = self
-                .entries
-                .get(key)
-                .is_some_and(|e| !matches!(e.location, RequestLocation::Local(_)));
-            if void {
-                self.drop_key(key);
+    /// Removes responses and what is in flight at the other member; what is in flight here stays.
+    pub fn retain_local(&mut self) {
+        for slot in 0..self.entries.capacity() {
+            let entry = self.entries.get(slot);
+            if entry.is_some_and(|entry| !matches!(entry.location, RequestLocation::Local(_))) {
+                self.remove_slot(slot);
             }
         }
-        self.ends.clear();
+        self.expiries.clear();
     }
 
+    /// The number of entries, in flight or answered.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
+    /// Whether there is no entry.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
--- a/crates/tidewall-failover/src/load_request_limit.rs
+++ b/crates/tidewall-failover/src/load_request_limit.rs
@@ -1,62 +1,73 @@
-//! The ration of load orders over both lives: what the old master ordered and took within the window counts for the new
-//! one as well, or each takeover would bring a fresh ration. The decisions keep their own; this one only refuses.
+//! The rate limit of load requests (orders to a worker to load a function), across a takeover: what the former active
+//! member requested and received within the window counts for the new one as well, or each takeover would bring a fresh
+//! allowance. The scheduler has a limit of its own; this one only refuses.
+
 use crate::Time;
 use std::collections::VecDeque;
 
+/// A sliding-window limit: so many load requests are free, and so many more for each client request received.
 pub struct LoadRequestLimiter {
     window: Time,
-    free: f64,
-    share: f64,
-    orders: VecDeque<Time>,
-    taken: VecDeque<Time>,
+    base_allowance: f64,
+    allowance_per_request: f64,
+    load_requests: VecDeque<Time>,
+    requests: VecDeque<Time>,
 }
 
 impl LoadRequestLimiter {
-    /// A window of 0 rations nothing.
-    pub fn new(window: Time, free: f64, share: f64) -> LoadRequestLimiter {
+    /// Within `window` there may be `base_allowance` load requests plus `allowance_per_request` for each client request.
+    /// A window of 0 disables the limit.
+    pub fn new(
+        window: Time,
+        base_allowance: f64,
+        allowance_per_request: f64,
+    ) -> LoadRequestLimiter {
         LoadRequestLimiter {
             window,
-            free,
-            share,
-            orders: VecDeque::new(),
-            taken: VecDeque::new(),
+            base_allowance,
+            allowance_per_request,
+            load_requests: VecDeque::new(),
+            requests: VecDeque::new(),
         }
     }
 
-    fn forget(&mut self, now: Time) {
+    fn remove_expired(&mut self, now: Time) {
         let window = self.window;
-        let old = |at: Option<&Time>| at.is_some_and(|at| at + window <= now);
-        while old(self.taken.front()) {
-            self.taken.pop_front();
+        let expired = |at: Option<&Time>| at.is_some_and(|at| at + window <= now);
+        while expired(self.requests.front()) {
+            self.requests.pop_front();
         }
-        while old(self.orders.front()) {
-            self.orders.pop_front();
+        while expired(self.load_requests.front()) {
+            self.load_requests.pop_front();
         }
     }
 
+    /// Counts a client request.
     pub fn request_received(&mut self, now: Time) {
         if self.window > 0 {
-            self.forget(now);
-            self.taken.push_back(now);
+            self.remove_expired(now);
+            self.requests.push_back(now);
         }
     }
 
-    /// What was counted last had been counted before: an event that the other member took and we go on with.
+    /// Uncounts the last client request: one that the other member received, and counted, before this one took it over.
     pub fn undo_last_request(&mut self) {
-        self.taken.pop_back();
+        self.requests.pop_back();
     }
 
+    /// Counts a load request, of this member or of the other one.
     pub fn load_requested(&mut self, now: Time) {
         if self.window > 0 {
-            self.forget(now);
-            self.orders.push_back(now);
+            self.remove_expired(now);
+            self.load_requests.push_back(now);
         }
     }
 
-    /// Whether one more order is within the ration.
+    /// Whether one more load request is within the limit.
     pub fn has_capacity(&mut self, now: Time) -> bool {
-        self.forget(now);
-        self.window == 0
-            || (self.orders.len() + 1) as f64 <= self.free + self.share * self.taken.len() as f64
+        self.remove_expired(now);
+        let allowance =
+            self.base_allowance + self.allowance_per_request * self.requests.len() as f64;
+        self.window == 0 || (self.load_requests.len() + 1) as f64 <= allowance
     }
 }
--- a/crates/tidewall-failover/src/proposal.rs
+++ b/crates/tidewall-failover/src/proposal.rs
@@ -1,194 +1,251 @@
-//! How a member gets leave to serve: a round of `tidewall-lease` whose voters are workers named in the settings. What a
-//! claim may say is decided here: whoever claims hears of whoever might have been granted before, and by which lives all is known.
+//! How a member is granted leadership: one round of the Paxos proposer of `tidewall-lease`, whose acceptors, the voters,
+//! are workers named in the settings. This module decides what may be proposed: the proposer learns of any leadership that
+//! a majority may have accepted before, and of the incarnations that hold all state in flight.
+
 use crate::leadership::{Leadership, LeadershipAcceptor};
 use tidewall_lease::proposer::{BallotOwner, ProposalRule, ProposerRound, RoundOutcome};
 
 pub use tidewall_lease::proposer::ProposerTransport;
 
-/// What for.
+/// Why leadership is proposed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
-    /// To serve instead of the other one.
+    /// To serve instead of the other member.
     TakeOver,
-    /// To go on serving, with other lives in the know.
-    GoOn,
+    /// To go on serving, with another set of synchronised incarnations.
+    Renew,
 }
 
+/// How a proposal ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProposalOutcome {
+    /// A majority of voters accepted it.
     Granted(Leadership),
-    /// This life does not hold all that there is to know, and one that does may come back.
+    /// This incarnation does not hold all state in flight, and one that does may come back.
     OutOfSync,
-    /// The other member serves, or might.
+    /// The other member serves, or may serve.
     Superseded,
+    /// Too few voters could be reached, or they promised a higher ballot.
     NoMajority,
 }
 
-/// What a claim would say, besides its epoch.
+/// What to propose, besides the epoch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProposalRequest {
+    /// Why it is proposed.
     pub purpose: Purpose,
-    /// The other member's life, where it holds all as well.
-    pub with: Option<u64>,
-    /// Whether the other member ends what it has out; otherwise its launches stay good.
-    pub fences: bool,
+    /// The incarnation of the other member, where it holds all state in flight as well. Its calls stay valid then; `None`
+    /// fences them.
+    pub synced_peer: Option<u64>,
 }
 
-/// The lower bits of a ballot: the member, and of its life so much that lives (milliseconds) a few hours apart differ.
-const OWN: u32 = 24;
+impl ProposalRequest {
+    /// To go on serving without the other member, whose calls are fenced.
+    pub const RENEW_ALONE: ProposalRequest = ProposalRequest {
+        purpose: Purpose::Renew,
+        synced_peer: None,
+    };
+}
 
-/// How many ballots came before, as people count them.
-pub fn count(epoch: u64) -> u64 {
-    epoch >> OWN
+/// The phase of a ballot (Lamport, "Paxos Made Simple", 2001, section 2.2).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BallotPhase {
+    /// Phase 1: the voter promises to refuse lower ballots.
+    Prepare,
+    /// Phase 2: the voter accepts a leadership.
+    Accept,
 }
 
-/// A life's number: the clock's milliseconds, but above that of the life before in this process. Two lives within one
-/// millisecond, or across a clock that was set back, would use the same ballots.
-pub fn next(last: u64, clock: u64) -> u64 {
+/// A request to a voter that a reply, or its absence, belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VoteRequest {
+    /// The ballot's number.
+    pub ballot: u64,
+    /// Its phase.
+    pub phase: BallotPhase,
+}
+
+impl VoteRequest {
+    /// A request of phase 2 where `accepting`, else of phase 1.
+    pub fn new(ballot: u64, accepting: bool) -> VoteRequest {
+        let phase = match accepting {
+            true => BallotPhase::Accept,
+            false => BallotPhase::Prepare,
+        };
+        VoteRequest { ballot, phase }
+    }
+
+    fn parts(self) -> (u64, bool) {
+        (self.ballot, self.phase == BallotPhase::Accept)
+    }
+}
+
+/// The lower bits of a ballot: the member, and so much of its incarnation that incarnations (milliseconds) a few hours
+/// apart differ.
+const OWNER_BITS: u32 = 24;
+
+/// The round of an epoch: its number without the bits that name who proposed it. Logs and `tidewall status` show this.
+pub fn epoch_number(epoch: u64) -> u64 {
+    epoch >> OWNER_BITS
+}
+
+/// The number of the next incarnation: the wall clock in milliseconds, but above `last`, the number before in this process.
+/// Two incarnations within one millisecond, or across a clock that was set back, would use the same ballots.
+pub fn next_incarnation(last: u64, clock: u64) -> u64 {
     clock.max(last + 1)
 }
 
-/// What the rule of this claim goes by, beside what the voters tell.
-struct Says {
-    me: usize,
-    life: u64,
-    wish: Option<ProposalRequest>,
-    /// Lives of the other member up to this one are over.
-    over: u64,
-    forgot: bool,
+/// Decides what may be proposed, by what the voters accepted before.
+struct LeadershipRule {
+    member: usize,
+    incarnation: u64,
+    request: Option<ProposalRequest>,
+    /// Incarnations of the other member up to this one ended.
+    ended_peer_incarnation: u64,
+    lost_state: bool,
 }
 
+/// Proposes leadership for one incarnation of a member.
 pub struct LeadershipProposer {
-    says: Says,
+    rule: LeadershipRule,
     round: ProposerRound<Leadership>,
 }
 
 impl LeadershipProposer {
-    pub fn new(me: usize, life: u64, voters: usize) -> LeadershipProposer {
+    /// `member` is 0 or 1, `voters` is the number of voters.
+    pub fn new(member: usize, incarnation: u64, voters: usize) -> LeadershipProposer {
+        let owner = BallotOwner::new(OWNER_BITS, incarnation << 1 | member as u64);
         LeadershipProposer {
-            says: Says {
-                me,
-                life,
-                wish: None,
-                over: 0,
-                forgot: false,
+            rule: LeadershipRule {
+                member,
+                incarnation,
+                request: None,
+                ended_peer_incarnation: 0,
+                lost_state: false,
             },
-            round: ProposerRound::new(BallotOwner::new(OWN, life << 1 | me as u64), voters),
+            round: ProposerRound::new(owner, voters),
         }
     }
 
-    pub fn busy(&self) -> bool {
+    /// Whether a proposal is under way.
+    pub fn is_proposing(&self) -> bool {
         self.round.busy()
     }
 
-    pub fn stop(&mut self) {
+    /// Abandons the proposal under way; replies to it are ignored.
+    pub fn abandon(&mut self) {
         self.round.stop();
     }
 
-    /// Lives of the other member up to this one are over.
-    pub fn peer_incarnation_ended(&mut self, life: u64) {
-        self.says.over = self.says.over.max(life);
+    /// Incarnations of the other member up to this one ended, so nobody waits for the state that they held.
+    pub fn peer_incarnation_ended(&mut self, incarnation: u64) {
+        self.rule.ended_peer_incarnation = self.rule.ended_peer_incarnation.max(incarnation);
     }
 
-    /// The claim under way follows lives that are all over: what they had in hand is known to nobody.
-    pub fn forgot(&self) -> bool {
-        self.says.forgot
+    /// Whether the incarnations that held all state in flight ended: what they had in flight is on no record.
+    pub fn has_lost_state(&self) -> bool {
+        self.rule.lost_state
     }
 
-    /// What there is to know is known again, or it was said that it is not.
-    pub fn knows(&mut self) {
-        self.says.forgot = false;
+    /// All state in flight is held here again, or its loss was reported.
+    pub fn lost_state_handled(&mut self) {
+        self.rule.lost_state = false;
     }
 
-    /// Begins anew, whatever was under way.
-    pub fn begin(&mut self, ask: &mut impl ProposerTransport<Leadership>, wish: ProposalRequest) {
-        self.says.wish = Some(wish);
-        self.round.begin(ask);
+    /// Starts a proposal with a new ballot and abandons the one under way.
+    pub fn propose(
+        &mut self,
+        transport: &mut impl ProposerTransport<Leadership>,
+        request: ProposalRequest,
+    ) {
+        self.rule.request = Some(request);
+        self.round.begin(transport);
     }
 
-    /// A voter's answer to the ballot; `accepting` tells which of the two questions it answers.
+    /// A voter's reply to `request`: whether it agreed, and what it stores. Returns the outcome once it is certain.
     pub fn vote_received(
         &mut self,
-        ask: &mut impl ProposerTransport<Leadership>,
+        transport: &mut impl ProposerTransport<Leadership>,
         voter: usize,
-        of: (u64, bool),
-        good: bool,
-        promise: LeadershipAcceptor,
+        request: VoteRequest,
+        agreed: bool,
+        acceptor: LeadershipAcceptor,
     ) -> Option<ProposalOutcome> {
+        let context = (transport, &mut self.rule);
         self.round
-            .reply_received((ask, &mut self.says), voter, of, good, promise)
-            .map(outcome)
+            .reply_received(context, voter, request.parts(), agreed, acceptor)
+            .map(proposal_outcome)
     }
 
-    /// A voter cannot be asked, or did not answer.
+    /// A voter cannot be reached, or did not reply to `request`. Returns the outcome once it is certain.
     pub fn vote_missing(
         &mut self,
-        ask: &mut impl ProposerTransport<Leadership>,
+        transport: &mut impl ProposerTransport<Leadership>,
         voter: usize,
-        of: (u64, bool),
+        request: VoteRequest,
     ) -> Option<ProposalOutcome> {
         self.round
-            .reply_missing((ask, &mut self.says), voter, of)
-            .map(outcome)
+            .reply_missing((transport, &mut self.rule), voter, request.parts())
+            .map(proposal_outcome)
     }
 }
 
-fn outcome(came: RoundOutcome<Leadership, ProposalOutcome>) -> ProposalOutcome {
-    match came {
-        RoundOutcome::Granted(claim) => ProposalOutcome::Granted(claim),
-        RoundOutcome::Not(why) => why,
+fn proposal_outcome(outcome: RoundOutcome<Leadership, ProposalOutcome>) -> ProposalOutcome {
+    match outcome {
+        RoundOutcome::Granted(leadership) => ProposalOutcome::Granted(leadership),
+        RoundOutcome::Not(reason) => reason,
         RoundOutcome::NoMajority => ProposalOutcome::NoMajority,
     }
 }
 
-impl ProposalRule<Leadership> for Says {
+impl ProposalRule<Leadership> for LeadershipRule {
     type No = ProposalOutcome;
 
     fn propose(
         &mut self,
         ballot: u64,
-        told: Option<Leadership>,
+        governing: Option<Leadership>,
     ) -> Result<Leadership, ProposalOutcome> {
-        let wish = self.wish.expect("it is under way");
-        self.allowed(wish, told)?;
-        // It stays so, or a claim of our own that few accepted would look as if this life knew all.
-        self.forgot |= told.is_some_and(|t| t.synced_incarnations[self.me] != self.life);
-        let mut sync = [0; 2];
-        sync[self.me] = self.life;
-        sync[1 - self.me] = wish.with.unwrap_or(0);
-        let floor = if wish.fences {
-            ballot
-        } else {
-            told.map_or(0, |t| t.fencing_floor)
+        let request = self
+            .request
+            .expect("a round starts with the request that is stored before it");
+        if let Some(governing) = governing {
+            self.check(request.purpose, governing)?;
+            // It stays set: a proposal of our own that few voters accepted would look as if this incarnation held all state.
+            self.lost_state |= governing.synced_incarnations[self.member] != self.incarnation;
+        }
+        let mut synced_incarnations = [0; 2];
+        synced_incarnations[self.member] = self.incarnation;
+        synced_incarnations[1 - self.member] = request.synced_peer.unwrap_or(0);
+        let fencing_floor = match request.synced_peer {
+            None => ballot,
+            Some(_) => governing.map_or(0, |governing| governing.fencing_floor),
         };
         Ok(Leadership {
             epoch: ballot,
-            member: self.me,
-            synced_incarnations: sync,
-            fencing_floor: floor,
+            member: self.member,
+            synced_incarnations,
+            fencing_floor,
         })
     }
 }
 
-impl Says {
-    fn allowed(
-        &self,
-        wish: ProposalRequest,
-        told: Option<Leadership>,
-    ) -> Result<(), ProposalOutcome> {
-        let Some(told) = told else { return Ok(()) };
-        let other = told.synced_incarnations[1 - self.me];
-        match wish.purpose {
-            Purpose::GoOn
-                if told.member == self.me && told.synced_incarnations[self.me] == self.life =>
+impl LeadershipRule {
+    /// Whether this incarnation may follow the leadership that a majority may have accepted last.
+    fn check(&self, purpose: Purpose, governing: Leadership) -> Result<(), ProposalOutcome> {
+        let synced = governing.synced_incarnations[self.member] == self.incarnation;
+        match purpose {
+            Purpose::Renew if governing.member == self.member && synced => Ok(()),
+            Purpose::Renew => Err(ProposalOutcome::Superseded),
+            Purpose::TakeOver if synced => Ok(()),
+            // All incarnations that held the state ended: nothing is left to lose.
+            Purpose::TakeOver
+                if governing.synced_incarnations[1 - self.member]
+                    <= self.ended_peer_incarnation =>
             {
                 Ok(())
             }
-            Purpose::GoOn => Err(ProposalOutcome::Superseded),
-            _ if told.synced_incarnations[self.me] == self.life => Ok(()),
-            // All lives that knew anything are over: nothing is left to lose.
-            _ if other <= self.over => Ok(()),
-            _ => Err(ProposalOutcome::OutOfSync),
+            Purpose::TakeOver => Err(ProposalOutcome::OutOfSync),
         }
     }
 }
--- a/crates/tidewall-failover/src/recovery.rs
+++ b/crates/tidewall-failover/src/recovery.rs
@@ -1,105 +1,145 @@
-//! What a new master does with an event that the old one had in hand, by its kind, the time that is left, and what is
-//! proven of its launches.
+//! What a new active member does with a request that the former one had in flight: by whether it may be repeated, by the
+//! time that is left, and by what is proven of its attempts.
+
 use crate::Time;
 
+/// Whether a request may be executed again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetrySafety {
+    /// Executing it twice does no harm.
     Idempotent,
-    /// A repeat is dropped everywhere (`all`) or within a group only, for the window.
+    /// A repeat with the same idempotency key is dropped by whoever executes it.
     IdempotencyKey {
-        all: bool,
+        /// Whether repeats are dropped everywhere, or within one group of workers only.
+        global: bool,
+        /// How long after an attempt its repeats are dropped.
         window: Time,
     },
+    /// It must be executed at most once.
     NonIdempotent,
 }
 
 impl RetrySafety {
-    /// A repeat does no harm anywhere: its answers need not wait for the other member's record.
+    /// Whether a repeat does no harm anywhere: then its response need not wait until the other member recorded it.
     pub fn is_safe_to_repeat(self) -> bool {
         matches!(
             self,
-            RetrySafety::Idempotent | RetrySafety::IdempotencyKey { all: true, .. }
+            RetrySafety::Idempotent | RetrySafety::IdempotencyKey { global: true, .. }
         )
     }
 }
 
+/// What is proven of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptState {
-    /// Sent, and no end is known.
+    /// Sent, and no outcome is known.
     InFlight,
+    /// It was never executed.
     NotExecuted,
+    /// It ended, and may have been executed.
     MayHaveExecuted,
 }
 
+/// One attempt of the former active member to execute a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Attempt {
+    /// The index of the worker that it was sent to.
     pub worker: usize,
+    /// When it was sent.
     pub sent_at: Time,
+    /// What is proven of it.
     pub state: AttemptState,
 }
 
+/// What to do with a request that the former active member had in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecoveryAction {
-    /// It is taken as if it came anew.
+    /// Schedule it as if it had just been received.
     Continue,
-    /// A launch may still be out, and two at once are barred: until its worker is fenced.
+    /// Wait until the worker of its attempt is fenced: the attempt may still be in flight, and hedging is not allowed.
     AwaitFencing,
+    /// Fail it: it may have been executed, and must not be repeated.
     Fail,
-    /// Nothing has run: whoever asks again may begin anew, or come back later.
+    /// Reject it: nothing was executed, so the client may retry.
     Reject,
 }
 
-/// Less than this is left: no launch would come back in time. Twice the least lag that a busy machine shows.
-pub const LEAST: Time = 100;
+/// What to do with a repeated request of which no member has a record: the incarnations that had one ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnrecordedRetryAction {
+    /// Schedule it as a new request.
+    Schedule,
+    /// Reject it for now: an attempt may still be in flight at a worker that is not fenced.
+    Reject,
+    /// Fail it: it may have been executed, and must not be repeated.
+    Fail,
+}
 
-/// How much earlier than its client gives up an event of a pair is to be over: an answer may wait until the voters know that
-/// the other member is gone, which takes the link's silence and a claim. Where a repeat does no harm nothing waits.
-pub fn margin(kind: RetrySafety, left: Time, silence: Time) -> Time {
-    match kind {
-        kind if kind.is_safe_to_repeat() => 0,
-        // The silence, one tick, and a claim's two round trips to the workers.
-        _ => (silence + 10 * LEAST).min(left / 4),
+/// With less than this left, no attempt would return in time: twice the least latency that a busy machine shows.
+pub const MIN_REMAINING_TIME: Time = 100;
+
+/// How much earlier than its client's deadline a request of a pair is to end. A response may wait until the voters know
+/// that the other member is gone: `peer_timeout` of silence on the link, then a leadership proposal. At most a quarter of
+/// the `remaining` time; 0 where a repeat does no harm, as nothing waits then.
+pub fn deadline_margin(retry_safety: RetrySafety, remaining: Time, peer_timeout: Time) -> Time {
+    if retry_safety.is_safe_to_repeat() {
+        return 0;
     }
+    // The silence, one tick, and the proposal's two round trips to the workers.
+    (peer_timeout + 10 * MIN_REMAINING_TIME).min(remaining / 4)
 }
 
-/// An event that is asked for again while nobody knows what became of it: the lives that had it are over. True: it is to
-/// come back later; false: it is dead-lettered, as it may have run; none: it may begin anew. `fenced`: nothing of those lives is out any more.
-pub fn unknown(kind: RetrySafety, two_at_once: bool, fenced: bool) -> Option<bool> {
-    match kind {
-        RetrySafety::NonIdempotent | RetrySafety::IdempotencyKey { all: false, .. } => Some(false),
-        _ if !two_at_once && !fenced => Some(true),
-        _ => None,
+/// Decides on a repeated request of which no member has a record. `all_fenced`: no attempt of an ended incarnation is in
+/// flight at any worker.
+pub fn unrecorded_retry_action(
+    retry_safety: RetrySafety,
+    allows_hedging: bool,
+    all_fenced: bool,
+) -> UnrecordedRetryAction {
+    if !retry_safety.is_safe_to_repeat() {
+        UnrecordedRetryAction::Fail
+    } else if !allows_hedging && !all_fenced {
+        UnrecordedRetryAction::Reject
+    } else {
+        UnrecordedRetryAction::Schedule
     }
 }
 
-/// `fenced` tells whether nothing of the old master's is out at a worker any more.
-pub fn fate(
-    kind: RetrySafety,
-    two_at_once: bool,
-    (now, until): (Time, Time),
-    launches: &[Attempt],
-    fenced: impl Fn(usize) -> bool,
+/// Decides on a request that the former active member had in flight, with its `attempts`, to be answered by `deadline`.
+/// `is_fenced` says of a worker whether none of the former member's attempts is in flight there any more.
+pub fn recovery_action(
+    retry_safety: RetrySafety,
+    allows_hedging: bool,
+    now: Time,
+    deadline: Time,
+    attempts: &[Attempt],
+    is_fenced: impl Fn(usize) -> bool,
 ) -> RecoveryAction {
+    let too_late = now + MIN_REMAINING_TIME >= deadline;
     let unproven = || {
-        launches
+        attempts
             .iter()
-            .filter(|l| l.state != AttemptState::NotExecuted)
+            .filter(|attempt| attempt.state != AttemptState::NotExecuted)
     };
-    let clean = unproven().next().is_none();
-    let out = unproven().any(|l| l.state == AttemptState::InFlight && !fenced(l.worker));
-    let late = now + LEAST >= until;
-    match kind {
-        _ if clean && late => RecoveryAction::Reject,
-        _ if clean => RecoveryAction::Continue,
-        _ if late => RecoveryAction::Fail,
-        RetrySafety::NonIdempotent => RecoveryAction::Fail,
-        RetrySafety::IdempotencyKey { all: false, .. } => RecoveryAction::Fail,
-        RetrySafety::IdempotencyKey { window, .. }
-            if unproven().any(|l| now + LEAST >= l.sent_at + window) =>
-        {
-            RecoveryAction::Fail
+    if unproven().next().is_none() {
+        return match too_late {
+            true => RecoveryAction::Reject,
+            false => RecoveryAction::Continue,
+        };
+    }
+    if too_late || !retry_safety.is_safe_to_repeat() {
+        return RecoveryAction::Fail;
+    }
+    if let RetrySafety::IdempotencyKey { window, .. } = retry_safety {
+        // A repeat would arrive when its key is no longer remembered.
+        if unproven().any(|attempt| now + MIN_REMAINING_TIME >= attempt.sent_at + window) {
+            return RecoveryAction::Fail;
         }
-        _ if out && !two_at_once => RecoveryAction::AwaitFencing,
-        _ => RecoveryAction::Continue,
     }
+    let in_flight =
+        |attempt: &Attempt| attempt.state == AttemptState::InFlight && !is_fenced(attempt.worker);
+    if !allows_hedging && unproven().any(in_flight) {
+        return RecoveryAction::AwaitFencing;
+    }
+    RecoveryAction::Continue
 }
--- /dev/null
+++ b/crates/tidewall-failover/src/role/votes.rs
@@ -0,0 +1,136 @@
+//! The proposals of the role state machine, and how their outcomes change the role.
+
+use super::{Role, RoleActions, RoleStateMachine, PROPOSAL_RETRY_INTERVALS};
+use crate::leadership::{Leadership, LeadershipAcceptor};
+use crate::proposal::{ProposalOutcome, ProposalRequest, Purpose, VoteRequest};
+use crate::Time;
+
+impl RoleStateMachine {
+    /// A worker rejected a call that was sent under our epoch: the voters know whether we still serve.
+    pub fn epoch_rejected(&mut self, actions: &mut impl RoleActions) {
+        if self.role.serves() && !self.proposer.is_proposing() {
+            let peer = self.peer.incarnation;
+            let synced = peer > 0 && self.granted.synced_incarnations.contains(&peer);
+            let request = ProposalRequest {
+                purpose: Purpose::Renew,
+                synced_peer: synced.then_some(peer),
+            };
+            self.proposer.propose(actions, request);
+        }
+    }
+
+    /// A voter's reply to `request`: whether it agreed, and what it stores.
+    pub fn vote_received(
+        &mut self,
+        now: Time,
+        actions: &mut impl RoleActions,
+        voter: usize,
+        request: VoteRequest,
+        agreed: bool,
+        acceptor: LeadershipAcceptor,
+    ) {
+        let outcome = self
+            .proposer
+            .vote_received(actions, voter, request, agreed, acceptor);
+        if let Some(outcome) = outcome {
+            self.proposal_ended(now, actions, outcome);
+        }
+    }
+
+    /// A voter cannot be reached, or did not reply to `request`.
+    pub fn vote_missing(
+        &mut self,
+        now: Time,
+        actions: &mut impl RoleActions,
+        voter: usize,
+        request: VoteRequest,
+    ) {
+        if let Some(outcome) = self.proposer.vote_missing(actions, voter, request) {
+            self.proposal_ended(now, actions, outcome);
+        }
+    }
+
+    fn proposal_ended(
+        &mut self,
+        now: Time,
+        actions: &mut impl RoleActions,
+        outcome: ProposalOutcome,
+    ) {
+        let retry_at = now + PROPOSAL_RETRY_INTERVALS * self.interval;
+        match (self.role, outcome) {
+            (Role::Proposing | Role::Draining, ProposalOutcome::Granted(leadership)) => {
+                self.leadership_granted(now, actions, leadership)
+            }
+            (Role::Proposing, _) => self.back_off(now, actions),
+            (Role::Draining, ProposalOutcome::NoMajority) => self.proposal_retry_at = retry_at,
+            (Role::Draining, _) => self.restart(now, actions, "the other member serves without us"),
+            (role, ProposalOutcome::Granted(leadership)) if role.serves() => {
+                self.leadership_renewed(now, actions, leadership)
+            }
+            (role, ProposalOutcome::NoMajority) if role.serves() => {
+                self.proposal_retry_at = retry_at;
+                if role == Role::Synchronizing {
+                    // Counts anew what the other member has to record: once that is done, the proposal is made again.
+                    actions.set_replication_wait(true);
+                }
+            }
+            (role, _) if role.serves() => self.restart(
+                now,
+                actions,
+                "a majority of voters accepted that the other member serves",
+            ),
+            _ => {}
+        }
+    }
+
+    fn leadership_granted(
+        &mut self,
+        now: Time,
+        actions: &mut impl RoleActions,
+        leadership: Leadership,
+    ) {
+        self.granted = leadership;
+        let peer_stepped_down = std::mem::take(&mut self.peer_stepped_down);
+        (self.peer_drains, self.peer.serves) = (peer_stepped_down, false);
+        if peer_stepped_down {
+            self.enter(now, Role::Replicating);
+            actions.set_replication_wait(true);
+            actions.start_serving(leadership, false, false);
+            actions.start_replication(true);
+            return;
+        }
+        self.enter(now, Role::Solo);
+        actions.set_replication_wait(false);
+        let lost_state = self.proposer.has_lost_state();
+        self.proposer.lost_state_handled();
+        actions.start_serving(leadership, true, lost_state);
+        if self.peer.connected {
+            self.start_or_defer_replication(now, actions);
+        }
+    }
+
+    fn leadership_renewed(
+        &mut self,
+        now: Time,
+        actions: &mut impl RoleActions,
+        leadership: Leadership,
+    ) {
+        self.granted = leadership;
+        match self.role {
+            Role::PeerLost => {
+                self.enter(now, Role::Solo);
+                let take_over = std::mem::take(&mut self.peer_drains);
+                actions.leadership_renewed(leadership, take_over);
+                actions.set_replication_wait(false);
+                if self.peer.connected {
+                    self.start_or_defer_replication(now, actions);
+                }
+            }
+            Role::Synchronizing => {
+                self.enter(now, Role::Replicating);
+                actions.leadership_renewed(leadership, false);
+            }
+            _ => actions.leadership_renewed(leadership, false),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidewall-failover/tests/recovery.rs
@@ -0,0 +1,98 @@
+//! What a new active member does with the requests of the former one.
+use test_case::test_case;
+use tidewall_failover::recovery::{
+    deadline_margin, recovery_action, unrecorded_retry_action, Attempt, AttemptState,
+    RecoveryAction, RetrySafety, UnrecordedRetryAction,
+};
+
+const GLOBAL_KEY: RetrySafety = RetrySafety::IdempotencyKey {
+    global: true,
+    window: 40_000,
+};
+const GROUP_KEY: RetrySafety = RetrySafety::IdempotencyKey {
+    global: false,
+    window: 40_000,
+};
+
+fn attempts(states: &[AttemptState]) -> Vec<Attempt> {
+    states
+        .iter()
+        .enumerate()
+        .map(|(worker, state)| Attempt {
+            worker,
+            sent_at: 10_000,
+            state: *state,
+        })
+        .collect()
+}
+
+#[test_case(RetrySafety::NonIdempotent, &[], 20_000, RecoveryAction::Continue ; "non-idempotent, never sent")]
+#[test_case(RetrySafety::NonIdempotent, &[AttemptState::NotExecuted], 20_000, RecoveryAction::Continue ; "non-idempotent, proven not executed")]
+#[test_case(RetrySafety::NonIdempotent, &[AttemptState::InFlight], 20_000, RecoveryAction::Fail ; "non-idempotent, in flight")]
+#[test_case(RetrySafety::NonIdempotent, &[AttemptState::NotExecuted, AttemptState::MayHaveExecuted], 20_000, RecoveryAction::Fail ; "non-idempotent, may have been executed")]
+#[test_case(RetrySafety::NonIdempotent, &[], 10_050, RecoveryAction::Reject ; "non-idempotent, never sent, no time left")]
+#[test_case(RetrySafety::Idempotent, &[AttemptState::MayHaveExecuted], 20_000, RecoveryAction::Continue ; "idempotent, may have been executed")]
+#[test_case(RetrySafety::Idempotent, &[AttemptState::InFlight], 20_000, RecoveryAction::AwaitFencing ; "idempotent, in flight at a worker that is not fenced")]
+#[test_case(RetrySafety::Idempotent, &[AttemptState::MayHaveExecuted, AttemptState::InFlight], 20_000, RecoveryAction::Continue ; "idempotent, in flight at a fenced worker")]
+#[test_case(RetrySafety::Idempotent, &[AttemptState::InFlight], 10_050, RecoveryAction::Fail ; "idempotent, in flight, no time left")]
+#[test_case(GLOBAL_KEY, &[AttemptState::MayHaveExecuted], 20_000, RecoveryAction::Continue ; "global key, may have been executed")]
+#[test_case(GROUP_KEY, &[AttemptState::MayHaveExecuted], 20_000, RecoveryAction::Fail ; "group key, may have been executed")]
+#[test_case(GROUP_KEY, &[AttemptState::NotExecuted], 20_000, RecoveryAction::Continue ; "group key, proven not executed")]
+#[test_case(RetrySafety::IdempotencyKey { global: true, window: 50 }, &[AttemptState::MayHaveExecuted], 20_000, RecoveryAction::Fail ; "global key, its window is over")]
+fn a_request_in_flight_is_recovered_by_what_is_proven_of_its_attempts(
+    retry_safety: RetrySafety,
+    states: &[AttemptState],
+    deadline: u64,
+    expected: RecoveryAction,
+) {
+    assert_eq!(
+        recovery_action(
+            retry_safety,
+            false,
+            10_000,
+            deadline,
+            &attempts(states),
+            |worker| worker == 1
+        ),
+        expected
+    );
+}
+
+#[test]
+fn with_hedging_no_fencing_is_awaited() {
+    let in_flight = attempts(&[AttemptState::InFlight]);
+    assert_eq!(
+        recovery_action(RetrySafety::Idempotent, true, 0, 9_000, &in_flight, |_| {
+            false
+        }),
+        RecoveryAction::Continue
+    );
+}
+
+#[test_case(RetrySafety::NonIdempotent, true, UnrecordedRetryAction::Fail ; "non-idempotent may have been executed")]
+#[test_case(GROUP_KEY, true, UnrecordedRetryAction::Fail ; "group key may have been executed anywhere")]
+#[test_case(GLOBAL_KEY, false, UnrecordedRetryAction::Reject ; "global key may be in flight")]
+#[test_case(GLOBAL_KEY, true, UnrecordedRetryAction::Schedule ; "global key is scheduled")]
+#[test_case(RetrySafety::Idempotent, false, UnrecordedRetryAction::Reject ; "idempotent may be in flight")]
+#[test_case(RetrySafety::Idempotent, true, UnrecordedRetryAction::Schedule ; "idempotent is scheduled")]
+fn a_retry_without_a_record_is_repeated_only_where_it_is_safe(
+    retry_safety: RetrySafety,
+    all_fenced: bool,
+    expected: UnrecordedRetryAction,
+) {
+    assert_eq!(
+        unrecorded_retry_action(retry_safety, false, all_fenced),
+        expected
+    );
+}
+
+#[test_case(RetrySafety::Idempotent, 30_000, 0 ; "nothing waits")]
+#[test_case(GROUP_KEY, 30_000, 5_000 ; "silence and a proposal")]
+#[test_case(GROUP_KEY, 4_000, 1_000 ; "no more than a quarter")]
+fn a_deadline_is_earlier_by_a_detected_failure_and_a_proposal(
+    retry_safety: RetrySafety,
+    remaining: u64,
+    expected: u64,
+) {
+    assert_eq!(deadline_margin(retry_safety, remaining, 4_000), expected);
+}
--- /dev/null
+++ b/crates/tidewall-failover/tests/support/mod.rs
@@ -0,0 +1,56 @@
+//! Requests to voters as a proposer sends them, and the voters' replies.
+use tidewall_failover::leadership::{Leadership, LeadershipAcceptor};
+use tidewall_failover::proposal::{ProposerTransport, VoteRequest};
+
+/// A request to a voter: to promise a ballot, or to accept a proposal.
+#[derive(Clone, Copy, PartialEq)]
+pub struct SentRequest {
+    pub voter: usize,
+    pub ballot: u64,
+    pub proposal: Option<Leadership>,
+}
+
+impl SentRequest {
+    pub fn vote_request(&self) -> VoteRequest {
+        VoteRequest::new(self.ballot, self.proposal.is_some())
+    }
+
+    pub fn reply(&self, acceptor: &mut LeadershipAcceptor) -> Reply {
+        let agreed = match self.proposal {
+            None => acceptor.prepare(self.ballot),
+            Some(proposal) => acceptor.accept(proposal),
+        };
+        Reply {
+            agreed,
+            acceptor: *acceptor,
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub struct Reply {
+    pub agreed: bool,
+    pub acceptor: LeadershipAcceptor,
+}
+
+/// Keeps requests until a test replies to them.
+#[derive(Default)]
+pub struct SentRequests(pub Vec<SentRequest>);
+
+impl ProposerTransport<Leadership> for SentRequests {
+    fn prepare(&mut self, voter: usize, ballot: u64) {
+        self.0.push(SentRequest {
+            voter,
+            ballot,
+            proposal: None,
+        });
+    }
+
+    fn accept(&mut self, voter: usize, proposal: Leadership) {
+        self.0.push(SentRequest {
+            voter,
+            ballot: proposal.epoch,
+            proposal: Some(proposal),
+        });
+    }
+}
--- a/crates/tidewall-gateway/src/config.rs
+++ b/crates/tidewall-gateway/src/config.rs
@@ -55,7 +55,7 @@
     let kind = |t: &Section| match t.choice("redelivery").as_str() {
         "REDELIVERABLE" => RetrySafety::Idempotent,
         "KEYED" => RetrySafety::IdempotencyKey {
-            all: t.choice("group") == "ALL",
+            global: t.choice("group") == "ALL",
             window: t.span("window_ms"),
         },
         _ => RetrySafety::NonIdempotent,
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -12,8 +12,11 @@
 use tidewall_failover::deduplication::RequestLocation;
 use tidewall_failover::leadership::{Leadership, LeadershipAcceptor};
 use tidewall_failover::load_request_limit::LoadRequestLimiter;
-use tidewall_failover::proposal::{count, ProposerTransport};
-use tidewall_failover::recovery::{self, fate, unknown, RecoveryAction, RetrySafety};
+use tidewall_failover::proposal::{epoch_number, ProposerTransport, VoteRequest};
+use tidewall_failover::recovery::{
+    self, recovery_action, unrecorded_retry_action, RecoveryAction, RetrySafety,
+    UnrecordedRetryAction,
+};
 use tidewall_failover::role::{self, Role, RoleStateMachine};
 use tidewall_net::{Conn, DatagramSocket, Listener, Net, Time, TimerId};
 use tidewall_vrrp::packet::{self, Keys, ReplayGuard};
@@ -341,7 +344,7 @@
     }
 
     fn start_serving(&mut self, claim: Leadership, adopt: bool, forgot: bool) {
-        info!(epoch = count(claim.epoch), adopt, forgot, "serves");
+        info!(epoch = epoch_number(claim.epoch), adopt, forgot, "serves");
         let now = self.gw.core.net().now();
         let longest = self.parts.at.retention.iter().max().copied().unwrap_or(0);
         self.copy().forgot = if forgot { now + longest } else { 0 };
@@ -357,7 +360,7 @@
     }
 
     fn leadership_renewed(&mut self, claim: Leadership, adopt: bool) {
-        info!(epoch = count(claim.epoch), sync = ?claim.synced_incarnations, "claim renewed");
+        info!(epoch = epoch_number(claim.epoch), sync = ?claim.synced_incarnations, "claim renewed");
         self.copy().epoch = claim.epoch;
         if claim.fencing_floor == claim.epoch {
             self.parts.fenced.clear();
@@ -439,12 +442,12 @@
                 .is_none()
         {
             let kind = copy.kind(event.class);
-            if let Some(later) = unknown(kind, copy.two_at_once, copy.fenced_all) {
-                let word = if later {
-                    Disposition::Rejected
-                } else {
-                    Disposition::Failed
-                };
+            let word = match unrecorded_retry_action(kind, copy.two_at_once, copy.fenced_all) {
+                UnrecordedRetryAction::Schedule => None,
+                UnrecordedRetryAction::Reject => Some(Disposition::Rejected),
+                UnrecordedRetryAction::Fail => Some(Disposition::Failed),
+            };
+            if let Some(word) = word {
                 remember(copy, now, event.class, event.idempotency_key, word, &[]);
                 let mut due = copy.due();
                 due.tickets.push((event.reply_handle, until));
@@ -467,7 +470,10 @@
                 self.there.push_back((*at, event.reply_handle, until));
                 Some(usize::MAX)
             }
-            RequestLocation::Responded(number, payload) => {
+            RequestLocation::Responded {
+                disposition: number,
+                payload,
+            } => {
                 let (number, payload) = (*number, payload.clone());
                 let mut due = copy.due();
                 due.tickets.push((event.reply_handle, until));
@@ -836,7 +842,7 @@
                 );
             }
             pair.parts.disagrees = differs;
-            pair.seat.set_barred(bar);
+            pair.seat.set_ineligible(bar);
         }
         if let Some(copy) = &mut self.core.choice.host.copy {
             (copy.conn, copy.sent) = (Some(conn), 0);
@@ -943,7 +949,7 @@
                 let new = fields.flag(Field::On)?;
                 parts.theirs.clear();
                 if !new {
-                    copy.known.clear_responses();
+                    copy.known.retain_local();
                 }
             }
             kind::TAKEN => {
@@ -1086,14 +1092,18 @@
                 SnapshotCursor::Events(_) => parts.cursor = SnapshotCursor::Answers(0),
                 SnapshotCursor::Answers(from) => {
                     let copy = &mut **copy;
-                    let Some((key, entry)) = copy.known.next(from) else {
+                    let Some((key, entry)) = copy.known.next_entry_from(from) else {
                         copy.tell(&mut host.net, kind::COPIED, |f| f.end());
                         parts.cursor = SnapshotCursor::Finished(copy.seq);
                         copy.unsure = false;
                         return;
                     };
                     parts.cursor = SnapshotCursor::Answers(key + 1);
-                    if let RequestLocation::Responded(number, payload) = &entry.location {
+                    if let RequestLocation::Responded {
+                        disposition: number,
+                        payload,
+                    } = &entry.location
+                    {
                         let (typ, mark, payload) =
                             (entry.class, entry.idempotency_key.clone(), payload.clone());
                         let text = word(*number).wire_text();
@@ -1129,7 +1139,7 @@
                 gone || parts.fenced.get(wk).copied().unwrap_or(false)
             };
             let (kind, two) = (copy.kind(kept.typ), copy.two_at_once);
-            let fate = fate(kind, two, (now, kept.until), &kept.launches, fenced);
+            let fate = recovery_action(kind, two, now, kept.until, &kept.launches, fenced);
             if fate == RecoveryAction::AwaitFencing {
                 left = true;
                 continue;
@@ -1195,7 +1205,7 @@
         let Some(copy) = &mut host.copy else { return };
         // It is looked at once a tick.
         let tick = Time::from(parts.at.interval) * CENTISECOND / TICKS;
-        let over = |t: &(ReplyHandle, Time)| now + tick + 2 * recovery::LEAST >= t.1;
+        let over = |t: &(ReplyHandle, Time)| now + tick + 2 * recovery::MIN_REMAINING_TIME >= t.1;
         let mut late = Vec::new();
         let events = &mut host.events;
         copy.joined.retain(|place| {
@@ -1271,7 +1281,8 @@
         host.free(key);
         self.with_seat(|seat, now, act| {
             if let Some(voter) = voter.filter(|_| !over) {
-                seat.vote_received(now, act, voter, (ballot, accepting), good, promise);
+                let request = VoteRequest::new(ballot, accepting);
+                seat.vote_received(now, act, voter, request, good, promise);
             }
             if accepting
                 && good
@@ -1365,7 +1376,8 @@
         } else if let Some(due) = copy.replays.pop_front() {
             self.give(due);
         } else if let Some((voter, of)) = copy.unheard.pop_front() {
-            self.with_seat(|seat, now, act| seat.vote_missing(now, act, voter, of));
+            let request = VoteRequest::new(of.0, of.1);
+            self.with_seat(|seat, now, act| seat.vote_missing(now, act, voter, request));
         } else if std::mem::take(&mut copy.fenced) {
             self.with_seat(|seat, _, act| seat.epoch_rejected(act));
         } else if copy.broken {
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -26,7 +26,7 @@
 use tidewall::interface::{Endpoint, EndpointState, Outcome, RequestInfo};
 use tidewall::interner;
 use tidewall::settings::Settings;
-use tidewall_failover::recovery::margin;
+use tidewall_failover::recovery::deadline_margin;
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net, Time, TimerId};
 use tidewall_wire::{self as wire, Fields};
 use tracing::{debug, error, info, warn};
@@ -138,7 +138,7 @@
         let host = &mut self.choice.host;
         let now = host.net.now();
         let margin = host.copy.as_ref().map_or(0, |c| {
-            margin(c.kind(event.class), event.remaining, c.silence)
+            deadline_margin(c.kind(event.class), event.remaining, c.silence)
         });
         let function = host.functions.intern(event.function);
         let arrival = RequestInfo {
