--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -19,7 +19,7 @@
 };
 use tidewall_failover::role::{self, Role, RoleStateMachine};
 use tidewall_net::{Conn, DatagramSocket, Listener, Net, Time, TimerId};
-use tidewall_vrrp::packet::{self, Keys, ReplayGuard};
+use tidewall_vrrp::packet::{self, AdvertisementPacket, Keys, PacketError, ReplayGuard};
 use tidewall_vrrp::{Parameters, Router, CENTISECOND};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame};
 use tracing::{info, warn};
@@ -185,13 +185,15 @@
         let Some(port) = self.port else { return };
         *self.number += 1;
         let mut out = Vec::new();
-        packet::write(
-            &mut out,
-            (vrid, priority, interval),
-            &[v4(self.at.shared_address)],
-            *self.number,
-            self.keys,
-        );
+        let addresses = [v4(self.at.shared_address)];
+        AdvertisementPacket {
+            vrid,
+            priority,
+            interval,
+            addresses: (&addresses[..]).into(),
+            sequence: *self.number,
+        }
+        .encode(self.keys, &mut out);
         self.net
             .send_datagram(port, self.at.peer_vrrp_address, &out);
     }
@@ -737,21 +739,22 @@
             let shared = [v4(parts.at.shared_address)];
             // The hash does not cover who sent it: a packet that was overheard must not come from elsewhere.
             let read = match v4(from) == v4(parts.at.peer_vrrp_address) {
-                true => packet::read(bytes, v4(from), &shared, &parts.keys, &mut parts.guard),
-                false => Err("from: not the other member"),
+                true => packet::receive(bytes, v4(from), &shared, &parts.keys, &mut parts.guard),
+                false => Err(PacketError::UnexpectedSender),
             };
             match read {
-                Ok((vrid, advertisement)) if vrid == parts.at.vrid => {
+                Ok(advertisement) if advertisement.vrid == parts.at.vrid => {
                     let net = &mut act.gw.core.choice.host.net;
                     parts.vrrp(net, |router, vrrp| {
                         router.advertisement_received(vrrp, advertisement)
                     });
                 }
                 Ok(_) => {}
-                Err(reason) => {
+                Err(error) => {
                     parts.bad += 1;
                     if now >= parts.bad_told + BAD || parts.bad_told == 0 {
                         parts.bad_told = now;
+                        let reason = error.to_string();
                         warn!(reason, %from, so_far = parts.bad, "an advertisement is ignored");
                     }
                 }
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -18,7 +18,7 @@
 use tidewall_gateway::Gateway;
 use tidewall_net::memory::{self, Memory, Path, World};
 use tidewall_net::{App, CloseReason, Conn, Listener, Net, Time};
-use tidewall_vrrp::packet::{self, Keys};
+use tidewall_vrrp::packet::{AdvertisementPacket, Keys};
 
 /// How a member may stand: the seat's states, or dead.
 pub const STANDS: usize = Role::ALL.len() + 1;
@@ -476,13 +476,14 @@
                 let keys = [(1, b"guessed".to_vec()), (1, KEY.to_vec())];
                 for (i, key) in keys.into_iter().enumerate() {
                     out.clear();
-                    packet::write(
-                        &mut out,
-                        (1, 254, 10),
-                        &shared,
-                        1 + i as u64,
-                        &Keys(vec![key]),
-                    );
+                    AdvertisementPacket {
+                        vrid: 1,
+                        priority: 254,
+                        interval: 10,
+                        addresses: (&shared[..]).into(),
+                        sequence: 1 + i as u64,
+                    }
+                    .encode(&Keys(vec![key]), &mut out);
                     self.stranger.net.send_datagram(port, to, &out);
                 }
                 out.truncate(9);
--- a/crates/tidewall-vrrp/src/packet.rs
+++ b/crates/tidewall-vrrp/src/packet.rs
@@ -1,28 +1,109 @@
-//! The octets: the RFC's packet (RFC 9568, 5.1), then our own tail: hop limit, a rising number, which key, and a
-//! keyed hash (HMAC-SHA-256, RFC 2104 and FIPS 180-4) over all before it.
-use crate::Advertisement;
+//! The octets of an advertisement, and what a receiver checks.
+//!
+//! The RFC's packet (RFC 9568, 5.1) comes first, in network byte order: version and type, virtual router identifier,
+//! priority, number of addresses, interval, checksum, addresses. A trailer of our own follows:
+//!
+//! | octets | field |
+//! | --- | --- |
+//! | 1 | hop limit, 255 |
+//! | 8 | sequence number |
+//! | 1 | identifier of the key |
+//! | 32 | HMAC-SHA-256 (RFC 2104, FIPS 180-4) of all octets before |
+
+use crate::{Advertisement, MAX_INTERVAL};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use thiserror::Error;
+
+const VERSION: u8 = 3;
 
-const VERSION_AND_TYPE: u8 = 0x31;
+/// The type of an advertisement, the only one.
+const ADVERTISEMENT: u8 = 1;
 
-/// What a packet must arrive with (5.1.1.3): it came over one link only.
-pub const HOPS: u8 = 255;
+/// What a packet must arrive with, as it must not have been forwarded (RFC 9568, 5.1.1.3).
+pub const HOP_LIMIT: u8 = 255;
 
-/// Hop limit, number, key and hash.
-const TAIL: usize = 1 + 8 + 1 + 32;
+/// Octets before the addresses, the checksum's place among them, and the octets of an address.
+const HEADER_LENGTH: usize = 8;
+const CHECKSUM_OFFSET: usize = 6;
+const ADDRESS_LENGTH: usize = 4;
 
-/// Keys by their number; the first is signed with, all are taken, so that they can be changed without a pause.
+/// Octets of the trailer: hop limit, sequence number, key identifier, hash.
+const HASH_LENGTH: usize = 32;
+const TRAILER_LENGTH: usize = 1 + 8 + 1 + HASH_LENGTH;
+
+/// Shared secrets with their identifiers. The first one signs, all are accepted, so that they can be changed without a
+/// pause.
 #[derive(Clone, Default)]
-pub struct Keys(pub Vec<(u8, Vec<u8>)>);
+pub struct Keys(
+    /// Identifier and secret; a secret of any length will do.
+    pub Vec<(u8, Vec<u8>)>,
+);
+
+impl Keys {
+    /// The key that signs. Without any key: identifier 0 and an empty secret, which no receiver has.
+    fn signing(&self) -> (u8, &[u8]) {
+        let first = self.0.first();
+        first.map_or((0, &[][..]), |(id, secret)| (*id, secret))
+    }
+
+    fn secret(&self, id: u8) -> Option<&[u8]> {
+        let key = self.0.iter().find(|key| key.0 == id)?;
+        Some(&key.1)
+    }
+}
+
+/// Why a packet is discarded, by the check that it failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum PacketError {
+    /// Too short for a header and a trailer.
+    #[error("length: cut short")]
+    Truncated,
+    /// Another version of VRRP.
+    #[error("version: not 3")]
+    Version,
+    /// Not an advertisement.
+    #[error("type: no advertisement")]
+    Type,
+    /// The number of addresses does not fit the length, or is 0.
+    #[error("count: not as many addresses as told")]
+    AddressCount,
+    /// The checksum does not match.
+    #[error("checksum: wrong")]
+    Checksum,
+    /// The hop limit is not 255: the packet was forwarded.
+    #[error("hops: it came over more than one link")]
+    HopLimit,
+    /// No key has the packet's key identifier.
+    #[error("key: unknown")]
+    UnknownKey,
+    /// The keyed hash does not match.
+    #[error("hash: wrong")]
+    Hash,
+    /// The addresses are not those of the virtual router.
+    #[error("addresses: not those of this virtual router")]
+    Addresses,
+    /// The sequence number is not above the sender's last one.
+    #[error("number: heard before")]
+    Replayed,
+    /// The advertisement interval is 0.
+    #[error("interval: 0")]
+    ZeroInterval,
+    /// The sender is not the configured other router. The hash does not cover the sender, so the owner of the socket checks
+    /// it.
+    #[error("from: not the other member")]
+    UnexpectedSender,
+}
 
 /// Internet checksum (RFC 1071).
 fn checksum(bytes: &[u8]) -> u16 {
-    let words = bytes
-        .chunks(2)
-        .map(|w| u32::from(w[0]) << 8 | u32::from(*w.get(1).unwrap_or(&0)));
+    let words = bytes.chunks(2).map(|word| {
+        let low = word.get(1).copied().unwrap_or(0);
+        u32::from(u16::from_be_bytes([word[0], low]))
+    });
     let mut sum: u32 = words.sum();
     while sum >> 16 > 0 {
         sum = (sum & 0xffff) + (sum >> 16);
@@ -30,102 +111,131 @@
     !(sum as u16)
 }
 
-fn sign(key: &[u8], bytes: &[u8]) -> Hmac<Sha256> {
-    // A key of any length is good for HMAC.
-    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("any length is good");
+fn keyed_hash(secret: &[u8], bytes: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret).expect("HMAC takes keys of any length");
     mac.update(bytes);
     mac
 }
 
-/// Writes an advertisement; `number` must rise with each packet, across restarts too (a wall clock's time does).
-pub fn write(
-    out: &mut Vec<u8>,
-    (vrid, priority, interval): (u8, u8, u16),
-    addresses: &[Ipv4Addr],
-    number: u64,
-    keys: &Keys,
-) {
-    let start = out.len();
-    out.extend_from_slice(&[VERSION_AND_TYPE, vrid, priority, addresses.len() as u8]);
-    out.extend_from_slice(&(interval & 0x0fff).to_be_bytes());
-    out.extend_from_slice(&[0, 0]);
-    addresses
-        .iter()
-        .for_each(|a| out.extend_from_slice(&a.octets()));
-    let sum = checksum(&out[start..]);
-    out[start + 6..start + 8].copy_from_slice(&sum.to_be_bytes());
-    out.push(HOPS);
-    out.extend_from_slice(&number.to_be_bytes());
-    let (id, key) = keys.0.first().map_or((0, &[][..]), |k| (k.0, &k.1));
-    out.push(id);
-    let hash = sign(key, &out[start..]).finalize().into_bytes();
-    out.extend_from_slice(&hash);
+/// An advertisement as it is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdvertisementPacket<'a> {
+    /// The virtual router's identifier.
+    pub vrid: u8,
+    /// The sender's priority; 0: it shuts down.
+    pub priority: u8,
+    /// Max Advertise Interval in centiseconds; the lower twelve bits are sent.
+    pub interval: u16,
+    /// The virtual addresses, 1 to 255.
+    pub addresses: Cow<'a, [Ipv4Addr]>,
+    /// Rises with each packet of a sender, across its restarts too (the time of a wall clock does).
+    pub sequence: u64,
 }
 
-/// Remembers the last number of each sender and virtual router: what is not higher was heard before.
+impl AdvertisementPacket<'_> {
+    /// Appends the packet to `out`, signed with the first key.
+    pub fn encode(&self, keys: &Keys, out: &mut Vec<u8>) {
+        let start = out.len();
+        let version_and_type = VERSION << 4 | ADVERTISEMENT;
+        let count = self.addresses.len() as u8;
+        out.extend_from_slice(&[version_and_type, self.vrid, self.priority, count]);
+        out.extend_from_slice(&(self.interval & MAX_INTERVAL).to_be_bytes());
+        out.extend_from_slice(&[0, 0]);
+        for address in self.addresses.iter() {
+            out.extend_from_slice(&address.octets());
+        }
+        let sum = checksum(&out[start..]).to_be_bytes();
+        out[start + CHECKSUM_OFFSET..start + HEADER_LENGTH].copy_from_slice(&sum);
+        let (key, secret) = keys.signing();
+        out.push(HOP_LIMIT);
+        out.extend_from_slice(&self.sequence.to_be_bytes());
+        out.push(key);
+        let hash = keyed_hash(secret, &out[start..]).finalize().into_bytes();
+        out.extend_from_slice(&hash);
+    }
+
+    /// Reads a packet after the checks that need no context: form, checksum, hop limit, and the keyed hash.
+    pub fn decode(bytes: &[u8], keys: &Keys) -> Result<AdvertisementPacket<'static>, PacketError> {
+        if bytes.len() < HEADER_LENGTH + TRAILER_LENGTH {
+            return Err(PacketError::Truncated);
+        }
+        let (signed, hash) = bytes.split_at(bytes.len() - HASH_LENGTH);
+        let (body, trailer) = signed.split_at(bytes.len() - TRAILER_LENGTH);
+        if body[0] >> 4 != VERSION {
+            return Err(PacketError::Version);
+        }
+        if body[0] & 0x0f != ADVERTISEMENT {
+            return Err(PacketError::Type);
+        }
+        let count = usize::from(body[3]);
+        if count == 0 || body.len() != HEADER_LENGTH + ADDRESS_LENGTH * count {
+            return Err(PacketError::AddressCount);
+        }
+        if checksum(body) != 0 {
+            return Err(PacketError::Checksum);
+        }
+        let [hop_limit, sequence @ .., key] = trailer else {
+            return Err(PacketError::Truncated);
+        };
+        if *hop_limit != HOP_LIMIT {
+            return Err(PacketError::HopLimit);
+        }
+        let secret = keys.secret(*key).ok_or(PacketError::UnknownKey)?;
+        // Compared in constant time.
+        keyed_hash(secret, signed)
+            .verify_slice(hash)
+            .map_err(|_| PacketError::Hash)?;
+        let addresses = body[HEADER_LENGTH..]
+            .chunks(ADDRESS_LENGTH)
+            .map(|octets| Ipv4Addr::new(octets[0], octets[1], octets[2], octets[3]));
+        Ok(AdvertisementPacket {
+            vrid: body[1],
+            priority: body[2],
+            interval: u16::from_be_bytes([body[4], body[5]]) & MAX_INTERVAL,
+            addresses: addresses.collect(),
+            sequence: sequence
+                .iter()
+                .fold(0, |sequence, octet| sequence << 8 | u64::from(*octet)),
+        })
+    }
+}
+
+/// Remembers the last sequence number of each sender and virtual router: one that is not higher is a replay.
 #[derive(Default)]
 pub struct ReplayGuard(BTreeMap<(Ipv4Addr, u8), u64>);
 
-/// Checks a packet (7.1) and tells its virtual router and what it says. The error names the check.
-pub fn read(
+impl ReplayGuard {
+    fn check(&mut self, from: Ipv4Addr, vrid: u8, sequence: u64) -> Result<(), PacketError> {
+        let last = self.0.entry((from, vrid)).or_insert(0);
+        if sequence <= *last {
+            return Err(PacketError::Replayed);
+        }
+        *last = sequence;
+        Ok(())
+    }
+}
+
+/// Decodes a packet `from` a router and checks it (RFC 9568, 7.1) against the virtual router's `addresses` and the sender's
+/// earlier packets. The error names the first check that failed.
+pub fn receive(
     bytes: &[u8],
     from: Ipv4Addr,
     addresses: &[Ipv4Addr],
     keys: &Keys,
     guard: &mut ReplayGuard,
-) -> Result<(u8, Advertisement), &'static str> {
-    if bytes.len() < 8 + TAIL {
-        return Err("length: cut short");
-    }
-    let (body, tail) = bytes.split_at(bytes.len() - TAIL);
-    if body[0] >> 4 != 3 {
-        return Err("version: not 3");
+) -> Result<Advertisement, PacketError> {
+    let packet = AdvertisementPacket::decode(bytes, keys)?;
+    if *packet.addresses != *addresses {
+        return Err(PacketError::Addresses);
     }
-    if body[0] & 0x0f != 1 {
-        return Err("type: no advertisement");
+    guard.check(from, packet.vrid, packet.sequence)?;
+    if packet.interval == 0 {
+        return Err(PacketError::ZeroInterval);
     }
-    if body.len() != 8 + 4 * usize::from(body[3]) || body[3] == 0 {
-        return Err("count: not as many addresses as told");
-    }
-    if checksum(body) != 0 {
-        return Err("checksum: wrong");
-    }
-    if tail[0] != HOPS {
-        return Err("hops: it came over more than one link");
-    }
-    let signed = &bytes[..bytes.len() - 32];
-    let key = keys
-        .0
-        .iter()
-        .find(|k| k.0 == tail[9])
-        .ok_or("key: unknown")?;
-    // Compared in constant time.
-    sign(&key.1, signed)
-        .verify_slice(&tail[10..])
-        .map_err(|_| "hash: wrong")?;
-    let told: Vec<Ipv4Addr> = body[8..]
-        .chunks(4)
-        .map(|a| Ipv4Addr::new(a[0], a[1], a[2], a[3]))
-        .collect();
-    if told != addresses {
-        return Err("addresses: not those of this virtual router");
-    }
-    let number = tail[1..9].iter().fold(0u64, |n, b| n << 8 | u64::from(*b));
-    let last = guard.0.entry((from, body[1])).or_insert(0);
-    if number <= *last {
-        return Err("number: heard before");
-    }
-    *last = number;
-    let interval = u16::from_be_bytes([body[4], body[5]]) & 0x0fff;
-    if interval == 0 {
-        return Err("interval: 0");
-    }
-    Ok((
-        body[1],
-        Advertisement {
-            priority: body[2],
-            interval,
-            from,
-        },
-    ))
+    Ok(Advertisement {
+        vrid: packet.vrid,
+        priority: packet.priority,
+        interval: packet.interval,
+        from,
+    })
 }
--- a/crates/tidewall-vrrp/tests/recorded_packets.rs
+++ b/crates/tidewall-vrrp/tests/recorded_packets.rs
@@ -1,6 +1,6 @@
 //! The octets of a few advertisements as the first encoder wrote them: a new encoder writes the same.
 use std::net::Ipv4Addr;
-use tidewall_vrrp::packet::{write, Keys};
+use tidewall_vrrp::packet::{AdvertisementPacket, Keys};
 
 const FIRST: Ipv4Addr = Ipv4Addr::new(192, 0, 2, 1);
 const SECOND: Ipv4Addr = Ipv4Addr::new(198, 51, 100, 255);
@@ -18,13 +18,14 @@
     keys: Keys,
 ) -> String {
     let mut out = vec![0xaa];
-    write(
-        &mut out,
-        (vrid, priority, interval),
-        addresses,
+    AdvertisementPacket {
+        vrid,
+        priority,
+        interval,
+        addresses: addresses.into(),
         sequence,
-        &keys,
-    );
+    }
+    .encode(&keys, &mut out);
     assert_eq!(
         out.remove(0),
         0xaa,
@@ -79,3 +80,31 @@
          62234131849e2e816f50eccac8e48487a15882d0c05e78e1bdf51aaa8e554ecb"
     );
 }
+
+/// The packets of `tests/oracles/wire/vrrp.hex`, by its names.
+#[test]
+fn the_packets_of_the_wire_oracle_have_the_recorded_octets() {
+    let keys = || {
+        let first = key(3, b"0123456789abcdef");
+        Keys(vec![first, key(4, b"other")])
+    };
+    let (seven, eight) = (Ipv4Addr::new(192, 0, 2, 7), Ipv4Addr::new(192, 0, 2, 8));
+    assert_eq!(
+        written(1, 200, 10, &[seven], 1_764_633_600_000, keys()),
+        "3101c801000a44ebc0000207ff0000019adc5be00003\
+         f3b151132562ee8ccd63fef8ea1fd04f533c85957cc9cc8c104f7fc35e300bd6",
+        "advertisement"
+    );
+    assert_eq!(
+        written(255, 254, 4095, &[seven, eight], u64::MAX, keys()),
+        "31fffe020fff3beec0000207c0000208ffffffffffffffffff03\
+         b515627194289b608b9236a0397d05afc586f7c584657e73ee21a5a5ab50cac7",
+        "advertisement-two-addresses"
+    );
+    assert_eq!(
+        written(1, 0, 10, &[seven], 1, keys()),
+        "31010001000a0cecc0000207ff000000000000000103\
+         2dc94b85031555fe5d1bbc5992128d743f3aa9ff95769a47bb70bed829576dc6",
+        "advertisement-of-the-end"
+    );
+}
