Failover: the request that a vote replies to has the names of the lease package's proposer

Cause: the package of leases gets a ReplyTo with a ProposalPhase for the same pair; two names for one thing would meet. Change: VoteRequest and BallotPhase are ReplyTo and ProposalPhase, field by field as there, so that they can become re-exports; the constructor from a flag is gone.

--- a/crates/tidewall-failover/src/proposal.rs
+++ b/crates/tidewall-failover/src/proposal.rs
@@ -47,36 +47,27 @@
     };
 }
 
-/// The phase of a ballot (Lamport, "Paxos Made Simple", 2001, section 2.2).
+/// Which of the two requests of a ballot a voter replies to (Lamport, "Paxos Made Simple", 2001, section 2.2).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BallotPhase {
-    /// Phase 1: the voter promises to refuse lower ballots.
+pub enum ProposalPhase {
+    /// Phase 1, a request for a promise to refuse lower ballots.
     Prepare,
-    /// Phase 2: the voter accepts a leadership.
+    /// Phase 2, a request to accept a leadership.
     Accept,
 }
 
-/// A request to a voter that a reply, or its absence, belongs to.
+/// The request that a reply, or its absence, belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct VoteRequest {
-    /// The ballot's number.
+pub struct ReplyTo {
+    /// The ballot of the request.
     pub ballot: u64,
-    /// Its phase.
-    pub phase: BallotPhase,
+    /// The kind of the request.
+    pub phase: ProposalPhase,
 }
 
-impl VoteRequest {
-    /// A request of phase 2 where `accepting`, else of phase 1.
-    pub fn new(ballot: u64, accepting: bool) -> VoteRequest {
-        let phase = match accepting {
-            true => BallotPhase::Accept,
-            false => BallotPhase::Prepare,
-        };
-        VoteRequest { ballot, phase }
-    }
-
+impl ReplyTo {
     fn parts(self) -> (u64, bool) {
-        (self.ballot, self.phase == BallotPhase::Accept)
+        (self.ballot, self.phase == ProposalPhase::Accept)
     }
 }
 
@@ -162,30 +153,30 @@
         self.round.begin(transport);
     }
 
-    /// A voter's reply to `request`: whether it agreed, and what it stores. Returns the outcome once it is certain.
+    /// A voter's reply to the request `reply_to`: whether it agreed, and what it stores. Returns the outcome once it is certain.
     pub fn vote_received(
         &mut self,
         transport: &mut impl ProposerTransport<Leadership>,
         voter: usize,
-        request: VoteRequest,
+        reply_to: ReplyTo,
         agreed: bool,
         acceptor: LeadershipAcceptor,
     ) -> Option<ProposalOutcome> {
         let context = (transport, &mut self.rule);
         self.round
-            .reply_received(context, voter, request.parts(), agreed, acceptor)
+            .reply_received(context, voter, reply_to.parts(), agreed, acceptor)
             .map(proposal_outcome)
     }
 
-    /// A voter cannot be reached, or did not reply to `request`. Returns the outcome once it is certain.
+    /// A voter cannot be reached, or did not reply to the request `reply_to`. Returns the outcome once it is certain.
     pub fn vote_missing(
         &mut self,
         transport: &mut impl ProposerTransport<Leadership>,
         voter: usize,
-        request: VoteRequest,
+        reply_to: ReplyTo,
     ) -> Option<ProposalOutcome> {
         self.round
-            .reply_missing((transport, &mut self.rule), voter, request.parts())
+            .reply_missing((transport, &mut self.rule), voter, reply_to.parts())
             .map(proposal_outcome)
     }
 }
--- a/crates/tidewall-failover/src/role/votes.rs
+++ b/crates/tidewall-failover/src/role/votes.rs
@@ -2,7 +2,7 @@
 
 use super::{Role, RoleActions, RoleStateMachine, PROPOSAL_RETRY_INTERVALS};
 use crate::leadership::{Leadership, LeadershipAcceptor};
-use crate::proposal::{ProposalOutcome, ProposalRequest, Purpose, VoteRequest};
+use crate::proposal::{ProposalOutcome, ProposalRequest, Purpose, ReplyTo};
 use crate::Time;
 
 impl RoleStateMachine {
@@ -19,33 +19,33 @@
         }
     }
 
-    /// A voter's reply to `request`: whether it agreed, and what it stores.
+    /// A voter's reply to the request `reply_to`: whether it agreed, and what it stores.
     pub fn vote_received(
         &mut self,
         now: Time,
         actions: &mut impl RoleActions,
         voter: usize,
-        request: VoteRequest,
+        reply_to: ReplyTo,
         agreed: bool,
         acceptor: LeadershipAcceptor,
     ) {
         let outcome = self
             .proposer
-            .vote_received(actions, voter, request, agreed, acceptor);
+            .vote_received(actions, voter, reply_to, agreed, acceptor);
         if let Some(outcome) = outcome {
             self.proposal_ended(now, actions, outcome);
         }
     }
 
-    /// A voter cannot be reached, or did not reply to `request`.
+    /// A voter cannot be reached, or did not reply to the request `reply_to`.
     pub fn vote_missing(
         &mut self,
         now: Time,
         actions: &mut impl RoleActions,
         voter: usize,
-        request: VoteRequest,
+        reply_to: ReplyTo,
     ) {
-        if let Some(outcome) = self.proposer.vote_missing(actions, voter, request) {
+        if let Some(outcome) = self.proposer.vote_missing(actions, voter, reply_to) {
             self.proposal_ended(now, actions, outcome);
         }
     }
--- a/crates/tidewall-failover/tests/leadership_proposals.rs
+++ b/crates/tidewall-failover/tests/leadership_proposals.rs
@@ -43,13 +43,13 @@
     proposer.propose(&mut transport, request);
     let mut outcome = None;
     while let Some(sent) = transport.0.pop() {
-        let request = sent.vote_request();
+        let reply_to = sent.reply_to();
         let ended = match voters.get_mut(sent.voter) {
             Some(voter) => {
                 let Reply { agreed, acceptor } = sent.reply(voter);
-                proposer.vote_received(&mut transport, sent.voter, request, agreed, acceptor)
+                proposer.vote_received(&mut transport, sent.voter, reply_to, agreed, acceptor)
             }
-            None => proposer.vote_missing(&mut transport, sent.voter, request),
+            None => proposer.vote_missing(&mut transport, sent.voter, reply_to),
         };
         outcome = outcome.or(ended);
     }
@@ -244,7 +244,7 @@
         let outcome = self.proposers[message.from].vote_received(
             &mut requests,
             message.request.voter,
-            message.request.vote_request(),
+            message.request.reply_to(),
             reply.agreed,
             reply.acceptor,
         );
--- a/crates/tidewall-failover/tests/role_transitions.rs
+++ b/crates/tidewall-failover/tests/role_transitions.rs
@@ -82,8 +82,8 @@
 ) {
     while let Some(sent) = actions.requests.0.pop() {
         let Reply { agreed, acceptor } = sent.reply(&mut voters[sent.voter]);
-        let request = sent.vote_request();
-        machine.vote_received(now, actions, sent.voter, request, agreed, acceptor);
+        let reply_to = sent.reply_to();
+        machine.vote_received(now, actions, sent.voter, reply_to, agreed, acceptor);
     }
 }
 
@@ -132,7 +132,7 @@
     machine.peer_disconnected(100, &mut actions);
     for now in (200..30_000).step_by(250) {
         for sent in std::mem::take(&mut actions.requests.0) {
-            machine.vote_missing(now, &mut actions, sent.voter, sent.vote_request());
+            machine.vote_missing(now, &mut actions, sent.voter, sent.reply_to());
         }
         machine.tick(now, &mut actions);
     }
--- a/crates/tidewall-failover/tests/support/mod.rs
+++ b/crates/tidewall-failover/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Requests to voters as a proposer sends them, and the voters' replies.
 use tidewall_failover::leadership::{Leadership, LeadershipAcceptor};
-use tidewall_failover::proposal::{ProposerTransport, VoteRequest};
+use tidewall_failover::proposal::{ProposalPhase, ProposerTransport, ReplyTo};
 
 /// A request to a voter: to promise a ballot, or to accept a proposal.
 #[derive(Clone, Copy, PartialEq)]
@@ -11,8 +11,15 @@
 }
 
 impl SentRequest {
-    pub fn vote_request(&self) -> VoteRequest {
-        VoteRequest::new(self.ballot, self.proposal.is_some())
+    pub fn reply_to(&self) -> ReplyTo {
+        let phase = match self.proposal {
+            None => ProposalPhase::Prepare,
+            Some(_) => ProposalPhase::Accept,
+        };
+        ReplyTo {
+            ballot: self.ballot,
+            phase,
+        }
     }
 
     pub fn reply(&self, acceptor: &mut LeadershipAcceptor) -> Reply {
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -12,7 +12,7 @@
 use tidewall_failover::deduplication::RequestLocation;
 use tidewall_failover::leadership::{Leadership, LeadershipAcceptor};
 use tidewall_failover::load_request_limit::LoadRequestLimiter;
-use tidewall_failover::proposal::{epoch_number, ProposerTransport, VoteRequest};
+use tidewall_failover::proposal::{epoch_number, ProposalPhase, ProposerTransport, ReplyTo};
 use tidewall_failover::recovery::{
     self, recovery_action, unrecorded_retry_action, RecoveryAction, RetrySafety,
     UnrecordedRetryAction,
@@ -1284,7 +1284,7 @@
         host.free(key);
         self.with_seat(|seat, now, act| {
             if let Some(voter) = voter.filter(|_| !over) {
-                let request = VoteRequest::new(ballot, accepting);
+                let request = reply_to((ballot, accepting));
                 seat.vote_received(now, act, voter, request, good, promise);
             }
             if accepting
@@ -1379,7 +1379,7 @@
         } else if let Some(due) = copy.replays.pop_front() {
             self.give(due);
         } else if let Some((voter, of)) = copy.unheard.pop_front() {
-            let request = VoteRequest::new(of.0, of.1);
+            let request = reply_to(of);
             self.with_seat(|seat, now, act| seat.vote_missing(now, act, voter, request));
         } else if std::mem::take(&mut copy.fenced) {
             self.with_seat(|seat, _, act| seat.epoch_rejected(act));
@@ -1467,6 +1467,14 @@
     core.choice.host.copy.as_mut().expect("a pair copies")
 }
 
+fn reply_to((ballot, accepting): (u64, bool)) -> ReplyTo {
+    let phase = match accepting {
+        true => ProposalPhase::Accept,
+        false => ProposalPhase::Prepare,
+    };
+    ReplyTo { ballot, phase }
+}
+
 /// The first setting that the other member has otherwise.
 fn disagree(ours: &[String], theirs: &str) -> Option<String> {
     let mut theirs: Vec<&str> = theirs.lines().collect();
