--- a/crates/tidewall-cli/src/coordination.rs
+++ b/crates/tidewall-cli/src/coordination.rs
@@ -12,7 +12,7 @@
 use tidewall_coordination::executor_task::ExecutorTask;
 use tidewall_coordination::lease_task::LeaseTask;
 use tidewall_coordination::mailbox::{channel, ExecutorCommand, MailboxSender};
-use tidewall_failover::proposal::next;
+use tidewall_failover::proposal::next_incarnation;
 use tidewall_gateway::EndpointWatcher;
 use tidewall_net::mio::{self, Mio};
 use tidewall_sim::fleet::Plant;
@@ -50,7 +50,7 @@
         shutdown: &Arc<AtomicBool>,
     ) -> Result<(), Failure> {
         let load_keys = key_loader(settings)?;
-        let incarnation = next(0, wall_clock_ms());
+        let incarnation = next_incarnation(0, wall_clock_ms());
         let guards = plant.guards();
         let config =
             CoordinationConfig::new(settings, member, incarnation, seed, guards, load_keys);
--- a/crates/tidewall-gateway/src/config.rs
+++ b/crates/tidewall-gateway/src/config.rs
@@ -65,7 +65,7 @@
     match class.choice("redelivery").as_str() {
         "REDELIVERABLE" => RetrySafety::Idempotent,
         "KEYED" => RetrySafety::IdempotencyKey {
-            all: class.choice("group") == "ALL",
+            global: class.choice("group") == "ALL",
             window: class.span("window_ms"),
         },
         _ => RetrySafety::NonIdempotent,
--- a/crates/tidewall-gateway/src/error.rs
+++ b/crates/tidewall-gateway/src/error.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use thiserror::Error;
 use tidewall::settings::SettingsError;
+use tidewall_vrrp::ParameterError;
 use tidewall_wire::WireError;
 
 /// Why a message of a worker, of the discovery server or of another gateway is refused. Its connection ends with this
@@ -72,7 +73,7 @@
     Settings(#[from] SettingsError),
     /// The VRRP parameters are refused; the text names the parameter.
     #[error("{0}")]
-    Vrrp(String),
+    Vrrp(ParameterError),
 }
 
 /// Why a file of authentication keys is refused: file, line and column stand first.
--- a/crates/tidewall-gateway/src/failover/duplicates.rs
+++ b/crates/tidewall-gateway/src/failover/duplicates.rs
@@ -3,15 +3,12 @@
 //! remembers is refused while that may be due to a takeover without replication.
 use super::replicator::{disposition_from_number, Replicator};
 use super::FENCING_RETRY_AFTER;
-use crate::ingress::{Disposition, IncomingRequest};
+use crate::ingress::{Disposition, IncomingRequest, NO_REQUEST_SLOT};
 use crate::IngressContext;
 use tidewall_failover::deduplication::RequestLocation;
-use tidewall_failover::recovery;
+use tidewall_failover::recovery::{self, UnrecordedRetryAction};
 use tidewall_net::{Net, Time};
 
-/// The slot given back for a duplicate that joined no request in flight here.
-const NO_LOCAL_SLOT: usize = usize::MAX;
-
 impl<N: Net> IngressContext<N> {
     /// Gives a request to the one in flight or the response that it repeats, and gives back its slot; none where it is
     /// new, or failover is not configured.
@@ -21,7 +18,7 @@
         let replicator = host.replicator.as_mut()?;
         let client = (request.reply_handle, now + request.remaining);
         if refuse_unknown_retry(replicator, request, now) {
-            return Some(NO_LOCAL_SLOT);
+            return Some(NO_REQUEST_SLOT);
         }
         let key = request.idempotency_key;
         if key.is_empty() {
@@ -36,16 +33,19 @@
             }
             RequestLocation::Remote(slot) => {
                 self.awaited_remote.push_back((*slot, client.0, client.1));
-                Some(NO_LOCAL_SLOT)
+                Some(NO_REQUEST_SLOT)
             }
-            RequestLocation::Responded(number, payload) => {
+            RequestLocation::Responded {
+                disposition: number,
+                payload,
+            } => {
                 let (number, payload) = (*number, payload.clone());
                 let mut response = replicator.new_response();
                 response.clients.push(client);
                 response.disposition = Some(disposition_from_number(number));
                 response.payload.extend_from_slice(&payload);
                 replicator.ready_responses.push_back(response);
-                Some(NO_LOCAL_SLOT)
+                Some(NO_REQUEST_SLOT)
             }
         }
     }
@@ -63,10 +63,10 @@
     }
     let retry_safety = replicator.retry_safety_of(class);
     let (hedging, fenced) = (replicator.allows_hedging, replicator.all_workers_fenced);
-    let disposition = match recovery::unknown(retry_safety, hedging, fenced) {
-        None => return false,
-        Some(true) => Disposition::Rejected,
-        Some(false) => Disposition::Failed,
+    let disposition = match recovery::unrecorded_retry_action(retry_safety, hedging, fenced) {
+        UnrecordedRetryAction::Schedule => return false,
+        UnrecordedRetryAction::Reject => Disposition::Rejected,
+        UnrecordedRetryAction::Fail => Disposition::Failed,
     };
     replicator.remember_response(now, class, key, disposition, &[]);
     let mut response = replicator.new_response();
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -38,7 +38,8 @@
 mod vrrp;
 
 use crate::error::StartError;
-use crate::{Gateway, IngressContext, OF_PAIR};
+use crate::timers::TimerToken;
+use crate::{Gateway, IngressContext};
 use peer_link::PeerLink;
 use peer_requests::PeerRequests;
 use replicator::Replicator;
@@ -216,7 +217,10 @@
         let (listener, _) = net
             .listen(address)
             .map_err(|source| StartError::Listen { address, source })?;
-        net.set_timer(now + config.tick_interval(), OF_PAIR);
+        net.set_timer(
+            now + config.tick_interval(),
+            TimerToken::FailoverTick.pack(),
+        );
         // An attempt that waits for its record gets one interval more than the link's silence.
         let silence_timeout = config.silence_limit() + interval;
         let replicator = Replicator::new(member, &config, silence_timeout);
@@ -303,7 +307,10 @@
         let state = &mut node.state;
         let net = &mut self.context.scheduler.host.net;
         let now = net.now();
-        net.set_timer(now + state.config.tick_interval(), OF_PAIR);
+        net.set_timer(
+            now + state.config.tick_interval(),
+            TimerToken::FailoverTick.pack(),
+        );
         state.ticks += 1;
         if state.ticks.is_multiple_of(KEY_RELOAD_TICKS) {
             state.vrrp.reload_keys(&state.config);
--- a/crates/tidewall-gateway/src/failover/peer_link.rs
+++ b/crates/tidewall-gateway/src/failover/peer_link.rs
@@ -187,7 +187,7 @@
                 warn!(setting, barred, "settings disagree with the peer");
             }
             link.settings_mismatch = mismatch;
-            node.role_machine.set_barred(barred);
+            node.role_machine.set_ineligible(barred);
         }
         if let Some(replicator) = &mut self.context.scheduler.host.replicator {
             replicator.conn = Some(conn);
--- a/crates/tidewall-gateway/src/failover/peer_requests.rs
+++ b/crates/tidewall-gateway/src/failover/peer_requests.rs
@@ -158,7 +158,7 @@
             ReplicationRecord::SnapshotStarted { only_changes } => {
                 requests.slots.clear();
                 if !only_changes {
-                    replicator.deduplication.clear_responses();
+                    replicator.deduplication.retain_local();
                 }
             }
             ReplicationRecord::RequestAdmitted(admitted) => {
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -9,6 +9,7 @@
 use tidewall_failover::deduplication::DeduplicationTable;
 use tidewall_failover::leadership::Leadership;
 use tidewall_failover::load_request_limit::LoadRequestLimiter;
+use tidewall_failover::proposal::{ProposalPhase, ReplyTo};
 use tidewall_failover::recovery::RetrySafety;
 use tidewall_net::{Conn, Net, Time};
 
@@ -58,6 +59,20 @@
     pub accepting: bool,
 }
 
+impl VoteRound {
+    /// The request as the proposer names it.
+    pub(super) fn reply_to(self) -> ReplyTo {
+        let phase = match self.accepting {
+            true => ProposalPhase::Accept,
+            false => ProposalPhase::Prepare,
+        };
+        ReplyTo {
+            ballot: self.ballot,
+            phase,
+        }
+    }
+}
+
 /// A voter whose vote will not come: it has no address, or its connection was lost.
 pub(super) struct MissingVote {
     pub voter: usize,
--- a/crates/tidewall-gateway/src/failover/responses.rs
+++ b/crates/tidewall-gateway/src/failover/responses.rs
@@ -69,7 +69,7 @@
         } else if let Some(response) = replicator.ready_responses.pop_front() {
             self.send_pending_response(response);
         } else if let Some(missing) = replicator.missing_votes.pop_front() {
-            let round = (missing.round.ballot, missing.round.accepting);
+            let round = missing.round.reply_to();
             self.with_role(|role_machine, now, actions| {
                 role_machine.vote_missing(now, actions, missing.voter, round)
             });
--- a/crates/tidewall-gateway/src/failover/role_actions.rs
+++ b/crates/tidewall-gateway/src/failover/role_actions.rs
@@ -6,7 +6,7 @@
 use super::{FailoverState, StopReason, FENCING_RETRY_TICKS};
 use crate::Gateway;
 use tidewall_failover::leadership::Leadership;
-use tidewall_failover::proposal::count;
+use tidewall_failover::proposal::epoch_number;
 use tidewall_failover::role::{Role, RoleActions, RoleStateMachine};
 use tidewall_net::{Net, Time};
 use tracing::{info, warn};
@@ -69,7 +69,7 @@
     }
 
     fn start_serving(&mut self, leadership: Leadership, take_over: bool, history_unknown: bool) {
-        let epoch = count(leadership.epoch);
+        let epoch = epoch_number(leadership.epoch);
         info!(epoch, take_over, history_unknown, "leadership acquired");
         let now = self.gateway.context.net().now();
         let retention = &self.state.config.retention;
@@ -90,7 +90,7 @@
     }
 
     fn leadership_renewed(&mut self, leadership: Leadership, take_over: bool) {
-        let epoch = count(leadership.epoch);
+        let epoch = epoch_number(leadership.epoch);
         info!(epoch, synced_incarnations = ?leadership.synced_incarnations, "leadership renewed");
         self.replicator().epoch = leadership.epoch;
         if leadership.fencing_floor == leadership.epoch {
--- a/crates/tidewall-gateway/src/failover/snapshot.rs
+++ b/crates/tidewall-gateway/src/failover/snapshot.rs
@@ -95,12 +95,16 @@
     fn send_response_snapshot(&mut self, from: usize) -> Option<SnapshotCursor> {
         let replicator = self.replicator.as_mut()?;
         let names = RecordNames::new(&self.class_names, &self.tenant_names);
-        let Some((index, entry)) = replicator.deduplication.next(from) else {
+        let Some((index, entry)) = replicator.deduplication.next_entry_from(from) else {
             replicator.send_record(&mut self.net, &ReplicationRecord::SnapshotCompleted, names);
             replicator.snapshot_incomplete = false;
             return Some(SnapshotCursor::Sent(replicator.last_sequence));
         };
-        if let RequestLocation::Responded(number, payload) = &entry.location {
+        if let RequestLocation::Responded {
+            disposition: number,
+            payload,
+        } = &entry.location
+        {
             let disposition = disposition_from_number(*number);
             let (class, payload) = (entry.class, payload.clone());
             let idempotency_key = entry.idempotency_key.clone();
--- a/crates/tidewall-gateway/src/failover/takeover.rs
+++ b/crates/tidewall-gateway/src/failover/takeover.rs
@@ -49,10 +49,11 @@
             let removed = entry.is_none_or(|entry| entry.state() == EndpointState::Removed);
             removed || state.fenced_workers.contains(worker)
         };
-        Some(recovery::fate(
+        Some(recovery::recovery_action(
             replicator.retry_safety_of(request.class),
             replicator.allows_hedging,
-            (now, request.deadline),
+            now,
+            request.deadline,
             &request.attempts,
             fenced,
         ))
@@ -104,7 +105,8 @@
             return;
         };
         // Looked at once a tick, so with room for one tick, and for the response's way back.
-        let horizon = host.net.now() + state.config.tick_interval() + 2 * recovery::LEAST;
+        let horizon =
+            host.net.now() + state.config.tick_interval() + 2 * recovery::MIN_REMAINING_TIME;
         let mut expired = Vec::new();
         let requests = &mut host.requests;
         replicator.shared_requests.retain(|slot| {
--- a/crates/tidewall-gateway/src/failover/voting.rs
+++ b/crates/tidewall-gateway/src/failover/voting.rs
@@ -150,7 +150,7 @@
         let (granted, acceptor) = (reply.granted, reply.acceptor);
         self.with_role(|role_machine, now, actions| {
             if let Some(voter) = voter.filter(|_| !ended) {
-                let round = (ballot, accepting);
+                let round = VoteRound { ballot, accepting }.reply_to();
                 role_machine.vote_received(now, actions, voter, round, granted, acceptor);
             }
             let accepted = acceptor.accepted;
--- a/crates/tidewall-gateway/src/failover/vrrp.rs
+++ b/crates/tidewall-gateway/src/failover/vrrp.rs
@@ -4,11 +4,12 @@
 //! Advertisements are authenticated and numbered, since whoever forges one could take the shared address away.
 use super::{FailoverConfig, FailoverState};
 use crate::error::StartError;
-use crate::{Gateway, OF_VRRP};
+use crate::timers::TimerToken;
+use crate::Gateway;
 use std::mem;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use tidewall_net::{DatagramSocket, Net, Time, TimerId};
-use tidewall_vrrp::packet::{self, Keys, ReplayGuard};
+use tidewall_vrrp::packet::{self, AdvertisementPacket, Keys, PacketError, ReplayGuard};
 use tidewall_vrrp::{Parameters, Router, VrrpActions};
 use tracing::warn;
 
@@ -122,23 +123,24 @@
         let sender = ipv4_of(from);
         // The hash does not cover the sender: a packet that was overheard must not come from elsewhere.
         let read = if sender == ipv4_of(config.peer_vrrp_address) {
-            packet::read(bytes, sender, &shared, &self.keys, &mut self.replay_guard)
+            packet::receive(bytes, sender, &shared, &self.keys, &mut self.replay_guard)
         } else {
-            Err("from: not the peer")
+            Err(PacketError::UnexpectedSender)
         };
         match read {
-            Ok((vrid, advertisement)) if vrid == config.vrid => {
+            Ok(advertisement) if advertisement.vrid == config.vrid => {
                 self.with_router(config, net, |router, actions| {
                     router.advertisement_received(actions, advertisement)
                 });
             }
             Ok(_) => {}
-            Err(reason) => {
+            Err(error) => {
                 self.rejected += 1;
                 let now = net.now();
                 let next_log = self.rejection_logged_at + REJECTION_LOG_INTERVAL;
                 if now >= next_log || self.rejection_logged_at == 0 {
                     self.rejection_logged_at = now;
+                    let reason = error.to_string();
                     warn!(reason, %from, total = self.rejected, "advertisement rejected");
                 }
             }
@@ -161,13 +163,15 @@
     fn advertise(&mut self, vrid: u8, priority: u8, interval: u16) {
         *self.advertisement_number += 1;
         let mut datagram = Vec::new();
-        packet::write(
-            &mut datagram,
-            (vrid, priority, interval),
-            &[ipv4_of(self.config.shared_address)],
-            *self.advertisement_number,
-            self.keys,
-        );
+        let addresses = [ipv4_of(self.config.shared_address)];
+        AdvertisementPacket {
+            vrid,
+            priority,
+            interval,
+            addresses: (&addresses[..]).into(),
+            sequence: *self.advertisement_number,
+        }
+        .encode(self.keys, &mut datagram);
         self.net
             .send_datagram(self.socket, self.config.peer_vrrp_address, &datagram);
     }
@@ -175,7 +179,7 @@
     fn set_timer(&mut self, vrid: u8, wait: Time) {
         self.cancel_timer(vrid);
         let at = self.net.now() + wait;
-        *self.timer = Some(self.net.set_timer(at, OF_VRRP));
+        *self.timer = Some(self.net.set_timer(at, TimerToken::Vrrp.pack()));
     }
 
     fn cancel_timer(&mut self, _vrid: u8) {
--- a/crates/tidewall-gateway/src/ingress_context.rs
+++ b/crates/tidewall-gateway/src/ingress_context.rs
@@ -7,7 +7,7 @@
 use tidewall::choice::Scheduler;
 use tidewall::interface::RequestInfo;
 use tidewall::interner;
-use tidewall_failover::recovery::margin;
+use tidewall_failover::recovery::deadline_margin;
 use tidewall_net::{Net, Time};
 use tracing::debug;
 
@@ -116,7 +116,7 @@
     fn request_info(&mut self, incoming: &IncomingRequest, now: Time) -> RequestInfo {
         let pool = &mut self.scheduler.host;
         let margin = pool.replicator.as_ref().map_or(0, |replicator| {
-            margin(
+            deadline_margin(
                 replicator.retry_safety_of(incoming.class),
                 incoming.remaining,
                 replicator.silence_timeout,
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -41,7 +41,6 @@
 pub use ingress_context::IngressContext;
 
 pub(crate) use connection_owners::Owner;
-pub(crate) use timers::{OF_PAIR, OF_VRRP};
 
 use backoff::Backoff;
 use discovery::DiscoveryClient;
--- a/crates/tidewall-gateway/src/timers.rs
+++ b/crates/tidewall-gateway/src/timers.rs
@@ -81,12 +81,6 @@
     }
 }
 
-/// The failover tick's token under the name that the failover module uses.
-pub(crate) const OF_PAIR: u64 = TimerToken::FailoverTick.pack();
-
-/// The VRRP timer's token under the name that the failover module uses.
-pub(crate) const OF_VRRP: u64 = TimerToken::Vrrp.pack();
-
 /// How often connections to workers are checked for being idle or silent: a tenth of a second is fine against timeouts of
 /// seconds and costs nothing.
 const CONNECTION_CHECK_INTERVAL: Time = 1_000;
