Settings: sections are read by standard terms

Cause: whole, span, texts, at, agree and plain do not say what they give. Change: integer, duration, strings, field_path, shared_settings, scheduler_settings, by the compiler.

--- a/crates/tidewall-amqp-ingress/src/lib.rs
+++ b/crates/tidewall-amqp-ingress/src/lib.rs
@@ -292,17 +292,17 @@
             .iter()
             .map(|t| t.text("name"))
             .collect();
-        let mut vhosts = a.texts("vhost");
+        let mut vhosts = a.strings("vhost");
         if vhosts.is_empty() {
             vhosts.push("/".to_string());
         }
         let queued_most = (a.number("queued_mb") * 1e6) as usize;
         let limits = Limits {
-            frame_max: a.whole("frame_max") as u32,
-            channel_max: a.whole("channel_max") as u16,
-            heartbeat: a.whole("heartbeat_s") as u16,
-            body_max: a.whole("body_max"),
-            handshake: a.span("handshake_ms"),
+            frame_max: a.integer("frame_max") as u32,
+            channel_max: a.integer("channel_max") as u16,
+            heartbeat: a.integer("heartbeat_s") as u16,
+            body_max: a.integer("body_max"),
+            handshake: a.duration("handshake_ms"),
             queued_most,
             trigger: a.text("trigger_exchange"),
             dead_letters: a.text("dead_letter_exchange"),
@@ -315,21 +315,21 @@
         };
         let function = |f: &Section| Function {
             name: f.text("name"),
-            lanes: f.whole("lanes") as u32,
+            lanes: f.integer("lanes") as u32,
             memory: f.number("memory_mb"),
-            hint: f.span("hint_ms"),
-            load_hint: f.span("load_hint_ms"),
+            hint: f.duration("hint_ms"),
+            load_hint: f.duration("load_hint_ms"),
         };
         let typ = |t: &Section| Typ {
             name: t.text("name"),
-            age: t.span("max_age_ms"),
+            age: t.duration("max_age_ms"),
             // Answers to types without a window are remembered as long as a client may still ask.
-            window: if t.span("window_ms") > 0 {
-                t.span("window_ms")
+            window: if t.duration("window_ms") > 0 {
+                t.duration("window_ms")
             } else {
-                t.span("max_age_ms")
+                t.duration("max_age_ms")
             },
-            again: t.choice("redelivery") == "REDELIVERABLE",
+            again: t.enum_value("redelivery") == "REDELIVERABLE",
         };
         let side = Side {
             me,
@@ -337,7 +337,7 @@
             types: settings.sections("event_type").iter().map(typ).collect(),
             functions: a.sections("function").iter().map(function).collect(),
             headers: a.flag("headers"),
-            logins: Logins::new(a.whole("logins") as usize),
+            logins: Logins::new(a.integer("logins") as usize),
             refused: Vec::new(),
             marks: Marks::default(),
             taken: Slab::new(),
@@ -346,7 +346,7 @@
             count: 0,
             links: Vec::new(),
         };
-        let hold = HoldBack::new(a.whole("in_hand") as usize, queued_most);
+        let hold = HoldBack::new(a.integer("in_hand") as usize, queued_most);
         let server = Server::new(limits);
         Amqp {
             server,
--- a/crates/tidewall-benchmarks/src/main.rs
+++ b/crates/tidewall-benchmarks/src/main.rs
@@ -224,7 +224,7 @@
 fn module(workers: usize, rate: u64) -> f64 {
     let text = settings(free(), free(), 1000);
     let s = tidewall_config::settings("measure", &text).expect("they are good");
-    let map = tidewall_config::plain(&s, 0);
+    let map = tidewall_config::scheduler_settings(&s, 0);
     let mut choice = Scheduler::new(Nothing(Vec::new()), 1, 7, map).expect("they are good");
     let listed = |wk: usize| {
         (
--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -257,7 +257,7 @@
     if let Some(g) = without.filter(|_| args.door == Way::Amqp) {
         return Err(input(format!(
             "{file}: {}: is needed for --door amqp",
-            g.at("amqp_address")
+            g.field_path("amqp_address")
         )));
     }
     let script = if args.pair {
@@ -279,7 +279,7 @@
             .section("fleet")
             .sections("workers")
             .iter()
-            .map(|w| w.whole("count"))
+            .map(|w| w.integer("count"))
             .sum();
         let gateways = settings.sections("gateway").len();
         let told =
@@ -299,11 +299,11 @@
     let faults = script.sections("fault");
     let terminals = faults
         .iter()
-        .find(|f| f.choice("trouble").starts_with("TERMINAL_"));
+        .find(|f| f.enum_value("trouble").starts_with("TERMINAL_"));
     if let Some(f) = terminals.filter(|_| args.door != Way::Amqp) {
         return Err(input(format!(
             "{script_file}: {}: needs --door amqp",
-            f.at("trouble")
+            f.field_path("trouble")
         )));
     }
     let seconds = args.seconds.or(seconds).unwrap_or(script.number("seconds"));
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -71,7 +71,7 @@
     let own = &gateways[me];
     let seed = args
         .seed
-        .or_else(|| Some(own.whole("seed")).filter(|s| *s > 0))
+        .or_else(|| Some(own.integer("seed")).filter(|s| *s > 0))
         .unwrap_or_else(|| {
             let now = SystemTime::now().duration_since(UNIX_EPOCH);
             now.map_or(1, |d| d.as_nanos() as u64)
@@ -193,7 +193,7 @@
     let mut net = Mio::new().map_err(|e| Failure::Run(e.to_string()))?;
     net.signals(&SIGNALS)
         .map_err(|e| Failure::Run(e.to_string()))?;
-    let seed = s.section("fleet").whole("seed");
+    let seed = s.section("fleet").integer("seed");
     let plan = Plan {
         seed,
         seconds: 0.0,
--- a/crates/tidewall-config/src/check/amqp.rs
+++ b/crates/tidewall-config/src/check/amqp.rs
@@ -10,18 +10,18 @@
         let name = function.text("name");
         if name.trim_end_matches('*').contains('*') || name.is_empty() {
             let reason = format!("'{name}' is no name, nor the start of one and '*'");
-            return Err(FieldError::new(function.at("name"), reason));
+            return Err(FieldError::new(function.field_path("name"), reason));
         }
     }
     let trigger = amqp.text("trigger_exchange");
     if trigger.is_empty() {
         return Err(FieldError::new(
-            amqp.at("trigger_exchange"),
+            amqp.field_path("trigger_exchange"),
             "it needs a name",
         ));
     }
     if trigger == amqp.text("dead_letter_exchange") {
-        let path = amqp.at("dead_letter_exchange");
+        let path = amqp.field_path("dead_letter_exchange");
         return Err(FieldError::new(path, "dead letters would be events again"));
     }
     Ok(())
@@ -30,13 +30,16 @@
 fn users(amqp: &Section, tenants: &[String]) -> Result<(), FieldError> {
     let users = amqp.sections("user");
     if users.is_empty() {
-        return Err(FieldError::new(amqp.at("user"), "at least one is needed"));
+        return Err(FieldError::new(
+            amqp.field_path("user"),
+            "at least one is needed",
+        ));
     }
     unique_names(&users)?;
     for user in &users {
         if !user.text("password_hash").starts_with("$argon2") {
             let reason = "it is no hash of argon2 (see tidewall hash-password)";
-            return Err(FieldError::new(user.at("password_hash"), reason));
+            return Err(FieldError::new(user.field_path("password_hash"), reason));
         }
         if user.has("tenant") {
             reference(user, "tenant", "tenant", tenants)?;
--- a/crates/tidewall-config/src/check/coordination.rs
+++ b/crates/tidewall-config/src/check/coordination.rs
@@ -28,13 +28,16 @@
     addresses(gateways)?;
     let grantors = grantors(common, &members)?;
     if common.text("key_file").is_empty() {
-        return Err(FieldError::new(common.at("key_file"), "it is needed"));
+        return Err(FieldError::new(
+            common.field_path("key_file"),
+            "it is needed",
+        ));
     }
     let usable = usable_duration(common)?;
     send_budget(common, grantors, usable)?;
-    if 4 * common.span("period_ms") > 10 * common.span("term_ms") {
+    if 4 * common.duration("period_ms") > 10 * common.duration("term_ms") {
         let reason = "a lost member would be missed only terms after its leases ran out";
-        return Err(FieldError::new(common.at("period_ms"), reason));
+        return Err(FieldError::new(common.field_path("period_ms"), reason));
     }
     Ok(())
 }
@@ -55,11 +58,11 @@
 
 /// How many grantors there are.
 fn grantors(common: &Section, members: &[String]) -> Result<usize, FieldError> {
-    let grantors = common.texts("keeper");
+    let grantors = common.strings("keeper");
     let count = grantors.len();
     if !(MIN_GRANTORS..=MAX_GRANTORS).contains(&count) || count.is_multiple_of(2) {
         let reason = format!("{count} are told; an odd number from 3 to {MAX_GRANTORS} is needed");
-        return Err(FieldError::new(common.at("keeper"), reason));
+        return Err(FieldError::new(common.field_path("keeper"), reason));
     }
     for (i, grantor) in grantors.iter().enumerate() {
         let path = format!("fleet_common.keeper[{i}]");
@@ -77,16 +80,16 @@
 /// How much of a lease may be acted on, in tenths of a millisecond. With less than half of it nobody would act most of
 /// the time.
 fn usable_duration(common: &Section) -> Result<u64, FieldError> {
-    let (duration, permit) = (common.span("term_ms"), common.span("ticket_ms"));
+    let (duration, permit) = (common.duration("term_ms"), common.duration("ticket_ms"));
     let usable =
-        tidewall_lease::duration::usable_duration(duration, common.whole("clocks_ppm"), permit);
+        tidewall_lease::duration::usable_duration(duration, common.integer("clocks_ppm"), permit);
     if 2 * usable < duration {
         let reason = format!(
             "{} leaves {} ms to act after what clocks_ppm and ticket_ms take off; at least half of it is needed",
             common.number("term_ms"),
             usable as f64 / 10.0
         );
-        return Err(FieldError::new(common.at("term_ms"), reason));
+        return Err(FieldError::new(common.field_path("term_ms"), reason));
     }
     Ok(usable)
 }
@@ -103,7 +106,7 @@
                 "{} cannot renew the leases where one member is left: {least:.0} is needed",
                 common.number(field)
             );
-            return Err(FieldError::new(common.at(field), reason));
+            return Err(FieldError::new(common.field_path(field), reason));
         }
     }
     Ok(())
--- a/crates/tidewall-config/src/check/failover.rs
+++ b/crates/tidewall-config/src/check/failover.rs
@@ -15,7 +15,7 @@
 ) -> Result<(), FieldError> {
     if gateway_count != 1 {
         let reason = format!("a pair is one gateway, and there are {gateway_count}");
-        return Err(FieldError::new(pair.at("own"), reason));
+        return Err(FieldError::new(pair.field_path("own"), reason));
     }
     let members = [pair.section("own"), pair.section("peer")];
     unique_names(&members)?;
@@ -25,24 +25,24 @@
         address(member, "link_address", addresses)?;
     }
     if vrrp_addresses[0].ip() == vrrp_addresses[1].ip() {
-        let path = members[1].at("vrrp_address");
+        let path = members[1].field_path("vrrp_address");
         return Err(FieldError::new(
             path,
             "members are told apart by their IP addresses",
         ));
     }
     if pair.text("key_file").is_empty() {
-        return Err(FieldError::new(pair.at("key_file"), "it is needed"));
+        return Err(FieldError::new(pair.field_path("key_file"), "it is needed"));
     }
     voters(pair)
 }
 
 fn voters(pair: &Section) -> Result<(), FieldError> {
-    let voters = pair.texts("voter");
+    let voters = pair.strings("voter");
     if voters.len() < MIN_VOTERS || voters.len().is_multiple_of(2) {
         let count = voters.len();
         let reason = format!("{count} are told; an odd number from 3 on is needed");
-        return Err(FieldError::new(pair.at("voter"), reason));
+        return Err(FieldError::new(pair.field_path("voter"), reason));
     }
     if let Some(i) = first_duplicate(&voters) {
         return Err(FieldError::duplicate(
--- a/crates/tidewall-config/src/check/fleet.rs
+++ b/crates/tidewall-config/src/check/fleet.rs
@@ -22,13 +22,16 @@
     }
     let share: f64 = programs.iter().map(|p| p.number("share")).sum();
     if !programs.is_empty() && share <= 0.0 {
-        return Err(FieldError::new(programs[0].at("share"), "all shares are 0"));
+        return Err(FieldError::new(
+            programs[0].field_path("share"),
+            "all shares are 0",
+        ));
     }
     let store = fleet.section("depot");
     let (capacity, limit) = (store.number("capacity"), store.number("most"));
     if limit < capacity {
         let reason = format!("{limit} is under capacity, {capacity}");
-        return Err(FieldError::new(store.at("most"), reason));
+        return Err(FieldError::new(store.field_path("most"), reason));
     }
     Ok(())
 }
--- a/crates/tidewall-config/src/check/mod.rs
+++ b/crates/tidewall-config/src/check/mod.rs
@@ -42,7 +42,7 @@
 
 /// Settings of a site.
 pub fn settings(settings: &Section) -> Result<(), FieldError> {
-    let zones = settings.texts("zone");
+    let zones = settings.strings("zone");
     if let Some(i) = first_duplicate(&zones) {
         return Err(FieldError::duplicate(format!("zone[{i}]"), &zones[i]));
     }
@@ -106,7 +106,7 @@
     for gateway in gateways.iter().filter(|g| g.has("amqp_address")) {
         address(gateway, "amqp_address", &mut addresses)?;
         if !settings.has("amqp") {
-            let path = gateway.at("amqp_address");
+            let path = gateway.field_path("amqp_address");
             return Err(FieldError::new(
                 path,
                 "there is no amqp section in these settings",
@@ -120,20 +120,20 @@
     let (objective, deadline) = (class.number("target_time_ms"), class.number("max_age_ms"));
     if deadline < objective {
         let reason = format!("{deadline} is under target_time_ms, {objective}");
-        return Err(FieldError::new(class.at("max_age_ms"), reason));
+        return Err(FieldError::new(class.field_path("max_age_ms"), reason));
     }
     if deadline < MIN_DEADLINE_TICKS * tick {
         let reason = format!("{deadline} is under twenty times tick_ms, {tick}");
-        return Err(FieldError::new(class.at("max_age_ms"), reason));
+        return Err(FieldError::new(class.field_path("max_age_ms"), reason));
     }
-    let keyed = class.choice("redelivery") == "KEYED";
+    let keyed = class.enum_value("redelivery") == "KEYED";
     if keyed && class.number("window_ms") <= 0.0 {
         let reason = "a KEYED event type needs a window above 0";
-        return Err(FieldError::new(class.at("window_ms"), reason));
+        return Err(FieldError::new(class.field_path("window_ms"), reason));
     }
     if !keyed && class.has("window_ms") && class.number("window_ms") > 0.0 {
         let reason = "only a KEYED event type has a window";
-        return Err(FieldError::new(class.at("window_ms"), reason));
+        return Err(FieldError::new(class.field_path("window_ms"), reason));
     }
     Ok(())
 }
@@ -144,12 +144,12 @@
     let keep_alive = limits.number("keep_alive_ms");
     if keep_alive < connect {
         let reason = format!("{keep_alive} is under connect_time_out_ms, {connect}");
-        return Err(FieldError::new(limits.at("keep_alive_ms"), reason));
+        return Err(FieldError::new(limits.field_path("keep_alive_ms"), reason));
     }
     let reports = settings.section("reports");
     if limits.flag("probes") && !reports.flag("in_flight") && !reports.flag("busy") {
         let reason = "probes are allowed, but reports tell neither in_flight nor busy";
-        return Err(FieldError::new(reports.at("busy"), reason));
+        return Err(FieldError::new(reports.field_path("busy"), reason));
     }
     Ok(())
 }
--- a/crates/tidewall-config/src/check/references.rs
+++ b/crates/tidewall-config/src/check/references.rs
@@ -11,10 +11,10 @@
         let reserved = |c: char| c.is_whitespace() || c == ',' || c == '=';
         if name.is_empty() || name.chars().any(reserved) {
             let reason = format!("'{name}' is no name (no spaces, commas or '=')");
-            return Err(FieldError::new(section.at("name"), reason));
+            return Err(FieldError::new(section.field_path("name"), reason));
         }
         if names.contains(&name) {
-            return Err(FieldError::duplicate(section.at("name"), &name));
+            return Err(FieldError::duplicate(section.field_path("name"), &name));
         }
         names.push(name);
     }
@@ -38,7 +38,7 @@
         return Ok(());
     }
     let reason = format!("'{name}' is no {kind} of these settings");
-    Err(FieldError::new(section.at(field), reason))
+    Err(FieldError::new(section.field_path(field), reason))
 }
 
 /// The field is an address and port on loopback that no field in `seen` has; port 0 may stand several times.
@@ -50,7 +50,7 @@
     let text = section.text(field);
     let refused = |reason: &str| {
         Err(FieldError::new(
-            section.at(field),
+            section.field_path(field),
             format!("'{text}' {reason}"),
         ))
     };
--- a/crates/tidewall-config/src/check/script.rs
+++ b/crates/tidewall-config/src/check/script.rs
@@ -20,20 +20,23 @@
 
 fn fault(fault: &Section) -> Result<(), FieldError> {
     if !fault.has("trouble") {
-        return Err(FieldError::new(fault.at("trouble"), "it must be named"));
+        return Err(FieldError::new(
+            fault.field_path("trouble"),
+            "it must be named",
+        ));
     }
-    let kind = fault.choice("trouble");
+    let kind = fault.enum_value("trouble");
     if !INSTANT.contains(&kind.as_str()) && fault.number("lasts_ms") <= 0.0 {
         let reason = format!("{kind} needs a time above 0");
-        return Err(FieldError::new(fault.at("lasts_ms"), reason));
+        return Err(FieldError::new(fault.field_path("lasts_ms"), reason));
     }
     if SCALED.contains(&kind.as_str()) && fault.number("factor") <= 1.0 {
         let reason = format!("{kind} needs a factor above 1");
-        return Err(FieldError::new(fault.at("factor"), reason));
+        return Err(FieldError::new(fault.field_path("factor"), reason));
     }
     if fault.has("kind") && !kind.starts_with("WORKER_") {
         let reason = format!("{kind} hits no workers");
-        return Err(FieldError::new(fault.at("kind"), reason));
+        return Err(FieldError::new(fault.field_path("kind"), reason));
     }
     Ok(())
 }
--- a/crates/tidewall-config/src/lib.rs
+++ b/crates/tidewall-config/src/lib.rs
@@ -1,7 +1,7 @@
 //! Settings and scripts in protobuf text format.
 //!
 //! A file is parsed against the schema in `proto/`, then what the schema cannot say is checked; what is wrong is named in
-//! one line with file, line, column and field. `plain` hands settings to the scheduler as its map of names to values.
+//! one line with file, line, column and field. `scheduler_settings` hands settings to the scheduler as its map of names to values.
 mod check;
 mod error;
 mod locations;
@@ -10,9 +10,9 @@
 mod shared;
 
 pub use error::{ConfigError, ConfigProblem};
-pub use scheduler_settings::plain;
+pub use scheduler_settings::scheduler_settings;
 pub use section::Section;
-pub use shared::agree;
+pub use shared::shared_settings;
 
 use check::FieldError;
 use locations::{line_and_column, FieldLocations};
--- a/crates/tidewall-config/src/scheduler_settings.rs
+++ b/crates/tidewall-config/src/scheduler_settings.rs
@@ -47,7 +47,7 @@
 ];
 
 /// For the gateway at this place of the settings' list.
-pub fn plain(settings: &Section, gateway_index: usize) -> BTreeMap<String, String> {
+pub fn scheduler_settings(settings: &Section, gateway_index: usize) -> BTreeMap<String, String> {
     let mut map = SettingsMap::default();
     map.put_site(settings, gateway_index);
     map.put_worker_kinds(&settings.sections("kind"));
@@ -88,7 +88,7 @@
         self.put("siblings", gateways.len());
         self.put("me", gateway_index);
         self.put("locality", gateway.text("zone"));
-        self.put("zones", settings.texts("zone").join(","));
+        self.put("zones", settings.strings("zone").join(","));
         self.put("tick-ms", settings.number("tick_ms"));
         self.put("over-share-worth", settings.number("over_share_benefit"));
         self.put("workload", "load");
@@ -120,14 +120,14 @@
     }
 
     fn put_retry_safety(&mut self, prefix: &str, class: &Section) {
-        let semantics = match class.choice("redelivery").as_str() {
+        let semantics = match class.enum_value("redelivery").as_str() {
             "REDELIVERABLE" => "read_like",
             "KEYED" => "idempotency_key",
             _ => "non_idempotent",
         };
         self.put(&format!("{prefix}.semantics"), semantics);
         if semantics == "idempotency_key" {
-            let scope = class.choice("group").to_lowercase();
+            let scope = class.enum_value("group").to_lowercase();
             self.put(&format!("{prefix}.group"), scope);
             self.put_numbers(prefix, class, &[("window-ms", "window_ms")]);
         }
--- a/crates/tidewall-config/src/section.rs
+++ b/crates/tidewall-config/src/section.rs
@@ -25,7 +25,7 @@
     }
 
     /// The path of one of its fields.
-    pub fn at(&self, field: &str) -> String {
+    pub fn field_path(&self, field: &str) -> String {
         if self.path.is_empty() {
             field.to_string()
         } else {
@@ -49,7 +49,7 @@
     }
 
     /// An unsigned whole number.
-    pub fn whole(&self, field: &str) -> u64 {
+    pub fn integer(&self, field: &str) -> u64 {
         match self.value(field) {
             Value::U32(v) => u64::from(v),
             Value::U64(v) => v,
@@ -58,7 +58,7 @@
     }
 
     /// A signed whole number.
-    pub fn signed(&self, field: &str) -> i64 {
+    pub fn signed_integer(&self, field: &str) -> i64 {
         match self.value(field) {
             Value::I32(v) => i64::from(v),
             other => panic!("field {field} holds {other:?}, no signed number"),
@@ -66,7 +66,7 @@
     }
 
     /// A time in milliseconds as tenths of one, rounded down.
-    pub fn span(&self, field: &str) -> u64 {
+    pub fn duration(&self, field: &str) -> u64 {
         // 0.3 ms times ten is a little under 3 in floating point.
         const ROUNDING: f64 = 1e-6;
         (self.number(field) * 10.0 + ROUNDING).floor() as u64
@@ -78,7 +78,7 @@
     }
 
     /// The name of an enumeration's value.
-    pub fn choice(&self, field: &str) -> String {
+    pub fn enum_value(&self, field: &str) -> String {
         let descriptor = self
             .message
             .descriptor()
@@ -97,7 +97,7 @@
         let message = value.as_message().cloned().expect("the field is a section");
         Section {
             message,
-            path: self.at(field),
+            path: self.field_path(field),
         }
     }
 
@@ -108,14 +108,14 @@
         let section = |(i, value): (usize, &Value)| {
             Some(Section {
                 message: value.as_message()?.clone(),
-                path: format!("{}[{i}]", self.at(field)),
+                path: format!("{}[{i}]", self.field_path(field)),
             })
         };
         list.filter_map(section).collect()
     }
 
     /// The texts of a list.
-    pub fn texts(&self, field: &str) -> Vec<String> {
+    pub fn strings(&self, field: &str) -> Vec<String> {
         let value = self.value(field);
         let list = value.as_list().unwrap_or(&[]);
         list.iter()
--- a/crates/tidewall-config/src/shared.rs
+++ b/crates/tidewall-config/src/shared.rs
@@ -3,7 +3,7 @@
 use prost_reflect::{DynamicMessage, Value};
 
 /// A line each, path and value: all settings but those that are a member's own.
-pub fn agree(settings: &Section) -> Vec<String> {
+pub fn shared_settings(settings: &Section) -> Vec<String> {
     let mut lines = Vec::new();
     collect(&settings.message, "", &mut lines);
     lines.retain(|line| !is_own(line));
--- a/crates/tidewall-config/tests/settings.rs
+++ b/crates/tidewall-config/tests/settings.rs
@@ -2,14 +2,14 @@
 #![allow(clippy::unwrap_used)]
 use std::collections::BTreeMap;
 use test_case::test_case;
-use tidewall_config::{agree, plain, script, settings};
+use tidewall_config::{scheduler_settings, script, settings, shared_settings};
 
 const GOOD: &str = include_str!("../../../deploy/examples/small-site.txtpb");
 
 #[test]
 fn the_plain_map_holds_what_the_decisions_read() {
     let s = settings("site", GOOD).unwrap();
-    let map = plain(&s, 0);
+    let map = scheduler_settings(&s, 0);
     let told = [
         ("siblings", "1"),
         ("classes.count", "3"),
@@ -29,7 +29,7 @@
     for (key, value) in told {
         assert_eq!(map.get(key).map(String::as_str), Some(value), "{key}");
     }
-    assert_eq!(s.section("limits").span("connect_time_out_ms"), 2500);
+    assert_eq!(s.section("limits").duration("connect_time_out_ms"), 2500);
 }
 
 const PAIR: &str = include_str!("../../../deploy/examples/pair-a.txtpb");
@@ -38,8 +38,8 @@
 #[test]
 fn both_files_of_a_pair_agree_but_for_who_is_who() {
     let (a, b) = (settings("a", PAIR).unwrap(), settings("b", OTHER).unwrap());
-    assert_eq!(agree(&a), agree(&b));
-    assert!(agree(&a).contains(&"limits.max_launches = 3".to_string()));
+    assert_eq!(shared_settings(&a), shared_settings(&b));
+    assert!(shared_settings(&a).contains(&"limits.max_launches = 3".to_string()));
     assert_ne!(
         a.section("pair").section("own").text("name"),
         b.section("pair").section("own").text("name")
@@ -175,5 +175,5 @@
     let lines = |map: BTreeMap<String, String>| -> String {
         map.iter().map(|(k, v)| format!("{k}={v}\n")).collect()
     };
-    assert_eq!(lines(plain(&section, last)), recorded);
+    assert_eq!(lines(scheduler_settings(&section, last)), recorded);
 }
--- a/crates/tidewall-coordination/src/config.rs
+++ b/crates/tidewall-coordination/src/config.rs
@@ -80,9 +80,9 @@
             let position = member_names.iter().position(|n| n == name);
             position.expect("the settings check finds each keeper among the gateways")
         };
-        let lease_duration = common.span("term_ms");
-        let permit_age = common.span("ticket_ms");
-        let clocks_ppm = common.whole("clocks_ppm");
+        let lease_duration = common.duration("term_ms");
+        let permit_age = common.duration("ticket_ms");
+        let clocks_ppm = common.integer("clocks_ppm");
         CoordinationConfig {
             member,
             incarnation,
@@ -90,8 +90,8 @@
             member_name: member_names[member].clone(),
             listen: address(&gateways[member], "common_address"),
             member_addresses: gateways.iter().map(member_address).collect(),
-            grantors: common.texts("keeper").iter().map(grantor_of).collect(),
-            tasks: common.whole("leases") as usize,
+            grantors: common.strings("keeper").iter().map(grantor_of).collect(),
+            tasks: common.integer("leases") as usize,
             lease_duration,
             usable_duration: if safety_checks.shortened_lease {
                 usable_duration(lease_duration, clocks_ppm, permit_age)
@@ -99,14 +99,14 @@
                 lease_duration
             },
             effect_timeout: max_effect_delay(clocks_ppm, permit_age),
-            protocol_period: common.span("period_ms"),
-            effect_interval: common.span("turn_ms"),
-            datagrams_per_second: common.whole("datagrams_per_s"),
-            bytes_per_second: common.whole("bytes_per_s"),
-            channel_capacity: common.whole("channel") as usize,
+            protocol_period: common.duration("period_ms"),
+            effect_interval: common.duration("turn_ms"),
+            datagrams_per_second: common.integer("datagrams_per_s"),
+            bytes_per_second: common.integer("bytes_per_s"),
+            channel_capacity: common.integer("channel") as usize,
             safety_checks,
             load_keys,
-            clock_skew_ppm: common.signed("trial_clock_ppm"),
+            clock_skew_ppm: common.signed_integer("trial_clock_ppm"),
             member_names,
         }
     }
--- a/crates/tidewall-emulator/src/clients.rs
+++ b/crates/tidewall-emulator/src/clients.rs
@@ -194,27 +194,27 @@
             .iter()
             .map(|t| Typ {
                 name: t.text("name"),
-                target: t.span("target_time_ms"),
-                age: t.span("max_age_ms"),
+                target: t.duration("target_time_ms"),
+                age: t.duration("max_age_ms"),
                 benefit: t.number("benefit"),
-                redelivery: t.choice("redelivery"),
-                all: t.choice("group") == "ALL",
+                redelivery: t.enum_value("redelivery"),
+                all: t.enum_value("group") == "ALL",
             })
             .collect();
         let gateway = |s: &Section| Gateway {
             name: s.text("name"),
-            terminals: (0..c.whole("connections"))
+            terminals: (0..c.integer("connections"))
                 .map(|_| Terminal::default())
                 .collect(),
             at: s
                 .text(if amqp { "amqp_address" } else { "address" })
                 .parse()
                 .expect("checked"),
-            conns: vec![(None, false); c.whole("connections") as usize],
+            conns: vec![(None, false); c.integer("connections") as usize],
             turn: 0,
             down: Some(g.net.now()),
             broken: 0,
-            cut: vec![false; c.whole("connections") as usize],
+            cut: vec![false; c.integer("connections") as usize],
         };
         let zeros = vec![0; types.len()];
         Clients {
@@ -225,11 +225,11 @@
                 .collect(),
             gateways: settings.sections("gateway").iter().map(gateway).collect(),
             rate: c.number("rate"),
-            retries: c.whole("retries"),
-            wait: c.span("wait_ms"),
+            retries: c.integer("retries"),
+            wait: c.duration("wait_ms"),
             patience: c.number("patience"),
-            front: c.span("front_ms"),
-            payload: c.whole("payload") as usize,
+            front: c.duration("front_ms"),
+            payload: c.integer("payload") as usize,
             arrivals: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed_0a11),
             events: Slab::new(),
             count: 0,
--- a/crates/tidewall-emulator/src/depot.rs
+++ b/crates/tidewall-emulator/src/depot.rs
@@ -24,8 +24,8 @@
         Ok(Depot {
             listener,
             at,
-            capacity: settings.whole("capacity") as usize,
-            most: settings.whole("most") as usize,
+            capacity: settings.integer("capacity") as usize,
+            most: settings.integer("most") as usize,
             fetches: Slab::new(),
             stalled: 0,
             slow: 1.0,
--- a/crates/tidewall-emulator/src/faults.rs
+++ b/crates/tidewall-emulator/src/faults.rs
@@ -37,9 +37,9 @@
             let at = now + (f.number("at") * seconds * 10_000.0) as Time;
             g.net.set_timer(at, of::FAULT | list.len() as u64);
             list.push(Fault {
-                trouble: f.choice("trouble"),
-                lasts: f.span("lasts_ms"),
-                count: f.whole("count") as usize,
+                trouble: f.enum_value("trouble"),
+                lasts: f.duration("lasts_ms"),
+                count: f.integer("count") as usize,
                 machine: f.text("kind"),
                 factor: f.number("factor"),
                 hit: Vec::new(),
--- a/crates/tidewall-emulator/src/lib.rs
+++ b/crates/tidewall-emulator/src/lib.rs
@@ -218,7 +218,7 @@
             let age = settings
                 .sections("event_type")
                 .iter()
-                .map(|t| t.span("max_age_ms"))
+                .map(|t| t.duration("max_age_ms"))
                 .max();
             fleet
                 .ground
@@ -306,8 +306,8 @@
     let (mut list, mut upto) = (Vec::new(), 0.0);
     for p in &groups {
         let weight = |i: u64| 1.0 / ((i + 1) as f64).powf(p.number("skew"));
-        let sum: f64 = (0..p.whole("count")).map(weight).sum();
-        for i in 0..p.whole("count") {
+        let sum: f64 = (0..p.integer("count")).map(weight).sum();
+        for i in 0..p.integer("count") {
             upto += p.number("share") / all * weight(i) / sum;
             list.push(Program {
                 name: format!("{}{i}", p.text("name")),
@@ -317,9 +317,9 @@
                     .unwrap_or(0),
                 work: p.number("work_ms") * 10.0,
                 memory: p.number("memory_mb"),
-                lanes: p.whole("lanes") as u32,
-                fetch: p.span("fetch_ms"),
-                start: p.span("start_ms"),
+                lanes: p.integer("lanes") as u32,
+                fetch: p.duration("fetch_ms"),
+                start: p.duration("start_ms"),
                 upto,
             });
         }
@@ -333,7 +333,7 @@
         .iter()
         .map(|g| g.text("name"))
         .collect();
-    let keepers = settings.section("fleet_common").texts("keeper");
+    let keepers = settings.section("fleet_common").strings("keeper");
     keepers
         .iter()
         .filter_map(|k| names.iter().position(|n| n == k))
@@ -341,11 +341,14 @@
 }
 
 fn rules(settings: &Section, workers: &Workers) -> Rules {
-    let typ = |t: &Section| match (t.choice("redelivery").as_str(), t.choice("group").as_str()) {
+    let typ = |t: &Section| match (
+        t.enum_value("redelivery").as_str(),
+        t.enum_value("group").as_str(),
+    ) {
         ("REDELIVERABLE", _) => Type::Redeliverable,
-        ("KEYED", "ALL") => Type::Keyed(Group::All, t.span("window_ms")),
-        ("KEYED", "CELL") => Type::Keyed(Group::Cell, t.span("window_ms")),
-        ("KEYED", _) => Type::Keyed(Group::Zone, t.span("window_ms")),
+        ("KEYED", "ALL") => Type::Keyed(Group::All, t.duration("window_ms")),
+        ("KEYED", "CELL") => Type::Keyed(Group::Cell, t.duration("window_ms")),
+        ("KEYED", _) => Type::Keyed(Group::Zone, t.duration("window_ms")),
         _ => Type::AtMostOnce,
     };
     let (rules, loading) = (settings.section("rules"), settings.section("loading"));
@@ -354,16 +357,16 @@
         zones: workers.list.iter().map(|w| w.zone).collect(),
         cells: (0..workers.list.len()).collect(),
         two_at_once: settings.section("limits").flag("two_at_once"),
-        drain_grace: rules.span("drain_grace_ms"),
+        drain_grace: rules.duration("drain_grace_ms"),
         fall_multiple: rules.number("fall_multiple"),
-        fall: rules.span("fall_ms"),
-        load_window: loading.span("window_ms"),
+        fall: rules.duration("fall_ms"),
+        load_window: loading.duration("window_ms"),
         load_free: loading.number("free"),
         load_share: loading.number("share"),
         pair: settings.has("pair"),
         wild_clocks: false,
         keepers: keepers(settings),
-        term: settings.section("fleet_common").span("term_ms"),
+        term: settings.section("fleet_common").duration("term_ms"),
     }
 }
 
--- a/crates/tidewall-emulator/src/roster.rs
+++ b/crates/tidewall-emulator/src/roster.rs
@@ -42,9 +42,9 @@
         Ok(Roster {
             listener: Some(listener),
             at,
-            zones: settings.texts("zone"),
-            late: fleet.span("roster_late_ms"),
-            silent_notice: fleet.span("silent_notice_ms"),
+            zones: settings.strings("zone"),
+            late: fleet.duration("roster_late_ms"),
+            silent_notice: fleet.duration("silent_notice_ms"),
             followers: Vec::new(),
             greeted: Vec::new(),
             known: workers.list.iter().map(|w| (At::On, w.life, 0)).collect(),
--- a/crates/tidewall-emulator/src/workers.rs
+++ b/crates/tidewall-emulator/src/workers.rs
@@ -133,14 +133,14 @@
         depot: SocketAddr,
     ) -> Result<Workers, String> {
         let (rules, loading) = (settings.section("rules"), settings.section("loading"));
-        let (reports, zones) = (settings.section("reports"), settings.texts("zone"));
+        let (reports, zones) = (settings.section("reports"), settings.strings("zone"));
         let mut list = Vec::new();
         for group in fleet.sections("workers") {
             let machine = settings
                 .sections("kind")
                 .into_iter()
                 .find(|k| k.text("name") == group.text("kind"));
-            for i in 0..group.whole("count") {
+            for i in 0..group.integer("count") {
                 let at: SocketAddr = ([127, 0, 0, 1], 0).into();
                 let (listener, at) = g.net.listen(at).map_err(|e| format!("{at}: worker: {e}"))?;
                 let name = format!("{}{i}", group.text("name"));
@@ -159,8 +159,8 @@
                     cores,
                     speed,
                     memory: machine.as_ref().map_or(0.0, |m| m.number("memory_mb")),
-                    queue: group.whole("queue") as usize,
-                    most_loads: group.whole("loads") as usize,
+                    queue: group.integer("queue") as usize,
+                    most_loads: group.integer("loads") as usize,
                     listener: Some(listener),
                     up: true,
                     draining: false,
@@ -194,21 +194,21 @@
             list,
             depot,
             miss: loading.flag("miss"),
-            stays: loading.span("stays_loaded_ms"),
-            cold: (rules.span("cold_ms"), rules.number("cold_from")),
-            fall: (rules.span("fall_ms"), rules.number("fall_multiple")),
+            stays: loading.duration("stays_loaded_ms"),
+            cold: (rules.duration("cold_ms"), rules.number("cold_from")),
+            fall: (rules.duration("fall_ms"), rules.number("fall_multiple")),
             in_flight: reports.flag("in_flight"),
             busy: reports.flag("busy"),
             with_answers: reports.flag("with_answers"),
             windows: settings
                 .sections("event_type")
                 .iter()
-                .map(|t| t.span("window_ms"))
+                .map(|t| t.duration("window_ms"))
                 .collect(),
             alls: settings
                 .sections("event_type")
                 .iter()
-                .map(|t| t.choice("group") == "ALL")
+                .map(|t| t.enum_value("group") == "ALL")
                 .collect(),
             marks: vec![BTreeMap::new(); zones.len()],
             loads: 0,
@@ -217,7 +217,7 @@
             fell: Vec::new(),
             fences: true,
             forgets: false,
-            ticket: settings.section("fleet_common").span("ticket_ms"),
+            ticket: settings.section("fleet_common").duration("ticket_ms"),
             task_epochs: true,
             refused: 0,
         })
--- a/crates/tidewall-gateway/src/config.rs
+++ b/crates/tidewall-gateway/src/config.rs
@@ -5,7 +5,7 @@
 use crate::worker_pool::GatewayLimits;
 use crate::GatewayConfig;
 use std::net::SocketAddr;
-use tidewall_config::{agree, plain, Section};
+use tidewall_config::{scheduler_settings, shared_settings, Section};
 use tidewall_failover::recovery::RetrySafety;
 use tidewall_net::Time;
 use tidewall_vrrp::packet::Keys;
@@ -17,17 +17,17 @@
 pub fn limits(settings: &Section) -> GatewayLimits {
     let (limits, loading) = (settings.section("limits"), settings.section("loading"));
     GatewayLimits {
-        max_requests: limits.whole("most_held") as usize,
-        connect_timeout: limits.span("connect_time_out_ms"),
-        streams_per_connection: limits.whole("streams") as usize,
-        connections_per_worker: limits.whole("connections") as usize,
+        max_requests: limits.integer("most_held") as usize,
+        connect_timeout: limits.duration("connect_time_out_ms"),
+        streams_per_connection: limits.integer("streams") as usize,
+        connections_per_worker: limits.integer("connections") as usize,
         // The settings bound them for each worker.
         max_worker_connections: usize::MAX,
         spread_threshold: usize::MAX,
-        keep_alive: limits.span("keep_alive_ms"),
-        health_check_timeout: limits.span("probe_time_out_ms"),
-        load_request_timeout: loading.span("order_time_out_ms"),
-        silence_timeout: limits.span("silent_ms"),
+        keep_alive: limits.duration("keep_alive_ms"),
+        health_check_timeout: limits.duration("probe_time_out_ms"),
+        load_request_timeout: loading.duration("order_time_out_ms"),
+        silence_timeout: limits.duration("silent_ms"),
     }
 }
 
@@ -47,9 +47,9 @@
         name: gateways[index].text("name"),
         index,
         seed,
-        settings: plain(settings, index),
+        settings: scheduler_settings(settings, index),
         discovery: address(&discovery, "address"),
-        discovery_retry: discovery.span("retry_ms"),
+        discovery_retry: discovery.duration("retry_ms"),
         peers: gateways
             .iter()
             .map(|gateway| gateway.text("peer_address").parse().ok())
@@ -62,11 +62,11 @@
 
 /// Whether requests of this class may be executed again.
 fn retry_safety(class: &Section) -> RetrySafety {
-    match class.choice("redelivery").as_str() {
+    match class.enum_value("redelivery").as_str() {
         "REDELIVERABLE" => RetrySafety::Idempotent,
         "KEYED" => RetrySafety::IdempotencyKey {
-            global: class.choice("group") == "ALL",
-            window: class.span("window_ms"),
+            global: class.enum_value("group") == "ALL",
+            window: class.duration("window_ms"),
         },
         _ => RetrySafety::NonIdempotent,
     }
@@ -74,9 +74,11 @@
 
 /// How long a response to a request of this class is remembered, in tenths of a millisecond.
 fn retention(class: &Section) -> Time {
-    match class.choice("redelivery").as_str() {
-        "KEYED" => class.span("window_ms").max(class.span("max_age_ms")),
-        _ => class.span("max_age_ms"),
+    match class.enum_value("redelivery").as_str() {
+        "KEYED" => class
+            .duration("window_ms")
+            .max(class.duration("max_age_ms")),
+        _ => class.duration("max_age_ms"),
     }
 }
 
@@ -93,9 +95,9 @@
         name: own.text("name"),
         peer_name: peer.text("name"),
         incarnation,
-        vrid: pair.whole("vrid") as u8,
-        priority: own.whole("priority") as u8,
-        interval: pair.whole("interval_cs") as u16,
+        vrid: pair.integer("vrid") as u8,
+        priority: own.integer("priority") as u8,
+        interval: pair.integer("interval_cs") as u16,
         preempt: pair.flag("preempt"),
         vrrp_address: address(&own, "vrrp_address"),
         peer_vrrp_address: address(&peer, "vrrp_address"),
@@ -103,16 +105,16 @@
         peer_link_address: address(&peer, "link_address"),
         shared_address: address(&settings.sections("gateway")[0], "address"),
         keys,
-        voters: pair.texts("voter"),
+        voters: pair.strings("voter"),
         retry_safety: classes.iter().map(retry_safety).collect(),
         retention: classes.iter().map(retention).collect(),
         allows_hedging: settings.section("limits").flag("two_at_once"),
         load_request_limit: (
-            loading.span("window_ms"),
+            loading.duration("window_ms"),
             loading.number("free"),
             loading.number("share"),
         ),
-        shared_settings: agree(settings),
+        shared_settings: shared_settings(settings),
         replicates: true,
     }
 }
--- a/crates/tidewall-gateway/tests/help/mod.rs
+++ b/crates/tidewall-gateway/tests/help/mod.rs
@@ -372,7 +372,7 @@
         name: "g0".to_string(),
         index: 0,
         seed,
-        settings: tidewall_config::plain(&settings, 0),
+        settings: tidewall_config::scheduler_settings(&settings, 0),
         discovery: address(DISCOVERY),
         discovery_retry: 5_000,
         peers: vec![None],
--- a/crates/tidewall-interop/tests/amqprs.rs
+++ b/crates/tidewall-interop/tests/amqprs.rs
@@ -85,7 +85,7 @@
                 name: "g".to_string(),
                 index: 0,
                 seed: 7,
-                settings: tidewall_config::plain(&s, 0),
+                settings: tidewall_config::scheduler_settings(&s, 0),
                 discovery: roster,
                 discovery_retry: 1_000,
                 peers: vec![None],
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -407,14 +407,14 @@
     let age = s
         .sections("event_type")
         .iter()
-        .map(|t| t.span("max_age_ms"))
+        .map(|t| t.duration("max_age_ms"))
         .max()
         .unwrap_or(0);
     let clients = s.section("fleet").section("clients");
     let apart = clients
-        .span("wait_ms")
-        .max(s.section("limits").span("most_come_back_ms"));
-    let tries = (clients.whole("retries") + 1) * (age + apart);
+        .duration("wait_ms")
+        .max(s.section("limits").duration("most_come_back_ms"));
+    let tries = (clients.integer("retries") + 1) * (age + apart);
     // No drawn trouble lasts to here; one of a gateway whose end the fleet was not there to tell ends now.
     let wake = (seconds * 10_000.0) as Time + 25_000;
     let end = if setup.shape {
