--- a/crates/tidewall-emulator/src/terminal.rs
+++ b/crates/tidewall-emulator/src/terminal.rs
@@ -1,7 +1,9 @@
 //! A stand-in terminal's end of AMQP 0-9-1: it logs in, opens one channel with confirms and direct replies, and
 //! publishes. What it gets is told by `Heard`; it knows nothing of events.
 use std::collections::BTreeMap;
-use tidewall_amqp::codec::{self, Args, Out, Properties, TableOut, Value};
+use tidewall_amqp::codec::{
+    self, ArgumentReader, BasicProperties, FieldValue, FrameWriter, MethodId, TableWriter,
+};
 
 /// What a terminal hears.
 pub trait Heard {
@@ -33,7 +35,7 @@
             hoard: self.hoard,
             ..Terminal::default()
         };
-        out.extend_from_slice(&codec::PROTOCOL);
+        out.extend_from_slice(&codec::PROTOCOL_HEADER);
     }
 
     /// It publishes no events; it consumes a queue of so many messages of its own.
@@ -47,24 +49,26 @@
     /// Closes the channel; it is opened again when that is done.
     pub fn close_channel(&mut self, out: &mut Vec<u8>) {
         self.closing = true;
-        Out::method(out, 1, 20, 40)
+        FrameWriter::method(out, 1, MethodId::new(20, 40))
             .short(200)
             .short_str("done")
             .short(0)
             .short(0)
-            .end();
+            .finish();
     }
 
     /// A queue of its own, its messages, and a consumer that never acks.
     fn hoards(&mut self, out: &mut Vec<u8>) {
-        let m = Out::method(out, 1, 50, 10).short(0).short_str("");
+        let m = FrameWriter::method(out, 1, MethodId::new(50, 10))
+            .short(0)
+            .short_str("");
         m.bit(false)
             .bit(false)
             .bit(true)
             .bit(true)
             .bit(false)
             .long_str(b"")
-            .end();
+            .finish();
     }
 
     /// Reads one frame at the start of the bytes; 0 while it is not whole.
@@ -74,29 +78,30 @@
         out: &mut Vec<u8>,
         heard: &mut impl Heard,
     ) -> Result<usize, String> {
-        let bad = |f: tidewall_amqp::Fault| format!("{} {}", f.code, f.text);
-        let Some((frame, used)) = codec::frame(bytes, 1 << 20).map_err(bad)? else {
+        let bad = |f: tidewall_amqp::ProtocolError| format!("{} {}", f.reply_code, f.reply_text);
+        let Some((frame, used)) = codec::decode_frame(bytes, 1 << 20).map_err(bad)? else {
             return Ok(0);
         };
-        match frame.kind {
-            codec::METHOD => self.method(frame.payload, out, heard).map_err(bad)?,
-            codec::HEADER => {
-                let (_, size, p, _) = codec::header(frame.payload).map_err(bad)?;
+        match frame.frame_type {
+            codec::FRAME_METHOD => self.method(frame.payload, out, heard).map_err(bad)?,
+            codec::FRAME_HEADER => {
+                let header = codec::decode_content_header(frame.payload).map_err(bad)?;
+                let (size, p) = (header.body_size, header.properties);
                 (self.head, self.got) = (Some(size), 0);
                 if self.delivery && !self.closing && self.hoard == 0 {
                     let come_back = match p.headers.and_then(|h| h.get("x-come-back-ms")) {
-                        Some(Value::Whole(ms)) => ms.max(0) as u64 * 10,
+                        Some(FieldValue::Signed(ms)) => ms.max(0) as u64 * 10,
                         _ => 0,
                     };
                     let evt = p
                         .correlation_id
                         .parse()
                         .map_err(|_| "an answer without its correlation-id")?;
-                    heard.answer(evt, p.typ, come_back);
+                    heard.answer(evt, p.message_type, come_back);
                 }
             }
-            codec::BODY => self.got += frame.payload.len() as u64,
-            _ => codec::heartbeat(out),
+            codec::FRAME_BODY => self.got += frame.payload.len() as u64,
+            _ => codec::write_heartbeat(out),
         }
         Ok(used)
     }
@@ -106,36 +111,42 @@
         payload: &[u8],
         out: &mut Vec<u8>,
         heard: &mut impl Heard,
-    ) -> Result<(), tidewall_amqp::Fault> {
-        let mut a = Args::new(payload);
+    ) -> Result<(), tidewall_amqp::ProtocolError> {
+        let mut a = ArgumentReader::new(payload);
         match (a.short()?, a.short()?) {
             (10, 10) => {
-                let mut can = TableOut::default();
-                can.flag("connection.blocked", true);
-                let mut about = TableOut::default();
+                let mut can = TableWriter::default();
+                can.boolean("connection.blocked", true);
+                let mut about = TableWriter::default();
                 about.table("capabilities", &can.0);
-                let m = Out::method(out, 0, 10, 11)
+                let m = FrameWriter::method(out, 0, MethodId::new(10, 11))
                     .long_str(&about.0)
                     .short_str("PLAIN");
-                m.long_str(b"\0terminal\0terminal").short_str("en_US").end();
+                m.long_str(b"\0terminal\0terminal")
+                    .short_str("en_US")
+                    .finish();
             }
             (10, 30) => {
                 let (channels, frame, heartbeat) = (a.short()?, a.long()?, a.short()?);
-                Out::method(out, 0, 10, 31)
+                FrameWriter::method(out, 0, MethodId::new(10, 31))
                     .short(channels)
                     .long(frame)
                     .short(heartbeat)
-                    .end();
-                Out::method(out, 0, 10, 40)
+                    .finish();
+                FrameWriter::method(out, 0, MethodId::new(10, 40))
                     .short_str("/")
                     .short_str("")
                     .bit(false)
-                    .end();
+                    .finish();
             }
-            (10, 41) => Out::method(out, 1, 20, 10).short_str("").end(),
+            (10, 41) => FrameWriter::method(out, 1, MethodId::new(20, 10))
+                .short_str("")
+                .finish(),
             (20, 11) => {
-                Out::method(out, 1, 85, 10).bit(false).end();
-                let m = Out::method(out, 1, 60, 20)
+                FrameWriter::method(out, 1, MethodId::new(85, 10))
+                    .bit(false)
+                    .finish();
+                let m = FrameWriter::method(out, 1, MethodId::new(60, 20))
                     .short(0)
                     .short_str(DIRECT)
                     .short_str("answers");
@@ -144,7 +155,7 @@
                     .bit(false)
                     .bit(false)
                     .long_str(b"")
-                    .end();
+                    .finish();
             }
             (60, 21) if self.hoard > 0 && !self.delivery => self.hoards(out),
             (60, 21) => heard.ready(),
@@ -153,23 +164,25 @@
                     hoard: self.hoard,
                     ..Terminal::default()
                 };
-                Out::method(out, 1, 20, 10).short_str("").end();
+                FrameWriter::method(out, 1, MethodId::new(20, 10))
+                    .short_str("")
+                    .finish();
             }
             (50, 11) => {
                 let queue = a.short_str()?.to_string();
                 for _ in 0..self.hoard {
-                    let m = Out::method(out, 1, 60, 40)
+                    let m = FrameWriter::method(out, 1, MethodId::new(60, 40))
                         .short(0)
                         .short_str("")
                         .short_str(&queue);
-                    m.bit(false).bit(false).end();
+                    m.bit(false).bit(false).finish();
                     let mut properties = Vec::new();
-                    codec::write_properties(&mut properties, &Properties::default());
-                    codec::content(out, 1, &properties, b"kept", 131_072);
+                    codec::encode_properties(&mut properties, &BasicProperties::default());
+                    codec::write_content(out, 1, &properties, b"kept", 131_072);
                 }
                 // Its own consume-ok says ready once deliveries are on.
                 self.delivery = true;
-                let m = Out::method(out, 1, 60, 20)
+                let m = FrameWriter::method(out, 1, MethodId::new(60, 20))
                     .short(0)
                     .short_str(&queue)
                     .short_str("hoard");
@@ -178,7 +191,7 @@
                     .bit(false)
                     .bit(false)
                     .long_str(b"")
-                    .end();
+                    .finish();
             }
             _ if self.closing => {}
             (60, 60) => self.delivery = true,
@@ -195,7 +208,7 @@
             }
             (10, 50) | (20, 40) => {
                 let (code, text) = (a.short()?, a.short_str()?.to_string());
-                return Err(tidewall_amqp::Fault::new(code, text));
+                return Err(tidewall_amqp::ProtocolError::new(code, text));
             }
             _ => {}
         }
@@ -216,25 +229,25 @@
     ) {
         self.published += 1;
         self.out.insert(self.published, evt);
-        let m = Out::method(out, 1, 60, 40)
+        let m = FrameWriter::method(out, 1, MethodId::new(60, 40))
             .short(0)
             .short_str("tidewall.events")
             .short_str(key);
-        m.bit(false).bit(false).end();
-        let mut headers = TableOut::default();
-        headers.flag("x-redelivered", resent);
+        m.bit(false).bit(false).finish();
+        let mut headers = TableWriter::default();
+        headers.boolean("x-redelivered", resent);
         let (id, correlation, expiration) =
             (mark.to_string(), evt.to_string(), left_ms.to_string());
-        let p = Properties {
-            headers: Some(codec::Table(&headers.0)),
+        let p = BasicProperties {
+            headers: Some(codec::FieldTable(&headers.0)),
             message_id: &id,
             correlation_id: &correlation,
             reply_to: DIRECT,
             expiration: &expiration,
-            ..Properties::default()
+            ..BasicProperties::default()
         };
         let mut properties = Vec::new();
-        codec::write_properties(&mut properties, &p);
-        codec::content(out, 1, &properties, body, 131_072);
+        codec::encode_properties(&mut properties, &p);
+        codec::write_content(out, 1, &properties, body, 131_072);
     }
 }
