--- a/crates/tidewall-amqp-ingress/src/lib.rs
+++ b/crates/tidewall-amqp-ingress/src/lib.rs
@@ -10,7 +10,9 @@
 use marks::{Known, Mark, Marks};
 use slab::Slab;
 use tidewall_amqp::codec::FieldValue;
-use tidewall_amqp::server::{Disposition, Server, ServerActions, ServerConfig, TriggerPublish};
+use tidewall_amqp::server::{
+    Disposition, FinalAnswer, NotAccepted, Server, ServerActions, ServerConfig, TriggerPublish,
+};
 use tidewall_config::Section;
 use tidewall_gateway::ingress::{IncomingRequest, Ingress, ReplyHandle, Response};
 use tidewall_gateway::{ingress, IngressContext};
@@ -106,6 +108,14 @@
     }
 }
 
+/// The answer to a publish that is not accepted.
+fn refused(reason: &'static str) -> NotAccepted {
+    NotAccepted {
+        disposition: Disposition::Refused,
+        reason,
+    }
+}
+
 impl<N: Net> ServerActions for Wires<'_, N> {
     fn write(&mut self, link: u64, bytes: &[u8]) {
         write(self.0, link, bytes);
@@ -117,12 +127,11 @@
         self.0.close(Conn(link));
     }
     fn authenticate(&mut self, _: usize, _: &str, _: &[u8]) {}
-    fn accept_request(
-        &mut self,
-        _: u64,
-        _: &TriggerPublish,
-    ) -> Result<(), (Disposition, &'static str)> {
-        Err((Disposition::Rejected, "busy"))
+    fn accept_request(&mut self, _: u64, _: &TriggerPublish) -> Result<(), NotAccepted> {
+        Err(NotAccepted {
+            disposition: Disposition::Rejected,
+            reason: "busy",
+        })
     }
 }
 
@@ -152,24 +161,20 @@
         }
     }
 
-    fn accept_request(
-        &mut self,
-        ticket: u64,
-        t: &TriggerPublish,
-    ) -> Result<(), (Disposition, &'static str)> {
+    fn accept_request(&mut self, ticket: u64, t: &TriggerPublish) -> Result<(), NotAccepted> {
         let side = &mut *self.side;
         let now = self.core.net().now();
         let (typ, function) = t
             .routing_key
             .split_once('.')
-            .ok_or((Disposition::Refused, "the routing key is no TYPE.FUNCTION"))?;
+            .ok_or(refused("the routing key is no TYPE.FUNCTION"))?;
         let typ = side
             .types
             .iter()
             .position(|k| k.name == typ)
-            .ok_or((Disposition::Refused, "unknown event type"))?;
+            .ok_or(refused("unknown event type"))?;
         if function.is_empty() {
-            return Err((Disposition::Refused, "the routing key names no function"));
+            return Err(refused("the routing key names no function"));
         }
         let age = side.types[typ].age;
         let left = match t.properties.expiration {
@@ -181,10 +186,11 @@
         };
         // Its time may have passed before it was read: an answer might come too late, and silence might be wrong.
         let waited = self.core.net().read_delay();
-        let left = ingress::remaining_time(left, waited).ok_or((
-            Disposition::Refused,
-            if waited < left { "late" } else { "expired" },
-        ))?;
+        let left = ingress::remaining_time(left, waited).ok_or(refused(if waited < left {
+            "late"
+        } else {
+            "expired"
+        }))?;
         let mark =
             (!t.properties.message_id.is_empty()).then(|| (typ, t.properties.message_id.into()));
         match mark.as_ref().and_then(|m| side.marks.find(now, m)) {
@@ -196,11 +202,16 @@
                 }
                 return Ok(());
             }
-            Some(Known::Answered(word)) => return Err((*word, "repeat")),
+            Some(Known::Answered(word)) => {
+                return Err(NotAccepted {
+                    disposition: *word,
+                    reason: "repeat",
+                })
+            }
             None => {}
         }
         if mark.is_some() && !side.marks.room() {
-            return Err((Disposition::Refused, "most-remembered"));
+            return Err(refused("most-remembered"));
         }
         let user = side.users.iter().find(|u| u.name == t.user);
         let known = side
@@ -263,7 +274,7 @@
                 if let Some(mark) = mark {
                     self.side.marks.end(now, mark, Disposition::Rejected, 0);
                 }
-                Err((Disposition::Refused, reason))
+                Err(refused(reason))
             }
         }
     }
@@ -392,15 +403,14 @@
             return;
         }
         for ticket in std::mem::take(late) {
-            let (word, none) = (Disposition::Failed, 0);
-            self.server.complete_request(
-                &mut Wires(core.net()),
-                ticket,
-                word,
-                none,
-                "in-hand",
-                &[],
-            );
+            let answer = FinalAnswer {
+                disposition: Disposition::Failed,
+                retry_after: 0,
+                reason: "in-hand",
+                payload: &[],
+            };
+            self.server
+                .complete_request(&mut Wires(core.net()), ticket, answer);
         }
         self.server.flush(&mut Wires(core.net()));
     }
@@ -455,14 +465,14 @@
                 self.server.abandon_request(waiting);
                 continue;
             }
-            self.server.complete_request(
-                &mut Wires(net),
-                waiting,
-                word,
-                come_back,
+            let answer = FinalAnswer {
+                disposition: word,
+                retry_after: come_back,
                 reason,
                 payload,
-            );
+            };
+            self.server
+                .complete_request(&mut Wires(net), waiting, answer);
         }
         self.server.flush(&mut Wires(net));
     }
--- a/crates/tidewall-amqp/src/server.rs
+++ b/crates/tidewall-amqp/src/server.rs
@@ -21,7 +21,9 @@
 mod state;
 mod topology;
 
-pub use interface::{Disposition, ServerActions, ServerConfig, TriggerPublish};
+pub use interface::{
+    Disposition, FinalAnswer, NotAccepted, ServerActions, ServerConfig, TriggerPublish,
+};
 
 use crate::codec::{self, FrameWriter, MethodId};
 use crate::virtual_host::VirtualHost;
--- a/crates/tidewall-amqp/src/server/interface.rs
+++ b/crates/tidewall-amqp/src/server/interface.rs
@@ -26,16 +26,38 @@
     fn close(&mut self, transport: u64);
     /// Begins to check a password; `Server::authentication_finished` follows, possibly much later.
     fn authenticate(&mut self, connection: usize, user: &str, password: &[u8]);
-    /// Accepts a request, which `Server::complete_request` answers later, or gives the answer at once: its
-    /// disposition and the reason that the client is told.
-    fn accept_request(
-        &mut self,
-        request: u64,
-        publish: &TriggerPublish,
-    ) -> Result<(), (Disposition, &'static str)>;
+    /// Accepts a request, which `Server::complete_request` answers later, or gives its answer at once.
+    ///
+    /// # Errors
+    /// The request is not accepted; the client gets the disposition and the reason as its final answer.
+    fn accept_request(&mut self, request: u64, publish: &TriggerPublish)
+        -> Result<(), NotAccepted>;
+}
+
+/// A request that was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+#[error("{} {reason}", .disposition.wire_name())]
+pub struct NotAccepted {
+    /// What the client is answered.
+    pub disposition: Disposition,
+    /// Why; a word or two for the client.
+    pub reason: &'static str,
 }
 
 /// The final answer to a request.
+#[derive(Clone, Copy, Debug)]
+pub struct FinalAnswer<'a> {
+    /// What became of the request.
+    pub disposition: Disposition,
+    /// After this time a rejected request may be sent again; 0 names no time.
+    pub retry_after: Time,
+    /// Why, a word or two for the client; left out where it is empty.
+    pub reason: &'a str,
+    /// Body of the reply.
+    pub payload: &'a [u8],
+}
+
+/// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Disposition {
     /// It was executed.
--- a/crates/tidewall-amqp/src/server/requests.rs
+++ b/crates/tidewall-amqp/src/server/requests.rs
@@ -1,7 +1,9 @@
 //! Publishes to the trigger exchange: each is a request with one final answer, a message to its reply-to and a confirm.
 use super::dead_letters::dead_letter_copy;
 use super::state::{ChannelAddress, PendingRequest, PublishOrigin};
-use super::{Disposition, MethodResult, Server, ServerActions, TriggerPublish, DIRECT_REPLY_TO};
+use super::{
+    Disposition, FinalAnswer, MethodResult, Server, ServerActions, TriggerPublish, DIRECT_REPLY_TO,
+};
 use crate::codec::{self, BasicProperties, FieldTable, FieldValue, TableWriter};
 use crate::virtual_host::Message;
 use crate::{reply_code, ProtocolError, Time, MILLISECOND};
@@ -36,8 +38,14 @@
             redelivered: redelivered == Some(FieldValue::Boolean(true)),
             body: &message.body,
         };
-        if let Err((disposition, reason)) = actions.accept_request(request, &publish) {
-            self.complete_request(actions, request, disposition, 0, reason, &[]);
+        if let Err(refusal) = actions.accept_request(request, &publish) {
+            let answer = FinalAnswer {
+                disposition: refusal.disposition,
+                retry_after: 0,
+                reason: refusal.reason,
+                payload: &[],
+            };
+            self.complete_request(actions, request, answer);
         }
         Ok(())
     }
@@ -85,22 +93,19 @@
         Some(pending)
     }
 
-    /// The final answer to a request: a message to its reply-to, and its confirm. `retry_after` of 0 names no time;
-    /// an empty `reason` is left out. A request that was answered or abandoned before is passed over.
+    /// Answers a request: by a message to its reply-to, and its confirm. A request that was answered or abandoned before
+    /// is passed over.
     pub fn complete_request<A: ServerActions>(
         &mut self,
         actions: &mut A,
         request: u64,
-        disposition: Disposition,
-        retry_after: Time,
-        reason: &str,
-        payload: &[u8],
+        answer: FinalAnswer,
     ) {
         let Some(pending) = self.take_pending(request) else {
             return;
         };
         if !pending.reply_to.is_empty() {
-            let reply = reply_message(&pending, disposition, retry_after, reason, payload);
+            let reply = reply_message(&pending, answer);
             let delivered = if pending.reply_to.starts_with(DIRECT_REPLY_TO) {
                 self.deliver_direct_reply(actions, &pending.reply_to, &reply)
             } else {
@@ -108,6 +113,7 @@
             };
             self.unroutable_replies += u64::from(!delivered);
         }
+        let disposition = answer.disposition;
         if disposition == Disposition::Failed && !self.config.dead_letter_exchange.is_empty() {
             let exchange = self.config.dead_letter_exchange.clone();
             let message = &pending.message;
@@ -126,7 +132,7 @@
             } else {
                 reply_code::RESOURCE_ERROR
             };
-            let text = return_text(disposition, retry_after, reason);
+            let text = return_text(answer);
             let text = text.trim_end();
             self.return_message(actions, origin.channel, code, text, &pending.message);
         }
@@ -139,7 +145,13 @@
     time.div_ceil(MILLISECOND)
 }
 
-fn return_text(disposition: Disposition, retry_after: Time, reason: &str) -> String {
+fn return_text(answer: FinalAnswer) -> String {
+    let FinalAnswer {
+        disposition,
+        retry_after,
+        reason,
+        ..
+    } = answer;
     let name = disposition.wire_name();
     if disposition == Disposition::Rejected && retry_after > 0 {
         format!("{name} come-back-ms={} {reason}", milliseconds(retry_after))
@@ -148,25 +160,19 @@
     }
 }
 
-fn reply_message(
-    pending: &PendingRequest,
-    disposition: Disposition,
-    retry_after: Time,
-    reason: &str,
-    payload: &[u8],
-) -> Message {
+fn reply_message(pending: &PendingRequest, answer: FinalAnswer) -> Message {
     let mut headers = TableWriter::default();
-    headers.long_string("x-word", disposition.wire_name());
-    if !reason.is_empty() {
-        headers.long_string("x-reason", reason);
+    headers.long_string("x-word", answer.disposition.wire_name());
+    if !answer.reason.is_empty() {
+        headers.long_string("x-reason", answer.reason);
     }
-    if retry_after > 0 {
-        headers.signed("x-come-back-ms", milliseconds(retry_after) as i64);
+    if answer.retry_after > 0 {
+        headers.signed("x-come-back-ms", milliseconds(answer.retry_after) as i64);
     }
     let properties = BasicProperties {
         headers: Some(FieldTable(&headers.0)),
         correlation_id: &pending.correlation_id,
-        message_type: disposition.wire_name(),
+        message_type: answer.disposition.wire_name(),
         ..BasicProperties::default()
     };
     let mut encoded = Vec::new();
@@ -175,7 +181,7 @@
         exchange: "".into(),
         routing_key: pending.reply_to.as_str().into(),
         properties: encoded.into(),
-        body: payload.into(),
+        body: answer.payload.into(),
         priority: 0,
         expires_at: None,
         redelivered: false,
--- a/crates/tidewall-amqp/tests/help/mod.rs
+++ b/crates/tidewall-amqp/tests/help/mod.rs
@@ -5,7 +5,9 @@
     self, decode_frame, encode_properties, write_content, ArgumentReader, BasicProperties,
     FrameWriter, MethodId, PROTOCOL_HEADER,
 };
-use tidewall_amqp::server::{Disposition, Server, ServerActions, ServerConfig, TriggerPublish};
+use tidewall_amqp::server::{
+    Disposition, FinalAnswer, NotAccepted, Server, ServerActions, ServerConfig, TriggerPublish,
+};
 
 #[derive(Default)]
 pub struct World {
@@ -32,13 +34,12 @@
         self.checks
             .push((conn, user.to_string(), password.to_vec()));
     }
-    fn accept_request(
-        &mut self,
-        ticket: u64,
-        t: &TriggerPublish,
-    ) -> Result<(), (Disposition, &'static str)> {
+    fn accept_request(&mut self, ticket: u64, t: &TriggerPublish) -> Result<(), NotAccepted> {
         if let Some(word) = self.refuse {
-            return Err((word, "refused"));
+            return Err(NotAccepted {
+                disposition: word,
+                reason: "refused",
+            });
         }
         self.taken.push((
             ticket,
@@ -139,6 +140,15 @@
     out
 }
 
+pub fn final_answer(disposition: Disposition, retry_after: u64) -> FinalAnswer<'static> {
+    FinalAnswer {
+        disposition,
+        retry_after,
+        reason: "why",
+        payload: b"result",
+    }
+}
+
 impl Site {
     /// A connection that has sent nothing.
     pub fn raw(&mut self, link: u64) -> usize {
@@ -256,7 +266,7 @@
     pub fn answer(&mut self, ticket: u64, word: Disposition) {
         self.server.advance_clock(self.now);
         self.server
-            .complete_request(&mut self.world, ticket, word, 500, "why", b"result");
+            .complete_request(&mut self.world, ticket, final_answer(word, 500));
         self.server.flush(&mut self.world);
     }
 
--- a/crates/tidewall-amqp/tests/transcript.rs
+++ b/crates/tidewall-amqp/tests/transcript.rs
@@ -207,7 +207,7 @@
             let (word, pause) = (words[n.below(4) as usize], n.below(2) * 1_234);
             let ticket = n.below(4);
             s.server
-                .complete_request(&mut s.world, ticket, word, pause, "why", b"result");
+                .complete_request(&mut s.world, ticket, final_answer(word, pause));
             s.server.flush(&mut s.world);
         }
     }
