AMQP: queue ids have a type of their own; a test for messages that come round after a rejection

A queue, a connection and a virtual host were all a bare usize. Queue ids are QueueId now, the topic trie takes any ordered value, and queues are reached by id through VirtualHost instead of its slab.

--- a/crates/tidewall-amqp/src/server/acknowledgements.rs
+++ b/crates/tidewall-amqp/src/server/acknowledgements.rs
@@ -105,7 +105,7 @@
     /// Returns a delivered message to its queue, if that still exists.
     pub(super) fn requeue(&mut self, virtual_host: usize, delivery: Unacknowledged) {
         let host = &mut self.virtual_hosts[virtual_host];
-        let queue = host.queues.get(delivery.queue);
+        let queue = host.queue(delivery.queue);
         if queue.is_some_and(|queue| queue.name == delivery.queue_name) {
             host.requeue(delivery.queue, delivery.message);
             self.mark_queue_active(virtual_host, delivery.queue);
--- a/crates/tidewall-amqp/src/server/consumers.rs
+++ b/crates/tidewall-amqp/src/server/consumers.rs
@@ -179,7 +179,7 @@
             });
             return Ok(());
         };
-        let remaining = host.queues[queue].ready.len() as u32;
+        let remaining = host[queue].ready.len() as u32;
         let delivery_tag = self.register_delivery(from, queue, "".into(), no_ack, &message);
         let frame_max = self.connections[from.connection].frame_max;
         self.output.clear();
--- a/crates/tidewall-amqp/src/server/dead_letters.rs
+++ b/crates/tidewall-amqp/src/server/dead_letters.rs
@@ -22,7 +22,7 @@
     }
 
     fn dead_letter(&mut self, at: QueueAddress, name: &str, message: Message, reason: &str) {
-        let queue = self.virtual_hosts[at.virtual_host].queues.get(at.queue);
+        let queue = self.virtual_hosts[at.virtual_host].queue(at.queue);
         let queue = queue.filter(|queue| &*queue.name == name);
         let exchange = queue.and_then(|queue| queue.dead_letter_exchange.clone());
         let Some(exchange) = exchange else {
@@ -42,7 +42,7 @@
         if expired.is_empty() {
             return;
         }
-        let name = host.queues[at.queue].name.clone();
+        let name = host[at.queue].name.clone();
         for message in expired {
             self.dead_letter(at, &name, message, EXPIRED);
         }
--- a/crates/tidewall-amqp/src/server/delivery.rs
+++ b/crates/tidewall-amqp/src/server/delivery.rs
@@ -2,7 +2,7 @@
 use super::state::{ChannelAddress, QueueAddress, Unacknowledged};
 use super::{Server, ServerActions};
 use crate::codec::{method, FrameWriter};
-use crate::virtual_host::{Consumer, Message};
+use crate::virtual_host::{Consumer, Message, QueueId};
 use std::rc::Rc;
 
 impl Server {
@@ -10,12 +10,12 @@
     pub(super) fn register_delivery(
         &mut self,
         to: ChannelAddress,
-        queue: usize,
+        queue: QueueId,
         consumer_tag: Rc<str>,
         no_ack: bool,
         message: &Message,
     ) -> u64 {
-        let queue_name = self.host_mut(to.connection).queues[queue].name.clone();
+        let queue_name = self.host_mut(to.connection)[queue].name.clone();
         let Some(channel) = self.channel_mut(to) else {
             return 0;
         };
@@ -101,7 +101,7 @@
     }
 
     /// The next [`Server::flush`] looks at the queue.
-    pub(super) fn mark_queue_active(&mut self, virtual_host: usize, queue: usize) {
+    pub(super) fn mark_queue_active(&mut self, virtual_host: usize, queue: QueueId) {
         self.active_queues.push(QueueAddress {
             virtual_host,
             queue,
@@ -127,9 +127,9 @@
     /// [`Server::connection_writable`] do so themselves; to be called after any other call.
     pub fn flush<A: ServerActions>(&mut self, actions: &mut A) {
         while let Some(at) = self.active_queues.pop() {
-            if !self.virtual_hosts[at.virtual_host]
-                .queues
-                .contains(at.queue)
+            if self.virtual_hosts[at.virtual_host]
+                .queue(at.queue)
+                .is_none()
             {
                 continue;
             }
@@ -157,7 +157,7 @@
         actions: &A,
         at: QueueAddress,
     ) -> Option<Consumer> {
-        let queue = &mut self.virtual_hosts[at.virtual_host].queues[at.queue];
+        let queue = self.virtual_hosts[at.virtual_host].queue_mut(at.queue)?;
         if queue.ready.is_empty() {
             return None;
         }
--- a/crates/tidewall-amqp/src/server/heartbeat.rs
+++ b/crates/tidewall-amqp/src/server/heartbeat.rs
@@ -29,7 +29,7 @@
             }
         }
         for virtual_host in 0..self.virtual_hosts.len() {
-            let queues: Vec<usize> = self.virtual_hosts[virtual_host].queue_ids().collect();
+            let queues: Vec<_> = self.virtual_hosts[virtual_host].queue_ids().collect();
             for queue in queues {
                 self.remove_expired(QueueAddress {
                     virtual_host,
--- a/crates/tidewall-amqp/src/server/publish.rs
+++ b/crates/tidewall-amqp/src/server/publish.rs
@@ -5,7 +5,7 @@
 use super::topology::MAX_TTL_MILLISECONDS;
 use super::{MethodResult, Server, ServerActions};
 use crate::codec::{self, class, method, ArgumentReader, BasicProperties, FrameWriter};
-use crate::virtual_host::Message;
+use crate::virtual_host::{Message, QueueId};
 use crate::{reply_code, ProtocolError, Time, MILLISECOND};
 use std::cmp::Ordering;
 
@@ -234,7 +234,7 @@
         let host = &mut self.virtual_hosts[virtual_host];
         let queues = host
             .route(exchange, &message.routing_key)
-            .map(<[usize]>::to_vec)
+            .map(<[QueueId]>::to_vec)
             .unwrap_or_default();
         for queue in &queues {
             host.enqueue(*queue, now, message.clone());
--- a/crates/tidewall-amqp/src/server/state.rs
+++ b/crates/tidewall-amqp/src/server/state.rs
@@ -1,6 +1,6 @@
 //! State of connections and channels.
 use super::ServerConfig;
-use crate::virtual_host::Message;
+use crate::virtual_host::{Message, QueueId};
 use crate::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -80,7 +80,7 @@
 /// A message that was delivered and not acknowledged.
 pub(super) struct Unacknowledged {
     pub delivery_tag: u64,
-    pub queue: usize,
+    pub queue: QueueId,
     /// Tells apart queues that had the same id one after the other.
     pub queue_name: Rc<str>,
     /// Empty for a message of `basic.get`.
@@ -90,7 +90,7 @@
 
 /// A consumer as its channel knows it.
 pub(super) struct ChannelConsumer {
-    pub queue: usize,
+    pub queue: QueueId,
     /// Unacknowledged messages that it may have; 0 for no bound.
     pub prefetch: u16,
 }
@@ -137,7 +137,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct QueueAddress {
     pub virtual_host: usize,
-    pub queue: usize,
+    pub queue: QueueId,
 }
 
 /// Where a publish came from; a later user of the same connection id or channel number is not confused with it.
--- a/crates/tidewall-amqp/src/server/topology.rs
+++ b/crates/tidewall-amqp/src/server/topology.rs
@@ -3,7 +3,7 @@
 use super::state::ChannelAddress;
 use super::{MethodResult, Server, ServerActions};
 use crate::codec::{method, ArgumentReader, FieldTable, FieldValue, MethodId};
-use crate::virtual_host::{ExchangeFlags, QueueOptions, VirtualHost};
+use crate::virtual_host::{ExchangeFlags, QueueId, QueueOptions, VirtualHost};
 use crate::{reply_code, ProtocolError, MILLISECOND};
 
 /// Milliseconds (35 years) at which times to live end: far beyond any use, and no sum with the clock overflows.
@@ -65,7 +65,7 @@
         &self,
         from: ChannelAddress,
         name: &str,
-    ) -> Result<usize, ProtocolError> {
+    ) -> Result<QueueId, ProtocolError> {
         let connection = &self.connections[from.connection];
         let last = &connection.channels[&from.number].last_queue;
         if name.is_empty() && last.is_empty() {
@@ -153,7 +153,7 @@
         };
         let host = self.host_mut(from.connection);
         let id = host.declare_queue(from.connection, &name, passive, &options)?;
-        let queue = &host.queues[id];
+        let queue = &host[id];
         let (name, ready) = (queue.name.clone(), queue.ready.len() as u32);
         let consumers = queue.consumers.len() as u32;
         if let Some(channel) = self.channel_mut(from) {
@@ -183,7 +183,7 @@
         };
         let mut count = 0;
         if let Some(id) = found {
-            let queue = &self.host_mut(from.connection).queues[id];
+            let queue = &self.host_mut(from.connection)[id];
             if if_unused && !queue.consumers.is_empty() || if_empty && !queue.ready.is_empty() {
                 return Err(ProtocolError::new(
                     reply_code::PRECONDITION_FAILED,
@@ -206,7 +206,7 @@
         &mut self,
         actions: &mut A,
         from: ChannelAddress,
-        queue: usize,
+        queue: QueueId,
         requested_by: Option<ChannelAddress>,
     ) -> usize {
         let deleted = self.host_mut(from.connection).delete_queue(queue);
--- a/crates/tidewall-amqp/src/topic.rs
+++ b/crates/tidewall-amqp/src/topic.rs
@@ -11,20 +11,30 @@
 /// Every trie has it, and it is the first that is made.
 const ROOT: usize = 0;
 
-#[derive(Default)]
-struct Node {
+struct Node<V> {
     words: BTreeMap<String, usize>,
     any_word: Option<usize>,
     any_words: Option<usize>,
     /// Values bound here, with how often.
-    values: BTreeMap<usize, u32>,
+    values: BTreeMap<V, u32>,
     /// The step in which the node was visited last.
     visited_in: u64,
     /// It stands for `#`: it takes any word and stays reached.
     is_any_words: bool,
 }
 
-impl Node {
+impl<V> Node<V> {
+    fn new(is_any_words: bool) -> Node<V> {
+        Node {
+            words: BTreeMap::new(),
+            any_word: None,
+            any_words: None,
+            values: BTreeMap::new(),
+            visited_in: 0,
+            is_any_words,
+        }
+    }
+
     fn is_empty(&self) -> bool {
         self.words.is_empty()
             && self.any_word.is_none()
@@ -61,9 +71,9 @@
     }
 }
 
-/// Values, small numbers such as ids of queues, bound by patterns.
-pub struct TopicTrie {
-    nodes: Slab<Node>,
+/// Values, such as ids of queues, bound by patterns.
+pub struct TopicTrie<V> {
+    nodes: Slab<Node<V>>,
     /// Steps of matches so far; by it a node is visited once in each.
     step: u64,
     /// Nodes reached by the words so far, and by the next one; kept, so that matching allocates nothing once they have
@@ -72,10 +82,10 @@
     next: Vec<usize>,
 }
 
-impl Default for TopicTrie {
-    fn default() -> TopicTrie {
+impl<V> Default for TopicTrie<V> {
+    fn default() -> TopicTrie<V> {
         let mut nodes = Slab::new();
-        nodes.insert(Node::default());
+        nodes.insert(Node::new(false));
         TopicTrie {
             nodes,
             step: 0,
@@ -85,16 +95,13 @@
     }
 }
 
-impl TopicTrie {
+impl<V: Copy + Ord> TopicTrie<V> {
     /// Binds a value; binding it again by the same pattern is counted.
-    pub fn bind(&mut self, pattern: &str, value: usize) {
+    pub fn bind(&mut self, pattern: &str, value: V) {
         let mut at = ROOT;
         for word in pattern.split('.') {
             at = self.nodes[at].child(word).unwrap_or_else(|| {
-                let child = self.nodes.insert(Node {
-                    is_any_words: word == ANY_WORDS,
-                    ..Node::default()
-                });
+                let child = self.nodes.insert(Node::new(word == ANY_WORDS));
                 self.nodes[at].add_child(word, child);
                 child
             });
@@ -103,7 +110,7 @@
     }
 
     /// Undoes one binding; false where there is none.
-    pub fn unbind(&mut self, pattern: &str, value: usize) -> bool {
+    pub fn unbind(&mut self, pattern: &str, value: V) -> bool {
         // Nodes on the way from the root, each with the word that leads on from it.
         let mut path = Vec::new();
         let mut at = ROOT;
@@ -140,7 +147,7 @@
     }
 
     /// Visits a node, and those that `#` lets be reached without a further word.
-    fn visit(nodes: &mut Slab<Node>, reached: &mut Vec<usize>, node: usize, step: u64) {
+    fn visit(nodes: &mut Slab<Node<V>>, reached: &mut Vec<usize>, node: usize, step: u64) {
         let mut at = Some(node);
         while let Some(node) = at {
             if nodes[node].visited_in == step {
@@ -153,12 +160,12 @@
     }
 
     /// Appends all values that the routing key reaches, each once, in ascending order.
-    pub fn find(&mut self, key: &str, found: &mut Vec<usize>) {
+    pub fn find(&mut self, key: &str, found: &mut Vec<V>) {
         let mut reached = std::mem::take(&mut self.reached);
         let mut next = std::mem::take(&mut self.next);
         reached.clear();
         self.step += 1;
-        TopicTrie::visit(&mut self.nodes, &mut reached, ROOT, self.step);
+        Self::visit(&mut self.nodes, &mut reached, ROOT, self.step);
         for word in key.split('.') {
             self.step += 1;
             next.clear();
@@ -167,14 +174,14 @@
                 let children = [node.words.get(word).copied(), node.any_word];
                 let itself = node.is_any_words.then_some(id);
                 for child in children.into_iter().chain([itself]).flatten() {
-                    TopicTrie::visit(&mut self.nodes, &mut next, child, self.step);
+                    Self::visit(&mut self.nodes, &mut next, child, self.step);
                 }
             }
             std::mem::swap(&mut reached, &mut next);
         }
         let start = found.len();
         for node in &reached {
-            found.extend(self.nodes[*node].values.keys());
+            found.extend(self.nodes[*node].values.keys().copied());
         }
         found[start..].sort_unstable();
         remove_repeats(found, start);
@@ -183,7 +190,7 @@
 }
 
 /// Removes repeated values from the sorted part that begins at `start`.
-fn remove_repeats(values: &mut Vec<usize>, start: usize) {
+fn remove_repeats<V: Copy + Eq>(values: &mut Vec<V>, start: usize) {
     let mut kept = start;
     for at in start..values.len() {
         if at == start || values[at] != values[kept - 1] {
--- a/crates/tidewall-amqp/src/virtual_host.rs
+++ b/crates/tidewall-amqp/src/virtual_host.rs
@@ -1,16 +1,17 @@
 //! Exchanges, bindings, queues and consumers of one virtual host (section 3.1). Connections are known by their ids
-//! alone. Queue ids are indices into [`VirtualHost::queues`]; the id of a deleted queue may be given to another one.
+//! alone.
 mod exchange;
 mod queue;
 
 pub use exchange::{ExchangeFlags, TRIGGER_TYPE};
-pub use queue::{Consumer, DeletedQueue, Message, Queue, QueueOptions};
+pub use queue::{Consumer, DeletedQueue, Message, Queue, QueueId, QueueOptions};
 
 use crate::{reply_code, ProtocolError};
 use exchange::Exchange;
 use queue::Binding;
 use slab::Slab;
 use std::collections::BTreeMap;
+use std::ops::Index;
 
 /// Names with this prefix are the server's own (3.1.3.1 and 3.1.4).
 const RESERVED_PREFIX: &str = "amq.";
@@ -18,15 +19,14 @@
 /// One virtual host.
 pub struct VirtualHost {
     exchanges: BTreeMap<String, Exchange>,
-    /// The queues by id.
-    pub queues: Slab<Queue>,
-    queue_names: BTreeMap<String, usize>,
+    queues: Slab<Queue>,
+    queue_names: BTreeMap<String, QueueId>,
     /// See [`VirtualHost::ready_bytes`].
     ready_bytes: usize,
     /// Queues so far that a client left the server to name.
     generated_names: u64,
     /// What a publish is routed to; kept, so that routing allocates nothing once it has grown.
-    routed: Vec<usize>,
+    routed: Vec<QueueId>,
 }
 
 fn not_found(what: &str, name: &str) -> ProtocolError {
@@ -68,8 +68,18 @@
     }
 
     /// Ids of all queues.
-    pub fn queue_ids(&self) -> impl Iterator<Item = usize> + '_ {
-        self.queues.iter().map(|entry| entry.0)
+    pub fn queue_ids(&self) -> impl Iterator<Item = QueueId> + '_ {
+        self.queues.iter().map(|(id, _)| QueueId(id))
+    }
+
+    /// A queue, unless it was deleted.
+    pub fn queue(&self, id: QueueId) -> Option<&Queue> {
+        self.queues.get(id.0)
+    }
+
+    /// The same, to be changed.
+    pub fn queue_mut(&mut self, id: QueueId) -> Option<&mut Queue> {
+        self.queues.get_mut(id.0)
     }
 
     /// Whether a publish to this exchange is a request.
@@ -144,12 +154,12 @@
     ///
     /// # Errors
     /// NOT_FOUND and RESOURCE_LOCKED.
-    pub fn find_queue(&self, connection: usize, name: &str) -> Result<usize, ProtocolError> {
+    pub fn find_queue(&self, connection: usize, name: &str) -> Result<QueueId, ProtocolError> {
         let queue = *self
             .queue_names
             .get(name)
             .ok_or_else(|| not_found("queue", name))?;
-        let owner = self.queues[queue].exclusive_to;
+        let owner = self.queues[queue.0].exclusive_to;
         if owner.is_some_and(|owner| owner != connection) {
             return Err(ProtocolError::new(
                 reply_code::RESOURCE_LOCKED,
@@ -170,10 +180,10 @@
         name: &str,
         passive: bool,
         options: &QueueOptions,
-    ) -> Result<usize, ProtocolError> {
+    ) -> Result<QueueId, ProtocolError> {
         if self.queue_names.contains_key(name) {
             let id = self.find_queue(connection, name)?;
-            if passive || self.queues[id].has_options(options) {
+            if passive || self.queues[id.0].has_options(options) {
                 return Ok(id);
             }
             return Err(ProtocolError::new(
@@ -193,7 +203,7 @@
         } else {
             name.to_string()
         };
-        let id = self.queues.insert(Queue::new(&name, connection, options));
+        let id = QueueId(self.queues.insert(Queue::new(&name, connection, options)));
         self.queue_names.insert(name, id);
         Ok(id)
     }
@@ -204,13 +214,13 @@
     /// ACCESS_REFUSED for the default and the trigger exchange, NOT_FOUND.
     pub fn bind(
         &mut self,
-        queue: usize,
+        queue: QueueId,
         exchange: &str,
         routing_key: &str,
     ) -> Result<(), ProtocolError> {
         let target = bindable(&mut self.exchanges, exchange)?;
         let binding = Binding::new(exchange, routing_key);
-        let bindings = &mut self.queues[queue].bindings;
+        let bindings = &mut self.queues[queue.0].bindings;
         if !bindings.contains(&binding) {
             bindings.push(binding);
             target.bind(queue, routing_key)?;
@@ -225,13 +235,13 @@
     /// ACCESS_REFUSED for the default exchange, NOT_FOUND.
     pub fn unbind(
         &mut self,
-        queue: usize,
+        queue: QueueId,
         exchange: &str,
         routing_key: &str,
     ) -> Result<(), ProtocolError> {
         let target = bindable(&mut self.exchanges, exchange)?;
         let binding = Binding::new(exchange, routing_key);
-        let bindings = &mut self.queues[queue].bindings;
+        let bindings = &mut self.queues[queue.0].bindings;
         if let Some(at) = bindings.iter().position(|known| *known == binding) {
             bindings.swap_remove(at);
             target.unbind(queue, routing_key)?;
@@ -247,7 +257,11 @@
     ///
     /// # Errors
     /// NOT_FOUND, and ACCESS_REFUSED for an internal exchange.
-    pub fn route(&mut self, exchange: &str, routing_key: &str) -> Result<&[usize], ProtocolError> {
+    pub fn route(
+        &mut self,
+        exchange: &str,
+        routing_key: &str,
+    ) -> Result<&[QueueId], ProtocolError> {
         self.routed.clear();
         if exchange.is_empty() {
             self.routed.extend(self.queue_names.get(routing_key));
@@ -266,13 +280,13 @@
     }
 
     /// Deletes a queue with its messages and bindings. Its consumers are to be notified.
-    pub fn delete_queue(&mut self, queue: usize) -> DeletedQueue {
+    pub fn delete_queue(&mut self, queue: QueueId) -> DeletedQueue {
         let message_count = self.purge(queue);
-        for binding in self.queues[queue].bindings.clone() {
+        for binding in self.queues[queue.0].bindings.clone() {
             // Both ends exist, so this cannot fail.
             let _ = self.unbind(queue, &binding.exchange, &binding.routing_key);
         }
-        let deleted = self.queues.remove(queue);
+        let deleted = self.queues.remove(queue.0);
         self.queue_names.remove(&*deleted.name);
         DeletedQueue {
             message_count,
@@ -282,11 +296,11 @@
 
     /// Deletes the queues that end with a connection.
     pub fn delete_exclusive_queues(&mut self, connection: usize) {
-        let owned: Vec<usize> = self
+        let owned: Vec<QueueId> = self
             .queues
             .iter()
             .filter(|(_, queue)| queue.exclusive_to == Some(connection))
-            .map(|(id, _)| id)
+            .map(|(id, _)| QueueId(id))
             .collect();
         for queue in owned {
             self.delete_queue(queue);
@@ -294,6 +308,15 @@
     }
 }
 
+/// An existing queue; panics where it was deleted.
+impl Index<QueueId> for VirtualHost {
+    type Output = Queue;
+
+    fn index(&self, id: QueueId) -> &Queue {
+        &self.queues[id.0]
+    }
+}
+
 /// The exchange, if queues may be bound to it by name.
 fn bindable<'a>(
     exchanges: &'a mut BTreeMap<String, Exchange>,
--- a/crates/tidewall-amqp/src/virtual_host/exchange.rs
+++ b/crates/tidewall-amqp/src/virtual_host/exchange.rs
@@ -1,4 +1,5 @@
 //! Exchanges and how they route (section 3.1.3).
+use super::QueueId;
 use crate::topic::TopicTrie;
 use crate::{reply_code, ProtocolError};
 use std::collections::BTreeMap;
@@ -25,10 +26,10 @@
 /// The bindings, as each type needs them for routing.
 enum Routes {
     /// Queue ids by binding key.
-    Direct(BTreeMap<String, Vec<usize>>),
+    Direct(BTreeMap<String, Vec<QueueId>>),
     /// Queue ids, one for each binding.
-    Fanout(Vec<usize>),
-    Topic(Box<TopicTrie>),
+    Fanout(Vec<QueueId>),
+    Topic(Box<TopicTrie<QueueId>>),
     Trigger,
 }
 
@@ -138,7 +139,7 @@
         )
     }
 
-    pub fn bind(&mut self, queue: usize, key: &str) -> Result<(), ProtocolError> {
+    pub fn bind(&mut self, queue: QueueId, key: &str) -> Result<(), ProtocolError> {
         match &mut self.routes {
             Routes::Direct(queues) => queues.entry(key.to_string()).or_default().push(queue),
             Routes::Fanout(queues) => queues.push(queue),
@@ -149,7 +150,7 @@
         Ok(())
     }
 
-    pub fn unbind(&mut self, queue: usize, key: &str) -> Result<(), ProtocolError> {
+    pub fn unbind(&mut self, queue: QueueId, key: &str) -> Result<(), ProtocolError> {
         match &mut self.routes {
             Routes::Direct(queues) => {
                 if let Some(bound) = queues.get_mut(key) {
@@ -174,7 +175,7 @@
     }
 
     /// Adds the ids of the queues that a routing key reaches, each once.
-    pub fn route(&mut self, key: &str, found: &mut Vec<usize>) {
+    pub fn route(&mut self, key: &str, found: &mut Vec<QueueId>) {
         match &mut self.routes {
             Routes::Direct(queues) => found.extend(queues.get(key).into_iter().flatten()),
             Routes::Fanout(queues) => {
--- a/crates/tidewall-amqp/src/virtual_host/queue.rs
+++ b/crates/tidewall-amqp/src/virtual_host/queue.rs
@@ -4,6 +4,10 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+/// A queue of one virtual host; the id of a deleted queue may be given to another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueId(pub(super) usize);
+
 /// A message in a queue or under way to a consumer. A clone shares its texts and bytes.
 #[derive(Clone, Debug)]
 pub struct Message {
@@ -131,9 +135,9 @@
 
 impl VirtualHost {
     /// Adds a message behind those of its priority; the queue's time to live bounds the message's own.
-    pub fn enqueue(&mut self, queue: usize, now: Time, message: Message) {
+    pub fn enqueue(&mut self, queue: QueueId, now: Time, message: Message) {
         self.ready_bytes += message.size();
-        let queue = &mut self.queues[queue];
+        let queue = &mut self.queues[queue.0];
         let queue_expiry = queue.message_ttl.map(|ttl| now + ttl);
         let expires_at = [message.expires_at, queue_expiry]
             .into_iter()
@@ -151,9 +155,9 @@
     }
 
     /// Returns a message that was delivered: in front of those of its priority.
-    pub fn requeue(&mut self, queue: usize, message: Message) {
+    pub fn requeue(&mut self, queue: QueueId, message: Message) {
         self.ready_bytes += message.size();
-        let ready = &mut self.queues[queue].ready;
+        let ready = &mut self.queues[queue.0].ready;
         let higher = ready
             .iter()
             .take_while(|other| other.priority > message.priority)
@@ -166,15 +170,15 @@
     }
 
     /// Takes the next message.
-    pub fn dequeue(&mut self, queue: usize) -> Option<Message> {
-        let message = self.queues[queue].ready.pop_front()?;
+    pub fn dequeue(&mut self, queue: QueueId) -> Option<Message> {
+        let message = self.queues[queue.0].ready.pop_front()?;
         self.ready_bytes -= message.size();
         Some(message)
     }
 
     /// Takes out all messages that have expired, wherever they are in the queue.
-    pub fn remove_expired(&mut self, queue: usize, now: Time) -> Vec<Message> {
-        let ready = &mut self.queues[queue].ready;
+    pub fn remove_expired(&mut self, queue: QueueId, now: Time) -> Vec<Message> {
+        let ready = &mut self.queues[queue.0].ready;
         if !ready.iter().any(|message| message.is_expired(now)) {
             return Vec::new();
         }
@@ -186,8 +190,8 @@
     }
 
     /// Drops all ready messages and gives how many.
-    pub fn purge(&mut self, queue: usize) -> usize {
-        let count = self.queues[queue].ready.len();
+    pub fn purge(&mut self, queue: QueueId) -> usize {
+        let count = self.queues[queue.0].ready.len();
         while self.dequeue(queue).is_some() {}
         count
     }
@@ -196,8 +200,12 @@
     ///
     /// # Errors
     /// ACCESS_REFUSED where it or another one is exclusive.
-    pub fn add_consumer(&mut self, queue: usize, consumer: Consumer) -> Result<(), ProtocolError> {
-        let queue = &mut self.queues[queue];
+    pub fn add_consumer(
+        &mut self,
+        queue: QueueId,
+        consumer: Consumer,
+    ) -> Result<(), ProtocolError> {
+        let queue = &mut self.queues[queue.0];
         let taken = queue.consumers.iter().any(|other| other.exclusive)
             || consumer.exclusive && !queue.consumers.is_empty();
         if taken {
@@ -211,12 +219,12 @@
     /// Removes a consumer; true where the queue is to be deleted with it.
     pub fn remove_consumer(
         &mut self,
-        queue: usize,
+        queue: QueueId,
         connection: usize,
         channel: u16,
         tag: &str,
     ) -> bool {
-        let Some(queue) = self.queues.get_mut(queue) else {
+        let Some(queue) = self.queues.get_mut(queue.0) else {
             return false;
         };
         let before = queue.consumers.len();
--- a/crates/tidewall-amqp/tests/rules.rs
+++ b/crates/tidewall-amqp/tests/rules.rs
@@ -906,3 +906,40 @@
     }
     assert_eq!(s.server.queued_bytes(), 0, "it was dropped");
 }
+
+/// A rejection by a consumer breaks the round: the message expires in the same queue again and still is dead-lettered.
+#[test]
+fn a_message_that_was_rejected_since_may_come_round() {
+    let mut s = site();
+    let conn = s.channel(1);
+    for (name, next, ttl) in [("q", "p", Some(1)), ("p", "q", None)] {
+        let mut table = TableWriter::default();
+        // The default exchange routes by the routing key, so each has an exchange of its own.
+        table.long_string("x-dead-letter-exchange", &format!("to-{next}"));
+        if let Some(milliseconds) = ttl {
+            table.signed("x-message-ttl", milliseconds);
+        }
+        let exchange = format!("to-{name}");
+        let declare_exchange = method(1, 40, 10, |m| {
+            let m = m.short(0).short_str(&exchange).short_str("fanout");
+            m.octet(0).long_str(b"")
+        });
+        s.send(conn, &declare_exchange);
+        s.declare(conn, name, &table.0);
+        let bind = method(1, 50, 20, |m| {
+            let m = m.short(0).short_str(name).short_str(&exchange);
+            m.short_str("").bit(false).long_str(b"")
+        });
+        s.send(conn, &bind);
+    }
+    s.publish(conn, "", "q", &BasicProperties::default(), b"x");
+    let get = method(1, 60, 70, |m| m.short(0).short_str("p").bit(false));
+    for round in 1..=3 {
+        s.now += 1_000;
+        s.tick();
+        s.got(1);
+        s.send(conn, &get);
+        assert!(s.got(1)[0].is(60, 71), "round {round}");
+        s.nack(conn, round, false, false);
+    }
+}
