Audit: a file for each rule, the field's terms, typed errors

Cause: one file of 607 lines held all rules; `row` had 140 lines; pairs of numbers and the record's words stood everywhere; errors were strings. Change: `answers`, `attempts`, `drains`, `slow_start`, `load_requests` and `tasks` hold a rule each with its state, `availability` what excuses a gateway, `rows` the record's format with its words and bytes as before. `check` gives a `RecordError` with the texts as before. The package takes the workspace's lints.

--- /dev/null
+++ b/crates/tidewall-audit/src/drains.rs
@@ -0,0 +1,73 @@
+//! The third rule: a draining worker gets nothing new, from the grace period on after a gateway was told.
+use crate::rows::Row;
+use crate::{Audit, Rule, Time};
+use std::collections::btree_map::Entry;
+
+/// A gateway, and a worker of which it was told.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct GatewayWorker {
+    gateway: usize,
+    worker: usize,
+}
+
+impl From<&Row> for GatewayWorker {
+    fn from(row: &Row) -> GatewayWorker {
+        GatewayWorker {
+            gateway: row.gw,
+            worker: row.wk,
+        }
+    }
+}
+
+impl Audit {
+    pub(crate) fn endpoint_state_sent(&mut self, row: &Row) {
+        if row.on {
+            self.drains.remove(&row.into());
+        } else if let Entry::Vacant(entry) = self.drains.entry(row.into()) {
+            entry.insert(row.t);
+            self.count_case(Rule::Drain);
+        }
+    }
+
+    /// A connection broke on which a gateway that is stopped has not read what was sent meanwhile, and never will.
+    pub(crate) fn updates_lost(&mut self, row: &Row) {
+        let stop = self.availability.last_stop(row.gw);
+        self.drains.retain(|key, sent_at| {
+            key.gateway != row.gw || !(row.on || key.worker == row.wk) || !stop.is_open_at(*sent_at)
+        });
+    }
+
+    /// A gateway that starts again has been told nothing yet; of two behind one address the other one has.
+    pub(crate) fn forget_drains(&mut self, gateway: usize) {
+        if !self.rules.pair {
+            self.drains.retain(|key, _| key.gateway != gateway);
+        }
+    }
+
+    pub(crate) fn check_drain_of_attempt(&mut self, row: &Row) {
+        if let Some(told_at) = self.drained_since(row) {
+            let (gateway, worker) = (row.gw, row.wk);
+            let late = (row.t - told_at) / 10;
+            let text = format!(
+                "gateway {gateway} sent event {} to worker {worker} {late} ms after its drain",
+                row.evt
+            );
+            self.breach(Rule::Drain, row.t, text);
+        }
+    }
+
+    pub(crate) fn check_drain_of_load_request(&mut self, row: &Row) {
+        if self.drained_since(row).is_some() {
+            let (gateway, worker) = (row.gw, row.wk);
+            let text =
+                format!("gateway {gateway} ordered a load at worker {worker} after its drain");
+            self.breach(Rule::Drain, row.t, text);
+        }
+    }
+
+    /// Since when the gateway knows that the worker drains, where the grace period is over.
+    fn drained_since(&self, row: &Row) -> Option<Time> {
+        let told_at = self.drains.get(&row.into()).copied();
+        told_at.filter(|told_at| row.t > told_at + self.rules.drain_grace)
+    }
+}
--- a/crates/tidewall-audit/src/rows.rs
+++ b/crates/tidewall-audit/src/rows.rs
@@ -1,135 +1,180 @@
-//! What the stand-ins record: one JSON line for each thing that crossed one of their sockets.
+//! The record's format: what the emulator writes, one JSON line for each thing that crossed one of its sockets. Kinds and
+//! fields are named as they are written; the rest of the package knows them by the terms of the glossary. Times are whole
+//! tenths of a millisecond.
 use serde::{Deserialize, Serialize};
 
+/// Scope of an idempotency key: the workers that drop its repeats together.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Group {
+    /// All workers.
     All,
+    /// Workers of one zone.
     Zone,
+    /// Workers of one cell.
     Cell,
 }
 
+/// Retry safety of a type of requests.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Type {
+    /// Idempotent.
     Redeliverable,
-    /// With its window in tenths of a millisecond.
+    /// With an idempotency key, by its scope and its window.
     Keyed(Group, u64),
+    /// Not idempotent.
     AtMostOnce,
 }
 
-/// The rules' figures and where the workers stand: the record's first line.
+/// The rules' figures, and where the workers are: the record's first line.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Rules {
+    /// Types of requests, by index.
     pub types: Vec<Type>,
+    /// Zones of the workers.
     pub zones: Vec<usize>,
+    /// Cells of the workers.
     pub cells: Vec<usize>,
+    /// Whether hedged attempts are allowed.
     pub two_at_once: bool,
+    /// How long after it was told that a worker drains a gateway may still send it something.
     pub drain_grace: u64,
+    /// A warming worker falls over at so many times what it can do within `fall`.
     pub fall_multiple: f64,
+    /// Window in which the work of a warming worker is summed up.
     pub fall: u64,
+    /// Window of the limit of load requests; 0 where there is no limit.
     pub load_window: u64,
+    /// Load requests that are allowed within the window in any case.
     pub load_free: f64,
+    /// Load requests that are allowed besides for each request within the window.
     pub load_share: f64,
-    /// The gateway is a pair behind one address: a kill excuses nothing but what fell due while no client could reach it.
+    /// The gateway is a failover pair behind one address: a kill excuses nothing but what fell due while no client could
+    /// reach it.
     #[serde(default)]
     pub pair: bool,
-    /// Clocks may be beyond what the settings tell: then epochs alone keep two holders apart, at each worker.
+    /// Clocks may be beyond what the settings allow: then epochs alone keep two holders apart, at each worker.
     #[serde(default)]
     pub wild_clocks: bool,
-    /// Gateways that are keepers of leases, and how long they bar others.
+    /// Gateways that grant leases.
     #[serde(default)]
     pub keepers: Vec<usize>,
+    /// Lease duration: how long a grantor bars others.
     #[serde(default)]
     pub term: u64,
 }
 
+/// What a row tells.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub enum Kind {
-    /// A client sent an event, to be answered within `left`.
+    /// A client sent a request, to be answered within `left`.
     #[default]
     Asked,
     /// A final answer reached its client.
     Answered,
-    /// An event was not taken.
+    /// A request was refused at admission.
     TurnedAway,
-    /// A client asked again for the same event, after its connection broke.
+    /// A client sent the same request again, after its connection broke.
     AskedAgain,
-    /// No client's connection to a gateway stands any more; one does again.
+    /// No client's connection to a gateway is open any more.
     Away,
+    /// A client's connection to the gateway is open again.
     Back,
-    /// The client said that it leaves before its time.
+    /// The client abandoned the request before its deadline, and said so.
     Left,
-    /// The client's time passed without an answer.
+    /// The request's deadline passed without an answer.
     GaveUp,
-    /// The client's connection broke with this event out on it.
+    /// The client's connection broke with this request in flight on it.
     Broke,
-    /// A gateway's process was killed; it is up again.
+    /// A gateway's process was killed.
     Killed,
+    /// A gateway's process that was killed is up again.
     Up,
-    /// A gateway's process is stopped; it goes on.
+    /// A gateway's process is stopped.
     Still,
+    /// A gateway's process that was stopped goes on.
     Going,
-    /// A launch reached a worker; it ended there (with a proof that it has not run, or without); its connection
-    /// is gone; its effect happened.
+    /// An attempt reached a worker.
     Launched,
+    /// An attempt ended at its worker, with a proof that it was not executed (`proven`) or without.
     Ended,
+    /// The connection of an attempt is gone.
     Cut,
+    /// A request had its effect at a worker.
     Ran,
-    /// The roster told a gateway where a worker stands.
+    /// The discovery server told a gateway the state of a worker: it takes requests (`on`), or drains.
     Told,
-    /// The roster's connection to a gateway broke (`on`), or a worker's: a gateway that stands still has not read what was told
-    /// on it meanwhile, and never will.
+    /// The discovery server's connection to a gateway broke (`on`), or a worker's: a gateway that is stopped has not read
+    /// what was sent on it meanwhile, and never will.
     Lost,
-    /// A worker started cold: it can do `capacity` (tenths of work in a tenth), `from` of it at first and all
-    /// of it after `left`. It fell over.
+    /// A worker started cold: it can do `capacity` (tenths of work in a tenth), `from` of it at first and all of it after
+    /// `left`.
     Started,
+    /// A worker that was warming up fell over.
     Fell,
-    /// An order to load reached a worker.
+    /// A load request reached a worker.
     Ordered,
-    /// An act on a fleet-wide task reached a worker in time; it took effect (`on`), or was refused.
+    /// An effect of a fleet-wide task reached a worker in time; it was carried out (`on`), or refused.
     Acted,
 }
 
-fn none<T: Default + PartialEq>(value: &T) -> bool {
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
 
-/// An event's number times this, plus the number of the try, names one try of it.
+/// The number of a request times this, plus that of a client's attempt at it, is what rows name as `evt`.
 pub const TRIES: u64 = 16;
 
 /// One row; what does not belong to its kind is left out.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Row {
+    /// When it happened.
     pub t: u64,
+    /// What happened.
     pub k: Kind,
-    #[serde(skip_serializing_if = "none")]
+    /// Index of the gateway.
+    #[serde(skip_serializing_if = "is_default")]
     pub gw: usize,
-    #[serde(skip_serializing_if = "none")]
+    /// Index of the worker.
+    #[serde(skip_serializing_if = "is_default")]
     pub wk: usize,
-    #[serde(skip_serializing_if = "none")]
+    /// Number of the request and of its client's attempt, see `TRIES`.
+    #[serde(skip_serializing_if = "is_default")]
     pub evt: u64,
-    #[serde(skip_serializing_if = "none")]
+    /// Index of the request's type in the rules.
+    #[serde(skip_serializing_if = "is_default")]
     pub typ: usize,
-    #[serde(skip_serializing_if = "none")]
+    /// Time until the deadline; of a worker that started, until it is warm.
+    #[serde(skip_serializing_if = "is_default")]
     pub left: u64,
-    #[serde(skip_serializing_if = "none")]
+    /// Whether the end of an attempt proves that it was not executed.
+    #[serde(skip_serializing_if = "is_default")]
     pub proven: bool,
-    #[serde(skip_serializing_if = "none")]
+    /// Whether the answer is a rejection with a Retry-After.
+    #[serde(skip_serializing_if = "is_default")]
     pub deferred: bool,
-    #[serde(skip_serializing_if = "none")]
+    /// As the kind has it.
+    #[serde(skip_serializing_if = "is_default")]
     pub on: bool,
-    #[serde(skip_serializing_if = "none")]
+    /// Instances that a load request asks for; 0 only asks how many there are.
+    #[serde(skip_serializing_if = "is_default")]
     pub copies: u64,
-    #[serde(skip_serializing_if = "none")]
+    /// Work of an attempt.
+    #[serde(skip_serializing_if = "is_default")]
     pub work: f64,
-    #[serde(skip_serializing_if = "none")]
+    /// Work in a tenth of a millisecond, in tenths, of a warm worker.
+    #[serde(skip_serializing_if = "is_default")]
     pub capacity: f64,
-    #[serde(skip_serializing_if = "none")]
+    /// Share of its capacity that a worker has when it starts.
+    #[serde(skip_serializing_if = "is_default")]
     pub from: f64,
-    #[serde(skip_serializing_if = "none")]
+    /// Number of the fleet-wide task.
+    #[serde(skip_serializing_if = "is_default")]
     pub task: u64,
-    #[serde(skip_serializing_if = "none")]
+    /// Epoch under which the holder acts.
+    #[serde(skip_serializing_if = "is_default")]
     pub epoch: u64,
-    #[serde(skip_serializing_if = "none")]
+    /// Incarnation of the gateway.
+    #[serde(skip_serializing_if = "is_default")]
     pub life: u64,
 }
--- a/crates/tidewall-audit/tests/rules.rs
+++ b/crates/tidewall-audit/tests/rules.rs
@@ -6,7 +6,7 @@
 use tidewall_audit::rows::{Kind, Row};
 
 /// Which rule's breaches the record shows, with how many.
-fn broken(rows: &[Row]) -> Vec<(usize, usize)> {
+fn breaches_by_rule(rows: &[Row]) -> Vec<(usize, usize)> {
     let mut audit = audit();
     rows.iter().for_each(|r| audit.row(r));
     audit.end(1_000_000);
@@ -33,8 +33,8 @@
 #[test_case(&[asked(0, 7, 0), row(5, Kind::Still, 0), row(9, Kind::Left, 7), row(9_000, Kind::Going, 0), row(9_400, Kind::Answered, 7)], &[] ; "left while its gateway stood still")]
 #[test_case(&[asked(0, 7, 0), row(5, Kind::Still, 0), row(9, Kind::Left, 7), row(9_000, Kind::Going, 0), row(9_600, Kind::Answered, 7)], &[(1, 1)] ; "planted: answered long after it went on")]
 #[test_case(&[asked(0, 7, 0), row(9, Kind::TurnedAway, 7)], &[] ; "not taken")]
-fn one_final_answer(rows: &[Row], told: &[(usize, usize)]) {
-    assert_eq!(broken(rows), told);
+fn one_final_answer(rows: &[Row], expected: &[(usize, usize)]) {
+    assert_eq!(breaches_by_rule(rows), expected);
 }
 
 #[test_case(&[asked(0, 7, 0), row(5, Kind::Killed, 0), row(30_500, Kind::GaveUp, 7)], 1, 0 ; "planted: a kill excuses nothing")]
@@ -49,7 +49,7 @@
     assert_eq!((audit.breaches(), audit.excused), (breaches, excused));
 }
 
-fn again(typ: usize, first: Row, wk: usize, t: u64) -> Vec<Row> {
+fn with_second_attempt(typ: usize, first: Row, wk: usize, t: u64) -> Vec<Row> {
     let launch = at(10, Kind::Launched, 7, 0);
     vec![
         asked(0, 7, typ),
@@ -61,13 +61,13 @@
     ]
 }
 
-#[test_case(again(0, at(20, Kind::Cut, 7, 0), 2, 90), &[] ; "redeliverable goes anywhere")]
-#[test_case(again(2, proven(20, 7, 0), 2, 90), &[] ; "at-most-once after a proof")]
-#[test_case(again(2, at(20, Kind::Cut, 7, 0), 1, 90), &[(2, 1)] ; "planted: at-most-once after a reset")]
-#[test_case(again(1, at(20, Kind::Cut, 7, 0), 1, 90), &[] ; "keyed within its zone")]
-#[test_case(again(1, at(20, Kind::Cut, 7, 0), 2, 90), &[(2, 1)] ; "planted: keyed beyond its zone")]
-#[test_case(again(3, at(20, Kind::Cut, 7, 0), 2, 20_000), &[(2, 1)] ; "planted: keyed beyond its window")]
-#[test_case(again(0, at(20_000, Kind::Ran, 7, 0), 1, 21_000), &[(2, 1)] ; "planted: two out at a time")]
+#[test_case(with_second_attempt(0, at(20, Kind::Cut, 7, 0), 2, 90), &[] ; "redeliverable goes anywhere")]
+#[test_case(with_second_attempt(2, proven(20, 7, 0), 2, 90), &[] ; "at-most-once after a proof")]
+#[test_case(with_second_attempt(2, at(20, Kind::Cut, 7, 0), 1, 90), &[(2, 1)] ; "planted: at-most-once after a reset")]
+#[test_case(with_second_attempt(1, at(20, Kind::Cut, 7, 0), 1, 90), &[] ; "keyed within its zone")]
+#[test_case(with_second_attempt(1, at(20, Kind::Cut, 7, 0), 2, 90), &[(2, 1)] ; "planted: keyed beyond its zone")]
+#[test_case(with_second_attempt(3, at(20, Kind::Cut, 7, 0), 2, 20_000), &[(2, 1)] ; "planted: keyed beyond its window")]
+#[test_case(with_second_attempt(0, at(20_000, Kind::Ran, 7, 0), 1, 21_000), &[(2, 1)] ; "planted: two out at a time")]
 #[test_case(vec![asked(0, 7, 1), Row { typ: 1, ..at(1, Kind::Ran, 7, 0) }, row(9, Kind::Answered, 7), Row { typ: 1, ..at(40_000, Kind::Ran, 8, 1) }], &[(2, 1)] ; "planted: keyed ran twice in its zone and window")]
 #[test_case(vec![asked(0, 7, 1), Row { typ: 1, ..at(1, Kind::Ran, 7, 0) }, row(9, Kind::Answered, 7), Row { typ: 1, ..at(40_001, Kind::Ran, 8, 1) }], &[] ; "keyed ran again after its window")]
 #[test_case(vec![asked(0, 7, 1), Row { typ: 1, ..at(1, Kind::Ran, 7, 0) }, Row { typ: 1, ..at(9, Kind::Ran, 8, 2) }, row(9, Kind::Answered, 7)], &[] ; "keyed ran in another zone")]
@@ -75,14 +75,14 @@
 #[test_case(vec![asked(0, 7, 2), at(1, Kind::Launched, 7, 0), at(2, Kind::Ended, 7, 0), deferred(3, 7)], &[(2, 1)] ; "planted: deferred after it may have run")]
 #[test_case(vec![asked(0, 7, 2), at(1, Kind::Launched, 7, 0), proven(2, 7, 0), deferred(3, 7)], &[] ; "deferred after a proof")]
 #[test_case(vec![asked(0, 7, 3), at(1, Kind::Launched, 7, 0), at(2, Kind::Ended, 7, 0), deferred(3, 7)], &[] ; "keyed among all may be deferred")]
-fn no_effect_twice(rows: Vec<Row>, told: &[(usize, usize)]) {
-    assert_eq!(broken(&rows), told);
+fn no_effect_twice(rows: Vec<Row>, expected: &[(usize, usize)]) {
+    assert_eq!(breaches_by_rule(&rows), expected);
 }
 
 #[test_case(20_000, true, &[] ; "within the grace")]
 #[test_case(20_002, true, &[(3, 1)] ; "planted: an event after the grace")]
 #[test_case(20_002, false, &[(3, 1)] ; "planted: an order after the grace")]
-fn drains_kept(t: u64, event: bool, told: &[(usize, usize)]) {
+fn drains_kept(t: u64, event: bool, expected: &[(usize, usize)]) {
     let mut rows = vec![
         Row {
             on: false,
@@ -99,14 +99,14 @@
         });
     }
     rows.push(row(t, Kind::Answered, 7));
-    assert_eq!(broken(&rows), told);
+    assert_eq!(breaches_by_rule(&rows), expected);
 }
 
 /// What was told to a gateway that stood still was never read where the connection broke meanwhile.
 #[test_case(true, false, &[] ; "by the worker")]
 #[test_case(true, true, &[] ; "by the roster")]
 #[test_case(false, true, &[(3, 1)] ; "planted: it was read")]
-fn drains_that_were_never_read(still: bool, roster: bool, told: &[(usize, usize)]) {
+fn drains_that_were_never_read(still: bool, roster: bool, expected: &[(usize, usize)]) {
     let mut rows = Vec::new();
     rows.extend(still.then(|| row(0, Kind::Still, 0)));
     rows.push(Row {
@@ -123,7 +123,7 @@
         at(30_010, Kind::Launched, 7, 1),
         row(30_020, Kind::Answered, 7),
     ]);
-    assert_eq!(broken(&rows), told);
+    assert_eq!(breaches_by_rule(&rows), expected);
 }
 
 /// A worker that starts with a fifth of two cores can be sent 2.5 times 0.4 cores for 1.5 s: 15,000 tenths.
@@ -131,7 +131,7 @@
 #[test_case(0, 16_000.0, &[(4, 1)] ; "planted: too much at once")]
 #[test_case(90_000, 40_000.0, &[] ; "nearly warm it takes more")]
 #[test_case(100_000, 99_000.0, &[] ; "warm it is not judged")]
-fn no_cold_worker_pushed_over(t: u64, work: f64, told: &[(usize, usize)]) {
+fn no_cold_worker_pushed_over(t: u64, work: f64, expected: &[(usize, usize)]) {
     let started = Row {
         capacity: 2.0,
         from: 0.2,
@@ -143,21 +143,21 @@
         ..at(t, Kind::Launched, 7, 1)
     };
     assert_eq!(
-        broken(&[started, asked(t, 7, 0), launched, row(t, Kind::Answered, 7)]),
-        told
+        breaches_by_rule(&[started, asked(t, 7, 0), launched, row(t, Kind::Answered, 7)]),
+        expected
     );
 }
 
 #[test]
 fn a_worker_that_fell_is_a_breach_whatever_the_sums_say() {
-    assert_eq!(broken(&[at(5, Kind::Fell, 0, 1)]), [(4, 1)]);
+    assert_eq!(breaches_by_rule(&[at(5, Kind::Fell, 0, 1)]), [(4, 1)]);
 }
 
 /// One free order and half an order for each event within ten seconds.
 #[test_case(2, 0, 2, &[] ; "within the ration")]
 #[test_case(2, 0, 3, &[(5, 1)] ; "planted: one too many")]
 #[test_case(2, 150_000, 2, &[(5, 1)] ; "planted: its events are too long ago")]
-fn orders_rationed(events: u64, wait: u64, orders: u64, told: &[(usize, usize)]) {
+fn orders_rationed(events: u64, wait: u64, orders: u64, expected: &[(usize, usize)]) {
     let mut rows = Vec::new();
     for evt in 0..events {
         rows.extend([asked(evt, evt + 1, 0), row(evt, Kind::Answered, evt + 1)]);
@@ -168,13 +168,13 @@
             ..at(10 + wait + i, Kind::Ordered, 0, 0)
         });
     }
-    assert_eq!(broken(&rows), told);
+    assert_eq!(breaches_by_rule(&rows), expected);
 }
 
 #[test]
 fn cases_count_what_put_a_rule_to_the_test() {
     let mut audit = audit();
-    for row in again(1, at(20, Kind::Cut, 7, 0), 1, 90) {
+    for row in with_second_attempt(1, at(20, Kind::Cut, 7, 0), 1, 90) {
         audit.row(&row);
     }
     let cases: Vec<u64> = audit.verdicts.iter().map(|v| v.cases).collect();
@@ -190,6 +190,6 @@
 #[test_case(&[acted(10, 2, 7, 5, 0, true), acted(30, 1, 7, 5, 1, true)], &[(6, 1)] ; "planted: one epoch of two")]
 #[test_case(&[acted(10, 1, 7, 3, 0, true), acted(20, 1, 7, 5, 0, true), acted(30, 1, 7, 3, 0, false)], &[] ; "a life's own former epoch")]
 #[test_case(&[acted(10, 1, 7, 3, 0, true), acted(20, 1, 9, 5, 0, true), acted(30, 1, 7, 3, 0, false)], &[(6, 1)] ; "planted: a former life acts on")]
-fn no_two_holders_act_at_once(rows: &[Row], told: &[(usize, usize)]) {
-    assert_eq!(broken(rows), told);
+fn no_two_holders_act_at_once(rows: &[Row], expected: &[(usize, usize)]) {
+    assert_eq!(breaches_by_rule(rows), expected);
 }
--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -389,7 +389,7 @@
     let lines = BufReader::new(File::open(&record).map_err(failed)?)
         .lines()
         .map_while(Result::ok);
-    let audit = tidewall_audit::check(lines).map_err(Failure::Run)?;
+    let audit = tidewall_audit::check(lines).map_err(|error| Failure::Run(error.to_string()))?;
     let (results, loads) = (fleet.results().clone(), fleet.loads());
     table(&results, loads, &audit);
     if args.pair {
