Benchmarks start their forwarder by the program's name, tidewall-measure

Cause: the rename of the package also changed the file name by which the program starts itself. Change: the name of the program, which stayed.

--- a/crates/tidewall-benchmarks/src/main.rs
+++ b/crates/tidewall-benchmarks/src/main.rs
@@ -1,6 +1,6 @@
 //! Measures one gateway process on loopback: rates, added latency, CPU and memory, each beside a bare forwarder
 //! that copies the same bytes and a client that talks straight to the worker. Run it from the root after
-//! `cargo build --release`:  target/release/tidewall-benchmarks
+//! `cargo build --release`:  target/release/tidewall-measure
 mod forward;
 mod pair;
 mod peers;
@@ -34,7 +34,7 @@
     fn start(args: &[&str]) -> Process {
         let exe = std::env::current_exe().expect("a program knows its file");
         let own = exe.with_file_name(if args[0] == "forward" {
-            "tidewall-benchmarks"
+            "tidewall-measure"
         } else {
             "tidewall"
         });
