--- a/crates/tidewall-gateway/src/discovery.rs
+++ b/crates/tidewall-gateway/src/discovery.rs
@@ -8,7 +8,7 @@
 use crate::Gateway;
 use tidewall::interface::Endpoint;
 use tidewall_net::{CloseReason, Conn, Net, Time, TimerId};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// Is given the endpoint list after each change; returns false where it cannot take it now, and is given it again later.
 pub type EndpointWatcher = Box<dyn FnMut(&[EndpointRecord]) -> bool + Send>;
@@ -157,7 +157,7 @@
     /// Takes over an endpoint list, or changes of one where it is not `complete`.
     pub fn update_endpoints(&mut self, records: &[EndpointRecord], complete: bool) {
         let pool = &mut self.context.scheduler.host;
-        let now = pool.net.now();
+        let (now, started) = (pool.net.now(), pool.net.current_time());
         let endpoints: Vec<(usize, Endpoint)> = records
             .iter()
             .map(|record| pool.register_endpoint(record))
@@ -174,6 +174,9 @@
         self.notify_endpoint_watcher();
         // What is decided from now on knows the list: nothing of it is to be withdrawn for what the list said.
         self.deliver_deferred_outcomes();
+        let took = self.context.net().current_time() - started;
+        let records = records.len();
+        debug!(records, complete, took, "endpoint list applied");
     }
 
     /// Sets the watcher, which is given the endpoint list now and after each change.
--- a/crates/tidewall-gateway/src/drain.rs
+++ b/crates/tidewall-gateway/src/drain.rs
@@ -68,7 +68,7 @@
         }
         let settled = self.context.draining && self.context.net().now() >= self.exit_not_before;
         if settled && self.requests_in_flight() == 0 && !self.has_unread_responses() {
-            info!(counters = ?self.counters(), "draining finished");
+            info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), "draining finished");
             self.write_endpoint_cache();
             self.context.net().stop();
         }
--- a/crates/tidewall-gateway/src/event_loop.rs
+++ b/crates/tidewall-gateway/src/event_loop.rs
@@ -1,6 +1,7 @@
 //! The event loop's entry points: what happens on connections, sockets and timers is handed to the part that it belongs to.
 //! Each ends by delivering what the scheduler's calls left behind.
 use crate::connection_owners::Owner;
+use crate::wakeup_profile::WakeupPart;
 use crate::Gateway;
 use std::net::SocketAddr;
 use tidewall_net::{App, CloseReason, Conn, DatagramSocket, Listener, Net};
@@ -38,30 +39,13 @@
     }
 
     fn received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
-        let used = match self.owner(conn) {
-            Owner::Nobody => bytes.len(),
-            Owner::Ingress(ingress) => {
-                self.ingresses[ingress].received(&mut self.context, conn, bytes)
-            }
-            owner => {
-                if let Owner::Worker(connection) = owner {
-                    self.context.scheduler.host.bytes_received(connection);
-                }
-                let used = self.read_messages(conn, bytes, owner);
-                if let Owner::Worker(connection) = self.owner(conn) {
-                    self.context
-                        .scheduler
-                        .host
-                        .set_partial_message(connection, used < bytes.len());
-                }
-                if owner == Owner::Peer {
-                    self.acknowledge_records();
-                }
-                used
-            }
+        let part = match self.owner(conn) {
+            Owner::Ingress(_) => WakeupPart::ClientInput,
+            Owner::Worker(_) => WakeupPart::WorkerInput,
+            Owner::Discovery => WakeupPart::EndpointList,
+            _ => WakeupPart::Other,
         };
-        self.deliver_deferred_outcomes();
-        used
+        self.timed(part, |gateway| gateway.bytes_received(conn, bytes))
     }
 
     fn writable(&mut self, conn: Conn) {
@@ -76,22 +60,17 @@
     }
 
     fn wakeup_ended(&mut self) {
-        while self.context.scheduler.host.flush() {
-            self.deliver_deferred_outcomes();
-        }
+        self.timed(WakeupPart::Sending, |gateway| {
+            while gateway.context.scheduler.host.flush() {
+                gateway.deliver_deferred_outcomes();
+            }
+        });
     }
 
     fn closed(&mut self, conn: Conn, reason: CloseReason) {
-        match self.owner(conn) {
-            Owner::Nobody => {}
-            Owner::Ingress(ingress) => self.ingresses[ingress].closed(&mut self.context, conn),
-            Owner::Worker(connection) => self.worker_connection_closed(connection, reason),
-            Owner::Discovery => self.discovery_connection_closed(reason),
-            Owner::Peer => self.peer_connection_closed(),
-            Owner::Handshake => self.handshake_closed(conn),
-        }
-        self.set_owner(conn, Owner::Nobody);
-        self.deliver_deferred_outcomes();
+        self.timed(WakeupPart::Other, |gateway| {
+            gateway.connection_closed(conn, reason);
+        });
     }
 
     fn datagram_received(&mut self, socket: DatagramSocket, from: SocketAddr, bytes: &[u8]) {
@@ -108,8 +87,10 @@
     }
 
     fn timer_fired(&mut self, token: u64) {
-        self.dispatch_timer(token);
-        self.deliver_deferred_outcomes();
+        self.timed(WakeupPart::Timer, |gateway| {
+            gateway.dispatch_timer(token);
+            gateway.deliver_deferred_outcomes();
+        });
     }
 
     fn signal_received(&mut self, signal: i32) {
@@ -120,3 +101,54 @@
         }
     }
 }
+
+impl<N: Net> Gateway<N> {
+    /// Does one step of a wake-up and counts how long it took.
+    fn timed<T>(&mut self, part: WakeupPart, step: impl FnOnce(&mut Self) -> T) -> T {
+        let started = self.context.net().current_time();
+        let result = step(self);
+        let ended = self.context.net().current_time();
+        self.wakeup_profile.record(part, started, ended);
+        result
+    }
+
+    fn bytes_received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let used = match self.owner(conn) {
+            Owner::Nobody => bytes.len(),
+            Owner::Ingress(ingress) => {
+                self.ingresses[ingress].received(&mut self.context, conn, bytes)
+            }
+            owner => {
+                if let Owner::Worker(connection) = owner {
+                    self.context.scheduler.host.bytes_received(connection);
+                }
+                let used = self.read_messages(conn, bytes, owner);
+                if let Owner::Worker(connection) = self.owner(conn) {
+                    self.context
+                        .scheduler
+                        .host
+                        .set_partial_message(connection, used < bytes.len());
+                }
+                if owner == Owner::Peer {
+                    self.acknowledge_records();
+                }
+                used
+            }
+        };
+        self.deliver_deferred_outcomes();
+        used
+    }
+
+    fn connection_closed(&mut self, conn: Conn, reason: CloseReason) {
+        match self.owner(conn) {
+            Owner::Nobody => {}
+            Owner::Ingress(ingress) => self.ingresses[ingress].closed(&mut self.context, conn),
+            Owner::Worker(connection) => self.worker_connection_closed(connection, reason),
+            Owner::Discovery => self.discovery_connection_closed(reason),
+            Owner::Peer => self.peer_connection_closed(),
+            Owner::Handshake => self.handshake_closed(conn),
+        }
+        self.set_owner(conn, Owner::Nobody);
+        self.deliver_deferred_outcomes();
+    }
+}
--- a/crates/tidewall-gateway/src/ingress_context.rs
+++ b/crates/tidewall-gateway/src/ingress_context.rs
@@ -91,6 +91,7 @@
             return Ok(self.start_request(incoming));
         };
         pool.counters.refused += 1;
+        debug!(request = incoming.id, reason = %refusal, "request refused");
         Err(refusal)
     }
 
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod protocol;
 mod responses;
 mod timers;
+pub mod wakeup_profile;
 mod worker_connections;
 mod worker_events;
 pub mod worker_pool;
@@ -55,6 +56,7 @@
 use tidewall::choice::Scheduler;
 use tidewall::settings::Settings;
 use tidewall_net::{DatagramSocket, Listener, Net, Time};
+use wakeup_profile::WakeupProfile;
 use worker_pool::{Counters, GatewayLimits, WorkerPool};
 
 /// A gateway on one network. It owns the scheduler, the worker pool, the ingresses and the discovery client.
@@ -93,6 +95,7 @@
     endpoint_watcher: Option<EndpointWatcher>,
     /// The list changed and the watcher could not take it.
     watcher_outdated: bool,
+    wakeup_profile: WakeupProfile,
 }
 
 /// What a gateway is started with.
@@ -193,6 +196,7 @@
             idle_since: None,
             endpoint_watcher: None,
             watcher_outdated: false,
+            wakeup_profile: WakeupProfile::default(),
         };
         gateway.load_endpoint_cache();
         gateway.connect_discovery();
@@ -212,6 +216,11 @@
         &self.context.scheduler.host.counters
     }
 
+    /// How long the steps of wake-ups took.
+    pub fn wakeup_profile(&self) -> &WakeupProfile {
+        &self.wakeup_profile
+    }
+
     /// How often a connection to the discovery server was opened.
     pub fn discovery_attempts(&self) -> u64 {
         self.discovery.attempts
--- a/crates/tidewall-gateway/src/timers.rs
+++ b/crates/tidewall-gateway/src/timers.rs
@@ -136,7 +136,7 @@
                 self.forget_removed_workers();
                 let next = now + COUNTER_LOG_INTERVAL;
                 self.context.net().set_timer(next, packed);
-                info!(counters = ?self.counters(), in_flight = self.requests_in_flight(), "counters");
+                info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), in_flight = self.requests_in_flight(), "counters");
             }
         }
     }
--- a/crates/tidewall-gateway/src/worker_connections.rs
+++ b/crates/tidewall-gateway/src/worker_connections.rs
@@ -40,14 +40,19 @@
         for key in closed.waiting.iter().chain(&closed.sent) {
             pool.calls[*key].connection = None;
         }
-        if !closed.ready {
-            debug!(
-                worker = pool.worker_names.resolve(closed.worker),
-                ?reason,
-                waiting = closed.waiting.len(),
-                "worker connection failed"
-            );
-        }
+        let message = if closed.ready {
+            "worker connection closed"
+        } else {
+            "worker connection failed"
+        };
+        debug!(
+            worker = pool.worker_names.resolve(closed.worker),
+            connection,
+            ?reason,
+            waiting = closed.waiting.len(),
+            in_flight = closed.sent.len(),
+            "{message}"
+        );
         for key in closed.waiting {
             self.call_ended(key, Outcome::ConnectFailed, 0);
             self.context.scheduler.host.remove_call(key);
--- a/crates/tidewall-gateway/src/worker_pool/flush.rs
+++ b/crates/tidewall-gateway/src/worker_pool/flush.rs
@@ -3,6 +3,7 @@
 use crate::protocol::{AttemptMessage, LoadRequestMessage};
 use tidewall::interface::Outcome;
 use tidewall_net::{Net, Time};
+use tracing::debug;
 
 /// A batch that grew for a burst gives its memory back: 16 KiB, a few usual messages.
 const MAX_KEPT_BATCH: usize = 16 << 10;
@@ -77,6 +78,17 @@
         self.attach(key, connection, true);
         let call = &self.calls[key];
         let is_work = !matches!(call.kind, CallKind::HealthCheck | CallKind::Vote { .. });
+        if let CallKind::Attempt { attempt, .. } = call.kind {
+            debug!(
+                request = call.request_id,
+                attempt,
+                worker = self.worker_names.resolve(call.worker),
+                connection,
+                waited = now - call.started_at,
+                input_age = self.net.current_time() - self.net.polled_at(),
+                "attempt sent"
+            );
+        }
         let entry = &mut self.connections[connection];
         entry.streams += usize::from(call.is_attempt());
         entry.last_used = now;
--- a/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
+++ b/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
@@ -54,6 +54,12 @@
         let Some(&call) = call else {
             return;
         };
+        debug!(
+            request = call.request_id,
+            attempt,
+            sent = call.sent,
+            "attempt cancelled"
+        );
         if !call.sent {
             return self.defer_outcome(key, Outcome::Discarded);
         }
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -64,6 +64,15 @@
 pub trait Net {
     /// The time at the start of this wake-up, on a clock that never goes back.
     fn now(&self) -> Time;
+    /// The time by the system's clock at this moment: [`Net::now`] and what this wake-up has taken since. The same as
+    /// `now` where the time of a wake-up stands still, as on the simulated network.
+    fn current_time(&self) -> Time {
+        self.now()
+    }
+    /// When the sockets were last polled: what has arrived since has not been seen.
+    fn polled_at(&self) -> Time {
+        self.now()
+    }
     /// Total duration for which the process has stalled (stopped, starved of processor time, or busy in one call). A
     /// timeout that expired during a stall says nothing about a peer.
     fn total_stall(&self) -> Time;
--- a/crates/tidewall-net/src/mio/clock.rs
+++ b/crates/tidewall-net/src/mio/clock.rs
@@ -45,9 +45,14 @@
     /// Reads the system's clock: whole tenths since the origin, rounded down, plus 1, as 0 means "long ago" to the
     /// apps. Never goes back.
     pub(super) fn update(&mut self) {
+        self.now = self.current();
+    }
+
+    /// The time of the system's clock, without an update.
+    pub(super) fn current(&self) -> Time {
         let elapsed = (self.origin.elapsed().as_micros() / 100) as i128;
         let skewed = elapsed + elapsed * i128::from(self.skew_ppm) / 1_000_000;
-        self.now = self.now.max(skewed as Time + 1);
+        self.now.max(skewed as Time + 1)
     }
 
     /// Records how late or how long a wake-up was. Stalls are left out.
--- a/crates/tidewall-net/src/mio/mod.rs
+++ b/crates/tidewall-net/src/mio/mod.rs
@@ -63,6 +63,8 @@
     wakeup_due: Time,
     /// When the last poll began.
     poll_started: Time,
+    /// When the last poll returned.
+    polled_at: Time,
     total_stall: Time,
     /// For how long bytes may have waited because the loop was busy.
     loop_delay: Time,
@@ -93,6 +95,7 @@
             clock: LoopClock::new(),
             wakeup_due: NEVER_POLLED,
             poll_started: 1,
+            polled_at: 1,
             total_stall: 0,
             loop_delay: 0,
             pause_delay: 0,
@@ -157,6 +160,14 @@
         self.clock.now()
     }
 
+    fn current_time(&self) -> Time {
+        self.clock.current()
+    }
+
+    fn polled_at(&self) -> Time {
+        self.polled_at
+    }
+
     fn total_stall(&self) -> Time {
         self.total_stall
     }
--- a/crates/tidewall-net/src/mio/poll_loop.rs
+++ b/crates/tidewall-net/src/mio/poll_loop.rs
@@ -118,6 +118,7 @@
     fn measure_poll(&mut self, had_timeout: bool) -> Time {
         self.clock.update();
         let now = self.clock.now();
+        self.polled_at = now;
         let due = self.wakeup_due.max(self.poll_started);
         let late = if had_timeout {
             now.saturating_sub(due)
