Lists of thousands of workers cost each function only what concerns it, when it is next used

Cause: Scheduler::start_worker and withdraw went through all functions for each listed worker, has_slow_start_capacity through all workers for each placement, forget_idle through all workers with a search each; WorkerPool::retain_listed, removed_idle_workers and unsent_calls compared all with all. A worker first heard of as draining had a place by no name and kept it: it has its own now. The board's responses may have 16 MiB (one test's figure follows, one more is new): many lists after a silence passed 1 MiB, were refused, and asked for again for ever.

--- a/crates/tidewall-gateway/src/discovery.rs
+++ b/crates/tidewall-gateway/src/discovery.rs
@@ -53,6 +53,9 @@
         if self.discovery.source.is_native() {
             self.context.scheduler.host.discovery_connection = Some(conn);
         }
+        if let Some(length) = self.discovery.source.max_message_length() {
+            self.context.net().set_read_limit(conn, length);
+        }
         let mut message = Vec::new();
         let identity = LocalIdentity {
             name: &self.name,
--- a/crates/tidewall-gateway/src/outcomes.rs
+++ b/crates/tidewall-gateway/src/outcomes.rs
@@ -23,8 +23,8 @@
                 }
             } else if let Some(response) = pool.local_responses.pop_front() {
                 self.send_final_response(&response, &[]);
-            } else if let Some(worker) = pool.withdrawn_workers.pop() {
-                self.withdraw_unsent_calls(worker);
+            } else if !pool.withdrawn_workers.is_empty() {
+                self.withdraw_unsent_calls();
             } else if self.deliver_failover_outcome() {
                 // One more thing was done.
             } else if let Some(handle) = self.context.scheduler.host.expired_clients.pop_front() {
--- a/crates/tidewall-gateway/src/protocol.rs
+++ b/crates/tidewall-gateway/src/protocol.rs
@@ -220,6 +220,10 @@
     fn address(&self) -> SocketAddr;
     /// What is said first on a new connection; with `watch` updates are wanted unasked.
     fn write_subscription(&mut self, out: &mut Vec<u8>, identity: &LocalIdentity, watch: bool);
+    /// The most bytes of one message, where it is more than other peers' messages may have; none where it is not.
+    fn max_message_length(&self) -> Option<usize> {
+        None
+    }
     /// Reads one message and gives its length; none while it is incomplete. All of a message is handed on, or nothing.
     ///
     /// # Errors
--- a/crates/tidewall-gateway/src/worker_connections.rs
+++ b/crates/tidewall-gateway/src/worker_connections.rs
@@ -113,11 +113,17 @@
         self.worker_connection_closed(connection, reason);
     }
 
-    /// A worker left or restarted: what has not left for it is decided again.
-    pub(crate) fn withdraw_unsent_calls(&mut self, worker: usize) {
-        for key in self.context.scheduler.host.unsent_calls(worker) {
-            self.call_ended(key, Outcome::Discarded, 0);
-            self.context.scheduler.host.remove_ended_call(key);
+    /// Workers left or restarted: what has not left for them is decided again.
+    pub(crate) fn withdraw_unsent_calls(&mut self) {
+        let pool = &mut self.context.scheduler.host;
+        let withdrawn = pool.take_withdrawn_workers();
+        for (key, generation) in pool.unsent_calls(&withdrawn) {
+            let call = self.context.scheduler.host.calls.get(key);
+            // Its key may name another call by now.
+            if call.is_some_and(|call| call.generation == generation) {
+                self.call_ended(key, Outcome::Discarded, 0);
+                self.context.scheduler.host.remove_ended_call(key);
+            }
         }
         self.reset_stalled_after_grace(0);
     }
@@ -128,10 +134,9 @@
         if self.failover.is_some() {
             return;
         }
-        for worker in self.context.scheduler.host.removed_idle_workers() {
-            if self.context.scheduler.forget_worker(worker) {
-                self.context.scheduler.host.forget_worker(worker);
-            }
+        let removed = self.context.scheduler.host.removed_idle_workers();
+        for worker in self.context.scheduler.forget_workers(&removed) {
+            self.context.scheduler.host.forget_worker(worker);
         }
     }
 }
--- a/crates/tidewall-gateway/src/worker_events.rs
+++ b/crates/tidewall-gateway/src/worker_events.rs
@@ -56,8 +56,8 @@
             scheduler.advance_clock(now);
             scheduler.update_endpoints(&[(worker, endpoint)], false);
         }
-        while let Some(worker) = self.pool().withdrawn_workers.pop() {
-            self.gateway.withdraw_unsent_calls(worker);
+        if !self.pool().withdrawn_workers.is_empty() {
+            self.gateway.withdraw_unsent_calls();
         }
     }
 }
--- a/crates/tidewall-gateway/src/worker_pool/endpoints.rs
+++ b/crates/tidewall-gateway/src/worker_pool/endpoints.rs
@@ -99,10 +99,10 @@
     /// After a complete list: workers that are not in it are removed.
     pub fn retain_listed(&mut self, listed: &[(usize, Endpoint)]) {
         let now = self.net.now();
+        let mut is_listed = vec![false; self.workers.len()];
+        listed.iter().for_each(|entry| is_listed[entry.0] = true);
         for (index, worker) in self.workers.iter_mut().enumerate() {
-            if !listed.iter().any(|entry| entry.0 == index)
-                && worker.endpoint.state != EndpointState::Removed
-            {
+            if !is_listed[index] && worker.endpoint.state != EndpointState::Removed {
                 if worker.endpoint.state == EndpointState::Active {
                     worker.removed_at = now;
                     self.withdrawn_workers.push(index);
@@ -115,11 +115,15 @@
 
     /// Removed workers without connections and calls.
     pub fn removed_idle_workers(&self) -> Vec<usize> {
+        let mut has_calls = vec![false; self.workers.len()];
+        self.calls
+            .iter()
+            .for_each(|(_, call)| has_calls[call.worker] = true);
         let is_removed_and_idle = |(index, worker): &(usize, &WorkerEntry)| {
-            let removed = worker.address.is_some()
+            worker.address.is_some()
                 && worker.endpoint.state == EndpointState::Removed
-                && worker.connections.is_empty();
-            removed && !self.calls.iter().any(|(_, call)| call.worker == *index)
+                && worker.connections.is_empty()
+                && !has_calls[*index]
         };
         self.workers
             .iter()
@@ -179,21 +183,38 @@
         Some(entry.endpoint)
     }
 
-    /// Attempts and load requests for this worker that have not left: all that is known of them is that they were not
-    /// executed.
-    pub fn unsent_calls(&self, worker: usize) -> Vec<usize> {
+    /// Workers that left or restarted since this was last asked, the latest first, each once.
+    pub fn take_withdrawn_workers(&mut self) -> Vec<usize> {
+        let mut seen = vec![false; self.workers.len()];
+        let mut withdrawn = std::mem::take(&mut self.withdrawn_workers);
+        withdrawn.reverse();
+        withdrawn.retain(|worker| !std::mem::replace(&mut seen[*worker], true));
+        withdrawn
+    }
+
+    /// Attempts and load requests for these workers that have not left, with their generations, in the workers' order: all
+    /// that is known of them is that they were not executed.
+    pub fn unsent_calls(&self, workers: &[usize]) -> Vec<(usize, u32)> {
+        let mut rank = vec![usize::MAX; self.workers.len()];
+        for (position, worker) in workers.iter().enumerate() {
+            rank[*worker] = position;
+        }
         let is_work = |call: &Call| match call.kind {
             CallKind::Attempt { .. } => true,
             CallKind::LoadRequest { .. } => call.instances > 0,
             CallKind::HealthCheck | CallKind::Vote { .. } => false,
         };
-        let is_unsent =
-            |call: &Call| call.worker == worker && !call.sent && !call.ended && is_work(call);
-        self.calls
+        let is_unsent = |call: &Call| {
+            rank[call.worker] < usize::MAX && !call.sent && !call.ended && is_work(call)
+        };
+        let mut unsent: Vec<(usize, u32)> = self
+            .calls
             .iter()
             .filter(|(_, call)| is_unsent(call))
-            .map(|(key, _)| key)
-            .collect()
+            .map(|(key, call)| (key, call.generation))
+            .collect();
+        unsent.sort_by_key(|(key, _)| rank[self.calls[*key].worker]);
+        unsent
     }
 
     /// The endpoint list as the pool knows it, without removed workers.
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -108,6 +108,9 @@
     /// Whether bytes have arrived that the app has not been given; it is given them soon. To be called before an idle
     /// connection is closed, or what its peer has sent meanwhile would be lost.
     fn has_unread(&mut self, conn: Conn) -> bool;
+    /// Allows so many received bytes that the app has not consumed in place of [`buffer::READ_BUFFER_LIMIT`], for a peer
+    /// whose messages are longer than other peers'.
+    fn set_read_limit(&mut self, conn: Conn, bytes: usize);
     /// Pauses or resumes reading. While paused, flow control holds the peer back.
     fn set_read_paused(&mut self, conn: Conn, on: bool);
     /// Closes gracefully, once the write buffer has been sent, so that the peer can read all of it. No further event of
--- a/crates/tidewall-net/src/memory/delivery.rs
+++ b/crates/tidewall-net/src/memory/delivery.rs
@@ -3,7 +3,6 @@
 use super::path::Route;
 use super::scheduler::Apps;
 use super::world::World;
-use crate::buffer::READ_BUFFER_LIMIT;
 use crate::{CloseReason, Conn, DatagramSocket, Listener, Time};
 use std::cell::RefCell;
 use std::hash::Hasher;
@@ -197,8 +196,9 @@
     let consumed = apps[node].received(conn, buffer.data());
     buffer.consume(consumed);
     let mut w = world.borrow_mut();
-    let full = buffer.len() >= READ_BUFFER_LIMIT;
+    let mut full = false;
     if let Some(endpoint) = w.endpoint(conn) {
+        full = buffer.len() >= endpoint.read_limit;
         endpoint.read_buffer = buffer;
     }
     if more {
--- a/crates/tidewall-net/src/memory/endpoint.rs
+++ b/crates/tidewall-net/src/memory/endpoint.rs
@@ -28,6 +28,8 @@
     /// The listener's address, on the accepting side.
     pub(super) local_address: Option<SocketAddr>,
     pub(super) read_paused: bool,
+    /// The most bytes that `read_buffer` may hold.
+    pub(super) read_limit: usize,
     /// A write was not accepted in full: `App::writable` must follow.
     pub(super) writable_pending: bool,
     pub(super) closing: bool,
@@ -77,6 +79,7 @@
             write_buffer: Buffer::default(),
             local_address: None,
             read_paused: false,
+            read_limit: READ_BUFFER_LIMIT,
             writable_pending: false,
             closing: false,
         });
--- a/crates/tidewall-net/src/memory/handle.rs
+++ b/crates/tidewall-net/src/memory/handle.rs
@@ -217,6 +217,13 @@
             .is_some_and(|e| !e.receive_queue.is_empty())
     }
 
+    fn set_read_limit(&mut self, conn: Conn, bytes: usize) {
+        let mut world = self.world.borrow_mut();
+        if let Some(endpoint) = world.endpoint(conn) {
+            endpoint.read_limit = bytes;
+        }
+    }
+
     fn set_read_paused(&mut self, conn: Conn, on: bool) {
         let mut world = self.world.borrow_mut();
         let Some(endpoint) = world.endpoint(conn) else {
--- a/crates/tidewall-net/src/mio/connection.rs
+++ b/crates/tidewall-net/src/mio/connection.rs
@@ -1,5 +1,5 @@
 //! One stream socket with its buffers, and the system calls that the standard library does not offer.
-use crate::buffer::Buffer;
+use crate::buffer::{Buffer, READ_BUFFER_LIMIT};
 use crate::{Time, TimerId};
 use mio::net::TcpStream;
 use std::io::{self, Read};
@@ -16,6 +16,8 @@
     pub(super) connect_timer: Option<TimerId>,
     pub(super) read_buffer: Buffer,
     pub(super) write_buffer: Buffer,
+    /// The most bytes that `read_buffer` may hold.
+    pub(super) read_limit: usize,
     /// Readiness is edge-triggered: set by an event, cleared when a read would block.
     pub(super) readable: bool,
     pub(super) read_paused: bool,
@@ -47,6 +49,7 @@
             connect_timer: None,
             read_buffer: Buffer::default(),
             write_buffer: Buffer::default(),
+            read_limit: READ_BUFFER_LIMIT,
             readable: false,
             read_paused: false,
             paused_at: 0,
--- a/crates/tidewall-net/src/mio/mod.rs
+++ b/crates/tidewall-net/src/mio/mod.rs
@@ -213,6 +213,12 @@
         self.find_unread(conn)
     }
 
+    fn set_read_limit(&mut self, conn: Conn, bytes: usize) {
+        if let Some(c) = self.connection_mut(conn) {
+            c.read_limit = bytes;
+        }
+    }
+
     fn set_read_paused(&mut self, conn: Conn, on: bool) {
         self.pause_reading(conn, on);
     }
--- a/crates/tidewall-net/src/mio/reading.rs
+++ b/crates/tidewall-net/src/mio/reading.rs
@@ -1,7 +1,6 @@
 //! The read side of connections: queued reads, pausing, and the look before a close.
 use super::connection::Connection;
 use super::Mio;
-use crate::buffer::READ_BUFFER_LIMIT;
 use crate::{App, CloseReason, Conn};
 use std::io::{self, Read};
 
@@ -139,10 +138,11 @@
     let net = app.net();
     net.pause_delay = 0;
     buffer.consume(consumed);
-    let full = buffer.len() >= READ_BUFFER_LIMIT;
+    let len = buffer.len();
     match net.connection_mut(conn) {
         Some(c) => {
             c.read_buffer = buffer;
+            let full = len >= c.read_limit;
             full
         }
         None => false,
--- a/crates/tidewall-platform-ingress/src/notice_board.rs
+++ b/crates/tidewall-platform-ingress/src/notice_board.rs
@@ -2,6 +2,7 @@
 use crate::error::ReloadError;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tidewall::interface::{EndpointState, Time};
@@ -119,10 +120,18 @@
 impl EndpointUpdate {
     /// Replaces the records of the same names, and adds the others.
     fn merge(&mut self, records: Vec<EndpointRecord>) {
+        // Looked up only: iterating over a hash map would make runs differ.
+        let mut positions: FxHashMap<String, usize> = FxHashMap::default();
+        for (position, record) in self.records.iter().enumerate() {
+            positions.insert(record.name.clone(), position);
+        }
         for record in records {
-            match self.records.iter_mut().find(|r| r.name == record.name) {
-                Some(known) => *known = record,
-                None => self.records.push(record),
+            match positions.get(&record.name) {
+                Some(position) => self.records[*position] = record,
+                None => {
+                    positions.insert(record.name.clone(), self.records.len());
+                    self.records.push(record);
+                }
             }
         }
     }
@@ -170,6 +179,11 @@
         self.write_poll(out);
     }
 
+    fn max_message_length(&self) -> Option<usize> {
+        // Twice the body: it may come in chunks, and its head stands before it.
+        Some(2 * notice_board::MAX_BODY)
+    }
+
     fn read_message(
         &mut self,
         bytes: &[u8],
--- a/crates/tidewall-platform/src/config.rs
+++ b/crates/tidewall-platform/src/config.rs
@@ -97,7 +97,9 @@
 
 /// Reads a configuration; an error names the first field that is refused.
 pub fn parse(text: &[u8]) -> Result<PlatformConfig, ConfigError> {
-    let json: Json = serde_json::from_slice(text)?;
+    let mut json: Json = serde_json::from_slice(text)?;
+    // Not copied: it holds thousands of hosts.
+    let initial_notices = json.get_mut("known").map(Json::take);
     let settings = parse_settings(&json)?;
     let is_on = |name: &str| settings.get(name).is_some_and(|value| value == "true");
     let allows_datagrams = is_on("allowed.peers");
@@ -122,9 +124,7 @@
         peer_listen,
         peers,
         settings,
-        initial_notices: json
-            .get("known")
-            .cloned()
+        initial_notices: initial_notices
             .ok_or_else(|| ConfigError::Missing("known".to_string()))?,
     })
 }
--- a/crates/tidewall-platform/src/notice_board.rs
+++ b/crates/tidewall-platform/src/notice_board.rs
@@ -13,8 +13,9 @@
 /// The most header lines of a response.
 const MAX_HEADERS: usize = 32;
 
-/// The longest body of a response in bytes. A list of a thousand hosts takes less than 200 kB.
-const MAX_BODY: usize = 1 << 20;
+/// The longest body of a response in bytes, 16 MiB. A list of 4,096 hosts takes some 800 kB; after a long silence of the board
+/// a response holds all that changed since, in a release a list of the half of them every second.
+pub const MAX_BODY: usize = 16 << 20;
 
 /// A long poll: answered when there are notices behind `revision`, or after `wait_ms`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/choice/load_requests.rs
+++ b/src/choice/load_requests.rs
@@ -9,7 +9,10 @@
         let mut rank = 0;
         for position in 0..self.functions[function_id].placements.len() {
             let placement = self.functions[function_id].placements[position];
-            if rank == heads || !self.is_usable(function_id, &placement) {
+            if rank == heads {
+                break;
+            }
+            if !self.is_usable(function_id, &placement) {
                 continue;
             }
             let instances = (n - rank).div_ceil(heads);
@@ -104,6 +107,7 @@
         instances: u32,
     ) {
         let now = self.now;
+        self.take_in_changes(function_id);
         let Some(position) = self.placement_on(function_id, worker_id) else { return };
         self.confirm_function(function_id, outcome);
         // No memory or a failed load: the same load request at once would fail again.
--- a/src/choice/outliers.rs
+++ b/src/choice/outliers.rs
@@ -32,8 +32,8 @@
     /// then lateness is not theirs, and ejecting workers makes it worse.
     pub(super) fn record_failure(&mut self, worker_id: WorkerId) {
         let (now, overloaded) = (self.now, self.is_overloaded());
-        let count = self.active_workers().count();
-        let ejected = self.active_workers().filter(|other| other.ejected_until > now).count();
+        let count = self.workers.active().0 as usize;
+        let ejected = self.workers.ejected(now);
         let worker = &mut self.workers[worker_id];
         worker.failures += u32::from(!overloaded);
         // Two late answers in a row are common, three rare.
--- a/src/choice/placements.rs
+++ b/src/choice/placements.rs
@@ -1,5 +1,13 @@
 //! Workers, functions and their placements: on which workers a function may run, in an order that all share.
 use super::*;
+use crate::endpoint_changes::{ChangeKind, EndpointChange};
+
+impl Function {
+    /// How many placements it keeps, but for those with something in flight.
+    fn placement_bound(&self) -> usize {
+        MAX_PLACEMENTS.max(2 * self.desired_instances)
+    }
+}
 
 impl<A: SchedulerActions> Scheduler<A> {
     /// New, restarted or back from the dead: nothing that was learned of it holds; it is empty.
@@ -14,7 +22,44 @@
         };
         // One that was here before comes back empty; of a new one nothing is known.
         let instances = if known.name_hash != 0 { InstanceState::Absent } else { InstanceState::Unknown };
-        (0..self.functions.len()).for_each(|f| self.add_placement(f, worker_id, instances));
+        let (name_hash, kind) = (endpoint.name_hash, ChangeKind::Started(instances));
+        self.endpoint_changes.push(EndpointChange { worker_id, name_hash, kind });
+    }
+
+    /// What the endpoint list changed is taken in by all functions at once where that is little work, else by
+    /// each before it is next looked at: at the sweep that checks it, within a second, at the latest.
+    pub(crate) fn settle_changes(&mut self, changes: usize) {
+        if changes * self.functions.len() <= MAX_CHANGES_AT_ONCE {
+            (0..self.functions.len()).for_each(|function_id| self.take_in_changes(function_id));
+        }
+    }
+
+    /// The function's placements follow what the endpoint list changed since they were last looked at. Whether
+    /// a worker takes requests is its own state, and holds at once.
+    pub(crate) fn take_in_changes(&mut self, function_id: FunctionId) {
+        let end = self.endpoint_changes.end();
+        let function = self.functions.get_mut(function_id);
+        let Some(function) = function.filter(|f| f.live && f.changes_seen < end) else { return };
+        let from = std::mem::replace(&mut function.changes_seen, end);
+        let function = &*function;
+        let bound = function.placement_bound();
+        let changes = self.endpoint_changes.since(from, |change| {
+            // Behind the last there is no placement to change, and where the list is full none to add.
+            let is_added = matches!(change.kind, ChangeKind::Started(_)) && function.placements.len() < bound;
+            is_added || !function.is_behind_last(function.order_weight(change.name_hash))
+        });
+        for EndpointChange { worker_id, name_hash, kind } in changes {
+            match kind {
+                ChangeKind::Started(instances) => self.add_placement(function_id, worker_id, instances),
+                ChangeKind::Withdrawn => {
+                    let function = &mut self.functions[function_id];
+                    let weight = function.order_weight(name_hash);
+                    if let Some(position) = function.position_of(worker_id, weight) {
+                        function.placements[position].instances = InstanceState::Unknown;
+                    }
+                }
+            }
+        }
     }
 
     /// A watch may have broken: asking anew is always allowed, at the next timer of its own.
@@ -29,13 +74,14 @@
         let function_id = info.function;
         self.functions.resize_with(self.functions.len().max(function_id + 1), Function::default);
         if self.functions[function_id].live {
-            return;
+            return self.take_in_changes(function_id);
         }
         // Starting the rotation by chance keeps gateways from marching in step.
         let (hash, rotation) = (info.function_hash, self.random.below(64) as usize);
         let (class, lanes) = (info.class, info.lanes.max(1));
         self.functions[function_id] =
             Function { hash, live: true, class, lanes, rotation, ..Function::default() };
+        self.functions[function_id].changes_seen = self.endpoint_changes.end();
         self.add_missing_placements(function_id);
         self.query_instances(function_id);
     }
@@ -48,20 +94,37 @@
         worker_id: WorkerId,
         state: InstanceState,
     ) {
+        let name_hash = self.workers[worker_id].endpoint.name_hash;
         let function = &mut self.functions[function_id];
-        if !function.live {
+        let (bound, weight) = (function.placement_bound(), function.order_weight(name_hash));
+        // Behind the last of a full list it would be added and go again; nor is it in the list.
+        if function.placements.len() >= bound && function.is_behind_last(weight) {
             return;
         }
-        if let Some(placement) = function.placements.iter_mut().find(|p| p.worker_id == worker_id) {
-            *placement = placement.restarted();
+        if let Some(position) = function.position_of(worker_id, weight) {
+            function.placements[position] = function.placements[position].restarted();
             return;
         }
-        let placement = Placement { worker_id, instances: state, ..Placement::default() };
+        let placement = Placement { worker_id, weight, instances: state, ..Placement::default() };
         function.insert_placement(&self.workers, placement);
-        let over = function.placements.len() > MAX_PLACEMENTS.max(2 * function.desired_instances);
+        let over = function.placements.len() > bound;
         function.placements.pop_if(|last| over && last.is_idle());
     }
 
+    /// Adds placements on the workers that the function has none on, up to the bound of its placements: the
+    /// first ones of the shared order.
+    pub(super) fn add_missing_placements(&mut self, function_id: FunctionId) {
+        let listed = self.workers.listed();
+        let function = &self.functions[function_id];
+        let mut first = function.first_workers(&listed, function.placement_bound());
+        let mut placed = vec![false; self.workers.len()];
+        function.placements.iter().for_each(|placement| placed[placement.worker_id] = true);
+        first.retain(|(_, worker_id)| !placed[*worker_id]);
+        for (_, worker_id) in first {
+            self.add_placement(function_id, worker_id, InstanceState::Unknown);
+        }
+    }
+
     /// Departure: a function unknown to this gateway may be loaded anywhere (after a restart of the gateway,
     /// at its start, or by load requests of other gateways). Queries have no rate limit, so the first twelve
     /// of its order are asked once (tried: all, 12, 8), and instances found are used until the first n are
--- a/src/choice/requests.rs
+++ b/src/choice/requests.rs
@@ -52,6 +52,7 @@
                 continue;
             }
             request.waiting = false;
+            self.take_in_changes(self.requests[slot].info.function);
             self.request_loads(self.requests[slot].info.function);
             self.dispatch(slot);
         }
--- a/src/choice/selection.rs
+++ b/src/choice/selection.rs
@@ -78,8 +78,7 @@
     /// together: three quarters of the workers' mean (tried: 1.25, 1, 0.75; evener was better) and one, so
     /// that small numbers do not bind. Lanes alone let the homes of hot functions jam while others idle.
     fn even_in_flight_limit(&self) -> f64 {
-        let (mut count, mut sum) = (0u32, 0);
-        self.active_workers().for_each(|worker| (count, sum) = (count + 1, sum + worker.in_flight));
+        let (count, sum) = self.workers.active();
         0.75 * f64::from(sum) / f64::from(count.max(1)) + 1.0
     }
 
--- a/src/choice/slow_start.rs
+++ b/src/choice/slow_start.rs
@@ -1,5 +1,6 @@
 //! Slow start: how much a worker gets while it warms up after a start.
 use super::*;
+use crate::workers::WarmCapacity;
 
 impl<A: SchedulerActions> Scheduler<A> {
     /// The budget of a worker in slow start. What it can take is given nowhere: this gateway's own share of
@@ -12,11 +13,8 @@
         const SHARE: f64 = 0.6;
         let worker = &self.workers[worker_id];
         let Some(part) = self.slow_start_share(worker) else { return true };
-        let (mut count, mut work, mut ratings) = (0.0, 0.0, 0.0);
-        for warm in self.active_workers().filter(|other| self.slow_start_share(other).is_none()) {
-            work += f64::from(warm.completed_work.recent(self.now)) / 2.0;
-            (count, ratings) = (count + 1.0, ratings + warm.endpoint.rating);
-        }
+        let WarmCapacity { count, ratings, work } =
+            self.workers.warm_capacity(self.now, |other| self.warm_at(other));
         // Warm machines that are larger say too much of what this one can take.
         let size = if ratings > 0.0 { (worker.endpoint.rating * count / ratings).min(1.0) } else { 1.0 };
         let (weight, window) = (self.classes[class].warm_latency, self.config.overload_window);
@@ -29,6 +27,14 @@
         used + worker.slow_start_rounding * weight <= room && weight <= room * self.config.gateway_count
     }
 
+    /// When a worker is warm; a start at 0 is long ago.
+    pub(super) fn warm_at(&self, worker: &Worker) -> Time {
+        match worker.endpoint.started_at {
+            0 => 0,
+            started_at => started_at + self.config.slow_start.duration,
+        }
+    }
+
     /// How warm a worker is at the least, None when it is warm; a start at 0 is long ago.
     pub(super) fn slow_start_share(&self, worker: &Worker) -> Option<f64> {
         let started_at = worker.endpoint.started_at;
--- a/src/choice/sweep.rs
+++ b/src/choice/sweep.rs
@@ -17,13 +17,20 @@
     }
 
     /// Counts of instances are checked once a second, the functions spread over the sweeps of it; a sweep
-    /// that comes late does those of the sweeps that it missed.
+    /// that comes late does those of the sweeps that it missed, as far as that is not too many at once.
     fn check_functions(&mut self) {
         let (slots, sweep) = (SECOND / MAX_SWEEP_INTERVAL, self.now / MAX_SWEEP_INTERVAL);
-        let from = std::mem::replace(&mut self.last_sweep, sweep).max(sweep.saturating_sub(slots));
-        for slot in from + 1..=sweep {
+        let from = self.last_sweep.max(sweep.saturating_sub(slots));
+        let most = MAX_CHECKS_IN_A_SWEEP * slots as usize / self.functions.len().max(1);
+        let to = sweep.min(from + most.max(1) as Time);
+        self.last_sweep = to;
+        if from / slots < to / slots {
+            self.drop_old_changes();
+        }
+        for slot in from + 1..=to {
             for function_id in ((slot % slots) as usize..self.functions.len()).step_by(slots as usize) {
                 if self.functions[function_id].live {
+                    self.take_in_changes(function_id);
                     self.scale(function_id, true);
                     self.forget_idle(function_id);
                 }
@@ -31,6 +38,13 @@
         }
     }
 
+    /// Changes of the endpoint list that all functions have taken in are of no further use.
+    fn drop_old_changes(&mut self) {
+        let seen = self.functions.iter().filter(|f| f.live).map(|f| f.changes_seen).min();
+        let end = self.endpoint_changes.end();
+        self.endpoint_changes.drop_before(seen.unwrap_or(end));
+    }
+
     /// One request in hand: its deadline, and attempts that are overdue.
     fn check_request(&mut self, slot: RequestSlot) {
         let open = self.requests.get(slot).filter(|request| !request.finished && !request.streaming);
@@ -51,6 +65,7 @@
             // A hedged attempt goes out beside the late one where that is allowed.
             let weight = self.priority_weight(&info);
             if self.config.may_hedge && self.requests[slot].retries < 2 && !self.is_overloaded() {
+                self.take_in_changes(info.function);
                 if let Some(selection) = self.select_placements(slot, weight) {
                     self.requests[slot].retries += 1;
                     self.send_attempt(slot, selection.first);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -15,5 +15,6 @@
 mod shapes;
 mod slow_start;
 mod sweep;
+mod thousands;
 
 use super::*;
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -16,6 +16,12 @@
 /// Placements of a function at most, several times what a request looks at: a thousand functions have them.
 pub(super) const MAX_PLACEMENTS: usize = 128;
 
+/// Placements that are looked at in one go where the endpoint list changes: some 0.1 ms of CPU.
+pub(super) const MAX_CHANGES_AT_ONCE: usize = 4096;
+
+/// Functions that one sweep checks at most: some 2 ms of CPU. What a late sweep leaves goes with the next ones.
+pub(super) const MAX_CHECKS_IN_A_SWEEP: usize = 256;
+
 /// Where the learned limit starts: a few times what two cores run at once. It stops growing at what a gateway
 /// may have in flight in all: dozens of cores, or runs that mostly wait, take hundreds.
 pub(super) const INITIAL_IN_FLIGHT_LIMIT: f64 = 8.0;
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -36,6 +36,11 @@
         self.sum += n;
     }
 
+    /// Whether nothing is counted, as of the last time at which something was added.
+    pub fn is_empty(&self) -> bool {
+        self.sum == 0
+    }
+
     /// The count in the window that ends at `now`, also where nothing was added for a while.
     pub fn recent(&self, now: Time) -> u32 {
         let (step, len) = (now / STEP, STEPS as Time);
--- a/src/endpoint_list.rs
+++ b/src/endpoint_list.rs
@@ -1,19 +1,18 @@
 //! How the endpoint list is taken in: which workers are new, and which are gone. What follows is decided in
 //! `choice`.
+use crate::endpoint_changes::{ChangeKind, EndpointChange};
 use crate::interface::{Endpoint, EndpointState, SchedulerActions, WorkerId};
 use crate::scheduler::Scheduler;
-use crate::state::{InstanceState, Worker};
 
 impl<A: SchedulerActions> Scheduler<A> {
     /// Takes in entries of the endpoint list; where the list is `complete`, workers not in it are removed.
     pub fn update_endpoints(&mut self, entries: &[(WorkerId, Endpoint)], complete: bool) {
-        for worker_id in 0..self.workers.len() {
-            if complete && !entries.iter().any(|entry| entry.0 == worker_id) {
-                self.withdraw(worker_id, EndpointState::Removed);
-            }
+        let before = self.endpoint_changes.end();
+        if complete {
+            self.withdraw_unlisted(entries);
         }
         for &(worker_id, endpoint) in entries {
-            self.workers.resize_with(self.workers.len().max(worker_id + 1), Worker::default);
+            self.workers.grow(worker_id);
             let known = self.workers[worker_id].endpoint;
             if endpoint.state != EndpointState::Active {
                 self.withdraw(worker_id, endpoint.state);
@@ -21,14 +20,29 @@
                 self.start_worker(worker_id, endpoint);
             }
         }
+        self.settle_changes((self.endpoint_changes.end() - before) as usize);
+    }
+
+    /// Workers that are not in a complete list are gone.
+    fn withdraw_unlisted(&mut self, entries: &[(WorkerId, Endpoint)]) {
+        let mut is_listed = vec![false; self.workers.len()];
+        for (worker_id, _) in entries {
+            if let Some(listed) = is_listed.get_mut(*worker_id) {
+                *listed = true;
+            }
+        }
+        for worker_id in (0..self.workers.len()).filter(|worker_id| !is_listed[*worker_id]) {
+            self.withdraw(worker_id, EndpointState::Removed);
+        }
     }
 
     /// A worker that drains or is gone gets nothing more from the moment that this gateway hears of it.
     fn withdraw(&mut self, worker_id: WorkerId, state: EndpointState) {
-        self.workers[worker_id].endpoint.state = state;
-        let placements = self.functions.iter_mut().flat_map(|function| &mut function.placements);
-        for placement in placements.filter(|placement| placement.worker_id == worker_id) {
-            placement.instances = InstanceState::Unknown;
+        if self.workers[worker_id].endpoint.state == state {
+            return;
         }
+        self.workers[worker_id].endpoint.state = state;
+        let (name_hash, kind) = (self.workers[worker_id].endpoint.name_hash, ChangeKind::Withdrawn);
+        self.endpoint_changes.push(EndpointChange { worker_id, name_hash, kind });
     }
 }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -1,9 +1,11 @@
 //! What one scheduler remembers, and lookups in it. Its decisions are in `choice`.
 use crate::config::{RequestClass, SchedulerConfig, Tenant};
-use crate::interface::{EndpointState, FunctionId, RequestSlot, SchedulerActions, Time, WorkerId};
+use crate::endpoint_changes::EndpointChanges;
+use crate::interface::{EndpointState, FunctionId, RequestSlot, Time, WorkerId};
 use crate::load_history::LoadHistory;
 use crate::random::RandomGenerator;
 use crate::state::{Counter, Function, InstanceState, Placement, Request, Worker};
+use crate::workers::Workers;
 use slab::Slab;
 use std::collections::VecDeque;
 
@@ -24,7 +26,9 @@
     pub(crate) config: SchedulerConfig,
     pub(crate) classes: Vec<RequestClass>,
     pub(crate) tenants: Vec<Tenant>,
-    pub(crate) workers: Vec<Worker>,
+    pub(crate) workers: Workers,
+    /// What the endpoint list changed that not all functions have taken in.
+    pub(crate) endpoint_changes: EndpointChanges,
     pub(crate) functions: Vec<Function>,
     pub(crate) requests: Slab<Request>,
     /// Requests that wait for a placement, oldest first; some no longer do.
@@ -60,7 +64,8 @@
             config,
             classes,
             tenants,
-            workers: Vec::new(),
+            workers: Workers::default(),
+            endpoint_changes: EndpointChanges::default(),
             functions: Vec::new(),
             requests: Slab::new(),
             waiting: VecDeque::new(),
@@ -87,17 +92,39 @@
     /// Whether nothing is known or pending of this worker any more; then its index may name another. Guards
     /// against machines that are replaced by new ones again and again.
     pub fn forget_worker(&mut self, worker_id: WorkerId) -> bool {
-        let Some(worker) = self.workers.get(worker_id) else { return true };
-        let placed = |f: &Function| f.placements.iter().any(|p| p.worker_id == worker_id);
-        let used = |r: &Request| {
-            r.load_checks.contains(&worker_id) || r.sent_attempts().iter().any(|a| a.worker_id == worker_id)
-        };
-        let gone = worker.endpoint.state == EndpointState::Removed && worker.in_flight == 0;
-        let free = gone && !self.functions.iter().any(placed) && !self.requests.iter().any(|r| used(r.1));
-        if free {
-            self.workers[worker_id] = Worker::default();
+        self.forget_workers(&[worker_id]) == [worker_id]
+    }
+
+    /// Those of the workers of which nothing is known or pending any more; their indices may name others.
+    pub fn forget_workers(&mut self, worker_ids: &[WorkerId]) -> Vec<WorkerId> {
+        let end = self.endpoint_changes.end();
+        if self.functions.iter().any(|function| function.live && function.changes_seen < end) {
+            // A change that names one of them is still to be taken in.
+            return Vec::new();
+        }
+        let mut in_use = vec![false; self.workers.len()];
+        let placements = self.functions.iter().flat_map(|function| &function.placements);
+        placements.for_each(|placement| in_use[placement.worker_id] = true);
+        for (_, request) in &self.requests {
+            let attempted = request.sent_attempts().iter().map(|attempt| attempt.worker_id);
+            for worker_id in attempted.chain(request.load_checks) {
+                if let Some(used) = in_use.get_mut(worker_id) {
+                    *used = true;
+                }
+            }
         }
-        free
+        let mut forgotten = Vec::new();
+        for &worker_id in worker_ids {
+            let known = self.workers.get(worker_id);
+            let gone = known.is_none_or(|worker| {
+                worker.endpoint.state == EndpointState::Removed && worker.in_flight == 0 && !in_use[worker_id]
+            });
+            if gone && known.is_some() {
+                self.workers[worker_id] = Worker::default();
+            }
+            forgotten.extend(gone.then_some(worker_id));
+        }
+        forgotten
     }
 
     /// Takes in a message of another gateway. Nothing is decided by it today.
@@ -105,7 +132,9 @@
 
     /// Position of a worker among a function's placements.
     pub(crate) fn placement_on(&self, function_id: FunctionId, worker_id: WorkerId) -> Option<usize> {
-        self.functions.get(function_id)?.placements.iter().position(|p| p.worker_id == worker_id)
+        let function = self.functions.get(function_id)?;
+        let name_hash = self.workers.get(worker_id)?.endpoint.name_hash;
+        function.position_of(worker_id, function.order_weight(name_hash))
     }
 
     /// Listed as active, and not ejected.
@@ -118,21 +147,4 @@
         let young = || self.now < placement.renewed_at + self.config.keep_alive;
         placement.instances == InstanceState::Loaded && (placement.in_flight > 0 || young())
     }
-
-    /// The workers that the endpoint list has as taking requests.
-    pub(crate) fn active_workers(&self) -> impl Iterator<Item = &Worker> {
-        self.workers.iter().filter(|worker| worker.is_active())
-    }
-}
-
-impl<A: SchedulerActions> Scheduler<A> {
-    /// Adds a function's placements on all workers that it has none on; those last in the order may go again.
-    pub(crate) fn add_missing_placements(&mut self, function_id: FunctionId) {
-        for worker_id in 0..self.workers.len() {
-            let listed = self.workers[worker_id].endpoint.state != EndpointState::Removed;
-            if listed && self.placement_on(function_id, worker_id).is_none() {
-                self.add_placement(function_id, worker_id, InstanceState::Unknown);
-            }
-        }
-    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,6 +81,8 @@
 pub struct Placement {
     /// The worker.
     pub worker_id: WorkerId,
+    /// Its place in the function's order, see `Function::order_weight`.
+    pub weight: u64,
     /// Whether instances are loaded there.
     pub instances: InstanceState,
     /// Attempts of the function in flight there.
@@ -100,9 +102,17 @@
 impl Placement {
     /// The placement after its worker has restarted: empty, with the ends of calls still to come.
     pub fn restarted(&self) -> Placement {
-        let Placement { worker_id, in_flight, pending_loads, pending_queries, .. } = *self;
+        let Placement { worker_id, weight, in_flight, pending_loads, pending_queries, .. } = *self;
         let instances = InstanceState::Absent;
-        Placement { worker_id, in_flight, pending_loads, pending_queries, instances, ..Placement::default() }
+        Placement {
+            worker_id,
+            weight,
+            in_flight,
+            pending_loads,
+            pending_queries,
+            instances,
+            ..Placement::default()
+        }
     }
 
     /// Counts the end of a query where one is pending, else that of a load request; whether it was a query.
@@ -152,6 +162,8 @@
     pub open_requests: u32,
     /// Its placements, in the order that all gateways share.
     pub placements: Vec<Placement>,
+    /// The number of the next change of the endpoint list that its placements follow.
+    pub changes_seen: u64,
 }
 
 impl Function {
@@ -162,16 +174,50 @@
         self.rate.add(now, 1);
     }
 
-    /// Adds a placement in the shared order: rendezvous hashing of the id texts of function and worker.
+    /// Where a worker stands in the shared order: rendezvous hashing of the id texts of function and worker. The
+    /// highest weight is the first; of equal ones the worker of the higher name hash is.
+    pub fn order_weight(&self, name_hash: u64) -> u64 {
+        mix_hashes(name_hash, self.hash)
+    }
+
+    /// Whether a worker of this weight stands behind all placements.
+    pub fn is_behind_last(&self, weight: u64) -> bool {
+        self.placements.last().is_some_and(|last| weight < last.weight)
+    }
+
+    /// Adds a placement in the shared order.
     pub fn insert_placement(&mut self, workers: &[Worker], placement: Placement) {
-        let weight = |worker_id: WorkerId| {
-            let name_hash = workers[worker_id].endpoint.name_hash;
-            (mix_hashes(name_hash, self.hash), name_hash)
-        };
-        let own = weight(placement.worker_id);
-        let position = self.placements.partition_point(|p| weight(p.worker_id) > own);
+        let name_hash = |placement: &Placement| workers[placement.worker_id].endpoint.name_hash;
+        let (weight, own) = (placement.weight, name_hash(&placement));
+        let position = self
+            .placements
+            .partition_point(|p| p.weight > weight || p.weight == weight && name_hash(p) > own);
         self.placements.insert(position, placement);
     }
+
+    /// The position of the placement on a worker, which stands in the order at `weight`.
+    pub fn position_of(&self, worker_id: WorkerId, weight: u64) -> Option<usize> {
+        let first = self.placements.partition_point(|p| p.weight > weight);
+        let equal = self.placements[first..].iter().take_while(|p| p.weight == weight);
+        equal.clone().position(|p| p.worker_id == worker_id).map(|offset| first + offset)
+    }
+
+    /// The first `count` of these workers in the shared order, with their weights; and some more, in any order.
+    pub fn first_workers(&self, listed: &[(u64, WorkerId)], count: usize) -> Vec<(u64, WorkerId)> {
+        let weighed = listed.iter().map(|(name_hash, worker_id)| (self.order_weight(*name_hash), *worker_id));
+        if listed.len() <= 2 * count {
+            return weighed.collect();
+        }
+        // Weights are spread evenly: those above the weight that twice `count` of them are expected to pass are
+        // nearly always enough, and looking at all of them again would cost more than the rest.
+        let least = u64::MAX - u64::MAX / listed.len() as u64 * 2 * count as u64;
+        let first: Vec<_> = weighed.clone().filter(|(weight, _)| *weight >= least).collect();
+        if first.len() >= count {
+            first
+        } else {
+            weighed.collect()
+        }
+    }
 }
 
 /// Rates that one instance is good for, in requests a second, and the run time behind them in seconds.
