--- a/crates/tidewall-net/src/mio/reading.rs
+++ b/crates/tidewall-net/src/mio/reading.rs
@@ -142,8 +142,7 @@
     match net.connection_mut(conn) {
         Some(c) => {
             c.read_buffer = buffer;
-            let full = len >= c.read_limit;
-            full
+            len >= c.read_limit
         }
         None => false,
     }
