One module permits each effect, and sockets are read again before a long wake-up sends

Net::now is the time at a wake-up's start, and what left at its end asked by that time alone (flush.rs, client_still_waiting); sockets were read once, before the timers (poll_loop.rs, turn). Change: effect_policy.rs permits attempts, load requests, idle closes and the exit just before they happen, by the system's clock, and counts refusals and violations (counters line). Net: sockets are polled and read again once 20 ms have passed, timers that are left wait for the next wake-up. An attempt whose client has unread input is put off.

--- a/crates/tidewall-amqp-ingress/src/lib.rs
+++ b/crates/tidewall-amqp-ingress/src/lib.rs
@@ -244,6 +244,8 @@
                 ingress: side.me,
                 key: key as u64 | u64::from(side.count) << 32,
             },
+            // What was published stands, whether its publisher stays or not.
+            client: None,
             id: ticket,
             class: typ,
             tenant: user.and_then(|u| u.tenant),
--- a/crates/tidewall-gateway/src/drain.rs
+++ b/crates/tidewall-gateway/src/drain.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown: a grace period in which requests are still admitted, then draining, then the end of the process once
 //! nothing is in flight and the responses have been read.
 use crate::connection_owners::Owner;
+use crate::effect_policy::{permit_exit, ExitPermit, Violation};
 use crate::timers::TimerToken;
 use crate::Gateway;
 use tidewall_net::{Conn, Net, Time};
@@ -45,10 +46,12 @@
             return;
         }
         if std::mem::replace(&mut self.context.draining, true) {
-            warn!(
-                in_flight = self.requests_in_flight(),
-                "stopped without draining"
-            );
+            let in_flight = self.requests_in_flight();
+            warn!(in_flight, "stopped without draining");
+            if in_flight > 0 {
+                let effects = &mut self.context.scheduler.host.effects;
+                effects.violated(Violation::EndedWithOpenRequests);
+            }
             return self.context.net().stop();
         }
         info!(in_flight = self.requests_in_flight(), "draining started");
@@ -67,13 +70,41 @@
             self.idle_since = None;
         }
         let settled = self.context.draining && self.context.net().now() >= self.exit_not_before;
-        if settled && self.requests_in_flight() == 0 && !self.has_unread_responses() {
-            info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), "draining finished");
-            self.write_endpoint_cache();
-            self.context.net().stop();
+        if !settled || self.requests_in_flight() > 0 || self.has_unread_responses() {
+            return;
+        }
+        // A call of a client that lies in its socket is owed an answer too: it is read in the next wake-up.
+        let has_unread = self.clients_have_unread();
+        match permit_exit(self.requests_in_flight(), has_unread) {
+            Ok(permit) => self.exit(&permit),
+            Err(refusal) => self.context.scheduler.host.effects.refused(refusal),
         }
     }
 
+    fn exit(&mut self, _permit: &ExitPermit) {
+        info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), effects = ?self.effects(), "draining finished");
+        self.write_endpoint_cache();
+        self.context.net().stop();
+    }
+
+    /// Whether clients have sent something that is not read yet.
+    fn clients_have_unread(&mut self) -> bool {
+        let clients: Vec<Conn> = self
+            .owners
+            .iter()
+            .enumerate()
+            .filter(|(_, (_, owner))| matches!(owner, Owner::Ingress(_)))
+            .map(|(index, (generation, _))| Conn::new(index, *generation))
+            .collect();
+        let net = self.context.net();
+        // All of them are looked at, so that all are read.
+        clients
+            .into_iter()
+            .filter(|conn| net.has_unread(*conn))
+            .count()
+            > 0
+    }
+
     /// Whether responses still wait to be read by clients whose deadline has not passed.
     pub(crate) fn has_unread_responses(&mut self) -> bool {
         let now = self.context.net().now();
--- a/crates/tidewall-gateway/src/event_loop.rs
+++ b/crates/tidewall-gateway/src/event_loop.rs
@@ -1,6 +1,7 @@
 //! The event loop's entry points: what happens on connections, sockets and timers is handed to the part that it belongs to.
 //! Each ends by delivering what the scheduler's calls left behind.
 use crate::connection_owners::Owner;
+use crate::effect_policy::{Violation, LONG_STEP};
 use crate::wakeup_profile::WakeupPart;
 use crate::Gateway;
 use std::net::SocketAddr;
@@ -109,6 +110,10 @@
         let result = step(self);
         let ended = self.context.net().current_time();
         self.wakeup_profile.record(part, started, ended);
+        if ended - started > LONG_STEP {
+            let effects = &mut self.context.scheduler.host.effects;
+            effects.violated(Violation::LongStep);
+        }
         result
     }
 
--- a/crates/tidewall-gateway/src/failover/replication.rs
+++ b/crates/tidewall-gateway/src/failover/replication.rs
@@ -9,7 +9,6 @@
 use super::replicator::{DeferredAction, PendingResponse};
 use crate::ingress::{ReplyHandle, NO_CLIENT};
 use crate::worker_pool::{LocalResponse, PendingRequest, WorkerPool};
-use tidewall::interface::Outcome;
 use tidewall_failover::deduplication::RequestLocation;
 use tidewall_net::{Net, Time};
 
@@ -90,16 +89,12 @@
     }
 
     /// An attempt ended. Where the outcome proves that it was not executed, a takeover may repeat it.
-    pub(crate) fn replicate_attempt_end(&mut self, slot: usize, attempt: usize, outcome: Outcome) {
+    pub(crate) fn replicate_attempt_end(&mut self, slot: usize, attempt: usize) {
         let Some(replicator) = &mut self.replicator else {
             return;
         };
-        let not_executed = matches!(
-            outcome,
-            Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::Discarded | Outcome::Miss
-        );
         let request = &mut self.requests[slot];
-        request.not_executed[attempt] = Some(not_executed);
+        let not_executed = request.not_executed[attempt] == Some(true);
         request.unproven -= u32::from(not_executed && request.unproven > 0);
         if request.open {
             replicator.send_record(
--- a/crates/tidewall-gateway/src/failover/takeover.rs
+++ b/crates/tidewall-gateway/src/failover/takeover.rs
@@ -65,6 +65,7 @@
         self.context.scheduler.host.next_waiting_clients = request.clients;
         let slot = self.context.start_request(&IncomingRequest {
             reply_handle: NO_CLIENT,
+            client: None,
             id: request.id,
             class: request.class,
             tenant: request.tenant,
--- a/crates/tidewall-gateway/src/ingress.rs
+++ b/crates/tidewall-gateway/src/ingress.rs
@@ -90,6 +90,8 @@
 pub struct IncomingRequest<'a> {
     /// Whom the response goes to.
     pub reply_handle: ReplyHandle,
+    /// The connection on which the client says that it leaves; none where it has none of its own.
+    pub client: Option<Conn>,
     /// The client's own id for it, for logs and workers.
     pub id: u64,
     /// The request class, an index of `IngressContext::class_names`.
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //!   [`native_protocol`] one of them; `worker_events` handles what workers say.
 //! - Endpoint list: `discovery` is the client of the discovery server, [`endpoints`] the records and their encoding,
 //!   `endpoint_cache` the last list on disk.
+//! - [`effect_policy`] decides whether something may be sent, repeated, closed or ended now.
 //! - `event_loop` and `timers` are the entry points, `drain` is graceful shutdown, [`failover`] a pair of gateways behind one
 //!   address.
 //!
@@ -17,6 +18,7 @@
 mod connection_owners;
 mod discovery;
 mod drain;
+pub mod effect_policy;
 mod endpoint_cache;
 pub mod endpoints;
 pub mod error;
@@ -45,6 +47,7 @@
 
 use backoff::Backoff;
 use discovery::DiscoveryClient;
+use effect_policy::EffectCounters;
 use endpoint_cache::EndpointCache;
 use error::StartError;
 use failover::{FailoverConfig, FailoverNode, StopReason};
@@ -216,6 +219,11 @@
         &self.context.scheduler.host.counters
     }
 
+    /// What was refused just before an effect, and what was found to be wrong after the fact.
+    pub fn effects(&self) -> &EffectCounters {
+        &self.context.scheduler.host.effects
+    }
+
     /// How long the steps of wake-ups took.
     pub fn wakeup_profile(&self) -> &WakeupProfile {
         &self.wakeup_profile
--- a/crates/tidewall-gateway/src/native_ingress.rs
+++ b/crates/tidewall-gateway/src/native_ingress.rs
@@ -130,6 +130,7 @@
         let reply_handle = self.requests.handle(key);
         match context.admit(&IncomingRequest {
             reply_handle,
+            client: Some(conn),
             ..incoming
         }) {
             Ok(slot) => self.requests.set_slot(key, slot),
@@ -200,6 +201,7 @@
     let tenant_name = fields.word(Field::Tenant)?;
     let incoming = IncomingRequest {
         reply_handle: ReplyHandle::default(),
+        client: None,
         id,
         class: class
             .ok_or_else(|| WireError::invalid(Field::Type, format!("'{class_name}' is unknown")))?,
--- a/crates/tidewall-gateway/src/outcomes.rs
+++ b/crates/tidewall-gateway/src/outcomes.rs
@@ -98,7 +98,8 @@
             elapsed,
             "attempt ended"
         );
-        pool.replicate_attempt_end(request, attempt, outcome);
+        pool.note_attempt_end(request, attempt, outcome);
+        pool.replicate_attempt_end(request, attempt);
         self.context
             .scheduler
             .attempt_ended(request, attempt, (outcome, elapsed), answered, note);
--- a/crates/tidewall-gateway/src/responses.rs
+++ b/crates/tidewall-gateway/src/responses.rs
@@ -19,6 +19,7 @@
             let now = pool.net.now();
             return self.ingresses[reply_handle.ingress].request_expired(now, reply_handle);
         }
+        pool.note_response_time(request);
         match disposition {
             Disposition::Completed => pool.counters.completed += 1,
             _ => pool.counters.failed += 1,
--- a/crates/tidewall-gateway/src/timers.rs
+++ b/crates/tidewall-gateway/src/timers.rs
@@ -33,6 +33,8 @@
     DrainStart,
     /// What had been accepted when draining started has been read by now.
     DrainSettled,
+    /// Attempts that were put off until sockets were read are looked at again.
+    PutOffSends,
 }
 
 const KIND_SHIFT: u32 = 56;
@@ -55,6 +57,7 @@
             TimerToken::DiscoveryTimeout => (11, 0),
             TimerToken::DrainStart => (12, 0),
             TimerToken::DrainSettled => (13, 0),
+            TimerToken::PutOffSends => (14, 0),
         };
         kind << KIND_SHIFT | argument
     }
@@ -76,6 +79,7 @@
             11 => TimerToken::DiscoveryTimeout,
             12 => TimerToken::DrainStart,
             13 => TimerToken::DrainSettled,
+            14 => TimerToken::PutOffSends,
             _ => return None,
         })
     }
@@ -115,6 +119,7 @@
             TimerToken::DrainStart => self.drain(),
             // Whether the gateway may end is checked after each wake-up.
             TimerToken::DrainSettled => {}
+            TimerToken::PutOffSends => self.context.scheduler.host.resume_put_off(),
             TimerToken::Greeting(connection) => self.greeting_timed_out(connection),
             TimerToken::ConnectionCheck => {
                 let next = now + CONNECTION_CHECK_INTERVAL;
@@ -136,7 +141,7 @@
                 self.forget_removed_workers();
                 let next = now + COUNTER_LOG_INTERVAL;
                 self.context.net().set_timer(next, packed);
-                info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), in_flight = self.requests_in_flight(), "counters");
+                info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), effects = ?self.effects(), in_flight = self.requests_in_flight(), "counters");
             }
         }
     }
--- a/crates/tidewall-gateway/src/worker_connections.rs
+++ b/crates/tidewall-gateway/src/worker_connections.rs
@@ -1,5 +1,6 @@
 //! Connections to workers, as the gateway sees them: greeting, timeouts, and what follows from their end.
 use crate::connection_owners::Owner;
+use crate::effect_policy::{permit_close, ClosePermit};
 use crate::protocol::LocalIdentity;
 use crate::Gateway;
 use tidewall::interface::Outcome;
@@ -53,8 +54,13 @@
             in_flight = closed.sent.len(),
             "{message}"
         );
+        // What this machine lacks is not the worker's fault.
+        let outcome = match reason {
+            CloseReason::NoResources => Outcome::Discarded,
+            _ => Outcome::ConnectFailed,
+        };
         for key in closed.waiting {
-            self.call_ended(key, Outcome::ConnectFailed, 0);
+            self.call_ended(key, outcome, 0);
             self.context.scheduler.host.remove_call(key);
         }
         for key in closed.sent {
@@ -85,12 +91,29 @@
             self.reset_worker_connection(connection, conn, CloseReason::Reset);
         }
         for (connection, conn) in self.context.scheduler.host.idle_connections(now) {
-            self.context.net().close(conn);
-            self.set_owner(conn, Owner::Nobody);
-            self.worker_connection_closed(connection, CloseReason::Ended);
+            self.close_idle_connection(connection, conn);
         }
     }
 
+    /// Closes a connection that is no longer used, unless its worker has said something that is not read yet.
+    fn close_idle_connection(&mut self, connection: usize, conn: Conn) {
+        let pool = &mut self.context.scheduler.host;
+        let has_unread = pool.net.has_unread(conn);
+        let permit = permit_close(pool.awaits_answer_on(connection), has_unread);
+        match permit {
+            Ok(permit) => {
+                self.close_worker_connection(connection, conn, &permit);
+            }
+            Err(refusal) => pool.effects.refused(refusal),
+        }
+    }
+
+    fn close_worker_connection(&mut self, connection: usize, conn: Conn, _permit: &ClosePermit) {
+        self.context.net().close(conn);
+        self.set_owner(conn, Owner::Nobody);
+        self.worker_connection_closed(connection, CloseReason::Ended);
+    }
+
     /// Nothing leaves for a worker after the drain grace period: where its socket takes no more the connection ends instead.
     fn reset_stalled_after_grace(&mut self, next_check: Time) {
         let now = self.context.net().now();
--- a/crates/tidewall-gateway/src/worker_pool/connections.rs
+++ b/crates/tidewall-gateway/src/worker_pool/connections.rs
@@ -101,10 +101,10 @@
             (None, Some(address)) if may_open && (has_descriptor || self.close_longest_idle()) => {
                 self.open_connection(call.worker, address)
             }
-            // All streams of all connections are taken, or all descriptors are in use.
-            _ => {
-                return self.defer_outcome(key, Outcome::AtCapacity);
-            }
+            // All descriptors are in use: that says nothing of the worker.
+            (None, Some(_)) if may_open => return self.defer_outcome(key, Outcome::Discarded),
+            // All streams of all its connections are taken.
+            _ => return self.defer_outcome(key, Outcome::AtCapacity),
         };
         self.connections[connection].streams += usize::from(call.is_attempt());
         self.attach(key, connection, false);
@@ -284,6 +284,13 @@
         })
     }
 
+    /// Whether a call on this connection waits, or has an end that the scheduler still awaits.
+    pub fn awaits_answer_on(&self, connection: usize) -> bool {
+        let connection = &self.connections[connection];
+        let awaited = connection.sent.iter().any(|key| !self.calls[*key].ended);
+        awaited || !connection.waiting.is_empty()
+    }
+
     fn connections_where(
         &self,
         condition: impl Fn(&WorkerConnection) -> bool,
--- a/crates/tidewall-gateway/src/worker_pool/flush.rs
+++ b/crates/tidewall-gateway/src/worker_pool/flush.rs
@@ -1,6 +1,11 @@
 //! Sending: at the end of a wake-up the waiting calls of each connection leave in one write.
-use super::{CallKind, WorkerPool};
+use super::{Call, CallKind, WorkerPool};
+use crate::effect_policy::{
+    permit_attempt, permit_load, AttemptFacts, AttemptPermit, ClientInput, LoadPermit, Refusal,
+    UnprovenAttempt, Violation,
+};
 use crate::protocol::{AttemptMessage, LoadRequestMessage};
+use crate::timers::TimerToken;
 use tidewall::interface::Outcome;
 use tidewall_net::{Net, Time};
 use tracing::debug;
@@ -8,6 +13,10 @@
 /// A batch that grew for a burst gives its memory back: 16 KiB, a few usual messages.
 const MAX_KEPT_BATCH: usize = 16 << 10;
 
+/// Attempts of a request are put off so often at most. Each time the sockets are read, 64 KiB of each connection: a client that
+/// has sent more than half a megabyte behind its request is not waited for.
+const MAX_PUT_OFF: u32 = 8;
+
 impl<N: Net> WorkerPool<N> {
     /// The wake-up is over: what waits leaves. False once there was nothing.
     pub fn flush(&mut self) -> bool {
@@ -52,33 +61,54 @@
         (self.batch, self.batch_ends) = (batch, ends);
     }
 
-    /// Writes the messages of a connection's waiting calls, and the end of each, to the batch. Calls that nobody waits for
-    /// are discarded.
+    /// Writes the messages of a connection's waiting calls that may leave, and the end of each, to the batch. What may not
+    /// leave any more is discarded; what waits for its client's input to be read goes on waiting.
     fn encode_waiting(
         &mut self,
         connection: usize,
         batch: &mut Vec<u8>,
         ends: &mut Vec<(usize, usize)>,
     ) {
+        let mut puts_off = false;
         for index in 0..self.connections[connection].waiting.len() {
             let key = self.connections[connection].waiting[index];
-            if !self.calls[key].ended && self.client_still_waiting(key) {
-                self.encode_call(key);
-                batch.extend_from_slice(&self.frame);
-                ends.push((key, batch.len()));
-            } else {
-                self.defer_outcome(key, Outcome::Discarded);
+            match self.encode_call(key) {
+                Ok(()) => {
+                    batch.extend_from_slice(&self.frame);
+                    ends.push((key, batch.len()));
+                }
+                Err(refusal) if refusal.is_cured_by_reading() => puts_off = true,
+                Err(_) => self.defer_outcome(key, Outcome::Discarded),
             }
         }
+        if puts_off {
+            self.put_off(connection);
+        }
+    }
+
+    /// What waits on this connection is looked at again in the next wake-up, which reads the sockets first.
+    fn put_off(&mut self, connection: usize) {
+        if self.put_off_connections.is_empty() {
+            let now = self.net.now();
+            self.net.set_timer(now, TimerToken::PutOffSends.pack());
+        }
+        self.put_off_connections.push(connection);
+    }
+
+    /// The sockets were read: what was put off is looked at at the end of this wake-up.
+    pub(crate) fn resume_put_off(&mut self) {
+        let put_off = std::mem::take(&mut self.put_off_connections);
+        self.writable_connections.extend(put_off);
     }
 
     /// A call's message of `length` bytes has begun to leave.
     fn mark_sent(&mut self, key: usize, connection: usize, length: usize, now: Time) {
         self.detach(key);
         self.attach(key, connection, true);
-        let call = &self.calls[key];
+        let call = self.calls[key];
         let is_work = !matches!(call.kind, CallKind::HealthCheck | CallKind::Vote { .. });
-        if let CallKind::Attempt { attempt, .. } = call.kind {
+        if let CallKind::Attempt { request, attempt } = call.kind {
+            self.requests[request].sent_at[attempt] = now;
             debug!(
                 request = call.request_id,
                 attempt,
@@ -98,21 +128,31 @@
         }
     }
 
-    /// Whether anybody still waits for what this call would begin: asked just before its first byte leaves.
-    fn client_still_waiting(&self, key: usize) -> bool {
-        let CallKind::Attempt { request, .. } = self.calls[key].kind else {
-            return true;
-        };
-        let request = &self.requests[request];
-        request.open && self.net.now() < request.info.deadline
-    }
-
-    /// Writes a call's message into `frame`.
-    fn encode_call(&mut self, key: usize) {
+    /// Writes a call's message into `frame`, where it may leave now.
+    fn encode_call(&mut self, key: usize) -> Result<(), Refusal> {
         self.frame.clear();
-        match self.calls[key].kind {
-            CallKind::Attempt { request, attempt } => self.encode_attempt(key, request, attempt),
-            CallKind::LoadRequest { function } => self.encode_load_request(key, function),
+        let Call {
+            kind,
+            instances,
+            worker,
+            expires_at,
+            ended,
+            ..
+        } = self.calls[key];
+        if ended {
+            return Err(Refusal::AttemptExpired);
+        }
+        match kind {
+            CallKind::Attempt { request, attempt } => {
+                let permit = self.ask_for_attempt(key, request, attempt)?;
+                self.encode_attempt(key, request, attempt, &permit);
+            }
+            CallKind::LoadRequest { function } => {
+                let (now, state) = (self.net.current_time(), self.workers[worker].state());
+                let permit = permit_load(instances, state, now, expires_at);
+                let permit = permit.inspect_err(|refusal| self.effects.refused(*refusal))?;
+                self.encode_load_request(key, function, &permit);
+            }
             CallKind::HealthCheck => {
                 let id = self.wire_call_id(key);
                 self.protocol.write_health_check(&mut self.frame, id);
@@ -121,6 +161,68 @@
                 ballot, accepting, ..
             } => self.encode_vote(self.wire_call_id(key), ballot, accepting),
         }
+        Ok(())
+    }
+
+    /// Asks whether an attempt may leave now. One that was put off too often leaves, which is a violation.
+    fn ask_for_attempt(
+        &mut self,
+        key: usize,
+        request: usize,
+        attempt: usize,
+    ) -> Result<AttemptPermit, Refusal> {
+        let unproven = self.unproven_attempts(request, attempt);
+        let (now, pending) = (self.net.current_time(), &self.requests[request]);
+        let mut facts = AttemptFacts {
+            now,
+            request_open: pending.open,
+            deadline: pending.info.deadline,
+            expires_at: self.calls[key].expires_at,
+            client: ClientInput {
+                age: now - self.net.polled_at(),
+                unread: pending
+                    .client
+                    .is_some_and(|conn| self.net.has_known_input(conn)),
+            },
+            endpoint: self.workers[self.calls[key].worker].endpoint,
+            retry_safety: self.retry_safety[pending.info.class],
+            unproven: &unproven,
+        };
+        let mut decision = permit_attempt(&facts);
+        let cured = |decision: &Result<AttemptPermit, Refusal>| {
+            decision
+                .as_ref()
+                .is_err_and(|refusal| refusal.is_cured_by_reading())
+        };
+        if cured(&decision) && pending.put_off >= MAX_PUT_OFF {
+            self.effects.violated(Violation::AttemptByOldInput);
+            facts.client = ClientInput::default();
+            decision = permit_attempt(&facts);
+        }
+        self.requests[request].put_off += u32::from(cured(&decision));
+        if let Err(refusal) = &decision {
+            self.effects.refused(*refusal);
+            let request = self.requests[request].id;
+            debug!(request, attempt, ?refusal, "attempt refused");
+        }
+        decision
+    }
+
+    /// Earlier attempts of a request that may have been executed.
+    fn unproven_attempts(&self, request: usize, attempt: usize) -> Vec<UnprovenAttempt> {
+        let pending = &self.requests[request];
+        let is_unproven = |earlier: &usize| {
+            *earlier != attempt
+                && pending.sent_at[*earlier] > 0
+                && pending.not_executed[*earlier] != Some(true)
+        };
+        (0..pending.attempts)
+            .filter(is_unproven)
+            .map(|earlier| UnprovenAttempt {
+                endpoint: self.workers[pending.attempt_workers[earlier]].endpoint,
+                sent_at: pending.sent_at[earlier],
+            })
+            .collect()
     }
 
     /// The epoch under which this gateway serves; 0 where it is not one of a pair.
@@ -130,11 +232,16 @@
             .map_or(0, |replicator| replicator.epoch)
     }
 
-    fn encode_attempt(&mut self, key: usize, request: usize, attempt: usize) {
-        let (id, now, epoch) = (self.wire_call_id(key), self.net.now(), self.serving_epoch());
+    fn encode_attempt(
+        &mut self,
+        key: usize,
+        request: usize,
+        attempt: usize,
+        permit: &AttemptPermit,
+    ) {
+        let (id, epoch) = (self.wire_call_id(key), self.serving_epoch());
         let request = &self.requests[request];
         let info = &request.info;
-        let remaining = info.deadline.saturating_sub(now);
         let message = AttemptMessage {
             request_id: request.id,
             attempt: attempt as u64,
@@ -142,11 +249,8 @@
             function: self.function_names.resolve(info.function),
             lanes: info.lanes,
             memory: info.memory,
-            timeout: self.calls[key]
-                .expires_at
-                .saturating_sub(now)
-                .min(remaining),
-            remaining,
+            timeout: permit.timeout(),
+            remaining: permit.remaining(),
             cost_hint: info.cost_hint,
             idempotency_key: &request.idempotency_key,
             is_retry: info.is_retry,
@@ -156,7 +260,7 @@
         self.protocol.write_attempt(&mut self.frame, id, &message);
     }
 
-    fn encode_load_request(&mut self, key: usize, function: usize) {
+    fn encode_load_request(&mut self, key: usize, function: usize, _permit: &LoadPermit) {
         let (id, epoch) = (self.wire_call_id(key), self.serving_epoch());
         let (lanes, memory, load_hint) = self
             .function_resources
--- a/crates/tidewall-gateway/src/worker_pool/mod.rs
+++ b/crates/tidewall-gateway/src/worker_pool/mod.rs
@@ -15,6 +15,7 @@
 pub use endpoints::WorkerEntry;
 pub use requests::{LocalResponse, PendingRequest};
 
+use crate::effect_policy::EffectCounters;
 use crate::failover::replicator::Replicator;
 use crate::ingress::ReplyHandle;
 use crate::native_protocol::NativeWorkerProtocol;
@@ -23,6 +24,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tidewall::config::RetrySafety;
 use tidewall::interface::Outcome;
 use tidewall::interner::Interner;
 use tidewall::settings::{Settings, SettingsReader};
@@ -118,6 +120,12 @@
     pub index: usize,
     /// Totals since the start.
     pub counters: Counters,
+    /// What was refused by [`crate::effect_policy`], and what was found to be wrong after the fact.
+    pub effects: EffectCounters,
+    /// By request class: whether its requests may be executed again.
+    retry_safety: Vec<RetrySafety>,
+    /// Connections on which attempts were put off until their clients' input was read.
+    put_off_connections: Vec<usize>,
     /// Of a failover pair: what is replicated to the other member, and what waits for that.
     pub replicator: Option<Box<Replicator>>,
     /// The message that is being written.
@@ -174,6 +182,11 @@
             peers: Vec::new(),
             index: 0,
             counters: Counters::default(),
+            effects: EffectCounters::default(),
+            retry_safety: (0..settings.number("classes.count") as usize)
+                .map(|class| settings.request_class(class).retry_safety)
+                .collect(),
+            put_off_connections: Vec::new(),
             replicator: None,
             frame: Vec::new(),
             protocol: Rc::new(NativeWorkerProtocol),
--- a/crates/tidewall-gateway/src/worker_pool/requests.rs
+++ b/crates/tidewall-gateway/src/worker_pool/requests.rs
@@ -1,9 +1,11 @@
 //! Requests in flight: their table, and the reply handle that makes sure that each gets one response.
 use super::WorkerPool;
+use crate::effect_policy::{Violation, LATE_RESPONSE};
 use crate::ingress::{Disposition, IncomingRequest, ReplyHandle};
 use tidewall::choice::MAX_ATTEMPTS;
-use tidewall::interface::RequestInfo;
-use tidewall_net::{Net, Time};
+use tidewall::interface::{Outcome, RequestInfo};
+use tidewall_net::{Conn, Net, Time};
+use tracing::warn;
 
 /// The state of a request slot. A slot is reused once the scheduler has released it, and keeps its buffers.
 #[derive(Default)]
@@ -12,6 +14,8 @@
     pub open: bool,
     /// Whom the response goes to.
     pub reply_handle: ReplyHandle,
+    /// The connection on which the client says that it leaves; none where it has none of its own.
+    pub client: Option<Conn>,
     /// The client's own id, for logs and workers.
     pub id: u64,
     /// The attempt whose response has begun to be forwarded.
@@ -32,8 +36,12 @@
     pub waiting_clients: Vec<(ReplyHandle, Time)>,
     /// By attempt: the worker it was sent to.
     pub(super) attempt_workers: [usize; MAX_ATTEMPTS],
+    /// By attempt: when its first byte left; 0 while none has.
+    pub(super) sent_at: [Time; MAX_ATTEMPTS],
     /// By attempt: whether its end proves that it was not executed; none while it has not ended.
     pub not_executed: [Option<bool>; MAX_ATTEMPTS],
+    /// How often an attempt was put off until the client's input was read.
+    pub(super) put_off: u32,
 }
 
 impl PendingRequest {
@@ -92,6 +100,7 @@
         let request = &mut self.requests[slot];
         request.open = true;
         request.reply_handle = incoming.reply_handle;
+        request.client = incoming.client;
         request.id = incoming.id;
         request.streaming_attempt = None;
         request.received_at = now;
@@ -99,6 +108,7 @@
         request.info = *info;
         request.attempts = 0;
         request.unproven = 0;
+        request.put_off = 0;
         request.waiting_clients.clear();
         request
             .waiting_clients
@@ -159,6 +169,7 @@
             self.expired_clients.push_back(reply_handle);
             return;
         }
+        self.note_response_time(slot);
         match disposition {
             Disposition::Rejected => self.counters.rejected += 1,
             _ => self.counters.failed += 1,
@@ -187,6 +198,28 @@
         self.local_responses.push_back(response);
     }
 
+    /// A request's response leaves now: one that is far too late is a violation.
+    pub(crate) fn note_response_time(&mut self, slot: usize) {
+        let request = &self.requests[slot];
+        let late = self.net.current_time().saturating_sub(request.deadline);
+        if late >= LATE_RESPONSE {
+            warn!(
+                request = request.id,
+                late, "response left long after its deadline"
+            );
+            self.effects.violated(Violation::LateResponse);
+        }
+    }
+
+    /// An attempt ended: whether that proves that it was not executed.
+    pub(crate) fn note_attempt_end(&mut self, slot: usize, attempt: usize, outcome: Outcome) {
+        let not_executed = matches!(
+            outcome,
+            Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::Discarded | Outcome::Miss
+        );
+        self.requests[slot].not_executed[attempt] = Some(not_executed);
+    }
+
     /// A request's attempts as they stand: number, worker, and whether its end proves that it was not executed.
     pub fn attempts_of(&self, slot: usize) -> Vec<(usize, usize, Option<bool>)> {
         let request = &self.requests[slot];
--- a/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
+++ b/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
@@ -27,6 +27,7 @@
         pending.calls[attempt] = key;
         pending.attempt_workers[attempt] = worker;
         pending.not_executed[attempt] = None;
+        pending.sent_at[attempt] = 0;
         pending.attempts += 1;
         self.counters.attempts += 1;
         debug!(
--- /dev/null
+++ b/crates/tidewall-gateway/tests/effect_policy.rs
@@ -0,0 +1,140 @@
+//! What may be sent, closed and ended: each reason by itself.
+use test_case::test_case;
+use tidewall::config::{KeyScope, RetrySafety};
+use tidewall::interface::{Endpoint, EndpointState};
+use tidewall_gateway::effect_policy::*;
+
+const NOW: u64 = 100_000;
+
+fn endpoint(zone: u32, cell: u32, state: EndpointState) -> Endpoint {
+    Endpoint {
+        zone,
+        cell,
+        state,
+        ..Endpoint::default()
+    }
+}
+
+/// An attempt that may leave: the second one of a request, to a worker of zone 1 and cell 2.
+fn facts(retry_safety: RetrySafety, unproven: &[UnprovenAttempt]) -> AttemptFacts<'_> {
+    AttemptFacts {
+        now: NOW,
+        request_open: true,
+        deadline: NOW + 10_000,
+        expires_at: NOW + 4_000,
+        client: ClientInput::default(),
+        endpoint: endpoint(1, 2, EndpointState::Active),
+        retry_safety,
+        unproven,
+    }
+}
+
+fn refusal(facts: &AttemptFacts) -> Option<Refusal> {
+    permit_attempt(facts).err()
+}
+
+#[test_case(10_000, 4_000, 10_000, 4_000; "its own time is shorter")]
+#[test_case(3_000, 4_000, 3_000, 3_000; "its client's is")]
+#[test_case(1, 1, 1, 1; "the last moment")]
+fn a_permit_tells_the_time_that_is_left(deadline: u64, expires: u64, remaining: u64, timeout: u64) {
+    let permit = permit_attempt(&AttemptFacts {
+        deadline: NOW + deadline,
+        expires_at: NOW + expires,
+        ..facts(RetrySafety::Idempotent, &[])
+    });
+    let permit = permit.expect("nothing is against it");
+    assert_eq!((permit.remaining(), permit.timeout()), (remaining, timeout));
+}
+
+#[test_case(|f| f.request_open = false, Refusal::RequestClosed; "answered or abandoned")]
+#[test_case(|f| f.deadline = NOW, Refusal::DeadlinePassed; "its client waits no more")]
+#[test_case(|f| f.expires_at = NOW, Refusal::AttemptExpired; "its own time is over")]
+#[test_case(|f| f.client.unread = true, Refusal::InputUnread; "its client may have left")]
+#[test_case(|f| f.client.age = MAX_INPUT_AGE + 1, Refusal::InputTooOld; "nobody has looked for long")]
+#[test_case(|f| f.endpoint.state = EndpointState::Draining, Refusal::WorkerNotActive; "the worker drains")]
+#[test_case(|f| f.endpoint.state = EndpointState::Removed, Refusal::WorkerNotActive; "the worker is gone")]
+fn one_reason_is_enough(change: fn(&mut AttemptFacts), reason: Refusal) {
+    let mut facts = facts(RetrySafety::Idempotent, &[]);
+    assert_eq!(refusal(&facts), None);
+    change(&mut facts);
+    assert_eq!(refusal(&facts), Some(reason));
+}
+
+const ZONE: RetrySafety = RetrySafety::IdempotencyKey(KeyScope::Zone, 6_000);
+const CELL: RetrySafety = RetrySafety::IdempotencyKey(KeyScope::Cell, 6_000);
+const ANYWHERE: RetrySafety = RetrySafety::IdempotencyKey(KeyScope::All, 6_000);
+
+#[test_case(RetrySafety::Idempotent, 7, 7, 90_000, None; "any number of times")]
+#[test_case(RetrySafety::NonIdempotent, 1, 2, 1, Some(Refusal::MayHaveExecuted); "never twice")]
+#[test_case(ZONE, 1, 7, 5_999, None; "within its zone and window")]
+#[test_case(ZONE, 7, 2, 1, Some(Refusal::OutsideKeyScope); "another zone")]
+#[test_case(ZONE, 1, 2, 6_000, Some(Refusal::KeyWindowOver); "the window is over")]
+#[test_case(CELL, 7, 2, 1, None; "within its cell")]
+#[test_case(CELL, 1, 7, 1, Some(Refusal::OutsideKeyScope); "another cell")]
+#[test_case(ANYWHERE, 7, 7, 1, None; "anywhere")]
+fn a_repeat_asks_what_the_first_may_have_done(
+    retry_safety: RetrySafety,
+    zone: u32,
+    cell: u32,
+    ago: u64,
+    reason: Option<Refusal>,
+) {
+    let earlier = UnprovenAttempt {
+        endpoint: endpoint(zone, cell, EndpointState::Removed),
+        sent_at: NOW - ago,
+    };
+    assert_eq!(refusal(&facts(retry_safety, &[earlier])), reason);
+    assert_eq!(refusal(&facts(retry_safety, &[])), None);
+}
+
+#[test_case(1, EndpointState::Active, 1, true; "to an active worker")]
+#[test_case(1, EndpointState::Draining, 1, false; "not to one that drains")]
+#[test_case(0, EndpointState::Draining, 1, true; "which may be asked what it has")]
+#[test_case(1, EndpointState::Active, 0, false; "not once its time is over")]
+fn load_requests_leave_for_active_workers(
+    instances: u32,
+    state: EndpointState,
+    left: u64,
+    leaves: bool,
+) {
+    assert_eq!(
+        permit_load(instances, state, NOW, NOW + left).is_ok(),
+        leaves
+    );
+}
+
+#[test_case(false, false, None)]
+#[test_case(true, false, Some(Refusal::ConnectionInUse))]
+#[test_case(false, true, Some(Refusal::InputUnread))]
+fn connections_close_when_nothing_is_open_or_unread(
+    used: bool,
+    unread: bool,
+    reason: Option<Refusal>,
+) {
+    assert_eq!(permit_close(used, unread).err(), reason);
+}
+
+#[test_case(0, false, None)]
+#[test_case(1, false, Some(Refusal::ResponseOwed))]
+#[test_case(0, true, Some(Refusal::InputUnread))]
+fn a_process_ends_when_nothing_is_owed_or_unread(
+    open: usize,
+    unread: bool,
+    reason: Option<Refusal>,
+) {
+    assert_eq!(permit_exit(open, unread).err(), reason);
+}
+
+#[test]
+fn counters_show_what_is_not_zero() {
+    let mut counters = EffectCounters::default();
+    counters.refused(Refusal::InputTooOld);
+    counters.violated(Violation::LateResponse);
+    let text = format!("{counters:?}");
+    assert_eq!(text, "{InputTooOld: 1, violation LateResponse: 1}");
+    assert_eq!(Refusal::ALL.map(|r| r as usize), std::array::from_fn(|i| i));
+    assert_eq!(
+        Violation::ALL.map(|v| v as usize),
+        std::array::from_fn(|i| i)
+    );
+}
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -50,8 +50,10 @@
 /// Why a connection ended that the app did not close itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
-    /// Never established: connection refused, no route, or no file descriptor left. Nothing was sent.
+    /// Never established: connection refused or no route. Nothing was sent.
     Refused,
+    /// Never established, as this machine had no descriptor, memory or port for it: that says nothing of the peer.
+    NoResources,
     /// Not established before its connect timeout. Nothing was sent.
     TimedOut,
     /// Reset or otherwise broken after it was established.
@@ -105,6 +107,11 @@
     fn unacknowledged(&self, conn: Conn) -> usize {
         self.unsent(conn)
     }
+    /// Whether bytes or the end of the stream are known to have arrived that the app has not been given. Looks at no socket,
+    /// and is false while reading is paused.
+    fn has_known_input(&self, _conn: Conn) -> bool {
+        false
+    }
     /// Whether bytes have arrived that the app has not been given; it is given them soon. To be called before an idle
     /// connection is closed, or what its peer has sent meanwhile would be lost.
     fn has_unread(&mut self, conn: Conn) -> bool;
--- a/crates/tidewall-net/src/memory/handle.rs
+++ b/crates/tidewall-net/src/memory/handle.rs
@@ -158,7 +158,7 @@
         let from = self.node;
         let conn = world.add_endpoint(from, to, None);
         if world.nodes[from].out_of_descriptors {
-            let reason = CloseReason::Refused;
+            let reason = CloseReason::NoResources;
             world.schedule(0, Event::Closed { conn, reason });
             return conn;
         }
--- a/crates/tidewall-net/src/mio/listeners.rs
+++ b/crates/tidewall-net/src/mio/listeners.rs
@@ -2,7 +2,7 @@
 use super::slots::{InternalTimer, PendingAccept, Slot};
 use super::Mio;
 use crate::{App, Listener, Time};
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
 use std::io;
 use std::net::SocketAddr;
@@ -13,6 +13,31 @@
 /// Without a free file descriptor accepting pauses this long (100 ms) instead of spinning.
 const ACCEPT_PAUSE: Time = 1_000;
 
+/// A listener that is being closed tries so often to accept what waits: for a second.
+const MAX_CLOSE_TRIES: u32 = 10;
+
+/// What a failed accept means, by the errors that accept(2) documents.
+enum AcceptFailure {
+    /// No connection waits.
+    NothingWaits,
+    /// One connection is gone, or a signal came: the next one may be accepted.
+    ThisConnection,
+    /// No descriptor or memory is left for now. What waits stays in the backlog.
+    Shortage,
+}
+
+impl AcceptFailure {
+    fn of(error: &io::Error) -> AcceptFailure {
+        match error.raw_os_error() {
+            Some(libc::EAGAIN) => AcceptFailure::NothingWaits,
+            Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM) => {
+                AcceptFailure::Shortage
+            }
+            _ => AcceptFailure::ThisConnection,
+        }
+    }
+}
+
 impl Mio {
     pub(super) fn open_listener(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)> {
         let mut socket = TcpListener::bind(at)?;
@@ -27,21 +52,60 @@
     }
 
     /// Closes the listener after its backlog was accepted: closing it alone would reset the connections in it and lose
-    /// what they have sent.
+    /// what they have sent. Where accepting fails for a moment it goes on a little later.
     pub(super) fn close_listener(&mut self, listener: Listener) {
+        if !self.closing_listeners.iter().any(|(l, _)| *l == listener) {
+            self.closing_listeners.push((listener, 0));
+        }
+        self.resume_closing(listener.0);
+    }
+
+    /// Goes on closing a listener; false where it is not being closed.
+    pub(super) fn resume_closing(&mut self, index: usize) -> bool {
+        let closing = &mut self.closing_listeners;
+        let Some(position) = closing.iter().position(|(l, _)| l.0 == index) else {
+            return false;
+        };
+        let (listener, ref mut tries) = closing[position];
+        *tries += 1;
+        let is_last = *tries >= MAX_CLOSE_TRIES;
+        if self.accept_backlog(listener) || is_last {
+            self.closing_listeners.swap_remove(position);
+            self.remove_listener(listener);
+        } else {
+            self.pause_accepting(index);
+        }
+        true
+    }
+
+    /// Accepts all that waits; false where that failed for a moment.
+    fn accept_backlog(&mut self, listener: Listener) -> bool {
         while let Some(Slot::Listener(socket)) = self.slots.get(listener.0) {
-            let Ok((socket, from)) = socket.accept() else {
-                break;
-            };
-            let _ = socket.set_nodelay(true);
-            if let Ok(conn) = self.add_connection(socket, None) {
-                self.pending_accepts.push_back(PendingAccept {
-                    listener,
-                    conn,
-                    from,
-                });
+            match socket.accept() {
+                Ok((socket, from)) => self.add_accepted(listener, socket, from),
+                Err(error) => match AcceptFailure::of(&error) {
+                    AcceptFailure::NothingWaits => return true,
+                    AcceptFailure::ThisConnection => {}
+                    AcceptFailure::Shortage => return false,
+                },
             }
         }
+        true
+    }
+
+    /// A connection that was accepted while its listener is being closed: the app is told in the next wake-up.
+    fn add_accepted(&mut self, listener: Listener, socket: TcpStream, from: SocketAddr) {
+        let _ = socket.set_nodelay(true);
+        if let Ok(conn) = self.add_connection(socket, None) {
+            self.pending_accepts.push_back(PendingAccept {
+                listener,
+                conn,
+                from,
+            });
+        }
+    }
+
+    fn remove_listener(&mut self, listener: Listener) {
         if matches!(self.slots.get(listener.0), Some(Slot::Listener(_))) {
             if let Slot::Listener(mut socket) = self.slots.remove(listener.0) {
                 let _ = self.poll.registry().deregister(&mut socket);
@@ -49,6 +113,13 @@
         }
     }
 
+    /// Accepts nothing for a moment, instead of spinning.
+    fn pause_accepting(&mut self, index: usize) {
+        let at = self.clock.now() + ACCEPT_PAUSE;
+        let token = InternalTimer::ResumeSocket(index).token();
+        self.internal_timers.insert(at, token);
+    }
+
     /// Looks for more in the next wake-up: readiness is edge-triggered and is not reported again for what is there
     /// already. Not in this wake-up, or a flood would hold the loop.
     pub(super) fn resume_socket_later(&mut self, index: usize) {
@@ -72,15 +143,11 @@
                     app.accepted(Listener(index), conn, from);
                 }
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-            Err(e) if matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE)) => {
-                let at = net.clock.now() + ACCEPT_PAUSE;
-                let token = InternalTimer::ResumeSocket(index).token();
-                net.internal_timers.insert(at, token);
-                return;
-            }
-            // The peer disconnected before it was accepted.
-            Err(_) => {}
+            Err(error) => match AcceptFailure::of(&error) {
+                AcceptFailure::NothingWaits => return,
+                AcceptFailure::ThisConnection => {}
+                AcceptFailure::Shortage => return net.pause_accepting(index),
+            },
         }
         if accepts == MAX_ACCEPTS {
             return app.net().resume_socket_later(index);
--- a/crates/tidewall-net/src/mio/mod.rs
+++ b/crates/tidewall-net/src/mio/mod.rs
@@ -56,6 +56,8 @@
     flush_queue: Vec<Conn>,
     /// Ended without an event of their sockets, and the app is not notified yet.
     pending_closes: VecDeque<PendingClose>,
+    /// Listeners that are being closed, each with how often that was tried.
+    closing_listeners: Vec<(Listener, u32)>,
     /// Accepted when their listener was closed, and the app is not notified yet.
     pending_accepts: VecDeque<PendingAccept>,
     clock: LoopClock,
@@ -91,6 +93,7 @@
             read_queue: VecDeque::new(),
             flush_queue: Vec::new(),
             pending_closes: VecDeque::new(),
+            closing_listeners: Vec::new(),
             pending_accepts: VecDeque::new(),
             clock: LoopClock::new(),
             wakeup_due: NEVER_POLLED,
@@ -144,11 +147,21 @@
             let _ = socket.set_nodelay(true);
             self.add_connection(socket, Some(deadline))
         });
-        added.unwrap_or_else(|_| {
+        added.unwrap_or_else(|error| {
             let generation = self.next_generation();
             let index = self.slots.insert(Slot::FailedConnect(generation));
             let conn = Conn::new(index, generation);
-            let reason = CloseReason::Refused;
+            let reason = match error.raw_os_error() {
+                Some(
+                    libc::EMFILE
+                    | libc::ENFILE
+                    | libc::ENOBUFS
+                    | libc::ENOMEM
+                    | libc::EADDRNOTAVAIL
+                    | libc::EINTR,
+                ) => CloseReason::NoResources,
+                _ => CloseReason::Refused,
+            };
             self.pending_closes.push_back(PendingClose { conn, reason });
             conn
         })
@@ -209,6 +222,11 @@
             .map_or(0, |c| c.write_buffer.len() + c.send_queue_len())
     }
 
+    fn has_known_input(&self, conn: Conn) -> bool {
+        self.connection(conn)
+            .is_some_and(|c| c.readable && !c.read_paused && !c.closing)
+    }
+
     fn has_unread(&mut self, conn: Conn) -> bool {
         self.find_unread(conn)
     }
--- a/crates/tidewall-net/src/mio/poll_loop.rs
+++ b/crates/tidewall-net/src/mio/poll_loop.rs
@@ -24,6 +24,13 @@
 /// sockets meanwhile would be counted as missing.
 const READ_ROUNDS_AFTER_STALL: usize = 16;
 
+/// After so much work since the last poll (20 ms) timers wait for the next wake-up, and sockets are read again before anything is
+/// sent: a fifth of the 100 ms within which a peer that leaves expects nothing more to be done for it.
+const MAX_TIME_SINCE_POLL: Time = 200;
+
+/// Sockets are read again so often at most before a wake-up ends, or input without end would hold back what is to be sent.
+const MAX_READS_AGAIN: usize = 4;
+
 /// Runs the event loop until the app stops its net. What was written last is sent as far as the sockets accept it.
 ///
 /// # Errors
@@ -65,18 +72,46 @@
             read_queued(app);
         }
     }
+    deliver_closes(app);
+    fire_timers(app);
+    read_again(app)?;
+    app.wakeup_ended();
+    flush_queued(app);
+    Ok(())
+}
+
+/// Notifies the app of connections that ended without an event of their sockets.
+fn deliver_closes<A: App<Net = Mio>>(app: &mut A) {
     while let Some(PendingClose { conn, reason }) = app.net().pending_closes.pop_front() {
         app.net().remove_failed_connect(conn);
         app.net().remove_connection(conn);
         app.closed(conn, reason);
     }
-    fire_timers(app);
-    app.wakeup_ended();
-    flush_queued(app);
+}
+
+/// What leaves at the end of a wake-up rests on what was read. Where that is some time ago the sockets are read again first.
+fn read_again<A: App<Net = Mio>>(app: &mut A) -> io::Result<()> {
+    for _ in 0..MAX_READS_AGAIN {
+        if app.net().time_since_poll() <= MAX_TIME_SINCE_POLL {
+            break;
+        }
+        let stall = app.net().measure_last_wakeup();
+        let net = app.net();
+        net.total_stall += stall;
+        net.poll_started = net.clock.now();
+        poll_once(app, Some(Duration::ZERO))?;
+        read_queued(app);
+        read_queued(app);
+        deliver_closes(app);
+    }
     Ok(())
 }
 
 impl Mio {
+    fn time_since_poll(&self) -> Time {
+        self.clock.current() - self.polled_at
+    }
+
     /// Updates the clock at the start of a wake-up, and from it the delay of reads. Returns how long the last wake-up's
     /// own work stalled the loop: 0 where it was short.
     fn measure_last_wakeup(&mut self) -> Time {
@@ -211,26 +246,33 @@
     app.net().queue_flush(conn);
 }
 
-/// Fires the timers that have expired by the time of this wake-up, internal ones first.
+/// Fires the timers that have expired by the time of this wake-up, internal ones first. Those that are left when it has lasted
+/// fire in the next one, which begins at once.
 fn fire_timers<A: App<Net = Mio>>(app: &mut A) {
     let now = app.net().clock.now();
     while let Some(token) = app.net().internal_timers.pop(now) {
         match InternalTimer::from_token(token) {
-            InternalTimer::ResumeSocket(index) => match app.net().slots.get(index) {
-                Some(Slot::DatagramSocket(_)) => receive(app, index),
-                _ => accept(app, index),
-            },
+            InternalTimer::ResumeSocket(index) => resume_socket(app, index),
             InternalTimer::Connection(conn) => end_connect_or_linger(app, conn),
         }
     }
     while let Some(token) = app.net().app_timers.pop(now) {
         app.timer_fired(token);
-        if app.net().stopped {
+        if app.net().stopped || app.net().time_since_poll() > MAX_TIME_SINCE_POLL {
             break;
         }
     }
 }
 
+/// A socket whose work was put off goes on: a datagram socket, or a listener, which may be being closed.
+fn resume_socket<A: App<Net = Mio>>(app: &mut A, index: usize) {
+    if matches!(app.net().slots.get(index), Some(Slot::DatagramSocket(_))) {
+        receive(app, index);
+    } else if !app.net().resume_closing(index) {
+        accept(app, index);
+    }
+}
+
 /// A connection's own timer expired: the end of its linger, of which the app hears nothing, or its connect timeout.
 fn end_connect_or_linger<A: App<Net = Mio>>(app: &mut A, conn: Conn) {
     let net = app.net();
--- a/crates/tidewall-net/src/mio/reading.rs
+++ b/crates/tidewall-net/src/mio/reading.rs
@@ -29,7 +29,14 @@
             found = c.read_queued && !c.read_buffer.is_empty();
             if !found {
                 // What arrived during this wake-up has had no readiness event: only a read shows it.
-                if let Ok(len @ 1..) = c.socket.read(&mut chunk) {
+                let mut read = c.socket.read(&mut chunk);
+                while read
+                    .as_ref()
+                    .is_err_and(|e| e.kind() == io::ErrorKind::Interrupted)
+                {
+                    read = c.socket.read(&mut chunk);
+                }
+                if let Ok(len @ 1..) = read {
                     c.read_buffer.push(&chunk[..len]);
                     (c.readable, found) = (true, true);
                 }
--- a/crates/tidewall-platform-ingress/src/commands.rs
+++ b/crates/tidewall-platform-ingress/src/commands.rs
@@ -106,6 +106,7 @@
         }
         let request = IncomingRequest {
             reply_handle: ReplyHandle::default(),
+            client: Some(conn),
             id: call.request_id,
             class: target.class,
             tenant: target.tenant,
