Unix time from one reading of the wall clock; grace of a stop within its limits; drained workers leave their places

A worker's age was the wall clock less its start: stepped an hour ahead it made new workers look warm. The grace of 0.8 s passed the 0.7 s from which on an unanswered call is lost when SIGKILL comes, which it may at 0.8 s. With 1,600 of 1,601 workers draining a function's 128 places were all theirs, and calls for it were rejected (test many_lists_in_one_response). Change: unix_clock.rs reads the wall clock once and goes on by the monotonic one; what a change of the list names and seems over 15 s old has just started. DRAIN_GRACE is 0.65 s. Placements are of active workers.

--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -13,6 +13,7 @@
 use tidewall_platform_ingress::error::ReloadError;
 use tidewall_platform_ingress::host_protocol::HostProtocol;
 use tidewall_platform_ingress::notice_board::{deliver_notices, NoticeBoardSource};
+use tidewall_platform_ingress::unix_clock::UnixClock;
 use tidewall_platform_ingress::PlatformIngress;
 use tracing::info;
 
@@ -37,11 +38,12 @@
 pub fn platform() -> Result<(), Failure> {
     let file = std::env::var_os("ROUTER_CONFIG").map(PathBuf::from);
     let file = file.ok_or_else(|| input("ROUTER_CONFIG: not set"))?;
+    let clock = UnixClock::read();
     let Loaded {
         config,
         endpoints,
         revision,
-    } = load(&file)?;
+    } = load(&file, &clock)?;
     let settings = &config.settings;
     let connections_cost =
         settings.number("deductions.connection") + settings.number("deductions.handshake") > 0.0;
@@ -59,6 +61,7 @@
     let discovery = NoticeBoardSource::new(
         config.notice_board,
         revision,
+        clock,
         config.seed,
         Box::new(read_address),
     );
@@ -97,12 +100,12 @@
 }
 
 /// Reads and checks the configuration.
-fn load(file: &Path) -> Result<Loaded, Failure> {
+fn load(file: &Path, clock: &UnixClock) -> Result<Loaded, Failure> {
     let refused = |reason: &dyn std::fmt::Display| input(format!("{}: {reason}", file.display()));
     let text = std::fs::read(file).map_err(|e| refused(&e))?;
     let config = config::parse(&text).map_err(|e| refused(&e))?;
     let mut endpoints = ReceivedUpdates::default();
-    let revision = deliver_notices(&config.initial_notices, 0, &mut endpoints)
+    let revision = deliver_notices(&config.initial_notices, 0, clock, &mut endpoints)
         .map_err(|e| refused(&format_args!("field known: {e}")))?
         .unwrap_or(0);
     validate(&config.settings).map_err(|e| refused(&format_args!("field settings.{e}")))?;
--- a/crates/tidewall-cli/tests/endings_of_workers.rs
+++ b/crates/tidewall-cli/tests/endings_of_workers.rs
@@ -56,7 +56,7 @@
     end(link, how);
     p.gateway.still(false);
     let (word, launches) = serve(&p, &mut client, &mut Vec::new());
-    assert_eq!((word.as_str(), launches), ("OK", 1));
+    assert_eq!((word.as_str(), launches), ("OK", 1), "{}", p.gateway.log());
 }
 
 /// After the last byte it may have run: redeliverable and keyed ones go again, at-most-once fails.
--- a/crates/tidewall-cli/tests/thousands_of_workers.rs
+++ b/crates/tidewall-cli/tests/thousands_of_workers.rs
@@ -363,3 +363,55 @@
         count("the drain was told")
     );
 }
+
+/// After a long silence the board tells many lists at once: more than 2 MiB. What they say holds.
+#[test]
+fn many_lists_in_one_response_are_taken_in() {
+    let (old, new) = (free(91), free(91));
+    let addresses = [&old, &new].map(|l| l.local_addr().unwrap());
+    let records = Shared::default();
+    serve(0, old, records.clone());
+    serve(1, new, records.clone());
+    let (board, at) = (free(91), address(91));
+    let folder = tempfile::tempdir().unwrap();
+    let first = entries(0, STABLE, addresses[0], "up", 0);
+    let text = config(
+        at,
+        board.local_addr().unwrap(),
+        &first,
+        SETTINGS_OF_THOUSANDS,
+        256,
+    );
+    std::fs::write(folder.path().join("config.json"), text).unwrap();
+    let _gateway = platform_process(at, folder, 256);
+    let mut client = Client::connect(at, records.clone());
+    let mut told = accept(&board, LONG).expect("it connects to its board");
+    assert_eq!(told.poll(LONG), Some(1));
+    let draining = entries(0, STABLE, addresses[0], "draining", 0);
+    let up = entries(0, STABLE, addresses[0], "up", 0);
+    let another = entries(1, 1, addresses[1], "up", 0);
+    let mut notices: Vec<String> = (2..12)
+        .map(|revision| {
+            notice(
+                revision,
+                if revision % 2 == 0 { &draining } else { &up },
+                false,
+            )
+        })
+        .collect();
+    notices.push(notice(12, &format!("{draining},{another}"), false));
+    let text = board_says(12, &notices);
+    assert!(text.len() > 2 << 20, "{}", text.len());
+    told.send(text);
+    assert_eq!(told.poll(LONG), Some(12));
+    client.call(1, 1, &records);
+    until("it is answered", || {
+        !records.lock().unwrap().requests[&1].answers.is_empty()
+    });
+    let attempts = records.lock().unwrap().requests[&1].attempts.clone();
+    assert!(
+        attempts.iter().all(|(_, generation)| *generation == 1),
+        "{attempts:?}"
+    );
+    assert!(!attempts.is_empty());
+}
--- a/crates/tidewall-gateway/src/drain.rs
+++ b/crates/tidewall-gateway/src/drain.rs
@@ -7,9 +7,10 @@
 use tidewall_net::{Conn, Net, Time};
 use tracing::{info, warn};
 
-/// The grace period, in tenths of a millisecond, where settings or the platform's page name no other: 0.8 s. A load balancer
-/// in front notices late; the platform's still sends for 0.6 s. What comes later is refused.
-pub const DRAIN_GRACE: Time = 8_000;
+/// The grace period, in tenths of a millisecond, where settings or the platform's page name no other: 0.65 s. A load balancer
+/// in front notices late; the platform's still sends for 0.6 s, and 50 ms are the slack of its limits. What comes later is
+/// refused at once: from 0.7 s on it would be lost if SIGKILL found it unanswered, and with short deadlines that comes as soon.
+pub const DRAIN_GRACE: Time = 6_500;
 
 /// Responses that clients do not read hold up the end for so long at most: 5 s, a usual deadline.
 const MAX_RESPONSE_WAIT: Time = 50_000;
--- a/crates/tidewall-gateway/tests/descriptors_at_close.rs
+++ b/crates/tidewall-gateway/tests/descriptors_at_close.rs
@@ -33,7 +33,7 @@
     while probe.net.now() < until {
         let at = probe.net.now() + 100;
         let timer = probe.net.set_timer(at, 0);
-        mio::turn(probe).unwrap();
+        mio::turn(probe).expect("polling works");
         probe.net.cancel_timer(timer);
     }
 }
@@ -44,7 +44,10 @@
         net: Mio::new().unwrap(),
         accepted: 0,
     };
-    let (listener, at) = probe.net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let (listener, at) = probe
+        .net
+        .listen(([127, 0, 0, 1], 0).into())
+        .expect("loopback has ports");
     let within = Duration::from_secs(1);
     let clients = [(); 3].map(|()| TcpStream::connect_timeout(&at, within).unwrap());
     let mut files = Vec::new();
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod notice_board;
 mod open_calls;
 mod replies;
+pub mod unix_clock;
 
 use connections::{ClientConnections, CHECK_INTERVAL};
 use open_calls::OpenCalls;
--- a/crates/tidewall-platform-ingress/src/notice_board.rs
+++ b/crates/tidewall-platform-ingress/src/notice_board.rs
@@ -1,10 +1,10 @@
 //! The platform's notice board as the gateway's discovery source.
 use crate::error::ReloadError;
+use crate::unix_clock::UnixClock;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
 use tidewall::interface::{EndpointState, Time};
 use tidewall_gateway::endpoints::EndpointRecord;
 use tidewall_gateway::error::ProtocolError;
@@ -46,15 +46,17 @@
     /// Connections that ended since the last response.
     failures: u32,
     random: ChaCha8Rng,
+    clock: UnixClock,
     read_address: ReadAddress,
 }
 
 impl NoticeBoardSource {
-    /// A source at `address` that knows all notices up to `revision`. `seed` is that of the jitter of retry delays;
-    /// `read_address` is called when the configuration is to be read again.
+    /// A source at `address` that knows all notices up to `revision`. `clock` is that of the hosts' starts, `seed` that of
+    /// the jitter of retry delays; `read_address` is called when the configuration is to be read again.
     pub fn new(
         address: SocketAddr,
         revision: u64,
+        clock: UnixClock,
         seed: u64,
         read_address: ReadAddress,
     ) -> NoticeBoardSource {
@@ -65,6 +67,7 @@
             keep_alive: true,
             failures: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
+            clock,
             read_address,
         }
     }
@@ -79,15 +82,13 @@
     }
 }
 
-/// Unix time in milliseconds.
-fn unix_time_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
-
-/// One host as the gateway's endpoint list has it. A host that is removed may come without an address.
-fn endpoint_record(host: &HostEntry, now_ms: u64) -> Result<EndpointRecord, NoticeBoardError> {
+/// One host as the gateway's endpoint list has it. A host that is removed may come without an address. `is_change`: it comes by
+/// a change of the list, not by a complete one.
+fn endpoint_record(
+    host: &HostEntry,
+    clock: &UnixClock,
+    is_change: bool,
+) -> Result<EndpointRecord, NoticeBoardError> {
     let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
     Ok(EndpointRecord {
         name: host.id.to_string(),
@@ -106,7 +107,7 @@
         age: if host.started_ms == 0 {
             0
         } else {
-            (now_ms.saturating_sub(host.started_ms) * 10).max(1)
+            (clock.age_ms(host.started_ms, is_change) * 10).max(1)
         },
     })
 }
@@ -142,9 +143,9 @@
 pub fn deliver_notices(
     json: &Json,
     last_revision: u64,
+    clock: &UnixClock,
     events: &mut dyn DiscoveryEvents,
 ) -> Result<Option<u64>, NoticeBoardError> {
-    let now_ms = unix_time_ms();
     let Some(notices) = notice_board::decode_notices(json, last_revision)? else {
         return Ok(None);
     };
@@ -153,7 +154,7 @@
         let records = list
             .hosts
             .iter()
-            .map(|host| endpoint_record(host, now_ms))
+            .map(|host| endpoint_record(host, clock, last_revision > 0 && !list.complete))
             .collect::<Result<Vec<_>, _>>()?;
         match updates.last_mut() {
             // What follows a complete list in one response belongs to it: no endpoint is gone in between.
@@ -194,8 +195,8 @@
             return Ok(None);
         };
         let json = notice_board::parse_json(&response.body).map_err(ProtocolError::other)?;
-        let revision =
-            deliver_notices(&json, self.revision, events).map_err(ProtocolError::other)?;
+        let revision = deliver_notices(&json, self.revision, &self.clock, events)
+            .map_err(ProtocolError::other)?;
         if revision.is_none() {
             warn!(
                 last = self.revision,
--- a/crates/tidewall-platform-ingress/tests/common/mod.rs
+++ b/crates/tidewall-platform-ingress/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use tidewall_platform_ingress::error::ReloadError;
 use tidewall_platform_ingress::host_protocol::HostProtocol;
 use tidewall_platform_ingress::notice_board::{deliver_notices, NoticeBoardSource};
+use tidewall_platform_ingress::unix_clock::UnixClock;
 use tidewall_platform_ingress::PlatformIngress;
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
@@ -271,13 +272,19 @@
     let list: Vec<String> = (0..hosts).map(|i| host(i, "up")).collect();
     let config = config::parse(CONFIG.replace("HOSTS", &list.join(",")).as_bytes()).unwrap();
     let mut endpoints = ReceivedUpdates::default();
-    let revision = deliver_notices(&config.initial_notices, 0, &mut endpoints)
-        .unwrap()
-        .unwrap();
+    let revision = deliver_notices(
+        &config.initial_notices,
+        0,
+        &UnixClock::read(),
+        &mut endpoints,
+    )
+    .unwrap()
+    .unwrap();
     let unreadable = || ReloadError::Read(io::Error::other("n0.json: it cannot be read"));
     let discovery = NoticeBoardSource::new(
         config.notice_board,
         revision,
+        UnixClock::read(),
         7,
         Box::new(move || moved_board.get().ok_or_else(unreadable)),
     );
--- a/src/choice/placements.rs
+++ b/src/choice/placements.rs
@@ -114,9 +114,9 @@
     /// Adds placements on the workers that the function has none on, up to the bound of its placements: the
     /// first ones of the shared order.
     pub(super) fn add_missing_placements(&mut self, function_id: FunctionId) {
-        let listed = self.workers.listed();
+        let active = self.workers.active_names();
         let function = &self.functions[function_id];
-        let mut first = function.first_workers(&listed, function.placement_bound());
+        let mut first = function.first_workers(&active, function.placement_bound());
         let mut placed = vec![false; self.workers.len()];
         function.placements.iter().for_each(|placement| placed[placement.worker_id] = true);
         first.retain(|(_, worker_id)| !placed[*worker_id]);
@@ -165,8 +165,9 @@
     pub(super) fn forget_idle(&mut self, function_id: FunctionId) {
         let (now, keep_alive) = (self.now, self.config.keep_alive);
         let (function, workers) = (&mut self.functions[function_id], &self.workers);
-        // Guards against machines that are replaced again and again: each would leave a placement behind.
-        let gone = |worker_id: WorkerId| workers[worker_id].endpoint.state == EndpointState::Removed;
+        // Guards against machines that are replaced again and again: each would leave a placement behind. Those
+        // that drain get nothing either, and would take the places of others in a fleet of thousands.
+        let gone = |worker_id: WorkerId| !workers[worker_id].is_active();
         let before = function.placements.len();
         function.placements.retain(|placement| !gone(placement.worker_id) || !placement.is_idle());
         // An answer that is still to come would be taken for one about the index's next user.
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -1,6 +1,6 @@
 //! The workers of one scheduler, with sums over them that are kept up to date: a decision looks at the workers that it is
 //! about, never at all of them. It decides nothing.
-use crate::interface::{EndpointState, Time, WorkerId};
+use crate::interface::{Time, WorkerId};
 use crate::state::Worker;
 use std::cell::{RefCell, RefMut};
 use std::ops::{Deref, Index, IndexMut};
@@ -20,7 +20,6 @@
 /// A worker's part in the sums, as it was last counted.
 #[derive(Clone, Copy, Default, PartialEq)]
 struct Counted {
-    listed: bool,
     name_hash: u64,
     active: bool,
     in_flight: u32,
@@ -42,8 +41,8 @@
     counted: Vec<Counted>,
     active: u32,
     in_flight: u32,
-    /// The workers in the endpoint list with the hashes of their names; none where it has changed.
-    listed: Option<Rc<[(u64, WorkerId)]>>,
+    /// The active workers with the hashes of their names; none where they have changed.
+    active_names: Option<Rc<[(u64, WorkerId)]>>,
     /// Workers with completed work that may still be within the span of its counter.
     busy: Vec<WorkerId>,
     is_busy: Vec<bool>,
@@ -122,15 +121,15 @@
         ejected.iter().filter(|worker_id| self.list[**worker_id].is_active()).count()
     }
 
-    /// The workers in the endpoint list, draining ones included, each with the hash of its name.
-    pub fn listed(&self) -> Rc<[(u64, WorkerId)]> {
+    /// The active workers, each with the hash of its name.
+    pub fn active_names(&self) -> Rc<[(u64, WorkerId)]> {
         let mut sums = self.counted();
         let counted = &sums.counted;
-        let list = sums.listed.clone().unwrap_or_else(|| {
-            let listed = counted.iter().enumerate().filter(|(_, worker)| worker.listed);
-            listed.map(|(worker_id, worker)| (worker.name_hash, worker_id)).collect()
+        let list = sums.active_names.clone().unwrap_or_else(|| {
+            let active = counted.iter().enumerate().filter(|(_, worker)| worker.active);
+            active.map(|(worker_id, worker)| (worker.name_hash, worker_id)).collect()
         });
-        sums.listed = Some(list.clone());
+        sums.active_names = Some(list.clone());
         list
     }
 
@@ -203,8 +202,6 @@
     fn count(&mut self, worker_id: WorkerId, worker: &Worker) {
         let before = self.counted[worker_id];
         let after = Counted {
-            // One that was never active has no name here, and so no place in any function's order.
-            listed: worker.endpoint.state != EndpointState::Removed && worker.endpoint.name_hash != 0,
             name_hash: worker.endpoint.name_hash,
             active: worker.is_active(),
             in_flight: worker.in_flight,
@@ -218,8 +215,8 @@
         if after.active {
             (self.active, self.in_flight) = (self.active + 1, self.in_flight + after.in_flight);
         }
-        if (before.listed, before.name_hash) != (after.listed, after.name_hash) {
-            self.listed = None;
+        if (before.active, before.name_hash) != (after.active, after.name_hash) {
+            self.active_names = None;
         }
         if before != (Counted { in_flight: before.in_flight, ..after }) {
             self.warm = None;
