Test waits until the worker's end has arrived at the gateway's system

Trace (polls logged in a scratch build): the poll after SIGCONT has the client's event alone, the worker's end comes 0.03 to 6 ms later, after the attempt was sent. Ruled out: an order of reads (both events would be in one poll). The loaded system delivers the end late, and the test went on as soon as it was sent. Change: the test looks at the system's table until the connection stands no more, five times in a row. Nothing that it asks is less.

--- a/crates/tidewall-cli/tests/endings_of_workers.rs
+++ b/crates/tidewall-cli/tests/endings_of_workers.rs
@@ -54,6 +54,13 @@
     p.gateway.still(true);
     client.send(call(2, typ, 2000));
     end(link, how);
+    // A busy machine's system delivers it some milliseconds later, and its table may lack rows while others come and go.
+    let mut absences = 0;
+    until("the end has arrived", || {
+        let standing = p.workers.iter().map(standing).sum::<usize>();
+        absences = if standing == 0 { absences + 1 } else { 0 };
+        absences == 5
+    });
     p.gateway.still(false);
     let (word, launches) = serve(&p, &mut client, &mut Vec::new());
     assert_eq!((word.as_str(), launches), ("OK", 1), "{}", p.gateway.log());
--- a/crates/tidewall-cli/tests/help/mod.rs
+++ b/crates/tidewall-cli/tests/help/mod.rs
@@ -330,6 +330,20 @@
         .sum()
 }
 
+/// Connections to a worker that stand as far as the connecting side's system knows (`/proc/net/tcp`): one whose end has arrived
+/// there does not.
+pub fn standing(worker: &TcpListener) -> usize {
+    let port = format!(":{:04X}", worker.local_addr().unwrap().port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows = table.lines().skip(1).map(|l| l.split_whitespace());
+    rows.filter(|row| {
+        let row: Vec<&str> = row.clone().collect();
+        // Remote place, state (01 stands).
+        row[2].ends_with(&port) && row[3] == "01"
+    })
+    .count()
+}
+
 /// A listener whose backlog is full: what connects waits until places are made, one for each that is dropped.
 pub fn filled(at: &TcpListener) -> Vec<TcpStream> {
     // SAFETY: the descriptor is open; listening again sets its backlog anew.
