A long list is read in one wake-up, and not encoded where no cache stores it

Cause: read_queued reads 64 KiB of a connection twice a wake-up, so a list of 400 KB took four wake-ups, each of which sent attempts by the list before: with wake-ups of seconds that is later than the grace period of a drain, which the report saw once. write_endpoint_cache encoded thousands of records for a cache that stores nothing. Change: a connection with a raised read limit is read sixteen times a round; EndpointCache::is_stored. Result: recorded output is equal; net's tests and the program's thousands_of_workers pass.

--- a/crates/tidewall-gateway/src/endpoint_cache.rs
+++ b/crates/tidewall-gateway/src/endpoint_cache.rs
@@ -24,6 +24,10 @@
     /// # Errors
     /// Where it cannot be written; the write is tried again later.
     fn write(&mut self, bytes: &[u8]) -> io::Result<()>;
+    /// Whether anything is stored; else lists need not be encoded.
+    fn is_stored(&self) -> bool {
+        true
+    }
 }
 
 /// Stores nothing.
@@ -37,6 +41,10 @@
     fn write(&mut self, _bytes: &[u8]) -> io::Result<()> {
         Ok(())
     }
+
+    fn is_stored(&self) -> bool {
+        false
+    }
 }
 
 /// A file. It is written beside itself, synchronised and renamed: a stop in the middle leaves the one before.
@@ -188,7 +196,7 @@
 
     /// Writes the list, if it has changed since it was written last.
     pub(crate) fn write_endpoint_cache(&mut self) {
-        if std::mem::take(&mut self.cache_outdated) {
+        if std::mem::take(&mut self.cache_outdated) && self.endpoint_cache.is_stored() {
             let records = self.context.scheduler.host.endpoint_records();
             if let Err(error) = self.endpoint_cache.write(&endpoints::encode(&records)) {
                 warn!(%error, "endpoint cache write failed");
--- a/crates/tidewall-net/src/mio/reading.rs
+++ b/crates/tidewall-net/src/mio/reading.rs
@@ -1,9 +1,14 @@
 //! The read side of connections: queued reads, pausing, and the look before a close.
 use super::connection::Connection;
 use super::Mio;
+use crate::buffer::READ_BUFFER_LIMIT;
 use crate::{App, CloseReason, Conn};
 use std::io::{self, Read};
 
+/// A connection with a raised read limit is read so often in a round, 1 MiB: a message of hundreds of kilobytes would otherwise
+/// take several wake-ups, and what it says be late by as much.
+const READS_OF_LONG_MESSAGES: usize = 16;
+
 impl Mio {
     pub(super) fn pause_reading(&mut self, conn: Conn, paused: bool) {
         let now = self.clock.now();
@@ -49,8 +54,17 @@
         found
     }
 
-    /// Reads once into the connection's buffer. Returns why the connection ended, if the read shows that.
+    /// Reads into the connection's buffer: once, or some times more where its messages are long. Returns why the connection
+    /// ended, if a read shows that.
     fn fill_read_buffer(&mut self, conn: Conn, chunk: &mut [u8]) -> Option<CloseReason> {
+        let is_long = self
+            .connection(conn)
+            .is_some_and(|c| c.read_limit > READ_BUFFER_LIMIT);
+        let reads = if is_long { READS_OF_LONG_MESSAGES } else { 1 };
+        (0..reads).find_map(|_| self.read_once(conn, chunk))
+    }
+
+    fn read_once(&mut self, conn: Conn, chunk: &mut [u8]) -> Option<CloseReason> {
         let c = self.connection_mut(conn)?;
         if !c.readable {
             return None;
