A socket that is bound while the machine lacks something for a moment is tried again

Mio::listen and bind_datagram passed the first error on. Change: EMFILE, ENFILE, ENOBUFS, ENOMEM and EINTR are tried eight times, 25 ms apart. descriptors_at_close.rs opens a listener while no descriptor is left for 60 ms.

--- a/crates/tidewall-gateway/tests/descriptors_at_close.rs
+++ b/crates/tidewall-gateway/tests/descriptors_at_close.rs
@@ -38,6 +38,19 @@
     }
 }
 
+/// Takes all descriptors that are left.
+fn all_descriptors() -> Vec<std::fs::File> {
+    let mut files = Vec::new();
+    while let Ok(file) = std::fs::File::open("/dev/null") {
+        files.push(file);
+        assert!(
+            files.len() < 100_000,
+            "run with a limit of descriptors (ulimit -n)"
+        );
+    }
+    files
+}
+
 #[test]
 fn the_backlog_outlives_a_shortage_of_descriptors_at_the_close() {
     let mut probe = Probe {
@@ -50,14 +63,7 @@
         .expect("loopback has ports");
     let within = Duration::from_secs(1);
     let clients = [(); 3].map(|()| TcpStream::connect_timeout(&at, within).unwrap());
-    let mut files = Vec::new();
-    while let Ok(file) = std::fs::File::open("/dev/null") {
-        files.push(file);
-        assert!(
-            files.len() < 100_000,
-            "run with a limit of descriptors (ulimit -n)"
-        );
-    }
+    let mut files = all_descriptors();
     probe.net.stop_listening(listener);
     run_for(&mut probe, 500);
     assert_eq!(probe.accepted, 0);
@@ -66,4 +72,15 @@
     assert_eq!(probe.accepted, clients.len());
     let refused = TcpStream::connect_timeout(&at, within);
     assert!(refused.is_err(), "it listens no more");
+    // The same file, as two tests would take each other's descriptors: a shortage at the start of a listener passes.
+    let freed = std::thread::spawn({
+        let files = all_descriptors();
+        move || {
+            std::thread::sleep(Duration::from_millis(60));
+            drop(files);
+        }
+    });
+    let listened = probe.net.listen(([127, 0, 0, 1], 0).into());
+    assert!(listened.is_ok(), "{listened:?}");
+    freed.join().expect("it only sleeps");
 }
--- a/crates/tidewall-net/src/mio/datagrams.rs
+++ b/crates/tidewall-net/src/mio/datagrams.rs
@@ -1,4 +1,5 @@
 //! Datagram sockets.
+use super::listeners::open_socket;
 use super::slots::Slot;
 use super::Mio;
 use crate::{App, DatagramSocket};
@@ -18,7 +19,7 @@
         &mut self,
         at: SocketAddr,
     ) -> io::Result<(DatagramSocket, SocketAddr)> {
-        let mut socket = UdpSocket::bind(at)?;
+        let mut socket = open_socket(|| UdpSocket::bind(at))?;
         let at = socket.local_addr()?;
         let entry = self.slots.vacant_entry();
         self.poll
--- a/crates/tidewall-net/src/mio/listeners.rs
+++ b/crates/tidewall-net/src/mio/listeners.rs
@@ -6,6 +6,7 @@
 use mio::{Interest, Token};
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Connections accepted from one listener in one wake-up, so that a busy one does not starve the others.
 const MAX_ACCEPTS: usize = 64;
@@ -16,6 +17,30 @@
 /// A listener that is being closed tries so often to accept what waits: for a second.
 const MAX_CLOSE_TRIES: u32 = 10;
 
+/// A socket that is bound, mostly at the start of the process, is tried so often where the machine lacks something for it for a
+/// moment, with this pause: 0.2 s in all, in which nothing else is done.
+const OPEN_TRIES: u32 = 8;
+const OPEN_PAUSE: Duration = Duration::from_millis(25);
+
+/// Opens a socket that is bound to an address, trying again where the machine lacks something for a moment.
+pub(super) fn open_socket<T>(mut open: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    for _ in 1..OPEN_TRIES {
+        match open() {
+            Err(error) if is_shortage(&error) => std::thread::sleep(OPEN_PAUSE),
+            result => return result,
+        }
+    }
+    open()
+}
+
+/// Whether the machine lacks a descriptor or memory for now, or a signal came.
+fn is_shortage(error: &io::Error) -> bool {
+    matches!(
+        error.raw_os_error(),
+        Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM | libc::EINTR)
+    )
+}
+
 /// What a failed accept means, by the errors that accept(2) documents.
 enum AcceptFailure {
     /// No connection waits.
@@ -40,7 +65,7 @@
 
 impl Mio {
     pub(super) fn open_listener(&mut self, at: SocketAddr) -> io::Result<(Listener, SocketAddr)> {
-        let mut socket = TcpListener::bind(at)?;
+        let mut socket = open_socket(|| TcpListener::bind(at))?;
         let at = socket.local_addr()?;
         let entry = self.slots.vacant_entry();
         self.poll
