--- a/crates/tidewall-cli/tests/help/mod.rs
+++ b/crates/tidewall-cli/tests/help/mod.rs
@@ -5,6 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -44,7 +45,7 @@
     child: Child,
     pub at: SocketAddr,
     told: Arc<Mutex<String>>,
-    _folder: tempfile::TempDir,
+    _folder: Option<tempfile::TempDir>,
 }
 
 impl Drop for Gateway {
@@ -112,7 +113,7 @@
     fn spawn(
         mut command: Command,
         at: SocketAddr,
-        folder: tempfile::TempDir,
+        folder: Option<tempfile::TempDir>,
         limit: u64,
     ) -> Gateway {
         let limit = libc::rlimit {
@@ -220,6 +221,15 @@
         String::from_utf8_lossy(&self.got).to_string()
     }
 
+    pub fn is_over(&self) -> bool {
+        self.over
+    }
+
+    /// Its stream, to be written to from elsewhere.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.try_clone().unwrap()
+    }
+
     pub fn was_reset(&self) -> bool {
         self.broke
     }
@@ -482,15 +492,20 @@
 impl Side {
     /// The next poll's `watch`.
     pub fn poll(&mut self, within: Duration) -> Option<u64> {
+        self.poll_request(within).map(|(watch, _)| watch)
+    }
+
+    /// The next poll's `watch`, and how long the answer may stay away in milliseconds.
+    pub fn poll_request(&mut self, within: Duration) -> Option<(u64, u64)> {
         self.next(within, |bytes| {
             let text = String::from_utf8_lossy(bytes);
             let end = text.find("\r\n\r\n")? + 4;
-            let from = text.find("watch=")? + 6;
-            let number: String = text[from..]
-                .chars()
-                .take_while(char::is_ascii_digit)
-                .collect();
-            Some((number.parse().ok()?, end))
+            let number = |name: &str| {
+                let from = text.find(name)? + name.len();
+                let digits = text[from..].chars().take_while(char::is_ascii_digit);
+                digits.collect::<String>().parse().ok()
+            };
+            Some(((number("watch=")?, number("linger=")?), end))
         })
     }
 }
@@ -546,11 +561,21 @@
 }
 
 pub fn platform_process(at: SocketAddr, folder: tempfile::TempDir, sockets: u64) -> Gateway {
+    let command = platform_command(folder.path());
+    Gateway::spawn(command, at, Some(folder), sockets)
+}
+
+/// Starts a gateway with the configuration of a folder that outlives it.
+pub fn platform_at(at: SocketAddr, folder: &Path, sockets: u64) -> Gateway {
+    Gateway::spawn(platform_command(folder), at, None, sockets)
+}
+
+fn platform_command(folder: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
     command
         .args(["--log", "debug", "platform"])
-        .env("ROUTER_CONFIG", folder.path().join("config.json"));
-    Gateway::spawn(command, at, folder, sockets)
+        .env("ROUTER_CONFIG", folder.join("config.json"));
+    command
 }
 
 pub fn config(
@@ -600,7 +625,8 @@
             SETTINGS,
             256,
         );
-        std::fs::write(self.gateway._folder.path().join("config.json"), text).unwrap();
+        let folder = self.gateway._folder.as_ref().expect("it has its own");
+        std::fs::write(folder.path().join("config.json"), text).unwrap();
         self.gateway.signal(libc::SIGHUP);
     }
 }
@@ -618,7 +644,7 @@
     command
         .args(["--log", "debug", "serve", "--config"])
         .arg(&file);
-    Gateway::spawn(command, at, folder, 1024)
+    Gateway::spawn(command, at, Some(folder), 1024)
 }
 
 // The native words.
