--- a/crates/tidewall-cli/tests/discovery_outage.rs
+++ b/crates/tidewall-cli/tests/discovery_outage.rs
@@ -14,6 +14,8 @@
 
 const GATEWAYS: usize = 3;
 const HOSTS: usize = 13;
+/// So few that one which comes back and gets what it got before is overloaded.
+const FEW_HOSTS: usize = 5;
 /// Before the outage, and the part of it over which the share that is served is measured.
 const QUIET: Duration = ms(6_000);
 const MEASURED: Duration = ms(4_000);
@@ -28,13 +30,13 @@
 
 /// Plays an outage in which these hosts drain so long after its beginning; `meanwhile` is played after them.
 fn play(
-    last: u8,
+    (last, hosts): (u8, usize),
     tells: TellsDrain,
     reach: Reach,
     (drains_after, drained): (Duration, &[usize]),
     meanwhile: impl FnOnce(&mut Fleet, Instant),
 ) -> (Fleet, Instant) {
-    let mut fleet = Fleet::start(last, GATEWAYS, HOSTS, tells);
+    let mut fleet = Fleet::start(last, GATEWAYS, hosts, tells);
     let began = Instant::now() + QUIET;
     sleep_until(began);
     let outage = Instant::now();
@@ -52,7 +54,7 @@
 
 /// The drain rule holds, and the service goes on.
 fn judge(fleet: &Fleet, outage: Instant, killed: &[usize]) {
-    let broken = fleet.sent_after_drain(outage);
+    let broken = fleet.sent_after_drain(outage + TOLD_AFTER);
     let before = fleet.served(outage - MEASURED, outage);
     let past = outage + TOLD_AFTER + DRAIN_GRACE + SLACK;
     let after = fleet.served(past, outage + OUTAGE);
@@ -85,7 +87,7 @@
 #[test]
 fn workers_that_drain_while_discovery_is_out_of_reach_get_nothing_new() {
     let (fleet, outage) = play(
-        101,
+        (101, HOSTS),
         TellsDrain::ByHealthCheck,
         Reach::Refuses,
         (ms(1_400), &[3, 7]),
@@ -93,3 +95,123 @@
     );
     judge(&fleet, outage, &[]);
 }
+
+#[test]
+fn a_discovery_server_that_accepts_and_says_nothing_is_out_of_reach() {
+    let (fleet, outage) = play(
+        (102, HOSTS),
+        TellsDrain::ByQuery,
+        Reach::Silent,
+        (ms(1_400), &[3, 7]),
+        |_, _| {},
+    );
+    judge(&fleet, outage, &[]);
+}
+
+#[test]
+fn half_a_response_is_no_news() {
+    let (fleet, outage) = play(
+        (103, HOSTS),
+        TellsDrain::ByHealthCheck,
+        Reach::Trickles,
+        (ms(1_400), &[3, 7]),
+        |_, _| {},
+    );
+    judge(&fleet, outage, &[]);
+}
+
+/// The drain begins when the last list is long past its time: it counts from its own beginning.
+#[test]
+fn workers_that_drain_late_in_an_outage_get_nothing_new() {
+    let (fleet, outage) = play(
+        (104, HOSTS),
+        TellsDrain::ByQuery,
+        Reach::Refuses,
+        (ms(8_500), &[3, 7]),
+        |_, _| {},
+    );
+    judge(&fleet, outage, &[]);
+}
+
+#[test]
+fn half_of_the_workers_drain_and_the_others_take_their_work() {
+    let half = [0, 2, 4, 6, 8, 10];
+    let (fleet, outage) = play(
+        (105, HOSTS),
+        TellsDrain::ByHealthCheck,
+        Reach::Refuses,
+        (ms(1_400), &half),
+        |_, _| {},
+    );
+    judge(&fleet, outage, &[]);
+}
+
+/// What the list would tell counts as known for starts too: a worker that comes back is cold.
+#[test]
+fn workers_that_come_back_in_an_outage_have_their_slow_start() {
+    let (fleet, outage) = play(
+        (106, FEW_HOSTS),
+        TellsDrain::ByHealthCheck,
+        Reach::Refuses,
+        (ms(1_400), &[3]),
+        |fleet, outage| {
+            sleep_until(outage + ms(4_500));
+            fleet.hosts[3].leave();
+            fleet.tell(&[3]);
+            sleep_until(outage + ms(7_000));
+            fleet.hosts[3].restart();
+            fleet.tell(&[3]);
+        },
+    );
+    let overloaded = fleet.overloaded();
+    judge(&fleet, outage, &[]);
+    assert!(overloaded.is_empty(), "{overloaded:?}");
+}
+
+/// A gateway that starts in an outage knows the list of its configuration, and nothing of what became of it.
+#[test]
+fn a_gateway_that_starts_in_an_outage_takes_its_list_for_as_old_as_it_is() {
+    let (fleet, outage) = play(
+        (107, HOSTS),
+        TellsDrain::ByHealthCheck,
+        Reach::Refuses,
+        (ms(1_400), &[3, 7]),
+        |fleet, outage| {
+            sleep_until(outage + ms(9_500));
+            fleet.restart_gateway(1);
+        },
+    );
+    judge(&fleet, outage, &[1]);
+}
+
+/// After SIGHUP the news of the new address counts as known in four seconds, whether it answers or not.
+#[test]
+fn a_reload_to_an_address_that_never_answers_begins_an_outage() {
+    let silent: Vec<_> = (0..GATEWAYS).map(|_| help::free(108)).collect();
+    let mut fleet = Fleet::start(108, GATEWAYS, HOSTS, TellsDrain::ByHealthCheck);
+    let began = Instant::now() + QUIET;
+    sleep_until(began);
+    let outage = Instant::now();
+    for (gateway, board) in silent.iter().enumerate() {
+        fleet.configure(gateway, board.local_addr().unwrap());
+        fleet.gateways[gateway].signal(libc::SIGHUP);
+    }
+    sleep_until(outage + ms(1_400));
+    fleet.drain(&[3, 7]);
+    sleep_until(outage + OUTAGE);
+    fleet.finish();
+    let told = outage + ms(4_000);
+    let broken = fleet.sent_after_drain(told);
+    let before = fleet.served(outage - MEASURED, outage);
+    let after = fleet.served(told + DRAIN_GRACE + SLACK, outage + OUTAGE);
+    println!(
+        "{} sent after the grace; served {before:.2}, {after:.2}",
+        broken.len()
+    );
+    assert!(broken.is_empty(), "{}: {:#?}", broken.len(), broken.first());
+    assert!(
+        after > SERVED * before,
+        "served {before:.2} before, {after:.2} past the grace"
+    );
+    assert!(fleet.lost(&[]).is_empty());
+}
--- a/crates/tidewall-cli/tests/help/outage.rs
+++ b/crates/tidewall-cli/tests/help/outage.rs
@@ -23,20 +23,35 @@
 const LOAD_TIME: Duration = ms(300);
 const RUN_TIME: Duration = ms(4);
 /// Slow start by the settings: how long, from which share of the capacity, and when a worker is overloaded.
+const SLOW_START: Duration = ms(15_000);
 const OVERLOAD_WINDOW: Duration = ms(1_500);
-const OVERLOAD_TOLERANCE: f64 = 2.5;
-const INITIAL_SHARE: f64 = 0.2;
+const OVERLOAD_TOLERANCE: f64 = 1.5;
+const INITIAL_SHARE: f64 = 0.1;
 
 const OUTAGE_SETTINGS: &str = r#"{"me":INDEX,"siblings":3,"tick-ms":1.0,"zones":["z"],"kinds":["k"],"discovery":"pushed",
  "allowed":{"connect-timeout-ms":250.0,"keepalive-ms":30000.0,"max-attempts":3,"most-held":1000,"streams-per-conn":32,
   "cancel":true,"may-duplicate":true,"retry-after":true,"max-retry-after-ms":500.0,"probes":true},
- "deductions":{"connection":0.01},"rules":{"drain-grace-ms":2000.0,"cold-ms":15000.0,"cold-from":0.2,"tip-multiple":2.5,
+ "deductions":{"connection":0.01},"rules":{"drain-grace-ms":2000.0,"cold-ms":15000.0,"cold-from":0.1,"tip-multiple":1.5,
   "overload-for-ms":1500.0},"reporting":{"how":"probe","names":["q","rif"]},
  "classes":[{"name":"check","aim-ms":400.0,"deadline-ms":700.0,"worth":1.0,"semantics":"read_like"},
   {"name":"record","aim-ms":400.0,"deadline-ms":700.0,"worth":2.0,"semantics":"idempotency_key","group":"zone","window-ms":4000.0}],
  "extra":{"orders":true,"order-timeout-ms":4000.0,"if-cold":"miss","stays-loaded-ms":20000.0,"load-window-ms":10000.0,
   "free-loads":4,"load-share":0.2}}"#;
 
+/// Attempts that may come in a window that ends so long after a host's start, where a warm host gets so many a second.
+fn most_in_window(warm: f64, age: Duration) -> f64 {
+    let part = (age.as_secs_f64() / SLOW_START.as_secs_f64()).min(1.0);
+    let share = INITIAL_SHARE + (1.0 - INITIAL_SHARE) * part;
+    let capacity = warm * share * OVERLOAD_TOLERANCE * OVERLOAD_WINDOW.as_secs_f64();
+    // The platform's room for chance.
+    let (roots, more) = if capacity < 30.0 {
+        (3.0, 3.0)
+    } else {
+        (2.0, 2.0)
+    };
+    capacity + roots * capacity.sqrt() + more
+}
+
 /// How a host that drains answers what the drain rule exempts.
 #[derive(Clone, Copy, PartialEq)]
 pub enum TellsDrain {
@@ -511,27 +526,24 @@
         std::thread::sleep(ms(PATIENCE + 600));
     }
 
-    /// Work that was sent to draining hosts later than the told time and the grace allow; the boards were out of reach from
-    /// `outage` on.
-    pub fn sent_after_drain(&self, outage: Instant) -> Vec<String> {
+    /// Work that was sent to draining hosts later than the told time and the grace allow; what the boards hold counts as
+    /// known from `known` on.
+    pub fn sent_after_drain(&self, known: Instant) -> Vec<String> {
         let mut broken = Vec::new();
         for (index, host) in self.hosts.iter().enumerate() {
             let state = host.state.lock().unwrap();
             let Some(drained) = state.drained_at else {
                 continue;
             };
-            let last = drained.max(outage + TOLD_AFTER) + DRAIN_GRACE + SLACK;
+            let last = drained.max(known) + DRAIN_GRACE + SLACK;
             let until = state.restarted_at.unwrap_or(Instant::now());
             let late = state
                 .work
                 .iter()
                 .filter(|(at, _)| *at > last && *at < until);
-            broken.extend(late.map(|(at, kind)| {
-                format!(
-                    "{kind} to s-{index}, {:?} after the outage began",
-                    *at - outage
-                )
-            }));
+            broken.extend(
+                late.map(|(at, kind)| format!("{kind} to s-{index}, {:?} too late", *at - last)),
+            );
         }
         broken
     }
@@ -570,50 +582,42 @@
 
     /// Windows in which a host that came back got more than a host in slow start takes.
     pub fn overloaded(&self) -> Vec<String> {
-        let now = Instant::now();
-        let steady = self
-            .hosts
-            .iter()
-            .filter(|host| host.state.lock().unwrap().drained_at.is_none());
-        let rates: Vec<f64> = steady
-            .map(|host| {
-                let state = host.state.lock().unwrap();
-                let recent = state.work.iter().filter(|(at, _)| *at + ms(10_000) > now);
-                recent.count() as f64 / 10.0
-            })
-            .collect();
-        let warm = rates.iter().copied().fold(0.0, f64::max);
-        let capacity = warm * INITIAL_SHARE * OVERLOAD_TOLERANCE * OVERLOAD_WINDOW.as_secs_f64();
-        let most = capacity + 3.0 * capacity.sqrt() + 3.0;
+        let warm = self.warm_rate();
         let mut broken = Vec::new();
         for (index, host) in self.hosts.iter().enumerate() {
             let state = host.state.lock().unwrap();
             let Some(restarted) = state.restarted_at else {
                 continue;
             };
-            let work: Vec<Instant> = state
-                .work
-                .iter()
-                .map(|w| w.0)
-                .filter(|at| *at >= restarted)
-                .collect();
-            let worst = work
-                .iter()
-                .map(|from| {
-                    work.iter()
-                        .filter(|at| **at >= *from && **at < *from + OVERLOAD_WINDOW)
-                        .count()
-                })
-                .max();
-            if let Some(worst) = worst.filter(|worst| *worst as f64 > most) {
-                broken.push(format!(
-                    "s-{index}: {worst} in a window, {most:.0} may come"
-                ));
+            let work = state.work.iter().map(|(at, _)| *at);
+            let work: Vec<Instant> = work.filter(|at| *at >= restarted).collect();
+            for (position, from) in work.iter().enumerate() {
+                let until = *from + OVERLOAD_WINDOW;
+                let count = work[position..].iter().filter(|at| **at < until).count();
+                let most = most_in_window(warm, until - restarted);
+                if count as f64 > most {
+                    let age = *from - restarted;
+                    broken.push(format!("s-{index}: {count} in a window, {most:.0} may come, {age:?} after its start"));
+                }
             }
         }
         broken
     }
 
+    /// Attempts and load requests a second at a host that stayed, in the mean over the last ten seconds.
+    fn warm_rate(&self) -> f64 {
+        let now = Instant::now();
+        let mut rates = Vec::new();
+        for host in &self.hosts {
+            let state = host.state.lock().unwrap();
+            if state.drained_at.is_none() {
+                let recent = state.work.iter().filter(|(at, _)| *at + ms(10_000) > now);
+                rates.push(recent.count() as f64 / 10.0);
+            }
+        }
+        rates.iter().sum::<f64>() / rates.len() as f64
+    }
+
     /// The gateways' log lines that hold this text.
     pub fn logged(&self, text: &str) -> usize {
         let count = |gateway: &Gateway| gateway.log().lines().filter(|l| l.contains(text)).count();
--- a/crates/tidewall-gateway/src/discovery.rs
+++ b/crates/tidewall-gateway/src/discovery.rs
@@ -1,5 +1,5 @@
 //! The discovery client: connects to the discovery server, polls or watches it, and takes over the endpoint lists that it
-//! sends. While the server cannot be reached the last list holds.
+//! sends. The scheduler is told as of when the server's answers prove the list, and when the next one is due.
 use crate::connection_owners::Owner;
 use crate::endpoints::EndpointRecord;
 use crate::error::ProtocolError;
@@ -23,6 +23,11 @@
     pub(crate) attempts: u64,
     /// The server owes an answer until this timer fires.
     response_timer: Option<TimerId>,
+    /// When the last poll was written, and the net's total stall at that time.
+    polled_at: Time,
+    stall_at_poll: Time,
+    /// Since when the list has been overdue, as far as it was logged.
+    overdue_since: Option<Time>,
 }
 
 impl DiscoveryClient {
@@ -33,6 +38,9 @@
             connect_timeout,
             attempts: 0,
             response_timer: None,
+            polled_at: 0,
+            stall_at_poll: 0,
+            overdue_since: None,
         }
     }
 }
@@ -66,9 +74,66 @@
             .source
             .write_subscription(&mut message, &identity, watches);
         self.context.net().write(conn, &message);
+        self.poll_written();
+    }
+
+    /// A poll leaves: its answer is awaited from now on.
+    fn poll_written(&mut self) {
+        self.discovery.polled_at = self.context.net().now();
+        self.discovery.stall_at_poll = self.context.net().total_stall();
         self.arm_discovery_timeout();
     }
 
+    /// The list is what the server had when it answered. When that was is not told: not before the poll, and where the answer
+    /// came in its time not before it was read, but for what this process stood still. One that comes late was held up for as
+    /// long as that, and the next one may be.
+    fn list_confirmed(&mut self) {
+        let Some(due) = self.discovery.source.answer_due() else {
+            return;
+        };
+        let (now, polled_at) = (self.context.net().now(), self.discovery.polled_at);
+        let stall = self.context.net().total_stall() - self.discovery.stall_at_poll;
+        let as_of = if now <= polled_at + due {
+            polled_at.max(now.saturating_sub(stall))
+        } else {
+            polled_at
+        };
+        let scheduler = &mut self.context.scheduler;
+        scheduler.advance_clock(now);
+        scheduler.endpoint_list_confirmed(as_of, as_of + due);
+        self.note_list_age();
+    }
+
+    /// Before the first answer nothing proves the list that the gateway is started with, where its age is to be known.
+    pub(crate) fn expect_list_confirmation(&mut self) {
+        if self.discovery.source.answer_due().is_some() {
+            self.context.scheduler.endpoint_list_confirmed(0, 0);
+        }
+    }
+
+    /// Logs when the list becomes overdue, and when it is confirmed again.
+    pub(crate) fn note_list_age(&mut self) {
+        let now = self.context.net().now();
+        self.context.scheduler.advance_clock(now);
+        let is_overdue = self.context.scheduler.is_endpoint_list_overdue();
+        match (is_overdue, self.discovery.overdue_since) {
+            (true, None) => {
+                self.discovery.overdue_since = Some(now);
+                warn!(address = %self.discovery.source.address(), "endpoint list overdue: workers are asked themselves");
+            }
+            (false, Some(since)) => {
+                self.discovery.overdue_since = None;
+                let effects = self.effects();
+                warn!(
+                    overdue = now - since,
+                    ?effects,
+                    "endpoint list confirmed again"
+                );
+            }
+            _ => {}
+        }
+    }
+
     /// The last list holds; the scheduler is told that updates may be missing, and the server is tried again later.
     pub(crate) fn discovery_connection_closed(&mut self, reason: CloseReason) {
         warn!(?reason, address = %self.discovery.source.address(), "discovery connection closed");
@@ -142,6 +207,9 @@
         for (records, complete) in &received.updates {
             self.update_endpoints(records, *complete);
         }
+        if received.confirms {
+            self.list_confirmed();
+        }
         if read.is_some() {
             let mut poll = Vec::new();
             if !self.discovery.source.write_next_poll(&mut poll) {
@@ -151,7 +219,7 @@
                 self.connect_discovery();
             } else if !poll.is_empty() {
                 self.context.net().write(conn, &poll);
-                self.arm_discovery_timeout();
+                self.poll_written();
             }
         }
         Ok(read)
--- a/crates/tidewall-gateway/src/effect_policy.rs
+++ b/crates/tidewall-gateway/src/effect_policy.rs
@@ -29,6 +29,8 @@
     InputTooOld,
     /// The worker is draining or removed.
     WorkerNotActive,
+    /// Nothing recent enough shows that the worker is in service.
+    WorkerUnconfirmed,
     /// An earlier attempt may have been executed, and the request is not idempotent.
     MayHaveExecuted,
     /// An earlier attempt may have been executed, and the worker is outside the scope of the idempotency key.
@@ -53,6 +55,7 @@
         Refusal::InputUnread,
         Refusal::InputTooOld,
         Refusal::WorkerNotActive,
+        Refusal::WorkerUnconfirmed,
         Refusal::MayHaveExecuted,
         Refusal::OutsideKeyScope,
         Refusal::KeyWindowOver,
@@ -176,6 +179,8 @@
     pub client: ClientInput,
     /// The worker.
     pub endpoint: Endpoint,
+    /// Until when what is known of its being in service holds.
+    pub departures_until: Time,
     /// Whether the request may be executed again.
     pub retry_safety: RetrySafety,
     /// Earlier attempts of which nothing proves that they were not executed.
@@ -218,6 +223,10 @@
     if facts.endpoint.state != EndpointState::Active {
         return Err(Refusal::WorkerNotActive);
     }
+    // A stall, a slow connect or a full socket may have used up what was left when it was decided.
+    if facts.now >= facts.departures_until {
+        return Err(Refusal::WorkerUnconfirmed);
+    }
     if facts.client.unread {
         return Err(Refusal::InputUnread);
     }
@@ -261,19 +270,23 @@
 #[derive(Debug, PartialEq)]
 pub struct LoadPermit(());
 
-/// Whether a load request, or with `instances` 0 a query, may leave for a worker now.
+/// Whether a load request, or with `instances` 0 a query, may leave now for a worker of this state, whose being in service
+/// is known up to a time.
 ///
 /// # Errors
 /// Why it may not.
 pub fn permit_load(
     instances: u32,
-    state: EndpointState,
+    (state, departures_until): (EndpointState, Time),
     now: Time,
     expires_at: Time,
 ) -> Result<LoadPermit, Refusal> {
     if instances > 0 && state != EndpointState::Active {
         return Err(Refusal::WorkerNotActive);
     }
+    if instances > 0 && now >= departures_until {
+        return Err(Refusal::WorkerUnconfirmed);
+    }
     if now >= expires_at {
         return Err(Refusal::AttemptExpired);
     }
--- a/crates/tidewall-gateway/src/event_loop.rs
+++ b/crates/tidewall-gateway/src/event_loop.rs
@@ -148,7 +148,7 @@
         match self.owner(conn) {
             Owner::Nobody => {}
             Owner::Ingress(ingress) => self.ingresses[ingress].closed(&mut self.context, conn),
-            Owner::Worker(connection) => self.worker_connection_closed(connection, reason),
+            Owner::Worker(connection) => self.worker_connection_lost(connection, reason),
             Owner::Discovery => self.discovery_connection_closed(reason),
             Owner::Peer => self.peer_connection_closed(),
             Owner::Handshake => self.handshake_closed(conn),
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -201,6 +201,7 @@
             watcher_outdated: false,
             wakeup_profile: WakeupProfile::default(),
         };
+        gateway.expect_list_confirmation();
         gateway.load_endpoint_cache();
         gateway.connect_discovery();
         if let Some(failover) = config.failover {
--- a/crates/tidewall-gateway/src/outcomes.rs
+++ b/crates/tidewall-gateway/src/outcomes.rs
@@ -50,6 +50,13 @@
         let elapsed = (now - call.started_at).saturating_sub(stall);
         pool.finish_call(key);
         self.context.scheduler.advance_clock(now);
+        if let Some(question) = call.question() {
+            // As of its start: what is asked leaves later.
+            let asked_at = call.started_at;
+            self.context
+                .scheduler
+                .worker_answered(call.worker, question, outcome, asked_at);
+        }
         match call.kind {
             CallKind::Attempt { request, attempt } => {
                 self.attempt_ended(&call, (request, attempt), (outcome, elapsed), number);
--- a/crates/tidewall-gateway/src/protocol.rs
+++ b/crates/tidewall-gateway/src/protocol.rs
@@ -193,6 +193,8 @@
 pub trait DiscoveryEvents {
     /// An endpoint list, or changes of one where it is not `complete`.
     fn endpoints_received(&mut self, records: &[EndpointRecord], complete: bool);
+    /// An answer was read completely, and with it the list is what the server has.
+    fn list_confirmed(&mut self) {}
     /// It reports an error of ours.
     fn error_reported(&mut self, reason: &str);
 }
@@ -202,6 +204,8 @@
 pub struct ReceivedUpdates {
     /// Each list, and whether it is complete.
     pub updates: Vec<(Vec<EndpointRecord>, bool)>,
+    /// With them the list is what the server has.
+    pub confirms: bool,
 }
 
 impl DiscoveryEvents for ReceivedUpdates {
@@ -209,6 +213,10 @@
         self.updates.push((records.to_vec(), complete));
     }
 
+    fn list_confirmed(&mut self) {
+        self.confirms = true;
+    }
+
     fn error_reported(&mut self, reason: &str) {
         tracing::warn!(reason, "discovery server reported an error");
     }
@@ -237,6 +245,11 @@
     fn write_next_poll(&mut self, _out: &mut Vec<u8>) -> bool {
         true
     }
+    /// How long after a poll its answer is due while the server can be reached, in tenths of a millisecond; none where lists
+    /// come unasked, so that their age is not known.
+    fn answer_due(&self) -> Option<Time> {
+        None
+    }
     /// How long it may say nothing after a poll, in tenths of a millisecond; none where silence does not matter.
     fn silence_timeout(&self) -> Option<Time> {
         None
--- a/crates/tidewall-gateway/src/timers.rs
+++ b/crates/tidewall-gateway/src/timers.rs
@@ -124,6 +124,7 @@
             TimerToken::ConnectionCheck => {
                 let next = now + CONNECTION_CHECK_INTERVAL;
                 self.context.net().set_timer(next, packed);
+                self.note_list_age();
                 if self.watcher_outdated {
                     self.notify_endpoint_watcher();
                 }
--- a/crates/tidewall-gateway/src/worker_connections.rs
+++ b/crates/tidewall-gateway/src/worker_connections.rs
@@ -29,6 +29,21 @@
         }
     }
 
+    /// A connection to a worker has ended, and not from this side.
+    pub(crate) fn worker_connection_lost(&mut self, connection: usize, reason: CloseReason) {
+        let pool = &self.context.scheduler.host;
+        let (now, worker) = (pool.net.now(), pool.connections[connection].worker);
+        let scheduler = &mut self.context.scheduler;
+        scheduler.advance_clock(now);
+        match reason {
+            CloseReason::Reset | CloseReason::Ended => scheduler.worker_connection_lost(worker),
+            CloseReason::Refused | CloseReason::TimedOut => scheduler.worker_unreachable(worker),
+            // What this machine lacks is not the worker's fault.
+            CloseReason::NoResources => {}
+        }
+        self.worker_connection_closed(connection, reason);
+    }
+
     /// A connection to a worker is over: its unsent calls provably were not executed, its sent ones may have been.
     pub(crate) fn worker_connection_closed(&mut self, connection: usize, reason: CloseReason) {
         let pool = &mut self.context.scheduler.host;
--- a/crates/tidewall-gateway/src/worker_pool/calls.rs
+++ b/crates/tidewall-gateway/src/worker_pool/calls.rs
@@ -3,7 +3,7 @@
 use crate::error::ProtocolError;
 use crate::protocol::CallName;
 use crate::timers::TimerToken;
-use tidewall::interface::Outcome;
+use tidewall::interface::{Outcome, Question};
 use tidewall_net::{Net, Time, TimerId};
 use tidewall_wire::{Field, WireError};
 
@@ -71,6 +71,17 @@
         self.request_id == request_id && self.is_attempt()
     }
 
+    /// What the worker is asked by it; none for a vote.
+    pub fn question(&self) -> Option<Question> {
+        match self.kind {
+            CallKind::Attempt { .. } => Some(Question::Attempt),
+            CallKind::LoadRequest { .. } if self.instances > 0 => Some(Question::LoadRequest),
+            CallKind::LoadRequest { .. } => Some(Question::InstanceQuery),
+            CallKind::HealthCheck => Some(Question::HealthCheck),
+            CallKind::Vote { .. } => None,
+        }
+    }
+
     /// Whether this is an attempt.
     pub(super) fn is_attempt(&self) -> bool {
         matches!(self.kind, CallKind::Attempt { .. })
--- a/crates/tidewall-gateway/src/worker_pool/connections.rs
+++ b/crates/tidewall-gateway/src/worker_pool/connections.rs
@@ -30,6 +30,8 @@
     /// When a call was last sent or the connection became ready.
     pub(super) last_used: Time,
     last_received: Time,
+    /// When it became ready.
+    pub(super) ready_at: Time,
     /// Until it fires the worker must have greeted.
     greeting_timer: Option<TimerId>,
 }
@@ -49,6 +51,7 @@
             partial_since: None,
             last_used: now,
             last_received: now,
+            ready_at: now,
             greeting_timer: None,
         }
     }
@@ -200,6 +203,7 @@
         let now = self.net.now();
         let entry = &mut self.connections[connection];
         entry.ready = true;
+        entry.ready_at = now;
         entry.last_used = now;
         entry.last_received = now;
         if let Some(timer) = entry.greeting_timer.take() {
--- a/crates/tidewall-gateway/src/worker_pool/counters.rs
+++ b/crates/tidewall-gateway/src/worker_pool/counters.rs
@@ -25,6 +25,10 @@
     pub load_requests: u64,
     /// Health checks.
     pub health_checks: u64,
+    /// Workers that denied service, or did not answer, while the endpoint list was overdue.
+    pub service_denials: u64,
+    /// Workers that came back while the list was overdue and were taken for cold.
+    pub presumed_starts: u64,
     /// Connections to workers that were opened.
     pub connections: u64,
 }
--- a/crates/tidewall-gateway/src/worker_pool/endpoints.rs
+++ b/crates/tidewall-gateway/src/worker_pool/endpoints.rs
@@ -17,6 +17,8 @@
     incarnation: u64,
     /// The worker itself said that it is draining, and the discovery server has not noticed yet.
     reported_draining: bool,
+    /// Until when attempts and load requests may leave for it, by what the scheduler last knew of its being in service.
+    pub(super) departures_until: Time,
     /// When it was told that the worker is draining or removed.
     pub(super) removed_at: Time,
     /// Keys of the connections to it.
--- a/crates/tidewall-gateway/src/worker_pool/flush.rs
+++ b/crates/tidewall-gateway/src/worker_pool/flush.rs
@@ -148,8 +148,9 @@
                 self.encode_attempt(key, request, attempt, &permit);
             }
             CallKind::LoadRequest { function } => {
-                let (now, state) = (self.net.current_time(), self.workers[worker].state());
-                let permit = permit_load(instances, state, now, expires_at);
+                let entry = &self.workers[worker];
+                let known = (entry.state(), entry.departures_until);
+                let permit = permit_load(instances, known, self.net.current_time(), expires_at);
                 let permit = permit.inspect_err(|refusal| self.effects.refused(*refusal))?;
                 self.encode_load_request(key, function, &permit);
             }
@@ -185,6 +186,7 @@
                     .is_some_and(|conn| self.net.has_known_input(conn)),
             },
             endpoint: self.workers[self.calls[key].worker].endpoint,
+            departures_until: self.workers[self.calls[key].worker].departures_until,
             retry_safety: self.retry_safety[pending.info.class],
             unproven: &unproven,
         };
--- a/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
+++ b/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
@@ -3,7 +3,7 @@
 use super::{CallKind, WorkerPool};
 use crate::ingress::Disposition;
 use crate::timers::TimerToken;
-use tidewall::interface::{Outcome, SchedulerActions};
+use tidewall::interface::{Outcome, SchedulerActions, ServiceChange};
 use tidewall_net::{Net, Time};
 use tidewall_wire::{kind, Field, Frame};
 use tracing::{debug, info};
@@ -183,6 +183,32 @@
         }
     }
 
+    fn limit_departures(&mut self, worker: usize, until: Time) {
+        self.workers[worker].departures_until = until;
+    }
+
+    fn connected_since(&self, worker: usize) -> Time {
+        let connections = self.workers[worker].connections.iter();
+        let ready = connections.filter_map(|key| self.connections.get(*key));
+        let ready = ready.filter(|connection| connection.ready);
+        let since = ready.map(|connection| connection.ready_at).min();
+        since.unwrap_or(Time::MAX)
+    }
+
+    fn service_changed(&mut self, worker: usize, change: ServiceChange) {
+        let worker = self.worker_names.resolve(worker);
+        match change {
+            ServiceChange::Denied => {
+                self.counters.service_denials += 1;
+                info!(worker, "worker denied service: it is passed over");
+            }
+            ServiceChange::StartPresumed => {
+                self.counters.presumed_starts += 1;
+                info!(worker, "worker is back in service: it is taken for cold");
+            }
+        }
+    }
+
     fn log_note(&mut self, text: &str) {
         info!(text, "scheduler note");
     }
--- a/crates/tidewall-gateway/tests/effect_policy.rs
+++ b/crates/tidewall-gateway/tests/effect_policy.rs
@@ -24,6 +24,7 @@
         expires_at: NOW + 4_000,
         client: ClientInput::default(),
         endpoint: endpoint(1, 2, EndpointState::Active),
+        departures_until: NOW + 1,
         retry_safety,
         unproven,
     }
@@ -53,6 +54,7 @@
 #[test_case(|f| f.client.age = MAX_INPUT_AGE + 1, Refusal::InputTooOld; "nobody has looked for long")]
 #[test_case(|f| f.endpoint.state = EndpointState::Draining, Refusal::WorkerNotActive; "the worker drains")]
 #[test_case(|f| f.endpoint.state = EndpointState::Removed, Refusal::WorkerNotActive; "the worker is gone")]
+#[test_case(|f| f.departures_until = NOW, Refusal::WorkerUnconfirmed; "the worker may have begun to drain")]
 fn one_reason_is_enough(change: fn(&mut AttemptFacts), reason: Refusal) {
     let mut facts = facts(RetrySafety::Idempotent, &[]);
     assert_eq!(refusal(&facts), None);
@@ -87,18 +89,22 @@
     assert_eq!(refusal(&facts(retry_safety, &[])), None);
 }
 
-#[test_case(1, EndpointState::Active, 1, true; "to an active worker")]
-#[test_case(1, EndpointState::Draining, 1, false; "not to one that drains")]
-#[test_case(0, EndpointState::Draining, 1, true; "which may be asked what it has")]
-#[test_case(1, EndpointState::Active, 0, false; "not once its time is over")]
+#[test_case(1, EndpointState::Active, 1, 1, true; "to an active worker")]
+#[test_case(1, EndpointState::Draining, 1, 1, false; "not to one that drains")]
+#[test_case(0, EndpointState::Draining, 1, 1, true; "which may be asked what it has")]
+#[test_case(1, EndpointState::Active, 0, 1, false; "not to one that may have begun to drain")]
+#[test_case(0, EndpointState::Active, 0, 1, true; "which may be asked whether it has")]
+#[test_case(1, EndpointState::Active, 1, 0, false; "not once its time is over")]
 fn load_requests_leave_for_active_workers(
     instances: u32,
     state: EndpointState,
+    known: u64,
     left: u64,
     leaves: bool,
 ) {
+    let worker = (state, NOW + known);
     assert_eq!(
-        permit_load(instances, state, NOW, NOW + left).is_ok(),
+        permit_load(instances, worker, NOW, NOW + left).is_ok(),
         leaves
     );
 }
--- a/crates/tidewall-platform-ingress/src/notice_board.rs
+++ b/crates/tidewall-platform-ingress/src/notice_board.rs
@@ -18,6 +18,17 @@
 /// asked for, so a short wait keeps a silent board from making the endpoint list stale, at one poll a second.
 const POLL_WAIT_MS: u64 = 1_000;
 
+/// The wait of a poll by which the list is to be confirmed at once: the shortest that there is.
+const CONFIRM_WAIT_MS: u64 = 1;
+
+/// An answer is due so much later than the wait of its poll, in tenths of a millisecond: many round trips and late wake-ups, and
+/// far less than any grace period.
+const ANSWER_MARGIN: Time = 2_000;
+
+/// Connections that ended in a row from which on the list is to be confirmed at once. One alone costs no second poll: a board
+/// that ends each connection behind its answer would be asked without end.
+const FAILURES_TO_CONFIRM: u32 = 2;
+
 /// A board that is silent for so much longer than the poll's wait hangs. Tenths of a millisecond: of the 2 s that are left
 /// by then, the rest is for the next connection.
 const SILENCE_MARGIN: Time = 7_000;
@@ -45,6 +56,8 @@
     keep_alive: bool,
     /// Connections that ended since the last response.
     failures: u32,
+    /// The list is to be confirmed at once: after the start, and where the board's address has changed.
+    confirm_at_once: bool,
     random: ChaCha8Rng,
     clock: UnixClock,
     read_address: ReadAddress,
@@ -66,6 +79,7 @@
             revision,
             keep_alive: true,
             failures: 0,
+            confirm_at_once: true,
             random: ChaCha8Rng::seed_from_u64(seed),
             clock,
             read_address,
@@ -73,10 +87,15 @@
     }
 
     fn write_poll(&self, out: &mut Vec<u8>) {
+        let confirm = self.confirm_at_once || self.failures >= FAILURES_TO_CONFIRM;
         let poll = PollRequest {
             host: &self.host,
             revision: self.revision,
-            wait_ms: POLL_WAIT_MS,
+            wait_ms: if confirm {
+                CONFIRM_WAIT_MS
+            } else {
+                POLL_WAIT_MS
+            },
         };
         poll.encode(out);
     }
@@ -203,9 +222,12 @@
                 "notice board skipped revisions: requesting the complete endpoint list"
             );
         }
+        if revision.is_some() {
+            events.list_confirmed();
+        }
         self.revision = revision.unwrap_or(0);
         self.keep_alive = response.keep_alive;
-        self.failures = 0;
+        (self.failures, self.confirm_at_once) = (0, false);
         Ok(Some(response.length))
     }
 
@@ -216,6 +238,10 @@
         self.keep_alive
     }
 
+    fn answer_due(&self) -> Option<Time> {
+        Some(POLL_WAIT_MS * 10 + ANSWER_MARGIN)
+    }
+
     fn silence_timeout(&self) -> Option<Time> {
         Some(POLL_WAIT_MS * 10 + SILENCE_MARGIN)
     }
@@ -236,6 +262,7 @@
             Ok(address) => {
                 let changed = address != self.address;
                 (self.address, self.host, self.failures) = (address, address.to_string(), 0);
+                self.confirm_at_once |= changed;
                 changed
             }
             Err(error) => {
--- a/crates/tidewall-platform-ingress/tests/common/mod.rs
+++ b/crates/tidewall-platform-ingress/tests/common/mod.rs
@@ -89,7 +89,7 @@
         let usual = format!("{id} ok res=hit 3\r\nyes\r\n");
         let out = match line.split(' ').next().unwrap_or("") {
             "stage" => format!("{id} ok copies=2 0\r\n\r\n"),
-            "stat" => format!("{id} yes gauges=q:0;rif:1 0\r\n\r\n"),
+            "ping" | "stat" => format!("{id} yes gauges=q:0;rif:1 0\r\n\r\n"),
             "go" => {
                 self.attempts.set(self.attempts.get() + 1);
                 match behavior {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,6 +2,7 @@
 //! The mechanism is that of docs/design.md; what departs from it is marked "Departure" and explained there.
 //! The operators' deploy page names this file, so it keeps its name; the type is `Scheduler`.
 mod attempts;
+mod endpoint_age;
 mod load_checks;
 mod load_requests;
 mod outcomes;
@@ -22,6 +23,7 @@
 use crate::counter::{indicator, update_mean, TwoLowest};
 use crate::interface::*;
 use crate::random::RandomGenerator;
+use crate::service_evidence::{EndpointListAge, ServiceEvidence};
 use crate::settings::{validate, Settings, SettingsError, SettingsReader};
 use crate::state::*;
 use tuning::*;
@@ -76,6 +78,7 @@
     // Where an eighth of it, as other waits, is over before a sweep no request waits for a load check.
     let waits = shortest / 8 >= config.sweep_interval;
     config.load_check_timeout = if waits { LOAD_CHECK_TIMEOUT.min(shortest / 8) } else { 0 };
+    config.drain_grace = if config.drain_grace > 0 { config.drain_grace } else { DEFAULT_DRAIN_GRACE };
     // The safe way where they are not set: what a worker can do by now, over any second.
     let (tolerance, window) = (config.overload_tolerance, config.overload_window);
     config.overload_tolerance = if tolerance > 0.0 { tolerance } else { 1.0 };
--- a/src/choice/attempts.rs
+++ b/src/choice/attempts.rs
@@ -8,27 +8,32 @@
         let in_time = self.now + self.config.tick < request.info.deadline;
         let open = !request.finished && !request.streaming && in_time;
         let alone = request.outstanding() == 0 || self.config.may_hedge;
+        let left = request.attempt_count < self.config.max_attempts;
+        open && alone
+            && left
+            && self.may_go_to(request, worker_id)
+            && self.workers[worker_id].is_active()
+            && self.is_confirmed(worker_id)
+            && self.is_retry_safe(request, worker_id)
+            && self.has_slow_start_capacity(worker_id, class)
+    }
+
+    /// Whether earlier attempts of the request leave this worker to the next one.
+    pub(super) fn may_go_to(&self, request: &Request, worker_id: WorkerId) -> bool {
         // Not again to a worker that has it or has failed it; after a miss it may go back, and where only few
         // may have it, also after a broken connection: the worker may be well and its instance is loaded.
         let few = matches!(
-            self.classes[class].retry_safety,
+            self.classes[request.info.class].retry_safety,
             RetrySafety::IdempotencyKey(KeyScope::Zone | KeyScope::Cell, _)
         );
         let back = |state: AttemptState| {
             state == AttemptState::NotExecuted || few && state == AttemptState::ConnectionLost
         };
-        let again = request.sent_attempts().iter().any(|a| a.worker_id == worker_id && !back(a.state));
-        let left = request.attempt_count < self.config.max_attempts;
-        open && alone
-            && !again
-            && left
-            && self.workers[worker_id].is_active()
-            && self.is_retry_safe(request, worker_id)
-            && self.has_slow_start_capacity(worker_id, class)
+        !request.sent_attempts().iter().any(|a| a.worker_id == worker_id && !back(a.state))
     }
 
     /// Whether it does no harm if all attempts so far were executed as well as one more at this worker.
-    fn is_retry_safe(&self, request: &Request, worker_id: WorkerId) -> bool {
+    pub(super) fn is_retry_safe(&self, request: &Request, worker_id: WorkerId) -> bool {
         let next = &self.workers[worker_id].endpoint;
         match self.classes[request.info.class].retry_safety {
             RetrySafety::Idempotent => true,
@@ -44,7 +49,10 @@
                     };
                     // It may have run as soon as it was sent; the next may run as late as it can leave.
                     let latest = self.now + self.config.connect_timeout + self.config.tick;
-                    in_scope && latest < attempt.sent_at + window
+                    // Another worker, of another scope, may be at the address of one that came back unlisted.
+                    let is_known = !self.workers[worker_id].service.is_start_presumed
+                        || !self.is_endpoint_list_overdue();
+                    in_scope && is_known && latest < attempt.sent_at + window
                 })
             }
         }
@@ -65,6 +73,7 @@
         if let Some(tenant) = request.info.tenant.filter(|_| request.attempt_count == 1) {
             self.tenants[tenant].rate.add(now, 1);
         }
+        self.host.limit_departures(worker_id, self.confirmed_until(worker_id));
         self.host.send_attempt(slot, worker_id, 0);
     }
 
--- a/src/choice/load_requests.rs
+++ b/src/choice/load_requests.rs
@@ -42,6 +42,7 @@
         // In a large fleet the first attempt shows whether there is such a function, before any load request.
         let confirmed = self.functions[function_id].confirmed || !self.config.presume_loaded;
         let open = self.workers[placement.worker_id].is_active() && placement.blocked_until <= now;
+        let open = open && self.is_confirmed(placement.worker_id);
         if !self.config.may_load || !open || !confirmed || placement.pending_loads > 0 {
             return false;
         }
@@ -54,7 +55,9 @@
             placement.instances = InstanceState::Loading;
         }
         placement.renewed_at = now;
-        self.host.send_load_request(function_id, placement.worker_id, instances.clamp(1, 16));
+        let worker_id = placement.worker_id;
+        self.host.limit_departures(worker_id, self.confirmed_until(worker_id));
+        self.host.send_load_request(function_id, worker_id, instances.clamp(1, 16));
         true
     }
 
--- a/src/choice/requests.rs
+++ b/src/choice/requests.rs
@@ -27,13 +27,22 @@
     pub(crate) fn dispatch(&mut self, slot: RequestSlot) {
         let (info, outstanding) = (self.requests[slot].info, self.requests[slot].outstanding());
         let weight = self.priority_weight(&info);
-        if let Some(selection) = self.select_placements(slot, weight) {
+        let awaits_confirmation = self.ask_unconfirmed(slot);
+        self.requests[slot].awaits_confirmation = awaits_confirmation;
+        // Those that the function is to have go before others, also if their answer has to be awaited.
+        let selection = self.select_placements(slot, weight);
+        if let Some(selection) = selection.filter(|s| !awaits_confirmation || !s.is_beyond) {
             if let Some(position) = self.check_load(slot, &selection) {
                 self.functions[info.function].rotation = selection.next_rotation;
                 return self.send_attempt(slot, position);
             }
         } else if outstanding > 0 {
             return;
+        } else if awaits_confirmation {
+            // An answer of a worker, or its time, is due within a tenth of a second.
+        } else if self.is_nobody_in_service(info.function) {
+            // Nobody is known to be in service: answered at once, with a time by which they are asked again.
+            return self.reject_or_fail(slot, SERVICE_CHECK_INTERVAL / 2);
         } else if let Some(load_due) = self.hopeless_wait(slot) {
             return self.reject_or_fail(slot, load_due);
         }
--- a/src/choice/selection.rs
+++ b/src/choice/selection.rs
@@ -54,11 +54,13 @@
         }
         if let Some((first, round)) = next.first {
             let next_rotation = function.rotation % heads + round + 1;
-            return Some(Selection { first, second: next.second.map(|s| s.0), next_rotation });
+            let second = next.second.map(|s| s.0);
+            return Some(Selection { first, second, next_rotation, is_beyond: false });
         }
         // Departure: instances known to be loaded beyond the first n are used before those are overfilled.
         let first = beyond.or(least.map(|l| l.0))?;
-        Some(Selection { first, second: None, next_rotation: function.rotation })
+        let is_beyond = beyond.is_some();
+        Some(Selection { first, second: None, next_rotation: function.rotation, is_beyond })
     }
 
     /// Departure: in a large fleet an instance of which nothing is known is presumed to be loaded, other
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, by concern as the files of `choice/`. Each test builds the state it needs and calls one
 //! method.
 mod attempts;
+mod endpoint_age;
 mod endpoints;
 mod help;
 mod load_checks;
--- /dev/null
+++ b/src/choice/tests/endpoint_age.rs
@@ -0,0 +1,188 @@
+//! What stands in for the endpoint list while discovery is out of reach.
+use super::help::*;
+use crate::interface::*;
+use test_case::test_case;
+
+const GRACE: [(&str, &str); 2] = [("rules.drain-grace-ms", "1000"), ("allowed.probes", "true")];
+/// What of the grace period is left for the way to the worker.
+const HOLDS: Time = SECOND - 100 * MS;
+
+/// A gateway whose list was last proven now and is overdue a tenth of a millisecond later; function 0 is loaded on the first
+/// `n` workers.
+fn scheduler_in_outage(n: usize) -> TestScheduler {
+    let mut scheduler = scheduler_with(4, &GRACE);
+    load_first(&mut scheduler, 0, n);
+    scheduler.endpoint_list_confirmed(NOW, NOW);
+    scheduler
+}
+
+fn advance(scheduler: &mut TestScheduler, span: Time) {
+    scheduler.advance_clock(scheduler.now + span);
+    // Instances stay loaded; their age is no matter here.
+    let now = scheduler.now;
+    scheduler.functions[0].placements.iter_mut().for_each(|placement| placement.renewed_at = now);
+}
+
+fn answer(scheduler: &mut TestScheduler, worker_id: WorkerId, question: Question, outcome: Outcome) {
+    let service = &scheduler.workers[worker_id].service;
+    let is_awaited = question != Question::Attempt && service.answers_pending > 0;
+    let asked_at = if is_awaited { service.asked_at } else { scheduler.now };
+    scheduler.worker_answered(worker_id, question, outcome, asked_at);
+}
+
+/// A request that has two seconds from now on.
+fn send_now(scheduler: &mut TestScheduler) -> RequestSlot {
+    let slot = scheduler.next_request_slot();
+    scheduler.request_arrived(RequestInfo { deadline: scheduler.now + 2 * SECOND, ..request_info(0) });
+    slot
+}
+
+fn confirm(scheduler: &mut TestScheduler, worker_id: WorkerId) {
+    answer(scheduler, worker_id, Question::HealthCheck, Outcome::Ok);
+    answer(scheduler, worker_id, Question::InstanceQuery, Outcome::Ok);
+}
+
+#[test]
+fn while_answers_come_in_time_no_worker_is_asked() {
+    let mut scheduler = scheduler_in_outage(1);
+    scheduler.endpoint_list_confirmed(NOW, NOW + 2 * SECOND);
+    advance(&mut scheduler, 2 * SECOND - 1);
+    send_now(&mut scheduler);
+    assert_eq!(attempted_workers(&scheduler), [worker_at(&scheduler, 0, 0)]);
+    assert_eq!(checked_workers(&scheduler), []);
+}
+
+#[test_case(HOLDS - 1, true; "within the grace period")]
+#[test_case(HOLDS, false; "after it")]
+fn an_overdue_list_holds_for_the_grace_period(age: Time, holds: bool) {
+    let mut scheduler = scheduler_in_outage(1);
+    advance(&mut scheduler, age);
+    let first = worker_at(&scheduler, 0, 0);
+    send_now(&mut scheduler);
+    assert_eq!(attempted_workers(&scheduler).contains(&first), holds);
+    assert_eq!(checked_workers(&scheduler).contains(&first), !holds);
+}
+
+#[test_case(Question::Attempt, Outcome::Ok, true; "it executed an attempt")]
+#[test_case(Question::Attempt, Outcome::Miss, true; "it looked for the instance")]
+#[test_case(Question::Attempt, Outcome::Error, false; "an error may come from anywhere")]
+#[test_case(Question::LoadRequest, Outcome::Ok, false; "it may have begun to drain since")]
+#[test_case(Question::HealthCheck, Outcome::Ok, false; "it calls itself healthy, and was not asked more")]
+fn work_that_it_took_proves_a_worker(question: Question, outcome: Outcome, proves: bool) {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    advance(&mut scheduler, HOLDS);
+    answer(&mut scheduler, first, question, outcome);
+    advance(&mut scheduler, HOLDS - 1);
+    assert_eq!(scheduler.is_confirmed(first), proves);
+    advance(&mut scheduler, 1);
+    assert!(!scheduler.is_confirmed(first));
+}
+
+#[test]
+fn a_request_waits_for_the_answer_and_then_goes() {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    advance(&mut scheduler, 2 * SECOND);
+    send_now(&mut scheduler);
+    assert_eq!(attempted_workers(&scheduler), []);
+    confirm(&mut scheduler, first);
+    assert_eq!(attempted_workers(&scheduler), [first]);
+}
+
+#[test_case(Question::HealthCheck, Outcome::Error; "unhealthy")]
+#[test_case(Question::InstanceQuery, Outcome::AtCapacity; "no room for none")]
+#[test_case(Question::HealthCheck, Outcome::TimedOut; "silent")]
+fn a_worker_that_denies_service_gives_its_place_to_the_next(question: Question, outcome: Outcome) {
+    let mut scheduler = scheduler_in_outage(1);
+    let [first, second] = [0, 1].map(|position| worker_at(&scheduler, 0, position));
+    advance(&mut scheduler, 2 * SECOND);
+    send_now(&mut scheduler);
+    answer(&mut scheduler, first, question, outcome);
+    let other = match question {
+        Question::HealthCheck => Question::InstanceQuery,
+        _ => Question::HealthCheck,
+    };
+    answer(&mut scheduler, first, other, Outcome::Ok);
+    assert!(!scheduler.is_available(first));
+    assert!(checked_workers(&scheduler).contains(&second), "the next is asked");
+    confirm(&mut scheduler, second);
+    assert!(load_request_count(&scheduler) > 0, "and is to have the instance");
+    assert_eq!(attempted_workers(&scheduler), []);
+}
+
+#[test]
+fn a_rejection_in_an_outage_is_asked_about_before_the_next_attempt() {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    advance(&mut scheduler, SECOND / 2);
+    let slot = send_now(&mut scheduler);
+    assert_eq!(attempted_workers(&scheduler), [first]);
+    answer(&mut scheduler, first, Question::Attempt, Outcome::AtCapacity);
+    scheduler.attempt_ended(slot, 0, (Outcome::AtCapacity, 1), false, 0);
+    assert_eq!(attempted_workers(&scheduler), [first], "not again to the same worker at once");
+    assert_eq!(checked_workers(&scheduler), [first]);
+    advance(&mut scheduler, 1);
+    confirm(&mut scheduler, first);
+    assert_eq!(attempted_workers(&scheduler), [first, first], "it was only full");
+}
+
+#[test]
+fn with_nobody_in_service_the_answer_comes_at_once() {
+    let mut scheduler = scheduler_in_outage(1);
+    advance(&mut scheduler, 2 * SECOND);
+    for worker_id in 0..4 {
+        answer(&mut scheduler, worker_id, Question::HealthCheck, Outcome::Error);
+    }
+    let slot = send_now(&mut scheduler);
+    let answered =
+        scheduler.host.0.iter().any(|call| matches!(call, Call::Reject(s, wait) if *s == slot && *wait > 0));
+    assert!(answered, "{:?}", scheduler.host.0);
+}
+
+#[test]
+fn a_worker_that_is_back_is_taken_for_cold() {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    advance(&mut scheduler, 2 * SECOND);
+    scheduler.worker_unreachable(first);
+    scheduler.host.1 = scheduler.now + SECOND;
+    advance(&mut scheduler, 2 * SECOND);
+    confirm(&mut scheduler, first);
+    assert_eq!(scheduler.workers[first].endpoint.started_at, scheduler.now);
+}
+
+#[test_case(SECOND, true; "a while later")]
+#[test_case(SECOND / 4, false; "at once")]
+fn a_connection_that_is_opened_anew_shows_a_restart(after: Time, restarted: bool) {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    advance(&mut scheduler, 2 * SECOND);
+    scheduler.worker_connection_lost(first);
+    scheduler.host.1 = scheduler.now + after;
+    advance(&mut scheduler, 2 * SECOND);
+    confirm(&mut scheduler, first);
+    assert_eq!(scheduler.workers[first].endpoint.started_at > 0, restarted);
+}
+
+#[test]
+fn load_requests_need_the_same_proof() {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    let load = |scheduler: &mut TestScheduler| scheduler.load_instances(0, 0, 1, true);
+    advance(&mut scheduler, HOLDS);
+    assert!(!load(&mut scheduler));
+    confirm(&mut scheduler, first);
+    assert!(load(&mut scheduler));
+}
+
+/// Without health checks and queries nothing can be asked that is exempt: attempts go on.
+#[test]
+fn where_nothing_may_be_asked_the_service_goes_on() {
+    let mut scheduler = scheduler_with(4, &[("extra.orders", "false"), ("extra.if-cold", "load")]);
+    load_first(&mut scheduler, 0, 1);
+    scheduler.endpoint_list_confirmed(NOW, NOW);
+    advance(&mut scheduler, 10 * SECOND);
+    send_now(&mut scheduler);
+    assert_eq!(attempted_workers(&scheduler).len(), 1);
+}
--- a/src/choice/tests/help.rs
+++ b/src/choice/tests/help.rs
@@ -15,9 +15,9 @@
     Timer(Time, u64),
 }
 
-/// Records what a scheduler calls for.
+/// Records what a scheduler calls for; beside it since when connections to workers stand.
 #[derive(Default)]
-pub struct Calls(pub Vec<Call>);
+pub struct Calls(pub Vec<Call>, pub Time);
 
 impl SchedulerActions for Calls {
     fn send_attempt(&mut self, slot: RequestSlot, worker_id: WorkerId, _timeout: Time) {
@@ -55,6 +55,9 @@
     }
     fn poll_endpoints(&mut self) {}
     fn send_to_peers(&mut self, _peer: Option<u32>, _bytes: &[u8]) {}
+    fn connected_since(&self, _worker_id: WorkerId) -> Time {
+        self.1
+    }
     fn log_note(&mut self, _text: &str) {}
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -33,6 +33,10 @@
     pub overload_window: Time,
     /// The endpoint list comes only on request.
     pub endpoints_on_request: bool,
+    /// How long after a worker began to drain work may still go to it.
+    pub drain_grace: Time,
+    /// Health checks are allowed.
+    pub may_check_health: bool,
     /// Load requests are allowed.
     pub may_load: bool,
     /// Rate limit of load requests.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,6 +49,28 @@
     Miss,
 }
 
+/// What a worker was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// To execute a request.
+    Attempt,
+    /// To load instances of a function.
+    LoadRequest,
+    /// How many instances of a function it has.
+    InstanceQuery,
+    /// Whether it is healthy.
+    HealthCheck,
+}
+
+/// What a worker's own answers changed while the endpoint list was overdue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServiceChange {
+    /// It denied service, or did not answer: it is passed over.
+    Denied,
+    /// It is back after it was away, and taken for cold.
+    StartPresumed,
+}
+
 /// State of a worker in the endpoint list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EndpointState {
@@ -137,6 +159,16 @@
     fn poll_endpoints(&mut self);
     /// Sends a message to one gateway of the fleet, or to all.
     fn send_to_peers(&mut self, peer: Option<u32>, bytes: &[u8]);
+    /// Attempts and load requests that have not left for a worker by then do not leave: they rest on what is known of its
+    /// being in service. Where lists have no age there is nothing to do.
+    fn limit_departures(&mut self, _worker: WorkerId, _until: Time) {}
+    /// Since when a connection to the worker has stood without a break; `Time::MAX` where none does. A worker cannot have
+    /// restarted unnoticed within that time.
+    fn connected_since(&self, _worker: WorkerId) -> Time {
+        0
+    }
+    /// What a worker's own answers changed, for the log.
+    fn service_changed(&mut self, _worker: WorkerId, _change: ServiceChange) {}
     /// Writes a line to the log.
     fn log_note(&mut self, text: &str);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,8 @@
 //! knows a wire.
 //!
 //! `choice` decides, `interface` is what it is called with and acts by. `settings` reads settings by name and
-//! `config` holds them; `scheduler`, `state`, `workers`, `endpoint_changes` and `load_history` are what is remembered; `lifecycle` and
+//! `config` holds them; `scheduler`, `state`, `workers`,
+//! `service_evidence`, `endpoint_changes` and `load_history` are what is remembered; `lifecycle` and
 //! `endpoint_list` carry out what follows from a decision or an endpoint list; `counter`, `random` and
 //! `interner` are helpers.
 pub mod choice;
@@ -16,6 +17,7 @@
 mod load_history;
 pub mod random;
 pub mod scheduler;
+pub mod service_evidence;
 pub mod settings;
 pub mod state;
 pub mod workers;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::interface::{EndpointState, FunctionId, RequestSlot, Time, WorkerId};
 use crate::load_history::LoadHistory;
 use crate::random::RandomGenerator;
+use crate::service_evidence::EndpointListAge;
 use crate::state::{Counter, Function, InstanceState, Placement, Request, Worker};
 use crate::workers::Workers;
 use slab::Slab;
@@ -27,6 +28,8 @@
     pub(crate) classes: Vec<RequestClass>,
     pub(crate) tenants: Vec<Tenant>,
     pub(crate) workers: Workers,
+    /// How recent the endpoint list is.
+    pub(crate) endpoint_list: EndpointListAge,
     /// What the endpoint list changed that not all functions have taken in.
     pub(crate) endpoint_changes: EndpointChanges,
     pub(crate) functions: Vec<Function>,
@@ -65,6 +68,7 @@
             classes,
             tenants,
             workers: Workers::default(),
+            endpoint_list: EndpointListAge::default(),
             endpoint_changes: EndpointChanges::default(),
             functions: Vec::new(),
             requests: Slab::new(),
@@ -138,7 +142,7 @@
     }
 
     /// Listed as active, and not ejected.
-    pub(crate) fn is_available(&self, worker_id: WorkerId) -> bool {
+    pub(crate) fn is_listed_available(&self, worker_id: WorkerId) -> bool {
         self.workers[worker_id].is_active() && self.workers[worker_id].ejected_until <= self.now
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -85,6 +85,8 @@
             overload_tolerance: self.number("rules.tip-multiple"),
             overload_window: self.duration("rules.overload-for-ms"),
             endpoints_on_request: self.is("discovery", "on_request"),
+            drain_grace: self.duration("rules.drain-grace-ms"),
+            may_check_health: self.is("allowed.probes", "true"),
             may_load,
             load_limit: LoadRequestLimit {
                 window: self.duration("extra.load-window-ms"),
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use crate::counter::SlidingCounter;
 use crate::interface::{Endpoint, EndpointState, Outcome, RequestInfo, Time, WorkerId};
 use crate::random::mix_hashes;
+use crate::service_evidence::ServiceEvidence;
 use std::collections::VecDeque;
 
 /// A count over the window by which the decisions measure rates.
@@ -42,6 +43,8 @@
     pub slow_start_attempts: VecDeque<(Time, usize)>,
     /// Where between 0 and 1 this gateway rounds its share of a worker in slow start up.
     pub slow_start_rounding: f64,
+    /// What its own answers say of its being in service.
+    pub service: ServiceEvidence,
 }
 
 impl Worker {
@@ -238,6 +241,8 @@
     pub second: Option<usize>,
     /// Where the rotation goes on if one of them is used.
     pub next_rotation: usize,
+    /// It stands behind those that the function is to have.
+    pub is_beyond: bool,
 }
 
 /// Where an attempt stands, and after its end whether the request may have been executed.
@@ -319,6 +324,8 @@
     pub waiting: bool,
     /// The workers for whose load checks it waits.
     pub load_checks: [WorkerId; 2],
+    /// It waits for a worker to confirm that it is in service.
+    pub awaits_confirmation: bool,
     /// Instances added for it.
     pub instances_added: u32,
     /// When the last one was added.
