Soak: long outages of discovery with drains, returns, series of signals and crowds

Hosts of the soak never turned work away for draining, never stayed up past the telling, and a change in a trouble of the board counted as told 7 s after the change instead of 7 s after the trouble began; load requests to draining hosts were not judged at all.

The told time follows the kind of trouble; load requests are judged.

--- a/crates/tidewall-soak/src/judge.rs
+++ b/crates/tidewall-soak/src/judge.rs
@@ -104,13 +104,19 @@
         if attempt.timeout_ms * 10 > remaining + TIMEOUT_SLACK + lag {
             problems.push(format!("lost, passed on {} ms", attempt.timeout_ms));
         }
-        let drained = record.drained[attempt.group];
-        if drained.is_some_and(|at| attempt.at > at + DRAIN_GRACE + SLACK + lag) {
+        if is_sent_after_drain(record, attempt.group, attempt.at) {
             problems.push("drain".to_string());
         }
     }
 }
 
+/// Whether work came to a host of the group after it counts as known that it takes none, and the grace.
+fn is_sent_after_drain(record: &Record, group: usize, at: u64) -> bool {
+    let late = DRAIN_GRACE + SLACK + own_lag(record, at);
+    let mut drained = record.drained[group].iter();
+    drained.any(|(told, until)| at > told + late && at < *until)
+}
+
 fn own_lag(record: &Record, at: u64) -> u64 {
     let near = |(when, _): &&(u64, u64)| when.abs_diff(at) < 10_000;
     record
@@ -145,6 +151,12 @@
 
 fn judge_load_requests(record: &Record, broken: &mut Vec<String>) {
     for (index, last) in record.load_requests.iter().enumerate() {
+        if is_sent_after_drain(record, last.group, last.at) {
+            let (gateway, group, at) = (last.gateway, last.group, last.at);
+            broken.push(format!(
+                "drain: load request of n{gateway} to group {group} at {at}"
+            ));
+        }
         let of_gateway = |at: u64| at + LOAD_WINDOW > last.at && at <= last.at;
         let sent = record.load_requests[..=index]
             .iter()
--- a/crates/tidewall-soak/src/main.rs
+++ b/crates/tidewall-soak/src/main.rs
@@ -31,6 +31,9 @@
     /// How long each seed is played.
     #[arg(long, default_value_t = 20)]
     seconds: u64,
+    /// Plans about a long outage of discovery, with drains, series of signals and crowds in it.
+    #[arg(long)]
+    outages: bool,
     /// Where the record of a failing seed is kept.
     #[arg(long, default_value = "target/soak")]
     records: String,
@@ -59,7 +62,12 @@
     }
     let mut failed = 0;
     for seed in seeds {
-        let plan = Plan::draw(seed, arguments.gateways, arguments.seconds);
+        let draw = if arguments.outages {
+            Plan::draw_outage
+        } else {
+            Plan::draw
+        };
+        let plan = draw(seed, arguments.gateways, arguments.seconds);
         match play(&plan, Path::new(&arguments.records)) {
             Ok(broken) => failed += u32::from(broken > 0),
             Err(error) => {
@@ -120,11 +128,12 @@
         .count();
     let attempts: usize = record.calls.iter().map(|call| call.attempts.len()).sum();
     println!(
-        "seed {}: {} gateways, {} hosts a group, {} functions, waits of {:?} ms, {} of 10,000 system calls fail, {} faults; {} calls, {answered} \
+        "seed {}: {} gateways, {} calls a second, {} hosts a group, {} functions, waits of {:?} ms, {} of 10,000 system calls fail, {} faults; {} calls, {answered} \
          answered, {served} served, {attempts} attempts, {} load requests; excused: {} killed, {} crossed a close; own lag up to {}; \
          {} broken",
         plan.seed,
         plan.gateways,
+        plan.rate,
         plan.group_size,
         plan.functions,
         plan.patience_ms,
--- a/crates/tidewall-soak/src/plan.rs
+++ b/crates/tidewall-soak/src/plan.rs
@@ -23,8 +23,17 @@
     Release,
     /// The board answers nothing for so long.
     BoardSilent(u64),
+    /// All connections to the board are reset, and new ones as they come, for so long.
+    BoardDrops(u64),
     /// All connections to the board are reset.
     BoardReset,
+    /// The group at this position drains and stays up for so long, turning all work away; it is gone for so long, and comes back
+    /// empty and cold.
+    Drain(usize, u64, u64),
+    /// Several new configurations in a row, each with SIGHUP; the last of them names the board that was there before.
+    ReloadSeries(usize),
+    /// SIGTERM to a gateway, and SIGHUP behind it, twice.
+    RestartSeries(usize),
     /// A new configuration with another board's address, and SIGHUP.
     Reload(usize),
     /// SIGTERM to a gateway, SIGKILL as early as the page allows, and a start.
@@ -56,15 +65,51 @@
     pub patience_ms: Range<u64>,
     /// Of 10,000 system calls so many fail or are cut short.
     pub call_failures: u64,
+    /// Client connections to each gateway: many where a crowd comes.
+    pub connections: usize,
+    /// What the settings allow to be asked, and how hosts that drain answer it.
+    pub drain_answers: DrainAnswers,
     /// How long calls are sent, in tenths of a millisecond.
     pub length: u64,
     /// The faults, by time.
     pub faults: Vec<(u64, Fault)>,
 }
 
+/// How hosts that drain answer what the drain rule exempts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum DrainAnswers {
+    /// Health checks are allowed, and answered `no`.
+    Unhealthy,
+    /// Health checks are allowed and answered `yes`, queries for instances `refused`.
+    QueryRefused,
+    /// Health checks are not allowed.
+    QueryRefusedOnly,
+}
+
+/// Client connections to a gateway; where a crowd comes, and so many times the calls.
+const CONNECTIONS: usize = 6;
+const CROWD_CONNECTIONS: usize = 30;
+const CROWD_RATE: u64 = 5;
+
 /// Faults a second in the mean: several at a time, as most last.
 const FAULTS_A_SECOND: f64 = 1.5;
 
+/// The kinds of plans about outages of discovery with their weights.
+const OUTAGE_WEIGHTS: [(u32, Kind); 9] = [
+    (4, Kind::Drain),
+    (2, Kind::Restart),
+    (2, Kind::RestartSeries),
+    (2, Kind::ReloadSeries),
+    (1, Kind::Kill),
+    (1, Kind::Pause),
+    (1, Kind::HostsReset),
+    (1, Kind::HostsCloseIdle),
+    (1, Kind::ClockStep),
+];
+
+/// Faults a second beside an outage.
+const FAULTS_IN_AN_OUTAGE: f64 = 0.7;
+
 /// The kinds with their weights. Releases and restarts are what most of the rules are about.
 const WEIGHTS: [(u32, Kind); 12] = [
     (2, Kind::HostsHang),
@@ -95,6 +140,9 @@
     Pause,
     ClockStep,
     Garbage,
+    Drain,
+    ReloadSeries,
+    RestartSeries,
 }
 
 impl Plan {
@@ -117,10 +165,12 @@
         let count = ((length - quiet) as f64 / SECOND as f64 * FAULTS_A_SECOND) as usize;
         for _ in 0..count.max(1) {
             let at = random.random_range(quiet..length);
-            faults.push((at, draw_fault(&mut random, gateways)));
+            faults.push((at, draw_fault(&mut random, &WEIGHTS, gateways)));
         }
         faults.sort_by_key(|(at, _)| *at);
         Plan {
+            connections: CONNECTIONS,
+            drain_answers: DrainAnswers::Unhealthy,
             seed,
             gateways,
             group_size: [10, 40, 640][random.random_range(0..3)],
@@ -133,16 +183,64 @@
         }
     }
 
+    /// The plan of a seed about a long outage of discovery: workers drain, leave and come back, and gateways restart in it. One in
+    /// four has a crowd.
+    pub fn draw_outage(seed: u64, gateways: usize, seconds: u64) -> Plan {
+        let base = Plan::draw(seed, gateways, seconds);
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x0a7a6e);
+        let length = base.length;
+        let begins = random.random_range(SECOND..length / 4);
+        let span = random.random_range(length / 3..length * 3 / 4);
+        let outage = if random.random_bool(0.5) {
+            Fault::BoardSilent(span)
+        } else {
+            Fault::BoardDrops(span)
+        };
+        let drains = Fault::Drain(0, random.random_range(length / 4..length), SECOND);
+        let mut faults = vec![
+            (begins, outage),
+            (begins + random.random_range(0..3 * SECOND), drains),
+        ];
+        let count = (length as f64 / SECOND as f64 * FAULTS_IN_AN_OUTAGE) as usize;
+        for _ in 0..count {
+            let at = random.random_range(SECOND / 2..length);
+            faults.push((at, draw_fault(&mut random, &OUTAGE_WEIGHTS, gateways)));
+        }
+        faults.sort_by_key(|(at, _)| *at);
+        let has_crowd = seed % 4 == 3;
+        Plan {
+            faults,
+            group_size: [2, 3, 10][random.random_range(0..3)],
+            functions: 40,
+            connections: if has_crowd {
+                CROWD_CONNECTIONS
+            } else {
+                CONNECTIONS
+            },
+            rate: if has_crowd {
+                CROWD_RATE * base.rate
+            } else {
+                base.rate
+            },
+            drain_answers: [
+                DrainAnswers::Unhealthy,
+                DrainAnswers::QueryRefused,
+                DrainAnswers::QueryRefusedOnly,
+            ][random.random_range(0..3)],
+            ..base
+        }
+    }
+
     /// The longest deadline, in tenths of a millisecond.
     pub fn longest_deadline(&self) -> u64 {
         self.patience_ms.end * 10
     }
 }
 
-fn draw_fault(random: &mut ChaCha8Rng, gateways: usize) -> Fault {
-    let total: u32 = WEIGHTS.iter().map(|(weight, _)| weight).sum();
+fn draw_fault(random: &mut ChaCha8Rng, weights: &[(u32, Kind)], gateways: usize) -> Fault {
+    let total: u32 = weights.iter().map(|(weight, _)| weight).sum();
     let mut drawn = random.random_range(0..total);
-    let kind = WEIGHTS.iter().find(|(weight, _)| {
+    let kind = weights.iter().find(|(weight, _)| {
         let found = drawn < *weight;
         drawn = drawn.saturating_sub(*weight);
         found
@@ -165,5 +263,11 @@
             Fault::ClockStep(steps[random.random_range(0..steps.len())])
         }
         Kind::Garbage => Fault::Garbage(gateway),
+        Kind::Drain => {
+            let stays = random.random_range(4 * SECOND..16 * SECOND);
+            Fault::Drain(group, stays, random.random_range(SECOND / 2..3 * SECOND))
+        }
+        Kind::ReloadSeries => Fault::ReloadSeries(gateway),
+        Kind::RestartSeries => Fault::RestartSeries(gateway),
     }
 }
--- a/crates/tidewall-soak/src/record.rs
+++ b/crates/tidewall-soak/src/record.rs
@@ -78,6 +78,8 @@
 pub struct LoadRequest {
     /// The gateway that sent it.
     pub gateway: usize,
+    /// The host's group.
+    pub group: usize,
     /// When.
     pub at: u64,
 }
@@ -89,8 +91,8 @@
     pub calls: Vec<Call>,
     /// Load requests, by time.
     pub load_requests: Vec<LoadRequest>,
-    /// By group: when it was told to drain, and until when a gateway need not know.
-    pub drained: Vec<Option<u64>>,
+    /// By group: spans in which it takes no work, from when that counts as told until it comes back.
+    pub drained: Vec<Vec<(u64, u64)>>,
     /// Gateways that ended by themselves without being told to, with what they said.
     pub crashes: Vec<String>,
     /// Violations that gateways counted themselves.
--- a/crates/tidewall-soak/src/settings.rs
+++ b/crates/tidewall-soak/src/settings.rs
@@ -1,5 +1,5 @@
 //! The configuration that a gateway of the soak is started with.
-use crate::plan::Plan;
+use crate::plan::{DrainAnswers, Plan};
 use std::net::SocketAddr;
 
 /// The configuration file's text.
@@ -32,11 +32,12 @@
  "known":{{"rev":1,"notices":[{list}]}},
  "settings":{{"me":{gateway},"siblings":{gateways},"tick-ms":1.0,"zones":["za","zb"],"kinds":["k"],"discovery":"pushed",
  "allowed":{{"connect-timeout-ms":250.0,"keepalive-ms":30000.0,"max-attempts":3,"most-held":1000,"streams-per-conn":32,
-  "cancel":true,"may-duplicate":true,"retry-after":true,"max-retry-after-ms":500.0,"probes":false}},
+  "cancel":true,"may-duplicate":true,"retry-after":true,"max-retry-after-ms":500.0,"probes":{probes}}},
  "deductions":{{"connection":0.01}},"rules":{{"drain-grace-ms":2000.0,"cold-ms":8000.0,"cold-from":0.3,"tip-multiple":2.5,
   "overload-for-ms":1500.0}},"reporting":{{"how":"none","names":[]}},"classes":[{classes}],
  "extra":{{"orders":true,"order-timeout-ms":4000.0,"if-cold":"miss","stays-loaded-ms":10000.0,"load-window-ms":10000.0,
   "free-loads":4,"load-share":0.2}}}}}}"#,
+        probes = plan.drain_answers != DrainAnswers::QueryRefusedOnly,
         seed = plan.seed * 100 + gateway as u64 + 1
     )
 }
--- a/crates/tidewall-soak/src/wire.rs
+++ b/crates/tidewall-soak/src/wire.rs
@@ -20,7 +20,7 @@
     Load,
     /// How many instances there are.
     Count,
-    /// A probe.
+    /// A health check.
     Probe,
 }
 
@@ -62,9 +62,11 @@
     format!("{trace:016x} {word} - 0\r\n\r\n")
 }
 
-/// The answer to a probe or a load request.
-pub fn host_answer(tag: &str, ask: Ask) -> String {
+/// The answer to a health check, a query or a load request; `denied` where the host says that it takes no work.
+pub fn host_answer(tag: &str, ask: Ask, denied: bool) -> String {
     match ask {
+        Ask::Probe if denied => format!("{tag} no gauges=q:0;rif:1 0\r\n\r\n"),
+        Ask::Load | Ask::Count if denied => format!("{tag} refused copies=0 0\r\n\r\n"),
         Ask::Probe => format!("{tag} yes gauges=q:0;rif:1 0\r\n\r\n"),
         Ask::Load | Ask::Count => format!("{tag} ok copies=1 0\r\n\r\n"),
     }
--- a/crates/tidewall-soak/src/world/clients.rs
+++ b/crates/tidewall-soak/src/world/clients.rs
@@ -1,5 +1,5 @@
 //! The clients: connections, calls, cancellations, and what becomes of calls whose connection ends.
-use super::{Client, Due, Owner, World, CONNECTIONS, CROSSING, MAX_OPEN, RECONNECT, TICK};
+use super::{Client, Due, Owner, World, CROSSING, MAX_OPEN, RECONNECT, TICK};
 use crate::plan::SECOND;
 use crate::record::{Call, Class, Excuse};
 use crate::wire;
@@ -16,7 +16,7 @@
                 self.next_call[gateway] = from + self.random.random_range(1..2 * mean);
                 self.send_call(gateway);
             }
-            for slot in 0..CONNECTIONS {
+            for slot in 0..self.plan.connections {
                 let client = &self.clients[gateway][slot];
                 let told_long_ago = self.gateways[gateway]
                     .stopping_at
@@ -32,8 +32,9 @@
 
     pub(super) fn send_call(&mut self, gateway: usize) {
         let usable = |client: &Client| client.ready && client.open.len() < MAX_OPEN;
-        let first = self.random.random_range(0..CONNECTIONS);
-        let slots = (0..CONNECTIONS).map(|offset| (first + offset) % CONNECTIONS);
+        let connections = self.plan.connections;
+        let first = self.random.random_range(0..connections);
+        let slots = (0..connections).map(|offset| (first + offset) % connections);
         let Some(slot) = slots
             .into_iter()
             .find(|slot| usable(&self.clients[gateway][*slot]))
--- a/crates/tidewall-soak/src/world/faults.rs
+++ b/crates/tidewall-soak/src/world/faults.rs
@@ -1,5 +1,8 @@
 //! The faults of the plan, carried out.
-use super::{Due, Owner, World, BOARD_TROUBLE, OLD_BOARD_CLOSES};
+use super::{
+    Due, Owner, World, ASKS_AGAIN, OLD_BOARD_CLOSES, TOLD_AFTER_RELOAD, TOLD_AFTER_RESET,
+    TOLD_IN_OUTAGE,
+};
 use crate::plan::{Fault, SECOND};
 use std::os::unix::fs::FileExt;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -18,23 +21,34 @@
             Fault::HostsCloseIdle(position) => self.end_host_connections(position, true),
             Fault::Release => self.release(),
             Fault::BoardSilent(span) => {
-                self.board_silent_until = now + span;
-                self.board_trouble_at = Some(now + span);
+                self.board_silent_until = self.board_silent_until.max(now + span);
+                self.board_trouble(now + span, now + TOLD_IN_OUTAGE);
+            }
+            Fault::BoardDrops(span) => {
+                self.board_drops_until = self.board_drops_until.max(now + span);
+                self.board_trouble(now + span, now + TOLD_IN_OUTAGE);
+                self.reset_where(|owner| matches!(owner, Owner::Board { .. }));
             }
             Fault::BoardReset => {
-                self.board_trouble_at = Some(now);
+                self.board_trouble(now, now + TOLD_AFTER_RESET);
                 self.reset_where(|owner| matches!(owner, Owner::Board { .. }));
             }
-            Fault::Reload(gateway) => {
-                let old = self.boards[gateway].which;
-                self.boards[gateway].which = 1 - old;
-                self.board_trouble_at = Some(now);
-                let list = self.boards[gateway].notices[0].1.clone();
-                self.configure(gateway, &list);
-                if self.gateways[gateway].stopping_at.is_none() {
-                    self.gateways[gateway].signal(libc::SIGHUP);
+            Fault::Reload(gateway) => self.reload(gateway),
+            Fault::ReloadSeries(gateway) => {
+                self.reload(gateway);
+                self.later(now + SECOND / 50, Due::Reload(gateway));
+                self.later(now + SECOND / 4, Due::Reload(gateway));
+                self.later(now + SECOND / 2, Due::Reload(gateway));
+            }
+            Fault::RestartSeries(gateway) => {
+                self.terminate(gateway);
+                self.later(now + SECOND / 50, Due::Signal(gateway, libc::SIGHUP));
+                self.later(now + SECOND / 4, Due::Signal(gateway, libc::SIGHUP));
+            }
+            Fault::Drain(position, stays, away) => {
+                if let Some(group) = self.up_group(position) {
+                    self.drain(group, stays, away);
                 }
-                self.later(now + OLD_BOARD_CLOSES, Due::CloseOldBoard(gateway, old));
             }
             Fault::Restart(gateway) => self.terminate(gateway),
             Fault::Kill(gateway) => {
@@ -50,14 +64,7 @@
                     self.later(now + span, Due::Continue(gateway));
                 }
             }
-            Fault::ClockStep(seconds) => {
-                let file = std::fs::OpenOptions::new()
-                    .write(true)
-                    .open(&self.clock_file);
-                let file = file.expect("the temporary folder can be written");
-                file.write_all_at(&seconds.to_ne_bytes(), 0)
-                    .expect("it can be written");
-            }
+            Fault::ClockStep(seconds) => self.step_clocks(seconds),
             Fault::Garbage(gateway) => {
                 let conn = self.net.connect(self.gateways[gateway].address, SECOND);
                 self.owners.insert(conn, Owner::Garbage);
@@ -65,6 +72,57 @@
         }
     }
 
+    /// The wall clocks of all gateways are off by so many seconds.
+    fn step_clocks(&self, seconds: i64) {
+        let file = std::fs::OpenOptions::new()
+            .write(true)
+            .open(&self.clock_file);
+        let file = file.expect("the temporary folder can be written");
+        file.write_all_at(&seconds.to_ne_bytes(), 0)
+            .expect("it can be written");
+    }
+
+    fn drain(&mut self, group: usize, stays: u64, away: u64) {
+        let now = self.now();
+        self.groups[group].state = "draining";
+        let told_at = self.told_at(now);
+        self.record.drained[group].push((told_at, u64::MAX));
+        self.tell(&[group]);
+        self.later(now + stays, Due::GroupLeaves(group, away));
+    }
+
+    /// Changes up to `until`, and until gateways have asked again, count as told by `told_by` at the latest.
+    fn board_trouble(&mut self, until: u64, told_by: u64) {
+        self.board_troubles.push((until + ASKS_AGAIN, told_by));
+    }
+
+    /// By when a change that the boards hold from now on counts as told.
+    fn told_at(&self, now: u64) -> u64 {
+        let troubles = self.board_troubles.iter().filter(|(until, _)| now < *until);
+        troubles.map(|(_, told_by)| *told_by).fold(now, u64::max)
+    }
+
+    /// A new configuration that names the gateway's other board, and SIGHUP.
+    fn reload(&mut self, gateway: usize) {
+        let now = self.now();
+        let old = self.boards[gateway].which;
+        self.boards[gateway].which = 1 - old;
+        self.board_trouble(now, now + TOLD_AFTER_RELOAD);
+        let list = self.boards[gateway].notices[0].1.clone();
+        self.configure(gateway, &list);
+        if self.gateways[gateway].stopping_at.is_none() {
+            self.gateways[gateway].signal(libc::SIGHUP);
+        }
+        self.later(now + OLD_BOARD_CLOSES, Due::CloseOldBoard(gateway, old));
+    }
+
+    /// A group that drained ends: its connections are reset.
+    fn leave(&mut self, group: usize) {
+        self.groups[group].state = "removed";
+        self.tell(&[group]);
+        self.reset_where(|owner| matches!(owner, Owner::Host { group: own, .. } if *own == group));
+    }
+
     /// The group at a position of those that are up.
     pub(super) fn up_group(&self, position: usize) -> Option<usize> {
         let mut up = self
@@ -85,16 +143,8 @@
         self.groups[next].started_ms = unix.map_or(0, |unix| unix.as_millis() as u64);
         self.groups[next].state = "up";
         self.groups[oldest].state = "draining";
-        let silent = now < self.board_silent_until;
-        let troubled = self
-            .board_trouble_at
-            .is_some_and(|at| now < at + BOARD_TROUBLE);
-        let told_at = if silent || troubled {
-            now + BOARD_TROUBLE
-        } else {
-            now
-        };
-        self.record.drained[oldest] = Some(told_at);
+        let told_at = self.told_at(now);
+        self.record.drained[oldest].push((told_at, u64::MAX));
         self.tell(&[oldest, next]);
         // Well after the grace period, also where it is told late.
         self.later(told_at + 3 * SECOND, Due::GroupGone(oldest));
@@ -148,11 +198,23 @@
                 }
             }
             Due::ClientLeaves(trace, conn, tag) => self.client_leaves(trace, conn, tag),
-            Due::GroupGone(group) => {
-                self.groups[group].state = "removed";
+            Due::GroupGone(group) => self.leave(group),
+            Due::GroupLeaves(group, away) => {
+                self.leave(group);
+                self.later(self.now() + away, Due::GroupReturns(group));
+            }
+            Due::GroupReturns(group) => {
+                let now = self.now();
+                let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+                self.groups[group].started_ms = unix.map_or(0, |unix| unix.as_millis() as u64);
+                self.groups[group].state = "up";
+                if let Some((_, until)) = self.record.drained[group].last_mut() {
+                    *until = now;
+                }
                 self.tell(&[group]);
-                self.reset_where(|owner| matches!(owner, Owner::Host { group: own, .. } if *own == group));
             }
+            Due::Reload(gateway) => self.reload(gateway),
+            Due::Signal(gateway, signal) => self.gateways[gateway].signal(signal),
             Due::Continue(gateway) => self.gateways[gateway].signal(libc::SIGCONT),
             Due::KillStopping(gateway, told_at) => {
                 // It may have ended, started and been told again.
@@ -162,9 +224,13 @@
                     self.collect_violations(gateway);
                 }
             }
-            Due::CloseOldBoard(gateway, old) => self.reset_where(|owner| {
-                matches!(owner, Owner::Board { gateway: own, which, .. } if *own == gateway && *which == old)
-            }),
+            // Another reload may have made it the present one again.
+            Due::CloseOldBoard(gateway, old) if self.boards[gateway].which != old => {
+                self.reset_where(|owner| {
+                    matches!(owner, Owner::Board { gateway: own, which, .. } if *own == gateway && *which == old)
+                });
+            }
+            Due::CloseOldBoard(..) => {}
         }
     }
 }
--- a/crates/tidewall-soak/src/world/hosts.rs
+++ b/crates/tidewall-soak/src/world/hosts.rs
@@ -1,5 +1,6 @@
 //! The hosts: what they read and what they answer.
 use super::{Due, World};
+use crate::plan::DrainAnswers;
 use crate::record::{Attempt, LoadRequest};
 use crate::wire::{self, Ask, HostLine};
 use rand::Rng;
@@ -23,12 +24,14 @@
                 }
                 HostLine::Ask(tag, ask) => {
                     if ask == Ask::Load {
-                        self.record
-                            .load_requests
-                            .push(LoadRequest { gateway, at: now });
+                        self.record.load_requests.push(LoadRequest {
+                            gateway,
+                            group,
+                            at: now,
+                        });
                     }
                     if now >= self.groups[group].hangs_until {
-                        let text = wire::host_answer(&tag, ask);
+                        let text = wire::host_answer(&tag, ask, self.denies(group, ask));
                         self.later(now + 100, Due::HostAnswer(conn, u64::MAX, text));
                     }
                 }
@@ -38,11 +41,21 @@
         used
     }
 
+    /// Whether a host of the group says that it takes no work.
+    fn denies(&self, group: usize, ask: Ask) -> bool {
+        let is_told_by = match self.plan.drain_answers {
+            DrainAnswers::Unhealthy => Ask::Probe,
+            DrainAnswers::QueryRefused | DrainAnswers::QueryRefusedOnly => Ask::Count,
+        };
+        self.groups[group].state == "draining" && (ask == Ask::Load || ask == is_told_by)
+    }
+
     pub(super) fn attempted(&mut self, conn: Conn, group: usize, trace: u64, timeout_ms: u64) {
         let now = self.now();
         let chance = self.random.random_range(0..100);
         let hangs = now < self.groups[group].hangs_until;
         let word = match chance {
+            _ if !hangs && self.groups[group].state == "draining" => Some("refused"),
             0..3 if !hangs => Some("refused"),
             3..6 if !hangs => Some("nothing"),
             _ => None,
--- a/crates/tidewall-soak/src/world/mod.rs
+++ b/crates/tidewall-soak/src/world/mod.rs
@@ -21,15 +21,19 @@
 const TICK: u64 = 50;
 /// The soak's own delay is noted from 10 ms on.
 const NOTED_LAG: u64 = 100;
-/// Client connections to each gateway, and open calls on each.
-const CONNECTIONS: usize = 6;
+/// Open calls on each client connection.
 const MAX_OPEN: usize = 30;
 /// A client connects again after this.
 const RECONNECT: u64 = 2_000;
 /// What crosses a close within 50 ms is sent once more, so it is no loss.
 const CROSSING: u64 = 500;
-/// What a troubled board has to tell counts as told 7 s after that began.
-const BOARD_TROUBLE: u64 = 70_000;
+/// What a board has to tell counts as told so long after its trouble began: 7 s where it is silent or drops what comes, 2 s after
+/// connections broke once, 4 s after a reload.
+const TOLD_IN_OUTAGE: u64 = 70_000;
+const TOLD_AFTER_RESET: u64 = 20_000;
+const TOLD_AFTER_RELOAD: u64 = 40_000;
+/// After an outage a gateway asks again within this.
+const ASKS_AGAIN: u64 = 10_000;
 /// An old board closes its connections so long after SIGHUP.
 const OLD_BOARD_CLOSES: u64 = 15_000;
 /// SIGKILL comes so long after SIGTERM, and the longest deadline of at most 3 s.
@@ -89,6 +93,11 @@
     HostAnswer(Conn, u64, String),
     ClientLeaves(usize, Conn, u64),
     GroupGone(usize),
+    /// The group leaves, and comes back after so long.
+    GroupLeaves(usize, u64),
+    GroupReturns(usize),
+    Reload(usize),
+    Signal(usize, i32),
     Continue(usize),
     /// The gateway, and when it was told to stop.
     KillStopping(usize, u64),
@@ -152,7 +161,9 @@
     groups: Vec<Group>,
     boards: Vec<Board>,
     board_silent_until: u64,
-    board_trouble_at: Option<u64>,
+    board_drops_until: u64,
+    /// Troubles of boards: until when changes fall into them, and by when those count as told.
+    board_troubles: Vec<(u64, u64)>,
     due: BTreeMap<(u64, u64), Due>,
     sequence: u64,
     next_fault: usize,
@@ -196,7 +207,7 @@
         let mut world = World {
             random: ChaCha8Rng::seed_from_u64(plan.seed ^ 0x5eed),
             record: Record {
-                drained: vec![None; LISTED_GROUPS + releases],
+                drained: vec![Vec::new(); LISTED_GROUPS + releases],
                 ..Record::default()
             },
             gateways,
@@ -205,12 +216,13 @@
             board_addresses,
             owners: HashMap::new(),
             clients: (0..plan.gateways)
-                .map(|_| (0..CONNECTIONS).map(|_| Client::default()).collect())
+                .map(|_| (0..plan.connections).map(|_| Client::default()).collect())
                 .collect(),
             groups: groups.collect(),
             boards: (0..plan.gateways).map(|_| Board::default()).collect(),
             board_silent_until: 0,
-            board_trouble_at: None,
+            board_drops_until: 0,
+            board_troubles: Vec::new(),
             due: BTreeMap::new(),
             sequence: 0,
             next_fault: 0,
@@ -318,7 +330,10 @@
                 };
                 self.owners.insert(conn, owner);
             }
-            Some(Place::Board { gateway, which }) if *which == self.boards[*gateway].which => {
+            Some(Place::Board { gateway, which })
+                if *which == self.boards[*gateway].which
+                    && self.net.now() >= self.board_drops_until =>
+            {
                 let owner = Owner::Board {
                     gateway: *gateway,
                     which: *which,
