--- a/crates/tidewall-cli/tests/discovery_outage.rs
+++ b/crates/tidewall-cli/tests/discovery_outage.rs
@@ -5,7 +5,6 @@
 //! Cause: the last endpoint list held without end. Nothing that rests on it asked how old it was.
 //! Proof: below, by what hosts and clients of real processes saw; each scenario broke on the text before the repair.
 mod help;
-#[path = "help/outage.rs"]
 mod outage;
 
 use help::ms;
--- /dev/null
+++ b/crates/tidewall-cli/tests/outage/mod.rs
@@ -0,0 +1,248 @@
+//! A fleet of the shipped program on the platform whose boards can be taken out of reach while its hosts drain, leave and come
+//! back. Hosts and clients note what they see; the rules are judged from that alone.
+mod boards;
+mod calls;
+mod hosts;
+
+pub use boards::{Board, Reach};
+pub use hosts::{Host, TellsDrain};
+
+use crate::help::*;
+use calls::{send_calls, Calls, PATIENCE};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What the board would have told counts as told so long after it went out of reach, at the latest.
+pub const TOLD_AFTER: Duration = ms(7_000);
+/// The drain grace period of the settings, the platform's slack, and what this rig itself may be late.
+pub const DRAIN_GRACE: Duration = ms(2_000);
+pub const SLACK: Duration = ms(150);
+
+/// Slow start by the settings: how long, from which share of the capacity, and when a worker is overloaded.
+const SLOW_START: Duration = ms(15_000);
+const OVERLOAD_WINDOW: Duration = ms(1_500);
+const OVERLOAD_TOLERANCE: f64 = 1.5;
+const INITIAL_SHARE: f64 = 0.1;
+
+const OUTAGE_SETTINGS: &str = r#"{"me":INDEX,"siblings":3,"tick-ms":1.0,"zones":["z"],"kinds":["k"],"discovery":"pushed",
+ "allowed":{"connect-timeout-ms":250.0,"keepalive-ms":30000.0,"max-attempts":3,"most-held":1000,"streams-per-conn":32,
+  "cancel":true,"may-duplicate":true,"retry-after":true,"max-retry-after-ms":500.0,"probes":true},
+ "deductions":{"connection":0.01},"rules":{"drain-grace-ms":2000.0,"cold-ms":15000.0,"cold-from":0.1,"tip-multiple":1.5,
+  "overload-for-ms":1500.0},"reporting":{"how":"probe","names":["q","rif"]},
+ "classes":[{"name":"check","aim-ms":400.0,"deadline-ms":700.0,"worth":1.0,"semantics":"read_like"},
+  {"name":"record","aim-ms":400.0,"deadline-ms":700.0,"worth":2.0,"semantics":"idempotency_key","group":"zone","window-ms":4000.0}],
+ "extra":{"orders":true,"order-timeout-ms":4000.0,"if-cold":"miss","stays-loaded-ms":20000.0,"load-window-ms":10000.0,
+  "free-loads":4,"load-share":0.2}}"#;
+
+/// Attempts that may come in a window that ends so long after a host's start, where a warm host gets so many a second.
+fn most_in_window(warm: f64, age: Duration) -> f64 {
+    let part = (age.as_secs_f64() / SLOW_START.as_secs_f64()).min(1.0);
+    let share = INITIAL_SHARE + (1.0 - INITIAL_SHARE) * part;
+    let capacity = warm * share * OVERLOAD_TOLERANCE * OVERLOAD_WINDOW.as_secs_f64();
+    // The platform's room for chance.
+    let (roots, more) = if capacity < 30.0 {
+        (3.0, 3.0)
+    } else {
+        (2.0, 2.0)
+    };
+    capacity + roots * capacity.sqrt() + more
+}
+
+/// The fleet.
+pub struct Fleet {
+    pub gateways: Vec<Gateway>,
+    pub boards: Vec<Arc<Board>>,
+    pub hosts: Vec<Arc<Host>>,
+    places: Vec<(SocketAddr, tempfile::TempDir)>,
+    calls: Calls,
+    stop: Arc<AtomicBool>,
+    clients: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Fleet {
+    /// So many gateways and hosts, on loopback addresses that this test alone uses; calls come from now on.
+    pub fn start(last: u8, gateways: usize, hosts: usize, tells: TellsDrain) -> Fleet {
+        let hosts: Vec<_> = (0..hosts).map(|_| Host::start(tells, last)).collect();
+        let boards: Vec<_> = (0..gateways).map(|_| Board::start(free(last))).collect();
+        let places: Vec<_> = (0..gateways)
+            .map(|_| (address(last), tempfile::tempdir().unwrap()))
+            .collect();
+        let mut fleet = Fleet {
+            gateways: Vec::new(),
+            boards,
+            hosts,
+            places,
+            calls: Calls::default(),
+            stop: Arc::default(),
+            clients: Vec::new(),
+        };
+        for gateway in 0..gateways {
+            let process = fleet.process(gateway, fleet.boards[gateway].at);
+            fleet.gateways.push(process);
+        }
+        fleet.clients = (0..gateways)
+            .map(|gateway| fleet.calls_to(gateway))
+            .collect();
+        fleet
+    }
+
+    fn list(&self) -> String {
+        let entry = |(index, host): (usize, &Arc<Host>)| host.entry(index);
+        self.hosts
+            .iter()
+            .enumerate()
+            .map(entry)
+            .collect::<Vec<_>>()
+            .join(",")
+    }
+
+    /// Writes the gateway's configuration, with all hosts as they are now.
+    pub fn configure(&self, gateway: usize, board: SocketAddr) {
+        let (at, folder) = &self.places[gateway];
+        let settings = OUTAGE_SETTINGS.replace("INDEX", &gateway.to_string());
+        let text = config(*at, board, &self.list(), &settings, 512);
+        std::fs::write(folder.path().join("config.json"), text).unwrap();
+    }
+
+    fn process(&self, gateway: usize, board: SocketAddr) -> Gateway {
+        self.configure(gateway, board);
+        let (at, folder) = &self.places[gateway];
+        platform_at(*at, folder.path(), 512)
+    }
+
+    /// Kills the gateway and starts it again, with the list that it was started with first.
+    pub fn restart_gateway(&mut self, gateway: usize) {
+        self.gateways[gateway].kill();
+        let (at, folder) = &self.places[gateway];
+        self.gateways[gateway] = platform_at(*at, folder.path(), 512);
+    }
+
+    fn calls_to(&self, gateway: usize) -> std::thread::JoinHandle<()> {
+        let at = self.places[gateway].0;
+        send_calls(gateway, at, self.calls.clone(), self.stop.clone())
+    }
+
+    /// The board of every gateway changes so.
+    pub fn reach(&self, reach: Reach) {
+        self.boards.iter().for_each(|board| board.set(reach));
+    }
+
+    /// All boards hold the present state of these hosts; they tell it once they can be reached.
+    pub fn tell(&self, hosts: &[usize]) {
+        let entries: Vec<String> = hosts
+            .iter()
+            .map(|host| self.hosts[*host].entry(*host))
+            .collect();
+        self.boards
+            .iter()
+            .for_each(|board| board.tell(&entries.join(",")));
+    }
+
+    pub fn drain(&self, hosts: &[usize]) {
+        hosts.iter().for_each(|host| self.hosts[*host].drain());
+        self.tell(hosts);
+    }
+
+    /// No further calls; those that are out are waited for.
+    pub fn finish(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        self.clients
+            .drain(..)
+            .for_each(|client| client.join().unwrap());
+        std::thread::sleep(ms(PATIENCE + 600));
+    }
+
+    /// Work that was sent to draining hosts later than the told time and the grace allow; what the boards hold counts as
+    /// known from `known` on.
+    pub fn sent_after_drain(&self, known: Instant) -> Vec<String> {
+        let mut broken = Vec::new();
+        for (index, host) in self.hosts.iter().enumerate() {
+            let state = host.state.lock().unwrap();
+            let Some(drained) = state.drained_at else {
+                continue;
+            };
+            let last = drained.max(known) + DRAIN_GRACE + SLACK;
+            let until = state.restarted_at.unwrap_or(Instant::now());
+            let late = state
+                .work
+                .iter()
+                .filter(|(at, _)| *at > last && *at < until);
+            broken.extend(
+                late.map(|(at, kind)| format!("{kind} to s-{index}, {:?} too late", *at - last)),
+            );
+        }
+        broken
+    }
+
+    /// The share of the calls sent in this span that were served.
+    pub fn served(&self, from: Instant, to: Instant) -> f64 {
+        let calls = self.calls.lock().unwrap();
+        let sent = calls
+            .iter()
+            .filter(|call| call.at >= from && call.at < to && !call.cut);
+        let (mut all, mut served) = (0, 0);
+        for call in sent {
+            all += 1;
+            served += u32::from(call.answers.iter().any(|(_, word)| word == "OK"));
+        }
+        f64::from(served) / f64::from(all.max(1))
+    }
+
+    /// Calls without exactly one answer in time, at gateways that were not killed.
+    pub fn lost(&self, killed: &[usize]) -> Vec<String> {
+        let calls = self.calls.lock().unwrap();
+        let mut lost = Vec::new();
+        for (index, call) in calls.iter().enumerate().filter(|(_, call)| !call.cut) {
+            let due = call.at + ms(PATIENCE + 500);
+            let good = matches!(&call.answers[..], [(at, _)] if *at <= due);
+            if !good && !killed.contains(&call.gateway) {
+                lost.push(format!(
+                    "call {index} of n{}: {} answers",
+                    call.gateway,
+                    call.answers.len()
+                ));
+            }
+        }
+        lost
+    }
+
+    /// Windows in which a host that came back got more than a host in slow start takes.
+    pub fn overloaded(&self) -> Vec<String> {
+        let warm = self.warm_rate();
+        let mut broken = Vec::new();
+        for (index, host) in self.hosts.iter().enumerate() {
+            let state = host.state.lock().unwrap();
+            let Some(restarted) = state.restarted_at else {
+                continue;
+            };
+            let work = state.work.iter().map(|(at, _)| *at);
+            let work: Vec<Instant> = work.filter(|at| *at >= restarted).collect();
+            for (position, from) in work.iter().enumerate() {
+                let until = *from + OVERLOAD_WINDOW;
+                let count = work[position..].iter().filter(|at| **at < until).count();
+                let most = most_in_window(warm, until - restarted);
+                if count as f64 > most {
+                    let age = *from - restarted;
+                    broken.push(format!("s-{index}: {count} in a window, {most:.0} may come, {age:?} after its start"));
+                }
+            }
+        }
+        broken
+    }
+
+    /// Attempts and load requests a second at a host that stayed, in the mean over the last ten seconds.
+    fn warm_rate(&self) -> f64 {
+        let now = Instant::now();
+        let mut rates = Vec::new();
+        for host in &self.hosts {
+            let state = host.state.lock().unwrap();
+            if state.drained_at.is_none() {
+                let recent = state.work.iter().filter(|(at, _)| *at + ms(10_000) > now);
+                rates.push(recent.count() as f64 / 10.0);
+            }
+        }
+        rates.iter().sum::<f64>() / rates.len() as f64
+    }
+}
--- a/crates/tidewall-gateway/src/outcomes.rs
+++ b/crates/tidewall-gateway/src/outcomes.rs
@@ -51,11 +51,15 @@
         pool.finish_call(key);
         self.context.scheduler.advance_clock(now);
         if let Some(question) = call.question() {
-            // As of its start: what is asked leaves later.
-            let asked_at = call.started_at;
+            // As of its start: what is asked leaves later. What never left has no answer of the worker.
+            let answer = if call.sent {
+                outcome
+            } else {
+                Outcome::Discarded
+            };
             self.context
                 .scheduler
-                .worker_answered(call.worker, question, outcome, asked_at);
+                .worker_answered(call.worker, question, answer, call.started_at);
         }
         match call.kind {
             CallKind::Attempt { request, attempt } => {
--- a/src/choice/tests/endpoint_age.rs
+++ b/src/choice/tests/endpoint_age.rs
@@ -1,6 +1,7 @@
 //! What stands in for the endpoint list while discovery is out of reach.
 use super::help::*;
 use crate::interface::*;
+use crate::state::{Attempt, AttemptState, Request};
 use test_case::test_case;
 
 const GRACE: [(&str, &str); 2] = [("rules.drain-grace-ms", "1000"), ("allowed.probes", "true")];
@@ -127,6 +128,39 @@
     assert_eq!(attempted_workers(&scheduler), [first, first], "it was only full");
 }
 
+/// Whatever it says of itself: full workers reject now and then, draining ones always.
+#[test_case(2, true; "two may be chance")]
+#[test_case(3, false; "three are not")]
+fn rejections_in_a_row_count_as_a_denial(count: u32, is_available: bool) {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    for _ in 0..count {
+        advance(&mut scheduler, SECOND / 10);
+        answer(&mut scheduler, first, Question::Attempt, Outcome::AtCapacity);
+    }
+    assert_eq!(scheduler.is_available(first), is_available);
+    advance(&mut scheduler, 1);
+    answer(&mut scheduler, first, Question::Attempt, Outcome::Ok);
+    assert!(scheduler.is_available(first));
+}
+
+/// Another worker may be at its address: repeats by key wait for the list.
+#[test]
+fn a_keyed_retry_does_not_go_to_a_worker_that_came_back_unlisted() {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    scheduler.advance_clock(NOW + 1);
+    let earlier =
+        Attempt { worker_id: first, sent_at: NOW, state: AttemptState::ConnectionLost, ..Attempt::default() };
+    let mut request = Request { info: request_info(1), attempt_count: 1, ..Request::default() };
+    request.attempts[0] = earlier;
+    assert!(scheduler.is_retry_safe(&request, first));
+    scheduler.workers[first].service.is_start_presumed = true;
+    assert!(!scheduler.is_retry_safe(&request, first));
+    scheduler.endpoint_list_confirmed(NOW + 1, NOW + SECOND);
+    assert!(scheduler.is_retry_safe(&request, first));
+}
+
 #[test]
 fn with_nobody_in_service_the_answer_comes_at_once() {
     let mut scheduler = scheduler_in_outage(1);
