The list is proven as of what the board's answer shows; soak: slow boards

Need: an answer that comes up to 0.2 s late was taken to prove the list when it was read, 0.1 s more than the margin leaves. Change: an answer without news proves it at the end of the wait that was asked for, one with news when it was asked for; a stall of this process needs no reckoning any more. The soak has boards that can be reached and answer late by 0.05 to 3 s, whose news counts as told at once, and no signal in a process's first second.

--- a/crates/tidewall-gateway/src/discovery.rs
+++ b/crates/tidewall-gateway/src/discovery.rs
@@ -23,9 +23,8 @@
     pub(crate) attempts: u64,
     /// The server owes an answer until this timer fires.
     response_timer: Option<TimerId>,
-    /// When the last poll was written, and the net's total stall at that time.
+    /// When the last poll was written.
     polled_at: Time,
-    stall_at_poll: Time,
     /// Since when the list has been overdue, as far as it was logged.
     overdue_since: Option<Time>,
 }
@@ -39,7 +38,6 @@
             attempts: 0,
             response_timer: None,
             polled_at: 0,
-            stall_at_poll: 0,
             overdue_since: None,
         }
     }
@@ -80,27 +78,22 @@
     /// A poll leaves: its answer is awaited from now on.
     fn poll_written(&mut self) {
         self.discovery.polled_at = self.context.net().now();
-        self.discovery.stall_at_poll = self.context.net().total_stall();
         self.arm_discovery_timeout();
     }
 
-    /// The list is what the server had when it answered. When that was is not told: not before the poll, and where the answer
-    /// came in its time not before it was read, but for what this process stood still. One that comes late was held up for as
-    /// long as that, and the next one may be.
-    fn list_confirmed(&mut self) {
+    /// The list is what the server had so long after it was asked, which is all that its answer proves. While answers come in
+    /// time the next one is due; one that came late was held up, and the next one may be.
+    fn list_confirmed(&mut self, after_poll: Time) {
         let Some(due) = self.discovery.source.answer_due() else {
             return;
         };
         let (now, polled_at) = (self.context.net().now(), self.discovery.polled_at);
-        let stall = self.context.net().total_stall() - self.discovery.stall_at_poll;
-        let as_of = if now <= polled_at + due {
-            polled_at.max(now.saturating_sub(stall))
-        } else {
-            polled_at
-        };
+        let as_of = now.min(polled_at + after_poll);
+        let is_in_time = now <= polled_at + due;
+        let due_at = if is_in_time { now } else { polled_at } + due;
         let scheduler = &mut self.context.scheduler;
         scheduler.advance_clock(now);
-        scheduler.endpoint_list_confirmed(as_of, as_of + due);
+        scheduler.endpoint_list_confirmed(as_of, due_at);
         self.note_list_age();
     }
 
@@ -207,8 +200,8 @@
         for (records, complete) in &received.updates {
             self.update_endpoints(records, *complete);
         }
-        if received.confirms {
-            self.list_confirmed();
+        if let Some(after_poll) = received.confirmed_after_poll {
+            self.list_confirmed(after_poll);
         }
         if read.is_some() {
             let mut poll = Vec::new();
--- a/crates/tidewall-gateway/src/protocol.rs
+++ b/crates/tidewall-gateway/src/protocol.rs
@@ -193,8 +193,9 @@
 pub trait DiscoveryEvents {
     /// An endpoint list, or changes of one where it is not `complete`.
     fn endpoints_received(&mut self, records: &[EndpointRecord], complete: bool);
-    /// An answer was read completely, and with it the list is what the server has.
-    fn list_confirmed(&mut self) {}
+    /// An answer was read completely, and with it the list is what the server had, at the earliest so long after it was asked,
+    /// in tenths of a millisecond.
+    fn list_confirmed(&mut self, _after_poll: Time) {}
     /// It reports an error of ours.
     fn error_reported(&mut self, reason: &str);
 }
@@ -204,8 +205,8 @@
 pub struct ReceivedUpdates {
     /// Each list, and whether it is complete.
     pub updates: Vec<(Vec<EndpointRecord>, bool)>,
-    /// With them the list is what the server has.
-    pub confirms: bool,
+    /// With them the list is what the server had, at the earliest so long after it was asked.
+    pub confirmed_after_poll: Option<Time>,
 }
 
 impl DiscoveryEvents for ReceivedUpdates {
@@ -213,8 +214,8 @@
         self.updates.push((records.to_vec(), complete));
     }
 
-    fn list_confirmed(&mut self) {
-        self.confirms = true;
+    fn list_confirmed(&mut self, after_poll: Time) {
+        self.confirmed_after_poll = Some(after_poll);
     }
 
     fn error_reported(&mut self, reason: &str) {
--- a/crates/tidewall-platform-ingress/src/notice_board.rs
+++ b/crates/tidewall-platform-ingress/src/notice_board.rs
@@ -56,6 +56,8 @@
     keep_alive: bool,
     /// Connections that ended since the last response.
     failures: u32,
+    /// How long the board may hold the last poll.
+    wait_ms: u64,
     /// The list is to be confirmed at once: after the start, and where the board's address has changed.
     confirm_at_once: bool,
     random: ChaCha8Rng,
@@ -79,6 +81,7 @@
             revision,
             keep_alive: true,
             failures: 0,
+            wait_ms: 0,
             confirm_at_once: true,
             random: ChaCha8Rng::seed_from_u64(seed),
             clock,
@@ -86,16 +89,17 @@
         }
     }
 
-    fn write_poll(&self, out: &mut Vec<u8>) {
+    fn write_poll(&mut self, out: &mut Vec<u8>) {
         let confirm = self.confirm_at_once || self.failures >= FAILURES_TO_CONFIRM;
+        self.wait_ms = if confirm {
+            CONFIRM_WAIT_MS
+        } else {
+            POLL_WAIT_MS
+        };
         let poll = PollRequest {
             host: &self.host,
             revision: self.revision,
-            wait_ms: if confirm {
-                CONFIRM_WAIT_MS
-            } else {
-                POLL_WAIT_MS
-            },
+            wait_ms: self.wait_ms,
         };
         poll.encode(out);
     }
@@ -222,8 +226,10 @@
                 "notice board skipped revisions: requesting the complete endpoint list"
             );
         }
-        if revision.is_some() {
-            events.list_confirmed();
+        if let Some(now_known) = revision {
+            // Without news the board has waited as long as it was asked to; news may have come at once.
+            let is_unchanged = now_known == self.revision;
+            events.list_confirmed(if is_unchanged { self.wait_ms * 10 } else { 0 });
         }
         self.revision = revision.unwrap_or(0);
         self.keep_alive = response.keep_alive;
--- a/crates/tidewall-soak/src/plan.rs
+++ b/crates/tidewall-soak/src/plan.rs
@@ -23,6 +23,8 @@
     Release,
     /// The board answers nothing for so long.
     BoardSilent(u64),
+    /// The board can be reached and each of its answers comes late by the first span, for the second one.
+    BoardSlow(u64, u64),
     /// All connections to the board are reset, and new ones as they come, for so long.
     BoardDrops(u64),
     /// All connections to the board are reset.
@@ -95,7 +97,8 @@
 const FAULTS_A_SECOND: f64 = 1.5;
 
 /// The kinds of plans about outages of discovery with their weights.
-const OUTAGE_WEIGHTS: [(u32, Kind); 9] = [
+const OUTAGE_WEIGHTS: [(u32, Kind); 10] = [
+    (1, Kind::BoardSlow),
     (4, Kind::Drain),
     (2, Kind::Restart),
     (2, Kind::RestartSeries),
@@ -143,6 +146,7 @@
     Drain,
     ReloadSeries,
     RestartSeries,
+    BoardSlow,
 }
 
 impl Plan {
@@ -267,6 +271,10 @@
             let stays = random.random_range(4 * SECOND..16 * SECOND);
             Fault::Drain(group, stays, random.random_range(SECOND / 2..3 * SECOND))
         }
+        Kind::BoardSlow => {
+            let late_by = random.random_range(SECOND / 20..3 * SECOND);
+            Fault::BoardSlow(late_by, random.random_range(3 * SECOND..12 * SECOND))
+        }
         Kind::ReloadSeries => Fault::ReloadSeries(gateway),
         Kind::RestartSeries => Fault::RestartSeries(gateway),
     }
--- a/crates/tidewall-soak/src/processes.rs
+++ b/crates/tidewall-soak/src/processes.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// The last lines of a gateway's log that are kept.
 const KEPT_LINES: usize = 40_000;
@@ -26,9 +27,13 @@
     pub stopping_at: Option<u64>,
     /// When it was killed, last.
     pub killed_at: Option<u64>,
+    started_at: Instant,
     starts: u64,
 }
 
+/// No signal comes in a process's first second, as the page has it.
+const UNSIGNALLED: Duration = Duration::from_secs(1);
+
 fn program(name: &str) -> PathBuf {
     let own = std::env::current_exe().expect("a program knows its file");
     own.with_file_name(name)
@@ -45,6 +50,7 @@
             log: Arc::default(),
             stopping_at: None,
             killed_at: None,
+            started_at: Instant::now(),
             starts: 0,
         }
     }
@@ -95,9 +101,15 @@
             }
         });
         self.child = Some(child);
+        self.started_at = Instant::now();
         self.stopping_at = None;
     }
 
+    /// Whether it may get a signal that it is to act on.
+    pub fn takes_signals(&self) -> bool {
+        self.started_at.elapsed() >= UNSIGNALLED
+    }
+
     /// Sends a signal to its process, if it runs.
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
--- a/crates/tidewall-soak/src/world/boards.rs
+++ b/crates/tidewall-soak/src/world/boards.rs
@@ -1,5 +1,5 @@
 //! The boards: the list of hosts, what changes in it, and the gateways' polls.
-use super::{Owner, World};
+use super::{Due, Owner, World};
 use crate::wire;
 use tidewall_net::Net;
 
@@ -72,8 +72,13 @@
             }
         }
         answers.sort_by_key(|(conn, _)| *conn);
+        let (late_by, slow_until) = self.board_slow;
         for (conn, text) in answers {
-            self.net.write(conn, text.as_bytes());
+            if now < slow_until {
+                self.later(now + late_by, Due::BoardAnswer(conn, text));
+            } else {
+                self.net.write(conn, text.as_bytes());
+            }
         }
     }
 }
--- a/crates/tidewall-soak/src/world/gateways.rs
+++ b/crates/tidewall-soak/src/world/gateways.rs
@@ -1,5 +1,6 @@
 //! The gateways' lives: configuration, start, stop, and what they say when they end.
 use super::{Due, World, KILL_AFTER, MAX_DEADLINE};
+use crate::plan::SECOND;
 use crate::wire;
 
 impl World {
@@ -26,6 +27,9 @@
     pub(super) fn terminate(&mut self, gateway: usize) {
         let now = self.now();
         let own = &mut self.gateways[gateway];
+        if !own.takes_signals() {
+            return self.later(now + SECOND, Due::Terminate(gateway));
+        }
         if own.stopping_at.is_none() && own.check().0 {
             own.stopping_at = Some(now);
             own.signal(libc::SIGCONT);
--- a/crates/tidewall-soak/src/world/mod.rs
+++ b/crates/tidewall-soak/src/world/mod.rs
@@ -97,7 +97,9 @@
     GroupLeaves(usize, u64),
     GroupReturns(usize),
     Reload(usize),
+    Terminate(usize),
     Signal(usize, i32),
+    BoardAnswer(Conn, String),
     Continue(usize),
     /// The gateway, and when it was told to stop.
     KillStopping(usize, u64),
@@ -162,6 +164,8 @@
     boards: Vec<Board>,
     board_silent_until: u64,
     board_drops_until: u64,
+    /// How late the board's answers come, and until when that lasts.
+    board_slow: (u64, u64),
     /// Troubles of boards: until when changes fall into them, and by when those count as told.
     board_troubles: Vec<(u64, u64)>,
     due: BTreeMap<(u64, u64), Due>,
@@ -222,6 +226,7 @@
             boards: (0..plan.gateways).map(|_| Board::default()).collect(),
             board_silent_until: 0,
             board_drops_until: 0,
+            board_slow: (0, 0),
             board_troubles: Vec::new(),
             due: BTreeMap::new(),
             sequence: 0,
