A worker that was away for a moment and still has its instances did not restart

Change: one that is back within two seconds and still has the instance that it had last has not restarted (the query asks for that one); not more than half of the workers are taken for cold at one time; one that cannot be reached is asked again in half the time.

--- a/crates/tidewall-cli/tests/discovery_outage.rs
+++ b/crates/tidewall-cli/tests/discovery_outage.rs
@@ -167,6 +167,26 @@
     assert!(overloaded.is_empty(), "{overloaded:?}");
 }
 
+/// All connections break and none comes about for a second: that is the network's fault, and the workers are as they were.
+#[test]
+fn a_network_that_fails_for_a_moment_in_an_outage_does_not_end_the_service() {
+    let (fleet, outage) = play(
+        (109, HOSTS),
+        TellsDrain::ByHealthCheck,
+        Reach::Refuses,
+        (ms(1_400), &[3, 7]),
+        |fleet, outage| {
+            let stay = |index: &usize| ![3, 7].contains(index);
+            sleep_until(outage + ms(5_000));
+            let hosts: Vec<usize> = (0..HOSTS).filter(stay).collect();
+            hosts.iter().for_each(|host| fleet.hosts[*host].leave());
+            sleep_until(outage + ms(6_000));
+            hosts.iter().for_each(|host| fleet.hosts[*host].rejoin());
+        },
+    );
+    judge(&fleet, outage, &[]);
+}
+
 /// A gateway that starts in an outage knows the list of its configuration, and nothing of what became of it.
 #[test]
 fn a_gateway_that_starts_in_an_outage_takes_its_list_for_as_old_as_it_is() {
--- a/crates/tidewall-cli/tests/outage/hosts.rs
+++ b/crates/tidewall-cli/tests/outage/hosts.rs
@@ -170,6 +170,11 @@
         self.state.lock().unwrap().phase = Phase::Gone;
     }
 
+    /// It can be reached again, as it was.
+    pub fn rejoin(&self) {
+        self.state.lock().unwrap().phase = Phase::Up;
+    }
+
     /// It comes back at the same address, empty and cold.
     pub fn restart(&self) {
         let mut state = self.state.lock().unwrap();
--- a/crates/tidewall-gateway/src/outcomes.rs
+++ b/crates/tidewall-gateway/src/outcomes.rs
@@ -2,7 +2,7 @@
 use crate::connection_owners::Owner;
 use crate::worker_pool::{Call, CallKind};
 use crate::Gateway;
-use tidewall::interface::{Outcome, Time};
+use tidewall::interface::{Outcome, Time, WorkerAnswer};
 use tidewall_net::Net;
 use tracing::debug;
 
@@ -52,14 +52,17 @@
         self.context.scheduler.advance_clock(now);
         if let Some(question) = call.question() {
             // As of its start: what is asked leaves later. What never left has no answer of the worker.
-            let answer = if call.sent {
-                outcome
-            } else {
-                Outcome::Discarded
+            let answer = WorkerAnswer {
+                question,
+                outcome: if call.sent {
+                    outcome
+                } else {
+                    Outcome::Discarded
+                },
+                asked_at: call.started_at,
+                instances: number,
             };
-            self.context
-                .scheduler
-                .worker_answered(call.worker, question, answer, call.started_at);
+            self.context.scheduler.worker_answered(call.worker, answer);
         }
         match call.kind {
             CallKind::Attempt { request, attempt } => {
--- a/src/choice/endpoint_age.rs
+++ b/src/choice/endpoint_age.rs
@@ -112,19 +112,35 @@
             self.host.send_health_check(worker_id);
         }
         if self.config.may_load {
+            let (function_id, position) = self.query_target(function_id, position);
             self.functions[function_id].placements[position].pending_queries += 1;
             self.host.send_load_request(function_id, worker_id, 0);
         }
     }
 
-    /// A worker has answered, or not in time, what it was asked at `asked_at`. Called before the end of the call itself.
-    pub fn worker_answered(
-        &mut self,
-        worker_id: WorkerId,
-        question: Question,
-        outcome: Outcome,
-        asked_at: Time,
-    ) {
+    /// The function of which a worker is asked how many instances it has. Of one that was away the one that it had last: if it
+    /// still has it, it has not restarted.
+    fn query_target(&self, function_id: FunctionId, position: usize) -> (FunctionId, usize) {
+        let worker_id = self.functions[function_id].placements[position].worker_id;
+        let service = &self.workers[worker_id].service;
+        if service.connection_lost_at.max(service.denied_at) <= self.endpoint_list.as_of {
+            return (function_id, position);
+        }
+        let mut found = (function_id, position);
+        let mut renewed_at = 0;
+        for (candidate, function) in self.functions.iter().enumerate().filter(|(_, function)| function.live) {
+            let Some(position) = self.placement_on(candidate, worker_id) else { continue };
+            let placement = &function.placements[position];
+            if placement.instances == InstanceState::Loaded && placement.renewed_at > renewed_at {
+                (found, renewed_at) = ((candidate, position), placement.renewed_at);
+            }
+        }
+        found
+    }
+
+    /// A worker has answered, or not in time. Called before the end of the call itself.
+    pub fn worker_answered(&mut self, worker_id: WorkerId, answer: WorkerAnswer) {
+        let WorkerAnswer { question, outcome, asked_at, instances } = answer;
         if self.endpoint_list.due_at == Time::MAX || worker_id >= self.workers.len() {
             return;
         }
@@ -147,7 +163,12 @@
                 }
             }
             (Question::HealthCheck, Outcome::Ok) => service.healthy_at = service.healthy_at.max(asked_at),
-            (Question::InstanceQuery, Outcome::Ok) => service.queried_at = service.queried_at.max(asked_at),
+            (Question::InstanceQuery, Outcome::Ok) => {
+                service.queried_at = service.queried_at.max(asked_at);
+                if instances > 0 {
+                    service.had_instances_at = asked_at;
+                }
+            }
             (
                 Question::HealthCheck | Question::InstanceQuery,
                 Outcome::Error | Outcome::AtCapacity | Outcome::TimedOut,
@@ -197,13 +218,19 @@
             let more = after.rejections.saturating_sub(MAX_REJECTIONS).min(MAX_INTERVAL_DOUBLINGS);
             // Not all gateways at one moment.
             let wait = self.jitter(SERVICE_CHECK_INTERVAL << more);
+            // One that cannot be reached costs nobody anything by being asked.
+            let wait = if self.host.connected_since(worker_id) == Time::MAX { wait / 2 } else { wait };
             self.workers[worker_id].service.ask_again_at = self.now + wait;
             if before.denied_at <= known_before {
                 self.host.service_changed(worker_id, ServiceChange::Denied);
             }
         }
-        if after.confirmed_at() > known_before && self.may_have_restarted(worker_id, before) {
-            self.presume_start(worker_id);
+        if after.confirmed_at() > known_before {
+            if self.may_have_restarted(worker_id, before) {
+                self.presume_start(worker_id);
+            }
+            // That is settled: what comes later does not ask for it again.
+            self.workers[worker_id].service.connection_lost_at = 0;
         }
         if after.answers_pending < before.answers_pending {
             self.retry_waiting(|request| request.awaits_confirmation);
@@ -211,14 +238,30 @@
     }
 
     /// Whether a worker that is in service now may have restarted since that was last known: no connection to it has stood
-    /// since it denied service, or since one broke a while before the next was opened.
+    /// since it denied service, or since one broke a while before the next was opened. One that was away for a moment and
+    /// still has instances has not: nobody could have loaded them anew by then.
     fn may_have_restarted(&self, worker_id: WorkerId, before: &ServiceEvidence) -> bool {
         let since = self.host.connected_since(worker_id);
         let known_before = self.endpoint_list.as_of.max(before.confirmed_at());
-        let away = before.denied_at > known_before && since > before.denied_at;
+        let denied = before.denied_at > known_before && since > before.denied_at;
         let watched_from = self.endpoint_list.as_of.max(self.started_at);
-        let lost = before.connection_lost_at > watched_from;
-        away || lost && since > before.connection_lost_at + SHORTEST_RESTART
+        let lost_at = before.connection_lost_at;
+        let lost = lost_at > watched_from && since > lost_at + SHORTEST_RESTART;
+        let away_from = if lost_at > watched_from { lost_at } else { before.denied_at };
+        let had_instances_at = self.workers[worker_id].service.had_instances_at;
+        let kept = had_instances_at > away_from && had_instances_at < away_from + SHORTEST_RELOAD;
+        (denied || lost) && !kept && !self.are_most_presumed_cold(worker_id)
+    }
+
+    /// Whether with one more most of the workers would be taken for cold at one time: then it is this gateway that lost them,
+    /// and with all of them cold it would serve nobody.
+    fn are_most_presumed_cold(&self, worker_id: WorkerId) -> bool {
+        let is_cold = |worker: &Worker| {
+            worker.is_active() && worker.service.is_start_presumed && self.slow_start_share(worker).is_some()
+        };
+        let cold = self.workers.iter().filter(|worker| is_cold(worker)).count();
+        let more = usize::from(!is_cold(&self.workers[worker_id]));
+        (cold + more) * 2 > self.workers.active().0 as usize
     }
 
     /// A worker that may have restarted, as discovery would have told, is taken for empty and cold.
@@ -226,9 +269,7 @@
         let service = self.workers[worker_id].service;
         let endpoint = Endpoint { started_at: self.now.max(1), ..self.workers[worker_id].endpoint };
         self.start_worker(worker_id, endpoint);
-        let connection_lost_at = 0;
-        self.workers[worker_id].service =
-            ServiceEvidence { is_start_presumed: true, connection_lost_at, ..service };
+        self.workers[worker_id].service = ServiceEvidence { is_start_presumed: true, ..service };
         self.settle_changes(1);
         self.host.service_changed(worker_id, ServiceChange::StartPresumed);
     }
--- a/src/choice/tests/endpoint_age.rs
+++ b/src/choice/tests/endpoint_age.rs
@@ -25,10 +25,19 @@
 }
 
 fn answer(scheduler: &mut TestScheduler, worker_id: WorkerId, question: Question, outcome: Outcome) {
+    answer_with(scheduler, worker_id, (question, outcome), 0);
+}
+
+fn answer_with(
+    scheduler: &mut TestScheduler,
+    worker_id: WorkerId,
+    (question, outcome): (Question, Outcome),
+    instances: u32,
+) {
     let service = &scheduler.workers[worker_id].service;
     let is_awaited = question != Question::Attempt && service.answers_pending > 0;
     let asked_at = if is_awaited { service.asked_at } else { scheduler.now };
-    scheduler.worker_answered(worker_id, question, outcome, asked_at);
+    scheduler.worker_answered(worker_id, WorkerAnswer { question, outcome, asked_at, instances });
 }
 
 /// A request that has two seconds from now on.
@@ -144,6 +153,35 @@
     assert!(scheduler.is_available(first));
 }
 
+#[test_case(SECOND, 1, false; "it is the same process")]
+#[test_case(SECOND, 0, true; "it is empty")]
+#[test_case(3 * SECOND, 1, true; "others may have loaded it anew")]
+fn a_worker_that_was_away_and_has_its_instances_did_not_restart(away: Time, instances: u32, restarted: bool) {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    advance(&mut scheduler, 2 * SECOND);
+    scheduler.worker_unreachable(first);
+    scheduler.host.1 = scheduler.now + away;
+    advance(&mut scheduler, away);
+    answer_with(&mut scheduler, first, (Question::InstanceQuery, Outcome::Ok), instances);
+    answer(&mut scheduler, first, Question::HealthCheck, Outcome::Ok);
+    assert_eq!(scheduler.workers[first].endpoint.started_at > 0, restarted);
+}
+
+/// Of four workers that this gateway lost at one moment two are taken for cold: the others go on.
+#[test]
+fn not_more_than_half_of_the_workers_are_taken_for_cold() {
+    let mut scheduler = scheduler_in_outage(1);
+    advance(&mut scheduler, 2 * SECOND);
+    (0..4).for_each(|worker_id| scheduler.worker_unreachable(worker_id));
+    scheduler.host.1 = scheduler.now + SECOND;
+    advance(&mut scheduler, 2 * SECOND);
+    (0..4).for_each(|worker_id| confirm(&mut scheduler, worker_id));
+    let cold = |worker_id: &usize| scheduler.workers[*worker_id].endpoint.started_at > 0;
+    assert_eq!((0..4).filter(cold).count(), 2);
+    assert!((0..4).all(|worker_id| scheduler.is_available(worker_id)));
+}
+
 /// Another worker may be at its address: repeats by key wait for the list.
 #[test]
 fn a_keyed_retry_does_not_go_to_a_worker_that_came_back_unlisted() {
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -47,6 +47,9 @@
 /// After this it is asked again where it could not be asked: a few wake-ups, in which a descriptor may be free again.
 pub(super) const SERVICE_CHECK_RETRY: Time = 5 * MS;
 
+/// A worker that restarts has no instance again sooner: it takes a second or more to be back, and a load most of one.
+pub(super) const SHORTEST_RELOAD: Time = 2 * SECOND;
+
 /// A worker that turns away so many attempts in a row counts as draining whatever it says of itself: two of a full one
 /// are common. From then on the interval is doubled with each, up to 16 s.
 pub(super) const MAX_REJECTIONS: u32 = 3;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,6 +62,19 @@
     HealthCheck,
 }
 
+/// What became of something that a worker was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerAnswer {
+    /// What it was asked.
+    pub question: Question,
+    /// How that ended.
+    pub outcome: Outcome,
+    /// When it was asked, at the earliest.
+    pub asked_at: Time,
+    /// Of a query for instances: how many it has; else 0.
+    pub instances: u32,
+}
+
 /// What a worker's own answers changed while the endpoint list was overdue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServiceChange {
--- a/src/service_evidence.rs
+++ b/src/service_evidence.rs
@@ -26,6 +26,8 @@
     pub healthy_at: Time,
     /// It answered a query for instances.
     pub queried_at: Time,
+    /// It answered a query with instances that it has.
+    pub had_instances_at: Time,
     /// It turned work away; it may be full, or draining.
     pub rejected_at: Time,
     /// Attempts in a row that it turned away while the list was overdue.
