--- a/src/choice/placements.rs
+++ b/src/choice/placements.rs
@@ -34,8 +34,8 @@
         }
     }
 
-    /// The function's placements follow what the endpoint list changed since they were last looked at. Whether
-    /// a worker takes requests is its own state, and holds at once.
+    /// The function's placements follow what the endpoint list changed since they were last looked at.
+    /// Whether a worker takes requests is its own state, and holds at once.
     pub(crate) fn take_in_changes(&mut self, function_id: FunctionId) {
         let end = self.endpoint_changes.end();
         let function = self.functions.get_mut(function_id);
@@ -165,8 +165,8 @@
     pub(super) fn forget_idle(&mut self, function_id: FunctionId) {
         let (now, keep_alive) = (self.now, self.config.keep_alive);
         let (function, workers) = (&mut self.functions[function_id], &self.workers);
-        // Guards against machines that are replaced again and again: each would leave a placement behind. Those
-        // that drain get nothing either, and would take the places of others in a fleet of thousands.
+        // Guards against machines that are replaced again and again: each would leave a placement behind.
+        // Those that drain get nothing either, and would take the places of others in a fleet of thousands.
         let gone = |worker_id: WorkerId| !workers[worker_id].is_active();
         let before = function.placements.len();
         function.placements.retain(|placement| !gone(placement.worker_id) || !placement.is_idle());
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -19,7 +19,8 @@
 /// Placements that are looked at in one go where the endpoint list changes: some 0.1 ms of CPU.
 pub(super) const MAX_CHANGES_AT_ONCE: usize = 4096;
 
-/// Functions that one sweep checks at most: some 2 ms of CPU. What a late sweep leaves goes with the next ones.
+/// Functions that one sweep checks at most: some 2 ms of CPU. What a late sweep leaves goes with the next
+/// ones.
 pub(super) const MAX_CHECKS_IN_A_SWEEP: usize = 256;
 
 /// Where the learned limit starts: a few times what two cores run at once. It stops growing at what a gateway
@@ -33,29 +34,32 @@
 /// Where no drain grace period is told: the shortest that is usual.
 pub(super) const DEFAULT_DRAIN_GRACE: Time = SECOND / 2;
 
-/// So much of the drain grace period, and a quarter of it at most, is left for the way to the worker: a round trip
-/// between zones is a few milliseconds, a late wake-up some tens.
+/// So much of the drain grace period, and a quarter of it at most, is left for the way to the worker: a
+/// round trip between zones is a few milliseconds, a late wake-up some tens.
 pub(super) const DEPARTURE_MARGIN: Time = 100 * MS;
 
-/// How long the answer to whether a worker is in service is waited for before the next of the order takes its place:
-/// many round trips, and time for a connection; a silent worker costs a request no more.
+/// How long the answer to whether a worker is in service is waited for before the next of the order takes
+/// its place: many round trips, and time for a connection; a silent worker costs a request no more.
 pub(super) const SERVICE_CHECK_TIMEOUT: Time = 100 * MS;
 
 /// A worker that denied service is asked again after about this long, so that one that is back is soon used.
 pub(super) const SERVICE_CHECK_INTERVAL: Time = SECOND;
 
-/// After this it is asked again where it could not be asked: a few wake-ups, in which a descriptor may be free again.
+/// After this it is asked again where it could not be asked: a few wake-ups, in which a descriptor may be
+/// free again.
 pub(super) const SERVICE_CHECK_RETRY: Time = 5 * MS;
 
-/// A worker that restarts has no instance again sooner: it takes a second or more to be back, and a load most of one.
+/// A worker that restarts has no instance again sooner: it takes a second or more to be back, and a load
+/// most of one.
 pub(super) const SHORTEST_RELOAD: Time = 2 * SECOND;
 
-/// A worker that turns away so many attempts in a row counts as draining whatever it says of itself: two of a full one
-/// are common. From then on the interval is doubled with each, up to 16 s.
+/// A worker that turns away so many attempts in a row counts as draining whatever it says of itself: two of
+/// a full one are common. From then on the interval is doubled with each, up to 16 s.
 pub(super) const MAX_REJECTIONS: u32 = 3;
 pub(super) const MAX_INTERVAL_DOUBLINGS: u32 = 4;
 
-/// A worker cannot end, start and be found again within this time; a connection that is opened anew sooner broke by itself.
+/// A worker cannot end, start and be found again within this time; a connection that is opened anew sooner
+/// broke by itself.
 pub(super) const SHORTEST_RESTART: Time = SECOND / 2;
 
 /// A worker that would take half a request's latency objective to get to it is full (the rest is its run).
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -172,11 +172,11 @@
     fn poll_endpoints(&mut self);
     /// Sends a message to one gateway of the fleet, or to all.
     fn send_to_peers(&mut self, peer: Option<u32>, bytes: &[u8]);
-    /// Attempts and load requests that have not left for a worker by then do not leave: they rest on what is known of its
-    /// being in service. Where lists have no age there is nothing to do.
+    /// Attempts and load requests that have not left for a worker by then do not leave: they rest on what
+    /// is known of its being in service. Where lists have no age there is nothing to do.
     fn limit_departures(&mut self, _worker: WorkerId, _until: Time) {}
-    /// Since when a connection to the worker has stood without a break; `Time::MAX` where none does. A worker cannot have
-    /// restarted unnoticed within that time.
+    /// Since when a connection to the worker has stood without a break; `Time::MAX` where none does. A
+    /// worker cannot have restarted unnoticed within that time.
     fn connected_since(&self, _worker: WorkerId) -> Time {
         0
     }
--- a/src/service_evidence.rs
+++ b/src/service_evidence.rs
@@ -1,5 +1,6 @@
-//! What is known of workers' being in service, and as of when: from the endpoint list as a whole, and from each worker's own
-//! answers. It decides nothing; `choice/endpoint_age.rs` does. Times are in tenths of a millisecond; 0 is never.
+//! What is known of workers' being in service, and as of when: from the endpoint list as a whole, and from
+//! each worker's own answers. It decides nothing; `choice/endpoint_age.rs` does. Times are in tenths of a
+//! millisecond; 0 is never.
 use crate::interface::Time;
 
 /// How recent the endpoint list is.
