An error to a query is no denial, and a spare connection that fails makes nobody unreachable

Checked: the logs show one silent feed of half a second to 1.4 s at each gateway, and in it five or six of six workers `denied service` within a millisecond; requests refused in those five seconds 17.1% against 4.2%. Cause: clients call functions that there are not; each new function is asked about at the first workers of its order, who answer that with an error, and `worker_answered` took that for a denial. Change: to a query only `refused` and silence deny; a worker is unreachable once no connection to it stands. After one broken connection the board is asked without a wait, at most every other time.

--- a/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
+++ b/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
@@ -202,6 +202,10 @@
                 self.counters.service_denials += 1;
                 info!(worker, "worker denied service: it is passed over");
             }
+            ServiceChange::Unreachable => {
+                self.counters.service_denials += 1;
+                info!(worker, "worker unreachable: it is passed over");
+            }
             ServiceChange::StartPresumed => {
                 self.counters.presumed_starts += 1;
                 info!(worker, "worker is back in service: it is taken for cold");
--- a/crates/tidewall-platform-ingress/src/notice_board.rs
+++ b/crates/tidewall-platform-ingress/src/notice_board.rs
@@ -25,8 +25,7 @@
 /// far less than any grace period.
 const ANSWER_MARGIN: Time = 2_000;
 
-/// Connections that ended in a row from which on the list is to be confirmed at once. One alone costs no second poll: a board
-/// that ends each connection behind its answer would be asked without end.
+/// Connections that ended in a row from which on the list is to be confirmed at once, also where it just was.
 const FAILURES_TO_CONFIRM: u32 = 2;
 
 /// A board that is silent for so much longer than the poll's wait hangs. Tenths of a millisecond: of the 2 s that are left
@@ -58,6 +57,8 @@
     failures: u32,
     /// How long the board may hold the last poll.
     wait_ms: u64,
+    /// The last answer was to a poll without a wait.
+    answered_at_once: bool,
     /// The list is to be confirmed at once: after the start, and where the board's address has changed.
     confirm_at_once: bool,
     random: ChaCha8Rng,
@@ -82,6 +83,7 @@
             keep_alive: true,
             failures: 0,
             wait_ms: 0,
+            answered_at_once: false,
             confirm_at_once: true,
             random: ChaCha8Rng::seed_from_u64(seed),
             clock,
@@ -90,7 +92,9 @@
     }
 
     fn write_poll(&mut self, out: &mut Vec<u8>) {
-        let confirm = self.confirm_at_once || self.failures >= FAILURES_TO_CONFIRM;
+        // A board that ends each connection behind its answer must not be asked without end.
+        let has_broken = self.failures > 0 && !self.answered_at_once;
+        let confirm = self.confirm_at_once || has_broken || self.failures >= FAILURES_TO_CONFIRM;
         self.wait_ms = if confirm {
             CONFIRM_WAIT_MS
         } else {
@@ -234,6 +238,7 @@
         self.revision = revision.unwrap_or(0);
         self.keep_alive = response.keep_alive;
         (self.failures, self.confirm_at_once) = (0, false);
+        self.answered_at_once = self.wait_ms == CONFIRM_WAIT_MS;
         Ok(Some(response.length))
     }
 
--- a/src/choice/service_answers.rs
+++ b/src/choice/service_answers.rs
@@ -22,7 +22,7 @@
         }
         self.workers[worker_id].service = service;
         if self.is_endpoint_list_overdue() {
-            self.service_evidence_changed(worker_id, &before);
+            self.service_evidence_changed(worker_id, &before, ServiceChange::Denied);
         }
     }
 
@@ -51,10 +51,15 @@
                     service.had_instances_at = asked_at;
                 }
             }
-            (
-                Question::HealthCheck | Question::InstanceQuery,
-                Outcome::Error | Outcome::AtCapacity | Outcome::TimedOut,
-            ) => service.denied_at = service.denied_at.max(asked_at),
+            // It may not know the function, as of a client that calls what there is not. That is no rejection; with its
+            // health it will do.
+            (Question::InstanceQuery, Outcome::Error) if self.config.may_check_health => {
+                service.queried_at = service.queried_at.max(asked_at);
+            }
+            (Question::HealthCheck, Outcome::Error | Outcome::TimedOut)
+            | (Question::InstanceQuery, Outcome::AtCapacity | Outcome::TimedOut) => {
+                service.denied_at = service.denied_at.max(asked_at);
+            }
             // A connection that broke, and what this machine lacked or took back, say nothing of the worker.
             _ => {}
         }
@@ -65,12 +70,14 @@
         }
     }
 
-    /// No connection to a worker came about: it may be gone, and come back as another.
+    /// A connection to a worker did not come about. Where no other stands it may be gone, and come back as another.
     pub fn worker_unreachable(&mut self, worker_id: WorkerId) {
-        if self.is_endpoint_list_overdue() && worker_id < self.workers.len() {
+        let is_known = worker_id < self.workers.len();
+        let is_connected = is_known && self.host.connected_since(worker_id) < Time::MAX;
+        if self.is_endpoint_list_overdue() && is_known && !is_connected {
             let before = self.workers[worker_id].service;
             self.workers[worker_id].service.denied_at = self.now;
-            self.service_evidence_changed(worker_id, &before);
+            self.service_evidence_changed(worker_id, &before, ServiceChange::Unreachable);
         }
     }
 
@@ -82,7 +89,12 @@
     }
 
     /// While the list is overdue: what follows from what a worker has shown.
-    fn service_evidence_changed(&mut self, worker_id: WorkerId, before: &ServiceEvidence) {
+    fn service_evidence_changed(
+        &mut self,
+        worker_id: WorkerId,
+        before: &ServiceEvidence,
+        denial: ServiceChange,
+    ) {
         let after = self.workers[worker_id].service;
         let known_before = self.endpoint_list.as_of.max(before.confirmed_at());
         if after.denied_at > before.denied_at {
@@ -93,7 +105,7 @@
             let wait = if self.host.connected_since(worker_id) == Time::MAX { wait / 2 } else { wait };
             self.workers[worker_id].service.ask_again_at = self.now + wait;
             if before.denied_at <= known_before {
-                self.host.service_changed(worker_id, ServiceChange::Denied);
+                self.host.service_changed(worker_id, denial);
             }
         }
         if after.confirmed_at() > known_before {
--- a/src/choice/tests/endpoint_age.rs
+++ b/src/choice/tests/endpoint_age.rs
@@ -121,6 +121,21 @@
     assert_eq!(attempted_workers(&scheduler), []);
 }
 
+/// Clients call functions that there are not, and workers answer queries for those with an error.
+#[test]
+fn a_worker_that_does_not_know_a_function_denies_nothing() {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    advance(&mut scheduler, SECOND / 2);
+    answer(&mut scheduler, first, Question::InstanceQuery, Outcome::Error);
+    assert!(scheduler.is_confirmed(first) && scheduler.is_available(first));
+    advance(&mut scheduler, SECOND);
+    answer(&mut scheduler, first, Question::InstanceQuery, Outcome::Error);
+    assert!(!scheduler.is_confirmed(first), "nor does it prove anything alone");
+    answer(&mut scheduler, first, Question::HealthCheck, Outcome::Ok);
+    assert!(scheduler.is_confirmed(first));
+}
+
 #[test]
 fn a_rejection_in_an_outage_is_asked_about_before_the_next_attempt() {
     let mut scheduler = scheduler_in_outage(1);
@@ -160,6 +175,7 @@
     let mut scheduler = scheduler_in_outage(1);
     let first = worker_at(&scheduler, 0, 0);
     advance(&mut scheduler, 2 * SECOND);
+    scheduler.host.1 = Time::MAX;
     scheduler.worker_unreachable(first);
     scheduler.host.1 = scheduler.now + away;
     advance(&mut scheduler, away);
@@ -168,11 +184,24 @@
     assert_eq!(scheduler.workers[first].endpoint.started_at > 0, restarted);
 }
 
+/// Another connection that does not come about, beside one that stands, says nothing of the worker.
+#[test_case(NOW, true)]
+#[test_case(Time::MAX, false)]
+fn a_worker_is_unreachable_once_no_connection_stands(connected_since: Time, is_available: bool) {
+    let mut scheduler = scheduler_in_outage(1);
+    let first = worker_at(&scheduler, 0, 0);
+    advance(&mut scheduler, SECOND);
+    scheduler.host.1 = connected_since;
+    scheduler.worker_unreachable(first);
+    assert_eq!(scheduler.is_available(first), is_available);
+}
+
 /// Of four workers that this gateway lost at one moment two are taken for cold: the others go on.
 #[test]
 fn not_more_than_half_of_the_workers_are_taken_for_cold() {
     let mut scheduler = scheduler_in_outage(1);
     advance(&mut scheduler, 2 * SECOND);
+    scheduler.host.1 = Time::MAX;
     (0..4).for_each(|worker_id| scheduler.worker_unreachable(worker_id));
     scheduler.host.1 = scheduler.now + SECOND;
     advance(&mut scheduler, 2 * SECOND);
@@ -217,6 +246,7 @@
     let mut scheduler = scheduler_in_outage(1);
     let first = worker_at(&scheduler, 0, 0);
     advance(&mut scheduler, 2 * SECOND);
+    scheduler.host.1 = Time::MAX;
     scheduler.worker_unreachable(first);
     scheduler.host.1 = scheduler.now + SECOND;
     advance(&mut scheduler, 2 * SECOND);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -80,6 +80,8 @@
 pub enum ServiceChange {
     /// It denied service, or did not answer: it is passed over.
     Denied,
+    /// No connection to it comes about: it is passed over.
+    Unreachable,
     /// It is back after it was away, and taken for cold.
     StartPresumed,
 }
