--- a/src/choice/service_answers.rs
+++ b/src/choice/service_answers.rs
@@ -51,8 +51,8 @@
                     service.had_instances_at = asked_at;
                 }
             }
-            // It may not know the function, as of a client that calls what there is not. That is no rejection; with its
-            // health it will do.
+            // It may not know the function, as of a client that calls what there is not. That is no
+            // rejection; with its health it will do.
             (Question::InstanceQuery, Outcome::Error) if self.config.may_check_health => {
                 service.queried_at = service.queried_at.max(asked_at);
             }
@@ -70,7 +70,8 @@
         }
     }
 
-    /// A connection to a worker did not come about. Where no other stands it may be gone, and come back as another.
+    /// A connection to a worker did not come about. Where no other stands it may be gone, and come back as
+    /// another.
     pub fn worker_unreachable(&mut self, worker_id: WorkerId) {
         let is_known = worker_id < self.workers.len();
         let is_connected = is_known && self.host.connected_since(worker_id) < Time::MAX;
