--- /dev/null
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -0,0 +1,71 @@
+//! Seeds beyond the ranges that CI plays, at which long runs once found a rule broken.
+use tidewall_sim::fleet;
+use tidewall_sim::mutate::{self, Mutation, Outcome};
+use tidewall_sim::pair;
+use tidewall_sim::site::{play, Setup};
+
+/// A site whose settings are drawn from the seed too, as `tidewall sim --site --shapes --rate 60` plays it.
+fn breaches_of_shape(seed: u64) -> Vec<String> {
+    let setup = Setup {
+        shape: true,
+        ..Setup::new(seed, 5.0, 60.0)
+    };
+    play(&setup).breaches
+}
+
+/// A lease run with one message changed, as `tidewall sim --fleet --mutate 4` plays it.
+fn assert_leases_are_held_again(seed: u64, message: usize, mutation: Mutation) {
+    let setup = fleet::Setup {
+        keep: true,
+        rate: 0.0,
+        ..fleet::Setup::new(seed)
+    };
+    let (_, base) = mutate::record(&setup);
+    assert_eq!(base.breaches, Vec::<String>::new());
+    let changed = mutate::play(&setup, message, mutation);
+    assert_eq!(changed.breaches, Vec::<String>::new());
+    assert_ne!(mutate::outcome(&base, &changed), Outcome::Broken);
+}
+
+/// Guards against a response that waits for the standby's record until its client has given up.
+#[test]
+fn pair_1005_a_short_request_is_answered_while_the_link_hangs() {
+    let report = pair::run(pair::Setup::new(1_005));
+    assert_eq!(report.breaches, Vec::<String>::new());
+}
+
+/// Guards against more load requests in a window than the requests in it allow.
+#[test]
+fn shape_1967_load_requests_of_a_long_window_stay_within_the_limit() {
+    assert_eq!(breaches_of_shape(1_967), Vec::<String>::new());
+}
+
+/// Guards against a worker in slow start that gets more than it can take.
+#[test]
+fn shape_2316_a_worker_in_slow_start_is_not_overloaded() {
+    assert_eq!(breaches_of_shape(2_316), Vec::<String>::new());
+}
+
+/// Guards against a request that is left without an answer as its gateway is stopped.
+#[test]
+fn shape_3422_a_request_due_as_its_gateway_is_stopped_has_its_answer() {
+    assert_eq!(breaches_of_shape(3_422), Vec::<String>::new());
+}
+
+/// Guards against more load requests in a window than the requests in it allow.
+#[test]
+fn shape_3440_load_requests_without_free_ones_stay_within_the_limit() {
+    assert_eq!(breaches_of_shape(3_440), Vec::<String>::new());
+}
+
+/// Guards against leases that nobody holds again after one message with a field one too low.
+#[test]
+fn fleet_797_leases_are_held_again_after_a_lowered_field() {
+    assert_leases_are_held_again(797, 1_310, Mutation::Former(1));
+}
+
+/// Guards against leases that nobody holds again after one message with a field at its greatest.
+#[test]
+fn fleet_924_leases_are_held_again_after_a_field_at_its_greatest() {
+    assert_leases_are_held_again(924, 288, Mutation::Greatest(4));
+}
