Logs of simulated runs tell virtual time and node instead of the system's time

A debug log of `tidewall sim` told only the microseconds of the machine that played it, so a line could not be laid beside a row of the audit's record: whether a load request was decided, left or came first could not be told.

--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -7,12 +7,14 @@
 mod serve;
 mod sim;
 mod status;
+mod virtual_time;
 
 use clap::{Args, Parser, Subcommand};
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tidewall_config::Section;
+use virtual_time::VirtualTime;
 
 #[derive(Parser)]
 #[command(
@@ -102,10 +104,16 @@
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
         .with_ansi(ansi);
-    if cli.logs.log_json {
-        logs.json().flatten_event(true).init();
-    } else {
-        logs.init();
+    let virtual_time = matches!(cli.command, Command::Sim(_));
+    match (cli.logs.log_json, virtual_time) {
+        (true, true) => logs
+            .with_timer(VirtualTime)
+            .json()
+            .flatten_event(true)
+            .init(),
+        (true, false) => logs.json().flatten_event(true).init(),
+        (false, true) => logs.with_timer(VirtualTime).init(),
+        (false, false) => logs.init(),
     }
     let done = match cli.command {
         Command::Serve(args) => serve::serve(&args),
--- a/crates/tidewall-net/src/memory/delivery.rs
+++ b/crates/tidewall-net/src/memory/delivery.rs
@@ -1,7 +1,7 @@
 //! Delivery: what an event does to its endpoint, listener or socket, and which method of the app it calls.
 use super::event::Event;
 use super::path::Route;
-use super::scheduler::Apps;
+use super::scheduler::{enter_step, Apps};
 use super::world::World;
 use crate::{CloseReason, Conn, DatagramSocket, Listener, Time};
 use std::cell::RefCell;
@@ -28,6 +28,7 @@
             return;
         }
         state.awake = true;
+        enter_step(w.now, node);
     }
     w.digest_event(&event);
     drop(w);
--- a/crates/tidewall-net/src/memory/mod.rs
+++ b/crates/tidewall-net/src/memory/mod.rs
@@ -25,5 +25,5 @@
 
 pub use handle::Memory;
 pub use path::{Path, Tap, Tapped};
-pub use scheduler::{run, step, Apps};
+pub use scheduler::{current_step, run, step, Apps, CurrentStep};
 pub use world::{world, World};
--- a/crates/tidewall-net/src/memory/scheduler.rs
+++ b/crates/tidewall-net/src/memory/scheduler.rs
@@ -3,7 +3,7 @@
 use super::handle::Memory;
 use super::world::World;
 use crate::{App, Time};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::hash::Hasher;
 use std::rc::Rc;
 
@@ -11,6 +11,29 @@
 /// nothing happens to them.
 pub type Apps<'a, 'b> = &'a mut [&'b mut dyn App<Net = Memory>];
 
+/// What this thread is simulating: logs tell it in place of the system's time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CurrentStep {
+    /// The world's time.
+    pub at: Time,
+    /// The number of the node whose app was called.
+    pub node: usize,
+}
+
+thread_local! {
+    static CURRENT_STEP: Cell<Option<CurrentStep>> = const { Cell::new(None) };
+}
+
+/// The last step of the run that this thread is simulating; none before its first one.
+pub fn current_step() -> Option<CurrentStep> {
+    CURRENT_STEP.get()
+}
+
+/// Notes that the app of a node is about to be called.
+pub(super) fn enter_step(at: Time, node: usize) {
+    CURRENT_STEP.set(Some(CurrentStep { at, node }));
+}
+
 /// Delivers one event or timer, or reports the end of a wake-up, if any is due by `until`. False where none is: the
 /// world's time is `until` then.
 pub fn step(world: &Rc<RefCell<World>>, apps: Apps, until: Time) -> bool {
@@ -24,6 +47,7 @@
         .position(|node| node.awake && node.is_running());
     if let Some(node) = awake.filter(|_| next_event.is_none_or(|at| at > w.now)) {
         w.nodes[node].awake = false;
+        enter_step(w.now, node);
         drop(w);
         apps[node].wakeup_ended();
         return true;
@@ -44,6 +68,7 @@
     }
     if let Some((at, node)) = next_timer.filter(|timer| timer.0 <= until) {
         let token = w.expire_timer(at, node);
+        enter_step(w.now, node);
         drop(w);
         if let Some(token) = token {
             apps[node].timer_fired(token);
