Pair: a member that fences its peer acknowledges none of that one's records

The first was granted epoch 4 and counted the second in sync; the second had not heard yet that the first serves, and was rightly granted epoch 6, which fences it. The design says that it acknowledges nothing from then on; the code went on to apply and acknowledge records as long as the connection stood, so the fenced member sent an attempt whose record came too late for the takeover.

Evidence, virtual time: 4409.9 ms node 0 acquires epoch 6 and continues request 5312; 4410.1 node 1 records an attempt of it, 4410.5 it has the acknowledgement and sends; 4411.3 node 0 sends as well.

Change: the first record of a fenced peer resets the connection. The next greeting tells it who serves, and it restarts as one that was superseded. A peer that stepped down in our favour is not fenced and is heard as before.

--- a/crates/tidewall-failover/src/role/mod.rs
+++ b/crates/tidewall-failover/src/role/mod.rs
@@ -121,6 +121,12 @@
         self.granted.epoch
     }
 
+    /// Whether the other member's attempts and responses are fenced: it may still write records, which would let it act once
+    /// they were acknowledged. One that stepped down in favour of this member completes what it received.
+    pub fn fences_peer(&self) -> bool {
+        self.role.serves() && !self.peer_drains
+    }
+
     /// Whether this member may not take over, because its settings differ from the other member's.
     pub fn set_ineligible(&mut self, ineligible: bool) {
         self.ineligible = ineligible;
--- a/crates/tidewall-gateway/src/failover/peer_link.rs
+++ b/crates/tidewall-gateway/src/failover/peer_link.rs
@@ -270,6 +270,7 @@
                     role_machine.peer_stepped_down(now, actions)
                 });
             }
+            None if node.role_machine.fences_peer() => self.drop_fenced_peer(),
             None => {
                 node.state.link.records_received += 1;
                 return self.apply_record(fields);
@@ -278,6 +279,16 @@
         Ok(())
     }
 
+    /// The peer goes on as if it served, though this member fences it: none of its records is acknowledged, and it learns from
+    /// the greeting of the next connection who serves.
+    fn drop_fenced_peer(&mut self) {
+        let replicator = self.context.scheduler.host.replicator.as_ref();
+        if let Some(conn) = replicator.and_then(|replicator| replicator.conn) {
+            warn!("record of a fenced peer received");
+            self.drop_peer_connection(conn);
+        }
+    }
+
     /// The peer has applied all records up to this one, counted on this connection.
     fn records_acknowledged(&mut self, sequence: u64) -> Result<(), ProtocolError> {
         let replicator = self.context.expect_replicator();
--- a/crates/tidewall-sim/tests/found_by_long_runs.rs
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -47,6 +47,12 @@
     assert_pair_keeps_the_rules(seed);
 }
 
+/// Guards against a second execution by a former active member whose records the new one acknowledged.
+#[test]
+fn pair_36604_a_fenced_member_gets_no_acknowledgement() {
+    assert_pair_keeps_the_rules(36_604);
+}
+
 /// Guards against more load requests in a window than the requests in it allow.
 #[test]
 fn shape_1967_load_requests_of_a_long_window_stay_within_the_limit() {
