Pair: the standby learns that the history of requests in flight is unknown

Cause: where both members ended at once, the one that serves next refuses repeats that it cannot place, for as long as responses are remembered. Its standby was counted in sync without being told so. When the first was killed, the standby took the repeat of a request from before both kills for a new one.

Evidence, virtual time: 1545.8 ms request 2016 is sent, 1578.7 both killed; 2655.9 node 0 serves with history_unknown=true, 2657.1 the standby counts, 2658.6 node 0 is killed; 3016.9 node 1 takes over with history_unknown=false; 3022.7 the client asks again and the request is executed a second time.

Change: the record that opens replication tells for how long the history is unknown (field `left`, omitted where it is known: captured frames keep their bytes). The receiver keeps the later of both times, also when it begins to serve. While the history is unknown workers are fenced as before, but requests of a peer that stepped down are no longer continued on that account.

--- a/crates/tidewall-gateway/src/failover/peer_requests.rs
+++ b/crates/tidewall-gateway/src/failover/peer_requests.rs
@@ -155,7 +155,11 @@
         let requests = &mut node.state.peer_requests;
         let names = RecordNames::new(&host.class_names, &host.tenant_names);
         match ReplicationRecord::decode(fields, names)? {
-            ReplicationRecord::SnapshotStarted { only_changes } => {
+            ReplicationRecord::SnapshotStarted {
+                only_changes,
+                history_unknown,
+            } => {
+                replicator.history_unknown_for(now, history_unknown);
                 requests.slots.clear();
                 if !only_changes {
                     replicator.deduplication.retain_local();
--- a/crates/tidewall-gateway/src/failover/records.rs
+++ b/crates/tidewall-gateway/src/failover/records.rs
@@ -93,6 +93,9 @@
     SnapshotStarted {
         /// The receiver knows all responses up to now already: only changes follow, and no snapshot.
         only_changes: bool,
+        /// For so many tenths of a millisecond more a request that is sent again may have been in flight in an incarnation
+        /// that ended and replicated it to nobody; 0, omitted on the wire, where there is none.
+        history_unknown: Time,
     },
     /// A request was admitted, or is part of the snapshot.
     RequestAdmitted(AdmittedRequest<'a>),
@@ -146,8 +149,15 @@
     /// Appends the record's frame to `out`.
     pub fn encode(&self, out: &mut Vec<u8>, names: RecordNames) {
         match *self {
-            ReplicationRecord::SnapshotStarted { only_changes } => {
-                Frame::new(out, kind::COPY).flag(Field::On, only_changes)
+            ReplicationRecord::SnapshotStarted {
+                only_changes,
+                history_unknown,
+            } => {
+                let frame = Frame::new(out, kind::COPY).flag(Field::On, only_changes);
+                match history_unknown {
+                    0 => frame,
+                    _ => frame.whole(Field::Left, history_unknown),
+                }
             }
             ReplicationRecord::RequestAdmitted(request) => request.encode(out, names),
             ReplicationRecord::AttemptStarted {
@@ -190,6 +200,7 @@
         Ok(match fields.kind()? {
             kind::COPY => ReplicationRecord::SnapshotStarted {
                 only_changes: fields.flag(Field::On)?,
+                history_unknown: fields.upto(Field::Left, MAX_DURATION, 0)?,
             },
             kind::TAKEN => {
                 ReplicationRecord::RequestAdmitted(AdmittedRequest::decode(fields, slot, names)?)
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -183,6 +183,12 @@
         self.retention[class]
     }
 
+    /// For that long from now on a request that is sent again may have been in flight in an incarnation that ended and
+    /// replicated it to nobody: found out here, or by the peer that served before.
+    pub fn history_unknown_for(&mut self, now: Time, duration: Time) {
+        self.history_unknown_until = self.history_unknown_until.max(now + duration);
+    }
+
     /// Numbers a record and, while streaming, writes it to the peer.
     pub fn send_record<N: Net>(
         &mut self,
--- a/crates/tidewall-gateway/src/failover/role_actions.rs
+++ b/crates/tidewall-gateway/src/failover/role_actions.rs
@@ -57,7 +57,9 @@
                 let leadership = self.replicator().leadership;
                 self.announce_leadership(leadership);
             }
-            self.gateway.take_over_requests(self.state);
+            if requests_wait {
+                self.gateway.take_over_requests(self.state);
+            }
         }
         self.gateway.send_pending_snapshot(self.state);
         self.gateway.expire_waiting_clients(self.state);
@@ -77,10 +79,9 @@
         let retention = &self.state.config.retention;
         let longest_retention = retention.iter().max().copied().unwrap_or(0);
         let replicator = self.replicator();
-        replicator.history_unknown_until = match history_unknown {
-            true => now + longest_retention,
-            false => 0,
-        };
+        if history_unknown {
+            replicator.history_unknown_for(now, longest_retention);
+        }
         replicator.epoch = leadership.epoch;
         self.gateway.context.standby = false;
         self.state.fenced_workers.clear();
@@ -128,9 +129,15 @@
         // What was numbered before is part of the snapshot, or known to the peer.
         replicator.acknowledged_sequence = replicator.last_sequence;
         replicator.snapshot_incomplete = !only_changes;
+        let history_unknown = replicator
+            .history_unknown_until
+            .saturating_sub(host.net.now());
         replicator.send_record(
             &mut host.net,
-            &ReplicationRecord::SnapshotStarted { only_changes },
+            &ReplicationRecord::SnapshotStarted {
+                only_changes,
+                history_unknown,
+            },
             RecordNames::new(&host.class_names, &host.tenant_names),
         );
         self.state.link.snapshot = match only_changes {
--- a/crates/tidewall-gateway/tests/drawn_failover_messages.rs
+++ b/crates/tidewall-gateway/tests/drawn_failover_messages.rs
@@ -100,6 +100,7 @@
     match draw.0.random_range(0..8) {
         0 => ReplicationRecord::SnapshotStarted {
             only_changes: draw.flag(),
+            history_unknown: draw.up_to(40_000),
         },
         1 => ReplicationRecord::RequestAdmitted(AdmittedRequest {
             slot,
--- a/crates/tidewall-sim/tests/found_by_long_runs.rs
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -53,6 +53,12 @@
     assert_pair_keeps_the_rules(36_604);
 }
 
+/// Guards against a second execution at a takeover from a member that did not know what was in flight before it.
+#[test]
+fn pair_38502_a_standby_learns_that_the_history_is_unknown() {
+    assert_pair_keeps_the_rules(38_502);
+}
+
 /// Guards against more load requests in a window than the requests in it allow.
 #[test]
 fn shape_1967_load_requests_of_a_long_window_stay_within_the_limit() {
