Pair: the link is given up in time for the clients whose responses wait for it

Cause: a response that may not be given twice waits for its record as long as the link may be silent, 400 ms at the usual interval, however soon its client stops waiting.

Change: a response that waits counts the link as too slow 100 ms before its first client stops waiting (a tick and a proposal), though not before half an advertisement interval, or a quarter of what is left, has passed. The voters are then asked as for any link that is too slow, and the response leaves with their majority. Nothing is sent on a weaker condition than before.

--- a/crates/tidewall-failover/src/recovery.rs
+++ b/crates/tidewall-failover/src/recovery.rs
@@ -78,6 +78,19 @@
 /// With less than this left, no attempt would return in time: twice the least latency that a busy machine shows.
 pub const MIN_REMAINING_TIME: Time = 100;
 
+/// How long a leadership proposal takes at most on a busy machine: a tick and two round trips to the voters.
+pub const PROPOSAL_TIME: Time = 10 * MIN_REMAINING_TIME;
+
+/// When the link to the other member is to be given up for a response that began to wait for its record at `since`, so that the
+/// voters can still be asked before its client stops waiting at `deadline`. An acknowledgement that is only somewhat late gets
+/// `usual_wait` or a quarter of the time that is left, whichever is shorter.
+pub fn give_up_link_at(since: Time, deadline: Time, usual_wait: Time) -> Time {
+    let shortest_wait = usual_wait.min(deadline.saturating_sub(since) / 4);
+    deadline
+        .saturating_sub(PROPOSAL_TIME)
+        .max(since + shortest_wait)
+}
+
 /// How much earlier than its client's deadline a request of a pair is to end. A response may wait until the voters know
 /// that the other member is gone: `peer_timeout` of silence on the link, then a leadership proposal. At most a quarter of
 /// the `remaining` time; 0 where a repeat does no harm, as nothing waits then.
@@ -85,8 +98,7 @@
     if retry_safety.is_safe_to_repeat() {
         return 0;
     }
-    // The silence, one tick, and the proposal's two round trips to the workers.
-    (peer_timeout + 10 * MIN_REMAINING_TIME).min(remaining / 4)
+    (peer_timeout + PROPOSAL_TIME).min(remaining / 4)
 }
 
 /// Decides on a repeated request of which no member has a record. `all_fenced`: no attempt of an ended incarnation is in
--- a/crates/tidewall-failover/tests/recovery.rs
+++ b/crates/tidewall-failover/tests/recovery.rs
@@ -1,8 +1,8 @@
 //! What a new active member does with the requests of the former one.
 use test_case::test_case;
 use tidewall_failover::recovery::{
-    deadline_margin, recovery_action, unrecorded_retry_action, Attempt, AttemptState,
-    RecoveryAction, RetrySafety, UnrecordedRetryAction,
+    deadline_margin, give_up_link_at, recovery_action, unrecorded_retry_action, Attempt,
+    AttemptState, RecoveryAction, RetrySafety, UnrecordedRetryAction,
 };
 
 const GLOBAL_KEY: RetrySafety = RetrySafety::IdempotencyKey {
@@ -96,3 +96,13 @@
 ) {
     assert_eq!(deadline_margin(retry_safety, remaining, 4_000), expected);
 }
+
+/// A response that began to wait at 10,000, and a link that acknowledges within 500 while it is well.
+#[test_case(13_000, 12_000; "in time for a proposal")]
+#[test_case(10_900, 10_225; "a quarter of what is left, however short")]
+#[test_case(11_200, 10_300; "the same, shorter than usual")]
+#[test_case(11_500, 10_500; "a late acknowledgement is waited for")]
+#[test_case(9_000, 10_000; "too late already")]
+fn a_link_is_given_up_in_time_for_the_client(deadline: u64, expected: u64) {
+    assert_eq!(give_up_link_at(10_000, deadline, 500), expected);
+}
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -56,6 +56,9 @@
 /// Ticks, and with them heartbeats, in an advertisement interval: a tick that is late by one matters little.
 const TICKS_PER_INTERVAL: Time = 4;
 
+/// A peer that is well acknowledges within so many ticks (50 ms at the usual interval), also behind a long wake-up.
+const USUAL_WAIT_TICKS: Time = 2;
+
 /// The peer is lost after so many advertisement intervals without a message, as VRRP counts (RFC 9568, 6.1).
 const SILENT_INTERVALS: Time = 3;
 
@@ -223,7 +226,8 @@
         );
         // An attempt that waits for its record gets one interval more than the link's silence.
         let silence_timeout = config.silence_limit() + interval;
-        let replicator = Replicator::new(member, &config, silence_timeout);
+        let usual_wait = USUAL_WAIT_TICKS * config.tick_interval();
+        let replicator = Replicator::new(member, &config, silence_timeout, usual_wait);
         self.context.scheduler.host.replicator = Some(Box::new(replicator));
         let total_stall = self.context.net().total_stall();
         let state = FailoverState {
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -4,13 +4,13 @@
 use super::control_messages::PeerControl;
 use super::records::{RecordNames, ReplicationRecord};
 use super::FailoverConfig;
-use crate::ingress::{Disposition, ReplyHandle};
+use crate::ingress::{Disposition, ReplyHandle, NO_CLIENT};
 use std::collections::VecDeque;
 use tidewall_failover::deduplication::DeduplicationTable;
 use tidewall_failover::leadership::Leadership;
 use tidewall_failover::load_request_limit::LoadRequestLimiter;
 use tidewall_failover::proposal::{ProposalPhase, ReplyTo};
-use tidewall_failover::recovery::RetrySafety;
+use tidewall_failover::recovery::{give_up_link_at, RetrySafety};
 use tidewall_net::{Conn, Net, Time};
 
 /// Responses whose buffers are kept for reuse: more than wait for one round trip to the peer at usual rates.
@@ -52,6 +52,23 @@
     action: DeferredAction,
 }
 
+impl AwaitingRecord {
+    /// Whether a client would stop waiting if its response went on waiting for the peer. `usual_wait` as in
+    /// [`give_up_link_at`].
+    fn is_urgent(&self, now: Time, usual_wait: Time) -> bool {
+        let DeferredAction::Respond(response) = &self.action else {
+            return false;
+        };
+        let clients = response.clients.iter();
+        let deadlines = clients
+            .filter(|client| client.0 != NO_CLIENT)
+            .map(|client| client.1);
+        deadlines
+            .min()
+            .is_some_and(|deadline| now >= give_up_link_at(self.since, deadline, usual_wait))
+    }
+}
+
 /// Whether a call asks a worker to promise or to accept: the two phases of a leadership proposal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct VoteRound {
@@ -125,6 +142,8 @@
     pub shared_requests: Vec<usize>,
     /// How long an action may be held back before the peer counts as too slow, in tenths of a millisecond.
     pub silence_timeout: Time,
+    /// How long an acknowledgement may take while the peer is well, in tenths of a millisecond.
+    usual_wait: Time,
     /// Until then a request that is sent again may have been in flight in an incarnation that has ended and replicated it
     /// to nobody.
     pub history_unknown_until: Time,
@@ -138,7 +157,12 @@
 
 impl Replicator {
     /// The replicator of a gateway that has just started, not connected to its peer yet.
-    pub(super) fn new(member: usize, config: &FailoverConfig, silence_timeout: Time) -> Replicator {
+    pub(super) fn new(
+        member: usize,
+        config: &FailoverConfig,
+        silence_timeout: Time,
+        usual_wait: Time,
+    ) -> Replicator {
         let (window, burst, per_request) = config.load_request_limit;
         Replicator {
             member,
@@ -165,6 +189,7 @@
             ready_responses: VecDeque::new(),
             shared_requests: Vec::new(),
             silence_timeout,
+            usual_wait,
             history_unknown_until: 0,
             all_workers_fenced: false,
             spare_responses: Vec::new(),
@@ -240,12 +265,15 @@
         self.awaiting_record.pop_front().map(|first| first.action)
     }
 
-    /// An action was held back longer than the peer may be silent: the peer is there, and of no use.
+    /// An action was held back longer than the peer may be silent, or a response longer than its client can wait: the peer is
+    /// there, and of no use.
     pub fn is_peer_too_slow(&self, now: Time) -> bool {
         let overdue = |first: &AwaitingRecord| now > first.since + self.silence_timeout;
+        let urgent = |waiting: &AwaitingRecord| waiting.is_urgent(now, self.usual_wait);
         self.waits_for_records
             && self.streaming
-            && self.awaiting_record.front().is_some_and(overdue)
+            && (self.awaiting_record.front().is_some_and(overdue)
+                || self.awaiting_record.iter().any(urgent))
     }
 
     /// How many actions are held back.
--- a/crates/tidewall-sim/tests/found_by_long_runs.rs
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -40,6 +40,12 @@
     assert_pair_keeps_the_rules(1_005);
 }
 
+/// Guards against the same: four requests of one run, each with half a second left.
+#[test]
+fn pair_32811_short_requests_are_answered_while_the_link_hangs() {
+    assert_pair_keeps_the_rules(32_811);
+}
+
 /// Guards against a second execution by a member that continues what its draining peer completes.
 #[test_case(10_166)]
 #[test_case(13_135)]
