The number of a process's incarnation outlives it: no start takes one that was used

What callers may see: an at-most-once event runs twice. A pair's member tells its starts apart by a number that the voters and the other member keep; ballots carry it. It came from the wall clock alone at each start of the process, so a clock that was set back (or that stands before 1970, as of a machine without a battery) gave one that was used before, or a lower one: the other member then never learns that the former incarnation has ended. The lease task's number had the same origin: its peers refuse all that a lower number says.

Change: `gateway.incarnation_file` names a file in which a number is stored (one line with version and checksum; written beside, synchronised, renamed, folder synchronised) before it is used. A lock bars a second process; a file that is torn or foreign is set aside; a folder that takes no file is tried again each second and nothing is served meanwhile. Where the file is lost or an old backup, what the voters remember raises the number: such a member restarts above it (`Outnumbered`). The endpoint cache writes by the same code.

--- a/crates/tidewall-cli/src/coordination.rs
+++ b/crates/tidewall-cli/src/coordination.rs
@@ -6,13 +6,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 use tidewall_config::Section;
 use tidewall_coordination::config::CoordinationConfig;
 use tidewall_coordination::executor_task::ExecutorTask;
 use tidewall_coordination::lease_task::LeaseTask;
 use tidewall_coordination::mailbox::{channel, ExecutorCommand, MailboxSender};
-use tidewall_failover::proposal::next_incarnation;
 use tidewall_gateway::EndpointWatcher;
 use tidewall_net::mio::{self, Mio};
 use tidewall_sim::fleet::Plant;
@@ -37,20 +36,19 @@
         }
     }
 
-    /// Starts both threads. Whoever sets `shutdown` makes them hand over their leases and end.
+    /// Starts both threads, as this incarnation. Whoever sets `shutdown` makes them hand over their leases and end.
     ///
     /// # Errors
     /// Wrong input: the key file cannot be read, or the address cannot be bound. Otherwise the system gives no thread or poll.
     pub fn start(
         &mut self,
         settings: &Section,
-        member: usize,
+        (member, incarnation): (usize, u64),
         seed: u64,
         plant: Plant,
         shutdown: &Arc<AtomicBool>,
     ) -> Result<(), Failure> {
         let load_keys = key_loader(settings)?;
-        let incarnation = next_incarnation(0, wall_clock_ms());
         let guards = plant.guards();
         let config =
             CoordinationConfig::new(settings, member, incarnation, seed, guards, load_keys);
@@ -136,10 +134,3 @@
         last.clone()
     }))
 }
-
-/// Milliseconds since 1970; 1 where the clock stands before that.
-fn wall_clock_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(1, |d| d.as_millis() as u64)
-}
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -2,6 +2,7 @@
 mod coordination;
 mod day;
 mod from;
+mod incarnations;
 mod platform;
 mod send;
 mod serve;
--- a/crates/tidewall-cli/src/serve.rs
+++ b/crates/tidewall-cli/src/serve.rs
@@ -1,5 +1,6 @@
 //! `serve` and `standins`: processes that run until they are told to stop.
 use crate::coordination::CoordinationThreads;
+use crate::incarnations::Incarnations;
 use crate::{input, settings, Failure};
 use argon2::password_hash::{rand_core::OsRng, PasswordHasher, SaltString};
 use argon2::Argon2;
@@ -11,7 +12,6 @@
 use tidewall_amqp_ingress::Amqp;
 use tidewall_emulator::{Fleet, NoGateways, Plan};
 use tidewall_failover::flap_damping::FlapDamping;
-use tidewall_failover::proposal::next_incarnation;
 use tidewall_gateway::config::{failover_config, gateway_config, parse_keys};
 use tidewall_gateway::endpoints::{
     BackgroundEndpointCache, EndpointCache, FileEndpointCache, NoEndpointCache,
@@ -85,7 +85,8 @@
     }
     // A member that is superseded again and again (a tenth of a second at first, ten at most) does not spin.
     let (began, mut damp) = (Instant::now(), FlapDamping::new(1_000, 100_000));
-    let mut life = 0;
+    let numbered = s.has("pair") || s.has("fleet_common");
+    let mut incarnations = Incarnations::open(own)?;
     let mut coordination = CoordinationThreads::none();
     // A member of a pair that is superseded starts anew, as a new life that knows nothing.
     loop {
@@ -97,6 +98,14 @@
             path => Box::new(BackgroundEndpointCache::new(FileEndpointCache(path.into()))),
         };
         let mut start = gateway_config(&s, me, seed);
+        let incarnation = if numbered {
+            match incarnations.next(&told) {
+                Some(incarnation) => incarnation,
+                None => return Ok(()),
+            }
+        } else {
+            0
+        };
         if s.has("pair") {
             let file = PathBuf::from(s.section("pair").text("key_file"));
             let first = read_keys(&file).map_err(input)?;
@@ -108,13 +117,7 @@
                 }
                 last.borrow().clone()
             };
-            life = next_incarnation(
-                life,
-                SystemTime::now()
-                    .duration_since(UNIX_EPOCH)
-                    .map_or(1, |d| d.as_millis() as u64),
-            );
-            start.failover = Some(failover_config(&s, life, Box::new(keys)));
+            start.failover = Some(failover_config(&s, incarnation, Box::new(keys)));
         }
         let mut gateway = Gateway::new(net, start, shelf).map_err(input)?;
         let at = own.text("address").parse().expect("checked");
@@ -132,7 +135,7 @@
             gateway.set_drain_grace(DRAIN_GRACE);
         }
         if s.has("fleet_common") {
-            coordination.start(&s, me, seed, args.left_out, &told)?;
+            coordination.start(&s, (me, incarnation), seed, args.left_out, &told)?;
             gateway.watch_endpoints(coordination.endpoint_watcher());
         }
         mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))?;
@@ -141,6 +144,7 @@
             coordination.shut_down();
             return Ok(());
         }
+        incarnations.known_elsewhere(gateway.newest_own_incarnation());
         drop(gateway);
         let until = damp.next_hold_off((began.elapsed().as_micros() / 100) as u64);
         while ((began.elapsed().as_micros() / 100) as u64) < until {
--- a/crates/tidewall-config/src/check/mod.rs
+++ b/crates/tidewall-config/src/check/mod.rs
@@ -52,6 +52,7 @@
     let tenants = unique_names(&settings.sections("tenant"))?;
     let gateways = settings.sections("gateway");
     unique_names(&gateways)?;
+    incarnation_files(&gateways)?;
     let mut addresses = addresses(settings, &gateways, &zones)?;
     if settings.has("amqp") {
         amqp::check(&settings.section("amqp"), &tenants)?;
@@ -73,6 +74,20 @@
     Ok(())
 }
 
+/// Two gateways with one file would give each other's numbers away.
+fn incarnation_files(gateways: &[Section]) -> Result<(), FieldError> {
+    let named = gateways.iter().filter(|g| g.has("incarnation_file"));
+    let named: Vec<&Section> = named.collect();
+    let paths: Vec<String> = named.iter().map(|g| g.text("incarnation_file")).collect();
+    match first_duplicate(&paths) {
+        None => Ok(()),
+        Some(i) => {
+            let field = named[i].field_path("incarnation_file");
+            Err(FieldError::duplicate(field, &paths[i]))
+        }
+    }
+}
+
 fn required_lists(settings: &Section, zones: &[String]) -> Result<(), FieldError> {
     for list in ["gateway", "event_type", "zone"] {
         let empty = if list == "zone" {
--- a/crates/tidewall-config/src/shared.rs
+++ b/crates/tidewall-config/src/shared.rs
@@ -16,6 +16,7 @@
         || path.starts_with("pair.peer")
         || path.ends_with("].seed")
         || path.ends_with("].last_list")
+        || path.ends_with("].incarnation_file")
         || path == "pair.key_file"
         || path.starts_with("fleet")
 }
--- a/crates/tidewall-failover/src/proposal.rs
+++ b/crates/tidewall-failover/src/proposal.rs
@@ -27,6 +27,9 @@
     Superseded,
     /// Too few voters could be reached, or they promised a higher ballot.
     NoMajority,
+    /// The voters know an incarnation of this member with a higher number: this one has to start again above it, or what is
+    /// kept of that one would be taken for what this one knows.
+    Outnumbered,
 }
 
 /// What to propose, besides the epoch.
@@ -70,6 +73,8 @@
     /// Incarnations of the other member up to this one ended.
     ended_peer_incarnation: u64,
     lost_state: bool,
+    /// The highest incarnation of this member that voters know.
+    newest_own_incarnation: u64,
 }
 
 /// Proposes leadership for one incarnation of a member.
@@ -89,6 +94,7 @@
                 request: None,
                 ended_peer_incarnation: 0,
                 lost_state: false,
+                newest_own_incarnation: incarnation,
             },
             round: ProposerRound::new(owner, voters),
         }
@@ -109,6 +115,11 @@
         self.rule.ended_peer_incarnation = self.rule.ended_peer_incarnation.max(incarnation);
     }
 
+    /// The highest incarnation of this member that voters know, its own included.
+    pub fn newest_own_incarnation(&self) -> u64 {
+        self.rule.newest_own_incarnation
+    }
+
     /// Whether the incarnations that held all state in flight ended: what they had in flight is on no record.
     pub fn has_lost_state(&self) -> bool {
         self.rule.lost_state
@@ -176,6 +187,11 @@
             .request
             .expect("a round starts with the request that is stored before it");
         if let Some(governing) = governing {
+            let known_incarnation = governing.synced_incarnations[self.member];
+            self.newest_own_incarnation = self.newest_own_incarnation.max(known_incarnation);
+            if known_incarnation > self.incarnation {
+                return Err(ProposalOutcome::Outnumbered);
+            }
             self.check(request.purpose, governing)?;
             // It stays set: a proposal of our own that few voters accepted would look as if this incarnation held all state.
             self.lost_state |= governing.synced_incarnations[self.member] != self.incarnation;
--- a/crates/tidewall-failover/src/role/votes.rs
+++ b/crates/tidewall-failover/src/role/votes.rs
@@ -5,7 +5,15 @@
 use crate::proposal::{ProposalOutcome, ProposalRequest, Purpose, ReplyTo};
 use crate::Time;
 
+/// Why a member restarts whose number is below that of a former incarnation.
+const OUTNUMBERED: &str = "the voters know a later incarnation of this member";
+
 impl RoleStateMachine {
+    /// The highest incarnation of this member that voters know, its own included.
+    pub fn newest_own_incarnation(&self) -> u64 {
+        self.proposer.newest_own_incarnation()
+    }
+
     /// A worker rejected a call that was sent under our epoch: the voters know whether we still serve.
     pub fn epoch_rejected(&mut self, actions: &mut impl RoleActions) {
         if self.role.serves() && !self.proposer.is_proposing() {
@@ -61,6 +69,7 @@
             (Role::Proposing | Role::Draining, ProposalOutcome::Granted(leadership)) => {
                 self.leadership_granted(now, actions, leadership)
             }
+            (_, ProposalOutcome::Outnumbered) => self.restart(now, actions, OUTNUMBERED),
             (Role::Proposing, _) => self.back_off(now, actions),
             (Role::Draining, ProposalOutcome::NoMajority) => self.proposal_retry_at = retry_at,
             (Role::Draining, _) => self.restart(now, actions, "the other member serves without us"),
--- a/crates/tidewall-failover/tests/leadership_proposals.rs
+++ b/crates/tidewall-failover/tests/leadership_proposals.rs
@@ -315,3 +315,20 @@
 fn planted_voters_that_forget_are_noticed() {
     assert!((0..500).any(|seed| violations(seed, true) > 0));
 }
+
+/// Guards against an incarnation whose clock was set back: what is kept of a former one would be taken for what it knows.
+#[test_case(8, Some(ProposalOutcome::Outnumbered), 8; "a former incarnation had a higher number")]
+#[test_case(6, Some(ProposalOutcome::OutOfSync), 7; "a former incarnation had a lower one")]
+fn an_incarnation_below_a_former_one_is_not_granted(
+    former: u64,
+    expected: Option<ProposalOutcome>,
+    newest: u64,
+) {
+    let mut voters = [accepted(5 << 24, 1, [former, 9]); 3];
+    let mut proposer = LeadershipProposer::new(0, 7, 3);
+    let outcome = propose(&mut proposer, &mut voters, 3, TAKE_OVER);
+    assert_eq!(
+        (outcome, proposer.newest_own_incarnation()),
+        (expected, newest)
+    );
+}
--- a/crates/tidewall-gateway/src/endpoint_cache.rs
+++ b/crates/tidewall-gateway/src/endpoint_cache.rs
@@ -1,11 +1,12 @@
 //! The endpoint cache: the last endpoint list on disk, so that a gateway that starts while the discovery server cannot be
 //! reached has workers.
+use crate::durable_file::replace;
 use crate::endpoints::{self, EndpointRecord};
 use crate::timers::TimerToken;
 use crate::Gateway;
 use std::fs;
-use std::io::{self, Write};
-use std::path::{Path, PathBuf};
+use std::io;
+use std::path::PathBuf;
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::thread;
 use std::time::{Duration, SystemTime};
@@ -70,20 +71,7 @@
     }
 
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        // The complete name and more, or two lists that differ in their extension would share the temporary file.
-        let mut temporary = self.0.clone().into_os_string();
-        temporary.push(".new");
-        let mut file = fs::File::create(&temporary)?;
-        file.write_all(bytes)?;
-        // Without it a power cut may leave the new name with nothing behind it.
-        file.sync_all()?;
-        drop(file);
-        fs::rename(&temporary, &self.0)?;
-        let folder = self
-            .0
-            .parent()
-            .filter(|folder| !folder.as_os_str().is_empty());
-        fs::File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
+        replace(&self.0, bytes)
     }
 }
 
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //!   [`native_protocol`] one of them; `worker_events` handles what workers say.
 //! - Endpoint list: `discovery` is the client of the discovery server, [`endpoints`] the records and their encoding,
 //!   `endpoint_cache` the last list on disk.
+//! - Disk: `durable_file` replaces files as a whole, [`incarnation_store`] numbers the incarnations of a process.
 //! - [`effect_policy`] decides whether something may be sent, repeated, closed or ended now.
 //! - `event_loop` and `timers` are the entry points, `drain` is graceful shutdown, [`failover`] a pair of gateways behind one
 //!   address.
@@ -18,12 +19,14 @@
 mod connection_owners;
 mod discovery;
 mod drain;
+mod durable_file;
 pub mod effect_policy;
 mod endpoint_cache;
 pub mod endpoints;
 pub mod error;
 mod event_loop;
 pub mod failover;
+pub mod incarnation_store;
 pub mod ingress;
 mod ingress_context;
 mod listeners;
