--- a/crates/tidewall-sim/tests/found_by_long_runs.rs
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -97,6 +97,12 @@
     assert_eq!(breaches_of_shape(3_422), Vec::<String>::new());
 }
 
+/// The same, by one tick.
+#[test]
+fn shape_12030_a_request_due_as_its_gateway_is_stopped_has_its_answer() {
+    assert_eq!(breaches_of_shape(12_030), Vec::<String>::new());
+}
+
 /// Guards against more load requests in a window than the requests in it allow.
 #[test]
 fn shape_3440_load_requests_without_free_ones_stay_within_the_limit() {
