A load request counts for its limit from when it may have come, not from its decision

Cause: the rule counts a load request when it has come whole to its worker; we counted it when it was decided, with 10 ms for the way. A worker that hangs, a connection that is opened for it, and clocks of 200 ppm over a minute's window take longer, so that it left our window before the rule's.

Change: the history keeps, beside each sending, when the load request may have come at the latest: its end, or one window more where it timed out or nothing is heard. Until the window after that is over it counts, once. The margin grows with the window (one part in 2,000, from 20 s on). What clients of a load request see is the same; a worker that hangs holds back one load request.

--- a/crates/tidewall-sim/tests/found_by_long_runs.rs
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -109,6 +109,12 @@
     assert_eq!(breaches_of_shape(3_440), Vec::<String>::new());
 }
 
+/// Guards against the same where a connection was opened for one of them.
+#[test]
+fn shape_5342_load_requests_behind_a_new_connection_stay_within_the_limit() {
+    assert_eq!(breaches_of_shape(5_342), Vec::<String>::new());
+}
+
 /// Guards against leases that nobody holds again after one message with a field one too low.
 #[test]
 fn fleet_797_leases_are_held_again_after_a_lowered_field() {
--- a/src/choice/load_requests.rs
+++ b/src/choice/load_requests.rs
@@ -49,6 +49,10 @@
         if self.config.load_limit.window > 0 && !self.take_load_allowance(missing) {
             return false;
         }
+        let window = self.config.load_limit.window;
+        if window > 0 {
+            self.load_history.load_sent(now, window, function_id, placement.worker_id);
+        }
         let placement = &mut self.functions[function_id].placements[position];
         placement.pending_loads += 1;
         if placement.instances != InstanceState::Loaded {
@@ -65,27 +69,32 @@
     fn take_load_allowance(&mut self, missing: bool) -> bool {
         let limit = self.config.load_limit;
         self.expire_load_history(limit.window);
+        let delayed =
+            self.load_history.delayed_loads(self.now, limit.window, self.load_window_margin(limit.window));
         // Those of a life before a restart may still count, so the free ones come only after a window.
         let free_now = if self.now > self.started_at + limit.window { limit.free } else { 0.0 };
         // Renewals leave half the allowance to instances that are missing.
         let part = if missing { 1.0 } else { 0.5 };
         // It holds from each load request on: one that arrives late (a silent worker heals), or in a next
         // life, finds requests gone that paid for those before, and what is left must do.
-        let (history, count) = (&self.load_history, self.load_history.sent.len() + 1);
+        let (history, count) = (&self.load_history, self.load_history.sent.len() + delayed + 1);
         let over = |earlier, since, free| {
             let paid = limit.per_request * history.arrivals_since(since) as f64;
             (count - earlier) as f64 > (free + paid) * part
         };
         let mut sent = history.sent.iter().enumerate();
-        let allowed = !(over(0, 0, free_now) || sent.any(|(i, sent_at)| over(i, *sent_at, limit.free)));
-        self.load_history.sent.extend(allowed.then_some(self.now));
-        allowed
+        !(over(0, 0, free_now) || sent.any(|(i, sent_at)| over(i, *sent_at, limit.free)))
     }
 
-    /// Load requests as old as the window still count, requests must be younger: the safe way for both, by a
-    /// sweep, as load requests take different times to their workers.
+    /// Load requests as old as the window still count, requests must be younger: the safe way for both.
     pub(super) fn expire_load_history(&mut self, window: Time) {
-        self.load_history.expire(self.now, window, MAX_SWEEP_INTERVAL);
+        self.load_history.expire(self.now, window, self.load_window_margin(window));
+    }
+
+    /// A sweep, as load requests take different times to their workers, or what clocks may differ by over a
+    /// long window.
+    fn load_window_margin(&self, window: Time) -> Time {
+        MAX_SWEEP_INTERVAL.max(window / CLOCK_RATE_TOLERANCE)
     }
 
     /// A worker has shown that it knows this function: its requests count for the rate limit from now on, and
@@ -120,6 +129,10 @@
         // An end does not say whether it is a query's or a load request's; queries go first and are answered
         // at once. Each end counts once, so neither stays out for good, whatever a worker says.
         let query = placement.end_pending_call();
+        // One that timed out may still come: its worker hangs.
+        if !query && outcome != Outcome::TimedOut {
+            self.load_history.load_ended(now, function_id, worker_id);
+        }
         if query && outcome == Outcome::Ok && instances == 0 {
             return;
         }
--- a/src/choice/tests/load_requests.rs
+++ b/src/choice/tests/load_requests.rs
@@ -209,3 +209,26 @@
     }
     assert!(scheduler.load_history.arrivals.len() <= 102, "{}", scheduler.load_history.arrivals.len());
 }
+
+/// A load request that came late to its worker counts from then on: a worker hung, or a connection was opened for it.
+#[test_case(Some(Outcome::Ok), 1_000, 10_900, false; "its end is in the window")]
+#[test_case(Some(Outcome::Ok), 1_000, 11_020, true; "its end is out of it")]
+#[test_case(Some(Outcome::AtCapacity), 20, 10_021, false; "refused, and in the window")]
+#[test_case(Some(Outcome::TimedOut), 1_000, 15_000, false; "timed out, and may still come")]
+#[test_case(None, 0, 15_000, false; "nothing is known of it")]
+#[test_case(None, 0, 20_020, true; "nor will it come")]
+fn a_load_request_counts_from_its_arrival(end: Option<Outcome>, ended_ms: Time, ms: Time, given: bool) {
+    let limit = [("extra.load-window-ms", "10000"), ("extra.load-share", "1")];
+    let mut scheduler = scheduler_with(2, &limit);
+    load_first(&mut scheduler, 0, 0);
+    scheduler.load_history.arrivals.push_back(NOW);
+    assert!(scheduler.load_instances(0, 0, 1, true));
+    let worker = worker_at(&scheduler, 0, 0);
+    if let Some(outcome) = end {
+        scheduler.advance_clock(NOW + ended_ms * MS);
+        scheduler.load_request_ended(0, worker, outcome, 0);
+    }
+    scheduler.advance_clock(NOW + ms * MS);
+    scheduler.load_history.arrivals.push_back(scheduler.now);
+    assert_eq!(scheduler.load_instances(0, 1, 1, true), given);
+}
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -31,6 +31,9 @@
 pub(super) const LOAD_CHECK_TIMEOUT: Time = 20 * MS;
 pub(super) const REPORT_LIFETIME: Time = 200 * MS;
 
+/// Clocks of two machines run apart by less than one part in so many: quartz is within 200 millionths.
+pub(super) const CLOCK_RATE_TOLERANCE: Time = 2_000;
+
 /// Where no drain grace period is told: the shortest that is usual.
 pub(super) const DEFAULT_DRAIN_GRACE: Time = SECOND / 2;
 
