--- a/src/choice/load_requests.rs
+++ b/src/choice/load_requests.rs
@@ -49,9 +49,8 @@
         if self.config.load_limit.window > 0 && !self.take_load_allowance(missing) {
             return false;
         }
-        let window = self.config.load_limit.window;
-        if window > 0 {
-            self.load_history.load_sent(now, window, function_id, placement.worker_id);
+        if self.config.load_limit.window > 0 {
+            self.load_history.load_sent(now, placement.worker_id);
         }
         let placement = &mut self.functions[function_id].placements[position];
         placement.pending_loads += 1;
@@ -97,6 +96,15 @@
         MAX_SWEEP_INTERVAL.max(window / CLOCK_RATE_TOLERANCE)
     }
 
+    /// A call to a worker has ended: where the worker itself ended it, what had been sent to it a sweep before has
+    /// come. What was sent since then may lie unread behind the answer.
+    pub(super) fn worker_heard(&mut self, worker_id: WorkerId, outcome: Outcome) {
+        if matches!(outcome, Outcome::Ok | Outcome::Miss | Outcome::AtCapacity | Outcome::Error) {
+            let until = self.now.saturating_sub(MAX_SWEEP_INTERVAL);
+            self.load_history.worker_received(self.now, worker_id, until);
+        }
+    }
+
     /// A worker has shown that it knows this function: its requests count for the rate limit from now on, and
     /// those in hand as of when they came. Guards against calls of unknown functions by the hundred,
     /// cancelled or rejected at once: the users count none, and a few of them would buy a load request.
@@ -119,6 +127,7 @@
         instances: u32,
     ) {
         let now = self.now;
+        self.worker_heard(worker_id, outcome);
         self.take_in_changes(function_id);
         let Some(position) = self.placement_on(function_id, worker_id) else { return };
         self.confirm_function(function_id, outcome);
@@ -129,9 +138,8 @@
         // An end does not say whether it is a query's or a load request's; queries go first and are answered
         // at once. Each end counts once, so neither stays out for good, whatever a worker says.
         let query = placement.end_pending_call();
-        // One that timed out may still come: its worker hangs.
         if !query && outcome != Outcome::TimedOut {
-            self.load_history.load_ended(now, function_id, worker_id);
+            self.load_history.worker_received(now, worker_id, now);
         }
         if query && outcome == Outcome::Ok && instances == 0 {
             return;
--- a/src/choice/outcomes.rs
+++ b/src/choice/outcomes.rs
@@ -17,6 +17,7 @@
             return;
         };
         let (worker_id, note) = (before.worker_id, AttemptNote(note));
+        self.worker_heard(worker_id, outcome);
         self.confirm_function(info.function, outcome);
         let ended = EndedAttempt { attempt: before, position, info, outcome, took, note };
         self.learn_from_outcome(&ended);
--- a/src/load_history.rs
+++ b/src/load_history.rs
@@ -1,15 +1,17 @@
 //! What the rate limit of load requests counts: arithmetic on times, without any value of its own.
-use crate::interface::{FunctionId, Time, WorkerId};
+use crate::interface::{Time, WorkerId};
 use std::collections::VecDeque;
 
-/// A load request by the time at which it may have come whole to its worker.
-struct LoadArrival {
-    function_id: FunctionId,
+/// A load request that its worker may not have received yet.
+struct UnconfirmedLoad {
     worker_id: WorkerId,
     sent_at: Time,
-    /// At the latest: when it ended, or until that is known a bound.
-    latest: Time,
-    ended: bool,
+}
+
+/// A load request that its worker may have received later than it was sent.
+struct DelayedLoad {
+    sent_at: Time,
+    received_by: Time,
 }
 
 /// Load requests that were sent and arrivals that allow them, each oldest first.
@@ -17,8 +19,10 @@
 pub struct LoadHistory {
     /// When load requests were sent.
     pub sent: VecDeque<Time>,
-    /// The same load requests, as long as they may have come within the window.
-    load_arrivals: Vec<LoadArrival>,
+    /// Those of them after which nothing was heard of their worker.
+    unconfirmed: Vec<UnconfirmedLoad>,
+    /// Those whose worker was heard of only after some time.
+    delayed: Vec<DelayedLoad>,
     /// When requests arrived that count for the rate limit.
     pub arrivals: VecDeque<Time>,
 }
@@ -32,28 +36,29 @@
         self.arrivals.drain(..old);
     }
 
-    /// Counts a load request that is sent now. One whose end is never told may come for another window.
-    pub fn load_sent(&mut self, now: Time, window: Time, function_id: FunctionId, worker_id: WorkerId) {
+    /// Counts a load request that is sent now.
+    pub fn load_sent(&mut self, now: Time, worker_id: WorkerId) {
         self.sent.push_back(now);
-        let latest = now + window;
-        self.load_arrivals.push(LoadArrival { function_id, worker_id, sent_at: now, latest, ended: false });
+        self.unconfirmed.push(UnconfirmedLoad { worker_id, sent_at: now });
     }
 
-    /// The oldest load request for this function at this worker has come by now.
-    pub fn load_ended(&mut self, now: Time, function_id: FunctionId, worker_id: WorkerId) {
-        let mut open = self.load_arrivals.iter_mut().filter(|load| !load.ended);
-        let ended = open.find(|load| (load.function_id, load.worker_id) == (function_id, worker_id));
-        if let Some(load) = ended {
-            (load.latest, load.ended) = (load.latest.min(now), true);
-        }
+    /// The worker has received by now what was sent to it by the time `until`.
+    pub fn worker_received(&mut self, now: Time, worker_id: WorkerId, until: Time) {
+        let received = |load: &mut UnconfirmedLoad| load.worker_id == worker_id && load.sent_at <= until;
+        let received = self.unconfirmed.extract_if(.., received);
+        let delayed = received.map(|load| DelayedLoad { sent_at: load.sent_at, received_by: now });
+        self.delayed.extend(delayed);
     }
 
-    /// How many load requests are out of the window by their sending, but may have come within it: a worker that
-    /// hung, or a connection that was opened for them, delayed them.
+    /// How many load requests are out of the window by their sending, but may have been received within it: a worker that
+    /// hung, or a connection that was opened for them, delayed them. One whose worker is not heard of may be received for
+    /// another window.
     pub fn delayed_loads(&mut self, now: Time, window: Time, margin: Time) -> usize {
-        self.load_arrivals.retain(|load| load.latest + window + margin >= now);
-        let loads = self.load_arrivals.iter();
-        loads.filter(|load| load.sent_at + window + margin < now).count()
+        self.unconfirmed.retain(|load| load.sent_at + 2 * window + margin >= now);
+        self.delayed.retain(|load| load.received_by + window + margin >= now);
+        let sent = self.unconfirmed.iter().map(|load| load.sent_at);
+        let sent = sent.chain(self.delayed.iter().map(|load| load.sent_at));
+        sent.filter(|sent_at| sent_at + window + margin < now).count()
     }
 
     /// Counts an arrival that came earlier than others that are counted already.
