Slow start: one attempt at a time until its cost shows, then at the cost that shows

Cause: the budget counts attempts at what their class cost before. An attempt that has not ended counted the same however long it had been out, and the first dear end moved the class by an eighth only.

Change: until the first warm end since a worker's start each gateway has one attempt out there. What ended there since the start, against its class, is the factor at which all attempts there count from then on (never below one). One that is out counts at least what it has taken so far. Nothing changes for warm workers.

--- a/crates/tidewall-sim/tests/found_by_long_runs.rs
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -91,6 +91,39 @@
     assert_eq!(breaches_of_shape(2_316), Vec::<String>::new());
 }
 
+/// The same, with two attempts of five times the usual cost.
+#[test]
+fn shape_13421_a_worker_in_slow_start_is_not_overloaded() {
+    assert_eq!(breaches_of_shape(13_421), Vec::<String>::new());
+}
+
+/// Guards against two gateways that both round their small share of a worker in slow start up.
+#[test]
+fn shape_5589_two_gateways_do_not_round_up_at_once() {
+    assert_eq!(breaches_of_shape(5_589), Vec::<String>::new());
+}
+
+/// Guards against a single attempt that is more than a worker in slow start can take, of a cost that nothing told.
+#[test]
+fn shape_13241_one_attempt_does_not_overload_a_worker_in_slow_start() {
+    assert_eq!(breaches_of_shape(13_241), Vec::<String>::new());
+}
+
+/// Guards against attempts of several gateways, each the first there, that turned dear.
+#[test_case(5_262)]
+#[test_case(10_684)]
+#[test_case(11_781)]
+#[test_case(12_257)]
+fn shape_several_gateways_first_attempts_do_not_overload_a_worker_in_slow_start(seed: u64) {
+    assert_eq!(breaches_of_shape(seed), Vec::<String>::new());
+}
+
+/// Guards against load requests for a worker after its drain.
+#[test]
+fn shape_10244_no_load_request_follows_a_drain() {
+    assert_eq!(breaches_of_shape(10_244), Vec::<String>::new());
+}
+
 /// Guards against a request that is left without an answer as its gateway is stopped.
 #[test]
 fn shape_3422_a_request_due_as_its_gateway_is_stopped_has_its_answer() {
--- a/src/choice/outcomes.rs
+++ b/src/choice/outcomes.rs
@@ -101,6 +101,8 @@
         if !note.is_warm() {
             return;
         }
+        self.slow_start_cost_seen(worker_id, info.class, latency);
+        let (class, function) = (&mut self.classes[info.class], &mut self.functions[info.function]);
         let known = function.warm_latency > 0.0;
         function.warm_latency = if known { smooth(function.warm_latency, latency) } else { latency };
         class.warm_latency = smooth(class.warm_latency, latency);
--- a/src/choice/tests/slow_start.rs
+++ b/src/choice/tests/slow_start.rs
@@ -90,3 +90,45 @@
     (1..3).for_each(|worker_id| scheduler.workers[worker_id].completed_work.add(NOW, 8_000));
     assert_eq!(scheduler.has_slow_start_capacity(0, 0), room);
 }
+
+/// One of three workers has just started, and its window has room for three attempts of the usual cost.
+fn beside_a_cold_worker() -> TestScheduler {
+    let mut scheduler = scheduler_with(3, &[]);
+    scheduler.workers[0].endpoint.started_at = NOW - 1;
+    scheduler.workers[0].slow_start_rounding = 1.0;
+    (1..3).for_each(|worker_id| scheduler.workers[worker_id].completed_work.add(NOW, 20_000));
+    scheduler
+}
+
+// Eleven attempts left together for a cold worker, each eight times as dear as any had been before.
+#[test]
+fn attempts_at_a_cold_worker_go_one_at_a_time_until_their_cost_shows() {
+    let mut scheduler = beside_a_cold_worker();
+    scheduler.workers[0].attempt_sent(NOW, 0, 2 * SECOND);
+    assert!(!scheduler.has_slow_start_capacity(0, 0));
+    scheduler.workers[0].slow_start_attempt_ended(NOW, 0);
+    let usual = scheduler.classes[0].warm_latency;
+    scheduler.slow_start_cost_seen(0, 0, usual);
+    assert!(scheduler.has_slow_start_capacity(0, 0));
+}
+
+#[test_case(1.0, true; "as dear as its class")]
+#[test_case(8.0, false; "eight times as dear")]
+fn a_cold_budget_goes_by_what_ended_there(ratio: f64, room: bool) {
+    let mut scheduler = beside_a_cold_worker();
+    let usual = scheduler.classes[0].warm_latency;
+    scheduler.workers[0].slow_start_attempts.push_back((NOW, 0));
+    scheduler.slow_start_cost_seen(0, 0, ratio * usual);
+    assert_eq!(scheduler.has_slow_start_capacity(0, 0), room);
+}
+
+#[test_case(0, true; "just sent")]
+#[test_case(500, false; "out for longer than the rest has room for")]
+fn an_attempt_that_is_out_costs_what_it_has_taken(age_ms: Time, room: bool) {
+    let mut scheduler = beside_a_cold_worker();
+    let usual = scheduler.classes[0].warm_latency;
+    scheduler.slow_start_cost_seen(0, 0, usual);
+    scheduler.workers[0].attempt_sent(NOW, 0, 2 * SECOND);
+    scheduler.advance_clock(NOW + age_ms * MS);
+    assert_eq!(scheduler.has_slow_start_capacity(0, 0), room);
+}
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -41,6 +41,7 @@
         }
         request.attempts[attempt].state = state;
         self.workers[before.worker_id].in_flight -= 1;
+        self.workers[before.worker_id].slow_start_attempt_ended(before.sent_at, info.class);
         self.take_in_changes(info.function);
         let position = self.placement_on(info.function, before.worker_id);
         let position = position.expect("an attempt in flight keeps its function's placement");
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,10 @@
     pub completed_work: Counter,
     /// Time and class of the attempts that count for its slow start.
     pub slow_start_attempts: VecDeque<(Time, usize)>,
+    /// Those of them that have not ended, in no order.
+    pub slow_start_open: Vec<(Time, usize)>,
+    /// How much dearer than its class an attempt was there since the worker's start, by those that ended; 0 where none has.
+    pub slow_start_cost_ratio: f64,
     /// Where between 0 and 1 this gateway rounds its share of a worker in slow start up.
     pub slow_start_rounding: f64,
     /// What its own answers say of its being in service.
@@ -61,6 +65,14 @@
                 self.slow_start_attempts.pop_front();
             }
             self.slow_start_attempts.push_back((now, class));
+            self.slow_start_open.push((now, class));
+        }
+    }
+
+    /// An attempt that was sent then is not in flight any more.
+    pub fn slow_start_attempt_ended(&mut self, sent_at: Time, class: usize) {
+        if let Some(i) = self.slow_start_open.iter().position(|open| *open == (sent_at, class)) {
+            self.slow_start_open.swap_remove(i);
         }
     }
 }
