--- a/crates/tidewall-sim/tests/found_by_long_runs.rs
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -52,6 +52,12 @@
     assert_pair_keeps_the_rules(57_443);
 }
 
+/// Guards against "not taken, too late" as the answer to a repeat whose request is in hand, and is executed.
+#[test]
+fn pair_102792_a_late_repeat_of_a_request_in_hand_is_not_turned_away() {
+    assert_pair_keeps_the_rules(102_792);
+}
+
 /// Guards against an answer that crosses the word of a client which gives up at the moment when its gateway goes on.
 #[test]
 fn site_4107_a_client_that_gives_up_as_its_gateway_goes_on_hears_no_more() {
