--- a/crates/tidewall-audit/src/drains.rs
+++ b/crates/tidewall-audit/src/drains.rs
@@ -44,12 +44,6 @@
         }
     }
 
-    /// A worker that starts again has greeted nobody yet, and what its former incarnation said of itself is over
-    /// (docs/wire.md, frame 28); the endpoint list may still tell of a drain.
-    pub(crate) fn forget_drains_of_worker(&mut self, worker: usize) {
-        self.drains.retain(|key, _| key.worker != worker);
-    }
-
     pub(crate) fn check_drain_of_attempt(&mut self, row: &Row) {
         if let Some(told_at) = self.drained_since(row) {
             let (gateway, worker) = (row.gw, row.wk);
--- a/crates/tidewall-audit/src/slow_start.rs
+++ b/crates/tidewall-audit/src/slow_start.rs
@@ -59,7 +59,6 @@
 
 impl Audit {
     pub(crate) fn worker_started(&mut self, row: &Row) {
-        self.forget_drains_of_worker(row.wk);
         self.warming_workers.insert(row.wk, WarmingWorker::new(row));
     }
 
--- a/crates/tidewall-audit/tests/rules.rs
+++ b/crates/tidewall-audit/tests/rules.rs
@@ -129,30 +129,6 @@
     assert_eq!(breaches_by_rule(&rows), expected);
 }
 
-/// What a worker said of its drain is over with its next start; what the list tells after that holds again.
-#[test_case(false, &[] ; "the next incarnation takes work")]
-#[test_case(true, &[(3, 1)] ; "planted: told of a drain since")]
-fn a_drain_ends_with_the_incarnation(told_again: bool, expected: &[(usize, usize)]) {
-    let told = |t| Row {
-        on: false,
-        ..at(t, Kind::Told, 0, 1)
-    };
-    let started = Row {
-        left: 10,
-        capacity: 2.0,
-        from: 1.0,
-        ..at(15_000, Kind::Started, 0, 1)
-    };
-    let mut rows = vec![told(0), started];
-    rows.extend(told_again.then(|| told(15_001)));
-    rows.extend([
-        asked(40_000, 7, 0),
-        at(40_010, Kind::Launched, 7, 1),
-        row(40_020, Kind::Answered, 7),
-    ]);
-    assert_eq!(breaches_by_rule(&rows), expected);
-}
-
 /// A worker that starts with a fifth of two cores can be sent 2.5 times 0.4 cores for 1.5 s: 15,000 tenths.
 #[test_case(0, 14_000.0, &[] ; "below its fall")]
 #[test_case(0, 16_000.0, &[(4, 1)] ; "planted: too much at once")]
