--- a/crates/tidewall-sim/tests/found_by_long_runs.rs
+++ b/crates/tidewall-sim/tests/found_by_long_runs.rs
@@ -73,6 +73,13 @@
     assert_pair_keeps_the_rules(seed);
 }
 
+/// Guards against a second execution at a takeover; each ran an at-most-once request twice.
+#[test_case(39_999)]
+#[test_case(44_684)]
+fn pair_a_takeover_executes_nothing_twice(seed: u64) {
+    assert_pair_keeps_the_rules(seed);
+}
+
 /// Guards against a second execution by a former active member whose records the new one acknowledged.
 #[test]
 fn pair_36604_a_fenced_member_gets_no_acknowledgement() {
