Pair: the log tells each vote and how long a response waits for its record

Change: debug lines for each vote requested, received and missing, with its phase, and for each response that begins and ceases to wait for its record; the warning of a slow peer says when it was last heard and how many records stand unacknowledged; acknowledgements at trace.

--- a/crates/tidewall-gateway/src/failover/peer_link.rs
+++ b/crates/tidewall-gateway/src/failover/peer_link.rs
@@ -11,7 +11,7 @@
 use tidewall_failover::role::Role;
 use tidewall_net::{Conn, Listener, Net, Time};
 use tidewall_wire::{self as wire, Field, Fields, WireError};
-use tracing::{info, warn};
+use tracing::{info, trace, warn};
 
 /// The member that is barred from serving where the settings disagree: the one whose name sorts last.
 const BARRED_MEMBER: usize = 1;
@@ -73,7 +73,12 @@
         let silent = now > state.link.last_heard + state.config.silence_limit();
         match replicator.conn {
             Some(conn) if silent || replicator.is_peer_too_slow(now) => {
-                warn!(silent, "peer is silent or too slow");
+                let last_heard = now - state.link.last_heard;
+                let unacknowledged = replicator.last_sequence - replicator.acknowledged_sequence;
+                warn!(
+                    silent,
+                    last_heard, unacknowledged, "peer is silent or too slow"
+                );
                 role_machine.peer_too_slow(now);
                 self.drop_peer_connection(conn);
             }
@@ -298,6 +303,7 @@
             return Err(WireError::invalid(Field::Seq, problem).into());
         }
         replicator.acknowledged_sequence = replicator.acknowledged_sequence.max(acknowledged);
+        trace!(record = acknowledged, "records acknowledged");
         self.with_role(|role_machine, now, actions| {
             actions.gateway.send_pending_snapshot(actions.state);
             let acknowledged = actions.replicator().acknowledged_sequence;
--- a/crates/tidewall-gateway/src/failover/replication.rs
+++ b/crates/tidewall-gateway/src/failover/replication.rs
@@ -139,6 +139,7 @@
             RecordNames::new(&self.class_names, &self.tenant_names),
         );
         let mut pending = replicator.new_response();
+        pending.request = request.id;
         pending.clients.append(&mut request.waiting_clients);
         if response.reply_handle != NO_CLIENT {
             let client = (response.reply_handle, request.deadline());
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -12,6 +12,7 @@
 use tidewall_failover::proposal::{ProposalPhase, ReplyTo};
 use tidewall_failover::recovery::{give_up_link_at, RetrySafety};
 use tidewall_net::{Conn, Net, Time};
+use tracing::debug;
 
 /// Responses whose buffers are kept for reuse: more than wait for one round trip to the peer at usual rates.
 const MAX_SPARE_RESPONSES: usize = 256;
@@ -19,6 +20,8 @@
 /// A response on its way to the clients that wait for it.
 #[derive(Default)]
 pub struct PendingResponse {
+    /// The client's own id of the request, for logs; 0 where the request is not in flight here.
+    pub request: u64,
     /// The clients, each with the time when it gives up.
     pub clients: Vec<(ReplyHandle, Time)>,
     /// What they are told; none counts as failed.
@@ -249,6 +252,15 @@
 
     /// Holds an action back until all records up to now are acknowledged. Actions leave in the order in which they came.
     pub(super) fn defer(&mut self, now: Time, action: DeferredAction) {
+        if let DeferredAction::Respond(response) = &action {
+            debug!(
+                request = response.request,
+                disposition = response.disposition.map(Disposition::wire_text),
+                record = self.last_sequence,
+                acknowledged = self.acknowledged_sequence,
+                "response waits for its record"
+            );
+        }
         self.awaiting_record.push_back(AwaitingRecord {
             sequence: self.last_sequence,
             since: now,
@@ -257,11 +269,20 @@
     }
 
     /// The next action that is held back no longer.
-    pub fn next_recorded(&mut self) -> Option<DeferredAction> {
-        let sequence = self.awaiting_record.front()?.sequence;
-        if self.waits_for_records && sequence > self.acknowledged_sequence {
+    pub fn next_recorded(&mut self, now: Time) -> Option<DeferredAction> {
+        let first = self.awaiting_record.front()?;
+        let recorded = first.sequence <= self.acknowledged_sequence;
+        if self.waits_for_records && !recorded {
             return None;
         }
+        if let DeferredAction::Respond(response) = &first.action {
+            debug!(
+                request = response.request,
+                waited = now - first.since,
+                recorded,
+                "response no longer waits"
+            );
+        }
         self.awaiting_record.pop_front().map(|first| first.action)
     }
 
@@ -290,6 +311,7 @@
     pub fn recycle_response(&mut self, mut response: PendingResponse) {
         response.clients.clear();
         response.payload.clear();
+        response.request = 0;
         response.disposition = None;
         response.retry_after = 0;
         response.elapsed = 0;
--- a/crates/tidewall-gateway/src/failover/responses.rs
+++ b/crates/tidewall-gateway/src/failover/responses.rs
@@ -7,6 +7,7 @@
 use crate::{Gateway, Owner};
 use tidewall_failover::role::Role;
 use tidewall_net::{Conn, Net, Time};
+use tracing::debug;
 
 impl<N: Net> Gateway<N> {
     /// Sends a request's final response to its client and to all that sent it again; with failover, at once or when it is
@@ -53,15 +54,18 @@
     /// Delivers one outcome of failover; false where none is left. The order in which the
     /// kinds are looked at decides the order of writes.
     pub(crate) fn deliver_failover_outcome(&mut self) -> bool {
-        let Some(replicator) = &mut self.context.scheduler.host.replicator else {
+        let host = &mut self.context.scheduler.host;
+        let now = host.net.now();
+        let Some(replicator) = &mut host.replicator else {
             return false;
         };
-        if let Some(action) = replicator.next_recorded() {
+        if let Some(action) = replicator.next_recorded(now) {
             self.run_deferred_action(action);
         } else if let Some(response) = replicator.ready_responses.pop_front() {
             self.send_pending_response(response);
         } else if let Some(missing) = replicator.missing_votes.pop_front() {
             let round = missing.round.reply_to();
+            debug!(voter = missing.voter, phase = ?round.phase, "vote missing");
             self.with_role(|role_machine, now, actions| {
                 role_machine.vote_missing(now, actions, missing.voter, round)
             });
--- a/crates/tidewall-gateway/src/failover/voting.rs
+++ b/crates/tidewall-gateway/src/failover/voting.rs
@@ -11,9 +11,10 @@
 use crate::Gateway;
 use tidewall::interface::EndpointState;
 use tidewall_failover::leadership::Leadership;
-use tidewall_failover::proposal::ProposerTransport;
+use tidewall_failover::proposal::{epoch_number, ProposerTransport};
 use tidewall_net::Net;
 use tidewall_wire::Fields;
+use tracing::debug;
 
 /// The workers that have accepted this gateway's leadership, by their index.
 #[derive(Default)]
@@ -57,6 +58,8 @@
     /// the step that it is in.
     fn request_voter(&mut self, voter: usize, round: VoteRound) {
         let host = &self.gateway.context.scheduler.host;
+        let epoch = epoch_number(round.ballot);
+        debug!(voter, epoch, phase = ?round.reply_to().phase, "vote requested");
         let worker = host.worker_names.get(&self.state.config.voters[voter]);
         match worker.filter(|worker| host.has_address(*worker)) {
             Some(worker) => self.request_vote(worker, Some(voter), round),
@@ -151,6 +154,8 @@
         self.with_role(|role_machine, now, actions| {
             if let Some(voter) = voter.filter(|_| !ended) {
                 let round = VoteRound { ballot, accepting }.reply_to();
+                let epoch = epoch_number(ballot);
+                debug!(voter, epoch, phase = ?round.phase, granted, "vote received");
                 role_machine.vote_received(now, actions, voter, round, granted, acceptor);
             }
             let accepted = acceptor.accepted;
