Pair: a response waits for its record no longer than its clients wait for it

Cause: nothing bounds how long a response waits for its record by the time of its client. The rule of before (give_up_link_at) bounds when the voters are asked, not how long they take; and a link that is merely slow, without any hang, held responses in the same way.

Change: a client is told a failure 10 ms before it stops waiting, though not before an acknowledgement had a quarter of what is left. docs/wire.md says of dead-lettered that nothing is promised and that the event may have run: that is true whatever the other member knows, so it may be sent without its record. No attempt, completion or deferral leaves on a weaker condition than before. The record and what is remembered for repeats stay. The queue of what is held back is a module of its own; counter record_timeouts.

Why it works: the bound follows from the client's time alone, not from the link or the voters.

--- a/crates/tidewall-failover/src/recovery.rs
+++ b/crates/tidewall-failover/src/recovery.rs
@@ -91,6 +91,17 @@
         .max(since + shortest_wait)
 }
 
+/// When a response that began to wait for its record at `since` is given up, for a client that stops waiting at `deadline`;
+/// nothing may be sent to it after `latest`. The client is told a failure then: that is true whatever the other member
+/// knows, as a failed request may have been executed and is not to be repeated. What is left for the response's way is as
+/// much as an attempt needs, but an acknowledgement gets at least a quarter of the time until `latest`.
+pub fn give_up_record_at(since: Time, deadline: Time, latest: Time) -> Time {
+    let shortest_wait = latest.saturating_sub(since) / 4;
+    deadline
+        .saturating_sub(MIN_REMAINING_TIME)
+        .max(since + shortest_wait)
+}
+
 /// How much earlier than its client's deadline a request of a pair is to end. A response may wait until the voters know
 /// that the other member is gone: `peer_timeout` of silence on the link, then a leadership proposal. At most a quarter of
 /// the `remaining` time; 0 where a repeat does no harm, as nothing waits then.
--- a/crates/tidewall-failover/tests/recovery.rs
+++ b/crates/tidewall-failover/tests/recovery.rs
@@ -1,8 +1,8 @@
 //! What a new active member does with the requests of the former one.
 use test_case::test_case;
 use tidewall_failover::recovery::{
-    deadline_margin, give_up_link_at, recovery_action, unrecorded_retry_action, Attempt,
-    AttemptState, RecoveryAction, RetrySafety, UnrecordedRetryAction,
+    deadline_margin, give_up_link_at, give_up_record_at, recovery_action, unrecorded_retry_action,
+    Attempt, AttemptState, RecoveryAction, RetrySafety, UnrecordedRetryAction,
 };
 
 const GLOBAL_KEY: RetrySafety = RetrySafety::IdempotencyKey {
@@ -106,3 +106,16 @@
 fn a_link_is_given_up_in_time_for_the_client(deadline: u64, expected: u64) {
     assert_eq!(give_up_link_at(10_000, deadline, 500), expected);
 }
+
+/// A response that began to wait at 10,000, for a client that may be answered up to 250 late.
+#[test_case(40_000, 39_900; "in time for the response's way")]
+#[test_case(10_400, 10_300; "with little time left")]
+#[test_case(10_150, 10_100; "an acknowledgement gets a quarter of what is left")]
+#[test_case(10_000, 10_062; "the same behind the deadline")]
+#[test_case(9_000, 10_000; "too late already")]
+fn a_record_is_given_up_in_time_for_the_client(deadline: u64, expected: u64) {
+    assert_eq!(
+        give_up_record_at(10_000, deadline, deadline + 250),
+        expected
+    );
+}
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -10,8 +10,9 @@
 //! 1. The serving gateway writes a replication record (`records`) of each change of its requests in flight before the
 //!    change has an effect outside (`replication`).
 //! 2. Where a second execution may do harm, an attempt is sent to its worker, and a response to its client, only after the
-//!    peer has acknowledged the record (`replicator`). So the peer knows of each attempt that may have been executed, and
-//!    no client holds a response that the peer could contradict.
+//!    peer has acknowledged the record (`replicator`, `held_back`). So the peer knows of each attempt that may have been
+//!    executed, and no client holds a response that the peer could contradict. A client that would stop waiting before that
+//!    is told that its request failed, which promises nothing.
 //! 3. A peer that has just connected gets a snapshot of all that is in flight or remembered (`snapshot`). Until it has
 //!    acknowledged that, it is not told to the voters as synchronized, and may not take over.
 //! 4. The peer applies the records to its table of the other's requests (`peer_requests`). When it serves, it continues
@@ -24,6 +25,7 @@
 //! All times are whole tenths of a millisecond, but for the VRRP interval, which is in centiseconds as on its wire.
 pub mod control_messages;
 mod duplicates;
+mod held_back;
 mod peer_link;
 mod peer_requests;
 pub mod records;
@@ -320,6 +322,7 @@
             state.vrrp.reload_keys(&state.config);
         }
         state.link.excuse_stall(now, net.total_stall());
+        self.give_up_records();
         self.check_peer_connection(now);
         self.with_role(|role_machine, now, actions| {
             role_machine.tick(now, actions);
--- a/crates/tidewall-gateway/src/failover/replication.rs
+++ b/crates/tidewall-gateway/src/failover/replication.rs
@@ -5,9 +5,10 @@
 //!
 //! A gateway without failover has no replicator; each method then does what a single gateway does.
 use super::control_messages::VoteRequest;
+use super::held_back::{DeferredAction, PendingResponse};
 use super::records::{AdmittedRequest, FinalResponse, RecordNames, ReplicationRecord, RequestKey};
-use super::replicator::{DeferredAction, PendingResponse};
 use crate::ingress::{ReplyHandle, NO_CLIENT};
+use crate::timers::TimerToken;
 use crate::worker_pool::{LocalResponse, PendingRequest, WorkerPool};
 use tidewall_failover::deduplication::RequestLocation;
 use tidewall_net::{Net, Time};
@@ -150,7 +151,9 @@
         pending.elapsed = response.elapsed;
         pending.payload.extend_from_slice(payload);
         if replicator.waits_for_records && !replicator.retry_safety_of(class).is_safe_to_repeat() {
-            replicator.defer(now, DeferredAction::Respond(pending));
+            if let Some(at) = replicator.defer_response(now, pending) {
+                self.net.set_timer(at, TimerToken::RecordTimeout.pack());
+            }
             return None;
         }
         Some(pending)
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -2,76 +2,21 @@
 //! what may leave the gateway only after that. It also holds what both gateways must know alike for a takeover: the
 //! deduplication table and the count of load requests. It decides nothing about roles.
 use super::control_messages::PeerControl;
+use super::held_back::{DeferredAction, HeldBackQueue, PendingResponse};
 use super::records::{RecordNames, ReplicationRecord};
 use super::FailoverConfig;
-use crate::ingress::{Disposition, ReplyHandle, NO_CLIENT};
+use crate::ingress::Disposition;
 use std::collections::VecDeque;
 use tidewall_failover::deduplication::DeduplicationTable;
 use tidewall_failover::leadership::Leadership;
 use tidewall_failover::load_request_limit::LoadRequestLimiter;
 use tidewall_failover::proposal::{ProposalPhase, ReplyTo};
-use tidewall_failover::recovery::{give_up_link_at, RetrySafety};
+use tidewall_failover::recovery::RetrySafety;
 use tidewall_net::{Conn, Net, Time};
-use tracing::debug;
 
 /// Responses whose buffers are kept for reuse: more than wait for one round trip to the peer at usual rates.
 const MAX_SPARE_RESPONSES: usize = 256;
 
-/// A response on its way to the clients that wait for it.
-#[derive(Default)]
-pub struct PendingResponse {
-    /// The client's own id of the request, for logs; 0 where the request is not in flight here.
-    pub request: u64,
-    /// The clients, each with the time when it gives up.
-    pub clients: Vec<(ReplyHandle, Time)>,
-    /// What they are told; none counts as failed.
-    pub disposition: Option<Disposition>,
-    /// Where rejected: after how many tenths of a millisecond to come back; 0 where that is left open.
-    pub retry_after: Time,
-    /// Tenths of a millisecond that the gateway had the request; 0 where it did not have it itself.
-    pub elapsed: Time,
-    /// The response's payload.
-    pub payload: Vec<u8>,
-}
-
-/// What is held back until all records written before it are acknowledged.
-pub enum DeferredAction {
-    /// A call to a worker is given its connection.
-    SendCall {
-        /// The call's slot.
-        call: usize,
-        /// The call's generation: the slot may serve another call by then.
-        generation: u32,
-    },
-    /// A response goes to its clients.
-    Respond(PendingResponse),
-}
-
-struct AwaitingRecord {
-    /// The last record written before it.
-    sequence: u64,
-    /// When it began to wait.
-    since: Time,
-    action: DeferredAction,
-}
-
-impl AwaitingRecord {
-    /// Whether a client would stop waiting if its response went on waiting for the peer. `usual_wait` as in
-    /// [`give_up_link_at`].
-    fn is_urgent(&self, now: Time, usual_wait: Time) -> bool {
-        let DeferredAction::Respond(response) = &self.action else {
-            return false;
-        };
-        let clients = response.clients.iter();
-        let deadlines = clients
-            .filter(|client| client.0 != NO_CLIENT)
-            .map(|client| client.1);
-        deadlines
-            .min()
-            .is_some_and(|deadline| now >= give_up_link_at(self.since, deadline, usual_wait))
-    }
-}
-
 /// Whether a call asks a worker to promise or to accept: the two phases of a leadership proposal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct VoteRound {
@@ -121,7 +66,7 @@
     pub sequence_base: u64,
     /// Records written to this connection.
     pub sent_on_connection: u64,
-    awaiting_record: VecDeque<AwaitingRecord>,
+    held_back: HeldBackQueue,
     /// The connection's buffer was full: the peer is too slow, and the connection is to be reset.
     pub connection_overflowed: bool,
     /// Requests by idempotency key: in flight here or at the peer, or responded to.
@@ -145,8 +90,6 @@
     pub shared_requests: Vec<usize>,
     /// How long an action may be held back before the peer counts as too slow, in tenths of a millisecond.
     pub silence_timeout: Time,
-    /// How long an acknowledgement may take while the peer is well, in tenths of a millisecond.
-    usual_wait: Time,
     /// Until then a request that is sent again may have been in flight in an incarnation that has ended and replicated it
     /// to nobody.
     pub history_unknown_until: Time,
@@ -179,7 +122,7 @@
             acknowledged_sequence: 0,
             sequence_base: 0,
             sent_on_connection: 0,
-            awaiting_record: VecDeque::new(),
+            held_back: HeldBackQueue::new(usual_wait),
             connection_overflowed: false,
             deduplication: DeduplicationTable::default(),
             load_request_limiter: LoadRequestLimiter::new(window, burst, per_request),
@@ -192,7 +135,6 @@
             ready_responses: VecDeque::new(),
             shared_requests: Vec::new(),
             silence_timeout,
-            usual_wait,
             history_unknown_until: 0,
             all_workers_fenced: false,
             spare_responses: Vec::new(),
@@ -252,54 +194,48 @@
 
     /// Holds an action back until all records up to now are acknowledged. Actions leave in the order in which they came.
     pub(super) fn defer(&mut self, now: Time, action: DeferredAction) {
-        if let DeferredAction::Respond(response) = &action {
-            debug!(
-                request = response.request,
-                disposition = response.disposition.map(Disposition::wire_text),
-                record = self.last_sequence,
-                acknowledged = self.acknowledged_sequence,
-                "response waits for its record"
-            );
-        }
-        self.awaiting_record.push_back(AwaitingRecord {
-            sequence: self.last_sequence,
-            since: now,
-            action,
-        });
+        self.held_back.push(now, self.last_sequence, action);
+    }
+
+    /// Holds a response back in the same way. Gives when [`Self::give_up_records`] has to be called, if a timer is to be set.
+    #[must_use]
+    pub(super) fn defer_response(&mut self, now: Time, response: PendingResponse) -> Option<Time> {
+        self.defer(now, DeferredAction::Respond(response));
+        self.held_back.timer_for_last(now)
     }
 
     /// The next action that is held back no longer.
-    pub fn next_recorded(&mut self, now: Time) -> Option<DeferredAction> {
-        let first = self.awaiting_record.front()?;
-        let recorded = first.sequence <= self.acknowledged_sequence;
-        if self.waits_for_records && !recorded {
-            return None;
-        }
-        if let DeferredAction::Respond(response) = &first.action {
-            debug!(
-                request = response.request,
-                waited = now - first.since,
-                recorded,
-                "response no longer waits"
-            );
+    pub(super) fn next_recorded(&mut self, now: Time) -> Option<DeferredAction> {
+        let acknowledged = self.waits_for_records.then_some(self.acknowledged_sequence);
+        self.held_back.pop(now, acknowledged)
+    }
+
+    /// Clients that can wait no longer for the record of their response get a failure with the next deferred outcomes. Gives
+    /// how many there were, and when it has to be called again if that is before the next tick.
+    pub(super) fn give_up_records(&mut self, now: Time) -> (usize, Option<Time>) {
+        let mut given_up = 0;
+        loop {
+            let mut failure = self.new_response();
+            if !self.held_back.take_given_up(now, &mut failure) {
+                self.recycle_response(failure);
+                return (given_up, self.held_back.timer_for_rest(now));
+            }
+            given_up += failure.clients.len();
+            self.ready_responses.push_back(failure);
         }
-        self.awaiting_record.pop_front().map(|first| first.action)
     }
 
     /// An action was held back longer than the peer may be silent, or a response longer than its client can wait: the peer is
     /// there, and of no use.
     pub fn is_peer_too_slow(&self, now: Time) -> bool {
-        let overdue = |first: &AwaitingRecord| now > first.since + self.silence_timeout;
-        let urgent = |waiting: &AwaitingRecord| waiting.is_urgent(now, self.usual_wait);
         self.waits_for_records
             && self.streaming
-            && (self.awaiting_record.front().is_some_and(overdue)
-                || self.awaiting_record.iter().any(urgent))
+            && self.held_back.is_too_slow(now, self.silence_timeout)
     }
 
     /// How many actions are held back.
     pub fn waiting_count(&self) -> usize {
-        self.awaiting_record.len()
+        self.held_back.len()
     }
 
     /// An empty response, with the buffers of an earlier one where there are some.
@@ -309,12 +245,7 @@
 
     /// Takes a response that was sent: its buffers serve a later one.
     pub fn recycle_response(&mut self, mut response: PendingResponse) {
-        response.clients.clear();
-        response.payload.clear();
-        response.request = 0;
-        response.disposition = None;
-        response.retry_after = 0;
-        response.elapsed = 0;
+        response.clear();
         if self.spare_responses.len() < MAX_SPARE_RESPONSES {
             self.spare_responses.push(response);
         }
--- a/crates/tidewall-gateway/src/failover/responses.rs
+++ b/crates/tidewall-gateway/src/failover/responses.rs
@@ -1,8 +1,9 @@
 //! Delivery of responses, and of all else that failover leaves for the end of an event: calls and responses whose records
 //! were acknowledged, missing votes, a rejected epoch, an overflowed connection.
-use super::replicator::{DeferredAction, PendingResponse};
+use super::held_back::{DeferredAction, PendingResponse};
 use super::{StopReason, FENCING_RETRY_AFTER};
 use crate::ingress::{Disposition, ReplyHandle, Response, LATE_RESPONSE_GRACE, NO_CLIENT};
+use crate::timers::TimerToken;
 use crate::worker_pool::LocalResponse;
 use crate::{Gateway, Owner};
 use tidewall_failover::role::Role;
@@ -86,6 +87,20 @@
         true
     }
 
+    /// Looks for responses whose clients can wait no longer for the peer's acknowledgement.
+    pub(crate) fn give_up_records(&mut self) {
+        let host = &mut self.context.scheduler.host;
+        let now = host.net.now();
+        let Some(replicator) = &mut host.replicator else {
+            return;
+        };
+        let (given_up, next) = replicator.give_up_records(now);
+        host.counters.record_timeouts += given_up as u64;
+        if let Some(at) = next {
+            host.net.set_timer(at, TimerToken::RecordTimeout.pack());
+        }
+    }
+
     fn run_deferred_action(&mut self, action: DeferredAction) {
         match action {
             DeferredAction::SendCall { call, generation } => {
--- a/crates/tidewall-gateway/src/timers.rs
+++ b/crates/tidewall-gateway/src/timers.rs
@@ -35,6 +35,8 @@
     DrainSettled,
     /// Attempts that were put off until sockets were read are looked at again.
     PutOffSends,
+    /// Clients may not be able to wait longer for the record of their response.
+    RecordTimeout,
 }
 
 const KIND_SHIFT: u32 = 56;
@@ -58,6 +60,7 @@
             TimerToken::DrainStart => (12, 0),
             TimerToken::DrainSettled => (13, 0),
             TimerToken::PutOffSends => (14, 0),
+            TimerToken::RecordTimeout => (15, 0),
         };
         kind << KIND_SHIFT | argument
     }
@@ -80,6 +83,7 @@
             12 => TimerToken::DrainStart,
             13 => TimerToken::DrainSettled,
             14 => TimerToken::PutOffSends,
+            15 => TimerToken::RecordTimeout,
             _ => return None,
         })
     }
@@ -120,6 +124,7 @@
             // Whether the gateway may end is checked after each wake-up.
             TimerToken::DrainSettled => {}
             TimerToken::PutOffSends => self.context.scheduler.host.resume_put_off(),
+            TimerToken::RecordTimeout => self.give_up_records(),
             TimerToken::Greeting(connection) => self.greeting_timed_out(connection),
             TimerToken::ConnectionCheck => {
                 let next = now + CONNECTION_CHECK_INTERVAL;
--- a/crates/tidewall-gateway/src/worker_pool/counters.rs
+++ b/crates/tidewall-gateway/src/worker_pool/counters.rs
@@ -17,6 +17,8 @@
     pub refused: u64,
     /// Responses that were not sent because their client's deadline had passed, for example after a stall of this process.
     pub expired: u64,
+    /// Clients that were told a failure because the record of their response was not acknowledged in time.
+    pub record_timeouts: u64,
     /// Malformed messages and datagrams.
     pub malformed: u64,
     /// Attempts that the scheduler started.
--- a/crates/tidewall-sim/src/pair.rs
+++ b/crates/tidewall-sim/src/pair.rs
@@ -96,6 +96,8 @@
     pub only: Option<Sort>,
     /// Member b's settings are not those of member a.
     pub disagree: bool,
+    /// Max age of all request classes, in milliseconds; clients wait for nine tenths of it.
+    pub max_age_ms: u64,
     /// Whether the report holds the record.
     pub keep: bool,
 }
@@ -111,6 +113,7 @@
             script: None,
             only: None,
             disagree: false,
+            max_age_ms: MAX_AGE_MS,
             keep: false,
         }
     }
@@ -140,15 +143,19 @@
     pub record: Vec<u8>,
 }
 
+/// Max age and target time of the request classes in [`SETTINGS`], in milliseconds.
+const MAX_AGE_MS: u64 = 3_000;
+const TARGET_TIME_MS: u64 = 800;
+
 const SETTINGS: &str = r#"
 gateway { name: "g0" address: "127.0.0.1:700" zone: "north" }
 roster { address: "127.0.0.1:701" }
 zone: ["north", "south"]
 kind { name: "k" memory_mb: 2000 }
-event_type { name: "check" target_time_ms: 800 max_age_ms: 3000 redelivery: REDELIVERABLE }
-event_type { name: "record" target_time_ms: 800 max_age_ms: 3000 benefit: 3 redelivery: KEYED group: ZONE window_ms: 4000 }
-event_type { name: "issue" target_time_ms: 800 max_age_ms: 3000 benefit: 2 redelivery: AT_MOST_ONCE }
-event_type { name: "count" target_time_ms: 800 max_age_ms: 3000 redelivery: KEYED group: ALL window_ms: 4000 }
+event_type { name: "check" target_time_ms: TARGETTIME max_age_ms: MAXAGE redelivery: REDELIVERABLE }
+event_type { name: "record" target_time_ms: TARGETTIME max_age_ms: MAXAGE benefit: 3 redelivery: KEYED group: ZONE window_ms: 4000 }
+event_type { name: "issue" target_time_ms: TARGETTIME max_age_ms: MAXAGE benefit: 2 redelivery: AT_MOST_ONCE }
+event_type { name: "count" target_time_ms: TARGETTIME max_age_ms: MAXAGE redelivery: KEYED group: ALL window_ms: 4000 }
 limits { two_at_once: false max_launches: 3 }
 loading { stays_loaded_ms: 8000 window_ms: 10000 free: 6 share: 0.2 }
 rules { drain_grace_ms: 2000 cold_from: 0.2 cold_ms: 3000 fall_multiple: 2.5 fall_ms: 1500 }
@@ -176,7 +183,7 @@
 
 const KEY: &[u8] = b"a key of the runs, known to both";
 
-fn settings(member: usize, rate: f64) -> Section {
+fn settings(member: usize, setup: &Setup) -> Section {
     let part = |m: usize| {
         let (name, vrrp, link) = [
             ("a", "127.0.0.2:112", "127.0.0.2:113"),
@@ -194,7 +201,11 @@
         .replace("PEERVRRP", peer.1)
         .replace("PEERLINK", peer.2)
         .replace("PEER", peer.0);
-    let text = text.replace("RATE", &rate.to_string());
+    let text = text.replace("RATE", &setup.rate.to_string());
+    let target_time_ms = TARGET_TIME_MS.min(setup.max_age_ms);
+    let text = text
+        .replace("TARGETTIME", &target_time_ms.to_string())
+        .replace("MAXAGE", &setup.max_age_ms.to_string());
     tidewall_config::settings("run", &text).expect("the run's settings are good")
 }
 
@@ -274,7 +285,7 @@
 const LOOK: Time = 20;
 
 fn member(net: &Memory, me: usize, setup: &Setup, life: u64) -> Gateway<Memory> {
-    let s = settings(me, setup.rate);
+    let s = settings(me, setup);
     let mut start = gateway_config(&s, 0, setup.seed * 10 + life * 2 + me as u64);
     let keys = || Keys(vec![(1, KEY.to_vec())]);
     let mut pair = failover_config(&s, life, Box::new(keys));
@@ -313,7 +324,7 @@
             hand.clock(chance.random_range(-200..=200));
         }
         let record = Shared::default();
-        let s = settings(0, setup.rate);
+        let s = settings(0, &setup);
         let span = (setup.seconds * 10_000.0) as Time;
         let troubles = setup
             .troubles
