Pair: a failure that a takeover would repeat does not wait for its record

What callers saw: dead-lettered at-most-once and zone-keyed requests were told to their clients only when the other member had recorded that, or the voters had done without it: up to the end of their time where the link hangs.

Cause: every response of such a request waits for its record, whatever it says.

Change: a failure is sent at once where an attempt that was sent may have been executed and a repeat may do harm (fails_at_takeover, by which recovery_action decides as well). All other responses wait as before.

So the peer knows the attempt, and reports the same failure.

--- a/crates/tidewall-failover/src/recovery.rs
+++ b/crates/tidewall-failover/src/recovery.rs
@@ -128,6 +128,12 @@
     }
 }
 
+/// Whether a takeover fails a request, however much time is left: an attempt that is on record may have been executed, and
+/// a repeat may do harm. Such a failure need not be on record before it is reported.
+pub fn fails_at_takeover(retry_safety: RetrySafety, may_have_executed: bool) -> bool {
+    may_have_executed && !retry_safety.is_safe_to_repeat()
+}
+
 /// Decides on a request that the former active member had in flight, with its `attempts`, to be answered by `deadline`.
 /// `is_fenced` says of a worker whether none of the former member's attempts is in flight there any more.
 pub fn recovery_action(
@@ -144,13 +150,14 @@
             .iter()
             .filter(|attempt| attempt.state != AttemptState::NotExecuted)
     };
-    if unproven().next().is_none() {
+    let may_have_executed = unproven().next().is_some();
+    if !may_have_executed {
         return match too_late {
             true => RecoveryAction::Reject,
             false => RecoveryAction::Continue,
         };
     }
-    if too_late || !retry_safety.is_safe_to_repeat() {
+    if too_late || fails_at_takeover(retry_safety, may_have_executed) {
         return RecoveryAction::Fail;
     }
     if let RetrySafety::IdempotencyKey { window, .. } = retry_safety {
--- a/crates/tidewall-failover/tests/recovery.rs
+++ b/crates/tidewall-failover/tests/recovery.rs
@@ -1,8 +1,9 @@
 //! What a new active member does with the requests of the former one.
 use test_case::test_case;
 use tidewall_failover::recovery::{
-    deadline_margin, give_up_link_at, give_up_record_at, recovery_action, unrecorded_retry_action,
-    Attempt, AttemptState, RecoveryAction, RetrySafety, UnrecordedRetryAction,
+    deadline_margin, fails_at_takeover, give_up_link_at, give_up_record_at, recovery_action,
+    unrecorded_retry_action, Attempt, AttemptState, RecoveryAction, RetrySafety,
+    UnrecordedRetryAction,
 };
 
 const GLOBAL_KEY: RetrySafety = RetrySafety::IdempotencyKey {
@@ -119,3 +120,37 @@
         expected
     );
 }
+
+/// A failure that is reported before it is on record is one that the other member would report too, whatever it knows of the
+/// attempt's end and however much time is left.
+#[test_case(RetrySafety::NonIdempotent, AttemptState::InFlight)]
+#[test_case(RetrySafety::NonIdempotent, AttemptState::MayHaveExecuted)]
+#[test_case(GROUP_KEY, AttemptState::InFlight)]
+#[test_case(GROUP_KEY, AttemptState::MayHaveExecuted)]
+fn a_failure_without_a_record_is_repeated_at_takeover(
+    retry_safety: RetrySafety,
+    state: AttemptState,
+) {
+    assert!(fails_at_takeover(retry_safety, true));
+    let attempts = attempts(&[AttemptState::NotExecuted, state]);
+    for (allows_hedging, is_fenced) in [(false, false), (false, true), (true, false), (true, true)]
+    {
+        for deadline in [0, 100, 30_000] {
+            let fenced = |_| is_fenced;
+            let action =
+                recovery_action(retry_safety, allows_hedging, 0, deadline, &attempts, fenced);
+            assert_eq!(action, RecoveryAction::Fail);
+        }
+    }
+}
+
+#[test_case(RetrySafety::NonIdempotent, false ; "not executed")]
+#[test_case(GROUP_KEY, false ; "group key, not executed")]
+#[test_case(GLOBAL_KEY, true ; "global key is repeated")]
+#[test_case(RetrySafety::Idempotent, true ; "idempotent is repeated")]
+fn a_request_that_a_takeover_may_continue_does_not_fail_there(
+    retry_safety: RetrySafety,
+    may_have_executed: bool,
+) {
+    assert!(!fails_at_takeover(retry_safety, may_have_executed));
+}
--- a/crates/tidewall-gateway/src/failover/replication.rs
+++ b/crates/tidewall-gateway/src/failover/replication.rs
@@ -1,16 +1,18 @@
 //! What the worker pool replicates: a record for each change of a request in flight, written before the change has an
 //! effect outside the gateway. Where a second execution may do harm, the effect itself (sending an attempt or a response)
 //! is held back until the peer has acknowledged the record: then the peer never takes over a request without knowing of
-//! its attempts, and no client has a response that the peer could contradict.
+//! its attempts, and no client has a response that the peer could contradict. A failure of which the peer knows enough to
+//! report it too is sent at once.
 //!
 //! A gateway without failover has no replicator; each method then does what a single gateway does.
 use super::control_messages::VoteRequest;
 use super::held_back::{DeferredAction, PendingResponse};
 use super::records::{AdmittedRequest, FinalResponse, RecordNames, ReplicationRecord, RequestKey};
-use crate::ingress::{ReplyHandle, NO_CLIENT};
+use crate::ingress::{Disposition, ReplyHandle, NO_CLIENT};
 use crate::timers::TimerToken;
 use crate::worker_pool::{LocalResponse, PendingRequest, WorkerPool};
 use tidewall_failover::deduplication::RequestLocation;
+use tidewall_failover::recovery::fails_at_takeover;
 use tidewall_net::{Net, Time};
 
 /// The record of a request in flight as it stands now.
@@ -150,7 +152,11 @@
         pending.retry_after = response.retry_after;
         pending.elapsed = response.elapsed;
         pending.payload.extend_from_slice(payload);
-        if replicator.waits_for_records && !replicator.retry_safety_of(class).is_safe_to_repeat() {
+        let retry_safety = replicator.retry_safety_of(class);
+        let failed_by_both = disposition == Disposition::Failed
+            && fails_at_takeover(retry_safety, request.may_have_executed());
+        let needs_record = !retry_safety.is_safe_to_repeat() && !failed_by_both;
+        if replicator.waits_for_records && needs_record {
             if let Some(at) = replicator.defer_response(now, pending) {
                 self.net.set_timer(at, TimerToken::RecordTimeout.pack());
             }
--- a/crates/tidewall-gateway/src/worker_pool/requests.rs
+++ b/crates/tidewall-gateway/src/worker_pool/requests.rs
@@ -52,6 +52,13 @@
         self.deadline
     }
 
+    /// Whether an attempt was sent that may have been executed. Where a second execution may do harm, the peer knows of it: the
+    /// attempt was on record before it was sent, or is part of the snapshot without which the peer may not take over.
+    pub fn may_have_executed(&self) -> bool {
+        (0..self.attempts)
+            .any(|attempt| self.sent_at[attempt] > 0 && self.not_executed[attempt] != Some(true))
+    }
+
     /// What the scheduler was told of the request.
     pub fn info(&self) -> &RequestInfo {
         &self.info
