--- a/crates/tidewall-sim/tests/little_time_left.rs
+++ b/crates/tidewall-sim/tests/little_time_left.rs
@@ -9,7 +9,13 @@
 
 const MILLISECOND: Time = 10;
 
-/// When the paths become slow and when the link hangs: the pair has settled, and functions are loaded.
+/// The member with the higher priority.
+const SERVING: usize = 0;
+
+/// How long a member is gone.
+const RESTART: Time = 300 * MILLISECOND;
+
+/// When the paths become slow and when the link, or a member, fails: the pair has settled, and functions are loaded.
 const SLOW_FROM: Time = 1_500 * MILLISECOND;
 const HANGS_AT: Time = 2_500 * MILLISECOND;
 
@@ -35,8 +41,33 @@
     }
 }
 
-/// Delays are those of one way: between the members, and between them and clients, workers and voters.
-fn setup(link_ms: Time, outside_ms: Time, hangs: bool, max_age_ms: u64) -> Setup {
+/// The link between the members hangs.
+const LINK_HANGS: Trouble = Trouble::Cut {
+    from: None,
+    lasts: HANG,
+};
+
+/// The member that serves stands still.
+const STANDS_STILL: Trouble = Trouble::Pause {
+    member: SERVING,
+    lasts: HANG,
+};
+
+/// The member that serves is killed, and starts again.
+const KILLED: Trouble = Trouble::Kill {
+    member: SERVING,
+    back: Some(RESTART),
+};
+
+/// The member that serves hands over and ends.
+const HANDS_OVER: Trouble = Trouble::Leave {
+    member: SERVING,
+    back: RESTART,
+};
+
+/// Delays are those of one way: between the members, and between them and clients, workers and voters. `trouble` begins a second
+/// after the paths have become slow.
+fn setup(link_ms: Time, outside_ms: Time, trouble: Option<Trouble>, max_age_ms: u64) -> Setup {
     let lasts = 10_000 * MILLISECOND;
     let link = Trouble::Slow {
         path: slow_by(link_ms),
@@ -47,13 +78,7 @@
         lasts,
     };
     let mut troubles = vec![(SLOW_FROM, link), (SLOW_FROM, outside)];
-    if hangs {
-        let cut = Trouble::Cut {
-            from: None,
-            lasts: HANG,
-        };
-        troubles.push((HANGS_AT, cut));
-    }
+    troubles.extend(trouble.map(|trouble| (HANGS_AT, trouble)));
     Setup {
         troubles: Some(troubles),
         seconds: SECONDS,
@@ -64,15 +89,22 @@
 }
 
 /// Guards against responses that wait longer for their record, or for the voters' grant, than their clients wait for them.
-#[test_case(1, 10, true; "the link hangs")]
-#[test_case(1, 20, true; "the link hangs and the voters are far")]
-#[test_case(10, 20, true; "a slow link hangs")]
-#[test_case(10, 15, false; "the link is slow and well")]
-#[test_case(30, 5, false; "the link is slower than all other paths")]
-#[test_case(30, 20, false; "all paths are slow")]
-fn a_response_waits_no_longer_than_its_client(link_ms: Time, outside_ms: Time, hangs: bool) {
+#[test_case(1, 10, Some(LINK_HANGS); "the link hangs")]
+#[test_case(1, 20, Some(LINK_HANGS); "the link hangs and the voters are far")]
+#[test_case(10, 20, Some(LINK_HANGS); "a slow link hangs")]
+#[test_case(10, 15, None; "the link is slow and well")]
+#[test_case(30, 5, None; "the link is slower than all other paths")]
+#[test_case(30, 20, None; "all paths are slow")]
+#[test_case(10, 20, Some(STANDS_STILL); "the active member stands still")]
+#[test_case(10, 20, Some(KILLED); "the active member is killed")]
+#[test_case(10, 20, Some(HANDS_OVER); "the active member hands over")]
+fn a_response_waits_no_longer_than_its_client(
+    link_ms: Time,
+    outside_ms: Time,
+    trouble: Option<Trouble>,
+) {
     for max_age_ms in MAX_AGES_MS {
-        let report = run(setup(link_ms, outside_ms, hangs, max_age_ms));
+        let report = run(setup(link_ms, outside_ms, trouble, max_age_ms));
         assert_eq!(
             report.breaches,
             Vec::<String>::new(),
@@ -132,7 +164,7 @@
     let report = run(Setup {
         script: Some(silent),
         keep: true,
-        ..setup(1, outside_ms, true, 300)
+        ..setup(1, outside_ms, Some(LINK_HANGS), 300)
     });
     // A request is given up when a quarter of its time is left, by a gateway that reads it one way late; the answer takes one more.
     let both_ways = 2 * outside_ms * MILLISECOND;
@@ -145,3 +177,14 @@
     );
     assert_eq!(delays.iter().max(), Some(&0), "{delays:?}");
 }
+
+/// Guards against an answer that a gateway sends behind a standstill, and that reaches a client on a far path when that has given up.
+#[test]
+fn pair_2_an_answer_behind_a_standstill_does_not_reach_a_client_that_gave_up() {
+    let report = run(Setup {
+        seed: 2,
+        seconds: 5.0,
+        ..setup(10, 20, Some(STANDS_STILL), 560)
+    });
+    assert_eq!(report.breaches, Vec::<String>::new());
+}
