--- a/src/choice/load_requests.rs
+++ b/src/choice/load_requests.rs
@@ -96,8 +96,8 @@
         MAX_SWEEP_INTERVAL.max(window / CLOCK_RATE_TOLERANCE)
     }
 
-    /// A call to a worker has ended: where the worker itself ended it, what had been sent to it a sweep before has
-    /// come. What was sent since then may lie unread behind the answer.
+    /// A call to a worker has ended: where the worker itself ended it, what had been sent to it a sweep before
+    /// has come. What was sent since then may lie unread behind the answer.
     pub(super) fn worker_heard(&mut self, worker_id: WorkerId, outcome: Outcome) {
         if matches!(outcome, Outcome::Ok | Outcome::Miss | Outcome::AtCapacity | Outcome::Error) {
             let until = self.now.saturating_sub(MAX_SWEEP_INTERVAL);
