Simulation of a pair: one module a concern in place of one file of 816 lines

crates/tidewall-sim/src/pair.rs held settings, troubles, forged advertisements, the run and shrinking. Each is a module of its own now; the run's long functions are split, fields and constants have names (Sort is TroubleKind, Shared is SharedRecord), public items are documented. The draws keep their order.

--- a/crates/tidewall-cli/src/sim.rs
+++ b/crates/tidewall-cli/src/sim.rs
@@ -3,7 +3,7 @@
 use clap::Args;
 use comfy_table::{presets, Table};
 use std::time::Instant;
-use tidewall_sim::pair::{run, shrink, stand, Plant, Report, Setup, Sort, STANDS};
+use tidewall_sim::pair::{run, shrink, stand, Plant, Report, Setup, TroubleKind, STANDS};
 use tidewall_sim::{all, fleet, mutate, site};
 
 #[derive(Args)]
@@ -49,7 +49,7 @@
     shrink: bool,
     /// One trouble of this kind in each run, and none of the workers'.
     #[arg(long, value_enum)]
-    only: Option<Sort>,
+    only: Option<TroubleKind>,
     /// Where the record of a single seed goes, a JSON line each.
     #[arg(long, value_name = "FILE")]
     record: Option<std::path::PathBuf>,
--- a/crates/tidewall-sim/src/fleet.rs
+++ b/crates/tidewall-sim/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Several gateways that hold leases of fleet-wide tasks in common, each with its tasks as shipped: members, keepers, holders,
 //! and those that act at the stand-in workers. Troubles are drawn from the seed: few kinds a run, each often. The audit reads
 //! what reached the workers; when the troubles are over every task has to be held again.
-use crate::pair::Shared;
+use crate::pair::SharedRecord;
 use crate::site;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
@@ -315,7 +315,7 @@
     fleet_hand: Memory,
     fleet: Fleet<Memory>,
     workers: Vec<(String, SocketAddr)>,
-    record: Shared,
+    record: SharedRecord,
     troubles: Vec<(Time, Trouble)>,
     next: usize,
     ends: Vec<(Time, End)>,
@@ -417,7 +417,7 @@
             // One machine's tasks go by one clock; the loop's own is kept near, as clients judge it by theirs.
             h[1..].iter().for_each(|hand| hand.clock(ppm));
         }
-        let record = Shared::default();
+        let record = SharedRecord::default();
         let plan = Plan {
             seed: setup.seed,
             seconds: setup.seconds,
--- a/crates/tidewall-sim/src/site.rs
+++ b/crates/tidewall-sim/src/site.rs
@@ -1,7 +1,7 @@
 //! A site of three gateways with a stand-in fleet, or one of a drawn shape. Each run draws which kinds of trouble are on at
 //! all, so that rare combinations come up, and then troubles of those kinds; gateways die and keep a last list on a disk that
 //! is full or torn at times.
-use crate::pair::{Report, Shared};
+use crate::pair::{Report, SharedRecord};
 use crate::shape;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -374,7 +374,7 @@
     }
     let text = setup.script.clone().unwrap_or_else(|| draw(&mut chance));
     let parsed = tidewall_config::script("run", &text).expect("the run's script is good");
-    let (record, orders) = (Shared::default(), Orders::default());
+    let (record, orders) = (SharedRecord::default(), Orders::default());
     let plan = Plan {
         seed,
         seconds,
