Pair: responses that are given up together are found in one pass

Each response that was given up began a new search of the queue: with some 4,000 held back and due at once that is 8 million steps in one wake-up. One pass now.

--- a/crates/tidewall-gateway/src/failover/held_back.rs
+++ b/crates/tidewall-gateway/src/failover/held_back.rs
@@ -83,19 +83,29 @@
             .min()
     }
 
-    /// Moves the clients that can wait no longer into `failure`.
-    fn move_given_up(&mut self, now: Time, failure: &mut PendingResponse) {
+    /// Moves the clients that can wait no longer into `failure`; false where there are none.
+    fn move_given_up(&mut self, now: Time, failure: &mut PendingResponse) -> bool {
         let since = self.since;
         let DeferredAction::Respond(response) = &mut self.action else {
-            return;
+            return false;
         };
         let is_given_up = |client: &(ReplyHandle, Time)| now >= record_given_up_at(since, client.1);
         let given_up = response.clients.iter().filter(|client| is_given_up(client));
         failure.clients.extend(given_up.copied());
+        if failure.clients.is_empty() {
+            return false;
+        }
         response.clients.retain(|client| !is_given_up(client));
         failure.request = response.request;
         failure.elapsed = response.elapsed + (now - since);
         failure.disposition = Some(Disposition::Failed);
+        debug!(
+            request = response.request,
+            waited = now - since,
+            record = self.sequence,
+            "record given up"
+        );
+        true
     }
 }
 
@@ -171,20 +181,16 @@
         self.queue.front().is_some_and(overdue) || self.queue.iter().any(urgent)
     }
 
-    /// The first response with clients that can wait no longer: they are moved into `failure`. False where there is none.
-    pub(super) fn take_given_up(&mut self, now: Time, failure: &mut PendingResponse) -> bool {
-        let is_given_up = |held: &&mut HeldBack| held.given_up_at().is_some_and(|at| now >= at);
-        let Some(held) = self.queue.iter_mut().find(is_given_up) else {
-            return false;
-        };
-        held.move_given_up(now, failure);
-        debug!(
-            request = failure.request,
-            waited = now - held.since,
-            record = held.sequence,
-            "record given up"
-        );
-        true
+    /// Moves the clients that can wait no longer into failures, one for each response that is given up.
+    pub(super) fn take_given_up(&mut self, now: Time) -> Vec<PendingResponse> {
+        let mut failures = Vec::new();
+        let mut failure = PendingResponse::default();
+        for held in &mut self.queue {
+            if held.move_given_up(now, &mut failure) {
+                failures.push(std::mem::take(&mut failure));
+            }
+        }
+        failures
     }
 
     /// When a timer has to be set for the last action, if it is a response that is given up soon and before all others.
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -213,16 +213,10 @@
     /// Clients that can wait no longer for the record of their response get a failure with the next deferred outcomes. Gives
     /// how many there were, and when it has to be called again if that is before the next tick.
     pub(super) fn give_up_records(&mut self, now: Time) -> (usize, Option<Time>) {
-        let mut given_up = 0;
-        loop {
-            let mut failure = self.new_response();
-            if !self.held_back.take_given_up(now, &mut failure) {
-                self.recycle_response(failure);
-                return (given_up, self.held_back.timer_for_rest(now));
-            }
-            given_up += failure.clients.len();
-            self.ready_responses.push_back(failure);
-        }
+        let failures = self.held_back.take_given_up(now);
+        let given_up = failures.iter().map(|failure| failure.clients.len()).sum();
+        self.ready_responses.extend(failures);
+        (given_up, self.held_back.timer_for_rest(now))
     }
 
     /// An action was held back longer than the peer may be silent, or a response longer than its client can wait: the peer is
