--- a/crates/tidewall-cli/tests/help/mod.rs
+++ b/crates/tidewall-cli/tests/help/mod.rs
@@ -1,6 +1,7 @@
 //! The shipped binary as a process, with workers, list and clients that the test plays by hand: each side is held until the
 //! other has reached the point that is wanted, as a byte that came shows.
 #![allow(dead_code)] // each test file uses a part
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
@@ -26,9 +27,15 @@
     TcpListener::bind(SocketAddr::from(([127, 0, 1, last], 0))).unwrap()
 }
 
-/// A free port of such an address, for the gateway.
+/// A free port of such an address, for the gateway. It is not listened on here: a process that another test has forked and not
+/// yet executed would keep the listener for a moment, accept the test's clients, and hold the port.
 pub fn address(last: u8) -> SocketAddr {
-    free(last).local_addr().unwrap()
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    // So that the gateway may bind it where such a process still holds it.
+    socket.set_reuse_address(true).unwrap();
+    let any_port = SocketAddr::from(([127, 0, 1, last], 0));
+    socket.bind(&any_port.into()).unwrap();
+    socket.local_addr().unwrap().as_socket().unwrap()
 }
 
 /// Waits until it holds.
