Outage tests: a case that fails tells its answers and what the logs hold

Change: judge prints how many calls got which answer and how long after their calls, and how often each line stands in the gateways' logs. No check is changed.

--- a/crates/tidewall-cli/tests/outage/mod.rs
+++ b/crates/tidewall-cli/tests/outage/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::help::*;
 use calls::{send_calls, Calls, PATIENCE};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -50,6 +51,14 @@
     capacity + roots * capacity.sqrt() + more
 }
 
+/// How many answers there were, and how long after their calls they came.
+#[derive(Debug, Default)]
+pub struct AnswerTimes {
+    count: u32,
+    sum: Duration,
+    longest: Duration,
+}
+
 /// The fleet.
 pub struct Fleet {
     pub gateways: Vec<Gateway>,
@@ -190,6 +199,37 @@
         f64::from(served) / f64::from(all.max(1))
     }
 
+    /// For a test that fails: how the calls sent in this span were answered, and when the answers came.
+    pub fn answers(&self, from: Instant, to: Instant) -> BTreeMap<String, AnswerTimes> {
+        let calls = self.calls.lock().unwrap();
+        let mut by_word: BTreeMap<String, AnswerTimes> = BTreeMap::new();
+        for call in calls.iter().filter(|call| call.at >= from && call.at < to) {
+            let first = call.answers.first();
+            let word = first.map_or("none", |(_, word)| word.as_str());
+            let word = if call.cut { "cut" } else { word };
+            let times = by_word.entry(word.to_string()).or_default();
+            times.count += 1;
+            if let Some((at, _)) = first {
+                times.longest = times.longest.max(*at - call.at);
+                times.sum += *at - call.at;
+            }
+        }
+        by_word
+    }
+
+    /// For a test that fails: how often each line stands in the logs of the gateways, without its values.
+    pub fn log_lines(&self) -> BTreeMap<String, u32> {
+        let mut count: BTreeMap<String, u32> = BTreeMap::new();
+        for gateway in &self.gateways {
+            for line in gateway.log().lines() {
+                let words = line.split_whitespace().skip(1);
+                let fixed: Vec<&str> = words.filter(|word| !word.contains('=')).collect();
+                *count.entry(fixed.join(" ")).or_default() += 1;
+            }
+        }
+        count
+    }
+
     /// Calls without exactly one answer in time, at gateways that were not killed.
     pub fn lost(&self, killed: &[usize]) -> Vec<String> {
         let calls = self.calls.lock().unwrap();
