Outage tests: hosts wait for what comes, and three fleets play at once

Cause: the rig took the machine that it judges the gateways on. Each of 104 hosts looked for connections every millisecond, each of some 300 connections for lines every 5 ms, and hosts of cases that had ended went on: 200,000 context switches a second and 2.0 of 3.2 cores in use, 180,000 with one case left. A machine with less to give starves the gateways behind the rig. On two CPUs eight fail too, on three all pass. 24 busy processes beside them on eight CPUs do no harm. Change: accepting and reading block and are ended by what ends them (leave shuts the listener and reading down); a board looks every 10 ms and ends with its test; at most three fleets play at once. No check, bound or play is changed.

--- a/crates/tidewall-cli/tests/discovery_outage.rs
+++ b/crates/tidewall-cli/tests/discovery_outage.rs
@@ -62,7 +62,10 @@
     let shown: Vec<&String> = broken.iter().take(5).collect();
     println!("{count} sent after the grace; served {before:.2}, {after:.2}, {back:.2}");
     println!("before: {:#?}", fleet.answers(outage - MEASURED, outage));
-    println!("past the grace: {:#?}", fleet.answers(past, outage + OUTAGE));
+    println!(
+        "past the grace: {:#?}",
+        fleet.answers(past, outage + OUTAGE)
+    );
     println!("logs: {:#?}", fleet.log_lines());
     assert!(
         broken.is_empty(),
--- a/crates/tidewall-cli/tests/outage/boards.rs
+++ b/crates/tidewall-cli/tests/outage/boards.rs
@@ -1,8 +1,13 @@
 //! Boards: they can be taken out of reach in several ways.
 use crate::help::*;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::sync::{Arc, Mutex, Weak};
+use std::time::{Duration, Instant};
+
+/// So often a board looks what came and what changed; no more, as there are many at once.
+const LOOK_INTERVAL: Duration = ms(10);
+/// So often it begins an answer that it does not end.
+const TRICKLE_INTERVAL: Duration = ms(100);
 
 /// What a board does with polls.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -17,6 +22,12 @@
     Trickles,
 }
 
+/// A gateway's connection, and its poll that is not answered yet: after which revision it asks, and until when it waits.
+struct Poller {
+    side: Side,
+    poll: Option<(u64, Instant)>,
+}
+
 /// The board of one gateway.
 pub struct Board {
     pub at: SocketAddr,
@@ -31,8 +42,8 @@
             reach: Mutex::new(Reach::Answers),
             notices: Mutex::default(),
         });
-        let own = board.clone();
-        std::thread::spawn(move || own.serve(listener));
+        let own = Arc::downgrade(&board);
+        std::thread::spawn(move || serve(&own, listener));
         board
     }
 
@@ -47,50 +58,43 @@
         notices.push(notice(revision, entries, false));
     }
 
-    fn serve(&self, first: TcpListener) {
-        let mut listener = Some(first);
-        let mut polls: Vec<(Side, Option<(u64, Instant)>)> = Vec::new();
-        let mut before = Reach::Answers;
-        loop {
-            let reach = *self.reach.lock().unwrap();
-            if reach != before {
-                // What is out of reach ends what was open; a silent one keeps it.
-                if reach == Reach::Refuses {
-                    polls.drain(..).for_each(|(side, _)| side.reset());
-                    listener = None;
-                }
-                before = reach;
-            }
-            if reach != Reach::Refuses && listener.is_none() {
-                listener = TcpListener::bind(self.at).ok();
-            }
-            if let Some(side) = listener.as_ref().and_then(|l| accept(l, ms(0))) {
-                polls.push((side, None));
-            }
-            for (side, poll) in &mut polls {
-                if let Some((watch, linger)) = side.poll_request(ms(1)) {
-                    *poll = Some((watch, Instant::now() + ms(linger)));
-                }
-            }
-            polls.retain(|(side, _)| !side.is_over());
-            match reach {
-                Reach::Answers => self.answer(&mut polls),
-                Reach::Trickles => polls
-                    .iter_mut()
-                    .filter(|(_, poll)| poll.is_some())
-                    .for_each(|(side, _)| {
-                        side.send("HTTP/1.1 200 OK\r\nContent-Le");
-                    }),
-                _ => {}
+    /// Takes what came, answers what is due, and says when to look again.
+    fn look(&self, listener: &mut Option<TcpListener>, pollers: &mut Vec<Poller>) -> Duration {
+        let reach = *self.reach.lock().unwrap();
+        if reach == Reach::Refuses {
+            // What is out of reach ends what was open; a silent one keeps it.
+            pollers.drain(..).for_each(|poller| poller.side.reset());
+            *listener = None;
+            return LOOK_INTERVAL;
+        }
+        if listener.is_none() {
+            *listener = TcpListener::bind(self.at).ok();
+        }
+        if let Some(side) = listener.as_ref().and_then(|l| accept(l, ms(0))) {
+            pollers.push(Poller { side, poll: None });
+        }
+        for poller in pollers.iter_mut() {
+            if let Some((watch, linger)) = poller.side.poll_request(ms(1)) {
+                poller.poll = Some((watch, Instant::now() + ms(linger)));
             }
-            std::thread::sleep(ms(if reach == Reach::Trickles { 100 } else { 2 }));
+        }
+        pollers.retain(|poller| !poller.side.is_over());
+        match reach {
+            Reach::Answers => self.answer(pollers),
+            Reach::Trickles => trickle(pollers),
+            Reach::Refuses | Reach::Silent => {}
+        }
+        if reach == Reach::Trickles {
+            TRICKLE_INTERVAL
+        } else {
+            LOOK_INTERVAL
         }
     }
 
-    fn answer(&self, polls: &mut [(Side, Option<(u64, Instant)>)]) {
+    fn answer(&self, pollers: &mut [Poller]) {
         let notices = self.notices.lock().unwrap();
         let last = notices.len() as u64 + 1;
-        for (side, poll) in polls {
+        for Poller { side, poll } in pollers {
             if poll.is_some_and(|(watch, until)| last > watch || Instant::now() >= until) {
                 let (watch, _) = poll.take().unwrap();
                 let new = notices
@@ -103,3 +107,21 @@
         }
     }
 }
+
+/// Until the test has dropped the board.
+fn serve(board: &Weak<Board>, first: TcpListener) {
+    let mut listener = Some(first);
+    let mut pollers: Vec<Poller> = Vec::new();
+    while let Some(board) = board.upgrade() {
+        let interval = board.look(&mut listener, &mut pollers);
+        drop(board);
+        std::thread::sleep(interval);
+    }
+}
+
+/// Begins an answer to each that waits for one.
+fn trickle(pollers: &mut [Poller]) {
+    for poller in pollers.iter_mut().filter(|poller| poller.poll.is_some()) {
+        poller.side.send("HTTP/1.1 200 OK\r\nContent-Le");
+    }
+}
--- a/crates/tidewall-cli/tests/outage/hosts.rs
+++ b/crates/tidewall-cli/tests/outage/hosts.rs
@@ -1,8 +1,10 @@
-//! Hosts: what they answer while they are up, drain, are gone or came back, and what work came to them when.
+//! Hosts: what they answer while they are up, drain, are gone or came back, and what work came to them when. Their threads wait for
+//! what comes and never look on a clock whether something came: many hosts at once would keep a machine busy with that alone.
 use crate::help::*;
+use socket2::SockRef;
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -27,6 +29,11 @@
 
 pub struct HostState {
     phase: Phase,
+    /// None while it is gone.
+    listener: Option<Arc<TcpListener>>,
+    /// Those that stand, by number.
+    connections: HashMap<u64, TcpStream>,
+    next_connection: u64,
     /// By function: when its instance is loaded.
     loaded: HashMap<String, Instant>,
     pub drained_at: Option<Instant>,
@@ -35,6 +42,13 @@
     pub work: Vec<(Instant, &'static str)>,
 }
 
+impl HostState {
+    fn listens_on(&self, listener: &Arc<TcpListener>) -> bool {
+        let current = self.listener.as_ref();
+        current.is_some_and(|current| Arc::ptr_eq(current, listener))
+    }
+}
+
 /// A host: one address at which all gateways find it.
 pub struct Host {
     at: SocketAddr,
@@ -49,56 +63,84 @@
             at: listener.local_addr().unwrap(),
             tells,
             state: Mutex::new(HostState {
-                phase: Phase::Up,
+                phase: Phase::Gone,
+                listener: None,
+                connections: HashMap::new(),
+                next_connection: 0,
                 loaded: HashMap::new(),
                 drained_at: None,
                 restarted_at: None,
                 work: Vec::new(),
             }),
         });
-        let own = host.clone();
-        std::thread::spawn(move || own.listen(listener));
+        host.listen(listener);
         host
     }
 
-    fn phase(&self) -> Phase {
-        self.state.lock().unwrap().phase
+    /// It is up, and connections come in here from now on.
+    fn listen(self: &Arc<Host>, listener: TcpListener) {
+        let listener = Arc::new(listener);
+        let mut state = self.state.lock().unwrap();
+        state.phase = Phase::Up;
+        state.listener = Some(listener.clone());
+        let own = self.clone();
+        std::thread::spawn(move || own.accept_all(&listener));
+    }
+
+    /// Listens again where it did before.
+    fn listen_again(self: &Arc<Host>) {
+        let mut listener = None;
+        until("it listens again", || {
+            listener = TcpListener::bind(self.at).ok();
+            listener.is_some()
+        });
+        self.listen(listener.expect("it is some"));
     }
 
-    fn listen(self: Arc<Host>, first: TcpListener) {
-        let mut listener = Some(first);
+    /// Takes connections until the host leaves, which ends its listener.
+    fn accept_all(self: Arc<Host>, listener: &Arc<TcpListener>) {
         loop {
-            if self.phase() == Phase::Gone {
-                listener = None;
-            } else if listener.is_none() {
-                listener = TcpListener::bind(self.at).ok();
-            }
-            let side = listener.as_ref().and_then(|l| accept(l, ms(2)));
-            if let Some(side) = side {
-                let own = self.clone();
-                std::thread::spawn(move || own.serve(side));
-            } else {
-                std::thread::sleep(ms(2));
+            match listener.accept() {
+                Ok((stream, _)) => self.take(Side::new(stream), listener),
+                // A connection that ended before it was taken.
+                Err(_) if self.state.lock().unwrap().listens_on(listener) => {}
+                Err(_) => return,
             }
         }
     }
 
-    fn serve(self: Arc<Host>, mut side: Side) {
+    fn take(self: &Arc<Host>, side: Side, listener: &Arc<TcpListener>) {
+        let mut state = self.state.lock().unwrap();
+        if !state.listens_on(listener) {
+            return side.reset();
+        }
+        let number = state.next_connection;
+        state.next_connection += 1;
+        state.connections.insert(number, side.writer());
+        let own = self.clone();
+        std::thread::spawn(move || own.serve(side, number));
+    }
+
+    fn serve(self: Arc<Host>, mut side: Side, number: u64) {
         let out = Arc::new(Mutex::new(side.writer()));
         while !side.is_over() {
-            if self.phase() == Phase::Gone {
-                return side.reset();
-            }
-            if let Some(line) = side.line(ms(5)) {
+            if let Some(line) = side.line(LONG) {
                 self.answer(&line, &out);
             }
         }
+        let stood = self.state.lock().unwrap().connections.remove(&number);
+        if stood.is_none() {
+            side.reset();
+        }
     }
 
     fn answer(&self, line: &str, out: &Arc<Mutex<TcpStream>>) {
         let now = Instant::now();
         let words: Vec<&str> = line.split(' ').collect();
         let mut state = self.state.lock().unwrap();
+        if state.phase == Phase::Gone {
+            return;
+        }
         let drains = state.phase == Phase::Draining;
         let (text, delay) = match words[..] {
             ["go", trace, fields, _] => {
@@ -165,22 +207,32 @@
         state.drained_at = Some(Instant::now());
     }
 
-    /// Its process ends.
+    /// Its process ends: nothing listens, and its connections are reset.
     pub fn leave(&self) {
-        self.state.lock().unwrap().phase = Phase::Gone;
+        let mut state = self.state.lock().unwrap();
+        state.phase = Phase::Gone;
+        if let Some(listener) = state.listener.take() {
+            SockRef::from(&*listener).shutdown(Shutdown::Both).unwrap();
+        }
+        // Their threads wait for what comes; the end of reading wakes them, and the other side does not see it.
+        for (_, connection) in state.connections.drain() {
+            let _ = connection.shutdown(Shutdown::Read);
+        }
     }
 
     /// It can be reached again, as it was.
-    pub fn rejoin(&self) {
-        self.state.lock().unwrap().phase = Phase::Up;
+    pub fn rejoin(self: &Arc<Host>) {
+        self.listen_again();
     }
 
     /// It comes back at the same address, empty and cold.
-    pub fn restart(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.loaded.clear();
-        state.restarted_at = Some(Instant::now());
-        state.phase = Phase::Up;
+    pub fn restart(self: &Arc<Host>) {
+        {
+            let mut state = self.state.lock().unwrap();
+            state.loaded.clear();
+            state.restarted_at = Some(Instant::now());
+        }
+        self.listen_again();
     }
 
     pub fn entry(&self, index: usize) -> String {
--- a/crates/tidewall-cli/tests/outage/mod.rs
+++ b/crates/tidewall-cli/tests/outage/mod.rs
@@ -3,6 +3,7 @@
 mod boards;
 mod calls;
 mod hosts;
+mod turns;
 
 pub use boards::{Board, Reach};
 pub use hosts::{Host, TellsDrain};
@@ -14,6 +15,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use turns::Turn;
 
 /// What the board would have told counts as told so long after it went out of reach, at the latest.
 pub const TOLD_AFTER: Duration = ms(7_000);
@@ -68,11 +70,14 @@
     calls: Calls,
     stop: Arc<AtomicBool>,
     clients: Vec<std::thread::JoinHandle<()>>,
+    /// The last field, as it ends when all else has.
+    _turn: Turn,
 }
 
 impl Fleet {
-    /// So many gateways and hosts, on loopback addresses that this test alone uses; calls come from now on.
+    /// So many gateways and hosts, on loopback addresses that this test alone uses; calls come from now on. Waits for its turn.
     pub fn start(last: u8, gateways: usize, hosts: usize, tells: TellsDrain) -> Fleet {
+        let turn = Turn::wait();
         let hosts: Vec<_> = (0..hosts).map(|_| Host::start(tells, last)).collect();
         let boards: Vec<_> = (0..gateways).map(|_| Board::start(free(last))).collect();
         let places: Vec<_> = (0..gateways)
@@ -86,6 +91,7 @@
             calls: Calls::default(),
             stop: Arc::default(),
             clients: Vec::new(),
+            _turn: turn,
         };
         for gateway in 0..gateways {
             let process = fleet.process(gateway, fleet.boards[gateway].at);
