Pair: a repeat that lay unread waits for the request that it repeats

Callers saw: a request sent again after a takeover was turned away as late, which says that it was not taken, and was executed 0.4 ms later (pair, requests 3056 and 3088). Cause: the rule on requests of uncertain age was asked before the table of idempotency keys. The member had stood still for 766 ms: more than a quarter of the 2,149 ms left, though 1,383 are certain, and it had the request, waiting for a worker's fence, with the deadline that its client gave first. Change: admit looks for what is repeated first, then at the age. The repeat waits until the deadline of its request where its own age allows that (recovery::retry_deadline); if that has passed, its client has given up and hears nothing. Why it works: a repeat is refused only where nothing of it is in hand, and the deadline used is the one that the same client gave when its age was known.

--- a/crates/tidewall-failover/src/recovery.rs
+++ b/crates/tidewall-failover/src/recovery.rs
@@ -102,6 +102,17 @@
         .max(since + shortest_wait)
 }
 
+/// Until when a client waits that sent a request again, by what is known: until `earliest` for certain, where anything is, and
+/// until `latest` at most, as the retry lay unread for a while. `in_flight` is the deadline of the request that it repeats: the
+/// same client's, which is certain, unless it is later than `latest`.
+pub fn retry_deadline(earliest: Option<Time>, latest: Time, in_flight: Time) -> Time {
+    match earliest {
+        Some(earliest) if in_flight > latest => earliest,
+        Some(earliest) => earliest.max(in_flight),
+        None => latest.min(in_flight),
+    }
+}
+
 /// How much earlier than its client's deadline a request of a pair is to end. A response may wait until the voters know
 /// that the other member is gone: `peer_timeout` of silence on the link, then a leadership proposal. At most a quarter of
 /// the `remaining` time; 0 where a repeat does no harm, as nothing waits then.
--- a/crates/tidewall-failover/tests/recovery.rs
+++ b/crates/tidewall-failover/tests/recovery.rs
@@ -2,7 +2,7 @@
 use test_case::test_case;
 use tidewall_failover::recovery::{
     deadline_margin, fails_at_takeover, give_up_link_at, give_up_record_at, recovery_action,
-    unrecorded_retry_action, Attempt, AttemptState, RecoveryAction, RetrySafety,
+    retry_deadline, unrecorded_retry_action, Attempt, AttemptState, RecoveryAction, RetrySafety,
     UnrecordedRetryAction,
 };
 
@@ -121,6 +121,17 @@
     );
 }
 
+/// A retry whose client waits until 20,000 at most, and for certain until 15,000, if until any time.
+#[test_case(Some(15_000), 18_000, 18_000 ; "as long as the client said first")]
+#[test_case(Some(15_000), 14_000, 15_000 ; "at least for the time that is certain")]
+#[test_case(Some(15_000), 25_000, 15_000 ; "another client's deadline tells nothing")]
+#[test_case(None, 18_000, 18_000 ; "nothing certain, and as long as the client said first")]
+#[test_case(None, 9_000, 9_000 ; "it waits no longer")]
+#[test_case(None, 25_000, 20_000 ; "nothing certain, and no longer than it said last")]
+fn a_retry_waits_as_long_as_its_client(earliest: Option<u64>, in_flight: u64, expected: u64) {
+    assert_eq!(retry_deadline(earliest, 20_000, in_flight), expected);
+}
+
 /// A failure that is reported before it is on record is one that the other member would report too, whatever it knows of the
 /// attempt's end and however much time is left.
 #[test_case(RetrySafety::NonIdempotent, AttemptState::InFlight)]
--- a/crates/tidewall-gateway/src/error.rs
+++ b/crates/tidewall-gateway/src/error.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("{}", self.wire_text())]
 pub enum AdmissionError {
+    /// It may have lain unread for so long that too little of its client's time is certain.
+    Late,
     /// The gateway is draining, or the other member of its failover pair serves.
     Draining,
     /// The deduplication table has no room for another idempotency key.
@@ -42,6 +44,7 @@
     /// The reason as clients get it.
     pub fn wire_text(self) -> &'static str {
         match self {
+            AdmissionError::Late => "late",
             AdmissionError::Draining => "draining",
             AdmissionError::DeduplicationTableFull => "most-remembered",
             AdmissionError::TooManyRequests => "most-held",
--- a/crates/tidewall-gateway/src/failover/mod.rs
+++ b/crates/tidewall-gateway/src/failover/mod.rs
@@ -42,6 +42,7 @@
 use crate::error::StartError;
 use crate::timers::TimerToken;
 use crate::{Gateway, IngressContext};
+pub(crate) use duplicates::RetryingClient;
 use peer_link::PeerLink;
 use peer_requests::PeerRequests;
 use replicator::Replicator;
--- a/crates/tidewall-gateway/src/failover/replicator.rs
+++ b/crates/tidewall-gateway/src/failover/replicator.rs
@@ -5,7 +5,7 @@
 use super::held_back::{DeferredAction, HeldBackQueue, PendingResponse};
 use super::records::{RecordNames, ReplicationRecord};
 use super::FailoverConfig;
-use crate::ingress::Disposition;
+use crate::ingress::{Disposition, ReplyHandle};
 use std::collections::VecDeque;
 use tidewall_failover::deduplication::DeduplicationTable;
 use tidewall_failover::leadership::Leadership;
@@ -237,6 +237,20 @@
         self.spare_responses.pop().unwrap_or_default()
     }
 
+    /// A response to one client, without a payload.
+    pub fn response_to(
+        &mut self,
+        client: (ReplyHandle, Time),
+        disposition: Disposition,
+        retry_after: Time,
+    ) -> PendingResponse {
+        let mut response = self.new_response();
+        response.clients.push(client);
+        response.disposition = Some(disposition);
+        response.retry_after = retry_after;
+        response
+    }
+
     /// Takes a response that was sent: its buffers serve a later one.
     pub fn recycle_response(&mut self, mut response: PendingResponse) {
         response.clear();
--- a/crates/tidewall-gateway/src/failover/responses.rs
+++ b/crates/tidewall-gateway/src/failover/responses.rs
@@ -1,13 +1,13 @@
 //! Delivery of responses, and of all else that failover leaves for the end of an event: calls and responses whose records
 //! were acknowledged, missing votes, a rejected epoch, an overflowed connection.
 use super::held_back::{DeferredAction, PendingResponse};
-use super::{StopReason, FENCING_RETRY_AFTER};
-use crate::ingress::{Disposition, ReplyHandle, Response, LATE_RESPONSE_GRACE, NO_CLIENT};
+use super::{RetryingClient, StopReason, FENCING_RETRY_AFTER};
+use crate::ingress::{Disposition, Response, LATE_RESPONSE_GRACE, NO_CLIENT};
 use crate::timers::TimerToken;
 use crate::worker_pool::LocalResponse;
 use crate::{Gateway, Owner};
 use tidewall_failover::role::Role;
-use tidewall_net::{Conn, Net, Time};
+use tidewall_net::{Conn, Net};
 use tracing::debug;
 
 impl<N: Net> Gateway<N> {
@@ -78,8 +78,8 @@
                 self.set_owner(conn, Owner::Nobody);
             }
             self.peer_connection_closed();
-        } else if let Some((slot, client, deadline)) = self.context.awaited_remote.pop_front() {
-            self.await_peer_request(slot, client, deadline);
+        } else if let Some((slot, client)) = self.context.awaited_remote.pop_front() {
+            self.await_peer_request(slot, client);
         } else {
             self.finish_draining();
             return false;
@@ -118,19 +118,28 @@
     }
 
     /// A client sent a request that the peer has in flight: it waits for that one's response.
-    fn await_peer_request(&mut self, slot: usize, client: ReplyHandle, deadline: Time) {
+    fn await_peer_request(&mut self, slot: usize, client: RetryingClient) {
+        let now = self.context.net().now();
         let node = self.failover.as_mut();
-        match node.and_then(|node| node.state.peer_requests.get_mut(slot)) {
-            Some(request) => request.clients.push((client, deadline)),
-            None => {
-                // It ended in the same wake-up; whoever still wants it sends it again.
-                let mut response = self.context.expect_replicator().new_response();
-                response.disposition = Some(Disposition::Rejected);
-                response.retry_after = FENCING_RETRY_AFTER;
-                response.clients.push((client, deadline));
-                self.send_pending_response(response);
+        let request = node.and_then(|node| node.state.peer_requests.get_mut(slot));
+        let (waiting, disposition, retry_after) = match request {
+            Some(request) => {
+                let waiting = client.joining(request.deadline);
+                if now < waiting.1 {
+                    return request.clients.push(waiting);
+                }
+                (waiting, Disposition::Failed, 0)
             }
-        }
+            // It ended in the same wake-up; whoever still wants it sends it again.
+            None => (
+                client.joining(now),
+                Disposition::Rejected,
+                FENCING_RETRY_AFTER,
+            ),
+        };
+        let replicator = self.context.expect_replicator();
+        let response = replicator.response_to(waiting, disposition, retry_after);
+        self.send_pending_response(response);
     }
 
     /// Tells the role state machine once a gateway that no longer serves has nothing left to do.
--- a/crates/tidewall-gateway/src/ingress.rs
+++ b/crates/tidewall-gateway/src/ingress.rs
@@ -124,6 +124,13 @@
     pub payload: &'a [u8],
 }
 
+impl IncomingRequest<'_> {
+    /// Whether enough of its client's time is certain for it to be admitted.
+    pub fn is_in_time(&self) -> bool {
+        remaining_time(self.remaining + self.uncertainty, self.uncertainty).is_some()
+    }
+}
+
 /// A client protocol. It reads its clients' bytes and tells `IngressContext` which requests come and which clients leave.
 pub trait Ingress<N: Net> {
     /// The ingress was added to the gateway; one that needs timers sets its first one here.
--- a/crates/tidewall-gateway/src/ingress_context.rs
+++ b/crates/tidewall-gateway/src/ingress_context.rs
@@ -1,5 +1,6 @@
 //! Admission: what an ingress may do with the gateway's state, and which requests are accepted.
 use crate::error::AdmissionError;
+use crate::failover::RetryingClient;
 use crate::ingress::{IncomingRequest, ReplyHandle, NO_CLIENT};
 use crate::timers::TimerToken;
 use crate::worker_pool::{Counters, WorkerPool};
@@ -21,8 +22,8 @@
     /// Another member of the failover pair serves.
     pub(crate) standby: bool,
     max_requests: usize,
-    /// Retries of requests that the other member has in flight: its slot there, who asks, until when.
-    pub(crate) awaited_remote: VecDeque<(usize, ReplyHandle, Time)>,
+    /// Retries of requests that the other member has in flight: its slot there, and who asks.
+    pub(crate) awaited_remote: VecDeque<(usize, RetryingClient)>,
 }
 
 impl<N: Net> IngressContext<N> {
@@ -81,7 +82,9 @@
             .replicator
             .as_ref()
             .is_some_and(|replicator| !replicator.deduplication.has_capacity());
-        let refusal = if self.draining || self.standby {
+        let refusal = if !incoming.is_in_time() {
+            AdmissionError::Late
+        } else if self.draining || self.standby {
             AdmissionError::Draining
         } else if table_full {
             AdmissionError::DeduplicationTableFull
--- a/crates/tidewall-gateway/src/native_ingress.rs
+++ b/crates/tidewall-gateway/src/native_ingress.rs
@@ -1,7 +1,7 @@
 //! The ingress that speaks the native frames of `docs/wire.md`.
 use crate::client_requests::ClientRequests;
 use crate::error::ProtocolError;
-use crate::ingress::{remaining_time, IncomingRequest, Ingress, ReplyHandle, Response};
+use crate::ingress::{IncomingRequest, Ingress, ReplyHandle, Response};
 use crate::IngressContext;
 use tidewall_net::{Conn, Net, Time};
 use tidewall_wire::{self as wire, kind, Field, Fields, Frame, WireError};
@@ -119,13 +119,6 @@
             return Err(WireError::invalid(Field::Id, format!("{id} is in hand already")).into());
         }
         let incoming = read_request(context, id, fields)?;
-        if incoming.remaining == 0 {
-            // Its time may have passed before it was read. A response might come too late and silence might be wrong: it is
-            // refused, and that is said.
-            context.counters().refused += 1;
-            self.refuse(context, conn, id, "late");
-            return Ok(());
-        }
         let key = self.requests.add(conn, id, id);
         let reply_handle = self.requests.handle(key);
         match context.admit(&IncomingRequest {
@@ -199,7 +192,10 @@
         .iter()
         .position(|name| name == class_name);
     let tenant_name = fields.word(Field::Tenant)?;
+    // It may have waited for so long before it was read.
     let read_delay = context.net_ref().read_delay();
+    let stated = fields.upto(Field::Left, MAX_CLIENT_TIME, 0)?;
+    let remaining = stated.saturating_sub(read_delay);
     let incoming = IncomingRequest {
         reply_handle: ReplyHandle::default(),
         client: None,
@@ -215,10 +211,8 @@
         memory: fields.real(Field::Memory, 0.0)?,
         cost_hint: fields.upto(Field::Hint, MAX_CLIENT_TIME, 0)?,
         load_hint: fields.upto(Field::LoadHint, MAX_CLIENT_TIME, 0)?,
-        // Shorter by what it may have waited for us to read it.
-        remaining: remaining_time(fields.upto(Field::Left, MAX_CLIENT_TIME, 0)?, read_delay)
-            .unwrap_or(0),
-        uncertainty: read_delay,
+        remaining,
+        uncertainty: stated - remaining,
         is_retry: fields.flag(Field::Resent)?,
         idempotency_key: fields.bytes(Field::Mark)?,
         payload: fields.bytes(Field::Payload)?,
--- a/crates/tidewall-gateway/tests/read.rs
+++ b/crates/tidewall-gateway/tests/read.rs
@@ -39,6 +39,7 @@
     assert_eq!(remaining_time(remaining, waited), certain);
 }
 
+#[test_case(AdmissionError::Late, "late")]
 #[test_case(AdmissionError::Draining, "draining")]
 #[test_case(AdmissionError::DeduplicationTableFull, "most-remembered")]
 #[test_case(AdmissionError::TooManyRequests, "most-held")]
