--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -11,11 +11,12 @@
 use tidewall_net::mio::{self, Mio};
 use tidewall_platform::config::{self, PlatformConfig};
 use tidewall_platform::descriptor_budget::DescriptorBudget;
+use tidewall_platform::memory_budget::MemoryBudget;
 use tidewall_platform_ingress::error::ReloadError;
 use tidewall_platform_ingress::host_protocol::HostProtocol;
 use tidewall_platform_ingress::notice_board::{deliver_notices, NoticeBoardSource};
 use tidewall_platform_ingress::unix_clock::UnixClock;
-use tidewall_platform_ingress::PlatformIngress;
+use tidewall_platform_ingress::{ClientLimits, PlatformIngress};
 use tracing::info;
 
 /// SIGHUP makes the gateway read its configuration again; the others shut it down.
@@ -49,10 +50,14 @@
     let connections_cost =
         settings.number("deductions.connection") + settings.number("deductions.handshake") > 0.0;
     let budget = DescriptorBudget::new(config.descriptors as usize, connections_cost);
+    let memory = MemoryBudget::new(config.memory_mb);
     let limits = gateway_limits(settings, &budget);
     let ingress = PlatformIngress::new(
         0,
-        budget.client_connections,
+        ClientLimits {
+            connections: budget.client_connections,
+            unread_replies: memory.unread_replies,
+        },
         classes_with_idempotency_key(settings),
     );
     let read_address = move || {
@@ -96,7 +101,7 @@
     gateway
         .add_ingress(config.listen, Box::new(ingress))
         .map_err(input)?;
-    info!(gateway = config.name, ?budget, "gateway started");
+    info!(gateway = config.name, ?budget, ?memory, "gateway started");
     mio::run(&mut gateway).map_err(|e| Failure::Run(e.to_string()))
 }
 
--- a/crates/tidewall-cli/tests/platform.rs
+++ b/crates/tidewall-cli/tests/platform.rs
@@ -1,27 +1,16 @@
 //! The shipped binary on the platform's protocols, over loopback, as a process that is controlled by signals.
-//! Hosts and notice board are threads of the test. Every call must get exactly one response, whatever the
-//! hosts do.
+//! Every call must get exactly one response, whatever the hosts do.
+mod platform_rig;
+
+use platform_rig::*;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
-/// Listens on a free port and serves each connection on its own thread.
-fn listen(serve: impl Fn(TcpStream) -> Option<()> + Clone + Send + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for conn in listener.incoming().flatten() {
-            let serve = serve.clone();
-            std::thread::spawn(move || serve(conn));
-        }
-    });
-    at
-}
-
 /// Starts a host; if it is `faulty`, every fifth response is malformed and every seventh attempt's connection
 /// is closed.
 fn host(faulty: bool) -> SocketAddr {
@@ -56,143 +45,6 @@
     }
 }
 
-/// Starts a notice board without notices, which counts its polls.
-fn board(polls: Arc<AtomicUsize>) -> SocketAddr {
-    board_of(polls, "{\"rev\":1,\"notices\":[]}".to_string())
-}
-
-/// Starts a notice board that always responds with this body.
-fn board_of(polls: Arc<AtomicUsize>, body: String) -> SocketAddr {
-    listen(move |conn| {
-        let mut out = conn.try_clone().ok()?;
-        for line in BufReader::new(conn).lines() {
-            if line.ok()?.is_empty() {
-                polls.fetch_add(1, Ordering::Relaxed);
-                std::thread::sleep(Duration::from_millis(200));
-                write!(
-                    out,
-                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
-                    body.len()
-                )
-                .ok()?;
-            }
-        }
-        None
-    })
-}
-
-/// A gateway process, which is killed when the test ends.
-struct Gateway(Child);
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Gateway {
-    fn signal(&self, signal: i32) {
-        // SAFETY: the process is our child and has not been waited for.
-        unsafe { libc::kill(self.0.id() as i32, signal) };
-    }
-}
-
-/// Entries of an endpoint list for these hosts.
-fn host_entries(hosts: &[SocketAddr]) -> String {
-    let host = |(i, at): (usize, &SocketAddr)| {
-        format!(
-            r#"{{"id":"s-{i}","addr":"{at}","zone":"z","kind":"k","cell":0,"state":"up","weight":4,"started_ms":0}}"#
-        )
-    };
-    hosts
-        .iter()
-        .enumerate()
-        .map(host)
-        .collect::<Vec<_>>()
-        .join(",")
-}
-
-fn config(listen: SocketAddr, board: SocketAddr, hosts: &[SocketAddr]) -> String {
-    let hosts = host_entries(hosts);
-    format!(
-        r#"{{"name":"n0","listen":"{listen}","seed":"7","limits":{{"memory_mb":32,"sockets":256}},"board":"{board}",
- "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"version":0,"full":true,"servers":[{hosts}]}}}}]}},
- "settings":{{"me":0,"siblings":1,"tick-ms":1.0,"zones":["z"],"kinds":["k"],"discovery":"pushed",
- "allowed":{{"connect-timeout-ms":250.0,"keepalive-ms":30000.0,"max-attempts":3,"most-held":200,"streams-per-conn":32,
-  "cancel":true,"may-duplicate":true,"retry-after":true,"max-retry-after-ms":500.0,"probes":true}},
- "rules":{{"drain-grace-ms":2000.0}},"reporting":{{"how":"probe","names":["q","rif"]}},
- "classes":[{{"name":"check","aim-ms":500.0,"deadline-ms":2000.0,"worth":1.0,"semantics":"read_like"}},
-  {{"name":"issue","aim-ms":500.0,"deadline-ms":2000.0,"worth":1.0,"semantics":"non_idempotent"}}],
- "extra":{{"orders":true,"order-timeout-ms":4000.0,"if-cold":"load","stays-loaded-ms":60000.0,"load-window-ms":0}}}}}}"#
-    )
-}
-
-fn word(text: &str) -> String {
-    format!("${}\r\n{text}\r\n", text.len())
-}
-
-fn call(tag: usize, class: &str) -> String {
-    let fields = format!("trace={tag:016x},patience=1500,entity=7f3a9c21e0b4d655,extras=lanes:100");
-    format!(
-        "*5\r\n{}{}{}{}{}",
-        word("CALL"),
-        word(&tag.to_string()),
-        word(class),
-        word(&fields),
-        word("body")
-    )
-}
-
-/// Reads a response's tag and word (RESP arrays of bulk strings).
-fn answer(lines: &mut impl BufRead) -> (usize, String) {
-    let mut next = || {
-        let mut line = String::new();
-        lines.read_line(&mut line).unwrap();
-        line.trim_end().to_string()
-    };
-    let count: usize = next().strip_prefix('*').unwrap().parse().unwrap();
-    let words: Vec<String> = (0..count)
-        .map(|_| {
-            next();
-            next()
-        })
-        .collect();
-    (words[0].parse().unwrap(), words[1].clone())
-}
-
-/// A free port of a loopback address that only one test uses. On a shared address, another test's host may
-/// take the port before the gateway does, and a client that connects to a port of its own address may connect
-/// to itself.
-fn free(last: u8) -> SocketAddr {
-    TcpListener::bind(SocketAddr::from(([127, 0, 0, last], 0)))
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
-/// Starts a gateway with this configuration and connects to it.
-fn start(file: &std::path::Path, listen: SocketAddr) -> (Gateway, TcpStream) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_tidewall"));
-    command
-        .args(["--log", "error", "platform"])
-        .env("ROUTER_CONFIG", file)
-        .stdout(Stdio::null());
-    started(command, listen)
-}
-
-fn started(mut command: Command, listen: SocketAddr) -> (Gateway, TcpStream) {
-    let gateway = Gateway(command.spawn().unwrap());
-    let until = Instant::now() + Duration::from_secs(10);
-    loop {
-        match TcpStream::connect(listen) {
-            Ok(conn) => return (gateway, conn),
-            Err(e) => assert!(Instant::now() < until, "{e}"),
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 #[test]
 fn a_killed_gateway_restarts_from_its_configuration() {
     let (board, hosts) = (board(Arc::default()), [host(false)]);
@@ -270,7 +122,7 @@
     std::thread::sleep(Duration::from_millis(500));
     let (mut out, mut lines) = (conn.try_clone().unwrap(), BufReader::new(conn));
     for tag in 1..=400 {
-        let call = call(tag, "check").replace("7f3a9c21e0b4d655", &format!("{tag:016x}"));
+        let call = call(tag, "check").replace(FUNCTION, &format!("{tag:016x}"));
         out.write_all(call.as_bytes()).unwrap();
         assert_eq!(answer(&mut lines), (tag, "OK".to_string()));
     }
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -98,7 +98,7 @@
     /// attempt that takes longer than `timeout` ends with [`CloseReason::TimedOut`].
     fn connect(&mut self, to: SocketAddr, timeout: Time) -> Conn;
     /// Queues all of the bytes and returns true, or queues none where [`buffer::WRITE_BUFFER_LIMIT`] would be
-    /// exceeded: then it returns false, and [`App::writable`] follows when the write buffer is empty. Also
+    /// exceeded by bytes that the socket has refused: then it returns false, and [`App::writable`] follows when the write buffer is empty. Also
     /// returns false where the connection has ended.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool;
     /// Writes as many bytes as the socket accepts at once, queues nothing, and returns how many were written:
@@ -106,8 +106,15 @@
     /// [`App::writable`] follows.
     #[must_use = "bytes beyond the returned count were not written"]
     fn write_available(&mut self, conn: Conn, bytes: &[u8]) -> usize;
-    /// Number of bytes in the write buffer: accepted by [`Net::write`], but not yet by the socket.
+    /// Offers the write buffer to the socket at once, which otherwise happens at the end of the wake-up.
+    fn flush(&mut self, conn: Conn);
+    /// Number of bytes in the write buffer: accepted by [`Net::write`], but not yet by the socket, to which
+    /// they may not have been offered either. See [`Net::blocked_since`].
     fn unsent(&self, conn: Conn) -> usize;
+    /// Since when the socket has refused a part of the write buffer; `None` where it has accepted everything
+    /// that it was offered. A peer that leaves bytes unread causes this, as does one that reads more slowly
+    /// than this process writes.
+    fn blocked_since(&self, conn: Conn) -> Option<Time>;
     /// Number of bytes that the peer's system has not acknowledged: those in the write buffer and in the
     /// socket's send queue.
     fn unacknowledged(&self, conn: Conn) -> usize {
--- a/crates/tidewall-net/src/memory/endpoint.rs
+++ b/crates/tidewall-net/src/memory/endpoint.rs
@@ -26,6 +26,8 @@
     pub(super) last_arrival: Time,
     /// Bytes that were accepted from the app and have not been sent yet.
     pub(super) write_buffer: Buffer,
+    /// Since when the peer's receive window has been too small for the write buffer, by this node's clock.
+    pub(super) blocked_since: Option<Time>,
     /// The listener's address; set on the accepting side only.
     pub(super) local_address: Option<SocketAddr>,
     pub(super) read_paused: bool,
@@ -78,6 +80,7 @@
             in_flight: 0,
             last_arrival: 0,
             write_buffer: Buffer::default(),
+            blocked_since: None,
             local_address: None,
             read_paused: false,
             read_limit: READ_BUFFER_LIMIT,
@@ -124,8 +127,11 @@
         if sent > 0 {
             self.transmit(Route { from, to }, Event::Data { conn: peer, bytes });
         }
+        let now = self.nodes[from].local_time(self.now);
         if let Some(endpoint) = self.endpoint(conn) {
             endpoint.write_buffer.consume(sent);
+            let blocked_since = endpoint.blocked_since.unwrap_or(now);
+            endpoint.blocked_since = (!endpoint.write_buffer.is_empty()).then_some(blocked_since);
         }
     }
 
--- a/crates/tidewall-net/src/memory/handle.rs
+++ b/crates/tidewall-net/src/memory/handle.rs
@@ -80,6 +80,14 @@
         self.world.borrow_mut().nodes[self.node].out_of_descriptors = exhausted;
     }
 
+    /// Number of bytes in the write buffers of all of the node's connections.
+    pub fn total_unsent(&self) -> usize {
+        let world = self.world.borrow();
+        let endpoints = world.endpoints.iter().map(|(_, endpoint)| endpoint);
+        let own = endpoints.filter(|endpoint| endpoint.node == self.node);
+        own.map(|endpoint| endpoint.write_buffer.len()).sum()
+    }
+
     /// Stalls the process, or ends the stall: all events that happened meanwhile are then delivered at once.
     pub fn still(&self, stalled: bool) {
         let mut world = self.world.borrow_mut();
@@ -208,6 +216,13 @@
         written
     }
 
+    /// Does nothing: written bytes are sent at once.
+    fn flush(&mut self, _conn: Conn) {}
+
+    fn blocked_since(&self, conn: Conn) -> Option<Time> {
+        self.world.borrow_mut().endpoint(conn)?.blocked_since
+    }
+
     fn unsent(&self, conn: Conn) -> usize {
         let mut world = self.world.borrow_mut();
         world.endpoint(conn).map_or(0, |e| e.write_buffer.len())
--- a/crates/tidewall-net/src/mio/connection.rs
+++ b/crates/tidewall-net/src/mio/connection.rs
@@ -29,6 +29,8 @@
     /// Whether the connection is in `Mio::read_queue`, and whether it is in `Mio::flush_queue`.
     pub(super) read_queued: bool,
     pub(super) flush_queued: bool,
+    /// Since when the socket has refused a part of `write_buffer`; None while it accepts everything.
+    pub(super) blocked_since: Option<Time>,
     /// A write was not accepted in full: `App::writable` must follow.
     pub(super) writable_pending: bool,
     pub(super) closing: bool,
@@ -58,6 +60,7 @@
             pause_delay: 0,
             read_queued: false,
             flush_queued: false,
+            blocked_since: None,
             writable_pending: false,
             closing: false,
             aborted: false,
@@ -76,6 +79,7 @@
     pub(super) fn discard_unsent(&mut self) {
         let unsent = self.write_buffer.len();
         self.write_buffer.consume(unsent);
+        self.blocked_since = None;
     }
 
     /// Reads and discards input. Returns true at the end of the stream or after an error.
--- a/crates/tidewall-net/src/mio/mod.rs
+++ b/crates/tidewall-net/src/mio/mod.rs
@@ -214,6 +214,14 @@
         self.write_directly(conn, bytes)
     }
 
+    fn flush(&mut self, conn: Conn) {
+        self.flush_within_wakeup(conn);
+    }
+
+    fn blocked_since(&self, conn: Conn) -> Option<Time> {
+        self.connection(conn)?.blocked_since
+    }
+
     fn unsent(&self, conn: Conn) -> usize {
         self.connection(conn).map_or(0, |c| c.write_buffer.len())
     }
--- a/crates/tidewall-net/src/mio/writing.rs
+++ b/crates/tidewall-net/src/mio/writing.rs
@@ -1,19 +1,28 @@
 //! The write side of connections: write buffers, which are flushed at the end of each wake-up.
+use super::connection::Connection;
 use super::Mio;
 use crate::buffer::WRITE_BUFFER_LIMIT;
 use crate::{App, Conn};
 use std::io::{self, Write};
 
 impl Mio {
-    /// Appends all bytes to the write buffer and returns true, or none where its limit would be exceeded.
+    /// Appends all bytes to the write buffer and returns true, or none where its limit would be exceeded by
+    /// bytes that the socket has refused.
     pub(super) fn queue_write(&mut self, conn: Conn, bytes: &[u8]) -> bool {
+        let has_capacity = |connection: &Connection| {
+            connection.write_buffer.len() + bytes.len() <= WRITE_BUFFER_LIMIT
+        };
+        if self.connection(conn).is_some_and(|c| !has_capacity(c)) {
+            // What was written in this wake-up may not have been offered to the socket yet.
+            self.flush_within_wakeup(conn);
+        }
         let Some(connection) = self.connection_mut(conn) else {
             return false;
         };
         if connection.closing {
             return false;
         }
-        if connection.write_buffer.len() + bytes.len() > WRITE_BUFFER_LIMIT {
+        if !has_capacity(connection) {
             connection.writable_pending = true;
             return false;
         }
@@ -58,6 +67,17 @@
         written
     }
 
+    /// Writes as much of the write buffer as the socket accepts, within a wake-up.
+    pub(super) fn flush_within_wakeup(&mut self, conn: Conn) {
+        if !self.flush_connection(conn) {
+            // A broken connection is handled by the read, after the input that precedes its end.
+            if let Some(connection) = self.connection_mut(conn) {
+                connection.readable = true;
+            }
+            self.queue_read(conn);
+        }
+    }
+
     /// Writes as much of the write buffer as the socket accepts. Returns false where the connection is
     /// broken.
     #[must_use]
@@ -76,11 +96,15 @@
                     connection.write_buffer.consume(count);
                     connection.last_write = now;
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    connection.blocked_since.get_or_insert(now);
+                    return true;
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return false,
             }
         }
+        connection.blocked_since = None;
         true
     }
 }
--- a/crates/tidewall-net/tests/nets.rs
+++ b/crates/tidewall-net/tests/nets.rs
@@ -2,6 +2,7 @@
 //! bounded, and the end of a connection is reported once.
 #![allow(clippy::unwrap_used, missing_docs)]
 use std::cell::RefCell;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use test_case::test_case;
@@ -179,12 +180,56 @@
     echo.join().unwrap();
     let events = events.borrow();
     assert!(
-        events.write_rejected
-            && events.received.len() >= WRITE_BUFFER_LIMIT / 2
-            && events.received.iter().all(|b| *b == 7)
+        events.received.len() >= WRITE_BUFFER_LIMIT / 2 && events.received.iter().all(|b| *b == 7)
     );
 }
 
+/// Runs wake-ups until the app has connected.
+fn run_until_connected(app: &mut Peer<Mio>, events: &RefCell<Events>) {
+    while events.borrow().connected == 0 {
+        tidewall_net::mio::turn(app).unwrap();
+    }
+}
+
+// The write buffer is bounded where a peer does not read.
+#[test]
+fn on_sockets_a_write_to_a_peer_that_does_not_read_is_rejected() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut app, events) = peer(Mio::new().unwrap(), false, 256 << 20, 0);
+    let conn = app.net.connect(listener.local_addr().unwrap(), 10_000);
+    run_until_connected(&mut app, &events);
+    assert!(events.borrow().write_rejected);
+    assert!((1..=WRITE_BUFFER_LIMIT).contains(&app.net.unsent(conn)));
+    assert!(app.net.blocked_since(conn).is_some());
+}
+
+// Failure: what was written in one wake-up and not offered to the socket yet counted as refused by the peer.
+#[test]
+fn on_sockets_more_than_a_write_buffer_is_accepted_in_a_wakeup_for_a_peer_that_reads() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let size = WRITE_BUFFER_LIMIT + WRITE_BUFFER_LIMIT / 4;
+    let reader = std::thread::spawn(move || {
+        let mut received = vec![0; size];
+        listener
+            .accept()
+            .unwrap()
+            .0
+            .read_exact(&mut received)
+            .unwrap();
+        received.iter().all(|b| *b == 7)
+    });
+    let (mut app, events) = peer(Mio::new().unwrap(), false, size, 0);
+    let conn = app.net.connect(address, 10_000);
+    run_until_connected(&mut app, &events);
+    assert!(!events.borrow().write_rejected);
+    while app.net.unsent(conn) > 0 {
+        tidewall_net::mio::turn(&mut app).unwrap();
+    }
+    assert!(reader.join().unwrap());
+    assert!(app.net.blocked_since(conn).is_none());
+}
+
 #[test]
 fn on_sockets_a_closed_listener_refuses_and_datagrams_and_timers_arrive() {
     let (mut a, events) = peer(Mio::new().unwrap(), false, 0, 0);
--- a/crates/tidewall-platform-ingress/src/closing.rs
+++ b/crates/tidewall-platform-ingress/src/closing.rs
@@ -47,6 +47,8 @@
         self.abandon_calls(context, conn);
         self.connections.remove(conn);
         let net = context.net();
+        // What was written in this wake-up may not have been offered to the socket yet.
+        net.flush(conn);
         // Closing waits until everything is sent, so a client that does not read would occupy its
         // descriptor forever. Its connection is reset instead.
         if net.unsent(conn) > 0 {
@@ -59,6 +61,11 @@
     /// Closes the connections that have timed out.
     pub(crate) fn close_timed_out<N: Net>(&mut self, context: &mut IngressContext<N>) {
         let now = context.net().now();
+        for conn in self.connections.with_unread() {
+            if self.refresh_unread(context.net_ref(), conn) {
+                self.connections.slot(conn).read_replies(now);
+            }
+        }
         for index in 0..self.connections.len() {
             let Some(connection) = self.connections.timed_out(index, now) else {
                 continue;
--- a/crates/tidewall-platform-ingress/src/commands.rs
+++ b/crates/tidewall-platform-ingress/src/commands.rs
@@ -9,7 +9,7 @@
 use tidewall_platform::printable;
 
 /// Maximum number of open calls of one connection, from the platform's specification.
-const MAX_OPEN_CALLS: u32 = 32;
+pub(crate) const MAX_OPEN_CALLS: u32 = 32;
 
 /// Indices of a call's class and tenant in the settings.
 struct CallTarget {
@@ -100,7 +100,10 @@
         // Reduced by the time for which the command may have waited unread in the socket.
         let read_delay = context.net().read_delay();
         let remaining = remaining_time(time_from_ms(call.timeout_ms), read_delay).unwrap_or(0);
-        if self.connections.slot(conn).open_calls >= MAX_OPEN_CALLS || remaining == 0 {
+        // To the client a call is open until it has read the reply.
+        let unread_replies = self.unread_replies(context.net_ref(), conn);
+        let open_calls = self.connections.slot(conn).open_calls + unread_replies;
+        if open_calls >= MAX_OPEN_CALLS || remaining == 0 {
             context.counters().refused += 1;
             return self.refuse_call(context, conn, tag, Disposition::Rejected);
         }
@@ -158,6 +161,6 @@
             ReplyStatus::Up
         };
         self.encode_reply(tag, status, &[]);
-        context.net().write(conn, &self.out);
+        self.write_reply(context.net(), conn);
     }
 }
--- a/crates/tidewall-platform-ingress/src/connections.rs
+++ b/crates/tidewall-platform-ingress/src/connections.rs
@@ -1,5 +1,6 @@
 //! Client connections: their state, their maximum number and their timeouts. Times are in tenths of
 //! a millisecond.
+use crate::unread_replies::Unread;
 use tidewall_net::{Conn, Time};
 
 /// A connection that has sent no complete command is closed this long after it was accepted. That
@@ -35,6 +36,8 @@
     pub(crate) open_calls: u32,
     /// The highest tag of a call on this connection. A tag up to this one is rejected as reused.
     pub(crate) highest_tag: u64,
+    /// What the client leaves unread. Changed by [`ClientConnections::set_unread`] only.
+    pub(crate) unread: Unread,
     accepted_at: Time,
     /// Time of the last complete command or reply.
     last_active: Time,
@@ -60,6 +63,12 @@
         self.closes_at = Some(now + ERROR_LINGER);
     }
 
+    /// Records that the client has read something. If an error was sent, it may still read that.
+    pub(crate) fn read_replies(&mut self, now: Time) {
+        self.last_active = now;
+        self.closes_at = self.closes_at.map(|_| now + ERROR_LINGER);
+    }
+
     /// Whether an error was sent.
     pub(crate) fn has_failed(&self) -> bool {
         self.closes_at.is_some()
@@ -77,6 +86,7 @@
     fn eviction_class(&self, now: Time) -> EvictionClass {
         match (self.closes_at, self.has_sent_command) {
             (Some(_), _) => EvictionClass::Failed,
+            (None, _) if self.unread.bytes > 0 => EvictionClass::Reading,
             (None, false) if now >= self.accepted_at + FIRST_COMMAND_DELAY => EvictionClass::Silent,
             (None, true) if now >= self.last_active + CLIENT_IDLE_TIMEOUT => {
                 EvictionClass::LongIdle
@@ -100,6 +110,8 @@
     Idle,
     /// It has just been accepted. Its first command is probably on its way, and would be lost.
     New,
+    /// It has unread replies, which would be lost.
+    Reading,
 }
 
 /// A connection that may be closed to make room. The smallest candidate is closed first.
@@ -117,6 +129,8 @@
     count: usize,
     /// Maximum number of used slots.
     max: usize,
+    /// Sum of the unread bytes of all connections.
+    total_unread: usize,
 }
 
 impl ClientConnections {
@@ -126,6 +140,7 @@
             slots: Vec::new(),
             count: 0,
             max,
+            total_unread: 0,
         }
     }
 
@@ -159,11 +174,34 @@
     /// Removes a connection without open calls. Does nothing if it is unknown.
     pub(crate) fn remove(&mut self, conn: Conn) {
         if self.contains(conn) {
+            self.set_unread(conn, Unread::default());
             *self.slot(conn) = ClientConnection::default();
             self.count -= 1;
         }
     }
 
+    /// Records what a client leaves unread. Does nothing if the connection is unknown.
+    pub(crate) fn set_unread(&mut self, conn: Conn, unread: Unread) {
+        if self.contains(conn) {
+            let before = std::mem::replace(&mut self.slot(conn).unread, unread);
+            self.total_unread = self.total_unread + unread.bytes - before.bytes;
+        }
+    }
+
+    /// Sum of what all clients leave unread, in bytes, as far as it was recorded.
+    pub(crate) fn total_unread(&self) -> usize {
+        self.total_unread
+    }
+
+    /// The connections whose clients leave something unread, as far as it was recorded.
+    pub(crate) fn with_unread(&self) -> Vec<Conn> {
+        let unread = self
+            .slots
+            .iter()
+            .filter(|connection| connection.unread.bytes > 0);
+        unread.filter_map(|connection| connection.conn).collect()
+    }
+
     /// Number of slots, used and unused.
     pub(crate) fn len(&self) -> usize {
         self.slots.len()
@@ -177,7 +215,7 @@
 
     /// Iterates over the connections without open calls in the order in which they are to be
     /// closed: first those on which an error was sent, then those that never sent a command, oldest
-    /// first, then the longest idle ones. Just accepted ones are last.
+    /// first, then the longest idle ones. Just accepted ones and those with unread replies are last.
     pub(crate) fn eviction_order(&self, now: Time) -> impl Iterator<Item = Conn> {
         let mut candidates: Vec<EvictionCandidate> = self
             .slots
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -11,6 +11,7 @@
 mod open_calls;
 mod replies;
 pub mod unix_clock;
+mod unread_replies;
 
 use connections::{ClientConnections, CHECK_INTERVAL};
 use open_calls::OpenCalls;
@@ -32,24 +33,38 @@
     out: Vec<u8>,
     /// Number of malformed calls and connections so far.
     malformed: u64,
+    /// Maximum number of bytes that all clients together may leave unread.
+    max_unread: usize,
+    /// Number of connections that were reset because of unread replies.
+    unread_resets: u64,
+}
+
+/// Limits of an ingress.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Maximum number of client connections.
+    pub connections: usize,
+    /// Maximum number of bytes of replies that all clients together may leave unread.
+    pub unread_replies: usize,
 }
 
 impl PlatformIngress {
-    /// Creates the gateway's ingress with this index, with at most `max_connections` client
-    /// connections. `needs_idempotency_key` tells for each class of the settings whether its calls
-    /// require an idempotency key.
+    /// Creates the gateway's ingress with this index. `needs_idempotency_key` tells for each class of
+    /// the settings whether its calls require an idempotency key.
     pub fn new(
         index: usize,
-        max_connections: usize,
+        limits: ClientLimits,
         needs_idempotency_key: Vec<bool>,
     ) -> PlatformIngress {
         PlatformIngress {
             index,
             needs_idempotency_key,
-            connections: ClientConnections::new(max_connections),
+            connections: ClientConnections::new(limits.connections),
             calls: OpenCalls::new(index),
             out: Vec::new(),
             malformed: 0,
+            max_unread: limits.unread_replies,
+            unread_resets: 0,
         }
     }
 
--- a/crates/tidewall-platform-ingress/src/replies.rs
+++ b/crates/tidewall-platform-ingress/src/replies.rs
@@ -5,14 +5,8 @@
 use tidewall_gateway::IngressContext;
 use tidewall_net::{Conn, Net, Time};
 use tidewall_platform::client_reply::{ClientReply, ReplyStatus};
-use tidewall_platform::host_lines::MAX_ANSWER_PAYLOAD;
 use tracing::{debug, warn};
 
-/// Maximum number of bytes that a client may leave unread when another reply is written: the size
-/// of the largest reply. If all connections are occupied by such clients, memory is still bounded,
-/// as descriptors limit their number.
-const MAX_UNREAD: usize = MAX_ANSWER_PAYLOAD;
-
 /// There may be thousands of malformed commands: the first one and then one in this many is logged
 /// as a warning.
 const WARN_INTERVAL: u64 = 1000;
@@ -44,8 +38,7 @@
         self.send_reply(context.net(), conn, &reply);
     }
 
-    /// Writes a final reply. If a client does not read until its output buffer is full, its
-    /// connection is aborted: that loses replies to this client only.
+    /// Writes a final reply.
     pub(crate) fn send_reply<N: Net>(&mut self, net: &mut N, conn: Conn, reply: &FinalReply) {
         let status = match reply.disposition {
             Disposition::Completed => ReplyStatus::Completed,
@@ -57,9 +50,7 @@
             Disposition::Failed => ReplyStatus::Failed,
         };
         self.encode_reply(reply.tag, status, reply.payload);
-        if net.unsent(conn) > MAX_UNREAD || !net.write(conn, &self.out) {
-            net.abort(conn);
-        }
+        self.write_reply(net, conn);
     }
 
     /// Encodes a reply into the output buffer, replacing its content.
--- a/crates/tidewall-platform-ingress/tests/common/mod.rs
+++ b/crates/tidewall-platform-ingress/tests/common/mod.rs
@@ -15,11 +15,14 @@
 use tidewall_platform_ingress::host_protocol::HostProtocol;
 use tidewall_platform_ingress::notice_board::{deliver_notices, NoticeBoardSource};
 use tidewall_platform_ingress::unix_clock::UnixClock;
-use tidewall_platform_ingress::PlatformIngress;
+use tidewall_platform_ingress::{ClientLimits, PlatformIngress};
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
 pub const SECOND: Time = 10_000;
 
+/// Bytes of replies that all clients together may leave unread.
+pub const MAX_UNREAD_OF_ALL: usize = 2 << 20;
+
 pub fn socket_address(text: &str) -> SocketAddr {
     text.parse().unwrap()
 }
@@ -251,7 +254,11 @@
         moved_board.clone(),
     );
     let classes_with_key = vec![false, true, false];
-    let ingress = PlatformIngress::new(0, max_clients, classes_with_key);
+    let limits = ClientLimits {
+        connections: max_clients,
+        unread_replies: MAX_UNREAD_OF_ALL,
+    };
+    let ingress = PlatformIngress::new(0, limits, classes_with_key);
     gateway
         .add_ingress(socket_address(GATEWAY), Box::new(ingress))
         .unwrap();
--- a/crates/tidewall-platform/src/lib.rs
+++ b/crates/tidewall-platform/src/lib.rs
@@ -7,13 +7,15 @@
 //! - [`host_lines`]: requests to hosts, the gateway's workers, and their answers;
 //! - [`notice_board`]: the discovery server, long polls over HTTP;
 //! - [`config`]: the configuration that a gateway starts with;
-//! - [`descriptor_budget`]: connection limits of a gateway.
+//! - [`descriptor_budget`]: connection limits of a gateway;
+//! - [`memory_budget`]: limits on what a gateway holds for its clients.
 pub mod client_command;
 pub mod client_reply;
 pub mod config;
 pub mod descriptor_budget;
 mod fields;
 pub mod host_lines;
+pub mod memory_budget;
 pub mod notice_board;
 pub mod resp;
 
--- /dev/null
+++ b/crates/tidewall-platform/src/memory_budget.rs
@@ -0,0 +1,25 @@
+//! Limits on what a gateway holds for its clients, derived from its memory limit.
+
+/// Bytes in the unit of the memory limit.
+const MEGABYTE: usize = 1 << 20;
+
+/// The part of the memory limit that unread replies may take. Write buffers may have twice the
+/// capacity that they use.
+const UNREAD_REPLIES_DIVISOR: usize = 8;
+
+/// Limits on what a gateway holds for its clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryBudget {
+    /// Bytes of replies, over all clients, that their sockets have refused.
+    pub unread_replies: usize,
+}
+
+impl MemoryBudget {
+    /// Divides a memory limit, in megabytes.
+    pub fn new(memory_mb: u64) -> MemoryBudget {
+        let bytes = (memory_mb as usize).saturating_mul(MEGABYTE);
+        MemoryBudget {
+            unread_replies: bytes / UNREAD_REPLIES_DIVISOR,
+        }
+    }
+}
