--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -95,6 +95,7 @@
     )
     .map_err(input)?;
     gateway.set_drain_grace(DRAIN_GRACE);
+    gateway.set_unconfirmed_memory(memory.unconfirmed_functions);
     for (records, complete) in &endpoints.updates {
         gateway.update_endpoints(records, *complete);
     }
--- /dev/null
+++ b/crates/tidewall-cli/tests/client_floods.rs
@@ -0,0 +1,212 @@
+//! Floods of bad clients against the smallest memory limit of the platform, on the shipped binary. A usual
+//! client beside them has an answer to each of its calls.
+mod platform_rig;
+
+use platform_rig::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// The memory limit of [`config`], in kB.
+const MEMORY_LIMIT: u64 = 32 << 10;
+
+/// Workers in the list; a few hosts answer for all of them. A function has as many placements as it can have.
+const WORKERS: usize = 160;
+
+/// Number of bad clients, each on a connection of its own, and of calls that one sends at a time.
+const BAD_CLIENTS: usize = 8;
+const CALLS_AT_ONCE: usize = 30;
+
+/// How long the flood lasts.
+const FLOOD: Duration = Duration::from_secs(3);
+
+/// What the bad clients send.
+#[derive(Clone, Copy)]
+enum Flood {
+    /// Calls of functions that no worker knows, withdrawn at once.
+    UnknownFunctionsWithdrawn,
+    /// The same, but the client waits for the answers.
+    UnknownFunctions,
+    /// Calls of a known function, withdrawn at once.
+    KnownFunctionWithdrawn,
+    /// Calls of a type that does not exist.
+    UnknownTypes,
+}
+
+impl Flood {
+    fn is_withdrawn(self) -> bool {
+        matches!(
+            self,
+            Flood::UnknownFunctionsWithdrawn | Flood::KnownFunctionWithdrawn
+        )
+    }
+
+    /// The call with this tag; `id` is new with every call.
+    fn call(self, tag: usize, id: usize) -> String {
+        let trace = format!("trace={id:016x}");
+        let class = if matches!(self, Flood::UnknownTypes) {
+            "nosuch"
+        } else {
+            "check"
+        };
+        let call = call(tag, class).replace(&format!("trace={tag:016x}"), &trace);
+        match self {
+            Flood::UnknownFunctionsWithdrawn | Flood::UnknownFunctions => {
+                call.replace(FUNCTION, &format!("bad{id:013x}"))
+            }
+            Flood::KnownFunctionWithdrawn | Flood::UnknownTypes => call,
+        }
+    }
+}
+
+fn cancel(tag: usize) -> String {
+    format!("*2\r\n{}{}", word("CANCEL"), word(&tag.to_string()))
+}
+
+/// Floods the gateway until `ended`. Connects anew after ten rounds.
+fn bad_client(flood: Flood, number: usize, gateway: SocketAddr, ended: &AtomicBool) -> Option<()> {
+    let mut id = (number + 1) << 40;
+    while !ended.load(Ordering::Relaxed) {
+        let conn = TcpStream::connect(gateway).ok()?;
+        let mut out = conn.try_clone().ok()?;
+        let mut replies = BufReader::new(conn);
+        for round in 0..10 {
+            let tags = round * CALLS_AT_ONCE + 1..=(round + 1) * CALLS_AT_ONCE;
+            let mut sent = String::new();
+            for tag in tags.clone() {
+                id += 1;
+                sent += &flood.call(tag, id);
+            }
+            if flood.is_withdrawn() {
+                sent.extend(tags.clone().map(cancel));
+            }
+            out.write_all(sent.as_bytes()).ok()?;
+            if !flood.is_withdrawn() {
+                tags.for_each(|_| drop(answer(&mut replies)));
+            }
+        }
+    }
+    Some(())
+}
+
+/// Starts a host that knows [`FUNCTION`] alone.
+fn host() -> SocketAddr {
+    listen(|conn| {
+        let mut out = conn.try_clone().ok()?;
+        let mut lines = BufReader::new(conn);
+        loop {
+            let mut line = String::new();
+            if lines.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            let is_known = line.contains(FUNCTION);
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let result = if is_known { "ok" } else { "error" };
+            let answer = match words[0] {
+                "go" => {
+                    let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+                    lines.read_exact(&mut body).ok()?;
+                    format!("{} {result} - 3\r\nyes\r\n", words[1])
+                }
+                "stage" => format!(
+                    "{} {result} copies={} 0\r\n\r\n",
+                    words[1],
+                    u8::from(is_known)
+                ),
+                "stat" => format!("{} yes gauges=q:0;rif:1 0\r\n\r\n", words[1]),
+                _ => continue,
+            };
+            out.write_all(answer.as_bytes()).ok()?;
+        }
+    })
+}
+
+/// The most memory that the process has held without the pages of its file, in kB.
+fn peak_memory(gateway: &Gateway) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.0.id())).unwrap();
+    let field = |name: &str| -> u64 {
+        let value = status.lines().find_map(|line| line.strip_prefix(name));
+        let kilobytes = value.and_then(|value| value.trim().strip_suffix(" kB"));
+        kilobytes.unwrap().parse().unwrap()
+    };
+    field("VmHWM:") - field("RssFile:")
+}
+
+/// A client that makes one call at a time. Where the gateway closes its connection between two calls, which it
+/// may, the call that crosses this is sent once more on a new connection.
+struct UsualClient {
+    gateway: SocketAddr,
+    out: TcpStream,
+    replies: BufReader<TcpStream>,
+}
+
+impl UsualClient {
+    fn new(gateway: SocketAddr, conn: TcpStream) -> UsualClient {
+        let out = conn.try_clone().unwrap();
+        let replies = BufReader::new(conn);
+        UsualClient {
+            gateway,
+            out,
+            replies,
+        }
+    }
+
+    /// Sends a call and returns the word of its reply, or `None` if the connection ends without one.
+    fn call(&mut self, tag: usize) -> Option<String> {
+        self.out.write_all(call(tag, "issue").as_bytes()).ok()?;
+        if self.replies.fill_buf().ok()?.is_empty() {
+            return None;
+        }
+        let (replied, word) = answer(&mut self.replies);
+        assert_eq!(replied, tag);
+        Some(word)
+    }
+
+    fn call_and_retry_once(&mut self, tag: usize) -> String {
+        self.call(tag).unwrap_or_else(|| {
+            *self = UsualClient::new(self.gateway, TcpStream::connect(self.gateway).unwrap());
+            self.call(tag).expect("the call was lost twice")
+        })
+    }
+}
+
+// Failure: state for each name that a client makes up takes the gateway past its memory, and it is killed with
+// the open requests of usual clients.
+#[test_case(Flood::UnknownFunctionsWithdrawn, 21; "unknown functions withdrawn")]
+#[test_case(Flood::UnknownFunctions, 22; "unknown functions")]
+#[test_case(Flood::KnownFunctionWithdrawn, 23; "a known function withdrawn")]
+#[test_case(Flood::UnknownTypes, 24; "unknown types")]
+fn a_flood_stays_within_the_memory_and_usual_clients_are_answered(flood: Flood, last: u8) {
+    let hosts: Vec<SocketAddr> = (0..4).map(|_| host()).collect();
+    let workers: Vec<SocketAddr> = hosts.iter().copied().cycle().take(WORKERS).collect();
+    let (listen, folder) = (free(last), tempfile::tempdir().unwrap());
+    let file = folder.path().join("config.json");
+    std::fs::write(&file, config(listen, board(Arc::default()), &workers)).unwrap();
+    let (gateway, conn) = start(&file, listen);
+    let mut usual = UsualClient::new(listen, conn);
+    let ended = Arc::new(AtomicBool::new(false));
+    let bad_clients: Vec<_> = (0..BAD_CLIENTS)
+        .map(|number| {
+            let ended = ended.clone();
+            std::thread::spawn(move || bad_client(flood, number, listen, &ended))
+        })
+        .collect();
+    let until = Instant::now() + FLOOD;
+    let mut tag = 0;
+    while Instant::now() < until {
+        tag += 1;
+        usual.call_and_retry_once(tag);
+    }
+    ended.store(true, Ordering::Relaxed);
+    for client in bad_clients {
+        assert!(
+            client.join().unwrap().is_some(),
+            "the gateway ended a bad client that reads"
+        );
+    }
+    let peak = peak_memory(&gateway);
+    assert!(peak < MEMORY_LIMIT, "{peak} kB");
+}
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod outcomes;
 pub mod protocol;
 mod responses;
+mod table_sizes;
 mod timers;
 pub mod wakeup_profile;
 mod worker_connections;
@@ -48,6 +49,7 @@
 pub use discovery::EndpointWatcher;
 pub use drain::DRAIN_GRACE;
 pub use ingress_context::IngressContext;
+pub use table_sizes::TableSizes;
 
 pub(crate) use connection_owners::Owner;
 
@@ -221,6 +223,11 @@
         Ok(gateway)
     }
 
+    /// Sets how many bytes the state of functions may take that no worker has shown to know.
+    pub fn set_unconfirmed_memory(&mut self, bytes: usize) {
+        self.context.scheduler.set_unconfirmed_memory(bytes);
+    }
+
     /// Why the net was stopped.
     pub fn stop_reason(&self) -> StopReason {
         self.stop_reason
--- a/crates/tidewall-platform/src/memory_budget.rs
+++ b/crates/tidewall-platform/src/memory_budget.rs
@@ -7,11 +7,16 @@
 /// capacity that they use.
 const UNREAD_REPLIES_DIVISOR: usize = 8;
 
+/// The part of the memory limit that the state of functions may take which no worker knows.
+const UNCONFIRMED_FUNCTIONS_DIVISOR: usize = 4;
+
 /// Limits on what a gateway holds for its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryBudget {
     /// Bytes of replies, over all clients, that their sockets have refused.
     pub unread_replies: usize,
+    /// Bytes of the state of functions that no worker has shown to know.
+    pub unconfirmed_functions: usize,
 }
 
 impl MemoryBudget {
@@ -20,6 +25,7 @@
         let bytes = (memory_mb as usize).saturating_mul(MEGABYTE);
         MemoryBudget {
             unread_replies: bytes / UNREAD_REPLIES_DIVISOR,
+            unconfirmed_functions: bytes / UNCONFIRMED_FUNCTIONS_DIVISOR,
         }
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,6 +17,7 @@
 mod slow_start;
 mod sweep;
 pub(crate) mod tuning;
+mod unconfirmed;
 
 pub use crate::interface::{ENDPOINT_TIMER, SWEEP_TIMER};
 pub use crate::scheduler::Scheduler;
--- a/src/choice/load_requests.rs
+++ b/src/choice/load_requests.rs
@@ -51,6 +51,9 @@
         if !self.config.may_load || !may_send || !is_confirmed_function || placement.pending_loads > 0 {
             return false;
         }
+        if !self.may_call(function_id) {
+            return false;
+        }
         if self.config.load_limit.window > 0 && !self.admit_load_request(missing) {
             return false;
         }
@@ -64,6 +67,7 @@
         }
         placement.renewed_at = now;
         let worker_id = placement.worker_id;
+        self.count_call(function_id, false);
         self.host.limit_departures(worker_id, self.confirmed_until(worker_id));
         self.host.send_load_request(function_id, worker_id, instances.clamp(1, 16));
         true
@@ -123,6 +127,7 @@
         if !is_known || std::mem::replace(&mut self.functions[function_id].confirmed, true) {
             return;
         }
+        self.uncount_calls(function_id);
         for (_, request) in self.requests.iter().filter(|r| r.1.info.function == function_id) {
             self.load_history.add_past_arrival(request.arrived_at);
         }
@@ -140,16 +145,21 @@
         self.record_worker_response(worker_id, outcome);
         self.apply_endpoint_changes(function_id);
         let Some(position) = self.placement_on(function_id, worker_id) else { return };
+        let placement = &mut self.functions[function_id].placements[position];
+        let was_pending = placement.pending_loads + placement.pending_queries > 0;
+        // The result does not say whether it belongs to a query or a load request. Queries are sent first and
+        // answered at once. Each result is counted once, so neither count stays above zero, whatever a worker
+        // answers.
+        let is_query = placement.end_pending_call();
+        if was_pending {
+            self.count_ended_call(function_id);
+        }
         self.confirm_function(function_id, outcome);
         // After a lack of memory or a failed load, the same load request would fail again if it were sent at
         // once.
         let blocked_until = now + self.jitter(if self.config.large_fleet { 4 * SECOND } else { SECOND / 2 });
         let function = &mut self.functions[function_id];
         let placement = &mut function.placements[position];
-        // The result does not say whether it belongs to a query or a load request. Queries are sent first and
-        // answered at once. Each result is counted once, so neither count stays above zero, whatever a worker
-        // answers.
-        let is_query = placement.end_pending_call();
         if !is_query && outcome != Outcome::TimedOut {
             self.load_history.worker_received(now, worker_id, now);
         }
--- a/src/choice/placements.rs
+++ b/src/choice/placements.rs
@@ -80,12 +80,14 @@
         if self.functions[function_id].live {
             return self.apply_endpoint_changes(function_id);
         }
+        self.make_room_for_function();
         // A random start of the rotation keeps gateways from choosing the same workers in step.
         let (hash, rotation) = (info.function_hash, self.random.below(64) as usize);
         let (class, lanes) = (info.class, info.lanes.max(1));
         self.functions[function_id] =
             Function { hash, live: true, class, lanes, rotation, ..Function::default() };
         self.functions[function_id].changes_seen = self.endpoint_changes.end();
+        self.functions[function_id].registration = self.unconfirmed.add(function_id);
         self.add_missing_placements(function_id);
         self.query_instances(function_id);
     }
@@ -139,10 +141,11 @@
         if !self.config.may_load || self.config.large_fleet {
             return;
         }
-        for position in 0..self.functions[function_id].placements.len().min(12) {
+        for position in 0..self.functions[function_id].placements.len().min(QUERIED_WORKERS) {
             let worker_id = self.functions[function_id].placements[position].worker_id;
-            if self.is_available(worker_id) {
+            if self.is_available(worker_id) && self.may_query(function_id) {
                 self.functions[function_id].placements[position].pending_queries += 1;
+                self.count_call(function_id, true);
                 self.host.send_load_request(function_id, worker_id, 0);
             }
         }
@@ -180,10 +183,9 @@
         let count_before = function.placements.len();
         function.placements.retain(|placement| !is_inactive(placement.worker_id) || !placement.is_idle());
         // A pending answer would be attributed to the next function that uses the index.
-        let is_idle = function.open_requests == 0 && function.placements.iter().all(Placement::is_idle);
-        if is_idle && function.desired_instances == 0 && now > function.last_request_at + 2 * keep_alive {
-            (function.live, function.placements) = (false, Vec::new());
-            self.host.forget_function(function_id);
+        let is_unused = function.desired_instances == 0 && now > function.last_request_at + 2 * keep_alive;
+        if is_unused && function.is_idle() {
+            self.forget_function(function_id);
         } else if function.placements.len() < count_before {
             self.add_missing_placements(function_id);
         }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -17,5 +17,6 @@
 mod slow_start;
 mod sweep;
 mod thousands;
+mod unconfirmed;
 
 use super::*;
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -17,6 +17,22 @@
 /// of a thousand functions has them.
 pub(super) const MAX_PLACEMENTS: usize = 128;
 
+/// Number of workers that are asked which instances of a new function they have.
+pub(super) const QUERIED_WORKERS: usize = 12;
+
+/// Maximum number of functions that no worker has shown to know.
+pub(super) const MAX_UNCONFIRMED_FUNCTIONS: usize = 4096;
+
+/// Unconfirmed functions that are looked at for each new one, so that their number falls again after many
+/// had something in flight.
+pub(super) const MAX_FORGOTTEN_AT_ONCE: usize = 4;
+
+/// Memory in bytes that a function takes beside its placements: its state, and its name with the caller.
+pub(super) const FUNCTION_SIZE: usize = 1024;
+
+/// Maximum number of queries about unconfirmed functions in a second: what a thousand new functions ask.
+pub(super) const MAX_UNCONFIRMED_QUERIES: usize = 1024 * QUERIED_WORKERS;
+
 /// Placements that are visited at once when the endpoint list changes: some 0.1 ms of CPU.
 pub(super) const MAX_CHANGES_AT_ONCE: usize = 4096;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! `choice` makes all decisions. `interface` defines the types and the trait through which the scheduler is
 //! called and acts. `settings` reads settings by name and `config` holds them. `scheduler`, `state`,
-//! `workers`, `service_evidence`, `endpoint_changes` and `load_history` hold the scheduler's state.
+//! `workers`, `service_evidence`, `endpoint_changes`, `load_history` and `unconfirmed_functions` hold the scheduler's state.
 //! `lifecycle` and `endpoint_list` do the bookkeeping that follows from a decision or an endpoint list.
 //! `counter`, `random` and `interner` are helpers.
 pub mod choice;
@@ -20,4 +20,5 @@
 pub mod service_evidence;
 pub mod settings;
 pub mod state;
+mod unconfirmed_functions;
 pub mod workers;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -6,6 +6,7 @@
 use crate::random::RandomGenerator;
 use crate::service_evidence::EndpointListAge;
 use crate::state::{Counter, Function, InstanceState, Placement, Request, Worker};
+use crate::unconfirmed_functions::UnconfirmedFunctions;
 use crate::workers::Workers;
 use slab::Slab;
 use std::collections::VecDeque;
@@ -33,6 +34,9 @@
     /// Changes of the endpoint list that some functions have not applied yet.
     pub(crate) endpoint_changes: EndpointChanges,
     pub(crate) functions: Vec<Function>,
+    pub(crate) unconfirmed: UnconfirmedFunctions,
+    /// How many bytes the state of unconfirmed functions may take.
+    pub(crate) unconfirmed_memory: usize,
     pub(crate) requests: Slab<Request>,
     /// Requests that wait for a placement, oldest first; includes some that do not wait any more.
     pub(crate) waiting: VecDeque<RequestSlot>,
@@ -50,6 +54,17 @@
     pub(crate) capacity_per_rating: f64,
 }
 
+/// Numbers of functions and of their placements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FunctionCounts {
+    /// Functions with state.
+    pub live: usize,
+    /// Those of them that no worker has shown to know.
+    pub unconfirmed: usize,
+    /// Placements of all of them.
+    pub placements: usize,
+}
+
 impl<A> Scheduler<A> {
     /// Creates a scheduler that knows no workers or functions.
     pub(crate) fn empty(
@@ -71,6 +86,8 @@
             endpoint_list: EndpointListAge::default(),
             endpoint_changes: EndpointChanges::default(),
             functions: Vec::new(),
+            unconfirmed: UnconfirmedFunctions::default(),
+            unconfirmed_memory: usize::MAX,
             requests: Slab::new(),
             waiting: VecDeque::new(),
             load_history: LoadHistory::default(),
@@ -133,6 +150,26 @@
         forgotten
     }
 
+    /// Counts the functions with state, for the log.
+    pub fn function_counts(&self) -> FunctionCounts {
+        let live = || self.functions.iter().filter(|function| function.live);
+        FunctionCounts {
+            live: live().count(),
+            unconfirmed: live().filter(|function| !function.confirmed).count(),
+            placements: live().map(|function| function.placements.len()).sum(),
+        }
+    }
+
+    /// Number of slots for requests, used or not, for the log.
+    pub fn request_slots(&self) -> usize {
+        self.requests.capacity()
+    }
+
+    /// Number of entries in the list of waiting requests, for the log.
+    pub fn waiting_entries(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Receives a message from another gateway. It has no effect at present.
     pub fn peer_message_received(&mut self, _peer: u32, _bytes: &[u8]) {}
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,6 +163,8 @@
     pub warm_latency: f64,
     /// Smoothed time from a load request to its end; 0 if there is none yet.
     pub load_time: f64,
+    /// Number of its registration.
+    pub registration: u64,
     /// Whether a worker has shown that it knows the function.
     pub confirmed: bool,
     /// Whether an answer came since the number of instances was last reduced.
@@ -179,6 +181,8 @@
     pub last_request_at: Time,
     /// Open requests.
     pub open_requests: u32,
+    /// Load requests and queries whose end is still to come.
+    pub pending_calls: u32,
     /// Its placements, in the order that all gateways share.
     pub placements: Vec<Placement>,
     /// Number of the next endpoint change to apply to the placements.
@@ -193,6 +197,11 @@
         self.rate.add(now, 1);
     }
 
+    /// Whether it has no request, and nothing is in flight or pending for it.
+    pub fn is_idle(&self) -> bool {
+        self.open_requests == 0 && self.placements.iter().all(Placement::is_idle)
+    }
+
     /// The weight of a worker in the shared order: rendezvous hashing of the id texts of function and worker.
     /// The highest weight comes first; of equal weights, the worker with the higher name hash comes first.
     pub fn order_weight(&self, name_hash: u64) -> u64 {
