--- a/crates/tidewall-platform-ingress/src/commands.rs
+++ b/crates/tidewall-platform-ingress/src/commands.rs
@@ -47,11 +47,11 @@
         tag: u64,
         call: Result<CallRequest, CallError>,
     ) -> Result<(), ConnectionError> {
-        let connection = self.connections.slot(conn);
-        if tag <= connection.highest_tag {
+        // An open call keeps its tag even if that is not remembered any more.
+        let is_open = self.calls.find_tag(conn, tag).is_some();
+        if is_open || !self.connections.slot(conn).used_tags.insert(tag) {
             return Err(ConnectionError::TagReused);
         }
-        connection.highest_tag = tag;
         let validated = call.map_err(InvalidCall::from).and_then(|call| {
             let target = self.check_call(context, &call)?;
             Ok((call, target))
--- a/crates/tidewall-platform-ingress/src/connections.rs
+++ b/crates/tidewall-platform-ingress/src/connections.rs
@@ -1,6 +1,7 @@
 //! Client connections: their state, their maximum number and their timeouts. Times are in tenths of
 //! a millisecond.
 use crate::unread_replies::Unread;
+use crate::used_tags::UsedTags;
 use tidewall_net::{Conn, Time};
 
 /// A connection that has sent no complete command is closed this long after it was accepted. That
@@ -34,8 +35,8 @@
     pub(crate) conn: Option<Conn>,
     /// Number of calls without a reply.
     pub(crate) open_calls: u32,
-    /// The highest tag of a call on this connection. A tag up to this one is rejected as reused.
-    pub(crate) highest_tag: u64,
+    /// Tags of calls on this connection.
+    pub(crate) used_tags: UsedTags,
     /// What the client leaves unread. Changed by [`ClientConnections::set_unread`] only.
     pub(crate) unread: Unread,
     accepted_at: Time,
--- a/crates/tidewall-platform-ingress/src/error.rs
+++ b/crates/tidewall-platform-ingress/src/error.rs
@@ -14,8 +14,8 @@
     /// The client sent something other than a command.
     #[error(transparent)]
     Command(#[from] CommandError),
-    /// A call's tag is not higher than the tags of earlier calls on the connection. It would be
-    /// unclear which of two calls with the same tag a reply is for.
+    /// A call's tag was used by an earlier call on the connection. It would be unclear which of two
+    /// calls with the same tag a reply is for.
     #[error("tag: used before")]
     TagReused,
 }
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -12,6 +12,7 @@
 mod replies;
 pub mod unix_clock;
 mod unread_replies;
+mod used_tags;
 
 use connections::{ClientConnections, CHECK_INTERVAL};
 use open_calls::OpenCalls;
--- a/crates/tidewall-platform-ingress/tests/service.rs
+++ b/crates/tidewall-platform-ingress/tests/service.rs
@@ -271,6 +271,69 @@
     );
 }
 
+// Failure: a tag lower than an earlier one was taken for a used one, which ended the connection and lost all of
+// its open calls. The platform asks for tags that were not used before, in any order.
+#[test_case(&[10, 11, 12, 9]; "one is late")]
+#[test_case(&[5, 4, 3, 2, 1]; "falling")]
+#[test_case(&[3, 1, 4, 2, 5]; "shuffled")]
+#[test_case(&[u64::MAX, 1, u64::MAX - 1, 2]; "at both ends")]
+fn new_tags_are_accepted_in_any_order(tags: &[u64]) {
+    let mut s = site(&[HostBehavior::Answers, HostBehavior::Answers]);
+    let conn = s.connect();
+    for (i, tag) in tags.iter().enumerate() {
+        s.send(conn, &call(*tag, i as u64 + 1, "issue", 2000));
+    }
+    s.advance(SECOND);
+    let text = s.client.text(conn);
+    for tag in tags {
+        assert_eq!(text.matches(&ok(*tag)).count(), 1, "{tag} in {text}");
+    }
+    assert!(s.client.closed_conns.is_empty());
+}
+
+// Failure: the tag of a thread that was slow is refused because hundreds of calls came meanwhile.
+#[test]
+fn a_tag_that_comes_hundreds_of_calls_later_is_accepted() {
+    let mut s = site(&[HostBehavior::Answers, HostBehavior::Answers]);
+    let conn = s.connect();
+    for tag in (2..=600).chain([1]) {
+        s.send(conn, &call(tag, tag, "check", 2000));
+        s.advance(100);
+    }
+    s.advance(SECOND);
+    assert_eq!(s.client.text(conn).matches("OK").count(), 600);
+}
+
+// Failure: a tag is forgotten while its call is open, and a second call gets it too.
+#[test]
+fn the_tag_of_an_open_call_is_refused_however_many_calls_came_after_it() {
+    let mut s = site(&[HostBehavior::Silent]);
+    let conn = s.connect();
+    s.send(conn, &call(1, 1, "check", 2000));
+    s.advance(10);
+    for i in 1..=200 {
+        // Every second tag, so that none follows another.
+        s.send(conn, &call(1 + 2 * i, 1 + i, "nosuch", 2000));
+    }
+    s.advance(10);
+    s.send(conn, &call(1, 500, "check", 2000));
+    s.advance(SECOND);
+    assert!(s.client.text(conn).ends_with("-ERR tag: used before\r\n"));
+    assert!(s.client.closed_conns.contains(&conn));
+}
+
+// A tag whose call has ended is refused too: the client is owed an error, and no reply of a host.
+#[test]
+fn the_tag_of_an_ended_call_is_refused() {
+    let mut s = site(&[HostBehavior::Answers]);
+    let conn = s.connect();
+    s.send(conn, &call(7, 1, "check", 2000));
+    s.advance(SECOND);
+    s.send(conn, &call(7, 2, "check", 2000));
+    s.advance(SECOND);
+    assert_eq!(s.client.text(conn), ok(7) + "-ERR tag: used before\r\n");
+}
+
 #[test]
 fn the_thirty_third_open_call_is_rejected_with_a_time() {
     let mut s = site(&[HostBehavior::Silent]);
