Emulator: workers know idempotency keys of any length

Cause: the emulated worker read the key by its first eight bytes and took a shorter one for none. Over AMQP the key is the message-id, a number of a few digits, so these workers never dropped a repeat, which the event type allows the gateway to send. A longer key counted by its first eight bytes alone, and one of eight zero bytes as none. The gateway was not at fault.

Change: a key is its bytes; only an empty one is none.

--- a/crates/tidewall-emulator/src/workers.rs
+++ b/crates/tidewall-emulator/src/workers.rs
@@ -20,6 +20,9 @@
     Gone,
 }
 
+/// An idempotency key as it came; empty for an attempt without one.
+type IdempotencyKey = Box<[u8]>;
+
 /// A launch attempt at a worker, queued or running.
 struct Attempt {
     conn: Conn,
@@ -27,7 +30,7 @@
     request_id: u64,
     function: usize,
     work: f64,
-    idempotency_key: u64,
+    idempotency_key: IdempotencyKey,
     arrived_at: Time,
     running: bool,
     /// The `copy` field of the response: 1 if an instance was loaded when the attempt arrived, 3 if it waited
@@ -111,7 +114,7 @@
     /// Whether a request type's idempotency keys hold in all zones; those are kept with the first zone's.
     all_zones: Vec<bool>,
     /// By zone, the idempotency keys that its workers know, with the time of the first run.
-    known_keys: Vec<BTreeMap<u64, Time>>,
+    known_keys: Vec<BTreeMap<IdempotencyKey, Time>>,
     pub loads: u64,
     pub misses: u64,
     pub repeats: u64,
@@ -558,7 +561,7 @@
         let now = context.net.now();
         let (id, request_id) = (fields.whole(Field::Id)?, fields.whole(Field::Event)?);
         let name = fields.text(Field::Function)?;
-        let idempotency_key = fields.bytes(Field::Mark)?;
+        let idempotency_key = IdempotencyKey::from(fields.bytes(Field::Mark)?);
         // The emulated clients put the real amount of work in the payload; a gateway knows only the hint.
         let payload = fields.bytes(Field::Payload)?;
         let Some(function) = context.functions.iter().position(|p| p.name == name) else {
@@ -570,9 +573,6 @@
             .first_chunk::<4>()
             .map(|b| f64::from(u32::from_be_bytes(*b)));
         let work = payload_work.unwrap_or(context.functions[function].work);
-        let idempotency_key = idempotency_key
-            .first_chunk::<8>()
-            .map_or(0, |b| u64::from_be_bytes(*b));
         let request_type = context.functions[function].request_type;
         if !self.may_send(worker, conn, fields)? {
             // A fenced attempt is not recorded as launched, because it is never executed.
@@ -605,7 +605,7 @@
             request_id,
             function,
             work,
-            idempotency_key,
+            idempotency_key: idempotency_key.clone(),
             arrived_at: now,
             running: false,
             instance_state: if instances.loaded > 0 { 1 } else { 3 },
@@ -626,7 +626,7 @@
         let known = self.known_keys[scope].get(&idempotency_key).copied();
         if state.draining || full {
             self.finish(context, worker, key, "full", 0);
-        } else if idempotency_key > 0 && known.is_some_and(|first| now < first + window) {
+        } else if !idempotency_key.is_empty() && known.is_some_and(|first| now < first + window) {
             // A repeat: its idempotency key is known in the scope, so it has had its effect already.
             self.repeats += 1;
             self.finish(context, worker, key, "ok", 1);
@@ -694,7 +694,7 @@
             };
             let request_type = context.functions[function].request_type;
             let (idempotency_key, scope) = (
-                state.attempts[key].idempotency_key,
+                state.attempts[key].idempotency_key.clone(),
                 if self.all_zones[request_type] {
                     0
                 } else {
@@ -704,7 +704,7 @@
             let first = self.known_keys[scope]
                 .get(&idempotency_key)
                 .copied()
-                .filter(|_| idempotency_key > 0);
+                .filter(|_| !idempotency_key.is_empty());
             if first.is_some_and(|first| now < first + self.windows[request_type]) {
                 // Two attempts with the same idempotency key were queued, and the first one ran.
                 state.waiting -= 1;
@@ -724,8 +724,8 @@
                 now + duration,
                 timer_kind::ATTEMPT_DONE | (worker as u64) << 32 | key as u64,
             ));
-            if attempt.idempotency_key > 0 {
-                self.known_keys[scope].insert(attempt.idempotency_key, now);
+            if !idempotency_key.is_empty() {
+                self.known_keys[scope].insert(idempotency_key, now);
             }
         }
     }
@@ -1129,7 +1129,7 @@
                 context.net.cancel_timer(d);
             }
             // An attempt that was still running had no effect, so its idempotency key is forgotten.
-            if attempt.idempotency_key > 0 && attempt.running {
+            if !attempt.idempotency_key.is_empty() && attempt.running {
                 let scope = if self.all_zones[context.functions[attempt.function].request_type] {
                     0
                 } else {
