--- a/crates/tidewall-cli/src/day.rs
+++ b/crates/tidewall-cli/src/day.rs
@@ -2,12 +2,12 @@
 //! stopped. The emulated fleet runs in this process and records what it sends and receives on its sockets;
 //! the audit reads that record.
 use crate::from::replay;
+use crate::own_ports::assign_ports;
 use crate::{input, Failure};
 use clap::Args;
 use comfy_table::{presets, Table};
 use std::fs::File;
 use std::io::{BufRead, BufReader, BufWriter, Write};
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -163,22 +163,6 @@
     }
 }
 
-/// Replaces each port 0 with a free port.
-fn assign_ports(text: &str) -> std::io::Result<String> {
-    let mut text = text.to_string();
-    // Listeners stay open until all ports are chosen, so that none is chosen twice.
-    let mut listeners = Vec::new();
-    for host in ["127.0.0.1", "127.0.0.2", "127.0.0.3"] {
-        let unassigned = format!("{host}:0\"");
-        while text.contains(&unassigned) {
-            let listener = TcpListener::bind((host, 0))?;
-            text = text.replacen(&unassigned, &format!("{}\"", listener.local_addr()?), 1);
-            listeners.push(listener);
-        }
-    }
-    Ok(text)
-}
-
 fn read_or_built_in(
     path: &Option<PathBuf>,
     built_in: (&str, &str),
@@ -251,7 +235,7 @@
     } else {
         text
     };
-    let mut text = assign_ports(&text).map_err(failed)?;
+    let mut text = assign_ports(&text, std::process::id());
     let mut settings = tidewall_config::settings(&file, &text).map_err(input)?;
     if !settings.has("fleet") {
         return Err(input(format!(
--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod day;
 mod from;
 mod incarnations;
+mod own_ports;
 mod platform;
 mod send;
 mod serve;
