Test the sum of unread replies on the shipped binary with the least memory

Eighty clients that read nothing, each within what one client may leave unread, pass the 32 MB of the smallest configuration together.

--- a/crates/tidewall-cli/tests/client_floods.rs
+++ b/crates/tidewall-cli/tests/client_floods.rs
@@ -10,9 +10,6 @@
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
-/// The memory limit of [`config`], in kB.
-const MEMORY_LIMIT: u64 = 32 << 10;
-
 /// Workers in the list; a few hosts answer for all of them. A function has as many placements as it can have.
 const WORKERS: usize = 160;
 
@@ -124,17 +121,6 @@
     })
 }
 
-/// The most memory that the process has held without the pages of its file, in kB.
-fn peak_memory(gateway: &Gateway) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.0.id())).unwrap();
-    let field = |name: &str| -> u64 {
-        let value = status.lines().find_map(|line| line.strip_prefix(name));
-        let kilobytes = value.and_then(|value| value.trim().strip_suffix(" kB"));
-        kilobytes.unwrap().parse().unwrap()
-    };
-    field("VmHWM:") - field("RssFile:")
-}
-
 /// A client that makes one call at a time. Where the gateway closes its connection between two calls, which it
 /// may, the call that crosses this is sent once more on a new connection.
 struct UsualClient {
@@ -207,6 +193,6 @@
             "the gateway ended a bad client that reads"
         );
     }
-    let peak = peak_memory(&gateway);
+    let peak = gateway.peak_memory();
     assert!(peak < MEMORY_LIMIT, "{peak} kB");
 }
--- a/crates/tidewall-cli/tests/client_replies.rs
+++ b/crates/tidewall-cli/tests/client_replies.rs
@@ -115,3 +115,52 @@
     served.sort_unstable();
     assert_eq!(served, (1..=MOST_OPEN_CALLS).collect::<Vec<_>>());
 }
+
+/// Starts a host that answers each attempt with the largest body.
+fn answering_host() -> SocketAddr {
+    let (sender, attempts) = channel::<HeldAttempt>();
+    let host = holding_host(Arc::new(Mutex::new(sender)));
+    std::thread::spawn(move || attempts.into_iter().for_each(HeldAttempt::complete));
+    host
+}
+
+/// Number of clients that read nothing, and of the calls that each sends at a time and in all.
+const BLOCKED_CLIENTS: usize = 80;
+const CALLS_AT_ONCE: usize = 30;
+const CALLS_OF_A_CLIENT: usize = 300;
+
+/// The clients send in turn, so that no more requests are open than the gateway holds.
+const PAUSE_BETWEEN_CALLS: Duration = Duration::from_millis(8);
+
+// Failure: clients that read nothing take the gateway past its memory together, though each is within a bound.
+#[test]
+fn clients_that_read_nothing_stay_within_the_memory_and_others_are_served() {
+    let hosts: Vec<SocketAddr> = (0..8).map(|_| answering_host()).collect();
+    let (listen, folder) = (free(12), tempfile::tempdir().unwrap());
+    let file = folder.path().join("config.json");
+    std::fs::write(&file, config(listen, board(Arc::default()), &hosts)).unwrap();
+    let (gateway, conn) = start(&file, listen);
+    let (mut out, mut lines) = (conn.try_clone().unwrap(), BufReader::new(conn));
+    let blocked: Vec<TcpStream> = (0..BLOCKED_CLIENTS)
+        .map(|_| TcpStream::connect(listen).unwrap())
+        .collect();
+    for round in 0..CALLS_OF_A_CLIENT / CALLS_AT_ONCE {
+        for (number, mut client) in blocked.iter().enumerate() {
+            let tags = round * CALLS_AT_ONCE + 1..=(round + 1) * CALLS_AT_ONCE;
+            let calls: String = tags
+                .map(|tag| {
+                    let id = (number + 1) << 32 | tag;
+                    call(tag, "check")
+                        .replace(&format!("trace={tag:016x}"), &format!("trace={id:016x}"))
+                })
+                .collect();
+            // The gateway may have reset a client that leaves too much unread.
+            let _ = client.write_all(calls.as_bytes());
+            std::thread::sleep(PAUSE_BETWEEN_CALLS);
+        }
+        out.write_all(call(round + 1, "issue").as_bytes()).unwrap();
+        assert_eq!(answer(&mut lines), (round + 1, "OK".to_string()));
+    }
+    let peak = gateway.peak_memory();
+    assert!(peak < MEMORY_LIMIT, "{peak} kB");
+}
--- a/crates/tidewall-cli/tests/platform_rig/mod.rs
+++ b/crates/tidewall-cli/tests/platform_rig/mod.rs
@@ -65,6 +65,17 @@
         assert!(stopped > 0 && libc::WIFSTOPPED(status));
     }
 
+    /// The most memory that the process has held without the pages of its file, in kB.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).unwrap();
+        let field = |name: &str| -> u64 {
+            let value = status.lines().find_map(|line| line.strip_prefix(name));
+            let kilobytes = value.and_then(|value| value.trim().strip_suffix(" kB"));
+            kilobytes.unwrap().parse().unwrap()
+        };
+        field("VmHWM:") - field("RssFile:")
+    }
+
     pub fn signal(&self, signal: i32) {
         // SAFETY: the process is our child and has not been waited for.
         unsafe { libc::kill(self.0.id() as i32, signal) };
@@ -86,6 +97,9 @@
         .join(",")
 }
 
+/// The memory limit of [`config`], in kB.
+pub const MEMORY_LIMIT: u64 = 32 << 10;
+
 /// A configuration with the smallest limits that the platform specifies.
 pub fn config(listen: SocketAddr, board: SocketAddr, hosts: &[SocketAddr]) -> String {
     let hosts = host_entries(hosts);
