Keep what is known of a removed worker when its entry holds name and state alone

A keyed request whose key holds within a cell, out at a worker that is then removed, could be sent again to workers of cell 0, where its key is not known.

Cause: an entry of a removed host may leave out all but id and state. Its cell was read as 0, its weight as 1, zone and kind as unknown, and these replaced what was known of the worker.

Change: an entry that removes a known worker changes its state alone. A worker that is listed again has what its entry says.

Measured: a_removed_worker_keeps_what_is_known_of_it failed before (cell 0 where 3 was known) and passes.

--- a/crates/tidewall-gateway/src/worker_pool/endpoints.rs
+++ b/crates/tidewall-gateway/src/worker_pool/endpoints.rs
@@ -84,6 +84,12 @@
         if leaves || restarted {
             self.withdrawn_workers.push(index);
         }
+        // The entry of a removed worker may consist of its name and state. What is known of it still matters
+        // to requests that it may have executed.
+        if record.state == EndpointState::Removed && worker.address.is_some() {
+            worker.endpoint.state = state;
+            return (index, worker.endpoint);
+        }
         worker.incarnation = worker.incarnation.max(record.incarnation);
         worker.address = Some(record.address);
         worker.endpoint = Endpoint {
