Bound the payloads that a gateway holds by its memory limit

Cause: the number of open requests was bounded, their payloads were not.

Change: the payloads of open requests take at most a quarter of memory_mb. A request beyond is refused at once, with a time to come back; what was admitted is not touched. The native protocol calls the reason most-payload.

Not measured: 64 and 192 MB.

--- a/crates/tidewall-cli/src/platform.rs
+++ b/crates/tidewall-cli/src/platform.rs
@@ -96,6 +96,7 @@
     .map_err(input)?;
     gateway.set_drain_grace(DRAIN_GRACE);
     gateway.set_unconfirmed_memory(memory.unconfirmed_functions);
+    gateway.set_payload_memory(memory.held_payloads);
     for (records, complete) in &endpoints.updates {
         gateway.update_endpoints(records, *complete);
     }
--- a/crates/tidewall-cli/tests/client_floods.rs
+++ b/crates/tidewall-cli/tests/client_floods.rs
@@ -196,3 +196,62 @@
     let peak = gateway.peak_memory();
     assert!(peak < MEMORY_LIMIT, "{peak} kB");
 }
+
+/// Calls of a burst, each with the largest body: more bodies than the memory limit has room for.
+const BURST: usize = 2_700;
+const LARGEST_BODY: usize = 16 << 10;
+
+/// The most calls that a client may have open on a connection.
+const MOST_OPEN_CALLS: usize = 30;
+
+/// Starts a host that is loading: it has no copy, and no load ends.
+fn loading_host() -> SocketAddr {
+    listen(|conn| {
+        let mut out = conn.try_clone().ok()?;
+        for line in BufReader::new(conn).lines() {
+            let line = line.ok()?;
+            let words: Vec<&str> = line.split_whitespace().collect();
+            if words[0] == "stage" && words[2].ends_with("copies=0") {
+                write!(out, "{} ok copies=0 0\r\n\r\n", words[1]).ok()?;
+            }
+        }
+        None
+    })
+}
+
+// Failure: the bodies of requests that wait for slow hosts take the gateway past its memory. What it cannot hold
+// it refuses at once, with a time to come back; what it has taken is answered.
+#[test]
+fn bodies_of_requests_in_flight_stay_within_the_memory_and_each_call_is_answered() {
+    let hosts = [loading_host()];
+    let (listen, folder) = (free(25), tempfile::tempdir().unwrap());
+    let file = folder.path().join("config.json");
+    let config = config(listen, board(Arc::default()), &hosts);
+    let config = config.replace("\"most-held\":200", "\"most-held\":4000");
+    std::fs::write(&file, config).unwrap();
+    let (gateway, _conn) = start(&file, listen);
+    let body = "x".repeat(LARGEST_BODY);
+    let conns: Vec<TcpStream> = (0..BURST / MOST_OPEN_CALLS)
+        .map(|_| TcpStream::connect(listen).unwrap())
+        .collect();
+    for (number, mut conn) in conns.iter().enumerate() {
+        for tag in 1..=MOST_OPEN_CALLS {
+            let id = (number + 1) << 32 | tag;
+            let call = call(tag, "check")
+                .replace(&format!("trace={tag:016x}"), &format!("trace={id:016x}"));
+            conn.write_all(call.replace(&word("body"), &word(&body)).as_bytes())
+                .unwrap();
+        }
+    }
+    let mut refused = 0;
+    for conn in conns {
+        let mut replies = BufReader::new(conn);
+        let words = (0..MOST_OPEN_CALLS).map(|_| answer(&mut replies).1);
+        refused += words.filter(|word| word == "BUSY").count();
+    }
+    let peak = gateway.peak_memory();
+    assert!(
+        peak < MEMORY_LIMIT && refused > 0,
+        "{peak} kB, {refused} refused"
+    );
+}
--- a/crates/tidewall-gateway/src/error.rs
+++ b/crates/tidewall-gateway/src/error.rs
@@ -38,6 +38,8 @@
     DeduplicationTableFull,
     /// The limit of requests in flight is reached.
     TooManyRequests,
+    /// The payloads of the requests in flight take as much memory as they may.
+    PayloadMemoryFull,
 }
 
 impl AdmissionError {
@@ -48,6 +50,7 @@
             AdmissionError::Draining => "draining",
             AdmissionError::DeduplicationTableFull => "most-remembered",
             AdmissionError::TooManyRequests => "most-held",
+            AdmissionError::PayloadMemoryFull => "most-payload",
         }
     }
 }
--- a/crates/tidewall-gateway/src/ingress_context.rs
+++ b/crates/tidewall-gateway/src/ingress_context.rs
@@ -91,6 +91,8 @@
             AdmissionError::DeduplicationTableFull
         } else if pool.in_flight >= self.max_requests {
             AdmissionError::TooManyRequests
+        } else if !pool.has_payload_memory(incoming.payload.len()) {
+            AdmissionError::PayloadMemoryFull
         } else {
             return Ok(self.start_request(incoming));
         };
--- a/crates/tidewall-gateway/src/lib.rs
+++ b/crates/tidewall-gateway/src/lib.rs
@@ -228,6 +228,11 @@
         self.context.scheduler.set_unconfirmed_memory(bytes);
     }
 
+    /// Sets how many bytes the payloads of all requests may take; requests beyond are refused.
+    pub fn set_payload_memory(&mut self, bytes: usize) {
+        self.context.scheduler.host.set_payload_memory(bytes);
+    }
+
     /// Why the net was stopped.
     pub fn stop_reason(&self) -> StopReason {
         self.stop_reason
--- a/crates/tidewall-gateway/src/worker_pool/mod.rs
+++ b/crates/tidewall-gateway/src/worker_pool/mod.rs
@@ -82,6 +82,9 @@
     pub requests: Vec<PendingRequest>,
     /// Number of open requests.
     pub in_flight: usize,
+    /// Bytes of the payloads of all requests whose slots are not released, and their limit.
+    held_payload: usize,
+    payload_memory: usize,
     /// Calls that await an answer.
     pub calls: Slab<Call>,
     call_generation: u32,
@@ -163,6 +166,8 @@
             function_resources: Vec::new(),
             requests: Vec::new(),
             in_flight: 0,
+            held_payload: 0,
+            payload_memory: usize::MAX,
             calls: Slab::new(),
             call_generation: 0,
             connections: Slab::new(),
--- a/crates/tidewall-gateway/src/worker_pool/requests.rs
+++ b/crates/tidewall-gateway/src/worker_pool/requests.rs
@@ -8,6 +8,9 @@
 use tidewall_net::{Conn, Net, Time};
 use tracing::warn;
 
+/// Payload capacity that a released slot keeps: 1 KiB, a usual request's payload.
+const MAX_KEPT_PAYLOAD: usize = 1024;
+
 /// The state of a request slot. A slot is reused, with its buffers, once the scheduler has released it.
 #[derive(Default)]
 pub struct PendingRequest {
@@ -136,12 +139,31 @@
             .extend_from_slice(incoming.idempotency_key);
         request.payload.clear();
         request.payload.extend_from_slice(incoming.payload);
+        self.held_payload += incoming.payload.len();
         self.last_deadline = self.last_deadline.max(request.deadline);
         self.in_flight += 1;
         self.counters.admitted += 1;
         self.replicate_admission(slot);
     }
 
+    /// Sets how many bytes the payloads of all requests may take.
+    pub fn set_payload_memory(&mut self, bytes: usize) {
+        self.payload_memory = bytes;
+    }
+
+    /// Whether one more payload of this length may be held.
+    pub fn has_payload_memory(&self, length: usize) -> bool {
+        self.held_payload + length <= self.payload_memory
+    }
+
+    /// Releases the payload of a request whose slot will be reused.
+    pub(super) fn release_payload(&mut self, slot: usize) {
+        let payload = &mut self.requests[slot].payload;
+        self.held_payload -= payload.len();
+        payload.clear();
+        payload.shrink_to(MAX_KEPT_PAYLOAD);
+    }
+
     /// Closes the request and returns its reply handle with the time that the request was in flight. The
     /// caller that gets the handle sends the response; the handle is returned only once per request. If
     /// `expected` is given, returns the handle only if the slot still belongs to `expected`.
--- a/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
+++ b/crates/tidewall-gateway/src/worker_pool/scheduler_actions.rs
@@ -8,9 +8,6 @@
 use tidewall_wire::{kind, Field, Frame};
 use tracing::{debug, info};
 
-/// Payload capacity that a released slot keeps: 1 KiB, a usual request's payload.
-const MAX_KEPT_PAYLOAD: usize = 1024;
-
 impl<N: Net> SchedulerActions for WorkerPool<N> {
     fn send_attempt(&mut self, request: usize, worker: usize, timeout: Time) {
         let now = self.net.now();
@@ -81,10 +78,9 @@
     }
 
     fn release_request(&mut self, request: usize) {
-        let pending = &mut self.requests[request];
-        pending.payload.clear();
-        pending.payload.shrink_to(MAX_KEPT_PAYLOAD);
-        assert!(!pending.open, "a request was released without a response");
+        let is_open = self.requests[request].open;
+        assert!(!is_open, "a request was released without a response");
+        self.release_payload(request);
     }
 
     fn set_timer(&mut self, wait: Time, token: u64) {
--- a/crates/tidewall-gateway/tests/read.rs
+++ b/crates/tidewall-gateway/tests/read.rs
@@ -39,6 +39,7 @@
 #[test_case(AdmissionError::Draining, "draining")]
 #[test_case(AdmissionError::DeduplicationTableFull, "most-remembered")]
 #[test_case(AdmissionError::TooManyRequests, "most-held")]
+#[test_case(AdmissionError::PayloadMemoryFull, "most-payload")]
 fn refusals_keep_their_wire_texts(error: AdmissionError, text: &str) {
     assert_eq!(error.wire_text(), text);
     assert_eq!(error.to_string(), text);
--- a/crates/tidewall-platform/src/memory_budget.rs
+++ b/crates/tidewall-platform/src/memory_budget.rs
@@ -10,6 +10,9 @@
 /// The part of the memory limit that the state of functions may take which no worker knows.
 const UNCONFIRMED_FUNCTIONS_DIVISOR: usize = 4;
 
+/// The part of the memory limit that payloads of open requests may take.
+const HELD_PAYLOADS_DIVISOR: usize = 4;
+
 /// Limits on what a gateway holds for its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryBudget {
@@ -17,6 +20,8 @@
     pub unread_replies: usize,
     /// Bytes of the state of functions that no worker has shown to know.
     pub unconfirmed_functions: usize,
+    /// Bytes of the payloads of open requests.
+    pub held_payloads: usize,
 }
 
 impl MemoryBudget {
@@ -26,6 +31,7 @@
         MemoryBudget {
             unread_replies: bytes / UNREAD_REPLIES_DIVISOR,
             unconfirmed_functions: bytes / UNCONFIRMED_FUNCTIONS_DIVISOR,
+            held_payloads: bytes / HELD_PAYLOADS_DIVISOR,
         }
     }
 }
