Count the queries of service checks among the calls about unknown functions

Found on reading the log of a start with an overdue list: service checks send queries too, and their ends were taken from the count of pending calls without having been added, so that more functions could have calls pending than the bound allows.

Change: they are counted, and an end without a counted call changes nothing.

Measured: calls_of_service_checks_are_counted_like_others failed before and passes.

--- a/src/choice/endpoint_age.rs
+++ b/src/choice/endpoint_age.rs
@@ -121,6 +121,7 @@
         if self.config.may_load {
             let (function_id, position) = self.query_target(function_id, position);
             self.functions[function_id].placements[position].pending_queries += 1;
+            self.count_call(function_id, false);
             self.host.send_load_request(function_id, worker_id, 0);
         }
     }
--- a/src/choice/tests/unconfirmed.rs
+++ b/src/choice/tests/unconfirmed.rs
@@ -147,3 +147,33 @@
     assert!(scheduler.function_counts().unconfirmed < max && !scheduler.functions.iter().any(pending));
     assert_eq!(scheduler.unconfirmed.with_calls, 0);
 }
+
+/// Checks that the counts of pending calls are those of the placements.
+fn assert_counts_match(scheduler: &TestScheduler) {
+    let pending = |function: &Function| -> u32 {
+        function.placements.iter().map(|placement| placement.pending_loads + placement.pending_queries).sum()
+    };
+    assert!(scheduler.functions.iter().all(|function| function.pending_calls == pending(function)));
+    let with_calls = scheduler.functions.iter().filter(|f| !f.confirmed && f.pending_calls > 0).count();
+    assert_eq!(scheduler.unconfirmed.with_calls, with_calls);
+}
+
+// Failure: service checks ask about functions too, and their ends take more calls from the count than were added.
+#[test]
+fn calls_of_service_checks_are_counted_like_others() {
+    let outage = [("rules.drain-grace-ms", "1000"), ("allowed.probes", "true")];
+    let mut scheduler = scheduler_with(4, &outage);
+    scheduler.endpoint_list_confirmed(NOW, NOW);
+    scheduler.advance_clock(NOW + SECOND);
+    for function in 0..20 {
+        call_function(&mut scheduler, function);
+        scheduler.advance_clock(scheduler.now + MS);
+        assert_counts_match(&scheduler);
+    }
+    for function in 0..20 {
+        let outcome = if function % 2 == 0 { Outcome::TimedOut } else { Outcome::Ok };
+        answer_calls(&mut scheduler, function, outcome);
+        assert_counts_match(&scheduler);
+    }
+    assert_eq!(scheduler.unconfirmed.with_calls, 0);
+}
--- a/src/choice/unconfirmed.rs
+++ b/src/choice/unconfirmed.rs
@@ -85,8 +85,9 @@
     /// Counts the end of a load request or query.
     pub(super) fn count_ended_call(&mut self, function_id: FunctionId) {
         let function = &mut self.functions[function_id];
+        let was_last = function.pending_calls == 1;
         function.pending_calls = function.pending_calls.saturating_sub(1);
-        if !function.confirmed && function.pending_calls == 0 {
+        if was_last && !function.confirmed {
             self.unconfirmed.with_calls = self.unconfirmed.with_calls.saturating_sub(1);
         }
     }
