Tests of the platform: a gateway counts as started once it answers

Cause: a test's free port comes from a listener that is closed at once, but a process which another test forks at that moment holds it until it executes its program. A connection that comes up with it is reset then.

No check of a test changes.

--- a/crates/tidewall-cli/tests/platform_rig/mod.rs
+++ b/crates/tidewall-cli/tests/platform_rig/mod.rs
@@ -186,11 +186,21 @@
 pub fn started(mut command: Command, listen: SocketAddr) -> (Gateway, TcpStream) {
     let gateway = Gateway(command.spawn().unwrap());
     let until = Instant::now() + Duration::from_secs(10);
-    loop {
-        match TcpStream::connect(listen) {
-            Ok(conn) => return (gateway, conn),
-            Err(e) => assert!(Instant::now() < until, "{e}"),
-        }
+    // A process that another test forks at the same time holds the listener of `free` until it executes its
+    // program. It lets a connection come up that is reset then, so the gateway itself has to answer.
+    while !answers_health_check(listen) {
+        assert!(Instant::now() < until, "the gateway does not answer");
         std::thread::sleep(Duration::from_millis(20));
     }
+    (gateway, TcpStream::connect(listen).unwrap())
+}
+
+/// Whether a gateway answers a health check on a connection of its own.
+fn answers_health_check(listen: SocketAddr) -> bool {
+    let check = format!("*2\r\n{}{}", word("CHECK"), word("1"));
+    let reply = TcpStream::connect(listen).and_then(|mut conn| {
+        conn.write_all(check.as_bytes())?;
+        try_answer(&mut BufReader::new(conn))
+    });
+    reply.is_ok_and(|answer| answer.is_some_and(|(_, word)| word == "UP"))
 }
