AMQP tests: the simulated clock waits for the check of a password

Cause: passwords are checked by a thread in real time, while the test's clock ran 20 ms for each real millisecond, so that a check of half a second met the timeout of the handshake.

No check changes.

--- a/crates/tidewall-amqp-ingress/tests/triggers.rs
+++ b/crates/tidewall-amqp-ingress/tests/triggers.rs
@@ -141,10 +141,10 @@
     }
 
     /// Waits until all logins have ended. Passwords are checked in real time, which the simulated clock waits
-    /// for.
+    /// for: it runs no faster, so that no handshake times out where the machine is busy.
     fn wait_for_logins(&mut self) {
-        for _ in 0..2_000 {
-            self.run_for(200);
+        for _ in 0..9_000 {
+            self.run_for(10);
             if self
                 .publishers
                 .iter()
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -98,8 +98,8 @@
     /// attempt that takes longer than `timeout` ends with [`CloseReason::TimedOut`].
     fn connect(&mut self, to: SocketAddr, timeout: Time) -> Conn;
     /// Queues all of the bytes and returns true, or queues none where [`buffer::WRITE_BUFFER_LIMIT`] would be
-    /// exceeded by bytes that the socket has refused: then it returns false, and [`App::writable`] follows when the write buffer is empty. Also
-    /// returns false where the connection has ended.
+    /// exceeded by bytes that the socket has refused: then it returns false, and [`App::writable`] follows
+    /// when the write buffer is empty. Also returns false where the connection has ended.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> bool;
     /// Writes as many bytes as the socket accepts at once, queues nothing, and returns how many were written:
     /// 0 while earlier bytes are queued, or where the connection has ended. After a partial write
