--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -229,6 +229,13 @@
     let _ = conn.set_nodelay(true);
     let out = HostConn(Arc::new(Mutex::new(conn.try_clone().ok()?)), Arc::new(AtomicBool::new(false)));
     logic.accepted(&out);
+    let ended = out.1.clone();
+    read_commands(conn, out, logic);
+    ended.store(true, Ordering::SeqCst);
+    None
+}
+
+fn read_commands(conn: TcpStream, out: HostConn, logic: &dyn HostLogic) -> Option<()> {
     let mut lines = BufReader::new(conn);
     loop {
         let mut line = String::new();
@@ -350,12 +357,19 @@
     /// Starts the gateway with this configuration, from the root of the project. `sockets` is the limit of its file
     /// descriptors, as the platform sets it.
     pub fn start(config: &str, listen: SocketAddr, sockets: u64, name: &str) -> Gateway {
+        let folder = PathBuf::from(std::env::var("WORK").expect("WORK")).join(name);
+        let _ = std::fs::create_dir_all(&folder);
+        let log = File::options().create(true).append(true).open(folder.join("log.txt")).expect("log");
+        Gateway::start_with_log(config, listen, sockets, name, (log.try_clone().unwrap().into(), log.into()))
+    }
+
+    /// Starts the gateway with these ends for its standard output and error.
+    pub fn start_with_log(config: &str, listen: SocketAddr, sockets: u64, name: &str, (out, err): (Stdio, Stdio)) -> Gateway {
         let root = std::env::var("ROOT").expect("ROOT");
         let folder = PathBuf::from(std::env::var("WORK").expect("WORK")).join(name);
         let _ = std::fs::create_dir_all(folder.join("tmp"));
         let file = folder.join("config.json");
         std::fs::write(&file, config).expect("config");
-        let log = File::options().create(true).append(true).open(folder.join("log.txt")).expect("log");
         let mut command = Command::new("/bin/sh");
         // SAFETY: prctl is a plain system call. The gateway ends with the case, however that ends.
         unsafe {
@@ -373,8 +387,8 @@
             .env("ROUTER_CONFIG", &file)
             .env("TMPDIR", folder.join("tmp"))
             .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
+            .stdout(out)
+            .stderr(err)
             .spawn()
             .expect("gateway");
         Gateway { child, listen, folder }
