--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -5,7 +5,7 @@
 use rig::*;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 mkdir -p target/review-2
 for number in 6 7 8 9 10; do
     if [ -f "review/$number/case.rs" ]; then
-        rustc --edition 2021 -O -A warnings -o "target/review-2/$number" "review/$number/case.rs"
+        rustc --edition 2021 -O -D warnings -o "target/review-2/$number" "review/$number/case.rs"
     fi
 done
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -8,7 +8,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
