--- a/crates/tidewall-cli/tests/platform_rig/mod.rs
+++ b/crates/tidewall-cli/tests/platform_rig/mod.rs
@@ -1,6 +1,6 @@
 //! The shipped binary on the platform's protocols, with hosts and a notice board that are threads of the test.
 #![allow(dead_code)] // Each test file uses some of these.
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -20,6 +20,33 @@
     at
 }
 
+/// Starts a host that answers each attempt with its own body, and that has every function loaded.
+pub fn echo_host() -> SocketAddr {
+    listen(|conn| {
+        let mut out = conn.try_clone().ok()?;
+        let mut lines = BufReader::new(conn);
+        loop {
+            let mut line = String::new();
+            if lines.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            let words: Vec<&str> = line.split_whitespace().collect();
+            match words[0] {
+                "go" => {
+                    let length: usize = words[3].parse().unwrap();
+                    let mut body = vec![0; length + 2];
+                    lines.read_exact(&mut body).ok()?;
+                    let head = format!("{} ok res=hit {length}\r\n", words[1]);
+                    out.write_all(&[head.as_bytes(), &body].concat()).ok()?;
+                }
+                "stage" => write!(out, "{} ok copies=1 0\r\n\r\n", words[1]).ok()?,
+                "stat" => write!(out, "{} yes gauges=q:0;rif:0 0\r\n\r\n", words[1]).ok()?,
+                _ => {}
+            }
+        }
+    })
+}
+
 /// Starts a notice board without notices, which counts its polls.
 pub fn board(polls: Arc<AtomicUsize>) -> SocketAddr {
     board_of(polls, "{\"rev\":1,\"notices\":[]}".to_string())
@@ -204,3 +231,18 @@
     });
     reply.is_ok_and(|answer| answer.is_some_and(|(_, word)| word == "UP"))
 }
+
+/// The most descriptors that the platform specifies.
+const MOST_DESCRIPTORS: &str = "\"sockets\":1024";
+
+/// Starts a gateway before four hosts, with the smallest memory and the most descriptors that the platform
+/// specifies. Returns its address, and the folder of its configuration.
+pub fn gateway_with_hosts(last: u8) -> (Gateway, SocketAddr, tempfile::TempDir) {
+    let hosts: Vec<SocketAddr> = (0..4).map(|_| echo_host()).collect();
+    let (listen, folder) = (free(last), tempfile::tempdir().unwrap());
+    let file = folder.path().join("config.json");
+    let config = config(listen, board(Arc::default()), &hosts);
+    std::fs::write(&file, config.replace("\"sockets\":256", MOST_DESCRIPTORS)).unwrap();
+    let (gateway, _conn) = start(&file, listen);
+    (gateway, listen, folder)
+}
--- a/crates/tidewall-net/src/buffer.rs
+++ b/crates/tidewall-net/src/buffer.rs
@@ -12,9 +12,16 @@
 /// request.
 pub const WRITE_BUFFER_LIMIT: usize = 2 << 20;
 
-/// Capacity in bytes that an empty buffer retains. A buffer that grew beyond it in a burst returns the rest
-/// to the allocator when it is empty again.
-const RETAINED_CAPACITY: usize = 64 << 10;
+/// Capacity in bytes that an empty buffer retains: room for a few usual messages. A larger one is returned to
+/// the allocator, so that connections without queued bytes take nearly no memory, however many there are.
+const RETAINED_CAPACITY: usize = 512;
+
+/// Minimum number of bytes by which a full buffer grows.
+const MIN_GROWTH: usize = 1024;
+
+/// A full buffer grows by at least this part of its length. Doubling would let the buffers of many unfinished
+/// messages take up to twice their size.
+const GROWTH_DIVISOR: usize = 4;
 
 /// A FIFO queue of bytes: appended to at its end and consumed from its start.
 #[derive(Default)]
@@ -48,9 +55,29 @@
             self.bytes.drain(..self.start);
             self.start = 0;
         }
+        self.reserve(bytes.len());
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Makes room for `additional` bytes.
+    fn reserve(&mut self, additional: usize) {
+        let needed = self.bytes.len() + additional;
+        if needed > self.bytes.capacity() {
+            let grown = self.bytes.len() + MIN_GROWTH.max(self.bytes.len() / GROWTH_DIVISOR);
+            let capacity = if self.bytes.is_empty() {
+                needed
+            } else {
+                needed.max(grown)
+            };
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+    }
+
+    /// Number of bytes for which memory is allocated.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Drops the first `count` queued bytes; `count` is at most [`Buffer::len`].
     pub fn consume(&mut self, count: usize) {
         self.start += count;
@@ -58,7 +85,7 @@
             self.bytes.clear();
             self.start = 0;
             if self.bytes.capacity() > RETAINED_CAPACITY {
-                self.bytes.shrink_to(RETAINED_CAPACITY);
+                self.bytes = Vec::new();
             }
         }
     }
