--- a/crates/tidewall-gateway/src/drain.rs
+++ b/crates/tidewall-gateway/src/drain.rs
@@ -87,7 +87,8 @@
     }
 
     fn exit(&mut self, _permit: &ExitPermit) {
-        info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), effects = ?self.effects(), "draining finished");
+        let event_loop = self.context.net().loop_statistics();
+        info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), ?event_loop, effects = ?self.effects(), "draining finished");
         self.write_endpoint_cache();
         self.context.net().stop();
     }
--- a/crates/tidewall-gateway/src/native_ingress.rs
+++ b/crates/tidewall-gateway/src/native_ingress.rs
@@ -22,6 +22,9 @@
     greeted: bool,
 }
 
+/// Maximum number of frames of one connection that are handled before other connections have their turn.
+const FRAMES_PER_TURN: usize = 32;
+
 /// The ingress for clients that speak native frames.
 pub struct NativeIngress {
     /// The ingress's index among the gateway's ingresses.
@@ -234,7 +237,11 @@
 
     fn received(&mut self, context: &mut IngressContext<N>, conn: Conn, bytes: &[u8]) -> usize {
         let mut used = 0;
-        loop {
+        for frames in 0.. {
+            if frames == FRAMES_PER_TURN {
+                context.net().defer_rest(conn);
+                break;
+            }
             let result = match wire::frame(&bytes[used..]) {
                 Ok(None) => return used,
                 Ok(Some((body, length))) => {
@@ -250,6 +257,7 @@
                 return bytes.len();
             }
         }
+        used
     }
 
     fn writable(&mut self, _context: &mut IngressContext<N>, _conn: Conn) {}
--- a/crates/tidewall-gateway/src/timers.rs
+++ b/crates/tidewall-gateway/src/timers.rs
@@ -148,7 +148,8 @@
                 self.forget_removed_workers();
                 let next = now + COUNTER_LOG_INTERVAL;
                 self.context.net().set_timer(next, packed);
-                info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), effects = ?self.effects(), in_flight = self.requests_in_flight(), tables = ?self.table_sizes(), "counters");
+                let event_loop = self.context.net().loop_statistics();
+                info!(counters = ?self.counters(), wakeups = ?self.wakeup_profile(), ?event_loop, effects = ?self.effects(), in_flight = self.requests_in_flight(), tables = ?self.table_sizes(), "counters");
             }
         }
     }
--- a/crates/tidewall-net/src/lib.rs
+++ b/crates/tidewall-net/src/lib.rs
@@ -64,6 +64,17 @@
     Ended,
 }
 
+/// How long wake-ups of an event loop have taken since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoopStatistics {
+    /// The longest time from a poll's return to the next poll.
+    pub longest_wakeup: Time,
+    /// The longest time for which input may have waited before it was passed to the app.
+    pub oldest_input: Time,
+    /// Number of wake-ups in which the time for reading accepted connections ended before all were read.
+    pub unfinished_reads: u64,
+}
+
 /// The I/O interface of an [`App`]: non-blocking sockets, timers and the clock of one event loop.
 pub trait Net {
     /// The time at the start of this wake-up, on a monotonic clock.
@@ -84,6 +95,10 @@
     /// this process was busy, stalled or had paused reading. A remaining time that is stated in them may have
     /// shrunk by as much.
     fn read_delay(&self) -> Time;
+    /// How long wake-ups have taken.
+    fn loop_statistics(&self) -> LoopStatistics {
+        LoopStatistics::default()
+    }
     /// The longest duration or delay of a wake-up in the last one to two seconds, stalls excluded. A timer
     /// may fire this much later than the time it was set for.
     fn max_timer_lag(&self) -> Time;
@@ -125,6 +140,14 @@
     fn has_known_input(&self, _conn: Conn) -> bool {
         false
     }
+    /// Whether the peer is known to have closed its sending side or reset the connection. Bytes that it sent
+    /// before may still be unread.
+    fn peer_has_closed(&self, _conn: Conn) -> bool {
+        false
+    }
+    /// To be called within [`App::received`] where the app leaves complete messages: the rest is passed again
+    /// after other connections have had their turn, whether or not more bytes arrive.
+    fn defer_rest(&mut self, conn: Conn);
     /// Whether bytes have arrived that have not been passed to the app yet; they are passed soon. To be
     /// called before an idle connection is closed, because closing it would lose what its peer has sent
     /// meanwhile.
--- a/crates/tidewall-net/src/memory/delivery.rs
+++ b/crates/tidewall-net/src/memory/delivery.rs
@@ -202,8 +202,18 @@
     let mut buffer = std::mem::take(&mut endpoint.read_buffer);
     let peer = endpoint.peer;
     drop(world);
-    let consumed = apps[node].received(conn, buffer.data());
-    buffer.consume(consumed);
+    loop {
+        let consumed = apps[node].received(conn, buffer.data());
+        buffer.consume(consumed);
+        // No time passes within a step, so what the app defers is passed again at once.
+        let mut world = shared_world.borrow_mut();
+        let deferred = world
+            .endpoint(conn)
+            .is_some_and(|e| std::mem::take(&mut e.deferred) && !e.read_paused && !e.closing);
+        if !deferred || buffer.is_empty() {
+            break;
+        }
+    }
     let mut world = shared_world.borrow_mut();
     let mut read_buffer_full = false;
     if let Some(endpoint) = world.endpoint(conn) {
--- a/crates/tidewall-net/src/memory/endpoint.rs
+++ b/crates/tidewall-net/src/memory/endpoint.rs
@@ -31,6 +31,8 @@
     /// The listener's address; set on the accepting side only.
     pub(super) local_address: Option<SocketAddr>,
     pub(super) read_paused: bool,
+    /// The app has left complete messages in `read_buffer`.
+    pub(super) deferred: bool,
     /// Limit of bytes in `read_buffer`; the connection is reset when the app leaves that many.
     pub(super) read_limit: usize,
     /// A write was not accepted in full: `App::writable` must follow.
@@ -83,6 +85,7 @@
             blocked_since: None,
             local_address: None,
             read_paused: false,
+            deferred: false,
             read_limit: READ_BUFFER_LIMIT,
             writable_pending: false,
             closing: false,
--- a/crates/tidewall-net/src/memory/handle.rs
+++ b/crates/tidewall-net/src/memory/handle.rs
@@ -235,6 +235,13 @@
             .is_some_and(|e| !e.receive_queue.is_empty())
     }
 
+    fn defer_rest(&mut self, conn: Conn) {
+        let mut world = self.world.borrow_mut();
+        if let Some(endpoint) = world.endpoint(conn) {
+            endpoint.deferred = true;
+        }
+    }
+
     fn set_read_limit(&mut self, conn: Conn, bytes: usize) {
         let mut world = self.world.borrow_mut();
         if let Some(endpoint) = world.endpoint(conn) {
--- a/crates/tidewall-net/src/mio/connection.rs
+++ b/crates/tidewall-net/src/mio/connection.rs
@@ -23,10 +23,16 @@
     /// would block clears it.
     pub(super) readable: bool,
     pub(super) read_paused: bool,
-    pub(super) paused_at: Time,
-    /// How long the bytes that are still in the socket may have waited because reading was paused.
-    pub(super) pause_delay: Time,
-    /// Whether the connection is in `Mio::read_queue`, and whether it is in `Mio::flush_queue`.
+    /// Whether a poll has reported input that has not been passed to the app yet.
+    pub(super) has_known_input: bool,
+    /// The earliest time at which that input may have arrived.
+    pub(super) input_since: Time,
+    /// Whether the app has left complete messages in `read_buffer` for a later turn.
+    pub(super) deferred: bool,
+    /// Whether a poll has reported the end of the peer's stream or an error, which may still stand behind
+    /// unread bytes.
+    pub(super) peer_closed: bool,
+    /// Whether the connection is in one of the read queues, and whether it is in `Mio::flush_queue`.
     pub(super) read_queued: bool,
     pub(super) flush_queued: bool,
     /// Since when the socket has refused a part of `write_buffer`; None while it accepts everything.
@@ -56,8 +62,10 @@
             read_limit: READ_BUFFER_LIMIT,
             readable: false,
             read_paused: false,
-            paused_at: 0,
-            pause_delay: 0,
+            has_known_input: false,
+            input_since: 0,
+            deferred: false,
+            peer_closed: false,
             read_queued: false,
             flush_queued: false,
             blocked_since: None,
@@ -75,6 +83,20 @@
         self.connect_timer.is_none()
     }
 
+    /// Records that a poll has reported input, which arrived at `since` at the earliest.
+    pub(super) fn input_reported(&mut self, since: Time) {
+        self.readable = true;
+        if !self.has_known_input {
+            (self.has_known_input, self.input_since) = (true, since);
+        }
+    }
+
+    /// Records that the socket held no more bytes. What a poll has reported has been read then, except for
+    /// the end of the stream.
+    pub(super) fn input_read(&mut self) {
+        self.has_known_input = self.peer_closed;
+    }
+
     /// Discards the bytes in the write buffer.
     pub(super) fn discard_unsent(&mut self) {
         let unsent = self.write_buffer.len();
@@ -95,6 +117,16 @@
         false
     }
 
+    /// Whether the socket holds received bytes.
+    pub(super) fn socket_has_bytes(&self) -> bool {
+        loop {
+            match self.socket.peek(&mut [0]) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                peeked => return matches!(peeked, Ok(1..)),
+            }
+        }
+    }
+
     /// Number of bytes in the socket's send queue, which the peer has not acknowledged; 0 where the system
     /// call fails.
     pub(super) fn send_queue_len(&self) -> usize {
--- a/crates/tidewall-net/src/mio/mod.rs
+++ b/crates/tidewall-net/src/mio/mod.rs
@@ -22,22 +22,27 @@
 pub use poll_loop::{run, turn};
 
 use crate::wheel::{TimerId, Wheel};
-use crate::{CloseReason, Conn, DatagramSocket, Listener, Net, Time};
+use crate::{CloseReason, Conn, DatagramSocket, Listener, LoopStatistics, Net, Time};
 use clock::LoopClock;
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token};
 use poll_loop::{NEVER_POLLED, SIGNAL_TOKEN};
 use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
-use slots::{PendingAccept, PendingClose, Slot};
+use slots::{PendingAccept, PendingClose, ReadQueues, Slot};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Instant;
 
-/// Maximum number of bytes in one read from a connection, so that a busy connection does not starve others.
+/// Maximum number of bytes in one read from a connection that this process opened.
 const READ_CHUNK: usize = 64 << 10;
 
+/// Maximum number of bytes in one read from an accepted connection. What the app defers stays in the
+/// connection's buffer, so that this bounds its size. The longest command of the platform's clients (18.5
+/// KiB) fits.
+const ACCEPTED_READ_CHUNK: usize = 20 << 10;
+
 /// Maximum number of readiness events that one poll returns; the next poll returns the rest.
 const EVENT_CAPACITY: usize = 1024;
 
@@ -52,7 +57,7 @@
     app_timers: Wheel,
     /// Timers of this module, with the tokens of `slots::InternalTimer`.
     internal_timers: Wheel,
-    read_queue: VecDeque<Conn>,
+    read_queues: ReadQueues,
     flush_queue: Vec<Conn>,
     /// Connections that ended without an event of their socket, of which the app has not been notified yet.
     pending_closes: VecDeque<PendingClose>,
@@ -68,10 +73,12 @@
     /// When the last poll returned.
     polled_at: Time,
     total_stall: Time,
-    /// How long bytes may have waited because the event loop was busy or stalled.
+    /// How long input that the last poll has reported may have waited before, because the event loop was busy
+    /// or stalled.
     loop_delay: Time,
-    /// How long the bytes of the connection that is being read may have waited because reading was paused.
-    pause_delay: Time,
+    /// How long the bytes that are being passed to the app may have waited.
+    read_delay: Time,
+    statistics: LoopStatistics,
     signals: Option<Signals>,
     stopped: bool,
     read_chunk: Box<[u8]>,
@@ -90,7 +97,7 @@
             last_generation: 0,
             app_timers: Wheel::default(),
             internal_timers: Wheel::default(),
-            read_queue: VecDeque::new(),
+            read_queues: ReadQueues::default(),
             flush_queue: Vec::new(),
             pending_closes: VecDeque::new(),
             closing_listeners: Vec::new(),
@@ -101,7 +108,8 @@
             polled_at: 1,
             total_stall: 0,
             loop_delay: 0,
-            pause_delay: 0,
+            read_delay: 0,
+            statistics: LoopStatistics::default(),
             signals: None,
             stopped: false,
             read_chunk: vec![0; READ_CHUNK].into(),
@@ -187,7 +195,11 @@
     }
 
     fn read_delay(&self) -> Time {
-        self.loop_delay + self.pause_delay
+        self.read_delay
+    }
+
+    fn loop_statistics(&self) -> LoopStatistics {
+        self.statistics
     }
 
     fn max_timer_lag(&self) -> Time {
@@ -233,7 +245,15 @@
 
     fn has_known_input(&self, conn: Conn) -> bool {
         self.connection(conn)
-            .is_some_and(|c| c.readable && !c.read_paused && !c.closing)
+            .is_some_and(|c| c.has_known_input && !c.read_paused && !c.closing)
+    }
+
+    fn peer_has_closed(&self, conn: Conn) -> bool {
+        self.connection(conn).is_some_and(|c| c.peer_closed)
+    }
+
+    fn defer_rest(&mut self, conn: Conn) {
+        self.defer_reading(conn);
     }
 
     fn has_unread(&mut self, conn: Conn) -> bool {
--- a/crates/tidewall-net/src/mio/poll_loop.rs
+++ b/crates/tidewall-net/src/mio/poll_loop.rs
@@ -30,6 +30,15 @@
 /// left expects that nothing more is done for it.
 const MAX_TIME_SINCE_POLL: Time = 200;
 
+/// Time for reading after a poll (5 ms), in rounds in which each connection has a turn. Accepted connections
+/// that were not reached are first after the next poll, so that each one's turn comes however many send without
+/// pause. A quarter of [`MAX_TIME_SINCE_POLL`], so that timers still fire in such a wake-up.
+const READ_BUDGET: Time = 50;
+
+/// Maximum duration of reading after a stall (50 ms): well below [`STALL_THRESHOLD`], so that it does not count
+/// as a stall itself.
+const MAX_CATCH_UP: Time = 500;
+
 /// Maximum number of times that sockets are read again before a wake-up ends, because endless input would
 /// otherwise delay output indefinitely.
 const MAX_READS_AGAIN: usize = 4;
@@ -64,17 +73,9 @@
     net.poll_started = net.clock.now();
     let late_stall = poll_once(app, timeout)?;
     app.net().total_stall += busy_stall.max(late_stall);
-    read_queued(app);
-    // A second read finds the end of a stream that follows the bytes just read, before anything is sent.
-    read_queued(app);
+    read_after_poll(app);
     if late_stall > 0 || busy_stall > 0 {
-        for _ in 0..READ_ROUNDS_AFTER_STALL {
-            poll_once(app, Some(Duration::ZERO))?;
-            if app.net().read_queue.is_empty() {
-                break;
-            }
-            read_queued(app);
-        }
+        catch_up(app)?;
     }
     deliver_closes(app);
     fire_timers(app);
@@ -84,6 +85,36 @@
     Ok(())
 }
 
+/// Reads the connections of which the last poll has reported input until nothing is left, or for
+/// [`READ_BUDGET`].
+fn read_after_poll<A: App<Net = Mio>>(app: &mut A) {
+    let until = app.net().polled_at + READ_BUDGET;
+    // The last round finds the end of each stream that follows the bytes just read, before anything is sent.
+    while !app.net().read_queues.is_empty() {
+        read_queued(app, until);
+        let net = app.net();
+        if net.clock.current() >= until {
+            net.statistics.unfinished_reads += u64::from(!net.read_queues.is_empty());
+            break;
+        }
+    }
+}
+
+/// Polls and reads after a stall until nothing is left to read, or for [`MAX_CATCH_UP`].
+fn catch_up<A: App<Net = Mio>>(app: &mut A) -> io::Result<()> {
+    let until = app.net().clock.current() + MAX_CATCH_UP;
+    for _ in 0..READ_ROUNDS_AFTER_STALL {
+        poll_once(app, Some(Duration::ZERO))?;
+        let net = app.net();
+        if net.read_queues.is_empty() || net.clock.now() >= until {
+            break;
+        }
+        let read_until = until.min(net.polled_at + READ_BUDGET);
+        read_queued(app, read_until);
+    }
+    Ok(())
+}
+
 /// Notifies the app of connections that ended without an event of their sockets.
 fn deliver_closes<A: App<Net = Mio>>(app: &mut A) {
     while let Some(PendingClose { conn, reason }) = app.net().pending_closes.pop_front() {
@@ -105,8 +136,7 @@
         net.total_stall += stall;
         net.poll_started = net.clock.now();
         poll_once(app, Some(Duration::ZERO))?;
-        read_queued(app);
-        read_queued(app);
+        read_after_poll(app);
         deliver_closes(app);
     }
     Ok(())
@@ -117,22 +147,19 @@
         self.clock.current() - self.polled_at
     }
 
-    /// Updates the clock, and from it the delay of reads. Returns how long the work since the last update
-    /// stalled the event loop, or 0 where it was shorter than a stall.
+    /// Updates the clock, and from it the delay of input that the next poll reports. Returns how long the work
+    /// since the last update stalled the event loop, or 0 where it was shorter than a stall.
     fn measure_last_wakeup(&mut self) -> Time {
         let previous = self.clock.now();
         self.clock.update();
         let busy = self.clock.now() - previous;
-        // What is read next may have arrived at any time during that work, or during earlier work where not
-        // all sockets have been read until empty since.
-        let earlier = if self.read_queue.is_empty() {
-            0
-        } else {
-            self.loop_delay
-        };
-        self.loop_delay = busy + earlier;
+        self.loop_delay = busy;
         self.clock.record_lag(busy);
-        if busy > STALL_THRESHOLD && self.wakeup_due != NEVER_POLLED {
+        if self.wakeup_due == NEVER_POLLED {
+            return 0;
+        }
+        self.statistics.longest_wakeup = self.statistics.longest_wakeup.max(busy);
+        if busy > STALL_THRESHOLD {
             busy
         } else {
             0
@@ -148,7 +175,7 @@
         ];
         let next_expiry = expiries.into_iter().flatten().min();
         self.wakeup_due = next_expiry.unwrap_or(NO_TIMEOUT);
-        if !self.read_queue.is_empty() || !self.pending_closes.is_empty() {
+        if !self.read_queues.is_empty() || !self.pending_closes.is_empty() {
             return Some(Duration::ZERO);
         }
         let wait = next_expiry?.saturating_sub(self.clock.now());
@@ -208,15 +235,20 @@
     if index == SIGNAL_TOKEN {
         return deliver_signals(app);
     }
-    match app.net().slots.get_mut(index) {
+    let net = app.net();
+    let input_since = net.clock.now().saturating_sub(net.loop_delay);
+    match net.slots.get_mut(index) {
         None | Some(Slot::FailedConnect(_)) => {}
         Some(Slot::Listener(_)) => accept(app, index),
         Some(Slot::DatagramSocket(_)) => receive(app, index),
         Some(Slot::Connection(connection)) => {
             let conn = Conn::new(index, connection.generation);
             // The next read returns the error or the end of the stream.
-            connection.readable |=
-                event.is_readable() || event.is_read_closed() || event.is_error();
+            let ended = event.is_read_closed() || event.is_error();
+            connection.peer_closed |= ended;
+            if ended || event.is_readable() {
+                connection.input_reported(input_since);
+            }
             if event.is_writable() || event.is_error() {
                 handle_writable(app, conn);
             }
--- a/crates/tidewall-net/src/mio/reading.rs
+++ b/crates/tidewall-net/src/mio/reading.rs
@@ -1,8 +1,8 @@
 //! The read side of connections: queued reads, pausing, and the check for unread input before a close.
 use super::connection::Connection;
-use super::Mio;
+use super::{Mio, ACCEPTED_READ_CHUNK};
 use crate::buffer::READ_BUFFER_LIMIT;
-use crate::{App, CloseReason, Conn};
+use crate::{App, CloseReason, Conn, Time};
 use std::io::{self, Read};
 
 /// Number of reads per round from a connection with a raised read limit, 1 MiB in all. With one read per
@@ -10,130 +10,162 @@
 /// much later.
 const READS_WITH_RAISED_LIMIT: usize = 16;
 
+/// The result of one read.
+enum ReadOutcome {
+    /// This many bytes were read.
+    Bytes(usize),
+    /// There is nothing to read for now.
+    Nothing,
+    /// The connection has ended.
+    Ended(CloseReason),
+}
+
 impl Mio {
     pub(super) fn pause_reading(&mut self, conn: Conn, paused: bool) {
-        let now = self.clock.now();
         if let Some(connection) = self.connection_mut(conn) {
-            if paused && !connection.read_paused {
-                connection.paused_at = now;
-            } else if !paused && connection.read_paused {
-                connection.pause_delay += now - connection.paused_at;
-            }
             connection.read_paused = paused;
             self.queue_read(conn);
         }
     }
 
-    /// Whether bytes have arrived that the app has not seen. Tries a read where none are buffered.
+    /// Passes the rest of the read buffer to the app in a later turn of the connection.
+    pub(super) fn defer_reading(&mut self, conn: Conn) {
+        let since = self.clock.now().saturating_sub(self.read_delay);
+        if let Some(connection) = self.connection_mut(conn) {
+            (connection.deferred, connection.has_known_input) = (true, true);
+            connection.input_since = since;
+            self.queue_read(conn);
+        }
+    }
+
+    /// Whether bytes have arrived that the app has not seen.
     pub(super) fn find_unread(&mut self, conn: Conn) -> bool {
-        let mut chunk = std::mem::take(&mut self.read_chunk);
-        let mut found = false;
-        if let Some(connection) = self
+        let input_since = self.clock.now().saturating_sub(self.loop_delay);
+        let Some(connection) = self
             .connection_mut(conn)
             .filter(|c| !c.closing && !c.read_paused && c.is_established())
-        {
-            found = connection.read_queued && !connection.read_buffer.is_empty();
-            if !found {
-                // Input that arrived during this wake-up has no readiness event yet: only a read finds it.
-                let mut read = connection.socket.read(&mut chunk);
-                while read
-                    .as_ref()
-                    .is_err_and(|e| e.kind() == io::ErrorKind::Interrupted)
-                {
-                    read = connection.socket.read(&mut chunk);
-                }
-                if let Ok(len @ 1..) = read {
-                    connection.read_buffer.push(&chunk[..len]);
-                    (connection.readable, found) = (true, true);
-                }
-            }
-        }
-        self.read_chunk = chunk;
+        else {
+            return false;
+        };
+        // Input that arrived during this wake-up has no readiness event yet: only the socket tells.
+        let found = connection.deferred || connection.socket_has_bytes();
         if found {
+            connection.input_reported(input_since);
             self.queue_read(conn);
         }
         found
     }
 
-    /// Reads into the connection's buffer: once, or [`READS_WITH_RAISED_LIMIT`] times where the connection
-    /// has a raised read limit. Returns the reason where a read shows that the connection has ended.
-    fn fill_read_buffer(&mut self, conn: Conn, chunk: &mut [u8]) -> Option<CloseReason> {
-        let has_raised_limit = self
-            .connection(conn)
-            .is_some_and(|c| c.read_limit > READ_BUFFER_LIMIT);
-        let reads = if has_raised_limit {
-            READS_WITH_RAISED_LIMIT
-        } else {
-            1
+    fn read_once(&mut self, conn: Conn, chunk: &mut [u8]) -> ReadOutcome {
+        let Some(connection) = self.connection_mut(conn).filter(|c| c.readable) else {
+            return ReadOutcome::Nothing;
         };
-        (0..reads).find_map(|_| self.read_once(conn, chunk))
-    }
-
-    fn read_once(&mut self, conn: Conn, chunk: &mut [u8]) -> Option<CloseReason> {
-        let connection = self.connection_mut(conn)?;
-        if !connection.readable {
-            return None;
-        }
         match connection.socket.read(chunk) {
-            Ok(0) => return Some(CloseReason::Ended),
+            Ok(0) => ReadOutcome::Ended(CloseReason::Ended),
             Ok(len) => {
-                connection.read_buffer.push(&chunk[..len]);
+                if len < chunk.len() {
+                    connection.input_read();
+                }
                 self.queue_read(conn);
+                ReadOutcome::Bytes(len)
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                (connection.readable, connection.pause_delay) = (false, 0);
+                connection.readable = false;
+                connection.input_read();
+                ReadOutcome::Nothing
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {
+                self.queue_read(conn);
+                ReadOutcome::Nothing
+            }
+            Err(_) => ReadOutcome::Ended(CloseReason::Reset),
+        }
+    }
+
+    /// Reads into the connection's buffer up to [`READS_WITH_RAISED_LIMIT`] times. Returns the reason where a
+    /// read shows that the connection has ended.
+    fn fill_read_buffer(&mut self, conn: Conn, chunk: &mut [u8]) -> Option<CloseReason> {
+        for _ in 0..READS_WITH_RAISED_LIMIT {
+            match self.read_once(conn, chunk) {
+                ReadOutcome::Bytes(len) => {
+                    self.connection_mut(conn)?.read_buffer.push(&chunk[..len]);
+                }
+                ReadOutcome::Nothing => return None,
+                ReadOutcome::Ended(reason) => return Some(reason),
             }
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => self.queue_read(conn),
-            Err(_) => return Some(CloseReason::Reset),
         }
         None
     }
 
     /// Discards the input of a lingering connection, and removes the connection at the end of the stream.
-    fn discard_while_lingering(&mut self, conn: Conn, chunk: &mut [u8]) {
+    fn discard_while_lingering(&mut self, conn: Conn) {
+        let mut chunk = std::mem::take(&mut self.read_chunk);
         let at_end = self
             .connection_mut(conn)
-            .is_some_and(|c| c.discard_input(chunk));
+            .is_some_and(|c| c.discard_input(&mut chunk));
+        self.read_chunk = chunk;
         if at_end {
             self.remove_connection(conn);
         }
     }
+
+    /// Notes how long the bytes that are passed to the app next may have waited.
+    fn set_read_delay(&mut self, conn: Conn) {
+        let (now, loop_delay) = (self.clock.now(), self.loop_delay);
+        self.read_delay = match self.connection(conn) {
+            Some(connection) if connection.has_known_input => {
+                now.saturating_sub(connection.input_since)
+            }
+            _ => loop_delay,
+        };
+        let oldest = self.statistics.oldest_input.max(self.read_delay);
+        self.statistics.oldest_input = oldest;
+    }
 }
 
-/// Reads from each connection that is in the read queue at the call.
-pub(super) fn read_queued<A: App<Net = Mio>>(app: &mut A) {
-    for _ in 0..app.net().read_queue.len() {
-        let Some(conn) = app.net().read_queue.pop_front() else {
+/// Reads from each connection that is in a read queue at the call: first from those that this process opened,
+/// then from accepted ones until the time `until`. The rest stays first in its queue.
+pub(super) fn read_queued<A: App<Net = Mio>>(app: &mut A, until: Time) {
+    for _ in 0..app.net().read_queues.opened.len() {
+        let Some(conn) = app.net().read_queues.opened.pop_front() else {
+            break;
+        };
+        read(app, conn);
+    }
+    for _ in 0..app.net().read_queues.accepted.len() {
+        if app.net().clock.current() >= until {
+            return;
+        }
+        let Some(conn) = app.net().read_queues.accepted.pop_front() else {
             return;
         };
         read(app, conn);
     }
 }
 
-/// Reads from a connection, passes the read buffer to the app, and removes the connection where it has ended.
+/// Gives a connection its turn: passes what the app has deferred, or reads and passes what has arrived, and
+/// removes the connection where it has ended.
 fn read<A: App<Net = Mio>>(app: &mut A, conn: Conn) {
     let net = app.net();
-    let mut ended = None;
-    if let Some(connection) = net.connection_mut(conn) {
-        connection.read_queued = false;
-        let lingering = connection.linger_timer.is_some();
-        if !lingering && !is_reading(connection) {
-            return;
-        }
-        let mut chunk = std::mem::take(&mut net.read_chunk);
-        if lingering {
-            net.discard_while_lingering(conn, &mut chunk);
-        } else {
-            ended = net.fill_read_buffer(conn, &mut chunk);
-        }
-        net.read_chunk = chunk;
-        if lingering {
-            return;
-        }
+    let Some(connection) = net.connection_mut(conn) else {
+        return;
+    };
+    connection.read_queued = false;
+    if connection.linger_timer.is_some() {
+        return net.discard_while_lingering(conn);
     }
-    if pass_to_app(app, conn) {
-        ended = Some(CloseReason::Reset);
+    if !is_reading(connection) {
+        return;
     }
+    let is_deferred = std::mem::take(&mut connection.deferred);
+    net.set_read_delay(conn);
+    let ended = if is_deferred {
+        net.queue_read(conn);
+        pass_buffer(app, conn).err()
+    } else {
+        read_and_pass(app, conn).err()
+    };
+    app.net().read_delay = 0;
     if let (Some(reason), Some(connection)) = (ended, app.net().connection_mut(conn)) {
         let closing = connection.closing;
         app.net().remove_connection(conn);
@@ -147,30 +179,86 @@
     !connection.closing && !connection.read_paused && connection.is_established()
 }
 
-/// Passes the read buffer to the app. Returns true where the app leaves a full buffer.
-fn pass_to_app<A: App<Net = Mio>>(app: &mut A, conn: Conn) -> bool {
+/// Reads from a connection and passes the bytes to the app.
+///
+/// # Errors
+/// The connection has ended, or the app leaves a full buffer.
+fn read_and_pass<A: App<Net = Mio>>(app: &mut A, conn: Conn) -> Result<(), CloseReason> {
     let net = app.net();
-    let Some(connection) = net
+    let Some(connection) = net.connection(conn) else {
+        return Ok(());
+    };
+    let (has_raised_limit, accepted) = (
+        connection.read_limit > READ_BUFFER_LIMIT,
+        connection.accepted,
+    );
+    let mut chunk = std::mem::take(&mut net.read_chunk);
+    let result = if has_raised_limit {
+        let ended = net.fill_read_buffer(conn, &mut chunk);
+        pass_buffer(app, conn).and(ended.map_or(Ok(()), Err))
+    } else {
+        let size = if accepted {
+            ACCEPTED_READ_CHUNK
+        } else {
+            chunk.len()
+        };
+        match net.read_once(conn, &mut chunk[..size]) {
+            ReadOutcome::Bytes(len) => pass_bytes(app, conn, &chunk[..len]),
+            ReadOutcome::Nothing => pass_buffer(app, conn),
+            ReadOutcome::Ended(reason) => pass_buffer(app, conn).and(Err(reason)),
+        }
+    };
+    app.net().read_chunk = chunk;
+    result
+}
+
+/// Passes bytes to the app that were just read. Only what it leaves is copied to the connection's buffer.
+fn pass_bytes<A: App<Net = Mio>>(app: &mut A, conn: Conn, bytes: &[u8]) -> Result<(), CloseReason> {
+    let Some(connection) = app.net().connection_mut(conn) else {
+        return Ok(());
+    };
+    if !connection.read_buffer.is_empty() {
+        connection.read_buffer.push(bytes);
+        return pass_buffer(app, conn);
+    }
+    let consumed = app.received(conn, bytes);
+    match app.net().connection_mut(conn) {
+        Some(connection) if consumed < bytes.len() => {
+            connection.read_buffer.push(&bytes[consumed..]);
+            check_read_limit(connection)
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Passes the read buffer to the app.
+fn pass_buffer<A: App<Net = Mio>>(app: &mut A, conn: Conn) -> Result<(), CloseReason> {
+    let Some(connection) = app
+        .net()
         .connection_mut(conn)
         .filter(|c| !c.read_buffer.is_empty())
     else {
-        return false;
+        return Ok(());
     };
     // The buffer is moved out of the connection during the call, because the app may act on the connection
     // meanwhile.
     let mut buffer = std::mem::take(&mut connection.read_buffer);
-    let pause_delay = connection.pause_delay;
-    net.pause_delay = pause_delay;
     let consumed = app.received(conn, buffer.data());
-    let net = app.net();
-    net.pause_delay = 0;
     buffer.consume(consumed);
-    let len = buffer.len();
-    match net.connection_mut(conn) {
+    match app.net().connection_mut(conn) {
         Some(connection) => {
             connection.read_buffer = buffer;
-            len >= connection.read_limit
+            check_read_limit(connection)
         }
-        None => false,
+        None => Ok(()),
+    }
+}
+
+/// # Errors
+/// The app has left a full buffer.
+fn check_read_limit(connection: &Connection) -> Result<(), CloseReason> {
+    if connection.read_buffer.len() >= connection.read_limit {
+        return Err(CloseReason::Reset);
     }
+    Ok(())
 }
--- a/crates/tidewall-net/src/mio/slots.rs
+++ b/crates/tidewall-net/src/mio/slots.rs
@@ -5,6 +5,7 @@
 use crate::{CloseReason, Conn, Listener, Time};
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Interest, Token};
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 
@@ -26,6 +27,21 @@
     FailedConnect(u32),
 }
 
+/// Connections to read, each at most once. Those that were not reached stay first in their queue.
+#[derive(Default)]
+pub(super) struct ReadQueues {
+    /// Connections that this process opened. What arrives on them are answers to what it sent.
+    pub(super) opened: VecDeque<Conn>,
+    /// Connections that were accepted.
+    pub(super) accepted: VecDeque<Conn>,
+}
+
+impl ReadQueues {
+    pub(super) fn is_empty(&self) -> bool {
+        self.opened.is_empty() && self.accepted.is_empty()
+    }
+}
+
 /// A connection that ended without an event of its socket, and of which the app must be notified.
 pub(super) struct PendingClose {
     pub(super) conn: Conn,
@@ -140,13 +156,21 @@
         }
     }
 
-    /// Queues the connection to be read in this wake-up or in the next one.
+    /// Queues the connection to be read in this wake-up or in a later one.
     pub(super) fn queue_read(&mut self, conn: Conn) {
-        if let Some(connection) = self.connection_mut(conn) {
-            if !std::mem::replace(&mut connection.read_queued, true) {
-                self.read_queue.push_back(conn);
-            }
+        let Some(connection) = self.connection_mut(conn) else {
+            return;
+        };
+        let accepted = connection.accepted;
+        if std::mem::replace(&mut connection.read_queued, true) {
+            return;
         }
+        let queue = if accepted {
+            &mut self.read_queues.accepted
+        } else {
+            &mut self.read_queues.opened
+        };
+        queue.push_back(conn);
     }
 
     /// Queues the connection to be flushed at the end of this wake-up.
--- a/crates/tidewall-platform-ingress/src/commands.rs
+++ b/crates/tidewall-platform-ingress/src/commands.rs
@@ -11,6 +11,10 @@
 /// Maximum number of open calls of one connection, from the platform's specification.
 pub(crate) const MAX_OPEN_CALLS: u32 = 32;
 
+/// Maximum number of commands of one connection that are handled before other connections have their turn.
+/// A client that keeps to the platform's specification has at most this many calls open.
+pub(crate) const COMMANDS_PER_TURN: u32 = MAX_OPEN_CALLS;
+
 /// Indices of a call's class and tenant in the settings.
 struct CallTarget {
     class: usize,
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -14,6 +14,7 @@
 mod unread_replies;
 mod used_tags;
 
+use commands::COMMANDS_PER_TURN;
 use connections::{ClientConnections, CHECK_INTERVAL};
 use open_calls::OpenCalls;
 use replies::FinalReply;
@@ -93,8 +94,13 @@
     }
 
     fn received(&mut self, context: &mut IngressContext<N>, conn: Conn, bytes: &[u8]) -> usize {
-        let mut consumed = 0;
+        let (mut consumed, mut commands) = (0, 0);
         while self.reads_commands(conn) {
+            if commands == COMMANDS_PER_TURN {
+                context.net().defer_rest(conn);
+                return consumed;
+            }
+            commands += 1;
             let result = match client_command::decode(&bytes[consumed..]) {
                 Ok(Some(decoded)) => {
                     consumed += decoded.length;
