Calls of a client that has gone begin nothing (clients with much unread)

Callers saw: a client closed its connection with much unread, and calls in front of the unread bytes ran at hosts 0.3 s later.

Change: what the poll tells of the end of a stream counts at once: nothing more of such a client is handled (not on AMQP, where requests outlive their connection).

--- a/crates/tidewall-amqp-ingress/src/lib.rs
+++ b/crates/tidewall-amqp-ingress/src/lib.rs
@@ -619,6 +619,10 @@
         }
     }
 
+    fn close_abandons_requests(&self) -> bool {
+        false
+    }
+
     /// Requests of the connection continue: a client that reconnects repeats them with the same message-id.
     fn closed(&mut self, context: &mut IngressContext<N>, conn: Conn) {
         if let Some(connection) = self.connection_id(conn) {
--- a/crates/tidewall-gateway/src/effect_policy.rs
+++ b/crates/tidewall-gateway/src/effect_policy.rs
@@ -15,6 +15,10 @@
 /// attempt for a client that has disconnected counts as an error.
 pub const MAX_INPUT_AGE: Time = 500;
 
+/// How long an attempt may wait for input of its client to be read: 200 ms. Then the request is given up, so
+/// that its client is told at once and not at its deadline.
+pub const MAX_POSTPONEMENT: Time = 2_000;
+
 /// Why an effect is not permitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -26,6 +30,8 @@
     AttemptExpired,
     /// Input from the client has not been read yet; it may say that the client has abandoned the request.
     InputUnread,
+    /// Input from the client was still unread after [`MAX_POSTPONEMENT`]: it sends faster than it is read.
+    InputBacklog,
     /// The sockets were last polled more than [`MAX_INPUT_AGE`] ago.
     InputTooOld,
     /// The worker is draining or removed.
@@ -54,6 +60,7 @@
         Refusal::DeadlinePassed,
         Refusal::AttemptExpired,
         Refusal::InputUnread,
+        Refusal::InputBacklog,
         Refusal::InputTooOld,
         Refusal::WorkerNotActive,
         Refusal::WorkerUnconfirmed,
@@ -75,8 +82,7 @@
 pub enum Violation {
     /// A response was sent half a second or more after the client stopped waiting.
     LateResponse,
-    /// An attempt was sent although the client's input was unread or too old, because it had been postponed
-    /// too often.
+    /// An attempt was sent although the client's input was too old, because it had been postponed for too long.
     AttemptByOldInput,
     /// The process ended while requests had no response.
     EndedWithOpenRequests,
@@ -157,6 +163,8 @@
     pub age: Time,
     /// The client's connection is known to have unread bytes or an unread end of stream.
     pub unread: bool,
+    /// For how long the request's attempts have been postponed.
+    pub postponed: Time,
 }
 
 /// An earlier attempt of a request that is not proven to be unexecuted.
@@ -233,7 +241,11 @@
         return Err(Refusal::WorkerUnconfirmed);
     }
     if facts.client.unread {
-        return Err(Refusal::InputUnread);
+        return Err(if facts.client.postponed > MAX_POSTPONEMENT {
+            Refusal::InputBacklog
+        } else {
+            Refusal::InputUnread
+        });
     }
     if facts.client.age > MAX_INPUT_AGE {
         return Err(Refusal::InputTooOld);
--- a/crates/tidewall-gateway/src/event_loop.rs
+++ b/crates/tidewall-gateway/src/event_loop.rs
@@ -121,9 +121,7 @@
     fn bytes_received(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let used = match self.owner(conn) {
             Owner::Nobody => bytes.len(),
-            Owner::Ingress(ingress) => {
-                self.ingresses[ingress].received(&mut self.context, conn, bytes)
-            }
+            Owner::Ingress(ingress) => self.client_bytes_received(conn, ingress, bytes),
             owner => {
                 if let Owner::Worker(connection) = owner {
                     self.context.scheduler.host.bytes_received(connection);
@@ -145,6 +143,24 @@
         used
     }
 
+    /// Passes a client's bytes to its ingress. What a client has sent that is known to have gone begins nothing,
+    /// and its connection ends now, as the end of its stream may stand behind many more bytes.
+    fn client_bytes_received(&mut self, conn: Conn, ingress: usize, bytes: &[u8]) -> usize {
+        let has_gone = self.context.net().peer_has_closed(conn);
+        if !has_gone || !self.ingresses[ingress].close_abandons_requests() {
+            return self.ingresses[ingress].received(&mut self.context, conn, bytes);
+        }
+        self.ingresses[ingress].closed(&mut self.context, conn);
+        self.set_owner(conn, Owner::Nobody);
+        let net = self.context.net();
+        if net.unsent(conn) > 0 {
+            net.reset(conn);
+        } else {
+            net.close(conn);
+        }
+        bytes.len()
+    }
+
     fn connection_closed(&mut self, conn: Conn, reason: CloseReason) {
         match self.owner(conn) {
             Owner::Nobody => {}
--- a/crates/tidewall-gateway/src/ingress.rs
+++ b/crates/tidewall-gateway/src/ingress.rs
@@ -165,6 +165,10 @@
     fn accepts_late_response(&self) -> bool {
         false
     }
+    /// Whether a client that closes its connection, or its sending side alone, abandons its requests.
+    fn close_abandons_requests(&self) -> bool {
+        true
+    }
     /// Called instead of `respond` if the client's deadline has passed and nothing may be sent for the
     /// request.
     fn request_expired(&mut self, now: Time, handle: ReplyHandle);
--- a/crates/tidewall-gateway/src/worker_pool/flush.rs
+++ b/crates/tidewall-gateway/src/worker_pool/flush.rs
@@ -2,7 +2,7 @@
 use super::{Call, CallKind, WorkerPool};
 use crate::effect_policy::{
     permit_attempt, permit_load, AttemptFacts, AttemptPermit, ClientInput, LoadPermit, Refusal,
-    UnprovenAttempt, Violation,
+    UnprovenAttempt, Violation, MAX_POSTPONEMENT,
 };
 use crate::protocol::{AttemptMessage, LoadRequestMessage};
 use crate::timers::TimerToken;
@@ -13,11 +13,6 @@
 /// Capacity that the batch buffer keeps after a burst: 16 KiB, which holds a few usual messages.
 const MAX_KEPT_BATCH: usize = 16 << 10;
 
-/// How often the attempts of a request may be postponed. Each read takes up to 64 KiB from a connection, so
-/// the gateway does not wait for input of a client that has sent more than half a megabyte after its
-/// request.
-const MAX_POSTPONEMENTS: u32 = 8;
-
 impl<N: Net> WorkerPool<N> {
     /// Sends the waiting calls of all writable connections. Returns false if there was no such connection.
     pub fn flush(&mut self) -> bool {
@@ -168,7 +163,7 @@
         Ok(())
     }
 
-    /// Asks [`permit_attempt`] whether an attempt may be sent now. An attempt that was postponed too often
+    /// Asks [`permit_attempt`] whether an attempt may be sent now. An attempt that was postponed for too long
     /// is sent on old input, which counts as a violation.
     fn obtain_attempt_permit(
         &mut self,
@@ -188,6 +183,7 @@
                 unread: pending
                     .client
                     .is_some_and(|conn| self.net.has_known_input(conn)),
+                postponed: pending.postponed_since.map_or(0, |since| now - since),
             },
             endpoint: self.workers[self.calls[key].worker].endpoint,
             send_allowed_until: self.workers[self.calls[key].worker].send_allowed_until,
@@ -195,17 +191,14 @@
             unproven: &unproven,
         };
         let mut decision = permit_attempt(&facts);
-        let is_resolvable = |decision: &Result<AttemptPermit, Refusal>| {
-            decision
-                .as_ref()
-                .is_err_and(|refusal| refusal.is_resolved_by_reading())
-        };
-        if is_resolvable(&decision) && pending.postponements >= MAX_POSTPONEMENTS {
+        if decision == Err(Refusal::InputTooOld) && facts.client.postponed > MAX_POSTPONEMENT {
             self.effects.violated(Violation::AttemptByOldInput);
             facts.client = ClientInput::default();
             decision = permit_attempt(&facts);
         }
-        self.requests[request].postponements += u32::from(is_resolvable(&decision));
+        let is_postponed = matches!(&decision, Err(refusal) if refusal.is_resolved_by_reading());
+        let postponed_since = &mut self.requests[request].postponed_since;
+        *postponed_since = is_postponed.then(|| postponed_since.unwrap_or(now));
         if let Err(refusal) = &decision {
             self.effects.refused(*refusal);
             let request = self.requests[request].id;
--- a/crates/tidewall-gateway/src/worker_pool/requests.rs
+++ b/crates/tidewall-gateway/src/worker_pool/requests.rs
@@ -48,8 +48,8 @@
     pub(super) sent_at: [Time; MAX_ATTEMPTS],
     /// By attempt: whether its outcome proves that it was not executed; none while it has not ended.
     pub not_executed: [Option<bool>; MAX_ATTEMPTS],
-    /// How often an attempt was postponed until the client's input had been read.
-    pub(super) postponements: u32,
+    /// Since when an attempt has been postponed until the client's input has been read.
+    pub(super) postponed_since: Option<Time>,
 }
 
 impl PendingRequest {
@@ -128,7 +128,7 @@
         request.info = *info;
         request.attempts = 0;
         request.unproven = 0;
-        request.postponements = 0;
+        request.postponed_since = None;
         request.waiting_clients.clear();
         request
             .waiting_clients
--- a/crates/tidewall-gateway/tests/effect_policy.rs
+++ b/crates/tidewall-gateway/tests/effect_policy.rs
@@ -56,6 +56,7 @@
 #[test_case(|f| f.deadline = NOW, Refusal::DeadlinePassed; "the client's deadline has passed")]
 #[test_case(|f| f.expires_at = NOW, Refusal::AttemptExpired; "the attempt's timeout has passed")]
 #[test_case(|f| f.client.unread = true, Refusal::InputUnread; "the client may have abandoned it")]
+#[test_case(|f| { f.client.unread = true; f.client.postponed = MAX_POSTPONEMENT + 1; }, Refusal::InputBacklog; "the client sends faster than it is read")]
 #[test_case(|f| f.client.age = MAX_INPUT_AGE + 1, Refusal::InputTooOld; "the sockets were polled too long ago")]
 #[test_case(|f| f.endpoint.state = EndpointState::Draining, Refusal::WorkerNotActive; "the worker is draining")]
 #[test_case(|f| f.endpoint.state = EndpointState::Removed, Refusal::WorkerNotActive; "the worker is removed")]
