Connections follow the process that the list tells of (replaced hosts)

Callers saw: a host's process was replaced while the connections to the one before stayed open; calls went to the old one, at-most-once ones FAILED.

Cause: connections belonged to the worker's name. A later start left them in use; so did another address. And a new name at the address of another worker left that worker in use.

Change: a later start or another address takes a worker's connections out of use. A change of the list that adds a name at a worker's address removes that worker; complete lists are taken as they are.

--- a/crates/tidewall-gateway/src/discovery.rs
+++ b/crates/tidewall-gateway/src/discovery.rs
@@ -7,7 +7,7 @@
 use crate::protocol::{DiscoverySource, LocalIdentity, ReceivedUpdates};
 use crate::timers::TimerToken;
 use crate::Gateway;
-use tidewall::interface::Endpoint;
+use tidewall::interface::EndpointState;
 use tidewall_net::{CloseReason, Conn, Net, Time, TimerId};
 use tracing::{debug, info, warn};
 
@@ -229,10 +229,19 @@
     pub fn update_endpoints(&mut self, records: &[EndpointRecord], complete: bool) {
         let pool = &mut self.context.scheduler.host;
         let (now, started) = (pool.net.now(), pool.net.current_time());
-        let endpoints: Vec<(usize, Endpoint)> = records
-            .iter()
-            .map(|record| pool.register_endpoint(record))
-            .collect();
+        let (mut endpoints, mut added) = (Vec::with_capacity(records.len()), Vec::new());
+        for record in records {
+            let is_new =
+                !complete && record.state == EndpointState::Active && !pool.is_listed(&record.name);
+            let registered = pool.register_endpoint(record);
+            if is_new {
+                added.push(registered.0);
+            }
+            endpoints.push(registered);
+        }
+        if !added.is_empty() {
+            endpoints.extend(pool.remove_former_owners(&added, &endpoints));
+        }
         self.context.scheduler.advance_clock(now);
         self.context
             .scheduler
--- a/crates/tidewall-gateway/src/worker_connections.rs
+++ b/crates/tidewall-gateway/src/worker_connections.rs
@@ -34,6 +34,9 @@
     pub(crate) fn worker_connection_lost(&mut self, connection: usize, reason: CloseReason) {
         let pool = &self.context.scheduler.host;
         let (now, worker) = (pool.net.now(), pool.connections[connection].worker);
+        if pool.connections[connection].superseded {
+            return self.worker_connection_closed(connection, reason);
+        }
         let scheduler = &mut self.context.scheduler;
         scheduler.advance_clock(now);
         match reason {
--- a/crates/tidewall-gateway/src/worker_pool/connections.rs
+++ b/crates/tidewall-gateway/src/worker_pool/connections.rs
@@ -20,6 +20,9 @@
     pub(super) last_work_offset: usize,
     /// Number of attempts on the connection, sent or waiting.
     pub(super) streams: usize,
+    /// The connection leads to an earlier process of the worker, or to an address that the worker has left. It
+    /// takes no more calls, and says nothing about the worker.
+    pub superseded: bool,
     /// Keys of the calls that wait to be written to the socket.
     pub waiting: Vec<usize>,
     /// Keys of the calls that were sent on the connection.
@@ -46,6 +49,7 @@
             written: 0,
             last_work_offset: 0,
             streams: 0,
+            superseded: false,
             waiting: Vec::new(),
             sent: Vec::new(),
             abandoned_requests: VecDeque::new(),
@@ -180,6 +184,14 @@
         true
     }
 
+    /// Takes the worker's connections out of use, because another process is the worker by now. Calls that were
+    /// sent on them may still be answered; idle ones are closed at the next check.
+    pub(super) fn supersede_connections(&mut self, worker: usize) {
+        for key in std::mem::take(&mut self.workers[worker].connections) {
+            self.connections[key].superseded = true;
+        }
+    }
+
     /// Recomputes the connection limit per worker after the endpoint list has changed.
     pub fn redistribute_connections(&mut self) {
         let workers = self.workers.iter().filter(|worker| worker.is_known());
@@ -278,7 +290,7 @@
         })
     }
 
-    /// Connections to close: those that have been idle for longer than the keep-alive time, and those that
+    /// Connections to close: idle superseded ones, those that have been idle for longer than the keep-alive time, and those that
     /// have been silent for the silence timeout and either are idle and lead to a removed worker, or carry
     /// only abandoned calls.
     pub fn idle_connections(&mut self, now: Time) -> Vec<(usize, Conn)> {
@@ -288,7 +300,9 @@
             let is_silent =
                 now > connection.last_used + silence && now > connection.last_received + silence;
             if connection.is_idle() {
-                return now > connection.last_used + keep_alive || removed && is_silent;
+                return connection.superseded
+                    || now > connection.last_used + keep_alive
+                    || removed && is_silent;
             }
             let abandoned = connection.waiting.is_empty()
                 && connection.sent.iter().all(|key| self.calls[*key].ended);
--- a/crates/tidewall-gateway/src/worker_pool/endpoints.rs
+++ b/crates/tidewall-gateway/src/worker_pool/endpoints.rs
@@ -2,6 +2,7 @@
 //! from the workers themselves.
 use super::{Call, CallKind, WorkerPool};
 use crate::endpoints::EndpointRecord;
+use rustc_hash::FxHashSet;
 use std::net::SocketAddr;
 use tidewall::interface::{Endpoint, EndpointState};
 use tidewall::interner::fnv1a;
@@ -32,6 +33,15 @@
         self.address.is_some()
     }
 
+    /// Marks the worker as removed.
+    fn remove(&mut self, now: Time) {
+        if self.endpoint.state == EndpointState::Active {
+            self.inactive_since = now;
+        }
+        self.endpoint.state = EndpointState::Removed;
+        self.reported_draining = false;
+    }
+
     /// The worker's state in the endpoint list.
     pub fn state(&self) -> EndpointState {
         self.endpoint.state
@@ -61,6 +71,10 @@
         }
         let worker = &mut self.workers[index];
         let restarted = record.incarnation > worker.incarnation || worker.address.is_none();
+        let has_moved = record.state != EndpointState::Removed
+            && worker
+                .address
+                .is_some_and(|address| address != record.address);
         let started_at = match (restarted, record.age) {
             (false, _) => worker.endpoint.started_at,
             (true, 0) => 0,
@@ -81,7 +95,7 @@
         if leaves {
             worker.inactive_since = now;
         }
-        if leaves || restarted {
+        if leaves || restarted || has_moved {
             self.withdrawn_workers.push(index);
         }
         // The entry of a removed worker may consist of its name and state. What is known of it still matters
@@ -103,7 +117,40 @@
         };
         worker.zone.clone_from(&record.zone);
         worker.machine.clone_from(&record.machine);
-        (index, worker.endpoint)
+        let endpoint = worker.endpoint;
+        if restarted || has_moved {
+            self.supersede_connections(index);
+        }
+        (index, endpoint)
+    }
+
+    /// Marks workers as removed whose address a worker has that a change of the list has added, and returns
+    /// them. A new worker may have the address of one that has gone, also before the list tells that it has
+    /// gone. `added` are the indices of the new workers; workers in `changed` stay as the change tells.
+    pub fn remove_former_owners(
+        &mut self,
+        added: &[usize],
+        changed: &[(usize, Endpoint)],
+    ) -> Vec<(usize, Endpoint)> {
+        // Only used for look-ups: iterating over it would make runs nondeterministic.
+        let addresses: FxHashSet<SocketAddr> = added
+            .iter()
+            .filter_map(|index| self.workers[*index].address)
+            .collect();
+        let changed: FxHashSet<usize> = changed.iter().map(|(index, _)| *index).collect();
+        let now = self.net.now();
+        let mut removed = Vec::new();
+        for (index, worker) in self.workers.iter_mut().enumerate() {
+            let is_former_owner = worker.endpoint.state != EndpointState::Removed
+                && worker.address.is_some_and(|at| addresses.contains(&at))
+                && !changed.contains(&index);
+            if is_former_owner {
+                worker.remove(now);
+                self.withdrawn_workers.push(index);
+                removed.push((index, worker.endpoint));
+            }
+        }
+        removed
     }
 
     /// Marks all workers that are not in a complete list as removed.
@@ -114,26 +161,26 @@
         for (index, worker) in self.workers.iter_mut().enumerate() {
             if !is_listed[index] && worker.endpoint.state != EndpointState::Removed {
                 if worker.endpoint.state == EndpointState::Active {
-                    worker.inactive_since = now;
                     self.withdrawn_workers.push(index);
                 }
-                worker.endpoint.state = EndpointState::Removed;
-                worker.reported_draining = false;
+                worker.remove(now);
             }
         }
     }
 
     /// Indexes of removed workers that have no connections and no calls.
     pub fn removed_idle_workers(&self) -> Vec<usize> {
-        let mut has_calls = vec![false; self.workers.len()];
+        let mut is_in_use = vec![false; self.workers.len()];
         self.calls
             .iter()
-            .for_each(|(_, call)| has_calls[call.worker] = true);
+            .for_each(|(_, call)| is_in_use[call.worker] = true);
+        self.connections
+            .iter()
+            .for_each(|(_, connection)| is_in_use[connection.worker] = true);
         let is_removed_and_idle = |(index, worker): &(usize, &WorkerEntry)| {
             worker.address.is_some()
                 && worker.endpoint.state == EndpointState::Removed
-                && worker.connections.is_empty()
-                && !has_calls[*index]
+                && !is_in_use[*index]
         };
         self.workers
             .iter()
@@ -149,6 +196,17 @@
         self.workers[worker] = WorkerEntry::default();
     }
 
+    /// Whether a worker with this name is known and not removed.
+    pub fn is_listed(&self, name: &str) -> bool {
+        let worker = self
+            .worker_names
+            .get(name)
+            .and_then(|index| self.workers.get(index));
+        worker.is_some_and(|worker| {
+            worker.is_known() && worker.endpoint.state != EndpointState::Removed
+        })
+    }
+
     /// Whether the worker's address is known.
     pub fn has_address(&self, worker: usize) -> bool {
         self.workers
--- a/crates/tidewall-gateway/tests/endpoint_entries.rs
+++ b/crates/tidewall-gateway/tests/endpoint_entries.rs
@@ -87,3 +87,46 @@
     assert_eq!((endpoint.cell, endpoint.zone), (5, 2));
     assert_eq!(endpoint.state, EndpointState::Active);
 }
+
+/// A worker that a change of the list adds at the address of [`listed`].
+fn successor() -> EndpointRecord {
+    EndpointRecord {
+        name: "s-2".to_string(),
+        cell: 4,
+        ..listed()
+    }
+}
+
+// Failure: a new worker comes up at the address of one that has gone, before the list tells that it has gone. Work
+// for the old one, with its cell and its loaded functions, goes to the new one.
+#[test]
+fn a_worker_is_removed_when_a_new_one_has_its_address() {
+    let mut pool = pool();
+    let (former, known) = pool.register_endpoint(&listed());
+    let other = EndpointRecord {
+        name: "s-3".to_string(),
+        address: "127.0.0.1:803".parse().unwrap(),
+        ..listed()
+    };
+    pool.register_endpoint(&other);
+    let added = pool.register_endpoint(&successor());
+    let removed = pool.remove_former_owners(&[added.0], &[added]);
+    let expected = Endpoint {
+        state: EndpointState::Removed,
+        ..known
+    };
+    assert_eq!(removed, [(former, expected)]);
+    assert_eq!(pool.remove_former_owners(&[added.0], &[added]), []);
+}
+
+// Workers that one change names stay as it tells, whatever their addresses are.
+#[test]
+fn workers_that_one_change_adds_at_one_address_both_stay() {
+    let mut pool = pool();
+    let changed = [
+        pool.register_endpoint(&listed()),
+        pool.register_endpoint(&successor()),
+    ];
+    let added = changed.map(|(index, _)| index);
+    assert_eq!(pool.remove_former_owners(&added, &changed), []);
+}
