--- a/crates/tidewall-cli/tests/fast_clients.rs
+++ b/crates/tidewall-cli/tests/fast_clients.rs
@@ -12,9 +12,8 @@
 /// Held by the test that runs: each keeps all processors busy.
 static BUSY_MACHINE: Mutex<()> = Mutex::new(());
 
-/// Threads of bad clients, and connections of each.
+/// Threads of bad clients.
 const FLOOD_THREADS: usize = 10;
-const CONNECTIONS_PER_THREAD: usize = 33;
 
 /// Calls of a bad client in one write.
 const CALLS_IN_A_WRITE: usize = 200;
@@ -26,13 +25,18 @@
     UnknownTypes,
     /// Calls that are withdrawn at once.
     Withdrawn,
+    /// Calls of functions that no worker knows, each of another one.
+    NewFunctions,
 }
 
-/// Sends at full speed on many connections, and reads whatever is sent, until `ended`.
-fn fast_clients(flood: FastFlood, thread: usize, gateway: SocketAddr, ended: &AtomicBool) {
-    let mut conns: Vec<_> = (0..CONNECTIONS_PER_THREAD)
-        .map(|_| connect(gateway))
-        .collect();
+/// Sends at full speed on this many connections, and reads whatever is sent, until `ended`.
+fn fast_clients(
+    (flood, connections): (FastFlood, usize),
+    thread: usize,
+    gateway: SocketAddr,
+    ended: &AtomicBool,
+) {
+    let mut conns: Vec<_> = (0..connections).map(|_| connect(gateway)).collect();
     let (mut tag, mut input) = (0, vec![0; 64 << 10]);
     while !ended.load(Ordering::Relaxed) {
         for (conn, unsent) in &mut conns {
@@ -69,6 +73,7 @@
         call(tag, "check").replace(&format!("trace={tag:016x}"), &format!("trace={id:016x}"));
     match flood {
         FastFlood::UnknownTypes => call.replace(&word("check"), &word("nosuch")),
+        FastFlood::NewFunctions => call.replace(FUNCTION, &format!("bad{id:013x}")),
         FastFlood::Withdrawn => {
             call + &format!("*2\r\n{}{}", word("CANCEL"), word(&tag.to_string()))
         }
@@ -85,20 +90,25 @@
 const LATE: Duration = Duration::from_millis(500);
 
 // Failure: while hundreds of clients send without pause, a wake-up reads all of them, and the answers to usual
-// clients are late by seconds.
-#[test_case(FastFlood::UnknownTypes, 33; "unknown types")]
-#[test_case(FastFlood::Withdrawn, 34; "calls withdrawn at once")]
-fn usual_calls_are_answered_in_time_while_hundreds_of_clients_send_without_pause(
+// clients are late by seconds. One client alone at full speed delays nobody either.
+#[test_case(FastFlood::UnknownTypes, 330, 33; "unknown types")]
+#[test_case(FastFlood::Withdrawn, 330, 34; "calls withdrawn at once")]
+#[test_case(FastFlood::NewFunctions, 330, 35; "new functions")]
+#[test_case(FastFlood::UnknownTypes, 1, 43; "unknown types on one connection")]
+#[test_case(FastFlood::NewFunctions, 1, 44; "new functions on one connection")]
+fn usual_calls_are_answered_in_time_while_clients_send_without_pause(
     flood: FastFlood,
+    connections: usize,
     last: u8,
 ) {
     let _alone = BUSY_MACHINE.lock().unwrap_or_else(PoisonError::into_inner);
     let (gateway, listen, _folder) = gateway_with_hosts(last);
     let ended = Arc::new(AtomicBool::new(false));
-    let threads: Vec<_> = (0..FLOOD_THREADS)
+    let threads = FLOOD_THREADS.min(connections);
+    let threads: Vec<_> = (0..threads)
         .map(|thread| {
-            let ended = ended.clone();
-            std::thread::spawn(move || fast_clients(flood, thread, listen, &ended))
+            let (ended, each) = (ended.clone(), connections / threads);
+            std::thread::spawn(move || fast_clients((flood, each), thread, listen, &ended))
         })
         .collect();
     std::thread::sleep(Duration::from_secs(1));
--- a/crates/tidewall-cli/tests/many_connections.rs
+++ b/crates/tidewall-cli/tests/many_connections.rs
@@ -3,8 +3,9 @@
 mod platform_rig;
 
 use platform_rig::*;
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 
 /// A third of the most descriptors that the platform specifies.
 const CONNECTIONS: usize = 340;
@@ -73,3 +74,80 @@
     let peak = gateway.peak_memory();
     assert!(peak < MEMORY_LIMIT, "{peak} kB");
 }
+
+/// Starts a host on which no load of a function ever ends.
+fn loading_host() -> SocketAddr {
+    listen(|conn| {
+        let mut out = conn.try_clone().ok()?;
+        for line in BufReader::new(conn).lines() {
+            let line = line.ok()?;
+            let words: Vec<&str> = line.split_whitespace().collect();
+            if words[0] == "stage" && words[2].ends_with("copies=0") {
+                write!(out, "{} ok copies=0 0\r\n\r\n", words[1]).ok()?;
+            }
+        }
+        None
+    })
+}
+
+/// Connections with held calls, and calls on each: more bodies than the memory has room for.
+const HOLDING_CONNECTIONS: usize = 90;
+const HELD_CALLS: usize = 30;
+
+/// Connections that send calls of ever new functions, withdrawn at once, and calls on each.
+const NAMING_CONNECTIONS: usize = 8;
+const NAMING_CALLS: usize = 20_000;
+
+// Failure: each kind of memory keeps to its own bound, and all of them together are more than there is: bodies of
+// calls that wait, unfinished calls, and functions that no worker knows.
+#[test]
+fn bodies_unfinished_calls_and_unknown_functions_together_stay_within_the_memory() {
+    let (listen, folder) = (free(45), tempfile::tempdir().unwrap());
+    let file = folder.path().join("config.json");
+    let config = config(listen, board(Arc::default()), &[loading_host()])
+        .replace("\"most-held\":200", "\"most-held\":4000")
+        .replace("\"sockets\":256", "\"sockets\":1024");
+    std::fs::write(&file, config).unwrap();
+    let (gateway, _conn) = start(&file, listen);
+    let body = "x".repeat(LARGEST_BODY);
+    let connect = |_| TcpStream::connect(listen).unwrap();
+    let mut unfinished: Vec<TcpStream> =
+        (0..CONNECTIONS - HOLDING_CONNECTIONS - NAMING_CONNECTIONS)
+            .map(connect)
+            .collect();
+    let call_part = call_with_body(1, 1 << 40, &body);
+    for piece in call_part.as_bytes()[..call_part.len() - PIECE].chunks(PIECE) {
+        for conn in &mut unfinished {
+            conn.write_all(piece).unwrap();
+        }
+    }
+    let naming: Vec<_> = (0..NAMING_CONNECTIONS)
+        .map(|number| {
+            std::thread::spawn(move || {
+                let mut conn = TcpStream::connect(listen).unwrap();
+                for tag in 1..=NAMING_CALLS {
+                    let id = (number + 1) << 48 | tag;
+                    let call =
+                        call_with_body(tag, id, "").replace(FUNCTION, &format!("bad{id:013x}"));
+                    let cancel = format!("*2\r\n{}{}", word("CANCEL"), word(&tag.to_string()));
+                    conn.write_all((call + &cancel).as_bytes()).unwrap();
+                }
+            })
+        })
+        .collect();
+    let mut holding: Vec<TcpStream> = (0..HOLDING_CONNECTIONS).map(connect).collect();
+    for (number, conn) in holding.iter_mut().enumerate() {
+        let calls = (1..=HELD_CALLS).map(|tag| call_with_body(tag, number << 8 | tag, &body));
+        conn.write_all(calls.collect::<String>().as_bytes())
+            .unwrap();
+    }
+    naming.into_iter().for_each(|client| client.join().unwrap());
+    for conn in holding {
+        let mut replies = BufReader::new(conn);
+        for _ in 0..HELD_CALLS {
+            answer(&mut replies);
+        }
+    }
+    let peak = gateway.peak_memory();
+    assert!(peak < MEMORY_LIMIT, "{peak} kB");
+}
--- a/crates/tidewall-cli/tests/platform_rig/mod.rs
+++ b/crates/tidewall-cli/tests/platform_rig/mod.rs
@@ -20,7 +20,8 @@
     at
 }
 
-/// Starts a host that answers each attempt with its own body, and that has every function loaded.
+/// Starts a host that answers each attempt with its own body, and that has every function loaded but those whose
+/// names begin with "bad", which it doesn't know.
 pub fn echo_host() -> SocketAddr {
     listen(|conn| {
         let mut out = conn.try_clone().ok()?;
@@ -31,14 +32,23 @@
                 return None;
             }
             let words: Vec<&str> = line.split_whitespace().collect();
+            let is_unknown = line.contains("obj=bad");
             match words[0] {
                 "go" => {
                     let length: usize = words[3].parse().unwrap();
                     let mut body = vec![0; length + 2];
                     lines.read_exact(&mut body).ok()?;
-                    let head = format!("{} ok res=hit {length}\r\n", words[1]);
+                    let head = if is_unknown {
+                        body = b"\r\n".to_vec();
+                        format!("{} error - 0\r\n", words[1])
+                    } else {
+                        format!("{} ok res=hit {length}\r\n", words[1])
+                    };
                     out.write_all(&[head.as_bytes(), &body].concat()).ok()?;
                 }
+                "stage" if is_unknown => {
+                    write!(out, "{} error copies=0 0\r\n\r\n", words[1]).ok()?;
+                }
                 "stage" => write!(out, "{} ok copies=1 0\r\n\r\n", words[1]).ok()?,
                 "stat" => write!(out, "{} yes gauges=q:0;rif:0 0\r\n\r\n", words[1]).ok()?,
                 _ => {}
