--- a/crates/tidewall-cli/src/main.rs
+++ b/crates/tidewall-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod day;
 mod from;
 mod incarnations;
+mod log_output;
 mod own_ports;
 mod platform;
 mod send;
@@ -13,6 +14,7 @@
 mod virtual_time;
 
 use clap::{Args, Parser, Subcommand};
+use log_output::Blocking;
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -94,20 +96,28 @@
     // After a panic the process must not continue with an inconsistent state, nor exit without the panic's
     // text.
     std::panic::set_hook(Box::new(|info| {
-        eprintln!("panic: {}", info.to_string().replace('\n', " "));
+        let text = info.to_string().replace('\n', " ");
+        log_output::write_last_line(&format!("panic: {text}"));
         std::process::exit(1);
     }));
     let filter = match tracing_subscriber::EnvFilter::try_new(&cli.log_options.log) {
         Ok(filter) => filter,
         Err(e) => {
-            eprintln!("--log: {e}");
+            log_output::write_last_line(&format!("--log: {e}"));
             return ExitCode::from(2);
         }
     };
     let ansi = std::io::stderr().is_terminal();
+    // A gateway goes on whatever happens to its log. Other commands write every line.
+    let blocking = match cli.command {
+        Command::Serve(_) | Command::Platform => Blocking::Never,
+        _ => Blocking::Allowed,
+    };
+    let (writer, guard) = log_output::open(blocking, cli.log_options.log_json);
     let subscriber = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(writer)
+        .log_internal_errors(false)
         .with_ansi(ansi);
     let virtual_time = matches!(cli.command, Command::Sim(_));
     match (cli.log_options.log_json, virtual_time) {
@@ -131,14 +141,16 @@
         Command::Status(args) => status::status(&args),
         Command::Sim(args) => sim::sim(&args),
     };
+    // The lines that wait come before the last one.
+    drop(guard);
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(Failure::Run(text)) => {
-            eprintln!("{text}");
+            log_output::write_last_line(&text);
             ExitCode::from(1)
         }
         Err(Failure::Input(text)) => {
-            eprintln!("{text}");
+            log_output::write_last_line(&text);
             ExitCode::from(2)
         }
     }
