--- a/crates/tidewall-gateway/src/worker_events.rs
+++ b/crates/tidewall-gateway/src/worker_events.rs
@@ -127,6 +127,7 @@
                 self.gateway
                     .respond(request, Disposition::Completed, payload);
             }
+            self.pool().remember_answer(key);
             self.end_call(key, outcome, note);
         }
         Ok(())
--- a/crates/tidewall-gateway/src/worker_pool/calls.rs
+++ b/crates/tidewall-gateway/src/worker_pool/calls.rs
@@ -193,6 +193,17 @@
         self.calls.remove(key);
     }
 
+    /// Remembers that the worker has answered an attempt, on the connection that carries it.
+    pub fn remember_answer(&mut self, key: usize) {
+        if !self.protocol.answers_by_request_id() {
+            return;
+        }
+        let (now, call) = (self.net.now(), self.calls[key]);
+        if let Some(connection) = call.connection.and_then(|c| self.connections.get_mut(c)) {
+            connection.answered_requests.remember(call.request_id, now);
+        }
+    }
+
     /// Removes an ended call that was never sent, or whose cancellation the worker does not confirm.
     pub fn remove_ended_call(&mut self, key: usize) {
         let Some(call) = self.calls.get(key).filter(|call| call.ended) else {
--- a/crates/tidewall-gateway/src/worker_pool/connections.rs
+++ b/crates/tidewall-gateway/src/worker_pool/connections.rs
@@ -1,5 +1,6 @@
 //! Connections to workers: decides to which connection a call is assigned, when another connection is
 //! opened, and which connections are closed.
+use super::answered_requests::AnsweredRequests;
 use super::{Call, GatewayLimits, WorkerPool};
 use crate::timers::TimerToken;
 use std::collections::VecDeque;
@@ -29,6 +30,8 @@
     pub sent: Vec<usize>,
     /// Ids of requests whose attempts on this connection were abandoned; answers to them may still arrive.
     pub(super) abandoned_requests: VecDeque<u64>,
+    /// Requests whose attempts on this connection were answered; a copy of the answer may still arrive.
+    pub(super) answered_requests: AnsweredRequests,
     /// Since when an incomplete message has been waiting for its remaining bytes.
     pub partial_since: Option<Time>,
     /// When a call was last sent, or the connection became ready.
@@ -53,6 +56,7 @@
             waiting: Vec::new(),
             sent: Vec::new(),
             abandoned_requests: VecDeque::new(),
+            answered_requests: AnsweredRequests::default(),
             partial_since: None,
             last_used: now,
             last_received: now,
@@ -113,6 +117,10 @@
             }
             // All descriptors are in use, which is no evidence about the worker.
             (None, Some(_)) if may_open => return self.defer_outcome(key, Outcome::Discarded),
+            // Neither is an id that no connection may carry again yet.
+            _ if self.is_kept_off_by_its_id(&call) => {
+                return self.defer_outcome(key, Outcome::Discarded)
+            }
             // All streams of all the worker's connections are in use.
             _ => return self.defer_outcome(key, Outcome::AtCapacity),
         };
@@ -151,15 +159,36 @@
         if !call.is_attempt() {
             return true;
         }
+        self.has_free_stream(connection) && !self.has_carried(connection, call.request_id)
+    }
+
+    fn has_free_stream(&self, connection: usize) -> bool {
+        self.connections[connection].streams < self.limits.streams_per_connection
+    }
+
+    /// Whether an answer to this request may arrive on the connection, now or later. If one connection carried a
+    /// request id twice, the two answers could not be told apart.
+    fn has_carried(&self, connection: usize, request_id: u64) -> bool {
+        if !self.protocol.answers_by_request_id() {
+            return false;
+        }
         let connection = &self.connections[connection];
-        // If one connection carried a request id twice, the two answers could not be told apart.
-        let has_request_id = || {
-            let mut calls = connection.sent.iter().chain(&connection.waiting);
-            self.protocol.answers_by_request_id()
-                && (connection.abandoned_requests.contains(&call.request_id)
-                    || calls.any(|key| self.calls[*key].is_attempt_of(call.request_id)))
-        };
-        connection.streams < self.limits.streams_per_connection && !has_request_id()
+        let mut calls = connection.sent.iter().chain(&connection.waiting);
+        connection.abandoned_requests.contains(&request_id)
+            || calls.any(|key| self.calls[*key].is_attempt_of(request_id))
+            || connection
+                .answered_requests
+                .may_be_answered_again(request_id, self.net.now())
+    }
+
+    /// Whether a connection of the worker has a free stream, which this call may not use because of its request
+    /// id.
+    fn is_kept_off_by_its_id(&self, call: &Call) -> bool {
+        let connections = &self.workers[call.worker].connections;
+        let mut free = connections
+            .iter()
+            .filter(|connection| self.has_free_stream(**connection));
+        call.is_attempt() && free.any(|connection| self.has_carried(*connection, call.request_id))
     }
 
     /// Resets the connection that has been idle for longest; returns false if none is idle.
--- a/crates/tidewall-gateway/src/worker_pool/mod.rs
+++ b/crates/tidewall-gateway/src/worker_pool/mod.rs
@@ -1,6 +1,7 @@
 //! The worker pool carries out the scheduler's actions on sockets. Attempts, load requests and health
 //! checks are calls, which are multiplexed as streams on a few connections to each worker. The pool owns
 //! the requests in flight, the calls, the connections to workers and the state known of each worker.
+mod answered_requests;
 mod calls;
 mod connections;
 mod counters;
--- a/crates/tidewall-platform-ingress/tests/service.rs
+++ b/crates/tidewall-platform-ingress/tests/service.rs
@@ -6,6 +6,7 @@
 use common::*;
 use test_case::test_case;
 use tidewall_gateway::protocol::WorkerProtocol;
+use tidewall_net::Conn;
 use tidewall_net::{App, Net};
 use tidewall_platform_ingress::host_protocol::HostProtocol;
 
@@ -49,18 +50,71 @@
         (text, s.attempts()),
         (expected, if retried { 2 } else { 1 })
     );
-    for host in &s.hosts {
-        let conns = host
+    assert_no_id_twice_on_a_connection(&s);
+}
+
+fn assert_no_id_twice_on_a_connection(site: &Site) {
+    for host in &site.hosts {
+        let attempts = host
             .received_texts
             .iter()
-            .filter(|r| r.text.starts_with("go "))
-            .map(|r| r.conn)
-            .collect::<Vec<_>>();
-        assert!(
-            conns.len() < 2 || conns[0] != conns[1],
-            "the same request id twice on one connection"
-        );
+            .filter(|r| r.text.starts_with("go "));
+        let mut seen: Vec<(Conn, &str)> = Vec::new();
+        for attempt in attempts {
+            let id = attempt.text.split(' ').nth(1).unwrap();
+            assert!(
+                !seen.contains(&(attempt.conn, id)),
+                "the same request id twice on one connection: {seen:?}"
+            );
+            seen.push((attempt.conn, id));
+        }
+    }
+}
+
+// Failure: a second copy of an answer that comes late ends the next attempt under the same id on that connection,
+// which runs: it is answered BUSY, and is run again when it comes again.
+#[test_case("refused"; "at capacity")]
+#[test_case("nothing"; "a miss")]
+#[test_case("stale"; "over already")]
+fn a_request_whose_attempt_was_answered_is_not_sent_on_that_connection_again(word: &'static str) {
+    let sent: &'static str = Box::leak(format!("ID {word} - 0\r\n\r\n").into_boxed_str());
+    let mut s = site(&[HostBehavior::SendsOnce(sent)]);
+    let text = s.call_and_wait("issue", 10_000);
+    assert_eq!((text, s.attempts()), (ok(1), 2));
+    assert_no_id_twice_on_a_connection(&s);
+}
+
+// The same request again after its answer, as from a client that retries.
+#[test]
+fn a_request_that_comes_again_after_its_answer_goes_on_another_connection() {
+    let mut s = site(&[HostBehavior::Answers]);
+    for tag in 1..=3 {
+        let conn = s.connect();
+        s.send(conn, &call(tag, 9, "check", 2000));
+        s.advance(100);
+        assert_eq!(s.client.text(conn), ok(tag));
+    }
+    assert_eq!(s.attempts(), 3);
+    assert_no_id_twice_on_a_connection(&s);
+}
+
+// An answered id is used on its connection again once no copy of its answer comes any more.
+#[test]
+fn an_id_is_used_on_its_connection_again_a_second_later() {
+    let mut s = site(&[HostBehavior::Answers]);
+    for tag in 1..=3 {
+        let conn = s.connect();
+        s.send(conn, &call(tag, 9, "check", 2000));
+        s.advance(2 * SECOND);
+        assert_eq!(s.client.text(conn), ok(tag));
     }
+    let conns: Vec<Conn> = s.hosts[0]
+        .received_texts
+        .iter()
+        .filter(|r| r.text.starts_with("go "))
+        .map(|r| r.conn)
+        .collect();
+    assert_eq!(conns, [conns[0]; 3]);
 }
 
 // Attempts on other connections to the same host go on.
