--- a/crates/tidewall-gateway/src/client_requests.rs
+++ b/crates/tidewall-gateway/src/client_requests.rs
@@ -118,6 +118,12 @@
         self.by_id.get(&(conn, id)).copied()
     }
 
+    /// Returns the client's id and the gateway's slot of the request with this key, which must be in use.
+    pub fn id_and_slot(&self, key: u32) -> (u64, usize) {
+        let request = &self.requests[key as usize];
+        (request.id, request.slot)
+    }
+
     /// Returns the number of open requests of a connection.
     pub fn open(&self, conn: Conn) -> u32 {
         self.connections
--- a/crates/tidewall-gateway/src/ingress_context.rs
+++ b/crates/tidewall-gateway/src/ingress_context.rs
@@ -3,7 +3,7 @@
 use crate::failover::RetryingClient;
 use crate::ingress::{IncomingRequest, ReplyHandle, NO_CLIENT};
 use crate::timers::TimerToken;
-use crate::worker_pool::{Counters, WorkerPool};
+use crate::worker_pool::{Counters, PendingRequest, WorkerPool};
 use std::collections::VecDeque;
 use tidewall::choice::Scheduler;
 use tidewall::interface::RequestInfo;
@@ -192,6 +192,14 @@
         }
     }
 
+    /// Whether an attempt of the request may have been executed.
+    pub fn may_have_executed(&self, slot: usize, handle: ReplyHandle) -> bool {
+        let request = self.scheduler.host.requests.get(slot);
+        request
+            .filter(|request| request.open && request.reply_handle == handle)
+            .is_some_and(PendingRequest::may_have_executed)
+    }
+
     /// Handles a broken client connection. A member of a failover pair continues with requests that have an
     /// idempotency key, because the client can ask for them again.
     pub fn client_disconnected(&mut self, slot: usize, handle: ReplyHandle) {
--- a/crates/tidewall-platform-ingress/src/closing.rs
+++ b/crates/tidewall-platform-ingress/src/closing.rs
@@ -1,6 +1,8 @@
 //! Closes client connections: after an error, on a timeout, or to make room for new ones.
 use crate::error::ConnectionError;
+use crate::eviction_policy::EvictionClass;
 use crate::PlatformIngress;
+use tidewall_gateway::ingress::Disposition;
 use tidewall_gateway::IngressContext;
 use tidewall_net::{Conn, Net};
 use tidewall_platform::resp;
@@ -81,16 +83,37 @@
         }
     }
 
-    /// Closes one connection that has no open calls and no unread input, if there is one.
+    /// Answers the open calls of a connection that is closed to make room: they are rejected, unless they may
+    /// have been executed.
+    fn refuse_open_calls<N: Net>(&mut self, context: &mut IngressContext<N>, conn: Conn) {
+        while let Some(key) = self.calls.latest(conn) {
+            let (tag, slot) = self.calls.tag_and_slot(key);
+            let handle = self.calls.reply_handle(key);
+            let disposition = if context.may_have_executed(slot, handle) {
+                Disposition::Failed
+            } else {
+                Disposition::Rejected
+            };
+            context.counters().refused += 1;
+            self.abandon_call(context, key);
+            self.refuse_call(context, conn, tag, disposition);
+        }
+    }
+
+    /// Closes connections until there are no more than the limit, or none may be closed. Of connections without
+    /// open calls those with unread input are passed over.
     pub(crate) fn make_room<N: Net>(&mut self, context: &mut IngressContext<N>) {
         let now = context.net().now();
-        // Commands that a client sent while the gateway was busy are read first.
-        let evicted = self
-            .connections
-            .eviction_order(now)
-            .find(|conn| !context.net().has_unread(*conn));
-        if let Some(conn) = evicted {
-            self.close_connection(context, conn);
+        for candidate in self.connections.eviction_order(now) {
+            if !self.connections.is_over_limit() {
+                return;
+            }
+            // Commands that a client sent while the gateway was busy are read first.
+            let is_unsuccessful = candidate.class == EvictionClass::Unsuccessful;
+            if is_unsuccessful || !context.net().has_unread(candidate.conn) {
+                self.refuse_open_calls(context, candidate.conn);
+                self.close_connection(context, candidate.conn);
+            }
         }
     }
 }
--- a/crates/tidewall-platform-ingress/src/connections.rs
+++ b/crates/tidewall-platform-ingress/src/connections.rs
@@ -1,5 +1,6 @@
 //! Client connections: their state, their maximum number and their timeouts. Times are in tenths of
 //! a millisecond.
+use crate::eviction_policy::{EvictionCandidate, EvictionFacts};
 use crate::unread_replies::Unread;
 use crate::used_tags::UsedTags;
 use tidewall_net::{Conn, Time};
@@ -13,14 +14,6 @@
 /// platform's specification, clients close theirs after 4 s.
 const IDLE_TIMEOUT: Time = 60_000;
 
-/// Idle time after which clients close a connection, from the platform's specification. A
-/// connection that is idle for longer sends no more commands.
-const CLIENT_IDLE_TIMEOUT: Time = 40_000;
-
-/// Time within which the first command of a new connection arrives: twice what the platform's
-/// specification allows for data that crosses a close.
-const FIRST_COMMAND_DELAY: Time = 1_000;
-
 /// Interval of the timeout checks: a tenth of the shortest timeout that closes a connection.
 pub(crate) const CHECK_INTERVAL: Time = 2_000;
 
@@ -43,6 +36,8 @@
     /// Time of the last complete command or reply.
     last_active: Time,
     has_sent_command: bool,
+    /// By how many its rejected and failed calls outnumber its completed ones, counted from 0 up.
+    excess_of_unsuccessful: u32,
     /// If an error was sent: when to close the connection.
     closes_at: Option<Time>,
 }
@@ -84,43 +79,26 @@
         }
     }
 
-    fn eviction_class(&self, now: Time) -> EvictionClass {
-        match (self.closes_at, self.has_sent_command) {
-            (Some(_), _) => EvictionClass::Failed,
-            (None, _) if self.unread.bytes > 0 => EvictionClass::Reading,
-            (None, false) if now >= self.accepted_at + FIRST_COMMAND_DELAY => EvictionClass::Silent,
-            (None, true) if now >= self.last_active + CLIENT_IDLE_TIMEOUT => {
-                EvictionClass::LongIdle
-            }
-            (None, true) => EvictionClass::Idle,
-            (None, false) => EvictionClass::New,
+    /// Records how a call ended.
+    pub(crate) fn call_answered(&mut self, completed: bool) {
+        if completed {
+            self.excess_of_unsuccessful = self.excess_of_unsuccessful.saturating_sub(1);
+        } else {
+            self.excess_of_unsuccessful = self.excess_of_unsuccessful.saturating_add(1);
         }
     }
-}
 
-/// Order in which connections without open calls are closed to make room for new ones.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum EvictionClass {
-    /// An error was sent on it.
-    Failed,
-    /// It has never sent a command, and the time for its first one is over.
-    Silent,
-    /// It has been idle for longer than its client leaves a connection open.
-    LongIdle,
-    /// It has been idle for a shorter time.
-    Idle,
-    /// It has just been accepted. Its first command is probably on its way, and would be lost.
-    New,
-    /// It has unread replies, which would be lost.
-    Reading,
-}
-
-/// A connection that may be closed to make room. The smallest candidate is closed first.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct EvictionCandidate {
-    class: EvictionClass,
-    last_active: Time,
-    conn: Conn,
+    fn eviction_facts(&self, now: Time) -> EvictionFacts {
+        EvictionFacts {
+            has_failed: self.has_failed(),
+            has_unread_replies: self.unread.bytes > 0,
+            has_sent_command: self.has_sent_command,
+            open_calls: self.open_calls,
+            excess_of_unsuccessful: self.excess_of_unsuccessful,
+            connected_for: now.saturating_sub(self.accepted_at),
+            idle_for: now.saturating_sub(self.last_active),
+        }
+    }
 }
 
 /// All client connections, by connection index.
@@ -155,8 +133,8 @@
         &mut self.slots[conn.index()]
     }
 
-    /// Adds a connection. Returns true if the maximum is exceeded.
-    pub(crate) fn add(&mut self, conn: Conn, now: Time) -> bool {
+    /// Adds a connection.
+    pub(crate) fn add(&mut self, conn: Conn, now: Time) {
         *self.slot(conn) = ClientConnection {
             conn: Some(conn),
             accepted_at: now,
@@ -164,6 +142,10 @@
             ..ClientConnection::default()
         };
         self.count += 1;
+    }
+
+    /// Whether there are more connections than the maximum.
+    pub(crate) fn is_over_limit(&self) -> bool {
         self.count > self.max
     }
 
@@ -214,23 +196,13 @@
         (connection.conn.is_some() && connection.has_timed_out(now)).then_some(connection)
     }
 
-    /// Iterates over the connections without open calls in the order in which they are to be
-    /// closed: first those on which an error was sent, then those that never sent a command, oldest
-    /// first, then the longest idle ones. Just accepted ones and those with unread replies are last.
-    pub(crate) fn eviction_order(&self, now: Time) -> impl Iterator<Item = Conn> {
-        let mut candidates: Vec<EvictionCandidate> = self
-            .slots
-            .iter()
-            .filter(|connection| connection.open_calls == 0)
-            .filter_map(|connection| {
-                Some(EvictionCandidate {
-                    class: connection.eviction_class(now),
-                    last_active: connection.last_active,
-                    conn: connection.conn?,
-                })
-            })
-            .collect();
+    /// The connections that may be closed to make room, in the order in which they are to be closed.
+    pub(crate) fn eviction_order(&self, now: Time) -> Vec<EvictionCandidate> {
+        let candidate = |connection: &ClientConnection| {
+            EvictionCandidate::new(connection.conn?, &connection.eviction_facts(now))
+        };
+        let mut candidates: Vec<_> = self.slots.iter().filter_map(candidate).collect();
         candidates.sort_unstable();
-        candidates.into_iter().map(|candidate| candidate.conn)
+        candidates
     }
 }
--- a/crates/tidewall-platform-ingress/src/lib.rs
+++ b/crates/tidewall-platform-ingress/src/lib.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod connections;
 pub mod error;
+mod eviction_policy;
 pub mod host_protocol;
 pub mod notice_board;
 mod open_calls;
@@ -84,11 +85,16 @@
     fn timer_fired(&mut self, context: &mut IngressContext<N>) {
         context.set_ingress_timer(self.index, CHECK_INTERVAL);
         self.close_timed_out(context);
+        // When they were accepted, none may have been there that could be closed.
+        if self.connections.is_over_limit() {
+            self.make_room(context);
+        }
     }
 
     fn accepted(&mut self, context: &mut IngressContext<N>, conn: Conn) {
         let now = context.net().now();
-        if self.connections.add(conn, now) {
+        self.connections.add(conn, now);
+        if self.connections.is_over_limit() {
             self.make_room(context);
         }
     }
--- a/crates/tidewall-platform-ingress/src/open_calls.rs
+++ b/crates/tidewall-platform-ingress/src/open_calls.rs
@@ -73,6 +73,11 @@
         self.calls.latest(conn)
     }
 
+    /// Returns the tag and the gateway's slot of the call with this key, which must be in use.
+    pub(crate) fn tag_and_slot(&self, key: u32) -> (u64, usize) {
+        self.calls.id_and_slot(key)
+    }
+
     /// Whether a call with this request id is open.
     pub(crate) fn contains_request(&self, request_id: u64) -> bool {
         self.by_request_id.contains_key(&request_id)
--- a/crates/tidewall-platform-ingress/src/replies.rs
+++ b/crates/tidewall-platform-ingress/src/replies.rs
@@ -49,6 +49,8 @@
             },
             Disposition::Failed => ReplyStatus::Failed,
         };
+        let completed = reply.disposition == Disposition::Completed;
+        self.connections.slot(conn).call_answered(completed);
         self.encode_reply(reply.tag, status, reply.payload);
         self.write_reply(net, conn);
     }
