--- a/crates/tidewall-net/src/mio/reading.rs
+++ b/crates/tidewall-net/src/mio/reading.rs
@@ -10,6 +10,9 @@
 /// much later.
 const READS_WITH_RAISED_LIMIT: usize = 16;
 
+/// Time for reading accepted connections that reading the opened ones before cannot use up (1 ms).
+const MIN_ACCEPTED_READ: Time = 10;
+
 /// The result of one read.
 enum ReadOutcome {
     /// This many bytes were read.
@@ -124,7 +127,8 @@
 }
 
 /// Reads from each connection that is in a read queue at the call: first from those that this process opened,
-/// then from accepted ones until the time `until`. The rest stays first in its queue.
+/// then from accepted ones until the time `until`, and for [`MIN_ACCEPTED_READ`] at least. The rest stays first
+/// in its queue.
 pub(super) fn read_queued<A: App<Net = Mio>>(app: &mut A, until: Time) {
     for _ in 0..app.net().read_queues.opened.len() {
         let Some(conn) = app.net().read_queues.opened.pop_front() else {
@@ -132,6 +136,7 @@
         };
         read(app, conn);
     }
+    let until = until.max(app.net().clock.current() + MIN_ACCEPTED_READ);
     for _ in 0..app.net().read_queues.accepted.len() {
         if app.net().clock.current() >= until {
             return;
--- a/crates/tidewall-net/tests/turns.rs
+++ b/crates/tidewall-net/tests/turns.rs
@@ -16,6 +16,9 @@
 /// The app leaves all but this many bytes of a turn for the next one.
 const BYTES_PER_TURN: usize = 4;
 
+/// Number of hosts: their turns take longer than a wake-up reads.
+const HOSTS: usize = 8;
+
 #[derive(Default)]
 struct Record {
     /// The connections in the order of their turns.
@@ -147,3 +150,29 @@
     }
     assert!(app.net.peer_has_closed(conn) && app.net.has_known_input(conn));
 }
+
+// Failure: hosts that send without pause leave no time for clients.
+#[test]
+fn clients_have_turns_in_a_wakeup_whose_time_was_used_up_by_opened_connections() {
+    let (mut app, mut clients, _, _host) = app_with_clients();
+    let host = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut hosts: Vec<TcpStream> = (0..HOSTS)
+        .map(|_| {
+            app.net.connect(host.local_addr().unwrap(), 10_000);
+            host.accept().unwrap().0
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(50));
+    mio::turn(&mut app).unwrap();
+    for host in &mut hosts {
+        host.write_all(b"done").unwrap();
+    }
+    clients[0].write_all(b"call").unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    mio::turn(&mut app).unwrap();
+    let client = app.record.accepted[0];
+    assert_eq!(
+        app.record.turns.iter().position(|conn| *conn == client),
+        Some(HOSTS)
+    );
+}
