--- a/crates/tidewall-cli/tests/incarnations.rs
+++ b/crates/tidewall-cli/tests/incarnations.rs
@@ -24,9 +24,13 @@
 impl Member {
     fn new() -> Member {
         let folder = tempfile::tempdir().unwrap();
-        let free = |host: &str| {
+        // Held until all are chosen, so that no two fields get the same port.
+        let mut listeners = Vec::new();
+        let mut free = |host: &str| {
             let listener = TcpListener::bind(format!("{host}:0")).unwrap();
-            listener.local_addr().unwrap()
+            let address = listener.local_addr().unwrap();
+            listeners.push(listener);
+            address
         };
         let link = free("127.0.0.2");
         let text = PAIR
@@ -47,6 +51,7 @@
                 ),
                 1,
             );
+        drop(listeners);
         fs::write(folder.path().join("keys"), KEYS).unwrap();
         fs::write(folder.path().join("settings"), text).unwrap();
         fs::create_dir(folder.path().join("state")).unwrap();
